--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** The closed list of error kinds and the answer that belongs to each. */
+package dev.wigeonward.core.error;
