--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission of requests by tier, workspace share and deadline. */
+package dev.wigeonward.core.admission;
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The agent's queue in front of an engine that knows no priority. */
+package dev.wigeonward.core.engine;
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of an upstream for a request. */
+package dev.wigeonward.core.placement;
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/request/Tier.java
@@ -0,0 +1,31 @@
+package dev.wigeonward.core.request;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** Importance of a request; a tier declared earlier is never shed before a later one. */
+public enum Tier {
+    CRITICAL,
+    STANDARD,
+    BATCH;
+
+    /** Returns the tier with the given lower-case name, or empty if there is none. */
+    public static Optional<Tier> fromName(String name) {
+        for (Tier tier : values()) {
+            if (tier.lowerCaseName().equals(name)) {
+                return Optional.of(tier);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns whether this tier is more important than the other. */
+    public boolean isAbove(Tier other) {
+        return ordinal() < other.ordinal();
+    }
+
+    /** Returns the name used in rules, headers and reports. */
+    public String lowerCaseName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/request/package-info.java
@@ -0,0 +1,2 @@
+/** Identity, tier and size of a request. */
+package dev.wigeonward.core.request;
