--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEvent.java
@@ -0,0 +1,57 @@
+package dev.wigeonward.core.dispatch;
+
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.placement.LoadReport;
+import dev.wigeonward.core.placement.UpstreamDescription;
+import dev.wigeonward.core.request.DispatchId;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+
+/** What an entry's dispatcher reacts to. */
+public sealed interface EntryEvent {
+    /** A caller sent a request that passed the checks of its form. */
+    record RequestArrived(RequestSpec request) implements EntryEvent {}
+
+    /** The caller closed its connection before the answer was complete. */
+    record CallerGone(RequestId request) implements EntryEvent {}
+
+    /** The store answered an order to create or move a claim. */
+    record ClaimAnswered(RequestId request, ClaimAnswer answer) implements EntryEvent {}
+
+    /** A link to an agent is up. */
+    record LinkUp(UpstreamDescription upstream) implements EntryEvent {}
+
+    /** The link to an agent was lost or is silent. */
+    record LinkDown(String upstreamId) implements EntryEvent {}
+
+    /** An agent announced that it leaves, or the VM list says so. */
+    record UpstreamLeaving(String upstreamId) implements EntryEvent {}
+
+    /** An agent reported its load. */
+    record LoadReported(String upstreamId, LoadReport report, boolean upstreamAlive) implements EntryEvent {}
+
+    /** An agent queued the request. */
+    record Accepted(RequestId request, DispatchId dispatch) implements EntryEvent {}
+
+    /** An agent refused the request before any upstream saw it. */
+    record NotRun(RequestId request, DispatchId dispatch, Failure failure) implements EntryEvent {}
+
+    /** An agent never received the request and will refuse a late copy. */
+    record Unseen(RequestId request, DispatchId dispatch) implements EntryEvent {}
+
+    /** Part of an answer arrived. */
+    record OutputArrived(RequestId request, DispatchId dispatch, long offsetBytes, int lengthBytes)
+            implements EntryEvent {}
+
+    /** The upstream completed the answer. */
+    record Finished(RequestId request, DispatchId dispatch, long totalBytes) implements EntryEvent {}
+
+    /** The run failed at the agent or the upstream. */
+    record Failed(RequestId request, DispatchId dispatch, Failure failure) implements EntryEvent {}
+
+    /** Time passed. */
+    record Tick() implements EntryEvent {}
+
+    /** The entry is asked to shut down without cutting requests. */
+    record DrainStarted() implements EntryEvent {}
+}
