--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -0,0 +1,21 @@
+package dev.wigeonward.measure;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The list of all measurements. */
+final class Measurements {
+    private static final List<Measurement> ALL = List.of();
+
+    private Measurements() {}
+
+    static List<Measurement> all() {
+        return ALL;
+    }
+
+    static Optional<Measurement> find(String name) {
+        return ALL.stream()
+                .filter(measurement -> measurement.name().equals(name))
+                .findFirst();
+    }
+}
