--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
@@ -10,6 +10,7 @@
 public final class UpstreamPool {
     private final List<UpstreamState> members = new ArrayList<>();
     private final Map<String, Integer> positions = new HashMap<>();
+    private int slots;
 
     private UpstreamPool() {}
 
@@ -21,7 +22,9 @@
     /** Adds or replaces the upstream with the state's id. */
     public void put(UpstreamState state) {
         Integer position = positions.get(state.description().upstreamId());
+        slots += state.description().slots();
         if (position != null) {
+            slots -= members.get(position).description().slots();
             members.set(position, state);
             return;
         }
@@ -35,6 +38,7 @@
         if (position == null) {
             return;
         }
+        slots -= members.get(position).description().slots();
         UpstreamState last = members.remove(members.size() - 1);
         if (position < members.size()) {
             members.set(position, last);
@@ -52,6 +56,11 @@
         return Optional.ofNullable(positions.get(upstreamId)).map(members::get);
     }
 
+    /** Returns the slots of all members. */
+    public int slots() {
+        return slots;
+    }
+
     /** Returns the number of members. */
     public int size() {
         return members.size();
--- /dev/null
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkHandler.java
@@ -0,0 +1,163 @@
+package dev.wigeonward.wire;
+
+import java.util.function.Supplier;
+
+import dev.wigeonward.wire.generated.Frame;
+import dev.wigeonward.wire.generated.Hello;
+import dev.wigeonward.wire.generated.Reject;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+
+/** Exchanges greetings, sends heartbeats, and gives a link up when it is silent or breaks the protocol. */
+final class LinkHandler extends SimpleChannelInboundHandler<Frame> implements Link {
+    private final long number;
+    private final String remoteName;
+    private final LinkSettings settings;
+    private final LinkListener listener;
+    private final Supplier<Hello> greeting;
+    private final Supplier<Frame> heartbeat;
+    private volatile Channel channel;
+    private volatile Hello peer;
+    private String downReason = "closed by the peer";
+
+    LinkHandler(
+            long number,
+            String remoteName,
+            LinkSettings settings,
+            LinkListener listener,
+            Supplier<Hello> greeting,
+            Supplier<Frame> heartbeat) {
+        this.number = number;
+        this.remoteName = remoteName;
+        this.settings = settings;
+        this.listener = listener;
+        this.greeting = greeting;
+        this.heartbeat = heartbeat;
+    }
+
+    @Override
+    public long number() {
+        return number;
+    }
+
+    @Override
+    public Hello peer() {
+        return peer;
+    }
+
+    @Override
+    public void send(Frame frame) {
+        Channel open = channel;
+        if (open == null || !open.isActive()) {
+            return;
+        }
+        if (open.unsafe().outboundBuffer() != null
+                && open.unsafe().outboundBuffer().totalPendingWriteBytes() > settings.maxPendingBytes()) {
+            giveUp("the peer does not read");
+            return;
+        }
+        open.writeAndFlush(frame, open.voidPromise());
+    }
+
+    @Override
+    public boolean writable() {
+        Channel open = channel;
+        return open != null && open.isWritable();
+    }
+
+    @Override
+    public void close() {
+        giveUp("closed by this process");
+    }
+
+    private void giveUp(String reason) {
+        Channel open = channel;
+        if (open == null) {
+            return;
+        }
+        open.eventLoop().execute(() -> {
+            downReason = reason;
+            open.close();
+        });
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        Hello hello = greeting.get().toBuilder()
+                .setProtocolVersion(LinkSettings.PROTOCOL_VERSION)
+                .build();
+        context.writeAndFlush(Frame.newBuilder().setHello(hello).build());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (peer != null) {
+            listener.onFrame(this, frame);
+            return;
+        }
+        if (frame.hasReject()) {
+            reject(context, "rejected by the peer: " + frame.getReject().getReason(), false);
+            return;
+        }
+        if (!frame.hasHello()) {
+            reject(context, "the first frame is not a greeting", true);
+            return;
+        }
+        int version = frame.getHello().getProtocolVersion();
+        if (version != LinkSettings.PROTOCOL_VERSION) {
+            reject(
+                    context,
+                    "protocol version is %d, expected %d".formatted(version, LinkSettings.PROTOCOL_VERSION),
+                    true);
+            return;
+        }
+        peer = frame.getHello();
+        listener.onUp(this);
+    }
+
+    private void reject(ChannelHandlerContext context, String reason, boolean tellPeer) {
+        listener.onConnectFailed(remoteName, reason);
+        if (!tellPeer) {
+            context.close();
+            return;
+        }
+        Frame reject = Frame.newBuilder()
+                .setReject(Reject.newBuilder().setReason(reason))
+                .build();
+        context.writeAndFlush(reject).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (!(event instanceof IdleStateEvent idle)) {
+            super.userEventTriggered(context, event);
+            return;
+        }
+        if (idle.state() == IdleState.READER_IDLE) {
+            downReason = "silent for %d ms".formatted(settings.silenceMillis());
+            context.close();
+        } else if (idle.state() == IdleState.WRITER_IDLE && peer != null) {
+            context.writeAndFlush(heartbeat.get());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        downReason = "broken: " + cause.getMessage();
+        context.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (peer != null) {
+            listener.onDown(this, downReason);
+        } else {
+            listener.onConnectFailed(remoteName, downReason);
+        }
+    }
+}
