Add entry and agent runtimes: links, decision threads, callers' HTTP, upstream calls

Cause: the cores need processes around them. Ruled out: aggregated answers at the agent (a lost link would lose them); output is kept by offset until acknowledged.

--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/link/package-info.java
@@ -0,0 +1,2 @@
+/** The agent's side of the links to entries. */
+package dev.wigeonward.agent.link;
--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentInput.java
@@ -0,0 +1,40 @@
+package dev.wigeonward.agent.runtime;
+
+import java.util.List;
+import java.util.Map;
+
+import dev.wigeonward.agent.upstream.UpstreamClient;
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.wire.Link;
+import dev.wigeonward.wire.generated.Frame;
+
+/** What reaches the decision thread of an agent. */
+sealed interface AgentInput {
+    /** A link is up. */
+    record LinkOpened(Link link) implements AgentInput {}
+
+    /** A frame arrived. */
+    record FrameArrived(Link link, Frame frame) implements AgentInput {}
+
+    /** A link is gone. */
+    record LinkClosed(Link link, String reason) implements AgentInput {}
+
+    /** Status and headers of an answer arrived from the upstream. */
+    record Head(RequestId run, int status, List<Map.Entry<String, String>> headers) implements AgentInput {}
+
+    /** A part of an answer arrived from the upstream. */
+    record Part(RequestId run, byte[] part) implements AgentInput {}
+
+    /** The upstream completed an answer. */
+    record End(RequestId run) implements AgentInput {}
+
+    /** The upstream did not complete an answer, or never saw the request. */
+    record Broken(RequestId run, Failure failure, boolean unreached) implements AgentInput {}
+
+    /** Outcome of a health check. */
+    record Probed(UpstreamClient.ProbeResult result) implements AgentInput {}
+
+    /** A question that needs the state of the decision thread. */
+    record Query(Runnable question) implements AgentInput {}
+}
--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -0,0 +1,375 @@
+package dev.wigeonward.agent.runtime;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.wigeonward.agent.link.EntryFrames;
+import dev.wigeonward.agent.upstream.UpstreamClient;
+import dev.wigeonward.agent.upstream.UpstreamRequest;
+import dev.wigeonward.core.dispatch.AgentDispatcher;
+import dev.wigeonward.core.dispatch.AgentEffect;
+import dev.wigeonward.core.dispatch.AgentEvent;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.request.DispatchId;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.platform.ring.DutyThread;
+import dev.wigeonward.wire.Link;
+import dev.wigeonward.wire.LinkListener;
+import dev.wigeonward.wire.LinkSettings;
+import dev.wigeonward.wire.LinkTransport;
+import dev.wigeonward.wire.generated.Dispatch;
+import dev.wigeonward.wire.generated.Frame;
+import dev.wigeonward.wire.generated.Heartbeat;
+import dev.wigeonward.wire.generated.Hello;
+import dev.wigeonward.wire.generated.Leaving;
+import dev.wigeonward.wire.generated.Load;
+import dev.wigeonward.wire.generated.ResponseHead;
+
+/** Runs the dispatcher of an agent on one thread and carries out its effects. */
+public final class AgentRuntime implements LinkListener, AutoCloseable {
+    private static final Logger LOG = System.getLogger(AgentRuntime.class.getName());
+    private static final int RING_CAPACITY = 65_536;
+    private static final long TICK_MILLIS = 20;
+    private static final long PROBE_PERIOD_MILLIS = 250;
+    private static final long LOAD_PERIOD_MILLIS = 500;
+    private static final int MAX_PART_BYTES = 64 * 1024;
+
+    private final AgentDispatcher dispatcher;
+    private final UpstreamClient upstream;
+    private final Clock clock;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final Hello hello;
+    private final LinkTransport transport;
+    private final UpstreamHealth health = new UpstreamHealth();
+    private final Map<Long, Link> links = new HashMap<>();
+    private final Map<RequestId, KeptRun> runs = new HashMap<>();
+    private final DutyThread<AgentInput> thread;
+    private volatile Load load = Load.newBuilder().setUpstreamAlive(true).build();
+    private long nextProbeMillis;
+    private long nextLoadMillis;
+    private boolean probing;
+    private CompletableFuture<Void> whenIdle;
+
+    public AgentRuntime(
+            AgentDispatcher dispatcher, UpstreamClient upstream, Clock clock, LinkSettings linkSettings, Hello hello) {
+        this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher");
+        this.upstream = Objects.requireNonNull(upstream, "upstream");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.hello = Objects.requireNonNull(hello, "hello");
+        this.transport = new LinkTransport(linkSettings, this, () -> hello, this::heartbeat, Optional.empty());
+        this.thread = DutyThread.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
+    }
+
+    /** Stops what an earlier incarnation left in the upstream, then starts to accept links. */
+    public InetSocketAddress listen(InetSocketAddress address) {
+        upstream.cancelAll();
+        return transport.listen(address);
+    }
+
+    @Override
+    public void onUp(Link link) {
+        thread.put(new AgentInput.LinkOpened(link));
+    }
+
+    @Override
+    public void onFrame(Link link, Frame frame) {
+        thread.put(new AgentInput.FrameArrived(link, frame));
+    }
+
+    @Override
+    public void onDown(Link link, String reason) {
+        thread.put(new AgentInput.LinkClosed(link, reason));
+    }
+
+    @Override
+    public void onConnectFailed(String address, String reason) {
+        LOG.log(Level.WARNING, "a link from {0} did not come up: {1}", address, reason);
+    }
+
+    /** Returns the answer to a question about the state of the decision thread. */
+    public <T> CompletionStage<T> query(Supplier<T> question) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        thread.put(new AgentInput.Query(() -> answer.complete(question.get())));
+        return answer;
+    }
+
+    /** Tells all entries that this upstream leaves, and completes once all its requests have ended. */
+    public CompletionStage<Void> drain(long limitMillis) {
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        thread.put(new AgentInput.Query(() -> {
+            handle(new AgentEvent.DrainStarted());
+            Frame leaving = Frame.newBuilder()
+                    .setLeaving(Leaving.newBuilder().setTimeLeftMillis(limitMillis))
+                    .build();
+            links.values().forEach(link -> link.send(leaving));
+            whenIdle = drained;
+        }));
+        return drained;
+    }
+
+    /** Returns the state for operators; to be called through {@link #query}. */
+    public Map<String, Object> dump() {
+        return Map.of(
+                "upstream", hello.getUpstream().getUpstreamId(),
+                "target", hello.getUpstream().getTarget(),
+                "version", hello.getUpstream().getVersion(),
+                "upstream_alive", dispatcher.upstreamAlive(),
+                "draining", dispatcher.draining(),
+                "queued", dispatcher.queue().queued(),
+                "running", dispatcher.queue().running(),
+                "backlog_millis", dispatcher.queue().backlogMillis(clock.millis()),
+                "kept_runs", dispatcher.keptRuns(),
+                "links",
+                        links.values().stream()
+                                .map(link -> link.peer().getNodeId())
+                                .toList());
+    }
+
+    /** Returns the registry, for further metrics. */
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
+    private Frame heartbeat() {
+        return Frame.newBuilder()
+                .setHeartbeat(Heartbeat.newBuilder().setLoad(load))
+                .build();
+    }
+
+    private void accept(AgentInput input) {
+        if (input instanceof AgentInput.FrameArrived arrived) {
+            frame(arrived.link(), arrived.frame());
+        } else if (input instanceof AgentInput.Part part) {
+            Optional.ofNullable(runs.get(part.run())).ifPresent(run -> run.output.append(part.part()));
+            handle(new AgentEvent.UpstreamOutput(part.run(), part.part().length));
+        } else if (input instanceof AgentInput.Head head) {
+            Optional.ofNullable(runs.get(head.run()))
+                    .ifPresent(run -> run.head = EntryFrames.head(head.status(), head.headers()));
+        } else if (input instanceof AgentInput.End end) {
+            handle(new AgentEvent.UpstreamFinished(end.run()));
+        } else if (input instanceof AgentInput.Broken broken) {
+            handle(
+                    broken.unreached()
+                            ? new AgentEvent.UpstreamUnreached(broken.run(), broken.failure())
+                            : new AgentEvent.UpstreamFailed(broken.run(), broken.failure()));
+        } else if (input instanceof AgentInput.LinkOpened opened) {
+            links.put(opened.link().number(), opened.link());
+            LOG.log(
+                    Level.INFO,
+                    "link from entry {0} is up",
+                    opened.link().peer().getNodeId());
+        } else if (input instanceof AgentInput.LinkClosed closed) {
+            links.remove(closed.link().number());
+            LOG.log(
+                    Level.WARNING,
+                    "link from entry {0} is down: {1}",
+                    closed.link().peer().getNodeId(),
+                    closed.reason());
+            handle(new AgentEvent.LinkLost(closed.link().number()));
+        } else if (input instanceof AgentInput.Probed probed) {
+            probing = false;
+            health.onProbe(probed.result()).ifPresent(this::healthChanged);
+        } else if (input instanceof AgentInput.Query query) {
+            query.question().run();
+        }
+    }
+
+    private void healthChanged(AgentEvent event) {
+        LOG.log(Level.WARNING, "upstream {0}: {1}", hello.getUpstream().getUpstreamId(), event);
+        handle(event);
+        publishLoad();
+    }
+
+    private void frame(Link link, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case DISPATCH -> dispatch(link, frame.getDispatch());
+            case REATTACH -> handle(EntryFrames.reattach(link.number(), frame.getReattach()));
+            case ACKNOWLEDGE ->
+                handle(new AgentEvent.AcknowledgeArrived(
+                        new RequestId(frame.getAcknowledge().getRequestId()),
+                        frame.getAcknowledge().getOffset()));
+            case CANCEL ->
+                handle(new AgentEvent.CancelArrived(
+                        new RequestId(frame.getCancel().getRequestId())));
+            default -> LOG.log(Level.DEBUG, "no use for {0}", frame.getBodyCase());
+        }
+    }
+
+    private void dispatch(Link link, Dispatch dispatch) {
+        AgentEvent.DispatchArrived event;
+        try {
+            event = EntryFrames.dispatch(link.number(), dispatch, clock.millis());
+        } catch (IllegalArgumentException e) {
+            LOG.log(
+                    Level.WARNING,
+                    "malformed dispatch from {0}: {1}",
+                    link.peer().getNodeId(),
+                    e.getMessage());
+            if (!dispatch.getRequestId().isEmpty() && !dispatch.getDispatchId().isEmpty()) {
+                link.send(EntryFrames.notRun(
+                        new RequestId(dispatch.getRequestId()),
+                        new DispatchId(dispatch.getDispatchId()),
+                        Failure.of(ErrorKind.MALFORMED_REQUEST, String.valueOf(e.getMessage()))));
+            }
+            return;
+        }
+        runs.computeIfAbsent(event.request().id(), id -> new KeptRun(EntryFrames.upstreamRequest(dispatch)));
+        handle(event);
+        // A run that was refused, or joined another one, needs no body.
+        if (!dispatcher.keeps(event.request().id())) {
+            runs.remove(event.request().id());
+        }
+    }
+
+    private void tick() {
+        long nowMillis = clock.millis();
+        handle(new AgentEvent.Tick());
+        if (!probing && nowMillis >= nextProbeMillis) {
+            probing = true;
+            nextProbeMillis = nowMillis + PROBE_PERIOD_MILLIS;
+            upstream.probe(result -> thread.put(new AgentInput.Probed(result)));
+        }
+        if (nowMillis >= nextLoadMillis) {
+            nextLoadMillis = nowMillis + LOAD_PERIOD_MILLIS;
+            publishLoad();
+        }
+        if (whenIdle != null && dispatcher.idle()) {
+            whenIdle.complete(null);
+        }
+    }
+
+    /** Sends the load at once when it changed; quiet links carry it in heartbeats anyway. */
+    private void publishLoad() {
+        Load next = Load.newBuilder()
+                .setBacklogMillis(dispatcher.queue().backlogMillis(clock.millis()))
+                .setRunning(dispatcher.queue().running())
+                .setQueued(dispatcher.queue().queued())
+                .setUpstreamAlive(dispatcher.upstreamAlive())
+                .build();
+        if (next.equals(load)) {
+            return;
+        }
+        load = next;
+        links.values().forEach(link -> link.send(heartbeat()));
+    }
+
+    private void handle(AgentEvent event) {
+        dispatcher.handle(event, clock.millis()).forEach(this::carryOut);
+    }
+
+    private void carryOut(AgentEffect effect) {
+        if (effect instanceof AgentEffect.SubmitToUpstream submit) {
+            KeptRun run = runs.get(submit.run());
+            metrics.counter("submitted").inc();
+            upstream.submit(run.request, new Forwarder(submit.run()));
+        } else if (effect instanceof AgentEffect.CancelInUpstream cancel) {
+            metrics.counter("cancelled").inc();
+            upstream.cancel(cancel.run());
+        } else if (effect instanceof AgentEffect.SendAccepted send) {
+            send(send.link(), EntryFrames.accepted(send));
+        } else if (effect instanceof AgentEffect.SendNotRun send) {
+            metrics.counter("not_run." + send.failure().kind().wireName()).inc();
+            send(send.link(), EntryFrames.notRun(send.request(), send.dispatch(), send.failure()));
+        } else if (effect instanceof AgentEffect.SendUnseen send) {
+            send(send.link(), EntryFrames.unseen(send));
+        } else if (effect instanceof AgentEffect.SendOutput send) {
+            sendOutput(send);
+        } else if (effect instanceof AgentEffect.SendFinished send) {
+            metrics.counter("finished").inc();
+            send(send.link(), EntryFrames.finished(send, runs.get(send.run()).head));
+        } else if (effect instanceof AgentEffect.SendFailed send) {
+            metrics.counter("failed." + send.failure().kind().wireName()).inc();
+            send(send.link(), EntryFrames.failed(send));
+        } else if (effect instanceof AgentEffect.TrimOutput trim) {
+            runs.get(trim.run()).output.trim(trim.uptoBytes());
+        } else if (effect instanceof AgentEffect.ReleaseRun release) {
+            runs.remove(release.run());
+        } else if (effect instanceof AgentEffect.ReportSuspects report) {
+            report.requests()
+                    .forEach(request ->
+                            LOG.log(Level.WARNING, "request {0} was running when the upstream died", request.id()));
+        }
+    }
+
+    private void sendOutput(AgentEffect.SendOutput send) {
+        KeptRun run = runs.get(send.run());
+        long fromBytes = send.fromBytes();
+        while (fromBytes < send.toBytes()) {
+            long toBytes = Math.min(send.toBytes(), fromBytes + MAX_PART_BYTES);
+            Optional<ResponseHead> head = fromBytes == 0 ? Optional.of(run.head) : Optional.empty();
+            send(
+                    send.link(),
+                    EntryFrames.output(
+                            send.request(), send.dispatch(), fromBytes, run.output.slice(fromBytes, toBytes), head));
+            fromBytes = toBytes;
+        }
+    }
+
+    private void send(long linkNumber, Frame frame) {
+        Optional.ofNullable(links.get(linkNumber)).ifPresent(link -> link.send(frame));
+    }
+
+    @Override
+    public void close() {
+        transport.close();
+        upstream.close();
+        thread.close();
+    }
+
+    /** What is kept of a run besides the dispatcher's state: the request for the upstream and the output. */
+    private static final class KeptRun {
+        private final UpstreamRequest request;
+        private final OutputBuffer output = new OutputBuffer();
+        private ResponseHead head = ResponseHead.getDefaultInstance();
+
+        private KeptRun(UpstreamRequest request) {
+            this.request = request;
+        }
+    }
+
+    /** Passes the upstream's answer to the decision thread. */
+    private final class Forwarder implements UpstreamClient.AnswerListener {
+        private final RequestId run;
+
+        private Forwarder(RequestId run) {
+            this.run = run;
+        }
+
+        @Override
+        public void onHead(int status, List<Map.Entry<String, String>> headers) {
+            thread.put(new AgentInput.Head(run, status, headers));
+        }
+
+        @Override
+        public void onOutput(byte[] part) {
+            thread.put(new AgentInput.Part(run, part));
+        }
+
+        @Override
+        public void onFinished() {
+            thread.put(new AgentInput.End(run));
+        }
+
+        @Override
+        public void onFailed(Failure failure) {
+            thread.put(new AgentInput.Broken(run, failure, false));
+        }
+
+        @Override
+        public void onUnreached(Failure failure) {
+            thread.put(new AgentInput.Broken(run, failure, true));
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -0,0 +1,247 @@
+package dev.wigeonward.agent.upstream;
+
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.platform.http.Json;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.client.api.NoAvailableHostException;
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.transport.api.RetryableException;
+
+/**
+ * Calls an upstream over HTTP. A model engine names its streams by the request id, so that a broken connection is resumed
+ * from the offset reached and a cancelled stream frees its slot; a plain service gets each request once and no more.
+ */
+public final class HttpUpstreamClient implements UpstreamClient {
+    /** Header under which an engine files a stream. */
+    public static final String REQUEST_ID_HEADER = "x-request-id";
+
+    private static final int MAX_RESUMES = 3;
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
+
+    private final boolean engine;
+    private final StreamingHttpClient client;
+    private final Map<RequestId, Call> calls = new ConcurrentHashMap<>();
+
+    private HttpUpstreamClient(InetSocketAddress address, boolean engine) {
+        this.engine = engine;
+        this.client = HttpClients.forResolvedAddress(address)
+                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .appendClientFilter(new RetryingHttpRequesterFilter.Builder()
+                        .maxTotalRetries(0)
+                        .waitForLoadBalancer(false)
+                        .build())
+                .buildStreaming();
+    }
+
+    /** Returns a client of a model engine. */
+    public static HttpUpstreamClient forEngine(InetSocketAddress address) {
+        return new HttpUpstreamClient(address, true);
+    }
+
+    /** Returns a client of a plain service. */
+    public static HttpUpstreamClient forPlainService(InetSocketAddress address) {
+        return new HttpUpstreamClient(address, false);
+    }
+
+    @Override
+    public void submit(UpstreamRequest request, AnswerListener listener) {
+        StreamingHttpRequest http =
+                client.newRequest(HttpRequestMethod.of(request.method(), properties(request.method())), request.path());
+        request.headers().forEach(header -> http.addHeader(header.getKey(), header.getValue()));
+        http.setHeader(REQUEST_ID_HEADER, request.id().value());
+        http.payloadBody(
+                Publisher.from(client.executionContext().bufferAllocator().wrap(request.body())));
+        Call call = new Call(request.id(), listener);
+        calls.put(request.id(), call);
+        call.start(http);
+    }
+
+    private static HttpRequestMethod.Properties properties(String method) {
+        return switch (method) {
+            case "GET", "HEAD", "OPTIONS" -> HttpRequestMethod.Properties.SAFE_IDEMPOTENT_CACHEABLE;
+            default -> HttpRequestMethod.Properties.NONE;
+        };
+    }
+
+    @Override
+    public void cancel(RequestId id) {
+        if (!engine) {
+            return;
+        }
+        Optional.ofNullable(calls.remove(id)).ifPresent(Call::cancel);
+        delete("/v1/streams/" + id.value());
+    }
+
+    @Override
+    public void cancelAll() {
+        if (engine) {
+            delete("/v1/streams");
+        }
+    }
+
+    private void delete(String path) {
+        client.request(client.delete(path))
+                .flatMapPublisher(StreamingHttpResponse::payloadBody)
+                .ignoreElements()
+                .onErrorComplete()
+                .subscribe();
+    }
+
+    @Override
+    public void probe(Consumer<ProbeResult> listener) {
+        client.request(client.get("/health"))
+                .flatMap(StreamingHttpResponse::toResponse)
+                .timeout(PROBE_TIMEOUT)
+                .map(response -> {
+                    String body = response.payloadBody().toString(StandardCharsets.UTF_8);
+                    return response.status().code() == 200
+                            ? (ProbeResult) new ProbeResult.Alive(instance(body))
+                            : new ProbeResult.Dead("health check answers " + response.status());
+                })
+                .onErrorReturn(error -> new ProbeResult.Dead(String.valueOf(error.getMessage())))
+                .subscribe(listener::accept);
+    }
+
+    private static String instance(String body) {
+        return Json.read(body.getBytes(StandardCharsets.UTF_8))
+                .map(node -> node.path("instance"))
+                .map(JsonNode::asText)
+                .orElse("");
+    }
+
+    @Override
+    public void close() {
+        client.closeAsync().subscribe();
+    }
+
+    /** One request and the connections that its answer came over. */
+    private final class Call {
+        private final RequestId id;
+        private final AnswerListener listener;
+        private final AtomicLong receivedBytes = new AtomicLong();
+        private int resumes;
+        private boolean headSeen;
+        private volatile boolean cancelled;
+        private volatile Cancellable subscription;
+
+        private Call(RequestId id, AnswerListener listener) {
+            this.id = id;
+            this.listener = listener;
+        }
+
+        private void start(StreamingHttpRequest http) {
+            subscription = client.request(http)
+                    .flatMapPublisher(response -> {
+                        head(response);
+                        return response.payloadBody();
+                    })
+                    .beforeOnNext(this::output)
+                    .ignoreElements()
+                    .whenOnComplete(this::finished)
+                    .whenOnError(this::broken)
+                    .onErrorComplete()
+                    .subscribe();
+        }
+
+        private void head(StreamingHttpResponse response) {
+            if (headSeen) {
+                return;
+            }
+            headSeen = true;
+            List<Map.Entry<String, String>> headers = new ArrayList<>();
+            response.headers()
+                    .forEach(header -> headers.add(Map.entry(
+                            header.getKey().toString(), header.getValue().toString())));
+            listener.onHead(response.status().code(), headers);
+        }
+
+        private void output(Buffer buffer) {
+            byte[] part = new byte[buffer.readableBytes()];
+            buffer.readBytes(part);
+            receivedBytes.addAndGet(part.length);
+            listener.onOutput(part);
+        }
+
+        private void finished() {
+            if (calls.remove(id) != null) {
+                listener.onFinished();
+            }
+        }
+
+        private void broken(Throwable error) {
+            if (cancelled) {
+                return;
+            }
+            boolean unreached = !headSeen && resumes == 0 && neverSent(error);
+            if (unreached) {
+                calls.remove(id);
+                listener.onUnreached(Failure.of(ErrorKind.NO_UPSTREAM, "the upstream cannot be reached"));
+                return;
+            }
+            resumes++;
+            if (!engine || resumes > MAX_RESUMES) {
+                calls.remove(id);
+                listener.onFailed(Failure.of(ErrorKind.UPSTREAM_LOST, "the upstream's answer broke off: " + error));
+                return;
+            }
+            resume();
+        }
+
+        private void resume() {
+            String path = "/v1/streams/" + id.value() + "?offset=" + receivedBytes.get();
+            subscription = client.request(client.get(path))
+                    .flatMapPublisher(response -> {
+                        if (response.status().code() != 200) {
+                            return response.payloadBody()
+                                    .ignoreElements()
+                                    .concat(Publisher.failed(
+                                            new IllegalStateException("the engine does not know the stream any more")));
+                        }
+                        return response.payloadBody();
+                    })
+                    .beforeOnNext(this::output)
+                    .ignoreElements()
+                    .whenOnComplete(this::finished)
+                    .whenOnError(this::broken)
+                    .onErrorComplete()
+                    .subscribe();
+        }
+
+        private void cancel() {
+            cancelled = true;
+            Cancellable current = subscription;
+            if (current != null) {
+                current.cancel();
+            }
+        }
+
+        private static boolean neverSent(Throwable error) {
+            return error instanceof ConnectException
+                    || error instanceof RetryableException
+                    || error instanceof NoAvailableHostException;
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamClient.java
@@ -0,0 +1,53 @@
+package dev.wigeonward.agent.upstream;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.request.RequestId;
+
+/** Calls to one upstream; all answers come through listeners, in any thread. */
+public interface UpstreamClient extends AutoCloseable {
+    /** Hands a request over, once. */
+    void submit(UpstreamRequest request, AnswerListener listener);
+
+    /** Stops a request; a plain service cannot stop one and ignores the call. */
+    void cancel(RequestId id);
+
+    /** Stops what an earlier incarnation of the agent left running. */
+    void cancelAll();
+
+    /** Checks whether the upstream answers. */
+    void probe(Consumer<ProbeResult> listener);
+
+    @Override
+    void close();
+
+    /** Hears the answer to one request. */
+    interface AnswerListener {
+        /** Status and headers arrived. */
+        void onHead(int status, List<Map.Entry<String, String>> headers);
+
+        /** A part of the body arrived. */
+        void onOutput(byte[] part);
+
+        /** The body is complete. */
+        void onFinished();
+
+        /** The upstream got the request, or may have, and did not complete the answer. */
+        void onFailed(Failure failure);
+
+        /** The upstream never saw the request. */
+        void onUnreached(Failure failure);
+    }
+
+    /** Outcome of a probe. */
+    sealed interface ProbeResult {
+        /** The upstream answers. A changed instance means that it was restarted. */
+        record Alive(String instance) implements ProbeResult {}
+
+        /** The upstream does not answer. */
+        record Dead(String reason) implements ProbeResult {}
+    }
+}
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -80,6 +80,12 @@
             running(finished.run()).ifPresent(run -> ended(run, null, nowMillis));
         } else if (event instanceof AgentEvent.UpstreamFailed failed) {
             running(failed.run()).ifPresent(run -> ended(run, failed.failure(), nowMillis));
+        } else if (event instanceof AgentEvent.UpstreamUnreached unreached) {
+            running(unreached.run()).ifPresent(run -> {
+                queue.onEnded(run.id(), nowMillis);
+                dropUnrun(run, unreached.failure());
+                pump(nowMillis);
+            });
         } else if (event instanceof AgentEvent.UpstreamDied) {
             upstreamDied(nowMillis);
         } else if (event instanceof AgentEvent.UpstreamAlive) {
@@ -110,6 +116,11 @@
         return queue;
     }
 
+    /** Returns whether a run that the given request started is kept. */
+    public boolean keeps(RequestId run) {
+        return runs.containsKey(run);
+    }
+
     /** Returns the number of runs that are kept, ended ones included. */
     public int keptRuns() {
         return runs.size();
@@ -218,7 +229,7 @@
         request.key().ifPresent(key -> runsByKey.put(key, run));
         addReader(run, arrived);
         for (RequestSpec displaced : ((AdmissionResult.Queued) result).displaced()) {
-            dropQueued(
+            dropUnrun(
                     runs.get(displaced.id()),
                     Failure.of(ErrorKind.DISPLACED, "displaced by a request of a higher tier"));
         }
@@ -339,7 +350,7 @@
         for (Run run : List.copyOf(runs.values())) {
             if (run.phase == Run.Phase.QUEUED) {
                 queue.remove(run.id());
-                dropQueued(run, Failure.of(ErrorKind.NO_UPSTREAM, "the upstream died before it got the request"));
+                dropUnrun(run, Failure.of(ErrorKind.NO_UPSTREAM, "the upstream died before it got the request"));
             } else if (run.phase == Run.Phase.RUNNING) {
                 running.add(run.request);
                 ended(
@@ -355,7 +366,7 @@
 
     private void tick(long nowMillis) {
         for (RequestSpec expired : queue.removeExpired(nowMillis)) {
-            dropQueued(
+            dropUnrun(
                     runs.get(expired.id()),
                     Failure.of(ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE, "the deadline cannot be met any more"));
         }
@@ -383,8 +394,8 @@
         }
     }
 
-    /** Tells every reader of a queued run that it did not run, and forgets it. */
-    private void dropQueued(Run run, Failure failure) {
+    /** Tells every reader of a run that the upstream never saw it, and forgets it. */
+    private void dropUnrun(Run run, Failure failure) {
         for (Run.Reader reader : run.readers.values()) {
             if (reader.attached()) {
                 emit(new AgentEffect.SendNotRun(reader.link, reader.request, reader.dispatch, failure));
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentEvent.java
@@ -41,6 +41,9 @@
     /** The upstream failed to complete one request, and goes on with others. */
     record UpstreamFailed(RequestId run, Failure failure) implements AgentEvent {}
 
+    /** The upstream could not be reached with the request, which it therefore never saw. */
+    record UpstreamUnreached(RequestId run, Failure failure) implements AgentEvent {}
+
     /** The upstream process died; what was running there is lost. */
     record UpstreamDied() implements AgentEvent {}
 
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
@@ -24,10 +24,7 @@
     void answered(RequestId id, ClaimAnswer answer, long nowMillis) {
         Optional<Flight> found = dispatcher.flight(id).filter(flight -> flight.phase == Flight.Phase.CLAIMING);
         if (found.isEmpty()) {
-            if (answer instanceof ClaimAnswer.Granted) {
-                // The request was answered as not run before its claim was known to exist.
-                dispatcher.emit(new EntryEffect.ReleaseClaim(id));
-            }
+            // The request was answered as not run in the meantime, and its claim was released with that answer.
             return;
         }
         Flight flight = found.get();
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -123,13 +123,13 @@
         policies.retries().onRequest(nowMillis);
         Optional<Failure> refusal = refusal(request, nowMillis);
         if (refusal.isPresent()) {
-            emit(new EntryEffect.DeliverFailure(request.id(), refusal.get()));
+            refuse(request, refusal.get());
             return;
         }
         Flight flight = new Flight(request);
         Optional<Placement> estimate = choose(flight, nowMillis);
         if (estimate.isEmpty()) {
-            refuse(request, ErrorKind.NO_UPSTREAM, "no upstream serves " + request.target());
+            refuse(request, Failure.of(ErrorKind.NO_UPSTREAM, "no upstream serves " + request.target()));
             return;
         }
         AdmissionQueue queue = queue(request.target());
@@ -138,15 +138,16 @@
         if (waitMillis + serviceMillis > request.timeLeftMillis(nowMillis)) {
             refuse(
                     request,
-                    ErrorKind.DEADLINE_UNREACHABLE,
-                    "expected wait of %d ms and service of %d ms exceed the %d ms left"
-                            .formatted(waitMillis, serviceMillis, request.timeLeftMillis(nowMillis)));
+                    Failure.of(
+                            ErrorKind.DEADLINE_UNREACHABLE,
+                            "expected wait of %d ms and service of %d ms exceed the %d ms left"
+                                    .formatted(waitMillis, serviceMillis, request.timeLeftMillis(nowMillis))));
             return;
         }
         flight.serviceMillis = serviceMillis;
         AdmissionResult result = queue.offer(request, serviceMillis, nowMillis);
         if (result instanceof AdmissionResult.Refused refused) {
-            emit(new EntryEffect.DeliverFailure(request.id(), refused.failure()));
+            refuse(request, refused.failure());
             return;
         }
         flights.put(request.id(), flight);
@@ -324,6 +325,7 @@
     void end(Flight flight, long nowMillis) {
         releasePlace(flight, nowMillis);
         flights.remove(flight.request.id());
+        emit(new EntryEffect.Forget(flight.request.id()));
     }
 
     /** Counts the request as outstanding at an upstream. */
@@ -365,8 +367,9 @@
         effects.add(effect);
     }
 
-    private void refuse(RequestSpec request, ErrorKind kind, String message) {
-        emit(new EntryEffect.DeliverFailure(request.id(), Failure.of(kind, message)));
+    private void refuse(RequestSpec request, Failure failure) {
+        emit(new EntryEffect.DeliverFailure(request.id(), failure));
+        emit(new EntryEffect.Forget(request.id()));
     }
 
     private AdmissionQueue queue(String target) {
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
@@ -13,7 +13,7 @@
     record TakeOverClaim(RequestId request, String previousClaimId, String upstreamId, long upstreamIncarnation)
             implements EntryEffect {}
 
-    /** Remove the own claim of a request that did not run. */
+    /** Remove the own claim of a request that did not run, also one whose creation is still under way. */
     record ReleaseClaim(RequestId request) implements EntryEffect {}
 
     /** Store the outcome of a claimed request. */
@@ -50,4 +50,7 @@
 
     /** Answer with an error. */
     record DeliverFailure(RequestId request, Failure failure) implements EntryEffect {}
+
+    /** Drop what is kept for a request; no further effect names it. */
+    record Forget(RequestId request) implements EntryEffect {}
 }
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -0,0 +1,151 @@
+package dev.wigeonward.entry.caller;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.platform.http.BodyCollector;
+import dev.wigeonward.platform.http.Json;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
+
+/** Takes callers' requests, hands them to the decision thread and returns the answers. */
+public final class CallerService implements StreamingHttpService {
+    /** Headers that concern one connection, or that the entry has used up. */
+    private static final Set<String> NOT_FORWARDED =
+            Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "host", "authorization", "te");
+
+    private final RequestClassifier classifier;
+    private final RequestSink sink;
+    private final ModelsPage models;
+    private final CallerLimits limits;
+    private final Supplier<RequestId> ids;
+    private final Clock clock;
+
+    public CallerService(
+            RequestClassifier classifier,
+            RequestSink sink,
+            ModelsPage models,
+            CallerLimits limits,
+            Supplier<RequestId> ids,
+            Clock clock) {
+        this.classifier = classifier;
+        this.sink = sink;
+        this.models = models;
+        this.limits = limits;
+        this.ids = ids;
+        this.clock = clock;
+    }
+
+    @Override
+    public Single<StreamingHttpResponse> handle(
+            HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
+        if (headersBytes(request.headers()) > limits.headersBytes()) {
+            Failure failure = Failure.of(
+                    ErrorKind.HEADERS_TOO_LARGE, "the headers exceed %d bytes".formatted(limits.headersBytes()));
+            return drainAndFail(context, request, responses, failure);
+        }
+        return BodyCollector.collect(request, limits.bodyBytes())
+                .flatMap(body -> body.exceeded()
+                        ? Single.succeeded(error(
+                                context,
+                                responses,
+                                Failure.of(
+                                        ErrorKind.BODY_TOO_LARGE,
+                                        "the body exceeds %d bytes".formatted(limits.bodyBytes()))))
+                        : answer(context, request, body.toByteArray(), responses));
+    }
+
+    private Single<StreamingHttpResponse> answer(
+            HttpServiceContext context,
+            StreamingHttpRequest request,
+            byte[] body,
+            StreamingHttpResponseFactory responses) {
+        CallerRequest http =
+                new CallerRequest(request.method().name(), request.requestTarget(), headers(request.headers()), body);
+        if (http.method().equals("GET") && http.pathWithoutQuery().equals("/v1/models")) {
+            return Single.succeeded(json(context, responses, HttpResponseStatus.OK, models.list()));
+        }
+        RequestId id = ids.get();
+        RequestClassifier.Result result = classifier.classify(http, id, clock.millis());
+        if (result instanceof RequestClassifier.Result.Refused refused) {
+            sink.refused(refused.failure());
+            return Single.succeeded(error(context, responses, refused.failure()));
+        }
+        CallerSession session = new CallerSession(
+                http,
+                ((RequestClassifier.Result.Classified) result).request(),
+                context.executionContext().bufferAllocator());
+        if (!sink.submit(session)) {
+            Failure failure = Failure.of(ErrorKind.OVERLOADED, "the entry has too many events to handle");
+            return Single.succeeded(error(context, responses, failure));
+        }
+        return session.response()
+                .map(start -> {
+                    StreamingHttpResponse response = responses.newResponse(HttpResponseStatus.of(start.status(), ""));
+                    start.headers().forEach(header -> response.addHeader(header.getKey(), header.getValue()));
+                    return response.payloadBody(start.body().beforeCancel(() -> sink.callerGone(session)));
+                })
+                .beforeCancel(() -> sink.callerGone(session));
+    }
+
+    private Single<StreamingHttpResponse> drainAndFail(
+            HttpServiceContext context,
+            StreamingHttpRequest request,
+            StreamingHttpResponseFactory responses,
+            Failure failure) {
+        return request.payloadBody().ignoreElements().concat(Single.succeeded(error(context, responses, failure)));
+    }
+
+    private static StreamingHttpResponse error(
+            HttpServiceContext context, StreamingHttpResponseFactory responses, Failure failure) {
+        HttpResponseStatus status = HttpResponseStatus.of(failure.kind().httpStatus(), "");
+        return json(context, responses, status, ErrorBody.of(failure));
+    }
+
+    private static StreamingHttpResponse json(
+            HttpServiceContext context,
+            StreamingHttpResponseFactory responses,
+            HttpResponseStatus status,
+            Object value) {
+        return responses
+                .newResponse(status)
+                .addHeader("content-type", Json.MEDIA_TYPE)
+                .payloadBody(Publisher.from(
+                        context.executionContext().bufferAllocator().wrap(Json.write(value))));
+    }
+
+    private static List<Map.Entry<String, String>> headers(HttpHeaders headers) {
+        List<Map.Entry<String, String>> forwarded = new ArrayList<>();
+        headers.forEach(header -> forwarded.add(
+                Map.entry(header.getKey().toString(), header.getValue().toString())));
+        return forwarded;
+    }
+
+    /** Returns whether a caller's header is passed on to the upstream. */
+    public static boolean isForwarded(String headerName) {
+        return !NOT_FORWARDED.contains(headerName.toLowerCase(Locale.ROOT));
+    }
+
+    private static long headersBytes(HttpHeaders headers) {
+        long bytes = 0;
+        for (Map.Entry<CharSequence, CharSequence> header : headers) {
+            bytes += header.getKey().length() + header.getValue().length();
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/ErrorBody.java
@@ -0,0 +1,21 @@
+package dev.wigeonward.entry.caller;
+
+import java.util.Map;
+
+import dev.wigeonward.core.error.Failure;
+
+/** The error body that callers get. */
+public final class ErrorBody {
+    private ErrorBody() {}
+
+    /** Returns the body as a structure for the JSON writer. */
+    public static Map<String, Map<String, Object>> of(Failure failure) {
+        return Map.of(
+                "error",
+                Map.of(
+                        "kind", failure.kind().wireName(),
+                        "message", failure.message(),
+                        "run_state", failure.kind().runState().wireName(),
+                        "retryable", failure.kind().retryable()));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' side: HTTP requests in, answers out. */
+package dev.wigeonward.entry.caller;
--- a/wire/src/main/java/dev/wigeonward/wire/Link.java
+++ b/wire/src/main/java/dev/wigeonward/wire/Link.java
@@ -8,6 +8,9 @@
     /** Returns a number that no other link of this process has or had. */
     long number();
 
+    /** Returns the address that was connected to, or the peer's address for an accepted link. */
+    String remoteName();
+
     /** Returns what the peer said of itself. */
     Hello peer();
 
--- a/wire/src/main/java/dev/wigeonward/wire/LinkHandler.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkHandler.java
@@ -44,6 +44,11 @@
         return number;
     }
 
+    @Override
+    public String remoteName() {
+        return remoteName;
+    }
+
     @Override
     public Hello peer() {
         return peer;
