Serve the thin path end to end through separate processes

Cause: the first version of a request path must run whole. ServiceTalk's client retries are off, since a retry there would be a second dispatch.

--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
@@ -0,0 +1,93 @@
+package dev.wigeonward.agent;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import dev.wigeonward.agent.runtime.AgentRuntime;
+import dev.wigeonward.agent.upstream.HttpUpstreamClient;
+import dev.wigeonward.core.dispatch.AgentDispatcher;
+import dev.wigeonward.core.dispatch.AgentLimits;
+import dev.wigeonward.core.engine.FifoEngineQueue;
+import dev.wigeonward.platform.clock.MonotonicClock;
+import dev.wigeonward.platform.http.AdminServer;
+import dev.wigeonward.wire.LinkSettings;
+import dev.wigeonward.wire.generated.Hello;
+import dev.wigeonward.wire.generated.UpstreamInfo;
+
+/** An agent with all its adapters. */
+public final class AgentProcess {
+    private static final Logger LOG = System.getLogger(AgentProcess.class.getName());
+
+    private final AgentSettings settings;
+    private final AgentRuntime runtime;
+    private final AdminServer admin;
+
+    private AgentProcess(AgentSettings settings, AgentRuntime runtime, AdminServer admin) {
+        this.settings = settings;
+        this.runtime = runtime;
+        this.admin = admin;
+    }
+
+    /** Starts an agent. */
+    public static AgentProcess start(AgentSettings settings) throws Exception {
+        long incarnation = new SplittableRandom().nextLong();
+        AgentDispatcher dispatcher = AgentDispatcher.create(
+                incarnation,
+                FifoEngineQueue.create(settings.slots(), settings.speed(), settings.queueCapacity()),
+                AgentLimits.defaults());
+        HttpUpstreamClient upstream = settings.engine()
+                ? HttpUpstreamClient.forEngine(settings.upstreamAddress())
+                : HttpUpstreamClient.forPlainService(settings.upstreamAddress());
+        AgentRuntime runtime = new AgentRuntime(
+                dispatcher, upstream, MonotonicClock.start(), LinkSettings.defaults(), hello(settings, incarnation));
+        runtime.listen(settings.linkAddress());
+        AdminServer admin = AdminServer.start(
+                settings.adminAddress(),
+                Map.of(
+                        "/admin/dump", () -> runtime.query(runtime::dump),
+                        "/admin/metrics",
+                                () -> CompletableFuture.completedFuture(
+                                        runtime.metrics().getCounters()),
+                        "/admin/health", () -> CompletableFuture.completedFuture(Map.of("ready", true))));
+        LOG.log(Level.INFO, "agent {0} takes links on {1}", settings.id(), settings.linkAddress());
+        return new AgentProcess(settings, runtime, admin);
+    }
+
+    private static Hello hello(AgentSettings settings, long incarnation) {
+        return Hello.newBuilder()
+                .setNodeId(settings.id())
+                .setIncarnation(incarnation)
+                .setFailureDomain(settings.failureDomain())
+                .setUpstream(UpstreamInfo.newBuilder()
+                        .setUpstreamId(settings.id())
+                        .setTarget(settings.target())
+                        .setVersion(settings.version())
+                        .setPlainService(!settings.engine())
+                        .setSlots(settings.slots())
+                        .setPrefillTokensPerSecond(settings.speed().prefillTokensPerSecond())
+                        .setDecodeTokensPerSecond(settings.speed().decodeTokensPerSecond()))
+                .build();
+    }
+
+    /** Announces the leave, waits for the requests up to the drain limit, and stops. */
+    public void drainAndClose() {
+        try {
+            runtime.drain(TimeUnit.SECONDS.toMillis(settings.drainLimitSeconds()))
+                    .toCompletableFuture()
+                    .get(settings.drainLimitSeconds(), TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.log(Level.WARNING, "requests are left after the drain limit", e);
+        }
+        admin.close();
+        runtime.close();
+        LOG.log(Level.INFO, "agent {0} stopped", settings.id());
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/Main.java
@@ -0,0 +1,101 @@
+package dev.wigeonward.agent;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import dev.wigeonward.platform.settings.Settings;
+import dev.wigeonward.platform.settings.SettingsResult;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Command line of the agent binary. */
+public final class Main {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    @Argument(metaVar = "COMMAND", required = true, usage = "serve, check-settings or example-settings")
+    private String command;
+
+    @Option(name = "--settings", metaVar = "FILE", usage = "settings of this process")
+    private Path settingsFile;
+
+    private Main() {}
+
+    /** Runs a command and exits with its code. */
+    public static void main(String[] arguments) throws Exception {
+        System.exit(run(arguments, System.out, System.err));
+    }
+
+    static int run(String[] arguments, PrintStream out, PrintStream err) throws Exception {
+        Main main = new Main();
+        CmdLineParser parser = new CmdLineParser(main);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException e) {
+            err.println(e.getMessage());
+            parser.printUsage(err);
+            return EXIT_USAGE;
+        }
+        return switch (main.command) {
+            case "serve" -> main.withSettings(err, settings -> serve(settings, out));
+            case "check-settings" ->
+                main.withSettings(err, settings -> {
+                    out.println("valid");
+                    return EXIT_OK;
+                });
+            case "example-settings" -> {
+                out.print(AgentSettings.declaration().documentedExample());
+                yield EXIT_OK;
+            }
+            default -> {
+                err.println("unknown command: " + main.command);
+                yield EXIT_USAGE;
+            }
+        };
+    }
+
+    private int withSettings(PrintStream err, Action action) throws Exception {
+        if (settingsFile == null) {
+            err.println("--settings is required");
+            return EXIT_USAGE;
+        }
+        SettingsResult result;
+        try {
+            result = AgentSettings.declaration().read(settingsFile);
+        } catch (IOException e) {
+            err.println(settingsFile + ": cannot be read: " + e.getMessage());
+            return EXIT_FAILED;
+        }
+        if (result instanceof SettingsResult.Invalid invalid) {
+            invalid.problems().forEach(err::println);
+            return EXIT_FAILED;
+        }
+        Settings settings = ((SettingsResult.Valid) result).settings();
+        return action.run(AgentSettings.of(settings));
+    }
+
+    private static int serve(AgentSettings settings, PrintStream out) throws Exception {
+        AgentProcess process = AgentProcess.start(settings);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            process.drainAndClose();
+                            stopped.countDown();
+                        },
+                        "shutdown"));
+        out.println("ready");
+        stopped.await();
+        return EXIT_OK;
+    }
+
+    /** What to do with valid settings. */
+    private interface Action {
+        int run(AgentSettings settings) throws Exception;
+    }
+}
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
+import dev.wigeonward.agent.link.DispatchAssembler;
 import dev.wigeonward.agent.link.EntryFrames;
 import dev.wigeonward.agent.upstream.UpstreamClient;
 import dev.wigeonward.agent.upstream.UpstreamRequest;
@@ -45,6 +46,8 @@
     private static final long PROBE_PERIOD_MILLIS = 250;
     private static final long LOAD_PERIOD_MILLIS = 500;
     private static final int MAX_PART_BYTES = 64 * 1024;
+    /** Upper end of the range that the rules allow for a body. */
+    private static final int MAX_BODY_BYTES = 64 << 20;
 
     private final AgentDispatcher dispatcher;
     private final UpstreamClient upstream;
@@ -53,6 +56,7 @@
     private final Hello hello;
     private final LinkTransport transport;
     private final UpstreamHealth health = new UpstreamHealth();
+    private final DispatchAssembler assembler = new DispatchAssembler(MAX_BODY_BYTES);
     private final Map<Long, Link> links = new HashMap<>();
     private final Map<RequestId, KeptRun> runs = new HashMap<>();
     private final DutyThread<AgentInput> thread;
@@ -177,6 +181,7 @@
                     "link from entry {0} is down: {1}",
                     closed.link().peer().getNodeId(),
                     closed.reason());
+            assembler.linkLost(closed.link().number());
             handle(new AgentEvent.LinkLost(closed.link().number()));
         } else if (input instanceof AgentInput.Probed probed) {
             probing = false;
@@ -194,8 +199,14 @@
 
     private void frame(Link link, Frame frame) {
         switch (frame.getBodyCase()) {
-            case DISPATCH -> dispatch(link, frame.getDispatch());
-            case REATTACH -> handle(EntryFrames.reattach(link.number(), frame.getReattach()));
+            case DISPATCH ->
+                assembler.first(link.number(), frame.getDispatch()).ifPresent(whole -> dispatch(link, whole));
+            case BODY_PART ->
+                assembler.part(link.number(), frame.getBodyPart()).ifPresent(whole -> dispatch(link, whole));
+            case REATTACH -> {
+                assembler.drop(frame.getReattach().getRequestId());
+                handle(EntryFrames.reattach(link.number(), frame.getReattach()));
+            }
             case ACKNOWLEDGE ->
                 handle(new AgentEvent.AcknowledgeArrived(
                         new RequestId(frame.getAcknowledge().getRequestId()),
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -31,8 +31,8 @@
 import io.servicetalk.transport.api.RetryableException;
 
 /**
- * Calls an upstream over HTTP. A model engine names its streams by the request id, so that a broken connection is resumed
- * from the offset reached and a cancelled stream frees its slot; a plain service gets each request once and no more.
+ * Calls an upstream over HTTP. A model engine names its streams by the request id, so that a broken connection is
+ * resumed from the offset reached and a cancelled stream frees its slot; a plain service gets each request once.
  */
 public final class HttpUpstreamClient implements UpstreamClient {
     /** Header under which an engine files a stream. */
@@ -49,10 +49,7 @@
         this.engine = engine;
         this.client = HttpClients.forResolvedAddress(address)
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
-                .appendClientFilter(new RetryingHttpRequesterFilter.Builder()
-                        .maxTotalRetries(0)
-                        .waitForLoadBalancer(false)
-                        .build())
+                .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
                 .buildStreaming();
     }
 
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -173,8 +173,8 @@
     }
 
     /**
-     * The highest tier is put first by every queue, so that only work of its own tier counts. Reported backlogs cover all
-     * tiers and would refuse it for work that it displaces.
+     * The highest tier is put first by every queue, so that only work of its own tier counts. Reported backlogs cover
+     * all tiers and would refuse it for work that it displaces.
      */
     private long expectedWaitMillis(RequestSpec request, AdmissionQueue queue, Placement estimate) {
         long queuedMillis = queue.backlogMillis(request.tier()) / Math.max(1, upstreams.slots(request.target()));
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
@@ -0,0 +1,73 @@
+package dev.wigeonward.entry;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import dev.wigeonward.platform.settings.Settings;
+import dev.wigeonward.platform.settings.SettingsResult;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Runs the entry process until it is asked to stop. */
+final class ServeCommand {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings of this process")
+    private Path settingsFile;
+
+    @Option(name = "--rules", metaVar = "FILE", usage = "rules in force until the store has any")
+    private Path rulesFile;
+
+    private ServeCommand() {}
+
+    static int run(String[] arguments, PrintStream out, PrintStream err) throws Exception {
+        ServeCommand command = new ServeCommand();
+        CmdLineParser parser = new CmdLineParser(command);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException e) {
+            err.println(e.getMessage());
+            parser.printUsage(err);
+            return EXIT_USAGE;
+        }
+        return command.serve(out, err);
+    }
+
+    private int serve(PrintStream out, PrintStream err) throws Exception {
+        SettingsResult result = readSettings(err);
+        if (result == null) {
+            return EXIT_FAILED;
+        }
+        if (result instanceof SettingsResult.Invalid invalid) {
+            invalid.problems().forEach(err::println);
+            return EXIT_FAILED;
+        }
+        Settings settings = ((SettingsResult.Valid) result).settings();
+        EntryProcess process = EntryProcess.start(EntrySettings.of(settings), rulesFile);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            process.drainAndClose();
+                            stopped.countDown();
+                        },
+                        "shutdown"));
+        out.println("ready");
+        stopped.await();
+        return EXIT_OK;
+    }
+
+    private SettingsResult readSettings(PrintStream err) {
+        try {
+            return EntrySettings.declaration().read(settingsFile);
+        } catch (IOException e) {
+            err.println(settingsFile + ": cannot be read: " + e.getMessage());
+            return null;
+        }
+    }
+}
--- a/entry/src/main/java/dev/wigeonward/entry/link/AgentFrames.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/AgentFrames.java
@@ -1,5 +1,6 @@
 package dev.wigeonward.entry.link;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import dev.wigeonward.entry.caller.CallerRequest;
 import dev.wigeonward.entry.caller.CallerService;
 import dev.wigeonward.wire.generated.Acknowledge;
+import dev.wigeonward.wire.generated.BodyPart;
 import dev.wigeonward.wire.generated.Cancel;
 import dev.wigeonward.wire.generated.Dispatch;
 import dev.wigeonward.wire.generated.Frame;
@@ -32,17 +34,34 @@
 
 /** Turns effects into frames and frames into events. */
 public final class AgentFrames {
+    /** Leaves room for the headers, of at most 256 KiB, in a frame of at most 1 MiB. */
+    private static final int FIRST_PART_BYTES = 512 * 1024;
+
+    private static final int BODY_PART_BYTES = 64 * 1024;
+
     private AgentFrames() {}
 
-    /** Returns the frame of a dispatch with the caller's request in it. */
-    public static Frame dispatch(EntryEffect.SendDispatch effect, RequestSpec request, CallerRequest http) {
+    /** Returns the frames of a dispatch with the caller's request in it; a long body needs several. */
+    public static List<Frame> dispatch(EntryEffect.SendDispatch effect, RequestSpec request, CallerRequest http) {
         Dispatch.Builder dispatch = describe(effect.request(), effect.dispatch(), request)
                 .setTimeLeftMillis(Math.max(0, effect.timeLeftMillis()))
                 .setAgentIncarnation(effect.upstreamIncarnation())
                 .setHead(head(http))
-                .setBody(UnsafeByteOperations.unsafeWrap(http.body()))
+                .setBody(
+                        UnsafeByteOperations.unsafeWrap(http.body(), 0, Math.min(FIRST_PART_BYTES, http.body().length)))
                 .setBodyLength(http.body().length);
-        return Frame.newBuilder().setDispatch(dispatch).build();
+        List<Frame> frames = new ArrayList<>();
+        frames.add(Frame.newBuilder().setDispatch(dispatch).build());
+        for (int offset = FIRST_PART_BYTES; offset < http.body().length; offset += BODY_PART_BYTES) {
+            int length = Math.min(BODY_PART_BYTES, http.body().length - offset);
+            BodyPart part = BodyPart.newBuilder()
+                    .setRequestId(effect.request().value())
+                    .setOffset(offset)
+                    .setData(UnsafeByteOperations.unsafeWrap(http.body(), offset, length))
+                    .build();
+            frames.add(Frame.newBuilder().setBodyPart(part).build());
+        }
+        return frames;
     }
 
     /** Returns the frame that joins the run of another request. */
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -226,10 +226,9 @@
     private void carryOut(EntryEffect effect) {
         if (effect instanceof EntryEffect.SendDispatch send) {
             PendingAnswer answer = pending.get(send.request());
-            send(
-                    send.upstreamId(),
-                    AgentFrames.dispatch(
-                            send, answer.session().request(), answer.session().http()));
+            AgentFrames.dispatch(
+                            send, answer.session().request(), answer.session().http())
+                    .forEach(frame -> send(send.upstreamId(), frame));
         } else if (effect instanceof EntryEffect.SendAttach send) {
             attach(send);
         } else if (effect instanceof EntryEffect.SendReattach send) {
--- /dev/null
+++ b/standins/src/main/java/dev/wigeonward/standins/Main.java
@@ -0,0 +1,98 @@
+package dev.wigeonward.standins;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+
+import dev.wigeonward.platform.clock.MonotonicClock;
+import dev.wigeonward.standins.engine.EngineEmulator;
+import dev.wigeonward.standins.engine.EngineProfile;
+import dev.wigeonward.standins.service.PlainService;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Command line of the stand-ins. */
+public final class Main {
+    private static final int EXIT_USAGE = 2;
+
+    @Argument(metaVar = "KIND", required = true, usage = "engine or service")
+    private String kind;
+
+    @Option(name = "--port", required = true, usage = "port on 127.0.0.1")
+    private int port;
+
+    @Option(name = "--model", usage = "engine: model served")
+    private String model = "advisory";
+
+    @Option(name = "--version", usage = "engine: version served")
+    private String version = "v1";
+
+    @Option(name = "--slots", usage = "engine: streams that run at once")
+    private int slots = 8;
+
+    @Option(name = "--prefill", usage = "engine: prompt tokens per second of one stream")
+    private int prefillTokensPerSecond = 20_000;
+
+    @Option(name = "--decode", usage = "engine: generated tokens per second of one stream")
+    private int decodeTokensPerSecond = 200;
+
+    @Option(name = "--report-lag-millis", usage = "engine: age of load reports and cache events")
+    private long reportLagMillis = 500;
+
+    @Option(name = "--cached-prefixes", usage = "engine: prompt prefixes kept")
+    private int cachedPrefixes = 256;
+
+    @Option(name = "--crash-marker", usage = "engine: text in a prompt that ends the process")
+    private String crashMarker = "";
+
+    @Option(name = "--checks-fencing", usage = "engine: refuse orders with an old fencing number")
+    private boolean checksFencing;
+
+    @Option(name = "--delay-millis", usage = "service: time before each answer")
+    private long delayMillis;
+
+    private Main() {}
+
+    /** Starts one stand-in and runs until the process is ended. */
+    public static void main(String[] arguments) throws Exception {
+        Main main = new Main();
+        CmdLineParser parser = new CmdLineParser(main);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException e) {
+            System.err.println(e.getMessage());
+            parser.printUsage(System.err);
+            System.exit(EXIT_USAGE);
+        }
+        main.start();
+        System.out.println("ready");
+        new CountDownLatch(1).await();
+    }
+
+    private void start() throws Exception {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+        switch (kind) {
+            case "engine" -> EngineEmulator.start(profile(), address, MonotonicClock.start());
+            case "service" -> PlainService.start(address, Duration.ofMillis(delayMillis));
+            default -> {
+                System.err.println("unknown kind: " + kind);
+                System.exit(EXIT_USAGE);
+            }
+        }
+    }
+
+    private EngineProfile profile() {
+        return new EngineProfile(
+                model,
+                version,
+                slots,
+                prefillTokensPerSecond,
+                decodeTokensPerSecond,
+                cachedPrefixes,
+                reportLagMillis,
+                crashMarker,
+                checksFencing);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
@@ -0,0 +1,223 @@
+package dev.wigeonward.standins.engine;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.hash.Hashing;
+import com.google.common.primitives.Ints;
+import dev.wigeonward.platform.http.BodyCollector;
+import dev.wigeonward.platform.http.Json;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.netty.HttpServers;
+
+/**
+ * HTTP face of the emulated engine: {@code POST /v1/chat/completions}, {@code GET /v1/streams/ID?offset=N} to resume,
+ * {@code DELETE /v1/streams[/ID]} to cancel, {@code GET /v1/load}, {@code GET /v1/cache-events?after=N}, {@code POST
+ * /v1/orders}, {@code GET /health}, {@code POST /admin/faults}, {@code GET /admin/ran}.
+ */
+public final class EngineEmulator implements AutoCloseable {
+    private static final int MAX_BODY_BYTES = 64 << 20;
+    private static final int DEFAULT_OUTPUT_TOKENS = 16;
+    private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final int PREFIX_CHARACTERS = 1_024;
+    private static final int CRASH_EXIT_CODE = 137;
+
+    private final EngineProfile profile;
+    private final EngineBatch batch;
+    private final String instance = UUID.randomUUID().toString();
+    private final Map<String, Integer> ran = new LinkedHashMap<>();
+    private long highestFencingNumber;
+    private HttpServerContext server;
+
+    private EngineEmulator(EngineProfile profile, Clock clock) {
+        this.profile = profile;
+        this.batch = new EngineBatch(profile, clock);
+    }
+
+    /** Starts an engine. */
+    public static EngineEmulator start(EngineProfile profile, InetSocketAddress address, Clock clock) throws Exception {
+        EngineEmulator engine = new EngineEmulator(profile, clock);
+        engine.server = HttpServers.forAddress(address)
+                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .listenStreamingAndAwait(engine::handle);
+        return engine;
+    }
+
+    /** Returns the address listened on. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.listenAddress();
+    }
+
+    /** Returns how often each request was started, by request id. */
+    public synchronized Map<String, Integer> ran() {
+        return Map.copyOf(ran);
+    }
+
+    private Single<StreamingHttpResponse> handle(
+            HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
+        return BodyCollector.collect(request, MAX_BODY_BYTES)
+                .map(body -> answer(new Exchange(context, request, responses), body.toByteArray()));
+    }
+
+    private StreamingHttpResponse answer(Exchange exchange, byte[] body) {
+        String route = exchange.request.method().name() + " " + exchange.request.path();
+        if (route.equals("POST /v1/chat/completions")) {
+            return complete(exchange, body);
+        }
+        if (route.startsWith("GET /v1/streams/")) {
+            return resume(exchange);
+        }
+        if (route.startsWith("DELETE /v1/streams/")) {
+            batch.cancel(lastSegment(exchange));
+            return exchange.json(HttpResponseStatus.OK, Map.of());
+        }
+        return switch (route) {
+            case "DELETE /v1/streams" -> {
+                batch.cancelAll();
+                yield exchange.json(HttpResponseStatus.OK, Map.of());
+            }
+            case "GET /health" ->
+                exchange.json(HttpResponseStatus.OK, Map.of("instance", instance, "version", profile.version()));
+            case "GET /v1/load" -> exchange.json(HttpResponseStatus.OK, batch.laggingLoad());
+            case "GET /v1/cache-events" ->
+                exchange.json(HttpResponseStatus.OK, batch.cacheEventsAfter(exchange.intParameter("after")));
+            case "POST /v1/orders" -> order(exchange, body);
+            case "POST /admin/faults" -> setFaults(exchange, body);
+            case "GET /admin/ran" -> exchange.json(HttpResponseStatus.OK, ran());
+            default -> exchange.error(HttpResponseStatus.NOT_FOUND, "no such page");
+        };
+    }
+
+    private StreamingHttpResponse complete(Exchange exchange, byte[] body) {
+        Optional<JsonNode> json = Json.read(body);
+        if (json.isEmpty()) {
+            return exchange.error(HttpResponseStatus.BAD_REQUEST, "the body is not JSON");
+        }
+        String prompt = json.get().path("messages").toString();
+        if (!profile.crashMarker().isEmpty() && prompt.contains(profile.crashMarker())) {
+            Runtime.getRuntime().halt(CRASH_EXIT_CODE);
+        }
+        CharSequence givenId = exchange.request.headers().get("x-request-id");
+        String id = givenId == null ? UUID.randomUUID().toString() : givenId.toString();
+        EngineStream stream = new EngineStream(
+                id,
+                profile.model(),
+                json.get().path("stream").asBoolean(false),
+                Math.max(1, contentLength(json.get()) / CHARACTERS_PER_TOKEN),
+                json.get().path("max_tokens").asInt(DEFAULT_OUTPUT_TOKENS),
+                exchange.context.executionContext().bufferAllocator());
+        synchronized (this) {
+            ran.merge(id, 1, Integer::sum);
+        }
+        if (!batch.submit(stream, prefixHash(json.get()))) {
+            return exchange.error(HttpResponseStatus.INTERNAL_SERVER_ERROR, "emulated failure");
+        }
+        return exchange.stream(stream, 0);
+    }
+
+    private static int contentLength(JsonNode json) {
+        int characters = 0;
+        for (JsonNode message : json.path("messages")) {
+            characters += message.path("content").asText().length();
+        }
+        return characters;
+    }
+
+    private static long prefixHash(JsonNode json) {
+        StringBuilder prompt = new StringBuilder();
+        json.path("messages")
+                .forEach(message -> prompt.append(message.path("content").asText()));
+        if (prompt.length() < PREFIX_CHARACTERS) {
+            return 0;
+        }
+        return Hashing.murmur3_128()
+                .hashString(prompt.substring(0, PREFIX_CHARACTERS), StandardCharsets.UTF_8)
+                .asLong();
+    }
+
+    private StreamingHttpResponse resume(Exchange exchange) {
+        return batch.find(lastSegment(exchange))
+                .map(stream -> exchange.stream(stream, exchange.intParameter("offset")))
+                .orElseGet(() -> exchange.error(HttpResponseStatus.NOT_FOUND, "no such stream"));
+    }
+
+    private synchronized StreamingHttpResponse order(Exchange exchange, byte[] body) {
+        Optional<JsonNode> json = Json.read(body);
+        if (json.isEmpty()) {
+            return exchange.error(HttpResponseStatus.BAD_REQUEST, "the body is not JSON");
+        }
+        long fencingNumber = json.get().path("fencing_number").asLong();
+        if (profile.checksFencing() && fencingNumber < highestFencingNumber) {
+            return exchange.error(HttpResponseStatus.CONFLICT, "the fencing number is old");
+        }
+        highestFencingNumber = Math.max(highestFencingNumber, fencingNumber);
+        return exchange.json(HttpResponseStatus.OK, Map.of("state", "done"));
+    }
+
+    private StreamingHttpResponse setFaults(Exchange exchange, byte[] body) {
+        JsonNode json = Json.read(body).orElse(Json.mapper().createObjectNode());
+        batch.setFaults(new EngineFaults(
+                json.path("slow_factor").asDouble(1),
+                json.path("fail_every").asInt(0),
+                json.path("fail_above_running").asInt(0)));
+        return exchange.json(HttpResponseStatus.OK, Map.of());
+    }
+
+    private static String lastSegment(Exchange exchange) {
+        String path = exchange.request.path();
+        return path.substring(path.lastIndexOf('/') + 1);
+    }
+
+    @Override
+    public void close() {
+        server.closeAsync().subscribe();
+        batch.close();
+    }
+
+    /** One HTTP request with the means to answer it. */
+    private record Exchange(
+            HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
+        StreamingHttpResponse json(HttpResponseStatus status, Object value) {
+            return responses
+                    .newResponse(status)
+                    .addHeader("content-type", Json.MEDIA_TYPE)
+                    .payloadBody(Publisher.from(buffer(Json.write(value))));
+        }
+
+        StreamingHttpResponse error(HttpResponseStatus status, String message) {
+            return json(status, Map.of("error", Map.of("message", message)));
+        }
+
+        StreamingHttpResponse stream(EngineStream stream, int offsetBytes) {
+            return responses
+                    .ok()
+                    .addHeader("content-type", stream.events() ? "text/event-stream" : Json.MEDIA_TYPE)
+                    .payloadBody(stream.read(offsetBytes));
+        }
+
+        int intParameter(String name) {
+            String value = request.queryParameter(name);
+            Integer number = value == null ? null : Ints.tryParse(value);
+            return number == null ? 0 : number;
+        }
+
+        private Buffer buffer(byte[] bytes) {
+            return context.executionContext().bufferAllocator().wrap(bytes);
+        }
+    }
+}
