Add fair share admission with tiers and displacement

Cause: the entry's baseline queue is blind to tiers and shares. Ruled out: tags fixed at arrival, which ignore weight changes until the backlog has drained; refusing within a tier when one workspace fills the queue, which shuts out the others.

--- a/core/src/main/java/dev/wigeonward/core/admission/AdmissionResult.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/AdmissionResult.java
@@ -7,7 +7,10 @@
 
 /** Outcome of offering a request to an admission queue. */
 public sealed interface AdmissionResult {
-    /** The request waits; the displaced requests of lower tiers left the queue for it and have not run. */
+    /**
+     * The request waits; the displaced requests, of lower tiers or of a workspace over its share in the same tier, left
+     * the queue for it and have not run.
+     */
     record Queued(List<RequestSpec> displaced) implements AdmissionResult {
         public Queued {
             displaced = List.copyOf(displaced);
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareAdmissionQueue.java
@@ -0,0 +1,65 @@
+package dev.wigeonward.core.admission;
+
+import java.util.List;
+import java.util.Optional;
+
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.request.Tier;
+
+/**
+ * Strict priority between tiers, start-time fair queueing over the workspaces within a tier, displacement when full.
+ * Never returns a request whose deadline has passed from {@link #poll}.
+ */
+public final class FairShareAdmissionQueue implements AdmissionQueue {
+    private final FairShareBacklog backlog;
+
+    private FairShareAdmissionQueue(FairShareBacklog backlog) {
+        this.backlog = backlog;
+    }
+
+    /** Returns an empty queue for at most {@code capacity} requests. */
+    public static FairShareAdmissionQueue create(int capacity, WorkspaceWeights weights) {
+        return new FairShareAdmissionQueue(FairShareBacklog.create(capacity, 0, weights));
+    }
+
+    @Override
+    public AdmissionResult offer(RequestSpec request, long serviceMillis, long nowMillis) {
+        return backlog.offer(request, serviceMillis, latestStartMillis(request), nowMillis);
+    }
+
+    @Override
+    public Optional<RequestSpec> poll(long nowMillis) {
+        return backlog.poll(nowMillis);
+    }
+
+    @Override
+    public void putBack(RequestSpec request, long serviceMillis) {
+        backlog.putBack(request, serviceMillis, latestStartMillis(request));
+    }
+
+    @Override
+    public List<RequestSpec> removeExpired(long nowMillis) {
+        return backlog.removeUnreachable(nowMillis);
+    }
+
+    @Override
+    public boolean remove(RequestId id) {
+        return backlog.remove(id);
+    }
+
+    @Override
+    public long backlogMillis(Tier lowest) {
+        return backlog.backlogMillis(lowest);
+    }
+
+    @Override
+    public int size() {
+        return backlog.size();
+    }
+
+    /** The upstream and its speed are not chosen yet: only a request whose deadline has passed is surely late. */
+    private static long latestStartMillis(RequestSpec request) {
+        return request.deadlineMillis() - 1;
+    }
+}
