Add the priority engine queue with a reserve for short requests

Cause: engines know no priority and long requests block short ones. Ruled out: separate queues for short and long requests, which break the common order of tiers and shares.

--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
@@ -0,0 +1,133 @@
+package dev.wigeonward.core.engine;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import dev.wigeonward.core.admission.AdmissionResult;
+import dev.wigeonward.core.admission.FairShareBacklog;
+import dev.wigeonward.core.admission.WorkspaceWeights;
+import dev.wigeonward.core.request.EngineSpeed;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.request.Tier;
+
+/**
+ * Hands requests to an engine in order of tier and fair share, bounded by slots and by estimated work. Part of the
+ * slots takes short requests only, so that a short request waits for other short ones at most. A request that cannot
+ * be answered before its deadline is never handed over.
+ */
+public final class PriorityEngineQueue implements EngineQueue {
+    private final EngineLimits limits;
+    private final EngineSpeed speed;
+    private final FairShareBacklog backlog;
+    private final Map<RequestId, Running> running = new HashMap<>();
+    private int reservedRunning;
+    private long unreservedWorkMillis;
+
+    private PriorityEngineQueue(EngineLimits limits, EngineSpeed speed, WorkspaceWeights weights) {
+        this.limits = Objects.requireNonNull(limits, "limits");
+        this.speed = Objects.requireNonNull(speed, "speed");
+        this.backlog = FairShareBacklog.create(limits.capacity(), limits.shortMillis(), weights);
+    }
+
+    /** Returns an empty queue for an engine with the given speed. */
+    public static PriorityEngineQueue create(EngineLimits limits, EngineSpeed speed, WorkspaceWeights weights) {
+        return new PriorityEngineQueue(limits, speed, weights);
+    }
+
+    @Override
+    public AdmissionResult offer(RequestSpec request, long nowMillis) {
+        long serviceMillis = request.work().serviceMillis(speed);
+        return backlog.offer(request, serviceMillis, request.deadlineMillis() - serviceMillis, nowMillis);
+    }
+
+    @Override
+    public Optional<RequestSpec> next(long nowMillis) {
+        if (running.size() >= limits.slots()) {
+            return Optional.empty();
+        }
+        Optional<RequestSpec> first = backlog.peek(nowMillis);
+        if (first.isEmpty()) {
+            return first;
+        }
+        long serviceMillis = first.get().work().serviceMillis(speed);
+        boolean reservedFree = reservedRunning < limits.reservedSlots();
+        if (reservedFree && serviceMillis <= limits.shortMillis()) {
+            return start(backlog.poll(nowMillis), true, nowMillis);
+        }
+        if (hasUnreservedRoom(serviceMillis)) {
+            return start(backlog.poll(nowMillis), false, nowMillis);
+        }
+        return reservedFree ? start(backlog.pollShort(nowMillis), true, nowMillis) : Optional.empty();
+    }
+
+    private boolean hasUnreservedRoom(long serviceMillis) {
+        int unreservedRunning = running.size() - reservedRunning;
+        return unreservedRunning == 0
+                || unreservedRunning < limits.slots() - limits.reservedSlots()
+                        && unreservedWorkMillis + serviceMillis <= limits.workMillis();
+    }
+
+    private Optional<RequestSpec> start(Optional<RequestSpec> request, boolean reserved, long nowMillis) {
+        request.ifPresent(started -> {
+            long serviceMillis = started.work().serviceMillis(speed);
+            running.put(started.id(), new Running(serviceMillis, reserved, nowMillis));
+            if (reserved) {
+                reservedRunning++;
+            } else {
+                unreservedWorkMillis += serviceMillis;
+            }
+        });
+        return request;
+    }
+
+    @Override
+    public List<RequestSpec> removeExpired(long nowMillis) {
+        return backlog.removeUnreachable(nowMillis);
+    }
+
+    @Override
+    public boolean remove(RequestId id) {
+        return backlog.remove(id);
+    }
+
+    @Override
+    public void onEnded(RequestId id, long nowMillis) {
+        Running ended = running.remove(id);
+        if (ended == null) {
+            return;
+        }
+        if (ended.reserved()) {
+            reservedRunning--;
+        } else {
+            unreservedWorkMillis -= ended.serviceMillis();
+        }
+    }
+
+    @Override
+    public long backlogMillis(long nowMillis) {
+        long runningMillis = running.values().stream()
+                .mapToLong(each -> each.remainingMillis(nowMillis))
+                .sum();
+        return (runningMillis + backlog.backlogMillis(Tier.BATCH)) / limits.slots();
+    }
+
+    @Override
+    public int running() {
+        return running.size();
+    }
+
+    @Override
+    public int queued() {
+        return backlog.size();
+    }
+
+    private record Running(long serviceMillis, boolean reserved, long startedMillis) {
+        long remainingMillis(long nowMillis) {
+            return Math.max(0, serviceMillis - (nowMillis - startedMillis));
+        }
+    }
+}
