--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Limit on retries of requests that did not run. */
+package dev.wigeonward.core.retry;
