--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/spend/package-info.java
@@ -0,0 +1,2 @@
+/** Committed spend of workspaces within a period. */
+package dev.wigeonward.core.spend;
