Add the goodput measurement

Cause: the targets for goodput and wasted prefill need figures. Ruled out: a model of the fleet; two entries and eight engines show the effects of the policies. Change: the real queues and placement policies before fake engines on a paused clock.

--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputRun.java
@@ -0,0 +1,79 @@
+package dev.wigeonward.measure.goodput;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGeneratorFactory;
+
+import dev.wigeonward.core.placement.LoadReport;
+import dev.wigeonward.core.placement.UpstreamDescription;
+import dev.wigeonward.core.request.EngineSpeed;
+
+/** One run of a workload through a scheme. */
+final class GoodputRun {
+    private static final int SLOTS = 16;
+    /** Speeds of the engines relative to the reference. */
+    private static final double[] SPEED_FACTORS = {1.6, 1.6, 1, 1, 1, 1, 0.6, 0.6};
+
+    private static final int SLOWED_ENGINE = 2;
+    private static final long SLOWED_FROM_MILLIS = Workload.DURATION_MILLIS / 2;
+    private static final double SLOWED_FACTOR = 2;
+    private static final long TICK_MILLIS = 100;
+    private static final long REPORT_MILLIS = 1_000;
+    /** Longer than the longest deadline. */
+    private static final long DRAIN_MILLIS = 400_000;
+
+    private GoodputRun() {}
+
+    /** Returns the nominal work that all engines do in a second at the reference speed, in milliseconds. */
+    static double capacityMillisPerSecond() {
+        double capacity = 0;
+        for (double factor : SPEED_FACTORS) {
+            capacity += SLOTS * factor * 1_000;
+        }
+        return capacity;
+    }
+
+    static Tally run(Scheme scheme, List<Job> jobs, long seed) {
+        EventLoop loop = new EventLoop();
+        Tally tally = new Tally();
+        List<AgentNode> agents = new ArrayList<>();
+        for (int i = 0; i < SPEED_FACTORS.length; i++) {
+            UpstreamDescription description = description(i);
+            FakeEngine engine =
+                    new FakeEngine(description, SLOWED_FROM_MILLIS, i == SLOWED_ENGINE ? SLOWED_FACTOR : 1, loop);
+            agents.add(new AgentNode(engine, scheme.engineQueue(description), loop, tally));
+        }
+        List<EntryNode> entries = new ArrayList<>();
+        for (int i = 0; i < Workload.ENTRIES; i++) {
+            entries.add(new EntryNode(
+                    scheme,
+                    agents,
+                    RandomGeneratorFactory.of("L64X128MixRandom").create(seed + 1 + i),
+                    loop,
+                    tally));
+        }
+        jobs.forEach(job ->
+                loop.at(job.arrivalMillis(), () -> entries.get(job.entry()).arrive(job)));
+        long untilMillis = Workload.DURATION_MILLIS + DRAIN_MILLIS;
+        loop.every(TICK_MILLIS, untilMillis, () -> {
+            agents.forEach(AgentNode::pump);
+            entries.forEach(EntryNode::pump);
+        });
+        loop.every(
+                REPORT_MILLIS,
+                untilMillis,
+                () -> agents.forEach(agent -> {
+                    LoadReport report = agent.report();
+                    entries.forEach(entry -> entry.onReport(agent.description().upstreamId(), report));
+                }));
+        loop.run();
+        return tally;
+    }
+
+    private static UpstreamDescription description(int index) {
+        EngineSpeed speed =
+                new EngineSpeed((int) (Workload.REFERENCE_SPEED.prefillTokensPerSecond() * SPEED_FACTORS[index]), (int)
+                        (Workload.REFERENCE_SPEED.decodeTokensPerSecond() * SPEED_FACTORS[index]));
+        return new UpstreamDescription("engine-" + index, 1, "model", "1", "domain", SLOTS, speed);
+    }
+}
--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/Scheme.java
@@ -0,0 +1,89 @@
+package dev.wigeonward.measure.goodput;
+
+import java.util.random.RandomGenerator;
+
+import dev.wigeonward.core.admission.AdmissionQueue;
+import dev.wigeonward.core.admission.FairShareAdmissionQueue;
+import dev.wigeonward.core.admission.FifoAdmissionQueue;
+import dev.wigeonward.core.admission.WorkspaceWeights;
+import dev.wigeonward.core.engine.EngineLimits;
+import dev.wigeonward.core.engine.EngineQueue;
+import dev.wigeonward.core.engine.FifoEngineQueue;
+import dev.wigeonward.core.engine.PriorityEngineQueue;
+import dev.wigeonward.core.placement.LeastOutstanding;
+import dev.wigeonward.core.placement.PlacementPolicy;
+import dev.wigeonward.core.placement.RoundRobin;
+import dev.wigeonward.core.placement.UpstreamDescription;
+
+/** A combination of policies to compare. */
+enum Scheme {
+    ROUND_ROBIN_FIFO("round robin + FIFO") {
+        @Override
+        PlacementPolicy placement(RandomGenerator random) {
+            return RoundRobin.create();
+        }
+    },
+    LEAST_OUTSTANDING_FIFO("least outstanding + FIFO") {
+        @Override
+        PlacementPolicy placement(RandomGenerator random) {
+            return LeastOutstanding.create();
+        }
+    },
+    FULL("full policy") {
+        @Override
+        AdmissionQueue admission() {
+            return FairShareAdmissionQueue.create(ENTRY_CAPACITY, WorkspaceWeights.equal());
+        }
+
+        @Override
+        PlacementPolicy placement(RandomGenerator random) {
+            return LeastOutstanding.create();
+        }
+
+        @Override
+        EngineQueue engineQueue(UpstreamDescription engine) {
+            EngineLimits limits = new EngineLimits(
+                    engine.slots(), engine.slots() * WORK_PER_SLOT_MILLIS, SHORT_MILLIS, AGENT_CAPACITY);
+            return PriorityEngineQueue.create(limits, engine.speed(), WorkspaceWeights.equal());
+        }
+
+        @Override
+        boolean holdsBack() {
+            return true;
+        }
+    };
+
+    private static final int ENTRY_CAPACITY = 500;
+    /** Four times the slots of an engine. */
+    private static final int AGENT_CAPACITY = 64;
+
+    /** The longest request takes 85 s at the reference speed. */
+    private static final long WORK_PER_SLOT_MILLIS = 100_000;
+    /** Three units at the slowest engine. */
+    private static final long SHORT_MILLIS = 5_000;
+
+    private final String label;
+
+    Scheme(String label) {
+        this.label = label;
+    }
+
+    String label() {
+        return label;
+    }
+
+    AdmissionQueue admission() {
+        return FifoAdmissionQueue.withCapacity(ENTRY_CAPACITY);
+    }
+
+    abstract PlacementPolicy placement(RandomGenerator random);
+
+    EngineQueue engineQueue(UpstreamDescription engine) {
+        return FifoEngineQueue.create(engine.slots(), engine.speed(), AGENT_CAPACITY);
+    }
+
+    /** Returns whether entries keep requests that no upstream has room for, and send refused ones again. */
+    boolean holdsBack() {
+        return false;
+    }
+}
