Drive the goodput measurement through the dispatchers

Cause: the measurement joined queues and placement by code of its own. Change: the entry's and agent's dispatchers run in it; the retry budget implements the dispatcher's permits. Change: the entry's deadline check counts its own queue only.

--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -133,7 +133,7 @@
             return;
         }
         AdmissionQueue queue = queue(request.target());
-        long waitMillis = expectedWaitMillis(request, queue, estimate.get());
+        long waitMillis = expectedWaitMillis(request, queue);
         long serviceMillis = estimate.get().serviceMillis();
         if (waitMillis + serviceMillis > request.timeLeftMillis(nowMillis)) {
             refuse(
@@ -172,12 +172,12 @@
     }
 
     /**
-     * The highest tier is put first by every queue, so that only work of its own tier counts. Reported backlogs cover all
-     * tiers and would refuse it for work that it displaces.
+     * Only work that goes first in the own queue counts. Reported backlogs cover all tiers and the remaining time of
+     * running requests: they would refuse work that displaces others or starts in the next free slot. The agent checks
+     * the deadline again before it hands the request over.
      */
-    private long expectedWaitMillis(RequestSpec request, AdmissionQueue queue, Placement estimate) {
-        long queuedMillis = queue.backlogMillis(request.tier()) / Math.max(1, upstreams.slots(request.target()));
-        return request.tier() == Tier.CRITICAL ? queuedMillis : Math.max(queuedMillis, estimate.waitMillis());
+    private long expectedWaitMillis(RequestSpec request, AdmissionQueue queue) {
+        return queue.backlogMillis(request.tier()) / Math.max(1, upstreams.slots(request.target()));
     }
 
     private void callerGone(RequestId id, long nowMillis) {
--- a/core/src/main/java/dev/wigeonward/core/retry/RetryBudget.java
+++ b/core/src/main/java/dev/wigeonward/core/retry/RetryBudget.java
@@ -1,10 +1,12 @@
 package dev.wigeonward.core.retry;
 
+import dev.wigeonward.core.dispatch.RetryPermits;
+
 /**
  * Token bucket for retries. In each second it earns the larger of a share of the requests and a fixed floor, so that a
  * quiet entry can still retry and a busy one cannot multiply its load. Not thread-safe.
  */
-public final class RetryBudget {
+public final class RetryBudget implements RetryPermits {
     private static final long MILLITOKENS_PER_RETRY = 1_000;
     /** One request earns a tenth of a retry. */
     private static final long MILLITOKENS_PER_REQUEST = 100;
@@ -30,15 +32,15 @@
         return new RetryBudget(nowMillis);
     }
 
-    /** Counts a first attempt. */
+    @Override
     public void onRequest(long nowMillis) {
         advance(nowMillis);
         requestMillitokens += MILLITOKENS_PER_REQUEST;
         earn(nowMillis);
     }
 
-    /** Takes one retry from the budget and returns whether there was one. */
-    public boolean tryRetry(long nowMillis) {
+    @Override
+    public boolean tryAcquire(long nowMillis) {
         advance(nowMillis);
         earn(nowMillis);
         if (millitokens < MILLITOKENS_PER_RETRY) {
--- a/core/src/test/java/dev/wigeonward/core/retry/RetryBudgetTest.java
+++ b/core/src/test/java/dev/wigeonward/core/retry/RetryBudgetTest.java
@@ -20,7 +20,7 @@
             for (int i = 0; i < due; i++) {
                 budget.onRequest(millis);
             }
-            while (budget.tryRetry(millis)) {
+            while (budget.tryAcquire(millis)) {
                 granted++;
             }
         }
@@ -34,7 +34,7 @@
     void savesUpNoMoreThanOneSecond() {
         RetryBudget budget = RetryBudget.startingAt(0);
         int granted = 0;
-        while (budget.tryRetry(3_600_000)) {
+        while (budget.tryAcquire(3_600_000)) {
             granted++;
         }
         assertThat(granted).isEqualTo(10);
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/AgentNode.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/AgentNode.java
@@ -3,94 +3,96 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.function.BiConsumer;
 
-import dev.wigeonward.core.admission.AdmissionResult;
+import dev.wigeonward.core.dispatch.AgentDispatcher;
+import dev.wigeonward.core.dispatch.AgentEffect;
+import dev.wigeonward.core.dispatch.AgentEvent;
+import dev.wigeonward.core.dispatch.AgentLimits;
+import dev.wigeonward.core.dispatch.EntryEvent;
 import dev.wigeonward.core.engine.EngineQueue;
-import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.placement.LoadReport;
 import dev.wigeonward.core.placement.UpstreamDescription;
 import dev.wigeonward.core.request.RequestId;
-import dev.wigeonward.core.request.RequestSpec;
 
-/** An agent: the real queue before a fake engine. */
+/** The agent's dispatcher and queue before a fake engine, linked to the entries by their index. */
 final class AgentNode {
+    private static final int BYTES_PER_TOKEN = 4;
+
     private final FakeEngine engine;
-    private final EngineQueue queue;
+    private final AgentDispatcher dispatcher;
     private final EventLoop loop;
     private final Tally tally;
-    private final Map<RequestId, Pending> pending = new HashMap<>();
+    private final Map<RequestId, Job> jobs = new HashMap<>();
+    private List<EntryNode> entries = List.of();
 
     AgentNode(FakeEngine engine, EngineQueue queue, EventLoop loop, Tally tally) {
         this.engine = engine;
-        this.queue = queue;
+        this.dispatcher = AgentDispatcher.create(engine.description().incarnation(), queue, AgentLimits.defaults());
         this.loop = loop;
         this.tally = tally;
     }
 
+    void link(List<EntryNode> linked) {
+        entries = linked;
+    }
+
     UpstreamDescription description() {
         return engine.description();
     }
 
-    /** Queues a job; the reply gets empty for an answer and the error kind for a job that did not run. */
-    void dispatch(Job job, BiConsumer<Job, Optional<ErrorKind>> reply) {
-        AdmissionResult result = queue.offer(job.request(), loop.nowMillis());
-        if (result instanceof AdmissionResult.Refused refused) {
-            reply.accept(job, Optional.of(refused.failure().kind()));
-            return;
-        }
-        pending.put(job.request().id(), new Pending(job, reply));
-        refuse(((AdmissionResult.Queued) result).displaced(), ErrorKind.DISPLACED);
-        pump();
+    void dispatch(Job job, AgentEvent.DispatchArrived event) {
+        jobs.put(job.request().id(), job);
+        handle(event);
     }
 
-    /** Stops a job that nobody waits for and returns whether it was running. */
-    boolean cancel(RequestId id) {
-        if (pending.remove(id) == null) {
-            return false;
-        }
-        if (queue.remove(id)) {
-            return false;
+    void handle(AgentEvent event) {
+        for (AgentEffect effect : dispatcher.handle(event, loop.nowMillis())) {
+            apply(effect);
         }
-        queue.onEnded(id, loop.nowMillis());
-        tally.prefilled(engine.end(id), true);
-        pump();
-        return true;
     }
 
-    /** Reports requests that became late in the queue and starts what has room. */
-    void pump() {
-        refuse(queue.removeExpired(loop.nowMillis()), ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE);
-        for (Optional<RequestSpec> next = queue.next(loop.nowMillis());
-                next.isPresent();
-                next = queue.next(loop.nowMillis())) {
-            Pending started = pending.get(next.get().id());
-            engine.start(started.job(), () -> finish(started));
+    private void apply(AgentEffect effect) {
+        if (effect instanceof AgentEffect.SubmitToUpstream submit) {
+            Job job = jobs.get(submit.run());
+            engine.start(job, () -> finished(job));
+        } else if (effect instanceof AgentEffect.CancelInUpstream cancel) {
+            tally.prefilled(engine.end(cancel.run()), true);
+        } else if (effect instanceof AgentEffect.ReleaseRun release) {
+            jobs.remove(release.run());
+        } else if (effect instanceof AgentEffect.SendAccepted accepted) {
+            send(accepted.link(), new EntryEvent.Accepted(accepted.request(), accepted.dispatch()));
+        } else if (effect instanceof AgentEffect.SendNotRun notRun) {
+            send(notRun.link(), new EntryEvent.NotRun(notRun.request(), notRun.dispatch(), notRun.failure()));
+        } else if (effect instanceof AgentEffect.SendOutput output) {
+            int lengthBytes = (int) (output.toBytes() - output.fromBytes());
+            send(
+                    output.link(),
+                    new EntryEvent.OutputArrived(output.request(), output.dispatch(), output.fromBytes(), lengthBytes));
+        } else if (effect instanceof AgentEffect.SendFinished end) {
+            send(end.link(), new EntryEvent.Finished(end.request(), end.dispatch(), end.totalBytes()));
+        } else if (!(effect instanceof AgentEffect.TrimOutput)) {
+            throw new IllegalStateException("unexpected effect " + effect);
         }
     }
 
-    LoadReport report() {
-        return new LoadReport(
-                queue.backlogMillis(loop.nowMillis()), queue.running(), queue.queued(), List.of(), List.of());
-    }
-
-    private void finish(Pending finished) {
-        RequestId id = finished.job().request().id();
-        pending.remove(id);
-        queue.onEnded(id, loop.nowMillis());
-        tally.prefilled(
-                engine.end(id), loop.nowMillis() > finished.job().request().deadlineMillis());
-        finished.reply().accept(finished.job(), Optional.empty());
-        pump();
+    private void finished(Job job) {
+        RequestId id = job.request().id();
+        tally.prefilled(engine.end(id), loop.nowMillis() > job.request().deadlineMillis());
+        handle(new AgentEvent.UpstreamOutput(id, job.outputTokens() * BYTES_PER_TOKEN));
+        handle(new AgentEvent.UpstreamFinished(id));
     }
 
-    private void refuse(List<RequestSpec> requests, ErrorKind kind) {
-        for (RequestSpec request : requests) {
-            Pending refused = pending.remove(request.id());
-            refused.reply().accept(refused.job(), Optional.of(kind));
+    void report() {
+        EngineQueue queue = dispatcher.queue();
+        LoadReport report = new LoadReport(
+                queue.backlogMillis(loop.nowMillis()), queue.running(), queue.queued(), List.of(), List.of());
+        for (int link = 0; link < entries.size(); link++) {
+            send(link, new EntryEvent.LoadReported(description().upstreamId(), report, true));
         }
     }
 
-    private record Pending(Job job, BiConsumer<Job, Optional<ErrorKind>> reply) {}
+    private void send(long link, EntryEvent event) {
+        EntryNode entry = entries.get((int) link);
+        loop.after(EntryNode.LATENCY_MILLIS, () -> entry.handle(event));
+    }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputRun.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputRun.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
-import dev.wigeonward.core.placement.LoadReport;
+import dev.wigeonward.core.dispatch.AgentEvent;
+import dev.wigeonward.core.dispatch.EntryEvent;
 import dev.wigeonward.core.placement.UpstreamDescription;
 import dev.wigeonward.core.request.EngineSpeed;
 
@@ -45,27 +47,19 @@
         }
         List<EntryNode> entries = new ArrayList<>();
         for (int i = 0; i < Workload.ENTRIES; i++) {
-            entries.add(new EntryNode(
-                    scheme,
-                    agents,
-                    RandomGeneratorFactory.of("L64X128MixRandom").create(seed + 1 + i),
-                    loop,
-                    tally));
+            RandomGenerator random =
+                    RandomGeneratorFactory.of("L64X128MixRandom").create(seed + 1 + i);
+            entries.add(new EntryNode(i, scheme, agents, random, loop, tally));
         }
+        agents.forEach(agent -> agent.link(entries));
         jobs.forEach(job ->
                 loop.at(job.arrivalMillis(), () -> entries.get(job.entry()).arrive(job)));
         long untilMillis = Workload.DURATION_MILLIS + DRAIN_MILLIS;
         loop.every(TICK_MILLIS, untilMillis, () -> {
-            agents.forEach(AgentNode::pump);
-            entries.forEach(EntryNode::pump);
+            agents.forEach(agent -> agent.handle(new AgentEvent.Tick()));
+            entries.forEach(entry -> entry.handle(new EntryEvent.Tick()));
         });
-        loop.every(
-                REPORT_MILLIS,
-                untilMillis,
-                () -> agents.forEach(agent -> {
-                    LoadReport report = agent.report();
-                    entries.forEach(entry -> entry.onReport(agent.description().upstreamId(), report));
-                }));
+        loop.every(REPORT_MILLIS, untilMillis, () -> agents.forEach(AgentNode::report));
         loop.run();
         return tally;
     }
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/Scheme.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/Scheme.java
@@ -46,11 +46,6 @@
                     engine.slots(), engine.slots() * WORK_PER_SLOT_MILLIS, SHORT_MILLIS, AGENT_CAPACITY);
             return PriorityEngineQueue.create(limits, engine.speed(), WorkspaceWeights.equal());
         }
-
-        @Override
-        boolean holdsBack() {
-            return true;
-        }
     };
 
     private static final int ENTRY_CAPACITY = 500;
@@ -81,9 +76,4 @@
     EngineQueue engineQueue(UpstreamDescription engine) {
         return FifoEngineQueue.create(engine.slots(), engine.speed(), AGENT_CAPACITY);
     }
-
-    /** Returns whether entries keep requests that no upstream has room for, and send refused ones again. */
-    boolean holdsBack() {
-        return false;
-    }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/Tally.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/Tally.java
@@ -22,10 +22,6 @@
         open.put(job.request().id(), job);
     }
 
-    boolean isOpen(Job job) {
-        return open.containsKey(job.request().id());
-    }
-
     /** Counts a complete answer; late ones are counted as missed. */
     void answered(Job job, long nowMillis) {
         if (nowMillis > job.request().deadlineMillis()) {
