Bound the service time by observed errors before hand-over

Ruled out: a fixed margin, which does not follow a slow engine. Change: the engine queue keeps a moving mean and deviation of observed to estimated service time and hands over what ends in time with mean plus two deviations.

--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareBacklog.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareBacklog.java
@@ -106,6 +106,12 @@
         return take(firstOf(TierBacklog::first));
     }
 
+    /** Returns the next short request without removing it, or empty if no reachable short one is queued. */
+    public Optional<RequestSpec> peekShort(long nowMillis) {
+        setAsideUnreachable(nowMillis);
+        return firstOf(TierBacklog::firstShort).map(QueuedRequest::request);
+    }
+
     /** Removes and returns the next short request, or empty if no reachable short one is queued. */
     public Optional<RequestSpec> pollShort(long nowMillis) {
         setAsideUnreachable(nowMillis);
--- a/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
@@ -24,6 +24,7 @@
     private final EngineSpeed speed;
     private final FairShareBacklog backlog;
     private final Map<RequestId, Running> running = new HashMap<>();
+    private final ServiceTimeError error = new ServiceTimeError();
     private int reservedRunning;
     private long unreservedWorkMillis;
 
@@ -41,7 +42,7 @@
     @Override
     public AdmissionResult offer(RequestSpec request, long nowMillis) {
         long serviceMillis = request.work().serviceMillis(speed);
-        return backlog.offer(request, serviceMillis, request.deadlineMillis() - serviceMillis, nowMillis);
+        return backlog.offer(request, serviceMillis, latestStartMillis(request), nowMillis);
     }
 
     @Override
@@ -49,7 +50,7 @@
         if (running.size() >= limits.slots()) {
             return Optional.empty();
         }
-        Optional<RequestSpec> first = backlog.peek(nowMillis);
+        Optional<RequestSpec> first = firstReachable(nowMillis);
         if (first.isEmpty()) {
             return first;
         }
@@ -61,7 +62,30 @@
         if (hasUnreservedRoom(serviceMillis)) {
             return start(backlog.poll(nowMillis), false, nowMillis);
         }
-        return reservedFree ? start(backlog.pollShort(nowMillis), true, nowMillis) : Optional.empty();
+        return reservedFree ? start(reachableShort(nowMillis), true, nowMillis) : Optional.empty();
+    }
+
+    /** The backlog knows the latest start as it was at the offer; the engine may have become slower since. */
+    private Optional<RequestSpec> firstReachable(long nowMillis) {
+        Optional<RequestSpec> first = backlog.peek(nowMillis);
+        while (first.isPresent() && latestStartMillis(first.get()) < nowMillis) {
+            backlog.setAside(first.get());
+            first = backlog.peek(nowMillis);
+        }
+        return first;
+    }
+
+    private Optional<RequestSpec> reachableShort(long nowMillis) {
+        Optional<RequestSpec> first = backlog.peekShort(nowMillis);
+        while (first.isPresent() && latestStartMillis(first.get()) < nowMillis) {
+            backlog.setAside(first.get());
+            first = backlog.peekShort(nowMillis);
+        }
+        return backlog.pollShort(nowMillis);
+    }
+
+    private long latestStartMillis(RequestSpec request) {
+        return request.deadlineMillis() - error.upperMillis(request.work().serviceMillis(speed));
     }
 
     private boolean hasUnreservedRoom(long serviceMillis) {
@@ -100,6 +124,7 @@
         if (ended == null) {
             return;
         }
+        error.observe(ended.serviceMillis(), nowMillis - ended.startedMillis());
         if (ended.reserved()) {
             reservedRunning--;
         } else {
