Add earliest-completion placement, prefix index, key affinity and link subsets

Cause: the baselines ignore engine speeds, cached prefixes and failure domains, and nothing said which agents an entry links to. Ruled out: a score over the whole pool (linear in its size), a modulo of the key (moves keys of unrelated members), and link subsets by the agents' weights alone (leave some entries of a pool with fewer than four links). Change: EarliestCompletion, PrefixIndex, KeyAffinity, LinkSubset, DomainLatency. The wait of an upstream adds own dispatches since the last report and is 0 while a slot is free.

--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
@@ -1,6 +1,7 @@
 package dev.wigeonward.core.placement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,8 +9,12 @@
 
 /** The usable upstreams of one target and version, in an order that allows choice by index. Not thread-safe. */
 public final class UpstreamPool {
+    private static final int INITIAL_CAPACITY = 16;
+
     private final List<UpstreamState> members = new ArrayList<>();
     private final Map<String, Integer> positions = new HashMap<>();
+    /** Hashes of the members' ids by position, kept together because key affinity reads all of them. */
+    private long[] idHashes = new long[INITIAL_CAPACITY];
 
     private UpstreamPool() {}
 
@@ -26,6 +31,10 @@
             return;
         }
         positions.put(state.description().upstreamId(), members.size());
+        if (members.size() == idHashes.length) {
+            idHashes = Arrays.copyOf(idHashes, idHashes.length * 2);
+        }
+        idHashes[members.size()] = Rendezvous.hash(state.description().upstreamId());
         members.add(state);
     }
 
@@ -38,6 +47,7 @@
         UpstreamState last = members.remove(members.size() - 1);
         if (position < members.size()) {
             members.set(position, last);
+            idHashes[position] = idHashes[members.size()];
             positions.put(last.description().upstreamId(), position);
         }
     }
@@ -47,6 +57,11 @@
         return members.get(position);
     }
 
+    /** Returns the rendezvous hash of the id of the member at a position. */
+    long idHash(int position) {
+        return idHashes[position];
+    }
+
     /** Returns the member with the given id, or empty if it is not in the pool. */
     public Optional<UpstreamState> find(String upstreamId) {
         return Optional.ofNullable(positions.get(upstreamId)).map(members::get);
--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamState.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamState.java
@@ -11,7 +11,10 @@
     private long ownWorkMillis;
     private int ownOutstanding;
     private long reportedBacklogMillis;
+    private int reportedOutstanding;
     private long reportedAtMillis;
+    private long ownWorkAtReportMillis;
+    private int ownOutstandingAtReport;
 
     private UpstreamState(UpstreamDescription description) {
         this.description = description;
@@ -43,7 +46,10 @@
     /** Takes over a load report. */
     public void onReport(LoadReport report, long nowMillis) {
         reportedBacklogMillis = report.backlogMillis();
+        reportedOutstanding = report.running() + report.queued();
         reportedAtMillis = nowMillis;
+        ownWorkAtReportMillis = ownWorkMillis;
+        ownOutstandingAtReport = ownOutstanding;
     }
 
     /** Returns the number of own requests that have not ended. */
@@ -51,14 +57,36 @@
         return ownOutstanding;
     }
 
+    /** Returns the expected work of the own requests that have not ended, in milliseconds. */
+    public long ownWorkMillis() {
+        return ownWorkMillis;
+    }
+
     /**
-     * Returns the expected time before a new request starts, in milliseconds: the larger of the own outstanding work
-     * over the slots and the faded report.
+     * Returns the expected time before a new request starts, in milliseconds; 0 while a slot is expected to be free.
+     *
+     * <p>Outstanding work is the larger of the own one and the faded report plus what was dispatched since the report.
+     * With n requests outstanding at s slots, a new one starts when n - s + 1 of them have ended.
      */
     public long waitMillis(long nowMillis) {
-        long ownMillis = ownOutstanding < description.slots() ? 0 : ownWorkMillis / description.slots();
+        int slots = description.slots();
+        double weight = reportWeight(nowMillis);
+        int dispatchedSince = Math.max(0, ownOutstanding - ownOutstandingAtReport);
+        double outstanding = Math.max(ownOutstanding, reportedOutstanding * weight + dispatchedSince);
+        if (outstanding < slots) {
+            return 0;
+        }
+        long workSinceMillis = Math.max(0, ownWorkMillis - ownWorkAtReportMillis);
+        double workPerSlotMillis = Math.max(
+                (double) ownWorkMillis / slots, reportedBacklogMillis * weight + (double) workSinceMillis / slots);
+        return (long) (workPerSlotMillis * (outstanding - slots + 1) / outstanding);
+    }
+
+    private double reportWeight(long nowMillis) {
+        if (reportedOutstanding == 0) {
+            return 0;
+        }
         long ageMillis = Math.max(0, nowMillis - reportedAtMillis);
-        double weight = Math.pow(0.5, (double) ageMillis / REPORT_HALF_LIFE_MILLIS);
-        return Math.max(ownMillis, (long) (reportedBacklogMillis * weight));
+        return Math.pow(0.5, (double) ageMillis / REPORT_HALF_LIFE_MILLIS);
     }
 }
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/placement/EarliestCompletionTest.java
@@ -0,0 +1,119 @@
+package dev.wigeonward.core.placement;
+
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static dev.wigeonward.core.placement.PlacementFixtures.LOCAL;
+import static dev.wigeonward.core.placement.PlacementFixtures.REMOTE;
+import static dev.wigeonward.core.placement.PlacementFixtures.pool;
+import static dev.wigeonward.core.placement.PlacementFixtures.request;
+import static dev.wigeonward.core.placement.PlacementFixtures.upstream;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class EarliestCompletionTest {
+    private static final long PREFIX = 7;
+
+    private interface PolicyFactory {
+        PlacementPolicy create(RandomGenerator random, PrefixIndex prefixes);
+    }
+
+    private static PlacementPolicy real(RandomGenerator random, PrefixIndex prefixes) {
+        return EarliestCompletion.of(random, prefixes, DomainLatency.uniform(LOCAL, 10));
+    }
+
+    /** Mutation: always takes a holder of the prefix, whatever its queue. */
+    private static PlacementPolicy holderFirst(RandomGenerator random, PrefixIndex prefixes) {
+        PlacementPolicy real = real(random, prefixes);
+        return (request, pool, nowMillis) -> prefixes
+                .recentHolders(request.work().prefixHash(), 1)
+                .stream()
+                .findFirst()
+                .map(holder -> new Placement(holder, 0, 1))
+                .or(() -> real.choose(request, pool, nowMillis));
+    }
+
+    /** Guards against a queue at a prefix holder that costs more than the prefill it saves, and against the reverse. */
+    private static void checkHolderTradeoff(PolicyFactory factory, int queuedRequests, int promptTokens) {
+        UpstreamPool pool = pool(2);
+        PrefixIndex prefixes = PrefixIndex.create();
+        prefixes.onPlaced("upstream-0", PREFIX);
+        UpstreamState holder = pool.get(0);
+        IntStream.range(0, queuedRequests).forEach(each -> holder.onDispatched(400));
+        long queueMillis = holder.waitMillis(0);
+        long savedMillis = promptTokens / 2;
+        String chosen = factory.create(new Random(1), prefixes)
+                .choose(request(promptTokens, PREFIX), pool, 0)
+                .orElseThrow()
+                .upstreamId();
+        if (queueMillis > savedMillis) {
+            assertThat(chosen).isEqualTo("upstream-1");
+        } else if (queueMillis < savedMillis) {
+            assertThat(chosen).isEqualTo("upstream-0");
+        }
+    }
+
+    @Property
+    void holderIsChosenOnlyWhenItsQueueCostsLessThanTheSavedPrefill(
+            @ForAll @IntRange(max = 40) int queued, @ForAll @IntRange(min = 2, max = 8_000) int promptTokens) {
+        checkHolderTradeoff(EarliestCompletionTest::real, queued, promptTokens);
+    }
+
+    @Test
+    void mutationThatAlwaysTakesTheHolderIsFound() {
+        assertThatThrownBy(() -> checkHolderTradeoff(EarliestCompletionTest::holderFirst, 40, 100))
+                .isInstanceOf(AssertionError.class);
+    }
+
+    /** Guards against ignoring unlike speeds or the latency of remote domains. */
+    @Test
+    void fasterAndNearerUpstreamsAreChosen() {
+        UpstreamPool speeds = UpstreamPool.create();
+        speeds.put(upstream("slow", 4, 100, LOCAL));
+        speeds.put(upstream("fast", 4, 200, LOCAL));
+        UpstreamPool domains = UpstreamPool.create();
+        domains.put(upstream("remote", 4, 100, REMOTE));
+        domains.put(upstream("local", 4, 100, LOCAL));
+        PlacementPolicy policy = real(new Random(1), PrefixIndex.create());
+        for (int run = 0; run < 20; run++) {
+            assertThat(policy.choose(request(100, 0), speeds, 0).orElseThrow().upstreamId())
+                    .isEqualTo("fast");
+            assertThat(policy.choose(request(100, 0), domains, 0).orElseThrow().upstreamId())
+                    .isEqualTo("local");
+        }
+    }
+
+    /** Guards against a failure on pools that are empty, have one member, or lost the holder. */
+    @Test
+    void smallPoolsAndDepartedHolders() {
+        PrefixIndex prefixes = PrefixIndex.create();
+        prefixes.onPlaced("departed", PREFIX);
+        PlacementPolicy policy = real(new Random(1), prefixes);
+        assertThat(policy.choose(request(100, PREFIX), pool(0), 0)).isEmpty();
+        assertThat(policy.choose(request(100, PREFIX), pool(1), 0).orElseThrow().upstreamId())
+                .isEqualTo("upstream-0");
+    }
+
+    /** Guards against a decision that reads the whole pool: it may touch two members and the holders only. */
+    @Test
+    void examinesABoundedNumberOfMembers() {
+        UpstreamPool pool = pool(1_000);
+        PrefixIndex prefixes = PrefixIndex.create();
+        IntStream.range(0, 1_000).forEach(number -> prefixes.onPlaced("upstream-" + number, PREFIX));
+        int[] draws = {0};
+        RandomGenerator counting = () -> {
+            draws[0]++;
+            return 42L * draws[0];
+        };
+        real(counting, prefixes).choose(request(100, PREFIX), pool, 0);
+        assertThat(draws[0]).isLessThanOrEqualTo(4);
+        assertThat(prefixes.recentHolders(PREFIX, EarliestCompletion.MAX_HOLDERS_EXAMINED))
+                .hasSize(EarliestCompletion.MAX_HOLDERS_EXAMINED);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/placement/KeyAffinityTest.java
@@ -0,0 +1,84 @@
+package dev.wigeonward.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import dev.wigeonward.core.request.WorkEstimate;
+import org.junit.jupiter.api.Test;
+
+import static dev.wigeonward.core.placement.PlacementFixtures.pool;
+import static dev.wigeonward.core.placement.PlacementFixtures.request;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class KeyAffinityTest {
+    private static final int KEYS = 2_000;
+    private static final int MEMBERS = 20;
+
+    private interface Choice {
+        Optional<UpstreamState> member(String key, UpstreamPool pool);
+    }
+
+    /** Mutation: hash modulo the pool's size. */
+    private static Optional<UpstreamState> modulo(String key, UpstreamPool pool) {
+        return Optional.of(pool.get(Math.floorMod(key.hashCode(), pool.size())));
+    }
+
+    /** Guards against resends that reach another agent because an unrelated one left or the pool's order differs. */
+    private static void checkOnlyKeysOfTheDepartedMove(Choice choice) {
+        UpstreamPool pool = pool(MEMBERS);
+        Map<String, String> before = placements(choice, pool);
+        pool.remove("upstream-3");
+        Map<String, String> after = placements(choice, pool);
+        before.forEach((key, upstream) -> {
+            if (!upstream.equals("upstream-3")) {
+                assertThat(after).containsEntry(key, upstream);
+            }
+        });
+        pool.put(PlacementFixtures.upstream("upstream-3", 4, 100, PlacementFixtures.LOCAL));
+        assertThat(placements(choice, pool)).isEqualTo(before);
+    }
+
+    private static Map<String, String> placements(Choice choice, UpstreamPool pool) {
+        Map<String, String> placements = new HashMap<>();
+        for (int number = 0; number < KEYS; number++) {
+            String key = "key-" + number;
+            placements.put(
+                    key, choice.member(key, pool).orElseThrow().description().upstreamId());
+        }
+        return placements;
+    }
+
+    @Test
+    void onlyKeysOfTheDepartedMove() {
+        checkOnlyKeysOfTheDepartedMove(KeyAffinity::member);
+    }
+
+    @Test
+    void mutationWithModuloIsFound() {
+        assertThatThrownBy(() -> checkOnlyKeysOfTheDepartedMove(KeyAffinityTest::modulo))
+                .isInstanceOf(AssertionError.class);
+    }
+
+    /** Guards against weights that load some members far more than others: 100 keys each, deviation 10. */
+    @Test
+    void keysAreSpreadEvenly() {
+        Map<String, Integer> counts = new HashMap<>();
+        placements(KeyAffinity::member, pool(MEMBERS)).values().forEach(each -> counts.merge(each, 1, Integer::sum));
+        assertThat(counts).hasSize(MEMBERS);
+        assertThat(counts.values()).allMatch(count -> count > 60 && count < 140);
+    }
+
+    /** Guards against affinity for requests without a key. */
+    @Test
+    void requestsWithoutAKeyGoToTheOtherPolicy() {
+        Placement other = new Placement("other", 0, 1);
+        PlacementPolicy policy = KeyAffinity.or((request, pool, nowMillis) -> Optional.of(other));
+        WorkEstimate work = new WorkEstimate(10, 10, 0);
+        assertThat(policy.choose(request(Optional.empty(), work), pool(5), 0)).contains(other);
+        assertThat(policy.choose(request(Optional.of("key"), work), pool(5), 0).map(Placement::upstreamId))
+                .isEqualTo(KeyAffinity.member("key", pool(5))
+                        .map(state -> state.description().upstreamId()));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/placement/LinkSubsetTest.java
@@ -0,0 +1,93 @@
+package dev.wigeonward.core.placement;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class LinkSubsetTest {
+    private interface Subset {
+        List<String> agentsOf(String entryId, List<String> entries, List<String> agents);
+    }
+
+    /** Mutation: consecutive agents, starting at a place that depends on the entry's rank in the list. */
+    private static List<String> consecutive(String entryId, List<String> entries, List<String> agents) {
+        int start = entries.indexOf(entryId) * LinkSubset.MIN_LINKS_PER_ENTRY;
+        return IntStream.range(0, Math.min(agents.size(), 8))
+                .mapToObj(offset -> agents.get((start + offset) % agents.size()))
+                .sorted()
+                .toList();
+    }
+
+    private static List<String> names(String prefix, int count) {
+        return IntStream.range(0, count).mapToObj(number -> prefix + number).toList();
+    }
+
+    private static Set<String> links(Subset subset, List<String> entries, List<String> agents) {
+        Set<String> links = new HashSet<>();
+        entries.forEach(
+                entry -> subset.agentsOf(entry, entries, agents).forEach(agent -> links.add(entry + "-" + agent)));
+        return links;
+    }
+
+    private static List<String> without(List<String> all, String departed) {
+        List<String> rest = new ArrayList<>(all);
+        rest.remove(departed);
+        return rest;
+    }
+
+    /** Guards against an agent that no entry reaches and an entry that cannot serve a pool. */
+    @Property(tries = 60)
+    void everyAgentAndEveryEntryHasItsMinimum(
+            @ForAll @IntRange(min = 1, max = 40) int entryCount, @ForAll @IntRange(min = 1, max = 60) int agentCount) {
+        List<String> entries = names("e", entryCount);
+        List<String> agents = names("a", agentCount);
+        Set<String> links = links(LinkSubset::agentsOf, entries, agents);
+        int perAgent = LinkSubset.linksPerAgent(entryCount, agentCount);
+        int perEntry = Math.min(agentCount, LinkSubset.MIN_LINKS_PER_ENTRY);
+        for (String agent : agents) {
+            assertThat(links.stream().filter(link -> link.endsWith("-" + agent)).count())
+                    .isGreaterThanOrEqualTo(perAgent);
+        }
+        for (String entry : entries) {
+            assertThat(links.stream()
+                            .filter(link -> link.startsWith(entry + "-"))
+                            .count())
+                    .isGreaterThanOrEqualTo(perEntry);
+        }
+    }
+
+    /** Guards against a departure that moves links of unrelated entries and agents, at unchanged links per agent. */
+    private static void checkStability(Subset subset) {
+        List<String> entries = names("e", 30);
+        List<String> agents = names("a", 60);
+        Set<String> before = links(subset, entries, agents);
+        Set<String> afterEntry = links(subset, without(entries, "e7"), agents);
+        Set<String> lost = new HashSet<>(before);
+        lost.removeAll(afterEntry);
+        assertThat(lost).allMatch(link -> link.startsWith("e7-"));
+        Set<String> afterAgent = links(subset, entries, without(agents, "a11"));
+        lost = new HashSet<>(before);
+        lost.removeAll(afterAgent);
+        assertThat(lost).allMatch(link -> link.endsWith("-a11"));
+    }
+
+    @Test
+    void departureMovesOnlyItsOwnLinks() {
+        checkStability(LinkSubset::agentsOf);
+    }
+
+    @Test
+    void mutationWithConsecutiveAgentsIsFound() {
+        assertThatThrownBy(() -> checkStability(LinkSubsetTest::consecutive)).isInstanceOf(AssertionError.class);
+    }
+}
