Add the membership core

Cause: nothing decided which agents an entry links to and when new work stops. Ruled out: letting a frame on a silent connection or a lagging VM list revive an upstream. Change: MembershipCore with events, effects, six states and reconnect backoff with full jitter. Conclusion: the departure property holds over random histories; four mutations are found.

--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipCore.java
@@ -0,0 +1,250 @@
+package dev.wigeonward.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+import com.google.common.base.Preconditions;
+import dev.wigeonward.core.membership.MembershipEffect.LinkTo;
+import dev.wigeonward.core.membership.MembershipEffect.Replaced;
+import dev.wigeonward.core.membership.MembershipEffect.StartNewWork;
+import dev.wigeonward.core.membership.MembershipEffect.StopNewWork;
+import dev.wigeonward.core.membership.MembershipEffect.UnlinkFrom;
+import dev.wigeonward.core.membership.MembershipEvent.FrameArrived;
+import dev.wigeonward.core.membership.MembershipEvent.LeavingAnnounced;
+import dev.wigeonward.core.membership.MembershipEvent.LinkDown;
+import dev.wigeonward.core.membership.MembershipEvent.LinkUp;
+import dev.wigeonward.core.membership.MembershipEvent.VmsListed;
+import dev.wigeonward.core.placement.LinkSubset;
+
+/**
+ * The agents that an entry links to and which of them get new work. Any one of three signals stops new work: the
+ * agent's notice, the VM list, or silence. Not thread-safe.
+ *
+ * <p>A departure is final for an incarnation: a VM list that lags behind the agent's notice does not revert it.
+ */
+public final class MembershipCore {
+    /** Time without a frame after which a link is suspect, in milliseconds. */
+    public static final long SILENCE_MILLIS = 2_500;
+
+    /** Longest time between two ticks, in milliseconds; with the silence limit it keeps to the 3 s of invariant 7. */
+    public static final long MAX_TICK_MILLIS = 250;
+
+    /** Time after which a connection attempt without an answer is given up, in milliseconds. */
+    static final long CONNECT_TIMEOUT_MILLIS = 5_000;
+
+    private final String entryId;
+    private final RandomGenerator random;
+    private final Map<String, Member> members = new TreeMap<>();
+    private final Set<String> listedEntries = new TreeSet<>();
+    private final Map<String, Set<String>> listedAgentsByPool = new TreeMap<>();
+    private Set<String> subset = Set.of();
+    private boolean everListed;
+    private long lastSequence;
+
+    private MembershipCore(String entryId, RandomGenerator random) {
+        Preconditions.checkArgument(!entryId.isEmpty(), "entryId is empty");
+        this.entryId = entryId;
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /** Returns the membership of an entry that knows no upstream yet. */
+    public static MembershipCore create(String entryId, RandomGenerator random) {
+        return new MembershipCore(entryId, random);
+    }
+
+    /** Returns what to do after the event, in this order. */
+    public List<MembershipEffect> handle(MembershipEvent event, long nowMillis) {
+        List<MembershipEffect> effects = new ArrayList<>();
+        if (event instanceof VmsListed listed) {
+            onVmsListed(listed, nowMillis, effects);
+        } else if (event instanceof LeavingAnnounced leaving) {
+            onLeavingAnnounced(leaving, effects);
+        } else if (event instanceof LinkUp up) {
+            onLinkUp(up, nowMillis, effects);
+        } else if (event instanceof LinkDown down) {
+            onLinkDown(down, nowMillis, effects);
+        } else if (event instanceof FrameArrived frame) {
+            onFrameArrived(frame, nowMillis);
+        } else {
+            onTick(nowMillis, effects);
+        }
+        return effects;
+    }
+
+    /**
+     * Returns whether the incarnation may get new work now; false also for a silent link that no tick has found yet.
+     */
+    public boolean acceptsNewWork(String upstreamId, long incarnation, long nowMillis) {
+        Member member = members.get(upstreamId);
+        return member != null
+                && member.isCurrent(incarnation)
+                && member.state() == MemberState.LIVE
+                && !member.silentAt(nowMillis);
+    }
+
+    /** Returns the state of an incarnation; {@code DEAD} if nothing is known of it. */
+    public MemberState state(String upstreamId, long incarnation) {
+        Member member = members.get(upstreamId);
+        if (member == null) {
+            return MemberState.DEAD;
+        }
+        if (member.isReplaced(incarnation)) {
+            return MemberState.REPLACED;
+        }
+        return member.isCurrent(incarnation) || member.state() == MemberState.JOINING
+                ? member.state()
+                : MemberState.DEAD;
+    }
+
+    /** Returns the time at which a tick is due at the latest, in milliseconds; it may have passed. */
+    public long nextWakeMillis() {
+        return members.values().stream().mapToLong(Member::nextWakeMillis).min().orElse(Member.NEVER_MILLIS);
+    }
+
+    private void onVmsListed(VmsListed event, long nowMillis, List<MembershipEffect> effects) {
+        if (everListed && event.sequence() <= lastSequence) {
+            return;
+        }
+        everListed = true;
+        lastSequence = event.sequence();
+        Map<String, ListedVm> agents = new HashMap<>();
+        event.vms().stream().filter(vm -> vm.role() == ListedVm.Role.AGENT).forEach(vm -> agents.put(vm.id(), vm));
+        updateSubset(event.vms());
+        for (Member member : List.copyOf(members.values())) {
+            MemberState before = member.state();
+            ListedVm vm = agents.get(member.upstreamId());
+            if (vm == null) {
+                member.onUnlisted();
+            } else {
+                member.onListed(vm);
+            }
+            emitChange(member, before, effects);
+            boolean movedAway = vm != null && !vm.leaving() && !subset.contains(vm.id());
+            if (movedAway || member.gone()) {
+                remove(member, effects);
+            }
+        }
+        for (String wanted : subset) {
+            members.computeIfAbsent(wanted, id -> Member.joining(agents.get(id), random, nowMillis));
+        }
+    }
+
+    /** Computes the subset anew only if an entry or agent joined or left; it costs a pass over all pairs. */
+    private void updateSubset(List<ListedVm> vms) {
+        Set<String> entries = new TreeSet<>();
+        Map<String, Set<String>> agentsByPool = new TreeMap<>();
+        for (ListedVm vm : vms) {
+            if (vm.leaving()) {
+                continue;
+            }
+            if (vm.role() == ListedVm.Role.ENTRY) {
+                entries.add(vm.id());
+            } else {
+                agentsByPool.computeIfAbsent(vm.pool(), pool -> new TreeSet<>()).add(vm.id());
+            }
+        }
+        if (entries.equals(listedEntries) && agentsByPool.equals(listedAgentsByPool)) {
+            return;
+        }
+        listedEntries.clear();
+        listedEntries.addAll(entries);
+        listedAgentsByPool.clear();
+        listedAgentsByPool.putAll(agentsByPool);
+        Set<String> linked = new HashSet<>();
+        agentsByPool.values().forEach(agents -> linked.addAll(LinkSubset.agentsOf(entryId, entries, agents)));
+        subset = new TreeSet<>(linked);
+    }
+
+    private void onLeavingAnnounced(LeavingAnnounced event, List<MembershipEffect> effects) {
+        Member member = members.get(event.upstreamId());
+        if (member == null || !member.isCurrent(event.incarnation())) {
+            return;
+        }
+        MemberState before = member.state();
+        member.onLeaving();
+        emitChange(member, before, effects);
+    }
+
+    private void onLinkUp(LinkUp event, long nowMillis, List<MembershipEffect> effects) {
+        Member member = members.get(event.upstreamId());
+        if (member == null) {
+            effects.add(new UnlinkFrom(event.upstreamId()));
+            return;
+        }
+        if (member.isReplaced(event.incarnation())) {
+            onLinkDown(new LinkDown(event.upstreamId()), nowMillis, effects);
+            return;
+        }
+        MemberState before = member.state();
+        long oldIncarnation = member.incarnation();
+        boolean replaces = member.isReplacedBy(event.incarnation());
+        if (replaces) {
+            if (before == MemberState.LIVE) {
+                effects.add(new StopNewWork(member.upstreamId(), oldIncarnation, MemberState.REPLACED));
+            }
+            effects.add(new Replaced(member.upstreamId(), oldIncarnation, event.incarnation()));
+        }
+        member.onLinkUp(event.incarnation(), nowMillis);
+        emitChange(member, replaces ? MemberState.JOINING : before, effects);
+    }
+
+    private void onLinkDown(LinkDown event, long nowMillis, List<MembershipEffect> effects) {
+        Member member = members.get(event.upstreamId());
+        if (member != null) {
+            loseLink(member, nowMillis, effects);
+        }
+    }
+
+    private void onFrameArrived(FrameArrived event, long nowMillis) {
+        Member member = members.get(event.upstreamId());
+        if (member != null && member.isCurrent(event.incarnation())) {
+            member.onFrame(nowMillis);
+        }
+    }
+
+    private void onTick(long nowMillis, List<MembershipEffect> effects) {
+        for (Member member : List.copyOf(members.values())) {
+            if (member.silentAt(nowMillis)) {
+                loseLink(member, nowMillis, effects);
+            }
+            if (member.connectionDueAt(nowMillis) && !member.gone()) {
+                member.onConnecting(nowMillis);
+                effects.add(new LinkTo(member.upstreamId(), member.address()));
+            }
+        }
+    }
+
+    private void loseLink(Member member, long nowMillis, List<MembershipEffect> effects) {
+        MemberState before = member.state();
+        member.onLinkLost(nowMillis);
+        emitChange(member, before, effects);
+        if (member.gone()) {
+            remove(member, effects);
+        }
+    }
+
+    private void remove(Member member, List<MembershipEffect> effects) {
+        if (member.state() == MemberState.LIVE) {
+            effects.add(new StopNewWork(member.upstreamId(), member.incarnation(), MemberState.DEAD));
+        }
+        members.remove(member.upstreamId());
+        effects.add(new UnlinkFrom(member.upstreamId()));
+    }
+
+    private static void emitChange(Member member, MemberState before, List<MembershipEffect> effects) {
+        MemberState after = member.state();
+        if (before != MemberState.LIVE && after == MemberState.LIVE) {
+            effects.add(new StartNewWork(member.upstreamId(), member.incarnation()));
+        } else if (before == MemberState.LIVE && after != MemberState.LIVE) {
+            effects.add(new StopNewWork(member.upstreamId(), member.incarnation(), after));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
@@ -0,0 +1,220 @@
+package dev.wigeonward.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+
+import dev.wigeonward.core.membership.MembershipEffect.StartNewWork;
+import dev.wigeonward.core.membership.MembershipEffect.StopNewWork;
+import dev.wigeonward.core.membership.MembershipEvent.FrameArrived;
+import dev.wigeonward.core.membership.MembershipEvent.LeavingAnnounced;
+import dev.wigeonward.core.membership.MembershipEvent.LinkDown;
+import dev.wigeonward.core.membership.MembershipEvent.LinkUp;
+import dev.wigeonward.core.membership.MembershipEvent.Tick;
+import dev.wigeonward.core.membership.MembershipEvent.VmsListed;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/** Invariant 7: a leaving upstream gets nothing new after 3 s, whichever signal arrives. */
+class DepartureInvariantTest {
+    private static final long LIMIT_MILLIS = 3_000;
+    private static final int AGENTS = 3;
+    private static final int STEPS = 400;
+
+    /** Events that a faulty core does not see; each must break the invariant. */
+    private enum Mutation {
+        IGNORES_NOTICES,
+        IGNORES_THE_LIST,
+        IGNORES_SILENCE,
+        REVIVES_WHAT_THE_LIST_CALLS_LIVE
+    }
+
+    /** Returns the event that the faulty core gets instead, or null for none. */
+    private static MembershipEvent mutate(Mutation mutation, MembershipEvent event) {
+        return switch (mutation) {
+            case IGNORES_NOTICES -> event instanceof LeavingAnnounced ? null : event;
+            case IGNORES_THE_LIST ->
+                event instanceof VmsListed listed
+                        ? new VmsListed(
+                                listed.sequence(),
+                                listed.vms().stream()
+                                        .map(vm -> withLeaving(vm, false))
+                                        .toList())
+                        : event;
+            case IGNORES_SILENCE -> event instanceof Tick ? null : event;
+            case REVIVES_WHAT_THE_LIST_CALLS_LIVE -> event;
+        };
+    }
+
+    private static ListedVm withLeaving(ListedVm vm, boolean leaving) {
+        return new ListedVm(vm.id(), vm.role(), vm.pool(), vm.address(), leaving);
+    }
+
+    /** A random history of one entry: what happened to the agents, and which of them the core would use. */
+    private static final class History {
+        private final Random random;
+        private final MembershipCore core;
+        private final Function<MembershipEvent, MembershipEvent> filter;
+        private final boolean revives;
+        private final Map<String, Long> inUse = new HashMap<>();
+        private final Map<String, Long> signalAtMillis = new HashMap<>();
+        private final Map<String, Long> lastFrameMillis = new HashMap<>();
+        private final long[] incarnations = new long[AGENTS];
+        private final Set<Integer> listedLeaving = new HashSet<>();
+        private final boolean[] up = new boolean[AGENTS];
+        private final boolean[] silent = new boolean[AGENTS];
+        private long sequence;
+        private long nowMillis;
+
+        private History(long seed, Function<MembershipEvent, MembershipEvent> filter, boolean revives) {
+            this.random = new Random(seed);
+            this.core = MembershipCore.create("e", new Random(seed + 1));
+            this.filter = filter;
+            this.revives = revives;
+        }
+
+        private void run() {
+            sendList();
+            for (int step = 0; step < STEPS; step++) {
+                nowMillis += random.nextLong(MembershipCore.MAX_TICK_MILLIS) + 1;
+                step(random.nextInt(AGENTS));
+                for (int agent = 0; agent < AGENTS; agent++) {
+                    if (up[agent] && !silent[agent]) {
+                        sendFrame(agent);
+                    }
+                }
+                send(new Tick());
+                checkNothingNewAtDeparted();
+            }
+        }
+
+        private void step(int agent) {
+            switch (random.nextInt(14)) {
+                case 0 -> sendLeaving(agent);
+                case 1 -> {
+                    if (listedLeaving.add(agent)) {
+                        signal(agent);
+                    }
+                    sendList();
+                }
+                case 2 -> {
+                    listedLeaving.remove(agent);
+                    sendList();
+                }
+                case 3 -> silent[agent] = true;
+                case 4 -> {
+                    up[agent] = false;
+                    send(new LinkDown("a" + agent));
+                }
+                case 5 -> {
+                    up[agent] = false;
+                    incarnations[agent] = random.nextLong();
+                }
+                default -> sendLinkUp(agent);
+            }
+        }
+
+        private void sendLeaving(int agent) {
+            if (up[agent]) {
+                signal(agent);
+                send(new LeavingAnnounced("a" + agent, incarnations[agent]));
+            }
+        }
+
+        private void signal(int agent) {
+            if (lastFrameMillis.containsKey(key(agent))) {
+                signalAtMillis.putIfAbsent(key(agent), nowMillis);
+            }
+        }
+
+        private void sendLinkUp(int agent) {
+            up[agent] = true;
+            silent[agent] = false;
+            lastFrameMillis.put(key(agent), nowMillis);
+            if (listedLeaving.contains(agent)) {
+                signal(agent);
+            }
+            send(new LinkUp("a" + agent, incarnations[agent]));
+        }
+
+        private void sendFrame(int agent) {
+            lastFrameMillis.put(key(agent), nowMillis);
+            send(new FrameArrived("a" + agent, incarnations[agent]));
+        }
+
+        private void sendList() {
+            List<ListedVm> vms = new ArrayList<>();
+            for (int agent = 0; agent < AGENTS; agent++) {
+                boolean leaving = listedLeaving.contains(agent);
+                vms.add(new ListedVm("a" + agent, ListedVm.Role.AGENT, "model", "10.0.0.2:90", leaving));
+            }
+            send(new VmsListed(++sequence, vms));
+            if (revives) {
+                for (int agent = 0; agent < AGENTS; agent++) {
+                    if (up[agent] && !listedLeaving.contains(agent)) {
+                        inUse.put("a" + agent, incarnations[agent]);
+                    }
+                }
+            }
+        }
+
+        private void send(MembershipEvent event) {
+            MembershipEvent filtered = filter.apply(event);
+            if (filtered == null) {
+                return;
+            }
+            for (MembershipEffect effect : core.handle(filtered, nowMillis)) {
+                if (effect instanceof StartNewWork start) {
+                    inUse.put(start.upstreamId(), start.incarnation());
+                } else if (effect instanceof StopNewWork stop) {
+                    assertThat(inUse.remove(stop.upstreamId())).isEqualTo(stop.incarnation());
+                }
+            }
+        }
+
+        private void checkNothingNewAtDeparted() {
+            inUse.forEach((upstream, incarnation) -> {
+                String key = upstream + "/" + incarnation;
+                long signalMillis =
+                        Math.min(signalAtMillis.getOrDefault(key, Long.MAX_VALUE), lastFrameMillis.get(key));
+                assertThat(nowMillis - signalMillis)
+                        .as("%s in use %s ms after its departure", key, nowMillis - signalMillis)
+                        .isLessThanOrEqualTo(LIMIT_MILLIS);
+            });
+        }
+
+        private String key(int agent) {
+            return "a" + agent + "/" + incarnations[agent];
+        }
+    }
+
+    @Property(tries = 300)
+    void nothingNewThreeSecondsAfterAnySignal(@ForAll long seed) {
+        new History(seed, event -> event, false).run();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Mutation.class)
+    void mutationsAreFound(Mutation mutation) {
+        assertThatThrownBy(() -> {
+                    for (long seed = 0; seed < 50; seed++) {
+                        new History(
+                                        seed,
+                                        event -> mutate(mutation, event),
+                                        mutation == Mutation.REVIVES_WHAT_THE_LIST_CALLS_LIVE)
+                                .run();
+                    }
+                })
+                .isInstanceOf(AssertionError.class);
+    }
+}
