Add the table of suspect requests

Cause: a request that crashes its upstream is sent again by its caller. Ruled out: merging without remembering expired facts; two peers would revive them without end. Change: SuspectTable, a bounded union of upstream incarnations for each fingerprint.

--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/suspect/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that were running when upstreams died. */
+package dev.wigeonward.core.suspect;
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
@@ -0,0 +1,72 @@
+package dev.wigeonward.core.suspect;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SuspectTableTest {
+    private static final long FINGERPRINT = 5;
+    private static final long EXPIRY_MILLIS = SuspectTable.SUSPECT_MILLIS;
+
+    private final SuspectTable table = SuspectTable.create();
+
+    /** Guards against refusing a request that shared a crashed upstream only once, and against copies of it. */
+    @Test
+    void oneDeathAllowsOneRunAtATime() {
+        table.onDispatched(FINGERPRINT);
+        table.onDispatched(FINGERPRINT);
+        table.onUpstreamDied(FINGERPRINT, "u1", 0);
+        table.onEnded(FINGERPRINT);
+        assertThat(table.suspicion(FINGERPRINT, 1)).isEqualTo(Suspicion.ONE_AT_A_TIME);
+        assertThat(table.mayDispatch(FINGERPRINT, 1)).isFalse();
+        table.onEnded(FINGERPRINT);
+        assertThat(table.mayDispatch(FINGERPRINT, 1)).isTrue();
+    }
+
+    /** Guards against a refusal that ends early, never, or is prolonged by repeated news. */
+    @Test
+    void twoDeathsRefuseForTenMinutesAfterTheLastAddition() {
+        table.onUpstreamDied(FINGERPRINT, "u1", 0);
+        table.onUpstreamDied(FINGERPRINT, "u2", 1_000);
+        table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")), 500_000);
+        assertThat(table.suspicion(FINGERPRINT, 1_000 + EXPIRY_MILLIS - 1)).isEqualTo(Suspicion.REFUSED);
+        assertThat(table.suspicion(FINGERPRINT, 1_000 + EXPIRY_MILLIS)).isEqualTo(Suspicion.NONE);
+    }
+
+    /** Guards against two peers that revive an expired fact from each other without end. */
+    @Test
+    void expiredFactsAreNotRevivedByAPeer() {
+        SuspectFact fact = new SuspectFact(FINGERPRINT, Set.of("u1", "u2"));
+        table.merge(fact, 0);
+        assertThat(table.facts(EXPIRY_MILLIS)).isEmpty();
+        assertThat(table.merge(fact, EXPIRY_MILLIS + 5_000)).isEmpty();
+        assertThat(table.suspicion(FINGERPRINT, EXPIRY_MILLIS + 5_000)).isEqualTo(Suspicion.NONE);
+        assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u3")), EXPIRY_MILLIS + 6_000))
+                .contains(new SuspectFact(FINGERPRINT, Set.of("u3")));
+    }
+
+    /** Guards against a table that grows without bound or forgets the newest fingerprints. */
+    @Test
+    void oldestFingerprintsLeaveFirst() {
+        SuspectTable small = SuspectTable.withCapacity(2);
+        small.onUpstreamDied(1, "u1", 0);
+        small.onUpstreamDied(2, "u1", 1);
+        small.onUpstreamDied(1, "u2", 2);
+        small.onUpstreamDied(3, "u1", 3);
+        assertThat(small.size()).isEqualTo(2);
+        assertThat(small.suspicion(1, 4)).isEqualTo(Suspicion.REFUSED);
+        assertThat(small.suspicion(2, 4)).isEqualTo(Suspicion.NONE);
+    }
+
+    /** Guards against facts that circulate for good: only what is new is sent on. */
+    @Test
+    void onlyNewsIsSentOn() {
+        assertThat(table.onUpstreamDied(FINGERPRINT, "u1", 0)).isPresent();
+        assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u1")), 1)).isEqualTo(Optional.empty());
+        assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u2")), 2))
+                .contains(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")));
+    }
+}
