--- a/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
@@ -3,6 +3,11 @@
 import java.util.Optional;
 import java.util.Set;
 
+import dev.wigeonward.core.dispatch.SuspectGate;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.request.Tier;
+import dev.wigeonward.core.request.WorkEstimate;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -69,4 +74,29 @@
         assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u2")), 2))
                 .contains(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")));
     }
+
+    /** Guards against a gate that mixes up waiting and refusal. */
+    @Test
+    void gateRulesByTheTable() {
+        SuspectGate gate = SuspectTableGate.over(table);
+        RequestSpec request = new RequestSpec(
+                RequestId.of("e", 1, 1),
+                Optional.empty(),
+                Tier.STANDARD,
+                "workspace",
+                "model",
+                "route",
+                new WorkEstimate(1, 1, 0),
+                1_000,
+                true,
+                FINGERPRINT);
+        gate.onDispatched(request, 0);
+        assertThat(gate.rule(request, 0)).isEqualTo(SuspectGate.Ruling.PASS);
+        table.onUpstreamDied(FINGERPRINT, "u1", 0);
+        assertThat(gate.rule(request, 0)).isEqualTo(SuspectGate.Ruling.WAIT);
+        gate.onEnded(request, 0);
+        assertThat(gate.rule(request, 0)).isEqualTo(SuspectGate.Ruling.PASS);
+        table.onUpstreamDied(FINGERPRINT, "u2", 0);
+        assertThat(gate.rule(request, 0)).isEqualTo(SuspectGate.Ruling.REFUSE);
+    }
 }
