--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of placement decisions, their quality, their state and the links between entries and agents. */
+package dev.wigeonward.measure.placement;
