Add revisions, their adoption and their relay between processes

Cause: an accepted configuration must be in force everywhere within 6 s and never revert, while only two entries of each failure domain may read the store. Ruled out: heartbeats alone as the trigger (up to one heartbeat interval for each hop); a wrong answer that is asked for again at once (a faulty peer could hold a process up forever), so that peer is left out for a while. Measured: 300 random runs with lost, late, repeated, reordered and damaged messages keep all invariants; each of the four mutants (lower numbers, no hash check, no retries, no dispute check) fails its check.

--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/revision/ReaderElection.java
@@ -0,0 +1,55 @@
+package dev.wigeonward.core.revision;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import com.google.common.hash.Hashing;
+
+/**
+ * Says which entries read the store. The choice depends only on the set of live entries, so that processes that agree
+ * on the set agree on the readers, and one entry's failure changes at most one reader.
+ */
+public final class ReaderElection {
+    /** Readers in each failure domain; the second one covers the time until the first one's failure is noticed. */
+    public static final int READERS_PER_DOMAIN = 2;
+
+    /** A live entry. */
+    public record LiveEntry(String id, String failureDomain) {
+        public LiveEntry {
+            Objects.requireNonNull(id, "id");
+            Objects.requireNonNull(failureDomain, "failureDomain");
+        }
+    }
+
+    private ReaderElection() {}
+
+    /** Returns the ids of the readers of all failure domains. */
+    public static Set<String> readers(Collection<LiveEntry> live) {
+        Map<String, List<LiveEntry>> byDomain =
+                live.stream().distinct().collect(Collectors.groupingBy(LiveEntry::failureDomain));
+        return byDomain.values().stream()
+                .flatMap(entries -> entries.stream()
+                        .sorted(Comparator.comparingLong(ReaderElection::weight)
+                                .reversed()
+                                .thenComparing(LiveEntry::id))
+                        .limit(READERS_PER_DOMAIN))
+                .map(LiveEntry::id)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    private static long weight(LiveEntry entry) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putString(entry.failureDomain(), StandardCharsets.UTF_8)
+                .putChar('/')
+                .putString(entry.id(), StandardCharsets.UTF_8)
+                .hash()
+                .asLong();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/revision/ReaderElectionTest.java
@@ -0,0 +1,44 @@
+package dev.wigeonward.core.revision;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReaderElectionTest {
+    /** Guards against domains without readers, and against failures that reshuffle the other readers. */
+    @Property(tries = 100)
+    void failureOfOneEntryChangesAtMostOneReader(
+            @ForAll @IntRange(min = 1, max = 60) int entries,
+            @ForAll @IntRange(min = 1, max = 11) int domains,
+            @ForAll @IntRange(max = 59) int failed) {
+        List<ReaderElection.LiveEntry> live = IntStream.range(0, entries)
+                .mapToObj(id -> new ReaderElection.LiveEntry("entry-" + id, "domain-" + id % domains))
+                .toList();
+        Set<String> readers = ReaderElection.readers(live);
+        long expected = IntStream.range(0, domains)
+                .mapToLong(domain -> Math.min(
+                        2,
+                        live.stream()
+                                .filter(entry -> entry.failureDomain().equals("domain-" + domain))
+                                .count()))
+                .sum();
+        assertThat(readers).hasSize((int) expected);
+        String gone = "entry-" + failed;
+        Set<String> after = ReaderElection.readers(
+                live.stream().filter(entry -> !entry.id().equals(gone)).toList());
+        Set<String> kept = new HashSet<>(readers);
+        kept.remove(gone);
+        assertThat(after)
+                .containsAll(kept)
+                .hasSizeLessThanOrEqualTo(readers.size())
+                .doesNotContain(gone);
+        assertThat(after.size() - kept.size()).isLessThanOrEqualTo(1);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/revision/RevisionDeltaTest.java
@@ -0,0 +1,50 @@
+package dev.wigeonward.core.revision;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RevisionDeltaTest {
+    /** Guards against edits that do not rebuild the new text, or that are applied to another base. */
+    @Property(tries = 500)
+    void rebuildsTheNewText(
+            @ForAll @Size(max = 30) List<@IntRange(max = 20) Integer> before,
+            @ForAll @Size(max = 30) List<@IntRange(max = 20) Integer> after) {
+        Revision from = revision(4, before);
+        Revision to = revision(6, after);
+        RevisionDelta delta = RevisionDelta.between(from, to);
+        assertThat(delta.apply(from)).map(Revision::text).contains(to.text());
+        assertThat(delta.apply(revision(5, before))).isEmpty();
+        assertThat(delta.apply(Revision.of(4, from.text() + "x", "ana", "test")))
+                .isEmpty();
+        RevisionDelta damaged = new RevisionDelta(4, from.hash(), 6, Revision.hashOf(to.text() + "x"), delta.edits());
+        assertThat(damaged.apply(from)).isEmpty();
+    }
+
+    private static Revision revision(long number, List<Integer> lines) {
+        return Revision.of(
+                number, lines.stream().map(Object::toString).collect(Collectors.joining("\n")), "ana", "test");
+    }
+
+    /** Guards against deltas that carry the text between two distant changes. */
+    @Test
+    void carriesOnlyChangedLines() {
+        StringBuilder text = new StringBuilder();
+        for (int line = 0; line < 1_000; line++) {
+            text.append("rule ").append(line).append('\n');
+        }
+        Revision from = Revision.of(1, text.toString(), "ana", "test");
+        Revision to =
+                Revision.of(2, text.toString().replace("rule 10\n", "new\n").replace("rule 990\n", ""), "ana", "test");
+        assertThat(RevisionDelta.between(from, to).edits())
+                .containsExactly(
+                        new RevisionDelta.Edit(10, 1, List.of("new")), new RevisionDelta.Edit(990, 1, List.of()));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/revision/RevisionRelayTest.java
@@ -0,0 +1,175 @@
+package dev.wigeonward.core.revision;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGeneratorFactory;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RevisionRelayTest {
+    private static final int MUTANT_SEEDS = 100;
+    private static final Revision FIRST = Revision.of(1, "one\n", "ana", "test");
+    private static final Revision SECOND = Revision.of(2, "one\ntwo\n", "ana", "test");
+    private static final String OTHER_HASH = Revision.hashOf("other");
+
+    private static class Mutant implements AdoptionRules {
+        @Override
+        public boolean isHigher(long numberInForce, long candidate) {
+            return STANDARD.isHigher(numberInForce, candidate);
+        }
+
+        @Override
+        public boolean verifies(Revision revision) {
+            return STANDARD.verifies(revision);
+        }
+
+        @Override
+        public boolean isDisputed(int hashesOfOneNumber) {
+            return STANDARD.isDisputed(hashesOfOneNumber);
+        }
+    }
+
+    /** Guards against a number that goes down, a text nobody accepted, and relays that stay behind after faults. */
+    @Property(tries = 300)
+    void keepsInvariantsUnderFaults(@ForAll long seed) {
+        assertThat(RelaySimulation.run(AdoptionRules.STANDARD, true, seed)).isEmpty();
+    }
+
+    /** Guards against a check of the order of numbers that cannot fail. */
+    @Test
+    void simulationCatchesAdoptionOfLowerNumbers() {
+        AdoptionRules mutant = new Mutant() {
+            @Override
+            public boolean isHigher(long numberInForce, long candidate) {
+                return candidate != numberInForce;
+            }
+        };
+        assertThat(violations(mutant, true)).anyMatch(violation -> violation.startsWith("number went down"));
+    }
+
+    /** Guards against a check of texts that cannot fail. */
+    @Test
+    void simulationCatchesAdoptionWithoutHashCheck() {
+        AdoptionRules mutant = new Mutant() {
+            @Override
+            public boolean verifies(Revision revision) {
+                return true;
+            }
+        };
+        assertThat(violations(mutant, true)).anyMatch(violation -> violation.startsWith("text in force"));
+    }
+
+    /** Guards against a check of convergence that cannot fail. */
+    @Test
+    void simulationCatchesMissingRetries() {
+        assertThat(violations(AdoptionRules.STANDARD, false)).anyMatch(violation -> violation.endsWith("converge"));
+    }
+
+    private static List<String> violations(AdoptionRules rules, boolean timersRun) {
+        return LongStream.range(0, MUTANT_SEEDS)
+                .mapToObj(seed -> RelaySimulation.run(rules, timersRun, seed))
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    /** Guards against the adoption of one of two texts with the same number; the mutant adopts the first to arrive. */
+    @Test
+    void neitherOfTwoHashesIsAdoptedUntilTheStoreSettles() {
+        RevisionRelay relay = linked(AdoptionRules.STANDARD);
+        assertThat(dispute(relay)).contains(new RelayEffect.ReportConflict(2, Set.of(SECOND.hash(), OTHER_HASH)));
+        assertThat(relay.current()).contains(FIRST);
+        assertThat(relay.disputes()).containsOnlyKeys(2L);
+        assertThat(relay.handle(storeShows(SECOND), 20)).contains(new RelayEffect.Adopt(SECOND));
+
+        RevisionRelay mutant = linked(new Mutant() {
+            @Override
+            public boolean isDisputed(int hashesOfOneNumber) {
+                return false;
+            }
+        });
+        dispute(mutant);
+        assertThat(mutant.current().map(Revision::number)).contains(2L);
+    }
+
+    /** Guards against a dispute that blocks all later revisions. */
+    @Test
+    void higherRevisionSettlesDispute() {
+        RevisionRelay relay = linked(AdoptionRules.STANDARD);
+        dispute(relay);
+        Revision third = Revision.of(3, "three\n", "ana", "test");
+        assertThat(relay.handle(new RelayEvent.Offered("a", 3, third.hash()), 30))
+                .containsExactly(new RelayEffect.SendRequest("a", 1, FIRST.hash()));
+        relay.handle(new RelayEvent.DeltaArrived("a", RevisionDelta.between(FIRST, third)), 40);
+        assertThat(relay.current().map(Revision::number)).contains(3L);
+    }
+
+    private static RevisionRelay linked(AdoptionRules rules) {
+        RevisionRelay relay = RevisionRelay.withRules(
+                rules,
+                RevisionLog.withRules(rules, 4, 1_000),
+                RandomGeneratorFactory.of("L64X128MixRandom").create(1));
+        relay.handle(new RelayEvent.LinkUp("a"), 0);
+        relay.handle(new RelayEvent.LinkUp("b"), 0);
+        relay.handle(storeShows(FIRST), 0);
+        return relay;
+    }
+
+    /** Offers the second revision from one peer and another hash from the other before the text arrives. */
+    private static List<RelayEffect> dispute(RevisionRelay relay) {
+        relay.handle(new RelayEvent.Offered("a", 2, SECOND.hash()), 1);
+        List<RelayEffect> effects = relay.handle(new RelayEvent.Offered("b", 2, OTHER_HASH), 2);
+        relay.handle(new RelayEvent.DeltaArrived("a", RevisionDelta.between(FIRST, SECOND)), 3);
+        return effects;
+    }
+
+    private static RelayEvent storeShows(Revision revision) {
+        return new RelayEvent.StoreRead(new RevisionStore.HeadResult.Found(new StoredRevision(revision, "id", 0)));
+    }
+
+    /** Guards against a store that lost writes and takes the fleet back; the operator must hear of it once. */
+    @Test
+    void reportsLowerNumberInStoreAndKeepsItsOwn() {
+        RevisionRelay relay = linked(AdoptionRules.STANDARD);
+        relay.handle(storeShows(SECOND), 1);
+        assertThat(relay.handle(storeShows(FIRST), 2)).containsExactly(new RelayEffect.ReportStoreRegression(1, 2));
+        assertThat(relay.handle(storeShows(FIRST), 3)).isEmpty();
+        assertThat(relay.current()).contains(SECOND);
+    }
+
+    /** Guards against texts over 256 KiB that do not survive the way through parts in another order. */
+    @Test
+    void passesLargestTextInParts() {
+        String text = "é".repeat(450_000) + "\nend";
+        Revision large = Revision.of(2, text, "ana", "test");
+        RevisionRelay sender = linked(AdoptionRules.STANDARD);
+        sender.handle(storeShows(large), 1);
+        List<RelayEffect> parts = sender.handle(new RelayEvent.Requested("a", 0, ""), 2);
+        assertThat(parts).hasSize(4);
+        RevisionRelay receiver = linked(AdoptionRules.STANDARD);
+        receiver.handle(new RelayEvent.Offered("b", 2, large.hash()), 3);
+        IntStream.of(3, 1, 1, 0, 2)
+                .forEach(index -> receiver.handle(
+                        new RelayEvent.SnapshotPartArrived(
+                                "b", ((RelayEffect.SendSnapshotPart) parts.get(index)).part()),
+                        4));
+        assertThat(receiver.current().map(Revision::text)).contains(text);
+    }
+
+    /** Guards against a peer that never answers and holds up a revision that others have. */
+    @Test
+    void asksAnotherPeerAfterSilence() {
+        RevisionRelay relay = linked(AdoptionRules.STANDARD);
+        List<RelayEffect> first = relay.handle(new RelayEvent.Offered("a", 2, SECOND.hash()), 1);
+        assertThat(relay.handle(new RelayEvent.PeerHeartbeat("b", 2, ""), 2)).isEmpty();
+        assertThat(relay.handle(new RelayEvent.Tick(), 1 + RevisionRelay.FETCH_TIMEOUT_MILLIS))
+                .containsExactly(new RelayEffect.SendRequest("b", 1, FIRST.hash()));
+        assertThat(first).containsExactly(new RelayEffect.SendRequest("a", 1, FIRST.hash()));
+    }
+}
