--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -10,7 +10,8 @@
 final class Measurements {
     private static final List<Measurement> ALL = List.of(
             new GoodputMeasurement(),
-            new PlacementQuality());
+            new PlacementQuality(),
+            new RevisionSpread());
 
     private Measurements() {}
 
