--- /dev/null
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvFaults.java
@@ -0,0 +1,87 @@
+package dev.wigeonward.standins.kv;
+
+import java.util.Objects;
+
+import com.google.common.base.Preconditions;
+
+/**
+ * Faults that are switched on; admin calls are exempt.
+ *
+ * @param down whether and how calls fail without effect; waiting watches are cut
+ * @param slowMillis delay of each answer after its call took effect
+ * @param loseNextWrites number of writes that take effect and get no answer
+ * @param loseProbability probability that a write takes effect and gets no answer
+ * @param dropProbability probability that a write has no effect and gets no answer
+ * @param silentWatches whether watches stay open and send nothing
+ * @param seed of the random choices
+ * @param writesPerSecond limit, 0 for none
+ * @param readsPerSecond limit, 0 for none; opening a watch counts as a read
+ */
+public record KvFaults(
+        Down down,
+        long slowMillis,
+        int loseNextWrites,
+        double loseProbability,
+        double dropProbability,
+        boolean silentWatches,
+        long seed,
+        int writesPerSecond,
+        int readsPerSecond) {
+    /** How an outage looks to callers. */
+    public enum Down {
+        /** The service works. */
+        NO,
+        /** Calls are answered with an error that proves that they had no effect. */
+        REFUSE,
+        /** Connections are closed without an answer. */
+        DROP
+    }
+
+    public KvFaults {
+        down = Objects.requireNonNullElse(down, Down.NO);
+        Preconditions.checkArgument(slowMillis >= 0, "slow_millis is %s", slowMillis);
+        Preconditions.checkArgument(loseNextWrites >= 0, "lose_next_writes is %s", loseNextWrites);
+        Preconditions.checkArgument(
+                loseProbability >= 0 && dropProbability >= 0 && loseProbability + dropProbability <= 1,
+                "probabilities are %s and %s",
+                loseProbability,
+                dropProbability);
+        Preconditions.checkArgument(writesPerSecond >= 0, "writes_per_second is %s", writesPerSecond);
+        Preconditions.checkArgument(readsPerSecond >= 0, "reads_per_second is %s", readsPerSecond);
+    }
+
+    /** Returns no faults. */
+    public static KvFaults none() {
+        return new KvFaults(Down.NO, 0, 0, 0, 0, false, 1, 0, 0);
+    }
+
+    /** Returns an outage. */
+    public static KvFaults down(Down down) {
+        return new KvFaults(down, 0, 0, 0, 0, false, 1, 0, 0);
+    }
+
+    /** Returns answers that come late. */
+    public static KvFaults slow(long slowMillis) {
+        return new KvFaults(Down.NO, slowMillis, 0, 0, 0, false, 1, 0, 0);
+    }
+
+    /** Returns the loss of the answers to the next writes, which take effect. */
+    public static KvFaults loseNext(int writes) {
+        return new KvFaults(Down.NO, 0, writes, 0, 0, false, 1, 0, 0);
+    }
+
+    /** Returns random losses of writes, after or before they take effect. */
+    public static KvFaults random(double loseProbability, double dropProbability, long seed) {
+        return new KvFaults(Down.NO, 0, 0, loseProbability, dropProbability, false, seed, 0, 0);
+    }
+
+    /** Returns watches that send nothing. */
+    public static KvFaults silent() {
+        return new KvFaults(Down.NO, 0, 0, 0, 0, true, 1, 0, 0);
+    }
+
+    /** Returns limits of calls per second. */
+    public static KvFaults limits(int writesPerSecond, int readsPerSecond) {
+        return new KvFaults(Down.NO, 0, 0, 0, 0, false, 1, writesPerSecond, readsPerSecond);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvGate.java
@@ -0,0 +1,65 @@
+package dev.wigeonward.standins.kv;
+
+import java.time.Clock;
+import java.util.Random;
+
+/** Applies the switched-on faults to calls, with a limit per full second of the clock; safe for several threads. */
+final class KvGate {
+    private static final int MILLIS_PER_SECOND = 1_000;
+
+    private final Clock clock;
+    private KvFaults faults = KvFaults.none();
+    private Random random = new Random(faults.seed());
+    private int writesToLose;
+    private long second;
+    private int writesInSecond;
+    private int readsInSecond;
+
+    KvGate(Clock clock) {
+        this.clock = clock;
+    }
+
+    /** What happens to the answer of a write. */
+    enum Fate {
+        ANSWER,
+        LOSE_AFTER_EFFECT,
+        DROP_BEFORE_EFFECT
+    }
+
+    synchronized void set(KvFaults newFaults) {
+        faults = newFaults;
+        random = new Random(newFaults.seed());
+        writesToLose = newFaults.loseNextWrites();
+    }
+
+    synchronized KvFaults faults() {
+        return faults;
+    }
+
+    /** Counts a call and fails if its limit is reached. */
+    synchronized void checkLimit(boolean write) {
+        long nowSecond = clock.millis() / MILLIS_PER_SECOND;
+        if (nowSecond != second) {
+            second = nowSecond;
+            writesInSecond = 0;
+            readsInSecond = 0;
+        }
+        int calls = write ? ++writesInSecond : ++readsInSecond;
+        int limit = write ? faults.writesPerSecond() : faults.readsPerSecond();
+        if (limit > 0 && calls > limit) {
+            throw new KvException(KvException.RESOURCE_EXHAUSTED, "etcdserver: too many requests");
+        }
+    }
+
+    synchronized Fate fateOfWrite() {
+        if (writesToLose > 0) {
+            writesToLose--;
+            return Fate.LOSE_AFTER_EFFECT;
+        }
+        double draw = random.nextDouble();
+        if (draw < faults.loseProbability()) {
+            return Fate.LOSE_AFTER_EFFECT;
+        }
+        return draw < faults.loseProbability() + faults.dropProbability() ? Fate.DROP_BEFORE_EFFECT : Fate.ANSWER;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvStandin.java
@@ -0,0 +1,229 @@
+package dev.wigeonward.standins.kv;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.wigeonward.standins.http.HttpStandin;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.http.api.BlockingStreamingHttpRequest;
+import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
+import io.servicetalk.http.api.HttpPayloadWriter;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.HttpServiceContext;
+
+/**
+ * The running stand-in. Beside the paths of etcd it answers {@code GET /admin/counters}, {@code GET /admin/faults} and
+ * {@code POST /admin/faults} (a {@link KvFaults} in JSON; fields left out are off).
+ */
+public final class KvStandin implements AutoCloseable {
+    private static final String WATCH = "/v3/watch";
+    private static final String RANGE = "/v3/kv/range";
+    private static final int STATUS_OK = 200;
+    private static final int HISTORY_REVISIONS = 100_000;
+    private static final long EXPIRY_CHECK_MILLIS = 20;
+    /** Bounds the time until an open watch notices an outage. */
+    private static final long WATCH_WAIT_MILLIS = 50;
+
+    private final KvState state;
+    private final KvCalls calls;
+    private final KvGate gate;
+    private final Map<String, LongAdder> counters = new ConcurrentHashMap<>();
+    private final AtomicInteger waitingWatches = new AtomicInteger();
+    private final ScheduledExecutorService expiry = Executors.newSingleThreadScheduledExecutor();
+    private HttpStandin server;
+
+    private KvStandin(Clock clock, int historyRevisions) {
+        this.state = new KvState(clock, historyRevisions);
+        this.calls = new KvCalls(state);
+        this.gate = new KvGate(clock);
+    }
+
+    /** Returns a running stand-in; port 0 takes a free one. Leases expire by the given clock. */
+    public static KvStandin start(InetSocketAddress address, Clock clock) {
+        return start(address, clock, HISTORY_REVISIONS);
+    }
+
+    /** Returns a running stand-in that keeps only so many revisions for watches. */
+    public static KvStandin start(InetSocketAddress address, Clock clock, int historyRevisions) {
+        KvStandin standin = new KvStandin(clock, historyRevisions);
+        standin.server = HttpStandin.start(address, standin::handle);
+        standin.expiry.scheduleWithFixedDelay(
+                standin.state::expireLeases, EXPIRY_CHECK_MILLIS, EXPIRY_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        return standin;
+    }
+
+    /** Returns the address that the stand-in listens on. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Returns the port that the stand-in listens on. */
+    public int port() {
+        return address().getPort();
+    }
+
+    /** Replaces the faults that are switched on. */
+    public void setFaults(KvFaults faults) {
+        gate.set(faults);
+    }
+
+    /** Returns the number of calls by path, refused calls included. */
+    public Map<String, Long> counters() {
+        Map<String, Long> values = new TreeMap<>();
+        counters.forEach((path, count) -> values.put(path, count.sum()));
+        return values;
+    }
+
+    /** Returns the number of open watches. */
+    public int waitingWatches() {
+        return waitingWatches.get();
+    }
+
+    private void handle(
+            HttpServiceContext context,
+            BlockingStreamingHttpRequest request,
+            BlockingStreamingHttpServerResponse response)
+            throws Exception {
+        byte[] bytes = HttpStandin.body(request);
+        String path = request.path();
+        try {
+            JsonNode body = bytes.length == 0 ? KvCalls.object() : HttpStandin.JSON.readTree(bytes);
+            if (path.startsWith("/admin/")) {
+                HttpStandin.answer(context, response, STATUS_OK, admin(path, request.method(), body));
+                return;
+            }
+            counters.computeIfAbsent(path, each -> new LongAdder()).increment();
+            serve(context, response, path, body);
+        } catch (KvException e) {
+            ObjectNode error = KvCalls.object().put("error", e.getMessage()).put("message", e.getMessage());
+            HttpStandin.answer(context, response, e.httpStatus(), error.put("code", e.code()));
+        }
+    }
+
+    private JsonNode admin(String path, HttpRequestMethod method, JsonNode body) throws IOException {
+        if (path.equals("/admin/faults")) {
+            if (method.equals(HttpRequestMethod.POST)) {
+                setFaults(HttpStandin.JSON.treeToValue(body, KvFaults.class));
+            }
+            return HttpStandin.JSON.valueToTree(gate.faults());
+        }
+        if (path.equals("/admin/counters")) {
+            return KvCalls.object()
+                    .put("waiting_watches", waitingWatches())
+                    .set("calls", HttpStandin.JSON.valueToTree(counters()));
+        }
+        throw new KvException(KvException.NOT_FOUND, "unknown path " + path);
+    }
+
+    private void serve(
+            HttpServiceContext context, BlockingStreamingHttpServerResponse response, String path, JsonNode body)
+            throws Exception {
+        boolean write = !path.equals(RANGE) && !path.equals(WATCH);
+        if (gate.faults().down() == KvFaults.Down.DROP) {
+            HttpStandin.cut(context);
+        }
+        if (gate.faults().down() == KvFaults.Down.REFUSE) {
+            throw new KvException(KvException.UNAVAILABLE, "etcdserver: no leader");
+        }
+        gate.checkLimit(write);
+        if (path.equals(WATCH)) {
+            watch(context, response, body.path("create_request"));
+            return;
+        }
+        KvGate.Fate fate = write ? gate.fateOfWrite() : KvGate.Fate.ANSWER;
+        if (fate == KvGate.Fate.DROP_BEFORE_EFFECT) {
+            HttpStandin.cut(context);
+        }
+        ObjectNode result = execute(path, body);
+        Thread.sleep(gate.faults().slowMillis());
+        if (fate == KvGate.Fate.LOSE_AFTER_EFFECT) {
+            HttpStandin.cut(context);
+        }
+        HttpStandin.answer(context, response, STATUS_OK, result);
+    }
+
+    private ObjectNode execute(String path, JsonNode body) {
+        return switch (path) {
+            case RANGE -> calls.range(body);
+            case "/v3/kv/txn" -> calls.transaction(body);
+            case "/v3/lease/grant" -> calls.grantLease(body);
+            case "/v3/lease/keepalive" -> calls.keepLeaseAlive(body);
+            case "/v3/lease/revoke", "/v3/kv/lease/revoke" -> calls.revokeLease(body);
+            default -> throw new KvException(KvException.NOT_FOUND, "unknown path " + path);
+        };
+    }
+
+    private void watch(HttpServiceContext context, BlockingStreamingHttpServerResponse response, JsonNode request)
+            throws Exception {
+        String key = KvCalls.key(request.path("key"));
+        Optional<String> end = KvCalls.end(request);
+        long start = request.path("start_revision").asLong();
+        long next = start > 0 ? start : state.revision() + 1;
+        response.status(HttpResponseStatus.OK);
+        waitingWatches.incrementAndGet();
+        try (HttpPayloadWriter<Buffer> writer = response.sendMetaData()) {
+            send(context, writer, calls.withHeader().put("created", true));
+            while (gate.faults().down() == KvFaults.Down.NO) {
+                KvState.Events events = state.awaitEvents(key, end, next, WATCH_WAIT_MILLIS);
+                if (gate.faults().silentWatches()) {
+                    Thread.sleep(WATCH_WAIT_MILLIS);
+                    continue;
+                }
+                if (events.compactedRevision() > 0) {
+                    String compacted = Long.toString(events.compactedRevision());
+                    send(
+                            context,
+                            writer,
+                            calls.withHeader().put("canceled", true).put("compact_revision", compacted));
+                    return;
+                }
+                next = events.nextRevision();
+                if (!events.events().isEmpty()) {
+                    send(context, writer, eventMessage(events));
+                }
+            }
+        } finally {
+            waitingWatches.decrementAndGet();
+        }
+    }
+
+    private ObjectNode eventMessage(KvState.Events events) {
+        ObjectNode result = calls.withHeader();
+        ArrayNode list = result.putArray("events");
+        events.events().forEach(event -> {
+            ObjectNode node = list.addObject();
+            if (event.deleted()) {
+                node.put("type", "DELETE");
+            }
+            node.set("kv", KvCalls.entry(event));
+        });
+        return result;
+    }
+
+    private static void send(HttpServiceContext context, HttpPayloadWriter<Buffer> writer, ObjectNode result)
+            throws IOException {
+        String message = KvCalls.object().set("result", result) + "\n";
+        writer.write(context.executionContext().bufferAllocator().fromUtf8(message));
+        writer.flush();
+    }
+
+    @Override
+    public void close() {
+        expiry.shutdownNow();
+        server.close();
+    }
+}
