--- /dev/null
+++ b/standins/src/main/java/dev/wigeonward/standins/vms/VmsStandin.java
@@ -0,0 +1,155 @@
+package dev.wigeonward.standins.vms;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.wigeonward.standins.http.HttpStandin;
+import io.servicetalk.http.api.BlockingStreamingHttpRequest;
+import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
+import io.servicetalk.http.api.HttpServiceContext;
+
+/**
+ * The running stand-in. {@code GET /v1/vms?since=<version>} answers with the changes since a version; a version from
+ * another run of the stand-in gets the full list. {@code POST /admin/vms} with a {@link VmRecord} registers, changes or
+ * (state {@code gone}) removes a VM; {@code POST /admin/lag} with {@code {"lag_millis":N}} delays later changes.
+ */
+public final class VmsStandin implements AutoCloseable {
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_BAD_REQUEST = 400;
+
+    private final Clock clock;
+    private final Deque<Change> delayed = new ArrayDeque<>();
+    private final Map<String, VmRecord> registered = new HashMap<>();
+    private final Map<String, Visible> visible = new LinkedHashMap<>();
+    private final AtomicLong polls = new AtomicLong();
+    private final long firstVersion;
+    private long version;
+    private long lagMillis;
+    private HttpStandin server;
+
+    private VmsStandin(Clock clock) {
+        this.clock = clock;
+        // Versions of a later run are higher, so that clients notice that the list was restarted.
+        this.firstVersion = clock.millis();
+        this.version = firstVersion;
+    }
+
+    private record Change(long visibleMillis, VmRecord vm) {}
+
+    private record Visible(long version, VmRecord vm) {}
+
+    /** Returns a running stand-in; port 0 takes a free one. The lag passes by the given clock. */
+    public static VmsStandin start(InetSocketAddress address, Clock clock) {
+        VmsStandin standin = new VmsStandin(clock);
+        standin.server = HttpStandin.start(address, standin::handle);
+        return standin;
+    }
+
+    /** Returns the address that the stand-in listens on. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Returns the port that the stand-in listens on. */
+    public int port() {
+        return address().getPort();
+    }
+
+    /** Sets the time after which later changes become visible; order is kept. */
+    public synchronized void setLag(long newLagMillis) {
+        lagMillis = newLagMillis;
+    }
+
+    /** Registers a VM or changes its state. */
+    public synchronized void put(VmRecord vm) {
+        registered.put(vm.id(), vm);
+        delayed.add(new Change(clock.millis() + lagMillis, vm));
+    }
+
+    /** Marks a VM as leaving. */
+    public synchronized void leave(String id) {
+        put(known(id).inState("leaving"));
+    }
+
+    /** Removes a VM. */
+    public synchronized void remove(String id) {
+        put(known(id).inState("gone"));
+        registered.remove(id);
+    }
+
+    private VmRecord known(String id) {
+        VmRecord vm = registered.get(id);
+        if (vm == null) {
+            throw new IllegalArgumentException("unknown VM " + id);
+        }
+        return vm;
+    }
+
+    /** Returns the number of polls. */
+    public long polls() {
+        return polls.get();
+    }
+
+    private synchronized ObjectNode since(long since) {
+        while (!delayed.isEmpty() && delayed.peek().visibleMillis() <= clock.millis()) {
+            VmRecord vm = delayed.remove().vm();
+            visible.put(vm.id(), new Visible(++version, vm));
+        }
+        boolean full = since < firstVersion || since > version;
+        List<VmRecord> changed = new ArrayList<>();
+        for (Visible each : visible.values()) {
+            if (full ? !each.vm().state().equals("gone") : each.version() > since) {
+                changed.add(each.vm());
+            }
+        }
+        ObjectNode answer =
+                HttpStandin.JSON.createObjectNode().put("version", version).put("full", full);
+        answer.set("vms", HttpStandin.JSON.valueToTree(changed));
+        return answer;
+    }
+
+    private void handle(
+            HttpServiceContext context,
+            BlockingStreamingHttpRequest request,
+            BlockingStreamingHttpServerResponse response)
+            throws IOException {
+        byte[] body = HttpStandin.body(request);
+        try {
+            HttpStandin.answer(context, response, STATUS_OK, respond(request, body));
+        } catch (IllegalArgumentException e) {
+            ObjectNode error = HttpStandin.JSON.createObjectNode().put("error", String.valueOf(e.getMessage()));
+            HttpStandin.answer(context, response, STATUS_BAD_REQUEST, error);
+        }
+    }
+
+    private JsonNode respond(BlockingStreamingHttpRequest request, byte[] body) throws IOException {
+        switch (request.path()) {
+            case "/v1/vms" -> {
+                polls.incrementAndGet();
+                String since = request.queryParameter("since");
+                return since(since == null ? 0 : Long.parseLong(since));
+            }
+            case "/admin/vms" -> put(HttpStandin.JSON.readValue(body, VmRecord.class));
+            case "/admin/lag" ->
+                setLag(HttpStandin.JSON.readTree(body).path("lag_millis").asLong());
+            default -> throw new IllegalArgumentException("unknown path " + request.path());
+        }
+        return HttpStandin.JSON.createObjectNode();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/dev/wigeonward/standins/Awaiting.java
@@ -0,0 +1,35 @@
+package dev.wigeonward.standins;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Waits for conditions and results with a bound. */
+public final class Awaiting {
+    private static final Duration BOUND = Duration.ofSeconds(20);
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(2);
+
+    private Awaiting() {}
+
+    /** Returns the result of a future; fails when it takes longer than the bound. */
+    public static <T> T await(CompletableFuture<T> future) {
+        try {
+            return future.get(BOUND.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (Exception e) {
+            throw new AssertionError("no result", e);
+        }
+    }
+
+    /** Waits until a condition holds; fails when it takes longer than the bound. */
+    public static void awaitUntil(String what, BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + BOUND.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("waiting for " + what).isLessThan(endNanos);
+            LockSupport.parkNanos(CHECK_INTERVAL.toNanos());
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
@@ -0,0 +1,85 @@
+package dev.wigeonward.standins.vms;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import dev.wigeonward.platform.clock.PausedClock;
+import dev.wigeonward.platform.vms.HttpVmList;
+import dev.wigeonward.platform.vms.Vm;
+import dev.wigeonward.platform.vms.VmListOptions;
+import dev.wigeonward.platform.vms.VmSnapshot;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static dev.wigeonward.standins.Awaiting.awaitUntil;
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HttpVmListTest {
+    private final PausedClock clock = PausedClock.at(1_000);
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+    private VmsStandin standin = VmsStandin.start(new InetSocketAddress("127.0.0.1", 0), clock);
+    private final HttpVmList list =
+            HttpVmList.start(new VmListOptions(standin.address(), 10, 1_000), thread, new Random(1));
+
+    @AfterEach
+    void close() {
+        list.close();
+        standin.close();
+        thread.shutdownNow();
+    }
+
+    private static VmRecord live(String id) {
+        return new VmRecord(id, "agent", "127.0.0.1:7000", "fd1", "live");
+    }
+
+    /** Guards against changes that a poll misses, and against VMs that stay after their removal. */
+    @Test
+    void followsRegistrationLeavingAndRemoval() {
+        List<VmSnapshot> reported = new CopyOnWriteArrayList<>();
+        list.subscribe(reported::add);
+        standin.put(live("a"));
+        standin.put(live("b"));
+        awaitUntil("two VMs", () -> list.snapshot().vms().size() == 2);
+        assertThat(list.snapshot().vms().get("a"))
+                .isEqualTo(new Vm("a", "agent", new InetSocketAddress("127.0.0.1", 7000), "fd1", Vm.State.LIVE));
+
+        standin.leave("a");
+        awaitUntil("leaving", () -> list.snapshot().vms().get("a").state() == Vm.State.LEAVING);
+        standin.remove("a");
+        awaitUntil("removal", () -> list.snapshot().vms().keySet().equals(Set.of("b")));
+        awaitUntil("the report", () -> reported.contains(list.snapshot()));
+    }
+
+    /** Guards against a stand-in whose lag hides nothing, so that tests with a lagging list would prove nothing. */
+    @Test
+    void changesBecomeVisibleAfterTheLag() {
+        standin.setLag(5_000);
+        standin.put(live("a"));
+        clock.advanceMillis(4_999);
+        long polls = standin.polls();
+        awaitUntil("two more polls", () -> standin.polls() >= polls + 2);
+        assertThat(list.snapshot().vms()).isEmpty();
+
+        clock.advanceMillis(1);
+        awaitUntil("the VM", () -> list.snapshot().vms().containsKey("a"));
+    }
+
+    /** Guards against a list that is forgotten in an outage, or that keeps removed VMs of an earlier run. */
+    @Test
+    void keepsTheListInAnOutageAndFollowsARestart() {
+        standin.put(live("a"));
+        awaitUntil("the VM", () -> list.snapshot().vms().containsKey("a"));
+        standin.close();
+        assertThat(list.snapshot().vms()).containsKey("a");
+
+        clock.advanceMillis(1_000_000);
+        standin = VmsStandin.start(standin.address(), clock);
+        standin.put(live("b"));
+        awaitUntil("the new list", () -> list.snapshot().vms().keySet().equals(Set.of("b")));
+    }
+}
