--- /dev/null
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
@@ -0,0 +1,237 @@
+package dev.wigeonward.standins.kv;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
+
+import dev.wigeonward.core.dispatch.ClaimAnswer;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.platform.store.Claim;
+import dev.wigeonward.platform.store.ClaimKey;
+import dev.wigeonward.platform.store.ClaimReply;
+import dev.wigeonward.platform.store.ClaimRequest;
+import dev.wigeonward.platform.store.ClaimStore;
+import dev.wigeonward.platform.store.KeyValue;
+import dev.wigeonward.platform.store.KeyValueStore;
+import dev.wigeonward.platform.store.StoredOutcome;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static dev.wigeonward.standins.Awaiting.await;
+import static dev.wigeonward.standins.Awaiting.awaitUntil;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class ClaimStoreTest {
+    private static final long HOUR_MILLIS = 3_600_000;
+
+    private final StoreFixture fixture = new StoreFixture();
+    private final ClaimStore first = entry(1, fixture.store);
+    private final ClaimStore second = entry(2, fixture.store);
+
+    @AfterEach
+    void close() {
+        fixture.close();
+    }
+
+    private ClaimStore entry(long seed, KeyValueStore store) {
+        return ClaimStore.create(store, fixture.clock, fixture.thread, fixture.metrics, new Random(seed));
+    }
+
+    private static ClaimRequest request(String key, String requestId) {
+        return new ClaimRequest(ClaimKey.of("w1", key), new RequestId(requestId), "content", "u1", -7);
+    }
+
+    private Claim granted(CompletableFuture<ClaimReply> reply) {
+        ClaimReply answer = await(reply);
+        assertThat(answer.answer()).isEqualTo(new ClaimAnswer.Granted());
+        return answer.claim().orElseThrow();
+    }
+
+    private static ClaimAnswer answer(CompletableFuture<ClaimReply> reply) {
+        return await(reply).answer();
+    }
+
+    private static ClaimAnswer heldBy(Claim claim) {
+        ClaimRequest request = claim.request();
+        return new ClaimAnswer.HeldByOther(
+                claim.claimId(), request.request(), request.upstreamId(), request.upstreamIncarnation());
+    }
+
+    private Optional<KeyValue> stored(String key) {
+        return await(fixture.store.get(ClaimKey.of("w1", key).path())).value().orElseThrow();
+    }
+
+    /** Fails unless exactly one of two entries gets each key. */
+    private void checkRace(UnaryOperator<KeyValueStore> variant) {
+        ClaimStore left = entry(3, variant.apply(fixture.store));
+        ClaimStore right = entry(4, variant.apply(fixture.store));
+        List<CompletableFuture<ClaimReply>> replies = new ArrayList<>();
+        for (int i = 0; i < 150; i++) {
+            replies.add(left.claim(request("k" + i, "left-" + i)));
+            replies.add(right.claim(request("k" + i, "right-" + i)));
+        }
+        for (int i = 0; i < 150; i++) {
+            List<ClaimReply> pair = List.of(await(replies.get(2 * i)), await(replies.get(2 * i + 1)));
+            List<Claim> winners =
+                    pair.stream().flatMap(reply -> reply.claim().stream()).toList();
+            assertThat(winners).as("winners of key %s", i).hasSize(1);
+            assertThat(pair).extracting(ClaimReply::answer).contains(heldBy(winners.get(0)));
+        }
+    }
+
+    /** Guards against a key that is granted to two entries, which would run the request twice. */
+    @Test
+    void oneOfTwoEntriesGetsTheKey() {
+        checkRace(store -> store);
+        assertThatThrownBy(() -> checkRace(ForwardingStore::ignoringCompares)).isInstanceOf(AssertionError.class);
+    }
+
+    /** Guards against an own claim that is mistaken for another one's because its reply was lost. */
+    @Test
+    void lostReplyIsRecognized() {
+        granted(first.claim(request("other", "r0")));
+        fixture.standin.setFaults(KvFaults.loseNext(1));
+        Claim claim = granted(first.claim(request("k", "r1")));
+        assertThat(answer(second.claim(request("k", "r2")))).isEqualTo(heldBy(claim));
+
+        fixture.standin.setFaults(KvFaults.loseNext(1));
+        Claim moved = granted(first.move(claim, "u2", 8));
+        assertThat(answer(second.claim(request("k", "r2")))).isEqualTo(heldBy(moved));
+    }
+
+    /** Guards against a request that is dispatched although its claim is in doubt, and against a claim left behind. */
+    @Test
+    void claimInDoubtIsRefusedAndRemoved() {
+        granted(first.claim(request("other", "r0")));
+        fixture.standin.setFaults(KvFaults.random(1, 0, 1));
+        assertThat(answer(first.claim(request("k", "r1")))).isEqualTo(new ClaimAnswer.Unavailable());
+        assertThat(stored("k")).isPresent();
+
+        fixture.standin.setFaults(KvFaults.none());
+        awaitUntil("removal of the claim in doubt", () -> stored("k").isEmpty());
+        granted(second.claim(request("k", "r2")));
+    }
+
+    /** Guards against claims that are granted, or wait, while the store is down. */
+    @Test
+    void storeDownIsUnavailable() {
+        for (KvFaults.Down down : List.of(KvFaults.Down.REFUSE, KvFaults.Down.DROP)) {
+            fixture.standin.setFaults(KvFaults.down(down));
+            assertThat(answer(first.claim(request("k", "r1")))).isEqualTo(new ClaimAnswer.Unavailable());
+            assertThat(answer(first.takeOver(request("k", "r1"), "c"))).isEqualTo(new ClaimAnswer.Unavailable());
+        }
+        fixture.standin.setFaults(KvFaults.none());
+        granted(first.claim(request("k", "r1")));
+    }
+
+    /** Fails unless a claim is taken over under its current claim id only, and its first owner then stops. */
+    private void checkTakeover(String key, UnaryOperator<KeyValueStore> variant) {
+        ClaimStore owner = entry(5, variant.apply(fixture.store));
+        ClaimStore other = entry(6, variant.apply(fixture.store));
+        Claim claim = granted(owner.claim(request(key, "r1")));
+        Claim moved = granted(owner.move(claim, "u2", 8));
+        assertThat(answer(other.takeOver(request(key, "r2"), claim.claimId()))).isEqualTo(heldBy(moved));
+
+        Claim taken = granted(other.takeOver(request(key, "r2"), moved.claimId()));
+        assertThat(answer(owner.move(moved, "u3", 9))).isEqualTo(heldBy(taken));
+        assertThat(await(owner.recordOutcome(moved, StoredOutcome.of(200, "text/plain", new byte[0]))))
+                .isFalse();
+        owner.release(moved);
+        awaitUntil("the release", () -> owner.pending() == 0);
+        assertThat(answer(owner.claim(request(key, "r3")))).isEqualTo(heldBy(taken));
+    }
+
+    /** Guards against an owner and a successor that both dispatch, and against a takeover of a claim that moved on. */
+    @Test
+    void takeoverNeedsTheCurrentClaimId() {
+        checkTakeover("k", store -> store);
+        assertThatThrownBy(() -> checkTakeover("m", ForwardingStore::ignoringCompares))
+                .isInstanceOf(AssertionError.class);
+    }
+
+    /** Guards against lost or mixed-up outcomes, and against a key that is used again with another content. */
+    @Test
+    void outcomeIsReplayedToTheSameContentOnly() {
+        Claim claim = granted(first.claim(request("k", "r1")));
+        byte[] body = new byte[StoredOutcome.BODY_LIMIT_BYTES];
+        Arrays.fill(body, (byte) 0xfe);
+        StoredOutcome outcome = StoredOutcome.of(201, "application/octet-stream", body);
+        fixture.standin.setFaults(KvFaults.loseNext(1));
+        assertThat(await(first.recordOutcome(claim, outcome))).isTrue();
+
+        ClaimReply resend = await(second.claim(request("k", "r2")));
+        assertThat(resend.answer()).isEqualTo(new ClaimAnswer.OutcomeStored());
+        assertThat(resend.outcome()).contains(outcome);
+        assertThat(answer(second.takeOver(request("k", "r2"), claim.claimId())))
+                .isEqualTo(new ClaimAnswer.OutcomeStored());
+        ClaimRequest changed = new ClaimRequest(ClaimKey.of("w1", "k"), new RequestId("r3"), "changed", "u1", 1);
+        assertThat(answer(second.claim(changed))).isEqualTo(new ClaimAnswer.OtherContent());
+        assertThat(StoredOutcome.of(200, "text/plain", new byte[StoredOutcome.BODY_LIMIT_BYTES + 1])
+                        .body())
+                .isEmpty();
+    }
+
+    /** Guards against an outcome or a release that is forgotten because the store was down. */
+    @Test
+    void outcomeAndReleaseAreRepeatedAfterAnOutage() {
+        Claim done = granted(first.claim(request("done", "r1")));
+        Claim unused = granted(first.claim(request("unused", "r2")));
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        CompletableFuture<Boolean> recorded = first.recordOutcome(done, StoredOutcome.withoutBody(200, "text/plain"));
+        first.release(unused);
+        awaitUntil("both writes to fail", () -> first.pending() == 2);
+
+        fixture.standin.setFaults(KvFaults.none());
+        assertThat(await(recorded)).isTrue();
+        awaitUntil("the release", () -> stored("unused").isEmpty());
+        assertThat(await(second.claim(request("done", "r3"))).outcome()).isPresent();
+    }
+
+    /** Guards against groups that refuse claims because another key of the group is held, and against many calls. */
+    @Test
+    void groupAnswersEachClaimByItself() {
+        Claim held = granted(second.claim(request("k5", "held")));
+        granted(first.claim(request("other", "r0")));
+        long callsBefore = fixture.standin.counters().get("/v3/kv/txn");
+        List<CompletableFuture<ClaimReply>> replies = new ArrayList<>();
+        for (int i = 0; i < 64; i++) {
+            replies.add(first.claim(request("k" + i, "r" + i)));
+        }
+        for (int i = 0; i < 64; i++) {
+            ClaimAnswer expected = i == 5 ? heldBy(held) : new ClaimAnswer.Granted();
+            assertThat(answer(replies.get(i))).isEqualTo(expected);
+        }
+        // Groups close 2 ms after their first claim; a busy machine may split 64 claims over several of them.
+        assertThat(fixture.standin.counters().get("/v3/kv/txn") - callsBefore).isLessThanOrEqualTo(32);
+    }
+
+    /** Guards against claims that end before 24 h, and against keys that are blocked for good. */
+    @Test
+    void claimLivesOneDay() {
+        fixture.clock.advanceMillis(HOUR_MILLIS - fixture.clock.millis() % HOUR_MILLIS);
+        granted(first.claim(request("other", "r0")));
+        fixture.clock.advanceMillis(HOUR_MILLIS - 1);
+        Claim claim = granted(first.claim(request("k", "r1")));
+        fixture.clock.advanceMillis(24 * HOUR_MILLIS);
+        assertThat(answer(second.claim(request("k", "r2")))).isEqualTo(heldBy(claim));
+        fixture.clock.advanceMillis(HOUR_MILLIS);
+        granted(second.claim(request("k", "r2")));
+    }
+
+    /** Guards against an entry that cannot claim until the next hour because the store lost its lease. */
+    @Test
+    void lostLeaseIsGrantedAgain() {
+        granted(first.claim(request("k", "r1")));
+        fixture.stopStandin();
+        fixture.restartStandin();
+        awaitUntil(
+                "a claim",
+                () -> answer(first.claim(request("k", "r1"))).equals(new ClaimAnswer.Granted())
+                        || stored("k").isPresent());
+    }
+}
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
@@ -20,8 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import static dev.wigeonward.standins.kv.StoreFixture.await;
-import static dev.wigeonward.standins.kv.StoreFixture.awaitUntil;
+import static dev.wigeonward.standins.Awaiting.await;
+import static dev.wigeonward.standins.Awaiting.awaitUntil;
 import static org.assertj.core.api.Assertions.assertThat;
 
 class EtcdStoreTest {
--- /dev/null
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
@@ -0,0 +1,160 @@
+package dev.wigeonward.standins.kv;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import dev.wigeonward.platform.clock.PausedClock;
+import dev.wigeonward.platform.store.ControllerListener;
+import dev.wigeonward.platform.store.StoreControllerLease;
+import dev.wigeonward.platform.store.Transaction;
+import dev.wigeonward.platform.store.WriteResult;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static dev.wigeonward.standins.Awaiting.await;
+import static dev.wigeonward.standins.Awaiting.awaitUntil;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class StoreControllerLeaseTest {
+    private static final String KEEP_ALIVE = "/v3/lease/keepalive";
+
+    private final StoreFixture fixture = new StoreFixture();
+    private final List<StoreControllerLease> leases = new ArrayList<>();
+    private final List<String> events = Collections.synchronizedList(new ArrayList<>());
+
+    @AfterEach
+    void close() {
+        leases.forEach(StoreControllerLease::close);
+        fixture.close();
+    }
+
+    private StoreControllerLease candidate(String name, Clock clock) {
+        ControllerListener listener = new ControllerListener() {
+            @Override
+            public void acquired(long fencingNumber) {
+                events.add(name + " acquired");
+            }
+
+            @Override
+            public void lost() {
+                events.add(name + " lost");
+            }
+        };
+        StoreControllerLease lease = StoreControllerLease.create(
+                fixture.store, clock, fixture.thread, new Random(leases.size()), name, listener);
+        lease.setCandidate(true);
+        leases.add(lease);
+        return lease;
+    }
+
+    private static void awaitHeld(StoreControllerLease lease) {
+        awaitUntil("the lease", () -> lease.fencingNumber().isPresent());
+    }
+
+    private long createRevision() {
+        return await(fixture.store.get(StoreControllerLease.KEY))
+                .value()
+                .orElseThrow()
+                .orElseThrow()
+                .createRevision();
+    }
+
+    /** Guards against two controllers, and against a successor whose number does not fence the predecessor off. */
+    @Test
+    void successorHasAHigherNumber() {
+        StoreControllerLease first = candidate("a", fixture.clock);
+        awaitHeld(first);
+        assertThat(first.fencingNumber()).hasValue(createRevision());
+        StoreControllerLease second = candidate("b", fixture.clock);
+        long reads = fixture.standin.counters().get("/v3/kv/range");
+        awaitUntil("a read of the key", () -> fixture.standin.counters().get("/v3/kv/range") > reads);
+        assertThat(second.fencingNumber()).isEmpty();
+
+        long number = first.fencingNumber().orElseThrow();
+        first.close();
+        awaitUntil("the key's end", () -> {
+            fixture.clock.advanceMillis(100);
+            return second.fencingNumber().isPresent();
+        });
+        assertThat(second.fencingNumber().orElseThrow()).isGreaterThan(number);
+        assertThat(events).containsExactly("a acquired", "a lost", "b acquired");
+    }
+
+    /** Guards against a lease that ends although its holder works. */
+    @Test
+    void renewalKeepsTheLease() {
+        StoreControllerLease lease = candidate("a", fixture.clock);
+        awaitHeld(lease);
+        long number = lease.fencingNumber().orElseThrow();
+        for (int i = 1; i <= 10; i++) {
+            long renewals = fixture.standin.counters().getOrDefault(KEEP_ALIVE, 0L);
+            fixture.clock.advanceMillis(3_000);
+            awaitUntil("a renewal", () -> fixture.standin.counters().getOrDefault(KEEP_ALIVE, 0L) > renewals);
+            awaitUntil("its answer", () -> lease.fencingNumber().isPresent());
+        }
+        assertThat(lease.fencingNumber()).hasValue(number);
+        assertThat(createRevision()).isEqualTo(number);
+    }
+
+    /** Fails if a holder that is cut off from the store still acts when another one holds the lease. */
+    private void checkCutOffHolder(Clock holderClock, PausedClock ownClock) {
+        StoreControllerLease holder = candidate("cut", holderClock);
+        awaitHeld(holder);
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        ownClock.advanceMillis(StoreControllerLease.TTL_SECONDS * 1_000 - StoreControllerLease.MARGIN_MILLIS);
+        assertThat(holder.fencingNumber()).as("lease of a cut-off holder").isEmpty();
+        awaitUntil("the report", () -> events.contains("cut lost"));
+    }
+
+    /** Guards against a holder that trusts its lease after the store may have given it away. */
+    @Test
+    void leaseIsLostBeforeTheStoreGivesItAway() {
+        PausedClock ownClock = PausedClock.at(5);
+        checkCutOffHolder(ownClock, ownClock);
+    }
+
+    /** Shows that the check fails for a holder that does not look at its own clock. */
+    @Test
+    void checkFindsAHolderWithAStoppedClock() {
+        assertThatThrownBy(() -> checkCutOffHolder(PausedClock.at(5), PausedClock.at(5)))
+                .isInstanceOf(AssertionError.class)
+                .hasMessageContaining("lease of a cut-off holder");
+    }
+
+    /** Guards against a controller key that nobody acts for because the reply to its creation was lost. */
+    @Test
+    void lostReplyToTheCreationIsRecognized() {
+        fixture.standin.setFaults(KvFaults.none());
+        StoreControllerLease lease = StoreControllerLease.create(
+                losingFirstCommit(), fixture.clock, fixture.thread, new Random(9), "a", new ControllerListener() {
+                    @Override
+                    public void acquired(long fencingNumber) {
+                        events.add("acquired");
+                    }
+
+                    @Override
+                    public void lost() {
+                        events.add("lost");
+                    }
+                });
+        leases.add(lease);
+        lease.setCandidate(true);
+        awaitHeld(lease);
+        assertThat(lease.fencingNumber()).hasValue(createRevision());
+    }
+
+    private ForwardingStore losingFirstCommit() {
+        return new ForwardingStore(fixture.store) {
+            @Override
+            public CompletableFuture<WriteResult> commit(Transaction transaction) {
+                fixture.standin.setFaults(KvFaults.loseNext(1));
+                return super.commit(transaction);
+            }
+        };
+    }
+}
--- a/standins/src/test/java/dev/wigeonward/standins/kv/StoreFixture.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/StoreFixture.java
@@ -1,13 +1,9 @@
 package dev.wigeonward.standins.kv;
 
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.platform.clock.MonotonicClock;
@@ -15,12 +11,9 @@
 import dev.wigeonward.platform.store.EtcdStore;
 import dev.wigeonward.platform.store.StoreOptions;
 
-import static org.assertj.core.api.Assertions.assertThat;
-
 /** A key-value stand-in whose leases follow a paused clock, and a client connected to it over loopback. */
 final class StoreFixture implements AutoCloseable {
     static final long CALL_TIMEOUT_MILLIS = 400;
-    private static final Duration BOUND = Duration.ofSeconds(20);
 
     final PausedClock clock = PausedClock.at(1_000_000_000_000L);
     final MetricRegistry metrics = new MetricRegistry();
@@ -43,22 +36,6 @@
         standin = KvStandin.start(standin.address(), clock);
     }
 
-    static <T> T await(CompletableFuture<T> future) {
-        try {
-            return future.get(BOUND.toMillis(), TimeUnit.MILLISECONDS);
-        } catch (Exception e) {
-            throw new AssertionError("no result", e);
-        }
-    }
-
-    static void awaitUntil(String what, BooleanSupplier condition) {
-        long endNanos = System.nanoTime() + BOUND.toNanos();
-        while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("waiting for " + what).isLessThan(endNanos);
-            Thread.onSpinWait();
-        }
-    }
-
     @Override
     public void close() {
         store.close();
