--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/rollout/LoadPlanner.java
@@ -0,0 +1,152 @@
+package dev.wigeonward.core.rollout;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import dev.wigeonward.core.order.Order;
+
+/**
+ * Chooses loads and unloads within the weight store's rate and the engines' memory; the move with the earliest deadline
+ * chooses first.
+ */
+final class LoadPlanner {
+    /** Part of the engines with room for one version only that keeps the old one until the move is done. */
+    private static final int KEPT_OLD_DIVISOR = 10;
+
+    private final MoveSettings settings;
+
+    LoadPlanner(MoveSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Returns the new orders of each model, not yet numbered. */
+    Map<String, List<OrderIntent>> plan(List<Move> moves, Collection<UpstreamVersions> upstreams, long nowMillis) {
+        List<Move> byDeadline = new ArrayList<>(moves);
+        byDeadline.sort(Comparator.comparingLong((Move move) -> move.record.deadlineMillis())
+                .thenComparing(move -> move.record.model()));
+        int loadsLeft = settings.concurrentLoads();
+        for (Move move : moves) {
+            loadsLeft -= (int) move.openIntents().stream()
+                    .filter(intent -> intent.kind() == Order.Kind.LOAD)
+                    .count();
+        }
+        Map<String, List<OrderIntent>> planned = new LinkedHashMap<>();
+        for (Move move : byDeadline) {
+            if (move.pending != null || nowMillis < move.retryOrdersMillis) {
+                continue;
+            }
+            if (move.record.phase() == MovePhase.DONE
+                    && nowMillis - move.record.phaseStartMillis() < StageView.MAX_LEASE_MILLIS) {
+                // An entry that has not heard of the end yet still needs the old version.
+                continue;
+            }
+            List<OrderIntent> orders = ordersOf(move, upstreamsOf(move, upstreams), Math.max(0, loadsLeft));
+            loadsLeft -= (int) orders.stream()
+                    .filter(order -> order.kind() == Order.Kind.LOAD)
+                    .count();
+            if (!orders.isEmpty()) {
+                planned.put(move.record.model(), orders);
+            }
+        }
+        return planned;
+    }
+
+    /**
+     * Returns how many upstreams need the new version before the share may be published; 0 if memory leaves no room for
+     * it beside the old version.
+     */
+    int upstreamsNeeded(Move move, Collection<UpstreamVersions> upstreams, int shareBasisPoints) {
+        List<UpstreamVersions> all = upstreamsOf(move, upstreams);
+        int needed = Math.max(1, (all.size() * shareBasisPoints + Stage.ALL_BASIS_POINTS - 1) / Stage.ALL_BASIS_POINTS);
+        long single = all.stream().filter(upstream -> upstream.places() == 1).count();
+        int kept = single == 0 ? 0 : Math.max(1, all.size() / KEPT_OLD_DIVISOR);
+        return Math.min(needed, all.size() - kept);
+    }
+
+    /** Returns the number of upstreams that hold the new version. */
+    int upstreamsReady(Move move, Collection<UpstreamVersions> upstreams) {
+        return (int) upstreamsOf(move, upstreams).stream()
+                .filter(upstream -> upstream.has(move.record.newVersion()))
+                .count();
+    }
+
+    private List<OrderIntent> ordersOf(Move move, List<UpstreamVersions> upstreams, int loadsLeft) {
+        Set<String> busy = new HashSet<>();
+        move.openIntents().forEach(intent -> busy.add(intent.upstreamId()));
+        List<UpstreamVersions> free = upstreams.stream()
+                .filter(upstream -> !busy.contains(upstream.upstreamId()))
+                .toList();
+        return switch (move.record.phase()) {
+            case LOADING, CANARY, GROWING, WATCHING -> loadNew(move, upstreams, free, loadsLeft);
+            case DONE -> replace(move, free, move.record.oldVersion(), move.record.newVersion(), loadsLeft);
+            case ROLLING_BACK -> replace(move, free, move.record.newVersion(), move.record.oldVersion(), loadsLeft);
+            default -> List.of();
+        };
+    }
+
+    private List<OrderIntent> loadNew(
+            Move move, List<UpstreamVersions> upstreams, List<UpstreamVersions> free, int loadsLeft) {
+        int share = move.record.phase() == MovePhase.LOADING
+                ? settings.canaryBasisPoints()
+                : settings.nextShare(move.record.shareBasisPoints());
+        String newVersion = move.record.newVersion();
+        int missing = upstreamsNeeded(move, upstreams, share) - upstreamsReady(move, upstreams);
+        missing -= (int) move.openIntents().stream()
+                .filter(intent -> intent.version().equals(newVersion) || intent.kind() == Order.Kind.UNLOAD)
+                .count();
+        List<OrderIntent> orders = new ArrayList<>();
+        List<UpstreamVersions> candidates = new ArrayList<>(free);
+        candidates.sort(Comparator.comparing((UpstreamVersions upstream) -> !upstream.hasRoom())
+                .thenComparing(UpstreamVersions::upstreamId));
+        for (UpstreamVersions upstream : candidates) {
+            if (orders.size() >= Math.min(missing, loadsLeft)) {
+                break;
+            }
+            if (upstream.has(newVersion)) {
+                continue;
+            }
+            if (upstream.hasRoom()) {
+                orders.add(order(move, upstream, Order.Kind.LOAD, newVersion));
+            } else {
+                String leftover = upstream.loadedVersions().stream()
+                        .filter(version -> !version.equals(move.record.oldVersion()))
+                        .min(Comparator.naturalOrder())
+                        .orElse(move.record.oldVersion());
+                orders.add(order(move, upstream, Order.Kind.UNLOAD, leftover));
+            }
+        }
+        return orders;
+    }
+
+    private static List<OrderIntent> replace(
+            Move move, List<UpstreamVersions> free, String leaving, String staying, int loadsLeft) {
+        List<OrderIntent> orders = new ArrayList<>();
+        int loads = 0;
+        for (UpstreamVersions upstream : free) {
+            if (upstream.has(leaving)) {
+                orders.add(order(move, upstream, Order.Kind.UNLOAD, leaving));
+            } else if (!upstream.has(staying) && upstream.hasRoom() && loads < loadsLeft) {
+                orders.add(order(move, upstream, Order.Kind.LOAD, staying));
+                loads++;
+            }
+        }
+        return orders;
+    }
+
+    private static OrderIntent order(Move move, UpstreamVersions upstream, Order.Kind kind, String version) {
+        return new OrderIntent("unnumbered", upstream.upstreamId(), kind, move.record.model(), version);
+    }
+
+    private static List<UpstreamVersions> upstreamsOf(Move move, Collection<UpstreamVersions> upstreams) {
+        return upstreams.stream()
+                .filter(upstream -> upstream.model().equals(move.record.model()))
+                .sorted(Comparator.comparing(UpstreamVersions::upstreamId))
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
@@ -0,0 +1,105 @@
+package dev.wigeonward.core.rollout;
+
+import java.util.Collection;
+import java.util.Optional;
+
+/** Decides the next phase of a move; the controller writes it before anything follows from it. */
+final class MoveAdvancer {
+    /** Part of the time left for a stage after which its test is cut short, so that the deadline can still be met. */
+    private static final double STAGE_TIME_FRACTION = 0.9;
+
+    private final MoveSettings settings;
+    private final LoadPlanner planner;
+
+    MoveAdvancer(MoveSettings settings, LoadPlanner planner) {
+        this.settings = settings;
+        this.planner = planner;
+    }
+
+    /** Returns the time within the present stage after which its test is cut short, in milliseconds. */
+    long testMillis(MoveRecord record) {
+        int stagesLeft = settings.stagesLeft(record.shareBasisPoints());
+        if (record.phase() == MovePhase.WATCHING || stagesLeft == 0) {
+            return settings.watchMillis();
+        }
+        long leftMillis = record.deadlineMillis() - record.phaseStartMillis();
+        return Math.max(settings.minTestMillis(), (long) (STAGE_TIME_FRACTION * leftMillis / stagesLeft));
+    }
+
+    /** Returns whether the test of the present stage has to end now. */
+    boolean isTestOver(Move move) {
+        boolean timeOver = move.activeMillis >= testMillis(move.record);
+        return timeOver && (move.record.phase() == MovePhase.WATCHING || !move.evidence.allRoutesPassed());
+    }
+
+    /**
+     * Returns the record of the next step, or empty if there is none to take now.
+     *
+     * @param badReason why the new version is bad, if it is
+     * @param loadSlotFree whether another move may start to load
+     */
+    Optional<MoveRecord> next(
+            Move move,
+            Optional<String> badReason,
+            boolean loadSlotFree,
+            Collection<UpstreamVersions> upstreams,
+            long nowMillis) {
+        MoveRecord record = move.record;
+        boolean canEnd = record.phase().isAdvancing() || record.phase() == MovePhase.DONE;
+        if (canEnd && badReason.isPresent()) {
+            return Optional.of(
+                    record.withPhase(MovePhase.ROLLING_BACK, 0, nowMillis, "bad version: " + badReason.get()));
+        }
+        if (record.phase().isAdvancing() && move.withdrawn) {
+            return Optional.of(
+                    record.withPhase(MovePhase.ROLLING_BACK, 0, nowMillis, "the rules no longer name this version"));
+        }
+        return switch (record.phase()) {
+            case PLANNED ->
+                loadSlotFree
+                        ? Optional.of(record.withPhase(MovePhase.LOADING, 0, nowMillis, "next by deadline"))
+                        : Optional.empty();
+            case LOADING -> afterLoading(move, upstreams, nowMillis);
+            case CANARY, GROWING -> afterStage(move, upstreams, nowMillis);
+            case WATCHING ->
+                move.activeMillis >= settings.watchMillis()
+                        ? Optional.of(record.withPhase(
+                                MovePhase.DONE, Stage.ALL_BASIS_POINTS, nowMillis, "no badness seen while watching"))
+                        : Optional.empty();
+            case ROLLING_BACK -> afterRollback(move, upstreams, nowMillis);
+            default -> Optional.empty();
+        };
+    }
+
+    private Optional<MoveRecord> afterLoading(Move move, Collection<UpstreamVersions> upstreams, long nowMillis) {
+        int share = settings.canaryBasisPoints();
+        int needed = planner.upstreamsNeeded(move, upstreams, share);
+        int ready = planner.upstreamsReady(move, upstreams);
+        if (ready == 0 || ready < needed) {
+            return Optional.empty();
+        }
+        return Optional.of(move.record.withPhase(MovePhase.CANARY, share, nowMillis, ready + " upstreams are loaded"));
+    }
+
+    private Optional<MoveRecord> afterStage(Move move, Collection<UpstreamVersions> upstreams, long nowMillis) {
+        int share = settings.nextShare(move.record.shareBasisPoints());
+        boolean loaded = planner.upstreamsReady(move, upstreams) >= planner.upstreamsNeeded(move, upstreams, share);
+        if (!loaded || move.activeMillis < settings.minStageMillis() || !move.evidence.allRoutesPassed()) {
+            return Optional.empty();
+        }
+        MovePhase phase = share == Stage.ALL_BASIS_POINTS ? MovePhase.WATCHING : MovePhase.GROWING;
+        return Optional.of(move.record.withPhase(phase, share, nowMillis, "all routes passed"));
+    }
+
+    private Optional<MoveRecord> afterRollback(Move move, Collection<UpstreamVersions> upstreams, long nowMillis) {
+        boolean oldEverywhere = upstreams.stream()
+                .filter(upstream -> upstream.model().equals(move.record.model()))
+                .allMatch(upstream -> upstream.has(move.record.oldVersion()) || !upstream.hasRoom());
+        if (planner.upstreamsReady(move, upstreams) > 0
+                || !oldEverywhere
+                || !move.openIntents().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(move.record.withPhase(MovePhase.ROLLED_BACK, 0, nowMillis, move.record.reason()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
@@ -0,0 +1,499 @@
+package dev.wigeonward.core.rollout;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import dev.wigeonward.core.order.Order;
+import dev.wigeonward.core.order.OrderResult;
+
+/**
+ * Decides the steps of all version moves at the entry that holds the controller lease.
+ *
+ * <p>Each step is written to the move record first, and orders and stages follow only once the store confirmed it. A
+ * bad verdict is the exception: it is published at once and written when the store answers, also without the lease,
+ * because it only ever takes requests away from a version. Not safe for use by several threads.
+ */
+public final class MoveController {
+    private final MoveSettings settings;
+    private final VersionJudge judge;
+    private final LoadPlanner planner;
+    private final MoveAdvancer advancer;
+    private final FinishProjection projection;
+
+    private final Map<String, Move> moves = new TreeMap<>();
+    private final Map<String, UpstreamVersions> upstreams = new TreeMap<>();
+    private final Map<String, MoveRule> rules = new TreeMap<>();
+    private final Map<ModelVersion, BadVerdict> bad =
+            new TreeMap<>(Comparator.comparing(ModelVersion::model).thenComparing(ModelVersion::version));
+    private boolean rulesKnown;
+    private boolean holdsLease;
+    private long fencingNumber;
+    private long leaseValidUntilMillis;
+    private long writeCount;
+    private long sequence;
+    private long lastPublishMillis = Long.MIN_VALUE / 2;
+    private long lastTickMillis = Long.MIN_VALUE / 2;
+    private List<ControllerEffect> effects = new ArrayList<>();
+
+    public MoveController(MoveSettings settings, JudgeSettings judgeSettings) {
+        this.settings = settings;
+        this.judge = new VersionJudge(judgeSettings);
+        this.planner = new LoadPlanner(settings);
+        this.advancer = new MoveAdvancer(settings, planner);
+        this.projection = new FinishProjection(settings, planner, advancer);
+    }
+
+    /** Returns what to do about the event, in this order. */
+    public List<ControllerEffect> handle(ControllerEvent event, long nowMillis) {
+        effects = new ArrayList<>();
+        if (event instanceof ControllerEvent.LeaseAcquired acquired) {
+            takeOver(acquired, nowMillis);
+        } else if (event instanceof ControllerEvent.LeaseRenewed renewed) {
+            leaseValidUntilMillis = Math.max(leaseValidUntilMillis, renewed.validUntilMillis());
+        } else if (event instanceof ControllerEvent.LeaseLost) {
+            holdsLease = false;
+        } else if (event instanceof ControllerEvent.RulesChanged changed) {
+            changeRules(changed.rules(), nowMillis);
+        } else if (event instanceof ControllerEvent.UpstreamSeen seen) {
+            upstreams.put(seen.upstream().upstreamId(), seen.upstream());
+        } else if (event instanceof ControllerEvent.UpstreamGone gone) {
+            upstreams.remove(gone.upstreamId());
+        } else if (event instanceof ControllerEvent.EvidenceReported reported) {
+            Move move = moves.get(reported.version().model());
+            if (move != null && !move.record.phase().isOver()) {
+                move.evidence.add(reported);
+            }
+        } else if (event instanceof ControllerEvent.VerdictLearned learned) {
+            addVerdict(learned.verdict(), nowMillis);
+        } else if (event instanceof ControllerEvent.StoreAnswered answered) {
+            settleWrite(answered, nowMillis);
+        } else if (event instanceof ControllerEvent.RecordRead read) {
+            settleRead(read, nowMillis);
+        } else if (event instanceof ControllerEvent.OrderAnswered answered) {
+            settleOrder(answered, nowMillis);
+        } else if (event instanceof ControllerEvent.Tick) {
+            tick(nowMillis);
+        }
+        return effects;
+    }
+
+    /** Returns the present state of all moves, for operators. */
+    public List<MoveReport> reports(long nowMillis) {
+        return moves.values().stream()
+                .map(move -> report(move, move.record.reason(), nowMillis))
+                .toList();
+    }
+
+    private void takeOver(ControllerEvent.LeaseAcquired acquired, long nowMillis) {
+        holdsLease = true;
+        fencingNumber = acquired.fencingNumber();
+        leaseValidUntilMillis = acquired.validUntilMillis();
+        sequence = 0;
+        Map<String, Move> known = new TreeMap<>(moves);
+        moves.clear();
+        for (StoredRecord stored : acquired.records()) {
+            Move move =
+                    adopt(stored, Optional.ofNullable(known.get(stored.record().model())));
+            moves.put(stored.record().model(), move);
+        }
+        List.copyOf(bad.values()).forEach(verdict -> effects.add(new ControllerEffect.PublishVerdict(verdict)));
+        publish(nowMillis);
+        moves.values().forEach(move -> sendOrders(move, nowMillis));
+        applyRules(nowMillis);
+    }
+
+    private Move adopt(StoredRecord stored, Optional<Move> known) {
+        MoveRecord record = stored.record();
+        record.badReasons().forEach((version, reason) -> {
+            ModelVersion modelVersion = new ModelVersion(record.model(), version);
+            bad.putIfAbsent(modelVersion, new BadVerdict(modelVersion, reason));
+        });
+        Move move = new Move(record, stored.revision());
+        known.filter(before -> before.record.newVersion().equals(record.newVersion())
+                        && before.record.oldVersion().equals(record.oldVersion()))
+                .ifPresent(before -> move.evidence = before.evidence);
+        return move;
+    }
+
+    private void changeRules(List<MoveRule> changed, long nowMillis) {
+        rules.clear();
+        changed.forEach(rule -> rules.put(rule.model(), rule));
+        rulesKnown = true;
+        applyRules(nowMillis);
+    }
+
+    private void applyRules(long nowMillis) {
+        if (!rulesKnown || !leaseValid(nowMillis)) {
+            return;
+        }
+        for (Move move : moves.values()) {
+            MoveRule rule = rules.get(move.record.model());
+            boolean withdrawn = rule == null || !rule.version().equals(move.record.newVersion());
+            if (withdrawn && !move.withdrawn && move.record.phase().isAdvancing()) {
+                move.withdrawn = true;
+                publish(nowMillis);
+            }
+            move.withdrawn = withdrawn;
+        }
+        rules.values().forEach(rule -> startMove(rule, nowMillis));
+    }
+
+    private void startMove(MoveRule rule, long nowMillis) {
+        Move before = moves.get(rule.model());
+        if (bad.containsKey(new ModelVersion(rule.model(), rule.version()))) {
+            return;
+        }
+        if (before == null) {
+            mostLoadedOther(rule).ifPresent(oldVersion -> startMove(rule, oldVersion, 0, nowMillis));
+            return;
+        }
+        boolean sameVersion = before.record.newVersion().equals(rule.version());
+        if (before.pending != null || before.inDoubt || !before.record.phase().isOver()) {
+            return;
+        }
+        // A rolled back move starts again only by a rule that names another version.
+        if (!sameVersion && !before.record.settledVersion().equals(rule.version())) {
+            startMove(rule, before.record.settledVersion(), before.revision, nowMillis);
+        }
+    }
+
+    private void startMove(MoveRule rule, String oldVersion, long revision, long nowMillis) {
+        MoveRecord planned = MoveRecord.planned(rule, oldVersion, badReasons(rule.model()), nowMillis);
+        Move move = new Move(planned, revision);
+        moves.put(rule.model(), move);
+        write(move, planned, nowMillis);
+    }
+
+    private Optional<String> mostLoadedOther(MoveRule rule) {
+        Map<String, Integer> counts = new TreeMap<>();
+        upstreams.values().stream()
+                .filter(upstream -> upstream.model().equals(rule.model()))
+                .flatMap(upstream -> upstream.loadedVersions().stream())
+                .filter(version -> !version.equals(rule.version()))
+                .filter(version -> !bad.containsKey(new ModelVersion(rule.model(), version)))
+                .forEach(version -> counts.merge(version, 1, Integer::sum));
+        return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+    }
+
+    private void addVerdict(BadVerdict verdict, long nowMillis) {
+        if (bad.putIfAbsent(verdict.version(), verdict) != null) {
+            return;
+        }
+        effects.add(new ControllerEffect.PublishVerdict(verdict));
+        publish(nowMillis);
+        Move move = moves.get(verdict.version().model());
+        if (move != null) {
+            effects.add(new ControllerEffect.ReportStep(report(move, "bad version: " + verdict.reason(), nowMillis)));
+            advance(move, nowMillis);
+        }
+    }
+
+    private void tick(long nowMillis) {
+        // A process that was paused must not count the pause as time in which its stages were in force.
+        long passedMillis = Math.max(0, Math.min(nowMillis - lastTickMillis, settings.renewMillis()));
+        lastTickMillis = nowMillis;
+        for (Move move : List.copyOf(moves.values())) {
+            if (leaseValid(nowMillis)) {
+                move.activeMillis += passedMillis;
+            }
+            judge(move, nowMillis);
+        }
+        if (!leaseValid(nowMillis)) {
+            return;
+        }
+        applyRules(nowMillis);
+        planner.plan(List.copyOf(moves.values()), upstreams.values(), nowMillis)
+                .forEach((model, orders) -> announce(moves.get(model), orders, nowMillis));
+        for (Move move : byDeadline()) {
+            retryWrite(move, nowMillis);
+            advance(move, nowMillis);
+            sendOrders(move, nowMillis);
+            reportLate(move, nowMillis);
+        }
+        if (nowMillis - lastPublishMillis >= settings.renewMillis()) {
+            publish(nowMillis);
+        }
+    }
+
+    private void judge(Move move, long nowMillis) {
+        MovePhase phase = move.record.phase();
+        boolean judged = phase == MovePhase.CANARY || phase == MovePhase.GROWING || phase == MovePhase.WATCHING;
+        ModelVersion version = new ModelVersion(move.record.model(), move.record.newVersion());
+        if (!judged || bad.containsKey(version)) {
+            return;
+        }
+        boolean truncated = leaseValid(nowMillis) && advancer.isTestOver(move);
+        move.evidence.judge(judge, truncated).ifPresent(judgement -> {
+            String load = judgement.cell().underLoad() ? " under load: " : ": ";
+            addVerdict(
+                    new BadVerdict(version, "route " + judgement.cell().route() + load + judgement.reason()),
+                    nowMillis);
+        });
+    }
+
+    private void announce(Move move, List<OrderIntent> orders, long nowMillis) {
+        List<OrderIntent> intents = move.openIntents();
+        int count = move.record.orderCount();
+        for (OrderIntent order : orders) {
+            count++;
+            String orderId = order.model() + "/" + move.record.newVersion() + "/" + count;
+            intents.add(new OrderIntent(orderId, order.upstreamId(), order.kind(), order.model(), order.version()));
+        }
+        write(move, move.record.withIntents(intents, count), nowMillis);
+    }
+
+    private void advance(Move move, long nowMillis) {
+        if (!leaseValid(nowMillis) || move.pending != null) {
+            return;
+        }
+        MoveRecord record = move.record;
+        ModelVersion version = new ModelVersion(record.model(), record.newVersion());
+        Optional<String> badReason = Optional.ofNullable(bad.get(version)).map(BadVerdict::reason);
+        long loading = moves.values().stream()
+                .filter(other -> other.latest().phase() == MovePhase.LOADING)
+                .count();
+        boolean slotFree = loading < settings.concurrentLoads();
+        Optional<MoveRecord> next = advancer.next(move, badReason, slotFree, upstreams.values(), nowMillis);
+        MoveRule rule = rules.get(record.model());
+        boolean deadlineMoved = rule != null
+                && !move.withdrawn
+                && record.phase().isAdvancing()
+                && rule.deadlineMillis() != record.deadlineMillis();
+        if (next.isPresent()) {
+            write(move, next.get(), nowMillis);
+        } else if (deadlineMoved) {
+            write(move, record.withDeadlineMillis(rule.deadlineMillis()), nowMillis);
+        } else if (!record.badReasons()
+                .keySet()
+                .containsAll(badReasons(record.model()).keySet())) {
+            write(move, record, nowMillis);
+        }
+    }
+
+    private void write(Move move, MoveRecord next, long nowMillis) {
+        writeCount++;
+        String writeId = fencingNumber + "-" + writeCount;
+        move.pending = next.withIntents(openOf(move, next), next.orderCount())
+                .withWrite(fencingNumber, writeId, badReasons(next.model()));
+        move.lastAttemptMillis = nowMillis;
+        effects.add(new ControllerEffect.WriteRecord(move.pending, move.revision));
+    }
+
+    private static List<OrderIntent> openOf(Move move, MoveRecord next) {
+        return next.intents().stream()
+                .filter(intent -> !move.answeredOrders.contains(intent.orderId()))
+                .toList();
+    }
+
+    private void retryWrite(Move move, long nowMillis) {
+        if (move.pending == null || nowMillis - move.lastAttemptMillis < settings.retryMillis()) {
+            return;
+        }
+        move.lastAttemptMillis = nowMillis;
+        // The write may have been applied without an answer, so the next attempt starts by reading.
+        move.inDoubt = true;
+        effects.add(new ControllerEffect.ReadRecord(move.record.model()));
+    }
+
+    private void settleWrite(ControllerEvent.StoreAnswered answered, long nowMillis) {
+        Move move = moves.get(answered.model());
+        if (move == null || move.pending == null || !move.pending.writeId().equals(answered.writeId())) {
+            return;
+        }
+        switch (answered.answer()) {
+            case APPLIED -> confirm(move, answered.revision(), nowMillis);
+            case COMPARE_FAILED, UNKNOWN -> {
+                move.inDoubt = true;
+                move.lastAttemptMillis = nowMillis;
+                effects.add(new ControllerEffect.ReadRecord(answered.model()));
+            }
+            default -> move.lastAttemptMillis = nowMillis;
+        }
+    }
+
+    private void settleRead(ControllerEvent.RecordRead read, long nowMillis) {
+        Move move = moves.get(read.model());
+        if (move == null || move.pending == null || !move.inDoubt) {
+            return;
+        }
+        long storedRevision = read.stored().map(StoredRecord::revision).orElse(0L);
+        if (read.stored().isPresent()) {
+            MoveRecord stored = read.stored().get().record();
+            if (stored.writeId().equals(move.pending.writeId())) {
+                confirm(move, storedRevision, nowMillis);
+                return;
+            }
+            if (stored.fencingNumber() > fencingNumber) {
+                holdsLease = false;
+                return;
+            }
+            if (storedRevision != move.revision) {
+                // A late write of an earlier controller came between; go on from what is stored.
+                moves.put(read.model(), adopt(read.stored().get(), Optional.of(move)));
+                return;
+            }
+        }
+        move.inDoubt = false;
+        if (leaseValid(nowMillis)) {
+            effects.add(new ControllerEffect.WriteRecord(move.pending, move.revision));
+        }
+    }
+
+    private void confirm(Move move, long revision, long nowMillis) {
+        boolean step = move.record.phase() != move.pending.phase()
+                || move.record.shareBasisPoints() != move.pending.shareBasisPoints()
+                || move.revision == 0;
+        move.record = move.pending;
+        move.pending = null;
+        move.inDoubt = false;
+        move.revision = revision;
+        if (step) {
+            effects.add(new ControllerEffect.ReportStep(report(move, move.record.reason(), nowMillis)));
+            move.activeMillis = 0;
+            move.evidence.startStage();
+            publish(nowMillis);
+        }
+        sendOrders(move, nowMillis);
+        advance(move, nowMillis);
+    }
+
+    private void sendOrders(Move move, long nowMillis) {
+        if (!leaseValid(nowMillis)) {
+            return;
+        }
+        for (OrderIntent intent : move.record.intents()) {
+            long sentMillis = move.sentMillisByOrder.getOrDefault(intent.orderId(), Long.MIN_VALUE / 2);
+            boolean due = nowMillis - sentMillis >= settings.orderRetryMillis();
+            if (!due || move.answeredOrders.contains(intent.orderId())) {
+                continue;
+            }
+            if (isObsolete(move, intent, nowMillis)) {
+                move.answeredOrders.add(intent.orderId());
+                continue;
+            }
+            if (!upstreams.containsKey(intent.upstreamId())) {
+                continue;
+            }
+            move.sentMillisByOrder.put(intent.orderId(), nowMillis);
+            effects.add(new ControllerEffect.SendOrder(intent.upstreamId(), intent.toOrder(fencingNumber)));
+        }
+    }
+
+    private boolean isObsolete(Move move, OrderIntent intent, long nowMillis) {
+        if (intent.kind() == Order.Kind.LOAD && bad.containsKey(new ModelVersion(intent.model(), intent.version()))) {
+            return true;
+        }
+        if (upstreams.containsKey(intent.upstreamId())) {
+            move.missingSinceMillisByOrder.remove(intent.orderId());
+            return false;
+        }
+        // A new holder of the lease is not linked to all agents at once.
+        long sinceMillis = move.missingSinceMillisByOrder.computeIfAbsent(intent.orderId(), id -> nowMillis);
+        return nowMillis - sinceMillis >= settings.orderRetryMillis();
+    }
+
+    private void settleOrder(ControllerEvent.OrderAnswered answered, long nowMillis) {
+        for (Move move : moves.values()) {
+            for (OrderIntent intent : move.openIntents()) {
+                if (intent.orderId().equals(answered.orderId())) {
+                    settleOrder(move, intent, answered.result(), nowMillis);
+                }
+            }
+        }
+    }
+
+    private void settleOrder(Move move, OrderIntent intent, OrderResult result, long nowMillis) {
+        if (result instanceof OrderResult.Done) {
+            move.answeredOrders.add(intent.orderId());
+            upstreams.computeIfPresent(intent.upstreamId(), (id, upstream) -> upstream.after(intent));
+            Long sentMillis = move.sentMillisByOrder.get(intent.orderId());
+            if (sentMillis != null && intent.kind() == Order.Kind.LOAD) {
+                projection.loadTook(nowMillis - sentMillis);
+            }
+        } else if (result instanceof OrderResult.Failed failed) {
+            move.answeredOrders.add(intent.orderId());
+            move.retryOrdersMillis = nowMillis + settings.orderRetryMillis();
+            String reason = intent.kind() + " at " + intent.upstreamId() + " failed: " + failed.reason();
+            effects.add(new ControllerEffect.ReportStep(report(move, reason, nowMillis)));
+        } else if (result instanceof OrderResult.Refused refused && refused.highestFencingNumber() > fencingNumber) {
+            holdsLease = false;
+        }
+    }
+
+    private void reportLate(Move move, long nowMillis) {
+        if (!move.record.phase().isAdvancing() || move.record.phase() == MovePhase.WATCHING) {
+            return;
+        }
+        long finishMillis = projection.finishMillis(move, moves.values(), upstreams.values(), nowMillis);
+        boolean late = finishMillis > move.record.deadlineMillis();
+        if (late && !move.lateReported) {
+            effects.add(new ControllerEffect.ReportStep(report(move, "the deadline will not be met", nowMillis)));
+        }
+        move.lateReported = late;
+    }
+
+    private void publish(long nowMillis) {
+        if (!leaseValid(nowMillis)) {
+            return;
+        }
+        lastPublishMillis = nowMillis;
+        sequence++;
+        List<Stage> stages = moves.values().stream().map(this::stage).toList();
+        effects.add(new ControllerEffect.PublishStages(new ControllerStages(fencingNumber, sequence, stages)));
+    }
+
+    private Stage stage(Move move) {
+        MoveRecord record = move.record;
+        boolean isBad = bad.containsKey(new ModelVersion(record.model(), record.newVersion()));
+        boolean stopped = isBad || move.withdrawn && record.phase().isAdvancing();
+        return new Stage(
+                record.model(),
+                record.oldVersion(),
+                record.newVersion(),
+                stopped ? 0 : record.shareBasisPoints(),
+                StageView.MAX_LEASE_MILLIS,
+                record.phase() == MovePhase.DONE && !isBad);
+    }
+
+    private MoveReport report(Move move, String reason, long nowMillis) {
+        MoveRecord record = move.record;
+        long finishMillis = projection.finishMillis(move, moves.values(), upstreams.values(), nowMillis);
+        return new MoveReport(
+                nowMillis,
+                record.model(),
+                record.oldVersion(),
+                record.newVersion(),
+                record.phase().name().toLowerCase(Locale.ROOT),
+                record.shareBasisPoints(),
+                record.deadlineMillis(),
+                finishMillis,
+                finishMillis <= record.deadlineMillis(),
+                reason,
+                move.evidence.judgements());
+    }
+
+    private Map<String, String> badReasons(String model) {
+        Map<String, String> reasons = new TreeMap<>();
+        bad.values().stream()
+                .filter(verdict -> verdict.version().model().equals(model))
+                .forEach(verdict -> reasons.put(verdict.version().version(), verdict.reason()));
+        return reasons;
+    }
+
+    private Collection<Move> byDeadline() {
+        List<Move> sorted = new ArrayList<>(moves.values());
+        sorted.sort(Comparator.comparingLong((Move move) -> move.record.deadlineMillis())
+                .thenComparing(move -> move.record.model()));
+        return sorted;
+    }
+
+    private boolean leaseValid(long nowMillis) {
+        return holdsLease && nowMillis < leaseValidUntilMillis;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/rollout/OrderIntent.java
@@ -0,0 +1,19 @@
+package dev.wigeonward.core.rollout;
+
+import java.util.Objects;
+
+import com.google.common.base.Preconditions;
+import dev.wigeonward.core.order.Order;
+
+/** An order that the move record announces before it is sent. */
+public record OrderIntent(String orderId, String upstreamId, Order.Kind kind, String model, String version) {
+    public OrderIntent {
+        Preconditions.checkArgument(!orderId.isEmpty(), "orderId is empty");
+        Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId is empty");
+        Objects.requireNonNull(kind, "kind");
+    }
+
+    Order toOrder(long fencingNumber) {
+        return new Order(fencingNumber, orderId, kind, model, version, "");
+    }
+}
