Test version moves and the order gate, each invariant with a mutated variant

Cause: a check that cannot fail shows nothing. Ruled out: a limit on moves in the loading phase; one that is short of memory would hold up all others.

--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
@@ -36,14 +36,9 @@
      * Returns the record of the next step, or empty if there is none to take now.
      *
      * @param badReason why the new version is bad, if it is
-     * @param loadSlotFree whether another move may start to load
      */
     Optional<MoveRecord> next(
-            Move move,
-            Optional<String> badReason,
-            boolean loadSlotFree,
-            Collection<UpstreamVersions> upstreams,
-            long nowMillis) {
+            Move move, Optional<String> badReason, Collection<UpstreamVersions> upstreams, long nowMillis) {
         MoveRecord record = move.record;
         boolean canEnd = record.phase().isAdvancing() || record.phase() == MovePhase.DONE;
         if (canEnd && badReason.isPresent()) {
@@ -56,9 +51,7 @@
         }
         return switch (record.phase()) {
             case PLANNED ->
-                loadSlotFree
-                        ? Optional.of(record.withPhase(MovePhase.LOADING, 0, nowMillis, "next by deadline"))
-                        : Optional.empty();
+                Optional.of(record.withPhase(MovePhase.LOADING, 0, nowMillis, "loads by order of deadline"));
             case LOADING -> afterLoading(move, upstreams, nowMillis);
             case CANARY, GROWING -> afterStage(move, upstreams, nowMillis);
             case WATCHING ->
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
@@ -255,11 +255,7 @@
         MoveRecord record = move.record;
         ModelVersion version = new ModelVersion(record.model(), record.newVersion());
         Optional<String> badReason = Optional.ofNullable(bad.get(version)).map(BadVerdict::reason);
-        long loading = moves.values().stream()
-                .filter(other -> other.latest().phase() == MovePhase.LOADING)
-                .count();
-        boolean slotFree = loading < settings.concurrentLoads();
-        Optional<MoveRecord> next = advancer.next(move, badReason, slotFree, upstreams.values(), nowMillis);
+        Optional<MoveRecord> next = advancer.next(move, badReason, upstreams.values(), nowMillis);
         MoveRule rule = rules.get(record.model());
         boolean deadlineMoved = rule != null
                 && !move.withdrawn
--- a/core/src/main/java/dev/wigeonward/core/rollout/MovePhase.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MovePhase.java
@@ -2,9 +2,9 @@
 
 /** Where a move stands. */
 public enum MovePhase {
-    /** Waits for its turn to load weights. */
+    /** Written down; nothing is ordered yet. */
     PLANNED,
-    /** Weights of the new version are being loaded; it gets no requests. */
+    /** Waits for its turn to load weights, or loads them; the new version gets no requests. */
     LOADING,
     /** The new version gets the smallest share until its first verdict. */
     CANARY,
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionJudge.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionJudge.java
@@ -96,7 +96,7 @@
                 badShare);
     }
 
-    /** Returns the share estimated one standard error high, so that a small sample does not make the test too strict. */
+    /** Returns the share estimated one standard error high, so that a small sample does not make the test strict. */
     private static double upperShare(long count, long total) {
         double share = (count + 1.0) / (total + 2.0);
         return share + Math.sqrt(share * (1 - share) / total);
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/order/OrderGateTest.java
@@ -0,0 +1,140 @@
+package dev.wigeonward.core.order;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class OrderGateTest {
+    /** Guards against an engine that carries out orders of a former controller, also after its agent restarted. */
+    @Property
+    void executedFencingNumbersNeverDecrease(@ForAll @Size(max = 60) List<@IntRange(max = 99) Integer> steps) {
+        checkExecutedFencingNumbers(() -> new OrderGate()::handle, steps);
+    }
+
+    /** Shows that the check above sees a gate that trusts its empty memory after a restart. */
+    @Test
+    void checkFailsForGateThatTrustsEmptyMemory() {
+        List<Integer> steps = List.of(1, 1, 10, 3, 90, 20);
+        checkExecutedFencingNumbers(() -> new OrderGate()::handle, steps);
+        assertThatThrownBy(() -> checkExecutedFencingNumbers(OrderGateTest::trustingGate, steps))
+                .isInstanceOf(AssertionError.class);
+    }
+
+    /** Shows that the check above sees a gate that leaves fencing to the engine. */
+    @Test
+    void checkFailsForGateThatIgnoresFencingNumbers() {
+        List<Integer> steps = List.of(1, 1, 10, 3, 20);
+        checkExecutedFencingNumbers(() -> new OrderGate()::handle, steps);
+        assertThatThrownBy(() -> checkExecutedFencingNumbers(() -> OrderGateTest::runAlways, steps))
+                .isInstanceOf(AssertionError.class);
+    }
+
+    /** Guards against an order that runs although nothing confirms its fencing number. */
+    @Test
+    void firstOrderIsRefusedWhileStoreIsDown() {
+        OrderGate gate = new OrderGate();
+        assertThat(gate.handle(received(5, "a"))).containsExactly(new OrderEffect.ReadFencingNumber());
+        assertThat(gate.handle(received(5, "b"))).isEmpty();
+        assertThat(gate.handle(new OrderEvent.StoreUnavailable())).hasSize(2).allSatisfy(effect -> assertThat(
+                        ((OrderEffect.Answer) effect).result())
+                .isInstanceOf(OrderResult.Refused.class));
+        assertThat(gate.handle(received(5, "a"))).containsExactly(new OrderEffect.ReadFencingNumber());
+    }
+
+    /** Guards against a load that runs twice because its answer was lost or the next controller repeats it. */
+    @Test
+    void repeatedOrderIsAnsweredWithoutRunning() {
+        OrderGate gate = new OrderGate();
+        gate.handle(received(5, "a"));
+        assertThat(gate.handle(new OrderEvent.FencingRead(5)))
+                .hasSize(2)
+                .first()
+                .isInstanceOf(OrderEffect.RunOrder.class);
+        assertThat(gate.handle(received(6, "a"))).containsExactly(answer("a", new OrderResult.Started()));
+        gate.handle(new OrderEvent.EngineFinished("a", ""));
+        assertThat(gate.handle(received(6, "a"))).containsExactly(answer("a", new OrderResult.Done()));
+        assertThat(gate.handle(received(5, "a"))).singleElement().satisfies(effect -> assertThat(
+                        ((OrderEffect.Answer) effect).result())
+                .isEqualTo(new OrderResult.Refused("fencing number 5 is old", 6)));
+    }
+
+    /** Guards against results that fill the memory of an agent. */
+    @Test
+    void oldestResultIsDroppedBeyondTheBound() {
+        OrderGate gate = new OrderGate(2);
+        gate.handle(new OrderEvent.FencingRead(1));
+        for (String id : List.of("a", "b", "c")) {
+            gate.handle(received(1, id));
+            gate.handle(new OrderEvent.EngineFinished(id, "no memory"));
+        }
+        assertThat(gate.handle(received(1, "c"))).containsExactly(answer("c", new OrderResult.Failed("no memory")));
+        assertThat(gate.handle(received(1, "a"))).first().isInstanceOf(OrderEffect.RunOrder.class);
+    }
+
+    /**
+     * Plays elections, orders of present and former controllers, agent restarts and outages, and fails if an engine is
+     * handed an order with a lower fencing number than one before.
+     */
+    private static void checkExecutedFencingNumbers(
+            Supplier<Function<OrderEvent, List<OrderEffect>>> gates, List<Integer> steps) {
+        Function<OrderEvent, List<OrderEffect>> gate = gates.get();
+        long elected = 1;
+        boolean storeUp = true;
+        long highestExecuted = 0;
+        for (int i = 0; i < steps.size(); i++) {
+            int step = steps.get(i);
+            List<OrderEffect> effects = new ArrayList<>();
+            if (step < 10) {
+                elected++;
+            } else if (step < 20) {
+                effects.addAll(gate.apply(received(elected, "o" + i)));
+            } else if (step < 80) {
+                effects.addAll(gate.apply(received(1 + step % elected, "o" + i)));
+            } else if (step < 85) {
+                storeUp = !storeUp;
+            } else {
+                gate = gates.get();
+            }
+            for (int next = 0; next < effects.size(); next++) {
+                if (effects.get(next) instanceof OrderEffect.ReadFencingNumber) {
+                    effects.addAll(gate.apply(
+                            storeUp ? new OrderEvent.FencingRead(elected) : new OrderEvent.StoreUnavailable()));
+                } else if (effects.get(next) instanceof OrderEffect.RunOrder run) {
+                    assertThat(run.order().fencingNumber()).isGreaterThanOrEqualTo(highestExecuted);
+                    highestExecuted = run.order().fencingNumber();
+                    gate.apply(new OrderEvent.EngineFinished(run.order().orderId(), ""));
+                }
+            }
+        }
+    }
+
+    private static Function<OrderEvent, List<OrderEffect>> trustingGate() {
+        OrderGate gate = new OrderGate();
+        gate.handle(new OrderEvent.FencingRead(0));
+        return gate::handle;
+    }
+
+    private static List<OrderEffect> runAlways(OrderEvent event) {
+        return event instanceof OrderEvent.OrderReceived received
+                ? List.of(new OrderEffect.RunOrder(received.order()))
+                : List.of();
+    }
+
+    private static OrderEvent received(long fencingNumber, String orderId) {
+        return new OrderEvent.OrderReceived(new Order(fencingNumber, orderId, Order.Kind.LOAD, "model", "v2", ""));
+    }
+
+    private static OrderEffect answer(String orderId, OrderResult result) {
+        return new OrderEffect.Answer(orderId, result);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
@@ -0,0 +1,172 @@
+package dev.wigeonward.core.rollout;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import dev.wigeonward.core.order.Order;
+import dev.wigeonward.core.order.OrderResult;
+import dev.wigeonward.core.rollout.ControllerEvent.StoreAnswer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** One controller at a time with a store, engines and requests, on a clock that the test advances. */
+final class ControllerHarness {
+    static final MoveSettings SETTINGS = new MoveSettings(
+            List.of(200, 1_000, 2_500, 5_000, 10_000), 1, 5_000, 10_000, 20_000, 60_000, 2_000, 1_000, 30_000);
+    private static final int REQUESTS_PER_SECOND = 1_000;
+
+    /** A controller, or a mutated variant of it. */
+    interface Controller {
+        List<ControllerEffect> handle(ControllerEvent event, long nowMillis);
+    }
+
+    enum Store {
+        UP,
+        DOWN,
+        LOSES_REPLIES
+    }
+
+    final Map<String, StoredRecord> records = new TreeMap<>();
+    final Set<String> announcedOrders = new HashSet<>();
+    final List<Order> sentOrders = new ArrayList<>();
+    final List<MoveReport> reports = new ArrayList<>();
+    final List<BadVerdict> verdicts = new ArrayList<>();
+    final Map<String, UpstreamVersions> upstreams = new TreeMap<>();
+    final Map<String, Double> failureShareByVersion = new HashMap<>();
+    ControllerStages published = new ControllerStages(0, 0, List.of());
+    Store store = Store.UP;
+    List<MoveRule> rules = List.of();
+    long nowMillis;
+    private Controller controller;
+    private long fencingNumber;
+    private long revision;
+    private final Map<ModelVersion, EvidenceCounters> evidence = new HashMap<>();
+    private final Deque<ControllerEvent> events = new ArrayDeque<>();
+
+    static Controller realController() {
+        return new MoveController(SETTINGS, JudgeSettings.standard())::handle;
+    }
+
+    void addUpstream(String id, String model, int places, String... versions) {
+        upstreams.put(id, new UpstreamVersions(id, model, Set.of(versions), places));
+    }
+
+    /** Lets a controller take over that knows nothing but the store. */
+    void elect(Controller next) {
+        controller = next;
+        revision++;
+        fencingNumber = revision;
+        events.clear();
+        upstreams.values().forEach(upstream -> events.add(new ControllerEvent.UpstreamSeen(upstream)));
+        events.add(new ControllerEvent.LeaseAcquired(fencingNumber, nowMillis + 10_000, List.copyOf(records.values())));
+        events.add(new ControllerEvent.RulesChanged(rules));
+        drain();
+    }
+
+    void changeRules(MoveRule... changed) {
+        rules = List.of(changed);
+        send(new ControllerEvent.RulesChanged(rules));
+    }
+
+    void send(ControllerEvent event) {
+        events.add(event);
+        drain();
+    }
+
+    void run(int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            nowMillis += 1_000;
+            if (store != Store.DOWN) {
+                events.add(new ControllerEvent.LeaseRenewed(nowMillis + 10_000));
+            }
+            published.stages().forEach(this::serve);
+            events.add(new ControllerEvent.Tick());
+            drain();
+        }
+    }
+
+    MoveRecord record(String model) {
+        return records.get(model).record();
+    }
+
+    int publishedShare(String model) {
+        return published.stages().stream()
+                .filter(stage -> stage.model().equals(model))
+                .mapToInt(Stage::shareBasisPoints)
+                .findFirst()
+                .orElse(0);
+    }
+
+    private void serve(Stage stage) {
+        int toNew = REQUESTS_PER_SECOND * stage.shareBasisPoints() / Stage.ALL_BASIS_POINTS;
+        count(stage.model(), stage.newVersion(), toNew);
+        count(stage.model(), stage.oldVersion(), REQUESTS_PER_SECOND - toNew);
+    }
+
+    private void count(String model, String version, int requests) {
+        ModelVersion key = new ModelVersion(model, version);
+        int failures = (int) Math.round(requests * failureShareByVersion.getOrDefault(version, 0.0));
+        long[] times = new long[TimeHistogram.BUCKETS];
+        for (int i = 0; i < requests - failures; i++) {
+            times[10 + i % 10]++;
+        }
+        EvidenceCounters added = new EvidenceCounters(requests, failures, TimeHistogram.of(times));
+        evidence.merge(key, added, EvidenceCounters::plus);
+        events.add(
+                new ControllerEvent.EvidenceReported("agent", 1, key, new RouteCell("chat", false), evidence.get(key)));
+    }
+
+    private void drain() {
+        while (!events.isEmpty()) {
+            controller.handle(events.remove(), nowMillis).forEach(this::perform);
+        }
+    }
+
+    private void perform(ControllerEffect effect) {
+        if (effect instanceof ControllerEffect.WriteRecord write) {
+            write(write);
+        } else if (effect instanceof ControllerEffect.ReadRecord read && store != Store.DOWN) {
+            events.add(new ControllerEvent.RecordRead(read.model(), Optional.ofNullable(records.get(read.model()))));
+        } else if (effect instanceof ControllerEffect.SendOrder send) {
+            assertThat(announcedOrders).contains(send.order().orderId());
+            sentOrders.add(send.order());
+            OrderIntent done = new OrderIntent(
+                    send.order().orderId(),
+                    send.upstreamId(),
+                    send.order().kind(),
+                    send.order().model(),
+                    send.order().version());
+            upstreams.computeIfPresent(send.upstreamId(), (id, upstream) -> upstream.after(done));
+            events.add(new ControllerEvent.OrderAnswered(done.orderId(), new OrderResult.Done()));
+        } else if (effect instanceof ControllerEffect.PublishStages publish) {
+            published = publish.stages();
+        } else if (effect instanceof ControllerEffect.PublishVerdict publish) {
+            verdicts.add(publish.verdict());
+        } else if (effect instanceof ControllerEffect.ReportStep step) {
+            reports.add(step.report());
+        }
+    }
+
+    private void write(ControllerEffect.WriteRecord write) {
+        String model = write.record().model();
+        StoreAnswer answer = StoreAnswer.UNAVAILABLE;
+        long storedRevision = records.containsKey(model) ? records.get(model).revision() : 0;
+        if (store != Store.DOWN && storedRevision != write.expectedRevision()) {
+            answer = StoreAnswer.COMPARE_FAILED;
+        } else if (store != Store.DOWN) {
+            revision++;
+            records.put(model, new StoredRecord(write.record(), revision));
+            write.record().intents().forEach(intent -> announcedOrders.add(intent.orderId()));
+            answer = store == Store.UP ? StoreAnswer.APPLIED : StoreAnswer.UNKNOWN;
+        }
+        events.add(new ControllerEvent.StoreAnswered(model, write.record().writeId(), answer, revision));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionJudgeTest.java
@@ -0,0 +1,73 @@
+package dev.wigeonward.core.rollout;
+
+import java.util.Random;
+
+import dev.wigeonward.core.rollout.RouteJudgement.Verdict;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class VersionJudgeTest {
+    private static final RouteCell CELL = new RouteCell("chat", false);
+    private static final int MAX_SAMPLES = 5_000;
+
+    private final VersionJudge judge = new VersionJudge(JudgeSettings.standard());
+
+    /** Guards against a test that calls equal versions bad, or misses versions that are clearly worse. */
+    @ParameterizedTest
+    @CsvSource({"0.01, 1.0, GOOD", "0.10, 1.0, BAD", "0.01, 2.0, BAD", "1.00, 1.0, BAD"})
+    void verdictFollowsTheTruth(double failureShare, double slowdown, Verdict expected) {
+        Random random = new Random(7);
+        EvidenceCounters old = sample(random, 2_000, 0.01, 1);
+        for (int run = 0; run < 100; run++) {
+            EvidenceCounters evidence = EvidenceCounters.empty();
+            Verdict verdict = Verdict.UNDECIDED;
+            while (verdict == Verdict.UNDECIDED && evidence.requests() < MAX_SAMPLES) {
+                evidence = evidence.plus(sample(random, 1, failureShare, slowdown));
+                verdict = judge.judge(CELL, old, old, evidence, false).verdict();
+            }
+            assertThat(verdict).isEqualTo(expected);
+        }
+    }
+
+    /** Guards against a route with few requests that holds a move up for ever. */
+    @Test
+    void truncatedTestAlwaysDecides() {
+        Random random = new Random(8);
+        EvidenceCounters old = sample(random, 2_000, 0.01, 1);
+        assertThat(judge.judge(CELL, old, old, EvidenceCounters.empty(), true).verdict())
+                .isEqualTo(Verdict.GOOD);
+        EvidenceCounters few = sample(random, 20, 0.01, 1);
+        assertThat(judge.judge(CELL, old, old, few, false).verdict()).isEqualTo(Verdict.UNDECIDED);
+        assertThat(judge.judge(CELL, old, old, few, true).verdict()).isEqualTo(Verdict.GOOD);
+        EvidenceCounters fewBad = sample(random, 12, 0.6, 1);
+        assertThat(judge.judge(CELL, old, old, fewBad, true).verdict()).isEqualTo(Verdict.BAD);
+    }
+
+    /** Guards against a verdict from a handful of requests. */
+    @Test
+    void fewerThanTheMinimumOfSamplesAreNeverBad() {
+        EvidenceCounters old = new EvidenceCounters(2_000, 20, TimeHistogram.empty());
+        EvidenceCounters allFailed = new EvidenceCounters(9, 9, TimeHistogram.empty());
+        assertThat(judge.judge(CELL, old, old, allFailed, false).verdict()).isEqualTo(Verdict.UNDECIDED);
+        EvidenceCounters oneMore = new EvidenceCounters(10, 10, TimeHistogram.empty());
+        RouteJudgement judgement = judge.judge(CELL, old, old, oneMore, false);
+        assertThat(judgement.verdict()).isEqualTo(Verdict.BAD);
+        assertThat(judgement.reason()).startsWith("failures 10 of 10");
+    }
+
+    private static EvidenceCounters sample(Random random, int requests, double failureShare, double slowdown) {
+        long[] times = new long[TimeHistogram.BUCKETS];
+        int failures = 0;
+        for (int i = 0; i < requests; i++) {
+            if (random.nextDouble() < failureShare) {
+                failures++;
+            } else {
+                times[TimeHistogram.bucketOf(slowdown * Math.exp(0.4 * random.nextGaussian()))]++;
+            }
+        }
+        return new EvidenceCounters(requests, failures, TimeHistogram.of(times));
+    }
+}
