--- a/core/src/main/java/dev/wigeonward/core/rollout/JudgeSettings.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/JudgeSettings.java
@@ -33,6 +33,6 @@
      * tests: two for each route, loaded or not, started anew after each pass until the move is done.
      */
     public static JudgeSettings standard() {
-        return new JudgeSettings(1e-6, 0.005, 0.05, 0.15, 10, 300);
+        return new JudgeSettings(1e-6, 0.005, 0.05, 0.15, 10, 200);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/LoadPlanner.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/LoadPlanner.java
@@ -93,7 +93,7 @@
     private List<OrderIntent> loadNew(
             Move move, List<UpstreamVersions> upstreams, List<UpstreamVersions> free, int loadsLeft) {
         int share = move.record.phase() == MovePhase.LOADING
-                ? settings.canaryBasisPoints()
+                ? move.record.canaryBasisPoints()
                 : settings.nextShare(move.record.shareBasisPoints());
         String newVersion = move.record.newVersion();
         int missing = upstreamsNeeded(move, upstreams, share) - upstreamsReady(move, upstreams);
--- a/core/src/main/java/dev/wigeonward/core/rollout/Move.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/Move.java
@@ -27,10 +27,10 @@
     final Set<String> answeredOrders = new HashSet<>();
     long retryOrdersMillis;
 
-    Move(MoveRecord record, long revision) {
+    Move(MoveRecord record, long revision, long confirmMillis) {
         this.record = record;
         this.revision = revision;
-        this.evidence = new MoveEvidence(record.oldVersion(), record.newVersion());
+        this.evidence = new MoveEvidence(record.oldVersion(), record.newVersion(), confirmMillis);
     }
 
     /** Returns the record with every order that may have been sent. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
@@ -65,7 +65,7 @@
     }
 
     private Optional<MoveRecord> afterLoading(Move move, Collection<UpstreamVersions> upstreams, long nowMillis) {
-        int share = settings.canaryBasisPoints();
+        int share = move.record.canaryBasisPoints();
         int needed = planner.upstreamsNeeded(move, upstreams, share);
         int ready = planner.upstreamsReady(move, upstreams);
         if (ready == 0 || ready < needed) {
@@ -77,7 +77,10 @@
     private Optional<MoveRecord> afterStage(Move move, Collection<UpstreamVersions> upstreams, long nowMillis) {
         int share = settings.nextShare(move.record.shareBasisPoints());
         boolean loaded = planner.upstreamsReady(move, upstreams) >= planner.upstreamsNeeded(move, upstreams, share);
-        if (!loaded || move.activeMillis < settings.minStageMillis() || !move.evidence.allRoutesPassed()) {
+        if (!loaded
+                || move.activeMillis < settings.minStageMillis()
+                || !move.evidence.allRoutesPassed()
+                || move.evidence.isSuspect()) {
             return Optional.empty();
         }
         MovePhase phase = share == Stage.ALL_BASIS_POINTS ? MovePhase.WATCHING : MovePhase.GROWING;
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
@@ -114,7 +114,7 @@
             ModelVersion modelVersion = new ModelVersion(record.model(), version);
             bad.putIfAbsent(modelVersion, new BadVerdict(modelVersion, reason));
         });
-        Move move = new Move(record, stored.revision());
+        Move move = new Move(record, stored.revision(), settings.confirmMillis());
         known.filter(before -> before.record.newVersion().equals(record.newVersion())
                         && before.record.oldVersion().equals(record.oldVersion()))
                 .ifPresent(before -> move.evidence = before.evidence);
@@ -134,7 +134,7 @@
         }
         for (Move move : moves.values()) {
             MoveRule rule = rules.get(move.record.model());
-            boolean withdrawn = rule == null || !rule.version().equals(move.record.newVersion());
+            boolean withdrawn = rule == null || !rule.toVersion().equals(move.record.newVersion());
             if (withdrawn && !move.withdrawn && move.record.phase().isAdvancing()) {
                 move.withdrawn = true;
                 publish(nowMillis);
@@ -146,41 +146,30 @@
 
     private void startMove(MoveRule rule, long nowMillis) {
         Move before = moves.get(rule.model());
-        if (bad.containsKey(new ModelVersion(rule.model(), rule.version()))) {
+        if (bad.containsKey(new ModelVersion(rule.model(), rule.toVersion()))) {
             return;
         }
         if (before == null) {
-            mostLoadedOther(rule).ifPresent(oldVersion -> startMove(rule, oldVersion, 0, nowMillis));
+            startMove(rule, rule.fromVersion(), 0, nowMillis);
             return;
         }
-        boolean sameVersion = before.record.newVersion().equals(rule.version());
+        boolean sameVersion = before.record.newVersion().equals(rule.toVersion());
         if (before.pending != null || before.inDoubt || !before.record.phase().isOver()) {
             return;
         }
         // A rolled back move starts again only by a rule that names another version.
-        if (!sameVersion && !before.record.settledVersion().equals(rule.version())) {
+        if (!sameVersion && !before.record.settledVersion().equals(rule.toVersion())) {
             startMove(rule, before.record.settledVersion(), before.revision, nowMillis);
         }
     }
 
     private void startMove(MoveRule rule, String oldVersion, long revision, long nowMillis) {
         MoveRecord planned = MoveRecord.planned(rule, oldVersion, badReasons(rule.model()), nowMillis);
-        Move move = new Move(planned, revision);
+        Move move = new Move(planned, revision, settings.confirmMillis());
         moves.put(rule.model(), move);
         write(move, planned, nowMillis);
     }
 
-    private Optional<String> mostLoadedOther(MoveRule rule) {
-        Map<String, Integer> counts = new TreeMap<>();
-        upstreams.values().stream()
-                .filter(upstream -> upstream.model().equals(rule.model()))
-                .flatMap(upstream -> upstream.loadedVersions().stream())
-                .filter(version -> !version.equals(rule.version()))
-                .filter(version -> !bad.containsKey(new ModelVersion(rule.model(), version)))
-                .forEach(version -> counts.merge(version, 1, Integer::sum));
-        return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
-    }
-
     private void addVerdict(BadVerdict verdict, long nowMillis) {
         if (bad.putIfAbsent(verdict.version(), verdict) != null) {
             return;
@@ -229,7 +218,7 @@
             return;
         }
         boolean truncated = leaseValid(nowMillis) && advancer.isTestOver(move);
-        move.evidence.judge(judge, truncated).ifPresent(judgement -> {
+        move.evidence.judge(judge, truncated, nowMillis).ifPresent(judgement -> {
             String load = judgement.cell().underLoad() ? " under load: " : ": ";
             addVerdict(
                     new BadVerdict(version, "route " + judgement.cell().route() + load + judgement.reason()),
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveEvidence.java
@@ -21,12 +21,23 @@
     private static final Comparator<RouteCell> CELL_ORDER =
             Comparator.comparing(RouteCell::route).thenComparing(RouteCell::underLoad);
 
+    private static final long NEVER = Long.MAX_VALUE;
+    /** Shorter windows would hold too few requests of the old version to compare with when it has a small share. */
+    private static final long MIN_WINDOW_MILLIS = 10_000;
+
     private final String oldVersion;
     private final String newVersion;
+    private final long confirmMillis;
     private final Map<Source, EvidenceCounters> reported = new HashMap<>();
     private final Map<RouteCell, Window> windows = new TreeMap<>(CELL_ORDER);
 
-    MoveEvidence(String oldVersion, String newVersion) {
+    /**
+     * Creates evidence of nothing.
+     *
+     * @param confirmMillis time for which a route has to look bad when nothing of the old version is there to compare
+     */
+    MoveEvidence(String oldVersion, String newVersion, long confirmMillis) {
+        this.confirmMillis = confirmMillis;
         this.oldVersion = oldVersion;
         this.newVersion = newVersion;
     }
@@ -54,7 +65,7 @@
     }
 
     /** Judges all routes and returns the first bad one, if any. */
-    Optional<RouteJudgement> judge(VersionJudge judge, boolean truncated) {
+    Optional<RouteJudgement> judge(VersionJudge judge, boolean truncated, long nowMillis) {
         for (Window window : windows.values()) {
             if (window.newEvidence.requests() == 0 && !truncated) {
                 continue;
@@ -62,18 +73,27 @@
             RouteJudgement judgement =
                     judge.judge(window.cell, window.recentOld, comparable(window), window.newEvidence, truncated);
             window.last = judgement;
-            if (judgement.verdict() == Verdict.BAD) {
+            if (judgement.verdict() != Verdict.BAD) {
+                window.suspectSinceMillis = NEVER;
+            } else if (judge.needsNoConfirmation(window.recentOld, window.newEvidence)
+                    || window.suspectFor(nowMillis) >= confirmMillis) {
                 return Optional.of(judgement);
             }
             if (judgement.verdict() == Verdict.GOOD) {
                 window.passed = true;
-                window.recentOld = EvidenceCounters.empty();
-                window.newEvidence = EvidenceCounters.empty();
+                if (truncated || nowMillis - window.startMillis >= MIN_WINDOW_MILLIS) {
+                    window.restart(nowMillis);
+                }
             }
         }
         return Optional.empty();
     }
 
+    /** Returns whether a route looks bad, but not yet for long enough to be called bad. */
+    boolean isSuspect() {
+        return windows.values().stream().anyMatch(window -> window.suspectSinceMillis != NEVER);
+    }
+
     /** Returns whether each route with requests passed since the stage started, loaded or not. */
     boolean allRoutesPassed() {
         Set<String> routes = new HashSet<>();
@@ -125,9 +145,22 @@
         private EvidenceCounters newEvidence = EvidenceCounters.empty();
         private RouteJudgement last;
         private boolean passed;
+        private long startMillis;
+        private long suspectSinceMillis = NEVER;
 
         Window(RouteCell cell) {
             this.cell = cell;
         }
+
+        long suspectFor(long nowMillis) {
+            suspectSinceMillis = Math.min(suspectSinceMillis, nowMillis);
+            return nowMillis - suspectSinceMillis;
+        }
+
+        void restart(long nowMillis) {
+            recentOld = EvidenceCounters.empty();
+            newEvidence = EvidenceCounters.empty();
+            startMillis = nowMillis;
+        }
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveSettings.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveSettings.java
@@ -7,12 +7,14 @@
 /**
  * Limits of version moves.
  *
- * @param growthBasisPoints shares in the order of growth; the first is the canary share, the last all requests
+ * @param growthBasisPoints shares after the canary in the order of growth; the last is all requests
  * @param concurrentLoads loads in progress over all moves, which the weight store's rate allows
  * @param expectedLoadMillis duration of a load assumed before one was seen
  * @param minStageMillis time that each share lasts at least, so that slow answers of its start are seen
  * @param minTestMillis time before which a test is not cut short for the deadline
  * @param watchMillis time for which the old version stays loaded after completion
+ * @param confirmMillis time for which a route has to look bad while the old version gets nothing to compare with; a
+ *     short disturbance that would hit both versions does not last as long
  * @param renewMillis interval between publications of the stages
  * @param retryMillis delay before a failed or unanswered write is repeated
  * @param orderRetryMillis delay before an unanswered order is sent again and before a failed one is replaced
@@ -24,17 +26,13 @@
         long minStageMillis,
         long minTestMillis,
         long watchMillis,
+        long confirmMillis,
         long renewMillis,
         long retryMillis,
         long orderRetryMillis) {
-    /** Requirement: at most 2% of a route's requests before the first verdict. */
-    private static final int MAX_CANARY_BASIS_POINTS = 200;
-
     public MoveSettings {
         growthBasisPoints = List.copyOf(growthBasisPoints);
-        Preconditions.checkArgument(growthBasisPoints.size() > 1, "growthBasisPoints is %s", growthBasisPoints);
-        Preconditions.checkArgument(
-                growthBasisPoints.get(0) <= MAX_CANARY_BASIS_POINTS, "growthBasisPoints is %s", growthBasisPoints);
+        Preconditions.checkArgument(!growthBasisPoints.isEmpty(), "growthBasisPoints is %s", growthBasisPoints);
         Preconditions.checkArgument(
                 growthBasisPoints.get(growthBasisPoints.size() - 1) == Stage.ALL_BASIS_POINTS,
                 "growthBasisPoints is %s",
@@ -48,17 +46,16 @@
     /** Returns the settings used in operation. */
     public static MoveSettings standard() {
         return new MoveSettings(
-                List.of(200, 1_000, 2_500, 5_000, 10_000), 4, 60_000, 10_000, 60_000, 300_000, 2_000, 1_000, 30_000);
-    }
-
-    int canaryBasisPoints() {
-        return growthBasisPoints.get(0);
+                List.of(1_000, 2_500, 5_000, 10_000), 4, 60_000, 10_000, 60_000, 300_000, 20_000, 2_000, 1_000, 30_000);
     }
 
-    /** Returns the number of shares between the given one and all requests, counting the given one. */
+    /** Returns the number of stages before all requests, counting the one with the given share. */
     int stagesLeft(int shareBasisPoints) {
+        if (shareBasisPoints == Stage.ALL_BASIS_POINTS) {
+            return 0;
+        }
         return (int) growthBasisPoints.stream()
-                .filter(share -> share >= shareBasisPoints && share < Stage.ALL_BASIS_POINTS)
+                .filter(share -> share >= nextShare(shareBasisPoints))
                 .count();
     }
 
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionJudge.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionJudge.java
@@ -19,6 +19,8 @@
     private static final double UNKNOWN_FAILURE_SHARE = 0.02;
     /** Without present evidence of the old version a change of the surroundings looks like a change of version. */
     private static final double STALE_FACTOR = 2;
+
+    private static final double GROSS_FAILURE_SHARE = 0.25;
     /** Requests of the old version below which nothing is estimated from them. */
     private static final int FEW_OLD_SAMPLES = 30;
 
@@ -46,7 +48,7 @@
             EvidenceCounters earlierOld,
             EvidenceCounters newEvidence,
             boolean truncated) {
-        boolean stale = recentOld.requests() < settings.minOldSamples();
+        boolean stale = isStale(recentOld);
         EvidenceCounters old = stale ? earlierOld : recentOld;
         double factor = stale ? STALE_FACTOR : 1;
         Test failures = failureTest(old, newEvidence, factor);
@@ -74,6 +76,20 @@
         return new RouteJudgement(cell, Verdict.UNDECIDED, oldFigures, newFigures, "more requests are needed");
     }
 
+    /**
+     * Returns whether a bad verdict needs no second look: the old version's evidence is of the same period, or the
+     * failures are too many to wait.
+     */
+    boolean needsNoConfirmation(EvidenceCounters recentOld, EvidenceCounters newEvidence) {
+        return !isStale(recentOld)
+                || newEvidence.failures() >= GROSS_FAILURE_SHARE * newEvidence.requests()
+                        && newEvidence.requests() >= settings.minSamples();
+    }
+
+    private boolean isStale(EvidenceCounters recentOld) {
+        return recentOld.requests() < settings.minOldSamples();
+    }
+
     private Test failureTest(EvidenceCounters old, EvidenceCounters newEvidence, double factor) {
         boolean known = old.requests() >= FEW_OLD_SAMPLES;
         double share = known ? upperShare(old.failures(), old.requests()) : UNKNOWN_FAILURE_SHARE;
