--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -8,10 +8,8 @@
 
 /** The list of all measurements. */
 final class Measurements {
-    private static final List<Measurement> ALL = List.of(
-            new GoodputMeasurement(),
-            new PlacementQuality(),
-            new RevisionSpread());
+    private static final List<Measurement> ALL =
+            List.of(new GoodputMeasurement(), new PlacementQuality(), new RevisionSpread());
 
     private Measurements() {}
 
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/FakeEngine.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/FakeEngine.java
@@ -7,8 +7,8 @@
 import dev.wigeonward.core.request.RequestId;
 
 /**
- * An engine with continuous batching: each slot prefills and decodes one request at the engine's speed. It starts what it
- * is given and knows no priority.
+ * An engine with continuous batching: each slot prefills and decodes one request at the engine's speed. It starts what
+ * it is given and knows no priority.
  */
 final class FakeEngine {
     private static final int MILLIS_PER_SECOND = 1_000;
