Add the exchange of revisions and facts; let one upstream serve several versions

Cause: revisions, suspects, verdicts and stages must reach every process over the links alone, and an engine may hold two versions during a move. Ruled out: one version for each upstream (orders to load would need a restart of the agent).

--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
@@ -76,6 +76,7 @@
                 flight.dispatch,
                 flight.upstreamId,
                 flight.upstreamIncarnation,
+                flight.version,
                 flight.request.timeLeftMillis(nowMillis)));
     }
 
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -88,7 +88,7 @@
             return true;
         }
         if (event instanceof EntryEvent.LoadReported load) {
-            upstreams.load(load.upstreamId(), load.report(), load.upstreamAlive(), nowMillis);
+            upstreams.load(load, nowMillis);
             upstreams
                     .find(load.upstreamId())
                     .ifPresent(state -> pump(state.description().target(), nowMillis));
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
@@ -21,7 +21,12 @@
 
     /** Hand the request to an agent; sent on one connection once. */
     record SendDispatch(
-            RequestId request, DispatchId dispatch, String upstreamId, long upstreamIncarnation, long timeLeftMillis)
+            RequestId request,
+            DispatchId dispatch,
+            String upstreamId,
+            long upstreamIncarnation,
+            String version,
+            long timeLeftMillis)
             implements EntryEffect {}
 
     /** Ask an agent to attach this request to the run of another one with the same key; starts no run. */
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEvent.java
@@ -1,5 +1,7 @@
 package dev.wigeonward.core.dispatch;
 
+import java.util.Set;
+
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.placement.LoadReport;
 import dev.wigeonward.core.placement.UpstreamDescription;
@@ -27,8 +29,17 @@
     /** An agent announced that it leaves, or the VM list says so. */
     record UpstreamLeaving(String upstreamId) implements EntryEvent {}
 
-    /** An agent reported its load. */
-    record LoadReported(String upstreamId, LoadReport report, boolean upstreamAlive) implements EntryEvent {}
+    /**
+     * An agent reported its load.
+     *
+     * @param versions versions that the upstream serves
+     */
+    record LoadReported(String upstreamId, LoadReport report, boolean upstreamAlive, Set<String> versions)
+            implements EntryEvent {
+        public LoadReported {
+            versions = Set.copyOf(versions);
+        }
+    }
 
     /** An agent queued the request. */
     record Accepted(RequestId request, DispatchId dispatch) implements EntryEvent {}
--- a/core/src/main/java/dev/wigeonward/core/dispatch/UpstreamDirectory.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/UpstreamDirectory.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-import dev.wigeonward.core.placement.LoadReport;
+import com.google.common.collect.Sets;
 import dev.wigeonward.core.placement.UpstreamDescription;
 import dev.wigeonward.core.placement.UpstreamPool;
 import dev.wigeonward.core.placement.UpstreamState;
@@ -15,6 +15,7 @@
 final class UpstreamDirectory {
     private final Map<String, Known> known = new HashMap<>();
     private final Map<String, Map<String, UpstreamPool>> pools = new HashMap<>();
+    private final Map<String, Integer> slotsByTarget = new HashMap<>();
 
     /** Returns whether the agent behind the id was restarted since the last link. */
     boolean linkUp(UpstreamDescription description) {
@@ -49,13 +50,16 @@
         refresh(upstream);
     }
 
-    void load(String upstreamId, LoadReport report, boolean alive, long nowMillis) {
-        Known upstream = known.get(upstreamId);
+    void load(EntryEvent.LoadReported load, long nowMillis) {
+        Known upstream = known.get(load.upstreamId());
         if (upstream == null) {
             return;
         }
-        upstream.state.onReport(report, nowMillis);
-        upstream.alive = alive;
+        upstream.state.onReport(load.report(), nowMillis);
+        upstream.alive = load.upstreamAlive();
+        if (!load.versions().isEmpty()) {
+            upstream.versions = load.versions();
+        }
         refresh(upstream);
     }
 
@@ -84,11 +88,7 @@
 
     /** Returns the slots of all usable upstreams of a target. */
     int slots(String target) {
-        int slots = 0;
-        for (UpstreamPool pool : pools.getOrDefault(target, Map.of()).values()) {
-            slots += pool.slots();
-        }
-        return slots;
+        return slotsByTarget.getOrDefault(target, 0);
     }
 
     Set<String> upstreamIds() {
@@ -105,24 +105,39 @@
 
     private void refresh(Known upstream) {
         UpstreamDescription description = upstream.description();
-        if (upstream.usable()) {
-            poolOf(description).put(upstream.state);
+        Set<String> wanted = upstream.usable() ? upstream.versions : Set.of();
+        if (wanted.equals(upstream.pooledVersions)) {
             return;
         }
-        Map<String, UpstreamPool> versions = pools.get(description.target());
-        if (versions == null || !versions.containsKey(description.version())) {
-            return;
+        for (String version : Sets.difference(upstream.pooledVersions, wanted)) {
+            removeFromPool(description, version);
         }
-        UpstreamPool pool = versions.get(description.version());
+        for (String version : Sets.difference(wanted, upstream.pooledVersions)) {
+            pools.computeIfAbsent(description.target(), target -> new TreeMap<>())
+                    .computeIfAbsent(version, name -> UpstreamPool.create())
+                    .put(upstream.state);
+        }
+        countSlots(upstream, wanted);
+        upstream.pooledVersions = Set.copyOf(wanted);
+    }
+
+    private void removeFromPool(UpstreamDescription description, String version) {
+        Map<String, UpstreamPool> versions = pools.get(description.target());
+        UpstreamPool pool = versions.get(version);
         pool.remove(description.upstreamId());
         if (pool.size() == 0) {
-            versions.remove(description.version());
+            versions.remove(version);
         }
     }
 
-    private UpstreamPool poolOf(UpstreamDescription description) {
-        return pools.computeIfAbsent(description.target(), target -> new TreeMap<>())
-                .computeIfAbsent(description.version(), version -> UpstreamPool.create());
+    /** An upstream that holds several versions has its slots once. */
+    private void countSlots(Known upstream, Set<String> wanted) {
+        int slots = upstream.description().slots();
+        if (upstream.pooledVersions.isEmpty() && !wanted.isEmpty()) {
+            slotsByTarget.merge(upstream.description().target(), slots, Integer::sum);
+        } else if (!upstream.pooledVersions.isEmpty() && wanted.isEmpty()) {
+            slotsByTarget.merge(upstream.description().target(), -slots, Integer::sum);
+        }
     }
 
     private static final class Known {
@@ -130,9 +145,12 @@
         private boolean linked;
         private boolean leaving;
         private boolean alive = true;
+        private Set<String> versions;
+        private Set<String> pooledVersions = Set.of();
 
         private Known(UpstreamState state) {
             this.state = state;
+            this.versions = Set.of(state.description().version());
         }
 
         private UpstreamDescription description() {
--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
@@ -16,8 +16,6 @@
     /** Hashes of the members' ids by position, kept together because key affinity reads all of them. */
     private long[] idHashes = new long[INITIAL_CAPACITY];
 
-    private int slots;
-
     private UpstreamPool() {}
 
     /** Returns an empty pool. */
@@ -28,9 +26,7 @@
     /** Adds or replaces the upstream with the state's id. */
     public void put(UpstreamState state) {
         Integer position = positions.get(state.description().upstreamId());
-        slots += state.description().slots();
         if (position != null) {
-            slots -= members.get(position).description().slots();
             members.set(position, state);
             return;
         }
@@ -48,7 +44,6 @@
         if (position == null) {
             return;
         }
-        slots -= members.get(position).description().slots();
         UpstreamState last = members.remove(members.size() - 1);
         if (position < members.size()) {
             members.set(position, last);
@@ -72,11 +67,6 @@
         return Optional.ofNullable(positions.get(upstreamId)).map(members::get);
     }
 
-    /** Returns the slots of all members. */
-    public int slots() {
-        return slots;
-    }
-
     /** Returns the number of members. */
     public int size() {
         return members.size();
--- a/core/src/main/java/dev/wigeonward/core/rollout/TimeHistogram.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/TimeHistogram.java
@@ -48,6 +48,11 @@
         return Arrays.stream(counts).sum();
     }
 
+    /** Returns the number of times in a bucket. */
+    public long count(int bucket) {
+        return counts[bucket];
+    }
+
     /** Returns the lowest bucket with at most the given fraction of all times above it. */
     public int quantileBucket(double fractionAbove) {
         double allowed = total() * fractionAbove;
--- a/entry/src/main/java/dev/wigeonward/entry/link/AgentFrames.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/AgentFrames.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import com.google.protobuf.UnsafeByteOperations;
 import dev.wigeonward.core.dispatch.EntryEffect;
@@ -46,6 +47,7 @@
         Dispatch.Builder dispatch = describe(effect.request(), effect.dispatch(), request)
                 .setTimeLeftMillis(Math.max(0, effect.timeLeftMillis()))
                 .setAgentIncarnation(effect.upstreamIncarnation())
+                .setVersion(effect.version())
                 .setHead(head(http))
                 .setBody(
                         UnsafeByteOperations.unsafeWrap(http.body(), 0, Math.min(FIRST_PART_BYTES, http.body().length)))
@@ -201,7 +203,8 @@
                 load.getQueued(),
                 load.getCachedPrefixesList(),
                 load.getEvictedPrefixesList());
-        return new EntryEvent.LoadReported(upstreamId, report, load.getUpstreamAlive());
+        return new EntryEvent.LoadReported(
+                upstreamId, report, load.getUpstreamAlive(), Set.copyOf(load.getLoadedVersionsList()));
     }
 
     /** An unknown kind comes from a newer agent; its run state is unknown to this entry. */
--- /dev/null
+++ b/exchange/src/main/java/dev/wigeonward/exchange/EvidenceFrames.java
@@ -0,0 +1,48 @@
+package dev.wigeonward.exchange;
+
+import java.util.Optional;
+
+import dev.wigeonward.core.rollout.ControllerEvent;
+import dev.wigeonward.core.rollout.EvidenceCounters;
+import dev.wigeonward.core.rollout.EvidenceRecorder;
+import dev.wigeonward.core.rollout.ModelVersion;
+import dev.wigeonward.core.rollout.RouteCell;
+import dev.wigeonward.core.rollout.TimeHistogram;
+import dev.wigeonward.wire.generated.Evidence;
+import dev.wigeonward.wire.generated.Frame;
+
+/** Turns an agent's counters into frames and back. */
+public final class EvidenceFrames {
+    private EvidenceFrames() {}
+
+    /** Returns the frame of one counter. */
+    public static Frame frame(EvidenceRecorder.Key key, EvidenceCounters counters) {
+        Evidence.Builder evidence = Evidence.newBuilder()
+                .setModel(key.version().model())
+                .setVersion(key.version().version())
+                .setRoute(key.cell().route())
+                .setUnderLoad(key.cell().underLoad())
+                .setRequests(counters.requests())
+                .setFailures(counters.failures());
+        for (int bucket = 0; bucket < TimeHistogram.BUCKETS; bucket++) {
+            evidence.addTimes(counters.times().count(bucket));
+        }
+        return Frame.newBuilder().setEvidence(evidence).build();
+    }
+
+    /** Returns the controller's event in an agent's counter, or empty if the counter is malformed. */
+    public static Optional<ControllerEvent> event(String upstreamId, long incarnation, Evidence evidence) {
+        try {
+            long[] times =
+                    evidence.getTimesList().stream().mapToLong(Long::longValue).toArray();
+            return Optional.of(new ControllerEvent.EvidenceReported(
+                    upstreamId,
+                    incarnation,
+                    new ModelVersion(evidence.getModel(), evidence.getVersion()),
+                    new RouteCell(evidence.getRoute(), evidence.getUnderLoad()),
+                    new EvidenceCounters(evidence.getRequests(), evidence.getFailures(), TimeHistogram.of(times))));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
@@ -0,0 +1,101 @@
+package dev.wigeonward.exchange;
+
+import java.util.Optional;
+
+import com.google.protobuf.UnsafeByteOperations;
+import dev.wigeonward.core.revision.RelayEvent;
+import dev.wigeonward.core.revision.RevisionDelta;
+import dev.wigeonward.core.revision.SnapshotPart;
+import dev.wigeonward.wire.generated.Frame;
+import dev.wigeonward.wire.generated.RevisionOffer;
+import dev.wigeonward.wire.generated.RevisionRequest;
+import dev.wigeonward.wire.generated.RevisionSnapshot;
+
+/** Turns messages of the revision relay into frames and back. */
+final class RevisionFrames {
+    private RevisionFrames() {}
+
+    static Frame offer(long number, String hash) {
+        return Frame.newBuilder()
+                .setRevisionOffer(RevisionOffer.newBuilder().setNumber(number).setHash(hash))
+                .build();
+    }
+
+    static Frame request(long haveNumber, String haveHash) {
+        return Frame.newBuilder()
+                .setRevisionRequest(
+                        RevisionRequest.newBuilder().setHave(haveNumber).setHaveHash(haveHash))
+                .build();
+    }
+
+    static Frame delta(RevisionDelta delta) {
+        dev.wigeonward.wire.generated.RevisionDelta.Builder message =
+                dev.wigeonward.wire.generated.RevisionDelta.newBuilder()
+                        .setFrom(delta.fromNumber())
+                        .setFromHash(delta.fromHash())
+                        .setTo(delta.toNumber())
+                        .setToHash(delta.toHash());
+        delta.edits().forEach(edit -> message.addEditsBuilder()
+                .setStartLine(edit.startLine())
+                .setRemovedLines(edit.removedLines())
+                .addAllAddedLines(edit.addedLines()));
+        return Frame.newBuilder().setRevisionDelta(message).build();
+    }
+
+    static Frame snapshotPart(SnapshotPart part) {
+        return Frame.newBuilder()
+                .setRevisionSnapshot(RevisionSnapshot.newBuilder()
+                        .setNumber(part.number())
+                        .setHash(part.hash())
+                        .setOffset(part.offsetBytes())
+                        .setTotalLength(part.totalBytes())
+                        .setData(UnsafeByteOperations.unsafeWrap(part.data())))
+                .build();
+    }
+
+    /** Returns the relay's event in a frame, or empty if the frame carries none. */
+    static Optional<RelayEvent> event(String peer, Frame frame) {
+        return switch (frame.getBodyCase()) {
+            case HEARTBEAT ->
+                Optional.of(new RelayEvent.PeerHeartbeat(
+                        peer,
+                        frame.getHeartbeat().getRevision(),
+                        frame.getHeartbeat().getRevisionHash()));
+            case REVISION_OFFER ->
+                Optional.of(new RelayEvent.Offered(
+                        peer,
+                        frame.getRevisionOffer().getNumber(),
+                        frame.getRevisionOffer().getHash()));
+            case REVISION_REQUEST ->
+                Optional.of(new RelayEvent.Requested(
+                        peer,
+                        frame.getRevisionRequest().getHave(),
+                        frame.getRevisionRequest().getHaveHash()));
+            case REVISION_DELTA -> Optional.of(new RelayEvent.DeltaArrived(peer, delta(frame.getRevisionDelta())));
+            case REVISION_SNAPSHOT ->
+                Optional.of(new RelayEvent.SnapshotPartArrived(peer, part(frame.getRevisionSnapshot())));
+            default -> Optional.empty();
+        };
+    }
+
+    private static RevisionDelta delta(dev.wigeonward.wire.generated.RevisionDelta message) {
+        return new RevisionDelta(
+                message.getFrom(),
+                message.getFromHash(),
+                message.getTo(),
+                message.getToHash(),
+                message.getEditsList().stream()
+                        .map(edit -> new RevisionDelta.Edit(
+                                edit.getStartLine(), edit.getRemovedLines(), edit.getAddedLinesList()))
+                        .toList());
+    }
+
+    private static SnapshotPart part(RevisionSnapshot message) {
+        return new SnapshotPart(
+                message.getNumber(),
+                message.getHash(),
+                Math.toIntExact(message.getOffset()),
+                Math.toIntExact(message.getTotalLength()),
+                message.getData().toByteArray());
+    }
+}
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/AgentNode.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/AgentNode.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import dev.wigeonward.core.dispatch.AgentDispatcher;
 import dev.wigeonward.core.dispatch.AgentEffect;
@@ -87,7 +88,7 @@
         LoadReport report = new LoadReport(
                 queue.backlogMillis(loop.nowMillis()), queue.running(), queue.queued(), List.of(), List.of());
         for (int link = 0; link < entries.size(); link++) {
-            send(link, new EntryEvent.LoadReported(description().upstreamId(), report, true));
+            send(link, new EntryEvent.LoadReported(description().upstreamId(), report, true, Set.of()));
         }
     }
 
