--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -3,9 +3,15 @@
 import java.util.List;
 import java.util.Optional;
 
+import dev.wigeonward.measure.goodput.GoodputMeasurement;
+import dev.wigeonward.measure.placement.PlacementQuality;
+
 /** The list of all measurements. */
 final class Measurements {
-    private static final List<Measurement> ALL = List.of(new RevisionSpread());
+    private static final List<Measurement> ALL = List.of(
+            new GoodputMeasurement(),
+            new PlacementQuality(),
+            new RevisionSpread());
 
     private Measurements() {}
 
