--- a/core/src/main/java/dev/wigeonward/core/rules/LineFields.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/LineFields.java
@@ -148,7 +148,7 @@
     }
 
     long millis(String key, long min, long max, String range) {
-        return number(key, "a duration from " + range + ", such as 90s or 5m", Units::millis, min, max);
+        return number(key, "a duration from " + range, Units::millis, min, max);
     }
 
     long bytes(String key, long min, long max) {
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleChecks.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleChecks.java
@@ -32,7 +32,7 @@
         RuleProblem problemAtKey(String key, String wrong, String expected) {
             int column = line.words().stream()
                     .filter(word -> word.text().startsWith(key + "="))
-                    .mapToInt(RuleLine.Word::column)
+                    .mapToInt(word -> word.column() + key.length() + 1)
                     .findFirst()
                     .orElseGet(line::endColumn);
             return new RuleProblem(file, line.line(), column, wrong, expected);
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleParser.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleParser.java
@@ -122,7 +122,7 @@
                 fields.optionalPath("path"),
                 fields.optionalCount("max-output", 1, MAX_TOKENS),
                 fields.tier("tier"),
-                fields.millis("deadline", 1, MAX_DEADLINE_MILLIS, "1ms to 24h"),
+                fields.millis("deadline", 1, MAX_DEADLINE_MILLIS, "1ms to 24h, such as 90s"),
                 (int) fields.count("output", 0, MAX_TOKENS),
                 source);
     }
@@ -159,7 +159,7 @@
         return new Rule.Commitment(
                 fields.name(),
                 fields.micros("spend"),
-                fields.millis("period", DAY_MILLIS, MAX_PERIOD_MILLIS, "1d to 366d"),
+                fields.millis("period", DAY_MILLIS, MAX_PERIOD_MILLIS, "1d to 366d, such as 30d"),
                 source);
     }
 
