--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -4,10 +4,11 @@
 import java.util.Optional;
 
 import dev.wigeonward.measure.goodput.GoodputMeasurement;
+import dev.wigeonward.measure.store.StoreCallsMeasurement;
 
 /** The list of all measurements. */
 final class Measurements {
-    private static final List<Measurement> ALL = List.of(new GoodputMeasurement());
+    private static final List<Measurement> ALL = List.of(new GoodputMeasurement(), new StoreCallsMeasurement());
 
     private Measurements() {}
 
