Scale the reported backlog by the observed service times

Cause: after the slowdown placement sent the highest tier to the slowed engine, whose agent reported its backlog at the announced speed. Change: the backlog follows the observed mean.

--- a/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
@@ -124,7 +124,7 @@
         if (ended == null) {
             return;
         }
-        error.observe(ended.serviceMillis(), nowMillis - ended.startedMillis());
+        error.observe(ended.serviceMillis(), ended.elapsedMillis(nowMillis));
         if (ended.reserved()) {
             reservedRunning--;
         } else {
@@ -135,9 +135,9 @@
     @Override
     public long backlogMillis(long nowMillis) {
         long runningMillis = running.values().stream()
-                .mapToLong(each -> each.remainingMillis(nowMillis))
+                .mapToLong(each -> Math.max(0, error.meanMillis(each.serviceMillis()) - each.elapsedMillis(nowMillis)))
                 .sum();
-        return (runningMillis + backlog.backlogMillis(Tier.BATCH)) / limits.slots();
+        return (runningMillis + error.meanMillis(backlog.backlogMillis(Tier.BATCH))) / limits.slots();
     }
 
     @Override
@@ -151,8 +151,8 @@
     }
 
     private record Running(long serviceMillis, boolean reserved, long startedMillis) {
-        long remainingMillis(long nowMillis) {
-            return Math.max(0, serviceMillis - (nowMillis - startedMillis));
+        long elapsedMillis(long nowMillis) {
+            return nowMillis - startedMillis;
         }
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/engine/ServiceTimeError.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/ServiceTimeError.java
@@ -26,6 +26,11 @@
         meanRatio += GAIN * (ratio - meanRatio);
     }
 
+    /** Returns the expected time to serve an estimated amount of work, in milliseconds. */
+    long meanMillis(long estimatedMillis) {
+        return (long) (estimatedMillis * meanRatio);
+    }
+
     /** Returns the time within which a request of the estimated service time is expected to end, in milliseconds. */
     long upperMillis(long estimatedMillis) {
         return (long) (estimatedMillis * Math.max(1, meanRatio + DEVIATIONS * meanDeviation));
--- a/core/src/test/java/dev/wigeonward/core/engine/PriorityEngineQueueTest.java
+++ b/core/src/test/java/dev/wigeonward/core/engine/PriorityEngineQueueTest.java
@@ -84,6 +84,25 @@
         assertThat(((AdmissionResult.Refused) refused).failure().kind()).isEqualTo(ErrorKind.DEADLINE_UNREACHABLE);
     }
 
+    /** Guards against prefill spent at an engine slower than announced, and against a backlog reported too low. */
+    @Example
+    void slowEngineIsLearnedFromEndedRequests() {
+        PriorityEngineQueue queue = queue(new EngineLimits(1, WORK_MILLIS, SHORT_MILLIS, 10));
+        long nowMillis = 0;
+        for (int i = 0; i < 100; i++) {
+            RequestSpec request = QueueRequests.request(Tier.STANDARD, "a", LONG_MILLIS);
+            queue.offer(request, nowMillis);
+            assertThat(queue.next(nowMillis)).contains(request);
+            nowMillis += 2 * LONG_MILLIS;
+            queue.onEnded(request.id(), nowMillis);
+        }
+        queue.offer(QueueRequests.request(Tier.STANDARD, "a", LONG_MILLIS), nowMillis);
+        assertThat(queue.backlogMillis(nowMillis)).isBetween(2L * LONG_MILLIS - 20, 2L * LONG_MILLIS + 20);
+        AdmissionResult tooLate =
+                queue.offer(QueueRequests.request(Tier.STANDARD, "a", LONG_MILLIS, nowMillis + 1_900), nowMillis);
+        assertThat(tooLate).isInstanceOf(AdmissionResult.Refused.class);
+    }
+
     /** Guards against places that stay taken after a cancellation, and against counting an end twice. */
     @Example
     void cancellationFreesThePlaceAtOnce() {
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/EntryNode.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/EntryNode.java
@@ -77,7 +77,7 @@
             tally.answered(jobs.remove(end.request()), loop.nowMillis());
         } else if (effect instanceof EntryEffect.DeliverFailure failure) {
             tally.refused(jobs.remove(failure.request()), failure.failure().kind());
-        } else if (!(effect instanceof EntryEffect.DeliverOutput)) {
+        } else if (!(effect instanceof EntryEffect.DeliverOutput || effect instanceof EntryEffect.Forget)) {
             throw new IllegalStateException("unexpected effect " + effect);
         }
     }
