--- a/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
@@ -3,17 +3,21 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import dev.wigeonward.agent.control.AgentControl;
 import dev.wigeonward.agent.runtime.AgentRuntime;
 import dev.wigeonward.agent.upstream.HttpUpstreamClient;
 import dev.wigeonward.core.dispatch.AgentDispatcher;
 import dev.wigeonward.core.dispatch.AgentLimits;
-import dev.wigeonward.core.engine.FifoEngineQueue;
+import dev.wigeonward.core.engine.EngineLimits;
+import dev.wigeonward.core.engine.PriorityEngineQueue;
+import dev.wigeonward.exchange.RulesInForce;
 import dev.wigeonward.platform.clock.MonotonicClock;
 import dev.wigeonward.platform.http.AdminServer;
 import dev.wigeonward.wire.LinkSettings;
@@ -36,16 +40,33 @@
 
     /** Starts an agent. */
     public static AgentProcess start(AgentSettings settings) throws Exception {
-        long incarnation = new SplittableRandom().nextLong();
+        MonotonicClock clock = MonotonicClock.start();
+        SplittableRandom random = new SplittableRandom();
+        long incarnation = random.nextLong();
+        RulesInForce rules = new RulesInForce();
         AgentDispatcher dispatcher = AgentDispatcher.create(
                 incarnation,
-                FifoEngineQueue.create(settings.slots(), settings.speed(), settings.queueCapacity()),
+                PriorityEngineQueue.create(engineLimits(settings), settings.speed(), rules),
                 AgentLimits.defaults());
         HttpUpstreamClient upstream = settings.engine()
                 ? HttpUpstreamClient.forEngine(settings.upstreamAddress())
                 : HttpUpstreamClient.forPlainService(settings.upstreamAddress());
-        AgentRuntime runtime = new AgentRuntime(
-                dispatcher, upstream, MonotonicClock.start(), LinkSettings.defaults(), hello(settings, incarnation));
+        StoreFencingNumber fencing = new StoreFencingNumber(settings.store(), clock);
+        AgentRuntime runtime = AgentRuntime.start(
+                dispatcher,
+                upstream,
+                clock,
+                LinkSettings.defaults(),
+                hello(settings, incarnation),
+                self -> new AgentControl(
+                        settings.id() + "/" + Long.toHexString(incarnation),
+                        Set.of(settings.version()),
+                        rules,
+                        upstream,
+                        fencing,
+                        self,
+                        random,
+                        self::runLater));
         runtime.listen(settings.linkAddress());
         AdminServer admin = AdminServer.start(
                 settings.adminAddress(),
@@ -59,6 +80,14 @@
         return new AgentProcess(settings, runtime, admin);
     }
 
+    private static EngineLimits engineLimits(AgentSettings settings) {
+        return new EngineLimits(
+                settings.slots(),
+                settings.slots() * settings.workPerSlotMillis(),
+                settings.shortRequestMillis(),
+                settings.queueCapacity());
+    }
+
     private static Hello hello(AgentSettings settings, long incarnation) {
         return Hello.newBuilder()
                 .setNodeId(settings.id())
--- a/agent/src/main/java/dev/wigeonward/agent/AgentSettings.java
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentSettings.java
@@ -1,6 +1,7 @@
 package dev.wigeonward.agent;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import dev.wigeonward.platform.settings.SettingKey;
 import dev.wigeonward.platform.settings.Settings;
 import dev.wigeonward.platform.settings.SettingsDeclaration;
+import dev.wigeonward.platform.store.StoreOptions;
 
 /** Settings of the agent process. */
 public record AgentSettings(
@@ -25,7 +27,9 @@
         int slots,
         EngineSpeed speed,
         int queueCapacity,
-        Optional<InetSocketAddress> store) {
+        long shortRequestMillis,
+        long workPerSlotMillis,
+        Optional<StoreOptions> store) {
     private static final String ENGINE = "engine";
     private static final SettingKey<String> ID =
             SettingKey.text("agent", "id", "name of this agent and its upstream, unique");
@@ -57,32 +61,49 @@
     private static final SettingKey<Long> DECODE = SettingKey.whole(
                     "upstream", "decode_tokens_per_second", 1, 1_000_000, "generated tokens of one stream")
             .withDefault(100L);
-    private static final SettingKey<InetSocketAddress> STORE = SettingKey.address(
-                    "platform", "store_address", "key-value service, read once after a restart before an order")
-            .optional();
+    private static final SettingKey<Long> SHORT_REQUEST = SettingKey.whole(
+                    "upstream",
+                    "short_request_millis",
+                    0,
+                    3_600_000,
+                    "estimated service time up to which a request may use the slots kept for short ones")
+            .withDefault(2_000L);
+    private static final SettingKey<Long> WORK_PER_SLOT = SettingKey.whole(
+                    "upstream",
+                    "work_per_slot_millis",
+                    1,
+                    86_400_000,
+                    "estimated work in the engine for each slot above which it gets no more")
+            .withDefault(60_000L);
 
     /** Returns the declaration of all sections and keys. */
     public static SettingsDeclaration declaration() {
+        List<SettingKey<?>> keys = new ArrayList<>(List.of(
+                ID,
+                FAILURE_DOMAIN,
+                LINK_ADDRESS,
+                ADMIN_ADDRESS,
+                DRAIN_LIMIT,
+                QUEUE_CAPACITY,
+                KIND,
+                UPSTREAM_ADDRESS,
+                TARGET,
+                VERSION,
+                SLOTS,
+                PREFILL,
+                DECODE,
+                SHORT_REQUEST,
+                WORK_PER_SLOT));
+        keys.addAll(StoreOptions.keys());
         return SettingsDeclaration.of(
                 Map.of(
-                        "agent", "This process.",
-                        "upstream", "The upstream beside this process.",
-                        "platform", "Services of the platform."),
-                List.of(
-                        ID,
-                        FAILURE_DOMAIN,
-                        LINK_ADDRESS,
-                        ADMIN_ADDRESS,
-                        DRAIN_LIMIT,
-                        QUEUE_CAPACITY,
-                        KIND,
-                        UPSTREAM_ADDRESS,
-                        TARGET,
-                        VERSION,
-                        SLOTS,
-                        PREFILL,
-                        DECODE,
-                        STORE));
+                        "agent",
+                        "This process.",
+                        "upstream",
+                        "The upstream beside this process.",
+                        StoreOptions.SECTION,
+                        "The key-value service, read once after a restart before an order."),
+                keys);
     }
 
     /** Returns the typed settings. */
@@ -101,6 +122,8 @@
                 new EngineSpeed(
                         settings.get(PREFILL).intValue(), settings.get(DECODE).intValue()),
                 settings.get(QUEUE_CAPACITY).intValue(),
-                settings.find(STORE));
+                settings.get(SHORT_REQUEST),
+                settings.get(WORK_PER_SLOT),
+                StoreOptions.from(settings));
     }
 }
--- a/agent/src/main/java/dev/wigeonward/agent/Main.java
+++ b/agent/src/main/java/dev/wigeonward/agent/Main.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 
+import dev.wigeonward.platform.http.DumpCommand;
 import dev.wigeonward.platform.settings.Settings;
 import dev.wigeonward.platform.settings.SettingsResult;
 import org.kohsuke.args4j.Argument;
@@ -18,7 +20,7 @@
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
-    @Argument(metaVar = "COMMAND", required = true, usage = "serve, check-settings or example-settings")
+    @Argument(metaVar = "COMMAND", required = true, usage = "serve, check-settings, example-settings or dump")
     private String command;
 
     @Option(name = "--settings", metaVar = "FILE", usage = "settings of this process")
@@ -32,6 +34,9 @@
     }
 
     static int run(String[] arguments, PrintStream out, PrintStream err) throws Exception {
+        if (arguments.length > 0 && arguments[0].equals("dump")) {
+            return DumpCommand.run(Arrays.copyOfRange(arguments, 1, arguments.length), out, err);
+        }
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
         try {
--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/StoreFencingNumber.java
@@ -0,0 +1,53 @@
+package dev.wigeonward.agent;
+
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.wigeonward.agent.control.FencingNumberReader;
+import dev.wigeonward.platform.store.EtcdStore;
+import dev.wigeonward.platform.store.KeyValue;
+import dev.wigeonward.platform.store.KeyValueStore;
+import dev.wigeonward.platform.store.StoreControllerLease;
+import dev.wigeonward.platform.store.StoreOptions;
+
+/** Reads the creation revision of the controller key. */
+final class StoreFencingNumber implements FencingNumberReader, AutoCloseable {
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread created = new Thread(task, "store");
+        created.setDaemon(true);
+        return created;
+    });
+    private final Optional<KeyValueStore> store;
+
+    StoreFencingNumber(Optional<StoreOptions> options, Clock clock) {
+        this.store =
+                options.map(given -> EtcdStore.connect(given, clock, thread, new MetricRegistry(), new SecureRandom()));
+    }
+
+    @Override
+    public void read(Consumer<OptionalLong> answer) {
+        if (store.isEmpty()) {
+            // Without a store no fencing number can be confirmed, so that orders are refused.
+            answer.accept(OptionalLong.empty());
+            return;
+        }
+        store.get()
+                .get(StoreControllerLease.KEY)
+                .thenAccept(result -> answer.accept(result.value()
+                        .map(entry -> OptionalLong.of(
+                                entry.map(KeyValue::createRevision).orElse(0L)))
+                        .orElse(OptionalLong.empty())));
+    }
+
+    @Override
+    public void close() {
+        store.ifPresent(KeyValueStore::close);
+        thread.shutdown();
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/control/AgentControl.java
@@ -0,0 +1,180 @@
+package dev.wigeonward.agent.control;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import dev.wigeonward.agent.upstream.UpstreamClient;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.revision.RevisionLog;
+import dev.wigeonward.core.revision.RevisionRelay;
+import dev.wigeonward.core.rollout.BadVerdict;
+import dev.wigeonward.core.rollout.ControllerStages;
+import dev.wigeonward.core.rollout.EvidenceRecorder;
+import dev.wigeonward.core.rollout.ModelVersion;
+import dev.wigeonward.core.rollout.StageView;
+import dev.wigeonward.core.suspect.SuspectTable;
+import dev.wigeonward.exchange.EvidenceFrames;
+import dev.wigeonward.exchange.FactExchange;
+import dev.wigeonward.exchange.FactListener;
+import dev.wigeonward.exchange.FrameSender;
+import dev.wigeonward.exchange.RevisionExchange;
+import dev.wigeonward.exchange.RulesInForce;
+import dev.wigeonward.wire.generated.Frame;
+import dev.wigeonward.wire.generated.Heartbeat;
+import dev.wigeonward.wire.generated.Load;
+
+/** The parts of an agent that keep it in step with the others. Used by the decision thread only. */
+public final class AgentControl {
+    private static final long EVIDENCE_PERIOD_MILLIS = 500;
+    /** Share of the slots in use above which a request counts as under load. */
+    private static final double LOAD_THRESHOLD = 0.7;
+
+    private final String upstreamIncarnation;
+    private final SuspectTable suspects = SuspectTable.create();
+    private final StageView stages = new StageView();
+    private final EvidenceRecorder evidence = new EvidenceRecorder(LOAD_THRESHOLD);
+    private final Set<String> evidencePeers = new HashSet<>();
+    private final RevisionExchange revisions;
+    private final FactExchange facts;
+    private final OrderDuty orders;
+    private final FrameSender sender;
+    private long nextEvidenceMillis;
+
+    /**
+     * Returns the control of an agent that has no revision.
+     *
+     * @param upstreamIncarnation name of this start of the upstream's agent, for suspects
+     * @param versions versions served before any order
+     */
+    public AgentControl(
+            String upstreamIncarnation,
+            Set<String> versions,
+            RulesInForce rules,
+            UpstreamClient upstream,
+            FencingNumberReader fencing,
+            FrameSender sender,
+            RandomGenerator random,
+            Consumer<Runnable> decisionThread) {
+        this.upstreamIncarnation = upstreamIncarnation;
+        this.sender = sender;
+        RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
+        this.revisions = new RevisionExchange(log, RevisionRelay.create(log, random), sender, rules::adopt);
+        this.facts = new FactExchange(suspects, stages, sender, new Listener());
+        this.orders = new OrderDuty(upstream, fencing, sender, decisionThread, versions);
+    }
+
+    /** A link to an entry is up. */
+    public void onLinkUp(String peer, long nowMillis) {
+        revisions.onLinkUp(peer, nowMillis);
+        facts.onLinkUp(peer, nowMillis);
+    }
+
+    /** The link to an entry was lost. */
+    public void onLinkDown(String peer, long nowMillis) {
+        evidencePeers.remove(peer);
+        revisions.onLinkDown(peer, nowMillis);
+    }
+
+    /** Handles what a frame carries besides requests. */
+    public void onFrame(String peer, Frame frame, long nowMillis) {
+        switch (frame.getBodyCase()) {
+            case HEARTBEAT -> {
+                revisions.onFrame(peer, frame, nowMillis);
+                orders.onFencingNumber(frame.getHeartbeat().getFencingNumber());
+                if (frame.getHeartbeat().getWantsEvidence()) {
+                    evidencePeers.add(peer);
+                } else {
+                    evidencePeers.remove(peer);
+                }
+            }
+            case REVISION_OFFER, REVISION_REQUEST, REVISION_DELTA, REVISION_SNAPSHOT ->
+                revisions.onFrame(peer, frame, nowMillis);
+            case FACTS -> facts.onFrame(peer, frame, nowMillis);
+            case ORDER -> orders.onOrder(frame.getOrder());
+            default -> {
+                // Frames about requests concern the dispatcher.
+            }
+        }
+    }
+
+    /** Does what is due. */
+    public void onTick(long nowMillis) {
+        revisions.onTick(nowMillis);
+        if (nowMillis < nextEvidenceMillis) {
+            return;
+        }
+        nextEvidenceMillis = nowMillis + EVIDENCE_PERIOD_MILLIS;
+        evidencePeers.forEach(peer ->
+                evidence.counters().forEach((key, counters) -> sender.send(peer, EvidenceFrames.frame(key, counters))));
+    }
+
+    /** Counts an answer for the judgement of versions. */
+    public void answered(
+            RequestSpec request, String version, double load, int status, long elapsedMillis, long serviceMillis) {
+        evidence.answered(
+                new ModelVersion(request.target(), version),
+                request.route(),
+                load,
+                status,
+                elapsedMillis,
+                serviceMillis);
+    }
+
+    /** Counts a run that the upstream did not complete. */
+    public void failed(RequestSpec request, String version, double load) {
+        evidence.died(new ModelVersion(request.target(), version), request.route(), load);
+    }
+
+    /** Tells all processes that a request was running when the upstream died. */
+    public void suspect(RequestSpec request, String upstreamInstance, long nowMillis) {
+        facts.publishSuspect(request.fingerprint(), upstreamIncarnation + "/" + upstreamInstance, nowMillis);
+    }
+
+    /** Returns whether a version must get no more requests. */
+    public boolean isBad(String model, String version) {
+        return stages.isBad(model, version);
+    }
+
+    /** Takes over the versions that the upstream reports. */
+    public void onVersions(Set<String> versions) {
+        orders.onVersions(versions);
+    }
+
+    /** Returns the versions that the upstream serves. */
+    public Set<String> versions() {
+        return orders.versions();
+    }
+
+    /** Returns the agent's heartbeat with its load. */
+    public Frame heartbeat(Load load) {
+        Heartbeat.Builder heartbeat =
+                Heartbeat.newBuilder().setLoad(load).setFencingNumber(orders.highestFencingNumber());
+        revisions.describe(heartbeat);
+        return Frame.newBuilder().setHeartbeat(heartbeat).build();
+    }
+
+    /** Returns what operators see. */
+    public Map<String, Object> status() {
+        return Map.of(
+                "revision", revisions.number(),
+                "highest_fencing_number", orders.highestFencingNumber(),
+                "versions", orders.versions(),
+                "bad_versions", stages.badVerdicts(),
+                "suspects", suspects.size());
+    }
+
+    private final class Listener implements FactListener {
+        @Override
+        public void onVerdict(BadVerdict verdict) {
+            // The dispatch of each request asks the stage view.
+        }
+
+        @Override
+        public void onStages(ControllerStages published) {
+            orders.onFencingNumber(published.fencingNumber());
+        }
+    }
+}
--- a/agent/src/main/java/dev/wigeonward/agent/link/EntryFrames.java
+++ b/agent/src/main/java/dev/wigeonward/agent/link/EntryFrames.java
@@ -1,5 +1,6 @@
 package dev.wigeonward.agent.link;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,9 +27,13 @@
 import dev.wigeonward.wire.generated.Reattach;
 import dev.wigeonward.wire.generated.ResponseHead;
 import dev.wigeonward.wire.generated.Unseen;
+import dev.wigeonward.wire.generated.Usage;
 
 /** Turns frames into events and effects into frames. */
 public final class EntryFrames {
+    /** Header that names the version to an engine that holds several. */
+    private static final String VERSION_HEADER = "x-model-version";
+
     private EntryFrames() {}
 
     /**
@@ -64,13 +69,16 @@
 
     /** Returns what the upstream gets of a dispatch. */
     public static UpstreamRequest upstreamRequest(Dispatch dispatch) {
+        List<Map.Entry<String, String>> headers = new ArrayList<>();
+        dispatch.getHead()
+                .getHeadersList()
+                .forEach(header -> headers.add(Map.entry(header.getName(), header.getValue())));
+        headers.add(Map.entry(VERSION_HEADER, dispatch.getVersion()));
         return new UpstreamRequest(
                 new RequestId(dispatch.getRequestId()),
                 dispatch.getHead().getMethod(),
                 dispatch.getHead().getPath(),
-                dispatch.getHead().getHeadersList().stream()
-                        .map(header -> Map.entry(header.getName(), header.getValue()))
-                        .toList(),
+                headers,
                 dispatch.getBody().toByteArray());
     }
 
@@ -126,12 +134,13 @@
     }
 
     /** Returns the frame that completes an answer. */
-    public static Frame finished(AgentEffect.SendFinished effect, ResponseHead head) {
+    public static Frame finished(AgentEffect.SendFinished effect, ResponseHead head, Usage usage) {
         return Frame.newBuilder()
                 .setFinished(Finished.newBuilder()
                         .setRequestId(effect.request().value())
                         .setDispatchId(effect.dispatch().value())
                         .setHead(head)
+                        .setUsage(usage)
                         .setTotalLength(effect.totalBytes()))
                 .build();
     }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -11,9 +11,11 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
+import dev.wigeonward.agent.control.AgentControl;
 import dev.wigeonward.agent.link.DispatchAssembler;
 import dev.wigeonward.agent.link.EntryFrames;
 import dev.wigeonward.agent.upstream.UpstreamClient;
@@ -24,7 +26,10 @@
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.DispatchId;
+import dev.wigeonward.core.request.EngineSpeed;
 import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.exchange.FrameSender;
 import dev.wigeonward.platform.ring.DutyThread;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkListener;
@@ -32,19 +37,22 @@
 import dev.wigeonward.wire.LinkTransport;
 import dev.wigeonward.wire.generated.Dispatch;
 import dev.wigeonward.wire.generated.Frame;
-import dev.wigeonward.wire.generated.Heartbeat;
 import dev.wigeonward.wire.generated.Hello;
 import dev.wigeonward.wire.generated.Leaving;
 import dev.wigeonward.wire.generated.Load;
 import dev.wigeonward.wire.generated.ResponseHead;
+import dev.wigeonward.wire.generated.UpstreamInfo;
 
 /** Runs the dispatcher of an agent on one thread and carries out its effects. */
-public final class AgentRuntime implements LinkListener, AutoCloseable {
+public final class AgentRuntime implements LinkListener, FrameSender, AutoCloseable {
     private static final Logger LOG = System.getLogger(AgentRuntime.class.getName());
     private static final int RING_CAPACITY = 65_536;
     private static final long TICK_MILLIS = 20;
     private static final long PROBE_PERIOD_MILLIS = 250;
     private static final long LOAD_PERIOD_MILLIS = 500;
+    /** Versions in an engine's memory at once: the one in use and the one it moves to. */
+    private static final int VERSION_PLACES = 2;
+
     private static final int MAX_PART_BYTES = 64 * 1024;
     /** Upper end of the range that the rules allow for a body. */
     private static final int MAX_BODY_BYTES = 64 << 20;
@@ -54,28 +62,52 @@
     private final Clock clock;
     private final MetricRegistry metrics = new MetricRegistry();
     private final Hello hello;
+    private final AgentControl control;
     private final LinkTransport transport;
     private final UpstreamHealth health = new UpstreamHealth();
     private final DispatchAssembler assembler = new DispatchAssembler(MAX_BODY_BYTES);
     private final Map<Long, Link> links = new HashMap<>();
     private final Map<RequestId, KeptRun> runs = new HashMap<>();
     private final DutyThread<AgentInput> thread;
-    private volatile Load load = Load.newBuilder().setUpstreamAlive(true).build();
+    private final Map<String, Link> linksByPeer = new HashMap<>();
+    /** Replaced by the decision thread, read by the links' thread. */
+    private volatile Frame heartbeat;
+
+    private Load load = Load.newBuilder().setUpstreamAlive(true).build();
     private long nextProbeMillis;
     private long nextLoadMillis;
     private boolean probing;
+    private long drainLimitMillis;
     private CompletableFuture<Void> whenIdle;
 
-    public AgentRuntime(
-            AgentDispatcher dispatcher, UpstreamClient upstream, Clock clock, LinkSettings linkSettings, Hello hello) {
+    private AgentRuntime(
+            AgentDispatcher dispatcher,
+            UpstreamClient upstream,
+            Clock clock,
+            LinkSettings linkSettings,
+            Hello hello,
+            Function<AgentRuntime, AgentControl> control) {
         this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher");
         this.upstream = Objects.requireNonNull(upstream, "upstream");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.hello = Objects.requireNonNull(hello, "hello");
-        this.transport = new LinkTransport(linkSettings, this, () -> hello, this::heartbeat, Optional.empty());
+        this.control = control.apply(this);
+        this.heartbeat = this.control.heartbeat(load);
+        this.transport = new LinkTransport(linkSettings, this, () -> hello, () -> heartbeat, Optional.empty());
         this.thread = DutyThread.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
     }
 
+    /** Starts the decision thread of an agent. */
+    public static AgentRuntime start(
+            AgentDispatcher dispatcher,
+            UpstreamClient upstream,
+            Clock clock,
+            LinkSettings linkSettings,
+            Hello hello,
+            Function<AgentRuntime, AgentControl> control) {
+        return new AgentRuntime(dispatcher, upstream, clock, linkSettings, hello, control);
+    }
+
     /** Stops what an earlier incarnation left in the upstream, then starts to accept links. */
     public InetSocketAddress listen(InetSocketAddress address) {
         upstream.cancelAll();
@@ -102,6 +134,11 @@
         LOG.log(Level.WARNING, "a link from {0} did not come up: {1}", address, reason);
     }
 
+    /** Runs a task on the decision thread. */
+    public void runLater(Runnable task) {
+        thread.put(new AgentInput.Query(task));
+    }
+
     /** Returns the answer to a question about the state of the decision thread. */
     public <T> CompletionStage<T> query(Supplier<T> question) {
         CompletableFuture<T> answer = new CompletableFuture<>();
@@ -114,10 +151,8 @@
         CompletableFuture<Void> drained = new CompletableFuture<>();
         thread.put(new AgentInput.Query(() -> {
             handle(new AgentEvent.DrainStarted());
-            Frame leaving = Frame.newBuilder()
-                    .setLeaving(Leaving.newBuilder().setTimeLeftMillis(limitMillis))
-                    .build();
-            links.values().forEach(link -> link.send(leaving));
+            drainLimitMillis = limitMillis;
+            links.values().forEach(link -> link.send(leaving()));
             whenIdle = drained;
         }));
         return drained;
@@ -125,20 +160,18 @@
 
     /** Returns the state for operators; to be called through {@link #query}. */
     public Map<String, Object> dump() {
-        return Map.of(
-                "upstream", hello.getUpstream().getUpstreamId(),
-                "target", hello.getUpstream().getTarget(),
-                "version", hello.getUpstream().getVersion(),
-                "upstream_alive", dispatcher.upstreamAlive(),
-                "draining", dispatcher.draining(),
-                "queued", dispatcher.queue().queued(),
-                "running", dispatcher.queue().running(),
-                "backlog_millis", dispatcher.queue().backlogMillis(clock.millis()),
-                "kept_runs", dispatcher.keptRuns(),
-                "links",
-                        links.values().stream()
-                                .map(link -> link.peer().getNodeId())
-                                .toList());
+        Map<String, Object> dump = new HashMap<>(control.status());
+        dump.put("upstream", hello.getUpstream().getUpstreamId());
+        dump.put("target", hello.getUpstream().getTarget());
+        dump.put("upstream_alive", dispatcher.upstreamAlive());
+        dump.put("draining", dispatcher.draining());
+        dump.put("queued", dispatcher.queue().queued());
+        dump.put("running", dispatcher.queue().running());
+        dump.put("backlog_millis", dispatcher.queue().backlogMillis(clock.millis()));
+        dump.put("kept_runs", dispatcher.keptRuns());
+        dump.put("links", List.copyOf(linksByPeer.keySet()));
+        dump.put("ring_size", thread.size());
+        return dump;
     }
 
     /** Returns the registry, for further metrics. */
@@ -146,12 +179,6 @@
         return metrics;
     }
 
-    private Frame heartbeat() {
-        return Frame.newBuilder()
-                .setHeartbeat(Heartbeat.newBuilder().setLoad(load))
-                .build();
-    }
-
     private void accept(AgentInput input) {
         if (input instanceof AgentInput.FrameArrived arrived) {
             frame(arrived.link(), arrived.frame());
@@ -162,35 +189,75 @@
             Optional.ofNullable(runs.get(head.run()))
                     .ifPresent(run -> run.head = EntryFrames.head(head.status(), head.headers()));
         } else if (input instanceof AgentInput.End end) {
+            Optional.ofNullable(runs.get(end.run())).ifPresent(this::countAnswer);
             handle(new AgentEvent.UpstreamFinished(end.run()));
         } else if (input instanceof AgentInput.Broken broken) {
+            Optional.ofNullable(runs.get(broken.run()))
+                    .filter(run -> !broken.unreached())
+                    .ifPresent(run -> control.failed(run.spec, run.version, run.load));
             handle(
                     broken.unreached()
                             ? new AgentEvent.UpstreamUnreached(broken.run(), broken.failure())
                             : new AgentEvent.UpstreamFailed(broken.run(), broken.failure()));
         } else if (input instanceof AgentInput.LinkOpened opened) {
-            links.put(opened.link().number(), opened.link());
-            LOG.log(
-                    Level.INFO,
-                    "link from entry {0} is up",
-                    opened.link().peer().getNodeId());
+            linkOpened(opened.link());
         } else if (input instanceof AgentInput.LinkClosed closed) {
-            links.remove(closed.link().number());
-            LOG.log(
-                    Level.WARNING,
-                    "link from entry {0} is down: {1}",
-                    closed.link().peer().getNodeId(),
-                    closed.reason());
-            assembler.linkLost(closed.link().number());
-            handle(new AgentEvent.LinkLost(closed.link().number()));
+            linkClosed(closed.link(), closed.reason());
         } else if (input instanceof AgentInput.Probed probed) {
-            probing = false;
-            health.onProbe(probed.result()).ifPresent(this::healthChanged);
+            probed(probed.result());
         } else if (input instanceof AgentInput.Query query) {
             query.question().run();
         }
     }
 
+    private void linkOpened(Link link) {
+        String peer = link.peer().getNodeId();
+        links.put(link.number(), link);
+        linksByPeer.put(peer, link);
+        LOG.log(Level.INFO, "link from entry {0} is up", peer);
+        control.onLinkUp(peer, clock.millis());
+        if (dispatcher.draining()) {
+            link.send(leaving());
+        }
+    }
+
+    private void linkClosed(Link link, String reason) {
+        String peer = link.peer().getNodeId();
+        links.remove(link.number());
+        LOG.log(Level.WARNING, "link from entry {0} is down: {1}", peer, reason);
+        if (linksByPeer.remove(peer, link)) {
+            control.onLinkDown(peer, clock.millis());
+        }
+        assembler.linkLost(link.number());
+        handle(new AgentEvent.LinkLost(link.number()));
+    }
+
+    private Frame leaving() {
+        return Frame.newBuilder()
+                .setLeaving(Leaving.newBuilder().setTimeLeftMillis(drainLimitMillis))
+                .build();
+    }
+
+    private void probed(UpstreamClient.ProbeResult result) {
+        probing = false;
+        if (result instanceof UpstreamClient.ProbeResult.Alive alive) {
+            control.onVersions(alive.versions());
+        }
+        health.onProbe(result).ifPresent(this::healthChanged);
+    }
+
+    /** Counts how the upstream did, for the judgement of versions. */
+    private void countAnswer(KeptRun run) {
+        long serviceMillis = run.spec.work().serviceMillis(speed());
+        control.answered(
+                run.spec, run.version, run.load, run.head.getStatus(), clock.millis() - run.startMillis, serviceMillis);
+    }
+
+    private EngineSpeed speed() {
+        UpstreamInfo info = hello.getUpstream();
+        return new EngineSpeed(info.getPrefillTokensPerSecond(), info.getDecodeTokensPerSecond());
+    }
+
     private void healthChanged(AgentEvent event) {
         LOG.log(Level.WARNING, "upstream {0}: {1}", hello.getUpstream().getUpstreamId(), event);
         handle(event);
@@ -198,6 +265,20 @@
     }
 
     private void frame(Link link, Frame frame) {
+        try {
+            control.onFrame(link.peer().getNodeId(), frame, clock.millis());
+            requestFrame(link, frame);
+        } catch (IllegalArgumentException e) {
+            LOG.log(
+                    Level.WARNING,
+                    "entry {0} sent a malformed frame: {1}",
+                    link.peer().getNodeId(),
+                    e.getMessage());
+            link.close();
+        }
+    }
+
+    private void requestFrame(Link link, Frame frame) {
         switch (frame.getBodyCase()) {
             case DISPATCH ->
                 assembler.first(link.number(), frame.getDispatch()).ifPresent(whole -> dispatch(link, whole));
@@ -236,7 +317,17 @@
             }
             return;
         }
-        runs.computeIfAbsent(event.request().id(), id -> new KeptRun(EntryFrames.upstreamRequest(dispatch)));
+        String version = dispatch.getVersion();
+        if (!dispatch.getAttachOnly() && control.isBad(dispatch.getTarget(), version)) {
+            link.send(EntryFrames.notRun(
+                    event.request().id(),
+                    event.dispatch(),
+                    Failure.of(ErrorKind.NO_UPSTREAM, "version " + version + " was rolled back")));
+            return;
+        }
+        runs.computeIfAbsent(
+                event.request().id(),
+                id -> new KeptRun(EntryFrames.upstreamRequest(dispatch), event.request(), version));
         handle(event);
         // A run that was refused, or joined another one, needs no body.
         if (!dispatcher.keeps(event.request().id())) {
@@ -246,6 +337,7 @@
 
     private void tick() {
         long nowMillis = clock.millis();
+        control.onTick(nowMillis);
         handle(new AgentEvent.Tick());
         if (!probing && nowMillis >= nextProbeMillis) {
             probing = true;
@@ -261,19 +353,22 @@
         }
     }
 
-    /** Sends the load at once when it changed; quiet links carry it in heartbeats anyway. */
+    /** Sends a changed heartbeat at once; quiet links carry it in regular ones anyway. */
     private void publishLoad() {
-        Load next = Load.newBuilder()
+        load = Load.newBuilder()
                 .setBacklogMillis(dispatcher.queue().backlogMillis(clock.millis()))
                 .setRunning(dispatcher.queue().running())
                 .setQueued(dispatcher.queue().queued())
                 .setUpstreamAlive(dispatcher.upstreamAlive())
+                .addAllLoadedVersions(control.versions())
+                .setVersionPlaces(VERSION_PLACES)
                 .build();
-        if (next.equals(load)) {
+        Frame next = control.heartbeat(load);
+        if (next.equals(heartbeat)) {
             return;
         }
-        load = next;
-        links.values().forEach(link -> link.send(heartbeat()));
+        heartbeat = next;
+        links.values().forEach(link -> link.send(next));
     }
 
     private void handle(AgentEvent event) {
@@ -284,6 +379,9 @@
         if (effect instanceof AgentEffect.SubmitToUpstream submit) {
             KeptRun run = runs.get(submit.run());
             metrics.counter("submitted").inc();
+            run.startMillis = clock.millis();
+            run.load =
+                    (double) dispatcher.queue().running() / hello.getUpstream().getSlots();
             upstream.submit(run.request, new Forwarder(submit.run()));
         } else if (effect instanceof AgentEffect.CancelInUpstream cancel) {
             metrics.counter("cancelled").inc();
@@ -299,7 +397,8 @@
             sendOutput(send);
         } else if (effect instanceof AgentEffect.SendFinished send) {
             metrics.counter("finished").inc();
-            send(send.link(), EntryFrames.finished(send, runs.get(send.run()).head));
+            KeptRun run = runs.get(send.run());
+            send(send.link(), EntryFrames.finished(send, run.head, UsageReader.read(run.output.tail())));
         } else if (effect instanceof AgentEffect.SendFailed send) {
             metrics.counter("failed." + send.failure().kind().wireName()).inc();
             send(send.link(), EntryFrames.failed(send));
@@ -308,12 +407,16 @@
         } else if (effect instanceof AgentEffect.ReleaseRun release) {
             runs.remove(release.run());
         } else if (effect instanceof AgentEffect.ReportSuspects report) {
-            report.requests()
-                    .forEach(request ->
-                            LOG.log(Level.WARNING, "request {0} was running when the upstream died", request.id()));
+            report.requests().forEach(this::suspect);
         }
     }
 
+    private void suspect(RequestSpec request) {
+        LOG.log(Level.WARNING, "request {0} was running when the upstream died", request.id());
+        control.suspect(request, health.instance(), clock.millis());
+        Optional.ofNullable(runs.get(request.id())).ifPresent(run -> control.failed(run.spec, run.version, run.load));
+    }
+
     private void sendOutput(AgentEffect.SendOutput send) {
         KeptRun run = runs.get(send.run());
         long fromBytes = send.fromBytes();
@@ -332,6 +435,20 @@
         Optional.ofNullable(links.get(linkNumber)).ifPresent(link -> link.send(frame));
     }
 
+    @Override
+    public void send(String peer, Frame frame) {
+        Optional.ofNullable(linksByPeer.get(peer)).ifPresent(link -> link.send(frame));
+    }
+
+    @Override
+    public void sendToOthers(String exceptPeer, Frame frame) {
+        linksByPeer.forEach((peer, link) -> {
+            if (!peer.equals(exceptPeer)) {
+                link.send(frame);
+            }
+        });
+    }
+
     @Override
     public void close() {
         transport.close();
@@ -343,10 +460,16 @@
     private static final class KeptRun {
         private final UpstreamRequest request;
         private final OutputBuffer output = new OutputBuffer();
+        private final RequestSpec spec;
+        private final String version;
         private ResponseHead head = ResponseHead.getDefaultInstance();
+        private long startMillis;
+        private double load;
 
-        private KeptRun(UpstreamRequest request) {
+        private KeptRun(UpstreamRequest request, RequestSpec spec, String version) {
             this.request = request;
+            this.spec = spec;
+            this.version = version;
         }
     }
 
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/OutputBuffer.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/OutputBuffer.java
@@ -7,6 +7,7 @@
 /** Output of a run from the lowest offset that may still be asked for. */
 final class OutputBuffer {
     private static final int FIRST_CAPACITY_BYTES = 1_024;
+    private static final int TAIL_BYTES = 2_048;
 
     private byte[] data = new byte[FIRST_CAPACITY_BYTES];
     private int lengthBytes;
@@ -38,7 +39,8 @@
         baseBytes += dropBytes;
     }
 
-    int sizeBytes() {
-        return lengthBytes;
+    /** Returns the last bytes of the output, as far as they are kept. */
+    byte[] tail() {
+        return Arrays.copyOfRange(data, Math.max(0, lengthBytes - TAIL_BYTES), lengthBytes);
     }
 }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamHealth.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamHealth.java
@@ -14,6 +14,11 @@
     private int failures;
     private boolean alive = true;
 
+    /** Returns the name of the upstream's current start. */
+    String instance() {
+        return instance;
+    }
+
     Optional<AgentEvent> onProbe(ProbeResult result) {
         if (result instanceof ProbeResult.Alive answered) {
             boolean restarted = !instance.isEmpty() && !instance.equals(answered.instance());
--- /dev/null
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UsageReader.java
@@ -0,0 +1,40 @@
+package dev.wigeonward.agent.runtime;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.wire.generated.Usage;
+
+/** Finds the usage that a model engine reports at the end of an answer. */
+final class UsageReader {
+    private static final JsonFactory FACTORY = Json.mapper().getFactory();
+    private static final String FIELD = "\"usage\":";
+
+    private UsageReader() {}
+
+    /** Returns the usage in the last bytes of an answer; zeros if there is none, as for plain services. */
+    static Usage read(byte[] tail) {
+        String text = new String(tail, StandardCharsets.UTF_8);
+        int field = text.lastIndexOf(FIELD);
+        if (field < 0) {
+            return Usage.getDefaultInstance();
+        }
+        // The parser stops after the first value, so that what follows the usage does not matter.
+        try (JsonParser parser = FACTORY.createParser(text.substring(field + FIELD.length()))) {
+            JsonNode usage = Json.mapper().readTree(parser);
+            return Usage.newBuilder()
+                    .setPromptTokens(usage.path("prompt_tokens").asInt())
+                    .setOutputTokens(usage.path("completion_tokens").asInt())
+                    .setCachedPromptTokens(usage.path("prompt_tokens_details")
+                            .path("cached_tokens")
+                            .asInt())
+                    .build();
+        } catch (IOException e) {
+            return Usage.getDefaultInstance();
+        }
+    }
+}
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -6,8 +6,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -15,6 +18,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.order.Order;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.platform.http.Json;
 import io.servicetalk.buffer.api.Buffer;
@@ -40,6 +44,8 @@
 
     private static final int MAX_RESUMES = 3;
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
+    /** Loading a large model takes minutes. */
+    private static final Duration ORDER_TIMEOUT = Duration.ofMinutes(10);
 
     private final boolean engine;
     private final StreamingHttpClient client;
@@ -115,18 +121,45 @@
                 .map(response -> {
                     String body = response.payloadBody().toString(StandardCharsets.UTF_8);
                     return response.status().code() == 200
-                            ? (ProbeResult) new ProbeResult.Alive(instance(body))
+                            ? alive(body)
                             : new ProbeResult.Dead("health check answers " + response.status());
                 })
                 .onErrorReturn(error -> new ProbeResult.Dead(String.valueOf(error.getMessage())))
                 .subscribe(listener::accept);
     }
 
-    private static String instance(String body) {
-        return Json.read(body.getBytes(StandardCharsets.UTF_8))
-                .map(node -> node.path("instance"))
-                .map(JsonNode::asText)
-                .orElse("");
+    private static ProbeResult alive(String body) {
+        JsonNode json = Json.read(body.getBytes(StandardCharsets.UTF_8)).orElseGet(Json.mapper()::createObjectNode);
+        Set<String> versions = new TreeSet<>();
+        json.path("versions").forEach(version -> versions.add(version.asText()));
+        return new ProbeResult.Alive(json.path("instance").asText(), versions);
+    }
+
+    @Override
+    public void order(Order order, Consumer<String> listener) {
+        if (!engine) {
+            listener.accept("a plain service takes no orders");
+            return;
+        }
+        byte[] body = Json.write(Map.of(
+                "fencing_number", order.fencingNumber(),
+                "order_id", order.orderId(),
+                "kind", order.kind().name().toLowerCase(Locale.ROOT),
+                "model", order.model(),
+                "version", order.version(),
+                "role", order.role()));
+        StreamingHttpRequest request = client.post("/v1/orders")
+                .addHeader("content-type", Json.MEDIA_TYPE)
+                .payloadBody(Publisher.from(
+                        client.executionContext().bufferAllocator().wrap(body)));
+        client.request(request)
+                .flatMap(StreamingHttpResponse::toResponse)
+                .timeout(ORDER_TIMEOUT)
+                .map(response -> response.status().code() == 200
+                        ? ""
+                        : response.status() + ": " + response.payloadBody().toString(StandardCharsets.UTF_8))
+                .onErrorReturn(error -> "the engine did not answer: " + error)
+                .subscribe(listener::accept);
     }
 
     @Override
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamClient.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.order.Order;
 import dev.wigeonward.core.request.RequestId;
 
 /** Calls to one upstream; all answers come through listeners, in any thread. */
@@ -18,6 +20,9 @@
     /** Stops what an earlier incarnation of the agent left running. */
     void cancelAll();
 
+    /** Carries out an order; the listener gets an empty text on success and the reason of a failure otherwise. */
+    void order(Order order, Consumer<String> listener);
+
     /** Checks whether the upstream answers. */
     void probe(Consumer<ProbeResult> listener);
 
@@ -44,8 +49,16 @@
 
     /** Outcome of a probe. */
     sealed interface ProbeResult {
-        /** The upstream answers. A changed instance means that it was restarted. */
-        record Alive(String instance) implements ProbeResult {}
+        /**
+         * The upstream answers. A changed instance means that it was restarted.
+         *
+         * @param versions versions in the memory of an engine; empty if the upstream does not say
+         */
+        record Alive(String instance, Set<String> versions) implements ProbeResult {
+            public Alive {
+                versions = Set.copyOf(versions);
+            }
+        }
 
         /** The upstream does not answer. */
         record Dead(String reason) implements ProbeResult {}
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AnswerSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AnswerSteps.java
@@ -75,7 +75,8 @@
         }
         int skipBytes = (int) (flight.receivedBytes - output.offsetBytes());
         flight.receivedBytes = endBytes;
-        if (!flight.callerGone) {
+        if (!flight.callerGone || flight.claimed()) {
+            // The outcome that is stored for resends needs all output, also after the first caller left.
             dispatcher.emit(new EntryEffect.DeliverOutput(flight.request.id(), skipBytes));
         }
         if (flight.receivedBytes - flight.acknowledgedBytes >= limits.acknowledgeStepBytes()) {
--- a/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
@@ -1,42 +1,46 @@
 package dev.wigeonward.entry;
 
-import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.AtomicReference;
 
-import dev.wigeonward.core.admission.FifoAdmissionQueue;
+import dev.wigeonward.core.admission.WorkspaceRates;
 import dev.wigeonward.core.dispatch.DispatchLimits;
-import dev.wigeonward.core.dispatch.DispatchPolicies;
 import dev.wigeonward.core.dispatch.EntryDispatcher;
-import dev.wigeonward.core.dispatch.RetryPermits;
-import dev.wigeonward.core.dispatch.SuspectGate;
-import dev.wigeonward.core.dispatch.VersionRouter;
-import dev.wigeonward.core.placement.LeastOutstanding;
 import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.rollout.StageView;
 import dev.wigeonward.core.rules.Rule;
-import dev.wigeonward.core.rules.RuleParseResult;
-import dev.wigeonward.core.rules.RuleParser;
 import dev.wigeonward.core.rules.RuleSet;
+import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.entry.caller.CallerLimits;
 import dev.wigeonward.entry.caller.CallerService;
 import dev.wigeonward.entry.caller.RulesClassifier;
-import dev.wigeonward.entry.runtime.ClaimPort;
+import dev.wigeonward.entry.control.ControlPlane;
+import dev.wigeonward.entry.control.ControlPorts;
+import dev.wigeonward.entry.control.SpendDuty;
 import dev.wigeonward.entry.runtime.EntryMetrics;
+import dev.wigeonward.entry.runtime.EntryParts;
 import dev.wigeonward.entry.runtime.EntryRuntime;
+import dev.wigeonward.entry.store.StoreAdapters;
+import dev.wigeonward.entry.store.StoreSpend;
+import dev.wigeonward.exchange.RulesInForce;
 import dev.wigeonward.platform.clock.MonotonicClock;
 import dev.wigeonward.platform.http.AdminServer;
+import dev.wigeonward.platform.vms.HttpVmList;
+import dev.wigeonward.platform.vms.VmList;
+import dev.wigeonward.platform.vms.VmSnapshot;
 import dev.wigeonward.wire.LinkSettings;
 import dev.wigeonward.wire.generated.Hello;
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -47,88 +51,101 @@
 /** An entry with all its adapters. */
 public final class EntryProcess {
     private static final Logger LOG = System.getLogger(EntryProcess.class.getName());
-    private static final CallerLimits LIMITS = new CallerLimits(1 << 20, 8_192, 16_384, 65_536);
-    private static final int QUEUE_CAPACITY = 1_024;
+    /** Fixed when the server starts; the limits of the rules are below them. */
+    private static final int MAX_START_LINE_BYTES = 8_192;
+
+    private static final int MAX_HEADER_FIELD_BYTES = 64 * 1_024;
 
     private final EntrySettings settings;
     private final EntryRuntime runtime;
     private final EntryMetrics metrics;
+    private final StoreAdapters store;
+    private final VmList vms;
+    private final ScheduledExecutorService vmThread;
     private final HttpServerContext callers;
     private final AdminServer admin;
 
-    private EntryProcess(
-            EntrySettings settings,
-            EntryRuntime runtime,
-            EntryMetrics metrics,
-            HttpServerContext callers,
-            AdminServer admin) {
-        this.settings = settings;
-        this.runtime = runtime;
-        this.metrics = metrics;
-        this.callers = callers;
-        this.admin = admin;
-    }
-
-    /** Starts an entry. */
-    public static EntryProcess start(EntrySettings settings, Path rulesFile) throws Exception {
+    private EntryProcess(EntrySettings settings) throws Exception {
         MonotonicClock clock = MonotonicClock.start();
         SplittableRandom random = settings.seed() == 0 ? new SplittableRandom() : new SplittableRandom(settings.seed());
         long incarnation = random.nextLong();
-        AtomicReference<Optional<RuleSet>> rules = new AtomicReference<>(loadRules(rulesFile));
-        EntryMetrics metrics = new EntryMetrics();
-        EntryDispatcher dispatcher = EntryDispatcher.create(policies(), DispatchLimits.defaults());
+        this.settings = settings;
+        this.metrics = new EntryMetrics();
+        this.store = new StoreAdapters(settings.store(), settings.id(), clock, metrics.registry());
+        RulesInForce rules = new RulesInForce();
+        SpendDuty spend = new SpendDuty(settings.id(), rules, new StoreSpend(store.store()), clock);
+        SuspectTable suspects = SuspectTable.create();
+        StageView stages = new StageView();
+        EntryDispatcher dispatcher = EntryDispatcher.create(
+                Policies.of(settings.failureDomain(), rules, spend, suspects, stages, random, clock),
+                DispatchLimits.defaults());
         Hello hello = Hello.newBuilder()
                 .setNodeId(settings.id())
                 .setIncarnation(incarnation)
                 .setFailureDomain(settings.failureDomain())
                 .build();
-        EntryRuntime runtime = new EntryRuntime(
-                dispatcher, ClaimPort.unavailable(), clock, metrics, random, LinkSettings.defaults(), hello);
-        settings.agents().forEach(runtime::addAgent);
+        EntryParts parts = new EntryParts(
+                dispatcher, store.claims(), clock, metrics, spend, LinkSettings.defaults(), hello, Optional.empty());
+        this.runtime = EntryRuntime.start(parts, self -> {
+            ControlPorts ports = new ControlPorts(
+                    settings.id(),
+                    clock,
+                    store.moves(),
+                    store.lease()::fencingNumber,
+                    store.lease()::setCandidate,
+                    store.headWatch(self::onStoreRead),
+                    spend);
+            return new ControlPlane(ports, self, rules, suspects, stages, random, self::runLater);
+        });
+        this.vmThread = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "vm-list");
+            thread.setDaemon(true);
+            return thread;
+        });
+        WorkspaceRates rates = new WorkspaceRates();
+        this.vms = HttpVmList.start(settings.vmList(), vmThread, new SplittableRandom());
+        vms.subscribe(runtime::onVmsListed);
+        vms.subscribe(list -> rates.setEntries(entries(list)));
+        this.callers = startCallers(rules, rates, clock, incarnation);
+        this.admin = startAdmin();
+        LOG.log(Level.INFO, "entry {0} takes requests on {1}", settings.id(), callers.listenAddress());
+    }
+
+    /** Starts an entry. */
+    public static EntryProcess start(EntrySettings settings) throws Exception {
+        return new EntryProcess(settings);
+    }
+
+    private static int entries(VmSnapshot list) {
+        return (int) list.vms().values().stream()
+                .filter(vm -> vm.role().equals("entry"))
+                .count();
+    }
+
+    private HttpServerContext startCallers(
+            RulesInForce rules, WorkspaceRates rates, MonotonicClock clock, long incarnation) throws Exception {
         AtomicLong sequence = new AtomicLong();
         CallerService service = new CallerService(
-                new RulesClassifier(rules::get),
+                new RulesClassifier(rules::get, rates),
                 runtime,
                 () -> models(rules.get()),
-                LIMITS,
+                () -> limits(rules.get()),
                 () -> RequestId.of(settings.id(), incarnation, sequence.incrementAndGet()),
                 clock);
-        HttpServerContext callers = HttpServers.forAddress(settings.callersAddress())
+        return HttpServers.forAddress(settings.callersAddress())
                 .protocols(HttpProtocolConfigs.h1()
-                        .maxStartLineLength(LIMITS.startLineBytes())
-                        .maxHeaderFieldLength(LIMITS.headerFieldBytes())
+                        .maxStartLineLength(MAX_START_LINE_BYTES)
+                        .maxHeaderFieldLength(MAX_HEADER_FIELD_BYTES)
                         .build())
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .listenStreamingAndAwait(service);
-        AdminServer admin = AdminServer.start(
-                settings.adminAddress(),
-                Map.of(
-                        "/admin/dump", () -> runtime.query(runtime::dump),
-                        "/admin/metrics", () -> CompletableFuture.completedFuture(metrics.snapshot()),
-                        "/admin/health", () -> CompletableFuture.completedFuture(Map.of("ready", true))));
-        LOG.log(Level.INFO, "entry {0} takes requests on {1}", settings.id(), callers.listenAddress());
-        return new EntryProcess(settings, runtime, metrics, callers, admin);
-    }
-
-    private static DispatchPolicies policies() {
-        return new DispatchPolicies(
-                () -> FifoAdmissionQueue.withCapacity(QUEUE_CAPACITY),
-                LeastOutstanding.create(),
-                LeastOutstanding.create(),
-                VersionRouter.first(),
-                RetryPermits.unlimited(),
-                SuspectGate.open());
     }
 
-    private static Optional<RuleSet> loadRules(Path file) throws IOException {
-        if (file == null) {
-            return Optional.empty();
-        }
-        RuleParseResult result = RuleParser.parse(file.toString(), Files.readString(file));
-        if (result instanceof RuleParseResult.Invalid invalid) {
-            throw new IOException("invalid rules: " + invalid.problems());
-        }
-        return Optional.of(((RuleParseResult.Valid) result).rules());
+    private static CallerLimits limits(Optional<RuleSet> rules) {
+        long bodyBytes = rules.map(set -> set.limit(Rule.LimitName.BODY)).orElse(Rule.LimitName.BODY.defaultValue());
+        long headerBytes =
+                rules.map(set -> set.limit(Rule.LimitName.HEADER)).orElse(Rule.LimitName.HEADER.defaultValue());
+        return new CallerLimits(Math.toIntExact(bodyBytes), Math.toIntExact(headerBytes));
     }
 
     private static Map<String, Object> models(Optional<RuleSet> rules) {
@@ -140,6 +157,35 @@
         return Map.of("object", "list", "data", models);
     }
 
+    private AdminServer startAdmin() throws Exception {
+        return AdminServer.start(
+                settings.adminAddress(),
+                Map.of(
+                        "/admin/dump", () -> runtime.query(runtime::dump),
+                        "/admin/status", () -> runtime.query(this::status),
+                        "/admin/metrics", () -> CompletableFuture.completedFuture(metrics.snapshot()),
+                        "/admin/health", () -> runtime.query(this::health)));
+    }
+
+    private Map<String, Object> status() {
+        Map<String, Object> status = new TreeMap<>(runtime.status());
+        status.put("id", settings.id());
+        status.put("failure_domain", settings.failureDomain());
+        status.put("refusals", metrics.failuresByKind());
+        return status;
+    }
+
+    private Object health() {
+        return runtime.ready()
+                ? Map.of("ready", true)
+                : new AdminServer.Unhealthy("no revision is in force, or the entry is shutting down");
+    }
+
+    /** Returns the address for callers. */
+    public InetSocketAddress callersAddress() {
+        return (InetSocketAddress) callers.listenAddress();
+    }
+
     /** Refuses new requests, waits for the others up to the drain limit, and stops. */
     public void drainAndClose() {
         try {
@@ -149,9 +195,23 @@
         } catch (ExecutionException | TimeoutException e) {
             LOG.log(Level.WARNING, "requests are left after the drain limit", e);
         }
-        callers.closeAsyncGracefully().subscribe();
+        closeCallers();
         admin.close();
         runtime.close();
+        store.close();
+        vms.close();
+        vmThread.shutdown();
         LOG.log(Level.INFO, "entry stopped: {0}", metrics.snapshot());
     }
+
+    /** Answers that were complete in the runtime may still be on their way to the callers. */
+    private void closeCallers() {
+        try {
+            callers.closeAsyncGracefully().toFuture().get(settings.drainLimitSeconds(), TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.log(Level.WARNING, "callers' connections were cut", e);
+        }
+    }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
@@ -1,15 +1,16 @@
 package dev.wigeonward.entry;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-import com.google.common.base.Splitter;
-import com.google.common.net.HostAndPort;
 import dev.wigeonward.platform.settings.SettingKey;
 import dev.wigeonward.platform.settings.Settings;
 import dev.wigeonward.platform.settings.SettingsDeclaration;
+import dev.wigeonward.platform.store.StoreOptions;
+import dev.wigeonward.platform.vms.VmListOptions;
 
 /** Settings of the entry process. */
 public record EntrySettings(
@@ -18,9 +19,8 @@
         InetSocketAddress callersAddress,
         InetSocketAddress adminAddress,
         long drainLimitSeconds,
-        List<InetSocketAddress> agents,
-        Optional<InetSocketAddress> store,
-        Optional<InetSocketAddress> vmList,
+        StoreOptions store,
+        VmListOptions vmList,
         long seed) {
     private static final SettingKey<String> ID = SettingKey.text("entry", "id", "name of this entry, unique");
     private static final SettingKey<String> FAILURE_DOMAIN =
@@ -35,34 +35,29 @@
     private static final SettingKey<Long> SEED_COUNT = SettingKey.whole(
                     "entry", "seed_count", 0, Long.MAX_VALUE, "seed of random choices; 0 takes one from the clock")
             .withDefault(0L);
-    private static final SettingKey<String> AGENTS = SettingKey.text(
-                    "agents", "addresses", "agents linked to besides those of the VM list, separated by spaces")
-            .optional();
-    private static final SettingKey<InetSocketAddress> STORE =
-            SettingKey.address("platform", "store_address", "key-value service").optional();
-    private static final SettingKey<InetSocketAddress> VM_LIST =
-            SettingKey.address("platform", "vm_list_address", "list of VMs").optional();
 
     /** Returns the declaration of all sections and keys. */
     public static SettingsDeclaration declaration() {
+        List<SettingKey<?>> keys =
+                new ArrayList<>(List.of(ID, FAILURE_DOMAIN, CALLERS_ADDRESS, ADMIN_ADDRESS, DRAIN_LIMIT, SEED_COUNT));
+        keys.addAll(StoreOptions.keys());
+        keys.addAll(VmListOptions.keys());
         return SettingsDeclaration.of(
                 Map.of(
-                        "entry", "This process.",
-                        "agents", "Agents with fixed addresses.",
-                        "platform", "Services of the platform."),
-                List.of(
-                        ID,
-                        FAILURE_DOMAIN,
-                        CALLERS_ADDRESS,
-                        ADMIN_ADDRESS,
-                        DRAIN_LIMIT,
-                        SEED_COUNT,
-                        AGENTS,
-                        STORE,
-                        VM_LIST));
+                        "entry",
+                        "This process.",
+                        StoreOptions.SECTION,
+                        "The platform's key-value service.",
+                        VmListOptions.SECTION,
+                        "The platform's list of VMs."),
+                keys);
     }
 
-    /** Returns the typed settings. */
+    /**
+     * Returns the typed settings.
+     *
+     * @throws IllegalArgumentException if a section that an entry cannot do without is left out
+     */
     public static EntrySettings of(Settings settings) {
         return new EntrySettings(
                 settings.get(ID),
@@ -70,18 +65,13 @@
                 settings.get(CALLERS_ADDRESS),
                 settings.get(ADMIN_ADDRESS),
                 settings.get(DRAIN_LIMIT),
-                settings.find(AGENTS).map(EntrySettings::addresses).orElse(List.of()),
-                settings.find(STORE),
-                settings.find(VM_LIST),
+                required(StoreOptions.from(settings), StoreOptions.SECTION),
+                required(VmListOptions.from(settings), VmListOptions.SECTION),
                 settings.get(SEED_COUNT));
     }
 
-    private static List<InetSocketAddress> addresses(String text) {
-        return Splitter.on(' ')
-                .omitEmptyStrings()
-                .splitToStream(text)
-                .map(HostAndPort::fromString)
-                .map(address -> new InetSocketAddress(address.getHost(), address.getPort()))
-                .toList();
+    private static <T> T required(Optional<T> options, String section) {
+        return options.orElseThrow(
+                () -> new IllegalArgumentException("[" + section + "] address: is missing; expected HOST:PORT"));
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/Main.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Main.java
@@ -1,20 +1,55 @@
 package dev.wigeonward.entry;
 
+import java.io.PrintStream;
 import java.util.Arrays;
 
-/** Command line of the entry binary. */
+import dev.wigeonward.entry.command.Commands;
+import dev.wigeonward.entry.command.StatusCommand;
+import dev.wigeonward.platform.http.DumpCommand;
+
+/** Command line of the entry binary: the process itself and the operators' commands. */
 public final class Main {
-    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_OK = 0;
+    private static final String USAGE =
+            """
+            wigeonward-entry COMMAND [options]; each command has --help
+
+              serve             run the entry process
+              check-settings    check a settings file
+              example-settings  print a documented settings file
+              check             check a rules file
+              diff              compare a rules file with the revision in force
+              apply             make a rules file the next revision
+              history           list the revisions
+              rollback          make the text of an old revision the next one
+              status            revisions, refusals, spend and version moves of all entries
+              dump              state of one process
+              help              this text
+            """;
 
     private Main() {}
 
-    /** Runs a command and exits with its code. */
+    /** Runs a command and exits with its code: 0 done, 1 failed, 2 wrong usage, 3 conflict. */
     public static void main(String[] arguments) throws Exception {
-        if (arguments.length > 0 && arguments[0].equals("serve")) {
-            int code = ServeCommand.run(Arrays.copyOfRange(arguments, 1, arguments.length), System.out, System.err);
-            System.exit(code);
-        }
-        System.err.println("usage: wigeonward-entry serve --settings FILE");
-        System.exit(EXIT_USAGE);
+        System.exit(run(arguments, System.out, System.err));
+    }
+
+    static int run(String[] arguments, PrintStream out, PrintStream err) throws Exception {
+        String command = arguments.length == 0 ? "help" : arguments[0];
+        String[] rest = arguments.length == 0 ? arguments : Arrays.copyOfRange(arguments, 1, arguments.length);
+        return switch (command) {
+            case "serve", "check-settings" -> ServeCommand.run(command, rest, out, err);
+            case "example-settings" -> {
+                out.print(EntrySettings.declaration().documentedExample());
+                yield EXIT_OK;
+            }
+            case "status" -> StatusCommand.run(rest, out, err);
+            case "dump" -> DumpCommand.run(rest, out, err);
+            case "help", "--help" -> {
+                out.print(USAGE);
+                yield EXIT_OK;
+            }
+            default -> Commands.run(arguments, OperatorStore::connect, out, err);
+        };
     }
 }
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/Policies.java
@@ -0,0 +1,55 @@
+package dev.wigeonward.entry;
+
+import java.time.Clock;
+import java.util.random.RandomGenerator;
+
+import dev.wigeonward.core.admission.FairShareAdmissionQueue;
+import dev.wigeonward.core.admission.WorkspaceWeights;
+import dev.wigeonward.core.dispatch.DispatchPolicies;
+import dev.wigeonward.core.placement.DomainLatency;
+import dev.wigeonward.core.placement.EarliestCompletion;
+import dev.wigeonward.core.placement.KeyAffinity;
+import dev.wigeonward.core.placement.PrefixIndex;
+import dev.wigeonward.core.retry.RetryBudget;
+import dev.wigeonward.core.rollout.ShareLimiter;
+import dev.wigeonward.core.rollout.StageView;
+import dev.wigeonward.core.rollout.VersionSelector;
+import dev.wigeonward.core.rules.Rule;
+import dev.wigeonward.core.suspect.SuspectTable;
+import dev.wigeonward.core.suspect.SuspectTableGate;
+import dev.wigeonward.exchange.RulesInForce;
+
+/** The policies of an entry in operation. */
+final class Policies {
+    /** Round trip between failure domains of a region, about twice the one-way latency of 1 to 1.5 ms. */
+    private static final long REMOTE_DOMAIN_MILLIS = 3;
+
+    private Policies() {}
+
+    static DispatchPolicies of(
+            String failureDomain,
+            RulesInForce rules,
+            WorkspaceWeights weights,
+            SuspectTable suspects,
+            StageView stages,
+            RandomGenerator random,
+            Clock clock) {
+        PrefixIndex prefixes = PrefixIndex.create();
+        EarliestCompletion placement =
+                EarliestCompletion.of(random, prefixes, DomainLatency.uniform(failureDomain, REMOTE_DOMAIN_MILLIS));
+        VersionSelector versions = new VersionSelector(stages, new ShareLimiter());
+        return new DispatchPolicies(
+                () -> FairShareAdmissionQueue.create(queueLength(rules), weights),
+                placement,
+                KeyAffinity.or(placement),
+                versions::select,
+                RetryBudget.startingAt(clock.millis()),
+                SuspectTableGate.over(suspects));
+    }
+
+    private static int queueLength(RulesInForce rules) {
+        long length =
+                rules.get().map(set -> set.limit(Rule.LimitName.QUEUE)).orElse(Rule.LimitName.QUEUE.defaultValue());
+        return Math.toIntExact(length);
+    }
+}
--- a/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 
-import dev.wigeonward.platform.settings.Settings;
 import dev.wigeonward.platform.settings.SettingsResult;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -20,12 +19,10 @@
     @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings of this process")
     private Path settingsFile;
 
-    @Option(name = "--rules", metaVar = "FILE", usage = "rules in force until the store has any")
-    private Path rulesFile;
-
     private ServeCommand() {}
 
-    static int run(String[] arguments, PrintStream out, PrintStream err) throws Exception {
+    /** Runs {@code serve} or {@code check-settings}. */
+    static int run(String name, String[] arguments, PrintStream out, PrintStream err) throws Exception {
         ServeCommand command = new ServeCommand();
         CmdLineParser parser = new CmdLineParser(command);
         try {
@@ -35,10 +32,10 @@
             parser.printUsage(err);
             return EXIT_USAGE;
         }
-        return command.serve(out, err);
+        return command.run(name.equals("serve"), out, err);
     }
 
-    private int serve(PrintStream out, PrintStream err) throws Exception {
+    private int run(boolean serve, PrintStream out, PrintStream err) throws Exception {
         SettingsResult result = readSettings(err);
         if (result == null) {
             return EXIT_FAILED;
@@ -47,8 +44,18 @@
             invalid.problems().forEach(err::println);
             return EXIT_FAILED;
         }
-        Settings settings = ((SettingsResult.Valid) result).settings();
-        EntryProcess process = EntryProcess.start(EntrySettings.of(settings), rulesFile);
+        EntrySettings settings;
+        try {
+            settings = EntrySettings.of(((SettingsResult.Valid) result).settings());
+        } catch (IllegalArgumentException e) {
+            err.println(settingsFile + ": " + e.getMessage());
+            return EXIT_FAILED;
+        }
+        if (!serve) {
+            out.println("valid");
+            return EXIT_OK;
+        }
+        EntryProcess process = EntryProcess.start(settings);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -32,7 +32,7 @@
     private final RequestClassifier classifier;
     private final RequestSink sink;
     private final ModelsPage models;
-    private final CallerLimits limits;
+    private final Supplier<CallerLimits> limits;
     private final Supplier<RequestId> ids;
     private final Clock clock;
 
@@ -40,7 +40,7 @@
             RequestClassifier classifier,
             RequestSink sink,
             ModelsPage models,
-            CallerLimits limits,
+            Supplier<CallerLimits> limits,
             Supplier<RequestId> ids,
             Clock clock) {
         this.classifier = classifier;
@@ -54,19 +54,21 @@
     @Override
     public Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
-        if (headersBytes(request.headers()) > limits.headersBytes()) {
+        if (headersBytes(request.headers()) > limits.get().headersBytes()) {
             Failure failure = Failure.of(
-                    ErrorKind.HEADERS_TOO_LARGE, "the headers exceed %d bytes".formatted(limits.headersBytes()));
+                    ErrorKind.HEADERS_TOO_LARGE,
+                    "the headers exceed %d bytes".formatted(limits.get().headersBytes()));
             return drainAndFail(context, request, responses, failure);
         }
-        return BodyCollector.collect(request, limits.bodyBytes())
+        return BodyCollector.collect(request, limits.get().bodyBytes())
                 .flatMap(body -> body.exceeded()
                         ? Single.succeeded(error(
                                 context,
                                 responses,
                                 Failure.of(
                                         ErrorKind.BODY_TOO_LARGE,
-                                        "the body exceeds %d bytes".formatted(limits.bodyBytes()))))
+                                        "the body exceeds %d bytes"
+                                                .formatted(limits.get().bodyBytes()))))
                         : answer(context, request, body.toByteArray(), responses));
     }
 
--- a/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
@@ -7,6 +7,7 @@
 
 import com.google.common.hash.Hashing;
 import com.google.common.primitives.Longs;
+import dev.wigeonward.core.admission.WorkspaceRates;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
@@ -24,10 +25,12 @@
     private static final WorkEstimate NO_TOKENS = new WorkEstimate(0, 0, 0);
 
     private final Supplier<Optional<RuleSet>> rulesInForce;
+    private final WorkspaceRates rates;
 
     /** Returns a classifier that asks for the rules in force at each request. */
-    public RulesClassifier(Supplier<Optional<RuleSet>> rulesInForce) {
+    public RulesClassifier(Supplier<Optional<RuleSet>> rulesInForce, WorkspaceRates rates) {
         this.rulesInForce = rulesInForce;
+        this.rates = rates;
     }
 
     @Override
@@ -114,6 +117,10 @@
                     ErrorKind.MALFORMED_REQUEST,
                     "Idempotency-Key must have 1 to " + MAX_KEY_CHARACTERS + " characters");
         }
+        WorkEstimate work = work(addressed, kind.get());
+        if (!withinRate(rules, workspace.name(), work, nowMillis)) {
+            return refused(ErrorKind.RATE_LIMITED, "the workspace exceeds the rate that the rules give it");
+        }
         return new Result.Classified(new RequestSpec(
                 id,
                 key.map(given -> hashKey(workspace.name(), given)),
@@ -121,12 +128,23 @@
                 workspace.name(),
                 addressed.target(),
                 addressed.target() + "/" + kind.get().name(),
-                work(addressed, kind.get()),
+                work,
                 nowMillis + limitMillis.get(),
                 idempotent,
                 fingerprint(request, workspace.name(), addressed.target())));
     }
 
+    private boolean withinRate(RuleSet rules, String workspace, WorkEstimate work, long nowMillis) {
+        Optional<Rule.Rate> rate = rules.rate(workspace);
+        return rate.isEmpty()
+                || rates.tryAcquire(
+                        workspace,
+                        rate.get().requestsPerSecond(),
+                        rate.get().tokensPerSecond(),
+                        work.promptTokens() + work.outputTokens(),
+                        nowMillis);
+    }
+
     /** A caller may ask for a lower tier than the rules give, never for a higher one. */
     private static Optional<Tier> tier(CallerRequest request, RuleSet rules, Rule.Workspace workspace, Rule.Kind kind) {
         Optional<Tier> allowed = rules.tier(workspace.name(), kind);
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -0,0 +1,174 @@
+package dev.wigeonward.entry.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import dev.wigeonward.core.membership.MembershipCore;
+import dev.wigeonward.core.placement.UpstreamDescription;
+import dev.wigeonward.core.revision.Revision;
+import dev.wigeonward.core.revision.RevisionLog;
+import dev.wigeonward.core.revision.RevisionRelay;
+import dev.wigeonward.core.revision.RevisionStore;
+import dev.wigeonward.core.rollout.BadVerdict;
+import dev.wigeonward.core.rollout.ControllerStages;
+import dev.wigeonward.core.rollout.JudgeSettings;
+import dev.wigeonward.core.rollout.MoveController;
+import dev.wigeonward.core.rollout.MoveSettings;
+import dev.wigeonward.core.rollout.StageView;
+import dev.wigeonward.core.suspect.SuspectTable;
+import dev.wigeonward.exchange.FactExchange;
+import dev.wigeonward.exchange.FactListener;
+import dev.wigeonward.exchange.RevisionExchange;
+import dev.wigeonward.exchange.RulesInForce;
+import dev.wigeonward.platform.vms.VmSnapshot;
+import dev.wigeonward.wire.generated.Frame;
+import dev.wigeonward.wire.generated.Heartbeat;
+
+/** The parts of an entry that keep it in step with the others. Used by the decision thread only. */
+public final class ControlPlane {
+    private final RulesInForce rules;
+    private final MembershipDuty membership;
+    private final RevisionExchange revisions;
+    private final FactExchange facts;
+    private final MoveDuty moves;
+    private final ReaderDuty reader;
+    private final SpendDuty spend;
+    private final Consumer<Boolean> controllerCandidate;
+    private final Map<String, UpstreamDescription> upstreams = new HashMap<>();
+
+    /** Returns a control plane that knows no peers. */
+    public ControlPlane(
+            ControlPorts ports,
+            LinkPort links,
+            RulesInForce rules,
+            SuspectTable suspects,
+            StageView stages,
+            RandomGenerator random,
+            Consumer<Runnable> decisionThread) {
+        this.rules = rules;
+        this.membership = new MembershipDuty(MembershipCore.create(ports.entryId(), random), links);
+        RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
+        this.revisions = new RevisionExchange(log, RevisionRelay.create(log, random), links, this::adopted);
+        this.facts = new FactExchange(suspects, stages, links, new Listener());
+        this.moves = new MoveDuty(
+                new MoveController(MoveSettings.standard(), JudgeSettings.standard()),
+                ports.moveStore(),
+                ports.lease(),
+                facts,
+                links,
+                decisionThread,
+                ports.clock());
+        this.reader = new ReaderDuty(ports.entryId(), ports.headWatch());
+        this.spend = ports.spend();
+        this.controllerCandidate = ports.controllerCandidate();
+    }
+
+    /** Starts to read the store and to seek the controller lease; to be called on the decision thread. */
+    public void start() {
+        reader.start();
+        controllerCandidate.accept(true);
+    }
+
+    /** Takes over a new list of VMs. */
+    public void onVmsListed(VmSnapshot snapshot, long nowMillis) {
+        membership.onVmsListed(snapshot, nowMillis);
+        reader.onVmsListed(snapshot);
+        controllerCandidate.accept(reader.isReader());
+    }
+
+    /** Takes over what a watch read from the store. */
+    public void onStoreRead(RevisionStore.HeadResult result, long nowMillis) {
+        revisions.onStoreRead(result, nowMillis);
+    }
+
+    /** A link to an agent is up. */
+    public void onLinkUp(UpstreamDescription upstream, long nowMillis) {
+        upstreams.put(upstream.upstreamId(), upstream);
+        membership.onLinkUp(upstream, nowMillis);
+        revisions.onLinkUp(upstream.upstreamId(), nowMillis);
+        facts.onLinkUp(upstream.upstreamId(), nowMillis);
+    }
+
+    /** A link was lost, or could not be opened. */
+    public void onLinkDown(String upstreamId, long nowMillis) {
+        membership.onLinkDown(upstreamId, nowMillis);
+        revisions.onLinkDown(upstreamId, nowMillis);
+        moves.onLinkDown(upstreamId);
+    }
+
+    /** Handles what a frame carries besides requests. */
+    public void onFrame(String upstreamId, Frame frame, long nowMillis) {
+        membership.onFrame(upstreamId, frame.hasLeaving(), nowMillis);
+        switch (frame.getBodyCase()) {
+            case HEARTBEAT -> {
+                revisions.onFrame(upstreamId, frame, nowMillis);
+                if (frame.getHeartbeat().hasLoad()) {
+                    moves.onLoad(upstreams.get(upstreamId), frame.getHeartbeat().getLoad());
+                }
+            }
+            case REVISION_OFFER, REVISION_REQUEST, REVISION_DELTA, REVISION_SNAPSHOT ->
+                revisions.onFrame(upstreamId, frame, nowMillis);
+            case FACTS -> facts.onFrame(upstreamId, frame, nowMillis);
+            case EVIDENCE -> moves.onEvidence(upstreams.get(upstreamId), frame.getEvidence());
+            case ORDER_RESULT -> moves.onOrderResult(frame.getOrderResult());
+            default -> {
+                // Frames about requests concern the dispatcher.
+            }
+        }
+    }
+
+    /** Does what is due. */
+    public void onTick(long nowMillis) {
+        membership.onTick(nowMillis);
+        revisions.onTick(nowMillis);
+        moves.onTick(nowMillis);
+        spend.onTick(nowMillis);
+    }
+
+    /** Returns the heartbeat of this entry. */
+    public Frame heartbeat() {
+        Heartbeat.Builder heartbeat =
+                Heartbeat.newBuilder().setFencingNumber(moves.fencingNumber()).setWantsEvidence(moves.holdsLease());
+        revisions.describe(heartbeat);
+        return Frame.newBuilder().setHeartbeat(heartbeat).build();
+    }
+
+    /** Returns what operators see. */
+    public Map<String, Object> status() {
+        return Map.of(
+                "revision", revisions.number(),
+                "revision_by_agent", revisions.numberByPeer(),
+                "reads_store", reader.isReader(),
+                "controller_fencing_number", moves.fencingNumber(),
+                "spend", spend.report(),
+                "moves", moves.reports(),
+                "move_steps", moves.steps());
+    }
+
+    /** Returns whether a revision is in force. */
+    public boolean ready() {
+        return rules.get().isPresent();
+    }
+
+    private void adopted(Revision revision) {
+        rules.adopt(revision);
+        rules.get().ifPresent(set -> {
+            moves.onRules(set);
+            spend.onRules(set);
+        });
+    }
+
+    private final class Listener implements FactListener {
+        @Override
+        public void onVerdict(BadVerdict verdict) {
+            moves.onVerdict(verdict);
+        }
+
+        @Override
+        public void onStages(ControllerStages stages) {
+            // The version selector reads the stage view at each request.
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/control/MembershipDuty.java
@@ -0,0 +1,94 @@
+package dev.wigeonward.entry.control;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import dev.wigeonward.core.dispatch.EntryEvent;
+import dev.wigeonward.core.membership.ListedVm;
+import dev.wigeonward.core.membership.MemberState;
+import dev.wigeonward.core.membership.MembershipCore;
+import dev.wigeonward.core.membership.MembershipEffect;
+import dev.wigeonward.core.membership.MembershipEvent;
+import dev.wigeonward.core.placement.UpstreamDescription;
+import dev.wigeonward.platform.vms.Vm;
+import dev.wigeonward.platform.vms.VmSnapshot;
+
+/** Keeps links to the agents of the entry's subset and stops new work to those that leave. */
+final class MembershipDuty {
+    private static final Logger LOG = System.getLogger(MembershipDuty.class.getName());
+    private static final String ENTRY_ROLE = "entry";
+
+    private final MembershipCore membership;
+    private final LinkPort links;
+    private final Map<String, Long> incarnations = new TreeMap<>();
+
+    MembershipDuty(MembershipCore membership, LinkPort links) {
+        this.membership = membership;
+        this.links = links;
+    }
+
+    void onVmsListed(VmSnapshot snapshot, long nowMillis) {
+        List<ListedVm> vms =
+                snapshot.vms().values().stream().map(MembershipDuty::listed).toList();
+        handle(new MembershipEvent.VmsListed(snapshot.version(), vms), nowMillis);
+    }
+
+    /** The role of a VM is {@code entry}, or the name of the model or service that runs on it. */
+    private static ListedVm listed(Vm vm) {
+        boolean entry = vm.role().equals(ENTRY_ROLE);
+        return new ListedVm(
+                vm.id(),
+                entry ? ListedVm.Role.ENTRY : ListedVm.Role.AGENT,
+                entry ? "" : vm.role(),
+                vm.address().getAddress().getHostAddress() + ":" + vm.address().getPort(),
+                vm.state() == Vm.State.LEAVING);
+    }
+
+    void onLinkUp(UpstreamDescription upstream, long nowMillis) {
+        incarnations.put(upstream.upstreamId(), upstream.incarnation());
+        handle(new MembershipEvent.LinkUp(upstream.upstreamId(), upstream.incarnation()), nowMillis);
+    }
+
+    void onLinkDown(String upstreamId, long nowMillis) {
+        handle(new MembershipEvent.LinkDown(upstreamId), nowMillis);
+    }
+
+    void onFrame(String upstreamId, boolean leaving, long nowMillis) {
+        Long incarnation = incarnations.get(upstreamId);
+        if (incarnation == null) {
+            return;
+        }
+        handle(new MembershipEvent.FrameArrived(upstreamId, incarnation), nowMillis);
+        if (leaving) {
+            handle(new MembershipEvent.LeavingAnnounced(upstreamId, incarnation), nowMillis);
+        }
+    }
+
+    void onTick(long nowMillis) {
+        handle(new MembershipEvent.Tick(), nowMillis);
+    }
+
+    private void handle(MembershipEvent event, long nowMillis) {
+        membership.handle(event, nowMillis).forEach(this::carryOut);
+    }
+
+    private void carryOut(MembershipEffect effect) {
+        if (effect instanceof MembershipEffect.LinkTo link) {
+            links.connect(link.upstreamId(), link.address());
+        } else if (effect instanceof MembershipEffect.UnlinkFrom unlink) {
+            links.disconnect(unlink.upstreamId());
+        } else if (effect instanceof MembershipEffect.StopNewWork stop) {
+            LOG.log(Level.WARNING, "upstream {0} gets no new work: {1}", stop.upstreamId(), stop.state());
+            if (stop.state() == MemberState.LEAVING) {
+                links.dispatch(new EntryEvent.UpstreamLeaving(stop.upstreamId()));
+            } else {
+                links.disconnect(stop.upstreamId());
+            }
+        } else {
+            LOG.log(Level.DEBUG, "membership: {0}", effect);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/control/MoveDuty.java
@@ -0,0 +1,205 @@
+package dev.wigeonward.entry.control;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import dev.wigeonward.core.placement.UpstreamDescription;
+import dev.wigeonward.core.rollout.BadVerdict;
+import dev.wigeonward.core.rollout.ControllerEffect;
+import dev.wigeonward.core.rollout.ControllerEvent;
+import dev.wigeonward.core.rollout.MoveController;
+import dev.wigeonward.core.rollout.MoveReport;
+import dev.wigeonward.core.rollout.MoveRule;
+import dev.wigeonward.core.rollout.UpstreamVersions;
+import dev.wigeonward.core.rules.Rule;
+import dev.wigeonward.core.rules.RuleSet;
+import dev.wigeonward.exchange.EvidenceFrames;
+import dev.wigeonward.exchange.FactExchange;
+import dev.wigeonward.exchange.OrderFrames;
+import dev.wigeonward.wire.generated.Evidence;
+import dev.wigeonward.wire.generated.Load;
+
+/** Runs the move controller of an entry; it acts only while the entry holds the controller lease. */
+final class MoveDuty {
+    private static final Logger LOG = System.getLogger(MoveDuty.class.getName());
+    private static final int KEPT_REPORTS = 200;
+    private static final long LEASE_CHECK_MILLIS = 200;
+    /** Shorter than the margin by which the adapter gives the lease up before the store does. */
+    private static final long PROVED_LEASE_MILLIS = 1_000;
+
+    private final MoveController controller;
+    private final MoveStore store;
+    private final Supplier<OptionalLong> lease;
+    private final FactExchange facts;
+    private final LinkPort links;
+    private final Consumer<Runnable> decisionThread;
+    private final Clock clock;
+    private final Deque<MoveReport> steps = new ArrayDeque<>();
+    private long fencingNumber;
+    private boolean reading;
+    private long nextCheckMillis;
+
+    /**
+     * Returns a duty that does not hold the lease.
+     *
+     * @param lease the fencing number while the lease is held for sure
+     * @param decisionThread runs answers of the store on the decision thread
+     */
+    MoveDuty(
+            MoveController controller,
+            MoveStore store,
+            Supplier<OptionalLong> lease,
+            FactExchange facts,
+            LinkPort links,
+            Consumer<Runnable> decisionThread,
+            Clock clock) {
+        this.controller = controller;
+        this.store = store;
+        this.lease = lease;
+        this.facts = facts;
+        this.links = links;
+        this.decisionThread = decisionThread;
+        this.clock = clock;
+    }
+
+    /** Returns whether this entry is the controller, to which agents send evidence. */
+    boolean holdsLease() {
+        return fencingNumber > 0;
+    }
+
+    long fencingNumber() {
+        return fencingNumber;
+    }
+
+    void onRules(RuleSet rules) {
+        List<MoveRule> moves = new ArrayList<>();
+        for (Rule.Move move : rules.moves()) {
+            moves.add(new MoveRule(
+                    move.model(),
+                    move.from(),
+                    move.to(),
+                    move.by().toEpochMilli(),
+                    Math.min(move.canaryBasisPoints(), MoveRule.MAX_CANARY_BASIS_POINTS),
+                    move.source().askedBy()));
+        }
+        handle(new ControllerEvent.RulesChanged(moves));
+    }
+
+    void onLoad(UpstreamDescription upstream, Load load) {
+        Set<String> versions = load.getLoadedVersionsCount() == 0
+                ? Set.of(upstream.version())
+                : Set.copyOf(load.getLoadedVersionsList());
+        handle(new ControllerEvent.UpstreamSeen(new UpstreamVersions(
+                upstream.upstreamId(), upstream.target(), versions, Math.max(1, load.getVersionPlaces()))));
+    }
+
+    void onLinkDown(String upstreamId) {
+        handle(new ControllerEvent.UpstreamGone(upstreamId));
+    }
+
+    void onEvidence(UpstreamDescription upstream, Evidence evidence) {
+        EvidenceFrames.event(upstream.upstreamId(), upstream.incarnation(), evidence)
+                .ifPresent(this::handle);
+    }
+
+    void onOrderResult(dev.wigeonward.wire.generated.OrderResult message) {
+        OrderFrames.result(message)
+                .ifPresent(result -> handle(new ControllerEvent.OrderAnswered(message.getOrderId(), result)));
+    }
+
+    void onVerdict(BadVerdict verdict) {
+        handle(new ControllerEvent.VerdictLearned(verdict));
+    }
+
+    void onTick(long nowMillis) {
+        if (nowMillis >= nextCheckMillis) {
+            nextCheckMillis = nowMillis + LEASE_CHECK_MILLIS;
+            checkLease(nowMillis);
+        }
+        handle(new ControllerEvent.Tick());
+    }
+
+    private void checkLease(long nowMillis) {
+        OptionalLong held = lease.get();
+        if (held.isEmpty()) {
+            if (fencingNumber > 0) {
+                fencingNumber = 0;
+                handle(new ControllerEvent.LeaseLost());
+            }
+            return;
+        }
+        if (held.getAsLong() == fencingNumber) {
+            handle(new ControllerEvent.LeaseRenewed(nowMillis + PROVED_LEASE_MILLIS));
+            return;
+        }
+        if (!reading) {
+            reading = true;
+            takeOver(held.getAsLong());
+        }
+    }
+
+    /** Reads the records after the lease was acquired, so that the last holder's writes are seen. */
+    private void takeOver(long acquired) {
+        store.readAll(records -> decisionThread.accept(() -> {
+            reading = false;
+            OptionalLong held = lease.get();
+            if (records.isEmpty() || held.isEmpty() || held.getAsLong() != acquired) {
+                return;
+            }
+            fencingNumber = acquired;
+            LOG.log(Level.INFO, "controller with fencing number {0}", Long.toString(acquired));
+            handle(new ControllerEvent.LeaseAcquired(acquired, clock.millis() + PROVED_LEASE_MILLIS, records.get()));
+        }));
+    }
+
+    /** Returns the current state of all moves, for operators. */
+    List<MoveReport> reports() {
+        return controller.reports(clock.millis());
+    }
+
+    /** Returns the last steps, newest first. */
+    List<MoveReport> steps() {
+        return List.copyOf(steps);
+    }
+
+    private void handle(ControllerEvent event) {
+        controller.handle(event, clock.millis()).forEach(this::carryOut);
+    }
+
+    private void carryOut(ControllerEffect effect) {
+        if (effect instanceof ControllerEffect.WriteRecord write) {
+            String model = write.record().model();
+            store.write(
+                    write.record(),
+                    write.expectedRevision(),
+                    (answer, revision) -> decisionThread.accept(() -> handle(new ControllerEvent.StoreAnswered(
+                            model, write.record().writeId(), answer, revision))));
+        } else if (effect instanceof ControllerEffect.ReadRecord read) {
+            store.read(
+                    read.model(),
+                    stored ->
+                            decisionThread.accept(() -> handle(new ControllerEvent.RecordRead(read.model(), stored))));
+        } else if (effect instanceof ControllerEffect.SendOrder send) {
+            links.send(send.upstreamId(), OrderFrames.frame(send.order()));
+        } else if (effect instanceof ControllerEffect.PublishStages publish) {
+            facts.publishStages(publish.stages(), clock.millis());
+        } else if (effect instanceof ControllerEffect.PublishVerdict publish) {
+            facts.publishVerdict(publish.verdict());
+        } else if (effect instanceof ControllerEffect.ReportStep step) {
+            LOG.log(Level.INFO, "move: {0}", step.report());
+            steps.addFirst(step.report());
+            if (steps.size() > KEPT_REPORTS) {
+                steps.removeLast();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/control/SpendDuty.java
@@ -0,0 +1,125 @@
+package dev.wigeonward.entry.control;
+
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+import dev.wigeonward.core.admission.WorkspaceWeights;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.rules.Rule;
+import dev.wigeonward.core.rules.RuleSet;
+import dev.wigeonward.core.spend.Spend;
+import dev.wigeonward.core.spend.SpendLedger;
+import dev.wigeonward.core.spend.SpendPeriod;
+import dev.wigeonward.core.spend.SpendSnapshot;
+import dev.wigeonward.entry.runtime.UsageSink;
+import dev.wigeonward.exchange.RulesInForce;
+
+/** Counts what workspaces spend against their commitments, together with the other entries. */
+public final class SpendDuty implements UsageSink, WorkspaceWeights {
+    private static final long WRITE_PERIOD_MILLIS = 30_000;
+    private static final long TOKENS_PER_PRICE = 1_000;
+    private static final SpendPeriod NO_PERIOD = new SpendPeriod("none", 0, Long.MAX_VALUE);
+
+    private final RulesInForce rules;
+    private final SpendStore store;
+    private final Clock clock;
+    private final SpendLedger ledger;
+    private final ConcurrentLinkedQueue<SpendSnapshot> read = new ConcurrentLinkedQueue<>();
+    private SpendPeriod period = NO_PERIOD;
+    private boolean restored;
+    private long nextWriteMillis;
+
+    /** Returns a duty without counts. */
+    public SpendDuty(String entryId, RulesInForce rules, SpendStore store, Clock clock) {
+        this.rules = rules;
+        this.store = store;
+        this.clock = clock;
+        this.ledger = SpendLedger.create(entryId, NO_PERIOD);
+    }
+
+    @Override
+    public void record(RequestSpec request, long promptTokens, long outputTokens) {
+        long tokens = promptTokens + outputTokens;
+        if (tokens == 0) {
+            return;
+        }
+        long microsPerThousand = rules.get()
+                .flatMap(set -> set.price(request.target()))
+                .map(Rule.Price::microsPerThousandTokens)
+                .orElse(0L);
+        ledger.record(request.workspace(), new Spend(tokens, tokens * microsPerThousand / TOKENS_PER_PRICE));
+    }
+
+    @Override
+    public int weight(String workspace) {
+        return ledger.weight(workspace, rules.weight(workspace), clock.millis());
+    }
+
+    /** Takes over the commitments of new rules. */
+    void onRules(RuleSet set) {
+        Map<String, Spend> commitments = new HashMap<>();
+        List<Rule.Commitment> rulesOfSpend = set.workspaces().stream()
+                .map(workspace -> set.commitment(workspace.name()))
+                .flatMap(Optional::stream)
+                .toList();
+        rulesOfSpend.forEach(rule -> commitments.put(rule.workspace(), new Spend(0, rule.spendMicros())));
+        ledger.setCommitments(commitments);
+        rulesOfSpend.stream().mapToLong(Rule.Commitment::periodMillis).max().ifPresent(this::usePeriod);
+    }
+
+    private void usePeriod(long periodMillis) {
+        long number = clock.millis() / periodMillis;
+        String name = periodMillis + "-" + number;
+        if (period.name().equals(name)) {
+            return;
+        }
+        period = new SpendPeriod(name, number * periodMillis, (number + 1) * periodMillis);
+        ledger.startPeriod(period);
+        restored = false;
+    }
+
+    /** Writes the own totals and reads those of the others. */
+    void onTick(long nowMillis) {
+        for (SpendSnapshot snapshot = read.poll(); snapshot != null; snapshot = read.poll()) {
+            if (!ledger.restore(snapshot)) {
+                ledger.merge(snapshot);
+            }
+        }
+        if (nowMillis < nextWriteMillis || period == NO_PERIOD) {
+            return;
+        }
+        nextWriteMillis = nowMillis + WRITE_PERIOD_MILLIS;
+        usePeriod(period.endMillis() - period.startMillis());
+        if (restored) {
+            store.write(ledger.snapshot());
+        }
+        store.readAll(period.name(), snapshots -> {
+            read.addAll(snapshots);
+            restored = true;
+        });
+    }
+
+    /** Returns spend and commitment of each workspace, in millionths of the currency unit. */
+    Map<String, Object> report() {
+        Map<String, Object> report = new TreeMap<>();
+        rules.get().ifPresent(set -> set.workspaces().forEach(workspace -> {
+            Spend spent = ledger.spent(workspace.name());
+            long committed = set.commitment(workspace.name())
+                    .map(Rule.Commitment::spendMicros)
+                    .orElse(0L);
+            report.put(
+                    workspace.name(),
+                    Map.of(
+                            "tokens", spent.tokens(),
+                            "cost_micros", spent.costMicros(),
+                            "committed_micros", committed,
+                            "behind_pace", ledger.isBehindPace(workspace.name(), clock.millis())));
+        }));
+        return report;
+    }
+}
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/ClaimPort.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/ClaimPort.java
@@ -4,6 +4,7 @@
 
 import dev.wigeonward.core.dispatch.ClaimAnswer;
 import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.platform.store.StoredOutcome;
 
 /** Durable claims in the store; answers come back as events, in any thread. */
 public interface ClaimPort {
@@ -30,8 +31,8 @@
         void onAnswer(ClaimAnswer answer, Optional<StoredOutcome> outcome);
     }
 
-    /** The answer of a claimed request, as kept in the store. */
-    record StoredOutcome(int status, String contentType, byte[] body) {}
+    /** Drops what is kept for a request whose claim stays in the store without an outcome. */
+    void forget(RequestSpec request);
 
     /** Returns a port without a store: no claim can be made, so that non-idempotent requests are refused. */
     static ClaimPort unavailable() {
@@ -56,6 +57,9 @@
 
             @Override
             public void record(RequestSpec request, StoredOutcome outcome) {}
+
+            @Override
+            public void forget(RequestSpec request) {}
         };
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryMetrics.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryMetrics.java
@@ -45,6 +45,17 @@
         return decisions;
     }
 
+    /** Returns the errors that callers got, by kind, without those that never occurred. */
+    public Map<String, Long> failuresByKind() {
+        Map<String, Long> counts = new TreeMap<>();
+        failures.forEach((kind, counter) -> {
+            if (counter.getCount() > 0) {
+                counts.put(kind.wireName(), counter.getCount());
+            }
+        });
+        return counts;
+    }
+
     /** Returns the registry, for further metrics. */
     public MetricRegistry registry() {
         return registry;
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryParts.java
@@ -0,0 +1,20 @@
+package dev.wigeonward.entry.runtime;
+
+import java.time.Clock;
+import java.util.Optional;
+
+import dev.wigeonward.core.dispatch.EntryDispatcher;
+import dev.wigeonward.wire.LinkSettings;
+import dev.wigeonward.wire.generated.Hello;
+import io.netty.handler.ssl.SslContext;
+
+/** What the runtime of an entry is built from. */
+public record EntryParts(
+        EntryDispatcher dispatcher,
+        ClaimPort claims,
+        Clock clock,
+        EntryMetrics metrics,
+        UsageSink usage,
+        LinkSettings linkSettings,
+        Hello hello,
+        Optional<SslContext> linkTls) {}
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -2,8 +2,8 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,32 +11,34 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import java.util.function.Supplier;
-import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.Timer;
 import dev.wigeonward.core.dispatch.EntryDispatcher;
 import dev.wigeonward.core.dispatch.EntryEffect;
 import dev.wigeonward.core.dispatch.EntryEvent;
-import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.placement.UpstreamDescription;
 import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.entry.caller.CallerSession;
 import dev.wigeonward.entry.caller.RequestSink;
+import dev.wigeonward.entry.control.ControlPlane;
+import dev.wigeonward.entry.control.LinkPort;
 import dev.wigeonward.entry.link.AgentFrames;
-import dev.wigeonward.entry.link.AgentLinks;
+import dev.wigeonward.entry.link.LinkTable;
 import dev.wigeonward.platform.ring.DutyThread;
+import dev.wigeonward.platform.vms.VmSnapshot;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkListener;
-import dev.wigeonward.wire.LinkSettings;
 import dev.wigeonward.wire.LinkTransport;
 import dev.wigeonward.wire.generated.Frame;
 import dev.wigeonward.wire.generated.Heartbeat;
-import dev.wigeonward.wire.generated.Hello;
 
-/** Runs the dispatcher of an entry on one thread and carries out its effects. */
-public final class EntryRuntime implements RequestSink, LinkListener, AutoCloseable {
+/** Runs the dispatcher and the control plane of an entry on one thread and carries out their effects. */
+public final class EntryRuntime implements RequestSink, LinkListener, LinkPort, AutoCloseable {
     private static final Logger LOG = System.getLogger(EntryRuntime.class.getName());
     private static final int RING_CAPACITY = 65_536;
     private static final long TICK_MILLIS = 20;
@@ -45,40 +47,36 @@
     private final ClaimPort claims;
     private final Clock clock;
     private final EntryMetrics metrics;
+    private final PendingAnswers answers;
     private final LinkTransport transport;
-    private final AgentLinks links;
-    private final Map<RequestId, PendingAnswer> pending = new HashMap<>();
-    private final Map<String, UpstreamDescription> described = new HashMap<>();
+    private final LinkTable links;
+    private final ControlPlane control;
     private final DutyThread<EntryInput> thread;
+    /** Replaced by the decision thread, read by the links' thread. */
+    private volatile Frame heartbeat =
+            Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
     /** Frame whose event is being handled; its bytes belong to the effects of that event. */
     private Frame frameInHand;
 
     private CompletableFuture<Void> whenIdle;
 
-    public EntryRuntime(
-            EntryDispatcher dispatcher,
-            ClaimPort claims,
-            Clock clock,
-            EntryMetrics metrics,
-            RandomGenerator random,
-            LinkSettings linkSettings,
-            Hello hello) {
-        this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher");
-        this.claims = Objects.requireNonNull(claims, "claims");
-        this.clock = Objects.requireNonNull(clock, "clock");
-        this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.transport = new LinkTransport(linkSettings, this, () -> hello, EntryRuntime::heartbeat, Optional.empty());
-        this.links = new AgentLinks(transport, random);
+    private EntryRuntime(EntryParts parts, Function<EntryRuntime, ControlPlane> control) {
+        this.dispatcher = Objects.requireNonNull(parts.dispatcher(), "dispatcher");
+        this.claims = Objects.requireNonNull(parts.claims(), "claims");
+        this.clock = Objects.requireNonNull(parts.clock(), "clock");
+        this.metrics = Objects.requireNonNull(parts.metrics(), "metrics");
+        this.answers = new PendingAnswers(metrics, parts.usage());
+        this.transport = new LinkTransport(parts.linkSettings(), this, parts::hello, () -> heartbeat, parts.linkTls());
+        this.links = new LinkTable(transport);
+        this.control = control.apply(this);
         this.thread = DutyThread.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
     }
 
-    private static Frame heartbeat() {
-        return Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
-    }
-
-    /** Keeps a link to the agent at an address from now on. */
-    public void addAgent(InetSocketAddress address) {
-        thread.put(new EntryInput.Query(() -> links.add(address, clock.millis())));
+    /** Starts the decision thread of an entry. */
+    public static EntryRuntime start(EntryParts parts, Function<EntryRuntime, ControlPlane> control) {
+        EntryRuntime runtime = new EntryRuntime(parts, control);
+        runtime.runLater(runtime.control::start);
+        return runtime;
     }
 
     @Override
@@ -117,47 +115,73 @@
         thread.put(new EntryInput.ConnectFailed(address, reason));
     }
 
+    /** Takes over a new list of VMs. */
+    public void onVmsListed(VmSnapshot snapshot) {
+        runLater(() -> control.onVmsListed(snapshot, clock.millis()));
+    }
+
+    /** Takes over what a watch read from the store. */
+    public void onStoreRead(RevisionStore.HeadResult result) {
+        runLater(() -> control.onStoreRead(result, clock.millis()));
+    }
+
+    /** Runs a task on the decision thread. */
+    public void runLater(Runnable task) {
+        thread.put(new EntryInput.Query(task));
+    }
+
     /** Returns the answer to a question about the state of the decision thread. */
     public <T> CompletionStage<T> query(Supplier<T> question) {
         CompletableFuture<T> answer = new CompletableFuture<>();
-        thread.put(new EntryInput.Query(() -> answer.complete(question.get())));
+        runLater(() -> answer.complete(question.get()));
         return answer;
     }
 
     /** Refuses new requests and completes once all others are answered. */
     public CompletionStage<Void> drain() {
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        thread.put(new EntryInput.Query(() -> {
-            handle(new EntryEvent.DrainStarted());
+        runLater(() -> {
+            dispatch(new EntryEvent.DrainStarted());
             whenIdle = drained;
-        }));
+        });
         return drained;
     }
 
-    /** Returns the state for operators; to be called through {@link #query}. */
+    /** Returns what operators see of revisions and moves; to be called through {@link #query}. */
+    public Map<String, Object> status() {
+        return control.status();
+    }
+
+    /** Returns whether requests can be taken; to be called through {@link #query}. */
+    public boolean ready() {
+        return control.ready() && whenIdle == null;
+    }
+
+    /** Returns the whole state; to be called through {@link #query}. */
     public Map<String, Object> dump() {
-        return Map.of(
-                "requests_in_flight", dispatcher.inFlight(),
-                "queued_by_target", dispatcher.queuedByTarget(),
-                "upstreams", described.values().stream().map(this::describe).toList(),
-                "ring_size", thread.size());
+        List<Map<String, Object>> upstreams = new ArrayList<>();
+        links.upstreams().forEach(upstream -> upstreams.add(describe(upstream)));
+        Map<String, Object> dump = new HashMap<>(control.status());
+        dump.put("requests_in_flight", dispatcher.inFlight());
+        dump.put("queued_by_target", dispatcher.queuedByTarget());
+        dump.put("upstreams", upstreams);
+        dump.put("ring_size", thread.size());
+        return dump;
     }
 
-    private Map<String, Object> describe(UpstreamDescription upstream) {
+    private static Map<String, Object> describe(UpstreamDescription upstream) {
         return Map.of(
                 "id", upstream.upstreamId(),
                 "target", upstream.target(),
                 "version", upstream.version(),
                 "failure_domain", upstream.failureDomain(),
-                "linked", links.find(upstream.upstreamId()).isPresent());
+                "slots", upstream.slots());
     }
 
     private void accept(EntryInput input) {
         if (input instanceof EntryInput.FromCaller fromCaller) {
-            CallerSession session = fromCaller.session();
-            pending.put(session.request().id(), new PendingAnswer(session));
-            metrics.arrived(session.request().tier());
-            handle(new EntryEvent.RequestArrived(session.request()));
+            answers.add(fromCaller.session());
+            dispatch(new EntryEvent.RequestArrived(fromCaller.session().request()));
         } else if (input instanceof EntryInput.FrameArrived arrived) {
             frame(arrived.link(), arrived.frame());
         } else if (input instanceof EntryInput.LinkOpened opened) {
@@ -165,22 +189,35 @@
         } else if (input instanceof EntryInput.LinkClosed closed) {
             linkClosed(closed.link(), closed.reason());
         } else if (input instanceof EntryInput.ConnectFailed failed) {
-            links.failed(failed.address(), clock.millis());
+            links.upstreamAt(failed.address())
+                    .filter(upstreamId -> links.find(upstreamId).isEmpty())
+                    .ifPresent(upstreamId -> control.onLinkDown(upstreamId, clock.millis()));
         } else if (input instanceof EntryInput.Event event) {
-            handle(event.event());
+            dispatch(event.event());
         } else if (input instanceof EntryInput.Query query) {
             query.question().run();
         }
     }
 
     private void tick() {
-        links.connectDue(clock.millis());
-        handle(new EntryEvent.Tick());
+        control.onTick(clock.millis());
+        publishHeartbeat();
+        dispatch(new EntryEvent.Tick());
         if (whenIdle != null && dispatcher.idle()) {
             whenIdle.complete(null);
         }
     }
 
+    /** Sends a changed heartbeat at once, so that a new revision does not wait for quiet links. */
+    private void publishHeartbeat() {
+        Frame next = control.heartbeat();
+        if (next.equals(heartbeat)) {
+            return;
+        }
+        heartbeat = next;
+        links.current().values().forEach(link -> link.send(next));
+    }
+
     private void linkOpened(Link link) {
         Optional<UpstreamDescription> upstream = AgentFrames.describe(link.peer());
         if (upstream.isEmpty()) {
@@ -188,35 +225,41 @@
             link.close();
             return;
         }
-        String upstreamId = upstream.get().upstreamId();
-        links.up(link, upstreamId).ifPresent(Link::close);
-        described.put(upstreamId, upstream.get());
-        LOG.log(Level.INFO, "link to upstream {0} at {1} is up", upstreamId, link.remoteName());
-        handle(new EntryEvent.LinkUp(upstream.get()));
+        links.up(link, upstream.get()).ifPresent(Link::close);
+        LOG.log(Level.INFO, "link to upstream {0} is up", upstream.get().upstreamId());
+        dispatch(new EntryEvent.LinkUp(upstream.get()));
+        control.onLinkUp(upstream.get(), clock.millis());
     }
 
     private void linkClosed(Link link, String reason) {
-        links.down(link, clock.millis()).ifPresent(upstreamId -> {
+        links.down(link).ifPresent(upstreamId -> {
             LOG.log(Level.WARNING, "link to upstream {0} is down: {1}", upstreamId, reason);
-            handle(new EntryEvent.LinkDown(upstreamId));
+            control.onLinkDown(upstreamId, clock.millis());
+            dispatch(new EntryEvent.LinkDown(upstreamId));
         });
     }
 
     private void frame(Link link, Frame frame) {
-        Optional<String> upstreamId = links.upstreamOf(link);
-        if (upstreamId.isEmpty()) {
+        Optional<UpstreamDescription> upstream = links.upstreamOf(link);
+        if (upstream.isEmpty()) {
             return;
         }
-        Optional<EntryEvent> event = AgentFrames.event(upstreamId.get(), frame);
-        if (event.isEmpty()) {
-            return;
+        String upstreamId = upstream.get().upstreamId();
+        try {
+            control.onFrame(upstreamId, frame, clock.millis());
+            Optional<EntryEvent> event = AgentFrames.event(upstreamId, frame);
+            if (event.isPresent()) {
+                frameInHand = frame;
+                dispatch(event.get());
+            }
+        } catch (IllegalArgumentException e) {
+            LOG.log(Level.WARNING, "upstream {0} sent a malformed frame: {1}", upstreamId, e.getMessage());
+            link.close();
         }
-        frameInHand = frame;
-        handle(event.get());
-        frameInHand = null;
     }
 
-    private void handle(EntryEvent event) {
+    @Override
+    public void dispatch(EntryEvent event) {
         Timer.Context timing = metrics.decisions().time();
         List<EntryEffect> effects = dispatcher.handle(event, clock.millis());
         timing.stop();
@@ -225,7 +268,7 @@
 
     private void carryOut(EntryEffect effect) {
         if (effect instanceof EntryEffect.SendDispatch send) {
-            PendingAnswer answer = pending.get(send.request());
+            PendingAnswer answer = answers.get(send.request());
             AgentFrames.dispatch(
                             send, answer.session().request(), answer.session().http())
                     .forEach(frame -> send(send.upstreamId(), frame));
@@ -244,85 +287,95 @@
 
     private boolean carryOutClaim(EntryEffect effect) {
         if (effect instanceof EntryEffect.MakeClaim make) {
-            claims.make(
-                    pending.get(make.request()).session().request(),
-                    make.upstreamId(),
-                    make.upstreamIncarnation(),
-                    listener(make.request()));
+            RequestSpec request = request(make.request());
+            claims.make(request, make.upstreamId(), make.upstreamIncarnation(), listener(request.id()));
             return true;
         }
         if (effect instanceof EntryEffect.TakeOverClaim take) {
+            RequestSpec request = request(take.request());
             claims.takeOver(
-                    pending.get(take.request()).session().request(),
+                    request,
                     take.previousClaimId(),
                     take.upstreamId(),
                     take.upstreamIncarnation(),
-                    listener(take.request()));
+                    listener(request.id()));
             return true;
         }
         if (effect instanceof EntryEffect.ReleaseClaim release) {
-            claims.release(pending.get(release.request()).session().request());
+            claims.release(request(release.request()));
             return true;
         }
         if (effect instanceof EntryEffect.RecordOutcome outcome) {
-            PendingAnswer answer = pending.get(outcome.request());
-            answer.outcome(frameInHand.getFinished().getHead())
-                    .ifPresent(stored -> claims.record(answer.session().request(), stored));
+            PendingAnswer answer = answers.get(outcome.request());
+            claims.record(
+                    answer.session().request(),
+                    answer.outcome(frameInHand.getFinished().getHead()));
             return true;
         }
         return false;
     }
 
-    private ClaimPort.Listener listener(RequestId id) {
-        return (answer, outcome) -> {
-            thread.put(new EntryInput.Query(() -> {
-                PendingAnswer waiting = pending.get(id);
-                if (waiting != null) {
-                    outcome.ifPresent(waiting::storedOutcome);
-                }
-                handle(new EntryEvent.ClaimAnswered(id, answer));
-            }));
-        };
+    private RequestSpec request(RequestId id) {
+        return answers.get(id).session().request();
     }
 
-    private void attach(EntryEffect.SendAttach send) {
-        PendingAnswer answer = pending.get(send.request());
-        UpstreamDescription upstream = described.get(send.upstreamId());
-        long leftMillis = answer.session().request().timeLeftMillis(clock.millis());
-        send(
-                send.upstreamId(),
-                AgentFrames.attach(send, answer.session().request(), upstream.incarnation(), leftMillis));
+    private ClaimPort.Listener listener(RequestId id) {
+        return (answer, outcome) -> runLater(() -> {
+            answers.find(id).ifPresent(waiting -> outcome.ifPresent(waiting::storedOutcome));
+            dispatch(new EntryEvent.ClaimAnswered(id, answer));
+        });
     }
 
-    private void send(String upstreamId, Frame frame) {
-        links.find(upstreamId).ifPresent(link -> link.send(frame));
+    private void attach(EntryEffect.SendAttach send) {
+        RequestSpec request = request(send.request());
+        links.describe(send.upstreamId())
+                .ifPresent(upstream -> send(
+                        send.upstreamId(),
+                        AgentFrames.attach(
+                                send, request, upstream.incarnation(), request.timeLeftMillis(clock.millis()))));
     }
 
     private void deliver(EntryEffect effect) {
         if (effect instanceof EntryEffect.DeliverOutput output) {
-            PendingAnswer answer = pending.get(output.request());
-            if (!answer.output(frameInHand.getOutput(), output.skipBytes())) {
-                answer.session().fail(Failure.of(ErrorKind.SLOW_READER, "the caller reads too slowly"));
-                metrics.failed(ErrorKind.SLOW_READER);
+            if (!answers.output(output, frameInHand.getOutput())) {
                 thread.put(new EntryInput.Event(new EntryEvent.CallerGone(output.request())));
             }
         } else if (effect instanceof EntryEffect.DeliverEnd end) {
-            PendingAnswer answer = pending.get(end.request());
-            answer.finish(frameInHand.getFinished());
-            metrics.completed(answer.session().request().tier());
+            answers.end(end.request(), frameInHand.getFinished());
         } else if (effect instanceof EntryEffect.DeliverStored stored) {
-            PendingAnswer answer = pending.get(stored.request());
-            answer.deliverStored();
-            metrics.completed(answer.session().request().tier());
+            answers.stored(stored.request());
         } else if (effect instanceof EntryEffect.DeliverFailure failure) {
-            PendingAnswer answer = pending.get(failure.request());
-            metrics.failed(failure.failure().kind());
-            answer.session().fail(failure.failure());
+            answers.fail(failure.request(), failure.failure());
         } else if (effect instanceof EntryEffect.Forget forget) {
-            pending.remove(forget.request());
+            claims.forget(request(forget.request()));
+            answers.remove(forget.request());
         }
     }
 
+    @Override
+    public void connect(String upstreamId, String address) {
+        links.connect(upstreamId, address);
+    }
+
+    @Override
+    public void disconnect(String upstreamId) {
+        links.find(upstreamId).ifPresent(Link::close);
+    }
+
+    @Override
+    public void send(String peer, Frame frame) {
+        links.find(peer).ifPresent(link -> link.send(frame));
+    }
+
+    @Override
+    public void sendToOthers(String exceptPeer, Frame frame) {
+        links.current().forEach((upstreamId, link) -> {
+            if (!upstreamId.equals(exceptPeer)) {
+                link.send(frame);
+            }
+        });
+    }
+
     @Override
     public void close() {
         transport.close();
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
@@ -1,26 +1,28 @@
 package dev.wigeonward.entry.runtime;
 
 import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 import dev.wigeonward.entry.caller.CallerSession;
 import dev.wigeonward.entry.link.AgentFrames;
+import dev.wigeonward.platform.store.StoredOutcome;
 import dev.wigeonward.wire.generated.Finished;
+import dev.wigeonward.wire.generated.Header;
 import dev.wigeonward.wire.generated.Output;
 import dev.wigeonward.wire.generated.ResponseHead;
 
 /** A caller's answer on its way; keeps a copy of the outcome of a non-idempotent request for the store. */
 final class PendingAnswer {
-    /** Longest body stored with a claim; a longer one leaves the outcome to the agent's memory. */
-    private static final int MAX_STORED_BYTES = 16 * 1024;
+    /** Says that the answer was given before and its body was too long to keep. */
+    private static final String BODY_NOT_KEPT = "x-body-not-kept";
 
     private static final String CONTENT_TYPE = "content-type";
 
     private final CallerSession session;
     private final ByteArrayOutputStream copy = new ByteArrayOutputStream();
-    private ClaimPort.StoredOutcome stored;
+    private StoredOutcome stored;
 
     PendingAnswer(CallerSession session) {
         this.session = session;
@@ -42,7 +44,7 @@
 
     private void keep(byte[] part) {
         boolean claimed = !session.request().idempotent();
-        if (claimed && copy.size() <= MAX_STORED_BYTES) {
+        if (claimed && copy.size() <= StoredOutcome.BODY_LIMIT_BYTES) {
             copy.writeBytes(part);
         }
     }
@@ -52,26 +54,28 @@
         session.end();
     }
 
-    void storedOutcome(ClaimPort.StoredOutcome outcome) {
+    void storedOutcome(StoredOutcome outcome) {
         stored = outcome;
     }
 
     void deliverStored() {
-        session.start(stored.status(), List.of(Map.entry(CONTENT_TYPE, stored.contentType())));
-        session.write(stored.body());
+        List<Map.Entry<String, String>> headers = new ArrayList<>();
+        headers.add(Map.entry(CONTENT_TYPE, stored.contentType()));
+        if (stored.body().isEmpty()) {
+            headers.add(Map.entry(BODY_NOT_KEPT, "true"));
+        }
+        session.start(stored.status(), headers);
+        stored.body().ifPresent(session::write);
         session.end();
     }
 
-    /** Returns what to store with the claim, or empty if the answer is too long. */
-    Optional<ClaimPort.StoredOutcome> outcome(ResponseHead finalHead) {
-        if (copy.size() > MAX_STORED_BYTES) {
-            return Optional.empty();
-        }
+    /** Returns what to store with the claim. */
+    StoredOutcome outcome(ResponseHead finalHead) {
         String contentType = finalHead.getHeadersList().stream()
                 .filter(header -> header.getName().equalsIgnoreCase(CONTENT_TYPE))
-                .map(header -> header.getValue())
+                .map(Header::getValue)
                 .findFirst()
                 .orElse("application/octet-stream");
-        return Optional.of(new ClaimPort.StoredOutcome(finalHead.getStatus(), contentType, copy.toByteArray()));
+        return StoredOutcome.of(finalHead.getStatus(), contentType, copy.toByteArray());
     }
 }
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
@@ -0,0 +1,74 @@
+package dev.wigeonward.entry.runtime;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import dev.wigeonward.core.dispatch.EntryEffect;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.entry.caller.CallerSession;
+import dev.wigeonward.wire.generated.Finished;
+import dev.wigeonward.wire.generated.Output;
+
+/** The answers that callers wait for. Used by the decision thread only. */
+final class PendingAnswers {
+    private final EntryMetrics metrics;
+    private final UsageSink usage;
+    private final Map<RequestId, PendingAnswer> answers = new HashMap<>();
+
+    PendingAnswers(EntryMetrics metrics, UsageSink usage) {
+        this.metrics = metrics;
+        this.usage = usage;
+    }
+
+    void add(CallerSession session) {
+        answers.put(session.request().id(), new PendingAnswer(session));
+        metrics.arrived(session.request().tier());
+    }
+
+    PendingAnswer get(RequestId id) {
+        return answers.get(id);
+    }
+
+    Optional<PendingAnswer> find(RequestId id) {
+        return Optional.ofNullable(answers.get(id));
+    }
+
+    void remove(RequestId id) {
+        answers.remove(id);
+    }
+
+    /** Returns false if the caller reads too slowly; it was then told so. */
+    boolean output(EntryEffect.DeliverOutput effect, Output output) {
+        PendingAnswer answer = answers.get(effect.request());
+        if (answer.output(output, effect.skipBytes())) {
+            return true;
+        }
+        answer.session().fail(Failure.of(ErrorKind.SLOW_READER, "the caller reads too slowly"));
+        metrics.failed(ErrorKind.SLOW_READER);
+        return false;
+    }
+
+    void end(RequestId id, Finished finished) {
+        PendingAnswer answer = answers.get(id);
+        answer.finish(finished);
+        metrics.completed(answer.session().request().tier());
+        usage.record(
+                answer.session().request(),
+                finished.getUsage().getPromptTokens(),
+                finished.getUsage().getOutputTokens());
+    }
+
+    void stored(RequestId id) {
+        PendingAnswer answer = answers.get(id);
+        answer.deliverStored();
+        metrics.completed(answer.session().request().tier());
+    }
+
+    void fail(RequestId id, Failure failure) {
+        metrics.failed(failure.kind());
+        answers.get(id).session().fail(failure);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
@@ -0,0 +1,103 @@
+package dev.wigeonward.entry.store;
+
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.wigeonward.core.revision.RevisionStore;
+import dev.wigeonward.entry.control.HeadWatch;
+import dev.wigeonward.platform.store.ClaimStore;
+import dev.wigeonward.platform.store.ControllerListener;
+import dev.wigeonward.platform.store.EtcdRevisionStore;
+import dev.wigeonward.platform.store.EtcdStore;
+import dev.wigeonward.platform.store.KeyValueStore;
+import dev.wigeonward.platform.store.StoreControllerLease;
+import dev.wigeonward.platform.store.StoreOptions;
+
+/** All that an entry does at the store, on a thread of its own, and one more for calls that wait. */
+public final class StoreAdapters implements AutoCloseable {
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(daemon("store"));
+    private final ExecutorService waiting = Executors.newSingleThreadExecutor(daemon("store-reads"));
+    private final SecureRandom random = new SecureRandom();
+    private final StoreOptions options;
+    private final KeyValueStore store;
+    private final RevisionStore revisions;
+    private final StoreClaims claims;
+    private final StoreMoves moves;
+    private final StoreControllerLease lease;
+
+    /** Returns adapters that connect with their first call. */
+    public StoreAdapters(StoreOptions options, String entryId, Clock clock, MetricRegistry metrics) {
+        this.options = options;
+        this.store = EtcdStore.connect(options, clock, thread, metrics, random);
+        this.revisions = EtcdRevisionStore.create(store, options.callTimeoutMillis());
+        this.claims = new StoreClaims(ClaimStore.create(store, clock, thread, metrics, random));
+        this.moves = new StoreMoves(store);
+        this.lease = StoreControllerLease.create(store, clock, thread, random, entryId, new Silent());
+    }
+
+    private static ThreadFactory daemon(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    /** Returns the store itself. */
+    public KeyValueStore store() {
+        return store;
+    }
+
+    /** Returns the operators' revisions. */
+    public RevisionStore revisions() {
+        return revisions;
+    }
+
+    /** Returns the durable claims. */
+    public StoreClaims claims() {
+        return claims;
+    }
+
+    /** Returns the move records. */
+    public StoreMoves moves() {
+        return moves;
+    }
+
+    /** Returns the controller lease. */
+    public StoreControllerLease lease() {
+        return lease;
+    }
+
+    /** Returns a watch on the newest revision that is not active yet. */
+    public HeadWatch headWatch(Consumer<RevisionStore.HeadResult> listener) {
+        return new StoreHeadWatch(store, revisions, waiting, listener);
+    }
+
+    /** Returns how the store is used. */
+    public StoreOptions options() {
+        return options;
+    }
+
+    @Override
+    public void close() {
+        lease.close();
+        store.close();
+        waiting.shutdown();
+        thread.shutdown();
+    }
+
+    /** The control plane asks for the lease itself at each tick. */
+    private static final class Silent implements ControllerListener {
+        @Override
+        public void acquired(long fencingNumber) {}
+
+        @Override
+        public void lost() {}
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreMoves.java
@@ -0,0 +1,82 @@
+package dev.wigeonward.entry.store;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import dev.wigeonward.core.rollout.ControllerEvent.StoreAnswer;
+import dev.wigeonward.core.rollout.MoveRecord;
+import dev.wigeonward.core.rollout.StoredRecord;
+import dev.wigeonward.entry.control.MoveStore;
+import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.platform.store.Compare;
+import dev.wigeonward.platform.store.KeyValue;
+import dev.wigeonward.platform.store.KeyValueStore;
+import dev.wigeonward.platform.store.Transaction;
+import dev.wigeonward.platform.store.Write;
+import dev.wigeonward.platform.store.WriteResult;
+
+/** Move records as JSON under one key for each model. */
+public final class StoreMoves implements MoveStore {
+    private static final String ROOT = "/wigeonward/moves/";
+    /** More models than any deployment has; seven are in steady use at the target size. */
+    private static final int MAX_RECORDS = 500;
+
+    private final KeyValueStore store;
+
+    /** Returns the records of a store. */
+    public StoreMoves(KeyValueStore store) {
+        this.store = store;
+    }
+
+    @Override
+    public void readAll(Consumer<Optional<List<StoredRecord>>> answer) {
+        store.range(ROOT, "", MAX_RECORDS)
+                .thenAccept(result -> answer.accept(result.value().map(page -> {
+                    List<StoredRecord> records = new ArrayList<>();
+                    page.entries().forEach(entry -> parse(entry).ifPresent(records::add));
+                    return records;
+                })));
+    }
+
+    @Override
+    public void read(String model, Consumer<Optional<StoredRecord>> answer) {
+        store.get(ROOT + model).thenAccept(result -> result.value()
+                .ifPresent(entry -> answer.accept(entry.flatMap(StoreMoves::parse))));
+    }
+
+    private static Optional<StoredRecord> parse(KeyValue entry) {
+        try {
+            MoveRecord record = Json.mapper().readValue(entry.value(), MoveRecord.class);
+            return Optional.of(new StoredRecord(record, entry.modRevision()));
+        } catch (JsonProcessingException e) {
+            System.getLogger(StoreMoves.class.getName())
+                    .log(System.Logger.Level.ERROR, "unreadable move record at " + entry.key(), e);
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public void write(MoveRecord record, long expectedRevision, BiConsumer<StoreAnswer, Long> answer) {
+        String key = ROOT + record.model();
+        String value = new String(Json.write(record), StandardCharsets.UTF_8);
+        Compare unchanged = new Compare.ModRevision(key, expectedRevision);
+        store.commit(Transaction.of(unchanged, new Write.Put(key, value, 0)))
+                .thenAccept(result -> answer.accept(
+                        answerOf(result), result instanceof WriteResult.Applied applied ? applied.revision() : 0L));
+    }
+
+    private static StoreAnswer answerOf(WriteResult result) {
+        if (result instanceof WriteResult.Applied) {
+            return StoreAnswer.APPLIED;
+        }
+        if (result instanceof WriteResult.CompareFailed) {
+            return StoreAnswer.COMPARE_FAILED;
+        }
+        return result instanceof WriteResult.OutcomeUnknown ? StoreAnswer.UNKNOWN : StoreAnswer.UNAVAILABLE;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreSpend.java
@@ -0,0 +1,67 @@
+package dev.wigeonward.entry.store;
+
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import dev.wigeonward.core.spend.SpendSnapshot;
+import dev.wigeonward.entry.control.SpendStore;
+import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.platform.store.KeyValue;
+import dev.wigeonward.platform.store.KeyValueStore;
+import dev.wigeonward.platform.store.Transaction;
+import dev.wigeonward.platform.store.Write;
+
+/** Spend totals as JSON under one key for each period and entry; only the entry itself writes its key. */
+public final class StoreSpend implements SpendStore {
+    private static final System.Logger LOG = System.getLogger(StoreSpend.class.getName());
+    private static final String ROOT = "/wigeonward/spend/";
+    private static final int PAGE_ENTRIES = 500;
+
+    private final KeyValueStore store;
+
+    /** Returns the totals in a store. */
+    public StoreSpend(KeyValueStore store) {
+        this.store = store;
+    }
+
+    @Override
+    public void write(SpendSnapshot snapshot) {
+        String key = ROOT + snapshot.period() + "/" + snapshot.entryId();
+        String value = new String(Json.write(snapshot), StandardCharsets.UTF_8);
+        store.commit(new Transaction(List.of(), List.of(new Write.Put(key, value, 0))));
+    }
+
+    @Override
+    public void readAll(String period, Consumer<List<SpendSnapshot>> answer) {
+        readFrom(ROOT + period + "/", "", new ArrayList<>(), answer);
+    }
+
+    private void readFrom(
+            String prefix, String afterKey, List<SpendSnapshot> found, Consumer<List<SpendSnapshot>> answer) {
+        store.range(prefix, afterKey, PAGE_ENTRIES)
+                .thenAccept(result -> result.value().ifPresent(page -> {
+                    page.entries().forEach(entry -> parse(entry).ifPresent(found::add));
+                    if (page.more()) {
+                        String lastKey =
+                                page.entries().get(page.entries().size() - 1).key();
+                        readFrom(prefix, lastKey, found, answer);
+                    } else {
+                        answer.accept(found);
+                    }
+                }));
+    }
+
+    private static Optional<SpendSnapshot> parse(KeyValue entry) {
+        try {
+            return Optional.of(Json.mapper().readValue(entry.value(), SpendSnapshot.class));
+        } catch (JsonProcessingException e) {
+            LOG.log(Level.ERROR, "unreadable spend at " + entry.key(), e);
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/store/package-info.java
@@ -0,0 +1,2 @@
+/** Adapters of the entry to the key-value service: claims, move records, the watch on revisions. */
+package dev.wigeonward.entry.store;
--- /dev/null
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RulesInForce.java
@@ -0,0 +1,46 @@
+package dev.wigeonward.exchange;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
+
+import dev.wigeonward.core.admission.WorkspaceWeights;
+import dev.wigeonward.core.revision.Revision;
+import dev.wigeonward.core.rules.Rule;
+import dev.wigeonward.core.rules.RuleParseResult;
+import dev.wigeonward.core.rules.RuleParser;
+import dev.wigeonward.core.rules.RuleSet;
+
+/** The rules of the revision in force. Written by the decision thread, read by any. */
+public final class RulesInForce implements WorkspaceWeights {
+    private static final Logger LOG = System.getLogger(RulesInForce.class.getName());
+
+    private volatile RuleSet rules;
+
+    /** Returns the rules, or empty before the first revision. */
+    public Optional<RuleSet> get() {
+        return Optional.ofNullable(rules);
+    }
+
+    /** Takes over the rules of a revision; text that does not parse leaves the earlier rules in force. */
+    public void adopt(Revision revision) {
+        RuleParseResult result = RuleParser.parse("revision " + revision.number(), revision.text());
+        if (result instanceof RuleParseResult.Invalid invalid) {
+            LOG.log(
+                    Level.ERROR,
+                    "revision {0} is not valid for this version of the program: {1}",
+                    revision.number(),
+                    invalid.problems());
+            return;
+        }
+        rules = ((RuleParseResult.Valid) result).rules();
+    }
+
+    @Override
+    public int weight(String workspace) {
+        RuleSet current = rules;
+        return current == null
+                ? 1
+                : current.workspace(workspace).map(Rule.Workspace::weight).orElse(1);
+    }
+}
--- a/standins/src/main/java/dev/wigeonward/standins/Main.java
+++ b/standins/src/main/java/dev/wigeonward/standins/Main.java
@@ -2,12 +2,17 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 
 import dev.wigeonward.platform.clock.MonotonicClock;
+import dev.wigeonward.standins.demo.DemoCommand;
 import dev.wigeonward.standins.engine.EngineEmulator;
 import dev.wigeonward.standins.engine.EngineProfile;
+import dev.wigeonward.standins.kv.KvStandin;
 import dev.wigeonward.standins.service.PlainService;
+import dev.wigeonward.standins.vms.RegisterCommand;
+import dev.wigeonward.standins.vms.VmsStandin;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -17,7 +22,10 @@
 public final class Main {
     private static final int EXIT_USAGE = 2;
 
-    @Argument(metaVar = "KIND", required = true, usage = "engine or service")
+    @Argument(
+            metaVar = "KIND",
+            required = true,
+            usage = "engine, service, kv or vms; demo sends requests, register adds a VM")
     private String kind;
 
     @Option(name = "--port", required = true, usage = "port on 127.0.0.1")
@@ -50,6 +58,12 @@
     @Option(name = "--checks-fencing", usage = "engine: refuse orders with an old fencing number")
     private boolean checksFencing;
 
+    @Option(name = "--load-millis", usage = "engine: time to load a version")
+    private long loadMillis;
+
+    @Option(name = "--lag-millis", usage = "vms: time until a change becomes visible")
+    private long lagMillis;
+
     @Option(name = "--delay-millis", usage = "service: time before each answer")
     private long delayMillis;
 
@@ -57,8 +71,23 @@
 
     /** Starts one stand-in and runs until the process is ended. */
     public static void main(String[] arguments) throws Exception {
-        Main main = new Main();
-        CmdLineParser parser = new CmdLineParser(main);
+        String first = arguments.length == 0 ? "" : arguments[0];
+        String[] rest = arguments.length == 0 ? arguments : Arrays.copyOfRange(arguments, 1, arguments.length);
+        if (first.equals("demo")) {
+            DemoCommand demo = parse(new DemoCommand(), rest);
+            System.exit(demo.run(System.out));
+        }
+        if (first.equals("register")) {
+            System.exit(parse(new RegisterCommand(), rest).run());
+        }
+        Main main = parse(new Main(), arguments);
+        main.start();
+        System.out.println("ready");
+        new CountDownLatch(1).await();
+    }
+
+    private static <T> T parse(T command, String[] arguments) {
+        CmdLineParser parser = new CmdLineParser(command);
         try {
             parser.parseArgument(arguments);
         } catch (CmdLineException e) {
@@ -66,9 +95,7 @@
             parser.printUsage(System.err);
             System.exit(EXIT_USAGE);
         }
-        main.start();
-        System.out.println("ready");
-        new CountDownLatch(1).await();
+        return command;
     }
 
     private void start() throws Exception {
@@ -76,6 +103,8 @@
         switch (kind) {
             case "engine" -> EngineEmulator.start(profile(), address, MonotonicClock.start());
             case "service" -> PlainService.start(address, Duration.ofMillis(delayMillis));
+            case "kv" -> KvStandin.start(address, MonotonicClock.start());
+            case "vms" -> VmsStandin.start(address, MonotonicClock.start()).setLag(lagMillis);
             default -> {
                 System.err.println("unknown kind: " + kind);
                 System.exit(EXIT_USAGE);
@@ -93,6 +122,7 @@
                 cachedPrefixes,
                 reportLagMillis,
                 crashMarker,
-                checksFencing);
+                checksFencing,
+                loadMillis);
     }
 }
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineBatch.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineBatch.java
@@ -14,6 +14,8 @@
 
 /** Runs streams in a fixed number of slots, first come first served, blind to priority. */
 final class EngineBatch implements AutoCloseable {
+    private static final String ALL_VERSIONS = "";
+    private static final double MILLIS_PER_SECOND = 1_000;
     private static final long STEP_MILLIS = 2;
     private static final long KEEP_ENDED_MILLIS = 60_000;
     private static final int PREFIX_TOKENS = 256;
@@ -31,7 +33,7 @@
     private final LinkedHashMap<Long, Boolean> cache = new LinkedHashMap<>(16, 0.75f, true);
     private final ArrayDeque<Map<String, Object>> reports = new ArrayDeque<>();
     private final List<Map<String, Object>> cacheEvents = new ArrayList<>();
-    private EngineFaults faults = EngineFaults.NONE;
+    private final Map<String, EngineFaults> faultsByVersion = new HashMap<>();
     private long lastStepMillis;
     private int submitted;
 
@@ -45,6 +47,7 @@
     /** Queues a stream, or returns false if a fault makes the request fail. */
     synchronized boolean submit(EngineStream stream, long prefixHash) {
         submitted++;
+        EngineFaults faults = faults(stream.version());
         boolean loaded = running.size() >= faults.failAboveRunning();
         if (faults.failEvery() > 0 && submitted % faults.failEvery() == 0 && loaded) {
             return false;
@@ -86,11 +89,12 @@
 
     private synchronized void step() {
         long nowMillis = clock.millis();
-        double seconds = (nowMillis - lastStepMillis) / 1_000.0 / faults.slowFactor();
+        double seconds = (nowMillis - lastStepMillis) / MILLIS_PER_SECOND;
         lastStepMillis = nowMillis;
         running.removeIf(stream -> {
-            boolean complete =
-                    stream.advance(seconds, profile.prefillTokensPerSecond(), profile.decodeTokensPerSecond());
+            double slowFactor = faults(stream.version()).slowFactor();
+            boolean complete = stream.advance(
+                    seconds / slowFactor, profile.prefillTokensPerSecond(), profile.decodeTokensPerSecond());
             if (complete) {
                 stream.complete(nowMillis);
             }
@@ -123,8 +127,13 @@
         List.copyOf(streams.keySet()).forEach(this::cancel);
     }
 
-    synchronized void setFaults(EngineFaults next) {
-        faults = next;
+    /** Switches faults on for one version, or for all without faults of their own if the version is empty. */
+    synchronized void setFaults(String version, EngineFaults next) {
+        faultsByVersion.put(version, next);
+    }
+
+    private EngineFaults faults(String version) {
+        return faultsByVersion.getOrDefault(version, faultsByVersion.getOrDefault(ALL_VERSIONS, EngineFaults.NONE));
     }
 
     /** Returns the load as it was some time ago. */
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
@@ -3,9 +3,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.UUID;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -14,6 +17,8 @@
 import dev.wigeonward.platform.http.BodyCollector;
 import dev.wigeonward.platform.http.Json;
 import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.api.Executor;
+import io.servicetalk.concurrent.api.Executors;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -40,13 +45,16 @@
     private final EngineProfile profile;
     private final EngineBatch batch;
     private final String instance = UUID.randomUUID().toString();
+    private final Executor timer = Executors.newFixedSizeExecutor(1);
     private final Map<String, Integer> ran = new LinkedHashMap<>();
+    private final Set<String> versions = new TreeSet<>();
     private long highestFencingNumber;
     private HttpServerContext server;
 
     private EngineEmulator(EngineProfile profile, Clock clock) {
         this.profile = profile;
         this.batch = new EngineBatch(profile, clock);
+        this.versions.add(profile.version());
     }
 
     /** Starts an engine. */
@@ -68,10 +76,20 @@
         return Map.copyOf(ran);
     }
 
+    private synchronized Set<String> versions() {
+        return Set.copyOf(versions);
+    }
+
     private Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
-        return BodyCollector.collect(request, MAX_BODY_BYTES)
-                .map(body -> answer(new Exchange(context, request, responses), body.toByteArray()));
+        Exchange exchange = new Exchange(context, request, responses);
+        boolean order = request.path().equals("/v1/orders");
+        return BodyCollector.collect(request, MAX_BODY_BYTES).flatMap(body -> {
+            StreamingHttpResponse response = answer(exchange, body.toByteArray());
+            return order && profile.loadMillis() > 0
+                    ? timer.timer(Duration.ofMillis(profile.loadMillis())).concat(Single.succeeded(response))
+                    : Single.succeeded(response);
+        });
     }
 
     private StreamingHttpResponse answer(Exchange exchange, byte[] body) {
@@ -92,7 +110,7 @@
                 yield exchange.json(HttpResponseStatus.OK, Map.of());
             }
             case "GET /health" ->
-                exchange.json(HttpResponseStatus.OK, Map.of("instance", instance, "version", profile.version()));
+                exchange.json(HttpResponseStatus.OK, Map.of("instance", instance, "versions", versions()));
             case "GET /v1/load" -> exchange.json(HttpResponseStatus.OK, batch.laggingLoad());
             case "GET /v1/cache-events" ->
                 exchange.json(HttpResponseStatus.OK, batch.cacheEventsAfter(exchange.intParameter("after")));
@@ -114,9 +132,15 @@
         }
         CharSequence givenId = exchange.request.headers().get("x-request-id");
         String id = givenId == null ? UUID.randomUUID().toString() : givenId.toString();
+        CharSequence givenVersion = exchange.request.headers().get("x-model-version");
+        String version = givenVersion == null ? profile.version() : givenVersion.toString();
+        if (!versions().contains(version)) {
+            return exchange.error(HttpResponseStatus.NOT_FOUND, "version " + version + " is not loaded");
+        }
         EngineStream stream = new EngineStream(
                 id,
                 profile.model(),
+                version,
                 json.get().path("stream").asBoolean(false),
                 Math.max(1, contentLength(json.get()) / CHARACTERS_PER_TOKEN),
                 json.get().path("max_tokens").asInt(DEFAULT_OUTPUT_TOKENS),
@@ -166,15 +190,25 @@
             return exchange.error(HttpResponseStatus.CONFLICT, "the fencing number is old");
         }
         highestFencingNumber = Math.max(highestFencingNumber, fencingNumber);
+        String version = json.get().path("version").asText();
+        switch (json.get().path("kind").asText()) {
+            case "load" -> versions.add(version);
+            case "unload" -> versions.remove(version);
+            default -> {
+                // A change of role changes nothing in the emulator.
+            }
+        }
         return exchange.json(HttpResponseStatus.OK, Map.of("state", "done"));
     }
 
     private StreamingHttpResponse setFaults(Exchange exchange, byte[] body) {
         JsonNode json = Json.read(body).orElse(Json.mapper().createObjectNode());
-        batch.setFaults(new EngineFaults(
-                json.path("slow_factor").asDouble(1),
-                json.path("fail_every").asInt(0),
-                json.path("fail_above_running").asInt(0)));
+        batch.setFaults(
+                json.path("version").asText(),
+                new EngineFaults(
+                        json.path("slow_factor").asDouble(1),
+                        json.path("fail_every").asInt(0),
+                        json.path("fail_above_running").asInt(0)));
         return exchange.json(HttpResponseStatus.OK, Map.of());
     }
 
@@ -186,6 +220,7 @@
     @Override
     public void close() {
         server.closeAsync().subscribe();
+        timer.closeAsync().subscribe();
         batch.close();
     }
 
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineProfile.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineProfile.java
@@ -10,6 +10,7 @@
  * @param reportLagMillis age of load reports and cache events
  * @param crashMarker text in a prompt that ends the process; empty for none
  * @param checksFencing whether orders with an old fencing number are refused
+ * @param loadMillis time to load a version
  */
 public record EngineProfile(
         String model,
@@ -20,7 +21,8 @@
         int cachedPrefixes,
         long reportLagMillis,
         String crashMarker,
-        boolean checksFencing) {
+        boolean checksFencing,
+        long loadMillis) {
     public EngineProfile {
         Preconditions.checkArgument(slots > 0, "slots is %s", slots);
         Preconditions.checkArgument(prefillTokensPerSecond > 0, "prefillTokensPerSecond is %s", prefillTokensPerSecond);
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineStream.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineStream.java
@@ -21,6 +21,7 @@
 
     private final String id;
     private final String model;
+    private final String version;
     private final boolean events;
     private final int promptTokens;
     private final int outputTokens;
@@ -36,9 +37,16 @@
     private long endedAtMillis;
 
     EngineStream(
-            String id, String model, boolean events, int promptTokens, int outputTokens, BufferAllocator allocator) {
+            String id,
+            String model,
+            String version,
+            boolean events,
+            int promptTokens,
+            int outputTokens,
+            BufferAllocator allocator) {
         this.id = id;
         this.model = model;
+        this.version = version;
         this.events = events;
         this.promptTokens = promptTokens;
         this.outputTokens = outputTokens;
@@ -50,6 +58,10 @@
         return id;
     }
 
+    String version() {
+        return version;
+    }
+
     boolean events() {
         return events;
     }
