Store operators' revisions through the key-value client

Ruled out: the text in head and in the history (doubles each write and passes etcd's request limit at 1 MB), so head only names the number. Conclusion: a change whose reply was lost is recognized by its apply id.

--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
@@ -9,6 +9,7 @@
 
 import dev.wigeonward.core.dispatch.ClaimAnswer;
 import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.platform.store.Claim;
 import dev.wigeonward.platform.store.ClaimKey;
 import dev.wigeonward.platform.store.ClaimReply;
 import dev.wigeonward.platform.store.ClaimRequest;
@@ -29,16 +30,20 @@
     private static final int KEYS = 4;
     private static final int ROUNDS = 6;
 
+    private static ClaimStore entry(StoreFixture fixture, UnaryOperator<KeyValueStore> variant, long seed) {
+        KeyValueStore store = variant.apply(fixture.store);
+        return ClaimStore.create(store, fixture.clock, fixture.thread, fixture.metrics, new Random(seed));
+    }
+
+    private static ClaimRequest request(int key, String requestId) {
+        return new ClaimRequest(ClaimKey.of("w", "k" + key), new RequestId(requestId), "content", "u1", 1);
+    }
+
     /** Fails when a key is granted twice while replies are lost before and after their writes take effect. */
     private static void checkGrants(long seed, int losePercent, UnaryOperator<KeyValueStore> variant) {
         try (StoreFixture fixture = new StoreFixture()) {
             List<ClaimStore> entries = IntStream.range(0, ENTRIES)
-                    .mapToObj(i -> ClaimStore.create(
-                            variant.apply(fixture.store),
-                            fixture.clock,
-                            fixture.thread,
-                            fixture.metrics,
-                            new Random(seed * ENTRIES + i)))
+                    .mapToObj(i -> entry(fixture, variant, seed * ENTRIES + i))
                     .toList();
             fixture.standin.setFaults(KvFaults.random(losePercent / 100.0, losePercent / 200.0, seed));
             Random random = new Random(seed);
@@ -49,13 +54,7 @@
                 for (int i = 0; i < ENTRIES; i++) {
                     int key = random.nextInt(KEYS);
                     keys.add(key);
-                    replies.add(entries.get(i)
-                            .claim(new ClaimRequest(
-                                    ClaimKey.of("w", "k" + key),
-                                    new RequestId("r" + round + "-" + i),
-                                    "content",
-                                    "u1",
-                                    1)));
+                    replies.add(entries.get(i).claim(request(key, "r" + round + "-" + i)));
                 }
                 for (int i = 0; i < ENTRIES; i++) {
                     if (await(replies.get(i)).answer() instanceof ClaimAnswer.Granted) {
@@ -74,6 +73,42 @@
         checkGrants(seed, losePercent, store -> store);
     }
 
+    /** Fails when the owner may go on after a takeover, while replies are lost. */
+    private static void checkMoveAgainstTakeover(long seed, UnaryOperator<KeyValueStore> variant) {
+        try (StoreFixture fixture = new StoreFixture()) {
+            ClaimStore owner = entry(fixture, variant, 2 * seed);
+            ClaimStore other = entry(fixture, variant, 2 * seed + 1);
+            for (int key = 0; key < KEYS; key++) {
+                fixture.standin.setFaults(KvFaults.none());
+                Claim claim = await(owner.claim(request(key, "owner"))).claim().orElseThrow();
+                fixture.standin.setFaults(KvFaults.random(0.3, 0.2, seed + key));
+                CompletableFuture<ClaimReply> move = owner.move(claim, "u2", 2);
+                CompletableFuture<ClaimReply> takeover = other.takeOver(request(key, "other"), claim.claimId());
+                boolean both = await(move).claim().isPresent()
+                        && await(takeover).claim().isPresent();
+                assertThat(both).as("grants of a move and a takeover").isFalse();
+            }
+        }
+    }
+
+    /** Guards against an owner that moves its request on while another one takes it over, when replies are lost. */
+    @Property(tries = 10, shrinking = ShrinkingMode.OFF)
+    void eitherMoveOrTakeoverIsGranted(@ForAll @IntRange(max = 100_000) int seed) {
+        checkMoveAgainstTakeover(seed, store -> store);
+    }
+
+    /** Shows that the check fails for a store that writes without looking at the conditions. */
+    @Example
+    void checkFindsMovesAfterATakeover() {
+        assertThatThrownBy(() -> {
+                    for (int seed = 0; seed < 10; seed++) {
+                        checkMoveAgainstTakeover(seed, ForwardingStore::ignoringCompares);
+                    }
+                })
+                .isInstanceOf(AssertionError.class)
+                .hasMessageContaining("grants of a move and a takeover");
+    }
+
     /** Shows that the check fails for a store that takes a lost reply for a success. */
     @Example
     void checkFindsLostRepliesTakenForSuccess() {
--- /dev/null
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
@@ -0,0 +1,154 @@
+package dev.wigeonward.standins.kv;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
+
+import dev.wigeonward.core.revision.Revision;
+import dev.wigeonward.core.revision.RevisionStore;
+import dev.wigeonward.core.revision.StoredRevision;
+import dev.wigeonward.platform.store.EtcdRevisionStore;
+import dev.wigeonward.platform.store.HeadWatch;
+import dev.wigeonward.platform.store.KeyValue;
+import dev.wigeonward.platform.store.KeyValueStore;
+import dev.wigeonward.platform.store.ReadResult;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static dev.wigeonward.standins.Awaiting.awaitUntil;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class EtcdRevisionStoreTest {
+    private final StoreFixture fixture = new StoreFixture();
+    private final EtcdRevisionStore revisions = EtcdRevisionStore.create(fixture.store, 10_000);
+
+    @AfterEach
+    void close() {
+        fixture.close();
+    }
+
+    private static StoredRevision revision(long number, String applyId) {
+        return new StoredRevision(Revision.of(number, "rule " + number + " ü\n", "ana", "test"), applyId, 5);
+    }
+
+    private void apply(StoredRevision next) {
+        assertThat(revisions.compareAndSwapHead(next.revision().number() - 1, next))
+                .isEqualTo(new RevisionStore.WriteResult.Applied());
+    }
+
+    /** Guards against revisions that change on their way through the store, and against a history in another order. */
+    @Test
+    void headAndHistoryReadBack() {
+        assertThat(revisions.readHead()).isEqualTo(new RevisionStore.HeadResult.Empty());
+        assertThat(revisions.readHistory(9, 9)).isEqualTo(new RevisionStore.HistoryResult.Page(List.of()));
+        for (int number = 1; number <= 12; number++) {
+            apply(revision(number, "id" + number));
+        }
+        assertThat(revisions.readHead()).isEqualTo(new RevisionStore.HeadResult.Found(revision(12, "id12")));
+        assertThat(revisions.readHistory(11, 6))
+                .isEqualTo(new RevisionStore.HistoryResult.Page(List.of(
+                        revision(11, "id11"),
+                        revision(10, "id10"),
+                        revision(9, "id9"),
+                        revision(8, "id8"),
+                        revision(7, "id7"),
+                        revision(6, "id6"))));
+        assertThat(revisions.readHistory(Long.MAX_VALUE, 100))
+                .isInstanceOfSatisfying(RevisionStore.HistoryResult.Page.class, page -> assertThat(page.entries())
+                        .hasSize(12));
+    }
+
+    /** Fails if an operator's change replaces one that the operator did not see. */
+    private void checkConflict(UnaryOperator<KeyValueStore> variant) {
+        RevisionStore other = EtcdRevisionStore.create(variant.apply(fixture.store), 10_000);
+        apply(revision(1, "mine"));
+        assertThat(other.compareAndSwapHead(0, revision(1, "other")))
+                .isEqualTo(new RevisionStore.WriteResult.Conflict(revision(1, "mine")));
+        assertThat(revisions.readHead()).isEqualTo(new RevisionStore.HeadResult.Found(revision(1, "mine")));
+    }
+
+    /** Guards against operators who overwrite each other's change, also when both read head before either wrote. */
+    @Test
+    void secondOperatorGetsAConflict() {
+        checkConflict(store -> store);
+    }
+
+    /** Shows that the check fails for a store that reads an old head and ignores the condition of the write. */
+    @Test
+    void checkFindsAnUnconditionalWrite() {
+        assertThatThrownBy(() -> checkConflict(store -> ForwardingStore.ignoringCompares(blindTo(store))))
+                .isInstanceOf(AssertionError.class);
+    }
+
+    /** Guards against a conflict that is found only by the first read, not by the condition of the write. */
+    @Test
+    void writeIsConditionalOnTheHeadThatWasRead() {
+        checkConflict(EtcdRevisionStoreTest::blindTo);
+    }
+
+    /** Returns a store whose first read answers as if nothing had been written yet. */
+    private static KeyValueStore blindTo(KeyValueStore store) {
+        return new ForwardingStore(store) {
+            private boolean asked;
+
+            @Override
+            public synchronized CompletableFuture<ReadResult<Optional<KeyValue>>> get(String key) {
+                if (asked) {
+                    return super.get(key);
+                }
+                asked = true;
+                return super.get("/wigeonward/none");
+            }
+        };
+    }
+
+    /** Guards against an accepted change reported as failed, and against an outage that looks like a conflict. */
+    @Test
+    void lostReplyIsRecognizedAndOutagesAreReported() {
+        fixture.standin.setFaults(KvFaults.loseNext(1));
+        assertThat(revisions.compareAndSwapHead(4, revision(5, "id5")))
+                .isEqualTo(new RevisionStore.WriteResult.HeadMissing());
+        apply(revision(1, "id1"));
+        apply(revision(2, "id2"));
+        assertThat(revisions.compareAndSwapHead(0, revision(1, "id1")))
+                .isEqualTo(new RevisionStore.WriteResult.Applied());
+
+        assertThat(revisions.compareAndSwapHead(4, revision(5, "id5")))
+                .isEqualTo(new RevisionStore.WriteResult.Conflict(revision(2, "id2")));
+
+        fixture.standin.setFaults(KvFaults.random(0, 1, 1));
+        assertThat(revisions.compareAndSwapHead(2, revision(3, "id3")))
+                .isInstanceOf(RevisionStore.WriteResult.Unavailable.class);
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        assertThat(revisions.compareAndSwapHead(2, revision(3, "id3")))
+                .isInstanceOf(RevisionStore.WriteResult.Unavailable.class);
+        assertThat(revisions.readHead()).isInstanceOf(RevisionStore.HeadResult.Unavailable.class);
+        assertThat(revisions.readHistory(1, 1)).isInstanceOf(RevisionStore.HistoryResult.Unavailable.class);
+    }
+
+    /** Guards against readers that miss a change made before, during or after an outage. */
+    @Test
+    void headWatchReportsEachState() {
+        List<RevisionStore.HeadResult> heads = new CopyOnWriteArrayList<>();
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        HeadWatch watch = HeadWatch.start(fixture.store, revisions, fixture.thread, new Random(1), heads::add);
+        awaitUntil("the outage", () -> !heads.isEmpty());
+        fixture.standin.setFaults(KvFaults.none());
+        awaitUntil("no head", () -> heads.contains(new RevisionStore.HeadResult.Empty()));
+        apply(revision(1, "id1"));
+        awaitUntil("head 1", () -> heads.contains(new RevisionStore.HeadResult.Found(revision(1, "id1"))));
+
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.DROP));
+        awaitUntil("the cut", () -> fixture.standin.waitingWatches() == 0);
+        fixture.standin.setFaults(KvFaults.none());
+        awaitUntil("a write", () -> revisions
+                .compareAndSwapHead(1, revision(2, "id2"))
+                .equals(new RevisionStore.WriteResult.Applied()));
+        awaitUntil("head 2", () -> heads.contains(new RevisionStore.HeadResult.Found(revision(2, "id2"))));
+        watch.close();
+    }
+}
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
@@ -259,4 +259,20 @@
         awaitUntil("later changes", () -> recorder.values().contains("v59"));
         watch.close();
     }
+
+    /** Guards against a watch that waits for a revision which a restored service reaches much later. */
+    @Test
+    void restoredServiceIsReported() throws Exception {
+        Recorder recorder = new Recorder();
+        put("/w/a", "1");
+        put("/w/a", "2");
+        AutoCloseable watch = store.watch("/w/", 1, recorder);
+        recorder.awaitValues("1", "2");
+        fixture.stopStandin();
+        fixture.restartStandin();
+        awaitUntil("the report", recorder.compacted::get);
+        awaitUntil("a write", () -> put("/w/a", "3") instanceof WriteResult.Applied);
+        recorder.awaitValues("1", "2", "3");
+        watch.close();
+    }
 }
