Make the quickstart pass: every kind of request through real processes

Cause: the demo sent a batch request with a workspace that may not use that tier, and the refusal blamed x-tier; ten JVM starts only to register VMs cost 20 s. Change: own key for the long request, clearer message, one registration call.

--- a/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
@@ -101,7 +101,9 @@
         }
         Optional<Tier> tier = tier(request, rules, workspace, kind.get());
         if (tier.isEmpty()) {
-            return refused(ErrorKind.MALFORMED_REQUEST, "x-tier names no tier that this workspace may use");
+            return refused(
+                    ErrorKind.MALFORMED_REQUEST,
+                    "the workspace may not use the tier of this kind of request, or the one that x-tier names");
         }
         Optional<Long> limitMillis = timeLimitMillis(request, kind.get());
         if (limitMillis.isEmpty()) {
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
@@ -2,7 +2,6 @@
 
 import java.security.SecureRandom;
 import java.time.Clock;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadFactory;
@@ -19,21 +18,18 @@
 import dev.wigeonward.platform.store.StoreControllerLease;
 import dev.wigeonward.platform.store.StoreOptions;
 
-/** All that an entry does at the store, on a thread of its own, and one more for calls that wait. */
+/** All that an entry does at the store, on a thread of its own. */
 public final class StoreAdapters implements AutoCloseable {
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(daemon("store"));
-    private final ExecutorService waiting = Executors.newSingleThreadExecutor(daemon("store-reads"));
     private final SecureRandom random = new SecureRandom();
-    private final StoreOptions options;
     private final KeyValueStore store;
-    private final RevisionStore revisions;
+    private final EtcdRevisionStore revisions;
     private final StoreClaims claims;
     private final StoreMoves moves;
     private final StoreControllerLease lease;
 
     /** Returns adapters that connect with their first call. */
     public StoreAdapters(StoreOptions options, String entryId, Clock clock, MetricRegistry metrics) {
-        this.options = options;
         this.store = EtcdStore.connect(options, clock, thread, metrics, random);
         this.revisions = EtcdRevisionStore.create(store, options.callTimeoutMillis());
         this.claims = new StoreClaims(ClaimStore.create(store, clock, thread, metrics, random));
@@ -54,11 +50,6 @@
         return store;
     }
 
-    /** Returns the operators' revisions. */
-    public RevisionStore revisions() {
-        return revisions;
-    }
-
     /** Returns the durable claims. */
     public StoreClaims claims() {
         return claims;
@@ -76,19 +67,15 @@
 
     /** Returns a watch on the newest revision that is not active yet. */
     public HeadWatch headWatch(Consumer<RevisionStore.HeadResult> listener) {
-        return new StoreHeadWatch(store, revisions, waiting, listener);
-    }
-
-    /** Returns how the store is used. */
-    public StoreOptions options() {
-        return options;
+        return new StoreHeadWatch(
+                listening -> dev.wigeonward.platform.store.HeadWatch.start(store, revisions, thread, random, listening),
+                listener);
     }
 
     @Override
     public void close() {
         lease.close();
         store.close();
-        waiting.shutdown();
         thread.shutdown();
     }
 
--- a/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
+++ b/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
@@ -35,6 +35,9 @@
     @Option(name = "--key", required = true, usage = "bearer key of a workspace")
     private String key;
 
+    @Option(name = "--long-key", required = true, usage = "bearer key of a workspace that may send long requests")
+    private String longKey;
+
     @Option(name = "--upstreams", usage = "upstreams that each entry must reach first")
     private int upstreams = 3;
 
@@ -55,7 +58,12 @@
             check(
                     out,
                     "long request",
-                    calls.call(entry.get(1), HttpRequestMethod.POST, CHAT, auth, chat(2_000, false)),
+                    calls.call(
+                            entry.get(1),
+                            HttpRequestMethod.POST,
+                            CHAT,
+                            Map.of("authorization", "Bearer " + longKey),
+                            chat(2_000, false)),
                     answered("w1999"));
             check(
                     out,
--- a/standins/src/main/java/dev/wigeonward/standins/vms/RegisterCommand.java
+++ b/standins/src/main/java/dev/wigeonward/standins/vms/RegisterCommand.java
@@ -1,9 +1,12 @@
 package dev.wigeonward.standins.vms;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.base.Splitter;
 import com.google.common.net.HostAndPort;
 import dev.wigeonward.standins.http.HttpStandin;
 import io.servicetalk.http.api.HttpClient;
@@ -11,44 +14,36 @@
 import io.servicetalk.http.netty.HttpClients;
 import org.kohsuke.args4j.Option;
 
-/** Registers, changes or removes one VM in a running list. */
+/** Registers, changes or removes VMs in a running list. */
 public final class RegisterCommand {
+    private static final int PARTS = 4;
+    private static final int STATUS_OK = 200;
+
     @Option(name = "--vms", metaVar = "HOST:PORT", required = true, usage = "address of the list")
     private String list;
 
-    @Option(name = "--id", required = true, usage = "id of the VM")
-    private String id;
-
-    @Option(name = "--role", required = true, usage = "entry, or the model or service that runs on the VM")
-    private String role;
-
-    @Option(name = "--address", metaVar = "HOST:PORT", required = true, usage = "address of the process on the VM")
-    private String address;
-
-    @Option(name = "--failure-domain", required = true, usage = "failure domain of the VM")
-    private String failureDomain;
+    @Option(
+            name = "--vm",
+            metaVar = "ID,ROLE,HOST:PORT,FAILURE_DOMAIN",
+            required = true,
+            usage = "VM to register; the role is entry, or the model or service that runs on it; may be repeated")
+    private List<String> vms = new ArrayList<>();
 
     @Option(name = "--state", usage = "live, leaving or gone")
     private String state = "live";
 
-    /** Returns 0 if the list took the VM, 1 if not. */
+    /** Returns 0 if the list took all VMs, 1 if not. */
     public int run() throws InterruptedException, JsonProcessingException {
         HostAndPort target = HostAndPort.fromString(list);
         HttpClient client =
                 HttpClients.forSingleAddress(target.getHost(), target.getPort()).build();
         try {
-            byte[] body =
-                    HttpStandin.JSON.writeValueAsBytes(new VmRecord(id, role, address, failureDomain, state));
-            HttpResponse response = client.request(client.post("/admin/vms")
-                            .payloadBody(
-                                    client.executionContext().bufferAllocator().wrap(body)))
-                    .toFuture()
-                    .get();
-            if (response.status().code() == 200) {
-                return 0;
+            for (String vm : vms) {
+                if (!register(client, vm)) {
+                    return 1;
+                }
             }
-            System.err.println(response.status() + " " + response.payloadBody().toString(StandardCharsets.UTF_8));
-            return 1;
+            return 0;
         } catch (ExecutionException e) {
             System.err.println(list + " does not answer: " + e.getCause());
             return 1;
@@ -56,4 +51,24 @@
             client.closeAsync().subscribe();
         }
     }
+
+    private boolean register(HttpClient client, String vm)
+            throws InterruptedException, ExecutionException, JsonProcessingException {
+        List<String> parts = Splitter.on(',').splitToList(vm);
+        if (parts.size() != PARTS) {
+            System.err.println("--vm is " + vm + "; expected ID,ROLE,HOST:PORT,FAILURE_DOMAIN");
+            return false;
+        }
+        VmRecord record = new VmRecord(parts.get(0), parts.get(1), parts.get(2), parts.get(3), state);
+        byte[] body = HttpStandin.JSON.writeValueAsBytes(record);
+        HttpResponse response = client.request(client.post("/admin/vms")
+                        .payloadBody(client.executionContext().bufferAllocator().wrap(body)))
+                .toFuture()
+                .get();
+        if (response.status().code() != STATUS_OK) {
+            System.err.println(response.status() + " " + response.payloadBody().toString(StandardCharsets.UTF_8));
+            return false;
+        }
+        return true;
+    }
 }
