--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -5,13 +5,12 @@
 
 import dev.wigeonward.measure.goodput.GoodputMeasurement;
 import dev.wigeonward.measure.placement.PlacementQuality;
+import dev.wigeonward.measure.store.StoreCallsMeasurement;
 
 /** The list of all measurements. */
 final class Measurements {
     private static final List<Measurement> ALL = List.of(
-            new GoodputMeasurement(),
-            new PlacementQuality(),
-            new RevisionSpread());
+            new GoodputMeasurement(), new PlacementQuality(), new RevisionSpread(), new StoreCallsMeasurement());
 
     private Measurements() {}
 
