--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -5,6 +5,7 @@
 
 import dev.wigeonward.measure.goodput.GoodputMeasurement;
 import dev.wigeonward.measure.placement.PlacementQuality;
+import dev.wigeonward.measure.revision.RevisionSpread;
 import dev.wigeonward.measure.store.StoreCallsMeasurement;
 
 /** The list of all measurements. */
--- a/measurement/src/main/java/dev/wigeonward/measure/FrameSizes.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/FrameSizes.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.measure;
+package dev.wigeonward.measure.revision;
 
 import dev.wigeonward.core.revision.RelayEffect;
 
--- a/measurement/src/main/java/dev/wigeonward/measure/RevisionSpread.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/RevisionSpread.java
@@ -1,11 +1,14 @@
-package dev.wigeonward.measure;
+package dev.wigeonward.measure.revision;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
+import dev.wigeonward.measure.Measurement;
+import dev.wigeonward.measure.Report;
+
 /** Time until an accepted revision is in force everywhere, and the bytes this takes. */
-final class RevisionSpread implements Measurement {
+public final class RevisionSpread implements Measurement {
     private static final long TARGET_MILLIS = 6_000;
     private static final double CHANGES_PER_SECOND = 5_900 / 86_400.0;
     private static final int BUDGET_BYTES_PER_SECOND = 4_000;
--- a/measurement/src/main/java/dev/wigeonward/measure/SpreadSimulation.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/SpreadSimulation.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.measure;
+package dev.wigeonward.measure.revision;
 
 import java.util.ArrayList;
 import java.util.Arrays;
