--- a/measurement/src/main/java/dev/wigeonward/measure/revision/FrameSizes.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/FrameSizes.java
@@ -15,8 +15,8 @@
     /** Revision and fencing number; an agent's load report is not counted here. */
     static final int HEARTBEAT_BYTES = ENVELOPE_BYTES + 2 * NUMBER_BYTES;
 
-    /** The same with the hash of the revision. */
-    static final int HEARTBEAT_WITH_HASH_BYTES = HEARTBEAT_BYTES + HASH_FIELD_BYTES;
+    /** The same with the hash of the revision, which this frame carries as 64 hex digits. */
+    static final int HEARTBEAT_WITH_HASH_BYTES = HEARTBEAT_BYTES + 2 * HASH_BYTES + FIELD_OVERHEAD_BYTES;
 
     private static final int OFFER_BYTES = ENVELOPE_BYTES + NUMBER_BYTES + HASH_FIELD_BYTES;
 
