--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
@@ -80,7 +80,7 @@
         if (!loaded
                 || move.activeMillis < settings.minStageMillis()
                 || !move.evidence.allRoutesPassed()
-                || move.evidence.isSuspect()) {
+                || move.evidence.isSuspect(nowMillis)) {
             return Optional.empty();
         }
         MovePhase phase = share == Stage.ALL_BASIS_POINTS ? MovePhase.WATCHING : MovePhase.GROWING;
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
@@ -67,7 +67,7 @@
         } else if (event instanceof ControllerEvent.EvidenceReported reported) {
             Move move = moves.get(reported.version().model());
             if (move != null && !move.record.phase().isOver()) {
-                move.evidence.add(reported);
+                move.evidence.add(reported, nowMillis);
             }
         } else if (event instanceof ControllerEvent.VerdictLearned learned) {
             addVerdict(learned.verdict(), nowMillis);
@@ -341,7 +341,7 @@
         if (step) {
             effects.add(new ControllerEffect.ReportStep(report(move, move.record.reason(), nowMillis)));
             move.activeMillis = 0;
-            move.evidence.startStage();
+            move.evidence.startStage(nowMillis);
             publish(nowMillis);
         }
         sendOrders(move, nowMillis);
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveEvidence.java
@@ -42,7 +42,7 @@
         this.newVersion = newVersion;
     }
 
-    void add(ControllerEvent.EvidenceReported report) {
+    void add(ControllerEvent.EvidenceReported report, long nowMillis) {
         String version = report.version().version();
         if (!version.equals(oldVersion) && !version.equals(newVersion)) {
             return;
@@ -61,6 +61,9 @@
             window.earlierOld = window.earlierOld.plus(added);
         } else {
             window.newEvidence = window.newEvidence.plus(added);
+            if (added.requests() > 0) {
+                window.lastEvidenceMillis = nowMillis;
+            }
         }
     }
 
@@ -73,14 +76,17 @@
             RouteJudgement judgement =
                     judge.judge(window.cell, window.recentOld, comparable(window), window.newEvidence, truncated);
             window.last = judgement;
-            if (judgement.verdict() != Verdict.BAD) {
-                window.suspectSinceMillis = NEVER;
-            } else if (judge.needsNoConfirmation(window.recentOld, window.newEvidence)
-                    || window.suspectFor(nowMillis) >= confirmMillis) {
-                return Optional.of(judgement);
+            if (judgement.verdict() == Verdict.BAD) {
+                if (judge.needsNoConfirmation(window.recentOld, window.newEvidence)
+                        || window.suspectFor(nowMillis) >= confirmMillis) {
+                    return Optional.of(judgement);
+                }
+                // Only requests that ended after the suspicion arose can confirm it.
+                window.restart(nowMillis);
             }
             if (judgement.verdict() == Verdict.GOOD) {
                 window.passed = true;
+                window.suspectSinceMillis = NEVER;
                 if (truncated || nowMillis - window.startMillis >= MIN_WINDOW_MILLIS) {
                     window.restart(nowMillis);
                 }
@@ -89,9 +95,11 @@
         return Optional.empty();
     }
 
-    /** Returns whether a route looks bad, but not yet for long enough to be called bad. */
-    boolean isSuspect() {
-        return windows.values().stream().anyMatch(window -> window.suspectSinceMillis != NEVER);
+    /** Returns whether a route that still gets requests looks bad, but not yet for long enough to be called bad. */
+    boolean isSuspect(long nowMillis) {
+        return windows.values().stream()
+                .anyMatch(window ->
+                        window.suspectSinceMillis != NEVER && nowMillis - window.lastEvidenceMillis <= confirmMillis);
     }
 
     /** Returns whether each route with requests passed since the stage started, loaded or not. */
@@ -107,9 +115,15 @@
         return !routes.isEmpty() && passed.containsAll(routes);
     }
 
-    /** Asks each route to pass again; evidence gathered since its last pass still counts. */
-    void startStage() {
-        windows.values().forEach(window -> window.passed = false);
+    /**
+     * Asks each route to pass again. Evidence of before is left out, because the versions had other shares then and would
+     * show a disturbance to different degrees.
+     */
+    void startStage(long nowMillis) {
+        windows.values().forEach(window -> {
+            window.passed = false;
+            window.restart(nowMillis);
+        });
     }
 
     /** Returns the last judgement of each route, loaded or not. */
@@ -146,6 +160,7 @@
         private RouteJudgement last;
         private boolean passed;
         private long startMillis;
+        private long lastEvidenceMillis;
         private long suspectSinceMillis = NEVER;
 
         Window(RouteCell cell) {
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionSelector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionSelector.java
@@ -29,7 +29,7 @@
     private final StageView view;
     private final ShareLimiter limiter;
     private final Map<String, String> onlyVersionByModel = new HashMap<>();
-    private final Map<String, Boolean> choices = new LinkedHashMap<>();
+    private final Map<String, Choice> choices = new LinkedHashMap<>();
 
     public VersionSelector(StageView view, ShareLimiter limiter) {
         this.view = view;
@@ -81,10 +81,9 @@
     }
 
     private boolean isChosen(RequestSpec request, String newVersion, int shareBasisPoints) {
-        String choiceKey = newVersion + '/' + request.id().value();
-        Boolean earlier = choices.get(choiceKey);
-        if (earlier != null) {
-            return earlier;
+        Choice earlier = choices.get(request.id().value());
+        if (earlier != null && earlier.newVersion.equals(newVersion)) {
+            return earlier.chosen;
         }
         int draw = Math.floorMod(
                 Hashing.murmur3_32_fixed()
@@ -94,10 +93,12 @@
         boolean drawn = draw < shareBasisPoints * DRAW_FACTOR;
         boolean chosen =
                 limiter.count(new ModelVersion(request.target(), newVersion), request.route(), shareBasisPoints, drawn);
-        choices.put(choiceKey, chosen);
+        choices.put(request.id().value(), new Choice(newVersion, chosen));
         if (choices.size() > MAX_REMEMBERED_CHOICES) {
             choices.remove(choices.keySet().iterator().next());
         }
         return chosen;
     }
+
+    private record Choice(String newVersion, boolean chosen) {}
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Optional;
 
+import dev.wigeonward.measure.moves.MovesMeasurement;
+
 /** The list of all measurements. */
 final class Measurements {
-    private static final List<Measurement> ALL = List.of();
+    private static final List<Measurement> ALL = List.of(new MovesMeasurement());
 
     private Measurements() {}
 
--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/FixedRollout.java
@@ -0,0 +1,86 @@
+package dev.wigeonward.measure.moves;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import dev.wigeonward.core.order.Order;
+import dev.wigeonward.core.rollout.BadVerdict;
+import dev.wigeonward.core.rollout.ControllerEvent;
+import dev.wigeonward.core.rollout.ControllerEvent.EvidenceReported;
+import dev.wigeonward.core.rollout.ControllerStages;
+import dev.wigeonward.core.rollout.EvidenceCounters;
+import dev.wigeonward.core.rollout.EvidenceRecorder;
+import dev.wigeonward.core.rollout.ModelVersion;
+import dev.wigeonward.core.rollout.Stage;
+
+/**
+ * The comparison: the same shares by time, and a rollback when 5% of the new version's requests failed over the last 30
+ * s. It needs no store and never stops, so outages and lost controllers do not touch it.
+ */
+final class FixedRollout implements Rollout {
+    private static final int[] SHARES_BASIS_POINTS = {200, 1_000, 2_500, 5_000, 10_000};
+    private static final long STAGE_MILLIS = 100_000;
+    private static final long LOADED_MILLIS = 30_000;
+    private static final long WINDOW_MILLIS = 30_000;
+    private static final long RENEW_MILLIS = 2_000;
+    private static final double FAILURE_LIMIT = 0.05;
+    private static final int MIN_REQUESTS = 10;
+    private static final ModelVersion NEW = new ModelVersion(MoveCase.MODEL, MoveCase.NEW);
+
+    private final List<SimulatedAgent> agents;
+    private final Map<String, EvidenceCounters> latest = new HashMap<>();
+    private long windowRequests;
+    private long windowFailures;
+    private long windowStartMillis;
+    private long sequence;
+    private boolean ordered;
+    private boolean bad;
+
+    FixedRollout(List<SimulatedAgent> agents) {
+        this.agents = agents;
+    }
+
+    @Override
+    public void report(List<ControllerEvent> events, long nowMillis) {
+        for (ControllerEvent event : events) {
+            if (event instanceof EvidenceReported reported && reported.version().equals(NEW)) {
+                EvidenceRecorder.Key key = new EvidenceRecorder.Key(reported.version(), reported.cell());
+                String source = reported.upstreamId() + "/" + reported.incarnation() + "/" + key;
+                EvidenceCounters before = latest.put(source, reported.counters());
+                windowRequests += reported.counters().requests() - (before == null ? 0 : before.requests());
+                windowFailures += reported.counters().failures() - (before == null ? 0 : before.failures());
+            }
+        }
+    }
+
+    @Override
+    public void step(long nowMillis, Publisher publisher) {
+        if (!ordered) {
+            ordered = true;
+            agents.forEach(agent -> agent.receive(
+                    new Order(1, "load/" + agent.id(), Order.Kind.LOAD, MoveCase.MODEL, MoveCase.NEW, ""), nowMillis));
+        }
+        if (nowMillis - windowStartMillis >= WINDOW_MILLIS) {
+            boolean fails = windowRequests >= MIN_REQUESTS && windowFailures >= FAILURE_LIMIT * windowRequests;
+            if (fails && !bad) {
+                bad = true;
+                publisher.publish(new BadVerdict(NEW, "5% failures"));
+                publish(0, publisher);
+            }
+            windowRequests = 0;
+            windowFailures = 0;
+            windowStartMillis = nowMillis;
+        }
+        if (nowMillis % RENEW_MILLIS == 0 && nowMillis >= LOADED_MILLIS) {
+            int stage = (int) Math.min(SHARES_BASIS_POINTS.length - 1, (nowMillis - LOADED_MILLIS) / STAGE_MILLIS);
+            publish(bad ? 0 : SHARES_BASIS_POINTS[stage], publisher);
+        }
+    }
+
+    private void publish(int shareBasisPoints, Publisher publisher) {
+        sequence++;
+        Stage stage = new Stage(MoveCase.MODEL, MoveCase.OLD, MoveCase.NEW, shareBasisPoints, 10_000, true);
+        publisher.publish(new ControllerStages(1, sequence, List.of(stage)));
+    }
+}
--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/MoveCase.java
@@ -0,0 +1,219 @@
+package dev.wigeonward.measure.moves;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+import dev.wigeonward.core.rollout.BadVerdict;
+import dev.wigeonward.core.rollout.ControllerStages;
+import dev.wigeonward.core.rollout.Stage;
+
+/** Plays one case from the rule to the end of watching. */
+final class MoveCase implements Rollout.Publisher {
+    static final String MODEL = "model";
+    static final String OLD = "v1";
+    static final String NEW = "v2";
+    static final long STEP_MILLIS = 100;
+    static final long SHARE_PERIOD_MILLIS = 5_000;
+
+    private static final int ENTRIES = 5;
+    private static final int AGENTS = 6;
+    private static final int CANARY_BASIS_POINTS = 200;
+    private static final long EVIDENCE_MILLIS = 1_000;
+    private static final long REACHABLE_LIMIT_MILLIS = 2_000;
+    private static final long UNREACHABLE_LIMIT_MILLIS = 10_000;
+    /** Time after the verdict or the deadline that is still played. */
+    private static final long AFTER_VERDICT_MILLIS = 90_000;
+
+    private final CaseScript script;
+    private final SplittableRandom random;
+    private final Rollout rollout;
+    private final List<SimulatedEntry> entries = new ArrayList<>();
+    private final Map<String, SimulatedAgent> agents = new LinkedHashMap<>();
+    private final List<SimulatedAgent> agentList;
+    private final List<BadVerdict> verdicts = new ArrayList<>();
+
+    private final long[] requestsByRoute = new long[Route.ALL.size()];
+    private final long[] newRequestsByRoute = new long[Route.ALL.size()];
+    private final List<Double> shares = new ArrayList<>();
+    private long periodRequests;
+    private long periodNewRequests;
+    private long nowMillis;
+    private boolean firstVerdict;
+    private boolean done;
+    private long completedMillis = -1;
+    private long verdictMillis = -1;
+    private long badSinceMillis = -1;
+    private double largestEarlyShare;
+    private long soonAfterVerdict;
+    private long laterReachable;
+    private long laterUnreachable;
+    private long refused;
+
+    private MoveCase(CaseScript script, boolean controlled) {
+        this.script = script;
+        this.random = new SplittableRandom(script.seed() + 1);
+        SimulatedStore store = new SimulatedStore(script.storeOutage(), random.split());
+        for (int i = 0; i < ENTRIES; i++) {
+            entries.add(new SimulatedEntry("e" + i, i == ENTRIES - 1 ? script.isolation() : Interval.NONE));
+        }
+        for (int i = 0; i < AGENTS; i++) {
+            String id = "a" + i;
+            agents.put(
+                    id,
+                    new SimulatedAgent(
+                            id, script, random.split(), () -> controlled ? store.leaseFencingNumber(nowMillis) : 0));
+        }
+        this.agentList = List.copyOf(agents.values());
+        this.rollout = controlled ? new ControlledRollout(script, store, agents) : new FixedRollout(agentList);
+    }
+
+    /** Returns the result with the controller of the core. */
+    static CaseResult playControlled(CaseScript script) {
+        return new MoveCase(script, true).play();
+    }
+
+    /** Returns the result with steps by time. */
+    static CaseResult playFixed(CaseScript script) {
+        return new MoveCase(script, false).play();
+    }
+
+    @Override
+    public void publish(ControllerStages stages) {
+        int share =
+                stages.stages().stream().mapToInt(Stage::shareBasisPoints).max().orElse(0);
+        firstVerdict |= share > CANARY_BASIS_POINTS;
+        if (share == Stage.ALL_BASIS_POINTS && completedMillis < 0) {
+            completedMillis = nowMillis;
+        }
+        done |= stages.stages().stream().anyMatch(Stage::judgedGood) && rollout instanceof ControlledRollout;
+        send(Optional.of(stages));
+    }
+
+    @Override
+    public void publish(BadVerdict verdict) {
+        verdicts.add(verdict);
+        firstVerdict = true;
+        if (verdictMillis < 0) {
+            verdictMillis = nowMillis;
+        }
+        send(Optional.empty());
+    }
+
+    private CaseResult play() {
+        while (!isOver()) {
+            entries.forEach(entry -> entry.step(nowMillis));
+            if (nowMillis == script.agentRestartMillis() / STEP_MILLIS * STEP_MILLIS) {
+                agents.get("a0").restart();
+            }
+            Set<String> versions = new TreeSet<>();
+            for (SimulatedAgent agent : agents.values()) {
+                rollout.report(agent.step(nowMillis), nowMillis);
+                versions.addAll(agent.description().loadedVersions());
+                if (nowMillis % EVIDENCE_MILLIS == 0) {
+                    rollout.report(agent.evidence(nowMillis), nowMillis);
+                }
+            }
+            rollout.step(nowMillis, this);
+            for (int route = 0; route < Route.ALL.size(); route++) {
+                serve(route, versions);
+            }
+            observe(versions);
+            nowMillis += STEP_MILLIS;
+        }
+        return new CaseResult(
+                script,
+                completedMillis,
+                verdictMillis,
+                verdicts.isEmpty() ? "" : verdicts.get(0).reason(),
+                badSinceMillis,
+                largestEarlyShare,
+                soonAfterVerdict,
+                laterReachable,
+                laterUnreachable,
+                refused,
+                List.copyOf(shares));
+    }
+
+    private boolean isOver() {
+        return done
+                || completedMillis >= 0 && nowMillis >= completedMillis + CaseScript.WATCH_MILLIS
+                || nowMillis >= CaseScript.END_MILLIS
+                || verdictMillis >= 0 && nowMillis >= verdictMillis + AFTER_VERDICT_MILLIS;
+    }
+
+    private void serve(int routeIndex, Set<String> versions) {
+        Route route = Route.ALL.get(routeIndex);
+        double mean = route.requestsPerSecond() * STEP_MILLIS / 1_000.0;
+        int count = (int) (mean * (0.5 + random.nextDouble()) + random.nextDouble());
+        for (int i = 0; i < count; i++) {
+            SimulatedEntry entry = entries.get(random.nextInt(ENTRIES));
+            Optional<String> version = entry.select(route, versions, nowMillis);
+            requestsByRoute[routeIndex]++;
+            periodRequests++;
+            if (version.isEmpty()) {
+                refused++;
+                continue;
+            }
+            if (version.get().equals(NEW)) {
+                newRequestsByRoute[routeIndex]++;
+                periodNewRequests++;
+                countAfterVerdict(entry);
+            }
+            agentWith(version.get()).run(route, version.get(), nowMillis);
+        }
+        if (!firstVerdict) {
+            double share = newRequestsByRoute[routeIndex] / (double) Math.max(1, requestsByRoute[routeIndex]);
+            largestEarlyShare = Math.max(largestEarlyShare, share);
+        }
+    }
+
+    private void countAfterVerdict(SimulatedEntry entry) {
+        if (verdictMillis < 0) {
+            return;
+        }
+        long sinceMillis = nowMillis - verdictMillis;
+        if (sinceMillis <= REACHABLE_LIMIT_MILLIS) {
+            soonAfterVerdict++;
+        } else if (entry.isReachable(verdictMillis) && entry.isReachable(nowMillis)) {
+            laterReachable++;
+        } else if (sinceMillis > UNREACHABLE_LIMIT_MILLIS) {
+            laterUnreachable++;
+        }
+    }
+
+    private SimulatedAgent agentWith(String version) {
+        int first = random.nextInt(AGENTS);
+        for (int i = 0; i < AGENTS; i++) {
+            SimulatedAgent agent = agentList.get((first + i) % AGENTS);
+            if (agent.offers(version)) {
+                return agent;
+            }
+        }
+        throw new IllegalStateException("no agent offers " + version);
+    }
+
+    private void observe(Set<String> versions) {
+        boolean anyBad = versions.contains(NEW)
+                && Route.ALL.stream().anyMatch(route -> script.isBadNow(route.name(), nowMillis));
+        if (anyBad && badSinceMillis < 0) {
+            badSinceMillis = nowMillis;
+        }
+        if (nowMillis % SHARE_PERIOD_MILLIS == 0 && periodRequests > 0) {
+            shares.add(periodNewRequests / (double) periodRequests);
+            periodRequests = 0;
+            periodNewRequests = 0;
+        }
+    }
+
+    private void send(Optional<ControllerStages> stages) {
+        for (SimulatedEntry entry : entries) {
+            entry.send(stages, List.copyOf(verdicts), nowMillis + STEP_MILLIS);
+        }
+    }
+}
--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedAgent.java
@@ -0,0 +1,160 @@
+package dev.wigeonward.measure.moves;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+
+import dev.wigeonward.core.order.Order;
+import dev.wigeonward.core.order.OrderEffect;
+import dev.wigeonward.core.order.OrderEvent;
+import dev.wigeonward.core.order.OrderGate;
+import dev.wigeonward.core.rollout.ControllerEvent;
+import dev.wigeonward.core.rollout.EvidenceRecorder;
+import dev.wigeonward.core.rollout.ModelVersion;
+import dev.wigeonward.core.rollout.UpstreamVersions;
+
+/** An agent and its engine with room for two versions. */
+final class SimulatedAgent {
+    private static final double LOAD_THRESHOLD = 0.8;
+    private static final double PEAK_LOAD = 0.9;
+    private static final double USUAL_LOAD = 0.5;
+    private static final double PEAK_SLOWDOWN = 1.4;
+    private static final double BURST_SLOWDOWN = 1.5;
+    private static final double BURST_FAILURE_SHARE = 0.05;
+    private static final double PEAK_FAILURE_SHARE = 0.005;
+    private static final int PLACES = 2;
+    private static final ModelVersion OLD = new ModelVersion(MoveCase.MODEL, MoveCase.OLD);
+    private static final ModelVersion NEW = new ModelVersion(MoveCase.MODEL, MoveCase.NEW);
+
+    private final String id;
+    private final CaseScript script;
+    private final SplittableRandom random;
+    /** Returns the fencing number kept by the store, or a negative number while it is down. */
+    private final LongSupplier storedFencingNumber;
+
+    private final Set<String> versions = new TreeSet<>();
+    private final TreeMap<Long, List<Order>> finishing = new TreeMap<>();
+    private final TreeMap<Long, List<Answered>> running = new TreeMap<>();
+    private OrderGate gate = new OrderGate();
+    private EvidenceRecorder recorder = new EvidenceRecorder(LOAD_THRESHOLD);
+    private long incarnation = 1;
+
+    SimulatedAgent(String id, CaseScript script, SplittableRandom random, LongSupplier storedFencingNumber) {
+        this.id = id;
+        this.script = script;
+        this.random = random;
+        this.storedFencingNumber = storedFencingNumber;
+        versions.add(MoveCase.OLD);
+    }
+
+    String id() {
+        return id;
+    }
+
+    boolean offers(String version) {
+        return versions.contains(version);
+    }
+
+    UpstreamVersions description() {
+        return new UpstreamVersions(id, MoveCase.MODEL, versions, PLACES);
+    }
+
+    /** Runs a request; its outcome is counted when it ends. */
+    void run(Route route, String version, long nowMillis) {
+        boolean peak = script.isUnderLoad(nowMillis);
+        boolean isNew = version.equals(MoveCase.NEW);
+        boolean bad = isNew && script.isBadNow(route.name(), nowMillis);
+        double failureShare = script.baseFailureShare()
+                + (peak ? PEAK_FAILURE_SHARE : 0)
+                + (Interval.anyContains(script.failureBursts(), nowMillis) ? BURST_FAILURE_SHARE : 0)
+                + (bad ? script.addedFailureShare() : 0);
+        double factor = (peak ? PEAK_SLOWDOWN : 1)
+                * (Interval.anyContains(script.slowBursts(), nowMillis) ? BURST_SLOWDOWN : 1)
+                * (isNew ? script.harmlessSlowdown() : 1)
+                * (bad ? script.slowdown() : 1);
+        double elapsedMillis = route.serviceMillis() * factor * Math.exp(script.spread() * random.nextGaussian());
+        int status = random.nextDouble() < failureShare ? 500 : 200;
+        long endMillis = nowMillis + (long) elapsedMillis / MoveCase.STEP_MILLIS * MoveCase.STEP_MILLIS;
+        double load = peak ? PEAK_LOAD : USUAL_LOAD;
+        EvidenceRecorder.Observation observation =
+                recorder.started(isNew ? NEW : OLD, route.name(), load, route.serviceMillis(), nowMillis);
+        running.computeIfAbsent(endMillis, any -> new ArrayList<>())
+                .add(new Answered(observation, status, nowMillis + Math.round(elapsedMillis)));
+    }
+
+    /** Lets time pass and returns what the agent tells the controller. */
+    List<ControllerEvent> step(long nowMillis) {
+        while (!running.isEmpty() && running.firstKey() <= nowMillis) {
+            running.pollFirstEntry().getValue().forEach(Answered::end);
+        }
+        List<ControllerEvent> events = new ArrayList<>();
+        while (!finishing.isEmpty() && finishing.firstKey() <= nowMillis) {
+            for (Order order : finishing.pollFirstEntry().getValue()) {
+                finish(order, events);
+            }
+        }
+        return events;
+    }
+
+    /** Returns the agent's answers to an order. */
+    List<ControllerEvent> receive(Order order, long nowMillis) {
+        List<ControllerEvent> answers = new ArrayList<>();
+        perform(gate.handle(new OrderEvent.OrderReceived(order)), nowMillis, answers);
+        return answers;
+    }
+
+    /** Returns the counters since the agent's start. */
+    List<ControllerEvent> evidence(long nowMillis) {
+        List<ControllerEvent> events = new ArrayList<>();
+        recorder.counters(nowMillis)
+                .forEach((key, counters) -> events.add(
+                        new ControllerEvent.EvidenceReported(id, incarnation, key.version(), key.cell(), counters)));
+        return events;
+    }
+
+    /** Restarts the agent; the engine keeps its versions, and orders in progress are lost. */
+    void restart() {
+        incarnation++;
+        gate = new OrderGate();
+        recorder = new EvidenceRecorder(LOAD_THRESHOLD);
+        finishing.clear();
+        running.clear();
+    }
+
+    private void perform(List<OrderEffect> effects, long nowMillis, List<ControllerEvent> answers) {
+        for (OrderEffect effect : effects) {
+            if (effect instanceof OrderEffect.ReadFencingNumber) {
+                long number = storedFencingNumber.getAsLong();
+                OrderEvent read = number < 0 ? new OrderEvent.StoreUnavailable() : new OrderEvent.FencingRead(number);
+                perform(gate.handle(read), nowMillis, answers);
+            } else if (effect instanceof OrderEffect.RunOrder run) {
+                long millis = run.order().kind() == Order.Kind.LOAD ? random.nextLong(8_000, 15_000) : 1_000;
+                finishing
+                        .computeIfAbsent(nowMillis + millis, any -> new ArrayList<>())
+                        .add(run.order());
+            } else if (effect instanceof OrderEffect.Answer answer) {
+                answers.add(new ControllerEvent.OrderAnswered(answer.orderId(), answer.result()));
+            }
+        }
+    }
+
+    private void finish(Order order, List<ControllerEvent> events) {
+        if (order.kind() == Order.Kind.LOAD) {
+            versions.add(order.version());
+        } else {
+            versions.remove(order.version());
+        }
+        perform(gate.handle(new OrderEvent.EngineFinished(order.orderId(), "")), 0, events);
+        events.add(new ControllerEvent.UpstreamSeen(description()));
+    }
+
+    private record Answered(EvidenceRecorder.Observation observation, int status, long endMillis) {
+        void end() {
+            observation.answered(status, endMillis);
+        }
+    }
+}
--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedEntry.java
@@ -0,0 +1,76 @@
+package dev.wigeonward.measure.moves;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.request.Tier;
+import dev.wigeonward.core.request.WorkEstimate;
+import dev.wigeonward.core.rollout.BadVerdict;
+import dev.wigeonward.core.rollout.ControllerStages;
+import dev.wigeonward.core.rollout.ShareLimiter;
+import dev.wigeonward.core.rollout.StageView;
+import dev.wigeonward.core.rollout.VersionSelector;
+
+/** An entry that hears of stages and verdicts over links with a delay. */
+final class SimulatedEntry {
+    private static final Tier[] TIERS = Tier.values();
+
+    private final String id;
+    private final Interval isolation;
+    private final StageView view = new StageView();
+    private final VersionSelector selector = new VersionSelector(view, new ShareLimiter());
+    private final Deque<Message> inbox = new ArrayDeque<>();
+    private long sequence;
+
+    SimulatedEntry(String id, Interval isolation) {
+        this.id = id;
+        this.isolation = isolation;
+    }
+
+    boolean isReachable(long nowMillis) {
+        return !isolation.contains(nowMillis);
+    }
+
+    /** Returns when the entry could be reached again, if it cannot be at the given time. */
+    long reachableAgainMillis() {
+        return isolation.toMillis();
+    }
+
+    /** Sends a publication with all verdicts known; an isolated entry misses it. */
+    void send(Optional<ControllerStages> stages, List<BadVerdict> verdicts, long arrivalMillis) {
+        inbox.add(new Message(arrivalMillis, stages, verdicts));
+    }
+
+    void step(long nowMillis) {
+        while (!inbox.isEmpty() && inbox.peek().arrivalMillis <= nowMillis) {
+            Message message = inbox.remove();
+            if (isReachable(nowMillis)) {
+                view.merge(message.verdicts);
+                message.stages.ifPresent(stages -> view.apply(stages, nowMillis));
+            }
+        }
+    }
+
+    Optional<String> select(Route route, Collection<String> versions, long nowMillis) {
+        sequence++;
+        RequestSpec request = new RequestSpec(
+                RequestId.of(id, 1, sequence),
+                Optional.empty(),
+                TIERS[(int) (sequence % TIERS.length)],
+                "workspace",
+                MoveCase.MODEL,
+                route.name(),
+                new WorkEstimate(1_000, 100, 0),
+                nowMillis + 60_000,
+                true,
+                sequence);
+        return selector.select(request, versions, nowMillis);
+    }
+
+    private record Message(long arrivalMillis, Optional<ControllerStages> stages, List<BadVerdict> verdicts) {}
+}
--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedStore.java
@@ -0,0 +1,80 @@
+package dev.wigeonward.measure.moves;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import dev.wigeonward.core.rollout.ControllerEffect;
+import dev.wigeonward.core.rollout.ControllerEvent;
+import dev.wigeonward.core.rollout.ControllerEvent.StoreAnswer;
+import dev.wigeonward.core.rollout.StoredRecord;
+
+/** A key-value store with compare-and-swap, the controller lease, an outage and lost replies. */
+final class SimulatedStore {
+    static final long LEASE_MILLIS = 10_000;
+    private static final int LOST_REPLIES_PERCENT = 5;
+
+    private final Interval outage;
+    private final SplittableRandom random;
+    private final Map<String, StoredRecord> records = new TreeMap<>();
+    private long revision;
+    private long leaseFencingNumber;
+    private long leaseEndMillis;
+
+    SimulatedStore(Interval outage, SplittableRandom random) {
+        this.outage = outage;
+        this.random = random;
+    }
+
+    boolean isUp(long nowMillis) {
+        return !outage.contains(nowMillis);
+    }
+
+    List<StoredRecord> records() {
+        return List.copyOf(records.values());
+    }
+
+    long leaseFencingNumber(long nowMillis) {
+        return isUp(nowMillis) ? leaseFencingNumber : -1;
+    }
+
+    /** Returns the fencing number of a new lease, or empty if another holds one. */
+    Optional<Long> acquire(long nowMillis) {
+        if (!isUp(nowMillis) || nowMillis < leaseEndMillis) {
+            return Optional.empty();
+        }
+        revision++;
+        leaseFencingNumber = revision;
+        leaseEndMillis = nowMillis + LEASE_MILLIS;
+        return Optional.of(leaseFencingNumber);
+    }
+
+    /** Returns whether the lease was still held and is renewed. */
+    boolean renew(long fencingNumber, long nowMillis) {
+        if (fencingNumber != leaseFencingNumber || nowMillis >= leaseEndMillis) {
+            return false;
+        }
+        leaseEndMillis = nowMillis + LEASE_MILLIS;
+        return true;
+    }
+
+    ControllerEvent write(ControllerEffect.WriteRecord write, long nowMillis) {
+        String model = write.record().model();
+        StoreAnswer answer = StoreAnswer.UNAVAILABLE;
+        long storedRevision = records.containsKey(model) ? records.get(model).revision() : 0;
+        if (isUp(nowMillis) && storedRevision != write.expectedRevision()) {
+            answer = StoreAnswer.COMPARE_FAILED;
+        } else if (isUp(nowMillis)) {
+            revision++;
+            records.put(model, new StoredRecord(write.record(), revision));
+            answer = random.nextInt(100) < LOST_REPLIES_PERCENT ? StoreAnswer.UNKNOWN : StoreAnswer.APPLIED;
+        }
+        return new ControllerEvent.StoreAnswered(model, write.record().writeId(), answer, revision);
+    }
+
+    ControllerEvent read(String model) {
+        return new ControllerEvent.RecordRead(model, Optional.ofNullable(records.get(model)));
+    }
+}
