--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionSelector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionSelector.java
@@ -23,8 +23,8 @@
      * samples unevenly when tiers alternate regularly.
      */
     private static final double DRAW_FACTOR = 1.5;
-    /** About a minute of requests at one entry; retries come much sooner. */
-    private static final int MAX_REMEMBERED_CHOICES = 4_096;
+    /** About 15 s of requests at one entry of the target size; retries come sooner. */
+    private static final int MAX_REMEMBERED_CHOICES = 1_024;
 
     private final StageView view;
     private final ShareLimiter limiter;
--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -3,11 +3,12 @@
 import java.util.List;
 import java.util.Optional;
 
+import dev.wigeonward.measure.moves.JudgeMeasurement;
 import dev.wigeonward.measure.moves.MovesMeasurement;
 
 /** The list of all measurements. */
 final class Measurements {
-    private static final List<Measurement> ALL = List.of(new MovesMeasurement());
+    private static final List<Measurement> ALL = List.of(new JudgeMeasurement(), new MovesMeasurement());
 
     private Measurements() {}
 
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/CaseResult.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/CaseResult.java
@@ -33,6 +33,11 @@
         return verdictMillis >= 0;
     }
 
+    /** Returns whether the verdict came although the version was not bad, or before it was. */
+    boolean isFalselyRolledBack() {
+        return isRolledBack() && (badSinceMillis < 0 || verdictMillis < badSinceMillis);
+    }
+
     boolean isCompletedOnTime() {
         return !isRolledBack() && completedMillis >= 0 && completedMillis <= CaseScript.DEADLINE_MILLIS;
     }
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/CaseScript.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/CaseScript.java
@@ -81,6 +81,11 @@
         return Interval.anyContains(peaks, nowMillis);
     }
 
+    /** Returns whether the new version is bad on any route. */
+    boolean isBadNow(long nowMillis) {
+        return isBadNow(badRoute, nowMillis);
+    }
+
     boolean isBadNow(String route, long nowMillis) {
         return kind.isBad()
                 && nowMillis >= badFromMillis
--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/JudgeMeasurement.java
@@ -0,0 +1,154 @@
+package dev.wigeonward.measure.moves;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+import dev.wigeonward.core.rollout.EvidenceCounters;
+import dev.wigeonward.core.rollout.JudgeSettings;
+import dev.wigeonward.core.rollout.RouteCell;
+import dev.wigeonward.core.rollout.RouteJudgement.Verdict;
+import dev.wigeonward.core.rollout.TimeHistogram;
+import dev.wigeonward.core.rollout.VersionJudge;
+import dev.wigeonward.measure.Measurement;
+import dev.wigeonward.measure.Report;
+
+/** Error rates and sample sizes of one sequential test. */
+public final class JudgeMeasurement implements Measurement {
+    private static final int RUNS = 10_000;
+    private static final int STEP = 5;
+    private static final int MAX_SAMPLES = 2_000;
+    private static final int TRUNCATED_SAMPLES = 60;
+    private static final int OLD_SAMPLES = 1_000;
+    private static final double BASE_FAILURE_SHARE = 0.01;
+    private static final double SPREAD = 0.4;
+    private static final RouteCell CELL = new RouteCell("chat", false);
+    private static final List<Truth> TRUTHS = List.of(
+            new Truth("equal", 0, 1),
+            new Truth("2 points more failures", 0.02, 1),
+            new Truth("5 points more failures", 0.05, 1),
+            new Truth("10 points more failures", 0.1, 1),
+            new Truth("50 points more failures", 0.5, 1),
+            new Truth("5% slower", 0, 1.05),
+            new Truth("1.3 times as slow", 0, 1.3),
+            new Truth("1.6 times as slow", 0, 1.6),
+            new Truth("4 times as slow", 0, 4));
+
+    private final int runs;
+
+    public JudgeMeasurement() {
+        this(RUNS);
+    }
+
+    JudgeMeasurement(int runs) {
+        this.runs = runs;
+    }
+
+    @Override
+    public String name() {
+        return "version-judge";
+    }
+
+    @Override
+    public String description() {
+        return "error rates and sample sizes of the sequential test on one route, in % of runs and requests";
+    }
+
+    @Override
+    public Report run(long seed) {
+        JudgeSettings standard = JudgeSettings.standard();
+        JudgeSettings loose = new JudgeSettings(
+                0.01,
+                0.01,
+                standard.failureDifference(),
+                standard.slowDifference(),
+                standard.minSamples(),
+                standard.minOldSamples());
+        List<List<String>> rows = new ArrayList<>();
+        SplittableRandom random = new SplittableRandom(seed);
+        for (Truth truth : TRUTHS) {
+            rows.add(row("standard", standard, truth, MAX_SAMPLES, random));
+            rows.add(row("standard, truncated", standard, truth, TRUNCATED_SAMPLES, random));
+            rows.add(row("1% and 1%", loose, truth, MAX_SAMPLES, random));
+        }
+        return new Report(
+                List.of(
+                        "new version",
+                        "test",
+                        "runs",
+                        "called bad, %",
+                        "called good, %",
+                        "undecided, %",
+                        "median samples",
+                        "95th percentile of samples"),
+                rows,
+                List.of(
+                        "bounds of the standard test: 0.0001% false alarms, 0.5% misses at 5 points more failures or 15 "
+                                + "points more slow answers",
+                        "each run compares with 1,000 samples of an old version that fails 1% of its requests",
+                        "tests look every 5 samples and give up at 2,000; truncated ones end at 60"),
+                true,
+                List.of());
+    }
+
+    private List<String> row(
+            String name, JudgeSettings settings, Truth truth, int maxSamples, SplittableRandom random) {
+        VersionJudge judge = new VersionJudge(settings);
+        int[] verdicts = new int[Verdict.values().length];
+        int[] samples = new int[runs];
+        for (int run = 0; run < runs; run++) {
+            Sample old = new Sample();
+            old.add(OLD_SAMPLES, BASE_FAILURE_SHARE, 1, random);
+            EvidenceCounters oldCounters = old.counters();
+            Sample sample = new Sample();
+            Verdict verdict = Verdict.UNDECIDED;
+            while (verdict == Verdict.UNDECIDED && sample.requests < maxSamples) {
+                sample.add(STEP, BASE_FAILURE_SHARE + truth.addedFailureShare, truth.slowdown, random);
+                boolean truncated = maxSamples == TRUNCATED_SAMPLES && sample.requests >= maxSamples;
+                verdict = judge.judge(CELL, oldCounters, oldCounters, sample.counters(), truncated)
+                        .verdict();
+            }
+            verdicts[verdict.ordinal()]++;
+            samples[run] = sample.requests;
+        }
+        Arrays.sort(samples);
+        return List.of(
+                truth.name,
+                name,
+                String.valueOf(runs),
+                percent(verdicts[Verdict.BAD.ordinal()]),
+                percent(verdicts[Verdict.GOOD.ordinal()]),
+                percent(verdicts[Verdict.UNDECIDED.ordinal()]),
+                String.valueOf(samples[runs / 2]),
+                String.valueOf(samples[(int) (runs * 0.95)]));
+    }
+
+    private String percent(int count) {
+        return String.format(Locale.ROOT, "%.3f", 100.0 * count / runs);
+    }
+
+    private record Truth(String name, double addedFailureShare, double slowdown) {}
+
+    private static final class Sample {
+        private final long[] times = new long[TimeHistogram.BUCKETS];
+        private int requests;
+        private int failures;
+
+        void add(int count, double failureShare, double slowdown, SplittableRandom random) {
+            for (int i = 0; i < count; i++) {
+                requests++;
+                if (random.nextDouble() < failureShare) {
+                    failures++;
+                } else {
+                    times[TimeHistogram.bucketOf(slowdown * Math.exp(SPREAD * random.nextGaussian()))]++;
+                }
+            }
+        }
+
+        EvidenceCounters counters() {
+            return new EvidenceCounters(requests, failures, TimeHistogram.of(times));
+        }
+    }
+}
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedAgent.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedAgent.java
@@ -42,6 +42,9 @@
     private OrderGate gate = new OrderGate();
     private EvidenceRecorder recorder = new EvidenceRecorder(LOAD_THRESHOLD);
     private long incarnation = 1;
+    private boolean peak;
+    private boolean failureBurst;
+    private boolean slowBurst;
 
     SimulatedAgent(String id, CaseScript script, SplittableRandom random, LongSupplier storedFencingNumber) {
         this.id = id;
@@ -59,21 +62,24 @@
         return versions.contains(version);
     }
 
+    Set<String> versions() {
+        return Set.copyOf(versions);
+    }
+
     UpstreamVersions description() {
         return new UpstreamVersions(id, MoveCase.MODEL, versions, PLACES);
     }
 
     /** Runs a request; its outcome is counted when it ends. */
     void run(Route route, String version, long nowMillis) {
-        boolean peak = script.isUnderLoad(nowMillis);
         boolean isNew = version.equals(MoveCase.NEW);
         boolean bad = isNew && script.isBadNow(route.name(), nowMillis);
         double failureShare = script.baseFailureShare()
                 + (peak ? PEAK_FAILURE_SHARE : 0)
-                + (Interval.anyContains(script.failureBursts(), nowMillis) ? BURST_FAILURE_SHARE : 0)
+                + (failureBurst ? BURST_FAILURE_SHARE : 0)
                 + (bad ? script.addedFailureShare() : 0);
         double factor = (peak ? PEAK_SLOWDOWN : 1)
-                * (Interval.anyContains(script.slowBursts(), nowMillis) ? BURST_SLOWDOWN : 1)
+                * (slowBurst ? BURST_SLOWDOWN : 1)
                 * (isNew ? script.harmlessSlowdown() : 1)
                 * (bad ? script.slowdown() : 1);
         double elapsedMillis = route.serviceMillis() * factor * Math.exp(script.spread() * random.nextGaussian());
@@ -88,6 +94,9 @@
 
     /** Lets time pass and returns what the agent tells the controller. */
     List<ControllerEvent> step(long nowMillis) {
+        peak = script.isUnderLoad(nowMillis);
+        failureBurst = Interval.anyContains(script.failureBursts(), nowMillis);
+        slowBurst = Interval.anyContains(script.slowBursts(), nowMillis);
         while (!running.isEmpty() && running.firstKey() <= nowMillis) {
             running.pollFirstEntry().getValue().forEach(Answered::end);
         }
