--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 
 import dev.wigeonward.measure.goodput.GoodputMeasurement;
+import dev.wigeonward.measure.moves.JudgeMeasurement;
+import dev.wigeonward.measure.moves.MovesMeasurement;
 import dev.wigeonward.measure.placement.PlacementQuality;
 import dev.wigeonward.measure.revision.RevisionSpread;
 import dev.wigeonward.measure.store.StoreCallsMeasurement;
@@ -11,7 +13,12 @@
 /** The list of all measurements. */
 final class Measurements {
     private static final List<Measurement> ALL = List.of(
-            new GoodputMeasurement(), new PlacementQuality(), new RevisionSpread(), new StoreCallsMeasurement());
+            new GoodputMeasurement(),
+            new JudgeMeasurement(),
+            new MovesMeasurement(),
+            new PlacementQuality(),
+            new RevisionSpread(),
+            new StoreCallsMeasurement());
 
     private Measurements() {}
 
