Measure goodput with earliest completion placement

Cause: the highest tier missed its target at 3x with least outstanding placement, which ignores speeds and reports. Change: the full policy uses earliest completion.

--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/Scheme.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/Scheme.java
@@ -10,8 +10,11 @@
 import dev.wigeonward.core.engine.EngineQueue;
 import dev.wigeonward.core.engine.FifoEngineQueue;
 import dev.wigeonward.core.engine.PriorityEngineQueue;
+import dev.wigeonward.core.placement.DomainLatency;
+import dev.wigeonward.core.placement.EarliestCompletion;
 import dev.wigeonward.core.placement.LeastOutstanding;
 import dev.wigeonward.core.placement.PlacementPolicy;
+import dev.wigeonward.core.placement.PrefixIndex;
 import dev.wigeonward.core.placement.RoundRobin;
 import dev.wigeonward.core.placement.UpstreamDescription;
 
@@ -37,7 +40,7 @@
 
         @Override
         PlacementPolicy placement(RandomGenerator random) {
-            return LeastOutstanding.create();
+            return EarliestCompletion.of(random, PrefixIndex.create(), DomainLatency.uniform("domain", 0));
         }
 
         @Override
