--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareBacklog.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareBacklog.java
@@ -119,11 +119,13 @@
     }
 
     private Optional<QueuedRequest> firstOf(Function<TierBacklog, Optional<QueuedRequest>> choice) {
-        return Arrays.stream(Tier.values())
-                .map(tiers::get)
-                .map(choice)
-                .flatMap(Optional::stream)
-                .findFirst();
+        for (TierBacklog tier : tiers.values()) {
+            Optional<QueuedRequest> first = choice.apply(tier);
+            if (first.isPresent()) {
+                return first;
+            }
+        }
+        return Optional.empty();
     }
 
     private Optional<RequestSpec> take(Optional<QueuedRequest> taken) {
--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -9,7 +9,7 @@
 /** The list of all measurements. */
 final class Measurements {
     private static final List<Measurement> ALL =
-            List.of(new GoodputMeasurement(), new PlacementQuality(), new RevisionSpread());
+            List.of(GoodputMeasurement.create(), new PlacementQuality(), new RevisionSpread());
 
     private Measurements() {}
 
