--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -14,6 +14,7 @@
 final class Measurements {
     private static final List<Measurement> ALL = List.of(
             new GoodputMeasurement(),
+            GoodputMeasurement.create(),
             new JudgeMeasurement(),
             new MovesMeasurement(),
             new PlacementQuality(),
