--- a/core/src/main/java/dev/wigeonward/core/placement/PrefixIndex.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/PrefixIndex.java
@@ -169,7 +169,7 @@
         Link next = this;
         Link previous = this;
 
-        private Link(Holding holding) {
+        Link(Holding holding) {
             this.holding = holding;
         }
 
