--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -88,7 +88,7 @@
             return true;
         }
         if (event instanceof EntryEvent.LoadReported load) {
-            upstreams.load(load.upstreamId(), load.report(), load.upstreamAlive(), nowMillis);
+            upstreams.load(load, nowMillis);
             upstreams
                     .find(load.upstreamId())
                     .ifPresent(state -> pump(state.description().target(), nowMillis));
@@ -123,30 +123,31 @@
         policies.retries().onRequest(nowMillis);
         Optional<Failure> refusal = refusal(request, nowMillis);
         if (refusal.isPresent()) {
-            emit(new EntryEffect.DeliverFailure(request.id(), refusal.get()));
+            refuse(request, refusal.get());
             return;
         }
         Flight flight = new Flight(request);
         Optional<Placement> estimate = choose(flight, nowMillis);
         if (estimate.isEmpty()) {
-            refuse(request, ErrorKind.NO_UPSTREAM, "no upstream serves " + request.target());
+            refuse(request, Failure.of(ErrorKind.NO_UPSTREAM, "no upstream serves " + request.target()));
             return;
         }
         AdmissionQueue queue = queue(request.target());
-        long waitMillis = expectedWaitMillis(request, queue, estimate.get());
+        long waitMillis = expectedWaitMillis(request, queue);
         long serviceMillis = estimate.get().serviceMillis();
         if (waitMillis + serviceMillis > request.timeLeftMillis(nowMillis)) {
             refuse(
                     request,
-                    ErrorKind.DEADLINE_UNREACHABLE,
-                    "expected wait of %d ms and service of %d ms exceed the %d ms left"
-                            .formatted(waitMillis, serviceMillis, request.timeLeftMillis(nowMillis)));
+                    Failure.of(
+                            ErrorKind.DEADLINE_UNREACHABLE,
+                            "expected wait of %d ms and service of %d ms exceed the %d ms left"
+                                    .formatted(waitMillis, serviceMillis, request.timeLeftMillis(nowMillis))));
             return;
         }
         flight.serviceMillis = serviceMillis;
         AdmissionResult result = queue.offer(request, serviceMillis, nowMillis);
         if (result instanceof AdmissionResult.Refused refused) {
-            emit(new EntryEffect.DeliverFailure(request.id(), refused.failure()));
+            refuse(request, refused.failure());
             return;
         }
         flights.put(request.id(), flight);
@@ -172,12 +173,12 @@
     }
 
     /**
-     * The highest tier is put first by every queue, so that only work of its own tier counts. Reported backlogs cover all
-     * tiers and would refuse it for work that it displaces.
+     * Only work that goes first in the own queue counts. Reported backlogs cover all tiers and the remaining time of
+     * running requests: they would refuse work that displaces others or starts in the next free slot. The agent checks
+     * the deadline again before it hands the request over.
      */
-    private long expectedWaitMillis(RequestSpec request, AdmissionQueue queue, Placement estimate) {
-        long queuedMillis = queue.backlogMillis(request.tier()) / Math.max(1, upstreams.slots(request.target()));
-        return request.tier() == Tier.CRITICAL ? queuedMillis : Math.max(queuedMillis, estimate.waitMillis());
+    private long expectedWaitMillis(RequestSpec request, AdmissionQueue queue) {
+        return queue.backlogMillis(request.tier()) / Math.max(1, upstreams.slots(request.target()));
     }
 
     private void callerGone(RequestId id, long nowMillis) {
@@ -324,6 +325,7 @@
     void end(Flight flight, long nowMillis) {
         releasePlace(flight, nowMillis);
         flights.remove(flight.request.id());
+        emit(new EntryEffect.Forget(flight.request.id()));
     }
 
     /** Counts the request as outstanding at an upstream. */
@@ -365,8 +367,9 @@
         effects.add(effect);
     }
 
-    private void refuse(RequestSpec request, ErrorKind kind, String message) {
-        emit(new EntryEffect.DeliverFailure(request.id(), Failure.of(kind, message)));
+    private void refuse(RequestSpec request, Failure failure) {
+        emit(new EntryEffect.DeliverFailure(request.id(), failure));
+        emit(new EntryEffect.Forget(request.id()));
     }
 
     private AdmissionQueue queue(String target) {
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
@@ -13,7 +13,7 @@
     record TakeOverClaim(RequestId request, String previousClaimId, String upstreamId, long upstreamIncarnation)
             implements EntryEffect {}
 
-    /** Remove the own claim of a request that did not run. */
+    /** Remove the own claim of a request that did not run, also one whose creation is still under way. */
     record ReleaseClaim(RequestId request) implements EntryEffect {}
 
     /** Store the outcome of a claimed request. */
@@ -21,7 +21,12 @@
 
     /** Hand the request to an agent; sent on one connection once. */
     record SendDispatch(
-            RequestId request, DispatchId dispatch, String upstreamId, long upstreamIncarnation, long timeLeftMillis)
+            RequestId request,
+            DispatchId dispatch,
+            String upstreamId,
+            long upstreamIncarnation,
+            String version,
+            long timeLeftMillis)
             implements EntryEffect {}
 
     /** Ask an agent to attach this request to the run of another one with the same key; starts no run. */
@@ -50,4 +55,7 @@
 
     /** Answer with an error. */
     record DeliverFailure(RequestId request, Failure failure) implements EntryEffect {}
+
+    /** Drop what is kept for a request; no further effect names it. */
+    record Forget(RequestId request) implements EntryEffect {}
 }
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
@@ -0,0 +1,158 @@
+package dev.wigeonward.core.engine;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import dev.wigeonward.core.admission.AdmissionResult;
+import dev.wigeonward.core.admission.FairShareBacklog;
+import dev.wigeonward.core.admission.WorkspaceWeights;
+import dev.wigeonward.core.request.EngineSpeed;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.request.Tier;
+
+/**
+ * Hands requests to an engine in order of tier and fair share, bounded by slots and by estimated work. Part of the
+ * slots takes short requests only, so that a short request waits for other short ones at most. A request that cannot
+ * be answered before its deadline is never handed over.
+ */
+public final class PriorityEngineQueue implements EngineQueue {
+    private final EngineLimits limits;
+    private final EngineSpeed speed;
+    private final FairShareBacklog backlog;
+    private final Map<RequestId, Running> running = new HashMap<>();
+    private final ServiceTimeError error = new ServiceTimeError();
+    private int reservedRunning;
+    private long unreservedWorkMillis;
+
+    private PriorityEngineQueue(EngineLimits limits, EngineSpeed speed, WorkspaceWeights weights) {
+        this.limits = Objects.requireNonNull(limits, "limits");
+        this.speed = Objects.requireNonNull(speed, "speed");
+        this.backlog = FairShareBacklog.create(limits.capacity(), limits.shortMillis(), weights);
+    }
+
+    /** Returns an empty queue for an engine with the given speed. */
+    public static PriorityEngineQueue create(EngineLimits limits, EngineSpeed speed, WorkspaceWeights weights) {
+        return new PriorityEngineQueue(limits, speed, weights);
+    }
+
+    @Override
+    public AdmissionResult offer(RequestSpec request, long nowMillis) {
+        long serviceMillis = request.work().serviceMillis(speed);
+        return backlog.offer(request, serviceMillis, latestStartMillis(request), nowMillis);
+    }
+
+    @Override
+    public Optional<RequestSpec> next(long nowMillis) {
+        if (running.size() >= limits.slots()) {
+            return Optional.empty();
+        }
+        Optional<RequestSpec> first = firstReachable(nowMillis);
+        if (first.isEmpty()) {
+            return first;
+        }
+        long serviceMillis = first.get().work().serviceMillis(speed);
+        boolean reservedFree = reservedRunning < limits.reservedSlots();
+        if (reservedFree && serviceMillis <= limits.shortMillis()) {
+            return start(backlog.poll(nowMillis), true, nowMillis);
+        }
+        if (hasUnreservedRoom(serviceMillis)) {
+            return start(backlog.poll(nowMillis), false, nowMillis);
+        }
+        return reservedFree ? start(reachableShort(nowMillis), true, nowMillis) : Optional.empty();
+    }
+
+    /** The backlog knows the latest start as it was at the offer; the engine may have become slower since. */
+    private Optional<RequestSpec> firstReachable(long nowMillis) {
+        Optional<RequestSpec> first = backlog.peek(nowMillis);
+        while (first.isPresent() && latestStartMillis(first.get()) < nowMillis) {
+            backlog.setAside(first.get());
+            first = backlog.peek(nowMillis);
+        }
+        return first;
+    }
+
+    private Optional<RequestSpec> reachableShort(long nowMillis) {
+        Optional<RequestSpec> first = backlog.peekShort(nowMillis);
+        while (first.isPresent() && latestStartMillis(first.get()) < nowMillis) {
+            backlog.setAside(first.get());
+            first = backlog.peekShort(nowMillis);
+        }
+        return backlog.pollShort(nowMillis);
+    }
+
+    private long latestStartMillis(RequestSpec request) {
+        return request.deadlineMillis() - error.upperMillis(request.work().serviceMillis(speed));
+    }
+
+    private boolean hasUnreservedRoom(long serviceMillis) {
+        int unreservedRunning = running.size() - reservedRunning;
+        return unreservedRunning == 0
+                || unreservedRunning < limits.slots() - limits.reservedSlots()
+                        && unreservedWorkMillis + serviceMillis <= limits.workMillis();
+    }
+
+    private Optional<RequestSpec> start(Optional<RequestSpec> request, boolean reserved, long nowMillis) {
+        request.ifPresent(started -> {
+            long serviceMillis = started.work().serviceMillis(speed);
+            running.put(started.id(), new Running(serviceMillis, reserved, nowMillis));
+            if (reserved) {
+                reservedRunning++;
+            } else {
+                unreservedWorkMillis += serviceMillis;
+            }
+        });
+        return request;
+    }
+
+    @Override
+    public List<RequestSpec> removeExpired(long nowMillis) {
+        return backlog.removeUnreachable(nowMillis);
+    }
+
+    @Override
+    public boolean remove(RequestId id) {
+        return backlog.remove(id);
+    }
+
+    @Override
+    public void onEnded(RequestId id, long nowMillis) {
+        Running ended = running.remove(id);
+        if (ended == null) {
+            return;
+        }
+        error.observe(ended.serviceMillis(), ended.elapsedMillis(nowMillis));
+        if (ended.reserved()) {
+            reservedRunning--;
+        } else {
+            unreservedWorkMillis -= ended.serviceMillis();
+        }
+    }
+
+    @Override
+    public long backlogMillis(long nowMillis) {
+        long runningMillis = running.values().stream()
+                .mapToLong(each -> Math.max(0, error.meanMillis(each.serviceMillis()) - each.elapsedMillis(nowMillis)))
+                .sum();
+        return (runningMillis + error.meanMillis(backlog.backlogMillis(Tier.BATCH))) / limits.slots();
+    }
+
+    @Override
+    public int running() {
+        return running.size();
+    }
+
+    @Override
+    public int queued() {
+        return backlog.size();
+    }
+
+    private record Running(long serviceMillis, boolean reserved, long startedMillis) {
+        long elapsedMillis(long nowMillis) {
+            return nowMillis - startedMillis;
+        }
+    }
+}
--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -3,15 +3,23 @@
 import java.util.List;
 import java.util.Optional;
 
+import dev.wigeonward.measure.goodput.GoodputMeasurement;
 import dev.wigeonward.measure.placement.EntryDecision;
 import dev.wigeonward.measure.placement.LinkSubsetSpread;
 import dev.wigeonward.measure.placement.PlacementQuality;
 import dev.wigeonward.measure.placement.StateBytes;
+import dev.wigeonward.measure.store.StoreCallsMeasurement;
 
 /** The list of all measurements. */
 final class Measurements {
-    private static final List<Measurement> ALL =
-            List.of(new EntryDecision(), new StateBytes(), new PlacementQuality(), new LinkSubsetSpread());
+    private static final List<Measurement> ALL = List.of(
+            new EntryDecision(),
+            new GoodputMeasurement(),
+            new LinkSubsetSpread(),
+            new PlacementQuality(),
+            new RevisionSpread(),
+            new StateBytes(),
+            new StoreCallsMeasurement());
 
     private Measurements() {}
 
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/DecisionState.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/DecisionState.java
@@ -6,7 +6,8 @@
 
 import dev.wigeonward.core.admission.AdmissionQueue;
 import dev.wigeonward.core.admission.AdmissionResult;
-import dev.wigeonward.core.admission.FifoAdmissionQueue;
+import dev.wigeonward.core.admission.FairShareAdmissionQueue;
+import dev.wigeonward.core.admission.WorkspaceWeights;
 import dev.wigeonward.core.placement.DomainLatency;
 import dev.wigeonward.core.placement.EarliestCompletion;
 import dev.wigeonward.core.placement.KeyAffinity;
@@ -51,7 +52,7 @@
             prefixes.onPlaced(state.description().upstreamId(), 1 + random.nextInt(PREFIXES));
         }
         policy = KeyAffinity.or(EarliestCompletion.of(random, prefixes, DomainLatency.uniform("domain-0", 3)));
-        queue = FifoAdmissionQueue.withCapacity(REQUESTS);
+        queue = FairShareAdmissionQueue.create(REQUESTS, WorkspaceWeights.equal());
         for (int number = 0; number < REQUESTS; number++) {
             requests[number] = request(number, keyed, random);
         }
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecision.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecision.java
@@ -75,7 +75,7 @@
                         "target of 50 µs at the 99th percentile: " + verdict,
                         "JMH, sample time, in process (no fork), one thread, 3 s warm-up and 5 s measured per row",
                         "a decision queues one request, takes the next from the queue and places it; admission is"
-                                + " FifoAdmissionQueue with one request of each workspace",
+                                + " FairShareAdmissionQueue with one request of each workspace",
                         "requests without a key use EarliestCompletion, those with a key KeyAffinity"),
                 !rows.isEmpty(),
                 List.of());
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/StateBytes.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/StateBytes.java
@@ -7,7 +7,8 @@
 import java.util.Set;
 import java.util.function.IntFunction;
 
-import dev.wigeonward.core.admission.FifoAdmissionQueue;
+import dev.wigeonward.core.admission.FairShareAdmissionQueue;
+import dev.wigeonward.core.admission.WorkspaceWeights;
 import dev.wigeonward.core.placement.PrefixIndex;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
@@ -53,7 +54,7 @@
                 rows,
                 List.of(
                         "bytes each is the growth from an empty state, over the count",
-                        "the queue is FifoAdmissionQueue; a request in flight is its RequestSpec with its strings,"
+                        "the queue is FairShareAdmissionQueue; a request in flight is its RequestSpec with its strings,"
                                 + " without bodies, connections and the dispatcher's own record"),
                 true,
                 List.of());
@@ -70,7 +71,8 @@
     }
 
     private static Object queue(int count) {
-        FifoAdmissionQueue queue = FifoAdmissionQueue.withCapacity(Math.max(1, count));
+        FairShareAdmissionQueue queue =
+                FairShareAdmissionQueue.create(Math.max(1, count), WorkspaceWeights.equal());
         for (int number = 0; number < count; number++) {
             queue.offer(request(number), 1_000, 0);
         }
