--- a/measurement/src/main/java/dev/wigeonward/measure/placement/StateBytes.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/StateBytes.java
@@ -71,8 +71,7 @@
     }
 
     private static Object queue(int count) {
-        FairShareAdmissionQueue queue =
-                FairShareAdmissionQueue.create(Math.max(1, count), WorkspaceWeights.equal());
+        FairShareAdmissionQueue queue = FairShareAdmissionQueue.create(Math.max(1, count), WorkspaceWeights.equal());
         for (int number = 0; number < count; number++) {
             queue.offer(request(number), 1_000, 0);
         }
