--- a/agent/src/main/java/dev/wigeonward/agent/control/AgentControl.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/AgentControl.java
@@ -107,25 +107,15 @@
             return;
         }
         nextEvidenceMillis = nowMillis + EVIDENCE_PERIOD_MILLIS;
-        evidencePeers.forEach(peer ->
-                evidence.counters().forEach((key, counters) -> sender.send(peer, EvidenceFrames.frame(key, counters))));
+        evidencePeers.forEach(peer -> evidence.counters(nowMillis)
+                .forEach((key, counters) -> sender.send(peer, EvidenceFrames.frame(key, counters))));
     }
 
-    /** Counts an answer for the judgement of versions. */
-    public void answered(
-            RequestSpec request, String version, double load, int status, long elapsedMillis, long serviceMillis) {
-        evidence.answered(
-                new ModelVersion(request.target(), version),
-                request.route(),
-                load,
-                status,
-                elapsedMillis,
-                serviceMillis);
-    }
-
-    /** Counts a run that the upstream did not complete. */
-    public void failed(RequestSpec request, String version, double load) {
-        evidence.died(new ModelVersion(request.target(), version), request.route(), load);
+    /** Counts a request that is handed to the upstream, for the judgement of versions. */
+    public EvidenceRecorder.Observation started(
+            RequestSpec request, String version, double load, long serviceMillis, long nowMillis) {
+        return evidence.started(
+                new ModelVersion(request.target(), version), request.route(), load, serviceMillis, nowMillis);
     }
 
     /** Tells all processes that a request was running when the upstream died. */
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -19,7 +20,6 @@
 import dev.wigeonward.agent.link.DispatchAssembler;
 import dev.wigeonward.agent.link.EntryFrames;
 import dev.wigeonward.agent.upstream.UpstreamClient;
-import dev.wigeonward.agent.upstream.UpstreamRequest;
 import dev.wigeonward.core.dispatch.AgentDispatcher;
 import dev.wigeonward.core.dispatch.AgentEffect;
 import dev.wigeonward.core.dispatch.AgentEvent;
@@ -189,12 +189,16 @@
             Optional.ofNullable(runs.get(head.run()))
                     .ifPresent(run -> run.head = EntryFrames.head(head.status(), head.headers()));
         } else if (input instanceof AgentInput.End end) {
-            Optional.ofNullable(runs.get(end.run())).ifPresent(this::countAnswer);
+            observe(end.run(), (run, nowMillis) -> run.observation.answered(run.head.getStatus(), nowMillis));
             handle(new AgentEvent.UpstreamFinished(end.run()));
         } else if (input instanceof AgentInput.Broken broken) {
-            Optional.ofNullable(runs.get(broken.run()))
-                    .filter(run -> !broken.unreached())
-                    .ifPresent(run -> control.failed(run.spec, run.version, run.load));
+            observe(broken.run(), (run, nowMillis) -> {
+                if (broken.unreached()) {
+                    run.observation.cancelled(nowMillis);
+                } else {
+                    run.observation.died(nowMillis);
+                }
+            });
             handle(
                     broken.unreached()
                             ? new AgentEvent.UpstreamUnreached(broken.run(), broken.failure())
@@ -246,13 +250,6 @@
         health.onProbe(result).ifPresent(this::healthChanged);
     }
 
-    /** Counts how the upstream did, for the judgement of versions. */
-    private void countAnswer(KeptRun run) {
-        long serviceMillis = run.spec.work().serviceMillis(speed());
-        control.answered(
-                run.spec, run.version, run.load, run.head.getStatus(), clock.millis() - run.startMillis, serviceMillis);
-    }
-
     private EngineSpeed speed() {
         UpstreamInfo info = hello.getUpstream();
         return new EngineSpeed(info.getPrefillTokensPerSecond(), info.getDecodeTokensPerSecond());
@@ -379,12 +376,14 @@
         if (effect instanceof AgentEffect.SubmitToUpstream submit) {
             KeptRun run = runs.get(submit.run());
             metrics.counter("submitted").inc();
-            run.startMillis = clock.millis();
-            run.load =
+            double load =
                     (double) dispatcher.queue().running() / hello.getUpstream().getSlots();
-            upstream.submit(run.request, new Forwarder(submit.run()));
+            long serviceMillis = run.spec.work().serviceMillis(speed());
+            run.observation = control.started(run.spec, run.version, load, serviceMillis, clock.millis());
+            upstream.submit(run.request, new UpstreamForwarder(submit.run(), thread));
         } else if (effect instanceof AgentEffect.CancelInUpstream cancel) {
             metrics.counter("cancelled").inc();
+            observe(cancel.run(), (run, nowMillis) -> run.observation.cancelled(nowMillis));
             upstream.cancel(cancel.run());
         } else if (effect instanceof AgentEffect.SendAccepted send) {
             send(send.link(), EntryFrames.accepted(send));
@@ -414,7 +413,14 @@
     private void suspect(RequestSpec request) {
         LOG.log(Level.WARNING, "request {0} was running when the upstream died", request.id());
         control.suspect(request, health.instance(), clock.millis());
-        Optional.ofNullable(runs.get(request.id())).ifPresent(run -> control.failed(run.spec, run.version, run.load));
+        observe(request.id(), (run, nowMillis) -> run.observation.died(nowMillis));
+    }
+
+    /** Notes how a run that was handed over ended, for the judgement of versions. */
+    private void observe(RequestId id, ObjLongConsumer<KeptRun> note) {
+        Optional.ofNullable(runs.get(id))
+                .filter(run -> run.observation != null)
+                .ifPresent(run -> note.accept(run, clock.millis()));
     }
 
     private void sendOutput(AgentEffect.SendOutput send) {
@@ -455,55 +461,4 @@
         upstream.close();
         thread.close();
     }
-
-    /** What is kept of a run besides the dispatcher's state: the request for the upstream and the output. */
-    private static final class KeptRun {
-        private final UpstreamRequest request;
-        private final OutputBuffer output = new OutputBuffer();
-        private final RequestSpec spec;
-        private final String version;
-        private ResponseHead head = ResponseHead.getDefaultInstance();
-        private long startMillis;
-        private double load;
-
-        private KeptRun(UpstreamRequest request, RequestSpec spec, String version) {
-            this.request = request;
-            this.spec = spec;
-            this.version = version;
-        }
-    }
-
-    /** Passes the upstream's answer to the decision thread. */
-    private final class Forwarder implements UpstreamClient.AnswerListener {
-        private final RequestId run;
-
-        private Forwarder(RequestId run) {
-            this.run = run;
-        }
-
-        @Override
-        public void onHead(int status, List<Map.Entry<String, String>> headers) {
-            thread.put(new AgentInput.Head(run, status, headers));
-        }
-
-        @Override
-        public void onOutput(byte[] part) {
-            thread.put(new AgentInput.Part(run, part));
-        }
-
-        @Override
-        public void onFinished() {
-            thread.put(new AgentInput.End(run));
-        }
-
-        @Override
-        public void onFailed(Failure failure) {
-            thread.put(new AgentInput.Broken(run, failure, false));
-        }
-
-        @Override
-        public void onUnreached(Failure failure) {
-            thread.put(new AgentInput.Broken(run, failure, true));
-        }
-    }
 }
--- a/core/src/main/java/dev/wigeonward/core/admission/WorkspaceRates.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/WorkspaceRates.java
@@ -7,8 +7,8 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Token buckets for each workspace's requests and tokens per second. The rules give the rate over all entries; each entry
- * allows its equal part, since callers reach entries at random through the load balancer. Thread-safe.
+ * Token buckets for each workspace's requests and tokens per second. The rules give the rate over all entries; each
+ * entry allows its equal part, since callers reach entries at random through the load balancer. Thread-safe.
  */
 public final class WorkspaceRates {
     private static final double MILLIS_PER_SECOND = 1_000;
--- a/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
@@ -10,9 +10,9 @@
 /**
  * Counts at one agent what became of the requests of each version, route and load, since its start.
  *
- * <p>Requests enter the counters in the order in which they started. Counted as they end, the slow ones would stay alone
- * at the end of each period of traffic, and a version whose share grows would seem to fail more because failures end
- * early. The price is that a long request holds back those that started after it, up to a limit.
+ * <p>Requests enter the counters in the order in which they started. Counted as they end, the slow ones would stay
+ * alone at the end of each period of traffic, and a version whose share grows would seem to fail more because failures
+ * end early. The price is that a long request holds back those that started after it, up to a limit.
  */
 public final class EvidenceRecorder {
     private static final int FIRST_FAILURE_STATUS = 500;
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveEvidence.java
@@ -116,8 +116,8 @@
     }
 
     /**
-     * Asks each route to pass again. Evidence of before is left out, because the versions had other shares then and would
-     * show a disturbance to different degrees.
+     * Asks each route to pass again. Evidence of before is left out, because the versions had other shares then and
+     * would show a disturbance to different degrees.
      */
     void startStage(long nowMillis) {
         windows.values().forEach(window -> {
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/CaseResult.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/CaseResult.java
@@ -9,8 +9,8 @@
  * @param verdictMillis time of the bad verdict; negative if there was none
  * @param verdictReason reason of the bad verdict, empty if there was none
  * @param badSinceMillis time from which the new version was bad and loaded; negative if it never was
- * @param largestEarlyShare largest share of a route's requests that the new version had got by any time before the first
- *     verdict
+ * @param largestEarlyShare largest share of a route's requests that the new version had got by any time before the
+ * first     verdict
  * @param soonAfterVerdict requests to the bad version within 2 s after the verdict
  * @param laterReachable requests later than 2 s after the verdict at entries that could be reached
  * @param laterUnreachable requests later than 10 s after the verdict at entries that could not
