--- a/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecision.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecision.java
@@ -67,6 +67,9 @@
                     micros(result.getStatistics().getPercentile(99)),
                     micros(result.getStatistics().getPercentile(99.9))));
         }
+        if (rows.isEmpty()) {
+            return new Report(COLUMNS, rows, List.of("the benchmark gave no results"), false, List.of());
+        }
         String verdict = worstMicros <= TARGET_MICROS ? "met" : "missed";
         return new Report(
                 COLUMNS,
@@ -75,9 +78,9 @@
                         "target of 50 µs at the 99th percentile: " + verdict,
                         "JMH, sample time, in process (no fork), one thread, 3 s warm-up and 5 s measured per row",
                         "a decision queues one request, takes the next from the queue and places it; admission is"
-                                + " FairShareAdmissionQueue with one request of each workspace",
+                                + " FairShareAdmissionQueue with one request of each workspace in one tier",
                         "requests without a key use EarliestCompletion, those with a key KeyAffinity"),
-                !rows.isEmpty(),
+                true,
                 List.of());
     }
 
