--- /dev/null
+++ b/wire/src/test/java/dev/wigeonward/wire/HeartbeatSizeTest.java
@@ -0,0 +1,43 @@
+package dev.wigeonward.wire;
+
+import dev.wigeonward.wire.generated.Frame;
+import dev.wigeonward.wire.generated.Heartbeat;
+import dev.wigeonward.wire.generated.Load;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Sizes of heartbeats with figures of the target size; docs/CAPACITY.md multiplies them by links. */
+class HeartbeatSizeTest {
+    private static final int LENGTH_FIELD_BYTES = 4;
+    private static final String HASH = "0".repeat(64);
+
+    private static Heartbeat.Builder heartbeat() {
+        return Heartbeat.newBuilder()
+                .setRevision(2_000_000)
+                .setFencingNumber(200_000_000)
+                .setRevisionHash(HASH);
+    }
+
+    private static int bytes(Heartbeat.Builder heartbeat) {
+        return LENGTH_FIELD_BYTES
+                + Frame.newBuilder().setHeartbeat(heartbeat).build().getSerializedSize();
+    }
+
+    /** Guards against a larger heartbeat without a new figure in the capacity page. */
+    @Test
+    void sizesOnTheCapacityPage() {
+        Load load = Load.newBuilder()
+                .setBacklogMillis(20_000)
+                .setRunning(64)
+                .setQueued(200)
+                .setUpstreamAlive(true)
+                .build();
+        int entryBytes = bytes(heartbeat());
+        int agentBytes = bytes(heartbeat().setLoad(load));
+        int agentWithCacheEventsBytes =
+                bytes(heartbeat().setLoad(load.toBuilder().addCachedPrefixes(1).addEvictedPrefixes(2)));
+        assertThat(new int[] {entryBytes, agentBytes, agentWithCacheEventsBytes})
+                .containsExactly(81, 94, 114);
+    }
+}
