Stop new work again when the link of a leaving upstream comes up

Cause: an adapter that uses a new link before it asks the core, as the dispatcher does, kept a VM in use that the list had called leaving before its first link; the property found it (3,041 ms). Ruled out: relying on StartNewWork alone; the dispatcher starts on its own LinkUp.

--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipCore.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipCore.java
@@ -180,6 +180,7 @@
             return;
         }
         if (member.isReplaced(event.incarnation())) {
+            effects.add(new StopNewWork(event.upstreamId(), event.incarnation(), MemberState.REPLACED));
             onLinkDown(new LinkDown(event.upstreamId()), nowMillis, effects);
             return;
         }
@@ -194,6 +195,10 @@
         }
         member.onLinkUp(event.incarnation(), nowMillis);
         emitChange(member, replaces ? MemberState.JOINING : before, effects);
+        if (member.state() == MemberState.LEAVING) {
+            // An adapter may use a new link before it asks here.
+            effects.add(new StopNewWork(member.upstreamId(), member.incarnation(), MemberState.LEAVING));
+        }
     }
 
     private void onLinkDown(LinkDown event, long nowMillis, List<MembershipEffect> effects) {
--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
@@ -11,7 +11,7 @@
     /** Dispatch to this incarnation from now on. */
     record StartNewWork(String upstreamId, long incarnation) implements MembershipEffect {}
 
-    /** Dispatch nothing more to this incarnation; its requests in flight go on. */
+    /** Dispatch nothing more to this incarnation, which may have stopped before; its requests in flight go on. */
     record StopNewWork(String upstreamId, long incarnation, MemberState state) implements MembershipEffect {}
 
     /** Another incarnation answers now; the outcome of requests dispatched to the old one is unknown. */
