Measure the highest tier close to the capacity by itself

Cause: the target names any own demand that fits, and the tables had one of 45%. Conclusion: open; load reports do not tell tiers.

--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/Workload.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/Workload.java
@@ -29,32 +29,37 @@
 
     private static final double[] SIZE_SHARES = {0.7, 0.2, 0.1};
     private static final double MEAN_UNITS = 0.7 * 2 + 0.2 * 20 + 0.1 * 75;
-    /** The highest tier is 45% of the capacity at 3x and 90% during the burst, so its own demand always fits. */
-    private static final double[] TIER_SHARES = {0.15, 0.35, 0.5};
+    /** Shares of the tiers below the highest one. */
+    private static final double[] LOWER_TIER_SHARES = {7.0 / 17, 10.0 / 17};
 
     private static final double[] WORKSPACE_SHARES = {0.4, 0.25, 0.15, 0.12, 0.08};
     private static final long BURST_START_MILLIS = 300_000;
     private static final long BURST_END_MILLIS = 330_000;
-    private static final double BURST_FACTOR = 2;
     private static final double OUTPUT_ERROR = 0.3;
     private static final long DEADLINE_BASE_MILLIS = 3_000;
     private static final int DEADLINE_FACTOR = 3;
 
     private final RandomGenerator random;
+    private final double[] tierShares;
 
-    private Workload(long seed) {
+    private Workload(long seed, double highestTierShare) {
+        tierShares = new double[] {
+            highestTierShare,
+            LOWER_TIER_SHARES[0] * (1 - highestTierShare),
+            LOWER_TIER_SHARES[1] * (1 - highestTierShare)
+        };
         random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     }
 
     /** Returns the requests in the order of arrival. */
-    static List<Job> generate(long seed, double load, double capacityMillisPerSecond) {
-        Workload workload = new Workload(seed);
-        double perMilli = load * capacityMillisPerSecond / (MEAN_UNITS * UNIT_MILLIS) / 1_000;
+    static List<Job> generate(long seed, Demand demand, double capacityMillisPerSecond) {
+        Workload workload = new Workload(seed, demand.highestTierShare());
+        double perMilli = demand.load() * capacityMillisPerSecond / (MEAN_UNITS * UNIT_MILLIS) / 1_000;
         List<Job> jobs = new ArrayList<>();
         double atMillis = 0;
         while (true) {
             boolean burst = atMillis >= BURST_START_MILLIS && atMillis < BURST_END_MILLIS;
-            atMillis += workload.random.nextExponential() / (burst ? perMilli * BURST_FACTOR : perMilli);
+            atMillis += workload.random.nextExponential() / (burst ? perMilli * demand.burstFactor() : perMilli);
             if (atMillis >= DURATION_MILLIS) {
                 return jobs;
             }
@@ -73,7 +78,7 @@
         RequestSpec request = new RequestSpec(
                 RequestId.of("entry-" + entry, 1, sequence),
                 Optional.empty(),
-                Tier.values()[pick(TIER_SHARES)],
+                Tier.values()[pick(tierShares)],
                 "workspace-" + pick(WORKSPACE_SHARES),
                 "model",
                 "model",
