--- /dev/null
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreHeadWatch.java
@@ -0,0 +1,34 @@
+package dev.wigeonward.entry.store;
+
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import dev.wigeonward.core.revision.RevisionStore;
+import dev.wigeonward.entry.control.HeadWatch;
+
+/** Opens and closes the store's watch as the entry becomes a reader or stops being one. */
+final class StoreHeadWatch implements HeadWatch {
+    private final Function<Consumer<RevisionStore.HeadResult>, dev.wigeonward.platform.store.HeadWatch> open;
+    private final Consumer<RevisionStore.HeadResult> listener;
+    private dev.wigeonward.platform.store.HeadWatch watch;
+
+    StoreHeadWatch(
+            Function<Consumer<RevisionStore.HeadResult>, dev.wigeonward.platform.store.HeadWatch> open,
+            Consumer<RevisionStore.HeadResult> listener) {
+        this.open = open;
+        this.listener = listener;
+    }
+
+    @Override
+    public void setActive(boolean active) {
+        if (active == (watch != null)) {
+            return;
+        }
+        if (active) {
+            watch = open.apply(listener);
+            return;
+        }
+        watch.close();
+        watch = null;
+    }
+}
