Say in displacement messages what goes first; adapt the list of measurements

Cause: within a full tier a request of a workspace over its share is displaced too, so the messages named a reason that may not hold.

--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -231,7 +231,7 @@
         for (RequestSpec displaced : ((AdmissionResult.Queued) result).displaced()) {
             dropUnrun(
                     runs.get(displaced.id()),
-                    Failure.of(ErrorKind.DISPLACED, "displaced by a request of a higher tier"));
+                    Failure.of(ErrorKind.DISPLACED, "displaced by a request that goes first"));
         }
         pump(nowMillis);
     }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -154,7 +154,7 @@
         for (RequestSpec displaced : ((AdmissionResult.Queued) result).displaced()) {
             fail(
                     flights.get(displaced.id()),
-                    Failure.of(ErrorKind.DISPLACED, "displaced by a request of a higher tier"),
+                    Failure.of(ErrorKind.DISPLACED, "displaced by a request that goes first"),
                     nowMillis);
         }
         pump(request.target(), nowMillis);
--- a/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
+++ b/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
@@ -25,7 +25,7 @@
     IN_PROGRESS(409, true, RunState.UNKNOWN),
     RATE_LIMITED(429, true, RunState.NOT_RUN),
     OVERLOADED(503, true, RunState.NOT_RUN),
-    /** Removed from a queue in favour of a request of a higher tier. */
+    /** Removed from a full queue for a request of a higher tier, or of a workspace with more of its share left. */
     DISPLACED(503, true, RunState.NOT_RUN),
     DEADLINE_UNREACHABLE(503, true, RunState.NOT_RUN),
     DEADLINE_EXCEEDED_IN_QUEUE(504, true, RunState.NOT_RUN),
--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -17,7 +17,7 @@
 final class Measurements {
     private static final List<Measurement> ALL = List.of(
             new EntryDecision(),
-            new GoodputMeasurement(),
+            GoodputMeasurement.create(),
             GoodputMeasurement.create(),
             new JudgeMeasurement(),
             new LinkSubsetSpread(),
