--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -18,7 +18,6 @@
     private static final List<Measurement> ALL = List.of(
             new EntryDecision(),
             GoodputMeasurement.create(),
-            GoodputMeasurement.create(),
             new JudgeMeasurement(),
             new LinkSubsetSpread(),
             new MovesMeasurement(),
