Test the admin path of the key-value stand-in and repeated claim ids

Cause: experiments switch faults over HTTP, which no test covered; a source of claim ids that repeats across entries breaks the claims, which no check showed.

--- a/standins/src/main/java/dev/wigeonward/standins/http/HttpStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/http/HttpStandin.java
@@ -9,8 +9,10 @@
 import java.util.concurrent.TimeoutException;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.BlockingStreamingHttpRequest;
 import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
@@ -25,8 +27,10 @@
 /** A running HTTP server of a stand-in; its handlers may block. */
 public final class HttpStandin implements AutoCloseable {
     /** Maps between records and JSON with names like {@code slow_millis}. */
-    public static final ObjectMapper JSON =
-            new ObjectMapper().setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE);
+    public static final ObjectMapper JSON = JsonMapper.builder()
+            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+            .build();
 
     private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
 
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvStandin.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -33,6 +34,7 @@
     private static final String WATCH = "/v3/watch";
     private static final String RANGE = "/v3/kv/range";
     private static final int STATUS_OK = 200;
+    private static final int STATUS_BAD_REQUEST = 400;
     private static final int HISTORY_REVISIONS = 100_000;
     private static final long EXPIRY_CHECK_MILLIS = 20;
     /** Bounds the time until an open watch notices an outage. */
@@ -108,6 +110,9 @@
             }
             counters.computeIfAbsent(path, each -> new LongAdder()).increment();
             serve(context, response, path, body);
+        } catch (JsonProcessingException e) {
+            ObjectNode error = KvCalls.object().put("error", e.getOriginalMessage());
+            HttpStandin.answer(context, response, STATUS_BAD_REQUEST, error.put("code", KvException.INVALID_ARGUMENT));
         } catch (KvException e) {
             ObjectNode error = KvCalls.object().put("error", e.getMessage()).put("message", e.getMessage());
             HttpStandin.answer(context, response, e.httpStatus(), error.put("code", e.code()));
--- a/standins/src/main/java/dev/wigeonward/standins/vms/RegisterCommand.java
+++ b/standins/src/main/java/dev/wigeonward/standins/vms/RegisterCommand.java
@@ -37,8 +37,7 @@
         HttpClient client =
                 HttpClients.forSingleAddress(target.getHost(), target.getPort()).build();
         try {
-            byte[] body =
-                    HttpStandin.JSON.writeValueAsBytes(new VmRecord(id, role, address, failureDomain, state));
+            byte[] body = HttpStandin.JSON.writeValueAsBytes(new VmRecord(id, role, address, failureDomain, state));
             HttpResponse response = client.request(client.post("/admin/vms")
                             .payloadBody(
                                     client.executionContext().bufferAllocator().wrap(body)))
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntUnaryOperator;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 
@@ -40,10 +41,11 @@
     }
 
     /** Fails when a key is granted twice while replies are lost before and after their writes take effect. */
-    private static void checkGrants(long seed, int losePercent, UnaryOperator<KeyValueStore> variant) {
+    private static void checkGrants(
+            long seed, int losePercent, IntUnaryOperator seedOfEntry, UnaryOperator<KeyValueStore> variant) {
         try (StoreFixture fixture = new StoreFixture()) {
             List<ClaimStore> entries = IntStream.range(0, ENTRIES)
-                    .mapToObj(i -> entry(fixture, variant, seed * ENTRIES + i))
+                    .mapToObj(i -> entry(fixture, variant, seedOfEntry.applyAsInt(i)))
                     .toList();
             fixture.standin.setFaults(KvFaults.random(losePercent / 100.0, losePercent / 200.0, seed));
             Random random = new Random(seed);
@@ -70,7 +72,19 @@
     @Property(tries = 15, shrinking = ShrinkingMode.OFF)
     void neverTwoGrantsOfOneKey(
             @ForAll @IntRange(max = 100_000) int seed, @ForAll @IntRange(max = 60) int losePercent) {
-        checkGrants(seed, losePercent, store -> store);
+        checkGrants(seed, losePercent, entry -> seed + entry, store -> store);
+    }
+
+    /** Shows that the check fails for entries that draw the same claim ids, and so take each other's as their own. */
+    @Example
+    void checkFindsClaimIdsThatRepeat() {
+        assertThatThrownBy(() -> {
+                    for (int seed = 0; seed < 10; seed++) {
+                        checkGrants(seed, 0, entry -> 1, store -> store);
+                    }
+                })
+                .isInstanceOf(AssertionError.class)
+                .hasMessageContaining("grants of each key");
     }
 
     /** Fails when the owner may go on after a takeover, while replies are lost. */
@@ -114,7 +128,7 @@
     void checkFindsLostRepliesTakenForSuccess() {
         assertThatThrownBy(() -> {
                     for (int seed = 0; seed < 10; seed++) {
-                        checkGrants(seed, 50, ForwardingStore::unknownIsApplied);
+                        checkGrants(seed, 50, entry -> entry, ForwardingStore::unknownIsApplied);
                     }
                 })
                 .isInstanceOf(AssertionError.class)
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
@@ -62,6 +62,15 @@
                         .hasSize(12));
     }
 
+    /** Guards against texts that the service refuses although they are within its limit of 1 MB. */
+    @Test
+    void largestTextIsStored() {
+        Revision largest = Revision.of(1, "x".repeat(1_000_000), "ana", "test");
+        apply(new StoredRevision(largest, "id1", 5));
+        assertThat(revisions.readHead())
+                .isEqualTo(new RevisionStore.HeadResult.Found(new StoredRevision(largest, "id1", 5)));
+    }
+
     /** Fails if an operator's change replaces one that the operator did not see. */
     private void checkConflict(UnaryOperator<KeyValueStore> variant) {
         RevisionStore other = EtcdRevisionStore.create(variant.apply(fixture.store), 10_000);
