--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
 import dev.wigeonward.core.revision.Revision;
@@ -15,6 +16,8 @@
 import dev.wigeonward.platform.store.KeyValue;
 import dev.wigeonward.platform.store.KeyValueStore;
 import dev.wigeonward.platform.store.ReadResult;
+import dev.wigeonward.platform.store.Transaction;
+import dev.wigeonward.platform.store.WriteResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -24,7 +27,8 @@
 
 class EtcdRevisionStoreTest {
     private final StoreFixture fixture = new StoreFixture();
-    private final EtcdRevisionStore revisions = EtcdRevisionStore.create(fixture.store, 10_000);
+    private final EtcdRevisionStore revisions =
+            EtcdRevisionStore.create(fixture.store, StoreFixture.CALL_TIMEOUT_MILLIS);
 
     @AfterEach
     void close() {
@@ -73,7 +77,7 @@
 
     /** Fails if an operator's change replaces one that the operator did not see. */
     private void checkConflict(UnaryOperator<KeyValueStore> variant) {
-        RevisionStore other = EtcdRevisionStore.create(variant.apply(fixture.store), 10_000);
+        RevisionStore other = EtcdRevisionStore.create(variant.apply(fixture.store), StoreFixture.CALL_TIMEOUT_MILLIS);
         apply(revision(1, "mine"));
         assertThat(other.compareAndSwapHead(0, revision(1, "other")))
                 .isEqualTo(new RevisionStore.WriteResult.Conflict(revision(1, "mine")));
@@ -139,6 +143,24 @@
         assertThat(revisions.readHistory(1, 1)).isInstanceOf(RevisionStore.HistoryResult.Unavailable.class);
     }
 
+    /** Guards against a method that gives up before it could read back a write whose reply came too late. */
+    @Test
+    void lateReplyLeavesTimeToReadBack() {
+        KeyValueStore late = new ForwardingStore(fixture.store) {
+            @Override
+            public CompletableFuture<WriteResult> commit(Transaction transaction) {
+                return super.commit(transaction).thenCompose(applied -> new CompletableFuture<WriteResult>()
+                        .completeOnTimeout(
+                                new WriteResult.OutcomeUnknown("late"),
+                                StoreFixture.CALL_TIMEOUT_MILLIS,
+                                TimeUnit.MILLISECONDS));
+            }
+        };
+        assertThat(EtcdRevisionStore.create(late, StoreFixture.CALL_TIMEOUT_MILLIS)
+                        .compareAndSwapHead(0, revision(1, "id1")))
+                .isEqualTo(new RevisionStore.WriteResult.Applied());
+    }
+
     /** Guards against readers that miss a change made before, during or after an outage. */
     @Test
     void headWatchReportsEachState() {
