--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
@@ -1,6 +1,7 @@
 package dev.wigeonward.core.placement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,9 +9,12 @@
 
 /** The usable upstreams of one target and version, in an order that allows choice by index. Not thread-safe. */
 public final class UpstreamPool {
+    private static final int INITIAL_CAPACITY = 16;
+
     private final List<UpstreamState> members = new ArrayList<>();
     private final Map<String, Integer> positions = new HashMap<>();
-    private int slots;
+    /** Hashes of the members' ids by position, kept together because key affinity reads all of them. */
+    private long[] idHashes = new long[INITIAL_CAPACITY];
 
     private UpstreamPool() {}
 
@@ -22,13 +26,15 @@
     /** Adds or replaces the upstream with the state's id. */
     public void put(UpstreamState state) {
         Integer position = positions.get(state.description().upstreamId());
-        slots += state.description().slots();
         if (position != null) {
-            slots -= members.get(position).description().slots();
             members.set(position, state);
             return;
         }
         positions.put(state.description().upstreamId(), members.size());
+        if (members.size() == idHashes.length) {
+            idHashes = Arrays.copyOf(idHashes, idHashes.length * 2);
+        }
+        idHashes[members.size()] = Rendezvous.hash(state.description().upstreamId());
         members.add(state);
     }
 
@@ -38,10 +44,10 @@
         if (position == null) {
             return;
         }
-        slots -= members.get(position).description().slots();
         UpstreamState last = members.remove(members.size() - 1);
         if (position < members.size()) {
             members.set(position, last);
+            idHashes[position] = idHashes[members.size()];
             positions.put(last.description().upstreamId(), position);
         }
     }
@@ -51,16 +57,16 @@
         return members.get(position);
     }
 
+    /** Returns the rendezvous hash of the id of the member at a position. */
+    long idHash(int position) {
+        return idHashes[position];
+    }
+
     /** Returns the member with the given id, or empty if it is not in the pool. */
     public Optional<UpstreamState> find(String upstreamId) {
         return Optional.ofNullable(positions.get(upstreamId)).map(members::get);
     }
 
-    /** Returns the slots of all members. */
-    public int slots() {
-        return slots;
-    }
-
     /** Returns the number of members. */
     public int size() {
         return members.size();
--- a/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
@@ -10,9 +10,9 @@
 /**
  * Counts at one agent what became of the requests of each version, route and load, since its start.
  *
- * <p>Requests enter the counters in the order in which they started. Counted as they end, the slow ones would stay alone
- * at the end of each period of traffic, and a version whose share grows would seem to fail more because failures end
- * early. The price is that a long request holds back those that started after it, up to a limit.
+ * <p>Requests enter the counters in the order in which they started. Counted as they end, the slow ones would stay
+ * alone at the end of each period of traffic, and a version whose share grows would seem to fail more because failures
+ * end early. The price is that a long request holds back those that started after it, up to a limit.
  */
 public final class EvidenceRecorder {
     private static final int FIRST_FAILURE_STATUS = 500;
@@ -73,20 +73,27 @@
 
         /** The request was answered with a status. */
         public void answered(int status, long nowMillis) {
-            endMillis = nowMillis;
-            failed = status >= FIRST_FAILURE_STATUS;
+            end(status >= FIRST_FAILURE_STATUS, false, nowMillis);
         }
 
         /** The engine died, or ended the request without an answer. */
         public void died(long nowMillis) {
-            endMillis = nowMillis;
-            failed = true;
+            end(true, false, nowMillis);
         }
 
-        /** The request was cancelled; it says nothing of the version. */
+        /** The request was cancelled or never reached the engine; it says nothing of the version. */
         public void cancelled(long nowMillis) {
+            end(false, true, nowMillis);
+        }
+
+        /** The first end counts: a cancelled request also breaks off, and a dead engine ends a request twice. */
+        private void end(boolean isFailure, boolean isDropped, long nowMillis) {
+            if (endMillis >= 0) {
+                return;
+            }
             endMillis = nowMillis;
-            dropped = true;
+            failed = isFailure;
+            dropped = isDropped;
         }
 
         private boolean isSettled(long nowMillis) {
