--- a/core/src/main/java/dev/wigeonward/core/rollout/FinishProjection.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/FinishProjection.java
@@ -39,10 +39,10 @@
         }
         long rounds = (loads + settings.concurrentLoads() - 1) / settings.concurrentLoads();
         long loadingMillis = (long) (rounds * loadMillis);
-        return nowMillis + Math.max(loadingMillis, stagesMillis(move));
+        return nowMillis + Math.max(loadingMillis, stagesMillis(move, nowMillis));
     }
 
-    private long stagesMillis(Move move) {
+    private long stagesMillis(Move move, long nowMillis) {
         boolean started = move.record.shareBasisPoints() > 0;
         int stagesLeft = settings.stagesLeft(move.record.shareBasisPoints()) - (started ? 1 : 0);
         long millis = stagesLeft * settings.minStageMillis();
@@ -52,7 +52,7 @@
         long presentMillis = settings.minStageMillis() - move.activeMillis;
         if (presentMillis < 0 && !move.evidence.allRoutesPassed()) {
             // A test that has lasted long is expected to last as long again, within its limit.
-            presentMillis = Math.min(move.activeMillis, advancer.testMillis(move.record) - move.activeMillis);
+            presentMillis = Math.min(move.activeMillis, advancer.testMillisLeft(move, nowMillis));
         }
         return millis + Math.max(0, presentMillis);
     }
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
@@ -16,19 +16,23 @@
         this.planner = planner;
     }
 
-    /** Returns the time within the present stage after which its test is cut short, in milliseconds. */
-    long testMillis(MoveRecord record) {
+    /** Returns how long the test of the present stage may still last at most, in milliseconds. */
+    long testMillisLeft(Move move, long nowMillis) {
+        MoveRecord record = move.record;
         int stagesLeft = settings.stagesLeft(record.shareBasisPoints());
         if (record.phase() == MovePhase.WATCHING || stagesLeft == 0) {
-            return settings.watchMillis();
+            return settings.watchMillis() - move.activeMillis;
         }
-        long leftMillis = record.deadlineMillis() - record.phaseStartMillis();
-        return Math.max(settings.minTestMillis(), (long) (STAGE_TIME_FRACTION * leftMillis / stagesLeft));
+        long minLeftMillis = settings.minTestMillis() - move.activeMillis;
+        // An outage within the stage shortens the test, down to its minimum, rather than what is left for the others.
+        long stageMillis =
+                (long) (STAGE_TIME_FRACTION * (record.deadlineMillis() - record.phaseStartMillis()) / stagesLeft);
+        return Math.max(minLeftMillis, record.phaseStartMillis() + stageMillis - nowMillis);
     }
 
     /** Returns whether the test of the present stage has to end now. */
-    boolean isTestOver(Move move) {
-        boolean timeOver = move.activeMillis >= testMillis(move.record);
+    boolean isTestOver(Move move, long nowMillis) {
+        boolean timeOver = testMillisLeft(move, nowMillis) <= 0;
         return timeOver && (move.record.phase() == MovePhase.WATCHING || !move.evidence.allRoutesPassed());
     }
 
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
@@ -217,7 +217,7 @@
         if (!judged || bad.containsKey(version)) {
             return;
         }
-        boolean truncated = leaseValid(nowMillis) && advancer.isTestOver(move);
+        boolean truncated = leaseValid(nowMillis) && advancer.isTestOver(move, nowMillis);
         move.evidence.judge(judge, truncated, nowMillis).ifPresent(judgement -> {
             String load = judgement.cell().underLoad() ? " under load: " : ": ";
             addVerdict(
