--- a/agent/src/main/java/dev/wigeonward/agent/control/AgentControl.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/AgentControl.java
@@ -111,11 +111,11 @@
                 .forEach((key, counters) -> sender.send(peer, EvidenceFrames.frame(key, counters))));
     }
 
-    /** Returns the observation of a request that is handed to the upstream, for the judgement of versions. */
+    /** Counts a request that is handed to the upstream, for the judgement of versions. */
     public EvidenceRecorder.Observation started(
             RequestSpec request, String version, double load, long serviceMillis, long nowMillis) {
-        ModelVersion modelVersion = new ModelVersion(request.target(), version);
-        return evidence.started(modelVersion, request.route(), load, serviceMillis, nowMillis);
+        return evidence.started(
+                new ModelVersion(request.target(), version), request.route(), load, serviceMillis, nowMillis);
     }
 
     /** Tells all processes that a request was running when the upstream died. */
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -188,14 +189,14 @@
             Optional.ofNullable(runs.get(head.run()))
                     .ifPresent(run -> run.head = EntryFrames.head(head.status(), head.headers()));
         } else if (input instanceof AgentInput.End end) {
-            observed(end.run()).ifPresent(run -> run.observation.answered(run.head.getStatus(), clock.millis()));
+            observe(end.run(), (run, nowMillis) -> run.observation.answered(run.head.getStatus(), nowMillis));
             handle(new AgentEvent.UpstreamFinished(end.run()));
         } else if (input instanceof AgentInput.Broken broken) {
-            observed(broken.run()).ifPresent(run -> {
+            observe(broken.run(), (run, nowMillis) -> {
                 if (broken.unreached()) {
-                    run.observation.cancelled(clock.millis());
+                    run.observation.cancelled(nowMillis);
                 } else {
-                    run.observation.died(clock.millis());
+                    run.observation.died(nowMillis);
                 }
             });
             handle(
@@ -249,11 +250,6 @@
         health.onProbe(result).ifPresent(this::healthChanged);
     }
 
-    /** Returns a run that was handed to the upstream. */
-    private Optional<KeptRun> observed(RequestId run) {
-        return Optional.ofNullable(runs.get(run)).filter(kept -> kept.observation != null);
-    }
-
     private EngineSpeed speed() {
         UpstreamInfo info = hello.getUpstream();
         return new EngineSpeed(info.getPrefillTokensPerSecond(), info.getDecodeTokensPerSecond());
@@ -384,10 +380,10 @@
                     (double) dispatcher.queue().running() / hello.getUpstream().getSlots();
             long serviceMillis = run.spec.work().serviceMillis(speed());
             run.observation = control.started(run.spec, run.version, load, serviceMillis, clock.millis());
-            upstream.submit(run.request, new Forwarder(submit.run()));
+            upstream.submit(run.request, new UpstreamForwarder(submit.run(), thread));
         } else if (effect instanceof AgentEffect.CancelInUpstream cancel) {
             metrics.counter("cancelled").inc();
-            observed(cancel.run()).ifPresent(run -> run.observation.cancelled(clock.millis()));
+            observe(cancel.run(), (run, nowMillis) -> run.observation.cancelled(nowMillis));
             upstream.cancel(cancel.run());
         } else if (effect instanceof AgentEffect.SendAccepted send) {
             send(send.link(), EntryFrames.accepted(send));
@@ -408,7 +404,6 @@
         } else if (effect instanceof AgentEffect.TrimOutput trim) {
             runs.get(trim.run()).output.trim(trim.uptoBytes());
         } else if (effect instanceof AgentEffect.ReleaseRun release) {
-            observed(release.run()).ifPresent(run -> run.observation.cancelled(clock.millis()));
             runs.remove(release.run());
         } else if (effect instanceof AgentEffect.ReportSuspects report) {
             report.requests().forEach(this::suspect);
@@ -418,7 +413,14 @@
     private void suspect(RequestSpec request) {
         LOG.log(Level.WARNING, "request {0} was running when the upstream died", request.id());
         control.suspect(request, health.instance(), clock.millis());
-        observed(request.id()).ifPresent(run -> run.observation.died(clock.millis()));
+        observe(request.id(), (run, nowMillis) -> run.observation.died(nowMillis));
+    }
+
+    /** Notes how a run that was handed over ended, for the judgement of versions. */
+    private void observe(RequestId id, ObjLongConsumer<KeptRun> note) {
+        Optional.ofNullable(runs.get(id))
+                .filter(run -> run.observation != null)
+                .ifPresent(run -> note.accept(run, clock.millis()));
     }
 
     private void sendOutput(AgentEffect.SendOutput send) {
@@ -459,38 +461,4 @@
         upstream.close();
         thread.close();
     }
-
-    /** Passes the upstream's answer to the decision thread. */
-    private final class Forwarder implements UpstreamClient.AnswerListener {
-        private final RequestId run;
-
-        private Forwarder(RequestId run) {
-            this.run = run;
-        }
-
-        @Override
-        public void onHead(int status, List<Map.Entry<String, String>> headers) {
-            thread.put(new AgentInput.Head(run, status, headers));
-        }
-
-        @Override
-        public void onOutput(byte[] part) {
-            thread.put(new AgentInput.Part(run, part));
-        }
-
-        @Override
-        public void onFinished() {
-            thread.put(new AgentInput.End(run));
-        }
-
-        @Override
-        public void onFailed(Failure failure) {
-            thread.put(new AgentInput.Broken(run, failure, false));
-        }
-
-        @Override
-        public void onUnreached(Failure failure) {
-            thread.put(new AgentInput.Broken(run, failure, true));
-        }
-    }
 }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/KeptRun.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/KeptRun.java
@@ -8,11 +8,11 @@
 /** What is kept of a run besides the dispatcher's state: the request for the upstream and the output. */
 final class KeptRun {
     final UpstreamRequest request;
-    final OutputBuffer output = new OutputBuffer();
     final RequestSpec spec;
     final String version;
+    final OutputBuffer output = new OutputBuffer();
     ResponseHead head = ResponseHead.getDefaultInstance();
-    /** Null until the run is handed to the upstream. */
+    /** Set once the run was handed to the upstream. */
     EvidenceRecorder.Observation observation;
 
     KeptRun(UpstreamRequest request, RequestSpec spec, String version) {
