--- a/measurement/src/main/java/dev/wigeonward/measure/moves/JudgeMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/JudgeMeasurement.java
@@ -85,8 +85,8 @@
                         "95th percentile of samples"),
                 rows,
                 List.of(
-                        "bounds of the standard test: 0.0001% false alarms, 0.5% misses at 5 points more failures or 15 "
-                                + "points more slow answers",
+                        "bounds of the standard test: 0.0001% false alarms, 0.5% misses at 5 points more failures or "
+                                + "15 points more slow answers",
                         "each run compares with 1,000 samples of an old version that fails 1% of its requests",
                         "tests look every 5 samples and give up at 2,000; truncated ones end at 60"),
                 true,
