--- a/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
@@ -73,20 +73,27 @@
 
         /** The request was answered with a status. */
         public void answered(int status, long nowMillis) {
-            endMillis = nowMillis;
-            failed = status >= FIRST_FAILURE_STATUS;
+            end(status >= FIRST_FAILURE_STATUS, false, nowMillis);
         }
 
         /** The engine died, or ended the request without an answer. */
         public void died(long nowMillis) {
-            endMillis = nowMillis;
-            failed = true;
+            end(true, false, nowMillis);
         }
 
-        /** The request was cancelled; it says nothing of the version. */
+        /** The request was cancelled or never reached the engine; it says nothing of the version. */
         public void cancelled(long nowMillis) {
+            end(false, true, nowMillis);
+        }
+
+        /** The first end counts: a cancelled request also breaks off, and a dead engine ends a request twice. */
+        private void end(boolean isFailure, boolean isDropped, long nowMillis) {
+            if (endMillis >= 0) {
+                return;
+            }
             endMillis = nowMillis;
-            dropped = true;
+            failed = isFailure;
+            dropped = isDropped;
         }
 
         private boolean isSettled(long nowMillis) {
