--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -79,7 +79,13 @@
         } else if (event instanceof AgentEvent.UpstreamFinished finished) {
             running(finished.run()).ifPresent(run -> ended(run, null, nowMillis));
         } else if (event instanceof AgentEvent.UpstreamFailed failed) {
-            running(failed.run()).ifPresent(run -> ended(run, failed.failure(), nowMillis));
+            running(failed.run()).ifPresent(run -> {
+                ended(run, failed.failure(), nowMillis);
+                if (failed.failure().kind() == ErrorKind.UPSTREAM_DIED) {
+                    // A broken answer shows the death before the health check does.
+                    emit(new AgentEffect.ReportSuspects(List.of(run.request)));
+                }
+            });
         } else if (event instanceof AgentEvent.UpstreamUnreached unreached) {
             running(unreached.run()).ifPresent(run -> {
                 queue.onEnded(run.id(), nowMillis);
@@ -231,7 +237,7 @@
         for (RequestSpec displaced : ((AdmissionResult.Queued) result).displaced()) {
             dropUnrun(
                     runs.get(displaced.id()),
-                    Failure.of(ErrorKind.DISPLACED, "displaced by a request of a higher tier"));
+                    Failure.of(ErrorKind.DISPLACED, "displaced by a request that goes first"));
         }
         pump(nowMillis);
     }
