--- /dev/null
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/FakeUpstream.java
@@ -0,0 +1,102 @@
+package dev.wigeonward.verification.faults;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import dev.wigeonward.core.dispatch.AgentEvent;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+
+/** An upstream that logs each run and produces an answer that names the request. It outlives its agent. */
+final class FakeUpstream {
+    static final int PARTS = 5;
+
+    private static final int RESTART_MILLIS = 1_000;
+
+    private final World world;
+    private final AgentNode agent;
+    private final Set<RequestId> running = new LinkedHashSet<>();
+    long partMillis = 100;
+    boolean failing;
+    long poisonFingerprint;
+    private boolean alive = true;
+
+    FakeUpstream(World world, AgentNode agent) {
+        this.world = world;
+        this.agent = agent;
+    }
+
+    /** Returns the answer of a request; differs between requests with different contents. */
+    static String answerOf(long fingerprint) {
+        StringBuilder text = new StringBuilder();
+        for (int part = 0; part < PARTS; part++) {
+            text.append(part(fingerprint, part));
+        }
+        return text.toString();
+    }
+
+    private static String part(long fingerprint, int number) {
+        return "%08x-%02d;".formatted(fingerprint, number);
+    }
+
+    List<RequestId> running() {
+        return List.copyOf(running);
+    }
+
+    void submit(RequestSpec request) {
+        world.ledger.runs.add(new Ledger.RunStart(request, agent.id(), world.now()));
+        running.add(request.id());
+        if (request.fingerprint() == poisonFingerprint) {
+            world.after(10, this::crash);
+            return;
+        }
+        step(request, 0);
+    }
+
+    private void step(RequestSpec request, int number) {
+        world.after(partMillis, () -> {
+            if (!running.contains(request.id())) {
+                return;
+            }
+            if (failing && number > 0) {
+                running.remove(request.id());
+                tell(new AgentEvent.UpstreamFailed(
+                        request.id(), Failure.of(ErrorKind.UPSTREAM_DIED, "the upstream cut the answer")));
+                return;
+            }
+            if (number == PARTS) {
+                running.remove(request.id());
+                tell(new AgentEvent.UpstreamFinished(request.id()));
+                return;
+            }
+            String text = part(request.fingerprint(), number);
+            agent.produced(request.id(), text);
+            step(request, number + 1);
+        });
+    }
+
+    void crash() {
+        if (!alive) {
+            return;
+        }
+        alive = false;
+        running.clear();
+        tell(new AgentEvent.UpstreamDied());
+        world.after(RESTART_MILLIS, () -> {
+            alive = true;
+            poisonFingerprint = 0;
+            tell(new AgentEvent.UpstreamAlive());
+        });
+    }
+
+    void cancel(RequestId run) {
+        running.remove(run);
+    }
+
+    private void tell(AgentEvent event) {
+        agent.fromUpstream(event);
+    }
+}
--- /dev/null
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/FaultMatrixTest.java
@@ -0,0 +1,57 @@
+package dev.wigeonward.verification.faults;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FaultMatrixTest {
+    private static final long SEED = 20_261_204;
+    private static final int[] SECOND_FAULT_DELAYS_MILLIS = {0, 700, 5_200};
+
+    /** Guards against an invariant that a fault breaks when it strikes at one particular step of a flow. */
+    @ParameterizedTest(name = "{0} with {1}")
+    @MethodSource("flowsAndFaults")
+    void singleFaultAtEveryStepKeepsTheInvariants(Flow flow, Fault fault) {
+        for (Step step : Step.values()) {
+            if (flow.passes(step)) {
+                check(flow, fault, step, Fault.NONE, 0);
+            }
+        }
+    }
+
+    static Stream<Arguments> flowsAndFaults() {
+        return Arrays.stream(Flow.values())
+                .flatMap(flow -> Arrays.stream(Fault.values()).map(fault -> Arguments.of(flow, fault)));
+    }
+
+    /** Guards against a second fault that strikes before the first one is overcome. */
+    @ParameterizedTest(name = "{0} with {1}")
+    @MethodSource("flowsAndFaults")
+    void twoFaultsTogetherKeepTheInvariants(Flow flow, Fault first) {
+        for (Fault second : Fault.values()) {
+            int mix = 31 * first.ordinal() + second.ordinal();
+            List<Step> steps = Arrays.stream(Step.values()).filter(flow::passes).toList();
+            Step step = steps.get(mix % steps.size());
+            check(flow, first, step, second, SECOND_FAULT_DELAYS_MILLIS[mix % SECOND_FAULT_DELAYS_MILLIS.length]);
+        }
+    }
+
+    private static void check(Flow flow, Fault first, Step step, Fault second, int delayMillis) {
+        long seed = SEED + 1_000L * first.ordinal() + step.ordinal();
+        World world = new World(seed, Guards.ALL);
+        world.at(step, () -> {
+            first.inject(world);
+            world.after(delayMillis, () -> second.inject(world));
+        });
+        flow.play(world);
+        assertThat(InvariantChecks.violations(world.ledger))
+                .as("%s, %s at %s, then %s after %d ms, seed %d", flow, first, step, second, delayMillis, seed)
+                .isEmpty();
+    }
+}
--- /dev/null
+++ b/verification/src/test/tla/Orders.tla
@@ -0,0 +1,99 @@
+------------------------------- MODULE Orders -------------------------------
+(* The controller lease at the store and the fencing of orders at one agent. Action names are those of            *)
+(* core.order; see docs/model.md.                                                                                  *)
+EXTENDS Naturals, FiniteSets
+
+CONSTANTS
+    Controllers, MaxElections, MaxRestarts,
+    GuardFencing,   \* an order with a lower number than the highest seen is refused
+    GuardStoreRead, \* a restarted agent runs nothing before it has read the number from the store
+    GuardNoLease,   \* a read that finds no controller confirms nothing
+    GuardFreshRead  \* an answer counts only for the incarnation that asked
+
+VARIABLES
+    lease,          \* fencing number of the controller key in the store, 0 while the key does not exist
+    elections,      \* creation revisions given out
+    holds,          \* number under which each controller believes to be the holder, 0 if it does not
+    net,            \* orders under way
+    gate,           \* the agent's memory
+    reads,          \* answers of the store on their way to the agent
+    executed,       \* highest number that the engine carried out, over all incarnations of the agent
+    stale           \* whether the engine carried out an order with a lower number after that
+vars == <<lease, elections, holds, net, gate, reads, executed, stale>>
+
+NewGate(inc) == [inc |-> inc, highest |-> 0, confirmed |-> ~GuardStoreRead, waiting |-> {}, reading |-> FALSE]
+Max(a, b) == IF a > b THEN a ELSE b
+
+Init ==
+    /\ lease = 0 /\ elections = 0 /\ holds = [c \in Controllers |-> 0]
+    /\ net = {} /\ gate = NewGate(1) /\ reads = {} /\ executed = 0 /\ stale = FALSE
+
+Acquire(c) ==
+    /\ lease = 0 /\ elections < MaxElections
+    /\ elections' = elections + 1 /\ lease' = elections + 1
+    /\ holds' = [holds EXCEPT ![c] = elections + 1]
+    /\ UNCHANGED <<net, gate, reads, executed, stale>>
+
+(* The store drops the key; a holder that is paused does not learn of it. *)
+Expire ==
+    /\ lease # 0 /\ lease' = 0
+    /\ UNCHANGED <<elections, holds, net, gate, reads, executed, stale>>
+
+SendOrder(c) ==
+    /\ holds[c] # 0
+    /\ net' = net \cup {holds[c]}
+    /\ UNCHANGED <<lease, elections, holds, gate, reads, executed, stale>>
+
+(* What the gate does about a set of orders once it knows `highest`. *)
+Decide(orders, highest) ==
+    LET runs == IF GuardFencing THEN {n \in orders : n >= highest} ELSE orders IN
+    /\ executed' = IF runs = {} THEN executed ELSE Max(executed, CHOOSE n \in runs : \A k \in runs : n >= k)
+    /\ stale' = (stale \/ \E n \in runs : n < executed)
+
+(* Orders may be delivered late and more than once: they stay in `net`. *)
+OrderReceived(n) ==
+    /\ n \in net
+    /\ LET highest == Max(gate.highest, n) IN
+       IF gate.confirmed
+       THEN gate' = [gate EXCEPT !.highest = highest] /\ Decide({n}, highest) /\ UNCHANGED reads
+       ELSE /\ gate' = [gate EXCEPT !.highest = highest, !.waiting = @ \cup {n}, !.reading = TRUE]
+            /\ reads' = IF gate.reading THEN reads ELSE reads \cup {[inc |-> gate.inc, number |-> lease]}
+            /\ UNCHANGED <<executed, stale>>
+    /\ UNCHANGED <<lease, elections, holds, net>>
+
+FencingSeen ==
+    /\ lease # 0 /\ gate' = [gate EXCEPT !.highest = Max(@, lease)]
+    /\ UNCHANGED <<lease, elections, holds, net, reads, executed, stale>>
+
+FencingRead(read) ==
+    /\ read \in reads /\ reads' = reads \ {read}
+    /\ read.inc = gate.inc \/ ~GuardFreshRead
+    /\ IF read.number = 0 /\ GuardNoLease
+       THEN gate' = [gate EXCEPT !.waiting = {}, !.reading = FALSE] /\ UNCHANGED <<executed, stale>>
+       ELSE LET highest == Max(gate.highest, read.number) IN
+            /\ gate' = [gate EXCEPT !.highest = highest, !.confirmed = TRUE, !.waiting = {}, !.reading = FALSE]
+            /\ Decide(gate.waiting, highest)
+    /\ UNCHANGED <<lease, elections, holds, net>>
+
+StoreUnavailable ==
+    /\ gate.reading
+    /\ gate' = [gate EXCEPT !.waiting = {}, !.reading = FALSE]
+    /\ reads' = {read \in reads : read.inc # gate.inc}
+    /\ UNCHANGED <<lease, elections, holds, net, executed, stale>>
+
+RestartAgent ==
+    /\ gate.inc <= MaxRestarts
+    /\ gate' = NewGate(gate.inc + 1)
+    /\ UNCHANGED <<lease, elections, holds, net, reads, executed, stale>>
+
+Next ==
+    \/ \E c \in Controllers : Acquire(c) \/ SendOrder(c)
+    \/ Expire \/ FencingSeen \/ StoreUnavailable \/ RestartAgent
+    \/ \E n \in net : OrderReceived(n)
+    \/ \E read \in reads : FencingRead(read)
+
+Spec == Init /\ [][Next]_vars
+
+(* No order with an old number is executed after a newer one, also after a restart with empty memory. *)
+NoOldOrderAfterNewer == ~stale
+=============================================================================
