Refuse orders when the store shows no controller

Cause: a restarted agent took an absent controller key as number 0 and then ran an order of an expired lease, although a newer controller's order had run before the restart (Orders.tla without GuardNoLease: NoOldOrderAfterNewer violated). Ruled out: a read that lags, since the read is linearizable. Change: a read that finds no key refuses the waiting orders and confirms nothing. Before: storeWithoutControllerConfirmsNothing failed. Conclusion: a controller must hold its lease when a restarted agent first asks.

--- a/core/src/main/java/dev/wigeonward/core/order/OrderGate.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderGate.java
@@ -45,9 +45,9 @@
         } else if (event instanceof OrderEvent.FencingSeen seen) {
             highestFencingNumber = Math.max(highestFencingNumber, seen.fencingNumber());
         } else if (event instanceof OrderEvent.FencingRead read) {
-            confirm(read.fencingNumber(), effects);
+            readAnswered(read.fencingNumber(), effects);
         } else if (event instanceof OrderEvent.StoreUnavailable) {
-            refuseWaiting(effects);
+            refuseWaiting("the store did not confirm the fencing number", effects);
         } else if (event instanceof OrderEvent.EngineFinished finished) {
             finish(finished, effects);
         }
@@ -76,6 +76,18 @@
         }
     }
 
+    /**
+     * Without a controller in the store nothing shows how old the waiting orders are: a newer lease than theirs may
+     * have ended, after its orders ran at an earlier incarnation.
+     */
+    private void readAnswered(long fencingNumber, List<OrderEffect> effects) {
+        if (fencingNumber == 0) {
+            refuseWaiting("no controller holds the lease", effects);
+            return;
+        }
+        confirm(fencingNumber, effects);
+    }
+
     private void confirm(long fencingNumber, List<OrderEffect> effects) {
         highestFencingNumber = Math.max(highestFencingNumber, fencingNumber);
         confirmedByStore = true;
@@ -109,11 +121,11 @@
         effects.add(new OrderEffect.Answer(order.orderId(), new OrderResult.Refused(reason, highestFencingNumber)));
     }
 
-    private void refuseWaiting(List<OrderEffect> effects) {
+    private void refuseWaiting(String reason, List<OrderEffect> effects) {
         readOutstanding = false;
         List<Order> orders = List.copyOf(waiting.values());
         waiting.clear();
-        orders.forEach(order -> refuse(order, "the store did not confirm the fencing number", effects));
+        orders.forEach(order -> refuse(order, reason, effects));
     }
 
     private void finish(OrderEvent.EngineFinished finished, List<OrderEffect> effects) {
--- a/core/src/test/java/dev/wigeonward/core/order/OrderGateTest.java
+++ b/core/src/test/java/dev/wigeonward/core/order/OrderGateTest.java
@@ -51,6 +51,17 @@
         assertThat(gate.handle(received(5, "a"))).containsExactly(new OrderEffect.ReadFencingNumber());
     }
 
+    /** Guards against an order of a former controller that runs while the newer one's lease is over, too. */
+    @Test
+    void storeWithoutControllerConfirmsNothing() {
+        OrderGate gate = new OrderGate();
+        gate.handle(received(5, "a"));
+        assertThat(gate.handle(new OrderEvent.FencingRead(0))).singleElement().satisfies(effect -> assertThat(
+                        ((OrderEffect.Answer) effect).result())
+                .isInstanceOf(OrderResult.Refused.class));
+        assertThat(gate.handle(received(5, "a"))).containsExactly(new OrderEffect.ReadFencingNumber());
+    }
+
     /** Guards against a load that runs twice because its answer was lost or the next controller repeats it. */
     @Test
     void repeatedOrderIsAnsweredWithoutRunning() {
@@ -120,7 +131,7 @@
 
     private static Function<OrderEvent, List<OrderEffect>> trustingGate() {
         OrderGate gate = new OrderGate();
-        gate.handle(new OrderEvent.FencingRead(0));
+        gate.handle(new OrderEvent.FencingRead(1));
         return gate::handle;
     }
 
