Never declare a request as not received after it was handed to the upstream

Cause: an agent forgot a run that it had cancelled, dropped or acknowledged, or whose reader was away for 5 s, and then answered a reattach or an attach with Unseen; the entry sent the request to another upstream or took the claim over. Copies of a refused or finished dispatch started a run. A dispatch for an older incarnation was answered as not run instead of unknown. A repeated dispatch on a new link did not get the output that was lost with the old one. Ruled out: the claim in the store; it held until the false Unseen.

--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -30,6 +30,7 @@
     private final Map<String, Run> runsByKey = new HashMap<>();
     private final Map<RequestId, Run> runs = new LinkedHashMap<>();
     private final Set<RequestId> tombstones = new LinkedHashSet<>();
+    private final RunMemory memory;
     private final OutputSteps output;
     private List<AgentEffect> effects = new ArrayList<>();
     private boolean draining;
@@ -39,6 +40,7 @@
         this.incarnation = incarnation;
         this.queue = Objects.requireNonNull(queue, "queue");
         this.limits = Objects.requireNonNull(limits, "limits");
+        this.memory = new RunMemory(limits.maxTombstones());
         this.output = new OutputSteps(limits.windowBytes(), this::emit);
     }
 
@@ -53,7 +55,7 @@
         if (event instanceof AgentEvent.DispatchArrived arrived) {
             dispatch(arrived, nowMillis);
         } else if (event instanceof AgentEvent.ReattachArrived arrived) {
-            reattach(arrived);
+            reattach(arrived, nowMillis);
         } else if (event instanceof AgentEvent.AcknowledgeArrived arrived) {
             acknowledge(arrived);
         } else if (event instanceof AgentEvent.CancelArrived arrived) {
@@ -83,7 +85,8 @@
         } else if (event instanceof AgentEvent.UpstreamUnreached unreached) {
             running(unreached.run()).ifPresent(run -> {
                 queue.onEnded(run.id(), nowMillis);
-                dropUnrun(run, unreached.failure());
+                memory.didNotRun(run.id());
+                dropUnrun(run, unreached.failure(), nowMillis);
                 pump(nowMillis);
             });
         } else if (event instanceof AgentEvent.UpstreamDied) {
@@ -128,9 +131,17 @@
 
     private void dispatch(AgentEvent.DispatchArrived arrived, long nowMillis) {
         RequestSpec request = arrived.request();
-        Optional<Failure> refusal = refusal(arrived);
-        if (refusal.isPresent()) {
-            emit(new AgentEffect.SendNotRun(arrived.link(), request.id(), arrived.dispatch(), refusal.get()));
+        if (arrived.expectedIncarnation() != incarnation) {
+            // An earlier copy may have reached the older incarnation, so "not run" would be a guess.
+            fail(arrived, ErrorKind.UPSTREAM_LOST, "the dispatch is meant for another incarnation");
+            return;
+        }
+        if (memory.wasRefused(arrived.dispatch())) {
+            refuse(arrived, Failure.of(ErrorKind.NO_UPSTREAM, "the dispatch was refused before"), nowMillis);
+            return;
+        }
+        if (arrived.attachTo().isEmpty() && tombstones.contains(request.id())) {
+            refuse(arrived, Failure.of(ErrorKind.NO_UPSTREAM, "the request was declared as never received"), nowMillis);
             return;
         }
         Run own = runsByReader.get(request.id());
@@ -138,30 +149,35 @@
             repeated(arrived, own);
             return;
         }
-        Run sameKey = request.key().map(runsByKey::get).orElse(null);
-        if (sameKey != null) {
-            join(arrived, sameKey);
+        Run joined = runs.containsKey(request.id())
+                ? runs.get(request.id())
+                : request.key().map(runsByKey::get).orElse(null);
+        if (joined != null) {
+            join(arrived, joined, nowMillis);
             return;
         }
         if (arrived.attachTo().isPresent()) {
-            promiseNotToRun(arrived.link(), arrived.attachTo().get(), request.id(), arrived.dispatch());
+            promiseNotToRun(arrived.link(), arrived.attachTo().get(), request.id(), arrived.dispatch(), nowMillis);
+            return;
+        }
+        if (memory.hasRun(request.id())) {
+            fail(arrived, ErrorKind.OUTCOME_UNKNOWN, "the request ran and its outcome is not kept");
             return;
         }
         enqueue(arrived, nowMillis);
     }
 
-    private Optional<Failure> refusal(AgentEvent.DispatchArrived arrived) {
-        if (arrived.expectedIncarnation() != incarnation) {
-            return Optional.of(Failure.of(ErrorKind.NO_UPSTREAM, "the dispatch is meant for another incarnation"));
-        }
-        if (tombstones.contains(arrived.request().id())) {
-            return Optional.of(Failure.of(ErrorKind.NO_UPSTREAM, "the request was declared as never received"));
-        }
-        boolean joins = arrived.attachTo().isPresent()
-                || arrived.request().key().map(runsByKey::containsKey).orElse(false);
-        if (joins || runsByReader.containsKey(arrived.request().id())) {
-            return Optional.empty();
-        }
+    private void fail(AgentEvent.DispatchArrived arrived, ErrorKind kind, String message) {
+        emit(new AgentEffect.SendFailed(
+                arrived.link(), arrived.request().id(), arrived.dispatch(), Failure.of(kind, message)));
+    }
+
+    private void refuse(AgentEvent.DispatchArrived arrived, Failure failure, long nowMillis) {
+        memory.refused(arrived.request(), arrived.dispatch(), nowMillis);
+        emit(new AgentEffect.SendNotRun(arrived.link(), arrived.request().id(), arrived.dispatch(), failure));
+    }
+
+    private Optional<Failure> refusal() {
         if (draining) {
             return Optional.of(Failure.of(ErrorKind.SHUTTING_DOWN, "the agent is shutting down"));
         }
@@ -171,28 +187,27 @@
         return Optional.empty();
     }
 
-    /** A second copy of a dispatch starts nothing; the reader moves to the link on which it came. */
+    /**
+     * A second copy of a dispatch starts nothing. The reader moves to the link on which it came and gets again what it
+     * has not confirmed, since that may have been lost with the old link.
+     */
     private void repeated(AgentEvent.DispatchArrived arrived, Run run) {
         Run.Reader reader = run.readers.get(arrived.request().id());
         if (!reader.dispatch.equals(arrived.dispatch())) {
-            emit(new AgentEffect.SendFailed(
-                    arrived.link(),
-                    reader.request,
-                    arrived.dispatch(),
-                    Failure.of(ErrorKind.IN_PROGRESS, "the request runs under another dispatch")));
+            fail(arrived, ErrorKind.IN_PROGRESS, "the request runs under another dispatch");
             return;
         }
         reader.link = arrived.link();
+        reader.sentBytes = reader.acknowledgedBytes;
+        reader.endSent = false;
         emit(new AgentEffect.SendAccepted(reader.link, reader.request, reader.dispatch));
+        output.send(run);
     }
 
-    private void join(AgentEvent.DispatchArrived arrived, Run run) {
+    private void join(AgentEvent.DispatchArrived arrived, Run run, long nowMillis) {
         if (run.request.fingerprint() != arrived.request().fingerprint()) {
-            emit(new AgentEffect.SendNotRun(
-                    arrived.link(),
-                    arrived.request().id(),
-                    arrived.dispatch(),
-                    Failure.of(ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with another body")));
+            Failure failure = Failure.of(ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with another body");
+            refuse(arrived, failure, nowMillis);
             return;
         }
         addReader(run, arrived);
@@ -207,10 +222,12 @@
     }
 
     /** Records that a request will never run here and says so, unless the memory for such promises is full. */
-    private void promiseNotToRun(long link, RequestId promised, RequestId answered, DispatchId dispatch) {
-        if (tombstones.size() >= limits.maxTombstones() && !tombstones.contains(promised)) {
+    private void promiseNotToRun(
+            long link, RequestId promised, RequestId answered, DispatchId dispatch, long nowMillis) {
+        boolean full = tombstones.size() >= limits.maxTombstones() && !tombstones.contains(promised);
+        if (full || memory.mayHaveRun(promised, nowMillis)) {
             emit(new AgentEffect.SendFailed(
-                    link, answered, dispatch, Failure.of(ErrorKind.OUTCOME_UNKNOWN, "too many unknown requests")));
+                    link, answered, dispatch, Failure.of(ErrorKind.OUTCOME_UNKNOWN, "the request may have run here")));
             return;
         }
         tombstones.add(promised);
@@ -218,10 +235,15 @@
     }
 
     private void enqueue(AgentEvent.DispatchArrived arrived, long nowMillis) {
+        Optional<Failure> refusal = refusal();
+        if (refusal.isPresent()) {
+            refuse(arrived, refusal.get(), nowMillis);
+            return;
+        }
         RequestSpec request = arrived.request();
         AdmissionResult result = queue.offer(request, nowMillis);
         if (result instanceof AdmissionResult.Refused refused) {
-            emit(new AgentEffect.SendNotRun(arrived.link(), request.id(), arrived.dispatch(), refused.failure()));
+            refuse(arrived, refused.failure(), nowMillis);
             return;
         }
         Run run = new Run(request);
@@ -231,7 +253,8 @@
         for (RequestSpec displaced : ((AdmissionResult.Queued) result).displaced()) {
             dropUnrun(
                     runs.get(displaced.id()),
-                    Failure.of(ErrorKind.DISPLACED, "displaced by a request of a higher tier"));
+                    Failure.of(ErrorKind.DISPLACED, "displaced by a request of a higher tier"),
+                    nowMillis);
         }
         pump(nowMillis);
     }
@@ -243,12 +266,13 @@
         Optional<RequestSpec> next = queue.next(nowMillis);
         while (next.isPresent()) {
             runs.get(next.get().id()).phase = Run.Phase.RUNNING;
+            memory.ran(next.get(), nowMillis);
             emit(new AgentEffect.SubmitToUpstream(next.get().id()));
             next = queue.next(nowMillis);
         }
     }
 
-    private void reattach(AgentEvent.ReattachArrived arrived) {
+    private void reattach(AgentEvent.ReattachArrived arrived, long nowMillis) {
         if (arrived.expectedIncarnation() != incarnation) {
             emit(new AgentEffect.SendFailed(
                     arrived.link(),
@@ -257,9 +281,10 @@
                     Failure.of(ErrorKind.UPSTREAM_LOST, "the agent was restarted while it held the request")));
             return;
         }
-        Run run = runsByReader.get(arrived.request());
+        // A request whose link was away for too long is no reader of its own run any more, which may still go on.
+        Run run = runsByReader.getOrDefault(arrived.request(), runs.get(arrived.request()));
         if (run == null) {
-            promiseNotToRun(arrived.link(), arrived.request(), arrived.request(), arrived.dispatch());
+            promiseNotToRun(arrived.link(), arrived.request(), arrived.request(), arrived.dispatch(), nowMillis);
             return;
         }
         if (arrived.offsetBytes() < run.trimmedBytes || arrived.offsetBytes() > run.producedBytes) {
@@ -270,7 +295,9 @@
                     Failure.of(ErrorKind.OUTPUT_INCOMPLETE, "output at the offset is not kept any more")));
             return;
         }
-        Run.Reader reader = run.readers.get(arrived.request());
+        Run.Reader reader = run.readers.computeIfAbsent(
+                arrived.request(), id -> new Run.Reader(id, arrived.dispatch(), arrived.link()));
+        runsByReader.put(arrived.request(), run);
         reader.link = arrived.link();
         reader.dispatch = arrived.dispatch();
         reader.sentBytes = arrived.offsetBytes();
@@ -350,7 +377,10 @@
         for (Run run : List.copyOf(runs.values())) {
             if (run.phase == Run.Phase.QUEUED) {
                 queue.remove(run.id());
-                dropUnrun(run, Failure.of(ErrorKind.NO_UPSTREAM, "the upstream died before it got the request"));
+                dropUnrun(
+                        run,
+                        Failure.of(ErrorKind.NO_UPSTREAM, "the upstream died before it got the request"),
+                        nowMillis);
             } else if (run.phase == Run.Phase.RUNNING) {
                 running.add(run.request);
                 ended(
@@ -368,7 +398,8 @@
         for (RequestSpec expired : queue.removeExpired(nowMillis)) {
             dropUnrun(
                     runs.get(expired.id()),
-                    Failure.of(ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE, "the deadline cannot be met any more"));
+                    Failure.of(ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE, "the deadline cannot be met any more"),
+                    nowMillis);
         }
         for (Run run : List.copyOf(runs.values())) {
             dropDetachedReaders(run, nowMillis);
@@ -395,8 +426,9 @@
     }
 
     /** Tells every reader of a run that the upstream never saw it, and forgets it. */
-    private void dropUnrun(Run run, Failure failure) {
+    private void dropUnrun(Run run, Failure failure, long nowMillis) {
         for (Run.Reader reader : run.readers.values()) {
+            memory.refused(run.request, reader.dispatch, nowMillis);
             if (reader.attached()) {
                 emit(new AgentEffect.SendNotRun(reader.link, reader.request, reader.dispatch, failure));
             } else {
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/AgentDispatcherFaultTest.java
@@ -0,0 +1,135 @@
+package dev.wigeonward.core.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+
+import dev.wigeonward.core.admission.WorkspaceWeights;
+import dev.wigeonward.core.engine.EngineLimits;
+import dev.wigeonward.core.engine.PriorityEngineQueue;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.request.DispatchId;
+import dev.wigeonward.core.request.EngineSpeed;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.request.Tier;
+import dev.wigeonward.core.request.WorkEstimate;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AgentDispatcherFaultTest {
+    private static final long INCARNATION = 7;
+    private static final RequestSpec PLAIN = request("r1", true);
+    private static final RequestSpec CLAIMED = request("r1", false);
+
+    private final AgentDispatcher agent = AgentDispatcher.create(
+            INCARNATION,
+            PriorityEngineQueue.create(
+                    new EngineLimits(2, 100_000, 0, 8), new EngineSpeed(1_000, 100), WorkspaceWeights.equal()),
+            AgentLimits.defaults());
+
+    /** Guards against a second run elsewhere of a request whose run was cancelled after its link was lost. */
+    @Test
+    void cancelledRunIsNotDeclaredAsNeverReceived() {
+        agent.handle(dispatch(1, PLAIN, 1), 0);
+        agent.handle(new AgentEvent.LinkLost(1), 0);
+        agent.handle(new AgentEvent.Tick(), 5_000);
+        assertThat(failureOf(agent.handle(reattach(2, PLAIN, 1), 5_500))).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+    }
+
+    /** Guards against a second run elsewhere of a claimed request that still runs here. */
+    @Test
+    void claimedRunIsFoundAgainAfterItsReaderWasDropped() {
+        agent.handle(dispatch(1, CLAIMED, 1), 0);
+        agent.handle(new AgentEvent.LinkLost(1), 0);
+        agent.handle(new AgentEvent.Tick(), 5_000);
+        assertThat(agent.handle(reattach(2, CLAIMED, 1), 5_500))
+                .containsExactly(new AgentEffect.SendAccepted(2, CLAIMED.id(), id(CLAIMED, 1)));
+    }
+
+    /** Guards against the takeover of a claim whose outcome was kept for 10 minutes and then dropped. */
+    @Test
+    void forgottenOutcomeIsNotDeclaredAsNeverReceived() {
+        agent.handle(dispatch(1, CLAIMED, 1), 0);
+        agent.handle(new AgentEvent.UpstreamFinished(CLAIMED.id()), 10);
+        agent.handle(new AgentEvent.LinkLost(1), 10);
+        agent.handle(new AgentEvent.Tick(), 6_000);
+        agent.handle(new AgentEvent.Tick(), 700_000);
+        RequestSpec resend = request("r2", false);
+        List<AgentEffect> effects = agent.handle(
+                new AgentEvent.DispatchArrived(2, resend, id(resend, 1), INCARNATION, Optional.of(CLAIMED.id())),
+                700_000);
+        assertThat(failureOf(effects)).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+    }
+
+    /** Guards against a run that is started by a late copy of a dispatch that was answered as not run. */
+    @Test
+    void copyOfRefusedDispatchStartsNothing() {
+        agent.handle(new AgentEvent.UpstreamDied(), 0);
+        agent.handle(dispatch(1, PLAIN, 1), 0);
+        agent.handle(new AgentEvent.UpstreamAlive(), 0);
+        assertThat(agent.handle(dispatch(1, PLAIN, 1), 10)).singleElement().isInstanceOf(AgentEffect.SendNotRun.class);
+        assertThat(agent.handle(dispatch(1, PLAIN, 2), 10)).contains(new AgentEffect.SubmitToUpstream(PLAIN.id()));
+    }
+
+    /** Guards against a second run that is started by a late copy of the dispatch of a finished one. */
+    @Test
+    void copyOfFinishedDispatchStartsNothing() {
+        agent.handle(dispatch(1, PLAIN, 1), 0);
+        agent.handle(new AgentEvent.UpstreamFinished(PLAIN.id()), 10);
+        agent.handle(new AgentEvent.AcknowledgeArrived(PLAIN.id(), 0), 20);
+        assertThat(failureOf(agent.handle(dispatch(1, PLAIN, 1), 30))).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+    }
+
+    /** Guards against "not run" from an agent that knows nothing of what its older incarnation ran. */
+    @Test
+    void dispatchForOlderIncarnationHasUnknownOutcome() {
+        List<AgentEffect> effects = agent.handle(
+                new AgentEvent.DispatchArrived(1, PLAIN, id(PLAIN, 1), INCARNATION - 1, Optional.empty()), 0);
+        assertThat(failureOf(effects)).isEqualTo(ErrorKind.UPSTREAM_LOST);
+    }
+
+    /** Guards against a caller that waits for output which was lost with the old link. */
+    @Test
+    void repeatedDispatchGetsUnconfirmedOutputAgain() {
+        agent.handle(dispatch(1, PLAIN, 1), 0);
+        agent.handle(new AgentEvent.UpstreamOutput(PLAIN.id(), 10), 10);
+        agent.handle(new AgentEvent.UpstreamFinished(PLAIN.id()), 20);
+        assertThat(agent.handle(dispatch(2, PLAIN, 1), 30))
+                .hasSize(3)
+                .contains(new AgentEffect.SendOutput(2, PLAIN.id(), id(PLAIN, 1), PLAIN.id(), 0, 10));
+    }
+
+    private static ErrorKind failureOf(List<AgentEffect> effects) {
+        assertThat(effects).singleElement().isInstanceOf(AgentEffect.SendFailed.class);
+        Failure failure = ((AgentEffect.SendFailed) effects.get(0)).failure();
+        return failure.kind();
+    }
+
+    private static AgentEvent dispatch(long link, RequestSpec request, int attempt) {
+        return new AgentEvent.DispatchArrived(link, request, id(request, attempt), INCARNATION, Optional.empty());
+    }
+
+    private static AgentEvent reattach(long link, RequestSpec request, int attempt) {
+        return new AgentEvent.ReattachArrived(link, request.id(), id(request, attempt), INCARNATION, 0);
+    }
+
+    private static DispatchId id(RequestSpec request, int attempt) {
+        return DispatchId.of(request.id(), attempt);
+    }
+
+    private static RequestSpec request(String id, boolean idempotent) {
+        return new RequestSpec(
+                new RequestId(id),
+                idempotent ? Optional.empty() : Optional.of("key"),
+                Tier.STANDARD,
+                "w",
+                "model",
+                "route",
+                new WorkEstimate(10, 10, 0),
+                60_000,
+                idempotent,
+                1);
+    }
+}
