Attach again on a new link and end waits that have no caller

Cause: an entry whose link was lost while it waited for the answer to its attach sent a reattach; the agent's Unseen was about the attaching request, but the entry took the claim of the running one over. An Unseen after the deadline was taken as proof although agents keep their memory to the deadline only. A claimed request without a caller stayed for good when the store did not answer. Ruled out: the agent's answer, which was true for the request that asked. Change: SendAttach is repeated on the new link; Unseen after the deadline is unknown; a claim wait ends at the deadline. Before: EntryDispatcherFaultTest failed 3 of 3. After: passes.

--- a/core/src/main/java/dev/wigeonward/core/dispatch/AnswerSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AnswerSteps.java
@@ -56,6 +56,11 @@
     }
 
     private void unseen(Flight flight, long nowMillis) {
+        if (flight.request.timeLeftMillis(nowMillis) <= 0) {
+            // Agents remember what ran until the deadline only; an entry that was paused may ask after that.
+            failed(flight, Failure.of(ErrorKind.DEADLINE_EXCEEDED_RUNNING, "the deadline passed"), nowMillis);
+            return;
+        }
         if (flight.phase == Flight.Phase.ATTACHING) {
             claims().attachUnseen(flight);
             return;
@@ -145,11 +150,23 @@
             }
             if (flight.detachedAtMillis >= 0) {
                 flight.detachedAtMillis = -1;
-                reattach(flight, nowMillis);
+                resume(flight, nowMillis);
             }
         }
     }
 
+    /**
+     * The answer to a reattach is about the own request. An entry that still waits for the answer to its attach would
+     * take it as proof that the claiming request was never received, and take its claim over.
+     */
+    private void resume(Flight flight, long nowMillis) {
+        if (flight.phase == Flight.Phase.ATTACHING) {
+            claims().sendAttach(flight);
+            return;
+        }
+        reattach(flight, nowMillis);
+    }
+
     void linkDown(String upstreamId, long nowMillis) {
         for (Flight flight : dispatcher.flightsAt(upstreamId)) {
             if (flight.phase != Flight.Phase.CLAIMING && flight.detachedAtMillis < 0) {
@@ -166,7 +183,7 @@
             dispatcher.fail(flight, Failure.of(ErrorKind.UPSTREAM_LOST, "the agent cannot be reached"), nowMillis);
             return;
         }
-        if (flight.request.timeLeftMillis(nowMillis) > 0 || flight.callerGone) {
+        if (flight.request.timeLeftMillis(nowMillis) > 0) {
             return;
         }
         if (flight.phase == Flight.Phase.CLAIMING) {
@@ -176,7 +193,7 @@
                     nowMillis);
             return;
         }
-        if (flight.phase == Flight.Phase.QUEUED) {
+        if (flight.phase == Flight.Phase.QUEUED || flight.callerGone) {
             return;
         }
         expireRunning(flight, nowMillis);
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
@@ -110,13 +110,19 @@
         flight.dispatch = DispatchId.of(flight.request.id(), flight.attempts);
         flight.phase = Flight.Phase.ATTACHING;
         flight.foundClaimId = held.claimId();
+        flight.foundRequest = held.request();
         flight.upstreamId = held.upstreamId();
         flight.upstreamIncarnation = held.upstreamIncarnation();
         flight.serviceMillis =
                 flight.request.work().serviceMillis(holder.description().speed());
         holder.onDispatched(flight.serviceMillis);
-        dispatcher.emit(
-                new EntryEffect.SendAttach(flight.request.id(), flight.dispatch, held.upstreamId(), held.request()));
+        sendAttach(flight);
+    }
+
+    /** Asks the agent named in the found claim; repeated on a new link, since the first copy may have been lost. */
+    void sendAttach(Flight flight) {
+        dispatcher.emit(new EntryEffect.SendAttach(
+                flight.request.id(), flight.dispatch, flight.upstreamId, flight.foundRequest));
     }
 
     /** The agent named in the found claim proved that it never received the claiming request. */
--- a/core/src/main/java/dev/wigeonward/core/dispatch/Flight.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/Flight.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 
 import dev.wigeonward.core.request.DispatchId;
+import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 
 /** A request between its arrival and its answer, as the entry keeps it. */
@@ -27,6 +28,8 @@
     DispatchId dispatch;
     /** Claim of another request that this one found. */
     String foundClaimId;
+    /** Request that holds the found claim. */
+    RequestId foundRequest;
 
     long receivedBytes;
     long acknowledgedBytes;
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
@@ -0,0 +1,96 @@
+package dev.wigeonward.core.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+
+import dev.wigeonward.core.admission.FairShareAdmissionQueue;
+import dev.wigeonward.core.admission.WorkspaceWeights;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.placement.LeastOutstanding;
+import dev.wigeonward.core.placement.UpstreamDescription;
+import dev.wigeonward.core.request.DispatchId;
+import dev.wigeonward.core.request.EngineSpeed;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.request.RequestSpec;
+import dev.wigeonward.core.request.Tier;
+import dev.wigeonward.core.request.WorkEstimate;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EntryDispatcherFaultTest {
+    private static final long DEADLINE_MILLIS = 10_000;
+    private static final RequestSpec CLAIMED = new RequestSpec(
+            new RequestId("r2"),
+            Optional.of("key"),
+            Tier.STANDARD,
+            "w",
+            "model",
+            "route",
+            new WorkEstimate(10, 10, 0),
+            DEADLINE_MILLIS,
+            false,
+            1);
+    private static final UpstreamDescription UPSTREAM =
+            new UpstreamDescription("a1", 7, "model", "v1", "d1", 4, new EngineSpeed(1_000, 100));
+    private static final RequestId HOLDER = new RequestId("r1");
+
+    private final EntryDispatcher entry = EntryDispatcher.create(
+            new DispatchPolicies(
+                    () -> FairShareAdmissionQueue.create(8, WorkspaceWeights.equal()),
+                    LeastOutstanding.create(),
+                    LeastOutstanding.create(),
+                    VersionRouter.first(),
+                    RetryPermits.unlimited(),
+                    SuspectGate.open()),
+            DispatchLimits.defaults());
+
+    /**
+     * Guards against the takeover of a claim that is in use: a reattach would be answered about the own request, which
+     * the agent never got.
+     */
+    @Test
+    void attachIsRepeatedOnNewLink() {
+        attach();
+        entry.handle(new EntryEvent.LinkDown("a1"), 100);
+        assertThat(entry.handle(new EntryEvent.LinkUp(UPSTREAM), 200))
+                .containsExactly(
+                        new EntryEffect.SendAttach(CLAIMED.id(), DispatchId.of(CLAIMED.id(), 1), "a1", HOLDER));
+    }
+
+    /** Guards against "not run" from an agent that dropped its memory of a run at the deadline. */
+    @Test
+    void unseenAfterTheDeadlineIsNoProof() {
+        attach();
+        List<EntryEffect> effects =
+                entry.handle(new EntryEvent.Unseen(CLAIMED.id(), DispatchId.of(CLAIMED.id(), 1)), DEADLINE_MILLIS);
+        assertThat(effects)
+                .filteredOn(EntryEffect.DeliverFailure.class::isInstance)
+                .singleElement()
+                .satisfies(effect -> assertThat(
+                                ((EntryEffect.DeliverFailure) effect).failure().kind())
+                        .isEqualTo(ErrorKind.DEADLINE_EXCEEDED_RUNNING));
+        assertThat(effects).noneMatch(EntryEffect.TakeOverClaim.class::isInstance);
+    }
+
+    /** Guards against a request that is kept for good, and a drain that never ends, when the store does not answer. */
+    @Test
+    void claimWithoutCallerEndsAtTheDeadline() {
+        entry.handle(new EntryEvent.LinkUp(UPSTREAM), 0);
+        entry.handle(new EntryEvent.RequestArrived(CLAIMED), 0);
+        entry.handle(new EntryEvent.CallerGone(CLAIMED.id()), 10);
+        assertThat(entry.handle(new EntryEvent.Tick(), DEADLINE_MILLIS))
+                .contains(new EntryEffect.ReleaseClaim(CLAIMED.id()));
+        assertThat(entry.idle()).isTrue();
+    }
+
+    private void attach() {
+        entry.handle(new EntryEvent.LinkUp(UPSTREAM), 0);
+        entry.handle(new EntryEvent.RequestArrived(CLAIMED), 0);
+        assertThat(entry.handle(
+                        new EntryEvent.ClaimAnswered(
+                                CLAIMED.id(), new ClaimAnswer.HeldByOther("c1", HOLDER, "a1", UPSTREAM.incarnation())),
+                        0))
+                .hasSize(1);
+    }
+}
