--- a/verification/src/test/java/dev/wigeonward/verification/faults/AgentNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/AgentNode.java
@@ -70,7 +70,7 @@
     }
 
     private void tick() {
-        world.after(World.TICK_MILLIS, this, () -> {
+        world.after(world.tickMillis(), this, () -> {
             handle(new AgentEvent.Tick());
             tick();
         });
@@ -94,7 +94,7 @@
     }
 
     private void endWhenIdle() {
-        world.after(World.TICK_MILLIS, this, () -> {
+        world.after(world.tickMillis(), this, () -> {
             boolean ends = dispatcher.idle() && guards != Guards.SILENT_DEPARTURE;
             if (ends || guards == Guards.HASTY_SHUTDOWN) {
                 upstream.running()
@@ -112,8 +112,10 @@
 
     /** A dispatch or, if {@code attachTo} is present, an attach arrived. */
     void dispatched(AgentEvent.DispatchArrived arrived, Network.Link link) {
-        world.reached(Step.DISPATCH_ARRIVED);
-        if (!running()) {
+        if (endsAt(world, Step.DISPATCH_ARRIVED)) {
+            return;
+        }
+        if (frozen()) {
             runOrKeep(() -> dispatched(arrived, link));
             return;
         }
@@ -124,10 +126,14 @@
             upstream.submit(request);
         }
         world.ledger.arrivals.add(new Ledger.Arrival(request.id(), id(), world.now()));
-        if (arrived.attachTo().isEmpty()) {
+        boolean isNew = arrived.attachTo().isEmpty() && !dispatcher.keeps(request.id());
+        if (isNew) {
             world.ledger.entered(id(), request);
         }
         handle(arrived);
+        if (isNew && !dispatcher.keeps(request.id())) {
+            world.ledger.left(id(), request.id());
+        }
     }
 
     void reattached(AgentEvent.ReattachArrived arrived, Network.Link link) {
@@ -136,7 +142,7 @@
     }
 
     void produced(RequestId run, String text) {
-        if (!running()) {
+        if (frozen()) {
             runOrKeep(() -> produced(run, text));
             return;
         }
@@ -157,9 +163,10 @@
         if (!alive()) {
             return;
         }
+        long startsBefore = starts();
         List<AgentEffect> effects = dispatcher.handle(event, world.now());
         for (AgentEffect effect : effects) {
-            if (alive()) {
+            if (alive() && starts() == startsBefore) {
                 carryOut(effect);
             }
         }
@@ -167,7 +174,9 @@
 
     private void carryOut(AgentEffect effect) {
         if (effect instanceof AgentEffect.SubmitToUpstream submit) {
-            world.reached(Step.SUBMITTED);
+            if (endsAt(world, Step.SUBMITTED)) {
+                return;
+            }
             outputs.put(submit.run(), new StringBuilder());
             world.ledger.left(id(), submit.run());
             upstream.submit(requests.get(submit.run()));
@@ -183,7 +192,9 @@
         } else if (effect instanceof AgentEffect.SendOutput send) {
             sendOutput(send);
         } else if (effect instanceof AgentEffect.SendFinished send) {
-            world.reached(Step.FINISHED_SENT);
+            if (endsAt(world, Step.FINISHED_SENT)) {
+                return;
+            }
             toEntry(send.link(), new EntryEvent.Finished(send.request(), send.dispatch(), send.totalBytes()), "");
         } else if (effect instanceof AgentEffect.SendFailed send) {
             sendFailed(send);
@@ -194,7 +205,9 @@
     }
 
     private void sendOutput(AgentEffect.SendOutput send) {
-        world.reached(Step.OUTPUT_SENT);
+        if (endsAt(world, Step.OUTPUT_SENT)) {
+            return;
+        }
         String text = outputs.get(send.run()).substring((int) send.fromBytes(), (int) send.toBytes());
         if (guards == Guards.FOREIGN_OUTPUT) {
             text = text.replace('0', '1');
--- a/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
@@ -30,6 +30,7 @@
 
     private final World world;
     private final Map<RequestId, RequestSpec> requests = new HashMap<>();
+    private final Set<RequestId> connected = new HashSet<>();
     private final Map<RequestId, FakeStore.Claim> held = new HashMap<>();
     private final Map<RequestId, String> stored = new HashMap<>();
     private final Map<RequestId, Long> claimCalls = new HashMap<>();
@@ -49,10 +50,11 @@
     @Override
     void lost() {
         world.network.cutAll(this);
-        requests.keySet().forEach(request -> {
+        connected.forEach(request -> {
             Ledger.CallerView caller = world.ledger.caller(request);
             caller.connectionLost |= caller.answers == 0;
         });
+        connected.clear();
         requests.clear();
         held.clear();
         stored.clear();
@@ -76,7 +78,7 @@
     }
 
     private void tick() {
-        world.after(World.TICK_MILLIS, this, () -> {
+        world.after(world.tickMillis(), this, () -> {
             handle(new EntryEvent.Tick());
             tick();
         });
@@ -94,14 +96,11 @@
             caller.connectionLost = true;
             return;
         }
+        connected.add(request.id());
         world.after(0, this, () -> {
-            world.reached(Step.ARRIVED);
-            if (!running()) {
-                caller.connectionLost = !alive();
+            if (!endsAt(world, Step.ARRIVED)) {
                 runOrKeep(() -> accept(request));
-                return;
             }
-            accept(request);
         });
     }
 
@@ -120,12 +119,12 @@
     }
 
     void fromAgent(EntryEvent event, String text) {
-        if (event instanceof EntryEvent.OutputArrived) {
-            world.reached(Step.OUTPUT_ARRIVED);
-        } else if (event instanceof EntryEvent.Finished) {
-            world.reached(Step.FINISHED_ARRIVED);
+        boolean ends = event instanceof EntryEvent.OutputArrived && endsAt(world, Step.OUTPUT_ARRIVED)
+                || event instanceof EntryEvent.Finished && endsAt(world, Step.FINISHED_ARRIVED);
+        if (ends) {
+            return;
         }
-        if (!running()) {
+        if (frozen()) {
             runOrKeep(() -> fromAgent(event, text));
             return;
         }
@@ -137,8 +136,9 @@
         if (!alive()) {
             return;
         }
+        long startsBefore = starts();
         for (EntryEffect effect : dispatcher.handle(event, world.now())) {
-            if (alive()) {
+            if (alive() && starts() == startsBefore) {
                 carryOut(effect);
             }
         }
@@ -146,7 +146,9 @@
 
     private void carryOut(EntryEffect effect) {
         if (effect instanceof EntryEffect.SendDispatch send) {
-            world.reached(Step.DISPATCH_SENT);
+            if (endsAt(world, Step.DISPATCH_SENT)) {
+                return;
+            }
             dispatch(send.request(), send.dispatch(), send.upstreamId(), send.upstreamIncarnation(), Optional.empty());
         } else if (effect instanceof EntryEffect.SendAttach send) {
             Network.Link link = world.network.link(this, send.upstreamId());
@@ -165,7 +167,9 @@
                                     send.offsetBytes()),
                             link));
         } else if (effect instanceof EntryEffect.SendAcknowledge send) {
-            world.reached(Step.ACKNOWLEDGED);
+            if (endsAt(world, Step.ACKNOWLEDGED)) {
+                return;
+            }
             Network.Link link = world.network.link(this, send.upstreamId());
             world.network.toAgent(
                     link,
@@ -194,7 +198,9 @@
 
     private boolean carryOutClaim(EntryEffect effect) {
         if (effect instanceof EntryEffect.MakeClaim make) {
-            world.reached(Step.CLAIM_SENT);
+            if (endsAt(world, Step.CLAIM_SENT)) {
+                return true;
+            }
             world.ledger.left(id(), make.request());
             FakeStore.Claim own = held.get(make.request());
             claim(make.request(), own == null ? "" : own.id(), make.upstreamId(), make.upstreamIncarnation());
@@ -212,7 +218,9 @@
             return true;
         }
         if (effect instanceof EntryEffect.RecordOutcome outcome) {
-            world.reached(Step.OUTCOME_RECORDED);
+            if (endsAt(world, Step.OUTCOME_RECORDED)) {
+                return true;
+            }
             record(outcome.request());
             return true;
         }
@@ -257,8 +265,10 @@
     }
 
     private void answered(FakeStore.Claim own, Optional<FakeStore.Claim> current) {
-        world.reached(Step.CLAIM_ANSWERED);
-        if (!running()) {
+        if (endsAt(world, Step.CLAIM_ANSWERED)) {
+            return;
+        }
+        if (frozen()) {
             runOrKeep(() -> answered(own, current));
             return;
         }
@@ -312,6 +322,7 @@
             world.ledger.refused(id(), caller.request, failure.failure());
         } else if (effect instanceof EntryEffect.Forget forget) {
             requests.remove(forget.request());
+            connected.remove(forget.request());
             world.ledger.left(id(), forget.request());
         }
     }
@@ -330,7 +341,7 @@
     }
 
     private void endWhenIdle() {
-        world.after(World.TICK_MILLIS, this, () -> {
+        world.after(world.tickMillis(), this, () -> {
             if (dispatcher.idle()) {
                 requests.keySet()
                         .forEach(request -> world.ledger.interruptions.add(new Ledger.Interruption(id(), request)));
--- a/verification/src/test/java/dev/wigeonward/verification/faults/FakeStore.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/FakeStore.java
@@ -13,13 +13,15 @@
 final class FakeStore {
     private final World world;
     private final Map<String, Claim> claims = new HashMap<>();
+    private final boolean compares;
     private long lastClaim;
     boolean down;
     boolean repliesLost;
     long slowMillis;
 
-    FakeStore(World world) {
+    FakeStore(World world, Guards guards) {
         this.world = world;
+        this.compares = guards != Guards.STORE_WITHOUT_COMPARE;
     }
 
     /** A claim on a key; the outcome is the whole answer. */
@@ -45,7 +47,7 @@
                             ? expectedId.isEmpty()
                             : current.id().equals(expectedId);
                     boolean open = current == null || current.outcome().isEmpty();
-                    if (matches && open) {
+                    if (matches && open || !compares) {
                         world.reached(Step.CLAIM_APPLIED);
                         next.ifPresentOrElse(claim -> claims.put(key, claim), () -> claims.remove(key));
                     }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/FaultMatrixTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/FaultMatrixTest.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import java.util.stream.Stream;
 
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+@Execution(ExecutionMode.CONCURRENT)
 class FaultMatrixTest {
     private static final long SEED = 20_261_204;
     private static final int[] SECOND_FAULT_DELAYS_MILLIS = {0, 700, 5_200};
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Guards.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Guards.java
@@ -12,6 +12,8 @@
     FOREIGN_OUTPUT,
     /** The agent answers a failed run as not run. */
     FALSE_NOT_RUN,
+    /** The store writes claims without comparing what is there. */
+    STORE_WITHOUT_COMPARE,
     /** The agent has lost its memory but not its incarnation. */
     RESTART_KEEPS_INCARNATION,
     /** The agent leaves without a notice and goes on to accept requests. */
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Ledger.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Ledger.java
@@ -65,9 +65,15 @@
         Optional.ofNullable(waiting.get(queueId)).ifPresent(requests -> requests.remove(request));
     }
 
-    /** Records the end of a request's wait, and the tiers that still wait if the queue gave it up for lack of room. */
+    /**
+     * Records the end of a request's wait, and the tiers that still wait if the queue gave it up for lack of room. A
+     * request that had left the queue before was refused elsewhere.
+     */
     void refused(String queueId, RequestSpec request, Failure failure) {
-        left(queueId, request.id());
+        boolean waited = waiting.containsKey(queueId) && waiting.get(queueId).remove(request.id()) != null;
+        if (!waited) {
+            return;
+        }
         if (failure.kind() == ErrorKind.DISPLACED || failure.kind() == ErrorKind.OVERLOADED) {
             List<Tier> tiers = waiting.getOrDefault(queueId, Map.of()).values().stream()
                     .map(RequestSpec::tier)
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Node.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Node.java
@@ -31,13 +31,17 @@
         return alive && !frozen;
     }
 
-    /** Runs code now, or when the node continues. */
+    boolean frozen() {
+        return frozen;
+    }
+
+    /** Runs code now, or when the node continues; never if it is down. */
     void runOrKeep(Runnable code) {
         if (frozen) {
             kept.add(code);
-            return;
+        } else if (alive) {
+            code.run();
         }
-        code.run();
     }
 
     void kill() {
@@ -67,6 +71,18 @@
         backlog.forEach(this::runOrKeep);
     }
 
+    /** Reports a step and returns whether the fault that was injected there ended this process. */
+    boolean endsAt(World world, Step step) {
+        long before = starts();
+        world.reached(step);
+        return !alive || starts() != before;
+    }
+
+    /** Returns the number of starts, which tells incarnations apart also where a mutation hides them. */
+    final long starts() {
+        return incarnation;
+    }
+
     abstract void lost();
 
     abstract void started();
--- /dev/null
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/OrderFlowTest.java
@@ -0,0 +1,273 @@
+package dev.wigeonward.verification.faults;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+
+import dev.wigeonward.core.order.Order;
+import dev.wigeonward.core.order.OrderEffect;
+import dev.wigeonward.core.order.OrderEvent;
+import dev.wigeonward.core.order.OrderGate;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Orders of two controllers to one engine, with the real gate, a lease in a small store and faults at every step. */
+class OrderFlowTest {
+    private static final long LEASE_MILLIS = 10_000;
+
+    enum OrderStep {
+        LEASE_ACQUIRED,
+        ORDER_SENT,
+        ORDER_ARRIVED,
+        FENCE_READ,
+        FENCE_ANSWERED,
+        ORDER_RUN,
+        ORDER_FINISHED
+    }
+
+    enum OrderFault {
+        NONE,
+        AGENT_REPLACED,
+        AGENT_REPLACED_LATER,
+        CONTROLLER_PAUSED_PAST_LEASE,
+        CONTROLLER_KILLED,
+        LEASE_LAPSED,
+        STORE_DOWN,
+        STORE_SLOW,
+        STORE_REPLY_LOST,
+        ORDERS_LATE,
+        ORDERS_CROSSED,
+        ORDERS_DUPLICATED,
+        ENGINE_SLOW,
+        CONTROLLERS_RACING
+    }
+
+    /** Guards against an order of a former controller that the engine carries out after one of a newer controller. */
+    @ParameterizedTest(name = "{0} and {1}")
+    @MethodSource("pairs")
+    void orderWithOldNumberNeverFollowsNewerOne(OrderFault first, OrderFault second) {
+        for (OrderStep step : OrderStep.values()) {
+            Scene scene = new Scene(OrderGate::new, step, first, second);
+            assertThat(scene.play())
+                    .as("%s, then %s at %s", first, second, step)
+                    .isEmpty();
+        }
+    }
+
+    static Stream<Arguments> pairs() {
+        return Arrays.stream(OrderFault.values())
+                .flatMap(first -> Arrays.stream(OrderFault.values()).map(second -> Arguments.of(first, second)));
+    }
+
+    /** Shows that the check fails for a gate that takes its empty memory for the truth after a restart. */
+    @Test
+    void checkFailsForGateThatTrustsItsEmptyMemory() {
+        Supplier<OrderGate> trusting = () -> {
+            OrderGate gate = new OrderGate();
+            gate.handle(new OrderEvent.FencingRead(1));
+            return gate;
+        };
+        OrderStep step = OrderStep.ORDER_FINISHED;
+        OrderFault[] faults = {OrderFault.CONTROLLER_PAUSED_PAST_LEASE, OrderFault.AGENT_REPLACED_LATER};
+        assertThat(new Scene(OrderGate::new, step, faults[0], faults[1]).play()).isEmpty();
+        assertThat(new Scene(trusting, step, faults[0], faults[1]).play()).isNotEmpty();
+    }
+
+    /** Two controllers, of which each sends an order every two seconds while it believes to hold the lease. */
+    private static final class Scene {
+        private final Timeline timeline = new Timeline();
+        private final Supplier<OrderGate> gates;
+        private final OrderStep faultStep;
+        private final List<OrderFault> faults;
+        private final List<Order> executed = new ArrayList<>();
+        private final Map<Integer, Long> believes = new HashMap<>();
+        private final Map<Integer, Long> pausedUntil = new HashMap<>();
+        private OrderGate gate;
+        private int gateStarts;
+        private long leaseNumber;
+        private int leaseHolder;
+        private long leaseEndMillis;
+        private long lastNumber;
+        private boolean struck;
+        private long storeDownUntilMillis;
+        private long storeDelayMillis = 1;
+        private boolean nextReplyLost;
+        private long orderDelayMillis = 1;
+        private boolean duplicated;
+        private long engineMillis = 100;
+        private int orders;
+
+        private Scene(Supplier<OrderGate> gates, OrderStep faultStep, OrderFault first, OrderFault second) {
+            this.gates = gates;
+            this.faultStep = faultStep;
+            this.faults = List.of(first, second);
+            this.gate = gates.get();
+        }
+
+        private List<String> play() {
+            controller(1, 0);
+            controller(2, 700);
+            timeline.runFor(60_000);
+            List<String> violations = new ArrayList<>();
+            for (int i = 1; i < executed.size(); i++) {
+                if (executed.get(i).fencingNumber() < executed.get(i - 1).fencingNumber()) {
+                    violations.add(executed.get(i) + " after " + executed.get(i - 1));
+                }
+            }
+            if (executed.isEmpty()) {
+                violations.add("no order ran");
+            }
+            return violations;
+        }
+
+        private void reached(OrderStep step, int controller) {
+            if (struck || step != faultStep) {
+                return;
+            }
+            struck = true;
+            faults.forEach(fault -> inject(fault, controller));
+        }
+
+        private void inject(OrderFault fault, int controller) {
+            switch (fault) {
+                case AGENT_REPLACED -> restartAgent();
+                case AGENT_REPLACED_LATER -> {
+                    timeline.after(12_700, this::restartAgent);
+                    timeline.after(14_700, this::restartAgent);
+                }
+                case CONTROLLER_PAUSED_PAST_LEASE -> pausedUntil.put(controller, timeline.now() + 15_000);
+                case CONTROLLER_KILLED -> pausedUntil.put(controller, Long.MAX_VALUE);
+                case LEASE_LAPSED -> {
+                    leaseEndMillis = timeline.now();
+                    storeDownUntilMillis = Math.max(storeDownUntilMillis, timeline.now() + 500);
+                }
+                case STORE_DOWN -> storeDownUntilMillis = timeline.now() + 12_000;
+                case STORE_SLOW -> storeDelayMillis = 2_000;
+                case STORE_REPLY_LOST -> nextReplyLost = true;
+                case ORDERS_LATE -> orderDelayMillis = 11_000;
+                case ORDERS_CROSSED -> orderDelayMillis = -1;
+                case ORDERS_DUPLICATED -> duplicated = true;
+                case ENGINE_SLOW -> engineMillis = 8_000;
+                case CONTROLLERS_RACING -> {
+                    leaseEndMillis = timeline.now();
+                    renew(1);
+                    renew(2);
+                }
+                default -> {
+                    // No fault.
+                }
+            }
+        }
+
+        private void restartAgent() {
+            gateStarts++;
+            gate = gates.get();
+        }
+
+        private void controller(int id, long delayMillis) {
+            timeline.after(delayMillis, () -> {
+                long resumeMillis = pausedUntil.getOrDefault(id, 0L);
+                if (resumeMillis == Long.MAX_VALUE) {
+                    return;
+                }
+                if (resumeMillis > timeline.now()) {
+                    // The order that was decided before the pause leaves after it, with the old number.
+                    long believed = believes.getOrDefault(id, 0L);
+                    timeline.after(resumeMillis - timeline.now(), () -> send(id, believed));
+                    controller(id, resumeMillis - timeline.now() + 1);
+                    return;
+                }
+                renew(id);
+                send(id, believes.getOrDefault(id, 0L));
+                controller(id, 2_000);
+            });
+        }
+
+        /** Acquires or renews the lease; an outage of the store leaves the belief as it is until the lease time. */
+        private void renew(int id) {
+            if (timeline.now() < storeDownUntilMillis) {
+                return;
+            }
+            boolean free = timeline.now() >= leaseEndMillis;
+            if (free) {
+                leaseNumber = ++lastNumber;
+                leaseHolder = id;
+                reached(OrderStep.LEASE_ACQUIRED, id);
+            }
+            if (leaseHolder == id) {
+                leaseEndMillis = timeline.now() + LEASE_MILLIS;
+                believes.put(id, leaseNumber);
+            } else {
+                believes.remove(id);
+            }
+        }
+
+        private void send(int id, long number) {
+            if (number == 0) {
+                return;
+            }
+            Order order = new Order(number, "o" + ++orders, Order.Kind.LOAD, "model", "v2", "");
+            reached(OrderStep.ORDER_SENT, id);
+            long delayMillis = orderDelayMillis < 0 ? 1 + 4_000 * (orders % 2) : orderDelayMillis;
+            timeline.after(delayMillis, () -> arrive(order, id));
+            if (duplicated) {
+                timeline.after(delayMillis + 12_500, () -> arrive(order, id));
+            }
+        }
+
+        private void arrive(Order order, int id) {
+            reached(OrderStep.ORDER_ARRIVED, id);
+            handle(new OrderEvent.OrderReceived(order), id);
+        }
+
+        private void handle(OrderEvent event, int id) {
+            int starts = gateStarts;
+            for (OrderEffect effect : gate.handle(event)) {
+                if (starts != gateStarts) {
+                    return;
+                }
+                if (effect instanceof OrderEffect.ReadFencingNumber) {
+                    read(id);
+                } else if (effect instanceof OrderEffect.RunOrder run) {
+                    run(run.order(), id);
+                }
+            }
+        }
+
+        private void read(int id) {
+            int starts = gateStarts;
+            reached(OrderStep.FENCE_READ, id);
+            timeline.after(storeDelayMillis, () -> {
+                boolean answers = timeline.now() >= storeDownUntilMillis && !nextReplyLost;
+                nextReplyLost = false;
+                long number = timeline.now() < leaseEndMillis ? leaseNumber : 0;
+                timeline.after(answers ? storeDelayMillis : 1_000, () -> {
+                    reached(OrderStep.FENCE_ANSWERED, id);
+                    if (starts == gateStarts) {
+                        handle(answers ? new OrderEvent.FencingRead(number) : new OrderEvent.StoreUnavailable(), id);
+                    }
+                });
+            });
+        }
+
+        private void run(Order order, int id) {
+            int starts = gateStarts;
+            reached(OrderStep.ORDER_RUN, id);
+            executed.add(order);
+            timeline.after(engineMillis, () -> {
+                reached(OrderStep.ORDER_FINISHED, id);
+                if (starts == gateStarts) {
+                    handle(new OrderEvent.EngineFinished(order.orderId(), ""), id);
+                }
+            });
+        }
+    }
+}
--- a/verification/src/test/java/dev/wigeonward/verification/faults/World.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/World.java
@@ -1,17 +1,17 @@
 package dev.wigeonward.verification.faults;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 
-/** A paused clock with scheduled actions, and the nodes, links, store and upstreams of one run. */
-final class World {
+/** The nodes, links, store and upstreams of one run. */
+final class World extends Timeline {
     static final long LATENCY_MILLIS = 1;
-    static final long TICK_MILLIS = 50;
+    private static final long TICK_MILLIS = 50;
+    /** Nothing but retention times is left to pass after that, so ticks may be rare. */
+    private static final long BUSY_MILLIS = 60_000;
 
     final Ledger ledger = new Ledger();
     final Random random;
@@ -22,18 +22,12 @@
     /** The agent to which a frame was dispatched last. */
     AgentNode lastAgent;
 
-    private final PriorityQueue<Action> actions =
-            new PriorityQueue<>(Comparator.comparingLong(Action::atMillis).thenComparingLong(Action::sequence));
     private final Map<Step, Runnable> hooks = new EnumMap<>(Step.class);
-    private long nowMillis = 1_000;
-    private long sequence;
-
-    private record Action(long atMillis, long sequence, Runnable code) {}
 
     World(long seed, Guards guards) {
         random = new Random(seed);
         network = new Network(this);
-        store = new FakeStore(this);
+        store = new FakeStore(this, guards);
         for (int i = 1; i <= 2; i++) {
             entries.add(new EntryNode(this, "e" + i));
         }
@@ -47,12 +41,8 @@
         runFor(100);
     }
 
-    long now() {
-        return nowMillis;
-    }
-
-    void after(long delayMillis, Runnable code) {
-        actions.add(new Action(nowMillis + delayMillis, sequence++, code));
+    long tickMillis() {
+        return now() < BUSY_MILLIS ? TICK_MILLIS : 20 * TICK_MILLIS;
     }
 
     /** Runs code on a node: later if the node is frozen, and never if it was replaced in the meantime. */
@@ -65,16 +55,6 @@
         });
     }
 
-    void runFor(long durationMillis) {
-        long endMillis = nowMillis + durationMillis;
-        while (!actions.isEmpty() && actions.peek().atMillis() <= endMillis) {
-            Action next = actions.poll();
-            nowMillis = next.atMillis();
-            next.code().run();
-        }
-        nowMillis = endMillis;
-    }
-
     /** Carries out code when a flow first reaches a step, before the step takes effect. */
     void at(Step step, Runnable code) {
         hooks.put(step, code);
