Let the fixed rollout of the moves measurement show a controller to agents

Cause: agents now refuse orders while the store shows no controller, so that the fixed steps, which have none, moved nothing and their comparison was empty (isolatedEntryKeepsSendingWithoutStageLease failed). The check stays as it is. Change: fixed steps have a number of their own, and the fake store drops the key with its lease.

--- a/measurement/src/main/java/dev/wigeonward/measure/moves/FixedRollout.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/FixedRollout.java
@@ -19,6 +19,9 @@
  * s. It needs no store and never stops, so outages and lost controllers do not touch it.
  */
 final class FixedRollout implements Rollout {
+    /** Fixed steps have no controller; the agents' store shows this number so that they take its orders. */
+    static final long FENCING_NUMBER = 1;
+
     private static final int[] SHARES_BASIS_POINTS = {200, 1_000, 2_500, 5_000, 10_000};
     private static final long STAGE_MILLIS = 100_000;
     private static final long LOADED_MILLIS = 30_000;
@@ -59,7 +62,8 @@
         if (!ordered) {
             ordered = true;
             agents.forEach(agent -> agent.receive(
-                    new Order(1, "load/" + agent.id(), Order.Kind.LOAD, MoveCase.MODEL, MoveCase.NEW, ""), nowMillis));
+                    new Order(FENCING_NUMBER, "load/" + agent.id(), Order.Kind.LOAD, MoveCase.MODEL, MoveCase.NEW, ""),
+                    nowMillis));
         }
         if (nowMillis - windowStartMillis >= WINDOW_MILLIS) {
             boolean fails = windowRequests >= MIN_REQUESTS && windowFailures >= FAILURE_LIMIT * windowRequests;
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/MoveCase.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/MoveCase.java
@@ -67,7 +67,10 @@
             agents.put(
                     id,
                     new SimulatedAgent(
-                            id, script, random.split(), () -> controlled ? store.leaseFencingNumber(nowMillis) : 0));
+                            id,
+                            script,
+                            random.split(),
+                            () -> controlled ? store.leaseFencingNumber(nowMillis) : FixedRollout.FENCING_NUMBER));
         }
         this.agentList = List.copyOf(agents.values());
         this.rollout = controlled ? new ControlledRollout(script, store, agents) : new FixedRollout(agentList);
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedStore.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedStore.java
@@ -37,7 +37,11 @@
     }
 
     long leaseFencingNumber(long nowMillis) {
-        return isUp(nowMillis) ? leaseFencingNumber : -1;
+        if (!isUp(nowMillis)) {
+            return -1;
+        }
+        // The key of the controller goes with its lease.
+        return nowMillis < leaseEndMillis ? leaseFencingNumber : 0;
     }
 
     /** Returns the fencing number of a new lease, or empty if another holds one. */
