--- a/core/src/test/java/dev/wigeonward/core/rollout/EvidenceRecorderTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/EvidenceRecorderTest.java
@@ -35,7 +35,9 @@
     @Test
     void loadIsCountedApartAndCancelsNotAtAll() {
         start(0.9, 0).died(5);
-        start(0.5, 0).cancelled(5);
+        Observation cancelled = start(0.5, 0);
+        cancelled.cancelled(5);
+        cancelled.died(6);
         assertThat(counters(true, 5).failures()).isEqualTo(1);
         assertThat(counters(false, 5)).isEqualTo(EvidenceCounters.empty());
     }
