--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -97,11 +97,12 @@
         }
     }
 
-    /** Returns whether nothing is queued or running, so that a drain is complete. */
+    /**
+     * Returns whether a drain is complete: nothing is queued or running, and every reader has confirmed its answer or
+     * its link has been lost for too long. An answer that was only sent may be lost with its link.
+     */
     public boolean idle() {
-        return runs.values().stream()
-                .allMatch(run -> run.phase == Run.Phase.ENDED
-                        && run.readers.values().stream().allMatch(reader -> reader.endSent || !reader.attached()));
+        return runs.values().stream().allMatch(run -> run.phase == Run.Phase.ENDED && run.readers.isEmpty());
     }
 
     /** Returns whether the upstream answered its last health check. */
--- a/core/src/test/java/dev/wigeonward/core/dispatch/AgentDispatcherFaultTest.java
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/AgentDispatcherFaultTest.java
@@ -101,6 +101,20 @@
                 .contains(new AgentEffect.SendOutput(2, PLAIN.id(), id(PLAIN, 1), PLAIN.id(), 0, 10));
     }
 
+    /** Guards against a shutdown that drops an answer whose reader's link was lost a moment before. */
+    @Test
+    void drainWaitsForReaderThatHasNotConfirmedItsAnswer() {
+        agent.handle(dispatch(1, PLAIN, 1), 0);
+        agent.handle(new AgentEvent.DrainStarted(), 0);
+        agent.handle(new AgentEvent.UpstreamFinished(PLAIN.id()), 10);
+        agent.handle(new AgentEvent.LinkLost(1), 20);
+        assertThat(agent.idle()).isFalse();
+        agent.handle(reattach(2, PLAIN, 1), 100);
+        assertThat(agent.idle()).isFalse();
+        agent.handle(new AgentEvent.AcknowledgeArrived(PLAIN.id(), 0), 200);
+        assertThat(agent.idle()).isTrue();
+    }
+
     private static ErrorKind failureOf(List<AgentEffect> effects) {
         assertThat(effects).singleElement().isInstanceOf(AgentEffect.SendFailed.class);
         Failure failure = ((AgentEffect.SendFailed) effects.get(0)).failure();
