--- a/verification/src/test/java/dev/wigeonward/verification/faults/AgentNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/AgentNode.java
@@ -26,6 +26,9 @@
 final class AgentNode extends Node {
     static final String TARGET = "model";
     private static final EngineSpeed SPEED = new EngineSpeed(10_000, 100);
+    /** An agent gives up a reader whose link has been lost for so long; that is no interruption by the shutdown. */
+    private static final long DETACHED_MILLIS = AgentLimits.defaults().detachedLimitMillis();
+
     private static final int SLOTS = 2;
     private static final int QUEUED = 2;
 
@@ -82,6 +85,9 @@
 
     /** Graceful shutdown: notice to the entries, then the end once nothing is left. */
     void shutDown() {
+        if (endsAt(world, Step.DRAIN_STARTED)) {
+            return;
+        }
         world.ledger.departures.add(new Ledger.Departure(id(), world.now()));
         if (guards != Guards.SILENT_DEPARTURE) {
             handle(new AgentEvent.DrainStarted());
@@ -99,6 +105,10 @@
             if (ends || guards == Guards.HASTY_SHUTDOWN) {
                 upstream.running()
                         .forEach(request -> world.ledger.interruptions.add(new Ledger.Interruption(id(), request)));
+                upstream.completed().stream()
+                        .filter(request -> !world.ledger.caller(request).answered())
+                        .filter(request -> !world.network.awayFor(entryOf(request), this, DETACHED_MILLIS))
+                        .forEach(request -> world.ledger.interruptions.add(new Ledger.Interruption(id(), request)));
                 kill();
             } else {
                 endWhenIdle();
@@ -106,6 +116,10 @@
         });
     }
 
+    private static String entryOf(RequestId request) {
+        return request.value().substring(0, request.value().indexOf('-'));
+    }
+
     void linkLost(Network.Link link) {
         handle(new AgentEvent.LinkLost(link.id));
     }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
@@ -336,6 +336,9 @@
 
     /** Graceful shutdown: no new requests, then the end once all are answered. */
     void shutDown() {
+        if (endsAt(world, Step.DRAIN_STARTED)) {
+            return;
+        }
         handle(new EntryEvent.DrainStarted());
         endWhenIdle();
     }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/FakeUpstream.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/FakeUpstream.java
@@ -18,6 +18,7 @@
 
     private final World world;
     private final AgentNode agent;
+    private final Set<RequestId> completed = new LinkedHashSet<>();
     private final Set<RequestId> running = new LinkedHashSet<>();
     long partMillis = 100;
     boolean failing;
@@ -46,6 +47,11 @@
         return List.copyOf(running);
     }
 
+    /** Returns the requests whose answers were completed. */
+    List<RequestId> completed() {
+        return List.copyOf(completed);
+    }
+
     void submit(RequestSpec request) {
         world.ledger.runs.add(new Ledger.RunStart(request, agent.id(), world.now()));
         running.add(request.id());
@@ -69,6 +75,7 @@
             }
             if (number == PARTS) {
                 running.remove(request.id());
+                completed.add(request.id());
                 tell(new AgentEvent.UpstreamFinished(request.id()));
                 return;
             }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Flow.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Flow.java
@@ -33,7 +33,8 @@
     boolean passes(Step step) {
         boolean claims = List.of(Step.CLAIM_SENT, Step.CLAIM_APPLIED, Step.CLAIM_ANSWERED, Step.OUTCOME_RECORDED)
                 .contains(step);
-        return !claims || !idempotent;
+        boolean shutdown = this == ENTRY_SHUTDOWN || this == AGENT_SHUTDOWN;
+        return (!claims || !idempotent) && (step != Step.DRAIN_STARTED || shutdown);
     }
 
     /** Plays the flow to its end; 11 minutes, since agents keep outcomes for 10, if resends go on for as long. */
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Ledger.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Ledger.java
@@ -35,7 +35,10 @@
     /** A queue was full and gave a request up; with the tiers that waited there. */
     record Shed(String queueId, RequestSpec request, List<Tier> waited) {}
 
-    /** A process ended its graceful shutdown while it still held a request. */
+    /**
+     * A process ended its graceful shutdown while it still held a request, or while the caller of an answered one still
+     * waited for the end of its answer.
+     */
     record Interruption(String nodeId, RequestId request) {}
 
     /** What one caller got. */
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Network.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Network.java
@@ -18,6 +18,7 @@
     private final List<Link> all = new ArrayList<>();
     private long lastLink;
     private final Map<String, Long> blockedUntil = new HashMap<>();
+    private final Map<String, Long> lostAtMillis = new HashMap<>();
 
     Network(World world) {
         this.world = world;
@@ -113,9 +114,17 @@
         });
     }
 
+    /** Returns whether the agent has had no link to the entry for at least the given time. */
+    boolean awayFor(String entryId, AgentNode agent, long millis) {
+        boolean linked = linksOf(agent).stream()
+                .anyMatch(link -> link.agentOpen && link.entry.id().equals(entryId));
+        return !linked && world.now() - lostAtMillis.getOrDefault(entryId + agent.id(), 0L) >= millis;
+    }
+
     void closeAgentEnd(Link link) {
         if (link.agentOpen) {
             link.agentOpen = false;
+            lostAtMillis.put(link.entry.id() + link.agent.id(), world.now());
             if (link.agent.alive() && link.agent.incarnation() == link.agentIncarnation) {
                 link.agent.runOrKeep(() -> link.agent.linkLost(link));
             }
