--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -6,8 +6,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -15,6 +18,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.order.Order;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.platform.http.Json;
 import io.servicetalk.buffer.api.Buffer;
@@ -38,8 +42,11 @@
     /** Header under which an engine files a stream. */
     public static final String REQUEST_ID_HEADER = "x-request-id";
 
+    private static final int STATUS_OK = 200;
     private static final int MAX_RESUMES = 3;
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
+    /** Loading a large model takes minutes. */
+    private static final Duration ORDER_TIMEOUT = Duration.ofMinutes(10);
 
     private final boolean engine;
     private final StreamingHttpClient client;
@@ -114,19 +121,46 @@
                 .timeout(PROBE_TIMEOUT)
                 .map(response -> {
                     String body = response.payloadBody().toString(StandardCharsets.UTF_8);
-                    return response.status().code() == 200
-                            ? (ProbeResult) new ProbeResult.Alive(instance(body))
+                    return response.status().code() == STATUS_OK
+                            ? alive(body)
                             : new ProbeResult.Dead("health check answers " + response.status());
                 })
                 .onErrorReturn(error -> new ProbeResult.Dead(String.valueOf(error.getMessage())))
                 .subscribe(listener::accept);
     }
 
-    private static String instance(String body) {
-        return Json.read(body.getBytes(StandardCharsets.UTF_8))
-                .map(node -> node.path("instance"))
-                .map(JsonNode::asText)
-                .orElse("");
+    private static ProbeResult alive(String body) {
+        JsonNode json = Json.read(body.getBytes(StandardCharsets.UTF_8)).orElseGet(Json.mapper()::createObjectNode);
+        Set<String> versions = new TreeSet<>();
+        json.path("versions").forEach(version -> versions.add(version.asText()));
+        return new ProbeResult.Alive(json.path("instance").asText(), versions);
+    }
+
+    @Override
+    public void order(Order order, Consumer<String> listener) {
+        if (!engine) {
+            listener.accept("a plain service takes no orders");
+            return;
+        }
+        byte[] body = Json.write(Map.of(
+                "fencing_number", order.fencingNumber(),
+                "order_id", order.orderId(),
+                "kind", order.kind().name().toLowerCase(Locale.ROOT),
+                "model", order.model(),
+                "version", order.version(),
+                "role", order.role()));
+        StreamingHttpRequest request = client.post("/v1/orders")
+                .addHeader("content-type", Json.MEDIA_TYPE)
+                .payloadBody(Publisher.from(
+                        client.executionContext().bufferAllocator().wrap(body)));
+        client.request(request)
+                .flatMap(StreamingHttpResponse::toResponse)
+                .timeout(ORDER_TIMEOUT)
+                .map(response -> response.status().code() == STATUS_OK
+                        ? ""
+                        : response.status() + ": " + response.payloadBody().toString(StandardCharsets.UTF_8))
+                .onErrorReturn(error -> "the engine did not answer: " + error)
+                .subscribe(listener::accept);
     }
 
     @Override
@@ -199,23 +233,35 @@
                 return;
             }
             resumes++;
-            if (!engine || resumes > MAX_RESUMES) {
+            boolean dead = resumes > 1 && neverSent(error) || error instanceof StreamForgottenException;
+            if (!engine || dead || resumes > MAX_RESUMES) {
                 calls.remove(id);
-                listener.onFailed(Failure.of(ErrorKind.UPSTREAM_LOST, "the upstream's answer broke off: " + error));
+                fail(dead, error);
                 return;
             }
             resume();
         }
 
+        /** Tells a request that broke off alone from one whose upstream died with it. */
+        private void fail(boolean dead, Throwable error) {
+            if (dead) {
+                listener.onFailed(Failure.of(ErrorKind.UPSTREAM_DIED, "the upstream died while it ran the request"));
+                return;
+            }
+            probe(result -> {
+                ErrorKind kind = result instanceof ProbeResult.Dead ? ErrorKind.UPSTREAM_DIED : ErrorKind.UPSTREAM_LOST;
+                listener.onFailed(Failure.of(kind, "the upstream's answer broke off: " + error));
+            });
+        }
+
         private void resume() {
             String path = "/v1/streams/" + id.value() + "?offset=" + receivedBytes.get();
             subscription = client.request(client.get(path))
                     .flatMapPublisher(response -> {
-                        if (response.status().code() != 200) {
+                        if (response.status().code() != STATUS_OK) {
                             return response.payloadBody()
                                     .ignoreElements()
-                                    .concat(Publisher.failed(
-                                            new IllegalStateException("the engine does not know the stream any more")));
+                                    .concat(Publisher.failed(new StreamForgottenException()));
                         }
                         return response.payloadBody();
                     })
@@ -241,4 +287,11 @@
                     || error instanceof NoAvailableHostException;
         }
     }
+
+    /** The engine was restarted and does not have the stream any more. */
+    private static final class StreamForgottenException extends RuntimeException {
+        StreamForgottenException() {
+            super("the engine does not know the stream any more", null, false, false);
+        }
+    }
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
@@ -76,6 +76,7 @@
                 flight.dispatch,
                 flight.upstreamId,
                 flight.upstreamIncarnation,
+                flight.version,
                 flight.request.timeLeftMillis(nowMillis)));
     }
 
@@ -111,11 +112,9 @@
         flight.phase = Flight.Phase.ATTACHING;
         flight.foundClaimId = held.claimId();
         flight.foundRequest = held.request();
-        flight.upstreamId = held.upstreamId();
-        flight.upstreamIncarnation = held.upstreamIncarnation();
-        flight.serviceMillis =
+        long serviceMillis =
                 flight.request.work().serviceMillis(holder.description().speed());
-        holder.onDispatched(flight.serviceMillis);
+        dispatcher.occupyPlace(flight, holder, serviceMillis, nowMillis);
         sendAttach(flight);
     }
 
--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
@@ -16,8 +16,6 @@
     /** Hashes of the members' ids by position, kept together because key affinity reads all of them. */
     private long[] idHashes = new long[INITIAL_CAPACITY];
 
-    private int slots;
-
     private UpstreamPool() {}
 
     /** Returns an empty pool. */
@@ -28,9 +26,7 @@
     /** Adds or replaces the upstream with the state's id. */
     public void put(UpstreamState state) {
         Integer position = positions.get(state.description().upstreamId());
-        slots += state.description().slots();
         if (position != null) {
-            slots -= members.get(position).description().slots();
             members.set(position, state);
             return;
         }
@@ -48,7 +44,6 @@
         if (position == null) {
             return;
         }
-        slots -= members.get(position).description().slots();
         UpstreamState last = members.remove(members.size() - 1);
         if (position < members.size()) {
             members.set(position, last);
@@ -62,9 +57,23 @@
         return members.get(position);
     }
 
-    /** Returns the rendezvous hash of the id of the member at a position. */
-    long idHash(int position) {
-        return idHashes[position];
+    /**
+     * Returns the position of the member of highest rendezvous weight for the key in a pool that is not empty. Equal
+     * weights are decided by the hash of the id, so that the order of the members does not matter.
+     */
+    int heaviest(long keyHash) {
+        long[] hashes = idHashes;
+        int size = members.size();
+        int best = 0;
+        long bestWeight = Rendezvous.weight(keyHash, hashes[0]);
+        for (int position = 1; position < size; position++) {
+            long weight = Rendezvous.weight(keyHash, hashes[position]);
+            if (weight >= bestWeight && (weight > bestWeight || hashes[position] > hashes[best])) {
+                best = position;
+                bestWeight = weight;
+            }
+        }
+        return best;
     }
 
     /** Returns the member with the given id, or empty if it is not in the pool. */
@@ -72,11 +81,6 @@
         return Optional.ofNullable(positions.get(upstreamId)).map(members::get);
     }
 
-    /** Returns the slots of all members. */
-    public int slots() {
-        return slots;
-    }
-
     /** Returns the number of members. */
     public int size() {
         return members.size();
--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -4,12 +4,27 @@
 import java.util.Optional;
 
 import dev.wigeonward.measure.goodput.GoodputMeasurement;
+import dev.wigeonward.measure.moves.JudgeMeasurement;
+import dev.wigeonward.measure.moves.MovesMeasurement;
+import dev.wigeonward.measure.placement.EntryDecision;
+import dev.wigeonward.measure.placement.LinkSubsetSpread;
 import dev.wigeonward.measure.placement.PlacementQuality;
+import dev.wigeonward.measure.placement.StateBytes;
+import dev.wigeonward.measure.revision.RevisionSpread;
+import dev.wigeonward.measure.store.StoreCallsMeasurement;
 
 /** The list of all measurements. */
 final class Measurements {
-    private static final List<Measurement> ALL =
-            List.of(new GoodputMeasurement(), new PlacementQuality(), new RevisionSpread());
+    private static final List<Measurement> ALL = List.of(
+            new EntryDecision(),
+            GoodputMeasurement.create(),
+            new JudgeMeasurement(),
+            new LinkSubsetSpread(),
+            new MovesMeasurement(),
+            new PlacementQuality(),
+            new RevisionSpread(),
+            new StateBytes(),
+            new StoreCallsMeasurement());
 
     private Measurements() {}
 
