Remove the cycle between the entry's runtime and control packages

Cause: the layer rule found that SpendDuty implemented an interface of the runtime. Change: the interface lives with the control plane.

--- a/entry/src/main/java/dev/wigeonward/entry/control/SpendDuty.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/SpendDuty.java
@@ -16,7 +16,6 @@
 import dev.wigeonward.core.spend.SpendLedger;
 import dev.wigeonward.core.spend.SpendPeriod;
 import dev.wigeonward.core.spend.SpendSnapshot;
-import dev.wigeonward.entry.runtime.UsageSink;
 import dev.wigeonward.exchange.RulesInForce;
 
 /** Counts what workspaces spend against their commitments, together with the other entries. */
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/UsageSink.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/UsageSink.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.entry.runtime;
+package dev.wigeonward.entry.control;
 
 import dev.wigeonward.core.request.RequestSpec;
 
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryParts.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryParts.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import dev.wigeonward.core.dispatch.EntryDispatcher;
+import dev.wigeonward.entry.control.UsageSink;
 import dev.wigeonward.wire.LinkSettings;
 import dev.wigeonward.wire.generated.Hello;
 import io.netty.handler.ssl.SslContext;
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
@@ -9,6 +9,7 @@
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.entry.caller.CallerSession;
+import dev.wigeonward.entry.control.UsageSink;
 import dev.wigeonward.wire.generated.Finished;
 import dev.wigeonward.wire.generated.Output;
 
