--- a/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
@@ -72,10 +72,11 @@
                 settings.adminAddress(),
                 Map.of(
                         "/admin/dump", () -> runtime.query(runtime::dump),
+                        "/admin/status", () -> runtime.query(runtime::status),
                         "/admin/metrics",
                                 () -> CompletableFuture.completedFuture(
                                         runtime.metrics().getCounters()),
-                        "/admin/health", () -> CompletableFuture.completedFuture(Map.of("ready", true))));
+                        "/admin/health", () -> runtime.query(runtime::health)));
         LOG.log(Level.INFO, "agent {0} takes links on {1}", settings.id(), settings.linkAddress());
         return new AgentProcess(settings, runtime, admin);
     }
--- a/agent/src/main/java/dev/wigeonward/agent/Main.java
+++ b/agent/src/main/java/dev/wigeonward/agent/Main.java
@@ -20,7 +20,7 @@
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
-    @Argument(metaVar = "COMMAND", required = true, usage = "serve, check-settings, example-settings or dump")
+    @Argument(metaVar = "COMMAND", required = true, usage = "serve, check-settings, example-settings, dump or help")
     private String command;
 
     @Option(name = "--settings", metaVar = "FILE", usage = "settings of this process")
@@ -39,6 +39,12 @@
         }
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
+        if (Arrays.asList(arguments).contains("--help")
+                || Arrays.asList(arguments).contains("help")) {
+            out.println("wigeonward-agent COMMAND [options]");
+            parser.printUsage(out);
+            return EXIT_OK;
+        }
         try {
             parser.parseArgument(arguments);
         } catch (CmdLineException e) {
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -30,6 +30,7 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.exchange.FrameSender;
+import dev.wigeonward.platform.http.AdminServer;
 import dev.wigeonward.platform.ring.DutyThread;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkListener;
@@ -158,6 +159,21 @@
         return drained;
     }
 
+    /** Returns what operators see of revisions, orders and versions; to be called through {@link #query}. */
+    public Map<String, Object> status() {
+        return control.status();
+    }
+
+    /** Returns whether the upstream gets requests; to be called through {@link #query}. */
+    public Object health() {
+        if (dispatcher.draining()) {
+            return new AdminServer.Unhealthy("the agent is shutting down");
+        }
+        return dispatcher.upstreamAlive()
+                ? Map.of("ready", true)
+                : new AdminServer.Unhealthy("the upstream does not answer");
+    }
+
     /** Returns the state for operators; to be called through {@link #query}. */
     public Map<String, Object> dump() {
         Map<String, Object> dump = new HashMap<>(control.status());
--- a/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
+++ b/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
@@ -43,7 +43,6 @@
     OUTPUT_INCOMPLETE(502, false, RunState.UNKNOWN),
     /** A claim exists and its outcome is not recorded. */
     OUTCOME_UNKNOWN(409, false, RunState.UNKNOWN),
-    CANCELLED(499, false, RunState.UNKNOWN),
     SLOW_READER(408, false, RunState.UNKNOWN),
     INTERNAL(500, false, RunState.UNKNOWN);
 
--- a/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
@@ -94,7 +94,8 @@
                     store.lease()::fencingNumber,
                     store.lease()::setCandidate,
                     store.headWatch(self::onStoreRead),
-                    spend);
+                    spend,
+                    TimeUnit.SECONDS.toMillis(settings.drainLimitSeconds()));
             return new ControlPlane(ports, self, rules, suspects, stages, random, self::runLater);
         });
         this.vmThread = Executors.newSingleThreadScheduledExecutor(task -> {
@@ -186,9 +187,11 @@
         return (InetSocketAddress) callers.listenAddress();
     }
 
-    /** Refuses new requests, waits for the others up to the drain limit, and stops. */
+    /** Fails the health page, then refuses new requests, waits for the others up to the drain limit, and stops. */
     public void drainAndClose() {
+        runtime.announceShutdown();
         try {
+            TimeUnit.SECONDS.sleep(settings.drainNoticeSeconds());
             runtime.drain().toCompletableFuture().get(settings.drainLimitSeconds(), TimeUnit.SECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 import dev.wigeonward.platform.settings.SettingKey;
 import dev.wigeonward.platform.settings.Settings;
@@ -18,6 +17,7 @@
         String failureDomain,
         InetSocketAddress callersAddress,
         InetSocketAddress adminAddress,
+        long drainNoticeSeconds,
         long drainLimitSeconds,
         StoreOptions store,
         VmListOptions vmList,
@@ -29,6 +29,13 @@
             SettingKey.address("entry", "callers_address", "address for callers' HTTP requests");
     private static final SettingKey<InetSocketAddress> ADMIN_ADDRESS =
             SettingKey.address("entry", "admin_address", "address of the admin pages");
+    private static final SettingKey<Long> DRAIN_NOTICE = SettingKey.whole(
+                    "entry",
+                    "drain_notice_seconds",
+                    0,
+                    600,
+                    "time for which the health page fails before requests are refused, for the load balancer to see it")
+            .withDefault(2L);
     private static final SettingKey<Long> DRAIN_LIMIT = SettingKey.whole(
                     "entry", "drain_limit_seconds", 0, 86_400, "longest wait for requests at a graceful shutdown")
             .withDefault(1_800L);
@@ -38,10 +45,10 @@
 
     /** Returns the declaration of all sections and keys. */
     public static SettingsDeclaration declaration() {
-        List<SettingKey<?>> keys =
-                new ArrayList<>(List.of(ID, FAILURE_DOMAIN, CALLERS_ADDRESS, ADMIN_ADDRESS, DRAIN_LIMIT, SEED_COUNT));
-        keys.addAll(StoreOptions.keys());
-        keys.addAll(VmListOptions.keys());
+        List<SettingKey<?>> keys = new ArrayList<>(
+                List.of(ID, FAILURE_DOMAIN, CALLERS_ADDRESS, ADMIN_ADDRESS, DRAIN_NOTICE, DRAIN_LIMIT, SEED_COUNT));
+        keys.addAll(StoreOptions.mandatoryKeys());
+        keys.addAll(VmListOptions.mandatoryKeys());
         return SettingsDeclaration.of(
                 Map.of(
                         "entry",
@@ -53,25 +60,17 @@
                 keys);
     }
 
-    /**
-     * Returns the typed settings.
-     *
-     * @throws IllegalArgumentException if a section that an entry cannot do without is left out
-     */
+    /** Returns the typed settings. */
     public static EntrySettings of(Settings settings) {
         return new EntrySettings(
                 settings.get(ID),
                 settings.get(FAILURE_DOMAIN),
                 settings.get(CALLERS_ADDRESS),
                 settings.get(ADMIN_ADDRESS),
+                settings.get(DRAIN_NOTICE),
                 settings.get(DRAIN_LIMIT),
-                required(StoreOptions.from(settings), StoreOptions.SECTION),
-                required(VmListOptions.from(settings), VmListOptions.SECTION),
+                StoreOptions.from(settings).orElseThrow(),
+                VmListOptions.from(settings).orElseThrow(),
                 settings.get(SEED_COUNT));
     }
-
-    private static <T> T required(Optional<T> options, String section) {
-        return options.orElseThrow(
-                () -> new IllegalArgumentException("[" + section + "] address: is missing; expected HOST:PORT"));
-    }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 
 import dev.wigeonward.platform.settings.SettingsResult;
@@ -25,6 +26,10 @@
     static int run(String name, String[] arguments, PrintStream out, PrintStream err) throws Exception {
         ServeCommand command = new ServeCommand();
         CmdLineParser parser = new CmdLineParser(command);
+        if (Arrays.asList(arguments).contains("--help")) {
+            parser.printUsage(out);
+            return EXIT_OK;
+        }
         try {
             parser.parseArgument(arguments);
         } catch (CmdLineException e) {
@@ -44,13 +49,7 @@
             invalid.problems().forEach(err::println);
             return EXIT_FAILED;
         }
-        EntrySettings settings;
-        try {
-            settings = EntrySettings.of(((SettingsResult.Valid) result).settings());
-        } catch (IllegalArgumentException e) {
-            err.println(settingsFile + ": " + e.getMessage());
-            return EXIT_FAILED;
-        }
+        EntrySettings settings = EntrySettings.of(((SettingsResult.Valid) result).settings());
         if (!serve) {
             out.println("valid");
             return EXIT_OK;
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -85,7 +85,6 @@
         RequestId id = ids.get();
         RequestClassifier.Result result = classifier.classify(http, id, clock.millis());
         if (result instanceof RequestClassifier.Result.Refused refused) {
-            sink.refused(refused.failure());
             return Single.succeeded(error(context, responses, refused.failure()));
         }
         CallerSession session = new CallerSession(
@@ -113,8 +112,9 @@
         return request.payloadBody().ignoreElements().concat(Single.succeeded(error(context, responses, failure)));
     }
 
-    private static StreamingHttpResponse error(
+    private StreamingHttpResponse error(
             HttpServiceContext context, StreamingHttpResponseFactory responses, Failure failure) {
+        sink.refused(failure);
         HttpResponseStatus status = HttpResponseStatus.of(failure.kind().httpStatus(), "");
         return json(context, responses, status, ErrorBody.of(failure));
     }
--- a/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,10 @@
     public static int run(String[] arguments, PrintStream out, PrintStream err) {
         StatusCommand command = new StatusCommand();
         CmdLineParser parser = new CmdLineParser(command);
+        if (Arrays.asList(arguments).contains("--help")) {
+            parser.printUsage(out);
+            return ExitCode.OK.value();
+        }
         try {
             parser.parseArgument(arguments);
         } catch (CmdLineException e) {
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -1,5 +1,7 @@
 package dev.wigeonward.entry.control;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -28,6 +30,8 @@
 
 /** The parts of an entry that keep it in step with the others. Used by the decision thread only. */
 public final class ControlPlane {
+    private static final Logger LOG = System.getLogger(ControlPlane.class.getName());
+
     private final RulesInForce rules;
     private final MembershipDuty membership;
     private final RevisionExchange revisions;
@@ -35,6 +39,7 @@
     private final MoveDuty moves;
     private final ReaderDuty reader;
     private final SpendDuty spend;
+    private final long drainLimitMillis;
     private final Consumer<Boolean> controllerCandidate;
     private final Map<String, UpstreamDescription> upstreams = new HashMap<>();
 
@@ -62,6 +67,7 @@
                 ports.clock());
         this.reader = new ReaderDuty(ports.entryId(), ports.headWatch());
         this.spend = ports.spend();
+        this.drainLimitMillis = ports.drainLimitMillis();
         this.controllerCandidate = ports.controllerCandidate();
     }
 
@@ -155,6 +161,13 @@
     private void adopted(Revision revision) {
         rules.adopt(revision);
         rules.get().ifPresent(set -> {
+            if (set.longestDeadlineMillis() >= drainLimitMillis) {
+                LOG.log(
+                        Level.WARNING,
+                        "deadlines of up to {0} ms exceed the drain limit of {1} ms; a shutdown may cut requests",
+                        set.longestDeadlineMillis(),
+                        drainLimitMillis);
+            }
             moves.onRules(set);
             spend.onRules(set);
         });
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPorts.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPorts.java
@@ -14,6 +14,7 @@
  * @param controllerCandidate says whether this entry seeks the controller lease
  * @param headWatch watch on the newest revision
  * @param spend counts of what workspaces spend
+ * @param drainLimitMillis longest wait for requests at a graceful shutdown
  */
 public record ControlPorts(
         String entryId,
@@ -22,7 +23,8 @@
         Supplier<OptionalLong> lease,
         Consumer<Boolean> controllerCandidate,
         HeadWatch headWatch,
-        SpendDuty spend) {
+        SpendDuty spend,
+        long drainLimitMillis) {
     public ControlPorts {
         Objects.requireNonNull(entryId, "entryId");
         Objects.requireNonNull(clock, "clock");
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -60,6 +60,7 @@
     /** Frame whose event is being handled; its bytes belong to the effects of that event. */
     private Frame frameInHand;
 
+    private volatile boolean leaving;
     private final Set<String> closing = new HashSet<>();
     private CompletableFuture<Void> whenIdle;
 
@@ -140,6 +141,11 @@
         return answer;
     }
 
+    /** Makes the health page fail, while requests are still taken. */
+    public void announceShutdown() {
+        leaving = true;
+    }
+
     /** Refuses new requests and completes once all others are answered. */
     public CompletionStage<Void> drain() {
         CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -157,7 +163,7 @@
 
     /** Returns whether requests can be taken; to be called through {@link #query}. */
     public boolean ready() {
-        return control.ready() && whenIdle == null;
+        return control.ready() && !leaving;
     }
 
     /** Returns the whole state; to be called through {@link #query}. */
