--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -10,6 +10,7 @@
 import dev.wigeonward.measure.placement.LinkSubsetSpread;
 import dev.wigeonward.measure.placement.PlacementQuality;
 import dev.wigeonward.measure.placement.StateBytes;
+import dev.wigeonward.measure.process.ProcessLatency;
 import dev.wigeonward.measure.revision.RevisionSpread;
 import dev.wigeonward.measure.store.StoreCallsMeasurement;
 
@@ -22,6 +23,7 @@
             new LinkSubsetSpread(),
             new MovesMeasurement(),
             new PlacementQuality(),
+            new ProcessLatency(),
             new RevisionSpread(),
             new StateBytes(),
             new StoreCallsMeasurement());
--- /dev/null
+++ b/measurement/src/main/java/dev/wigeonward/measure/process/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements through the real processes on loopback. */
+package dev.wigeonward.measure.process;
