--- a/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeoutException;
 
 import dev.wigeonward.agent.control.AgentControl;
+import dev.wigeonward.agent.runtime.AgentParts;
 import dev.wigeonward.agent.runtime.AgentRuntime;
 import dev.wigeonward.agent.upstream.HttpUpstreamClient;
 import dev.wigeonward.core.dispatch.AgentDispatcher;
@@ -53,11 +54,7 @@
                 : HttpUpstreamClient.forPlainService(settings.upstreamAddress());
         StoreFencingNumber fencing = new StoreFencingNumber(settings.store(), clock);
         AgentRuntime runtime = AgentRuntime.start(
-                dispatcher,
-                upstream,
-                clock,
-                LinkSettings.defaults(),
-                hello(settings, incarnation),
+                new AgentParts(dispatcher, upstream, clock, LinkSettings.defaults(), hello(settings, incarnation)),
                 self -> new AgentControl(
                         settings.id() + "/" + Long.toHexString(incarnation),
                         Set.of(settings.version()),
--- a/agent/src/main/java/dev/wigeonward/agent/Main.java
+++ b/agent/src/main/java/dev/wigeonward/agent/Main.java
@@ -4,23 +4,20 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 
-import dev.wigeonward.platform.http.DumpCommand;
+import dev.wigeonward.platform.command.CommandLines;
+import dev.wigeonward.platform.command.DumpCommand;
 import dev.wigeonward.platform.settings.Settings;
 import dev.wigeonward.platform.settings.SettingsResult;
 import org.kohsuke.args4j.Argument;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /** Command line of the agent binary. */
 public final class Main {
-    private static final int EXIT_OK = 0;
-    private static final int EXIT_FAILED = 1;
-    private static final int EXIT_USAGE = 2;
 
-    @Argument(metaVar = "COMMAND", required = true, usage = "serve, check-settings, example-settings, dump or help")
+    @Argument(metaVar = "COMMAND", required = true, usage = "serve, check-settings, example-settings or dump")
     private String command;
 
     @Option(name = "--settings", metaVar = "FILE", usage = "settings of this process")
@@ -38,34 +35,24 @@
             return DumpCommand.run(Arrays.copyOfRange(arguments, 1, arguments.length), out, err);
         }
         Main main = new Main();
-        CmdLineParser parser = new CmdLineParser(main);
-        if (Arrays.asList(arguments).contains("--help")
-                || Arrays.asList(arguments).contains("help")) {
-            out.println("wigeonward-agent COMMAND [options]");
-            parser.printUsage(out);
-            return EXIT_OK;
-        }
-        try {
-            parser.parseArgument(arguments);
-        } catch (CmdLineException e) {
-            err.println(e.getMessage());
-            parser.printUsage(err);
-            return EXIT_USAGE;
+        OptionalInt exitCode = CommandLines.read(main, arguments, out, err);
+        if (exitCode.isPresent()) {
+            return exitCode.getAsInt();
         }
         return switch (main.command) {
             case "serve" -> main.withSettings(err, settings -> serve(settings, out));
             case "check-settings" ->
                 main.withSettings(err, settings -> {
                     out.println("valid");
-                    return EXIT_OK;
+                    return CommandLines.EXIT_OK;
                 });
             case "example-settings" -> {
                 out.print(AgentSettings.declaration().documentedExample());
-                yield EXIT_OK;
+                yield CommandLines.EXIT_OK;
             }
             default -> {
                 err.println("unknown command: " + main.command);
-                yield EXIT_USAGE;
+                yield CommandLines.EXIT_USAGE;
             }
         };
     }
@@ -73,18 +60,18 @@
     private int withSettings(PrintStream err, Action action) throws Exception {
         if (settingsFile == null) {
             err.println("--settings is required");
-            return EXIT_USAGE;
+            return CommandLines.EXIT_USAGE;
         }
         SettingsResult result;
         try {
             result = AgentSettings.declaration().read(settingsFile);
         } catch (IOException e) {
             err.println(settingsFile + ": cannot be read: " + e.getMessage());
-            return EXIT_FAILED;
+            return CommandLines.EXIT_FAILED;
         }
         if (result instanceof SettingsResult.Invalid invalid) {
             invalid.problems().forEach(err::println);
-            return EXIT_FAILED;
+            return CommandLines.EXIT_FAILED;
         }
         Settings settings = ((SettingsResult.Valid) result).settings();
         return action.run(AgentSettings.of(settings));
@@ -102,7 +89,7 @@
                         "shutdown"));
         out.println("ready");
         stopped.await();
-        return EXIT_OK;
+        return CommandLines.EXIT_OK;
     }
 
     /** What to do with valid settings. */
--- a/agent/src/main/java/dev/wigeonward/agent/StoreFencingNumber.java
+++ b/agent/src/main/java/dev/wigeonward/agent/StoreFencingNumber.java
@@ -4,12 +4,12 @@
 import java.time.Clock;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.agent.control.FencingNumberReader;
+import dev.wigeonward.platform.ring.DaemonThreads;
 import dev.wigeonward.platform.store.EtcdStore;
 import dev.wigeonward.platform.store.KeyValue;
 import dev.wigeonward.platform.store.KeyValueStore;
@@ -18,11 +18,7 @@
 
 /** Reads the creation revision of the controller key. */
 final class StoreFencingNumber implements FencingNumberReader, AutoCloseable {
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread created = new Thread(task, "store");
-        created.setDaemon(true);
-        return created;
-    });
+    private final ScheduledExecutorService thread = DaemonThreads.scheduler("store");
     private final Optional<KeyValueStore> store;
 
     StoreFencingNumber(Optional<StoreOptions> options, Clock clock) {
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentInput.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentInput.java
@@ -35,6 +35,9 @@
     /** Outcome of a health check. */
     record Probed(UpstreamClient.ProbeResult result) implements AgentInput {}
 
+    /** Changes of the upstream's prefix cache. */
+    record CacheChanged(UpstreamClient.CacheEvents events) implements AgentInput {}
+
     /** A question that needs the state of the decision thread. */
     record Query(Runnable question) implements AgentInput {}
 }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -34,7 +33,6 @@
 import dev.wigeonward.platform.ring.DutyThread;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkListener;
-import dev.wigeonward.wire.LinkSettings;
 import dev.wigeonward.wire.LinkTransport;
 import dev.wigeonward.wire.generated.Dispatch;
 import dev.wigeonward.wire.generated.Frame;
@@ -66,6 +64,7 @@
     private final AgentControl control;
     private final LinkTransport transport;
     private final UpstreamHealth health = new UpstreamHealth();
+    private final CacheNews cache = new CacheNews();
     private final DispatchAssembler assembler = new DispatchAssembler(MAX_BODY_BYTES);
     private final Map<Long, Link> links = new HashMap<>();
     private final Map<RequestId, KeptRun> runs = new HashMap<>();
@@ -81,32 +80,20 @@
     private long drainLimitMillis;
     private CompletableFuture<Void> whenIdle;
 
-    private AgentRuntime(
-            AgentDispatcher dispatcher,
-            UpstreamClient upstream,
-            Clock clock,
-            LinkSettings linkSettings,
-            Hello hello,
-            Function<AgentRuntime, AgentControl> control) {
-        this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher");
-        this.upstream = Objects.requireNonNull(upstream, "upstream");
-        this.clock = Objects.requireNonNull(clock, "clock");
-        this.hello = Objects.requireNonNull(hello, "hello");
+    private AgentRuntime(AgentParts parts, Function<AgentRuntime, AgentControl> control) {
+        this.dispatcher = parts.dispatcher();
+        this.upstream = parts.upstream();
+        this.clock = parts.clock();
+        this.hello = parts.hello();
         this.control = control.apply(this);
         this.heartbeat = this.control.heartbeat(load);
-        this.transport = new LinkTransport(linkSettings, this, () -> hello, () -> heartbeat, Optional.empty());
+        this.transport = new LinkTransport(parts.linkSettings(), this, parts::hello, () -> heartbeat, Optional.empty());
         this.thread = DutyThread.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
     }
 
     /** Starts the decision thread of an agent. */
-    public static AgentRuntime start(
-            AgentDispatcher dispatcher,
-            UpstreamClient upstream,
-            Clock clock,
-            LinkSettings linkSettings,
-            Hello hello,
-            Function<AgentRuntime, AgentControl> control) {
-        return new AgentRuntime(dispatcher, upstream, clock, linkSettings, hello, control);
+    public static AgentRuntime start(AgentParts parts, Function<AgentRuntime, AgentControl> control) {
+        return new AgentRuntime(parts, control);
     }
 
     /** Stops what an earlier incarnation left in the upstream, then starts to accept links. */
@@ -225,6 +212,8 @@
             linkClosed(closed.link(), closed.reason());
         } else if (input instanceof AgentInput.Probed probed) {
             probed(probed.result());
+        } else if (input instanceof AgentInput.CacheChanged changed) {
+            cache.add(changed.events());
         } else if (input instanceof AgentInput.Query query) {
             query.question().run();
         }
@@ -360,6 +349,7 @@
         if (nowMillis >= nextLoadMillis) {
             nextLoadMillis = nowMillis + LOAD_PERIOD_MILLIS;
             publishLoad();
+            upstream.cacheEvents(cache.lastSequence(), events -> thread.put(new AgentInput.CacheChanged(events)));
         }
         if (whenIdle != null && dispatcher.idle()) {
             whenIdle.complete(null);
@@ -377,11 +367,13 @@
                 .setVersionPlaces(VERSION_PLACES)
                 .build();
         Frame next = control.heartbeat(load);
-        if (next.equals(heartbeat)) {
+        if (next.equals(heartbeat) && cache.isEmpty()) {
             return;
         }
         heartbeat = next;
-        links.values().forEach(link -> link.send(next));
+        // Regular heartbeats leave the cache events out, so that each is sent once.
+        Frame first = control.heartbeat(cache.moveTo(load.toBuilder()));
+        links.values().forEach(link -> link.send(first));
     }
 
     private void handle(AgentEvent event) {
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -136,6 +136,32 @@
         return new ProbeResult.Alive(json.path("instance").asText(), versions);
     }
 
+    @Override
+    public void cacheEvents(long afterSequence, Consumer<CacheEvents> listener) {
+        if (!engine) {
+            return;
+        }
+        client.request(client.get("/v1/cache-events?after=" + afterSequence))
+                .flatMap(StreamingHttpResponse::toResponse)
+                .timeout(PROBE_TIMEOUT)
+                .map(response -> cacheEvents(response.payloadBody().toString(StandardCharsets.UTF_8), afterSequence))
+                .onErrorReturn(error -> new CacheEvents(afterSequence, List.of(), List.of()))
+                .subscribe(listener::accept);
+    }
+
+    private static CacheEvents cacheEvents(String body, long afterSequence) {
+        long lastSequence = afterSequence;
+        List<Long> cached = new ArrayList<>();
+        List<Long> evicted = new ArrayList<>();
+        JsonNode events = Json.read(body.getBytes(StandardCharsets.UTF_8)).orElseGet(Json.mapper()::createArrayNode);
+        for (JsonNode event : events) {
+            lastSequence = Math.max(lastSequence, event.path("sequence").asLong());
+            boolean isCached = event.path("kind").asText().equals("cached");
+            (isCached ? cached : evicted).add(event.path("prefix").asLong());
+        }
+        return new CacheEvents(lastSequence, cached, evicted);
+    }
+
     @Override
     public void order(Order order, Consumer<String> listener) {
         if (!engine) {
@@ -184,12 +210,15 @@
         }
 
         private void start(StreamingHttpRequest http) {
-            subscription = client.request(http)
-                    .flatMapPublisher(response -> {
-                        head(response);
-                        return response.payloadBody();
-                    })
-                    .beforeOnNext(this::output)
+            read(client.request(http).flatMapPublisher(response -> {
+                head(response);
+                return response.payloadBody();
+            }));
+        }
+
+        /** Reads an answer to its end or until the connection breaks. */
+        private void read(Publisher<Buffer> body) {
+            subscription = body.beforeOnNext(this::output)
                     .ignoreElements()
                     .whenOnComplete(this::finished)
                     .whenOnError(this::broken)
@@ -256,21 +285,14 @@
 
         private void resume() {
             String path = "/v1/streams/" + id.value() + "?offset=" + receivedBytes.get();
-            subscription = client.request(client.get(path))
-                    .flatMapPublisher(response -> {
-                        if (response.status().code() != STATUS_OK) {
-                            return response.payloadBody()
-                                    .ignoreElements()
-                                    .concat(Publisher.failed(new StreamForgottenException()));
-                        }
-                        return response.payloadBody();
-                    })
-                    .beforeOnNext(this::output)
-                    .ignoreElements()
-                    .whenOnComplete(this::finished)
-                    .whenOnError(this::broken)
-                    .onErrorComplete()
-                    .subscribe();
+            read(client.request(client.get(path)).flatMapPublisher(response -> {
+                if (response.status().code() != STATUS_OK) {
+                    return response.payloadBody()
+                            .ignoreElements()
+                            .concat(Publisher.failed(new StreamForgottenException()));
+                }
+                return response.payloadBody();
+            }));
         }
 
         private void cancel() {
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamClient.java
@@ -26,9 +26,24 @@
     /** Checks whether the upstream answers. */
     void probe(Consumer<ProbeResult> listener);
 
+    /** Asks for the cache events after a sequence number; the listener is not called if the upstream has none. */
+    void cacheEvents(long afterSequence, Consumer<CacheEvents> listener);
+
     @Override
     void close();
 
+    /**
+     * Changes of an engine's prefix cache; they come late, and some may be missing.
+     *
+     * @param lastSequence sequence number of the newest event
+     */
+    record CacheEvents(long lastSequence, List<Long> cachedPrefixes, List<Long> evictedPrefixes) {
+        public CacheEvents {
+            cachedPrefixes = List.copyOf(cachedPrefixes);
+            evictedPrefixes = List.copyOf(evictedPrefixes);
+        }
+    }
+
     /** Hears the answer to one request. */
     interface AnswerListener {
         /** Status and headers arrived. */
--- a/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
@@ -10,7 +10,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -19,6 +18,7 @@
 import dev.wigeonward.core.admission.WorkspaceRates;
 import dev.wigeonward.core.dispatch.DispatchLimits;
 import dev.wigeonward.core.dispatch.EntryDispatcher;
+import dev.wigeonward.core.placement.PrefixIndex;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.rollout.StageView;
 import dev.wigeonward.core.rules.Rule;
@@ -38,6 +38,7 @@
 import dev.wigeonward.exchange.RulesInForce;
 import dev.wigeonward.platform.clock.MonotonicClock;
 import dev.wigeonward.platform.http.AdminServer;
+import dev.wigeonward.platform.ring.DaemonThreads;
 import dev.wigeonward.platform.vms.HttpVmList;
 import dev.wigeonward.platform.vms.VmList;
 import dev.wigeonward.platform.vms.VmSnapshot;
@@ -74,10 +75,11 @@
         this.store = new StoreAdapters(settings.store(), settings.id(), clock, metrics.registry());
         RulesInForce rules = new RulesInForce();
         SpendDuty spend = new SpendDuty(settings.id(), rules, new StoreSpend(store.store()), clock);
+        PrefixIndex prefixes = PrefixIndex.create();
         SuspectTable suspects = SuspectTable.create();
         StageView stages = new StageView();
         EntryDispatcher dispatcher = EntryDispatcher.create(
-                Policies.of(settings.failureDomain(), rules, spend, suspects, stages, random, clock),
+                Policies.of(settings.failureDomain(), rules, spend, prefixes, suspects, stages, random, clock),
                 DispatchLimits.defaults());
         Hello hello = Hello.newBuilder()
                 .setNodeId(settings.id())
@@ -85,7 +87,15 @@
                 .setFailureDomain(settings.failureDomain())
                 .build();
         EntryParts parts = new EntryParts(
-                dispatcher, store.claims(), clock, metrics, spend, LinkSettings.defaults(), hello, Optional.empty());
+                dispatcher,
+                store.claims(),
+                clock,
+                metrics,
+                spend,
+                prefixes,
+                LinkSettings.defaults(),
+                hello,
+                Optional.empty());
         this.runtime = EntryRuntime.start(parts, self -> {
             ControlPorts ports = new ControlPorts(
                     settings.id(),
@@ -98,11 +108,7 @@
                     TimeUnit.SECONDS.toMillis(settings.drainLimitSeconds()));
             return new ControlPlane(ports, self, rules, suspects, stages, random, self::runLater);
         });
-        this.vmThread = Executors.newSingleThreadScheduledExecutor(task -> {
-            Thread thread = new Thread(task, "vm-list");
-            thread.setDaemon(true);
-            return thread;
-        });
+        this.vmThread = DaemonThreads.scheduler("vm-list");
         WorkspaceRates rates = new WorkspaceRates();
         this.vms = HttpVmList.start(settings.vmList(), vmThread, new SplittableRandom());
         vms.subscribe(runtime::onVmsListed);
--- a/entry/src/main/java/dev/wigeonward/entry/Main.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Main.java
@@ -5,11 +5,11 @@
 
 import dev.wigeonward.entry.command.Commands;
 import dev.wigeonward.entry.command.StatusCommand;
-import dev.wigeonward.platform.http.DumpCommand;
+import dev.wigeonward.platform.command.CommandLines;
+import dev.wigeonward.platform.command.DumpCommand;
 
 /** Command line of the entry binary: the process itself and the operators' commands. */
 public final class Main {
-    private static final int EXIT_OK = 0;
     private static final String USAGE =
             """
             wigeonward-entry COMMAND [options]; each command has --help
@@ -41,13 +41,13 @@
             case "serve", "check-settings" -> ServeCommand.run(command, rest, out, err);
             case "example-settings" -> {
                 out.print(EntrySettings.declaration().documentedExample());
-                yield EXIT_OK;
+                yield CommandLines.EXIT_OK;
             }
             case "status" -> StatusCommand.run(rest, out, err);
             case "dump" -> DumpCommand.run(rest, out, err);
             case "help", "--help" -> {
                 out.print(USAGE);
-                yield EXIT_OK;
+                yield CommandLines.EXIT_OK;
             }
             default -> Commands.run(arguments, OperatorStore::connect, out, err);
         };
--- a/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
+++ b/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
@@ -2,12 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.platform.clock.MonotonicClock;
+import dev.wigeonward.platform.ring.DaemonThreads;
 import dev.wigeonward.platform.store.EtcdRevisionStore;
 import dev.wigeonward.platform.store.EtcdStore;
 import dev.wigeonward.platform.store.StoreOptions;
@@ -22,11 +22,7 @@
     private OperatorStore() {}
 
     static RevisionStore connect(String host, int port) {
-        ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
-            Thread created = new Thread(task, "store");
-            created.setDaemon(true);
-            return created;
-        });
+        ScheduledExecutorService thread = DaemonThreads.scheduler("store");
         StoreOptions options = new StoreOptions(
                 new InetSocketAddress(host, port),
                 CALL_TIMEOUT_MILLIS,
--- a/entry/src/main/java/dev/wigeonward/entry/Policies.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Policies.java
@@ -30,11 +30,11 @@
             String failureDomain,
             RulesInForce rules,
             WorkspaceWeights weights,
+            PrefixIndex prefixes,
             SuspectTable suspects,
             StageView stages,
             RandomGenerator random,
             Clock clock) {
-        PrefixIndex prefixes = PrefixIndex.create();
         EarliestCompletion placement =
                 EarliestCompletion.of(random, prefixes, DomainLatency.uniform(failureDomain, REMOTE_DOMAIN_MILLIS));
         VersionSelector versions = new VersionSelector(stages, new ShareLimiter());
--- a/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
@@ -3,19 +3,15 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.Arrays;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 
+import dev.wigeonward.platform.command.CommandLines;
 import dev.wigeonward.platform.settings.SettingsResult;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /** Runs the entry process until it is asked to stop. */
 final class ServeCommand {
-    private static final int EXIT_OK = 0;
-    private static final int EXIT_FAILED = 1;
-    private static final int EXIT_USAGE = 2;
 
     @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings of this process")
     private Path settingsFile;
@@ -25,17 +21,9 @@
     /** Runs {@code serve} or {@code check-settings}. */
     static int run(String name, String[] arguments, PrintStream out, PrintStream err) throws Exception {
         ServeCommand command = new ServeCommand();
-        CmdLineParser parser = new CmdLineParser(command);
-        if (Arrays.asList(arguments).contains("--help")) {
-            parser.printUsage(out);
-            return EXIT_OK;
-        }
-        try {
-            parser.parseArgument(arguments);
-        } catch (CmdLineException e) {
-            err.println(e.getMessage());
-            parser.printUsage(err);
-            return EXIT_USAGE;
+        OptionalInt exitCode = CommandLines.read(command, arguments, out, err);
+        if (exitCode.isPresent()) {
+            return exitCode.getAsInt();
         }
         return command.run(name.equals("serve"), out, err);
     }
@@ -43,16 +31,16 @@
     private int run(boolean serve, PrintStream out, PrintStream err) throws Exception {
         SettingsResult result = readSettings(err);
         if (result == null) {
-            return EXIT_FAILED;
+            return CommandLines.EXIT_FAILED;
         }
         if (result instanceof SettingsResult.Invalid invalid) {
             invalid.problems().forEach(err::println);
-            return EXIT_FAILED;
+            return CommandLines.EXIT_FAILED;
         }
         EntrySettings settings = EntrySettings.of(((SettingsResult.Valid) result).settings());
         if (!serve) {
             out.println("valid");
-            return EXIT_OK;
+            return CommandLines.EXIT_OK;
         }
         EntryProcess process = EntryProcess.start(settings);
         CountDownLatch stopped = new CountDownLatch(1);
@@ -65,7 +53,7 @@
                         "shutdown"));
         out.println("ready");
         stopped.await();
-        return EXIT_OK;
+        return CommandLines.EXIT_OK;
     }
 
     private SettingsResult readSettings(PrintStream err) {
--- a/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
@@ -3,20 +3,19 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.base.Splitter;
+import dev.wigeonward.platform.command.CommandLines;
 import dev.wigeonward.platform.http.AdminClient;
 import dev.wigeonward.platform.http.Json;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /** Shows what the entries report: revisions in force, moves, refusals and spend. */
@@ -36,17 +35,9 @@
     /** Prints the report and returns the exit code: 0 if all entries answered, 1 if not, 2 on wrong usage. */
     public static int run(String[] arguments, PrintStream out, PrintStream err) {
         StatusCommand command = new StatusCommand();
-        CmdLineParser parser = new CmdLineParser(command);
-        if (Arrays.asList(arguments).contains("--help")) {
-            parser.printUsage(out);
-            return ExitCode.OK.value();
-        }
-        try {
-            parser.parseArgument(arguments);
-        } catch (CmdLineException e) {
-            err.println(e.getMessage());
-            parser.printUsage(err);
-            return ExitCode.USAGE.value();
+        OptionalInt exitCode = CommandLines.read(command, arguments, out, err);
+        if (exitCode.isPresent()) {
+            return exitCode.getAsInt();
         }
         return command.report(out, err);
     }
--- a/entry/src/main/java/dev/wigeonward/entry/link/LinkTable.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/LinkTable.java
@@ -15,6 +15,7 @@
     private final LinkTransport transport;
     private final Map<String, String> upstreamByAddress = new HashMap<>();
     private final Map<String, Current> links = new HashMap<>();
+    private final Map<String, Long> incarnations = new HashMap<>();
 
     /** Returns a table without links. */
     public LinkTable(LinkTransport transport) {
@@ -34,8 +35,15 @@
         return Optional.ofNullable(upstreamByAddress.get(address));
     }
 
+    /** Returns whether the agent had another incarnation on its last link. */
+    public boolean restarted(UpstreamDescription upstream) {
+        Long before = incarnations.get(upstream.upstreamId());
+        return before != null && before != upstream.incarnation();
+    }
+
     /** Registers a link and returns the older link to the same upstream, if there is one. */
     public Optional<Link> up(Link link, UpstreamDescription upstream) {
+        incarnations.put(upstream.upstreamId(), upstream.incarnation());
         Current previous = links.put(upstream.upstreamId(), new Current(link, upstream));
         return Optional.ofNullable(previous).map(Current::link);
     }
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryParts.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryParts.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import dev.wigeonward.core.dispatch.EntryDispatcher;
+import dev.wigeonward.core.placement.PrefixIndex;
 import dev.wigeonward.entry.control.UsageSink;
 import dev.wigeonward.wire.LinkSettings;
 import dev.wigeonward.wire.generated.Hello;
@@ -16,6 +17,7 @@
         Clock clock,
         EntryMetrics metrics,
         UsageSink usage,
+        PrefixIndex prefixes,
         LinkSettings linkSettings,
         Hello hello,
         Optional<SslContext> linkTls) {}
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -21,6 +21,7 @@
 import dev.wigeonward.core.dispatch.EntryEffect;
 import dev.wigeonward.core.dispatch.EntryEvent;
 import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.placement.PrefixIndex;
 import dev.wigeonward.core.placement.UpstreamDescription;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
@@ -50,6 +51,7 @@
     private final Clock clock;
     private final EntryMetrics metrics;
     private final PendingAnswers answers;
+    private final PrefixIndex prefixes;
     private final LinkTransport transport;
     private final LinkTable links;
     private final ControlPlane control;
@@ -70,6 +72,7 @@
         this.clock = Objects.requireNonNull(parts.clock(), "clock");
         this.metrics = Objects.requireNonNull(parts.metrics(), "metrics");
         this.answers = new PendingAnswers(metrics, parts.usage());
+        this.prefixes = parts.prefixes();
         this.transport = new LinkTransport(parts.linkSettings(), this, parts::hello, () -> heartbeat, parts.linkTls());
         this.links = new LinkTable(transport);
         this.control = control.apply(this);
@@ -241,6 +244,10 @@
             link.close();
             return;
         }
+        if (links.restarted(upstream.get())) {
+            // The agent cleared the engine, and its events start anew.
+            prefixes.removeUpstream(upstream.get().upstreamId());
+        }
         links.up(link, upstream.get()).ifPresent(Link::close);
         LOG.log(Level.INFO, "link to upstream {0} is up", upstream.get().upstreamId());
         dispatch(new EntryEvent.LinkUp(upstream.get()));
@@ -264,6 +271,9 @@
         try {
             control.onFrame(upstreamId, frame, clock.millis());
             Optional<EntryEvent> event = AgentFrames.event(upstreamId, frame);
+            if (event.isPresent() && event.get() instanceof EntryEvent.LoadReported load) {
+                prefixes.onReport(upstreamId, load.report());
+            }
             if (event.isPresent()) {
                 frameInHand = frame;
                 dispatch(event.get());
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
@@ -2,14 +2,13 @@
 
 import java.security.SecureRandom;
 import java.time.Clock;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.entry.control.HeadWatch;
+import dev.wigeonward.platform.ring.DaemonThreads;
 import dev.wigeonward.platform.store.ClaimStore;
 import dev.wigeonward.platform.store.ControllerListener;
 import dev.wigeonward.platform.store.EtcdRevisionStore;
@@ -20,7 +19,7 @@
 
 /** All that an entry does at the store, on a thread of its own. */
 public final class StoreAdapters implements AutoCloseable {
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(daemon("store"));
+    private final ScheduledExecutorService thread = DaemonThreads.scheduler("store");
     private final SecureRandom random = new SecureRandom();
     private final KeyValueStore store;
     private final EtcdRevisionStore revisions;
@@ -37,14 +36,6 @@
         this.lease = StoreControllerLease.create(store, clock, thread, random, entryId, new Silent());
     }
 
-    private static ThreadFactory daemon(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
-
     /** Returns the store itself. */
     public KeyValueStore store() {
         return store;
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
@@ -13,6 +13,9 @@
 
 /** Turns messages of the revision relay into frames and back. */
 final class RevisionFrames {
+    /** A heartbeat names the number only; the relay learns the hash from offers and checks it with the text. */
+    private static final String HASH_NOT_SENT = "";
+
     private RevisionFrames() {}
 
     static Frame offer(long number, String hash) {
@@ -57,10 +60,8 @@
     static Optional<RelayEvent> event(String peer, Frame frame) {
         return switch (frame.getBodyCase()) {
             case HEARTBEAT ->
-                Optional.of(new RelayEvent.PeerHeartbeat(
-                        peer,
-                        frame.getHeartbeat().getRevision(),
-                        frame.getHeartbeat().getRevisionHash()));
+                Optional.of(
+                        new RelayEvent.PeerHeartbeat(peer, frame.getHeartbeat().getRevision(), HASH_NOT_SENT));
             case REVISION_OFFER ->
                 Optional.of(new RelayEvent.Offered(
                         peer,
