--- a/measurement/src/main/java/dev/wigeonward/measure/moves/MovesMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/MovesMeasurement.java
@@ -134,7 +134,8 @@
                 "good means up to 5% slower; both versions fail 0.2 to 2%, with peaks of load and bursts of up to "
                         + "10 s",
                 "of all cases 30% have a store outage of 5 to 40 s, 15% lose the controller, about 13% pause it for 5 "
-                        + "to 30 s, 30% isolate an entry for 10 to 60 s, 20% restart an agent; 5% of store replies are lost",
+                        + "to 30 s, 30% isolate an entry for 10 to 60 s, 20% restart an agent; 5% of store replies are "
+                        + "lost",
                 "the deadline is 480 s after the rule; steps by time take 100 s each and need no store or controller");
     }
 
