Limit callers' connections and the time for a body

Cause: header, body, line, queue and slow readers were limited, connections and stalled bodies were not. Change: max_connections_count, body_timeout after 10 s with the close a second behind the answer.

--- a/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
+++ b/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
@@ -17,6 +17,8 @@
     UNKNOWN_TARGET(404, false, RunState.NOT_RUN),
     METHOD_NOT_ALLOWED(405, false, RunState.NOT_RUN),
     BODY_TOO_LARGE(413, false, RunState.NOT_RUN),
+    /** The body did not arrive in time. */
+    BODY_TIMEOUT(408, true, RunState.NOT_RUN),
     HEADERS_TOO_LARGE(431, false, RunState.NOT_RUN),
     IDEMPOTENCY_KEY_REQUIRED(400, false, RunState.NOT_RUN),
     /** The key was used before with another body. */
--- a/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
@@ -26,6 +26,7 @@
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.entry.caller.CallerLimits;
 import dev.wigeonward.entry.caller.CallerService;
+import dev.wigeonward.entry.caller.ConnectionLimit;
 import dev.wigeonward.entry.caller.RulesClassifier;
 import dev.wigeonward.entry.control.ControlPlane;
 import dev.wigeonward.entry.control.ControlPorts;
@@ -144,6 +145,7 @@
                         .maxStartLineLength(MAX_START_LINE_BYTES)
                         .maxHeaderFieldLength(MAX_HEADER_FIELD_BYTES)
                         .build())
+                .appendEarlyConnectionAcceptor(new ConnectionLimit(settings.maxConnections()))
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .listenStreamingAndAwait(service);
     }
--- a/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
@@ -17,6 +17,7 @@
         String failureDomain,
         InetSocketAddress callersAddress,
         InetSocketAddress adminAddress,
+        int maxConnections,
         long drainNoticeSeconds,
         long drainLimitSeconds,
         StoreOptions store,
@@ -29,6 +30,9 @@
             SettingKey.address("entry", "callers_address", "address for callers' HTTP requests");
     private static final SettingKey<InetSocketAddress> ADMIN_ADDRESS =
             SettingKey.address("entry", "admin_address", "address of the admin pages");
+    private static final SettingKey<Long> MAX_CONNECTIONS = SettingKey.whole(
+                    "entry", "max_connections_count", 1, 1_000_000, "callers' connections; more are refused")
+            .withDefault(10_000L);
     private static final SettingKey<Long> DRAIN_NOTICE = SettingKey.whole(
                     "entry",
                     "drain_notice_seconds",
@@ -45,8 +49,15 @@
 
     /** Returns the declaration of all sections and keys. */
     public static SettingsDeclaration declaration() {
-        List<SettingKey<?>> keys = new ArrayList<>(
-                List.of(ID, FAILURE_DOMAIN, CALLERS_ADDRESS, ADMIN_ADDRESS, DRAIN_NOTICE, DRAIN_LIMIT, SEED_COUNT));
+        List<SettingKey<?>> keys = new ArrayList<>(List.of(
+                ID,
+                FAILURE_DOMAIN,
+                CALLERS_ADDRESS,
+                ADMIN_ADDRESS,
+                MAX_CONNECTIONS,
+                DRAIN_NOTICE,
+                DRAIN_LIMIT,
+                SEED_COUNT));
         keys.addAll(StoreOptions.mandatoryKeys());
         keys.addAll(VmListOptions.mandatoryKeys());
         return SettingsDeclaration.of(
@@ -67,6 +78,7 @@
                 settings.get(FAILURE_DOMAIN),
                 settings.get(CALLERS_ADDRESS),
                 settings.get(ADMIN_ADDRESS),
+                settings.get(MAX_CONNECTIONS).intValue(),
                 settings.get(DRAIN_NOTICE),
                 settings.get(DRAIN_LIMIT),
                 StoreOptions.from(settings).orElseThrow(),
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -1,11 +1,15 @@
 package dev.wigeonward.entry.caller;
 
 import java.time.Clock;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
 import dev.wigeonward.core.error.ErrorKind;
@@ -29,6 +33,11 @@
     private static final Set<String> NOT_FORWARDED =
             Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "host", "authorization", "te");
 
+    /** Keeps slow or stalled senders from holding connections and memory. */
+    static final Duration BODY_TIME_LIMIT = Duration.ofSeconds(10);
+
+    private static final Duration TIME_TO_READ_ANSWER = Duration.ofSeconds(1);
+
     private final RequestClassifier classifier;
     private final RequestSink sink;
     private final ModelsPage models;
@@ -60,7 +69,13 @@
                     "the headers exceed %d bytes".formatted(limits.get().headersBytes()));
             return drainAndFail(context, request, responses, failure);
         }
-        return BodyCollector.collect(request, limits.get().bodyBytes())
+        // A timeout of the Single would cancel the body, which closes the connection before the caller is told why.
+        CompletableFuture<BodyCollector> collected = BodyCollector.collect(
+                        request, limits.get().bodyBytes())
+                .toCompletionStage()
+                .toCompletableFuture()
+                .orTimeout(BODY_TIME_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        return Single.fromStage(collected)
                 .flatMap(body -> body.exceeded()
                         ? Single.succeeded(error(
                                 context,
@@ -69,7 +84,26 @@
                                         ErrorKind.BODY_TOO_LARGE,
                                         "the body exceeds %d bytes"
                                                 .formatted(limits.get().bodyBytes()))))
-                        : answer(context, request, body.toByteArray(), responses));
+                        : answer(context, request, body.toByteArray(), responses))
+                .onErrorResume(TimeoutException.class, late -> Single.succeeded(bodyTimeout(context, responses)));
+    }
+
+    /** Returns the answer to a stalled sender, whose connection is closed behind it. */
+    private StreamingHttpResponse bodyTimeout(HttpServiceContext context, StreamingHttpResponseFactory responses) {
+        Failure failure = Failure.of(
+                ErrorKind.BODY_TIMEOUT, "the body did not arrive within %d s".formatted(BODY_TIME_LIMIT.toSeconds()));
+        return error(context, responses, failure)
+                .setHeader("connection", "close")
+                .transformPayloadBody(body -> body.afterFinally(() -> closeLater(context)));
+    }
+
+    /** An immediate close would reset the connection before the answer has left. */
+    private static void closeLater(HttpServiceContext context) {
+        context.executionContext()
+                .executor()
+                .timer(TIME_TO_READ_ANSWER)
+                .concat(context.closeAsync())
+                .subscribe();
     }
 
     private Single<StreamingHttpResponse> answer(
--- /dev/null
+++ b/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
@@ -0,0 +1,192 @@
+package dev.wigeonward.entry.caller;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import dev.wigeonward.core.admission.WorkspaceRates;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.core.rules.RuleParseResult;
+import dev.wigeonward.core.rules.RuleParser;
+import dev.wigeonward.core.rules.RuleSet;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.netty.HttpServers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Limits on what callers may send, over loopback with raw sockets. */
+class CallerServiceTest {
+    private static final String KEY_HASH = "d995687c458a4f755662c9e1c9e9bfbc4f46e2848e4bb8f4a91ec1432a9df295";
+    private static final String RULES =
+            """
+            workspace rescue weight=1 tiers=critical # asked by test: one workspace
+            key rescue sha256=%s # asked by test: its key
+            model advisory version=v1 # asked by test: a model
+            kind note target=advisory tier=critical deadline=5s output=60 # asked by test: notes
+            rate rescue requests=3/s # asked by test: a low rate
+            """
+                    .formatted(KEY_HASH);
+    private static final int BODY_BYTES = 1_000;
+    private static final int HEADERS_BYTES = 500;
+    private static final String CHAT = "{\"model\":\"advisory\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
+
+    private final RecordingSink sink = new RecordingSink();
+    private HttpServerContext server;
+
+    @BeforeEach
+    void start() throws Exception {
+        RuleSet rules = ((RuleParseResult.Valid) RuleParser.parse("test", RULES)).rules();
+        CallerService service = new CallerService(
+                new RulesClassifier(() -> Optional.of(rules), new WorkspaceRates()),
+                sink,
+                () -> Map.of("data", List.of()),
+                () -> new CallerLimits(BODY_BYTES, HEADERS_BYTES),
+                () -> new RequestId("r"),
+                Clock.systemUTC());
+        server = HttpServers.forAddress(new InetSocketAddress("127.0.0.1", 0))
+                .appendEarlyConnectionAcceptor(new ConnectionLimit(2))
+                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .listenStreamingAndAwait(service);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        server.closeAsync().toFuture().get();
+    }
+
+    private Socket connect() throws IOException {
+        InetSocketAddress address = (InetSocketAddress) server.listenAddress();
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        socket.setSoTimeout(30_000);
+        return socket;
+    }
+
+    private String exchange(String headers, int contentLength, String body) throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, headers, contentLength, body);
+            return read(socket);
+        }
+    }
+
+    private static void send(Socket socket, String headers, int contentLength, String body) throws IOException {
+        String request = "POST /v1/chat/completions HTTP/1.1\r\nhost: test\r\nconnection: close\r\n" + headers
+                + "content-length: " + contentLength + "\r\n\r\n" + body;
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+    }
+
+    private static String read(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    private String chat(String headers, String body) throws IOException {
+        return exchange("authorization: Bearer kopsu-demo-rescue\r\n" + headers, body.length(), body);
+    }
+
+    /** Guards against bodies that fill the memory of an entry. */
+    @Test
+    void refusesLongBody() throws IOException {
+        assertThat(chat("", "x".repeat(BODY_BYTES + 1))).contains("413", "\"body_too_large\"", "\"not_run\"");
+        assertThat(sink.refused).containsExactly(ErrorKind.BODY_TOO_LARGE);
+    }
+
+    /** Guards against headers that fill the memory of an entry. */
+    @Test
+    void refusesLongHeaders() throws IOException {
+        assertThat(chat("x-long: " + "x".repeat(HEADERS_BYTES) + "\r\n", CHAT))
+                .contains("431", "\"headers_too_large\"", "\"not_run\"");
+    }
+
+    /** Guards against a caller that announces a body and never sends it. */
+    @Test
+    void refusesBodyThatStalls() throws IOException {
+        assertThat(exchange("authorization: Bearer kopsu-demo-rescue\r\n", 100, "{"))
+                .contains("408", "\"body_timeout\"", "\"not_run\"");
+    }
+
+    /** Guards against a flood of connections that takes those in use down. */
+    @Test
+    void refusesConnectionsAboveTheLimit() throws IOException {
+        List<Socket> sockets = List.of(connect(), connect(), connect());
+        int refused = 0;
+        for (Socket socket : sockets) {
+            sendUnlessRefused(socket);
+        }
+        for (Socket socket : sockets) {
+            refused += answerOrEmpty(socket).contains("401") ? 0 : 1;
+            socket.close();
+        }
+        // Which one is refused depends on the order in which the server's threads count them.
+        assertThat(refused).isEqualTo(1);
+    }
+
+    private static void sendUnlessRefused(Socket socket) {
+        try {
+            send(socket, "", 1, "x");
+        } catch (IOException e) {
+            // The server has closed this one; its answer stays empty.
+            return;
+        }
+    }
+
+    private static String answerOrEmpty(Socket socket) {
+        try {
+            return read(socket);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    /** Guards against a malformed body, unknown model or malformed deadline reaching an upstream. */
+    @Test
+    void refusesMalformedRequests() throws IOException {
+        assertThat(chat("", "{")).contains("400", "\"malformed_request\"");
+        assertThat(chat("", CHAT.replace("advisory", "other"))).contains("404", "\"unknown_target\"");
+        assertThat(chat("x-deadline-ms: soon\r\n", CHAT)).contains("400", "\"malformed_request\"");
+        assertThat(exchange("authorization: Bearer wrong\r\n", CHAT.length(), CHAT))
+                .contains("401", "\"unauthorized\"");
+    }
+
+    /** Guards against a workspace that exceeds the rate of the rules. */
+    @Test
+    void refusesRequestsAboveTheRate() throws IOException {
+        List<String> answers = new ArrayList<>();
+        for (int number = 0; number < 5; number++) {
+            answers.add(chat("", CHAT));
+        }
+        assertThat(answers.get(0)).contains("\"overloaded\"");
+        assertThat(answers).anySatisfy(answer -> assertThat(answer).contains("429", "\"rate_limited\"", "\"not_run\""));
+    }
+
+    /** Refuses all sessions, as a full ring does, and notes what was refused before. */
+    private static final class RecordingSink implements RequestSink {
+        private final List<ErrorKind> refused = new ArrayList<>();
+
+        @Override
+        public boolean submit(CallerSession session) {
+            return false;
+        }
+
+        @Override
+        public void callerGone(CallerSession session) {}
+
+        @Override
+        public synchronized void refused(Failure failure) {
+            refused.add(failure.kind());
+        }
+    }
+}
