--- a/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatency.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatency.java
@@ -26,7 +26,7 @@
     private static final int ENTRIES = 3;
     private static final int SLOTS = 64;
     private static final int DECODE_TOKENS_PER_SECOND = 2_000;
-    /** Lets the compilers of all eleven agents see enough requests; with 4,000 the first round was 1.4 ms slower. */
+    /** Lets the compilers of all eleven agents see enough requests; 4,000 left the first round 1 ms slower. */
     private static final int WARM_UP_REQUESTS = 24_000;
 
     private static final double WARM_UP_PER_SECOND = 800;
