Rename the module of shared adapters to common

The folder platform/ becomes the adapter to the users' platform, so the module with settings, logs, clock, rings and the key-value client needs a name of its own. No behavior changes.

--- a/agent/src/main/java/dev/wigeonward/agent/AgentSettings.java
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentSettings.java
@@ -7,11 +7,11 @@
 import java.util.Optional;
 import java.util.Set;
 
+import dev.wigeonward.common.settings.SettingKey;
+import dev.wigeonward.common.settings.Settings;
+import dev.wigeonward.common.settings.SettingsDeclaration;
+import dev.wigeonward.common.store.StoreOptions;
 import dev.wigeonward.core.request.EngineSpeed;
-import dev.wigeonward.platform.settings.SettingKey;
-import dev.wigeonward.platform.settings.Settings;
-import dev.wigeonward.platform.settings.SettingsDeclaration;
-import dev.wigeonward.platform.store.StoreOptions;
 
 /** Settings of the agent process. */
 public record AgentSettings(
--- a/agent/src/main/java/dev/wigeonward/agent/Main.java
+++ b/agent/src/main/java/dev/wigeonward/agent/Main.java
@@ -7,10 +7,10 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 
-import dev.wigeonward.platform.command.CommandLines;
-import dev.wigeonward.platform.command.DumpCommand;
-import dev.wigeonward.platform.settings.Settings;
-import dev.wigeonward.platform.settings.SettingsResult;
+import dev.wigeonward.common.command.CommandLines;
+import dev.wigeonward.common.command.DumpCommand;
+import dev.wigeonward.common.settings.Settings;
+import dev.wigeonward.common.settings.SettingsResult;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
--- a/agent/src/main/java/dev/wigeonward/agent/StoreFencingNumber.java
+++ b/agent/src/main/java/dev/wigeonward/agent/StoreFencingNumber.java
@@ -9,12 +9,12 @@
 
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.agent.control.FencingNumberReader;
-import dev.wigeonward.platform.ring.DaemonThreads;
-import dev.wigeonward.platform.store.EtcdStore;
-import dev.wigeonward.platform.store.KeyValue;
-import dev.wigeonward.platform.store.KeyValueStore;
-import dev.wigeonward.platform.store.StoreControllerLease;
-import dev.wigeonward.platform.store.StoreOptions;
+import dev.wigeonward.common.ring.DaemonThreads;
+import dev.wigeonward.common.store.EtcdStore;
+import dev.wigeonward.common.store.KeyValue;
+import dev.wigeonward.common.store.KeyValueStore;
+import dev.wigeonward.common.store.StoreControllerLease;
+import dev.wigeonward.common.store.StoreOptions;
 
 /** Reads the creation revision of the controller key. */
 final class StoreFencingNumber implements FencingNumberReader, AutoCloseable {
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamForwarder.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamForwarder.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 import dev.wigeonward.agent.upstream.UpstreamClient;
+import dev.wigeonward.common.ring.DutyThread;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
-import dev.wigeonward.platform.ring.DutyThread;
 
 /** Passes the upstream's answer to the decision thread. */
 final class UpstreamForwarder implements UpstreamClient.AnswerListener {
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/UsageReader.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UsageReader.java
@@ -6,7 +6,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.http.Json;
 import dev.wigeonward.wire.generated.Usage;
 
 /** Finds the usage that a model engine reports at the end of an answer. */
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -16,11 +16,11 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.wigeonward.common.http.Json;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.order.Order;
 import dev.wigeonward.core.request.RequestId;
-import dev.wigeonward.platform.http.Json;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.client.api.NoAvailableHostException;
 import io.servicetalk.concurrent.Cancellable;
--- a/platform/src/main/java/dev/wigeonward/platform/clock/MonotonicClock.java
+++ b/common/src/main/java/dev/wigeonward/common/clock/MonotonicClock.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.clock;
+package dev.wigeonward.common.clock;
 
 import java.time.Clock;
 import java.time.Instant;
--- a/platform/src/main/java/dev/wigeonward/platform/clock/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/clock/package-info.java
@@ -1,2 +1,2 @@
 /** The process clock and a clock that tests advance by hand. */
-package dev.wigeonward.platform.clock;
+package dev.wigeonward.common.clock;
--- a/platform/src/main/java/dev/wigeonward/platform/command/CommandLines.java
+++ b/common/src/main/java/dev/wigeonward/common/command/CommandLines.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.command;
+package dev.wigeonward.common.command;
 
 import java.io.PrintStream;
 import java.util.Arrays;
--- a/platform/src/main/java/dev/wigeonward/platform/command/DumpCommand.java
+++ b/common/src/main/java/dev/wigeonward/common/command/DumpCommand.java
@@ -1,11 +1,11 @@
-package dev.wigeonward.platform.command;
+package dev.wigeonward.common.command;
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalInt;
 
-import dev.wigeonward.platform.http.AdminClient;
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.http.AdminClient;
+import dev.wigeonward.common.http.Json;
 import org.kohsuke.args4j.Option;
 
 /** Prints the state of one process, for the command lines of both binaries. */
--- a/platform/src/main/java/dev/wigeonward/platform/command/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/command/package-info.java
@@ -1,2 +1,2 @@
 /** What the command lines of both binaries share. */
-package dev.wigeonward.platform.command;
+package dev.wigeonward.common.command;
--- a/platform/src/main/java/dev/wigeonward/platform/http/AdminClient.java
+++ b/common/src/main/java/dev/wigeonward/common/http/AdminClient.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.http;
+package dev.wigeonward.common.http;
 
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
--- a/platform/src/main/java/dev/wigeonward/platform/http/SingleHostBalancing.java
+++ b/common/src/main/java/dev/wigeonward/common/http/SingleHostBalancing.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.http;
+package dev.wigeonward.common.http;
 
 import java.net.InetSocketAddress;
 import java.util.Collection;
--- a/platform/src/main/java/dev/wigeonward/platform/log/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/log/package-info.java
@@ -2,4 +2,4 @@
  * Structured logs. Code logs through {@link java.lang.System.Logger}; SLF4J passes the lines to Logback, which writes
  * one JSON object per line to standard error (see logback.xml).
  */
-package dev.wigeonward.platform.log;
+package dev.wigeonward.common.log;
--- a/platform/src/main/java/dev/wigeonward/platform/ring/DaemonThreads.java
+++ b/common/src/main/java/dev/wigeonward/common/ring/DaemonThreads.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.ring;
+package dev.wigeonward.common.ring;
 
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
--- a/platform/src/main/java/dev/wigeonward/platform/ring/DutyThread.java
+++ b/common/src/main/java/dev/wigeonward/common/ring/DutyThread.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.ring;
+package dev.wigeonward.common.ring;
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -7,7 +7,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
-import dev.wigeonward.platform.clock.MonotonicClock;
+import dev.wigeonward.common.clock.MonotonicClock;
 import org.jctools.queues.MpscArrayQueue;
 
 /**
--- a/platform/src/main/java/dev/wigeonward/platform/ring/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/ring/package-info.java
@@ -1,2 +1,2 @@
 /** Bounded rings between threads, each with one thread for one duty at its end. */
-package dev.wigeonward.platform.ring;
+package dev.wigeonward.common.ring;
--- a/platform/src/main/java/dev/wigeonward/platform/settings/SettingsDeclaration.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingsDeclaration.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.settings;
+package dev.wigeonward.common.settings;
 
 import java.io.IOException;
 import java.io.StringReader;
--- a/platform/src/main/java/dev/wigeonward/platform/settings/SettingsProblem.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingsProblem.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.settings;
+package dev.wigeonward.common.settings;
 
 /** One reason why a settings file is refused. */
 public record SettingsProblem(String file, String section, String key, String problem, String expected) {
--- a/platform/src/main/java/dev/wigeonward/platform/settings/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/package-info.java
@@ -1,2 +1,2 @@
 /** Typed INI settings, declared once, checked as a whole at start, with all problems reported together. */
-package dev.wigeonward.platform.settings;
+package dev.wigeonward.common.settings;
--- a/platform/src/main/java/dev/wigeonward/platform/store/Claim.java
+++ b/common/src/main/java/dev/wigeonward/common/store/Claim.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.store;
+package dev.wigeonward.common.store;
 
 /**
  * A claim that this process holds.
--- a/platform/src/main/java/dev/wigeonward/platform/store/ClaimValue.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimValue.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.store;
+package dev.wigeonward.common.store;
 
 import java.io.IOException;
 import java.util.Optional;
--- a/platform/src/main/java/dev/wigeonward/platform/store/ControllerListener.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ControllerListener.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.store;
+package dev.wigeonward.common.store;
 
 /** Learns when this process becomes the controller and when it stops being it; called on the store's thread. */
 public interface ControllerListener {
--- a/platform/src/main/java/dev/wigeonward/platform/store/EtcdHttp.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdHttp.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.store;
+package dev.wigeonward.common.store;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -13,7 +13,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import dev.wigeonward.platform.http.SingleHostClients;
+import dev.wigeonward.common.http.SingleHostClients;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.http.api.HttpClient;
--- a/platform/src/main/java/dev/wigeonward/platform/store/EtcdJson.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdJson.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.store;
+package dev.wigeonward.common.store;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/platform/src/main/java/dev/wigeonward/platform/store/EtcdRevisionStore.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdRevisionStore.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.store;
+package dev.wigeonward.common.store;
 
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
@@ -13,11 +13,11 @@
 import java.util.function.Function;
 
 import com.google.common.base.Preconditions;
+import dev.wigeonward.common.store.WriteResult.Applied;
+import dev.wigeonward.common.store.WriteResult.CompareFailed;
+import dev.wigeonward.common.store.WriteResult.OutcomeUnknown;
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.core.revision.StoredRevision;
-import dev.wigeonward.platform.store.WriteResult.Applied;
-import dev.wigeonward.platform.store.WriteResult.CompareFailed;
-import dev.wigeonward.platform.store.WriteResult.OutcomeUnknown;
 
 /**
  * Operators' revisions at the key-value service. Head names a number and the id of the command that wrote it; the text
--- a/platform/src/main/java/dev/wigeonward/platform/vms/HttpVmList.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/HttpVmList.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.vms;
+package dev.wigeonward.common.vms;
 
 import java.io.IOException;
 import java.lang.System.Logger.Level;
@@ -11,7 +11,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
-import dev.wigeonward.platform.http.SingleHostClients;
+import dev.wigeonward.common.http.SingleHostClients;
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpResponse;
 
--- a/platform/src/main/java/dev/wigeonward/platform/vms/Vm.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/Vm.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.vms;
+package dev.wigeonward.common.vms;
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
--- a/platform/src/main/java/dev/wigeonward/platform/vms/VmListOptions.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/VmListOptions.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.vms;
+package dev.wigeonward.common.vms;
 
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -6,8 +6,8 @@
 import java.util.Optional;
 
 import com.google.common.base.Preconditions;
-import dev.wigeonward.platform.settings.SettingKey;
-import dev.wigeonward.platform.settings.Settings;
+import dev.wigeonward.common.settings.SettingKey;
+import dev.wigeonward.common.settings.Settings;
 
 /** How a process reads the list of VMs. */
 public record VmListOptions(InetSocketAddress address, long pollMillis, long callTimeoutMillis) {
--- a/platform/src/main/java/dev/wigeonward/platform/vms/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's list of live and leaving VMs, which lags. */
-package dev.wigeonward.platform.vms;
+package dev.wigeonward.common.vms;
--- a/platform/src/test/java/dev/wigeonward/platform/log/JsonLogTest.java
+++ b/common/src/test/java/dev/wigeonward/common/log/JsonLogTest.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.log;
+package dev.wigeonward.common.log;
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
--- a/platform/src/test/java/dev/wigeonward/platform/settings/SettingsDeclarationTest.java
+++ b/common/src/test/java/dev/wigeonward/common/settings/SettingsDeclarationTest.java
@@ -1,4 +1,4 @@
-package dev.wigeonward.platform.settings;
+package dev.wigeonward.common.settings;
 
 import java.net.InetSocketAddress;
 import java.util.List;
--- a/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import java.util.Map;
 
-import dev.wigeonward.platform.settings.SettingKey;
-import dev.wigeonward.platform.settings.Settings;
-import dev.wigeonward.platform.settings.SettingsDeclaration;
-import dev.wigeonward.platform.store.StoreOptions;
-import dev.wigeonward.platform.vms.VmListOptions;
+import dev.wigeonward.common.settings.SettingKey;
+import dev.wigeonward.common.settings.Settings;
+import dev.wigeonward.common.settings.SettingsDeclaration;
+import dev.wigeonward.common.store.StoreOptions;
+import dev.wigeonward.common.vms.VmListOptions;
 
 /** Settings of the entry process. */
 public record EntrySettings(
--- a/entry/src/main/java/dev/wigeonward/entry/Main.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Main.java
@@ -3,10 +3,10 @@
 import java.io.PrintStream;
 import java.util.Arrays;
 
+import dev.wigeonward.common.command.CommandLines;
+import dev.wigeonward.common.command.DumpCommand;
 import dev.wigeonward.entry.command.Commands;
 import dev.wigeonward.entry.command.StatusCommand;
-import dev.wigeonward.platform.command.CommandLines;
-import dev.wigeonward.platform.command.DumpCommand;
 
 /** Command line of the entry binary: the process itself and the operators' commands. */
 public final class Main {
--- a/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
+++ b/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
@@ -5,12 +5,12 @@
 import java.util.concurrent.ScheduledExecutorService;
 
 import com.codahale.metrics.MetricRegistry;
+import dev.wigeonward.common.clock.MonotonicClock;
+import dev.wigeonward.common.ring.DaemonThreads;
+import dev.wigeonward.common.store.EtcdRevisionStore;
+import dev.wigeonward.common.store.EtcdStore;
+import dev.wigeonward.common.store.StoreOptions;
 import dev.wigeonward.core.revision.RevisionStore;
-import dev.wigeonward.platform.clock.MonotonicClock;
-import dev.wigeonward.platform.ring.DaemonThreads;
-import dev.wigeonward.platform.store.EtcdRevisionStore;
-import dev.wigeonward.platform.store.EtcdStore;
-import dev.wigeonward.platform.store.StoreOptions;
 
 /** The store as an operator's command uses it: few calls, which may wait longer than those of a process. */
 final class OperatorStore {
--- a/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
@@ -6,8 +6,8 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 
-import dev.wigeonward.platform.command.CommandLines;
-import dev.wigeonward.platform.settings.SettingsResult;
+import dev.wigeonward.common.command.CommandLines;
+import dev.wigeonward.common.settings.SettingsResult;
 import org.kohsuke.args4j.Option;
 
 /** Runs the entry process until it is asked to stop. */
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -12,11 +12,11 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
+import dev.wigeonward.common.http.BodyCollector;
+import dev.wigeonward.common.http.Json;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
-import dev.wigeonward.platform.http.BodyCollector;
-import dev.wigeonward.platform.http.Json;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpHeaders;
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerSession.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerSession.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import dev.wigeonward.common.http.Json;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestSpec;
-import dev.wigeonward.platform.http.Json;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.buffer.api.BufferAllocator;
 import io.servicetalk.concurrent.PublisherSource;
--- a/entry/src/main/java/dev/wigeonward/entry/caller/ChatRequest.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/ChatRequest.java
@@ -6,7 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.hash.Hashing;
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.http.Json;
 
 /** The parts of a chat completion request that scheduling needs. */
 record ChatRequest(String model, int promptTokens, OptionalInt maxOutputTokens, long prefixHash) {
--- a/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
@@ -13,9 +13,9 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.base.Splitter;
-import dev.wigeonward.platform.command.CommandLines;
-import dev.wigeonward.platform.http.AdminClient;
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.command.CommandLines;
+import dev.wigeonward.common.http.AdminClient;
+import dev.wigeonward.common.http.Json;
 import org.kohsuke.args4j.Option;
 
 /** Shows what the entries report: revisions in force, moves, refusals and spend. */
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
+import dev.wigeonward.common.vms.VmSnapshot;
 import dev.wigeonward.core.membership.MembershipCore;
 import dev.wigeonward.core.placement.UpstreamDescription;
 import dev.wigeonward.core.revision.Revision;
@@ -24,7 +25,6 @@
 import dev.wigeonward.exchange.FactListener;
 import dev.wigeonward.exchange.RevisionExchange;
 import dev.wigeonward.exchange.RulesInForce;
-import dev.wigeonward.platform.vms.VmSnapshot;
 import dev.wigeonward.wire.generated.Frame;
 import dev.wigeonward.wire.generated.Heartbeat;
 
--- a/entry/src/main/java/dev/wigeonward/entry/control/MembershipDuty.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/MembershipDuty.java
@@ -6,14 +6,14 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import dev.wigeonward.common.vms.Vm;
+import dev.wigeonward.common.vms.VmSnapshot;
 import dev.wigeonward.core.dispatch.EntryEvent;
 import dev.wigeonward.core.membership.ListedVm;
 import dev.wigeonward.core.membership.MembershipCore;
 import dev.wigeonward.core.membership.MembershipEffect;
 import dev.wigeonward.core.membership.MembershipEvent;
 import dev.wigeonward.core.placement.UpstreamDescription;
-import dev.wigeonward.platform.vms.Vm;
-import dev.wigeonward.platform.vms.VmSnapshot;
 
 /** Keeps links to the agents of the entry's subset and stops new work to those that leave. */
 final class MembershipDuty {
--- a/entry/src/main/java/dev/wigeonward/entry/control/ReaderDuty.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ReaderDuty.java
@@ -3,9 +3,9 @@
 import java.util.List;
 import java.util.Set;
 
+import dev.wigeonward.common.vms.Vm;
+import dev.wigeonward.common.vms.VmSnapshot;
 import dev.wigeonward.core.revision.ReaderElection;
-import dev.wigeonward.platform.vms.Vm;
-import dev.wigeonward.platform.vms.VmSnapshot;
 
 /** Decides whether this entry reads the store for its failure domain. */
 final class ReaderDuty {
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/ClaimPort.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/ClaimPort.java
@@ -2,9 +2,9 @@
 
 import java.util.Optional;
 
+import dev.wigeonward.common.store.StoredOutcome;
 import dev.wigeonward.core.dispatch.ClaimAnswer;
 import dev.wigeonward.core.request.RequestSpec;
-import dev.wigeonward.platform.store.StoredOutcome;
 
 /** Durable claims in the store; answers come back as events, in any thread. */
 public interface ClaimPort {
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -17,6 +17,8 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Timer;
+import dev.wigeonward.common.ring.DutyThread;
+import dev.wigeonward.common.vms.VmSnapshot;
 import dev.wigeonward.core.dispatch.EntryDispatcher;
 import dev.wigeonward.core.dispatch.EntryEffect;
 import dev.wigeonward.core.dispatch.EntryEvent;
@@ -32,8 +34,6 @@
 import dev.wigeonward.entry.control.LinkPort;
 import dev.wigeonward.entry.link.AgentFrames;
 import dev.wigeonward.entry.link.LinkTable;
-import dev.wigeonward.platform.ring.DutyThread;
-import dev.wigeonward.platform.vms.VmSnapshot;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkListener;
 import dev.wigeonward.wire.LinkTransport;
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Map;
 
+import dev.wigeonward.common.store.StoredOutcome;
 import dev.wigeonward.entry.caller.CallerSession;
 import dev.wigeonward.entry.link.AgentFrames;
-import dev.wigeonward.platform.store.StoredOutcome;
 import dev.wigeonward.wire.generated.Finished;
 import dev.wigeonward.wire.generated.Header;
 import dev.wigeonward.wire.generated.Output;
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
@@ -6,16 +6,16 @@
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
+import dev.wigeonward.common.ring.DaemonThreads;
+import dev.wigeonward.common.store.ClaimStore;
+import dev.wigeonward.common.store.ControllerListener;
+import dev.wigeonward.common.store.EtcdRevisionStore;
+import dev.wigeonward.common.store.EtcdStore;
+import dev.wigeonward.common.store.KeyValueStore;
+import dev.wigeonward.common.store.StoreControllerLease;
+import dev.wigeonward.common.store.StoreOptions;
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.entry.control.HeadWatch;
-import dev.wigeonward.platform.ring.DaemonThreads;
-import dev.wigeonward.platform.store.ClaimStore;
-import dev.wigeonward.platform.store.ControllerListener;
-import dev.wigeonward.platform.store.EtcdRevisionStore;
-import dev.wigeonward.platform.store.EtcdStore;
-import dev.wigeonward.platform.store.KeyValueStore;
-import dev.wigeonward.platform.store.StoreControllerLease;
-import dev.wigeonward.platform.store.StoreOptions;
 
 /** All that an entry does at the store, on a thread of its own. */
 public final class StoreAdapters implements AutoCloseable {
@@ -59,7 +59,7 @@
     /** Returns a watch on the newest revision that is not active yet. */
     public HeadWatch headWatch(Consumer<RevisionStore.HeadResult> listener) {
         return new StoreHeadWatch(
-                listening -> dev.wigeonward.platform.store.HeadWatch.start(store, revisions, thread, random, listening),
+                listening -> dev.wigeonward.common.store.HeadWatch.start(store, revisions, thread, random, listening),
                 listener);
     }
 
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreClaims.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreClaims.java
@@ -5,15 +5,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
+import dev.wigeonward.common.store.Claim;
+import dev.wigeonward.common.store.ClaimKey;
+import dev.wigeonward.common.store.ClaimReply;
+import dev.wigeonward.common.store.ClaimRequest;
+import dev.wigeonward.common.store.ClaimStore;
+import dev.wigeonward.common.store.StoredOutcome;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.entry.runtime.ClaimPort;
-import dev.wigeonward.platform.store.Claim;
-import dev.wigeonward.platform.store.ClaimKey;
-import dev.wigeonward.platform.store.ClaimReply;
-import dev.wigeonward.platform.store.ClaimRequest;
-import dev.wigeonward.platform.store.ClaimStore;
-import dev.wigeonward.platform.store.StoredOutcome;
 
 /** Claims of this entry's requests in the store. */
 public final class StoreClaims implements ClaimPort {
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreHeadWatch.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreHeadWatch.java
@@ -8,12 +8,12 @@
 
 /** Opens and closes the store's watch as the entry becomes a reader or stops being one. */
 final class StoreHeadWatch implements HeadWatch {
-    private final Function<Consumer<RevisionStore.HeadResult>, dev.wigeonward.platform.store.HeadWatch> open;
+    private final Function<Consumer<RevisionStore.HeadResult>, dev.wigeonward.common.store.HeadWatch> open;
     private final Consumer<RevisionStore.HeadResult> listener;
-    private dev.wigeonward.platform.store.HeadWatch watch;
+    private dev.wigeonward.common.store.HeadWatch watch;
 
     StoreHeadWatch(
-            Function<Consumer<RevisionStore.HeadResult>, dev.wigeonward.platform.store.HeadWatch> open,
+            Function<Consumer<RevisionStore.HeadResult>, dev.wigeonward.common.store.HeadWatch> open,
             Consumer<RevisionStore.HeadResult> listener) {
         this.open = open;
         this.listener = listener;
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreMoves.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreMoves.java
@@ -8,17 +8,17 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import dev.wigeonward.common.http.Json;
+import dev.wigeonward.common.store.Compare;
+import dev.wigeonward.common.store.KeyValue;
+import dev.wigeonward.common.store.KeyValueStore;
+import dev.wigeonward.common.store.Transaction;
+import dev.wigeonward.common.store.Write;
+import dev.wigeonward.common.store.WriteResult;
 import dev.wigeonward.core.rollout.ControllerEvent.StoreAnswer;
 import dev.wigeonward.core.rollout.MoveRecord;
 import dev.wigeonward.core.rollout.StoredRecord;
 import dev.wigeonward.entry.control.MoveStore;
-import dev.wigeonward.platform.http.Json;
-import dev.wigeonward.platform.store.Compare;
-import dev.wigeonward.platform.store.KeyValue;
-import dev.wigeonward.platform.store.KeyValueStore;
-import dev.wigeonward.platform.store.Transaction;
-import dev.wigeonward.platform.store.Write;
-import dev.wigeonward.platform.store.WriteResult;
 
 /** Move records as JSON under one key for each model. */
 public final class StoreMoves implements MoveStore {
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreSpend.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreSpend.java
@@ -8,13 +8,13 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import dev.wigeonward.common.http.Json;
+import dev.wigeonward.common.store.KeyValue;
+import dev.wigeonward.common.store.KeyValueStore;
+import dev.wigeonward.common.store.Transaction;
+import dev.wigeonward.common.store.Write;
 import dev.wigeonward.core.spend.SpendSnapshot;
 import dev.wigeonward.entry.control.SpendStore;
-import dev.wigeonward.platform.http.Json;
-import dev.wigeonward.platform.store.KeyValue;
-import dev.wigeonward.platform.store.KeyValueStore;
-import dev.wigeonward.platform.store.Transaction;
-import dev.wigeonward.platform.store.Write;
 
 /** Spend totals as JSON under one key for each period and entry; only the entry itself writes its key. */
 public final class StoreSpend implements SpendStore {
--- a/measurement/src/main/java/dev/wigeonward/measure/store/ClaimLoad.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/store/ClaimLoad.java
@@ -9,15 +9,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.codahale.metrics.MetricRegistry;
+import dev.wigeonward.common.clock.MonotonicClock;
+import dev.wigeonward.common.store.ClaimKey;
+import dev.wigeonward.common.store.ClaimReply;
+import dev.wigeonward.common.store.ClaimRequest;
+import dev.wigeonward.common.store.ClaimStore;
+import dev.wigeonward.common.store.EtcdStore;
+import dev.wigeonward.common.store.StoreOptions;
+import dev.wigeonward.common.store.StoredOutcome;
 import dev.wigeonward.core.request.RequestId;
-import dev.wigeonward.platform.clock.MonotonicClock;
-import dev.wigeonward.platform.store.ClaimKey;
-import dev.wigeonward.platform.store.ClaimReply;
-import dev.wigeonward.platform.store.ClaimRequest;
-import dev.wigeonward.platform.store.ClaimStore;
-import dev.wigeonward.platform.store.EtcdStore;
-import dev.wigeonward.platform.store.StoreOptions;
-import dev.wigeonward.platform.store.StoredOutcome;
 import dev.wigeonward.standins.kv.KvStandin;
 import org.HdrHistogram.ConcurrentHistogram;
 
--- a/measurement/src/main/java/dev/wigeonward/measure/store/RoleCalls.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/store/RoleCalls.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 
-import dev.wigeonward.platform.store.StoreControllerLease;
-import dev.wigeonward.platform.store.StoreOptions;
+import dev.wigeonward.common.store.StoreControllerLease;
+import dev.wigeonward.common.store.StoreOptions;
 
 /** Calls per second at target size, computed from the intervals in the code and the figures of the design page. */
 final class RoleCalls {
--- a/standins/src/main/java/dev/wigeonward/standins/Main.java
+++ b/standins/src/main/java/dev/wigeonward/standins/Main.java
@@ -5,7 +5,7 @@
 import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 
-import dev.wigeonward.platform.clock.MonotonicClock;
+import dev.wigeonward.common.clock.MonotonicClock;
 import dev.wigeonward.standins.demo.DemoCommand;
 import dev.wigeonward.standins.engine.EngineEmulator;
 import dev.wigeonward.standins.engine.EngineProfile;
--- a/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
+++ b/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
@@ -11,8 +11,8 @@
 import java.util.function.Predicate;
 
 import com.google.common.base.Splitter;
-import dev.wigeonward.platform.clock.MonotonicClock;
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.clock.MonotonicClock;
+import dev.wigeonward.common.http.Json;
 import dev.wigeonward.standins.http.HttpCalls;
 import io.servicetalk.http.api.HttpRequestMethod;
 import org.kohsuke.args4j.Option;
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineBatch.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineBatch.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-import dev.wigeonward.platform.ring.DaemonThreads;
+import dev.wigeonward.common.ring.DaemonThreads;
 
 /** Runs streams in a fixed number of slots, first come first served, blind to priority. */
 final class EngineBatch implements AutoCloseable {
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineStream.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineStream.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.http.Json;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.buffer.api.BufferAllocator;
 import io.servicetalk.concurrent.PublisherSource;
--- a/standins/src/main/java/dev/wigeonward/standins/load/LoadRun.java
+++ b/standins/src/main/java/dev/wigeonward/standins/load/LoadRun.java
@@ -9,8 +9,8 @@
 import java.util.random.RandomGenerator;
 
 import com.google.common.net.HostAndPort;
-import dev.wigeonward.platform.clock.MonotonicClock;
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.clock.MonotonicClock;
+import dev.wigeonward.common.http.Json;
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpRequest;
--- a/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
+++ b/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
@@ -15,8 +15,8 @@
 import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dev.wigeonward.platform.http.AdminClient;
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.http.AdminClient;
+import dev.wigeonward.common.http.Json;
 import dev.wigeonward.standins.local.LocalUpstream.Kind;
 
 /** The platform's stand-ins, upstreams with their agents, and entries, each a process on loopback. */
--- a/standins/src/main/java/dev/wigeonward/standins/service/PlainService.java
+++ b/standins/src/main/java/dev/wigeonward/standins/service/PlainService.java
@@ -7,7 +7,7 @@
 import java.util.TreeMap;
 import java.util.UUID;
 
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.http.Json;
 import io.servicetalk.buffer.api.BufferAllocator;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
@@ -8,16 +8,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
 
+import dev.wigeonward.common.store.Claim;
+import dev.wigeonward.common.store.ClaimKey;
+import dev.wigeonward.common.store.ClaimReply;
+import dev.wigeonward.common.store.ClaimRequest;
+import dev.wigeonward.common.store.ClaimStore;
+import dev.wigeonward.common.store.KeyValue;
+import dev.wigeonward.common.store.KeyValueStore;
+import dev.wigeonward.common.store.StoredOutcome;
 import dev.wigeonward.core.dispatch.ClaimAnswer;
 import dev.wigeonward.core.request.RequestId;
-import dev.wigeonward.platform.store.Claim;
-import dev.wigeonward.platform.store.ClaimKey;
-import dev.wigeonward.platform.store.ClaimReply;
-import dev.wigeonward.platform.store.ClaimRequest;
-import dev.wigeonward.platform.store.ClaimStore;
-import dev.wigeonward.platform.store.KeyValue;
-import dev.wigeonward.platform.store.KeyValueStore;
-import dev.wigeonward.platform.store.StoredOutcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
@@ -8,16 +8,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
+import dev.wigeonward.common.store.EtcdRevisionStore;
+import dev.wigeonward.common.store.HeadWatch;
+import dev.wigeonward.common.store.KeyValue;
+import dev.wigeonward.common.store.KeyValueStore;
+import dev.wigeonward.common.store.ReadResult;
+import dev.wigeonward.common.store.Transaction;
+import dev.wigeonward.common.store.WriteResult;
 import dev.wigeonward.core.revision.Revision;
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.core.revision.StoredRevision;
-import dev.wigeonward.platform.store.EtcdRevisionStore;
-import dev.wigeonward.platform.store.HeadWatch;
-import dev.wigeonward.platform.store.KeyValue;
-import dev.wigeonward.platform.store.KeyValueStore;
-import dev.wigeonward.platform.store.ReadResult;
-import dev.wigeonward.platform.store.Transaction;
-import dev.wigeonward.platform.store.WriteResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
@@ -7,16 +7,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import dev.wigeonward.platform.store.Change;
-import dev.wigeonward.platform.store.Compare;
-import dev.wigeonward.platform.store.EtcdStore;
-import dev.wigeonward.platform.store.KeyValue;
-import dev.wigeonward.platform.store.Page;
-import dev.wigeonward.platform.store.ReadResult;
-import dev.wigeonward.platform.store.Transaction;
-import dev.wigeonward.platform.store.WatchListener;
-import dev.wigeonward.platform.store.Write;
-import dev.wigeonward.platform.store.WriteResult;
+import dev.wigeonward.common.store.Change;
+import dev.wigeonward.common.store.Compare;
+import dev.wigeonward.common.store.EtcdStore;
+import dev.wigeonward.common.store.KeyValue;
+import dev.wigeonward.common.store.Page;
+import dev.wigeonward.common.store.ReadResult;
+import dev.wigeonward.common.store.Transaction;
+import dev.wigeonward.common.store.WatchListener;
+import dev.wigeonward.common.store.Write;
+import dev.wigeonward.common.store.WriteResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ForwardingStore.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ForwardingStore.java
@@ -4,13 +4,13 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
-import dev.wigeonward.platform.store.KeyValue;
-import dev.wigeonward.platform.store.KeyValueStore;
-import dev.wigeonward.platform.store.Page;
-import dev.wigeonward.platform.store.ReadResult;
-import dev.wigeonward.platform.store.Transaction;
-import dev.wigeonward.platform.store.WatchListener;
-import dev.wigeonward.platform.store.WriteResult;
+import dev.wigeonward.common.store.KeyValue;
+import dev.wigeonward.common.store.KeyValueStore;
+import dev.wigeonward.common.store.Page;
+import dev.wigeonward.common.store.ReadResult;
+import dev.wigeonward.common.store.Transaction;
+import dev.wigeonward.common.store.WatchListener;
+import dev.wigeonward.common.store.WriteResult;
 
 /** Passes each call on; mutated stores override one. */
 class ForwardingStore implements KeyValueStore {
--- a/standins/src/test/java/dev/wigeonward/standins/kv/KvAdminTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/KvAdminTest.java
@@ -8,7 +8,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import dev.wigeonward.platform.clock.PausedClock;
+import dev.wigeonward.common.clock.PausedClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
@@ -7,11 +7,11 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 
-import dev.wigeonward.platform.clock.PausedClock;
-import dev.wigeonward.platform.store.ControllerListener;
-import dev.wigeonward.platform.store.StoreControllerLease;
-import dev.wigeonward.platform.store.Transaction;
-import dev.wigeonward.platform.store.WriteResult;
+import dev.wigeonward.common.clock.PausedClock;
+import dev.wigeonward.common.store.ControllerListener;
+import dev.wigeonward.common.store.StoreControllerLease;
+import dev.wigeonward.common.store.Transaction;
+import dev.wigeonward.common.store.WriteResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/standins/src/test/java/dev/wigeonward/standins/kv/StoreFixture.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/StoreFixture.java
@@ -6,10 +6,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 
 import com.codahale.metrics.MetricRegistry;
-import dev.wigeonward.platform.clock.MonotonicClock;
-import dev.wigeonward.platform.clock.PausedClock;
-import dev.wigeonward.platform.store.EtcdStore;
-import dev.wigeonward.platform.store.StoreOptions;
+import dev.wigeonward.common.clock.MonotonicClock;
+import dev.wigeonward.common.clock.PausedClock;
+import dev.wigeonward.common.store.EtcdStore;
+import dev.wigeonward.common.store.StoreOptions;
 
 /** A key-value stand-in whose leases follow a paused clock, and a client connected to it over loopback. */
 final class StoreFixture implements AutoCloseable {
--- a/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
@@ -8,11 +8,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 
-import dev.wigeonward.platform.clock.PausedClock;
-import dev.wigeonward.platform.vms.HttpVmList;
-import dev.wigeonward.platform.vms.Vm;
-import dev.wigeonward.platform.vms.VmListOptions;
-import dev.wigeonward.platform.vms.VmSnapshot;
+import dev.wigeonward.common.clock.PausedClock;
+import dev.wigeonward.common.vms.HttpVmList;
+import dev.wigeonward.common.vms.Vm;
+import dev.wigeonward.common.vms.VmListOptions;
+import dev.wigeonward.common.vms.VmSnapshot;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/verification/src/test/java/dev/wigeonward/pages/PagesTest.java
+++ b/verification/src/test/java/dev/wigeonward/pages/PagesTest.java
@@ -14,14 +14,14 @@
 import java.util.stream.Stream;
 
 import dev.wigeonward.agent.AgentSettings;
+import dev.wigeonward.common.settings.Settings;
+import dev.wigeonward.common.settings.SettingsDeclaration;
+import dev.wigeonward.common.settings.SettingsResult;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.rules.RuleParseResult;
 import dev.wigeonward.core.rules.RuleParser;
 import dev.wigeonward.entry.EntrySettings;
 import dev.wigeonward.entry.runtime.EntryMetrics;
-import dev.wigeonward.platform.settings.Settings;
-import dev.wigeonward.platform.settings.SettingsDeclaration;
-import dev.wigeonward.platform.settings.SettingsResult;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
--- a/verification/src/test/java/dev/wigeonward/verification/layers/LayerRulesTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/layers/LayerRulesTest.java
@@ -26,7 +26,7 @@
     /** Guards against rules that hold because no class was found. */
     @Test
     void allModulesAreChecked() {
-        for (String module : new String[] {"core", "wire", "platform", "entry", "agent", "standins"}) {
+        for (String module : new String[] {"core", "wire", "common", "entry", "agent", "standins"}) {
             assertThat(CLASSES.stream().filter(type -> type.getPackageName().startsWith(ROOT + "." + module)))
                     .as(module)
                     .isNotEmpty();
@@ -77,7 +77,7 @@
                 .resideInAPackage(ROOT + ".wire..")
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage(ROOT + ".core..", ROOT + ".entry..", ROOT + ".agent..", ROOT + ".platform..")
+                .resideInAnyPackage(ROOT + ".core..", ROOT + ".entry..", ROOT + ".agent..", ROOT + ".common..")
                 .check(CLASSES);
     }
 
@@ -93,10 +93,10 @@
                 .check(CLASSES);
     }
 
-    /** Guards against binaries that share code past core, wire and platform. */
+    /** Guards against binaries that share code past core, wire and common. */
     @Test
-    void platformKnowsNoBinaryAndBinariesDoNotKnowEachOther() {
-        forbid("platform", "entry", "agent", "wire");
+    void commonKnowsNoBinaryAndBinariesDoNotKnowEachOther() {
+        forbid("common", "entry", "agent", "wire");
         forbid("entry", "agent");
         forbid("agent", "entry");
     }
--- a/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
@@ -10,7 +10,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-import dev.wigeonward.platform.http.Json;
+import dev.wigeonward.common.http.Json;
 import dev.wigeonward.standins.http.HttpCalls;
 import dev.wigeonward.standins.http.HttpCalls.Answer;
 import dev.wigeonward.standins.local.LocalDeployment;
