--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/deployment/Deployment.java
@@ -0,0 +1,100 @@
+package dev.wigeonward.core.deployment;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of all that operators declare. Immutable; look-ups take no time that grows with the tenants. */
+public final class Deployment {
+    private static final Comparator<Route> LONGEST_PREFIX_FIRST =
+            Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, ServiceDescription> services = new HashMap<>();
+    private final Map<String, Tenant> tenantsByKey = new HashMap<>();
+    private final List<Tenant> tenants;
+    private final CallerLimits limits;
+
+    private Deployment(
+            long version,
+            List<Route> routes,
+            List<ServiceDescription> services,
+            List<Tenant> tenants,
+            CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        this.tenants = List.copyOf(tenants);
+        for (Route route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
+                    .add(route);
+        }
+        routesByHost.values().forEach(list -> list.sort(LONGEST_PREFIX_FIRST));
+        services.forEach(service -> this.services.put(service.name(), service));
+        tenants.forEach(tenant -> tenant.keys().forEach(key -> tenantsByKey.put(key, tenant)));
+    }
+
+    /** Returns a deployment of the given parts. */
+    public static Deployment of(
+            long version,
+            List<Route> routes,
+            List<ServiceDescription> services,
+            List<Tenant> tenants,
+            CallerLimits limits) {
+        return new Deployment(version, routes, services, tenants, limits);
+    }
+
+    /** Returns the version; a newer one is larger. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the bounds on callers. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the route of the host with the longest prefix of the path, or empty if there is none. */
+    public Optional<Route> route(String host, String path) {
+        List<Route> candidates = routesByHost.get(host.toLowerCase(Locale.ROOT));
+        if (candidates == null) {
+            return Optional.empty();
+        }
+        for (Route route : candidates) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the declared service, or empty if there is none of that name. */
+    public Optional<ServiceDescription> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the tenant that holds the key, or empty if none does. */
+    public Optional<Tenant> tenant(String key) {
+        return Optional.ofNullable(tenantsByKey.get(key));
+    }
+
+    /** Returns all tenants. */
+    public List<Tenant> tenants() {
+        return tenants;
+    }
+
+    /** Returns whether callers need keys at all. */
+    public boolean hasTenants() {
+        return !tenants.isEmpty();
+    }
+
+    /** Returns how many routes there are. */
+    public int routeCount() {
+        return routesByHost.values().stream().mapToInt(List::size).sum();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/deployment/package-info.java
@@ -0,0 +1,2 @@
+/** What operators declare for the direct path: routes, services, tenants and the limits on callers. */
+package dev.wigeonward.core.deployment;
--- /dev/null
+++ b/core/src/main/java/dev/wigeonward/core/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Event boundaries of streamed answers. */
+package dev.wigeonward.core.stream;
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerChannel.java
@@ -0,0 +1,292 @@
+package dev.wigeonward.gateway.caller;
+
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import dev.wigeonward.core.deployment.CallerLimits;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.gateway.exchange.AnswerSink;
+import dev.wigeonward.gateway.exchange.CallerRequest;
+import dev.wigeonward.gateway.exchange.DirectPath;
+import dev.wigeonward.gateway.exchange.Exchange;
+import dev.wigeonward.gateway.port.HttpDialect;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/** One connection of a caller: reads requests one after the other and writes their answers. */
+final class CallerChannel extends ChannelInboundHandlerAdapter implements AnswerSink {
+    /** Time for which bytes are discarded after an error answer, so that a reset does not destroy it on the way. */
+    private static final long LINGER_MILLIS = 500;
+    /** Composite parts after which a body is merged. */
+    private static final int MAX_BODY_PARTS = 64;
+
+    private final CallerServer server;
+    private final DirectPath path;
+    private final HttpDialect dialect;
+    private final CallerLimits limits;
+    private final ArrayDeque<Object> early = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private Optional<HttpRequest> head = Optional.empty();
+    private CompositeByteBuf body;
+    private Optional<Exchange> exchange = Optional.empty();
+    private Optional<ScheduledFuture<?>> readTimer = Optional.empty();
+    private boolean closing;
+    private boolean keepAlive = true;
+    private boolean sizeKnown;
+
+    CallerChannel(CallerServer server, DirectPath path, HttpDialect dialect, CallerLimits limits) {
+        this.server = server;
+        this.path = path;
+        this.dialect = dialect;
+        this.limits = limits;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext newContext) {
+        context = newContext;
+        server.opened(this);
+        startTimer(limits.idleTimeoutMillis(), this::closeIfIdle);
+    }
+
+    private void startTimer(long millis, Runnable action) {
+        readTimer.ifPresent(timer -> timer.cancel(false));
+        readTimer = Optional.of(context.executor().schedule(action, millis, TimeUnit.MILLISECONDS));
+    }
+
+    private void stopTimer() {
+        readTimer.ifPresent(timer -> timer.cancel(false));
+        readTimer = Optional.empty();
+    }
+
+    /** Closes the connection unless a request is being read or answered. */
+    void closeIfIdle() {
+        if (exchange.isEmpty() && head.isEmpty()) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext readContext, Object message) {
+        if (closing) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (exchange.isPresent()) {
+            early.add(message);
+            context.channel().config().setAutoRead(false);
+            return;
+        }
+        accept(message);
+    }
+
+    private void accept(Object message) {
+        if (message instanceof HttpRequest request) {
+            onRequestHead(request);
+        }
+        if (message instanceof HttpContent content) {
+            onRequestContent(content);
+        }
+    }
+
+    private void onRequestHead(HttpRequest request) {
+        keepAlive = HttpUtil.isKeepAlive(request) && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        Optional<ErrorKind> problem = RequestChecks.problem(request, limits.maxBodyBytes());
+        if (problem.isPresent()) {
+            rejectAndClose(problem.get());
+            return;
+        }
+        head = Optional.of(request);
+        body = context.alloc().compositeBuffer(MAX_BODY_PARTS);
+        startTimer(limits.headerTimeoutMillis(), () -> rejectAndClose(ErrorKind.BODY_TIMEOUT));
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void onRequestContent(HttpContent content) {
+        if (head.isEmpty()) {
+            content.release();
+            return;
+        }
+        if (content.decoderResult().isFailure()) {
+            content.release();
+            rejectAndClose(ErrorKind.MALFORMED_REQUEST);
+            return;
+        }
+        if (content.content().isReadable()) {
+            startTimer(limits.headerTimeoutMillis(), () -> rejectAndClose(ErrorKind.BODY_TIMEOUT));
+            body.addComponent(true, content.content());
+        } else {
+            content.release();
+        }
+        if (body.readableBytes() > limits.maxBodyBytes()) {
+            rejectAndClose(ErrorKind.BODY_TOO_LARGE);
+            return;
+        }
+        if (content instanceof LastHttpContent) {
+            onWholeRequest();
+        }
+    }
+
+    private void onWholeRequest() {
+        stopTimer();
+        HttpRequest request = head.orElseThrow();
+        ByteBuf whole = body;
+        head = Optional.empty();
+        body = null;
+        CallerRequest callerRequest =
+                new CallerRequest(request, dialect.readCaller(request.headers()), whole, path.millis());
+        Exchange started = path.prepare(callerRequest, this);
+        exchange = Optional.of(started);
+        started.begin();
+    }
+
+    private void rejectAndClose(ErrorKind kind) {
+        dropPartialRequest();
+        keepAlive = false;
+        answer(ErrorAnswers.of(kind, 0));
+    }
+
+    private void dropPartialRequest() {
+        stopTimer();
+        head = Optional.empty();
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    @Override
+    public void refuse(ErrorKind kind, long retryAfterMillis) {
+        answer(ErrorAnswers.of(kind, retryAfterMillis));
+    }
+
+    private void answer(FullHttpResponse response) {
+        if (!stillOpen()) {
+            response.release();
+            return;
+        }
+        setConnectionHeader(response);
+        finish(context.writeAndFlush(response));
+    }
+
+    private boolean stillOpen() {
+        return !closing && context.channel().isActive();
+    }
+
+    private void setConnectionHeader(HttpResponse response) {
+        keepAlive &= !server.draining();
+        if (!keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    @Override
+    public void head(HttpResponse response) {
+        if (!stillOpen()) {
+            return;
+        }
+        sizeKnown = HttpUtil.isContentLengthSet(response);
+        if (!sizeKnown) {
+            HttpUtil.setTransferEncodingChunked(response, true);
+        }
+        setConnectionHeader(response);
+        context.write(response);
+    }
+
+    @Override
+    public void content(ByteBuf bytes) {
+        if (!stillOpen()) {
+            bytes.release();
+            return;
+        }
+        context.writeAndFlush(new DefaultHttpContent(bytes));
+    }
+
+    @Override
+    public void end() {
+        if (stillOpen()) {
+            finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        }
+    }
+
+    private void finish(ChannelFuture written) {
+        exchange = Optional.empty();
+        if (!keepAlive) {
+            closing = true;
+            written.addListener(future -> linger());
+            return;
+        }
+        startTimer(limits.idleTimeoutMillis(), this::closeIfIdle);
+        context.channel().config().setAutoRead(true);
+        while (!early.isEmpty() && exchange.isEmpty() && !closing) {
+            accept(early.poll());
+        }
+    }
+
+    private void linger() {
+        if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
+            socket.shutdownOutput();
+            context.channel().config().setAutoRead(true);
+            context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void abort() {
+        closing = true;
+        exchange = Optional.empty();
+        context.flush();
+        context.close();
+    }
+
+    @Override
+    public boolean writable() {
+        return context.channel().isWritable();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext changed) {
+        exchange.ifPresent(current -> current.writable(changed.channel().isWritable()));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext inactive) {
+        closing = true;
+        server.closed(this);
+        dropPartialRequest();
+        early.forEach(ReferenceCountUtil::release);
+        early.clear();
+        Optional<Exchange> left = exchange;
+        exchange = Optional.empty();
+        left.ifPresent(Exchange::callerLeft);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        // The connection is broken or its bytes are not HTTP; the exchange learns of it as the connection closes.
+        path.countCallerError();
+        failed.close();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
@@ -0,0 +1,107 @@
+package dev.wigeonward.gateway.caller;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import dev.wigeonward.core.deployment.CallerLimits;
+import dev.wigeonward.gateway.exchange.DirectPath;
+import dev.wigeonward.gateway.port.HttpDialect;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+/** Accepts callers. All methods run on the event loop, except {@link #listen}. */
+public final class CallerServer {
+    private static final int ACCEPT_BACKLOG = 1_024;
+    /** Unread bytes of one caller above which its upstream is not read, and below which it is again. */
+    private static final int HIGH_WATER_BYTES = 65_536;
+
+    private static final int LOW_WATER_BYTES = 16_384;
+
+    private final DirectPath path;
+    private final HttpDialect dialect;
+    private final Supplier<CallerLimits> limits;
+    private final Set<CallerChannel> open = new HashSet<>();
+    private Channel server;
+    private boolean draining;
+
+    private CallerServer(DirectPath path, HttpDialect dialect, Supplier<CallerLimits> limits) {
+        this.path = path;
+        this.dialect = dialect;
+        this.limits = limits;
+    }
+
+    /** Returns a server that does not listen yet. */
+    public static CallerServer create(DirectPath path, HttpDialect dialect, Supplier<CallerLimits> limits) {
+        return new CallerServer(path, dialect, limits);
+    }
+
+    /** Starts to accept callers; returns the address that is listened on. */
+    public InetSocketAddress listen(InetSocketAddress address, EventLoopGroup loop) {
+        server = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        CallerLimits current = limits.get();
+                        channel.pipeline()
+                                .addLast(
+                                        new StrictRequestDecoder(current.maxHeaderBytes()),
+                                        new HttpResponseEncoder(),
+                                        new CallerChannel(CallerServer.this, path, dialect, current));
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    /** Lets answers from now on close their connections, and closes those that are idle. */
+    public void closeIdle() {
+        draining = true;
+        for (CallerChannel channel : Set.copyOf(open)) {
+            channel.closeIfIdle();
+        }
+    }
+
+    /** Stops to accept. */
+    public void stopAccepting() {
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    /** Returns how many connections of callers are open. */
+    public int connections() {
+        return open.size();
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    void opened(CallerChannel channel) {
+        open.add(channel);
+    }
+
+    void closed(CallerChannel channel) {
+        open.remove(channel);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/CallerRequest.java
@@ -0,0 +1,14 @@
+package dev.wigeonward.gateway.exchange;
+
+import dev.wigeonward.gateway.port.CallerHead;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+
+/** A request that was read whole. */
+public record CallerRequest(HttpRequest head, CallerHead caller, ByteBuf body, long receivedAtMillis) {
+    /** Returns the path without the query. */
+    public String path() {
+        int query = head.uri().indexOf('?');
+        return query < 0 ? head.uri() : head.uri().substring(0, query);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -0,0 +1,374 @@
+package dev.wigeonward.gateway.exchange;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import dev.wigeonward.common.clock.MonotonicClock;
+import dev.wigeonward.core.cap.RetryShare;
+import dev.wigeonward.core.deployment.Deployment;
+import dev.wigeonward.core.deployment.Route;
+import dev.wigeonward.core.deployment.Tenant;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.schedule.Decision;
+import dev.wigeonward.core.schedule.Demand;
+import dev.wigeonward.core.schedule.ServiceScheduler;
+import dev.wigeonward.core.schedule.Upstream;
+import dev.wigeonward.core.suspect.SuspectTable;
+import dev.wigeonward.core.suspect.Suspicion;
+import dev.wigeonward.gateway.port.HttpDialect;
+import dev.wigeonward.gateway.upstream.UpstreamConnections;
+import io.netty.channel.EventLoop;
+
+/**
+ * Takes requests that callers have sent whole, checks them against the configuration in force, and runs each as an
+ * {@link Exchange}. Runs on one event loop, which owns all state.
+ */
+public final class DirectPath {
+    /** Pause between two looks at the queues while requests wait; short against the objectives of callers. */
+    private static final long DECIDE_PERIOD_MILLIS = 10;
+
+    private static final long HOUSEKEEPING_PERIOD_MILLIS = 1_000;
+    /** Time after a broken run at which the upstream is probed: a crashed one stays away for seconds. */
+    private static final long CRASH_PROBE_DELAY_MILLIS = 100;
+
+    private static final long NOT_READY_RETRY_MILLIS = 300;
+    /** Ranks of routes that differ are never closer than this, whatever the rank of the tenant. */
+    private static final int TENANT_RANKS = 1_000;
+
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final HttpDialect dialect;
+    private final PathSettings settings;
+    private final UpstreamConnections connections;
+    private final MetricRegistry metrics;
+    private final Random random;
+    private final Tenants tenants;
+    private final SuspectTable suspects = SuspectTable.create();
+    private final Map<String, ServiceScheduler> schedulers = new HashMap<>();
+    private final Map<String, RetryShare> retries = new HashMap<>();
+    private final Map<Demand, Exchange> waiting = new HashMap<>();
+    private final Map<String, Long> longestDeadlines = new HashMap<>();
+    private Optional<Deployment> deployment = Optional.empty();
+    private boolean upstreamsKnown;
+    private int entries = 1;
+    private int running;
+    private boolean decideScheduled;
+
+    private DirectPath(
+            EventLoop loop,
+            MonotonicClock clock,
+            HttpDialect dialect,
+            PathSettings settings,
+            UpstreamConnections connections,
+            MetricRegistry metrics,
+            Random random) {
+        this.loop = loop;
+        this.clock = clock;
+        this.dialect = dialect;
+        this.settings = settings;
+        this.connections = connections;
+        this.metrics = metrics;
+        this.random = random;
+        this.tenants = new Tenants(settings.capWindowMillis());
+    }
+
+    /** Returns a path without configuration, which refuses all requests until it gets one. */
+    public static DirectPath create(
+            EventLoop loop,
+            MonotonicClock clock,
+            HttpDialect dialect,
+            PathSettings settings,
+            UpstreamConnections connections,
+            MetricRegistry metrics,
+            Random random) {
+        DirectPath path = new DirectPath(loop, clock, dialect, settings, connections, metrics, random);
+        loop.scheduleAtFixedRate(
+                () -> path.schedulers.values().forEach(ServiceScheduler::normalize),
+                HOUSEKEEPING_PERIOD_MILLIS,
+                HOUSEKEEPING_PERIOD_MILLIS,
+                TimeUnit.MILLISECONDS);
+        return path;
+    }
+
+    /** Puts a configuration in force, unless a newer one is. */
+    public void configure(Deployment newer) {
+        if (deployment.isPresent() && deployment.get().version() >= newer.version()) {
+            return;
+        }
+        deployment = Optional.of(newer);
+        tenants.declare(newer.tenants(), nowMillis());
+    }
+
+    /** Replaces the list of upstreams of all services. */
+    public void upstreams(Collection<Upstream> listed) {
+        upstreamsKnown = true;
+        Map<String, List<Upstream>> byService = new HashMap<>();
+        schedulers.keySet().forEach(service -> byService.put(service, new ArrayList<>()));
+        for (Upstream upstream : listed) {
+            byService
+                    .computeIfAbsent(upstream.service(), service -> new ArrayList<>())
+                    .add(upstream);
+        }
+        byService.forEach((service, upstreams) -> scheduler(service).upstreams(upstreams));
+        Set<Upstream> all = new HashSet<>(listed);
+        connections.retain(all);
+        decide();
+    }
+
+    /** Returns whether this process knows a configuration and upstreams. */
+    public boolean ready() {
+        return deployment.isPresent() && upstreamsKnown;
+    }
+
+    /** Returns the configuration in force. */
+    public Optional<Deployment> deployment() {
+        return deployment;
+    }
+
+    /** Returns how many requests have no final answer yet. */
+    public int running() {
+        return running;
+    }
+
+    /** Takes over the load and the demand that peers report; {@code knownEntries} counts this one. */
+    public void peers(
+            Map<String, Double> usagePerSecondByTenant, int heard, int knownEntries, Collection<PeerLoad> loads) {
+        entries = Math.max(1, knownEntries);
+        tenants.peers(usagePerSecondByTenant, heard, entries, nowMillis());
+        for (PeerLoad load : loads) {
+            schedulers.values().forEach(each -> each.reportPeers(load.upstreamId(), load.requests(), load.tokens()));
+        }
+        decide();
+    }
+
+    /** Returns this entry's own load for its peers. */
+    public List<PeerLoad> ownLoads() {
+        List<PeerLoad> loads = new ArrayList<>();
+        schedulers.values().forEach(scheduler -> scheduler
+                .ownLoads()
+                .forEach(own -> loads.add(new PeerLoad(own.upstreamId(), own.requests(), own.promptTokens()))));
+        return loads;
+    }
+
+    /** Returns this entry's demand by tenant for its peers. */
+    public Map<String, Double> ownDemands() {
+        return tenants.demands(nowMillis());
+    }
+
+    /** Returns an exchange for a request; once begun it ends with exactly one final answer. */
+    public Exchange prepare(CallerRequest request, AnswerSink sink) {
+        running++;
+        return new Exchange(this, request, sink);
+    }
+
+    /** Returns the time on the clock of this path. */
+    public long millis() {
+        return nowMillis();
+    }
+
+    /** Counts a connection of a caller that broke. */
+    public void countCallerError() {
+        count("caller.broken");
+    }
+
+    void ended() {
+        running--;
+    }
+
+    /** Returns what a request may do, or the reason why it is refused. */
+    Admission admit(CallerRequest request) {
+        if (!ready()) {
+            return new Admission.Refused(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS);
+        }
+        Deployment current = deployment.orElseThrow();
+        Optional<Route> route = current.route(host(request), request.path());
+        if (route.isEmpty()) {
+            return new Admission.Refused(ErrorKind.UNKNOWN_TARGET, 0);
+        }
+        Optional<Tenant> tenant = request.caller().key().flatMap(current::tenant);
+        if (tenant.isEmpty() && current.hasTenants() && !route.get().open()) {
+            return new Admission.Refused(ErrorKind.UNAUTHORIZED, 0);
+        }
+        long fingerprint = fingerprint(request);
+        if (suspects.suspicion(fingerprint, nowMillis()) == Suspicion.REFUSED) {
+            return new Admission.Refused(ErrorKind.SUSPECT, NOT_READY_RETRY_MILLIS);
+        }
+        long usage = 0;
+        if (tenant.isPresent()) {
+            usage = tenant.get()
+                    .usage((long) request.caller().promptTokens()
+                            + request.caller().outputTokens());
+            long waitMillis = tenants.use(tenant.get(), usage, nowMillis());
+            if (waitMillis > 0) {
+                return new Admission.Refused(ErrorKind.RATE_LIMITED, waitMillis);
+            }
+        }
+        String service = route.get().serviceFor(random.nextDouble());
+        return new Admission.Admitted(route.get(), service, tenant, usage, fingerprint);
+    }
+
+    private static String host(CallerRequest request) {
+        String host = request.head().headers().get("host", "");
+        int colon = host.lastIndexOf(':');
+        return colon > 0 && host.indexOf(']') < colon ? host.substring(0, colon) : host;
+    }
+
+    private static long fingerprint(CallerRequest request) {
+        Hasher hasher = Hashing.murmur3_128().newHasher();
+        hasher.putUnencodedChars(request.head().uri());
+        hasher.putUnencodedChars(request.caller().key().orElse(""));
+        hasher.putBytes(request.body().nioBuffer());
+        return hasher.hash().asLong();
+    }
+
+    /** Returns a demand for the first or a further run of a request. */
+    Demand demand(CallerRequest request, Admission.Admitted admitted) {
+        Route route = admitted.route();
+        int rank = route.priority() * TENANT_RANKS
+                + admitted.tenant().map(tenant -> tenant.priority().orElse(0)).orElse(0);
+        long objective = Math.max(1, route.objectiveMillis() > 0 ? route.objectiveMillis() : route.timeoutMillis());
+        Demand.Builder builder = Demand.builder(route.name(), rank, objective, request.receivedAtMillis())
+                .elapsedBefore(elapsedBeforeMillis(route, request));
+        if (request.caller().promptTokens() > 0) {
+            builder.generating(request.caller().promptTokens(), route.maxPauseMillis());
+        }
+        return builder.build();
+    }
+
+    /** A caller that states less time than others of its route has waited before, in an earlier attempt. */
+    private long elapsedBeforeMillis(Route route, CallerRequest request) {
+        if (request.caller().deadlineMillis().isEmpty()) {
+            return 0;
+        }
+        long stated = request.caller().deadlineMillis().getAsLong();
+        long longest = longestDeadlines.merge(route.name(), Math.min(stated, route.timeoutMillis()), Math::max);
+        return Math.max(0, longest - stated);
+    }
+
+    void offer(Demand demand, Exchange exchange, String service) {
+        waiting.put(demand, exchange);
+        scheduler(service).offer(demand);
+        decide();
+    }
+
+    void withdraw(Demand demand, String service) {
+        if (waiting.remove(demand) != null) {
+            scheduler(service).withdraw(demand);
+        }
+    }
+
+    ServiceScheduler scheduler(String service) {
+        return schedulers.computeIfAbsent(service, name -> ServiceScheduler.inZone(settings.zone()));
+    }
+
+    RetryShare retries(String service) {
+        return retries.computeIfAbsent(
+                service,
+                name -> RetryShare.create(
+                        settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis()));
+    }
+
+    boolean mayRetry(String service) {
+        return retries(service).tryAcquire(entries, nowMillis());
+    }
+
+    /** Lets the schedulers decide; decisions that an upstream's end makes possible are taken at once. */
+    void decide() {
+        for (ServiceScheduler scheduler : List.copyOf(schedulers.values())) {
+            for (Decision decision : scheduler.decide(nowMillis())) {
+                apply(decision);
+            }
+        }
+        boolean anyWaits = schedulers.values().stream().anyMatch(scheduler -> scheduler.waitingCount() > 0);
+        if (anyWaits && !decideScheduled) {
+            decideScheduled = true;
+            loop.schedule(
+                    () -> {
+                        decideScheduled = false;
+                        decide();
+                    },
+                    DECIDE_PERIOD_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void apply(Decision decision) {
+        if (decision instanceof Decision.Place place) {
+            waiting.remove(place.demand()).onPlaced(place.upstream());
+        } else if (decision instanceof Decision.Refuse refuse) {
+            waiting.remove(refuse.demand()).onRefused(refuse.reason(), refuse.retryAfterMillis());
+        }
+    }
+
+    /**
+     * Looks whether an upstream crashed when the connection of a run broke. Only a crash makes the request suspect:
+     * connections also break for other reasons.
+     */
+    void onBrokenRun(Upstream upstream, long fingerprint) {
+        loop.schedule(
+                () -> connections.probe(upstream, accepts -> {
+                    if (!accepts) {
+                        suspects.onUpstreamDied(fingerprint, upstream.id() + "@" + nowMillis(), nowMillis());
+                        count("upstream.crash_suspected");
+                    }
+                }),
+                CRASH_PROBE_DELAY_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    void giveBack(Admission.Admitted admitted) {
+        admitted.tenant().ifPresent(tenant -> tenants.giveBack(tenant, admitted.usage()));
+    }
+
+    long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(clock.elapsedNanos());
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    HttpDialect dialect() {
+        return dialect;
+    }
+
+    UpstreamConnections connections() {
+        return connections;
+    }
+
+    SuspectTable suspects() {
+        return suspects;
+    }
+
+    void count(String name) {
+        metrics.counter(name).inc();
+    }
+
+    /** Returns lines that show what this process believes, for a dump. */
+    public List<String> describe() {
+        List<String> lines = new ArrayList<>();
+        lines.add("configuration_version "
+                + deployment.map(current -> String.valueOf(current.version())).orElse("none"));
+        lines.add("running " + running);
+        schedulers.forEach((service, scheduler) -> {
+            lines.add("service " + service + " waiting=" + scheduler.waitingCount());
+            scheduler.describe(nowMillis()).forEach(line -> lines.add("upstream " + line));
+        });
+        tenants.describe(nowMillis()).forEach(line -> lines.add("tenant " + line));
+        return lines;
+    }
+
+    /** What peers have at one upstream, summed over them. */
+    public record PeerLoad(String upstreamId, int requests, long tokens) {}
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -0,0 +1,273 @@
+package dev.wigeonward.gateway.exchange;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import dev.wigeonward.core.deployment.Route;
+import dev.wigeonward.core.deployment.RouteKind;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.schedule.Demand;
+import dev.wigeonward.core.schedule.RefusalReason;
+import dev.wigeonward.core.schedule.ServiceScheduler;
+import dev.wigeonward.core.schedule.Upstream;
+import dev.wigeonward.core.stream.EventBoundaries;
+import dev.wigeonward.gateway.port.UpstreamCall;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+
+/** One request of a caller until its final answer. Runs on the event loop. */
+public final class Exchange {
+    /** Connections that are tried when none of the request's bytes was sent. */
+    private static final int MAX_CONNECT_FAILURES = 3;
+    /** Time after which a caller may come back when one upstream refused the request. */
+    private static final long UPSTREAM_FULL_RETRY_MILLIS = 50;
+
+    private final DirectPath path;
+    private final CallerRequest request;
+    private final AnswerSink sink;
+    private Admission.Admitted admitted;
+    private Demand demand;
+    private Optional<Run> run = Optional.empty();
+    private Optional<ScheduledFuture<?>> timeout = Optional.empty();
+    private long answerByMillis;
+    private int sends;
+    private int connectFailures;
+    private boolean mayHaveRun;
+    private boolean headPassedOn;
+    private boolean done;
+    private Optional<EventBoundaries> boundaries = Optional.empty();
+
+    Exchange(DirectPath path, CallerRequest request, AnswerSink sink) {
+        this.path = path;
+        this.request = request;
+        this.sink = sink;
+    }
+
+    /** Checks the request and queues it for an upstream. */
+    public void begin() {
+        Admission admission = path.admit(request);
+        if (admission instanceof Admission.Refused refused) {
+            path.count("refused." + refused.kind().wireName());
+            finish();
+            sink.refuse(refused.kind(), refused.retryAfterMillis());
+            return;
+        }
+        admitted = (Admission.Admitted) admission;
+        path.retries(admitted.service()).onRequest(path.nowMillis());
+        long waitMillis = Math.min(
+                admitted.route().timeoutMillis(),
+                request.caller().deadlineMillis().orElse(Long.MAX_VALUE));
+        if (admitted.route().kind() == RouteKind.STREAMING && admitted.route().resumable()) {
+            boundaries = Optional.of(EventBoundaries.create());
+        }
+        answerByMillis = request.receivedAtMillis() + waitMillis;
+        timeout = Optional.of(path.loop().schedule(this::onTimeout, waitMillis, TimeUnit.MILLISECONDS));
+        demand = path.demand(request, admitted);
+        path.offer(demand, this, admitted.service());
+    }
+
+    /** The scheduler chose an upstream. */
+    void onPlaced(Upstream upstream) {
+        sends++;
+        Run newRun = new Run(this, path, upstream, demand, sink);
+        run = Optional.of(newRun);
+        path.connections().send(upstream, upstreamRequest(upstream), newRun, newRun::onChannel);
+    }
+
+    private FullHttpRequest upstreamRequest(Upstream upstream) {
+        FullHttpRequest copy = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.head().method(),
+                request.head().uri(),
+                request.body().retainedDuplicate(),
+                request.head().headers().copy(),
+                EmptyHttpHeaders.INSTANCE);
+        HttpHeaders headers = copy.headers();
+        HopByHopHeaders.remove(headers);
+        headers.remove(HttpHeaderNames.EXPECT);
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        boolean hasBody = request.body().isReadable();
+        if (hasBody || !request.head().method().equals(HttpMethod.GET)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
+        }
+        path.dialect()
+                .writeUpstream(
+                        headers,
+                        new UpstreamCall(
+                                upstream,
+                                Math.max(1, answerByMillis - path.nowMillis()),
+                                admitted.tenant().map(tenant -> tenant.name()),
+                                boundaries.flatMap(EventBoundaries::lastId)));
+        return copy;
+    }
+
+    /** The scheduler refused the request before it was sent to a further upstream. */
+    void onRefused(RefusalReason reason, long retryAfterMillis) {
+        path.count("refused." + reason.name().toLowerCase(Locale.ROOT));
+        ErrorKind kind =
+                switch (reason) {
+                    case NO_UPSTREAM -> ErrorKind.NO_UPSTREAM;
+                    case QUEUE_TOO_LONG, WAITED_TOO_LONG -> ErrorKind.OVERLOADED;
+                };
+        failOrRefuse(kind, retryAfterMillis);
+    }
+
+    private void failOrRefuse(ErrorKind notRunKind, long retryAfterMillis) {
+        if (mayHaveRun) {
+            fail(ErrorKind.UPSTREAM_LOST);
+            return;
+        }
+        path.giveBack(admitted);
+        finish();
+        sink.refuse(notRunKind, retryAfterMillis);
+    }
+
+    /** The run ended without a complete answer that can be passed on. */
+    void onRunFailed(RunFailure failure) {
+        if (done) {
+            return;
+        }
+        run = Optional.empty();
+        boolean sent = failure != RunFailure.NOT_SENT;
+        if (!sent) {
+            sends--;
+            connectFailures++;
+        }
+        mayHaveRun |= sent && failure != RunFailure.NOT_RUN;
+        boolean mayRepeat = !mayHaveRun || admitted.route().idempotent();
+        boolean again = sent
+                ? mayRepeat && sends < admitted.route().attempts() && path.mayRetry(admitted.service())
+                : connectFailures < MAX_CONNECT_FAILURES;
+        if (again) {
+            offerAgain();
+            return;
+        }
+        failOrRefuse(ErrorKind.OVERLOADED, UPSTREAM_FULL_RETRY_MILLIS);
+    }
+
+    /** Sends the request to another upstream in place of a failure that this one answered, if the budgets allow it. */
+    boolean replaceFailure() {
+        return !done
+                && admitted.route().idempotent()
+                && sends < admitted.route().attempts()
+                && path.mayRetry(admitted.service());
+    }
+
+    /** The failure that {@link #replaceFailure} replaces was read. */
+    void onFailureRead() {
+        run = Optional.empty();
+        mayHaveRun = true;
+        offerAgain();
+    }
+
+    private void offerAgain() {
+        Demand next = path.demand(request, admitted);
+        demand.upstream().ifPresent(upstream -> next.avoid(upstream.id()));
+        demand = next;
+        path.offer(demand, this, admitted.service());
+    }
+
+    void onAnswered() {
+        finish();
+        sink.end();
+    }
+
+    private void onTimeout() {
+        if (done) {
+            return;
+        }
+        path.count("timeout");
+        boolean waits = run.isEmpty();
+        cancelRun();
+        if (waits && !mayHaveRun) {
+            path.giveBack(admitted);
+            finish();
+            sink.refuse(ErrorKind.DEADLINE_UNREACHABLE, UPSTREAM_FULL_RETRY_MILLIS);
+            return;
+        }
+        fail(ErrorKind.DEADLINE_EXCEEDED_RUNNING);
+    }
+
+    private void fail(ErrorKind kind) {
+        path.count("failed." + kind.wireName());
+        finish();
+        if (headPassedOn) {
+            sink.abort();
+        } else {
+            sink.refuse(kind, 0);
+        }
+    }
+
+    /** The head of an answer was passed on; from now on a failure can only be shown by closing the connection. */
+    void onHeadPassedOn() {
+        headPassedOn = true;
+    }
+
+    boolean headPassedOn() {
+        return headPassedOn;
+    }
+
+    /** The caller left; nothing is answered any more. */
+    public void callerLeft() {
+        if (done) {
+            return;
+        }
+        path.count("caller_left");
+        cancelRun();
+        finish();
+    }
+
+    /** The caller reads again, or does not. */
+    public void writable(boolean writable) {
+        run.flatMap(Run::channel).ifPresent(channel -> channel.read(writable));
+    }
+
+    private void cancelRun() {
+        if (demand != null) {
+            path.withdraw(demand, admitted.service());
+        }
+        run.ifPresent(Run::cancel);
+    }
+
+    private void finish() {
+        if (done) {
+            return;
+        }
+        done = true;
+        timeout.ifPresent(future -> future.cancel(false));
+        request.body().release();
+        path.ended();
+    }
+
+    boolean done() {
+        return done;
+    }
+
+    CallerRequest request() {
+        return request;
+    }
+
+    Route route() {
+        return admitted.route();
+    }
+
+    /** Returns the event boundaries of a stream that may go on elsewhere, or empty if the answer is passed on as is. */
+    Optional<EventBoundaries> boundaries() {
+        return boundaries;
+    }
+
+    ServiceScheduler scheduler() {
+        return path.scheduler(admitted.service());
+    }
+
+    long fingerprint() {
+        return admitted.fingerprint();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -0,0 +1,139 @@
+package dev.wigeonward.gateway.process;
+
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.wigeonward.common.clock.MonotonicClock;
+import dev.wigeonward.core.deployment.CallerLimits;
+import dev.wigeonward.core.deployment.Deployment;
+import dev.wigeonward.gateway.caller.CallerServer;
+import dev.wigeonward.gateway.caller.StatusServer;
+import dev.wigeonward.gateway.caller.StatusServer.Page;
+import dev.wigeonward.gateway.exchange.DirectPath;
+import dev.wigeonward.gateway.port.HttpDialect;
+import dev.wigeonward.gateway.upstream.UpstreamConnections;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+
+/** One process on the direct path: an event loop that owns all state, the servers, and the way to stop them. */
+public final class GatewayProcess {
+    private static final System.Logger LOGGER = System.getLogger(GatewayProcess.class.getName());
+    /** Time for which new connections are served after the signal to stop; the balancer asks for readiness each second. */
+    private static final long KEEP_ACCEPTING_MILLIS = 2_600;
+    /** Part of the grace period after which requests that still run are given up. */
+    private static final double GRACE_PART = 0.95;
+
+    private static final long STOP_CHECK_MILLIS = 100;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final GatewaySettings settings;
+    private final MonotonicClock clock = MonotonicClock.start();
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final UpstreamConnections connections = UpstreamConnections.on(loop, this::nowMillis);
+    private final DirectPath path;
+    private final CallerServer callers;
+    private boolean stopping;
+
+    private GatewayProcess(GatewaySettings settings, HttpDialect dialect) {
+        this.settings = settings;
+        // Only choices between services by weight depend on it, so any seed will do.
+        Random random = new Random(settings.id().hashCode());
+        path = DirectPath.create(loop, clock, dialect, settings.path(), connections, metrics, random);
+        callers = CallerServer.create(path, dialect, this::limits);
+    }
+
+    /** Returns a process that does not listen yet. */
+    public static GatewayProcess create(GatewaySettings settings, HttpDialect dialect) {
+        return new GatewayProcess(settings, dialect);
+    }
+
+    /** Starts to listen; {@code readinessPath} answers whether new callers are welcome. */
+    public void listen(String readinessPath) {
+        callers.listen(settings.callerAddress(), loop);
+        Map<String, Supplier<Page>> pages = Map.of(
+                readinessPath,
+                this::readiness,
+                "/dump",
+                () -> new Page(OK, String.join("\n", path.describe()) + "\n"),
+                "/metrics",
+                () -> new Page(OK, MetricsText.of(metrics)));
+        StatusServer.listen(settings.statusAddress(), loop, pages);
+    }
+
+    private Page readiness() {
+        boolean ready = path.ready() && !stopping;
+        return new Page(ready ? OK : UNAVAILABLE, ready ? "ready\n" : "not ready\n");
+    }
+
+    private CallerLimits limits() {
+        return path.deployment().map(Deployment::limits).orElse(CallerLimits.DEFAULT);
+    }
+
+    /** Returns the event loop that owns all state. */
+    public EventLoop loop() {
+        return loop;
+    }
+
+    /** Returns the path that requests take. */
+    public DirectPath path() {
+        return path;
+    }
+
+    /** Returns the counters of this process. */
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
+    /** Returns the time on the clock of this process. */
+    public long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(clock.elapsedNanos());
+    }
+
+    /** Handles the signals of the operating system, and returns once the process has stopped. */
+    public void serveUntilStopped() {
+        CountDownLatch stopped = new CountDownLatch(1);
+        ProcessSignals.handle("TERM", () -> stop(stopped::countDown));
+        ProcessSignals.handle("INT", () -> stop(stopped::countDown));
+        ProcessSignals.handle("HUP", () -> LOGGER.log(System.Logger.Level.INFO, "settings are kept until a restart"));
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        System.exit(0);
+    }
+
+    /** Stops without cutting a request, as far as the grace period allows; then runs the action. */
+    public void stop(Runnable whenStopped) {
+        loop.execute(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            LOGGER.log(System.Logger.Level.INFO, "stopping; running={0}", path.running());
+            long startedMillis = nowMillis();
+            loop.schedule(callers::closeIdle, KEEP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
+            loop.scheduleAtFixedRate(
+                    () -> finishStop(startedMillis, whenStopped),
+                    KEEP_ACCEPTING_MILLIS + STOP_CHECK_MILLIS,
+                    STOP_CHECK_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void finishStop(long startedMillis, Runnable whenStopped) {
+        boolean idle = path.running() == 0 && callers.connections() == 0;
+        boolean overdue = nowMillis() - startedMillis > GRACE_PART * settings.graceMillis();
+        if (idle || overdue) {
+            LOGGER.log(System.Logger.Level.INFO, "stopped; running={0}", path.running());
+            whenStopped.run();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
@@ -0,0 +1,96 @@
+package dev.wigeonward.gateway.process;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+
+import dev.wigeonward.common.settings.SettingKey;
+import dev.wigeonward.common.settings.Settings;
+import dev.wigeonward.common.settings.SettingsDeclaration;
+import dev.wigeonward.gateway.exchange.PathSettings;
+
+/**
+ * Settings of one process on the direct path.
+ *
+ * @param graceMillis time between the signal to stop and the end of the process by force
+ */
+public record GatewaySettings(
+        String id,
+        InetSocketAddress callerAddress,
+        InetSocketAddress statusAddress,
+        InetSocketAddress peerAddress,
+        String knownPeers,
+        InetSocketAddress storeAddress,
+        long graceMillis,
+        PathSettings path) {
+    private static final SettingKey<String> ID = SettingKey.text("gateway", "id", "name of this process, unique");
+    private static final SettingKey<String> ZONE = SettingKey.text("gateway", "zone", "failure domain of this VM");
+    private static final SettingKey<InetSocketAddress> CALLER =
+            SettingKey.address("gateway", "caller_address", "address for callers");
+    private static final SettingKey<InetSocketAddress> STATUS =
+            SettingKey.address("gateway", "status_address", "address of the readiness page, metrics and dump");
+    private static final SettingKey<InetSocketAddress> PEER =
+            SettingKey.address("gateway", "peer_address", "address for the links of other entries");
+    private static final SettingKey<String> KNOWN_PEERS = SettingKey.text(
+                    "gateway", "known_peers", "link addresses of some entries, separated by spaces; may be stale")
+            .withDefault("none");
+    private static final SettingKey<InetSocketAddress> STORE =
+            SettingKey.address("store", "address", "HTTP address of the store");
+    private static final SettingKey<Long> GRACE = SettingKey.whole(
+            "gateway", "grace_seconds", 1, 86_400, "time between the signal to stop and the end by force");
+    private static final SettingKey<Double> RETRY_RATIO = SettingKey.decimal(
+            "budgets", "retry_ratio", 0, 10, "retries of a service for each of its requests in a window");
+    private static final SettingKey<Long> RETRY_ALLOWANCE = SettingKey.whole(
+            "budgets",
+            "retry_allowance_count",
+            0,
+            1_000_000,
+            "retries of a service in a window beyond the ratio, by all entries together");
+    private static final SettingKey<Long> RETRY_WINDOW =
+            SettingKey.whole("budgets", "retry_window_seconds", 1, 3_600, "window of the retry budget");
+    private static final SettingKey<Long> CAP_WINDOW =
+            SettingKey.whole("budgets", "cap_window_seconds", 1, 3_600, "window of the usage caps");
+
+    /** Returns the declaration of all sections and keys. */
+    public static SettingsDeclaration declaration() {
+        return SettingsDeclaration.of(
+                Map.of(
+                        "gateway",
+                        "This process.",
+                        "store",
+                        "Where configuration and upstreams are read.",
+                        "budgets",
+                        "Bounds that all entries keep together."),
+                List.of(
+                        ID,
+                        ZONE,
+                        CALLER,
+                        STATUS,
+                        PEER,
+                        KNOWN_PEERS,
+                        GRACE,
+                        STORE,
+                        RETRY_RATIO,
+                        RETRY_ALLOWANCE,
+                        RETRY_WINDOW,
+                        CAP_WINDOW));
+    }
+
+    /** Returns the typed settings. */
+    public static GatewaySettings of(Settings settings) {
+        return new GatewaySettings(
+                settings.get(ID),
+                settings.get(CALLER),
+                settings.get(STATUS),
+                settings.get(PEER),
+                settings.get(KNOWN_PEERS),
+                settings.get(STORE),
+                settings.get(GRACE) * 1_000,
+                new PathSettings(
+                        settings.get(ZONE),
+                        settings.get(RETRY_RATIO),
+                        settings.get(RETRY_ALLOWANCE).intValue(),
+                        settings.get(RETRY_WINDOW) * 1_000,
+                        settings.get(CAP_WINDOW) * 1_000));
+    }
+}
--- a/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
@@ -37,7 +37,8 @@
     private final Supplier<Hello> greeting;
     private final Supplier<Frame> heartbeat;
     private final Optional<SslContext> tls;
-    private final EventLoopGroup loop = new NioEventLoopGroup(1);
+    private final EventLoopGroup loop;
+    private final boolean ownsLoop;
     private final AtomicLong numbers = new AtomicLong();
     private Channel serverChannel;
 
@@ -54,6 +55,19 @@
             Supplier<Hello> greeting,
             Supplier<Frame> heartbeat,
             Optional<SslContext> tls) {
+        this(settings, listener, greeting, heartbeat, tls, new NioEventLoopGroup(1), true);
+    }
+
+    private LinkTransport(
+            LinkSettings settings,
+            LinkListener listener,
+            Supplier<Hello> greeting,
+            Supplier<Frame> heartbeat,
+            Optional<SslContext> tls,
+            EventLoopGroup loop,
+            boolean ownsLoop) {
+        this.loop = Objects.requireNonNull(loop, "loop");
+        this.ownsLoop = ownsLoop;
         this.settings = Objects.requireNonNull(settings, "settings");
         this.listener = Objects.requireNonNull(listener, "listener");
         this.greeting = Objects.requireNonNull(greeting, "greeting");
@@ -61,6 +75,16 @@
         this.tls = Objects.requireNonNull(tls, "tls");
     }
 
+    /** Returns a transport without links on an event loop that the caller owns and closes. */
+    public static LinkTransport onLoop(
+            LinkSettings settings,
+            LinkListener listener,
+            Supplier<Hello> greeting,
+            Supplier<Frame> heartbeat,
+            EventLoopGroup loop) {
+        return new LinkTransport(settings, listener, greeting, heartbeat, Optional.empty(), loop, false);
+    }
+
     /** Starts to accept links and returns the address that is listened on. */
     public InetSocketAddress listen(InetSocketAddress address) {
         serverChannel = new ServerBootstrap()
@@ -129,6 +153,12 @@
     /** Closes all links and stops accepting. */
     @Override
     public void close() {
+        if (serverChannel != null && !ownsLoop) {
+            serverChannel.close();
+        }
+        if (!ownsLoop) {
+            return;
+        }
         if (serverChannel != null) {
             serverChannel.close().syncUninterruptibly();
         }
