--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 import com.google.common.base.Preconditions;
 
@@ -71,12 +72,12 @@
         }
     }
 
-    /** Takes over what peers have sent to an upstream. */
-    public void reportPeers(String upstreamId, int requests, long promptTokens) {
-        UpstreamLoad load = upstreams.get(upstreamId);
-        if (load != null) {
-            load.reportPeers(requests, promptTokens);
-        }
+    /** Takes over what peers have sent to each upstream, by its identifier. */
+    public void reportPeers(Function<String, OwnLoad> loads) {
+        upstreams.forEach((id, load) -> {
+            OwnLoad reported = loads.apply(id);
+            load.reportPeers(reported.requests(), reported.promptTokens());
+        });
     }
 
     /** Adds a request; the next {@link #decide} says what becomes of it. */
@@ -359,6 +360,11 @@
         LEFT
     }
 
-    /** What this entry has at one upstream. */
-    public record OwnLoad(String upstreamId, int requests, long promptTokens) {}
+    /** What an entry has at one upstream. */
+    public record OwnLoad(String upstreamId, int requests, long promptTokens) {
+        /** Returns the load of an entry that has nothing there. */
+        public static OwnLoad none(String upstreamId) {
+            return new OwnLoad(upstreamId, 0, 0);
+        }
+    }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -143,12 +143,17 @@
 
     /** Takes over the load and the demand that peers report; {@code knownEntries} counts this one. */
     public void peers(
-            Map<String, Double> usagePerSecondByTenant, int heard, int knownEntries, Collection<PeerLoad> loads) {
+            Map<String, Double> usagePerSecondByTenant, int heard, int knownEntries, Map<String, PeerLoad> loads) {
         entries = Math.max(1, knownEntries);
         tenants.peers(usagePerSecondByTenant, heard, entries, nowMillis());
-        for (PeerLoad load : loads) {
-            schedulers.values().forEach(each -> each.reportPeers(load.upstreamId(), load.requests(), load.tokens()));
-        }
+        schedulers
+                .values()
+                .forEach(scheduler -> scheduler.reportPeers(id -> {
+                    PeerLoad load = loads.get(id);
+                    return load == null
+                            ? ServiceScheduler.OwnLoad.none(id)
+                            : new ServiceScheduler.OwnLoad(id, load.requests(), load.tokens());
+                }));
         decide();
     }
 
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -0,0 +1,292 @@
+package dev.wigeonward.gateway.peer;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import com.google.protobuf.ByteString;
+import dev.wigeonward.gateway.exchange.DirectPath;
+import dev.wigeonward.gateway.port.StoreRelay;
+import dev.wigeonward.wire.Link;
+import dev.wigeonward.wire.LinkListener;
+import dev.wigeonward.wire.LinkSettings;
+import dev.wigeonward.wire.LinkTransport;
+import dev.wigeonward.wire.generated.Frame;
+import dev.wigeonward.wire.generated.Heartbeat;
+import dev.wigeonward.wire.generated.Hello;
+import dev.wigeonward.wire.generated.PeerDemand;
+import dev.wigeonward.wire.generated.PeerLoad;
+import dev.wigeonward.wire.generated.PeerState;
+import dev.wigeonward.wire.generated.PeerView;
+import dev.wigeonward.wire.generated.PeerViewEntry;
+import dev.wigeonward.wire.generated.PeerViewRequest;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+
+/** Links to the other entries: tells them load, demand and the age of the view of the store. Runs on the event loop. */
+public final class PeerExchange implements LinkListener {
+    private static final System.Logger LOGGER = System.getLogger(PeerExchange.class.getName());
+    /** Links carry a view of the store at most, of which one value has up to a megabyte. */
+    private static final LinkSettings LINKS = new LinkSettings(8 << 20, 500, 1_500, 500, 16 << 20);
+    /** Pause between two states to each peer while few peers are linked. */
+    private static final long STATE_PERIOD_MILLIS = 100;
+    /** Peers beyond which the pause grows with their number, so that the messages of one entry stay bounded. */
+    private static final int PEERS_AT_SHORTEST_PERIOD = 8;
+
+    private static final long CONNECT_PERIOD_MILLIS = 500;
+    /** Age from which a peer's state says nothing on its load any more. */
+    private static final long STATE_VALID_MILLIS = 1_500;
+    /** Time for which an entry that is not heard any more still counts as one that spends from shared budgets. */
+    private static final long REMEMBERED_MILLIS = 10_000;
+    /** Time for which the address of an entry that is not heard any more is tried. */
+    private static final long TRIED_MILLIS = 120_000;
+    /** Pause between two requests for a view. */
+    private static final long VIEW_REQUEST_MILLIS = 200;
+    /** Age of the own view from which a peer's newer one is asked for. */
+    private static final long VIEW_OLD_MILLIS = 900;
+
+    private final String ownAddress;
+    private final DirectPath path;
+    private final StoreRelay store;
+    private final EventLoop loop;
+    private final LongSupplier nowMillis;
+    private final LinkTransport transport;
+    private final Set<String> seeds;
+    private final Map<Long, Link> links = new HashMap<>();
+    private final Map<String, Peer> peers = new HashMap<>();
+    private final Map<String, Long> heardAtMillis = new HashMap<>();
+    private final Set<String> connecting = new HashSet<>();
+    private long viewRequestedAtMillis = Long.MIN_VALUE / 2;
+    private long sentAtMillis;
+    private long sentVersion;
+
+    private PeerExchange(
+            String id,
+            InetSocketAddress address,
+            Set<String> seeds,
+            DirectPath path,
+            StoreRelay store,
+            EventLoop loop,
+            EventLoopGroup group,
+            LongSupplier nowMillis) {
+        this.ownAddress = address.getAddress().getHostAddress() + ":" + address.getPort();
+        this.path = path;
+        this.store = store;
+        this.loop = loop;
+        this.nowMillis = nowMillis;
+        this.seeds = new HashSet<>(seeds);
+        this.seeds.remove(ownAddress);
+        transport = LinkTransport.onLoop(
+                LINKS,
+                this,
+                () -> Hello.newBuilder().setNodeId(id).build(),
+                () -> Frame.newBuilder()
+                        .setHeartbeat(Heartbeat.getDefaultInstance())
+                        .build(),
+                group);
+        transport.listen(address);
+    }
+
+    /**
+     * Returns an exchange that accepts links and connects to the seeds.
+     *
+     * @param seeds link addresses of some entries, which may be stale
+     */
+    public static PeerExchange start(
+            String id,
+            InetSocketAddress address,
+            Set<String> seeds,
+            DirectPath path,
+            StoreRelay store,
+            EventLoop loop,
+            EventLoopGroup group,
+            LongSupplier nowMillis) {
+        PeerExchange exchange = new PeerExchange(id, address, seeds, path, store, loop, group, nowMillis);
+        loop.scheduleAtFixedRate(exchange::connect, 0, CONNECT_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(exchange::sendIfDue, STATE_PERIOD_MILLIS, STATE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        return exchange;
+    }
+
+    private void connect() {
+        long now = nowMillis.getAsLong();
+        heardAtMillis.values().removeIf(heard -> now - heard > TRIED_MILLIS);
+        Set<String> wanted = new HashSet<>(seeds);
+        wanted.addAll(heardAtMillis.keySet());
+        wanted.remove(ownAddress);
+        for (String address : wanted) {
+            boolean linked = peers.containsKey(address) && peers.get(address).link() != null;
+            if (!linked && connecting.add(address)) {
+                int colon = address.lastIndexOf(':');
+                transport.connect(new InetSocketAddress(
+                        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+            }
+        }
+        peers.values().removeIf(peer -> peer.link() == null && now - peer.receivedAtMillis() > REMEMBERED_MILLIS);
+        report();
+    }
+
+    private void sendIfDue() {
+        long version = ownVersion();
+        long period = STATE_PERIOD_MILLIS
+                * Math.max(1, (links.size() + PEERS_AT_SHORTEST_PERIOD - 1) / PEERS_AT_SHORTEST_PERIOD);
+        if (nowMillis.getAsLong() - sentAtMillis >= period || version != sentVersion) {
+            sendState();
+        }
+    }
+
+    /** Tells all peers the own state now, for example after a change of the configuration. */
+    public void sendState() {
+        sentAtMillis = nowMillis.getAsLong();
+        sentVersion = ownVersion();
+        if (links.isEmpty()) {
+            return;
+        }
+        Frame frame = Frame.newBuilder().setPeerState(state()).build();
+        Set<String> reached = new HashSet<>();
+        for (Link link : links.values()) {
+            if (reached.add(link.peer().getNodeId()) && link.writable()) {
+                link.send(frame);
+            }
+        }
+    }
+
+    private long ownVersion() {
+        return path.deployment().map(current -> current.version()).orElse(0L);
+    }
+
+    private PeerState state() {
+        PeerState.Builder state = PeerState.newBuilder()
+                .setAddress(ownAddress)
+                .setConfigurationVersion(ownVersion())
+                .setViewAgeMillis((int) Math.min(StoreRelay.NO_VIEW_MILLIS - 1, store.ageMillis()))
+                .setViewHash(store.hash())
+                .addAllEntries(heardAtMillis.keySet());
+        path.ownLoads()
+                .forEach(load -> state.addLoads(PeerLoad.newBuilder()
+                        .setUpstreamId(load.upstreamId())
+                        .setRequests(load.requests())
+                        .setPromptTokens(load.tokens())));
+        path.ownDemands()
+                .forEach((tenant, usage) -> state.addDemands(
+                        PeerDemand.newBuilder().setTenant(tenant).setUsagePerSecond(usage.longValue())));
+        return state.build();
+    }
+
+    @Override
+    public void onUp(Link link) {
+        links.put(link.number(), link);
+        connecting.remove(link.remoteName());
+        link.send(Frame.newBuilder().setPeerState(state()).build());
+    }
+
+    @Override
+    public void onFrame(Link link, Frame frame) {
+        if (frame.hasPeerState()) {
+            onState(link, frame.getPeerState());
+        } else if (frame.hasPeerViewRequest()) {
+            sendView(link);
+        } else if (frame.hasPeerView()) {
+            onView(frame.getPeerView());
+        }
+    }
+
+    private void onState(Link link, PeerState state) {
+        long now = nowMillis.getAsLong();
+        Peer known = peers.get(state.getAddress());
+        if (known == null || known.link() == null) {
+            LOGGER.log(System.Logger.Level.INFO, "peer heard: {0}", state.getAddress());
+        }
+        peers.put(state.getAddress(), new Peer(link, state, now));
+        heardAtMillis.put(state.getAddress(), now);
+        for (String entry : state.getEntriesList()) {
+            if (!entry.equals(ownAddress)) {
+                heardAtMillis.putIfAbsent(entry, now);
+            }
+        }
+        report();
+        boolean peerReads = state.getAddress().compareTo(ownAddress) < 0;
+        store.onPeerView(state.getViewHash(), state.getViewAgeMillis(), peerReads);
+        boolean newerConfiguration = state.getConfigurationVersion() > ownVersion();
+        boolean newerView = store.ageMillis() > VIEW_OLD_MILLIS && state.getViewAgeMillis() < store.ageMillis() / 2;
+        boolean changedView =
+                peerReads && state.getViewHash() != store.hash() && state.getViewAgeMillis() < store.ageMillis();
+        if ((newerConfiguration || newerView || changedView) && now - viewRequestedAtMillis > VIEW_REQUEST_MILLIS) {
+            viewRequestedAtMillis = now;
+            link.send(Frame.newBuilder()
+                    .setPeerViewRequest(PeerViewRequest.getDefaultInstance())
+                    .build());
+        }
+    }
+
+    private void sendView(Link link) {
+        PeerView.Builder view = PeerView.newBuilder().setAgeMillis((int) store.ageMillis());
+        store.items()
+                .forEach(item -> view.addEntries(PeerViewEntry.newBuilder()
+                        .setKey(item.key())
+                        .setValue(ByteString.copyFrom(item.value()))
+                        .setRevision(item.revision())));
+        link.send(Frame.newBuilder().setPeerView(view).build());
+    }
+
+    private void onView(PeerView view) {
+        List<StoreRelay.Item> items = new ArrayList<>();
+        for (PeerViewEntry entry : view.getEntriesList()) {
+            items.add(new StoreRelay.Item(entry.getKey(), entry.getValue().toByteArray(), entry.getRevision()));
+        }
+        store.adopt(items, view.getAgeMillis());
+    }
+
+    /** Hands the sums over all peers to the path. */
+    private void report() {
+        long now = nowMillis.getAsLong();
+        Map<String, Double> demands = new HashMap<>();
+        Map<String, DirectPath.PeerLoad> loads = new HashMap<>();
+        int heard = 0;
+        for (Peer peer : peers.values()) {
+            if (now - peer.receivedAtMillis() > STATE_VALID_MILLIS) {
+                continue;
+            }
+            heard++;
+            peer.state()
+                    .getDemandsList()
+                    .forEach(demand ->
+                            demands.merge(demand.getTenant(), (double) demand.getUsagePerSecond(), Double::sum));
+            peer.state().getLoadsList().forEach(load -> add(loads, load));
+        }
+        path.peers(demands, heard, 1 + peers.size(), loads);
+    }
+
+    private static void add(Map<String, DirectPath.PeerLoad> loads, PeerLoad load) {
+        loads.merge(
+                load.getUpstreamId(),
+                new DirectPath.PeerLoad(load.getUpstreamId(), load.getRequests(), load.getPromptTokens()),
+                (left, right) -> new DirectPath.PeerLoad(
+                        left.upstreamId(), left.requests() + right.requests(), left.tokens() + right.tokens()));
+    }
+
+    @Override
+    public void onDown(Link link, String reason) {
+        links.remove(link.number());
+        connecting.remove(link.remoteName());
+        peers.replaceAll((address, peer) -> {
+            if (peer.link() != link) {
+                return peer;
+            }
+            LOGGER.log(System.Logger.Level.INFO, "link to peer {0} lost: {1}", address, reason);
+            return new Peer(null, peer.state(), peer.receivedAtMillis());
+        });
+    }
+
+    @Override
+    public void onConnectFailed(String address, String reason) {
+        connecting.remove(address);
+    }
+
+    private record Peer(Link link, PeerState state, long receivedAtMillis) {}
+}
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -1,7 +1,9 @@
 package dev.wigeonward.gateway.process;
 
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -14,7 +16,9 @@
 import dev.wigeonward.gateway.caller.StatusServer;
 import dev.wigeonward.gateway.caller.StatusServer.Page;
 import dev.wigeonward.gateway.exchange.DirectPath;
+import dev.wigeonward.gateway.peer.PeerExchange;
 import dev.wigeonward.gateway.port.HttpDialect;
+import dev.wigeonward.gateway.port.StoreRelay;
 import dev.wigeonward.gateway.upstream.UpstreamConnections;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -76,6 +80,17 @@
         return path.deployment().map(Deployment::limits).orElse(CallerLimits.DEFAULT);
     }
 
+    /** Starts to exchange load, demand and the view of the store with the other entries. */
+    public void joinPeers(StoreRelay store) {
+        Set<String> seeds = new HashSet<>();
+        for (String seed : settings.knownPeers().split("\\s+")) {
+            if (seed.contains(":")) {
+                seeds.add(seed);
+            }
+        }
+        PeerExchange.start(settings.id(), settings.peerAddress(), seeds, path, store, loop, group, this::nowMillis);
+    }
+
     /** Returns the event loop that owns all state. */
     public EventLoop loop() {
         return loop;
