--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -43,6 +43,8 @@
     private static final long CRASH_PROBE_DELAY_MILLIS = 100;
 
     private static final long NOT_READY_RETRY_MILLIS = 300;
+    /** Retries reach other entries, so they may come at once. */
+    private static final long SHUTTING_DOWN_RETRY_MILLIS = 20;
     /** Ranks of routes that differ are never closer than this, whatever the rank of the tenant. */
     private static final int TENANT_RANKS = 1_000;
 
@@ -64,6 +66,7 @@
     private int entries = 1;
     private int running;
     private boolean decideScheduled;
+    private boolean refusesNew;
 
     private DirectPath(
             EventLoop loop,
@@ -80,7 +83,7 @@
         this.connections = connections;
         this.metrics = metrics;
         this.random = random;
-        this.tenants = new Tenants(settings.capWindowMillis());
+        this.tenants = new Tenants(settings);
     }
 
     /** Returns a path without configuration, which refuses all requests until it gets one. */
@@ -171,6 +174,11 @@
         return tenants.demands(nowMillis());
     }
 
+    /** Refuses all requests from now on, because this process is about to end; those that run go on. */
+    public void refuseNew() {
+        refusesNew = true;
+    }
+
     /** Returns an exchange for a request; once begun it ends with exactly one final answer. */
     public Exchange prepare(CallerRequest request, AnswerSink sink) {
         running++;
@@ -193,6 +201,9 @@
 
     /** Returns what a request may do, or the reason why it is refused. */
     Admission admit(CallerRequest request) {
+        if (refusesNew) {
+            return new Admission.Refused(ErrorKind.SHUTTING_DOWN, SHUTTING_DOWN_RETRY_MILLIS);
+        }
         if (!ready()) {
             return new Admission.Refused(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS);
         }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
@@ -10,14 +10,17 @@
 
 /** This entry's parts of the usage caps of all tenants. Runs on the event loop. */
 final class Tenants {
-    private final long windowMillis;
+    /** The rest covers entries that are cut off and requests that overdraw the part of an entry. */
+    private static final double USED_TOLERANCE = 0.6;
+
+    private final PathSettings settings;
     private final Map<String, TenantCap> caps = new HashMap<>();
     private Map<String, Double> peerDemands = Map.of();
     private int peersHeard;
     private int entries = 1;
 
-    Tenants(long windowMillis) {
-        this.windowMillis = windowMillis;
+    Tenants(PathSettings settings) {
+        this.settings = settings;
     }
 
     void declare(List<Tenant> tenants, long nowMillis) {
@@ -30,15 +33,22 @@
             TenantCap cap = previous.get(tenant.name());
             if (cap == null) {
                 cap = TenantCap.create(
-                        tenant.ratePerSecond(), tenant.burst(), windowMillis, Math.max(entries, 1), nowMillis);
+                        tenant.ratePerSecond(), burst(tenant), settings.capWindowMillis(), entries, nowMillis);
             } else {
-                cap.change(tenant.ratePerSecond(), tenant.burst(), nowMillis);
+                cap.change(tenant.ratePerSecond(), burst(tenant), nowMillis);
             }
             caps.put(tenant.name(), cap);
         }
         share(nowMillis);
     }
 
+    /** A distributed cap refuses what a central one would not, so part of the tolerated overrun is used to avoid that. */
+    private long burst(Tenant tenant) {
+        double window = tenant.ratePerSecond() * settings.capWindowMillis() / 1_000.0 + tenant.burst();
+        double tolerated = settings.capOverrunRatio() * window + settings.capMargin();
+        return tenant.burst() + (long) (USED_TOLERANCE * tolerated);
+    }
+
     void peers(Map<String, Double> usagePerSecondByTenant, int heard, int knownEntries, long nowMillis) {
         peerDemands = usagePerSecondByTenant;
         peersHeard = heard;
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -200,7 +200,7 @@
         long now = nowMillis.getAsLong();
         Peer known = peers.get(state.getAddress());
         if (known == null || known.link() == null) {
-            LOGGER.log(System.Logger.Level.INFO, "peer heard: {0}", state.getAddress());
+            LOGGER.log(System.Logger.Level.DEBUG, "peer heard: {0}", state.getAddress());
         }
         peers.put(state.getAddress(), new Peer(link, state, now));
         heardAtMillis.put(state.getAddress(), now);
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -111,12 +111,10 @@
         return TimeUnit.NANOSECONDS.toMillis(clock.elapsedNanos());
     }
 
-    /** Handles the signals of the operating system, and returns once the process has stopped. */
+    /** Handles the signals of the operating system, and ends the program once the process has stopped. */
     public void serveUntilStopped() {
         CountDownLatch stopped = new CountDownLatch(1);
-        ProcessSignals.handle("TERM", () -> stop(stopped::countDown));
-        ProcessSignals.handle("INT", () -> stop(stopped::countDown));
-        ProcessSignals.handle("HUP", () -> LOGGER.log(System.Logger.Level.INFO, "settings are kept until a restart"));
+        handleSignals(stopped::countDown);
         try {
             stopped.await();
         } catch (InterruptedException e) {
@@ -125,6 +123,13 @@
         System.exit(0);
     }
 
+    /** Handles the signals of the operating system; a signal to stop leads to the action once nothing runs. */
+    public void handleSignals(Runnable whenStopped) {
+        ProcessSignals.handle("TERM", () -> stop(whenStopped));
+        ProcessSignals.handle("INT", () -> stop(whenStopped));
+        ProcessSignals.handle("HUP", () -> LOGGER.log(System.Logger.Level.INFO, "settings are kept until a restart"));
+    }
+
     /** Stops without cutting a request, as far as the grace period allows; then runs the action. */
     public void stop(Runnable whenStopped) {
         loop.execute(() -> {
@@ -134,7 +139,13 @@
             stopping = true;
             LOGGER.log(System.Logger.Level.INFO, "stopping; running={0}", path.running());
             long startedMillis = nowMillis();
-            loop.schedule(callers::closeIdle, KEEP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        path.refuseNew();
+                        callers.closeIdle();
+                    },
+                    KEEP_ACCEPTING_MILLIS,
+                    TimeUnit.MILLISECONDS);
             loop.scheduleAtFixedRate(
                     () -> finishStop(startedMillis, whenStopped),
                     KEEP_ACCEPTING_MILLIS + STOP_CHECK_MILLIS,
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
@@ -51,6 +51,11 @@
     private static final SettingKey<Long> CAP_WINDOW =
             SettingKey.whole("budgets", "cap_window_seconds", 1, 3_600, "window of the usage caps");
 
+    private static final SettingKey<Double> CAP_OVERRUN = SettingKey.decimal(
+            "budgets", "cap_overrun_ratio", 0, 10, "part of a usage cap that may be exceeded in a window");
+    private static final SettingKey<Long> CAP_MARGIN = SettingKey.whole(
+            "budgets", "cap_margin_count", 0, Long.MAX_VALUE, "usage of a tenant allowed beyond that in a window");
+
     /** Returns the declaration of all sections and keys. */
     public static SettingsDeclaration declaration() {
         return SettingsDeclaration.of(
@@ -73,7 +78,9 @@
                         RETRY_RATIO,
                         RETRY_ALLOWANCE,
                         RETRY_WINDOW,
-                        CAP_WINDOW));
+                        CAP_WINDOW,
+                        CAP_OVERRUN,
+                        CAP_MARGIN));
     }
 
     /** Returns the typed settings. */
@@ -91,6 +98,8 @@
                         settings.get(RETRY_RATIO),
                         settings.get(RETRY_ALLOWANCE).intValue(),
                         settings.get(RETRY_WINDOW) * 1_000,
-                        settings.get(CAP_WINDOW) * 1_000));
+                        settings.get(CAP_WINDOW) * 1_000,
+                        settings.get(CAP_OVERRUN),
+                        settings.get(CAP_MARGIN)));
     }
 }
