Share caps through reported usage and let only a peer that reads itself stand in for a read

Each entry now keeps a bucket for all entries, fed by the cumulative usage that peers report, and tells the age of its own reads.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -45,8 +45,8 @@
     private static final long NOT_READY_RETRY_MILLIS = 300;
     /** Retries reach other entries, so they may come at once. */
     private static final long SHUTTING_DOWN_RETRY_MILLIS = 20;
-    /** Ranks of routes that differ are never closer than this, whatever the rank of the tenant. */
-    private static final int TENANT_RANKS = 1_000;
+    /** The rank of the tenant goes before that of the route. */
+    private static final int ROUTE_RANKS = 1_000;
 
     private final EventLoop loop;
     private final MonotonicClock clock;
@@ -144,11 +144,10 @@
         return running;
     }
 
-    /** Takes over the load and the demand that peers report; {@code knownEntries} counts this one. */
-    public void peers(
-            Map<String, Double> usagePerSecondByTenant, int heard, int knownEntries, Map<String, PeerLoad> loads) {
-        entries = Math.max(1, knownEntries);
-        tenants.peers(usagePerSecondByTenant, heard, entries, nowMillis());
+    /** Takes over the load of all peers; both counts include this entry. */
+    public void peers(int heard, int known, Map<String, PeerLoad> loads) {
+        entries = known;
+        tenants.entries(heard, known, nowMillis());
         schedulers
                 .values()
                 .forEach(scheduler -> scheduler.reportPeers(id -> {
@@ -160,6 +159,16 @@
         decide();
     }
 
+    /** Takes over what a peer has let pass of each tenant's requests. */
+    public void peerUsage(String peer, long incarnation, Map<String, Tenants.Usage> usages) {
+        tenants.onPeer(peer, incarnation, usages, nowMillis());
+    }
+
+    /** A peer is not heard any more. */
+    public void peerLost(String peer) {
+        tenants.forget(peer);
+    }
+
     /** Returns this entry's own load for its peers. */
     public List<PeerLoad> ownLoads() {
         List<PeerLoad> loads = new ArrayList<>();
@@ -169,9 +178,9 @@
         return loads;
     }
 
-    /** Returns this entry's demand by tenant for its peers. */
-    public Map<String, Double> ownDemands() {
-        return tenants.demands(nowMillis());
+    /** Returns this entry's figures on each tenant for its peers. */
+    public Map<String, Tenants.Usage> ownUsages() {
+        return tenants.usages(nowMillis());
     }
 
     /** Refuses all requests from now on, because this process is about to end; those that run go on. */
@@ -251,10 +260,12 @@
     /** Returns a demand for the first or a further run of a request. */
     Demand demand(CallerRequest request, Admission.Admitted admitted) {
         Route route = admitted.route();
-        int rank = route.priority() * TENANT_RANKS
-                + admitted.tenant().map(tenant -> tenant.priority().orElse(0)).orElse(0);
+        int tenantRank =
+                admitted.tenant().map(tenant -> tenant.priority().orElse(0)).orElse(0);
+        int rank = tenantRank * ROUTE_RANKS + route.priority();
         long objective = Math.max(1, route.objectiveMillis() > 0 ? route.objectiveMillis() : route.timeoutMillis());
-        Demand.Builder builder = Demand.builder(route.name(), rank, objective, request.receivedAtMillis())
+        Demand.Builder builder = Demand.builder(
+                        route.name() + "/" + tenantRank, rank, objective, request.receivedAtMillis())
                 .elapsedBefore(elapsedBeforeMillis(route, request));
         if (request.caller().promptTokens() > 0) {
             builder.generating(request.caller().promptTokens(), route.maxPauseMillis());
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
@@ -8,16 +8,17 @@
 import dev.wigeonward.core.cap.TenantCap;
 import dev.wigeonward.core.deployment.Tenant;
 
-/** This entry's parts of the usage caps of all tenants. Runs on the event loop. */
-final class Tenants {
-    /** The rest covers entries that are cut off and requests that overdraw the part of an entry. */
-    private static final double USED_TOLERANCE = 0.6;
+/** The usage caps of all tenants as this entry sees them. Runs on the event loop. */
+public final class Tenants {
+    /** The rest covers entries that are cut off, reports on the way, and requests larger than what is left. */
+    private static final double USED_TOLERANCE = 0.5;
+
+    private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final PathSettings settings;
     private final Map<String, TenantCap> caps = new HashMap<>();
-    private Map<String, Double> peerDemands = Map.of();
-    private int peersHeard;
-    private int entries = 1;
+    private int heard = 1;
+    private int known = 1;
 
     Tenants(PathSettings settings) {
         this.settings = settings;
@@ -32,33 +33,39 @@
             }
             TenantCap cap = previous.get(tenant.name());
             if (cap == null) {
-                cap = TenantCap.create(
-                        tenant.ratePerSecond(), burst(tenant), settings.capWindowMillis(), entries, nowMillis);
+                cap = TenantCap.create(tenant.ratePerSecond(), capacity(tenant), known, nowMillis);
+                cap.entries(heard, known, nowMillis);
             } else {
-                cap.change(tenant.ratePerSecond(), burst(tenant), nowMillis);
+                cap.change(tenant.ratePerSecond(), capacity(tenant), nowMillis);
             }
             caps.put(tenant.name(), cap);
         }
-        share(nowMillis);
     }
 
     /** A distributed cap refuses what a central one would not, so part of the tolerated overrun is used to avoid that. */
-    private long burst(Tenant tenant) {
-        double window = tenant.ratePerSecond() * settings.capWindowMillis() / 1_000.0 + tenant.burst();
+    private long capacity(Tenant tenant) {
+        double window = tenant.ratePerSecond() * settings.capWindowMillis() / MILLIS_PER_SECOND + tenant.burst();
         double tolerated = settings.capOverrunRatio() * window + settings.capMargin();
-        return tenant.burst() + (long) (USED_TOLERANCE * tolerated);
+        return Math.max(1, tenant.burst() + (long) (USED_TOLERANCE * tolerated));
     }
 
-    void peers(Map<String, Double> usagePerSecondByTenant, int heard, int knownEntries, long nowMillis) {
-        peerDemands = usagePerSecondByTenant;
-        peersHeard = heard;
-        entries = knownEntries;
-        share(nowMillis);
+    void entries(int newHeard, int newKnown, long nowMillis) {
+        heard = newHeard;
+        known = newKnown;
+        caps.values().forEach(cap -> cap.entries(heard, known, nowMillis));
     }
 
-    private void share(long nowMillis) {
-        caps.forEach(
-                (tenant, cap) -> cap.onPeers(peerDemands.getOrDefault(tenant, 0.0), peersHeard, entries, nowMillis));
+    void onPeer(String peer, long incarnation, Map<String, Usage> usages, long nowMillis) {
+        caps.forEach((tenant, cap) -> {
+            Usage usage = usages.get(tenant);
+            if (usage != null) {
+                cap.onPeer(peer, incarnation, usage.total(), usage.level(), nowMillis);
+            }
+        });
+    }
+
+    void forget(String peer) {
+        caps.values().forEach(cap -> cap.forget(peer));
     }
 
     /** Returns 0 and counts the usage if the tenant may use it now, or else the time until it may, in milliseconds. */
@@ -77,17 +84,25 @@
         }
     }
 
-    Map<String, Double> demands(long nowMillis) {
-        Map<String, Double> demands = new HashMap<>();
-        caps.forEach((tenant, cap) -> demands.put(tenant, cap.demandPerSecond(nowMillis)));
-        return demands;
+    Map<String, Usage> usages(long nowMillis) {
+        Map<String, Usage> usages = new HashMap<>();
+        caps.forEach((tenant, cap) -> usages.put(tenant, new Usage(cap.usedTotal(), cap.level(nowMillis))));
+        return usages;
     }
 
     List<String> describe(long nowMillis) {
         List<String> lines = new ArrayList<>();
-        caps.forEach((tenant, cap) -> lines.add("%s demand_per_second=%.0f wait_millis=%d"
-                .formatted(tenant, cap.demandPerSecond(nowMillis), cap.millisUntilAvailable())));
+        caps.forEach((tenant, cap) ->
+                lines.add("%s used_total=%.0f left=%.0f".formatted(tenant, cap.usedTotal(), cap.level(nowMillis))));
         lines.sort(null);
         return lines;
     }
+
+    /**
+     * One entry's figures on one tenant.
+     *
+     * @param total usage that passed since the entry's start
+     * @param level what the entry believes to be left
+     */
+    public record Usage(double total, double level) {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -12,6 +12,7 @@
 
 import com.google.protobuf.ByteString;
 import dev.wigeonward.gateway.exchange.DirectPath;
+import dev.wigeonward.gateway.exchange.Tenants;
 import dev.wigeonward.gateway.port.StoreRelay;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkListener;
@@ -52,6 +53,7 @@
     private static final long VIEW_OLD_MILLIS = 900;
 
     private final String ownAddress;
+    private final long incarnation;
     private final DirectPath path;
     private final StoreRelay store;
     private final EventLoop loop;
@@ -74,7 +76,9 @@
             StoreRelay store,
             EventLoop loop,
             EventLoopGroup group,
-            LongSupplier nowMillis) {
+            LongSupplier nowMillis,
+            long incarnation) {
+        this.incarnation = incarnation;
         this.ownAddress = address.getAddress().getHostAddress() + ":" + address.getPort();
         this.path = path;
         this.store = store;
@@ -97,6 +101,7 @@
      * Returns an exchange that accepts links and connects to the seeds.
      *
      * @param seeds link addresses of some entries, which may be stale
+     * @param incarnation a number that no earlier start of this entry had
      */
     public static PeerExchange start(
             String id,
@@ -106,8 +111,9 @@
             StoreRelay store,
             EventLoop loop,
             EventLoopGroup group,
-            LongSupplier nowMillis) {
-        PeerExchange exchange = new PeerExchange(id, address, seeds, path, store, loop, group, nowMillis);
+            LongSupplier nowMillis,
+            long incarnation) {
+        PeerExchange exchange = new PeerExchange(id, address, seeds, path, store, loop, group, nowMillis, incarnation);
         loop.scheduleAtFixedRate(exchange::connect, 0, CONNECT_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(exchange::sendIfDue, STATE_PERIOD_MILLIS, STATE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         return exchange;
@@ -127,7 +133,13 @@
                         address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
             }
         }
-        peers.values().removeIf(peer -> peer.link() == null && now - peer.receivedAtMillis() > REMEMBERED_MILLIS);
+        for (Map.Entry<String, Peer> entry : List.copyOf(peers.entrySet())) {
+            Peer peer = entry.getValue();
+            if (peer.link() == null && now - peer.receivedAtMillis() > REMEMBERED_MILLIS) {
+                peers.remove(entry.getKey());
+                path.peerLost(entry.getKey());
+            }
+        }
         report();
     }
 
@@ -166,15 +178,19 @@
                 .setConfigurationVersion(ownVersion())
                 .setViewAgeMillis((int) Math.min(StoreRelay.NO_VIEW_MILLIS - 1, store.ageMillis()))
                 .setViewHash(store.hash())
+                .setReadAgeMillis((int) Math.min(Integer.MAX_VALUE, store.readAgeMillis()))
+                .setIncarnation(incarnation)
                 .addAllEntries(heardAtMillis.keySet());
         path.ownLoads()
                 .forEach(load -> state.addLoads(PeerLoad.newBuilder()
                         .setUpstreamId(load.upstreamId())
                         .setRequests(load.requests())
                         .setPromptTokens(load.tokens())));
-        path.ownDemands()
-                .forEach((tenant, usage) -> state.addDemands(
-                        PeerDemand.newBuilder().setTenant(tenant).setUsagePerSecond(usage.longValue())));
+        path.ownUsages()
+                .forEach((tenant, usage) -> state.addDemands(PeerDemand.newBuilder()
+                        .setTenant(tenant)
+                        .setUsedTotal((long) usage.total())
+                        .setLevel((long) usage.level())));
         return state.build();
     }
 
@@ -210,8 +226,16 @@
             }
         }
         report();
+        Map<String, Tenants.Usage> usages = new HashMap<>();
+        state.getDemandsList()
+                .forEach(demand ->
+                        usages.put(demand.getTenant(), new Tenants.Usage(demand.getUsedTotal(), demand.getLevel())));
+        path.peerUsage(state.getAddress(), state.getIncarnation(), usages);
         boolean peerReads = state.getAddress().compareTo(ownAddress) < 0;
-        store.onPeerView(state.getViewHash(), state.getViewAgeMillis(), peerReads);
+        store.onPeerView(state.getViewHash(), state.getViewAgeMillis());
+        if (peerReads) {
+            store.onPeerRead(state.getReadAgeMillis());
+        }
         boolean newerConfiguration = state.getConfigurationVersion() > ownVersion();
         boolean newerView = store.ageMillis() > VIEW_OLD_MILLIS && state.getViewAgeMillis() < store.ageMillis() / 2;
         boolean changedView =
@@ -245,21 +269,16 @@
     /** Hands the sums over all peers to the path. */
     private void report() {
         long now = nowMillis.getAsLong();
-        Map<String, Double> demands = new HashMap<>();
         Map<String, DirectPath.PeerLoad> loads = new HashMap<>();
-        int heard = 0;
+        int heard = 1;
         for (Peer peer : peers.values()) {
             if (now - peer.receivedAtMillis() > STATE_VALID_MILLIS) {
                 continue;
             }
             heard++;
-            peer.state()
-                    .getDemandsList()
-                    .forEach(demand ->
-                            demands.merge(demand.getTenant(), (double) demand.getUsagePerSecond(), Double::sum));
             peer.state().getLoadsList().forEach(load -> add(loads, load));
         }
-        path.peers(demands, heard, 1 + peers.size(), loads);
+        path.peers(heard, 1 + peers.size(), loads);
     }
 
     private static void add(Map<String, DirectPath.PeerLoad> loads, PeerLoad load) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/StoreRelay.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/StoreRelay.java
@@ -19,8 +19,14 @@
     /** Takes over a peer's view, as far as it is newer. */
     void adopt(List<Item> items, long ageMillis);
 
-    /** A peer's view has the given hash and age; a fresh one with the same hash makes a read of the store needless. */
-    void onPeerView(long hash, long ageMillis, boolean peerReads);
+    /** Returns the time since this process itself read both upstreams and configuration. */
+    long readAgeMillis();
+
+    /** A peer's view has the given hash and age; equal views are as fresh as the fresher of the two. */
+    void onPeerView(long hash, long ageMillis);
+
+    /** A peer that goes first in reading the store has done so this long ago; this process may leave it to that peer. */
+    void onPeerRead(long readAgeMillis);
 
     /** One item of the store. */
     record Item(String key, byte[] value, long revision) {}
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -88,7 +88,16 @@
                 seeds.add(seed);
             }
         }
-        PeerExchange.start(settings.id(), settings.peerAddress(), seeds, path, store, loop, group, this::nowMillis);
+        PeerExchange.start(
+                settings.id(),
+                settings.peerAddress(),
+                seeds,
+                path,
+                store,
+                loop,
+                group,
+                this::nowMillis,
+                clock.millis());
     }
 
     /** Returns the event loop that owns all state. */
