--- a/core/src/main/java/dev/wigeonward/core/schedule/Decision.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Decision.java
@@ -6,5 +6,5 @@
     record Place(Demand demand, Upstream upstream) implements Decision {}
 
     /** The request is refused; nothing has run. */
-    record Refuse(Demand demand, RefusalReason reason, long retryAfterMillis) implements Decision {}
+    record Refuse(Demand demand, RefusalReason reason) implements Decision {}
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
@@ -17,11 +17,14 @@
     private final int promptTokens;
     private final long arrivedAtMillis;
     private final long elapsedBeforeMillis;
+    private final long deadlineAtMillis;
+    private final double expectedOutputTokens;
     private final Set<String> avoided = new HashSet<>();
     private Optional<UpstreamLoad> placedOn = Optional.empty();
     private long placedAtMillis;
     private long promptTokensAhead;
     private boolean answering;
+    private double expectedEvents;
 
     private Demand(Builder builder) {
         kind = builder.kind;
@@ -32,6 +35,8 @@
         promptTokens = builder.promptTokens;
         arrivedAtMillis = builder.arrivedAtMillis;
         elapsedBeforeMillis = builder.elapsedBeforeMillis;
+        deadlineAtMillis = builder.deadlineAtMillis;
+        expectedOutputTokens = builder.expectedOutputTokens;
     }
 
     /**
@@ -81,6 +86,26 @@
         return elapsedBeforeMillis + ageMillis(nowMillis) > objectiveMillis;
     }
 
+    long remainingObjectiveMillis(long nowMillis) {
+        return objectiveMillis - elapsedBeforeMillis - ageMillis(nowMillis);
+    }
+
+    long deadlineAtMillis() {
+        return deadlineAtMillis;
+    }
+
+    double expectedOutputTokens() {
+        return expectedOutputTokens;
+    }
+
+    double expectedEvents() {
+        return expectedEvents;
+    }
+
+    void expectEvents(double events) {
+        expectedEvents = events;
+    }
+
     long maxPauseMillis() {
         return maxPauseMillis;
     }
@@ -130,6 +155,8 @@
         private boolean generates;
         private int promptTokens;
         private long elapsedBeforeMillis;
+        private long deadlineAtMillis = Long.MAX_VALUE;
+        private double expectedOutputTokens;
 
         private Builder(String kind, int rank, long objectiveMillis, long arrivedAtMillis) {
             this.kind = kind;
@@ -138,10 +165,15 @@
             this.arrivedAtMillis = arrivedAtMillis;
         }
 
-        /** Makes the demand one for a generated stream. */
-        public Builder generating(int tokens, long longestPauseMillis) {
+        /**
+         * Makes the demand one for a generated stream.
+         *
+         * @param expectedOutput estimate of the output tokens, 0 if there is none
+         */
+        public Builder generating(int tokens, double expectedOutput, long longestPauseMillis) {
             generates = true;
             promptTokens = tokens;
+            expectedOutputTokens = expectedOutput;
             maxPauseMillis = longestPauseMillis;
             return this;
         }
@@ -152,6 +184,12 @@
             return this;
         }
 
+        /** States when a complete answer is of use at the latest. */
+        public Builder deadlineAt(long millis) {
+            deadlineAtMillis = millis;
+            return this;
+        }
+
         /** Returns the demand. */
         public Demand build() {
             return new Demand(this);
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServicePace.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServicePace.java
@@ -1,23 +1,28 @@
 package dev.wigeonward.core.schedule;
 
+import java.util.Collection;
+
 /**
- * What an upstream of usual speed needs: time to the first event by prompt tokens, time between events, and time of a
- * plain call. Learned from answers, each divided by the slowness of its upstream. Not thread-safe.
+ * What an upstream of usual speed needs: the time of a unit of work, which is an event of a stream or a plain call, and
+ * the time to the first event by prompt tokens. The usual unit is the median over the upstreams; the time to the first
+ * event is learned from answers, each divided by the slowness of its upstream. Not thread-safe.
  */
 final class ServicePace {
     /** Weight of all earlier observations when one is added: the memory spans about a hundred answers. */
     private static final double MEMORY = 0.99;
 
-    private static final double LEARNING_SHARE = 0.05;
     /** Beliefs before the first answer, in milliseconds; they only order requests until a few answers came. */
     private static final double FIRST_EVENT_PRIOR_MILLIS = 20;
 
     private static final double FIRST_EVENT_PER_TOKEN_PRIOR_MILLIS = 0.015;
     private static final double PRIOR_TOKENS = 8_000;
     private static final double PRIOR_WEIGHT = 3;
-    private static final double PAUSE_PRIOR_MILLIS = 25;
-    private static final double CALL_PRIOR_MILLIS = 20;
+    private static final double UNIT_PRIOR_MILLIS = 20;
     private static final double LEAST_PER_TOKEN_MILLIS = 0.000_5;
+    /** Events for each output token before the first answer: engines commonly send a few tokens in an event. */
+    private static final double EVENTS_PER_TOKEN_PRIOR = 0.25;
+
+    private static final double EVENTS_PRIOR = 50;
 
     private double weight;
     private double sumTokens;
@@ -26,8 +31,9 @@
     private double sumTokensMillis;
     private double firstEventMillis = FIRST_EVENT_PRIOR_MILLIS;
     private double perTokenMillis = FIRST_EVENT_PER_TOKEN_PRIOR_MILLIS;
-    private double pauseMillis = PAUSE_PRIOR_MILLIS;
-    private double callMillis = CALL_PRIOR_MILLIS;
+    private double unitMillis = UNIT_PRIOR_MILLIS;
+    private double observedEvents = EVENTS_PRIOR;
+    private double observedTokens = EVENTS_PRIOR / EVENTS_PER_TOKEN_PRIOR;
 
     ServicePace() {
         add(0, FIRST_EVENT_PRIOR_MILLIS, PRIOR_WEIGHT);
@@ -42,12 +48,9 @@
         return perTokenMillis;
     }
 
-    double pauseMillis() {
-        return pauseMillis;
-    }
-
-    double callMillis() {
-        return callMillis;
+    /** Returns the usual time between two events, or of a plain call. */
+    double unitMillis() {
+        return unitMillis;
     }
 
     void learnFirstEvent(long promptTokens, double normalizedMillis) {
@@ -66,6 +69,19 @@
         firstEventMillis = Math.max(1, (sumMillis - perTokenMillis * sumTokens) / weight);
     }
 
+    /** Returns how many events an answer has by an estimate of its tokens, or a usual answer if there is none. */
+    double expectedEvents(double expectedTokens) {
+        return expectedTokens > 0 ? expectedTokens * observedEvents / observedTokens : EVENTS_PRIOR;
+    }
+
+    void learnLength(double expectedTokens, long events) {
+        if (expectedTokens <= 0) {
+            return;
+        }
+        observedEvents = MEMORY * observedEvents + events;
+        observedTokens = MEMORY * observedTokens + expectedTokens;
+    }
+
     private void add(double tokens, double millis, double share) {
         weight += share;
         sumTokens += share * tokens;
@@ -74,11 +90,20 @@
         sumTokensMillis += share * tokens * millis;
     }
 
-    void learnPause(double normalizedMillis) {
-        pauseMillis += LEARNING_SHARE * (normalizedMillis - pauseMillis);
+    /** Takes over the median of the learned unit times of all upstreams. */
+    void usualUnit(Collection<UpstreamLoad> upstreams) {
+        double[] units = upstreams.stream()
+                .filter(load -> load.unitMillis().isPresent())
+                .mapToDouble(load -> load.unitMillis().getAsDouble())
+                .sorted()
+                .toArray();
+        if (units.length > 0) {
+            unitMillis = units[(units.length - 1) / 2];
+        }
     }
 
-    void learnCall(double normalizedMillis) {
-        callMillis += LEARNING_SHARE * (normalizedMillis - callMillis);
+    /** Returns how many times as long an upstream takes as a usual one; 1 for one that has not answered yet. */
+    double slowness(UpstreamLoad load) {
+        return load.unitMillis().orElse(unitMillis) / unitMillis;
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -18,38 +18,34 @@
     /** Longest wait for an upstream as a part of the objective; the rest is left for the first event. */
     private static final double LONGEST_WAIT_PART = 0.5;
     /**
-     * Prompt tokens that an engine reads between two events of other streams: five steps of 1,024 tokens, as engines
-     * with chunked prefill do.
+     * Part of all places that is kept free for requests that go first, if all requests were such. A place that is free
+     * when an urgent request comes saves it the wait; entries cannot order their queues by each other's.
      */
-    private static final long TOKENS_READ_BETWEEN_EVENTS = 5_120;
-    /** Part of the allowed pause that a placement may be expected to use. */
-    private static final double USABLE_PAUSE_PART = 0.85;
-    /** Cost of a placement in another zone; breaks ties only. */
-    private static final double OTHER_ZONE_MILLIS = 3;
-    /** Cost of a full upstream relative to an idle one, as a part of the pause between events. */
-    private static final double CROWD_COST_PAUSES = 1.0;
-    /** Cost of an upstream that fails all requests, as a multiple of the objective. */
-    private static final double FAILURE_COST_OBJECTIVES = 1.5;
+    private static final double RESERVED_PART = 0.15;
+    /** Expected loss above which a placement is put off while the request may still wait for a better one. */
+    private static final double PATIENT_LOSS = 0.45;
+    /** Expected loss above which a placement is not made at all: the answer would be of no use. */
+    private static final double LARGEST_LOSS = 1.4;
+    /** Part of the longest wait after which a poor placement is taken. */
+    private static final double PATIENT_PART = 0.6;
 
     private static final long FULL_PAUSE_MILLIS = 60;
     private static final long LEAST_SILENCE_MILLIS = 400;
     private static final double SILENCE_FACTOR = 4.0;
-    private static final double RATE_SHARE = 0.1;
+    /** Time constant of the rate of placements, in milliseconds. */
+    private static final double RATE_MEMORY_MILLIS = 1_000;
+
     private static final double LEAST_RATE_PER_MILLI = 0.002;
-    private static final long SHORTEST_RETRY_AFTER_MILLIS = 100;
-    private static final long LONGEST_RETRY_AFTER_MILLIS = 3_000;
-    /** Slowness that peers and answers agree on is kept near 1 on average by this share a second. */
-    private static final double NORMALIZING_SHARE = 0.2;
 
-    private final String zone;
     private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
     private final WaitingRequests waiting = new WaitingRequests();
     private final ServicePace pace = new ServicePace();
+    private final PlacementLoss loss;
     private double placementsPerMilli = LEAST_RATE_PER_MILLI;
-    private long lastPlacementAtMillis = Long.MIN_VALUE;
+    private long rateAtMillis;
 
     private ServiceScheduler(String zone) {
-        this.zone = zone;
+        this.loss = new PlacementLoss(pace, zone);
     }
 
     /** Returns a scheduler without upstreams for an entry in the given zone. */
@@ -94,18 +90,23 @@
     /** Returns all decisions that are due. */
     public List<Decision> decide(long nowMillis) {
         List<Decision> decisions = new ArrayList<>();
+        if (waiting.size() == 0) {
+            return decisions;
+        }
         while (placeOne(decisions, nowMillis)) {
             // Each placement changes the loads that the next one is compared by.
         }
-        for (Demand demand : waiting.removeWaitingLongerThan(LONGEST_WAIT_PART, nowMillis)) {
+        for (Demand demand : waiting.removeOverdue(this::longestWaitMillis, nowMillis)) {
             refuse(demand, RefusalReason.WAITED_TOO_LONG, decisions);
         }
         return decisions;
     }
 
     private boolean placeOne(List<Decision> decisions, long nowMillis) {
-        for (Demand demand : waiting.heads(nowMillis)) {
-            if (upstreams.values().stream().allMatch(load -> load.upstream().draining())) {
+        boolean anyUpstream =
+                upstreams.values().stream().anyMatch(load -> !load.upstream().draining());
+        for (Demand demand : waiting.candidates(nowMillis)) {
+            if (!anyUpstream) {
                 waiting.remove(demand);
                 refuse(demand, RefusalReason.NO_UPSTREAM, decisions);
                 return true;
@@ -116,7 +117,7 @@
                 place(demand, best.get(), decisions, nowMillis);
                 return true;
             }
-            if (expectedWaitMillis(demand) > LONGEST_WAIT_PART * demand.objectiveMillis()) {
+            if (!demand.late(nowMillis) && expectedWaitMillis(demand, nowMillis) > longestWaitMillis(demand)) {
                 waiting.remove(demand);
                 refuse(demand, RefusalReason.QUEUE_TOO_LONG, decisions);
                 return true;
@@ -125,53 +126,54 @@
         return false;
     }
 
+    private long longestWaitMillis(Demand demand) {
+        return (long) (LONGEST_WAIT_PART * demand.objectiveMillis());
+    }
+
     private void place(Demand demand, UpstreamLoad load, List<Decision> decisions, long nowMillis) {
         demand.placeOn(load, load.unreadPromptTokens(), nowMillis);
         load.add(demand);
         waiting.onOutcome(demand, true);
-        learnRate(nowMillis);
+        fadeRate(nowMillis);
+        placementsPerMilli += 1 / RATE_MEMORY_MILLIS;
         decisions.add(new Decision.Place(demand, load.upstream()));
     }
 
-    private void learnRate(long nowMillis) {
-        if (lastPlacementAtMillis != Long.MIN_VALUE) {
-            double rate = 1.0 / Math.max(0.5, nowMillis - lastPlacementAtMillis);
-            placementsPerMilli += RATE_SHARE * (rate - placementsPerMilli);
-            placementsPerMilli = Math.max(LEAST_RATE_PER_MILLI, placementsPerMilli);
-        }
-        lastPlacementAtMillis = nowMillis;
+    private void fadeRate(long nowMillis) {
+        placementsPerMilli *= Math.exp((rateAtMillis - nowMillis) / RATE_MEMORY_MILLIS);
+        rateAtMillis = nowMillis;
     }
 
     private void refuse(Demand demand, RefusalReason reason, List<Decision> decisions) {
         waiting.onOutcome(demand, false);
-        decisions.add(new Decision.Refuse(demand, reason, retryAfterMillis(demand)));
-    }
-
-    private long retryAfterMillis(Demand demand) {
-        long wait = (long) expectedWaitMillis(demand) + demand.objectiveMillis();
-        return Math.max(SHORTEST_RETRY_AFTER_MILLIS, Math.min(LONGEST_RETRY_AFTER_MILLIS, wait));
+        decisions.add(new Decision.Refuse(demand, reason));
     }
 
-    private double expectedWaitMillis(Demand demand) {
-        return waiting.aheadOf(demand) / placementsPerMilli;
+    private double expectedWaitMillis(Demand demand, long nowMillis) {
+        fadeRate(nowMillis);
+        return waiting.othersOfRank(demand) / Math.max(LEAST_RATE_PER_MILLI, placementsPerMilli);
     }
 
     private Optional<UpstreamLoad> best(Demand demand, long nowMillis) {
+        demand.expectEvents(pace.expectedEvents(demand.expectedOutputTokens()));
         UpstreamLoad best = null;
-        double bestCost = Double.MAX_VALUE;
+        double least =
+                demand.ageMillis(nowMillis) > PATIENT_PART * longestWaitMillis(demand) ? LARGEST_LOSS : PATIENT_LOSS;
         boolean anyUnpaused = false;
+        boolean reserved = freePart(nowMillis) <= RESERVED_PART * waiting.shareBefore(demand);
+        double usualFailures = usualFailures();
         for (UpstreamLoad load : upstreams.values()) {
             if (load.upstream().draining() || demand.avoids(load.upstream().id())) {
                 continue;
             }
             boolean paused = load.paused(nowMillis) || silent(load, nowMillis);
             anyUnpaused |= !paused;
-            if (paused || load.outstanding() >= load.upstream().slots()) {
+            if (paused || reserved || load.outstanding() >= load.upstream().slots()) {
                 continue;
             }
-            double cost = cost(demand, load);
-            if (cost < bestCost) {
-                bestCost = cost;
+            double expected = loss.of(demand, load, usualFailures, nowMillis);
+            if (expected < least) {
+                least = expected;
                 best = load;
             }
         }
@@ -181,6 +183,26 @@
         return Optional.ofNullable(best);
     }
 
+    private double freePart(long nowMillis) {
+        double places = 0;
+        double free = 0;
+        for (UpstreamLoad load : upstreams.values()) {
+            if (!load.upstream().draining() && !load.paused(nowMillis)) {
+                places += load.upstream().slots();
+                free += Math.max(0, load.upstream().slots() - load.outstanding());
+            }
+        }
+        return places == 0 ? 1 : free / places;
+    }
+
+    private double usualFailures() {
+        double sum = 0;
+        for (UpstreamLoad load : upstreams.values()) {
+            sum += load.failureRatio();
+        }
+        return sum / Math.max(1, upstreams.size());
+    }
+
     /** A service whose upstreams all look bad is still tried: the belief may be wrong, and nothing else can show it. */
     private Optional<UpstreamLoad> leastPaused(Demand demand) {
         UpstreamLoad best = null;
@@ -197,39 +219,14 @@
         return Optional.ofNullable(best);
     }
 
-    private double cost(Demand demand, UpstreamLoad load) {
-        double crowd = (double) load.outstanding() / load.upstream().slots();
-        double zoneCost = load.upstream().zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS;
-        double failures = load.failureRatio() * FAILURE_COST_OBJECTIVES * demand.objectiveMillis();
-        if (!demand.generates()) {
-            return load.slowness() * pace.callMillis() * (1 + crowd) + zoneCost + failures;
-        }
-        double firstEvent = load.slowness() * pace.firstEventMillis(load.unreadPromptTokens() + demand.promptTokens());
-        double crowding = CROWD_COST_PAUSES * crowd * load.slowness() * pace.pauseMillis();
-        return firstEvent + crowding + zoneCost + failures + pauseCost(demand, load);
-    }
-
-    /** Returns what reading the prompt costs the streams that run there: their pauses may become too long. */
-    private double pauseCost(Demand demand, UpstreamLoad load) {
-        if (demand.maxPauseMillis() <= 0 || load.outstanding() == 0) {
-            return 0;
-        }
-        long read = Math.min(TOKENS_READ_BETWEEN_EVENTS, load.unreadPromptTokens() + demand.promptTokens());
-        double pause = load.slowness() * (pace.pauseMillis() + pace.perTokenMillis() * read);
-        double allowed = USABLE_PAUSE_PART * demand.maxPauseMillis();
-        return pause <= allowed ? 0 : (pause - allowed) * load.outstanding();
-    }
-
     /** Returns whether the upstream owes output to this entry for so long that it may have stopped. */
     private boolean silent(UpstreamLoad load, long nowMillis) {
         for (Demand demand : load.running()) {
             long since = Math.max(demand.placedAtMillis(), load.lastOutputAtMillis());
-            double expected = demand.answering()
-                    ? load.slowness() * pace.pauseMillis()
-                    : demand.generates()
-                            ? load.slowness()
-                                    * pace.firstEventMillis(demand.promptTokensAhead() + demand.promptTokens())
-                            : load.slowness() * pace.callMillis();
+            double units = demand.generates() && !demand.answering()
+                    ? pace.firstEventMillis(demand.promptTokensAhead() + demand.promptTokens())
+                    : pace.unitMillis();
+            double expected = pace.slowness(load) * units;
             if (nowMillis - since > LEAST_SILENCE_MILLIS + SILENCE_FACTOR * expected) {
                 return true;
             }
@@ -245,10 +242,7 @@
             return;
         }
         long tokens = demand.promptTokensAhead() + demand.promptTokens();
-        double observed = nowMillis - demand.placedAtMillis();
-        double slowness = load.slowness();
-        load.learnSlowness(observed / (slowness * pace.firstEventMillis(tokens)));
-        pace.learnFirstEvent(tokens, observed / slowness);
+        pace.learnFirstEvent(tokens, (nowMillis - demand.placedAtMillis()) / pace.slowness(load));
         demand.startAnswering();
     }
 
@@ -259,10 +253,12 @@
 
     /** Several events of a stream came; learns from the mean pause between them. */
     public void onPauses(Demand demand, double meanPauseMillis) {
-        UpstreamLoad load = placedLoad(demand);
-        double slowness = load.slowness();
-        load.learnSlowness(meanPauseMillis / (slowness * pace.pauseMillis()));
-        pace.learnPause(meanPauseMillis / slowness);
+        placedLoad(demand).learnUnit(meanPauseMillis);
+    }
+
+    /** A stream ended after this many events; learns how long answers are. */
+    public void onLength(Demand demand, long events) {
+        pace.learnLength(demand.expectedOutputTokens(), events);
     }
 
     /** The request ended at its upstream; frees its place. */
@@ -274,10 +270,7 @@
                 load.onOutput(nowMillis);
                 load.onSuccess();
                 if (!demand.generates()) {
-                    double observed = Math.max(1, nowMillis - demand.placedAtMillis());
-                    double slowness = load.slowness();
-                    load.learnSlowness(observed / (slowness * pace.callMillis()));
-                    pace.learnCall(observed / slowness);
+                    load.learnUnit(Math.max(1, nowMillis - demand.placedAtMillis()));
                 }
             }
             case FAILED -> load.onFailure();
@@ -298,17 +291,9 @@
                 .orElseThrow(() -> new IllegalStateException("request of kind " + demand.kind() + " was not placed"));
     }
 
-    /** Keeps the mean slowness near 1, so that only differences between upstreams are attributed to them. */
-    public void normalize() {
-        if (upstreams.isEmpty()) {
-            return;
-        }
-        double sum = 0;
-        for (UpstreamLoad load : upstreams.values()) {
-            sum += Math.log(load.slowness());
-        }
-        double factor = Math.exp(-NORMALIZING_SHARE * sum / upstreams.size());
-        upstreams.values().forEach(load -> load.scaleSlowness(factor));
+    /** Compares the upstreams afresh; called several times a second. */
+    public void compareUpstreams() {
+        pace.usualUnit(upstreams.values());
     }
 
     /** Returns what this entry has at each upstream, for its peers. */
@@ -339,7 +324,7 @@
                                 load.running().size(),
                                 load.outstanding(),
                                 load.upstream().slots(),
-                                load.slowness(),
+                                pace.slowness(load),
                                 load.failureRatio(),
                                 load.upstream().draining() ? " draining" : load.paused(nowMillis) ? " paused" : ""))
                 .sorted()
--- a/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
@@ -1,17 +1,16 @@
 package dev.wigeonward.core.schedule;
 
 import java.util.LinkedHashSet;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** What this entry knows of one upstream: its own requests there, what peers report, speed and failures. */
 final class UpstreamLoad {
-    /** Share of a new observation in the learned slowness; a five-fold slowdown is followed within five answers. */
-    private static final double LEARNING_SHARE = 0.3;
+    /** Share of a new observation in the learned time; a five-fold slowdown is followed within five observations. */
+    private static final double LEARNING_SHARE = 0.25;
     /** Largest factor by which one observation differs from the belief; bounds the effect of one odd answer. */
-    private static final double LARGEST_STEP = 3.0;
+    private static final double LARGEST_STEP = 4.0;
 
-    private static final double LEAST_SLOWNESS = 0.05;
-    private static final double MOST_SLOWNESS = 50.0;
     /** First and longest time without new requests after failures, in milliseconds. */
     private static final long FIRST_PAUSE_MILLIS = 250;
 
@@ -23,7 +22,7 @@
     private final Set<Demand> running = new LinkedHashSet<>();
     private int peerRunning;
     private long peerPromptTokens;
-    private double slowness = 1.0;
+    private OptionalDouble unitMillis = OptionalDouble.empty();
     private double failureRatio;
     private int consecutiveFailures;
     private long pausedUntilMillis = Long.MIN_VALUE;
@@ -74,17 +73,19 @@
         return tokens;
     }
 
-    double slowness() {
-        return slowness;
+    /** Returns the learned time of a unit of work here: of an event, or of a plain call; empty before the first one. */
+    OptionalDouble unitMillis() {
+        return unitMillis;
     }
 
-    void learnSlowness(double observedOverExpected) {
-        double step = Math.max(1 / LARGEST_STEP, Math.min(LARGEST_STEP, observedOverExpected));
-        scaleSlowness(Math.exp(LEARNING_SHARE * Math.log(step)));
-    }
-
-    void scaleSlowness(double factor) {
-        slowness = Math.max(LEAST_SLOWNESS, Math.min(MOST_SLOWNESS, slowness * factor));
+    void learnUnit(double observedMillis) {
+        if (unitMillis.isEmpty()) {
+            unitMillis = OptionalDouble.of(observedMillis);
+            return;
+        }
+        double known = unitMillis.getAsDouble();
+        double bounded = Math.max(known / LARGEST_STEP, Math.min(known * LARGEST_STEP, observedMillis));
+        unitMillis = OptionalDouble.of(known + LEARNING_SHARE * (bounded - known));
     }
 
     double failureRatio() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -38,13 +38,19 @@
     /** Pause between two looks at the queues while requests wait; short against the objectives of callers. */
     private static final long DECIDE_PERIOD_MILLIS = 10;
 
-    private static final long HOUSEKEEPING_PERIOD_MILLIS = 1_000;
+    private static final long COMPARE_PERIOD_MILLIS = 250;
     /** Time after a broken run at which the upstream is probed: a crashed one stays away for seconds. */
     private static final long CRASH_PROBE_DELAY_MILLIS = 100;
 
     private static final long NOT_READY_RETRY_MILLIS = 300;
     /** Retries reach other entries, so they may come at once. */
     private static final long SHUTTING_DOWN_RETRY_MILLIS = 20;
+    /** Patience of the least patient caller of a route as a part of that of the most patient one. */
+    private static final double LEAST_PATIENCE_PART = 0.84;
+    /** Part of its remaining time that a caller waits at most before it comes back. */
+    private static final double HEEDED_PART = 0.32;
+
+    private static final double LEAST_SPREAD = 0.6;
     /** The rank of the tenant goes before that of the route. */
     private static final int ROUTE_RANKS = 1_000;
 
@@ -97,9 +103,9 @@
             Random random) {
         DirectPath path = new DirectPath(loop, clock, dialect, settings, connections, metrics, random);
         loop.scheduleAtFixedRate(
-                () -> path.schedulers.values().forEach(ServiceScheduler::normalize),
-                HOUSEKEEPING_PERIOD_MILLIS,
-                HOUSEKEEPING_PERIOD_MILLIS,
+                () -> path.schedulers.values().forEach(ServiceScheduler::compareUpstreams),
+                COMPARE_PERIOD_MILLIS,
+                COMPARE_PERIOD_MILLIS,
                 TimeUnit.MILLISECONDS);
         return path;
     }
@@ -258,7 +264,7 @@
     }
 
     /** Returns a demand for the first or a further run of a request. */
-    Demand demand(CallerRequest request, Admission.Admitted admitted) {
+    Demand demand(CallerRequest request, Admission.Admitted admitted, long answerByMillis) {
         Route route = admitted.route();
         int tenantRank =
                 admitted.tenant().map(tenant -> tenant.priority().orElse(0)).orElse(0);
@@ -266,21 +272,26 @@
         long objective = Math.max(1, route.objectiveMillis() > 0 ? route.objectiveMillis() : route.timeoutMillis());
         Demand.Builder builder = Demand.builder(
                         route.name() + "/" + tenantRank, rank, objective, request.receivedAtMillis())
-                .elapsedBefore(elapsedBeforeMillis(route, request));
+                .elapsedBefore(elapsedBeforeMillis(route, request))
+                .deadlineAt(answerByMillis);
         if (request.caller().promptTokens() > 0) {
-            builder.generating(request.caller().promptTokens(), route.maxPauseMillis());
+            builder.generating(
+                    request.caller().promptTokens(), request.caller().expectedOutputTokens(), route.maxPauseMillis());
         }
         return builder.build();
     }
 
-    /** A caller that states less time than others of its route has waited before, in an earlier attempt. */
+    /**
+     * Returns how long the caller has waited in an earlier attempt, judged by the time that it states. Callers of one
+     * route differ in their patience, so only a time that is far shorter than the longest one tells of a wait.
+     */
     private long elapsedBeforeMillis(Route route, CallerRequest request) {
         if (request.caller().deadlineMillis().isEmpty()) {
             return 0;
         }
         long stated = request.caller().deadlineMillis().getAsLong();
         long longest = longestDeadlines.merge(route.name(), Math.min(stated, route.timeoutMillis()), Math::max);
-        return Math.max(0, longest - stated);
+        return Math.max(0, (long) (LEAST_PATIENCE_PART * longest) - stated);
     }
 
     void offer(Demand demand, Exchange exchange, String service) {
@@ -334,7 +345,7 @@
         if (decision instanceof Decision.Place place) {
             waiting.remove(place.demand()).onPlaced(place.upstream());
         } else if (decision instanceof Decision.Refuse refuse) {
-            waiting.remove(refuse.demand()).onRefused(refuse.reason(), refuse.retryAfterMillis());
+            waiting.remove(refuse.demand()).onRefused(refuse.reason());
         }
     }
 
@@ -354,6 +365,15 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Returns when a caller that was refused for lack of room should come back. Its answer will be late in any case, so
+     * it comes back as late as callers heed, when a short peak of load has passed; the times are spread.
+     */
+    long comeBackMillis(long remainingMillis) {
+        double spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * random.nextDouble();
+        return Math.max(1, (long) (HEEDED_PART * remainingMillis * spread));
+    }
+
     void giveBack(Admission.Admitted admitted) {
         admitted.tenant().ifPresent(tenant -> tenants.giveBack(tenant, admitted.usage()));
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -69,7 +69,7 @@
         }
         answerByMillis = request.receivedAtMillis() + waitMillis;
         timeout = Optional.of(path.loop().schedule(this::onTimeout, waitMillis, TimeUnit.MILLISECONDS));
-        demand = path.demand(request, admitted);
+        demand = path.demand(request, admitted, answerByMillis);
         path.offer(demand, this, admitted.service());
     }
 
@@ -109,14 +109,14 @@
     }
 
     /** The scheduler refused the request before it was sent to a further upstream. */
-    void onRefused(RefusalReason reason, long retryAfterMillis) {
+    void onRefused(RefusalReason reason) {
         path.count("refused." + reason.name().toLowerCase(Locale.ROOT));
         ErrorKind kind =
                 switch (reason) {
                     case NO_UPSTREAM -> ErrorKind.NO_UPSTREAM;
                     case QUEUE_TOO_LONG, WAITED_TOO_LONG -> ErrorKind.OVERLOADED;
                 };
-        failOrRefuse(kind, retryAfterMillis);
+        failOrRefuse(kind, path.comeBackMillis(answerByMillis - path.nowMillis()));
     }
 
     private void failOrRefuse(ErrorKind notRunKind, long retryAfterMillis) {
@@ -168,7 +168,7 @@
     }
 
     private void offerAgain() {
-        Demand next = path.demand(request, admitted);
+        Demand next = path.demand(request, admitted, answerByMillis);
         demand.upstream().ifPresent(upstream -> next.avoid(upstream.id()));
         demand = next;
         path.offer(demand, this, admitted.service());
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
@@ -224,6 +224,9 @@
 
     private void onWholeAnswer() {
         boolean failure = head.status().code() >= FIRST_SERVER_ERROR;
+        if (!failure && events > 0) {
+            exchange.scheduler().onLength(demand, events);
+        }
         end(failure ? Outcome.FAILED : Outcome.ANSWERED);
         passHeadOn();
         if (held.isReadable()) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
@@ -11,10 +11,12 @@
  * @param key secret that names the tenant
  * @param promptTokens prompt tokens, 0 if not stated
  * @param outputTokens most output tokens, 0 if not stated
+ * @param expectedOutputTokens the caller's estimate of the output tokens, 0 if not stated
  */
 public record CallerHead(
         Optional<String> attemptId,
         OptionalLong deadlineMillis,
         Optional<String> key,
         int promptTokens,
-        int outputTokens) {}
+        int outputTokens,
+        int expectedOutputTokens) {}
