Report changed loads to peers within 20 ms and learn prompt times from clean samples

Cause: entries saw each other's requests up to 100 ms late and crowded onto the same upstreams (9 to 13 requests over the places while others were free), and tokens ahead from other entries blurred the time per prompt token (0.006 to 0.59 ms).

--- a/core/src/main/java/dev/wigeonward/core/schedule/ServicePace.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServicePace.java
@@ -17,6 +17,9 @@
     private static final double FIRST_EVENT_PER_TOKEN_PRIOR_MILLIS = 0.015;
     private static final double PRIOR_TOKENS = 8_000;
     private static final double PRIOR_WEIGHT = 3;
+    /** Largest factor by which one observation differs from the belief; bounds the effect of one odd answer. */
+    private static final double LARGEST_STEP = 2.5;
+
     private static final double UNIT_PRIOR_MILLIS = 20;
     private static final double LEAST_PER_TOKEN_MILLIS = 0.000_5;
     /** Events for each output token before the first answer: engines commonly send a few tokens in an event. */
@@ -53,7 +56,10 @@
         return unitMillis;
     }
 
-    void learnFirstEvent(long promptTokens, double normalizedMillis) {
+    void learnFirstEvent(long promptTokens, double observedNormalizedMillis) {
+        double expected = firstEventMillis(promptTokens);
+        double normalizedMillis =
+                Math.max(expected / LARGEST_STEP, Math.min(expected * LARGEST_STEP, observedNormalizedMillis));
         weight *= MEMORY;
         sumTokens *= MEMORY;
         sumMillis *= MEMORY;
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -241,8 +241,11 @@
         if (demand.answering()) {
             return;
         }
-        long tokens = demand.promptTokensAhead() + demand.promptTokens();
-        pace.learnFirstEvent(tokens, (nowMillis - demand.placedAtMillis()) / pace.slowness(load));
+        // Tokens ahead of it, which other entries may have sent, are known with a delay and would blur the relation.
+        if (demand.promptTokensAhead() == 0) {
+            double observed = nowMillis - demand.placedAtMillis();
+            pace.learnFirstEvent(demand.promptTokens(), observed / pace.slowness(load));
+        }
         demand.startAnswering();
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -35,8 +35,10 @@
     private static final System.Logger LOGGER = System.getLogger(PeerExchange.class.getName());
     /** Links carry a view of the store at most, of which one value has up to a megabyte. */
     private static final LinkSettings LINKS = new LinkSettings(8 << 20, 500, 1_500, 500, 16 << 20);
-    /** Pause between two states to each peer while few peers are linked. */
-    private static final long STATE_PERIOD_MILLIS = 100;
+    /** Pause between two reports of changed loads while few peers are linked; short against the time of a request. */
+    private static final long PARTIAL_PERIOD_MILLIS = 20;
+    /** Pause between two whole states, which carry usage and the age of the view. */
+    private static final long FULL_PERIOD_MILLIS = 100;
     /** Peers beyond which the pause grows with their number, so that the messages of one entry stay bounded. */
     private static final int PEERS_AT_SHORTEST_PERIOD = 8;
 
@@ -66,7 +68,9 @@
     private final Set<String> connecting = new HashSet<>();
     private long viewRequestedAtMillis = Long.MIN_VALUE / 2;
     private long sentAtMillis;
+    private long sentFullAtMillis;
     private long sentVersion;
+    private Map<String, DirectPath.PeerLoad> sentLoads = Map.of();
 
     private PeerExchange(
             String id,
@@ -115,7 +119,8 @@
             long incarnation) {
         PeerExchange exchange = new PeerExchange(id, address, seeds, path, store, loop, group, nowMillis, incarnation);
         loop.scheduleAtFixedRate(exchange::connect, 0, CONNECT_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(exchange::sendIfDue, STATE_PERIOD_MILLIS, STATE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                exchange::sendIfDue, PARTIAL_PERIOD_MILLIS, PARTIAL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         return exchange;
     }
 
@@ -144,22 +149,64 @@
     }
 
     private void sendIfDue() {
-        long version = ownVersion();
-        long period = STATE_PERIOD_MILLIS
-                * Math.max(1, (links.size() + PEERS_AT_SHORTEST_PERIOD - 1) / PEERS_AT_SHORTEST_PERIOD);
-        if (nowMillis.getAsLong() - sentAtMillis >= period || version != sentVersion) {
-            sendState();
+        long now = nowMillis.getAsLong();
+        if (now - sentFullAtMillis >= period(FULL_PERIOD_MILLIS) || ownVersion() != sentVersion) {
+            sentFullAtMillis = now;
+            sentVersion = ownVersion();
+            sentLoads = ownLoads();
+            send(fullState());
+        } else if (now - sentAtMillis >= period(PARTIAL_PERIOD_MILLIS)) {
+            sendChangedLoads();
+        }
+    }
+
+    /** The messages of one entry stay bounded as the number of peers grows. */
+    private long period(long shortestMillis) {
+        return shortestMillis * Math.max(1, (links.size() + PEERS_AT_SHORTEST_PERIOD - 1) / PEERS_AT_SHORTEST_PERIOD);
+    }
+
+    private void sendChangedLoads() {
+        Map<String, DirectPath.PeerLoad> loads = ownLoads();
+        PeerState.Builder state = PeerState.newBuilder()
+                .setAddress(ownAddress)
+                .setIncarnation(incarnation)
+                .setPartial(true);
+        loads.forEach((id, load) -> {
+            if (!load.equals(sentLoads.get(id))) {
+                state.addLoads(message(load));
+            }
+        });
+        for (String id : sentLoads.keySet()) {
+            if (!loads.containsKey(id)) {
+                state.addLoads(PeerLoad.newBuilder().setUpstreamId(id));
+            }
         }
+        if (state.getLoadsCount() > 0) {
+            sentLoads = loads;
+            send(state.build());
+        }
+    }
+
+    private Map<String, DirectPath.PeerLoad> ownLoads() {
+        Map<String, DirectPath.PeerLoad> loads = new HashMap<>();
+        path.ownLoads().forEach(load -> loads.put(load.upstreamId(), load));
+        return loads;
+    }
+
+    private static PeerLoad message(DirectPath.PeerLoad load) {
+        return PeerLoad.newBuilder()
+                .setUpstreamId(load.upstreamId())
+                .setRequests(load.requests())
+                .setPromptTokens(load.tokens())
+                .build();
     }
 
-    /** Tells all peers the own state now, for example after a change of the configuration. */
-    public void sendState() {
+    private void send(PeerState state) {
         sentAtMillis = nowMillis.getAsLong();
-        sentVersion = ownVersion();
         if (links.isEmpty()) {
             return;
         }
-        Frame frame = Frame.newBuilder().setPeerState(state()).build();
+        Frame frame = Frame.newBuilder().setPeerState(state).build();
         Set<String> reached = new HashSet<>();
         for (Link link : links.values()) {
             if (reached.add(link.peer().getNodeId()) && link.writable()) {
@@ -172,7 +219,7 @@
         return path.deployment().map(current -> current.version()).orElse(0L);
     }
 
-    private PeerState state() {
+    private PeerState fullState() {
         PeerState.Builder state = PeerState.newBuilder()
                 .setAddress(ownAddress)
                 .setConfigurationVersion(ownVersion())
@@ -198,7 +245,7 @@
     public void onUp(Link link) {
         links.put(link.number(), link);
         connecting.remove(link.remoteName());
-        link.send(Frame.newBuilder().setPeerState(state()).build());
+        link.send(Frame.newBuilder().setPeerState(fullState()).build());
     }
 
     @Override
@@ -218,14 +265,25 @@
         if (known == null || known.link() == null) {
             LOGGER.log(System.Logger.Level.DEBUG, "peer heard: {0}", state.getAddress());
         }
-        peers.put(state.getAddress(), new Peer(link, state, now));
+        Map<String, PeerLoad> loads = new HashMap<>();
+        if (state.getPartial() && known != null) {
+            loads.putAll(known.loads());
+        }
+        state.getLoadsList().forEach(load -> loads.put(load.getUpstreamId(), load));
+        peers.put(state.getAddress(), new Peer(link, loads, now));
         heardAtMillis.put(state.getAddress(), now);
+        report();
+        if (!state.getPartial()) {
+            onFullState(link, state, now);
+        }
+    }
+
+    private void onFullState(Link link, PeerState state, long now) {
         for (String entry : state.getEntriesList()) {
             if (!entry.equals(ownAddress)) {
                 heardAtMillis.putIfAbsent(entry, now);
             }
         }
-        report();
         Map<String, Tenants.Usage> usages = new HashMap<>();
         state.getDemandsList()
                 .forEach(demand ->
@@ -276,7 +334,7 @@
                 continue;
             }
             heard++;
-            peer.state().getLoadsList().forEach(load -> add(loads, load));
+            peer.loads().values().forEach(load -> add(loads, load));
         }
         path.peers(heard, 1 + peers.size(), loads);
     }
@@ -298,7 +356,7 @@
                 return peer;
             }
             LOGGER.log(System.Logger.Level.INFO, "link to peer {0} lost: {1}", address, reason);
-            return new Peer(null, peer.state(), peer.receivedAtMillis());
+            return new Peer(null, peer.loads(), peer.receivedAtMillis());
         });
     }
 
@@ -307,5 +365,5 @@
         connecting.remove(address);
     }
 
-    private record Peer(Link link, PeerState state, long receivedAtMillis) {}
+    private record Peer(Link link, Map<String, PeerLoad> loads, long receivedAtMillis) {}
 }
