--- a/common/src/main/java/dev/wigeonward/common/settings/SettingTypes.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingTypes.java
@@ -7,8 +7,6 @@
 import java.util.TreeSet;
 
 import com.google.common.base.Preconditions;
-import com.google.common.net.HostAndPort;
-import com.google.common.net.InetAddresses;
 import com.google.common.primitives.Longs;
 
 /** The types of settings. */
@@ -104,16 +102,7 @@
     record Address() implements SettingType<InetSocketAddress> {
         @Override
         public Optional<InetSocketAddress> parse(String text) {
-            try {
-                HostAndPort address = HostAndPort.fromString(text);
-                if (!address.hasPort() || !InetAddresses.isInetAddress(address.getHost())) {
-                    return Optional.empty();
-                }
-                return Optional.of(
-                        new InetSocketAddress(InetAddresses.forString(address.getHost()), address.getPort()));
-            } catch (IllegalArgumentException e) {
-                return Optional.empty();
-            }
+            return NumericAddress.parse(text);
         }
 
         @Override
@@ -123,8 +112,7 @@
 
         @Override
         public String format(InetSocketAddress value) {
-            return HostAndPort.fromParts(InetAddresses.toAddrString(value.getAddress()), value.getPort())
-                    .toString();
+            return NumericAddress.format(value);
         }
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/settings/Settings.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/Settings.java
@@ -5,9 +5,10 @@
 
 /** Checked values of a settings file; immutable. */
 public final class Settings {
-    private final Map<SettingKey<?>, Object> values;
+    /** By label: hashing the keys themselves would cost each start tens of milliseconds for linking. */
+    private final Map<String, Object> values;
 
-    Settings(Map<SettingKey<?>, Object> values) {
+    Settings(Map<String, Object> values) {
         this.values = Map.copyOf(values);
     }
 
@@ -19,7 +20,7 @@
     /** Returns the value of a setting that may be left out. */
     @SuppressWarnings("unchecked")
     public <T> Optional<T> find(SettingKey<T> key) {
-        Object value = values.get(key);
+        Object value = values.get(key.label());
         return Optional.ofNullable((T) value);
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/settings/SettingsDeclaration.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingsDeclaration.java
@@ -1,13 +1,11 @@
 package dev.wigeonward.common.settings;
 
 import java.io.IOException;
-import java.io.StringReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,9 +15,6 @@
 import java.util.stream.Collectors;
 
 import com.google.common.base.Preconditions;
-import org.apache.commons.configuration2.INIConfiguration;
-import org.apache.commons.configuration2.SubnodeConfiguration;
-import org.apache.commons.configuration2.ex.ConfigurationException;
 
 /** The sections and keys that a process understands. Sections or keys that are not declared are problems. */
 public final class SettingsDeclaration {
@@ -53,21 +48,16 @@
 
     /** Returns the checked settings of a text; the file name appears in problems only. */
     public SettingsResult check(String fileName, String text) {
-        INIConfiguration file = new INIConfiguration();
-        try {
-            file.read(new StringReader(text));
-        } catch (ConfigurationException | IOException e) {
-            return new SettingsResult.Invalid(
-                    List.of(new SettingsProblem(fileName, "", "", "unreadable: " + e.getMessage(), "an INI file")));
-        }
+        IniText file = IniText.parse(text);
         List<SettingsProblem> problems = new ArrayList<>();
-        for (String section : file.getSections()) {
-            checkNames(fileName, section == null ? "" : section, file.getSection(section), problems);
-        }
-        Map<SettingKey<?>, Object> values = new LinkedHashMap<>();
+        file.unreadableLines()
+                .forEach(line ->
+                        problems.add(new SettingsProblem(fileName, "", "", "unreadable: " + line, "an INI file")));
+        file.sections().forEach((section, content) -> checkNames(fileName, section, content.keySet(), problems));
+        Map<String, Object> values = new LinkedHashMap<>();
         for (Map<String, SettingKey<?>> keys : sections.values()) {
             for (SettingKey<?> key : keys.values()) {
-                readValue(fileName, file.getSection(key.section()), key, values, problems);
+                readValue(fileName, file.values(key.section(), key.name()), key, values, problems);
             }
         }
         return problems.isEmpty()
@@ -75,16 +65,14 @@
                 : new SettingsResult.Invalid(problems);
     }
 
-    private void checkNames(
-            String fileName, String section, SubnodeConfiguration content, List<SettingsProblem> problems) {
+    private void checkNames(String fileName, String section, Set<String> names, List<SettingsProblem> problems) {
         Map<String, SettingKey<?>> keys = sections.get(section);
         if (keys == null) {
             String problem = section.isEmpty() ? "key outside of a section" : "unknown section";
             problems.add(new SettingsProblem(fileName, section, "", problem, oneOf(sections.keySet())));
             return;
         }
-        for (Iterator<String> names = content.getKeys(); names.hasNext(); ) {
-            String name = names.next();
+        for (String name : names) {
             if (!keys.containsKey(name)) {
                 problems.add(new SettingsProblem(fileName, section, name, "unknown key", oneOf(keys.keySet())));
             }
@@ -97,21 +85,19 @@
 
     private static <T> void readValue(
             String fileName,
-            SubnodeConfiguration section,
+            List<String> texts,
             SettingKey<T> key,
-            Map<SettingKey<?>, Object> values,
+            Map<String, Object> values,
             List<SettingsProblem> problems) {
-        List<String> texts =
-                section.getList(key.name()).stream().map(String::valueOf).toList();
         Optional<String> problem = Optional.empty();
         if (texts.isEmpty()) {
-            key.defaultValue().ifPresent(value -> values.put(key, value));
+            key.defaultValue().ifPresent(value -> values.put(key.label(), value));
             problem = key.required() ? Optional.of("missing") : Optional.empty();
         } else if (texts.size() > 1) {
             problem = Optional.of("given " + texts.size() + " times");
         } else {
             Optional<T> value = key.type().parse(texts.get(0));
-            value.ifPresent(valid -> values.put(key, valid));
+            value.ifPresent(valid -> values.put(key.label(), valid));
             problem = value.isPresent() ? Optional.empty() : Optional.of("invalid value '" + texts.get(0) + "'");
         }
         problem.ifPresent(text -> problems.add(new SettingsProblem(
--- a/common/src/test/java/dev/wigeonward/common/log/JsonLogTest.java
+++ b/common/src/test/java/dev/wigeonward/common/log/JsonLogTest.java
@@ -5,8 +5,6 @@
 import java.nio.charset.StandardCharsets;
 
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.joran.JoranConfigurator;
-import ch.qos.logback.core.joran.spi.JoranException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
@@ -34,11 +32,9 @@
         assertThat(line.path("formattedMessage").asText()).isEqualTo("link a1 is \"silent\"");
     }
 
-    private static void reload() throws JoranException {
+    private static void reload() {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
-        JoranConfigurator configurator = new JoranConfigurator();
-        configurator.setContext(context);
-        configurator.doConfigure(JsonLogTest.class.getResource("/logback.xml"));
+        new JsonLogConfigurator().configure(context);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
@@ -26,6 +26,18 @@
         Preconditions.checkArgument(slots > 0, "slots of %s is %s", id, slots);
     }
 
+    /** Returns a number that differs, almost surely, between entries that lead to other decisions. */
+    public long signature() {
+        long hash = id.hashCode();
+        hash = 31 * hash + service.hashCode();
+        hash = 31 * hash + address.hashCode();
+        hash = 31 * hash + zone.hashCode();
+        hash = 31 * hash + version.hashCode();
+        hash = 31 * hash + slots;
+        hash = 31 * hash + (draining ? 1 : 0);
+        return 31 * hash + bornMillis.orElse(0L);
+    }
+
     /** Returns whether the other entry describes the same lifetime at the same address. */
     public boolean sameLifetime(Upstream other) {
         return id.equals(other.id) && address.equals(other.address) && bornMillis.equals(other.bornMillis);
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -42,7 +40,7 @@
     /** Time after a broken run at which the upstream is probed: a crashed one stays away for seconds. */
     private static final long CRASH_PROBE_DELAY_MILLIS = 100;
 
-    private static final long NOT_READY_RETRY_MILLIS = 300;
+    private static final long NOT_READY_RETRY_MILLIS = 400;
     /** Retries reach other entries, so they may come at once. */
     private static final long SHUTTING_DOWN_RETRY_MILLIS = 20;
     /** Patience of the least patient caller of a route as a part of that of the most patient one. */
@@ -130,8 +128,7 @@
                     .add(upstream);
         }
         byService.forEach((service, upstreams) -> scheduler(service).upstreams(upstreams));
-        Set<Upstream> all = new HashSet<>(listed);
-        connections.retain(all);
+        connections.retain(listed);
         decide();
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 
 import com.google.protobuf.ByteString;
+import dev.wigeonward.gateway.event.EventLog;
 import dev.wigeonward.gateway.exchange.DirectPath;
 import dev.wigeonward.gateway.exchange.Tenants;
 import dev.wigeonward.gateway.port.StoreRelay;
@@ -28,11 +29,9 @@
 import dev.wigeonward.wire.generated.PeerViewEntry;
 import dev.wigeonward.wire.generated.PeerViewRequest;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
 
 /** Links to the other entries: tells them load, demand and the age of the view of the store. Runs on the event loop. */
 public final class PeerExchange implements LinkListener {
-    private static final System.Logger LOGGER = System.getLogger(PeerExchange.class.getName());
     /** Links carry a view of the store at most, of which one value has up to a megabyte. */
     private static final LinkSettings LINKS = new LinkSettings(8 << 20, 500, 1_500, 500, 16 << 20);
     /** Pause between two reports of changed loads while few peers are linked; short against the time of a request. */
@@ -54,6 +53,7 @@
     /** Age of the own view from which a peer's newer one is asked for. */
     private static final long VIEW_OLD_MILLIS = 900;
 
+    private final EventLog log;
     private final String ownAddress;
     private final long incarnation;
     private final DirectPath path;
@@ -73,17 +73,17 @@
     private Map<String, DirectPath.PeerLoad> sentLoads = Map.of();
 
     private PeerExchange(
-            String id,
-            InetSocketAddress address,
+            Self self,
             Set<String> seeds,
             DirectPath path,
             StoreRelay store,
             EventLoop loop,
-            EventLoopGroup group,
             LongSupplier nowMillis,
-            long incarnation) {
-        this.incarnation = incarnation;
-        this.ownAddress = address.getAddress().getHostAddress() + ":" + address.getPort();
+            EventLog log) {
+        this.log = log;
+        this.incarnation = self.incarnation();
+        this.ownAddress = self.address().getAddress().getHostAddress() + ":"
+                + self.address().getPort();
         this.path = path;
         this.store = store;
         this.loop = loop;
@@ -93,31 +93,28 @@
         transport = LinkTransport.onLoop(
                 LINKS,
                 this,
-                () -> Hello.newBuilder().setNodeId(id).build(),
+                () -> Hello.newBuilder().setNodeId(self.id()).build(),
                 () -> Frame.newBuilder()
                         .setHeartbeat(Heartbeat.getDefaultInstance())
                         .build(),
-                group);
-        transport.listen(address);
+                loop);
+        transport.listen(self.address());
     }
 
     /**
      * Returns an exchange that accepts links and connects to the seeds.
      *
      * @param seeds link addresses of some entries, which may be stale
-     * @param incarnation a number that no earlier start of this entry had
      */
     public static PeerExchange start(
-            String id,
-            InetSocketAddress address,
+            Self self,
             Set<String> seeds,
             DirectPath path,
             StoreRelay store,
             EventLoop loop,
-            EventLoopGroup group,
             LongSupplier nowMillis,
-            long incarnation) {
-        PeerExchange exchange = new PeerExchange(id, address, seeds, path, store, loop, group, nowMillis, incarnation);
+            EventLog log) {
+        PeerExchange exchange = new PeerExchange(self, seeds, path, store, loop, nowMillis, log);
         loop.scheduleAtFixedRate(exchange::connect, 0, CONNECT_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 exchange::sendIfDue, PARTIAL_PERIOD_MILLIS, PARTIAL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
@@ -263,7 +260,7 @@
         long now = nowMillis.getAsLong();
         Peer known = peers.get(state.getAddress());
         if (known == null || known.link() == null) {
-            LOGGER.log(System.Logger.Level.DEBUG, "peer heard: {0}", state.getAddress());
+            log.info("peer_heard", "peer=" + state.getAddress());
         }
         Map<String, PeerLoad> loads = new HashMap<>();
         if (state.getPartial() && known != null) {
@@ -355,7 +352,7 @@
             if (peer.link() != link) {
                 return peer;
             }
-            LOGGER.log(System.Logger.Level.INFO, "link to peer {0} lost: {1}", address, reason);
+            log.warning("peer_lost", "peer=" + address + " reason=" + reason);
             return new Peer(null, peer.loads(), peer.receivedAtMillis());
         });
     }
@@ -365,5 +362,13 @@
         connecting.remove(address);
     }
 
+    /**
+     * What an entry tells its peers of itself.
+     *
+     * @param address where it accepts links
+     * @param incarnation a number that no earlier start of this entry had
+     */
+    public record Self(String id, InetSocketAddress address, long incarnation) {}
+
     private record Peer(Link link, Map<String, PeerLoad> loads, long receivedAtMillis) {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -15,6 +15,7 @@
 import dev.wigeonward.gateway.caller.CallerServer;
 import dev.wigeonward.gateway.caller.StatusServer;
 import dev.wigeonward.gateway.caller.StatusServer.Page;
+import dev.wigeonward.gateway.event.EventLog;
 import dev.wigeonward.gateway.exchange.DirectPath;
 import dev.wigeonward.gateway.peer.PeerExchange;
 import dev.wigeonward.gateway.port.HttpDialect;
@@ -22,15 +23,19 @@
 import dev.wigeonward.gateway.upstream.UpstreamConnections;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 
 /** One process on the direct path: an event loop that owns all state, the servers, and the way to stop them. */
 public final class GatewayProcess {
-    private static final System.Logger LOGGER = System.getLogger(GatewayProcess.class.getName());
     /** Time for which new connections are served after the signal to stop; the balancer asks for readiness each second. */
     private static final long KEEP_ACCEPTING_MILLIS = 2_600;
     /** Part of the grace period after which requests that still run are given up. */
     private static final double GRACE_PART = 0.95;
 
+    /** Time after the start for which the logging library is not loaded, so that the first requests come first. */
+    private static final long LOG_DELAY_MILLIS = 1_500;
+
     private static final long STOP_CHECK_MILLIS = 100;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -39,6 +44,7 @@
     private final MonotonicClock clock = MonotonicClock.start();
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
+    private final EventLog log = EventLog.create();
     private final MetricRegistry metrics = new MetricRegistry();
     private final UpstreamConnections connections = UpstreamConnections.on(loop, this::nowMillis);
     private final DirectPath path;
@@ -55,6 +61,8 @@
 
     /** Returns a process that does not listen yet. */
     public static GatewayProcess create(GatewaySettings settings, HttpDialect dialect) {
+        // Netty would load the logging library for its own few warnings before anything is served.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         return new GatewayProcess(settings, dialect);
     }
 
@@ -69,6 +77,8 @@
                 "/metrics",
                 () -> new Page(OK, MetricsText.of(metrics)));
         StatusServer.listen(settings.statusAddress(), loop, pages);
+        log.info("listening", "id=" + settings.id() + " callers=" + settings.callerAddress());
+        loop.schedule(log::start, LOG_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private Page readiness() {
@@ -89,15 +99,13 @@
             }
         }
         PeerExchange.start(
-                settings.id(),
-                settings.peerAddress(),
+                new PeerExchange.Self(settings.id(), settings.peerAddress(), clock.millis()),
                 seeds,
                 path,
                 store,
                 loop,
-                group,
                 this::nowMillis,
-                clock.millis());
+                log);
     }
 
     /** Returns the event loop that owns all state. */
@@ -110,6 +118,11 @@
         return path;
     }
 
+    /** Returns the log of the event loop. */
+    public EventLog log() {
+        return log;
+    }
+
     /** Returns the counters of this process. */
     public MetricRegistry metrics() {
         return metrics;
@@ -129,6 +142,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        log.stop();
         System.exit(0);
     }
 
@@ -136,7 +150,7 @@
     public void handleSignals(Runnable whenStopped) {
         ProcessSignals.handle("TERM", () -> stop(whenStopped));
         ProcessSignals.handle("INT", () -> stop(whenStopped));
-        ProcessSignals.handle("HUP", () -> LOGGER.log(System.Logger.Level.INFO, "settings are kept until a restart"));
+        ProcessSignals.handle("HUP", () -> log.info("signal_hup", "settings are kept until a restart"));
     }
 
     /** Stops without cutting a request, as far as the grace period allows; then runs the action. */
@@ -146,7 +160,7 @@
                 return;
             }
             stopping = true;
-            LOGGER.log(System.Logger.Level.INFO, "stopping; running={0}", path.running());
+            log.info("stopping", "running=" + path.running());
             long startedMillis = nowMillis();
             loop.schedule(
                     () -> {
@@ -167,7 +181,7 @@
         boolean idle = path.running() == 0 && callers.connections() == 0;
         boolean overdue = nowMillis() - startedMillis > GRACE_PART * settings.graceMillis();
         if (idle || overdue) {
-            LOGGER.log(System.Logger.Level.INFO, "stopped; running={0}", path.running());
+            log.info("stopped", "running=" + path.running());
             whenStopped.run();
         }
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnections.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnections.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -140,7 +141,7 @@
     }
 
     /** Closes the kept connections of upstreams that are not listed any more. */
-    public void retain(Set<Upstream> listed) {
+    public void retain(Collection<Upstream> listed) {
         Set<String> keys = new HashSet<>();
         listed.forEach(upstream -> keys.add(poolKey(upstream)));
         for (String key : new ArrayList<>(idle.keySet())) {
