--- a/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 
 /**
- * One request that waits for an upstream or runs on one. The scheduler that it was offered to owns the mutable part. Not
- * thread-safe.
+ * One request that waits for an upstream or runs on one. The scheduler that it was offered to owns the mutable part.
+ * Not thread-safe.
  */
 public final class Demand {
     private final String kind;
--- a/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
@@ -76,6 +76,10 @@
 
     /** Returns how many others wait that go before a waiting request or arrived with its rank. */
     int othersOfRank(Demand demand) {
+        Kind own = kind(demand);
+        if (own.neglected) {
+            return own.waiting.size() - 1;
+        }
         int count = -1;
         for (Kind kind : kinds.values()) {
             if (kind.rank <= demand.rank()) {
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/deployment/DeploymentTest.java
@@ -0,0 +1,63 @@
+package dev.wigeonward.core.deployment;
+
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DeploymentTest {
+    private static Route route(String name, String host, String prefix, WeightedService... services) {
+        return new Route(name, host, prefix, RouteKind.SAFE, List.of(services), 1_000, 100, 0, 0, 1, false, false);
+    }
+
+    private static Deployment deployment(Route... routes) {
+        Tenant tenant = new Tenant("t", Set.of("k1", "k2"), OptionalInt.empty(), 0, 0, true, 200);
+        return Deployment.of(1, List.of(routes), List.of(), List.of(tenant), CallerLimits.DEFAULT);
+    }
+
+    /** Guards against a shorter prefix, another host, or a part of a path segment that takes a request. */
+    @Test
+    void longestPrefixOfTheHostWins() {
+        WeightedService service = new WeightedService("s", 1);
+        Deployment deployment = deployment(
+                route("short", "a.example", "/x/", service),
+                route("long", "a.example", "/x/y/", service),
+                route("other", "b.example", "/x/y/z/", service));
+
+        assertThat(deployment.route("a.example", "/x/y/z/1")).map(Route::name).contains("long");
+        assertThat(deployment.route("A.Example", "/x/yy")).map(Route::name).contains("short");
+        assertThat(deployment.route("a.example", "/x")).isEmpty();
+        assertThat(deployment.route("c.example", "/x/y/")).isEmpty();
+    }
+
+    /** Guards against shares that do not follow the weights, and against a service of weight 0 that gets requests. */
+    @Test
+    void weightsDecideTheService() {
+        Route route = route(
+                "r",
+                "h",
+                "/x/",
+                new WeightedService("a", 90),
+                new WeightedService("none", 0),
+                new WeightedService("b", 10));
+
+        assertThat(route.serviceFor(0.0)).isEqualTo("a");
+        assertThat(route.serviceFor(0.899)).isEqualTo("a");
+        assertThat(route.serviceFor(0.901)).isEqualTo("b");
+        assertThat(route.serviceFor(0.999)).isEqualTo("b");
+    }
+
+    /** Guards against a withdrawn key that still names its tenant. */
+    @Test
+    void keysNameTheirTenant() {
+        Deployment deployment = deployment();
+
+        assertThat(deployment.tenant("k2")).map(Tenant::name).contains("t");
+        assertThat(deployment.tenant("k3")).isEmpty();
+        assertThat(deployment.tenant("k1").orElseThrow().usage(0)).isEqualTo(200);
+        assertThat(deployment.tenant("k1").orElseThrow().usage(5_000)).isEqualTo(5_000);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
@@ -0,0 +1,257 @@
+package dev.wigeonward.core.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ServiceSchedulerTest {
+    private static final int SLOTS = 4;
+
+    private final ServiceScheduler scheduler = ServiceScheduler.inZone("z1");
+    private long now = 1_000;
+
+    private static Upstream upstream(String id, boolean draining) {
+        return new Upstream(id, "s", "10.0.0.1:" + id.length(), "z1", "v1", SLOTS, draining, Optional.empty());
+    }
+
+    private void list(String... ids) {
+        List<Upstream> upstreams = new ArrayList<>();
+        for (String id : ids) {
+            upstreams.add(upstream(id, false));
+        }
+        scheduler.upstreams(upstreams);
+    }
+
+    private Demand stream(String kind, int rank, int tokens) {
+        return Demand.builder(kind, rank, 800, now)
+                .generating(tokens, 100, 200)
+                .deadlineAt(now + 15_000)
+                .build();
+    }
+
+    private Demand call(String kind, int rank) {
+        return Demand.builder(kind, rank, 100, now).deadlineAt(now + 1_000).build();
+    }
+
+    private List<Decision> offer(Demand... demands) {
+        for (Demand demand : demands) {
+            scheduler.offer(demand);
+        }
+        return scheduler.decide(now);
+    }
+
+    private static List<String> placedOn(List<Decision> decisions) {
+        return decisions.stream()
+                .filter(Decision.Place.class::isInstance)
+                .map(decision -> ((Decision.Place) decision).upstream().id())
+                .toList();
+    }
+
+    /** Guards against an upstream that gets more requests than it runs at once and orders them by arrival. */
+    @Test
+    void upstreamGetsNoMoreThanItsSlots() {
+        list("a");
+        List<Decision> decisions = new ArrayList<>();
+        for (int request = 0; request < SLOTS + 2; request++) {
+            decisions.addAll(offer(call("k", 0)));
+        }
+
+        assertThat(placedOn(decisions)).hasSize(SLOTS);
+        assertThat(scheduler.waitingCount()).isPositive();
+    }
+
+    /** Guards against work for an upstream that leaves. */
+    @Test
+    void leavingUpstreamGetsNothing() {
+        scheduler.upstreams(List.of(upstream("a", true), upstream("bb", false)));
+
+        assertThat(placedOn(offer(call("k", 0), call("k", 0)))).containsExactly("bb", "bb");
+    }
+
+    /** Guards against a request that waits for an upstream although none is left. */
+    @Test
+    void withoutUpstreamTheRequestIsRefusedAtOnce() {
+        scheduler.upstreams(List.of(upstream("a", true)));
+
+        assertThat(offer(call("k", 0)))
+                .singleElement()
+                .isInstanceOfSatisfying(Decision.Refuse.class, refuse -> assertThat(refuse.reason())
+                        .isEqualTo(RefusalReason.NO_UPSTREAM));
+    }
+
+    /** Guards against an urgent request that waits behind a less urgent one that came first. */
+    @Test
+    void freePlaceGoesToTheMostUrgentKind() {
+        list("a");
+        List<Demand> running = new ArrayList<>();
+        for (int request = 0; request < SLOTS; request++) {
+            running.add(call("low", 2));
+        }
+        offer(running.toArray(Demand[]::new));
+        Demand low = call("low", 2);
+        Demand high = call("high", 0);
+        offer(low, high);
+
+        scheduler.onEnded(running.get(0), ServiceScheduler.Outcome.ANSWERED, now + 5);
+        List<Decision> decisions = scheduler.decide(now + 5);
+
+        assertThat(decisions).singleElement().isInstanceOfSatisfying(Decision.Place.class, place -> assertThat(
+                        place.demand())
+                .isSameAs(high));
+    }
+
+    /** Guards against a request that is held until its answer can no longer be on time. */
+    @Test
+    void waitingEndsAtHalfOfTheObjective() {
+        list("a");
+        for (int request = 0; request < SLOTS; request++) {
+            offer(call("k", 0));
+        }
+        Demand waits = call("k", 0);
+        offer(waits);
+
+        assertThat(scheduler.decide(now + 49)).isEmpty();
+        assertThat(scheduler.decide(now + 50)).singleElement().isInstanceOfSatisfying(Decision.Refuse.class, refuse -> {
+            assertThat(refuse.demand()).isSameAs(waits);
+            assertThat(refuse.reason()).isEqualTo(RefusalReason.WAITED_TOO_LONG);
+        });
+    }
+
+    /** Guards against equal shares for unequal upstreams: the slow one gets work only when the fast one is full. */
+    @Test
+    void learnsWhichUpstreamIsSlow() {
+        list("fast", "slowly");
+        for (int round = 0; round < 10; round++) {
+            List<Demand> all = new ArrayList<>();
+            for (int request = 0; request < 2 * SLOTS; request++) {
+                all.add(call("k", 0));
+            }
+            offer(all.toArray(Demand[]::new));
+            for (Demand demand : all) {
+                boolean fast = demand.upstream().orElseThrow().id().equals("fast");
+                scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + (fast ? 10 : 60));
+            }
+            now += 100;
+            scheduler.compareUpstreams();
+        }
+
+        assertThat(placedOn(offer(call("k", 0), call("k", 0)))).containsExactly("fast", "fast");
+    }
+
+    /** Guards against long prompts at a slow upstream, whose running streams would pause for too long. */
+    @Test
+    void longPromptKeepsAwayFromSlowUpstreamWithStreams() {
+        list("fast", "slowly");
+        for (int round = 0; round < 30; round++) {
+            List<Demand> pair = List.of(stream("k", 0, 600), stream("k", 0, 600));
+            offer(pair.toArray(Demand[]::new));
+            for (Demand demand : pair) {
+                boolean fast = demand.upstream().orElseThrow().id().equals("fast");
+                scheduler.onFirstEvent(demand, now + (fast ? 20 : 100));
+                scheduler.onPauses(demand, fast ? 15 : 75);
+                if (round < 29 || fast) {
+                    scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + 500);
+                }
+            }
+            now += 1_000;
+            scheduler.compareUpstreams();
+        }
+        List<Decision> decisions = new ArrayList<>();
+        for (int request = 0; request < SLOTS; request++) {
+            decisions.addAll(offer(stream("k", 0, 8_000)));
+        }
+
+        assertThat(placedOn(decisions)).doesNotContain("slowly");
+    }
+
+    /** Guards against a service that is given up because all its upstreams look bad. */
+    @Test
+    void lastUpstreamIsTriedAlthoughItFailed() {
+        list("a");
+        for (int failure = 0; failure < 5; failure++) {
+            Demand demand = call("k", 0);
+            assertThat(placedOn(offer(demand))).containsExactly("a");
+            scheduler.onEnded(demand, ServiceScheduler.Outcome.UNREACHABLE, now);
+        }
+    }
+
+    /** Guards against requests for an upstream that cannot be reached while another one can. */
+    @Test
+    void unreachableUpstreamIsPaused() {
+        list("a", "bb");
+        Demand first = call("k", 0);
+        String failed = placedOn(offer(first)).get(0);
+        scheduler.onEnded(first, ServiceScheduler.Outcome.UNREACHABLE, now);
+
+        assertThat(placedOn(offer(call("k", 0), call("k", 0)))).doesNotContain(failed);
+    }
+
+    /** Guards against a stalled upstream that goes on getting requests because it refuses no connection. */
+    @Test
+    void silentUpstreamGetsNothingMore() {
+        list("a", "bb");
+        Demand first = call("k", 0);
+        String silent = placedOn(offer(first)).get(0);
+        now += 2_000;
+
+        assertThat(placedOn(offer(call("k", 0), call("k", 0), call("k", 0)))).doesNotContain(silent);
+    }
+
+    /** Guards against two entries that both fill the places of one upstream. */
+    @Test
+    void requestsOfPeersOccupyPlaces() {
+        list("a");
+        scheduler.reportPeers(id -> new ServiceScheduler.OwnLoad(id, SLOTS - 1, 0));
+
+        assertThat(placedOn(offer(call("k", 0), call("k", 0)))).hasSize(1);
+    }
+
+    /** Guards against a new lifetime at an old identifier that inherits what was believed of the old one. */
+    @Test
+    void newLifetimeStartsWithoutBeliefs() {
+        Upstream old = new Upstream("a", "s", "10.0.0.1:1", "z1", "v1", SLOTS, false, Optional.of(1L));
+        scheduler.upstreams(List.of(old, upstream("bb", false)));
+        Demand first = call("k", 0);
+        for (int request = 0; request < 2; request++) {
+            offer(call("k", 0));
+        }
+        offer(first);
+        scheduler.upstreams(List.of(
+                new Upstream("a", "s", "10.0.0.1:1", "z1", "v1", SLOTS, false, Optional.of(2L)),
+                upstream("bb", false)));
+
+        assertThat(scheduler.describe(now)).anyMatch(line -> line.startsWith("a ") && line.contains("running=0"));
+        scheduler.onEnded(first, ServiceScheduler.Outcome.FAILED, now);
+    }
+
+    /** Guards against a rare kind that is starved by an urgent one that never ends. */
+    @Test
+    void neglectedKindIsServedInTheEnd() {
+        list("a");
+        int lowServed = 0;
+        List<Demand> running = new ArrayList<>();
+        for (int round = 0; round < 2_000; round++) {
+            scheduler.offer(call("high", 0));
+            if (round % 4 == 0) {
+                scheduler.offer(call("low", 2));
+            }
+            for (Decision decision : scheduler.decide(now)) {
+                if (decision instanceof Decision.Place place) {
+                    running.add(place.demand());
+                    lowServed += place.demand().kind().equals("low") ? 1 : 0;
+                }
+            }
+            now += 5;
+            if (!running.isEmpty() && round % 2 == 0) {
+                scheduler.onEnded(running.remove(0), ServiceScheduler.Outcome.ANSWERED, now);
+            }
+        }
+
+        // Capacity is half of the urgent demand alone, so a fair share is a fifth of the capacity of 1,000.
+        assertThat(lowServed).isGreaterThan(500 / 10);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/wigeonward/core/stream/EventBoundariesTest.java
@@ -0,0 +1,49 @@
+package dev.wigeonward.core.stream;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EventBoundariesTest {
+    private static final byte[] STREAM =
+            "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n:comment\n\nid:3\ndata: c\n\n".getBytes(StandardCharsets.UTF_8);
+
+    /** Guards against boundaries that depend on how the network cuts the bytes. */
+    @Property
+    void cutsDoNotMatter(@ForAll @IntRange(min = 1, max = 20) int size) {
+        EventBoundaries boundaries = EventBoundaries.create();
+        int complete = 0;
+        for (int from = 0; from < STREAM.length; from += size) {
+            byte[] part = Arrays.copyOfRange(STREAM, from, Math.min(STREAM.length, from + size));
+            int inPart = boundaries.scan(part, part.length);
+            complete = inPart > 0 ? from + inPart : complete;
+        }
+
+        assertThat(complete).isEqualTo(STREAM.length);
+        assertThat(boundaries.events()).isEqualTo(4);
+        assertThat(boundaries.lastId()).contains("3");
+        assertThat(boundaries.insideEvent()).isFalse();
+    }
+
+    /** Guards against a stream that goes on after an event of which only the identifier has come. */
+    @Example
+    void openEventDoesNotCount() {
+        EventBoundaries boundaries = EventBoundaries.create();
+        byte[] bytes = "id: 1\ndata: a\n\nid: 2\ndata: b".getBytes(StandardCharsets.UTF_8);
+
+        assertThat(boundaries.scan(bytes, bytes.length)).isEqualTo(15);
+        assertThat(boundaries.lastId()).contains("1");
+        assertThat(boundaries.insideEvent()).isTrue();
+
+        boundaries.dropOpenEvent();
+        byte[] rest = "id: 2\ndata: b\n\n".getBytes(StandardCharsets.UTF_8);
+        assertThat(boundaries.scan(rest, rest.length)).isEqualTo(rest.length);
+        assertThat(boundaries.lastId()).contains("2");
+    }
+}
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
@@ -42,7 +42,7 @@
         }
     }
 
-    /** A distributed cap refuses what a central one would not, so part of the tolerated overrun is used to avoid that. */
+    /** A shared cap refuses what a central one would not, so part of the tolerated overrun is used to avoid that. */
     private long capacity(Tenant tenant) {
         double window = tenant.ratePerSecond() * settings.capWindowMillis() / MILLIS_PER_SECOND + tenant.burst();
         double tolerated = settings.capOverrunRatio() * window + settings.capMargin();
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/StoreRelay.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/StoreRelay.java
@@ -7,7 +7,7 @@
     /** Age that stands for no view at all, in milliseconds. */
     long NO_VIEW_MILLIS = 1L << 31;
 
-    /** Returns the time since the upstreams were read from the store, by this process or by the peer it has them from. */
+    /** Returns the time since the upstreams were read from the store, by this process or by a peer. */
     long ageMillis();
 
     /** Returns a number that differs, almost surely, between views with different upstreams. */
@@ -22,10 +22,10 @@
     /** Returns the time since this process itself read both upstreams and configuration. */
     long readAgeMillis();
 
-    /** A peer's view has the given hash and age; equal views are as fresh as the fresher of the two. */
+    /** A peer's view has this hash and age; equal views are as fresh as the fresher of the two. */
     void onPeerView(long hash, long ageMillis);
 
-    /** A peer that goes first in reading the store has done so this long ago; this process may leave it to that peer. */
+    /** A peer that goes first has read the store this long ago; this process may leave the reading to it. */
     void onPeerRead(long readAgeMillis);
 
     /** One item of the store. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -28,7 +28,7 @@
 
 /** One process on the direct path: an event loop that owns all state, the servers, and the way to stop them. */
 public final class GatewayProcess {
-    /** Time for which new connections are served after the signal to stop; the balancer asks for readiness each second. */
+    /** Time for which new connections are served after the signal to stop; balancers take seconds to notice. */
     private static final long KEEP_ACCEPTING_MILLIS = 2_600;
     /** Part of the grace period after which requests that still run are given up. */
     private static final double GRACE_PART = 0.95;
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnections.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnections.java
@@ -78,8 +78,8 @@
     /**
      * Sends a request on a kept or a new connection.
      *
-     * @param stillWanted receives the connection before the request is written; if it returns false, nothing is sent and
-     *     the listener hears nothing
+     * @param stillWanted receives the connection before the request is written; if it returns false, nothing is sent
+     *     and the listener hears nothing
      */
     public void send(
             Upstream upstream,
