Do not say "not run" of a keyed request before its claim was read; read rules behind a byte order mark

Causes: an order whose first copy may have run was refused as not run when no upstream served it, because that check comes before the claim is read; the same held for all refusals before the claim and for a claim that the store did not answer. Such refusals are now claim_unread or claim_unavailable with run_state unknown; a resend with the key stays safe.

--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
@@ -46,6 +46,7 @@
     }
 
     private void granted(Flight flight, long nowMillis) {
+        flight.claimOwned = true;
         Optional<UpstreamState> usable = upstreams
                 .usable(flight.upstreamId)
                 .filter(state -> state.description().incarnation() == flight.upstreamIncarnation);
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -327,11 +327,14 @@
     }
 
     void fail(Flight flight, Failure failure, long nowMillis) {
-        if (flight.claimed() && failure.kind().runState() == RunState.NOT_RUN) {
+        boolean thisCopyDidNotRun =
+                failure.kind().runState() == RunState.NOT_RUN || failure.kind() == ErrorKind.CLAIM_UNAVAILABLE;
+        if (flight.claimed() && thisCopyDidNotRun) {
             emit(new EntryEffect.ReleaseClaim(flight.request.id()));
         }
         if (!flight.callerGone) {
-            emit(new EntryEffect.DeliverFailure(flight.request.id(), failure));
+            Failure known = flight.claimOwned ? failure : beforeClaim(flight.request, failure);
+            emit(new EntryEffect.DeliverFailure(flight.request.id(), known));
         }
         end(flight, nowMillis);
     }
@@ -382,8 +385,15 @@
         effects.add(effect);
     }
 
+    /** An earlier copy of a claimed request may have run, so "not run" is not known before its claim was read. */
+    private static Failure beforeClaim(RequestSpec request, Failure failure) {
+        return request.idempotent() || failure.kind().runState() != RunState.NOT_RUN
+                ? failure
+                : Failure.of(ErrorKind.CLAIM_UNREAD, failure.message());
+    }
+
     private void refuse(RequestSpec request, Failure failure) {
-        emit(new EntryEffect.DeliverFailure(request.id(), failure));
+        emit(new EntryEffect.DeliverFailure(request.id(), beforeClaim(request, failure)));
         emit(new EntryEffect.Forget(request.id()));
     }
 
--- a/core/src/main/java/dev/wigeonward/core/dispatch/Flight.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/Flight.java
@@ -26,6 +26,9 @@
     int reattaches;
     int claimRounds;
     DispatchId dispatch;
+    /** True once the store granted the claim to this request, so that no other copy of it can have run. */
+    boolean claimOwned;
+
     /** Claim of another request that this one found. */
     String foundClaimId;
     /** Request that holds the found claim. */
--- a/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
+++ b/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
@@ -33,8 +33,10 @@
     DEADLINE_EXCEEDED_IN_QUEUE(504, true, RunState.NOT_RUN),
     DEADLINE_EXCEEDED_RUNNING(504, false, RunState.UNKNOWN),
     NO_UPSTREAM(503, true, RunState.NOT_RUN),
-    /** The durable claim of a non-idempotent request could not be made. */
-    CLAIM_UNAVAILABLE(503, true, RunState.NOT_RUN),
+    /** The durable claim of a non-idempotent request could not be made; an earlier copy may hold one. */
+    CLAIM_UNAVAILABLE(503, true, RunState.UNKNOWN),
+    /** A non-idempotent request was refused before its claim was read; an earlier copy may have run. */
+    CLAIM_UNREAD(503, true, RunState.UNKNOWN),
     /** The request was running on several upstreams when they died. */
     SUSPECT(422, false, RunState.NOT_RUN),
     SHUTTING_DOWN(503, true, RunState.NOT_RUN),
--- a/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
@@ -6,6 +6,7 @@
 import dev.wigeonward.core.admission.FairShareAdmissionQueue;
 import dev.wigeonward.core.admission.WorkspaceWeights;
 import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.error.RunState;
 import dev.wigeonward.core.placement.LeastOutstanding;
 import dev.wigeonward.core.placement.UpstreamDescription;
 import dev.wigeonward.core.request.DispatchId;
@@ -45,6 +46,40 @@
                     SuspectGate.open()),
             DispatchLimits.defaults());
 
+    /** Guards against a kind for keyed requests that reaches one whose resend nothing guards. */
+    @Test
+    void refusalOfRequestWithoutClaimStaysNotRun() {
+        RequestSpec idempotent = new RequestSpec(
+                new RequestId("r3"),
+                Optional.empty(),
+                Tier.STANDARD,
+                "w",
+                "model",
+                "route",
+                new WorkEstimate(10, 10, 0),
+                DEADLINE_MILLIS,
+                true,
+                1);
+        assertThat(entry.handle(new EntryEvent.RequestArrived(idempotent), 0))
+                .filteredOn(EntryEffect.DeliverFailure.class::isInstance)
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        EntryEffect.DeliverFailure.class,
+                        delivered -> assertThat(delivered.failure().kind()).isEqualTo(ErrorKind.NO_UPSTREAM));
+    }
+
+    /** Guards against a false "not run" for a resend, whose first copy may have run, while no upstream is left. */
+    @Test
+    void refusalBeforeTheClaimWasReadDoesNotSayNotRun() {
+        assertThat(entry.handle(new EntryEvent.RequestArrived(CLAIMED), 0))
+                .filteredOn(EntryEffect.DeliverFailure.class::isInstance)
+                .singleElement()
+                .isInstanceOfSatisfying(EntryEffect.DeliverFailure.class, delivered -> {
+                    assertThat(delivered.failure().kind()).isEqualTo(ErrorKind.CLAIM_UNREAD);
+                    assertThat(delivered.failure().kind().runState()).isEqualTo(RunState.UNKNOWN);
+                });
+    }
+
     /**
      * Guards against the takeover of a claim that is in use: a reattach would be answered about the own request, which
      * the agent never got.
--- a/entry/src/main/java/dev/wigeonward/entry/command/Options.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/Options.java
@@ -11,7 +11,7 @@
 class Options {
     private static final int DEFAULT_HISTORY_ENTRIES = 20;
 
-    @Argument(metaVar = "FILE", usage = "rules file")
+    @Argument(metaVar = "FILE", usage = "rules file; rollback and history work without one")
     Path file;
 
     @Option(name = "--store", metaVar = "HOST:PORT", usage = "address of the key-value service")
@@ -50,7 +50,7 @@
     /** Options of {@code rollback}. */
     static final class Rollback extends Apply {
         @Option(name = "--to", metaVar = "N", required = true, usage = "revision whose text comes back into force")
-        long to;
+        Long to;
     }
 
     /** Options of {@code history}. */
--- a/entry/src/main/java/dev/wigeonward/entry/command/RulesFile.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/RulesFile.java
@@ -14,6 +14,9 @@
     /** The file holds valid rules. */
     record Valid(String text) implements RulesFile {}
 
+    /** Mark that some editors put before a text. */
+    String BYTE_ORDER_MARK = "\uFEFF";
+
     /** The file cannot be used. */
     record Unusable(CommandReport report) implements RulesFile {}
 
@@ -27,6 +30,7 @@
         } catch (IOException e) {
             return new Unusable(CommandReport.of(ExitCode.FAILED, "unreadable", path + " cannot be read: " + e));
         }
+        text = text.startsWith(BYTE_ORDER_MARK) ? text.substring(1) : text;
         return RuleParser.parse(path.toString(), text) instanceof RuleParseResult.Invalid invalid
                 ? new Unusable(CommandReport.invalid(path.toString(), invalid.problems()))
                 : new Valid(text);
--- a/entry/src/test/java/dev/wigeonward/entry/command/CommandsTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/command/CommandsTest.java
@@ -90,6 +90,27 @@
         assertThat(store.history).hasSize(1);
     }
 
+    /** Guards against a file that is refused for the mark that an editor has put before it. */
+    @Test
+    void byteOrderMarkIsPassedOver() throws IOException {
+        Files.writeString(file, "\uFEFF" + A1);
+
+        assertThat(run("check", file.toString())).isZero();
+    }
+
+    /** Guards against a usage text that shows a default for a revision that must be given. */
+    @Test
+    void rollbackWithoutRevisionNamesTheMissingOption() {
+        assertThat(run("rollback", "--store", "127.0.0.1:1", "--by", "ana", "--reason", "r"))
+                .isEqualTo(2);
+        String text = err.toString(StandardCharsets.UTF_8);
+        assertThat(text).contains("\"--to\" is required", "rollback [FILE] [options]");
+        assertThat(text.lines().filter(line -> line.contains("--to N")))
+                .singleElement()
+                .asString()
+                .doesNotContain("default");
+    }
+
     /** Guards against an operator who overwrites a change that was accepted since the revision last seen. */
     @Test
     void tellsWhatTheOtherOperatorChanged() throws IOException {
