--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -153,6 +153,12 @@
         ProcessSignals.handle("HUP", () -> log.info("signal_hup", "settings are kept until a restart"));
     }
 
+    /** Ends at once, with all connections. */
+    public void close() {
+        log.stop();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
     /** Stops without cutting a request, as far as the grace period allows; then runs the action. */
     public void stop(Runnable whenStopped) {
         loop.execute(() -> {
