--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -212,7 +212,7 @@
                     || load.outstanding() >= load.upstream().slots()) {
                 continue;
             }
-            if (best == null || load.pausedUntilMillis() < best.pausedUntilMillis()) {
+            if (best == null || load.failureRatio() < best.failureRatio()) {
                 best = load;
             }
         }
@@ -222,18 +222,45 @@
     /** Returns whether the upstream owes output to this entry for so long that it may have stopped. */
     private boolean silent(UpstreamLoad load, long nowMillis) {
         for (Demand demand : load.running()) {
-            long since = Math.max(demand.placedAtMillis(), load.lastOutputAtMillis());
-            double units = demand.generates() && !demand.answering()
-                    ? pace.firstEventMillis(demand.promptTokensAhead() + demand.promptTokens())
-                    : pace.unitMillis();
-            double expected = pace.slowness(load) * units;
-            if (nowMillis - since > LEAST_SILENCE_MILLIS + SILENCE_FACTOR * expected) {
+            if (owesOutput(demand, load, nowMillis)) {
                 return true;
             }
         }
         return false;
     }
 
+    private boolean owesOutput(Demand demand, UpstreamLoad load, long nowMillis) {
+        long since = Math.max(demand.placedAtMillis(), load.lastOutputAtMillis());
+        double units = demand.generates() && !demand.answering()
+                ? pace.firstEventMillis(demand.promptTokensAhead() + demand.promptTokens())
+                : pace.unitMillis();
+        return nowMillis - since > LEAST_SILENCE_MILLIS + SILENCE_FACTOR * pace.slowness(load) * units;
+    }
+
+    /** Returns the upstreams that get nothing until {@link #resume} is told that they accept connections. */
+    public List<Upstream> suspended() {
+        return upstreams.values().stream()
+                .filter(UpstreamLoad::suspended)
+                .map(UpstreamLoad::upstream)
+                .toList();
+    }
+
+    /** An upstream accepts connections again. */
+    public void resume(String upstreamId) {
+        UpstreamLoad load = upstreams.get(upstreamId);
+        if (load != null) {
+            load.resume();
+        }
+    }
+
+    /** An upstream does not accept connections. */
+    public void suspend(String upstreamId) {
+        UpstreamLoad load = upstreams.get(upstreamId);
+        if (load != null) {
+            load.suspend();
+        }
+    }
+
     /** The upstream sent the first event of a stream. */
     public void onFirstEvent(Demand demand, long nowMillis) {
         UpstreamLoad load = placedLoad(demand);
@@ -280,10 +307,13 @@
             case FULL -> load.pauseBriefly(FULL_PAUSE_MILLIS, nowMillis);
             case UNREACHABLE -> {
                 load.onFailure();
-                load.pause(nowMillis);
+                load.suspend();
             }
             case LEFT -> {
-                // The caller's leaving says nothing about the upstream.
+                if (owesOutput(demand, load, nowMillis)) {
+                    load.onFailure();
+                    load.suspend();
+                }
             }
             default -> throw new IllegalStateException("unknown outcome " + outcome);
         }
@@ -344,7 +374,7 @@
         FULL,
         /** No connection was made, or nothing came. */
         UNREACHABLE,
-        /** The caller left. */
+        /** The caller left or the time was up; whether the upstream was silent is judged here. */
         LEFT
     }
 
--- a/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
@@ -11,10 +11,6 @@
     /** Largest factor by which one observation differs from the belief; bounds the effect of one odd answer. */
     private static final double LARGEST_STEP = 4.0;
 
-    /** First and longest time without new requests after failures, in milliseconds. */
-    private static final long FIRST_PAUSE_MILLIS = 250;
-
-    private static final long LONGEST_PAUSE_MILLIS = 2_000;
     /** Share of one outcome in the learned failure ratio. */
     private static final double FAILURE_SHARE = 0.1;
 
@@ -24,7 +20,7 @@
     private long peerPromptTokens;
     private OptionalDouble unitMillis = OptionalDouble.empty();
     private double failureRatio;
-    private int consecutiveFailures;
+    private boolean suspended;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private long lastOutputAtMillis = Long.MIN_VALUE;
 
@@ -93,7 +89,6 @@
     }
 
     void onSuccess() {
-        consecutiveFailures = 0;
         failureRatio *= 1 - FAILURE_SHARE;
     }
 
@@ -109,10 +104,17 @@
         return lastOutputAtMillis;
     }
 
-    void pause(long nowMillis) {
-        consecutiveFailures++;
-        long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(consecutiveFailures - 1, 10));
-        pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + pause);
+    /** Takes the upstream out until it is known to accept connections again. */
+    void suspend() {
+        suspended = true;
+    }
+
+    void resume() {
+        suspended = false;
+    }
+
+    boolean suspended() {
+        return suspended;
     }
 
     void pauseBriefly(long millis, long nowMillis) {
@@ -120,10 +122,6 @@
     }
 
     boolean paused(long nowMillis) {
-        return nowMillis < pausedUntilMillis;
-    }
-
-    long pausedUntilMillis() {
-        return pausedUntilMillis;
+        return suspended || nowMillis < pausedUntilMillis;
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
@@ -201,6 +201,32 @@
         assertThat(placedOn(offer(call("k", 0), call("k", 0), call("k", 0)))).doesNotContain(silent);
     }
 
+    /** Guards against a dark upstream that gets the next request as soon as the callers of the first ones left. */
+    @Test
+    void silentUpstreamStaysOutAfterItsCallersLeft() {
+        list("a", "bb");
+        Demand first = call("k", 0);
+        String silent = placedOn(offer(first)).get(0);
+        now += 2_000;
+        scheduler.onEnded(first, ServiceScheduler.Outcome.LEFT, now);
+
+        assertThat(scheduler.suspended()).extracting(Upstream::id).containsExactly(silent);
+        assertThat(placedOn(offer(call("k", 0), call("k", 0)))).doesNotContain(silent);
+        scheduler.resume(silent);
+        assertThat(scheduler.suspended()).isEmpty();
+    }
+
+    /** Guards against an upstream that is blamed for a caller who left early. */
+    @Test
+    void earlyLeavingSaysNothingOfTheUpstream() {
+        list("a");
+        Demand first = call("k", 0);
+        offer(first);
+        scheduler.onEnded(first, ServiceScheduler.Outcome.LEFT, now + 20);
+
+        assertThat(scheduler.suspended()).isEmpty();
+    }
+
     /** Guards against two entries that both fill the places of one upstream. */
     @Test
     void requestsOfPeersOccupyPlaces() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -64,6 +66,7 @@
     private final Map<String, ServiceScheduler> schedulers = new HashMap<>();
     private final Map<String, RetryShare> retries = new HashMap<>();
     private final Map<Demand, Exchange> waiting = new HashMap<>();
+    private final Set<String> probed = new HashSet<>();
     private final Map<String, Long> longestDeadlines = new HashMap<>();
     private Optional<Deployment> deployment = Optional.empty();
     private boolean upstreamsKnown;
@@ -101,13 +104,30 @@
             Random random) {
         DirectPath path = new DirectPath(loop, clock, dialect, settings, connections, metrics, random);
         loop.scheduleAtFixedRate(
-                () -> path.schedulers.values().forEach(ServiceScheduler::compareUpstreams),
-                COMPARE_PERIOD_MILLIS,
-                COMPARE_PERIOD_MILLIS,
-                TimeUnit.MILLISECONDS);
+                path::lookAfterUpstreams, COMPARE_PERIOD_MILLIS, COMPARE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         return path;
     }
 
+    private void lookAfterUpstreams() {
+        schedulers.values().forEach(scheduler -> {
+            scheduler.compareUpstreams();
+            for (Upstream upstream : scheduler.suspended()) {
+                if (probed.add(upstream.id())) {
+                    connections.drop(upstream);
+                    connections.probe(upstream, accepts -> onProbed(scheduler, upstream, accepts));
+                }
+            }
+        });
+    }
+
+    private void onProbed(ServiceScheduler scheduler, Upstream upstream, boolean accepts) {
+        probed.remove(upstream.id());
+        if (accepts) {
+            scheduler.resume(upstream.id());
+            decide();
+        }
+    }
+
     /** Puts a configuration in force, unless a newer one is. */
     public void configure(Deployment newer) {
         if (deployment.isPresent() && deployment.get().version() >= newer.version()) {
@@ -354,6 +374,7 @@
         loop.schedule(
                 () -> connections.probe(upstream, accepts -> {
                     if (!accepts) {
+                        scheduler(upstream.service()).suspend(upstream.id());
                         suspects.onUpstreamDied(fingerprint, upstream.id() + "@" + nowMillis(), nowMillis());
                         count("upstream.crash_suspected");
                     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnections.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnections.java
@@ -164,6 +164,14 @@
                 });
     }
 
+    /** Closes the kept connections to an upstream that does not answer; some may be silent for good. */
+    public void drop(Upstream upstream) {
+        ArrayDeque<UpstreamChannel> channels = idle.remove(poolKey(upstream));
+        if (channels != null) {
+            List.copyOf(channels).forEach(UpstreamChannel::close);
+        }
+    }
+
     void release(UpstreamChannel channel) {
         idle.computeIfAbsent(channel.poolKey(), key -> new ArrayDeque<>()).addLast(channel);
     }
