--- a/verification/src/test/java/dev/wigeonward/verification/layers/LayerRulesTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/layers/LayerRulesTest.java
@@ -26,7 +26,8 @@
     /** Guards against rules that hold because no class was found. */
     @Test
     void allModulesAreChecked() {
-        for (String module : new String[] {"core", "wire", "common", "entry", "agent", "standins"}) {
+        for (String module :
+                new String[] {"core", "wire", "common", "entry", "agent", "gateway", "platform", "standins"}) {
             assertThat(CLASSES.stream().filter(type -> type.getPackageName().startsWith(ROOT + "." + module)))
                     .as(module)
                     .isNotEmpty();
@@ -99,6 +100,8 @@
         forbid("common", "entry", "agent", "wire");
         forbid("entry", "agent");
         forbid("agent", "entry");
+        forbid("gateway", "entry", "agent", "platform");
+        forbid("platform", "entry", "agent");
     }
 
     /** Guards against packages that can only be understood together. */
