End a process that cannot listen, and choose ports outside the range of outgoing connections

Reproduced: with its admin port taken the agent throws in its main thread and stays alive, since its loops run on; the gateway did the same. Ports of tests came from the range of outgoing connections, so another process could take one in between; they now lie below it.

--- a/agent/src/main/java/dev/wigeonward/agent/Main.java
+++ b/agent/src/main/java/dev/wigeonward/agent/Main.java
@@ -40,7 +40,7 @@
             return exitCode.getAsInt();
         }
         return switch (main.command) {
-            case "serve" -> main.withSettings(err, settings -> serve(settings, out));
+            case "serve" -> main.withSettings(err, settings -> serve(settings, out, err));
             case "check-settings" ->
                 main.withSettings(err, settings -> {
                     out.println("valid");
@@ -77,8 +77,15 @@
         return action.run(AgentSettings.of(settings));
     }
 
-    private static int serve(AgentSettings settings, PrintStream out) throws Exception {
-        AgentProcess process = AgentProcess.start(settings);
+    private static int serve(AgentSettings settings, PrintStream out, PrintStream err) throws Exception {
+        AgentProcess process;
+        try {
+            process = AgentProcess.start(settings);
+        } catch (IOException e) {
+            // For example a port in use; threads that were started already would keep the process alive.
+            err.println("cannot start: " + e.getMessage());
+            return CommandLines.EXIT_FAILED;
+        }
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
--- a/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
@@ -42,7 +42,14 @@
             out.println("valid");
             return CommandLines.EXIT_OK;
         }
-        EntryProcess process = EntryProcess.start(settings);
+        EntryProcess process;
+        try {
+            process = EntryProcess.start(settings);
+        } catch (IOException e) {
+            // For example a port in use; threads that were started already would keep the process alive.
+            err.println("cannot start: " + e.getMessage());
+            return CommandLines.EXIT_FAILED;
+        }
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -1,5 +1,6 @@
 package dev.wigeonward.gateway.process;
 
+import java.io.IOException;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Random;
@@ -66,8 +67,12 @@
         return new GatewayProcess(settings, dialect);
     }
 
-    /** Starts to listen; {@code readinessPath} answers whether new callers are welcome. */
-    public void listen(String readinessPath) {
+    /**
+     * Starts to listen; {@code readinessPath} answers whether new callers are welcome.
+     *
+     * @throws IOException if an address is in use
+     */
+    public void listen(String readinessPath) throws IOException {
         callers.listen(settings.callerAddress(), loop);
         Map<String, Supplier<Page>> pages = Map.of(
                 readinessPath,
@@ -133,7 +138,7 @@
         return TimeUnit.NANOSECONDS.toMillis(clock.elapsedNanos());
     }
 
-    /** Handles the signals of the operating system, and ends the program once the process has stopped. */
+    /** Handles the signals of the operating system, and returns once the process has stopped. */
     public void serveUntilStopped() {
         CountDownLatch stopped = new CountDownLatch(1);
         handleSignals(stopped::countDown);
@@ -143,7 +148,6 @@
             Thread.currentThread().interrupt();
         }
         log.stop();
-        System.exit(0);
     }
 
     /** Handles the signals of the operating system; a signal to stop leads to the action once nothing runs. */
--- a/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
+++ b/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
@@ -1,9 +1,6 @@
 package dev.wigeonward.standins.local;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -96,7 +93,7 @@
     }
 
     private void standin(String name, List<String> arguments) throws IOException {
-        int port = freePort();
+        int port = FreePorts.next();
         List<String> all = new ArrayList<>(arguments);
         all.addAll(List.of("--port", Integer.toString(port)));
         addresses.put(name, HOST + port);
@@ -105,8 +102,8 @@
 
     private void startAgent(LocalUpstream upstream) throws IOException {
         String name = upstream.agentName();
-        addresses.put(name, HOST + freePort());
-        addresses.put(name + "-admin", HOST + freePort());
+        addresses.put(name, HOST + FreePorts.next());
+        addresses.put(name + "-admin", HOST + FreePorts.next());
         String settings =
                 """
                 [agent]
@@ -147,8 +144,8 @@
     }
 
     private void startEntry(String name, String failureDomain) throws IOException {
-        addresses.put(name, HOST + freePort());
-        addresses.put(name + "-admin", HOST + freePort());
+        addresses.put(name, HOST + FreePorts.next());
+        addresses.put(name + "-admin", HOST + FreePorts.next());
         String settings =
                 """
                 [entry]
@@ -251,14 +248,6 @@
         throw new IllegalStateException("did not happen in time: " + what);
     }
 
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     @Override
     public void close() {
         processes.values().forEach(ManagedProcess::close);
