--- a/core/src/main/java/dev/wigeonward/core/deployment/Deployment.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/Deployment.java
@@ -15,17 +15,11 @@
 
     private final long version;
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
-    private final Map<String, ServiceDescription> services = new HashMap<>();
     private final Map<String, Tenant> tenantsByKey = new HashMap<>();
     private final List<Tenant> tenants;
     private final CallerLimits limits;
 
-    private Deployment(
-            long version,
-            List<Route> routes,
-            List<ServiceDescription> services,
-            List<Tenant> tenants,
-            CallerLimits limits) {
+    private Deployment(long version, List<Route> routes, List<Tenant> tenants, CallerLimits limits) {
         this.version = version;
         this.limits = limits;
         this.tenants = List.copyOf(tenants);
@@ -35,18 +29,12 @@
                     .add(route);
         }
         routesByHost.values().forEach(list -> list.sort(LONGEST_PREFIX_FIRST));
-        services.forEach(service -> this.services.put(service.name(), service));
         tenants.forEach(tenant -> tenant.keys().forEach(key -> tenantsByKey.put(key, tenant)));
     }
 
     /** Returns a deployment of the given parts. */
-    public static Deployment of(
-            long version,
-            List<Route> routes,
-            List<ServiceDescription> services,
-            List<Tenant> tenants,
-            CallerLimits limits) {
-        return new Deployment(version, routes, services, tenants, limits);
+    public static Deployment of(long version, List<Route> routes, List<Tenant> tenants, CallerLimits limits) {
+        return new Deployment(version, routes, tenants, limits);
     }
 
     /** Returns the version; a newer one is larger. */
@@ -73,11 +61,6 @@
         return Optional.empty();
     }
 
-    /** Returns the declared service, or empty if there is none of that name. */
-    public Optional<ServiceDescription> service(String name) {
-        return Optional.ofNullable(services.get(name));
-    }
-
     /** Returns the tenant that holds the key, or empty if none does. */
     public Optional<Tenant> tenant(String key) {
         return Optional.ofNullable(tenantsByKey.get(key));
@@ -92,9 +75,4 @@
     public boolean hasTenants() {
         return !tenants.isEmpty();
     }
-
-    /** Returns how many routes there are. */
-    public int routeCount() {
-        return routesByHost.values().stream().mapToInt(List::size).sum();
-    }
 }
--- a/core/src/test/java/dev/wigeonward/core/deployment/DeploymentTest.java
+++ b/core/src/test/java/dev/wigeonward/core/deployment/DeploymentTest.java
@@ -15,7 +15,7 @@
 
     private static Deployment deployment(Route... routes) {
         Tenant tenant = new Tenant("t", Set.of("k1", "k2"), OptionalInt.empty(), 0, 0, true, 200);
-        return Deployment.of(1, List.of(routes), List.of(), List.of(tenant), CallerLimits.DEFAULT);
+        return Deployment.of(1, List.of(routes), List.of(tenant), CallerLimits.DEFAULT);
     }
 
     /** Guards against a shorter prefix, another host, or a part of a path segment that takes a request. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
@@ -30,7 +30,6 @@
     private final HttpDialect dialect;
     private final Supplier<CallerLimits> limits;
     private final Set<CallerChannel> open = new HashSet<>();
-    private Channel server;
     private boolean draining;
 
     private CallerServer(DirectPath path, HttpDialect dialect, Supplier<CallerLimits> limits) {
@@ -46,7 +45,7 @@
 
     /** Starts to accept callers; returns the address that is listened on. */
     public InetSocketAddress listen(InetSocketAddress address, EventLoopGroup loop) {
-        server = new ServerBootstrap()
+        Channel server = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
@@ -81,13 +80,6 @@
         }
     }
 
-    /** Stops to accept. */
-    public void stopAccepting() {
-        if (server != null) {
-            server.close();
-        }
-    }
-
     /** Returns how many connections of callers are open. */
     public int connections() {
         return open.size();
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Admissions.java
@@ -0,0 +1,71 @@
+package dev.wigeonward.gateway.exchange;
+
+import java.util.Optional;
+import java.util.Random;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import dev.wigeonward.core.deployment.Deployment;
+import dev.wigeonward.core.deployment.Route;
+import dev.wigeonward.core.deployment.Tenant;
+import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.suspect.SuspectTable;
+import dev.wigeonward.core.suspect.Suspicion;
+
+/** Checks a request against the configuration in force: route, key, suspicion, cap. Runs on the event loop. */
+final class Admissions {
+    /** Suspicion lasts; the time only keeps callers who do not heed the refusal from coming back at once. */
+    private static final long SUSPECT_RETRY_MILLIS = 400;
+
+    private final Tenants tenants;
+    private final SuspectTable suspects;
+    private final Random random;
+
+    Admissions(Tenants tenants, SuspectTable suspects, Random random) {
+        this.tenants = tenants;
+        this.suspects = suspects;
+        this.random = random;
+    }
+
+    /** Returns what the request may do, and counts its usage if it is admitted. */
+    Admission admit(CallerRequest request, Deployment current, long nowMillis) {
+        Optional<Route> route = current.route(host(request), request.path());
+        if (route.isEmpty()) {
+            return new Admission.Refused(ErrorKind.UNKNOWN_TARGET, 0);
+        }
+        Optional<Tenant> tenant = request.caller().key().flatMap(current::tenant);
+        if (tenant.isEmpty() && current.hasTenants() && !route.get().open()) {
+            return new Admission.Refused(ErrorKind.UNAUTHORIZED, 0);
+        }
+        long fingerprint = fingerprint(request);
+        if (suspects.suspicion(fingerprint, nowMillis) == Suspicion.REFUSED) {
+            return new Admission.Refused(ErrorKind.SUSPECT, SUSPECT_RETRY_MILLIS);
+        }
+        long usage = 0;
+        if (tenant.isPresent()) {
+            usage = tenant.get()
+                    .usage((long) request.caller().promptTokens()
+                            + request.caller().outputTokens());
+            long waitMillis = tenants.use(tenant.get(), usage, nowMillis);
+            if (waitMillis > 0) {
+                return new Admission.Refused(ErrorKind.RATE_LIMITED, waitMillis);
+            }
+        }
+        String service = route.get().serviceFor(random.nextDouble());
+        return new Admission.Admitted(route.get(), service, tenant, usage, fingerprint);
+    }
+
+    private static String host(CallerRequest request) {
+        String host = request.head().headers().get("host", "");
+        int colon = host.lastIndexOf(':');
+        return colon > 0 && host.indexOf(']') < colon ? host.substring(0, colon) : host;
+    }
+
+    private static long fingerprint(CallerRequest request) {
+        Hasher hasher = Hashing.murmur3_128().newHasher();
+        hasher.putUnencodedChars(request.head().uri());
+        hasher.putUnencodedChars(request.caller().key().orElse(""));
+        hasher.putBytes(request.body().nioBuffer());
+        return hasher.hash().asLong();
+    }
+}
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -12,20 +12,15 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.hash.Hasher;
-import com.google.common.hash.Hashing;
 import dev.wigeonward.common.clock.MonotonicClock;
 import dev.wigeonward.core.cap.RetryShare;
 import dev.wigeonward.core.deployment.Deployment;
-import dev.wigeonward.core.deployment.Route;
-import dev.wigeonward.core.deployment.Tenant;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.schedule.Decision;
 import dev.wigeonward.core.schedule.Demand;
 import dev.wigeonward.core.schedule.ServiceScheduler;
 import dev.wigeonward.core.schedule.Upstream;
 import dev.wigeonward.core.suspect.SuspectTable;
-import dev.wigeonward.core.suspect.Suspicion;
 import dev.wigeonward.gateway.port.HttpDialect;
 import dev.wigeonward.gateway.upstream.UpstreamConnections;
 import io.netty.channel.EventLoop;
@@ -45,14 +40,10 @@
     private static final long NOT_READY_RETRY_MILLIS = 400;
     /** Retries reach other entries, so they may come at once. */
     private static final long SHUTTING_DOWN_RETRY_MILLIS = 20;
-    /** Patience of the least patient caller of a route as a part of that of the most patient one. */
-    private static final double LEAST_PATIENCE_PART = 0.84;
     /** Part of its remaining time that a caller waits at most before it comes back. */
     private static final double HEEDED_PART = 0.32;
 
     private static final double LEAST_SPREAD = 0.6;
-    /** The rank of the tenant goes before that of the route. */
-    private static final int ROUTE_RANKS = 1_000;
 
     private final EventLoop loop;
     private final MonotonicClock clock;
@@ -63,11 +54,12 @@
     private final Random random;
     private final Tenants tenants;
     private final SuspectTable suspects = SuspectTable.create();
+    private final Admissions admissions;
+    private final Demands demands = new Demands();
     private final Map<String, ServiceScheduler> schedulers = new HashMap<>();
     private final Map<String, RetryShare> retries = new HashMap<>();
     private final Map<Demand, Exchange> waiting = new HashMap<>();
     private final Set<String> probed = new HashSet<>();
-    private final Map<String, Long> longestDeadlines = new HashMap<>();
     private Optional<Deployment> deployment = Optional.empty();
     private boolean upstreamsKnown;
     private int entries = 1;
@@ -91,6 +83,7 @@
         this.metrics = metrics;
         this.random = random;
         this.tenants = new Tenants(settings);
+        this.admissions = new Admissions(tenants, suspects, random);
     }
 
     /** Returns a path without configuration, which refuses all requests until it gets one. */
@@ -239,76 +232,11 @@
         if (!ready()) {
             return new Admission.Refused(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS);
         }
-        Deployment current = deployment.orElseThrow();
-        Optional<Route> route = current.route(host(request), request.path());
-        if (route.isEmpty()) {
-            return new Admission.Refused(ErrorKind.UNKNOWN_TARGET, 0);
-        }
-        Optional<Tenant> tenant = request.caller().key().flatMap(current::tenant);
-        if (tenant.isEmpty() && current.hasTenants() && !route.get().open()) {
-            return new Admission.Refused(ErrorKind.UNAUTHORIZED, 0);
-        }
-        long fingerprint = fingerprint(request);
-        if (suspects.suspicion(fingerprint, nowMillis()) == Suspicion.REFUSED) {
-            return new Admission.Refused(ErrorKind.SUSPECT, NOT_READY_RETRY_MILLIS);
-        }
-        long usage = 0;
-        if (tenant.isPresent()) {
-            usage = tenant.get()
-                    .usage((long) request.caller().promptTokens()
-                            + request.caller().outputTokens());
-            long waitMillis = tenants.use(tenant.get(), usage, nowMillis());
-            if (waitMillis > 0) {
-                return new Admission.Refused(ErrorKind.RATE_LIMITED, waitMillis);
-            }
-        }
-        String service = route.get().serviceFor(random.nextDouble());
-        return new Admission.Admitted(route.get(), service, tenant, usage, fingerprint);
-    }
-
-    private static String host(CallerRequest request) {
-        String host = request.head().headers().get("host", "");
-        int colon = host.lastIndexOf(':');
-        return colon > 0 && host.indexOf(']') < colon ? host.substring(0, colon) : host;
-    }
-
-    private static long fingerprint(CallerRequest request) {
-        Hasher hasher = Hashing.murmur3_128().newHasher();
-        hasher.putUnencodedChars(request.head().uri());
-        hasher.putUnencodedChars(request.caller().key().orElse(""));
-        hasher.putBytes(request.body().nioBuffer());
-        return hasher.hash().asLong();
-    }
-
-    /** Returns a demand for the first or a further run of a request. */
-    Demand demand(CallerRequest request, Admission.Admitted admitted, long answerByMillis) {
-        Route route = admitted.route();
-        int tenantRank =
-                admitted.tenant().map(tenant -> tenant.priority().orElse(0)).orElse(0);
-        int rank = tenantRank * ROUTE_RANKS + route.priority();
-        long objective = Math.max(1, route.objectiveMillis() > 0 ? route.objectiveMillis() : route.timeoutMillis());
-        Demand.Builder builder = Demand.builder(
-                        route.name() + "/" + tenantRank, rank, objective, request.receivedAtMillis())
-                .elapsedBefore(elapsedBeforeMillis(route, request))
-                .deadlineAt(answerByMillis);
-        if (request.caller().promptTokens() > 0) {
-            builder.generating(
-                    request.caller().promptTokens(), request.caller().expectedOutputTokens(), route.maxPauseMillis());
-        }
-        return builder.build();
+        return admissions.admit(request, deployment.orElseThrow(), nowMillis());
     }
 
-    /**
-     * Returns how long the caller has waited in an earlier attempt, judged by the time that it states. Callers of one
-     * route differ in their patience, so only a time that is far shorter than the longest one tells of a wait.
-     */
-    private long elapsedBeforeMillis(Route route, CallerRequest request) {
-        if (request.caller().deadlineMillis().isEmpty()) {
-            return 0;
-        }
-        long stated = request.caller().deadlineMillis().getAsLong();
-        long longest = longestDeadlines.merge(route.name(), Math.min(stated, route.timeoutMillis()), Math::max);
-        return Math.max(0, (long) (LEAST_PATIENCE_PART * longest) - stated);
+    Demands demands() {
+        return demands;
     }
 
     void offer(Demand demand, Exchange exchange, String service) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -128,11 +128,6 @@
         return log;
     }
 
-    /** Returns the counters of this process. */
-    public MetricRegistry metrics() {
-        return metrics;
-    }
-
     /** Returns the time on the clock of this process. */
     public long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(clock.elapsedNanos());
