--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.common.clock.MonotonicClock;
 import dev.wigeonward.core.cap.RetryShare;
 import dev.wigeonward.core.deployment.Deployment;
@@ -21,6 +20,7 @@
 import dev.wigeonward.core.schedule.ServiceScheduler;
 import dev.wigeonward.core.schedule.Upstream;
 import dev.wigeonward.core.suspect.SuspectTable;
+import dev.wigeonward.gateway.event.Telemetry;
 import dev.wigeonward.gateway.port.HttpDialect;
 import dev.wigeonward.gateway.upstream.UpstreamConnections;
 import io.netty.channel.EventLoop;
@@ -50,7 +50,7 @@
     private final HttpDialect dialect;
     private final PathSettings settings;
     private final UpstreamConnections connections;
-    private final MetricRegistry metrics;
+    private final Telemetry telemetry;
     private final Random random;
     private final Tenants tenants;
     private final SuspectTable suspects = SuspectTable.create();
@@ -73,14 +73,14 @@
             HttpDialect dialect,
             PathSettings settings,
             UpstreamConnections connections,
-            MetricRegistry metrics,
+            Telemetry telemetry,
             Random random) {
         this.loop = loop;
         this.clock = clock;
         this.dialect = dialect;
         this.settings = settings;
         this.connections = connections;
-        this.metrics = metrics;
+        this.telemetry = telemetry;
         this.random = random;
         this.tenants = new Tenants(settings);
         this.admissions = new Admissions(tenants, suspects, random);
@@ -93,9 +93,9 @@
             HttpDialect dialect,
             PathSettings settings,
             UpstreamConnections connections,
-            MetricRegistry metrics,
+            Telemetry telemetry,
             Random random) {
-        DirectPath path = new DirectPath(loop, clock, dialect, settings, connections, metrics, random);
+        DirectPath path = new DirectPath(loop, clock, dialect, settings, connections, telemetry, random);
         loop.scheduleAtFixedRate(
                 path::lookAfterUpstreams, COMPARE_PERIOD_MILLIS, COMPARE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         return path;
@@ -345,7 +345,17 @@
     }
 
     void count(String name) {
-        metrics.counter(name).inc();
+        telemetry.count(name);
+    }
+
+    /** Logs the end of a request with what decided it. */
+    void logEnd(String details) {
+        telemetry
+                .log()
+                .info(
+                        "request",
+                        details + " configuration="
+                                + deployment.map(Deployment::version).orElse(0L));
     }
 
     /** Returns lines that show what this process believes, for a dump. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -39,6 +39,7 @@
     private long answerByMillis;
     private int sends;
     private int connectFailures;
+    private long waitedMillis;
     private boolean mayHaveRun;
     private boolean headPassedOn;
     private boolean done;
@@ -55,7 +56,7 @@
         Admission admission = path.admit(request);
         if (admission instanceof Admission.Refused refused) {
             path.count("refused." + refused.kind().wireName());
-            finish();
+            finish("refused:" + refused.kind().wireName());
             sink.refuse(refused.kind(), refused.retryAfterMillis());
             return;
         }
@@ -76,6 +77,7 @@
     /** The scheduler chose an upstream. */
     void onPlaced(Upstream upstream) {
         sends++;
+        waitedMillis = path.nowMillis() - request.receivedAtMillis();
         Run newRun = new Run(this, path, upstream, demand, sink);
         run = Optional.of(newRun);
         path.connections().send(upstream, upstreamRequest(upstream), newRun, newRun::onChannel);
@@ -125,7 +127,7 @@
             return;
         }
         path.giveBack(admitted);
-        finish();
+        finish("refused:" + notRunKind.wireName());
         sink.refuse(notRunKind, retryAfterMillis);
     }
 
@@ -174,8 +176,8 @@
         path.offer(demand, this, admitted.service());
     }
 
-    void onAnswered() {
-        finish();
+    void onAnswered(int status) {
+        finish("answered:" + status);
         sink.end();
     }
 
@@ -188,7 +190,7 @@
         cancelRun();
         if (waits && !mayHaveRun) {
             path.giveBack(admitted);
-            finish();
+            finish("refused:" + ErrorKind.DEADLINE_UNREACHABLE.wireName());
             sink.refuse(ErrorKind.DEADLINE_UNREACHABLE, UPSTREAM_FULL_RETRY_MILLIS);
             return;
         }
@@ -197,7 +199,7 @@
 
     private void fail(ErrorKind kind) {
         path.count("failed." + kind.wireName());
-        finish();
+        finish((headPassedOn ? "broken_off:" : "failed:") + kind.wireName());
         if (headPassedOn) {
             sink.abort();
         } else {
@@ -221,7 +223,7 @@
         }
         path.count("caller_left");
         cancelRun();
-        finish();
+        finish("caller_left");
     }
 
     /** The caller reads again, or does not. */
@@ -236,16 +238,31 @@
         run.ifPresent(Run::cancel);
     }
 
-    private void finish() {
+    private void finish(String outcome) {
         if (done) {
             return;
         }
         done = true;
+        path.logEnd(details(outcome));
         timeout.ifPresent(future -> future.cancel(false));
         request.body().release();
         path.ended();
     }
 
+    private String details(String outcome) {
+        long nowMillis = path.nowMillis();
+        String attempt = request.caller().attemptId().orElse("none");
+        String common =
+                "id=" + attempt + " outcome=" + outcome + " total_ms=" + (nowMillis - request.receivedAtMillis());
+        if (admitted == null) {
+            return common;
+        }
+        String upstream = demand.upstream().map(Upstream::id).orElse("none");
+        return common + " route=" + admitted.route().name() + " service=" + admitted.service() + " upstream=" + upstream
+                + " sends=" + sends + " waited_ms=" + waitedMillis + " deadline_ms="
+                + request.caller().deadlineMillis().orElse(0);
+    }
+
     boolean done() {
         return done;
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
@@ -232,7 +232,7 @@
         if (held.isReadable()) {
             sink.content(held.copy());
         }
-        exchange.onAnswered();
+        exchange.onAnswered(head.status().code());
     }
 
     @Override
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -17,6 +17,7 @@
 import dev.wigeonward.gateway.caller.StatusServer;
 import dev.wigeonward.gateway.caller.StatusServer.Page;
 import dev.wigeonward.gateway.event.EventLog;
+import dev.wigeonward.gateway.event.Telemetry;
 import dev.wigeonward.gateway.exchange.DirectPath;
 import dev.wigeonward.gateway.peer.PeerExchange;
 import dev.wigeonward.gateway.port.HttpDialect;
@@ -56,7 +57,8 @@
         this.settings = settings;
         // Only choices between services by weight depend on it, so any seed will do.
         Random random = new Random(settings.id().hashCode());
-        path = DirectPath.create(loop, clock, dialect, settings.path(), connections, metrics, random);
+        path = DirectPath.create(
+                loop, clock, dialect, settings.path(), connections, new Telemetry(metrics, log), random);
         callers = CallerServer.create(path, dialect, this::limits);
     }
 
