--- a/verification/src/test/java/dev/wigeonward/pages/PagesTest.java
+++ b/verification/src/test/java/dev/wigeonward/pages/PagesTest.java
@@ -65,7 +65,7 @@
     /** Guards against an error kind that the guide leaves out or describes with another answer. */
     @Test
     void errorTableEqualsTheErrorKinds() {
-        List<List<String>> rows = Pages.table(Pages.page("operations.md"), "## Errors");
+        List<List<String>> rows = Pages.table(Pages.page("OPERATIONS.md"), "## Errors");
         List<List<String>> expected = Arrays.stream(ErrorKind.values())
                 .map(kind -> List.of(
                         "`" + kind.wireName() + "`",
@@ -87,7 +87,7 @@
                                 .replaceFirst("^failures\\..*", "`failures.<kind>`")
                                 .replaceFirst("^decision.*", "`$0`"))
                         .collect(Collectors.toCollection(TreeSet::new));
-        assertThat(Pages.table(Pages.page("operations.md"), "### Metrics"))
+        assertThat(Pages.table(Pages.page("OPERATIONS.md"), "### Metrics"))
                 .extracting(row -> row.get(0))
                 .filteredOn(name -> !name.startsWith("`store."))
                 .containsExactlyInAnyOrderElementsOf(names);
