--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -292,6 +292,9 @@
             store.onPeerRead(state.getReadAgeMillis());
         }
         boolean newerConfiguration = state.getConfigurationVersion() > ownVersion();
+        if (newerConfiguration) {
+            store.onNewerConfiguration();
+        }
         boolean newerView = store.ageMillis() > VIEW_OLD_MILLIS && state.getViewAgeMillis() < store.ageMillis() / 2;
         boolean changedView =
                 peerReads && state.getViewHash() != store.hash() && state.getViewAgeMillis() < store.ageMillis();
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/StoreRelay.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/StoreRelay.java
@@ -28,6 +28,9 @@
     /** A peer that goes first has read the store this long ago; this process may leave the reading to it. */
     void onPeerRead(long readAgeMillis);
 
+    /** A peer has a newer configuration in force than this process. */
+    void onNewerConfiguration();
+
     /** One item of the store. */
     record Item(String key, byte[] value, long revision) {}
 }
