--- a/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
@@ -25,6 +25,7 @@
     private long promptTokensAhead;
     private boolean answering;
     private double expectedEvents;
+    private double slownessWhenPlaced;
 
     private Demand(Builder builder) {
         kind = builder.kind;
@@ -98,10 +99,16 @@
         return expectedOutputTokens;
     }
 
-    double expectedEvents() {
+    /** Returns how many events the answer was expected to have when the request was last considered. */
+    public double expectedEvents() {
         return expectedEvents;
     }
 
+    /** Returns how many times as long as a usual upstream the chosen one was believed to take; 0 before a choice. */
+    public double slownessWhenPlaced() {
+        return slownessWhenPlaced;
+    }
+
     void expectEvents(double events) {
         expectedEvents = events;
     }
@@ -134,10 +141,11 @@
         return answering;
     }
 
-    void placeOn(UpstreamLoad load, long tokensAhead, long nowMillis) {
+    void placeOn(UpstreamLoad load, double slowness, long nowMillis) {
         placedOn = Optional.of(load);
         placedAtMillis = nowMillis;
-        promptTokensAhead = tokensAhead;
+        promptTokensAhead = load.unreadPromptTokens();
+        slownessWhenPlaced = slowness;
         answering = false;
     }
 
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -76,6 +76,32 @@
         });
     }
 
+    /** Takes over what other entries have learned, as far as it is newer than what this one has learned. */
+    public void adopt(Collection<LearnedUnit> units, long nowMillis) {
+        Map<String, LearnedUnit> byLifetime = new HashMap<>();
+        units.forEach(unit -> byLifetime.put(unit.lifetime(), unit));
+        for (UpstreamLoad load : upstreams.values()) {
+            LearnedUnit unit = byLifetime.get(load.upstream().lifetime());
+            if (unit != null) {
+                load.adoptUnit(unit.unitMillis(), nowMillis - unit.ageMillis());
+            }
+        }
+    }
+
+    /** Returns all that is known of the speed of the upstreams. */
+    public List<LearnedUnit> learned(long nowMillis) {
+        return upstreams.values().stream()
+                .flatMap(load -> load.learned(nowMillis).stream())
+                .toList();
+    }
+
+    /** Returns what has changed notably since the last call, so that reports stay small. */
+    public List<LearnedUnit> learnedSinceTold(long nowMillis) {
+        return upstreams.values().stream()
+                .flatMap(load -> load.learnedSinceTold(nowMillis).stream())
+                .toList();
+    }
+
     /** Adds a request; the next {@link #decide} says what becomes of it. */
     public void offer(Demand demand) {
         Preconditions.checkArgument(demand.objectiveMillis() > 0, "objective of %s is not positive", demand.kind());
@@ -131,7 +157,7 @@
     }
 
     private void place(Demand demand, UpstreamLoad load, List<Decision> decisions, long nowMillis) {
-        demand.placeOn(load, load.unreadPromptTokens(), nowMillis);
+        demand.placeOn(load, pace.slowness(load), nowMillis);
         load.add(demand);
         waiting.onOutcome(demand, true);
         fadeRate(nowMillis);
@@ -282,8 +308,8 @@
     }
 
     /** Several events of a stream came; learns from the mean pause between them. */
-    public void onPauses(Demand demand, double meanPauseMillis) {
-        placedLoad(demand).learnUnit(meanPauseMillis);
+    public void onPauses(Demand demand, double meanPauseMillis, long nowMillis) {
+        placedLoad(demand).learnUnit(meanPauseMillis, nowMillis);
     }
 
     /** A stream ended after this many events; learns how long answers are. */
@@ -300,7 +326,7 @@
                 load.onOutput(nowMillis);
                 load.onSuccess();
                 if (!demand.generates()) {
-                    load.learnUnit(Math.max(1, nowMillis - demand.placedAtMillis()));
+                    load.learnUnit(Math.max(1, nowMillis - demand.placedAtMillis()), nowMillis);
                 }
             }
             case FAILED -> load.onFailure();
@@ -348,18 +374,7 @@
     /** Returns one line for each upstream: load, slowness and failures, for a dump. */
     public List<String> describe(long nowMillis) {
         return upstreams.values().stream()
-                .map(load -> "%s %s zone=%s version=%s running=%d outstanding=%d slots=%d slowness=%.2f failures=%.2f%s"
-                        .formatted(
-                                load.upstream().id(),
-                                load.upstream().address(),
-                                load.upstream().zone(),
-                                load.upstream().version(),
-                                load.running().size(),
-                                load.outstanding(),
-                                load.upstream().slots(),
-                                pace.slowness(load),
-                                load.failureRatio(),
-                                load.upstream().draining() ? " draining" : load.paused(nowMillis) ? " paused" : ""))
+                .map(load -> load.line(pace.slowness(load), nowMillis))
                 .sorted()
                 .toList();
     }
--- a/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
@@ -38,6 +38,11 @@
         return 31 * hash + bornMillis.orElse(0L);
     }
 
+    /** Returns a name that differs between lifetimes, also where a restart keeps the identifier. */
+    public String lifetime() {
+        return id + "/" + bornMillis.map(String::valueOf).orElse("");
+    }
+
     /** Returns whether the other entry describes the same lifetime at the same address. */
     public boolean sameLifetime(Upstream other) {
         return id.equals(other.id) && address.equals(other.address) && bornMillis.equals(other.bornMillis);
--- a/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
@@ -1,6 +1,7 @@
 package dev.wigeonward.core.schedule;
 
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 
@@ -11,6 +12,9 @@
     /** Largest factor by which one observation differs from the belief; bounds the effect of one odd answer. */
     private static final double LARGEST_STEP = 4.0;
 
+    /** Change of a learned time that is worth telling to other entries. */
+    private static final double TOLD_CHANGE = 0.15;
+
     /** Share of one outcome in the learned failure ratio. */
     private static final double FAILURE_SHARE = 0.1;
 
@@ -19,6 +23,8 @@
     private int peerRunning;
     private long peerPromptTokens;
     private OptionalDouble unitMillis = OptionalDouble.empty();
+    private OptionalDouble toldUnitMillis = OptionalDouble.empty();
+    private long unitLearnedAtMillis = Long.MIN_VALUE;
     private double failureRatio;
     private boolean suspended;
     private long pausedUntilMillis = Long.MIN_VALUE;
@@ -74,7 +80,8 @@
         return unitMillis;
     }
 
-    void learnUnit(double observedMillis) {
+    void learnUnit(double observedMillis, long nowMillis) {
+        unitLearnedAtMillis = nowMillis;
         if (unitMillis.isEmpty()) {
             unitMillis = OptionalDouble.of(observedMillis);
             return;
@@ -84,6 +91,36 @@
         unitMillis = OptionalDouble.of(known + LEARNING_SHARE * (bounded - known));
     }
 
+    /** Takes over what another entry learned, unless this one has learned since. */
+    void adoptUnit(double learnedMillis, long learnedAtMillis) {
+        if (learnedAtMillis > unitLearnedAtMillis) {
+            unitLearnedAtMillis = learnedAtMillis;
+            unitMillis = OptionalDouble.of(learnedMillis);
+            toldUnitMillis = unitMillis;
+        }
+    }
+
+    /** Returns the learned time of a unit if it is known. */
+    Optional<LearnedUnit> learned(long nowMillis) {
+        return unitMillis.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new LearnedUnit(
+                        upstream.lifetime(), unitMillis.getAsDouble(), nowMillis - unitLearnedAtMillis));
+    }
+
+    /** Returns the learned time of a unit if it differs from what was last told; it then counts as told. */
+    Optional<LearnedUnit> learnedSinceTold(long nowMillis) {
+        boolean told = toldUnitMillis.isPresent()
+                && unitMillis.isPresent()
+                && Math.abs(unitMillis.getAsDouble() - toldUnitMillis.getAsDouble())
+                        <= TOLD_CHANGE * toldUnitMillis.getAsDouble();
+        if (told) {
+            return Optional.empty();
+        }
+        toldUnitMillis = unitMillis;
+        return learned(nowMillis);
+    }
+
     double failureRatio() {
         return failureRatio;
     }
@@ -117,6 +154,26 @@
         return suspended;
     }
 
+    /** Returns a line for a dump. */
+    String line(double slowness, long nowMillis) {
+        return "%s %s zone=%s version=%s running=%d outstanding=%d slots=%d slowness=%.2f%s failures=%.2f%s"
+                .formatted(
+                        upstream.id(),
+                        upstream.address(),
+                        upstream.zone(),
+                        upstream.version(),
+                        running.size(),
+                        outstanding(),
+                        upstream.slots(),
+                        slowness,
+                        learned(nowMillis)
+                                .map(unit -> " unit_ms=%.1f learned_ms_ago=%d"
+                                        .formatted(unit.unitMillis(), unit.ageMillis()))
+                                .orElse(""),
+                        failureRatio,
+                        upstream.draining() ? " draining" : paused(nowMillis) ? " paused" : "");
+    }
+
     void pauseBriefly(long millis, long nowMillis) {
         pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + millis);
     }
--- a/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
@@ -152,7 +152,7 @@
             for (Demand demand : pair) {
                 boolean fast = demand.upstream().orElseThrow().id().equals("fast");
                 scheduler.onFirstEvent(demand, now + (fast ? 20 : 100));
-                scheduler.onPauses(demand, fast ? 15 : 75);
+                scheduler.onPauses(demand, fast ? 15 : 75, now);
                 if (round < 29 || fast) {
                     scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + 500);
                 }
@@ -280,4 +280,57 @@
         // Capacity is half of the urgent demand alone, so a fair share is a fifth of the capacity of 1,000.
         assertThat(lowServed).isGreaterThan(500 / 10);
     }
+
+    private void answerCall(String id, long millis) {
+        Demand demand = call("k", 0);
+        upstreamsOtherThan(id).forEach(demand::avoid);
+        offer(demand);
+        scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + millis);
+    }
+
+    private static List<String> upstreamsOtherThan(String id) {
+        return List.of("fast", "slowly").stream()
+                .filter(other -> !other.equals(id))
+                .toList();
+    }
+
+    /** Guards against an entry that has just started and sends long requests to upstreams that others know as slow. */
+    @Test
+    void speedThatAnotherEntryLearnedCounts() {
+        list("fast", "slowly");
+        scheduler.adopt(List.of(new LearnedUnit("slowly/", 60, 100), new LearnedUnit("fast/", 10, 100)), now);
+        scheduler.compareUpstreams();
+
+        assertThat(placedOn(offer(call("k", 0), call("k", 0)))).containsExactly("fast", "fast");
+    }
+
+    /** Guards against reports that undo what this entry has observed since. */
+    @Test
+    void ownLaterObservationCountsMore() {
+        list("fast", "slowly");
+        answerCall("fast", 10);
+        answerCall("slowly", 60);
+        scheduler.adopt(List.of(new LearnedUnit("slowly/", 5, 100), new LearnedUnit("fast/", 90, 100)), now);
+        scheduler.compareUpstreams();
+
+        assertThat(placedOn(offer(call("k", 0)))).containsExactly("fast");
+    }
+
+    /** Guards against reports of all upstreams many times a second, and against two entries that echo each other. */
+    @Test
+    void onlyNotableChangesAreTold() {
+        list("fast", "slowly");
+        answerCall("fast", 20);
+        assertThat(scheduler.learnedSinceTold(now))
+                .extracting(LearnedUnit::lifetime)
+                .containsExactly("fast/");
+        answerCall("fast", 21);
+        assertThat(scheduler.learnedSinceTold(now)).isEmpty();
+        scheduler.adopt(List.of(new LearnedUnit("slowly/", 60, 0)), now);
+        assertThat(scheduler.learnedSinceTold(now)).isEmpty();
+        answerCall("fast", 80);
+        assertThat(scheduler.learnedSinceTold(now))
+                .extracting(LearnedUnit::lifetime)
+                .containsExactly("fast/");
+    }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -17,9 +17,12 @@
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.schedule.Decision;
 import dev.wigeonward.core.schedule.Demand;
+import dev.wigeonward.core.schedule.LearnedUnit;
 import dev.wigeonward.core.schedule.ServiceScheduler;
 import dev.wigeonward.core.schedule.Upstream;
+import dev.wigeonward.core.suspect.SuspectFact;
 import dev.wigeonward.core.suspect.SuspectTable;
+import dev.wigeonward.core.suspect.Suspicion;
 import dev.wigeonward.gateway.event.Telemetry;
 import dev.wigeonward.gateway.port.HttpDialect;
 import dev.wigeonward.gateway.upstream.UpstreamConnections;
@@ -54,6 +57,7 @@
     private final Random random;
     private final Tenants tenants;
     private final SuspectTable suspects = SuspectTable.create();
+    private SuspectPublisher publisher;
     private final Admissions admissions;
     private final Demands demands = new Demands();
     private final Map<String, ServiceScheduler> schedulers = new HashMap<>();
@@ -84,6 +88,7 @@
         this.random = random;
         this.tenants = new Tenants(settings);
         this.admissions = new Admissions(tenants, suspects, random);
+        this.publisher = suspects::onUpstreamDied;
     }
 
     /** Returns a path without configuration, which refuses all requests until it gets one. */
@@ -199,6 +204,35 @@
         return tenants.usages(nowMillis());
     }
 
+    /** Returns all that this entry knows of the speed of upstreams. */
+    public List<LearnedUnit> learned() {
+        List<LearnedUnit> units = new ArrayList<>();
+        schedulers.values().forEach(scheduler -> units.addAll(scheduler.learned(nowMillis())));
+        return units;
+    }
+
+    /** Returns what has changed notably since the last call. */
+    public List<LearnedUnit> learnedSinceTold() {
+        List<LearnedUnit> units = new ArrayList<>();
+        schedulers.values().forEach(scheduler -> units.addAll(scheduler.learnedSinceTold(nowMillis())));
+        return units;
+    }
+
+    /** Takes over what other entries have learned of the speed of upstreams. */
+    public void adopt(List<LearnedUnit> units) {
+        schedulers.values().forEach(scheduler -> scheduler.adopt(units, nowMillis()));
+    }
+
+    /** Returns the requests that were running when upstreams died, for the exchange with peers. */
+    public SuspectTable suspects() {
+        return suspects;
+    }
+
+    /** Tells of each death of an upstream from now on, in place of recording it here alone. */
+    public void publishSuspects(SuspectPublisher newPublisher) {
+        publisher = newPublisher;
+    }
+
     /** Refuses all requests from now on, because this process is about to end; those that run go on. */
     public void refuseNew() {
         refusesNew = true;
@@ -303,7 +337,7 @@
                 () -> connections.probe(upstream, accepts -> {
                     if (!accepts) {
                         scheduler(upstream.service()).suspend(upstream.id());
-                        suspects.onUpstreamDied(fingerprint, upstream.id() + "@" + nowMillis(), nowMillis());
+                        publisher.publish(fingerprint, upstream.lifetime(), nowMillis());
                         count("upstream.crash_suspected");
                     }
                 }),
@@ -340,10 +374,6 @@
         return connections;
     }
 
-    SuspectTable suspects() {
-        return suspects;
-    }
-
     void count(String name) {
         telemetry.count(name);
     }
@@ -364,6 +394,12 @@
         lines.add("configuration_version "
                 + deployment.map(current -> String.valueOf(current.version())).orElse("none"));
         lines.add("running " + running);
+        lines.add("entries " + entries);
+        List<SuspectFact> facts = suspects.facts(nowMillis());
+        long refused = facts.stream()
+                .filter(fact -> suspects.suspicion(fact.fingerprint(), nowMillis()) == Suspicion.REFUSED)
+                .count();
+        lines.add("suspects " + facts.size() + " refused " + refused);
         schedulers.forEach((service, scheduler) -> {
             lines.add("service " + service + " waiting=" + scheduler.waitingCount());
             scheduler.describe(nowMillis()).forEach(line -> lines.add("upstream " + line));
@@ -372,6 +408,12 @@
         return lines;
     }
 
+    /** Records that an upstream died while a request ran there. */
+    public interface SuspectPublisher {
+        /** Records the death of one lifetime of an upstream. */
+        void publish(long fingerprint, String upstreamLifetime, long nowMillis);
+    }
+
     /** What peers have at one upstream, summed over them. */
     public record PeerLoad(String upstreamId, int requests, long tokens) {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -29,6 +29,8 @@
     /** Time after which a caller may come back when one upstream refused the request. */
     private static final long UPSTREAM_FULL_RETRY_MILLIS = 50;
 
+    private static final int PERCENT = 100;
+
     private final DirectPath path;
     private final CallerRequest request;
     private final AnswerSink sink;
@@ -38,6 +40,7 @@
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private long answerByMillis;
     private int sends;
+    private int events;
     private int connectFailures;
     private long waitedMillis;
     private boolean mayHaveRun;
@@ -216,6 +219,11 @@
         return headPassedOn;
     }
 
+    /** Some events of the answer were read. */
+    void onEvents() {
+        events++;
+    }
+
     /** The caller left; nothing is answered any more. */
     public void callerLeft() {
         if (done) {
@@ -260,7 +268,9 @@
         String upstream = demand.upstream().map(Upstream::id).orElse("none");
         return common + " route=" + admitted.route().name() + " service=" + admitted.service() + " upstream=" + upstream
                 + " sends=" + sends + " waited_ms=" + waitedMillis + " deadline_ms="
-                + request.caller().deadlineMillis().orElse(0);
+                + request.caller().deadlineMillis().orElse(0) + " events=" + events + " expected_events="
+                + Math.round(demand.expectedEvents()) + " slowness_percent="
+                + Math.round(PERCENT * demand.slownessWhenPlaced());
     }
 
     boolean done() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
@@ -181,6 +181,7 @@
     private void observe() {
         long nowMillis = path.nowMillis();
         events++;
+        exchange.onEvents();
         if (events == 1) {
             exchange.scheduler().onFirstEvent(demand, nowMillis);
             observedAtMillis = nowMillis;
@@ -188,7 +189,8 @@
         }
         exchange.scheduler().onOutput(demand, nowMillis);
         if (events % EVENTS_PER_OBSERVATION == 1) {
-            exchange.scheduler().onPauses(demand, Math.max(1.0, nowMillis - observedAtMillis) / EVENTS_PER_OBSERVATION);
+            exchange.scheduler()
+                    .onPauses(demand, Math.max(1.0, nowMillis - observedAtMillis) / EVENTS_PER_OBSERVATION, nowMillis);
             observedAtMillis = nowMillis;
         }
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -11,6 +11,9 @@
 import java.util.function.LongSupplier;
 
 import com.google.protobuf.ByteString;
+import dev.wigeonward.core.rollout.StageView;
+import dev.wigeonward.core.schedule.LearnedUnit;
+import dev.wigeonward.exchange.FactExchange;
 import dev.wigeonward.gateway.event.EventLog;
 import dev.wigeonward.gateway.exchange.DirectPath;
 import dev.wigeonward.gateway.exchange.Tenants;
@@ -63,6 +66,7 @@
     private final LinkTransport transport;
     private final Set<String> seeds;
     private final Map<Long, Link> links = new HashMap<>();
+    private final FactExchange facts;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> heardAtMillis = new HashMap<>();
     private final Set<String> connecting = new HashSet<>();
@@ -90,6 +94,9 @@
         this.nowMillis = nowMillis;
         this.seeds = new HashSet<>(seeds);
         this.seeds.remove(ownAddress);
+        FactLinks factLinks = new FactLinks(links, log);
+        this.facts = new FactExchange(path.suspects(), new StageView(), factLinks, factLinks);
+        path.publishSuspects(facts::publishSuspect);
         transport = LinkTransport.onLoop(
                 LINKS,
                 this,
@@ -151,7 +158,7 @@
             sentFullAtMillis = now;
             sentVersion = ownVersion();
             sentLoads = ownLoads();
-            send(fullState());
+            send(fullState(path.learnedSinceTold()));
         } else if (now - sentAtMillis >= period(PARTIAL_PERIOD_MILLIS)) {
             sendChangedLoads();
         }
@@ -216,7 +223,7 @@
         return path.deployment().map(current -> current.version()).orElse(0L);
     }
 
-    private PeerState fullState() {
+    private PeerState fullState(List<LearnedUnit> units) {
         PeerState.Builder state = PeerState.newBuilder()
                 .setAddress(ownAddress)
                 .setConfigurationVersion(ownVersion())
@@ -235,6 +242,7 @@
                         .setTenant(tenant)
                         .setUsedTotal((long) usage.total())
                         .setLevel((long) usage.level())));
+        units.forEach(unit -> state.addUnits(LearnedUnits.message(unit)));
         return state.build();
     }
 
@@ -242,7 +250,8 @@
     public void onUp(Link link) {
         links.put(link.number(), link);
         connecting.remove(link.remoteName());
-        link.send(Frame.newBuilder().setPeerState(fullState()).build());
+        link.send(Frame.newBuilder().setPeerState(fullState(path.learned())).build());
+        facts.onLinkUp(FactLinks.name(link), nowMillis.getAsLong());
     }
 
     @Override
@@ -253,6 +262,8 @@
             sendView(link);
         } else if (frame.hasPeerView()) {
             onView(frame.getPeerView());
+        } else {
+            facts.onFrame(FactLinks.name(link), frame, nowMillis.getAsLong());
         }
     }
 
@@ -285,6 +296,7 @@
         state.getDemandsList()
                 .forEach(demand ->
                         usages.put(demand.getTenant(), new Tenants.Usage(demand.getUsedTotal(), demand.getLevel())));
+        path.adopt(LearnedUnits.units(state.getUnitsList()));
         path.peerUsage(state.getAddress(), state.getIncarnation(), usages);
         boolean peerReads = state.getAddress().compareTo(ownAddress) < 0;
         store.onPeerView(state.getViewHash(), state.getViewAgeMillis());
