Answer ambiguous framing and a header of a megabyte in the entry, and close the connection

Cause: ServiceTalk's decoder removes a length beside a transfer coding before the service sees the request, and ends the connection for two unlike lengths or a long field.

Ambiguous framing gets 400 and the connection ends, so nothing behind it is served.

refusesBodyWithTwoLengths and refusesHeaderOfAMegabyte fail without the headers (tried), and pass with them.

--- a/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
@@ -47,17 +47,11 @@
 import dev.wigeonward.wire.generated.Hello;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpServerContext;
-import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
 
 /** An entry with all its adapters. */
 public final class EntryProcess {
     private static final Logger LOG = System.getLogger(EntryProcess.class.getName());
-    /** Fixed when the server starts; the limits of the rules are below them. */
-    private static final int MAX_START_LINE_BYTES = 8_192;
-
-    private static final int MAX_HEADER_FIELD_BYTES = 64 * 1_024;
-
     private final EntrySettings settings;
     private final EntryRuntime runtime;
     private final EntryMetrics metrics;
@@ -141,10 +135,7 @@
                 () -> RequestId.of(settings.id(), incarnation, sequence.incrementAndGet()),
                 clock);
         return HttpServers.forAddress(settings.callersAddress())
-                .protocols(HttpProtocolConfigs.h1()
-                        .maxStartLineLength(MAX_START_LINE_BYTES)
-                        .maxHeaderFieldLength(MAX_HEADER_FIELD_BYTES)
-                        .build())
+                .protocols(CallerService.protocol())
                 .appendEarlyConnectionAcceptor(new ConnectionLimit(settings.maxConnections()))
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .listenStreamingAndAwait(service);
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -20,12 +21,14 @@
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpHeaders;
+import io.servicetalk.http.api.HttpProtocolConfig;
 import io.servicetalk.http.api.HttpResponseStatus;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import io.servicetalk.http.api.StreamingHttpService;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
 
 /** Takes callers' requests, hands them to the decision thread and returns the answers. */
 public final class CallerService implements StreamingHttpService {
@@ -38,6 +41,9 @@
 
     private static final Duration TIME_TO_READ_ANSWER = Duration.ofSeconds(1);
 
+    /** Fixed when the server starts. */
+    private static final int MAX_START_LINE_BYTES = 8_192;
+
     private final RequestClassifier classifier;
     private final RequestSink sink;
     private final ModelsPage models;
@@ -63,6 +69,11 @@
     @Override
     public Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
+        Optional<Failure> framing = FramingHeaders.problem(request.headers());
+        if (framing.isPresent()) {
+            // What follows on the connection may be a part of this request, so nothing of it is read.
+            return Single.succeeded(last(context, error(context, responses, framing.get())));
+        }
         if (headersBytes(request.headers()) > limits.get().headersBytes()) {
             Failure failure = Failure.of(
                     ErrorKind.HEADERS_TOO_LARGE,
@@ -92,11 +103,24 @@
     private StreamingHttpResponse bodyTimeout(HttpServiceContext context, StreamingHttpResponseFactory responses) {
         Failure failure = Failure.of(
                 ErrorKind.BODY_TIMEOUT, "the body did not arrive within %d s".formatted(BODY_TIME_LIMIT.toSeconds()));
-        return error(context, responses, failure)
-                .setHeader("connection", "close")
+        return last(context, error(context, responses, failure));
+    }
+
+    /** Returns the answer with which the connection ends. */
+    private static StreamingHttpResponse last(HttpServiceContext context, StreamingHttpResponse answer) {
+        return answer.setHeader("connection", "close")
                 .transformPayloadBody(body -> body.afterFinally(() -> closeLater(context)));
     }
 
+    /** Returns the protocol under which this service is served; its headers remember what the decoder would hide. */
+    public static HttpProtocolConfig protocol() {
+        return HttpProtocolConfigs.h1()
+                .maxStartLineLength(MAX_START_LINE_BYTES)
+                .maxHeaderFieldLength(FramingHeaders.MAX_FIELD_BYTES)
+                .headersFactory(FramingHeaders.factory())
+                .build();
+    }
+
     /** An immediate close would reset the connection before the answer has left. */
     private static void closeLater(HttpServiceContext context) {
         context.executionContext()
--- a/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
@@ -58,6 +58,7 @@
                 () -> new RequestId("r"),
                 Clock.systemUTC());
         server = HttpServers.forAddress(new InetSocketAddress("127.0.0.1", 0))
+                .protocols(CallerService.protocol())
                 .appendEarlyConnectionAcceptor(new ConnectionLimit(2))
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .listenStreamingAndAwait(service);
@@ -112,6 +113,38 @@
                 .contains("431", "\"headers_too_large\"", "\"not_run\"");
     }
 
+    private String raw(String bytes) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().flush();
+            return read(socket);
+        }
+    }
+
+    /** Guards against a second request that is hidden in the body of the first one. */
+    @Test
+    void refusesBodyWithTwoLengths() throws IOException {
+        String head = "POST /v1/chat/completions HTTP/1.1\r\nhost: test\r\nauthorization: Bearer kopsu-demo-rescue\r\n";
+        String hidden = "GET /v1/models HTTP/1.1\r\nhost: test\r\n\r\n";
+
+        assertThat(List.of(
+                        raw(head + "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n" + hidden),
+                        raw(head + "transfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n0\r\n\r\n" + hidden),
+                        raw(head + "content-length: 5\r\ncontent-length: 6\r\n\r\nhello" + hidden)))
+                .allSatisfy(reply -> assertThat(reply)
+                        .startsWith("HTTP/1.1 400")
+                        .containsOnlyOnce("HTTP/1.1")
+                        .contains("\"malformed_request\"", "connection: close"));
+    }
+
+    /** Guards against a header that ends the connection without a word. */
+    @Test
+    void refusesHeaderOfAMegabyte() throws IOException {
+        assertThat(raw("GET /v1/models HTTP/1.1\r\nhost: test\r\nx: " + "a".repeat(1_000_000) + "\r\n\r\n"))
+                .startsWith("HTTP/1.1 431")
+                .contains("\"headers_too_large\"");
+    }
+
     /** Guards against a caller that announces a body and never sends it. */
     @Test
     void refusesBodyThatStalls() throws IOException {
