Carry out operators' rollouts on the platform

Orders under op/rollout/ were not read; traffic went to all versions alike, so a bad version would have got its full share.

Core: TrafficShift decides the share of one service's new version from the evidence of all entries (5% for half of the time up to the deadline, then half, then all, then the end once old upstreams are idle); ShiftChoice bounds which versions may serve a request. Verdict, stages, evidence and share limit are those that moves of the product have. Each entry judges on its own, so that a bad version is taken back without a controller; a share that is not renewed for 1.5 s counts as none. The holder of a lease in the store decides and writes status/rollout/, on condition that it still holds the lease.

--- a/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import dev.wigeonward.core.rollout.VersionBound;
+
 /**
  * One request that waits for an upstream or runs on one. The scheduler that it was offered to owns the mutable part.
  * Not thread-safe.
@@ -19,6 +21,7 @@
     private final long elapsedBeforeMillis;
     private final long deadlineAtMillis;
     private final double expectedOutputTokens;
+    private final VersionBound versions;
     private final Set<String> avoided = new HashSet<>();
     private Optional<UpstreamLoad> placedOn = Optional.empty();
     private long placedAtMillis;
@@ -26,6 +29,7 @@
     private boolean answering;
     private double expectedEvents;
     private double slownessWhenPlaced;
+    private double usualMillis;
 
     private Demand(Builder builder) {
         kind = builder.kind;
@@ -38,6 +42,7 @@
         elapsedBeforeMillis = builder.elapsedBeforeMillis;
         deadlineAtMillis = builder.deadlineAtMillis;
         expectedOutputTokens = builder.expectedOutputTokens;
+        versions = builder.versions;
     }
 
     /**
@@ -141,11 +146,22 @@
         return answering;
     }
 
-    void placeOn(UpstreamLoad load, double slowness, long nowMillis) {
+    /** Returns the time in which a usual upstream would send the first event or answer the call; 0 before a choice. */
+    public double usualMillis() {
+        return usualMillis;
+    }
+
+    /** Returns which versions may serve the request. */
+    VersionBound versions() {
+        return versions;
+    }
+
+    void placeOn(UpstreamLoad load, double slowness, double usual, long nowMillis) {
         placedOn = Optional.of(load);
         placedAtMillis = nowMillis;
         promptTokensAhead = load.unreadPromptTokens();
         slownessWhenPlaced = slowness;
+        usualMillis = usual;
         answering = false;
     }
 
@@ -165,6 +181,7 @@
         private long elapsedBeforeMillis;
         private long deadlineAtMillis = Long.MAX_VALUE;
         private double expectedOutputTokens;
+        private VersionBound versions = VersionBound.NONE;
 
         private Builder(String kind, int rank, long objectiveMillis, long arrivedAtMillis) {
             this.kind = kind;
@@ -192,6 +209,12 @@
             return this;
         }
 
+        /** States which versions may serve the request. */
+        public Builder versions(VersionBound bound) {
+            versions = bound;
+            return this;
+        }
+
         /** States when a complete answer is of use at the latest. */
         public Builder deadlineAt(long millis) {
             deadlineAtMillis = millis;
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -157,7 +157,10 @@
     }
 
     private void place(Demand demand, UpstreamLoad load, List<Decision> decisions, long nowMillis) {
-        demand.placeOn(load, pace.slowness(load), nowMillis);
+        double usualMillis = demand.generates()
+                ? pace.firstEventMillis(load.unreadPromptTokens() + demand.promptTokens())
+                : pace.unitMillis();
+        demand.placeOn(load, pace.slowness(load), usualMillis, nowMillis);
         load.add(demand);
         waiting.onOutcome(demand, true);
         fadeRate(nowMillis);
@@ -188,8 +191,9 @@
         boolean anyUnpaused = false;
         boolean reserved = freePart(nowMillis) <= RESERVED_PART * waiting.shareBefore(demand);
         double usualFailures = usualFailures();
+        boolean anySuits = anySuits(demand);
         for (UpstreamLoad load : upstreams.values()) {
-            if (load.upstream().draining() || demand.avoids(load.upstream().id())) {
+            if (!mayServe(demand, load, anySuits)) {
                 continue;
             }
             boolean paused = load.paused(nowMillis) || silent(load, nowMillis);
@@ -209,6 +213,28 @@
         return Optional.ofNullable(best);
     }
 
+    private boolean anySuits(Demand demand) {
+        return upstreams.values().stream()
+                .map(UpstreamLoad::upstream)
+                .anyMatch(upstream -> !upstream.draining() && demand.versions().suits(upstream.version()));
+    }
+
+    private static boolean mayServe(Demand demand, UpstreamLoad load, boolean anySuits) {
+        Upstream upstream = load.upstream();
+        boolean rightVersion = anySuits
+                ? demand.versions().suits(upstream.version())
+                : demand.versions().allows(upstream.version());
+        return rightVersion && !upstream.draining() && !demand.avoids(upstream.id());
+    }
+
+    /** Returns how many requests of all entries are at upstreams of other versions. */
+    public int outstandingAtOthers(String version) {
+        return upstreams.values().stream()
+                .filter(load -> !load.upstream().version().equals(version))
+                .mapToInt(UpstreamLoad::outstanding)
+                .sum();
+    }
+
     private double freePart(long nowMillis) {
         double places = 0;
         double free = 0;
@@ -232,9 +258,9 @@
     /** A service whose upstreams all look bad is still tried: the belief may be wrong, and nothing else can show it. */
     private Optional<UpstreamLoad> leastPaused(Demand demand) {
         UpstreamLoad best = null;
+        boolean anySuits = anySuits(demand);
         for (UpstreamLoad load : upstreams.values()) {
-            if (load.upstream().draining()
-                    || demand.avoids(load.upstream().id())
+            if (!mayServe(demand, load, anySuits)
                     || load.outstanding() >= load.upstream().slots()) {
                 continue;
             }
--- a/exchange/src/main/java/dev/wigeonward/exchange/EvidenceFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/EvidenceFrames.java
@@ -31,7 +31,8 @@
     }
 
     /** Returns the controller's event in an agent's counter, or empty if the counter is malformed. */
-    public static Optional<ControllerEvent> event(String upstreamId, long incarnation, Evidence evidence) {
+    public static Optional<ControllerEvent.EvidenceReported> event(
+            String upstreamId, long incarnation, Evidence evidence) {
         try {
             long[] times =
                     evidence.getTimesList().stream().mapToLong(Long::longValue).toArray();
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Demands.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Demands.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import dev.wigeonward.core.deployment.Route;
+import dev.wigeonward.core.rollout.VersionBound;
 import dev.wigeonward.core.schedule.Demand;
 
 /** Turns admitted requests into what the schedulers compare. Runs on the event loop. */
@@ -16,7 +17,7 @@
     private final Map<String, Long> longestDeadlines = new HashMap<>();
 
     /** Returns a demand for the first or a further run of a request. */
-    Demand of(CallerRequest request, Admission.Admitted admitted, long answerByMillis) {
+    Demand of(CallerRequest request, Admission.Admitted admitted, long answerByMillis, VersionBound versions) {
         Route route = admitted.route();
         int tenantRank =
                 admitted.tenant().map(tenant -> tenant.priority().orElse(0)).orElse(0);
@@ -25,7 +26,8 @@
         Demand.Builder builder = Demand.builder(
                         route.name() + "/" + tenantRank, rank, objective, request.receivedAtMillis())
                 .elapsedBefore(elapsedBeforeMillis(route, request))
-                .deadlineAt(answerByMillis);
+                .deadlineAt(answerByMillis)
+                .versions(versions);
         if (request.caller().promptTokens() > 0) {
             builder.generating(
                     request.caller().promptTokens(), request.caller().expectedOutputTokens(), route.maxPauseMillis());
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -15,6 +15,7 @@
 import dev.wigeonward.core.cap.RetryShare;
 import dev.wigeonward.core.deployment.Deployment;
 import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.rollout.VersionBound;
 import dev.wigeonward.core.schedule.Decision;
 import dev.wigeonward.core.schedule.Demand;
 import dev.wigeonward.core.schedule.LearnedUnit;
@@ -60,6 +61,7 @@
     private SuspectPublisher publisher;
     private final Admissions admissions;
     private final Demands demands = new Demands();
+    private final Versions versions = new Versions();
     private final Map<String, ServiceScheduler> schedulers = new HashMap<>();
     private final Map<String, RetryShare> retries = new HashMap<>();
     private final Map<Demand, Exchange> waiting = new HashMap<>();
@@ -223,6 +225,16 @@
         schedulers.values().forEach(scheduler -> scheduler.adopt(units, nowMillis()));
     }
 
+    /** Returns what is known of shifts of traffic between versions. */
+    public Versions versions() {
+        return versions;
+    }
+
+    /** Returns how many requests of all entries are at a service's upstreams of other versions. */
+    public int outstandingAtOthers(String service, String version) {
+        return scheduler(service).outstandingAtOthers(version);
+    }
+
     /** Returns the requests that were running when upstreams died, for the exchange with peers. */
     public SuspectTable suspects() {
         return suspects;
@@ -269,8 +281,10 @@
         return admissions.admit(request, deployment.orElseThrow(), nowMillis());
     }
 
-    Demands demands() {
-        return demands;
+    /** Returns a demand for the first or a further run of a request. */
+    Demand demand(CallerRequest request, Admission.Admitted admitted, long answerByMillis) {
+        VersionBound bound = versions.bound(admitted.service(), admitted.route().name(), nowMillis());
+        return demands.of(request, admitted, answerByMillis, bound);
     }
 
     void offer(Demand demand, Exchange exchange, String service) {
@@ -404,6 +418,7 @@
             lines.add("service " + service + " waiting=" + scheduler.waitingCount());
             scheduler.describe(nowMillis()).forEach(line -> lines.add("upstream " + line));
         });
+        lines.addAll(versions.describe(nowMillis()));
         tenants.describe(nowMillis()).forEach(line -> lines.add("tenant " + line));
         return lines;
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -73,7 +73,7 @@
         }
         answerByMillis = request.receivedAtMillis() + waitMillis;
         timeout = Optional.of(path.loop().schedule(this::onTimeout, waitMillis, TimeUnit.MILLISECONDS));
-        demand = path.demands().of(request, admitted, answerByMillis);
+        demand = path.demand(request, admitted, answerByMillis);
         path.offer(demand, this, admitted.service());
     }
 
@@ -173,7 +173,7 @@
     }
 
     private void offerAgain() {
-        Demand next = path.demands().of(request, admitted, answerByMillis);
+        Demand next = path.demand(request, admitted, answerByMillis);
         demand.upstream().ifPresent(upstream -> next.avoid(upstream.id()));
         demand = next;
         path.offer(demand, this, admitted.service());
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import dev.wigeonward.core.deployment.RouteKind;
+import dev.wigeonward.core.rollout.EvidenceRecorder;
 import dev.wigeonward.core.schedule.Demand;
 import dev.wigeonward.core.schedule.ServiceScheduler.Outcome;
 import dev.wigeonward.core.schedule.Upstream;
@@ -39,6 +40,7 @@
     private Mode mode = Mode.AWAITING_HEAD;
     private HttpResponse head;
     private boolean cancelled;
+    private final Optional<EvidenceRecorder.Observation> observation;
     private int events;
     private long observedAtMillis;
 
@@ -49,6 +51,7 @@
         this.demand = demand;
         this.sink = sink;
         path.suspects().onDispatched(exchange.fingerprint());
+        observation = path.versions().started(upstream, exchange.route().name(), demand, path.nowMillis());
     }
 
     /** Takes the connection; returns false if the run was cancelled meanwhile. */
@@ -76,10 +79,20 @@
     private void end(Outcome outcome) {
         cancelled = true;
         channel = Optional.empty();
+        observation.ifPresent(seen -> observe(seen, outcome));
         exchange.scheduler().onEnded(demand, outcome, path.nowMillis());
         path.suspects().onEnded(exchange.fingerprint());
     }
 
+    private void observe(EvidenceRecorder.Observation seen, Outcome outcome) {
+        long nowMillis = path.nowMillis();
+        switch (outcome) {
+            case ANSWERED -> seen.answered(head.status().code(), nowMillis);
+            case FAILED -> seen.died(nowMillis);
+            default -> seen.cancelled(nowMillis);
+        }
+    }
+
     @Override
     public boolean onHead(HttpResponse newHead) {
         AnswerHead answer = path.dialect().readAnswer(newHead.status().code(), newHead.headers());
@@ -183,6 +196,7 @@
         events++;
         exchange.onEvents();
         if (events == 1) {
+            observation.ifPresent(seen -> seen.answered(head.status().code(), nowMillis));
             exchange.scheduler().onFirstEvent(demand, nowMillis);
             observedAtMillis = nowMillis;
             return;
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Versions.java
@@ -0,0 +1,100 @@
+package dev.wigeonward.gateway.exchange;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import dev.wigeonward.core.rollout.ControllerEvent;
+import dev.wigeonward.core.rollout.EvidenceCounters;
+import dev.wigeonward.core.rollout.EvidenceRecorder;
+import dev.wigeonward.core.rollout.ModelVersion;
+import dev.wigeonward.core.rollout.ShiftChoice;
+import dev.wigeonward.core.rollout.ShiftOrder;
+import dev.wigeonward.core.rollout.ShiftState;
+import dev.wigeonward.core.rollout.StageView;
+import dev.wigeonward.core.rollout.TrafficShift;
+import dev.wigeonward.core.rollout.VersionBound;
+import dev.wigeonward.core.schedule.Demand;
+import dev.wigeonward.core.schedule.Upstream;
+
+/** Which versions requests go to while operators shift traffic, and what becomes of them. Runs on the event loop. */
+public final class Versions {
+    /** Entries do not tell loaded from idle upstreams: a shift is too short for two verdicts on each route. */
+    private static final double LOAD_THRESHOLD = 1;
+
+    private final StageView view = new StageView();
+    private final ShiftChoice choice = ShiftChoice.over(view);
+    private final EvidenceRecorder recorder = new EvidenceRecorder(LOAD_THRESHOLD);
+    private final Map<String, TrafficShift> shifts = new HashMap<>();
+
+    Versions() {}
+
+    /** Returns the stages and verdicts that this entry knows. */
+    public StageView view() {
+        return view;
+    }
+
+    /** Takes an operator's order; returns whether it was new. */
+    public boolean order(ShiftOrder order) {
+        return choice.order(order);
+    }
+
+    /** Takes the end of a shift from the store. */
+    public void settle(String service, String target, ShiftState state, long revision) {
+        choice.settle(service, target, state, revision);
+    }
+
+    /** Returns the shifts under way, as far as their evidence goes here. */
+    public List<TrafficShift> shifts() {
+        Map<String, ShiftOrder> open = choice.open();
+        shifts.values()
+                .removeIf(shift -> !shift.order().equals(open.get(shift.order().service())));
+        open.forEach((service, order) -> shifts.computeIfAbsent(service, name -> TrafficShift.of(order)));
+        return new ArrayList<>(shifts.values());
+    }
+
+    /** Adds what an entry has counted since its start, this one included. */
+    public void onEvidence(ControllerEvent.EvidenceReported report, long nowMillis) {
+        TrafficShift shift = shifts.get(report.version().model());
+        if (shift != null) {
+            shift.add(report, nowMillis);
+        }
+    }
+
+    /** Returns what this entry has counted since its start. */
+    public Map<EvidenceRecorder.Key, EvidenceCounters> counters(long nowMillis) {
+        return recorder.counters(nowMillis);
+    }
+
+    VersionBound bound(String service, String route, long nowMillis) {
+        return choice.choose(service, route, nowMillis);
+    }
+
+    /** Returns the observation of a request that is sent, or empty while nothing is shifted. */
+    Optional<EvidenceRecorder.Observation> started(Upstream upstream, String route, Demand demand, long nowMillis) {
+        if (upstream.version().isEmpty() || choice.open(upstream.service()).isEmpty()) {
+            return Optional.empty();
+        }
+        ModelVersion version = new ModelVersion(upstream.service(), upstream.version());
+        long usualMillis = Math.max(1, Math.round(demand.usualMillis()));
+        return Optional.of(recorder.started(version, route, 0, usualMillis, nowMillis));
+    }
+
+    List<String> describe(long nowMillis) {
+        List<String> lines = new ArrayList<>();
+        for (TrafficShift shift : shifts()) {
+            ShiftOrder order = shift.order();
+            lines.add("shift %s target=%s share=%d state=%s millis_left=%d"
+                    .formatted(
+                            order.service(),
+                            order.target(),
+                            view.shareBasisPoints(order.service(), nowMillis),
+                            shift.state(),
+                            order.deadlineMillis() - nowMillis));
+        }
+        view.badVerdicts().forEach(verdict -> lines.add("bad " + verdict.version() + " " + verdict.reason()));
+        return lines;
+    }
+}
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -11,8 +11,8 @@
 import java.util.function.LongSupplier;
 
 import com.google.protobuf.ByteString;
-import dev.wigeonward.core.rollout.StageView;
 import dev.wigeonward.core.schedule.LearnedUnit;
+import dev.wigeonward.exchange.EvidenceFrames;
 import dev.wigeonward.exchange.FactExchange;
 import dev.wigeonward.gateway.event.EventLog;
 import dev.wigeonward.gateway.exchange.DirectPath;
@@ -95,12 +95,15 @@
         this.seeds = new HashSet<>(seeds);
         this.seeds.remove(ownAddress);
         FactLinks factLinks = new FactLinks(links, log);
-        this.facts = new FactExchange(path.suspects(), new StageView(), factLinks, factLinks);
+        this.facts = new FactExchange(path.suspects(), path.versions().view(), factLinks, factLinks);
         path.publishSuspects(facts::publishSuspect);
         transport = LinkTransport.onLoop(
                 LINKS,
                 this,
-                () -> Hello.newBuilder().setNodeId(self.id()).build(),
+                () -> Hello.newBuilder()
+                        .setNodeId(self.id())
+                        .setIncarnation(self.incarnation())
+                        .build(),
                 () -> Frame.newBuilder()
                         .setHeartbeat(Heartbeat.getDefaultInstance())
                         .build(),
@@ -128,6 +131,11 @@
         return exchange;
     }
 
+    /** Returns the exchange of facts that only grow. */
+    public FactExchange facts() {
+        return facts;
+    }
+
     private void connect() {
         long now = nowMillis.getAsLong();
         heardAtMillis.values().removeIf(heard -> now - heard > TRIED_MILLIS);
@@ -159,11 +167,19 @@
             sentVersion = ownVersion();
             sentLoads = ownLoads();
             send(fullState(path.learnedSinceTold()));
+            sendEvidence(now);
         } else if (now - sentAtMillis >= period(PARTIAL_PERIOD_MILLIS)) {
             sendChangedLoads();
         }
     }
 
+    private void sendEvidence(long now) {
+        if (path.versions().shifts().isEmpty()) {
+            return;
+        }
+        path.versions().counters(now).forEach((key, counters) -> sendToAll(EvidenceFrames.frame(key, counters)));
+    }
+
     /** The messages of one entry stay bounded as the number of peers grows. */
     private long period(long shortestMillis) {
         return shortestMillis * Math.max(1, (links.size() + PEERS_AT_SHORTEST_PERIOD - 1) / PEERS_AT_SHORTEST_PERIOD);
@@ -210,7 +226,10 @@
         if (links.isEmpty()) {
             return;
         }
-        Frame frame = Frame.newBuilder().setPeerState(state).build();
+        sendToAll(Frame.newBuilder().setPeerState(state).build());
+    }
+
+    private void sendToAll(Frame frame) {
         Set<String> reached = new HashSet<>();
         for (Link link : links.values()) {
             if (reached.add(link.peer().getNodeId()) && link.writable()) {
@@ -262,6 +281,9 @@
             sendView(link);
         } else if (frame.hasPeerView()) {
             onView(frame.getPeerView());
+        } else if (frame.hasEvidence()) {
+            EvidenceFrames.event(link.peer().getNodeId(), link.peer().getIncarnation(), frame.getEvidence())
+                    .ifPresent(report -> path.versions().onEvidence(report, nowMillis.getAsLong()));
         } else {
             facts.onFrame(FactLinks.name(link), frame, nowMillis.getAsLong());
         }
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -20,8 +20,10 @@
 import dev.wigeonward.gateway.event.Telemetry;
 import dev.wigeonward.gateway.exchange.DirectPath;
 import dev.wigeonward.gateway.peer.PeerExchange;
+import dev.wigeonward.gateway.port.ControllerStore;
 import dev.wigeonward.gateway.port.HttpDialect;
 import dev.wigeonward.gateway.port.StoreRelay;
+import dev.wigeonward.gateway.rollout.ShiftDuty;
 import dev.wigeonward.gateway.upstream.UpstreamConnections;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -98,14 +100,14 @@
     }
 
     /** Starts to exchange load, demand and the view of the store with the other entries. */
-    public void joinPeers(StoreRelay store) {
+    public void joinPeers(StoreRelay store, ControllerStore controllerStore) {
         Set<String> seeds = new HashSet<>();
         for (String seed : settings.knownPeers().split("\\s+")) {
             if (seed.contains(":")) {
                 seeds.add(seed);
             }
         }
-        PeerExchange.start(
+        PeerExchange peers = PeerExchange.start(
                 new PeerExchange.Self(settings.id(), settings.peerAddress(), clock.millis()),
                 seeds,
                 path,
@@ -113,6 +115,7 @@
                 loop,
                 this::nowMillis,
                 log);
+        ShiftDuty.start(path, peers.facts(), controllerStore, log, settings.id(), loop);
     }
 
     /** Returns the event loop that owns all state. */
--- /dev/null
+++ b/gateway/src/main/java/dev/wigeonward/gateway/rollout/ShiftDuty.java
@@ -0,0 +1,129 @@
+package dev.wigeonward.gateway.rollout;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import dev.wigeonward.core.rollout.BadVerdict;
+import dev.wigeonward.core.rollout.ControllerEvent;
+import dev.wigeonward.core.rollout.ControllerStages;
+import dev.wigeonward.core.rollout.ShiftOrder;
+import dev.wigeonward.core.rollout.ShiftState;
+import dev.wigeonward.core.rollout.Stage;
+import dev.wigeonward.core.rollout.TrafficShift;
+import dev.wigeonward.exchange.FactExchange;
+import dev.wigeonward.gateway.event.EventLog;
+import dev.wigeonward.gateway.exchange.DirectPath;
+import dev.wigeonward.gateway.exchange.Versions;
+import dev.wigeonward.gateway.port.ControllerStore;
+import io.netty.channel.EventLoop;
+
+/**
+ * Moves traffic between versions as operators order it. All entries gather the evidence and call a version bad on their
+ * own, so that it is taken back also while no controller is there; the holder of the lease decides on the share and
+ * writes the state. Runs on the event loop.
+ */
+public final class ShiftDuty {
+    private static final long TICK_MILLIS = 100;
+    /** Pause between two publications of an unchanged share; several fit into the time for which it counts. */
+    private static final long PUBLISH_MILLIS = 400;
+    /** Time for which a share counts at an entry that hears nothing more of the controller. */
+    private static final long STAGE_MILLIS = 1_500;
+
+    private final DirectPath path;
+    private final Versions versions;
+    private final FactExchange facts;
+    private final ControllerStore store;
+    private final EventLog log;
+    private final String ownName;
+    private final Map<String, ShiftState> written = new HashMap<>();
+    private final Map<String, Boolean> writing = new HashMap<>();
+    private List<Stage> published = List.of();
+    private long publishedAtMillis;
+    private long sequence;
+
+    private ShiftDuty(DirectPath path, FactExchange facts, ControllerStore store, EventLog log, String ownName) {
+        this.path = path;
+        this.versions = path.versions();
+        this.facts = facts;
+        this.store = store;
+        this.log = log;
+        this.ownName = ownName;
+    }
+
+    /** Starts the duty of the entry with the given name. */
+    public static void start(
+            DirectPath path, FactExchange facts, ControllerStore store, EventLog log, String ownName, EventLoop loop) {
+        ShiftDuty duty = new ShiftDuty(path, facts, store, log, ownName);
+        loop.scheduleAtFixedRate(duty::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tick() {
+        List<TrafficShift> shifts = versions.shifts();
+        store.seek(!shifts.isEmpty());
+        if (shifts.isEmpty()) {
+            written.clear();
+            return;
+        }
+        long now = path.millis();
+        versions.counters(now)
+                .forEach((key, counters) -> versions.onEvidence(
+                        new ControllerEvent.EvidenceReported(ownName, 0, key.version(), key.cell(), counters), now));
+        for (TrafficShift shift : shifts) {
+            if (!isBad(shift)) {
+                shift.verdict(now).ifPresent(this::publish);
+            }
+        }
+        OptionalLong number = store.fencingNumber();
+        if (number.isPresent()) {
+            control(shifts, number.getAsLong(), now);
+        }
+    }
+
+    private boolean isBad(TrafficShift shift) {
+        ShiftOrder order = shift.order();
+        return versions.view().isBad(order.service(), order.target());
+    }
+
+    private void publish(BadVerdict verdict) {
+        facts.publishVerdict(verdict);
+    }
+
+    private void control(List<TrafficShift> shifts, long number, long nowMillis) {
+        for (TrafficShift shift : shifts) {
+            ShiftOrder order = shift.order();
+            shift.advance(isBad(shift), path.outstandingAtOthers(order.service(), order.target()), nowMillis);
+            writeState(shift);
+        }
+        List<Stage> stages =
+                shifts.stream().map(shift -> shift.stage(STAGE_MILLIS)).toList();
+        if (!stages.equals(published) || nowMillis - publishedAtMillis >= PUBLISH_MILLIS) {
+            published = stages;
+            publishedAtMillis = nowMillis;
+            sequence++;
+            facts.publishStages(new ControllerStages(number, sequence, stages), nowMillis);
+        }
+    }
+
+    private void writeState(TrafficShift shift) {
+        ShiftOrder order = shift.order();
+        String key = order.service() + "/" + order.revision();
+        ShiftState state = shift.state();
+        if (state == written.get(key) || writing.containsKey(key)) {
+            return;
+        }
+        writing.put(key, true);
+        store.write(order, state, done -> {
+            writing.remove(key);
+            if (done) {
+                written.put(key, state);
+                log.info(
+                        "shift",
+                        "service=" + order.service() + " target=" + order.target() + " state=" + state + " order="
+                                + order.revision());
+            }
+        });
+    }
+}
