Follow one request through several logs; show times and the log's own volume

follow (entry binary) prints the lines that name a request and what its processes said of their surroundings meanwhile; it reads logs of single processes and mixed ones. The entry on the platform now says when configuration and list of upstreams change and when an upstream is taken out or is back. /metrics shows histograms of answer and wait, and lines and characters written, left out and waiting.

--- a/entry/src/main/java/dev/wigeonward/entry/Main.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Main.java
@@ -5,6 +5,7 @@
 
 import dev.wigeonward.common.command.CommandLines;
 import dev.wigeonward.common.command.DumpCommand;
+import dev.wigeonward.common.command.FollowCommand;
 import dev.wigeonward.entry.command.Commands;
 import dev.wigeonward.entry.command.StatusCommand;
 
@@ -24,6 +25,7 @@
               rollback          make the text of an old revision the next one
               status            revisions, refusals, spend and version moves of all entries
               dump              state of one process
+              follow            one request through the logs of several processes
               help              this text
             """;
 
@@ -45,6 +47,7 @@
             }
             case "status" -> StatusCommand.run(rest, out, err);
             case "dump" -> DumpCommand.run(rest, out, err);
+            case "follow" -> FollowCommand.run(rest, out, err);
             case "help", "--help" -> {
                 out.print(USAGE);
                 yield CommandLines.EXIT_OK;
--- a/gateway/src/main/java/dev/wigeonward/gateway/event/EventLog.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/event/EventLog.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import com.codahale.metrics.MetricRegistry;
+
 /**
  * Hands what the event loop has to say to a thread that formats and writes it. The event loop never waits: lines beyond
  * the bound are left out and counted in a line of their own. Lines said before {@link #start} wait for it, so that the
@@ -20,6 +22,9 @@
 
     private final ArrayBlockingQueue<Line> lines;
     private final AtomicLong leftOut = new AtomicLong();
+    private final AtomicLong leftOutInAll = new AtomicLong();
+    private final AtomicLong written = new AtomicLong();
+    private final AtomicLong writtenChars = new AtomicLong();
     private final Thread writer = new Thread(this::write, "log");
 
     private EventLog(int maxWaitingLines) {
@@ -55,6 +60,7 @@
     private void offer(Line line) {
         if (!lines.offer(line)) {
             leftOut.incrementAndGet();
+            leftOutInAll.incrementAndGet();
         }
     }
 
@@ -63,11 +69,22 @@
         return leftOut.get();
     }
 
+    /** Adds what was written and left out since the start to the metrics; lengths are those of the messages. */
+    public void register(MetricRegistry metrics) {
+        metrics.gauge("log.lines_written", () -> written::get);
+        metrics.gauge("log.chars_written", () -> writtenChars::get);
+        metrics.gauge("log.lines_left_out", () -> leftOutInAll::get);
+        metrics.gauge("log.lines_waiting", () -> lines::size);
+    }
+
     private void write() {
         System.Logger logger = System.getLogger("wigeonward");
         try {
             for (Line line = lines.take(); line != END; line = lines.take()) {
-                logger.log(line.level(), line.event() + " " + line.details());
+                String text = line.event() + " " + line.details();
+                logger.log(line.level(), text);
+                written.incrementAndGet();
+                writtenChars.addAndGet(text.length());
                 long missing = leftOut.getAndSet(0);
                 if (missing > 0) {
                     logger.log(Level.WARNING, "lines_left_out count=" + missing);
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -66,6 +66,7 @@
     private final Map<String, RetryShare> retries = new HashMap<>();
     private final Map<Demand, Exchange> waiting = new HashMap<>();
     private final Set<String> probed = new HashSet<>();
+    private final Set<String> takenOut = new HashSet<>();
     private Optional<Deployment> deployment = Optional.empty();
     private boolean upstreamsKnown;
     private int entries = 1;
@@ -112,6 +113,9 @@
         schedulers.values().forEach(scheduler -> {
             scheduler.compareUpstreams();
             for (Upstream upstream : scheduler.suspended()) {
+                if (takenOut.add(upstream.id())) {
+                    telemetry.log().warning("upstream_taken_out", "id=" + upstream.id());
+                }
                 if (probed.add(upstream.id())) {
                     connections.drop(upstream);
                     connections.probe(upstream, accepts -> onProbed(scheduler, upstream, accepts));
@@ -124,6 +128,8 @@
         probed.remove(upstream.id());
         if (accepts) {
             scheduler.resume(upstream.id());
+            takenOut.remove(upstream.id());
+            telemetry.log().info("upstream_back", "id=" + upstream.id());
             decide();
         }
     }
@@ -135,6 +141,12 @@
         }
         deployment = Optional.of(newer);
         tenants.declare(newer.tenants(), nowMillis());
+        telemetry
+                .log()
+                .info(
+                        "configuration",
+                        "version=" + newer.version() + " tenants="
+                                + newer.tenants().size());
     }
 
     /** Replaces the list of upstreams of all services. */
@@ -149,6 +161,8 @@
         }
         byService.forEach((service, upstreams) -> scheduler(service).upstreams(upstreams));
         connections.retain(listed);
+        long leaving = listed.stream().filter(Upstream::draining).count();
+        telemetry.log().info("upstreams", "listed=" + listed.size() + " leaving=" + leaving);
         decide();
     }
 
@@ -388,12 +402,17 @@
         return connections;
     }
 
+    void countWait(long millis) {
+        telemetry.time("request.wait_millis", millis);
+    }
+
     void count(String name) {
         telemetry.count(name);
     }
 
-    /** Logs the end of a request with what decided it. */
-    void logEnd(String details) {
+    /** Logs the end of a request with what decided it, and counts its time. */
+    void logEnd(String details, long totalMillis) {
+        telemetry.time("request.millis", totalMillis);
         telemetry
                 .log()
                 .info(
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -81,6 +81,7 @@
     void onPlaced(Upstream upstream) {
         sends++;
         waitedMillis = path.nowMillis() - request.receivedAtMillis();
+        path.countWait(waitedMillis);
         Run newRun = new Run(this, path, upstream, demand, sink);
         run = Optional.of(newRun);
         path.connections().send(upstream, upstreamRequest(upstream), newRun, newRun::onChannel);
@@ -251,7 +252,7 @@
             return;
         }
         done = true;
-        path.logEnd(details(outcome));
+        path.logEnd(details(outcome), path.nowMillis() - request.receivedAtMillis());
         timeout.ifPresent(future -> future.cancel(false));
         request.body().release();
         path.ended();
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -62,6 +62,7 @@
         path = DirectPath.create(
                 loop, clock, dialect, settings.path(), connections, new Telemetry(metrics, log), random);
         callers = CallerServer.create(path, dialect, this::limits);
+        log.register(metrics);
     }
 
     /** Returns a process that does not listen yet. */
