Read the settings again while the process runs

SIGHUP was only logged and a file that changed without a signal was not seen. The file is compared every 2 s and at the signal. Bounds and known peers come into force, with what was spent still counted; other changes are logged as needing a restart, and a file that cannot be used changes nothing and is counted (settings_passed_over).

--- a/core/src/main/java/dev/wigeonward/core/cap/RetryShare.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/RetryShare.java
@@ -13,18 +13,14 @@
     /** Part of the budget that is used; the rest covers requests that other entries count in another window. */
     private static final double USED_PART = 0.7;
 
-    private final double ratio;
-    private final int allowance;
-    private final long windowMillis;
+    private double ratio;
+    private int allowance;
+    private long windowMillis;
     private final ArrayDeque<Long> requests = new ArrayDeque<>();
     private final ArrayDeque<Long> retries = new ArrayDeque<>();
 
     private RetryShare(double ratio, int allowance, long windowMillis) {
-        Preconditions.checkArgument(ratio >= 0, "ratio is %s", ratio);
-        Preconditions.checkArgument(windowMillis > 0, "windowMillis is %s", windowMillis);
-        this.ratio = ratio;
-        this.allowance = allowance;
-        this.windowMillis = windowMillis;
+        change(ratio, allowance, windowMillis);
     }
 
     /**
@@ -37,6 +33,15 @@
         return new RetryShare(ratio, allowance, windowMillis);
     }
 
+    /** Puts other figures in force; what was counted before still counts. */
+    public void change(double newRatio, int newAllowance, long newWindowMillis) {
+        Preconditions.checkArgument(newRatio >= 0, "ratio is %s", newRatio);
+        Preconditions.checkArgument(newWindowMillis > 0, "windowMillis is %s", newWindowMillis);
+        ratio = newRatio;
+        allowance = newAllowance;
+        windowMillis = newWindowMillis;
+    }
+
     /** Counts a request of a caller. */
     public void onRequest(long nowMillis) {
         requests.add(nowMillis);
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -52,7 +52,7 @@
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final HttpDialect dialect;
-    private final PathSettings settings;
+    private PathSettings settings;
     private final UpstreamConnections connections;
     private final Telemetry telemetry;
     private final Random random;
@@ -149,6 +149,15 @@
                                 + newer.tenants().size());
     }
 
+    /** Puts other bounds in force; what was spent before still counts. The zone stays as it was. */
+    public void change(PathSettings newer) {
+        settings = newer;
+        retries.values()
+                .forEach(share -> share.change(newer.retryRatio(), newer.retryAllowance(), newer.retryWindowMillis()));
+        tenants.settings(newer);
+        deployment.ifPresent(current -> tenants.declare(current.tenants(), nowMillis()));
+    }
+
     /** Replaces the list of upstreams of all services. */
     public void upstreams(Collection<Upstream> listed) {
         upstreamsKnown = true;
@@ -424,6 +433,7 @@
     /** Returns lines that show what this process believes, for a dump. */
     public List<String> describe() {
         List<String> lines = new ArrayList<>();
+        lines.add("bounds " + settings);
         lines.add("configuration_version "
                 + deployment.map(current -> String.valueOf(current.version())).orElse("none"));
         lines.add("running " + running);
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
@@ -15,7 +15,7 @@
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
-    private final PathSettings settings;
+    private PathSettings settings;
     private final Map<String, TenantCap> caps = new HashMap<>();
     private int heard = 1;
     private int known = 1;
@@ -24,6 +24,10 @@
         this.settings = settings;
     }
 
+    void settings(PathSettings newer) {
+        settings = newer;
+    }
+
     void declare(List<Tenant> tenants, long nowMillis) {
         Map<String, TenantCap> previous = new HashMap<>(caps);
         caps.clear();
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -131,6 +131,12 @@
         return exchange;
     }
 
+    /** Adds link addresses that are tried. */
+    public void addSeeds(Set<String> newer) {
+        seeds.addAll(newer);
+        seeds.remove(ownAddress);
+    }
+
     /** Returns the exchange of facts that only grow. */
     public FactExchange facts() {
         return facts;
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -41,6 +42,9 @@
     private static final long LOG_DELAY_MILLIS = 1_500;
 
     private static final long STOP_CHECK_MILLIS = 100;
+    /** Pause between two looks at settings that may change without a signal. */
+    private static final long SETTINGS_PERIOD_MILLIS = 2_000;
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
@@ -53,6 +57,7 @@
     private final UpstreamConnections connections = UpstreamConnections.on(loop, this::nowMillis);
     private final DirectPath path;
     private final CallerServer callers;
+    private Optional<PeerExchange> peers = Optional.empty();
     private boolean stopping;
 
     private GatewayProcess(GatewaySettings settings, HttpDialect dialect) {
@@ -102,21 +107,51 @@
 
     /** Starts to exchange load, demand and the view of the store with the other entries. */
     public void joinPeers(StoreRelay store, ControllerStore controllerStore) {
-        Set<String> seeds = new HashSet<>();
-        for (String seed : settings.knownPeers().split("\\s+")) {
-            if (seed.contains(":")) {
-                seeds.add(seed);
-            }
-        }
-        PeerExchange peers = PeerExchange.start(
+        peers = Optional.of(PeerExchange.start(
                 new PeerExchange.Self(settings.id(), settings.peerAddress(), clock.millis()),
-                seeds,
+                seeds(settings),
                 path,
                 store,
                 loop,
                 this::nowMillis,
-                log);
-        ShiftDuty.start(path, peers.facts(), controllerStore, log, settings.id(), loop);
+                log));
+        ShiftDuty.start(path, peers.get().facts(), controllerStore, log, settings.id(), loop);
+    }
+
+    private static Set<String> seeds(GatewaySettings from) {
+        Set<String> seeds = new HashSet<>();
+        for (String seed : from.knownPeers().split("\\s+")) {
+            if (seed.contains(":")) {
+                seeds.add(seed);
+            }
+        }
+        return seeds;
+    }
+
+    /**
+     * Reads the settings again at the signal for it and whenever they have changed without one. Bounds and known peers
+     * come into force; the rest needs a restart, and what cannot be read changes nothing.
+     */
+    public void followSettings(SettingsSource source) {
+        ProcessSignals.handle("HUP", () -> loop.execute(() -> reread(source, "signal")));
+        loop.scheduleAtFixedRate(
+                () -> reread(source, "change"), SETTINGS_PERIOD_MILLIS, SETTINGS_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void reread(SettingsSource source, String cause) {
+        SettingsSource.Reading reading = source.read();
+        if (reading instanceof SettingsSource.Reading.Invalid invalid) {
+            metrics.counter("settings.passed_over").inc();
+            log.warning("settings_passed_over", "cause=" + cause + " reason=" + invalid.reason());
+        } else if (reading instanceof SettingsSource.Reading.Changed changed) {
+            GatewaySettings newer = changed.settings();
+            path.change(newer.path());
+            peers.ifPresent(exchange -> exchange.addSeeds(seeds(newer)));
+            boolean restartNeeded = !newer.sameProcess(settings);
+            log.info("settings_read", "cause=" + cause + " restart_needed=" + restartNeeded);
+        } else if (cause.equals("signal")) {
+            log.info("settings_read", "cause=signal unchanged=true");
+        }
     }
 
     /** Returns the event loop that owns all state. */
@@ -155,7 +190,6 @@
     public void handleSignals(Runnable whenStopped) {
         ProcessSignals.handle("TERM", () -> stop(whenStopped));
         ProcessSignals.handle("INT", () -> stop(whenStopped));
-        ProcessSignals.handle("HUP", () -> log.info("signal_hup", "settings are kept until a restart"));
     }
 
     /** Ends at once, with all connections. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
@@ -102,4 +102,15 @@
                         settings.get(CAP_OVERRUN),
                         settings.get(CAP_MARGIN)));
     }
+
+    /** Returns whether a process with the other settings would differ in its bounds and known peers only. */
+    boolean sameProcess(GatewaySettings other) {
+        return id.equals(other.id)
+                && callerAddress.equals(other.callerAddress)
+                && statusAddress.equals(other.statusAddress)
+                && peerAddress.equals(other.peerAddress)
+                && storeAddress.equals(other.storeAddress)
+                && graceMillis == other.graceMillis
+                && path.zone().equals(other.path.zone());
+    }
 }
