Refuse a head that stalls within the operators' time for it

The time for a head was not kept: a caller that sent a part of one held its connection until the idle time ended.

--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerChannel.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerChannel.java
@@ -50,6 +50,7 @@
     private CompositeByteBuf body;
     private Optional<Exchange> exchange = Optional.empty();
     private Optional<ScheduledFuture<?>> readTimer = Optional.empty();
+    private boolean headBegun;
     private boolean closing;
     private boolean keepAlive = true;
     private boolean sizeKnown;
@@ -85,6 +86,17 @@
         }
     }
 
+    /** The time for a head counts from its first byte, so that a caller cannot hold a connection with a part of one. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext eventContext, Object event) {
+        boolean between = !closing && exchange.isEmpty() && head.isEmpty();
+        if (event == StrictRequestDecoder.Event.HEAD_BEGUN && between && !headBegun) {
+            headBegun = true;
+            startTimer(limits.headerTimeoutMillis(), () -> rejectAndClose(ErrorKind.BODY_TIMEOUT));
+        }
+        eventContext.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext readContext, Object message) {
         if (closing) {
@@ -109,6 +121,7 @@
     }
 
     private void onRequestHead(HttpRequest request) {
+        headBegun = false;
         keepAlive = HttpUtil.isKeepAlive(request) && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
         Optional<ErrorKind> problem = RequestChecks.problem(request, limits.maxBodyBytes());
         if (problem.isPresent()) {
