--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -43,6 +43,7 @@
     private int events;
     private int connectFailures;
     private long waitedMillis;
+    private String lastFailure = "none";
     private boolean mayHaveRun;
     private boolean headPassedOn;
     private boolean done;
@@ -135,11 +136,12 @@
         sink.refuse(notRunKind, retryAfterMillis);
     }
 
-    /** The run ended without a complete answer that can be passed on. */
-    void onRunFailed(RunFailure failure) {
+    /** The run ended without a complete answer that can be passed on; the reason goes into the log. */
+    void onRunFailed(RunFailure failure, String reason) {
         if (done) {
             return;
         }
+        lastFailure = reason.replace(' ', '_');
         run = Optional.empty();
         boolean sent = failure != RunFailure.NOT_SENT;
         if (!sent) {
@@ -271,7 +273,7 @@
                 + " sends=" + sends + " waited_ms=" + waitedMillis + " deadline_ms="
                 + request.caller().deadlineMillis().orElse(0) + " events=" + events + " expected_events="
                 + Math.round(demand.expectedEvents()) + " slowness_percent="
-                + Math.round(PERCENT * demand.slownessWhenPlaced());
+                + Math.round(PERCENT * demand.slownessWhenPlaced()) + " last_failure=" + lastFailure;
     }
 
     boolean done() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
@@ -223,7 +223,7 @@
             case BROKEN -> {
                 path.count("upstream.unusable_answer");
                 end(Outcome.FAILED);
-                exchange.onRunFailed(RunFailure.BROKEN);
+                exchange.onRunFailed(RunFailure.BROKEN, "unusable_answer");
             }
             case PASS_ON, HOLD -> onWholeAnswer();
             default -> throw new IllegalStateException("complete without a head");
@@ -235,7 +235,7 @@
         boolean misdirected = head.status().code() == MISDIRECTED_STATUS;
         path.count(misdirected ? "upstream.misdirected" : "upstream.full");
         end(misdirected ? Outcome.UNREACHABLE : Outcome.FULL);
-        exchange.onRunFailed(RunFailure.NOT_RUN);
+        exchange.onRunFailed(RunFailure.NOT_RUN, misdirected ? "misdirected" : "full");
     }
 
     private void onWholeAnswer() {
@@ -263,10 +263,10 @@
             path.onBrokenRun(upstream, exchange.fingerprint());
             end(Outcome.FAILED);
             exchange.boundaries().ifPresent(EventBoundaries::dropOpenEvent);
-            exchange.onRunFailed(RunFailure.BROKEN);
+            exchange.onRunFailed(RunFailure.BROKEN, reason);
         } else {
             end(breakage == Breakage.NO_CONNECTION ? Outcome.UNREACHABLE : Outcome.LEFT);
-            exchange.onRunFailed(RunFailure.NOT_SENT);
+            exchange.onRunFailed(RunFailure.NOT_SENT, reason);
         }
         path.decide();
     }
