--- a/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
@@ -231,7 +231,7 @@
     /** Guards against one request that brings down upstream after upstream, through whichever entry it comes. */
     @Test
     void requestThatCrashesUpstreamsIsRefusedBeforeItTakesTheThird() throws Exception {
-        List<LocalUpstream> engines = IntStream.rangeClosed(1, 2)
+        List<LocalUpstream> engines = IntStream.rangeClosed(1, 4)
                 .mapToObj(number -> LocalUpstream.engine("engine-" + number, "advisory", 8, 200)
                         .with("--crash-marker", "poison"))
                 .toList();
