Mend what reading the whole change showed

- An address of a peer that cannot be read threw in the timer that connects to peers and ended it, at the start and since the settings are read again also later.
Such addresses are passed over with a log line.
- A stream that breaks after its first event was counted as an answer only.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -52,13 +52,11 @@
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final HttpDialect dialect;
-    private PathSettings settings;
     private final UpstreamConnections connections;
     private final Telemetry telemetry;
     private final Random random;
     private final Tenants tenants;
     private final SuspectTable suspects = SuspectTable.create();
-    private SuspectPublisher publisher;
     private final Admissions admissions;
     private final Demands demands = new Demands();
     private final Versions versions = new Versions();
@@ -67,6 +65,8 @@
     private final Map<Demand, Exchange> waiting = new HashMap<>();
     private final Set<String> probed = new HashSet<>();
     private final Set<String> takenOut = new HashSet<>();
+    private PathSettings settings;
+    private SuspectPublisher publisher;
     private Optional<Deployment> deployment = Optional.empty();
     private boolean upstreamsKnown;
     private int entries = 1;
@@ -170,6 +170,7 @@
         }
         byService.forEach((service, upstreams) -> scheduler(service).upstreams(upstreams));
         connections.retain(listed);
+        takenOut.retainAll(listed.stream().map(Upstream::id).toList());
         long leaving = listed.stream().filter(Upstream::draining).count();
         telemetry.log().info("upstreams", "listed=" + listed.size() + " leaving=" + leaving);
         decide();
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
@@ -35,12 +35,12 @@
     private final Upstream upstream;
     private final Demand demand;
     private final AnswerSink sink;
+    private final Optional<EvidenceRecorder.Observation> observation;
     private final ByteBuf held = Unpooled.buffer(0);
     private Optional<UpstreamChannel> channel = Optional.empty();
     private Mode mode = Mode.AWAITING_HEAD;
     private HttpResponse head;
     private boolean cancelled;
-    private final Optional<EvidenceRecorder.Observation> observation;
     private int events;
     private long observedAtMillis;
 
@@ -51,7 +51,7 @@
         this.demand = demand;
         this.sink = sink;
         path.suspects().onDispatched(exchange.fingerprint());
-        observation = path.versions().started(upstream, exchange.route().name(), demand, path.nowMillis());
+        observation = startObservation();
     }
 
     /** Takes the connection; returns false if the run was cancelled meanwhile. */
@@ -79,12 +79,20 @@
     private void end(Outcome outcome) {
         cancelled = true;
         channel = Optional.empty();
-        observation.ifPresent(seen -> observe(seen, outcome));
+        observation.ifPresent(seen -> conclude(seen, outcome));
+        if (outcome == Outcome.FAILED && events > 0) {
+            // The first event was counted as an answer in time; that the stream broke afterwards is counted beside it.
+            startObservation().ifPresent(broken -> broken.died(path.nowMillis()));
+        }
         exchange.scheduler().onEnded(demand, outcome, path.nowMillis());
         path.suspects().onEnded(exchange.fingerprint());
     }
 
-    private void observe(EvidenceRecorder.Observation seen, Outcome outcome) {
+    private Optional<EvidenceRecorder.Observation> startObservation() {
+        return path.versions().started(upstream, exchange.route().name(), demand, path.nowMillis());
+    }
+
+    private void conclude(EvidenceRecorder.Observation seen, Outcome outcome) {
         long nowMillis = path.nowMillis();
         switch (outcome) {
             case ANSWERED -> seen.answered(head.status().code(), nowMillis);
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -257,11 +257,7 @@
                 .setReadAgeMillis((int) Math.min(Integer.MAX_VALUE, store.readAgeMillis()))
                 .setIncarnation(incarnation)
                 .addAllEntries(heardAtMillis.keySet());
-        path.ownLoads()
-                .forEach(load -> state.addLoads(PeerLoad.newBuilder()
-                        .setUpstreamId(load.upstreamId())
-                        .setRequests(load.requests())
-                        .setPromptTokens(load.tokens())));
+        path.ownLoads().forEach(load -> state.addLoads(message(load)));
         path.ownUsages()
                 .forEach((tenant, usage) -> state.addDemands(PeerDemand.newBuilder()
                         .setTenant(tenant)
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.common.clock.MonotonicClock;
@@ -45,6 +46,10 @@
     /** Pause between two looks at settings that may change without a signal. */
     private static final long SETTINGS_PERIOD_MILLIS = 2_000;
 
+    private static final Pattern NUMERIC_ADDRESS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
+    /** Stands in the settings where no entry is known. */
+    private static final String NO_PEERS = "none";
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
@@ -118,11 +123,13 @@
         ShiftDuty.start(path, peers.get().facts(), controllerStore, log, settings.id(), loop);
     }
 
-    private static Set<String> seeds(GatewaySettings from) {
+    private Set<String> seeds(GatewaySettings from) {
         Set<String> seeds = new HashSet<>();
         for (String seed : from.knownPeers().split("\\s+")) {
-            if (seed.contains(":")) {
+            if (NUMERIC_ADDRESS.matcher(seed).matches()) {
                 seeds.add(seed);
+            } else if (!seed.equals(NO_PEERS)) {
+                log.warning("known_peer_passed_over", "address=" + seed);
             }
         }
         return seeds;
