--- a/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
@@ -49,7 +49,7 @@
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.netty.HttpServers;
 
-/** An entry with all its adapters. */
+/** The running entry process: the runtime with its adapters for callers, store, VM list and admin pages. */
 public final class EntryProcess {
     private static final Logger LOG = System.getLogger(EntryProcess.class.getName());
     private final EntrySettings settings;
@@ -58,7 +58,7 @@
     private final StoreAdapters store;
     private final VmList vms;
     private final ScheduledExecutorService vmThread;
-    private final HttpServerContext callers;
+    private final HttpServerContext callerServer;
     private final AdminServer admin;
 
     private EntryProcess(EntrySettings settings) throws Exception {
@@ -107,10 +107,10 @@
         WorkspaceRates rates = new WorkspaceRates();
         this.vms = HttpVmList.start(settings.vmList(), vmThread, new SplittableRandom());
         vms.subscribe(runtime::onVmsListed);
-        vms.subscribe(list -> rates.setEntries(entries(list)));
-        this.callers = startCallers(rules, rates, clock, incarnation);
+        vms.subscribe(list -> rates.setEntries(countEntries(list)));
+        this.callerServer = startCallerServer(rules, rates, clock, incarnation);
         this.admin = startAdmin();
-        LOG.log(Level.INFO, "entry {0} takes requests on {1}", settings.id(), callers.listenAddress());
+        LOG.log(Level.INFO, "entry {0} accepts requests on {1}", settings.id(), callerServer.listenAddress());
     }
 
     /** Starts an entry. */
@@ -118,13 +118,13 @@
         return new EntryProcess(settings);
     }
 
-    private static int entries(VmSnapshot list) {
+    private static int countEntries(VmSnapshot list) {
         return (int) list.vms().values().stream()
                 .filter(vm -> vm.role().equals("entry"))
                 .count();
     }
 
-    private HttpServerContext startCallers(
+    private HttpServerContext startCallerServer(
             RulesInForce rules, WorkspaceRates rates, MonotonicClock clock, long incarnation) throws Exception {
         AtomicLong sequence = new AtomicLong();
         CallerService service = new CallerService(
@@ -178,15 +178,18 @@
     private Object health() {
         return runtime.ready()
                 ? Map.of("ready", true)
-                : new AdminServer.Unhealthy("no revision is in force, or the entry is shutting down");
+                : new AdminServer.Unhealthy("the entry has no rules revision in force or is shutting down");
     }
 
-    /** Returns the address for callers. */
+    /** Returns the address on which callers' requests are accepted. */
     public InetSocketAddress callersAddress() {
-        return (InetSocketAddress) callers.listenAddress();
+        return (InetSocketAddress) callerServer.listenAddress();
     }
 
-    /** Fails the health page, then refuses new requests, waits for the others up to the drain limit, and stops. */
+    /**
+     * Stops the entry gracefully: fails the health page for the drain notice time, then refuses new requests, waits for
+     * the others up to the drain limit, and closes all adapters.
+     */
     public void drainAndClose() {
         runtime.announceShutdown();
         try {
@@ -195,9 +198,12 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException e) {
-            LOG.log(Level.WARNING, "requests are left after the drain limit", e);
+            LOG.log(
+                    Level.WARNING,
+                    "requests are unfinished after the drain limit of " + settings.drainLimitSeconds() + " s",
+                    e);
         }
-        closeCallers();
+        closeCallerServer();
         admin.close();
         runtime.close();
         store.close();
@@ -206,14 +212,20 @@
         LOG.log(Level.INFO, "entry stopped: {0}", metrics.snapshot());
     }
 
-    /** Answers that were complete in the runtime may still be on their way to the callers. */
-    private void closeCallers() {
+    /**
+     * Closes the server once the open answers are sent. An answer that is complete in the runtime may still be in
+     * transit to its caller.
+     */
+    private void closeCallerServer() {
         try {
-            callers.closeAsyncGracefully().toFuture().get(settings.drainLimitSeconds(), TimeUnit.SECONDS);
+            callerServer.closeAsyncGracefully().toFuture().get(settings.drainLimitSeconds(), TimeUnit.SECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException e) {
-            LOG.log(Level.WARNING, "callers' connections were cut", e);
+            LOG.log(
+                    Level.WARNING,
+                    "caller connections are still open after the drain limit of " + settings.drainLimitSeconds() + " s",
+                    e);
         }
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
@@ -11,7 +11,7 @@
 import dev.wigeonward.common.store.StoreOptions;
 import dev.wigeonward.common.vms.VmListOptions;
 
-/** Settings of the entry process. */
+/** The settings of the entry process. */
 public record EntrySettings(
         String id,
         String failureDomain,
@@ -47,7 +47,7 @@
                     "entry", "seed_count", 0, Long.MAX_VALUE, "seed of random choices; 0 takes one from the clock")
             .withDefault(0L);
 
-    /** Returns the declaration of all sections and keys. */
+    /** Returns the declaration of all sections and keys that a settings file of an entry may contain. */
     public static SettingsDeclaration declaration() {
         List<SettingKey<?>> keys = new ArrayList<>(List.of(
                 ID,
@@ -71,7 +71,7 @@
                 keys);
     }
 
-    /** Returns the typed settings. */
+    /** Returns the settings of an entry from checked values. */
     public static EntrySettings of(Settings settings) {
         return new EntrySettings(
                 settings.get(ID),
--- a/entry/src/main/java/dev/wigeonward/entry/Main.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Main.java
@@ -9,7 +9,7 @@
 import dev.wigeonward.entry.command.Commands;
 import dev.wigeonward.entry.command.StatusCommand;
 
-/** Command line of the entry binary: the process itself and the operators' commands. */
+/** Command line of the entry binary, which runs the entry process and the operator commands. */
 public final class Main {
     private static final String USAGE =
             """
@@ -23,10 +23,10 @@
               apply             make a rules file the next revision
               history           list the revisions
               rollback          make the text of an old revision the next one
-              status            revisions, refusals, spend and version moves of all entries
-              dump              state of one process
-              follow            one request through the logs of several processes
-              help              this text
+              status            print revisions, refusals, spend and version moves of all entries
+              dump              print the state of one process
+              follow            trace one request through the logs of several processes
+              help              print this text
             """;
 
     private Main() {}
--- a/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
+++ b/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
@@ -12,7 +12,7 @@
 import dev.wigeonward.common.store.StoreOptions;
 import dev.wigeonward.core.revision.RevisionStore;
 
-/** The store as an operator's command uses it: few calls, which may wait longer than those of a process. */
+/** Connects operator commands to the store. They make few calls, which may wait longer than those of a process. */
 final class OperatorStore {
     private static final long CALL_TIMEOUT_MILLIS = 3_000;
     private static final long WATCH_IDLE_MILLIS = 60_000;
--- a/entry/src/main/java/dev/wigeonward/entry/Policies.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Policies.java
@@ -19,9 +19,9 @@
 import dev.wigeonward.core.suspect.SuspectTableGate;
 import dev.wigeonward.exchange.RulesInForce;
 
-/** The policies of an entry in operation. */
+/** Creates the dispatch policies of the entry process. */
 final class Policies {
-    /** Round trip between failure domains of a region, about twice the one-way latency of 1 to 1.5 ms. */
+    /** Round-trip time between failure domains of a region, about twice the one-way latency of 1 to 1.5 ms. */
     private static final long REMOTE_DOMAIN_MILLIS = 3;
 
     private Policies() {}
@@ -39,7 +39,7 @@
                 EarliestCompletion.of(random, prefixes, DomainLatency.uniform(failureDomain, REMOTE_DOMAIN_MILLIS));
         VersionSelector versions = new VersionSelector(stages, new ShareLimiter());
         return new DispatchPolicies(
-                () -> FairShareAdmissionQueue.create(queueLength(rules), weights),
+                () -> FairShareAdmissionQueue.create(queueCapacity(rules), weights),
                 placement,
                 KeyAffinity.or(placement),
                 versions::select,
@@ -47,7 +47,7 @@
                 SuspectTableGate.over(suspects));
     }
 
-    private static int queueLength(RulesInForce rules) {
+    private static int queueCapacity(RulesInForce rules) {
         long length =
                 rules.get().map(set -> set.limit(Rule.LimitName.QUEUE)).orElse(Rule.LimitName.QUEUE.defaultValue());
         return Math.toIntExact(length);
--- a/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
@@ -10,7 +10,7 @@
 import dev.wigeonward.common.settings.SettingsResult;
 import org.kohsuke.args4j.Option;
 
-/** Runs the entry process until it is asked to stop. */
+/** The {@code serve} and {@code check-settings} commands of the entry binary. */
 final class ServeCommand {
 
     @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings of this process")
@@ -18,7 +18,7 @@
 
     private ServeCommand() {}
 
-    /** Runs {@code serve} or {@code check-settings}. */
+    /** Runs the named command and returns its exit code; {@code serve} returns only after the process is stopped. */
     static int run(String name, String[] arguments, PrintStream out, PrintStream err) throws Exception {
         ServeCommand command = new ServeCommand();
         OptionalInt exitCode = CommandLines.read(command, arguments, out, err);
@@ -46,7 +46,8 @@
         try {
             process = EntryProcess.start(settings);
         } catch (IOException e) {
-            // For example a port in use; threads that were started already would keep the process alive.
+            // For example, a port is in use. The exit code makes main exit; threads that were already started would
+            // otherwise keep the process alive.
             err.println("cannot start: " + e.getMessage());
             return CommandLines.EXIT_FAILED;
         }
@@ -67,7 +68,7 @@
         try {
             return EntrySettings.declaration().read(settingsFile);
         } catch (IOException e) {
-            err.println(settingsFile + ": cannot be read: " + e.getMessage());
+            err.println("cannot read settings file " + settingsFile + ": " + e.getMessage());
             return null;
         }
     }
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerRequest.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerRequest.java
@@ -6,9 +6,9 @@
 import java.util.Optional;
 
 /**
- * A caller's HTTP request with its whole body.
+ * An HTTP request of a caller with its complete body.
  *
- * @param headers end-to-end headers in their order, without those that concern one connection only
+ * @param headers all headers, including those that are not forwarded to the upstream
  */
 public record CallerRequest(String method, String path, List<Map.Entry<String, String>> headers, byte[] body) {
     public CallerRequest {
@@ -18,7 +18,7 @@
         Objects.requireNonNull(body, "body");
     }
 
-    /** Returns the first value of a header, whose name is compared without regard to case. */
+    /** Returns the first value of a header, or empty if there is none; the name is case-insensitive. */
     public Optional<String> header(String name) {
         return headers.stream()
                 .filter(header -> header.getKey().equalsIgnoreCase(name))
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -30,18 +30,18 @@
 import io.servicetalk.http.api.StreamingHttpService;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 
-/** Takes callers' requests, hands them to the decision thread and returns the answers. */
+/** HTTP service for callers, which passes their requests to the decision thread and returns the answers. */
 public final class CallerService implements StreamingHttpService {
-    /** Headers that concern one connection, or that the entry has used up. */
+    /** Headers that are not forwarded because they concern one connection or are consumed by the entry. */
     private static final Set<String> NOT_FORWARDED =
             Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "host", "authorization", "te");
 
-    /** Keeps slow or stalled senders from holding connections and memory. */
-    static final Duration BODY_TIME_LIMIT = Duration.ofSeconds(10);
+    /** Maximum time to receive a body, so that slow or stalled senders do not hold connections and memory. */
+    static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
 
-    private static final Duration TIME_TO_READ_ANSWER = Duration.ofSeconds(1);
+    private static final Duration CLOSE_DELAY = Duration.ofSeconds(1);
 
-    /** Fixed when the server starts. */
+    /** Maximum length of a request line. It is set when the server starts and does not follow the rules. */
     private static final int MAX_START_LINE_BYTES = 8_192;
 
     private final RequestClassifier classifier;
@@ -71,8 +71,8 @@
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
         Optional<Failure> framing = FramingHeaders.problem(request.headers());
         if (framing.isPresent()) {
-            // What follows on the connection may be a part of this request, so nothing of it is read.
-            return Single.succeeded(last(context, error(context, responses, framing.get())));
+            // Where this request ends is ambiguous. Bytes that follow may belong to it, so none of them is read.
+            return Single.succeeded(closeAfter(context, error(context, responses, framing.get())));
         }
         if (headersBytes(request.headers()) > limits.get().headersBytes()) {
             Failure failure = Failure.of(
@@ -80,12 +80,13 @@
                     "the headers exceed %d bytes".formatted(limits.get().headersBytes()));
             return drainAndFail(context, request, responses, failure);
         }
-        // A timeout of the Single would cancel the body, which closes the connection before the caller is told why.
+        // A timeout operator on the Single would cancel the body, which closes the connection before the error answer
+        // is sent.
         CompletableFuture<BodyCollector> collected = BodyCollector.collect(
                         request, limits.get().bodyBytes())
                 .toCompletionStage()
                 .toCompletableFuture()
-                .orTimeout(BODY_TIME_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+                .orTimeout(BODY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         return Single.fromStage(collected)
                 .flatMap(body -> body.exceeded()
                         ? Single.succeeded(error(
@@ -99,20 +100,23 @@
                 .onErrorResume(TimeoutException.class, late -> Single.succeeded(bodyTimeout(context, responses)));
     }
 
-    /** Returns the answer to a stalled sender, whose connection is closed behind it. */
+    /** Returns the error answer to a stalled sender, after which the connection is closed. */
     private StreamingHttpResponse bodyTimeout(HttpServiceContext context, StreamingHttpResponseFactory responses) {
         Failure failure = Failure.of(
-                ErrorKind.BODY_TIMEOUT, "the body did not arrive within %d s".formatted(BODY_TIME_LIMIT.toSeconds()));
-        return last(context, error(context, responses, failure));
+                ErrorKind.BODY_TIMEOUT, "the body was not received within %d s".formatted(BODY_TIMEOUT.toSeconds()));
+        return closeAfter(context, error(context, responses, failure));
     }
 
-    /** Returns the answer with which the connection ends. */
-    private static StreamingHttpResponse last(HttpServiceContext context, StreamingHttpResponse answer) {
+    /** Returns the answer changed so that the connection is closed after it. */
+    private static StreamingHttpResponse closeAfter(HttpServiceContext context, StreamingHttpResponse answer) {
         return answer.setHeader("connection", "close")
                 .transformPayloadBody(body -> body.afterFinally(() -> closeLater(context)));
     }
 
-    /** Returns the protocol under which this service is served; its headers remember what the decoder would hide. */
+    /**
+     * Returns the protocol configuration to serve this service with. Its headers record framing errors that the decoder
+     * would resolve silently.
+     */
     public static HttpProtocolConfig protocol() {
         return HttpProtocolConfigs.h1()
                 .maxStartLineLength(MAX_START_LINE_BYTES)
@@ -121,11 +125,11 @@
                 .build();
     }
 
-    /** An immediate close would reset the connection before the answer has left. */
+    /** Closes the connection after a delay. An immediate close would reset it before the answer is sent. */
     private static void closeLater(HttpServiceContext context) {
         context.executionContext()
                 .executor()
-                .timer(TIME_TO_READ_ANSWER)
+                .timer(CLOSE_DELAY)
                 .concat(context.closeAsync())
                 .subscribe();
     }
@@ -150,7 +154,7 @@
                 ((RequestClassifier.Result.Classified) result).request(),
                 context.executionContext().bufferAllocator());
         if (!sink.submit(session)) {
-            Failure failure = Failure.of(ErrorKind.OVERLOADED, "the entry has too many events to handle");
+            Failure failure = Failure.of(ErrorKind.OVERLOADED, "the event queue of the entry is full");
             return Single.succeeded(error(context, responses, failure));
         }
         return session.response()
@@ -196,7 +200,7 @@
         return forwarded;
     }
 
-    /** Returns whether a caller's header is passed on to the upstream. */
+    /** Returns whether a header is forwarded, both from caller to upstream and from upstream to caller. */
     public static boolean isForwarded(String headerName) {
         return !NOT_FORWARDED.contains(headerName.toLowerCase(Locale.ROOT));
     }
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerSession.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerSession.java
@@ -18,12 +18,12 @@
 import io.servicetalk.concurrent.api.SourceAdapters;
 
 /**
- * One caller that waits for an answer. The decision thread writes to it; ServiceTalk reads from it. The first part of
- * the answer fixes the status; an error after that ends a stream with an error event and cuts any other answer, so that
- * the caller never takes a part for the whole.
+ * The answer to one request of a caller. The decision thread writes to it and ServiceTalk reads from it. The first part
+ * of the answer determines the status. A later failure ends an event stream with an error event and breaks off any
+ * other answer, so that the caller cannot mistake a partial answer for a complete one.
  */
 public final class CallerSession {
-    /** Parts that wait for a slow reader before the answer is given up. */
+    /** Maximum number of parts that are buffered for a slow reader before the answer fails. */
     private static final int MAX_WAITING_PARTS = 4_096;
 
     private static final String EVENT_STREAM = "text/event-stream";
@@ -34,7 +34,7 @@
     private final SingleSource.Processor<ResponseStart, ResponseStart> start = Processors.newSingleProcessor();
     private final PublisherSource.Processor<Buffer, Buffer> body = Processors.newPublisherProcessor(MAX_WAITING_PARTS);
     private final AtomicBoolean ended = new AtomicBoolean();
-    private ResponseStart started;
+    private ResponseStart responseStart;
 
     CallerSession(CallerRequest http, RequestSpec request, BufferAllocator allocator) {
         this.http = http;
@@ -47,26 +47,26 @@
         return http;
     }
 
-    /** Returns the request as the cores know it. */
+    /** Returns the description of the request for the decision cores. */
     public RequestSpec request() {
         return request;
     }
 
-    /** Returns whether a part of the answer was passed on. */
+    /** Returns whether status and headers of the answer were set. */
     public boolean started() {
-        return started != null;
+        return responseStart != null;
     }
 
-    /** Fixes status and headers. */
+    /** Sets status and headers; has no effect after the first call. */
     public void start(int status, List<Map.Entry<String, String>> headers) {
-        if (started != null) {
+        if (responseStart != null) {
             return;
         }
-        started = new ResponseStart(status, headers, SourceAdapters.fromSource(body));
-        start.onSuccess(started);
+        responseStart = new ResponseStart(status, headers, SourceAdapters.fromSource(body));
+        start.onSuccess(responseStart);
     }
 
-    /** Passes a part of the body on, and returns false if the caller reads too slowly to take it. */
+    /** Writes a part of the body and returns false if the buffer for a slow reader is full. */
     public boolean write(byte[] part) {
         if (part.length == 0 || ended.get()) {
             return true;
@@ -75,7 +75,7 @@
             body.onNext(allocator.wrap(part));
             return true;
         } catch (RuntimeException e) {
-            // The processor refuses what exceeds its bound.
+            // The processor throws if its buffer is full.
             return false;
         }
     }
@@ -87,10 +87,10 @@
         }
     }
 
-    /** Answers with an error, or ends the answer so that the caller sees that it is incomplete. */
+    /** Answers with an error, or ends a started answer so that the caller can tell that it is incomplete. */
     public void fail(Failure failure) {
         byte[] error = Json.write(ErrorBody.of(failure));
-        if (started == null) {
+        if (responseStart == null) {
             start(failure.kind().httpStatus(), List.of(Map.entry("content-type", Json.MEDIA_TYPE)));
             write(error);
             end();
@@ -106,7 +106,7 @@
     }
 
     private boolean isEventStream() {
-        return started.headers().stream()
+        return responseStart.headers().stream()
                 .anyMatch(header -> header.getKey().equalsIgnoreCase("content-type")
                         && header.getValue().startsWith(EVENT_STREAM));
     }
@@ -123,7 +123,7 @@
     /** Status, headers and body of an answer. */
     record ResponseStart(int status, List<Map.Entry<String, String>> headers, Publisher<Buffer> body) {}
 
-    /** Cuts an answer that cannot be completed. */
+    /** Breaks off the body of an answer that cannot be completed. */
     private static final class IncompleteAnswerException extends RuntimeException {
         IncompleteAnswerException(Failure failure) {
             super(failure.kind().wireName() + ": " + failure.message(), null, false, false);
--- a/entry/src/main/java/dev/wigeonward/entry/caller/ChatRequest.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/ChatRequest.java
@@ -8,12 +8,12 @@
 import com.google.common.hash.Hashing;
 import dev.wigeonward.common.http.Json;
 
-/** The parts of a chat completion request that scheduling needs. */
+/** The fields of a chat completion request that scheduling uses. */
 record ChatRequest(String model, int promptTokens, OptionalInt maxOutputTokens, long prefixHash) {
-    /** English text has about four characters for each token; engines report the exact count afterwards. */
+    /** English text has about four characters per token; engines report the exact count after the run. */
     private static final int CHARACTERS_PER_TOKEN = 4;
 
-    /** Length of the leading part of a prompt that decides cache affinity. */
+    /** Length of the prompt prefix that determines cache affinity; shorter prompts have none. */
     private static final int PREFIX_CHARACTERS = 1_024;
 
     static Result parse(byte[] body) {
@@ -24,10 +24,10 @@
         JsonNode model = json.get().path("model");
         JsonNode messages = json.get().path("messages");
         if (!model.isTextual() || model.asText().isEmpty()) {
-            return new Result.Invalid("model must be a text");
+            return new Result.Invalid("model must be a non-empty string");
         }
         if (!messages.isArray() || messages.isEmpty()) {
-            return new Result.Invalid("messages must be a list that is not empty");
+            return new Result.Invalid("messages must be a non-empty array");
         }
         StringBuilder prompt = new StringBuilder();
         for (JsonNode message : messages) {
@@ -40,7 +40,7 @@
                         (prompt.length() + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN,
                         tokens,
                         prefixHash(prompt))))
-                .orElseGet(() -> new Result.Invalid("max_tokens must be a positive whole number"));
+                .orElseGet(() -> new Result.Invalid("max_tokens or max_completion_tokens must be a positive integer"));
     }
 
     private static Optional<OptionalInt> maxOutputTokens(JsonNode json) {
@@ -64,12 +64,12 @@
                 .asLong();
     }
 
-    /** Outcome of parsing. */
+    /** The result of parsing a body. */
     sealed interface Result {
         /** The body is a chat completion request. */
         record Valid(ChatRequest request) implements Result {}
 
-        /** The body is something else. */
+        /** The body is not a chat completion request; the message says why. */
         record Invalid(String message) implements Result {}
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/caller/ConnectionLimit.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/ConnectionLimit.java
@@ -8,30 +8,31 @@
 import io.servicetalk.transport.api.ConnectionInfo;
 import io.servicetalk.transport.api.EarlyConnectionAcceptor;
 
-/** Refuses callers' connections above a number, so that those that are open keep working. */
+/** Refuses connections of callers above a maximum, so that open connections keep working under a flood. */
 public final class ConnectionLimit implements EarlyConnectionAcceptor {
     private final int maxConnections;
     private final AtomicInteger open = new AtomicInteger();
 
-    /** Returns a limit that counts no connection yet. */
+    /** Creates a limit without open connections. */
     public ConnectionLimit(int maxConnections) {
-        Preconditions.checkArgument(maxConnections > 0, "maxConnections is %s", maxConnections);
+        Preconditions.checkArgument(maxConnections > 0, "maxConnections is %s, expected more than 0", maxConnections);
         this.maxConnections = maxConnections;
     }
 
-    /** The interface still declares this method; the server calls the other one. */
+    /** Accepts every connection. The interface requires this deprecated method; the server calls the other overload. */
     @Override
     @SuppressWarnings("deprecation")
     public Completable accept(ConnectionInfo info) {
         return Completable.completed();
     }
 
-    /** Counts the connection until it is closed, or refuses it. */
+    /** Counts the connection until it is closed, or refuses it if the maximum is reached. */
     @Override
     public Completable accept(ConnectionContext context) {
         if (open.incrementAndGet() > maxConnections) {
             open.decrementAndGet();
-            return Completable.failed(new IllegalStateException("too many connections"));
+            return Completable.failed(
+                    new IllegalStateException("connection refused: " + maxConnections + " connections are open"));
         }
         context.onClose().afterFinally(open::decrementAndGet).subscribe();
         return Completable.completed();
--- a/entry/src/main/java/dev/wigeonward/entry/caller/ErrorBody.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/ErrorBody.java
@@ -4,11 +4,11 @@
 
 import dev.wigeonward.core.error.Failure;
 
-/** The error body that callers get. */
+/** The JSON body of error answers to callers. */
 public final class ErrorBody {
     private ErrorBody() {}
 
-    /** Returns the body as a structure for the JSON writer. */
+    /** Returns the body for a failure, as nested maps for the JSON writer. */
     public static Map<String, Map<String, Object>> of(Failure failure) {
         return Map.of(
                 "error",
--- a/entry/src/main/java/dev/wigeonward/entry/caller/FramingHeaders.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/FramingHeaders.java
@@ -14,15 +14,19 @@
 import io.servicetalk.http.api.HttpHeadersFactory;
 
 /**
- * Headers that remember what the HTTP decoder resolves in silence or ends a connection for: a length beside a transfer
- * coding, which it removes; two unlike lengths; and fields without end, of which only the first ones are kept. A proxy
- * does it because the interface has over fifty methods, of which three matter here.
+ * Request headers that record framing errors for which the HTTP decoder gives no answer: a content length beside a
+ * transfer coding, which the decoder removes silently; two different content lengths; and headers of unbounded total
+ * size, of which only the first fields are stored. Implemented as a dynamic proxy because the interface has over fifty
+ * methods, of which three matter here.
  */
 final class FramingHeaders implements InvocationHandler {
-    /** The decoder reads one field up to this length, so that a request with a longer one can be told why it fails. */
+    /**
+     * Maximum length of one field that the decoder reads. It is above every header limit, so that a request with a
+     * longer field gets an error answer instead of a closed connection.
+     */
     static final int MAX_FIELD_BYTES = 1 << 21;
-    /** Fields beyond this total are dropped; the limits of the rules are below it. */
-    private static final long MAX_KEPT_BYTES = 128 * 1_024;
+    /** Maximum total size of the stored fields. A request above it is refused, whatever limit the rules set. */
+    private static final long MAX_TOTAL_BYTES = 128 * 1_024;
 
     private static final HttpHeadersFactory PLAIN = DefaultHttpHeadersFactory.INSTANCE;
 
@@ -32,13 +36,13 @@
 
     private FramingHeaders() {}
 
-    /** Tells what is wrong with the framing of a request. */
+    /** Second interface of the proxy, which reports framing errors. */
     interface Framing {
-        /** Returns why the request must be refused, or empty if its framing is sound. */
+        /** Returns why the request must be refused, or empty if its framing is valid. */
         Optional<Failure> framingProblem();
     }
 
-    /** Returns a factory of such headers for requests. */
+    /** Returns a factory that creates these headers for requests. */
     static HttpHeadersFactory factory() {
         return new HttpHeadersFactory() {
             @Override
@@ -66,7 +70,7 @@
         };
     }
 
-    /** Returns why the request with these headers must be refused, or empty if its framing is sound. */
+    /** Returns why the request with these headers must be refused, or empty if its framing is valid. */
     static Optional<Failure> problem(HttpHeaders headers) {
         return headers instanceof Framing framing ? framing.framingProblem() : Optional.empty();
     }
@@ -77,11 +81,11 @@
             return framingProblem();
         }
         boolean addsField = method.getName().equals("add") && arguments.length == 2;
-        if (addsField && arguments[1] instanceof CharSequence value && !keeps((CharSequence) arguments[0], value)) {
+        if (addsField && arguments[1] instanceof CharSequence value && !accept((CharSequence) arguments[0], value)) {
             return proxy;
         }
         boolean removes = method.getName().equals("remove") || method.getName().equals("getAndRemove");
-        if (removes && isLength((CharSequence) arguments[0])) {
+        if (removes && isContentLength((CharSequence) arguments[0])) {
             ambiguous |= headers.contains(HttpHeaderNames.CONTENT_LENGTH)
                     && headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
         }
@@ -93,12 +97,12 @@
         }
     }
 
-    private boolean keeps(CharSequence name, CharSequence value) {
+    private boolean accept(CharSequence name, CharSequence value) {
         bytes += name.length() + value.length();
-        if (bytes > MAX_KEPT_BYTES) {
+        if (bytes > MAX_TOTAL_BYTES) {
             return false;
         }
-        CharSequence length = isLength(name) ? headers.get(HttpHeaderNames.CONTENT_LENGTH) : null;
+        CharSequence length = isContentLength(name) ? headers.get(HttpHeaderNames.CONTENT_LENGTH) : null;
         if (length == null) {
             return true;
         }
@@ -106,17 +110,17 @@
         return false;
     }
 
-    private static boolean isLength(CharSequence name) {
+    private static boolean isContentLength(CharSequence name) {
         return name.toString().equalsIgnoreCase(HttpHeaderNames.CONTENT_LENGTH.toString());
     }
 
     private Optional<Failure> framingProblem() {
-        if (bytes > MAX_KEPT_BYTES) {
+        if (bytes > MAX_TOTAL_BYTES) {
             return Optional.of(
-                    Failure.of(ErrorKind.HEADERS_TOO_LARGE, "the headers exceed %d bytes".formatted(MAX_KEPT_BYTES)));
+                    Failure.of(ErrorKind.HEADERS_TOO_LARGE, "the headers exceed %d bytes".formatted(MAX_TOTAL_BYTES)));
         }
         return ambiguous
-                ? Optional.of(Failure.of(ErrorKind.MALFORMED_REQUEST, "the body has more than one length"))
+                ? Optional.of(Failure.of(ErrorKind.MALFORMED_REQUEST, "the headers declare more than one body length"))
                 : Optional.empty();
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/caller/ModelsPage.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/ModelsPage.java
@@ -2,9 +2,9 @@
 
 import java.util.Map;
 
-/** Lists the models that callers may name. */
+/** Source of the list of models that callers may request. */
 @FunctionalInterface
 public interface ModelsPage {
-    /** Returns the answer to {@code GET /v1/models}. */
+    /** Returns the body of the answer to {@code GET /v1/models}, as nested maps for the JSON writer. */
     Map<String, Object> list();
 }
--- a/entry/src/main/java/dev/wigeonward/entry/caller/RequestSink.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/RequestSink.java
@@ -2,12 +2,12 @@
 
 import dev.wigeonward.core.error.Failure;
 
-/** Where callers' requests go. */
+/** Receives the requests of callers for scheduling. */
 public interface RequestSink {
-    /** Returns false if the request cannot be taken now; it has then not run. */
+    /** Submits a request for admission. Returns false if the queue is full; the request has then not run. */
     boolean submit(CallerSession session);
 
-    /** Says that the caller does not wait any more. */
+    /** Reports that the caller no longer waits for the answer. */
     void callerGone(CallerSession session);
 
     /** Counts a request that was refused before admission. */
--- a/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
@@ -17,7 +17,7 @@
 import dev.wigeonward.core.rules.Rule;
 import dev.wigeonward.core.rules.RuleSet;
 
-/** Classifies requests by the rules in force. */
+/** A request classifier that uses the rules in force. */
 public final class RulesClassifier implements RequestClassifier {
     private static final String CHAT_PATH = "/v1/chat/completions";
     private static final String BEARER = "Bearer ";
@@ -27,7 +27,7 @@
     private final Supplier<Optional<RuleSet>> rulesInForce;
     private final WorkspaceRates rates;
 
-    /** Returns a classifier that asks for the rules in force at each request. */
+    /** Creates a classifier that fetches the rules in force for each request. */
     public RulesClassifier(Supplier<Optional<RuleSet>> rulesInForce, WorkspaceRates rates) {
         this.rulesInForce = rulesInForce;
         this.rates = rates;
@@ -37,17 +37,17 @@
     public Result classify(CallerRequest request, RequestId id, long nowMillis) {
         Optional<RuleSet> rules = rulesInForce.get();
         if (rules.isEmpty()) {
-            return refused(ErrorKind.NOT_READY, "this entry has no rules yet");
+            return refused(ErrorKind.NOT_READY, "this entry has no rules revision yet");
         }
         Optional<Rule.Workspace> workspace = workspace(request, rules.get());
         if (workspace.isEmpty()) {
-            return refused(ErrorKind.UNAUTHORIZED, "no workspace has this bearer key");
+            return refused(ErrorKind.UNAUTHORIZED, "the authorization header has no bearer key of a workspace");
         }
-        Addressed addressed = address(request, rules.get());
-        if (addressed.failure().isPresent()) {
-            return new Result.Refused(addressed.failure().get());
+        TargetResolution resolution = resolveTarget(request, rules.get());
+        if (resolution.failure().isPresent()) {
+            return new Result.Refused(resolution.failure().get());
         }
-        return describe(request, rules.get(), workspace.get(), addressed, id, nowMillis);
+        return describe(request, rules.get(), workspace.get(), resolution, id, nowMillis);
     }
 
     private static Optional<Rule.Workspace> workspace(CallerRequest request, RuleSet rules) {
@@ -59,84 +59,88 @@
                 .flatMap(rules::workspaceByKeyHash);
     }
 
-    private static Addressed address(CallerRequest request, RuleSet rules) {
+    private static TargetResolution resolveTarget(CallerRequest request, RuleSet rules) {
         if (request.pathWithoutQuery().equals(CHAT_PATH)) {
-            return addressModel(request, rules);
+            return resolveModel(request, rules);
         }
         return rules.serviceForPath(request.pathWithoutQuery())
-                .map(service -> Addressed.service(service.name()))
-                .orElseGet(() -> Addressed.failed(ErrorKind.UNKNOWN_TARGET, "no service has this path"));
+                .map(service -> TargetResolution.service(service.name()))
+                .orElseGet(() ->
+                        TargetResolution.failed(ErrorKind.UNKNOWN_TARGET, "no service is configured for this path"));
     }
 
-    private static Addressed addressModel(CallerRequest request, RuleSet rules) {
+    private static TargetResolution resolveModel(CallerRequest request, RuleSet rules) {
         if (!request.method().equals("POST")) {
-            return Addressed.failed(ErrorKind.METHOD_NOT_ALLOWED, "use POST for " + CHAT_PATH);
+            return TargetResolution.failed(ErrorKind.METHOD_NOT_ALLOWED, "use POST for " + CHAT_PATH);
         }
         ChatRequest.Result parsed = ChatRequest.parse(request.body());
         if (parsed instanceof ChatRequest.Result.Invalid invalid) {
-            return Addressed.failed(ErrorKind.MALFORMED_REQUEST, invalid.message());
+            return TargetResolution.failed(ErrorKind.MALFORMED_REQUEST, invalid.message());
         }
         ChatRequest chat = ((ChatRequest.Result.Valid) parsed).request();
         boolean known =
                 rules.target(chat.model()).filter(Rule.Model.class::isInstance).isPresent();
         if (!known) {
-            return Addressed.failed(ErrorKind.UNKNOWN_TARGET, "no model is named " + chat.model());
+            return TargetResolution.failed(ErrorKind.UNKNOWN_TARGET, "no model is named " + chat.model());
         }
-        return new Addressed(chat.model(), Optional.of(chat), Optional.empty());
+        return new TargetResolution(chat.model(), Optional.of(chat), Optional.empty());
     }
 
     private Result describe(
             CallerRequest request,
             RuleSet rules,
             Rule.Workspace workspace,
-            Addressed addressed,
+            TargetResolution resolution,
             RequestId id,
             long nowMillis) {
         String path = request.pathWithoutQuery();
         OptionalInt maxTokens =
-                addressed.chat().map(ChatRequest::maxOutputTokens).orElse(OptionalInt.empty());
-        Optional<Rule.Kind> kind = rules.kind(addressed.target(), path, request.method(), maxTokens);
+                resolution.chat().map(ChatRequest::maxOutputTokens).orElse(OptionalInt.empty());
+        Optional<Rule.Kind> kind = rules.kind(resolution.target(), path, request.method(), maxTokens);
         if (kind.isEmpty()) {
-            return refused(ErrorKind.UNKNOWN_TARGET, "no rule describes this kind of request");
+            return refused(ErrorKind.UNKNOWN_TARGET, "no kind rule matches this request");
         }
         Optional<Tier> tier = tier(request, rules, workspace, kind.get());
         if (tier.isEmpty()) {
             return refused(
                     ErrorKind.MALFORMED_REQUEST,
-                    "the workspace may not use the tier of this kind of request, or the one that x-tier names");
+                    "the workspace may not use the tier of this kind of request,"
+                            + " or x-tier names an unknown or forbidden tier");
         }
         Optional<Long> limitMillis = timeLimitMillis(request, kind.get());
         if (limitMillis.isEmpty()) {
-            return refused(ErrorKind.MALFORMED_REQUEST, "x-deadline-ms must be a positive whole number");
+            return refused(ErrorKind.MALFORMED_REQUEST, "x-deadline-ms must be a positive integer");
         }
-        boolean idempotent = rules.idempotent(addressed.target(), path, request.method());
+        boolean idempotent = rules.idempotent(resolution.target(), path, request.method());
         Optional<String> key = request.header("idempotency-key").map(RulesClassifier::unquote);
         if (key.isEmpty() && !idempotent) {
-            return refused(ErrorKind.IDEMPOTENCY_KEY_REQUIRED, "this call needs an Idempotency-Key");
+            return refused(
+                    ErrorKind.IDEMPOTENCY_KEY_REQUIRED,
+                    "a request that is not idempotent requires an Idempotency-Key header");
         }
         if (key.isPresent() && (key.get().isEmpty() || key.get().length() > MAX_KEY_CHARACTERS)) {
             return refused(
                     ErrorKind.MALFORMED_REQUEST,
                     "Idempotency-Key must have 1 to " + MAX_KEY_CHARACTERS + " characters");
         }
-        WorkEstimate work = work(addressed, kind.get());
-        if (!withinRate(rules, workspace.name(), work, nowMillis)) {
-            return refused(ErrorKind.RATE_LIMITED, "the workspace exceeds the rate that the rules give it");
+        WorkEstimate work = work(resolution, kind.get());
+        if (!tryAcquireRate(rules, workspace.name(), work, nowMillis)) {
+            return refused(ErrorKind.RATE_LIMITED, "the workspace exceeds its configured rate");
         }
         return new Result.Classified(new RequestSpec(
                 id,
                 key.map(given -> hashKey(workspace.name(), given)),
                 tier.get(),
                 workspace.name(),
-                addressed.target(),
-                addressed.target() + "/" + kind.get().name(),
+                resolution.target(),
+                resolution.target() + "/" + kind.get().name(),
                 work,
                 nowMillis + limitMillis.get(),
                 idempotent,
-                fingerprint(request, workspace.name(), addressed.target())));
+                fingerprint(request, workspace.name(), resolution.target())));
     }
 
-    private boolean withinRate(RuleSet rules, String workspace, WorkEstimate work, long nowMillis) {
+    private boolean tryAcquireRate(RuleSet rules, String workspace, WorkEstimate work, long nowMillis) {
         Optional<Rule.Rate> rate = rules.rate(workspace);
         return rate.isEmpty()
                 || rates.tryAcquire(
@@ -147,7 +151,9 @@
                         nowMillis);
     }
 
-    /** A caller may ask for a lower tier than the rules give, never for a higher one. */
+    /**
+     * Returns the tier of a request. A caller may ask for a lower tier than the rules give; a higher one is lowered.
+     */
     private static Optional<Tier> tier(CallerRequest request, RuleSet rules, Rule.Workspace workspace, Rule.Kind kind) {
         Optional<Tier> allowed = rules.tier(workspace.name(), kind);
         Optional<String> wanted = request.header("x-tier");
@@ -169,11 +175,11 @@
                 .map(millis -> Math.min(millis, kind.deadlineMillis()));
     }
 
-    private static WorkEstimate work(Addressed addressed, Rule.Kind kind) {
-        if (addressed.chat().isEmpty()) {
+    private static WorkEstimate work(TargetResolution resolution, Rule.Kind kind) {
+        if (resolution.chat().isEmpty()) {
             return NO_TOKENS;
         }
-        ChatRequest chat = addressed.chat().get();
+        ChatRequest chat = resolution.chat().get();
         int outputTokens =
                 Math.min(kind.expectedOutputTokens(), chat.maxOutputTokens().orElse(kind.expectedOutputTokens()));
         return new WorkEstimate(chat.promptTokens(), outputTokens, chat.prefixHash());
@@ -202,7 +208,9 @@
                 .asLong();
     }
 
-    /** The IETF draft writes the key as a quoted string; many clients send it bare. */
+    /**
+     * Removes the quotes of the IETF draft, which defines the key as a quoted string; many clients send it unquoted.
+     */
     private static String unquote(String value) {
         boolean quoted = value.length() >= 2 && value.startsWith("\"") && value.endsWith("\"");
         return quoted ? value.substring(1, value.length() - 1) : value;
@@ -212,13 +220,13 @@
         return new Result.Refused(Failure.of(kind, message));
     }
 
-    private record Addressed(String target, Optional<ChatRequest> chat, Optional<Failure> failure) {
-        static Addressed service(String name) {
-            return new Addressed(name, Optional.empty(), Optional.empty());
+    private record TargetResolution(String target, Optional<ChatRequest> chat, Optional<Failure> failure) {
+        static TargetResolution service(String name) {
+            return new TargetResolution(name, Optional.empty(), Optional.empty());
         }
 
-        static Addressed failed(ErrorKind kind, String message) {
-            return new Addressed("", Optional.empty(), Optional.of(Failure.of(kind, message)));
+        static TargetResolution failed(ErrorKind kind, String message) {
+            return new TargetResolution("", Optional.empty(), Optional.of(Failure.of(kind, message)));
         }
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/caller/package-info.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/package-info.java
@@ -1,2 +1,2 @@
-/** The callers' side: HTTP requests in, answers out. */
+/** The HTTP interface to callers: limits, classification, answers and errors. */
 package dev.wigeonward.entry.caller;
--- a/entry/src/main/java/dev/wigeonward/entry/command/ApplyCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/ApplyCommand.java
@@ -7,7 +7,7 @@
 import dev.wigeonward.core.revision.StoredRevision;
 import dev.wigeonward.core.rules.RuleDiff;
 
-/** Makes a text the next revision if head is still the revision that the operator saw. */
+/** The {@code apply} command, which writes a rules text as the next revision if the head has not changed meanwhile. */
 final class ApplyCommand {
     private final RevisionStore store;
     private final Environment environment;
@@ -40,11 +40,11 @@
     }
 
     /**
-     * Writes the text as the successor of head after checking the operator's base.
+     * Writes the text as the successor of the head after checking the operator's base revision.
      *
-     * @param checksUndone whether a text that takes back recent changes of others needs an explicit base
+     * @param checksReverts whether a text that reverts recent changes of other operators requires an explicit base
      */
-    CommandReport applyOver(StoredRevision head, String text, Options.Apply options, boolean checksUndone) {
+    CommandReport applyOver(StoredRevision head, String text, Options.Apply options, boolean checksReverts) {
         long headNumber = head.revision().number();
         if (options.base != null && options.base > headNumber) {
             return CommandReport.of(
@@ -60,16 +60,16 @@
             return CommandReport.of(ExitCode.OK, "unchanged", "revision " + headNumber + " already has this text")
                     .revision(head);
         }
-        if (checksUndone && options.base == null) {
-            List<RevisionChange> undone = threeWayCheck.undoneChanges(text, head, options.by);
-            if (!undone.isEmpty()) {
+        if (checksReverts && options.base == null) {
+            List<RevisionChange> reverted = threeWayCheck.revertedChanges(text, head, options.by);
+            if (!reverted.isEmpty()) {
                 return CommandReport.of(
                                 ExitCode.CONFLICT,
                                 "conflict",
-                                "the file takes back changes of other operators; nothing was written")
+                                "the file reverts changes of other operators; nothing was written")
                         .field("head", headNumber)
-                        .othersChanges(undone)
-                        .line("put them into your file, or pass --base " + headNumber + " to take them back");
+                        .othersChanges(reverted)
+                        .line("merge them into your file, or pass --base " + headNumber + " to revert them");
             }
         }
         return write(headNumber, head.revision().text(), text, options);
@@ -93,15 +93,15 @@
             return CommandReport.of(
                             ExitCode.FAILED,
                             "unknown",
-                            "the store did not say whether revision " + next.number() + " was written: "
-                                    + unknown.cause())
+                            "it is unknown whether revision " + next.number() + " was written: " + unknown.cause())
                     .revision(unknown.stored())
-                    .line("before you apply again, look in history for apply id "
+                    .line("before you apply again, search the history for apply id "
                             + unknown.stored().applyId());
         }
         return CommandReport.of(
                 ExitCode.FAILED,
                 "failed",
-                "the store has no revision any more, but revision " + baseNumber + " was read; nothing was changed");
+                "the store no longer has a head revision, but revision " + baseNumber
+                        + " was read; nothing was changed");
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/command/CommandReport.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/CommandReport.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.core.rules.RuleDiff;
 import dev.wigeonward.core.rules.RuleProblem;
 
-/** What a command found, as JSON for machines and as text for people. */
+/** The result of a command, as a JSON object and as lines of text. */
 final class CommandReport {
     private static final int SHORT_HASH_DIGITS = 12;
 
@@ -73,14 +73,14 @@
         return this;
     }
 
-    /** Adds the changed rules under a name and, for people, a title. */
+    /** Adds the changed rules, under a name in JSON and under a title in text. */
     CommandReport changes(String name, String title, RuleDiff diff) {
         json.set(name, describe(diff));
         addChangeLines(title, diff);
         return this;
     }
 
-    /** Adds what other operators changed, one revision after the other. */
+    /** Adds the changes of other operators, revision by revision. */
     CommandReport othersChanges(List<RevisionChange> revisions) {
         ArrayNode array = json.putArray("others");
         for (RevisionChange change : revisions) {
@@ -104,7 +104,7 @@
         return this;
     }
 
-    /** Adds a table of revisions, newest first; the ones with the hash of the operator's file are marked. */
+    /** Adds a table of revisions in the given order and marks those with the hash of the operator's file. */
     CommandReport history(List<StoredRevision> entries, String fileHash) {
         ArrayNode array = json.putArray("revisions");
         TextTable table = TextTable.withColumns("number", "applied at", "by", "hash", "reason");
@@ -129,12 +129,12 @@
             lines.add("  no rule differs");
         }
         for (RuleDiff.Change change : diff.changes()) {
-            change.before().ifPresent(line -> lines.add(shown("- ", line)));
-            change.after().ifPresent(line -> lines.add(shown("+ ", line)));
+            change.before().ifPresent(line -> lines.add(toChangeLine("- ", line)));
+            change.after().ifPresent(line -> lines.add(toChangeLine("+ ", line)));
         }
     }
 
-    private static String shown(String sign, RuleDiff.Line line) {
+    private static String toChangeLine(String sign, RuleDiff.Line line) {
         return "  " + sign + line.rule() + " # asked by " + line.askedBy();
     }
 
--- a/entry/src/main/java/dev/wigeonward/entry/command/Commands.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/Commands.java
@@ -12,7 +12,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.ParserProperties;
 
-/** Entry point of the operators' commands. */
+/** Parses and runs the operator commands on rules. */
 public final class Commands {
     private static final int USAGE_WIDTH = 100;
     private static final Map<String, Command<?>> COMMANDS = new TreeMap<>(Map.of(
@@ -33,14 +33,14 @@
 
     private Commands() {}
 
-    /** Returns the names of the commands. */
+    /** Returns the names of all commands in alphabetical order. */
     public static List<String> names() {
         return List.copyOf(COMMANDS.keySet());
     }
 
     /**
-     * Runs the command that the first argument names and returns the exit code: 0 done, 1 failed, 2 wrong usage, 3
-     * conflict with another operator.
+     * Runs the command that the first argument names and returns the exit code: 0 for success, 1 for failure, 2 for
+     * wrong usage, 3 for a conflict with another operator.
      */
     public static int run(String[] arguments, StoreConnector connector, PrintStream out, PrintStream err) {
         return run(arguments, Environment.real(connector), out, err);
--- a/entry/src/main/java/dev/wigeonward/entry/command/Environment.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/Environment.java
@@ -6,10 +6,10 @@
 import java.util.function.Supplier;
 
 /**
- * What the commands take from their surroundings besides the store.
+ * The dependencies of the commands: access to the store, clock, random ids and pauses.
  *
- * @param applyIds random ids by which a command recognizes its own write
- * @param pause waits for a number of milliseconds
+ * @param applyIds source of random ids by which a command recognizes its own write
+ * @param pause sleeps for the given number of milliseconds
  */
 record Environment(StoreConnector connector, Clock clock, Supplier<String> applyIds, LongConsumer pause) {
     static Environment real(StoreConnector connector) {
--- a/entry/src/main/java/dev/wigeonward/entry/command/ExitCode.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/ExitCode.java
@@ -1,6 +1,6 @@
 package dev.wigeonward.entry.command;
 
-/** Exit codes of the operators' commands. */
+/** Exit codes of the operator commands. */
 public enum ExitCode {
     OK(0),
     FAILED(1),
@@ -13,7 +13,7 @@
         this.value = value;
     }
 
-    /** Returns the code that the process exits with. */
+    /** Returns the exit code of the process. */
     public int value() {
         return value;
     }
--- a/entry/src/main/java/dev/wigeonward/entry/command/Options.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/Options.java
@@ -7,7 +7,7 @@
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
-/** Options of one command line. */
+/** The options that all operator commands share. */
 class Options {
     private static final int DEFAULT_HISTORY_ENTRIES = 20;
 
@@ -62,10 +62,10 @@
         long from = Long.MAX_VALUE;
     }
 
-    /** Returns the store of the command line. */
+    /** Returns the store at the address that the command line gives. */
     RevisionStore connect(Environment environment) {
         if (store == null) {
-            throw new UsageException("--store is missing");
+            throw new UsageException("--store is required, expected HOST:PORT");
         }
         try {
             HostAndPort address = HostAndPort.fromString(store);
@@ -77,7 +77,7 @@
 
     Path requireFile() {
         if (file == null) {
-            throw new UsageException("the rules file is missing");
+            throw new UsageException("the argument FILE is required, expected a rules file");
         }
         return file;
     }
--- a/entry/src/main/java/dev/wigeonward/entry/command/ReadCommands.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/ReadCommands.java
@@ -9,9 +9,9 @@
 import dev.wigeonward.core.revision.StoredRevision;
 import dev.wigeonward.core.rules.RuleDiff;
 
-/** The commands that change nothing. */
+/** The read-only commands {@code check}, {@code diff} and {@code history}. */
 final class ReadCommands {
-    // Each entry may hold a text of 1 MB.
+    /** Limits the size of one answer; each entry may contain a text of 1 MB. */
     private static final int MAX_HISTORY_ENTRIES = 100;
 
     private ReadCommands() {}
@@ -68,7 +68,10 @@
                 .history(page.entries(), hashOfFile(options));
     }
 
-    /** Returns the hash of the operator's file, which need not be valid, or nothing that any revision has. */
+    /**
+     * Returns the hash of the operator's file, whose rules need not be valid. Without a file, returns an empty text,
+     * which is not the hash of any revision.
+     */
     private static String hashOfFile(Options options) {
         if (options.file == null) {
             return "";
@@ -76,7 +79,7 @@
         try {
             return Revision.hashOf(Files.readString(options.file));
         } catch (IOException e) {
-            throw new UsageException(options.file + " cannot be read: " + e, e);
+            throw new UsageException("cannot read " + options.file + ": " + e, e);
         }
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/command/RevisionWriter.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/RevisionWriter.java
@@ -6,26 +6,26 @@
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.core.revision.StoredRevision;
 
-/** Writes a revision and finds out what became of it when a reply is lost. */
+/** Writes a revision and determines from the head and the history whether it was accepted if a reply is lost. */
 final class RevisionWriter {
-    private static final int ATTEMPTS = 3;
-    private static final long PAUSE_MILLIS = 200;
+    private static final int MAX_ATTEMPTS = 3;
+    private static final long RETRY_PAUSE_MILLIS = 200;
 
     private final RevisionStore store;
     private final Environment environment;
 
-    /** What became of a write. */
+    /** The outcome of a write. */
     sealed interface Outcome {
-        /** The revision was accepted; another one may have followed already. */
+        /** The revision was accepted. Later revisions may already exist. */
         record Accepted(StoredRevision stored) implements Outcome {}
 
-        /** Another revision was accepted in its place; this one never will be. */
+        /** Another revision was accepted with this number, so this one can no longer be accepted. */
         record Conflict(StoredRevision current) implements Outcome {}
 
-        /** The store has no head although one was read before. */
+        /** The store has no head, although one was read before. */
         record HeadMissing() implements Outcome {}
 
-        /** The store does not tell; the write may have taken effect or may still do so. */
+        /** The store gave no definite answer. The write may have taken effect or may still take effect. */
         record Unknown(StoredRevision stored, String cause) implements Outcome {}
     }
 
@@ -35,16 +35,16 @@
     }
 
     /**
-     * Returns the outcome of making the revision the successor of its predecessor. A repeated attempt carries the same
-     * apply id and the same expected number, so that at most one of them takes effect.
+     * Writes the revision as the successor of its predecessor and returns the outcome. All attempts have the same apply
+     * id and the same expected number, so that at most one of them takes effect.
      */
     Outcome write(Revision next) {
         StoredRevision stored = new StoredRevision(
                 next, environment.applyIds().get(), environment.clock().millis());
         String cause = "";
-        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+        for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
             if (attempt > 0) {
-                environment.pause().accept(PAUSE_MILLIS << attempt);
+                environment.pause().accept(RETRY_PAUSE_MILLIS << attempt);
             }
             RevisionStore.WriteResult result = store.compareAndSwapHead(next.number() - 1, stored);
             if (result instanceof RevisionStore.WriteResult.Applied) {
@@ -59,7 +59,7 @@
             Optional<StoredRevision> head = result instanceof RevisionStore.WriteResult.Conflict conflict
                     ? Optional.of(conflict.current())
                     : readHead();
-            Optional<Outcome> outcome = head.flatMap(found -> outcomeUnder(found, stored));
+            Optional<Outcome> outcome = head.flatMap(found -> outcomeFromHead(found, stored));
             if (outcome.isPresent()) {
                 return outcome.get();
             }
@@ -73,15 +73,17 @@
                 : Optional.empty();
     }
 
-    /** Returns what a head says about the write, or empty if the write may still take effect or nothing is known. */
-    private Optional<Outcome> outcomeUnder(StoredRevision head, StoredRevision mine) {
-        long number = mine.revision().number();
+    /** Returns the outcome that the head proves, or empty if the write may still take effect or nothing is known. */
+    private Optional<Outcome> outcomeFromHead(StoredRevision head, StoredRevision written) {
+        long number = written.revision().number();
         if (head.revision().number() < number) {
             return Optional.empty();
         }
         if (head.revision().number() == number) {
             return Optional.of(
-                    head.applyId().equals(mine.applyId()) ? new Outcome.Accepted(mine) : new Outcome.Conflict(head));
+                    head.applyId().equals(written.applyId())
+                            ? new Outcome.Accepted(written)
+                            : new Outcome.Conflict(head));
         }
         if (!(store.readHistory(number, 1) instanceof RevisionStore.HistoryResult.Page page)
                 || page.entries().isEmpty()
@@ -89,8 +91,8 @@
             return Optional.empty();
         }
         return Optional.of(
-                page.entries().get(0).applyId().equals(mine.applyId())
-                        ? new Outcome.Accepted(mine)
+                page.entries().get(0).applyId().equals(written.applyId())
+                        ? new Outcome.Accepted(written)
                         : new Outcome.Conflict(head));
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/command/RollbackCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/RollbackCommand.java
@@ -10,7 +10,7 @@
 import dev.wigeonward.core.rules.RuleParseResult;
 import dev.wigeonward.core.rules.RuleParser;
 
-/** Makes the text of an old revision the next revision. */
+/** The {@code rollback} command, which writes the text of an old revision as the next revision. */
 final class RollbackCommand {
     private final RevisionStore store;
     private final Environment environment;
@@ -26,7 +26,8 @@
             return CommandReport.unavailable(unavailable.cause());
         }
         if (!(result instanceof RevisionStore.HeadResult.Found found)) {
-            return CommandReport.of(ExitCode.FAILED, "failed", "the store has no revision to roll back to");
+            return CommandReport.of(
+                    ExitCode.FAILED, "failed", "the store has no revision to roll back; nothing was changed");
         }
         Optional<StoredRevision> target = StoredRevisions.find(store, options.to);
         if (target.isEmpty()) {
@@ -37,9 +38,7 @@
         String name = "revision-" + options.to;
         if (!target.get().revision().verifies()) {
             return CommandReport.of(
-                    ExitCode.FAILED,
-                    "failed",
-                    name + " does not have the hash it was stored with; nothing was changed");
+                    ExitCode.FAILED, "failed", name + " does not match its stored hash; nothing was changed");
         }
         if (RuleParser.parse(name, text) instanceof RuleParseResult.Invalid invalid) {
             return CommandReport.invalid(name, invalid.problems());
@@ -52,7 +51,7 @@
         return report;
     }
 
-    /** Brings the operator's file up to date, but never overwrites changes that were not applied yet. */
+    /** Replaces the operator's file by the text of the new revision, unless it has changes that were never applied. */
     private static void updateFile(Path file, String headText, String text, CommandReport report) {
         try {
             String fileText = Files.readString(file);
@@ -60,14 +59,15 @@
                 return;
             }
             if (!fileText.equals(headText)) {
-                report.line(file + " has changes of its own and was left as it is")
+                report.line(file + " has changes that were not applied and was not replaced")
                         .field("file", "kept");
                 return;
             }
             RulesFile.replace(file, text);
-            report.line(file + " has the text of the new revision").field("file", "replaced");
+            report.line(file + " was replaced by the text of the new revision").field("file", "replaced");
         } catch (IOException e) {
-            report.line(file + " was not brought up to date: " + e).field("file", "kept");
+            report.line(file + " could not be replaced by the text of the new revision: " + e)
+                    .field("file", "kept");
         }
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
@@ -18,7 +18,7 @@
 import dev.wigeonward.common.http.Json;
 import org.kohsuke.args4j.Option;
 
-/** Shows what the entries report: revisions in force, moves, refusals and spend. */
+/** The {@code status} command, which prints revisions in force, refusals, spend and version moves of entries. */
 public final class StatusCommand {
     @Option(
             name = "--entries",
@@ -32,7 +32,7 @@
 
     private StatusCommand() {}
 
-    /** Prints the report and returns the exit code: 0 if all entries answered, 1 if not, 2 on wrong usage. */
+    /** Runs the command and returns the exit code: 0 if all entries answered, 1 if not, 2 for wrong usage. */
     public static int run(String[] arguments, PrintStream out, PrintStream err) {
         StatusCommand command = new StatusCommand();
         OptionalInt exitCode = CommandLines.read(command, arguments, out, err);
@@ -90,7 +90,7 @@
         return lines;
     }
 
-    /** Each entry knows the totals of all, so that the first one's view is enough. */
+    /** Returns the spend table of the first entry, whose totals include those of all entries. */
     private static TextTable spend(Map<String, JsonNode> pages) {
         TextTable table = TextTable.withColumns("workspace", "tokens", "cost", "committed", "behind pace");
         pages.values().stream().findFirst().ifPresent(page -> page.path("spend")
--- a/entry/src/main/java/dev/wigeonward/entry/command/StoreConnector.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/StoreConnector.java
@@ -2,9 +2,9 @@
 
 import dev.wigeonward.core.revision.RevisionStore;
 
-/** Opens the store that an operator names. */
+/** Connects to the store at an address that an operator gives. */
 @FunctionalInterface
 public interface StoreConnector {
-    /** Returns the store at the address; does not wait for a connection and fails only on an address of wrong form. */
+    /** Returns the store at the address. Does not wait for a connection, and fails only for a malformed address. */
     RevisionStore connect(String host, int port);
 }
--- a/entry/src/main/java/dev/wigeonward/entry/command/StoredRevisions.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/StoredRevisions.java
@@ -5,11 +5,11 @@
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.core.revision.StoredRevision;
 
-/** Reads single revisions. */
+/** Reads single revisions from the history of a store. */
 final class StoredRevisions {
     private StoredRevisions() {}
 
-    /** Returns a revision of the history, or empty if it does not exist or the store does not answer. */
+    /** Returns the revision with a number, or empty if it does not exist or the store does not answer. */
     static Optional<StoredRevision> find(RevisionStore store, long number) {
         return store.readHistory(number, 1) instanceof RevisionStore.HistoryResult.Page page
                 ? page.entries().stream()
--- a/entry/src/main/java/dev/wigeonward/entry/command/TextTable.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/TextTable.java
@@ -6,7 +6,7 @@
 import com.google.common.base.Preconditions;
 import com.google.common.base.Strings;
 
-/** A table with aligned columns. */
+/** A text table with left-aligned columns. */
 final class TextTable {
     private final int columns;
     private final List<List<String>> rows = new ArrayList<>();
@@ -22,7 +22,7 @@
     }
 
     void addRow(String... cells) {
-        Preconditions.checkArgument(cells.length == columns, "%s cells in a table of %s", cells.length, columns);
+        Preconditions.checkArgument(cells.length == columns, "row has %s cells, expected %s", cells.length, columns);
         rows.add(List.of(cells));
     }
 
--- a/entry/src/main/java/dev/wigeonward/entry/command/ThreeWayCheck.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/ThreeWayCheck.java
@@ -12,9 +12,9 @@
 import dev.wigeonward.core.revision.StoredRevision;
 import dev.wigeonward.core.rules.RuleDiff;
 
-/** Compares an operator's text, the revision it started from, and the head that others have made meanwhile. */
+/** Compares an operator's text with its base revision and with the head that other operators wrote meanwhile. */
 final class ThreeWayCheck {
-    /** Revisions read back at most; each may hold 1 MB. */
+    /** Maximum number of revisions that are compared; each may contain a text of 1 MB. */
     static final int MAX_REVISIONS = 10;
 
     private final RevisionStore store;
@@ -23,20 +23,21 @@
         this.store = store;
     }
 
-    /** Returns the report for an operator whose base is not head any more. */
+    /** Returns the report for an operator whose base revision is no longer the head. */
     CommandReport conflict(long baseNumber, String text, StoredRevision head) {
         long headNumber = head.revision().number();
         CommandReport report = CommandReport.of(
                         ExitCode.CONFLICT,
                         "conflict",
-                        "head is revision " + headNumber + ", not " + baseNumber + " any more; nothing was written and"
+                        "the head is revision " + headNumber + ", expected " + baseNumber + "; nothing was written and"
                                 + " your file is unchanged")
                 .field("base", baseNumber)
                 .field("head", headNumber)
                 .revision(head);
         Optional<String> baseText = textOf(baseNumber);
         if (baseText.isEmpty()) {
-            return report.line("the history does not tell what changed since revision " + baseNumber);
+            return report.line(
+                    "revision " + baseNumber + " cannot be read, so its differences to the head are not shown");
         }
         RuleDiff theirs = RuleDiff.between(baseText.get(), head.revision().text());
         RuleDiff mine = RuleDiff.between(baseText.get(), text);
@@ -50,33 +51,33 @@
                         "overlap",
                         "changed by both:",
                         mine.overlap(theirs).stream().sorted().toList())
-                .line("put the others' changes into your file, then apply it with --base " + headNumber);
+                .line("merge the others' changes into your file, then apply it with --base " + headNumber);
     }
 
     /**
-     * Returns the recent changes of other operators that the text takes back, which happens when it was edited from an
-     * older revision. Looks at the last {@link #MAX_REVISIONS} revisions.
+     * Returns the recent changes of other operators that the text reverts, which happens if it was edited from an older
+     * revision. Examines the last {@link #MAX_REVISIONS} revisions.
      */
-    List<RevisionChange> undoneChanges(String text, StoredRevision head, String operator) {
+    List<RevisionChange> revertedChanges(String text, StoredRevision head, String operator) {
         long headNumber = head.revision().number();
-        List<RevisionChange> undone = new ArrayList<>();
+        List<RevisionChange> reverted = new ArrayList<>();
         Map<String, RuleDiff.Change> fromHead =
                 byIdentity(RuleDiff.between(head.revision().text(), text));
         if (fromHead.isEmpty()) {
-            return undone;
+            return reverted;
         }
         for (RevisionChange revision : changesSince(Math.max(0, headNumber - MAX_REVISIONS), headNumber)) {
             if (revision.stored().revision().appliedBy().equals(operator)) {
                 continue;
             }
-            List<RuleDiff.Change> takenBack = revision.diff().changes().stream()
+            List<RuleDiff.Change> revertedHere = revision.diff().changes().stream()
                     .filter(change -> isReverse(change, fromHead.get(change.identity())))
                     .toList();
-            if (!takenBack.isEmpty()) {
-                undone.add(new RevisionChange(revision.stored(), new RuleDiff(takenBack)));
+            if (!revertedHere.isEmpty()) {
+                reverted.add(new RevisionChange(revision.stored(), new RuleDiff(revertedHere)));
             }
         }
-        return undone;
+        return reverted;
     }
 
     private static Map<String, RuleDiff.Change> byIdentity(RuleDiff diff) {
@@ -95,7 +96,9 @@
         return line.map(found -> found.rule() + " # " + found.askedBy());
     }
 
-    /** Returns what each revision after the base changed, oldest first; fewer if the history does not reach back. */
+    /**
+     * Returns the changes of each revision after the base, oldest first; fewer if the history does not go back so far.
+     */
     private List<RevisionChange> changesSince(long baseNumber, long headNumber) {
         int wanted = (int) Math.min(MAX_REVISIONS, headNumber - baseNumber);
         if (!(store.readHistory(headNumber, wanted + 1) instanceof RevisionStore.HistoryResult.Page page)) {
--- a/entry/src/main/java/dev/wigeonward/entry/command/UsageException.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/UsageException.java
@@ -1,6 +1,6 @@
 package dev.wigeonward.entry.command;
 
-/** A command line that cannot be used; the message tells the operator why. */
+/** Thrown for an invalid command line; the message is shown to the operator. */
 final class UsageException extends RuntimeException {
     UsageException(String message) {
         super(message);
--- a/entry/src/main/java/dev/wigeonward/entry/command/package-info.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/package-info.java
@@ -1,2 +1,2 @@
-/** The operators' commands on the rules: check, diff, apply, history and rollback. */
+/** The operator commands: check, diff, apply, history and rollback of rules, and the status of entries. */
 package dev.wigeonward.entry.command;
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -28,22 +28,25 @@
 import dev.wigeonward.wire.generated.Frame;
 import dev.wigeonward.wire.generated.Heartbeat;
 
-/** The parts of an entry that keep it in step with the others. Used by the decision thread only. */
+/**
+ * The control plane of an entry: membership, revisions, facts, version moves, reading of the store and spend. Not
+ * thread-safe; confined to the decision thread.
+ */
 public final class ControlPlane {
     private static final Logger LOG = System.getLogger(ControlPlane.class.getName());
 
     private final RulesInForce rules;
-    private final MembershipDuty membership;
+    private final MembershipHandler membership;
     private final RevisionExchange revisions;
     private final FactExchange facts;
-    private final MoveDuty moves;
-    private final ReaderDuty reader;
+    private final MoveControllerRunner moves;
+    private final StoreReaderRole reader;
     private final SpendDuty spend;
     private final long drainLimitMillis;
     private final Consumer<Boolean> controllerCandidate;
     private final Map<String, UpstreamDescription> upstreams = new HashMap<>();
 
-    /** Returns a control plane that knows no peers. */
+    /** Creates a control plane without peers and without a revision. */
     public ControlPlane(
             ControlPorts ports,
             LinkPort links,
@@ -53,11 +56,11 @@
             RandomGenerator random,
             Consumer<Runnable> decisionThread) {
         this.rules = rules;
-        this.membership = new MembershipDuty(MembershipCore.create(ports.entryId(), random), links);
+        this.membership = new MembershipHandler(MembershipCore.create(ports.entryId(), random), links);
         RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
-        this.revisions = new RevisionExchange(log, RevisionRelay.create(log, random), links, this::adopted);
-        this.facts = new FactExchange(suspects, stages, links, new Listener());
-        this.moves = new MoveDuty(
+        this.revisions = new RevisionExchange(log, RevisionRelay.create(log, random), links, this::onRevisionAdopted);
+        this.facts = new FactExchange(suspects, stages, links, new ControlFactListener());
+        this.moves = new MoveControllerRunner(
                 new MoveController(MoveSettings.standard(), JudgeSettings.standard()),
                 ports.moveStore(),
                 ports.lease(),
@@ -65,31 +68,31 @@
                 links,
                 decisionThread,
                 ports.clock());
-        this.reader = new ReaderDuty(ports.entryId(), ports.headWatch());
+        this.reader = new StoreReaderRole(ports.entryId(), ports.headWatch());
         this.spend = ports.spend();
         this.drainLimitMillis = ports.drainLimitMillis();
         this.controllerCandidate = ports.controllerCandidate();
     }
 
-    /** Starts to read the store and to seek the controller lease; to be called on the decision thread. */
+    /** Starts watching the store and becomes a candidate for the controller lease. Call on the decision thread. */
     public void start() {
         reader.start();
         controllerCandidate.accept(true);
     }
 
-    /** Takes over a new list of VMs. */
+    /** Updates membership, the store reader role and the lease candidacy from a new VM list. */
     public void onVmsListed(VmSnapshot snapshot, long nowMillis) {
         membership.onVmsListed(snapshot, nowMillis);
         reader.onVmsListed(snapshot);
         controllerCandidate.accept(reader.isReader());
     }
 
-    /** Takes over what a watch read from the store. */
+    /** Passes the result of a read of the newest stored revision to the revision exchange. */
     public void onStoreRead(RevisionStore.HeadResult result, long nowMillis) {
         revisions.onStoreRead(result, nowMillis);
     }
 
-    /** A link to an agent is up. */
+    /** Registers an upstream whose agent is now connected. */
     public void onLinkUp(UpstreamDescription upstream, long nowMillis) {
         upstreams.put(upstream.upstreamId(), upstream);
         membership.onLinkUp(upstream, nowMillis);
@@ -97,14 +100,14 @@
         facts.onLinkUp(upstream.upstreamId(), nowMillis);
     }
 
-    /** A link was lost, or could not be opened. */
+    /** Handles a link that was lost or could not be opened. */
     public void onLinkDown(String upstreamId, long nowMillis) {
         membership.onLinkDown(upstreamId, nowMillis);
         revisions.onLinkDown(upstreamId, nowMillis);
         moves.onLinkDown(upstreamId);
     }
 
-    /** Handles what a frame carries besides requests. */
+    /** Handles the control content of a frame and records the frame as a sign of life of the agent. */
     public void onFrame(String upstreamId, Frame frame, long nowMillis) {
         membership.onFrame(upstreamId, frame.hasLeaving(), nowMillis);
         switch (frame.getBodyCase()) {
@@ -120,12 +123,12 @@
             case EVIDENCE -> moves.onEvidence(upstreams.get(upstreamId), frame.getEvidence());
             case ORDER_RESULT -> moves.onOrderResult(frame.getOrderResult());
             default -> {
-                // Frames about requests concern the dispatcher.
+                // The dispatcher handles frames about requests.
             }
         }
     }
 
-    /** Does what is due. */
+    /** Runs the periodic work of all parts. */
     public void onTick(long nowMillis) {
         membership.onTick(nowMillis);
         revisions.onTick(nowMillis);
@@ -133,7 +136,7 @@
         spend.onTick(nowMillis);
     }
 
-    /** Returns the heartbeat of this entry. */
+    /** Returns the heartbeat frame of this entry with its current revision, fencing number and evidence request. */
     public Frame heartbeat() {
         Heartbeat.Builder heartbeat =
                 Heartbeat.newBuilder().setFencingNumber(moves.fencingNumber()).setWantsEvidence(moves.holdsLease());
@@ -141,7 +144,7 @@
         return Frame.newBuilder().setHeartbeat(heartbeat).build();
     }
 
-    /** Returns what operators see. */
+    /** Returns the state of the control plane for the admin pages. */
     public Map<String, Object> status() {
         return Map.of(
                 "revision", revisions.number(),
@@ -153,18 +156,19 @@
                 "move_steps", moves.steps());
     }
 
-    /** Returns whether a revision is in force. */
+    /** Returns whether a rules revision is in force, without which the entry refuses requests. */
     public boolean ready() {
         return rules.get().isPresent();
     }
 
-    private void adopted(Revision revision) {
+    private void onRevisionAdopted(Revision revision) {
         rules.adopt(revision);
         rules.get().ifPresent(set -> {
             if (set.longestDeadlineMillis() >= drainLimitMillis) {
                 LOG.log(
                         Level.WARNING,
-                        "deadlines of up to {0} ms exceed the drain limit of {1} ms; a shutdown may cut requests",
+                        "longest deadline is {0} ms, expected less than the drain limit of {1} ms:"
+                                + " a graceful shutdown may cut off running requests",
                         set.longestDeadlineMillis(),
                         drainLimitMillis);
             }
@@ -173,7 +177,7 @@
         });
     }
 
-    private final class Listener implements FactListener {
+    private final class ControlFactListener implements FactListener {
         @Override
         public void onVerdict(BadVerdict verdict) {
             moves.onVerdict(verdict);
@@ -181,7 +185,7 @@
 
         @Override
         public void onStages(ControllerStages stages) {
-            // The version selector reads the stage view at each request.
+            // Nothing to do: the version selector reads the stage view for each request.
         }
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPorts.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPorts.java
@@ -7,14 +7,14 @@
 import java.util.function.Supplier;
 
 /**
- * The adapters that the control plane uses.
+ * The adapters and settings that the control plane depends on.
  *
- * @param moveStore records of version moves
- * @param lease fencing number of the controller lease while it is held for sure
- * @param controllerCandidate says whether this entry seeks the controller lease
- * @param headWatch watch on the newest revision
- * @param spend counts of what workspaces spend
- * @param drainLimitMillis longest wait for requests at a graceful shutdown
+ * @param moveStore stored records of version moves
+ * @param lease returns the fencing number of the controller lease, or empty unless the lease is certainly held
+ * @param controllerCandidate sets whether this entry tries to acquire the controller lease
+ * @param headWatch watch on the newest stored revision
+ * @param spend counter of the spend of workspaces
+ * @param drainLimitMillis maximum time to wait for running requests at a graceful shutdown
  */
 public record ControlPorts(
         String entryId,
--- a/entry/src/main/java/dev/wigeonward/entry/control/HeadWatch.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/HeadWatch.java
@@ -1,11 +1,11 @@
 package dev.wigeonward.entry.control;
 
-/** A watch on the newest revision in the store, which can be switched off. */
+/** A watch on the newest revision in the store that can be started and stopped. */
 public interface HeadWatch {
-    /** Starts or stops to watch. */
+    /** Starts or stops the watch; has no effect if it already is in the given state. */
     void setActive(boolean active);
 
-    /** Returns a watch without a store. */
+    /** Returns a watch that never reports a revision, for use without a store. */
     static HeadWatch none() {
         return active -> {};
     }
--- a/entry/src/main/java/dev/wigeonward/entry/control/LinkPort.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/LinkPort.java
@@ -3,7 +3,7 @@
 import dev.wigeonward.core.dispatch.EntryEvent;
 import dev.wigeonward.exchange.FrameSender;
 
-/** What the control plane asks of the runtime; peers are named by upstream id. */
+/** Operations of the runtime that the control plane uses; a peer is identified by its upstream id. */
 public interface LinkPort extends FrameSender {
     /** Opens a link to the agent of an upstream. */
     void connect(String upstreamId, String address);
@@ -11,9 +11,9 @@
     /** Closes the link to the agent of an upstream. */
     void disconnect(String upstreamId);
 
-    /** Closes the link to the agent of an upstream once no own request is left there. */
+    /** Closes the link to the agent of an upstream once this entry has no request there. */
     void disconnectWhenIdle(String upstreamId);
 
-    /** Hands an event to the dispatcher. */
+    /** Passes an event to the dispatcher and carries out its effects. */
     void dispatch(EntryEvent event);
 }
--- a/entry/src/main/java/dev/wigeonward/entry/control/MembershipDuty.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/MembershipHandler.java
@@ -15,28 +15,32 @@
 import dev.wigeonward.core.membership.MembershipEvent;
 import dev.wigeonward.core.placement.UpstreamDescription;
 
-/** Keeps links to the agents of the entry's subset and stops new work to those that leave. */
-final class MembershipDuty {
-    private static final Logger LOG = System.getLogger(MembershipDuty.class.getName());
+/** Keeps links to the agents of the entry's subset and stops new requests to agents that leave or are suspect. */
+final class MembershipHandler {
+    private static final Logger LOG = System.getLogger(MembershipHandler.class.getName());
     private static final String ENTRY_ROLE = "entry";
 
     private final MembershipCore membership;
     private final LinkPort links;
     private final Map<String, Long> incarnations = new TreeMap<>();
 
-    MembershipDuty(MembershipCore membership, LinkPort links) {
+    MembershipHandler(MembershipCore membership, LinkPort links) {
         this.membership = membership;
         this.links = links;
     }
 
     void onVmsListed(VmSnapshot snapshot, long nowMillis) {
-        List<ListedVm> vms =
-                snapshot.vms().values().stream().map(MembershipDuty::listed).toList();
+        List<ListedVm> vms = snapshot.vms().values().stream()
+                .map(MembershipHandler::toListedVm)
+                .toList();
         handle(new MembershipEvent.VmsListed(snapshot.version(), vms), nowMillis);
     }
 
-    /** The role of a VM is {@code entry}, or the name of the model or service that runs on it. */
-    private static ListedVm listed(Vm vm) {
+    /**
+     * Converts a VM of the list. The role of a VM is {@code entry}, or the name of the model or service that runs on
+     * it.
+     */
+    private static ListedVm toListedVm(Vm vm) {
         boolean entry = vm.role().equals(ENTRY_ROLE);
         return new ListedVm(
                 vm.id(),
@@ -71,28 +75,32 @@
     }
 
     private void handle(MembershipEvent event, long nowMillis) {
-        membership.handle(event, nowMillis).forEach(this::carryOut);
+        membership.handle(event, nowMillis).forEach(this::apply);
     }
 
-    private void carryOut(MembershipEffect effect) {
+    private void apply(MembershipEffect effect) {
         if (effect instanceof MembershipEffect.LinkTo link) {
             links.connect(link.upstreamId(), link.address());
         } else if (effect instanceof MembershipEffect.UnlinkFrom unlink) {
             links.dispatch(new EntryEvent.UpstreamLeaving(unlink.upstreamId()));
             links.disconnectWhenIdle(unlink.upstreamId());
         } else if (effect instanceof MembershipEffect.StopNewWork stop) {
-            LOG.log(Level.WARNING, "upstream {0} gets no new work: {1}", stop.upstreamId(), stop.state());
+            LOG.log(
+                    Level.WARNING,
+                    "no new requests go to upstream {0}: its state is {1}",
+                    stop.upstreamId(),
+                    stop.state());
             stopNewWork(stop);
         } else {
-            LOG.log(Level.DEBUG, "membership: {0}", effect);
+            LOG.log(Level.DEBUG, "membership effect without action: {0}", effect);
         }
     }
 
     private void stopNewWork(MembershipEffect.StopNewWork stop) {
         switch (stop.state()) {
             case SUSPECT -> links.disconnect(stop.upstreamId());
-            // The dispatcher learned of the new incarnation with its link.
-            case REPLACED -> LOG.log(Level.INFO, "upstream {0} has a new incarnation", stop.upstreamId());
+            // The dispatcher received the new incarnation when the link came up.
+            case REPLACED -> LOG.log(Level.INFO, "upstream {0} was replaced by a new incarnation", stop.upstreamId());
             default -> links.dispatch(new EntryEvent.UpstreamLeaving(stop.upstreamId()));
         }
     }
--- a/entry/src/main/java/dev/wigeonward/entry/control/MoveDuty.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/MoveControllerRunner.java
@@ -28,13 +28,16 @@
 import dev.wigeonward.wire.generated.Evidence;
 import dev.wigeonward.wire.generated.Load;
 
-/** Runs the move controller of an entry; it acts only while the entry holds the controller lease. */
-final class MoveDuty {
-    private static final Logger LOG = System.getLogger(MoveDuty.class.getName());
-    private static final int KEPT_REPORTS = 200;
+/** Runs the version move controller of an entry, which acts only while the entry holds the controller lease. */
+final class MoveControllerRunner {
+    private static final Logger LOG = System.getLogger(MoveControllerRunner.class.getName());
+    private static final int MAX_STEP_REPORTS = 200;
     private static final long LEASE_CHECK_MILLIS = 200;
-    /** Shorter than the margin by which the adapter gives the lease up before the store does. */
-    private static final long PROVED_LEASE_MILLIS = 1_000;
+    /**
+     * Time for which one check proves that the lease is held. Must stay shorter than the margin by which the lease
+     * adapter gives the lease up before it expires in the store.
+     */
+    private static final long LEASE_VALIDITY_MILLIS = 1_000;
 
     private final MoveController controller;
     private final MoveStore store;
@@ -45,16 +48,16 @@
     private final Clock clock;
     private final Deque<MoveReport> steps = new ArrayDeque<>();
     private long fencingNumber;
-    private boolean reading;
+    private boolean readingRecords;
     private long nextCheckMillis;
 
     /**
-     * Returns a duty that does not hold the lease.
+     * Creates a runner that does not hold the lease.
      *
-     * @param lease the fencing number while the lease is held for sure
-     * @param decisionThread runs answers of the store on the decision thread
+     * @param lease returns the fencing number of the lease, or empty unless the lease is certainly held
+     * @param decisionThread executes tasks on the decision thread; the store answers on other threads
      */
-    MoveDuty(
+    MoveControllerRunner(
             MoveController controller,
             MoveStore store,
             Supplier<OptionalLong> lease,
@@ -71,7 +74,7 @@
         this.clock = clock;
     }
 
-    /** Returns whether this entry is the controller, to which agents send evidence. */
+    /** Returns whether this entry is the controller; agents send evidence to the controller only. */
     boolean holdsLease() {
         return fencingNumber > 0;
     }
@@ -138,44 +141,47 @@
             return;
         }
         if (held.getAsLong() == fencingNumber) {
-            handle(new ControllerEvent.LeaseRenewed(nowMillis + PROVED_LEASE_MILLIS));
+            handle(new ControllerEvent.LeaseRenewed(nowMillis + LEASE_VALIDITY_MILLIS));
             return;
         }
-        if (!reading) {
-            reading = true;
-            takeOver(held.getAsLong());
+        if (!readingRecords) {
+            readingRecords = true;
+            readRecordsAndStart(held.getAsLong());
         }
     }
 
-    /** Reads the records after the lease was acquired, so that the last holder's writes are seen. */
-    private void takeOver(long acquired) {
+    /**
+     * Reads all move records and then starts the controller. The read follows the acquisition of the lease so that it
+     * sees every write of the previous holder.
+     */
+    private void readRecordsAndStart(long acquired) {
         store.readAll(records -> decisionThread.accept(() -> {
-            reading = false;
+            readingRecords = false;
             OptionalLong held = lease.get();
             if (records.isEmpty() || held.isEmpty() || held.getAsLong() != acquired) {
                 return;
             }
             fencingNumber = acquired;
-            LOG.log(Level.INFO, "controller with fencing number {0}", Long.toString(acquired));
-            handle(new ControllerEvent.LeaseAcquired(acquired, clock.millis() + PROVED_LEASE_MILLIS, records.get()));
+            LOG.log(Level.INFO, "acquired the controller lease with fencing number {0}", Long.toString(acquired));
+            handle(new ControllerEvent.LeaseAcquired(acquired, clock.millis() + LEASE_VALIDITY_MILLIS, records.get()));
         }));
     }
 
-    /** Returns the current state of all moves, for operators. */
+    /** Returns the current state of all version moves. */
     List<MoveReport> reports() {
         return controller.reports(clock.millis());
     }
 
-    /** Returns the last steps, newest first. */
+    /** Returns the reports of the latest {@value #MAX_STEP_REPORTS} steps, newest first. */
     List<MoveReport> steps() {
         return List.copyOf(steps);
     }
 
     private void handle(ControllerEvent event) {
-        controller.handle(event, clock.millis()).forEach(this::carryOut);
+        controller.handle(event, clock.millis()).forEach(this::apply);
     }
 
-    private void carryOut(ControllerEffect effect) {
+    private void apply(ControllerEffect effect) {
         if (effect instanceof ControllerEffect.WriteRecord write) {
             String model = write.record().model();
             store.write(
@@ -195,9 +201,9 @@
         } else if (effect instanceof ControllerEffect.PublishVerdict publish) {
             facts.publishVerdict(publish.verdict());
         } else if (effect instanceof ControllerEffect.ReportStep step) {
-            LOG.log(Level.INFO, "move: {0}", step.report());
+            LOG.log(Level.INFO, "version move step: {0}", step.report());
             steps.addFirst(step.report());
-            if (steps.size() > KEPT_REPORTS) {
+            if (steps.size() > MAX_STEP_REPORTS) {
                 steps.removeLast();
             }
         }
--- a/entry/src/main/java/dev/wigeonward/entry/control/MoveStore.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/MoveStore.java
@@ -9,14 +9,17 @@
 import dev.wigeonward.core.rollout.MoveRecord;
 import dev.wigeonward.core.rollout.StoredRecord;
 
-/** Move records in the store; answers come in any thread. */
+/** Stores the records of version moves. Callbacks run on any thread. */
 public interface MoveStore {
-    /** Reads all records; the answer is empty if the store did not answer. */
+    /** Reads all records; the callback receives empty if the store did not answer. */
     void readAll(Consumer<Optional<List<StoredRecord>>> answer);
 
-    /** Reads the record of a model; the listener is not called if the store did not answer. */
+    /** Reads the record of a model; the callback is not called if the store did not answer. */
     void read(String model, Consumer<Optional<StoredRecord>> answer);
 
-    /** Writes a record under a condition; the answer has the new revision if the write was applied. */
+    /**
+     * Writes a record if its key still has the expected revision. The callback receives the new revision of the key if
+     * the write was applied, and 0 otherwise.
+     */
     void write(MoveRecord record, long expectedRevision, BiConsumer<ControllerEvent.StoreAnswer, Long> answer);
 }
--- a/entry/src/main/java/dev/wigeonward/entry/control/SpendDuty.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/SpendDuty.java
@@ -18,7 +18,7 @@
 import dev.wigeonward.core.spend.SpendSnapshot;
 import dev.wigeonward.exchange.RulesInForce;
 
-/** Counts what workspaces spend against their commitments, together with the other entries. */
+/** Counts the spend of workspaces against their commitments, merged with the totals of the other entries. */
 public final class SpendDuty implements UsageSink, WorkspaceWeights {
     private static final long WRITE_PERIOD_MILLIS = 30_000;
     private static final long TOKENS_PER_PRICE = 1_000;
@@ -28,12 +28,12 @@
     private final SpendStore store;
     private final Clock clock;
     private final SpendLedger ledger;
-    private final ConcurrentLinkedQueue<SpendSnapshot> read = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<SpendSnapshot> unmergedSnapshots = new ConcurrentLinkedQueue<>();
     private SpendPeriod period = NO_PERIOD;
     private boolean restored;
     private long nextWriteMillis;
 
-    /** Returns a duty without counts. */
+    /** Creates a counter without any spend. */
     public SpendDuty(String entryId, RulesInForce rules, SpendStore store, Clock clock) {
         this.rules = rules;
         this.store = store;
@@ -59,19 +59,19 @@
         return ledger.weight(workspace, rules.weight(workspace), clock.millis());
     }
 
-    /** Takes over the commitments of new rules. */
+    /** Replaces the commitments by those of new rules and counts in the longest of their periods. */
     void onRules(RuleSet set) {
         Map<String, Spend> commitments = new HashMap<>();
-        List<Rule.Commitment> rulesOfSpend = set.workspaces().stream()
+        List<Rule.Commitment> commitmentRules = set.workspaces().stream()
                 .map(workspace -> set.commitment(workspace.name()))
                 .flatMap(Optional::stream)
                 .toList();
-        rulesOfSpend.forEach(rule -> commitments.put(rule.workspace(), new Spend(0, rule.spendMicros())));
+        commitmentRules.forEach(rule -> commitments.put(rule.workspace(), new Spend(0, rule.spendMicros())));
         ledger.setCommitments(commitments);
-        rulesOfSpend.stream().mapToLong(Rule.Commitment::periodMillis).max().ifPresent(this::usePeriod);
+        commitmentRules.stream().mapToLong(Rule.Commitment::periodMillis).max().ifPresent(this::switchPeriod);
     }
 
-    private void usePeriod(long periodMillis) {
+    private void switchPeriod(long periodMillis) {
         long number = clock.millis() / periodMillis;
         String name = periodMillis + "-" + number;
         if (period.name().equals(name)) {
@@ -82,9 +82,13 @@
         restored = false;
     }
 
-    /** Writes the own totals and reads those of the others. */
+    /**
+     * Merges the totals that were read from the store and, once per write period, writes the totals of this entry and
+     * reads those of all entries. Nothing is written before the first read of a period, whose answer contains the
+     * totals that this entry wrote before a restart.
+     */
     void onTick(long nowMillis) {
-        for (SpendSnapshot snapshot = read.poll(); snapshot != null; snapshot = read.poll()) {
+        for (SpendSnapshot snapshot = unmergedSnapshots.poll(); snapshot != null; snapshot = unmergedSnapshots.poll()) {
             if (!ledger.restore(snapshot)) {
                 ledger.merge(snapshot);
             }
@@ -93,17 +97,17 @@
             return;
         }
         nextWriteMillis = nowMillis + WRITE_PERIOD_MILLIS;
-        usePeriod(period.endMillis() - period.startMillis());
+        switchPeriod(period.endMillis() - period.startMillis());
         if (restored) {
             store.write(ledger.snapshot());
         }
         store.readAll(period.name(), snapshots -> {
-            read.addAll(snapshots);
+            unmergedSnapshots.addAll(snapshots);
             restored = true;
         });
     }
 
-    /** Returns spend and commitment of each workspace, in millionths of the currency unit. */
+    /** Returns tokens, cost and commitment of each workspace; amounts are in millionths of the currency unit. */
     Map<String, Object> report() {
         Map<String, Object> report = new TreeMap<>();
         rules.get().ifPresent(set -> set.workspaces().forEach(workspace -> {
--- a/entry/src/main/java/dev/wigeonward/entry/control/SpendStore.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/SpendStore.java
@@ -5,9 +5,9 @@
 
 import dev.wigeonward.core.spend.SpendSnapshot;
 
-/** Spend totals in the store; answers come in any thread, and only if the store answers. */
+/** Stores the spend totals of entries. Callbacks run on any thread, and only if the store answers. */
 public interface SpendStore {
-    /** Writes the totals of this entry over its earlier ones. */
+    /** Replaces the stored totals of this entry for the period of the snapshot. */
     void write(SpendSnapshot snapshot);
 
     /** Reads the totals of all entries in a period. */
--- a/entry/src/main/java/dev/wigeonward/entry/control/ReaderDuty.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/StoreReaderRole.java
@@ -7,14 +7,14 @@
 import dev.wigeonward.common.vms.VmSnapshot;
 import dev.wigeonward.core.revision.ReaderElection;
 
-/** Decides whether this entry reads the store for its failure domain. */
-final class ReaderDuty {
+/** Determines whether this entry is a reader of the store for its failure domain, and runs the watch if it is. */
+final class StoreReaderRole {
     private final String entryId;
     private final HeadWatch watch;
     private boolean reader;
 
-    /** Returns a duty that reads until a VM list says that others do. */
-    ReaderDuty(String entryId, HeadWatch watch) {
+    /** Creates a role that reads until a VM list shows that other entries do. */
+    StoreReaderRole(String entryId, HeadWatch watch) {
         this.entryId = entryId;
         this.watch = watch;
         this.reader = true;
@@ -30,7 +30,7 @@
                 .map(vm -> new ReaderElection.LiveEntry(vm.id(), vm.failureDomain()))
                 .toList();
         Set<String> readers = ReaderElection.readers(live);
-        // An entry that the lagging list does not have yet cannot know whether others read.
+        // The VM list lags. An entry that is not listed yet cannot tell whether others read, so it keeps reading.
         boolean listed = live.stream().anyMatch(entry -> entry.id().equals(entryId));
         reader = !listed || readers.contains(entryId);
         watch.setActive(reader);
--- a/entry/src/main/java/dev/wigeonward/entry/control/UsageSink.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/UsageSink.java
@@ -2,9 +2,9 @@
 
 import dev.wigeonward.core.request.RequestSpec;
 
-/** Hears what answers cost. */
+/** Receives the token usage of complete answers. */
 @FunctionalInterface
 public interface UsageSink {
-    /** Counts the tokens of a complete answer. */
+    /** Adds the tokens of a complete answer. */
     void record(RequestSpec request, long promptTokens, long outputTokens);
 }
--- a/entry/src/main/java/dev/wigeonward/entry/control/package-info.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/package-info.java
@@ -1,2 +1,2 @@
-/** What an entry does besides requests: membership, revisions, facts, version moves and spend. */
+/** The control plane of an entry: membership, revisions, facts, version moves and spend. */
 package dev.wigeonward.entry.control;
--- a/entry/src/main/java/dev/wigeonward/entry/link/AgentFrames.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/AgentFrames.java
@@ -33,16 +33,16 @@
 import dev.wigeonward.wire.generated.UpstreamInfo;
 import dev.wigeonward.wire.generated.Work;
 
-/** Turns effects into frames and frames into events. */
+/** Converts dispatcher effects to frames for agents, and frames from agents to dispatcher events. */
 public final class AgentFrames {
-    /** Leaves room for the headers, of at most 256 KiB, in a frame of at most 1 MiB. */
+    /** Maximum body size of the first frame; leaves room for headers of up to 256 KiB in a frame of up to 1 MiB. */
     private static final int FIRST_PART_BYTES = 512 * 1024;
 
     private static final int BODY_PART_BYTES = 64 * 1024;
 
     private AgentFrames() {}
 
-    /** Returns the frames of a dispatch with the caller's request in it; a long body needs several. */
+    /** Returns the frames of a dispatch with the caller's request; a long body is split over several frames. */
     public static List<Frame> dispatch(EntryEffect.SendDispatch effect, RequestSpec request, CallerRequest http) {
         Dispatch.Builder dispatch = describe(effect.request(), effect.dispatch(), request)
                 .setTimeLeftMillis(Math.max(0, effect.timeLeftMillis()))
@@ -66,7 +66,7 @@
         return frames;
     }
 
-    /** Returns the frame that joins the run of another request. */
+    /** Returns the frame that attaches a request to the run of another request. */
     public static Frame attach(
             EntryEffect.SendAttach effect, RequestSpec request, long upstreamIncarnation, long timeLeftMillis) {
         Dispatch.Builder dispatch = describe(effect.request(), effect.dispatch(), request)
@@ -124,14 +124,14 @@
                 .build();
     }
 
-    /** Returns the frame that frees a request's place. */
+    /** Returns the frame that cancels a request and frees its slot. */
     public static Frame cancel(EntryEffect.SendCancel effect) {
         return Frame.newBuilder()
                 .setCancel(Cancel.newBuilder().setRequestId(effect.request().value()))
                 .build();
     }
 
-    /** Returns what an agent announced, or empty if the greeting is not from a usable agent. */
+    /** Returns the upstream that a hello describes, or empty if it describes none or an invalid one. */
     public static Optional<UpstreamDescription> describe(Hello hello) {
         if (!hello.hasUpstream()) {
             return Optional.empty();
@@ -151,7 +151,7 @@
         }
     }
 
-    /** Returns the event in a frame, or empty if the frame carries none for the dispatcher. */
+    /** Returns the dispatcher event in a frame, or empty if the frame contains none. */
     public static Optional<EntryEvent> event(String upstreamId, Frame frame) {
         return switch (frame.getBodyCase()) {
             case HEARTBEAT ->
@@ -207,12 +207,14 @@
                 upstreamId, report, load.getUpstreamAlive(), Set.copyOf(load.getLoadedVersionsList()));
     }
 
-    /** An unknown kind comes from a newer agent; its run state is unknown to this entry. */
+    /**
+     * Converts a reported error. An unknown kind comes from a newer agent, so its run state is unknown to this entry.
+     */
     private static Failure failure(String kind, String message) {
         return Failure.of(ErrorKind.fromWireName(kind).orElse(ErrorKind.INTERNAL), message);
     }
 
-    /** Returns the headers of an answer as the caller gets them. */
+    /** Returns the headers of an answer that are forwarded to the caller. */
     public static List<Map.Entry<String, String>> headers(ResponseHead head) {
         return head.getHeadersList().stream()
                 .filter(header -> CallerService.isForwarded(header.getName()))
--- a/entry/src/main/java/dev/wigeonward/entry/link/LinkTable.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/LinkTable.java
@@ -10,19 +10,22 @@
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkTransport;
 
-/** The current link to each agent and what the agent announced on it. Used by the decision thread only. */
+/**
+ * The current link to each agent with the description of its upstream. Not thread-safe; confined to the decision
+ * thread.
+ */
 public final class LinkTable {
     private final LinkTransport transport;
     private final Map<String, String> upstreamByAddress = new HashMap<>();
-    private final Map<String, Current> links = new HashMap<>();
+    private final Map<String, Connected> links = new HashMap<>();
     private final Map<String, Long> incarnations = new HashMap<>();
 
-    /** Returns a table without links. */
+    /** Creates a table without links. */
     public LinkTable(LinkTransport transport) {
         this.transport = transport;
     }
 
-    /** Starts to open a link to the agent at an address. */
+    /** Starts connecting to the agent of an upstream at an address, which replaces its earlier address. */
     public void connect(String upstreamId, String address) {
         upstreamByAddress.values().remove(upstreamId);
         upstreamByAddress.put(address, upstreamId);
@@ -30,60 +33,60 @@
         transport.connect(new InetSocketAddress(hostAndPort.getHost(), hostAndPort.getPort()));
     }
 
-    /** Returns the upstream whose agent was to be reached at an address. */
+    /** Returns the upstream whose agent was last connected to at an address. */
     public Optional<String> upstreamAt(String address) {
         return Optional.ofNullable(upstreamByAddress.get(address));
     }
 
-    /** Returns whether the agent had another incarnation on its last link. */
+    /** Returns whether the agent of an upstream had a different incarnation on its previous link. */
     public boolean restarted(UpstreamDescription upstream) {
         Long before = incarnations.get(upstream.upstreamId());
         return before != null && before != upstream.incarnation();
     }
 
-    /** Registers a link and returns the older link to the same upstream, if there is one. */
+    /** Registers a link and returns the link to the same upstream that it replaces, if there is one. */
     public Optional<Link> up(Link link, UpstreamDescription upstream) {
         incarnations.put(upstream.upstreamId(), upstream.incarnation());
-        Current previous = links.put(upstream.upstreamId(), new Current(link, upstream));
-        return Optional.ofNullable(previous).map(Current::link);
+        Connected previous = links.put(upstream.upstreamId(), new Connected(link, upstream));
+        return Optional.ofNullable(previous).map(Connected::link);
     }
 
-    /** Removes a link and returns its upstream, if it was the current link to it. */
+    /** Removes a link and returns its upstream; does nothing and returns empty if the link is not the current one. */
     public Optional<String> down(Link link) {
         Optional<String> upstreamId = upstreamOf(link).map(UpstreamDescription::upstreamId);
         upstreamId.ifPresent(links::remove);
         return upstreamId;
     }
 
-    /** Returns the upstream of a link, if the link is the current one to it. */
+    /** Returns the upstream of a link, or empty if the link is not the current one to its upstream. */
     public Optional<UpstreamDescription> upstreamOf(Link link) {
         String upstreamId = link.peer().getUpstream().getUpstreamId();
         return Optional.ofNullable(links.get(upstreamId))
                 .filter(current -> current.link() == link)
-                .map(Current::upstream);
+                .map(Connected::upstream);
     }
 
     /** Returns the current link to an upstream. */
     public Optional<Link> find(String upstreamId) {
-        return Optional.ofNullable(links.get(upstreamId)).map(Current::link);
+        return Optional.ofNullable(links.get(upstreamId)).map(Connected::link);
     }
 
-    /** Returns what the agent of an upstream announced on the current link. */
+    /** Returns the description of an upstream from its current link. */
     public Optional<UpstreamDescription> describe(String upstreamId) {
-        return Optional.ofNullable(links.get(upstreamId)).map(Current::upstream);
+        return Optional.ofNullable(links.get(upstreamId)).map(Connected::upstream);
     }
 
-    /** Returns the current links by upstream. */
+    /** Returns the current links by upstream id. */
     public Map<String, Link> current() {
         Map<String, Link> current = new HashMap<>();
         links.forEach((upstreamId, entry) -> current.put(upstreamId, entry.link()));
         return current;
     }
 
-    /** Returns the upstreams with a link. */
+    /** Returns the upstreams that have a link. */
     public Iterable<UpstreamDescription> upstreams() {
-        return links.values().stream().map(Current::upstream).toList();
+        return links.values().stream().map(Connected::upstream).toList();
     }
 
-    private record Current(Link link, UpstreamDescription upstream) {}
+    private record Connected(Link link, UpstreamDescription upstream) {}
 }
--- a/entry/src/main/java/dev/wigeonward/entry/package-info.java
+++ b/entry/src/main/java/dev/wigeonward/entry/package-info.java
@@ -1,2 +1,2 @@
-/** The entry process: takes callers' requests and sends them to agents. */
+/** The entry process, which accepts callers' requests and dispatches them to agents. */
 package dev.wigeonward.entry;
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/ClaimPort.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/ClaimPort.java
@@ -6,12 +6,12 @@
 import dev.wigeonward.core.dispatch.ClaimAnswer;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** Durable claims in the store; answers come back as events, in any thread. */
+/** Creates, moves and ends the durable claims of requests in the store. Listeners are called on any thread. */
 public interface ClaimPort {
-    /** Creates the claim of a request, or moves the own claim to another upstream. */
+    /** Creates the claim of a request, or moves the claim that the request already holds to another upstream. */
     void make(RequestSpec request, String upstreamId, long upstreamIncarnation, Listener listener);
 
-    /** Replaces the claim of another request. */
+    /** Replaces the claim of another request, identified by its claim id, with a claim of this request. */
     void takeOver(
             RequestSpec request,
             String previousClaimId,
@@ -19,22 +19,24 @@
             long upstreamIncarnation,
             Listener listener);
 
-    /** Removes the own claim of a request that did not run; repeated until the store answers. */
+    /** Removes the claim of a request that did not run; the removal is repeated until the store answers. */
     void release(RequestSpec request);
 
-    /** Stores the outcome of a claimed request. */
+    /** Stores the outcome of a claimed request with its claim. */
     void record(RequestSpec request, StoredOutcome outcome);
 
-    /** Hears the answer to an order. */
+    /** Receives the answer of the store to a claim operation. */
     interface Listener {
-        /** The store answered; the outcome is present only if it is stored. */
+        /** Called with the answer; the outcome is present only if the store holds one for the key. */
         void onAnswer(ClaimAnswer answer, Optional<StoredOutcome> outcome);
     }
 
-    /** Drops what is kept for a request whose claim stays in the store without an outcome. */
+    /**
+     * Discards the local state of a request; its claim, if there still is one, stays in the store without an outcome.
+     */
     void forget(RequestSpec request);
 
-    /** Returns a port without a store: no claim can be made, so that non-idempotent requests are refused. */
+    /** Returns a port without a store. No claim can be made, so non-idempotent requests are refused. */
     static ClaimPort unavailable() {
         return new ClaimPort() {
             @Override
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryInput.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryInput.java
@@ -5,26 +5,26 @@
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.generated.Frame;
 
-/** What reaches the decision thread of an entry. */
+/** An input of the decision thread of an entry. */
 sealed interface EntryInput {
-    /** A caller's request. */
+    /** A request arrived from a caller. */
     record FromCaller(CallerSession session) implements EntryInput {}
 
-    /** A link is up. */
+    /** A link was opened. */
     record LinkOpened(Link link) implements EntryInput {}
 
-    /** A frame arrived. */
+    /** A frame arrived on a link. */
     record FrameArrived(Link link, Frame frame) implements EntryInput {}
 
-    /** A link is gone. */
+    /** A link was closed. */
     record LinkClosed(Link link, String reason) implements EntryInput {}
 
-    /** A connection attempt failed. */
+    /** An attempt to connect to an agent failed. */
     record ConnectFailed(String address, String reason) implements EntryInput {}
 
-    /** An event of another adapter. */
+    /** An event for the dispatcher that comes from another thread. */
     record Event(EntryEvent event) implements EntryInput {}
 
-    /** A question that needs the state of the decision thread. */
-    record Query(Runnable question) implements EntryInput {}
+    /** A task to run on the decision thread. */
+    record Query(Runnable task) implements EntryInput {}
 }
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryMetrics.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryMetrics.java
@@ -11,7 +11,7 @@
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.request.Tier;
 
-/** Counters of an entry, by Dropwizard Metrics. */
+/** Counters, meters and timers of an entry, kept in a Dropwizard metric registry. */
 public final class EntryMetrics {
     private final MetricRegistry registry = new MetricRegistry();
     private final Map<ErrorKind, Counter> failures = new EnumMap<>(ErrorKind.class);
@@ -45,7 +45,7 @@
         return decisions;
     }
 
-    /** Returns the errors that callers got, by kind, without those that never occurred. */
+    /** Returns the number of errors sent to callers by error kind, without kinds that never occurred. */
     public Map<String, Long> failuresByKind() {
         Map<String, Long> counts = new TreeMap<>();
         failures.forEach((kind, counter) -> {
@@ -56,12 +56,12 @@
         return counts;
     }
 
-    /** Returns the registry, for further metrics. */
+    /** Returns the registry, to which other parts add their metrics. */
     public MetricRegistry registry() {
         return registry;
     }
 
-    /** Returns all counters and rates, by name. */
+    /** Returns the counts of all counters, meters and timers and the 99th percentiles of the timers, by name. */
     public Map<String, Object> snapshot() {
         Map<String, Object> values = new TreeMap<>();
         registry.getCounters().forEach((name, counter) -> values.put(name, counter.getCount()));
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryParts.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryParts.java
@@ -10,7 +10,7 @@
 import dev.wigeonward.wire.generated.Hello;
 import io.netty.handler.ssl.SslContext;
 
-/** What the runtime of an entry is built from. */
+/** The components that the runtime of an entry is built from. */
 public record EntryParts(
         EntryDispatcher dispatcher,
         ClaimPort claims,
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -40,7 +40,7 @@
 import dev.wigeonward.wire.generated.Frame;
 import dev.wigeonward.wire.generated.Heartbeat;
 
-/** Runs the dispatcher and the control plane of an entry on one thread and carries out their effects. */
+/** Runs the dispatcher and the control plane of an entry on the decision thread and carries out their effects. */
 public final class EntryRuntime implements RequestSink, LinkListener, LinkPort, AutoCloseable {
     private static final Logger LOG = System.getLogger(EntryRuntime.class.getName());
     private static final int RING_CAPACITY = 65_536;
@@ -56,15 +56,15 @@
     private final LinkTable links;
     private final ControlPlane control;
     private final DutyThread<EntryInput> thread;
-    /** Replaced by the decision thread, read by the links' thread. */
+    /** Heartbeat of regular sends; written by the decision thread, read by the thread of the links. */
     private volatile Frame heartbeat =
             Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
-    /** Frame whose event is being handled; its bytes belong to the effects of that event. */
-    private Frame frameInHand;
+    /** Frame whose event is being handled. Delivery effects of that event refer to the data in this frame. */
+    private Frame currentFrame;
 
-    private volatile boolean leaving;
-    private final Set<String> closing = new HashSet<>();
-    private CompletableFuture<Void> whenIdle;
+    private volatile boolean shuttingDown;
+    private final Set<String> closingWhenIdle = new HashSet<>();
+    private CompletableFuture<Void> drainResult;
 
     private EntryRuntime(EntryParts parts, Function<EntryRuntime, ControlPlane> control) {
         this.dispatcher = Objects.requireNonNull(parts.dispatcher(), "dispatcher");
@@ -122,12 +122,12 @@
         thread.put(new EntryInput.ConnectFailed(address, reason));
     }
 
-    /** Takes over a new list of VMs. */
+    /** Passes a new VM list to the control plane. */
     public void onVmsListed(VmSnapshot snapshot) {
         runLater(() -> control.onVmsListed(snapshot, clock.millis()));
     }
 
-    /** Takes over what a watch read from the store. */
+    /** Passes the result of a read of the newest stored revision to the control plane. */
     public void onStoreRead(RevisionStore.HeadResult result) {
         runLater(() -> control.onStoreRead(result, clock.millis()));
     }
@@ -137,39 +137,39 @@
         thread.put(new EntryInput.Query(task));
     }
 
-    /** Returns the answer to a question about the state of the decision thread. */
-    public <T> CompletionStage<T> query(Supplier<T> question) {
+    /** Evaluates a supplier on the decision thread and returns its result. */
+    public <T> CompletionStage<T> query(Supplier<T> supplier) {
         CompletableFuture<T> answer = new CompletableFuture<>();
-        runLater(() -> answer.complete(question.get()));
+        runLater(() -> answer.complete(supplier.get()));
         return answer;
     }
 
-    /** Makes the health page fail, while requests are still taken. */
+    /** Makes the health page fail while new requests are still accepted. */
     public void announceShutdown() {
-        leaving = true;
+        shuttingDown = true;
     }
 
-    /** Refuses new requests and completes once all others are answered. */
+    /** Starts to refuse new requests; the returned stage completes once all other requests are answered. */
     public CompletionStage<Void> drain() {
         CompletableFuture<Void> drained = new CompletableFuture<>();
         runLater(() -> {
             dispatch(new EntryEvent.DrainStarted());
-            whenIdle = drained;
+            drainResult = drained;
         });
         return drained;
     }
 
-    /** Returns what operators see of revisions and moves; to be called through {@link #query}. */
+    /** Returns the state of the control plane for the status page. Call through {@link #query}. */
     public Map<String, Object> status() {
         return control.status();
     }
 
-    /** Returns whether requests can be taken; to be called through {@link #query}. */
+    /** Returns whether the entry has rules and is not shutting down. Call through {@link #query}. */
     public boolean ready() {
-        return control.ready() && !leaving;
+        return control.ready() && !shuttingDown;
     }
 
-    /** Returns the whole state; to be called through {@link #query}. */
+    /** Returns the full state for the dump page. Call through {@link #query}. */
     public Map<String, Object> dump() {
         List<Map<String, Object>> upstreams = new ArrayList<>();
         links.upstreams().forEach(upstream -> upstreams.add(describe(upstream)));
@@ -195,7 +195,7 @@
             answers.add(fromCaller.session());
             dispatch(new EntryEvent.RequestArrived(fromCaller.session().request()));
         } else if (input instanceof EntryInput.FrameArrived arrived) {
-            frame(arrived.link(), arrived.frame());
+            handleFrame(arrived.link(), arrived.frame());
         } else if (input instanceof EntryInput.LinkOpened opened) {
             linkOpened(opened.link());
         } else if (input instanceof EntryInput.LinkClosed closed) {
@@ -207,7 +207,7 @@
         } else if (input instanceof EntryInput.Event event) {
             dispatch(event.event());
         } else if (input instanceof EntryInput.Query query) {
-            query.question().run();
+            query.task().run();
         }
     }
 
@@ -215,19 +215,19 @@
         control.onTick(clock.millis());
         publishHeartbeat();
         dispatch(new EntryEvent.Tick());
-        closing.removeIf(upstreamId -> {
+        closingWhenIdle.removeIf(upstreamId -> {
             boolean idle = !dispatcher.hasRequestsAt(upstreamId);
             if (idle) {
                 disconnect(upstreamId);
             }
             return idle;
         });
-        if (whenIdle != null && dispatcher.idle()) {
-            whenIdle.complete(null);
+        if (drainResult != null && dispatcher.idle()) {
+            drainResult.complete(null);
         }
     }
 
-    /** Sends a changed heartbeat at once, so that a new revision does not wait for quiet links. */
+    /** Sends a changed heartbeat at once, so that a new revision does not wait for the next regular heartbeat. */
     private void publishHeartbeat() {
         Frame next = control.heartbeat();
         if (next.equals(heartbeat)) {
@@ -240,12 +240,13 @@
     private void linkOpened(Link link) {
         Optional<UpstreamDescription> upstream = AgentFrames.describe(link.peer());
         if (upstream.isEmpty()) {
-            LOG.log(Level.WARNING, "{0} does not describe a usable upstream", link.remoteName());
+            LOG.log(Level.WARNING, "closing link to {0}: its hello describes no valid upstream", link.remoteName());
             link.close();
             return;
         }
         if (links.restarted(upstream.get())) {
-            // The agent cleared the engine, and its events start anew.
+            // A restarted agent has cancelled all runs of its engine and reports the cache events from the first one
+            // again.
             prefixes.removeUpstream(upstream.get().upstreamId());
         }
         links.up(link, upstream.get()).ifPresent(Link::close);
@@ -262,7 +263,7 @@
         });
     }
 
-    private void frame(Link link, Frame frame) {
+    private void handleFrame(Link link, Frame frame) {
         Optional<UpstreamDescription> upstream = links.upstreamOf(link);
         if (upstream.isEmpty()) {
             return;
@@ -275,7 +276,7 @@
                 prefixes.onReport(upstreamId, load.report());
             }
             if (event.isPresent()) {
-                frameInHand = frame;
+                currentFrame = frame;
                 dispatch(event.get());
             }
         } catch (IllegalArgumentException e) {
@@ -289,10 +290,10 @@
         Timer.Context timing = metrics.decisions().time();
         List<EntryEffect> effects = dispatcher.handle(event, clock.millis());
         timing.stop();
-        effects.forEach(this::carryOut);
+        effects.forEach(this::apply);
     }
 
-    private void carryOut(EntryEffect effect) {
+    private void apply(EntryEffect effect) {
         if (effect instanceof EntryEffect.SendDispatch send) {
             PendingAnswer answer = answers.get(send.request());
             AgentFrames.dispatch(
@@ -306,12 +307,12 @@
             send(send.upstreamId(), AgentFrames.acknowledge(send));
         } else if (effect instanceof EntryEffect.SendCancel send) {
             send(send.upstreamId(), AgentFrames.cancel(send));
-        } else if (!carryOutClaim(effect)) {
+        } else if (!applyClaim(effect)) {
             deliver(effect);
         }
     }
 
-    private boolean carryOutClaim(EntryEffect effect) {
+    private boolean applyClaim(EntryEffect effect) {
         if (effect instanceof EntryEffect.MakeClaim make) {
             RequestSpec request = request(make.request());
             claims.make(request, make.upstreamId(), make.upstreamIncarnation(), listener(request.id()));
@@ -335,7 +336,7 @@
             PendingAnswer answer = answers.get(outcome.request());
             claims.record(
                     answer.session().request(),
-                    answer.outcome(frameInHand.getFinished().getHead()));
+                    answer.outcome(currentFrame.getFinished().getHead()));
             return true;
         }
         return false;
@@ -363,11 +364,11 @@
 
     private void deliver(EntryEffect effect) {
         if (effect instanceof EntryEffect.DeliverOutput output) {
-            if (!answers.output(output, frameInHand.getOutput())) {
+            if (!answers.output(output, currentFrame.getOutput())) {
                 thread.put(new EntryInput.Event(new EntryEvent.CallerGone(output.request())));
             }
         } else if (effect instanceof EntryEffect.DeliverEnd end) {
-            answers.end(end.request(), frameInHand.getFinished());
+            answers.end(end.request(), currentFrame.getFinished());
         } else if (effect instanceof EntryEffect.DeliverStored stored) {
             answers.stored(stored.request());
         } else if (effect instanceof EntryEffect.DeliverFailure failure) {
@@ -390,7 +391,7 @@
 
     @Override
     public void disconnectWhenIdle(String upstreamId) {
-        closing.add(upstreamId);
+        closingWhenIdle.add(upstreamId);
     }
 
     @Override
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
@@ -13,15 +13,18 @@
 import dev.wigeonward.wire.generated.Output;
 import dev.wigeonward.wire.generated.ResponseHead;
 
-/** A caller's answer on its way; keeps a copy of the outcome of a non-idempotent request for the store. */
+/**
+ * An answer that is being sent to a caller. For a non-idempotent request it also collects a copy of the body, which is
+ * stored as the outcome of the claim.
+ */
 final class PendingAnswer {
-    /** Says that the answer was given before and its body was too long to keep. */
+    /** Header of a repeated answer whose body was too long to be stored. */
     private static final String BODY_NOT_KEPT = "x-body-not-kept";
 
     private static final String CONTENT_TYPE = "content-type";
 
     private final CallerSession session;
-    private final ByteArrayOutputStream copy = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream bodyCopy = new ByteArrayOutputStream();
     private StoredOutcome stored;
 
     PendingAnswer(CallerSession session) {
@@ -32,20 +35,20 @@
         return session;
     }
 
-    /** Returns false if the caller reads too slowly. */
+    /** Writes a part of the answer to the caller and returns false if the caller reads too slowly to take it. */
     boolean output(Output output, int skipBytes) {
         if (output.hasHead()) {
             session.start(output.getHead().getStatus(), AgentFrames.headers(output.getHead()));
         }
         byte[] part = output.getData().substring(skipBytes).toByteArray();
-        keep(part);
+        copyForStore(part);
         return session.write(part);
     }
 
-    private void keep(byte[] part) {
+    private void copyForStore(byte[] part) {
         boolean claimed = !session.request().idempotent();
-        if (claimed && copy.size() <= StoredOutcome.BODY_LIMIT_BYTES) {
-            copy.writeBytes(part);
+        if (claimed && bodyCopy.size() <= StoredOutcome.BODY_LIMIT_BYTES) {
+            bodyCopy.writeBytes(part);
         }
     }
 
@@ -69,13 +72,13 @@
         session.end();
     }
 
-    /** Returns what to store with the claim. */
+    /** Returns the outcome to store with the claim. */
     StoredOutcome outcome(ResponseHead finalHead) {
         String contentType = finalHead.getHeadersList().stream()
                 .filter(header -> header.getName().equalsIgnoreCase(CONTENT_TYPE))
                 .map(Header::getValue)
                 .findFirst()
                 .orElse("application/octet-stream");
-        return StoredOutcome.of(finalHead.getStatus(), contentType, copy.toByteArray());
+        return StoredOutcome.of(finalHead.getStatus(), contentType, bodyCopy.toByteArray());
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.wire.generated.Finished;
 import dev.wigeonward.wire.generated.Output;
 
-/** The answers that callers wait for. Used by the decision thread only. */
+/** The answers that callers wait for, by request id. Not thread-safe; confined to the decision thread. */
 final class PendingAnswers {
     private final EntryMetrics metrics;
     private final UsageSink usage;
@@ -41,13 +41,16 @@
         answers.remove(id);
     }
 
-    /** Returns false if the caller reads too slowly; it was then told so. */
+    /**
+     * Writes a part of an answer. Returns false if the caller reads too slowly; the answer has then been ended with an
+     * error.
+     */
     boolean output(EntryEffect.DeliverOutput effect, Output output) {
         PendingAnswer answer = answers.get(effect.request());
         if (answer.output(output, effect.skipBytes())) {
             return true;
         }
-        answer.session().fail(Failure.of(ErrorKind.SLOW_READER, "the caller reads too slowly"));
+        answer.session().fail(Failure.of(ErrorKind.SLOW_READER, "the caller does not read the answer fast enough"));
         metrics.failed(ErrorKind.SLOW_READER);
         return false;
     }
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/package-info.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/package-info.java
@@ -1,2 +1,2 @@
-/** The decision thread of an entry: events in, effects out. */
+/** The decision thread of an entry, which handles events and carries out their effects. */
 package dev.wigeonward.entry.runtime;
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
@@ -17,7 +17,7 @@
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.entry.control.HeadWatch;
 
-/** All that an entry does at the store, on a thread of its own. */
+/** The store connection of an entry and the adapters that use it, with a thread of their own. */
 public final class StoreAdapters implements AutoCloseable {
     private final ScheduledExecutorService thread = DaemonThreads.scheduler("store");
     private final SecureRandom random = new SecureRandom();
@@ -27,26 +27,26 @@
     private final StoreMoves moves;
     private final StoreControllerLease lease;
 
-    /** Returns adapters that connect with their first call. */
+    /** Creates the adapters; the connection is opened by the first call. */
     public StoreAdapters(StoreOptions options, String entryId, Clock clock, MetricRegistry metrics) {
         this.store = EtcdStore.connect(options, clock, thread, metrics, random);
         this.revisions = EtcdRevisionStore.create(store, options.callTimeoutMillis());
         this.claims = new StoreClaims(ClaimStore.create(store, clock, thread, metrics, random));
         this.moves = new StoreMoves(store);
-        this.lease = StoreControllerLease.create(store, clock, thread, random, entryId, new Silent());
+        this.lease = StoreControllerLease.create(store, clock, thread, random, entryId, new NoOpControllerListener());
     }
 
-    /** Returns the store itself. */
+    /** Returns the store that all adapters share. */
     public KeyValueStore store() {
         return store;
     }
 
-    /** Returns the durable claims. */
+    /** Returns the adapter for durable claims. */
     public StoreClaims claims() {
         return claims;
     }
 
-    /** Returns the move records. */
+    /** Returns the adapter for version move records. */
     public StoreMoves moves() {
         return moves;
     }
@@ -56,7 +56,7 @@
         return lease;
     }
 
-    /** Returns a watch on the newest revision that is not active yet. */
+    /** Returns an inactive watch on the newest revision, which reports to the listener while it is active. */
     public HeadWatch headWatch(Consumer<RevisionStore.HeadResult> listener) {
         return new StoreHeadWatch(
                 listening -> dev.wigeonward.common.store.HeadWatch.start(store, revisions, thread, random, listening),
@@ -70,8 +70,8 @@
         thread.shutdown();
     }
 
-    /** The control plane asks for the lease itself at each tick. */
-    private static final class Silent implements ControllerListener {
+    /** Ignores changes of the lease, which the control plane polls. */
+    private static final class NoOpControllerListener implements ControllerListener {
         @Override
         public void acquired(long fencingNumber) {}
 
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreClaims.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreClaims.java
@@ -15,24 +15,24 @@
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.entry.runtime.ClaimPort;
 
-/** Claims of this entry's requests in the store. */
+/** A claim port that keeps the claims of this entry's requests in the store. */
 public final class StoreClaims implements ClaimPort {
     private final ClaimStore store;
-    private final Map<RequestId, Held> held = new ConcurrentHashMap<>();
+    private final Map<RequestId, RequestClaim> requestClaims = new ConcurrentHashMap<>();
 
-    /** Returns a port over the claims of a store. */
+    /** Creates a port without claims. */
     public StoreClaims(ClaimStore store) {
         this.store = store;
     }
 
     @Override
     public void make(RequestSpec request, String upstreamId, long upstreamIncarnation, Listener listener) {
-        Held own = held.computeIfAbsent(request.id(), id -> new Held());
-        Claim claim = own.claim();
+        RequestClaim requestClaim = requestClaims.computeIfAbsent(request.id(), id -> new RequestClaim());
+        Claim claim = requestClaim.claim();
         CompletableFuture<ClaimReply> reply = claim == null
                 ? store.claim(claimRequest(request, upstreamId, upstreamIncarnation))
                 : store.move(claim, upstreamId, upstreamIncarnation);
-        reply.thenAccept(answer -> answered(request.id(), own, answer, listener));
+        reply.thenAccept(answer -> onReply(request.id(), requestClaim, answer, listener));
     }
 
     @Override
@@ -42,9 +42,9 @@
             String upstreamId,
             long upstreamIncarnation,
             Listener listener) {
-        Held own = held.computeIfAbsent(request.id(), id -> new Held());
+        RequestClaim requestClaim = requestClaims.computeIfAbsent(request.id(), id -> new RequestClaim());
         store.takeOver(claimRequest(request, upstreamId, upstreamIncarnation), previousClaimId)
-                .thenAccept(answer -> answered(request.id(), own, answer, listener));
+                .thenAccept(answer -> onReply(request.id(), requestClaim, answer, listener));
     }
 
     private static ClaimRequest claimRequest(RequestSpec request, String upstreamId, long upstreamIncarnation) {
@@ -56,38 +56,38 @@
                 upstreamIncarnation);
     }
 
-    private void answered(RequestId id, Held own, ClaimReply reply, Listener listener) {
-        Optional<Claim> toRelease = own.hold(reply.claim().orElse(null));
+    private void onReply(RequestId id, RequestClaim requestClaim, ClaimReply reply, Listener listener) {
+        Optional<Claim> toRelease = requestClaim.setClaim(reply.claim().orElse(null));
         toRelease.ifPresent(store::release);
         if (reply.claim().isEmpty()) {
-            held.remove(id, own);
+            requestClaims.remove(id, requestClaim);
         }
         listener.onAnswer(reply.answer(), reply.outcome());
     }
 
     @Override
     public void release(RequestSpec request) {
-        Held own = held.remove(request.id());
-        if (own != null) {
-            own.release().ifPresent(store::release);
+        RequestClaim requestClaim = requestClaims.remove(request.id());
+        if (requestClaim != null) {
+            requestClaim.release().ifPresent(store::release);
         }
     }
 
     @Override
     public void record(RequestSpec request, StoredOutcome outcome) {
-        Held own = held.remove(request.id());
-        if (own != null && own.claim() != null) {
-            store.recordOutcome(own.claim(), outcome);
+        RequestClaim requestClaim = requestClaims.remove(request.id());
+        if (requestClaim != null && requestClaim.claim() != null) {
+            store.recordOutcome(requestClaim.claim(), outcome);
         }
     }
 
     @Override
     public void forget(RequestSpec request) {
-        held.remove(request.id());
+        requestClaims.remove(request.id());
     }
 
-    /** The claim of one request; a release may come before the claim is known to exist. */
-    private static final class Held {
+    /** The claim of one request. It may be released before the store has confirmed that the claim exists. */
+    private static final class RequestClaim {
         private Claim claim;
         private boolean released;
 
@@ -95,8 +95,11 @@
             return claim;
         }
 
-        /** Returns the claim if it was released in the meantime. */
-        private synchronized Optional<Claim> hold(Claim granted) {
+        /**
+         * Sets the claim and returns it if it was released in the meantime, so that the caller removes it from the
+         * store.
+         */
+        private synchronized Optional<Claim> setClaim(Claim granted) {
             claim = granted;
             return released ? Optional.ofNullable(granted) : Optional.empty();
         }
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreHeadWatch.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreHeadWatch.java
@@ -6,7 +6,7 @@
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.entry.control.HeadWatch;
 
-/** Opens and closes the store's watch as the entry becomes a reader or stops being one. */
+/** A head watch that opens the store's watch when it becomes active and closes it when it becomes inactive. */
 final class StoreHeadWatch implements HeadWatch {
     private final Function<Consumer<RevisionStore.HeadResult>, dev.wigeonward.common.store.HeadWatch> open;
     private final Consumer<RevisionStore.HeadResult> listener;
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreMoves.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreMoves.java
@@ -20,15 +20,15 @@
 import dev.wigeonward.core.rollout.StoredRecord;
 import dev.wigeonward.entry.control.MoveStore;
 
-/** Move records as JSON under one key for each model. */
+/** A move store that keeps the record of each model as JSON under its own key. */
 public final class StoreMoves implements MoveStore {
     private static final String ROOT = "/wigeonward/moves/";
-    /** More models than any deployment has; seven are in steady use at the target size. */
+    /** Maximum number of records read; a deployment of the target size uses seven models. */
     private static final int MAX_RECORDS = 500;
 
     private final KeyValueStore store;
 
-    /** Returns the records of a store. */
+    /** Creates a move store over a key-value store. */
     public StoreMoves(KeyValueStore store) {
         this.store = store;
     }
@@ -55,7 +55,10 @@
             return Optional.of(new StoredRecord(record, entry.modRevision()));
         } catch (JsonProcessingException e) {
             System.getLogger(StoreMoves.class.getName())
-                    .log(System.Logger.Level.ERROR, "unreadable move record at " + entry.key(), e);
+                    .log(
+                            System.Logger.Level.ERROR,
+                            "cannot parse the move record at key " + entry.key() + ", expected JSON",
+                            e);
             return Optional.empty();
         }
     }
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreSpend.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreSpend.java
@@ -16,7 +16,7 @@
 import dev.wigeonward.core.spend.SpendSnapshot;
 import dev.wigeonward.entry.control.SpendStore;
 
-/** Spend totals as JSON under one key for each period and entry; only the entry itself writes its key. */
+/** A spend store that keeps totals as JSON under a key per period and entry. Each entry writes only its own key. */
 public final class StoreSpend implements SpendStore {
     private static final System.Logger LOG = System.getLogger(StoreSpend.class.getName());
     private static final String ROOT = "/wigeonward/spend/";
@@ -24,7 +24,7 @@
 
     private final KeyValueStore store;
 
-    /** Returns the totals in a store. */
+    /** Creates a spend store over a key-value store. */
     public StoreSpend(KeyValueStore store) {
         this.store = store;
     }
@@ -60,7 +60,7 @@
         try {
             return Optional.of(Json.mapper().readValue(entry.value(), SpendSnapshot.class));
         } catch (JsonProcessingException e) {
-            LOG.log(Level.ERROR, "unreadable spend at " + entry.key(), e);
+            LOG.log(Level.ERROR, "cannot parse the spend totals at key " + entry.key() + ", expected JSON", e);
             return Optional.empty();
         }
     }
--- a/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
@@ -28,7 +28,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Limits on what callers may send, over loopback with raw sockets. */
+/** Tests the limits on requests of callers with raw sockets over loopback. */
 class CallerServiceTest {
     private static final String KEY_HASH = "d995687c458a4f755662c9e1c9e9bfbc4f46e2848e4bb8f4a91ec1432a9df295";
     private static final String RULES =
@@ -99,14 +99,14 @@
         return exchange("authorization: Bearer kopsu-demo-rescue\r\n" + headers, body.length(), body);
     }
 
-    /** Guards against bodies that fill the memory of an entry. */
+    /** Guards against a body above the limit being collected in memory, which could exhaust the memory of an entry. */
     @Test
     void refusesLongBody() throws IOException {
         assertThat(chat("", "x".repeat(BODY_BYTES + 1))).contains("413", "\"body_too_large\"", "\"not_run\"");
         assertThat(sink.refused).containsExactly(ErrorKind.BODY_TOO_LARGE);
     }
 
-    /** Guards against headers that fill the memory of an entry. */
+    /** Guards against headers above the limit being accepted, which could exhaust the memory of an entry. */
     @Test
     void refusesLongHeaders() throws IOException {
         assertThat(chat("x-long: " + "x".repeat(HEADERS_BYTES) + "\r\n", CHAT))
@@ -121,7 +121,10 @@
         }
     }
 
-    /** Guards against a second request that is hidden in the body of the first one. */
+    /**
+     * Guards against request smuggling: with two body lengths, the bytes after the shorter body would be handled as a
+     * second request.
+     */
     @Test
     void refusesBodyWithTwoLengths() throws IOException {
         String head = "POST /v1/chat/completions HTTP/1.1\r\nhost: test\r\nauthorization: Bearer kopsu-demo-rescue\r\n";
@@ -137,7 +140,9 @@
                         .contains("\"malformed_request\"", "connection: close"));
     }
 
-    /** Guards against a header that ends the connection without a word. */
+    /**
+     * Guards against a long header field closing the connection without an answer, as the decoder does above its limit.
+     */
     @Test
     void refusesHeaderOfAMegabyte() throws IOException {
         assertThat(raw("GET /v1/models HTTP/1.1\r\nhost: test\r\nx: " + "a".repeat(1_000_000) + "\r\n\r\n"))
@@ -145,19 +150,19 @@
                 .contains("\"headers_too_large\"");
     }
 
-    /** Guards against a caller that announces a body and never sends it. */
+    /** Guards against a caller that declares a body and never sends it, which would hold its connection forever. */
     @Test
     void refusesBodyThatStalls() throws IOException {
         assertThat(exchange("authorization: Bearer kopsu-demo-rescue\r\n", 100, "{"))
                 .contains("408", "\"body_timeout\"", "\"not_run\"");
     }
 
-    /** Guards against a flood of connections that takes those in use down. */
+    /** Guards against a flood of connections that breaks the open ones: connections above the limit must be refused. */
     @Test
     void refusesConnectionsAboveTheLimit() throws IOException {
         List<Socket> sockets = new ArrayList<>(List.of(connect(), connect(), connect()));
-        // Which one is refused depends on the order in which the server's threads count them. Nothing is sent before
-        // one is: an answered connection would make room for the one that is counted last.
+        // Which connection is refused depends on the order in which the server's threads count them. Nothing is sent
+        // before one is refused: a connection that is answered closes and would free a place for the one counted last.
         for (int look = 0; look < 100 && sockets.size() == 3; look++) {
             sockets.removeIf(CallerServiceTest::closedByServer);
         }
@@ -178,12 +183,12 @@
         } catch (SocketTimeoutException e) {
             return false;
         } catch (IOException e) {
-            // A reset is a refusal as well.
+            // A connection reset also counts as a refusal.
             return true;
         }
     }
 
-    /** Guards against a malformed body, unknown model or malformed deadline reaching an upstream. */
+    /** Guards against a malformed body, unknown model, malformed deadline or wrong key reaching an upstream. */
     @Test
     void refusesMalformedRequests() throws IOException {
         assertThat(chat("", "{")).contains("400", "\"malformed_request\"");
@@ -193,7 +198,7 @@
                 .contains("401", "\"unauthorized\"");
     }
 
-    /** Guards against a workspace that exceeds the rate of the rules. */
+    /** Guards against a workspace that sends more requests than the rate in the rules allows. */
     @Test
     void refusesRequestsAboveTheRate() throws IOException {
         List<String> answers = new ArrayList<>();
@@ -204,7 +209,7 @@
         assertThat(answers).anySatisfy(answer -> assertThat(answer).contains("429", "\"rate_limited\"", "\"not_run\""));
     }
 
-    /** Refuses all sessions, as a full ring does, and notes what was refused before. */
+    /** A sink that refuses all sessions, as a full event queue does, and records the kinds of earlier refusals. */
     private static final class RecordingSink implements RequestSink {
         private final List<ErrorKind> refused = new ArrayList<>();
 
--- a/entry/src/test/java/dev/wigeonward/entry/command/CommandsTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/command/CommandsTest.java
@@ -42,10 +42,10 @@
         file = directory.resolve("test.rules");
     }
 
-    /** Guards against a write with a lost reply that is taken for a failure or made twice. */
+    /** Guards against a write that is reported as failed, or is applied twice, because its reply was lost. */
     @ParameterizedTest
     @ValueSource(strings = {"NONE", "REPLY_LOST", "LATE", "WRITE_LOST"})
-    void acceptsOnceWhateverHappensToOneReply(Fault fault) throws IOException {
+    void acceptsOnceWhenOneReplyIsLost(Fault fault) throws IOException {
         store.faults.add(fault);
         assertThat(apply("ana", A1)).isZero();
         assertThat(store.history).singleElement().satisfies(stored -> {
@@ -55,7 +55,10 @@
         assertThat(out.toString(StandardCharsets.UTF_8)).contains("revision 1", "+ workspace a weight=1");
     }
 
-    /** Guards against a write that took effect and was followed by another before its writer could read back. */
+    /**
+     * Guards against a successful write being reported as a conflict: its reply is lost, and another operator's
+     * revision follows before the writer reads the head.
+     */
     @Test
     void recognizesOwnWriteUnderAnotherOperatorsRevision() throws IOException {
         store.faults.add(Fault.REPLY_LOST);
@@ -67,18 +70,21 @@
         assertThat(store.history).hasSize(2);
     }
 
-    /** Guards against an outcome that nobody knows but that is told as a failure or a success. */
+    /** Guards against an unknown outcome being reported as a failure or a success after all replies were lost. */
     @Test
-    void saysThatTheOutcomeIsUnknown() throws IOException {
+    void reportsUnknownOutcome() throws IOException {
         store.faults.addAll(List.of(Fault.WRITE_LOST, Fault.WRITE_LOST, Fault.LATE));
         assertThat(apply("ana", A1, "--json")).isEqualTo(1);
         assertThat(json().get("outcome").asText()).isEqualTo("unknown");
         assertThat(json().get("revision").get("apply_id").asText()).isNotEmpty();
     }
 
-    /** Guards against a faulty file that gets into the store, and a store failure told as an accepted change. */
+    /**
+     * Guards against an invalid file being written to the store, and a store failure being reported as an accepted
+     * change.
+     */
     @Test
-    void brokenFileAndDeadStoreChangeNothing() throws IOException {
+    void invalidFileAndStoreFailureChangeNothing() throws IOException {
         assertThat(apply("ana", A1)).isZero();
         assertThat(apply("ana", BROKEN)).isEqualTo(1);
         assertThat(err.toString(StandardCharsets.UTF_8)).contains("test.rules:2:20: '0' does not fit 'weight'");
@@ -90,15 +96,15 @@
         assertThat(store.history).hasSize(1);
     }
 
-    /** Guards against a file that is refused for the mark that an editor has put before it. */
+    /** Guards against a valid file being refused because an editor wrote a byte order mark at its start. */
     @Test
-    void byteOrderMarkIsPassedOver() throws IOException {
+    void ignoresByteOrderMark() throws IOException {
         Files.writeString(file, "\uFEFF" + A1);
 
         assertThat(run("check", file.toString())).isZero();
     }
 
-    /** Guards against a usage text that shows a default for a revision that must be given. */
+    /** Guards against a usage text that shows a default for the required revision, as a primitive field would have. */
     @Test
     void rollbackWithoutRevisionNamesTheMissingOption() {
         assertThat(run("rollback", "--store", "127.0.0.1:1", "--by", "ana", "--reason", "r"))
@@ -111,9 +117,9 @@
                 .doesNotContain("default");
     }
 
-    /** Guards against an operator who overwrites a change that was accepted since the revision last seen. */
+    /** Guards against an operator overwriting a change that was accepted after the base revision of the file. */
     @Test
-    void tellsWhatTheOtherOperatorChanged() throws IOException {
+    void reportsChangesOfOtherOperator() throws IOException {
         apply("ana", A1);
         apply("bo", A1 + B1);
         assertThat(apply("ana", A2, "--base", "1", "--json")).isEqualTo(3);
@@ -126,9 +132,9 @@
         assertThat(apply("ana", A2 + B1, "--base", "2")).isZero();
     }
 
-    /** Guards against a file edited from an old revision that silently takes back another operator's change. */
+    /** Guards against a file edited from an old revision silently reverting another operator's change. */
     @Test
-    void refusesToTakeBackOthersChangesWithoutBase() throws IOException {
+    void refusesToRevertOthersChangesWithoutBase() throws IOException {
         apply("ana", A1);
         apply("bo", A1 + B1);
         apply("ana", A2 + B1);
@@ -138,7 +144,7 @@
         assertThat(apply("ana", A1, "--base", "3")).isZero();
     }
 
-    /** Guards against a rollback that reuses a number or loses who asked for it, or overwrites an edited file. */
+    /** Guards against a rollback that reuses a revision number, loses its reason, or overwrites an edited file. */
     @Test
     void rollbackIsNewHigherRevision() throws IOException {
         apply("ana", A1);
@@ -160,7 +166,7 @@
         assertThat(store.history).hasSize(4);
     }
 
-    /** Guards against a history that does not tell who did what. */
+    /** Guards against a history in the wrong order, or without the operators or the mark of the current file. */
     @Test
     void showsHistoryNewestFirst() throws IOException {
         apply("ana", A1);
@@ -172,7 +178,9 @@
                 .contains(tuple("2 *", "bo"), tuple("1", "ana"));
     }
 
-    /** Guards against wrong usage that does something, and help that asks for required options. */
+    /**
+     * Guards against a command that runs despite wrong usage, and {@code --help} that fails without required options.
+     */
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/entry/src/test/java/dev/wigeonward/entry/command/InMemoryRevisionStore.java
+++ b/entry/src/test/java/dev/wigeonward/entry/command/InMemoryRevisionStore.java
@@ -12,9 +12,9 @@
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.core.revision.StoredRevision;
 
-/** A store whose writes fail in the order of {@link #faults}. */
+/** A revision store in memory that applies the {@link #faults}, in order, to the writes that follow. */
 class InMemoryRevisionStore implements RevisionStore {
-    /** What happens to a write. */
+    /** A fault of one write. */
     enum Fault {
         NONE,
         /** The write takes effect, but the reply is lost. */
--- a/entry/src/test/java/dev/wigeonward/entry/command/OperatorRaceTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/command/OperatorRaceTest.java
@@ -29,15 +29,20 @@
     @TempDir
     private Path directory;
 
-    /** Guards against two operators who are both told that their change was accepted on top of the same revision. */
+    /**
+     * Guards against two concurrent operators both being told that their change to the same revision was accepted,
+     * which happens if the store does not compare the head before it writes.
+     */
     @Test
     void oneOfTwoOperatorsWinsEachRound() throws Exception {
         assertThat(race(new InMemoryRevisionStore())).isEmpty();
     }
 
-    /** Guards against a race check that cannot fail: this store writes whatever the head is. */
+    /**
+     * Guards against a race check that cannot fail: a store that writes without comparing the head must be detected.
+     */
     @Test
-    void catchesStoreWithoutCompareAndSwap() throws Exception {
+    void detectsStoreWithoutCompareAndSwap() throws Exception {
         assertThat(race(new InMemoryRevisionStore() {
                     @Override
                     WriteResult write(long expectedNumber, StoredRevision next) {
@@ -48,7 +53,7 @@
                 .isPresent();
     }
 
-    /** Returns what went wrong in the first faulty round. */
+    /** Runs all rounds and returns a description of the first in which winners and written revisions differ, if any. */
     private Optional<String> race(InMemoryRevisionStore store) throws Exception {
         Random random = new Random(7);
         ExecutorService threads = Executors.newFixedThreadPool(OPERATORS.size());
