--- a/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
@@ -25,7 +25,7 @@
 import dev.wigeonward.wire.generated.Hello;
 import dev.wigeonward.wire.generated.UpstreamInfo;
 
-/** An agent with all its adapters. */
+/** The running agent process: the runtime with its adapters for upstream, links, store and admin pages. */
 public final class AgentProcess {
     private static final Logger LOG = System.getLogger(AgentProcess.class.getName());
 
@@ -52,7 +52,7 @@
         HttpUpstreamClient upstream = settings.engine()
                 ? HttpUpstreamClient.forEngine(settings.upstreamAddress())
                 : HttpUpstreamClient.forPlainService(settings.upstreamAddress());
-        StoreFencingNumber fencing = new StoreFencingNumber(settings.store(), clock);
+        StoreFencingNumber fencingNumbers = new StoreFencingNumber(settings.store(), clock);
         AgentRuntime runtime = AgentRuntime.start(
                 new AgentParts(dispatcher, upstream, clock, LinkSettings.defaults(), hello(settings, incarnation)),
                 self -> new AgentControl(
@@ -60,7 +60,7 @@
                         Set.of(settings.version()),
                         rules,
                         upstream,
-                        fencing,
+                        fencingNumbers,
                         self,
                         random,
                         self::runLater));
@@ -74,7 +74,7 @@
                                 () -> CompletableFuture.completedFuture(
                                         runtime.metrics().getCounters()),
                         "/admin/health", () -> runtime.query(runtime::health)));
-        LOG.log(Level.INFO, "agent {0} takes links on {1}", settings.id(), settings.linkAddress());
+        LOG.log(Level.INFO, "agent {0} accepts links on {1}", settings.id(), settings.linkAddress());
         return new AgentProcess(settings, runtime, admin);
     }
 
@@ -102,7 +102,7 @@
                 .build();
     }
 
-    /** Announces the leave, waits for the requests up to the drain limit, and stops. */
+    /** Stops the agent: tells the entries that it leaves, waits for requests up to the drain limit, and closes. */
     public void drainAndClose() {
         try {
             runtime.drain(TimeUnit.SECONDS.toMillis(settings.drainLimitSeconds()))
@@ -111,7 +111,10 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException e) {
-            LOG.log(Level.WARNING, "requests are left after the drain limit", e);
+            LOG.log(
+                    Level.WARNING,
+                    "requests are unfinished after the drain limit of " + settings.drainLimitSeconds() + " s",
+                    e);
         }
         admin.close();
         runtime.close();
--- a/agent/src/main/java/dev/wigeonward/agent/AgentSettings.java
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentSettings.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.common.store.StoreOptions;
 import dev.wigeonward.core.request.EngineSpeed;
 
-/** Settings of the agent process. */
+/** The settings of the agent process. */
 public record AgentSettings(
         String id,
         String failureDomain,
@@ -76,7 +76,7 @@
                     "estimated work in the engine for each slot above which it gets no more")
             .withDefault(60_000L);
 
-    /** Returns the declaration of all sections and keys. */
+    /** Returns the declaration of all sections and keys that a settings file of an agent may contain. */
     public static SettingsDeclaration declaration() {
         List<SettingKey<?>> keys = new ArrayList<>(List.of(
                 ID,
@@ -106,7 +106,7 @@
                 keys);
     }
 
-    /** Returns the typed settings. */
+    /** Returns the settings of an agent from checked values. */
     public static AgentSettings of(Settings settings) {
         return new AgentSettings(
                 settings.get(ID),
--- a/agent/src/main/java/dev/wigeonward/agent/Main.java
+++ b/agent/src/main/java/dev/wigeonward/agent/Main.java
@@ -57,16 +57,16 @@
         };
     }
 
-    private int withSettings(PrintStream err, Action action) throws Exception {
+    private int withSettings(PrintStream err, SettingsAction action) throws Exception {
         if (settingsFile == null) {
-            err.println("--settings is required");
+            err.println("--settings is required, expected a settings file");
             return CommandLines.EXIT_USAGE;
         }
         SettingsResult result;
         try {
             result = AgentSettings.declaration().read(settingsFile);
         } catch (IOException e) {
-            err.println(settingsFile + ": cannot be read: " + e.getMessage());
+            err.println("cannot read settings file " + settingsFile + ": " + e.getMessage());
             return CommandLines.EXIT_FAILED;
         }
         if (result instanceof SettingsResult.Invalid invalid) {
@@ -82,7 +82,8 @@
         try {
             process = AgentProcess.start(settings);
         } catch (IOException e) {
-            // For example a port in use; threads that were started already would keep the process alive.
+            // For example, a port is in use. The exit code makes main exit; threads that were already started would
+            // otherwise keep the process alive.
             err.println("cannot start: " + e.getMessage());
             return CommandLines.EXIT_FAILED;
         }
@@ -99,8 +100,8 @@
         return CommandLines.EXIT_OK;
     }
 
-    /** What to do with valid settings. */
-    private interface Action {
+    /** An action that needs valid settings. */
+    private interface SettingsAction {
         int run(AgentSettings settings) throws Exception;
     }
 }
--- a/agent/src/main/java/dev/wigeonward/agent/StoreFencingNumber.java
+++ b/agent/src/main/java/dev/wigeonward/agent/StoreFencingNumber.java
@@ -16,7 +16,7 @@
 import dev.wigeonward.common.store.StoreControllerLease;
 import dev.wigeonward.common.store.StoreOptions;
 
-/** Reads the creation revision of the controller key. */
+/** Reads the fencing number from the store, where it is the creation revision of the controller key. */
 final class StoreFencingNumber implements FencingNumberReader, AutoCloseable {
     private final ScheduledExecutorService thread = DaemonThreads.scheduler("store");
     private final Optional<KeyValueStore> store;
@@ -29,7 +29,7 @@
     @Override
     public void read(Consumer<OptionalLong> answer) {
         if (store.isEmpty()) {
-            // Without a store no fencing number can be confirmed, so that orders are refused.
+            // Without a store no fencing number can be confirmed, so orders are refused.
             answer.accept(OptionalLong.empty());
             return;
         }
--- a/agent/src/main/java/dev/wigeonward/agent/control/AgentControl.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/AgentControl.java
@@ -26,35 +26,38 @@
 import dev.wigeonward.wire.generated.Heartbeat;
 import dev.wigeonward.wire.generated.Load;
 
-/** The parts of an agent that keep it in step with the others. Used by the decision thread only. */
+/**
+ * The control plane of an agent: revisions, facts, orders and evidence. Not thread-safe; confined to the decision
+ * thread.
+ */
 public final class AgentControl {
     private static final long EVIDENCE_PERIOD_MILLIS = 500;
-    /** Share of the slots in use above which a request counts as under load. */
-    private static final double LOAD_THRESHOLD = 0.7;
+    /** Fraction of the slots in use above which a request counts as run under load. */
+    private static final double UNDER_LOAD_THRESHOLD = 0.7;
 
     private final String upstreamIncarnation;
     private final SuspectTable suspects = SuspectTable.create();
     private final StageView stages = new StageView();
-    private final EvidenceRecorder evidence = new EvidenceRecorder(LOAD_THRESHOLD);
+    private final EvidenceRecorder evidence = new EvidenceRecorder(UNDER_LOAD_THRESHOLD);
     private final Set<String> evidencePeers = new HashSet<>();
     private final RevisionExchange revisions;
     private final FactExchange facts;
-    private final OrderDuty orders;
+    private final OrderExecutor orders;
     private final FrameSender sender;
     private long nextEvidenceMillis;
 
     /**
-     * Returns the control of an agent that has no revision.
+     * Creates a control plane without a revision.
      *
-     * @param upstreamIncarnation name of this start of the upstream's agent, for suspects
-     * @param versions versions served before any order
+     * @param upstreamIncarnation name of this incarnation of the agent, which suspect reports contain
+     * @param versions versions that the upstream serves before any order
      */
     public AgentControl(
             String upstreamIncarnation,
             Set<String> versions,
             RulesInForce rules,
             UpstreamClient upstream,
-            FencingNumberReader fencing,
+            FencingNumberReader fencingNumbers,
             FrameSender sender,
             RandomGenerator random,
             Consumer<Runnable> decisionThread) {
@@ -62,23 +65,23 @@
         this.sender = sender;
         RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
         this.revisions = new RevisionExchange(log, RevisionRelay.create(log, random), sender, rules::adopt);
-        this.facts = new FactExchange(suspects, stages, sender, new Listener());
-        this.orders = new OrderDuty(upstream, fencing, sender, decisionThread, versions);
+        this.facts = new FactExchange(suspects, stages, sender, new ControlFactListener());
+        this.orders = new OrderExecutor(upstream, fencingNumbers, sender, decisionThread, versions);
     }
 
-    /** A link to an entry is up. */
+    /** Handles a new link to an entry. */
     public void onLinkUp(String peer, long nowMillis) {
         revisions.onLinkUp(peer, nowMillis);
         facts.onLinkUp(peer, nowMillis);
     }
 
-    /** The link to an entry was lost. */
+    /** Handles the loss of the link to an entry. */
     public void onLinkDown(String peer, long nowMillis) {
         evidencePeers.remove(peer);
         revisions.onLinkDown(peer, nowMillis);
     }
 
-    /** Handles what a frame carries besides requests. */
+    /** Handles the control content of a frame. */
     public void onFrame(String peer, Frame frame, long nowMillis) {
         switch (frame.getBodyCase()) {
             case HEARTBEAT -> {
@@ -95,12 +98,12 @@
             case FACTS -> facts.onFrame(peer, frame, nowMillis);
             case ORDER -> orders.onOrder(frame.getOrder());
             default -> {
-                // Frames about requests concern the dispatcher.
+                // The dispatcher handles frames about requests.
             }
         }
     }
 
-    /** Does what is due. */
+    /** Runs the periodic work and sends evidence to the entries that ask for it. */
     public void onTick(long nowMillis) {
         revisions.onTick(nowMillis);
         if (nowMillis < nextEvidenceMillis) {
@@ -111,24 +114,24 @@
                 .forEach((key, counters) -> sender.send(peer, EvidenceFrames.frame(key, counters))));
     }
 
-    /** Counts a request that is handed to the upstream, for the judgement of versions. */
+    /** Starts the observation of a request that is submitted to the upstream, as evidence on its version. */
     public EvidenceRecorder.Observation started(
             RequestSpec request, String version, double load, long serviceMillis, long nowMillis) {
         return evidence.started(
                 new ModelVersion(request.target(), version), request.route(), load, serviceMillis, nowMillis);
     }
 
-    /** Tells all processes that a request was running when the upstream died. */
+    /** Publishes the fact that a request was running when the upstream died. */
     public void suspect(RequestSpec request, String upstreamInstance, long nowMillis) {
         facts.publishSuspect(request.fingerprint(), upstreamIncarnation + "/" + upstreamInstance, nowMillis);
     }
 
-    /** Returns whether a version must get no more requests. */
+    /** Returns whether a verdict marks a version as bad, so that it must not get requests. */
     public boolean isBad(String model, String version) {
         return stages.isBad(model, version);
     }
 
-    /** Takes over the versions that the upstream reports. */
+    /** Replaces the served versions by those that the upstream reports, unless it reports none. */
     public void onVersions(Set<String> versions) {
         orders.onVersions(versions);
     }
@@ -146,7 +149,7 @@
         return Frame.newBuilder().setHeartbeat(heartbeat).build();
     }
 
-    /** Returns what operators see. */
+    /** Returns the state of the control plane for the admin pages. */
     public Map<String, Object> status() {
         return Map.of(
                 "revision", revisions.number(),
@@ -156,10 +159,11 @@
                 "suspects", suspects.size());
     }
 
-    private final class Listener implements FactListener {
+    /** Passes learned facts to the part that uses them. */
+    private final class ControlFactListener implements FactListener {
         @Override
         public void onVerdict(BadVerdict verdict) {
-            // The dispatch of each request asks the stage view.
+            // Nothing to do: each dispatch reads the stage view.
         }
 
         @Override
--- a/agent/src/main/java/dev/wigeonward/agent/control/FencingNumberReader.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/FencingNumberReader.java
@@ -6,6 +6,8 @@
 /** Reads the fencing number of the controller lease from the store. */
 @FunctionalInterface
 public interface FencingNumberReader {
-    /** Answers in any thread; empty if the store did not answer, 0 if there is no controller. */
+    /**
+     * Reads the number and calls back on any thread, with empty if the store did not answer and 0 without a controller.
+     */
     void read(Consumer<OptionalLong> answer);
 }
--- a/agent/src/main/java/dev/wigeonward/agent/control/OrderDuty.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/OrderExecutor.java
@@ -14,26 +14,26 @@
 import dev.wigeonward.exchange.FrameSender;
 import dev.wigeonward.exchange.OrderFrames;
 
-/** Runs the controller's orders at the engine, as far as the order gate lets them pass. */
-final class OrderDuty {
-    private static final Logger LOG = System.getLogger(OrderDuty.class.getName());
-    private static final String ALL = "";
+/** Executes orders of the controller on the engine if the order gate permits them. */
+final class OrderExecutor {
+    private static final Logger LOG = System.getLogger(OrderExecutor.class.getName());
+    private static final String NO_EXCEPTION = "";
 
     private final OrderGate gate = new OrderGate();
     private final UpstreamClient upstream;
-    private final FencingNumberReader reader;
+    private final FencingNumberReader fencingNumbers;
     private final FrameSender sender;
     private final Consumer<Runnable> decisionThread;
     private final Set<String> versions;
 
-    OrderDuty(
+    OrderExecutor(
             UpstreamClient upstream,
-            FencingNumberReader reader,
+            FencingNumberReader fencingNumbers,
             FrameSender sender,
             Consumer<Runnable> decisionThread,
             Set<String> versions) {
         this.upstream = upstream;
-        this.reader = reader;
+        this.fencingNumbers = fencingNumbers;
         this.sender = sender;
         this.decisionThread = decisionThread;
         this.versions = new TreeSet<>(versions);
@@ -43,7 +43,7 @@
         OrderFrames.order(message)
                 .ifPresentOrElse(
                         order -> handle(new OrderEvent.OrderReceived(order)),
-                        () -> LOG.log(Level.WARNING, "malformed order {0}", message.getOrderId()));
+                        () -> LOG.log(Level.WARNING, "ignoring malformed order {0}", message.getOrderId()));
     }
 
     void onFencingNumber(long fencingNumber) {
@@ -52,7 +52,7 @@
         }
     }
 
-    /** Takes over the versions that the engine itself reports. */
+    /** Replaces the served versions by those that the engine reports, unless it reports none. */
     void onVersions(Set<String> reported) {
         if (!reported.isEmpty()) {
             versions.clear();
@@ -69,26 +69,26 @@
     }
 
     private void handle(OrderEvent event) {
-        gate.handle(event).forEach(this::carryOut);
+        gate.handle(event).forEach(this::apply);
     }
 
-    private void carryOut(OrderEffect effect) {
+    private void apply(OrderEffect effect) {
         if (effect instanceof OrderEffect.ReadFencingNumber) {
-            reader.read(found -> decisionThread.accept(() -> handle(
+            fencingNumbers.read(found -> decisionThread.accept(() -> handle(
                     found.isPresent()
                             ? new OrderEvent.FencingRead(found.getAsLong())
                             : new OrderEvent.StoreUnavailable())));
         } else if (effect instanceof OrderEffect.RunOrder run) {
             Order order = run.order();
-            LOG.log(Level.INFO, "order {0}: {1} {2}", order.orderId(), order.kind(), order.version());
-            upstream.order(order, failure -> decisionThread.accept(() -> finished(order, failure)));
+            LOG.log(Level.INFO, "executing order {0}: {1} version {2}", order.orderId(), order.kind(), order.version());
+            upstream.order(order, failure -> decisionThread.accept(() -> onEngineFinished(order, failure)));
         } else if (effect instanceof OrderEffect.Answer answer) {
-            // The controller may have changed its link, so that all entries get the answer.
-            sender.sendToOthers(ALL, OrderFrames.frame(answer.orderId(), answer.result()));
+            // The controller may have moved to another entry, so the answer is sent to all entries.
+            sender.sendToOthers(NO_EXCEPTION, OrderFrames.frame(answer.orderId(), answer.result()));
         }
     }
 
-    private void finished(Order order, String failureReason) {
+    private void onEngineFinished(Order order, String failureReason) {
         if (failureReason.isEmpty() && order.kind() == Order.Kind.LOAD) {
             versions.add(order.version());
         } else if (failureReason.isEmpty() && order.kind() == Order.Kind.UNLOAD) {
--- a/agent/src/main/java/dev/wigeonward/agent/control/package-info.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/package-info.java
@@ -1,2 +1,2 @@
-/** What an agent does besides requests: revisions, facts, orders to its engine and evidence on versions. */
+/** The control plane of an agent: revisions, facts, orders to its engine and evidence on versions. */
 package dev.wigeonward.agent.control;
--- a/agent/src/main/java/dev/wigeonward/agent/link/DispatchAssembler.java
+++ b/agent/src/main/java/dev/wigeonward/agent/link/DispatchAssembler.java
@@ -8,17 +8,20 @@
 import dev.wigeonward.wire.generated.BodyPart;
 import dev.wigeonward.wire.generated.Dispatch;
 
-/** Puts dispatches together whose body came in several frames. */
+/** Assembles dispatches whose body is split over several frames. */
 public final class DispatchAssembler {
     private final int maxBodyBytes;
-    private final Map<String, Partial> partials = new HashMap<>();
+    private final Map<String, IncompleteDispatch> incomplete = new HashMap<>();
 
-    /** Returns an assembler that gives up on bodies above a limit. */
+    /** Creates an assembler that drops dispatches with a body above a limit. */
     public DispatchAssembler(int maxBodyBytes) {
         this.maxBodyBytes = maxBodyBytes;
     }
 
-    /** Returns the dispatch if it is complete; keeps it otherwise until its parts have come. */
+    /**
+     * Returns the dispatch if its body is complete. Otherwise stores it until the other parts arrive, or drops it if
+     * its lengths are invalid, and returns empty.
+     */
     public Optional<Dispatch> first(long link, Dispatch dispatch) {
         if (dispatch.getBody().size() == dispatch.getBodyLength()) {
             return Optional.of(dispatch);
@@ -26,46 +29,47 @@
         boolean valid =
                 dispatch.getBodyLength() <= maxBodyBytes && dispatch.getBody().size() < dispatch.getBodyLength();
         if (valid) {
-            partials.put(dispatch.getRequestId(), new Partial(link, dispatch));
+            incomplete.put(dispatch.getRequestId(), new IncompleteDispatch(link, dispatch));
         }
         return Optional.empty();
     }
 
-    /** Returns the dispatch that the part completes; a part out of order drops the whole dispatch. */
+    /** Returns the dispatch if the part completes it. A part out of order drops the whole dispatch. */
     public Optional<Dispatch> part(long link, BodyPart part) {
-        Partial partial = partials.get(part.getRequestId());
+        IncompleteDispatch partial = incomplete.get(part.getRequestId());
         if (partial == null || partial.link != link) {
             return Optional.empty();
         }
         long endBytes = part.getOffset() + part.getData().size();
         if (part.getOffset() != partial.body.size() || endBytes > partial.dispatch.getBodyLength()) {
-            partials.remove(part.getRequestId());
+            incomplete.remove(part.getRequestId());
             return Optional.empty();
         }
         partial.body = partial.body.concat(part.getData());
         if (endBytes < partial.dispatch.getBodyLength()) {
             return Optional.empty();
         }
-        partials.remove(part.getRequestId());
+        incomplete.remove(part.getRequestId());
         return Optional.of(partial.dispatch.toBuilder().setBody(partial.body).build());
     }
 
-    /** Forgets the dispatch that a request began, since it was declared as never received. */
+    /** Drops the incomplete dispatch of a request, which is declared as never received. */
     public void drop(String requestId) {
-        partials.remove(requestId);
+        incomplete.remove(requestId);
     }
 
-    /** Forgets what a lost link left incomplete. */
+    /** Drops the incomplete dispatches of a lost link. */
     public void linkLost(long link) {
-        partials.values().removeIf(partial -> partial.link == link);
+        incomplete.values().removeIf(partial -> partial.link == link);
     }
 
-    private static final class Partial {
+    /** A dispatch with the body parts received so far. */
+    private static final class IncompleteDispatch {
         private final long link;
         private final Dispatch dispatch;
         private ByteString body;
 
-        private Partial(long link, Dispatch dispatch) {
+        private IncompleteDispatch(long link, Dispatch dispatch) {
             this.link = link;
             this.dispatch = dispatch;
             this.body = dispatch.getBody();
--- a/agent/src/main/java/dev/wigeonward/agent/link/EntryFrames.java
+++ b/agent/src/main/java/dev/wigeonward/agent/link/EntryFrames.java
@@ -29,9 +29,9 @@
 import dev.wigeonward.wire.generated.Unseen;
 import dev.wigeonward.wire.generated.Usage;
 
-/** Turns frames into events and effects into frames. */
+/** Converts frames from entries to dispatcher events, and dispatcher effects to frames for entries. */
 public final class EntryFrames {
-    /** Header that names the version to an engine that holds several. */
+    /** Header that names the requested version to an engine that has several loaded. */
     private static final String VERSION_HEADER = "x-model-version";
 
     private EntryFrames() {}
@@ -44,7 +44,8 @@
     public static AgentEvent.DispatchArrived dispatch(long link, Dispatch dispatch, long nowMillis) {
         Tier[] tiers = Tier.values();
         if (dispatch.getTier() >= tiers.length) {
-            throw new IllegalArgumentException("tier is " + dispatch.getTier());
+            throw new IllegalArgumentException(
+                    "tier is " + dispatch.getTier() + ", expected less than " + tiers.length);
         }
         RequestSpec request = new RequestSpec(
                 new RequestId(dispatch.getRequestId()),
@@ -67,7 +68,7 @@
                 link, request, new DispatchId(dispatch.getDispatchId()), dispatch.getAgentIncarnation(), attachTo);
     }
 
-    /** Returns what the upstream gets of a dispatch. */
+    /** Returns the request to the upstream that a dispatch contains. */
     public static UpstreamRequest upstreamRequest(Dispatch dispatch) {
         List<Map.Entry<String, String>> headers = new ArrayList<>();
         dispatch.getHead()
@@ -82,7 +83,7 @@
                 dispatch.getBody().toByteArray());
     }
 
-    /** Returns the event in a frame that asks for the rest of an answer. */
+    /** Returns the event in a reattach frame, which asks for the rest of an answer. */
     public static AgentEvent.ReattachArrived reattach(long link, Reattach reattach) {
         return new AgentEvent.ReattachArrived(
                 link,
@@ -92,7 +93,7 @@
                 reattach.getOffset());
     }
 
-    /** Returns the frame that tells an entry that its request is queued or attached. */
+    /** Returns the frame that reports a request as queued, or attached to a run. */
     public static Frame accepted(AgentEffect.SendAccepted effect) {
         return Frame.newBuilder()
                 .setAccepted(Accepted.newBuilder()
@@ -112,7 +113,7 @@
                 .build();
     }
 
-    /** Returns the frame that promises never to run a request. */
+    /** Returns the frame that guarantees that a request never runs here. */
     public static Frame unseen(AgentEffect.SendUnseen effect) {
         return Frame.newBuilder()
                 .setUnseen(Unseen.newBuilder()
@@ -121,7 +122,7 @@
                 .build();
     }
 
-    /** Returns the frame of a part of an answer; the head goes with the first part. */
+    /** Returns the frame for a part of an answer; the first part also contains the head. */
     public static Frame output(
             RequestId request, DispatchId dispatch, long offsetBytes, byte[] part, Optional<ResponseHead> head) {
         Output.Builder output = Output.newBuilder()
@@ -157,7 +158,7 @@
                 .build();
     }
 
-    /** Returns status and headers of an answer. */
+    /** Returns the message for status and headers of an answer. */
     public static ResponseHead head(int status, List<Map.Entry<String, String>> headers) {
         ResponseHead.Builder head = ResponseHead.newBuilder().setStatus(status);
         headers.forEach(header ->
--- a/agent/src/main/java/dev/wigeonward/agent/package-info.java
+++ b/agent/src/main/java/dev/wigeonward/agent/package-info.java
@@ -1,2 +1,2 @@
-/** The agent process: runs beside one upstream and decides what it gets. */
+/** The agent process, which runs beside one upstream and schedules the requests to it. */
 package dev.wigeonward.agent;
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentInput.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentInput.java
@@ -9,15 +9,15 @@
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.generated.Frame;
 
-/** What reaches the decision thread of an agent. */
+/** An input of the decision thread of an agent. */
 sealed interface AgentInput {
-    /** A link is up. */
+    /** A link was opened. */
     record LinkOpened(Link link) implements AgentInput {}
 
-    /** A frame arrived. */
+    /** A frame arrived on a link. */
     record FrameArrived(Link link, Frame frame) implements AgentInput {}
 
-    /** A link is gone. */
+    /** A link was closed. */
     record LinkClosed(Link link, String reason) implements AgentInput {}
 
     /** Status and headers of an answer arrived from the upstream. */
@@ -29,15 +29,15 @@
     /** The upstream completed an answer. */
     record End(RequestId run) implements AgentInput {}
 
-    /** The upstream did not complete an answer, or never saw the request. */
+    /** The upstream did not complete an answer, or never received the request if {@code unreached} is set. */
     record Broken(RequestId run, Failure failure, boolean unreached) implements AgentInput {}
 
-    /** Outcome of a health check. */
+    /** A health check completed. */
     record Probed(UpstreamClient.ProbeResult result) implements AgentInput {}
 
-    /** Changes of the upstream's prefix cache. */
+    /** The upstream reported changes of its prefix cache. */
     record CacheChanged(UpstreamClient.CacheEvents events) implements AgentInput {}
 
-    /** A question that needs the state of the decision thread. */
-    record Query(Runnable question) implements AgentInput {}
+    /** A task to run on the decision thread. */
+    record Query(Runnable task) implements AgentInput {}
 }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentParts.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentParts.java
@@ -8,7 +8,7 @@
 import dev.wigeonward.wire.LinkSettings;
 import dev.wigeonward.wire.generated.Hello;
 
-/** What the runtime of an agent is built from. */
+/** The components that the runtime of an agent is built from. */
 public record AgentParts(
         AgentDispatcher dispatcher, UpstreamClient upstream, Clock clock, LinkSettings linkSettings, Hello hello) {
     public AgentParts {
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -42,18 +42,18 @@
 import dev.wigeonward.wire.generated.ResponseHead;
 import dev.wigeonward.wire.generated.UpstreamInfo;
 
-/** Runs the dispatcher of an agent on one thread and carries out its effects. */
+/** Runs the dispatcher and the control plane of an agent on the decision thread and carries out their effects. */
 public final class AgentRuntime implements LinkListener, FrameSender, AutoCloseable {
     private static final Logger LOG = System.getLogger(AgentRuntime.class.getName());
     private static final int RING_CAPACITY = 65_536;
     private static final long TICK_MILLIS = 20;
     private static final long PROBE_PERIOD_MILLIS = 250;
     private static final long LOAD_PERIOD_MILLIS = 500;
-    /** Versions in an engine's memory at once: the one in use and the one it moves to. */
+    /** Number of versions that an engine can have loaded at once: the current one and the one it moves to. */
     private static final int VERSION_PLACES = 2;
 
     private static final int MAX_PART_BYTES = 64 * 1024;
-    /** Upper end of the range that the rules allow for a body. */
+    /** Maximum body size, equal to the highest body limit that the rules allow. */
     private static final int MAX_BODY_BYTES = 64 << 20;
 
     private final AgentDispatcher dispatcher;
@@ -64,13 +64,13 @@
     private final AgentControl control;
     private final LinkTransport transport;
     private final UpstreamHealth health = new UpstreamHealth();
-    private final CacheNews cache = new CacheNews();
+    private final UnsentCacheEvents cache = new UnsentCacheEvents();
     private final DispatchAssembler assembler = new DispatchAssembler(MAX_BODY_BYTES);
     private final Map<Long, Link> links = new HashMap<>();
-    private final Map<RequestId, KeptRun> runs = new HashMap<>();
+    private final Map<RequestId, RunRecord> runs = new HashMap<>();
     private final DutyThread<AgentInput> thread;
     private final Map<String, Link> linksByPeer = new HashMap<>();
-    /** Replaced by the decision thread, read by the links' thread. */
+    /** Heartbeat of regular sends; written by the decision thread, read by the thread of the links. */
     private volatile Frame heartbeat;
 
     private Load load = Load.newBuilder().setUpstreamAlive(true).build();
@@ -78,7 +78,7 @@
     private long nextLoadMillis;
     private boolean probing;
     private long drainLimitMillis;
-    private CompletableFuture<Void> whenIdle;
+    private CompletableFuture<Void> drainResult;
 
     private AgentRuntime(AgentParts parts, Function<AgentRuntime, AgentControl> control) {
         this.dispatcher = parts.dispatcher();
@@ -96,7 +96,7 @@
         return new AgentRuntime(parts, control);
     }
 
-    /** Stops what an earlier incarnation left in the upstream, then starts to accept links. */
+    /** Cancels the runs that an earlier incarnation left in the upstream, then starts to accept links. */
     public InetSocketAddress listen(InetSocketAddress address) {
         upstream.cancelAll();
         return transport.listen(address);
@@ -119,7 +119,7 @@
 
     @Override
     public void onConnectFailed(String address, String reason) {
-        LOG.log(Level.WARNING, "a link from {0} did not come up: {1}", address, reason);
+        LOG.log(Level.WARNING, "link from {0} was not established: {1}", address, reason);
     }
 
     /** Runs a task on the decision thread. */
@@ -127,31 +127,33 @@
         thread.put(new AgentInput.Query(task));
     }
 
-    /** Returns the answer to a question about the state of the decision thread. */
-    public <T> CompletionStage<T> query(Supplier<T> question) {
+    /** Evaluates a supplier on the decision thread and returns its result. */
+    public <T> CompletionStage<T> query(Supplier<T> supplier) {
         CompletableFuture<T> answer = new CompletableFuture<>();
-        thread.put(new AgentInput.Query(() -> answer.complete(question.get())));
+        thread.put(new AgentInput.Query(() -> answer.complete(supplier.get())));
         return answer;
     }
 
-    /** Tells all entries that this upstream leaves, and completes once all its requests have ended. */
+    /**
+     * Announces to all entries that this upstream leaves; the returned stage completes once all requests have ended.
+     */
     public CompletionStage<Void> drain(long limitMillis) {
         CompletableFuture<Void> drained = new CompletableFuture<>();
         thread.put(new AgentInput.Query(() -> {
             handle(new AgentEvent.DrainStarted());
             drainLimitMillis = limitMillis;
-            links.values().forEach(link -> link.send(leaving()));
-            whenIdle = drained;
+            links.values().forEach(link -> link.send(leavingFrame()));
+            drainResult = drained;
         }));
         return drained;
     }
 
-    /** Returns what operators see of revisions, orders and versions; to be called through {@link #query}. */
+    /** Returns the state of the control plane for the status page. Call through {@link #query}. */
     public Map<String, Object> status() {
         return control.status();
     }
 
-    /** Returns whether the upstream gets requests; to be called through {@link #query}. */
+    /** Returns the content of the health page: ready, or the reason why not. Call through {@link #query}. */
     public Object health() {
         if (dispatcher.draining()) {
             return new AdminServer.Unhealthy("the agent is shutting down");
@@ -161,7 +163,7 @@
                 : new AdminServer.Unhealthy("the upstream does not answer");
     }
 
-    /** Returns the state for operators; to be called through {@link #query}. */
+    /** Returns the full state for the dump page. Call through {@link #query}. */
     public Map<String, Object> dump() {
         Map<String, Object> dump = new HashMap<>(control.status());
         dump.put("upstream", hello.getUpstream().getUpstreamId());
@@ -177,14 +179,14 @@
         return dump;
     }
 
-    /** Returns the registry, for further metrics. */
+    /** Returns the registry, to which other parts add their metrics. */
     public MetricRegistry metrics() {
         return metrics;
     }
 
     private void accept(AgentInput input) {
         if (input instanceof AgentInput.FrameArrived arrived) {
-            frame(arrived.link(), arrived.frame());
+            handleFrame(arrived.link(), arrived.frame());
         } else if (input instanceof AgentInput.Part part) {
             Optional.ofNullable(runs.get(part.run())).ifPresent(run -> run.output.append(part.part()));
             handle(new AgentEvent.UpstreamOutput(part.run(), part.part().length));
@@ -211,11 +213,11 @@
         } else if (input instanceof AgentInput.LinkClosed closed) {
             linkClosed(closed.link(), closed.reason());
         } else if (input instanceof AgentInput.Probed probed) {
-            probed(probed.result());
+            onProbe(probed.result());
         } else if (input instanceof AgentInput.CacheChanged changed) {
             cache.add(changed.events());
         } else if (input instanceof AgentInput.Query query) {
-            query.question().run();
+            query.task().run();
         }
     }
 
@@ -226,7 +228,7 @@
         LOG.log(Level.INFO, "link from entry {0} is up", peer);
         control.onLinkUp(peer, clock.millis());
         if (dispatcher.draining()) {
-            link.send(leaving());
+            link.send(leavingFrame());
         }
     }
 
@@ -241,13 +243,13 @@
         handle(new AgentEvent.LinkLost(link.number()));
     }
 
-    private Frame leaving() {
+    private Frame leavingFrame() {
         return Frame.newBuilder()
                 .setLeaving(Leaving.newBuilder().setTimeLeftMillis(drainLimitMillis))
                 .build();
     }
 
-    private void probed(UpstreamClient.ProbeResult result) {
+    private void onProbe(UpstreamClient.ProbeResult result) {
         probing = false;
         if (result instanceof UpstreamClient.ProbeResult.Alive alive) {
             control.onVersions(alive.versions());
@@ -266,10 +268,10 @@
         publishLoad();
     }
 
-    private void frame(Link link, Frame frame) {
+    private void handleFrame(Link link, Frame frame) {
         try {
             control.onFrame(link.peer().getNodeId(), frame, clock.millis());
-            requestFrame(link, frame);
+            handleRequestFrame(link, frame);
         } catch (IllegalArgumentException e) {
             LOG.log(
                     Level.WARNING,
@@ -280,7 +282,7 @@
         }
     }
 
-    private void requestFrame(Link link, Frame frame) {
+    private void handleRequestFrame(Link link, Frame frame) {
         switch (frame.getBodyCase()) {
             case DISPATCH ->
                 assembler.first(link.number(), frame.getDispatch()).ifPresent(whole -> dispatch(link, whole));
@@ -297,7 +299,7 @@
             case CANCEL ->
                 handle(new AgentEvent.CancelArrived(
                         new RequestId(frame.getCancel().getRequestId())));
-            default -> LOG.log(Level.DEBUG, "no use for {0}", frame.getBodyCase());
+            default -> LOG.log(Level.DEBUG, "ignoring frame of type {0}", frame.getBodyCase());
         }
     }
 
@@ -308,7 +310,7 @@
         } catch (IllegalArgumentException e) {
             LOG.log(
                     Level.WARNING,
-                    "malformed dispatch from {0}: {1}",
+                    "entry {0} sent a malformed dispatch: {1}",
                     link.peer().getNodeId(),
                     e.getMessage());
             if (!dispatch.getRequestId().isEmpty() && !dispatch.getDispatchId().isEmpty()) {
@@ -329,9 +331,9 @@
         }
         runs.computeIfAbsent(
                 event.request().id(),
-                id -> new KeptRun(EntryFrames.upstreamRequest(dispatch), event.request(), version));
+                id -> new RunRecord(EntryFrames.upstreamRequest(dispatch), event.request(), version));
         handle(event);
-        // A run that was refused, or joined another one, needs no body.
+        // A request that was refused or attached to another run does not need its own record.
         if (!dispatcher.keeps(event.request().id())) {
             runs.remove(event.request().id());
         }
@@ -351,12 +353,12 @@
             publishLoad();
             upstream.cacheEvents(cache.lastSequence(), events -> thread.put(new AgentInput.CacheChanged(events)));
         }
-        if (whenIdle != null && dispatcher.idle()) {
-            whenIdle.complete(null);
+        if (drainResult != null && dispatcher.idle()) {
+            drainResult.complete(null);
         }
     }
 
-    /** Sends a changed heartbeat at once; quiet links carry it in regular ones anyway. */
+    /** Sends a changed load or new cache events at once; an unchanged load is repeated by the regular heartbeats. */
     private void publishLoad() {
         load = Load.newBuilder()
                 .setBacklogMillis(dispatcher.queue().backlogMillis(clock.millis()))
@@ -371,18 +373,18 @@
             return;
         }
         heartbeat = next;
-        // Regular heartbeats leave the cache events out, so that each is sent once.
+        // Regular heartbeats do not contain the cache events, so each event is sent once.
         Frame first = control.heartbeat(cache.moveTo(load.toBuilder()));
         links.values().forEach(link -> link.send(first));
     }
 
     private void handle(AgentEvent event) {
-        dispatcher.handle(event, clock.millis()).forEach(this::carryOut);
+        dispatcher.handle(event, clock.millis()).forEach(this::apply);
     }
 
-    private void carryOut(AgentEffect effect) {
+    private void apply(AgentEffect effect) {
         if (effect instanceof AgentEffect.SubmitToUpstream submit) {
-            KeptRun run = runs.get(submit.run());
+            RunRecord run = runs.get(submit.run());
             metrics.counter("submitted").inc();
             double load =
                     (double) dispatcher.queue().running() / hello.getUpstream().getSlots();
@@ -404,8 +406,8 @@
             sendOutput(send);
         } else if (effect instanceof AgentEffect.SendFinished send) {
             metrics.counter("finished").inc();
-            KeptRun run = runs.get(send.run());
-            send(send.link(), EntryFrames.finished(send, run.head, UsageReader.read(run.output.tail())));
+            RunRecord run = runs.get(send.run());
+            send(send.link(), EntryFrames.finished(send, run.head, UsageParser.parse(run.output.tail())));
         } else if (effect instanceof AgentEffect.SendFailed send) {
             metrics.counter("failed." + send.failure().kind().wireName()).inc();
             send(send.link(), EntryFrames.failed(send));
@@ -424,15 +426,15 @@
         observe(request.id(), (run, nowMillis) -> run.observation.died(nowMillis));
     }
 
-    /** Notes how a run that was handed over ended, for the judgement of versions. */
-    private void observe(RequestId id, ObjLongConsumer<KeptRun> note) {
+    /** Records how a submitted run ended, as evidence on its version. */
+    private void observe(RequestId id, ObjLongConsumer<RunRecord> observer) {
         Optional.ofNullable(runs.get(id))
                 .filter(run -> run.observation != null)
-                .ifPresent(run -> note.accept(run, clock.millis()));
+                .ifPresent(run -> observer.accept(run, clock.millis()));
     }
 
     private void sendOutput(AgentEffect.SendOutput send) {
-        KeptRun run = runs.get(send.run());
+        RunRecord run = runs.get(send.run());
         long fromBytes = send.fromBytes();
         while (fromBytes < send.toBytes()) {
             long toBytes = Math.min(send.toBytes(), fromBytes + MAX_PART_BYTES);
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/OutputBuffer.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/OutputBuffer.java
@@ -4,7 +4,7 @@
 
 import com.google.common.base.Preconditions;
 
-/** Output of a run from the lowest offset that may still be asked for. */
+/** The output of a run from the lowest offset that can still be requested. */
 final class OutputBuffer {
     private static final int FIRST_CAPACITY_BYTES = 1_024;
     private static final int TAIL_BYTES = 2_048;
@@ -21,10 +21,15 @@
         lengthBytes += part.length;
     }
 
-    /** Returns the bytes between two offsets of the whole output. */
+    /** Returns the bytes from one offset of the whole output, inclusive, to another, exclusive. */
     byte[] slice(long fromBytes, long toBytes) {
-        Preconditions.checkArgument(fromBytes >= baseBytes, "offset %s is below %s", fromBytes, baseBytes);
-        Preconditions.checkArgument(toBytes <= baseBytes + lengthBytes, "offset %s is above the output", toBytes);
+        Preconditions.checkArgument(
+                fromBytes >= baseBytes, "start offset is %s, expected at least %s", fromBytes, baseBytes);
+        Preconditions.checkArgument(
+                toBytes <= baseBytes + lengthBytes,
+                "end offset is %s, expected at most %s",
+                toBytes,
+                baseBytes + lengthBytes);
         return Arrays.copyOfRange(data, (int) (fromBytes - baseBytes), (int) (toBytes - baseBytes));
     }
 
@@ -39,7 +44,7 @@
         baseBytes += dropBytes;
     }
 
-    /** Returns the last bytes of the output, as far as they are kept. */
+    /** Returns the last bytes of the output, at most {@value #TAIL_BYTES}, as far as they were not dropped. */
     byte[] tail() {
         return Arrays.copyOfRange(data, Math.max(0, lengthBytes - TAIL_BYTES), lengthBytes);
     }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/KeptRun.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/RunRecord.java
@@ -5,17 +5,17 @@
 import dev.wigeonward.core.rollout.EvidenceRecorder;
 import dev.wigeonward.wire.generated.ResponseHead;
 
-/** What is kept of a run besides the dispatcher's state: the request for the upstream and the output. */
-final class KeptRun {
+/** The data of a run that the dispatcher does not hold: the request to the upstream, the output and the observation. */
+final class RunRecord {
     final UpstreamRequest request;
     final RequestSpec spec;
     final String version;
     final OutputBuffer output = new OutputBuffer();
     ResponseHead head = ResponseHead.getDefaultInstance();
-    /** Set once the run was handed to the upstream. */
+    /** Null until the run is submitted to the upstream. */
     EvidenceRecorder.Observation observation;
 
-    KeptRun(UpstreamRequest request, RequestSpec spec, String version) {
+    RunRecord(UpstreamRequest request, RequestSpec spec, String version) {
         this.request = request;
         this.spec = spec;
         this.version = version;
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/CacheNews.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UnsentCacheEvents.java
@@ -6,9 +6,11 @@
 import dev.wigeonward.agent.upstream.UpstreamClient.CacheEvents;
 import dev.wigeonward.wire.generated.Load;
 
-/** Changes of the engine's prefix cache that entries were not told yet. */
-final class CacheNews {
-    /** Bounds one heartbeat to about 20 KB; what exceeds it comes with the next. */
+/** Changes of the engine's prefix cache that were not sent to the entries yet. */
+final class UnsentCacheEvents {
+    /**
+     * Maximum number of prefixes of each kind in one heartbeat, which limits it to about 20 KB; the rest follows later.
+     */
     private static final int MAX_PREFIXES = 1_000;
 
     private final List<Long> cached = new ArrayList<>();
@@ -16,7 +18,7 @@
     private long lastSequence;
 
     void add(CacheEvents events) {
-        // A second answer to the same question changes nothing.
+        // A repeated answer to the same poll must not add its events again.
         if (events.lastSequence() <= lastSequence) {
             return;
         }
@@ -33,7 +35,7 @@
         return cached.isEmpty() && evicted.isEmpty();
     }
 
-    /** Moves the oldest changes into a load report. */
+    /** Moves the oldest changes to a load report and returns the report. */
     Load moveTo(Load.Builder load) {
         List<Long> oldestCached = cached.subList(0, Math.min(MAX_PREFIXES, cached.size()));
         List<Long> oldestEvicted = evicted.subList(0, Math.min(MAX_PREFIXES, evicted.size()));
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamForwarder.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamForwarder.java
@@ -8,7 +8,7 @@
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
 
-/** Passes the upstream's answer to the decision thread. */
+/** An answer listener that forwards the upstream's answer to the decision thread. */
 final class UpstreamForwarder implements UpstreamClient.AnswerListener {
     private final RequestId run;
     private final DutyThread<AgentInput> thread;
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamHealth.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamHealth.java
@@ -5,16 +5,16 @@
 import dev.wigeonward.agent.upstream.UpstreamClient.ProbeResult;
 import dev.wigeonward.core.dispatch.AgentEvent;
 
-/** Turns probe results into the news that the upstream died or is back. */
+/** Derives from probe results the events that the upstream died or is alive again. */
 final class UpstreamHealth {
-    /** One lost probe may be a full accept queue; two in a row are not. */
+    /** One failed probe can be caused by a full accept queue; two in a row count as the death of the upstream. */
     private static final int FAILURES_BEFORE_DEAD = 2;
 
     private String instance = "";
     private int failures;
     private boolean alive = true;
 
-    /** Returns the name of the upstream's current start. */
+    /** Returns the instance name that the upstream last reported; it changes with each restart of the upstream. */
     String instance() {
         return instance;
     }
@@ -25,7 +25,7 @@
             instance = answered.instance();
             failures = 0;
             if (restarted && alive) {
-                // What ran in the old instance is lost; the next probe reports the new one as alive.
+                // All runs of the old instance are lost. The next probe reports the new instance as alive.
                 alive = false;
                 return Optional.of(new AgentEvent.UpstreamDied());
             }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/UsageReader.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UsageParser.java
@@ -9,21 +9,21 @@
 import dev.wigeonward.common.http.Json;
 import dev.wigeonward.wire.generated.Usage;
 
-/** Finds the usage that a model engine reports at the end of an answer. */
-final class UsageReader {
+/** Parses the token usage that a model engine reports at the end of an answer. */
+final class UsageParser {
     private static final JsonFactory FACTORY = Json.mapper().getFactory();
     private static final String FIELD = "\"usage\":";
 
-    private UsageReader() {}
+    private UsageParser() {}
 
-    /** Returns the usage in the last bytes of an answer; zeros if there is none, as for plain services. */
-    static Usage read(byte[] tail) {
+    /** Returns the usage in the last bytes of an answer, or zeros if there is none, as in answers of plain services. */
+    static Usage parse(byte[] tail) {
         String text = new String(tail, StandardCharsets.UTF_8);
         int field = text.lastIndexOf(FIELD);
         if (field < 0) {
             return Usage.getDefaultInstance();
         }
-        // The parser stops after the first value, so that what follows the usage does not matter.
+        // The parser stops after the first value and ignores what follows the usage.
         try (JsonParser parser = FACTORY.createParser(text.substring(field + FIELD.length()))) {
             JsonNode usage = Json.mapper().readTree(parser);
             return Usage.newBuilder()
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/package-info.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/package-info.java
@@ -1,2 +1,2 @@
-/** The decision thread of an agent: events in, effects out. */
+/** The decision thread of an agent, which handles events and carries out their effects. */
 package dev.wigeonward.agent.runtime;
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -35,17 +35,18 @@
 import io.servicetalk.transport.api.RetryableException;
 
 /**
- * Calls an upstream over HTTP. A model engine names its streams by the request id, so that a broken connection is
- * resumed from the offset reached and a cancelled stream frees its slot; a plain service gets each request once.
+ * An upstream client over HTTP. A model engine identifies its streams by the request id, so that an answer is resumed
+ * from the received offset after a broken connection and a cancelled stream frees its slot. A plain service receives
+ * each request at most once.
  */
 public final class HttpUpstreamClient implements UpstreamClient {
-    /** Header under which an engine files a stream. */
+    /** Header with the request id, by which an engine identifies a stream. */
     public static final String REQUEST_ID_HEADER = "x-request-id";
 
     private static final int STATUS_OK = 200;
     private static final int MAX_RESUMES = 3;
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
-    /** Loading a large model takes minutes. */
+    /** Maximum time for an order; loading a large model takes minutes. */
     private static final Duration ORDER_TIMEOUT = Duration.ofMinutes(10);
 
     private final boolean engine;
@@ -60,12 +61,12 @@
                 .buildStreaming();
     }
 
-    /** Returns a client of a model engine. */
+    /** Returns a client for a model engine. */
     public static HttpUpstreamClient forEngine(InetSocketAddress address) {
         return new HttpUpstreamClient(address, true);
     }
 
-    /** Returns a client of a plain service. */
+    /** Returns a client for a plain service. */
     public static HttpUpstreamClient forPlainService(InetSocketAddress address) {
         return new HttpUpstreamClient(address, false);
     }
@@ -123,7 +124,8 @@
                     String body = response.payloadBody().toString(StandardCharsets.UTF_8);
                     return response.status().code() == STATUS_OK
                             ? alive(body)
-                            : new ProbeResult.Dead("health check answers " + response.status());
+                            : new ProbeResult.Dead(
+                                    "health check returned " + response.status() + ", expected " + STATUS_OK);
                 })
                 .onErrorReturn(error -> new ProbeResult.Dead(String.valueOf(error.getMessage())))
                 .subscribe(listener::accept);
@@ -165,7 +167,7 @@
     @Override
     public void order(Order order, Consumer<String> listener) {
         if (!engine) {
-            listener.accept("a plain service takes no orders");
+            listener.accept("the upstream is a plain service, which does not support orders");
             return;
         }
         byte[] body = Json.write(Map.of(
@@ -194,7 +196,7 @@
         client.closeAsync().subscribe();
     }
 
-    /** One request and the connections that its answer came over. */
+    /** One request, whose answer may be received over several connections. */
     private final class Call {
         private final RequestId id;
         private final AnswerListener listener;
@@ -216,7 +218,7 @@
             }));
         }
 
-        /** Reads an answer to its end or until the connection breaks. */
+        /** Subscribes to an answer and forwards it until it ends or the connection breaks. */
         private void read(Publisher<Buffer> body) {
             subscription = body.beforeOnNext(this::output)
                     .ignoreElements()
@@ -262,7 +264,7 @@
                 return;
             }
             resumes++;
-            boolean dead = resumes > 1 && neverSent(error) || error instanceof StreamForgottenException;
+            boolean dead = resumes > 1 && neverSent(error) || error instanceof UnknownStreamException;
             if (!engine || dead || resumes > MAX_RESUMES) {
                 calls.remove(id);
                 fail(dead, error);
@@ -271,7 +273,9 @@
             resume();
         }
 
-        /** Tells a request that broke off alone from one whose upstream died with it. */
+        /**
+         * Reports a failure and distinguishes a lost answer from the death of the upstream, by a probe if necessary.
+         */
         private void fail(boolean dead, Throwable error) {
             if (dead) {
                 listener.onFailed(Failure.of(ErrorKind.UPSTREAM_DIED, "the upstream died while it ran the request"));
@@ -279,7 +283,7 @@
             }
             probe(result -> {
                 ErrorKind kind = result instanceof ProbeResult.Dead ? ErrorKind.UPSTREAM_DIED : ErrorKind.UPSTREAM_LOST;
-                listener.onFailed(Failure.of(kind, "the upstream's answer broke off: " + error));
+                listener.onFailed(Failure.of(kind, "the upstream's answer was interrupted: " + error));
             });
         }
 
@@ -289,7 +293,7 @@
                 if (response.status().code() != STATUS_OK) {
                     return response.payloadBody()
                             .ignoreElements()
-                            .concat(Publisher.failed(new StreamForgottenException()));
+                            .concat(Publisher.failed(new UnknownStreamException()));
                 }
                 return response.payloadBody();
             }));
@@ -310,10 +314,10 @@
         }
     }
 
-    /** The engine was restarted and does not have the stream any more. */
-    private static final class StreamForgottenException extends RuntimeException {
-        StreamForgottenException() {
-            super("the engine does not know the stream any more", null, false, false);
+    /** Thrown if the engine does not know a stream, because it was restarted. */
+    private static final class UnknownStreamException extends RuntimeException {
+        UnknownStreamException() {
+            super("the engine does not know the stream to resume", null, false, false);
         }
     }
 }
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamClient.java
@@ -9,31 +9,33 @@
 import dev.wigeonward.core.order.Order;
 import dev.wigeonward.core.request.RequestId;
 
-/** Calls to one upstream; all answers come through listeners, in any thread. */
+/** A client of one upstream. All results are passed to listeners, which are called on any thread. */
 public interface UpstreamClient extends AutoCloseable {
-    /** Hands a request over, once. */
+    /** Submits a request, which is sent at most once. */
     void submit(UpstreamRequest request, AnswerListener listener);
 
-    /** Stops a request; a plain service cannot stop one and ignores the call. */
+    /** Cancels a request. Has no effect for a plain service, which cannot cancel. */
     void cancel(RequestId id);
 
-    /** Stops what an earlier incarnation of the agent left running. */
+    /**
+     * Cancels all requests that an earlier incarnation of the agent left running. Has no effect for a plain service.
+     */
     void cancelAll();
 
-    /** Carries out an order; the listener gets an empty text on success and the reason of a failure otherwise. */
+    /** Executes an order. The listener receives an empty text on success, and the reason of the failure otherwise. */
     void order(Order order, Consumer<String> listener);
 
     /** Checks whether the upstream answers. */
     void probe(Consumer<ProbeResult> listener);
 
-    /** Asks for the cache events after a sequence number; the listener is not called if the upstream has none. */
+    /** Requests the cache events after a sequence number. The listener is not called for a plain service. */
     void cacheEvents(long afterSequence, Consumer<CacheEvents> listener);
 
     @Override
     void close();
 
     /**
-     * Changes of an engine's prefix cache; they come late, and some may be missing.
+     * Changes of an engine's prefix cache. They are reported with a delay, and some may be missing.
      *
      * @param lastSequence sequence number of the newest event
      */
@@ -44,30 +46,30 @@
         }
     }
 
-    /** Hears the answer to one request. */
+    /** Receives the answer to one request. */
     interface AnswerListener {
-        /** Status and headers arrived. */
+        /** Called when status and headers arrive. */
         void onHead(int status, List<Map.Entry<String, String>> headers);
 
-        /** A part of the body arrived. */
+        /** Called for each part of the body. */
         void onOutput(byte[] part);
 
-        /** The body is complete. */
+        /** Called when the body is complete. */
         void onFinished();
 
-        /** The upstream got the request, or may have, and did not complete the answer. */
+        /** Called if the answer was not completed although the upstream received, or may have received, the request. */
         void onFailed(Failure failure);
 
-        /** The upstream never saw the request. */
+        /** Called if the upstream certainly never received the request. */
         void onUnreached(Failure failure);
     }
 
-    /** Outcome of a probe. */
+    /** The result of a probe. */
     sealed interface ProbeResult {
         /**
-         * The upstream answers. A changed instance means that it was restarted.
+         * The upstream answers. A changed instance shows that it was restarted.
          *
-         * @param versions versions in the memory of an engine; empty if the upstream does not say
+         * @param versions versions that an engine has loaded; empty if the upstream does not report any
          */
         record Alive(String instance, Set<String> versions) implements ProbeResult {
             public Alive {
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamRequest.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamRequest.java
@@ -6,7 +6,7 @@
 
 import dev.wigeonward.core.request.RequestId;
 
-/** A request as the upstream gets it. */
+/** A request as it is sent to the upstream. */
 public record UpstreamRequest(
         RequestId id, String method, String path, List<Map.Entry<String, String>> headers, byte[] body) {
     public UpstreamRequest {
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/package-info.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/package-info.java
@@ -1,2 +1,2 @@
-/** Ports to the upstream beside an agent, and their HTTP implementations. */
+/** The client interface to the upstream of an agent and its HTTP implementation. */
 package dev.wigeonward.agent.upstream;
--- a/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
@@ -220,6 +220,7 @@
         return new Result.Refused(Failure.of(kind, message));
     }
 
+    /** The target of a request with its parsed chat request, if it names a model, or the reason of a refusal. */
     private record TargetResolution(String target, Optional<ChatRequest> chat, Optional<Failure> failure) {
         static TargetResolution service(String name) {
             return new TargetResolution(name, Optional.empty(), Optional.empty());
--- a/entry/src/main/java/dev/wigeonward/entry/command/Commands.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/Commands.java
@@ -28,6 +28,7 @@
                                     options.connect(environment), environment)
                             .rollback(options))));
 
+    /** A command: its positional arguments as shown in the usage text, its options and its action. */
     private record Command<O extends Options>(
             String arguments, Supplier<O> options, BiFunction<O, Environment, CommandReport> action) {}
 
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -177,6 +177,7 @@
         });
     }
 
+    /** Passes learned facts to the part that uses them. */
     private final class ControlFactListener implements FactListener {
         @Override
         public void onVerdict(BadVerdict verdict) {
--- a/entry/src/main/java/dev/wigeonward/entry/link/LinkTable.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/LinkTable.java
@@ -88,5 +88,6 @@
         return links.values().stream().map(Connected::upstream).toList();
     }
 
+    /** The current link to an agent and the description of its upstream. */
     private record Connected(Link link, UpstreamDescription upstream) {}
 }
--- a/entry/src/test/java/dev/wigeonward/entry/command/CommandsTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/command/CommandsTest.java
@@ -23,6 +23,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.tuple;
 
+/** Tests the operator commands, as run from the command line, against a store in memory with faults. */
 class CommandsTest {
     private static final String A1 = "workspace a weight=1 tiers=batch # asked by Ana: start\n";
     private static final String A2 = "workspace a weight=2 tiers=batch # asked by Ana: grows\n";
--- a/entry/src/test/java/dev/wigeonward/entry/command/OperatorRaceTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/command/OperatorRaceTest.java
@@ -22,6 +22,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+/** Tests that of two operators who apply a change to the same revision at the same time exactly one succeeds. */
 class OperatorRaceTest {
     private static final int ROUNDS = 200;
     private static final List<String> OPERATORS = List.of("ana", "bo");
