--- a/core/src/main/java/dev/wigeonward/core/revision/AdoptionResult.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/AdoptionResult.java
@@ -1,16 +1,16 @@
 package dev.wigeonward.core.revision;
 
-/** What became of a revision that was offered for adoption. */
+/** Result of trying to adopt a revision. */
 public sealed interface AdoptionResult {
-    /** The revision is in force. */
+    /** The revision was adopted and is now in force. */
     record Adopted(Revision revision) implements AdoptionResult {}
 
-    /** The number is not higher than the one in force, with the same hash if the numbers are equal. */
+    /** The candidate's number is lower than the one in force, or both the numbers and the hashes are equal. */
     record NotHigher(long numberInForce) implements AdoptionResult {}
 
-    /** The revision in force has the same number and another hash. */
+    /** The candidate has the number of the revision in force but a different hash. */
     record OtherHash(String hashInForce) implements AdoptionResult {}
 
-    /** The text does not have the hash that came with it. */
+    /** The hash of the candidate's text differs from the hash sent with it. */
     record HashMismatch() implements AdoptionResult {}
 }
--- a/core/src/main/java/dev/wigeonward/core/revision/AdoptionRules.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/AdoptionRules.java
@@ -1,20 +1,23 @@
 package dev.wigeonward.core.revision;
 
-/** The decisions that keep a wrong revision out; a seam for tests that check what happens without one of them. */
+/**
+ * Checks that prevent the adoption of a wrong revision. Tests override single checks to show that the invariants are
+ * violated without them.
+ */
 interface AdoptionRules {
     AdoptionRules STANDARD = new AdoptionRules() {};
 
-    /** Returns whether a candidate's number allows it to replace the revision in force. */
+    /** Returns whether a candidate's number is high enough to replace the revision in force. */
     default boolean isHigher(long numberInForce, long candidate) {
         return candidate > numberInForce;
     }
 
-    /** Returns whether a candidate's text is the one that was accepted. */
+    /** Returns whether the hash of a candidate's text equals the hash sent with it. */
     default boolean verifies(Revision candidate) {
         return candidate.verifies();
     }
 
-    /** Returns whether peers contradict each other, given how many hashes they claim for one number. */
+    /** Returns whether a number is disputed, given how many different hashes are claimed for it. */
     default boolean isDisputed(int hashesOfOneNumber) {
         return hashesOfOneNumber > 1;
     }
--- a/core/src/main/java/dev/wigeonward/core/revision/PeerClaims.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/PeerClaims.java
@@ -7,28 +7,36 @@
 import java.util.Map;
 import java.util.Set;
 
-/** What each linked peer last said about its revision. A claim on a lower number replaces a higher one of that peer. */
+/**
+ * Latest revision number and hash received from each linked peer. A lower number replaces a higher one of that peer.
+ */
 final class PeerClaims {
-    private static final Claim NOTHING = new Claim(0, "");
+    private static final Claim NO_REVISION = new Claim(0, "");
 
     private final Map<String, Claim> claims = new LinkedHashMap<>();
     private final Map<String, Failure> failures = new LinkedHashMap<>();
 
-    /** Number and hash in force at a peer; the hash is empty while it is unknown. */
+    /** Number and hash of the revision in force at a peer; the hash is empty while it is unknown. */
     record Claim(long number, String hash) {}
 
+    /** A claim whose revision a peer failed to deliver; the peer is not asked for it until the given time. */
     private record Failure(Claim claim, long untilMillis) {}
 
+    /** Adds a peer; a known peer keeps its claim. */
     void linkUp(String peer) {
-        claims.putIfAbsent(peer, NOTHING);
+        claims.putIfAbsent(peer, NO_REVISION);
     }
 
+    /** Removes a peer with its claim and its failure. */
     void linkDown(String peer) {
         claims.remove(peer);
         failures.remove(peer);
     }
 
-    /** Records a claim; messages that overtook the start or the end of the link are ignored. */
+    /**
+     * Replaces the claim of a peer. Claims of unlinked peers are ignored, since a message may be handled before its
+     * link is up or after it is down. A claim without a hash does not replace one with the same number.
+     */
     void put(String peer, long number, String hash) {
         Claim known = claims.get(peer);
         if (known == null || hash.isEmpty() && known.number() == number) {
@@ -37,22 +45,27 @@
         claims.put(peer, new Claim(number, hash));
     }
 
-    /** Leaves a peer that did not deliver what it claims out for a while, so that other and lower claims are used. */
+    /**
+     * Excludes a peer that did not deliver its claimed revision until the given time or until its claim changes, so
+     * that other peers and lower numbers are tried.
+     */
     void markFailed(String peer, long untilMillis) {
         if (claims.containsKey(peer)) {
             failures.put(peer, new Failure(claims.get(peer), untilMillis));
         }
     }
 
+    /** Removes the failures whose exclusion time has passed. */
     void expireFailures(long nowMillis) {
         failures.values().removeIf(failure -> failure.untilMillis() <= nowMillis);
     }
 
+    /** Returns whether the link to the peer is up. */
     boolean isLinked(String peer) {
         return claims.containsKey(peer);
     }
 
-    /** Returns the different hashes that peers claim for a number. */
+    /** Returns the distinct hashes that peers claim for a number, as a new modifiable set. */
     Set<String> hashesOf(long number) {
         Set<String> hashes = new HashSet<>();
         for (Claim claim : claims.values()) {
@@ -63,7 +76,7 @@
         return hashes;
     }
 
-    /** Returns the numbers above a bound that peers claim and have not failed to deliver. */
+    /** Returns the numbers above a bound that are claimed by at least one peer that is not excluded. */
     Collection<Long> usableNumbersAbove(long bound) {
         Set<Long> numbers = new HashSet<>();
         claims.forEach((peer, claim) -> {
@@ -74,7 +87,7 @@
         return numbers;
     }
 
-    /** Returns the peers that may be asked for a number, in the order in which their links came up. */
+    /** Returns the peers that claim a number and are not excluded, in the order in which their links came up. */
     List<String> usablePeersWith(long number) {
         return claims.entrySet().stream()
                 .filter(entry -> entry.getValue().number() == number && isUsable(entry.getKey(), entry.getValue()))
@@ -87,7 +100,7 @@
         return failure == null || !failure.claim().equals(claim);
     }
 
-    /** Returns the peers whose last claim is below a number. */
+    /** Returns the peers whose latest claimed number is below the given one. */
     List<String> peersBelow(long number) {
         return claims.entrySet().stream()
                 .filter(entry -> entry.getValue().number() < number)
--- a/core/src/main/java/dev/wigeonward/core/revision/ReaderElection.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/ReaderElection.java
@@ -12,14 +12,17 @@
 import com.google.common.hash.Hashing;
 
 /**
- * Says which entries read the store. The choice depends only on the set of live entries, so that processes that agree
- * on the set agree on the readers, and one entry's failure changes at most one reader.
+ * Selects the entries that read the store by rendezvous hashing within each failure domain. The result depends only on
+ * the set of live entries: processes with the same set select the same readers, and the failure of one entry replaces
+ * at most one reader.
  */
 public final class ReaderElection {
-    /** Readers in each failure domain; the second one covers the time until the first one's failure is noticed. */
+    /**
+     * Number of readers per failure domain; the second one covers the time until a failure of the first is detected.
+     */
     public static final int READERS_PER_DOMAIN = 2;
 
-    /** A live entry. */
+    /** A live entry and the failure domain that it runs in. */
     public record LiveEntry(String id, String failureDomain) {
         public LiveEntry {
             Objects.requireNonNull(id, "id");
@@ -29,7 +32,7 @@
 
     private ReaderElection() {}
 
-    /** Returns the ids of the readers of all failure domains. */
+    /** Returns the ids of the readers of all failure domains, up to {@link #READERS_PER_DOMAIN} for each. */
     public static Set<String> readers(Collection<LiveEntry> live) {
         Map<String, List<LiveEntry>> byDomain =
                 live.stream().distinct().collect(Collectors.groupingBy(LiveEntry::failureDomain));
--- a/core/src/main/java/dev/wigeonward/core/revision/RelayEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RelayEffect.java
@@ -2,33 +2,33 @@
 
 import java.util.Set;
 
-/** What the relay asks its adapters to do. */
+/** An action that the relay returns for its adapters to perform. */
 public sealed interface RelayEffect {
-    /** Tell a peer which revision is in force here. */
+    /** Send a peer the number and hash of the revision in force in this process. */
     record SendOffer(String peer, long number, String hash) implements RelayEffect {}
 
-    /** Ask a peer for its revision. */
+    /** Request the revision in force at a peer; number 0 requests the full text instead of a delta. */
     record SendRequest(String peer, long haveNumber, String haveHash) implements RelayEffect {}
 
-    /** Send changed lines to a peer. */
+    /** Send a delta to a peer. */
     record SendDelta(String peer, RevisionDelta delta) implements RelayEffect {}
 
-    /** Send a part of the whole text to a peer. */
+    /** Send one part of the full text to a peer. */
     record SendSnapshotPart(String peer, SnapshotPart part) implements RelayEffect {}
 
-    /** Put the revision into force in this process. */
+    /** Apply the adopted revision in this process. */
     record Adopt(Revision revision) implements RelayEffect {}
 
-    /** Report one number with several hashes; an operator has to look at it. */
+    /** Report that several hashes are claimed for one number; an operator has to investigate. */
     record ReportConflict(long number, Set<String> hashes) implements RelayEffect {
         public ReportConflict {
             hashes = Set.copyOf(hashes);
         }
     }
 
-    /** Report that the store shows a lower number than the one in force, which stays in force. */
+    /** Report that the store returned a lower number than the one in force, which stays in force. */
     record ReportStoreRegression(long storeNumber, long numberInForce) implements RelayEffect {}
 
-    /** Report a text or delta that does not have the hash it came with. */
+    /** Report a text or delta whose hash differs from the hash sent with it; the source is a peer or the store. */
     record ReportHashMismatch(String source, long number) implements RelayEffect {}
 }
--- a/core/src/main/java/dev/wigeonward/core/revision/RelayEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RelayEvent.java
@@ -1,31 +1,31 @@
 package dev.wigeonward.core.revision;
 
-/** What the relay of one process reacts to. */
+/** An input of the relay of one process. */
 public sealed interface RelayEvent {
-    /** A link to a peer is up. */
+    /** The link to a peer was established. */
     record LinkUp(String peer) implements RelayEvent {}
 
-    /** The link to a peer was lost or is silent. */
+    /** The link to a peer was lost or timed out. */
     record LinkDown(String peer) implements RelayEvent {}
 
-    /** A heartbeat told the number in force at a peer; the hash is empty if the frame did not carry one. */
+    /** A heartbeat carried the number in force at a peer; the hash is empty if the frame had none. */
     record PeerHeartbeat(String peer, long number, String hash) implements RelayEvent {}
 
-    /** A peer has adopted a revision. */
+    /** A peer announced the revision in force there. */
     record Offered(String peer, long number, String hash) implements RelayEvent {}
 
-    /** A peer asks for the revision in force here; it has the given one, or 0 to get the whole text. */
+    /** A peer requested the revision in force here; it has the given one, and number 0 requests the full text. */
     record Requested(String peer, long haveNumber, String haveHash) implements RelayEvent {}
 
-    /** A peer sent changed lines. */
+    /** A delta arrived from a peer. */
     record DeltaArrived(String peer, RevisionDelta delta) implements RelayEvent {}
 
-    /** A peer sent a part of a whole text. */
+    /** One part of a full text arrived from a peer. */
     record SnapshotPartArrived(String peer, SnapshotPart part) implements RelayEvent {}
 
-    /** The store answered a read of head. */
+    /** A read of the store's head completed, possibly without an answer. */
     record StoreRead(RevisionStore.HeadResult result) implements RelayEvent {}
 
-    /** Time passed. */
+    /** A periodic timer fired, so that timeouts are checked. */
     record Tick() implements RelayEvent {}
 }
--- a/core/src/main/java/dev/wigeonward/core/revision/RevisionDelta.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RevisionDelta.java
@@ -12,22 +12,25 @@
 import com.google.common.base.Utf8;
 
 /**
- * The lines by which one revision differs from another.
+ * A line-based difference from one revision to a later one.
  *
- * @param edits in ascending order of their lines, without overlap
+ * @param edits replacements in ascending order of their start lines, without overlap
  */
 public record RevisionDelta(long fromNumber, String fromHash, long toNumber, String toHash, List<Edit> edits) {
+    /** Estimated bytes of an edit in a frame besides its added lines. */
     private static final int EDIT_OVERHEAD_BYTES = 16;
 
     /**
-     * A replacement of lines.
+     * A replacement of consecutive lines.
      *
-     * @param startLine first line replaced, counted from 0 in the old text
+     * @param startLine index of the first replaced line in the old text, starting at 0
      */
     public record Edit(int startLine, int removedLines, List<String> addedLines) {
         public Edit {
-            Preconditions.checkArgument(startLine >= 0, "startLine is %s", startLine);
-            Preconditions.checkArgument(removedLines >= 0, "removedLines is %s", removedLines);
+            Preconditions.checkArgument(
+                    startLine >= 0, "start line of an edit must not be negative, got %s", startLine);
+            Preconditions.checkArgument(
+                    removedLines >= 0, "number of removed lines must not be negative, got %s", removedLines);
             addedLines = List.copyOf(addedLines);
         }
     }
@@ -37,21 +40,25 @@
     }
 
     /**
-     * Returns the edits that lead from one revision to the other. Lines that occur once in both texts serve as anchors,
-     * which suits rules, as no valid file holds a rule twice. Takes time linear in the lines and their logarithm.
+     * Returns the delta from one revision to another. Lines that occur exactly once in each text serve as anchors
+     * (patience diff). This suits rules, since a valid file contains no rule twice. Takes O(n log n) time for n lines.
      */
     public static RevisionDelta between(Revision from, Revision to) {
         List<String> oldLines = lines(from.text());
         List<String> newLines = lines(to.text());
         List<Edit> edits = new ArrayList<>();
-        int oldDone = 0;
-        int newDone = 0;
+        int oldStart = 0;
+        int newStart = 0;
         for (int[] anchor : anchors(oldLines, newLines)) {
-            addEdit(edits, oldLines.subList(oldDone, anchor[0]), newLines.subList(newDone, anchor[1]), oldDone);
-            oldDone = anchor[0] + 1;
-            newDone = anchor[1] + 1;
+            addEdit(edits, oldLines.subList(oldStart, anchor[0]), newLines.subList(newStart, anchor[1]), oldStart);
+            oldStart = anchor[0] + 1;
+            newStart = anchor[1] + 1;
         }
-        addEdit(edits, oldLines.subList(oldDone, oldLines.size()), newLines.subList(newDone, newLines.size()), oldDone);
+        addEdit(
+                edits,
+                oldLines.subList(oldStart, oldLines.size()),
+                newLines.subList(newStart, newLines.size()),
+                oldStart);
         return new RevisionDelta(from.number(), from.hash(), to.number(), to.hash(), edits);
     }
 
@@ -59,7 +66,7 @@
         return Arrays.asList(text.split("\n", -1));
     }
 
-    /** Returns the longest sequence of pairs (old line, new line) of unique lines that ascends in both texts. */
+    /** Returns the longest sequence of (old index, new index) pairs of unique lines that increases in both texts. */
     private static List<int[]> anchors(List<String> oldLines, List<String> newLines) {
         Map<String, Integer> oldPositions = uniquePositions(oldLines);
         Map<String, Integer> newPositions = uniquePositions(newLines);
@@ -71,10 +78,10 @@
                 pairs.add(new int[] {position, newPosition});
             }
         }
-        return longestAscending(pairs);
+        return longestIncreasingSubsequence(pairs);
     }
 
-    /** Returns the position of each line, -1 for a line that occurs more than once. */
+    /** Returns the index of each line, or -1 for a line that occurs more than once. */
     private static Map<String, Integer> uniquePositions(List<String> lines) {
         Map<String, Integer> positions = new HashMap<>();
         for (int position = 0; position < lines.size(); position++) {
@@ -83,7 +90,8 @@
         return positions;
     }
 
-    private static List<int[]> longestAscending(List<int[]> pairs) {
+    /** Returns the longest subsequence whose new indexes increase; the old indexes of the pairs already do. */
+    private static List<int[]> longestIncreasingSubsequence(List<int[]> pairs) {
         int[] tails = new int[pairs.size()];
         int[] previous = new int[pairs.size()];
         int length = 0;
@@ -110,6 +118,7 @@
         return result;
     }
 
+    /** Adds an edit for two ranges without their common first and last lines; equal ranges add none. */
     private static void addEdit(List<Edit> edits, List<String> removed, List<String> added, int startLine) {
         int prefix = 0;
         int shorter = Math.min(removed.size(), added.size());
@@ -128,28 +137,32 @@
         }
     }
 
-    /** Returns the revision that the edits make of the base, or empty if a number, hash or line does not fit. */
+    /**
+     * Applies the edits to the base and returns the resulting revision. Returns empty if the base has another number or
+     * hash, if the target number is not higher, if an edit lies outside the text or overlaps another, or if the
+     * resulting text does not have the target hash.
+     */
     public Optional<Revision> apply(Revision base) {
         if (base.number() != fromNumber || !base.hash().equals(fromHash) || toNumber <= fromNumber) {
             return Optional.empty();
         }
         List<String> oldLines = lines(base.text());
         List<String> result = new ArrayList<>(oldLines.size());
-        int done = 0;
+        int nextLine = 0;
         for (Edit edit : edits) {
-            if (edit.startLine() < done || edit.removedLines() > oldLines.size() - edit.startLine()) {
+            if (edit.startLine() < nextLine || edit.removedLines() > oldLines.size() - edit.startLine()) {
                 return Optional.empty();
             }
-            result.addAll(oldLines.subList(done, edit.startLine()));
+            result.addAll(oldLines.subList(nextLine, edit.startLine()));
             result.addAll(edit.addedLines());
-            done = edit.startLine() + edit.removedLines();
+            nextLine = edit.startLine() + edit.removedLines();
         }
-        result.addAll(oldLines.subList(done, oldLines.size()));
-        return Optional.of(Revision.relayed(toNumber, toHash, String.join("\n", result)))
+        result.addAll(oldLines.subList(nextLine, oldLines.size()));
+        return Optional.of(Revision.receivedFromPeer(toNumber, toHash, String.join("\n", result)))
                 .filter(Revision::verifies);
     }
 
-    /** Returns about how many bytes the edits take in a frame. */
+    /** Returns the estimated size of the edits in a frame, in bytes. */
     public long sizeBytes() {
         return edits.stream()
                 .mapToLong(edit -> EDIT_OVERHEAD_BYTES
--- a/core/src/main/java/dev/wigeonward/core/revision/RevisionLog.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RevisionLog.java
@@ -8,11 +8,11 @@
 
 import com.google.common.base.Preconditions;
 
-/** The revision in force in one process and the ones before it, kept to make deltas. Not thread-safe. */
+/** The revision in force in one process and recent earlier ones, from which deltas are computed. Not thread-safe. */
 public final class RevisionLog {
-    /** Revisions kept by default; at 5,900 changes a day 16 of them cover about 4 minutes. */
+    /** Default number of revisions kept; at 5,900 changes a day, 16 revisions cover about 4 minutes. */
     public static final int DEFAULT_MAX_REVISIONS = 16;
-    /** Characters of text kept by default; 4 texts of the largest size, out of 64 MB for a node's control state. */
+    /** Default number of text characters kept: 4 texts of maximum size, within the 64 MB for a node's control state. */
     public static final long DEFAULT_MAX_TEXT_CHARS = 4_000_000;
 
     private final AdoptionRules rules;
@@ -23,27 +23,28 @@
     private long textChars;
 
     private RevisionLog(AdoptionRules rules, int maxRevisions, long maxTextChars) {
-        Preconditions.checkArgument(maxRevisions > 0, "maxRevisions is %s", maxRevisions);
+        Preconditions.checkArgument(maxRevisions > 0, "maxRevisions must be positive, got %s", maxRevisions);
         this.rules = rules;
         this.maxRevisions = maxRevisions;
         this.maxTextChars = maxTextChars;
     }
 
-    /** Returns an empty log that keeps the revision in force and older ones up to both bounds. */
+    /** Returns an empty log that keeps the revision in force and as many earlier ones as fit within both bounds. */
     public static RevisionLog create(int maxRevisions, long maxTextChars) {
         return withRules(AdoptionRules.STANDARD, maxRevisions, maxTextChars);
     }
 
+    /** Returns an empty log that adopts by the given rules. */
     static RevisionLog withRules(AdoptionRules rules, int maxRevisions, long maxTextChars) {
         return new RevisionLog(rules, maxRevisions, maxTextChars);
     }
 
-    /** Puts the revision in force if its number is higher and its hash verifies; returns what was decided. */
+    /** Adopts the candidate if its number is higher than the one in force and its hash matches its text. */
     public AdoptionResult adopt(Revision candidate) {
         if (!rules.isHigher(number(), candidate.number())) {
-            boolean otherHash =
+            boolean differentHash =
                     candidate.number() == number() && !candidate.hash().equals(hash());
-            return otherHash ? new AdoptionResult.OtherHash(hash()) : new AdoptionResult.NotHigher(number());
+            return differentHash ? new AdoptionResult.OtherHash(hash()) : new AdoptionResult.NotHigher(number());
         }
         if (!rules.verifies(candidate)) {
             return new AdoptionResult.HashMismatch();
@@ -62,17 +63,20 @@
         return Optional.ofNullable(newestFirst.peekFirst());
     }
 
-    /** Returns the number in force, 0 before the first adoption. */
+    /** Returns the number of the revision in force, or 0 before the first adoption. */
     public long number() {
         return newestFirst.isEmpty() ? 0 : newestFirst.getFirst().number();
     }
 
-    /** Returns the hash in force, empty before the first adoption. */
+    /** Returns the hash of the revision in force, or an empty string before the first adoption. */
     public String hash() {
         return newestFirst.isEmpty() ? "" : newestFirst.getFirst().hash();
     }
 
-    /** Returns the lines changed since a kept revision; made once for all peers that have the same revision. */
+    /**
+     * Returns the delta from a kept revision to the one in force, or empty if that revision is not kept. The delta is
+     * cached until the next adoption, since many peers request it from the same revision.
+     */
     public Optional<RevisionDelta> deltaFrom(long fromNumber, String fromHash) {
         for (Revision base : newestFirst) {
             if (base.number() == fromNumber && base.hash().equals(fromHash)) {
--- a/core/src/main/java/dev/wigeonward/core/revision/RevisionRelay.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RevisionRelay.java
@@ -11,27 +11,30 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Decides in one process which revision is in force and passes revisions on over the links. One number with different
- * hashes is reported and not adopted from peers; the store or a higher number settles it. Not thread-safe.
+ * State machine that decides which revision is in force in one process and propagates revisions over the links. A
+ * number that is claimed with different hashes is disputed: it is reported and not adopted from peers until the store
+ * returns it or a higher number replaces it. Not thread-safe.
  */
 public final class RevisionRelay {
     /**
-     * Time without any answer after which another peer is asked. With 2,000 ms and 10% of frames lost the slowest of
-     * 11,400 processes took 9.2 s instead of 6 s.
+     * Time without the first answer after which the request is sent to another peer. With 2,000 ms and 10% frame loss,
+     * the slowest of 11,400 processes took 9.2 s instead of 6 s.
      */
     static final long ANSWER_TIMEOUT_MILLIS = 500;
 
-    /** Time between the parts of a text after which another peer is asked; 256 KiB may be slow on a busy link. */
+    /**
+     * Time between two parts of a text after which another peer is asked; a part of 256 KiB may be slow on a busy link.
+     */
     static final long PART_TIMEOUT_MILLIS = 2_000;
 
-    // Long enough for another peer to be asked, short enough that one lost answer does not cost the 6 s for spreading.
-    private static final long SILENCE_EXCLUSION_MILLIS = 1_000;
-    // A peer with a faulty text is unlikely to have a sound one soon.
+    // Long enough to ask another peer, short enough that one lost answer does not use up the 6 s for propagation.
+    private static final long FAILED_FETCH_EXCLUSION_MILLIS = 1_000;
+    // A peer that sent a corrupt text is unlikely to have a correct one soon.
     private static final long MISMATCH_EXCLUSION_MILLIS = 10_000;
-    // A larger delta saves little against the whole text and would not fit beside other frames.
+    // A larger delta saves little compared with the full text, and would leave no room for other frames on the link.
     private static final long MAX_DELTA_BYTES = SnapshotPart.PART_BYTES;
-    // Bounds what a faulty peer that claims ever new numbers can make this process remember.
-    private static final int MAX_REMEMBERED_CONFLICTS = 64;
+    // Limits the memory that a faulty peer can occupy by claiming many different numbers.
+    private static final int MAX_REPORTED_CONFLICTS = 64;
     private static final String STORE = "store";
 
     private final AdoptionRules rules;
@@ -41,10 +44,12 @@
     private final TreeMap<Long, Set<String>> reportedConflicts = new TreeMap<>();
     private final List<RelayEffect> effects = new ArrayList<>();
     private Optional<Fetch> fetch = Optional.empty();
-    private boolean wholeTextNeeded;
+    /** Whether the next request asks for the full text, because a delta to the revision in force gave a wrong text. */
+    private boolean fullTextRequired;
+    /** Store number of the last reported regression, so that repeated reads do not report it again. */
     private long reportedStoreNumber = Long.MAX_VALUE;
 
-    /** A request that waits for its answer. */
+    /** A request to a peer whose answer is not complete. */
     private static final class Fetch {
         private final String peer;
         private final long number;
@@ -64,29 +69,30 @@
         this.random = random;
     }
 
-    /** Returns a relay without links; it adopts into the log. */
+    /** Returns a relay without links that adopts revisions into the given log. */
     public static RevisionRelay create(RevisionLog log, RandomGenerator random) {
         return new RevisionRelay(AdoptionRules.STANDARD, log, random);
     }
 
+    /** Returns a relay without links that detects disputes by the given rules. */
     static RevisionRelay withRules(AdoptionRules rules, RevisionLog log, RandomGenerator random) {
         return new RevisionRelay(rules, log, random);
     }
 
-    /** Returns what to do after an event, in this order. */
+    /** Handles an event and returns the resulting actions in the order in which to perform them. */
     public List<RelayEffect> handle(RelayEvent event, long nowMillis) {
         if (event instanceof RelayEvent.LinkUp up) {
             claims.linkUp(up.peer());
             log.current().ifPresent(current -> effects.add(offer(up.peer(), current)));
         } else if (event instanceof RelayEvent.LinkDown down) {
             claims.linkDown(down.peer());
-            fetch = fetch.filter(running -> !running.peer.equals(down.peer()));
+            fetch = fetch.filter(pending -> !pending.peer.equals(down.peer()));
         } else if (event instanceof RelayEvent.PeerHeartbeat heartbeat) {
-            learn(heartbeat.peer(), heartbeat.number(), heartbeat.hash());
+            recordClaim(heartbeat.peer(), heartbeat.number(), heartbeat.hash());
         } else if (event instanceof RelayEvent.Offered offered) {
-            learn(offered.peer(), offered.number(), offered.hash());
+            recordClaim(offered.peer(), offered.number(), offered.hash());
         } else if (event instanceof RelayEvent.Requested requested) {
-            answer(requested);
+            answerRequest(requested);
         } else if (event instanceof RelayEvent.DeltaArrived arrived) {
             receiveDelta(arrived.peer(), arrived.delta(), nowMillis);
         } else if (event instanceof RelayEvent.SnapshotPartArrived arrived) {
@@ -94,46 +100,47 @@
         } else if (event instanceof RelayEvent.StoreRead read) {
             receiveStoreRead(read.result());
         }
-        expire(nowMillis);
+        expireTimeouts(nowMillis);
         startFetch(nowMillis);
         List<RelayEffect> result = List.copyOf(effects);
         effects.clear();
         return result;
     }
 
-    private void learn(String peer, long number, String hash) {
+    private void recordClaim(String peer, long number, String hash) {
         claims.put(peer, number, hash);
         reportIfDisputed(number);
     }
 
+    /** Returns whether different hashes are claimed for the number; reports the conflict if one of them is new. */
     private boolean reportIfDisputed(long number) {
         Set<String> hashes = claims.hashesOf(number);
         log.current().filter(current -> current.number() == number).ifPresent(current -> hashes.add(current.hash()));
         if (!rules.isDisputed(hashes.size())) {
             return false;
         }
-        report(number, hashes);
+        reportConflict(number, hashes);
         return true;
     }
 
-    private void report(long number, Set<String> hashes) {
+    private void reportConflict(long number, Set<String> hashes) {
         if (reportedConflicts.getOrDefault(number, Set.of()).containsAll(hashes)) {
             return;
         }
         reportedConflicts.computeIfAbsent(number, key -> new HashSet<>()).addAll(hashes);
-        if (reportedConflicts.size() > MAX_REMEMBERED_CONFLICTS) {
+        if (reportedConflicts.size() > MAX_REPORTED_CONFLICTS) {
             reportedConflicts.pollFirstEntry();
         }
         effects.add(new RelayEffect.ReportConflict(number, hashes));
     }
 
-    private void answer(RelayEvent.Requested requested) {
+    private void answerRequest(RelayEvent.Requested requested) {
         if (log.number() == 0 || requested.haveNumber() >= log.number()) {
             return;
         }
         Revision current = log.current().orElseThrow();
         Optional<RevisionDelta> delta = log.deltaFrom(requested.haveNumber(), requested.haveHash())
-                .filter(made -> made.sizeBytes()
+                .filter(candidate -> candidate.sizeBytes()
                         <= Math.min(MAX_DELTA_BYTES, current.text().length()));
         if (delta.isPresent()) {
             effects.add(new RelayEffect.SendDelta(requested.peer(), delta.get()));
@@ -144,24 +151,24 @@
     }
 
     private void receiveDelta(String peer, RevisionDelta delta, long nowMillis) {
-        // A late answer to a request that was given up still counts; the delta checks its base and its hash.
+        // An answer that arrives after its request timed out is still used: the delta verifies its base and its result.
         if (!claims.isLinked(peer) || delta.toNumber() <= log.number()) {
             return;
         }
-        fetch = fetch.filter(running -> !running.peer.equals(peer));
-        learn(peer, delta.toNumber(), delta.toHash());
+        fetch = fetch.filter(pending -> !pending.peer.equals(peer));
+        recordClaim(peer, delta.toNumber(), delta.toHash());
         Optional<Revision> revision = log.current().flatMap(delta::apply);
         if (revision.isPresent()) {
             adoptFromPeer(peer, revision.get(), nowMillis);
         } else if (delta.fromNumber() == log.number() && delta.fromHash().equals(log.hash())) {
-            wholeTextNeeded = true;
-            rejectFrom(peer, delta.toNumber(), nowMillis);
+            fullTextRequired = true;
+            reportMismatch(peer, delta.toNumber(), nowMillis);
         } else {
-            claims.markFailed(peer, nowMillis + SILENCE_EXCLUSION_MILLIS);
+            claims.markFailed(peer, nowMillis + FAILED_FETCH_EXCLUSION_MILLIS);
         }
     }
 
-    private void rejectFrom(String peer, long number, long nowMillis) {
+    private void reportMismatch(String peer, long number, long nowMillis) {
         effects.add(new RelayEffect.ReportHashMismatch(peer, number));
         claims.markFailed(peer, nowMillis + MISMATCH_EXCLUSION_MILLIS);
     }
@@ -170,15 +177,15 @@
         if (fetch.isEmpty() || !fetch.get().peer.equals(peer) || part.number() <= log.number()) {
             return;
         }
-        Fetch running = fetch.get();
-        if (running.assembly.isEmpty() || !running.assembly.get().isFor(part)) {
-            running.assembly = SnapshotAssembly.startedBy(part);
+        Fetch pending = fetch.get();
+        if (pending.assembly.isEmpty() || !pending.assembly.get().matches(part)) {
+            pending.assembly = SnapshotAssembly.forPart(part);
         }
-        running.progressMillis = nowMillis;
-        running.assembly.ifPresent(assembly -> assembly.add(part));
-        running.assembly.flatMap(SnapshotAssembly::complete).ifPresent(revision -> {
+        pending.progressMillis = nowMillis;
+        pending.assembly.ifPresent(assembly -> assembly.add(part));
+        pending.assembly.flatMap(SnapshotAssembly::toRevision).ifPresent(revision -> {
             fetch = Optional.empty();
-            learn(peer, revision.number(), revision.hash());
+            recordClaim(peer, revision.number(), revision.hash());
             adoptFromPeer(peer, revision, nowMillis);
         });
     }
@@ -188,21 +195,21 @@
             return;
         }
         if (adopt(revision) instanceof AdoptionResult.HashMismatch) {
-            rejectFrom(peer, revision.number(), nowMillis);
+            reportMismatch(peer, revision.number(), nowMillis);
         }
     }
 
     private AdoptionResult adopt(Revision revision) {
         AdoptionResult result = log.adopt(revision);
         if (result instanceof AdoptionResult.Adopted) {
-            fetch = fetch.filter(running -> running.number > revision.number());
+            fetch = fetch.filter(pending -> pending.number > revision.number());
             reportedConflicts.headMap(revision.number()).clear();
             reportedStoreNumber = Long.MAX_VALUE;
-            wholeTextNeeded = false;
+            fullTextRequired = false;
             effects.add(new RelayEffect.Adopt(revision));
             claims.peersBelow(revision.number()).forEach(peer -> effects.add(offer(peer, revision)));
         } else if (result instanceof AdoptionResult.OtherHash other) {
-            report(revision.number(), Set.of(revision.hash(), other.hashInForce()));
+            reportConflict(revision.number(), Set.of(revision.hash(), other.hashInForce()));
         }
         return result;
     }
@@ -213,47 +220,47 @@
             if (adopt(head) instanceof AdoptionResult.HashMismatch) {
                 effects.add(new RelayEffect.ReportHashMismatch(STORE, head.number()));
             }
-            reportRegression(head.number());
+            reportStoreRegression(head.number());
         } else if (result instanceof RevisionStore.HeadResult.Empty) {
-            reportRegression(0);
+            reportStoreRegression(0);
         }
     }
 
-    private void reportRegression(long storeNumber) {
+    private void reportStoreRegression(long storeNumber) {
         if (storeNumber < log.number() && storeNumber != reportedStoreNumber) {
             reportedStoreNumber = storeNumber;
             effects.add(new RelayEffect.ReportStoreRegression(storeNumber, log.number()));
         }
     }
 
-    private void expire(long nowMillis) {
+    private void expireTimeouts(long nowMillis) {
         claims.expireFailures(nowMillis);
         if (fetch.isEmpty()) {
             return;
         }
         long timeoutMillis = fetch.get().assembly.isPresent() ? PART_TIMEOUT_MILLIS : ANSWER_TIMEOUT_MILLIS;
         if (nowMillis - fetch.get().progressMillis >= timeoutMillis) {
-            claims.markFailed(fetch.get().peer, nowMillis + SILENCE_EXCLUSION_MILLIS);
+            claims.markFailed(fetch.get().peer, nowMillis + FAILED_FETCH_EXCLUSION_MILLIS);
             fetch = Optional.empty();
         }
     }
 
-    /** Asks a random peer of those with the highest number that is not disputed. */
+    /** Requests the highest undisputed number above the one in force from a random peer that claims it. */
     private void startFetch(long nowMillis) {
         if (fetch.isPresent()) {
             return;
         }
-        Optional<Long> best = claims.usableNumbersAbove(log.number()).stream()
+        Optional<Long> highest = claims.usableNumbersAbove(log.number()).stream()
                 .filter(number -> !reportIfDisputed(number))
                 .max(Comparator.naturalOrder());
-        if (best.isEmpty()) {
+        if (highest.isEmpty()) {
             return;
         }
-        List<String> peers = claims.usablePeersWith(best.get());
+        List<String> peers = claims.usablePeersWith(highest.get());
         String peer = peers.get(random.nextInt(peers.size()));
-        fetch = Optional.of(new Fetch(peer, best.get(), nowMillis));
+        fetch = Optional.of(new Fetch(peer, highest.get(), nowMillis));
         effects.add(
-                wholeTextNeeded
+                fullTextRequired
                         ? new RelayEffect.SendRequest(peer, 0, "")
                         : new RelayEffect.SendRequest(peer, log.number(), log.hash()));
     }
@@ -267,7 +274,7 @@
         return log.current();
     }
 
-    /** Returns for each disputed number above the one in force the hashes that peers claim. */
+    /** Returns the claimed hashes of each disputed number above the one in force. */
     public Map<Long, Set<String>> disputes() {
         Map<Long, Set<String>> result = new TreeMap<>();
         claims.usableNumbersAbove(log.number()).forEach(number -> {
--- a/core/src/main/java/dev/wigeonward/core/revision/RevisionStore.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RevisionStore.java
@@ -3,58 +3,59 @@
 import java.util.List;
 
 /**
- * The store of revisions. Head and history are written in one transaction, so that every number up to head has its
- * entry. A method returns within the adapter's timeout and does not throw when the store fails.
+ * Persistent store of the accepted revisions. Head and history are written in one transaction, so that the history has
+ * an entry for every number up to head. Each method returns within the adapter's timeout and reports a failure of the
+ * store as a result instead of throwing.
  */
 public interface RevisionStore {
     /** Returns the newest accepted revision. */
     HeadResult readHead();
 
     /**
-     * Makes the revision the head and adds it to the history if head still has the expected number.
+     * Replaces head with the given revision and adds it to the history, if head still has the expected number.
      *
-     * @param expectedNumber number of the current head, 0 if there is none
+     * @param expectedNumber number that head must have, or 0 if head must not exist
      */
     WriteResult compareAndSwapHead(long expectedNumber, StoredRevision next);
 
     /**
-     * Returns a page of the history, newest first.
+     * Returns one page of the history, newest entry first.
      *
-     * @param newestNumber highest number of the page; the store starts at head if it is higher
-     * @param maxEntries at most so many entries
+     * @param newestNumber highest number of the page; a number above head stands for head
+     * @param maxEntries maximum number of entries returned
      */
     HistoryResult readHistory(long newestNumber, int maxEntries);
 
-    /** Answer to reading head. */
+    /** Result of reading head. */
     sealed interface HeadResult {
-        /** Head exists. */
+        /** The revision at head. */
         record Found(StoredRevision head) implements HeadResult {}
 
-        /** No revision was ever accepted. */
+        /** Head does not exist: no revision was accepted yet. */
         record Empty() implements HeadResult {}
 
         /** The store did not answer. */
         record Unavailable(String cause) implements HeadResult {}
     }
 
-    /** Answer to writing head. */
+    /** Result of replacing head. */
     sealed interface WriteResult {
-        /** The write took effect: the revision is accepted. */
+        /** The revision was written and is thereby accepted. */
         record Applied() implements WriteResult {}
 
-        /** Head has another number; nothing was written by this call. */
+        /** Head has a number other than the expected one; this call wrote nothing. */
         record Conflict(StoredRevision current) implements WriteResult {}
 
-        /** Head does not exist although a number was expected; nothing was written. */
+        /** Head does not exist although a number above 0 was expected; this call wrote nothing. */
         record HeadMissing() implements WriteResult {}
 
-        /** No answer came; the write may have taken effect, or may still do so. */
+        /** The store did not answer; the write may have taken effect or may still take effect. */
         record Unavailable(String cause) implements WriteResult {}
     }
 
-    /** Answer to reading the history. */
+    /** Result of reading the history. */
     sealed interface HistoryResult {
-        /** Entries, newest first; fewer than asked for when the history ends. */
+        /** Entries, newest first; fewer than requested at the end of the history. */
         record Page(List<StoredRevision> entries) implements HistoryResult {
             public Page {
                 entries = List.copyOf(entries);
--- a/core/src/main/java/dev/wigeonward/core/revision/SnapshotPart.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/SnapshotPart.java
@@ -8,19 +8,21 @@
 import com.google.common.base.Preconditions;
 
 /**
- * A piece of a revision's text in UTF-8.
+ * A part of the UTF-8 text of a revision.
  *
- * @param offsetBytes position of the piece in the text, a multiple of {@link #PART_BYTES}
- * @param totalBytes length of the whole text
- * @param data not copied; neither sender nor receiver may change it
+ * @param offsetBytes offset of the part in the text, a multiple of {@link #PART_BYTES}
+ * @param totalBytes length of the full text
+ * @param data bytes of the part; not copied, so that neither the sender nor the receiver may modify them
  */
 public record SnapshotPart(long number, String hash, int offsetBytes, int totalBytes, byte[] data) {
-    /** Largest part; a frame takes at most 1 MiB, and smaller parts let other frames pass between them. */
+    /** Maximum size of a part; a frame holds at most 1 MiB, and smaller parts let other frames be sent between them. */
     public static final int PART_BYTES = 256 << 10;
 
     public SnapshotPart {
-        Preconditions.checkArgument(offsetBytes >= 0, "offsetBytes is %s", offsetBytes);
-        Preconditions.checkArgument(totalBytes >= 0, "totalBytes is %s", totalBytes);
+        Preconditions.checkArgument(
+                offsetBytes >= 0, "offset of a snapshot part must not be negative, got %s", offsetBytes);
+        Preconditions.checkArgument(
+                totalBytes >= 0, "total length of a snapshot must not be negative, got %s", totalBytes);
     }
 
     /** Returns the parts of a revision's text; an empty text has one empty part. */
--- a/core/src/main/java/dev/wigeonward/core/revision/StoredRevision.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/StoredRevision.java
@@ -5,14 +5,15 @@
 import com.google.common.base.Preconditions;
 
 /**
- * A revision as the store keeps it.
+ * A revision with the metadata stored next to it.
  *
- * @param applyId random id of the command that wrote it; tells a writer whose reply was lost that it succeeded
- * @param appliedAtEpochMillis wall-clock time of the command
+ * @param applyId random id of the command that wrote the revision; a writer whose reply was lost recognizes by it that
+ *     its write succeeded
+ * @param appliedAtEpochMillis wall-clock time at which the command ran
  */
 public record StoredRevision(Revision revision, String applyId, long appliedAtEpochMillis) {
     public StoredRevision {
         Objects.requireNonNull(revision, "revision");
-        Preconditions.checkArgument(!applyId.isEmpty(), "applyId is empty");
+        Preconditions.checkArgument(!applyId.isEmpty(), "applyId must not be empty");
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/revision/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/package-info.java
@@ -1,2 +1,2 @@
-/** Revisions of the rules: adoption, differences, relay between processes, and the port to the store. */
+/** Revisions of the rules: adoption, line-based deltas, propagation between processes, and the store interface. */
 package dev.wigeonward.core.revision;
--- a/core/src/test/java/dev/wigeonward/core/revision/ReaderElectionTest.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/ReaderElectionTest.java
@@ -12,7 +12,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class ReaderElectionTest {
-    /** Guards against domains without readers, and against failures that reshuffle the other readers. */
+    /**
+     * Guards against failure domains without readers, and against an election in which the failure of one entry
+     * replaces readers that are still alive.
+     */
     @Property(tries = 100)
     void failureOfOneEntryChangesAtMostOneReader(
             @ForAll @IntRange(min = 1, max = 60) int entries,
@@ -26,15 +29,15 @@
                 .map(domain -> Math.min(2, (entries - domain + domains - 1) / domains))
                 .sum();
         assertThat(readers).hasSize(expected);
-        String gone = "entry-" + failed;
-        Set<String> after = ReaderElection.readers(
-                live.stream().filter(entry -> !entry.id().equals(gone)).toList());
-        Set<String> kept = new HashSet<>(readers);
-        kept.remove(gone);
-        assertThat(after)
-                .containsAll(kept)
+        String failedId = "entry-" + failed;
+        Set<String> readersAfterFailure = ReaderElection.readers(
+                live.stream().filter(entry -> !entry.id().equals(failedId)).toList());
+        Set<String> survivingReaders = new HashSet<>(readers);
+        survivingReaders.remove(failedId);
+        assertThat(readersAfterFailure)
+                .containsAll(survivingReaders)
                 .hasSizeLessThanOrEqualTo(readers.size())
-                .doesNotContain(gone);
-        assertThat(after.size() - kept.size()).isLessThanOrEqualTo(1);
+                .doesNotContain(failedId);
+        assertThat(readersAfterFailure.size() - survivingReaders.size()).isLessThanOrEqualTo(1);
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/revision/RelaySimulation.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/RelaySimulation.java
@@ -10,18 +10,19 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * A random graph of relays whose messages are lost, delayed, duplicated and reordered, with restarts, faulty peers and
- * a store that sometimes shows an old head. Faulty peers claim false hashes and send damaged texts; a complete forgery
- * whose hash fits cannot be told from a revision by a process that hears of nothing else, so none is made.
+ * Simulation of a random graph of relays whose messages are lost, delayed, duplicated and reordered, with restarts,
+ * faulty peers and a store that sometimes returns an old head. Faulty peers claim wrong hashes and send corrupted
+ * texts. Forged revisions with a matching hash are not simulated, since a process that receives no other claim cannot
+ * distinguish them from accepted revisions.
  */
 final class RelaySimulation {
     private static final int FAULTY_STEPS = 600;
-    private static final int QUIET_ROUNDS = 30;
+    private static final int FAULT_FREE_ROUNDS = 30;
     private static final long STEP_MILLIS = 40;
     private static final int READERS = 2;
 
     private final AdoptionRules rules;
-    private final boolean timersRun;
+    private final boolean timersEnabled;
     private final RandomGenerator random;
     private final List<Node> nodes = new ArrayList<>();
     private final List<Message> inFlight = new ArrayList<>();
@@ -64,20 +65,20 @@
         }
     }
 
-    private RelaySimulation(AdoptionRules rules, boolean timersRun, long seed) {
+    private RelaySimulation(AdoptionRules rules, boolean timersEnabled, long seed) {
         this.rules = rules;
-        this.timersRun = timersRun;
+        this.timersEnabled = timersEnabled;
         random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     }
 
-    /** Returns the first broken invariant of a run. */
-    static Optional<String> run(AdoptionRules rules, boolean timersRun, long seed) {
-        RelaySimulation simulation = new RelaySimulation(rules, timersRun, seed);
+    /** Runs a simulation and returns a violated invariant, or empty if all hold. */
+    static Optional<String> run(AdoptionRules rules, boolean timersEnabled, long seed) {
+        RelaySimulation simulation = new RelaySimulation(rules, timersEnabled, seed);
         simulation.build();
         for (int step = 0; step < FAULTY_STEPS && simulation.violation.isEmpty(); step++) {
             simulation.faultyStep();
         }
-        return simulation.violation.or(simulation::settle);
+        return simulation.violation.or(simulation::checkConvergence);
     }
 
     private void build() {
@@ -89,7 +90,7 @@
             connect(nodes.get(id), nodes.get((id + 1) % size));
             connect(nodes.get(id), nodes.get(random.nextInt(size)));
         }
-        accept();
+        acceptNextRevision();
     }
 
     private void connect(Node left, Node right) {
@@ -108,7 +109,7 @@
         }
     }
 
-    private void accept() {
+    private void acceptNextRevision() {
         long number = accepted.isEmpty() ? 1 : accepted.lastKey() + 1;
         StringBuilder text = new StringBuilder(
                 accepted.isEmpty() ? "" : accepted.lastEntry().getValue().text());
@@ -121,15 +122,15 @@
         Node node = nodes.get(random.nextInt(nodes.size()));
         Node other = nodes.get(random.nextInt(nodes.size()));
         switch (random.nextInt(20)) {
-            case 0 -> accept();
+            case 0 -> acceptNextRevision();
             case 1 -> readStore(nodes.get(random.nextInt(READERS)), random.nextInt(4) == 0);
             case 2 -> connect(node, other);
             case 3 -> disconnect(node, other);
             case 4 -> restart(node);
-            case 5 -> lie(node);
+            case 5 -> sendFalseOffer(node);
             case 6, 7 -> tick(node);
             case 8, 9 -> heartbeat(node);
-            default -> deliverAny();
+            default -> deliverRandomMessage();
         }
     }
 
@@ -148,7 +149,7 @@
         links.forEach(link -> connect(node, nodes.get(link)));
     }
 
-    private void lie(Node node) {
+    private void sendFalseOffer(Node node) {
         long number = accepted.lastKey() + random.nextInt(3) - 1;
         String hash = "f".repeat(63) + random.nextInt(3);
         node.links.forEach(
@@ -156,7 +157,7 @@
     }
 
     private void tick(Node node) {
-        if (timersRun) {
+        if (timersEnabled) {
             node.handle(new RelayEvent.Tick());
         }
     }
@@ -168,23 +169,23 @@
                 link, new RelayEvent.PeerHeartbeat(name(node.id), number, random.nextBoolean() ? hash : ""))));
     }
 
-    /** Delivers a random message and loses, repeats or damages some. */
-    private void deliverAny() {
+    /** Takes a random message and delivers it; some are dropped, delivered again later or corrupted. */
+    private void deliverRandomMessage() {
         if (inFlight.isEmpty()) {
             return;
         }
         Message message = inFlight.remove(random.nextInt(inFlight.size()));
-        int fate = random.nextInt(20);
-        if (fate < 2) {
+        int fault = random.nextInt(20);
+        if (fault < 2) {
             return;
         }
-        if (fate < 5) {
+        if (fault < 5) {
             inFlight.add(message);
         }
-        nodes.get(message.to()).handle(fate == 5 ? damage(message.event()) : message.event());
+        nodes.get(message.to()).handle(fault == 5 ? corrupt(message.event()) : message.event());
     }
 
-    private static RelayEvent damage(RelayEvent event) {
+    private static RelayEvent corrupt(RelayEvent event) {
         if (event instanceof RelayEvent.SnapshotPartArrived arrived) {
             SnapshotPart part = arrived.part();
             byte[] data = part.data().clone();
@@ -203,14 +204,14 @@
         return event;
     }
 
-    /** Ends the faults and returns a violation if not all relays reach the last accepted revision. */
-    private Optional<String> settle() {
-        for (int round = 0; round < QUIET_ROUNDS && violation.isEmpty(); round++) {
+    /** Runs without faults and returns a violation if a relay does not reach the last accepted revision. */
+    private Optional<String> checkConvergence() {
+        for (int round = 0; round < FAULT_FREE_ROUNDS && violation.isEmpty(); round++) {
             nowMillis += 1_000;
             for (int id = 0; id < nodes.size(); id++) {
                 connect(nodes.get(id), nodes.get((id + 1) % nodes.size()));
                 tick(nodes.get(id));
-                if (timersRun) {
+                if (timersEnabled) {
                     heartbeat(nodes.get(id));
                 }
             }
--- a/core/src/test/java/dev/wigeonward/core/revision/RevisionDeltaTest.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/RevisionDeltaTest.java
@@ -13,7 +13,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class RevisionDeltaTest {
-    /** Guards against edits that do not rebuild the new text, or that are applied to another base. */
+    /**
+     * Guards against edits that do not produce the new text, for example for repeated or moved lines, and against a
+     * delta that is applied to a base with another number or text or accepted with a wrong hash.
+     */
     @Property(tries = 500)
     void rebuildsTheNewText(
             @ForAll @Size(max = 30) List<@IntRange(max = 20) Integer> before,
@@ -25,8 +28,8 @@
         assertThat(delta.apply(revision(5, before))).isEmpty();
         assertThat(delta.apply(Revision.of(4, from.text() + "x", "ana", "test")))
                 .isEmpty();
-        RevisionDelta damaged = new RevisionDelta(4, from.hash(), 6, Revision.hashOf(to.text() + "x"), delta.edits());
-        assertThat(damaged.apply(from)).isEmpty();
+        RevisionDelta wrongHash = new RevisionDelta(4, from.hash(), 6, Revision.hashOf(to.text() + "x"), delta.edits());
+        assertThat(wrongHash.apply(from)).isEmpty();
     }
 
     private static Revision revision(long number, List<Integer> lines) {
@@ -34,7 +37,7 @@
                 number, lines.stream().map(Object::toString).collect(Collectors.joining("\n")), "ana", "test");
     }
 
-    /** Guards against deltas that carry the text between two distant changes. */
+    /** Guards against deltas that include the unchanged lines between two distant changes. */
     @Test
     void carriesOnlyChangedLines() {
         String text = IntStream.range(0, 1_000)
--- a/core/src/test/java/dev/wigeonward/core/revision/RevisionRelayTest.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/RevisionRelayTest.java
@@ -19,13 +19,16 @@
     private static final Revision SECOND = Revision.of(2, "one\ntwo\n", "ana", "test");
     private static final String OTHER_HASH = Revision.hashOf("other");
 
-    /** Guards against a number that goes down, a text nobody accepted, and relays that stay behind after faults. */
+    /**
+     * Guards against adoption of a lower number, adoption of a text that was never accepted, and relays that do not
+     * reach the last revision after message loss, reordering, corruption, restarts and old reads of the store.
+     */
     @Property(tries = 300)
     void keepsInvariantsUnderFaults(@ForAll long seed) {
         assertThat(RelaySimulation.run(AdoptionRules.STANDARD, true, seed)).isEmpty();
     }
 
-    /** Guards against a check of the order of numbers that cannot fail. */
+    /** Guards against a simulation that does not detect the adoption of lower numbers: the mutant allows it. */
     @Test
     void simulationCatchesAdoptionOfLowerNumbers() {
         AdoptionRules mutant = new AdoptionRules() {
@@ -37,7 +40,7 @@
         assertThat(violations(mutant, true)).anyMatch(violation -> violation.startsWith("number went down"));
     }
 
-    /** Guards against a check of texts that cannot fail. */
+    /** Guards against a simulation that does not detect corrupted texts: the mutant skips the hash check. */
     @Test
     void simulationCatchesAdoptionWithoutHashCheck() {
         AdoptionRules mutant = new AdoptionRules() {
@@ -49,27 +52,30 @@
         assertThat(violations(mutant, true)).anyMatch(violation -> violation.startsWith("text in force"));
     }
 
-    /** Guards against a check of convergence that cannot fail. */
+    /** Guards against a simulation that does not detect missing convergence: without timers nothing is retried. */
     @Test
     void simulationCatchesMissingRetries() {
         assertThat(violations(AdoptionRules.STANDARD, false)).anyMatch(violation -> violation.endsWith("converge"));
     }
 
-    private static List<String> violations(AdoptionRules rules, boolean timersRun) {
+    private static List<String> violations(AdoptionRules rules, boolean timersEnabled) {
         return LongStream.range(0, MUTANT_SEEDS)
-                .mapToObj(seed -> RelaySimulation.run(rules, timersRun, seed))
+                .mapToObj(seed -> RelaySimulation.run(rules, timersEnabled, seed))
                 .flatMap(Optional::stream)
                 .toList();
     }
 
-    /** Guards against the adoption of one of two texts with the same number; the mutant adopts the first to arrive. */
+    /**
+     * Guards against the adoption of one of two texts with the same number, which may be the wrong one. The mutant
+     * without the dispute check adopts the text that arrives first.
+     */
     @Test
     void neitherOfTwoHashesIsAdoptedUntilTheStoreSettles() {
         RevisionRelay relay = linked(AdoptionRules.STANDARD);
         assertThat(dispute(relay)).contains(new RelayEffect.ReportConflict(2, Set.of(SECOND.hash(), OTHER_HASH)));
         assertThat(relay.current()).contains(FIRST);
         assertThat(relay.disputes()).containsOnlyKeys(2L);
-        assertThat(relay.handle(storeShows(SECOND), 20)).contains(new RelayEffect.Adopt(SECOND));
+        assertThat(relay.handle(storeReturns(SECOND), 20)).contains(new RelayEffect.Adopt(SECOND));
 
         RevisionRelay mutant = linked(new AdoptionRules() {
             @Override
@@ -81,7 +87,7 @@
         assertThat(mutant.current().map(Revision::number)).contains(2L);
     }
 
-    /** Guards against a dispute that blocks all later revisions. */
+    /** Guards against a dispute about one number that also blocks the adoption of higher numbers. */
     @Test
     void higherRevisionSettlesDispute() {
         RevisionRelay relay = linked(AdoptionRules.STANDARD);
@@ -100,11 +106,11 @@
                 RandomGeneratorFactory.of("L64X128MixRandom").create(1));
         relay.handle(new RelayEvent.LinkUp("a"), 0);
         relay.handle(new RelayEvent.LinkUp("b"), 0);
-        relay.handle(storeShows(FIRST), 0);
+        relay.handle(storeReturns(FIRST), 0);
         return relay;
     }
 
-    /** Offers the second revision from one peer and another hash from the other before the text arrives. */
+    /** Offers the second revision from one peer and a different hash from the other before the text arrives. */
     private static List<RelayEffect> dispute(RevisionRelay relay) {
         relay.handle(new RelayEvent.Offered("a", 2, SECOND.hash()), 1);
         List<RelayEffect> effects = relay.handle(new RelayEvent.Offered("b", 2, OTHER_HASH), 2);
@@ -112,27 +118,30 @@
         return effects;
     }
 
-    private static RelayEvent storeShows(Revision revision) {
+    private static RelayEvent storeReturns(Revision revision) {
         return new RelayEvent.StoreRead(new RevisionStore.HeadResult.Found(new StoredRevision(revision, "id", 0)));
     }
 
-    /** Guards against a store that lost writes and takes the fleet back; the operator must hear of it once. */
+    /**
+     * Guards against processes that return to an old revision after the store lost writes, and against a regression
+     * that is reported never or on every read instead of once.
+     */
     @Test
     void reportsLowerNumberInStoreAndKeepsItsOwn() {
         RevisionRelay relay = linked(AdoptionRules.STANDARD);
-        relay.handle(storeShows(SECOND), 1);
-        assertThat(relay.handle(storeShows(FIRST), 2)).containsExactly(new RelayEffect.ReportStoreRegression(1, 2));
-        assertThat(relay.handle(storeShows(FIRST), 3)).isEmpty();
+        relay.handle(storeReturns(SECOND), 1);
+        assertThat(relay.handle(storeReturns(FIRST), 2)).containsExactly(new RelayEffect.ReportStoreRegression(1, 2));
+        assertThat(relay.handle(storeReturns(FIRST), 3)).isEmpty();
         assertThat(relay.current()).contains(SECOND);
     }
 
-    /** Guards against texts over 256 KiB that do not survive the way through parts in another order. */
+    /** Guards against texts over 256 KiB that are assembled wrongly when parts arrive reordered and repeated. */
     @Test
     void passesLargestTextInParts() {
         String text = "é".repeat(450_000) + "\nend";
         Revision large = Revision.of(2, text, "ana", "test");
         RevisionRelay sender = linked(AdoptionRules.STANDARD);
-        sender.handle(storeShows(large), 1);
+        sender.handle(storeReturns(large), 1);
         List<RelayEffect> parts = sender.handle(new RelayEvent.Requested("a", 0, ""), 2);
         assertThat(parts).hasSize(4);
         RevisionRelay receiver = linked(AdoptionRules.STANDARD);
@@ -145,7 +154,7 @@
         assertThat(receiver.current().map(Revision::text)).contains(text);
     }
 
-    /** Guards against a peer that never answers and holds up a revision that others have. */
+    /** Guards against a peer that never answers and thereby delays a revision that other peers could send. */
     @Test
     void asksAnotherPeerAfterSilence() {
         RevisionRelay relay = linked(AdoptionRules.STANDARD);
