Describe core/spend and core/deployment in plain technical terms

Cause: comments, messages and private names of the packages used vague terms and terms of their own. Change: rewrite doc comments, test heads and argument messages; rename private members and tests. No public name, constant's value, condition or expectation of a test changes.

--- a/core/src/main/java/dev/wigeonward/core/deployment/Deployment.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/Deployment.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** One version of all that operators declare. Immutable; look-ups take no time that grows with the tenants. */
+/**
+ * One version of the routes, tenants and caller limits that operators configure. Immutable; the time of a lookup does
+ * not depend on the number of tenants.
+ */
 public final class Deployment {
     private static final Comparator<Route> LONGEST_PREFIX_FIRST =
             Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
@@ -32,22 +35,22 @@
         tenants.forEach(tenant -> tenant.keys().forEach(key -> tenantsByKey.put(key, tenant)));
     }
 
-    /** Returns a deployment of the given parts. */
+    /** Returns a deployment with the given version, routes, tenants and limits. */
     public static Deployment of(long version, List<Route> routes, List<Tenant> tenants, CallerLimits limits) {
         return new Deployment(version, routes, tenants, limits);
     }
 
-    /** Returns the version; a newer one is larger. */
+    /** Returns the version number; newer deployments have higher numbers. */
     public long version() {
         return version;
     }
 
-    /** Returns the bounds on callers. */
+    /** Returns the limits on callers. */
     public CallerLimits limits() {
         return limits;
     }
 
-    /** Returns the route of the host with the longest prefix of the path, or empty if there is none. */
+    /** Returns the route of the host with the longest prefix that matches the path, or empty if none matches. */
     public Optional<Route> route(String host, String path) {
         List<Route> candidates = routesByHost.get(host.toLowerCase(Locale.ROOT));
         if (candidates == null) {
@@ -61,17 +64,17 @@
         return Optional.empty();
     }
 
-    /** Returns the tenant that holds the key, or empty if none does. */
+    /** Returns the tenant that the key belongs to, or empty if the key is unknown. */
     public Optional<Tenant> tenant(String key) {
         return Optional.ofNullable(tenantsByKey.get(key));
     }
 
-    /** Returns all tenants. */
+    /** Returns all tenants in the configured order. */
     public List<Tenant> tenants() {
         return tenants;
     }
 
-    /** Returns whether callers need keys at all. */
+    /** Returns whether any tenant is configured; without tenants callers need no key. */
     public boolean hasTenants() {
         return !tenants.isEmpty();
     }
--- a/core/src/main/java/dev/wigeonward/core/deployment/Route.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/Route.java
@@ -5,16 +5,16 @@
 import com.google.common.base.Preconditions;
 
 /**
- * One route of the operators.
+ * A route that operators configure: it maps the requests of a host and path prefix to services.
  *
  * @param prefix path prefix, with a slash at both ends
- * @param timeoutMillis longest time that a caller is kept waiting
- * @param objectiveMillis time within which an answer is worth most; for streams, up to the first event
- * @param maxPauseMillis longest pause between events of an answer on time, 0 for no bound
- * @param priority rank, 0 is the highest
- * @param attempts most upstreams to which one attempt of a caller is sent
- * @param open true if callers need no key
- * @param resumable true if a stream may go on at another upstream
+ * @param timeoutMillis maximum time that a caller waits
+ * @param objectiveMillis time within which an answer has its highest value; for streams, until the first event
+ * @param maxPauseMillis longest pause between two events of an answer that still counts as on time, 0 for no limit
+ * @param priority priority of the requests; 0 is the highest
+ * @param attempts maximum number of upstreams to which one attempt of a caller is sent
+ * @param open whether callers need no key
+ * @param resumable whether a stream may be continued at another upstream
  */
 public record Route(
         String name,
@@ -30,9 +30,12 @@
         boolean open,
         boolean resumable) {
     public Route {
-        Preconditions.checkArgument(prefix.startsWith("/") && prefix.endsWith("/"), "prefix is %s", prefix);
-        Preconditions.checkArgument(timeoutMillis > 0, "timeoutMillis is %s", timeoutMillis);
-        Preconditions.checkArgument(!services.isEmpty(), "route %s has no service", name);
+        Preconditions.checkArgument(
+                prefix.startsWith("/") && prefix.endsWith("/"),
+                "prefix must start and end with a slash, got %s",
+                prefix);
+        Preconditions.checkArgument(timeoutMillis > 0, "timeoutMillis must be positive, got %s", timeoutMillis);
+        Preconditions.checkArgument(!services.isEmpty(), "route %s must have at least one service", name);
         services = List.copyOf(services);
     }
 
@@ -41,7 +44,7 @@
         return kind == RouteKind.SAFE || (kind == RouteKind.STREAMING && resumable);
     }
 
-    /** Returns the service for a request, chosen by weight with a number from 0 (included) to 1 (excluded). */
+    /** Returns the service for a request, selected by weight. The random number is in the range [0, 1). */
     public String serviceFor(double random) {
         int total = services.stream().mapToInt(WeightedService::weight).sum();
         double point = random * total;
--- a/core/src/main/java/dev/wigeonward/core/deployment/RouteKind.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/RouteKind.java
@@ -1,11 +1,11 @@
 package dev.wigeonward.core.deployment;
 
-/** What may be repeated of a route's requests. */
+/** Kind of a route, which determines whether its requests may run more than once. */
 public enum RouteKind {
-    /** May run more than once. */
+    /** Requests may run more than once. */
     SAFE,
-    /** Runs at most once for each attempt of the caller. */
+    /** A request runs at most once for each attempt of the caller. */
     UNSAFE,
-    /** Answers with events; runs at most once unless the route lets streams resume. */
+    /** A request is answered with a stream of events and runs at most once unless the route is resumable. */
     STREAMING
 }
--- a/core/src/main/java/dev/wigeonward/core/deployment/Tenant.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/Tenant.java
@@ -4,13 +4,13 @@
 import java.util.Set;
 
 /**
- * One workspace that shares the upstreams.
+ * A workspace that shares the upstreams with others and is identified by its keys.
  *
- * @param priority rank that goes before the rank of the route, if given
- * @param ratePerSecond usage cap over all entries, 0 for none
- * @param burst usage allowed at once beyond the rate
- * @param countsTokens true if the cap counts tokens and not requests
- * @param defaultTokens usage of a request that states none
+ * @param priority priority that overrides the one of the route, if given
+ * @param ratePerSecond usage limit over all entries together, 0 for no limit
+ * @param burst usage allowed at once in excess of the rate
+ * @param countsTokens whether the limit counts tokens instead of requests
+ * @param defaultTokens tokens counted for a request that states none
  */
 public record Tenant(
         String name,
@@ -24,7 +24,7 @@
         keys = Set.copyOf(keys);
     }
 
-    /** Returns what a request uses of the cap. */
+    /** Returns the usage that a request counts against the limit; 0 tokens mean that it states none. */
     public long usage(long tokens) {
         if (!countsTokens) {
             return 1;
--- a/core/src/main/java/dev/wigeonward/core/deployment/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/package-info.java
@@ -1,2 +1,2 @@
-/** What operators declare for the direct path: routes, tenants and the limits on callers. */
+/** Operator configuration of the direct path: routes, tenants and the limits on callers. */
 package dev.wigeonward.core.deployment;
--- a/core/src/main/java/dev/wigeonward/core/spend/SpendLedger.java
+++ b/core/src/main/java/dev/wigeonward/core/spend/SpendLedger.java
@@ -6,63 +6,69 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Spend by workspace in the current period, counted by this entry and merged from the snapshots of the others, against
- * the commitments. Not thread-safe.
+ * Ledger of the spend by workspace in the current period and of the commitments. The spend consists of what this entry
+ * recorded and of the merged snapshots of the other entries. Not thread-safe.
  */
 public final class SpendLedger {
-    private static final int WEIGHT_FACTOR_BEHIND_PACE = 2;
+    private static final int BEHIND_PACE_WEIGHT_FACTOR = 2;
 
     private final String entryId;
     private SpendPeriod period;
     private Map<String, Spend> commitments = Map.of();
     private final Map<String, Spend> own = new HashMap<>();
     private final Map<String, Map<String, Spend>> othersByEntry = new HashMap<>();
-    /** Sum of {@link #othersByEntry}, so that a question about a workspace takes constant time. */
-    private final Map<String, Spend> others = new HashMap<>();
+    /** Sum of {@link #othersByEntry} by workspace, so that {@link #spent} takes constant time. */
+    private final Map<String, Spend> othersTotal = new HashMap<>();
 
+    /** Whether a stored snapshot of this entry was added in the current period. */
     private boolean restored;
 
     private SpendLedger(String entryId, SpendPeriod period) {
-        Preconditions.checkArgument(!entryId.isEmpty(), "entryId is empty");
+        Preconditions.checkArgument(!entryId.isEmpty(), "entryId must not be empty");
         this.entryId = entryId;
         this.period = period;
     }
 
-    /** Returns an empty ledger of an entry. */
+    /** Returns an empty ledger for an entry and a period. */
     public static SpendLedger create(String entryId, SpendPeriod period) {
         return new SpendLedger(entryId, period);
     }
 
-    /** Replaces the commitments by workspace; zero tokens or zero cost means that none are committed. */
+    /** Replaces the commitments of all workspaces; zero tokens or zero cost means that none are committed. */
     public void setCommitments(Map<String, Spend> byWorkspace) {
         commitments = Map.copyOf(byWorkspace);
     }
 
-    /** Starts a new period with nothing spent. */
+    /** Starts a new period and clears the spend of all entries. */
     public void startPeriod(SpendPeriod next) {
         period = next;
         own.clear();
         othersByEntry.clear();
-        others.clear();
+        othersTotal.clear();
         restored = false;
     }
 
-    /** Counts the usage of an answer. */
+    /** Adds the usage of an answer to the spend that this entry recorded. */
     public void record(String workspace, Spend usage) {
         own.merge(workspace, usage, Spend::plus);
     }
 
-    /** Returns the totals of this entry, to be written under its key. */
+    /** Returns the totals recorded by this entry, to be stored under its key. */
     public SpendSnapshot snapshot() {
         return new SpendSnapshot(period.name(), entryId, own);
     }
 
     /**
-     * Takes over what an earlier process of this entry wrote in the period and returns whether it counted. It counts
-     * once, and must be read before the first snapshot of this process is written over it.
+     * Adds the totals that an earlier process of this entry stored in the current period, and returns whether they were
+     * added. They are added at most once per period. The stored snapshot must be read before this process overwrites it
+     * with its first own snapshot.
      */
     public boolean restore(SpendSnapshot stored) {
-        Preconditions.checkArgument(stored.entryId().equals(entryId), "snapshot is of entry %s", stored.entryId());
+        Preconditions.checkArgument(
+                stored.entryId().equals(entryId),
+                "snapshot to restore must be of entry %s, got %s",
+                entryId,
+                stored.entryId());
         if (restored || !stored.period().equals(period.name())) {
             return false;
         }
@@ -71,7 +77,10 @@
         return true;
     }
 
-    /** Takes over the totals of another entry; older and repeated snapshots and other periods change nothing. */
+    /**
+     * Merges the totals of another entry by taking the larger value of each, so that older and repeated snapshots have
+     * no effect. Snapshots of other periods and of this entry are ignored.
+     */
     public void merge(SpendSnapshot snapshot) {
         if (snapshot.entryId().equals(entryId) || !snapshot.period().equals(period.name())) {
             return;
@@ -81,16 +90,19 @@
             Spend before = known.getOrDefault(workspace, Spend.NONE);
             Spend after = before.max(total);
             known.put(workspace, after);
-            others.merge(workspace, after.minus(before), Spend::plus);
+            othersTotal.merge(workspace, after.minus(before), Spend::plus);
         });
     }
 
-    /** Returns the spend of the workspace in the period, as far as known. */
+    /** Returns the spend of the workspace in the current period that this entry knows of. */
     public Spend spent(String workspace) {
-        return own.getOrDefault(workspace, Spend.NONE).plus(others.getOrDefault(workspace, Spend.NONE));
+        return own.getOrDefault(workspace, Spend.NONE).plus(othersTotal.getOrDefault(workspace, Spend.NONE));
     }
 
-    /** Returns whether the workspace has spent less than the part of its commitment that the time passed stands for. */
+    /**
+     * Returns whether the tokens or the cost spent by the workspace are below the share of its commitment that
+     * corresponds to the elapsed share of the period.
+     */
     public boolean isBehindPace(String workspace, long nowMillis) {
         Spend committed = commitments.getOrDefault(workspace, Spend.NONE);
         Spend spent = spent(workspace);
@@ -99,8 +111,8 @@
                 || spent.costMicros() < committed.costMicros() * elapsedShare;
     }
 
-    /** Returns the weight within a tier: doubled while the workspace is behind its pace. */
+    /** Returns the weight of the workspace within a tier: the configured weight, doubled while it is behind pace. */
     public int weight(String workspace, int configuredWeight, long nowMillis) {
-        return isBehindPace(workspace, nowMillis) ? configuredWeight * WEIGHT_FACTOR_BEHIND_PACE : configuredWeight;
+        return isBehindPace(workspace, nowMillis) ? configuredWeight * BEHIND_PACE_WEIGHT_FACTOR : configuredWeight;
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/spend/SpendSnapshot.java
+++ b/core/src/main/java/dev/wigeonward/core/spend/SpendSnapshot.java
@@ -4,11 +4,11 @@
 
 import com.google.common.base.Preconditions;
 
-/** Spend that one entry counted in a period, by workspace. The totals only grow, so a repeated write is harmless. */
+/** Total spend by workspace that one entry recorded in a period. Totals never decrease, so writes may be repeated. */
 public record SpendSnapshot(String period, String entryId, Map<String, Spend> byWorkspace) {
     public SpendSnapshot {
-        Preconditions.checkArgument(!period.isEmpty(), "period is empty");
-        Preconditions.checkArgument(!entryId.isEmpty(), "entryId is empty");
+        Preconditions.checkArgument(!period.isEmpty(), "period must not be empty");
+        Preconditions.checkArgument(!entryId.isEmpty(), "entryId must not be empty");
         byWorkspace = Map.copyOf(byWorkspace);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/spend/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/spend/package-info.java
@@ -1,2 +1,2 @@
-/** Committed spend of workspaces within a period. */
+/** Spend of workspaces within a period and its comparison with their commitments. */
 package dev.wigeonward.core.spend;
--- a/core/src/test/java/dev/wigeonward/core/deployment/DeploymentTest.java
+++ b/core/src/test/java/dev/wigeonward/core/deployment/DeploymentTest.java
@@ -18,9 +18,12 @@
         return Deployment.of(1, List.of(routes), List.of(tenant), CallerLimits.DEFAULT);
     }
 
-    /** Guards against a shorter prefix, another host, or a part of a path segment that takes a request. */
+    /**
+     * Guards against requests that match a route with a shorter prefix, a route of another host, or a prefix that ends
+     * within a path segment.
+     */
     @Test
-    void longestPrefixOfTheHostWins() {
+    void selectsRouteWithLongestPrefixOfHost() {
         WeightedService service = new WeightedService("s", 1);
         Deployment deployment = deployment(
                 route("short", "a.example", "/x/", service),
@@ -33,9 +36,9 @@
         assertThat(deployment.route("c.example", "/x/y/")).isEmpty();
     }
 
-    /** Guards against shares that do not follow the weights, and against a service of weight 0 that gets requests. */
+    /** Guards against service shares that differ from the weights, and against requests to a service of weight 0. */
     @Test
-    void weightsDecideTheService() {
+    void selectsServiceByWeight() {
         Route route = route(
                 "r",
                 "h",
@@ -50,9 +53,12 @@
         assertThat(route.serviceFor(0.999)).isEqualTo("b");
     }
 
-    /** Guards against a withdrawn key that still names its tenant. */
+    /**
+     * Guards against a key that is not mapped to its tenant, an unknown or withdrawn key that still is, and a usage
+     * that ignores the tokens of a request or their default.
+     */
     @Test
-    void keysNameTheirTenant() {
+    void findsTenantByKey() {
         Deployment deployment = deployment();
 
         assertThat(deployment.tenant("k2")).map(Tenant::name).contains("t");
--- a/core/src/test/java/dev/wigeonward/core/spend/SpendLedgerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/spend/SpendLedgerTest.java
@@ -15,7 +15,10 @@
 
     private final SpendLedger ledger = SpendLedger.create("entry-1", PERIOD);
 
-    /** Guards against a pace that ignores the time passed, the tokens or the cost. */
+    /**
+     * Guards against a pace check that ignores the elapsed time, the tokens or the cost, or that treats workspaces
+     * without a commitment as behind.
+     */
     @Test
     void behindPaceFollowsElapsedShareOfTokensAndCost() {
         ledger.setCommitments(Map.of("tokens", new Spend(100, 0), "cost", new Spend(0, 100)));
@@ -28,7 +31,7 @@
         assertThat(ledger.isBehindPace("uncommitted", 999)).isFalse();
     }
 
-    /** Guards against spend counted twice when a snapshot is repeated, late, of another period or the entry's own. */
+    /** Guards against spend that is counted twice when a snapshot is repeated, late, of another period or its own. */
     @Test
     void mergeCountsEachSnapshotOnce() {
         ledger.record("a", new Spend(1, 10));
@@ -41,7 +44,7 @@
         assertThat(ledger.spent("a")).isEqualTo(new Spend(6, 60));
     }
 
-    /** Guards against counts lost over a restart, or counted twice when the stored value is read again. */
+    /** Guards against spend that is lost when an entry restarts, or added twice when its snapshot is read again. */
     @Test
     void restoreAddsStoredTotalsOnce() {
         ledger.record("a", new Spend(1, 10));
@@ -53,7 +56,7 @@
         assertThat(ledger.spent("a")).isEqualTo(Spend.NONE);
     }
 
-    /** Guards against a commitment that lifts a workspace over a higher tier or has no effect within its own. */
+    /** Guards against a weight that puts a workspace before a higher tier or has no effect within its own tier. */
     @Test
     void weightBehindPaceDoublesWithinTierOnly() {
         ledger.setCommitments(Map.of("behind", new Spend(100, 0)));
