Describe core/rules in plain technical terms

Cause: comments, argument messages and private names of the package used vague terms and terms of their own. Change: rewrite doc comments and test heads, the argument messages that no test or page matches, and private names. The texts of rule problems stay: docs/rules.md and RuleParserTest match them. No public name, constant's value, condition or expectation of a test changes.

--- a/core/src/main/java/dev/wigeonward/core/rules/LineFields.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/LineFields.java
@@ -19,8 +19,8 @@
 import dev.wigeonward.core.request.Tier;
 
 /**
- * The key=value pairs of one line. A reader method records a problem and returns a placeholder when the value is
- * missing or wrong, so that all problems of a line are found in one pass.
+ * Reader of the name and the key=value pairs of one line. If a value is missing or invalid, a reader method records a
+ * problem and returns a placeholder, so that all problems of a line are found in one pass.
  */
 final class LineFields {
     static final String NAME_EXPECTED =
@@ -33,8 +33,11 @@
 
     private final String file;
     private final RuleLine line;
+    /** Values by key, with the column where the value starts. */
     private final Map<String, RuleLine.Word> values = new LinkedHashMap<>();
-    private final Set<String> known = new TreeSet<>();
+    /** Keys that a reader method asked for; all others are unknown keys. */
+    private final Set<String> knownKeys = new TreeSet<>();
+
     private final List<RuleProblem> problems = new ArrayList<>();
 
     private LineFields(String file, RuleLine line) {
@@ -42,6 +45,7 @@
         this.line = line;
     }
 
+    /** Returns the fields of a line, with problems for words that are no pair and for repeated keys. */
     static LineFields of(String file, RuleLine line) {
         LineFields fields = new LineFields(file, line);
         line.words().stream().skip(2).forEach(fields::addPair);
@@ -51,16 +55,17 @@
     private void addPair(RuleLine.Word word) {
         int equals = word.text().indexOf('=');
         if (equals <= 0) {
-            report(word.column(), shown(word.text()) + " is not a key=value pair", "key=value");
+            report(word.column(), quoted(word.text()) + " is not a key=value pair", "key=value");
             return;
         }
         String key = word.text().substring(0, equals);
         RuleLine.Word value = new RuleLine.Word(word.text().substring(equals + 1), word.column() + equals + 1);
         if (values.putIfAbsent(key, value) != null) {
-            report(word.column(), "key " + shown(key) + " is given twice", "each key once");
+            report(word.column(), "key " + quoted(key) + " is given twice", "each key once");
         }
     }
 
+    /** Returns the second word of the line, which names the rule. */
     String name() {
         if (line.words().size() < 2) {
             report(line.endColumn(), "the name is missing", NAME_EXPECTED);
@@ -68,7 +73,7 @@
         }
         RuleLine.Word word = line.words().get(1);
         if (!NAME.matcher(word.text()).matches()) {
-            report(word.column(), shown(word.text()) + " is not a name", NAME_EXPECTED);
+            report(word.column(), quoted(word.text()) + " is not a name", NAME_EXPECTED);
         }
         return word.text();
     }
@@ -78,7 +83,7 @@
     }
 
     String sha256(String key) {
-        // The value is left out of the message: an operator who pastes a key in clear must not find it in a log.
+        // The message omits the value: it may be a key pasted in clear text, which must not appear in a log.
         String expected = "the SHA-256 hash of the key in 64 hex digits, never the key itself";
         Optional<RuleLine.Word> word = find(key, expected);
         if (word.isPresent() && !SHA256.matcher(word.get().text()).matches()) {
@@ -93,6 +98,7 @@
                 .orElse(PLACEHOLDER);
     }
 
+    /** Returns the method, or empty if the key is absent. */
     Optional<String> optionalMethod(String key) {
         return has(key) ? Optional.of(method(key)) : Optional.empty();
     }
@@ -104,6 +110,7 @@
                 .orElseGet(() -> new PathPattern("/"));
     }
 
+    /** Returns the path pattern, or empty if the key is absent. */
     Optional<PathPattern> optionalPath(String key) {
         return has(key) ? Optional.of(path(key)) : Optional.empty();
     }
@@ -112,6 +119,7 @@
         return required(key, "critical, standard or batch", Tier::fromName).orElse(Tier.BATCH);
     }
 
+    /** Returns a comma-separated list of distinct tiers. */
     Set<Tier> tiers(String key) {
         Set<Tier> tiers = EnumSet.noneOf(Tier.class);
         required(key, "some of critical, standard and batch, separated by commas", text -> {
@@ -126,6 +134,7 @@
         return tiers;
     }
 
+    /** Returns whether the value is {@code checked}; false if the key is absent. */
     boolean checksFencing(String key) {
         return has(key)
                 && required(key, "checked or ignored", text -> switch (text) {
@@ -147,6 +156,7 @@
                 .orElse(Instant.EPOCH);
     }
 
+    /** Returns a duration in milliseconds; the range is the text of the expected values in a problem. */
     long millis(String key, long min, long max, String range) {
         return number(key, "a duration from " + range, Units::millis, min, max);
     }
@@ -159,39 +169,46 @@
         return number(key, "a number from " + min + " to " + max, Units::count, min, max);
     }
 
+    /** Returns a count, or empty if the key is absent. */
     OptionalInt optionalCount(String key, int min, int max) {
         return has(key) ? OptionalInt.of((int) count(key, min, max)) : OptionalInt.empty();
     }
 
+    /** Returns a rate per second, or empty if the key is absent. */
     OptionalInt optionalPerSecond(String key, int max) {
         return has(key)
                 ? OptionalInt.of((int) number(key, "a rate from 1/s to " + max + "/s", Units::perSecond, 1, max))
                 : OptionalInt.empty();
     }
 
+    /** Returns a percentage in hundredths of a percent; the range is the text of the expected values in a problem. */
     int basisPoints(String key, int min, int max, String range) {
         return (int) number(key, "a percentage from " + range, Units::basisPoints, min, max);
     }
 
+    /** Returns an amount of money in millionths of the currency unit. */
     long micros(String key) {
         String expected = "an amount above 0 with at most 6 decimals, such as 0.45";
         return number(key, expected, Units::micros, 1, Long.MAX_VALUE);
     }
 
-    /** Records a value that cannot be used together with the rest of its line. */
+    /** Records a problem at the value of a key, or at the end of the line if the key is absent. */
     void reportValue(String key, String wrong, String expected) {
         int column = values.containsKey(key) ? values.get(key).column() : line.endColumn();
         report(column, wrong, expected);
     }
 
+    /** Records a problem at the first word of the line. */
     void reportKeyword(String wrong, String expected) {
         report(line.words().get(0).column(), wrong, expected);
     }
 
+    /** Records a problem at the name, or at the end of the line if the name is missing. */
     void reportName(String wrong, String expected) {
         report(line.words().size() > 1 ? line.words().get(1).column() : line.endColumn(), wrong, expected);
     }
 
+    /** Records a problem at the closing comment, or at the end of the line if there is none. */
     void reportComment(String wrong, String expected) {
         report(line.comment().map(RuleLine.Word::column).orElseGet(line::endColumn), wrong, expected);
     }
@@ -201,25 +218,27 @@
         return List.copyOf(problems);
     }
 
-    /** Returns all problems recorded, with those of the keys that no reader method asked for. */
+    /** Returns all problems, including one for each key that no reader method asked for. Call it after all readers. */
     List<RuleProblem> finish() {
         values.forEach((key, value) -> {
-            if (!known.contains(key)) {
-                String expected = known.isEmpty() ? "no keys" : "one of " + String.join(", ", known);
-                report(value.column() - key.length() - 1, "unknown key " + shown(key), expected);
+            if (!knownKeys.contains(key)) {
+                String expected = knownKeys.isEmpty() ? "no keys" : "one of " + String.join(", ", knownKeys);
+                report(value.column() - key.length() - 1, "unknown key " + quoted(key), expected);
             }
         });
         return problems();
     }
 
+    /** Returns whether the key is present, and marks it as known. */
     boolean has(String key) {
-        known.add(key);
+        knownKeys.add(key);
         return values.containsKey(key);
     }
 
-    private long number(String key, String expected, Function<String, OptionalLong> reader, long min, long max) {
+    /** Returns a number within the bounds, or the lower bound with a recorded problem. */
+    private long number(String key, String expected, Function<String, OptionalLong> parser, long min, long max) {
         return required(key, expected, text -> {
-                    OptionalLong value = reader.apply(text);
+                    OptionalLong value = parser.apply(text);
                     return value.isPresent() && value.getAsLong() >= min && value.getAsLong() <= max
                             ? Optional.of(value.getAsLong())
                             : Optional.empty();
@@ -227,9 +246,10 @@
                 .orElse(min);
     }
 
-    private <T> Optional<T> required(String key, String expected, Function<String, Optional<T>> reader) {
+    /** Returns the parsed value, or empty with a recorded problem if it is missing or the parser returns empty. */
+    private <T> Optional<T> required(String key, String expected, Function<String, Optional<T>> parser) {
         Optional<RuleLine.Word> word = find(key, expected);
-        Optional<T> value = word.flatMap(found -> reader.apply(found.text()));
+        Optional<T> value = word.flatMap(found -> parser.apply(found.text()));
         if (word.isPresent() && value.isEmpty()) {
             report(word.get().column(), "'" + word.get().text() + "' does not fit '" + key + "'", expected);
         }
@@ -247,8 +267,11 @@
         return pattern.matcher(text).matches() ? Optional.of(text) : Optional.empty();
     }
 
-    /** A workspace key in clear may stand anywhere on a key line by mistake and must not reach messages or logs. */
-    private String shown(String text) {
+    /**
+     * Returns the quoted text for a message, or a placeholder on a key line: a workspace key in clear text may be
+     * anywhere on such a line by mistake and must not appear in messages or logs.
+     */
+    private String quoted(String text) {
         return line.words().get(0).text().equals("key") ? "the text here" : "'" + text + "'";
     }
 
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleChecks.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleChecks.java
@@ -10,7 +10,7 @@
 
 import dev.wigeonward.core.request.Tier;
 
-/** Checks that the lines of a file fit together. */
+/** Checks across the lines of a file: duplicates, references, unreachable kinds and repeated service paths. */
 final class RuleChecks {
     private final List<Located> rules;
     private final List<RuleProblem> problems = new ArrayList<>();
@@ -19,16 +19,18 @@
     private final Map<String, Rule.Target> targets = new HashMap<>();
 
     /**
-     * A rule and the line it was read from.
+     * A rule with the line that it was read from.
      *
-     * @param complete false if the line has problems of its own, so that its values may be placeholders
+     * @param complete whether the line itself has no problems; otherwise its values may be placeholders
      */
     record Located(Rule rule, String file, RuleLine line, boolean complete) {
+        /** Returns a problem at the name, or at the end of the line if the name is missing. */
         RuleProblem problemAtName(String wrong, String expected) {
             int column = line.words().size() > 1 ? line.words().get(1).column() : line.endColumn();
             return new RuleProblem(file, line.line(), column, wrong, expected);
         }
 
+        /** Returns a problem at the value of a key, or at the end of the line if the key is absent. */
         RuleProblem problemAtKey(String key, String wrong, String expected) {
             int column = line.words().stream()
                     .filter(word -> word.text().startsWith(key + "="))
@@ -43,22 +45,26 @@
         this.rules = rules;
     }
 
+    /** Returns the problems between the given rules, in no particular order. */
     static List<RuleProblem> check(List<Located> rules) {
         RuleChecks checks = new RuleChecks(rules);
         checks.collectNames();
         checks.checkDuplicates();
         rules.stream().filter(Located::complete).forEach(checks::checkReferences);
-        checks.checkKinds();
+        checks.checkUnreachableKinds();
         checks.checkServicePaths();
         return checks.problems;
     }
 
-    /** Names count even when their line has other problems, so that one fault is reported once. */
+    /**
+     * Collects the defined names, also from lines with problems, so that one mistake is not reported again at every
+     * reference to the name.
+     */
     private void collectNames() {
         for (Located located : rules) {
             if (located.rule() instanceof Rule.Workspace workspace) {
                 workspaces.add(workspace.name());
-                // A line with problems may allow any tier once it is corrected.
+                // The tiers of a line with problems are unknown until it is corrected, so any tier is assumed usable.
                 usableTiers.addAll(located.complete() ? workspace.tiers() : Set.of(Tier.values()));
             } else if (located.rule() instanceof Rule.Target target) {
                 targets.putIfAbsent(target.name(), target);
@@ -78,12 +84,13 @@
         }
     }
 
+    /** Returns a text that is equal for two rules of which only one is allowed. */
     private static String identity(Located located) {
         Rule rule = located.rule();
         if (rule instanceof Rule.Target target) {
             return "target " + target.name();
         }
-        // A key hash belongs to one workspace only, or a request would have two payers.
+        // A key hash may belong to one workspace only; otherwise it is undefined which workspace pays for a request.
         if (rule instanceof Rule.Key key) {
             return "key sha256="
                     + (located.complete()
@@ -121,7 +128,7 @@
 
     private void requireWorkspace(Located located, String name) {
         if (!workspaces.contains(name)) {
-            // A key line's name is left out: it may be a key in clear that was put in the wrong place.
+            // The message omits the name on a key line: it may be a key in clear text in the wrong place.
             String shown = located.rule() instanceof Rule.Key ? "" : " '" + name + "'";
             problems.add(located.problemAtName("unknown workspace" + shown, oneOf("workspace", workspaces)));
         }
@@ -170,8 +177,10 @@
         }
     }
 
-    /** An earlier kind that matches all requests of a later one would silently disable it. */
-    private void checkKinds() {
+    /**
+     * Reports each kind whose requests are all matched by an earlier kind of the target, since it would never apply.
+     */
+    private void checkUnreachableKinds() {
         Map<String, List<Rule.Kind>> earlierByTarget = new HashMap<>();
         for (Located located : rules) {
             if (!located.complete() || !(located.rule() instanceof Rule.Kind kind)) {
@@ -189,6 +198,7 @@
         }
     }
 
+    /** Reports services with equal paths, between which a request path could not decide. */
     private void checkServicePaths() {
         Map<PathPattern, Rule.Service> byPath = new HashMap<>();
         for (Located located : rules) {
@@ -212,12 +222,13 @@
                 .toList();
     }
 
+    /** Returns the expectation text for a reference, with the first defined names in alphabetical order. */
     private static String oneOf(String what, Collection<String> names) {
-        int shown = 5;
+        int maxNames = 5;
         if (names.isEmpty()) {
             return "a " + what + " that the file defines";
         }
-        String list = String.join(", ", names.stream().sorted().limit(shown).toList());
-        return "a " + what + " that the file defines: " + list + (names.size() > shown ? ", …" : "");
+        String list = String.join(", ", names.stream().sorted().limit(maxNames).toList());
+        return "a " + what + " that the file defines: " + list + (names.size() > maxNames ? ", …" : "");
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleDiff.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleDiff.java
@@ -10,14 +10,14 @@
 import java.util.stream.Collectors;
 
 /**
- * The rules that two texts do not share, line by line. A rule whose keyword and name stay is changed; a change of its
- * comment counts, a change of blanks or of the order of lines does not.
+ * Difference between two rules texts, rule by rule. Rules with the same keyword and name are compared: a different
+ * comment is a change, different white space or a different order of lines is not.
  */
 public record RuleDiff(List<Change> changes) {
     private static final Pattern ASKED_BY = Pattern.compile("^#\\s*asked by\\s*");
     private static final Set<String> IDENTIFIED_BY_WHOLE_RULE = Set.of("key", "no-repeat");
 
-    /** What happened to a rule. */
+    /** Kind of a change to a rule. */
     public enum ChangeKind {
         ADDED,
         REMOVED,
@@ -25,19 +25,19 @@
     }
 
     /**
-     * One rule that differs.
+     * A rule that was added, removed or changed.
      *
-     * @param identity keyword and name, with all pairs where a name may have several rules
-     * @param before line before the change, if there was one
-     * @param after line after the change, if there is one
+     * @param identity keyword and name; the whole rule for keywords that allow several rules with one name
+     * @param before line before the change, empty for an added rule
+     * @param after line after the change, empty for a removed rule
      */
     public record Change(ChangeKind kind, String identity, Optional<Line> before, Optional<Line> after) {}
 
     /**
-     * A line of one of the texts.
+     * A line of one of the two texts.
      *
-     * @param number line number, counted from 1
-     * @param askedBy who asked for the rule, with the reason; empty if the line does not say
+     * @param number line number, starting at 1
+     * @param askedBy who requested the rule and why; empty if the line has no comment
      */
     public record Line(int number, String rule, String askedBy) {
         private static Line of(RuleLine line) {
@@ -55,7 +55,7 @@
         changes = List.copyOf(changes);
     }
 
-    /** Returns what leads from one text to the other; the texts need not be valid. */
+    /** Returns the changes from one text to the other; the texts need not be valid rules. */
     public static RuleDiff between(String before, String after) {
         Map<String, Line> oldLines = linesByIdentity(before);
         Map<String, Line> newLines = linesByIdentity(after);
@@ -76,11 +76,11 @@
         return new RuleDiff(changes);
     }
 
+    /** Returns the lines by identity; repeated identities get a number, since invalid texts may contain them. */
     private static Map<String, Line> linesByIdentity(String text) {
         Map<String, Line> result = new LinkedHashMap<>();
         for (RuleLine line : RuleLine.split(text)) {
             String identity = identity(line);
-            // Invalid texts may hold a rule twice; the copies are told apart by their count.
             for (int copy = 2; result.containsKey(identity); copy++) {
                 identity = identity(line) + " (" + copy + ")";
             }
@@ -97,16 +97,16 @@
         return line.words().stream().limit(2).map(RuleLine.Word::text).collect(Collectors.joining(" "));
     }
 
-    /** Returns the rules that both this and the other difference touch. */
+    /** Returns the identities of the rules that are changed by both this and the other difference. */
     public Set<String> overlap(RuleDiff other) {
-        Set<String> mine = changes.stream().map(Change::identity).collect(Collectors.toSet());
+        Set<String> changedHere = changes.stream().map(Change::identity).collect(Collectors.toSet());
         return other.changes.stream()
                 .map(Change::identity)
-                .filter(mine::contains)
+                .filter(changedHere::contains)
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    /** Returns whether both texts have the same rules. */
+    /** Returns whether both texts contain the same rules. */
     public boolean isEmpty() {
         return changes.isEmpty();
     }
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleLine.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleLine.java
@@ -6,19 +6,19 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** One line of a rules file, split into words and the closing comment. */
+/** A line of a rules file, split into words and the closing comment. */
 record RuleLine(int line, List<Word> words, Optional<Word> comment) {
     private static final Pattern WORD = Pattern.compile("\\S+");
     private static final Pattern COMMENT_START = Pattern.compile("(?<=\\s)#");
 
-    /** A piece of a line and the column of its first character, counted from 1. */
+    /** A part of a line and the column of its first character, starting at 1. */
     record Word(String text, int column) {}
 
     RuleLine {
         words = List.copyOf(words);
     }
 
-    /** Returns the lines that hold rules, without blank lines and whole-line comments. */
+    /** Returns the lines of a text that contain rules; blank lines and whole-line comments are skipped. */
     static List<RuleLine> split(String text) {
         List<RuleLine> result = new ArrayList<>();
         String[] lines = text.split("\n", -1);
@@ -44,13 +44,13 @@
                 number, words, hasComment ? Optional.of(new Word(line.substring(end), end + 1)) : Optional.empty());
     }
 
-    /** Returns the column after the last word, where a missing word is reported. */
+    /** Returns the column after the last word, at which a missing word is reported. */
     int endColumn() {
         Word last = words.get(words.size() - 1);
         return last.column() + last.text().length();
     }
 
-    /** Returns the words joined by single blanks, without the comment. */
+    /** Returns the words joined by single spaces, without the comment. */
     String ruleText() {
         return String.join(" ", words.stream().map(Word::text).toList());
     }
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleParseResult.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleParseResult.java
@@ -4,16 +4,16 @@
 
 import com.google.common.base.Preconditions;
 
-/** Outcome of parsing a rules file. */
+/** Result of parsing a rules file. */
 public sealed interface RuleParseResult {
-    /** Every line is valid and the lines fit together. */
+    /** All lines are valid and consistent with each other. */
     record Valid(RuleSet rules) implements RuleParseResult {}
 
-    /** All problems of the file, in the order of their lines; nothing of the file may be used. */
+    /** The file has at least one problem, so that none of its rules may be used; problems are sorted by position. */
     record Invalid(List<RuleProblem> problems) implements RuleParseResult {
         public Invalid {
             problems = List.copyOf(problems);
-            Preconditions.checkArgument(!problems.isEmpty(), "no problems");
+            Preconditions.checkArgument(!problems.isEmpty(), "problems of an invalid file must not be empty");
         }
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleParser.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleParser.java
@@ -9,9 +9,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Parses the operators' rules. */
+/** Parser of rules files. */
 public final class RuleParser {
-    /** Largest text in bytes; the store takes values up to 1 MB. */
+    /** Maximum size of a text in bytes; the store accepts values of up to 1 MB. */
     public static final int MAX_TEXT_BYTES = 1_000_000;
 
     private static final Pattern COMMENT = Pattern.compile("#\\s*asked by ([^:]*[^:\\s])\\s*:\\s*(\\S.*)");
@@ -22,26 +22,27 @@
     private static final long MAX_DEADLINE_MILLIS = 24 * 3_600_000L;
     private static final long DAY_MILLIS = 86_400_000L;
     private static final long MAX_PERIOD_MILLIS = 366 * DAY_MILLIS;
-    // A bad version may get 2% of a route's requests before its first verdict.
+    // A bad version must not receive more than 2% of the requests of a route before its first verdict.
     private static final int MAX_CANARY_BASIS_POINTS = 200;
 
-    private static final Map<String, BiFunction<LineFields, Rule.Source, Rule>> READERS = new TreeMap<>(Map.ofEntries(
-            Map.entry("workspace", RuleParser::workspace),
-            Map.entry("key", RuleParser::key),
-            Map.entry("model", RuleParser::model),
-            Map.entry("service", RuleParser::service),
-            Map.entry("no-repeat", RuleParser::noRepeat),
-            Map.entry("upstream", RuleParser::upstream),
-            Map.entry("kind", RuleParser::kind),
-            Map.entry("limit", RuleParser::limit),
-            Map.entry("rate", RuleParser::rate),
-            Map.entry("commitment", RuleParser::commitment),
-            Map.entry("price", RuleParser::price),
-            Map.entry("move", RuleParser::move)));
+    private static final Map<String, BiFunction<LineFields, Rule.Source, Rule>> RULE_READERS =
+            new TreeMap<>(Map.ofEntries(
+                    Map.entry("workspace", RuleParser::workspace),
+                    Map.entry("key", RuleParser::key),
+                    Map.entry("model", RuleParser::model),
+                    Map.entry("service", RuleParser::service),
+                    Map.entry("no-repeat", RuleParser::noRepeat),
+                    Map.entry("upstream", RuleParser::upstream),
+                    Map.entry("kind", RuleParser::kind),
+                    Map.entry("limit", RuleParser::limit),
+                    Map.entry("rate", RuleParser::rate),
+                    Map.entry("commitment", RuleParser::commitment),
+                    Map.entry("price", RuleParser::price),
+                    Map.entry("move", RuleParser::move)));
 
     private RuleParser() {}
 
-    /** Returns the rules of the text, or every problem found in it. Takes time linear in the number of lines. */
+    /** Returns the rules in the text, or all problems found in it. Takes time linear in the number of lines. */
     public static RuleParseResult parse(String fileName, String text) {
         if (text.getBytes(StandardCharsets.UTF_8).length > MAX_TEXT_BYTES) {
             return new RuleParseResult.Invalid(List.of(new RuleProblem(
@@ -53,9 +54,10 @@
             LineFields fields = LineFields.of(fileName, line);
             Rule.Source source = source(line, fields);
             String keyword = line.words().get(0).text();
-            BiFunction<LineFields, Rule.Source, Rule> reader = READERS.get(keyword);
+            BiFunction<LineFields, Rule.Source, Rule> reader = RULE_READERS.get(keyword);
             if (reader == null) {
-                fields.reportKeyword("unknown rule '" + keyword + "'", "one of " + String.join(", ", READERS.keySet()));
+                fields.reportKeyword(
+                        "unknown rule '" + keyword + "'", "one of " + String.join(", ", RULE_READERS.keySet()));
                 problems.addAll(fields.problems());
                 continue;
             }
@@ -73,6 +75,7 @@
                 RuleSet.of(rules.stream().map(RuleChecks.Located::rule).toList()));
     }
 
+    /** Returns the origin of a rule from its closing comment, which is required. */
     private static Rule.Source source(RuleLine line, LineFields fields) {
         if (line.comment().isEmpty()) {
             fields.reportComment("the line does not say who asked for it", COMMENT_EXPECTED);
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleProblem.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleProblem.java
@@ -5,24 +5,24 @@
 import com.google.common.base.Preconditions;
 
 /**
- * One fault in a rules file.
+ * A problem at a position in a rules file.
  *
- * @param file name of the file, as the operator gave it
- * @param line line, counted from 1
- * @param column column in characters, counted from 1
+ * @param file name of the file, as given by the operator
+ * @param line line number, starting at 1
+ * @param column column in characters, starting at 1
  * @param wrong what is wrong
- * @param expected what would be accepted there
+ * @param expected what is accepted at this position
  */
 public record RuleProblem(String file, int line, int column, String wrong, String expected) {
     static final Comparator<RuleProblem> BY_POSITION =
             Comparator.comparingInt(RuleProblem::line).thenComparingInt(RuleProblem::column);
 
     public RuleProblem {
-        Preconditions.checkArgument(line > 0, "line is %s", line);
-        Preconditions.checkArgument(column > 0, "column is %s", column);
+        Preconditions.checkArgument(line > 0, "line number must be positive, got %s", line);
+        Preconditions.checkArgument(column > 0, "column must be positive, got %s", column);
     }
 
-    /** Returns the problem in the form {@code file:line:column: what is wrong; expected …}. */
+    /** Returns the problem as {@code <file>:<line>:<column>: <wrong>; expected <expected>}. */
     @Override
     public String toString() {
         return file + ":" + line + ":" + column + ": " + wrong + "; expected " + expected;
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleSet.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleSet.java
@@ -12,7 +12,7 @@
 
 import dev.wigeonward.core.request.Tier;
 
-/** Valid rules with the lookups of the request path. Immutable; lookups by name take constant time. */
+/** Set of valid rules with the lookups that requests need. Immutable; lookups by name take constant time. */
 public final class RuleSet {
     private final List<Rule> rules;
     private final Map<String, Rule.Workspace> workspaces = new HashMap<>();
@@ -40,7 +40,7 @@
                 .filter(Rule.Key.class::isInstance)
                 .map(Rule.Key.class::cast)
                 .forEach(key -> workspacesByKeyHash.put(key.sha256(), workspaces.get(key.workspace())));
-        // An exact path comes before a prefix of the same length, and a longer prefix before a shorter one.
+        // A longer prefix precedes a shorter one, and an exact path precedes a prefix of the same length.
         servicesByPath.sort(Comparator.comparingInt(
                         (Rule.Service service) -> service.path().prefix().length())
                 .reversed()
@@ -55,6 +55,7 @@
                 .orElse(0);
     }
 
+    /** Returns a rule set of rules that were checked against each other. */
     static RuleSet of(List<Rule> rules) {
         return new RuleSet(rules);
     }
@@ -95,7 +96,7 @@
         return rules;
     }
 
-    /** Returns the workspace of a key, given the key's SHA-256 hash in lower-case hex digits. */
+    /** Returns the workspace that a key belongs to, given the SHA-256 hash of the key in lower-case hex digits. */
     public Optional<Rule.Workspace> workspaceByKeyHash(String sha256) {
         return Optional.ofNullable(workspacesByKeyHash.get(sha256));
     }
@@ -115,7 +116,7 @@
         return Optional.ofNullable(targets.get(name));
     }
 
-    /** Returns the service with the longest path that matches; takes time linear in the number of services. */
+    /** Returns the service with the longest matching path; takes time linear in the number of services. */
     public Optional<Rule.Service> serviceForPath(String path) {
         return servicesByPath.stream()
                 .filter(service -> service.path().matches(path))
@@ -123,9 +124,10 @@
     }
 
     /**
-     * Returns the kind of a request, or empty if no rule matches. Takes time linear in the target's number of kinds.
+     * Returns the kind of a request, or empty if no rule matches. Takes time linear in the number of kinds of the
+     * target.
      *
-     * @param requestedOutputTokens the caller's bound on the output, if it gave one
+     * @param requestedOutputTokens limit on the output tokens, if the caller requested one
      */
     public Optional<Rule.Kind> kind(String target, String path, String method, OptionalInt requestedOutputTokens) {
         for (Rule.Kind kind : kindsByTarget.getOrDefault(target, List.of())) {
@@ -136,38 +138,43 @@
         return Optional.empty();
     }
 
-    /** Returns the tier of a workspace's request of a kind, or empty if the workspace may use no such tier. */
+    /**
+     * Returns the tier of a request of the given workspace and kind, or empty if no tier up to the kind's is allowed.
+     */
     public Optional<Tier> tier(String workspace, Rule.Kind kind) {
         return workspace(workspace).flatMap(found -> found.highestTierUpTo(kind.tier()));
     }
 
-    /** Returns whether the call may be run again; true unless a rule forbids it. */
+    /** Returns whether the call may run more than once, which is the default unless a no-repeat rule matches. */
     public boolean idempotent(String target, String path, String method) {
         return noRepeatByTarget.getOrDefault(target, List.of()).stream()
                 .noneMatch(call -> call.method().equals(method) && call.path().matches(path));
     }
 
-    /** Returns the value of a limit, in the unit of its name. */
+    /** Returns the value of a limit, in the unit described at its name. */
     public long limit(Rule.LimitName name) {
         return limits.get(name);
     }
 
-    /** Returns the bounds on a workspace's rates, or empty if it has none. */
+    /** Returns the rate limits of a workspace, or empty if it has none. */
     public Optional<Rule.Rate> rate(String workspace) {
         return Optional.ofNullable(rates.get(workspace));
     }
 
-    /** Returns the spend that a workspace has committed to. */
+    /** Returns the commitment of a workspace, or empty if it has none. */
     public Optional<Rule.Commitment> commitment(String workspace) {
         return Optional.ofNullable(commitments.get(workspace));
     }
 
-    /** Returns the price of a model's tokens. */
+    /** Returns the price of a model's tokens, or empty if no rule sets one. */
     public Optional<Rule.Price> price(String model) {
         return Optional.ofNullable(prices.get(model));
     }
 
-    /** Returns whether the upstream itself refuses orders with old fencing numbers; its own rule comes first. */
+    /**
+     * Returns whether the upstream itself rejects orders with old fencing numbers. The rule of the upstream overrides
+     * the rule of its target.
+     */
     public boolean checksFencing(String upstreamId, String target) {
         Rule.Upstream upstream = upstreams.get(upstreamId);
         if (upstream != null) {
@@ -176,17 +183,17 @@
         return target(target).map(Rule.Target::checksFencing).orElse(false);
     }
 
-    /** Returns the move of a model. */
+    /** Returns the move of a model, or empty if none is configured. */
     public Optional<Rule.Move> move(String model) {
         return Optional.ofNullable(moves.get(model));
     }
 
-    /** Returns all moves, the one that is due first at the start. */
+    /** Returns all moves, ordered by due time. */
     public List<Rule.Move> moves() {
         return movesByDeadline;
     }
 
-    /** Returns the longest deadline of any kind, in milliseconds; the drain limit must exceed it. */
+    /** Returns the longest deadline of any kind in milliseconds, which the drain limit must exceed. */
     public long longestDeadlineMillis() {
         return longestDeadlineMillis;
     }
--- a/core/src/main/java/dev/wigeonward/core/rules/Units.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/Units.java
@@ -6,7 +6,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Reads numbers with units; empty when the text is not such a number or does not fit a {@code long}. */
+/** Parsers of numbers with units. Each returns empty if the text is malformed or the value exceeds a {@code long}. */
 final class Units {
     private static final Pattern NUMBER_WITH_UNIT = Pattern.compile("(\\d{1,15})([A-Za-z]+)");
     private static final Pattern COUNT = Pattern.compile("\\d{1,15}");
@@ -21,28 +21,34 @@
 
     private Units() {}
 
+    /** Returns a duration such as {@code 90s} in milliseconds. */
     static OptionalLong millis(String text) {
         return withUnit(text, MILLIS_BY_UNIT);
     }
 
+    /** Returns a size such as {@code 64KiB} in bytes. */
     static OptionalLong bytes(String text) {
         return withUnit(text, BYTES_BY_UNIT);
     }
 
+    /** Returns an integer without a unit. */
     static OptionalLong count(String text) {
         return COUNT.matcher(text).matches() ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
     }
 
+    /** Returns a rate such as {@code 50/s} per second. */
     static OptionalLong perSecond(String text) {
         Matcher matcher = RATE.matcher(text);
         return matcher.matches() ? OptionalLong.of(Long.parseLong(matcher.group(1))) : OptionalLong.empty();
     }
 
+    /** Returns a percentage such as {@code 1.5%} in hundredths of a percent. */
     static OptionalLong basisPoints(String text) {
         Matcher matcher = PERCENTAGE.matcher(text);
         return matcher.matches() ? scaled(matcher.group(1), BASIS_POINTS_DECIMALS) : OptionalLong.empty();
     }
 
+    /** Returns an amount such as {@code 0.45} in millionths. */
     static OptionalLong micros(String text) {
         return MONEY.matcher(text).matches() ? scaled(text, MICROS_DECIMALS) : OptionalLong.empty();
     }
--- a/core/src/main/java/dev/wigeonward/core/rules/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/package-info.java
@@ -1,2 +1,2 @@
-/** The operators' rules: parsing, checks across lines, lookups of the request path, differences between texts. */
+/** Rules written by operators: parsing, checks across lines, lookups for requests, and comparison of two texts. */
 package dev.wigeonward.core.rules;
--- a/core/src/test/java/dev/wigeonward/core/rules/ExampleRulesTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rules/ExampleRulesTest.java
@@ -19,7 +19,10 @@
 class ExampleRulesTest {
     private static final String CHAT = "/v1/chat/completions";
 
-    /** Guards against examples that the parser refuses, and documented demonstration keys that open no workspace. */
+    /**
+     * Guards against example files that the parser rejects, and against documented demonstration keys that belong to no
+     * workspace or are accepted without hashing.
+     */
     @ParameterizedTest
     @ValueSource(strings = {"kopsu", "bajio"})
     void parsesWithFiveWorkspacesEachWithItsKey(String deployment) throws IOException {
@@ -34,9 +37,9 @@
         });
     }
 
-    /** Guards against lookups of the request path that miss the rule which an operator wrote. */
+    /** Guards against lookups that do not return the matching rule, for example because a later kind is preferred. */
     @Test
-    void answersTheLookupsOfKopsu() throws IOException {
+    void looksUpRulesOfKopsu() throws IOException {
         RuleSet rules = rules("kopsu");
         Rule.Kind note = kind(rules, "advisory", CHAT, "POST", OptionalInt.of(100));
         assertThat(note.name()).isEqualTo("status-note");
@@ -62,9 +65,11 @@
         assertThat(rules.longestDeadlineMillis()).isEqualTo(20 * 60_000);
     }
 
-    /** Guards against commitments, fencing and moves that are read with a wrong unit or for a wrong target. */
+    /**
+     * Guards against commitments, prices, fencing and moves that are parsed with a wrong unit or for a wrong target.
+     */
     @Test
-    void answersTheLookupsOfBajio() throws IOException {
+    void looksUpRulesOfBajio() throws IOException {
         RuleSet rules = rules("bajio");
         Rule.Move move = rules.move("shared").orElseThrow();
         assertThat(move.canaryBasisPoints()).isEqualTo(150);
--- a/core/src/test/java/dev/wigeonward/core/rules/RuleDiffTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rules/RuleDiffTest.java
@@ -11,9 +11,9 @@
             workspace b weight=1 tiers=batch # asked by Ana: start
             """;
 
-    /** Guards against a change that an operator is not shown, or that is credited to nobody. */
+    /** Guards against a change that is missing from the difference or listed without the person who requested it. */
     @Test
-    void tellsAddedRemovedAndChangedRulesWithWhoAsked() {
+    void listsAddedRemovedAndChangedRulesWithRequester() {
         String after =
                 """
                 # moved
@@ -29,7 +29,9 @@
                         "ADDED workspace c Bo: new team");
     }
 
-    /** Guards against reports of changes that have no effect. */
+    /**
+     * Guards against reported changes for edits without effect: white space, the order of lines, whole-line comments.
+     */
     @Test
     void ignoresBlanksOrderAndWholeLineComments() {
         String after =
@@ -42,9 +44,9 @@
         assertThat(RuleDiff.between(BEFORE, after).isEmpty()).isTrue();
     }
 
-    /** Guards against two operators' changes to one rule that are not recognized as a conflict. */
+    /** Guards against conflicting changes by two operators to the same rule that are not detected as an overlap. */
     @Test
-    void findsRulesThatBothTouch() {
+    void findsRulesChangedByBoth() {
         RuleDiff mine = RuleDiff.between(BEFORE, BEFORE.replace("workspace a weight=1", "workspace a weight=2"));
         RuleDiff theirs = RuleDiff.between(BEFORE, BEFORE.replace("weight=1", "weight=9"));
         assertThat(mine.overlap(theirs)).containsExactly("workspace a");
--- a/core/src/test/java/dev/wigeonward/core/rules/RuleParserTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rules/RuleParserTest.java
@@ -12,11 +12,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class RuleParserTest {
-    private static final String ASKED = " # asked by Ana: test\n";
+    private static final String COMMENT = " # asked by Ana: test\n";
     private static final String HASH = "ab".repeat(32);
-    private static final String BASE = "workspace w weight=1 tiers=standard" + ASKED + "model m version=v1" + ASKED;
+    private static final String BASE = "workspace w weight=1 tiers=standard" + COMMENT + "model m version=v1" + COMMENT;
 
-    /** Guards against a fault that is accepted, or reported at a place or in words that do not help to correct it. */
+    /**
+     * Guards against a mistake that is accepted, or reported with a wrong position, a wrong cause or no expectation.
+     */
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
@@ -50,22 +52,22 @@
             move m from=v1 to=v2 by=tomorrow canary=2% | 25 | 'tomorrow' does not fit 'by'; expected an instant
             upstream u-1 | 13 | 'fencing' is missing
             """)
-    void reportsTheFaultWhereItStands(String line, int column, String message) {
-        assertThat(problems(BASE + line + ASKED)).singleElement().satisfies(problem -> {
+    void reportsProblemAtItsPosition(String line, int column, String message) {
+        assertThat(problems(BASE + line + COMMENT)).singleElement().satisfies(problem -> {
             assertThat(problem.toString()).startsWith("test.rules:3:" + column + ": " + message);
             assertThat(problem.toString()).contains("; expected ");
         });
     }
 
-    /** Guards against a parser that stops at the first fault of a line. */
+    /** Guards against a parser that stops at the first problem of a line. */
     @Test
-    void reportsAllThatALineLacks() {
-        assertThat(problems("workspace" + ASKED))
+    void reportsAllMissingFieldsOfLine() {
+        assertThat(problems("workspace" + COMMENT))
                 .extracting(RuleProblem::wrong)
                 .containsExactly("the name is missing", "'weight' is missing", "'tiers' is missing");
     }
 
-    /** Guards against rules that nobody answers for. */
+    /** Guards against accepted rules whose comment does not say who requested them and why. */
     @ParameterizedTest
     @CsvSource({
         "''",
@@ -75,56 +77,61 @@
         "' # asked by Ana:'",
         "'# asked by Ana: x'"
     })
-    void refusesLineWithoutWhoAndWhy(String comment) {
+    void rejectsLineWithoutRequesterAndReason(String comment) {
         assertThat(problems("model m version=v1" + comment)).isNotEmpty();
     }
 
-    /** Guards against a key in clear that reaches a terminal or a log through an error message. */
+    /**
+     * Guards against a workspace key in clear text, put by mistake in any place of a key line, that appears in an error
+     * message and thereby on a terminal or in a log.
+     */
     @ParameterizedTest
     @CsvSource({"key w sha256=s3cret", "key w s3cret", "key w s3cret=", "key s3cret sha256=1", "key w s3cret=1 s3cret=2"
     })
-    void neverRepeatsKeyInClear(String line) {
-        assertThat(problems(BASE + line + ASKED)).isNotEmpty().noneMatch(problem -> problem.toString()
+    void messagesNeverContainKeyInClearText(String line) {
+        assertThat(problems(BASE + line + COMMENT)).isNotEmpty().noneMatch(problem -> problem.toString()
                 .contains("s3cret"));
-        String misplaced = "key s3cret sha256=" + HASH + ASKED;
+        String misplaced = "key s3cret sha256=" + HASH + COMMENT;
         assertThat(problems(BASE + misplaced + misplaced))
                 .noneMatch(problem -> problem.toString().contains("s3cret"));
     }
 
-    /** Guards against one key that belongs to two payers. */
+    /** Guards against one key for two workspaces, also when its hash is written in upper case the second time. */
     @Test
-    void refusesOneKeyForTwoWorkspaces() {
-        String text = BASE + "workspace v weight=1 tiers=batch" + ASKED + "key v sha256=" + HASH + ASKED
-                + "key w sha256=" + HASH.toUpperCase(java.util.Locale.ROOT) + ASKED;
+    void rejectsOneKeyForTwoWorkspaces() {
+        String text = BASE + "workspace v weight=1 tiers=batch" + COMMENT + "key v sha256=" + HASH + COMMENT
+                + "key w sha256=" + HASH.toUpperCase(java.util.Locale.ROOT) + COMMENT;
         assertThat(problems(text)).singleElement().matches(problem -> problem.line() == 5);
     }
 
-    /** Guards against a kind that is silently shadowed by an earlier one. */
+    /** Guards against an accepted kind that never applies, because an earlier one matches all its requests. */
     @Test
-    void refusesKindThatNeverApplies() {
-        String rest = " tier=standard deadline=1s output=5" + ASKED;
+    void rejectsKindThatNeverApplies() {
+        String rest = " tier=standard deadline=1s output=5" + COMMENT;
         String text = BASE + "kind wide target=m max-output=100" + rest + "kind narrow target=m max-output=50" + rest;
         assertThat(problems(text)).singleElement().matches(problem -> problem.wrong()
                 .contains("line 3 matches all"));
     }
 
-    /** Guards against operators who must repair a file one fault at a time. */
+    /** Guards against a parser that stops at the first invalid line, so that operators find one problem per attempt. */
     @Property(tries = 100)
-    void reportsEveryBrokenLine(@ForAll @IntRange(min = 1, max = 50) int broken) {
+    void reportsEveryInvalidLine(@ForAll @IntRange(min = 1, max = 50) int invalidLines) {
         StringBuilder text = new StringBuilder(BASE);
-        for (int index = 0; index < broken; index++) {
+        for (int index = 0; index < invalidLines; index++) {
             text.append("\n# whole-line comment\nrate w")
                     .append(index)
                     .append(" requests=x")
-                    .append(ASKED);
+                    .append(COMMENT);
         }
-        assertThat(problems(text.toString())).hasSize(broken).isSortedAccordingTo(RuleProblem.BY_POSITION);
+        assertThat(problems(text.toString())).hasSize(invalidLines).isSortedAccordingTo(RuleProblem.BY_POSITION);
     }
 
-    /** Guards against a parser that fails with an exception on text that an operator may produce by accident. */
+    /**
+     * Guards against a parser that throws an exception for text that an operator may insert into a line by accident.
+     */
     @Property(tries = 500)
     void neverThrows(@ForAll String noise, @ForAll @IntRange(min = 0, max = 90) int position) {
-        String line = "kind k target=m method=GET path=/x* tier=standard deadline=1s output=5" + ASKED;
+        String line = "kind k target=m method=GET path=/x* tier=standard deadline=1s output=5" + COMMENT;
         int cut = Math.min(position, line.length());
         assertThat(RuleParser.parse("test.rules", BASE + line.substring(0, cut) + noise + line.substring(cut)))
                 .isNotNull();
--- a/core/src/test/java/dev/wigeonward/core/rules/RulesPageTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rules/RulesPageTest.java
@@ -27,9 +27,11 @@
             "upstream",
             "workspace");
 
-    /** Guards against documented rules that the parser refuses, and rules that the page does not document. */
+    /**
+     * Guards against documented rules that the parser rejects, and against keywords that the page does not document.
+     */
     @Test
-    void examplesAreOneValidFileWithAllRules() throws IOException {
+    void examplesFormOneValidFileWithAllKeywords() throws IOException {
         String text = blocks("rules");
         assertThat(RuleParser.parse("page", text)).isInstanceOf(RuleParseResult.Valid.class);
         assertThat(text.lines().map(line -> line.split(" ")[0]).distinct())
@@ -39,9 +41,9 @@
                 .isEqualTo("one of " + String.join(", ", KEYWORDS));
     }
 
-    /** Guards against documented error messages that the parser does not give. */
+    /** Guards against documented error messages that differ from the ones that the parser returns. */
     @Test
-    void faultyLinesHaveTheDocumentedProblems() throws IOException {
+    void invalidLinesHaveDocumentedProblems() throws IOException {
         String valid = blocks("rules");
         long line = valid.lines().count() + 1;
         List<String> examples = blocks("rules-errors").lines().toList();
