--- a/core/src/main/java/dev/wigeonward/core/schedule/Decision.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Decision.java
@@ -1,10 +1,10 @@
 package dev.wigeonward.core.schedule;
 
-/** What becomes of a request now. */
+/** The decision of the scheduler on one request: place it on an upstream or refuse it. */
 public sealed interface Decision {
-    /** The request is sent to an upstream. */
+    /** A placement: the request is to be sent to the given upstream. */
     record Place(Demand demand, Upstream upstream) implements Decision {}
 
-    /** The request is refused; nothing has run. */
+    /** A refusal: the request has not been sent to any upstream. */
     record Refuse(Demand demand, RefusalReason reason) implements Decision {}
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
@@ -7,26 +7,26 @@
 import dev.wigeonward.core.rollout.VersionBound;
 
 /**
- * One request that waits for an upstream or runs on one. The scheduler that it was offered to owns the mutable part.
- * Not thread-safe.
+ * A request that waits for an upstream or runs on one. Its mutable state belongs to the scheduler that it was offered
+ * to. Not thread-safe.
  */
 public final class Demand {
     private final String kind;
     private final int rank;
     private final long objectiveMillis;
     private final long maxPauseMillis;
-    private final boolean generates;
+    private final boolean streaming;
     private final int promptTokens;
     private final long arrivedAtMillis;
-    private final long elapsedBeforeMillis;
+    private final long earlierAttemptsMillis;
     private final long deadlineAtMillis;
     private final double expectedOutputTokens;
     private final VersionBound versions;
-    private final Set<String> avoided = new HashSet<>();
+    private final Set<String> excludedUpstreamIds = new HashSet<>();
     private Optional<UpstreamLoad> placedOn = Optional.empty();
     private long placedAtMillis;
     private long promptTokensAhead;
-    private boolean answering;
+    private boolean firstEventReceived;
     private double expectedEvents;
     private double slownessWhenPlaced;
     private double usualMillis;
@@ -36,50 +36,51 @@
         rank = builder.rank;
         objectiveMillis = builder.objectiveMillis;
         maxPauseMillis = builder.maxPauseMillis;
-        generates = builder.generates;
+        streaming = builder.streaming;
         promptTokens = builder.promptTokens;
         arrivedAtMillis = builder.arrivedAtMillis;
-        elapsedBeforeMillis = builder.elapsedBeforeMillis;
+        earlierAttemptsMillis = builder.earlierAttemptsMillis;
         deadlineAtMillis = builder.deadlineAtMillis;
         expectedOutputTokens = builder.expectedOutputTokens;
         versions = builder.versions;
     }
 
     /**
-     * Returns a builder of a demand.
+     * Returns a builder for a request.
      *
-     * @param kind requests of one kind are served in order of arrival and compared with other kinds
-     * @param rank 0 is the most urgent
+     * @param kind class of the request; requests of one kind are served in order of arrival, and kinds compete by rank
+     * @param rank priority of the kind; lower values are served first, and 0 is the most urgent
+     * @param objectiveMillis target time for the response, measured from arrival, in milliseconds
      */
     public static Builder builder(String kind, int rank, long objectiveMillis, long arrivedAtMillis) {
         return new Builder(kind, rank, objectiveMillis, arrivedAtMillis);
     }
 
-    /** Keeps the request away from an upstream that has failed it. */
+    /** Excludes an upstream on which the request failed from further placements of the request. */
     public void avoid(String upstreamId) {
-        avoided.add(upstreamId);
+        excludedUpstreamIds.add(upstreamId);
     }
 
-    boolean avoids(String upstreamId) {
-        return avoided.contains(upstreamId);
+    boolean isExcluded(String upstreamId) {
+        return excludedUpstreamIds.contains(upstreamId);
     }
 
-    /** Returns the upstream on which the request was placed last, or empty while it waits for its first one. */
+    /** Returns the upstream of the most recent placement, or empty before the first placement. */
     public Optional<Upstream> upstream() {
         return placedOn.map(UpstreamLoad::upstream);
     }
 
-    /** Returns the time since the request came to this entry. */
+    /** Returns the time since the request arrived at this entry, in milliseconds. */
     public long ageMillis(long nowMillis) {
         return nowMillis - arrivedAtMillis;
     }
 
-    /** Returns the kind of request. */
+    /** Returns the kind, which determines the queue of the request. */
     public String kind() {
         return kind;
     }
 
-    /** Returns the time within which the answer is worth most. */
+    /** Returns the response time objective, in milliseconds; a later answer has less value. */
     public long objectiveMillis() {
         return objectiveMillis;
     }
@@ -88,12 +89,12 @@
         return rank;
     }
 
-    boolean late(long nowMillis) {
-        return elapsedBeforeMillis + ageMillis(nowMillis) > objectiveMillis;
+    boolean isPastObjective(long nowMillis) {
+        return earlierAttemptsMillis + ageMillis(nowMillis) > objectiveMillis;
     }
 
     long remainingObjectiveMillis(long nowMillis) {
-        return objectiveMillis - elapsedBeforeMillis - ageMillis(nowMillis);
+        return objectiveMillis - earlierAttemptsMillis - ageMillis(nowMillis);
     }
 
     long deadlineAtMillis() {
@@ -104,17 +105,19 @@
         return expectedOutputTokens;
     }
 
-    /** Returns how many events the answer was expected to have when the request was last considered. */
+    /** Returns the expected number of events in the answer, as of the last placement attempt. */
     public double expectedEvents() {
         return expectedEvents;
     }
 
-    /** Returns how many times as long as a usual upstream the chosen one was believed to take; 0 before a choice. */
+    /**
+     * Returns the estimated slowness of the chosen upstream relative to a typical one, or 0 before the first placement.
+     */
     public double slownessWhenPlaced() {
         return slownessWhenPlaced;
     }
 
-    void expectEvents(double events) {
+    void setExpectedEvents(double events) {
         expectedEvents = events;
     }
 
@@ -122,8 +125,8 @@
         return maxPauseMillis;
     }
 
-    boolean generates() {
-        return generates;
+    boolean isStreaming() {
+        return streaming;
     }
 
     int promptTokens() {
@@ -142,43 +145,46 @@
         return promptTokensAhead;
     }
 
-    boolean answering() {
-        return answering;
+    boolean firstEventReceived() {
+        return firstEventReceived;
     }
 
-    /** Returns the time in which a usual upstream would send the first event or answer the call; 0 before a choice. */
+    /**
+     * Returns the time in which a typical upstream would send the first event or answer the call, in milliseconds, or 0
+     * before the first placement.
+     */
     public double usualMillis() {
         return usualMillis;
     }
 
-    /** Returns which versions may serve the request. */
+    /** Returns the constraint on the versions that may serve the request. */
     VersionBound versions() {
         return versions;
     }
 
-    void placeOn(UpstreamLoad load, double slowness, double usual, long nowMillis) {
+    void recordPlacement(UpstreamLoad load, double slowness, double typicalMillis, long nowMillis) {
         placedOn = Optional.of(load);
         placedAtMillis = nowMillis;
-        promptTokensAhead = load.unreadPromptTokens();
+        promptTokensAhead = load.pendingPromptTokens();
         slownessWhenPlaced = slowness;
-        usualMillis = usual;
-        answering = false;
+        usualMillis = typicalMillis;
+        firstEventReceived = false;
     }
 
-    void startAnswering() {
-        answering = true;
+    void markFirstEventReceived() {
+        firstEventReceived = true;
     }
 
-    /** Collects the parts of a demand. */
+    /** Builder of {@link Demand} instances. */
     public static final class Builder {
         private final String kind;
         private final int rank;
         private final long objectiveMillis;
         private final long arrivedAtMillis;
         private long maxPauseMillis;
-        private boolean generates;
+        private boolean streaming;
         private int promptTokens;
-        private long elapsedBeforeMillis;
+        private long earlierAttemptsMillis;
         private long deadlineAtMillis = Long.MAX_VALUE;
         private double expectedOutputTokens;
         private VersionBound versions = VersionBound.NONE;
@@ -191,37 +197,39 @@
         }
 
         /**
-         * Makes the demand one for a generated stream.
+         * Marks the request as one whose answer is a generated stream.
          *
-         * @param expectedOutput estimate of the output tokens, 0 if there is none
+         * @param tokens number of prompt tokens
+         * @param expectedOutput estimated number of output tokens, or 0 if there is no estimate
+         * @param longestPauseMillis longest acceptable pause between two events, in milliseconds; 0 for no limit
          */
         public Builder generating(int tokens, double expectedOutput, long longestPauseMillis) {
-            generates = true;
+            streaming = true;
             promptTokens = tokens;
             expectedOutputTokens = expectedOutput;
             maxPauseMillis = longestPauseMillis;
             return this;
         }
 
-        /** States how long the caller had waited in earlier attempts. */
+        /** Sets the time that the caller spent waiting in earlier attempts, which counts against the objective. */
         public Builder elapsedBefore(long millis) {
-            elapsedBeforeMillis = millis;
+            earlierAttemptsMillis = millis;
             return this;
         }
 
-        /** States which versions may serve the request. */
+        /** Sets the constraint on the versions that may serve the request. */
         public Builder versions(VersionBound bound) {
             versions = bound;
             return this;
         }
 
-        /** States when a complete answer is of use at the latest. */
+        /** Sets the time after which a complete answer is of no use. */
         public Builder deadlineAt(long millis) {
             deadlineAtMillis = millis;
             return this;
         }
 
-        /** Returns the demand. */
+        /** Returns a new request with the collected properties. */
         public Demand build() {
             return new Demand(this);
         }
--- a/core/src/main/java/dev/wigeonward/core/schedule/LearnedUnit.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/LearnedUnit.java
@@ -3,14 +3,15 @@
 import com.google.common.base.Preconditions;
 
 /**
- * What an entry has learned of the speed of one upstream, for other entries and for a later start.
+ * Observed speed of one upstream, exchanged between entries and restored after a restart.
  *
- * @param lifetime lifetime of the upstream, as {@link Upstream#lifetime} names it
- * @param unitMillis time of one event of a stream, or of one plain call
- * @param ageMillis time since it was observed
+ * @param lifetime identifier of the upstream's lifetime, as returned by {@link Upstream#lifetime}
+ * @param unitMillis time between two events of a stream, or duration of one plain call, in milliseconds
+ * @param ageMillis time since the last observation, in milliseconds
  */
 public record LearnedUnit(String lifetime, double unitMillis, long ageMillis) {
     public LearnedUnit {
-        Preconditions.checkArgument(unitMillis > 0, "unitMillis of %s is %s", lifetime, unitMillis);
+        Preconditions.checkArgument(
+                unitMillis > 0, "unitMillis of upstream lifetime %s must be positive but was %s", lifetime, unitMillis);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/RefusalReason.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/RefusalReason.java
@@ -1,11 +1,11 @@
 package dev.wigeonward.core.schedule;
 
-/** Why a request is refused before it is sent to an upstream. */
+/** Reason for refusing a request before it is sent to an upstream. */
 public enum RefusalReason {
-    /** No upstream of the service is known. */
+    /** The service has no upstream that accepts new requests. */
     NO_UPSTREAM,
-    /** The requests that go first fill the upstreams for longer than the request may wait. */
+    /** The requests ahead in the queue are expected to take longer than the request may wait. */
     QUEUE_TOO_LONG,
-    /** The request has waited as long as it may. */
+    /** The request reached its maximum wait. */
     WAITED_TOO_LONG
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -11,41 +11,45 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Queue and placement for the upstreams of one service. An upstream gets no more requests than it runs at once, so that
- * the order of service is decided here and not by the order of arrival there. Not thread-safe.
+ * Scheduler that queues the requests for one service and places them on its upstreams. An upstream gets no more
+ * requests than it runs concurrently, so that this scheduler determines the order of service rather than the order of
+ * arrival at the upstream. Not thread-safe.
  */
 public final class ServiceScheduler {
-    /** Longest wait for an upstream as a part of the objective; the rest is left for the first event. */
-    private static final double LONGEST_WAIT_PART = 0.5;
     /**
-     * Part of all places that is kept free for requests that go first, if all requests were such. A place that is free
-     * when an urgent request comes saves it the wait; entries cannot order their queues by each other's.
+     * Maximum wait for an upstream as a fraction of the objective; the rest is left for the time to the first event.
      */
-    private static final double RESERVED_PART = 0.15;
-    /** Expected loss above which a placement is put off while the request may still wait for a better one. */
-    private static final double PATIENT_LOSS = 0.45;
-    /** Expected loss above which a placement is not made at all: the answer would be of no use. */
-    private static final double LARGEST_LOSS = 1.4;
-    /** Part of the longest wait after which a poor placement is taken. */
-    private static final double PATIENT_PART = 0.6;
+    private static final double MAX_WAIT_FRACTION = 0.5;
+    /**
+     * Fraction of all slots that is kept free for more urgent requests, scaled by their share of the traffic. A free
+     * slot spares an urgent request the wait, because entries cannot order their queues relative to those of other
+     * entries.
+     */
+    private static final double RESERVED_SLOT_FRACTION = 0.15;
+    /** Expected loss above which a placement is deferred while the request may still wait for a better one. */
+    private static final double DEFERRAL_LOSS = 0.45;
+    /** Expected loss above which an upstream is not chosen at all, because the answer would be of no use. */
+    private static final double MAX_LOSS = 1.4;
+    /** Fraction of the maximum wait after which placements are no longer deferred. */
+    private static final double DEFERRAL_FRACTION = 0.6;
 
     private static final long FULL_PAUSE_MILLIS = 60;
-    private static final long LEAST_SILENCE_MILLIS = 400;
+    private static final long MIN_SILENCE_MILLIS = 400;
     private static final double SILENCE_FACTOR = 4.0;
-    /** Time constant of the rate of placements, in milliseconds. */
-    private static final double RATE_MEMORY_MILLIS = 1_000;
+    /** Time constant of the moving average of the placement rate, in milliseconds. */
+    private static final double RATE_TIME_CONSTANT_MILLIS = 1_000;
 
-    private static final double LEAST_RATE_PER_MILLI = 0.002;
+    private static final double MIN_PLACEMENTS_PER_MILLI = 0.002;
 
     private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
     private final WaitingRequests waiting = new WaitingRequests();
-    private final ServicePace pace = new ServicePace();
+    private final ServiceTimeModel timeModel = new ServiceTimeModel();
     private final PlacementLoss loss;
-    private double placementsPerMilli = LEAST_RATE_PER_MILLI;
-    private long rateAtMillis;
+    private double placementsPerMilli = MIN_PLACEMENTS_PER_MILLI;
+    private long rateUpdatedAtMillis;
 
     private ServiceScheduler(String zone) {
-        this.loss = new PlacementLoss(pace, zone);
+        this.loss = new PlacementLoss(timeModel, zone);
     }
 
     /** Returns a scheduler without upstreams for an entry in the given zone. */
@@ -53,14 +57,14 @@
         return new ServiceScheduler(zone);
     }
 
-    /** Replaces the list of upstreams; those that stay keep what was learned of them. */
+    /** Replaces the list of upstreams; the state of an upstream is kept if its lifetime and address are unchanged. */
     public void upstreams(Collection<Upstream> listed) {
         Map<String, UpstreamLoad> previous = new HashMap<>(upstreams);
         upstreams.clear();
         for (Upstream upstream : listed) {
             UpstreamLoad known = previous.get(upstream.id());
             if (known != null && known.upstream().sameLifetime(upstream)) {
-                known.describe(upstream);
+                known.setUpstream(upstream);
                 upstreams.put(upstream.id(), known);
             } else {
                 upstreams.put(upstream.id(), new UpstreamLoad(upstream));
@@ -68,15 +72,15 @@
         }
     }
 
-    /** Takes over what peers have sent to each upstream, by its identifier. */
+    /** Replaces the load that other entries reported for each upstream, looked up by its identifier. */
     public void reportPeers(Function<String, OwnLoad> loads) {
         upstreams.forEach((id, load) -> {
             OwnLoad reported = loads.apply(id);
-            load.reportPeers(reported.requests(), reported.promptTokens());
+            load.setPeerLoad(reported.requests(), reported.promptTokens());
         });
     }
 
-    /** Takes over what other entries have learned, as far as it is newer than what this one has learned. */
+    /** Adopts the unit times observed by other entries where they are newer than those of this entry. */
     public void adopt(Collection<LearnedUnit> units, long nowMillis) {
         Map<String, LearnedUnit> byLifetime = new HashMap<>();
         units.forEach(unit -> byLifetime.put(unit.lifetime(), unit));
@@ -88,47 +92,52 @@
         }
     }
 
-    /** Returns all that is known of the speed of the upstreams. */
+    /** Returns the unit times of all upstreams that have one. */
     public List<LearnedUnit> learned(long nowMillis) {
         return upstreams.values().stream()
-                .flatMap(load -> load.learned(nowMillis).stream())
+                .flatMap(load -> load.learnedUnit(nowMillis).stream())
                 .toList();
     }
 
-    /** Returns what has changed notably since the last call, so that reports stay small. */
+    /** Returns the unit times that have changed notably since they were last returned here or adopted. */
     public List<LearnedUnit> learnedSinceTold(long nowMillis) {
         return upstreams.values().stream()
-                .flatMap(load -> load.learnedSinceTold(nowMillis).stream())
+                .flatMap(load -> load.takeChangedUnit(nowMillis).stream())
                 .toList();
     }
 
-    /** Adds a request; the next {@link #decide} says what becomes of it. */
+    /** Adds a request to the queue; {@link #decide} returns the decision on it. */
     public void offer(Demand demand) {
-        Preconditions.checkArgument(demand.objectiveMillis() > 0, "objective of %s is not positive", demand.kind());
+        Preconditions.checkArgument(
+                demand.objectiveMillis() > 0,
+                "objectiveMillis of a request of kind %s must be positive but was %s",
+                demand.kind(),
+                demand.objectiveMillis());
         waiting.add(demand);
     }
 
-    /** Takes a waiting request back; returns false if it does not wait. */
+    /** Removes a waiting request from the queue and returns whether it was waiting. */
     public boolean withdraw(Demand demand) {
         return waiting.remove(demand);
     }
 
-    /** Returns all decisions that are due. */
+    /** Returns the decisions that are due: placements on free upstreams and refusals. */
     public List<Decision> decide(long nowMillis) {
         List<Decision> decisions = new ArrayList<>();
         if (waiting.size() == 0) {
             return decisions;
         }
-        while (placeOne(decisions, nowMillis)) {
-            // Each placement changes the loads that the next one is compared by.
+        while (decideOne(decisions, nowMillis)) {
+            // Each placement changes the loads that the next comparison uses, so requests are placed one at a time.
         }
-        for (Demand demand : waiting.removeOverdue(this::longestWaitMillis, nowMillis)) {
+        for (Demand demand : waiting.removeOverdue(this::maxWaitMillis, nowMillis)) {
             refuse(demand, RefusalReason.WAITED_TOO_LONG, decisions);
         }
         return decisions;
     }
 
-    private boolean placeOne(List<Decision> decisions, long nowMillis) {
+    /** Makes at most one decision and returns whether it made one. */
+    private boolean decideOne(List<Decision> decisions, long nowMillis) {
         boolean anyUpstream =
                 upstreams.values().stream().anyMatch(load -> !load.upstream().draining());
         for (Demand demand : waiting.candidates(nowMillis)) {
@@ -137,13 +146,13 @@
                 refuse(demand, RefusalReason.NO_UPSTREAM, decisions);
                 return true;
             }
-            Optional<UpstreamLoad> best = best(demand, nowMillis);
+            Optional<UpstreamLoad> best = findBest(demand, nowMillis);
             if (best.isPresent()) {
                 waiting.remove(demand);
                 place(demand, best.get(), decisions, nowMillis);
                 return true;
             }
-            if (!demand.late(nowMillis) && expectedWaitMillis(demand, nowMillis) > longestWaitMillis(demand)) {
+            if (!demand.isPastObjective(nowMillis) && expectedWaitMillis(demand, nowMillis) > maxWaitMillis(demand)) {
                 waiting.remove(demand);
                 refuse(demand, RefusalReason.QUEUE_TOO_LONG, decisions);
                 return true;
@@ -152,25 +161,25 @@
         return false;
     }
 
-    private long longestWaitMillis(Demand demand) {
-        return (long) (LONGEST_WAIT_PART * demand.objectiveMillis());
+    private long maxWaitMillis(Demand demand) {
+        return (long) (MAX_WAIT_FRACTION * demand.objectiveMillis());
     }
 
     private void place(Demand demand, UpstreamLoad load, List<Decision> decisions, long nowMillis) {
-        double usualMillis = demand.generates()
-                ? pace.firstEventMillis(load.unreadPromptTokens() + demand.promptTokens())
-                : pace.unitMillis();
-        demand.placeOn(load, pace.slowness(load), usualMillis, nowMillis);
+        double typicalMillis = demand.isStreaming()
+                ? timeModel.firstEventMillis(load.pendingPromptTokens() + demand.promptTokens())
+                : timeModel.unitMillis();
+        demand.recordPlacement(load, timeModel.slowness(load), typicalMillis, nowMillis);
         load.add(demand);
         waiting.onOutcome(demand, true);
-        fadeRate(nowMillis);
-        placementsPerMilli += 1 / RATE_MEMORY_MILLIS;
+        decayPlacementRate(nowMillis);
+        placementsPerMilli += 1 / RATE_TIME_CONSTANT_MILLIS;
         decisions.add(new Decision.Place(demand, load.upstream()));
     }
 
-    private void fadeRate(long nowMillis) {
-        placementsPerMilli *= Math.exp((rateAtMillis - nowMillis) / RATE_MEMORY_MILLIS);
-        rateAtMillis = nowMillis;
+    private void decayPlacementRate(long nowMillis) {
+        placementsPerMilli *= Math.exp((rateUpdatedAtMillis - nowMillis) / RATE_TIME_CONSTANT_MILLIS);
+        rateUpdatedAtMillis = nowMillis;
     }
 
     private void refuse(Demand demand, RefusalReason reason, List<Decision> decisions) {
@@ -179,55 +188,55 @@
     }
 
     private double expectedWaitMillis(Demand demand, long nowMillis) {
-        fadeRate(nowMillis);
-        return waiting.othersOfRank(demand) / Math.max(LEAST_RATE_PER_MILLI, placementsPerMilli);
+        decayPlacementRate(nowMillis);
+        return waiting.othersUpToRank(demand) / Math.max(MIN_PLACEMENTS_PER_MILLI, placementsPerMilli);
     }
 
-    private Optional<UpstreamLoad> best(Demand demand, long nowMillis) {
-        demand.expectEvents(pace.expectedEvents(demand.expectedOutputTokens()));
+    private Optional<UpstreamLoad> findBest(Demand demand, long nowMillis) {
+        demand.setExpectedEvents(timeModel.expectedEvents(demand.expectedOutputTokens()));
         UpstreamLoad best = null;
         double least =
-                demand.ageMillis(nowMillis) > PATIENT_PART * longestWaitMillis(demand) ? LARGEST_LOSS : PATIENT_LOSS;
+                demand.ageMillis(nowMillis) > DEFERRAL_FRACTION * maxWaitMillis(demand) ? MAX_LOSS : DEFERRAL_LOSS;
         boolean anyUnpaused = false;
-        boolean reserved = freePart(nowMillis) <= RESERVED_PART * waiting.shareBefore(demand);
-        double usualFailures = usualFailures();
-        boolean anySuits = anySuits(demand);
+        boolean reserved = freeSlotFraction(nowMillis) <= RESERVED_SLOT_FRACTION * waiting.shareOfMoreUrgent(demand);
+        double meanFailureRatio = meanFailureRatio();
+        boolean anySuitable = anySuitable(demand);
         for (UpstreamLoad load : upstreams.values()) {
-            if (!mayServe(demand, load, anySuits)) {
+            if (!mayServe(demand, load, anySuitable)) {
                 continue;
             }
-            boolean paused = load.paused(nowMillis) || silent(load, nowMillis);
+            boolean paused = load.paused(nowMillis) || hasOverdueOutput(load, nowMillis);
             anyUnpaused |= !paused;
             if (paused || reserved || load.outstanding() >= load.upstream().slots()) {
                 continue;
             }
-            double expected = loss.of(demand, load, usualFailures, nowMillis);
+            double expected = loss.expectedLoss(demand, load, meanFailureRatio, nowMillis);
             if (expected < least) {
                 least = expected;
                 best = load;
             }
         }
         if (best == null && !anyUnpaused) {
-            return leastPaused(demand);
+            return findFallback(demand);
         }
         return Optional.ofNullable(best);
     }
 
-    private boolean anySuits(Demand demand) {
+    private boolean anySuitable(Demand demand) {
         return upstreams.values().stream()
                 .map(UpstreamLoad::upstream)
                 .anyMatch(upstream -> !upstream.draining() && demand.versions().suits(upstream.version()));
     }
 
-    private static boolean mayServe(Demand demand, UpstreamLoad load, boolean anySuits) {
+    private static boolean mayServe(Demand demand, UpstreamLoad load, boolean anySuitable) {
         Upstream upstream = load.upstream();
-        boolean rightVersion = anySuits
+        boolean rightVersion = anySuitable
                 ? demand.versions().suits(upstream.version())
                 : demand.versions().allows(upstream.version());
-        return rightVersion && !upstream.draining() && !demand.avoids(upstream.id());
+        return rightVersion && !upstream.draining() && !demand.isExcluded(upstream.id());
     }
 
-    /** Returns how many requests of all entries are at upstreams of other versions. */
+    /** Returns the number of requests of all entries at upstreams of other versions than the given one. */
     public int outstandingAtOthers(String version) {
         return upstreams.values().stream()
                 .filter(load -> !load.upstream().version().equals(version))
@@ -235,19 +244,19 @@
                 .sum();
     }
 
-    private double freePart(long nowMillis) {
-        double places = 0;
+    private double freeSlotFraction(long nowMillis) {
+        double slots = 0;
         double free = 0;
         for (UpstreamLoad load : upstreams.values()) {
             if (!load.upstream().draining() && !load.paused(nowMillis)) {
-                places += load.upstream().slots();
+                slots += load.upstream().slots();
                 free += Math.max(0, load.upstream().slots() - load.outstanding());
             }
         }
-        return places == 0 ? 1 : free / places;
+        return slots == 0 ? 1 : free / slots;
     }
 
-    private double usualFailures() {
+    private double meanFailureRatio() {
         double sum = 0;
         for (UpstreamLoad load : upstreams.values()) {
             sum += load.failureRatio();
@@ -255,12 +264,15 @@
         return sum / Math.max(1, upstreams.size());
     }
 
-    /** A service whose upstreams all look bad is still tried: the belief may be wrong, and nothing else can show it. */
-    private Optional<UpstreamLoad> leastPaused(Demand demand) {
+    /**
+     * Returns the upstream with the lowest failure ratio, including paused ones. Used when all upstreams are paused:
+     * they may have recovered, and only another request can show it.
+     */
+    private Optional<UpstreamLoad> findFallback(Demand demand) {
         UpstreamLoad best = null;
-        boolean anySuits = anySuits(demand);
+        boolean anySuitable = anySuitable(demand);
         for (UpstreamLoad load : upstreams.values()) {
-            if (!mayServe(demand, load, anySuits)
+            if (!mayServe(demand, load, anySuitable)
                     || load.outstanding() >= load.upstream().slots()) {
                 continue;
             }
@@ -271,25 +283,25 @@
         return Optional.ofNullable(best);
     }
 
-    /** Returns whether the upstream owes output to this entry for so long that it may have stopped. */
-    private boolean silent(UpstreamLoad load, long nowMillis) {
+    /** Returns whether output for a request of this entry is overdue, so that the upstream may have stopped. */
+    private boolean hasOverdueOutput(UpstreamLoad load, long nowMillis) {
         for (Demand demand : load.running()) {
-            if (owesOutput(demand, load, nowMillis)) {
+            if (isOutputOverdue(demand, load, nowMillis)) {
                 return true;
             }
         }
         return false;
     }
 
-    private boolean owesOutput(Demand demand, UpstreamLoad load, long nowMillis) {
+    private boolean isOutputOverdue(Demand demand, UpstreamLoad load, long nowMillis) {
         long since = Math.max(demand.placedAtMillis(), load.lastOutputAtMillis());
-        double units = demand.generates() && !demand.answering()
-                ? pace.firstEventMillis(demand.promptTokensAhead() + demand.promptTokens())
-                : pace.unitMillis();
-        return nowMillis - since > LEAST_SILENCE_MILLIS + SILENCE_FACTOR * pace.slowness(load) * units;
+        double units = demand.isStreaming() && !demand.firstEventReceived()
+                ? timeModel.firstEventMillis(demand.promptTokensAhead() + demand.promptTokens())
+                : timeModel.unitMillis();
+        return nowMillis - since > MIN_SILENCE_MILLIS + SILENCE_FACTOR * timeModel.slowness(load) * units;
     }
 
-    /** Returns the upstreams that get nothing until {@link #resume} is told that they accept connections. */
+    /** Returns the upstreams that are excluded from placement until {@link #resume} is called for them. */
     public List<Upstream> suspended() {
         return upstreams.values().stream()
                 .filter(UpstreamLoad::suspended)
@@ -297,7 +309,7 @@
                 .toList();
     }
 
-    /** An upstream accepts connections again. */
+    /** Includes an upstream in placement again after it accepts connections. */
     public void resume(String upstreamId) {
         UpstreamLoad load = upstreams.get(upstreamId);
         if (load != null) {
@@ -305,7 +317,7 @@
         }
     }
 
-    /** An upstream does not accept connections. */
+    /** Excludes an upstream from placement because it does not accept connections. */
     public void suspend(String upstreamId) {
         UpstreamLoad load = upstreams.get(upstreamId);
         if (load != null) {
@@ -313,37 +325,37 @@
         }
     }
 
-    /** The upstream sent the first event of a stream. */
+    /** Records the first event of a stream and updates the estimated time to the first event with it. */
     public void onFirstEvent(Demand demand, long nowMillis) {
         UpstreamLoad load = placedLoad(demand);
         load.onOutput(nowMillis);
-        if (demand.answering()) {
+        if (demand.firstEventReceived()) {
             return;
         }
-        // Tokens ahead of it, which other entries may have sent, are known with a delay and would blur the relation.
+        // Prompt tokens ahead may come from other entries; their count is known with a delay and would skew the fit.
         if (demand.promptTokensAhead() == 0) {
             double observed = nowMillis - demand.placedAtMillis();
-            pace.learnFirstEvent(demand.promptTokens(), observed / pace.slowness(load));
+            timeModel.observeFirstEvent(demand.promptTokens(), observed / timeModel.slowness(load));
         }
-        demand.startAnswering();
+        demand.markFirstEventReceived();
     }
 
-    /** The upstream sent some bytes. */
+    /** Records that the upstream sent output for the request. */
     public void onOutput(Demand demand, long nowMillis) {
         placedLoad(demand).onOutput(nowMillis);
     }
 
-    /** Several events of a stream came; learns from the mean pause between them. */
+    /** Updates the unit time of the upstream with the mean pause between several events of a stream. */
     public void onPauses(Demand demand, double meanPauseMillis, long nowMillis) {
-        placedLoad(demand).learnUnit(meanPauseMillis, nowMillis);
+        placedLoad(demand).observeUnit(meanPauseMillis, nowMillis);
     }
 
-    /** A stream ended after this many events; learns how long answers are. */
+    /** Updates the estimate of the events per output token with the length of a completed stream. */
     public void onLength(Demand demand, long events) {
-        pace.learnLength(demand.expectedOutputTokens(), events);
+        timeModel.observeLength(demand.expectedOutputTokens(), events);
     }
 
-    /** The request ended at its upstream; frees its place. */
+    /** Records the outcome of a request and frees its slot at the upstream. */
     public void onEnded(Demand demand, Outcome outcome, long nowMillis) {
         UpstreamLoad load = placedLoad(demand);
         load.remove(demand);
@@ -351,18 +363,18 @@
             case ANSWERED -> {
                 load.onOutput(nowMillis);
                 load.onSuccess();
-                if (!demand.generates()) {
-                    load.learnUnit(Math.max(1, nowMillis - demand.placedAtMillis()), nowMillis);
+                if (!demand.isStreaming()) {
+                    load.observeUnit(Math.max(1, nowMillis - demand.placedAtMillis()), nowMillis);
                 }
             }
             case FAILED -> load.onFailure();
-            case FULL -> load.pauseBriefly(FULL_PAUSE_MILLIS, nowMillis);
+            case FULL -> load.pauseFor(FULL_PAUSE_MILLIS, nowMillis);
             case UNREACHABLE -> {
                 load.onFailure();
                 load.suspend();
             }
             case LEFT -> {
-                if (owesOutput(demand, load, nowMillis)) {
+                if (isOutputOverdue(demand, load, nowMillis)) {
                     load.onFailure();
                     load.suspend();
                 }
@@ -373,55 +385,59 @@
 
     private static UpstreamLoad placedLoad(Demand demand) {
         return demand.placedOn()
-                .orElseThrow(() -> new IllegalStateException("request of kind " + demand.kind() + " was not placed"));
+                .orElseThrow(() -> new IllegalStateException(
+                        "request of kind " + demand.kind() + " must be placed on an upstream but was never placed"));
     }
 
-    /** Compares the upstreams afresh; called several times a second. */
+    /** Recomputes the typical unit time, relative to which upstreams are compared; called several times a second. */
     public void compareUpstreams() {
-        pace.usualUnit(upstreams.values());
+        timeModel.updateUnitMillis(upstreams.values());
     }
 
-    /** Returns what this entry has at each upstream, for its peers. */
+    /** Returns the load of this entry at each upstream where it has requests, for reports to its peers. */
     public List<OwnLoad> ownLoads() {
         List<OwnLoad> loads = new ArrayList<>();
         for (UpstreamLoad load : upstreams.values()) {
             if (!load.running().isEmpty()) {
-                loads.add(new OwnLoad(load.upstream().id(), load.running().size(), load.ownUnreadPromptTokens()));
+                loads.add(new OwnLoad(load.upstream().id(), load.running().size(), load.ownPendingPromptTokens()));
             }
         }
         return loads;
     }
 
-    /** Returns how many requests wait. */
+    /** Returns the number of waiting requests. */
     public int waitingCount() {
         return waiting.size();
     }
 
-    /** Returns one line for each upstream: load, slowness and failures, for a dump. */
+    /** Returns one line for each upstream with its load, slowness and failure ratio, for a dump. */
     public List<String> describe(long nowMillis) {
         return upstreams.values().stream()
-                .map(load -> load.line(pace.slowness(load), nowMillis))
+                .map(load -> load.dumpLine(timeModel.slowness(load), nowMillis))
                 .sorted()
                 .toList();
     }
 
-    /** How a request ended at its upstream. */
+    /** Outcome of a request at its upstream. */
     public enum Outcome {
-        /** A complete answer came. */
+        /** The upstream sent a complete answer. */
         ANSWERED,
-        /** A failure or a broken answer came. */
+        /** The upstream sent an error or an incomplete answer. */
         FAILED,
-        /** The upstream said that it did not run the request. */
+        /** The upstream reported that it did not run the request. */
         FULL,
-        /** No connection was made, or nothing came. */
+        /** The connection failed, or the upstream sent nothing. */
         UNREACHABLE,
-        /** The caller left or the time was up; whether the upstream was silent is judged here. */
+        /**
+         * The caller disconnected or the deadline passed; the scheduler checks whether the upstream's output was
+         * overdue.
+         */
         LEFT
     }
 
-    /** What an entry has at one upstream. */
+    /** Load of one entry at one upstream: its requests and the prompt tokens of those without a first event. */
     public record OwnLoad(String upstreamId, int requests, long promptTokens) {
-        /** Returns the load of an entry that has nothing there. */
+        /** Returns the load of an entry without requests at the upstream. */
         public static OwnLoad none(String upstreamId) {
             return new OwnLoad(upstreamId, 0, 0);
         }
--- a/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
@@ -5,13 +5,14 @@
 import com.google.common.base.Preconditions;
 
 /**
- * One lifetime of an upstream, as the list of upstreams shows it.
+ * Description of one lifetime of an upstream, from the list of upstreams.
  *
  * @param id identifier of this lifetime
- * @param address numeric host and port
- * @param slots requests that it runs at once
- * @param draining true once it takes no new requests
- * @param bornMillis start of this lifetime if the upstream tells it; a restart may keep the identifier
+ * @param address IP address and port
+ * @param slots number of requests that it runs concurrently
+ * @param draining whether it accepts no new requests
+ * @param bornMillis start of this lifetime, if the upstream reports it; distinguishes lifetimes when a restart keeps
+ *     the identifier
  */
 public record Upstream(
         String id,
@@ -23,10 +24,12 @@
         boolean draining,
         Optional<Long> bornMillis) {
     public Upstream {
-        Preconditions.checkArgument(slots > 0, "slots of %s is %s", id, slots);
+        Preconditions.checkArgument(slots > 0, "slots of upstream %s must be positive but was %s", id, slots);
     }
 
-    /** Returns a number that differs, almost surely, between entries that lead to other decisions. */
+    /**
+     * Returns a hash of the fields that affect scheduling; descriptions that differ in them almost surely differ in it.
+     */
     public long signature() {
         long hash = id.hashCode();
         hash = 31 * hash + service.hashCode();
@@ -38,12 +41,14 @@
         return 31 * hash + bornMillis.orElse(0L);
     }
 
-    /** Returns a name that differs between lifetimes, also where a restart keeps the identifier. */
+    /**
+     * Returns an identifier of this lifetime, which changes at a restart even if the upstream keeps its {@link #id}.
+     */
     public String lifetime() {
         return id + "/" + bornMillis.map(String::valueOf).orElse("");
     }
 
-    /** Returns whether the other entry describes the same lifetime at the same address. */
+    /** Returns whether the other description is of the same lifetime at the same address. */
     public boolean sameLifetime(Upstream other) {
         return id.equals(other.id) && address.equals(other.address) && bornMillis.equals(other.bornMillis);
     }
--- a/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
@@ -5,26 +5,26 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 
-/** What this entry knows of one upstream: its own requests there, what peers report, speed and failures. */
+/** State of one upstream as seen by this entry: own requests, load reported by peers, speed and failures. */
 final class UpstreamLoad {
-    /** Share of a new observation in the learned time; a five-fold slowdown is followed within five observations. */
-    private static final double LEARNING_SHARE = 0.25;
-    /** Largest factor by which one observation differs from the belief; bounds the effect of one odd answer. */
-    private static final double LARGEST_STEP = 4.0;
+    /** Weight of a new observation in the unit time; a five-fold slowdown is tracked within five observations. */
+    private static final double UNIT_SMOOTHING_FACTOR = 0.25;
+    /** Largest factor by which one observation may differ from the estimate; limits the effect of an outlier. */
+    private static final double MAX_STEP_FACTOR = 4.0;
 
-    /** Change of a learned time that is worth telling to other entries. */
-    private static final double TOLD_CHANGE = 0.15;
+    /** Relative change of the unit time above which it is reported to other entries again. */
+    private static final double REPORT_THRESHOLD = 0.15;
 
-    /** Share of one outcome in the learned failure ratio. */
-    private static final double FAILURE_SHARE = 0.1;
+    /** Weight of one outcome in the failure ratio. */
+    private static final double FAILURE_SMOOTHING_FACTOR = 0.1;
 
     private Upstream upstream;
     private final Set<Demand> running = new LinkedHashSet<>();
     private int peerRunning;
     private long peerPromptTokens;
     private OptionalDouble unitMillis = OptionalDouble.empty();
-    private OptionalDouble toldUnitMillis = OptionalDouble.empty();
-    private long unitLearnedAtMillis = Long.MIN_VALUE;
+    private OptionalDouble reportedUnitMillis = OptionalDouble.empty();
+    private long unitObservedAtMillis = Long.MIN_VALUE;
     private double failureRatio;
     private boolean suspended;
     private long pausedUntilMillis = Long.MIN_VALUE;
@@ -38,7 +38,7 @@
         return upstream;
     }
 
-    void describe(Upstream newDescription) {
+    void setUpstream(Upstream newDescription) {
         upstream = newDescription;
     }
 
@@ -54,71 +54,79 @@
         return running;
     }
 
-    void reportPeers(int requests, long promptTokens) {
+    /** Replaces the load that other entries reported for this upstream. */
+    void setPeerLoad(int requests, long promptTokens) {
         peerRunning = requests;
         peerPromptTokens = promptTokens;
     }
 
+    /** Returns the number of requests that all entries together have at this upstream. */
     int outstanding() {
         return running.size() + peerRunning;
     }
 
-    long unreadPromptTokens() {
-        return ownUnreadPromptTokens() + peerPromptTokens;
+    /** Returns the prompt tokens of all entries whose prefill has not finished, as far as known. */
+    long pendingPromptTokens() {
+        return ownPendingPromptTokens() + peerPromptTokens;
     }
 
-    long ownUnreadPromptTokens() {
+    /** Returns the prompt tokens of this entry's requests whose first event has not arrived. */
+    long ownPendingPromptTokens() {
         long tokens = 0;
         for (Demand demand : running) {
-            tokens += demand.answering() ? 0 : demand.promptTokens();
+            tokens += demand.firstEventReceived() ? 0 : demand.promptTokens();
         }
         return tokens;
     }
 
-    /** Returns the learned time of a unit of work here: of an event, or of a plain call; empty before the first one. */
+    /** Returns the estimated time per event or plain call at this upstream, or empty before the first observation. */
     OptionalDouble unitMillis() {
         return unitMillis;
     }
 
-    void learnUnit(double observedMillis, long nowMillis) {
-        unitLearnedAtMillis = nowMillis;
+    /** Updates the unit time with an observation of this entry. */
+    void observeUnit(double observedMillis, long nowMillis) {
+        unitObservedAtMillis = nowMillis;
         if (unitMillis.isEmpty()) {
             unitMillis = OptionalDouble.of(observedMillis);
             return;
         }
-        double known = unitMillis.getAsDouble();
-        double bounded = Math.max(known / LARGEST_STEP, Math.min(known * LARGEST_STEP, observedMillis));
-        unitMillis = OptionalDouble.of(known + LEARNING_SHARE * (bounded - known));
-    }
-
-    /** Takes over what another entry learned, unless this one has learned since. */
-    void adoptUnit(double learnedMillis, long learnedAtMillis) {
-        if (learnedAtMillis > unitLearnedAtMillis) {
-            unitLearnedAtMillis = learnedAtMillis;
-            unitMillis = OptionalDouble.of(learnedMillis);
-            toldUnitMillis = unitMillis;
+        double previous = unitMillis.getAsDouble();
+        double bounded = Math.max(previous / MAX_STEP_FACTOR, Math.min(previous * MAX_STEP_FACTOR, observedMillis));
+        unitMillis = OptionalDouble.of(previous + UNIT_SMOOTHING_FACTOR * (bounded - previous));
+    }
+
+    /**
+     * Replaces the unit time by the estimate of another entry if that estimate is newer. An adopted estimate counts as
+     * reported, so that two entries do not report it back to each other.
+     */
+    void adoptUnit(double reportedMillis, long observedAtMillis) {
+        if (observedAtMillis > unitObservedAtMillis) {
+            unitObservedAtMillis = observedAtMillis;
+            unitMillis = OptionalDouble.of(reportedMillis);
+            reportedUnitMillis = unitMillis;
         }
     }
 
-    /** Returns the learned time of a unit if it is known. */
-    Optional<LearnedUnit> learned(long nowMillis) {
+    /** Returns the unit time with its age, or empty before the first observation. */
+    Optional<LearnedUnit> learnedUnit(long nowMillis) {
         return unitMillis.isEmpty()
                 ? Optional.empty()
                 : Optional.of(new LearnedUnit(
-                        upstream.lifetime(), unitMillis.getAsDouble(), nowMillis - unitLearnedAtMillis));
+                        upstream.lifetime(), unitMillis.getAsDouble(), nowMillis - unitObservedAtMillis));
     }
 
-    /** Returns the learned time of a unit if it differs from what was last told; it then counts as told. */
-    Optional<LearnedUnit> learnedSinceTold(long nowMillis) {
-        boolean told = toldUnitMillis.isPresent()
+    /** Returns the unit time if it differs notably from the last reported one, and marks it as reported. */
+    Optional<LearnedUnit> takeChangedUnit(long nowMillis) {
+        boolean unchanged = reportedUnitMillis.isPresent()
                 && unitMillis.isPresent()
-                && Math.abs(unitMillis.getAsDouble() - toldUnitMillis.getAsDouble())
-                        <= TOLD_CHANGE * toldUnitMillis.getAsDouble();
-        if (told) {
+                && Math.abs(unitMillis.getAsDouble() - reportedUnitMillis.getAsDouble())
+                        <= REPORT_THRESHOLD * reportedUnitMillis.getAsDouble();
+        if (unchanged) {
             return Optional.empty();
         }
-        toldUnitMillis = unitMillis;
-        return learned(nowMillis);
+        reportedUnitMillis = unitMillis;
+        return learnedUnit(nowMillis);
     }
 
     double failureRatio() {
@@ -126,11 +134,11 @@
     }
 
     void onSuccess() {
-        failureRatio *= 1 - FAILURE_SHARE;
+        failureRatio *= 1 - FAILURE_SMOOTHING_FACTOR;
     }
 
     void onFailure() {
-        failureRatio += FAILURE_SHARE * (1 - failureRatio);
+        failureRatio += FAILURE_SMOOTHING_FACTOR * (1 - failureRatio);
     }
 
     void onOutput(long nowMillis) {
@@ -141,7 +149,7 @@
         return lastOutputAtMillis;
     }
 
-    /** Takes the upstream out until it is known to accept connections again. */
+    /** Excludes the upstream from placement until {@link #resume} is called. */
     void suspend() {
         suspended = true;
     }
@@ -154,8 +162,8 @@
         return suspended;
     }
 
-    /** Returns a line for a dump. */
-    String line(double slowness, long nowMillis) {
+    /** Returns the state as one line of a dump. */
+    String dumpLine(double slowness, long nowMillis) {
         return "%s %s zone=%s version=%s running=%d outstanding=%d slots=%d slowness=%.2f%s failures=%.2f%s"
                 .formatted(
                         upstream.id(),
@@ -166,7 +174,7 @@
                         outstanding(),
                         upstream.slots(),
                         slowness,
-                        learned(nowMillis)
+                        learnedUnit(nowMillis)
                                 .map(unit -> " unit_ms=%.1f learned_ms_ago=%d"
                                         .formatted(unit.unitMillis(), unit.ageMillis()))
                                 .orElse(""),
@@ -174,10 +182,12 @@
                         upstream.draining() ? " draining" : paused(nowMillis) ? " paused" : "");
     }
 
-    void pauseBriefly(long millis, long nowMillis) {
+    /** Excludes the upstream from placement for the given time. */
+    void pauseFor(long millis, long nowMillis) {
         pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + millis);
     }
 
+    /** Returns whether the upstream is excluded from placement, either suspended or paused for a limited time. */
     boolean paused(long nowMillis) {
         return suspended || nowMillis < pausedUntilMillis;
     }
--- a/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
@@ -10,78 +10,85 @@
 import java.util.function.ToLongFunction;
 
 /**
- * The requests that wait for an upstream of one service. The most urgent kind goes first, unless another kind has been
- * served far less often. Not thread-safe.
+ * Queue of the requests that wait for an upstream of one service. The kind of the lowest rank goes first, unless
+ * another kind has a much lower served ratio. Not thread-safe.
  */
 final class WaitingRequests {
-    /** A kind that is served less often than this part of the best-served kind goes first. */
-    private static final double LEAST_SERVED_PART = 0.4;
-    /** Share of one request in the share of its kind; the memory spans about a hundred requests. */
-    private static final double SHARE_MEMORY = 0.01;
-    /** Requests of one kind that are compared: one that suits no free upstream does not hold up the next ones. */
-    private static final int CANDIDATES_OF_KIND = 4;
-    /** Share of one outcome in the served ratio of a kind. */
-    private static final double OUTCOME_SHARE = 0.03;
+    /** A kind goes first if its served ratio is below this fraction of the highest served ratio of any kind. */
+    private static final double MIN_SERVED_RATIO_FRACTION = 0.4;
+    /** Weight of one request in the traffic share of its kind; the average spans about 100 requests. */
+    private static final double TRAFFIC_SMOOTHING_FACTOR = 0.01;
+    /** Requests tried per kind, so that a request without a suitable free upstream does not block those behind it. */
+    private static final int CANDIDATES_PER_KIND = 4;
+    /** Weight of one outcome in the served ratio of a kind. */
+    private static final double OUTCOME_SMOOTHING_FACTOR = 0.03;
 
-    private final Map<String, Kind> kinds = new HashMap<>();
+    private final Map<String, KindQueue> kinds = new HashMap<>();
 
     void add(Demand demand) {
         kind(demand).waiting.addLast(demand);
     }
 
     boolean remove(Demand demand) {
-        Kind kind = kinds.get(demand.kind());
+        KindQueue kind = kinds.get(demand.kind());
         return kind != null && kind.waiting.remove(demand);
     }
 
+    /** Updates the traffic share and the served ratio of the kind of a request that was placed or refused. */
     void onOutcome(Demand demand, boolean served) {
-        Kind kind = kind(demand);
-        kinds.values().forEach(each -> each.share *= 1 - SHARE_MEMORY);
-        kind.share += SHARE_MEMORY;
-        kind.servedRatio += OUTCOME_SHARE * ((served ? 1 : 0) - kind.servedRatio);
+        KindQueue kind = kind(demand);
+        kinds.values().forEach(each -> each.trafficShare *= 1 - TRAFFIC_SMOOTHING_FACTOR);
+        kind.trafficShare += TRAFFIC_SMOOTHING_FACTOR;
+        kind.servedRatio += OUTCOME_SMOOTHING_FACTOR * ((served ? 1 : 0) - kind.servedRatio);
     }
 
-    private Kind kind(Demand demand) {
-        return kinds.computeIfAbsent(demand.kind(), name -> new Kind(demand.rank()));
+    private KindQueue kind(Demand demand) {
+        return kinds.computeIfAbsent(demand.kind(), name -> new KindQueue(demand.rank()));
     }
 
-    /** Returns requests in the order in which they are tried: the kinds in turn, each with its first few requests. */
+    /**
+     * Returns the requests to try, in order: the first few of each kind, ordered by kind, and after them in the same
+     * way those that are past their objective.
+     */
     List<Demand> candidates(long nowMillis) {
         double best = 0;
-        for (Kind kind : kinds.values()) {
+        for (KindQueue kind : kinds.values()) {
             best = Math.max(best, kind.servedRatio);
         }
-        List<Kind> ordered = new ArrayList<>();
-        for (Kind kind : kinds.values()) {
+        List<KindQueue> ordered = new ArrayList<>();
+        for (KindQueue kind : kinds.values()) {
             if (!kind.waiting.isEmpty()) {
-                kind.neglected = kind.servedRatio < LEAST_SERVED_PART * best;
+                kind.underserved = kind.servedRatio < MIN_SERVED_RATIO_FRACTION * best;
                 ordered.add(kind);
             }
         }
-        ordered.sort(Comparator.comparing((Kind kind) -> !kind.neglected).thenComparingInt(kind -> kind.rank));
+        ordered.sort(Comparator.comparing((KindQueue kind) -> !kind.underserved).thenComparingInt(kind -> kind.rank));
         List<Demand> candidates = new ArrayList<>();
         ordered.forEach(kind -> kind.addCandidates(candidates, false, nowMillis));
         ordered.forEach(kind -> kind.addCandidates(candidates, true, nowMillis));
         return candidates;
     }
 
-    /** Returns which part of the recent requests goes before the given one, from 0 to 1. */
-    double shareBefore(Demand demand) {
+    /** Returns the fraction of recent requests that take precedence over the given one, from 0 to 1. */
+    double shareOfMoreUrgent(Demand demand) {
         double share = 0;
-        for (Kind kind : kinds.values()) {
-            share += kind.rank < demand.rank() ? kind.share : 0;
+        for (KindQueue kind : kinds.values()) {
+            share += kind.rank < demand.rank() ? kind.trafficShare : 0;
         }
-        return kind(demand).neglected ? 0 : share;
+        return kind(demand).underserved ? 0 : share;
     }
 
-    /** Returns how many others wait that go before a waiting request or arrived with its rank. */
-    int othersOfRank(Demand demand) {
-        Kind own = kind(demand);
-        if (own.neglected) {
+    /**
+     * Returns the number of other waiting requests of the same or a more urgent rank; for an underserved kind, only
+     * those of the same kind.
+     */
+    int othersUpToRank(Demand demand) {
+        KindQueue own = kind(demand);
+        if (own.underserved) {
             return own.waiting.size() - 1;
         }
         int count = -1;
-        for (Kind kind : kinds.values()) {
+        for (KindQueue kind : kinds.values()) {
             if (kind.rank <= demand.rank()) {
                 count += kind.waiting.size();
             }
@@ -91,15 +98,16 @@
 
     int size() {
         int count = 0;
-        for (Kind kind : kinds.values()) {
+        for (KindQueue kind : kinds.values()) {
             count += kind.waiting.size();
         }
         return count;
     }
 
+    /** Removes and returns the requests that have reached their maximum wait. */
     List<Demand> removeOverdue(ToLongFunction<Demand> longestWaitMillis, long nowMillis) {
         List<Demand> removed = new ArrayList<>();
-        for (Kind kind : kinds.values()) {
+        for (KindQueue kind : kinds.values()) {
             for (Iterator<Demand> each = kind.waiting.iterator(); each.hasNext(); ) {
                 Demand demand = each.next();
                 if (demand.ageMillis(nowMillis) >= longestWaitMillis.applyAsLong(demand)) {
@@ -111,21 +119,22 @@
         return removed;
     }
 
-    private static final class Kind {
+    /** Queue of the requests of one kind, with its recent statistics. */
+    private static final class KindQueue {
         private final int rank;
         private final ArrayDeque<Demand> waiting = new ArrayDeque<>();
         private double servedRatio = 1.0;
-        private double share;
-        private boolean neglected;
+        private double trafficShare;
+        private boolean underserved;
 
-        private Kind(int rank) {
+        private KindQueue(int rank) {
             this.rank = rank;
         }
 
-        private void addCandidates(List<Demand> candidates, boolean late, long nowMillis) {
+        private void addCandidates(List<Demand> candidates, boolean pastObjective, long nowMillis) {
             int added = 0;
             for (Demand demand : waiting) {
-                if (demand.late(nowMillis) == late && added < CANDIDATES_OF_KIND) {
+                if (demand.isPastObjective(nowMillis) == pastObjective && added < CANDIDATES_PER_KIND) {
                     candidates.add(demand);
                     added++;
                 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/package-info.java
@@ -1,2 +1,2 @@
-/** Queueing and placement of requests that an entry sends to upstreams itself, with learned speeds. */
+/** Queueing and placement of requests that an entry sends directly to upstreams, based on observed upstream speeds. */
 package dev.wigeonward.core.schedule;
--- a/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
@@ -51,7 +51,9 @@
                 .toList();
     }
 
-    /** Guards against an upstream that gets more requests than it runs at once and orders them by arrival. */
+    /**
+     * Guards against sending an upstream more requests than it has slots, which it would then serve by arrival order.
+     */
     @Test
     void upstreamGetsNoMoreThanItsSlots() {
         list("a");
@@ -64,17 +66,17 @@
         assertThat(scheduler.waitingCount()).isPositive();
     }
 
-    /** Guards against work for an upstream that leaves. */
+    /** Guards against placing requests on a draining upstream. */
     @Test
-    void leavingUpstreamGetsNothing() {
+    void drainingUpstreamGetsNothing() {
         scheduler.upstreams(List.of(upstream("a", true), upstream("bb", false)));
 
         assertThat(placedOn(offer(call("k", 0), call("k", 0)))).containsExactly("bb", "bb");
     }
 
-    /** Guards against a request that waits for an upstream although none is left. */
+    /** Guards against a request that keeps waiting although all upstreams of the service are draining. */
     @Test
-    void withoutUpstreamTheRequestIsRefusedAtOnce() {
+    void requestWithoutUpstreamIsRefusedAtOnce() {
         scheduler.upstreams(List.of(upstream("a", true)));
 
         assertThat(offer(call("k", 0)))
@@ -83,9 +85,9 @@
                         .isEqualTo(RefusalReason.NO_UPSTREAM));
     }
 
-    /** Guards against an urgent request that waits behind a less urgent one that came first. */
+    /** Guards against an urgent request that waits behind a less urgent one that arrived first. */
     @Test
-    void freePlaceGoesToTheMostUrgentKind() {
+    void freeSlotGoesToTheMostUrgentKind() {
         list("a");
         List<Demand> running = new ArrayList<>();
         for (int request = 0; request < SLOTS; request++) {
@@ -104,7 +106,7 @@
                 .isSameAs(high));
     }
 
-    /** Guards against a request that is held until its answer can no longer be on time. */
+    /** Guards against a request that waits for an upstream until its answer can no longer meet the objective. */
     @Test
     void waitingEndsAtHalfOfTheObjective() {
         list("a");
@@ -121,7 +123,9 @@
         });
     }
 
-    /** Guards against equal shares for unequal upstreams: the slow one gets work only when the fast one is full. */
+    /**
+     * Guards against an equal distribution over unequal upstreams: the slow one is used only when the fast one is full.
+     */
     @Test
     void learnsWhichUpstreamIsSlow() {
         list("fast", "slowly");
@@ -142,9 +146,9 @@
         assertThat(placedOn(offer(call("k", 0), call("k", 0)))).containsExactly("fast", "fast");
     }
 
-    /** Guards against long prompts at a slow upstream, whose running streams would pause for too long. */
+    /** Guards against placing long prompts on a slow upstream, where their prefill would stall the running streams. */
     @Test
-    void longPromptKeepsAwayFromSlowUpstreamWithStreams() {
+    void longPromptIsNotPlacedOnSlowUpstreamWithStreams() {
         list("fast", "slowly");
         for (int round = 0; round < 30; round++) {
             List<Demand> pair = List.of(stream("k", 0, 600), stream("k", 0, 600));
@@ -168,9 +172,9 @@
         assertThat(placedOn(decisions)).doesNotContain("slowly");
     }
 
-    /** Guards against a service that is given up because all its upstreams look bad. */
+    /** Guards against a service that places no more requests because its only upstream has failed repeatedly. */
     @Test
-    void lastUpstreamIsTriedAlthoughItFailed() {
+    void onlyUpstreamIsTriedAfterFailures() {
         list("a");
         for (int failure = 0; failure < 5; failure++) {
             Demand demand = call("k", 0);
@@ -179,7 +183,7 @@
         }
     }
 
-    /** Guards against requests for an upstream that cannot be reached while another one can. */
+    /** Guards against placing requests on an unreachable upstream while another one is reachable. */
     @Test
     void unreachableUpstreamIsPaused() {
         list("a", "bb");
@@ -190,7 +194,7 @@
         assertThat(placedOn(offer(call("k", 0), call("k", 0)))).doesNotContain(failed);
     }
 
-    /** Guards against a stalled upstream that goes on getting requests because it refuses no connection. */
+    /** Guards against a stalled upstream that keeps getting requests because it still accepts connections. */
     @Test
     void silentUpstreamGetsNothingMore() {
         list("a", "bb");
@@ -201,9 +205,11 @@
         assertThat(placedOn(offer(call("k", 0), call("k", 0), call("k", 0)))).doesNotContain(silent);
     }
 
-    /** Guards against a dark upstream that gets the next request as soon as the callers of the first ones left. */
+    /**
+     * Guards against a stalled upstream that gets requests again as soon as the callers of the overdue ones disconnect.
+     */
     @Test
-    void silentUpstreamStaysOutAfterItsCallersLeft() {
+    void silentUpstreamStaysSuspendedAfterItsCallersDisconnect() {
         list("a", "bb");
         Demand first = call("k", 0);
         String silent = placedOn(offer(first)).get(0);
@@ -216,9 +222,9 @@
         assertThat(scheduler.suspended()).isEmpty();
     }
 
-    /** Guards against an upstream that is blamed for a caller who left early. */
+    /** Guards against suspending an upstream because a caller disconnected before output was due. */
     @Test
-    void earlyLeavingSaysNothingOfTheUpstream() {
+    void earlyDisconnectDoesNotSuspendUpstream() {
         list("a");
         Demand first = call("k", 0);
         offer(first);
@@ -227,18 +233,21 @@
         assertThat(scheduler.suspended()).isEmpty();
     }
 
-    /** Guards against two entries that both fill the places of one upstream. */
+    /** Guards against two entries that together exceed the slots of one upstream. */
     @Test
-    void requestsOfPeersOccupyPlaces() {
+    void requestsOfPeersOccupySlots() {
         list("a");
         scheduler.reportPeers(id -> new ServiceScheduler.OwnLoad(id, SLOTS - 1, 0));
 
         assertThat(placedOn(offer(call("k", 0), call("k", 0)))).hasSize(1);
     }
 
-    /** Guards against a new lifetime at an old identifier that inherits what was believed of the old one. */
+    /**
+     * Guards against a restarted upstream with an unchanged identifier that inherits the load and statistics of its
+     * previous lifetime.
+     */
     @Test
-    void newLifetimeStartsWithoutBeliefs() {
+    void newLifetimeStartsWithoutState() {
         Upstream old = new Upstream("a", "s", "10.0.0.1:1", "z1", "v1", SLOTS, false, Optional.of(1L));
         scheduler.upstreams(List.of(old, upstream("bb", false)));
         Demand first = call("k", 0);
@@ -254,9 +263,9 @@
         scheduler.onEnded(first, ServiceScheduler.Outcome.FAILED, now);
     }
 
-    /** Guards against a rare kind that is starved by an urgent one that never ends. */
+    /** Guards against starvation of a less urgent kind by a continuous overload of an urgent one. */
     @Test
-    void neglectedKindIsServedInTheEnd() {
+    void underservedKindIsEventuallyServed() {
         list("a");
         int lowServed = 0;
         List<Demand> running = new ArrayList<>();
@@ -277,7 +286,7 @@
             }
         }
 
-        // Capacity is half of the urgent demand alone, so a fair share is a fifth of the capacity of 1,000.
+        // The capacity of 1,000 is half of the urgent requests alone, so a fair share is a fifth of it.
         assertThat(lowServed).isGreaterThan(500 / 10);
     }
 
@@ -294,9 +303,11 @@
                 .toList();
     }
 
-    /** Guards against an entry that has just started and sends long requests to upstreams that others know as slow. */
+    /**
+     * Guards against a newly started entry that sends requests to upstreams that other entries have measured as slow.
+     */
     @Test
-    void speedThatAnotherEntryLearnedCounts() {
+    void unitTimesOfAnotherEntryAreAdopted() {
         list("fast", "slowly");
         scheduler.adopt(List.of(new LearnedUnit("slowly/", 60, 100), new LearnedUnit("fast/", 10, 100)), now);
         scheduler.compareUpstreams();
@@ -304,9 +315,9 @@
         assertThat(placedOn(offer(call("k", 0), call("k", 0)))).containsExactly("fast", "fast");
     }
 
-    /** Guards against reports that undo what this entry has observed since. */
+    /** Guards against older reports of other entries that replace newer observations of this entry. */
     @Test
-    void ownLaterObservationCountsMore() {
+    void newerOwnObservationIsKept() {
         list("fast", "slowly");
         answerCall("fast", 10);
         answerCall("slowly", 60);
@@ -316,9 +327,11 @@
         assertThat(placedOn(offer(call("k", 0)))).containsExactly("fast");
     }
 
-    /** Guards against reports of all upstreams many times a second, and against two entries that echo each other. */
+    /**
+     * Guards against reporting unchanged unit times repeatedly, and against reporting back what another entry reported.
+     */
     @Test
-    void onlyNotableChangesAreTold() {
+    void onlyNotableChangesAreReported() {
         list("fast", "slowly");
         answerCall("fast", 20);
         assertThat(scheduler.learnedSinceTold(now))
