Reword the placement package in plain technical terms

Cause: type comments began with questions or fragments, messages did not name the expectation, and private names were figurative (chain, otherwise). Change: reword doc comments, test heads and exception messages; rename private members and test methods; add heads to the checks of faulty policies. No constant's value, condition, order of calls or expectation changes.

--- a/core/src/main/java/dev/wigeonward/core/placement/EarliestCompletion.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/EarliestCompletion.java
@@ -9,12 +9,15 @@
 import dev.wigeonward.core.request.WorkEstimate;
 
 /**
- * The earliest estimated completion among two random members and the recent holders of the request's prefix. The
- * random members keep entries with equally old reports from all choosing the same upstream. Takes time independent of
- * the pool's size. Not thread-safe.
+ * Policy that chooses the earliest estimated completion among two random members and the recent holders of the
+ * request's prefix. The random members prevent entries with equally old reports from all choosing the same upstream.
+ * Takes time independent of the pool's size. Not thread-safe.
  */
 public final class EarliestCompletion implements PlacementPolicy {
-    /** A prefix that every upstream holds must not make the decision linear in the pool's size. */
+    /**
+     * Limit on the holders examined, because a prefix that every upstream holds would make the decision linear in the
+     * pool's size.
+     */
     static final int MAX_HOLDERS_EXAMINED = 8;
 
     private final RandomGenerator random;
@@ -28,8 +31,8 @@
     }
 
     /**
-     * Returns the policy. Each choice is recorded in the index, because the engine caches the prefix when it runs the
-     * request and its own cache event arrives late.
+     * Returns a policy that records each choice in the prefix index, because the engine caches the prefix when it runs
+     * the request, and the cache event of the engine arrives late.
      */
     public static EarliestCompletion of(RandomGenerator random, PrefixIndex prefixes, DomainLatency latency) {
         return new EarliestCompletion(random, prefixes, latency);
--- a/core/src/main/java/dev/wigeonward/core/placement/KeyAffinity.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/KeyAffinity.java
@@ -6,26 +6,26 @@
 import dev.wigeonward.core.request.RequestSpec;
 
 /**
- * Places idempotent requests with a key by rendezvous hashing of the key, so that a resend reaches the agent that
- * already knows it, and all other requests by another policy. A member's leaving moves only the keys placed at it.
- * Takes time linear in the pool's size for requests with a key.
+ * Policy that places idempotent requests with a key by rendezvous hashing of the key and all others by a fallback
+ * policy. A resent request thus reaches the agent that already has it. Removing a member moves only the keys placed at
+ * it. Takes time linear in the pool's size for requests with a key.
  */
 public final class KeyAffinity implements PlacementPolicy {
-    private final PlacementPolicy otherwise;
+    private final PlacementPolicy fallback;
 
-    private KeyAffinity(PlacementPolicy otherwise) {
-        this.otherwise = Objects.requireNonNull(otherwise, "otherwise");
+    private KeyAffinity(PlacementPolicy fallback) {
+        this.fallback = Objects.requireNonNull(fallback, "fallback");
     }
 
-    /** Returns the policy; {@code otherwise} places requests without a key and non-idempotent ones. */
-    public static KeyAffinity or(PlacementPolicy otherwise) {
-        return new KeyAffinity(otherwise);
+    /** Returns a policy that delegates requests without a key and non-idempotent requests to {@code fallback}. */
+    public static KeyAffinity or(PlacementPolicy fallback) {
+        return new KeyAffinity(fallback);
     }
 
     @Override
     public Optional<Placement> choose(RequestSpec request, UpstreamPool pool, long nowMillis) {
         if (request.key().isEmpty() || !request.idempotent()) {
-            return otherwise.choose(request, pool, nowMillis);
+            return fallback.choose(request, pool, nowMillis);
         }
         return member(request.key().get(), pool).map(state -> {
             long serviceMillis =
@@ -34,7 +34,7 @@
         });
     }
 
-    /** Returns the pool's member of highest weight for the key, or empty if the pool is empty. */
+    /** Returns the member of the pool with the highest weight for the key, or empty if the pool is empty. */
     public static Optional<UpstreamState> member(String key, UpstreamPool pool) {
         return pool.size() == 0 ? Optional.empty() : Optional.of(pool.get(pool.heaviest(Rendezvous.hash(key))));
     }
--- a/core/src/main/java/dev/wigeonward/core/placement/LeastOutstanding.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/LeastOutstanding.java
@@ -4,11 +4,14 @@
 
 import dev.wigeonward.core.request.RequestSpec;
 
-/** Baseline: the member with the fewest own outstanding requests. Takes time linear in the pool's size. */
+/**
+ * Baseline policy that chooses the member with the fewest outstanding requests of this entry. Takes time linear in the
+ * pool's size.
+ */
 public final class LeastOutstanding implements PlacementPolicy {
     private LeastOutstanding() {}
 
-    /** Returns the policy. */
+    /** Returns a new policy. */
     public static LeastOutstanding create() {
         return new LeastOutstanding();
     }
--- a/core/src/main/java/dev/wigeonward/core/placement/LinkSubset.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/LinkSubset.java
@@ -9,23 +9,24 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Which agents of a pool an entry links to. Each agent is linked from the k entries of highest rendezvous weight.
- * Random weights alone leave some entries with few links or none, so each entry also links to its own four agents of
- * highest weight. Both rules depend on the ids only, so that all processes with the same lists agree.
+ * Selection of the agents of a pool to which an entry opens links. Each agent is linked from the k entries of highest
+ * rendezvous weight. Random weights alone leave some entries with few links or none, so each entry also links to the
+ * four agents that have the highest weight for it. Both rules depend only on the ids, so that all processes with the
+ * same lists compute the same links.
  */
 public final class LinkSubset {
-    /** Fewest links of an agent, unless there are fewer entries. */
+    /** Minimum number of links to an agent, unless there are fewer entries. */
     static final int MIN_LINKS_PER_AGENT = 7;
 
-    /** Fewest links of an entry to a pool, unless the pool is smaller. */
+    /** Minimum number of links from an entry to a pool, unless the pool is smaller. */
     static final int MIN_LINKS_PER_ENTRY = 4;
 
     private LinkSubset() {}
 
-    /** Returns the number of entries that each agent of a pool takes by its own weights. */
+    /** Returns the number of entries that each agent of a pool selects by its weights. */
     public static int linksPerAgent(int entries, int agents) {
-        Preconditions.checkArgument(entries > 0, "entries is %s", entries);
-        Preconditions.checkArgument(agents > 0, "agents is %s", agents);
+        Preconditions.checkArgument(entries > 0, "entries must be positive but was %s", entries);
+        Preconditions.checkArgument(agents > 0, "agents must be positive but was %s", agents);
         long needed = ((long) MIN_LINKS_PER_ENTRY * entries + agents - 1) / agents;
         return (int) Math.min(entries, Math.max(MIN_LINKS_PER_AGENT, needed));
     }
@@ -34,7 +35,7 @@
      * Returns the agents that the entry links to, in order of their ids. Takes time proportional to the product of the
      * numbers of entries and agents.
      *
-     * @param entryId the entry, which need not be in the list
+     * @param entryId id of the entry, which need not be in the list
      * @param entries ids of the live entries of the region
      * @param agents ids of the live agents of one pool in the region
      */
@@ -42,7 +43,7 @@
         if (agents.isEmpty()) {
             return List.of();
         }
-        Set<String> linked = new TreeSet<>(takenBy(entryId, entries, agents));
+        Set<String> linked = new TreeSet<>(selectedBy(entryId, entries, agents));
         long ownHash = Rendezvous.hash(entryId);
         agents.stream()
                 .map(agent -> new Weighted(agent, Rendezvous.weight(Rendezvous.hash(agent), ownHash)))
@@ -52,12 +53,12 @@
         return List.copyOf(linked);
     }
 
-    /** Returns how many agents take the entry by their own weights alone; used to measure that rule. */
+    /** Returns the number of agents that select the entry by their weights alone; used to measure that rule. */
     public static long linksByAgents(String entryId, Collection<String> entries, Collection<String> agents) {
-        return takenBy(entryId, entries, agents).size();
+        return selectedBy(entryId, entries, agents).size();
     }
 
-    private static List<String> takenBy(String entryId, Collection<String> entries, Collection<String> agents) {
+    private static List<String> selectedBy(String entryId, Collection<String> entries, Collection<String> agents) {
         long ownHash = Rendezvous.hash(entryId);
         long[] otherHashes = entries.stream()
                 .filter(entry -> !entry.equals(entryId))
@@ -69,7 +70,10 @@
                 .toList();
     }
 
-    /** Stops at the {@code count}-th heavier entry, which most agents reach after a few weights. */
+    /**
+     * Returns whether the entry is among the {@code count} of highest weight for the agent. Stops at the
+     * {@code count}-th entry of higher weight, which most agents reach after a few weights.
+     */
     private static boolean isAmongHeaviest(long agentHash, long ownHash, long[] otherHashes, int count) {
         long ownWeight = Rendezvous.weight(agentHash, ownHash);
         int heavier = 0;
--- a/core/src/main/java/dev/wigeonward/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/PlacementPolicy.java
@@ -4,8 +4,8 @@
 
 import dev.wigeonward.core.request.RequestSpec;
 
-/** Chooses an upstream for a request. */
+/** Policy that chooses an upstream for a request. */
 public interface PlacementPolicy {
-    /** Returns the choice among the pool's members, or empty if the pool is empty. */
+    /** Returns a placement on one of the pool's members, or empty if the pool is empty. */
     Optional<Placement> choose(RequestSpec request, UpstreamPool pool, long nowMillis);
 }
--- a/core/src/main/java/dev/wigeonward/core/placement/PrefixIndex.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/PrefixIndex.java
@@ -11,32 +11,34 @@
 import dev.wigeonward.core.request.WorkEstimate;
 
 /**
- * Which upstreams probably hold which prompt prefixes in their caches. Cache events arrive late and with gaps, so an
- * entry may be wrong; a wrong entry costs time only. The least recently confirmed entries leave first, both of an
- * upstream and of the whole index. All operations on one entry take constant time. Not thread-safe.
+ * Index of the prompt prefixes that upstreams probably hold in their caches. Cache events arrive late and with gaps, so
+ * an index entry may be wrong; a wrong entry only costs time. The least recently confirmed entries are evicted first,
+ * both per upstream and in the whole index. All operations on one entry take constant time. Not thread-safe.
  */
 public final class PrefixIndex {
-    /** Most prefixes kept for one upstream. */
+    /** Maximum number of prefixes kept for one upstream. */
     public static final int MAX_PER_UPSTREAM = 4_096;
 
-    /** Most entries kept in all. */
+    /** Maximum number of entries kept in total. */
     public static final int MAX_TOTAL = 65_536;
 
-    /** A work estimate carries no length of its prefix, so half of the prompt is taken as cached. */
+    /**
+     * Half of the prompt is assumed to be cached, because a work estimate does not contain the length of its prefix.
+     */
     private static final int CACHED_PROMPT_DIVISOR = 2;
 
     private final int maxPerUpstream;
     private final int maxTotal;
-    /** The holdings of each upstream, in the order in which they were confirmed. */
-    private final Map<String, Map<Long, Holding>> byUpstream = new HashMap<>();
+    /** Entries of each upstream, in the order in which they were last confirmed. */
+    private final Map<String, Map<Long, Entry>> byUpstream = new HashMap<>();
 
-    private final Map<Long, Chain> byPrefix = new HashMap<>();
-    private final Chain all = new Chain();
+    private final Map<Long, RecencyList> byPrefix = new HashMap<>();
+    private final RecencyList all = new RecencyList();
     private int size;
 
     private PrefixIndex(int maxPerUpstream, int maxTotal) {
-        Preconditions.checkArgument(maxPerUpstream > 0, "maxPerUpstream is %s", maxPerUpstream);
-        Preconditions.checkArgument(maxTotal > 0, "maxTotal is %s", maxTotal);
+        Preconditions.checkArgument(maxPerUpstream > 0, "maxPerUpstream must be positive but was %s", maxPerUpstream);
+        Preconditions.checkArgument(maxTotal > 0, "maxTotal must be positive but was %s", maxTotal);
         this.maxPerUpstream = maxPerUpstream;
         this.maxTotal = maxTotal;
     }
@@ -61,139 +63,144 @@
         add(upstreamId, prefixHash);
     }
 
-    /** Applies the cache events of a report; an eviction in the same report as a caching of the prefix wins. */
+    /**
+     * Applies the cache events of a report; if a prefix is both cached and evicted in it, the eviction takes effect.
+     */
     public void onReport(String upstreamId, LoadReport report) {
         report.cachedPrefixes().forEach(prefixHash -> add(upstreamId, prefixHash));
         report.evictedPrefixes().forEach(prefixHash -> remove(upstreamId, prefixHash));
     }
 
-    /** Forgets all entries of an upstream that left or started anew with an empty cache. */
+    /** Removes all entries of an upstream that left or restarted with an empty cache. */
     public void removeUpstream(String upstreamId) {
-        Map<Long, Holding> held = byUpstream.get(upstreamId);
+        Map<Long, Entry> held = byUpstream.get(upstreamId);
         if (held != null) {
-            List.copyOf(held.values()).forEach(this::unlink);
+            List.copyOf(held.values()).forEach(this::removeEntry);
         }
     }
 
     /** Returns whether the upstream probably holds the prefix. */
     public boolean holds(String upstreamId, long prefixHash) {
-        Map<Long, Holding> held = byUpstream.get(upstreamId);
+        Map<Long, Entry> held = byUpstream.get(upstreamId);
         return held != null && held.containsKey(prefixHash);
     }
 
     /** Returns up to {@code limit} probable holders of the prefix, the most recently confirmed first. */
     public List<String> recentHolders(long prefixHash, int limit) {
-        Chain chain = byPrefix.get(prefixHash);
-        if (chain == null) {
+        RecencyList recencyList = byPrefix.get(prefixHash);
+        if (recencyList == null) {
             return List.of();
         }
         List<String> holders = new ArrayList<>(limit);
-        for (Link link = chain.next; link != chain && holders.size() < limit; link = link.next) {
-            holders.add(link.holding.upstreamId);
+        for (Node node = recencyList.next; node != recencyList && holders.size() < limit; node = node.next) {
+            holders.add(node.entry.upstreamId);
         }
         return holders;
     }
 
     /** Returns the number of entries of one upstream. */
     public int size(String upstreamId) {
-        Map<Long, Holding> held = byUpstream.get(upstreamId);
+        Map<Long, Entry> held = byUpstream.get(upstreamId);
         return held == null ? 0 : held.size();
     }
 
-    /** Returns the number of entries. */
+    /** Returns the total number of entries. */
     public int size() {
         return size;
     }
 
     private void add(String upstreamId, long prefixHash) {
-        Map<Long, Holding> held = byUpstream.computeIfAbsent(upstreamId, key -> new LinkedHashMap<>());
-        Holding holding = held.remove(prefixHash);
-        if (holding == null) {
-            holding = new Holding(upstreamId, prefixHash);
+        Map<Long, Entry> held = byUpstream.computeIfAbsent(upstreamId, key -> new LinkedHashMap<>());
+        Entry entry = held.remove(prefixHash);
+        if (entry == null) {
+            entry = new Entry(upstreamId, prefixHash);
             size++;
         } else {
-            holding.unchain();
+            entry.unlinkNodes();
         }
-        held.put(holding.prefixHash, holding);
-        byPrefix.computeIfAbsent(holding.prefixHash, key -> new Chain()).addNewest(holding.inPrefix);
-        all.addNewest(holding.inAll);
+        held.put(entry.prefixHash, entry);
+        byPrefix.computeIfAbsent(entry.prefixHash, key -> new RecencyList()).addNewest(entry.prefixNode);
+        all.addNewest(entry.globalNode);
         if (held.size() > maxPerUpstream) {
-            unlink(held.values().iterator().next());
+            removeEntry(held.values().iterator().next());
         }
         if (size > maxTotal) {
-            unlink(all.oldest());
+            removeEntry(all.oldest());
         }
     }
 
     private void remove(String upstreamId, long prefixHash) {
-        Map<Long, Holding> held = byUpstream.get(upstreamId);
-        Holding holding = held == null ? null : held.get(prefixHash);
-        if (holding != null) {
-            unlink(holding);
+        Map<Long, Entry> held = byUpstream.get(upstreamId);
+        Entry entry = held == null ? null : held.get(prefixHash);
+        if (entry != null) {
+            removeEntry(entry);
         }
     }
 
-    private void unlink(Holding holding) {
-        holding.unchain();
+    private void removeEntry(Entry entry) {
+        entry.unlinkNodes();
         size--;
-        if (byPrefix.get(holding.prefixHash).isEmpty()) {
-            byPrefix.remove(holding.prefixHash);
+        if (byPrefix.get(entry.prefixHash).isEmpty()) {
+            byPrefix.remove(entry.prefixHash);
         }
-        Map<Long, Holding> held = byUpstream.get(holding.upstreamId);
-        held.remove(holding.prefixHash);
+        Map<Long, Entry> held = byUpstream.get(entry.upstreamId);
+        held.remove(entry.prefixHash);
         if (held.isEmpty()) {
-            byUpstream.remove(holding.upstreamId);
+            byUpstream.remove(entry.upstreamId);
         }
     }
 
-    /** One prefix at one upstream; its boxed hash is the key of both maps, which keeps the index small. */
-    private static final class Holding {
+    /** Index entry for one prefix at one upstream; both maps share its boxed hash as their key, which saves memory. */
+    private static final class Entry {
         private final String upstreamId;
         private final Long prefixHash;
-        private final Link inPrefix = new Link(this);
-        private final Link inAll = new Link(this);
+        private final Node prefixNode = new Node(this);
+        private final Node globalNode = new Node(this);
 
-        private Holding(String upstreamId, Long prefixHash) {
+        private Entry(String upstreamId, Long prefixHash) {
             this.upstreamId = upstreamId;
             this.prefixHash = prefixHash;
         }
 
-        private void unchain() {
-            inPrefix.unchain();
-            inAll.unchain();
+        private void unlinkNodes() {
+            prefixNode.unlink();
+            globalNode.unlink();
         }
     }
 
-    private static class Link {
-        final Holding holding;
-        Link next = this;
-        Link previous = this;
+    /** Node of a doubly linked list. */
+    private static class Node {
+        final Entry entry;
+        Node next = this;
+        Node previous = this;
 
-        Link(Holding holding) {
-            this.holding = holding;
+        Node(Entry entry) {
+            this.entry = entry;
         }
 
-        final void unchain() {
+        final void unlink() {
             previous.next = next;
             next.previous = previous;
         }
     }
 
-    /** Circular list that is its own head: {@code next} is the newest link and {@code previous} the oldest. */
-    private static final class Chain extends Link {
-        private Chain() {
+    /**
+     * Circular list that serves as its own sentinel: {@code next} is the newest node and {@code previous} the oldest.
+     */
+    private static final class RecencyList extends Node {
+        private RecencyList() {
             super(null);
         }
 
-        private void addNewest(Link link) {
-            link.previous = this;
-            link.next = next;
-            next.previous = link;
-            next = link;
+        private void addNewest(Node node) {
+            node.previous = this;
+            node.next = next;
+            next.previous = node;
+            next = node;
         }
 
-        private Holding oldest() {
-            return previous.holding;
+        private Entry oldest() {
+            return previous.entry;
         }
 
         private boolean isEmpty() {
--- a/core/src/main/java/dev/wigeonward/core/placement/Rendezvous.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/Rendezvous.java
@@ -5,7 +5,7 @@
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 
-/** Weights of rendezvous hashing; all processes must compute the same ones. */
+/** Hash and weight functions of rendezvous hashing; all processes must compute the same weights. */
 final class Rendezvous {
     private static final HashFunction HASH = Hashing.murmur3_128();
     private static final int SHIFT = 33;
@@ -14,14 +14,14 @@
 
     private Rendezvous() {}
 
-    /** Returns the hash of an id, computed once for each member. */
+    /** Returns the hash of an id; callers compute it once for each member. */
     static long hash(String id) {
         return HASH.hashString(id, StandardCharsets.UTF_8).asLong();
     }
 
     /**
-     * Returns the weight of a pair. It is the final mixing step of MurmurHash3: one decision compares up to 10,000
-     * weights within 50 µs, and a Guava hasher allocates for each of them.
+     * Returns the weight of a key and a member, computed by the final mixing step of MurmurHash3. One decision compares
+     * up to 10,000 weights within 50 µs, for which a Guava hasher would allocate an object each.
      */
     static long weight(long keyHash, long memberHash) {
         long mixed = keyHash ^ Long.rotateLeft(memberHash, SHIFT);
--- a/core/src/main/java/dev/wigeonward/core/placement/RoundRobin.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/RoundRobin.java
@@ -4,13 +4,13 @@
 
 import dev.wigeonward.core.request.RequestSpec;
 
-/** Baseline: the members in turn, blind to load. */
+/** Baseline policy that chooses the members in turn, regardless of their load. */
 public final class RoundRobin implements PlacementPolicy {
     private int next;
 
     private RoundRobin() {}
 
-    /** Returns a policy that starts at the first member. */
+    /** Returns a new policy. */
     public static RoundRobin create() {
         return new RoundRobin();
     }
--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamDescription.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamDescription.java
@@ -6,15 +6,15 @@
 import dev.wigeonward.core.request.EngineSpeed;
 
 /**
- * What an agent announces about the upstream beside it.
+ * Description of an upstream, announced by the agent on the same VM.
  *
- * @param upstreamId name of the upstream, stable over restarts of its agent
- * @param incarnation made anew at each start of the agent
- * @param target model or plain service
- * @param version version of the back end
+ * @param upstreamId identifier of the upstream, stable across restarts of its agent
+ * @param incarnation identifier of the agent's process lifetime, generated at each start
+ * @param target name of the model or plain service
+ * @param version version of the backend
  * @param failureDomain failure domain of the VM
- * @param slots requests that the upstream runs at once
- * @param speed speed of one stream
+ * @param slots number of requests that the upstream runs concurrently
+ * @param speed speed of a single stream
  */
 public record UpstreamDescription(
         String upstreamId,
@@ -25,9 +25,9 @@
         int slots,
         EngineSpeed speed) {
     public UpstreamDescription {
-        Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId is empty");
-        Preconditions.checkArgument(!target.isEmpty(), "target is empty");
-        Preconditions.checkArgument(slots > 0, "slots is %s", slots);
+        Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId must not be empty");
+        Preconditions.checkArgument(!target.isEmpty(), "target of upstream %s must not be empty", upstreamId);
+        Preconditions.checkArgument(slots > 0, "slots of upstream %s must be positive but was %s", upstreamId, slots);
         Objects.requireNonNull(version, "version");
         Objects.requireNonNull(failureDomain, "failureDomain");
         Objects.requireNonNull(speed, "speed");
--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** The usable upstreams of one target and version, in an order that allows choice by index. Not thread-safe. */
+/** Pool of the usable upstreams of one target and version, accessible by position. Not thread-safe. */
 public final class UpstreamPool {
     private static final int INITIAL_CAPACITY = 16;
 
     private final List<UpstreamState> members = new ArrayList<>();
     private final Map<String, Integer> positions = new HashMap<>();
-    /** Hashes of the members' ids by position, kept together because key affinity reads all of them. */
+    /** Hashes of the members' ids by position; a contiguous array, because key affinity reads all of them. */
     private long[] idHashes = new long[INITIAL_CAPACITY];
 
     private UpstreamPool() {}
@@ -23,7 +23,7 @@
         return new UpstreamPool();
     }
 
-    /** Adds or replaces the upstream with the state's id. */
+    /** Adds the upstream, or replaces the state of the member with the same id. */
     public void put(UpstreamState state) {
         Integer position = positions.get(state.description().upstreamId());
         if (position != null) {
@@ -38,7 +38,7 @@
         members.add(state);
     }
 
-    /** Removes the upstream; the last member takes its position. Takes constant time. */
+    /** Removes the upstream, if present, and moves the last member to its position. Takes constant time. */
     public void remove(String upstreamId) {
         Integer position = positions.remove(upstreamId);
         if (position == null) {
@@ -58,8 +58,8 @@
     }
 
     /**
-     * Returns the position of the member of highest rendezvous weight for the key in a pool that is not empty. Equal
-     * weights are decided by the hash of the id, so that the order of the members does not matter.
+     * Returns the position of the member with the highest rendezvous weight for the key. The pool must not be empty.
+     * Ties are broken by the hash of the id, so that the result does not depend on the order of the members.
      */
     int heaviest(long keyHash) {
         long[] hashes = idHashes;
--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamState.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamState.java
@@ -2,9 +2,12 @@
 
 import com.google.common.base.Preconditions;
 
-/** Load of one upstream as seen by one entry: own outstanding work, exact, and the last report. Not thread-safe. */
+/**
+ * Load of one upstream as seen by one entry: the exact outstanding work of this entry and the last load report of the
+ * agent. Not thread-safe.
+ */
 public final class UpstreamState {
-    /** Time in which a report loses half of its weight, in milliseconds. */
+    /** Half-life of the weight of a report, in milliseconds. */
     static final long REPORT_HALF_LIFE_MILLIS = 2_000;
 
     private final UpstreamDescription description;
@@ -25,25 +28,28 @@
         return new UpstreamState(description);
     }
 
-    /** Returns what the agent announced. */
+    /** Returns the description announced by the agent. */
     public UpstreamDescription description() {
         return description;
     }
 
-    /** Counts a dispatch of the given expected work. */
+    /** Records a dispatch with the given expected service time. */
     public void onDispatched(long serviceMillis) {
         ownWorkMillis += serviceMillis;
         ownOutstanding++;
     }
 
-    /** Counts the end of a dispatch, with the same expected work as at its start. */
+    /** Records the end of a dispatch; the expected service time must be the one passed at its start. */
     public void onEnded(long serviceMillis) {
-        Preconditions.checkState(ownOutstanding > 0, "no dispatch outstanding at %s", description.upstreamId());
+        Preconditions.checkState(
+                ownOutstanding > 0,
+                "upstream %s must have an outstanding dispatch but has none",
+                description.upstreamId());
         ownWorkMillis -= serviceMillis;
         ownOutstanding--;
     }
 
-    /** Takes over a load report. */
+    /** Replaces the last load report. */
     public void onReport(LoadReport report, long nowMillis) {
         reportedBacklogMillis = report.backlogMillis();
         reportedOutstanding = report.running() + report.queued();
@@ -52,12 +58,12 @@
         ownOutstandingAtReport = ownOutstanding;
     }
 
-    /** Returns the number of own requests that have not ended. */
+    /** Returns the number of outstanding requests of this entry. */
     public int ownOutstanding() {
         return ownOutstanding;
     }
 
-    /** Returns the expected work of the own requests that have not ended, in milliseconds. */
+    /** Returns the total expected service time of the outstanding requests of this entry, in milliseconds. */
     public long ownWorkMillis() {
         return ownWorkMillis;
     }
@@ -65,8 +71,10 @@
     /**
      * Returns the expected time before a new request starts, in milliseconds; 0 while a slot is expected to be free.
      *
-     * <p>It is the larger of the wait by own outstanding work and the wait by the report and what was dispatched since.
-     * The report's wait fades, not its count of requests: a fading count makes a full upstream look free.
+     * <p>The result is the larger of two estimates: the wait computed from this entry's outstanding work, and the wait
+     * computed from the report and the dispatches since. The weight of the second one decays with the age of the
+     * report. The reported number of requests does not decay, because a decaying number would make a full upstream look
+     * free.
      */
     public long waitMillis(long nowMillis) {
         int slots = description.slots();
@@ -83,7 +91,7 @@
         return (long) Math.max(ownMillis, reportedMillis * weight);
     }
 
-    /** Returns the wait behind n requests: a new one starts when all but slots - 1 of them have ended. */
+    /** Returns the wait behind the outstanding requests: a new one starts when all but slots - 1 of them have ended. */
     private double waitMillis(int outstanding, double workPerSlotMillis) {
         int slots = description.slots();
         return outstanding < slots ? 0 : workPerSlotMillis * (outstanding - slots + 1) / outstanding;
--- a/core/src/test/java/dev/wigeonward/core/placement/EarliestCompletionTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/EarliestCompletionTest.java
@@ -28,8 +28,8 @@
         return EarliestCompletion.of(random, prefixes, DomainLatency.uniform(LOCAL, 10));
     }
 
-    /** Mutation: always takes a holder of the prefix, whatever its queue. */
-    private static PlacementPolicy holderFirst(RandomGenerator random, PrefixIndex prefixes) {
+    /** Faulty policy that always chooses a holder of the prefix, regardless of its queue. */
+    private static PlacementPolicy alwaysHolder(RandomGenerator random, PrefixIndex prefixes) {
         PlacementPolicy real = real(random, prefixes);
         return (request, pool, nowMillis) -> prefixes
                 .recentHolders(request.work().prefixHash(), 1)
@@ -39,7 +39,10 @@
                 .or(() -> real.choose(request, pool, nowMillis));
     }
 
-    /** Guards against a queue at a prefix holder that costs more than the prefill it saves, and against the reverse. */
+    /**
+     * Guards against choosing a prefix holder whose queue costs more than the prefill it saves, and against passing
+     * over a holder whose queue costs less.
+     */
     private static void checkHolderTradeoff(PolicyFactory factory, int queuedRequests, int promptTokens) {
         UpstreamPool pool = pool(2);
         PrefixIndex prefixes = PrefixIndex.create();
@@ -65,13 +68,14 @@
         checkHolderTradeoff(EarliestCompletionTest::real, queued, promptTokens);
     }
 
+    /** Guards against a check of the choice between holders and other members that cannot fail. */
     @Test
-    void mutationThatAlwaysTakesTheHolderIsFound() {
-        assertThatThrownBy(() -> checkHolderTradeoff(EarliestCompletionTest::holderFirst, 40, 100))
+    void checkFailsForPolicyThatAlwaysChoosesTheHolder() {
+        assertThatThrownBy(() -> checkHolderTradeoff(EarliestCompletionTest::alwaysHolder, 40, 100))
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against ignoring unlike speeds or the latency of remote domains. */
+    /** Guards against a policy that ignores differences in speed or the latency of remote domains. */
     @Test
     void fasterAndNearerUpstreamsAreChosen() {
         UpstreamPool speeds = UpstreamPool.create();
@@ -89,9 +93,9 @@
         }
     }
 
-    /** Guards against a failure on pools that are empty, have one member, or lost the holder. */
+    /** Guards against a failure when the pool is empty, has one member, or no longer contains the prefix holder. */
     @Test
-    void smallPoolsAndDepartedHolders() {
+    void smallPoolsAndRemovedHoldersAreHandled() {
         PrefixIndex prefixes = PrefixIndex.create();
         prefixes.onPlaced("departed", PREFIX);
         PlacementPolicy policy = real(new Random(1), prefixes);
@@ -100,7 +104,10 @@
                 .isEqualTo("upstream-0");
     }
 
-    /** Guards against a decision that reads the whole pool: it may touch two members and the holders only. */
+    /**
+     * Guards against a decision that reads the whole pool instead of two random members and a limited number of
+     * holders.
+     */
     @Test
     void examinesABoundedNumberOfMembers() {
         UpstreamPool pool = pool(1_000);
--- a/core/src/test/java/dev/wigeonward/core/placement/KeyAffinityTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/KeyAffinityTest.java
@@ -16,52 +16,56 @@
     private static final int KEYS = 2_000;
     private static final int MEMBERS = 20;
 
-    private interface Choice {
+    private interface MemberSelection {
         Optional<UpstreamState> member(String key, UpstreamPool pool);
     }
 
-    /** Mutation: hash modulo the pool's size. */
+    /** Faulty selection by the hash modulo the pool's size. */
     private static Optional<UpstreamState> modulo(String key, UpstreamPool pool) {
         return Optional.of(pool.get(Math.floorMod(key.hashCode(), pool.size())));
     }
 
-    /** Guards against resends that reach another agent because an unrelated one left or the pool's order differs. */
-    private static void checkOnlyKeysOfTheDepartedMove(Choice choice) {
+    /**
+     * Guards against a resent request that reaches another agent because an unrelated one left the pool or because the
+     * order of the pool differs.
+     */
+    private static void checkOnlyKeysOfRemovedMemberMove(MemberSelection selection) {
         UpstreamPool pool = pool(MEMBERS);
-        Map<String, String> before = placements(choice, pool);
+        Map<String, String> before = placements(selection, pool);
         pool.remove("upstream-3");
-        Map<String, String> after = placements(choice, pool);
+        Map<String, String> after = placements(selection, pool);
         before.forEach((key, upstream) -> {
             if (!upstream.equals("upstream-3")) {
                 assertThat(after).containsEntry(key, upstream);
             }
         });
         pool.put(PlacementFixtures.upstream("upstream-3", 4, 100, PlacementFixtures.LOCAL));
-        assertThat(placements(choice, pool)).isEqualTo(before);
+        assertThat(placements(selection, pool)).isEqualTo(before);
     }
 
-    private static Map<String, String> placements(Choice choice, UpstreamPool pool) {
+    private static Map<String, String> placements(MemberSelection selection, UpstreamPool pool) {
         Map<String, String> placements = new HashMap<>();
         for (int number = 0; number < KEYS; number++) {
             String key = "key-" + number;
             placements.put(
-                    key, choice.member(key, pool).orElseThrow().description().upstreamId());
+                    key, selection.member(key, pool).orElseThrow().description().upstreamId());
         }
         return placements;
     }
 
     @Test
-    void onlyKeysOfTheDepartedMove() {
-        checkOnlyKeysOfTheDepartedMove(KeyAffinity::member);
+    void onlyKeysOfRemovedMemberMove() {
+        checkOnlyKeysOfRemovedMemberMove(KeyAffinity::member);
     }
 
+    /** Guards against a check of the moved keys that cannot fail. */
     @Test
-    void mutationWithModuloIsFound() {
-        assertThatThrownBy(() -> checkOnlyKeysOfTheDepartedMove(KeyAffinityTest::modulo))
+    void checkFailsForModuloHashing() {
+        assertThatThrownBy(() -> checkOnlyKeysOfRemovedMemberMove(KeyAffinityTest::modulo))
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against weights that load some members far more than others: 100 keys each, deviation 10. */
+    /** Guards against skewed weights: each member is expected to get 100 keys, with a standard deviation of 10. */
     @Test
     void keysAreSpreadEvenly() {
         Map<String, Integer> counts = new HashMap<>();
@@ -70,9 +74,9 @@
         assertThat(counts.values()).allMatch(count -> count > 60 && count < 140);
     }
 
-    /** Guards against affinity for requests without a key. */
+    /** Guards against placing requests without a key by affinity instead of the fallback policy. */
     @Test
-    void requestsWithoutAKeyGoToTheOtherPolicy() {
+    void requestsWithoutKeyUseTheFallbackPolicy() {
         Placement other = new Placement("other", 0, 1);
         PlacementPolicy policy = KeyAffinity.or((request, pool, nowMillis) -> Optional.of(other));
         WorkEstimate work = new WorkEstimate(10, 10, 0);
--- a/core/src/test/java/dev/wigeonward/core/placement/LinkSubsetTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/LinkSubsetTest.java
@@ -19,7 +19,9 @@
         List<String> agentsOf(String entryId, List<String> entries, List<String> agents);
     }
 
-    /** Mutation: consecutive agents, starting at a place that depends on the entry's rank in the list. */
+    /**
+     * Faulty selection of consecutive agents, starting at an index that depends on the entry's position in the list.
+     */
     private static List<String> consecutive(String entryId, List<String> entries, List<String> agents) {
         int start = entries.indexOf(entryId) * LinkSubset.MIN_LINKS_PER_ENTRY;
         return IntStream.range(0, Math.min(agents.size(), 8))
@@ -39,13 +41,13 @@
         return links;
     }
 
-    private static List<String> without(List<String> all, String departed) {
+    private static List<String> without(List<String> all, String removed) {
         List<String> rest = new ArrayList<>(all);
-        rest.remove(departed);
+        rest.remove(removed);
         return rest;
     }
 
-    /** Guards against an agent that no entry reaches and an entry that cannot serve a pool. */
+    /** Guards against an agent without links from entries and against an entry without enough links to serve a pool. */
     @Property(tries = 60)
     void everyAgentAndEveryEntryHasItsMinimum(
             @ForAll @IntRange(min = 1, max = 40) int entryCount, @ForAll @IntRange(min = 1, max = 60) int agentCount) {
@@ -66,7 +68,10 @@
         }
     }
 
-    /** Guards against a departure that moves links of unrelated entries and agents, at unchanged links per agent. */
+    /**
+     * Guards against the removal of one entry or agent that moves links of unrelated ones, while the number of links
+     * per agent is unchanged.
+     */
     private static void checkStability(Subset subset) {
         List<String> entries = names("e", 30);
         List<String> agents = names("a", 60);
@@ -82,12 +87,13 @@
     }
 
     @Test
-    void departureMovesOnlyItsOwnLinks() {
+    void removalMovesOnlyItsOwnLinks() {
         checkStability(LinkSubset::agentsOf);
     }
 
+    /** Guards against a check of the moved links that cannot fail. */
     @Test
-    void mutationWithConsecutiveAgentsIsFound() {
+    void checkFailsForConsecutiveAgents() {
         assertThatThrownBy(() -> checkStability(LinkSubsetTest::consecutive)).isInstanceOf(AssertionError.class);
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/PlacementFixtures.java
@@ -8,7 +8,7 @@
 import dev.wigeonward.core.request.Tier;
 import dev.wigeonward.core.request.WorkEstimate;
 
-/** Upstreams and requests for the tests of placement. */
+/** Factory methods for upstreams and requests in placement tests. */
 final class PlacementFixtures {
     static final String LOCAL = "domain-1";
     static final String REMOTE = "domain-2";
--- a/core/src/test/java/dev/wigeonward/core/placement/PrefixIndexTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/PrefixIndexTest.java
@@ -19,7 +19,7 @@
     private static final int MAX_PER_UPSTREAM = 4;
     private static final int MAX_TOTAL = 10;
 
-    /** Guards against an index that grows past its bounds or forgets a recently used entry before an older one. */
+    /** Guards against an index that exceeds its bounds or evicts a recently used entry before an older one. */
     private static void checkAgainstModel(List<Integer> steps, BiFunction<Integer, Integer, PrefixIndex> factory) {
         PrefixIndex index = factory.apply(MAX_PER_UPSTREAM, MAX_TOTAL);
         List<String> model = new ArrayList<>();
@@ -64,8 +64,9 @@
         checkAgainstModel(steps, PrefixIndex::withBounds);
     }
 
+    /** Guards against a check of the bounds that cannot fail. */
     @Test
-    void mutationWithALooserBoundIsFound() {
+    void checkFailsForLooserBounds() {
         List<Integer> steps = new Random(1).ints(500, 0, 2_000).boxed().toList();
         checkAgainstModel(steps, PrefixIndex::withBounds);
         assertThatThrownBy(() -> checkAgainstModel(
--- a/core/src/test/java/dev/wigeonward/core/placement/UpstreamStateTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/UpstreamStateTest.java
@@ -12,7 +12,7 @@
 class UpstreamStateTest {
     private final UpstreamState state = upstream("upstream", 2, 100, LOCAL);
 
-    /** Guards against own work that drifts from the sum of what is outstanding. */
+    /** Guards against recorded work of this entry that drifts from the sum of its outstanding requests. */
     @Test
     void ownWorkIsExact() {
         state.onDispatched(300);
@@ -28,15 +28,15 @@
         assertThatThrownBy(() -> state.onEnded(1)).isInstanceOf(IllegalStateException.class);
     }
 
-    /** Guards against an old report that counts as much as a new one. */
+    /** Guards against an old report that has the same weight as a new one. */
     @Test
-    void reportFadesToHalfInItsHalfLife() {
+    void reportedWaitHalvesInOneHalfLife() {
         state.onReport(new LoadReport(100_000, 2, 98, List.of(), List.of()), 1_000);
         assertThat(state.waitMillis(1_000)).isEqualTo(99_000);
         assertThat(state.waitMillis(3_000)).isEqualTo(49_500);
     }
 
-    /** Guards against a burst to an upstream whose last report predates the entry's own dispatches. */
+    /** Guards against a burst to one upstream because its last report does not yet contain this entry's dispatches. */
     @Test
     void ownDispatchesSinceTheReportAreAdded() {
         state.onReport(new LoadReport(1_000, 2, 2, List.of(), List.of()), 0);
@@ -45,7 +45,7 @@
         assertThat(state.waitMillis(0)).isGreaterThan(before);
     }
 
-    /** Guards against a wait that is reported for running requests although a slot is free. */
+    /** Guards against a wait that is computed from running requests although a slot is free. */
     @Test
     void freeSlotMeansNoWait() {
         state.onReport(new LoadReport(5_000, 1, 0, List.of(), List.of()), 0);
