--- a/core/src/main/java/dev/wigeonward/core/admission/AdmissionResult.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/AdmissionResult.java
@@ -5,11 +5,13 @@
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** Outcome of offering a request to an admission queue. */
+/** Result of offering a request to an admission queue. */
 public sealed interface AdmissionResult {
     /**
-     * The request waits; the displaced requests, of lower tiers or of a workspace over its share in the same tier, left
-     * the queue for it and have not run.
+     * The request was queued.
+     *
+     * @param displaced requests removed from the full queue to make room; they are of lower tiers or of a workspace
+     *     over its share in the same tier, and have not run
      */
     record Queued(List<RequestSpec> displaced) implements AdmissionResult {
         public Queued {
--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareAdmissionQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareAdmissionQueue.java
@@ -8,8 +8,8 @@
 import dev.wigeonward.core.request.Tier;
 
 /**
- * Strict priority between tiers, start-time fair queueing over the workspaces within a tier, displacement when full.
- * Never returns a request whose deadline has passed from {@link #poll}.
+ * Admission queue with strict priority between tiers, start-time fair queueing over the workspaces within a tier, and
+ * displacement when full. {@link #poll} never returns a request whose deadline has passed.
  */
 public final class FairShareAdmissionQueue implements AdmissionQueue {
     private final FairShareBacklog backlog;
@@ -58,7 +58,10 @@
         return backlog.size();
     }
 
-    /** The upstream and its speed are not chosen yet: only a request whose deadline has passed is surely late. */
+    /**
+     * Returns the last time before the deadline. The upstream and its speed are not known yet, so only a request whose
+     * deadline has passed is certain to be late.
+     */
     private static long latestStartMillis(RequestSpec request) {
         return request.deadlineMillis() - 1;
     }
--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareBacklog.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareBacklog.java
@@ -20,25 +20,25 @@
 import dev.wigeonward.core.request.Tier;
 
 /**
- * Bounded backlog in strict order of tiers and, within a tier, of start-time fair queueing over the workspaces. When it
- * is full, the request that comes last in this order gives way to one that comes before it. Operations take time
+ * Bounded queue ordered strictly by tier and, within a tier, by start-time fair queueing over the workspaces. When it
+ * is full, an arriving request displaces the last one in this order, provided that it precedes it. Operations take time
  * logarithmic in the number of requests. Not thread-safe.
  */
 public final class FairShareBacklog {
     private final int capacity;
     private final long shortMillis;
     private final Map<Tier, TierBacklog> tiers = new EnumMap<>(Tier.class);
-    private final Map<RequestId, QueuedRequest> items = new HashMap<>();
+    private final Map<RequestId, QueuedRequest> queued = new HashMap<>();
     private final TreeSet<QueuedRequest> byLatestStart = new TreeSet<>(QueuedRequest.BY_LATEST_START);
-    /** Requests that left the order because they cannot meet their deadline and were not yet reported. */
+    /** Requests that were removed from the order because they cannot meet their deadline, until they are returned. */
     private final Map<RequestId, RequestSpec> unreachable = new LinkedHashMap<>();
 
     private long nextSequence;
     private long nextFrontSequence = -1;
 
     private FairShareBacklog(int capacity, long shortMillis, WorkspaceWeights weights) {
-        Preconditions.checkArgument(capacity > 0, "capacity is %s", capacity);
-        Preconditions.checkArgument(shortMillis >= 0, "shortMillis is %s", shortMillis);
+        Preconditions.checkArgument(capacity > 0, "capacity must be positive but was %s", capacity);
+        Preconditions.checkArgument(shortMillis >= 0, "shortMillis must not be negative but was %s", shortMillis);
         Objects.requireNonNull(weights, "weights");
         this.capacity = capacity;
         this.shortMillis = shortMillis;
@@ -50,40 +50,44 @@
     /**
      * Returns an empty backlog.
      *
-     * @param capacity requests that it holds at most
-     * @param shortMillis service time up to which a request counts as short
+     * @param capacity maximum number of queued requests
+     * @param shortMillis longest service time of a short request, in milliseconds
      */
     public static FairShareBacklog create(int capacity, long shortMillis, WorkspaceWeights weights) {
         return new FairShareBacklog(capacity, shortMillis, weights);
     }
 
     /**
-     * Returns whether the request was queued or refused. Unreachable requests leave the order first. In a full backlog
-     * the last request of the lowest tier below gives way, else the last request of the own tier if it comes after the
-     * arriving one in fair order: otherwise one workspace that fills the backlog would shut out the others.
+     * Adds the request or refuses it, and returns which of the two happened. Requests that cannot meet their deadline
+     * are set aside first. If the backlog is full, the last request of the lowest tier below that of the arriving one
+     * is displaced; if there is none, the last request of the same tier is displaced, provided that it follows the
+     * arriving one in fair order. Without the second rule, one workspace that fills the backlog would lock out the
+     * others.
      *
-     * @param latestStartMillis time after which the request cannot meet its deadline
+     * @param serviceMillis expected time to serve the request, in milliseconds
+     * @param latestStartMillis time after which the request cannot meet its deadline if it has not started
      */
     public AdmissionResult offer(RequestSpec request, long serviceMillis, long latestStartMillis, long nowMillis) {
-        Preconditions.checkArgument(!items.containsKey(request.id()), "request %s is queued", request.id());
+        Preconditions.checkArgument(
+                !queued.containsKey(request.id()), "request %s must not be queued already", request.id());
         if (latestStartMillis < nowMillis) {
             return refused(ErrorKind.DEADLINE_UNREACHABLE, "too little time is left to serve the request");
         }
         setAsideUnreachable(nowMillis);
-        if (items.size() < capacity) {
-            insert(item(request, serviceMillis, latestStartMillis, nextSequence++));
+        if (queued.size() < capacity) {
+            insert(newItem(request, serviceMillis, latestStartMillis, nextSequence++));
             return new AdmissionResult.Queued(List.of());
         }
-        Optional<QueuedRequest> victim = victimFor(request);
-        if (victim.isEmpty()) {
+        Optional<QueuedRequest> displaced = findDisplaced(request);
+        if (displaced.isEmpty()) {
             return refused(ErrorKind.OVERLOADED, "the queue is full");
         }
-        remove(victim.get().request().id());
-        insert(item(request, serviceMillis, latestStartMillis, nextSequence++));
-        return new AdmissionResult.Queued(List.of(victim.get().request()));
+        remove(displaced.get().request().id());
+        insert(newItem(request, serviceMillis, latestStartMillis, nextSequence++));
+        return new AdmissionResult.Queued(List.of(displaced.get().request()));
     }
 
-    private Optional<QueuedRequest> victimFor(RequestSpec arriving) {
+    private Optional<QueuedRequest> findDisplaced(RequestSpec arriving) {
         Tier[] all = Tier.values();
         for (int i = all.length - 1; arriving.tier().isAbove(all[i]); i--) {
             Optional<QueuedRequest> last = tiers.get(all[i]).last();
@@ -94,33 +98,33 @@
         return tiers.get(arriving.tier()).lastAfter(arriving.workspace());
     }
 
-    /** Returns the next request without removing it, or empty if no reachable one is queued. */
+    /** Returns the next request without removing it, or empty if none that can meet its deadline is queued. */
     public Optional<RequestSpec> peek(long nowMillis) {
         setAsideUnreachable(nowMillis);
         return firstOf(TierBacklog::first).map(QueuedRequest::request);
     }
 
-    /** Removes and returns the next request, or empty if no reachable one is queued. */
+    /** Removes and returns the next request, or returns empty if none that can meet its deadline is queued. */
     public Optional<RequestSpec> poll(long nowMillis) {
         setAsideUnreachable(nowMillis);
-        return take(firstOf(TierBacklog::first));
+        return removeForService(firstOf(TierBacklog::first));
     }
 
-    /** Returns the next short request without removing it, or empty if no reachable short one is queued. */
+    /** Returns the next short request without removing it, or empty if none that can meet its deadline is queued. */
     public Optional<RequestSpec> peekShort(long nowMillis) {
         setAsideUnreachable(nowMillis);
         return firstOf(TierBacklog::firstShort).map(QueuedRequest::request);
     }
 
-    /** Removes and returns the next short request, or empty if no reachable short one is queued. */
+    /** Removes and returns the next short request, or returns empty if none that can meet its deadline is queued. */
     public Optional<RequestSpec> pollShort(long nowMillis) {
         setAsideUnreachable(nowMillis);
-        return take(firstOf(TierBacklog::firstShort));
+        return removeForService(firstOf(TierBacklog::firstShort));
     }
 
-    private Optional<QueuedRequest> firstOf(Function<TierBacklog, Optional<QueuedRequest>> choice) {
+    private Optional<QueuedRequest> firstOf(Function<TierBacklog, Optional<QueuedRequest>> selector) {
         for (TierBacklog tier : tiers.values()) {
-            Optional<QueuedRequest> first = choice.apply(tier);
+            Optional<QueuedRequest> first = selector.apply(tier);
             if (first.isPresent()) {
                 return first;
             }
@@ -128,35 +132,36 @@
         return Optional.empty();
     }
 
-    private Optional<RequestSpec> take(Optional<QueuedRequest> taken) {
+    private Optional<RequestSpec> removeForService(Optional<QueuedRequest> taken) {
         taken.ifPresent(item -> {
-            items.remove(item.request().id());
+            queued.remove(item.request().id());
             byLatestStart.remove(item);
-            tiers.get(item.request().tier()).take(item);
+            tiers.get(item.request().tier()).removeForService(item);
         });
         return taken.map(QueuedRequest::request);
     }
 
     /**
-     * Puts a request that was polled back at the front of its tier and workspace. It was admitted before, so it may
+     * Returns a polled request to the front of its tier and workspace. The request was already admitted, so it may
      * exceed the capacity.
      */
     public void putBack(RequestSpec request, long serviceMillis, long latestStartMillis) {
-        Preconditions.checkArgument(!items.containsKey(request.id()), "request %s is queued", request.id());
-        QueuedRequest item = item(request, serviceMillis, latestStartMillis, nextFrontSequence--);
-        items.put(request.id(), item);
+        Preconditions.checkArgument(
+                !queued.containsKey(request.id()), "request %s must not be queued already", request.id());
+        QueuedRequest item = newItem(request, serviceMillis, latestStartMillis, nextFrontSequence--);
+        queued.put(request.id(), item);
         byLatestStart.add(item);
         tiers.get(request.tier()).putBack(item);
     }
 
-    /** Takes a queued request out of the order, to be returned by the next {@link #removeUnreachable}. */
+    /** Removes a queued request from the order; the next {@link #removeUnreachable} returns it. */
     public void setAside(RequestSpec request) {
         if (remove(request.id())) {
             unreachable.put(request.id(), request);
         }
     }
 
-    /** Removes and returns the requests that cannot meet their deadline any more. */
+    /** Removes and returns the requests that can no longer meet their deadline. */
     public List<RequestSpec> removeUnreachable(long nowMillis) {
         setAsideUnreachable(nowMillis);
         List<RequestSpec> removed = new ArrayList<>(unreachable.values());
@@ -170,9 +175,9 @@
         }
     }
 
-    /** Removes the request and returns whether it was queued. */
+    /** Removes the request and returns whether it was queued or set aside. */
     public boolean remove(RequestId id) {
-        QueuedRequest item = items.remove(id);
+        QueuedRequest item = queued.remove(id);
         if (item == null) {
             return unreachable.remove(id) != null;
         }
@@ -181,7 +186,7 @@
         return true;
     }
 
-    /** Returns the expected time to serve all queued requests of the tier and above, in milliseconds. */
+    /** Returns the expected time to serve all queued requests of the given tier and higher ones, in milliseconds. */
     public long backlogMillis(Tier lowest) {
         return Arrays.stream(Tier.values())
                 .filter(tier -> !lowest.isAbove(tier))
@@ -189,17 +194,17 @@
                 .sum();
     }
 
-    /** Returns the number of queued requests, without those set aside as unreachable. */
+    /** Returns the number of queued requests, excluding those set aside because they cannot meet their deadline. */
     public int size() {
-        return items.size();
+        return queued.size();
     }
 
-    private QueuedRequest item(RequestSpec request, long serviceMillis, long latestStartMillis, long sequence) {
+    private QueuedRequest newItem(RequestSpec request, long serviceMillis, long latestStartMillis, long sequence) {
         return new QueuedRequest(request, serviceMillis, latestStartMillis, sequence, serviceMillis <= shortMillis);
     }
 
     private void insert(QueuedRequest item) {
-        items.put(item.request().id(), item);
+        queued.put(item.request().id(), item);
         byLatestStart.add(item);
         tiers.get(item.request().tier()).add(item);
     }
--- a/core/src/main/java/dev/wigeonward/core/admission/FifoAdmissionQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FifoAdmissionQueue.java
@@ -13,13 +13,13 @@
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.core.request.Tier;
 
-/** Baseline: first in, first out, blind to tiers, shares and deadlines; refuses when full. */
+/** Baseline first-in, first-out queue that ignores tiers, shares and deadlines, and refuses requests when full. */
 public final class FifoAdmissionQueue implements AdmissionQueue {
     private final int capacity;
     private final Map<RequestId, Waiting> waiting = new LinkedHashMap<>();
 
     private FifoAdmissionQueue(int capacity) {
-        Preconditions.checkArgument(capacity > 0, "capacity is %s", capacity);
+        Preconditions.checkArgument(capacity > 0, "capacity must be positive but was %s", capacity);
         this.capacity = capacity;
     }
 
@@ -60,11 +60,11 @@
     public List<RequestSpec> removeExpired(long nowMillis) {
         List<RequestSpec> expired = new ArrayList<>();
         waiting.values().removeIf(entry -> {
-            boolean late = entry.request().deadlineMillis() <= nowMillis;
-            if (late) {
+            boolean isExpired = entry.request().deadlineMillis() <= nowMillis;
+            if (isExpired) {
                 expired.add(entry.request());
             }
-            return late;
+            return isExpired;
         });
         return expired;
     }
--- a/core/src/main/java/dev/wigeonward/core/admission/QueuedRequest.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/QueuedRequest.java
@@ -5,12 +5,12 @@
 import dev.wigeonward.core.request.RequestSpec;
 
 /**
- * A request in a backlog.
+ * Request in a {@link FairShareBacklog}.
  *
- * @param serviceMillis expected time to serve it
- * @param latestStartMillis time after which it is unreachable
- * @param sequence order of arrival; lower than all others for a request that was put back
- * @param isShort whether it may be taken out of order by {@link FairShareBacklog#pollShort}
+ * @param serviceMillis expected time to serve the request, in milliseconds
+ * @param latestStartMillis time after which the request cannot meet its deadline if it has not started
+ * @param sequence position in order of arrival; lower than all others for a request that was put back
+ * @param isShort whether the request may be served out of order by {@link FairShareBacklog#pollShort}
  */
 record QueuedRequest(RequestSpec request, long serviceMillis, long latestStartMillis, long sequence, boolean isShort) {
     static final Comparator<QueuedRequest> BY_LATEST_START =
--- a/core/src/main/java/dev/wigeonward/core/admission/TierBacklog.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/TierBacklog.java
@@ -6,9 +6,10 @@
 import java.util.TreeSet;
 
 /**
- * The queued requests of one tier under start-time fair queueing. The virtual time is the start tag of the last request
- * taken. A workspace that becomes active starts at the virtual time, so it neither saves up an unused share nor pays
- * for it. Each operation takes time logarithmic in the number of workspaces and of the workspace's requests.
+ * Queue of the requests of one tier under start-time fair queueing. The virtual time is the start tag of the last
+ * request removed for service. A workspace that becomes active starts at the virtual time, so it neither accumulates
+ * credit for an unused share nor is charged for it. Each operation takes time logarithmic in the number of workspaces
+ * and of the requests of the workspace.
  */
 final class TierBacklog {
     private final WorkspaceWeights weights;
@@ -16,7 +17,7 @@
     private final TreeSet<WorkspaceFlow> byStart = new TreeSet<>(WorkspaceFlow.BY_START);
     private final TreeSet<WorkspaceFlow> withShortByStart = new TreeSet<>(WorkspaceFlow.BY_START);
     private final TreeSet<WorkspaceFlow> byLastStart = new TreeSet<>(WorkspaceFlow.BY_LAST_START);
-    /** Flows without requests whose last request ends after the virtual time. */
+    /** Flows without requests, kept while the virtual end of their last request is later than the virtual time. */
     private final TreeSet<WorkspaceFlow> idleByStart = new TreeSet<>(WorkspaceFlow.BY_START);
 
     private long virtualTime;
@@ -40,9 +41,9 @@
         attach(flow);
     }
 
-    /** Adds a request that was taken before and refunds what its workspace was charged. */
+    /** Adds a request that was removed for service before, and refunds the charge to its workspace. */
     void putBack(QueuedRequest item) {
-        // The charge of a flow that was forgotten lies in the past of the virtual time: there is nothing to refund.
+        // The charge of a removed flow is already in the past of the virtual time, so there is nothing to refund.
         boolean charged = flows.containsKey(item.request().workspace());
         WorkspaceFlow flow = detach(item);
         if (charged) {
@@ -67,18 +68,18 @@
                 : Optional.of(withShortByStart.first().oldestShort());
     }
 
-    /** Removes a request to be served and charges its workspace. */
-    void take(QueuedRequest item) {
+    /** Removes a request that is about to be served, and charges its workspace. */
+    void removeForService(QueuedRequest item) {
         WorkspaceFlow flow = detach(item);
         virtualTime = Math.max(virtualTime, flow.startTag());
         flow.remove(item);
         backlogMillis -= item.serviceMillis();
         flow.advance(cost(flow, item));
         attach(flow);
-        forgetPaidFlows();
+        removeIdleFlows();
     }
 
-    /** Removes a request that is not served. */
+    /** Removes a request that will not be served, without a charge. */
     void remove(QueuedRequest item) {
         WorkspaceFlow flow = detach(item);
         flow.remove(item);
@@ -86,14 +87,14 @@
         attach(flow);
     }
 
-    /** Returns the newest request of the workspace furthest over its share, or empty if there is none. */
+    /** Returns the newest request of the workspace that exceeds its share the most, or empty if there is none. */
     Optional<QueuedRequest> last() {
         return byLastStart.isEmpty()
                 ? Optional.empty()
                 : Optional.of(byLastStart.last().newest());
     }
 
-    /** Returns {@link #last} if it comes after a new request of the given workspace in fair order. */
+    /** Returns {@link #last} if it would follow a new request of the given workspace in fair order. */
     Optional<QueuedRequest> lastAfter(String workspace) {
         if (byLastStart.isEmpty() || byLastStart.last().workspace().equals(workspace)) {
             return Optional.empty();
@@ -131,7 +132,7 @@
         }
     }
 
-    private void forgetPaidFlows() {
+    private void removeIdleFlows() {
         while (!idleByStart.isEmpty() && idleByStart.first().startTag() <= virtualTime) {
             flows.remove(idleByStart.pollFirst().workspace());
         }
--- a/core/src/main/java/dev/wigeonward/core/admission/WorkspaceFlow.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/WorkspaceFlow.java
@@ -3,22 +3,22 @@
 import java.util.Comparator;
 import java.util.TreeMap;
 
-/** The queued requests of one workspace within a tier, with its position in virtual time. */
+/** Queue of the requests of one workspace within a tier, with its position in virtual time. */
 final class WorkspaceFlow {
-    /** Orders flows by the virtual start of their oldest request. */
+    /** Orders flows by the virtual start time of their oldest request. */
     static final Comparator<WorkspaceFlow> BY_START =
             Comparator.<WorkspaceFlow>comparingLong(flow -> flow.startTag).thenComparing(flow -> flow.workspace);
 
-    /** Orders flows by the virtual start of their newest request. */
+    /** Orders flows by the virtual start time of their newest request. */
     static final Comparator<WorkspaceFlow> BY_LAST_START =
             Comparator.<WorkspaceFlow>comparingLong(flow -> flow.lastStartTag).thenComparing(flow -> flow.workspace);
 
-    /** Virtual time units of one millisecond at weight 1; fine enough for weights up to a thousand. */
+    /** Virtual time units per millisecond of work at weight 1; precise enough for weights up to 1,000. */
     private static final long UNITS_PER_MILLI = 1_000;
 
     private final String workspace;
     private final TreeMap<Long, QueuedRequest> queued = new TreeMap<>();
-    private final TreeMap<Long, QueuedRequest> shorts = new TreeMap<>();
+    private final TreeMap<Long, QueuedRequest> shortRequests = new TreeMap<>();
     private long startTag;
     private long lastStartTag;
     private long queuedMillis;
@@ -33,7 +33,7 @@
         return new WorkspaceFlow(workspace, startTag);
     }
 
-    /** Returns the virtual time that work takes at a weight, at least 1. */
+    /** Returns the virtual time that the work takes at the given weight; at least 1. */
     static long cost(long workMillis, int weight) {
         return Math.max(1, workMillis * UNITS_PER_MILLI / Math.max(1, weight));
     }
@@ -41,33 +41,33 @@
     void add(QueuedRequest item) {
         queued.put(item.sequence(), item);
         if (item.isShort()) {
-            shorts.put(item.sequence(), item);
+            shortRequests.put(item.sequence(), item);
         }
         queuedMillis += item.serviceMillis();
     }
 
     void remove(QueuedRequest item) {
         queued.remove(item.sequence());
-        shorts.remove(item.sequence());
+        shortRequests.remove(item.sequence());
         queuedMillis -= item.serviceMillis();
     }
 
-    /** Moves the start by a virtual time, which is negative for a refund. */
+    /** Moves the start tag by the given virtual time, which is negative for a refund. */
     void advance(long tags) {
         startTag += tags;
     }
 
-    /** Moves the start to the virtual time unless it lies later. */
+    /** Raises the start tag to the virtual time if it is lower. */
     void startNoEarlierThan(long virtualTime) {
         startTag = Math.max(startTag, virtualTime);
     }
 
-    /** Recomputes the virtual start of the newest request at the current weight. */
+    /** Recomputes the virtual start time of the newest request with the current weight. */
     void updateLastStart(int weight) {
         lastStartTag = startTag + cost(queuedMillis - newest().serviceMillis(), weight);
     }
 
-    /** Returns the virtual start that a request would get if it were added now. */
+    /** Returns the virtual start time that a request would get if it were added now. */
     long startOfNext(long virtualTime, int weight) {
         return isEmpty() ? Math.max(startTag, virtualTime) : startTag + cost(queuedMillis, weight);
     }
@@ -77,7 +77,7 @@
     }
 
     QueuedRequest oldestShort() {
-        return shorts.firstEntry().getValue();
+        return shortRequests.firstEntry().getValue();
     }
 
     QueuedRequest newest() {
@@ -89,7 +89,7 @@
     }
 
     boolean hasShort() {
-        return !shorts.isEmpty();
+        return !shortRequests.isEmpty();
     }
 
     String workspace() {
--- a/core/src/main/java/dev/wigeonward/core/admission/WorkspaceRates.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/WorkspaceRates.java
@@ -7,25 +7,26 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Token buckets for each workspace's requests and tokens per second. The rules give the rate over all entries; each
- * entry allows its equal part, since callers reach entries at random through the load balancer. Thread-safe.
+ * Rate limiter for the requests and tokens per second of each workspace, with one token bucket for each. The rules set
+ * the rate over all entries. Each entry allows an equal fraction of it, because the load balancer distributes callers
+ * over the entries at random. Thread-safe.
  */
 public final class WorkspaceRates {
     private static final double MILLIS_PER_SECOND = 1_000;
-    /** Lets a part below one request per second still pass single requests. */
+    /** Minimum bucket size; a rate below one request per second must still admit single requests. */
     private static final double MIN_BURST = 1;
 
     private final Map<String, Bucket> requests = new HashMap<>();
     private final Map<String, Bucket> tokens = new HashMap<>();
     private int entries = 1;
 
-    /** Sets over how many entries the rates are divided; 0 counts as 1. */
+    /** Sets the number of entries by which the rates are divided; 0 is treated as 1. */
     public synchronized void setEntries(int count) {
-        Preconditions.checkArgument(count >= 0, "count is %s", count);
+        Preconditions.checkArgument(count >= 0, "number of entries must not be negative but was %s", count);
         entries = Math.max(1, count);
     }
 
-    /** Returns whether a request of so many tokens is within both rates, and counts it if so. */
+    /** Returns whether a request with the given tokens is within both rates, and deducts it from both if so. */
     public synchronized boolean tryAcquire(
             String workspace,
             OptionalInt requestsPerSecond,
@@ -38,7 +39,8 @@
             return false;
         }
         requestBucket.level -= 1;
-        // A request may exceed what is left, so that one larger than a second's tokens can pass at all.
+        // The level may become negative, because a request larger than the tokens of one second could never pass
+        // otherwise.
         tokenBucket.level -= requestTokens;
         return true;
     }
--- a/core/src/main/java/dev/wigeonward/core/admission/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/package-info.java
@@ -1,2 +1,2 @@
-/** Admission of requests by tier, workspace share and deadline. */
+/** Admission queues that order and refuse requests by tier, workspace share and deadline. */
 package dev.wigeonward.core.admission;
--- a/core/src/main/java/dev/wigeonward/core/cap/RetryShare.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/RetryShare.java
@@ -5,13 +5,13 @@
 import com.google.common.base.Preconditions;
 
 /**
- * This entry's part of a retry budget that all entries share over a sliding window. Each entry spends from its own
- * requests and from an equal part of the fixed allowance, so that no message is needed and a cut between entries cannot
- * overdraw the budget. Not thread-safe.
+ * This entry's share of a retry budget that all entries share over a sliding window. The share is computed from the
+ * entry's own requests and an equal fraction of the fixed allowance, so that no messages are needed and the budget
+ * holds even if entries cannot reach each other. Not thread-safe.
  */
 public final class RetryShare {
-    /** Part of the budget that is used; the rest covers requests that other entries count in another window. */
-    private static final double USED_PART = 0.7;
+    /** Fraction of the budget that is used; the rest covers requests that other entries count in a different window. */
+    private static final double USABLE_FRACTION = 0.7;
 
     private double ratio;
     private int allowance;
@@ -26,33 +26,38 @@
     /**
      * Returns an unused share.
      *
-     * @param ratio retries allowed for each request of the window
-     * @param allowance retries allowed in a window beyond the ratio, by all entries together
+     * @param ratio retries allowed per request in the window
+     * @param allowance retries that all entries together may make in a window in addition to the ratio
+     * @param windowMillis length of the sliding window, in milliseconds
      */
     public static RetryShare create(double ratio, int allowance, long windowMillis) {
         return new RetryShare(ratio, allowance, windowMillis);
     }
 
-    /** Puts other figures in force; what was counted before still counts. */
+    /** Replaces the limits; requests and retries recorded before still count. */
     public void change(double newRatio, int newAllowance, long newWindowMillis) {
-        Preconditions.checkArgument(newRatio >= 0, "ratio is %s", newRatio);
-        Preconditions.checkArgument(newWindowMillis > 0, "windowMillis is %s", newWindowMillis);
+        Preconditions.checkArgument(newRatio >= 0, "ratio must not be negative but was %s", newRatio);
+        Preconditions.checkArgument(newWindowMillis > 0, "windowMillis must be positive but was %s", newWindowMillis);
         ratio = newRatio;
         allowance = newAllowance;
         windowMillis = newWindowMillis;
     }
 
-    /** Counts a request of a caller. */
+    /** Records a request of a caller. */
     public void onRequest(long nowMillis) {
         requests.add(nowMillis);
-        removeOld(nowMillis);
+        removeExpired(nowMillis);
     }
 
-    /** Counts a retry and returns true, or returns false if the share is used up. */
+    /**
+     * Records a retry and returns true, or returns false if the share is exhausted.
+     *
+     * @param entries number of entries that share the allowance
+     */
     public boolean tryAcquire(int entries, long nowMillis) {
-        Preconditions.checkArgument(entries > 0, "entries is %s", entries);
-        removeOld(nowMillis);
-        double allowed = USED_PART * (ratio * requests.size() + (double) allowance / entries);
+        Preconditions.checkArgument(entries > 0, "entries must be positive but was %s", entries);
+        removeExpired(nowMillis);
+        double allowed = USABLE_FRACTION * (ratio * requests.size() + (double) allowance / entries);
         if (retries.size() + 1 > allowed) {
             return false;
         }
@@ -60,12 +65,12 @@
         return true;
     }
 
-    private void removeOld(long nowMillis) {
-        removeOld(requests, nowMillis);
-        removeOld(retries, nowMillis);
+    private void removeExpired(long nowMillis) {
+        removeExpired(requests, nowMillis);
+        removeExpired(retries, nowMillis);
     }
 
-    private void removeOld(ArrayDeque<Long> times, long nowMillis) {
+    private void removeExpired(ArrayDeque<Long> times, long nowMillis) {
         while (!times.isEmpty() && times.peekFirst() <= nowMillis - windowMillis) {
             times.removeFirst();
         }
--- a/core/src/main/java/dev/wigeonward/core/cap/TenantCap.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/TenantCap.java
@@ -6,21 +6,24 @@
 import com.google.common.base.Preconditions;
 
 /**
- * One tenant's usage cap as seen by one entry: a token bucket for all entries together. Entries tell each other their
- * cumulative usage, which each subtracts from its own bucket. What peers use between two reports is estimated from
- * their recent rate. An entry that hears no peer uses only a part of an equal share. Not thread-safe.
+ * Usage cap of one tenant as seen by one entry: a token bucket for all entries together. Entries report their
+ * cumulative usage to each other, and each subtracts it from its own bucket. The usage of peers between two reports is
+ * estimated from their recent rate. An entry that receives no reports uses only a fraction of an equal share. Not
+ * thread-safe.
  */
 public final class TenantCap {
-    /** Time constant of the estimate of a peer's rate, in milliseconds. */
-    private static final double RATE_MEMORY_MILLIS = 1_000;
-    /** Part of an equal share that an entry uses while it hears no peer; the others leave as much to it. */
-    private static final double ALONE_PART = 0.5;
-    /** Smallest part of the cap that is left for the entries that hear each other. */
-    private static final double LEAST_HEARD_PART = 0.2;
+    /** Time constant of the moving average of a peer's usage rate, in milliseconds. */
+    private static final double RATE_TIME_CONSTANT_MILLIS = 1_000;
+    /**
+     * Fraction of an equal share that an entry uses while it receives no reports; the others leave this amount for it.
+     */
+    private static final double ISOLATED_FRACTION = 0.5;
+    /** Minimum fraction of the cap for the entries that receive reports from each other. */
+    private static final double MIN_CONNECTED_FRACTION = 0.2;
 
     private double ratePerSecond;
     private double capacity;
-    private double part;
+    private double fraction;
     private double level;
     private double usedTotal;
     private boolean levelKnown;
@@ -30,58 +33,64 @@
     private TenantCap(long ratePerSecond, long capacity, int entries, long nowMillis) {
         this.ratePerSecond = ratePerSecond;
         this.capacity = capacity;
-        this.part = entries > 1 ? ALONE_PART / entries : 1;
+        this.fraction = entries > 1 ? ISOLATED_FRACTION / entries : 1;
         this.updatedAtMillis = nowMillis;
-        // A restarted entry may have spent its share shortly before, so it starts with that of one second.
-        this.level = Math.min(capacity, ratePerSecond) * part;
+        // A restarted entry may have used its share shortly before, so it starts with the share of one second.
+        this.level = Math.min(capacity, ratePerSecond) * fraction;
     }
 
     /**
-     * Returns the cap of an entry that has heard no peer yet.
+     * Returns the cap of an entry that has not received a report yet.
      *
-     * @param capacity usage allowed at once
+     * @param ratePerSecond usage allowed per second, over all entries
+     * @param capacity usage allowed in one burst, over all entries
+     * @param entries number of known entries, including this one
      */
     public static TenantCap create(long ratePerSecond, long capacity, int entries, long nowMillis) {
-        Preconditions.checkArgument(ratePerSecond > 0, "ratePerSecond is %s", ratePerSecond);
-        Preconditions.checkArgument(capacity > 0, "capacity is %s", capacity);
-        Preconditions.checkArgument(entries > 0, "entries is %s", entries);
+        Preconditions.checkArgument(ratePerSecond > 0, "ratePerSecond must be positive but was %s", ratePerSecond);
+        Preconditions.checkArgument(capacity > 0, "capacity must be positive but was %s", capacity);
+        Preconditions.checkArgument(entries > 0, "entries must be positive but was %s", entries);
         return new TenantCap(ratePerSecond, capacity, entries, nowMillis);
     }
 
-    /** Puts other figures in force; what was spent before still counts. */
+    /** Replaces the limits; usage recorded before still counts. */
     public void change(long newRatePerSecond, long newCapacity, long nowMillis) {
-        advance(nowMillis);
+        refill(nowMillis);
         ratePerSecond = newRatePerSecond;
         capacity = newCapacity;
-        level = Math.max(-capacity, Math.min(level, capacity * part));
+        level = Math.max(-capacity, Math.min(level, capacity * fraction));
     }
 
-    /** States how many entries are heard, and how many are known, both counting this one. */
+    /**
+     * Sets the number of entries whose reports are received and the number of known entries, both including this one.
+     */
     public void entries(int heard, int known, long nowMillis) {
-        Preconditions.checkArgument(heard > 0 && known >= heard, "heard is %s of %s", heard, known);
-        advance(nowMillis);
-        double newPart = heard == 1 && known > 1
-                ? ALONE_PART / known
-                : Math.max(LEAST_HEARD_PART, 1 - (known - heard) * ALONE_PART / known);
-        if (newPart != part) {
-            level = level > 0 ? level * newPart / part : level;
-            part = newPart;
+        Preconditions.checkArgument(
+                heard > 0 && known >= heard, "heard must be from 1 to the %s known entries but was %s", known, heard);
+        refill(nowMillis);
+        double newFraction = heard == 1 && known > 1
+                ? ISOLATED_FRACTION / known
+                : Math.max(MIN_CONNECTED_FRACTION, 1 - (known - heard) * ISOLATED_FRACTION / known);
+        if (newFraction != fraction) {
+            level = level > 0 ? level * newFraction / fraction : level;
+            fraction = newFraction;
         }
     }
 
     /**
-     * Takes over a peer's report.
+     * Subtracts the peer's usage since its previous report from the level and updates the estimate of its rate. The
+     * very first report of any peer replaces the level instead.
      *
-     * @param incarnation differs after each start of the peer, whose cumulative usage then starts anew
-     * @param peerUsedTotal usage that the peer has let pass since its start
-     * @param peerLevel what the peer believes to be left
+     * @param incarnation identifier of the peer's process lifetime; its cumulative usage starts at 0 in each lifetime
+     * @param peerUsedTotal usage that the peer has admitted since its start
+     * @param peerLevel level of the bucket as computed by the peer
      */
     public void onPeer(String peer, long incarnation, double peerUsedTotal, double peerLevel, long nowMillis) {
-        advance(nowMillis);
+        refill(nowMillis);
         if (!levelKnown) {
-            // The peers' view includes what was used before this entry started.
+            // The peer's level includes the usage before this entry started.
             levelKnown = true;
-            level = Math.min(peerLevel, capacity * part);
+            level = Math.min(peerLevel, capacity * fraction);
             peers.put(peer, new PeerUsage(incarnation, peerUsedTotal, 0, nowMillis));
             return;
         }
@@ -89,25 +98,25 @@
         double used =
                 last == null ? 0 : last.incarnation == incarnation ? peerUsedTotal - last.usedTotal : peerUsedTotal;
         level = Math.max(-capacity, level - used);
-        double elapsed = last == null ? RATE_MEMORY_MILLIS : Math.max(1, nowMillis - last.reportedAtMillis);
-        double kept = Math.exp(-elapsed / RATE_MEMORY_MILLIS);
-        double rate = (last == null ? 0 : last.ratePerMilli * kept) + (1 - kept) * Math.max(0, used) / elapsed;
+        double elapsed = last == null ? RATE_TIME_CONSTANT_MILLIS : Math.max(1, nowMillis - last.reportedAtMillis);
+        double decay = Math.exp(-elapsed / RATE_TIME_CONSTANT_MILLIS);
+        double rate = (last == null ? 0 : last.ratePerMilli * decay) + (1 - decay) * Math.max(0, used) / elapsed;
         peers.put(peer, new PeerUsage(incarnation, peerUsedTotal, rate, nowMillis));
     }
 
-    /** Forgets a peer that is not heard any more. */
+    /** Removes a peer whose reports are no longer received. */
     public void forget(String peer) {
         peers.remove(peer);
     }
 
-    /** Returns whether the tenant may use this much now, and counts it as used if so. */
+    /** Returns whether the tenant may use the given amount now, and records it as used if so. */
     public boolean tryUse(long usage, long nowMillis) {
-        advance(nowMillis);
+        refill(nowMillis);
         double unreported = 0;
         for (PeerUsage peer : peers.values()) {
-            unreported += peer.ratePerMilli * Math.min(RATE_MEMORY_MILLIS, nowMillis - peer.reportedAtMillis);
+            unreported += peer.ratePerMilli * Math.min(RATE_TIME_CONSTANT_MILLIS, nowMillis - peer.reportedAtMillis);
         }
-        // A request larger than what is left passes while anything is left; the debt is paid before the next one.
+        // A request larger than the level is admitted while the level is positive; the debt delays the next request.
         if (level - unreported <= 0) {
             return false;
         }
@@ -116,35 +125,35 @@
         return true;
     }
 
-    /** Gives back what a request did not use because no upstream ran it. */
+    /** Refunds usage recorded for a request that no upstream ran. */
     public void giveBack(long usage) {
-        level = Math.min(capacity * part, level + usage);
+        level = Math.min(capacity * fraction, level + usage);
         usedTotal -= usage;
     }
 
-    /** Returns the usage that passed since the start, for the peers. */
+    /** Returns the usage admitted since the start, for reports to the peers. */
     public double usedTotal() {
         return usedTotal;
     }
 
-    /** Returns what is left. */
+    /** Returns the current level of the bucket, which is negative after overuse. */
     public double level(long nowMillis) {
-        advance(nowMillis);
+        refill(nowMillis);
         return level;
     }
 
-    /** Returns the time until usage is allowed again if nothing more is used, in milliseconds. */
+    /** Returns the time until usage is allowed again, in milliseconds, provided that nothing more is used. */
     public long millisUntilAvailable() {
-        return level > 0 ? 1 : 1 + (long) (-level * 1_000 / (ratePerSecond * part));
+        return level > 0 ? 1 : 1 + (long) (-level * 1_000 / (ratePerSecond * fraction));
     }
 
-    private void advance(long nowMillis) {
+    private void refill(long nowMillis) {
         long elapsedMillis = nowMillis - updatedAtMillis;
         if (elapsedMillis <= 0) {
             return;
         }
         updatedAtMillis = nowMillis;
-        level = Math.min(capacity * part, level + ratePerSecond * part * elapsedMillis / 1_000);
+        level = Math.min(capacity * fraction, level + ratePerSecond * fraction * elapsedMillis / 1_000);
     }
 
     private record PeerUsage(long incarnation, double usedTotal, double ratePerMilli, long reportedAtMillis) {}
--- a/core/src/main/java/dev/wigeonward/core/cap/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/package-info.java
@@ -1,2 +1,2 @@
-/** Usage caps and retry budgets that several entries share without a message for each request. */
+/** Usage caps and retry budgets that several entries share without exchanging a message per request. */
 package dev.wigeonward.core.cap;
--- a/core/src/main/java/dev/wigeonward/core/engine/EngineLimits.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/EngineLimits.java
@@ -3,25 +3,28 @@
 import com.google.common.base.Preconditions;
 
 /**
- * What an agent lets into its engine and into its queue.
+ * Limits on the requests that an agent admits to its engine and to its queue.
  *
- * @param slots requests in the engine at once
- * @param workMillis estimated service time of the requests in the unreserved slots together; a single request may
- *     exceed it
- * @param shortMillis estimated service time up to which a request is short
- * @param capacity queued requests
+ * @param slots maximum number of concurrent requests in the engine
+ * @param workMillis maximum total estimated service time of the requests in the unreserved slots, in milliseconds; a
+ *     single request may exceed it
+ * @param shortMillis longest estimated service time of a short request, in milliseconds
+ * @param capacity maximum number of queued requests
  */
 public record EngineLimits(int slots, long workMillis, long shortMillis, int capacity) {
     private static final int RESERVED_DIVISOR = 4;
 
     public EngineLimits {
-        Preconditions.checkArgument(slots > 0, "slots is %s", slots);
-        Preconditions.checkArgument(workMillis > 0, "workMillis is %s", workMillis);
-        Preconditions.checkArgument(shortMillis >= 0, "shortMillis is %s", shortMillis);
-        Preconditions.checkArgument(capacity > 0, "capacity is %s", capacity);
+        Preconditions.checkArgument(slots > 0, "slots must be positive but was %s", slots);
+        Preconditions.checkArgument(workMillis > 0, "workMillis must be positive but was %s", workMillis);
+        Preconditions.checkArgument(shortMillis >= 0, "shortMillis must not be negative but was %s", shortMillis);
+        Preconditions.checkArgument(capacity > 0, "capacity must be positive but was %s", capacity);
     }
 
-    /** Returns the slots kept for short requests: a quarter, at least one, none if there is a single slot. */
+    /**
+     * Returns the number of slots reserved for short requests: a quarter, but at least one, or 0 if there is only one
+     * slot.
+     */
     public int reservedSlots() {
         return slots < 2 ? 0 : Math.max(1, slots / RESERVED_DIVISOR);
     }
--- a/core/src/main/java/dev/wigeonward/core/engine/FifoEngineQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/FifoEngineQueue.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.core.request.Tier;
 
-/** Baseline: hands requests over in the order of arrival, as many as the engine has slots. */
+/** Baseline queue that submits requests in order of arrival, up to the number of slots of the engine. */
 public final class FifoEngineQueue implements EngineQueue {
     private final int slots;
     private final EngineSpeed speed;
@@ -21,7 +21,7 @@
     private final Map<RequestId, Long> runningWorkMillis = new HashMap<>();
 
     private FifoEngineQueue(int slots, EngineSpeed speed, int capacity) {
-        Preconditions.checkArgument(slots > 0, "slots is %s", slots);
+        Preconditions.checkArgument(slots > 0, "slots must be positive but was %s", slots);
         this.slots = slots;
         this.speed = speed;
         this.waiting = FifoAdmissionQueue.withCapacity(capacity);
--- a/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
@@ -15,16 +15,16 @@
 import dev.wigeonward.core.request.Tier;
 
 /**
- * Hands requests to an engine in order of tier and fair share, bounded by slots and by estimated work. Part of the
- * slots takes short requests only, so that a short request waits for other short ones at most. A request that cannot
- * be answered before its deadline is never handed over.
+ * Queue that submits requests to an engine in order of tier and fair share, limited by slots and by estimated work.
+ * Some slots are reserved for short requests, so that a short request waits at most for other short ones. A request
+ * that cannot be answered before its deadline is never submitted.
  */
 public final class PriorityEngineQueue implements EngineQueue {
     private final EngineLimits limits;
     private final EngineSpeed speed;
     private final FairShareBacklog backlog;
     private final Map<RequestId, Running> running = new HashMap<>();
-    private final ServiceTimeError error = new ServiceTimeError();
+    private final ServiceTimeRatio serviceTimeRatio = new ServiceTimeRatio();
     private int reservedRunning;
     private long unreservedWorkMillis;
 
@@ -59,13 +59,16 @@
         if (reservedFree && serviceMillis <= limits.shortMillis()) {
             return start(backlog.poll(nowMillis), true, nowMillis);
         }
-        if (hasUnreservedRoom(serviceMillis)) {
+        if (hasUnreservedCapacity(serviceMillis)) {
             return start(backlog.poll(nowMillis), false, nowMillis);
         }
         return reservedFree ? start(reachableShort(nowMillis), true, nowMillis) : Optional.empty();
     }
 
-    /** The backlog knows the latest start as it was at the offer; the engine may have become slower since. */
+    /**
+     * Returns the next request that can meet its deadline, and sets the others aside. The latest start is checked
+     * again, because the backlog stores the one computed at the offer and the engine may have become slower since.
+     */
     private Optional<RequestSpec> firstReachable(long nowMillis) {
         Optional<RequestSpec> first = backlog.peek(nowMillis);
         while (first.isPresent() && latestStartMillis(first.get()) < nowMillis) {
@@ -85,10 +88,11 @@
     }
 
     private long latestStartMillis(RequestSpec request) {
-        return request.deadlineMillis() - error.upperMillis(request.work().serviceMillis(speed));
+        return request.deadlineMillis()
+                - serviceTimeRatio.upperMillis(request.work().serviceMillis(speed));
     }
 
-    private boolean hasUnreservedRoom(long serviceMillis) {
+    private boolean hasUnreservedCapacity(long serviceMillis) {
         int unreservedRunning = running.size() - reservedRunning;
         return unreservedRunning == 0
                 || unreservedRunning < limits.slots() - limits.reservedSlots()
@@ -124,7 +128,7 @@
         if (ended == null) {
             return;
         }
-        error.observe(ended.serviceMillis(), ended.elapsedMillis(nowMillis));
+        serviceTimeRatio.observe(ended.serviceMillis(), ended.elapsedMillis(nowMillis));
         if (ended.reserved()) {
             reservedRunning--;
         } else {
@@ -135,9 +139,10 @@
     @Override
     public long backlogMillis(long nowMillis) {
         long runningMillis = running.values().stream()
-                .mapToLong(each -> Math.max(0, error.meanMillis(each.serviceMillis()) - each.elapsedMillis(nowMillis)))
+                .mapToLong(each ->
+                        Math.max(0, serviceTimeRatio.meanMillis(each.serviceMillis()) - each.elapsedMillis(nowMillis)))
                 .sum();
-        return (runningMillis + error.meanMillis(backlog.backlogMillis(Tier.BATCH))) / limits.slots();
+        return (runningMillis + serviceTimeRatio.meanMillis(backlog.backlogMillis(Tier.BATCH))) / limits.slots();
     }
 
     @Override
--- a/core/src/main/java/dev/wigeonward/core/engine/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/package-info.java
@@ -1,2 +1,2 @@
-/** The agent's queue in front of an engine that knows no priority. */
+/** Queues of an agent in front of an engine that does not support priorities. */
 package dev.wigeonward.core.engine;
--- a/core/src/test/java/dev/wigeonward/core/admission/AdmissionChecks.java
+++ b/core/src/test/java/dev/wigeonward/core/admission/AdmissionChecks.java
@@ -13,16 +13,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Checks of the invariants of admission queues, for the real queues and for mutated ones that must fail them. */
+/** Checks of the invariants of admission queues, applied to real queues and to faulty ones that must fail them. */
 public final class AdmissionChecks {
     public static final int CAPACITY = 6;
 
     private AdmissionChecks() {}
 
-    /** One use of a queue. */
+    /** One operation on a queue, with its parameters. */
     public record Step(Action action, Tier tier, String workspace, int workMillis, int timeLeftMillis) {}
 
-    /** Operations of a queue; offers come often enough to fill it. */
+    /** Kinds of operations on a queue; offers are frequent enough to fill it. */
     public enum Action {
         OFFER,
         OFFER_AGAIN,
@@ -45,7 +45,10 @@
                 .ofMaxSize(60);
     }
 
-    /** Checks on each step that no higher tier is shed or waits before a lower one and that the queue is bounded. */
+    /**
+     * Checks at each step that no request is displaced, refused or delayed in favor of one of a lower tier, and that
+     * the queue does not exceed its capacity.
+     */
     public static void checkTierOrderAndCapacity(AdmissionQueue queue, List<Step> steps) {
         List<RequestSpec> queued = new ArrayList<>();
         long nowMillis = 0;
@@ -84,7 +87,7 @@
         if (result instanceof AdmissionResult.Queued accepted) {
             queued.add(request);
             queued.removeAll(accepted.displaced());
-            accepted.displaced().forEach(victim -> assertNoneBelow(victim.tier(), queued));
+            accepted.displaced().forEach(displaced -> assertNoneBelow(displaced.tier(), queued));
         } else if (((AdmissionResult.Refused) result).failure().kind() == ErrorKind.OVERLOADED) {
             assertThat(queued).hasSizeGreaterThanOrEqualTo(CAPACITY);
             assertNoneBelow(request.tier(), queued);
@@ -104,7 +107,7 @@
         assertThat(queued).as("requests kept").noneMatch(waiting -> tier.isAbove(waiting.tier()));
     }
 
-    /** Checks that a light workspace gets in and out while others keep the queue full. */
+    /** Checks that a request of a light workspace is admitted and polled while other workspaces keep the queue full. */
     public static void checkNoStarvation(AdmissionQueue queue, int heavyWorkspaces, int heavyMillis) {
         for (int i = 0; i < 10 * CAPACITY; i++) {
             offerHeavy(queue, i % heavyWorkspaces, heavyMillis);
@@ -119,7 +122,9 @@
             }
             offerHeavy(queue, polls % heavyWorkspaces, heavyMillis);
         }
-        throw new AssertionError("the light workspace waits behind more than one request of each other workspace");
+        throw new AssertionError(
+                "request of workspace light must wait for at most one request of each of " + heavyWorkspaces
+                        + " other workspaces but was not among the next " + (heavyWorkspaces + 1) + " polled");
     }
 
     private static void offerHeavy(AdmissionQueue queue, int workspace, int heavyMillis) {
--- a/core/src/test/java/dev/wigeonward/core/admission/AdmissionInvariantsTest.java
+++ b/core/src/test/java/dev/wigeonward/core/admission/AdmissionInvariantsTest.java
@@ -16,27 +16,29 @@
 class AdmissionInvariantsTest {
     private static final int MUTATION_TRIES = 300;
 
-    /** Guards against shedding or delaying a higher tier for a lower one, and against an unbounded queue. */
+    /** Guards against displacing or delaying a higher tier in favor of a lower one, and against an unbounded queue. */
     @Property(tries = 500)
     void tiersAreOrderedAndCapacityHolds(@ForAll("steps") List<AdmissionChecks.Step> steps) {
         AdmissionChecks.checkTierOrderAndCapacity(queue(AdmissionChecks.CAPACITY), steps);
     }
 
-    /** Guards against a check of the tiers that cannot fail. */
+    /** Guards against a check of the tier order that cannot fail. */
     @Example
-    void checkFailsForQueueBlindToTiers() {
+    void checkFailsForQueueThatIgnoresTiers() {
         assertFailsForSome(steps -> AdmissionChecks.checkTierOrderAndCapacity(
-                RewritingQueue.blindToTiers(queue(AdmissionChecks.CAPACITY)), steps));
+                RewritingQueue.ignoringTiers(queue(AdmissionChecks.CAPACITY)), steps));
     }
 
     /** Guards against a check of the capacity that cannot fail. */
     @Example
-    void checkFailsForQueueWithOneMorePlace() {
+    void checkFailsForQueueWithHigherCapacity() {
         assertFailsForSome(
                 steps -> AdmissionChecks.checkTierOrderAndCapacity(queue(AdmissionChecks.CAPACITY + 1), steps));
     }
 
-    /** Guards against a workspace that is shut out of a full queue or waits behind another one's backlog. */
+    /**
+     * Guards against a workspace that is locked out of a full queue or waits behind the whole backlog of another one.
+     */
     @Property(tries = 100)
     void noWorkspaceStarves(
             @ForAll @IntRange(min = 1, max = 3) int heavyWorkspaces,
@@ -46,9 +48,9 @@
 
     /** Guards against a check of starvation that cannot fail. */
     @Example
-    void checkFailsForQueueBlindToWorkspaces() {
+    void checkFailsForQueueThatIgnoresWorkspaces() {
         assertThatThrownBy(() -> AdmissionChecks.checkNoStarvation(
-                        RewritingQueue.blindToWorkspaces(queue(AdmissionChecks.CAPACITY)), 2, 100))
+                        RewritingQueue.ignoringWorkspaces(queue(AdmissionChecks.CAPACITY)), 2, 100))
                 .isInstanceOf(AssertionError.class);
     }
 
--- a/core/src/test/java/dev/wigeonward/core/admission/FairShareAdmissionQueueTest.java
+++ b/core/src/test/java/dev/wigeonward/core/admission/FairShareAdmissionQueueTest.java
@@ -19,7 +19,7 @@
     private final FairShareAdmissionQueue queue =
             FairShareAdmissionQueue.create(100, workspace -> weights.getOrDefault(workspace, 1));
 
-    /** Guards against shares that ignore the weight or a change of it at run time. */
+    /** Guards against shares that ignore the weight of a workspace or a change of the weight at run time. */
     @Test
     void workFollowsWeightsAndTheirChanges() {
         weights.put("a", 3);
@@ -33,7 +33,7 @@
         assertThat(pollCounts(20).get("b")).isBetween(14L, 16L);
     }
 
-    /** Guards against shares counted in requests instead of work. */
+    /** Guards against shares that are measured in requests instead of work. */
     @Test
     void sharesCountWorkInsteadOfRequests() {
         for (int i = 0; i < 30; i++) {
@@ -43,9 +43,12 @@
         assertThat(pollCounts(22)).containsEntry("long", 2L).containsEntry("short", 20L);
     }
 
-    /** Guards against capacity left idle for an absent workspace and against credit saved up while absent. */
+    /**
+     * Guards against capacity reserved for an idle workspace and against credit that a workspace accumulates while
+     * idle.
+     */
     @Test
-    void unusedShareIsLentOutAndNotSavedUp() {
+    void unusedShareIsRedistributedAndNotAccumulated() {
         for (int i = 0; i < 40; i++) {
             offer(Tier.STANDARD, "a", 10);
         }
@@ -56,9 +59,11 @@
         assertThat(pollCounts(20).get("b")).isBetween(9L, 11L);
     }
 
-    /** Guards against displacing a request of a workspace within its share, or an old request before a new one. */
+    /**
+     * Guards against displacing a request of a workspace within its share, or an older request instead of a newer one.
+     */
     @Test
-    void newestOfWorkspaceFurthestOverItsShareIsDisplaced() {
+    void newestOfWorkspaceMostOverItsShareIsDisplaced() {
         FairShareAdmissionQueue small = FairShareAdmissionQueue.create(4, WorkspaceWeights.equal());
         RequestSpec modest = request(Tier.BATCH, "modest", 10);
         RequestSpec newest = request(Tier.BATCH, "greedy", 10);
@@ -68,21 +73,23 @@
         assertThat(result).isEqualTo(new AdmissionResult.Queued(List.of(newest)));
     }
 
-    /** Guards against a live request refused for places that dead ones hold. */
+    /** Guards against refusing a request because expired requests still occupy the queue. */
     @Test
-    void expiredRequestsGiveUpTheirPlacesFirst() {
+    void expiredRequestsAreRemovedBeforeRefusal() {
         FairShareAdmissionQueue small = FairShareAdmissionQueue.create(1, WorkspaceWeights.equal());
-        RequestSpec dead = request(Tier.CRITICAL, "a", 10, 50);
-        small.offer(dead, 10, 0);
-        RequestSpec alive = request(Tier.BATCH, "a", 10, 1_000);
-        assertThat(small.offer(alive, 10, 50)).isEqualTo(new AdmissionResult.Queued(List.of()));
-        assertThat(small.poll(50)).contains(alive);
-        assertThat(small.removeExpired(50)).containsExactly(dead);
+        RequestSpec expired = request(Tier.CRITICAL, "a", 10, 50);
+        small.offer(expired, 10, 0);
+        RequestSpec valid = request(Tier.BATCH, "a", 10, 1_000);
+        assertThat(small.offer(valid, 10, 50)).isEqualTo(new AdmissionResult.Queued(List.of()));
+        assertThat(small.poll(50)).contains(valid);
+        assertThat(small.removeExpired(50)).containsExactly(expired);
     }
 
-    /** Guards against a request that loses its turn, or a workspace charged twice, when a dispatch fails. */
+    /**
+     * Guards against a failed dispatch after which the request loses its position or its workspace is charged twice.
+     */
     @Test
-    void requestPutBackKeepsItsTurnAndIsRefunded() {
+    void requestPutBackKeepsItsPositionAndIsRefunded() {
         for (int i = 0; i < 10; i++) {
             offer(Tier.STANDARD, "a", 10);
             offer(Tier.STANDARD, "b", 10);
@@ -94,10 +101,10 @@
         assertThat(pollCounts(10)).containsEntry("a", 5L).containsEntry("b", 5L);
     }
 
-    /** Guards against operations linear in requests or workspaces, which take minutes at this size. */
+    /** Guards against operations that are linear in the requests or workspaces, which take minutes at this size. */
     @Test
     @Timeout(20)
-    void stillFastWithThousandsOfWorkspaces() {
+    void operationsAreFastWithThousandsOfWorkspaces() {
         int workspaces = 2_500;
         int capacity = 100_000;
         FairShareAdmissionQueue large = FairShareAdmissionQueue.create(capacity, WorkspaceWeights.equal());
--- a/core/src/test/java/dev/wigeonward/core/admission/QueueRequests.java
+++ b/core/src/test/java/dev/wigeonward/core/admission/QueueRequests.java
@@ -8,7 +8,7 @@
 import dev.wigeonward.core.request.Tier;
 import dev.wigeonward.core.request.WorkEstimate;
 
-/** Requests for tests of queues; their service time at {@link #SPEED} is given in milliseconds. */
+/** Factory methods for requests in queue tests; the service time at {@link #SPEED} is passed in milliseconds. */
 public final class QueueRequests {
     /** One output token takes one millisecond. */
     public static final EngineSpeed SPEED = new EngineSpeed(1_000, 1_000);
@@ -27,7 +27,7 @@
         return of(RequestId.of("test", 1, sequence++), tier, workspace, serviceMillis, deadlineMillis);
     }
 
-    /** Returns the request with another tier and workspace and the same id, for mutated queues. */
+    /** Returns the request with another tier and workspace and the same id, for deliberately faulty queues. */
     public static RequestSpec rewritten(RequestSpec request, Tier tier, String workspace) {
         return of(request.id(), tier, workspace, request.work().outputTokens(), request.deadlineMillis());
     }
--- a/core/src/test/java/dev/wigeonward/core/admission/RewritingQueue.java
+++ b/core/src/test/java/dev/wigeonward/core/admission/RewritingQueue.java
@@ -10,19 +10,19 @@
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.core.request.Tier;
 
-/** Mutated queue: decides on rewritten requests and returns the original ones. */
+/** Deliberately faulty queue that decides on rewritten requests and returns the original ones. */
 record RewritingQueue(AdmissionQueue queue, UnaryOperator<RequestSpec> rewrite, Map<RequestId, RequestSpec> originals)
         implements AdmissionQueue {
-    /** Returns a queue that does not see the tiers. */
-    static AdmissionQueue blindToTiers(AdmissionQueue queue) {
+    /** Returns a queue that treats all requests as of one tier. */
+    static AdmissionQueue ignoringTiers(AdmissionQueue queue) {
         return new RewritingQueue(
                 queue,
                 request -> QueueRequests.rewritten(request, Tier.STANDARD, request.workspace()),
                 new HashMap<>());
     }
 
-    /** Returns a queue that does not see the workspaces. */
-    static AdmissionQueue blindToWorkspaces(AdmissionQueue queue) {
+    /** Returns a queue that treats all requests as of one workspace. */
+    static AdmissionQueue ignoringWorkspaces(AdmissionQueue queue) {
         return new RewritingQueue(
                 queue, request -> QueueRequests.rewritten(request, request.tier(), "any"), new HashMap<>());
     }
--- a/core/src/test/java/dev/wigeonward/core/cap/RetryShareTest.java
+++ b/core/src/test/java/dev/wigeonward/core/cap/RetryShareTest.java
@@ -10,7 +10,7 @@
 class RetryShareTest {
     private static final long WINDOW_MILLIS = 10_000;
 
-    /** Guards against entries that together retry more often in some window than the shared budget allows. */
+    /** Guards against entries that together exceed the shared retry budget in some window. */
     @Property(tries = 60)
     void entriesTogetherStayWithinTheBudgetInEveryWindow(
             @ForAll @IntRange(min = 1, max = 9) int entries,
@@ -41,9 +41,9 @@
         }
     }
 
-    /** Guards against a share that never recovers once it was used up. */
+    /** Guards against a share that never recovers after it was exhausted. */
     @Example
-    void retriesAreForgottenAfterTheWindow() {
+    void retriesExpireAfterTheWindow() {
         RetryShare share = RetryShare.create(0, 10, WINDOW_MILLIS);
         int first = 0;
         while (share.tryAcquire(1, 0)) {
--- a/core/src/test/java/dev/wigeonward/core/cap/TenantCapTest.java
+++ b/core/src/test/java/dev/wigeonward/core/cap/TenantCapTest.java
@@ -19,69 +19,68 @@
     private static final long STEP_MILLIS = 10;
     private static final long REPORT_MILLIS = 100;
     private static final long SECONDS = 20;
-    /** Part of the cap by which reports on the way and single large requests may exceed it; the users tolerate more. */
-    private static final double TOLERATED = 0.17;
+    /** Fraction by which reports in transit and single large requests may exceed the cap; the users tolerate more. */
+    private static final double TOLERANCE = 0.17;
 
-    /** Guards against entries that together let more pass in a window than the cap and its tolerance. */
+    /** Guards against entries that together admit more usage in a window than the cap plus its tolerance. */
     @Property(tries = 40)
-    void entriesThatHearEachOtherStayWithinTheCap(
+    void connectedEntriesStayWithinTheCap(
             @ForAll long seed,
             @ForAll @IntRange(min = 2, max = 6) int entries,
             @ForAll @DoubleRange(min = 1.2, max = 6) double demand) {
-        List<Long> passed = play(new Random(seed), entries, demand, true);
+        List<Long> admitted = simulate(new Random(seed), entries, demand, true);
         for (int start = 0; start + WINDOW_SECONDS <= SECONDS; start++) {
-            long used = passed.subList(start, start + WINDOW_SECONDS).stream()
+            long used = admitted.subList(start, start + WINDOW_SECONDS).stream()
                     .mapToLong(Long::longValue)
                     .sum();
-            assertThat((double) used).isLessThanOrEqualTo((RATE * WINDOW_SECONDS + CAPACITY) * (1 + TOLERATED));
+            assertThat((double) used).isLessThanOrEqualTo((RATE * WINDOW_SECONDS + CAPACITY) * (1 + TOLERANCE));
         }
     }
 
-    /** Guards against refusals below the cap: what the tenant may use must be usable through any entries. */
+    /** Guards against refusals below the cap when the requests of the tenant arrive unevenly at the entries. */
     @Property(tries = 40)
     void demandAboveTheCapUsesItUp(@ForAll long seed, @ForAll @IntRange(min = 2, max = 6) int entries) {
-        List<Long> passed = play(new Random(seed), entries, 2.5, true);
-        long used = passed.stream().mapToLong(Long::longValue).sum();
+        List<Long> admitted = simulate(new Random(seed), entries, 2.5, true);
+        long used = admitted.stream().mapToLong(Long::longValue).sum();
 
         assertThat((double) used).isGreaterThan(0.9 * RATE * SECONDS);
     }
 
-    /** Guards against entries that are cut off from each other and use the whole cap each. */
+    /** Guards against entries that are partitioned from each other and each use the whole cap. */
     @Property(tries = 20)
-    void entriesThatHearNobodyUseLessThanTheCapTogether(
-            @ForAll long seed, @ForAll @IntRange(min = 2, max = 6) int entries) {
-        List<Long> passed = play(new Random(seed), entries, 4, false);
-        long used = passed.stream().mapToLong(Long::longValue).sum();
+    void isolatedEntriesTogetherUseLessThanTheCap(@ForAll long seed, @ForAll @IntRange(min = 2, max = 6) int entries) {
+        List<Long> admitted = simulate(new Random(seed), entries, 4, false);
+        long used = admitted.stream().mapToLong(Long::longValue).sum();
 
         assertThat((double) used).isLessThan(0.8 * RATE * SECONDS);
     }
 
-    /** Plays a demand spread unevenly over the entries and returns what passed in each second. */
-    private static List<Long> play(Random random, int entries, double demand, boolean linked) {
+    /** Simulates requests distributed unevenly over the entries and returns the usage admitted in each second. */
+    private static List<Long> simulate(Random random, int entries, double demand, boolean connected) {
         List<TenantCap> caps = new ArrayList<>();
         for (int entry = 0; entry < entries; entry++) {
             caps.add(TenantCap.create(RATE, CAPACITY, entries, 0));
-            caps.get(entry).entries(linked ? entries : 1, entries, 0);
+            caps.get(entry).entries(connected ? entries : 1, entries, 0);
         }
-        List<Long> passed = new ArrayList<>();
-        long inSecond = 0;
+        List<Long> admitted = new ArrayList<>();
+        long admittedInSecond = 0;
         for (long now = 0; now < SECONDS * 1_000; now += STEP_MILLIS) {
-            double wanted = demand * RATE * STEP_MILLIS / 1_000;
-            while (wanted > 0) {
+            double remaining = demand * RATE * STEP_MILLIS / 1_000;
+            while (remaining > 0) {
                 long usage = 200 + random.nextInt(8_000);
-                wanted -= usage;
+                remaining -= usage;
                 int entry = (int) (entries * random.nextDouble() * random.nextDouble());
-                inSecond += caps.get(entry).tryUse(usage, now) ? usage : 0;
+                admittedInSecond += caps.get(entry).tryUse(usage, now) ? usage : 0;
             }
-            if (linked && now % REPORT_MILLIS == 0) {
+            if (connected && now % REPORT_MILLIS == 0) {
                 report(caps, now);
             }
             if ((now + STEP_MILLIS) % 1_000 == 0) {
-                passed.add(inSecond);
-                inSecond = 0;
+                admitted.add(admittedInSecond);
+                admittedInSecond = 0;
             }
         }
-        return passed;
+        return admitted;
     }
 
     private static void report(List<TenantCap> caps, long now) {
@@ -96,7 +95,7 @@
         }
     }
 
-    /** Guards against a peer's restart that is taken for usage given back, or for its whole usage once more. */
+    /** Guards against counting the restart of a peer as a refund of its usage or as its whole earlier usage again. */
     @Example
     void restartOfPeerCountsOnlyItsNewUsage() {
         TenantCap cap = TenantCap.create(RATE, CAPACITY, 2, 0);
@@ -111,9 +110,9 @@
         assertThat(cap.level(0)).isEqualTo(before - 5_000);
     }
 
-    /** Guards against a restarted entry that grants a new burst although its peers know the cap to be used up. */
+    /** Guards against a restarted entry that admits a new burst although its peers report that the cap is exhausted. */
     @Example
-    void newEntryTakesOverWhatPeersBelieveToBeLeft() {
+    void newEntryAdoptsTheLevelOfItsPeer() {
         TenantCap cap = TenantCap.create(RATE, CAPACITY, 2, 0);
         cap.entries(2, 2, 0);
 
@@ -123,9 +122,9 @@
         assertThat(cap.millisUntilAvailable()).isBetween(40L, 42L);
     }
 
-    /** Guards against a lowered cap that lets the old burst pass. */
+    /** Guards against a lowered cap that still admits a burst of the old size. */
     @Example
-    void lowerCapBindsAtOnce() {
+    void lowerCapAppliesImmediately() {
         TenantCap cap = TenantCap.create(RATE, CAPACITY, 1, 0);
 
         cap.change(1_000, 2_000, 0);
--- a/core/src/test/java/dev/wigeonward/core/engine/PriorityEngineQueueTest.java
+++ b/core/src/test/java/dev/wigeonward/core/engine/PriorityEngineQueueTest.java
@@ -30,51 +30,54 @@
     private static final int LONG_MILLIS = 1_000;
     private static final EngineLimits LIMITS = new EngineLimits(SLOTS, WORK_MILLIS, SHORT_MILLIS, 100);
 
-    /** Guards against a short request behind long ones, and against more slots or work than the engine has room for. */
+    /**
+     * Guards against a short request that waits behind long ones, and against exceeding the slots or work of the
+     * engine.
+     */
     @Property(tries = 500)
-    void shortIsNeverBehindLongAndBoundsHold(@ForAll("serviceTimes") List<Integer> serviceMillis) {
-        checkShortNotBlockedAndBounds(queue(LIMITS), serviceMillis);
+    void shortRequestsAreNotBlockedAndLimitsHold(@ForAll("serviceTimes") List<Integer> serviceMillis) {
+        checkShortNotBlockedAndLimits(queue(LIMITS), serviceMillis);
     }
 
-    /** Guards against a check of the reserve that cannot fail. */
+    /** Guards against a check of the reserved slots that cannot fail. */
     @Example
-    void checkFailsWithoutReserve() {
+    void checkFailsWithoutReservedSlots() {
         assertFailsForSome(new EngineLimits(SLOTS, WORK_MILLIS, Long.MAX_VALUE, 100));
     }
 
-    /** Guards against a check of the slots that cannot fail. */
+    /** Guards against a check of the slot limit that cannot fail. */
     @Example
     void checkFailsWithOneMoreSlot() {
         assertFailsForSome(new EngineLimits(SLOTS + 1, WORK_MILLIS, SHORT_MILLIS, 100));
     }
 
-    /** Guards against a check of the work that cannot fail. */
+    /** Guards against a check of the work limit that cannot fail. */
     @Example
     void checkFailsWithMoreWork() {
         assertFailsForSome(new EngineLimits(SLOTS, 2 * WORK_MILLIS, SHORT_MILLIS, 100));
     }
 
-    /** Guards against shedding or delaying a higher tier at the agent for a lower one. */
+    /** Guards against displacing or delaying a higher tier in favor of a lower one at the agent. */
     @Property(tries = 500)
     void tiersAreOrderedAndCapacityHolds(@ForAll("steps") List<AdmissionChecks.Step> steps) {
         EngineLimits small = new EngineLimits(1, WORK_MILLIS, SHORT_MILLIS, AdmissionChecks.CAPACITY);
-        AdmissionChecks.checkTierOrderAndCapacity(new EngineAsAdmission(queue(small)), withoutPutBack(steps));
+        AdmissionChecks.checkTierOrderAndCapacity(new EngineQueueAdapter(queue(small)), withoutPutBack(steps));
     }
 
-    /** Guards against a check of the agent's tiers that cannot fail. */
+    /** Guards against a check of the agent's tier order that cannot fail. */
     @Example
     void checkFailsForFifo() {
         assertThat(AdmissionChecks.steps().sampleStream().limit(300))
                 .anySatisfy(steps -> assertThatThrownBy(() -> AdmissionChecks.checkTierOrderAndCapacity(
-                                new EngineAsAdmission(
+                                new EngineQueueAdapter(
                                         FifoEngineQueue.create(1, QueueRequests.SPEED, AdmissionChecks.CAPACITY)),
                                 withoutPutBack(steps)))
                         .isInstanceOf(AssertionError.class));
     }
 
-    /** Guards against prefill spent on a request that is late anyway. */
+    /** Guards against prefill work for a request that cannot meet its deadline. */
     @Example
-    void lateRequestIsReportedInsteadOfHandedOver() {
+    void lateRequestIsReportedInsteadOfSubmitted() {
         PriorityEngineQueue queue = queue(LIMITS);
         RequestSpec request = QueueRequests.request(Tier.CRITICAL, "a", LONG_MILLIS, 1_500);
         queue.offer(request, 0);
@@ -84,7 +87,10 @@
         assertThat(((AdmissionResult.Refused) refused).failure().kind()).isEqualTo(ErrorKind.DEADLINE_UNREACHABLE);
     }
 
-    /** Guards against prefill spent at an engine slower than announced, and against a backlog reported too low. */
+    /**
+     * Guards against admitting requests that cannot meet their deadline, and against reporting too low a backlog,
+     * because the engine is slower than announced.
+     */
     @Example
     void slowEngineIsLearnedFromEndedRequests() {
         PriorityEngineQueue queue = queue(new EngineLimits(1, WORK_MILLIS, SHORT_MILLIS, 10));
@@ -103,9 +109,9 @@
         assertThat(tooLate).isInstanceOf(AdmissionResult.Refused.class);
     }
 
-    /** Guards against places that stay taken after a cancellation, and against counting an end twice. */
+    /** Guards against slots that stay occupied after a cancellation, and against an end that frees two slots. */
     @Example
-    void cancellationFreesThePlaceAtOnce() {
+    void cancellationFreesTheSlotAtOnce() {
         PriorityEngineQueue queue = queue(new EngineLimits(1, WORK_MILLIS, SHORT_MILLIS, 1));
         RequestSpec first = QueueRequests.request(Tier.STANDARD, "a", LONG_MILLIS);
         RequestSpec second = QueueRequests.request(Tier.STANDARD, "a", LONG_MILLIS);
@@ -136,8 +142,10 @@
         return PriorityEngineQueue.create(limits, QueueRequests.SPEED, WorkspaceWeights.equal());
     }
 
-    /** Offers requests of the given service times; -1 ends the oldest running one. */
-    private static void checkShortNotBlockedAndBounds(EngineQueue queue, List<Integer> serviceMillis) {
+    /**
+     * Checks the limits while offering requests of the given service times, where -1 ends the oldest running request.
+     */
+    private static void checkShortNotBlockedAndLimits(EngineQueue queue, List<Integer> serviceMillis) {
         List<RequestSpec> running = new ArrayList<>();
         int shortQueued = 0;
         for (int millis : serviceMillis) {
@@ -157,7 +165,9 @@
             assertThat(running).hasSizeLessThanOrEqualTo(SLOTS);
             assertThat(longMillis).isLessThanOrEqualTo(WORK_MILLIS);
             assertThat(shortQueued == 0 || shortRunning >= SLOTS / 4)
-                    .as("%s short requests wait while %s run", shortQueued, shortRunning)
+                    .as(
+                            "%s short requests are queued while %s run, expected at least %s to run",
+                            shortQueued, shortRunning, SLOTS / 4)
                     .isTrue();
         }
     }
@@ -168,7 +178,7 @@
 
     private static void assertFailsForSome(EngineLimits mutated) {
         assertThat(new PriorityEngineQueueTest().serviceTimes().sampleStream().limit(500))
-                .anySatisfy(times -> assertThatThrownBy(() -> checkShortNotBlockedAndBounds(queue(mutated), times))
+                .anySatisfy(times -> assertThatThrownBy(() -> checkShortNotBlockedAndLimits(queue(mutated), times))
                         .isInstanceOf(AssertionError.class));
     }
 
@@ -178,8 +188,8 @@
                 .toList();
     }
 
-    /** An engine queue in front of an engine with one slot that answers at once. */
-    private record EngineAsAdmission(EngineQueue queue) implements AdmissionQueue {
+    /** Adapts an engine queue to the admission checks; its engine has one slot and answers immediately. */
+    private record EngineQueueAdapter(EngineQueue queue) implements AdmissionQueue {
         @Override
         public AdmissionResult offer(RequestSpec request, long serviceMillis, long nowMillis) {
             return queue.offer(request, nowMillis);
@@ -194,7 +204,8 @@
 
         @Override
         public void putBack(RequestSpec request, long serviceMillis) {
-            throw new UnsupportedOperationException("engine queues take nothing back");
+            throw new UnsupportedOperationException(
+                    "putBack is not supported by engine queues: request " + request.id());
         }
 
         @Override
