Document constants and private methods of the scheduler

Cause: several constants and the choice of an upstream had no comment, and two comments on putBack could be read as a return value. Change: add doc comments in schedule and reword the two in admission; no code changes. Measured: mvn -o -B -ntp -q -pl core -am verify: exit code 0, 194 tests in core, 0 failures, 0 errors, 0 skipped. Before the two comments in admission: mvn -o -B -ntp -q -Dmaven.test.skip=true package: exit code 0.

--- a/core/src/main/java/dev/wigeonward/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/AdmissionQueue.java
@@ -19,7 +19,7 @@
     /** Removes and returns the request to dispatch next, or returns empty if none is queued. */
     Optional<RequestSpec> poll(long nowMillis);
 
-    /** Returns a polled request that could not be dispatched to the front of its tier and workspace. */
+    /** Reinserts a polled request that could not be dispatched at the front of its tier and workspace. */
     void putBack(RequestSpec request, long serviceMillis);
 
     /** Removes and returns the requests whose deadline has passed. */
--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareBacklog.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareBacklog.java
@@ -142,7 +142,7 @@
     }
 
     /**
-     * Returns a polled request to the front of its tier and workspace. The request was already admitted, so it may
+     * Reinserts a polled request at the front of its tier and workspace. The request was already admitted, so it may
      * exceed the capacity.
      */
     public void putBack(RequestSpec request, long serviceMillis, long latestStartMillis) {
--- a/core/src/main/java/dev/wigeonward/core/schedule/PlacementLoss.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/PlacementLoss.java
@@ -22,9 +22,13 @@
     /** Steepness for pauses between events; higher because they vary less than the time to the first event. */
     private static final double PAUSE_STEEPNESS = 8;
 
+    /** Loss per unit by which the failure ratio of the upstream exceeds the mean of all upstreams. */
     private static final double FAILURE_LOSS = 1.0;
+    /** Loss of a placement in another zone than that of the entry. */
     private static final double REMOTE_ZONE_LOSS = 0.004;
+    /** Loss at an upstream whose slots are all occupied; proportional to the occupied fraction. */
     private static final double OCCUPANCY_LOSS = 0.02;
+    /** Loss of an answer whose expected time reaches the objective; proportional to that time up to there. */
     private static final double TIME_LOSS = 0.1;
 
     private final ServiceTimeModel timeModel;
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -33,12 +33,16 @@
     /** Fraction of the maximum wait after which placements are no longer deferred. */
     private static final double DEFERRAL_FRACTION = 0.6;
 
+    /** Time for which an upstream gets no requests after it reported that it is full. */
     private static final long FULL_PAUSE_MILLIS = 60;
+    /** Output is overdue after this time plus {@link #SILENCE_FACTOR} times the expected time. */
     private static final long MIN_SILENCE_MILLIS = 400;
+
     private static final double SILENCE_FACTOR = 4.0;
     /** Time constant of the moving average of the placement rate, in milliseconds. */
     private static final double RATE_TIME_CONSTANT_MILLIS = 1_000;
 
+    /** Lower bound on the placement rate from which the expected wait is computed. */
     private static final double MIN_PLACEMENTS_PER_MILLI = 0.002;
 
     private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
@@ -192,6 +196,10 @@
         return waiting.othersUpToRank(demand) / Math.max(MIN_PLACEMENTS_PER_MILLI, placementsPerMilli);
     }
 
+    /**
+     * Returns the upstream with a free slot and the lowest expected loss, or empty if the request should wait. If all
+     * upstreams that may serve the request are paused, returns the result of {@link #findFallback}.
+     */
     private Optional<UpstreamLoad> findBest(Demand demand, long nowMillis) {
         demand.setExpectedEvents(timeModel.expectedEvents(demand.expectedOutputTokens()));
         UpstreamLoad best = null;
@@ -228,6 +236,7 @@
                 .anyMatch(upstream -> !upstream.draining() && demand.versions().suits(upstream.version()));
     }
 
+    /** Returns whether the version, the state and the exclusions of the request allow the upstream to serve it. */
     private static boolean mayServe(Demand demand, UpstreamLoad load, boolean anySuitable) {
         Upstream upstream = load.upstream();
         boolean rightVersion = anySuitable
@@ -244,6 +253,7 @@
                 .sum();
     }
 
+    /** Returns the fraction of the slots of available upstreams that is free, or 1 if there are no such slots. */
     private double freeSlotFraction(long nowMillis) {
         double slots = 0;
         double free = 0;
