--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Admission.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Admission.java
@@ -6,17 +6,18 @@
 import dev.wigeonward.core.deployment.Tenant;
 import dev.wigeonward.core.error.ErrorKind;
 
-/** Outcome of the checks before a request is queued. */
+/** Result of the checks on a request before it is queued. */
 sealed interface Admission {
     /**
-     * The request may run.
+     * The request may be queued.
      *
-     * @param usage what it uses of its tenant's cap
-     * @param fingerprint hash of what may crash upstreams again: path, caller and body
+     * @param usage usage counted against the tenant's cap
+     * @param fingerprint hash of the target, the caller's key and the body, by which a request that crashed an upstream
+     *     is recognized when it is sent again
      */
     record Admitted(Route route, String service, Optional<Tenant> tenant, long usage, long fingerprint)
             implements Admission {}
 
-    /** The request is refused; nothing has run. */
+    /** The request is refused and has not run. */
     record Refused(ErrorKind kind, long retryAfterMillis) implements Admission {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Admissions.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
@@ -12,22 +12,28 @@
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.core.suspect.Suspicion;
 
-/** Checks a request against the configuration in force: route, key, suspicion, cap. Runs on the event loop. */
-final class Admissions {
-    /** Suspicion lasts; the time only keeps callers who do not heed the refusal from coming back at once. */
+/**
+ * Checker of requests against the active configuration: route, tenant key, suspicion and usage cap. Runs on the event
+ * loop.
+ */
+final class AdmissionChecker {
+    /**
+     * Retry time stated with a suspect request. Suspicion lasts longer; the time only delays callers that retry in
+     * spite of the refusal.
+     */
     private static final long SUSPECT_RETRY_MILLIS = 400;
 
     private final Tenants tenants;
     private final SuspectTable suspects;
     private final Random random;
 
-    Admissions(Tenants tenants, SuspectTable suspects, Random random) {
+    AdmissionChecker(Tenants tenants, SuspectTable suspects, Random random) {
         this.tenants = tenants;
         this.suspects = suspects;
         this.random = random;
     }
 
-    /** Returns what the request may do, and counts its usage if it is admitted. */
+    /** Returns the admission or the refusal of a request, and counts its usage if it is admitted. */
     Admission admit(CallerRequest request, Deployment current, long nowMillis) {
         Optional<Route> route = current.route(host(request), request.path());
         if (route.isEmpty()) {
@@ -46,7 +52,7 @@
             usage = tenant.get()
                     .usage((long) request.caller().promptTokens()
                             + request.caller().outputTokens());
-            long waitMillis = tenants.use(tenant.get(), usage, nowMillis);
+            long waitMillis = tenants.acquire(tenant.get(), usage, nowMillis);
             if (waitMillis > 0) {
                 return new Admission.Refused(ErrorKind.RATE_LIMITED, waitMillis);
             }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/AnswerSink.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/AnswerSink.java
@@ -4,23 +4,23 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** Where the answer to one request goes; called on the event loop. */
+/** Receiver of the answer to one request. All methods are called on the event loop. */
 public interface AnswerSink {
-    /** Answers with an error of this process; nothing was sent before. */
+    /** Answers with an error of this process. Must not be called after {@link #head}. */
     void refuse(ErrorKind kind, long retryAfterMillis);
 
-    /** Starts to pass an upstream's answer on. */
+    /** Writes the head of an upstream's answer. */
     void head(HttpResponse head);
 
-    /** Passes bytes of the body on; the callee releases them. */
+    /** Writes bytes of the body; the callee releases them. */
     void content(ByteBuf bytes);
 
-    /** Ends a complete answer. */
+    /** Completes the answer. */
     void end();
 
     /** Closes the caller's connection, so that an incomplete answer does not look complete. */
     void abort();
 
-    /** Returns whether the caller reads fast enough for more bytes. */
+    /** Returns whether the write buffer of the caller's connection has room for more bytes. */
     boolean writable();
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/CallerRequest.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/CallerRequest.java
@@ -4,7 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 
-/** A request that was read whole. */
+/** A fully received request of a caller. */
 public record CallerRequest(HttpRequest head, CallerHead caller, ByteBuf body, long receivedAtMillis) {
     /** Returns the path without the query. */
     public String path() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -30,24 +30,28 @@
 import io.netty.channel.EventLoop;
 
 /**
- * Takes requests that callers have sent whole, checks them against the configuration in force, and runs each as an
- * {@link Exchange}. Runs on one event loop, which owns all state.
+ * Request path of one entry: checks each fully received request against the active configuration and runs it as an
+ * {@link Exchange}. All state is confined to one event loop.
  */
 public final class DirectPath {
-    /** Pause between two looks at the queues while requests wait; short against the objectives of callers. */
+    /**
+     * Interval between scheduling rounds while requests are queued; short compared with callers' latency objectives.
+     */
     private static final long DECIDE_PERIOD_MILLIS = 10;
 
-    private static final long COMPARE_PERIOD_MILLIS = 250;
-    /** Time after a broken run at which the upstream is probed: a crashed one stays away for seconds. */
+    /** Interval of the comparison of upstreams and of the probes of suspended ones. */
+    private static final long UPSTREAM_CHECK_PERIOD_MILLIS = 250;
+    /** Delay between a broken run and the probe of its upstream; a crashed upstream stays unreachable for seconds. */
     private static final long CRASH_PROBE_DELAY_MILLIS = 100;
 
     private static final long NOT_READY_RETRY_MILLIS = 400;
-    /** Retries reach other entries, so they may come at once. */
+    /** Short, because a retry reaches another entry. */
     private static final long SHUTTING_DOWN_RETRY_MILLIS = 20;
-    /** Part of its remaining time that a caller waits at most before it comes back. */
-    private static final double HEEDED_PART = 0.32;
+    /** Longest wait before a retry that callers respect, as a part of their remaining time. */
+    private static final double MAX_RETRY_WAIT_PART = 0.32;
 
-    private static final double LEAST_SPREAD = 0.6;
+    /** Lower bound of the random factor that spreads retry times. */
+    private static final double MIN_RETRY_SPREAD = 0.6;
 
     private final EventLoop loop;
     private final MonotonicClock clock;
@@ -57,14 +61,14 @@
     private final Random random;
     private final Tenants tenants;
     private final SuspectTable suspects = SuspectTable.create();
-    private final Admissions admissions;
-    private final Demands demands = new Demands();
+    private final AdmissionChecker admissionChecker;
+    private final DemandFactory demandFactory = new DemandFactory();
     private final Versions versions = new Versions();
     private final Map<String, ServiceScheduler> schedulers = new HashMap<>();
-    private final Map<String, RetryShare> retries = new HashMap<>();
+    private final Map<String, RetryShare> retryShares = new HashMap<>();
     private final Map<Demand, Exchange> waiting = new HashMap<>();
-    private final Set<String> probed = new HashSet<>();
-    private final Set<String> takenOut = new HashSet<>();
+    private final Set<String> probing = new HashSet<>();
+    private final Set<String> loggedSuspended = new HashSet<>();
     private PathSettings settings;
     private SuspectPublisher publisher;
     private Optional<Deployment> deployment = Optional.empty();
@@ -72,7 +76,7 @@
     private int entries = 1;
     private int running;
     private boolean decideScheduled;
-    private boolean refusesNew;
+    private boolean refusingNew;
 
     private DirectPath(
             EventLoop loop,
@@ -90,11 +94,11 @@
         this.telemetry = telemetry;
         this.random = random;
         this.tenants = new Tenants(settings);
-        this.admissions = new Admissions(tenants, suspects, random);
+        this.admissionChecker = new AdmissionChecker(tenants, suspects, random);
         this.publisher = suspects::onUpstreamDied;
     }
 
-    /** Returns a path without configuration, which refuses all requests until it gets one. */
+    /** Returns a path without a configuration, which refuses all requests until {@link #configure} provides one. */
     public static DirectPath create(
             EventLoop loop,
             MonotonicClock clock,
@@ -105,18 +109,21 @@
             Random random) {
         DirectPath path = new DirectPath(loop, clock, dialect, settings, connections, telemetry, random);
         loop.scheduleAtFixedRate(
-                path::lookAfterUpstreams, COMPARE_PERIOD_MILLIS, COMPARE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+                path::checkUpstreams,
+                UPSTREAM_CHECK_PERIOD_MILLIS,
+                UPSTREAM_CHECK_PERIOD_MILLIS,
+                TimeUnit.MILLISECONDS);
         return path;
     }
 
-    private void lookAfterUpstreams() {
+    private void checkUpstreams() {
         schedulers.values().forEach(scheduler -> {
             scheduler.compareUpstreams();
             for (Upstream upstream : scheduler.suspended()) {
-                if (takenOut.add(upstream.id())) {
+                if (loggedSuspended.add(upstream.id())) {
                     telemetry.log().warning("upstream_taken_out", "id=" + upstream.id());
                 }
-                if (probed.add(upstream.id())) {
+                if (probing.add(upstream.id())) {
                     connections.drop(upstream);
                     connections.probe(upstream, accepts -> onProbed(scheduler, upstream, accepts));
                 }
@@ -125,16 +132,16 @@
     }
 
     private void onProbed(ServiceScheduler scheduler, Upstream upstream, boolean accepts) {
-        probed.remove(upstream.id());
+        probing.remove(upstream.id());
         if (accepts) {
             scheduler.resume(upstream.id());
-            takenOut.remove(upstream.id());
+            loggedSuspended.remove(upstream.id());
             telemetry.log().info("upstream_back", "id=" + upstream.id());
             decide();
         }
     }
 
-    /** Puts a configuration in force, unless a newer one is. */
+    /** Activates a configuration unless the active one has the same or a higher version. */
     public void configure(Deployment newer) {
         if (deployment.isPresent() && deployment.get().version() >= newer.version()) {
             return;
@@ -149,16 +156,20 @@
                                 + newer.tenants().size());
     }
 
-    /** Puts other bounds in force; what was spent before still counts. The zone stays as it was. */
+    /**
+     * Replaces the bounds. Usage and retries already counted against the old bounds remain counted; the zone of
+     * existing schedulers does not change.
+     */
     public void change(PathSettings newer) {
         settings = newer;
-        retries.values()
+        retryShares
+                .values()
                 .forEach(share -> share.change(newer.retryRatio(), newer.retryAllowance(), newer.retryWindowMillis()));
         tenants.settings(newer);
         deployment.ifPresent(current -> tenants.declare(current.tenants(), nowMillis()));
     }
 
-    /** Replaces the list of upstreams of all services. */
+    /** Replaces the lists of upstreams of all services. */
     public void upstreams(Collection<Upstream> listed) {
         upstreamsKnown = true;
         Map<String, List<Upstream>> byService = new HashMap<>();
@@ -170,28 +181,34 @@
         }
         byService.forEach((service, upstreams) -> scheduler(service).upstreams(upstreams));
         connections.retain(listed);
-        takenOut.retainAll(listed.stream().map(Upstream::id).toList());
+        loggedSuspended.retainAll(listed.stream().map(Upstream::id).toList());
         long leaving = listed.stream().filter(Upstream::draining).count();
         telemetry.log().info("upstreams", "listed=" + listed.size() + " leaving=" + leaving);
         decide();
     }
 
-    /** Returns whether this process knows a configuration and upstreams. */
+    /** Returns whether a configuration is active and a list of upstreams was received. */
     public boolean ready() {
         return deployment.isPresent() && upstreamsKnown;
     }
 
-    /** Returns the configuration in force. */
+    /** Returns the active configuration. */
     public Optional<Deployment> deployment() {
         return deployment;
     }
 
-    /** Returns how many requests have no final answer yet. */
+    /** Returns the number of requests without a final answer. */
     public int running() {
         return running;
     }
 
-    /** Takes over the load of all peers; both counts include this entry. */
+    /**
+     * Replaces the load of all peers.
+     *
+     * @param heard number of entries whose state is current, including this one
+     * @param known number of all known entries, including this one
+     * @param loads load of all peers by upstream identifier
+     */
     public void peers(int heard, int known, Map<String, PeerLoad> loads) {
         entries = known;
         tenants.entries(heard, known, nowMillis());
@@ -206,17 +223,17 @@
         decide();
     }
 
-    /** Takes over what a peer has let pass of each tenant's requests. */
+    /** Records the usage that a peer has admitted for each tenant. */
     public void peerUsage(String peer, long incarnation, Map<String, Tenants.Usage> usages) {
         tenants.onPeer(peer, incarnation, usages, nowMillis());
     }
 
-    /** A peer is not heard any more. */
+    /** Discards the tenant usage that a lost peer reported. */
     public void peerLost(String peer) {
         tenants.forget(peer);
     }
 
-    /** Returns this entry's own load for its peers. */
+    /** Returns the load of this entry on each upstream, for its peers. */
     public List<PeerLoad> ownLoads() {
         List<PeerLoad> loads = new ArrayList<>();
         schedulers.values().forEach(scheduler -> scheduler
@@ -225,98 +242,104 @@
         return loads;
     }
 
-    /** Returns this entry's figures on each tenant for its peers. */
+    /** Returns this entry's usage of each tenant's cap, for its peers. */
     public Map<String, Tenants.Usage> ownUsages() {
         return tenants.usages(nowMillis());
     }
 
-    /** Returns all that this entry knows of the speed of upstreams. */
+    /** Returns all learned speeds of upstreams. */
     public List<LearnedUnit> learned() {
         List<LearnedUnit> units = new ArrayList<>();
         schedulers.values().forEach(scheduler -> units.addAll(scheduler.learned(nowMillis())));
         return units;
     }
 
-    /** Returns what has changed notably since the last call. */
+    /** Returns the learned speeds that have changed significantly since the last call. */
     public List<LearnedUnit> learnedSinceTold() {
         List<LearnedUnit> units = new ArrayList<>();
         schedulers.values().forEach(scheduler -> units.addAll(scheduler.learnedSinceTold(nowMillis())));
         return units;
     }
 
-    /** Takes over what other entries have learned of the speed of upstreams. */
+    /** Adopts speeds of upstreams that other entries have learned. */
     public void adopt(List<LearnedUnit> units) {
         schedulers.values().forEach(scheduler -> scheduler.adopt(units, nowMillis()));
     }
 
-    /** Returns what is known of shifts of traffic between versions. */
+    /** Returns the state of traffic shifts between versions. */
     public Versions versions() {
         return versions;
     }
 
-    /** Returns how many requests of all entries are at a service's upstreams of other versions. */
+    /**
+     * Returns the number of requests of all entries that are outstanding at the service's upstreams of other versions.
+     */
     public int outstandingAtOthers(String service, String version) {
         return scheduler(service).outstandingAtOthers(version);
     }
 
-    /** Returns the requests that were running when upstreams died, for the exchange with peers. */
+    /** Returns the table of requests that were running when upstreams died, for the exchange with peers. */
     public SuspectTable suspects() {
         return suspects;
     }
 
-    /** Tells of each death of an upstream from now on, in place of recording it here alone. */
+    /** Sets the publisher of upstream deaths. The initial one records them in this process only. */
     public void publishSuspects(SuspectPublisher newPublisher) {
         publisher = newPublisher;
     }
 
-    /** Refuses all requests from now on, because this process is about to end; those that run go on. */
+    /** Refuses all further requests because this process is stopping; admitted requests continue. */
     public void refuseNew() {
-        refusesNew = true;
+        refusingNew = true;
     }
 
-    /** Returns an exchange for a request; once begun it ends with exactly one final answer. */
+    /**
+     * Returns an exchange for a request. Once begun, it ends with exactly one final answer unless the caller leaves.
+     */
     public Exchange prepare(CallerRequest request, AnswerSink sink) {
         running++;
         return new Exchange(this, request, sink);
     }
 
-    /** Returns the time on the clock of this path. */
+    /** Returns the elapsed time of this path's monotonic clock. */
     public long millis() {
         return nowMillis();
     }
 
-    /** Counts a connection of a caller that broke. */
+    /** Counts a broken connection of a caller. */
     public void countCallerError() {
         count("caller.broken");
     }
 
-    void ended() {
+    void onExchangeEnded() {
         running--;
     }
 
-    /** Returns what a request may do, or the reason why it is refused. */
+    /** Returns the admission of a request, or the reason for its refusal. */
     Admission admit(CallerRequest request) {
-        if (refusesNew) {
+        if (refusingNew) {
             return new Admission.Refused(ErrorKind.SHUTTING_DOWN, SHUTTING_DOWN_RETRY_MILLIS);
         }
         if (!ready()) {
             return new Admission.Refused(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS);
         }
-        return admissions.admit(request, deployment.orElseThrow(), nowMillis());
+        return admissionChecker.admit(request, deployment.orElseThrow(), nowMillis());
     }
 
     /** Returns a demand for the first or a further run of a request. */
-    Demand demand(CallerRequest request, Admission.Admitted admitted, long answerByMillis) {
+    Demand createDemand(CallerRequest request, Admission.Admitted admitted, long deadlineAtMillis) {
         VersionBound bound = versions.bound(admitted.service(), admitted.route().name(), nowMillis());
-        return demands.of(request, admitted, answerByMillis, bound);
+        return demandFactory.of(request, admitted, deadlineAtMillis, bound);
     }
 
+    /** Queues a demand; the exchange receives the decision on it. */
     void offer(Demand demand, Exchange exchange, String service) {
         waiting.put(demand, exchange);
         scheduler(service).offer(demand);
         decide();
     }
 
+    /** Removes a demand from the queue if no decision was made on it. */
     void withdraw(Demand demand, String service) {
         if (waiting.remove(demand) != null) {
             scheduler(service).withdraw(demand);
@@ -327,18 +350,22 @@
         return schedulers.computeIfAbsent(service, name -> ServiceScheduler.inZone(settings.zone()));
     }
 
-    RetryShare retries(String service) {
-        return retries.computeIfAbsent(
+    RetryShare retryShare(String service) {
+        return retryShares.computeIfAbsent(
                 service,
                 name -> RetryShare.create(
                         settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis()));
     }
 
-    boolean mayRetry(String service) {
-        return retries(service).tryAcquire(entries, nowMillis());
+    /** Counts a retry and returns true if the retry budget of the service allows it. */
+    boolean tryAcquireRetry(String service) {
+        return retryShare(service).tryAcquire(entries, nowMillis());
     }
 
-    /** Lets the schedulers decide; decisions that an upstream's end makes possible are taken at once. */
+    /**
+     * Runs one scheduling round. It is also called when a run ends, so that a freed place at an upstream is used at
+     * once.
+     */
     void decide() {
         for (ServiceScheduler scheduler : List.copyOf(schedulers.values())) {
             for (Decision decision : scheduler.decide(nowMillis())) {
@@ -367,10 +394,10 @@
     }
 
     /**
-     * Looks whether an upstream crashed when the connection of a run broke. Only a crash makes the request suspect:
-     * connections also break for other reasons.
+     * Probes an upstream after the connection of a run broke. The request becomes suspect only if the upstream refuses
+     * the probe, because connections also break for reasons other than a crash.
      */
-    void onBrokenRun(Upstream upstream, long fingerprint) {
+    void probeAfterBrokenRun(Upstream upstream, long fingerprint) {
         loop.schedule(
                 () -> connections.probe(upstream, accepts -> {
                     if (!accepts) {
@@ -384,16 +411,18 @@
     }
 
     /**
-     * Returns when a caller that was refused for lack of room should come back. Its answer will be late in any case, so
-     * it comes back as late as callers heed, when a short peak of load has passed; the times are spread.
+     * Returns the time after which a caller that was refused for lack of capacity should retry. Its answer will be late
+     * in any case, so the retry is placed as late as callers respect, when a short load peak has passed. The times are
+     * spread at random.
      */
-    long comeBackMillis(long remainingMillis) {
-        double spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * random.nextDouble();
-        return Math.max(1, (long) (HEEDED_PART * remainingMillis * spread));
+    long retryAfterMillis(long remainingMillis) {
+        double spread = MIN_RETRY_SPREAD + (1 - MIN_RETRY_SPREAD) * random.nextDouble();
+        return Math.max(1, (long) (MAX_RETRY_WAIT_PART * remainingMillis * spread));
     }
 
-    void giveBack(Admission.Admitted admitted) {
-        admitted.tenant().ifPresent(tenant -> tenants.giveBack(tenant, admitted.usage()));
+    /** Returns the usage of a request that did not run to its tenant's cap. */
+    void refundUsage(Admission.Admitted admitted) {
+        admitted.tenant().ifPresent(tenant -> tenants.refund(tenant, admitted.usage()));
     }
 
     long nowMillis() {
@@ -412,7 +441,7 @@
         return connections;
     }
 
-    void countWait(long millis) {
+    void recordWait(long millis) {
         telemetry.time("request.wait_millis", millis);
     }
 
@@ -420,8 +449,8 @@
         telemetry.count(name);
     }
 
-    /** Logs the end of a request with what decided it, and counts its time. */
-    void logEnd(String details, long totalMillis) {
+    /** Logs the outcome of a request and records its total time. */
+    void logOutcome(String details, long totalMillis) {
         telemetry.time("request.millis", totalMillis);
         telemetry
                 .log()
@@ -431,7 +460,7 @@
                                 + deployment.map(Deployment::version).orElse(0L));
     }
 
-    /** Returns lines that show what this process believes, for a dump. */
+    /** Returns the state of this process as text lines for the dump page. */
     public List<String> describe() {
         List<String> lines = new ArrayList<>();
         lines.add("bounds " + settings);
@@ -453,12 +482,12 @@
         return lines;
     }
 
-    /** Records that an upstream died while a request ran there. */
+    /** Publisher of the death of an upstream while a request was running on it. */
     public interface SuspectPublisher {
-        /** Records the death of one lifetime of an upstream. */
+        /** Publishes the end of one lifetime of an upstream together with the fingerprint of the running request. */
         void publish(long fingerprint, String upstreamLifetime, long nowMillis);
     }
 
-    /** What peers have at one upstream, summed over them. */
+    /** Number of requests and prompt tokens at one upstream, of one entry or summed over all peers. */
     public record PeerLoad(String upstreamId, int requests, long tokens) {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -22,11 +22,14 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 
-/** One request of a caller until its final answer. Runs on the event loop. */
+/** Lifecycle of one caller's request from admission to the final answer. Runs on the event loop. */
 public final class Exchange {
-    /** Connections that are tried when none of the request's bytes was sent. */
+    /** Number of runs that failed before any byte of the request was sent, after which the request is given up. */
     private static final int MAX_CONNECT_FAILURES = 3;
-    /** Time after which a caller may come back when one upstream refused the request. */
+    /**
+     * Retry time stated to a caller whose request no upstream has run, after a failed run or after its deadline passed
+     * in the queue.
+     */
     private static final long UPSTREAM_FULL_RETRY_MILLIS = 50;
 
     private static final int PERCENT = 100;
@@ -38,14 +41,14 @@
     private Demand demand;
     private Optional<Run> run = Optional.empty();
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
-    private long answerByMillis;
+    private long deadlineAtMillis;
     private int sends;
     private int events;
     private int connectFailures;
     private long waitedMillis;
     private String lastFailure = "none";
     private boolean mayHaveRun;
-    private boolean headPassedOn;
+    private boolean headForwarded;
     private boolean done;
     private Optional<EventBoundaries> boundaries = Optional.empty();
 
@@ -55,7 +58,7 @@
         this.sink = sink;
     }
 
-    /** Checks the request and queues it for an upstream. */
+    /** Checks the request and queues it, or refuses it. */
     public void begin() {
         Admission admission = path.admit(request);
         if (admission instanceof Admission.Refused refused) {
@@ -65,24 +68,24 @@
             return;
         }
         admitted = (Admission.Admitted) admission;
-        path.retries(admitted.service()).onRequest(path.nowMillis());
+        path.retryShare(admitted.service()).onRequest(path.nowMillis());
         long waitMillis = Math.min(
                 admitted.route().timeoutMillis(),
                 request.caller().deadlineMillis().orElse(Long.MAX_VALUE));
         if (admitted.route().kind() == RouteKind.STREAMING && admitted.route().resumable()) {
             boundaries = Optional.of(EventBoundaries.create());
         }
-        answerByMillis = request.receivedAtMillis() + waitMillis;
+        deadlineAtMillis = request.receivedAtMillis() + waitMillis;
         timeout = Optional.of(path.loop().schedule(this::onTimeout, waitMillis, TimeUnit.MILLISECONDS));
-        demand = path.demand(request, admitted, answerByMillis);
+        demand = path.createDemand(request, admitted, deadlineAtMillis);
         path.offer(demand, this, admitted.service());
     }
 
-    /** The scheduler chose an upstream. */
+    /** Sends the request to the upstream that the scheduler chose. */
     void onPlaced(Upstream upstream) {
         sends++;
         waitedMillis = path.nowMillis() - request.receivedAtMillis();
-        path.countWait(waitedMillis);
+        path.recordWait(waitedMillis);
         Run newRun = new Run(this, path, upstream, demand, sink);
         run = Optional.of(newRun);
         path.connections().send(upstream, upstreamRequest(upstream), newRun, newRun::onChannel);
@@ -109,13 +112,13 @@
                         headers,
                         new UpstreamCall(
                                 upstream,
-                                Math.max(1, answerByMillis - path.nowMillis()),
+                                Math.max(1, deadlineAtMillis - path.nowMillis()),
                                 admitted.tenant().map(tenant -> tenant.name()),
                                 boundaries.flatMap(EventBoundaries::lastId)));
         return copy;
     }
 
-    /** The scheduler refused the request before it was sent to a further upstream. */
+    /** Ends the exchange after the scheduler refused the request, in the queue for its first or a further run. */
     void onRefused(RefusalReason reason) {
         path.count("refused." + reason.name().toLowerCase(Locale.ROOT));
         ErrorKind kind =
@@ -123,7 +126,7 @@
                     case NO_UPSTREAM -> ErrorKind.NO_UPSTREAM;
                     case QUEUE_TOO_LONG, WAITED_TOO_LONG -> ErrorKind.OVERLOADED;
                 };
-        failOrRefuse(kind, path.comeBackMillis(answerByMillis - path.nowMillis()));
+        failOrRefuse(kind, path.retryAfterMillis(deadlineAtMillis - path.nowMillis()));
     }
 
     private void failOrRefuse(ErrorKind notRunKind, long retryAfterMillis) {
@@ -131,12 +134,15 @@
             fail(ErrorKind.UPSTREAM_LOST);
             return;
         }
-        path.giveBack(admitted);
+        path.refundUsage(admitted);
         finish("refused:" + notRunKind.wireName());
         sink.refuse(notRunKind, retryAfterMillis);
     }
 
-    /** The run ended without a complete answer that can be passed on; the reason goes into the log. */
+    /**
+     * Queues the request again or ends the exchange after a run without a complete answer that can be forwarded. The
+     * reason is written to the log.
+     */
     void onRunFailed(RunFailure failure, String reason) {
         if (done) {
             return;
@@ -151,32 +157,35 @@
         mayHaveRun |= sent && failure != RunFailure.NOT_RUN;
         boolean mayRepeat = !mayHaveRun || admitted.route().idempotent();
         boolean again = sent
-                ? mayRepeat && sends < admitted.route().attempts() && path.mayRetry(admitted.service())
+                ? mayRepeat && sends < admitted.route().attempts() && path.tryAcquireRetry(admitted.service())
                 : connectFailures < MAX_CONNECT_FAILURES;
         if (again) {
-            offerAgain();
+            requeue();
             return;
         }
         failOrRefuse(ErrorKind.OVERLOADED, UPSTREAM_FULL_RETRY_MILLIS);
     }
 
-    /** Sends the request to another upstream in place of a failure that this one answered, if the budgets allow it. */
-    boolean replaceFailure() {
+    /**
+     * Returns whether the request is to be sent to another upstream instead of forwarding the failure that this one
+     * answered; counts the retry if so. The caller then calls {@link #onReplacedFailureRead}.
+     */
+    boolean tryReplaceFailure() {
         return !done
                 && admitted.route().idempotent()
                 && sends < admitted.route().attempts()
-                && path.mayRetry(admitted.service());
+                && path.tryAcquireRetry(admitted.service());
     }
 
-    /** The failure that {@link #replaceFailure} replaces was read. */
-    void onFailureRead() {
+    /** Queues the request again once the answer that {@link #tryReplaceFailure} replaces was read to its end. */
+    void onReplacedFailureRead() {
         run = Optional.empty();
         mayHaveRun = true;
-        offerAgain();
+        requeue();
     }
 
-    private void offerAgain() {
-        Demand next = path.demand(request, admitted, answerByMillis);
+    private void requeue() {
+        Demand next = path.createDemand(request, admitted, deadlineAtMillis);
         demand.upstream().ifPresent(upstream -> next.avoid(upstream.id()));
         demand = next;
         path.offer(demand, this, admitted.service());
@@ -195,7 +204,7 @@
         boolean waits = run.isEmpty();
         cancelRun();
         if (waits && !mayHaveRun) {
-            path.giveBack(admitted);
+            path.refundUsage(admitted);
             finish("refused:" + ErrorKind.DEADLINE_UNREACHABLE.wireName());
             sink.refuse(ErrorKind.DEADLINE_UNREACHABLE, UPSTREAM_FULL_RETRY_MILLIS);
             return;
@@ -205,29 +214,32 @@
 
     private void fail(ErrorKind kind) {
         path.count("failed." + kind.wireName());
-        finish((headPassedOn ? "broken_off:" : "failed:") + kind.wireName());
-        if (headPassedOn) {
+        finish((headForwarded ? "broken_off:" : "failed:") + kind.wireName());
+        if (headForwarded) {
             sink.abort();
         } else {
             sink.refuse(kind, 0);
         }
     }
 
-    /** The head of an answer was passed on; from now on a failure can only be shown by closing the connection. */
-    void onHeadPassedOn() {
-        headPassedOn = true;
+    /**
+     * Records that the head of an answer was forwarded. From then on a failure can only be signalled by closing the
+     * connection.
+     */
+    void onHeadForwarded() {
+        headForwarded = true;
     }
 
-    boolean headPassedOn() {
-        return headPassedOn;
+    boolean headForwarded() {
+        return headForwarded;
     }
 
-    /** Some events of the answer were read. */
+    /** Counts a read of streamed events of the answer. */
     void onEvents() {
         events++;
     }
 
-    /** The caller left; nothing is answered any more. */
+    /** Cancels the run after the caller closed its connection; no answer is sent. */
     public void callerLeft() {
         if (done) {
             return;
@@ -237,7 +249,7 @@
         finish("caller_left");
     }
 
-    /** The caller reads again, or does not. */
+    /** Resumes or suspends reading from the upstream, according to whether the caller's connection is writable. */
     public void writable(boolean writable) {
         run.flatMap(Run::channel).ifPresent(channel -> channel.read(writable));
     }
@@ -254,10 +266,10 @@
             return;
         }
         done = true;
-        path.logEnd(details(outcome), path.nowMillis() - request.receivedAtMillis());
+        path.logOutcome(details(outcome), path.nowMillis() - request.receivedAtMillis());
         timeout.ifPresent(future -> future.cancel(false));
         request.body().release();
-        path.ended();
+        path.onExchangeEnded();
     }
 
     private String details(String outcome) {
@@ -288,7 +300,10 @@
         return admitted.route();
     }
 
-    /** Returns the event boundaries of a stream that may go on elsewhere, or empty if the answer is passed on as is. */
+    /**
+     * Returns the event boundaries of a stream that may be resumed at another upstream, or empty if the answer is
+     * forwarded unchanged.
+     */
     Optional<EventBoundaries> boundaries() {
         return boundaries;
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/HopByHopHeaders.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/HopByHopHeaders.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 
-/** Headers that concern one connection only. */
+/** HTTP headers that apply to a single connection and must not be forwarded. */
 final class HopByHopHeaders {
     private static final List<CharSequence> NAMES = List.of(
             HttpHeaderNames.CONNECTION,
@@ -20,7 +20,7 @@
 
     private HopByHopHeaders() {}
 
-    /** Removes them, and those that the connection header names. */
+    /** Removes the hop-by-hop headers, including those named in the connection header. */
     static void remove(HttpHeaders headers) {
         for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
             for (String name : value.split(",")) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/PathSettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/PathSettings.java
@@ -3,14 +3,15 @@
 import com.google.common.base.Preconditions;
 
 /**
- * What a process on the direct path is told about its place and about the budgets that all entries share.
+ * Settings of a process on the direct path: its failure domain and the budgets that all entries share.
  *
  * @param zone failure domain of this process
- * @param retryRatio retries of a service allowed for each of its requests in a window
- * @param retryAllowance retries of a service allowed in a window beyond the ratio, by all entries together
- * @param capWindowMillis window over which usage caps are judged
- * @param capOverrunRatio part of a cap that may be exceeded in a window, by all entries together
- * @param capMargin usage beyond that which a tenant may have in a window
+ * @param retryRatio retries allowed per request of a service within a window
+ * @param retryAllowance retries of a service allowed beyond the ratio within a window, by all entries together
+ * @param retryWindowMillis window over which retries are counted
+ * @param capWindowMillis window over which the overrun of usage caps is measured
+ * @param capOverrunRatio fraction by which the usage in a window may exceed the cap, by all entries together
+ * @param capMargin further usage that a tenant may have in a window beyond the cap and its overrun
  */
 public record PathSettings(
         String zone,
@@ -21,7 +22,9 @@
         double capOverrunRatio,
         long capMargin) {
     public PathSettings {
-        Preconditions.checkArgument(retryWindowMillis > 0, "retryWindowMillis is %s", retryWindowMillis);
-        Preconditions.checkArgument(capWindowMillis > 0, "capWindowMillis is %s", capWindowMillis);
+        Preconditions.checkArgument(
+                retryWindowMillis > 0, "retryWindowMillis is %s, expected a positive number", retryWindowMillis);
+        Preconditions.checkArgument(
+                capWindowMillis > 0, "capWindowMillis is %s, expected a positive number", capWindowMillis);
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
@@ -20,11 +20,14 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 
-/** One dispatch of a request to one upstream. Runs on the event loop. */
+/** One dispatch of a request to one upstream, and the forwarding of its answer. Runs on the event loop. */
 final class Run implements UpstreamListener {
-    /** Answers up to this size are passed on only once they are complete, so that a broken one can be replaced. */
-    private static final int MAX_HELD_BYTES = 65_536;
-    /** Events between two observations of the pause; a slowdown shows within a few tenths of a second. */
+    /** Largest non-streaming answer that is buffered until it is complete, so that a broken one can be replaced. */
+    private static final int MAX_BUFFERED_BYTES = 65_536;
+    /**
+     * Number of events over which the pause between events is averaged; a slowdown shows within a few tenths of a
+     * second.
+     */
     private static final int EVENTS_PER_OBSERVATION = 8;
 
     private static final int MISDIRECTED_STATUS = 421;
@@ -36,7 +39,7 @@
     private final Demand demand;
     private final AnswerSink sink;
     private final Optional<EvidenceRecorder.Observation> observation;
-    private final ByteBuf held = Unpooled.buffer(0);
+    private final ByteBuf buffered = Unpooled.buffer(0);
     private Optional<UpstreamChannel> channel = Optional.empty();
     private Mode mode = Mode.AWAITING_HEAD;
     private HttpResponse head;
@@ -54,7 +57,7 @@
         observation = startObservation();
     }
 
-    /** Takes the connection; returns false if the run was cancelled meanwhile. */
+    /** Sets the connection to the upstream; returns false if the run was cancelled in the meantime. */
     boolean onChannel(UpstreamChannel newChannel) {
         if (cancelled) {
             return false;
@@ -67,7 +70,7 @@
         return channel;
     }
 
-    /** Ends the run; nothing of it is passed on any more. */
+    /** Ends the run and closes its connection; no further bytes of its answer are forwarded. */
     void cancel() {
         if (cancelled) {
             return;
@@ -79,9 +82,10 @@
     private void end(Outcome outcome) {
         cancelled = true;
         channel = Optional.empty();
-        observation.ifPresent(seen -> conclude(seen, outcome));
+        observation.ifPresent(started -> finishObservation(started, outcome));
         if (outcome == Outcome.FAILED && events > 0) {
-            // The first event was counted as an answer in time; that the stream broke afterwards is counted beside it.
+            // The observation ended with the first event, as an answer; the later break is counted as a second
+            // observation.
             startObservation().ifPresent(broken -> broken.died(path.nowMillis()));
         }
         exchange.scheduler().onEnded(demand, outcome, path.nowMillis());
@@ -92,60 +96,61 @@
         return path.versions().started(upstream, exchange.route().name(), demand, path.nowMillis());
     }
 
-    private void conclude(EvidenceRecorder.Observation seen, Outcome outcome) {
+    private void finishObservation(EvidenceRecorder.Observation started, Outcome outcome) {
         long nowMillis = path.nowMillis();
         switch (outcome) {
-            case ANSWERED -> seen.answered(head.status().code(), nowMillis);
-            case FAILED -> seen.died(nowMillis);
-            default -> seen.cancelled(nowMillis);
+            case ANSWERED -> started.answered(head.status().code(), nowMillis);
+            case FAILED -> started.died(nowMillis);
+            default -> started.cancelled(nowMillis);
         }
     }
 
     @Override
     public boolean onHead(HttpResponse newHead) {
         AnswerHead answer = path.dialect().readAnswer(newHead.status().code(), newHead.headers());
-        Optional<String> asked = exchange.request().caller().attemptId();
+        Optional<String> expectedId = exchange.request().caller().attemptId();
         if (answer.attemptId().isPresent()
-                && asked.isPresent()
-                && !answer.attemptId().equals(asked)) {
+                && expectedId.isPresent()
+                && !answer.attemptId().equals(expectedId)) {
             path.count("upstream.foreign_answer");
             return false;
         }
         head = newHead;
-        mode = modeOf(answer, newHead);
+        mode = chooseMode(answer, newHead);
         if (mode == Mode.PASS_ON) {
-            passHeadOn();
+            forwardHead();
         }
         return true;
     }
 
-    private Mode modeOf(AnswerHead answer, HttpResponse newHead) {
+    private Mode chooseMode(AnswerHead answer, HttpResponse newHead) {
         int status = newHead.status().code();
         if (answer.notRun()) {
             return Mode.NOT_RUN;
         }
         boolean success = newHead.status().codeClass() == HttpStatusClass.SUCCESS;
-        if (exchange.headPassedOn()) {
+        if (exchange.headForwarded()) {
             return success && answer.signed() ? Mode.PASS_ON : Mode.BROKEN;
         }
         if (success && !answer.signed()) {
             return Mode.BROKEN;
         }
-        if (status >= FIRST_SERVER_ERROR && exchange.replaceFailure()) {
+        if (status >= FIRST_SERVER_ERROR && exchange.tryReplaceFailure()) {
             return Mode.REPLACED;
         }
-        if (!success && PromisingStatus.promisesNotRun(status)) {
-            // The upstream does not state that it did not run the request, so its status must not promise it.
+        if (!success && NotRunStatus.impliesNotRun(status)) {
+            // The upstream does not state that it did not run the request, so a status that implies this must not be
+            // forwarded.
             return Mode.BROKEN;
         }
         return success && exchange.route().kind() == RouteKind.STREAMING ? Mode.PASS_ON : Mode.HOLD;
     }
 
-    private void passHeadOn() {
-        if (exchange.headPassedOn()) {
+    private void forwardHead() {
+        if (exchange.headForwarded()) {
             return;
         }
-        exchange.onHeadPassedOn();
+        exchange.onHeadForwarded();
         HttpResponse copy = new DefaultHttpResponse(
                 HttpVersion.HTTP_1_1, head.status(), head.headers().copy());
         HopByHopHeaders.remove(copy.headers());
@@ -155,26 +160,26 @@
     @Override
     public void onContent(ByteBuf bytes) {
         switch (mode) {
-            case PASS_ON -> passOn(bytes);
-            case HOLD -> hold(bytes);
+            case PASS_ON -> forward(bytes);
+            case HOLD -> buffer(bytes);
             default -> bytes.release();
         }
     }
 
-    private void hold(ByteBuf bytes) {
-        held.writeBytes(bytes);
+    private void buffer(ByteBuf bytes) {
+        buffered.writeBytes(bytes);
         bytes.release();
         exchange.scheduler().onOutput(demand, path.nowMillis());
-        if (held.readableBytes() > MAX_HELD_BYTES) {
+        if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
             mode = Mode.PASS_ON;
-            passHeadOn();
-            sink.content(held.copy());
-            held.clear();
+            forwardHead();
+            sink.content(buffered.copy());
+            buffered.clear();
         }
     }
 
-    private void passOn(ByteBuf bytes) {
-        observe();
+    private void forward(ByteBuf bytes) {
+        recordProgress();
         Optional<EventBoundaries> boundaries = exchange.boundaries();
         if (boundaries.isEmpty()) {
             send(bytes);
@@ -184,12 +189,12 @@
         bytes.release();
         int complete = boundaries.get().scan(copy, copy.length);
         if (complete > 0) {
-            ByteBuf events = Unpooled.buffer(held.readableBytes() + complete);
-            events.writeBytes(held).writeBytes(copy, 0, complete);
-            held.clear();
+            ByteBuf events = Unpooled.buffer(buffered.readableBytes() + complete);
+            events.writeBytes(buffered).writeBytes(copy, 0, complete);
+            buffered.clear();
             send(events);
         }
-        held.writeBytes(copy, complete, copy.length - complete);
+        buffered.writeBytes(copy, complete, copy.length - complete);
     }
 
     private void send(ByteBuf bytes) {
@@ -199,12 +204,12 @@
         }
     }
 
-    private void observe() {
+    private void recordProgress() {
         long nowMillis = path.nowMillis();
         events++;
         exchange.onEvents();
         if (events == 1) {
-            observation.ifPresent(seen -> seen.answered(head.status().code(), nowMillis));
+            observation.ifPresent(started -> started.answered(head.status().code(), nowMillis));
             exchange.scheduler().onFirstEvent(demand, nowMillis);
             observedAtMillis = nowMillis;
             return;
@@ -226,7 +231,7 @@
             case NOT_RUN -> onNotRun();
             case REPLACED -> {
                 end(Outcome.FAILED);
-                exchange.onFailureRead();
+                exchange.onReplacedFailureRead();
             }
             case BROKEN -> {
                 path.count("upstream.unusable_answer");
@@ -234,7 +239,9 @@
                 exchange.onRunFailed(RunFailure.BROKEN, "unusable_answer");
             }
             case PASS_ON, HOLD -> onWholeAnswer();
-            default -> throw new IllegalStateException("complete without a head");
+            default ->
+                throw new IllegalStateException(
+                        "answer of upstream " + upstream.id() + " is complete, expected a head first");
         }
         path.decide();
     }
@@ -252,9 +259,9 @@
             exchange.scheduler().onLength(demand, events);
         }
         end(failure ? Outcome.FAILED : Outcome.ANSWERED);
-        passHeadOn();
-        if (held.isReadable()) {
-            sink.content(held.copy());
+        forwardHead();
+        if (buffered.isReadable()) {
+            sink.content(buffered.copy());
         }
         exchange.onAnswered(head.status().code());
     }
@@ -268,7 +275,7 @@
         if (mode == Mode.NOT_RUN) {
             onNotRun();
         } else if (breakage == Breakage.SENT) {
-            path.onBrokenRun(upstream, exchange.fingerprint());
+            path.probeAfterBrokenRun(upstream, exchange.fingerprint());
             end(Outcome.FAILED);
             exchange.boundaries().ifPresent(EventBoundaries::dropOpenEvent);
             exchange.onRunFailed(RunFailure.BROKEN, reason);
@@ -279,18 +286,18 @@
         path.decide();
     }
 
-    /** What is done with the answer. */
+    /** Treatment of the upstream's answer. */
     private enum Mode {
         AWAITING_HEAD,
-        /** Bytes go to the caller as they come. */
+        /** Bytes are forwarded to the caller as they arrive. */
         PASS_ON,
-        /** Bytes are kept until the answer is complete. */
+        /** Bytes are buffered until the answer is complete. */
         HOLD,
         /** The upstream did not run the request. */
         NOT_RUN,
-        /** A failure that another upstream may repair. */
+        /** The upstream answered with a failure, and the request is sent to another upstream instead. */
         REPLACED,
-        /** An answer that must not reach the caller. */
+        /** The answer must not reach the caller: its signature is missing or its status would be misleading. */
         BROKEN
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
@@ -8,10 +8,13 @@
 import dev.wigeonward.core.cap.TenantCap;
 import dev.wigeonward.core.deployment.Tenant;
 
-/** The usage caps of all tenants as this entry sees them. Runs on the event loop. */
+/** Usage caps of all tenants, with the state that this entry knows. Runs on the event loop. */
 public final class Tenants {
-    /** The rest covers entries that are cut off, reports on the way, and requests larger than what is left. */
-    private static final double USED_TOLERANCE = 0.5;
+    /**
+     * Part of the tolerated overrun that is added to the capacity of a cap. The rest covers entries that are cut off,
+     * reports that are in transit, and requests larger than the remaining usage.
+     */
+    private static final double TOLERANCE_IN_CAPACITY = 0.5;
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
@@ -28,6 +31,7 @@
         settings = newer;
     }
 
+    /** Replaces the capped tenants; usage of tenants that remain is kept. */
     void declare(List<Tenant> tenants, long nowMillis) {
         Map<String, TenantCap> previous = new HashMap<>(caps);
         caps.clear();
@@ -46,13 +50,17 @@
         }
     }
 
-    /** A shared cap refuses what a central one would not, so part of the tolerated overrun is used to avoid that. */
+    /**
+     * Returns the capacity of a tenant's cap. A cap shared between entries refuses some usage that a central one would
+     * admit, so the capacity includes part of the tolerated overrun.
+     */
     private long capacity(Tenant tenant) {
         double window = tenant.ratePerSecond() * settings.capWindowMillis() / MILLIS_PER_SECOND + tenant.burst();
         double tolerated = settings.capOverrunRatio() * window + settings.capMargin();
-        return Math.max(1, tenant.burst() + (long) (USED_TOLERANCE * tolerated));
+        return Math.max(1, tenant.burst() + (long) (TOLERANCE_IN_CAPACITY * tolerated));
     }
 
+    /** Sets the numbers of current and of known entries, both including this one. */
     void entries(int newHeard, int newKnown, long nowMillis) {
         heard = newHeard;
         known = newKnown;
@@ -68,12 +76,15 @@
         });
     }
 
+    /** Discards the usage that a peer reported. */
     void forget(String peer) {
         caps.values().forEach(cap -> cap.forget(peer));
     }
 
-    /** Returns 0 and counts the usage if the tenant may use it now, or else the time until it may, in milliseconds. */
-    long use(Tenant tenant, long usage, long nowMillis) {
+    /**
+     * Counts the usage and returns 0 if the tenant's cap allows it, otherwise returns the milliseconds until it does.
+     */
+    long acquire(Tenant tenant, long usage, long nowMillis) {
         TenantCap cap = caps.get(tenant.name());
         if (cap == null || cap.tryUse(usage, nowMillis)) {
             return 0;
@@ -81,7 +92,8 @@
         return Math.max(1, cap.millisUntilAvailable());
     }
 
-    void giveBack(Tenant tenant, long usage) {
+    /** Returns the usage of a request that did not run. */
+    void refund(Tenant tenant, long usage) {
         TenantCap cap = caps.get(tenant.name());
         if (cap != null) {
             cap.giveBack(usage);
@@ -103,10 +115,10 @@
     }
 
     /**
-     * One entry's figures on one tenant.
+     * Usage of one tenant at one entry.
      *
-     * @param total usage that passed since the entry's start
-     * @param level what the entry believes to be left
+     * @param total usage admitted since the entry's start
+     * @param level remaining usage by the entry's estimate
      */
     public record Usage(double total, double level) {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Versions.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Versions.java
@@ -19,9 +19,15 @@
 import dev.wigeonward.core.schedule.Demand;
 import dev.wigeonward.core.schedule.Upstream;
 
-/** Which versions requests go to while operators shift traffic, and what becomes of them. Runs on the event loop. */
+/**
+ * State of the traffic shifts between versions that operators have ordered: the choice of a version for each request,
+ * and evidence on the outcomes. Runs on the event loop.
+ */
 public final class Versions {
-    /** Entries do not tell loaded from idle upstreams: a shift is too short for two verdicts on each route. */
+    /**
+     * Load up to which an upstream counts as idle. All observations are recorded with load 0, so that loaded and idle
+     * upstreams are not distinguished: a shift is too short for two verdicts on each route.
+     */
     private static final double LOAD_THRESHOLD = 1;
 
     private final StageView view = new StageView();
@@ -31,22 +37,22 @@
 
     Versions() {}
 
-    /** Returns the stages and verdicts that this entry knows. */
+    /** Returns the stages and verdicts known to this entry. */
     public StageView view() {
         return view;
     }
 
-    /** Takes an operator's order; returns whether it was new. */
+    /** Records an operator's order; returns whether it was new. */
     public boolean order(ShiftOrder order) {
         return choice.order(order);
     }
 
-    /** Takes the end of a shift from the store. */
+    /** Records the state of a shift that was read from the store. */
     public void settle(String service, String target, ShiftState state, long revision) {
         choice.settle(service, target, state, revision);
     }
 
-    /** Returns the shifts under way, as far as their evidence goes here. */
+    /** Returns the open shifts with the evidence that this entry has received on them. */
     public List<TrafficShift> shifts() {
         Map<String, ShiftOrder> open = choice.open();
         shifts.values()
@@ -55,7 +61,7 @@
         return new ArrayList<>(shifts.values());
     }
 
-    /** Adds what an entry has counted since its start, this one included. */
+    /** Merges the counters of an entry since its start; the entry may be this one. */
     public void onEvidence(ControllerEvent.EvidenceReported report, long nowMillis) {
         TrafficShift shift = shifts.get(report.version().model());
         if (shift != null) {
@@ -63,7 +69,7 @@
         }
     }
 
-    /** Returns what this entry has counted since its start. */
+    /** Returns the counters of this entry since its start. */
     public Map<EvidenceRecorder.Key, EvidenceCounters> counters(long nowMillis) {
         return recorder.counters(nowMillis);
     }
@@ -72,7 +78,10 @@
         return choice.choose(service, route, nowMillis);
     }
 
-    /** Returns the observation of a request that is sent, or empty while nothing is shifted. */
+    /**
+     * Returns an observation of a request that is being sent, or empty if the service has no open shift or the upstream
+     * no version.
+     */
     Optional<EvidenceRecorder.Observation> started(Upstream upstream, String route, Demand demand, long nowMillis) {
         if (upstream.version().isEmpty() || choice.open(upstream.service()).isEmpty()) {
             return Optional.empty();
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/package-info.java
@@ -1,2 +1,5 @@
-/** One request from its arrival to its final answer, over as many upstreams as its route allows. */
+/**
+ * Processing of a request from admission to the final answer, with retries at further upstreams as far as its route
+ * allows.
+ */
 package dev.wigeonward.gateway.exchange;
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/AnswerHead.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/AnswerHead.java
@@ -3,10 +3,10 @@
 import java.util.Optional;
 
 /**
- * What a platform's headers say of an upstream's answer.
+ * Platform-specific information in the headers of an upstream's answer.
  *
- * @param attemptId identifier of the attempt that is answered, if the answer names one
- * @param signed true if the answer carries the upstream's signature
- * @param notRun true if the upstream states that it did not run the request
+ * @param attemptId identifier of the answered attempt, if the answer states one
+ * @param signed whether the answer carries the upstream's signature
+ * @param notRun whether the upstream states that it did not run the request
  */
 public record AnswerHead(Optional<String> attemptId, boolean signed, boolean notRun) {}
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
@@ -4,14 +4,14 @@
 import java.util.OptionalLong;
 
 /**
- * What a platform's headers say of a caller's request.
+ * Platform-specific information in the headers of a caller's request.
  *
- * @param attemptId identifier of this attempt; answers of upstreams repeat it
- * @param deadlineMillis how long the caller waits
- * @param key secret that names the tenant
- * @param promptTokens prompt tokens, 0 if not stated
- * @param outputTokens most output tokens, 0 if not stated
- * @param expectedOutputTokens the caller's estimate of the output tokens, 0 if not stated
+ * @param attemptId identifier of this attempt, which answers of upstreams repeat
+ * @param deadlineMillis time that the caller waits for the answer
+ * @param key secret key that identifies the tenant
+ * @param promptTokens number of prompt tokens, 0 if not stated
+ * @param outputTokens largest number of output tokens, 0 if not stated
+ * @param expectedOutputTokens caller's estimate of the number of output tokens, 0 if not stated
  */
 public record CallerHead(
         Optional<String> attemptId,
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/ControllerStore.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/ControllerStore.java
@@ -6,18 +6,24 @@
 import dev.wigeonward.core.rollout.ShiftOrder;
 import dev.wigeonward.core.rollout.ShiftState;
 
-/** What the controller of shifts needs from the store. All methods run on the event loop. */
+/** Store operations of the controller of traffic shifts. All methods run on the event loop. */
 public interface ControllerStore {
-    /** Tells whether this entry wants to control shifts; it tries to get the lease, or gives it back. */
+    /**
+     * Starts acquiring the controller's lease and keeping it, or ends it, according to whether this entry wants to
+     * control shifts.
+     */
     void seek(boolean wanted);
 
-    /** Returns the number of this entry's lease, which grows with each holder, while it is certain to hold it. */
+    /**
+     * Returns the fencing number of this entry's lease, which increases with each holder, or empty unless this entry is
+     * certain to hold the lease.
+     */
     OptionalLong fencingNumber();
 
     /**
-     * Writes where a shift stands, if this entry still holds the lease.
+     * Writes the state of a shift if this entry still holds the lease.
      *
-     * @param done receives whether it was written; after false it may have been
+     * @param done receives true if the state was written; after false it may have been written nevertheless
      */
     void write(ShiftOrder order, ShiftState state, Consumer<Boolean> done);
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/HttpDialect.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/HttpDialect.java
@@ -2,14 +2,14 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 
-/** The meaning of the headers of one platform. Implementations are stateless. */
+/** Translation of the HTTP headers of one platform. Implementations are stateless. */
 public interface HttpDialect {
-    /** Returns what the headers of a caller's request say; malformed values count as absent. */
+    /** Returns the information in the headers of a caller's request; malformed values count as absent. */
     CallerHead readCaller(HttpHeaders headers);
 
-    /** Replaces in a copy of the caller's headers all that only the system may set. */
+    /** Replaces all headers that only the system may set, in a copy of the caller's headers. */
     void writeUpstream(HttpHeaders headers, UpstreamCall call);
 
-    /** Returns what the headers of an upstream's answer say. */
+    /** Returns the information in the headers of an upstream's answer. */
     AnswerHead readAnswer(int status, HttpHeaders headers);
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/StoreRelay.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/StoreRelay.java
@@ -2,35 +2,44 @@
 
 import java.util.List;
 
-/** The view of the store that entries hand on to each other. All methods run on the event loop. */
+/** Local view of the store that entries send to each other. All methods run on the event loop. */
 public interface StoreRelay {
-    /** Age that stands for no view at all, in milliseconds. */
+    /** Age reported if there is no view, in milliseconds. */
     long NO_VIEW_MILLIS = 1L << 31;
 
-    /** Returns the time since the upstreams were read from the store, by this process or by a peer. */
+    /**
+     * Returns the time in milliseconds since the upstreams in this view were read from the store, by this process or by
+     * a peer.
+     */
     long ageMillis();
 
-    /** Returns a number that differs, almost surely, between views with different upstreams. */
+    /** Returns a hash of the upstreams in this view. */
     long hash();
 
-    /** Returns the items of the view, for a peer. */
+    /** Returns the items of this view, to be sent to a peer. */
     List<Item> items();
 
-    /** Takes over a peer's view, as far as it is newer. */
+    /** Merges a peer's view into this one, as far as the peer's is newer. */
     void adopt(List<Item> items, long ageMillis);
 
-    /** Returns the time since this process itself read both upstreams and configuration. */
+    /**
+     * Returns the time in milliseconds since this process itself last read the upstreams or the configuration,
+     * whichever was read earlier.
+     */
     long readAgeMillis();
 
-    /** A peer's view has this hash and age; equal views are as fresh as the fresher of the two. */
+    /** Reports the hash and age of a peer's view. A view with an equal hash takes the lower age of the two. */
     void onPeerView(long hash, long ageMillis);
 
-    /** A peer that goes first has read the store this long ago; this process may leave the reading to it. */
+    /**
+     * Reports the time since a peer with precedence has read the store. While that time is short, this process may
+     * leave reading the store to the peer.
+     */
     void onPeerRead(long readAgeMillis);
 
-    /** A peer has a newer configuration in force than this process. */
+    /** Reports that a peer has a newer active configuration than this process. */
     void onNewerConfiguration();
 
-    /** One item of the store. */
+    /** Key, value and revision of one entry in the store. */
     record Item(String key, byte[] value, long revision) {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/UpstreamCall.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/UpstreamCall.java
@@ -5,11 +5,11 @@
 import dev.wigeonward.core.schedule.Upstream;
 
 /**
- * What an upstream is told about one dispatch.
+ * Information about one dispatch that is sent to the upstream.
  *
  * @param remainingMillis time left until the caller's deadline
  * @param tenant name of the caller's tenant
- * @param lastEventId event after which a broken stream goes on
+ * @param lastEventId identifier of the event after which a broken stream is resumed
  */
 public record UpstreamCall(
         Upstream upstream, long remainingMillis, Optional<String> tenant, Optional<String> lastEventId) {}
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/package-info.java
@@ -1,2 +1,5 @@
-/** What the direct path needs from the adapter of a platform: the meaning of its headers, its upstreams and rules. */
+/**
+ * Interfaces that the adapter of a platform implements for the direct path: headers, view of the store, and store
+ * operations of the rollout controller.
+ */
 package dev.wigeonward.gateway.port;
