--- a/gateway/src/main/java/dev/wigeonward/gateway/event/EventLog.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/event/EventLog.java
@@ -8,72 +8,75 @@
 import com.codahale.metrics.MetricRegistry;
 
 /**
- * Hands what the event loop has to say to a thread that formats and writes it. The event loop never waits: lines beyond
- * the bound are left out and counted in a line of their own. Lines said before {@link #start} wait for it, so that the
- * logging library is loaded after the process serves.
+ * Asynchronous log for the event loop: a separate thread formats and writes the lines. The event loop never blocks on
+ * it. Lines beyond the bound of the queue are dropped, and their number is logged. Lines added before {@link #start}
+ * are queued, so that the logging library is loaded only after the process serves requests.
  */
 public final class EventLog {
-    /** Lines that wait for the writer: some seconds of a busy entry, some hundred kilobytes. */
-    private static final int MAX_WAITING_LINES = 2_048;
-    /** Longest wait for the writer at the end of the process. */
-    private static final long STOP_MILLIS = 300;
+    /** Bound of the queue: a few seconds of log lines of a busy entry, a few hundred kilobytes. */
+    private static final int MAX_QUEUED_LINES = 2_048;
+    /** Longest wait in {@link #stop} for room in the queue, and again for the writer to end. */
+    private static final long STOP_WAIT_MILLIS = 300;
 
     private static final Line END = new Line(Level.INFO, "end", "");
 
     private final ArrayBlockingQueue<Line> lines;
-    private final AtomicLong leftOut = new AtomicLong();
-    private final AtomicLong leftOutInAll = new AtomicLong();
+    private final AtomicLong droppedSinceReport = new AtomicLong();
+    private final AtomicLong droppedTotal = new AtomicLong();
     private final AtomicLong written = new AtomicLong();
     private final AtomicLong writtenChars = new AtomicLong();
     private final Thread writer = new Thread(this::write, "log");
 
-    private EventLog(int maxWaitingLines) {
-        lines = new ArrayBlockingQueue<>(maxWaitingLines);
+    private EventLog(int maxQueuedLines) {
+        lines = new ArrayBlockingQueue<>(maxQueuedLines);
     }
 
-    /** Returns a log whose writer is not started. */
+    /** Returns a log whose writer thread is not started. */
     public static EventLog create() {
-        return new EventLog(MAX_WAITING_LINES);
+        return new EventLog(MAX_QUEUED_LINES);
     }
 
-    /** Returns a log with another bound. */
-    static EventLog withBound(int maxWaitingLines) {
-        return new EventLog(maxWaitingLines);
+    /** Returns a log with the given bound of its queue. */
+    static EventLog withBound(int maxQueuedLines) {
+        return new EventLog(maxQueuedLines);
     }
 
-    /** Starts to write. */
+    /** Starts the writer thread. */
     public void start() {
         writer.setDaemon(true);
         writer.start();
     }
 
-    /** Says that something of note happened; {@code details} holds key=value pairs. */
+    /** Logs a notable event; {@code details} holds key=value pairs. */
     public void info(String event, String details) {
         offer(new Line(Level.INFO, event, details));
     }
 
-    /** Says that something is wrong that the process can live with. */
+    /** Logs a problem that does not stop the process; {@code details} holds key=value pairs. */
     public void warning(String event, String details) {
         offer(new Line(Level.WARNING, event, details));
     }
 
     private void offer(Line line) {
         if (!lines.offer(line)) {
-            leftOut.incrementAndGet();
-            leftOutInAll.incrementAndGet();
+            droppedSinceReport.incrementAndGet();
+            droppedTotal.incrementAndGet();
         }
     }
 
-    /** Returns how many lines were left out since the last line that says so. */
+    /** Returns the number of lines dropped since the last log line that reports dropped lines. */
     public long leftOut() {
-        return leftOut.get();
+        return droppedSinceReport.get();
     }
 
-    /** Adds what was written and left out since the start to the metrics; lengths are those of the messages. */
+    /**
+     * Registers gauges for the lines and message characters written, the lines dropped since the start and the lines
+     * queued.
+     */
     public void register(MetricRegistry metrics) {
         metrics.gauge("log.lines_written", () -> written::get);
         metrics.gauge("log.chars_written", () -> writtenChars::get);
-        metrics.gauge("log.lines_left_out", () -> leftOutInAll::get);
+        metrics.gauge("log.lines_left_out", () -> droppedTotal::get);
         metrics.gauge("log.lines_waiting", () -> lines::size);
     }
 
@@ -85,9 +88,9 @@
                 logger.log(line.level(), text);
                 written.incrementAndGet();
                 writtenChars.addAndGet(text.length());
-                long missing = leftOut.getAndSet(0);
-                if (missing > 0) {
-                    logger.log(Level.WARNING, "lines_left_out count=" + missing);
+                long dropped = droppedSinceReport.getAndSet(0);
+                if (dropped > 0) {
+                    logger.log(Level.WARNING, "lines_left_out count=" + dropped);
                 }
             }
         } catch (InterruptedException e) {
@@ -95,11 +98,11 @@
         }
     }
 
-    /** Writes what waits, as far as that takes no longer than a fraction of a second. */
+    /** Writes the queued lines, waiting at most a fraction of a second, and ends the writer thread. */
     public void stop() {
         try {
-            if (writer.isAlive() && lines.offer(END, STOP_MILLIS, TimeUnit.MILLISECONDS)) {
-                writer.join(STOP_MILLIS);
+            if (writer.isAlive() && lines.offer(END, STOP_WAIT_MILLIS, TimeUnit.MILLISECONDS)) {
+                writer.join(STOP_WAIT_MILLIS);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/gateway/src/main/java/dev/wigeonward/gateway/event/Telemetry.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/event/Telemetry.java
@@ -4,19 +4,19 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingWindowReservoir;
 
-/** Where a process tells what it does: counters, and a log of the event loop. */
+/** Metrics and event log of a process. */
 public record Telemetry(MetricRegistry metrics, EventLog log) {
-    /** Some seconds of a busy entry, four kilobytes for each histogram. */
-    private static final int REMEMBERED_TIMES = 512;
+    /** Number of times that a histogram covers: a few seconds of a busy entry, four kilobytes per histogram. */
+    private static final int HISTOGRAM_WINDOW = 512;
 
-    /** Counts an event. */
+    /** Increments a counter. */
     public void count(String name) {
         metrics.counter(name).inc();
     }
 
-    /** Adds a time to the histogram of the last few hundred ones. */
+    /** Adds a time to a histogram that covers the last {@link #HISTOGRAM_WINDOW} times. */
     public void time(String name, long millis) {
-        metrics.histogram(name, () -> new Histogram(new SlidingWindowReservoir(REMEMBERED_TIMES)))
+        metrics.histogram(name, () -> new Histogram(new SlidingWindowReservoir(HISTOGRAM_WINDOW)))
                 .update(millis);
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/event/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/event/package-info.java
@@ -1,2 +1,2 @@
-/** Log lines of the event loop, written by a thread of their own. */
+/** Metrics, and an asynchronous log for the event loop. */
 package dev.wigeonward.gateway.event;
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamChannel.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamChannel.java
@@ -13,9 +13,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
-/** One connection to an upstream. It serves one request at a time and is closed at the first byte that is not due. */
+/** Connection to an upstream. It carries one request at a time and is closed when an unexpected byte is received. */
 public final class UpstreamChannel extends ChannelInboundHandlerAdapter {
-    /** Status codes below this one announce another head for the same request. */
+    /** Lowest status code of a final answer; a lower one is followed by another head for the same request. */
     private static final int FIRST_FINAL_STATUS = 200;
 
     private final UpstreamConnections owner;
@@ -23,11 +23,11 @@
     private Channel channel;
     private UpstreamListener listener;
     private boolean requestWritten;
-    private boolean headSeen;
+    private boolean headReceived;
     private boolean skipping;
     private boolean reusable;
     private long idleSinceMillis;
-    private long keepMillis;
+    private long keepAliveMillis;
 
     UpstreamChannel(UpstreamConnections owner, String poolKey) {
         this.owner = owner;
@@ -39,16 +39,18 @@
         channel = context.channel();
     }
 
-    /** Sends a request whose answer goes to the listener. */
+    /** Sends a request; the listener receives its answer. */
     void send(FullHttpRequest request, UpstreamListener newListener) {
         listener = Objects.requireNonNull(newListener, "newListener");
         requestWritten = false;
-        headSeen = false;
+        headReceived = false;
         skipping = false;
         reusable = true;
         if (!channel.isActive()) {
             request.release();
-            fail(UpstreamListener.Breakage.NOT_SENT, "connection was closed before the request was sent");
+            fail(
+                    UpstreamListener.Breakage.NOT_SENT,
+                    "connection to the upstream was closed before the request was sent");
             return;
         }
         channel.writeAndFlush(request).addListener(future -> {
@@ -56,30 +58,31 @@
             if (!future.isSuccess()) {
                 fail(
                         UpstreamListener.Breakage.SENT,
-                        "request not written: " + future.cause().getMessage());
+                        "request was not written to the upstream: "
+                                + future.cause().getMessage());
                 channel.close();
             }
         });
     }
 
-    /** Ends the request on this connection by closing it; the listener hears nothing more. */
+    /** Cancels the request by closing the connection; the listener is not called any more. */
     public void cancel() {
         listener = null;
         channel.close();
     }
 
-    /** Lets the upstream's bytes wait while the caller does not read. */
+    /** Resumes or suspends reading from the upstream, for example while the caller does not read. */
     public void read(boolean wanted) {
         channel.config().setAutoRead(wanted);
     }
 
-    void startIdle(long nowMillis, long newKeepMillis) {
+    void startIdle(long nowMillis, long newKeepAliveMillis) {
         idleSinceMillis = nowMillis;
-        keepMillis = newKeepMillis;
+        keepAliveMillis = newKeepAliveMillis;
     }
 
-    boolean usable(long nowMillis) {
-        return channel.isActive() && listener == null && nowMillis - idleSinceMillis < keepMillis;
+    boolean reusableAt(long nowMillis) {
+        return channel.isActive() && listener == null && nowMillis - idleSinceMillis < keepAliveMillis;
     }
 
     void close() {
@@ -101,7 +104,8 @@
             ReferenceCountUtil.release(message);
             fail(
                     UpstreamListener.Breakage.SENT,
-                    "not HTTP: " + object.decoderResult().cause().getMessage());
+                    "answer of the upstream is not HTTP: "
+                            + object.decoderResult().cause().getMessage());
             context.close();
             return;
         }
@@ -118,15 +122,15 @@
             skipping = true;
             return;
         }
-        keepMillis = owner.keepMillis(head);
+        keepAliveMillis = owner.keepAliveMillis(head);
         boolean framed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
-        reusable &= framed && HttpUtil.isKeepAlive(head) && keepMillis > 0;
+        reusable &= framed && HttpUtil.isKeepAlive(head) && keepAliveMillis > 0;
         skipping = !listener.onHead(head);
         if (skipping) {
-            // A late answer to an earlier request; the connection is not used again after this one.
+            // This is a late answer to an earlier request, so the connection is not reused.
             reusable = false;
         } else {
-            headSeen = true;
+            headReceived = true;
         }
     }
 
@@ -142,7 +146,7 @@
         } else {
             content.release();
         }
-        if (last && listener != null && headSeen) {
+        if (last && listener != null && headReceived) {
             complete();
         }
     }
@@ -150,7 +154,8 @@
     private void complete() {
         UpstreamListener finished = listener;
         listener = null;
-        // An answer that came before the body was sent leaves bytes due on the connection.
+        // If the answer arrived before the request was written completely, the rest of the request would precede the
+        // next one on this connection.
         if (reusable && requestWritten && channel.isActive()) {
             idleSinceMillis = owner.nowMillis();
             channel.config().setAutoRead(true);
@@ -178,6 +183,6 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         owner.closed(this);
-        fail(UpstreamListener.Breakage.SENT, "connection closed by the upstream");
+        fail(UpstreamListener.Breakage.SENT, "connection was closed by the upstream before the answer was complete");
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnections.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnections.java
@@ -29,20 +29,34 @@
 import io.netty.handler.codec.http.HttpResponse;
 import jdk.net.ExtendedSocketOptions;
 
-/** Connections to upstreams, kept for reuse by lifetime. All methods run on the event loop. */
+/**
+ * Pool of connections to upstreams, keyed by address and lifetime of the upstream. All methods run on the event loop.
+ */
 public final class UpstreamConnections {
-    /** Time to open a connection; several round trips of a region, and short against the objectives of callers. */
+    /**
+     * Timeout for opening a connection: several round trips within a region, and short compared with callers' latency
+     * objectives.
+     */
     private static final int CONNECT_MILLIS = 400;
-    /** Time for which an idle connection is kept if the upstream states none; upstreams commonly keep them longer. */
-    private static final long DEFAULT_KEEP_MILLIS = 8_000;
-    /** Subtracted from the stated time, so that a request does not cross the upstream's close. */
-    private static final long KEEP_MARGIN_MILLIS = 700;
-    /** Longest time for which an idle connection is kept: one that went silent is not trusted for long. */
-    private static final long LONGEST_KEEP_MILLIS = 20_000;
-    /** Quiet time, pause and count of keep-alive probes: a silent connection breaks after about three seconds. */
-    private static final int KEEP_ALIVE_SECONDS = 1;
-
-    private static final int KEEP_ALIVE_PROBES = 2;
+    /**
+     * Time that an idle connection is pooled if the upstream states no timeout; upstreams commonly keep connections
+     * open longer.
+     */
+    private static final long DEFAULT_KEEP_ALIVE_MILLIS = 8_000;
+    /**
+     * Margin subtracted from the timeout that the upstream states, so that no request is sent while the upstream closes
+     * the connection.
+     */
+    private static final long KEEP_ALIVE_MARGIN_MILLIS = 700;
+    /** Longest time that an idle connection is pooled, because it may have become unusable without a notice. */
+    private static final long MAX_KEEP_ALIVE_MILLIS = 20_000;
+    /**
+     * Idle time before the first TCP keep-alive probe and interval between probes. With {@link #TCP_PROBES} an
+     * unresponsive connection is closed after about three seconds.
+     */
+    private static final int TCP_PROBE_SECONDS = 1;
+
+    private static final int TCP_PROBES = 2;
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 16_384;
@@ -64,22 +78,22 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), TCP_PROBE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), TCP_PROBE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), TCP_PROBES)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
     }
 
-    /** Returns an empty set of connections on the given loop. */
+    /** Returns an empty pool whose connections run on the given loop. */
     public static UpstreamConnections on(EventLoopGroup loop, LongSupplier nowMillis) {
         return new UpstreamConnections(loop, nowMillis);
     }
 
     /**
-     * Sends a request on a kept or a new connection.
+     * Sends a request on a pooled connection or on a new one.
      *
-     * @param stillWanted receives the connection before the request is written; if it returns false, nothing is sent
-     *     and the listener hears nothing
+     * @param stillWanted receives the connection before the request is written; if it returns false, the request is not
+     *     sent and the listener is not called
      */
     public void send(
             Upstream upstream,
@@ -87,9 +101,9 @@
             UpstreamListener listener,
             Predicate<UpstreamChannel> stillWanted) {
         String key = poolKey(upstream);
-        UpstreamChannel kept = takeIdle(key);
-        if (kept != null) {
-            sendIfWanted(kept, request, listener, stillWanted);
+        UpstreamChannel pooled = takeIdle(key);
+        if (pooled != null) {
+            sendIfWanted(pooled, request, listener, stillWanted);
             return;
         }
         UpstreamChannel fresh = new UpstreamChannel(this, key);
@@ -110,7 +124,7 @@
                                 String.valueOf(future.cause().getMessage()));
                         return;
                     }
-                    fresh.startIdle(nowMillis(), DEFAULT_KEEP_MILLIS);
+                    fresh.startIdle(nowMillis(), DEFAULT_KEEP_ALIVE_MILLIS);
                     sendIfWanted(fresh, request, listener, stillWanted);
                 });
     }
@@ -132,7 +146,7 @@
         ArrayDeque<UpstreamChannel> channels = idle.get(key);
         while (channels != null && !channels.isEmpty()) {
             UpstreamChannel newest = channels.removeLast();
-            if (newest.usable(nowMillis.getAsLong())) {
+            if (newest.reusableAt(nowMillis.getAsLong())) {
                 return newest;
             }
             newest.close();
@@ -140,19 +154,19 @@
         return null;
     }
 
-    /** Closes the kept connections of upstreams that are not listed any more. */
+    /** Closes the pooled connections of upstreams that are no longer listed. */
     public void retain(Collection<Upstream> listed) {
         Set<String> keys = new HashSet<>();
         listed.forEach(upstream -> keys.add(poolKey(upstream)));
         for (String key : new ArrayList<>(idle.keySet())) {
             if (!keys.contains(key)) {
-                List<UpstreamChannel> gone = List.copyOf(idle.remove(key));
-                gone.forEach(UpstreamChannel::close);
+                List<UpstreamChannel> removed = List.copyOf(idle.remove(key));
+                removed.forEach(UpstreamChannel::close);
             }
         }
     }
 
-    /** Finds out whether an upstream still accepts connections; the connection is closed at once. */
+    /** Tests whether an upstream accepts connections, by opening one and closing it at once. */
     public void probe(Upstream upstream, Consumer<Boolean> accepts) {
         bootstrap
                 .clone()
@@ -164,7 +178,10 @@
                 });
     }
 
-    /** Closes the kept connections to an upstream that does not answer; some may be silent for good. */
+    /**
+     * Closes the pooled connections to an upstream that does not answer, because some may never deliver an answer
+     * again.
+     */
     public void drop(Upstream upstream) {
         ArrayDeque<UpstreamChannel> channels = idle.remove(poolKey(upstream));
         if (channels != null) {
@@ -187,25 +204,25 @@
         return nowMillis.getAsLong();
     }
 
-    /** Returns how long a connection may be kept after this answer, in milliseconds. */
-    long keepMillis(HttpResponse head) {
-        String stated = head.headers().get(KEEP_ALIVE_HEADER);
-        if (stated == null) {
-            return DEFAULT_KEEP_MILLIS;
+    /** Returns the time in milliseconds that the connection may be pooled after this answer. */
+    long keepAliveMillis(HttpResponse head) {
+        String header = head.headers().get(KEEP_ALIVE_HEADER);
+        if (header == null) {
+            return DEFAULT_KEEP_ALIVE_MILLIS;
         }
-        for (String parameter : stated.split(",")) {
+        for (String parameter : header.split(",")) {
             String trimmed = parameter.strip();
             if (trimmed.startsWith(TIMEOUT_PARAMETER)) {
                 try {
                     long seconds = Long.parseLong(trimmed.substring(TIMEOUT_PARAMETER.length()));
-                    return Math.min(LONGEST_KEEP_MILLIS, seconds * 1_000 - KEEP_MARGIN_MILLIS);
+                    return Math.min(MAX_KEEP_ALIVE_MILLIS, seconds * 1_000 - KEEP_ALIVE_MARGIN_MILLIS);
                 } catch (NumberFormatException e) {
-                    // A time that cannot be read is no promise to keep the connection open.
+                    // With an unreadable timeout the upstream may close the connection at any time.
                     return 0;
                 }
             }
         }
-        return DEFAULT_KEEP_MILLIS;
+        return DEFAULT_KEEP_ALIVE_MILLIS;
     }
 
     private static String poolKey(Upstream upstream) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
@@ -3,25 +3,25 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** Receives what an upstream answers to one request; called on the event loop. */
+/** Receiver of an upstream's answer to one request. All methods are called on the event loop. */
 public interface UpstreamListener {
-    /** The head of an answer on this connection came; returns false if it does not answer this request. */
+    /** Receives the head of an answer on the connection; returns false if the answer belongs to another request. */
     boolean onHead(HttpResponse head);
 
-    /** Bytes of the body came; the callee releases them. */
+    /** Receives bytes of the body; the callee releases them. */
     void onContent(ByteBuf bytes);
 
-    /** The answer is complete. */
+    /** Called after the answer was received completely. */
     void onComplete();
 
-    /** No complete answer will come. */
+    /** Called when the request ends without a complete answer. */
     void onBroken(Breakage breakage, String reason);
 
-    /** What had happened to the request when its connection broke. */
+    /** Progress of the request when its connection broke. */
     enum Breakage {
-        /** No connection was made. */
+        /** No connection was established. */
         NO_CONNECTION,
-        /** A kept connection was closed before the request was written to it. */
+        /** A pooled connection was closed before the request was written to it. */
         NOT_SENT,
         /** Some of the request may have reached the upstream. */
         SENT
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/package-info.java
@@ -1,2 +1,5 @@
-/** HTTP towards upstreams: kept connections, one request at a time on each, dropped at the first doubt. */
+/**
+ * HTTP client for upstreams: pooled connections that carry one request at a time and are closed when their state is
+ * uncertain.
+ */
 package dev.wigeonward.gateway.upstream;
--- a/gateway/src/test/java/dev/wigeonward/gateway/event/EventLogTest.java
+++ b/gateway/src/test/java/dev/wigeonward/gateway/event/EventLogTest.java
@@ -5,9 +5,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class EventLogTest {
-    /** Guards against an event loop that waits for whoever reads the log, and against lines lost without a count. */
+    /**
+     * Guards against an event loop that blocks when the queue of the log is full because nothing reads it, and against
+     * lines that are dropped without being counted.
+     */
     @Test
-    void linesBeyondTheBoundAreCountedAndNobodyWaits() {
+    void linesBeyondTheBoundAreCountedWithoutBlocking() {
         EventLog log = EventLog.withBound(4);
         for (int line = 0; line < 10; line++) {
             log.info("event", "line=" + line);
@@ -16,7 +19,7 @@
         assertThat(log.leftOut()).isEqualTo(6);
     }
 
-    /** Guards against a process that cannot end because its log was never started. */
+    /** Guards against a process that hangs in stop because the writer thread of its log was never started. */
     @Test
     void logThatWasNotStartedStops() {
         EventLog log = EventLog.create();
