--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerChannel.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerChannel.java
@@ -33,18 +33,21 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
-/** One connection of a caller: reads requests one after the other and writes their answers. */
+/** Connection of a caller: reads one request at a time and writes its answer before it reads the next one. */
 final class CallerChannel extends ChannelInboundHandlerAdapter implements AnswerSink {
-    /** Time for which bytes are discarded after an error answer, so that a reset does not destroy it on the way. */
+    /**
+     * Time for which received bytes are discarded after the last answer, before the connection is closed. An earlier
+     * close with unread bytes would reset the connection, and the answer could be lost.
+     */
     private static final long LINGER_MILLIS = 500;
-    /** Composite parts after which a body is merged. */
+    /** Number of parts of a composite body above which they are merged. */
     private static final int MAX_BODY_PARTS = 64;
 
     private final CallerServer server;
     private final DirectPath path;
     private final HttpDialect dialect;
     private final CallerLimits limits;
-    private final ArrayDeque<Object> early = new ArrayDeque<>();
+    private final ArrayDeque<Object> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private Optional<HttpRequest> head = Optional.empty();
     private CompositeByteBuf body;
@@ -53,7 +56,7 @@
     private boolean headBegun;
     private boolean closing;
     private boolean keepAlive = true;
-    private boolean sizeKnown;
+    private boolean lengthKnown;
 
     CallerChannel(CallerServer server, DirectPath path, HttpDialect dialect, CallerLimits limits) {
         this.server = server;
@@ -86,11 +89,14 @@
         }
     }
 
-    /** The time for a head counts from its first byte, so that a caller cannot hold a connection with a part of one. */
+    /**
+     * Starts the timeout of a request head at its first byte, so that a caller cannot occupy a connection with a
+     * partial head.
+     */
     @Override
     public void userEventTriggered(ChannelHandlerContext eventContext, Object event) {
-        boolean between = !closing && exchange.isEmpty() && head.isEmpty();
-        if (event == StrictRequestDecoder.Event.HEAD_BEGUN && between && !headBegun) {
+        boolean awaitingHead = !closing && exchange.isEmpty() && head.isEmpty();
+        if (event == StrictRequestDecoder.Event.HEAD_BEGUN && awaitingHead && !headBegun) {
             headBegun = true;
             startTimer(limits.headerTimeoutMillis(), () -> rejectAndClose(ErrorKind.BODY_TIMEOUT));
         }
@@ -104,7 +110,7 @@
             return;
         }
         if (exchange.isPresent()) {
-            early.add(message);
+            pipelined.add(message);
             context.channel().config().setAutoRead(false);
             return;
         }
@@ -165,11 +171,11 @@
     private void onWholeRequest() {
         stopTimer();
         HttpRequest request = head.orElseThrow();
-        ByteBuf whole = body;
+        ByteBuf wholeBody = body;
         head = Optional.empty();
         body = null;
         CallerRequest callerRequest =
-                new CallerRequest(request, dialect.readCaller(request.headers()), whole, path.millis());
+                new CallerRequest(request, dialect.readCaller(request.headers()), wholeBody, path.millis());
         Exchange started = path.prepare(callerRequest, this);
         exchange = Optional.of(started);
         started.begin();
@@ -196,7 +202,7 @@
     }
 
     private void answer(FullHttpResponse response) {
-        if (!stillOpen()) {
+        if (!canWrite()) {
             response.release();
             return;
         }
@@ -204,7 +210,7 @@
         finish(context.writeAndFlush(response));
     }
 
-    private boolean stillOpen() {
+    private boolean canWrite() {
         return !closing && context.channel().isActive();
     }
 
@@ -217,11 +223,11 @@
 
     @Override
     public void head(HttpResponse response) {
-        if (!stillOpen()) {
+        if (!canWrite()) {
             return;
         }
-        sizeKnown = HttpUtil.isContentLengthSet(response);
-        if (!sizeKnown) {
+        lengthKnown = HttpUtil.isContentLengthSet(response);
+        if (!lengthKnown) {
             HttpUtil.setTransferEncodingChunked(response, true);
         }
         setConnectionHeader(response);
@@ -230,7 +236,7 @@
 
     @Override
     public void content(ByteBuf bytes) {
-        if (!stillOpen()) {
+        if (!canWrite()) {
             bytes.release();
             return;
         }
@@ -239,7 +245,7 @@
 
     @Override
     public void end() {
-        if (stillOpen()) {
+        if (canWrite()) {
             finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
         }
     }
@@ -253,8 +259,8 @@
         }
         startTimer(limits.idleTimeoutMillis(), this::closeIfIdle);
         context.channel().config().setAutoRead(true);
-        while (!early.isEmpty() && exchange.isEmpty() && !closing) {
-            accept(early.poll());
+        while (!pipelined.isEmpty() && exchange.isEmpty() && !closing) {
+            accept(pipelined.poll());
         }
     }
 
@@ -289,16 +295,16 @@
         closing = true;
         server.closed(this);
         dropPartialRequest();
-        early.forEach(ReferenceCountUtil::release);
-        early.clear();
-        Optional<Exchange> left = exchange;
+        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.clear();
+        Optional<Exchange> unfinished = exchange;
         exchange = Optional.empty();
-        left.ifPresent(Exchange::callerLeft);
+        unfinished.ifPresent(Exchange::callerLeft);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
-        // The connection is broken or its bytes are not HTTP; the exchange learns of it as the connection closes.
+        // The connection is broken or its bytes are not HTTP. The exchange ends in channelInactive.
         path.countCallerError();
         failed.close();
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
@@ -18,10 +18,13 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
-/** Accepts callers. All methods run on the event loop, except {@link #listen}. */
+/** HTTP server for callers. All methods run on the event loop, except {@link #listen}. */
 public final class CallerServer {
     private static final int ACCEPT_BACKLOG = 1_024;
-    /** Unread bytes of one caller above which its upstream is not read, and below which it is again. */
+    /**
+     * Number of bytes not yet sent to a caller above which reading from its upstream is suspended, until they fall
+     * below {@link #LOW_WATER_BYTES}.
+     */
     private static final int HIGH_WATER_BYTES = 65_536;
 
     private static final int LOW_WATER_BYTES = 16_384;
@@ -43,7 +46,7 @@
         return new CallerServer(path, dialect, limits);
     }
 
-    /** Starts to accept callers; returns the address that is listened on. */
+    /** Starts to accept connections; returns the bound address. */
     public InetSocketAddress listen(InetSocketAddress address, EventLoopGroup loop) {
         Channel server = new ServerBootstrap()
                 .group(loop)
@@ -72,7 +75,7 @@
         return (InetSocketAddress) server.localAddress();
     }
 
-    /** Lets answers from now on close their connections, and closes those that are idle. */
+    /** Closes idle connections, and makes every further answer close its connection. */
     public void closeIdle() {
         draining = true;
         for (CallerChannel channel : Set.copyOf(open)) {
@@ -80,7 +83,7 @@
         }
     }
 
-    /** Returns how many connections of callers are open. */
+    /** Returns the number of open connections of callers. */
     public int connections() {
         return open.size();
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/ErrorAnswers.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/ErrorAnswers.java
@@ -12,13 +12,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 
-/** The answers of this process itself, from the closed list of error kinds. */
+/** Factory for error answers of this process, one for each error kind. */
 final class ErrorAnswers {
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private ErrorAnswers() {}
 
-    /** Returns the answer for a kind, with the time after which the caller may come back if that is positive. */
+    /** Returns the answer for an error kind, with a Retry-After header if the given time is positive. */
     static FullHttpResponse of(ErrorKind kind, long retryAfterMillis) {
         String text = "{\"error\":\"%s\",\"run_state\":\"%s\",\"retryable\":%s}"
                 .formatted(kind.wireName(), kind.runState().wireName(), kind.retryable());
@@ -37,7 +37,10 @@
         return answer;
     }
 
-    /** A suspect request is proper, so it gets the promise that it did not run and no status that blames the caller. */
+    /**
+     * Returns the status of an error kind. A suspect request is well-formed, so it gets the status that promises that
+     * it did not run instead of one that states a fault of the caller.
+     */
     private static int status(ErrorKind kind) {
         return kind == ErrorKind.SUSPECT ? HttpResponseStatus.SERVICE_UNAVAILABLE.code() : kind.httpStatus();
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/RequestChecks.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/RequestChecks.java
@@ -12,11 +12,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
-/** Checks on the head of a request that do not depend on the configuration of routes. */
+/** Checks of a request head that are independent of the configured routes. */
 final class RequestChecks {
     private RequestChecks() {}
 
-    /** Returns why the head must be refused, or empty if it is sound. */
+    /** Returns the error for which the head must be refused, or empty if it is valid. */
     static Optional<ErrorKind> problem(HttpRequest head, long maxBodyBytes) {
         if (head.decoderResult().isFailure()) {
             return Optional.of(
@@ -24,7 +24,7 @@
                             ? ErrorKind.HEADERS_TOO_LARGE
                             : ErrorKind.MALFORMED_REQUEST);
         }
-        if (!soundFraming(head) || !soundTarget(head)) {
+        if (!hasValidFraming(head) || !hasValidTarget(head)) {
             return Optional.of(ErrorKind.MALFORMED_REQUEST);
         }
         OptionalLong length = HttpUtil.isContentLengthSet(head)
@@ -35,8 +35,11 @@
                 : Optional.empty();
     }
 
-    /** A transfer coding other than chunked alone, or one in HTTP/1.0, can be read as another length by an upstream. */
-    private static boolean soundFraming(HttpRequest head) {
+    /**
+     * Returns whether the length of the body is unambiguous. With a transfer coding other than a single chunked one, or
+     * with one in HTTP/1.0, an upstream could read another length.
+     */
+    private static boolean hasValidFraming(HttpRequest head) {
         List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (codings.isEmpty()) {
             return true;
@@ -47,7 +50,7 @@
                 && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
     }
 
-    private static boolean soundTarget(HttpRequest head) {
+    private static boolean hasValidTarget(HttpRequest head) {
         return head.uri().startsWith("/")
                 && head.headers().getAll(HttpHeaderNames.HOST).size() == 1;
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/StatusServer.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/StatusServer.java
@@ -27,17 +27,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 
-/** Serves pages on the state of this process: readiness, metrics, a dump. */
+/** HTTP server for the status pages of a process, such as readiness, metrics and dump. */
 public final class StatusServer {
     private static final int MAX_REQUEST_BYTES = 4_096;
-    /** Idle time after which a connection is closed; those who ask do so every few seconds. */
+    /** Idle time after which a connection is closed; probes and collectors send a request every few seconds. */
     private static final int IDLE_SECONDS = 30;
 
     private StatusServer() {}
 
-    /** Starts to serve the pages by their paths; returns the channel that listens. */
+    /** Starts to serve the pages, keyed by path; returns the listening channel. */
     public static Channel listen(InetSocketAddress address, EventLoopGroup loop, Map<String, Supplier<Page>> pages) {
-        Map<String, Supplier<Page>> fixed = Map.copyOf(pages);
+        Map<String, Supplier<Page>> pagesByPath = Map.copyOf(pages);
         return new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -50,7 +50,7 @@
                                         new ReadTimeoutHandler(IDLE_SECONDS),
                                         new HttpServerCodec(),
                                         new HttpObjectAggregator(MAX_REQUEST_BYTES),
-                                        new PageHandler(fixed));
+                                        new PageHandler(pagesByPath));
                     }
                 })
                 .bind(address)
@@ -58,11 +58,11 @@
                 .channel();
     }
 
-    /** A page of plain text. */
+    /** Plain text page with its HTTP status. */
     public record Page(int status, String text) {}
 
     private static final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private static final Page UNKNOWN = new Page(404, "no such page\n");
+        private static final Page NOT_FOUND = new Page(404, "no such page\n");
 
         private final Map<String, Supplier<Page>> pages;
 
@@ -72,7 +72,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Page page = pages.getOrDefault(request.uri(), () -> UNKNOWN).get();
+            Page page = pages.getOrDefault(request.uri(), () -> NOT_FOUND).get();
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(page.status()),
@@ -90,7 +90,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            // Whoever asked is gone or silent; there is nobody to tell.
+            // The client closed the connection or sent nothing before the timeout, so no answer can be sent.
             context.close();
         }
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/StrictRequestDecoder.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/StrictRequestDecoder.java
@@ -8,7 +8,10 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 
-/** Decodes requests, refuses those whose length can be read in two ways, and tells when a head has begun to come. */
+/**
+ * HTTP request decoder that rejects requests of ambiguous length and fires {@link Event#HEAD_BEGUN} when a part of a
+ * head was received.
+ */
 final class StrictRequestDecoder extends HttpRequestDecoder {
     StrictRequestDecoder(int maxHeaderBytes) {
         super(new HttpDecoderConfig()
@@ -18,14 +21,14 @@
                 .setValidateHeaders(true));
     }
 
-    /** The first bytes of a head came, and not yet all of it. */
+    /** User event of this decoder: the first bytes of a head were received, but not the whole head. */
     enum Event {
         HEAD_BEGUN
     }
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
-        // Empty lines between requests are no part of a head.
+        // Empty lines between requests are not part of a head.
         boolean begins = in.isReadable() && !Character.isISOControl(in.getByte(in.readerIndex()));
         super.decode(context, in, out);
         if (begins && out.isEmpty()) {
@@ -35,6 +38,7 @@
 
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        throw new IllegalArgumentException("both a length and chunks are given");
+        throw new IllegalArgumentException(
+                "request has both content-length and transfer-encoding, expected at most one of them");
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/package-info.java
@@ -1,2 +1,2 @@
-/** HTTP towards callers: strict framing, limits, keep-alive, and the readiness page. */
+/** HTTP servers for callers, with strict framing, limits and keep-alive, and for the status pages. */
 package dev.wigeonward.gateway.caller;
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/FactLinks.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/FactLinks.java
@@ -10,8 +10,9 @@
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.generated.Frame;
 
-/** Sends facts over the links of this entry, each named by its number, and logs those that are new. */
+/** Sender of facts over the links of this entry, identified by their numbers, and logger of new facts. */
 record FactLinks(Map<Long, Link> links, EventLog log) implements FrameSender, FactListener {
+    /** Returns the name under which the fact exchange identifies a link. */
     static String name(Link link) {
         return String.valueOf(link.number());
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -33,28 +33,39 @@
 import dev.wigeonward.wire.generated.PeerViewRequest;
 import io.netty.channel.EventLoop;
 
-/** Links to the other entries: tells them load, demand and the age of the view of the store. Runs on the event loop. */
+/**
+ * Exchange of load, tenant usage, learned speeds and the view of the store with the other entries, over links. Runs on
+ * the event loop.
+ */
 public final class PeerExchange implements LinkListener {
-    /** Links carry a view of the store at most, of which one value has up to a megabyte. */
+    /**
+     * Settings of the links. The largest frame is a view of the store, in which a single value has up to a megabyte.
+     */
     private static final LinkSettings LINKS = new LinkSettings(8 << 20, 500, 1_500, 500, 16 << 20);
-    /** Pause between two reports of changed loads while few peers are linked; short against the time of a request. */
+    /**
+     * Interval between reports of changed loads while few peers are linked; short compared with the duration of a
+     * request.
+     */
     private static final long PARTIAL_PERIOD_MILLIS = 20;
-    /** Pause between two whole states, which carry usage and the age of the view. */
+    /** Interval between full states, which include tenant usage and the age of the view. */
     private static final long FULL_PERIOD_MILLIS = 100;
-    /** Peers beyond which the pause grows with their number, so that the messages of one entry stay bounded. */
-    private static final int PEERS_AT_SHORTEST_PERIOD = 8;
+    /**
+     * Number of links up to which the intervals have their shortest length. With more links they grow in proportion, so
+     * that the rate of messages of one entry stays bounded.
+     */
+    private static final int LINKS_AT_SHORTEST_PERIOD = 8;
 
     private static final long CONNECT_PERIOD_MILLIS = 500;
-    /** Age from which a peer's state says nothing on its load any more. */
-    private static final long STATE_VALID_MILLIS = 1_500;
-    /** Time for which an entry that is not heard any more still counts as one that spends from shared budgets. */
-    private static final long REMEMBERED_MILLIS = 10_000;
-    /** Time for which the address of an entry that is not heard any more is tried. */
-    private static final long TRIED_MILLIS = 120_000;
-    /** Pause between two requests for a view. */
-    private static final long VIEW_REQUEST_MILLIS = 200;
-    /** Age of the own view from which a peer's newer one is asked for. */
-    private static final long VIEW_OLD_MILLIS = 900;
+    /** Age above which a peer's state is no longer used as its load. */
+    private static final long MAX_STATE_AGE_MILLIS = 1_500;
+    /** Time for which an entry without a link still counts as one that uses shared budgets. */
+    private static final long BUDGET_SHARE_MILLIS = 10_000;
+    /** Time after the last state of an entry for which connections to its address are still attempted. */
+    private static final long RECONNECT_LIMIT_MILLIS = 120_000;
+    /** Shortest interval between two requests for a peer's view. */
+    private static final long VIEW_REQUEST_PERIOD_MILLIS = 200;
+    /** Age of this entry's view above which a peer's newer one is requested. */
+    private static final long MAX_VIEW_AGE_MILLIS = 900;
 
     private final EventLog log;
     private final String ownAddress;
@@ -73,7 +84,7 @@
     private long viewRequestedAtMillis = Long.MIN_VALUE / 2;
     private long sentAtMillis;
     private long sentFullAtMillis;
-    private long sentVersion;
+    private long sentConfigurationVersion;
     private Map<String, DirectPath.PeerLoad> sentLoads = Map.of();
 
     private PeerExchange(
@@ -112,9 +123,9 @@
     }
 
     /**
-     * Returns an exchange that accepts links and connects to the seeds.
+     * Returns a started exchange, which accepts links and connects to the seeds.
      *
-     * @param seeds link addresses of some entries, which may be stale
+     * @param seeds link addresses of some entries; some of them may be out of date
      */
     public static PeerExchange start(
             Self self,
@@ -131,20 +142,20 @@
         return exchange;
     }
 
-    /** Adds link addresses that are tried. */
+    /** Adds link addresses to which connections are attempted. */
     public void addSeeds(Set<String> newer) {
         seeds.addAll(newer);
         seeds.remove(ownAddress);
     }
 
-    /** Returns the exchange of facts that only grow. */
+    /** Returns the exchange of facts, which are only ever added. */
     public FactExchange facts() {
         return facts;
     }
 
     private void connect() {
         long now = nowMillis.getAsLong();
-        heardAtMillis.values().removeIf(heard -> now - heard > TRIED_MILLIS);
+        heardAtMillis.values().removeIf(heard -> now - heard > RECONNECT_LIMIT_MILLIS);
         Set<String> wanted = new HashSet<>(seeds);
         wanted.addAll(heardAtMillis.keySet());
         wanted.remove(ownAddress);
@@ -158,24 +169,25 @@
         }
         for (Map.Entry<String, Peer> entry : List.copyOf(peers.entrySet())) {
             Peer peer = entry.getValue();
-            if (peer.link() == null && now - peer.receivedAtMillis() > REMEMBERED_MILLIS) {
+            if (peer.link() == null && now - peer.receivedAtMillis() > BUDGET_SHARE_MILLIS) {
                 peers.remove(entry.getKey());
                 path.peerLost(entry.getKey());
             }
         }
-        report();
+        reportPeerLoads();
     }
 
     private void sendIfDue() {
         long now = nowMillis.getAsLong();
-        if (now - sentFullAtMillis >= period(FULL_PERIOD_MILLIS) || ownVersion() != sentVersion) {
+        if (now - sentFullAtMillis >= period(FULL_PERIOD_MILLIS)
+                || configurationVersion() != sentConfigurationVersion) {
             sentFullAtMillis = now;
-            sentVersion = ownVersion();
+            sentConfigurationVersion = configurationVersion();
             sentLoads = ownLoads();
             send(fullState(path.learnedSinceTold()));
             sendEvidence(now);
         } else if (now - sentAtMillis >= period(PARTIAL_PERIOD_MILLIS)) {
-            sendChangedLoads();
+            sendLoadChanges();
         }
     }
 
@@ -186,12 +198,12 @@
         path.versions().counters(now).forEach((key, counters) -> sendToAll(EvidenceFrames.frame(key, counters)));
     }
 
-    /** The messages of one entry stay bounded as the number of peers grows. */
+    /** Returns the interval for the current number of links, see {@link #LINKS_AT_SHORTEST_PERIOD}. */
     private long period(long shortestMillis) {
-        return shortestMillis * Math.max(1, (links.size() + PEERS_AT_SHORTEST_PERIOD - 1) / PEERS_AT_SHORTEST_PERIOD);
+        return shortestMillis * Math.max(1, (links.size() + LINKS_AT_SHORTEST_PERIOD - 1) / LINKS_AT_SHORTEST_PERIOD);
     }
 
-    private void sendChangedLoads() {
+    private void sendLoadChanges() {
         Map<String, DirectPath.PeerLoad> loads = ownLoads();
         PeerState.Builder state = PeerState.newBuilder()
                 .setAddress(ownAddress)
@@ -244,14 +256,14 @@
         }
     }
 
-    private long ownVersion() {
+    private long configurationVersion() {
         return path.deployment().map(current -> current.version()).orElse(0L);
     }
 
     private PeerState fullState(List<LearnedUnit> units) {
         PeerState.Builder state = PeerState.newBuilder()
                 .setAddress(ownAddress)
-                .setConfigurationVersion(ownVersion())
+                .setConfigurationVersion(configurationVersion())
                 .setViewAgeMillis((int) Math.min(StoreRelay.NO_VIEW_MILLIS - 1, store.ageMillis()))
                 .setViewHash(store.hash())
                 .setReadAgeMillis((int) Math.min(Integer.MAX_VALUE, store.readAgeMillis()))
@@ -263,7 +275,7 @@
                         .setTenant(tenant)
                         .setUsedTotal((long) usage.total())
                         .setLevel((long) usage.level())));
-        units.forEach(unit -> state.addUnits(LearnedUnits.message(unit)));
+        units.forEach(unit -> state.addUnits(LearnedUnits.toMessage(unit)));
         return state.build();
     }
 
@@ -304,7 +316,7 @@
         state.getLoadsList().forEach(load -> loads.put(load.getUpstreamId(), load));
         peers.put(state.getAddress(), new Peer(link, loads, now));
         heardAtMillis.put(state.getAddress(), now);
-        report();
+        reportPeerLoads();
         if (!state.getPartial()) {
             onFullState(link, state, now);
         }
@@ -320,21 +332,24 @@
         state.getDemandsList()
                 .forEach(demand ->
                         usages.put(demand.getTenant(), new Tenants.Usage(demand.getUsedTotal(), demand.getLevel())));
-        path.adopt(LearnedUnits.units(state.getUnitsList()));
+        path.adopt(LearnedUnits.fromMessages(state.getUnitsList()));
         path.peerUsage(state.getAddress(), state.getIncarnation(), usages);
-        boolean peerReads = state.getAddress().compareTo(ownAddress) < 0;
+        // Of two entries, the one whose address sorts first reads the store; the other one may leave reading to it.
+        boolean peerHasPrecedence = state.getAddress().compareTo(ownAddress) < 0;
         store.onPeerView(state.getViewHash(), state.getViewAgeMillis());
-        if (peerReads) {
+        if (peerHasPrecedence) {
             store.onPeerRead(state.getReadAgeMillis());
         }
-        boolean newerConfiguration = state.getConfigurationVersion() > ownVersion();
+        boolean newerConfiguration = state.getConfigurationVersion() > configurationVersion();
         if (newerConfiguration) {
             store.onNewerConfiguration();
         }
-        boolean newerView = store.ageMillis() > VIEW_OLD_MILLIS && state.getViewAgeMillis() < store.ageMillis() / 2;
-        boolean changedView =
-                peerReads && state.getViewHash() != store.hash() && state.getViewAgeMillis() < store.ageMillis();
-        if ((newerConfiguration || newerView || changedView) && now - viewRequestedAtMillis > VIEW_REQUEST_MILLIS) {
+        boolean newerView = store.ageMillis() > MAX_VIEW_AGE_MILLIS && state.getViewAgeMillis() < store.ageMillis() / 2;
+        boolean changedView = peerHasPrecedence
+                && state.getViewHash() != store.hash()
+                && state.getViewAgeMillis() < store.ageMillis();
+        if ((newerConfiguration || newerView || changedView)
+                && now - viewRequestedAtMillis > VIEW_REQUEST_PERIOD_MILLIS) {
             viewRequestedAtMillis = now;
             link.send(Frame.newBuilder()
                     .setPeerViewRequest(PeerViewRequest.getDefaultInstance())
@@ -360,13 +375,13 @@
         store.adopt(items, view.getAgeMillis());
     }
 
-    /** Hands the sums over all peers to the path. */
-    private void report() {
+    /** Reports the load of all peers with a current state to the path, summed by upstream. */
+    private void reportPeerLoads() {
         long now = nowMillis.getAsLong();
         Map<String, DirectPath.PeerLoad> loads = new HashMap<>();
         int heard = 1;
         for (Peer peer : peers.values()) {
-            if (now - peer.receivedAtMillis() > STATE_VALID_MILLIS) {
+            if (now - peer.receivedAtMillis() > MAX_STATE_AGE_MILLIS) {
                 continue;
             }
             heard++;
@@ -402,12 +417,13 @@
     }
 
     /**
-     * What an entry tells its peers of itself.
+     * Identity of this entry towards its peers.
      *
-     * @param address where it accepts links
-     * @param incarnation a number that no earlier start of this entry had
+     * @param address address on which it accepts links
+     * @param incarnation number that differs from that of every earlier start of this entry
      */
     public record Self(String id, InetSocketAddress address, long incarnation) {}
 
+    /** Last known state of a peer; the link is null if it went down. */
     private record Peer(Link link, Map<String, PeerLoad> loads, long receivedAtMillis) {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/package-info.java
@@ -1,2 +1,4 @@
-/** What entries on the direct path tell each other: load, demand, and the view of the store. */
+/**
+ * Exchange of load, tenant usage, learned speeds, facts and the view of the store between entries on the direct path.
+ */
 package dev.wigeonward.gateway.peer;
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -32,23 +32,26 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 
-/** One process on the direct path: an event loop that owns all state, the servers, and the way to stop them. */
+/** Process on the direct path: the event loop that owns all state, the servers, and their orderly stop. */
 public final class GatewayProcess {
-    /** Time for which new connections are served after the signal to stop; balancers take seconds to notice. */
+    /**
+     * Time for which new connections are accepted after the signal to stop; load balancers need seconds to remove the
+     * process.
+     */
     private static final long KEEP_ACCEPTING_MILLIS = 2_600;
-    /** Part of the grace period after which requests that still run are given up. */
-    private static final double GRACE_PART = 0.95;
+    /** Part of the grace period after which the process ends even if requests are running. */
+    private static final double MAX_GRACE_PART = 0.95;
 
-    /** Time after the start for which the logging library is not loaded, so that the first requests come first. */
+    /** Delay before the logging library is loaded, so that it does not delay the first requests. */
     private static final long LOG_DELAY_MILLIS = 1_500;
 
     private static final long STOP_CHECK_MILLIS = 100;
-    /** Pause between two looks at settings that may change without a signal. */
+    /** Interval between checks of the settings file, which may change without a signal. */
     private static final long SETTINGS_PERIOD_MILLIS = 2_000;
 
     private static final Pattern NUMERIC_ADDRESS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
-    /** Stands in the settings where no entry is known. */
-    private static final String NO_PEERS = "none";
+    /** Value of the setting known_peers if no entry is known. */
+    private static final String NO_KNOWN_PEERS = "none";
 
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -67,7 +70,8 @@
 
     private GatewayProcess(GatewaySettings settings, HttpDialect dialect) {
         this.settings = settings;
-        // Only choices between services by weight depend on it, so any seed will do.
+        // The seed need not be unpredictable: only the choice between weighted services and the spread of retry times
+        // depend on it.
         Random random = new Random(settings.id().hashCode());
         path = DirectPath.create(
                 loop, clock, dialect, settings.path(), connections, new Telemetry(metrics, log), random);
@@ -75,15 +79,15 @@
         log.register(metrics);
     }
 
-    /** Returns a process that does not listen yet. */
+    /** Returns a process that is not listening yet. */
     public static GatewayProcess create(GatewaySettings settings, HttpDialect dialect) {
-        // Netty would load the logging library for its own few warnings before anything is served.
+        // Otherwise Netty loads the logging library for its own warnings before any request is served.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         return new GatewayProcess(settings, dialect);
     }
 
     /**
-     * Starts to listen; {@code readinessPath} answers whether new callers are welcome.
+     * Starts the servers. The status server states at {@code readinessPath} whether the process accepts new callers.
      *
      * @throws IOException if an address is in use
      */
@@ -110,7 +114,10 @@
         return path.deployment().map(Deployment::limits).orElse(CallerLimits.DEFAULT);
     }
 
-    /** Starts to exchange load, demand and the view of the store with the other entries. */
+    /**
+     * Starts the exchange of load, usage and the view of the store with the other entries, and the controller of
+     * traffic shifts.
+     */
     public void joinPeers(StoreRelay store, ControllerStore controllerStore) {
         peers = Optional.of(PeerExchange.start(
                 new PeerExchange.Self(settings.id(), settings.peerAddress(), clock.millis()),
@@ -125,27 +132,27 @@
 
     private Set<String> seeds(GatewaySettings from) {
         Set<String> seeds = new HashSet<>();
-        for (String seed : from.knownPeers().split("\\s+")) {
-            if (NUMERIC_ADDRESS.matcher(seed).matches()) {
-                seeds.add(seed);
-            } else if (!seed.equals(NO_PEERS)) {
-                log.warning("known_peer_passed_over", "address=" + seed);
+        for (String address : from.knownPeers().split("\\s+")) {
+            if (NUMERIC_ADDRESS.matcher(address).matches()) {
+                seeds.add(address);
+            } else if (!address.equals(NO_KNOWN_PEERS)) {
+                log.warning("known_peer_passed_over", "address=" + address);
             }
         }
         return seeds;
     }
 
     /**
-     * Reads the settings again at the signal for it and whenever they have changed without one. Bounds and known peers
-     * come into force; the rest needs a restart, and what cannot be read changes nothing.
+     * Reloads the settings on SIGHUP and whenever the file has changed. New bounds and known peers are applied; other
+     * changes need a restart. A file that is unreadable or invalid changes nothing.
      */
     public void followSettings(SettingsSource source) {
-        ProcessSignals.handle("HUP", () -> loop.execute(() -> reread(source, "signal")));
+        ProcessSignals.handle("HUP", () -> loop.execute(() -> reload(source, "signal")));
         loop.scheduleAtFixedRate(
-                () -> reread(source, "change"), SETTINGS_PERIOD_MILLIS, SETTINGS_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+                () -> reload(source, "change"), SETTINGS_PERIOD_MILLIS, SETTINGS_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void reread(SettingsSource source, String cause) {
+    private void reload(SettingsSource source, String cause) {
         SettingsSource.Reading reading = source.read();
         if (reading instanceof SettingsSource.Reading.Invalid invalid) {
             metrics.counter("settings.passed_over").inc();
@@ -154,7 +161,7 @@
             GatewaySettings newer = changed.settings();
             path.change(newer.path());
             peers.ifPresent(exchange -> exchange.addSeeds(seeds(newer)));
-            boolean restartNeeded = !newer.sameProcess(settings);
+            boolean restartNeeded = !newer.isReloadableFrom(settings);
             log.info("settings_read", "cause=" + cause + " restart_needed=" + restartNeeded);
         } else if (cause.equals("signal")) {
             log.info("settings_read", "cause=signal unchanged=true");
@@ -166,7 +173,7 @@
         return loop;
     }
 
-    /** Returns the path that requests take. */
+    /** Returns the request path. */
     public DirectPath path() {
         return path;
     }
@@ -176,12 +183,12 @@
         return log;
     }
 
-    /** Returns the time on the clock of this process. */
+    /** Returns the elapsed time of this process's monotonic clock in milliseconds. */
     public long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(clock.elapsedNanos());
     }
 
-    /** Handles the signals of the operating system, and returns once the process has stopped. */
+    /** Installs the signal handlers and blocks until the process has stopped. */
     public void serveUntilStopped() {
         CountDownLatch stopped = new CountDownLatch(1);
         handleSignals(stopped::countDown);
@@ -193,19 +200,19 @@
         log.stop();
     }
 
-    /** Handles the signals of the operating system; a signal to stop leads to the action once nothing runs. */
+    /** Installs the signal handlers. After SIGTERM or SIGINT the process stops and then runs the action. */
     public void handleSignals(Runnable whenStopped) {
         ProcessSignals.handle("TERM", () -> stop(whenStopped));
         ProcessSignals.handle("INT", () -> stop(whenStopped));
     }
 
-    /** Ends at once, with all connections. */
+    /** Closes all connections and ends the event loop at once. */
     public void close() {
         log.stop();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    /** Stops without cutting a request, as far as the grace period allows; then runs the action. */
+    /** Stops without breaking running requests, as far as the grace period allows, and then runs the action. */
     public void stop(Runnable whenStopped) {
         loop.execute(() -> {
             if (stopping) {
@@ -231,7 +238,7 @@
 
     private void finishStop(long startedMillis, Runnable whenStopped) {
         boolean idle = path.running() == 0 && callers.connections() == 0;
-        boolean overdue = nowMillis() - startedMillis > GRACE_PART * settings.graceMillis();
+        boolean overdue = nowMillis() - startedMillis > MAX_GRACE_PART * settings.graceMillis();
         if (idle || overdue) {
             log.info("stopped", "running=" + path.running());
             whenStopped.run();
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
@@ -10,9 +10,9 @@
 import dev.wigeonward.gateway.exchange.PathSettings;
 
 /**
- * Settings of one process on the direct path.
+ * Typed settings of one process on the direct path.
  *
- * @param graceMillis time between the signal to stop and the end of the process by force
+ * @param graceMillis time between the signal to stop and the forced end of the process
  */
 public record GatewaySettings(
         String id,
@@ -23,38 +23,42 @@
         InetSocketAddress storeAddress,
         long graceMillis,
         PathSettings path) {
-    private static final SettingKey<String> ID = SettingKey.text("gateway", "id", "name of this process, unique");
+    private static final SettingKey<String> ID = SettingKey.text("gateway", "id", "unique name of this process");
     private static final SettingKey<String> ZONE = SettingKey.text("gateway", "zone", "failure domain of this VM");
     private static final SettingKey<InetSocketAddress> CALLER =
-            SettingKey.address("gateway", "caller_address", "address for callers");
+            SettingKey.address("gateway", "caller_address", "address for callers' HTTP requests");
     private static final SettingKey<InetSocketAddress> STATUS =
-            SettingKey.address("gateway", "status_address", "address of the readiness page, metrics and dump");
+            SettingKey.address("gateway", "status_address", "address of the readiness, metrics and dump pages");
     private static final SettingKey<InetSocketAddress> PEER =
             SettingKey.address("gateway", "peer_address", "address for the links of other entries");
     private static final SettingKey<String> KNOWN_PEERS = SettingKey.text(
-                    "gateway", "known_peers", "link addresses of some entries, separated by spaces; may be stale")
+                    "gateway", "known_peers", "link addresses of some entries, separated by spaces; may be out of date")
             .withDefault("none");
     private static final SettingKey<InetSocketAddress> STORE =
             SettingKey.address("store", "address", "HTTP address of the store");
     private static final SettingKey<Long> GRACE = SettingKey.whole(
-            "gateway", "grace_seconds", 1, 86_400, "time between the signal to stop and the end by force");
+            "gateway", "grace_seconds", 1, 86_400, "time between the signal to stop and the forced end");
     private static final SettingKey<Double> RETRY_RATIO = SettingKey.decimal(
-            "budgets", "retry_ratio", 0, 10, "retries of a service for each of its requests in a window");
+            "budgets", "retry_ratio", 0, 10, "retries allowed per request of a service within a window");
     private static final SettingKey<Long> RETRY_ALLOWANCE = SettingKey.whole(
             "budgets",
             "retry_allowance_count",
             0,
             1_000_000,
-            "retries of a service in a window beyond the ratio, by all entries together");
+            "retries of a service allowed beyond the ratio within a window, by all entries together");
     private static final SettingKey<Long> RETRY_WINDOW =
-            SettingKey.whole("budgets", "retry_window_seconds", 1, 3_600, "window of the retry budget");
-    private static final SettingKey<Long> CAP_WINDOW =
-            SettingKey.whole("budgets", "cap_window_seconds", 1, 3_600, "window of the usage caps");
+            SettingKey.whole("budgets", "retry_window_seconds", 1, 3_600, "window over which retries are counted");
+    private static final SettingKey<Long> CAP_WINDOW = SettingKey.whole(
+            "budgets", "cap_window_seconds", 1, 3_600, "window over which the overrun of usage caps is measured");
 
     private static final SettingKey<Double> CAP_OVERRUN = SettingKey.decimal(
-            "budgets", "cap_overrun_ratio", 0, 10, "part of a usage cap that may be exceeded in a window");
+            "budgets", "cap_overrun_ratio", 0, 10, "fraction by which the usage in a window may exceed a cap");
     private static final SettingKey<Long> CAP_MARGIN = SettingKey.whole(
-            "budgets", "cap_margin_count", 0, Long.MAX_VALUE, "usage of a tenant allowed beyond that in a window");
+            "budgets",
+            "cap_margin_count",
+            0,
+            Long.MAX_VALUE,
+            "further usage of a tenant allowed in a window beyond the cap and its overrun");
 
     /** Returns the declaration of all sections and keys. */
     public static SettingsDeclaration declaration() {
@@ -63,9 +67,9 @@
                         "gateway",
                         "This process.",
                         "store",
-                        "Where configuration and upstreams are read.",
+                        "Store from which configuration and upstreams are read.",
                         "budgets",
-                        "Bounds that all entries keep together."),
+                        "Bounds that apply to all entries together."),
                 List.of(
                         ID,
                         ZONE,
@@ -103,8 +107,11 @@
                         settings.get(CAP_MARGIN)));
     }
 
-    /** Returns whether a process with the other settings would differ in its bounds and known peers only. */
-    boolean sameProcess(GatewaySettings other) {
+    /**
+     * Returns whether a process that runs with the other settings can apply these without a restart, that is, whether
+     * they differ in bounds and known peers at most.
+     */
+    boolean isReloadableFrom(GatewaySettings other) {
         return id.equals(other.id)
                 && callerAddress.equals(other.callerAddress)
                 && statusAddress.equals(other.statusAddress)
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/MetricsText.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/MetricsText.java
@@ -3,7 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 
-/** Text form of the metrics: a name and a number in each line; histograms show the last few hundred times. */
+/** Text format of the metrics: a name and a number per line. Histograms cover the last few hundred times. */
 final class MetricsText {
     private MetricsText() {}
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/ProcessSignals.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/ProcessSignals.java
@@ -5,13 +5,15 @@
 import java.lang.reflect.Proxy;
 
 /**
- * Handlers of operating system signals. The class of the runtime is reached by reflection, because the compiler's
- * warning on its use cannot be suppressed.
+ * Registration of handlers for operating system signals. The JDK's signal class is accessed by reflection, because the
+ * compiler's warning on its direct use cannot be suppressed.
  */
 final class ProcessSignals {
     private ProcessSignals() {}
 
-    /** Runs an action on a thread of the runtime at each signal of the given name, for example TERM. */
+    /**
+     * Registers an action that the JVM runs on one of its threads at each signal of the given name, for example TERM.
+     */
     static void handle(String name, Runnable action) {
         try {
             Class<?> signalType = Class.forName("sun.misc.Signal");
@@ -28,7 +30,8 @@
             Object signal = signalType.getConstructor(String.class).newInstance(name);
             signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, handler);
         } catch (ReflectiveOperationException e) {
-            throw new IllegalStateException("this runtime does not handle signal " + name, e);
+            throw new IllegalStateException(
+                    "handler of signal " + name + " cannot be registered in this Java runtime", e);
         }
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/SettingsSource.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/SettingsSource.java
@@ -6,7 +6,7 @@
 
 import dev.wigeonward.common.settings.SettingsResult;
 
-/** A settings file that is read again and again. Not thread-safe. */
+/** Settings file that is polled for changes. Not thread-safe. */
 public final class SettingsSource {
     private final Path file;
     private String lastText;
@@ -17,7 +17,7 @@
     }
 
     /**
-     * Returns a source that takes what the file says now as known.
+     * Returns a source whose first {@link #read} reports changes to the present content of the file.
      *
      * @throws IOException if the file cannot be read
      */
@@ -25,7 +25,7 @@
         return new SettingsSource(file, Files.readString(file));
     }
 
-    /** Returns what has become of the file since the last call. */
+    /** Returns whether the file has changed since the last call, and its new settings. */
     Reading read() {
         String text;
         try {
@@ -44,15 +44,15 @@
         return new Reading.Changed(GatewaySettings.of(((SettingsResult.Valid) result).settings()));
     }
 
-    /** What has become of the file. */
+    /** Result of a read of the file. */
     sealed interface Reading {
-        /** It says what it said. */
+        /** The content is the same as at the last read. */
         record Unchanged() implements Reading {}
 
-        /** It cannot be read, or not be used. */
+        /** The file cannot be read, or its settings are invalid. */
         record Invalid(String reason) implements Reading {}
 
-        /** It holds other settings. */
+        /** The file has new, valid settings. */
         record Changed(GatewaySettings settings) implements Reading {}
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/package-info.java
@@ -1,2 +1,2 @@
-/** Start, settings, drain and stop of a process on the direct path. */
+/** Start, settings, draining and stop of a process on the direct path. */
 package dev.wigeonward.gateway.process;
