--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -45,7 +45,7 @@
     private static final long CRASH_PROBE_DELAY_MILLIS = 100;
 
     private static final long NOT_READY_RETRY_MILLIS = 400;
-    /** Short, because a retry reaches another entry. */
+    /** Retry time stated while this process stops; short, because a retry reaches another entry. */
     private static final long SHUTTING_DOWN_RETRY_MILLIS = 20;
     /** Longest wait before a retry that callers respect, as a part of their remaining time. */
     private static final double MAX_RETRY_WAIT_PART = 0.32;
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -168,7 +168,8 @@
 
     /**
      * Returns whether the request is to be sent to another upstream instead of forwarding the failure that this one
-     * answered; counts the retry if so. The caller then calls {@link #onReplacedFailureRead}.
+     * answered; counts the retry if so. If true, the run calls {@link #onReplacedFailureRead} once it has read that
+     * answer.
      */
     boolean tryReplaceFailure() {
         return !done
