--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/StatusServer.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/StatusServer.java
@@ -62,7 +62,7 @@
     public record Page(int status, String text) {}
 
     private static final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private static final Page NOT_FOUND = new Page(404, "no such page\n");
+        private static final Page UNKNOWN = new Page(404, "no such page\n");
 
         private final Map<String, Supplier<Page>> pages;
 
@@ -72,7 +72,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Page page = pages.getOrDefault(request.uri(), () -> NOT_FOUND).get();
+            Page page = pages.getOrDefault(request.uri(), () -> UNKNOWN).get();
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(page.status()),
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DemandFactory.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DemandFactory.java
@@ -13,7 +13,7 @@
 final class DemandFactory {
     /** Weight of the tenant's priority in a rank, so that it takes precedence over the priority of the route. */
     private static final int TENANT_RANK_WEIGHT = 1_000;
-    /** Shortest time that a caller of a route states on its first attempt, as a part of the longestMillis one. */
+    /** Shortest time that a caller of a route states on its first attempt, as a part of the longest one. */
     private static final double MIN_DEADLINE_PART = 0.84;
 
     private final Map<String, Long> longestDeadlines = new HashMap<>();
@@ -38,9 +38,9 @@
     }
 
     /**
-     * Returns the estimated time that the caller has spent in earlier attempts, derived from its statedMillis deadline.
-     * Callers of one route state different deadlines, so only a deadline far below the longestMillis one seen indicates
-     * an earlier attempt.
+     * Returns the estimated time that the caller has spent in earlier attempts, derived from its stated deadline.
+     * Callers of one route state different deadlines, so only a deadline far below the longest one seen indicates an
+     * earlier attempt.
      */
     private long elapsedBeforeMillis(Route route, CallerRequest request) {
         if (request.caller().deadlineMillis().isEmpty()) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
@@ -205,13 +205,13 @@
     /**
      * Replaces the load of all peers.
      *
-     * @param heard number of entries whose state is current, including this one
-     * @param known number of all known entries, including this one
+     * @param currentEntries number of entries with a current state, including this one
+     * @param knownEntries number of all known entries, including this one
      * @param loads load of all peers by upstream identifier
      */
-    public void peers(int heard, int known, Map<String, PeerLoad> loads) {
-        entries = known;
-        tenants.entries(heard, known, nowMillis());
+    public void peers(int currentEntries, int knownEntries, Map<String, PeerLoad> loads) {
+        entries = knownEntries;
+        tenants.entries(currentEntries, knownEntries, nowMillis());
         schedulers
                 .values()
                 .forEach(scheduler -> scheduler.reportPeers(id -> {
@@ -420,7 +420,7 @@
         return Math.max(1, (long) (MAX_RETRY_WAIT_PART * remainingMillis * spread));
     }
 
-    /** Returns the usage of a request that did not run to its tenant's cap. */
+    /** Credits the usage of a request that did not run to its tenant's cap. */
     void refundUsage(Admission.Admitted admitted) {
         admitted.tenant().ifPresent(tenant -> tenants.refund(tenant, admitted.usage()));
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
@@ -20,8 +20,8 @@
 
     private PathSettings settings;
     private final Map<String, TenantCap> caps = new HashMap<>();
-    private int heard = 1;
-    private int known = 1;
+    private int currentEntries = 1;
+    private int knownEntries = 1;
 
     Tenants(PathSettings settings) {
         this.settings = settings;
@@ -41,8 +41,8 @@
             }
             TenantCap cap = previous.get(tenant.name());
             if (cap == null) {
-                cap = TenantCap.create(tenant.ratePerSecond(), capacity(tenant), known, nowMillis);
-                cap.entries(heard, known, nowMillis);
+                cap = TenantCap.create(tenant.ratePerSecond(), capacity(tenant), knownEntries, nowMillis);
+                cap.entries(currentEntries, knownEntries, nowMillis);
             } else {
                 cap.change(tenant.ratePerSecond(), capacity(tenant), nowMillis);
             }
@@ -60,11 +60,11 @@
         return Math.max(1, tenant.burst() + (long) (TOLERANCE_IN_CAPACITY * tolerated));
     }
 
-    /** Sets the numbers of current and of known entries, both including this one. */
-    void entries(int newHeard, int newKnown, long nowMillis) {
-        heard = newHeard;
-        known = newKnown;
-        caps.values().forEach(cap -> cap.entries(heard, known, nowMillis));
+    /** Sets the numbers of entries with a current state and of all knownEntries entries, both including this one. */
+    void entries(int newCurrentEntries, int newKnownEntries, long nowMillis) {
+        currentEntries = newCurrentEntries;
+        knownEntries = newKnownEntries;
+        caps.values().forEach(cap -> cap.entries(currentEntries, knownEntries, nowMillis));
     }
 
     void onPeer(String peer, long incarnation, Map<String, Usage> usages, long nowMillis) {
@@ -92,7 +92,7 @@
         return Math.max(1, cap.millisUntilAvailable());
     }
 
-    /** Returns the usage of a request that did not run. */
+    /** Credits the usage of a request that did not run to the tenant's cap. */
     void refund(Tenant tenant, long usage) {
         TenantCap cap = caps.get(tenant.name());
         if (cap != null) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -79,7 +79,7 @@
     private final Map<Long, Link> links = new HashMap<>();
     private final FactExchange facts;
     private final Map<String, Peer> peers = new HashMap<>();
-    private final Map<String, Long> heardAtMillis = new HashMap<>();
+    private final Map<String, Long> lastSeenMillis = new HashMap<>();
     private final Set<String> connecting = new HashSet<>();
     private long viewRequestedAtMillis = Long.MIN_VALUE / 2;
     private long sentAtMillis;
@@ -155,11 +155,11 @@
 
     private void connect() {
         long now = nowMillis.getAsLong();
-        heardAtMillis.values().removeIf(heard -> now - heard > RECONNECT_LIMIT_MILLIS);
-        Set<String> wanted = new HashSet<>(seeds);
-        wanted.addAll(heardAtMillis.keySet());
-        wanted.remove(ownAddress);
-        for (String address : wanted) {
+        lastSeenMillis.values().removeIf(seenMillis -> now - seenMillis > RECONNECT_LIMIT_MILLIS);
+        Set<String> addresses = new HashSet<>(seeds);
+        addresses.addAll(lastSeenMillis.keySet());
+        addresses.remove(ownAddress);
+        for (String address : addresses) {
             boolean linked = peers.containsKey(address) && peers.get(address).link() != null;
             if (!linked && connecting.add(address)) {
                 int colon = address.lastIndexOf(':');
@@ -268,7 +268,7 @@
                 .setViewHash(store.hash())
                 .setReadAgeMillis((int) Math.min(Integer.MAX_VALUE, store.readAgeMillis()))
                 .setIncarnation(incarnation)
-                .addAllEntries(heardAtMillis.keySet());
+                .addAllEntries(lastSeenMillis.keySet());
         path.ownLoads().forEach(load -> state.addLoads(message(load)));
         path.ownUsages()
                 .forEach((tenant, usage) -> state.addDemands(PeerDemand.newBuilder()
@@ -315,7 +315,7 @@
         }
         state.getLoadsList().forEach(load -> loads.put(load.getUpstreamId(), load));
         peers.put(state.getAddress(), new Peer(link, loads, now));
-        heardAtMillis.put(state.getAddress(), now);
+        lastSeenMillis.put(state.getAddress(), now);
         reportPeerLoads();
         if (!state.getPartial()) {
             onFullState(link, state, now);
@@ -325,7 +325,7 @@
     private void onFullState(Link link, PeerState state, long now) {
         for (String entry : state.getEntriesList()) {
             if (!entry.equals(ownAddress)) {
-                heardAtMillis.putIfAbsent(entry, now);
+                lastSeenMillis.putIfAbsent(entry, now);
             }
         }
         Map<String, Tenants.Usage> usages = new HashMap<>();
@@ -379,15 +379,15 @@
     private void reportPeerLoads() {
         long now = nowMillis.getAsLong();
         Map<String, DirectPath.PeerLoad> loads = new HashMap<>();
-        int heard = 1;
+        int currentEntries = 1;
         for (Peer peer : peers.values()) {
             if (now - peer.receivedAtMillis() > MAX_STATE_AGE_MILLIS) {
                 continue;
             }
-            heard++;
+            currentEntries++;
             peer.loads().values().forEach(load -> add(loads, load));
         }
-        path.peers(heard, 1 + peers.size(), loads);
+        path.peers(currentEntries, 1 + peers.size(), loads);
     }
 
     private static void add(Map<String, DirectPath.PeerLoad> loads, PeerLoad load) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamChannel.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamChannel.java
@@ -18,19 +18,19 @@
     /** Lowest status code of a final answer; a lower one is followed by another head for the same request. */
     private static final int FIRST_FINAL_STATUS = 200;
 
-    private final UpstreamConnections owner;
+    private final UpstreamConnections pool;
     private final String poolKey;
     private Channel channel;
     private UpstreamListener listener;
     private boolean requestWritten;
     private boolean headReceived;
-    private boolean skipping;
+    private boolean discarding;
     private boolean reusable;
     private long idleSinceMillis;
     private long keepAliveMillis;
 
-    UpstreamChannel(UpstreamConnections owner, String poolKey) {
-        this.owner = owner;
+    UpstreamChannel(UpstreamConnections pool, String poolKey) {
+        this.pool = pool;
         this.poolKey = poolKey;
     }
 
@@ -44,7 +44,7 @@
         listener = Objects.requireNonNull(newListener, "newListener");
         requestWritten = false;
         headReceived = false;
-        skipping = false;
+        discarding = false;
         reusable = true;
         if (!channel.isActive()) {
             request.release();
@@ -119,14 +119,14 @@
 
     private void onHead(HttpResponse head) {
         if (head.status().code() < FIRST_FINAL_STATUS) {
-            skipping = true;
+            discarding = true;
             return;
         }
-        keepAliveMillis = owner.keepAliveMillis(head);
+        keepAliveMillis = pool.keepAliveMillis(head);
         boolean framed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
         reusable &= framed && HttpUtil.isKeepAlive(head) && keepAliveMillis > 0;
-        skipping = !listener.onHead(head);
-        if (skipping) {
+        discarding = !listener.onHead(head);
+        if (discarding) {
             // This is a late answer to an earlier request, so the connection is not reused.
             reusable = false;
         } else {
@@ -136,9 +136,9 @@
 
     private void onContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        if (skipping) {
+        if (discarding) {
             content.release();
-            skipping = !last;
+            discarding = !last;
             return;
         }
         if (content.content().isReadable()) {
@@ -157,9 +157,9 @@
         // If the answer arrived before the request was written completely, the rest of the request would precede the
         // next one on this connection.
         if (reusable && requestWritten && channel.isActive()) {
-            idleSinceMillis = owner.nowMillis();
+            idleSinceMillis = pool.nowMillis();
             channel.config().setAutoRead(true);
-            owner.release(this);
+            pool.release(this);
         } else {
             channel.close();
         }
@@ -182,7 +182,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        owner.closed(this);
+        pool.closed(this);
         fail(UpstreamListener.Breakage.SENT, "connection was closed by the upstream before the answer was complete");
     }
 }
