--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
@@ -60,7 +60,7 @@
     private static final long MAX_STATE_AGE_MILLIS = 1_500;
     /** Time for which an entry without a link still counts as one that uses shared budgets. */
     private static final long BUDGET_SHARE_MILLIS = 10_000;
-    /** Time after the last state of an entry for which connections to its address are still attempted. */
+    /** Time after an entry was last seen for which connections to its address are still attempted. */
     private static final long RECONNECT_LIMIT_MILLIS = 120_000;
     /** Shortest interval between two requests for a peer's view. */
     private static final long VIEW_REQUEST_PERIOD_MILLIS = 200;
