--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -19,8 +19,8 @@
 import dev.wigeonward.core.request.RequestSpec;
 
 /**
- * Decides for one agent what its upstream runs and what each entry is told. Holds the only memory of what this
- * incarnation ran; refuses what belongs to an older one. Not thread-safe.
+ * State machine of one agent: decides which requests its upstream runs and what is sent to each entry. Holds the only
+ * record of what this incarnation ran, and rejects dispatches addressed to another incarnation. Not thread-safe.
  */
 public final class AgentDispatcher {
     private final long incarnation;
@@ -45,27 +45,27 @@
         this.output = new OutputSteps(limits.windowBytes(), this::emit);
     }
 
-    /** Returns a dispatcher with no runs. */
+    /** Returns a dispatcher without runs. */
     public static AgentDispatcher create(long incarnation, EngineQueue queue, AgentLimits limits) {
         return new AgentDispatcher(incarnation, queue, limits);
     }
 
-    /** Returns the effects of an event, in the order in which they must be carried out. */
+    /** Applies an event and returns its effects, in the order in which they must be carried out. */
     public List<AgentEffect> handle(AgentEvent event, long nowMillis) {
         effects = new ArrayList<>();
         if (event instanceof AgentEvent.DispatchArrived arrived) {
-            dispatch(arrived, true, nowMillis);
-            earlyAttaches.take(arrived.request().id()).forEach(attach -> dispatch(attach, false, nowMillis));
+            onDispatch(arrived, true, nowMillis);
+            earlyAttaches.removeFor(arrived.request().id()).forEach(attach -> onDispatch(attach, false, nowMillis));
         } else if (event instanceof AgentEvent.ReattachArrived arrived) {
-            reattach(arrived, nowMillis);
+            onReattach(arrived, nowMillis);
         } else if (event instanceof AgentEvent.AcknowledgeArrived arrived) {
-            acknowledge(arrived);
+            onAcknowledge(arrived);
         } else if (event instanceof AgentEvent.CancelArrived arrived) {
-            cancel(arrived.request(), nowMillis);
+            onCancel(arrived.request(), nowMillis);
         } else if (event instanceof AgentEvent.LinkLost lost) {
-            linkLost(lost.link(), nowMillis);
+            onLinkLost(lost.link(), nowMillis);
         } else if (event instanceof AgentEvent.Tick) {
-            tick(nowMillis);
+            onTick(nowMillis);
         } else if (event instanceof AgentEvent.DrainStarted) {
             draining = true;
         } else {
@@ -76,38 +76,38 @@
 
     private void handleUpstream(AgentEvent event, long nowMillis) {
         if (event instanceof AgentEvent.UpstreamOutput produced) {
-            running(produced.run()).ifPresent(run -> {
+            findRunning(produced.run()).ifPresent(run -> {
                 run.producedBytes += produced.lengthBytes();
                 output.send(run);
             });
         } else if (event instanceof AgentEvent.UpstreamFinished finished) {
-            running(finished.run()).ifPresent(run -> ended(run, null, nowMillis));
+            findRunning(finished.run()).ifPresent(run -> endRun(run, null, nowMillis));
         } else if (event instanceof AgentEvent.UpstreamFailed failed) {
-            running(failed.run()).ifPresent(run -> {
-                ended(run, failed.failure(), nowMillis);
+            findRunning(failed.run()).ifPresent(run -> {
+                endRun(run, failed.failure(), nowMillis);
                 if (failed.failure().kind() == ErrorKind.UPSTREAM_DIED) {
-                    // A broken answer shows the death before the health check does.
+                    // A broken answer reveals that the upstream died before the health check does.
                     emit(new AgentEffect.ReportSuspects(List.of(run.request)));
                 }
             });
         } else if (event instanceof AgentEvent.UpstreamUnreached unreached) {
-            running(unreached.run()).ifPresent(run -> {
+            findRunning(unreached.run()).ifPresent(run -> {
                 queue.onEnded(run.id(), nowMillis);
-                memory.didNotRun(run.id());
-                dropUnrun(run, unreached.failure(), nowMillis);
-                pump(nowMillis);
+                memory.recordNotRun(run.id());
+                endNotRun(run, unreached.failure(), nowMillis);
+                submitQueued(nowMillis);
             });
         } else if (event instanceof AgentEvent.UpstreamDied) {
-            upstreamDied(nowMillis);
+            onUpstreamDied(nowMillis);
         } else if (event instanceof AgentEvent.UpstreamAlive) {
             upstreamAlive = true;
-            pump(nowMillis);
+            submitQueued(nowMillis);
         }
     }
 
     /**
-     * Returns whether a drain is complete: nothing is queued or running, and every reader has confirmed its answer or
-     * its link has been lost for too long. An answer that was only sent may be lost with its link.
+     * Returns whether a drain is complete: nothing is queued or running, and every reader has acknowledged its answer
+     * or was detached for too long. An answer that was sent but not acknowledged may be lost with its link.
      */
     public boolean idle() {
         return runs.values().stream().allMatch(run -> run.phase == Run.Phase.ENDED && run.readers.isEmpty());
@@ -123,39 +123,39 @@
         return draining;
     }
 
-    /** Returns the queue before the upstream, for load reports and state dumps. */
+    /** Returns the queue in front of the upstream, for load reports and state dumps. */
     public EngineQueue queue() {
         return queue;
     }
 
-    /** Returns whether a run that the given request started is kept. */
+    /** Returns whether a run started by the given request is stored. */
     public boolean keeps(RequestId run) {
         return runs.containsKey(run);
     }
 
-    /** Returns the number of runs that are kept, ended ones included. */
+    /** Returns the number of stored runs, including those that ended. */
     public int keptRuns() {
         return runs.size();
     }
 
-    private void dispatch(AgentEvent.DispatchArrived arrived, boolean mayWait, long nowMillis) {
+    private void onDispatch(AgentEvent.DispatchArrived arrived, boolean mayHold, long nowMillis) {
         RequestSpec request = arrived.request();
         if (arrived.expectedIncarnation() != incarnation) {
-            // An earlier copy may have reached the older incarnation, so "not run" would be a guess.
-            fail(arrived, ErrorKind.UPSTREAM_LOST, "the dispatch is meant for another incarnation");
+            // "Not run" cannot be proved: an earlier copy may have reached the other incarnation.
+            fail(arrived, ErrorKind.UPSTREAM_LOST, "the dispatch names another incarnation of the agent");
             return;
         }
         if (memory.wasRefused(arrived.dispatch())) {
-            refuse(arrived, Failure.of(ErrorKind.NO_UPSTREAM, "the dispatch was refused before"), nowMillis);
+            refuse(arrived, Failure.of(ErrorKind.NO_UPSTREAM, "an earlier copy was refused"), nowMillis);
             return;
         }
         if (arrived.attachTo().isEmpty() && tombstones.contains(request.id())) {
-            refuse(arrived, Failure.of(ErrorKind.NO_UPSTREAM, "the request was declared as never received"), nowMillis);
+            refuse(arrived, Failure.of(ErrorKind.NO_UPSTREAM, "the request was reported as never received"), nowMillis);
             return;
         }
         Run own = runsByReader.get(request.id());
         if (own != null) {
-            repeated(arrived, own);
+            resendTo(arrived, own);
             return;
         }
         Run joined = runs.containsKey(request.id())
@@ -168,14 +168,14 @@
         if (arrived.attachTo().isPresent()) {
             RequestId claimant = arrived.attachTo().get();
             boolean unknown = !memory.mayHaveRun(claimant, nowMillis) && !tombstones.contains(claimant);
-            if (mayWait && unknown && earlyAttaches.add(arrived, nowMillis)) {
+            if (mayHold && unknown && earlyAttaches.add(arrived, nowMillis)) {
                 return;
             }
-            promiseNotToRun(arrived.link(), claimant, request.id(), arrived.dispatch(), nowMillis);
+            answerNeverReceived(arrived.link(), claimant, request.id(), arrived.dispatch(), nowMillis);
             return;
         }
         if (memory.hasRun(request.id())) {
-            fail(arrived, ErrorKind.OUTCOME_UNKNOWN, "the request ran and its outcome is not kept");
+            fail(arrived, ErrorKind.OUTCOME_UNKNOWN, "the request ran and its outcome is no longer stored");
             return;
         }
         enqueue(arrived, nowMillis);
@@ -187,7 +187,7 @@
     }
 
     private void refuse(AgentEvent.DispatchArrived arrived, Failure failure, long nowMillis) {
-        memory.refused(arrived.request(), arrived.dispatch(), nowMillis);
+        memory.recordRefusal(arrived.request(), arrived.dispatch(), nowMillis);
         emit(new AgentEffect.SendNotRun(arrived.link(), arrived.request().id(), arrived.dispatch(), failure));
     }
 
@@ -202,13 +202,13 @@
     }
 
     /**
-     * A second copy of a dispatch starts nothing. The reader moves to the link on which it came and gets again what it
-     * has not confirmed, since that may have been lost with the old link.
+     * Handles another copy of a dispatch, which starts no run. The reader moves to the link of the copy, and all output
+     * that it has not acknowledged is sent again, since it may have been lost with the old link.
      */
-    private void repeated(AgentEvent.DispatchArrived arrived, Run run) {
+    private void resendTo(AgentEvent.DispatchArrived arrived, Run run) {
         Run.Reader reader = run.readers.get(arrived.request().id());
         if (!reader.dispatch.equals(arrived.dispatch())) {
-            fail(arrived, ErrorKind.IN_PROGRESS, "the request runs under another dispatch");
+            fail(arrived, ErrorKind.IN_PROGRESS, "the request is already running under another dispatch");
             return;
         }
         reader.link = arrived.link();
@@ -220,7 +220,7 @@
 
     private void join(AgentEvent.DispatchArrived arrived, Run run, long nowMillis) {
         if (run.request.fingerprint() != arrived.request().fingerprint()) {
-            Failure failure = Failure.of(ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with another body");
+            Failure failure = Failure.of(ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with a different body");
             refuse(arrived, failure, nowMillis);
             return;
         }
@@ -235,16 +235,16 @@
         emit(new AgentEffect.SendAccepted(arrived.link(), id, arrived.dispatch()));
     }
 
-    /** Records that a request will never run here and says so, unless the memory for such promises is full. */
-    private void promiseNotToRun(
-            long link, RequestId promised, RequestId answered, DispatchId dispatch, long nowMillis) {
-        boolean full = tombstones.size() >= limits.maxTombstones() && !tombstones.contains(promised);
-        if (full || memory.mayHaveRun(promised, nowMillis)) {
+    /** Permanently rejects a request and reports it as never received, or reports that it may have run. */
+    private void answerNeverReceived(
+            long link, RequestId unseen, RequestId answered, DispatchId dispatch, long nowMillis) {
+        boolean full = tombstones.size() >= limits.maxTombstones() && !tombstones.contains(unseen);
+        if (full || memory.mayHaveRun(unseen, nowMillis)) {
             emit(new AgentEffect.SendFailed(
                     link, answered, dispatch, Failure.of(ErrorKind.OUTCOME_UNKNOWN, "the request may have run here")));
             return;
         }
-        tombstones.add(promised);
+        tombstones.add(unseen);
         emit(new AgentEffect.SendUnseen(link, answered, dispatch));
     }
 
@@ -265,28 +265,28 @@
         request.key().ifPresent(key -> runsByKey.put(key, run));
         addReader(run, arrived);
         for (RequestSpec displaced : ((AdmissionResult.Queued) result).displaced()) {
-            dropUnrun(
+            endNotRun(
                     runs.get(displaced.id()),
-                    Failure.of(ErrorKind.DISPLACED, "displaced by a request that goes first"),
+                    Failure.of(ErrorKind.DISPLACED, "displaced from the full queue by a request with precedence"),
                     nowMillis);
         }
-        pump(nowMillis);
+        submitQueued(nowMillis);
     }
 
-    private void pump(long nowMillis) {
+    private void submitQueued(long nowMillis) {
         if (!upstreamAlive) {
             return;
         }
         Optional<RequestSpec> next = queue.next(nowMillis);
         while (next.isPresent()) {
             runs.get(next.get().id()).phase = Run.Phase.RUNNING;
-            memory.ran(next.get(), nowMillis);
+            memory.recordRun(next.get(), nowMillis);
             emit(new AgentEffect.SubmitToUpstream(next.get().id()));
             next = queue.next(nowMillis);
         }
     }
 
-    private void reattach(AgentEvent.ReattachArrived arrived, long nowMillis) {
+    private void onReattach(AgentEvent.ReattachArrived arrived, long nowMillis) {
         if (arrived.expectedIncarnation() != incarnation) {
             emit(new AgentEffect.SendFailed(
                     arrived.link(),
@@ -295,10 +295,10 @@
                     Failure.of(ErrorKind.UPSTREAM_LOST, "the agent was restarted while it held the request")));
             return;
         }
-        // A request whose link was away for too long is no reader of its own run any more, which may still go on.
+        // A reader that was detached for too long was removed, but the run that its request started may still go on.
         Run run = runsByReader.getOrDefault(arrived.request(), runs.get(arrived.request()));
         if (run == null) {
-            promiseNotToRun(arrived.link(), arrived.request(), arrived.request(), arrived.dispatch(), nowMillis);
+            answerNeverReceived(arrived.link(), arrived.request(), arrived.request(), arrived.dispatch(), nowMillis);
             return;
         }
         if (arrived.offsetBytes() < run.trimmedBytes || arrived.offsetBytes() > run.producedBytes) {
@@ -306,7 +306,9 @@
                     arrived.link(),
                     arrived.request(),
                     arrived.dispatch(),
-                    Failure.of(ErrorKind.OUTPUT_INCOMPLETE, "output at the offset is not kept any more")));
+                    Failure.of(
+                            ErrorKind.OUTPUT_INCOMPLETE,
+                            "output from offset " + arrived.offsetBytes() + " is not stored")));
             return;
         }
         Run.Reader reader = run.readers.computeIfAbsent(
@@ -321,7 +323,7 @@
         output.send(run);
     }
 
-    private void acknowledge(AgentEvent.AcknowledgeArrived arrived) {
+    private void onAcknowledge(AgentEvent.AcknowledgeArrived arrived) {
         Run run = runsByReader.get(arrived.request());
         if (run == null) {
             return;
@@ -338,20 +340,20 @@
         output.send(run);
     }
 
-    private void cancel(RequestId id, long nowMillis) {
+    private void onCancel(RequestId id, long nowMillis) {
         Run run = runsByReader.get(id);
         if (run == null) {
             return;
         }
         removeReader(run, run.readers.get(id));
         if (run.readers.isEmpty()) {
-            abandon(run, nowMillis);
+            stopUnread(run, nowMillis);
         }
-        pump(nowMillis);
+        submitQueued(nowMillis);
     }
 
-    /** Stops a run that nobody reads, unless its outcome must be kept. */
-    private void abandon(Run run, long nowMillis) {
+    /** Stops a run without readers, unless its outcome must be stored. */
+    private void stopUnread(Run run, long nowMillis) {
         if (run.phase == Run.Phase.QUEUED) {
             queue.remove(run.id());
             forget(run);
@@ -366,7 +368,7 @@
         releaseIfDone(run);
     }
 
-    private void linkLost(long link, long nowMillis) {
+    private void onLinkLost(long link, long nowMillis) {
         earlyAttaches.linkLost(link);
         for (Run run : runs.values()) {
             for (Run.Reader reader : run.readers.values()) {
@@ -378,27 +380,27 @@
         }
     }
 
-    private void ended(Run run, Failure failure, long nowMillis) {
+    private void endRun(Run run, Failure failure, long nowMillis) {
         queue.onEnded(run.id(), nowMillis);
         run.end(failure, nowMillis);
         output.send(run);
         releaseIfDone(run);
-        pump(nowMillis);
+        submitQueued(nowMillis);
     }
 
-    private void upstreamDied(long nowMillis) {
+    private void onUpstreamDied(long nowMillis) {
         upstreamAlive = false;
         List<RequestSpec> running = new ArrayList<>();
         for (Run run : List.copyOf(runs.values())) {
             if (run.phase == Run.Phase.QUEUED) {
                 queue.remove(run.id());
-                dropUnrun(
+                endNotRun(
                         run,
-                        Failure.of(ErrorKind.NO_UPSTREAM, "the upstream died before it got the request"),
+                        Failure.of(ErrorKind.NO_UPSTREAM, "the upstream died before it received the request"),
                         nowMillis);
             } else if (run.phase == Run.Phase.RUNNING) {
                 running.add(run.request);
-                ended(
+                endRun(
                         run,
                         Failure.of(ErrorKind.UPSTREAM_DIED, "the upstream died while it ran the request"),
                         nowMillis);
@@ -409,46 +411,46 @@
         }
     }
 
-    private void tick(long nowMillis) {
-        earlyAttaches.takeExpired(nowMillis).forEach(attach -> dispatch(attach, false, nowMillis));
+    private void onTick(long nowMillis) {
+        earlyAttaches.removeExpired(nowMillis).forEach(attach -> onDispatch(attach, false, nowMillis));
         for (RequestSpec expired : queue.removeExpired(nowMillis)) {
-            dropUnrun(
+            endNotRun(
                     runs.get(expired.id()),
-                    Failure.of(ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE, "the deadline cannot be met any more"),
+                    Failure.of(ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE, "the request can no longer meet its deadline"),
                     nowMillis);
         }
         for (Run run : List.copyOf(runs.values())) {
             dropDetachedReaders(run, nowMillis);
-            boolean outlived = run.phase == Run.Phase.ENDED
+            boolean expired = run.phase == Run.Phase.ENDED
                     && run.readers.isEmpty()
                     && nowMillis - run.endedAtMillis >= limits.outcomeRetentionMillis();
-            if (outlived) {
+            if (expired) {
                 forget(run);
             }
         }
-        pump(nowMillis);
+        submitQueued(nowMillis);
     }
 
     private void dropDetachedReaders(Run run, long nowMillis) {
         for (Run.Reader reader : List.copyOf(run.readers.values())) {
-            boolean late = !reader.attached() && nowMillis - reader.detachedAtMillis >= limits.detachedLimitMillis();
-            if (late) {
+            boolean expired = !reader.attached() && nowMillis - reader.detachedAtMillis >= limits.detachedLimitMillis();
+            if (expired) {
                 removeReader(run, reader);
                 if (run.readers.isEmpty()) {
-                    abandon(run, nowMillis);
+                    stopUnread(run, nowMillis);
                 }
             }
         }
     }
 
-    /** Tells every reader of a run that the upstream never saw it, and forgets it. */
-    private void dropUnrun(Run run, Failure failure, long nowMillis) {
+    /** Reports a run as not run to all of its readers and removes it; the upstream must never have received it. */
+    private void endNotRun(Run run, Failure failure, long nowMillis) {
         for (Run.Reader reader : run.readers.values()) {
-            memory.refused(run.request, reader.dispatch, nowMillis);
+            memory.recordRefusal(run.request, reader.dispatch, nowMillis);
             if (reader.attached()) {
                 emit(new AgentEffect.SendNotRun(reader.link, reader.request, reader.dispatch, failure));
             } else {
-                // The entry asks again by reattaching and must then learn that the request did not run.
+                // The entry reattaches later; the tombstone keeps the proof that the request did not run.
                 tombstones.add(reader.request);
             }
         }
@@ -488,7 +490,7 @@
         emit(new AgentEffect.ReleaseRun(run.id()));
     }
 
-    private Optional<Run> running(RequestId id) {
+    private Optional<Run> findRunning(RequestId id) {
         return Optional.ofNullable(runs.get(id)).filter(run -> run.phase == Run.Phase.RUNNING);
     }
 
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentEffect.java
@@ -7,41 +7,41 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** What an agent's dispatcher asks its adapters to do. A run is named by the request that started it. */
+/** An action that {@link AgentDispatcher} asks its adapters to take. A run is named by the request that started it. */
 public sealed interface AgentEffect {
-    /** Hand a request to the upstream; happens once for each run. */
+    /** Submits a request to the upstream, once for each run. */
     record SubmitToUpstream(RequestId run) implements AgentEffect {}
 
-    /** Stop a run in the upstream. */
+    /** Cancels a run in the upstream. */
     record CancelInUpstream(RequestId run) implements AgentEffect {}
 
-    /** Tell the entry that the request is queued or attached. */
+    /** Reports to the entry that the request is queued or attached to a run. */
     record SendAccepted(long link, RequestId request, DispatchId dispatch) implements AgentEffect {}
 
-    /** Tell the entry that no upstream saw the request. */
+    /** Reports to the entry that the dispatch did not reach the upstream. */
     record SendNotRun(long link, RequestId request, DispatchId dispatch, Failure failure) implements AgentEffect {}
 
-    /** Tell the entry that this incarnation never received the request and will refuse a late copy. */
+    /** Reports to the entry that this incarnation never received the request and will refuse a late copy. */
     record SendUnseen(long link, RequestId request, DispatchId dispatch) implements AgentEffect {}
 
-    /** Send a part of a run's output. */
+    /** Sends a range of a run's output to the entry. */
     record SendOutput(long link, RequestId request, DispatchId dispatch, RequestId run, long fromBytes, long toBytes)
             implements AgentEffect {}
 
-    /** Tell the entry that the answer is complete. */
+    /** Reports to the entry that the answer is complete. */
     record SendFinished(long link, RequestId request, DispatchId dispatch, RequestId run, long totalBytes)
             implements AgentEffect {}
 
-    /** Tell the entry that the run failed. */
+    /** Reports to the entry that the run failed or that its outcome is unknown. */
     record SendFailed(long link, RequestId request, DispatchId dispatch, Failure failure) implements AgentEffect {}
 
-    /** Drop output that every reader has confirmed. */
+    /** Discards output that every reader has acknowledged. */
     record TrimOutput(RequestId run, long uptoBytes) implements AgentEffect {}
 
-    /** Drop all that is kept for a run. */
+    /** Discards everything stored for a run. */
     record ReleaseRun(RequestId run) implements AgentEffect {}
 
-    /** Requests that were running when the upstream died. */
+    /** Reports the requests that were running when the upstream died. */
     record ReportSuspects(List<RequestSpec> requests) implements AgentEffect {
         public ReportSuspects {
             requests = List.copyOf(requests);
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AnswerSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AnswerSteps.java
@@ -8,7 +8,10 @@
 import dev.wigeonward.core.request.DispatchId;
 import dev.wigeonward.core.request.RequestId;
 
-/** The steps from a dispatch to the end of the answer: offsets, reattachment, loss of links and agents. */
+/**
+ * The part of {@link EntryDispatcher} from a dispatch to the end of the answer: output offsets, reattachment, and loss
+ * of links and agents.
+ */
 final class AnswerSteps {
     private final EntryDispatcher dispatcher;
     private final UpstreamDirectory upstreams;
@@ -22,194 +25,216 @@
 
     void handle(EntryEvent event, long nowMillis) {
         if (event instanceof EntryEvent.Accepted accepted) {
-            find(accepted.request(), accepted.dispatch()).ifPresent(this::attached);
+            findCurrent(accepted.request(), accepted.dispatch()).ifPresent(this::onAccepted);
         } else if (event instanceof EntryEvent.NotRun notRun) {
-            find(notRun.request(), notRun.dispatch()).ifPresent(flight -> notRun(flight, notRun.failure(), nowMillis));
+            findCurrent(notRun.request(), notRun.dispatch())
+                    .ifPresent(pending -> onNotRun(pending, notRun.failure(), nowMillis));
         } else if (event instanceof EntryEvent.Unseen unseen) {
-            find(unseen.request(), unseen.dispatch()).ifPresent(flight -> unseen(flight, nowMillis));
+            findCurrent(unseen.request(), unseen.dispatch()).ifPresent(pending -> onUnseen(pending, nowMillis));
         } else if (event instanceof EntryEvent.OutputArrived output) {
-            find(output.request(), output.dispatch()).ifPresent(flight -> output(flight, output, nowMillis));
+            findCurrent(output.request(), output.dispatch()).ifPresent(pending -> onOutput(pending, output, nowMillis));
         } else if (event instanceof EntryEvent.Finished finished) {
-            find(finished.request(), finished.dispatch())
-                    .ifPresent(flight -> finished(flight, finished.totalBytes(), nowMillis));
+            findCurrent(finished.request(), finished.dispatch())
+                    .ifPresent(pending -> onFinished(pending, finished.totalBytes(), nowMillis));
         } else if (event instanceof EntryEvent.Failed failed) {
-            find(failed.request(), failed.dispatch()).ifPresent(flight -> failed(flight, failed.failure(), nowMillis));
+            findCurrent(failed.request(), failed.dispatch())
+                    .ifPresent(pending -> onFailed(pending, failed.failure(), nowMillis));
         }
     }
 
-    /** Answers that belong to no current dispatch came late or to the wrong entry and are dropped. */
-    private Optional<Flight> find(RequestId request, DispatchId dispatch) {
+    /** Returns the request if the dispatch is its current one; late and misdirected messages are ignored. */
+    private Optional<PendingRequest> findCurrent(RequestId request, DispatchId dispatch) {
         return dispatcher
-                .flight(request)
-                .filter(flight -> flight.waitsFor(dispatch)
-                        || (flight.phase == Flight.Phase.ATTACHING && dispatch.equals(flight.dispatch)));
+                .pending(request)
+                .filter(pending -> pending.isDispatchedAs(dispatch)
+                        || (pending.phase == PendingRequest.Phase.ATTACHING && dispatch.equals(pending.dispatch)));
     }
 
-    private void attached(Flight flight) {
-        flight.phase = Flight.Phase.DISPATCHED;
+    private void onAccepted(PendingRequest pending) {
+        pending.phase = PendingRequest.Phase.DISPATCHED;
     }
 
-    private void notRun(Flight flight, Failure failure, long nowMillis) {
-        String target = flight.request.target();
-        dispatcher.retryOrFail(flight, failure, nowMillis);
-        dispatcher.pump(target, nowMillis);
+    private void onNotRun(PendingRequest pending, Failure failure, long nowMillis) {
+        String target = pending.request.target();
+        dispatcher.retryOrFail(pending, failure, nowMillis);
+        dispatcher.dispatchQueued(target, nowMillis);
     }
 
-    private void unseen(Flight flight, long nowMillis) {
-        if (flight.request.timeLeftMillis(nowMillis) <= 0) {
-            // Agents remember what ran until the deadline only; an entry that was paused may ask after that.
-            failed(flight, Failure.of(ErrorKind.DEADLINE_EXCEEDED_RUNNING, "the deadline passed"), nowMillis);
+    private void onUnseen(PendingRequest pending, long nowMillis) {
+        if (pending.request.timeLeftMillis(nowMillis) <= 0) {
+            // Agents record what ran only until the deadline, but a paused entry may ask later.
+            onFailed(
+                    pending,
+                    Failure.of(ErrorKind.DEADLINE_EXCEEDED_RUNNING, "the deadline passed before the agent answered"),
+                    nowMillis);
             return;
         }
-        if (flight.phase == Flight.Phase.ATTACHING) {
-            claims().attachUnseen(flight);
+        if (pending.phase == PendingRequest.Phase.ATTACHING) {
+            claims().onAttachUnseen(pending);
             return;
         }
-        notRun(flight, Failure.of(ErrorKind.NO_UPSTREAM, "the agent never received the request"), nowMillis);
+        onNotRun(pending, Failure.of(ErrorKind.NO_UPSTREAM, "the agent never received the request"), nowMillis);
     }
 
-    private void output(Flight flight, EntryEvent.OutputArrived output, long nowMillis) {
-        flight.phase = Flight.Phase.DISPATCHED;
-        if (output.offsetBytes() > flight.receivedBytes) {
-            reattach(flight, nowMillis);
+    private void onOutput(PendingRequest pending, EntryEvent.OutputArrived output, long nowMillis) {
+        pending.phase = PendingRequest.Phase.DISPATCHED;
+        if (output.offsetBytes() > pending.receivedBytes) {
+            reattach(pending, nowMillis);
             return;
         }
         long endBytes = output.offsetBytes() + output.lengthBytes();
-        if (endBytes <= flight.receivedBytes) {
+        if (endBytes <= pending.receivedBytes) {
             return;
         }
-        int skipBytes = (int) (flight.receivedBytes - output.offsetBytes());
-        flight.receivedBytes = endBytes;
-        if (!flight.callerGone || flight.claimed()) {
-            // The outcome that is stored for resends needs all output, also after the first caller left.
-            dispatcher.emit(new EntryEffect.DeliverOutput(flight.request.id(), skipBytes));
+        int skipBytes = (int) (pending.receivedBytes - output.offsetBytes());
+        pending.receivedBytes = endBytes;
+        if (!pending.callerGone || pending.claimed()) {
+            // The outcome stored for resends needs all output, even after the first caller disconnected.
+            dispatcher.emit(new EntryEffect.DeliverOutput(pending.request.id(), skipBytes));
         }
-        if (flight.receivedBytes - flight.acknowledgedBytes >= limits.acknowledgeStepBytes()) {
-            acknowledge(flight);
+        if (pending.receivedBytes - pending.acknowledgedBytes >= limits.acknowledgeStepBytes()) {
+            acknowledge(pending);
         }
     }
 
-    private void finished(Flight flight, long totalBytes, long nowMillis) {
-        if (totalBytes > flight.receivedBytes) {
-            reattach(flight, nowMillis);
+    private void onFinished(PendingRequest pending, long totalBytes, long nowMillis) {
+        if (totalBytes > pending.receivedBytes) {
+            reattach(pending, nowMillis);
             return;
         }
-        if (totalBytes < flight.receivedBytes) {
+        if (totalBytes < pending.receivedBytes) {
             dispatcher.fail(
-                    flight, Failure.of(ErrorKind.OUTPUT_INCOMPLETE, "more output than the upstream sent"), nowMillis);
+                    pending,
+                    Failure.of(
+                            ErrorKind.OUTPUT_INCOMPLETE,
+                            "received %d bytes of output, but the upstream sent %d"
+                                    .formatted(pending.receivedBytes, totalBytes)),
+                    nowMillis);
             return;
         }
-        acknowledge(flight);
-        if (flight.claimed()) {
-            dispatcher.emit(new EntryEffect.RecordOutcome(flight.request.id()));
+        acknowledge(pending);
+        if (pending.claimed()) {
+            dispatcher.emit(new EntryEffect.RecordOutcome(pending.request.id()));
         }
-        if (!flight.callerGone) {
-            dispatcher.emit(new EntryEffect.DeliverEnd(flight.request.id()));
+        if (!pending.callerGone) {
+            dispatcher.emit(new EntryEffect.DeliverEnd(pending.request.id()));
         }
-        dispatcher.end(flight, nowMillis);
-        dispatcher.pump(flight.request.target(), nowMillis);
+        dispatcher.end(pending, nowMillis);
+        dispatcher.dispatchQueued(pending.request.target(), nowMillis);
     }
 
-    private void failed(Flight flight, Failure failure, long nowMillis) {
-        acknowledge(flight);
-        dispatcher.fail(flight, failure, nowMillis);
-        dispatcher.pump(flight.request.target(), nowMillis);
+    private void onFailed(PendingRequest pending, Failure failure, long nowMillis) {
+        acknowledge(pending);
+        dispatcher.fail(pending, failure, nowMillis);
+        dispatcher.dispatchQueued(pending.request.target(), nowMillis);
     }
 
-    private void acknowledge(Flight flight) {
-        flight.acknowledgedBytes = flight.receivedBytes;
-        dispatcher.emit(new EntryEffect.SendAcknowledge(flight.request.id(), flight.upstreamId, flight.receivedBytes));
+    private void acknowledge(PendingRequest pending) {
+        pending.acknowledgedBytes = pending.receivedBytes;
+        dispatcher.emit(
+                new EntryEffect.SendAcknowledge(pending.request.id(), pending.upstreamId, pending.receivedBytes));
     }
 
-    private void reattach(Flight flight, long nowMillis) {
-        flight.reattaches++;
-        if (flight.reattaches > limits.maxReattaches()) {
-            dispatcher.emit(new EntryEffect.SendCancel(flight.request.id(), flight.upstreamId));
+    private void reattach(PendingRequest pending, long nowMillis) {
+        pending.reattaches++;
+        if (pending.reattaches > limits.maxReattaches()) {
+            dispatcher.emit(new EntryEffect.SendCancel(pending.request.id(), pending.upstreamId));
             dispatcher.fail(
-                    flight, Failure.of(ErrorKind.OUTPUT_INCOMPLETE, "output was lost again and again"), nowMillis);
+                    pending,
+                    Failure.of(
+                            ErrorKind.OUTPUT_INCOMPLETE,
+                            "output was still incomplete after %d reattachments".formatted(limits.maxReattaches())),
+                    nowMillis);
             return;
         }
         dispatcher.emit(new EntryEffect.SendReattach(
-                flight.request.id(),
-                flight.dispatch,
-                flight.upstreamId,
-                flight.upstreamIncarnation,
-                flight.receivedBytes));
+                pending.request.id(),
+                pending.dispatch,
+                pending.upstreamId,
+                pending.upstreamIncarnation,
+                pending.receivedBytes));
     }
 
-    void linkUp(UpstreamDescription upstream, boolean restarted, long nowMillis) {
-        for (Flight flight : dispatcher.flightsAt(upstream.upstreamId())) {
-            if (flight.phase == Flight.Phase.CLAIMING) {
+    void onLinkUp(UpstreamDescription upstream, boolean restarted, long nowMillis) {
+        for (PendingRequest pending : dispatcher.pendingAt(upstream.upstreamId())) {
+            if (pending.phase == PendingRequest.Phase.CLAIMING) {
                 continue;
             }
-            if (flight.upstreamIncarnation != upstream.incarnation()) {
+            if (pending.upstreamIncarnation != upstream.incarnation()) {
                 dispatcher.fail(
-                        flight,
+                        pending,
                         Failure.of(ErrorKind.UPSTREAM_LOST, "the agent was restarted while it held the request"),
                         nowMillis);
                 continue;
             }
-            if (flight.detachedAtMillis >= 0) {
-                flight.detachedAtMillis = -1;
-                resume(flight, nowMillis);
+            if (pending.detachedAtMillis >= 0) {
+                pending.detachedAtMillis = -1;
+                resume(pending, nowMillis);
             }
         }
     }
 
     /**
-     * The answer to a reattach is about the own request. An entry that still waits for the answer to its attach would
-     * take it as proof that the claiming request was never received, and take its claim over.
+     * Repeats an attach, or else reattaches. The answer to a reattach concerns this request, not the claiming one: in
+     * the attaching phase it would be mistaken for proof that the claiming request was never received, and that
+     * request's claim would be taken over.
      */
-    private void resume(Flight flight, long nowMillis) {
-        if (flight.phase == Flight.Phase.ATTACHING) {
-            claims().sendAttach(flight);
+    private void resume(PendingRequest pending, long nowMillis) {
+        if (pending.phase == PendingRequest.Phase.ATTACHING) {
+            claims().sendAttach(pending);
             return;
         }
-        reattach(flight, nowMillis);
+        reattach(pending, nowMillis);
     }
 
-    void linkDown(String upstreamId, long nowMillis) {
-        for (Flight flight : dispatcher.flightsAt(upstreamId)) {
-            if (flight.phase != Flight.Phase.CLAIMING && flight.detachedAtMillis < 0) {
-                flight.detachedAtMillis = nowMillis;
+    void onLinkDown(String upstreamId, long nowMillis) {
+        for (PendingRequest pending : dispatcher.pendingAt(upstreamId)) {
+            if (pending.phase != PendingRequest.Phase.CLAIMING && pending.detachedAtMillis < 0) {
+                pending.detachedAtMillis = nowMillis;
             }
         }
     }
 
-    /** Fails requests whose agent stays away, or whose deadline has passed. */
-    void checkTime(Flight flight, long nowMillis) {
+    /** Ends a request whose agent was unreachable for too long or whose deadline has passed. */
+    void checkTimeouts(PendingRequest pending, long nowMillis) {
         boolean lost =
-                flight.detachedAtMillis >= 0 && nowMillis - flight.detachedAtMillis >= limits.reattachLimitMillis();
+                pending.detachedAtMillis >= 0 && nowMillis - pending.detachedAtMillis >= limits.reattachLimitMillis();
         if (lost) {
-            dispatcher.fail(flight, Failure.of(ErrorKind.UPSTREAM_LOST, "the agent cannot be reached"), nowMillis);
+            dispatcher.fail(
+                    pending,
+                    Failure.of(
+                            ErrorKind.UPSTREAM_LOST,
+                            "the agent was not reachable within %d ms".formatted(limits.reattachLimitMillis())),
+                    nowMillis);
             return;
         }
-        if (flight.request.timeLeftMillis(nowMillis) > 0) {
+        if (pending.request.timeLeftMillis(nowMillis) > 0) {
             return;
         }
-        if (flight.phase == Flight.Phase.CLAIMING) {
+        if (pending.phase == PendingRequest.Phase.CLAIMING) {
             dispatcher.fail(
-                    flight,
-                    Failure.of(ErrorKind.CLAIM_UNAVAILABLE, "the store did not answer before the deadline"),
+                    pending,
+                    Failure.of(ErrorKind.CLAIM_UNAVAILABLE, "the store did not confirm the claim before the deadline"),
                     nowMillis);
             return;
         }
-        if (flight.phase == Flight.Phase.QUEUED || flight.callerGone) {
+        if (pending.phase == PendingRequest.Phase.QUEUED || pending.callerGone) {
             return;
         }
-        expireRunning(flight, nowMillis);
+        expireRunning(pending, nowMillis);
     }
 
-    private void expireRunning(Flight flight, long nowMillis) {
-        Failure failure = Failure.of(ErrorKind.DEADLINE_EXCEEDED_RUNNING, "the deadline passed while running");
-        if (flight.claimed()) {
-            // The caller gets its answer now; the run goes on so that its outcome can be stored.
-            dispatcher.emit(new EntryEffect.DeliverFailure(flight.request.id(), failure));
-            flight.callerGone = true;
+    private void expireRunning(PendingRequest pending, long nowMillis) {
+        Failure failure =
+                Failure.of(ErrorKind.DEADLINE_EXCEEDED_RUNNING, "the deadline passed while the request was running");
+        if (pending.claimed()) {
+            // Only the caller is answered; the run goes on so that its outcome can be stored.
+            dispatcher.emit(new EntryEffect.DeliverFailure(pending.request.id(), failure));
+            pending.callerGone = true;
             return;
         }
-        dispatcher.emit(new EntryEffect.SendCancel(flight.request.id(), flight.upstreamId));
-        dispatcher.fail(flight, failure, nowMillis);
+        dispatcher.emit(new EntryEffect.SendCancel(pending.request.id(), pending.upstreamId));
+        dispatcher.fail(pending, failure, nowMillis);
     }
 
     private ClaimSteps claims() {
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimAnswer.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimAnswer.java
@@ -2,21 +2,21 @@
 
 import dev.wigeonward.core.request.RequestId;
 
-/** What the store knows of the claim on a key. */
+/** Result of an attempt to create or move the claim on an idempotency key in the store. */
 public sealed interface ClaimAnswer {
-    /** The claim names this request and the upstream asked for. */
+    /** The claim refers to this request and the chosen upstream. */
     record Granted() implements ClaimAnswer {}
 
-    /** Another request with the same content holds the claim and has no outcome yet. */
+    /** Another request with the same content holds the claim, and no outcome is stored yet. */
     record HeldByOther(String claimId, RequestId request, String upstreamId, long upstreamIncarnation)
             implements ClaimAnswer {}
 
-    /** The outcome is stored. */
+    /** The outcome of the request is stored. */
     record OutcomeStored() implements ClaimAnswer {}
 
-    /** The key was used with another body. */
+    /** The key was used with a different body. */
     record OtherContent() implements ClaimAnswer {}
 
-    /** The store did not answer, or its answer leaves open whether the claim was made. */
+    /** The store did not answer, or its answer does not show whether the claim was created. */
     record Unavailable() implements ClaimAnswer {}
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
@@ -8,10 +8,13 @@
 import dev.wigeonward.core.request.DispatchId;
 import dev.wigeonward.core.request.RequestId;
 
-/** The steps from a chosen upstream to a dispatch, with a durable claim in between for non-idempotent requests. */
+/**
+ * The part of {@link EntryDispatcher} from the choice of an upstream to the dispatch, which a durable claim precedes
+ * for a non-idempotent request.
+ */
 final class ClaimSteps {
-    /** Rounds of attaching to another request's run before the caller is told to come back. */
-    private static final int MAX_CLAIM_ROUNDS = 3;
+    /** Number of times that a request may find the claim of another one before it fails as in progress. */
+    private static final int MAX_CLAIM_CONFLICTS = 3;
 
     private final EntryDispatcher dispatcher;
     private final UpstreamDirectory upstreams;
@@ -21,71 +24,73 @@
         this.upstreams = upstreams;
     }
 
-    void answered(RequestId id, ClaimAnswer answer, long nowMillis) {
-        Optional<Flight> found = dispatcher.flight(id).filter(flight -> flight.phase == Flight.Phase.CLAIMING);
+    void onClaimAnswered(RequestId id, ClaimAnswer answer, long nowMillis) {
+        Optional<PendingRequest> found =
+                dispatcher.pending(id).filter(pending -> pending.phase == PendingRequest.Phase.CLAIMING);
         if (found.isEmpty()) {
-            // The request was answered as not run in the meantime, and its claim was released with that answer.
+            // The request has ended in the meantime, and its claim was released with that answer.
             return;
         }
-        Flight flight = found.get();
+        PendingRequest pending = found.get();
         if (answer instanceof ClaimAnswer.Granted) {
-            granted(flight, nowMillis);
+            onGranted(pending, nowMillis);
         } else if (answer instanceof ClaimAnswer.HeldByOther held) {
-            heldByOther(flight, held, nowMillis);
+            onHeldByOther(pending, held, nowMillis);
         } else if (answer instanceof ClaimAnswer.OutcomeStored) {
             dispatcher.emit(new EntryEffect.DeliverStored(id));
-            dispatcher.end(flight, nowMillis);
+            dispatcher.end(pending, nowMillis);
         } else if (answer instanceof ClaimAnswer.OtherContent) {
-            failWithoutClaim(flight, ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with another body", nowMillis);
+            failWithoutClaim(
+                    pending, ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with a different body", nowMillis);
         } else {
             dispatcher.fail(
-                    flight,
-                    Failure.of(ErrorKind.CLAIM_UNAVAILABLE, "the claim could not be made in the store"),
-                    nowMillis);
+                    pending, Failure.of(ErrorKind.CLAIM_UNAVAILABLE, "the store did not confirm the claim"), nowMillis);
         }
     }
 
-    private void granted(Flight flight, long nowMillis) {
-        flight.claimOwned = true;
+    private void onGranted(PendingRequest pending, long nowMillis) {
+        pending.claimOwned = true;
         Optional<UpstreamState> usable = upstreams
-                .usable(flight.upstreamId)
-                .filter(state -> state.description().incarnation() == flight.upstreamIncarnation);
+                .usable(pending.upstreamId)
+                .filter(state -> state.description().incarnation() == pending.upstreamIncarnation);
         if (usable.isEmpty()) {
-            flight.attempts++;
+            pending.attempts++;
             dispatcher.retryOrFail(
-                    flight, Failure.of(ErrorKind.NO_UPSTREAM, "the upstream left before the dispatch"), nowMillis);
+                    pending,
+                    Failure.of(ErrorKind.NO_UPSTREAM, "the chosen upstream became unavailable before the dispatch"),
+                    nowMillis);
             return;
         }
-        if (flight.request.timeLeftMillis(nowMillis) <= 0) {
+        if (pending.request.timeLeftMillis(nowMillis) <= 0) {
             dispatcher.fail(
-                    flight,
+                    pending,
                     Failure.of(ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE, "the deadline passed before the dispatch"),
                     nowMillis);
             return;
         }
-        dispatch(flight, nowMillis);
+        dispatch(pending, nowMillis);
     }
 
-    /** Sends a request to its assigned upstream. */
-    void dispatch(Flight flight, long nowMillis) {
-        flight.attempts++;
-        flight.dispatch = DispatchId.of(flight.request.id(), flight.attempts);
-        flight.phase = Flight.Phase.DISPATCHED;
-        flight.detachedAtMillis = -1;
+    /** Dispatches a request to its assigned upstream. */
+    void dispatch(PendingRequest pending, long nowMillis) {
+        pending.attempts++;
+        pending.dispatch = DispatchId.of(pending.request.id(), pending.attempts);
+        pending.phase = PendingRequest.Phase.DISPATCHED;
+        pending.detachedAtMillis = -1;
         dispatcher.emit(new EntryEffect.SendDispatch(
-                flight.request.id(),
-                flight.dispatch,
-                flight.upstreamId,
-                flight.upstreamIncarnation,
-                flight.version,
-                flight.request.timeLeftMillis(nowMillis)));
+                pending.request.id(),
+                pending.dispatch,
+                pending.upstreamId,
+                pending.upstreamIncarnation,
+                pending.version,
+                pending.request.timeLeftMillis(nowMillis)));
     }
 
-    private void heldByOther(Flight flight, ClaimAnswer.HeldByOther held, long nowMillis) {
-        flight.claimRounds++;
-        dispatcher.releasePlace(flight, nowMillis);
-        if (flight.claimRounds > MAX_CLAIM_ROUNDS) {
-            failWithoutClaim(flight, ErrorKind.IN_PROGRESS, "another copy of the request is in progress", nowMillis);
+    private void onHeldByOther(PendingRequest pending, ClaimAnswer.HeldByOther held, long nowMillis) {
+        pending.claimConflicts++;
+        dispatcher.removeOutstanding(pending, nowMillis);
+        if (pending.claimConflicts > MAX_CLAIM_CONFLICTS) {
+            failWithoutClaim(pending, ErrorKind.IN_PROGRESS, "another copy of the request is in progress", nowMillis);
             return;
         }
         Optional<UpstreamState> holder = upstreams.find(held.upstreamId());
@@ -93,7 +98,7 @@
                 holder.isPresent() && holder.get().description().incarnation() != held.upstreamIncarnation();
         if (restarted) {
             failWithoutClaim(
-                    flight,
+                    pending,
                     ErrorKind.OUTCOME_UNKNOWN,
                     "the agent that may have run the first copy was restarted",
                     nowMillis);
@@ -101,42 +106,42 @@
         }
         if (holder.isEmpty() || !upstreams.linked(held.upstreamId())) {
             failWithoutClaim(
-                    flight, ErrorKind.IN_PROGRESS, "the agent that holds the first copy is not reachable", nowMillis);
+                    pending, ErrorKind.IN_PROGRESS, "the agent that holds the first copy is not reachable", nowMillis);
             return;
         }
-        attach(flight, held, holder.get(), nowMillis);
+        attach(pending, held, holder.get(), nowMillis);
     }
 
-    private void attach(Flight flight, ClaimAnswer.HeldByOther held, UpstreamState holder, long nowMillis) {
-        flight.attempts++;
-        flight.dispatch = DispatchId.of(flight.request.id(), flight.attempts);
-        flight.phase = Flight.Phase.ATTACHING;
-        flight.foundClaimId = held.claimId();
-        flight.foundRequest = held.request();
+    private void attach(PendingRequest pending, ClaimAnswer.HeldByOther held, UpstreamState holder, long nowMillis) {
+        pending.attempts++;
+        pending.dispatch = DispatchId.of(pending.request.id(), pending.attempts);
+        pending.phase = PendingRequest.Phase.ATTACHING;
+        pending.otherClaimId = held.claimId();
+        pending.otherClaimant = held.request();
         long serviceMillis =
-                flight.request.work().serviceMillis(holder.description().speed());
-        dispatcher.occupyPlace(flight, holder, serviceMillis, nowMillis);
-        sendAttach(flight);
+                pending.request.work().serviceMillis(holder.description().speed());
+        dispatcher.addOutstanding(pending, holder, serviceMillis, nowMillis);
+        sendAttach(pending);
     }
 
-    /** Asks the agent named in the found claim; repeated on a new link, since the first copy may have been lost. */
-    void sendAttach(Flight flight) {
+    /** Sends an attach to the agent of the other claim; sent again on a new link, since the first copy may be lost. */
+    void sendAttach(PendingRequest pending) {
         dispatcher.emit(new EntryEffect.SendAttach(
-                flight.request.id(), flight.dispatch, flight.upstreamId, flight.foundRequest));
+                pending.request.id(), pending.dispatch, pending.upstreamId, pending.otherClaimant));
     }
 
-    /** The agent named in the found claim proved that it never received the claiming request. */
-    void attachUnseen(Flight flight) {
-        flight.phase = Flight.Phase.CLAIMING;
+    /** Takes over the other claim after its agent proved that it never received the claiming request. */
+    void onAttachUnseen(PendingRequest pending) {
+        pending.phase = PendingRequest.Phase.CLAIMING;
         dispatcher.emit(new EntryEffect.TakeOverClaim(
-                flight.request.id(), flight.foundClaimId, flight.upstreamId, flight.upstreamIncarnation));
+                pending.request.id(), pending.otherClaimId, pending.upstreamId, pending.upstreamIncarnation));
     }
 
-    /** Fails a request whose key is claimed by another one; that claim stays. */
-    private void failWithoutClaim(Flight flight, ErrorKind kind, String message, long nowMillis) {
-        if (!flight.callerGone) {
-            dispatcher.emit(new EntryEffect.DeliverFailure(flight.request.id(), Failure.of(kind, message)));
+    /** Fails a request whose key is claimed by another one, without releasing that claim. */
+    private void failWithoutClaim(PendingRequest pending, ErrorKind kind, String message, long nowMillis) {
+        if (!pending.callerGone) {
+            dispatcher.emit(new EntryEffect.DeliverFailure(pending.request.id(), Failure.of(kind, message)));
         }
-        dispatcher.end(flight, nowMillis);
+        dispatcher.end(pending, nowMillis);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/DispatchPolicies.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/DispatchPolicies.java
@@ -7,14 +7,14 @@
 import dev.wigeonward.core.placement.PlacementPolicy;
 
 /**
- * The replaceable decisions of an entry.
+ * The replaceable policies of {@link EntryDispatcher}.
  *
- * @param queues makes the queue of a target
- * @param placement chooses an upstream
- * @param keyedPlacement chooses an upstream for idempotent requests with a key, the same one for the same key
- * @param versions chooses a version
- * @param retries limits retries
- * @param suspects holds back requests that bring upstreams down
+ * @param queues creates the admission queue of a target
+ * @param placement chooses the upstream of a request
+ * @param keyedPlacement chooses the upstream of an idempotent request with a key, the same one for the same key
+ * @param versions chooses the version that serves a request
+ * @param retries limits the rate of retries
+ * @param suspects limits requests that were running on upstreams that died
  */
 public record DispatchPolicies(
         Supplier<? extends AdmissionQueue> queues,
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EarlyAttaches.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EarlyAttaches.java
@@ -10,50 +10,50 @@
 import dev.wigeonward.core.request.RequestId;
 
 /**
- * Attaches to requests that this agent has not received yet. A claim is visible to other entries before the dispatch
- * that follows it has arrived, so an attach may overtake the dispatch. Not thread-safe.
+ * Attach dispatches held until the request that they refer to arrives. A claim is visible to other entries before the
+ * dispatch that follows it reaches the agent, so an attach may overtake that dispatch. Not thread-safe.
  */
 final class EarlyAttaches {
-    /** Time for which the dispatch is awaited; it follows the claim within a few milliseconds unless its entry died. */
-    static final long PATIENCE_MILLIS = 300;
-    /** Attaches beyond this number are answered without waiting. */
+    /** Longest time to hold an attach; a dispatch follows its claim within a few milliseconds unless its entry died. */
+    static final long MAX_WAIT_MILLIS = 300;
+    /** Largest number of held attaches; further ones are answered at once. */
     private static final int MAX_WAITING = 4_096;
 
-    /** By the attaching request; a repetition on a new link replaces the first one. */
+    /** Held attaches by attaching request; an attach repeated on a new link replaces the first one. */
     private final Map<RequestId, Waiting> waiting = new LinkedHashMap<>();
 
     private record Waiting(AgentEvent.DispatchArrived arrived, long untilMillis) {}
 
-    /** Returns false if too many wait. */
+    /** Holds an attach, or returns false if too many are held. */
     boolean add(AgentEvent.DispatchArrived arrived, long nowMillis) {
         if (waiting.size() >= MAX_WAITING) {
             return false;
         }
-        waiting.put(arrived.request().id(), new Waiting(arrived, nowMillis + PATIENCE_MILLIS));
+        waiting.put(arrived.request().id(), new Waiting(arrived, nowMillis + MAX_WAIT_MILLIS));
         return true;
     }
 
-    /** Removes and returns those that wait for the given request. */
-    List<AgentEvent.DispatchArrived> take(RequestId awaited) {
-        return remove(each -> awaited.equals(each.arrived().attachTo().orElseThrow()));
+    /** Removes and returns the attaches that refer to the given request. */
+    List<AgentEvent.DispatchArrived> removeFor(RequestId awaited) {
+        return remove(attach -> awaited.equals(attach.arrived().attachTo().orElseThrow()));
     }
 
-    /** Removes and returns those that have waited long enough. */
-    List<AgentEvent.DispatchArrived> takeExpired(long nowMillis) {
-        return remove(each -> nowMillis >= each.untilMillis());
+    /** Removes and returns the attaches that were held for the longest time allowed. */
+    List<AgentEvent.DispatchArrived> removeExpired(long nowMillis) {
+        return remove(attach -> nowMillis >= attach.untilMillis());
     }
 
-    /** Forgets those that came on a lost link; their entries ask again. */
+    /** Removes the attaches that arrived on a lost link; their entries send them again. */
     void linkLost(long link) {
-        remove(each -> each.arrived().link() == link);
+        remove(attach -> attach.arrived().link() == link);
     }
 
     private List<AgentEvent.DispatchArrived> remove(Predicate<Waiting> condition) {
         List<AgentEvent.DispatchArrived> removed = new ArrayList<>();
-        for (Iterator<Waiting> each = waiting.values().iterator(); each.hasNext(); ) {
-            Waiting next = each.next();
+        for (Iterator<Waiting> iterator = waiting.values().iterator(); iterator.hasNext(); ) {
+            Waiting next = iterator.next();
             if (condition.test(next)) {
-                each.remove();
+                iterator.remove();
                 removed.add(next.arrived());
             }
         }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -23,18 +23,19 @@
 import dev.wigeonward.core.request.Tier;
 
 /**
- * Decides for one entry which request goes to which agent and when. Keeps every request from its arrival to its answer;
- * a request is sent to a second agent only after the first one proved that it did not run it. Not thread-safe.
+ * State machine of one entry: decides which request is dispatched to which agent and when. Holds every request from its
+ * arrival to the end of its answer; a request is dispatched again only after its first agent proved that it did not run
+ * it. Not thread-safe.
  */
 public final class EntryDispatcher {
-    /** Choices made before a request waits, since a policy that samples may hit upstreams without room. */
-    private static final int PLACEMENT_TRIES = 3;
+    /** Placements tried before a request waits, since a policy that samples may choose upstreams without room. */
+    private static final int MAX_PLACEMENT_ATTEMPTS = 3;
 
     private final DispatchPolicies policies;
     private final DispatchLimits limits;
     private final UpstreamDirectory upstreams = new UpstreamDirectory();
     private final Map<String, AdmissionQueue> queues = new HashMap<>();
-    private final Map<RequestId, Flight> flights = new LinkedHashMap<>();
+    private final Map<RequestId, PendingRequest> pendingRequests = new LinkedHashMap<>();
     private final ClaimSteps claims;
     private final AnswerSteps answers;
     private List<EntryEffect> effects = new ArrayList<>();
@@ -52,15 +53,15 @@
         return new EntryDispatcher(policies, limits);
     }
 
-    /** Returns the effects of an event, in the order in which they must be carried out. */
+    /** Applies an event and returns its effects, in the order in which they must be carried out. */
     public List<EntryEffect> handle(EntryEvent event, long nowMillis) {
         effects = new ArrayList<>();
         if (event instanceof EntryEvent.RequestArrived arrived) {
-            arrive(arrived.request(), nowMillis);
+            onRequestArrived(arrived.request(), nowMillis);
         } else if (event instanceof EntryEvent.CallerGone gone) {
-            callerGone(gone.request(), nowMillis);
+            onCallerGone(gone.request(), nowMillis);
         } else if (event instanceof EntryEvent.ClaimAnswered answered) {
-            claims.answered(answered.request(), answered.answer(), nowMillis);
+            claims.onClaimAnswered(answered.request(), answered.answer(), nowMillis);
         } else if (event instanceof EntryEvent.Tick) {
             tick(nowMillis);
         } else if (event instanceof EntryEvent.DrainStarted) {
@@ -73,43 +74,43 @@
 
     private boolean handleUpstream(EntryEvent event, long nowMillis) {
         if (event instanceof EntryEvent.LinkUp up) {
-            boolean restarted = upstreams.linkUp(up.upstream());
-            answers.linkUp(up.upstream(), restarted, nowMillis);
-            pump(up.upstream().target(), nowMillis);
+            boolean restarted = upstreams.onLinkUp(up.upstream());
+            answers.onLinkUp(up.upstream(), restarted, nowMillis);
+            dispatchQueued(up.upstream().target(), nowMillis);
             return true;
         }
         if (event instanceof EntryEvent.LinkDown down) {
-            upstreams.linkDown(down.upstreamId());
-            answers.linkDown(down.upstreamId(), nowMillis);
+            upstreams.onLinkDown(down.upstreamId());
+            answers.onLinkDown(down.upstreamId(), nowMillis);
             return true;
         }
         if (event instanceof EntryEvent.UpstreamLeaving leaving) {
-            upstreams.leaving(leaving.upstreamId());
+            upstreams.onLeaving(leaving.upstreamId());
             return true;
         }
         if (event instanceof EntryEvent.LoadReported load) {
-            upstreams.load(load, nowMillis);
+            upstreams.onLoad(load, nowMillis);
             upstreams
                     .find(load.upstreamId())
-                    .ifPresent(state -> pump(state.description().target(), nowMillis));
+                    .ifPresent(state -> dispatchQueued(state.description().target(), nowMillis));
             return true;
         }
         return false;
     }
 
-    /** Returns whether no request is left, so that a drain is complete. */
+    /** Returns whether no request is pending, so that a drain is complete. */
     public boolean idle() {
-        return flights.isEmpty();
+        return pendingRequests.isEmpty();
     }
 
-    /** Returns the number of requests between arrival and answer. */
+    /** Returns the number of requests between their arrival and the end of their answer. */
     public int inFlight() {
-        return flights.size();
+        return pendingRequests.size();
     }
 
-    /** Returns whether requests of this entry are at the upstream. */
+    /** Returns whether requests of this entry are assigned to the upstream. */
     public boolean hasRequestsAt(String upstreamId) {
-        return !flightsAt(upstreamId).isEmpty();
+        return !pendingAt(upstreamId).isEmpty();
     }
 
     /** Returns the number of queued requests by target. */
@@ -124,17 +125,17 @@
         return Set.copyOf(upstreams.versions(target));
     }
 
-    private void arrive(RequestSpec request, long nowMillis) {
+    private void onRequestArrived(RequestSpec request, long nowMillis) {
         policies.retries().onRequest(nowMillis);
         Optional<Failure> refusal = refusal(request, nowMillis);
         if (refusal.isPresent()) {
             refuse(request, refusal.get());
             return;
         }
-        Flight flight = new Flight(request);
-        Optional<Placement> estimate = choose(flight, nowMillis);
+        PendingRequest pending = new PendingRequest(request);
+        Optional<Placement> estimate = choosePlacement(pending, nowMillis);
         if (estimate.isEmpty()) {
-            refuse(request, Failure.of(ErrorKind.NO_UPSTREAM, "no upstream serves " + request.target()));
+            refuse(request, Failure.of(ErrorKind.NO_UPSTREAM, "no usable upstream serves " + request.target()));
             return;
         }
         AdmissionQueue queue = queue(request.target());
@@ -149,125 +150,136 @@
                                     .formatted(waitMillis, serviceMillis, request.timeLeftMillis(nowMillis))));
             return;
         }
-        flight.serviceMillis = serviceMillis;
+        pending.serviceMillis = serviceMillis;
         AdmissionResult result = queue.offer(request, serviceMillis, nowMillis);
         if (result instanceof AdmissionResult.Refused refused) {
             refuse(request, refused.failure());
             return;
         }
-        flights.put(request.id(), flight);
+        pendingRequests.put(request.id(), pending);
         for (RequestSpec displaced : ((AdmissionResult.Queued) result).displaced()) {
             fail(
-                    flights.get(displaced.id()),
-                    Failure.of(ErrorKind.DISPLACED, "displaced by a request that goes first"),
+                    pendingRequests.get(displaced.id()),
+                    Failure.of(ErrorKind.DISPLACED, "displaced from the full queue by a request with precedence"),
                     nowMillis);
         }
-        pump(request.target(), nowMillis);
+        dispatchQueued(request.target(), nowMillis);
     }
 
     private Optional<Failure> refusal(RequestSpec request, long nowMillis) {
         if (draining) {
             return Optional.of(Failure.of(ErrorKind.SHUTTING_DOWN, "this entry is shutting down"));
         }
-        return suspected(request, nowMillis);
+        return suspectRefusal(request, nowMillis);
     }
 
-    private Optional<Failure> suspected(RequestSpec request, long nowMillis) {
+    private Optional<Failure> suspectRefusal(RequestSpec request, long nowMillis) {
         return switch (policies.suspects().rule(request, nowMillis)) {
             case PASS -> Optional.empty();
             case WAIT ->
-                Optional.of(Failure.of(ErrorKind.OVERLOADED, "the request is suspect and runs elsewhere already"));
-            case REFUSE -> Optional.of(Failure.of(ErrorKind.SUSPECT, "upstreams died while they ran this request"));
+                Optional.of(
+                        Failure.of(ErrorKind.OVERLOADED, "another copy of the request, which is suspect, is running"));
+            case REFUSE ->
+                Optional.of(Failure.of(ErrorKind.SUSPECT, "several upstreams died while they ran the request"));
         };
     }
 
     /**
-     * Only work that goes first in the own queue counts. Reported backlogs cover all tiers and the remaining time of
-     * running requests: they would refuse work that displaces others or starts in the next free slot. The agent checks
-     * the deadline again before it hands the request over.
+     * Returns the expected wait of a request. Only requests that precede it in the queue of this entry count: the
+     * backlogs that agents report cover all tiers and the remaining time of running requests, and counting them would
+     * refuse requests that displace others or start in the next free slot. The agent checks the deadline again before
+     * it submits the request.
      */
     private long expectedWaitMillis(RequestSpec request, AdmissionQueue queue) {
         return queue.backlogMillis(request.tier()) / Math.max(1, upstreams.slots(request.target()));
     }
 
-    private void callerGone(RequestId id, long nowMillis) {
-        Flight flight = flights.get(id);
-        if (flight == null) {
+    private void onCallerGone(RequestId id, long nowMillis) {
+        PendingRequest pending = pendingRequests.get(id);
+        if (pending == null) {
             return;
         }
-        flight.callerGone = true;
-        if (flight.phase == Flight.Phase.QUEUED) {
-            queue(flight.request.target()).remove(id);
-            end(flight, nowMillis);
+        pending.callerGone = true;
+        if (pending.phase == PendingRequest.Phase.QUEUED) {
+            queue(pending.request.target()).remove(id);
+            end(pending, nowMillis);
             return;
         }
-        if (flight.claimed()) {
-            // The run goes on so that its outcome can be stored for a resend with the same key.
+        if (pending.claimed()) {
+            // The run continues so that its outcome can be stored for a resend with the same key.
             return;
         }
-        if (flight.phase == Flight.Phase.DISPATCHED) {
-            emit(new EntryEffect.SendCancel(id, flight.upstreamId));
+        if (pending.phase == PendingRequest.Phase.DISPATCHED) {
+            emit(new EntryEffect.SendCancel(id, pending.upstreamId));
         }
-        end(flight, nowMillis);
-        pump(flight.request.target(), nowMillis);
+        end(pending, nowMillis);
+        dispatchQueued(pending.request.target(), nowMillis);
     }
 
     private void tick(long nowMillis) {
         for (Map.Entry<String, AdmissionQueue> entry : queues.entrySet()) {
             for (RequestSpec expired : entry.getValue().removeExpired(nowMillis)) {
                 fail(
-                        flights.get(expired.id()),
-                        Failure.of(ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE, "the deadline passed in the queue"),
+                        pendingRequests.get(expired.id()),
+                        Failure.of(
+                                ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE,
+                                "the deadline passed while the request was queued"),
                         nowMillis);
             }
         }
-        for (Flight flight : List.copyOf(flights.values())) {
-            answers.checkTime(flight, nowMillis);
+        for (PendingRequest pending : List.copyOf(pendingRequests.values())) {
+            answers.checkTimeouts(pending, nowMillis);
         }
-        List.copyOf(queues.keySet()).forEach(target -> pump(target, nowMillis));
+        List.copyOf(queues.keySet()).forEach(target -> dispatchQueued(target, nowMillis));
     }
 
-    /** Hands queued requests over as long as upstreams have room. */
-    void pump(String target, long nowMillis) {
+    /** Dispatches queued requests of a target as long as upstreams have room. */
+    void dispatchQueued(String target, long nowMillis) {
         AdmissionQueue queue = queue(target);
         while (true) {
             Optional<RequestSpec> next = queue.poll(nowMillis);
             if (next.isEmpty()) {
                 return;
             }
-            Flight flight = flights.get(next.get().id());
-            if (!place(flight, nowMillis)) {
-                queue.putBack(next.get(), flight.serviceMillis);
+            PendingRequest pending = pendingRequests.get(next.get().id());
+            if (!dispatchIfRoom(pending, nowMillis)) {
+                queue.putBack(next.get(), pending.serviceMillis);
                 return;
             }
         }
     }
 
-    /** Returns false if the request has to wait for room. */
-    private boolean place(Flight flight, long nowMillis) {
-        RequestSpec request = flight.request;
-        Optional<Failure> suspected = suspected(request, nowMillis);
-        if (suspected.isPresent()) {
-            // News of a death may have come, or another copy been dispatched, while the request was queued.
-            fail(flight, suspected.get(), nowMillis);
+    /** Assigns an upstream to the request or fails it; returns false if the request has to wait for room. */
+    private boolean dispatchIfRoom(PendingRequest pending, long nowMillis) {
+        RequestSpec request = pending.request;
+        Optional<Failure> refusal = suspectRefusal(request, nowMillis);
+        if (refusal.isPresent()) {
+            // An upstream's death may have been reported, or another copy dispatched, while the request was queued.
+            fail(pending, refusal.get(), nowMillis);
             return true;
         }
-        for (int attempt = 0; attempt < PLACEMENT_TRIES; attempt++) {
-            Optional<Placement> choice = choose(flight, nowMillis);
+        for (int attempt = 0; attempt < MAX_PLACEMENT_ATTEMPTS; attempt++) {
+            Optional<Placement> choice = choosePlacement(pending, nowMillis);
             if (choice.isEmpty()) {
-                fail(flight, Failure.of(ErrorKind.NO_UPSTREAM, "no upstream serves " + request.target()), nowMillis);
+                fail(
+                        pending,
+                        Failure.of(ErrorKind.NO_UPSTREAM, "no usable upstream serves " + request.target()),
+                        nowMillis);
                 return true;
             }
             if (choice.get().serviceMillis() > request.timeLeftMillis(nowMillis)) {
                 fail(
-                        flight,
-                        Failure.of(ErrorKind.DEADLINE_UNREACHABLE, "too little time is left to serve the request"),
+                        pending,
+                        Failure.of(
+                                ErrorKind.DEADLINE_UNREACHABLE,
+                                "expected service of %d ms exceeds the %d ms left"
+                                        .formatted(choice.get().serviceMillis(), request.timeLeftMillis(nowMillis))),
                         nowMillis);
                 return true;
             }
             UpstreamState state = upstreams.usable(choice.get().upstreamId()).orElseThrow();
             if (request.key().isPresent() || hasRoom(state, request.tier())) {
-                assign(flight, state, choice.get(), nowMillis);
+                claimOrDispatch(pending, state, choice.get(), nowMillis);
                 return true;
             }
         }
@@ -279,105 +291,105 @@
         return state.ownOutstanding() < factor * state.description().slots();
     }
 
-    private Optional<Placement> choose(Flight flight, long nowMillis) {
-        RequestSpec request = flight.request;
+    private Optional<Placement> choosePlacement(PendingRequest pending, long nowMillis) {
+        RequestSpec request = pending.request;
         Set<String> versions = upstreams.versions(request.target());
         if (versions.isEmpty()) {
             return Optional.empty();
         }
-        if (flight.version == null || !versions.contains(flight.version)) {
-            flight.version =
+        if (pending.version == null || !versions.contains(pending.version)) {
+            pending.version =
                     policies.versions().select(request, versions, nowMillis).orElse(null);
         }
-        if (flight.version == null) {
+        if (pending.version == null) {
             return Optional.empty();
         }
         boolean keyed = request.key().isPresent() && request.idempotent();
         PlacementPolicy policy = keyed ? policies.keyedPlacement() : policies.placement();
-        Optional<UpstreamPool> pool = upstreams.pool(request.target(), flight.version);
+        Optional<UpstreamPool> pool = upstreams.pool(request.target(), pending.version);
         return pool.flatMap(members -> policy.choose(request, members, nowMillis));
     }
 
-    private void assign(Flight flight, UpstreamState state, Placement placement, long nowMillis) {
-        occupyPlace(flight, state, placement.serviceMillis(), nowMillis);
-        if (flight.claimed()) {
-            flight.phase = Flight.Phase.CLAIMING;
-            emit(new EntryEffect.MakeClaim(flight.request.id(), flight.upstreamId, flight.upstreamIncarnation));
+    private void claimOrDispatch(PendingRequest pending, UpstreamState state, Placement placement, long nowMillis) {
+        addOutstanding(pending, state, placement.serviceMillis(), nowMillis);
+        if (pending.claimed()) {
+            pending.phase = PendingRequest.Phase.CLAIMING;
+            emit(new EntryEffect.MakeClaim(pending.request.id(), pending.upstreamId, pending.upstreamIncarnation));
             return;
         }
-        claims.dispatch(flight, nowMillis);
+        claims.dispatch(pending, nowMillis);
     }
 
-    /** Tries a request that provably did not run once more, or fails it. */
-    void retryOrFail(Flight flight, Failure failure, long nowMillis) {
-        releasePlace(flight, nowMillis);
+    /** Queues a request that provably did not run for another dispatch, or fails it if no retry is allowed. */
+    void retryOrFail(PendingRequest pending, Failure failure, long nowMillis) {
+        removeOutstanding(pending, nowMillis);
         boolean mayRetry = failure.kind().retryable()
                 && !draining
-                && flight.attempts < limits.maxAttempts()
-                && flight.request.timeLeftMillis(nowMillis) > 0
+                && pending.attempts < limits.maxAttempts()
+                && pending.request.timeLeftMillis(nowMillis) > 0
                 && policies.retries().tryAcquire(nowMillis);
         if (!mayRetry) {
-            fail(flight, failure, nowMillis);
+            fail(pending, failure, nowMillis);
             return;
         }
-        flight.phase = Flight.Phase.QUEUED;
-        flight.detachedAtMillis = -1;
-        queue(flight.request.target()).putBack(flight.request, flight.serviceMillis);
-        pump(flight.request.target(), nowMillis);
+        pending.phase = PendingRequest.Phase.QUEUED;
+        pending.detachedAtMillis = -1;
+        queue(pending.request.target()).putBack(pending.request, pending.serviceMillis);
+        dispatchQueued(pending.request.target(), nowMillis);
     }
 
-    void fail(Flight flight, Failure failure, long nowMillis) {
+    void fail(PendingRequest pending, Failure failure, long nowMillis) {
         boolean thisCopyDidNotRun =
                 failure.kind().runState() == RunState.NOT_RUN || failure.kind() == ErrorKind.CLAIM_UNAVAILABLE;
-        if (flight.claimed() && thisCopyDidNotRun) {
-            emit(new EntryEffect.ReleaseClaim(flight.request.id()));
+        if (pending.claimed() && thisCopyDidNotRun) {
+            emit(new EntryEffect.ReleaseClaim(pending.request.id()));
         }
-        if (!flight.callerGone) {
-            Failure known = flight.claimOwned ? failure : beforeClaim(flight.request, failure);
-            emit(new EntryEffect.DeliverFailure(flight.request.id(), known));
+        if (!pending.callerGone) {
+            Failure known = pending.claimOwned ? failure : withoutUnprovenNotRun(pending.request, failure);
+            emit(new EntryEffect.DeliverFailure(pending.request.id(), known));
         }
-        end(flight, nowMillis);
+        end(pending, nowMillis);
     }
 
-    /** Forgets a request and frees its place. */
-    void end(Flight flight, long nowMillis) {
-        releasePlace(flight, nowMillis);
-        flights.remove(flight.request.id());
-        emit(new EntryEffect.Forget(flight.request.id()));
+    /** Removes a request, which no longer counts as outstanding at its upstream. */
+    void end(PendingRequest pending, long nowMillis) {
+        removeOutstanding(pending, nowMillis);
+        pendingRequests.remove(pending.request.id());
+        emit(new EntryEffect.Forget(pending.request.id()));
     }
 
-    /** Counts the request as outstanding at an upstream. */
-    void occupyPlace(Flight flight, UpstreamState state, long serviceMillis, long nowMillis) {
-        flight.upstreamId = state.description().upstreamId();
-        flight.upstreamIncarnation = state.description().incarnation();
-        flight.serviceMillis = serviceMillis;
+    /** Assigns the request to an upstream and counts it as outstanding there. */
+    void addOutstanding(PendingRequest pending, UpstreamState state, long serviceMillis, long nowMillis) {
+        pending.upstreamId = state.description().upstreamId();
+        pending.upstreamIncarnation = state.description().incarnation();
+        pending.serviceMillis = serviceMillis;
         state.onDispatched(serviceMillis);
-        policies.suspects().onDispatched(flight.request, nowMillis);
+        policies.suspects().onDispatched(pending.request, nowMillis);
     }
 
-    void releasePlace(Flight flight, long nowMillis) {
-        if (flight.upstreamId == null) {
+    void removeOutstanding(PendingRequest pending, long nowMillis) {
+        if (pending.upstreamId == null) {
             return;
         }
         upstreams
-                .find(flight.upstreamId)
-                .filter(state -> state.description().incarnation() == flight.upstreamIncarnation)
-                .ifPresent(state -> state.onEnded(flight.serviceMillis));
-        policies.suspects().onEnded(flight.request, nowMillis);
-        flight.upstreamId = null;
+                .find(pending.upstreamId)
+                .filter(state -> state.description().incarnation() == pending.upstreamIncarnation)
+                .ifPresent(state -> state.onEnded(pending.serviceMillis));
+        policies.suspects().onEnded(pending.request, nowMillis);
+        pending.upstreamId = null;
     }
 
-    Optional<Flight> flight(RequestId id) {
-        return Optional.ofNullable(flights.get(id));
+    Optional<PendingRequest> pending(RequestId id) {
+        return Optional.ofNullable(pendingRequests.get(id));
     }
 
     ClaimSteps claims() {
         return claims;
     }
 
-    List<Flight> flightsAt(String upstreamId) {
-        return flights.values().stream()
-                .filter(flight -> upstreamId.equals(flight.upstreamId))
+    List<PendingRequest> pendingAt(String upstreamId) {
+        return pendingRequests.values().stream()
+                .filter(pending -> upstreamId.equals(pending.upstreamId))
                 .toList();
     }
 
@@ -385,15 +397,18 @@
         effects.add(effect);
     }
 
-    /** An earlier copy of a claimed request may have run, so "not run" is not known before its claim was read. */
-    private static Failure beforeClaim(RequestSpec request, Failure failure) {
+    /**
+     * Replaces a "not run" failure of a non-idempotent request, for use before its claim was read: an earlier copy of
+     * the request may have run.
+     */
+    private static Failure withoutUnprovenNotRun(RequestSpec request, Failure failure) {
         return request.idempotent() || failure.kind().runState() != RunState.NOT_RUN
                 ? failure
                 : Failure.of(ErrorKind.CLAIM_UNREAD, failure.message());
     }
 
     private void refuse(RequestSpec request, Failure failure) {
-        emit(new EntryEffect.DeliverFailure(request.id(), beforeClaim(request, failure)));
+        emit(new EntryEffect.DeliverFailure(request.id(), withoutUnprovenNotRun(request, failure)));
         emit(new EntryEffect.Forget(request.id()));
     }
 
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
@@ -4,22 +4,22 @@
 import dev.wigeonward.core.request.DispatchId;
 import dev.wigeonward.core.request.RequestId;
 
-/** What an entry's dispatcher asks its adapters to do. */
+/** An action that {@link EntryDispatcher} asks its adapters to carry out. */
 public sealed interface EntryEffect {
-    /** Create the durable claim of a request, or move it from an upstream that did not run it. */
+    /** Creates the durable claim of a request, or moves it from an upstream that did not run the request. */
     record MakeClaim(RequestId request, String upstreamId, long upstreamIncarnation) implements EntryEffect {}
 
-    /** Replace the claim of another request, whose upstream proved that it never received it. */
+    /** Replaces the claim of another request, after its upstream proved that it never received that request. */
     record TakeOverClaim(RequestId request, String previousClaimId, String upstreamId, long upstreamIncarnation)
             implements EntryEffect {}
 
-    /** Remove the own claim of a request that did not run, also one whose creation is still under way. */
+    /** Removes the claim of a request that did not run, even if the creation of the claim is still in progress. */
     record ReleaseClaim(RequestId request) implements EntryEffect {}
 
-    /** Store the outcome of a claimed request. */
+    /** Stores the outcome of a claimed request. */
     record RecordOutcome(RequestId request) implements EntryEffect {}
 
-    /** Hand the request to an agent; sent on one connection once. */
+    /** Sends the request to an agent, at most once on one connection. */
     record SendDispatch(
             RequestId request,
             DispatchId dispatch,
@@ -29,33 +29,33 @@
             long timeLeftMillis)
             implements EntryEffect {}
 
-    /** Ask an agent to attach this request to the run of another one with the same key; starts no run. */
+    /** Asks an agent to attach this request to the run of another one with the same key, without starting a run. */
     record SendAttach(RequestId request, DispatchId dispatch, String upstreamId, RequestId claimedBy)
             implements EntryEffect {}
 
-    /** Ask for the rest of an answer from an offset on. */
+    /** Asks an agent for the rest of an answer, from an offset on. */
     record SendReattach(
             RequestId request, DispatchId dispatch, String upstreamId, long upstreamIncarnation, long offsetBytes)
             implements EntryEffect {}
 
-    /** Confirm the answer up to an offset. */
+    /** Acknowledges the answer up to an offset. */
     record SendAcknowledge(RequestId request, String upstreamId, long offsetBytes) implements EntryEffect {}
 
-    /** Free the place of a request that nobody waits for. */
+    /** Cancels a request at the agent because its answer is no longer needed. */
     record SendCancel(RequestId request, String upstreamId) implements EntryEffect {}
 
-    /** Pass a part of the answer on, without its first bytes, which were passed on before. */
+    /** Delivers part of the answer to the caller, without its first bytes, which were delivered before. */
     record DeliverOutput(RequestId request, int skipBytes) implements EntryEffect {}
 
-    /** Tell the caller that its answer is complete. */
+    /** Completes the answer to the caller. */
     record DeliverEnd(RequestId request) implements EntryEffect {}
 
-    /** Answer with the stored outcome of the claim. */
+    /** Answers the caller with the outcome stored for the claim. */
     record DeliverStored(RequestId request) implements EntryEffect {}
 
-    /** Answer with an error. */
+    /** Answers the caller with an error. */
     record DeliverFailure(RequestId request, Failure failure) implements EntryEffect {}
 
-    /** Drop what is kept for a request; no further effect names it. */
+    /** Discards everything held for a request; no later effect refers to it. */
     record Forget(RequestId request) implements EntryEffect {}
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEvent.java
@@ -9,30 +9,30 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** What an entry's dispatcher reacts to. */
+/** An input of {@link EntryDispatcher}. */
 public sealed interface EntryEvent {
-    /** A caller sent a request that passed the checks of its form. */
+    /** A caller sent a well-formed request. */
     record RequestArrived(RequestSpec request) implements EntryEvent {}
 
     /** The caller closed its connection before the answer was complete. */
     record CallerGone(RequestId request) implements EntryEvent {}
 
-    /** The store answered an order to create or move a claim. */
+    /** The store answered an attempt to create, move or take over a claim. */
     record ClaimAnswered(RequestId request, ClaimAnswer answer) implements EntryEvent {}
 
     /** A link to an agent is up. */
     record LinkUp(UpstreamDescription upstream) implements EntryEvent {}
 
-    /** The link to an agent was lost or is silent. */
+    /** The link to an agent was lost or timed out. */
     record LinkDown(String upstreamId) implements EntryEvent {}
 
-    /** An agent announced that it leaves, or the VM list says so. */
+    /** An agent announced its departure, or the VM list shows it as leaving. */
     record UpstreamLeaving(String upstreamId) implements EntryEvent {}
 
     /**
      * An agent reported its load.
      *
-     * @param versions versions that the upstream serves
+     * @param versions versions that the upstream serves; empty leaves the known versions unchanged
      */
     record LoadReported(String upstreamId, LoadReport report, boolean upstreamAlive, Set<String> versions)
             implements EntryEvent {
@@ -41,10 +41,10 @@
         }
     }
 
-    /** An agent queued the request. */
+    /** An agent queued the request or attached it to a run. */
     record Accepted(RequestId request, DispatchId dispatch) implements EntryEvent {}
 
-    /** An agent refused the request before any upstream saw it. */
+    /** An agent refused the dispatch, which therefore did not reach an upstream. */
     record NotRun(RequestId request, DispatchId dispatch, Failure failure) implements EntryEvent {}
 
     /** An agent never received the request and will refuse a late copy. */
@@ -60,9 +60,9 @@
     /** The run failed at the agent or the upstream. */
     record Failed(RequestId request, DispatchId dispatch, Failure failure) implements EntryEvent {}
 
-    /** Time passed. */
+    /** A periodic timer fired. */
     record Tick() implements EntryEvent {}
 
-    /** The entry is asked to shut down without cutting requests. */
+    /** The entry was asked to shut down after its current requests have completed. */
     record DrainStarted() implements EntryEvent {}
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/OutputSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/OutputSteps.java
@@ -12,7 +12,7 @@
         this.effects = effects;
     }
 
-    /** Sends each attached reader what it lacks, and the end once all output is sent. */
+    /** Sends output that is not yet sent to each attached reader, and the end of the run once all output is sent. */
     void send(Run run) {
         for (Run.Reader reader : run.readers.values()) {
             if (reader.attached()) {
@@ -41,7 +41,7 @@
                 reader.link, reader.request, reader.dispatch, run.id(), run.producedBytes));
     }
 
-    /** Drops output that every reader has acknowledged, unless later readers need it. */
+    /** Discards output that every reader has acknowledged, unless later readers may need it. */
     void trim(Run run) {
         if (run.keepsAllOutput()) {
             return;
--- a/core/src/main/java/dev/wigeonward/core/dispatch/Flight.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/PendingRequest.java
@@ -6,9 +6,9 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** A request between its arrival and its answer, as the entry keeps it. */
-final class Flight {
-    /** Where a request is. */
+/** State that an entry holds for a request from its arrival to the end of its answer. */
+final class PendingRequest {
+    /** Progress of a request. */
     enum Phase {
         QUEUED,
         CLAIMING,
@@ -24,33 +24,34 @@
     long serviceMillis;
     int attempts;
     int reattaches;
-    int claimRounds;
+    int claimConflicts;
     DispatchId dispatch;
-    /** True once the store granted the claim to this request, so that no other copy of it can have run. */
+    /** Whether the store granted the claim to this request, which proves that no other copy of it ran. */
     boolean claimOwned;
 
-    /** Claim of another request that this one found. */
-    String foundClaimId;
-    /** Request that holds the found claim. */
-    RequestId foundRequest;
+    /** Claim on the key of this request that belongs to another request; null if none was found. */
+    String otherClaimId;
+    /** Request that holds the other claim. */
+    RequestId otherClaimant;
 
     long receivedBytes;
     long acknowledgedBytes;
-    /** When the link was lost, or a negative value while it is up. */
+    /** Time at which the link to the agent was lost; negative while it is up. */
     long detachedAtMillis = -1;
 
     boolean callerGone;
 
-    Flight(RequestSpec request) {
+    PendingRequest(RequestSpec request) {
         this.request = Objects.requireNonNull(request, "request");
     }
 
-    /** Returns whether a durable claim guards the request. */
+    /** Returns whether the request needs a durable claim, which is the case if it is not idempotent. */
     boolean claimed() {
         return !request.idempotent();
     }
 
-    boolean waitsFor(DispatchId answered) {
+    /** Returns whether the request is dispatched and the given dispatch is its current one. */
+    boolean isDispatchedAs(DispatchId answered) {
         return phase == Phase.DISPATCHED && answered.equals(dispatch);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/RetryPermits.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/RetryPermits.java
@@ -1,14 +1,14 @@
 package dev.wigeonward.core.dispatch;
 
-/** Decides whether a request that provably did not run may be sent to another upstream. */
+/** Limits how often requests that provably did not run are dispatched again. */
 public interface RetryPermits {
-    /** Counts a request that arrived. */
+    /** Records the arrival of a request. */
     void onRequest(long nowMillis);
 
-    /** Returns whether one more retry is allowed now, and counts it if so. */
+    /** Acquires a permit for one retry; returns false if none is available. */
     boolean tryAcquire(long nowMillis);
 
-    /** Returns permits without a limit. */
+    /** Returns an instance that permits every retry. */
     static RetryPermits unlimited() {
         return new RetryPermits() {
             @Override
--- a/core/src/main/java/dev/wigeonward/core/dispatch/Run.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/Run.java
@@ -9,9 +9,9 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** One execution of a request at the upstream, with the entries that read its output. */
+/** One execution of a request at the upstream, with the readers of its output. */
 final class Run {
-    /** Where a run is. */
+    /** Progress of a run. */
     enum Phase {
         QUEUED,
         RUNNING,
@@ -44,14 +44,14 @@
         endedAtMillis = nowMillis;
     }
 
-    /** Output of a run with a key is kept from its start, for callers that send the key again. */
+    /** Returns whether all output is stored, which a run with a key needs for callers that send the key again. */
     boolean keepsAllOutput() {
         return request.key().isPresent();
     }
 
-    /** A request of an entry that reads the output of a run. */
+    /** Position of one request, and of the entry that sent it, in the output of a run. */
     static final class Reader {
-        /** Link number of a reader whose link was lost. */
+        /** Link number of a detached reader, whose link was lost. */
         static final long NO_LINK = -1;
 
         final RequestId request;
--- a/core/src/main/java/dev/wigeonward/core/dispatch/RunMemory.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/RunMemory.java
@@ -10,22 +10,22 @@
 import dev.wigeonward.core.request.RequestSpec;
 
 /**
- * What an agent remembers of requests beyond their runs: which ones its upstream got, and which dispatches it answered
- * as not run. Without it, an entry that asks for a run that was cancelled or forgotten would be told that the request
- * was never received, and a late copy of a refused dispatch would start a run. Not thread-safe.
+ * Bounded record of the requests that the upstream received and of the dispatches that were answered as not run, kept
+ * after their runs are removed. Without it, an entry that reattaches to a cancelled or removed run would be told that
+ * the request was never received, and a late copy of a refused dispatch would start a run. Not thread-safe.
  */
 final class RunMemory {
-    /** A claim names the agent for this long, and a resend may ask about it at any time. */
+    /** How long a claim refers to this agent; a resend may attach to the claim at any time until then. */
     private static final long CLAIMED_MILLIS = 24L * 3_600 * 1_000;
 
-    /** An entry asks until the deadline of the request; copies of frames may arrive somewhat later. */
+    /** Margin for copies of frames that arrive after the deadline, up to which an entry asks for the request. */
     private static final long AFTER_DEADLINE_MILLIS = 60_000;
 
     private final int maxEntries;
     private final Map<RequestId, Long> ran = new HashMap<>();
     private final Map<DispatchId, Long> refused = new HashMap<>();
     private final PriorityQueue<Expiry> expiries = new PriorityQueue<>(Comparator.comparingLong(Expiry::untilMillis));
-    /** Until when a request that is not remembered may have been dropped for lack of room. */
+    /** Time until which a missing request may have run, because its entry was evicted before it expired. */
     private long incompleteUntilMillis = Long.MIN_VALUE;
 
     private record Expiry(long untilMillis, RequestId run, DispatchId dispatch) {}
@@ -34,20 +34,20 @@
         this.maxEntries = maxEntries;
     }
 
-    /** Records that a request is handed to the upstream. */
-    void ran(RequestSpec request, long nowMillis) {
+    /** Records that a request is submitted to the upstream. */
+    void recordRun(RequestSpec request, long nowMillis) {
         long untilMillis = request.idempotent() ? untilMillis(request) : nowMillis + CLAIMED_MILLIS;
         ran.put(request.id(), untilMillis);
         add(new Expiry(untilMillis, request.id(), null), nowMillis);
     }
 
-    /** Records that the upstream provably never saw a request that was to be handed to it. */
-    void didNotRun(RequestId request) {
+    /** Removes the record of a submitted request that provably never reached the upstream. */
+    void recordNotRun(RequestId request) {
         ran.remove(request);
     }
 
     /** Records that a dispatch was answered as not run. */
-    void refused(RequestSpec request, DispatchId dispatch, long nowMillis) {
+    void recordRefusal(RequestSpec request, DispatchId dispatch, long nowMillis) {
         long untilMillis = untilMillis(request);
         refused.put(dispatch, untilMillis);
         add(new Expiry(untilMillis, null, dispatch), nowMillis);
@@ -79,17 +79,17 @@
         }
     }
 
-    /** Returns whether the upstream got the request, as far as is remembered. */
+    /** Returns whether the request is recorded as submitted to the upstream. */
     boolean hasRun(RequestId request) {
         return ran.containsKey(request);
     }
 
-    /** Returns whether the upstream got the request, or may have got it before it was dropped from this memory. */
+    /** Returns whether the request was submitted to the upstream, or may have been and was evicted from this record. */
     boolean mayHaveRun(RequestId request, long nowMillis) {
         return ran.containsKey(request) || nowMillis < incompleteUntilMillis;
     }
 
-    /** Returns whether the dispatch was answered as not run. */
+    /** Returns whether the dispatch is recorded as answered with "not run". */
     boolean wasRefused(DispatchId dispatch) {
         return refused.containsKey(dispatch);
     }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/SuspectGate.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/SuspectGate.java
@@ -2,28 +2,28 @@
 
 import dev.wigeonward.core.request.RequestSpec;
 
-/** Holds back requests that were running on upstreams that died. */
+/** Policy that limits the dispatch of requests that were running on upstreams when these died. */
 public interface SuspectGate {
-    /** What to do with a request. */
+    /** Decision on a request. */
     enum Ruling {
-        /** Run it. */
+        /** The request may be dispatched. */
         PASS,
-        /** Refuse it for now, since a suspect runs at one upstream at a time. */
+        /** The request is refused for now, because a suspect request may run on only one upstream at a time. */
         WAIT,
-        /** Refuse it. */
+        /** The request is refused. */
         REFUSE
     }
 
-    /** Returns the ruling for a request that is about to be dispatched. */
+    /** Returns the decision on a request that arrives or is about to be dispatched. */
     Ruling rule(RequestSpec request, long nowMillis);
 
-    /** Counts a dispatch. */
+    /** Records that the request was dispatched. */
     void onDispatched(RequestSpec request, long nowMillis);
 
-    /** Counts the end of a dispatch. */
+    /** Records that a dispatch of the request ended. */
     void onEnded(RequestSpec request, long nowMillis);
 
-    /** Returns a gate that lets all requests pass. */
+    /** Returns a gate that passes every request. */
     static SuspectGate open() {
         return new SuspectGate() {
             @Override
--- a/core/src/main/java/dev/wigeonward/core/dispatch/UpstreamDirectory.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/UpstreamDirectory.java
@@ -11,47 +11,47 @@
 import dev.wigeonward.core.placement.UpstreamPool;
 import dev.wigeonward.core.placement.UpstreamState;
 
-/** The upstreams that an entry knows, and the pools of those that may get new work. */
+/** The upstreams known to an entry, and pools of the usable ones by target and version. */
 final class UpstreamDirectory {
-    private final Map<String, Known> known = new HashMap<>();
+    private final Map<String, Upstream> upstreamsById = new HashMap<>();
     private final Map<String, Map<String, UpstreamPool>> pools = new HashMap<>();
     private final Map<String, Integer> slotsByTarget = new HashMap<>();
 
-    /** Returns whether the agent behind the id was restarted since the last link. */
-    boolean linkUp(UpstreamDescription description) {
-        Known previous = known.get(description.upstreamId());
+    /** Records a new link and returns whether the agent was restarted since its previous link. */
+    boolean onLinkUp(UpstreamDescription description) {
+        Upstream previous = upstreamsById.get(description.upstreamId());
         boolean restarted = previous != null && previous.description().incarnation() != description.incarnation();
         if (previous != null) {
             previous.linked = false;
-            refresh(previous);
+            updatePools(previous);
         }
-        Known next = previous == null || restarted ? new Known(UpstreamState.of(description)) : previous;
+        Upstream next = previous == null || restarted ? new Upstream(UpstreamState.of(description)) : previous;
         next.linked = true;
-        known.put(description.upstreamId(), next);
-        refresh(next);
+        upstreamsById.put(description.upstreamId(), next);
+        updatePools(next);
         return restarted;
     }
 
-    void linkDown(String upstreamId) {
-        Known upstream = known.get(upstreamId);
+    void onLinkDown(String upstreamId) {
+        Upstream upstream = upstreamsById.get(upstreamId);
         if (upstream == null) {
             return;
         }
         upstream.linked = false;
-        refresh(upstream);
+        updatePools(upstream);
     }
 
-    void leaving(String upstreamId) {
-        Known upstream = known.get(upstreamId);
+    void onLeaving(String upstreamId) {
+        Upstream upstream = upstreamsById.get(upstreamId);
         if (upstream == null) {
             return;
         }
         upstream.leaving = true;
-        refresh(upstream);
+        updatePools(upstream);
     }
 
-    void load(EntryEvent.LoadReported load, long nowMillis) {
-        Known upstream = known.get(load.upstreamId());
+    void onLoad(EntryEvent.LoadReported load, long nowMillis) {
+        Upstream upstream = upstreamsById.get(load.upstreamId());
         if (upstream == null) {
             return;
         }
@@ -60,7 +60,7 @@
         if (!load.versions().isEmpty()) {
             upstream.versions = load.versions();
         }
-        refresh(upstream);
+        updatePools(upstream);
     }
 
     /** Returns the versions of a target that have usable upstreams. */
@@ -72,53 +72,55 @@
         return Optional.ofNullable(pools.getOrDefault(target, Map.of()).get(version));
     }
 
-    /** Returns the state of an upstream that may get new work. */
+    /** Returns the state of an upstream if new requests may be dispatched to it. */
     Optional<UpstreamState> usable(String upstreamId) {
-        return Optional.ofNullable(known.get(upstreamId)).filter(Known::usable).map(upstream -> upstream.state);
+        return Optional.ofNullable(upstreamsById.get(upstreamId))
+                .filter(Upstream::usable)
+                .map(upstream -> upstream.state);
     }
 
     Optional<UpstreamState> find(String upstreamId) {
-        return Optional.ofNullable(known.get(upstreamId)).map(upstream -> upstream.state);
+        return Optional.ofNullable(upstreamsById.get(upstreamId)).map(upstream -> upstream.state);
     }
 
     boolean linked(String upstreamId) {
-        Known upstream = known.get(upstreamId);
+        Upstream upstream = upstreamsById.get(upstreamId);
         return upstream != null && upstream.linked;
     }
 
-    /** Returns the slots of all usable upstreams of a target. */
+    /** Returns the total number of slots of the usable upstreams of a target. */
     int slots(String target) {
         return slotsByTarget.getOrDefault(target, 0);
     }
 
     Set<String> upstreamIds() {
-        return Set.copyOf(known.keySet());
+        return Set.copyOf(upstreamsById.keySet());
     }
 
-    /** Forgets an upstream without a link. */
+    /** Removes an upstream unless it has a link. */
     void forget(String upstreamId) {
-        Known upstream = known.get(upstreamId);
+        Upstream upstream = upstreamsById.get(upstreamId);
         if (upstream != null && !upstream.linked) {
-            known.remove(upstreamId);
+            upstreamsById.remove(upstreamId);
         }
     }
 
-    private void refresh(Known upstream) {
+    private void updatePools(Upstream upstream) {
         UpstreamDescription description = upstream.description();
-        Set<String> wanted = upstream.usable() ? upstream.versions : Set.of();
-        if (wanted.equals(upstream.pooledVersions)) {
+        Set<String> newVersions = upstream.usable() ? upstream.versions : Set.of();
+        if (newVersions.equals(upstream.pooledVersions)) {
             return;
         }
-        for (String version : Sets.difference(upstream.pooledVersions, wanted)) {
+        for (String version : Sets.difference(upstream.pooledVersions, newVersions)) {
             removeFromPool(description, version);
         }
-        for (String version : Sets.difference(wanted, upstream.pooledVersions)) {
+        for (String version : Sets.difference(newVersions, upstream.pooledVersions)) {
             pools.computeIfAbsent(description.target(), target -> new TreeMap<>())
                     .computeIfAbsent(version, name -> UpstreamPool.create())
                     .put(upstream.state);
         }
-        countSlots(upstream, wanted);
-        upstream.pooledVersions = Set.copyOf(wanted);
+        updateSlots(upstream, newVersions);
+        upstream.pooledVersions = Set.copyOf(newVersions);
     }
 
     private void removeFromPool(UpstreamDescription description, String version) {
@@ -130,17 +132,17 @@
         }
     }
 
-    /** An upstream that holds several versions has its slots once. */
-    private void countSlots(Known upstream, Set<String> wanted) {
+    /** Updates the slots of the target; an upstream counts once, however many versions it serves. */
+    private void updateSlots(Upstream upstream, Set<String> newVersions) {
         int slots = upstream.description().slots();
-        if (upstream.pooledVersions.isEmpty() && !wanted.isEmpty()) {
+        if (upstream.pooledVersions.isEmpty() && !newVersions.isEmpty()) {
             slotsByTarget.merge(upstream.description().target(), slots, Integer::sum);
-        } else if (!upstream.pooledVersions.isEmpty() && wanted.isEmpty()) {
+        } else if (!upstream.pooledVersions.isEmpty() && newVersions.isEmpty()) {
             slotsByTarget.merge(upstream.description().target(), -slots, Integer::sum);
         }
     }
 
-    private static final class Known {
+    private static final class Upstream {
         private final UpstreamState state;
         private boolean linked;
         private boolean leaving;
@@ -148,7 +150,7 @@
         private Set<String> versions;
         private Set<String> pooledVersions = Set.of();
 
-        private Known(UpstreamState state) {
+        private Upstream(UpstreamState state) {
             this.state = state;
             this.versions = Set.of(state.description().version());
         }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/package-info.java
@@ -1,2 +1,5 @@
-/** Dispatch of requests: the decision cores of the entry and of the agent, at most one dispatch for each request. */
+/**
+ * Dispatch of requests: the state machines of the entry and of the agent. A request is dispatched again only after its
+ * earlier dispatch provably did not run.
+ */
 package dev.wigeonward.core.dispatch;
--- a/core/src/main/java/dev/wigeonward/core/order/OrderEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderEffect.java
@@ -1,13 +1,13 @@
 package dev.wigeonward.core.order;
 
-/** What the agent's order gate asks its adapters to do. */
+/** An action that {@link OrderGate} asks its adapters to carry out. */
 public sealed interface OrderEffect {
-    /** Read the creation revision of the controller key from the store. */
+    /** Reads the creation revision of the controller key from the store. */
     record ReadFencingNumber() implements OrderEffect {}
 
-    /** Hand the order to the engine. */
+    /** Submits the order to the engine. */
     record RunOrder(Order order) implements OrderEffect {}
 
-    /** Tell the sender of an order what became of it. */
+    /** Sends the result of an order to its sender. */
     record Answer(String orderId, OrderResult result) implements OrderEffect {}
 }
--- a/core/src/main/java/dev/wigeonward/core/order/OrderEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderEvent.java
@@ -2,24 +2,25 @@
 
 import com.google.common.base.Preconditions;
 
-/** What the agent's order gate reacts to. */
+/** An input of {@link OrderGate}. */
 public sealed interface OrderEvent {
     /** An order arrived on a link. */
     record OrderReceived(Order order) implements OrderEvent {}
 
-    /** A peer reported the fencing number of the controller that it knows. */
+    /** A peer reported the fencing number of the controller known to it. */
     record FencingSeen(long fencingNumber) implements OrderEvent {}
 
-    /** The store answered with the creation revision of the controller key; 0 if the key does not exist. */
+    /** The store returned the creation revision of the controller key; 0 if the key does not exist. */
     record FencingRead(long fencingNumber) implements OrderEvent {
         public FencingRead {
-            Preconditions.checkArgument(fencingNumber >= 0, "fencingNumber is %s", fencingNumber);
+            Preconditions.checkArgument(
+                    fencingNumber >= 0, "fencingNumber must not be negative, but is %s", fencingNumber);
         }
     }
 
-    /** The store did not answer the read. */
+    /** The store did not answer the read of the controller key. */
     record StoreUnavailable() implements OrderEvent {}
 
-    /** The engine finished an order, with an empty reason if it succeeded. */
+    /** The engine finished an order; the failure reason is empty if the order succeeded. */
     record EngineFinished(String orderId, String failureReason) implements OrderEvent {}
 }
--- a/core/src/main/java/dev/wigeonward/core/order/OrderGate.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderGate.java
@@ -8,19 +8,19 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Decides at an agent which orders reach the engine.
+ * State machine of one agent that decides which orders are submitted to its engine.
  *
  * <p>An order with a lower fencing number than the highest seen is refused here, because some engines ignore the
- * number. The memory of the highest number is lost with the process, so a new gate runs nothing before it has read the
- * number from the store. Not safe for use by several threads.
+ * number. The highest number seen is not persisted, so a new gate submits nothing until it has read the number from the
+ * store. Not thread-safe.
  */
 public final class OrderGate {
     private static final int MAX_WAITING_ORDERS = 64;
     private static final int MAX_RUNNING_ORDERS = 16;
-    /** Covers repetitions by the next controllers; a load that is repeated after that is a no-op at the engine. */
-    private static final int MAX_REMEMBERED_RESULTS = 1_024;
+    /** Enough for repetitions by later controllers; a load repeated after its result was removed has no effect. */
+    private static final int MAX_RESULTS = 1_024;
 
-    private final int rememberedResults;
+    private final int maxResults;
     private final Map<String, OrderResult> results = new LinkedHashMap<>();
     private final Map<String, Order> running = new LinkedHashMap<>();
     private final Map<String, Order> waiting = new LinkedHashMap<>();
@@ -28,45 +28,49 @@
     private boolean confirmedByStore;
     private boolean readOutstanding;
 
+    /** Creates a gate that has not read the fencing number and stores up to {@link #MAX_RESULTS} results. */
     public OrderGate() {
-        this(MAX_REMEMBERED_RESULTS);
+        this(MAX_RESULTS);
     }
 
-    OrderGate(int rememberedResults) {
-        Preconditions.checkArgument(rememberedResults > 0, "rememberedResults is %s", rememberedResults);
-        this.rememberedResults = rememberedResults;
+    OrderGate(int maxResults) {
+        Preconditions.checkArgument(maxResults > 0, "maxResults must be positive, but is %s", maxResults);
+        this.maxResults = maxResults;
     }
 
-    /** Returns what to do about the event, in this order. */
+    /** Applies an event and returns its effects, in the order in which they must be carried out. */
     public List<OrderEffect> handle(OrderEvent event) {
         List<OrderEffect> effects = new ArrayList<>();
         if (event instanceof OrderEvent.OrderReceived received) {
-            receive(received.order(), effects);
+            onOrderReceived(received.order(), effects);
         } else if (event instanceof OrderEvent.FencingSeen seen) {
             highestFencingNumber = Math.max(highestFencingNumber, seen.fencingNumber());
         } else if (event instanceof OrderEvent.FencingRead read) {
-            readAnswered(read.fencingNumber(), effects);
+            onFencingRead(read.fencingNumber(), effects);
         } else if (event instanceof OrderEvent.StoreUnavailable) {
             refuseWaiting("the store did not confirm the fencing number", effects);
         } else if (event instanceof OrderEvent.EngineFinished finished) {
-            finish(finished, effects);
+            onEngineFinished(finished, effects);
         }
         return effects;
     }
 
-    /** Returns the highest fencing number seen since the start, 0 if none. */
+    /** Returns the highest fencing number seen since the start of the process, or 0 if none. */
     public long highestFencingNumber() {
         return highestFencingNumber;
     }
 
-    private void receive(Order order, List<OrderEffect> effects) {
+    private void onOrderReceived(Order order, List<OrderEffect> effects) {
         highestFencingNumber = Math.max(highestFencingNumber, order.fencingNumber());
         if (confirmedByStore) {
             decide(order, effects);
             return;
         }
         if (!waiting.containsKey(order.orderId()) && waiting.size() >= MAX_WAITING_ORDERS) {
-            refuse(order, "too many orders wait for the store", effects);
+            refuse(
+                    order,
+                    "the limit of %d orders waiting for the store is reached".formatted(MAX_WAITING_ORDERS),
+                    effects);
             return;
         }
         waiting.merge(order.orderId(), order, (a, b) -> a.fencingNumber() > b.fencingNumber() ? a : b);
@@ -77,10 +81,11 @@
     }
 
     /**
-     * Without a controller in the store nothing shows how old the waiting orders are: a newer lease than theirs may
-     * have ended, after its orders ran at an earlier incarnation.
+     * Handles the fencing number read from the store. Without a controller key in the store, the waiting orders cannot
+     * be shown to be current: a newer lease than theirs may have ended after its orders ran at an earlier incarnation
+     * of the agent.
      */
-    private void readAnswered(long fencingNumber, List<OrderEffect> effects) {
+    private void onFencingRead(long fencingNumber, List<OrderEffect> effects) {
         if (fencingNumber == 0) {
             refuseWaiting("no controller holds the lease", effects);
             return;
@@ -99,7 +104,11 @@
 
     private void decide(Order order, List<OrderEffect> effects) {
         if (order.fencingNumber() < highestFencingNumber) {
-            refuse(order, "fencing number " + order.fencingNumber() + " is old", effects);
+            refuse(
+                    order,
+                    "fencing number %d is lower than the highest seen, %d"
+                            .formatted(order.fencingNumber(), highestFencingNumber),
+                    effects);
             return;
         }
         OrderResult known =
@@ -109,7 +118,7 @@
             return;
         }
         if (running.size() >= MAX_RUNNING_ORDERS) {
-            refuse(order, "too many orders are running", effects);
+            refuse(order, "the limit of %d running orders is reached".formatted(MAX_RUNNING_ORDERS), effects);
             return;
         }
         running.put(order.orderId(), order);
@@ -128,7 +137,7 @@
         orders.forEach(order -> refuse(order, reason, effects));
     }
 
-    private void finish(OrderEvent.EngineFinished finished, List<OrderEffect> effects) {
+    private void onEngineFinished(OrderEvent.EngineFinished finished, List<OrderEffect> effects) {
         if (running.remove(finished.orderId()) == null) {
             return;
         }
@@ -136,7 +145,7 @@
                 ? new OrderResult.Done()
                 : new OrderResult.Failed(finished.failureReason());
         results.put(finished.orderId(), result);
-        if (results.size() > rememberedResults) {
+        if (results.size() > maxResults) {
             results.remove(results.keySet().iterator().next());
         }
         effects.add(new OrderEffect.Answer(finished.orderId(), result));
--- a/core/src/main/java/dev/wigeonward/core/order/OrderResult.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderResult.java
@@ -1,16 +1,16 @@
 package dev.wigeonward.core.order;
 
-/** What became of an order at an agent. */
+/** The result of an order at an agent. */
 public sealed interface OrderResult {
-    /** The engine received the order and works on it. */
+    /** The order was submitted to the engine and is in progress. */
     record Started() implements OrderResult {}
 
-    /** The engine carried the order out. */
+    /** The engine completed the order. */
     record Done() implements OrderResult {}
 
-    /** The engine tried and reported an error. */
+    /** The engine reported an error while carrying out the order. */
     record Failed(String reason) implements OrderResult {}
 
-    /** The order was not handed to the engine; the highest fencing number known to the agent comes with it. */
+    /** The order was not submitted to the engine; includes the highest fencing number known to the agent. */
     record Refused(String reason, long highestFencingNumber) implements OrderResult {}
 }
--- a/core/src/main/java/dev/wigeonward/core/order/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/order/package-info.java
@@ -1,2 +1,2 @@
-/** Orders to engines: fencing at the agent, so that a former controller changes nothing. */
+/** Orders of the controller to engines, fenced at the agent so that orders of a former controller have no effect. */
 package dev.wigeonward.core.order;
--- a/core/src/test/java/dev/wigeonward/core/dispatch/AgentDispatcherFaultTest.java
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/AgentDispatcherFaultTest.java
@@ -29,18 +29,24 @@
                     new EngineLimits(2, 100_000, 0, 8), new EngineSpeed(1_000, 100), WorkspaceWeights.equal()),
             AgentLimits.defaults());
 
-    /** Guards against a second run elsewhere of a request whose run was cancelled after its link was lost. */
+    /**
+     * Guards against a second run at another agent: a run that was cancelled after its link was lost must not be
+     * reported as never received.
+     */
     @Test
-    void cancelledRunIsNotDeclaredAsNeverReceived() {
+    void cancelledRunIsNotReportedAsNeverReceived() {
         agent.handle(dispatch(1, PLAIN, 1), 0);
         agent.handle(new AgentEvent.LinkLost(1), 0);
         agent.handle(new AgentEvent.Tick(), 5_000);
         assertThat(failureOf(agent.handle(reattach(2, PLAIN, 1), 5_500))).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
     }
 
-    /** Guards against a second run elsewhere of a claimed request that still runs here. */
+    /**
+     * Guards against a second run at another agent: a claimed request still runs after its reader was removed, and a
+     * reattach must find that run.
+     */
     @Test
-    void claimedRunIsFoundAgainAfterItsReaderWasDropped() {
+    void reattachFindsClaimedRunAfterItsReaderWasRemoved() {
         agent.handle(dispatch(1, CLAIMED, 1), 0);
         agent.handle(new AgentEvent.LinkLost(1), 0);
         agent.handle(new AgentEvent.Tick(), 5_000);
@@ -48,9 +54,12 @@
                 .containsExactly(new AgentEffect.SendAccepted(2, CLAIMED.id(), id(CLAIMED, 1)));
     }
 
-    /** Guards against the takeover of a claim whose outcome was kept for 10 minutes and then dropped. */
+    /**
+     * Guards against the takeover of a claim whose request ran: its outcome is removed after 10 minutes, and a later
+     * attach must not be answered as never received.
+     */
     @Test
-    void forgottenOutcomeIsNotDeclaredAsNeverReceived() {
+    void removedOutcomeIsNotReportedAsNeverReceived() {
         agent.handle(dispatch(1, CLAIMED, 1), 0);
         agent.handle(new AgentEvent.UpstreamFinished(CLAIMED.id()), 10);
         agent.handle(new AgentEvent.LinkLost(1), 10);
@@ -67,7 +76,7 @@
         return new AgentEvent.DispatchArrived(2, request, id(request, 1), INCARNATION, Optional.of(CLAIMED.id()));
     }
 
-    /** Guards against a claim that is taken over because an attach to it overtook the dispatch of its request. */
+    /** Guards against the takeover of a claim because an attach to it overtook the dispatch of the claiming request. */
     @Test
     void attachThatOvertakesTheDispatchJoinsItsRun() {
         RequestSpec resend = request("r2", false);
@@ -78,21 +87,21 @@
                         new AgentEffect.SendAccepted(2, resend.id(), id(resend, 1)));
     }
 
-    /** Guards against an attach that is never answered because the entry of the claiming request died. */
+    /** Guards against an attach that is never answered because the entry died between its claim and its dispatch. */
     @Test
     void attachIsAnsweredWhenTheDispatchDoesNotCome() {
         RequestSpec resend = request("r2", false);
         agent.handle(attach(resend), 0);
-        assertThat(agent.handle(new AgentEvent.Tick(), EarlyAttaches.PATIENCE_MILLIS - 1))
+        assertThat(agent.handle(new AgentEvent.Tick(), EarlyAttaches.MAX_WAIT_MILLIS - 1))
                 .isEmpty();
-        assertThat(agent.handle(new AgentEvent.Tick(), EarlyAttaches.PATIENCE_MILLIS))
+        assertThat(agent.handle(new AgentEvent.Tick(), EarlyAttaches.MAX_WAIT_MILLIS))
                 .containsExactly(new AgentEffect.SendUnseen(2, resend.id(), id(resend, 1)));
         assertThat(agent.handle(dispatch(1, CLAIMED, 1), 400))
                 .singleElement()
                 .isInstanceOf(AgentEffect.SendNotRun.class);
     }
 
-    /** Guards against a run that is started by a late copy of a dispatch that was answered as not run. */
+    /** Guards against a run started by a late copy of a dispatch that was already answered as not run. */
     @Test
     void copyOfRefusedDispatchStartsNothing() {
         agent.handle(new AgentEvent.UpstreamDied(), 0);
@@ -102,7 +111,7 @@
         assertThat(agent.handle(dispatch(1, PLAIN, 2), 10)).contains(new AgentEffect.SubmitToUpstream(PLAIN.id()));
     }
 
-    /** Guards against a second run that is started by a late copy of the dispatch of a finished one. */
+    /** Guards against a second run started by a late copy of a dispatch whose run has finished and been removed. */
     @Test
     void copyOfFinishedDispatchStartsNothing() {
         agent.handle(dispatch(1, PLAIN, 1), 0);
@@ -111,17 +120,17 @@
         assertThat(failureOf(agent.handle(dispatch(1, PLAIN, 1), 30))).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
     }
 
-    /** Guards against "not run" from an agent that knows nothing of what its older incarnation ran. */
+    /** Guards against a "not run" answer from an agent that has no record of what an earlier incarnation ran. */
     @Test
-    void dispatchForOlderIncarnationHasUnknownOutcome() {
+    void dispatchToEarlierIncarnationHasUnknownOutcome() {
         List<AgentEffect> effects = agent.handle(
                 new AgentEvent.DispatchArrived(1, PLAIN, id(PLAIN, 1), INCARNATION - 1, Optional.empty()), 0);
         assertThat(failureOf(effects)).isEqualTo(ErrorKind.UPSTREAM_LOST);
     }
 
-    /** Guards against a caller that waits for output which was lost with the old link. */
+    /** Guards against a caller that waits forever for output that was lost with the old link. */
     @Test
-    void repeatedDispatchGetsUnconfirmedOutputAgain() {
+    void repeatedDispatchReceivesUnacknowledgedOutputAgain() {
         agent.handle(dispatch(1, PLAIN, 1), 0);
         agent.handle(new AgentEvent.UpstreamOutput(PLAIN.id(), 10), 10);
         agent.handle(new AgentEvent.UpstreamFinished(PLAIN.id()), 20);
@@ -130,9 +139,9 @@
                 .contains(new AgentEffect.SendOutput(2, PLAIN.id(), id(PLAIN, 1), PLAIN.id(), 0, 10));
     }
 
-    /** Guards against a shutdown that drops an answer whose reader's link was lost a moment before. */
+    /** Guards against a shutdown that loses an answer whose link was lost before the answer was acknowledged. */
     @Test
-    void drainWaitsForReaderThatHasNotConfirmedItsAnswer() {
+    void drainWaitsForReaderThatHasNotAcknowledgedItsAnswer() {
         agent.handle(dispatch(1, PLAIN, 1), 0);
         agent.handle(new AgentEvent.DrainStarted(), 0);
         agent.handle(new AgentEvent.UpstreamFinished(PLAIN.id()), 10);
--- a/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
@@ -46,7 +46,10 @@
                     SuspectGate.open()),
             DispatchLimits.defaults());
 
-    /** Guards against a kind for keyed requests that reaches one whose resend nothing guards. */
+    /**
+     * Guards against an error kind meant for claimed requests in the refusal of a request without a key, whose resends
+     * no claim protects.
+     */
     @Test
     void refusalOfRequestWithoutClaimStaysNotRun() {
         RequestSpec idempotent = new RequestSpec(
@@ -68,7 +71,7 @@
                         delivered -> assertThat(delivered.failure().kind()).isEqualTo(ErrorKind.NO_UPSTREAM));
     }
 
-    /** Guards against a false "not run" for a resend, whose first copy may have run, while no upstream is left. */
+    /** Guards against a false "not run" for a resend: no upstream is available, but the first copy may have run. */
     @Test
     void refusalBeforeTheClaimWasReadDoesNotSayNotRun() {
         assertThat(entry.handle(new EntryEvent.RequestArrived(CLAIMED), 0))
@@ -81,8 +84,8 @@
     }
 
     /**
-     * Guards against the takeover of a claim that is in use: a reattach would be answered about the own request, which
-     * the agent never got.
+     * Guards against the takeover of a claim in use: after a reconnect, the agent would answer a reattach for the
+     * attaching request, which it never received, instead of for the claiming one.
      */
     @Test
     void attachIsRepeatedOnNewLink() {
@@ -93,7 +96,7 @@
                         new EntryEffect.SendAttach(CLAIMED.id(), DispatchId.of(CLAIMED.id(), 1), "a1", HOLDER));
     }
 
-    /** Guards against "not run" from an agent that dropped its memory of a run at the deadline. */
+    /** Guards against a takeover based on a late answer: agents may remove the record of a run after its deadline. */
     @Test
     void unseenAfterTheDeadlineIsNoProof() {
         attach();
@@ -108,7 +111,7 @@
         assertThat(effects).noneMatch(EntryEffect.TakeOverClaim.class::isInstance);
     }
 
-    /** Guards against a request that is kept for good, and a drain that never ends, when the store does not answer. */
+    /** Guards against a request that is never removed, and a drain that never ends, when the store does not answer. */
     @Test
     void claimWithoutCallerEndsAtTheDeadline() {
         entry.handle(new EntryEvent.LinkUp(UPSTREAM), 0);
--- a/core/src/test/java/dev/wigeonward/core/order/OrderGateTest.java
+++ b/core/src/test/java/dev/wigeonward/core/order/OrderGateTest.java
@@ -15,31 +15,31 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 class OrderGateTest {
-    /** Guards against an engine that carries out orders of a former controller, also after its agent restarted. */
+    /** Guards against orders of a former controller that reach the engine, including after a restart of the agent. */
     @Property
     void executedFencingNumbersNeverDecrease(@ForAll @Size(max = 60) List<@IntRange(max = 99) Integer> steps) {
         checkExecutedFencingNumbers(() -> new OrderGate()::handle, steps);
     }
 
-    /** Shows that the check above sees a gate that trusts its empty memory after a restart. */
+    /** Verifies that the check rejects a gate that submits orders after a restart without reading the store first. */
     @Test
-    void checkFailsForGateThatTrustsEmptyMemory() {
+    void checkFailsForGateThatDoesNotReadTheStoreAfterRestart() {
         List<Integer> steps = List.of(1, 1, 10, 3, 90, 20);
         checkExecutedFencingNumbers(() -> new OrderGate()::handle, steps);
-        assertThatThrownBy(() -> checkExecutedFencingNumbers(OrderGateTest::trustingGate, steps))
+        assertThatThrownBy(() -> checkExecutedFencingNumbers(OrderGateTest::gateThatDoesNotReadTheStore, steps))
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Shows that the check above sees a gate that leaves fencing to the engine. */
+    /** Verifies that the check rejects a gate that leaves fencing to the engine. */
     @Test
     void checkFailsForGateThatIgnoresFencingNumbers() {
         List<Integer> steps = List.of(1, 1, 10, 3, 20);
         checkExecutedFencingNumbers(() -> new OrderGate()::handle, steps);
-        assertThatThrownBy(() -> checkExecutedFencingNumbers(() -> OrderGateTest::runAlways, steps))
+        assertThatThrownBy(() -> checkExecutedFencingNumbers(() -> OrderGateTest::submitWithoutFencing, steps))
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against an order that runs although nothing confirms its fencing number. */
+    /** Guards against an order that runs although the store is unavailable and cannot confirm its fencing number. */
     @Test
     void firstOrderIsRefusedWhileStoreIsDown() {
         OrderGate gate = new OrderGate();
@@ -51,7 +51,7 @@
         assertThat(gate.handle(received(5, "a"))).containsExactly(new OrderEffect.ReadFencingNumber());
     }
 
-    /** Guards against an order of a former controller that runs while the newer one's lease is over, too. */
+    /** Guards against an order of a former controller that runs after the lease of a newer controller has ended. */
     @Test
     void storeWithoutControllerConfirmsNothing() {
         OrderGate gate = new OrderGate();
@@ -62,7 +62,7 @@
         assertThat(gate.handle(received(5, "a"))).containsExactly(new OrderEffect.ReadFencingNumber());
     }
 
-    /** Guards against a load that runs twice because its answer was lost or the next controller repeats it. */
+    /** Guards against a load that runs twice because its answer was lost or a later controller repeated it. */
     @Test
     void repeatedOrderIsAnsweredWithoutRunning() {
         OrderGate gate = new OrderGate();
@@ -76,12 +76,12 @@
         assertThat(gate.handle(received(6, "a"))).containsExactly(answer("a", new OrderResult.Done()));
         assertThat(gate.handle(received(5, "a"))).singleElement().satisfies(effect -> assertThat(
                         ((OrderEffect.Answer) effect).result())
-                .isEqualTo(new OrderResult.Refused("fencing number 5 is old", 6)));
+                .isEqualTo(new OrderResult.Refused("fencing number 5 is lower than the highest seen, 6", 6)));
     }
 
-    /** Guards against results that fill the memory of an agent. */
+    /** Guards against unbounded growth of the stored results of finished orders. */
     @Test
-    void oldestResultIsDroppedBeyondTheBound() {
+    void oldestResultIsRemovedBeyondTheLimit() {
         OrderGate gate = new OrderGate(2);
         gate.handle(new OrderEvent.FencingRead(1));
         for (String id : List.of("a", "b", "c")) {
@@ -93,8 +93,8 @@
     }
 
     /**
-     * Plays elections, orders of present and former controllers, agent restarts and outages, and fails if an engine is
-     * handed an order with a lower fencing number than one before.
+     * Simulates elections, orders of current and former controllers, agent restarts and store outages, and fails if an
+     * order is submitted to the engine with a lower fencing number than an earlier one.
      */
     private static void checkExecutedFencingNumbers(
             Supplier<Function<OrderEvent, List<OrderEffect>>> gates, List<Integer> steps) {
@@ -129,13 +129,13 @@
         }
     }
 
-    private static Function<OrderEvent, List<OrderEffect>> trustingGate() {
+    private static Function<OrderEvent, List<OrderEffect>> gateThatDoesNotReadTheStore() {
         OrderGate gate = new OrderGate();
         gate.handle(new OrderEvent.FencingRead(1));
         return gate::handle;
     }
 
-    private static List<OrderEffect> runAlways(OrderEvent event) {
+    private static List<OrderEffect> submitWithoutFencing(OrderEvent event) {
         return event instanceof OrderEvent.OrderReceived received
                 ? List.of(new OrderEffect.RunOrder(received.order()))
                 : List.of();
