--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -235,7 +235,7 @@
         emit(new AgentEffect.SendAccepted(arrived.link(), id, arrived.dispatch()));
     }
 
-    /** Permanently rejects a request and reports it as never received, or reports that it may have run. */
+    /** Reports a request as unseen and tombstones it; if it may have run or tombstones are full, as outcome unknown. */
     private void answerNeverReceived(
             long link, RequestId unseen, RequestId answered, DispatchId dispatch, long nowMillis) {
         boolean full = tombstones.size() >= limits.maxTombstones() && !tombstones.contains(unseen);
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -63,7 +63,7 @@
         } else if (event instanceof EntryEvent.ClaimAnswered answered) {
             claims.onClaimAnswered(answered.request(), answered.answer(), nowMillis);
         } else if (event instanceof EntryEvent.Tick) {
-            tick(nowMillis);
+            onTick(nowMillis);
         } else if (event instanceof EntryEvent.DrainStarted) {
             draining = true;
         } else if (!handleUpstream(event, nowMillis)) {
@@ -216,7 +216,7 @@
         dispatchQueued(pending.request.target(), nowMillis);
     }
 
-    private void tick(long nowMillis) {
+    private void onTick(long nowMillis) {
         for (Map.Entry<String, AdmissionQueue> entry : queues.entrySet()) {
             for (RequestSpec expired : entry.getValue().removeExpired(nowMillis)) {
                 fail(
--- a/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
+++ b/core/src/main/java/dev/wigeonward/core/error/ErrorKind.java
@@ -8,8 +8,8 @@
 import java.util.stream.Collectors;
 
 /**
- * The closed list of error kinds, with the answer that callers get for each: HTTP status, whether a resend is useful,
- * and what is known about the run.
+ * The complete set of error kinds, each with what callers are sent for it: the HTTP status, whether a resend may
+ * succeed, and what is known about the run.
  */
 public enum ErrorKind {
     MALFORMED_REQUEST(400, false, RunState.NOT_RUN),
@@ -17,11 +17,11 @@
     UNKNOWN_TARGET(404, false, RunState.NOT_RUN),
     METHOD_NOT_ALLOWED(405, false, RunState.NOT_RUN),
     BODY_TOO_LARGE(413, false, RunState.NOT_RUN),
-    /** The body did not arrive in time. */
+    /** The request body did not arrive in time. */
     BODY_TIMEOUT(408, true, RunState.NOT_RUN),
     HEADERS_TOO_LARGE(431, false, RunState.NOT_RUN),
     IDEMPOTENCY_KEY_REQUIRED(400, false, RunState.NOT_RUN),
-    /** The key was used before with another body. */
+    /** The idempotency key was used before with a different body. */
     IDEMPOTENCY_KEY_REUSED(422, false, RunState.NOT_RUN),
     /** The first copy of the request is still running. */
     IN_PROGRESS(409, true, RunState.UNKNOWN),
@@ -33,11 +33,11 @@
     DEADLINE_EXCEEDED_IN_QUEUE(504, true, RunState.NOT_RUN),
     DEADLINE_EXCEEDED_RUNNING(504, false, RunState.UNKNOWN),
     NO_UPSTREAM(503, true, RunState.NOT_RUN),
-    /** The durable claim of a non-idempotent request could not be made; an earlier copy may hold one. */
+    /** The durable claim of a non-idempotent request could not be created; an earlier copy may hold one. */
     CLAIM_UNAVAILABLE(503, true, RunState.UNKNOWN),
-    /** A non-idempotent request was refused before its claim was read; an earlier copy may have run. */
+    /** The non-idempotent request was refused before its claim was read; an earlier copy may have run. */
     CLAIM_UNREAD(503, true, RunState.UNKNOWN),
-    /** The request was running on several upstreams when they died. */
+    /** Several upstreams died while they ran the request. */
     SUSPECT(422, false, RunState.NOT_RUN),
     SHUTTING_DOWN(503, true, RunState.NOT_RUN),
     NOT_READY(503, true, RunState.NOT_RUN),
@@ -68,12 +68,12 @@
         return Optional.ofNullable(BY_WIRE_NAME.get(wireName));
     }
 
-    /** Returns the HTTP status that callers get. */
+    /** Returns the HTTP status of the answer to the caller. */
     public int httpStatus() {
         return httpStatus;
     }
 
-    /** Returns whether the same request may succeed when the caller sends it again later. */
+    /** Returns whether the same request may succeed if the caller sends it again later. */
     public boolean retryable() {
         return retryable;
     }
--- a/core/src/main/java/dev/wigeonward/core/error/Failure.java
+++ b/core/src/main/java/dev/wigeonward/core/error/Failure.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 
-/** An error kind with a message for the caller. */
+/** An error of a request: its kind and a message for the caller. */
 public record Failure(ErrorKind kind, String message) {
     public Failure {
         Objects.requireNonNull(kind, "kind");
--- a/core/src/main/java/dev/wigeonward/core/error/RunState.java
+++ b/core/src/main/java/dev/wigeonward/core/error/RunState.java
@@ -2,13 +2,13 @@
 
 import java.util.Locale;
 
-/** What is known about whether a request ran at an upstream. */
+/** Knowledge of whether a request ran at an upstream. */
 public enum RunState {
-    /** Provably never handed to an upstream. */
+    /** The request provably never reached an upstream. */
     NOT_RUN,
-    /** Handed over, and nothing proves whether it ran to its end. */
+    /** The request may have reached an upstream, and it is not known whether it ran to completion. */
     UNKNOWN,
-    /** The upstream answered. */
+    /** The upstream answered the request. */
     ANSWERED;
 
     /** Returns the name used in error bodies and on links, for example {@code not_run}. */
--- a/core/src/main/java/dev/wigeonward/core/error/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/error/package-info.java
@@ -1,2 +1,2 @@
-/** The closed list of error kinds and the answer that belongs to each. */
+/** Error kinds and the answers that callers are sent for them. */
 package dev.wigeonward.core.error;
--- a/core/src/main/java/dev/wigeonward/core/membership/ListedVm.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/ListedVm.java
@@ -3,13 +3,13 @@
 import com.google.common.base.Preconditions;
 
 /**
- * A VM of the entry's region in the VM list.
+ * A VM of the entry's region, as shown in the VM list.
  *
- * @param id id of the entry, or of the upstream that the VM's agent serves
- * @param role what the VM runs
- * @param pool model or plain service of an agent; empty for an entry
+ * @param id id of the entry, or of the upstream that belongs to the VM's agent
+ * @param role type of the process that the VM runs
+ * @param pool model or plain service that an agent's upstream serves; empty for an entry
  * @param address numeric IP address and port of the process
- * @param leaving true once the platform plans to take the VM away
+ * @param leaving true once the platform plans to remove the VM
  */
 public record ListedVm(String id, Role role, String pool, String address, boolean leaving) {
     public ListedVm {
@@ -18,7 +18,7 @@
         Preconditions.checkArgument(role == Role.ENTRY || !pool.isEmpty(), "pool of agent %s is empty", id);
     }
 
-    /** What a VM runs. */
+    /** Type of the process that a VM runs. */
     public enum Role {
         ENTRY,
         AGENT
--- a/core/src/main/java/dev/wigeonward/core/membership/Member.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/Member.java
@@ -4,24 +4,24 @@
 import java.util.Deque;
 import java.util.random.RandomGenerator;
 
-/** One upstream that the entry links to, with its current incarnation. */
+/** An upstream to which the entry keeps a link, with its current incarnation and the state of the link. */
 final class Member {
-    /** Marks a time that never comes. */
+    /** Time of an event that is not planned. */
     static final long NEVER_MILLIS = Long.MAX_VALUE;
 
-    /** A late Hello of an incarnation replaced longer ago than this many restarts is not expected. */
-    private static final int REPLACED_REMEMBERED = 8;
+    /** Number of replaced incarnations stored; a Hello that is late by more restarts than this is not expected. */
+    private static final int MAX_REPLACED = 8;
 
-    /** A link that was up for this long has proved itself, and its next failure starts the backoff anew. */
-    private static final long PROVED_MILLIS = ReconnectBackoff.LAST_LIMIT_MILLIS;
+    /** Time after which a link counts as stable, so that the backoff starts anew when the link is lost. */
+    private static final long STABLE_MILLIS = ReconnectBackoff.LAST_LIMIT_MILLIS;
 
     private final String upstreamId;
     private final ReconnectBackoff backoff;
     private final Deque<Long> replaced = new ArrayDeque<>();
     private String address;
     private boolean listed = true;
-    private boolean listedLeaving;
-    private boolean everUp;
+    private boolean listedAsLeaving;
+    private boolean wasLinked;
     private boolean linkUp;
     private boolean leaving;
     private long incarnation;
@@ -35,10 +35,10 @@
         this.backoff = new ReconnectBackoff(random);
     }
 
-    /** Returns a member whose first connection attempt is planned with jitter. */
+    /** Returns a member without a link, whose first connection attempt is scheduled with jitter. */
     static Member joining(ListedVm vm, RandomGenerator random, long nowMillis) {
         Member member = new Member(vm, random);
-        member.planConnection(nowMillis);
+        member.scheduleConnection(nowMillis);
         return member;
     }
 
@@ -58,19 +58,19 @@
         if (leaving) {
             return MemberState.LEAVING;
         }
-        if (!everUp) {
+        if (!wasLinked) {
             return MemberState.JOINING;
         }
         return linkUp ? MemberState.LIVE : MemberState.SUSPECT;
     }
 
     boolean isCurrent(long candidate) {
-        return everUp && candidate == incarnation;
+        return wasLinked && candidate == incarnation;
     }
 
-    /** Returns whether a link of the candidate would end another incarnation. */
+    /** Returns whether a link of the candidate would replace another incarnation. */
     boolean isReplacedBy(long candidate) {
-        return everUp && candidate != incarnation;
+        return wasLinked && candidate != incarnation;
     }
 
     boolean isReplaced(long candidate) {
@@ -81,8 +81,8 @@
         return linkUp && nowMillis - lastFrameMillis >= MembershipCore.SILENCE_MILLIS;
     }
 
-    /** Returns whether nothing speaks for the member any more: neither the VM list nor a link. */
-    boolean gone() {
+    /** Returns whether the member is neither in the VM list nor linked. */
+    boolean isUnlistedAndUnlinked() {
         return !listed && !linkUp;
     }
 
@@ -96,12 +96,12 @@
 
     void onListed(ListedVm vm) {
         listed = true;
-        listedLeaving = vm.leaving();
-        leaving |= listedLeaving;
+        listedAsLeaving = vm.leaving();
+        leaving |= listedAsLeaving;
         address = vm.address();
     }
 
-    /** A live link is better evidence than a lagging list, so that only a member without one is gone by this. */
+    /** Records that the VM list no longer contains the member. A linked member stays, since the list may lag. */
     void onUnlisted() {
         listed = false;
     }
@@ -110,17 +110,17 @@
         leaving = true;
     }
 
-    /** Takes over a new connection; a departure of the old incarnation does not bind a new one. */
+    /** Records a new link; the announced departure of a replaced incarnation does not apply to the new one. */
     void onLinkUp(long newIncarnation, long nowMillis) {
         if (isReplacedBy(newIncarnation)) {
-            if (replaced.size() == REPLACED_REMEMBERED) {
+            if (replaced.size() == MAX_REPLACED) {
                 replaced.removeFirst();
             }
             replaced.addLast(incarnation);
-            leaving = listedLeaving;
+            leaving = listedAsLeaving;
         }
         incarnation = newIncarnation;
-        everUp = true;
+        wasLinked = true;
         linkUp = true;
         upSinceMillis = nowMillis;
         lastFrameMillis = nowMillis;
@@ -133,21 +133,21 @@
         }
     }
 
-    /** Plans a new connection after the link was lost, found silent or could not be opened. */
+    /** Schedules a new connection attempt after the link was lost, timed out or could not be opened. */
     void onLinkLost(long nowMillis) {
-        if (linkUp && lastFrameMillis - upSinceMillis >= PROVED_MILLIS) {
+        if (linkUp && lastFrameMillis - upSinceMillis >= STABLE_MILLIS) {
             backoff.reset();
         }
         linkUp = false;
-        planConnection(nowMillis);
+        scheduleConnection(nowMillis);
     }
 
-    /** Marks the attempt as started; another one follows if neither success nor failure is reported. */
+    /** Records the start of a connection attempt; another one follows if neither success nor failure is reported. */
     void onConnecting(long nowMillis) {
         connectAtMillis = nowMillis + MembershipCore.CONNECT_TIMEOUT_MILLIS;
     }
 
-    private void planConnection(long nowMillis) {
+    private void scheduleConnection(long nowMillis) {
         connectAtMillis = nowMillis + backoff.nextDelayMillis();
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/membership/MemberState.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MemberState.java
@@ -1,17 +1,17 @@
 package dev.wigeonward.core.membership;
 
-/** State of one incarnation of an upstream as seen by one entry. Only a live one gets new work. */
+/** State of one incarnation of an upstream, as seen by one entry. Only a {@link #LIVE} one receives new requests. */
 public enum MemberState {
-    /** Listed; no link has been up yet. */
+    /** The upstream is listed, and no link to it has been up yet. */
     JOINING,
-    /** Its link is up and carries frames. */
+    /** The link is up and carries frames. */
     LIVE,
-    /** Its link is silent or down; a new connection is being opened. */
+    /** The link timed out or was lost; a new connection is being opened. */
     SUSPECT,
-    /** It or the VM list announced that it leaves; final for this incarnation. */
+    /** The agent announced its departure, or the VM list shows it as leaving; final for this incarnation. */
     LEAVING,
-    /** Neither listed nor reachable, or no longer among those that the entry links to. */
+    /** The upstream is neither listed nor linked, or no longer in the subset to which the entry keeps links. */
     DEAD,
-    /** A newer incarnation took its place. */
+    /** A newer incarnation has replaced this one. */
     REPLACED
 }
--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipCore.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipCore.java
@@ -25,19 +25,20 @@
 import dev.wigeonward.core.placement.LinkSubset;
 
 /**
- * The agents that an entry links to and which of them get new work. Any one of three signals stops new work: the
- * agent's notice, the VM list, or silence. Not thread-safe.
+ * State machine of one entry that decides to which agents the entry keeps links and which of them receive new requests.
+ * Any one of three signals stops new requests: the agent's announcement, the VM list, or a link without frames. Not
+ * thread-safe.
  *
- * <p>A departure is final for an incarnation: a VM list that lags behind the agent's notice does not revert it.
+ * <p>A departure is final for an incarnation: a VM list that lags behind the agent's announcement does not revert it.
  */
 public final class MembershipCore {
-    /** Time without a frame after which a link is suspect, in milliseconds. */
+    /** Time without a frame after which a link has timed out and its upstream is suspect, in milliseconds. */
     public static final long SILENCE_MILLIS = 2_500;
 
-    /** Longest time between two ticks, in milliseconds; with the silence limit it keeps to the 3 s of invariant 7. */
+    /** Longest time between ticks, in milliseconds; with the silence limit, it stays below the 3 s of invariant 7. */
     public static final long MAX_TICK_MILLIS = 250;
 
-    /** Time after which a connection attempt without an answer is given up, in milliseconds. */
+    /** Time after which an unanswered connection attempt is abandoned, in milliseconds. */
     static final long CONNECT_TIMEOUT_MILLIS = 5_000;
 
     private final String entryId;
@@ -46,7 +47,7 @@
     private final Set<String> listedEntries = new TreeSet<>();
     private final Map<String, Set<String>> listedAgentsByPool = new TreeMap<>();
     private Set<String> subset = Set.of();
-    private boolean everListed;
+    private boolean listRead;
     private long lastSequence;
 
     private MembershipCore(String entryId, RandomGenerator random) {
@@ -55,12 +56,12 @@
         this.random = Objects.requireNonNull(random, "random");
     }
 
-    /** Returns the membership of an entry that knows no upstream yet. */
+    /** Returns an instance for an entry that knows no upstream yet. */
     public static MembershipCore create(String entryId, RandomGenerator random) {
         return new MembershipCore(entryId, random);
     }
 
-    /** Returns what to do after the event, in this order. */
+    /** Applies an event and returns its effects, in the order in which they must be carried out. */
     public List<MembershipEffect> handle(MembershipEvent event, long nowMillis) {
         List<MembershipEffect> effects = new ArrayList<>();
         if (event instanceof VmsListed listed) {
@@ -80,7 +81,8 @@
     }
 
     /**
-     * Returns whether the incarnation may get new work now; false also for a silent link that no tick has found yet.
+     * Returns whether the incarnation may receive new requests now; false as soon as its link has timed out, even if no
+     * tick has detected that yet.
      */
     public boolean acceptsNewWork(String upstreamId, long incarnation, long nowMillis) {
         Member member = members.get(upstreamId);
@@ -90,7 +92,7 @@
                 && !member.silentAt(nowMillis);
     }
 
-    /** Returns the state of an incarnation; {@code DEAD} if nothing is known of it. */
+    /** Returns the state of an incarnation, or {@code DEAD} if it is unknown. */
     public MemberState state(String upstreamId, long incarnation) {
         Member member = members.get(upstreamId);
         if (member == null) {
@@ -104,16 +106,16 @@
                 : MemberState.DEAD;
     }
 
-    /** Returns the time at which a tick is due at the latest, in milliseconds; it may have passed. */
+    /** Returns the latest time at which the next tick is due, in milliseconds; this time may have passed. */
     public long nextWakeMillis() {
         return members.values().stream().mapToLong(Member::nextWakeMillis).min().orElse(Member.NEVER_MILLIS);
     }
 
     private void onVmsListed(VmsListed event, long nowMillis, List<MembershipEffect> effects) {
-        if (everListed && event.sequence() <= lastSequence) {
+        if (listRead && event.sequence() <= lastSequence) {
             return;
         }
-        everListed = true;
+        listRead = true;
         lastSequence = event.sequence();
         Map<String, ListedVm> agents = new HashMap<>();
         event.vms().stream().filter(vm -> vm.role() == ListedVm.Role.AGENT).forEach(vm -> agents.put(vm.id(), vm));
@@ -126,18 +128,18 @@
             } else {
                 member.onListed(vm);
             }
-            emitChange(member, before, effects);
-            boolean movedAway = vm != null && !vm.leaving() && !subset.contains(vm.id());
-            if (movedAway || member.gone()) {
+            emitWorkChange(member, before, effects);
+            boolean outsideSubset = vm != null && !vm.leaving() && !subset.contains(vm.id());
+            if (outsideSubset || member.isUnlistedAndUnlinked()) {
                 remove(member, effects);
             }
         }
-        for (String wanted : subset) {
-            members.computeIfAbsent(wanted, id -> Member.joining(agents.get(id), random, nowMillis));
+        for (String upstreamId : subset) {
+            members.computeIfAbsent(upstreamId, id -> Member.joining(agents.get(id), random, nowMillis));
         }
     }
 
-    /** Computes the subset anew only if an entry or agent joined or left; it costs a pass over all pairs. */
+    /** Recomputes the subset if an entry or agent joined or left; skipped otherwise, as it visits all pairs of them. */
     private void updateSubset(List<ListedVm> vms) {
         Set<String> entries = new TreeSet<>();
         Map<String, Set<String>> agentsByPool = new TreeMap<>();
@@ -170,7 +172,7 @@
         }
         MemberState before = member.state();
         member.onLeaving();
-        emitChange(member, before, effects);
+        emitWorkChange(member, before, effects);
     }
 
     private void onLinkUp(LinkUp event, long nowMillis, List<MembershipEffect> effects) {
@@ -194,9 +196,9 @@
             effects.add(new Replaced(member.upstreamId(), oldIncarnation, event.incarnation()));
         }
         member.onLinkUp(event.incarnation(), nowMillis);
-        emitChange(member, replaces ? MemberState.JOINING : before, effects);
+        emitWorkChange(member, replaces ? MemberState.JOINING : before, effects);
         if (member.state() == MemberState.LEAVING) {
-            // An adapter may use a new link before it asks here.
+            // An adapter may dispatch over a new link before it consults this class.
             effects.add(new StopNewWork(member.upstreamId(), member.incarnation(), MemberState.LEAVING));
         }
     }
@@ -204,7 +206,7 @@
     private void onLinkDown(LinkDown event, long nowMillis, List<MembershipEffect> effects) {
         Member member = members.get(event.upstreamId());
         if (member != null) {
-            loseLink(member, nowMillis, effects);
+            handleLinkLoss(member, nowMillis, effects);
         }
     }
 
@@ -218,20 +220,20 @@
     private void onTick(long nowMillis, List<MembershipEffect> effects) {
         for (Member member : List.copyOf(members.values())) {
             if (member.silentAt(nowMillis)) {
-                loseLink(member, nowMillis, effects);
+                handleLinkLoss(member, nowMillis, effects);
             }
-            if (member.connectionDueAt(nowMillis) && !member.gone()) {
+            if (member.connectionDueAt(nowMillis) && !member.isUnlistedAndUnlinked()) {
                 member.onConnecting(nowMillis);
                 effects.add(new LinkTo(member.upstreamId(), member.address()));
             }
         }
     }
 
-    private void loseLink(Member member, long nowMillis, List<MembershipEffect> effects) {
+    private void handleLinkLoss(Member member, long nowMillis, List<MembershipEffect> effects) {
         MemberState before = member.state();
         member.onLinkLost(nowMillis);
-        emitChange(member, before, effects);
-        if (member.gone()) {
+        emitWorkChange(member, before, effects);
+        if (member.isUnlistedAndUnlinked()) {
             remove(member, effects);
         }
     }
@@ -244,7 +246,7 @@
         effects.add(new UnlinkFrom(member.upstreamId()));
     }
 
-    private static void emitChange(Member member, MemberState before, List<MembershipEffect> effects) {
+    private static void emitWorkChange(Member member, MemberState before, List<MembershipEffect> effects) {
         MemberState after = member.state();
         if (before != MemberState.LIVE && after == MemberState.LIVE) {
             effects.add(new StartNewWork(member.upstreamId(), member.incarnation()));
--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
@@ -1,19 +1,19 @@
 package dev.wigeonward.core.membership;
 
-/** What an entry's membership asks its adapters to do. */
+/** An action that {@link MembershipCore} asks its adapters to carry out. */
 public sealed interface MembershipEffect {
-    /** Open a connection now, beside one that may still be open but silent. */
+    /** Opens a connection now, in addition to one that may still be open but has timed out. */
     record LinkTo(String upstreamId, String address) implements MembershipEffect {}
 
-    /** Close the link and open no other; requests in flight finish first. */
+    /** Closes the link once its requests in flight have finished, and opens no other. */
     record UnlinkFrom(String upstreamId) implements MembershipEffect {}
 
-    /** Dispatch to this incarnation from now on. */
+    /** Allows new requests to be dispatched to the incarnation. */
     record StartNewWork(String upstreamId, long incarnation) implements MembershipEffect {}
 
-    /** Dispatch nothing more to this incarnation, which may have stopped before; its requests in flight go on. */
+    /** Stops the dispatch of new requests to the incarnation, unless already stopped; requests in flight continue. */
     record StopNewWork(String upstreamId, long incarnation, MemberState state) implements MembershipEffect {}
 
-    /** Another incarnation answers now; the outcome of requests dispatched to the old one is unknown. */
+    /** Reports that a new incarnation replaced the old one; the outcome of requests sent to the old one is unknown. */
     record Replaced(String upstreamId, long oldIncarnation, long newIncarnation) implements MembershipEffect {}
 }
--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipEvent.java
@@ -4,12 +4,12 @@
 
 import com.google.common.base.Preconditions;
 
-/** What an entry's membership reacts to. */
+/** An input of {@link MembershipCore}. */
 public sealed interface MembershipEvent {
     /**
-     * The VM list was read. It lags, so a reading is ignored when its sequence is not above the last one.
+     * The VM list was read. The list lags, so a read is ignored unless its sequence is above the last one.
      *
-     * @param sequence grows with each state of the list
+     * @param sequence number that increases with each state of the list
      * @param vms all VMs of the entry's region
      */
     record VmsListed(long sequence, List<ListedVm> vms) implements MembershipEvent {
@@ -18,7 +18,7 @@
         }
     }
 
-    /** An agent announced that it leaves. */
+    /** An agent announced its departure. */
     record LeavingAnnounced(String upstreamId, long incarnation) implements MembershipEvent {
         public LeavingAnnounced {
             Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId is empty");
@@ -46,6 +46,6 @@
         }
     }
 
-    /** Time passed. */
+    /** A periodic timer fired. */
     record Tick() implements MembershipEvent {}
 }
--- a/core/src/main/java/dev/wigeonward/core/membership/ReconnectBackoff.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/ReconnectBackoff.java
@@ -3,14 +3,14 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Exponential backoff with full jitter: the whole delay is random, so that entries that lost a rack at the same moment
- * do not return at the same moment.
+ * Exponential backoff with full jitter: the whole delay is random, so that entries that lost their links to a rack at
+ * the same moment do not reconnect at the same moment.
  */
 final class ReconnectBackoff {
     static final long FIRST_LIMIT_MILLIS = 100;
     static final long LAST_LIMIT_MILLIS = 5_000;
 
-    /** Doubling 100 ms six times passes 5 s; further doublings would only risk an overflow. */
+    /** Six doublings of 100 ms exceed the limit of 5 s; further ones would only risk an overflow. */
     private static final int MAX_DOUBLINGS = 6;
 
     private final RandomGenerator random;
@@ -32,6 +32,7 @@
         return Math.min(LAST_LIMIT_MILLIS, FIRST_LIMIT_MILLIS << Math.min(failures, MAX_DOUBLINGS));
     }
 
+    /** Restarts the backoff at its first limit. */
     void reset() {
         failures = 0;
     }
--- a/core/src/main/java/dev/wigeonward/core/membership/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/package-info.java
@@ -1,2 +1,2 @@
-/** Which upstreams an entry links to and which of them may get new work. */
+/** Membership of upstreams: to which ones an entry keeps links, and which of them may receive new requests. */
 package dev.wigeonward.core.membership;
--- a/core/src/main/java/dev/wigeonward/core/order/OrderGate.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderGate.java
@@ -63,7 +63,7 @@
     private void onOrderReceived(Order order, List<OrderEffect> effects) {
         highestFencingNumber = Math.max(highestFencingNumber, order.fencingNumber());
         if (confirmedByStore) {
-            decide(order, effects);
+            submitOrAnswer(order, effects);
             return;
         }
         if (!waiting.containsKey(order.orderId()) && waiting.size() >= MAX_WAITING_ORDERS) {
@@ -99,10 +99,10 @@
         readOutstanding = false;
         List<Order> orders = List.copyOf(waiting.values());
         waiting.clear();
-        orders.forEach(order -> decide(order, effects));
+        orders.forEach(order -> submitOrAnswer(order, effects));
     }
 
-    private void decide(Order order, List<OrderEffect> effects) {
+    private void submitOrAnswer(Order order, List<OrderEffect> effects) {
         if (order.fencingNumber() < highestFencingNumber) {
             refuse(
                     order,
--- a/core/src/main/java/dev/wigeonward/core/request/EngineSpeed.java
+++ b/core/src/main/java/dev/wigeonward/core/request/EngineSpeed.java
@@ -2,10 +2,14 @@
 
 import com.google.common.base.Preconditions;
 
-/** Speed of one stream on an upstream, in tokens per second. */
+/** Speed at which an upstream processes a single stream, in tokens per second. */
 public record EngineSpeed(int prefillTokensPerSecond, int decodeTokensPerSecond) {
     public EngineSpeed {
-        Preconditions.checkArgument(prefillTokensPerSecond > 0, "prefillTokensPerSecond is %s", prefillTokensPerSecond);
-        Preconditions.checkArgument(decodeTokensPerSecond > 0, "decodeTokensPerSecond is %s", decodeTokensPerSecond);
+        Preconditions.checkArgument(
+                prefillTokensPerSecond > 0,
+                "prefillTokensPerSecond must be positive, but is %s",
+                prefillTokensPerSecond);
+        Preconditions.checkArgument(
+                decodeTokensPerSecond > 0, "decodeTokensPerSecond must be positive, but is %s", decodeTokensPerSecond);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/request/RequestSpec.java
+++ b/core/src/main/java/dev/wigeonward/core/request/RequestSpec.java
@@ -6,17 +6,17 @@
 import com.google.common.base.Preconditions;
 
 /**
- * What the decision cores know of a request.
+ * Properties of a request on which scheduling decisions are based.
  *
- * @param id made by the entry that received it
- * @param key hash of workspace and idempotency key, if the caller gave a key
- * @param tier importance
- * @param workspace paying workspace
- * @param target model or plain service
- * @param route label under which version moves judge it: target and kind of request
- * @param work expected size
+ * @param id identifier assigned by the entry that received the request
+ * @param key hash of workspace and idempotency key; empty if the caller sent no key
+ * @param tier importance of the request
+ * @param workspace workspace that pays for the request
+ * @param target model or plain service that serves the request
+ * @param route label, made of target and kind of request, by which version moves group requests to evaluate them
+ * @param work expected size of the request
  * @param deadlineMillis time by which the whole answer is due, on the clock of the process
- * @param idempotent false if running it twice does harm
+ * @param idempotent false if running the request twice does harm
  * @param fingerprint hash of workspace, target and body; equal for resends
  */
 public record RequestSpec(
@@ -38,7 +38,8 @@
         Preconditions.checkArgument(!workspace.isEmpty(), "workspace is empty");
         Preconditions.checkArgument(!target.isEmpty(), "target is empty");
         Preconditions.checkArgument(!route.isEmpty(), "route is empty");
-        Preconditions.checkArgument(idempotent || key.isPresent(), "non-idempotent request %s has no key", id);
+        Preconditions.checkArgument(
+                idempotent || key.isPresent(), "non-idempotent request %s must have an idempotency key", id);
     }
 
     /** Returns the time left before the deadline, in milliseconds; negative once it has passed. */
--- a/core/src/main/java/dev/wigeonward/core/request/Tier.java
+++ b/core/src/main/java/dev/wigeonward/core/request/Tier.java
@@ -3,7 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 
-/** Importance of a request; a tier declared earlier is never shed before a later one. */
+/** Importance of a request, highest first; requests of a tier are never shed before those of a lower tier. */
 public enum Tier {
     CRITICAL,
     STANDARD,
@@ -19,7 +19,7 @@
         return Optional.empty();
     }
 
-    /** Returns whether this tier is more important than the other. */
+    /** Returns whether this tier is more important than the other one. */
     public boolean isAbove(Tier other) {
         return ordinal() < other.ordinal();
     }
--- a/core/src/main/java/dev/wigeonward/core/request/WorkEstimate.java
+++ b/core/src/main/java/dev/wigeonward/core/request/WorkEstimate.java
@@ -5,16 +5,16 @@
 /**
  * Expected size of a request.
  *
- * @param promptTokens tokens to prefill when nothing is cached
- * @param outputTokens tokens expected to be generated
+ * @param promptTokens number of tokens to prefill if nothing is cached
+ * @param outputTokens expected number of generated tokens
  * @param prefixHash hash of the prompt's leading part, used for cache affinity; 0 if there is none
  */
 public record WorkEstimate(int promptTokens, int outputTokens, long prefixHash) {
     private static final long MILLIS_PER_SECOND = 1_000;
 
     public WorkEstimate {
-        Preconditions.checkArgument(promptTokens >= 0, "promptTokens is %s", promptTokens);
-        Preconditions.checkArgument(outputTokens >= 0, "outputTokens is %s", outputTokens);
+        Preconditions.checkArgument(promptTokens >= 0, "promptTokens must not be negative, but is %s", promptTokens);
+        Preconditions.checkArgument(outputTokens >= 0, "outputTokens must not be negative, but is %s", outputTokens);
     }
 
     /** Returns the time to prefill the whole prompt, in milliseconds. */
@@ -27,7 +27,7 @@
         return outputTokens * MILLIS_PER_SECOND / speed.decodeTokensPerSecond();
     }
 
-    /** Returns the time to serve the request alone with nothing cached, in milliseconds, at least 1. */
+    /** Returns the time to serve the request alone with an empty cache, in milliseconds; at least 1. */
     public long serviceMillis(EngineSpeed speed) {
         return Math.max(1, prefillMillis(speed) + decodeMillis(speed));
     }
--- a/core/src/main/java/dev/wigeonward/core/request/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/request/package-info.java
@@ -1,2 +1,2 @@
-/** Identity, tier and size of a request. */
+/** Properties of requests: identifiers, tiers and expected sizes. */
 package dev.wigeonward.core.request;
--- a/core/src/main/java/dev/wigeonward/core/retry/RetryBudget.java
+++ b/core/src/main/java/dev/wigeonward/core/retry/RetryBudget.java
@@ -3,46 +3,48 @@
 import dev.wigeonward.core.dispatch.RetryPermits;
 
 /**
- * Token bucket for retries. In each second it earns the larger of a share of the requests and a fixed floor, so that a
- * quiet entry can still retry and a busy one cannot multiply its load. Not thread-safe.
+ * Token bucket that limits retries. Each second adds the larger of a share of the requests and a fixed minimum, so that
+ * an entry with few requests can still retry and one with many cannot multiply its load. Not thread-safe.
  */
 public final class RetryBudget implements RetryPermits {
     private static final long MILLITOKENS_PER_RETRY = 1_000;
-    /** One request earns a tenth of a retry. */
+    /** Tokens added by one request, a tenth of a retry. */
     private static final long MILLITOKENS_PER_REQUEST = 100;
 
-    private static final long FLOOR_RETRIES_PER_SECOND = 10;
-    private static final long FLOOR_MILLITOKENS_PER_MILLI = FLOOR_RETRIES_PER_SECOND;
+    private static final long MIN_RETRIES_PER_SECOND = 10;
+    /** Equal to the retries per second, since a retry costs as many millitokens as a second has milliseconds. */
+    private static final long MIN_MILLITOKENS_PER_MILLI = MIN_RETRIES_PER_SECOND;
+
     private static final long INTERVAL_MILLIS = 1_000;
-    private static final long FLOOR_MILLITOKENS_PER_INTERVAL = FLOOR_MILLITOKENS_PER_MILLI * INTERVAL_MILLIS;
+    private static final long MIN_MILLITOKENS_PER_INTERVAL = MIN_MILLITOKENS_PER_MILLI * INTERVAL_MILLIS;
 
     private long intervalStartMillis;
     private long requestMillitokens;
-    private long earnedMillitokens;
-    private long previousEarnedMillitokens;
+    private long addedMillitokens;
+    private long previousAddedMillitokens;
     private long millitokens;
 
     private RetryBudget(long nowMillis) {
         intervalStartMillis = nowMillis;
-        millitokens = FLOOR_MILLITOKENS_PER_INTERVAL;
+        millitokens = MIN_MILLITOKENS_PER_INTERVAL;
     }
 
-    /** Returns a budget that holds the floor of one second. */
+    /** Returns a budget that starts with the minimum of one second. */
     public static RetryBudget startingAt(long nowMillis) {
         return new RetryBudget(nowMillis);
     }
 
     @Override
     public void onRequest(long nowMillis) {
-        advance(nowMillis);
+        startDueInterval(nowMillis);
         requestMillitokens += MILLITOKENS_PER_REQUEST;
-        earn(nowMillis);
+        addTokens(nowMillis);
     }
 
     @Override
     public boolean tryAcquire(long nowMillis) {
-        advance(nowMillis);
-        earn(nowMillis);
+        startDueInterval(nowMillis);
+        addTokens(nowMillis);
         if (millitokens < MILLITOKENS_PER_RETRY) {
             return false;
         }
@@ -50,33 +52,33 @@
         return true;
     }
 
-    private void advance(long nowMillis) {
+    private void startDueInterval(long nowMillis) {
         long intervals = (nowMillis - intervalStartMillis) / INTERVAL_MILLIS;
         if (intervals <= 0) {
             return;
         }
-        earn(intervalStartMillis + INTERVAL_MILLIS);
-        previousEarnedMillitokens = intervals == 1 ? earnedMillitokens : FLOOR_MILLITOKENS_PER_INTERVAL;
+        addTokens(intervalStartMillis + INTERVAL_MILLIS);
+        previousAddedMillitokens = intervals == 1 ? addedMillitokens : MIN_MILLITOKENS_PER_INTERVAL;
         requestMillitokens = 0;
-        earnedMillitokens = 0;
+        addedMillitokens = 0;
         intervalStartMillis += intervals * INTERVAL_MILLIS;
-        // The bucket holds one second: a pause of more than one second fills it to the floor and no further.
+        // The bucket holds the tokens of one second, so a pause of more than a second fills it to the minimum only.
         if (intervals > 1) {
-            millitokens = Math.max(millitokens, FLOOR_MILLITOKENS_PER_INTERVAL);
+            millitokens = Math.max(millitokens, MIN_MILLITOKENS_PER_INTERVAL);
         }
         millitokens = Math.min(millitokens, capacityMillitokens());
     }
 
-    private void earn(long nowMillis) {
+    private void addTokens(long nowMillis) {
         long elapsedMillis = Math.max(0, nowMillis - intervalStartMillis);
-        long earned = Math.max(requestMillitokens, elapsedMillis * FLOOR_MILLITOKENS_PER_MILLI);
-        long gained = Math.max(0, earned - earnedMillitokens);
-        earnedMillitokens += gained;
-        millitokens = Math.min(capacityMillitokens(), millitokens + gained);
+        long dueMillitokens = Math.max(requestMillitokens, elapsedMillis * MIN_MILLITOKENS_PER_MILLI);
+        long newMillitokens = Math.max(0, dueMillitokens - addedMillitokens);
+        addedMillitokens += newMillitokens;
+        millitokens = Math.min(capacityMillitokens(), millitokens + newMillitokens);
     }
 
-    /** Returns what the last full second earned, at least the floor. */
+    /** Returns the tokens added in the last full second, but at least the minimum. */
     private long capacityMillitokens() {
-        return Math.max(FLOOR_MILLITOKENS_PER_INTERVAL, previousEarnedMillitokens);
+        return Math.max(MIN_MILLITOKENS_PER_INTERVAL, previousAddedMillitokens);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/retry/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/retry/package-info.java
@@ -1,2 +1,2 @@
-/** Limit on retries of requests that did not run. */
+/** Limits on the rate of retries of requests that did not run. */
 package dev.wigeonward.core.retry;
--- a/core/src/main/java/dev/wigeonward/core/stream/EventBoundaries.java
+++ b/core/src/main/java/dev/wigeonward/core/stream/EventBoundaries.java
@@ -4,19 +4,19 @@
 import java.util.Optional;
 
 /**
- * Finds the ends of events in the bytes of a streamed answer and remembers the last event's identifier. An event ends
- * with an empty line; lines end with LF or CRLF. Not thread-safe.
+ * Scanner that finds the ends of events in a streamed answer and tracks the identifier of the last complete event. An
+ * event ends with an empty line; lines end with LF or CRLF. Not thread-safe.
  */
 public final class EventBoundaries {
-    /** Longest line start that is kept; an identifier beyond it is not remembered. */
+    /** Largest number of bytes stored from the start of a line; a longer identifier is cut off. */
     private static final int MAX_LINE_PREFIX_BYTES = 256;
 
     private static final String ID_FIELD = "id:";
 
     private final StringBuilder line = new StringBuilder();
-    private Optional<String> openId = Optional.empty();
+    private Optional<String> incompleteEventId = Optional.empty();
     private Optional<String> lastId = Optional.empty();
-    private boolean openEvent;
+    private boolean eventIncomplete;
     private long events;
 
     private EventBoundaries() {}
@@ -26,7 +26,10 @@
         return new EventBoundaries();
     }
 
-    /** Returns how many of the bytes complete the events that end in them; the rest belongs to an open event. */
+    /**
+     * Scans the next bytes and returns how many of them, from the first on, belong to events that are now complete. The
+     * rest belongs to an incomplete event.
+     */
     public int scan(byte[] bytes, int length) {
         int complete = 0;
         for (int index = 0; index < length; index++) {
@@ -42,12 +45,13 @@
     }
 
     private void appendToLine(byte value) {
-        openEvent = true;
+        eventIncomplete = true;
         if (line.length() < MAX_LINE_PREFIX_BYTES) {
             line.append((char) (value & 0xff));
         }
     }
 
+    /** Processes a complete line and returns whether it ends an event. */
     private boolean endLine() {
         String text = line.toString();
         line.setLength(0);
@@ -56,39 +60,39 @@
         }
         if (!text.isEmpty()) {
             if (text.startsWith(ID_FIELD)) {
-                openId = Optional.of(new String(
+                incompleteEventId = Optional.of(new String(
                         text.substring(ID_FIELD.length()).strip().getBytes(StandardCharsets.ISO_8859_1),
                         StandardCharsets.UTF_8));
             }
             return false;
         }
-        openEvent = false;
-        if (openId.isPresent()) {
-            lastId = openId;
-            openId = Optional.empty();
+        eventIncomplete = false;
+        if (incompleteEventId.isPresent()) {
+            lastId = incompleteEventId;
+            incompleteEventId = Optional.empty();
         }
         events++;
         return true;
     }
 
-    /** Forgets an event that is open, because its rest will not come. */
+    /** Discards the state of an incomplete event whose remaining bytes will not arrive. */
     public void dropOpenEvent() {
         line.setLength(0);
-        openId = Optional.empty();
-        openEvent = false;
+        incompleteEventId = Optional.empty();
+        eventIncomplete = false;
     }
 
-    /** Returns whether bytes of an event have come whose end has not. */
+    /** Returns whether part of an event has arrived, but not its end. */
     public boolean insideEvent() {
-        return openEvent;
+        return eventIncomplete;
     }
 
-    /** Returns the identifier of the last complete event, or empty before the first one. */
+    /** Returns the identifier of the last complete event that has one, or empty if there was none. */
     public Optional<String> lastId() {
         return lastId;
     }
 
-    /** Returns how many events are complete. */
+    /** Returns the number of complete events. */
     public long events() {
         return events;
     }
--- a/core/src/main/java/dev/wigeonward/core/stream/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/stream/package-info.java
@@ -1,2 +1,2 @@
-/** Event boundaries of streamed answers. */
+/** Detection of event boundaries in streamed answers. */
 package dev.wigeonward.core.stream;
--- a/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
@@ -12,43 +12,48 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Requests that were running when upstreams died. Tables of several processes merge as a set union, so the order and
- * repetition of merges do not matter. Not thread-safe.
+ * Table of requests that were running when upstreams died. Tables of several processes merge as a set union, so the
+ * order and repetition of merges do not matter. Not thread-safe.
  *
- * <p>If the deaths of a request's first runs reach every process before its run after next is dispatched, at most three
- * upstreams die of it; each further run dispatched before the news arrives adds one.
+ * <p>If every process learns of the death caused by a run of a request before the next run but one is dispatched, the
+ * request crashes at most three upstreams; each further run dispatched before the fact arrives adds one.
  */
 public final class SuspectTable {
-    /** Most fingerprints kept; those with the oldest additions leave first. */
+    /** Largest number of stored fingerprints; those with the oldest last additions are removed first. */
     public static final int MAX_FINGERPRINTS = 65_536;
 
-    /** Time after the last addition during which a fact counts, in milliseconds. */
+    /** Time for which a fact is in force after its last addition, in milliseconds. */
     public static final long SUSPECT_MILLIS = 600_000;
 
-    /** Deaths from which on a request is refused. */
-    static final int REFUSED_FROM = 2;
+    /** Number of deaths from which on a request is refused. */
+    private static final int MIN_DEATHS_TO_REFUSE = 2;
 
-    /** A set larger than this refuses just as well; the bound keeps a faulty peer from filling the memory. */
-    static final int MAX_INCARNATIONS = 8;
+    /**
+     * Largest number of incarnations stored for a fingerprint. More would not change the decision, and without a limit
+     * a faulty peer could fill the memory.
+     */
+    private static final int MAX_INCARNATIONS = 8;
 
     /**
-     * Expired facts are remembered for as long again. A peer that learned a fact later still sends it after it expired
-     * here, and taking it as new would keep it alive between the two for good.
+     * Time after the last addition at which an expired fact is removed, in milliseconds. A peer that learned the fact
+     * later still sends it after it expired here; if it were merged as new, the two would renew it forever.
      */
-    private static final long REMEMBERED_MILLIS = 2 * SUSPECT_MILLIS;
+    private static final long RETENTION_MILLIS = 2 * SUSPECT_MILLIS;
 
     private final int maxFingerprints;
-    /** In the order of the last additions. */
+    /** Suspects by fingerprint, in the order of their last additions. */
     private final LinkedHashMap<Long, Suspect> suspects = new LinkedHashMap<>();
 
-    private final Map<Long, Integer> running = new HashMap<>();
+    /** Number of dispatches in progress by fingerprint. */
+    private final Map<Long, Integer> dispatches = new HashMap<>();
 
     private SuspectTable(int maxFingerprints) {
-        Preconditions.checkArgument(maxFingerprints > 0, "maxFingerprints is %s", maxFingerprints);
+        Preconditions.checkArgument(
+                maxFingerprints > 0, "maxFingerprints must be positive, but is %s", maxFingerprints);
         this.maxFingerprints = maxFingerprints;
     }
 
-    /** Returns an empty table for {@link #MAX_FINGERPRINTS} fingerprints. */
+    /** Returns an empty table for at most {@link #MAX_FINGERPRINTS} fingerprints. */
     public static SuspectTable create() {
         return new SuspectTable(MAX_FINGERPRINTS);
     }
@@ -58,51 +63,54 @@
         return new SuspectTable(maxFingerprints);
     }
 
-    /** Returns what the known deaths allow for a request. */
+    /** Returns the restriction on a request that follows from the known deaths. */
     public Suspicion suspicion(long fingerprint, long nowMillis) {
         Suspect suspect = suspects.get(fingerprint);
-        if (suspect == null || !suspect.countsAt(nowMillis)) {
+        if (suspect == null || !suspect.inForceAt(nowMillis)) {
             return Suspicion.NONE;
         }
-        return suspect.incarnations.size() >= REFUSED_FROM ? Suspicion.REFUSED : Suspicion.ONE_AT_A_TIME;
+        return suspect.incarnations.size() >= MIN_DEATHS_TO_REFUSE ? Suspicion.REFUSED : Suspicion.ONE_AT_A_TIME;
     }
 
-    /** Returns whether the request may be dispatched now; while false and not refused, it waits for its other copy. */
+    /** Returns whether the request may be dispatched now; if not refused, it may be once its other copy has ended. */
     public boolean mayDispatch(long fingerprint, long nowMillis) {
         return switch (suspicion(fingerprint, nowMillis)) {
             case NONE -> true;
-            case ONE_AT_A_TIME -> !running.containsKey(fingerprint);
+            case ONE_AT_A_TIME -> !dispatches.containsKey(fingerprint);
             case REFUSED -> false;
         };
     }
 
-    /** Counts a dispatch. Every dispatch is counted, because its fingerprint may become suspect while it runs. */
+    /** Records a dispatch. Every dispatch is recorded, because its fingerprint may become suspect while it runs. */
     public void onDispatched(long fingerprint) {
-        running.merge(fingerprint, 1, Integer::sum);
+        dispatches.merge(fingerprint, 1, Integer::sum);
     }
 
-    /** Counts the end of a dispatch, whatever its outcome. */
+    /** Records the end of a dispatch, whatever its outcome. */
     public void onEnded(long fingerprint) {
         Preconditions.checkState(
-                running.containsKey(fingerprint), "no dispatch outstanding for fingerprint %s", fingerprint);
-        running.computeIfPresent(fingerprint, (key, count) -> count == 1 ? null : count - 1);
+                dispatches.containsKey(fingerprint), "fingerprint %s has no dispatch that could end", fingerprint);
+        dispatches.computeIfPresent(fingerprint, (key, count) -> count == 1 ? null : count - 1);
     }
 
-    /** Records that an upstream died while the request ran; returns the fact to send to peers, or empty if known. */
+    /**
+     * Records that an upstream died while the request ran. Returns the fact to send to peers, or empty if the death was
+     * known.
+     */
     public Optional<SuspectFact> onUpstreamDied(long fingerprint, String upstreamIncarnation, long nowMillis) {
         return merge(new SuspectFact(fingerprint, Set.of(upstreamIncarnation)), nowMillis);
     }
 
     /**
-     * Adds what a peer knows; returns the fact with all known incarnations to send on to other peers, or empty if
-     * nothing was new.
+     * Merges a fact received from a peer. Returns the fact with all known incarnations, to forward to other peers, or
+     * empty if the received fact contained nothing new.
      */
     public Optional<SuspectFact> merge(SuspectFact fact, long nowMillis) {
-        removeForgotten(nowMillis);
+        removeOutdated(nowMillis);
         Suspect suspect = suspects.get(fact.fingerprint());
-        boolean counts = suspect != null && suspect.countsAt(nowMillis);
-        Set<String> known = counts ? suspect.incarnations : Set.of();
-        Set<String> expired = suspect == null ? Set.of() : counts ? suspect.expired : suspect.allIncarnations();
+        boolean inForce = suspect != null && suspect.inForceAt(nowMillis);
+        Set<String> known = inForce ? suspect.incarnations : Set.of();
+        Set<String> expired = suspect == null ? Set.of() : inForce ? suspect.expired : suspect.allIncarnations();
         Set<String> union = new TreeSet<>(known);
         for (String incarnation : new TreeSet<>(fact.upstreamIncarnations())) {
             if (union.size() < MAX_INCARNATIONS && !expired.contains(incarnation)) {
@@ -120,22 +128,22 @@
         return Optional.of(new SuspectFact(fact.fingerprint(), union));
     }
 
-    /** Returns the facts that count now, for a peer that has just linked; takes time linear in their number. */
+    /** Returns the facts in force, for a peer that has just connected, in time linear in the size of the table. */
     public List<SuspectFact> facts(long nowMillis) {
         return suspects.entrySet().stream()
-                .filter(entry -> entry.getValue().countsAt(nowMillis))
+                .filter(entry -> entry.getValue().inForceAt(nowMillis))
                 .map(entry -> new SuspectFact(entry.getKey(), entry.getValue().incarnations))
                 .toList();
     }
 
-    /** Returns the number of fingerprints kept, including expired ones that are still remembered. */
+    /** Returns the number of stored fingerprints, including expired ones. */
     public int size() {
         return suspects.size();
     }
 
-    private void removeForgotten(long nowMillis) {
+    private void removeOutdated(long nowMillis) {
         Iterator<Suspect> oldestFirst = suspects.values().iterator();
-        while (oldestFirst.hasNext() && oldestFirst.next().addedAtMillis <= nowMillis - REMEMBERED_MILLIS) {
+        while (oldestFirst.hasNext() && oldestFirst.next().addedAtMillis <= nowMillis - RETENTION_MILLIS) {
             oldestFirst.remove();
         }
     }
@@ -146,6 +154,13 @@
         oldestFirst.remove();
     }
 
+    /**
+     * A suspect request.
+     *
+     * @param incarnations incarnations that count until the fact expires
+     * @param expired incarnations of an earlier fact that expired, which are not merged again
+     * @param addedAtMillis time of the last addition
+     */
     private record Suspect(Set<String> incarnations, Set<String> expired, long addedAtMillis) {
         private Set<String> allIncarnations() {
             Set<String> all = new TreeSet<>(incarnations);
@@ -153,7 +168,7 @@
             return Set.copyOf(all);
         }
 
-        private boolean countsAt(long nowMillis) {
+        private boolean inForceAt(long nowMillis) {
             return nowMillis - addedAtMillis < SUSPECT_MILLIS;
         }
     }
--- a/core/src/main/java/dev/wigeonward/core/suspect/SuspectTableGate.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/SuspectTableGate.java
@@ -5,7 +5,7 @@
 import dev.wigeonward.core.dispatch.SuspectGate;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** Holds back requests by the deaths that a suspect table knows. */
+/** Gate that decides by the deaths recorded in a {@link SuspectTable}. */
 public final class SuspectTableGate implements SuspectGate {
     private final SuspectTable table;
 
@@ -13,7 +13,7 @@
         this.table = Objects.requireNonNull(table, "table");
     }
 
-    /** Returns a gate over the table, which stays open to news from agents and peers. */
+    /** Returns a gate backed by the table; facts merged into the table later take effect. */
     public static SuspectTableGate over(SuspectTable table) {
         return new SuspectTableGate(table);
     }
--- a/core/src/main/java/dev/wigeonward/core/suspect/Suspicion.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/Suspicion.java
@@ -1,11 +1,11 @@
 package dev.wigeonward.core.suspect;
 
-/** What the deaths of upstreams allow for a request. */
+/** Restriction on a request that was running when upstreams died. */
 public enum Suspicion {
-    /** No limit. */
+    /** No restriction. */
     NONE,
-    /** One upstream died while the request ran; no second upstream may run it at the same time. */
+    /** One upstream died while the request ran; only one upstream at a time may run it. */
     ONE_AT_A_TIME,
-    /** Two or more upstreams died while it ran; it is refused and has not run. */
+    /** Two or more upstreams died while the request ran; it is refused without being run. */
     REFUSED
 }
--- a/core/src/main/java/dev/wigeonward/core/suspect/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/package-info.java
@@ -1,2 +1,2 @@
-/** Requests that were running when upstreams died. */
+/** Detection of requests that crash upstreams, and limits on running them again. */
 package dev.wigeonward.core.suspect;
--- a/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
@@ -25,25 +25,25 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-/** Invariant 7: a leaving upstream gets nothing new after 3 s, whichever signal arrives. */
+/** Test of invariant 7: a leaving upstream receives no new requests after 3 s, whichever signal arrives. */
 class DepartureInvariantTest {
     private static final long LIMIT_MILLIS = 3_000;
     private static final int AGENTS = 3;
     private static final int STEPS = 400;
 
-    /** Events that a faulty core does not see; each must break the invariant. */
-    private enum Mutation {
-        IGNORES_NOTICES,
-        IGNORES_THE_LIST,
+    /** Faults of a core, each of which must violate the invariant. */
+    private enum Fault {
+        IGNORES_ANNOUNCEMENTS,
+        IGNORES_VM_LIST,
         IGNORES_SILENCE,
-        REVIVES_WHAT_THE_LIST_CALLS_LIVE
+        RESUMES_LISTED_AGENTS
     }
 
-    /** Returns the event that the faulty core gets instead, or null for none. */
-    private static MembershipEvent mutate(Mutation mutation, MembershipEvent event) {
-        return switch (mutation) {
-            case IGNORES_NOTICES -> event instanceof LeavingAnnounced ? null : event;
-            case IGNORES_THE_LIST ->
+    /** Returns the event that the faulty core receives in place of the given one, or null if it receives none. */
+    private static MembershipEvent applyFault(Fault fault, MembershipEvent event) {
+        return switch (fault) {
+            case IGNORES_ANNOUNCEMENTS -> event instanceof LeavingAnnounced ? null : event;
+            case IGNORES_VM_LIST ->
                 event instanceof VmsListed listed
                         ? new VmsListed(
                                 listed.sequence(),
@@ -52,7 +52,7 @@
                                         .toList())
                         : event;
             case IGNORES_SILENCE -> event instanceof Tick ? null : event;
-            case REVIVES_WHAT_THE_LIST_CALLS_LIVE -> event;
+            case RESUMES_LISTED_AGENTS -> event;
         };
     }
 
@@ -60,13 +60,13 @@
         return new ListedVm(vm.id(), vm.role(), vm.pool(), vm.address(), leaving);
     }
 
-    /** A random history of one entry: what happened to the agents, and which of them the core would use. */
+    /** A random sequence of events at one entry, with the agents that the core would dispatch to. */
     private static final class History {
         private final Random random;
         private final MembershipCore core;
         private final Function<MembershipEvent, MembershipEvent> filter;
-        private final boolean revives;
-        /** Whether the adapter uses a new link before it asks the core, as the dispatcher does. */
+        private final boolean resumesListed;
+        /** Whether the adapter uses a new link before it consults the core, as the dispatcher does. */
         private final boolean startsOnLinkUp;
 
         private final Map<String, Long> inUse = new HashMap<>();
@@ -80,11 +80,14 @@
         private long nowMillis;
 
         private History(
-                long seed, Function<MembershipEvent, MembershipEvent> filter, boolean revives, boolean startsOnLinkUp) {
+                long seed,
+                Function<MembershipEvent, MembershipEvent> filter,
+                boolean resumesListed,
+                boolean startsOnLinkUp) {
             this.random = new Random(seed);
             this.core = MembershipCore.create("e", new Random(seed + 1));
             this.filter = filter;
-            this.revives = revives;
+            this.resumesListed = resumesListed;
             this.startsOnLinkUp = startsOnLinkUp;
         }
 
@@ -99,7 +102,7 @@
                     }
                 }
                 send(new Tick());
-                checkNothingNewAtDeparted();
+                checkNoDepartedAgentInUse();
             }
         }
 
@@ -167,7 +170,7 @@
                 vms.add(new ListedVm("a" + agent, ListedVm.Role.AGENT, "model", "10.0.0.2:90", leaving));
             }
             send(new VmsListed(++sequence, vms));
-            if (revives) {
+            if (resumesListed) {
                 for (int agent = 0; agent < AGENTS; agent++) {
                     if (up[agent] && !listedLeaving.contains(agent)) {
                         inUse.put("a" + agent, incarnations[agent]);
@@ -193,7 +196,7 @@
             }
         }
 
-        private void checkNothingNewAtDeparted() {
+        private void checkNoDepartedAgentInUse() {
             inUse.forEach((upstream, incarnation) -> {
                 String key = upstream + "/" + incarnation;
                 long signalMillis =
@@ -210,19 +213,19 @@
     }
 
     @Property(tries = 300)
-    void nothingNewThreeSecondsAfterAnySignal(@ForAll long seed, @ForAll boolean startsOnLinkUp) {
+    void noNewRequestsThreeSecondsAfterAnySignal(@ForAll long seed, @ForAll boolean startsOnLinkUp) {
         new History(seed, event -> event, false, startsOnLinkUp).run();
     }
 
     @ParameterizedTest
-    @EnumSource(Mutation.class)
-    void mutationsAreFound(Mutation mutation) {
+    @EnumSource(Fault.class)
+    void checkFailsForFaultyCores(Fault fault) {
         assertThatThrownBy(() -> {
                     for (long seed = 0; seed < 50; seed++) {
                         new History(
                                         seed,
-                                        event -> mutate(mutation, event),
-                                        mutation == Mutation.REVIVES_WHAT_THE_LIST_CALLS_LIVE,
+                                        event -> applyFault(fault, event),
+                                        fault == Fault.RESUMES_LISTED_AGENTS,
                                         false)
                                 .run();
                     }
--- a/core/src/test/java/dev/wigeonward/core/membership/MembershipCoreTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/MembershipCoreTest.java
@@ -43,7 +43,7 @@
         assertThat(core.state("a", OLD)).isEqualTo(MemberState.LIVE);
     }
 
-    /** Guards against a departure that one of the three signals alone does not bring about. */
+    /** Guards against a departure that takes effect only when several of the three signals arrive. */
     @Test
     void eachSignalAloneStopsNewWork() {
         MembershipCore byList = MembershipCore.create("e", new Random(1));
@@ -58,7 +58,7 @@
         assertThat(core.handle(new LeavingAnnounced("a", OLD), 200)).containsExactly(STOP_LEAVING);
     }
 
-    /** Guards against a lagging VM list or a reconnect that reverts the agent's notice. */
+    /** Guards against a lagging VM list or a reconnect that reverts the agent's announcement. */
     @Test
     void departureIsFinalForTheIncarnation() {
         core.handle(new LeavingAnnounced("a", OLD), 200);
@@ -70,7 +70,7 @@
                 .containsExactly(new Replaced("a", OLD, NEW), new StartNewWork("a", NEW));
     }
 
-    /** Guards against mixing up a restarted agent with its predecessor. */
+    /** Guards against events of an earlier incarnation that are applied to the restarted agent. */
     @Test
     void newIncarnationReplacesTheOldOneForGood() {
         assertThat(core.handle(new LinkUp("a", NEW), 200))
@@ -88,7 +88,7 @@
         assertThat(core.acceptsNewWork("a", OLD, 400)).isFalse();
     }
 
-    /** Guards against unlinking an agent that answers only because the VM list lags or is cut short. */
+    /** Guards against closing the link to an agent that still answers, because the VM list lags or is incomplete. */
     @Test
     void unlistedAgentStaysUntilItsLinkEnds() {
         assertThat(core.handle(list(2, false, false), 200)).isEmpty();
@@ -99,15 +99,15 @@
         assertThat(core.nextWakeMillis()).isEqualTo(Long.MAX_VALUE);
     }
 
-    /** Guards against an older reading of the VM list that overrides a newer one. */
+    /** Guards against an older read of the VM list that overrides a newer one. */
     @Test
-    void olderReadingOfTheListIsIgnored() {
+    void olderReadOfTheListIsIgnored() {
         core.handle(list(5, true, false), 200);
         assertThat(core.handle(list(4, true, true), 300)).isEmpty();
         assertThat(core.handle(list(6, true, true), 400)).containsExactly(STOP_LEAVING);
     }
 
-    /** Guards against a lost connection attempt that is never repeated. */
+    /** Guards against a connection attempt that is never repeated after its result was lost. */
     @Test
     void attemptWithoutAnswerIsRepeated() {
         core.handle(new LinkDown("a"), 200);
@@ -118,7 +118,7 @@
                 .hasSize(1);
     }
 
-    /** Guards against reconnects that come at the same moment from all entries, too often or too seldom. */
+    /** Guards against reconnects that happen at the same moment from all entries, too often or too rarely. */
     @Test
     void backoffDoublesUpToItsLimitWithFullJitter() {
         ReconnectBackoff backoff = new ReconnectBackoff(new Random(3));
--- a/core/src/test/java/dev/wigeonward/core/retry/RetryBudgetTest.java
+++ b/core/src/test/java/dev/wigeonward/core/retry/RetryBudgetTest.java
@@ -10,9 +10,9 @@
 class RetryBudgetTest {
     private static final int SECONDS = 20;
 
-    /** Guards against retries that multiply the load, and against a budget that grants less than it promises. */
+    /** Guards against retries that multiply the load, and against a budget that grants fewer retries than specified. */
     @Property(tries = 50)
-    void grantsLargerOfTenPercentAndFloor(@ForAll @IntRange(max = 5_000) int requestsPerSecond) {
+    void grantsLargerOfTenPercentAndMinimum(@ForAll @IntRange(max = 5_000) int requestsPerSecond) {
         RetryBudget budget = RetryBudget.startingAt(0);
         int granted = 0;
         for (int millis = 0; millis < SECONDS * 1_000; millis++) {
@@ -29,9 +29,9 @@
         assertThat(granted).isBetween(earned - 1, earned + initial + SECONDS);
     }
 
-    /** Guards against a burst of retries saved up over a quiet time. */
+    /** Guards against a burst of retries from tokens accumulated while no requests arrived. */
     @Example
-    void savesUpNoMoreThanOneSecond() {
+    void accumulatesNoMoreThanOneSecond() {
         RetryBudget budget = RetryBudget.startingAt(0);
         int granted = 0;
         while (budget.tryAcquire(3_600_000)) {
--- a/core/src/test/java/dev/wigeonward/core/stream/EventBoundariesTest.java
+++ b/core/src/test/java/dev/wigeonward/core/stream/EventBoundariesTest.java
@@ -14,9 +14,9 @@
     private static final byte[] STREAM =
             "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n:comment\n\nid:3\ndata: c\n\n".getBytes(StandardCharsets.UTF_8);
 
-    /** Guards against boundaries that depend on how the network cuts the bytes. */
+    /** Guards against boundaries that depend on how the network splits the bytes. */
     @Property
-    void cutsDoNotMatter(@ForAll @IntRange(min = 1, max = 20) int size) {
+    void boundariesDoNotDependOnSplits(@ForAll @IntRange(min = 1, max = 20) int size) {
         EventBoundaries boundaries = EventBoundaries.create();
         int complete = 0;
         for (int from = 0; from < STREAM.length; from += size) {
@@ -31,9 +31,9 @@
         assertThat(boundaries.insideEvent()).isFalse();
     }
 
-    /** Guards against a stream that goes on after an event of which only the identifier has come. */
+    /** Guards against a stream that is resumed after an event of which only the first part, with its id, arrived. */
     @Example
-    void openEventDoesNotCount() {
+    void incompleteEventDoesNotCount() {
         EventBoundaries boundaries = EventBoundaries.create();
         byte[] bytes = "id: 1\ndata: a\n\nid: 2\ndata: b".getBytes(StandardCharsets.UTF_8);
 
--- a/core/src/test/java/dev/wigeonward/core/suspect/SuspectBoundTest.java
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectBoundTest.java
@@ -15,7 +15,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-/** The bound on upstreams that one request and its resends crash, over entries that merge late and in any order. */
+/** Tests of the bound on upstreams crashed by a request and its resends, for entries that merge late and unordered. */
 class SuspectBoundTest {
     private static final long FINGERPRINT = 5;
     private static final int RESENDS = 12;
@@ -26,7 +26,7 @@
         void merge(SuspectFact fact, long nowMillis);
     }
 
-    private static final class RealTable implements Table {
+    private static final class TableUnderTest implements Table {
         private final SuspectTable table = SuspectTable.create();
 
         @Override
@@ -40,8 +40,8 @@
         }
     }
 
-    /** Mutation: a peer's set replaces the own one instead of being added to it. */
-    private static final class OverwritingTable implements Table {
+    /** A faulty table, in which the set of a peer replaces the stored one instead of being merged into it. */
+    private static final class ReplacingTable implements Table {
         private SuspectTable table = SuspectTable.create();
 
         @Override
@@ -57,8 +57,9 @@
     }
 
     /**
-     * Guards against facts lost in merges: a request that kills each upstream that runs it is sent again through random
-     * entries. News of a run reaches every entry before the {@code lagRuns + 1}-th run after it, and some earlier.
+     * Guards against facts that are lost in merges: a request that crashes each upstream that runs it is resent through
+     * random entries. The death caused by a run is known to every entry before the {@code lagRuns + 1}-th run after it,
+     * and to some entries earlier.
      */
     private static void checkBound(Supplier<Table> factory, long seed, int entries, int lagRuns) {
         Random random = new Random(seed);
@@ -89,9 +90,9 @@
     }
 
     @Property
-    void atMostThreeUpstreamsDieWhenNewsIsOneRunLate(
+    void atMostThreeUpstreamsDieWhenFactsAreOneRunLate(
             @ForAll long seed, @ForAll @IntRange(min = 1, max = 8) int entries) {
-        checkBound(RealTable::new, seed, entries, 1);
+        checkBound(TableUnderTest::new, seed, entries, 1);
     }
 
     @Property
@@ -99,14 +100,14 @@
             @ForAll long seed,
             @ForAll @IntRange(min = 1, max = 8) int entries,
             @ForAll @IntRange(max = 5) int lagRuns) {
-        checkBound(RealTable::new, seed, entries, lagRuns);
+        checkBound(TableUnderTest::new, seed, entries, lagRuns);
     }
 
     @Test
-    void mutationThatOverwritesIsFound() {
+    void checkFailsForTableThatReplacesInsteadOfMerging() {
         assertThatThrownBy(() -> {
                     for (long seed = 0; seed < 100; seed++) {
-                        checkBound(OverwritingTable::new, seed, 4, 1);
+                        checkBound(ReplacingTable::new, seed, 4, 1);
                     }
                 })
                 .isInstanceOf(AssertionError.class);
--- a/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
@@ -18,7 +18,10 @@
 
     private final SuspectTable table = SuspectTable.create();
 
-    /** Guards against refusing a request that shared a crashed upstream only once, and against copies of it. */
+    /**
+     * Guards against the refusal of a request that was running on a crashed upstream only once, and against copies of
+     * it that run at the same time.
+     */
     @Test
     void oneDeathAllowsOneRunAtATime() {
         table.onDispatched(FINGERPRINT);
@@ -31,7 +34,7 @@
         assertThat(table.mayDispatch(FINGERPRINT, 1)).isTrue();
     }
 
-    /** Guards against a refusal that ends early, never, or is prolonged by repeated news. */
+    /** Guards against a refusal that ends too early, never ends, or is prolonged by facts merged repeatedly. */
     @Test
     void twoDeathsRefuseForTenMinutesAfterTheLastAddition() {
         table.onUpstreamDied(FINGERPRINT, "u1", 0);
@@ -41,9 +44,9 @@
         assertThat(table.suspicion(FINGERPRINT, 1_000 + EXPIRY_MILLIS)).isEqualTo(Suspicion.NONE);
     }
 
-    /** Guards against two peers that revive an expired fact from each other without end. */
+    /** Guards against two peers that renew an expired fact forever by sending it to each other. */
     @Test
-    void expiredFactsAreNotRevivedByAPeer() {
+    void expiredFactsAreNotRenewedByAPeer() {
         SuspectFact fact = new SuspectFact(FINGERPRINT, Set.of("u1", "u2"));
         table.merge(fact, 0);
         assertThat(table.facts(EXPIRY_MILLIS)).isEmpty();
@@ -53,9 +56,9 @@
                 .contains(new SuspectFact(FINGERPRINT, Set.of("u3")));
     }
 
-    /** Guards against a table that grows without bound or forgets the newest fingerprints. */
+    /** Guards against a table that grows without bound or removes the newest fingerprints. */
     @Test
-    void oldestFingerprintsLeaveFirst() {
+    void oldestFingerprintsAreRemovedFirst() {
         SuspectTable small = SuspectTable.withCapacity(2);
         small.onUpstreamDied(1, "u1", 0);
         small.onUpstreamDied(2, "u1", 1);
@@ -66,18 +69,18 @@
         assertThat(small.suspicion(2, 4)).isEqualTo(Suspicion.NONE);
     }
 
-    /** Guards against facts that circulate for good: only what is new is sent on. */
+    /** Guards against facts that circulate forever between peers because they are forwarded without being new. */
     @Test
-    void onlyNewsIsSentOn() {
+    void onlyNewFactsAreForwarded() {
         assertThat(table.onUpstreamDied(FINGERPRINT, "u1", 0)).isPresent();
         assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u1")), 1)).isEqualTo(Optional.empty());
         assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u2")), 2))
                 .contains(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")));
     }
 
-    /** Guards against a gate that mixes up waiting and refusal. */
+    /** Guards against a gate that confuses waiting with refusal. */
     @Test
-    void gateRulesByTheTable() {
+    void gateDecidesByTheTable() {
         SuspectGate gate = SuspectTableGate.over(table);
         RequestSpec request = new RequestSpec(
                 RequestId.of("e", 1, 1),
