--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentEffect.java
@@ -7,7 +7,7 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** An action that {@link AgentDispatcher} asks its adapters to take. A run is named by the request that started it. */
+/** An action that {@link AgentDispatcher} requests from its adapters. A run is named by the request that started it. */
 public sealed interface AgentEffect {
     /** Submits a request to the upstream, once for each run. */
     record SubmitToUpstream(RequestId run) implements AgentEffect {}
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentEvent.java
@@ -18,7 +18,7 @@
             long link, RequestSpec request, DispatchId dispatch, long expectedIncarnation, Optional<RequestId> attachTo)
             implements AgentEvent {}
 
-    /** An entry asked for the rest of an answer, from an offset on. */
+    /** An entry requested the rest of an answer, from an offset on. */
     record ReattachArrived(
             long link, RequestId request, DispatchId dispatch, long expectedIncarnation, long offsetBytes)
             implements AgentEvent {}
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AnswerSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AnswerSteps.java
@@ -62,7 +62,7 @@
 
     private void onUnseen(PendingRequest pending, long nowMillis) {
         if (pending.request.timeLeftMillis(nowMillis) <= 0) {
-            // Agents record what ran only until the deadline, but a paused entry may ask later.
+            // Agents guarantee a record of what ran only until the deadline; a paused entry may send its query later.
             onFailed(
                     pending,
                     Failure.of(ErrorKind.DEADLINE_EXCEEDED_RUNNING, "the deadline passed before the agent answered"),
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
@@ -4,7 +4,7 @@
 import dev.wigeonward.core.request.DispatchId;
 import dev.wigeonward.core.request.RequestId;
 
-/** An action that {@link EntryDispatcher} asks its adapters to carry out. */
+/** An action that {@link EntryDispatcher} requests from its adapters. */
 public sealed interface EntryEffect {
     /** Creates the durable claim of a request, or moves it from an upstream that did not run the request. */
     record MakeClaim(RequestId request, String upstreamId, long upstreamIncarnation) implements EntryEffect {}
@@ -29,11 +29,11 @@
             long timeLeftMillis)
             implements EntryEffect {}
 
-    /** Asks an agent to attach this request to the run of another one with the same key, without starting a run. */
+    /** Requests that an agent attach this request to the run of another one with the same key; starts no run. */
     record SendAttach(RequestId request, DispatchId dispatch, String upstreamId, RequestId claimedBy)
             implements EntryEffect {}
 
-    /** Asks an agent for the rest of an answer, from an offset on. */
+    /** Requests the rest of an answer from an agent, from an offset on. */
     record SendReattach(
             RequestId request, DispatchId dispatch, String upstreamId, long upstreamIncarnation, long offsetBytes)
             implements EntryEffect {}
--- a/core/src/main/java/dev/wigeonward/core/dispatch/RunMemory.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/RunMemory.java
@@ -11,14 +11,14 @@
 
 /**
  * Bounded record of the requests that the upstream received and of the dispatches that were answered as not run, kept
- * after their runs are removed. Without it, an entry that reattaches to a cancelled or removed run would be told that
- * the request was never received, and a late copy of a refused dispatch would start a run. Not thread-safe.
+ * after their runs are removed. Without it, a reattach to a cancelled or removed run would be answered as if the
+ * request had never been received, and a late copy of a refused dispatch would start a run. Not thread-safe.
  */
 final class RunMemory {
     /** How long a claim refers to this agent; a resend may attach to the claim at any time until then. */
     private static final long CLAIMED_MILLIS = 24L * 3_600 * 1_000;
 
-    /** Margin for copies of frames that arrive after the deadline, up to which an entry asks for the request. */
+    /** Margin for copies of frames that arrive late; an entry sends frames for a request until its deadline. */
     private static final long AFTER_DEADLINE_MILLIS = 60_000;
 
     private final int maxEntries;
--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
@@ -1,6 +1,6 @@
 package dev.wigeonward.core.membership;
 
-/** An action that {@link MembershipCore} asks its adapters to carry out. */
+/** An action that {@link MembershipCore} requests from its adapters. */
 public sealed interface MembershipEffect {
     /** Opens a connection now, in addition to one that may still be open but has timed out. */
     record LinkTo(String upstreamId, String address) implements MembershipEffect {}
