Restore the reason in a comment of ClaimSteps

Cause: the reworded comment had lost that the request was answered as not run. Change: one comment, back to its earlier text.

--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
@@ -28,7 +28,7 @@
         Optional<PendingRequest> found =
                 dispatcher.pending(id).filter(pending -> pending.phase == PendingRequest.Phase.CLAIMING);
         if (found.isEmpty()) {
-            // The request has ended in the meantime, and its claim was released with that answer.
+            // The request was answered as not run in the meantime, and its claim was released with that answer.
             return;
         }
         PendingRequest pending = found.get();
