--- a/core/src/main/java/dev/wigeonward/core/rollout/BadVerdict.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/BadVerdict.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 
-/** The fact that a version is bad; it is never withdrawn. */
+/** A verdict that a version is bad, with its reason. A verdict is permanent. */
 public record BadVerdict(ModelVersion version, String reason) {
     public BadVerdict {
         Objects.requireNonNull(version, "version");
--- a/core/src/main/java/dev/wigeonward/core/rollout/ControllerEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ControllerEffect.java
@@ -2,7 +2,7 @@
 
 import dev.wigeonward.core.order.Order;
 
-/** What the move controller asks its adapters to do. */
+/** An action that the move controller requests from its adapters. */
 public sealed interface ControllerEffect {
     /** Write the record if the key's revision is still the expected one; 0 means that the key must not exist. */
     record WriteRecord(MoveRecord record, long expectedRevision) implements ControllerEffect {}
@@ -19,6 +19,6 @@
     /** Send the verdict over all links, without waiting for the store. */
     record PublishVerdict(BadVerdict verdict) implements ControllerEffect {}
 
-    /** Tell the operators. */
+    /** Report the step to the operators. */
     record ReportStep(MoveReport report) implements ControllerEffect {}
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/ControllerEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ControllerEvent.java
@@ -5,12 +5,12 @@
 
 import dev.wigeonward.core.order.OrderResult;
 
-/** What the move controller reacts to. */
+/** An event handled by the move controller. */
 public sealed interface ControllerEvent {
     /**
-     * This entry holds the controller lease.
+     * This entry acquired the controller lease.
      *
-     * @param validUntilMillis time up to which no other entry can acquire it
+     * @param validUntilMillis time until which no other entry can acquire the lease
      * @param records all move records, read after the lease was acquired
      */
     record LeaseAcquired(long fencingNumber, long validUntilMillis, List<StoredRecord> records)
@@ -23,34 +23,34 @@
     /** The store renewed the lease. */
     record LeaseRenewed(long validUntilMillis) implements ControllerEvent {}
 
-    /** The store says that this entry does not hold the lease. */
+    /** The store reported that this entry does not hold the lease. */
     record LeaseLost() implements ControllerEvent {}
 
-    /** A revision of the rules came into force. */
+    /** A revision of the rules took effect. */
     record RulesChanged(List<MoveRule> rules) implements ControllerEvent {
         public RulesChanged {
             rules = List.copyOf(rules);
         }
     }
 
-    /** An agent announced what its engine holds. */
+    /** An agent reported the versions that its engine holds. */
     record UpstreamSeen(UpstreamVersions upstream) implements ControllerEvent {}
 
-    /** An agent left or its link was lost. */
+    /** An agent left, or the link to it was lost. */
     record UpstreamGone(String upstreamId) implements ControllerEvent {}
 
-    /** An agent reported its counters since its start. */
+    /** An agent reported the counters that it has kept since its start. */
     record EvidenceReported(
             String upstreamId, long incarnation, ModelVersion version, RouteCell cell, EvidenceCounters counters)
             implements ControllerEvent {}
 
-    /** A peer reported a version shown to be bad. */
+    /** A peer sent a bad verdict. */
     record VerdictLearned(BadVerdict verdict) implements ControllerEvent {}
 
     /**
      * The store answered a write of a move record.
      *
-     * @param revision the key's new revision if the write was applied
+     * @param revision new revision of the key if the write was applied
      */
     record StoreAnswered(String model, String writeId, StoreAnswer answer, long revision) implements ControllerEvent {}
 
@@ -60,10 +60,10 @@
     /** An agent answered an order. */
     record OrderAnswered(String orderId, OrderResult result) implements ControllerEvent {}
 
-    /** Time passed. */
+    /** The periodic timer fired. */
     record Tick() implements ControllerEvent {}
 
-    /** Fate of a write. */
+    /** Outcome of a write. */
     enum StoreAnswer {
         APPLIED,
         COMPARE_FAILED,
--- a/core/src/main/java/dev/wigeonward/core/rollout/ControllerStages.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ControllerStages.java
@@ -3,11 +3,11 @@
 import java.util.List;
 
 /**
- * All stages of one controller at one moment; a later publication replaces an earlier one as a whole.
+ * A publication of all stages of one controller. A newer publication replaces an older one as a whole.
  *
- * @param fencingNumber creation revision of the controller key
- * @param sequence grows with each publication of the same controller
- * @param stages at most one for each model
+ * @param fencingNumber creation revision of the controller key in the store
+ * @param sequence number of the publication, which increases with each publication of the same controller
+ * @param stages stages in effect, at most one for each model
  */
 public record ControllerStages(long fencingNumber, long sequence, List<Stage> stages) {
     public ControllerStages {
--- a/core/src/main/java/dev/wigeonward/core/rollout/FinishProjection.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/FinishProjection.java
@@ -2,28 +2,32 @@
 
 import java.util.Collection;
 
-/** Projects when the new versions can get all requests, from the loads and stages that are left. */
+/** Projection of the time at which a new version can get all requests, from the remaining loads and stages. */
 final class FinishProjection {
-    /** Weight of the last load in the running mean. */
+    /** Weight of the latest load in the exponentially weighted mean of load durations. */
     private static final double LOAD_WEIGHT = 0.3;
 
     private final MoveSettings settings;
     private final LoadPlanner planner;
     private final MoveAdvancer advancer;
-    private double loadMillis;
+    private double meanLoadMillis;
 
     FinishProjection(MoveSettings settings, LoadPlanner planner, MoveAdvancer advancer) {
         this.settings = settings;
         this.planner = planner;
         this.advancer = advancer;
-        this.loadMillis = settings.expectedLoadMillis();
+        this.meanLoadMillis = settings.expectedLoadMillis();
     }
 
-    void loadTook(long millis) {
-        loadMillis += LOAD_WEIGHT * (millis - loadMillis);
+    /** Adds the duration of a finished load to the mean. */
+    void recordLoadDuration(long millis) {
+        meanLoadMillis += LOAD_WEIGHT * (millis - meanLoadMillis);
     }
 
-    /** Returns the projected finish; the start of the phase for a move that already got all requests. */
+    /**
+     * Returns the projected finish of the move, or the start of its phase if its new version already gets all requests
+     * or the move no longer advances.
+     */
     long finishMillis(Move move, Collection<Move> moves, Collection<UpstreamVersions> upstreams, long nowMillis) {
         MoveRecord record = move.record;
         if (!record.phase().isAdvancing() || record.phase() == MovePhase.WATCHING) {
@@ -31,14 +35,14 @@
         }
         long loads = 0;
         for (Move other : moves) {
-            boolean ahead = other == move || other.record.deadlineMillis() < record.deadlineMillis();
-            if (ahead && other.record.phase().isAdvancing()) {
+            boolean loadsFirst = other == move || other.record.deadlineMillis() < record.deadlineMillis();
+            if (loadsFirst && other.record.phase().isAdvancing()) {
                 int needed = planner.upstreamsNeeded(other, upstreams, Stage.ALL_BASIS_POINTS);
                 loads += Math.max(0, needed - planner.upstreamsReady(other, upstreams));
             }
         }
         long rounds = (loads + settings.concurrentLoads() - 1) / settings.concurrentLoads();
-        long loadingMillis = (long) (rounds * loadMillis);
+        long loadingMillis = (long) (rounds * meanLoadMillis);
         return nowMillis + Math.max(loadingMillis, stagesMillis(move, nowMillis));
     }
 
@@ -49,11 +53,11 @@
         if (!started) {
             return millis;
         }
-        long presentMillis = settings.minStageMillis() - move.activeMillis;
-        if (presentMillis < 0 && !move.evidence.allRoutesPassed()) {
-            // A test that has lasted long is expected to last as long again, within its limit.
-            presentMillis = Math.min(move.activeMillis, advancer.testMillisLeft(move, nowMillis));
+        long currentStageMillis = settings.minStageMillis() - move.activeMillis;
+        if (currentStageMillis < 0 && !move.evidence.allRoutesPassed()) {
+            // A test that exceeds the minimum is expected to take as long again, within its limit.
+            currentStageMillis = Math.min(move.activeMillis, advancer.testMillisLeft(move, nowMillis));
         }
-        return millis + Math.max(0, presentMillis);
+        return millis + Math.max(0, currentStageMillis);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/LoadPlanner.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/LoadPlanner.java
@@ -12,11 +12,14 @@
 import dev.wigeonward.core.order.Order;
 
 /**
- * Chooses loads and unloads within the weight store's rate and the engines' memory; the move with the earliest deadline
- * chooses first.
+ * Planner of loads and unloads within the limits of the weight store's rate and the engines' memory. Moves are planned
+ * in order of their deadlines.
  */
 final class LoadPlanner {
-    /** Part of the engines with room for one version only that keeps the old one until the move is done. */
+    /**
+     * One in this many of a model's engines keeps the old version until the move is done, if some have room for one
+     * version only.
+     */
     private static final int KEPT_OLD_DIVISOR = 10;
 
     private final MoveSettings settings;
@@ -25,14 +28,14 @@
         this.settings = settings;
     }
 
-    /** Returns the new orders of each model, not yet numbered. */
+    /** Returns the new orders of each model, with placeholders for their ids. */
     Map<String, List<OrderIntent>> plan(List<Move> moves, Collection<UpstreamVersions> upstreams, long nowMillis) {
         List<Move> byDeadline = new ArrayList<>(moves);
         byDeadline.sort(Comparator.comparingLong((Move move) -> move.record.deadlineMillis())
                 .thenComparing(move -> move.record.model()));
         int loadsLeft = settings.concurrentLoads();
         for (Move move : moves) {
-            loadsLeft -= (int) move.openIntents().stream()
+            loadsLeft -= (int) move.unansweredIntents().stream()
                     .filter(intent -> intent.kind() == Order.Kind.LOAD)
                     .count();
         }
@@ -43,10 +46,10 @@
             }
             if (move.record.phase() == MovePhase.DONE
                     && nowMillis - move.record.phaseStartMillis() < StageView.MAX_LEASE_MILLIS) {
-                // An entry that has not heard of the end yet still needs the old version.
+                // An entry that has not yet received the last stage still sends requests to the old version.
                 continue;
             }
-            List<OrderIntent> orders = ordersOf(move, upstreamsOf(move, upstreams), Math.max(0, loadsLeft));
+            List<OrderIntent> orders = ordersFor(move, upstreamsOf(move, upstreams), Math.max(0, loadsLeft));
             loadsLeft -= (int) orders.stream()
                     .filter(order -> order.kind() == Order.Kind.LOAD)
                     .count();
@@ -58,34 +61,36 @@
     }
 
     /**
-     * Returns how many upstreams need the new version before the share may be published; 0 if memory leaves no room for
-     * it beside the old version.
+     * Returns the number of upstreams that must hold the new version before the share may be published, or 0 if there
+     * is no memory for it beside the old version.
      */
     int upstreamsNeeded(Move move, Collection<UpstreamVersions> upstreams, int shareBasisPoints) {
         List<UpstreamVersions> all = upstreamsOf(move, upstreams);
         int needed = Math.max(1, (all.size() * shareBasisPoints + Stage.ALL_BASIS_POINTS - 1) / Stage.ALL_BASIS_POINTS);
-        long single = all.stream().filter(upstream -> upstream.places() == 1).count();
-        int kept = single == 0 ? 0 : Math.max(1, all.size() / KEPT_OLD_DIVISOR);
+        long singleVersionUpstreams =
+                all.stream().filter(upstream -> upstream.places() == 1).count();
+        int kept = singleVersionUpstreams == 0 ? 0 : Math.max(1, all.size() / KEPT_OLD_DIVISOR);
         return Math.min(needed, all.size() - kept);
     }
 
     /** Returns the number of upstreams that hold the new version. */
     int upstreamsReady(Move move, Collection<UpstreamVersions> upstreams) {
         return (int) upstreamsOf(move, upstreams).stream()
-                .filter(upstream -> upstream.has(move.record.newVersion()))
+                .filter(upstream -> upstream.hasLoaded(move.record.newVersion()))
                 .count();
     }
 
-    private List<OrderIntent> ordersOf(Move move, List<UpstreamVersions> upstreams, int loadsLeft) {
+    private List<OrderIntent> ordersFor(Move move, List<UpstreamVersions> upstreams, int loadsLeft) {
         Set<String> busy = new HashSet<>();
-        move.openIntents().forEach(intent -> busy.add(intent.upstreamId()));
+        move.unansweredIntents().forEach(intent -> busy.add(intent.upstreamId()));
         List<UpstreamVersions> free = upstreams.stream()
                 .filter(upstream -> !busy.contains(upstream.upstreamId()))
                 .toList();
         return switch (move.record.phase()) {
             case LOADING, CANARY, GROWING, WATCHING -> loadNew(move, upstreams, free, loadsLeft);
-            case DONE -> replace(move, free, move.record.oldVersion(), move.record.newVersion(), loadsLeft);
-            case ROLLING_BACK -> replace(move, free, move.record.newVersion(), move.record.oldVersion(), loadsLeft);
+            case DONE -> replaceVersion(move, free, move.record.oldVersion(), move.record.newVersion(), loadsLeft);
+            case ROLLING_BACK ->
+                replaceVersion(move, free, move.record.newVersion(), move.record.oldVersion(), loadsLeft);
             default -> List.of();
         };
     }
@@ -97,7 +102,7 @@
                 : settings.nextShare(move.record.shareBasisPoints());
         String newVersion = move.record.newVersion();
         int missing = upstreamsNeeded(move, upstreams, share) - upstreamsReady(move, upstreams);
-        missing -= (int) move.openIntents().stream()
+        missing -= (int) move.unansweredIntents().stream()
                 .filter(intent -> intent.version().equals(newVersion) || intent.kind() == Order.Kind.UNLOAD)
                 .count();
         List<OrderIntent> orders = new ArrayList<>();
@@ -108,31 +113,31 @@
             if (orders.size() >= Math.min(missing, loadsLeft)) {
                 break;
             }
-            if (upstream.has(newVersion)) {
+            if (upstream.hasLoaded(newVersion)) {
                 continue;
             }
             if (upstream.hasRoom()) {
                 orders.add(order(move, upstream, Order.Kind.LOAD, newVersion));
             } else {
-                String leftover = upstream.loadedVersions().stream()
+                String versionToUnload = upstream.loadedVersions().stream()
                         .filter(version -> !version.equals(move.record.oldVersion()))
                         .min(Comparator.naturalOrder())
                         .orElse(move.record.oldVersion());
-                orders.add(order(move, upstream, Order.Kind.UNLOAD, leftover));
+                orders.add(order(move, upstream, Order.Kind.UNLOAD, versionToUnload));
             }
         }
         return orders;
     }
 
-    private static List<OrderIntent> replace(
-            Move move, List<UpstreamVersions> free, String leaving, String staying, int loadsLeft) {
+    private static List<OrderIntent> replaceVersion(
+            Move move, List<UpstreamVersions> free, String versionToUnload, String versionToLoad, int loadsLeft) {
         List<OrderIntent> orders = new ArrayList<>();
         int loads = 0;
         for (UpstreamVersions upstream : free) {
-            if (upstream.has(leaving)) {
-                orders.add(order(move, upstream, Order.Kind.UNLOAD, leaving));
-            } else if (!upstream.has(staying) && upstream.hasRoom() && loads < loadsLeft) {
-                orders.add(order(move, upstream, Order.Kind.LOAD, staying));
+            if (upstream.hasLoaded(versionToUnload)) {
+                orders.add(order(move, upstream, Order.Kind.UNLOAD, versionToUnload));
+            } else if (!upstream.hasLoaded(versionToLoad) && upstream.hasRoom() && loads < loadsLeft) {
+                orders.add(order(move, upstream, Order.Kind.LOAD, versionToLoad));
                 loads++;
             }
         }
--- a/core/src/main/java/dev/wigeonward/core/rollout/Move.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/Move.java
@@ -7,24 +7,31 @@
 import java.util.Map;
 import java.util.Set;
 
-/** What the controller holds in memory about one move beside its stored record. */
+/** In-memory state of the controller for one move. */
 final class Move {
-    /** The last record known to be in the store; for a new model one that is not written yet. */
+    /** The last record known to be stored, or the initial record of a new move that is not yet written. */
     MoveRecord record;
-    /** The record whose write is not confirmed, or null. */
+    /** The record whose write is not yet confirmed, or null. */
     MoveRecord pending;
-    /** Whether the fate of the pending write is unknown and a read is needed. */
+    /** Whether it is unknown if the pending write was applied, so that the record must be read. */
     boolean inDoubt;
 
+    /** Store revision of the record's key, or 0 if the key does not exist. */
     long revision;
+
     long lastAttemptMillis;
+    /** Time in the current stage during which the controller held a valid lease. */
     long activeMillis;
+
     boolean lateReported;
+    /** Whether the rules no longer name the new version. */
     boolean withdrawn;
+
     MoveEvidence evidence;
     final Map<String, Long> sentMillisByOrder = new HashMap<>();
     final Map<String, Long> missingSinceMillisByOrder = new HashMap<>();
-    final Set<String> answeredOrders = new HashSet<>();
+    final Set<String> answeredOrderIds = new HashSet<>();
+    /** Time before which no new orders are planned, because an order failed. */
     long retryOrdersMillis;
 
     Move(MoveRecord record, long revision, long confirmMillis) {
@@ -33,15 +40,15 @@
         this.evidence = new MoveEvidence(record.oldVersion(), record.newVersion(), confirmMillis);
     }
 
-    /** Returns the record with every order that may have been sent. */
+    /** Returns the pending record, or else the stored one; it lists every order that may have been sent. */
     MoveRecord latest() {
         return pending == null ? record : pending;
     }
 
-    /** Returns the announced orders that are not answered. */
-    List<OrderIntent> openIntents() {
-        List<OrderIntent> open = new ArrayList<>(latest().intents());
-        open.removeIf(intent -> answeredOrders.contains(intent.orderId()));
-        return open;
+    /** Returns a mutable list of the recorded orders without an answer. */
+    List<OrderIntent> unansweredIntents() {
+        List<OrderIntent> unanswered = new ArrayList<>(latest().intents());
+        unanswered.removeIf(intent -> answeredOrderIds.contains(intent.orderId()));
+        return unanswered;
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
@@ -3,9 +3,9 @@
 import java.util.Collection;
 import java.util.Optional;
 
-/** Decides the next phase of a move; the controller writes it before anything follows from it. */
+/** Rules for the next phase of a move. The controller writes the phase to the store before it acts on it. */
 final class MoveAdvancer {
-    /** Part of the time left for a stage after which its test is cut short, so that the deadline can still be met. */
+    /** Fraction of a stage's time after which its test is truncated, so that the deadline can still be met. */
     private static final double STAGE_TIME_FRACTION = 0.9;
 
     private final MoveSettings settings;
@@ -16,7 +16,7 @@
         this.planner = planner;
     }
 
-    /** Returns how long the test of the present stage may still last at most, in milliseconds. */
+    /** Returns the maximum time that the test of the current stage may still take, in milliseconds. */
     long testMillisLeft(Move move, long nowMillis) {
         MoveRecord record = move.record;
         int stagesLeft = settings.stagesLeft(record.shareBasisPoints());
@@ -24,22 +24,22 @@
             return settings.watchMillis() - move.activeMillis;
         }
         long minLeftMillis = settings.minTestMillis() - move.activeMillis;
-        // An outage within the stage shortens the test, down to its minimum, rather than what is left for the others.
+        // An outage during the stage shortens its test, down to the minimum, and not the time of the later stages.
         long stageMillis =
                 (long) (STAGE_TIME_FRACTION * (record.deadlineMillis() - record.phaseStartMillis()) / stagesLeft);
         return Math.max(minLeftMillis, record.phaseStartMillis() + stageMillis - nowMillis);
     }
 
-    /** Returns whether the test of the present stage has to end now. */
-    boolean isTestOver(Move move, long nowMillis) {
+    /** Returns whether the test of the current stage must be truncated now. */
+    boolean mustTruncateTest(Move move, long nowMillis) {
         boolean timeOver = testMillisLeft(move, nowMillis) <= 0;
         return timeOver && (move.record.phase() == MovePhase.WATCHING || !move.evidence.allRoutesPassed());
     }
 
     /**
-     * Returns the record of the next step, or empty if there is none to take now.
+     * Returns the record of the next step, or empty if no step is due.
      *
-     * @param badReason why the new version is bad, if it is
+     * @param badReason reason of the bad verdict on the new version, if there is one
      */
     Optional<MoveRecord> next(
             Move move, Optional<String> badReason, Collection<UpstreamVersions> upstreams, long nowMillis) {
@@ -92,12 +92,12 @@
     }
 
     private Optional<MoveRecord> afterRollback(Move move, Collection<UpstreamVersions> upstreams, long nowMillis) {
-        boolean oldEverywhere = upstreams.stream()
+        boolean oldRestored = upstreams.stream()
                 .filter(upstream -> upstream.model().equals(move.record.model()))
-                .allMatch(upstream -> upstream.has(move.record.oldVersion()) || !upstream.hasRoom());
+                .allMatch(upstream -> upstream.hasLoaded(move.record.oldVersion()) || !upstream.hasRoom());
         if (planner.upstreamsReady(move, upstreams) > 0
-                || !oldEverywhere
-                || !move.openIntents().isEmpty()) {
+                || !oldRestored
+                || !move.unansweredIntents().isEmpty()) {
             return Optional.empty();
         }
         return Optional.of(move.record.withPhase(MovePhase.ROLLED_BACK, 0, nowMillis, move.record.reason()));
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
@@ -13,11 +13,11 @@
 import dev.wigeonward.core.order.OrderResult;
 
 /**
- * Decides the steps of all version moves at the entry that holds the controller lease.
+ * Controller of all version moves, active at the entry that holds the controller lease.
  *
- * <p>Each step is written to the move record first, and orders and stages follow only once the store confirmed it. A
- * bad verdict is the exception: it is published at once and written when the store answers, also without the lease,
- * because it only ever takes requests away from a version. Not safe for use by several threads.
+ * <p>Each step is first written to the move record; its orders and stages are sent only after the store confirmed the
+ * write. Bad verdicts are the exception: they are published at once, even without the lease, and written when the store
+ * answers, because a verdict only ever takes requests away from a version. Not thread-safe.
  */
 public final class MoveController {
     private final MoveSettings settings;
@@ -29,7 +29,7 @@
     private final Map<String, Move> moves = new TreeMap<>();
     private final Map<String, UpstreamVersions> upstreams = new TreeMap<>();
     private final Map<String, MoveRule> rules = new TreeMap<>();
-    private final Map<ModelVersion, BadVerdict> bad =
+    private final Map<ModelVersion, BadVerdict> badVersions =
             new TreeMap<>(Comparator.comparing(ModelVersion::model).thenComparing(ModelVersion::version));
     private boolean rulesKnown;
     private boolean holdsLease;
@@ -41,6 +41,7 @@
     private long lastTickMillis = Long.MIN_VALUE / 2;
     private List<ControllerEffect> effects = new ArrayList<>();
 
+    /** Creates a controller that does not hold the lease and knows no moves. */
     public MoveController(MoveSettings settings, JudgeSettings judgeSettings) {
         this.settings = settings;
         this.judge = new VersionJudge(judgeSettings);
@@ -49,11 +50,11 @@
         this.projection = new FinishProjection(settings, planner, advancer);
     }
 
-    /** Returns what to do about the event, in this order. */
+    /** Applies the event and returns the effects to carry out, in order. */
     public List<ControllerEffect> handle(ControllerEvent event, long nowMillis) {
         effects = new ArrayList<>();
         if (event instanceof ControllerEvent.LeaseAcquired acquired) {
-            takeOver(acquired, nowMillis);
+            handleLeaseAcquired(acquired, nowMillis);
         } else if (event instanceof ControllerEvent.LeaseRenewed renewed) {
             leaseValidUntilMillis = Math.max(leaseValidUntilMillis, renewed.validUntilMillis());
         } else if (event instanceof ControllerEvent.LeaseLost) {
@@ -72,25 +73,25 @@
         } else if (event instanceof ControllerEvent.VerdictLearned learned) {
             addVerdict(learned.verdict(), nowMillis);
         } else if (event instanceof ControllerEvent.StoreAnswered answered) {
-            settleWrite(answered, nowMillis);
+            handleWriteAnswer(answered, nowMillis);
         } else if (event instanceof ControllerEvent.RecordRead read) {
-            settleRead(read, nowMillis);
+            handleRecordRead(read, nowMillis);
         } else if (event instanceof ControllerEvent.OrderAnswered answered) {
-            settleOrder(answered, nowMillis);
+            handleOrderAnswer(answered, nowMillis);
         } else if (event instanceof ControllerEvent.Tick) {
             tick(nowMillis);
         }
         return effects;
     }
 
-    /** Returns the present state of all moves, for operators. */
+    /** Returns a report of the current state of each move, for operators. */
     public List<MoveReport> reports(long nowMillis) {
         return moves.values().stream()
                 .map(move -> report(move, move.record.reason(), nowMillis))
                 .toList();
     }
 
-    private void takeOver(ControllerEvent.LeaseAcquired acquired, long nowMillis) {
+    private void handleLeaseAcquired(ControllerEvent.LeaseAcquired acquired, long nowMillis) {
         holdsLease = true;
         fencingNumber = acquired.fencingNumber();
         leaseValidUntilMillis = acquired.validUntilMillis();
@@ -102,17 +103,18 @@
                     adopt(stored, Optional.ofNullable(known.get(stored.record().model())));
             moves.put(stored.record().model(), move);
         }
-        List.copyOf(bad.values()).forEach(verdict -> effects.add(new ControllerEffect.PublishVerdict(verdict)));
+        List.copyOf(badVersions.values()).forEach(verdict -> effects.add(new ControllerEffect.PublishVerdict(verdict)));
         publish(nowMillis);
         moves.values().forEach(move -> sendOrders(move, nowMillis));
         applyRules(nowMillis);
     }
 
+    /** Returns a move for the stored record, with the evidence of the known move if it is between the same versions. */
     private Move adopt(StoredRecord stored, Optional<Move> known) {
         MoveRecord record = stored.record();
         record.badReasons().forEach((version, reason) -> {
             ModelVersion modelVersion = new ModelVersion(record.model(), version);
-            bad.putIfAbsent(modelVersion, new BadVerdict(modelVersion, reason));
+            badVersions.putIfAbsent(modelVersion, new BadVerdict(modelVersion, reason));
         });
         Move move = new Move(record, stored.revision(), settings.confirmMillis());
         known.filter(before -> before.record.newVersion().equals(record.newVersion())
@@ -146,7 +148,7 @@
 
     private void startMove(MoveRule rule, long nowMillis) {
         Move before = moves.get(rule.model());
-        if (bad.containsKey(new ModelVersion(rule.model(), rule.toVersion()))) {
+        if (badVersions.containsKey(new ModelVersion(rule.model(), rule.toVersion()))) {
             return;
         }
         if (before == null) {
@@ -157,7 +159,7 @@
         if (before.pending != null || before.inDoubt || !before.record.phase().isOver()) {
             return;
         }
-        // A rolled back move starts again only by a rule that names another version.
+        // After a rollback a new move starts only when a rule names another version.
         if (!sameVersion && !before.record.settledVersion().equals(rule.toVersion())) {
             startMove(rule, before.record.settledVersion(), before.revision, nowMillis);
         }
@@ -171,7 +173,7 @@
     }
 
     private void addVerdict(BadVerdict verdict, long nowMillis) {
-        if (bad.putIfAbsent(verdict.version(), verdict) != null) {
+        if (badVersions.putIfAbsent(verdict.version(), verdict) != null) {
             return;
         }
         effects.add(new ControllerEffect.PublishVerdict(verdict));
@@ -184,12 +186,12 @@
     }
 
     private void tick(long nowMillis) {
-        // A process that was paused must not count the pause as time in which its stages were in force.
-        long passedMillis = Math.max(0, Math.min(nowMillis - lastTickMillis, settings.renewMillis()));
+        // Capped so that a pause of this process is not counted as time in which its stages were in effect.
+        long elapsedMillis = Math.max(0, Math.min(nowMillis - lastTickMillis, settings.renewMillis()));
         lastTickMillis = nowMillis;
         for (Move move : List.copyOf(moves.values())) {
             if (leaseValid(nowMillis)) {
-                move.activeMillis += passedMillis;
+                move.activeMillis += elapsedMillis;
             }
             judge(move, nowMillis);
         }
@@ -198,12 +200,12 @@
         }
         applyRules(nowMillis);
         planner.plan(List.copyOf(moves.values()), upstreams.values(), nowMillis)
-                .forEach((model, orders) -> announce(moves.get(model), orders, nowMillis));
+                .forEach((model, orders) -> recordOrders(moves.get(model), orders, nowMillis));
         for (Move move : byDeadline()) {
             retryWrite(move, nowMillis);
             advance(move, nowMillis);
             sendOrders(move, nowMillis);
-            reportLate(move, nowMillis);
+            reportIfLate(move, nowMillis);
         }
         if (nowMillis - lastPublishMillis >= settings.renewMillis()) {
             publish(nowMillis);
@@ -214,10 +216,10 @@
         MovePhase phase = move.record.phase();
         boolean judged = phase == MovePhase.CANARY || phase == MovePhase.GROWING || phase == MovePhase.WATCHING;
         ModelVersion version = new ModelVersion(move.record.model(), move.record.newVersion());
-        if (!judged || bad.containsKey(version)) {
+        if (!judged || badVersions.containsKey(version)) {
             return;
         }
-        boolean truncated = leaseValid(nowMillis) && advancer.isTestOver(move, nowMillis);
+        boolean truncated = leaseValid(nowMillis) && advancer.mustTruncateTest(move, nowMillis);
         move.evidence.judge(judge, truncated, nowMillis).ifPresent(judgement -> {
             String load = judgement.cell().underLoad() ? " under load: " : ": ";
             addVerdict(
@@ -226,8 +228,9 @@
         });
     }
 
-    private void announce(Move move, List<OrderIntent> orders, long nowMillis) {
-        List<OrderIntent> intents = move.openIntents();
+    /** Numbers the orders and writes them to the move record, before they are sent. */
+    private void recordOrders(Move move, List<OrderIntent> orders, long nowMillis) {
+        List<OrderIntent> intents = move.unansweredIntents();
         int count = move.record.orderCount();
         for (OrderIntent order : orders) {
             count++;
@@ -243,7 +246,8 @@
         }
         MoveRecord record = move.record;
         ModelVersion version = new ModelVersion(record.model(), record.newVersion());
-        Optional<String> badReason = Optional.ofNullable(bad.get(version)).map(BadVerdict::reason);
+        Optional<String> badReason =
+                Optional.ofNullable(badVersions.get(version)).map(BadVerdict::reason);
         Optional<MoveRecord> next = advancer.next(move, badReason, upstreams.values(), nowMillis);
         MoveRule rule = rules.get(record.model());
         boolean deadlineMoved = rule != null
@@ -264,15 +268,15 @@
     private void write(Move move, MoveRecord next, long nowMillis) {
         writeCount++;
         String writeId = fencingNumber + "-" + writeCount;
-        move.pending = next.withIntents(openOf(move, next), next.orderCount())
+        move.pending = next.withIntents(unansweredOf(move, next), next.orderCount())
                 .withWrite(fencingNumber, writeId, badReasons(next.model()));
         move.lastAttemptMillis = nowMillis;
         effects.add(new ControllerEffect.WriteRecord(move.pending, move.revision));
     }
 
-    private static List<OrderIntent> openOf(Move move, MoveRecord next) {
+    private static List<OrderIntent> unansweredOf(Move move, MoveRecord next) {
         return next.intents().stream()
-                .filter(intent -> !move.answeredOrders.contains(intent.orderId()))
+                .filter(intent -> !move.answeredOrderIds.contains(intent.orderId()))
                 .toList();
     }
 
@@ -281,12 +285,12 @@
             return;
         }
         move.lastAttemptMillis = nowMillis;
-        // The write may have been applied without an answer, so the next attempt starts by reading.
+        // The unanswered write may have been applied, so the record is read before the write is repeated.
         move.inDoubt = true;
         effects.add(new ControllerEffect.ReadRecord(move.record.model()));
     }
 
-    private void settleWrite(ControllerEvent.StoreAnswered answered, long nowMillis) {
+    private void handleWriteAnswer(ControllerEvent.StoreAnswered answered, long nowMillis) {
         Move move = moves.get(answered.model());
         if (move == null || move.pending == null || !move.pending.writeId().equals(answered.writeId())) {
             return;
@@ -302,7 +306,7 @@
         }
     }
 
-    private void settleRead(ControllerEvent.RecordRead read, long nowMillis) {
+    private void handleRecordRead(ControllerEvent.RecordRead read, long nowMillis) {
         Move move = moves.get(read.model());
         if (move == null || move.pending == null || !move.inDoubt) {
             return;
@@ -319,7 +323,7 @@
                 return;
             }
             if (storedRevision != move.revision) {
-                // A late write of an earlier controller came between; go on from what is stored.
+                // A late write of an earlier controller was applied first, so adopt the stored record.
                 moves.put(read.model(), adopt(read.stored().get(), Optional.of(move)));
                 return;
             }
@@ -355,11 +359,11 @@
         for (OrderIntent intent : move.record.intents()) {
             long sentMillis = move.sentMillisByOrder.getOrDefault(intent.orderId(), Long.MIN_VALUE / 2);
             boolean due = nowMillis - sentMillis >= settings.orderRetryMillis();
-            if (!due || move.answeredOrders.contains(intent.orderId())) {
+            if (!due || move.answeredOrderIds.contains(intent.orderId())) {
                 continue;
             }
             if (isObsolete(move, intent, nowMillis)) {
-                move.answeredOrders.add(intent.orderId());
+                move.answeredOrderIds.add(intent.orderId());
                 continue;
             }
             if (!upstreams.containsKey(intent.upstreamId())) {
@@ -371,38 +375,39 @@
     }
 
     private boolean isObsolete(Move move, OrderIntent intent, long nowMillis) {
-        if (intent.kind() == Order.Kind.LOAD && bad.containsKey(new ModelVersion(intent.model(), intent.version()))) {
+        if (intent.kind() == Order.Kind.LOAD
+                && badVersions.containsKey(new ModelVersion(intent.model(), intent.version()))) {
             return true;
         }
         if (upstreams.containsKey(intent.upstreamId())) {
             move.missingSinceMillisByOrder.remove(intent.orderId());
             return false;
         }
-        // A new holder of the lease is not linked to all agents at once.
+        // A new lease holder needs some time to establish links to all agents, so a missing upstream may appear.
         long sinceMillis = move.missingSinceMillisByOrder.computeIfAbsent(intent.orderId(), id -> nowMillis);
         return nowMillis - sinceMillis >= settings.orderRetryMillis();
     }
 
-    private void settleOrder(ControllerEvent.OrderAnswered answered, long nowMillis) {
+    private void handleOrderAnswer(ControllerEvent.OrderAnswered answered, long nowMillis) {
         for (Move move : moves.values()) {
-            for (OrderIntent intent : move.openIntents()) {
+            for (OrderIntent intent : move.unansweredIntents()) {
                 if (intent.orderId().equals(answered.orderId())) {
-                    settleOrder(move, intent, answered.result(), nowMillis);
+                    handleOrderAnswer(move, intent, answered.result(), nowMillis);
                 }
             }
         }
     }
 
-    private void settleOrder(Move move, OrderIntent intent, OrderResult result, long nowMillis) {
+    private void handleOrderAnswer(Move move, OrderIntent intent, OrderResult result, long nowMillis) {
         if (result instanceof OrderResult.Done) {
-            move.answeredOrders.add(intent.orderId());
-            upstreams.computeIfPresent(intent.upstreamId(), (id, upstream) -> upstream.after(intent));
+            move.answeredOrderIds.add(intent.orderId());
+            upstreams.computeIfPresent(intent.upstreamId(), (id, upstream) -> upstream.afterOrder(intent));
             Long sentMillis = move.sentMillisByOrder.get(intent.orderId());
             if (sentMillis != null && intent.kind() == Order.Kind.LOAD) {
-                projection.loadTook(nowMillis - sentMillis);
+                projection.recordLoadDuration(nowMillis - sentMillis);
             }
         } else if (result instanceof OrderResult.Failed failed) {
-            move.answeredOrders.add(intent.orderId());
+            move.answeredOrderIds.add(intent.orderId());
             move.retryOrdersMillis = nowMillis + settings.orderRetryMillis();
             String reason = intent.kind() + " at " + intent.upstreamId() + " failed: " + failed.reason();
             effects.add(new ControllerEffect.ReportStep(report(move, reason, nowMillis)));
@@ -411,7 +416,7 @@
         }
     }
 
-    private void reportLate(Move move, long nowMillis) {
+    private void reportIfLate(Move move, long nowMillis) {
         if (!move.record.phase().isAdvancing() || move.record.phase() == MovePhase.WATCHING) {
             return;
         }
@@ -435,7 +440,7 @@
 
     private Stage stage(Move move) {
         MoveRecord record = move.record;
-        boolean isBad = bad.containsKey(new ModelVersion(record.model(), record.newVersion()));
+        boolean isBad = badVersions.containsKey(new ModelVersion(record.model(), record.newVersion()));
         boolean stopped = isBad || move.withdrawn && record.phase().isAdvancing();
         return new Stage(
                 record.model(),
@@ -465,7 +470,7 @@
 
     private Map<String, String> badReasons(String model) {
         Map<String, String> reasons = new TreeMap<>();
-        bad.values().stream()
+        badVersions.values().stream()
                 .filter(verdict -> verdict.version().model().equals(model))
                 .forEach(verdict -> reasons.put(verdict.version().version(), verdict.reason()));
         return reasons;
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveEvidence.java
@@ -13,16 +13,16 @@
 import dev.wigeonward.core.rollout.RouteJudgement.Verdict;
 
 /**
- * Evidence on one move, gathered in a window for each route that starts anew after each pass.
+ * Evidence on one move, collected per route and load level in windows that restart after each good verdict.
  *
- * <p>A window that never restarted would let a long good start hide a version that turns bad later.
+ * <p>Windows restart because a long run of good results would otherwise hide a version that turns bad later.
  */
 final class MoveEvidence {
     private static final Comparator<RouteCell> CELL_ORDER =
             Comparator.comparing(RouteCell::route).thenComparing(RouteCell::underLoad);
 
-    private static final long NEVER = Long.MAX_VALUE;
-    /** Shorter windows would hold too few requests of the old version to compare with when it has a small share. */
+    private static final long NOT_SUSPECT = Long.MAX_VALUE;
+    /** Minimum length of a window. In a shorter one an old version with a small share serves too few requests. */
     private static final long MIN_WINDOW_MILLIS = 10_000;
 
     private final String oldVersion;
@@ -32,9 +32,10 @@
     private final Map<RouteCell, Window> windows = new TreeMap<>(CELL_ORDER);
 
     /**
-     * Creates evidence of nothing.
+     * Creates empty evidence.
      *
-     * @param confirmMillis time for which a route has to look bad when nothing of the old version is there to compare
+     * @param confirmMillis time for which a route must look bad before the version is called bad when there is no
+     *     recent evidence of the old version to compare with
      */
     MoveEvidence(String oldVersion, String newVersion, long confirmMillis) {
         this.confirmMillis = confirmMillis;
@@ -42,6 +43,7 @@
         this.newVersion = newVersion;
     }
 
+    /** Adds the increase of the reported counters since the last report of the same source. */
     void add(ControllerEvent.EvidenceReported report, long nowMillis) {
         String version = report.version().version();
         if (!version.equals(oldVersion) && !version.equals(newVersion)) {
@@ -50,7 +52,7 @@
         Source source = new Source(report.upstreamId(), report.incarnation(), version, report.cell());
         EvidenceCounters before = reported.put(source, report.counters());
         if (before == null && version.equals(oldVersion)) {
-            // Counters of the old version may go back for days; only what follows is comparable.
+            // The first report of the old version may cover days before the move, so only later increases count.
             return;
         }
         EvidenceCounters added =
@@ -67,26 +69,26 @@
         }
     }
 
-    /** Judges all routes and returns the first bad one, if any. */
+    /** Evaluates all routes and returns the first judgement that calls the new version bad, if any. */
     Optional<RouteJudgement> judge(VersionJudge judge, boolean truncated, long nowMillis) {
         for (Window window : windows.values()) {
             if (window.newEvidence.requests() == 0 && !truncated) {
                 continue;
             }
             RouteJudgement judgement =
-                    judge.judge(window.cell, window.recentOld, comparable(window), window.newEvidence, truncated);
-            window.last = judgement;
+                    judge.judge(window.cell, window.recentOld, earlierBaseline(window), window.newEvidence, truncated);
+            window.lastJudgement = judgement;
             if (judgement.verdict() == Verdict.BAD) {
                 if (judge.needsNoConfirmation(window.recentOld, window.newEvidence)
-                        || window.suspectFor(nowMillis) >= confirmMillis) {
+                        || window.markSuspect(nowMillis) >= confirmMillis) {
                     return Optional.of(judgement);
                 }
-                // Only requests that ended after the suspicion arose can confirm it.
+                // Only requests counted after the route became suspect can confirm the suspicion.
                 window.restart(nowMillis);
             }
             if (judgement.verdict() == Verdict.GOOD) {
                 window.passed = true;
-                window.suspectSinceMillis = NEVER;
+                window.suspectSinceMillis = NOT_SUSPECT;
                 if (truncated || nowMillis - window.startMillis >= MIN_WINDOW_MILLIS) {
                     window.restart(nowMillis);
                 }
@@ -95,14 +97,14 @@
         return Optional.empty();
     }
 
-    /** Returns whether a route that still gets requests looks bad, but not yet for long enough to be called bad. */
+    /** Returns whether a route with recent requests looks bad, but not yet for long enough to be called bad. */
     boolean isSuspect(long nowMillis) {
         return windows.values().stream()
-                .anyMatch(window ->
-                        window.suspectSinceMillis != NEVER && nowMillis - window.lastEvidenceMillis <= confirmMillis);
+                .anyMatch(window -> window.suspectSinceMillis != NOT_SUSPECT
+                        && nowMillis - window.lastEvidenceMillis <= confirmMillis);
     }
 
-    /** Returns whether each route with requests passed since the stage started, loaded or not. */
+    /** Returns whether each known route got a good verdict since the stage started, at either load level. */
     boolean allRoutesPassed() {
         Set<String> routes = new HashSet<>();
         Set<String> passed = new HashSet<>();
@@ -116,8 +118,8 @@
     }
 
     /**
-     * Asks each route to pass again. Evidence of before is left out, because the versions had other shares then and
-     * would show a disturbance to different degrees.
+     * Restarts all windows and requires a new good verdict for each route. Earlier evidence is discarded because the
+     * versions had different shares then, and a disturbance would affect their counts to different degrees.
      */
     void startStage(long nowMillis) {
         windows.values().forEach(window -> {
@@ -126,19 +128,23 @@
         });
     }
 
-    /** Returns the last judgement of each route, loaded or not. */
+    /** Returns the last judgement of each route and load level that has one. */
     List<RouteJudgement> judgements() {
         List<RouteJudgement> judgements = new ArrayList<>();
         for (Window window : windows.values()) {
-            if (window.last != null) {
-                judgements.add(window.last);
+            if (window.lastJudgement != null) {
+                judgements.add(window.lastJudgement);
             }
         }
         return judgements;
     }
 
-    /** Under load the old version's failures of the unloaded route still say something; its times do not. */
-    private EvidenceCounters comparable(Window window) {
+    /**
+     * Returns the old version's evidence since the move began, for comparison where the recent evidence is small. A
+     * loaded route without such evidence falls back to the failures of the unloaded route; the times measured without
+     * load are not comparable and are omitted.
+     */
+    private EvidenceCounters earlierBaseline(Window window) {
         if (window.earlierOld.requests() > 0 || !window.cell.underLoad()) {
             return window.earlierOld;
         }
@@ -157,21 +163,23 @@
         private EvidenceCounters recentOld = EvidenceCounters.empty();
         private EvidenceCounters earlierOld = EvidenceCounters.empty();
         private EvidenceCounters newEvidence = EvidenceCounters.empty();
-        private RouteJudgement last;
+        private RouteJudgement lastJudgement;
         private boolean passed;
         private long startMillis;
         private long lastEvidenceMillis;
-        private long suspectSinceMillis = NEVER;
+        private long suspectSinceMillis = NOT_SUSPECT;
 
         Window(RouteCell cell) {
             this.cell = cell;
         }
 
-        long suspectFor(long nowMillis) {
+        /** Marks the window as suspect, if it is not yet, and returns for how many milliseconds it has been so. */
+        long markSuspect(long nowMillis) {
             suspectSinceMillis = Math.min(suspectSinceMillis, nowMillis);
             return nowMillis - suspectSinceMillis;
         }
 
+        /** Discards the recent evidence; the old version's earlier evidence is kept. */
         void restart(long nowMillis) {
             recentOld = EvidenceCounters.empty();
             newEvidence = EvidenceCounters.empty();
--- a/core/src/main/java/dev/wigeonward/core/rollout/MovePhase.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MovePhase.java
@@ -1,30 +1,30 @@
 package dev.wigeonward.core.rollout;
 
-/** Where a move stands. */
+/** Phase of a move. */
 public enum MovePhase {
-    /** Written down; nothing is ordered yet. */
+    /** The move is recorded, and no order is recorded yet. */
     PLANNED,
-    /** Waits for its turn to load weights, or loads them; the new version gets no requests. */
+    /** The new version waits for its turn to be loaded or is being loaded, and gets no requests. */
     LOADING,
-    /** The new version gets the smallest share until its first verdict. */
+    /** The new version gets the canary share until its first verdict. */
     CANARY,
-    /** The share grows with the evidence. */
+    /** The share of the new version grows as its tests pass. */
     GROWING,
-    /** The new version gets all requests, and the old one stays loaded. */
+    /** The new version gets all requests, and the old one stays loaded for a rollback. */
     WATCHING,
     /** The new version is judged good, and the old one is unloaded. */
     DONE,
-    /** The new version gets nothing and is being unloaded. */
+    /** The new version gets no requests and is being unloaded. */
     ROLLING_BACK,
     /** The old version serves the model again. */
     ROLLED_BACK;
 
-    /** Returns whether the new version may still win. */
+    /** Returns whether the move may still lead to the new version. */
     public boolean isAdvancing() {
         return ordinal() <= WATCHING.ordinal();
     }
 
-    /** Returns whether nothing but unloading is left to do. */
+    /** Returns whether the move has ended, except for unloading and reloading versions. */
     public boolean isOver() {
         return this == DONE || this == ROLLED_BACK;
     }
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveRecord.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveRecord.java
@@ -8,14 +8,14 @@
 import com.google.common.base.Preconditions;
 
 /**
- * State of a model's move as kept in the store.
+ * State of a model's move, as written to the store.
  *
- * @param fencingNumber fencing number of the controller that wrote it
- * @param writeId random or unique id by which the writer recognizes its own write after a lost reply
- * @param orderCount orders announced so far, from which order ids are made
- * @param intents orders announced and not known to be answered
- * @param badReasons versions of the model shown to be bad, with reasons; later records keep them
- * @param reason why the phase was entered
+ * @param fencingNumber fencing number of the controller that wrote the record
+ * @param writeId unique id by which the writer recognizes its own write after a lost reply
+ * @param orderCount number of orders recorded so far, from which order ids are formed
+ * @param intents recorded orders that are not known to be answered
+ * @param badReasons reasons of the bad verdicts on versions of the model, by version; later records keep them
+ * @param reason reason for which the phase was entered
  */
 public record MoveRecord(
         String model,
@@ -33,13 +33,18 @@
         Map<String, String> badReasons,
         String reason) {
     public MoveRecord {
-        Preconditions.checkArgument(!model.isEmpty(), "model is empty");
-        Preconditions.checkArgument(!newVersion.equals(oldVersion), "both versions are %s", newVersion);
+        Preconditions.checkArgument(!model.isEmpty(), "model must not be empty");
+        Preconditions.checkArgument(
+                !newVersion.equals(oldVersion),
+                "newVersion of model %s must differ from oldVersion, but both are %s",
+                model,
+                newVersion);
         Objects.requireNonNull(phase, "phase");
         intents = List.copyOf(intents);
         badReasons = Map.copyOf(badReasons);
     }
 
+    /** Creates the record of a new move in its first phase, without write id and fencing number. */
     static MoveRecord planned(MoveRule rule, String oldVersion, Map<String, String> badReasons, long nowMillis) {
         return new MoveRecord(
                 rule.model(),
@@ -58,12 +63,12 @@
                 "asked by " + rule.askedBy());
     }
 
-    /** Returns the version in use when the move is over, or the old one before that. */
+    /** Returns the new version if the move is done, or else the old version. */
     public String settledVersion() {
         return phase == MovePhase.DONE ? newVersion : oldVersion;
     }
 
-    MoveRecord withPhase(MovePhase nextPhase, int nextShareBasisPoints, long nowMillis, String why) {
+    MoveRecord withPhase(MovePhase nextPhase, int nextShareBasisPoints, long nowMillis, String nextReason) {
         return new MoveRecord(
                 model,
                 oldVersion,
@@ -78,7 +83,7 @@
                 orderCount,
                 intents,
                 badReasons,
-                why);
+                nextReason);
     }
 
     MoveRecord withDeadlineMillis(long millis) {
@@ -117,6 +122,7 @@
                 reason);
     }
 
+    /** Returns a copy for a new write, to which the given bad reasons are added; existing reasons are kept. */
     MoveRecord withWrite(long writerFencingNumber, String nextWriteId, Map<String, String> moreBadReasons) {
         Map<String, String> allBadReasons = new TreeMap<>(moreBadReasons);
         allBadReasons.putAll(badReasons);
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveReport.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveReport.java
@@ -3,12 +3,12 @@
 import java.util.List;
 
 /**
- * One step of a move as operators see it; all components are plain values for JSON.
+ * A report of one step of a move for operators. All components are plain values that can be written as JSON.
  *
  * @param projectedFinishMillis earliest time at which the new version can get all requests
- * @param onTime whether that time is within the deadline
- * @param reason why the step was taken
- * @param figures what each route showed at that time
+ * @param onTime whether the projected finish is not after the deadline
+ * @param reason reason for which the step was taken
+ * @param figures last judgement of each route at the time of the step
  */
 public record MoveReport(
         long atMillis,
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveRule.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveRule.java
@@ -5,12 +5,13 @@
 import com.google.common.base.Preconditions;
 
 /**
- * An operator's rule that moves a model to a version.
+ * An operator's rule that moves a model to another version.
  *
- * @param fromVersion version in use before the first move of the model; later moves start from what serves then
- * @param deadlineMillis time by which all requests of the model are to go to the version
- * @param canaryBasisPoints share of each route's requests before the first verdict, in 1/10,000
- * @param askedBy who asked for it, for reports
+ * @param fromVersion version in use before the first move of the model; later moves start from the version then in use
+ * @param deadlineMillis time by which all requests of the model are to go to the new version
+ * @param canaryBasisPoints share of each route's requests that the new version gets before the first verdict, in
+ *     1/10,000
+ * @param askedBy name of the operator who requested the move, for reports
  */
 public record MoveRule(
         String model,
@@ -19,15 +20,21 @@
         long deadlineMillis,
         int canaryBasisPoints,
         String askedBy) {
-    /** Requirement: at most 2% of a route's requests before the first verdict. */
+    /** The requirements allow at most 2% of a route's requests before the first verdict. */
     public static final int MAX_CANARY_BASIS_POINTS = 200;
 
     public MoveRule {
-        Preconditions.checkArgument(!model.isEmpty(), "model is empty");
-        Preconditions.checkArgument(!toVersion.equals(fromVersion), "both versions are %s", toVersion);
+        Preconditions.checkArgument(!model.isEmpty(), "model must not be empty");
+        Preconditions.checkArgument(
+                !toVersion.equals(fromVersion),
+                "toVersion of model %s must differ from fromVersion, but both are %s",
+                model,
+                toVersion);
         Preconditions.checkArgument(
                 canaryBasisPoints > 0 && canaryBasisPoints <= MAX_CANARY_BASIS_POINTS,
-                "canaryBasisPoints is %s",
+                "canaryBasisPoints of model %s must be from 1 to %s, but is %s",
+                model,
+                MAX_CANARY_BASIS_POINTS,
                 canaryBasisPoints);
         Objects.requireNonNull(askedBy, "askedBy");
     }
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveSettings.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveSettings.java
@@ -5,19 +5,19 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Limits of version moves.
+ * Settings of version moves.
  *
- * @param growthBasisPoints shares after the canary in the order of growth; the last is all requests
- * @param concurrentLoads loads in progress over all moves, which the weight store's rate allows
- * @param expectedLoadMillis duration of a load assumed before one was seen
- * @param minStageMillis time that each share lasts at least, so that slow answers of its start are seen
- * @param minTestMillis time before which a test is not cut short for the deadline
+ * @param growthBasisPoints shares after the canary share in increasing order, in 1/10,000; the last is all requests
+ * @param concurrentLoads maximum number of loads in progress over all moves, limited by the weight store's rate
+ * @param expectedLoadMillis expected duration of a load before any was measured
+ * @param minStageMillis minimum duration of each share, so that slow answers to its first requests are seen
+ * @param minTestMillis time before which a test is not truncated for the deadline
  * @param watchMillis time for which the old version stays loaded after completion
- * @param confirmMillis time for which a route has to look bad while the old version gets nothing to compare with; a
- *     short disturbance that would hit both versions does not last as long
+ * @param confirmMillis time for which a route must look bad when there is no recent evidence of the old version to
+ *     compare with; longer than a short disturbance, which would affect both versions
  * @param renewMillis interval between publications of the stages
  * @param retryMillis delay before a failed or unanswered write is repeated
- * @param orderRetryMillis delay before an unanswered order is sent again and before a failed one is replaced
+ * @param orderRetryMillis delay before an unanswered order is sent again and before a failed order is replaced
  */
 public record MoveSettings(
         List<Integer> growthBasisPoints,
@@ -32,24 +32,29 @@
         long orderRetryMillis) {
     public MoveSettings {
         growthBasisPoints = List.copyOf(growthBasisPoints);
-        Preconditions.checkArgument(!growthBasisPoints.isEmpty(), "growthBasisPoints is %s", growthBasisPoints);
+        Preconditions.checkArgument(!growthBasisPoints.isEmpty(), "growthBasisPoints must not be empty");
         Preconditions.checkArgument(
                 growthBasisPoints.get(growthBasisPoints.size() - 1) == Stage.ALL_BASIS_POINTS,
-                "growthBasisPoints is %s",
+                "growthBasisPoints must end with %s, but is %s",
+                Stage.ALL_BASIS_POINTS,
                 growthBasisPoints);
-        Preconditions.checkArgument(concurrentLoads > 0, "concurrentLoads is %s", concurrentLoads);
         Preconditions.checkArgument(
-                renewMillis > 0 && renewMillis < StageView.MAX_LEASE_MILLIS, "renewMillis is %s", renewMillis);
-        Preconditions.checkArgument(minStageMillis > 0, "minStageMillis is %s", minStageMillis);
+                concurrentLoads > 0, "concurrentLoads must be positive, but is %s", concurrentLoads);
+        Preconditions.checkArgument(
+                renewMillis > 0 && renewMillis < StageView.MAX_LEASE_MILLIS,
+                "renewMillis must be positive and less than the maximum lease of %s ms, but is %s",
+                StageView.MAX_LEASE_MILLIS,
+                renewMillis);
+        Preconditions.checkArgument(minStageMillis > 0, "minStageMillis must be positive, but is %s", minStageMillis);
     }
 
-    /** Returns the settings used in operation. */
+    /** Returns the settings used in production. */
     public static MoveSettings standard() {
         return new MoveSettings(
                 List.of(1_000, 2_500, 5_000, 10_000), 4, 60_000, 10_000, 60_000, 300_000, 20_000, 2_000, 1_000, 30_000);
     }
 
-    /** Returns the number of stages before all requests, counting the one with the given share. */
+    /** Returns the number of stages up to the one before all requests, including the stage with the given share. */
     int stagesLeft(int shareBasisPoints) {
         if (shareBasisPoints == Stage.ALL_BASIS_POINTS) {
             return 0;
@@ -59,7 +64,7 @@
                 .count();
     }
 
-    /** Returns the share that follows the given one. */
+    /** Returns the next larger share, or all requests if there is none. */
     int nextShare(int shareBasisPoints) {
         return growthBasisPoints.stream()
                 .filter(share -> share > shareBasisPoints)
--- a/core/src/main/java/dev/wigeonward/core/rollout/OrderIntent.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/OrderIntent.java
@@ -5,11 +5,11 @@
 import com.google.common.base.Preconditions;
 import dev.wigeonward.core.order.Order;
 
-/** An order that the move record announces before it is sent. */
+/** An order that is written to the move record before it is sent. */
 public record OrderIntent(String orderId, String upstreamId, Order.Kind kind, String model, String version) {
     public OrderIntent {
-        Preconditions.checkArgument(!orderId.isEmpty(), "orderId is empty");
-        Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId is empty");
+        Preconditions.checkArgument(!orderId.isEmpty(), "orderId must not be empty");
+        Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId must not be empty");
         Objects.requireNonNull(kind, "kind");
     }
 
--- a/core/src/main/java/dev/wigeonward/core/rollout/RouteCell.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RouteCell.java
@@ -2,9 +2,9 @@
 
 import com.google.common.base.Preconditions;
 
-/** The unit of judgement: one route, apart for upstreams whose load is above the threshold. */
+/** A route and load level for which evidence is counted and judged separately from all others. */
 public record RouteCell(String route, boolean underLoad) {
     public RouteCell {
-        Preconditions.checkArgument(!route.isEmpty(), "route is empty");
+        Preconditions.checkArgument(!route.isEmpty(), "route must not be empty");
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/ShiftOrder.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ShiftOrder.java
@@ -3,18 +3,22 @@
 import com.google.common.base.Preconditions;
 
 /**
- * An operator's order to move the traffic of a service to upstreams of another version, which run beside the old ones.
+ * An operator's order to shift the traffic of a service to upstreams of another version, which run beside the old ones.
  *
  * @param target version that is to get all requests
- * @param startMillis time at which this process learned of it
- * @param deadlineMillis time by which the move is to have ended, one way or the other
- * @param revision revision of the store at which the order was given
+ * @param startMillis time at which this process first read the order
+ * @param deadlineMillis time by which the shift must have completed or been reverted
+ * @param revision store revision at which the order was written
  */
 public record ShiftOrder(String service, String target, long startMillis, long deadlineMillis, long revision) {
     public ShiftOrder {
-        Preconditions.checkArgument(!service.isEmpty(), "service is empty");
-        Preconditions.checkArgument(!target.isEmpty(), "target of %s is empty", service);
+        Preconditions.checkArgument(!service.isEmpty(), "service must not be empty");
+        Preconditions.checkArgument(!target.isEmpty(), "target version of service %s must not be empty", service);
         Preconditions.checkArgument(
-                deadlineMillis > startMillis, "deadline %s is not after start %s", deadlineMillis, startMillis);
+                deadlineMillis > startMillis,
+                "deadlineMillis of service %s must be after startMillis %s, but is %s",
+                service,
+                startMillis,
+                deadlineMillis);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/ShiftState.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ShiftState.java
@@ -1,10 +1,10 @@
 package dev.wigeonward.core.rollout;
 
-/** Where a shift of traffic stands. */
+/** State of a traffic shift. */
 public enum ShiftState {
     IN_PROGRESS,
-    /** All requests go to the new version, and none is left at the old one. */
+    /** All requests go to the new version, and the old one has none left or its time to finish them is over. */
     COMPLETED,
-    /** The new version is bad and gets nothing. */
+    /** The new version is bad and gets no requests. */
     REVERTED
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/Stage.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/Stage.java
@@ -3,14 +3,14 @@
 import com.google.common.base.Preconditions;
 
 /**
- * How far the move of one model has come.
+ * The share of requests that the new version of one model may get during a move.
  *
  * @param model model or plain service
  * @param oldVersion version in use before the move
- * @param newVersion version that the move leads to
+ * @param newVersion version to which the move leads
  * @param shareBasisPoints share of each route's requests that the new version may get, in 1/10,000
- * @param leaseMillis time for which the share counts after receipt, unless the new version is judged good
- * @param judgedGood whether the move passed its last test, so that the share counts without renewal
+ * @param leaseMillis time after receipt for which the share is valid, unless the new version is judged good
+ * @param judgedGood whether the move passed its last test, so that the share is valid without renewal
  */
 public record Stage(
         String model,
@@ -19,17 +19,24 @@
         int shareBasisPoints,
         long leaseMillis,
         boolean judgedGood) {
-    /** The whole traffic of a route. */
+    /** The share that stands for all requests of a route. */
     public static final int ALL_BASIS_POINTS = 10_000;
 
     public Stage {
-        Preconditions.checkArgument(!model.isEmpty(), "model is empty");
-        Preconditions.checkArgument(!newVersion.equals(oldVersion), "both versions are %s", newVersion);
+        Preconditions.checkArgument(!model.isEmpty(), "model must not be empty");
+        Preconditions.checkArgument(
+                !newVersion.equals(oldVersion),
+                "newVersion of model %s must differ from oldVersion, but both are %s",
+                model,
+                newVersion);
         Preconditions.checkArgument(
                 shareBasisPoints >= 0 && shareBasisPoints <= ALL_BASIS_POINTS,
-                "shareBasisPoints is %s",
+                "shareBasisPoints of model %s must be from 0 to %s, but is %s",
+                model,
+                ALL_BASIS_POINTS,
                 shareBasisPoints);
-        Preconditions.checkArgument(leaseMillis >= 0, "leaseMillis is %s", leaseMillis);
+        Preconditions.checkArgument(
+                leaseMillis >= 0, "leaseMillis of model %s must not be negative, but is %s", model, leaseMillis);
     }
 
     Stage withLeaseMillis(long millis) {
--- a/core/src/main/java/dev/wigeonward/core/rollout/StoredRecord.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/StoredRecord.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 
-/** A move record with the store's revision of its key, for compare-and-swap. */
+/** A move record with the store revision of its key, for compare-and-swap. */
 public record StoredRecord(MoveRecord record, long revision) {
     public StoredRecord {
         Objects.requireNonNull(record, "record");
--- a/core/src/main/java/dev/wigeonward/core/rollout/TimeHistogram.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/TimeHistogram.java
@@ -5,9 +5,10 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Immutable counts of normalized times (time divided by estimated service time) in logarithmic buckets.
+ * Immutable histogram of normalized times (time divided by estimated service time) with logarithmic buckets.
  *
- * <p>Eight buckets for each factor of two, from 1/4 to 64, keep a bound within 9% of the true quantile.
+ * <p>Eight buckets for each factor of two, from 1/4 to 64, keep the bound of a quantile bucket within 9% of the true
+ * quantile.
  */
 public final class TimeHistogram {
     /** Number of buckets. */
@@ -23,18 +24,19 @@
         this.counts = counts;
     }
 
-    /** Returns a histogram without any times. */
+    /** Returns an empty histogram. */
     public static TimeHistogram empty() {
         return EMPTY;
     }
 
     /** Returns a histogram with the given count for each bucket. */
     public static TimeHistogram of(long[] counts) {
-        Preconditions.checkArgument(counts.length == BUCKETS, "%s buckets", counts.length);
+        Preconditions.checkArgument(
+                counts.length == BUCKETS, "counts must have %s buckets, but has %s", BUCKETS, counts.length);
         return new TimeHistogram(counts.clone());
     }
 
-    /** Returns the bucket of a normalized time. */
+    /** Returns the index of the bucket that counts the normalized time; times out of range go to the nearest bucket. */
     public static int bucketOf(double normalizedTime) {
         if (normalizedTime <= 0) {
             return 0;
@@ -65,17 +67,19 @@
         return bucket;
     }
 
-    /** Returns how many times lie above the bucket. */
+    /** Returns the number of times in the buckets above the given one. */
     public long countAbove(int bucket) {
         return Arrays.stream(counts, bucket + 1, BUCKETS).sum();
     }
 
+    /** Returns the bucket-wise sum. */
     TimeHistogram plus(TimeHistogram other) {
         long[] sums = new long[BUCKETS];
         Arrays.setAll(sums, i -> counts[i] + other.counts[i]);
         return new TimeHistogram(sums);
     }
 
+    /** Returns the bucket-wise difference. */
     TimeHistogram minus(TimeHistogram other) {
         long[] differences = new long[BUCKETS];
         Arrays.setAll(differences, i -> counts[i] - other.counts[i]);
--- a/core/src/main/java/dev/wigeonward/core/rollout/TrafficShift.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/TrafficShift.java
@@ -5,39 +5,40 @@
 import java.util.Optional;
 
 /**
- * Decides how far one shift of traffic has come, from the evidence of all entries. A version that turns out bad may
- * have got only a small part of all requests up to the deadline, so the share stays small for half of the time, and
- * then grows in two steps. Not thread-safe.
+ * The state machine of one traffic shift, driven by the evidence of all entries. The total share of requests that a
+ * bad version may get up to the deadline is limited, so the share stays small for half of the time and then grows in
+ * two steps. Not thread-safe.
  */
 public final class TrafficShift {
-    /** Stands for all versions that are not the target. */
+    /** Version name under which the evidence of all versions other than the target is combined. */
     private static final String PREVIOUS = "previous";
-    /** Half of the tenth of all requests that operators commonly allow a bad version. */
+    /** Initial share. Operators commonly allow a bad version a tenth of all requests; this is half of that. */
     private static final int CANARY_BASIS_POINTS = 500;
 
     private static final int HALF_BASIS_POINTS = 5_000;
-    /** Part of the time up to the deadline during which the share stays small. */
-    private static final double CANARY_PART = 0.5;
-    /** Part after which it grows although some routes had too few requests for a verdict. */
-    private static final double LONGEST_CANARY_PART = 0.65;
-
-    private static final double HALF_PART = 0.12;
-    /** Part after which the shift ends although old upstreams still work on something. */
-    private static final double LONGEST_DRAIN_PART = 0.95;
-    /** Requests of the new version without which the share does not grow. */
-    private static final long LEAST_SAMPLES = 20;
-    /** Time for which a route has to look bad where nothing of the old version is there to compare with. */
+    /** Fraction of the time from start to deadline during which the share stays at the canary share. */
+    private static final double CANARY_TIME_FRACTION = 0.5;
+    /** Fraction of the time after which the share grows even if some routes had too few requests for a verdict. */
+    private static final double MAX_CANARY_TIME_FRACTION = 0.65;
+
+    /** Fraction of the time during which the share stays at one half. */
+    private static final double HALF_SHARE_TIME_FRACTION = 0.12;
+    /** Fraction of the time after which the shift completes even if old upstreams still have requests in progress. */
+    private static final double MAX_DRAIN_TIME_FRACTION = 0.95;
+    /** Minimum number of the new version's requests before the share grows beyond the canary share. */
+    private static final long MIN_SAMPLES = 20;
+    /** Time for which a route must look bad when there is no recent evidence of the old version to compare with. */
     private static final long CONFIRM_MILLIS = 700;
 
-    /** Fewer samples than for moves that last hours: a shift runs a handful of tests, not thousands. */
-    private static final JudgeSettings JUDGE = new JudgeSettings(1e-4, 0.01, 0.1, 0.2, 12, 60);
+    /** Needs fewer samples than moves that last hours, because a shift runs a handful of tests, not thousands. */
+    private static final JudgeSettings JUDGE_SETTINGS = new JudgeSettings(1e-4, 0.01, 0.1, 0.2, 12, 60);
 
     private final ShiftOrder order;
-    private final VersionJudge judge = new VersionJudge(JUDGE);
+    private final VersionJudge judge = new VersionJudge(JUDGE_SETTINGS);
     private final MoveEvidence evidence;
     private final Map<String, Long> samplesBySource = new HashMap<>();
     private int shareBasisPoints = CANARY_BASIS_POINTS;
-    private long halfSinceMillis;
+    private long halfShareStartMillis;
     private ShiftState state = ShiftState.IN_PROGRESS;
 
     private TrafficShift(ShiftOrder order) {
@@ -45,7 +46,7 @@
         this.evidence = new MoveEvidence(PREVIOUS, order.target(), CONFIRM_MILLIS);
     }
 
-    /** Returns a shift whose target gets the smallest share. */
+    /** Creates a shift whose target gets the canary share. */
     public static TrafficShift of(ShiftOrder order) {
         return new TrafficShift(order);
     }
@@ -55,12 +56,12 @@
         return order;
     }
 
-    /** Returns where the shift stands. */
+    /** Returns the state of the shift. */
     public ShiftState state() {
         return state;
     }
 
-    /** Adds the counters of one entry since its start. */
+    /** Adds a report of the counters that one entry has kept since its start; other services are ignored. */
     public void add(ControllerEvent.EvidenceReported report, long nowMillis) {
         if (!report.version().model().equals(order.service())) {
             return;
@@ -83,7 +84,7 @@
                 nowMillis);
     }
 
-    /** Returns why the new version is bad, if the evidence shows it now. */
+    /** Evaluates the evidence and returns a verdict with its reason if the new version is bad. */
     public Optional<BadVerdict> verdict(long nowMillis) {
         return evidence.judge(judge, false, nowMillis)
                 .map(judgement -> new BadVerdict(
@@ -92,12 +93,12 @@
     }
 
     /**
-     * Takes the steps that are due.
+     * Takes at most one step: reverts the shift, increases the share, or completes the shift.
      *
      * @param bad whether the new version is known to be bad
-     * @param atPrevious requests that upstreams of other versions still work on, at all entries
+     * @param outstandingAtPrevious requests in progress at upstreams of other versions, over all entries
      */
-    public void advance(boolean bad, int atPrevious, long nowMillis) {
+    public void advance(boolean bad, int outstandingAtPrevious, long nowMillis) {
         if (state != ShiftState.IN_PROGRESS) {
             return;
         }
@@ -106,32 +107,34 @@
             shareBasisPoints = 0;
             return;
         }
-        double passed = part(nowMillis - order.startMillis());
-        if (shareBasisPoints == CANARY_BASIS_POINTS && mayGrow(passed, nowMillis)) {
+        double elapsedFraction = timeFraction(nowMillis - order.startMillis());
+        if (shareBasisPoints == CANARY_BASIS_POINTS && mayGrow(elapsedFraction, nowMillis)) {
             shareBasisPoints = HALF_BASIS_POINTS;
-            halfSinceMillis = nowMillis;
+            halfShareStartMillis = nowMillis;
         } else if (shareBasisPoints == HALF_BASIS_POINTS
-                && part(nowMillis - halfSinceMillis) >= HALF_PART
+                && timeFraction(nowMillis - halfShareStartMillis) >= HALF_SHARE_TIME_FRACTION
                 && !evidence.isSuspect(nowMillis)) {
             shareBasisPoints = Stage.ALL_BASIS_POINTS;
-        } else if (shareBasisPoints == Stage.ALL_BASIS_POINTS && (atPrevious == 0 || passed >= LONGEST_DRAIN_PART)) {
+        } else if (shareBasisPoints == Stage.ALL_BASIS_POINTS
+                && (outstandingAtPrevious == 0 || elapsedFraction >= MAX_DRAIN_TIME_FRACTION)) {
             state = ShiftState.COMPLETED;
         }
     }
 
-    private boolean mayGrow(double passed, long nowMillis) {
+    private boolean mayGrow(double elapsedFraction, long nowMillis) {
         long samples =
                 samplesBySource.values().stream().mapToLong(Long::longValue).sum();
-        return samples >= LEAST_SAMPLES
+        return samples >= MIN_SAMPLES
                 && !evidence.isSuspect(nowMillis)
-                && (passed >= LONGEST_CANARY_PART || passed >= CANARY_PART && evidence.allRoutesPassed());
+                && (elapsedFraction >= MAX_CANARY_TIME_FRACTION
+                        || elapsedFraction >= CANARY_TIME_FRACTION && evidence.allRoutesPassed());
     }
 
-    private double part(long millis) {
+    private double timeFraction(long millis) {
         return (double) millis / (order.deadlineMillis() - order.startMillis());
     }
 
-    /** Returns the share for all entries, which counts for the given time unless it is renewed. */
+    /** Returns the stage to publish to all entries, which expires after the given time unless it is renewed. */
     public Stage stage(long leaseMillis) {
         return new Stage(
                 order.service(),
--- a/core/src/main/java/dev/wigeonward/core/rollout/UpstreamVersions.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/UpstreamVersions.java
@@ -6,18 +6,19 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Versions that one engine holds in memory.
+ * The versions that one upstream's engine holds in memory.
  *
- * @param places versions that fit into the engine's memory at once
+ * @param places maximum number of versions that fit into the engine's memory at once
  */
 public record UpstreamVersions(String upstreamId, String model, Set<String> loadedVersions, int places) {
     public UpstreamVersions {
-        Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId is empty");
-        Preconditions.checkArgument(places > 0, "places is %s", places);
+        Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId must not be empty");
+        Preconditions.checkArgument(
+                places > 0, "places of upstream %s must be positive, but is %s", upstreamId, places);
         loadedVersions = Set.copyOf(loadedVersions);
     }
 
-    boolean has(String version) {
+    boolean hasLoaded(String version) {
         return loadedVersions.contains(version);
     }
 
@@ -25,7 +26,8 @@
         return loadedVersions.size() < places;
     }
 
-    UpstreamVersions after(OrderIntent done) {
+    /** Returns the versions that the engine holds after the order is done. */
+    UpstreamVersions afterOrder(OrderIntent done) {
         Set<String> versions = new HashSet<>(loadedVersions);
         switch (done.kind()) {
             case LOAD -> versions.add(done.version());
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionBound.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionBound.java
@@ -1,27 +1,27 @@
 package dev.wigeonward.core.rollout;
 
 /**
- * Which versions may serve a request.
+ * A constraint on the version that may serve a request.
  *
- * @param version the version that this is about; empty for no bound
- * @param kind what holds for it
+ * @param version the constrained version, or empty if there is no constraint
+ * @param kind how the version is constrained
  */
 public record VersionBound(String version, Kind kind) {
-    /** No bound. */
+    /** The absence of a constraint. */
     public static final VersionBound NONE = new VersionBound("", Kind.FREE);
 
-    /** What holds for the version. */
+    /** How a version is constrained. */
     public enum Kind {
         FREE,
-        /** The request goes there, as long as an upstream of it is listed. */
+        /** The request goes to the version if an upstream of it is listed. */
         PREFERRED,
-        /** The request goes elsewhere, as long as an upstream of another version is listed. */
+        /** The request goes to another version if an upstream of one is listed. */
         AVOIDED,
-        /** The request never goes there. */
+        /** The request never goes to the version. */
         FORBIDDEN
     }
 
-    /** Returns whether an upstream of the given version suits, where others might be taken if none does. */
+    /** Returns whether upstreams of the given version are the first choice. */
     public boolean suits(String other) {
         return switch (kind) {
             case FREE -> true;
@@ -30,7 +30,7 @@
         };
     }
 
-    /** Returns whether an upstream of the given version may be taken where none suits. */
+    /** Returns whether an upstream of the given version may be used if there is no upstream of first choice. */
     public boolean allows(String other) {
         return kind != Kind.FORBIDDEN || !other.equals(version);
     }
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionJudge.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionJudge.java
@@ -6,28 +6,33 @@
 import dev.wigeonward.core.rollout.RouteJudgement.Verdict;
 
 /**
- * Compares a new version with the old one on one route by Wald's sequential test.
+ * Stateless comparison of a new version with the old one on one route by Wald's sequential probability ratio test.
  *
- * <p>Two tests run side by side: the share of failures, and the share of answers slower than the old version's 90th
- * percentile of normalized time. Each tests the old version's share against that share plus the stated difference. The
- * log-likelihood ratio of a binomial test depends on the totals alone, so judging has no state of its own and may be
- * repeated at any time.
+ * <p>Two tests run in parallel: one on the share of failures, one on the share of answers slower than the old version's
+ * 90th percentile of normalized time. Each tests the old version's share against that share plus the configured
+ * difference. The log-likelihood ratio of a binomial test depends on the totals only, so no state is kept between calls
+ * and a test may be repeated at any time.
  */
 public final class VersionJudge {
     private static final double SLOW_FRACTION = 0.1;
-    /** Assumed share of failures of an old version of which too little is known. */
-    private static final double UNKNOWN_FAILURE_SHARE = 0.02;
-    /** Without present evidence of the old version a change of the surroundings looks like a change of version. */
-    private static final double STALE_FACTOR = 2;
+    /** Failure share assumed for an old version with too few requests for an estimate. */
+    private static final double DEFAULT_FAILURE_SHARE = 0.02;
+    /**
+     * Factor on the difference when there is no recent evidence of the old version: a change of the environment then
+     * looks like a difference between the versions.
+     */
+    private static final double STALE_DIFFERENCE_FACTOR = 2;
 
+    /** Failure share from which a bad verdict needs no confirmation. */
     private static final double GROSS_FAILURE_SHARE = 0.25;
-    /** Requests of the old version below which nothing is estimated from them. */
-    private static final int FEW_OLD_SAMPLES = 30;
+    /** Minimum number of the old version's requests from which a share is estimated. */
+    private static final int MIN_ESTIMATE_SAMPLES = 30;
 
     private final JudgeSettings settings;
     private final double badBound;
     private final double goodBound;
 
+    /** Creates a judge with the given error rates and differences. */
     public VersionJudge(JudgeSettings settings) {
         this.settings = settings;
         this.badBound = Math.log((1 - settings.falseGoodRate()) / settings.falseBadRate());
@@ -35,12 +40,12 @@
     }
 
     /**
-     * Returns the verdict on the route.
+     * Returns the judgement of the new version on the route.
      *
-     * @param recentOld the old version's evidence of the same period
-     * @param earlierOld the old version's evidence since the move began, used where the recent one is small
+     * @param recentOld the old version's evidence of the same period as the new version's
+     * @param earlierOld the old version's evidence since the move began, used if recentOld has too few requests
      * @param newEvidence the new version's evidence
-     * @param truncated whether the time for the test is over; the verdict is then never undecided
+     * @param truncated whether the time for the test is over, in which case the verdict is never undecided
      */
     public RouteJudgement judge(
             RouteCell cell,
@@ -48,22 +53,22 @@
             EvidenceCounters earlierOld,
             EvidenceCounters newEvidence,
             boolean truncated) {
-        boolean stale = isStale(recentOld);
-        EvidenceCounters old = stale ? earlierOld : recentOld;
-        double factor = stale ? STALE_FACTOR : 1;
-        Test failures = failureTest(old, newEvidence, factor);
+        boolean oldIsStale = isStale(recentOld);
+        EvidenceCounters old = oldIsStale ? earlierOld : recentOld;
+        double differenceFactor = oldIsStale ? STALE_DIFFERENCE_FACTOR : 1;
+        ShareTest failures = failureTest(old, newEvidence, differenceFactor);
         int slowBucket = old.times().quantileBucket(SLOW_FRACTION);
-        Test slow = slowTest(old, newEvidence, slowBucket, factor);
+        ShareTest slow = slowTest(old, newEvidence, slowBucket, differenceFactor);
         Figures oldFigures = figures(old, slowBucket);
         Figures newFigures = figures(newEvidence, slowBucket);
         if (newEvidence.requests() >= settings.minSamples()) {
-            // Half the bound keeps a truncated test's false alarms near the square root of the full test's rate.
+            // Half the bound keeps the false alarm rate of a truncated test near the square root of the full test's.
             double bound = truncated ? badBound / 2 : badBound;
             if (failures.ratio >= bound || slow.ratio >= bound) {
-                Test worse = failures.ratio >= bound ? failures : slow;
+                ShareTest worse = failures.ratio >= bound ? failures : slow;
                 return new RouteJudgement(cell, Verdict.BAD, oldFigures, newFigures, worse.describe(">=", bound));
             }
-            if (failures.ratio <= goodBound && (slow.ratio <= goodBound || !slow.possible)) {
+            if (failures.ratio <= goodBound && (slow.ratio <= goodBound || !slow.applicable)) {
                 return new RouteJudgement(
                         cell, Verdict.GOOD, oldFigures, newFigures, failures.describe("<=", goodBound));
             }
@@ -77,8 +82,8 @@
     }
 
     /**
-     * Returns whether a bad verdict needs no second look: the old version's evidence is of the same period, or the
-     * failures are too many to wait.
+     * Returns whether a bad verdict needs no confirmation, either because there is enough recent evidence of the old
+     * version, or because the failure share is too high to wait.
      */
     boolean needsNoConfirmation(EvidenceCounters recentOld, EvidenceCounters newEvidence) {
         return !isStale(recentOld)
@@ -90,21 +95,22 @@
         return recentOld.requests() < settings.minOldSamples();
     }
 
-    private Test failureTest(EvidenceCounters old, EvidenceCounters newEvidence, double factor) {
-        boolean known = old.requests() >= FEW_OLD_SAMPLES;
-        double share = known ? upperShare(old.failures(), old.requests()) : UNKNOWN_FAILURE_SHARE;
-        double badShare = share + factor * Math.max(settings.failureDifference(), share);
-        return Test.of("failures", newEvidence.failures(), newEvidence.requests(), share, badShare);
+    private ShareTest failureTest(EvidenceCounters old, EvidenceCounters newEvidence, double differenceFactor) {
+        boolean canEstimate = old.requests() >= MIN_ESTIMATE_SAMPLES;
+        double share = canEstimate ? upperShare(old.failures(), old.requests()) : DEFAULT_FAILURE_SHARE;
+        double badShare = share + differenceFactor * Math.max(settings.failureDifference(), share);
+        return ShareTest.of("failures", newEvidence.failures(), newEvidence.requests(), share, badShare);
     }
 
-    private Test slowTest(EvidenceCounters old, EvidenceCounters newEvidence, int slowBucket, double factor) {
+    private ShareTest slowTest(
+            EvidenceCounters old, EvidenceCounters newEvidence, int slowBucket, double differenceFactor) {
         long timed = old.times().total();
-        if (timed < FEW_OLD_SAMPLES) {
-            return Test.impossible();
+        if (timed < MIN_ESTIMATE_SAMPLES) {
+            return ShareTest.notApplicable();
         }
         double share = upperShare(old.times().countAbove(slowBucket), timed);
-        double badShare = share + factor * settings.slowDifference();
-        return Test.of(
+        double badShare = share + differenceFactor * settings.slowDifference();
+        return ShareTest.of(
                 "slow answers",
                 newEvidence.times().countAbove(slowBucket),
                 newEvidence.times().total(),
@@ -112,7 +118,7 @@
                 badShare);
     }
 
-    /** Returns the share estimated one standard error high, so that a small sample does not make the test strict. */
+    /** Returns the estimated share plus one standard error, so that a small sample does not make the test strict. */
     private static double upperShare(long count, long total) {
         double share = (count + 1.0) / (total + 2.0);
         return share + Math.sqrt(share * (1 - share) / total);
@@ -126,20 +132,22 @@
                 evidence.times().countAbove(slowBucket));
     }
 
-    private record Test(
-            String name, long count, long total, double share, double badShare, double ratio, boolean possible) {
+    /** A binomial test of one share with its log-likelihood ratio. */
+    private record ShareTest(
+            String name, long count, long total, double share, double badShare, double ratio, boolean applicable) {
         private static final double MAX_SHARE = 0.99;
         private static final double MAX_NULL_SHARE = 0.9;
 
-        static Test of(String name, long count, long total, double share, double badShare) {
+        static ShareTest of(String name, long count, long total, double share, double badShare) {
             double good = Math.min(share, MAX_NULL_SHARE);
             double bad = Math.min(badShare, MAX_SHARE);
             double ratio = count * Math.log(bad / good) + (total - count) * Math.log((1 - bad) / (1 - good));
-            return new Test(name, count, total, good, bad, ratio, true);
+            return new ShareTest(name, count, total, good, bad, ratio, true);
         }
 
-        static Test impossible() {
-            return new Test("slow answers", 0, 0, 0, 0, 0, false);
+        /** Returns the test of slow answers when the old version has too few times to compare with. */
+        static ShareTest notApplicable() {
+            return new ShareTest("slow answers", 0, 0, 0, 0, 0, false);
         }
 
         String describe(String comparison, double bound) {
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionSelector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionSelector.java
@@ -11,19 +11,20 @@
 import dev.wigeonward.core.request.RequestSpec;
 
 /**
- * Chooses the version of the target that serves a request.
+ * Selector of the version of the target that serves a request.
  *
- * <p>Requests of a move are drawn by a hash of their id, independent of route and tier; the limiter then bounds how
- * many of those drawn are sent. Asking again for the same request, after a dispatch that did not run, counts it once.
+ * <p>During a move, candidates for the new version are drawn by a hash of the request id, independent of route and
+ * tier; the limiter then bounds how many candidates are sent there. A repeated selection for the same request, after a
+ * dispatch that did not run, returns the first choice and is counted once.
  */
 public final class VersionSelector {
     /**
-     * Draws half as many again as the share allows. With exactly the share, a draw that meets an empty credit would be
-     * lost and the share never reached; with all requests, the limiter alone would choose every fiftieth one, which
-     * samples unevenly when tiers alternate regularly.
+     * Ratio of drawn candidates to the share. At 1, a candidate drawn while the limiter has no credit would be lost and
+     * the share never reached. If all requests were candidates, the limiter alone would pick every fiftieth request at
+     * a share of 2%, which samples tiers unevenly when they alternate regularly.
      */
     private static final double DRAW_FACTOR = 1.5;
-    /** About 15 s of requests at one entry of the target size; retries come sooner. */
+    /** Covers about 15 s of requests at one entry of the target size; a request is retried sooner than that. */
     private static final int MAX_REMEMBERED_CHOICES = 1_024;
 
     private final StageView view;
@@ -31,6 +32,7 @@
     private final Map<String, String> onlyVersionByModel = new HashMap<>();
     private final Map<String, Choice> choices = new LinkedHashMap<>();
 
+    /** Creates a selector over the stages and verdicts of the view. */
     public VersionSelector(StageView view, ShareLimiter limiter) {
         this.view = view;
         this.limiter = limiter;
@@ -50,21 +52,21 @@
         String oldVersion = stage.get().oldVersion();
         String newVersion = stage.get().newVersion();
         boolean oldUsable = versionsWithUpstreams.contains(oldVersion) && !view.isBad(model, oldVersion);
-        Optional<String> otherwise = oldUsable ? Optional.of(oldVersion) : Optional.empty();
+        Optional<String> fallback = oldUsable ? Optional.of(oldVersion) : Optional.empty();
         int shareBasisPoints = view.shareBasisPoints(model, nowMillis);
         if (shareBasisPoints == 0 || !versionsWithUpstreams.contains(newVersion)) {
-            return otherwise;
+            return fallback;
         }
-        boolean sendToNew = isChosen(request, newVersion, shareBasisPoints);
+        boolean sendToNew = chooseNew(request, newVersion, shareBasisPoints);
         if (sendToNew || !oldUsable && stage.get().judgedGood()) {
             return Optional.of(newVersion);
         }
-        return otherwise;
+        return fallback;
     }
 
     /**
-     * Without a known move a second version may be one that nobody has judged yet, so the entry stays with the version
-     * that it saw alone.
+     * Returns the version to use when no move is known. A second version may be one without a verdict, so the selector
+     * keeps to the version that was last offered alone.
      */
     private Optional<String> selectWithoutMove(String model, Collection<String> versionsWithUpstreams) {
         List<String> usable = versionsWithUpstreams.stream()
@@ -80,7 +82,8 @@
         return Optional.ofNullable(onlyVersionByModel.get(model)).filter(usable::contains);
     }
 
-    private boolean isChosen(RequestSpec request, String newVersion, int shareBasisPoints) {
+    /** Returns whether the request goes to the new version, and remembers the choice for its retries. */
+    private boolean chooseNew(RequestSpec request, String newVersion, int shareBasisPoints) {
         Choice earlier = choices.get(request.id().value());
         if (earlier != null && earlier.newVersion.equals(newVersion)) {
             return earlier.chosen;
--- a/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
@@ -17,13 +17,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** One controller at a time with a store, engines and requests, on a clock that the test advances. */
+/** Test harness for one controller at a time with a store, engines and requests, on a clock that the test advances. */
 final class ControllerHarness {
     static final MoveSettings SETTINGS = new MoveSettings(
             List.of(1_000, 2_500, 5_000, 10_000), 1, 5_000, 10_000, 20_000, 60_000, 5_000, 2_000, 1_000, 30_000);
     private static final int REQUESTS_PER_SECOND = 1_000;
 
-    /** A controller, or a mutated variant of it. */
+    /** A controller, or a faulty variant that wraps it. */
     interface Controller {
         List<ControllerEffect> handle(ControllerEvent event, long nowMillis);
     }
@@ -59,7 +59,7 @@
         upstreams.put(id, new UpstreamVersions(id, model, Set.of(versions), places));
     }
 
-    /** Lets a controller take over that knows nothing but the store. */
+    /** Replaces the controller with one that acquires the lease and knows only the stored records. */
     void elect(Controller next) {
         controller = next;
         revision++;
@@ -68,7 +68,7 @@
         upstreams.values().forEach(upstream -> events.add(new ControllerEvent.UpstreamSeen(upstream)));
         events.add(new ControllerEvent.LeaseAcquired(fencingNumber, nowMillis + 10_000, List.copyOf(records.values())));
         events.add(new ControllerEvent.RulesChanged(rules));
-        drain();
+        handleAll();
     }
 
     void changeRules(MoveRule... changed) {
@@ -78,7 +78,7 @@
 
     void send(ControllerEvent event) {
         events.add(event);
-        drain();
+        handleAll();
     }
 
     void run(int seconds) {
@@ -89,7 +89,7 @@
             }
             published.stages().forEach(this::serve);
             events.add(new ControllerEvent.Tick());
-            drain();
+            handleAll();
         }
     }
 
@@ -106,9 +106,9 @@
     }
 
     private void serve(Stage stage) {
-        int toNew = REQUESTS_PER_SECOND * stage.shareBasisPoints() / Stage.ALL_BASIS_POINTS;
-        count(stage.model(), stage.newVersion(), toNew);
-        count(stage.model(), stage.oldVersion(), REQUESTS_PER_SECOND - toNew);
+        int newRequests = REQUESTS_PER_SECOND * stage.shareBasisPoints() / Stage.ALL_BASIS_POINTS;
+        count(stage.model(), stage.newVersion(), newRequests);
+        count(stage.model(), stage.oldVersion(), REQUESTS_PER_SECOND - newRequests);
     }
 
     private void count(String model, String version, int requests) {
@@ -124,7 +124,7 @@
                 new ControllerEvent.EvidenceReported("agent", 1, key, new RouteCell("chat", false), evidence.get(key)));
     }
 
-    private void drain() {
+    private void handleAll() {
         while (!events.isEmpty()) {
             controller.handle(events.remove(), nowMillis).forEach(this::perform);
         }
@@ -138,14 +138,14 @@
         } else if (effect instanceof ControllerEffect.SendOrder send) {
             assertThat(announcedOrders).contains(send.order().orderId());
             sentOrders.add(send.order());
-            OrderIntent done = new OrderIntent(
+            OrderIntent intent = new OrderIntent(
                     send.order().orderId(),
                     send.upstreamId(),
                     send.order().kind(),
                     send.order().model(),
                     send.order().version());
-            upstreams.computeIfPresent(send.upstreamId(), (id, upstream) -> upstream.after(done));
-            events.add(new ControllerEvent.OrderAnswered(done.orderId(), new OrderResult.Done()));
+            upstreams.computeIfPresent(send.upstreamId(), (id, upstream) -> upstream.afterOrder(intent));
+            events.add(new ControllerEvent.OrderAnswered(intent.orderId(), new OrderResult.Done()));
         } else if (effect instanceof ControllerEffect.PublishStages publish) {
             published = publish.stages();
         } else if (effect instanceof ControllerEffect.PublishVerdict publish) {
--- a/core/src/test/java/dev/wigeonward/core/rollout/EvidenceRecorderTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/EvidenceRecorderTest.java
@@ -10,7 +10,10 @@
 
     private final EvidenceRecorder recorder = new EvidenceRecorder(0.8);
 
-    /** Guards against quick failures that are counted before the slower successes of the same time. */
+    /**
+     * Guards against an overestimated failure share: if requests were counted as they end, quick failures would be
+     * counted before slower successes that started at the same time.
+     */
     @Test
     void requestsAreCountedInTheOrderOfTheirStart() {
         Observation slow = start(0.5, 0);
@@ -21,7 +24,7 @@
         assertThat(counters(false, 400).failures()).isEqualTo(1);
     }
 
-    /** Guards against a version that hangs and so never shows anything bad. */
+    /** Guards against a hanging version that is never called bad because requests that do not end are not counted. */
     @Test
     void requestBeyondTheLimitCountsAsSlow() {
         start(0.5, 0);
@@ -31,9 +34,12 @@
         assertThat(late.times().countAbove(TimeHistogram.bucketOf(8))).isEqualTo(1);
     }
 
-    /** Guards against badness under load that drowns in the requests of quiet times, and cancels that count. */
+    /**
+     * Guards against failures under load that are diluted by requests without load because both share one counter, and
+     * against cancelled requests that count as failures when the engine ends them.
+     */
     @Test
-    void loadIsCountedApartAndCancelsNotAtAll() {
+    void loadIsCountedSeparatelyAndCancelledRequestsAreNot() {
         start(0.9, 0).died(5);
         Observation cancelled = start(0.5, 0);
         cancelled.cancelled(5);
--- a/core/src/test/java/dev/wigeonward/core/rollout/MoveControllerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/MoveControllerTest.java
@@ -30,7 +30,7 @@
         harness = newHarness();
     }
 
-    /** Guards against a good version that is not brought to all requests, or an old one that stays in memory. */
+    /** Guards against a move that stops before the new version gets all requests, or leaves the old version loaded. */
     @Test
     void goodVersionMovesFromRuleToDone() {
         harness.elect(ControllerHarness.realController());
@@ -46,7 +46,10 @@
                 .allSatisfy(report -> assertThat(report.onTime()).isTrue());
     }
 
-    /** Guards against a rollback that waits for the store, or a verdict that is not written when it answers. */
+    /**
+     * Guards against a bad version that keeps getting requests because the rollback waits for the store, and against a
+     * verdict found during a store outage that is not written afterwards, so that the same version is moved to again.
+     */
     @Test
     void badVersionIsStoppedWhileStoreIsDownAndWrittenLater() {
         harness.failureShareByVersion.put("v2", 0.5);
@@ -71,9 +74,9 @@
         assertThat(harness.record("model").phase()).isEqualTo(MovePhase.ROLLED_BACK);
     }
 
-    /** Guards against new steps, renewed stages or orders without a lease that the store confirms. */
+    /** Guards against steps, stage publications or orders after the lease expired because the store is down. */
     @Test
-    void nothingMovesOnWhileStoreIsDown() {
+    void nothingAdvancesWhileStoreIsDown() {
         harness.elect(ControllerHarness.realController());
         harness.changeRules(TO_V2);
         harness.run(5);
@@ -89,7 +92,7 @@
         assertThat(harness.record("model").phase()).isEqualTo(MovePhase.DONE);
     }
 
-    /** Guards against a write that is taken for lost, or applied twice, when only its reply was lost. */
+    /** Guards against a stuck move or repeated orders when a write is applied but its reply is lost. */
     @Test
     void lostRepliesAreReadBack() {
         harness.store = Store.LOSES_REPLIES;
@@ -100,52 +103,54 @@
         assertThat(harness.sentOrders).extracting(Order::orderId).doesNotHaveDuplicates();
     }
 
-    /** Guards against a verdict that dies with the controller that found it. */
+    /** Guards against a bad verdict that is lost when another controller acquires the lease. */
     @Property(tries = 100)
     void verdictSurvivesControllerChanges(
             @ForAll @Size(min = 1, max = 6) List<@IntRange(min = 1, max = 40) Integer> gaps) {
         checkVerdictSurvives(ControllerHarness::realController, gaps);
     }
 
-    /** Shows that the check above sees a controller that does not read the verdicts of its predecessor. */
+    /** Verifies that the check above fails for a controller that does not read the verdicts of its predecessor. */
     @Test
     void checkFailsForControllerThatForgetsVerdicts() {
         checkVerdictSurvives(ControllerHarness::realController, List.of(5));
-        assertThatThrownBy(() -> checkVerdictSurvives(MoveControllerTest::forgettingController, List.of(5)))
+        assertThatThrownBy(() -> checkVerdictSurvives(MoveControllerTest::ignoringStoredVerdictsController, List.of(5)))
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against an order that no later controller knows of. */
+    /** Guards against an order unknown to later controllers because it is sent before it is written to the store. */
     @Property(tries = 100)
     void intentIsWrittenBeforeOrder(@ForAll @Size(max = 60) List<@IntRange(max = 9) Integer> steps) {
         checkIntentBeforeOrder(ControllerHarness::realController, steps);
     }
 
-    /** Shows that the check above sees a controller that sends orders without waiting for the store. */
+    /** Verifies that the check above fails for a controller that sends orders without waiting for the store. */
     @Test
     void checkFailsForControllerThatOrdersBeforeWriting() {
         checkIntentBeforeOrder(ControllerHarness::realController, List.of(1, 1));
-        assertThatThrownBy(() -> checkIntentBeforeOrder(MoveControllerTest::hastyController, List.of(1, 1)))
+        assertThatThrownBy(
+                        () -> checkIntentBeforeOrder(MoveControllerTest::orderingBeforeWriteController, List.of(1, 1)))
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against a share above 2% before any route was judged. */
+    /** Guards against a bad version that gets more than 2% of the requests as the share grows without a verdict. */
     @Property(tries = 100)
     void canaryShareIsNotExceededBeforeFirstVerdict(@ForAll @Size(max = 60) List<@IntRange(max = 9) Integer> steps) {
         checkCanaryShare(ControllerHarness::realController, steps);
     }
 
-    /** Shows that the check above sees a controller that grows by time alone. */
+    /** Verifies that the check above fails for a controller that increases the share by time alone. */
     @Test
     void checkFailsForControllerThatGrowsWithoutEvidence() {
         checkCanaryShare(ControllerHarness::realController, List.of(1, 1, 1, 1, 1, 1));
-        assertThatThrownBy(() -> checkCanaryShare(MoveControllerTest::blindController, List.of(1, 1, 1, 1, 1, 1)))
+        assertThatThrownBy(() ->
+                        checkCanaryShare(MoveControllerTest::ignoringFailuresController, List.of(1, 1, 1, 1, 1, 1)))
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against orders and stages of a process that slept past its lease. */
+    /** Guards against orders and stages from a process that was paused until after its lease expired. */
     @Test
-    void pausedHolderDoesNothingAfterItsLease() {
+    void pausedHolderDoesNothingAfterItsLeaseExpired() {
         Controller former = ControllerHarness.realController();
         harness.elect(former);
         harness.changeRules(TO_V2);
@@ -156,7 +161,7 @@
                 .isEmpty();
     }
 
-    /** Guards against a move that goes on although the operators took its rule back. */
+    /** Guards against a move that continues after the rules name another version, and so never starts the new move. */
     @Test
     void otherVersionInTheRulesReplacesTheMove() {
         harness.elect(ControllerHarness.realController());
@@ -171,7 +176,10 @@
         assertThat(harness.record("model").phase()).isEqualTo(MovePhase.DONE);
     }
 
-    /** Guards against a late move that takes the loads of an earlier one, and a deadline missed without a word. */
+    /**
+     * Guards against a move that delays another with an earlier deadline by using its loads, and against a deadline
+     * that will be missed without a report.
+     */
     @Test
     void earliestDeadlineLoadsFirstAndLateMovesAreReported() {
         harness.addUpstream("b0", "other", 2, "v1");
@@ -186,7 +194,7 @@
                 .doesNotContain("model");
     }
 
-    /** Guards against unloading the only copy of the old version before anything is known of the new one. */
+    /** Guards against unloading the last copy of the old version before the new one is judged good. */
     @Test
     void enginesWithRoomForOneKeepSomeOldVersionsUntilDone() {
         harness.upstreams.clear();
@@ -197,13 +205,13 @@
         harness.changeRules(TO_V2);
         while (harness.records.isEmpty() || harness.record("model").phase() != MovePhase.DONE) {
             assertThat(harness.upstreams.values())
-                    .anySatisfy(upstream -> assertThat(upstream.has("v1")).isTrue());
+                    .anySatisfy(upstream -> assertThat(upstream.hasLoaded("v1")).isTrue());
             harness.run(1);
             assertThat(harness.nowMillis).isLessThan(DEADLINE_MILLIS);
         }
         harness.run(60);
         assertThat(harness.upstreams.values())
-                .allSatisfy(upstream -> assertThat(upstream.has("v2")).isTrue());
+                .allSatisfy(upstream -> assertThat(upstream.hasLoaded("v2")).isTrue());
     }
 
     private static MoveRule rule(String model, String version, long deadlineMillis) {
@@ -265,8 +273,8 @@
         }
     }
 
-    /** Mutated variant: starts without the verdicts of the stored records. */
-    private static Controller forgettingController() {
+    /** Creates a faulty controller that ignores the verdicts in the stored records. */
+    private static Controller ignoringStoredVerdictsController() {
         Controller controller = ControllerHarness.realController();
         return (event, nowMillis) -> {
             if (event instanceof ControllerEvent.LeaseAcquired acquired) {
@@ -300,8 +308,8 @@
                 record.reason());
     }
 
-    /** Mutated variant: sends the orders of a record together with its write. */
-    private static Controller hastyController() {
+    /** Creates a faulty controller that sends the orders of a record together with its write. */
+    private static Controller orderingBeforeWriteController() {
         Controller controller = ControllerHarness.realController();
         return (event, nowMillis) -> {
             List<ControllerEffect> effects = new ArrayList<>();
@@ -319,8 +327,8 @@
         };
     }
 
-    /** Mutated variant: sees no failures and no slow answers. */
-    private static Controller blindController() {
+    /** Creates a faulty controller that sees no failures. */
+    private static Controller ignoringFailuresController() {
         Controller controller = ControllerHarness.realController();
         return (event, nowMillis) -> {
             if (event instanceof ControllerEvent.EvidenceReported reported) {
--- a/core/src/test/java/dev/wigeonward/core/rollout/MoveEvidenceTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/MoveEvidenceTest.java
@@ -9,9 +9,12 @@
 
     private final VersionJudge judge = new VersionJudge(JudgeSettings.standard());
     private final MoveEvidence evidence = new MoveEvidence("v1", "v2", CONFIRM_MILLIS);
-    private EvidenceCounters counted = EvidenceCounters.empty();
+    private EvidenceCounters counters = EvidenceCounters.empty();
 
-    /** Guards against a short disturbance of both versions that is confirmed by silence. */
+    /**
+     * Guards against a good version that is called bad after a short disturbance of both versions, because the
+     * confirmation time passes without any new requests.
+     */
     @Test
     void suspicionNeedsNewRequestsToBeConfirmed() {
         assertThat(judgeAfter(1_000, 150, 30)).isFalse();
@@ -20,7 +23,10 @@
         assertThat(judgeAfter(3_000 + 2 * CONFIRM_MILLIS, 150, 30)).isFalse();
     }
 
-    /** Guards against badness after completion that is never called bad. */
+    /**
+     * Guards against a version that turns bad after it got all requests and is never called bad, because no recent
+     * evidence of the old version is left to compare with.
+     */
     @Test
     void lastingSuspicionIsConfirmed() {
         assertThat(judgeAfter(1_000, 150, 30)).isFalse();
@@ -29,7 +35,7 @@
         assertThat(judgeAfter(1_000 + CONFIRM_MILLIS, 150, 30)).isTrue();
     }
 
-    /** Guards against a wait for confirmation while a version fails outright. */
+    /** Guards against many failed requests because even a very high failure share waits for confirmation. */
     @Test
     void grossFailuresNeedNoConfirmation() {
         assertThat(judgeAfter(1_000, 100, 60)).isTrue();
@@ -38,10 +44,10 @@
     private boolean judgeAfter(long nowMillis, int requests, int failures) {
         long[] times = new long[TimeHistogram.BUCKETS];
         times[20] = requests - failures;
-        counted = counted.plus(new EvidenceCounters(requests, failures, TimeHistogram.of(times)));
+        counters = counters.plus(new EvidenceCounters(requests, failures, TimeHistogram.of(times)));
         evidence.add(
                 new ControllerEvent.EvidenceReported(
-                        "a0", 1, new ModelVersion("model", "v2"), new RouteCell("chat", false), counted),
+                        "a0", 1, new ModelVersion("model", "v2"), new RouteCell("chat", false), counters),
                 nowMillis);
         return evidence.judge(judge, false, nowMillis).isPresent();
     }
--- a/core/src/test/java/dev/wigeonward/core/rollout/Requests.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/Requests.java
@@ -7,7 +7,7 @@
 import dev.wigeonward.core.request.Tier;
 import dev.wigeonward.core.request.WorkEstimate;
 
-/** Makes requests for the tests of this package. */
+/** Factory of requests for the tests of this package. */
 final class Requests {
     private Requests() {}
 
--- a/core/src/test/java/dev/wigeonward/core/rollout/ShareLimiterTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ShareLimiterTest.java
@@ -22,7 +22,7 @@
         boolean count(ModelVersion version, String route, int shareBasisPoints, boolean candidate);
     }
 
-    /** Guards against entries that each stay within the share but exceed it together. */
+    /** Guards against a total share that is exceeded because each entry rounds up its own part of it. */
     @Property(tries = 200)
     void entriesTogetherStayWithinShare(
             @ForAll @IntRange(min = 1, max = 60) int entries,
@@ -32,7 +32,7 @@
         checkShareOverEntries(() -> new ShareLimiter()::count, entries, shareBasisPoints, requests, seed);
     }
 
-    /** Shows that the check above sees a limiter whose entries each round up. */
+    /** Verifies that the check above fails for a limiter that rounds up at each entry. */
     @Test
     void checkFailsForLimiterThatRoundsUp() {
         checkShareOverEntries(() -> new ShareLimiter()::count, 40, 200, 1_000, 1);
@@ -40,7 +40,7 @@
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against a limiter that is within the share only because it sends nothing. */
+    /** Guards against a limiter that stays within the share only because it sends too little or nothing. */
     @Test
     void shareIsUsedByAnEntryWithManyRequests() {
         ShareLimiter limiter = new ShareLimiter();
@@ -51,7 +51,7 @@
         assertThat(sent).isEqualTo(200);
     }
 
-    /** Guards against a burst at the new version after it had no upstream for a while. */
+    /** Guards against a burst to the new version from credit that accumulated while it had no upstream. */
     @Test
     void creditOfAPauseIsBounded() {
         ShareLimiter limiter = new ShareLimiter();
@@ -84,7 +84,7 @@
         }
     }
 
-    /** Mutated variant: allows ceil(share × requests). */
+    /** A faulty limiter that allows ceil(share × requests) at each entry. */
     private static final class RoundingUpLimiter implements Limiter {
         private final Map<String, long[]> countsByRoute = new HashMap<>();
 
--- a/core/src/test/java/dev/wigeonward/core/rollout/TrafficShiftTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/TrafficShiftTest.java
@@ -9,7 +9,7 @@
 class TrafficShiftTest {
     private static final RouteCell ROUTE = new RouteCell("r", false);
     private static final long DEADLINE_MILLIS = 12_000;
-    private static final int PER_TICK = 20;
+    private static final int REQUESTS_PER_TICK = 20;
 
     private final ShiftOrder order = new ShiftOrder("s", "v2", 0, DEADLINE_MILLIS, 5);
     private final TrafficShift shift = TrafficShift.of(order);
@@ -33,15 +33,15 @@
                 0);
     }
 
-    /** Plays requests and the controller, ten ticks a second; returns the time at which the shift ended. */
-    private long play(double failurePart, int atPrevious) {
+    /** Simulates requests and the controller at ten ticks per second, and returns the time at which the shift ended. */
+    private long simulate(double failureShare, int outstandingAtPrevious) {
         choice.order(order);
         for (long now = 0; now <= DEADLINE_MILLIS; now += 100) {
-            for (int request = 0; request < PER_TICK; request++) {
+            for (int request = 0; request < REQUESTS_PER_TICK; request++) {
                 VersionBound bound = choice.choose("s", "r", now);
                 if (bound.kind() == VersionBound.Kind.PREFERRED) {
                     newRequests++;
-                    newFailures += newRequests * failurePart >= newFailures + 1 ? 1 : 0;
+                    newFailures += newRequests * failureShare >= newFailures + 1 ? 1 : 0;
                 } else {
                     oldRequests++;
                 }
@@ -49,7 +49,7 @@
             report("v1", oldRequests, oldRequests / 200);
             report("v2", newRequests, newFailures);
             shift.verdict(now).ifPresent(verdict -> view.merge(List.of(verdict)));
-            shift.advance(view.isBad("s", "v2"), atPrevious, now);
+            shift.advance(view.isBad("s", "v2"), outstandingAtPrevious, now);
             view.apply(new ControllerStages(1, ++sequence, List.of(shift.stage(2_000))), now);
             if (shift.state() != ShiftState.IN_PROGRESS) {
                 return now;
@@ -58,31 +58,34 @@
         return Long.MAX_VALUE;
     }
 
-    /** Guards against a good version that is not in place by the deadline. */
+    /** Guards against a good version that does not get all requests by the deadline because its share grows late. */
     @Test
     void goodVersionIsInPlaceBeforeTheDeadline() {
-        assertThat(play(0.005, 0)).isLessThan(DEADLINE_MILLIS);
+        assertThat(simulate(0.005, 0)).isLessThan(DEADLINE_MILLIS);
         assertThat(shift.state()).isEqualTo(ShiftState.COMPLETED);
     }
 
-    /** Guards against an end that cuts requests which old upstreams still work on, and against one that never comes. */
+    /**
+     * Guards against requests that are cut off because the shift completes while old upstreams still process them, and
+     * against a shift that misses its deadline because it waits for them without limit.
+     */
     @Test
     void endWaitsForOldUpstreamsAsLongAsTheDeadlineAllows() {
-        assertThat(play(0, 3)).isBetween((long) (0.9 * DEADLINE_MILLIS), DEADLINE_MILLIS);
+        assertThat(simulate(0, 3)).isBetween((long) (0.9 * DEADLINE_MILLIS), DEADLINE_MILLIS);
         assertThat(shift.state()).isEqualTo(ShiftState.COMPLETED);
     }
 
-    /** Guards against a bad version that gets more than a tenth of the requests before it is taken back. */
+    /** Guards against a bad version that gets more than a tenth of the requests before the shift is reverted. */
     @Test
-    void badVersionIsTakenBackAfterFewRequests() {
-        long ended = play(0.3, 0);
+    void badVersionIsRevertedAfterFewRequests() {
+        long ended = simulate(0.3, 0);
         assertThat(shift.state()).isEqualTo(ShiftState.REVERTED);
         assertThat(ended).isLessThan(DEADLINE_MILLIS / 2);
         assertThat(newRequests).isLessThan((oldRequests + newRequests) / 10);
         assertThat(choice.choose("s", "r", ended).kind()).isEqualTo(VersionBound.Kind.FORBIDDEN);
     }
 
-    /** Guards against an entry that sends requests to a new version while it hears no controller. */
+    /** Guards against an entry without contact to a controller that sends requests to a new version on an old stage. */
     @Test
     void withoutRenewalTheNewVersionGetsNothing() {
         choice.order(order);
@@ -92,18 +95,18 @@
         }
     }
 
-    /** Guards against an entry that restarts after the end and sends requests to upstreams that were stopped. */
+    /** Guards against an entry that restarts after completion and sends requests to stopped old upstreams. */
     @Test
-    void storedEndCounts() {
+    void storedStateIsApplied() {
         choice.order(order);
         choice.settle("s", "v2", ShiftState.COMPLETED, 9);
         assertThat(choice.choose("s", "r", 0)).isEqualTo(new VersionBound("v2", VersionBound.Kind.PREFERRED));
         assertThat(choice.open()).isEmpty();
     }
 
-    /** Guards against the end of an earlier order that is taken for the end of a new one of the same version. */
+    /** Guards against the stored state of an earlier order that is applied to a new order of the same version. */
     @Test
-    void endOfEarlierOrderDoesNotCount() {
+    void storedStateOfEarlierOrderIsIgnored() {
         choice.settle("s", "v2", ShiftState.COMPLETED, 3);
         choice.order(order);
         assertThat(choice.open()).containsKey("s");
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionJudgeTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionJudgeTest.java
@@ -15,10 +15,10 @@
 
     private final VersionJudge judge = new VersionJudge(JudgeSettings.standard());
 
-    /** Guards against a test that calls equal versions bad, or misses versions that are clearly worse. */
+    /** Guards against wrong verdicts: equal versions called bad, or clearly worse versions called good or undecided. */
     @ParameterizedTest
     @CsvSource({"0.01, 1.0, GOOD", "0.10, 1.0, BAD", "0.01, 2.0, BAD", "1.00, 1.0, BAD"})
-    void verdictFollowsTheTruth(double failureShare, double slowdown, Verdict expected) {
+    void verdictMatchesTrueDifference(double failureShare, double slowdown, Verdict expected) {
         Random random = new Random(7);
         EvidenceCounters old = sample(random, 2_000, 0.01, 1);
         for (int run = 0; run < 100; run++) {
@@ -32,7 +32,7 @@
         }
     }
 
-    /** Guards against a route with few requests that holds a move up for ever. */
+    /** Guards against a move that never ends because a route has too few requests for a verdict. */
     @Test
     void truncatedTestAlwaysDecides() {
         Random random = new Random(8);
@@ -46,7 +46,7 @@
         assertThat(judge.judge(CELL, old, old, fewBad, true).verdict()).isEqualTo(Verdict.BAD);
     }
 
-    /** Guards against a verdict from a handful of requests. */
+    /** Guards against a good version that is called bad because a few requests happened to fail. */
     @Test
     void fewerThanTheMinimumOfSamplesAreNeverBad() {
         EvidenceCounters old = new EvidenceCounters(2_000, 20, TimeHistogram.empty());
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
@@ -23,7 +23,7 @@
     private static final Set<String> BOTH = Set.of("v1", "v2");
     private static final BadVerdict BAD = new BadVerdict(new ModelVersion("model", "v2"), "fails");
 
-    /** One entry's knowledge and choice together, so that a mutated variant can stand in for it. */
+    /** An entry's view and selector combined, so that a faulty variant can be tested in its place. */
     private interface Entry {
         void publish(ControllerStages stages, long nowMillis);
 
@@ -32,13 +32,13 @@
         Optional<String> select(RequestSpec request, long nowMillis);
     }
 
-    /** Guards against requests to a bad version after the verdict is known, whatever is published later. */
+    /** Guards against requests to a bad version because a publication after the verdict gives it a share again. */
     @Property
     void badVersionGetsNothingAfterVerdict(@ForAll @Size(max = 80) List<@IntRange(max = 99) Integer> steps) {
         checkNothingAfterVerdict(new RealEntry(), steps);
     }
 
-    /** Shows that the check above sees an entry that forgets verdicts with the next publication. */
+    /** Verifies that the check above fails for an entry that drops its verdicts with the next publication. */
     @Test
     void checkFailsForEntryThatForgetsVerdicts() {
         List<Integer> steps = List.of(10, 0, 11, 50);
@@ -47,7 +47,7 @@
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against an entry without contact to the controller that keeps a version which nobody judged. */
+    /** Guards against an entry without contact to the controller that keeps sending requests to an unjudged version. */
     @Test
     void shareEndsWithTheLeaseUnlessJudgedGood() {
         RealEntry entry = new RealEntry();
@@ -59,7 +59,7 @@
         assertThat(entry.select(request(0, 3, "chat", Tier.STANDARD), 900_000)).contains("v2");
     }
 
-    /** Guards against a former controller, or a late frame, that takes stages back. */
+    /** Guards against stages that are reverted by a publication of a former controller or by a delayed frame. */
     @Test
     void olderPublicationNeverReplacesNewer() {
         StageView view = new StageView();
@@ -70,7 +70,7 @@
         assertThat(view.relayed(4_000).stages().get(0).leaseMillis()).isEqualTo(6_000);
     }
 
-    /** Guards against an even share that hits one route or tier only. */
+    /** Guards against a correct total share that is taken from some tiers only because they alternate. */
     @Test
     void routesAndTiersAreSampledEvenly() {
         RealEntry entry = new RealEntry();
@@ -87,7 +87,7 @@
                 .isBetween(1_800, 2_200));
     }
 
-    /** Guards against a retry of a request that did not run being counted as another request. */
+    /** Guards against a share that is exceeded because retries of a request that did not run add credit each time. */
     @Test
     void askingAgainForTheSameRequestCountsOnce() {
         RealEntry entry = new RealEntry();
@@ -99,7 +99,7 @@
         }
     }
 
-    /** Guards against a version of unknown standing that gets requests because the entry has just started. */
+    /** Guards against requests to an unjudged version from an entry that has just started and knows no move yet. */
     @Test
     void withoutMoveOnlyTheKnownVersionServes() {
         VersionSelector selector = new VersionSelector(new StageView(), new ShareLimiter());
@@ -109,7 +109,7 @@
         assertThat(selector.select(request, BOTH, 0)).contains("v1");
     }
 
-    /** Guards against an outage after completion while one of the versions has no upstream. */
+    /** Guards against refused requests after completion because only one of the versions has upstreams. */
     @Test
     void eitherVersionServesAfterCompletion() {
         StageView view = new StageView();
@@ -164,7 +164,7 @@
         }
     }
 
-    /** Mutated variant: a publication replaces the verdicts known before. */
+    /** A faulty entry that drops its known verdicts with each publication. */
     private static final class ForgetfulEntry implements Entry {
         private final Set<ModelVersion> bad = new HashSet<>();
         private final RealEntry entry = new RealEntry();
