Reword the move measurement in the terms of the field

Cause: comments, test heads and private names of measure/moves were figurative or vague for a new reader. Change: doc comments, private names and test heads are plain; the message of a missing agent names the version and the expectation; one message of TimeHistogram has its grammar corrected.

--- a/core/src/main/java/dev/wigeonward/core/rollout/TimeHistogram.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/TimeHistogram.java
@@ -32,7 +32,7 @@
     /** Returns a histogram with the given count for each bucket. */
     public static TimeHistogram of(long[] counts) {
         Preconditions.checkArgument(
-                counts.length == BUCKETS, "counts must have %s buckets, but has %s", BUCKETS, counts.length);
+                counts.length == BUCKETS, "counts must have %s buckets, but have %s", BUCKETS, counts.length);
         return new TimeHistogram(counts.clone());
     }
 
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/CaseKind.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/CaseKind.java
@@ -1,6 +1,6 @@
 package dev.wigeonward.measure.moves;
 
-/** What is wrong with the new version of a case. */
+/** Kind of a case, by how the new version is bad. */
 enum CaseKind {
     GOOD("good, with noise"),
     FAILS_AT_ONCE("fails at once"),
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/CaseResult.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/CaseResult.java
@@ -3,19 +3,20 @@
 import java.util.List;
 
 /**
- * What one case showed.
+ * Result of one simulated case.
  *
- * @param completedMillis time at which all requests were first allowed to the new version; negative if never
+ * @param completedMillis time at which the new version was first allowed all requests; negative if never
  * @param verdictMillis time of the bad verdict; negative if there was none
  * @param verdictReason reason of the bad verdict, empty if there was none
  * @param badSinceMillis time from which the new version was bad and loaded; negative if it never was
- * @param largestEarlyShare largest share of a route's requests that the new version had got by any time before the
- * first     verdict
+ * @param largestEarlyShare largest cumulative share of a route's requests that the new version had got at any time
+ *     before the first verdict
  * @param soonAfterVerdict requests to the bad version within 2 s after the verdict
- * @param laterReachable requests later than 2 s after the verdict at entries that could be reached
- * @param laterUnreachable requests later than 10 s after the verdict at entries that could not
- * @param refused requests for which there was no version
- * @param shares share of all requests that the new version got in each period
+ * @param laterReachable requests to the bad version later than 2 s after the verdict at entries that could be reached
+ * @param laterUnreachable requests to the bad version later than 10 s after the verdict at entries that could not be
+ *     reached
+ * @param refusedRequests requests for which no version was allowed
+ * @param shares share of all requests that the new version got, by period
  */
 record CaseResult(
         CaseScript script,
@@ -27,7 +28,7 @@
         long soonAfterVerdict,
         long laterReachable,
         long laterUnreachable,
-        long refused,
+        long refusedRequests,
         List<Double> shares) {
     boolean isRolledBack() {
         return verdictMillis >= 0;
@@ -38,6 +39,7 @@
         return isRolledBack() && (badSinceMillis < 0 || verdictMillis < badSinceMillis);
     }
 
+    /** Returns whether the new version got all requests by the deadline and was not rolled back. */
     boolean isCompletedOnTime() {
         return !isRolledBack() && completedMillis >= 0 && completedMillis <= CaseScript.DEADLINE_MILLIS;
     }
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/CaseScript.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/CaseScript.java
@@ -5,21 +5,21 @@
 import java.util.SplittableRandom;
 
 /**
- * Everything that happens to one case, drawn from its seed.
+ * Script of all events and parameters of one case, drawn from its seed.
  *
  * @param badRoute the only bad route, or empty if all are
  * @param badFromMillis time at which the new version turns bad
- * @param addedFailureShare share of requests that fail because the version is bad
- * @param slowdown factor on times because the version is bad
- * @param harmlessSlowdown factor on the new version's times that is within tolerance
+ * @param addedFailureShare increase of the failure share while the new version is bad
+ * @param slowdown factor on the new version's times while it is bad
+ * @param harmlessSlowdown factor on the new version's times at all times, within tolerance
  * @param spread standard deviation of the logarithm of normalized times
  * @param peaks times of high load on all upstreams
  * @param failureBursts disturbances in which both versions fail more often
  * @param slowBursts disturbances in which both versions are slower
- * @param storeOutage time in which the store answers nothing
- * @param controllerCrashMillis time at which the holder of the lease dies for good; never if negative
- * @param controllerPause time in which the holder of the lease stands still
- * @param isolation time in which one entry hears nothing of the controller or other entries
+ * @param storeOutage time in which the store does not answer
+ * @param controllerCrashMillis time at which the lease holder dies without a restart; never if negative
+ * @param controllerPause time in which the lease holder is paused
+ * @param isolation time in which one entry receives nothing from the controller or other entries
  * @param agentRestartMillis time at which one agent restarts; never if negative
  */
 record CaseScript(
@@ -41,9 +41,9 @@
         Interval isolation,
         long agentRestartMillis) {
     static final long DEADLINE_MILLIS = 480_000;
-    /** Deadline, watching time of the standard settings, and time for what outages delay. */
+    /** End of each simulation: the deadline, the watch time of the standard settings, and time for outages. */
     static final long END_MILLIS = DEADLINE_MILLIS + 420_000;
-    /** Time played after completion if the rollout does not end sooner; covers watching and an outage in it. */
+    /** Maximum time simulated after completion, enough for watching with an outage during it. */
     static final long WATCH_MILLIS = 360_000;
 
     private static final long EVENTS_UNTIL_MILLIS = 360_000;
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/ControlledRollout.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/ControlledRollout.java
@@ -15,7 +15,7 @@
 import dev.wigeonward.core.rollout.MoveRule;
 import dev.wigeonward.core.rollout.MoveSettings;
 
-/** Two entries that compete for the controller lease, each with the real controller. */
+/** A rollout by the real controller, run by two nodes that compete for the controller lease. */
 final class ControlledRollout implements Rollout {
     private static final long RENEW_LEASE_MILLIS = 3_000;
     private static final long TICK_MILLIS = 500;
@@ -44,22 +44,22 @@
 
     @Override
     public void step(long nowMillis, Publisher publisher) {
-        interfere(nowMillis);
+        injectFaults(nowMillis);
         for (Node node : nodes) {
             if (!isRunning(node, nowMillis)) {
                 continue;
             }
             if (nowMillis % TICK_MILLIS == 0 && node.holdsLease) {
-                // The tick comes first, as after a pause: the process finds out late that its lease is gone.
+                // The tick is handled before the lease, as after a pause, when a process learns late of a lost lease.
                 node.events.addFirst(new ControllerEvent.Tick());
             }
-            drain(node, nowMillis, publisher);
-            holdLease(node, nowMillis);
-            drain(node, nowMillis, publisher);
+            handleEvents(node, nowMillis, publisher);
+            renewOrAcquireLease(node, nowMillis);
+            handleEvents(node, nowMillis, publisher);
         }
     }
 
-    private void interfere(long nowMillis) {
+    private void injectFaults(long nowMillis) {
         boolean crashes =
                 !crashed && script.controllerCrashMillis() >= 0 && nowMillis >= script.controllerCrashMillis();
         boolean pauses = paused == null && script.controllerPause().contains(nowMillis);
@@ -83,7 +83,7 @@
         return !node.dead && !(node == paused && script.controllerPause().contains(nowMillis));
     }
 
-    private void holdLease(Node node, long nowMillis) {
+    private void renewOrAcquireLease(Node node, long nowMillis) {
         if (!store.isUp(nowMillis)) {
             return;
         }
@@ -111,7 +111,7 @@
         node.events.add(new ControllerEvent.RulesChanged(RULES));
     }
 
-    private void drain(Node node, long nowMillis, Publisher publisher) {
+    private void handleEvents(Node node, long nowMillis, Publisher publisher) {
         while (!node.events.isEmpty()) {
             for (ControllerEffect effect : node.controller.handle(node.events.remove(), nowMillis)) {
                 perform(node, effect, nowMillis, publisher);
@@ -130,11 +130,11 @@
             publisher.publish(publish.stages());
         } else if (effect instanceof ControllerEffect.PublishVerdict publish) {
             publisher.publish(publish.verdict());
-            shareVerdict(node, publish.verdict());
+            sendVerdictToOthers(node, publish.verdict());
         }
     }
 
-    private void shareVerdict(Node from, BadVerdict verdict) {
+    private void sendVerdictToOthers(Node from, BadVerdict verdict) {
         List<Node> others = new ArrayList<>(nodes);
         others.remove(from);
         others.forEach(node -> node.events.add(new ControllerEvent.VerdictLearned(verdict)));
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/FixedRollout.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/FixedRollout.java
@@ -15,11 +15,12 @@
 import dev.wigeonward.core.rollout.Stage;
 
 /**
- * The comparison: the same shares by time, and a rollback when 5% of the new version's requests failed over the last 30
- * s. It needs no store and never stops, so outages and lost controllers do not touch it.
+ * Baseline for comparison: a rollout with the same shares at fixed times, which rolls back when at least 5% of the new
+ * version's requests failed in a window of 30 s. It needs no store and never stops, so store outages and lost
+ * controllers do not affect it.
  */
 final class FixedRollout implements Rollout {
-    /** Fixed steps have no controller; the agents' store shows this number so that they take its orders. */
+    /** Fencing number that the store reports to agents, so that they accept orders although there is no controller. */
     static final long FENCING_NUMBER = 1;
 
     private static final int[] SHARES_BASIS_POINTS = {200, 1_000, 2_500, 5_000, 10_000};
@@ -32,7 +33,7 @@
     private static final ModelVersion NEW = new ModelVersion(MoveCase.MODEL, MoveCase.NEW);
 
     private final List<SimulatedAgent> agents;
-    private final Map<String, EvidenceCounters> latest = new HashMap<>();
+    private final Map<String, EvidenceCounters> lastCounters = new HashMap<>();
     private long windowRequests;
     private long windowFailures;
     private long windowStartMillis;
@@ -50,7 +51,7 @@
             if (event instanceof EvidenceReported reported && reported.version().equals(NEW)) {
                 EvidenceRecorder.Key key = new EvidenceRecorder.Key(reported.version(), reported.cell());
                 String source = reported.upstreamId() + "/" + reported.incarnation() + "/" + key;
-                EvidenceCounters before = latest.put(source, reported.counters());
+                EvidenceCounters before = lastCounters.put(source, reported.counters());
                 windowRequests += reported.counters().requests() - (before == null ? 0 : before.requests());
                 windowFailures += reported.counters().failures() - (before == null ? 0 : before.failures());
             }
@@ -66,8 +67,9 @@
                     nowMillis));
         }
         if (nowMillis - windowStartMillis >= WINDOW_MILLIS) {
-            boolean fails = windowRequests >= MIN_REQUESTS && windowFailures >= FAILURE_LIMIT * windowRequests;
-            if (fails && !bad) {
+            boolean tooManyFailures =
+                    windowRequests >= MIN_REQUESTS && windowFailures >= FAILURE_LIMIT * windowRequests;
+            if (tooManyFailures && !bad) {
                 bad = true;
                 publisher.publish(new BadVerdict(NEW, "5% failures"));
                 publish(0, publisher);
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/Interval.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/Interval.java
@@ -2,8 +2,9 @@
 
 import java.util.List;
 
-/** A stretch of time; the end is not part of it. */
+/** A time interval that includes its start and excludes its end. */
 record Interval(long fromMillis, long toMillis) {
+    /** The empty interval. */
     static final Interval NONE = new Interval(0, 0);
 
     boolean contains(long millis) {
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/JudgeMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/JudgeMeasurement.java
@@ -15,26 +15,26 @@
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 
-/** Error rates and sample sizes of one sequential test. */
+/** Measurement of the error rates and sample sizes of the sequential test on one route. */
 public final class JudgeMeasurement implements Measurement {
     private static final int RUNS = 10_000;
-    private static final int STEP = 5;
+    private static final int SAMPLES_PER_LOOK = 5;
     private static final int MAX_SAMPLES = 2_000;
     private static final int TRUNCATED_SAMPLES = 60;
     private static final int OLD_SAMPLES = 1_000;
     private static final double BASE_FAILURE_SHARE = 0.01;
     private static final double SPREAD = 0.4;
     private static final RouteCell CELL = new RouteCell("chat", false);
-    private static final List<Truth> TRUTHS = List.of(
-            new Truth("equal", 0, 1),
-            new Truth("2 points more failures", 0.02, 1),
-            new Truth("5 points more failures", 0.05, 1),
-            new Truth("10 points more failures", 0.1, 1),
-            new Truth("50 points more failures", 0.5, 1),
-            new Truth("5% slower", 0, 1.05),
-            new Truth("1.3 times as slow", 0, 1.3),
-            new Truth("1.6 times as slow", 0, 1.6),
-            new Truth("4 times as slow", 0, 4));
+    private static final List<Difference> DIFFERENCES = List.of(
+            new Difference("equal", 0, 1),
+            new Difference("2 points more failures", 0.02, 1),
+            new Difference("5 points more failures", 0.05, 1),
+            new Difference("10 points more failures", 0.1, 1),
+            new Difference("50 points more failures", 0.5, 1),
+            new Difference("5% slower", 0, 1.05),
+            new Difference("1.3 times as slow", 0, 1.3),
+            new Difference("1.6 times as slow", 0, 1.6),
+            new Difference("4 times as slow", 0, 4));
 
     private final int runs;
 
@@ -68,10 +68,10 @@
                 standard.minOldSamples());
         List<List<String>> rows = new ArrayList<>();
         SplittableRandom random = new SplittableRandom(seed);
-        for (Truth truth : TRUTHS) {
-            rows.add(row("standard", standard, truth, MAX_SAMPLES, random));
-            rows.add(row("standard, truncated", standard, truth, TRUNCATED_SAMPLES, random));
-            rows.add(row("1% and 1%", loose, truth, MAX_SAMPLES, random));
+        for (Difference difference : DIFFERENCES) {
+            rows.add(row("standard", standard, difference, MAX_SAMPLES, random));
+            rows.add(row("standard, truncated", standard, difference, TRUNCATED_SAMPLES, random));
+            rows.add(row("1% and 1%", loose, difference, MAX_SAMPLES, random));
         }
         return new Report(
                 List.of(
@@ -94,7 +94,7 @@
     }
 
     private List<String> row(
-            String name, JudgeSettings settings, Truth truth, int maxSamples, SplittableRandom random) {
+            String name, JudgeSettings settings, Difference difference, int maxSamples, SplittableRandom random) {
         VersionJudge judge = new VersionJudge(settings);
         int[] verdicts = new int[Verdict.values().length];
         int[] samples = new int[runs];
@@ -105,7 +105,11 @@
             Sample sample = new Sample();
             Verdict verdict = Verdict.UNDECIDED;
             while (verdict == Verdict.UNDECIDED && sample.requests < maxSamples) {
-                sample.add(STEP, BASE_FAILURE_SHARE + truth.addedFailureShare, truth.slowdown, random);
+                sample.add(
+                        SAMPLES_PER_LOOK,
+                        BASE_FAILURE_SHARE + difference.addedFailureShare,
+                        difference.slowdown,
+                        random);
                 boolean truncated = maxSamples == TRUNCATED_SAMPLES && sample.requests >= maxSamples;
                 verdict = judge.judge(CELL, oldCounters, oldCounters, sample.counters(), truncated)
                         .verdict();
@@ -115,7 +119,7 @@
         }
         Arrays.sort(samples);
         return List.of(
-                truth.name,
+                difference.name,
                 name,
                 String.valueOf(runs),
                 percent(verdicts[Verdict.BAD.ordinal()]),
@@ -129,7 +133,7 @@
         return String.format(Locale.ROOT, "%.3f", 100.0 * count / runs);
     }
 
-    private record Truth(String name, double addedFailureShare, double slowdown) {}
+    private record Difference(String name, double addedFailureShare, double slowdown) {}
 
     private static final class Sample {
         private final long[] times = new long[TimeHistogram.BUCKETS];
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/MoveCase.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/MoveCase.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.core.rollout.ControllerStages;
 import dev.wigeonward.core.rollout.Stage;
 
-/** Plays one case from the rule to the end of watching. */
+/** Simulation of one case from the rule to the end of watching. */
 final class MoveCase implements Rollout.Publisher {
     static final String MODEL = "model";
     static final String OLD = "v1";
@@ -25,9 +25,11 @@
     private static final int AGENTS = 6;
     private static final int CANARY_BASIS_POINTS = 200;
     private static final long EVIDENCE_MILLIS = 1_000;
+    /** Time after a verdict within which entries that can be reached may still send requests to the bad version. */
     private static final long REACHABLE_LIMIT_MILLIS = 2_000;
+    /** The same for entries that cannot be reached. */
     private static final long UNREACHABLE_LIMIT_MILLIS = 10_000;
-    /** Time after the verdict that is still played. */
+    /** Time after the verdict for which the simulation continues. */
     private static final long AFTER_VERDICT_MILLIS = 60_000;
 
     private final CaseScript script;
@@ -45,7 +47,7 @@
     private long periodNewRequests;
     private long nowMillis;
     private boolean firstVerdict;
-    private boolean done;
+    private boolean judgedGood;
     private long completedMillis = -1;
     private long verdictMillis = -1;
     private long badSinceMillis = -1;
@@ -53,7 +55,7 @@
     private long soonAfterVerdict;
     private long laterReachable;
     private long laterUnreachable;
-    private long refused;
+    private long refusedRequests;
 
     private MoveCase(CaseScript script, boolean controlled) {
         this.script = script;
@@ -76,14 +78,14 @@
         this.rollout = controlled ? new ControlledRollout(script, store, agents) : new FixedRollout(agentList);
     }
 
-    /** Returns the result with the controller of the core. */
-    static CaseResult playControlled(CaseScript script) {
-        return new MoveCase(script, true).play();
+    /** Simulates the case with the real controller and returns the result. */
+    static CaseResult simulateControlled(CaseScript script) {
+        return new MoveCase(script, true).simulate();
     }
 
-    /** Returns the result with steps by time. */
-    static CaseResult playFixed(CaseScript script) {
-        return new MoveCase(script, false).play();
+    /** Simulates the case with steps at fixed times and returns the result. */
+    static CaseResult simulateFixed(CaseScript script) {
+        return new MoveCase(script, false).simulate();
     }
 
     @Override
@@ -94,7 +96,7 @@
         if (share == Stage.ALL_BASIS_POINTS && completedMillis < 0) {
             completedMillis = nowMillis;
         }
-        done |= stages.stages().stream().anyMatch(Stage::judgedGood) && rollout instanceof ControlledRollout;
+        judgedGood |= stages.stages().stream().anyMatch(Stage::judgedGood) && rollout instanceof ControlledRollout;
         send(Optional.of(stages));
     }
 
@@ -108,7 +110,7 @@
         send(Optional.empty());
     }
 
-    private CaseResult play() {
+    private CaseResult simulate() {
         while (!isOver()) {
             entries.forEach(entry -> entry.step(nowMillis));
             if (nowMillis == script.agentRestartMillis() / STEP_MILLIS * STEP_MILLIS) {
@@ -139,12 +141,12 @@
                 soonAfterVerdict,
                 laterReachable,
                 laterUnreachable,
-                refused,
+                refusedRequests,
                 List.copyOf(shares));
     }
 
     private boolean isOver() {
-        return done
+        return judgedGood
                 || completedMillis >= 0 && nowMillis >= completedMillis + CaseScript.WATCH_MILLIS
                 || nowMillis >= CaseScript.END_MILLIS
                 || verdictMillis >= 0 && nowMillis >= verdictMillis + AFTER_VERDICT_MILLIS;
@@ -160,7 +162,7 @@
             requestsByRoute[routeIndex]++;
             periodRequests++;
             if (version.isEmpty()) {
-                refused++;
+                refusedRequests++;
                 continue;
             }
             if (version.get().equals(NEW)) {
@@ -198,7 +200,7 @@
                 return agent;
             }
         }
-        throw new IllegalStateException("no agent offers " + version);
+        throw new IllegalStateException("no agent offers version " + version + ", but at least one must");
     }
 
     private void observe(Set<String> versions) {
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/MovesMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/MovesMeasurement.java
@@ -10,20 +10,20 @@
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 
-/** Moves of good and bad versions, with outages and losses, against steps by time. */
+/** Measurement of moves of good and bad versions under faults, compared with steps at fixed times. */
 public final class MovesMeasurement implements Measurement {
     private static final int GOOD_CASES = 200;
-    private static final int CASES_OF_EACH_BADNESS = 50;
+    private static final int CASES_OF_EACH_BAD_KIND = 50;
     private static final double MAX_EARLY_SHARE = 0.02;
     private static final double MIN_ON_TIME = 0.99;
-    /** Keeps the seeds of kinds apart. */
+    /** Distance between the seeds of different kinds, so that they do not overlap. */
     private static final long KIND_STRIDE = 1_000_003;
 
     private final int goodCases;
     private final int badCases;
 
     public MovesMeasurement() {
-        this(GOOD_CASES, CASES_OF_EACH_BADNESS);
+        this(GOOD_CASES, CASES_OF_EACH_BAD_KIND);
     }
 
     MovesMeasurement(int goodCases, int badCases) {
@@ -47,8 +47,8 @@
         List<CaseResult> controlled = new ArrayList<>();
         List<Report.Series> series = new ArrayList<>();
         for (CaseKind kind : CaseKind.values()) {
-            List<CaseResult> results = play(kind, seed, MoveCase::playControlled);
-            List<CaseResult> fixed = play(kind, seed, MoveCase::playFixed);
+            List<CaseResult> results = simulate(kind, seed, MoveCase::simulateControlled);
+            List<CaseResult> fixed = simulate(kind, seed, MoveCase::simulateFixed);
             controlled.addAll(results);
             rows.add(row(kind, "evidence", results));
             rows.add(row(kind, "steps by time", fixed));
@@ -77,13 +77,13 @@
                 List.of(new Report.LineChart("share", "time since rule, s", "share of requests, %", series)));
     }
 
-    private List<CaseResult> play(CaseKind kind, long seed, Function<CaseScript, CaseResult> player) {
+    private List<CaseResult> simulate(CaseKind kind, long seed, Function<CaseScript, CaseResult> simulation) {
         int cases = kind.isBad() ? badCases : goodCases;
-        // Cases share nothing, so their results do not depend on how they are spread over threads.
+        // Cases share no state, so their results do not depend on how they are distributed over threads.
         return IntStream.range(0, cases)
                 .parallel()
                 .mapToObj(i -> CaseScript.of(kind, seed * KIND_STRIDE * KIND_STRIDE + kind.ordinal() * KIND_STRIDE + i))
-                .map(player)
+                .map(simulation)
                 .toList();
     }
 
@@ -115,18 +115,21 @@
                 .mapToLong(result -> result.laterReachable() + result.laterUnreachable())
                 .sum();
         long missed = count(bad, result -> !result.isRolledBack());
-        long refused = results.stream().mapToLong(CaseResult::refused).sum();
+        long refused = results.stream().mapToLong(CaseResult::refusedRequests).sum();
         return List.of(
                 format(
                         "every bad version rolled back: %d of %d: %s",
-                        bad.size() - missed, bad.size(), met(missed == 0)),
+                        bad.size() - missed, bad.size(), metOrMissed(missed == 0)),
                 format(
                         "at least 99%% of good versions on time: %d of %d (%.1f%%): %s",
-                        onTime, good.size(), 100.0 * onTime / good.size(), met(onTime >= MIN_ON_TIME * good.size())),
+                        onTime,
+                        good.size(),
+                        100.0 * onTime / good.size(),
+                        metOrMissed(onTime >= MIN_ON_TIME * good.size())),
                 format(
                         "at most 2%% of a route's requests before the first verdict: %.2f%%: %s",
-                        100 * largestEarlyShare(results), met(largestEarlyShare(results) <= MAX_EARLY_SHARE)),
-                format("no request to a bad version after the limits: %d: %s", late, met(late == 0)),
+                        100 * largestEarlyShare(results), metOrMissed(largestEarlyShare(results) <= MAX_EARLY_SHARE)),
+                format("no request to a bad version after the limits: %d: %s", late, metOrMissed(late == 0)),
                 format("requests refused because no version was allowed: %d", refused),
                 "time to verdict counts from when the new version is loaded and bad on some route, exposed or not",
                 "bad means 8 to 60 points more failures, or 1.6 to 4 times as slow; later is 20 to 300 s after "
@@ -170,8 +173,8 @@
         return String.valueOf(results.stream().mapToLong(figure::apply).sum());
     }
 
-    private static String met(boolean met) {
-        return met ? "met" : "missed";
+    private static String metOrMissed(boolean isMet) {
+        return isMet ? "met" : "missed";
     }
 
     private static String format(String pattern, Object... arguments) {
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/Rollout.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/Rollout.java
@@ -6,15 +6,15 @@
 import dev.wigeonward.core.rollout.ControllerEvent;
 import dev.wigeonward.core.rollout.ControllerStages;
 
-/** A way to bring the new version to all requests. */
+/** A strategy that moves all requests to the new version. */
 interface Rollout {
-    /** Takes what agents report. */
+    /** Receives the events that agents report. */
     void report(List<ControllerEvent> events, long nowMillis);
 
-    /** Lets time pass and publishes stages and verdicts. */
+    /** Advances to the given time and publishes stages and verdicts. */
     void step(long nowMillis, Publisher publisher);
 
-    /** Receives what a rollout sends to the entries. */
+    /** The recipient of the stages and verdicts that a rollout sends to the entries. */
     interface Publisher {
         void publish(ControllerStages stages);
 
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedAgent.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedAgent.java
@@ -17,7 +17,7 @@
 import dev.wigeonward.core.rollout.ModelVersion;
 import dev.wigeonward.core.rollout.UpstreamVersions;
 
-/** An agent and its engine with room for two versions. */
+/** A simulated agent with an engine that has room for two versions. */
 final class SimulatedAgent {
     private static final double LOAD_THRESHOLD = 0.8;
     private static final double PEAK_LOAD = 0.9;
@@ -26,19 +26,19 @@
     private static final double BURST_SLOWDOWN = 1.5;
     private static final double BURST_FAILURE_SHARE = 0.05;
     private static final double PEAK_FAILURE_SHARE = 0.005;
-    private static final int PLACES = 2;
+    private static final int MAX_VERSIONS = 2;
     private static final ModelVersion OLD = new ModelVersion(MoveCase.MODEL, MoveCase.OLD);
     private static final ModelVersion NEW = new ModelVersion(MoveCase.MODEL, MoveCase.NEW);
 
     private final String id;
     private final CaseScript script;
     private final SplittableRandom random;
-    /** Returns the fencing number kept by the store, or a negative number while it is down. */
+    /** Supplies the fencing number in the store, or a negative number while the store is down. */
     private final LongSupplier storedFencingNumber;
 
     private final Set<String> versions = new TreeSet<>();
-    private final TreeMap<Long, List<Order>> finishing = new TreeMap<>();
-    private final TreeMap<Long, List<Answered>> running = new TreeMap<>();
+    private final TreeMap<Long, List<Order>> ordersByEnd = new TreeMap<>();
+    private final TreeMap<Long, List<RunningRequest>> requestsByEnd = new TreeMap<>();
     private OrderGate gate = new OrderGate();
     private EvidenceRecorder recorder = new EvidenceRecorder(LOAD_THRESHOLD);
     private long incarnation = 1;
@@ -67,10 +67,10 @@
     }
 
     UpstreamVersions description() {
-        return new UpstreamVersions(id, MoveCase.MODEL, versions, PLACES);
+        return new UpstreamVersions(id, MoveCase.MODEL, versions, MAX_VERSIONS);
     }
 
-    /** Runs a request; its outcome is counted when it ends. */
+    /** Starts a request, whose outcome is recorded when it ends. */
     void run(Route route, String version, long nowMillis) {
         boolean isNew = version.equals(MoveCase.NEW);
         boolean bad = isNew && script.isBadNow(route.name(), nowMillis);
@@ -88,35 +88,36 @@
         double load = peak ? PEAK_LOAD : USUAL_LOAD;
         EvidenceRecorder.Observation observation =
                 recorder.started(isNew ? NEW : OLD, route.name(), load, route.serviceMillis(), nowMillis);
-        running.computeIfAbsent(endMillis, any -> new ArrayList<>())
-                .add(new Answered(observation, status, nowMillis + Math.round(elapsedMillis)));
+        requestsByEnd
+                .computeIfAbsent(endMillis, any -> new ArrayList<>())
+                .add(new RunningRequest(observation, status, nowMillis + Math.round(elapsedMillis)));
     }
 
-    /** Lets time pass and returns what the agent tells the controller. */
+    /** Advances to the given time and returns the events that the agent reports to the controller. */
     List<ControllerEvent> step(long nowMillis) {
         peak = script.isUnderLoad(nowMillis);
         failureBurst = Interval.anyContains(script.failureBursts(), nowMillis);
         slowBurst = Interval.anyContains(script.slowBursts(), nowMillis);
-        while (!running.isEmpty() && running.firstKey() <= nowMillis) {
-            running.pollFirstEntry().getValue().forEach(Answered::end);
+        while (!requestsByEnd.isEmpty() && requestsByEnd.firstKey() <= nowMillis) {
+            requestsByEnd.pollFirstEntry().getValue().forEach(RunningRequest::end);
         }
         List<ControllerEvent> events = new ArrayList<>();
-        while (!finishing.isEmpty() && finishing.firstKey() <= nowMillis) {
-            for (Order order : finishing.pollFirstEntry().getValue()) {
+        while (!ordersByEnd.isEmpty() && ordersByEnd.firstKey() <= nowMillis) {
+            for (Order order : ordersByEnd.pollFirstEntry().getValue()) {
                 finish(order, events);
             }
         }
         return events;
     }
 
-    /** Returns the agent's answers to an order. */
+    /** Receives an order and returns the agent's immediate answers. */
     List<ControllerEvent> receive(Order order, long nowMillis) {
         List<ControllerEvent> answers = new ArrayList<>();
         perform(gate.handle(new OrderEvent.OrderReceived(order)), nowMillis, answers);
         return answers;
     }
 
-    /** Returns the counters since the agent's start. */
+    /** Returns reports of the counters since the agent's start. */
     List<ControllerEvent> evidence(long nowMillis) {
         List<ControllerEvent> events = new ArrayList<>();
         recorder.counters(nowMillis)
@@ -125,13 +126,13 @@
         return events;
     }
 
-    /** Restarts the agent; the engine keeps its versions, and orders in progress are lost. */
+    /** Restarts the agent. The engine keeps its versions; orders and requests in progress are lost. */
     void restart() {
         incarnation++;
         gate = new OrderGate();
         recorder = new EvidenceRecorder(LOAD_THRESHOLD);
-        finishing.clear();
-        running.clear();
+        ordersByEnd.clear();
+        requestsByEnd.clear();
     }
 
     private void perform(List<OrderEffect> effects, long nowMillis, List<ControllerEvent> answers) {
@@ -142,7 +143,7 @@
                 perform(gate.handle(read), nowMillis, answers);
             } else if (effect instanceof OrderEffect.RunOrder run) {
                 long millis = run.order().kind() == Order.Kind.LOAD ? random.nextLong(8_000, 15_000) : 1_000;
-                finishing
+                ordersByEnd
                         .computeIfAbsent(nowMillis + millis, any -> new ArrayList<>())
                         .add(run.order());
             } else if (effect instanceof OrderEffect.Answer answer) {
@@ -161,7 +162,7 @@
         events.add(new ControllerEvent.UpstreamSeen(description()));
     }
 
-    private record Answered(EvidenceRecorder.Observation observation, int status, long endMillis) {
+    private record RunningRequest(EvidenceRecorder.Observation observation, int status, long endMillis) {
         void end() {
             observation.answered(status, endMillis);
         }
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedEntry.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedEntry.java
@@ -16,7 +16,7 @@
 import dev.wigeonward.core.rollout.StageView;
 import dev.wigeonward.core.rollout.VersionSelector;
 
-/** An entry that hears of stages and verdicts over links with a delay. */
+/** A simulated entry that receives stages and verdicts over links with a delay. */
 final class SimulatedEntry {
     private static final Tier[] TIERS = Tier.values();
 
@@ -36,16 +36,17 @@
         return !isolation.contains(nowMillis);
     }
 
-    /** Returns when the entry could be reached again, if it cannot be at the given time. */
+    /** Returns the end of the entry's isolation. */
     long reachableAgainMillis() {
         return isolation.toMillis();
     }
 
-    /** Sends a publication with all verdicts known; an isolated entry misses it. */
+    /** Queues a publication with all known verdicts, which is lost if the entry is isolated when it arrives. */
     void send(Optional<ControllerStages> stages, List<BadVerdict> verdicts, long arrivalMillis) {
         inbox.add(new Message(arrivalMillis, stages, verdicts));
     }
 
+    /** Applies the messages that have arrived by the given time. */
     void step(long nowMillis) {
         while (!inbox.isEmpty() && inbox.peek().arrivalMillis <= nowMillis) {
             Message message = inbox.remove();
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedStore.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedStore.java
@@ -11,7 +11,7 @@
 import dev.wigeonward.core.rollout.ControllerEvent.StoreAnswer;
 import dev.wigeonward.core.rollout.StoredRecord;
 
-/** A key-value store with compare-and-swap, the controller lease, an outage and lost replies. */
+/** A simulated key-value store with compare-and-swap, the controller lease, an outage and lost replies. */
 final class SimulatedStore {
     static final long LEASE_MILLIS = 10_000;
     private static final int LOST_REPLIES_PERCENT = 5;
@@ -36,15 +36,16 @@
         return List.copyOf(records.values());
     }
 
+    /** Returns the fencing number of the controller key, 0 without a key, or -1 while the store is down. */
     long leaseFencingNumber(long nowMillis) {
         if (!isUp(nowMillis)) {
             return -1;
         }
-        // The key of the controller goes with its lease.
+        // The controller key is deleted when its lease expires.
         return nowMillis < leaseEndMillis ? leaseFencingNumber : 0;
     }
 
-    /** Returns the fencing number of a new lease, or empty if another holds one. */
+    /** Acquires the lease and returns its fencing number, or empty if the lease is held or the store is down. */
     Optional<Long> acquire(long nowMillis) {
         if (!isUp(nowMillis) || nowMillis < leaseEndMillis) {
             return Optional.empty();
@@ -55,7 +56,7 @@
         return Optional.of(leaseFencingNumber);
     }
 
-    /** Returns whether the lease was still held and is renewed. */
+    /** Renews the lease and returns whether it was still held with the fencing number. */
     boolean renew(long fencingNumber, long nowMillis) {
         if (fencingNumber != leaseFencingNumber || nowMillis >= leaseEndMillis) {
             return false;
@@ -64,6 +65,7 @@
         return true;
     }
 
+    /** Writes the record if the key has the expected revision, and returns the answer, which may be a lost reply. */
     ControllerEvent write(ControllerEffect.WriteRecord write, long nowMillis) {
         String model = write.record().model();
         StoreAnswer answer = StoreAnswer.UNAVAILABLE;
@@ -78,6 +80,7 @@
         return new ControllerEvent.StoreAnswered(model, write.record().writeId(), answer, revision);
     }
 
+    /** Returns the stored record of the model. */
     ControllerEvent read(String model) {
         return new ControllerEvent.RecordRead(model, Optional.ofNullable(records.get(model)));
     }
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/package-info.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/package-info.java
@@ -1,2 +1,2 @@
-/** Measures version moves on a paused clock: the real decision cores with simulated entries, agents and store. */
+/** Measurement of version moves: the real decision cores with simulated time, entries, agents and store. */
 package dev.wigeonward.measure.moves;
--- a/measurement/src/test/java/dev/wigeonward/measure/moves/MovesMeasurementTest.java
+++ b/measurement/src/test/java/dev/wigeonward/measure/moves/MovesMeasurementTest.java
@@ -9,7 +9,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class MovesMeasurementTest {
-    /** Guards against figures that cannot be reproduced, for example through threads that share a random source. */
+    /** Guards against figures that cannot be reproduced, for example because threads share a random generator. */
     @Test
     void sameSeedGivesSameReport() {
         Report first = new MovesMeasurement(2, 1).run(5);
@@ -18,19 +18,22 @@
         assertThat(new JudgeMeasurement(5).run(5)).isEqualTo(new JudgeMeasurement(5).run(5));
     }
 
-    /** Guards against a simulation in which the targets are met because nothing happens. */
+    /** Guards against targets that are met only because the simulation sends the new version no requests. */
     @Test
     void outcomesDifferBetweenGoodAndBad() {
-        CaseResult good = MoveCase.playControlled(CaseScript.of(CaseKind.GOOD, 11));
+        CaseResult good = MoveCase.simulateControlled(CaseScript.of(CaseKind.GOOD, 11));
         assertThat(good.isCompletedOnTime()).isTrue();
         assertThat(good.largestEarlyShare()).isBetween(0.01, 0.02);
         assertThat(good.shares()).contains(1.0);
-        CaseResult bad = MoveCase.playControlled(CaseScript.of(CaseKind.FAILS_AT_ONCE, 11));
+        CaseResult bad = MoveCase.simulateControlled(CaseScript.of(CaseKind.FAILS_AT_ONCE, 11));
         assertThat(bad.isRolledBack()).isTrue();
         assertThat(bad.shares()).endsWith(0.0, 0.0);
     }
 
-    /** Guards against the isolated entry being reached after all: without leases it keeps sending. */
+    /**
+     * Guards against an isolation that has no effect because messages still reach the isolated entry. A fixed rollout,
+     * whose stages do not expire, must show late requests from that entry, and a controlled one must show none.
+     */
     @Test
     void isolatedEntryKeepsSendingWithoutStageLease() {
         List<CaseScript> isolated = LongStream.range(0, 200)
@@ -40,11 +43,11 @@
                 .toList();
         assertThat(isolated).isNotEmpty();
         assertThat(isolated.stream()
-                        .map(MoveCase::playFixed)
+                        .map(MoveCase::simulateFixed)
                         .mapToLong(CaseResult::laterUnreachable)
                         .sum())
                 .isPositive();
-        assertThat(isolated.stream().map(MoveCase::playControlled)).allSatisfy(result -> {
+        assertThat(isolated.stream().map(MoveCase::simulateControlled)).allSatisfy(result -> {
             assertThat(result.laterReachable()).isZero();
             assertThat(result.laterUnreachable()).isZero();
         });
