Reword the gateway's shift control in plain terms

Cause: comments and private names of ShiftDuty were figurative. Change: doc comments and private names only; the log line and all values are unchanged.

--- a/gateway/src/main/java/dev/wigeonward/gateway/rollout/ShiftDuty.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/rollout/ShiftDuty.java
@@ -21,16 +21,16 @@
 import io.netty.channel.EventLoop;
 
 /**
- * Moves traffic between versions as operators order it. All entries gather the evidence and call a version bad on their
- * own, so that it is taken back also while no controller is there; the holder of the lease decides on the share and
- * writes the state. Runs on the event loop.
+ * Periodic task that executes the traffic shifts ordered by operators. Each entry collects evidence and publishes bad
+ * verdicts on its own, so that a bad version loses its requests even while there is no controller. The lease holder
+ * decides on the share and writes the state to the store. Runs on the event loop.
  */
 public final class ShiftDuty {
     private static final long TICK_MILLIS = 100;
-    /** Pause between two publications of an unchanged share; several fit into the time for which it counts. */
+    /** Interval between publications of unchanged stages, of which several fit into the validity of a stage. */
     private static final long PUBLISH_MILLIS = 400;
-    /** Time for which a share counts at an entry that hears nothing more of the controller. */
-    private static final long STAGE_MILLIS = 1_500;
+    /** Time for which a stage is valid at an entry that receives no further publication of the controller. */
+    private static final long STAGE_LEASE_MILLIS = 1_500;
 
     private final DirectPath path;
     private final Versions versions;
@@ -38,9 +38,9 @@
     private final ControllerStore store;
     private final EventLog log;
     private final String ownName;
-    private final Map<String, ShiftState> written = new HashMap<>();
-    private final Map<String, Boolean> writing = new HashMap<>();
-    private List<Stage> published = List.of();
+    private final Map<String, ShiftState> writtenStates = new HashMap<>();
+    private final Map<String, Boolean> pendingWrites = new HashMap<>();
+    private List<Stage> publishedStages = List.of();
     private long publishedAtMillis;
     private long sequence;
 
@@ -53,18 +53,18 @@
         this.ownName = ownName;
     }
 
-    /** Starts the duty of the entry with the given name. */
+    /** Schedules the task on the event loop of the entry with the given name. */
     public static void start(
             DirectPath path, FactExchange facts, ControllerStore store, EventLog log, String ownName, EventLoop loop) {
-        ShiftDuty duty = new ShiftDuty(path, facts, store, log, ownName);
-        loop.scheduleAtFixedRate(duty::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        ShiftDuty task = new ShiftDuty(path, facts, store, log, ownName);
+        loop.scheduleAtFixedRate(task::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void tick() {
         List<TrafficShift> shifts = versions.shifts();
         store.seek(!shifts.isEmpty());
         if (shifts.isEmpty()) {
-            written.clear();
+            writtenStates.clear();
             return;
         }
         long now = path.millis();
@@ -76,9 +76,9 @@
                 shift.verdict(now).ifPresent(this::publish);
             }
         }
-        OptionalLong number = store.fencingNumber();
-        if (number.isPresent()) {
-            control(shifts, number.getAsLong(), now);
+        OptionalLong leaseFencingNumber = store.fencingNumber();
+        if (leaseFencingNumber.isPresent()) {
+            control(shifts, leaseFencingNumber.getAsLong(), now);
         }
     }
 
@@ -91,19 +91,19 @@
         facts.publishVerdict(verdict);
     }
 
-    private void control(List<TrafficShift> shifts, long number, long nowMillis) {
+    private void control(List<TrafficShift> shifts, long leaseFencingNumber, long nowMillis) {
         for (TrafficShift shift : shifts) {
             ShiftOrder order = shift.order();
             shift.advance(isBad(shift), path.outstandingAtOthers(order.service(), order.target()), nowMillis);
             writeState(shift);
         }
         List<Stage> stages =
-                shifts.stream().map(shift -> shift.stage(STAGE_MILLIS)).toList();
-        if (!stages.equals(published) || nowMillis - publishedAtMillis >= PUBLISH_MILLIS) {
-            published = stages;
+                shifts.stream().map(shift -> shift.stage(STAGE_LEASE_MILLIS)).toList();
+        if (!stages.equals(publishedStages) || nowMillis - publishedAtMillis >= PUBLISH_MILLIS) {
+            publishedStages = stages;
             publishedAtMillis = nowMillis;
             sequence++;
-            facts.publishStages(new ControllerStages(number, sequence, stages), nowMillis);
+            facts.publishStages(new ControllerStages(leaseFencingNumber, sequence, stages), nowMillis);
         }
     }
 
@@ -111,14 +111,14 @@
         ShiftOrder order = shift.order();
         String key = order.service() + "/" + order.revision();
         ShiftState state = shift.state();
-        if (state == written.get(key) || writing.containsKey(key)) {
+        if (state == writtenStates.get(key) || pendingWrites.containsKey(key)) {
             return;
         }
-        writing.put(key, true);
+        pendingWrites.put(key, true);
         store.write(order, state, done -> {
-            writing.remove(key);
+            pendingWrites.remove(key);
             if (done) {
-                written.put(key, state);
+                writtenStates.put(key, state);
                 log.info(
                         "shift",
                         "service=" + order.service() + " target=" + order.target() + " state=" + state + " order="
--- a/gateway/src/main/java/dev/wigeonward/gateway/rollout/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/rollout/package-info.java
@@ -1,2 +1,2 @@
-/** The duty of the entry that controls shifts of traffic between versions. */
+/** Control of traffic shifts between versions at an entry. */
 package dev.wigeonward.gateway.rollout;
