--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
@@ -41,7 +41,7 @@
     private long lastTickMillis = Long.MIN_VALUE / 2;
     private List<ControllerEffect> effects = new ArrayList<>();
 
-    /** Creates a controller that does not hold the lease and knows no moves. */
+    /** Creates a controller without the lease and without moves. */
     public MoveController(MoveSettings settings, JudgeSettings judgeSettings) {
         this.settings = settings;
         this.judge = new VersionJudge(judgeSettings);
@@ -70,8 +70,8 @@
             if (move != null && !move.record.phase().isOver()) {
                 move.evidence.add(reported, nowMillis);
             }
-        } else if (event instanceof ControllerEvent.VerdictLearned learned) {
-            addVerdict(learned.verdict(), nowMillis);
+        } else if (event instanceof ControllerEvent.VerdictLearned received) {
+            addVerdict(received.verdict(), nowMillis);
         } else if (event instanceof ControllerEvent.StoreAnswered answered) {
             handleWriteAnswer(answered, nowMillis);
         } else if (event instanceof ControllerEvent.RecordRead read) {
--- a/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
@@ -35,7 +35,7 @@
     }
 
     final Map<String, StoredRecord> records = new TreeMap<>();
-    final Set<String> announcedOrders = new HashSet<>();
+    final Set<String> recordedOrderIds = new HashSet<>();
     final List<Order> sentOrders = new ArrayList<>();
     final List<MoveReport> reports = new ArrayList<>();
     final List<BadVerdict> verdicts = new ArrayList<>();
@@ -59,7 +59,7 @@
         upstreams.put(id, new UpstreamVersions(id, model, Set.of(versions), places));
     }
 
-    /** Replaces the controller with one that acquires the lease and knows only the stored records. */
+    /** Replaces the controller with one that acquires the lease and has no state but the stored records. */
     void elect(Controller next) {
         controller = next;
         revision++;
@@ -136,7 +136,7 @@
         } else if (effect instanceof ControllerEffect.ReadRecord read && store != Store.DOWN) {
             events.add(new ControllerEvent.RecordRead(read.model(), Optional.ofNullable(records.get(read.model()))));
         } else if (effect instanceof ControllerEffect.SendOrder send) {
-            assertThat(announcedOrders).contains(send.order().orderId());
+            assertThat(recordedOrderIds).contains(send.order().orderId());
             sentOrders.add(send.order());
             OrderIntent intent = new OrderIntent(
                     send.order().orderId(),
@@ -164,7 +164,7 @@
         } else if (store != Store.DOWN) {
             revision++;
             records.put(model, new StoredRecord(write.record(), revision));
-            write.record().intents().forEach(intent -> announcedOrders.add(intent.orderId()));
+            write.record().intents().forEach(intent -> recordedOrderIds.add(intent.orderId()));
             answer = store == Store.UP ? StoreAnswer.APPLIED : StoreAnswer.UNKNOWN;
         }
         events.add(new ControllerEvent.StoreAnswered(model, write.record().writeId(), answer, revision));
--- a/core/src/test/java/dev/wigeonward/core/rollout/MoveControllerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/MoveControllerTest.java
@@ -112,7 +112,7 @@
 
     /** Verifies that the check above fails for a controller that does not read the verdicts of its predecessor. */
     @Test
-    void checkFailsForControllerThatForgetsVerdicts() {
+    void checkFailsForControllerThatIgnoresStoredVerdicts() {
         checkVerdictSurvives(ControllerHarness::realController, List.of(5));
         assertThatThrownBy(() -> checkVerdictSurvives(MoveControllerTest::ignoringStoredVerdictsController, List.of(5)))
                 .isInstanceOf(AssertionError.class);
@@ -245,7 +245,7 @@
     }
 
     private static void checkIntentBeforeOrder(Supplier<Controller> controllers, List<Integer> steps) {
-        // The harness fails on an order that no stored record announced.
+        // The harness fails on an order that no stored record lists.
         play(controllers, steps, newHarness());
     }
 
@@ -327,7 +327,7 @@
         };
     }
 
-    /** Creates a faulty controller that sees no failures. */
+    /** Creates a faulty controller that drops the failures from the reported evidence. */
     private static Controller ignoringFailuresController() {
         Controller controller = ControllerHarness.realController();
         return (event, nowMillis) -> {
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
@@ -27,7 +27,7 @@
     private interface Entry {
         void publish(ControllerStages stages, long nowMillis);
 
-        void learn(BadVerdict verdict);
+        void addVerdict(BadVerdict verdict);
 
         Optional<String> select(RequestSpec request, long nowMillis);
     }
@@ -40,10 +40,10 @@
 
     /** Verifies that the check above fails for an entry that drops its verdicts with the next publication. */
     @Test
-    void checkFailsForEntryThatForgetsVerdicts() {
+    void checkFailsForEntryThatDropsVerdicts() {
         List<Integer> steps = List.of(10, 0, 11, 50);
         checkNothingAfterVerdict(new RealEntry(), steps);
-        assertThatThrownBy(() -> checkNothingAfterVerdict(new ForgetfulEntry(), steps))
+        assertThatThrownBy(() -> checkNothingAfterVerdict(new VerdictDroppingEntry(), steps))
                 .isInstanceOf(AssertionError.class);
     }
 
@@ -99,7 +99,7 @@
         }
     }
 
-    /** Guards against requests to an unjudged version from an entry that has just started and knows no move yet. */
+    /** Guards against requests to an unjudged version from an entry that has just started and has no stages yet. */
     @Test
     void withoutMoveOnlyTheKnownVersionServes() {
         VersionSelector selector = new VersionSelector(new StageView(), new ShareLimiter());
@@ -126,7 +126,7 @@
         for (int i = 0; i < steps.size(); i++) {
             int step = steps.get(i);
             if (step < 10) {
-                entry.learn(BAD);
+                entry.addVerdict(BAD);
                 known = true;
             } else if (step < 50) {
                 entry.publish(stages(1 + step % 5, i, 10_000, step % 2 == 0), i * 100L);
@@ -154,7 +154,7 @@
         }
 
         @Override
-        public void learn(BadVerdict verdict) {
+        public void addVerdict(BadVerdict verdict) {
             view.merge(List.of(verdict));
         }
 
@@ -165,7 +165,7 @@
     }
 
     /** A faulty entry that drops its known verdicts with each publication. */
-    private static final class ForgetfulEntry implements Entry {
+    private static final class VerdictDroppingEntry implements Entry {
         private final Set<ModelVersion> bad = new HashSet<>();
         private final RealEntry entry = new RealEntry();
 
@@ -176,7 +176,7 @@
         }
 
         @Override
-        public void learn(BadVerdict verdict) {
+        public void addVerdict(BadVerdict verdict) {
             bad.add(verdict.version());
         }
 
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/ControlledRollout.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/ControlledRollout.java
@@ -50,7 +50,8 @@
                 continue;
             }
             if (nowMillis % TICK_MILLIS == 0 && node.holdsLease) {
-                // The tick is handled before the lease, as after a pause, when a process learns late of a lost lease.
+                // The tick comes before the lease check, as after a pause, when a process detects the loss of its lease
+                // late.
                 node.events.addFirst(new ControllerEvent.Tick());
             }
             handleEvents(node, nowMillis, publisher);
