--- a/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
@@ -17,13 +17,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** One controller at a time with a store, engines and requests, on a clock that the test advances. */
+/** Test harness for one controller at a time with a store, engines and requests, on a clock that the test advances. */
 final class ControllerHarness {
     static final MoveSettings SETTINGS = new MoveSettings(
             List.of(1_000, 2_500, 5_000, 10_000), 1, 5_000, 10_000, 20_000, 60_000, 5_000, 2_000, 1_000, 30_000);
     private static final int REQUESTS_PER_SECOND = 1_000;
 
-    /** A controller, or a mutated variant of it. */
+    /** A controller, or a faulty variant that wraps it. */
     interface Controller {
         List<ControllerEffect> handle(ControllerEvent event, long nowMillis);
     }
@@ -35,7 +35,7 @@
     }
 
     final Map<String, StoredRecord> records = new TreeMap<>();
-    final Set<String> announcedOrders = new HashSet<>();
+    final Set<String> recordedOrderIds = new HashSet<>();
     final List<Order> sentOrders = new ArrayList<>();
     final List<MoveReport> reports = new ArrayList<>();
     final List<BadVerdict> verdicts = new ArrayList<>();
@@ -59,7 +59,7 @@
         upstreams.put(id, new UpstreamVersions(id, model, Set.of(versions), places));
     }
 
-    /** Lets a controller take over that knows nothing but the store. */
+    /** Replaces the controller with one that acquires the lease and has no state but the stored records. */
     void elect(Controller next) {
         controller = next;
         revision++;
@@ -68,7 +68,7 @@
         upstreams.values().forEach(upstream -> events.add(new ControllerEvent.UpstreamSeen(upstream)));
         events.add(new ControllerEvent.LeaseAcquired(fencingNumber, nowMillis + 10_000, List.copyOf(records.values())));
         events.add(new ControllerEvent.RulesChanged(rules));
-        drain();
+        handleAll();
     }
 
     void changeRules(MoveRule... changed) {
@@ -78,7 +78,7 @@
 
     void send(ControllerEvent event) {
         events.add(event);
-        drain();
+        handleAll();
     }
 
     void run(int seconds) {
@@ -89,7 +89,7 @@
             }
             published.stages().forEach(this::serve);
             events.add(new ControllerEvent.Tick());
-            drain();
+            handleAll();
         }
     }
 
@@ -106,9 +106,9 @@
     }
 
     private void serve(Stage stage) {
-        int toNew = REQUESTS_PER_SECOND * stage.shareBasisPoints() / Stage.ALL_BASIS_POINTS;
-        count(stage.model(), stage.newVersion(), toNew);
-        count(stage.model(), stage.oldVersion(), REQUESTS_PER_SECOND - toNew);
+        int newRequests = REQUESTS_PER_SECOND * stage.shareBasisPoints() / Stage.ALL_BASIS_POINTS;
+        count(stage.model(), stage.newVersion(), newRequests);
+        count(stage.model(), stage.oldVersion(), REQUESTS_PER_SECOND - newRequests);
     }
 
     private void count(String model, String version, int requests) {
@@ -124,7 +124,7 @@
                 new ControllerEvent.EvidenceReported("agent", 1, key, new RouteCell("chat", false), evidence.get(key)));
     }
 
-    private void drain() {
+    private void handleAll() {
         while (!events.isEmpty()) {
             controller.handle(events.remove(), nowMillis).forEach(this::perform);
         }
@@ -136,16 +136,16 @@
         } else if (effect instanceof ControllerEffect.ReadRecord read && store != Store.DOWN) {
             events.add(new ControllerEvent.RecordRead(read.model(), Optional.ofNullable(records.get(read.model()))));
         } else if (effect instanceof ControllerEffect.SendOrder send) {
-            assertThat(announcedOrders).contains(send.order().orderId());
+            assertThat(recordedOrderIds).contains(send.order().orderId());
             sentOrders.add(send.order());
-            OrderIntent done = new OrderIntent(
+            OrderIntent intent = new OrderIntent(
                     send.order().orderId(),
                     send.upstreamId(),
                     send.order().kind(),
                     send.order().model(),
                     send.order().version());
-            upstreams.computeIfPresent(send.upstreamId(), (id, upstream) -> upstream.after(done));
-            events.add(new ControllerEvent.OrderAnswered(done.orderId(), new OrderResult.Done()));
+            upstreams.computeIfPresent(send.upstreamId(), (id, upstream) -> upstream.afterOrder(intent));
+            events.add(new ControllerEvent.OrderAnswered(intent.orderId(), new OrderResult.Done()));
         } else if (effect instanceof ControllerEffect.PublishStages publish) {
             published = publish.stages();
         } else if (effect instanceof ControllerEffect.PublishVerdict publish) {
@@ -164,7 +164,7 @@
         } else if (store != Store.DOWN) {
             revision++;
             records.put(model, new StoredRecord(write.record(), revision));
-            write.record().intents().forEach(intent -> announcedOrders.add(intent.orderId()));
+            write.record().intents().forEach(intent -> recordedOrderIds.add(intent.orderId()));
             answer = store == Store.UP ? StoreAnswer.APPLIED : StoreAnswer.UNKNOWN;
         }
         events.add(new ControllerEvent.StoreAnswered(model, write.record().writeId(), answer, revision));
