Reword comments, messages and private names of exchange

Cause: Comments and private names used figurative terms such as pass on, learn and take over for sending, merging and applying. Change: Comments, three log messages and private names use the usual terms. Public names and behaviour stay.

--- a/exchange/src/main/java/dev/wigeonward/exchange/EvidenceFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/EvidenceFrames.java
@@ -11,11 +11,11 @@
 import dev.wigeonward.wire.generated.Evidence;
 import dev.wigeonward.wire.generated.Frame;
 
-/** Turns an agent's counters into frames and back. */
+/** Converts an agent's evidence counters to frames, and evidence messages to controller events. */
 public final class EvidenceFrames {
     private EvidenceFrames() {}
 
-    /** Returns the frame of one counter. */
+    /** Returns the frame that carries the counters of one model version, route and load state. */
     public static Frame frame(EvidenceRecorder.Key key, EvidenceCounters counters) {
         Evidence.Builder evidence = Evidence.newBuilder()
                 .setModel(key.version().model())
@@ -30,7 +30,7 @@
         return Frame.newBuilder().setEvidence(evidence).build();
     }
 
-    /** Returns the controller's event in an agent's counter, or empty if the counter is malformed. */
+    /** Returns the controller event for an agent's evidence message, or empty if the message is malformed. */
     public static Optional<ControllerEvent.EvidenceReported> event(
             String upstreamId, long incarnation, Evidence evidence) {
         try {
--- a/exchange/src/main/java/dev/wigeonward/exchange/FactExchange.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/FactExchange.java
@@ -19,9 +19,9 @@
 import dev.wigeonward.wire.generated.Verdict;
 
 /**
- * Floods facts that only grow: suspects, bad versions, and the controller's newest stages. A process passes on what is
- * new to it to all other peers, so that a fact reaches the fleet in a few hops without a list of processes. Used by the
- * decision thread only.
+ * Flooding protocol for monotonic facts: suspects, bad versions, and the controller's newest stages. Each process
+ * forwards the facts that are new to it to all its other peers, so that a fact reaches every process in a few hops
+ * without a membership list. Not thread-safe; used on the decision thread only.
  */
 public final class FactExchange {
     private static final String NO_PEER = "";
@@ -31,7 +31,11 @@
     private final FrameSender sender;
     private final FactListener listener;
 
-    /** Returns an exchange over a process's own tables. */
+    /**
+     * Returns an exchange that merges facts into the given tables of this process.
+     *
+     * @param listener called for verdicts and stages that are new to this process
+     */
     public FactExchange(SuspectTable suspects, StageView stages, FrameSender sender, FactListener listener) {
         this.suspects = suspects;
         this.stages = stages;
@@ -39,75 +43,78 @@
         this.listener = listener;
     }
 
-    /** Tells a new peer all that is known. */
+    /** Sends all facts that this process has to a newly linked peer. */
     public void onLinkUp(String peer, long nowMillis) {
         Facts.Builder facts = Facts.newBuilder();
-        suspects.facts(nowMillis).forEach(fact -> facts.addSuspects(message(fact)));
-        stages.badVerdicts().forEach(verdict -> facts.addVerdicts(message(verdict)));
+        suspects.facts(nowMillis).forEach(fact -> facts.addSuspects(toMessage(fact)));
+        stages.badVerdicts().forEach(verdict -> facts.addVerdicts(toMessage(verdict)));
         ControllerStages newest = stages.relayed(nowMillis);
         if (newest.fencingNumber() > 0) {
-            facts.setController(message(newest));
+            facts.setController(toMessage(newest));
         }
         sender.send(peer, frame(facts));
     }
 
-    /** Merges a peer's facts and passes on those that were new. */
+    /**
+     * Merges the facts in a peer's frame and forwards the new ones to the other peers; ignores frames without facts.
+     */
     public void onFrame(String peer, Frame frame, long nowMillis) {
         if (!frame.hasFacts()) {
             return;
         }
-        Facts.Builder news = Facts.newBuilder();
+        Facts.Builder newFacts = Facts.newBuilder();
         for (Suspect suspect : frame.getFacts().getSuspectsList()) {
-            fact(suspect).flatMap(fact -> suspects.merge(fact, nowMillis)).ifPresent(grown -> {
-                news.addSuspects(message(grown));
+            toFact(suspect).flatMap(fact -> suspects.merge(fact, nowMillis)).ifPresent(merged -> {
+                newFacts.addSuspects(toMessage(merged));
             });
         }
         for (Verdict verdict : frame.getFacts().getVerdictsList()) {
-            verdict(verdict).filter(this::learn).ifPresent(learned -> news.addVerdicts(message(learned)));
+            toVerdict(verdict).filter(this::mergeVerdict).ifPresent(merged -> newFacts.addVerdicts(toMessage(merged)));
         }
         if (frame.getFacts().hasController()) {
-            ControllerStages published = stages(frame.getFacts().getController());
+            ControllerStages published = toStages(frame.getFacts().getController());
             if (stages.apply(published, nowMillis)) {
                 listener.onStages(published);
-                news.setController(message(stages.relayed(nowMillis)));
+                newFacts.setController(toMessage(stages.relayed(nowMillis)));
             }
         }
-        passOn(peer, news);
+        forward(peer, newFacts);
     }
 
-    private boolean learn(BadVerdict verdict) {
-        boolean grown = stages.merge(List.of(verdict));
-        if (grown) {
+    /** Merges a verdict, calls the listener if it is new, and returns whether it is new. */
+    private boolean mergeVerdict(BadVerdict verdict) {
+        boolean isNew = stages.merge(List.of(verdict));
+        if (isNew) {
             listener.onVerdict(verdict);
         }
-        return grown;
+        return isNew;
     }
 
-    /** Adds a suspect that this process found and tells all peers. */
+    /** Records that an upstream died while it ran a request, and sends the resulting suspect to all peers. */
     public void publishSuspect(long fingerprint, String upstreamIncarnation, long nowMillis) {
         suspects.onUpstreamDied(fingerprint, upstreamIncarnation, nowMillis)
-                .ifPresent(fact -> passOn(NO_PEER, Facts.newBuilder().addSuspects(message(fact))));
+                .ifPresent(fact -> forward(NO_PEER, Facts.newBuilder().addSuspects(toMessage(fact))));
     }
 
-    /** Adds a verdict that this process reached and tells all peers. */
+    /** Adds a verdict reached by this process and, if it is new, sends it to all peers. */
     public void publishVerdict(BadVerdict verdict) {
-        if (learn(verdict)) {
-            passOn(NO_PEER, Facts.newBuilder().addVerdicts(message(verdict)));
+        if (mergeVerdict(verdict)) {
+            forward(NO_PEER, Facts.newBuilder().addVerdicts(toMessage(verdict)));
         }
     }
 
-    /** Takes over the stages that this process publishes as controller and tells all peers. */
+    /** Applies the stages that this process publishes as controller and, if they are newer, sends them to all peers. */
     public void publishStages(ControllerStages published, long nowMillis) {
         if (stages.apply(published, nowMillis)) {
             listener.onStages(published);
-            passOn(NO_PEER, Facts.newBuilder().setController(message(published)));
+            forward(NO_PEER, Facts.newBuilder().setController(toMessage(published)));
         }
     }
 
-    private void passOn(String exceptPeer, Facts.Builder news) {
-        boolean empty = news.getSuspectsCount() == 0 && news.getVerdictsCount() == 0 && !news.hasController();
+    private void forward(String exceptPeer, Facts.Builder facts) {
+        boolean empty = facts.getSuspectsCount() == 0 && facts.getVerdictsCount() == 0 && !facts.hasController();
         if (!empty) {
-            sender.sendToOthers(exceptPeer, frame(news));
+            sender.sendToOthers(exceptPeer, frame(facts));
         }
     }
 
@@ -115,21 +122,21 @@
         return Frame.newBuilder().setFacts(facts).build();
     }
 
-    private static Suspect message(SuspectFact fact) {
+    private static Suspect toMessage(SuspectFact fact) {
         return Suspect.newBuilder()
                 .setFingerprint(fact.fingerprint())
                 .addAllUpstreamIncarnations(fact.upstreamIncarnations())
                 .build();
     }
 
-    private static Optional<SuspectFact> fact(Suspect message) {
+    private static Optional<SuspectFact> toFact(Suspect message) {
         return message.getUpstreamIncarnationsCount() == 0
                 ? Optional.empty()
                 : Optional.of(new SuspectFact(
                         message.getFingerprint(), new HashSet<>(message.getUpstreamIncarnationsList())));
     }
 
-    private static Verdict message(BadVerdict verdict) {
+    private static Verdict toMessage(BadVerdict verdict) {
         return Verdict.newBuilder()
                 .setModel(verdict.version().model())
                 .setVersion(verdict.version().version())
@@ -137,14 +144,14 @@
                 .build();
     }
 
-    private static Optional<BadVerdict> verdict(Verdict message) {
+    private static Optional<BadVerdict> toVerdict(Verdict message) {
         return message.getModel().isEmpty() || message.getVersion().isEmpty()
                 ? Optional.empty()
                 : Optional.of(new BadVerdict(
                         new ModelVersion(message.getModel(), message.getVersion()), message.getReason()));
     }
 
-    private static ControllerState message(ControllerStages published) {
+    private static ControllerState toMessage(ControllerStages published) {
         ControllerState.Builder state = ControllerState.newBuilder()
                 .setFencingNumber(published.fencingNumber())
                 .setSequence(published.sequence());
@@ -160,7 +167,7 @@
         return state.build();
     }
 
-    private static ControllerStages stages(ControllerState message) {
+    private static ControllerStages toStages(ControllerState message) {
         List<Stage> list = message.getStagesList().stream()
                 .map(stage -> new Stage(
                         stage.getModel(),
--- a/exchange/src/main/java/dev/wigeonward/exchange/FactListener.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/FactListener.java
@@ -3,11 +3,11 @@
 import dev.wigeonward.core.rollout.BadVerdict;
 import dev.wigeonward.core.rollout.ControllerStages;
 
-/** Hears of facts that are new to this process. */
+/** Listener for facts that are new to this process. */
 public interface FactListener {
-    /** A version was shown to be bad. */
+    /** Called when a model version was judged bad. */
     void onVerdict(BadVerdict verdict);
 
-    /** The controller published stages. */
+    /** Called when the controller published newer stages. */
     void onStages(ControllerStages stages);
 }
--- a/exchange/src/main/java/dev/wigeonward/exchange/FrameSender.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/FrameSender.java
@@ -2,11 +2,11 @@
 
 import dev.wigeonward.wire.generated.Frame;
 
-/** Sends frames to linked peers; a frame to a peer without a link is dropped. */
+/** Sender of frames to linked peers; a frame to a peer without a link is dropped. */
 public interface FrameSender {
     /** Sends a frame to one peer. */
     void send(String peer, Frame frame);
 
-    /** Sends a frame to all peers but one. */
+    /** Sends a frame to all linked peers except the given one. */
     void sendToOthers(String exceptPeer, Frame frame);
 }
--- a/exchange/src/main/java/dev/wigeonward/exchange/OrderFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/OrderFrames.java
@@ -6,24 +6,24 @@
 import dev.wigeonward.core.order.OrderResult;
 import dev.wigeonward.wire.generated.Frame;
 
-/** Turns orders and their results into frames and back. */
+/** Converts orders and their results to frames and back. */
 public final class OrderFrames {
     private OrderFrames() {}
 
-    /** Returns the frame of an order. */
+    /** Returns the frame that carries an order. */
     public static Frame frame(Order order) {
         return Frame.newBuilder()
                 .setOrder(dev.wigeonward.wire.generated.Order.newBuilder()
                         .setFencingNumber(order.fencingNumber())
                         .setOrderId(order.orderId())
-                        .setKind(kind(order.kind()))
+                        .setKind(toMessageKind(order.kind()))
                         .setModel(order.model())
                         .setVersion(order.version())
                         .setRole(order.role()))
                 .build();
     }
 
-    private static dev.wigeonward.wire.generated.Order.Kind kind(Order.Kind kind) {
+    private static dev.wigeonward.wire.generated.Order.Kind toMessageKind(Order.Kind kind) {
         return switch (kind) {
             case LOAD -> dev.wigeonward.wire.generated.Order.Kind.LOAD;
             case UNLOAD -> dev.wigeonward.wire.generated.Order.Kind.UNLOAD;
@@ -31,7 +31,7 @@
         };
     }
 
-    /** Returns the order in a frame, or empty if it is malformed. */
+    /** Returns the order in a message, or empty if the message is malformed. */
     public static Optional<Order> order(dev.wigeonward.wire.generated.Order message) {
         Order.Kind kind =
                 switch (message.getKind()) {
@@ -56,7 +56,7 @@
         }
     }
 
-    /** Returns the frame of an order's result. */
+    /** Returns the frame that carries the result of an order. */
     public static Frame frame(String orderId, OrderResult result) {
         dev.wigeonward.wire.generated.OrderResult.Builder message =
                 dev.wigeonward.wire.generated.OrderResult.newBuilder().setOrderId(orderId);
@@ -75,7 +75,7 @@
         return Frame.newBuilder().setOrderResult(message).build();
     }
 
-    /** Returns the result in a frame, or empty if it is malformed. */
+    /** Returns the result in a message, or empty if its state is not known. */
     public static Optional<OrderResult> result(dev.wigeonward.wire.generated.OrderResult message) {
         return switch (message.getState()) {
             case STARTED -> Optional.of(new OrderResult.Started());
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionExchange.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionExchange.java
@@ -17,45 +17,52 @@
 import dev.wigeonward.wire.generated.Frame;
 import dev.wigeonward.wire.generated.Heartbeat;
 
-/** Runs the revision relay of a process over its links. Used by the decision thread only. */
+/**
+ * Connects the revision relay of a process to its links: converts frames to relay events and executes the effects that
+ * the relay returns. Not thread-safe; used on the decision thread only.
+ */
 public final class RevisionExchange {
     private static final Logger LOG = System.getLogger(RevisionExchange.class.getName());
 
     private final RevisionLog log;
     private final RevisionRelay relay;
     private final FrameSender sender;
-    private final Consumer<Revision> adopted;
+    private final Consumer<Revision> adoptionListener;
     private final Map<String, Long> numberByPeer = new TreeMap<>();
 
     /**
-     * Returns an exchange without a revision.
+     * Returns an exchange that has no revision yet.
      *
-     * @param adopted hears of each revision that comes into force
+     * @param adoptionListener called with each revision that comes into force
      */
-    public RevisionExchange(RevisionLog log, RevisionRelay relay, FrameSender sender, Consumer<Revision> adopted) {
+    public RevisionExchange(
+            RevisionLog log, RevisionRelay relay, FrameSender sender, Consumer<Revision> adoptionListener) {
         this.log = log;
         this.relay = relay;
         this.sender = sender;
-        this.adopted = adopted;
+        this.adoptionListener = adoptionListener;
     }
 
-    /** Offers the own revision to a new peer. */
+    /** Offers the revision in force to a newly linked peer. */
     public void onLinkUp(String peer, long nowMillis) {
         handle(new RelayEvent.LinkUp(peer), nowMillis);
     }
 
-    /** Forgets what a peer has. */
+    /** Removes the state that is kept for a peer. */
     public void onLinkDown(String peer, long nowMillis) {
         numberByPeer.remove(peer);
         handle(new RelayEvent.LinkDown(peer), nowMillis);
     }
 
-    /** Handles a frame of a peer; frames that do not concern revisions are ignored. */
+    /**
+     * Handles a frame of a peer: records the revision that a heartbeat reports and hands revision messages to the
+     * relay. Ignores other frames and heartbeats that report no revision; logs and drops malformed messages.
+     */
     public void onFrame(String peer, Frame frame, long nowMillis) {
         if (frame.hasHeartbeat()) {
             numberByPeer.put(peer, frame.getHeartbeat().getRevision());
-            boolean carriesNone = frame.getHeartbeat().getRevision() == 0;
-            if (carriesNone) {
+            boolean hasNoRevision = frame.getHeartbeat().getRevision() == 0;
+            if (hasNoRevision) {
                 return;
             }
         }
@@ -63,35 +70,35 @@
         try {
             event = RevisionFrames.event(peer, frame);
         } catch (IllegalArgumentException | ArithmeticException e) {
-            LOG.log(Level.WARNING, "malformed revision from {0}: {1}", peer, e.getMessage());
+            LOG.log(Level.WARNING, "dropped a malformed revision message from peer {0}: {1}", peer, e.getMessage());
             return;
         }
         event.ifPresent(message -> handle(message, nowMillis));
     }
 
-    /** Takes over what a reader of the store read. */
+    /** Handles the result of reading head from the store. */
     public void onStoreRead(RevisionStore.HeadResult result, long nowMillis) {
         handle(new RelayEvent.StoreRead(result), nowMillis);
     }
 
-    /** Asks again where an answer is overdue. */
+    /** Handles a timer tick: repeats the requests whose answers are overdue. */
     public void onTick(long nowMillis) {
         handle(new RelayEvent.Tick(), nowMillis);
     }
 
-    /** Returns the number of the revision in force, 0 if there is none. */
+    /** Returns the number of the revision in force, or 0 if there is none. */
     public long number() {
         return log.number();
     }
 
-    /** Returns the revision that each linked peer reported last. */
+    /** Returns the number of the revision that each linked peer reported last, by peer. */
     public Map<String, Long> numberByPeer() {
         return Map.copyOf(numberByPeer);
     }
 
     /**
-     * Adds the revision in force to a heartbeat. The hash comes with offers only: as 64 hex digits in each heartbeat it
-     * would take an entry with 78 links to 13 KB/s.
+     * Sets the number of the revision in force in a heartbeat. The hash is sent in offers only: its 64 hexadecimal
+     * digits in every heartbeat would raise the heartbeat traffic of an entry with 78 links to 13 KB/s.
      */
     public void describe(Heartbeat.Builder heartbeat) {
         heartbeat.setRevision(log.number());
@@ -99,10 +106,10 @@
 
     private void handle(RelayEvent event, long nowMillis) {
         List<RelayEffect> effects = relay.handle(event, nowMillis);
-        effects.forEach(this::carryOut);
+        effects.forEach(this::execute);
     }
 
-    private void carryOut(RelayEffect effect) {
+    private void execute(RelayEffect effect) {
         if (effect instanceof RelayEffect.SendOffer send) {
             sender.send(send.peer(), RevisionFrames.offer(send.number(), send.hash()));
         } else if (effect instanceof RelayEffect.SendRequest send) {
@@ -113,9 +120,9 @@
             sender.send(send.peer(), RevisionFrames.snapshotPart(send.part()));
         } else if (effect instanceof RelayEffect.Adopt adopt) {
             LOG.log(Level.INFO, "revision {0} is in force", adopt.revision().number());
-            adopted.accept(adopt.revision());
+            adoptionListener.accept(adopt.revision());
         } else {
-            LOG.log(Level.WARNING, "revisions: {0}", effect);
+            LOG.log(Level.WARNING, "revision relay reported: {0}", effect);
         }
     }
 }
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
@@ -11,9 +11,9 @@
 import dev.wigeonward.wire.generated.RevisionRequest;
 import dev.wigeonward.wire.generated.RevisionSnapshot;
 
-/** Turns messages of the revision relay into frames and back. */
+/** Converts the messages of the revision relay to frames and back. */
 final class RevisionFrames {
-    /** A heartbeat names the number only; the relay learns the hash from offers and checks it with the text. */
+    /** Heartbeats carry the number only; the relay takes the hash from offers and verifies the text against it. */
     private static final String HASH_NOT_SENT = "";
 
     private RevisionFrames() {}
@@ -56,7 +56,12 @@
                 .build();
     }
 
-    /** Returns the relay's event in a frame, or empty if the frame carries none. */
+    /**
+     * Returns the relay event for a peer's frame, or empty if the frame is no heartbeat or revision message.
+     *
+     * @throws IllegalArgumentException if the message is malformed
+     * @throws ArithmeticException if an offset or a length exceeds an int
+     */
     static Optional<RelayEvent> event(String peer, Frame frame) {
         return switch (frame.getBodyCase()) {
             case HEARTBEAT ->
@@ -72,14 +77,14 @@
                         peer,
                         frame.getRevisionRequest().getHave(),
                         frame.getRevisionRequest().getHaveHash()));
-            case REVISION_DELTA -> Optional.of(new RelayEvent.DeltaArrived(peer, delta(frame.getRevisionDelta())));
+            case REVISION_DELTA -> Optional.of(new RelayEvent.DeltaArrived(peer, toDelta(frame.getRevisionDelta())));
             case REVISION_SNAPSHOT ->
-                Optional.of(new RelayEvent.SnapshotPartArrived(peer, part(frame.getRevisionSnapshot())));
+                Optional.of(new RelayEvent.SnapshotPartArrived(peer, toPart(frame.getRevisionSnapshot())));
             default -> Optional.empty();
         };
     }
 
-    private static RevisionDelta delta(dev.wigeonward.wire.generated.RevisionDelta message) {
+    private static RevisionDelta toDelta(dev.wigeonward.wire.generated.RevisionDelta message) {
         return new RevisionDelta(
                 message.getFrom(),
                 message.getFromHash(),
@@ -91,7 +96,7 @@
                         .toList());
     }
 
-    private static SnapshotPart part(RevisionSnapshot message) {
+    private static SnapshotPart toPart(RevisionSnapshot message) {
         return new SnapshotPart(
                 message.getNumber(),
                 message.getHash(),
--- a/exchange/src/main/java/dev/wigeonward/exchange/RulesInForce.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RulesInForce.java
@@ -11,24 +11,24 @@
 import dev.wigeonward.core.rules.RuleParser;
 import dev.wigeonward.core.rules.RuleSet;
 
-/** The rules of the revision in force. Written by the decision thread, read by any. */
+/** Holder of the rules of the revision in force; the decision thread writes it and any thread may read it. */
 public final class RulesInForce implements WorkspaceWeights {
     private static final Logger LOG = System.getLogger(RulesInForce.class.getName());
 
     private volatile RuleSet rules;
 
-    /** Returns the rules, or empty before the first revision. */
+    /** Returns the rules in force, or empty before the first revision was adopted. */
     public Optional<RuleSet> get() {
         return Optional.ofNullable(rules);
     }
 
-    /** Takes over the rules of a revision; text that does not parse leaves the earlier rules in force. */
+    /** Replaces the rules by those of a revision; a revision that does not parse leaves the earlier rules in force. */
     public void adopt(Revision revision) {
         RuleParseResult result = RuleParser.parse("revision " + revision.number(), revision.text());
         if (result instanceof RuleParseResult.Invalid invalid) {
             LOG.log(
                     Level.ERROR,
-                    "revision {0} is not valid for this version of the program: {1}",
+                    "revision {0} was not adopted: this version of the program cannot parse its rules: {1}",
                     revision.number(),
                     invalid.problems());
             return;
--- a/exchange/src/main/java/dev/wigeonward/exchange/package-info.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/package-info.java
@@ -1,2 +1,2 @@
-/** Revisions and monotonic facts that entries and agents pass on over their links. */
+/** Exchange of revisions, monotonic facts, orders and evidence between entries and agents over their links. */
 package dev.wigeonward.exchange;
