--- a/common/src/main/java/dev/wigeonward/common/store/CallBudget.java
+++ b/common/src/main/java/dev/wigeonward/common/store/CallBudget.java
@@ -2,28 +2,32 @@
 
 import java.time.Clock;
 
-/** Token bucket that holds at most the calls of one second, and at least one; refuses instead of waiting. */
+/**
+ * Token bucket that limits the rate of calls. Its capacity is the calls of one second, and at least one; a call without
+ * a token is refused and does not wait.
+ */
 final class CallBudget {
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Clock clock;
     private final double callsPerSecond;
-    private final double burst;
+    private final double capacity;
     private double tokens;
-    private long filledMillis;
+    private long lastRefillMillis;
 
     CallBudget(Clock clock, double callsPerSecond) {
         this.clock = clock;
         this.callsPerSecond = callsPerSecond;
-        this.burst = Math.max(1, callsPerSecond);
-        this.tokens = burst;
-        this.filledMillis = clock.millis();
+        this.capacity = Math.max(1, callsPerSecond);
+        this.tokens = capacity;
+        this.lastRefillMillis = clock.millis();
     }
 
-    synchronized boolean tryTake() {
+    /** Takes a token and returns true, or returns false if there is none. */
+    synchronized boolean tryAcquire() {
         long nowMillis = clock.millis();
-        tokens = Math.min(burst, tokens + (nowMillis - filledMillis) * callsPerSecond / MILLIS_PER_SECOND);
-        filledMillis = nowMillis;
+        tokens = Math.min(capacity, tokens + (nowMillis - lastRefillMillis) * callsPerSecond / MILLIS_PER_SECOND);
+        lastRefillMillis = nowMillis;
         if (tokens < 1) {
             return false;
         }
--- a/common/src/main/java/dev/wigeonward/common/store/CallResult.java
+++ b/common/src/main/java/dev/wigeonward/common/store/CallResult.java
@@ -2,20 +2,20 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-/** What became of one HTTP call. */
+/** Result of one HTTP call to the key-value service. */
 sealed interface CallResult {
-    /** Answered with status 200. */
+    /** The service answered with status 200. */
     record Answered(JsonNode body) implements CallResult {}
 
-    /** Answered with an error; the code is gRPC's. */
+    /** The service answered with an error; {@code code} is a gRPC status code, or -1 if the answer has none. */
     record Refused(int code, String message) implements CallResult {}
 
-    /** Never written to a connection. */
+    /** The request was never written to a connection. */
     record NotSent(String reason) implements CallResult {}
 
-    /** Possibly received by the service, and not answered. */
+    /** The request may have been received by the service, and no answer came. */
     record Unanswered(String reason) implements CallResult {}
 
-    /** Over the own budget. */
+    /** The request was not sent, as it would have exceeded the call budget of this process. */
     record OverBudget(String reason) implements CallResult {}
 }
--- a/common/src/main/java/dev/wigeonward/common/store/CallType.java
+++ b/common/src/main/java/dev/wigeonward/common/store/CallType.java
@@ -2,7 +2,7 @@
 
 import java.util.Locale;
 
-/** Kinds of calls to the key-value service, with their paths. */
+/** Type of a call to the key-value service, with its path and the budget that it counts against. */
 enum CallType {
     RANGE("/v3/kv/range", false),
     TXN("/v3/kv/txn", true),
@@ -19,16 +19,17 @@
         this.write = write;
     }
 
+    /** Returns the HTTP path of the call. */
     String path() {
         return path;
     }
 
-    /** Returns whether the call counts against the budget of writes. */
+    /** Returns whether the call counts against the write budget; other calls count against the read budget. */
     boolean isWrite() {
         return write;
     }
 
-    /** Returns the name of the counter of calls of this type. */
+    /** Returns the name of the metric that counts the sent calls of this type. */
     String counterName() {
         return "store.calls." + name().toLowerCase(Locale.ROOT);
     }
--- a/common/src/main/java/dev/wigeonward/common/store/Change.java
+++ b/common/src/main/java/dev/wigeonward/common/store/Change.java
@@ -1,8 +1,8 @@
 package dev.wigeonward.common.store;
 
 /**
- * A change that a watch reports.
+ * Change of one key that a watch reports.
  *
- * @param deleted true if the key was removed; the entry then has the key and the revision of the removal only
+ * @param deleted whether the key was removed; the entry then holds only the key and the revision of the removal
  */
 public record Change(boolean deleted, KeyValue entry) {}
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimCleanup.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimCleanup.java
@@ -14,14 +14,20 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 
-/** Repeats writes of claims in the background until the store answers. */
+/**
+ * Background retries for claims: removes claims whose write is in doubt, and repeats actions until the store answers.
+ * All retries start on the store's thread.
+ */
 final class ClaimCleanup {
     private static final System.Logger LOG = System.getLogger(ClaimCleanup.class.getName());
 
-    /** Time after which a write that was not answered is no longer expected to take effect. */
+    /** Time after which an unanswered write is assumed to have no effect any more. */
     private static final long LATE_WRITE_MILLIS = 10_000;
 
-    /** Bounds memory in a long outage; a claim left behind names an upstream that never received its request. */
+    /**
+     * Most retries that wait at the same time, which bounds the memory in a long outage. A claim that is left behind
+     * names an upstream that never received the request.
+     */
     private static final int PENDING_LIMIT = 4_096;
 
     private final KeyValueStore store;
@@ -44,24 +50,28 @@
         this.dropped = metrics.counter("store.claims.repeats_dropped");
     }
 
-    /** Removes a claim under one of the ids, if it exists or appears while the write in doubt can still take effect. */
+    /**
+     * Removes the claim at a key if it has one of the given ids. Keeps reading the key for as long as the write in
+     * doubt can still take effect, and removes the claim if it appears.
+     */
     void removeInDoubt(ClaimKey key, Set<String> ownIds) {
         Backoff backoff = new Backoff(random);
         long endMillis = clock.millis() + LATE_WRITE_MILLIS;
-        later(backoff, false, () -> remove(key.path(), ownIds, endMillis, backoff));
+        runAfterBackoff(backoff, false, () -> remove(key.path(), ownIds, endMillis, backoff));
     }
 
+    /** Returns whether a claim was removed; false if the key is held under another id or stayed absent to the end. */
     private CompletableFuture<Boolean> remove(String path, Set<String> ownIds, long endMillis, Backoff backoff) {
         return store.get(path).thenCompose(result -> {
-            Supplier<CompletableFuture<Boolean>> again = () -> remove(path, ownIds, endMillis, backoff);
+            Supplier<CompletableFuture<Boolean>> retry = () -> remove(path, ownIds, endMillis, backoff);
             if (result.value().isEmpty()) {
-                return later(backoff, false, again);
+                return runAfterBackoff(backoff, false, retry);
             }
             Optional<KeyValue> current = result.value().get();
             if (current.isEmpty()) {
                 return clock.millis() >= endMillis
                         ? CompletableFuture.completedFuture(false)
-                        : later(backoff, false, again);
+                        : runAfterBackoff(backoff, false, retry);
             }
             boolean own = ClaimValue.parse(current.get().value())
                     .filter(value -> ownIds.contains(value.claimId()))
@@ -73,29 +83,39 @@
             return store.commit(Transaction.of(unchanged, new Write.Delete(path)))
                     .thenCompose(deletion -> deletion instanceof WriteResult.Applied
                             ? CompletableFuture.completedFuture(true)
-                            : later(backoff, false, again));
+                            : runAfterBackoff(backoff, false, retry));
         });
     }
 
-    /** Returns the result of an action that starts after a backoff, or the given one when too many wait. */
-    CompletableFuture<Boolean> later(Backoff backoff, boolean ifDropped, Supplier<CompletableFuture<Boolean>> action) {
+    /**
+     * Returns the result of an action that starts after a backoff. Returns {@code valueIfDropped} if the action fails,
+     * or at once without running it if too many actions wait.
+     */
+    CompletableFuture<Boolean> runAfterBackoff(
+            Backoff backoff, boolean valueIfDropped, Supplier<CompletableFuture<Boolean>> action) {
         if (pending.incrementAndGet() > PENDING_LIMIT) {
             pending.decrementAndGet();
             dropped.inc();
-            LOG.log(Level.WARNING, "repeat of a claim's write dropped: {0} wait", PENDING_LIMIT);
-            return CompletableFuture.completedFuture(ifDropped);
+            LOG.log(
+                    Level.WARNING,
+                    "dropped the retry of a claim write: {0} retries are pending, which is the limit",
+                    PENDING_LIMIT);
+            return CompletableFuture.completedFuture(valueIfDropped);
         }
         CompletableFuture<Boolean> result = new CompletableFuture<>();
         thread.schedule(
                 () -> {
                     pending.decrementAndGet();
-                    action.get().whenComplete((value, failure) -> result.complete(failure == null ? value : ifDropped));
+                    action.get()
+                            .whenComplete(
+                                    (value, failure) -> result.complete(failure == null ? value : valueIfDropped));
                 },
                 backoff.nextMillis(),
                 TimeUnit.MILLISECONDS);
         return result;
     }
 
+    /** Returns the number of actions that wait for their backoff. */
     int pending() {
         return pending.get();
     }
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimReply.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimReply.java
@@ -5,10 +5,10 @@
 import dev.wigeonward.core.dispatch.ClaimAnswer;
 
 /**
- * Answer to a claim.
+ * Reply to a request for a claim.
  *
- * @param claim the claim now held, if the answer is {@link ClaimAnswer.Granted}
- * @param outcome the stored outcome, if the answer is {@link ClaimAnswer.OutcomeStored}
+ * @param claim the claim that this process now holds, if the answer is {@link ClaimAnswer.Granted}
+ * @param outcome the outcome of the completed request, if the answer is {@link ClaimAnswer.OutcomeStored}
  */
 public record ClaimReply(ClaimAnswer answer, Optional<Claim> claim, Optional<StoredOutcome> outcome) {
     static ClaimReply granted(Claim claim) {
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimRequest.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimRequest.java
@@ -5,9 +5,9 @@
 import dev.wigeonward.core.request.RequestId;
 
 /**
- * What a claim is asked for.
+ * Request for a claim: the key to claim, and the request and upstream that the claim is to name.
  *
- * @param fingerprint hash of the content, which tells a resend from another request with the same key
+ * @param fingerprint hash of the request's content, which distinguishes a resend from another request with the same key
  */
 public record ClaimRequest(
         ClaimKey key, RequestId request, String fingerprint, String upstreamId, long upstreamIncarnation) {
@@ -18,7 +18,8 @@
         Objects.requireNonNull(upstreamId, "upstreamId");
     }
 
-    ClaimRequest at(String newUpstreamId, long newUpstreamIncarnation) {
+    /** Returns the same request for a claim that names another upstream. */
+    ClaimRequest withUpstream(String newUpstreamId, long newUpstreamIncarnation) {
         return new ClaimRequest(key, request, fingerprint, newUpstreamId, newUpstreamIncarnation);
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimStore.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimStore.java
@@ -13,15 +13,16 @@
 import dev.wigeonward.core.dispatch.ClaimAnswer;
 
 /**
- * Durable claims of non-idempotent requests. A claim is granted only when the store shows it under this process's
- * random claim id. A write in doubt is repeated once under its condition, which either applies it or shows who holds
- * the key; if that fails too, the answer is {@link ClaimAnswer.Unavailable} and the claim is removed in the background.
+ * Store of durable claims for non-idempotent requests. A claim is granted only if the store holds it under the random
+ * claim id of this process. A write in doubt is repeated once under the same condition, which either applies the write
+ * or returns the current holder of the key. If the repeat fails too, the reply is {@link ClaimAnswer.Unavailable} and
+ * the claim is removed in the background.
  *
  * <p>Methods may be called from any thread; results are completed on the store's thread.
  */
 public final class ClaimStore {
     private static final System.Logger LOG = System.getLogger(ClaimStore.class.getName());
-    private static final int ATTEMPTS = 2;
+    private static final int MAX_ATTEMPTS = 2;
 
     private final KeyValueStore store;
     private final ScheduledExecutorService thread;
@@ -46,7 +47,7 @@
     }
 
     /**
-     * Returns claims in a store.
+     * Returns a claim store that commits in groups of the default size.
      *
      * @param thread the store's thread
      * @param random source of claim ids; must be unpredictable across processes, for example a SecureRandom
@@ -60,7 +61,7 @@
         return create(store, clock, thread, metrics, random, GroupCommitter.GROUP_LIMIT);
     }
 
-    /** Returns claims in a store that are committed in groups of at most {@code groupLimit}. */
+    /** Returns a claim store that commits in groups of at most {@code groupLimit} writes. */
     public static ClaimStore create(
             KeyValueStore store,
             Clock clock,
@@ -71,29 +72,38 @@
         return new ClaimStore(store, clock, thread, metrics, random, groupLimit);
     }
 
-    /** A write of an own claim under a condition. */
+    /**
+     * Conditional write of a claim of this process; {@code ownIds} are the ids under which it may have been written.
+     */
     private record Attempt(ClaimRequest request, String claimId, Compare condition, Set<String> ownIds) {}
 
-    /** Returns the answer to a claim on a key that no other claim may hold. */
+    /** Claims a key that must not exist in the store, and returns the reply. */
     public CompletableFuture<ClaimReply> claim(ClaimRequest request) {
         String claimId = newClaimId();
         Compare absent = Compare.absent(request.key().path());
-        return onThread(() -> write(new Attempt(request, claimId, absent, Set.of(claimId)), 1));
+        return runOnStoreThread(() -> write(new Attempt(request, claimId, absent, Set.of(claimId)), 1));
     }
 
-    /** Returns the answer to moving an own claim to another upstream, after the first one did not run the request. */
+    /**
+     * Replaces a claim of this process by one that names another upstream, after the first upstream did not run the
+     * request, and returns the reply.
+     */
     public CompletableFuture<ClaimReply> move(Claim claim, String upstreamId, long upstreamIncarnation) {
         String claimId = newClaimId();
-        ClaimRequest request = claim.request().at(upstreamId, upstreamIncarnation);
+        ClaimRequest request = claim.request().withUpstream(upstreamId, upstreamIncarnation);
         Compare unchanged = new Compare.ModRevision(request.key().path(), claim.modRevision());
-        return onThread(() -> write(new Attempt(request, claimId, unchanged, Set.of(claimId, claim.claimId())), 1));
+        return runOnStoreThread(
+                () -> write(new Attempt(request, claimId, unchanged, Set.of(claimId, claim.claimId())), 1));
     }
 
-    /** Returns the answer to replacing the claim with the given id, whose request its upstream never received. */
+    /**
+     * Replaces the claim with the given id, whose request its upstream never received, by a claim of this process, and
+     * returns the reply. Claims the key if it no longer exists.
+     */
     public CompletableFuture<ClaimReply> takeOver(ClaimRequest request, String previousClaimId) {
         String claimId = newClaimId();
         String path = request.key().path();
-        return onThread(() -> store.get(path).thenCompose(result -> {
+        return runOnStoreThread(() -> store.get(path).thenCompose(result -> {
             if (result.value().isEmpty()) {
                 return CompletableFuture.completedFuture(ClaimReply.unavailable());
             }
@@ -116,7 +126,7 @@
         return Long.toHexString(random.nextLong()) + "-" + Long.toHexString(random.nextLong());
     }
 
-    private <T> CompletableFuture<T> onThread(Supplier<CompletableFuture<T>> action) {
+    private <T> CompletableFuture<T> runOnStoreThread(Supplier<CompletableFuture<T>> action) {
         return CompletableFuture.supplyAsync(action, thread).thenCompose(result -> result);
     }
 
@@ -125,19 +135,19 @@
                 .thenComposeAsync(
                         leaseId -> {
                             if (leaseId.isEmpty()) {
-                                return CompletableFuture.completedFuture(giveUp(attempt, number > 1));
+                                return CompletableFuture.completedFuture(replyUnavailable(attempt, number > 1));
                             }
                             String value = ClaimValue.of(attempt.claimId(), attempt.request(), Optional.empty())
                                     .toJson();
                             Write put = new Write.Put(attempt.request().key().path(), value, leaseId.get());
                             return committer
                                     .submit(attempt.condition(), put)
-                                    .thenCompose(result -> answer(attempt, number, result));
+                                    .thenCompose(result -> handleWriteResult(attempt, number, result));
                         },
                         thread);
     }
 
-    private CompletableFuture<ClaimReply> answer(Attempt attempt, int number, WriteResult result) {
+    private CompletableFuture<ClaimReply> handleWriteResult(Attempt attempt, int number, WriteResult result) {
         if (result instanceof WriteResult.Applied applied) {
             Claim claim = new Claim(attempt.request(), attempt.claimId(), applied.revision());
             return CompletableFuture.completedFuture(ClaimReply.granted(claim));
@@ -146,27 +156,30 @@
             Optional<KeyValue> current = Optional.ofNullable(
                     failed.current().get(attempt.request().key().path()));
             boolean replaces = attempt.condition() instanceof Compare.ModRevision;
-            if (current.isEmpty() && replaces && number < ATTEMPTS) {
-                // The claim that was to be replaced was released meanwhile, so the key is free.
+            if (current.isEmpty() && replaces && number < MAX_ATTEMPTS) {
+                // The claim to be replaced was released in the meantime, so the key is free.
                 Compare absent = Compare.absent(attempt.request().key().path());
                 return write(new Attempt(attempt.request(), attempt.claimId(), absent, attempt.ownIds()), number + 1);
             }
-            return CompletableFuture.completedFuture(afterFailedCompare(attempt, current));
+            return CompletableFuture.completedFuture(replyAfterFailedCompare(attempt, current));
         }
         boolean unknown = result instanceof WriteResult.OutcomeUnknown;
         boolean leaseLost = result instanceof WriteResult.NotApplied refused
                 && refused.reason().contains("lease not found");
         if (leaseLost) {
-            lease.forget();
+            lease.invalidate();
         }
-        if ((unknown || leaseLost) && number < ATTEMPTS) {
+        if ((unknown || leaseLost) && number < MAX_ATTEMPTS) {
             return write(attempt, number + 1);
         }
-        return CompletableFuture.completedFuture(giveUp(attempt, unknown || number > 1));
+        return CompletableFuture.completedFuture(replyUnavailable(attempt, unknown || number > 1));
     }
 
-    /** An entry under the own claim id is the own write, whose reply was lost. */
-    private ClaimReply afterFailedCompare(Attempt attempt, Optional<KeyValue> current) {
+    /**
+     * Returns the reply after a failed compare. An entry with this attempt's claim id is its own write with a lost
+     * reply.
+     */
+    private ClaimReply replyAfterFailedCompare(Attempt attempt, Optional<KeyValue> current) {
         Optional<ClaimValue> value = current.map(KeyValue::value).flatMap(ClaimValue::parse);
         if (value.filter(claim -> claim.claimId().equals(attempt.claimId())).isPresent()) {
             return ClaimReply.granted(new Claim(
@@ -178,23 +191,26 @@
     private static ClaimReply replyOf(Optional<KeyValue> current, ClaimRequest request) {
         Optional<ClaimValue> value = current.map(KeyValue::value).flatMap(ClaimValue::parse);
         if (current.isPresent() && value.isEmpty()) {
-            LOG.log(Level.ERROR, "unreadable claim at {0}", request.key().path());
+            LOG.log(Level.ERROR, "claim at key {0} is malformed", request.key().path());
         }
         return value.map(claim -> claim.replyTo(request.fingerprint())).orElseGet(ClaimReply::unavailable);
     }
 
-    private ClaimReply giveUp(Attempt attempt, boolean inDoubt) {
+    /**
+     * Returns the reply that the claim is unavailable; removes the claim in the background if its write is in doubt.
+     */
+    private ClaimReply replyUnavailable(Attempt attempt, boolean inDoubt) {
         if (inDoubt) {
             cleanup.removeInDoubt(attempt.request().key(), attempt.ownIds());
         }
         return ClaimReply.unavailable();
     }
 
-    /** Removes the own claim of a request that did not run; repeated in the background until the store answers. */
+    /** Removes the claim of a request that did not run; retried in the background until the store answers. */
     public void release(Claim claim) {
         Compare unchanged = new Compare.ModRevision(claim.request().key().path(), claim.modRevision());
         Write delete = new Write.Delete(claim.request().key().path());
-        onThread(() -> committer.submit(unchanged, delete)).thenAccept(result -> {
+        runOnStoreThread(() -> committer.submit(unchanged, delete)).thenAccept(result -> {
             if (!(result instanceof WriteResult.Applied)) {
                 cleanup.removeInDoubt(claim.request().key(), Set.of(claim.claimId()));
             }
@@ -202,11 +218,11 @@
     }
 
     /**
-     * Returns whether the outcome is stored; false if the claim is no longer held or too many outcomes wait. Repeated
-     * in the background until the store answers.
+     * Stores the outcome of a request in its claim, and returns whether it is stored: false if this process no longer
+     * holds the claim or too many retries wait. Retried in the background until the store answers.
      */
     public CompletableFuture<Boolean> recordOutcome(Claim claim, StoredOutcome outcome) {
-        return onThread(() -> recordOutcome(claim, outcome, new Backoff(random)));
+        return runOnStoreThread(() -> recordOutcome(claim, outcome, new Backoff(random)));
     }
 
     private CompletableFuture<Boolean> recordOutcome(Claim claim, StoredOutcome outcome, Backoff backoff) {
@@ -214,7 +230,7 @@
                 .thenComposeAsync(
                         leaseId -> {
                             if (leaseId.isEmpty()) {
-                                return recordLater(claim, outcome, backoff);
+                                return retryRecord(claim, outcome, backoff);
                             }
                             String path = claim.request().key().path();
                             String value = ClaimValue.of(claim.claimId(), claim.request(), Optional.of(outcome))
@@ -223,21 +239,21 @@
                                     .submit(
                                             new Compare.ModRevision(path, claim.modRevision()),
                                             new Write.Put(path, value, leaseId.get()))
-                                    .thenCompose(result -> afterRecord(claim, outcome, backoff, result));
+                                    .thenCompose(result -> handleRecordResult(claim, outcome, backoff, result));
                         },
                         thread);
     }
 
-    private CompletableFuture<Boolean> afterRecord(
+    private CompletableFuture<Boolean> handleRecordResult(
             Claim claim, StoredOutcome outcome, Backoff backoff, WriteResult result) {
         if (result instanceof WriteResult.Applied) {
             return CompletableFuture.completedFuture(true);
         }
         if (result instanceof WriteResult.NotApplied) {
-            lease.forget();
+            lease.invalidate();
         }
         if (!(result instanceof WriteResult.CompareFailed failed)) {
-            return recordLater(claim, outcome, backoff);
+            return retryRecord(claim, outcome, backoff);
         }
         boolean ownWrite = Optional.ofNullable(
                         failed.current().get(claim.request().key().path()))
@@ -248,17 +264,17 @@
         if (!ownWrite) {
             LOG.log(
                     Level.WARNING,
-                    "outcome of {0} not stored: claim not held",
+                    "outcome of request {0} was not stored: this process no longer holds its claim",
                     claim.request().request());
         }
         return CompletableFuture.completedFuture(ownWrite);
     }
 
-    private CompletableFuture<Boolean> recordLater(Claim claim, StoredOutcome outcome, Backoff backoff) {
-        return cleanup.later(backoff, false, () -> recordOutcome(claim, outcome, backoff));
+    private CompletableFuture<Boolean> retryRecord(Claim claim, StoredOutcome outcome, Backoff backoff) {
+        return cleanup.runAfterBackoff(backoff, false, () -> recordOutcome(claim, outcome, backoff));
     }
 
-    /** Returns the number of removals and outcomes that wait for the store. */
+    /** Returns the number of claim removals and outcomes that wait for their next attempt. */
     public int pending() {
         return cleanup.pending();
     }
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimValue.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimValue.java
@@ -9,7 +9,7 @@
 import dev.wigeonward.core.dispatch.ClaimAnswer;
 import dev.wigeonward.core.request.RequestId;
 
-/** The value of a claim in the store, as JSON. */
+/** Value of a claim in the store, encoded as JSON. */
 record ClaimValue(
         String claimId,
         String requestId,
@@ -29,7 +29,7 @@
                 outcome);
     }
 
-    /** Returns the value, or empty for a text that is not a claim. */
+    /** Returns the parsed value, or empty if the text is not a valid claim. */
     static Optional<ClaimValue> parse(String text) {
         try {
             JsonNode node = JSON.readTree(text);
@@ -62,6 +62,7 @@
                         : StoredOutcome.withoutBody(status, contentType));
     }
 
+    /** Returns the value as JSON. */
     String toJson() {
         ObjectNode node = EtcdJson.object()
                 .put("claim_id", claimId)
@@ -78,7 +79,7 @@
         return node.toString();
     }
 
-    /** Returns what this claim, held by another request, means for a request with the given fingerprint. */
+    /** Returns the reply to a request with the given fingerprint for the key that this claim holds. */
     ClaimReply replyTo(String otherFingerprint) {
         if (!fingerprint.equals(otherFingerprint)) {
             return ClaimReply.of(new ClaimAnswer.OtherContent());
--- a/common/src/main/java/dev/wigeonward/common/store/Compare.java
+++ b/common/src/main/java/dev/wigeonward/common/store/Compare.java
@@ -3,12 +3,14 @@
 import java.util.Objects;
 import java.util.Optional;
 
-/** A condition of a transaction; conditions hold for all keys at one revision. */
+/** Condition of a transaction; the service checks all conditions of a transaction at the same revision. */
 public sealed interface Compare {
     /** Returns the key that is compared. */
     String key();
 
-    /** Returns whether the condition holds for the current state of its key, empty for an absent key. */
+    /**
+     * Returns whether the condition holds for the current entry of its key; the entry is empty if the key is absent.
+     */
     boolean holds(Optional<KeyValue> current);
 
     /** Returns the condition that the key does not exist. */
@@ -16,7 +18,7 @@
         return new CreateRevision(key, 0);
     }
 
-    /** The last write to the key has this revision; 0 for an absent key. */
+    /** Condition that the last write to the key has this revision; 0 means that the key is absent. */
     record ModRevision(String key, long revision) implements Compare {
         @Override
         public boolean holds(Optional<KeyValue> current) {
@@ -24,7 +26,7 @@
         }
     }
 
-    /** The key was created by the write of this revision; 0 for an absent key. */
+    /** Condition that the write with this revision created the key; 0 means that the key is absent. */
     record CreateRevision(String key, long revision) implements Compare {
         @Override
         public boolean holds(Optional<KeyValue> current) {
@@ -32,7 +34,7 @@
         }
     }
 
-    /** The key exists with this value. */
+    /** Condition that the key exists and has this value. */
     record Value(String key, String value) implements Compare {
         public Value {
             Objects.requireNonNull(value, "value");
--- a/common/src/main/java/dev/wigeonward/common/store/ControllerListener.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ControllerListener.java
@@ -1,10 +1,10 @@
 package dev.wigeonward.common.store;
 
-/** Learns when this process becomes the controller and when it stops being it; called on the store's thread. */
+/** Listener for acquiring and losing the controller lease; called on the store's thread. */
 public interface ControllerListener {
     /** Called with the fencing number of a newly acquired lease. */
     void acquired(long fencingNumber);
 
-    /** Called when the lease is lost, or can no longer be proved. */
+    /** Called when the lease was lost, or when this process can no longer be sure that it holds the lease. */
     void lost();
 }
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdHttp.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdHttp.java
@@ -20,7 +20,10 @@
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.transport.api.RetryableException;
 
-/** Sends calls to the HTTP/JSON interface of etcd v3 within a budget, and tells sent calls from those not sent. */
+/**
+ * HTTP client for the JSON interface of etcd v3 that enforces the call budgets of this process. Its results distinguish
+ * requests that were never written to a connection from requests that the service may have received.
+ */
 final class EtcdHttp {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int STATUS_OK = 200;
@@ -45,7 +48,7 @@
         this.client = SingleHostClients.create("store", options.address());
     }
 
-    /** Returns the result of a call, on the executor, at the latest after the call timeout. */
+    /** Sends a call and returns its result, completed on the executor after the call timeout at the latest. */
     CompletableFuture<CallResult> call(CallType type, JsonNode body) {
         CompletableFuture<CallResult> result = new CompletableFuture<>();
         if (callsInFlight.incrementAndGet() > options.callsInFlight()) {
@@ -53,7 +56,7 @@
             complete(result, type, new CallResult.OverBudget("calls in flight"));
             return result;
         }
-        if (!takeFromBudget(type)) {
+        if (!tryAcquireCall(type)) {
             callsInFlight.decrementAndGet();
             complete(result, type, new CallResult.OverBudget(type.isWrite() ? "writes/s" : "reads/s"));
             return result;
@@ -64,8 +67,8 @@
                 .timeout(Duration.ofMillis(options.callTimeoutMillis()))
                 .beforeFinally(() -> callsInFlight.decrementAndGet())
                 .subscribe(
-                        response -> complete(result, type, read(response)),
-                        failure -> complete(result, type, classify(failure)));
+                        response -> complete(result, type, toResult(response)),
+                        failure -> complete(result, type, toResult(failure)));
         return result;
     }
 
@@ -77,7 +80,7 @@
         executor.execute(() -> result.complete(value));
     }
 
-    private static CallResult read(HttpResponse response) {
+    private static CallResult toResult(HttpResponse response) {
         String text = response.payloadBody().toString(StandardCharsets.UTF_8);
         try {
             JsonNode body = JSON.readTree(text);
@@ -85,31 +88,31 @@
                 return new CallResult.Answered(body);
             }
             return new CallResult.Refused(
-                    body.path("code").asInt(codeOf(response)),
+                    body.path("code").asInt(defaultCode(response)),
                     body.path("message").asText(response.status().toString()));
         } catch (JsonProcessingException e) {
-            return new CallResult.Refused(codeOf(response), response.status() + " without a JSON body");
+            return new CallResult.Refused(defaultCode(response), response.status() + " without a JSON body");
         }
     }
 
-    /** Returns the code of an answer that names none, for example from a proxy before the service. */
-    private static int codeOf(HttpResponse response) {
+    /** Returns the code for an answer whose body has none, for example from a proxy in front of the service. */
+    private static int defaultCode(HttpResponse response) {
         return response.status().code() == STATUS_TOO_MANY_REQUESTS ? CODE_RESOURCE_EXHAUSTED : NO_CODE;
     }
 
-    /** A retryable exception is ServiceTalk's mark of a request that was not written. */
-    private static CallResult classify(Throwable failure) {
+    /** Returns the result for a failed call. ServiceTalk marks requests that were not written as retryable. */
+    private static CallResult toResult(Throwable failure) {
         return failure instanceof RetryableException
                 ? new CallResult.NotSent(failure.toString())
                 : new CallResult.Unanswered(failure.toString());
     }
 
-    /** Returns whether a call of the type may be made now, and counts it against the budget if so. */
-    boolean takeFromBudget(CallType type) {
-        return (type.isWrite() ? writes : reads).tryTake();
+    /** Returns whether the budget allows a call of the type now, and counts the call if so. */
+    boolean tryAcquireCall(CallType type) {
+        return (type.isWrite() ? writes : reads).tryAcquire();
     }
 
-    /** Returns the messages of a watch; fails when nothing arrives for the idle time. */
+    /** Returns the bytes of a watch's answer; fails if nothing arrives for the idle time. */
     Publisher<Buffer> watch(JsonNode body) {
         metrics.counter(CallType.WATCH.counterName()).inc();
         var streaming = client.asStreamingClient();
@@ -124,6 +127,7 @@
                 .timeout(Duration.ofMillis(options.watchIdleMillis()));
     }
 
+    /** Returns the parsed JSON; throws an unchecked exception if it is malformed. */
     static JsonNode parse(byte[] line) {
         try {
             return JSON.readTree(line);
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdJson.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdJson.java
@@ -14,7 +14,10 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-/** Messages of etcd's HTTP/JSON interface; keys and values are base64, 64-bit numbers are strings. */
+/**
+ * Encoder and decoder for messages of the HTTP/JSON interface of etcd, in which keys and values are base64 and 64-bit
+ * numbers are strings.
+ */
 final class EtcdJson {
     private EtcdJson() {}
 
@@ -30,7 +33,9 @@
         return new String(Base64.getDecoder().decode(node.asText("")), StandardCharsets.UTF_8);
     }
 
-    /** Returns the encoded end of the range of keys with a prefix: the prefix with its last byte increased. */
+    /**
+     * Returns the encoded exclusive end of the range of keys with a prefix: the prefix with its last byte incremented.
+     */
     static String encodedPrefixEnd(String prefix) {
         byte[] end = prefix.getBytes(StandardCharsets.UTF_8);
         end[end.length - 1]++;
@@ -56,7 +61,7 @@
         return entries;
     }
 
-    /** Returns the request of a transaction that reads all compared keys if a condition does not hold. */
+    /** Returns the request for a transaction; if a condition does not hold, the transaction reads all compared keys. */
     static ObjectNode transaction(Transaction transaction) {
         ObjectNode request = object();
         ArrayNode compares = request.putArray("compare");
@@ -95,7 +100,7 @@
         return node;
     }
 
-    /** Returns the current entries that a transaction read because a condition did not hold. */
+    /** Returns the entries that a transaction read because a condition did not hold, by key. */
     static Map<String, KeyValue> failureReads(JsonNode body) {
         Map<String, KeyValue> current = new HashMap<>();
         for (JsonNode response : body.path("responses")) {
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdRevisionStore.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdRevisionStore.java
@@ -20,24 +20,24 @@
 import dev.wigeonward.core.revision.StoredRevision;
 
 /**
- * Operators' revisions at the key-value service. Head names a number and the id of the command that wrote it; the text
- * is in the history, written in the same transaction. The text in both would double the size of each write and pass the
- * 1.5 MiB that etcd accepts.
+ * Store of the operators' revisions in the key-value service. Head holds the number of the newest revision and the id
+ * of the command that wrote it; the history entry, written in the same transaction, holds the text. Storing the text in
+ * both would double the size of each write and exceed the 1.5 MiB that etcd accepts.
  *
- * <p>The methods block and must not be called on the store's thread, except those that return a future.
+ * <p>Methods that return a future do not block. All others block and must not be called on the store's thread.
  */
 public final class EtcdRevisionStore implements RevisionStore {
-    /** The key of head. */
+    /** Key of head. */
     public static final String HEAD_KEY = "/wigeonward/config/head";
 
     private static final System.Logger LOG = System.getLogger(EtcdRevisionStore.class.getName());
     private static final String HISTORY_PREFIX = "/wigeonward/config/history/";
-    /** Head and the text it names. */
+    /** Calls of a read: head, and the history entry that it names. */
     private static final int READ_CALLS = 2;
-    /** Head, the write, the own entry, and head with its text again. */
+    /** Calls of a write: head, the write, the history entry of its number, and head with its history entry again. */
     private static final int WRITE_CALLS = 5;
-    /** Bounds the answers of a page, as texts may have a megabyte. */
-    private static final int CALL_ENTRIES = 4;
+    /** Most history entries read in one call; bounds the size of an answer, as a text may have a megabyte. */
+    private static final int MAX_ENTRIES_PER_CALL = 4;
 
     private final KeyValueStore store;
     private final long callTimeoutMillis;
@@ -48,16 +48,17 @@
     }
 
     /**
-     * Returns revisions in a store.
+     * Returns a revision store over a key-value store.
      *
-     * @param callTimeoutMillis time within which the store answers each call; a method makes several
+     * @param callTimeoutMillis time within which the store answers each call; a method makes several calls
      */
     public static EtcdRevisionStore create(KeyValueStore store, long callTimeoutMillis) {
-        Preconditions.checkArgument(callTimeoutMillis > 0, "call timeout is %s ms", callTimeoutMillis);
+        Preconditions.checkArgument(
+                callTimeoutMillis > 0, "callTimeoutMillis is %s, expected more than 0", callTimeoutMillis);
         return new EtcdRevisionStore(store, callTimeoutMillis);
     }
 
-    /** Returns the key of a history entry; numbers have leading zeros, so that key order is number order. */
+    /** Returns the key of a history entry; numbers have leading zeros, so that keys sort by number. */
     private static String historyKey(long number) {
         return HISTORY_PREFIX + String.format("%012d", number);
     }
@@ -67,21 +68,21 @@
         return await(readHeadAsync(), READ_CALLS, HeadResult.Unavailable::new);
     }
 
-    /** Returns the newest accepted revision, completed on the store's thread. */
+    /** Reads the newest accepted revision; the result is completed on the store's thread. */
     public CompletableFuture<HeadResult> readHeadAsync() {
         return store.get(HEAD_KEY).thenCompose(result -> {
             if (result.value().isEmpty()) {
-                return done(new HeadResult.Unavailable(result.toString()));
+                return completed(new HeadResult.Unavailable(result.toString()));
             }
             Optional<KeyValue> head = result.value().get();
-            return head.isEmpty() ? done(new HeadResult.Empty()) : readText(head.get());
+            return head.isEmpty() ? completed(new HeadResult.Empty()) : readText(head.get());
         });
     }
 
     private CompletableFuture<HeadResult> readText(KeyValue head) {
         Optional<Long> number = RevisionJson.headNumber(head.value());
         if (number.isEmpty()) {
-            return done(malformed(HEAD_KEY));
+            return completed(malformed(HEAD_KEY));
         }
         return readEntry(number.get()).thenApply(result -> {
             if (result.value().isEmpty()) {
@@ -93,8 +94,8 @@
     }
 
     private static HeadResult malformed(String key) {
-        LOG.log(Level.ERROR, "{0} is missing or malformed", key);
-        return new HeadResult.Unavailable(key + " is missing or malformed");
+        LOG.log(Level.ERROR, "key {0} is missing or malformed in the store", key);
+        return new HeadResult.Unavailable("key " + key + " is missing or malformed in the store");
     }
 
     private CompletableFuture<ReadResult<Optional<StoredRevision>>> readEntry(long number) {
@@ -110,17 +111,21 @@
     @Override
     public WriteResult compareAndSwapHead(long expectedNumber, StoredRevision next) {
         long number = next.revision().number();
-        Preconditions.checkArgument(number > expectedNumber, "number %s follows %s", number, expectedNumber);
+        Preconditions.checkArgument(
+                number > expectedNumber,
+                "number is %s, expected more than the expected number of head, %s",
+                number,
+                expectedNumber);
         CompletableFuture<WriteResult> result = store.get(HEAD_KEY).thenCompose(read -> {
             if (read.value().isEmpty()) {
-                return done(new WriteResult.Unavailable(read.toString()));
+                return completed(new WriteResult.Unavailable(read.toString()));
             }
             Optional<KeyValue> head = read.value().get();
             Optional<Long> current =
                     head.isEmpty() ? Optional.of(0L) : head.flatMap(entry -> RevisionJson.headNumber(entry.value()));
             return current.equals(Optional.of(expectedNumber))
                     ? write(head.map(KeyValue::modRevision).orElse(0L), next)
-                    : whoWrote(next, false);
+                    : resolveWrite(next, false);
         });
         return await(result, WRITE_CALLS, WriteResult.Unavailable::new);
     }
@@ -133,17 +138,20 @@
                         new Write.Put(historyKey(next.revision().number()), RevisionJson.entry(next), 0)));
         return store.commit(transaction).thenCompose(result -> {
             if (result instanceof Applied) {
-                return done(new WriteResult.Applied());
+                return completed(new WriteResult.Applied());
             }
             boolean inDoubt = result instanceof OutcomeUnknown;
             return inDoubt || result instanceof CompareFailed
-                    ? whoWrote(next, inDoubt)
-                    : done(new WriteResult.Unavailable(result.toString()));
+                    ? resolveWrite(next, inDoubt)
+                    : completed(new WriteResult.Unavailable(result.toString()));
         });
     }
 
-    /** Finds out whether a write took effect: the entry of its number has the id of the command that wrote it. */
-    private CompletableFuture<WriteResult> whoWrote(StoredRevision next, boolean inDoubt) {
+    /**
+     * Returns the result of a write whose compare failed or whose reply was lost. The write took effect if the history
+     * entry of its number has the id of the command that wrote it.
+     */
+    private CompletableFuture<WriteResult> resolveWrite(StoredRevision next, boolean inDoubt) {
         long number = next.revision().number();
         return readEntry(number).thenCompose(entry -> {
             boolean own = entry.value()
@@ -151,20 +159,23 @@
                     .filter(revision -> revision.applyId().equals(next.applyId()))
                     .isPresent();
             if (own) {
-                return done(new WriteResult.Applied());
+                return completed(new WriteResult.Applied());
             }
             if (entry.value().isEmpty()) {
-                return done(new WriteResult.Unavailable(entry.toString()));
+                return completed(new WriteResult.Unavailable(entry.toString()));
             }
             return readHeadAsync().thenApply(head -> conflict(head, number, inDoubt));
         });
     }
 
-    /** After a write in doubt, a head below its number leaves open whether the write will still take effect. */
+    /**
+     * Returns the result of a write that is not in the history. If the write is in doubt and head is still below its
+     * number, the write may take effect later, so the result is unavailable and not a conflict.
+     */
     private static WriteResult conflict(HeadResult head, long number, boolean inDoubt) {
         if (head instanceof HeadResult.Found found) {
             return inDoubt && found.head().revision().number() < number
-                    ? new WriteResult.Unavailable("no answer to the write of " + number)
+                    ? new WriteResult.Unavailable("no answer to the write of revision " + number)
                     : new WriteResult.Conflict(found.head());
         }
         return head instanceof HeadResult.Empty && !inDoubt
@@ -174,11 +185,11 @@
 
     @Override
     public HistoryResult readHistory(long newestNumber, int maxEntries) {
-        Preconditions.checkArgument(maxEntries > 0, "maxEntries is %s", maxEntries);
+        Preconditions.checkArgument(maxEntries > 0, "maxEntries is %s, expected more than 0", maxEntries);
         return await(
                 store.get(HEAD_KEY).thenCompose(result -> {
                     if (result.value().isEmpty()) {
-                        return done(new HistoryResult.Unavailable(result.toString()));
+                        return completed(new HistoryResult.Unavailable(result.toString()));
                     }
                     long head = result.value()
                             .get()
@@ -187,20 +198,23 @@
                     long newest = Math.min(head, newestNumber);
                     return readPage(Math.max(0, newest - maxEntries), newest, new ArrayList<>());
                 }),
-                READ_CALLS + maxEntries / CALL_ENTRIES,
+                READ_CALLS + maxEntries / MAX_ENTRIES_PER_CALL,
                 HistoryResult.Unavailable::new);
     }
 
-    /** Reads the entries after one number up to another, oldest first, in several calls. */
+    /**
+     * Reads the history entries above {@code after} up to {@code newest} in several calls, oldest first, and returns
+     * them newest first.
+     */
     private CompletableFuture<HistoryResult> readPage(long after, long newest, List<StoredRevision> entries) {
         if (after >= newest) {
             Collections.reverse(entries);
-            return done(new HistoryResult.Page(entries));
+            return completed(new HistoryResult.Page(entries));
         }
-        int limit = (int) Math.min(CALL_ENTRIES, newest - after);
+        int limit = (int) Math.min(MAX_ENTRIES_PER_CALL, newest - after);
         return store.range(HISTORY_PREFIX, historyKey(after), limit).thenCompose(result -> {
             if (result.value().isEmpty()) {
-                return done(new HistoryResult.Unavailable(result.toString()));
+                return completed(new HistoryResult.Unavailable(result.toString()));
             }
             result.value().get().entries().stream()
                     .flatMap(entry -> RevisionJson.parse(entry.value()).stream())
@@ -210,17 +224,20 @@
         });
     }
 
-    private static <T> CompletableFuture<T> done(T value) {
+    private static <T> CompletableFuture<T> completed(T value) {
         return CompletableFuture.completedFuture(value);
     }
 
-    /** Waits one call longer than the calls in sequence, so that a last call in time is not cut off. */
+    /**
+     * Waits for the result of several calls in sequence. The wait is one call timeout longer than the calls may take,
+     * so that a last call that is answered in time is not cut off.
+     */
     private <T> T await(CompletableFuture<T> result, int calls, Function<String, T> unavailable) {
         try {
             return result.get((calls + 1L) * callTimeoutMillis, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return unavailable.apply("interrupted");
+            return unavailable.apply("interrupted while waiting for the store");
         } catch (ExecutionException | TimeoutException e) {
             return unavailable.apply(e.toString());
         }
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdStore.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdStore.java
@@ -14,17 +14,21 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Client of etcd v3 over its HTTP/JSON interface. Calls over the budget are refused at once as rate limited. Counters
- * {@code store.calls.<type>} count the calls sent, {@code store.calls.<type>.<result>} those not answered with success.
+ * Key-value store client for etcd v3 over its HTTP/JSON interface. Calls that exceed the budget fail at once as rate
+ * limited. The metrics {@code store.calls.<type>} count the calls that were sent, and
+ * {@code store.calls.<type>.<result>} those that were not answered with success.
  */
 public final class EtcdStore implements KeyValueStore {
     private static final int CODE_RESOURCE_EXHAUSTED = 8;
     private static final int CODE_UNAVAILABLE = 14;
 
-    /** Codes with which etcd refuses a request before it changes anything, for example invalid or not found. */
+    /** gRPC codes with which etcd refuses a request before it changes anything, for example invalid or not found. */
     private static final List<Integer> CODES_NOT_APPLIED = List.of(3, 5, 6, 7, 9, 11, 12, 16);
 
-    /** The only unavailable answer that proves that the request was not proposed. */
+    /**
+     * Message of the only answer with code unavailable that proves that etcd did not propose the request to its
+     * members.
+     */
     private static final String NO_LEADER = "no leader";
 
     private final EtcdHttp http;
@@ -38,9 +42,9 @@
     }
 
     /**
-     * Returns a client; it connects with its first call.
+     * Returns a client, which connects with its first call.
      *
-     * @param thread the store's thread, which completes all results and stays open when the client is closed
+     * @param thread the store's thread, which completes all results; closing the client does not stop it
      */
     public static EtcdStore connect(
             StoreOptions options,
@@ -60,9 +64,9 @@
 
     @Override
     public CompletableFuture<ReadResult<Page>> range(String prefix, String afterKey, int limit) {
-        Preconditions.checkArgument(!prefix.isEmpty(), "prefix is empty");
-        Preconditions.checkArgument(limit > 0, "limit is %s", limit);
-        // The first key after another one is that key followed by a zero byte.
+        Preconditions.checkArgument(!prefix.isEmpty(), "prefix is empty, expected at least one character");
+        Preconditions.checkArgument(limit > 0, "limit is %s, expected more than 0", limit);
+        // The smallest key after a given key is that key followed by a zero byte.
         String firstKey = afterKey.isEmpty() ? prefix : afterKey + '\0';
         JsonNode request = EtcdJson.object()
                 .put("key", EtcdJson.encode(firstKey))
@@ -86,7 +90,7 @@
             return new ReadResult.Read<>(content.apply(body), EtcdJson.revision(body));
         }
         if (result instanceof CallResult.OverBudget over) {
-            return new ReadResult.RateLimited<>("own budget: " + over.reason());
+            return new ReadResult.RateLimited<>("call budget of this process: " + over.reason());
         }
         if (result instanceof CallResult.Refused refused && refused.code() == CODE_RESOURCE_EXHAUSTED) {
             return new ReadResult.RateLimited<>(refused.message());
@@ -115,7 +119,7 @@
                     : new WriteResult.Applied(EtcdJson.revision(body));
         }
         if (result instanceof CallResult.OverBudget over) {
-            return new WriteResult.RateLimited("own budget: " + over.reason());
+            return new WriteResult.RateLimited("call budget of this process: " + over.reason());
         }
         if (result instanceof CallResult.NotSent notSent) {
             return new WriteResult.Unavailable(notSent.reason());
@@ -139,8 +143,8 @@
 
     @Override
     public CompletableFuture<WriteResult> grantLease(long leaseId, long ttlSeconds) {
-        Preconditions.checkArgument(leaseId > 0, "lease id is %s", leaseId);
-        Preconditions.checkArgument(ttlSeconds > 0, "ttl is %s s", ttlSeconds);
+        Preconditions.checkArgument(leaseId > 0, "leaseId is %s, expected more than 0", leaseId);
+        Preconditions.checkArgument(ttlSeconds > 0, "ttlSeconds is %s, expected more than 0", ttlSeconds);
         JsonNode request = leaseRequest(leaseId).put("TTL", Long.toString(ttlSeconds));
         return write(CallType.LEASE_GRANT, request);
     }
@@ -163,7 +167,7 @@
 
     @Override
     public AutoCloseable watch(String prefix, long fromRevision, WatchListener listener) {
-        Preconditions.checkArgument(!prefix.isEmpty(), "prefix is empty");
+        Preconditions.checkArgument(!prefix.isEmpty(), "prefix is empty, expected at least one character");
         EtcdWatch watch = new EtcdWatch(http, thread, new Backoff(random), prefix, fromRevision, listener);
         watch.start();
         return watch;
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdWatch.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdWatch.java
@@ -12,8 +12,9 @@
 import io.servicetalk.concurrent.Cancellable;
 
 /**
- * A watch that is opened again after the last reported revision whenever it ends. All state belongs to the store's
- * thread; an attempt number tells signals of an earlier connection from those of the current one.
+ * Watch that reconnects whenever its connection ends and continues after the last reported revision. All state is
+ * confined to the store's thread; the attempt number distinguishes the signals of an earlier connection from those of
+ * the current one.
  */
 final class EtcdWatch implements AutoCloseable {
     private static final System.Logger LOG = System.getLogger(EtcdWatch.class.getName());
@@ -53,7 +54,7 @@
         if (closed) {
             return;
         }
-        if (!http.takeFromBudget(CallType.WATCH)) {
+        if (!http.tryAcquireCall(CallType.WATCH)) {
             thread.schedule(this::open, backoff.nextMillis(), TimeUnit.MILLISECONDS);
             return;
         }
@@ -68,11 +69,11 @@
                                 .put("start_revision", Long.toString(nextRevision))
                                 .put("progress_notify", true));
         connection = http.watch(request)
-                .whenOnError(failure -> thread.execute(() -> ended(current, failure.toString())))
-                .whenOnComplete(() -> thread.execute(() -> ended(current, "ended by the service")))
+                .whenOnError(failure -> thread.execute(() -> onConnectionEnded(current, failure.toString())))
+                .whenOnComplete(() -> thread.execute(() -> onConnectionEnded(current, "ended by the service")))
                 .forEach(buffer -> {
                     byte[] bytes = copy(buffer);
-                    thread.execute(() -> received(current, bytes));
+                    thread.execute(() -> onBytes(current, bytes));
                 });
     }
 
@@ -82,8 +83,8 @@
         return bytes;
     }
 
-    private void received(long from, byte[] bytes) {
-        if (closed || from != attempt) {
+    private void onBytes(long ofAttempt, byte[] bytes) {
+        if (closed || ofAttempt != attempt) {
             return;
         }
         for (byte each : bytes) {
@@ -99,13 +100,13 @@
         }
     }
 
-    /** Returns whether the connection goes on. */
+    /** Handles one message of the service and returns whether the connection continues. */
     private boolean handle(byte[] message) {
         JsonNode result;
         try {
             result = EtcdHttp.parse(message).path("result");
         } catch (RuntimeException e) {
-            ended(attempt, "unreadable message: " + e.getMessage());
+            onConnectionEnded(attempt, "malformed message: " + e.getMessage());
             return false;
         }
         long compactRevision = result.path("compact_revision").asLong();
@@ -114,32 +115,37 @@
             listener.compacted(nextRevision);
         }
         if (result.isMissingNode() || result.path("canceled").asBoolean()) {
-            ended(attempt, "cancelled by the service");
+            onConnectionEnded(attempt, "cancelled by the service");
             return false;
         }
         if (!connected) {
             connected = true;
             backoff.reset();
             listener.connected(true);
-            noticeRegression(EtcdJson.revision(result));
+            handleRegression(EtcdJson.revision(result));
         }
-        report(result);
+        reportChanges(result);
         return connected;
     }
 
-    /** A service that was restored from an older state would stay silent until it reaches the revision asked for. */
-    private void noticeRegression(long serviceRevision) {
+    /**
+     * Continues from the service's revision if that is older than the requested one. A service that was restored from
+     * an older state would otherwise report nothing until it reaches the requested revision again.
+     */
+    private void handleRegression(long serviceRevision) {
         if (serviceRevision + 1 < nextRevision) {
             nextRevision = serviceRevision + 1;
             listener.compacted(serviceRevision);
-            ended(attempt, "service is at an older revision");
+            onConnectionEnded(
+                    attempt, "the service is at revision " + serviceRevision + ", older than the last reported one");
         }
     }
 
-    private void report(JsonNode result) {
+    /** Calls the listener with the changes of a message that were not reported before. */
+    private void reportChanges(JsonNode result) {
         List<Change> changes = new ArrayList<>();
         result.path("events").forEach(event -> changes.add(EtcdJson.change(event)));
-        // A service that is restored from an older state may repeat revisions that were reported before.
+        // A service that was restored from an older state may send revisions again that were already reported.
         changes.removeIf(change -> change.entry().modRevision() < nextRevision);
         if (changes.isEmpty()) {
             return;
@@ -149,8 +155,9 @@
         listener.changed(changes, revision);
     }
 
-    private void ended(long from, String reason) {
-        if (closed || from != attempt) {
+    /** Closes the connection of an attempt and schedules the next one; ignores attempts that are over. */
+    private void onConnectionEnded(long ofAttempt, String reason) {
+        if (closed || ofAttempt != attempt) {
             return;
         }
         attempt++;
@@ -159,7 +166,7 @@
             connected = false;
             listener.connected(false);
         }
-        LOG.log(Level.DEBUG, "watch on {0} ended: {1}", prefix, reason);
+        LOG.log(Level.DEBUG, "watch on prefix {0} ended and will be opened again: {1}", prefix, reason);
         thread.schedule(this::open, backoff.nextMillis(), TimeUnit.MILLISECONDS);
     }
 
--- a/common/src/main/java/dev/wigeonward/common/store/GroupCommitter.java
+++ b/common/src/main/java/dev/wigeonward/common/store/GroupCommitter.java
@@ -15,42 +15,50 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Commits writes to single keys in groups, to bound the number of calls. When a group's compare fails, the answer shows
- * which keys failed it; these are answered, and the others are committed again: once as a group, then one by one. All
- * state belongs to the store's thread.
+ * Group commit for conditional writes to single keys, which bounds the number of calls. If a group's transaction fails
+ * because of its conditions, the answer shows which conditions did not hold. Their writes are completed as failed; the
+ * other writes are committed again, first as one group and then one by one. All state is confined to the store's
+ * thread.
  */
 final class GroupCommitter {
-    /** The largest group; etcd accepts 128 operations in a transaction. */
+    /** Most writes in a group; etcd accepts 128 operations in a transaction. */
     static final int GROUP_LIMIT = 64;
 
+    /** Longest time for which a write waits for others to join its group. */
     private static final long LONGEST_WAIT_MILLIS = 2;
-    /** Pause after a group that the budget of calls refused; meanwhile the next group grows. */
+    /** Pause after a group was rate limited; further writes join the next group in the meantime. */
     private static final long REFUSED_PAUSE_MILLIS = 25;
-    /** Refusals after which a write is given up: a second, well under the deadlines of claimed requests. */
+    /** Refusals after which a write fails: with the pauses one second, well below the deadlines of claimed requests. */
     private static final int MAX_REFUSALS = 40;
 
-    /** Bounds a group below the 1.5 MiB that etcd accepts, after base64. */
+    /** Most characters of values in a group, so that its base64 form stays below the 1.5 MiB that etcd accepts. */
     private static final int GROUP_LIMIT_CHARS = 512 * 1024;
 
+    /** Most writes that wait for a group; further ones are refused as rate limited. */
     private static final int WAITING_LIMIT = 4_096;
 
     private final KeyValueStore store;
     private final ScheduledExecutorService thread;
     private final int groupLimit;
-    private final Deque<Item> waiting = new ArrayDeque<>();
+    private final Deque<PendingWrite> waiting = new ArrayDeque<>();
     private boolean flushScheduled;
     private boolean overBudget;
 
     GroupCommitter(KeyValueStore store, ScheduledExecutorService thread, int groupLimit) {
-        Preconditions.checkArgument(groupLimit >= 1 && groupLimit <= GROUP_LIMIT, "group limit is %s", groupLimit);
+        Preconditions.checkArgument(
+                groupLimit >= 1 && groupLimit <= GROUP_LIMIT,
+                "groupLimit is %s, expected 1 to %s",
+                groupLimit,
+                GROUP_LIMIT);
         this.store = store;
         this.thread = thread;
         this.groupLimit = groupLimit;
     }
 
-    private record Item(Compare compare, Write write, CompletableFuture<WriteResult> result, int refusals) {
-        Item refused() {
-            return new Item(compare, write, result, refusals + 1);
+    /** Write that waits for its group, with the number of times that its group was rate limited. */
+    private record PendingWrite(Compare compare, Write write, CompletableFuture<WriteResult> result, int refusals) {
+        PendingWrite withRefusal() {
+            return new PendingWrite(compare, write, result, refusals + 1);
         }
 
         int chars() {
@@ -58,12 +66,18 @@
         }
     }
 
-    /** Returns the result of one write under one condition on the same key; called on the store's thread. */
+    /**
+     * Submits a write under a condition on the same key and returns its result. Must be called on the store's thread.
+     */
     CompletableFuture<WriteResult> submit(Compare compare, Write write) {
-        Preconditions.checkArgument(compare.key().equals(write.key()), "keys differ: %s, %s", compare, write);
-        Item item = new Item(compare, write, new CompletableFuture<>(), 0);
+        Preconditions.checkArgument(
+                compare.key().equals(write.key()),
+                "%s and %s have different keys, expected the same key",
+                compare,
+                write);
+        PendingWrite item = new PendingWrite(compare, write, new CompletableFuture<>(), 0);
         if (waiting.size() >= WAITING_LIMIT) {
-            item.result().complete(new WriteResult.RateLimited("claims waiting"));
+            item.result().complete(new WriteResult.RateLimited(WAITING_LIMIT + " claim writes are waiting"));
             return item.result();
         }
         waiting.add(item);
@@ -89,14 +103,16 @@
         }
     }
 
-    /** Sends one group; a second write to a key waits for the next group, as a transaction writes a key once. */
+    /**
+     * Sends one group. A second write to a key waits for the next group, as a transaction may write a key only once.
+     */
     private void flush() {
-        List<Item> group = new ArrayList<>();
-        List<Item> later = new ArrayList<>();
+        List<PendingWrite> group = new ArrayList<>();
+        List<PendingWrite> later = new ArrayList<>();
         Set<String> keys = new HashSet<>();
         int chars = 0;
         while (!waiting.isEmpty() && group.size() < groupLimit) {
-            Item item = waiting.peek();
+            PendingWrite item = waiting.peek();
             if (!group.isEmpty() && chars + item.chars() > GROUP_LIMIT_CHARS) {
                 break;
             }
@@ -116,38 +132,41 @@
         }
     }
 
-    private void commit(List<Item> group, boolean firstAttempt) {
+    private void commit(List<PendingWrite> group, boolean firstAttempt) {
         Transaction transaction = new Transaction(
-                group.stream().map(Item::compare).toList(),
-                group.stream().map(Item::write).toList());
-        store.commit(transaction).thenAcceptAsync(result -> answer(group, result, firstAttempt), thread);
+                group.stream().map(PendingWrite::compare).toList(),
+                group.stream().map(PendingWrite::write).toList());
+        store.commit(transaction).thenAcceptAsync(result -> handleResult(group, result, firstAttempt), thread);
     }
 
-    /** Nothing was written, so the group is sent again together with what comes meanwhile. */
-    private void waitAndGrow(List<Item> group, WriteResult result) {
+    /**
+     * Puts the writes of a rate-limited group back at the head of the queue, so that they are sent with the next group;
+     * nothing was written. Writes with too many refusals are completed with the result.
+     */
+    private void requeue(List<PendingWrite> group, WriteResult result) {
         for (int i = group.size() - 1; i >= 0; i--) {
-            Item item = group.get(i);
+            PendingWrite item = group.get(i);
             if (item.refusals() >= MAX_REFUSALS) {
                 item.result().complete(result);
             } else {
-                waiting.addFirst(item.refused());
+                waiting.addFirst(item.withRefusal());
             }
         }
         overBudget = true;
         scheduleFlush(REFUSED_PAUSE_MILLIS);
     }
 
-    private void answer(List<Item> group, WriteResult result, boolean firstAttempt) {
+    private void handleResult(List<PendingWrite> group, WriteResult result, boolean firstAttempt) {
         if (result instanceof WriteResult.RateLimited) {
-            waitAndGrow(group, result);
+            requeue(group, result);
             return;
         }
         if (group.size() == 1 || !(result instanceof WriteResult.CompareFailed failed)) {
             group.forEach(item -> item.result().complete(result));
             return;
         }
-        List<Item> others = new ArrayList<>();
-        for (Item item : group) {
+        List<PendingWrite> others = new ArrayList<>();
+        for (PendingWrite item : group) {
             String key = item.write().key();
             Optional<KeyValue> current = Optional.ofNullable(failed.current().get(key));
             if (item.compare().holds(current)) {
--- a/common/src/main/java/dev/wigeonward/common/store/HeadWatch.java
+++ b/common/src/main/java/dev/wigeonward/common/store/HeadWatch.java
@@ -10,8 +10,8 @@
 import dev.wigeonward.core.revision.RevisionStore;
 
 /**
- * Reads head at first and after each change that a watch reports, for the entries that read the store. A failed read is
- * repeated with backoff. All state belongs to the store's thread.
+ * Watch on head for the entries that read the store: reads head once at the start and again after each change that the
+ * underlying watch reports. Failed reads are retried with backoff. All state is confined to the store's thread.
  */
 public final class HeadWatch implements AutoCloseable {
     private static final System.Logger LOG = System.getLogger(HeadWatch.class.getName());
@@ -39,7 +39,9 @@
         this.listener = listener;
     }
 
-    /** Returns a running watch; the listener is called on the store's thread, also with failed reads. */
+    /**
+     * Starts a watch. The listener is called on the store's thread with the result of each read, also of failed ones.
+     */
     public static HeadWatch start(
             KeyValueStore store,
             EtcdRevisionStore revisions,
@@ -51,7 +53,7 @@
         return headWatch;
     }
 
-    /** Starts the watch after the revision of a read, so that no change falls between the two. */
+    /** Opens the watch from the revision after that of a read, so that no change between the two is missed. */
     private void open() {
         if (closed) {
             return;
@@ -115,7 +117,7 @@
             try {
                 watch.close();
             } catch (Exception e) {
-                LOG.log(Level.WARNING, "watch on head not closed", e);
+                LOG.log(Level.WARNING, "closing the watch on head failed", e);
             }
         });
     }
--- a/common/src/main/java/dev/wigeonward/common/store/HourlyLease.java
+++ b/common/src/main/java/dev/wigeonward/common/store/HourlyLease.java
@@ -6,8 +6,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * One lease for all claims of an hour. It lasts an hour longer than a claim is kept, so that a claim made at the end of
- * the hour lives for 24 h. All state belongs to the store's thread.
+ * Lease of the store that all claims of an hour share. Its TTL is one hour longer than claims are kept, so that a claim
+ * written at the end of the hour still lives for 24 h. All state is confined to the store's thread.
  */
 final class HourlyLease {
     static final long TTL_SECONDS = 25 * 3_600;
@@ -27,7 +27,7 @@
         this.random = random;
     }
 
-    /** Returns the id of this hour's lease, or empty when it cannot be granted now. */
+    /** Returns the id of the lease for the current hour, or empty if it cannot be granted now; grants it if needed. */
     CompletableFuture<Optional<Long>> current() {
         long currentHour = clock.millis() / HOUR_MILLIS;
         if (currentHour != hour) {
@@ -46,15 +46,18 @@
                 .thenApply(result -> isGranted(result) ? Optional.of(id) : Optional.empty());
     }
 
-    /** A lease that exists already was granted by an earlier attempt whose reply was lost. */
+    /**
+     * Returns whether the lease exists. A lease that already exists was granted by an earlier call whose reply was
+     * lost.
+     */
     private static boolean isGranted(WriteResult result) {
         return result instanceof WriteResult.Applied
                 || result instanceof WriteResult.NotApplied refused
                         && refused.reason().contains("already exists");
     }
 
-    /** Forgets a lease that the service no longer knows. */
-    void forget() {
+    /** Discards a lease that the service no longer has, so that the next call grants a new one. */
+    void invalidate() {
         hour = -1;
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/store/Page.java
+++ b/common/src/main/java/dev/wigeonward/common/store/Page.java
@@ -3,9 +3,9 @@
 import java.util.List;
 
 /**
- * Part of the keys under a prefix, in order.
+ * Page of the entries under a prefix, in the order of keys.
  *
- * @param more whether further keys follow the last one
+ * @param more whether further entries follow the last one
  */
 public record Page(List<KeyValue> entries, boolean more) {
     public Page {
--- a/common/src/main/java/dev/wigeonward/common/store/ReadResult.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ReadResult.java
@@ -2,14 +2,14 @@
 
 import java.util.Optional;
 
-/** Result of a call that changes nothing. */
+/** Result of a call that does not change the store. */
 public sealed interface ReadResult<T> {
-    /** Returns the value if the service answered. */
+    /** Returns the content that was read, or empty if the read failed. */
     default Optional<T> value() {
         return Optional.empty();
     }
 
-    /** The service answered with the state at a revision. */
+    /** The service answered with its state at a revision. */
     record Read<T>(T content, long revision) implements ReadResult<T> {
         @Override
         public Optional<T> value() {
@@ -17,9 +17,9 @@
         }
     }
 
-    /** The service did not answer in time, or with an error. */
+    /** The service did not answer in time, or answered with an error. */
     record Unavailable<T>(String reason) implements ReadResult<T> {}
 
-    /** The call was over the own budget or the service's limit. */
+    /** The call exceeded the call budget of this process or the rate limit of the service. */
     record RateLimited<T>(String reason) implements ReadResult<T> {}
 }
--- a/common/src/main/java/dev/wigeonward/common/store/RevisionJson.java
+++ b/common/src/main/java/dev/wigeonward/common/store/RevisionJson.java
@@ -8,12 +8,13 @@
 import dev.wigeonward.core.revision.Revision;
 import dev.wigeonward.core.revision.StoredRevision;
 
-/** Values of head and of the history's entries, as JSON. */
+/** JSON encoder and decoder for the values of head and of history entries. */
 final class RevisionJson {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private RevisionJson() {}
 
+    /** Returns the value of head for a revision. */
     static String head(StoredRevision stored) {
         return EtcdJson.object()
                 .put("number", stored.revision().number())
@@ -22,7 +23,7 @@
                 .toString();
     }
 
-    /** Returns the number of a head, or empty for a text that is not one. */
+    /** Returns the revision number in a value of head, or empty if the value is malformed. */
     static Optional<Long> headNumber(String text) {
         try {
             return Optional.of(JSON.readTree(text).path("number").asLong()).filter(number -> number > 0);
@@ -31,6 +32,7 @@
         }
     }
 
+    /** Returns the value of the history entry for a revision. */
     static String entry(StoredRevision stored) {
         Revision revision = stored.revision();
         return EtcdJson.object()
@@ -44,7 +46,7 @@
                 .toString();
     }
 
-    /** Returns a revision, or empty for a text that is not one. */
+    /** Returns the revision in a value of a history entry, or empty if the value is malformed. */
     static Optional<StoredRevision> parse(String text) {
         try {
             JsonNode node = JSON.readTree(text);
--- a/common/src/main/java/dev/wigeonward/common/store/StoreControllerLease.java
+++ b/common/src/main/java/dev/wigeonward/common/store/StoreControllerLease.java
@@ -11,18 +11,21 @@
 import java.util.random.RandomGenerator;
 
 /**
- * The controller lease at the store. The fencing number is the revision that created the controller key. The lease
- * counts as lost when it was not renewed in time by the own clock, a margin before the store may give it to another
- * process.
+ * Controller lease in the key-value store. The fencing number is the revision that created the controller key. The
+ * lease counts as lost if it was not renewed in time by the clock of this process, a margin before the store may grant
+ * it to another process.
  */
 public final class StoreControllerLease implements AutoCloseable {
-    /** The key of the controller. */
+    /** Key that the holder of the lease creates. */
     public static final String KEY = "/wigeonward/controller";
 
-    /** Time for which the store keeps the lease without renewal. */
+    /** Time after the last renewal at which the store expires the lease. */
     public static final long TTL_SECONDS = 10;
 
-    /** Covers clocks of different speed and the time from a check of the lease to the sending of an order. */
+    /**
+     * Time before expiry at the store from which the lease counts as lost. Covers clocks of different speed, and the
+     * time between checking the lease and sending an order.
+     */
     public static final long MARGIN_MILLIS = 2_000;
 
     /** Time between renewals of a held lease. */
@@ -33,9 +36,10 @@
 
     private static final System.Logger LOG = System.getLogger(StoreControllerLease.class.getName());
     private static final long VALID_MILLIS = TTL_SECONDS * 1_000 - MARGIN_MILLIS;
-    /** A lost renewal leaves time for several more before the lease ends. */
+    /** Time between retries of a failed renewal; leaves time for several retries before the lease expires. */
     private static final long RENEWAL_RETRY_MILLIS = 1_000;
 
+    /** Time between checks of whether a renewal, a poll or the end of the lease is due. */
     private static final long CHECK_MILLIS = 100;
 
     private final KeyValueStore store;
@@ -66,7 +70,7 @@
         this.listener = listener;
     }
 
-    /** Returns a lease that is not sought until {@link #setCandidate} allows it. */
+    /** Returns a lease that this process does not try to acquire before {@link #setCandidate} allows it. */
     public static StoreControllerLease create(
             KeyValueStore store,
             Clock clock,
@@ -81,12 +85,18 @@
 
     private record Held(long leaseId, long fencingNumber, long validUntilMillis) {}
 
-    /** Sets whether this process seeks the lease; few processes should, as each candidate reads the key every 5 s. */
+    /**
+     * Sets whether this process tries to acquire the lease. Few processes should, as each candidate reads the key every
+     * 5 s.
+     */
     public void setCandidate(boolean isCandidate) {
         candidate = isCandidate;
     }
 
-    /** Returns the fencing number while the lease is held for sure, from any thread. */
+    /**
+     * Returns the fencing number while this process is sure that it holds the lease, otherwise empty. May be called
+     * from any thread.
+     */
     public OptionalLong fencingNumber() {
         Held current = held;
         return current != null && clock.millis() < current.validUntilMillis()
@@ -97,7 +107,7 @@
     private void check() {
         long nowMillis = clock.millis();
         if (held != null && nowMillis >= held.validUntilMillis()) {
-            lose("not renewed in time");
+            endHolding("not renewed within " + VALID_MILLIS + " ms");
         }
         if (closed || callInFlight || nowMillis < nextCallMillis) {
             return;
@@ -130,7 +140,7 @@
             if (secondsLeft.isEmpty()) {
                 nextCallMillis = clock.millis() + RENEWAL_RETRY_MILLIS;
             } else if (secondsLeft.get() == 0) {
-                lose("expired at the store");
+                endHolding("expired at the store");
             } else {
                 held = new Held(lease.leaseId(), lease.fencingNumber(), sentMillis + VALID_MILLIS);
                 nextCallMillis = sentMillis + RENEWAL_MILLIS;
@@ -138,7 +148,8 @@
         });
     }
 
-    private void lose(String reason) {
+    /** Ends the holding of the lease, revokes it and calls the listener. */
+    private void endHolding(String reason) {
         Held lease = held;
         held = null;
         nextCallMillis = clock.millis() + random.nextLong(POLL_MILLIS);
@@ -160,38 +171,41 @@
                     .put("lease_id", Long.toHexString(leaseId))
                     .toString();
             store.commit(Transaction.of(Compare.absent(KEY), new Write.Put(KEY, value, leaseId)))
-                    .thenAccept(result -> acquired(leaseId, value, validUntilMillis, result));
+                    .thenAccept(result -> handleKeyWrite(leaseId, value, validUntilMillis, result));
         });
     }
 
-    /** The value has the random lease id, by which the own write is recognized when its reply was lost. */
-    private void acquired(long leaseId, String value, long validUntilMillis, WriteResult result) {
+    /**
+     * Handles the result of writing the controller key. The value holds the random lease id, which identifies the write
+     * of this process if its reply was lost.
+     */
+    private void handleKeyWrite(long leaseId, String value, long validUntilMillis, WriteResult result) {
         if (result instanceof WriteResult.Applied applied) {
-            hold(new Held(leaseId, applied.revision(), validUntilMillis));
+            startHolding(new Held(leaseId, applied.revision(), validUntilMillis));
         } else if (result instanceof WriteResult.OutcomeUnknown) {
             store.get(KEY).thenAccept(current -> {
                 Optional<KeyValue> own = current.value().flatMap(entry -> entry).filter(entry -> entry.value()
                         .equals(value));
                 if (own.isPresent()) {
-                    hold(new Held(leaseId, own.get().createRevision(), validUntilMillis));
+                    startHolding(new Held(leaseId, own.get().createRevision(), validUntilMillis));
                 } else {
-                    abandon(leaseId);
+                    revokeUnheld(leaseId);
                 }
             });
         } else {
-            abandon(leaseId);
+            revokeUnheld(leaseId);
         }
     }
 
-    /** Ending the lease also makes a late write of the key fail. */
-    private void abandon(long leaseId) {
+    /** Revokes a lease that was not acquired, which also makes a late write of the key fail. */
+    private void revokeUnheld(long leaseId) {
         callInFlight = false;
         store.revokeLease(leaseId);
     }
 
-    private void hold(Held lease) {
+    private void startHolding(Held lease) {
         if (closed || clock.millis() >= lease.validUntilMillis()) {
-            abandon(lease.leaseId());
+            revokeUnheld(lease.leaseId());
             return;
         }
         callInFlight = false;
@@ -201,14 +215,14 @@
         listener.acquired(lease.fencingNumber());
     }
 
-    /** Gives the lease back, so that another process need not wait for its end. */
+    /** Revokes the lease if it is held, so that another process can acquire it without waiting for its expiry. */
     @Override
     public void close() {
         thread.execute(() -> {
             closed = true;
             checks.cancel(false);
             if (held != null) {
-                lose("closed");
+                endHolding("closed");
             }
         });
     }
--- a/common/src/main/java/dev/wigeonward/common/store/StoreOptions.java
+++ b/common/src/main/java/dev/wigeonward/common/store/StoreOptions.java
@@ -10,11 +10,11 @@
 import dev.wigeonward.common.settings.Settings;
 
 /**
- * How a process uses the key-value service.
+ * Options for the use of the key-value service by a process.
  *
- * @param watchIdleMillis a watch without any message for so long is opened again, since a silent connection looks the
- *     same as a quiet store
- * @param callsInFlight bound on calls without an answer yet; watches are not counted
+ * @param watchIdleMillis time without any message after which a watch is opened again, as a broken connection cannot be
+ *     told from a store without changes
+ * @param callsInFlight most calls that may be unanswered at the same time; watches are not counted
  */
 public record StoreOptions(
         InetSocketAddress address,
@@ -23,7 +23,7 @@
         int callsInFlight,
         double readsPerSecond,
         double writesPerSecond) {
-    /** The settings section of the store. */
+    /** Name of the settings section of the store. */
     public static final String SECTION = "store";
 
     /** Numeric address of the key-value service. */
@@ -31,7 +31,7 @@
                     SECTION, "address", "address of the key-value service")
             .optional();
 
-    /** Time until a call counts as unanswered. */
+    /** Time after which a call counts as unanswered. */
     public static final SettingKey<Long> CALL_TIMEOUT = SettingKey.whole(
                     SECTION, "call_timeout_millis", 10, 60_000, "time until a call counts as unanswered")
             .withDefault(500L);
@@ -41,12 +41,12 @@
                     SECTION, "watch_idle_millis", 100, 600_000, "time after which a silent watch is opened again")
             .withDefault(4_000L);
 
-    /** Bound on unanswered calls. */
+    /** Most calls that may be unanswered at the same time. */
     public static final SettingKey<Long> CALLS_IN_FLIGHT = SettingKey.whole(
                     SECTION, "calls_in_flight_count", 1, 1_000, "most calls without an answer; more are refused")
             .withDefault(16L);
 
-    /** Budget of reads, watches included. */
+    /** Budget of reads, including watches. */
     public static final SettingKey<Double> READS = SettingKey.decimal(
                     SECTION, "reads_per_second", 0.01, 100_000, "budget of reads; more are refused")
             .withDefault(20.0);
@@ -58,19 +58,22 @@
 
     public StoreOptions {
         Objects.requireNonNull(address, "address");
-        Preconditions.checkArgument(callTimeoutMillis > 0, "call timeout is %s ms", callTimeoutMillis);
-        Preconditions.checkArgument(watchIdleMillis > 0, "watch idle time is %s ms", watchIdleMillis);
-        Preconditions.checkArgument(callsInFlight > 0, "calls in flight are %s", callsInFlight);
-        Preconditions.checkArgument(readsPerSecond > 0, "reads per second are %s", readsPerSecond);
-        Preconditions.checkArgument(writesPerSecond > 0, "writes per second are %s", writesPerSecond);
+        Preconditions.checkArgument(
+                callTimeoutMillis > 0, "callTimeoutMillis is %s, expected more than 0", callTimeoutMillis);
+        Preconditions.checkArgument(
+                watchIdleMillis > 0, "watchIdleMillis is %s, expected more than 0", watchIdleMillis);
+        Preconditions.checkArgument(callsInFlight > 0, "callsInFlight is %s, expected more than 0", callsInFlight);
+        Preconditions.checkArgument(readsPerSecond > 0, "readsPerSecond is %s, expected more than 0", readsPerSecond);
+        Preconditions.checkArgument(
+                writesPerSecond > 0, "writesPerSecond is %s, expected more than 0", writesPerSecond);
     }
 
-    /** Returns the keys of the section, for the declaration of a process. */
+    /** Returns the keys of the section, for the settings declaration of a process that can run without the service. */
     public static List<SettingKey<?>> keys() {
         return List.of(ADDRESS, CALL_TIMEOUT, WATCH_IDLE, CALLS_IN_FLIGHT, READS, WRITES);
     }
 
-    /** Returns the options of a service with all defaults. */
+    /** Returns the default options for a service at an address. */
     public static StoreOptions defaults(InetSocketAddress address) {
         return new StoreOptions(
                 address,
@@ -81,12 +84,12 @@
                 WRITES.defaultValue().orElseThrow());
     }
 
-    /** Returns the keys of the section, for a process that cannot do without the service. */
+    /** Returns the keys of the section with a mandatory address, for a process that requires the service. */
     public static List<SettingKey<?>> mandatoryKeys() {
         return List.of(ADDRESS.mandatory(), CALL_TIMEOUT, WATCH_IDLE, CALLS_IN_FLIGHT, READS, WRITES);
     }
 
-    /** Returns the options that a settings file gives, or empty without an address. */
+    /** Returns the options in a settings file, or empty if the file has no address of the service. */
     public static Optional<StoreOptions> from(Settings settings) {
         return settings.find(ADDRESS)
                 .or(() -> settings.find(ADDRESS.mandatory()))
--- a/common/src/main/java/dev/wigeonward/common/store/StoredOutcome.java
+++ b/common/src/main/java/dev/wigeonward/common/store/StoredOutcome.java
@@ -4,9 +4,9 @@
 import java.util.Objects;
 import java.util.Optional;
 
-/** The answer of a completed request, kept for resends with the same key. */
+/** Answer to a completed request, stored for resends with the same idempotency key. */
 public final class StoredOutcome {
-    /** Bodies longer than this are not kept; a resend then learns only that the request was answered. */
+    /** Longest body that is stored; for a longer one, a resend is told only that the request was answered. */
     public static final int BODY_LIMIT_BYTES = 16 * 1024;
 
     private final int status;
@@ -19,12 +19,12 @@
         this.body = body;
     }
 
-    /** Returns the outcome of an answer; a body over the limit is left out. */
+    /** Returns the outcome for an answer, without the body if that exceeds the limit. */
     public static StoredOutcome of(int status, String contentType, byte[] body) {
         return new StoredOutcome(status, contentType, body.length > BODY_LIMIT_BYTES ? null : body.clone());
     }
 
-    /** Returns the outcome of an answer whose body is not kept. */
+    /** Returns the outcome for an answer whose body is not stored. */
     public static StoredOutcome withoutBody(int status, String contentType) {
         return new StoredOutcome(status, contentType, null);
     }
@@ -39,7 +39,7 @@
         return contentType;
     }
 
-    /** Returns the body, or empty if it was too long to keep. */
+    /** Returns the body, or empty if it was not stored. */
     public Optional<byte[]> body() {
         return Optional.ofNullable(body).map(byte[]::clone);
     }
--- a/common/src/main/java/dev/wigeonward/common/store/Transaction.java
+++ b/common/src/main/java/dev/wigeonward/common/store/Transaction.java
@@ -4,17 +4,20 @@
 
 import com.google.common.base.Preconditions;
 
-/** Writes that take effect together if all conditions hold, and not at all otherwise. */
+/**
+ * Transaction of the key-value service: if all conditions hold, all writes take effect together, otherwise none does.
+ */
 public record Transaction(List<Compare> compares, List<Write> writes) {
     public Transaction {
         compares = List.copyOf(compares);
         writes = List.copyOf(writes);
-        Preconditions.checkArgument(!writes.isEmpty(), "transaction without a write");
+        Preconditions.checkArgument(!writes.isEmpty(), "transaction has no write, expected at least one");
         Preconditions.checkArgument(
-                writes.stream().map(Write::key).distinct().count() == writes.size(), "a key is written twice");
+                writes.stream().map(Write::key).distinct().count() == writes.size(),
+                "transaction writes a key twice, expected distinct keys");
     }
 
-    /** Returns a transaction of one condition and one write. */
+    /** Returns a transaction with one condition and one write. */
     public static Transaction of(Compare compare, Write write) {
         return new Transaction(List.of(compare), List.of(write));
     }
--- a/common/src/main/java/dev/wigeonward/common/store/WatchListener.java
+++ b/common/src/main/java/dev/wigeonward/common/store/WatchListener.java
@@ -2,17 +2,17 @@
 
 import java.util.List;
 
-/** Receives what a watch reports, in order of revisions, on the store's thread. */
+/** Listener for the reports of a watch; called on the store's thread in the order of revisions. */
 public interface WatchListener {
-    /** Called with changes up to a revision; a change is reported once. */
+    /** Called with the changes up to a revision. Each change is reported once. */
     void changed(List<Change> changes, long revision);
 
     /**
-     * Called when changes were lost, because the service no longer has them or was restored from an older state; the
-     * watch goes on from the given revision. The listener reads the keys again.
+     * Called when changes were missed, because the service no longer has them or was restored from an older state. The
+     * watch continues from the given revision; the listener must read the keys again.
      */
     void compacted(long revision);
 
-    /** Called when the watch is connected or cut. */
+    /** Called when the watch connects or loses its connection. */
     default void connected(boolean isConnected) {}
 }
--- a/common/src/main/java/dev/wigeonward/common/store/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/store/package-info.java
@@ -1,2 +1,4 @@
-/** The key-value service: port, etcd v3 client, durable claims and the controller lease. */
+/**
+ * Interface of the key-value service, its etcd v3 client, durable claims, operators' revisions and controller lease.
+ */
 package dev.wigeonward.common.store;
