--- a/common/src/main/java/dev/wigeonward/common/clock/MonotonicClock.java
+++ b/common/src/main/java/dev/wigeonward/common/clock/MonotonicClock.java
@@ -8,8 +8,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * The process clock: set from the wall clock once, then advanced by the monotonic timer. A correction of the machine's
- * wall clock can therefore neither extend a lease nor expire one early.
+ * Clock that reads the wall clock once at its start and then advances with the monotonic timer. A correction of the
+ * machine's wall clock can therefore neither extend a lease nor expire it early.
  */
 public final class MonotonicClock extends Clock {
     private final Instant start;
@@ -24,7 +24,7 @@
         this.zone = zone;
     }
 
-    /** Returns a clock that shows the wall clock's time now and the monotonic timer's progress from now on. */
+    /** Returns a clock that starts at the current time of the wall clock and advances with the monotonic timer. */
     public static MonotonicClock start() {
         return start(Clock.systemUTC(), System::nanoTime);
     }
@@ -33,7 +33,7 @@
         return new MonotonicClock(wallClock.instant(), nanoTimer.getAsLong(), nanoTimer, ZoneOffset.UTC);
     }
 
-    /** Returns nanoseconds since the start of this clock, for measuring short durations. */
+    /** Returns the nanoseconds since the start of this clock, for measuring short durations. */
     public long elapsedNanos() {
         return nanoTimer.getAsLong() - startNanos;
     }
--- a/common/src/main/java/dev/wigeonward/common/clock/PausedClock.java
+++ b/common/src/main/java/dev/wigeonward/common/clock/PausedClock.java
@@ -10,7 +10,7 @@
 
 import com.google.common.base.Preconditions;
 
-/** A clock that stands still until it is advanced; used by tests and stand-ins, safe for several threads. */
+/** Clock that changes only when it is advanced, for tests and stand-ins. Thread-safe. */
 public final class PausedClock extends Clock {
     private final AtomicReference<Instant> now;
     private final ZoneId zone;
@@ -20,18 +20,18 @@
         this.zone = zone;
     }
 
-    /** Returns a clock that shows the given time in milliseconds since 1970. */
+    /** Returns a clock at the given time in milliseconds since the epoch. */
     public static PausedClock at(long epochMillis) {
         return new PausedClock(new AtomicReference<>(Instant.ofEpochMilli(epochMillis)), ZoneOffset.UTC);
     }
 
-    /** Moves this clock, and those made from it by {@link #withZone}, forward. */
+    /** Advances this clock and those derived from it by {@link #withZone}. */
     public void advance(Duration step) {
-        Preconditions.checkArgument(!step.isNegative(), "step is %s", step);
+        Preconditions.checkArgument(!step.isNegative(), "step is %s, expected 0 or more", step);
         now.updateAndGet(instant -> instant.plus(step));
     }
 
-    /** Moves this clock forward by milliseconds. */
+    /** Advances this clock by milliseconds, as {@link #advance} does. */
     public void advanceMillis(long stepMillis) {
         advance(Duration.ofMillis(stepMillis));
     }
--- a/common/src/main/java/dev/wigeonward/common/clock/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/clock/package-info.java
@@ -1,2 +1,2 @@
-/** The process clock and a clock that tests advance by hand. */
+/** Monotonic clock for processes, and a manually advanced clock for tests. */
 package dev.wigeonward.common.clock;
--- a/common/src/main/java/dev/wigeonward/common/command/CommandLines.java
+++ b/common/src/main/java/dev/wigeonward/common/command/CommandLines.java
@@ -7,15 +7,15 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 
-/** Reads command lines the same way for all commands. */
+/** Parser of command lines that all commands share. */
 public final class CommandLines {
-    /** Exit code of a command that did what it was asked for. */
+    /** Exit code of a command that succeeded. */
     public static final int EXIT_OK = 0;
 
     /** Exit code of a command that failed. */
     public static final int EXIT_FAILED = 1;
 
-    /** Exit code of a command that was used wrongly. */
+    /** Exit code of a command with invalid arguments. */
     public static final int EXIT_USAGE = 2;
 
     private static final String HELP = "--help";
@@ -23,10 +23,10 @@
     private CommandLines() {}
 
     /**
-     * Returns empty if the options were read and the command may run, otherwise the exit code: the usage was printed,
-     * on request or because the arguments are wrong.
+     * Parses the arguments into the options of a command. Returns empty if the command can run; otherwise prints the
+     * usage, on request or because the arguments are invalid, and returns the exit code.
      *
-     * @param command object with the annotated options
+     * @param command object whose annotated fields receive the options
      */
     public static OptionalInt read(Object command, String[] arguments, PrintStream out, PrintStream err) {
         CmdLineParser parser = new CmdLineParser(command);
--- a/common/src/main/java/dev/wigeonward/common/command/DumpCommand.java
+++ b/common/src/main/java/dev/wigeonward/common/command/DumpCommand.java
@@ -8,7 +8,7 @@
 import dev.wigeonward.common.http.Json;
 import org.kohsuke.args4j.Option;
 
-/** Prints the state of one process, for the command lines of both binaries. */
+/** Command of both binaries that prints an admin page of one process. */
 public final class DumpCommand {
 
     @Option(name = "--address", metaVar = "HOST:PORT", required = true, usage = "admin address of the process")
@@ -19,7 +19,7 @@
 
     private DumpCommand() {}
 
-    /** Prints the page and returns the exit code: 0 done, 1 the process does not answer, 2 wrong usage. */
+    /** Prints the page and returns the exit code: 0 on success, 1 if the page cannot be read, 2 for wrong usage. */
     public static int run(String[] arguments, PrintStream out, PrintStream err) {
         DumpCommand command = new DumpCommand();
         OptionalInt exitCode = CommandLines.read(command, arguments, out, err);
--- a/common/src/main/java/dev/wigeonward/common/command/FollowCommand.java
+++ b/common/src/main/java/dev/wigeonward/common/command/FollowCommand.java
@@ -21,12 +21,13 @@
 import org.kohsuke.args4j.Option;
 
 /**
- * Follows one request through the logs of several processes: prints the lines that name it, and what the processes said
- * of their surroundings while it was with them, in order of time.
+ * Command that traces one request through the logs of several processes. It prints, in order of time, the lines that
+ * contain the request's identifier, and the lines about other things than requests that the same processes logged
+ * during the request and shortly before and after it.
  */
 public final class FollowCommand {
     private static final Pattern TOTAL = Pattern.compile("\\btotal_ms=(\\d+)");
-    /** The line with which a process states its name. */
+    /** Log line in which a process reports its name. */
     private static final Pattern NAME = Pattern.compile("^listening id=(\\S+)");
 
     private static final String REQUEST = "request ";
@@ -48,13 +49,17 @@
 
     private record Line(String process, long atMillis, String message) {}
 
+    /** Time in which a process handled the request, extended by the time around it that is shown. */
     private record Span(String process, long fromMillis, long toMillis) {
-        private boolean holds(Line line) {
+        private boolean contains(Line line) {
             return line.process().equals(process) && line.atMillis() >= fromMillis && line.atMillis() <= toMillis;
         }
     }
 
-    /** Prints what the logs tell and returns the exit code: 0 if they name the request, 1 if not, 2 on wrong usage. */
+    /**
+     * Prints the lines of the request and returns the exit code: 0 if the logs contain its identifier, 1 if they do not
+     * or cannot be read, 2 for wrong usage.
+     */
     public static int run(String[] arguments, PrintStream out, PrintStream err) {
         FollowCommand command = new FollowCommand();
         OptionalInt exitCode = CommandLines.read(command, arguments, out, err);
@@ -64,42 +69,43 @@
         try {
             return command.follow(out, err);
         } catch (IOException e) {
-            err.println("cannot read the logs: " + e);
+            err.println("reading the logs failed: " + e);
             return CommandLines.EXIT_FAILED;
         }
     }
 
     private int follow(PrintStream out, PrintStream err) throws IOException {
         List<Line> lines = new ArrayList<>();
-        int unreadable = 0;
+        int unparsed = 0;
         for (Path file : files) {
-            unreadable += read(file, lines);
+            unparsed += read(file, lines);
         }
-        if (unreadable > 0) {
-            err.println(unreadable + " lines are not log lines and were passed over");
+        if (unparsed > 0) {
+            err.println(unparsed + " lines are not log lines and were skipped");
         }
-        Pattern named = Pattern.compile("(^|[ =/])" + Pattern.quote(id) + "($|[ ,/])");
+        Pattern idPattern = Pattern.compile("(^|[ =/])" + Pattern.quote(id) + "($|[ ,/])");
         List<Span> spans = new ArrayList<>();
         for (Line line : lines) {
-            if (named.matcher(line.message()).find()) {
+            if (idPattern.matcher(line.message()).find()) {
                 long startMillis = line.atMillis() - totalMillis(line).orElse(0);
                 spans.add(new Span(line.process(), startMillis - aroundMillis, line.atMillis() + aroundMillis));
             }
         }
         if (spans.isEmpty()) {
-            err.println("no line names " + id);
+            err.println("no log line contains the identifier " + id);
             return CommandLines.EXIT_FAILED;
         }
         long zeroMillis = spans.stream().mapToLong(Span::fromMillis).min().orElseThrow() + aroundMillis;
         lines.stream()
-                .filter(line -> named.matcher(line.message()).find() || tellsOfSurroundings(line, spans))
+                .filter(line -> idPattern.matcher(line.message()).find() || isContext(line, spans))
                 .sorted(Comparator.comparingLong(Line::atMillis))
                 .forEach(line -> out.println(text(line, zeroMillis)));
         return CommandLines.EXIT_OK;
     }
 
-    private static boolean tellsOfSurroundings(Line line, List<Span> spans) {
-        return !line.message().startsWith(REQUEST) && spans.stream().anyMatch(span -> span.holds(line));
+    /** Returns whether a line is not about a request and falls into a span of its process. */
+    private static boolean isContext(Line line, List<Span> spans) {
+        return !line.message().startsWith(REQUEST) && spans.stream().anyMatch(span -> span.contains(line));
     }
 
     private static String text(Line line, long zeroMillis) {
@@ -117,30 +123,33 @@
         return matcher.find() ? OptionalLong.of(Long.parseLong(matcher.group(1))) : OptionalLong.empty();
     }
 
-    /** Adds the lines of a file; returns how many could not be read. */
+    /** Adds the log lines of a file to the list and returns the number of lines that could not be parsed. */
     private static int read(Path file, List<Line> lines) throws IOException {
-        int unreadable = 0;
+        int unparsed = 0;
         String name = file.getFileName().toString();
-        List<Line> own = new ArrayList<>();
+        List<Line> linesOfFile = new ArrayList<>();
         try (BufferedReader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
             for (String text = reader.readLine(); text != null; text = reader.readLine()) {
                 Optional<Line> line = parse(text, name);
-                unreadable += line.isEmpty() && !text.isBlank() ? 1 : 0;
-                line.ifPresent(own::add);
+                unparsed += line.isEmpty() && !text.isBlank() ? 1 : 0;
+                line.ifPresent(linesOfFile::add);
             }
         }
-        String stated = own.stream()
+        String reportedName = linesOfFile.stream()
                 .map(line -> NAME.matcher(line.message()))
                 .filter(Matcher::find)
                 .map(matcher -> matcher.group(1))
                 .findFirst()
                 .orElse(name);
-        own.forEach(line ->
-                lines.add(line.process().equals(name) ? new Line(stated, line.atMillis(), line.message()) : line));
-        return unreadable;
+        linesOfFile.forEach(line -> lines.add(
+                line.process().equals(name) ? new Line(reportedName, line.atMillis(), line.message()) : line));
+        return unparsed;
     }
 
-    /** A log collector may write time and process before the line; the last word before it names the process. */
+    /**
+     * Returns the parsed line, or empty if it is not a log line. A log collector may have written a time and the name
+     * of the process before the JSON object; the last word before the object is then the name.
+     */
     private static Optional<Line> parse(String text, String fileName) {
         int brace = text.indexOf('{');
         if (brace < 0) {
--- a/common/src/main/java/dev/wigeonward/common/command/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/command/package-info.java
@@ -1,2 +1,2 @@
-/** What the command lines of both binaries share. */
+/** Command-line parsing, and commands that both binaries share. */
 package dev.wigeonward.common.command;
--- a/common/src/main/java/dev/wigeonward/common/http/AdminClient.java
+++ b/common/src/main/java/dev/wigeonward/common/http/AdminClient.java
@@ -10,23 +10,23 @@
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.http.netty.HttpClients;
 
-/** Reads the admin pages of processes. */
+/** Client for the admin pages of processes. */
 public final class AdminClient {
     private static final int STATUS_NOT_FOUND = 404;
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
     private AdminClient() {}
 
-    /** Returns the page of a process, or why it could not be read. */
+    /** Reads an admin page of a process and returns its content, or the reason why it could not be read. */
     public static Result get(String address, String path) {
         HostAndPort target;
         try {
             target = HostAndPort.fromString(address);
         } catch (IllegalArgumentException e) {
-            return new Result.Unreadable("'" + address + "' is not HOST:PORT");
+            return new Result.Unreadable("address '" + address + "' is invalid, expected HOST:PORT");
         }
         if (!target.hasPort()) {
-            return new Result.Unreadable("'" + address + "' has no port");
+            return new Result.Unreadable("address '" + address + "' has no port, expected HOST:PORT");
         }
         HttpClient client =
                 HttpClients.forSingleAddress(target.getHost(), target.getPort()).build();
@@ -34,30 +34,30 @@
             HttpResponse response =
                     client.request(client.get(path)).timeout(TIMEOUT).toFuture().get();
             if (response.status().code() == STATUS_NOT_FOUND) {
-                return new Result.Unreadable(address + " has no page " + path);
+                return new Result.Unreadable("process at " + address + " has no page " + path);
             }
             Buffer body = response.payloadBody();
             byte[] bytes = new byte[body.readableBytes()];
             body.readBytes(bytes);
             return Json.read(bytes)
                     .<Result>map(Result.Page::new)
-                    .orElseGet(() -> new Result.Unreadable(address + " does not answer with JSON"));
+                    .orElseGet(() -> new Result.Unreadable("process at " + address + " did not answer with JSON"));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return new Result.Unreadable("interrupted while waiting for " + address);
+            return new Result.Unreadable("interrupted while waiting for the process at " + address);
         } catch (ExecutionException e) {
-            return new Result.Unreadable(address + " does not answer: " + e.getCause());
+            return new Result.Unreadable("process at " + address + " did not answer: " + e.getCause());
         } finally {
             client.closeAsync().subscribe();
         }
     }
 
-    /** Outcome of reading a page. */
+    /** Result of reading a page. */
     public sealed interface Result {
-        /** The page. */
+        /** The page was read. */
         record Page(JsonNode content) implements Result {}
 
-        /** Why there is no page. */
+        /** The page could not be read. */
         record Unreadable(String reason) implements Result {}
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/http/AdminServer.java
+++ b/common/src/main/java/dev/wigeonward/common/http/AdminServer.java
@@ -14,7 +14,10 @@
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.netty.HttpServers;
 
-/** Serves the state of a process to operators as JSON; each path has a supplier that answers in its own time. */
+/**
+ * HTTP server that serves the state of a process to operators as JSON. Each path has a supplier whose stage completes
+ * with the content of the page.
+ */
 public final class AdminServer implements AutoCloseable {
     private static final Logger LOG = System.getLogger(AdminServer.class.getName());
 
@@ -24,7 +27,7 @@
         this.server = server;
     }
 
-    /** Starts the server. */
+    /** Starts a server; a request for an unknown path is answered with the list of known paths. */
     public static AdminServer start(InetSocketAddress address, Map<String, Supplier<CompletionStage<?>>> pages)
             throws Exception {
         Map<String, Supplier<CompletionStage<?>>> known = new TreeMap<>(pages);
@@ -51,11 +54,11 @@
                                         .wrap(Json.writePretty(value)));
                     });
                 });
-        LOG.log(Level.INFO, "admin pages on {0}", context.listenAddress());
+        LOG.log(Level.INFO, "serving admin pages on {0}", context.listenAddress());
         return new AdminServer(context);
     }
 
-    /** Returns the address listened on. */
+    /** Returns the address that the server listens on. */
     public InetSocketAddress address() {
         return (InetSocketAddress) server.listenAddress();
     }
@@ -65,6 +68,6 @@
         server.closeAsync().subscribe();
     }
 
-    /** An answer that makes a health check fail. */
+    /** Content of a page that is answered with status 503, so that a health check fails. */
     public record Unhealthy(String reason) {}
 }
--- a/common/src/main/java/dev/wigeonward/common/http/BodyCollector.java
+++ b/common/src/main/java/dev/wigeonward/common/http/BodyCollector.java
@@ -7,18 +7,18 @@
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.StreamingHttpRequest;
 
-/** Collects a body up to a limit; what exceeds it is counted and dropped. */
+/** Collector of a request body up to a limit. Buffers beyond the limit are counted and dropped. */
 public final class BodyCollector {
     private final int limitBytes;
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     private long totalBytes;
 
     private BodyCollector(int limitBytes) {
-        Preconditions.checkArgument(limitBytes >= 0, "limitBytes is %s", limitBytes);
+        Preconditions.checkArgument(limitBytes >= 0, "limitBytes is %s, expected 0 or more", limitBytes);
         this.limitBytes = limitBytes;
     }
 
-    /** Returns the collected body of a request once all of it arrived. */
+    /** Collects the body of a request and completes when all of it has arrived. */
     public static Single<BodyCollector> collect(StreamingHttpRequest request, int limitBytes) {
         return request.payloadBody().collect(() -> new BodyCollector(limitBytes), BodyCollector::add);
     }
@@ -34,12 +34,12 @@
         return this;
     }
 
-    /** Returns whether the body was longer than the limit. */
+    /** Returns whether the body exceeded the limit. */
     public boolean exceeded() {
         return totalBytes > limitBytes;
     }
 
-    /** Returns the body. */
+    /** Returns the collected bytes: the whole body unless it exceeded the limit. */
     public byte[] toByteArray() {
         return bytes.toByteArray();
     }
--- a/common/src/main/java/dev/wigeonward/common/http/Json.java
+++ b/common/src/main/java/dev/wigeonward/common/http/Json.java
@@ -10,9 +10,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectWriter;
 
-/** The JSON reader and writer of a process. */
+/** JSON reader and writer with a mapper that all code of a process shares. */
 public final class Json {
-    /** Media type of JSON answers. */
+    /** Media type of JSON. */
     public static final String MEDIA_TYPE = "application/json";
 
     private static final ObjectMapper MAPPER = new ObjectMapper().findAndRegisterModules();
@@ -43,7 +43,7 @@
         }
     }
 
-    /** Returns the parsed bytes, or empty if they are not one JSON value. */
+    /** Returns the parsed bytes, or empty if they are not a JSON value. */
     public static Optional<JsonNode> read(byte[] bytes) {
         try {
             JsonNode node = MAPPER.readTree(bytes);
--- a/common/src/main/java/dev/wigeonward/common/http/SingleHostBalancing.java
+++ b/common/src/main/java/dev/wigeonward/common/http/SingleHostBalancing.java
@@ -14,8 +14,8 @@
 import io.servicetalk.loadbalancer.OutlierDetectorConfigs;
 
 /**
- * Connection pool of a single address. The default would stop trying the address after five failed connections and
- * check it every five seconds, which delays the first call after an outage.
+ * Load balancer factory for a single address, without outlier detection. The default stops using the address after five
+ * failed connections and checks it every five seconds, which delays the first call after an outage.
  */
 final class SingleHostBalancing implements HttpLoadBalancerFactory<InetSocketAddress> {
     private final LoadBalancerFactory<InetSocketAddress, FilterableStreamingHttpLoadBalancedConnection> delegate;
@@ -27,7 +27,7 @@
     }
 
     @Override
-    @SuppressWarnings("deprecation") // abstract in the interface, although its replacement is the method below
+    @SuppressWarnings("deprecation") // abstract in the interface, although the method below replaces it
     public <T extends FilterableStreamingHttpLoadBalancedConnection> LoadBalancer<T> newLoadBalancer(
             String targetResource,
             Publisher<? extends Collection<? extends ServiceDiscovererEvent<InetSocketAddress>>> events,
--- a/common/src/main/java/dev/wigeonward/common/http/SingleHostClients.java
+++ b/common/src/main/java/dev/wigeonward/common/http/SingleHostClients.java
@@ -8,11 +8,11 @@
 import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
 import io.servicetalk.transport.api.HostAndPort;
 
-/** Makes HTTP clients of services with one numeric address. */
+/** Factory of HTTP clients for services with one numeric address. */
 public final class SingleHostClients {
     private SingleHostClients() {}
 
-    /** Returns a client that sends each request at most once; callbacks run on its I/O threads and must not block. */
+    /** Returns a client that never retries a request. Its callbacks run on I/O threads and must not block. */
     public static HttpClient create(String name, InetSocketAddress address) {
         HostAndPort peer = HostAndPort.of(address.getAddress().getHostAddress(), address.getPort());
         return HttpClients.forResolvedAddress(peer)
--- a/common/src/main/java/dev/wigeonward/common/http/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/http/package-info.java
@@ -1,2 +1,2 @@
-/** Small helpers over ServiceTalk's HTTP: bounded bodies, JSON answers, the admin server, clients of one address. */
+/** HTTP utilities on top of ServiceTalk: bounded bodies, JSON, the admin server, and clients for a single address. */
 package dev.wigeonward.common.http;
--- a/common/src/main/java/dev/wigeonward/common/log/JsonLogConfigurator.java
+++ b/common/src/main/java/dev/wigeonward/common/log/JsonLogConfigurator.java
@@ -11,22 +11,25 @@
 import ch.qos.logback.core.spi.ContextAwareBase;
 
 /**
- * Configures the log in code: one JSON object in each line. A configuration file would cost each start a quarter of its
- * processor time for the parser. Found by Logback as a service.
+ * Logback configurator, found as a service, that writes one JSON object per line. The configuration is code because
+ * parsing a configuration file would take a quarter of the processor time of each start.
  */
 @ConfiguratorRank(value = ConfiguratorRank.CUSTOM_HIGH_PRIORITY)
 public final class JsonLogConfigurator extends ContextAwareBase implements Configurator {
-    /** System property with the least level that is logged. */
+    /** System property with the lowest level that is logged. */
     private static final String LEVEL_PROPERTY = "wigeonward.log.level";
-    /** System property; "out" sends the log to standard output, which commands otherwise keep for their results. */
+    /**
+     * System property for the target of the log. The value "out" selects standard output; any other value selects
+     * standard error, as commands write their results to standard output.
+     */
     private static final String TARGET_PROPERTY = "wigeonward.log.target";
 
     private static final String STANDARD_OUTPUT = "out";
     private static final String[] LIBRARIES = {"io.servicetalk", "io.netty", "org.apache.commons"};
 
-    /** Called by Logback. */
+    /** Creates a configurator; called by Logback. */
     public JsonLogConfigurator() {
-        // The service loader needs a public constructor.
+        // The service loader requires a public constructor.
     }
 
     @Override
--- a/common/src/main/java/dev/wigeonward/common/log/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/log/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Structured logs. Code logs through {@link java.lang.System.Logger}; SLF4J passes the lines to Logback, which writes
- * one JSON object per line to standard error or output.
+ * Configuration of structured logging. Code logs through {@link java.lang.System.Logger}; SLF4J forwards the events to
+ * Logback, which writes one JSON object per line to standard error or standard output.
  */
 package dev.wigeonward.common.log;
--- a/common/src/main/java/dev/wigeonward/common/ring/DutyThread.java
+++ b/common/src/main/java/dev/wigeonward/common/ring/DutyThread.java
@@ -11,16 +11,17 @@
 import org.jctools.queues.MpscArrayQueue;
 
 /**
- * A thread that takes items from a bounded ring, one at a time, and runs a periodic task between them.
+ * Thread that processes items from a bounded queue one at a time and runs a periodic task between them. Any thread may
+ * add items.
  *
  * @param <T> type of the items
  */
 public final class DutyThread<T> implements AutoCloseable {
     private static final Logger LOG = System.getLogger(DutyThread.class.getName());
-    private static final int SPINS_BEFORE_PARK = 200;
+    private static final int SPINS_BEFORE_PARKING = 200;
 
-    private final MpscArrayQueue<T> ring;
-    private final Consumer<T> duty;
+    private final MpscArrayQueue<T> queue;
+    private final Consumer<T> itemHandler;
     private final Runnable periodic;
     private final long periodNanos;
     private final MonotonicClock clock = MonotonicClock.start();
@@ -28,26 +29,32 @@
     private volatile boolean parked;
     private volatile boolean stopped;
 
-    private DutyThread(String name, int capacity, Consumer<T> duty, Runnable periodic, long periodMillis) {
-        this.ring = new MpscArrayQueue<>(capacity);
-        this.duty = Objects.requireNonNull(duty, "duty");
+    private DutyThread(String name, int capacity, Consumer<T> itemHandler, Runnable periodic, long periodMillis) {
+        this.queue = new MpscArrayQueue<>(capacity);
+        this.itemHandler = Objects.requireNonNull(itemHandler, "itemHandler");
         this.periodic = Objects.requireNonNull(periodic, "periodic");
         this.periodNanos = TimeUnit.MILLISECONDS.toNanos(periodMillis);
         this.thread = new Thread(this::run, name);
         thread.setDaemon(true);
     }
 
-    /** Starts a thread whose ring holds at most {@code capacity} items, rounded up to a power of two. */
+    /**
+     * Starts a thread.
+     *
+     * @param capacity most items in the queue, rounded up to a power of two
+     * @param itemHandler processes one item
+     * @param periodic runs about once every {@code periodMillis}
+     */
     public static <T> DutyThread<T> start(
-            String name, int capacity, Consumer<T> duty, Runnable periodic, long periodMillis) {
-        DutyThread<T> started = new DutyThread<>(name, capacity, duty, periodic, periodMillis);
+            String name, int capacity, Consumer<T> itemHandler, Runnable periodic, long periodMillis) {
+        DutyThread<T> started = new DutyThread<>(name, capacity, itemHandler, periodic, periodMillis);
         started.thread.start();
         return started;
     }
 
-    /** Returns false if the ring is full; the item is then not taken. */
+    /** Adds an item and returns true, or returns false without adding it if the queue is full. */
     public boolean offer(T item) {
-        if (!ring.offer(item)) {
+        if (!queue.offer(item)) {
             return false;
         }
         if (parked) {
@@ -56,59 +63,62 @@
         return true;
     }
 
-    /** Waits for room and puts the item into the ring; for items that may not be lost, from threads that may wait. */
+    /**
+     * Adds an item, waiting while the queue is full. For items that must not be lost, from threads that may block. An
+     * item is dropped only if the thread was stopped.
+     */
     public void put(T item) {
         while (!offer(item) && !stopped) {
             LockSupport.parkNanos(TimeUnit.MICROSECONDS.toNanos(50));
         }
     }
 
-    /** Returns the number of items in the ring. */
+    /** Returns the number of items in the queue. */
     public int size() {
-        return ring.size();
+        return queue.size();
     }
 
     private void run() {
         long nextPeriodicNanos = clock.elapsedNanos() + periodNanos;
         while (!stopped) {
-            T item = ring.poll();
+            T item = queue.poll();
             if (item != null) {
-                guard(() -> duty.accept(item));
+                runAndLogFailure(() -> itemHandler.accept(item));
             }
             long leftNanos = nextPeriodicNanos - clock.elapsedNanos();
             if (leftNanos <= 0) {
-                guard(periodic);
+                runAndLogFailure(periodic);
                 nextPeriodicNanos = clock.elapsedNanos() + periodNanos;
             } else if (item == null) {
-                await(leftNanos);
+                awaitItem(leftNanos);
             }
         }
     }
 
-    private void await(long leftNanos) {
-        for (int spin = 0; spin < SPINS_BEFORE_PARK; spin++) {
-            if (!ring.isEmpty()) {
+    private void awaitItem(long leftNanos) {
+        for (int spin = 0; spin < SPINS_BEFORE_PARKING; spin++) {
+            if (!queue.isEmpty()) {
                 return;
             }
             Thread.onSpinWait();
         }
         parked = true;
-        if (ring.isEmpty()) {
+        if (queue.isEmpty()) {
             LockSupport.parkNanos(this, leftNanos);
         }
         parked = false;
     }
 
-    /** A fault in one item must not end the duty for all others. */
-    private void guard(Runnable task) {
+    /** Runs a task and logs its exception, so that the failure of one item does not end the thread. */
+    private void runAndLogFailure(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
-            LOG.log(Level.ERROR, "duty " + thread.getName() + " failed on one item", e);
+            LOG.log(Level.ERROR, "thread " + thread.getName() + " failed to process an item or its periodic task", e);
         }
     }
 
-    /** Stops the thread after the item it is working on. */
+    /** Stops the thread after the item that it is processing. Items that are left in the queue are not processed. */
     @Override
     public void close() {
         stopped = true;
--- a/common/src/main/java/dev/wigeonward/common/ring/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/ring/package-info.java
@@ -1,2 +1,2 @@
-/** Bounded rings between threads, each with one thread for one duty at its end. */
+/** Threads that consume bounded queues, and schedulers on daemon threads. */
 package dev.wigeonward.common.ring;
--- a/common/src/main/java/dev/wigeonward/common/settings/IniText.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/IniText.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * The sections, keys and values of an INI text. Read by own code because the libraries that were tried, Commons
- * Configuration and ini4j, each cost a start as much processor time as the rest of the process together.
+ * Parsed INI text: sections with their keys and values. The parser is written by hand because Commons Configuration and
+ * ini4j each take as much processor time at start as the rest of the process together.
  */
 final class IniText {
     private static final char BYTE_ORDER_MARK = '\uFEFF';
@@ -17,15 +17,15 @@
 
     private IniText() {}
 
-    /** Returns the parsed text; keys before the first section belong to the section with the empty name. */
+    /** Returns the parsed text. Keys before the first section belong to the section with the empty name. */
     static IniText parse(String text) {
         IniText parsed = new IniText();
         String section = "";
-        int number = 0;
+        int lineNumber = 0;
         String content = text.isEmpty() || text.charAt(0) != BYTE_ORDER_MARK ? text : text.substring(1);
-        for (String rawLine : content.split("\n", -1)) {
-            number++;
-            String line = rawLine.strip();
+        for (String untrimmed : content.split("\n", -1)) {
+            lineNumber++;
+            String line = untrimmed.strip();
             if (line.isEmpty() || line.startsWith(";") || line.startsWith("#")) {
                 continue;
             }
@@ -39,23 +39,23 @@
                         .computeIfAbsent(line.substring(0, equals).strip(), name -> new ArrayList<>())
                         .add(line.substring(equals + 1).strip());
             } else {
-                parsed.unreadableLines.add("line " + number + " is neither a section nor a key with a value");
+                parsed.unreadableLines.add("line " + lineNumber + " is neither a section nor a key with a value");
             }
         }
         return parsed;
     }
 
-    /** Returns the values by key of each section, in the order of the text; a key given twice has two values. */
+    /** Returns the values by section and key, in the order of the text. A key that is given twice has two values. */
     Map<String, Map<String, List<String>>> sections() {
         return sections;
     }
 
-    /** Returns the values of a key, empty if it is not given. */
+    /** Returns the values of a key, or an empty list if the key is not given. */
     List<String> values(String section, String key) {
         return sections.getOrDefault(section, Map.of()).getOrDefault(key, List.of());
     }
 
-    /** Returns what is wrong with each line that cannot be read. */
+    /** Returns a description of each line that cannot be parsed. */
     List<String> unreadableLines() {
         return unreadableLines;
     }
--- a/common/src/main/java/dev/wigeonward/common/settings/SettingKey.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingKey.java
@@ -8,9 +8,9 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Declaration of one setting. Keys of quantities end in their unit, for example {@code drain_limit_seconds}.
+ * Declaration of one setting. The name of a quantity ends in its unit, for example {@code drain_limit_seconds}.
  *
- * @param defaultValue empty for a required setting and for one that may be left out
+ * @param defaultValue empty for a required setting, and for one that may be left out and has no default
  */
 public record SettingKey<T>(
         String section,
@@ -33,8 +33,9 @@
             "_minutes");
 
     public SettingKey {
-        Preconditions.checkArgument(section.matches("[a-z][a-z0-9_]*"), "section is %s", section);
-        Preconditions.checkArgument(name.matches("[a-z][a-z0-9_]*"), "key is %s", name);
+        Preconditions.checkArgument(
+                section.matches("[a-z][a-z0-9_]*"), "section is '%s', expected [a-z][a-z0-9_]*", section);
+        Preconditions.checkArgument(name.matches("[a-z][a-z0-9_]*"), "key is '%s', expected [a-z][a-z0-9_]*", name);
         Preconditions.checkArgument(!description.isBlank(), "[%s] %s has no description", section, name);
         Preconditions.checkArgument(
                 !type.isQuantity() || UNITS.stream().anyMatch(name::endsWith), "%s does not end in a unit", name);
@@ -42,12 +43,12 @@
                 !(required && defaultValue.isPresent()), "[%s] %s is required and has a default", section, name);
         Preconditions.checkArgument(
                 defaultValue.map(type::format).flatMap(type::parse).isPresent() || defaultValue.isEmpty(),
-                "default of %s is not %s",
+                "default of setting %s is invalid, expected %s",
                 name,
                 type.expected());
     }
 
-    /** Returns a required setting of any text that is not empty. */
+    /** Returns a required setting of a text that is not empty. */
     public static SettingKey<String> text(String section, String name, String description) {
         return required(section, name, new SettingTypes.Text("a text"), description);
     }
@@ -82,21 +83,22 @@
         return new SettingKey<>(section, name, type, Optional.empty(), true, description);
     }
 
-    /** Returns the same setting, with a default. */
+    /** Returns the same setting with a default. */
     public SettingKey<T> withDefault(T value) {
         return new SettingKey<>(section, name, type, Optional.of(value), false, description);
     }
 
-    /** Returns the same setting, which may be left out and has no default. */
+    /** Returns the same setting as one that may be left out, without a default. */
     public SettingKey<T> optional() {
         return new SettingKey<>(section, name, type, Optional.empty(), false, description);
     }
 
-    /** Returns the same setting, which must be given. */
+    /** Returns the same setting as a required one, without a default. */
     public SettingKey<T> mandatory() {
         return new SettingKey<>(section, name, type, Optional.empty(), true, description);
     }
 
+    /** Returns the section in brackets and the name, which together identify the setting. */
     String label() {
         return "[" + section + "] " + name;
     }
--- a/common/src/main/java/dev/wigeonward/common/settings/SettingType.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingType.java
@@ -2,20 +2,20 @@
 
 import java.util.Optional;
 
-/** How the text of a setting becomes a value. */
+/** Type of a setting, which parses and formats its values. */
 interface SettingType<T> {
-    /** Returns the value, or empty when the text has another form or the value is out of range. */
+    /** Returns the parsed value, or empty if the text is malformed or the value is out of range. */
     Optional<T> parse(String text);
 
-    /** Returns what a valid text looks like, for messages and the documented example. */
+    /** Returns a description of valid values, for messages and the documented example. */
     String expected();
 
-    /** Returns the text of a value, as in the settings file. */
+    /** Returns the text of a value as it is written in a settings file. */
     default String format(T value) {
         return value.toString();
     }
 
-    /** Returns whether the value is a quantity, whose key must name its unit. */
+    /** Returns whether values are quantities; the key of a quantity must end in its unit. */
     default boolean isQuantity() {
         return false;
     }
--- a/common/src/main/java/dev/wigeonward/common/settings/SettingTypes.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingTypes.java
@@ -9,10 +9,11 @@
 import com.google.common.base.Preconditions;
 import com.google.common.primitives.Longs;
 
-/** The types of settings. */
+/** Implementations of the setting types. */
 final class SettingTypes {
     private SettingTypes() {}
 
+    /** Type of texts that are not empty. */
     record Text(String expected) implements SettingType<String> {
         @Override
         public Optional<String> parse(String text) {
@@ -20,9 +21,11 @@
         }
     }
 
+    /** Type of whole numbers in a range, both ends included. */
     record Whole(long minimum, long maximum) implements SettingType<Long> {
         Whole {
-            Preconditions.checkArgument(minimum <= maximum, "range is %s to %s", minimum, maximum);
+            Preconditions.checkArgument(
+                    minimum <= maximum, "range is %s to %s, expected minimum <= maximum", minimum, maximum);
         }
 
         @Override
@@ -41,9 +44,11 @@
         }
     }
 
+    /** Type of decimal numbers in a range, both ends included. */
     record Decimal(double minimum, double maximum) implements SettingType<Double> {
         Decimal {
-            Preconditions.checkArgument(minimum <= maximum, "range is %s to %s", minimum, maximum);
+            Preconditions.checkArgument(
+                    minimum <= maximum, "range is %s to %s, expected minimum <= maximum", minimum, maximum);
         }
 
         @Override
@@ -66,6 +71,7 @@
         }
     }
 
+    /** Type of true or false. */
     record Flag() implements SettingType<Boolean> {
         @Override
         public Optional<Boolean> parse(String text) {
@@ -82,6 +88,7 @@
         }
     }
 
+    /** Type of one of several lower-case words; upper-case letters in the text are accepted. */
     record Choice(Set<String> values) implements SettingType<String> {
         Choice {
             values = Set.copyOf(values);
@@ -98,7 +105,7 @@
         }
     }
 
-    /** Only numeric addresses, so that no process depends on name resolution. */
+    /** Type of numeric addresses; host names are not allowed, so that no process depends on name resolution. */
     record Address() implements SettingType<InetSocketAddress> {
         @Override
         public Optional<InetSocketAddress> parse(String text) {
--- a/common/src/main/java/dev/wigeonward/common/settings/SettingsDeclaration.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingsDeclaration.java
@@ -16,7 +16,7 @@
 
 import com.google.common.base.Preconditions;
 
-/** The sections and keys that a process understands. Sections or keys that are not declared are problems. */
+/** Declaration of the sections and keys in the settings file of a process. Any other section or key is a problem. */
 public final class SettingsDeclaration {
     private final Map<String, Map<String, SettingKey<?>>> sections = new LinkedHashMap<>();
     private final Map<String, String> sectionDescriptions;
@@ -25,28 +25,32 @@
         this.sectionDescriptions = Map.copyOf(sectionDescriptions);
         for (SettingKey<?> key : keys) {
             Preconditions.checkArgument(
-                    sectionDescriptions.containsKey(key.section()), "section %s is not described", key.section());
+                    sectionDescriptions.containsKey(key.section()), "section %s has no description", key.section());
             SettingKey<?> previous = sections.computeIfAbsent(key.section(), section -> new LinkedHashMap<>())
                     .put(key.name(), key);
-            Preconditions.checkArgument(previous == null, "%s is declared twice", key.label());
+            Preconditions.checkArgument(previous == null, "setting %s is declared twice, expected once", key.label());
         }
     }
 
     /**
      * Returns a declaration of the given keys.
      *
-     * @param sectionDescriptions one line for each section that the keys use
+     * @param sectionDescriptions one-line description of each section that the keys use, by section
      */
     public static SettingsDeclaration of(Map<String, String> sectionDescriptions, Collection<SettingKey<?>> keys) {
         return new SettingsDeclaration(sectionDescriptions, keys);
     }
 
-    /** Returns the checked settings of a file; fails only when the file cannot be read. */
+    /**
+     * Reads a settings file and returns the checked settings or the problems.
+     *
+     * @throws IOException if the file cannot be read
+     */
     public SettingsResult read(Path file) throws IOException {
         return check(file.toString(), Files.readString(file, StandardCharsets.UTF_8));
     }
 
-    /** Returns the checked settings of a text; the file name appears in problems only. */
+    /** Returns the checked settings in a text, or its problems, which contain the given file name. */
     public SettingsResult check(String fileName, String text) {
         IniText file = IniText.parse(text);
         List<SettingsProblem> problems = new ArrayList<>();
@@ -104,7 +108,7 @@
                 fileName, key.section(), key.name(), text, key.type().expected())));
     }
 
-    /** Returns a settings file that documents every key; keys without a value to show are commented out. */
+    /** Returns a settings file that documents every key. Keys without a default are commented out. */
     public String documentedExample() {
         StringBuilder text = new StringBuilder();
         sections.forEach((section, keys) -> {
--- a/common/src/main/java/dev/wigeonward/common/settings/SettingsProblem.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingsProblem.java
@@ -1,6 +1,6 @@
 package dev.wigeonward.common.settings;
 
-/** One reason why a settings file is refused. */
+/** Problem of a settings file. */
 public record SettingsProblem(String file, String section, String key, String problem, String expected) {
     /** Returns {@code file: [section] key: what is wrong; expected …}. */
     @Override
--- a/common/src/main/java/dev/wigeonward/common/settings/SettingsResult.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingsResult.java
@@ -9,11 +9,11 @@
     /** The file is valid. */
     record Valid(Settings settings) implements SettingsResult {}
 
-    /** The file is refused as a whole; all problems are listed. */
+    /** The file is invalid and none of its settings is used; lists all problems. */
     record Invalid(List<SettingsProblem> problems) implements SettingsResult {
         public Invalid {
             problems = List.copyOf(problems);
-            Preconditions.checkArgument(!problems.isEmpty(), "no problem is given");
+            Preconditions.checkArgument(!problems.isEmpty(), "problems are empty, expected at least one");
         }
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/settings/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/package-info.java
@@ -1,2 +1,2 @@
-/** Typed INI settings, declared once, checked as a whole at start, with all problems reported together. */
+/** Typed settings from INI files. A process declares its keys once, checks the whole file and reports all problems. */
 package dev.wigeonward.common.settings;
--- a/common/src/main/java/dev/wigeonward/common/vms/HttpVmList.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/HttpVmList.java
@@ -15,7 +15,10 @@
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpResponse;
 
-/** Polls the list over HTTP for changes since its last version, at random intervals around the mean. */
+/**
+ * VM list that polls the platform over HTTP for changes since the last version. The time between polls is random, from
+ * half of the configured mean to one and a half times the mean.
+ */
 public final class HttpVmList implements VmList {
     private static final System.Logger LOG = System.getLogger(HttpVmList.class.getName());
     private static final int STATUS_OK = 200;
@@ -36,7 +39,7 @@
         this.client = SingleHostClients.create("vms", options.address());
     }
 
-    /** Returns a list that is polled from now on; listeners are called on the given thread. */
+    /** Returns a list and starts polling it. Listeners are called on the given thread. */
     public static HttpVmList start(VmListOptions options, ScheduledExecutorService thread, RandomGenerator random) {
         HttpVmList list = new HttpVmList(options, thread, random);
         thread.execute(list::poll);
@@ -65,14 +68,14 @@
         client.request(client.get("/v1/vms?since=" + snapshot.version()))
                 .timeout(Duration.ofMillis(options.callTimeoutMillis()))
                 .subscribe(
-                        response -> thread.execute(() -> received(response)),
-                        failure -> thread.execute(() -> failed(failure)));
+                        response -> thread.execute(() -> onAnswer(response)),
+                        failure -> thread.execute(() -> onFailure(failure)));
     }
 
-    private void received(HttpResponse response) {
+    private void onAnswer(HttpResponse response) {
         try {
             if (response.status().code() != STATUS_OK) {
-                throw new IOException("answered with " + response.status());
+                throw new IOException("VM list answered with status " + response.status() + ", expected 200");
             }
             VmSnapshot next =
                     VmListAnswer.apply(snapshot, response.payloadBody().toString(StandardCharsets.UTF_8));
@@ -82,22 +85,22 @@
             if (changed) {
                 listeners.forEach(listener -> listener.accept(next));
             }
-            pollLater();
+            schedulePoll();
         } catch (IOException e) {
-            failed(e);
+            onFailure(e);
         }
     }
 
-    /** The last list stays in force; only the first of several failures is logged. */
-    private void failed(Throwable failure) {
+    /** Keeps the last list and schedules the next poll. Only the first of several failures in sequence is logged. */
+    private void onFailure(Throwable failure) {
         if (!failing && !closed) {
-            LOG.log(Level.WARNING, "VM list does not answer: {0}", failure);
+            LOG.log(Level.WARNING, "polling the VM list failed, the last list is kept: {0}", failure);
         }
         failing = true;
-        pollLater();
+        schedulePoll();
     }
 
-    private void pollLater() {
+    private void schedulePoll() {
         if (!closed) {
             long waitMillis = options.pollMillis() / 2 + random.nextLong(options.pollMillis() + 1);
             thread.schedule(this::poll, waitMillis, TimeUnit.MILLISECONDS);
--- a/common/src/main/java/dev/wigeonward/common/vms/Vm.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/Vm.java
@@ -5,9 +5,9 @@
 
 import com.google.common.base.Preconditions;
 
-/** One VM of the list. */
+/** VM in the platform's list. */
 public record Vm(String id, String role, InetSocketAddress address, String failureDomain, State state) {
-    /** What the list says of a VM. */
+    /** State of a VM in the list. */
     public enum State {
         /** The VM runs. */
         LIVE,
@@ -16,7 +16,7 @@
     }
 
     public Vm {
-        Preconditions.checkArgument(!id.isEmpty(), "VM id is empty");
+        Preconditions.checkArgument(!id.isEmpty(), "VM id is empty, expected at least one character");
         Objects.requireNonNull(role, "role");
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(failureDomain, "failureDomain");
--- a/common/src/main/java/dev/wigeonward/common/vms/VmList.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/VmList.java
@@ -2,12 +2,12 @@
 
 import java.util.function.Consumer;
 
-/** The platform's list of VMs. It lags, and an absent VM may still run. */
+/** List of the platform's VMs. It lags behind the actual state, and a VM that is not listed may still run. */
 public interface VmList extends AutoCloseable {
-    /** Returns the newest list known; it stays as it is while the service does not answer. */
+    /** Returns the last list received; it does not change while the service does not answer. */
     VmSnapshot snapshot();
 
-    /** Calls the listener with each new list, and with the current one if there is any. */
+    /** Calls the listener with the current list, if there is one, and with each new list. */
     void subscribe(Consumer<VmSnapshot> listener);
 
     @Override
--- a/common/src/main/java/dev/wigeonward/common/vms/VmListAnswer.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/VmListAnswer.java
@@ -12,8 +12,9 @@
 import com.google.common.net.InetAddresses;
 
 /**
- * Reads answers of the list: {@code version}, {@code full} and {@code vms}. A full answer replaces the list; another
- * one holds the VMs that changed since the version asked for, removed ones in state {@code gone}.
+ * Parser for answers of the VM list, which have the fields {@code version}, {@code full} and {@code vms}. A full answer
+ * replaces the list. Any other answer holds the VMs that changed since the requested version, with removed VMs in state
+ * {@code gone}.
  */
 final class VmListAnswer {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -21,30 +22,34 @@
 
     private VmListAnswer() {}
 
-    /** Returns the list after an answer; fails on a malformed one, which then changes nothing. */
+    /**
+     * Returns the list that results from applying an answer to the current list.
+     *
+     * @throws IOException if the answer is malformed
+     */
     static VmSnapshot apply(VmSnapshot current, String text) throws IOException {
         JsonNode answer = JSON.readTree(text);
         if (!answer.path("version").canConvertToLong() || !answer.path("vms").isArray()) {
-            throw new IOException("answer without version or VMs");
+            throw new IOException("VM list answer without a whole-number version or an array of VMs");
         }
         long version = answer.path("version").asLong();
         boolean full = answer.path("full").asBoolean();
         if (!full && version < current.version()) {
-            throw new IOException("version " + version + " after " + current.version());
+            throw new IOException("version of the VM list is " + version + ", expected at least " + current.version());
         }
         Map<String, Vm> vms = full ? new HashMap<>() : new HashMap<>(current.vms());
         for (JsonNode node : answer.path("vms")) {
             if (GONE.equals(node.path("state").asText())) {
                 vms.remove(node.path("id").asText());
             } else {
-                Vm vm = vm(node);
+                Vm vm = parseVm(node);
                 vms.put(vm.id(), vm);
             }
         }
         return new VmSnapshot(version, vms);
     }
 
-    private static Vm vm(JsonNode node) throws IOException {
+    private static Vm parseVm(JsonNode node) throws IOException {
         try {
             HostAndPort address = HostAndPort.fromString(node.path("address").asText());
             return new Vm(
@@ -54,7 +59,7 @@
                     node.path("failure_domain").asText(),
                     Vm.State.valueOf(node.path("state").asText().toUpperCase(Locale.ROOT)));
         } catch (IllegalArgumentException | IllegalStateException e) {
-            throw new IOException("malformed VM " + node, e);
+            throw new IOException("malformed VM in the VM list: " + node, e);
         }
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/vms/VmSnapshot.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/VmSnapshot.java
@@ -2,13 +2,13 @@
 
 import java.util.Map;
 
-/** The list at a version, by VM id; version 0 before the first answer. */
+/** Snapshot of the VM list at a version, with the VMs by id. The version is 0 before the first answer. */
 public record VmSnapshot(long version, Map<String, Vm> vms) {
     public VmSnapshot {
         vms = Map.copyOf(vms);
     }
 
-    /** Returns the list before the first answer. */
+    /** Returns the empty snapshot that is used before the first answer. */
     public static VmSnapshot empty() {
         return new VmSnapshot(0, Map.of());
     }
--- a/common/src/main/java/dev/wigeonward/common/vms/package-info.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/package-info.java
@@ -1,2 +1,2 @@
-/** The platform's list of live and leaving VMs, which lags. */
+/** Client of the platform's list of live and leaving VMs; the list lags behind the actual state. */
 package dev.wigeonward.common.vms;
--- a/common/src/test/java/dev/wigeonward/common/clock/MonotonicClockTest.java
+++ b/common/src/test/java/dev/wigeonward/common/clock/MonotonicClockTest.java
@@ -7,7 +7,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class MonotonicClockTest {
-    /** Guards against leases that a correction of the wall clock extends or expires. */
+    /**
+     * Guards against a clock that follows corrections of the wall clock, which would extend leases or expire them
+     * early.
+     */
     @Test
     void ignoresTheWallClockAfterTheStart() {
         PausedClock wallClock = PausedClock.at(1_000);
--- a/common/src/test/java/dev/wigeonward/common/command/FollowCommandTest.java
+++ b/common/src/test/java/dev/wigeonward/common/command/FollowCommandTest.java
@@ -36,9 +36,12 @@
         return out.toString(StandardCharsets.UTF_8).lines().toList();
     }
 
-    /** Guards against a cause that is hidden in the log of another process, or far from the line of the request. */
+    /**
+     * Guards against output without the cause of a request's outcome, which may be logged by another process or some
+     * time before the line of the request.
+     */
     @Test
-    void showsTheRequestAndWhatItsProcessesSaidMeanwhile() throws IOException {
+    void showsTheRequestAndOtherLinesOfItsProcessesMeanwhile() throws IOException {
         String first = log(
                 "a.log",
                 line(10_000, "listening id=entry-1 callers=x"),
@@ -59,7 +62,10 @@
                         "  +1400 ms  entry-2   request id=r1 outcome=answered:200 total_ms=30");
     }
 
-    /** Guards against logs that a collector has mixed, and against lines that are no JSON. */
+    /**
+     * Guards against lines that are not recognized because a log collector merged several logs into one file, and
+     * against failing on lines that are not JSON.
+     */
     @Test
     void readsMixedLogsWithTimeAndProcessBeforeEachLine() throws IOException {
         String mixed = log(
@@ -73,11 +79,11 @@
         assertThat(err.toString(StandardCharsets.UTF_8)).contains("1 lines are not log lines");
     }
 
-    /** Guards against a silent end when the identifier is wrong. */
+    /** Guards against a command that succeeds without any output if the identifier is wrong. */
     @Test
-    void saysThatNoLineNamesTheRequest() throws IOException {
+    void reportsThatNoLineContainsTheIdentifier() throws IOException {
         assertThat(follow("--id", "r2", log("a.log", line(1, "request id=r1 total_ms=1"))))
                 .isEqualTo(CommandLines.EXIT_FAILED);
-        assertThat(err.toString(StandardCharsets.UTF_8)).contains("no line names r2");
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains("no log line contains the identifier r2");
     }
 }
--- a/common/src/test/java/dev/wigeonward/common/log/JsonLogTest.java
+++ b/common/src/test/java/dev/wigeonward/common/log/JsonLogTest.java
@@ -13,7 +13,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class JsonLogTest {
-    /** Guards against a log backend that is replaced by the JDK's, or whose lines are no longer JSON. */
+    /**
+     * Guards against logs that are not JSON lines: because the JDK's backend is used when Logback is missing or not
+     * selected, or because the encoder is configured differently.
+     */
     @Test
     void systemLoggerWritesOneJsonObjectPerLine() throws Exception {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/common/src/test/java/dev/wigeonward/common/settings/IniTextTest.java
+++ b/common/src/test/java/dev/wigeonward/common/settings/IniTextTest.java
@@ -7,7 +7,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class IniTextTest {
-    /** Guards against values that lose characters after a second equals sign, and against comments taken as values. */
+    /** Guards against values that are cut at a second equals sign, and against comments that are parsed as keys. */
     @Test
     void readsSectionsKeysAndValues() {
         IniText text =
@@ -21,15 +21,15 @@
         assertThat(text.unreadableLines()).isEmpty();
     }
 
-    /** Guards against a first section that is not found because an editor has put a byte order mark before it. */
+    /** Guards against a first section that is not recognized because an editor wrote a byte order mark before it. */
     @Test
-    void passesOverByteOrderMark() {
+    void skipsByteOrderMark() {
         assertThat(IniText.parse("\uFEFF[a]\nkey=1").values("a", "key")).containsExactly("1");
     }
 
-    /** Guards against a misspelled line that is passed over silently. */
+    /** Guards against a malformed line that is ignored without a report. */
     @Test
-    void namesUnreadableLines() {
+    void reportsMalformedLines() {
         assertThat(IniText.parse("[a]\nkey\n= value\n").unreadableLines())
                 .isEqualTo(List.of(
                         "line 2 is neither a section nor a key with a value",
--- a/common/src/test/java/dev/wigeonward/common/settings/SettingsDeclarationTest.java
+++ b/common/src/test/java/dev/wigeonward/common/settings/SettingsDeclarationTest.java
@@ -31,7 +31,7 @@
         return ((SettingsResult.Valid) DECLARATION.check("test.ini", text)).settings();
     }
 
-    /** Guards against wrong values and against defaults that replace given values. */
+    /** Guards against values that are parsed wrongly, and against defaults that override given values. */
     @Test
     void readsValuesAndDefaults() {
         Settings settings = valid("[node]\nlisten_address = 127.0.0.1:7000\n[log]\nverbose = true\n");
@@ -44,7 +44,10 @@
                 .isEqualTo(5);
     }
 
-    /** Guards against a start with a misspelled key, and against operators who fix one problem per attempt. */
+    /**
+     * Guards against a misspelled key that is ignored, and against a check that stops at the first problem, so that an
+     * operator has to start the process once per problem.
+     */
     @Test
     void listsEveryProblemAtOnce() {
         String text = "stray = 1\n[node]\nlisten_address = localhost:7000\ndrain_limit_seconds = 3601\n"
@@ -63,9 +66,9 @@
                         "test.ini: [log] verbose: given 2 times; expected true or false");
     }
 
-    /** Guards against a process that starts without a value it needs. */
+    /** Guards against a process that starts although a required key is missing or has an empty value. */
     @Test
-    void requiredKeyIsMissed() {
+    void missingRequiredKeyIsReported() {
         assertThat(problemsOf("")).singleElement().asString().startsWith("test.ini: [node] listen_address: missing;");
         assertThat(problemsOf("[node]\nlisten_address =\n"))
                 .singleElement()
@@ -73,7 +76,7 @@
                 .startsWith("test.ini: [node] listen_address: invalid value '';");
     }
 
-    /** Guards against an example that its own check refuses for another reason than the missing required key. */
+    /** Guards against a documented example that lacks a key, or is invalid although its required key was given. */
     @Test
     void exampleNamesEveryKeyAndPassesTheCheck() {
         String example = DECLARATION.documentedExample();
@@ -84,7 +87,7 @@
                 .isEqualTo(600);
     }
 
-    /** Guards against quantities whose unit has to be guessed. */
+    /** Guards against declaring a quantity whose name does not show its unit. */
     @Test
     void quantityWithoutUnitIsRefused() {
         assertThatThrownBy(() -> SettingKey.whole("node", "drain_limit", 1, 2, "wait"))
