--- a/wire/src/main/java/dev/wigeonward/wire/Link.java
+++ b/wire/src/main/java/dev/wigeonward/wire/Link.java
@@ -3,21 +3,21 @@
 import dev.wigeonward.wire.generated.Frame;
 import dev.wigeonward.wire.generated.Hello;
 
-/** An open link to a peer. Thread-safe. */
+/** Open connection to a peer that carries frames. Thread-safe. */
 public interface Link {
-    /** Returns a number that no other link of this process has or had. */
+    /** Returns the number of this link, which is unique among all links that this process has opened or accepted. */
     long number();
 
-    /** Returns the address that was connected to, or the peer's address for an accepted link. */
+    /** Returns the address that this process connected to, or the remote address of an accepted link. */
     String remoteName();
 
-    /** Returns what the peer said of itself. */
+    /** Returns the greeting of the peer. */
     Hello peer();
 
-    /** Sends a frame; frames are delivered in order or the link goes down. */
+    /** Sends a frame. Frames are delivered in order, or the link goes down. */
     void send(Frame frame);
 
-    /** Returns whether the peer takes frames as fast as they are sent. */
+    /** Returns whether the unsent output is below the limit, so that the peer keeps up with the frames sent. */
     boolean writable();
 
     /** Closes the link. */
--- a/wire/src/main/java/dev/wigeonward/wire/LinkHandler.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkHandler.java
@@ -12,7 +12,10 @@
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 
-/** Exchanges greetings, sends heartbeats, and gives a link up when it is silent or breaks the protocol. */
+/**
+ * Channel handler of one link. It exchanges greetings, sends heartbeats, and closes the link if the peer is silent or
+ * violates the protocol.
+ */
 final class LinkHandler extends SimpleChannelInboundHandler<Frame> implements Link {
     private final long number;
     private final String remoteName;
@@ -62,7 +65,7 @@
         }
         if (open.unsafe().outboundBuffer() != null
                 && open.unsafe().outboundBuffer().totalPendingWriteBytes() > settings.maxPendingBytes()) {
-            giveUp("the peer does not read");
+            closeFor("the peer does not read: more than %d bytes are unsent".formatted(settings.maxPendingBytes()));
             return;
         }
         open.writeAndFlush(frame, open.voidPromise());
@@ -76,10 +79,10 @@
 
     @Override
     public void close() {
-        giveUp("closed by this process");
+        closeFor("closed by this process");
     }
 
-    private void giveUp(String reason) {
+    private void closeFor(String reason) {
         Channel open = channel;
         if (open == null) {
             return;
@@ -106,16 +109,16 @@
             return;
         }
         if (frame.hasReject()) {
-            reject(context, "rejected by the peer: " + frame.getReject().getReason(), false);
+            failHandshake(context, "rejected by the peer: " + frame.getReject().getReason(), false);
             return;
         }
         if (!frame.hasHello()) {
-            reject(context, "the first frame is not a greeting", true);
+            failHandshake(context, "the first frame is not a greeting", true);
             return;
         }
         int version = frame.getHello().getProtocolVersion();
         if (version != LinkSettings.PROTOCOL_VERSION) {
-            reject(
+            failHandshake(
                     context,
                     "protocol version is %d, expected %d".formatted(version, LinkSettings.PROTOCOL_VERSION),
                     true);
@@ -125,9 +128,9 @@
         listener.onUp(this);
     }
 
-    private void reject(ChannelHandlerContext context, String reason, boolean tellPeer) {
+    private void failHandshake(ChannelHandlerContext context, String reason, boolean sendReject) {
         listener.onConnectFailed(remoteName, reason);
-        if (!tellPeer) {
+        if (!sendReject) {
             context.close();
             return;
         }
@@ -144,7 +147,7 @@
             return;
         }
         if (idle.state() == IdleState.READER_IDLE) {
-            downReason = "silent for %d ms".formatted(settings.silenceMillis());
+            downReason = "nothing was received for %d ms".formatted(settings.silenceMillis());
             context.close();
         } else if (idle.state() == IdleState.WRITER_IDLE && peer != null) {
             context.writeAndFlush(heartbeat.get());
@@ -153,7 +156,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        downReason = "broken: " + cause.getMessage();
+        downReason = "failed: " + cause.getMessage();
         context.close();
     }
 
--- a/wire/src/main/java/dev/wigeonward/wire/LinkListener.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkListener.java
@@ -2,17 +2,20 @@
 
 import dev.wigeonward.wire.generated.Frame;
 
-/** Receives what happens on links; called on the link's thread, must not block. */
+/** Listener for events on links. Called on the event loop of the link; implementations must not block. */
 public interface LinkListener {
-    /** The peer's greeting arrived. */
+    /** Called when the peer's greeting has arrived and the link is up. */
     void onUp(Link link);
 
-    /** A frame other than a greeting arrived. */
+    /** Called when a frame arrives after the greeting. */
     void onFrame(Link link, Frame frame);
 
-    /** The link is closed, was silent for too long or broke the protocol. Not called for links that never came up. */
+    /**
+     * Called when a link goes down: it was closed, was silent for too long, or failed. Not called for links that never
+     * came up.
+     */
     void onDown(Link link, String reason);
 
-    /** A connection attempt failed, or the peer rejected the greeting. */
+    /** Called when a connection attempt failed, or when one side rejected the greeting of the other. */
     void onConnectFailed(String address, String reason);
 }
--- a/wire/src/main/java/dev/wigeonward/wire/LinkSettings.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkSettings.java
@@ -3,25 +3,26 @@
 /**
  * Timing and size bounds of links.
  *
- * @param maxFrameBytes longest frame accepted
- * @param heartbeatMillis quiet time on the sending side after which a heartbeat is sent
- * @param silenceMillis quiet time on the receiving side after which the link is given up
- * @param connectMillis longest time to open a connection and exchange greetings
- * @param maxPendingBytes unsent output of one link above which it is given up, since its peer does not read
+ * @param maxFrameBytes longest frame that is accepted
+ * @param heartbeatMillis time without sent frames after which a heartbeat is sent
+ * @param silenceMillis time without received frames after which the link is closed
+ * @param connectMillis longest time to open a connection
+ * @param maxPendingBytes unsent output of a link above which it is closed, as its peer does not read
  */
 public record LinkSettings(
         int maxFrameBytes, long heartbeatMillis, long silenceMillis, int connectMillis, int maxPendingBytes) {
-    /** Version of the link protocol; peers with another one are rejected. */
+    /** Version of the link protocol; peers with another version are rejected. */
     public static final int PROTOCOL_VERSION = 1;
 
     public LinkSettings {
         if (heartbeatMillis <= 0 || silenceMillis <= heartbeatMillis) {
             throw new IllegalArgumentException(
-                    "silenceMillis %d must exceed heartbeatMillis %d".formatted(silenceMillis, heartbeatMillis));
+                    "silenceMillis is %d and heartbeatMillis is %d, expected 0 < heartbeatMillis < silenceMillis"
+                            .formatted(silenceMillis, heartbeatMillis));
         }
     }
 
-    /** Returns the settings of section 6 of the design page. */
+    /** Returns the default settings, which are those of section 6 of docs/design.md. */
     public static LinkSettings defaults() {
         return new LinkSettings(1 << 20, 1_000, 2_500, 1_000, 16 << 20);
     }
--- a/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
@@ -27,7 +27,7 @@
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.timeout.IdleStateHandler;
 
-/** Opens and accepts links on one event loop. */
+/** Transport that opens and accepts links on one event loop. */
 public final class LinkTransport implements AutoCloseable {
     private static final int LENGTH_FIELD_BYTES = 4;
     private static final int ACCEPT_BACKLOG = 1_024;
@@ -43,11 +43,11 @@
     private Channel serverChannel;
 
     /**
-     * Returns a transport without links.
+     * Creates a transport that has no links.
      *
-     * @param greeting says what this process tells a new peer of itself
-     * @param heartbeat makes the frame sent on quiet links
-     * @param tls keys for both directions, or empty for plain TCP
+     * @param greeting supplies the greeting that is sent to a new peer
+     * @param heartbeat supplies the frame that is sent on idle links
+     * @param tls TLS context for opened and accepted links, or empty for plain TCP
      */
     public LinkTransport(
             LinkSettings settings,
@@ -75,7 +75,7 @@
         this.tls = Objects.requireNonNull(tls, "tls");
     }
 
-    /** Returns a transport without links on an event loop that the caller owns and closes. */
+    /** Returns a transport without links and without TLS on an event loop that the caller owns and closes. */
     public static LinkTransport onLoop(
             LinkSettings settings,
             LinkListener listener,
@@ -85,7 +85,7 @@
         return new LinkTransport(settings, listener, greeting, heartbeat, Optional.empty(), loop, false);
     }
 
-    /** Starts to accept links and returns the address that is listened on. */
+    /** Starts to accept links and returns the address that the transport listens on. */
     public InetSocketAddress listen(InetSocketAddress address) {
         serverChannel = new ServerBootstrap()
                 .group(loop)
@@ -93,7 +93,7 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, writeBufferWaterMark())
                 .childHandler(initializer("incoming"))
                 .bind(address)
                 .syncUninterruptibly()
@@ -101,7 +101,7 @@
         return (InetSocketAddress) serverChannel.localAddress();
     }
 
-    /** Starts to open a link; the listener hears of the outcome. */
+    /** Starts to open a link; the listener is called with the result. */
     public void connect(InetSocketAddress address) {
         String name = address.getAddress().getHostAddress() + ":" + address.getPort();
         new Bootstrap()
@@ -109,7 +109,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectMillis())
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, writeBufferWaterMark())
                 .handler(initializer(name))
                 .connect(address)
                 .addListener(future -> {
@@ -120,7 +120,7 @@
                 });
     }
 
-    private WriteBufferWaterMark waterMark() {
+    private WriteBufferWaterMark writeBufferWaterMark() {
         return new WriteBufferWaterMark(settings.maxPendingBytes() / 4, settings.maxPendingBytes() / 2);
     }
 
@@ -129,7 +129,7 @@
             @Override
             protected void initChannel(SocketChannel channel) {
                 var pipeline = channel.pipeline();
-                boolean incoming = channel.parent() != null;
+                boolean accepted = channel.parent() != null;
                 tls.ifPresent(context -> pipeline.addLast(context.newHandler(channel.alloc())));
                 pipeline.addLast(
                         new IdleStateHandler(
@@ -141,7 +141,7 @@
                         new ProtobufEncoder(),
                         new LinkHandler(
                                 numbers.incrementAndGet(),
-                                incoming ? String.valueOf(channel.remoteAddress()) : remoteName,
+                                accepted ? String.valueOf(channel.remoteAddress()) : remoteName,
                                 settings,
                                 listener,
                                 greeting,
@@ -150,7 +150,7 @@
         };
     }
 
-    /** Closes all links and stops accepting. */
+    /** Stops accepting links, and closes all links unless the caller owns the event loop. */
     @Override
     public void close() {
         if (serverChannel != null && !ownsLoop) {
--- a/wire/src/main/java/dev/wigeonward/wire/package-info.java
+++ b/wire/src/main/java/dev/wigeonward/wire/package-info.java
@@ -1,2 +1,2 @@
-/** The link between an entry and an agent: protobuf frames over TCP with heartbeats both ways. */
+/** Links between processes: protobuf frames over TCP with heartbeats in both directions. */
 package dev.wigeonward.wire;
--- a/wire/src/test/java/dev/wigeonward/wire/HeartbeatSizeTest.java
+++ b/wire/src/test/java/dev/wigeonward/wire/HeartbeatSizeTest.java
@@ -7,7 +7,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Sizes of heartbeats with figures of the target size; docs/CAPACITY.md multiplies them by links. */
+/** Sizes of heartbeats with values of the target scale; docs/CAPACITY.md multiplies them by the number of links. */
 class HeartbeatSizeTest {
     private static final int LENGTH_FIELD_BYTES = 4;
 
@@ -20,7 +20,7 @@
                 + Frame.newBuilder().setHeartbeat(heartbeat).build().getSerializedSize();
     }
 
-    /** Guards against a larger heartbeat without a new figure in the capacity page. */
+    /** Guards against a field that makes heartbeats larger while docs/CAPACITY.md keeps the old size. */
     @Test
     void sizesOnTheCapacityPage() {
         Load load = Load.newBuilder()
