Reword the goodput and placement measurements

Cause: comments, messages and private names used figurative or vague words (tally, scheme, fake engine, "serves badly"). Change: state in doc comments what each type is and each method does; rename package-private types and members (Scheme to PolicySet, Tally to OutcomeCounts, FakeEngine to SimulatedEngine, Running to RunningRequest); name the expected value in messages; say in the head of GoodputOutputTest what makes reports differ. Constants, conditions and expectations are unchanged.

--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/AgentNode.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/AgentNode.java
@@ -15,37 +15,40 @@
 import dev.wigeonward.core.placement.UpstreamDescription;
 import dev.wigeonward.core.request.RequestId;
 
-/** The agent's dispatcher and queue before a fake engine, linked to the entries by their index. */
+/** An agent's dispatcher and queue in front of a simulated engine. The id of a link is the index of its entry. */
 final class AgentNode {
-    private static final int BYTES_PER_TOKEN = 4;
+    private static final int OUTPUT_BYTES_PER_TOKEN = 4;
 
-    private final FakeEngine engine;
+    private final SimulatedEngine engine;
     private final AgentDispatcher dispatcher;
     private final EventLoop loop;
-    private final Tally tally;
+    private final OutcomeCounts counts;
     private final Map<RequestId, Job> jobs = new HashMap<>();
     private List<EntryNode> entries = List.of();
 
-    AgentNode(FakeEngine engine, EngineQueue queue, EventLoop loop, Tally tally) {
+    AgentNode(SimulatedEngine engine, EngineQueue queue, EventLoop loop, OutcomeCounts counts) {
         this.engine = engine;
         this.dispatcher = AgentDispatcher.create(engine.description().incarnation(), queue, AgentLimits.defaults());
         this.loop = loop;
-        this.tally = tally;
+        this.counts = counts;
     }
 
-    void link(List<EntryNode> linked) {
-        entries = linked;
+    /** Sets the entries to which this agent sends its messages and load reports. */
+    void connect(List<EntryNode> linkedEntries) {
+        entries = linkedEntries;
     }
 
     UpstreamDescription description() {
         return engine.description();
     }
 
+    /** Remembers the job and passes its dispatch to the dispatcher. */
     void dispatch(Job job, AgentEvent.DispatchArrived event) {
         jobs.put(job.request().id(), job);
         handle(event);
     }
 
+    /** Passes an event to the dispatcher and performs the effects that it returns. */
     void handle(AgentEvent event) {
         for (AgentEffect effect : dispatcher.handle(event, loop.nowMillis())) {
             apply(effect);
@@ -55,9 +58,9 @@
     private void apply(AgentEffect effect) {
         if (effect instanceof AgentEffect.SubmitToUpstream submit) {
             Job job = jobs.get(submit.run());
-            engine.start(job, () -> finished(job));
+            engine.start(job, () -> onEngineFinished(job));
         } else if (effect instanceof AgentEffect.CancelInUpstream cancel) {
-            tally.prefilled(engine.end(cancel.run()), true);
+            counts.recordPrefill(engine.end(cancel.run()), true);
         } else if (effect instanceof AgentEffect.ReleaseRun release) {
             jobs.remove(release.run());
         } else if (effect instanceof AgentEffect.SendAccepted accepted) {
@@ -72,18 +75,19 @@
         } else if (effect instanceof AgentEffect.SendFinished end) {
             send(end.link(), new EntryEvent.Finished(end.request(), end.dispatch(), end.totalBytes()));
         } else if (!(effect instanceof AgentEffect.TrimOutput)) {
-            throw new IllegalStateException("unexpected effect " + effect);
+            throw new IllegalStateException("agent effect is not simulated: " + effect);
         }
     }
 
-    private void finished(Job job) {
+    private void onEngineFinished(Job job) {
         RequestId id = job.request().id();
-        tally.prefilled(engine.end(id), loop.nowMillis() > job.request().deadlineMillis());
-        handle(new AgentEvent.UpstreamOutput(id, job.outputTokens() * BYTES_PER_TOKEN));
+        counts.recordPrefill(engine.end(id), loop.nowMillis() > job.request().deadlineMillis());
+        handle(new AgentEvent.UpstreamOutput(id, job.outputTokens() * OUTPUT_BYTES_PER_TOKEN));
         handle(new AgentEvent.UpstreamFinished(id));
     }
 
-    void report() {
+    /** Sends the state of the queue to all entries. */
+    void sendLoadReports() {
         EngineQueue queue = dispatcher.queue();
         LoadReport report = new LoadReport(
                 queue.backlogMillis(loop.nowMillis()), queue.running(), queue.queued(), List.of(), List.of());
@@ -94,6 +98,6 @@
 
     private void send(long link, EntryEvent event) {
         EntryNode entry = entries.get((int) link);
-        loop.after(EntryNode.LATENCY_MILLIS, () -> entry.handle(event));
+        loop.after(EntryNode.LINK_LATENCY_MILLIS, () -> entry.handle(event));
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/EntryNode.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/EntryNode.java
@@ -19,26 +19,33 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.retry.RetryBudget;
 
-/** The entry's dispatcher and policies, joined to the agents by links with a latency. */
+/** An entry's dispatcher and policies, connected to the agents by links with a fixed latency. */
 final class EntryNode {
-    static final long LATENCY_MILLIS = 1;
+    /** One-way latency of a message between entry and agent. */
+    static final long LINK_LATENCY_MILLIS = 1;
 
     private final int index;
     private final EntryDispatcher dispatcher;
     private final EventLoop loop;
-    private final Tally tally;
+    private final OutcomeCounts counts;
     private final Map<RequestId, Job> jobs = new HashMap<>();
     private final Map<String, AgentNode> agents;
 
-    EntryNode(int index, Scheme scheme, List<AgentNode> agents, RandomGenerator random, EventLoop loop, Tally tally) {
+    EntryNode(
+            int index,
+            PolicySet policySet,
+            List<AgentNode> agents,
+            RandomGenerator random,
+            EventLoop loop,
+            OutcomeCounts counts) {
         this.index = index;
         this.loop = loop;
-        this.tally = tally;
+        this.counts = counts;
         this.agents = agents.stream()
                 .collect(Collectors.toMap(agent -> agent.description().upstreamId(), agent -> agent));
-        PlacementPolicy placement = scheme.placement(random);
+        PlacementPolicy placement = policySet.placement(random);
         DispatchPolicies policies = new DispatchPolicies(
-                scheme::admission,
+                policySet::admission,
                 placement,
                 placement,
                 VersionRouter.first(),
@@ -48,12 +55,14 @@
         agents.forEach(agent -> handle(new EntryEvent.LinkUp(agent.description())));
     }
 
+    /** Counts a request as offered and passes it to the dispatcher. */
     void arrive(Job job) {
-        tally.offered(job);
+        counts.recordOffered(job);
         jobs.put(job.request().id(), job);
         handle(new EntryEvent.RequestArrived(job.request()));
     }
 
+    /** Passes an event to the dispatcher and performs the effects that it returns. */
     void handle(EntryEvent event) {
         for (EntryEffect effect : dispatcher.handle(event, loop.nowMillis())) {
             apply(effect);
@@ -66,7 +75,7 @@
             AgentNode agent = agents.get(send.upstreamId());
             AgentEvent.DispatchArrived event = new AgentEvent.DispatchArrived(
                     index, job.request(), send.dispatch(), send.upstreamIncarnation(), Optional.empty());
-            loop.after(LATENCY_MILLIS, () -> agent.dispatch(job, event));
+            loop.after(LINK_LATENCY_MILLIS, () -> agent.dispatch(job, event));
         } else if (effect instanceof EntryEffect.SendCancel cancel) {
             send(cancel.upstreamId(), new AgentEvent.CancelArrived(cancel.request()));
         } else if (effect instanceof EntryEffect.SendAcknowledge acknowledge) {
@@ -74,16 +83,17 @@
                     acknowledge.upstreamId(),
                     new AgentEvent.AcknowledgeArrived(acknowledge.request(), acknowledge.offsetBytes()));
         } else if (effect instanceof EntryEffect.DeliverEnd end) {
-            tally.answered(jobs.remove(end.request()), loop.nowMillis());
+            counts.recordAnswer(jobs.remove(end.request()), loop.nowMillis());
         } else if (effect instanceof EntryEffect.DeliverFailure failure) {
-            tally.refused(jobs.remove(failure.request()), failure.failure().kind());
+            counts.recordFailure(
+                    jobs.remove(failure.request()), failure.failure().kind());
         } else if (!(effect instanceof EntryEffect.DeliverOutput || effect instanceof EntryEffect.Forget)) {
-            throw new IllegalStateException("unexpected effect " + effect);
+            throw new IllegalStateException("entry effect is not simulated: " + effect);
         }
     }
 
     private void send(String upstreamId, AgentEvent event) {
         AgentNode agent = agents.get(upstreamId);
-        loop.after(LATENCY_MILLIS, () -> agent.handle(event));
+        loop.after(LINK_LATENCY_MILLIS, () -> agent.handle(event));
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputMeasurement.java
@@ -13,15 +13,15 @@
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 
-/** Goodput by tier, wasted prefill and refusals of the full policy and of the baselines at several loads. */
+/** Measures goodput by tier, wasted prefill and failures of the full policy and of the baselines at several loads. */
 public final class GoodputMeasurement implements Measurement {
     private static final List<Double> DEFAULT_LOADS = List.of(1.0, 1.5, 3.0);
-    /** Shares of the highest tier at the largest load that come close to the capacity by themselves. */
-    private static final List<Double> LARGE_SHARES = List.of(0.22, 0.26);
+    /** Shares of the highest tier with which that tier alone comes close to the capacity at the largest load. */
+    private static final List<Double> LARGE_HIGHEST_TIER_SHARES = List.of(0.22, 0.26);
 
     private static final double MIN_HIGHEST_TIER_GOODPUT = 0.99;
     private static final double MAX_WASTED_PREFILL = 0.02;
-    private static final List<ErrorKind> KINDS = List.of(
+    private static final List<ErrorKind> REPORTED_ERROR_KINDS = List.of(
             ErrorKind.OVERLOADED,
             ErrorKind.DISPLACED,
             ErrorKind.DEADLINE_UNREACHABLE,
@@ -29,23 +29,23 @@
             ErrorKind.DEADLINE_EXCEEDED_RUNNING);
 
     private final List<Double> loads;
-    private final List<Demand> largeShares;
+    private final List<Demand> highestTierDemands;
 
-    private GoodputMeasurement(List<Double> loads, List<Demand> largeShares) {
+    private GoodputMeasurement(List<Double> loads, List<Demand> highestTierDemands) {
         this.loads = List.copyOf(loads);
-        this.largeShares = List.copyOf(largeShares);
+        this.highestTierDemands = List.copyOf(highestTierDemands);
     }
 
-    /** Returns the measurement behind the tables. */
+    /** Returns the measurement at the loads and shares of the highest tier that the documentation reports. */
     public static GoodputMeasurement create() {
         double largestLoad = DEFAULT_LOADS.get(DEFAULT_LOADS.size() - 1);
-        List<Demand> largeShares = LARGE_SHARES.stream()
+        List<Demand> highestTierDemands = LARGE_HIGHEST_TIER_SHARES.stream()
                 .map(share -> Demand.steady(largestLoad, share))
                 .toList();
-        return new GoodputMeasurement(DEFAULT_LOADS, largeShares);
+        return new GoodputMeasurement(DEFAULT_LOADS, highestTierDemands);
     }
 
-    /** Returns the measurement at other loads only, as multiples of the capacity in rising order. */
+    /** Returns the measurement at the given loads only, which are multiples of the capacity in ascending order. */
     public static GoodputMeasurement atLoads(List<Double> loads) {
         return new GoodputMeasurement(loads, List.of());
     }
@@ -63,27 +63,27 @@
     @Override
     public Report run(long seed) {
         List<List<String>> rows = new ArrayList<>();
-        Map<Double, Map<Scheme, Tally>> results = new TreeMap<>();
+        Map<Double, Map<PolicySet, OutcomeCounts>> results = new TreeMap<>();
         boolean valid = true;
         for (double load : loads) {
             List<Job> jobs = Workload.generate(seed, Demand.withBurst(load), GoodputRun.capacityMillisPerSecond());
-            Map<Scheme, Tally> tallies = new EnumMap<>(Scheme.class);
-            for (Scheme scheme : Scheme.values()) {
-                Tally tally = GoodputRun.run(scheme, jobs, seed);
-                tallies.put(scheme, tally);
-                rows.add(row(load + "x", scheme, tally));
-                valid &= tally.openCount() == 0;
+            Map<PolicySet, OutcomeCounts> countsByPolicySet = new EnumMap<>(PolicySet.class);
+            for (PolicySet policySet : PolicySet.values()) {
+                OutcomeCounts counts = GoodputRun.run(policySet, jobs, seed);
+                countsByPolicySet.put(policySet, counts);
+                rows.add(row(load + "x", policySet, counts));
+                valid &= counts.unresolvedCount() == 0;
             }
-            results.put(load, tallies);
+            results.put(load, countsByPolicySet);
         }
         List<String> notes = notes(results);
-        for (Demand demand : largeShares) {
+        for (Demand demand : highestTierDemands) {
             List<Job> jobs = Workload.generate(seed, demand, GoodputRun.capacityMillisPerSecond());
-            Tally tally = GoodputRun.run(Scheme.FULL, jobs, seed);
+            OutcomeCounts counts = GoodputRun.run(PolicySet.FULL, jobs, seed);
             String label = demand.load() + "x, highest tier at " + percent(demand.highestTierLoad()) + "% of capacity";
-            rows.add(row(label, Scheme.FULL, tally));
-            notes.add(highestTierTarget(label, tally));
-            valid &= tally.openCount() == 0;
+            rows.add(row(label, PolicySet.FULL, counts));
+            notes.add(highestTierTarget(label, counts));
+            valid &= counts.unresolvedCount() == 0;
         }
         return new Report(columns(), rows, notes, valid, List.of(chart(results)));
     }
@@ -92,41 +92,41 @@
         List<String> columns = new ArrayList<>(List.of("load", "policy"));
         Stream.of(Tier.values()).forEach(tier -> columns.add(tier.lowerCaseName() + " goodput %"));
         columns.addAll(List.of("total goodput %", "wasted prefill %"));
-        KINDS.forEach(kind -> columns.add(kind.wireName()));
+        REPORTED_ERROR_KINDS.forEach(kind -> columns.add(kind.wireName()));
         return columns;
     }
 
-    private static List<String> row(String load, Scheme scheme, Tally tally) {
-        List<String> row = new ArrayList<>(List.of(load, scheme.label()));
-        Stream.of(Tier.values()).forEach(tier -> row.add(percent(tally.goodput(tier))));
-        row.add(percent(tally.totalGoodput()));
-        row.add(percent(tally.wastedPrefillShare()));
-        KINDS.forEach(kind -> row.add(String.valueOf(tally.refusals(kind))));
+    private static List<String> row(String load, PolicySet policySet, OutcomeCounts counts) {
+        List<String> row = new ArrayList<>(List.of(load, policySet.label()));
+        Stream.of(Tier.values()).forEach(tier -> row.add(percent(counts.goodput(tier))));
+        row.add(percent(counts.totalGoodput()));
+        row.add(percent(counts.wastedPrefillShare()));
+        REPORTED_ERROR_KINDS.forEach(kind -> row.add(String.valueOf(counts.failures(kind))));
         return row;
     }
 
-    private List<String> notes(Map<Double, Map<Scheme, Tally>> results) {
+    private List<String> notes(Map<Double, Map<PolicySet, OutcomeCounts>> results) {
         List<String> notes = new ArrayList<>();
-        results.forEach((load, tallies) -> {
-            Tally full = tallies.get(Scheme.FULL);
+        results.forEach((load, countsByPolicySet) -> {
+            OutcomeCounts full = countsByPolicySet.get(PolicySet.FULL);
             notes.add(highestTierTarget(load + "x", full));
             double baseline = Math.max(
-                    tallies.get(Scheme.ROUND_ROBIN_FIFO).totalGoodput(),
-                    tallies.get(Scheme.LEAST_OUTSTANDING_FIFO).totalGoodput());
+                    countsByPolicySet.get(PolicySet.ROUND_ROBIN_FIFO).totalGoodput(),
+                    countsByPolicySet.get(PolicySet.LEAST_OUTSTANDING_FIFO).totalGoodput());
             notes.add(target(
                     load + "x",
                     "total " + percent(full.totalGoodput()) + "%, better baseline " + percent(baseline) + "%",
                     full.totalGoodput() >= baseline));
         });
         double load = loads.get(loads.size() - 1);
-        double wasted = results.get(load).get(Scheme.FULL).wastedPrefillShare();
+        double wasted = results.get(load).get(PolicySet.FULL).wastedPrefillShare();
         notes.add(target(
                 load + "x", "wasted prefill " + percent(wasted) + "%, target under 2%", wasted < MAX_WASTED_PREFILL));
         return notes;
     }
 
-    private static String highestTierTarget(String load, Tally tally) {
-        double goodput = tally.goodput(Tier.CRITICAL);
+    private static String highestTierTarget(String load, OutcomeCounts counts) {
+        double goodput = counts.goodput(Tier.CRITICAL);
         return target(
                 load,
                 "highest tier " + percent(goodput) + "%, target at least 99%",
@@ -137,14 +137,15 @@
         return load + ": " + text + ": " + (met ? "met" : "missed");
     }
 
-    private Report.LineChart chart(Map<Double, Map<Scheme, Tally>> results) {
+    private Report.LineChart chart(Map<Double, Map<PolicySet, OutcomeCounts>> results) {
         List<Report.Series> series = new ArrayList<>();
-        for (Scheme scheme : Scheme.values()) {
+        for (PolicySet policySet : PolicySet.values()) {
             for (Tier tier : Tier.values()) {
                 List<Double> goodput = results.values().stream()
-                        .map(tallies -> 100 * tallies.get(scheme).goodput(tier))
+                        .map(countsByPolicySet ->
+                                100 * countsByPolicySet.get(policySet).goodput(tier))
                         .toList();
-                series.add(new Report.Series(scheme.label() + ", " + tier.lowerCaseName(), loads, goodput));
+                series.add(new Report.Series(policySet.label() + ", " + tier.lowerCaseName(), loads, goodput));
             }
         }
         return new Report.LineChart("by-tier", "load, multiple of capacity", "goodput, %", series);
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/Scheme.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/PolicySet.java
@@ -18,8 +18,8 @@
 import dev.wigeonward.core.placement.RoundRobin;
 import dev.wigeonward.core.placement.UpstreamDescription;
 
-/** A combination of policies to compare. */
-enum Scheme {
+/** A combination of admission queue, placement policy and engine queue to compare with others. */
+enum PolicySet {
     ROUND_ROBIN_FIFO("round robin + FIFO") {
         @Override
         PlacementPolicy placement(RandomGenerator random) {
@@ -46,23 +46,23 @@
         @Override
         EngineQueue engineQueue(UpstreamDescription engine) {
             EngineLimits limits = new EngineLimits(
-                    engine.slots(), engine.slots() * WORK_PER_SLOT_MILLIS, SHORT_MILLIS, AGENT_CAPACITY);
+                    engine.slots(), engine.slots() * WORK_PER_SLOT_MILLIS, SHORT_REQUEST_MILLIS, AGENT_CAPACITY);
             return PriorityEngineQueue.create(limits, engine.speed(), WorkspaceWeights.equal());
         }
     };
 
     private static final int ENTRY_CAPACITY = 500;
-    /** Four times the slots of an engine. */
+    /** Capacity of an engine queue: four times the slots of an engine. */
     private static final int AGENT_CAPACITY = 64;
 
-    /** The longest request takes 85 s at the reference speed. */
+    /** Exceeds the longest request, which takes 85 s at the reference speed. */
     private static final long WORK_PER_SLOT_MILLIS = 100_000;
-    /** Three units at the slowest engine. */
-    private static final long SHORT_MILLIS = 5_000;
+    /** Covers the largest size of the shortest class, three units, on the slowest engine. */
+    private static final long SHORT_REQUEST_MILLIS = 5_000;
 
     private final String label;
 
-    Scheme(String label) {
+    PolicySet(String label) {
         this.label = label;
     }
 
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/FakeEngine.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/SimulatedEngine.java
@@ -7,10 +7,10 @@
 import dev.wigeonward.core.request.RequestId;
 
 /**
- * An engine with continuous batching: each slot prefills and decodes one request at the engine's speed. It starts what
- * it is given and knows no priority.
+ * A simulated engine with continuous batching: each slot prefills and decodes one request at the engine's speed. The
+ * engine starts every request at once and has no queue and no priorities.
  */
-final class FakeEngine {
+final class SimulatedEngine {
     private static final int MILLIS_PER_SECOND = 1_000;
 
     private final UpstreamDescription description;
@@ -19,10 +19,8 @@
     private final EventLoop loop;
     private final Map<RequestId, Run> runs = new HashMap<>();
 
-    /**
-     * Creates an engine that needs {@code slowFactor} times its announced time from {@code slowFromMillis} on.
-     */
-    FakeEngine(UpstreamDescription description, long slowFromMillis, double slowFactor, EventLoop loop) {
+    /** Creates an engine that takes {@code slowFactor} times as long as announced from {@code slowFromMillis} on. */
+    SimulatedEngine(UpstreamDescription description, long slowFromMillis, double slowFactor, EventLoop loop) {
         this.description = description;
         this.slowFromMillis = slowFromMillis;
         this.slowFactor = slowFactor;
@@ -33,9 +31,11 @@
         return description;
     }
 
+    /** Starts a request in a free slot; {@code onFinished} runs at its end unless it is cancelled before. */
     void start(Job job, Runnable onFinished) {
         if (runs.size() >= description.slots()) {
-            throw new IllegalStateException("no free slot at " + description.upstreamId());
+            throw new IllegalStateException(
+                    "engine " + description.upstreamId() + " has no free slot among its " + description.slots());
         }
         long startMillis = loop.nowMillis();
         int promptTokens = job.request().work().promptTokens();
@@ -54,19 +54,21 @@
         });
     }
 
+    /** Returns the time at which work ends that takes {@code workMillis} at the announced speed. */
     private long endMillis(long startMillis, double workMillis) {
-        double beforeSlow = Math.min(workMillis, Math.max(0, slowFromMillis - startMillis));
-        return (long) Math.ceil(startMillis + beforeSlow + (workMillis - beforeSlow) * slowFactor);
+        double nominalMillis = Math.min(workMillis, Math.max(0, slowFromMillis - startMillis));
+        return (long) Math.ceil(startMillis + nominalMillis + (workMillis - nominalMillis) * slowFactor);
     }
 
-    /** Frees the slot of a finished or cancelled request and returns the prompt tokens that were prefilled. */
+    /** Frees the slot of a finished or cancelled request and returns how many of its prompt tokens were prefilled. */
     long end(RequestId id) {
         Run run = runs.remove(id);
         if (loop.nowMillis() >= run.prefillEndMillis()) {
             return run.promptTokens();
         }
-        double done = (double) (loop.nowMillis() - run.startMillis()) / (run.prefillEndMillis() - run.startMillis());
-        return (long) (run.promptTokens() * done);
+        double prefilledShare =
+                (double) (loop.nowMillis() - run.startMillis()) / (run.prefillEndMillis() - run.startMillis());
+        return (long) (run.promptTokens() * prefilledShare);
     }
 
     private record Run(long startMillis, long prefillEndMillis, int promptTokens) {}
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/package-info.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/package-info.java
@@ -1,2 +1,2 @@
-/** Goodput of scheduling policies before small fake engines, on a paused clock. */
+/** Measures the goodput of scheduling policies with simulated engines in simulated time. */
 package dev.wigeonward.measure.goodput;
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/DecisionBenchmark.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/DecisionBenchmark.java
@@ -12,32 +12,32 @@
 import org.openjdk.jmh.annotations.Setup;
 import org.openjdk.jmh.annotations.State;
 
-/** One placement and admission decision, sampled for percentiles. */
+/** JMH benchmark of one placement and admission decision; samples times to compute percentiles. */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.SampleTime)
 @OutputTimeUnit(TimeUnit.NANOSECONDS)
 public class DecisionBenchmark {
-    /** Seed of the state. */
+    /** Seed of the random choices in the entry's state. */
     @Param("1")
     public long seed;
 
-    /** Upstreams in the pool. */
+    /** Number of upstreams in the pool. */
     @Param({"10", "100", "1000", "10000"})
     public int upstreams;
 
-    /** Whether the requests have keys. */
+    /** Whether the requests have keys, which selects placement by key. */
     @Param({"false", "true"})
     public boolean keyed;
 
     private DecisionState state;
 
-    /** Builds the state of an entry. */
+    /** Creates the state of the entry before the benchmark. */
     @Setup
     public void setUp() {
         state = DecisionState.create(upstreams, keyed, seed);
     }
 
-    /** Returns one decision. */
+    /** Makes one decision and returns its placement. */
     @Benchmark
     public Placement decide() {
         return state.decide();
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/DecisionState.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/DecisionState.java
@@ -24,7 +24,7 @@
 import dev.wigeonward.core.request.Tier;
 import dev.wigeonward.core.request.WorkEstimate;
 
-/** An entry's decision state with a queue that holds one request of each workspace. */
+/** An entry's state for admission and placement, with a queue that holds one request of each workspace. */
 final class DecisionState {
     static final int WORKSPACES = 2_500;
 
@@ -38,8 +38,11 @@
     private final PrefixIndex prefixes = PrefixIndex.create();
     private final AdmissionQueue queue;
     private final PlacementPolicy policy;
-    /** The request dispatched last; it arrives again, so that each workspace always has one request. */
-    private RequestSpec arriving;
+    /**
+     * Request that the next decision queues. It is the request dispatched last, so that each workspace always has one
+     * request in the queue.
+     */
+    private RequestSpec nextArrival;
 
     private long nowMillis;
 
@@ -56,10 +59,10 @@
         for (int number = 0; number < WORKSPACES; number++) {
             queue.offer(request(number, keyed, random), 1_000, 0);
         }
-        arriving = request(WORKSPACES, keyed, random);
+        nextArrival = request(WORKSPACES, keyed, random);
     }
 
-    /** Returns the state of an entry; with {@code keyed}, requests are placed by their keys. */
+    /** Creates the state of an entry; if {@code keyed}, requests have keys and are placed by them. */
     static DecisionState create(int upstreams, boolean keyed, long seed) {
         return new DecisionState(upstreams, keyed, seed);
     }
@@ -68,19 +71,20 @@
         return pool;
     }
 
-    /** Queues a request, takes the next one to dispatch, places it and counts it; an earlier one ends. */
+    /** Queues a request, takes the next one from the queue, places it, and counts it as dispatched and as ended. */
     Placement decide() {
         nowMillis++;
-        AdmissionResult result = queue.offer(arriving, 1_000, nowMillis);
+        AdmissionResult result = queue.offer(nextArrival, 1_000, nowMillis);
         if (result instanceof AdmissionResult.Refused refused) {
-            throw new IllegalStateException("refused: " + refused.failure());
+            throw new IllegalStateException(
+                    "queue for " + (WORKSPACES + 1) + " requests refused a request: " + refused.failure());
         }
         RequestSpec dispatched = queue.poll(nowMillis).orElseThrow();
         Placement placement = policy.choose(dispatched, pool, nowMillis).orElseThrow();
         UpstreamState state = pool.find(placement.upstreamId()).orElseThrow();
         state.onDispatched(placement.serviceMillis());
         state.onEnded(placement.serviceMillis());
-        arriving = dispatched;
+        nextArrival = dispatched;
         return placement;
     }
 
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecision.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecision.java
@@ -16,7 +16,7 @@
 import org.openjdk.jmh.runner.options.TimeValue;
 import org.openjdk.jmh.runner.options.VerboseMode;
 
-/** Time of one placement and admission decision. */
+/** Measures the time of one placement and admission decision with JMH. */
 public final class EntryDecision implements Measurement {
     private static final double TARGET_MICROS = 50;
     private static final double NANOS_PER_MICRO = 1_000;
@@ -35,7 +35,7 @@
 
     @Override
     public Report run(long seed) {
-        // In this process: a fork would start a second JVM on cores that other work shares.
+        // Runs in this process, since a fork would start a second JVM that competes for the same cores.
         Options options = new OptionsBuilder()
                 .include(DecisionBenchmark.class.getName())
                 .param("seed", Long.toString(seed))
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/LinkSubsetSpread.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/LinkSubsetSpread.java
@@ -17,7 +17,10 @@
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 
-/** Links of one region of the target size, how many of them move, and the time to compute them. */
+/**
+ * Measures the links of each region at the target size, how many of them change when an entry or agent leaves, and the
+ * time to compute them.
+ */
 public final class LinkSubsetSpread implements Measurement {
     static final int REGIONS = 4;
     static final int POOLS = 7;
@@ -49,21 +52,22 @@
         LongSummaryStatistics perAgent = new LongSummaryStatistics();
         for (Region region : regions) {
             Set<Link> links = region.links();
-            counts(links, Link::entry).values().forEach(perEntry::accept);
-            counts(links, link -> link.entry() + "/" + link.pool()).values().forEach(perEntryAndPool::accept);
-            counts(links, Link::agent).values().forEach(perAgent::accept);
+            countBy(links, Link::entry).values().forEach(perEntry::accept);
+            countBy(links, link -> link.entry() + "/" + link.pool()).values().forEach(perEntryAndPool::accept);
+            countBy(links, Link::agent).values().forEach(perAgent::accept);
         }
         List<List<String>> rows = new ArrayList<>();
         rows.add(row("links per entry, all pools", perEntry));
         rows.add(row("links per entry and pool", perEntryAndPool));
         rows.add(row("links per agent", perAgent));
-        addMoves(rows, "", regions.get(0), new Random(seed));
-        addMoves(rows, ", pools of " + SMALL_POOL_AGENTS + " agents", Region.small(seed), new Random(seed));
+        addDepartureRows(rows, "", regions.get(0), new Random(seed));
+        addDepartureRows(rows, ", pools of " + SMALL_POOL_AGENTS + " agents", Region.small(seed), new Random(seed));
         rows.add(timeRow(regions.get(0)));
         return new Report(COLUMNS, rows, notes(regions, perEntry), true, List.of());
     }
 
-    private static void addMoves(List<List<String>> rows, String size, Region region, Random random) {
+    /** Adds rows for the links that are closed and opened when a random entry or agent leaves. */
+    private static void addDepartureRows(List<List<String>> rows, String size, Region region, Random random) {
         Set<Link> before = region.links();
         LongSummaryStatistics lostByEntry = new LongSummaryStatistics();
         LongSummaryStatistics gainedByEntry = new LongSummaryStatistics();
@@ -72,14 +76,14 @@
         for (int departure = 0; departure < DEPARTURES; departure++) {
             String entry = region.entries.get(random.nextInt(region.entries.size()));
             Set<Link> after = region.withoutEntry(entry).links();
-            lostByEntry.accept(missing(before, after).size());
-            gainedByEntry.accept(missing(after, before).size());
+            lostByEntry.accept(difference(before, after).size());
+            gainedByEntry.accept(difference(after, before).size());
             int pool = random.nextInt(POOLS);
             List<String> agents = region.agentsByPool.get("pool-" + pool);
             after = region.withoutAgent("pool-" + pool, agents.get(random.nextInt(agents.size())))
                     .links();
-            lostByAgent.accept(missing(before, after).size());
-            gainedByAgent.accept(missing(after, before).size());
+            lostByAgent.accept(difference(before, after).size());
+            gainedByAgent.accept(difference(after, before).size());
         }
         rows.add(row("links lost when an entry leaves" + size, lostByEntry));
         rows.add(row("links opened when an entry leaves" + size, gainedByEntry));
@@ -87,10 +91,11 @@
         rows.add(row("links opened when an agent leaves" + size, gainedByAgent));
     }
 
-    private static Set<Link> missing(Set<Link> from, Set<Link> in) {
-        Set<Link> missing = new HashSet<>(from);
-        missing.removeAll(in);
-        return missing;
+    /** Returns the links of the first set that are not in the second. */
+    private static Set<Link> difference(Set<Link> first, Set<Link> second) {
+        Set<Link> difference = new HashSet<>(first);
+        difference.removeAll(second);
+        return difference;
     }
 
     private static List<String> timeRow(Region region) {
@@ -122,24 +127,28 @@
                         POOLS,
                         perEntry.getSum(),
                         (long) ENTRIES * AGENTS),
-                "links by the agents' weights alone would leave " + withFewLinks(regions)
+                "links by the agents' weights alone would leave " + pairsWithFewLinks(regions)
                         + " pairs of entry and pool with fewer than 4 links",
                 "the seed changes the ids; the last row is measured time and differs from run to run");
     }
 
-    /** Counts the pairs that the rule of the agents alone serves badly, by the links that it would give. */
-    private static long withFewLinks(List<Region> regions) {
+    /**
+     * Returns the number of pairs of entry and pool that would have fewer than 4 links if only the agents selected
+     * links by their weights.
+     */
+    private static long pairsWithFewLinks(List<Region> regions) {
         long few = 0;
         for (Region region : regions) {
-            Map<String, Long> links = new TreeMap<>();
-            region.agentsByPool.forEach((pool, agents) -> region.entries.forEach(
-                    entry -> links.put(entry + "/" + pool, LinkSubset.linksByAgents(entry, region.entries, agents))));
-            few += links.values().stream().filter(count -> count < 4).count();
+            Map<String, Long> linkCounts = new TreeMap<>();
+            region.agentsByPool.forEach((pool, agents) -> region.entries.forEach(entry ->
+                    linkCounts.put(entry + "/" + pool, LinkSubset.linksByAgents(entry, region.entries, agents))));
+            few += linkCounts.values().stream().filter(count -> count < 4).count();
         }
         return few;
     }
 
-    private static Map<String, Long> counts(Set<Link> links, Function<Link, String> key) {
+    /** Returns the number of links for each value of the key. */
+    private static Map<String, Long> countBy(Set<Link> links, Function<Link, String> key) {
         Map<String, Long> counts = new TreeMap<>();
         links.forEach(link -> counts.merge(key.apply(link), 1L, Long::sum));
         return counts;
@@ -155,8 +164,12 @@
 
     private record Link(String entry, String pool, String agent) {}
 
+    /** The entries and agents of one region. */
     private record Region(List<String> entries, Map<String, List<String>> agentsByPool) {
-        /** Returns a region with as many entries but few agents, where the links per agent depend on their number. */
+        /**
+         * Returns a region with the usual number of entries but few agents, where the links per agent depend on the
+         * number of entries and agents.
+         */
         private static Region small(long seed) {
             return of(seed, 0, POOLS * SMALL_POOL_AGENTS);
         }
@@ -185,13 +198,13 @@
         }
 
         private Region withoutAgent(String pool, String agent) {
-            Map<String, List<String>> rest = new TreeMap<>(agentsByPool);
-            rest.put(
+            Map<String, List<String>> agentsAfter = new TreeMap<>(agentsByPool);
+            agentsAfter.put(
                     pool,
                     agentsByPool.get(pool).stream()
                             .filter(each -> !each.equals(agent))
                             .toList());
-            return new Region(entries, rest);
+            return new Region(entries, agentsAfter);
         }
 
         private Set<Link> links() {
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementQuality.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementQuality.java
@@ -12,7 +12,7 @@
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 
-/** Completion times under the placement policies, in simulated time. */
+/** Measures completion times under each placement policy in simulated time. */
 public final class PlacementQuality implements Measurement {
     private static final double[] LOADS = {0.5, 0.7, 0.85, 0.95};
     private static final List<PlacementSimulation.Fleet> FLEETS =
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementSimulation.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementSimulation.java
@@ -18,21 +18,25 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Entries that know only their own dispatches and old reports, in front of shared engines, in simulated time. All
- * random choices come from the seed, so that two policies get the same requests.
+ * Simulates entries that share engines and know only their own dispatches and outdated load reports. All random choices
+ * come from the seed, so that two policies receive the same requests.
  */
 final class PlacementSimulation {
     static final int UPSTREAMS = 120;
     static final int SLOTS = 8;
     static final long REPORT_PERIOD_MICROS = 1_000_000;
+    /** Age of a load report when it reaches the entries. */
     static final long REPORT_DELAY_MICROS = 1_000_000;
+    /** Round-trip time added by an upstream in another failure domain. */
     static final long REMOTE_EXTRA_MILLIS = 3;
+    /** Requests that arrive before this time are left out of the results. */
     static final long WARM_UP_MICROS = 60_000_000;
+
     static final long ARRIVALS_END_MICROS = 600_000_000;
 
     private static final int DOMAINS = 3;
     private static final int[] DECODE_TOKENS_PER_SECOND = {25, 50, 100};
-    private static final int PREFILL_FACTOR = 40;
+    private static final int PREFILL_TOKENS_PER_DECODED_TOKEN = 40;
     private static final long MICROS_PER_MILLI = 1_000;
     private static final long MAX_RECORDED_MICROS = 36_000_000_000L;
     private static final int HISTOGRAM_DIGITS = 3;
@@ -46,18 +50,19 @@
     private double arrivalsPerSecond;
     private long nowMicros;
     private long eventSequence;
-    private long remote;
-    private long placed;
-    private long placedWithPrefix;
+    private long remoteCount;
+    private long placedCount;
+    private long placedWithPrefixCount;
 
     /**
      * The entries of a run.
      *
-     * @param linkSubset false if each entry links to all upstreams
+     * @param entries number of entries
+     * @param linkSubset whether each entry links to a subset of the upstreams instead of all
      */
     record Fleet(int entries, boolean linkSubset) {}
 
-    /** Makes the policy of one entry. */
+    /** Creates the placement policy of one entry. */
     interface PolicyFactory {
         PlacementPolicy create(Random random, PrefixIndex prefixes, DomainLatency latency);
     }
@@ -67,14 +72,14 @@
         Random random = new Random(seed + 1);
         for (int number = 0; number < UPSTREAMS; number++) {
             int decode = DECODE_TOKENS_PER_SECOND[number % DECODE_TOKENS_PER_SECOND.length];
-            EngineSpeed speed = new EngineSpeed(decode * PREFILL_FACTOR, decode);
+            EngineSpeed speed = new EngineSpeed(decode * PREFILL_TOKENS_PER_DECODED_TOKEN, decode);
             String domain = "domain-" + number / DECODE_TOKENS_PER_SECOND.length % DOMAINS;
             SimulatedUpstream upstream = new SimulatedUpstream(
                     new UpstreamDescription("upstream-" + number, 1, "model", "v1", domain, SLOTS, speed));
             upstreams.add(upstream);
             upstreamsById.put(upstream.description().upstreamId(), upstream);
             arrivalsPerSecond += load * SLOTS / SimulatedWorkload.meanServiceSeconds(speed);
-            at(random.nextLong(REPORT_PERIOD_MICROS), () -> takeReport(upstream));
+            at(random.nextLong(REPORT_PERIOD_MICROS), () -> sendReport(upstream));
         }
         List<String> entryIds = IntStream.range(0, fleet.entries())
                 .mapToObj(number -> "entry-" + number)
@@ -90,9 +95,9 @@
     }
 
     /**
-     * Returns the result of one run.
+     * Runs the simulation until all requests have ended and returns its result.
      *
-     * @param load offered work over what all engines can do with nothing cached
+     * @param load offered work divided by the work that all engines can do without cached prefixes
      */
     static Result run(PolicyFactory factory, Fleet fleet, double load, long seed) {
         PlacementSimulation simulation = new PlacementSimulation(factory, fleet, load, seed);
@@ -116,8 +121,8 @@
                 completionMicros.getMean() / MICROS_PER_MILLI,
                 (double) completionMicros.getValueAtPercentile(50) / MICROS_PER_MILLI,
                 (double) completionMicros.getValueAtPercentile(99) / MICROS_PER_MILLI,
-                (double) hits / placedWithPrefix,
-                (double) remote / placed);
+                (double) hits / placedWithPrefixCount,
+                (double) remoteCount / placedCount);
     }
 
     private void arrive() {
@@ -125,15 +130,15 @@
         SimulatedEntry entry = entries.get(request.entry());
         SimulatedEntry.Choice choice = entry.place(request, nowMillis());
         boolean isRemote = !choice.state().description().failureDomain().equals(entry.domain());
-        placed++;
-        placedWithPrefix += request.spec().work().prefixHash() == 0 ? 0 : 1;
-        remote += isRemote ? 1 : 0;
+        placedCount++;
+        placedWithPrefixCount += request.spec().work().prefixHash() == 0 ? 0 : 1;
+        remoteCount += isRemote ? 1 : 0;
         long oneWayMicros = isRemote ? REMOTE_EXTRA_MILLIS * MICROS_PER_MILLI / 2 : 0;
         SimulatedUpstream upstream = upstreamsById.get(choice.placement().upstreamId());
-        SimulatedUpstream.Job job =
-                new SimulatedUpstream.Job(request, () -> at(nowMicros + oneWayMicros, () -> complete(request, choice)));
+        SimulatedUpstream.QueuedRequest queued = new SimulatedUpstream.QueuedRequest(
+                request, () -> at(nowMicros + oneWayMicros, () -> complete(request, choice)));
         at(nowMicros + oneWayMicros, () -> {
-            upstream.enqueue(job);
+            upstream.enqueue(queued);
             startNext(upstream);
         });
         long nextMicros = nowMicros + workload.nextGapMicros(arrivalsPerSecond);
@@ -146,7 +151,7 @@
         upstream.startNext(nowMicros)
                 .ifPresent(running -> at(nowMicros + running.serviceMicros(), () -> {
                     upstream.finish(running);
-                    running.job().onEnded().run();
+                    running.queued().onEnded().run();
                     startNext(upstream);
                 }));
     }
@@ -158,13 +163,14 @@
         }
     }
 
-    private void takeReport(SimulatedUpstream upstream) {
+    /** Takes a load report of the upstream, delivers it later to all entries and schedules the next report. */
+    private void sendReport(SimulatedUpstream upstream) {
         LoadReport report = upstream.report(nowMicros);
         at(
                 nowMicros + REPORT_DELAY_MICROS,
                 () -> entries.forEach(entry -> entry.onReport(upstream, report, nowMillis())));
         if (nowMicros + REPORT_PERIOD_MICROS < ARRIVALS_END_MICROS) {
-            at(nowMicros + REPORT_PERIOD_MICROS, () -> takeReport(upstream));
+            at(nowMicros + REPORT_PERIOD_MICROS, () -> sendReport(upstream));
         }
     }
 
@@ -185,10 +191,11 @@
     }
 
     /**
-     * Result of one run; completion times are those of the requests that arrived after the warm-up.
+     * Result of one run. The number of requests and the completion times cover the requests that arrived after the
+     * warm-up, the shares cover all requests.
      *
-     * @param prefixHitShare requests with a prefix that found it cached
-     * @param remoteShare requests placed in another failure domain
+     * @param prefixHitShare share of the requests with a prefix whose prefix was cached at the upstream
+     * @param remoteShare share of the requests that were placed in another failure domain
      */
     record Result(
             long requests,
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/SimulatedEntry.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/SimulatedEntry.java
@@ -11,7 +11,7 @@
 import dev.wigeonward.core.placement.UpstreamPool;
 import dev.wigeonward.core.placement.UpstreamState;
 
-/** An entry that knows its own dispatches and the reports that reached it, and nothing of other entries. */
+/** A simulated entry that knows only its own dispatches and the load reports that it received. */
 final class SimulatedEntry {
     private final String domain;
     private final UpstreamPool pool = UpstreamPool.create();
@@ -30,6 +30,7 @@
         return domain;
     }
 
+    /** Chooses an upstream for the request and counts the request as dispatched to it. */
     Choice place(SimulatedRequest request, long nowMillis) {
         Placement placement = policy.choose(request.spec(), pool, nowMillis).orElseThrow();
         UpstreamState state = pool.find(placement.upstreamId()).orElseThrow();
@@ -37,6 +38,7 @@
         return new Choice(placement, state);
     }
 
+    /** Updates the state of the upstream, if the entry is linked to it. */
     void onReport(SimulatedUpstream upstream, LoadReport report, long nowMillis) {
         String upstreamId = upstream.description().upstreamId();
         pool.find(upstreamId).ifPresent(state -> {
@@ -45,6 +47,6 @@
         });
     }
 
-    /** A choice and the state that counts it. */
+    /** A placement and the state of the chosen upstream, which counts the request. */
     record Choice(Placement placement, UpstreamState state) {}
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/SimulatedUpstream.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/SimulatedUpstream.java
@@ -11,18 +11,20 @@
 import dev.wigeonward.core.placement.LoadReport;
 import dev.wigeonward.core.placement.UpstreamDescription;
 
-/** An engine with slots, a first-in first-out queue and a prefix cache of limited size. */
+/** A simulated engine with slots, an unbounded FIFO queue and a prefix cache that evicts the least recently used. */
 final class SimulatedUpstream {
     private static final long MICROS_PER_MILLI = 1_000;
     private static final int CACHED_PREFIXES = 32;
 
     private final UpstreamDescription description;
-    private final Deque<Job> queue = new ArrayDeque<>();
-    private final List<Running> running = new ArrayList<>();
+    private final Deque<QueuedRequest> waiting = new ArrayDeque<>();
+    private final List<RunningRequest> running = new ArrayList<>();
     private final Set<Long> cache = new LinkedHashSet<>();
     private final List<Long> cachedSinceReport = new ArrayList<>();
     private final List<Long> evictedSinceReport = new ArrayList<>();
+    /** Estimated service time of all queued and running requests. */
     private long estimatedWorkMillis;
+
     private long cacheHits;
 
     SimulatedUpstream(UpstreamDescription description) {
@@ -37,43 +39,46 @@
         return cacheHits;
     }
 
-    void enqueue(Job job) {
-        queue.addLast(job);
-        estimatedWorkMillis += estimateMillis(job.request());
+    void enqueue(QueuedRequest queued) {
+        waiting.addLast(queued);
+        estimatedWorkMillis += estimateMillis(queued.request());
     }
 
-    /** Starts the next request if a slot is free and returns it, or empty. */
-    Optional<Running> startNext(long nowMicros) {
-        if (queue.isEmpty() || running.size() >= description.slots()) {
+    /** Starts the next queued request and returns it, or returns empty if the queue is empty or no slot is free. */
+    Optional<RunningRequest> startNext(long nowMicros) {
+        if (waiting.isEmpty() || running.size() >= description.slots()) {
             return Optional.empty();
         }
-        Job job = queue.removeFirst();
-        boolean cached = useCache(job.request().spec().work().prefixHash());
-        Running started = new Running(job, nowMicros, job.request().serviceMicros(description.speed(), cached));
+        QueuedRequest queued = waiting.removeFirst();
+        boolean cached = cachePrefix(queued.request().spec().work().prefixHash());
+        RunningRequest started =
+                new RunningRequest(queued, nowMicros, queued.request().serviceMicros(description.speed(), cached));
         running.add(started);
         return Optional.of(started);
     }
 
-    void finish(Running finished) {
+    void finish(RunningRequest finished) {
         running.remove(finished);
-        estimatedWorkMillis -= estimateMillis(finished.job().request());
+        estimatedWorkMillis -= estimateMillis(finished.queued().request());
     }
 
+    /** Returns the load at the given time, with the prefixes cached and evicted since the last call. */
     LoadReport report(long nowMicros) {
         long doneMillis = 0;
-        for (Running each : running) {
+        for (RunningRequest each : running) {
             long elapsedMillis = (nowMicros - each.startedAtMicros()) / MICROS_PER_MILLI;
-            doneMillis += Math.min(elapsedMillis, estimateMillis(each.job().request()));
+            doneMillis += Math.min(elapsedMillis, estimateMillis(each.queued().request()));
         }
         long backlogMillis = (estimatedWorkMillis - doneMillis) / description.slots();
         LoadReport report =
-                new LoadReport(backlogMillis, running.size(), queue.size(), cachedSinceReport, evictedSinceReport);
+                new LoadReport(backlogMillis, running.size(), waiting.size(), cachedSinceReport, evictedSinceReport);
         cachedSinceReport.clear();
         evictedSinceReport.clear();
         return report;
     }
 
-    private boolean useCache(long prefixHash) {
+    /** Makes the prefix the most recently used one and returns whether it was cached before. */
+    private boolean cachePrefix(long prefixHash) {
         if (prefixHash == 0) {
             return false;
         }
@@ -85,9 +90,9 @@
         }
         cachedSinceReport.add(prefixHash);
         if (cache.size() > CACHED_PREFIXES) {
-            Long oldest = cache.iterator().next();
-            cache.remove(oldest);
-            evictedSinceReport.add(oldest);
+            Long leastRecent = cache.iterator().next();
+            cache.remove(leastRecent);
+            evictedSinceReport.add(leastRecent);
         }
         return false;
     }
@@ -96,9 +101,9 @@
         return request.spec().work().serviceMillis(description.speed());
     }
 
-    /** A request at the upstream, and what follows when it ends. */
-    record Job(SimulatedRequest request, Runnable onEnded) {}
+    /** A request at the upstream and the action to run at its end. */
+    record QueuedRequest(SimulatedRequest request, Runnable onEnded) {}
 
-    /** A job that got a slot. */
-    record Running(Job job, long startedAtMicros, long serviceMicros) {}
+    /** A request that occupies a slot. */
+    record RunningRequest(QueuedRequest queued, long startedAtMicros, long serviceMicros) {}
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/StateBytes.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/StateBytes.java
@@ -20,7 +20,7 @@
 import dev.wigeonward.measure.Report;
 import org.openjdk.jol.info.GraphLayout;
 
-/** Bytes of heap that an entry's state takes for each of its parts. */
+/** Measures the heap that each part of an entry's state takes. */
 public final class StateBytes implements Measurement {
     private static final List<String> COLUMNS = List.of("state", "count", "bytes", "bytes each");
 
@@ -36,7 +36,7 @@
 
     @Override
     public Report run(long seed) {
-        // Without these the layout library starts a second JVM to attach to this one, and cannot read records.
+        // Without these properties JOL starts a second JVM to attach to this one, and cannot read records.
         System.setProperty("jol.skipDynamicAttach", "true");
         System.setProperty("jol.skipHotspotSAAttach", "true");
         System.setProperty("jol.magicFieldOffset", "true");
@@ -60,6 +60,7 @@
                 List.of());
     }
 
+    /** Returns the row of a state that {@code factory} creates for a number of elements. */
     private static List<String> row(String state, int count, IntFunction<Object> factory) {
         long emptyBytes = GraphLayout.parseInstance(factory.apply(0)).totalSize();
         long fullBytes = GraphLayout.parseInstance(factory.apply(count)).totalSize();
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/package-info.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/package-info.java
@@ -1,2 +1,4 @@
-/** Measurements of placement decisions, their quality, their state and the links between entries and agents. */
+/**
+ * Measures the time and quality of placement decisions, the size of an entry's state, and links of entries to agents.
+ */
 package dev.wigeonward.measure.placement;
--- a/measurement/src/test/java/dev/wigeonward/measure/GoodputOutputTest.java
+++ b/measurement/src/test/java/dev/wigeonward/measure/GoodputOutputTest.java
@@ -14,23 +14,27 @@
     @TempDir
     private Path directory;
 
-    /** Guards against figures that depend on anything but the seed, and against a seed without effect. */
+    /**
+     * Guards against reports that depend on more than the seed, such as the order of a hash map or the time of day, and
+     * against a seed that has no effect.
+     */
     @Test
     void sameSeedPrintsTheSameBytes() throws IOException {
-        String first = print(7, "first");
-        assertThat(print(7, "second")).isEqualTo(first);
-        assertThat(print(8, "third")).isNotEqualTo(first);
+        String first = writeReport(7, "first");
+        assertThat(writeReport(7, "second")).isEqualTo(first);
+        assertThat(writeReport(8, "third")).isNotEqualTo(first);
         assertThat(directory.resolve("first/goodput.csv"))
                 .hasSameBinaryContentAs(directory.resolve("second/goodput.csv"));
         assertThat(directory.resolve("first/goodput-by-tier.svg"))
                 .hasSameBinaryContentAs(directory.resolve("second/goodput-by-tier.svg"));
     }
 
-    private String print(long seed, String output) throws IOException {
+    /** Writes the files of a report to a subdirectory and returns its Markdown. */
+    private String writeReport(long seed, String subdirectory) throws IOException {
         Measurement measurement = GoodputMeasurement.atLoads(List.of(1.0));
         Report report = measurement.run(seed);
         assertThat(report.valid()).isTrue();
-        ReportWriter.writeFiles(report, measurement.name(), directory.resolve(output));
+        ReportWriter.writeFiles(report, measurement.name(), directory.resolve(subdirectory));
         return ReportWriter.markdown(report);
     }
 }
