Reword the store, revision, process and top-level measure packages

Cause: comments and private names were vague (shown, whole, first, second) and doc comments did not say what types are and methods return. Change: reword doc comments and messages; rename package-private and private names (SpreadSimulation to PropagationSimulation, thread to storeExecutor). Notes and row labels of reports stay, since docs/measurements.md quotes them.

--- a/measurement/src/main/java/dev/wigeonward/measure/Main.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Main.java
@@ -10,7 +10,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
-/** Command line of the measurements. */
+/** Command-line tool that runs a measurement and prints its report. */
 public final class Main {
     private static final int EXIT_OK = 0;
     private static final int EXIT_INVALID_RUN = 1;
@@ -31,7 +31,7 @@
 
     private Main() {}
 
-    /** Runs the command line and exits with 0, 1 (invalid run) or 2 (usage). */
+    /** Runs the measurement given by the arguments and exits with 0, 1 (invalid run) or 2 (wrong usage). */
     public static void main(String[] arguments) throws IOException {
         System.exit(run(arguments, System.out, System.err));
     }
--- a/measurement/src/main/java/dev/wigeonward/measure/Measurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurement.java
@@ -1,13 +1,13 @@
 package dev.wigeonward.measure;
 
-/** One named measurement. */
+/** A measurement that the command line runs by its name. */
 public interface Measurement {
-    /** Returns the name given on the command line. */
+    /** Returns the name of the measurement on the command line. */
     String name();
 
-    /** Returns one line that says what is measured and in which units. */
+    /** Returns a line that describes what is measured and in which units. */
     String description();
 
-    /** Returns the result of a run whose random choices all come from the seed. */
+    /** Runs the measurement and returns its report; all random choices depend only on the seed. */
     Report run(long seed);
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -14,7 +14,7 @@
 import dev.wigeonward.measure.revision.RevisionSpread;
 import dev.wigeonward.measure.store.StoreCallsMeasurement;
 
-/** The list of all measurements. */
+/** Registry of all measurements. */
 final class Measurements {
     private static final List<Measurement> ALL = List.of(
             new EntryDecision(),
@@ -30,10 +30,12 @@
 
     private Measurements() {}
 
+    /** Returns all measurements in the order in which they are listed. */
     static List<Measurement> all() {
         return ALL;
     }
 
+    /** Returns the measurement with the given name. */
     static Optional<Measurement> find(String name) {
         return ALL.stream()
                 .filter(measurement -> measurement.name().equals(name))
--- a/measurement/src/main/java/dev/wigeonward/measure/Report.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Report.java
@@ -6,13 +6,13 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Result of a measurement.
+ * Report of a measurement: a table with notes and charts.
  *
  * @param columns names of the columns, with units
- * @param rows one list of cells for each row
- * @param notes what was compared, and targets met or missed
- * @param valid false if the run itself went wrong; a missed target is a valid result
- * @param charts line charts over the rows, may be empty
+ * @param rows cells of each row, one for each column
+ * @param notes conditions of the run, comparisons, and targets met or missed
+ * @param valid false if the run failed or is incomplete; a missed target leaves it true
+ * @param charts line charts of the results, possibly none
  */
 public record Report(
         List<String> columns, List<List<String>> rows, List<String> notes, boolean valid, List<LineChart> charts) {
@@ -22,11 +22,12 @@
         notes = List.copyOf(notes);
         charts = List.copyOf(charts);
         for (List<String> row : rows) {
-            Preconditions.checkArgument(row.size() == columns.size(), "row %s does not fit columns %s", row, columns);
+            Preconditions.checkArgument(
+                    row.size() == columns.size(), "row %s must have one cell for each column of %s", row, columns);
         }
     }
 
-    /** A chart written as SVG. */
+    /** A line chart that is written as an SVG file. */
     public record LineChart(String name, String xTitle, String yTitle, List<Series> series) {
         public LineChart {
             Objects.requireNonNull(name, "name");
@@ -34,12 +35,17 @@
         }
     }
 
-    /** A line of a chart. */
+    /** A line of a chart, given by the coordinates of its points. */
     public record Series(String name, List<Double> x, List<Double> y) {
         public Series {
             x = List.copyOf(x);
             y = List.copyOf(y);
-            Preconditions.checkArgument(x.size() == y.size(), "series %s has %s x and %s y", name, x.size(), y.size());
+            Preconditions.checkArgument(
+                    x.size() == y.size(),
+                    "series %s must have as many x values as y values but has %s and %s",
+                    name,
+                    x.size(),
+                    y.size());
         }
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/ReportWriter.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/ReportWriter.java
@@ -13,13 +13,14 @@
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 
-/** Writes reports as Markdown tables, CSV files and SVG charts. */
+/** Formats reports as Markdown and writes them as CSV files and SVG charts. */
 final class ReportWriter {
     private static final int CHART_WIDTH_PIXELS = 800;
     private static final int CHART_HEIGHT_PIXELS = 500;
 
     private ReportWriter() {}
 
+    /** Returns the table and the notes of the report as Markdown. */
     static String markdown(Report report) {
         StringBuilder text = new StringBuilder();
         appendRow(text, report.columns());
@@ -30,6 +31,7 @@
         return text.toString();
     }
 
+    /** Writes the table as {@code name.csv} and each chart as {@code name-chart.svg}. */
     static void writeFiles(Report report, String name, Path directory) throws IOException {
         Files.createDirectories(directory);
         try (Writer writer = Files.newBufferedWriter(directory.resolve(name + ".csv"));
--- a/measurement/src/main/java/dev/wigeonward/measure/package-info.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements behind the tables of the documentation; same seed, same output. */
+/** Command-line measurements whose reports the documentation contains; all random choices depend only on the seed. */
 package dev.wigeonward.measure;
--- a/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatency.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatency.java
@@ -17,8 +17,8 @@
 import dev.wigeonward.standins.local.LocalUpstream;
 
 /**
- * Latency that entry and agent add over calling the engine stand-in directly, in one run, at the size of the smaller
- * deployment: eight engines, three plain services, three entries, each a process.
+ * Measures the latency that entry and agent add to direct calls of the engine stand-in. A run has the size of the
+ * smaller deployment: eight engines, three plain services and three entries, each a process.
  */
 public final class ProcessLatency implements Measurement {
     private static final int ENGINES = 8;
@@ -26,17 +26,20 @@
     private static final int ENTRIES = 3;
     private static final int SLOTS = 64;
     private static final int DECODE_TOKENS_PER_SECOND = 2_000;
-    /** Lets the compilers of all eleven agents see enough requests; 4,000 left the first round 1 ms slower. */
+    /**
+     * Enough requests for the JIT compilers of all eleven agents; after 4,000 requests, the first measured round was 1
+     * ms slower.
+     */
     private static final int WARM_UP_REQUESTS = 24_000;
 
-    private static final double WARM_UP_PER_SECOND = 800;
+    private static final double WARM_UP_REQUESTS_PER_SECOND = 800;
     private static final int REQUESTS = 6_000;
     private static final double REQUESTS_PER_SECOND = 300;
     private static final int ROUNDS = 3;
     private static final int[] OUTPUT_TOKENS = {10, 20, 40};
     private static final double MICROS_PER_MILLI = 1_000;
-    private static final double MEDIAN = 50;
-    private static final double HIGH = 99;
+    private static final double MEDIAN_PERCENTILE = 50;
+    private static final double HIGH_PERCENTILE = 99;
 
     @Override
     public String name() {
@@ -45,7 +48,7 @@
 
     @Override
     public String description() {
-        return "latency through entry and agent processes against direct calls to the engine stand-in, ms";
+        return "latency viaEntries entry and agent processes against direct calls to the engine stand-in, ms";
     }
 
     @Override
@@ -68,7 +71,7 @@
             throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw new IllegalStateException("interrupted", e);
+            throw new IllegalStateException("interrupted while measuring process latency", e);
         }
     }
 
@@ -85,21 +88,24 @@
         List<String> notes = new ArrayList<>();
         boolean valid = true;
         try (LoadRun direct = new LoadRun(engines, Map.of());
-                LoadRun through = new LoadRun(entries, Map.of("authorization", "Bearer kopsu-demo-rescue"))) {
-            through.chats(WARM_UP_REQUESTS, WARM_UP_PER_SECOND, OUTPUT_TOKENS, random.split());
-            direct.chats(WARM_UP_REQUESTS, WARM_UP_PER_SECOND, OUTPUT_TOKENS, random.split());
+                LoadRun viaEntries = new LoadRun(entries, Map.of("authorization", "Bearer kopsu-demo-rescue"))) {
+            viaEntries.chats(WARM_UP_REQUESTS, WARM_UP_REQUESTS_PER_SECOND, OUTPUT_TOKENS, random.split());
+            direct.chats(WARM_UP_REQUESTS, WARM_UP_REQUESTS_PER_SECOND, OUTPUT_TOKENS, random.split());
             for (int round = 1; round <= ROUNDS; round++) {
-                SplittableRandom same = random.split();
-                long seed = same.nextLong();
-                LoadRun.Outcome base =
+                SplittableRandom roundRandom = random.split();
+                long seed = roundRandom.nextLong();
+                LoadRun.Outcome directOutcome =
                         direct.chats(REQUESTS, REQUESTS_PER_SECOND, OUTPUT_TOKENS, new SplittableRandom(seed));
-                LoadRun.Outcome whole =
-                        through.chats(REQUESTS, REQUESTS_PER_SECOND, OUTPUT_TOKENS, new SplittableRandom(seed));
-                rows.add(row(round, "direct", base));
-                rows.add(row(round, "entry and agent", whole));
-                valid &= base.complete() && whole.complete() && base.failures() == 0;
+                LoadRun.Outcome entryOutcome =
+                        viaEntries.chats(REQUESTS, REQUESTS_PER_SECOND, OUTPUT_TOKENS, new SplittableRandom(seed));
+                rows.add(row(round, "direct", directOutcome));
+                rows.add(row(round, "entry and agent", entryOutcome));
+                valid &= directOutcome.complete() && entryOutcome.complete() && directOutcome.failures() == 0;
                 notes.add("round %d adds %s ms at the median and %s ms at the 99th percentile (targets 1 and 5)"
-                        .formatted(round, added(base, whole, MEDIAN), added(base, whole, HIGH)));
+                        .formatted(
+                                round,
+                                addedMillis(directOutcome, entryOutcome, MEDIAN_PERCENTILE),
+                                addedMillis(directOutcome, entryOutcome, HIGH_PERCENTILE)));
             }
         }
         notes.add("%d engines, %d plain services, %d entries, %d agents; load generator on the same machine"
@@ -116,18 +122,18 @@
         return List.of(
                 Integer.toString(round),
                 path,
-                millis(outcome.micros().getValueAtPercentile(MEDIAN)),
-                millis(outcome.micros().getValueAtPercentile(HIGH)),
+                formatMillis(outcome.micros().getValueAtPercentile(MEDIAN_PERCENTILE)),
+                formatMillis(outcome.micros().getValueAtPercentile(HIGH_PERCENTILE)),
                 Integer.toString(outcome.failures()),
                 String.format(Locale.ROOT, "%.0f", outcome.achievedPerSecond()));
     }
 
-    private static String added(LoadRun.Outcome base, LoadRun.Outcome whole, double percentile) {
-        return millis(
-                whole.micros().getValueAtPercentile(percentile) - base.micros().getValueAtPercentile(percentile));
+    private static String addedMillis(LoadRun.Outcome directOutcome, LoadRun.Outcome entryOutcome, double percentile) {
+        return formatMillis(entryOutcome.micros().getValueAtPercentile(percentile)
+                - directOutcome.micros().getValueAtPercentile(percentile));
     }
 
-    private static String millis(long micros) {
+    private static String formatMillis(long micros) {
         return String.format(Locale.ROOT, "%.2f", micros / MICROS_PER_MILLI);
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/process/package-info.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/process/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements through the real processes on loopback. */
+/** Measures entry and agent as separate processes on loopback. */
 package dev.wigeonward.measure.process;
--- a/measurement/src/main/java/dev/wigeonward/measure/revision/FrameSizes.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/FrameSizes.java
@@ -7,22 +7,22 @@
     private static final int HASH_BYTES = 32;
     private static final int LENGTH_PREFIX_BYTES = 4;
     private static final int FIELD_OVERHEAD_BYTES = 2;
-    // Numbers and offsets of up to 28 bits.
+    // Four bytes for a number or offset of up to 28 bits, and one for the tag of the field.
     private static final int NUMBER_BYTES = 4 + 1;
     private static final int HASH_FIELD_BYTES = HASH_BYTES + FIELD_OVERHEAD_BYTES;
     private static final int ENVELOPE_BYTES = LENGTH_PREFIX_BYTES + 2 * FIELD_OVERHEAD_BYTES;
 
-    /** Revision and fencing number; an agent's load report is not counted here. */
+    /** Size of a heartbeat with revision number and fencing number, without an agent's load report. */
     static final int HEARTBEAT_BYTES = ENVELOPE_BYTES + 2 * NUMBER_BYTES;
 
-    /** The same with the hash of the revision, which this frame carries as 64 hex digits. */
+    /** Size of a heartbeat that also carries the hash of the revision, as 64 hex digits. */
     static final int HEARTBEAT_WITH_HASH_BYTES = HEARTBEAT_BYTES + 2 * HASH_BYTES + FIELD_OVERHEAD_BYTES;
 
     private static final int OFFER_BYTES = ENVELOPE_BYTES + NUMBER_BYTES + HASH_FIELD_BYTES;
 
     private FrameSizes() {}
 
-    /** Returns the size of the frame that an effect sends, 0 if it sends none. */
+    /** Returns the size of the frame that an effect sends, or 0 if it sends none. */
     static long of(RelayEffect effect) {
         if (effect instanceof RelayEffect.SendOffer || effect instanceof RelayEffect.SendRequest) {
             return OFFER_BYTES;
--- a/measurement/src/main/java/dev/wigeonward/measure/revision/PropagationSimulation.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/PropagationSimulation.java
@@ -18,8 +18,11 @@
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.core.revision.StoredRevision;
 
-/** The relays of a whole fleet on a paused clock; nodes below {@code ENTRIES} are entries, the others are agents. */
-final class SpreadSimulation {
+/**
+ * Simulates the revision relays of the whole fleet in simulated time. Nodes with an index below {@code ENTRIES} are
+ * entries, the others are agents.
+ */
+final class PropagationSimulation {
     static final int ENTRIES = 1_400;
     static final int AGENTS = 10_000;
     static final int LINKS_PER_AGENT = 7;
@@ -31,10 +34,10 @@
     private static final long HEARTBEAT_MILLIS = 1_000;
     private static final long WARM_UP_MILLIS = 3_000;
     private static final long LIMIT_MILLIS = 30_000;
-    // Covers links inside a failure domain as well as between regions.
+    // The range covers links within a failure domain as well as links between regions.
     private static final int MIN_LATENCY_MILLIS = 1;
     private static final int MAX_LATENCY_MILLIS = 40;
-    private static final String LINE =
+    private static final String LINE_FORMAT =
             "rate workspace-%d requests=%d/s tokens=8000/s # asked by Ana (operations): trial\n";
 
     private final Conditions conditions;
@@ -45,52 +48,52 @@
     private final List<List<Integer>> links = new ArrayList<>();
     private final long[] revisionBytes = new long[NODES];
     private final long[] reachedMillis = new long[NODES];
-    private final Revision first = Revision.of(1, text(1), "ana", "measurement");
-    private final Revision second = Revision.of(2, text(2), "ana", "measurement");
+    private final Revision initialRevision = Revision.of(1, text(1), "ana", "measurement");
+    private final Revision acceptedRevision = Revision.of(2, text(2), "ana", "measurement");
     private long sequence;
-    private int reached;
+    private int reachedCount;
 
     /**
-     * What goes wrong in a run.
+     * Faults and initial state of a run.
      *
-     * @param offersDelivered whether revisions are offered at once; without, only heartbeats tell of them
-     * @param lossShare share of all frames lost
+     * @param offersDelivered whether offers of revisions arrive; if not, nodes learn of a revision only from heartbeats
+     * @param lossShare share of all frames that is lost
      * @param oneReader whether only one reader reaches the store
-     * @param startsEmpty whether all processes start without a revision
+     * @param startsEmpty whether all nodes start without a revision
      */
     record Conditions(String name, boolean offersDelivered, double lossShare, boolean oneReader, boolean startsEmpty) {}
 
-    /** An event for a node; a tick also makes the node send its heartbeats. */
+    /** An event for a node; on a tick, the node also sends its heartbeats. */
     private record Message(long atMillis, long sequence, int to, RelayEvent event) {}
 
-    private SpreadSimulation(Conditions conditions, long seed) {
+    private PropagationSimulation(Conditions conditions, long seed) {
         this.conditions = conditions;
         random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         Arrays.fill(reachedMillis, NOT_REACHED);
     }
 
-    /** Returns a finished run. */
-    static SpreadSimulation run(Conditions conditions, long seed) {
-        SpreadSimulation simulation = new SpreadSimulation(conditions, seed);
-        simulation.build();
-        simulation.deliverUntil(WARM_UP_MILLIS);
+    /** Runs a simulation to its end and returns it. */
+    static PropagationSimulation run(Conditions conditions, long seed) {
+        PropagationSimulation simulation = new PropagationSimulation(conditions, seed);
+        simulation.createNodes();
+        simulation.runUntil(WARM_UP_MILLIS);
         Arrays.fill(simulation.revisionBytes, 0);
-        simulation.accept();
-        simulation.deliverUntil(WARM_UP_MILLIS + LIMIT_MILLIS);
+        simulation.scheduleAcceptedRevision();
+        simulation.runUntil(WARM_UP_MILLIS + LIMIT_MILLIS);
         return simulation;
     }
 
     private static String text(int changedValue) {
         StringBuilder text = new StringBuilder();
         for (int line = 0; line < TEXT_LINES; line++) {
-            text.append(String.format(LINE, line, line == CHANGED_LINE ? 1_000 + changedValue : line + 1));
+            text.append(String.format(LINE_FORMAT, line, line == CHANGED_LINE ? 1_000 + changedValue : line + 1));
         }
         return text.toString();
     }
 
-    private void build() {
+    private void createNodes() {
         for (int node = 0; node < NODES; node++) {
-            // Two revisions are enough for the deltas of this run and keep the texts of the whole fleet in memory.
+            // A run has two revisions; keeping no more limits the memory for the texts of the whole fleet.
             relays[node] = RevisionRelay.create(RevisionLog.create(2, RevisionLog.DEFAULT_MAX_TEXT_CHARS), random);
             links.add(new ArrayList<>());
         }
@@ -108,14 +111,14 @@
                 relays[node].handle(new RelayEvent.LinkUp(name(peer)), 0);
             }
             if (!conditions.startsEmpty()) {
-                handle(node, storeShows(first), 0);
+                handle(node, storeRead(initialRevision), 0);
             }
             schedule(random.nextLong(HEARTBEAT_MILLIS), node, new RelayEvent.Tick());
         }
     }
 
-    /** Lets the readers' watches answer; a watch takes as long as a frame. */
-    private void accept() {
+    /** Schedules the arrival of the accepted revision at the readers of the store; a watch takes as long as a frame. */
+    private void scheduleAcceptedRevision() {
         List<ReaderElection.LiveEntry> live = new ArrayList<>();
         for (int entry = 0; entry < ENTRIES; entry++) {
             live.add(new ReaderElection.LiveEntry(name(entry), "domain-" + entry % FAILURE_DOMAINS));
@@ -125,11 +128,12 @@
                 .map(Integer::valueOf)
                 .sorted()
                 .limit(conditions.oneReader() ? 1 : readers.size())
-                .forEach(reader -> schedule(WARM_UP_MILLIS + latencyMillis(), reader, storeShows(second)));
+                .forEach(reader -> schedule(WARM_UP_MILLIS + latencyMillis(), reader, storeRead(acceptedRevision)));
     }
 
-    private void deliverUntil(long endMillis) {
-        while (!queue.isEmpty() && queue.peek().atMillis() < endMillis && reached < NODES) {
+    /** Delivers events in the order of their time until the end time or until all nodes have the accepted revision. */
+    private void runUntil(long endMillis) {
+        while (!queue.isEmpty() && queue.peek().atMillis() < endMillis && reachedCount < NODES) {
             Message message = queue.poll();
             if (message.event() instanceof RelayEvent.Tick) {
                 sendHeartbeats(message.to(), message.atMillis());
@@ -141,8 +145,8 @@
     private void sendHeartbeats(int node, long nowMillis) {
         long number = relays[node].current().map(Revision::number).orElse(0L);
         for (int peer : links.get(node)) {
-            if (!isLost()) {
-                // The hash stays empty, as the heartbeat frame carries the number only.
+            if (!sampleLoss()) {
+                // The hash is empty because the heartbeat frame carries only the number.
                 schedule(nowMillis + latencyMillis(), peer, new RelayEvent.PeerHeartbeat(name(node), number, ""));
             }
         }
@@ -151,15 +155,15 @@
 
     private void handle(int node, RelayEvent event, long nowMillis) {
         for (RelayEffect effect : relays[node].handle(event, nowMillis)) {
-            perform(node, effect, nowMillis);
+            apply(node, effect, nowMillis);
         }
     }
 
-    private void perform(int node, RelayEffect effect, long nowMillis) {
+    private void apply(int node, RelayEffect effect, long nowMillis) {
         String self = name(node);
-        if (effect instanceof RelayEffect.Adopt adopt && adopt.revision().number() == second.number()) {
+        if (effect instanceof RelayEffect.Adopt adopt && adopt.revision().number() == acceptedRevision.number()) {
             reachedMillis[node] = nowMillis - WARM_UP_MILLIS;
-            reached++;
+            reachedCount++;
         } else if (effect instanceof RelayEffect.SendOffer offer) {
             if (conditions.offersDelivered()) {
                 send(node, offer.peer(), effect, new RelayEvent.Offered(self, offer.number(), offer.hash()), nowMillis);
@@ -178,7 +182,7 @@
         int to = Integer.parseInt(peer);
         long sizeBytes = FrameSizes.of(frame);
         revisionBytes[from] += sizeBytes;
-        if (!isLost()) {
+        if (!sampleLoss()) {
             revisionBytes[to] += sizeBytes;
             schedule(nowMillis + latencyMillis(), to, event);
         }
@@ -188,7 +192,8 @@
         queue.add(new Message(atMillis, sequence++, to, event));
     }
 
-    private boolean isLost() {
+    /** Returns whether the next frame is lost, at random. */
+    private boolean sampleLoss() {
         return conditions.lossShare() > 0 && random.nextDouble() < conditions.lossShare();
     }
 
@@ -200,25 +205,30 @@
         return Integer.toString(node);
     }
 
-    private static RelayEvent storeShows(Revision revision) {
+    private static RelayEvent storeRead(Revision revision) {
         return new RelayEvent.StoreRead(
                 new RevisionStore.HeadResult.Found(new StoredRevision(revision, "measurement", 0)));
     }
 
-    /** Returns when each node had the revision in ascending order, in milliseconds since it was accepted. */
+    /**
+     * Returns the times from the acceptance of the revision until each node adopted it, in milliseconds and in
+     * ascending order; {@code NOT_REACHED} for a node that did not adopt it.
+     */
     long[] sortedReachedMillis() {
         long[] sorted = reachedMillis.clone();
         Arrays.sort(sorted);
         return sorted;
     }
 
-    /** Returns the bytes of offers, requests, deltas and texts that a node sent and received since acceptance. */
+    /**
+     * Returns the bytes of offers, requests, deltas and snapshots that each node sent and received since acceptance.
+     */
     long[] revisionBytes() {
         return revisionBytes.clone();
     }
 
-    /** Returns the number of links of the entry that has most. */
-    int mostLinksOfAnEntry() {
+    /** Returns the largest number of links of an entry. */
+    int maxLinksPerEntry() {
         return links.subList(0, ENTRIES).stream().mapToInt(List::size).max().orElseThrow();
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/revision/RevisionSpread.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/RevisionSpread.java
@@ -7,19 +7,19 @@
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 
-/** Time until an accepted revision is in force everywhere, and the bytes this takes. */
+/** Measures the time until all processes have adopted an accepted revision, and the bytes sent and received for it. */
 public final class RevisionSpread implements Measurement {
     private static final long TARGET_MILLIS = 6_000;
     private static final double CHANGES_PER_SECOND = 5_900 / 86_400.0;
     private static final int BUDGET_BYTES_PER_SECOND = 4_000;
     private static final int CURVE_POINTS = 100;
-    private static final List<SpreadSimulation.Conditions> RUNS = List.of(
-            new SpreadSimulation.Conditions("offers and heartbeats", true, 0, false, false),
-            new SpreadSimulation.Conditions("heartbeats only", false, 0, false, false),
-            new SpreadSimulation.Conditions("10% of frames lost", true, 0.1, false, false),
-            new SpreadSimulation.Conditions("one reader reaches the store", true, 0, true, false),
-            new SpreadSimulation.Conditions("heartbeats only, one reader", false, 0, true, false),
-            new SpreadSimulation.Conditions("all start empty", true, 0, false, true));
+    private static final List<PropagationSimulation.Conditions> RUNS = List.of(
+            new PropagationSimulation.Conditions("offers and heartbeats", true, 0, false, false),
+            new PropagationSimulation.Conditions("heartbeats only", false, 0, false, false),
+            new PropagationSimulation.Conditions("10% of frames lost", true, 0.1, false, false),
+            new PropagationSimulation.Conditions("one reader reaches the store", true, 0, true, false),
+            new PropagationSimulation.Conditions("heartbeats only, one reader", false, 0, true, false),
+            new PropagationSimulation.Conditions("all start empty", true, 0, false, true));
 
     @Override
     public String name() {
@@ -35,19 +35,20 @@
     public Report run(long seed) {
         List<List<String>> rows = new ArrayList<>();
         List<Report.Series> curves = new ArrayList<>();
-        long slowestMillis = 0;
-        long mostBytes = 0;
-        int mostLinks = 0;
-        for (SpreadSimulation.Conditions conditions : RUNS) {
-            SpreadSimulation simulation = SpreadSimulation.run(conditions, seed);
+        long slowestRunMillis = 0;
+        long maxBytesPerNode = 0;
+        int maxLinksPerEntry = 0;
+        for (PropagationSimulation.Conditions conditions : RUNS) {
+            PropagationSimulation simulation = PropagationSimulation.run(conditions, seed);
             long[] millis = simulation.sortedReachedMillis();
             long[] bytes = simulation.revisionBytes();
             rows.add(row(conditions.name(), millis, bytes));
             curves.add(curve(conditions.name(), millis));
-            slowestMillis = Math.max(slowestMillis, millis[millis.length - 1]);
-            mostLinks = Math.max(mostLinks, simulation.mostLinksOfAnEntry());
+            slowestRunMillis = Math.max(slowestRunMillis, millis[millis.length - 1]);
+            maxLinksPerEntry = Math.max(maxLinksPerEntry, simulation.maxLinksPerEntry());
             if (!conditions.startsEmpty()) {
-                mostBytes = Math.max(mostBytes, Arrays.stream(bytes).max().orElseThrow());
+                maxBytesPerNode =
+                        Math.max(maxBytesPerNode, Arrays.stream(bytes).max().orElseThrow());
             }
         }
         List<String> columns = List.of(
@@ -62,27 +63,27 @@
         return new Report(
                 columns,
                 rows,
-                notes(slowestMillis, mostBytes, mostLinks),
+                notes(slowestRunMillis, maxBytesPerNode, maxLinksPerEntry),
                 true,
                 List.of(new Report.LineChart("curve", "ms since acceptance", "share of processes", curves)));
     }
 
     private static List<String> row(String name, long[] millis, long[] bytes) {
-        long[] entries = Arrays.copyOf(bytes, SpreadSimulation.ENTRIES);
-        long[] agents = Arrays.copyOfRange(bytes, SpreadSimulation.ENTRIES, bytes.length);
+        long[] entries = Arrays.copyOf(bytes, PropagationSimulation.ENTRIES);
+        long[] agents = Arrays.copyOfRange(bytes, PropagationSimulation.ENTRIES, bytes.length);
         return List.of(
                 name,
-                shown(millis[(millis.length - 1) / 2]),
-                shown(millis[(int) Math.ceil(millis.length * 0.99) - 1]),
-                shown(millis[millis.length - 1]),
+                formatMillis(millis[(millis.length - 1) / 2]),
+                formatMillis(millis[(int) Math.ceil(millis.length * 0.99) - 1]),
+                formatMillis(millis[millis.length - 1]),
                 Long.toString(Arrays.stream(agents).sum() / agents.length),
                 Long.toString(Arrays.stream(agents).max().orElseThrow()),
                 Long.toString(Arrays.stream(entries).sum() / entries.length),
                 Long.toString(Arrays.stream(entries).max().orElseThrow()));
     }
 
-    private static String shown(long millis) {
-        return millis == SpreadSimulation.NOT_REACHED ? "not reached" : Long.toString(millis);
+    private static String formatMillis(long millis) {
+        return millis == PropagationSimulation.NOT_REACHED ? "not reached" : Long.toString(millis);
     }
 
     private static Report.Series curve(String name, long[] millis) {
@@ -90,7 +91,7 @@
         List<Double> y = new ArrayList<>();
         for (int point = 1; point <= CURVE_POINTS; point++) {
             int index = (int) ((long) millis.length * point / CURVE_POINTS) - 1;
-            if (millis[index] != SpreadSimulation.NOT_REACHED) {
+            if (millis[index] != PropagationSimulation.NOT_REACHED) {
                 x.add((double) millis[index]);
                 y.add((double) point / CURVE_POINTS);
             }
@@ -98,24 +99,30 @@
         return new Report.Series(name, x, y);
     }
 
-    private static List<String> notes(long slowestMillis, long mostBytes, int mostLinks) {
+    private static List<String> notes(long slowestRunMillis, long maxBytesPerNode, int maxLinksPerEntry) {
         long perLinkAndSecond = 2L * FrameSizes.HEARTBEAT_BYTES;
         long perLinkAndSecondWithHash = 2L * FrameSizes.HEARTBEAT_WITH_HASH_BYTES;
         return List.of(
                 String.format(
                         "%,d entries and %,d agents with %d links each; latency 1 to 40 ms; heartbeats every 1 s;"
                                 + " a text of 200 rules, one of them changed",
-                        SpreadSimulation.ENTRIES, SpreadSimulation.AGENTS, SpreadSimulation.LINKS_PER_AGENT),
+                        PropagationSimulation.ENTRIES,
+                        PropagationSimulation.AGENTS,
+                        PropagationSimulation.LINKS_PER_AGENT),
                 String.format(
                         "target: all processes within %d ms; slowest run %s ms: %s",
-                        TARGET_MILLIS, shown(slowestMillis), slowestMillis <= TARGET_MILLIS ? "met" : "missed"),
+                        TARGET_MILLIS,
+                        formatMillis(slowestRunMillis),
+                        slowestRunMillis <= TARGET_MILLIS ? "met" : "missed"),
                 String.format(
                         "busiest node at 5,900 changes a day: %.0f bytes/s of a budget of %d bytes/s",
-                        mostBytes * CHANGES_PER_SECOND, BUDGET_BYTES_PER_SECOND),
+                        maxBytesPerNode * CHANGES_PER_SECOND, BUDGET_BYTES_PER_SECOND),
                 String.format(
                         "heartbeats sent and received by the entry with most links (%d): %d bytes/s with the number,"
                                 + " %d bytes/s with number and hash",
-                        mostLinks, mostLinks * perLinkAndSecond, mostLinks * perLinkAndSecondWithHash),
+                        maxLinksPerEntry,
+                        maxLinksPerEntry * perLinkAndSecond,
+                        maxLinksPerEntry * perLinkAndSecondWithHash),
                 "bytes are sizes of frames as link.proto encodes them, sent and received, without heartbeats and TCP");
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/revision/package-info.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/package-info.java
@@ -1,2 +1,2 @@
-/** Measurement of the spread of revisions over the links of the whole fleet. */
+/** Measures how revisions propagate over the links of the whole fleet. */
 package dev.wigeonward.measure.revision;
--- a/measurement/src/main/java/dev/wigeonward/measure/store/ClaimLoad.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/store/ClaimLoad.java
@@ -21,9 +21,12 @@
 import dev.wigeonward.standins.kv.KvStandin;
 import org.HdrHistogram.ConcurrentHistogram;
 
-/** One entry's claims against a stand-in over loopback; each claim is granted and then gets a short outcome. */
+/**
+ * Sends the claims of one entry to the key-value stand-in over loopback. Each claim is for a new key, and a short
+ * outcome is stored for it once it is granted.
+ */
 final class ClaimLoad implements AutoCloseable {
-    private static final int LARGEST_GROUP = 64;
+    private static final int MAX_GROUP_SIZE = 64;
     private static final int WARM_UP_CLAIMS = 2_000;
     private static final int OPEN_LOOP_SECONDS = 10;
     private static final int SIGNIFICANT_DIGITS = 3;
@@ -34,8 +37,8 @@
 
     private final MonotonicClock clock = MonotonicClock.start();
     private final MetricRegistry metrics = new MetricRegistry();
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
-    private final ScheduledExecutorService arrivals = Executors.newSingleThreadScheduledExecutor();
+    private final ScheduledExecutorService storeExecutor = Executors.newSingleThreadScheduledExecutor();
+    private final ScheduledExecutorService arrivalExecutor = Executors.newSingleThreadScheduledExecutor();
     private final KvStandin standin = KvStandin.start(new InetSocketAddress("127.0.0.1", 0), clock);
     private final EtcdStore store;
     private final ClaimStore claims;
@@ -48,10 +51,21 @@
     private ClaimLoad(long seed, int groupSize) {
         Random random = new Random(seed);
         StoreOptions options = new StoreOptions(standin.address(), 10_000, 10_000, 1_000, 100_000, 100_000);
-        this.store = EtcdStore.connect(options, clock, thread, metrics, random);
-        this.claims = ClaimStore.create(store, clock, thread, metrics, random, groupSize);
+        this.store = EtcdStore.connect(options, clock, storeExecutor, metrics, random);
+        this.claims = ClaimStore.create(store, clock, storeExecutor, metrics, random, groupSize);
     }
 
+    /**
+     * Result of a run.
+     *
+     * @param claims number of claims sent
+     * @param granted number of claims granted
+     * @param recorded number of claims whose outcome was stored
+     * @param transactions number of calls to the store
+     * @param seconds duration of the run
+     * @param medianMillis median time until a claim is answered
+     * @param percentile99Millis 99th percentile of that time
+     */
     record Result(
             int claims,
             int granted,
@@ -69,24 +83,24 @@
         }
     }
 
-    /** Returns the result of claims of which two groups wait at any time. */
+    /** Runs claims in a closed loop that keeps two groups of claims outstanding, and returns the result. */
     static Result closedLoop(long seed, int groupSize, int count) {
         try (ClaimLoad load = new ClaimLoad(seed, groupSize)) {
             load.runClosed(2 * groupSize, WARM_UP_CLAIMS);
-            return load.measured(count, () -> load.runClosed(2 * groupSize, count));
+            return load.measure(count, () -> load.runClosed(2 * groupSize, count));
         }
     }
 
-    /** Returns the result of claims that arrive at random times. */
+    /** Runs claims that arrive at random times at the given rate for 10 s, and returns the result. */
     static Result openLoop(long seed, double claimsPerSecond) {
-        try (ClaimLoad load = new ClaimLoad(seed, LARGEST_GROUP)) {
-            load.runClosed(LARGEST_GROUP, WARM_UP_CLAIMS);
+        try (ClaimLoad load = new ClaimLoad(seed, MAX_GROUP_SIZE)) {
+            load.runClosed(MAX_GROUP_SIZE, WARM_UP_CLAIMS);
             int count = Math.max(1, (int) (claimsPerSecond * OPEN_LOOP_SECONDS));
-            return load.measured(count, () -> load.runOpen(new Random(seed), claimsPerSecond, count));
+            return load.measure(count, () -> load.runOpen(new Random(seed), claimsPerSecond, count));
         }
     }
 
-    private Result measured(int count, Runnable run) {
+    private Result measure(int count, Runnable run) {
         latencyNanos = new ConcurrentHistogram(SIGNIFICANT_DIGITS);
         granted = new AtomicInteger();
         recorded = new AtomicInteger();
@@ -105,19 +119,19 @@
     }
 
     private void runClosed(int outstanding, int count) {
-        AtomicInteger left = new AtomicInteger(count);
+        AtomicInteger remaining = new AtomicInteger(count);
         CountDownLatch done = new CountDownLatch(count);
         for (int i = 0; i < outstanding; i++) {
-            next(left, done);
+            claimNext(remaining, done);
         }
         await(done);
     }
 
-    private void next(AtomicInteger left, CountDownLatch done) {
-        if (left.getAndDecrement() > 0) {
+    private void claimNext(AtomicInteger remaining, CountDownLatch done) {
+        if (remaining.getAndDecrement() > 0) {
             claim(() -> {
                 done.countDown();
-                next(left, done);
+                claimNext(remaining, done);
             });
         }
     }
@@ -127,7 +141,7 @@
         double atSeconds = 0;
         for (int i = 0; i < count; i++) {
             atSeconds += -Math.log(1 - random.nextDouble()) / claimsPerSecond;
-            arrivals.schedule(
+            arrivalExecutor.schedule(
                     () -> claim(done::countDown), (long) (atSeconds * NANOS_PER_SECOND), TimeUnit.NANOSECONDS);
         }
         await(done);
@@ -142,11 +156,12 @@
         long startNanos = clock.elapsedNanos();
         claims.claim(nextRequest()).thenAccept(reply -> {
             latencyNanos.recordValue(clock.elapsedNanos() - startNanos);
-            record(reply, done);
+            recordOutcome(reply, done);
         });
     }
 
-    private void record(ClaimReply reply, Runnable done) {
+    /** Stores an outcome for a granted claim, then runs {@code done}; runs it at once if the claim was not granted. */
+    private void recordOutcome(ClaimReply reply, Runnable done) {
         if (reply.claim().isEmpty()) {
             done.run();
             return;
@@ -163,19 +178,20 @@
     private static void await(CountDownLatch done) {
         try {
             if (!done.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
-                throw new IllegalStateException(done.getCount() + " claims without an answer");
+                throw new IllegalStateException(
+                        done.getCount() + " claims are unfinished after " + TIMEOUT_SECONDS + " s");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw new IllegalStateException("interrupted", e);
+            throw new IllegalStateException("interrupted while waiting for claims to finish", e);
         }
     }
 
     @Override
     public void close() {
-        arrivals.shutdownNow();
+        arrivalExecutor.shutdownNow();
         store.close();
         standin.close();
-        thread.shutdownNow();
+        storeExecutor.shutdownNow();
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/store/RoleCalls.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/store/RoleCalls.java
@@ -5,7 +5,7 @@
 import dev.wigeonward.common.store.StoreControllerLease;
 import dev.wigeonward.common.store.StoreOptions;
 
-/** Calls per second at target size, computed from the intervals in the code and the figures of the design page. */
+/** Computes the calls per second of each role at target size from the intervals in the code and the design figures. */
 final class RoleCalls {
     private static final double ENTRIES = 1_400;
     private static final double READERS = 22;
@@ -16,10 +16,12 @@
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final double SPEND_INTERVAL_SECONDS = 30;
     private static final double WRITES_AVAILABLE_PER_SECOND = 300;
+    /** Calls for a claim that is not grouped with others: one to create it, one to store its outcome. */
     private static final double CALLS_PER_CLAIM_ALONE = 2;
 
     private RoleCalls() {}
 
+    /** Returns a line for each kind of call, and one for the claims that the remaining writes allow. */
     static List<String> atTargetSize() {
         double watches = READERS / (StoreOptions.WATCH_IDLE.defaultValue().orElseThrow() / MILLIS_PER_SECOND);
         double candidates = READERS / (StoreControllerLease.POLL_MILLIS / MILLIS_PER_SECOND);
--- a/measurement/src/main/java/dev/wigeonward/measure/store/StoreCallsMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/store/StoreCallsMeasurement.java
@@ -7,7 +7,10 @@
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 
-/** Claims with their outcomes through the real client and the key-value stand-in, by group size. */
+/**
+ * Measures the calls and latency of claims and their outcomes with the production client and the key-value stand-in, by
+ * group size and by arrival rate.
+ */
 public final class StoreCallsMeasurement implements Measurement {
     private static final List<Integer> GROUP_SIZES = List.of(1, 2, 4, 8, 16, 32, 64);
     private static final int CLAIMS = 4_000;
--- a/measurement/src/main/java/dev/wigeonward/measure/store/package-info.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/store/package-info.java
@@ -1,2 +1,2 @@
-/** Calls to the key-value service: for each claim, over loopback, and for each role at target size. */
+/** Measures calls to the key-value service per claim over loopback, and computes those of each role at target size. */
 package dev.wigeonward.measure.store;
