Describe the methods of PolicySet and SimulatedUpstream

Cause: some package-private methods had no doc comment. Change: state what they return or do, and that prefix hash 0 means none.

--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/PolicySet.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/PolicySet.java
@@ -66,16 +66,20 @@
         this.label = label;
     }
 
+    /** Returns the name of the combination in reports. */
     String label() {
         return label;
     }
 
+    /** Returns a new admission queue for an entry. */
     AdmissionQueue admission() {
         return FifoAdmissionQueue.withCapacity(ENTRY_CAPACITY);
     }
 
+    /** Returns a new placement policy for an entry. */
     abstract PlacementPolicy placement(RandomGenerator random);
 
+    /** Returns a new queue for the engine. */
     EngineQueue engineQueue(UpstreamDescription engine) {
         return FifoEngineQueue.create(engine.slots(), engine.speed(), AGENT_CAPACITY);
     }
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/SimulatedUpstream.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/SimulatedUpstream.java
@@ -39,6 +39,7 @@
         return cacheHits;
     }
 
+    /** Adds a request to the end of the queue. */
     void enqueue(QueuedRequest queued) {
         waiting.addLast(queued);
         estimatedWorkMillis += estimateMillis(queued.request());
@@ -57,6 +58,7 @@
         return Optional.of(started);
     }
 
+    /** Frees the slot of a request. */
     void finish(RunningRequest finished) {
         running.remove(finished);
         estimatedWorkMillis -= estimateMillis(finished.queued().request());
@@ -77,7 +79,7 @@
         return report;
     }
 
-    /** Makes the prefix the most recently used one and returns whether it was cached before. */
+    /** Makes the prefix the most recently used one and returns whether it was cached before; 0 means no prefix. */
     private boolean cachePrefix(long prefixHash) {
         if (prefixHash == 0) {
             return false;
