--- a/verification/src/test/java/dev/wigeonward/pages/Pages.java
+++ b/verification/src/test/java/dev/wigeonward/pages/Pages.java
@@ -9,12 +9,12 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
-/** The pages of the repository and the blocks in them. */
+/** Reads the Markdown pages of the repository and their fenced blocks. */
 final class Pages {
     static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
     private static final Pattern BLOCK = Pattern.compile("(?ms)^```([^\n`]*)\n(.*?)^```$");
 
-    /** A fenced block; the language is all that follows the opening fence. */
+    /** Fenced block of a page; the language is the whole text after the opening fence. */
     record Block(Path page, String language, String text) {
         @Override
         public String toString() {
@@ -55,7 +55,7 @@
                 .toList();
     }
 
-    /** Returns the cells of the rows of the first table under the heading, without its head. */
+    /** Returns the cells of each row of the first table after the heading, without the header row. */
     static List<List<String>> table(Path page, String heading) {
         List<List<String>> rows = text(page)
                 .lines()
--- a/verification/src/test/java/dev/wigeonward/pages/PagesTest.java
+++ b/verification/src/test/java/dev/wigeonward/pages/PagesTest.java
@@ -28,6 +28,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+/** Checks the pages against the code that they describe. */
 class PagesTest {
     private static final Pattern LINK = Pattern.compile("\\]\\(([^)\\s]+)\\)");
     private static final Pattern CODE_SPAN = Pattern.compile("`([^`\n]+)`");
@@ -38,7 +39,7 @@
         return Pages.blocks("ini");
     }
 
-    /** Guards against an example of settings that a process refuses. */
+    /** Guards against a settings example that a process rejects. */
     @ParameterizedTest
     @MethodSource("settingsExamples")
     void settingsExampleIsAccepted(Pages.Block example) {
@@ -51,7 +52,7 @@
                 .isNotNull();
     }
 
-    /** Guards against a settings reference that the binaries have outgrown. */
+    /** Guards against a settings reference that differs from the declarations of the binaries. */
     @Test
     void settingsReferenceEqualsTheDeclarations() {
         assertThat(Pages.blocks("ini reference entry"))
@@ -62,7 +63,7 @@
                 .containsExactly(AgentSettings.declaration().documentedExample().strip());
     }
 
-    /** Guards against an error kind that the guide leaves out or describes with another answer. */
+    /** Guards against an error kind that is missing from the guide or documented with another status or run state. */
     @Test
     void errorTableEqualsTheErrorKinds() {
         List<List<String>> rows = Pages.table(Pages.page("OPERATIONS.md"), "## Errors");
@@ -78,7 +79,7 @@
                 .allSatisfy(row -> assertThat(row).hasSize(5).last().asString().isNotBlank());
     }
 
-    /** Guards against a metric that the guide names wrongly or leaves out. */
+    /** Guards against a metric that is missing from the guide or has another name there. */
     @Test
     void metricsTableHasTheMetricsOfAnEntry() {
         Set<String> names = new EntryMetrics()
@@ -93,7 +94,7 @@
                 .containsExactlyInAnyOrderElementsOf(names);
     }
 
-    /** Guards against an example of a rule that the parser refuses; it has to fit into the example of Kopsu. */
+    /** Guards against a rule example that the parser rejects; each is parsed as part of the Kopsu example. */
     @Test
     void rulesExamplesParse() {
         List<String> kopsu =
@@ -152,7 +153,7 @@
         }
     }
 
-    /** Guards against names of classes that were renamed or removed. */
+    /** Guards against class names on the pages whose classes were renamed or removed. */
     @Test
     void namedClassesExist() {
         Set<String> types = declaredTypes();
--- a/verification/src/test/java/dev/wigeonward/pages/ShownCommandsTest.java
+++ b/verification/src/test/java/dev/wigeonward/pages/ShownCommandsTest.java
@@ -18,6 +18,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+/** Checks the commands on the pages against the binaries. */
 class ShownCommandsTest {
     private static final Pattern COMMAND =
             Pattern.compile("(?m)(?:^ {4}|^|`)wigeonward-(entry|agent) ([a-z][a-z-]*)([^`\n]*)");
@@ -46,7 +47,7 @@
         }
     }
 
-    /** Guards against a check that takes any word for a command. */
+    /** Guards against a check that accepts any word as a command. */
     @Test
     void madeUpCommandsAreNotTakenForKnown() throws Exception {
         assertThat(isKnown(answer("entry frobnicate"))).isFalse();
@@ -69,7 +70,7 @@
         return !answer.contains("unknown command") && !answer.contains("expected a command, one of");
     }
 
-    /** Returns what a command prints without arguments and when asked for help; neither does anything. */
+    /** Returns what a command prints without arguments and with {@code --help}; neither has an effect. */
     private String answer(String command) throws IOException, InterruptedException {
         String known = answers.get(command);
         if (known == null) {
--- a/verification/src/test/java/dev/wigeonward/verification/faults/AgentNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/AgentNode.java
@@ -22,49 +22,49 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** The real agent dispatcher with the adapters of one agent. */
+/** Simulated agent: the production agent dispatcher with fake adapters for links and the upstream. */
 final class AgentNode extends Node {
     static final String TARGET = "model";
     private static final EngineSpeed SPEED = new EngineSpeed(10_000, 100);
-    /** An agent gives up a reader whose link has been lost for so long; that is no interruption by the shutdown. */
+    /** Time after which an agent drops a disconnected reader; such a reader is not interrupted by the shutdown. */
     private static final long DETACHED_MILLIS = AgentLimits.defaults().detachedLimitMillis();
 
     private static final int SLOTS = 2;
     private static final int QUEUED = 2;
 
     final FakeUpstream upstream;
-    private final World world;
-    private final Guards guards;
+    private final Simulation simulation;
+    private final Mutation mutation;
     private final Map<Long, Network.Link> links = new HashMap<>();
     private final Map<RequestId, RequestSpec> requests = new HashMap<>();
     private final Map<RequestId, StringBuilder> outputs = new HashMap<>();
     private AgentDispatcher dispatcher;
 
-    AgentNode(World world, String id, Guards guards) {
+    AgentNode(Simulation simulation, String id, Mutation mutation) {
         super(id);
-        this.world = world;
-        this.guards = guards;
-        this.upstream = new FakeUpstream(world, this);
-        started();
+        this.simulation = simulation;
+        this.mutation = mutation;
+        this.upstream = new FakeUpstream(simulation, this);
+        onStarted();
     }
 
     @Override
     long incarnation() {
-        return guards == Guards.RESTART_KEEPS_INCARNATION ? 1 : super.incarnation();
+        return mutation == Mutation.RESTART_KEEPS_INCARNATION ? 1 : super.incarnation();
     }
 
     @Override
-    void lost() {
-        world.network.cutAll(this);
+    void onKilled() {
+        simulation.network.cutAll(this);
         links.clear();
         requests.clear();
         outputs.clear();
-        world.ledger.emptied(id());
+        simulation.log.cleared(id());
     }
 
     @Override
-    void started() {
-        EngineQueue queue = guards == Guards.QUEUE_WITHOUT_TIERS
+    void onStarted() {
+        EngineQueue queue = mutation == Mutation.QUEUE_WITHOUT_TIERS
                 ? FifoEngineQueue.create(SLOTS, SPEED, QUEUED)
                 : PriorityEngineQueue.create(
                         new EngineLimits(SLOTS, 100_000, 0, QUEUED), SPEED, WorkspaceWeights.equal());
@@ -73,7 +73,7 @@
     }
 
     private void tick() {
-        world.after(world.tickMillis(), this, () -> {
+        simulation.after(simulation.tickMillis(), this, () -> {
             handle(new AgentEvent.Tick());
             tick();
         });
@@ -83,35 +83,36 @@
         return new UpstreamDescription(id(), linkIncarnation, TARGET, "v1", "d" + id(), SLOTS, SPEED);
     }
 
-    /** Graceful shutdown: notice to the entries, then the end once nothing is left. */
+    /** Shuts down gracefully: notifies the entries and ends once no request is left. */
     void shutDown() {
-        if (endsAt(world, Step.DRAIN_STARTED)) {
+        if (endedByFaultAt(simulation, Step.DRAIN_STARTED)) {
             return;
         }
-        world.ledger.departures.add(new Ledger.Departure(id(), world.now()));
-        if (guards != Guards.SILENT_DEPARTURE) {
+        simulation.log.departures.add(new EventLog.Departure(id(), simulation.now()));
+        if (mutation != Mutation.SILENT_DEPARTURE) {
             handle(new AgentEvent.DrainStarted());
-            world.network
+            simulation
+                    .network
                     .linksOf(this)
-                    .forEach(link ->
-                            world.network.toEntry(link, () -> link.entry.handle(new EntryEvent.UpstreamLeaving(id()))));
+                    .forEach(link -> simulation.network.toEntry(
+                            link, () -> link.entry.handle(new EntryEvent.UpstreamLeaving(id()))));
         }
-        endWhenIdle();
+        stopWhenIdle();
     }
 
-    private void endWhenIdle() {
-        world.after(world.tickMillis(), this, () -> {
-            boolean ends = dispatcher.idle() && guards != Guards.SILENT_DEPARTURE;
-            if (ends || guards == Guards.HASTY_SHUTDOWN) {
+    private void stopWhenIdle() {
+        simulation.after(simulation.tickMillis(), this, () -> {
+            boolean ends = dispatcher.idle() && mutation != Mutation.SILENT_DEPARTURE;
+            if (ends || mutation == Mutation.HASTY_SHUTDOWN) {
                 upstream.running()
-                        .forEach(request -> world.ledger.interruptions.add(new Ledger.Interruption(id(), request)));
+                        .forEach(request -> simulation.log.interruptions.add(new EventLog.Interruption(id(), request)));
                 upstream.completed().stream()
-                        .filter(request -> !world.ledger.caller(request).answered())
-                        .filter(request -> !world.network.awayFor(entryOf(request), this, DETACHED_MILLIS))
-                        .forEach(request -> world.ledger.interruptions.add(new Ledger.Interruption(id(), request)));
+                        .filter(request -> !simulation.log.caller(request).answered())
+                        .filter(request -> !simulation.network.disconnectedFor(entryOf(request), this, DETACHED_MILLIS))
+                        .forEach(request -> simulation.log.interruptions.add(new EventLog.Interruption(id(), request)));
                 kill();
             } else {
-                endWhenIdle();
+                stopWhenIdle();
             }
         });
     }
@@ -124,29 +125,29 @@
         handle(new AgentEvent.LinkLost(link.id));
     }
 
-    /** A dispatch or, if {@code attachTo} is present, an attach arrived. */
+    /** Handles a dispatch or, if {@code attachTo} is present, an attach. */
     void dispatched(AgentEvent.DispatchArrived arrived, Network.Link link) {
-        if (endsAt(world, Step.DISPATCH_ARRIVED)) {
+        if (endedByFaultAt(simulation, Step.DISPATCH_ARRIVED)) {
             return;
         }
         if (frozen()) {
-            runOrKeep(() -> dispatched(arrived, link));
+            runOrDefer(() -> dispatched(arrived, link));
             return;
         }
         links.put(link.id, link);
         RequestSpec request = arrived.request();
         requests.putIfAbsent(request.id(), request);
-        if (guards == Guards.NO_SINGLE_SUBMIT && dispatcher.keeps(request.id())) {
+        if (mutation == Mutation.NO_SINGLE_SUBMIT && dispatcher.keeps(request.id())) {
             upstream.submit(request);
         }
-        world.ledger.arrivals.add(new Ledger.Arrival(request.id(), id(), world.now()));
+        simulation.log.arrivals.add(new EventLog.Arrival(request.id(), id(), simulation.now()));
         boolean isNew = arrived.attachTo().isEmpty() && !dispatcher.keeps(request.id());
         if (isNew) {
-            world.ledger.entered(id(), request);
+            simulation.log.enqueued(id(), request);
         }
         handle(arrived);
         if (isNew && !dispatcher.keeps(request.id())) {
-            world.ledger.left(id(), request.id());
+            simulation.log.dequeued(id(), request.id());
         }
     }
 
@@ -157,7 +158,7 @@
 
     void produced(RequestId run, String text) {
         if (frozen()) {
-            runOrKeep(() -> produced(run, text));
+            runOrDefer(() -> produced(run, text));
             return;
         }
         StringBuilder output = outputs.get(run);
@@ -169,7 +170,7 @@
 
     void fromUpstream(AgentEvent event) {
         if (alive()) {
-            runOrKeep(() -> handle(event));
+            runOrDefer(() -> handle(event));
         }
     }
 
@@ -178,35 +179,35 @@
             return;
         }
         long startsBefore = starts();
-        List<AgentEffect> effects = dispatcher.handle(event, world.now());
+        List<AgentEffect> effects = dispatcher.handle(event, simulation.now());
         for (AgentEffect effect : effects) {
             if (alive() && starts() == startsBefore) {
-                carryOut(effect);
+                execute(effect);
             }
         }
     }
 
-    private void carryOut(AgentEffect effect) {
+    private void execute(AgentEffect effect) {
         if (effect instanceof AgentEffect.SubmitToUpstream submit) {
-            if (endsAt(world, Step.SUBMITTED)) {
+            if (endedByFaultAt(simulation, Step.SUBMITTED)) {
                 return;
             }
             outputs.put(submit.run(), new StringBuilder());
-            world.ledger.left(id(), submit.run());
+            simulation.log.dequeued(id(), submit.run());
             upstream.submit(requests.get(submit.run()));
         } else if (effect instanceof AgentEffect.CancelInUpstream cancel) {
             upstream.cancel(cancel.run());
         } else if (effect instanceof AgentEffect.SendAccepted send) {
             toEntry(send.link(), new EntryEvent.Accepted(send.request(), send.dispatch()), "");
         } else if (effect instanceof AgentEffect.SendNotRun send) {
-            world.ledger.refused(id(), requests.get(send.request()), send.failure());
+            simulation.log.refused(id(), requests.get(send.request()), send.failure());
             toEntry(send.link(), new EntryEvent.NotRun(send.request(), send.dispatch(), send.failure()), "");
         } else if (effect instanceof AgentEffect.SendUnseen send) {
             toEntry(send.link(), new EntryEvent.Unseen(send.request(), send.dispatch()), "");
         } else if (effect instanceof AgentEffect.SendOutput send) {
             sendOutput(send);
         } else if (effect instanceof AgentEffect.SendFinished send) {
-            if (endsAt(world, Step.FINISHED_SENT)) {
+            if (endedByFaultAt(simulation, Step.FINISHED_SENT)) {
                 return;
             }
             toEntry(send.link(), new EntryEvent.Finished(send.request(), send.dispatch(), send.totalBytes()), "");
@@ -214,16 +215,16 @@
             sendFailed(send);
         } else if (effect instanceof AgentEffect.ReleaseRun release) {
             outputs.remove(release.run());
-            world.ledger.left(id(), release.run());
+            simulation.log.dequeued(id(), release.run());
         }
     }
 
     private void sendOutput(AgentEffect.SendOutput send) {
-        if (endsAt(world, Step.OUTPUT_SENT)) {
+        if (endedByFaultAt(simulation, Step.OUTPUT_SENT)) {
             return;
         }
         String text = outputs.get(send.run()).substring((int) send.fromBytes(), (int) send.toBytes());
-        if (guards == Guards.FOREIGN_OUTPUT) {
+        if (mutation == Mutation.FOREIGN_OUTPUT) {
             text = text.replace('0', '1');
         }
         toEntry(
@@ -233,15 +234,17 @@
     }
 
     private void sendFailed(AgentEffect.SendFailed send) {
-        EntryEvent event = guards == Guards.FALSE_NOT_RUN
+        EntryEvent event = mutation == Mutation.FALSE_NOT_RUN
                 ? new EntryEvent.NotRun(
-                        send.request(), send.dispatch(), Failure.of(ErrorKind.SHUTTING_DOWN, "said without proof"))
+                        send.request(),
+                        send.dispatch(),
+                        Failure.of(ErrorKind.SHUTTING_DOWN, "the run failed but is reported as not run"))
                 : new EntryEvent.Failed(send.request(), send.dispatch(), send.failure());
         toEntry(send.link(), event, "");
     }
 
     private void toEntry(long linkId, EntryEvent event, String text) {
         Optional.ofNullable(links.get(linkId))
-                .ifPresent(link -> world.network.toEntry(link, () -> link.entry.fromAgent(event, text)));
+                .ifPresent(link -> simulation.network.toEntry(link, () -> link.entry.fromAgent(event, text)));
     }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
@@ -24,46 +24,46 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** The real entry dispatcher with the adapters of one entry. */
+/** Simulated entry: the production entry dispatcher with fake adapters for callers, links and the store. */
 final class EntryNode extends Node {
     private static final long STORE_TIMEOUT_MILLIS = 500;
 
-    private final World world;
+    private final Simulation simulation;
     private final Map<RequestId, RequestSpec> requests = new HashMap<>();
     private final Set<RequestId> connected = new HashSet<>();
-    private final Map<RequestId, FakeStore.Claim> held = new HashMap<>();
+    private final Map<RequestId, FakeStore.Claim> ownClaims = new HashMap<>();
     private final Map<RequestId, String> stored = new HashMap<>();
     private final Map<RequestId, Long> claimCalls = new HashMap<>();
     private EntryDispatcher dispatcher;
-    private String textInHand = "";
+    private String currentText = "";
     private long sequence;
 
-    EntryNode(World world, String id) {
+    EntryNode(Simulation simulation, String id) {
         super(id);
-        this.world = world;
+        this.simulation = simulation;
     }
 
     void start() {
-        started();
+        onStarted();
     }
 
     @Override
-    void lost() {
-        world.network.cutAll(this);
+    void onKilled() {
+        simulation.network.cutAll(this);
         connected.forEach(request -> {
-            Ledger.CallerView caller = world.ledger.caller(request);
+            EventLog.CallerResult caller = simulation.log.caller(request);
             caller.connectionLost |= caller.answers == 0;
         });
         connected.clear();
         requests.clear();
-        held.clear();
+        ownClaims.clear();
         stored.clear();
         claimCalls.clear();
-        world.ledger.emptied(id());
+        simulation.log.cleared(id());
     }
 
     @Override
-    void started() {
+    void onStarted() {
         dispatcher = EntryDispatcher.create(
                 new DispatchPolicies(
                         () -> FairShareAdmissionQueue.create(64, WorkspaceWeights.equal()),
@@ -73,12 +73,12 @@
                         RetryPermits.unlimited(),
                         SuspectGate.open()),
                 DispatchLimits.defaults());
-        world.agents.forEach(agent -> world.network.open(this, agent));
+        simulation.agents.forEach(agent -> simulation.network.open(this, agent));
         tick();
     }
 
     private void tick() {
-        world.after(world.tickMillis(), this, () -> {
+        simulation.after(simulation.tickMillis(), this, () -> {
             handle(new EntryEvent.Tick());
             tick();
         });
@@ -88,25 +88,25 @@
         return RequestId.of(id(), incarnation(), ++sequence);
     }
 
-    /** A caller sends a request; on a node that is down it gets no connection. */
+    /** Sends a request from a new caller; the connection is refused if the node is down. */
     void call(RequestSpec request) {
-        Ledger.CallerView caller = new Ledger.CallerView(request);
-        world.ledger.callers.put(request.id(), caller);
+        EventLog.CallerResult caller = new EventLog.CallerResult(request);
+        simulation.log.callers.put(request.id(), caller);
         if (!alive()) {
             caller.connectionLost = true;
             return;
         }
         connected.add(request.id());
-        world.after(0, this, () -> {
-            if (!endsAt(world, Step.ARRIVED)) {
-                runOrKeep(() -> accept(request));
+        simulation.after(0, this, () -> {
+            if (!endedByFaultAt(simulation, Step.ARRIVED)) {
+                runOrDefer(() -> accept(request));
             }
         });
     }
 
     private void accept(RequestSpec request) {
         requests.put(request.id(), request);
-        world.ledger.entered(id(), request);
+        simulation.log.enqueued(id(), request);
         handle(new EntryEvent.RequestArrived(request));
     }
 
@@ -119,16 +119,16 @@
     }
 
     void fromAgent(EntryEvent event, String text) {
-        boolean ends = event instanceof EntryEvent.OutputArrived && endsAt(world, Step.OUTPUT_ARRIVED)
-                || event instanceof EntryEvent.Finished && endsAt(world, Step.FINISHED_ARRIVED);
+        boolean ends = event instanceof EntryEvent.OutputArrived && endedByFaultAt(simulation, Step.OUTPUT_ARRIVED)
+                || event instanceof EntryEvent.Finished && endedByFaultAt(simulation, Step.FINISHED_ARRIVED);
         if (ends) {
             return;
         }
         if (frozen()) {
-            runOrKeep(() -> fromAgent(event, text));
+            runOrDefer(() -> fromAgent(event, text));
             return;
         }
-        textInHand = text;
+        currentText = text;
         handle(event);
     }
 
@@ -137,26 +137,26 @@
             return;
         }
         long startsBefore = starts();
-        for (EntryEffect effect : dispatcher.handle(event, world.now())) {
+        for (EntryEffect effect : dispatcher.handle(event, simulation.now())) {
             if (alive() && starts() == startsBefore) {
-                carryOut(effect);
+                execute(effect);
             }
         }
     }
 
-    private void carryOut(EntryEffect effect) {
+    private void execute(EntryEffect effect) {
         if (effect instanceof EntryEffect.SendDispatch send) {
-            if (endsAt(world, Step.DISPATCH_SENT)) {
+            if (endedByFaultAt(simulation, Step.DISPATCH_SENT)) {
                 return;
             }
             dispatch(send.request(), send.dispatch(), send.upstreamId(), send.upstreamIncarnation(), Optional.empty());
         } else if (effect instanceof EntryEffect.SendAttach send) {
-            Network.Link link = world.network.link(this, send.upstreamId());
+            Network.Link link = simulation.network.link(this, send.upstreamId());
             long incarnation = link == null ? 0 : link.agentIncarnation;
             dispatch(send.request(), send.dispatch(), send.upstreamId(), incarnation, Optional.of(send.claimedBy()));
         } else if (effect instanceof EntryEffect.SendReattach send) {
-            Network.Link link = world.network.link(this, send.upstreamId());
-            world.network.toAgent(
+            Network.Link link = simulation.network.link(this, send.upstreamId());
+            simulation.network.toAgent(
                     link,
                     () -> link.agent.reattached(
                             new AgentEvent.ReattachArrived(
@@ -167,42 +167,42 @@
                                     send.offsetBytes()),
                             link));
         } else if (effect instanceof EntryEffect.SendAcknowledge send) {
-            if (endsAt(world, Step.ACKNOWLEDGED)) {
+            if (endedByFaultAt(simulation, Step.ACKNOWLEDGED)) {
                 return;
             }
-            Network.Link link = world.network.link(this, send.upstreamId());
-            world.network.toAgent(
+            Network.Link link = simulation.network.link(this, send.upstreamId());
+            simulation.network.toAgent(
                     link,
                     () -> link.agent.handle(new AgentEvent.AcknowledgeArrived(send.request(), send.offsetBytes())));
         } else if (effect instanceof EntryEffect.SendCancel send) {
-            Network.Link link = world.network.link(this, send.upstreamId());
-            world.network.toAgent(link, () -> link.agent.handle(new AgentEvent.CancelArrived(send.request())));
-        } else if (!carryOutClaim(effect)) {
+            Network.Link link = simulation.network.link(this, send.upstreamId());
+            simulation.network.toAgent(link, () -> link.agent.handle(new AgentEvent.CancelArrived(send.request())));
+        } else if (!executeClaim(effect)) {
             deliver(effect);
         }
     }
 
     private void dispatch(
             RequestId id, DispatchId dispatch, String upstreamId, long incarnation, Optional<RequestId> attachTo) {
-        Network.Link link = world.network.link(this, upstreamId);
+        Network.Link link = simulation.network.link(this, upstreamId);
         RequestSpec request = requests.get(id);
-        world.ledger.left(id(), id);
+        simulation.log.dequeued(id(), id);
         if (link == null || request == null) {
             return;
         }
-        world.lastAgent = link.agent;
+        simulation.lastDispatchedAgent = link.agent;
         AgentEvent.DispatchArrived event =
                 new AgentEvent.DispatchArrived(link.id, request, dispatch, incarnation, attachTo);
-        world.network.toAgent(link, () -> link.agent.dispatched(event, link));
+        simulation.network.toAgent(link, () -> link.agent.dispatched(event, link));
     }
 
-    private boolean carryOutClaim(EntryEffect effect) {
+    private boolean executeClaim(EntryEffect effect) {
         if (effect instanceof EntryEffect.MakeClaim make) {
-            if (endsAt(world, Step.CLAIM_SENT)) {
+            if (endedByFaultAt(simulation, Step.CLAIM_SENT)) {
                 return true;
             }
-            world.ledger.left(id(), make.request());
-            FakeStore.Claim own = held.get(make.request());
+            simulation.log.dequeued(id(), make.request());
+            FakeStore.Claim own = ownClaims.get(make.request());
             claim(make.request(), own == null ? "" : own.id(), make.upstreamId(), make.upstreamIncarnation());
             return true;
         }
@@ -211,14 +211,14 @@
             return true;
         }
         if (effect instanceof EntryEffect.ReleaseClaim release) {
-            FakeStore.Claim own = held.remove(release.request());
+            FakeStore.Claim own = ownClaims.remove(release.request());
             if (own != null) {
-                world.store.cleanUp(this, key(release.request()), Set.of(own.id()), 4);
+                simulation.store.cleanUp(this, key(release.request()), Set.of(own.id()), 4);
             }
             return true;
         }
         if (effect instanceof EntryEffect.RecordOutcome outcome) {
-            if (endsAt(world, Step.OUTCOME_RECORDED)) {
+            if (endedByFaultAt(simulation, Step.OUTCOME_RECORDED)) {
                 return true;
             }
             record(outcome.request());
@@ -228,27 +228,32 @@
     }
 
     private String key(RequestId id) {
-        return world.ledger.caller(id).request.key().orElseThrow();
+        return simulation.log.caller(id).request.key().orElseThrow();
     }
 
-    /** Writes a claim; without a reply the write is repeated once and then given up and removed in the background. */
+    /** Writes a claim. Without a reply the write is repeated once; then the claim is unavailable and is cleaned up. */
     private void claim(RequestId id, String expected, String upstreamId, long upstreamIncarnation) {
-        RequestSpec request = world.ledger.caller(id).request;
+        RequestSpec request = simulation.log.caller(id).request;
         FakeStore.Claim claim = new FakeStore.Claim(
-                world.store.newClaimId(), id, request.fingerprint(), upstreamId, upstreamIncarnation, Optional.empty());
+                simulation.store.newClaimId(),
+                id,
+                request.fingerprint(),
+                upstreamId,
+                upstreamIncarnation,
+                Optional.empty());
         claimCalls.merge(id, 1L, Long::sum);
         attempt(claim, expected, claimCalls.get(id), 1);
     }
 
     private void attempt(FakeStore.Claim claim, String expected, long call, int number) {
         RequestId id = claim.request();
-        world.store.swap(this, key(id), expected, Optional.of(claim), current -> {
+        simulation.store.swap(this, key(id), expected, Optional.of(claim), current -> {
             if (claimCalls.getOrDefault(id, 0L) == call) {
                 claimCalls.merge(id, 1L, Long::sum);
                 answered(claim, current);
             }
         });
-        world.after(STORE_TIMEOUT_MILLIS, this, () -> {
+        simulation.after(STORE_TIMEOUT_MILLIS, this, () -> {
             if (claimCalls.getOrDefault(id, 0L) != call) {
                 return;
             }
@@ -258,25 +263,25 @@
             }
             claimCalls.merge(id, 1L, Long::sum);
             Set<String> ids = new HashSet<>(Set.of(claim.id()));
-            Optional.ofNullable(held.remove(id)).ifPresent(own -> ids.add(own.id()));
-            world.store.cleanUp(this, key(id), ids, 40);
+            Optional.ofNullable(ownClaims.remove(id)).ifPresent(own -> ids.add(own.id()));
+            simulation.store.cleanUp(this, key(id), ids, 40);
             handle(new EntryEvent.ClaimAnswered(id, new ClaimAnswer.Unavailable()));
         });
     }
 
     private void answered(FakeStore.Claim own, Optional<FakeStore.Claim> current) {
-        if (endsAt(world, Step.CLAIM_ANSWERED)) {
+        if (endedByFaultAt(simulation, Step.CLAIM_ANSWERED)) {
             return;
         }
         if (frozen()) {
-            runOrKeep(() -> answered(own, current));
+            runOrDefer(() -> answered(own, current));
             return;
         }
         ClaimAnswer answer;
         if (current.isEmpty()) {
             answer = new ClaimAnswer.Unavailable();
         } else if (current.get().id().equals(own.id())) {
-            held.put(own.request(), own);
+            ownClaims.put(own.request(), own);
             answer = new ClaimAnswer.Granted();
         } else if (current.get().fingerprint() != own.fingerprint()) {
             answer = new ClaimAnswer.OtherContent();
@@ -290,67 +295,67 @@
         }
         boolean late = !requests.containsKey(own.request()) && answer instanceof ClaimAnswer.Granted;
         if (late) {
-            held.remove(own.request());
-            world.store.cleanUp(this, key(own.request()), Set.of(own.id()), 4);
+            ownClaims.remove(own.request());
+            simulation.store.cleanUp(this, key(own.request()), Set.of(own.id()), 4);
         }
         handle(new EntryEvent.ClaimAnswered(own.request(), answer));
     }
 
     private void record(RequestId id) {
-        FakeStore.Claim own = held.get(id);
+        FakeStore.Claim own = ownClaims.get(id);
         if (own == null) {
             return;
         }
         String answer = FakeUpstream.answerOf(own.fingerprint());
         FakeStore.Claim done = new FakeStore.Claim(
                 own.id(), id, own.fingerprint(), own.upstreamId(), own.upstreamIncarnation(), Optional.of(answer));
-        world.store.swap(this, key(id), own.id(), Optional.of(done), ignored -> {});
+        simulation.store.swap(this, key(id), own.id(), Optional.of(done), ignored -> {});
     }
 
     private void deliver(EntryEffect effect) {
         if (effect instanceof EntryEffect.DeliverOutput output) {
-            world.ledger.caller(output.request()).output.append(textInHand.substring(output.skipBytes()));
+            simulation.log.caller(output.request()).output.append(currentText.substring(output.skipBytes()));
         } else if (effect instanceof EntryEffect.DeliverEnd end) {
             answer(end.request()).ended = true;
         } else if (effect instanceof EntryEffect.DeliverStored delivered) {
-            Ledger.CallerView caller = answer(delivered.request());
+            EventLog.CallerResult caller = answer(delivered.request());
             caller.output.append(stored.remove(delivered.request()));
             caller.ended = true;
         } else if (effect instanceof EntryEffect.DeliverFailure failure) {
-            Ledger.CallerView caller = answer(failure.request());
+            EventLog.CallerResult caller = answer(failure.request());
             caller.failure = Optional.of(failure.failure());
-            world.ledger.refused(id(), caller.request, failure.failure());
+            simulation.log.refused(id(), caller.request, failure.failure());
         } else if (effect instanceof EntryEffect.Forget forget) {
             requests.remove(forget.request());
             connected.remove(forget.request());
-            world.ledger.left(id(), forget.request());
+            simulation.log.dequeued(id(), forget.request());
         }
     }
 
-    private Ledger.CallerView answer(RequestId id) {
-        Ledger.CallerView caller = world.ledger.caller(id);
+    private EventLog.CallerResult answer(RequestId id) {
+        EventLog.CallerResult caller = simulation.log.caller(id);
         caller.answers++;
-        caller.answeredAtMillis = world.now();
+        caller.answeredAtMillis = simulation.now();
         return caller;
     }
 
-    /** Graceful shutdown: no new requests, then the end once all are answered. */
+    /** Shuts down gracefully: refuses new requests and ends once all accepted ones are answered. */
     void shutDown() {
-        if (endsAt(world, Step.DRAIN_STARTED)) {
+        if (endedByFaultAt(simulation, Step.DRAIN_STARTED)) {
             return;
         }
         handle(new EntryEvent.DrainStarted());
-        endWhenIdle();
+        stopWhenIdle();
     }
 
-    private void endWhenIdle() {
-        world.after(world.tickMillis(), this, () -> {
+    private void stopWhenIdle() {
+        simulation.after(simulation.tickMillis(), this, () -> {
             if (dispatcher.idle()) {
                 requests.keySet()
-                        .forEach(request -> world.ledger.interruptions.add(new Ledger.Interruption(id(), request)));
+                        .forEach(request -> simulation.log.interruptions.add(new EventLog.Interruption(id(), request)));
                 kill();
             } else {
-                endWhenIdle();
+                stopWhenIdle();
             }
         });
     }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Ledger.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/EventLog.java
@@ -13,36 +13,36 @@
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.core.request.Tier;
 
-/** What really happened: runs as the upstreams saw them and answers as the callers got them. */
-final class Ledger {
+/** Log of the runs at the upstreams and the answers received by the callers, as the checks read them. */
+final class EventLog {
     final List<RunStart> runs = new ArrayList<>();
-    final Map<RequestId, CallerView> callers = new LinkedHashMap<>();
+    final Map<RequestId, CallerResult> callers = new LinkedHashMap<>();
     final List<Departure> departures = new ArrayList<>();
-    final List<Shed> sheds = new ArrayList<>();
+    final List<DroppedRequest> droppedRequests = new ArrayList<>();
     final List<Interruption> interruptions = new ArrayList<>();
     final List<Arrival> arrivals = new ArrayList<>();
     private final Map<String, Map<RequestId, RequestSpec>> waiting = new HashMap<>();
 
-    /** The upstream began to run a request. */
+    /** Start of a request at an upstream. */
     record RunStart(RequestSpec request, String upstreamId, long atMillis) {}
 
-    /** The upstream was told to leave. */
+    /** Start of the graceful shutdown of an agent. */
     record Departure(String upstreamId, long atMillis) {}
 
-    /** A request came to an agent. */
+    /** Arrival of a request at an agent. */
     record Arrival(RequestId request, String upstreamId, long atMillis) {}
 
-    /** A queue was full and gave a request up; with the tiers that waited there. */
-    record Shed(String queueId, RequestSpec request, List<Tier> waited) {}
+    /** Request that a full queue dropped, with the tiers of the requests still waiting there. */
+    record DroppedRequest(String queueId, RequestSpec request, List<Tier> waitingTiers) {}
 
     /**
-     * A process ended its graceful shutdown while it still held a request, or while the caller of an answered one still
-     * waited for the end of its answer.
+     * Request that a process still held when its graceful shutdown ended, or whose caller had not yet received the end
+     * of its answer.
      */
     record Interruption(String nodeId, RequestId request) {}
 
-    /** What one caller got. */
-    static final class CallerView {
+    /** Answer received by one caller. */
+    static final class CallerResult {
         final RequestSpec request;
         final StringBuilder output = new StringBuilder();
         boolean ended;
@@ -51,7 +51,7 @@
         int answers;
         long answeredAtMillis;
 
-        CallerView(RequestSpec request) {
+        CallerResult(RequestSpec request) {
             this.request = request;
         }
 
@@ -60,17 +60,17 @@
         }
     }
 
-    void entered(String queueId, RequestSpec request) {
+    void enqueued(String queueId, RequestSpec request) {
         waiting.computeIfAbsent(queueId, id -> new LinkedHashMap<>()).put(request.id(), request);
     }
 
-    void left(String queueId, RequestId request) {
+    void dequeued(String queueId, RequestId request) {
         Optional.ofNullable(waiting.get(queueId)).ifPresent(requests -> requests.remove(request));
     }
 
     /**
-     * Records the end of a request's wait, and the tiers that still wait if the queue gave it up for lack of room. A
-     * request that had left the queue before was refused elsewhere.
+     * Removes a refused request from the queue and, if it was dropped because the queue was full, records the tiers
+     * still waiting. Does nothing for a request that had already left the queue, since it was refused elsewhere.
      */
     void refused(String queueId, RequestSpec request, Failure failure) {
         boolean waited = waiting.containsKey(queueId) && waiting.get(queueId).remove(request.id()) != null;
@@ -81,15 +81,15 @@
             List<Tier> tiers = waiting.getOrDefault(queueId, Map.of()).values().stream()
                     .map(RequestSpec::tier)
                     .toList();
-            sheds.add(new Shed(queueId, request, tiers));
+            droppedRequests.add(new DroppedRequest(queueId, request, tiers));
         }
     }
 
-    void emptied(String queueId) {
+    void cleared(String queueId) {
         waiting.remove(queueId);
     }
 
-    CallerView caller(RequestId id) {
+    CallerResult caller(RequestId id) {
         return callers.get(id);
     }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Timeline.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/EventScheduler.java
@@ -3,8 +3,8 @@
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
-/** A paused clock and the actions that are due at later times; equal times keep the order of scheduling. */
-class Timeline {
+/** Simulated clock with a queue of scheduled actions. Actions due at the same time run in the order of scheduling. */
+class EventScheduler {
     private final PriorityQueue<Action> actions =
             new PriorityQueue<>(Comparator.comparingLong(Action::atMillis).thenComparingLong(Action::sequence));
     private long nowMillis = 1_000;
@@ -16,10 +16,12 @@
         return nowMillis;
     }
 
+    /** Schedules an action at a delay from the simulated time. */
     final void after(long delayMillis, Runnable code) {
         actions.add(new Action(nowMillis + delayMillis, sequence++, code));
     }
 
+    /** Advances the simulated time by a duration and runs the actions that become due. */
     final void runFor(long durationMillis) {
         long endMillis = nowMillis + durationMillis;
         while (!actions.isEmpty() && actions.peek().atMillis() <= endMillis) {
--- a/verification/src/test/java/dev/wigeonward/verification/faults/FakeStore.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/FakeStore.java
@@ -9,9 +9,9 @@
 
 import dev.wigeonward.core.request.RequestId;
 
-/** Claims under compare-and-swap, with outages, slowness and replies lost after the effect. */
+/** Store of claims with compare-and-swap; calls can fail, be slow, or take effect without a reply. */
 final class FakeStore {
-    private final World world;
+    private final Simulation simulation;
     private final Map<String, Claim> claims = new HashMap<>();
     private final boolean compares;
     private long lastClaim;
@@ -19,12 +19,12 @@
     boolean repliesLost;
     long slowMillis;
 
-    FakeStore(World world, Guards guards) {
-        this.world = world;
-        this.compares = guards != Guards.STORE_WITHOUT_COMPARE;
+    FakeStore(Simulation simulation, Mutation mutation) {
+        this.simulation = simulation;
+        this.compares = mutation != Mutation.STORE_WITHOUT_COMPARE;
     }
 
-    /** A claim on a key; the outcome is the whole answer. */
+    /** Claim on a key; the outcome is the whole answer. */
     record Claim(
             String id,
             RequestId request,
@@ -37,7 +37,10 @@
         return "c" + ++lastClaim;
     }
 
-    /** Writes the claim if the key is held under the expected id, or by nobody for an empty one. */
+    /**
+     * Replaces the claim of a key if its id is the expected one, or if the key has no claim and the expected id is
+     * empty. A claim with an outcome is never replaced. The reply is the current claim.
+     */
     void swap(Node caller, String key, String expectedId, Optional<Claim> next, Consumer<Optional<Claim>> reply) {
         call(
                 caller,
@@ -48,7 +51,7 @@
                             : current.id().equals(expectedId);
                     boolean open = current == null || current.outcome().isEmpty();
                     if (matches && open || !compares) {
-                        world.reached(Step.CLAIM_APPLIED);
+                        simulation.reached(Step.CLAIM_APPLIED);
                         next.ifPresentOrElse(claim -> claims.put(key, claim), () -> claims.remove(key));
                     }
                     return Optional.ofNullable(claims.get(key));
@@ -60,25 +63,25 @@
         call(caller, () -> Optional.ofNullable(claims.get(key)), reply);
     }
 
-    /** Calls that get no reply end silently; their callers use timeouts. */
+    /** Runs a call after the latency; in an outage or with lost replies the caller receives nothing and times out. */
     private <T> void call(Node caller, Supplier<T> effect, Consumer<T> reply) {
-        world.after(World.LATENCY_MILLIS + slowMillis, () -> {
+        simulation.after(Simulation.LATENCY_MILLIS + slowMillis, () -> {
             if (down) {
                 return;
             }
             T result = effect.get();
             if (!repliesLost) {
-                world.after(World.LATENCY_MILLIS, caller, () -> reply.accept(result));
+                simulation.after(Simulation.LATENCY_MILLIS, caller, () -> reply.accept(result));
             }
         });
     }
 
-    /** Removes claims under the given ids. */
+    /** Removes the claim of a key if it has one of the ids, and retries every 500 ms for the given rounds. */
     void cleanUp(Node caller, String key, Set<String> ids, int rounds) {
         read(caller, key, found -> found.filter(claim -> ids.contains(claim.id()))
                 .ifPresent(claim -> swap(caller, key, claim.id(), Optional.empty(), ignored -> {})));
         if (rounds > 0) {
-            world.after(500, caller, () -> cleanUp(caller, key, ids, rounds - 1));
+            simulation.after(500, caller, () -> cleanUp(caller, key, ids, rounds - 1));
         }
     }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/FakeUpstream.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/FakeUpstream.java
@@ -10,13 +10,13 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** An upstream that logs each run and produces an answer that names the request. It outlives its agent. */
+/** Upstream that logs each run and generates an answer derived from the request. It keeps running without its agent. */
 final class FakeUpstream {
     static final int PARTS = 5;
 
     private static final int RESTART_MILLIS = 1_000;
 
-    private final World world;
+    private final Simulation simulation;
     private final AgentNode agent;
     private final Set<RequestId> completed = new LinkedHashSet<>();
     private final Set<RequestId> running = new LinkedHashSet<>();
@@ -25,12 +25,12 @@
     long poisonFingerprint;
     private boolean alive = true;
 
-    FakeUpstream(World world, AgentNode agent) {
-        this.world = world;
+    FakeUpstream(Simulation simulation, AgentNode agent) {
+        this.simulation = simulation;
         this.agent = agent;
     }
 
-    /** Returns the answer of a request; differs between requests with different contents. */
+    /** Returns the whole answer to a request; requests with different contents have different answers. */
     static String answerOf(long fingerprint) {
         StringBuilder text = new StringBuilder();
         for (int part = 0; part < PARTS; part++) {
@@ -53,30 +53,30 @@
     }
 
     void submit(RequestSpec request) {
-        world.ledger.runs.add(new Ledger.RunStart(request, agent.id(), world.now()));
+        simulation.log.runs.add(new EventLog.RunStart(request, agent.id(), simulation.now()));
         running.add(request.id());
         if (request.fingerprint() == poisonFingerprint) {
-            world.after(10, this::crash);
+            simulation.after(10, this::crash);
             return;
         }
         step(request, 0);
     }
 
     private void step(RequestSpec request, int number) {
-        world.after(partMillis, () -> {
+        simulation.after(partMillis, () -> {
             if (!running.contains(request.id())) {
                 return;
             }
             if (failing && number > 0) {
                 running.remove(request.id());
-                tell(new AgentEvent.UpstreamFailed(
+                notifyAgent(new AgentEvent.UpstreamFailed(
                         request.id(), Failure.of(ErrorKind.UPSTREAM_DIED, "the upstream cut the answer")));
                 return;
             }
             if (number == PARTS) {
                 running.remove(request.id());
                 completed.add(request.id());
-                tell(new AgentEvent.UpstreamFinished(request.id()));
+                notifyAgent(new AgentEvent.UpstreamFinished(request.id()));
                 return;
             }
             String text = part(request.fingerprint(), number);
@@ -91,11 +91,11 @@
         }
         alive = false;
         running.clear();
-        tell(new AgentEvent.UpstreamDied());
-        world.after(RESTART_MILLIS, () -> {
+        notifyAgent(new AgentEvent.UpstreamDied());
+        simulation.after(RESTART_MILLIS, () -> {
             alive = true;
             poisonFingerprint = 0;
-            tell(new AgentEvent.UpstreamAlive());
+            notifyAgent(new AgentEvent.UpstreamAlive());
         });
     }
 
@@ -103,7 +103,7 @@
         running.remove(run);
     }
 
-    private void tell(AgentEvent event) {
+    private void notifyAgent(AgentEvent event) {
         agent.fromUpstream(event);
     }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/FaultMatrixTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/FaultMatrixTest.java
@@ -12,17 +12,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+/** Injects each fault at each step of each flow, and each pair of faults at one step of each flow. */
 @Execution(ExecutionMode.CONCURRENT)
 class FaultMatrixTest {
     private static final long SEED = 20_261_204;
     private static final int[] SECOND_FAULT_DELAYS_MILLIS = {0, 700, 5_200};
 
-    /** Guards against an invariant that a fault breaks when it strikes at one particular step of a flow. */
+    /** Guards against a fault that breaks an invariant when it occurs at a particular step of a flow. */
     @ParameterizedTest(name = "{0} with {1}")
     @MethodSource("flowsAndFaults")
     void singleFaultAtEveryStepKeepsTheInvariants(Flow flow, Fault fault) {
         for (Step step : Step.values()) {
-            if (flow.passes(step)) {
+            if (flow.reaches(step)) {
                 check(flow, fault, step, Fault.NONE, 0);
             }
         }
@@ -33,13 +34,14 @@
                 .flatMap(flow -> Arrays.stream(Fault.values()).map(fault -> Arguments.of(flow, fault)));
     }
 
-    /** Guards against a second fault that strikes before the first one is overcome. */
+    /** Guards against a second fault that occurs before the system has recovered from the first one. */
     @ParameterizedTest(name = "{0} with {1}")
     @MethodSource("flowsAndFaults")
     void twoFaultsTogetherKeepTheInvariants(Flow flow, Fault first) {
         for (Fault second : Fault.values()) {
             int mix = 31 * first.ordinal() + second.ordinal();
-            List<Step> steps = Arrays.stream(Step.values()).filter(flow::passes).toList();
+            List<Step> steps =
+                    Arrays.stream(Step.values()).filter(flow::reaches).toList();
             Step step = steps.get(mix % steps.size());
             check(flow, first, step, second, SECOND_FAULT_DELAYS_MILLIS[mix % SECOND_FAULT_DELAYS_MILLIS.length]);
         }
@@ -47,13 +49,13 @@
 
     private static void check(Flow flow, Fault first, Step step, Fault second, int delayMillis) {
         long seed = SEED + 1_000L * first.ordinal() + step.ordinal();
-        World world = new World(seed, Guards.ALL);
-        world.at(step, () -> {
-            first.inject(world);
-            world.after(delayMillis, () -> second.inject(world));
+        Simulation simulation = new Simulation(seed, Mutation.NONE);
+        simulation.at(step, () -> {
+            first.inject(simulation);
+            simulation.after(delayMillis, () -> second.inject(simulation));
         });
-        flow.play(world);
-        assertThat(InvariantChecks.violations(world.ledger))
+        flow.simulate(simulation);
+        assertThat(InvariantChecks.violations(simulation.log))
                 .as("%s, %s at %s, then %s after %d ms, seed %d", flow, first, step, second, delayMillis, seed)
                 .isEmpty();
     }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Flow.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Flow.java
@@ -7,7 +7,7 @@
 import dev.wigeonward.core.request.Tier;
 import dev.wigeonward.core.request.WorkEstimate;
 
-/** What a caller does while faults happen. The callers of requests with a key send them again and again. */
+/** Workload of a simulation run. Callers of requests with an idempotency key resend them at fixed delays. */
 enum Flow {
     REQUEST(false, true, 100),
     KEYED_REQUEST(true, true, 100),
@@ -30,42 +30,48 @@
         this.partMillis = partMillis;
     }
 
-    boolean passes(Step step) {
+    /** Returns whether requests of this flow reach the step. */
+    boolean reaches(Step step) {
         boolean claims = List.of(Step.CLAIM_SENT, Step.CLAIM_APPLIED, Step.CLAIM_ANSWERED, Step.OUTCOME_RECORDED)
                 .contains(step);
         boolean shutdown = this == ENTRY_SHUTDOWN || this == AGENT_SHUTDOWN;
         return (!claims || !idempotent) && (step != Step.DRAIN_STARTED || shutdown);
     }
 
-    /** Plays the flow to its end; 11 minutes, since agents keep outcomes for 10, if resends go on for as long. */
-    void play(World world) {
-        world.agents.forEach(agent -> agent.upstream.partMillis = partMillis);
-        EntryNode first = world.entry(0);
+    /**
+     * Runs the flow to its end. Flows with a key run for 690 s: their last resend comes at 650 s, after the 10 minutes
+     * for which agents keep outcomes.
+     */
+    void simulate(Simulation simulation) {
+        simulation.agents.forEach(agent -> agent.upstream.partMillis = partMillis);
+        EntryNode first = simulation.entry(0);
         for (int i = 0; i < 3; i++) {
-            first.call(background(first, 100 + i, Tier.STANDARD, world.now() + DEADLINE_MILLIS));
-            world.entry(1).call(background(world.entry(1), 200 + i, Tier.BATCH, world.now() + DEADLINE_MILLIS));
+            first.call(background(first, 100 + i, Tier.STANDARD, simulation.now() + DEADLINE_MILLIS));
+            simulation
+                    .entry(1)
+                    .call(background(simulation.entry(1), 200 + i, Tier.BATCH, simulation.now() + DEADLINE_MILLIS));
         }
-        first.call(subject(first, world.now()));
+        first.call(subject(first, simulation.now()));
         if (keyed) {
             for (int i = 0; i < RESENDS_MILLIS.size(); i++) {
-                EntryNode entry = world.entry((i + 1) % 2);
-                world.after(RESENDS_MILLIS.get(i), () -> entry.call(subject(entry, world.now())));
+                EntryNode entry = simulation.entry((i + 1) % 2);
+                simulation.after(RESENDS_MILLIS.get(i), () -> entry.call(subject(entry, simulation.now())));
             }
         }
         if (this == ENTRY_SHUTDOWN) {
-            world.after(250, first, first::shutDown);
+            simulation.after(250, first, first::shutDown);
         } else if (this == AGENT_SHUTDOWN) {
-            AgentNode agent = world.agents.get(0);
-            world.after(250, agent, agent::shutDown);
+            AgentNode agent = simulation.agents.get(0);
+            simulation.after(250, agent, agent::shutDown);
             for (int i = 0; i < 40; i++) {
-                EntryNode entry = world.entry(i % 2);
+                EntryNode entry = simulation.entry(i % 2);
                 int number = 300 + i;
-                world.after(
+                simulation.after(
                         200L * i,
-                        () -> entry.call(background(entry, number, Tier.STANDARD, world.now() + DEADLINE_MILLIS)));
+                        () -> entry.call(background(entry, number, Tier.STANDARD, simulation.now() + DEADLINE_MILLIS)));
             }
         }
-        world.runFor(keyed ? 690_000 : 60_000);
+        simulation.runFor(keyed ? 690_000 : 60_000);
     }
 
     private RequestSpec subject(EntryNode entry, long nowMillis) {
--- a/verification/src/test/java/dev/wigeonward/verification/faults/InvariantMutationTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/InvariantMutationTest.java
@@ -7,7 +7,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Shows for each invariant of the dispatch flows that its check fails once a guard is gone, and passes with it. */
+/** Verifies the check of each dispatch invariant: it passes without a mutation and fails with one. */
 class InvariantMutationTest {
     @ParameterizedTest(name = "invariant {0}: {1}")
     @CsvSource({
@@ -20,15 +20,15 @@
         "7, SILENT_DEPARTURE, AGENT_SHUTDOWN, NONE, ARRIVED",
         "8, HASTY_SHUTDOWN, AGENT_SHUTDOWN, NONE, ARRIVED"
     })
-    void checkFailsWithoutTheGuard(int invariant, Guards guards, Flow flow, Fault fault, Step step) {
-        assertThat(play(Guards.ALL, flow, fault, step)).isEmpty();
-        assertThat(play(guards, flow, fault, step)).anyMatch(violation -> violation.startsWith(invariant + ":"));
+    void checkFailsWithoutTheGuard(int invariant, Mutation mutation, Flow flow, Fault fault, Step step) {
+        assertThat(simulate(Mutation.NONE, flow, fault, step)).isEmpty();
+        assertThat(simulate(mutation, flow, fault, step)).anyMatch(violation -> violation.startsWith(invariant + ":"));
     }
 
-    private static List<String> play(Guards guards, Flow flow, Fault fault, Step step) {
-        World world = new World(1, guards);
-        world.at(step, () -> fault.inject(world));
-        flow.play(world);
-        return InvariantChecks.violations(world.ledger);
+    private static List<String> simulate(Mutation mutation, Flow flow, Fault fault, Step step) {
+        Simulation simulation = new Simulation(1, mutation);
+        simulation.at(step, () -> fault.inject(simulation));
+        flow.simulate(simulation);
+        return InvariantChecks.violations(simulation.log);
     }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Network.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Network.java
@@ -5,26 +5,26 @@
 import java.util.List;
 import java.util.Map;
 
-/** Links between entries and agents. A frame is the code that its receiver runs. */
+/** Simulated links between entries and agents. A frame is code that runs on the receiver. */
 final class Network {
-    /** Time without a frame after which an endpoint gives a link up. */
+    /** Time without a frame after which an endpoint closes a link. */
     static final long SILENCE_MILLIS = 2_500;
 
     private static final long HEARTBEAT_MILLIS = 1_000;
     private static final long RECONNECT_MILLIS = 100;
 
-    private final World world;
+    private final Simulation simulation;
     private final Map<String, Link> current = new HashMap<>();
     private final List<Link> all = new ArrayList<>();
     private long lastLink;
     private final Map<String, Long> blockedUntil = new HashMap<>();
     private final Map<String, Long> lostAtMillis = new HashMap<>();
 
-    Network(World world) {
-        this.world = world;
+    Network(Simulation simulation) {
+        this.simulation = simulation;
     }
 
-    /** One connection with its faults. */
+    /** Connection between an entry and an agent, with the faults injected into it. */
     static final class Link {
         final long id;
         final EntryNode entry;
@@ -34,13 +34,13 @@
         boolean toAgentSilent;
         boolean toEntrySilent;
         boolean duplicates;
-        boolean crossed;
+        boolean reordered;
         long lateMillis;
         long entryHeardMillis;
         long agentHeardMillis;
         final long agentIncarnation;
         final long entryIncarnation;
-        private final List<Runnable> held = new ArrayList<>();
+        private final List<Runnable> heldFrames = new ArrayList<>();
 
         Link(long id, EntryNode entry, AgentNode agent) {
             this.id = id;
@@ -62,24 +62,24 @@
     }
 
     void block(EntryNode entry, AgentNode agent, long millis) {
-        blockedUntil.put(entry.id() + agent.id(), world.now() + millis);
+        blockedUntil.put(entry.id() + agent.id(), simulation.now() + millis);
     }
 
-    /** Opens a link and keeps trying while the entry's incarnation lives. */
+    /** Opens a link, retrying for as long as this incarnation of the entry is alive. */
     void open(EntryNode entry, AgentNode agent) {
-        boolean blocked = blockedUntil.getOrDefault(entry.id() + agent.id(), 0L) > world.now();
+        boolean blocked = blockedUntil.getOrDefault(entry.id() + agent.id(), 0L) > simulation.now();
         if (!agent.running() || blocked) {
-            world.after(RECONNECT_MILLIS, entry, () -> open(entry, agent));
+            simulation.after(RECONNECT_MILLIS, entry, () -> open(entry, agent));
             return;
         }
         Link link = new Link(++lastLink, entry, agent);
         all.add(link);
         link.agentOpen = true;
-        link.agentHeardMillis = world.now();
+        link.agentHeardMillis = simulation.now();
         watchAgentEnd(link);
-        world.after(2 * World.LATENCY_MILLIS, entry, () -> {
+        simulation.after(2 * Simulation.LATENCY_MILLIS, entry, () -> {
             link.entryOpen = true;
-            link.entryHeardMillis = world.now();
+            link.entryHeardMillis = simulation.now();
             current.put(entry.id() + agent.id(), link);
             entry.linkUp(agent, link.agentIncarnation);
             watchEntryEnd(link);
@@ -87,11 +87,11 @@
     }
 
     private void watchAgentEnd(Link link) {
-        world.after(HEARTBEAT_MILLIS, link.agent, () -> {
+        simulation.after(HEARTBEAT_MILLIS, link.agent, () -> {
             if (!link.agentOpen) {
                 return;
             }
-            if (world.now() - link.agentHeardMillis > SILENCE_MILLIS) {
+            if (simulation.now() - link.agentHeardMillis > SILENCE_MILLIS) {
                 closeAgentEnd(link);
                 return;
             }
@@ -101,11 +101,11 @@
     }
 
     private void watchEntryEnd(Link link) {
-        world.after(HEARTBEAT_MILLIS, link.entry, () -> {
+        simulation.after(HEARTBEAT_MILLIS, link.entry, () -> {
             if (!link.entryOpen) {
                 return;
             }
-            if (world.now() - link.entryHeardMillis > SILENCE_MILLIS) {
+            if (simulation.now() - link.entryHeardMillis > SILENCE_MILLIS) {
                 closeEntryEnd(link);
                 return;
             }
@@ -115,18 +115,18 @@
     }
 
     /** Returns whether the agent has had no link to the entry for at least the given time. */
-    boolean awayFor(String entryId, AgentNode agent, long millis) {
+    boolean disconnectedFor(String entryId, AgentNode agent, long millis) {
         boolean linked = linksOf(agent).stream()
                 .anyMatch(link -> link.agentOpen && link.entry.id().equals(entryId));
-        return !linked && world.now() - lostAtMillis.getOrDefault(entryId + agent.id(), 0L) >= millis;
+        return !linked && simulation.now() - lostAtMillis.getOrDefault(entryId + agent.id(), 0L) >= millis;
     }
 
     void closeAgentEnd(Link link) {
         if (link.agentOpen) {
             link.agentOpen = false;
-            lostAtMillis.put(link.entry.id() + link.agent.id(), world.now());
+            lostAtMillis.put(link.entry.id() + link.agent.id(), simulation.now());
             if (link.agent.alive() && link.agent.incarnation() == link.agentIncarnation) {
-                link.agent.runOrKeep(() -> link.agent.linkLost(link));
+                link.agent.runOrDefer(() -> link.agent.linkLost(link));
             }
         }
     }
@@ -135,7 +135,7 @@
         if (link.entryOpen) {
             link.entryOpen = false;
             if (link.entry.alive() && link.entry.incarnation() == link.entryIncarnation) {
-                link.entry.runOrKeep(() -> {
+                link.entry.runOrDefer(() -> {
                     link.entry.linkDown(link.agent);
                     open(link.entry, link.agent);
                 });
@@ -148,9 +148,9 @@
         closeEntryEnd(link);
     }
 
-    /** The node's connections end; its peers notice at once. */
+    /** Closes both ends of all links of a node after one network latency. */
     void cutAll(Node node) {
-        linksOf(node).forEach(link -> world.after(World.LATENCY_MILLIS, () -> cut(link)));
+        linksOf(node).forEach(link -> simulation.after(Simulation.LATENCY_MILLIS, () -> cut(link)));
     }
 
     void toAgent(Link link, Runnable frame) {
@@ -158,7 +158,7 @@
             return;
         }
         transmit(link, link.agent, () -> {
-            link.agentHeardMillis = world.now();
+            link.agentHeardMillis = simulation.now();
             frame.run();
         });
     }
@@ -168,35 +168,35 @@
             return;
         }
         transmit(link, link.entry, () -> {
-            link.entryHeardMillis = world.now();
+            link.entryHeardMillis = simulation.now();
             frame.run();
         });
     }
 
-    /** Frames that were sent arrive whatever becomes of the link later, so that a late copy can meet a new link. */
+    /** Delivers a frame even if the link is closed meanwhile, so that a late copy can arrive after a reconnect. */
     private void transmit(Link link, Node receiver, Runnable frame) {
-        long delayMillis = World.LATENCY_MILLIS + link.lateMillis;
+        long delayMillis = Simulation.LATENCY_MILLIS + link.lateMillis;
         Runnable delivery = () -> deliver(receiver, frame);
-        if (link.crossed && link.held.isEmpty()) {
-            link.held.add(delivery);
-            world.after(delayMillis + 20, () -> release(link));
+        if (link.reordered && link.heldFrames.isEmpty()) {
+            link.heldFrames.add(delivery);
+            simulation.after(delayMillis + 20, () -> release(link));
             return;
         }
-        world.after(delayMillis, delivery);
+        simulation.after(delayMillis, delivery);
         if (link.duplicates) {
-            world.after(delayMillis + 1 + world.random.nextInt(3_000), delivery);
+            simulation.after(delayMillis + 1 + simulation.random.nextInt(3_000), delivery);
         }
     }
 
     private static void release(Link link) {
-        List<Runnable> frames = List.copyOf(link.held);
-        link.held.clear();
+        List<Runnable> frames = List.copyOf(link.heldFrames);
+        link.heldFrames.clear();
         frames.forEach(Runnable::run);
     }
 
     private static void deliver(Node receiver, Runnable frame) {
         if (receiver.alive()) {
-            receiver.runOrKeep(frame);
+            receiver.runOrDefer(frame);
         }
     }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Node.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Node.java
@@ -3,10 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A process that can be killed, started with empty memory, and frozen. */
+/** Simulated process that can be killed, frozen, and restarted with empty memory. */
 abstract class Node {
     private final String id;
-    private final List<Runnable> kept = new ArrayList<>();
+    private final List<Runnable> deferred = new ArrayList<>();
     private long incarnation = 1;
     private boolean alive = true;
     private boolean frozen;
@@ -35,10 +35,10 @@
         return frozen;
     }
 
-    /** Runs code now, or when the node continues; never if it is down. */
-    void runOrKeep(Runnable code) {
+    /** Runs code now, or after {@link #resume} if the node is frozen; drops it if the node is down. */
+    void runOrDefer(Runnable code) {
         if (frozen) {
-            kept.add(code);
+            deferred.add(code);
         } else if (alive) {
             code.run();
         }
@@ -47,8 +47,8 @@
     void kill() {
         alive = false;
         frozen = false;
-        kept.clear();
-        lost();
+        deferred.clear();
+        onKilled();
     }
 
     void restart() {
@@ -57,7 +57,7 @@
         }
         alive = true;
         incarnation++;
-        started();
+        onStarted();
     }
 
     void freeze() {
@@ -66,24 +66,26 @@
 
     void resume() {
         frozen = false;
-        List<Runnable> backlog = List.copyOf(kept);
-        kept.clear();
-        backlog.forEach(this::runOrKeep);
+        List<Runnable> backlog = List.copyOf(deferred);
+        deferred.clear();
+        backlog.forEach(this::runOrDefer);
     }
 
-    /** Reports a step and returns whether the fault that was injected there ended this process. */
-    boolean endsAt(World world, Step step) {
+    /** Reports a step and returns whether a fault injected there killed or restarted this process. */
+    boolean endedByFaultAt(Simulation simulation, Step step) {
         long before = starts();
-        world.reached(step);
+        simulation.reached(step);
         return !alive || starts() != before;
     }
 
-    /** Returns the number of starts, which tells incarnations apart also where a mutation hides them. */
+    /** Returns the number of starts; unlike {@link #incarnation} it is not overridden by a mutation. */
     final long starts() {
         return incarnation;
     }
 
-    abstract void lost();
+    /** Closes connections and clears the state in memory. */
+    abstract void onKilled();
 
-    abstract void started();
+    /** Creates the state of a new incarnation. */
+    abstract void onStarted();
 }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/OrderFlowTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/OrderFlowTest.java
@@ -19,7 +19,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Orders of two controllers to one engine, with the real gate, a lease in a small store and faults at every step. */
+/** Simulates two controllers that send orders to one engine through the production gate, with faults at each step. */
 class OrderFlowTest {
     private static final long LEASE_MILLIS = 10_000;
 
@@ -50,13 +50,13 @@
         CONTROLLERS_RACING
     }
 
-    /** Guards against an order of a former controller that the engine carries out after one of a newer controller. */
+    /** Guards against an engine that runs an order of a former controller after one of its successor. */
     @ParameterizedTest(name = "{0} and {1}")
     @MethodSource("pairs")
     void orderWithOldNumberNeverFollowsNewerOne(OrderFault first, OrderFault second) {
         for (OrderStep step : OrderStep.values()) {
-            Scene scene = new Scene(OrderGate::new, step, first, second);
-            assertThat(scene.play())
+            Scenario scenario = new Scenario(OrderGate::new, step, first, second);
+            assertThat(scenario.simulate())
                     .as("%s, then %s at %s", first, second, step)
                     .isEmpty();
         }
@@ -67,7 +67,7 @@
                 .flatMap(first -> Arrays.stream(OrderFault.values()).map(second -> Arguments.of(first, second)));
     }
 
-    /** Shows that the check fails for a gate that takes its empty memory for the truth after a restart. */
+    /** Verifies that the check fails for a gate that does not read the fencing number from the store on restart. */
     @Test
     void checkFailsForGateThatTrustsItsEmptyMemory() {
         Supplier<OrderGate> trusting = () -> {
@@ -77,18 +77,20 @@
         };
         OrderStep step = OrderStep.ORDER_FINISHED;
         OrderFault[] faults = {OrderFault.CONTROLLER_PAUSED_PAST_LEASE, OrderFault.AGENT_REPLACED_LATER};
-        assertThat(new Scene(OrderGate::new, step, faults[0], faults[1]).play()).isEmpty();
-        assertThat(new Scene(trusting, step, faults[0], faults[1]).play()).isNotEmpty();
+        assertThat(new Scenario(OrderGate::new, step, faults[0], faults[1]).simulate())
+                .isEmpty();
+        assertThat(new Scenario(trusting, step, faults[0], faults[1]).simulate())
+                .isNotEmpty();
     }
 
-    /** Two controllers, of which each sends an order every two seconds while it believes to hold the lease. */
-    private static final class Scene {
-        private final Timeline timeline = new Timeline();
-        private final Supplier<OrderGate> gates;
+    /** Two controllers, each of which sends an order every two seconds while it believes it holds the lease. */
+    private static final class Scenario {
+        private final EventScheduler scheduler = new EventScheduler();
+        private final Supplier<OrderGate> gateFactory;
         private final OrderStep faultStep;
         private final List<OrderFault> faults;
         private final List<Order> executed = new ArrayList<>();
-        private final Map<Integer, Long> believes = new HashMap<>();
+        private final Map<Integer, Long> believedNumbers = new HashMap<>();
         private final Map<Integer, Long> pausedUntil = new HashMap<>();
         private OrderGate gate;
         private int gateStarts;
@@ -96,7 +98,7 @@
         private int leaseHolder;
         private long leaseEndMillis;
         private long lastNumber;
-        private boolean struck;
+        private boolean faultsInjected;
         private long storeDownUntilMillis;
         private long storeDelayMillis = 1;
         private boolean nextReplyLost;
@@ -105,17 +107,17 @@
         private long engineMillis = 100;
         private int orders;
 
-        private Scene(Supplier<OrderGate> gates, OrderStep faultStep, OrderFault first, OrderFault second) {
-            this.gates = gates;
+        private Scenario(Supplier<OrderGate> gateFactory, OrderStep faultStep, OrderFault first, OrderFault second) {
+            this.gateFactory = gateFactory;
             this.faultStep = faultStep;
             this.faults = List.of(first, second);
-            this.gate = gates.get();
+            this.gate = gateFactory.get();
         }
 
-        private List<String> play() {
-            controller(1, 0);
-            controller(2, 700);
-            timeline.runFor(60_000);
+        private List<String> simulate() {
+            scheduleController(1, 0);
+            scheduleController(2, 700);
+            scheduler.runFor(60_000);
             List<String> violations = new ArrayList<>();
             for (int i = 1; i < executed.size(); i++) {
                 if (executed.get(i).fencingNumber() < executed.get(i - 1).fencingNumber()) {
@@ -123,16 +125,16 @@
                 }
             }
             if (executed.isEmpty()) {
-                violations.add("no order ran");
+                violations.add("the engine ran no order");
             }
             return violations;
         }
 
         private void reached(OrderStep step, int controller) {
-            if (struck || step != faultStep) {
+            if (faultsInjected || step != faultStep) {
                 return;
             }
-            struck = true;
+            faultsInjected = true;
             faults.forEach(fault -> inject(fault, controller));
         }
 
@@ -140,16 +142,16 @@
             switch (fault) {
                 case AGENT_REPLACED -> restartAgent();
                 case AGENT_REPLACED_LATER -> {
-                    timeline.after(12_700, this::restartAgent);
-                    timeline.after(14_700, this::restartAgent);
+                    scheduler.after(12_700, this::restartAgent);
+                    scheduler.after(14_700, this::restartAgent);
                 }
-                case CONTROLLER_PAUSED_PAST_LEASE -> pausedUntil.put(controller, timeline.now() + 15_000);
+                case CONTROLLER_PAUSED_PAST_LEASE -> pausedUntil.put(controller, scheduler.now() + 15_000);
                 case CONTROLLER_KILLED -> pausedUntil.put(controller, Long.MAX_VALUE);
                 case LEASE_LAPSED -> {
-                    leaseEndMillis = timeline.now();
-                    storeDownUntilMillis = Math.max(storeDownUntilMillis, timeline.now() + 500);
+                    leaseEndMillis = scheduler.now();
+                    storeDownUntilMillis = Math.max(storeDownUntilMillis, scheduler.now() + 500);
                 }
-                case STORE_DOWN -> storeDownUntilMillis = timeline.now() + 12_000;
+                case STORE_DOWN -> storeDownUntilMillis = scheduler.now() + 12_000;
                 case STORE_SLOW -> storeDelayMillis = 2_000;
                 case STORE_REPLY_LOST -> nextReplyLost = true;
                 case ORDERS_LATE -> orderDelayMillis = 11_000;
@@ -157,7 +159,7 @@
                 case ORDERS_DUPLICATED -> duplicated = true;
                 case ENGINE_SLOW -> engineMillis = 8_000;
                 case CONTROLLERS_RACING -> {
-                    leaseEndMillis = timeline.now();
+                    leaseEndMillis = scheduler.now();
                     renew(1);
                     renew(2);
                 }
@@ -169,44 +171,44 @@
 
         private void restartAgent() {
             gateStarts++;
-            gate = gates.get();
+            gate = gateFactory.get();
         }
 
-        private void controller(int id, long delayMillis) {
-            timeline.after(delayMillis, () -> {
+        private void scheduleController(int id, long delayMillis) {
+            scheduler.after(delayMillis, () -> {
                 long resumeMillis = pausedUntil.getOrDefault(id, 0L);
                 if (resumeMillis == Long.MAX_VALUE) {
                     return;
                 }
-                if (resumeMillis > timeline.now()) {
-                    // The order that was decided before the pause leaves after it, with the old number.
-                    long believed = believes.getOrDefault(id, 0L);
-                    timeline.after(resumeMillis - timeline.now(), () -> send(id, believed));
-                    controller(id, resumeMillis - timeline.now() + 1);
+                if (resumeMillis > scheduler.now()) {
+                    // An order decided before the pause is sent after it, with the old fencing number.
+                    long believedNumber = believedNumbers.getOrDefault(id, 0L);
+                    scheduler.after(resumeMillis - scheduler.now(), () -> send(id, believedNumber));
+                    scheduleController(id, resumeMillis - scheduler.now() + 1);
                     return;
                 }
                 renew(id);
-                send(id, believes.getOrDefault(id, 0L));
-                controller(id, 2_000);
+                send(id, believedNumbers.getOrDefault(id, 0L));
+                scheduleController(id, 2_000);
             });
         }
 
-        /** Acquires or renews the lease; an outage of the store leaves the belief as it is until the lease time. */
+        /** Acquires or renews the lease; during an outage of the store the believed fencing number does not change. */
         private void renew(int id) {
-            if (timeline.now() < storeDownUntilMillis) {
+            if (scheduler.now() < storeDownUntilMillis) {
                 return;
             }
-            boolean free = timeline.now() >= leaseEndMillis;
+            boolean free = scheduler.now() >= leaseEndMillis;
             if (free) {
                 leaseNumber = ++lastNumber;
                 leaseHolder = id;
                 reached(OrderStep.LEASE_ACQUIRED, id);
             }
             if (leaseHolder == id) {
-                leaseEndMillis = timeline.now() + LEASE_MILLIS;
-                believes.put(id, leaseNumber);
+                leaseEndMillis = scheduler.now() + LEASE_MILLIS;
+                believedNumbers.put(id, leaseNumber);
             } else {
-                believes.remove(id);
+                believedNumbers.remove(id);
             }
         }
 
@@ -217,9 +219,9 @@
             Order order = new Order(number, "o" + ++orders, Order.Kind.LOAD, "model", "v2", "");
             reached(OrderStep.ORDER_SENT, id);
             long delayMillis = orderDelayMillis < 0 ? 1 + 4_000 * (orders % 2) : orderDelayMillis;
-            timeline.after(delayMillis, () -> arrive(order, id));
+            scheduler.after(delayMillis, () -> arrive(order, id));
             if (duplicated) {
-                timeline.after(delayMillis + 12_500, () -> arrive(order, id));
+                scheduler.after(delayMillis + 12_500, () -> arrive(order, id));
             }
         }
 
@@ -245,11 +247,11 @@
         private void read(int id) {
             int starts = gateStarts;
             reached(OrderStep.FENCE_READ, id);
-            timeline.after(storeDelayMillis, () -> {
-                boolean answers = timeline.now() >= storeDownUntilMillis && !nextReplyLost;
+            scheduler.after(storeDelayMillis, () -> {
+                boolean answers = scheduler.now() >= storeDownUntilMillis && !nextReplyLost;
                 nextReplyLost = false;
-                long number = timeline.now() < leaseEndMillis ? leaseNumber : 0;
-                timeline.after(answers ? storeDelayMillis : 1_000, () -> {
+                long number = scheduler.now() < leaseEndMillis ? leaseNumber : 0;
+                scheduler.after(answers ? storeDelayMillis : 1_000, () -> {
                     reached(OrderStep.FENCE_ANSWERED, id);
                     if (starts == gateStarts) {
                         handle(answers ? new OrderEvent.FencingRead(number) : new OrderEvent.StoreUnavailable(), id);
@@ -262,7 +264,7 @@
             int starts = gateStarts;
             reached(OrderStep.ORDER_RUN, id);
             executed.add(order);
-            timeline.after(engineMillis, () -> {
+            scheduler.after(engineMillis, () -> {
                 reached(OrderStep.ORDER_FINISHED, id);
                 if (starts == gateStarts) {
                     handle(new OrderEvent.EngineFinished(order.orderId(), ""), id);
--- a/verification/src/test/java/dev/wigeonward/verification/faults/RandomTraceTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/RandomTraceTest.java
@@ -9,28 +9,28 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Replays random traces of the actions of Dispatch.tla on the real cores. */
+/** Property test that injects random sequences of faults into flows of the production dispatchers. */
 class RandomTraceTest {
     private static final Step[] STEPS = Step.values();
     private static final Fault[] FAULTS = Fault.values();
 
-    /** Guards against sequences of more than two faults that break an invariant. */
+    /** Guards against an invariant that only a longer sequence of faults breaks; each try injects up to six. */
     @Property(tries = 150, seed = "20261204")
     void randomTracesKeepTheInvariants(
             @ForAll @IntRange(max = 5) int flow,
             @ForAll @Size(min = 1, max = 6) List<@IntRange(max = 9_999) Integer> choices,
             @ForAll @IntRange(max = 9_999) int seed) {
-        World world = new World(seed, Guards.ALL);
+        Simulation simulation = new Simulation(seed, Mutation.NONE);
         for (int choice : choices) {
             Fault fault = FAULTS[choice % FAULTS.length];
             if (choice % 2 == 0) {
-                world.at(STEPS[choice / 2 % STEPS.length], () -> fault.inject(world));
+                simulation.at(STEPS[choice / 2 % STEPS.length], () -> fault.inject(simulation));
             } else {
-                world.after(choice, () -> fault.inject(world));
+                simulation.after(choice, () -> fault.inject(simulation));
             }
         }
-        Flow.values()[flow].play(world);
-        assertThat(InvariantChecks.violations(world.ledger))
+        Flow.values()[flow].simulate(simulation);
+        assertThat(InvariantChecks.violations(simulation.log))
                 .as("%s, choices %s, seed %d", Flow.values()[flow], choices, seed)
                 .isEmpty();
     }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/RevisionFlowTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/RevisionFlowTest.java
@@ -21,7 +21,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Configuration changes of racing operators, relayed between six real relays, with faults at every step. */
+/** Simulates concurrent configuration changes, relayed by six production relays, with faults at each step. */
 class RevisionFlowTest {
     private static final int NODES = 6;
     private static final long SPREAD_MILLIS = 6_000;
@@ -52,24 +52,24 @@
         OPERATORS_RACING
     }
 
-    /** What a mutation takes away. */
-    enum Broken {
-        NOTHING,
-        /** A process forgets its revision and goes on as the same incarnation. */
+    /** Guard that a mutation disables. */
+    enum DisabledGuard {
+        NONE,
+        /** A restarted process loses its revision but counts as the same incarnation. */
         MEMORY,
-        /** Frames carry another text with a hash that fits. */
+        /** Adopted revisions have another text than the accepted one, with a matching hash. */
         TEXT,
-        /** Nothing is relayed. */
+        /** Processes relay nothing. */
         RELAY
     }
 
-    /** Guards against a configuration that reverts, differs between processes or is late. */
+    /** Guards against a revision that reverts, differs between processes, or is not in force 6 s after all faults. */
     @ParameterizedTest(name = "{0} and {1}")
     @MethodSource("pairs")
     void acceptedRevisionIsInForceEverywhereAndNeverReverts(RevisionFault first, RevisionFault second) {
         for (RevisionStep step : RevisionStep.values()) {
             long seed = 100L * step.ordinal() + first.ordinal();
-            assertThat(new Scene(seed, step, List.of(first, second), Broken.NOTHING).play())
+            assertThat(new Scenario(seed, step, List.of(first, second), DisabledGuard.NONE).simulate())
                     .as("%s and %s at %s, seed %d", first, second, step, seed)
                     .isEmpty();
         }
@@ -80,38 +80,38 @@
                 .flatMap(first -> Arrays.stream(RevisionFault.values()).map(second -> Arguments.of(first, second)));
     }
 
-    /** Shows that the checks of invariant 9 fail once a guard is gone. */
+    /** Verifies that the checks of invariant 9 fail when a guard is disabled. */
     @Test
     void checksFailWithoutTheGuards() {
         List<RevisionFault> faults = List.of(RevisionFault.STORE_REGRESSION, RevisionFault.NODE_REPLACED);
-        assertThat(new Scene(1, RevisionStep.ADOPTED, faults, Broken.NOTHING).play())
+        assertThat(new Scenario(1, RevisionStep.ADOPTED, faults, DisabledGuard.NONE).simulate())
                 .isEmpty();
-        assertThat(new Scene(1, RevisionStep.ADOPTED, faults, Broken.MEMORY).play())
+        assertThat(new Scenario(1, RevisionStep.ADOPTED, faults, DisabledGuard.MEMORY).simulate())
                 .anyMatch(violation -> violation.contains("went down"));
-        assertThat(new Scene(1, RevisionStep.OFFERED, faults, Broken.TEXT).play())
+        assertThat(new Scenario(1, RevisionStep.OFFERED, faults, DisabledGuard.TEXT).simulate())
                 .anyMatch(violation -> violation.contains("other text"));
-        assertThat(new Scene(1, RevisionStep.OFFERED, faults, Broken.RELAY).play())
+        assertThat(new Scenario(1, RevisionStep.OFFERED, faults, DisabledGuard.RELAY).simulate())
                 .anyMatch(violation -> violation.contains("late"));
     }
 
-    /** One process; a replaced one has a new relay and an empty log of adoptions. */
+    /** Simulated process; a restart replaces its relay and resets the highest adopted number. */
     private static final class Process {
         private RevisionRelay relay;
         private int starts;
         private long highest;
         private long frozenUntilMillis;
-        private boolean dead;
+        private boolean killed;
     }
 
-    private static final class Scene extends Timeline {
+    private static final class Scenario extends EventScheduler {
         private final Random random;
         private final RevisionStep faultStep;
         private final List<RevisionFault> faults;
-        private final Broken broken;
+        private final DisabledGuard disabledGuard;
         private final List<Process> processes = new ArrayList<>();
         private final TreeMap<Long, Revision> accepted = new TreeMap<>();
         private final List<String> violations = new ArrayList<>();
-        private boolean struck;
+        private boolean faultsInjected;
         private long lastFaultEndMillis;
         private long storeDownUntilMillis;
         private boolean replyLost;
@@ -119,23 +119,23 @@
         private long cutUntilMillis;
         private long lateUntilMillis;
         private long lossUntilMillis;
-        private boolean crossed;
+        private boolean reordered;
         private boolean duplicated;
 
-        private Scene(long seed, RevisionStep faultStep, List<RevisionFault> faults, Broken broken) {
+        private Scenario(long seed, RevisionStep faultStep, List<RevisionFault> faults, DisabledGuard disabledGuard) {
             this.random = new Random(seed);
             this.faultStep = faultStep;
             this.faults = faults;
-            this.broken = broken;
+            this.disabledGuard = disabledGuard;
             for (int i = 0; i < NODES; i++) {
                 processes.add(new Process());
                 start(i);
             }
         }
 
-        private List<String> play() {
-            operator("op1", 500);
-            operator("op2", 900);
+        private List<String> simulate() {
+            scheduleOperator("op1", 500);
+            scheduleOperator("op2", 900);
             for (int i = 0; i < NODES; i++) {
                 tick(i);
             }
@@ -145,7 +145,7 @@
             for (int i = 0; i < NODES; i++) {
                 Process process = processes.get(i);
                 long number = process.relay.current().map(Revision::number).orElse(0L);
-                if (!process.dead && number != accepted.lastKey()) {
+                if (!process.killed && number != accepted.lastKey()) {
                     violations.add("9: late: " + number + " in force at " + i + ", not " + accepted.lastKey());
                 }
             }
@@ -155,7 +155,7 @@
         private void start(int node) {
             Process process = processes.get(node);
             process.relay = RevisionRelay.create(RevisionLog.create(16, 4_000_000), new Random(random.nextLong()));
-            if (broken != Broken.MEMORY) {
+            if (disabledGuard != DisabledGuard.MEMORY) {
                 process.highest = 0;
             }
             process.starts++;
@@ -206,7 +206,7 @@
                     new RelayEvent.StoreRead(new RevisionStore.HeadResult.Found(new StoredRevision(shown, "id", 0))));
         }
 
-        private void operator(String name, long delayMillis) {
+        private void scheduleOperator(String name, long delayMillis) {
             after(delayMillis, () -> {
                 if (now() > 12_000) {
                     return;
@@ -214,11 +214,11 @@
                 reached(RevisionStep.HEAD_READ, 0);
                 long read = accepted.isEmpty() ? 0 : accepted.lastKey();
                 after(30, () -> write(name, read, 1));
-                operator(name, 1_500);
+                scheduleOperator(name, 1_500);
             });
         }
 
-        /** Compare-and-swap on head; after a lost reply the writer reads back and recognizes its own write. */
+        /** Writes head by compare-and-swap; after a lost reply the write is repeated, which then changes nothing. */
         private void write(String name, long expected, int attempt) {
             if (now() < storeDownUntilMillis) {
                 return;
@@ -242,7 +242,7 @@
             if (lost) {
                 return;
             }
-            long delayMillis = 1 + (now() < lateUntilMillis ? 2_000 : 0) + (crossed ? random.nextInt(300) : 0);
+            long delayMillis = 1 + (now() < lateUntilMillis ? 2_000 : 0) + (reordered ? random.nextInt(300) : 0);
             after(delayMillis, () -> deliver(to, event));
             if (duplicated) {
                 after(delayMillis + 700, () -> deliver(to, event));
@@ -251,7 +251,7 @@
 
         private void deliver(int node, RelayEvent event) {
             Process process = processes.get(node);
-            if (process.dead) {
+            if (process.killed) {
                 return;
             }
             if (now() < process.frozenUntilMillis) {
@@ -261,16 +261,16 @@
             int starts = process.starts;
             for (RelayEffect effect : process.relay.handle(event, now())) {
                 if (process.starts == starts) {
-                    carryOut(node, effect);
+                    execute(node, effect);
                 }
             }
         }
 
-        private void carryOut(int node, RelayEffect effect) {
+        private void execute(int node, RelayEffect effect) {
             String self = "n" + node;
             if (effect instanceof RelayEffect.Adopt adopt) {
                 adopted(node, adopt.revision());
-            } else if (broken == Broken.RELAY) {
+            } else if (disabledGuard == DisabledGuard.RELAY) {
                 return;
             } else if (effect instanceof RelayEffect.SendOffer offer) {
                 reached(RevisionStep.OFFERED, node);
@@ -300,7 +300,7 @@
                 violations.add("9: number went down from " + process.highest + " to " + revision.number());
             }
             process.highest = revision.number();
-            String text = broken == Broken.TEXT ? revision.text() + "damaged" : revision.text();
+            String text = disabledGuard == DisabledGuard.TEXT ? revision.text() + "damaged" : revision.text();
             if (!accepted.get(revision.number()).text().equals(text)) {
                 violations.add("9: other text of " + revision.number() + " in force at " + node);
             }
@@ -308,10 +308,10 @@
         }
 
         private void reached(RevisionStep step, int node) {
-            if (struck || step != faultStep || now() < 4_000) {
+            if (faultsInjected || step != faultStep || now() < 4_000) {
                 return;
             }
-            struck = true;
+            faultsInjected = true;
             faults.forEach(fault -> inject(fault, node));
         }
 
@@ -320,10 +320,10 @@
             switch (fault) {
                 case NODE_REPLACED -> start(node);
                 case NODE_FROZEN -> processes.get(node).frozenUntilMillis = untilMillis;
-                case READER_KILLED -> processes.get(0).dead = true;
+                case READER_KILLED -> processes.get(0).killed = true;
                 case LINKS_CUT -> cutUntilMillis = untilMillis;
                 case FRAMES_LATE -> lateUntilMillis = untilMillis;
-                case FRAMES_CROSSED -> crossed = true;
+                case FRAMES_CROSSED -> reordered = true;
                 case FRAMES_DUPLICATED -> duplicated = true;
                 case FRAMES_LOST -> lossUntilMillis = untilMillis;
                 case STORE_DOWN -> storeDownUntilMillis = untilMillis;
--- a/verification/src/test/java/dev/wigeonward/verification/faults/World.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Simulation.java
@@ -6,38 +6,38 @@
 import java.util.Map;
 import java.util.Random;
 
-/** The nodes, links, store and upstreams of one run. */
-final class World extends Timeline {
+/** One simulation run: two entries and three agents with upstreams, connected by a network, and a store. */
+final class Simulation extends EventScheduler {
     static final long LATENCY_MILLIS = 1;
     private static final long TICK_MILLIS = 50;
-    /** Nothing but retention times is left to pass after that, so ticks may be rare. */
+    /** Ticks are rarer after this time, since only retention times are left to expire. */
     private static final long BUSY_MILLIS = 60_000;
 
-    final Ledger ledger = new Ledger();
+    final EventLog log = new EventLog();
     final Random random;
     final Network network;
     final FakeStore store;
     final List<EntryNode> entries = new ArrayList<>();
     final List<AgentNode> agents = new ArrayList<>();
-    /** The agent to which a frame was dispatched last. */
-    AgentNode lastAgent;
+    /** The agent to which a request was dispatched last. */
+    AgentNode lastDispatchedAgent;
 
     private final Map<Step, Runnable> hooks = new EnumMap<>(Step.class);
 
-    World(long seed, Guards guards) {
+    Simulation(long seed, Mutation mutation) {
         random = new Random(seed);
         network = new Network(this);
-        store = new FakeStore(this, guards);
+        store = new FakeStore(this, mutation);
         for (int i = 1; i <= 2; i++) {
             entries.add(new EntryNode(this, "e" + i));
         }
         for (int i = 1; i <= 3; i++) {
-            agents.add(new AgentNode(this, "a" + i, guards));
+            agents.add(new AgentNode(this, "a" + i, mutation));
         }
         for (EntryNode entry : entries) {
             entry.start();
         }
-        lastAgent = agents.get(0);
+        lastDispatchedAgent = agents.get(0);
         runFor(100);
     }
 
@@ -45,17 +45,17 @@
         return now() < BUSY_MILLIS ? TICK_MILLIS : 20 * TICK_MILLIS;
     }
 
-    /** Runs code on a node: later if the node is frozen, and never if it was replaced in the meantime. */
+    /** Schedules code on a node. It is deferred while the node is frozen and dropped if the node was restarted. */
     void after(long delayMillis, Node node, Runnable code) {
         long incarnation = node.incarnation();
         after(delayMillis, () -> {
             if (node.alive() && node.incarnation() == incarnation) {
-                node.runOrKeep(code);
+                node.runOrDefer(code);
             }
         });
     }
 
-    /** Carries out code when a flow first reaches a step, before the step takes effect. */
+    /** Registers code that runs when the flow first reaches a step, before the step takes effect. */
     void at(Step step, Runnable code) {
         hooks.put(step, code);
     }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/Step.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/Step.java
@@ -1,6 +1,6 @@
 package dev.wigeonward.verification.faults;
 
-/** Points of a flow at which a fault is injected; each is reported before it takes effect. */
+/** Step of a flow at which a fault can be injected, before the step takes effect. */
 enum Step {
     ARRIVED,
     CLAIM_SENT,
--- a/verification/src/test/java/dev/wigeonward/verification/faults/VersionMoveFlowTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/VersionMoveFlowTest.java
@@ -25,7 +25,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** A move to a bad version at three entries with the real selector; the verdict comes at 20 s. */
+/** Simulates a move to a bad version at three entries with the production selector; the verdict is sent at 20 s. */
 class VersionMoveFlowTest {
     private static final String MODEL = "model";
     private static final String BAD = "v2";
@@ -55,20 +55,20 @@
         BURST
     }
 
-    /** What a mutation takes away. */
-    enum Broken {
-        NOTHING,
+    /** Guard that a mutation disables. */
+    enum DisabledGuard {
+        NONE,
         SHARE_LIMIT,
         VERDICT,
         STAGE_LEASE
     }
 
-    /** Guards against a bad version that gets more than its share, or requests after it is known to be bad. */
+    /** Guards against a bad version that receives more than its share, or requests after the verdict. */
     @ParameterizedTest(name = "{0} and {1}")
     @MethodSource("pairs")
     void badVersionGetsItsShareAndNothingAfterTheVerdict(MoveFault first, MoveFault second) {
         for (MoveStep step : MoveStep.values()) {
-            assertThat(new Scene(step, List.of(first, second), Broken.NOTHING).play())
+            assertThat(new Scenario(step, List.of(first, second), DisabledGuard.NONE).simulate())
                     .as("%s and %s at %s", first, second, step)
                     .isEmpty();
         }
@@ -79,17 +79,17 @@
                 .flatMap(first -> Arrays.stream(MoveFault.values()).map(second -> Arguments.of(first, second)));
     }
 
-    /** Shows that the checks of invariant 3 fail once a guard is gone. */
+    /** Verifies that the checks of invariant 3 fail when a guard is disabled. */
     @Test
     void checksFailWithoutTheGuards() {
         List<MoveFault> silent = List.of(MoveFault.LINK_SILENT, MoveFault.NONE);
-        assertThat(new Scene(MoveStep.BEFORE_VERDICT, silent, Broken.NOTHING).play())
+        assertThat(new Scenario(MoveStep.BEFORE_VERDICT, silent, DisabledGuard.NONE).simulate())
                 .isEmpty();
-        assertThat(new Scene(MoveStep.BEFORE_VERDICT, silent, Broken.SHARE_LIMIT).play())
+        assertThat(new Scenario(MoveStep.BEFORE_VERDICT, silent, DisabledGuard.SHARE_LIMIT).simulate())
                 .anyMatch(violation -> violation.contains("share"));
-        assertThat(new Scene(MoveStep.FIRST_STAGE, List.of(MoveFault.NONE), Broken.VERDICT).play())
+        assertThat(new Scenario(MoveStep.FIRST_STAGE, List.of(MoveFault.NONE), DisabledGuard.VERDICT).simulate())
                 .anyMatch(violation -> violation.contains("after the verdict"));
-        assertThat(new Scene(MoveStep.BEFORE_VERDICT, silent, Broken.STAGE_LEASE).play())
+        assertThat(new Scenario(MoveStep.BEFORE_VERDICT, silent, DisabledGuard.STAGE_LEASE).simulate())
                 .anyMatch(violation -> violation.contains("after the lease"));
     }
 
@@ -98,21 +98,21 @@
         private VersionSelector selector;
         private long frozenUntilMillis;
         private boolean silent;
-        private boolean told;
+        private boolean verdictReceived;
     }
 
-    private static final class Scene extends Timeline {
+    private static final class Scenario extends EventScheduler {
         private final MoveStep faultStep;
         private final List<MoveFault> faults;
-        private final Broken broken;
+        private final DisabledGuard disabledGuard;
         private final Random random = new Random(7);
         private final List<Entry> entries = new ArrayList<>();
         private final List<String> violations = new ArrayList<>();
         private final List<Long> pausedUntil = new ArrayList<>(List.of(0L, 0L));
-        private boolean struck;
+        private boolean faultsInjected;
         private boolean racing;
         private long delayMillis = 1;
-        private boolean crossed;
+        private boolean reordered;
         private boolean duplicated;
         private int burst = 1;
         private long requests;
@@ -120,10 +120,10 @@
         private long sequence;
         private long verdictMillis = Long.MAX_VALUE / 2;
 
-        private Scene(MoveStep faultStep, List<MoveFault> faults, Broken broken) {
+        private Scenario(MoveStep faultStep, List<MoveFault> faults, DisabledGuard disabledGuard) {
             this.faultStep = faultStep;
             this.faults = faults;
-            this.broken = broken;
+            this.disabledGuard = disabledGuard;
             for (int i = 0; i < 3; i++) {
                 entries.add(new Entry());
                 start(entries.get(i));
@@ -133,10 +133,10 @@
         private void start(Entry entry) {
             entry.view = new StageView();
             entry.selector = new VersionSelector(entry.view, new ShareLimiter());
-            entry.told = false;
+            entry.verdictReceived = false;
         }
 
-        private List<String> play() {
+        private List<String> simulate() {
             after(0, () -> publish(0, 5));
             after(0, this::request);
             after(VERDICT_MILLIS - 1_500, () -> reached(MoveStep.BEFORE_VERDICT, entries.get(0)));
@@ -148,7 +148,7 @@
             return violations;
         }
 
-        /** A controller publishes every two seconds until it knows the verdict; a paused one goes on late. */
+        /** Publishes the stages every two seconds until after the verdict; a paused controller resumes afterwards. */
         private void publish(int controller, long fencingNumber) {
             if (now() < pausedUntil.get(controller)) {
                 if (pausedUntil.get(controller) < Long.MAX_VALUE) {
@@ -156,10 +156,10 @@
                 }
                 return;
             }
-            int share = broken == Broken.SHARE_LIMIT ? Stage.ALL_BASIS_POINTS : SHARE_BASIS_POINTS;
-            boolean good = broken == Broken.STAGE_LEASE;
+            int share = disabledGuard == DisabledGuard.SHARE_LIMIT ? Stage.ALL_BASIS_POINTS : SHARE_BASIS_POINTS;
+            boolean good = disabledGuard == DisabledGuard.STAGE_LEASE;
             Stage stage = new Stage(MODEL, "v1", BAD, share, StageView.MAX_LEASE_MILLIS, good);
-            boolean ended = now() > VERDICT_MILLIS + 1_000 && broken != Broken.VERDICT;
+            boolean ended = now() > VERDICT_MILLIS + 1_000 && disabledGuard != DisabledGuard.VERDICT;
             ControllerStages stages =
                     new ControllerStages(fencingNumber, ++sequence, ended ? List.of() : List.of(stage));
             entries.forEach(entry -> send(entry, () -> entry.view.apply(stages, now())));
@@ -178,27 +178,27 @@
             reached(MoveStep.VERDICT_SENT, entries.get(0));
             BadVerdict bad = new BadVerdict(new ModelVersion(MODEL, BAD), "failures");
             for (Entry entry : entries) {
-                spread(entry, bad);
+                sendVerdict(entry, bad);
             }
         }
 
-        /** Facts are sent again with each heartbeat, so an entry that starts anew learns them, too. */
-        private void spread(Entry entry, BadVerdict bad) {
+        /** Sends the verdict with each heartbeat, so that a restarted entry receives it as well. */
+        private void sendVerdict(Entry entry, BadVerdict bad) {
             send(entry, () -> {
                 reached(MoveStep.VERDICT_ARRIVED, entry);
-                entry.told = true;
-                if (broken != Broken.VERDICT) {
+                entry.verdictReceived = true;
+                if (disabledGuard != DisabledGuard.VERDICT) {
                     entry.view.merge(List.of(bad));
                 }
             });
-            after(1_000, () -> spread(entry, bad));
+            after(1_000, () -> sendVerdict(entry, bad));
         }
 
         private void send(Entry entry, Runnable frame) {
             if (entry.silent) {
                 return;
             }
-            long delay = delayMillis + (crossed ? random.nextInt(1_000) : 0);
+            long delay = delayMillis + (reordered ? random.nextInt(1_000) : 0);
             after(delay, () -> deliver(entry, frame));
             if (duplicated) {
                 after(delay + 1_500, () -> deliver(entry, frame));
@@ -242,7 +242,7 @@
                 return;
             }
             canaries++;
-            if (entry.told) {
+            if (entry.verdictReceived) {
                 violations.add("3: " + request.id() + " after the verdict arrived");
             }
             boolean unreachable = entry.silent || delayMillis > STOP_MILLIS;
@@ -254,10 +254,10 @@
         }
 
         private void reached(MoveStep step, Entry entry) {
-            if (struck || step != faultStep) {
+            if (faultsInjected || step != faultStep) {
                 return;
             }
-            struck = true;
+            faultsInjected = true;
             faults.forEach(fault -> inject(fault, entry));
         }
 
@@ -270,7 +270,7 @@
                 case CONTROLLERS_RACING -> racing = true;
                 case LINK_SILENT -> entry.silent = true;
                 case FRAMES_LATE -> delayMillis = 3_000;
-                case FRAMES_CROSSED -> crossed = true;
+                case FRAMES_CROSSED -> reordered = true;
                 case FRAMES_DUPLICATED -> duplicated = true;
                 case BURST -> burst = 10;
                 default -> {
--- a/verification/src/test/java/dev/wigeonward/verification/layers/LayerRulesTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/layers/LayerRulesTest.java
@@ -15,7 +15,7 @@
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** The dependencies of section 4 of the design page. */
+/** Checks the dependency rules of section 4 of the design page. */
 class LayerRulesTest {
     private static final String ROOT = "dev.wigeonward";
     private static final JavaClasses CLASSES = new ClassFileImporter()
@@ -23,7 +23,7 @@
             .importPackages(ROOT);
     private static final JavaClasses TESTS = new ClassFileImporter().importClasses(LayerRulesTest.class);
 
-    /** Guards against rules that hold because no class was found. */
+    /** Guards against rules that pass because no class of a module was imported. */
     @Test
     void allModulesAreChecked() {
         for (String module :
@@ -34,14 +34,14 @@
         }
     }
 
-    /** Guards against decisions that depend on I/O. */
+    /** Guards against core code that depends on I/O. */
     @Test
     void coreKnowsNoTransportAndNoFiles() {
         core("io.netty..", "io.servicetalk..", "com.google.protobuf..", "java.net..", "java.nio.file..", "java.io..")
                 .check(CLASSES);
     }
 
-    /** Guards against decisions that differ between two runs of the same events. */
+    /** Guards against core code that behaves differently when the same events are replayed. */
     @Test
     void coreHasNoThreadsClockOrUnseededRandom() {
         core("java.util.concurrent..").check(CLASSES);
@@ -70,7 +70,7 @@
         rule.check(CLASSES);
     }
 
-    /** Guards against frames that know decisions. */
+    /** Guards against a wire format that depends on the core or on the binaries. */
     @Test
     void wireIsFreeOfCore() {
         noClasses()
@@ -82,7 +82,7 @@
                 .check(CLASSES);
     }
 
-    /** Guards against stand-ins in a binary. */
+    /** Guards against binaries that contain stand-ins. */
     @Test
     void noModuleDependsOnStandins() {
         noClasses()
@@ -94,7 +94,7 @@
                 .check(CLASSES);
     }
 
-    /** Guards against binaries that share code past core, wire and common. */
+    /** Guards against binaries that share code other than core, wire and common. */
     @Test
     void commonKnowsNoBinaryAndBinariesDoNotKnowEachOther() {
         forbid("common", "entry", "agent", "wire");
@@ -104,14 +104,14 @@
         forbid("platform", "entry", "agent");
     }
 
-    /** Guards against packages that can only be understood together. */
+    /** Guards against cyclic dependencies between packages or modules. */
     @Test
     void packagesHaveNoCycles() {
         slices().matching(ROOT + ".(*).(*)..").should().beFreeOfCycles().check(CLASSES);
         slices().matching(ROOT + ".(*)..").should().beFreeOfCycles().check(CLASSES);
     }
 
-    /** Shows that the rule on clocks fails for a class that reads one. */
+    /** Verifies that the rule on clocks fails for a class that reads the clock. */
     @Test
     void ruleFailsForClassThatReadsTheClock() {
         ArchRule rule = noClasses().should().callMethod(System.class, "nanoTime");
--- a/verification/src/test/java/dev/wigeonward/verification/model/ModelCheckTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/model/ModelCheckTest.java
@@ -5,8 +5,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+/** Checks the TLA+ specifications with TLC. */
 class ModelCheckTest {
-    /** Guards against a protocol that breaks an invariant in some order of events within the bounds. */
+    /** Guards against a protocol that breaks an invariant in a reachable state within the bounds of the model. */
     @ParameterizedTest
     @CsvSource({
         "Dispatch, DispatchUnkeyed",
@@ -26,7 +27,7 @@
         assertThat(result.distinctStates()).as(result.output()).isGreaterThan(1_000);
     }
 
-    /** Shows that each invariant is checked: without the guard the checker finds a state that breaks it. */
+    /** Verifies that TLC finds a state that breaks the invariant when the guard is disabled. */
     @ParameterizedTest
     @CsvSource({
         "Dispatch, DispatchUnkeyed, GuardTombstone, NotRunIsTrue",
--- a/verification/src/test/java/dev/wigeonward/verification/model/Tlc.java
+++ b/verification/src/test/java/dev/wigeonward/verification/model/Tlc.java
@@ -15,11 +15,11 @@
 
 import tlc2.TLC;
 
-/** Runs the model checker in a process of its own: TLC keeps its state in static fields and ends the JVM. */
+/** Runs the model checker TLC in a separate process, since it keeps state in static fields and exits the JVM. */
 final class Tlc {
     private static final Path SPECIFICATIONS = Path.of("src", "test", "tla").toAbsolutePath();
     private static final Path WORK = Path.of("target", "tlc").toAbsolutePath();
-    /** Generous, since a shared machine may run at a fraction of its speed; it only ends a run that hangs. */
+    /** Only ends a run that hangs; long because a shared machine may run at a fraction of its speed. */
     private static final long TIMEOUT_SECONDS = 240;
 
     private static final Pattern STATES = Pattern.compile("(\\d+) distinct states found, 0 states left");
@@ -29,39 +29,40 @@
     private Tlc() {}
 
     /**
-     * What a run of the checker found.
+     * Result of a run of the checker.
      *
      * @param violated name of the violated invariant, empty if there is none
      * @param complete whether all reachable states were checked
      */
     record Result(String violated, boolean complete, long distinctStates, long depth, String output) {}
 
-    /** Checks a specification with its configuration, in which the named guard is switched off unless it is empty. */
-    static Result check(String specification, String configuration, String weakenedGuard) {
+    /** Checks a specification with a configuration; disables the named guard unless the name is empty. */
+    static Result check(String specification, String configuration, String disabledGuard) {
         try {
-            Path directory = WORK.resolve(configuration + weakenedGuard);
+            Path directory = WORK.resolve(configuration + disabledGuard);
             Files.createDirectories(directory);
             Files.copy(
                     SPECIFICATIONS.resolve(specification + ".tla"),
                     directory.resolve(specification + ".tla"),
                     StandardCopyOption.REPLACE_EXISTING);
-            Files.writeString(directory.resolve("model.cfg"), configuration(configuration, weakenedGuard));
+            Files.writeString(directory.resolve("model.cfg"), configuration(configuration, disabledGuard));
             return parse(run(specification, directory));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
-    private static String configuration(String name, String weakenedGuard) throws IOException {
+    private static String configuration(String name, String disabledGuard) throws IOException {
         String text = Files.readString(SPECIFICATIONS.resolve(name + ".cfg"));
-        if (weakenedGuard.isEmpty()) {
+        if (disabledGuard.isEmpty()) {
             return text;
         }
-        String on = weakenedGuard + " = TRUE";
+        String on = disabledGuard + " = TRUE";
         if (!text.contains(on)) {
-            throw new IllegalArgumentException(name + " has no guard " + weakenedGuard);
+            throw new IllegalArgumentException(
+                    name + ".cfg does not contain \"" + on + "\"; expected a guard constant");
         }
-        return text.replace(on, weakenedGuard + " = FALSE");
+        return text.replace(on, disabledGuard + " = FALSE");
     }
 
     private static String run(String specification, Path directory) throws IOException {
@@ -83,7 +84,8 @@
                 .start();
         try {
             if (!process.waitFor(TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
-                throw new IOException("TLC did not end within " + TIMEOUT_SECONDS + " s: " + Files.readString(output));
+                throw new IOException("TLC on " + specification + " did not end within " + TIMEOUT_SECONDS + " s: "
+                        + Files.readString(output));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
@@ -23,7 +23,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Faults on the real processes over loopback: killed, frozen, asked to stop, store gone, links that go silent. */
+/** Injects faults into processes on loopback: kills, freezes, shutdowns, a store outage and silent connections. */
 @Timeout(value = 150, unit = TimeUnit.SECONDS)
 class ProcessFaultsTest {
     private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
@@ -96,7 +96,7 @@
         return IntStream.range(0, count).mapToObj(number -> "w" + number + " ").collect(Collectors.joining());
     }
 
-    /** Guards against a second run of an order whose first entry died before it answered. */
+    /** Guards against a second run of an order that is resent after its first entry was killed before it answered. */
     @Test
     void orderRunsOnceWhenItsEntryIsKilledAndTheCallerResendsThroughAnother() throws Exception {
         try (LocalDeployment deployment = deploy(2, FLAGS)) {
@@ -111,7 +111,7 @@
         }
     }
 
-    /** Guards against a copy that is told "not run" while the other copy of its key runs or has just run. */
+    /** Guards against a "not run" answer to one of two simultaneous requests of a key while the other runs or ran. */
     @Test
     void bothCopiesOfAKeyGetTheAnswerWhenTheyComeAtTheSameInstant() throws Exception {
         LocalUpstream[] upstreams = IntStream.rangeClosed(1, 2)
@@ -135,7 +135,7 @@
         }
     }
 
-    /** Guards against a guess: after the only witness is gone the outcome is unknown, and nothing runs again. */
+    /** Guards against an order that runs again, or is reported as not run, after the agent that ran it was killed. */
     @Test
     void orderIsNotRepeatedWhenItsAgentIsKilled() throws Exception {
         try (LocalDeployment deployment = deploy(2, FLAGS)) {
@@ -152,7 +152,7 @@
         }
     }
 
-    /** Guards against orders without a durable claim, and against an outage that stops other requests. */
+    /** Guards against orders that run without a durable claim, and against a store outage that fails other requests. */
     @Test
     void ordersAreRefusedAsNotRunAndChatsGoOnWhileTheStoreIsDown() throws Exception {
         try (LocalDeployment deployment = deploy(1, FLAGS, ENGINE)) {
@@ -167,7 +167,7 @@
         }
     }
 
-    /** Guards against lost, doubled or missing output when a process stops for longer than the heartbeat timeout. */
+    /** Guards against lost or duplicated output when a process is frozen for longer than the heartbeat timeout. */
     @Test
     void streamIsWholeWhenItsAgentFreezesPastTheHeartbeatTimeout() throws Exception {
         try (LocalDeployment deployment = deploy(1, ENGINE)) {
@@ -183,7 +183,7 @@
         }
     }
 
-    /** Guards against waiting on a connection that lost its way between the two ends. */
+    /** Guards against waiting on a connection that drops all bytes without being closed, while new connections work. */
     @Test
     void streamIsWholeWhenItsLinkGoesSilentWhileNewOnesWork() throws Exception {
         try (LocalDeployment deployment = deploy(1, ENGINE)) {
@@ -207,7 +207,7 @@
         }
     }
 
-    /** Guards against a shutdown that cuts requests, at the entry and at the agent, and against new work after it. */
+    /** Guards against a graceful shutdown of an entry or agent that interrupts requests or never ends. */
     @Test
     void gracefulShutdownOfEntryAndAgentCutsNoRequest() throws Exception {
         LocalUpstream second = LocalUpstream.engine("second", "advisory", 8, 40);
@@ -228,7 +228,7 @@
         }
     }
 
-    /** Guards against one request that brings down upstream after upstream, through whichever entry it comes. */
+    /** Guards against a request that crashes one upstream after another when it is resent through different entries. */
     @Test
     void requestThatCrashesUpstreamsIsRefusedBeforeItTakesTheThird() throws Exception {
         List<LocalUpstream> engines = IntStream.rangeClosed(1, 4)
--- a/verification/src/test/java/dev/wigeonward/verification/process/SilencingProxy.java
+++ b/verification/src/test/java/dev/wigeonward/verification/process/SilencingProxy.java
@@ -12,7 +12,7 @@
 
 import com.google.common.net.HostAndPort;
 
-/** Passes TCP connections on; can make the open ones silent for good while new ones work. */
+/** TCP proxy that can drop all further bytes of its open connections while new connections work. */
 final class SilencingProxy implements Closeable {
     private static final int BUFFER_BYTES = 8_192;
 
@@ -49,7 +49,7 @@
                 thread(() -> connection.pump(connection.near, connection.far));
                 thread(() -> connection.pump(connection.far, connection.near));
             } catch (IOException e) {
-                // The agent is away or the proxy is closed; the entry tries again.
+                // The agent is down or the proxy is closed; the entry reconnects.
                 continue;
             }
         }
@@ -101,7 +101,7 @@
             try {
                 socket.close();
             } catch (IOException e) {
-                // Nothing is left to release.
+                // The socket needs no further cleanup.
                 return;
             }
         }
--- a/verification/src/test/java/dev/wigeonward/verification/process/StartFailureTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/process/StartFailureTest.java
@@ -14,7 +14,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Guards against a process that cannot listen and stays alive without serving, so that nobody restarts it. */
+/** Guards against a process that stays alive without serving when its port is in use, so that it is not restarted. */
 class StartFailureTest {
     private static final long START_LIMIT_SECONDS = 60;
 
@@ -92,7 +92,7 @@
                 .start();
         try {
             assertThat(process.waitFor(START_LIMIT_SECONDS, TimeUnit.SECONDS))
-                    .as("ends by itself")
+                    .as("%s exits within %d s", mainClass, START_LIMIT_SECONDS)
                     .isTrue();
             assertThat(process.exitValue()).isEqualTo(1);
             assertThat(Files.readString(output)).contains("cannot start");
--- a/verification/src/test/tla/Dispatch.tla
+++ b/verification/src/test/tla/Dispatch.tla
@@ -1,6 +1,6 @@
 ------------------------------ MODULE Dispatch ------------------------------
-(* One idempotency key, or requests without a key: from arrival over the durable claim and the dispatch to the   *)
-(* answer. Frames stay in `net` for as long as they like, which also covers an entry that is paused between its   *)
+(* Requests of one idempotency key, or without a key, from arrival through durable claim and dispatch to the      *)
+(* answer. Frames may stay in `net` for any time, which also covers an entry that is paused between its           *)
 (* decision and the write to the socket. Action names are those of core.dispatch; see docs/model.md.              *)
 EXTENDS Naturals, FiniteSets, TLC
 
@@ -9,12 +9,12 @@
     Agents,
     Claimed,        \* TRUE: non-idempotent requests of one key; FALSE: requests without a key
     MaxAttempts, MaxClaims, MaxRestarts, MaxReattaches,
-    MaxLate,        \* frames left in flight by a lost link
+    MaxLate,        \* frames that may still arrive after their link was lost
     Duplicates,     \* TRUE: a dispatch may arrive more than once
     GuardTombstone,     \* a request declared as never received is refused when it arrives late
     GuardIncarnation,   \* a new incarnation answers "unknown" and not "not run" to frames meant for an older one
     GuardRefused,       \* a dispatch answered as not run is refused when it arrives again
-    GuardMemory,        \* a run that is forgotten is not declared as never received
+    GuardMemory,        \* a run whose record was dropped is not declared as never received
     GuardTakeOver,      \* a takeover compares the claim id
     GuardMove,          \* a moved claim has a new id
     GuardDoubt,         \* a claim whose creation is in doubt is refused and not dispatched
@@ -63,7 +63,7 @@
     /\ nextClaim' = nextClaim + 1
     /\ UNCHANGED <<store, replies, cleanup, net, agent, runs, answer, restarts>>
 
-(* The store decides at a moment of its own; the reply may be lost after that. *)
+(* The store applies a write at any later time; its reply may then be lost. *)
 StoreApplies(op) ==
     /\ op \in ops /\ ops' = ops \ {op}
     /\ LET applies == (store.id = op.cond \/ (op.cond # 0 /\ ~GuardTakeOver)) /\ ~store.done IN
@@ -103,7 +103,7 @@
     /\ flight' = Phase(r, "done") /\ Ends(r, "answered")
     /\ UNCHANGED <<store, ops, cleanup, net, agent, runs, nextClaim, restarts>>
 
-(* No answer from the store: the write may have taken effect, or may still do so. *)
+(* Timeout of a call to the store: the write may have taken effect or may still do so. *)
 Unavailable(r) ==
     /\ flight[r].phase = "claiming"
     /\ LET ids == {op.id : op \in {o \in ops : o.req = r}}
@@ -182,7 +182,7 @@
     /\ agent' = [agent EXCEPT ![a].state = "running", ![a].spent = @ \cup {agent[a].run}]
     /\ UNCHANGED <<flight, store, ops, replies, cleanup, net, answer, nextClaim, restarts>>
 
-(* Displaced, expired or queued before an upstream that died: the readers learn that it did not run. *)
+(* A queued run is displaced, expires, or loses its upstream: its readers receive that it did not run. *)
 DropUnrun(a) ==
     /\ agent[a].state = "queued"
     /\ net' = net \cup {Frame("NotRun", r, r, flight[r].attempt, a, agent[a].inc) : r \in agent[a].readers}
@@ -196,13 +196,13 @@
     /\ net' = net \cup {Frame("Finished", r, r, flight[r].attempt, a, agent[a].inc) : r \in agent[a].readers}
     /\ UNCHANGED <<flight, store, ops, replies, cleanup, runs, answer, nextClaim, restarts>>
 
-(* The reader's link stays away for too long. *)
+(* The link of a reader stays disconnected for longer than the limit. *)
 DropDetachedReaders(a, r) ==
     /\ r \in agent[a].readers
     /\ agent' = [agent EXCEPT ![a].readers = @ \ {r}]
     /\ UNCHANGED <<flight, store, ops, replies, cleanup, net, runs, answer, nextClaim, restarts>>
 
-(* A claimed run is forgotten after its outcome was kept for some time, another one also while it runs. *)
+(* The record of a claimed run is dropped some time after its outcome; that of another run also while it runs. *)
 ReleaseRun(a) ==
     /\ agent[a].readers = {} /\ agent[a].run # "none"
     /\ agent[a].state = "ended" \/ agent[a].state = "queued" \/ ~Claimed
@@ -261,7 +261,7 @@
     /\ flight' = Phase(m.req, "done") /\ Ends(m.req, "unknown")
     /\ UNCHANGED <<store, ops, replies, cleanup, agent, runs, nextClaim, restarts>>
 
-(* The link is lost with what it carried, except for some frames that arrive late, and a new link is opened. *)
+(* A link is lost with its frames, except for some that arrive late, and a new link is opened. *)
 LinkUp(r) ==
     /\ flight[r].phase \in {"dispatched", "attaching"} /\ flight[r].reattaches < MaxReattaches
     /\ \E late \in SUBSET {m \in net : m.req = r} :
@@ -277,7 +277,7 @@
                /\ UNCHANGED answer
     /\ UNCHANGED <<store, ops, replies, cleanup, agent, runs, nextClaim, restarts>>
 
-(* The entry dies, or gives up at the deadline; writes and frames under way go on without it. *)
+(* The entry dies or the deadline expires; writes and frames in flight still take effect. *)
 EntryLost(r) ==
     /\ flight[r].phase # "done"
     /\ flight' = Phase(r, "done") /\ Ends(r, "unknown")
@@ -302,12 +302,12 @@
     IF Claimed
     THEN \A r, s \in Requests : runs[r] <= 1 /\ (r # s => runs[r] + runs[s] <= 1)
     ELSE \A r \in Requests : runs[r] <= 1
-(* The claim of a request that ran stays its own; it is broken one step before a second run. *)
+(* The claim of a key stays with the request that ran; a violation precedes a second run by one step. *)
 RunHoldsClaim == Claimed => \A r \in Requests : runs[r] > 0 => store.req = r
 (* Invariant 5. *)
 NotRunIsTrue == \A r \in Requests : answer[r] = "not_run" => runs[r] = 0
 
-(* States that differ only in frames and replies that nobody will read any more are the same state. *)
+(* Treats states as equal if they differ only in frames and replies that will not be read any more. *)
 FromAgent == {"Accepted", "NotRun", "Unseen", "Finished", "Failed"}
 Current(m) == flight[m.req].phase \in {"dispatched", "attaching"} /\ m.attempt = flight[m.req].attempt
 View ==
--- a/verification/src/test/tla/Orders.tla
+++ b/verification/src/test/tla/Orders.tla
@@ -8,15 +8,15 @@
     GuardFencing,   \* an order with a lower number than the highest seen is refused
     GuardStoreRead, \* a restarted agent runs nothing before it has read the number from the store
     GuardNoLease,   \* a read that finds no controller confirms nothing
-    GuardFreshRead  \* an answer counts only for the incarnation that asked
+    GuardFreshRead  \* an answer is used only by the incarnation that sent the read
 
 VARIABLES
     lease,          \* fencing number of the controller key in the store, 0 while the key does not exist
     elections,      \* creation revisions given out
-    holds,          \* number under which each controller believes to be the holder, 0 if it does not
-    net,            \* orders under way
-    gate,           \* the agent's memory
-    reads,          \* answers of the store on their way to the agent
+    holds,          \* fencing number under which each controller believes it holds the lease, 0 if it does not
+    net,            \* orders in flight
+    gate,           \* state in memory of the agent's order gate
+    reads,          \* answers of the store in flight to the agent
     executed,       \* highest number that the engine carried out, over all incarnations of the agent
     stale           \* whether the engine carried out an order with a lower number after that
 vars == <<lease, elections, holds, net, gate, reads, executed, stale>>
@@ -34,7 +34,7 @@
     /\ holds' = [holds EXCEPT ![c] = elections + 1]
     /\ UNCHANGED <<net, gate, reads, executed, stale>>
 
-(* The store drops the key; a holder that is paused does not learn of it. *)
+(* The lease expires at the store; a paused holder does not notice. *)
 Expire ==
     /\ lease # 0 /\ lease' = 0
     /\ UNCHANGED <<elections, holds, net, gate, reads, executed, stale>>
@@ -44,7 +44,7 @@
     /\ net' = net \cup {holds[c]}
     /\ UNCHANGED <<lease, elections, holds, gate, reads, executed, stale>>
 
-(* What the gate does about a set of orders once it knows `highest`. *)
+(* Runs or refuses a set of orders, given the highest known fencing number. *)
 Decide(orders, highest) ==
     LET runs == IF GuardFencing THEN {n \in orders : n >= highest} ELSE orders IN
     /\ executed' = IF runs = {} THEN executed ELSE Max(executed, CHOOSE n \in runs : \A k \in runs : n >= k)
@@ -94,6 +94,6 @@
 
 Spec == Init /\ [][Next]_vars
 
-(* No order with an old number is executed after a newer one, also after a restart with empty memory. *)
+(* No order is executed after one with a higher number, not even after a restart with empty memory. *)
 NoOldOrderAfterNewer == ~stale
 =============================================================================
--- a/verification/src/test/tla/Revisions.tla
+++ b/verification/src/test/tla/Revisions.tla
@@ -11,11 +11,11 @@
 
 VARIABLES
     head,       \* newest accepted revision
-    accepted,   \* accepted text of each number, "" before
+    accepted,   \* accepted text of each number, <<>> before its acceptance
     operator,   \* number that each operator read and has not written yet, or -1
     inForce,    \* revision in force in each process
-    net,        \* whole texts and deltas under way
-    faults,     \* reads of an older head and texts damaged on the way
+    net,        \* snapshots and deltas in flight
+    faults,     \* number of reads of an older head and of texts damaged in transit
     restarts,
     lowered     \* whether a number in force ever went down within an incarnation
 vars == <<head, accepted, operator, inForce, net, faults, restarts, lowered>>
@@ -54,7 +54,7 @@
     /\ head > 0 /\ Adopt(p, Sound(head))
     /\ UNCHANGED <<head, accepted, operator, net, faults, restarts>>
 
-(* The store shows an older head, for example through a member that lags. *)
+(* The store returns an older head, for example from a member that lags. *)
 StoreRegression(p, n) ==
     /\ faults < MaxFaults /\ faults' = faults + 1
     /\ n < head /\ n > 0 /\ Adopt(p, Sound(n))
@@ -65,13 +65,13 @@
     /\ net' = net \cup {[kind |-> "snapshot", base |-> <<>>, revision |-> inForce[p]]}
     /\ UNCHANGED <<head, accepted, operator, inForce, faults, restarts, lowered>>
 
-(* A delta from the number before; its base is the text of that number. *)
+(* Sends a delta against the text of the preceding number. *)
 SendDelta(p) ==
     /\ inForce[p].number > 1
     /\ net' = net \cup {[kind |-> "delta", base |-> accepted[inForce[p].number - 1], revision |-> inForce[p]]}
     /\ UNCHANGED <<head, accepted, operator, inForce, faults, restarts, lowered>>
 
-(* A part of the text is damaged or missing; the hash that came with it is not. *)
+(* A part of the text is damaged or missing in transit; its hash is intact. *)
 Damage(m) ==
     /\ faults < MaxFaults /\ faults' = faults + 1
     /\ net' = (net \ {m}) \cup {[m EXCEPT !.revision.text = <<"damaged">>]}
@@ -81,7 +81,7 @@
     /\ m.kind = "snapshot" /\ Adopt(p, m.revision)
     /\ UNCHANGED <<head, accepted, operator, net, faults, restarts>>
 
-(* A delta on another base gives another text, which the hash of the result shows as well. *)
+(* A delta applied to another base gives another text, which the hash of the result detects. *)
 DeltaArrived(p, m) ==
     /\ m.kind = "delta"
     /\ Adopt(p, IF m.base = inForce[p].text THEN m.revision ELSE [m.revision EXCEPT !.text = <<"mixed">>])
