--- a/standins/src/main/java/dev/wigeonward/standins/Main.java
+++ b/standins/src/main/java/dev/wigeonward/standins/Main.java
@@ -18,7 +18,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
-/** Command line of the stand-ins. */
+/** Command line that starts a stand-in, the demo or the registration of VMs. */
 public final class Main {
     private static final int EXIT_USAGE = 2;
 
@@ -69,7 +69,7 @@
 
     private Main() {}
 
-    /** Starts one stand-in and runs until the process is ended. */
+    /** Runs a command; a stand-in runs until its process is ended. */
     public static void main(String[] arguments) throws Exception {
         String first = arguments.length == 0 ? "" : arguments[0];
         String[] rest = arguments.length == 0 ? arguments : Arrays.copyOfRange(arguments, 1, arguments.length);
@@ -106,7 +106,7 @@
             case "kv" -> KvStandin.start(address, MonotonicClock.start());
             case "vms" -> VmsStandin.start(address, MonotonicClock.start()).setLag(lagMillis);
             default -> {
-                System.err.println("unknown kind: " + kind);
+                System.err.println("KIND is " + kind + "; expected engine, service, kv, vms, demo or register");
                 System.exit(EXIT_USAGE);
             }
         }
--- a/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
+++ b/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
@@ -17,7 +17,7 @@
 import io.servicetalk.http.api.HttpRequestMethod;
 import org.kohsuke.args4j.Option;
 
-/** Sends requests of every kind through two entries and checks each answer. */
+/** Command that sends requests of each kind through two entries and checks each answer. */
 public final class DemoCommand {
     private static final String CHAT = "/v1/chat/completions";
     private static final long READY_LIMIT_MILLIS = 30_000;
@@ -45,7 +45,7 @@
     private final Clock clock = MonotonicClock.start();
     private int failures;
 
-    /** Returns the exit code: 0 if every answer was as expected. */
+    /** Sends the requests, prints each answer, and returns 0 if all answers are as expected and 1 otherwise. */
     public int run(PrintStream out) {
         List<String> entry = Splitter.on(',').splitToList(entries);
         try (HttpCalls calls = new HttpCalls()) {
--- a/standins/src/main/java/dev/wigeonward/standins/demo/package-info.java
+++ b/standins/src/main/java/dev/wigeonward/standins/demo/package-info.java
@@ -1,2 +1,2 @@
-/** The requests of {@code ./quickstart}, with the answers that are expected. */
+/** Requests of {@code ./quickstart} and the expected answers. */
 package dev.wigeonward.standins.demo;
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineBatch.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineBatch.java
@@ -13,12 +13,13 @@
 
 import dev.wigeonward.common.ring.DaemonThreads;
 
-/** Runs streams in a fixed number of slots, first come first served, blind to priority. */
+/** Runs streams in a fixed number of slots in the order of arrival, without priorities. */
 final class EngineBatch implements AutoCloseable {
     private static final String ALL_VERSIONS = "";
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final long STEP_MILLIS = 2;
-    private static final long KEEP_ENDED_MILLIS = 60_000;
+    private static final long ENDED_STREAM_RETENTION_MILLIS = 60_000;
+    /** Prompt tokens that need no prefill if the prefix is cached. */
     private static final int PREFIX_TOKENS = 256;
 
     private final EngineProfile profile;
@@ -41,7 +42,7 @@
         scheduler.scheduleAtFixedRate(this::step, STEP_MILLIS, STEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Queues a stream, or returns false if a fault makes the request fail. */
+    /** Queues a stream; returns false if an injected fault makes the request fail. */
     synchronized boolean submit(EngineStream stream, long prefixHash) {
         submitted++;
         EngineFaults faults = faults(stream.version());
@@ -102,7 +103,7 @@
         while (reports.size() > 1 && (long) reports.peek().get("time") < nowMillis - profile.reportLagMillis()) {
             reports.poll();
         }
-        streams.values().removeIf(stream -> stream.endedBefore(nowMillis - KEEP_ENDED_MILLIS));
+        streams.values().removeIf(stream -> stream.endedBefore(nowMillis - ENDED_STREAM_RETENTION_MILLIS));
     }
 
     synchronized Optional<EngineStream> find(String id) {
@@ -124,7 +125,7 @@
         List.copyOf(streams.keySet()).forEach(this::cancel);
     }
 
-    /** Switches faults on for one version, or for all without faults of their own if the version is empty. */
+    /** Sets the faults of a version; an empty version sets those of all versions without faults of their own. */
     synchronized void setFaults(String version, EngineFaults next) {
         faultsByVersion.put(version, next);
     }
@@ -133,12 +134,12 @@
         return faultsByVersion.getOrDefault(version, faultsByVersion.getOrDefault(ALL_VERSIONS, EngineFaults.NONE));
     }
 
-    /** Returns the load as it was some time ago. */
+    /** Returns the load as it was one report lag ago. */
     synchronized Map<String, Object> laggingLoad() {
         return reports.isEmpty() ? Map.of("running", 0, "waiting", 0) : reports.peek();
     }
 
-    /** Returns the events after a sequence number that are old enough to be published. */
+    /** Returns the cache events after a sequence number that are at least as old as the report lag. */
     synchronized List<Map<String, Object>> cacheEventsAfter(int sequence) {
         long newestMillis = clock.millis() - profile.reportLagMillis();
         return cacheEvents.stream()
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
@@ -31,7 +31,7 @@
 import io.servicetalk.http.netty.HttpServers;
 
 /**
- * HTTP face of the emulated engine: {@code POST /v1/chat/completions}, {@code GET /v1/streams/ID?offset=N} to resume,
+ * HTTP server of the emulated engine: {@code POST /v1/chat/completions}, {@code GET /v1/streams/ID?offset=N} to resume,
  * {@code DELETE /v1/streams[/ID]} to cancel, {@code GET /v1/load}, {@code GET /v1/cache-events?after=N}, {@code POST
  * /v1/orders}, {@code GET /health}, {@code POST /admin/faults}, {@code GET /admin/ran}.
  */
@@ -66,12 +66,12 @@
         return engine;
     }
 
-    /** Returns the address listened on. */
+    /** Returns the address that the engine listens on. */
     public InetSocketAddress address() {
         return (InetSocketAddress) server.listenAddress();
     }
 
-    /** Returns how often each request was started, by request id. */
+    /** Returns the number of starts of each request, by request id. */
     public synchronized Map<String, Integer> ran() {
         return Map.copyOf(ran);
     }
@@ -117,7 +117,7 @@
             case "POST /v1/orders" -> order(exchange, body);
             case "POST /admin/faults" -> setFaults(exchange, body);
             case "GET /admin/ran" -> exchange.json(HttpResponseStatus.OK, ran());
-            default -> exchange.error(HttpResponseStatus.NOT_FOUND, "no such page");
+            default -> exchange.error(HttpResponseStatus.NOT_FOUND, "route " + route + " does not exist");
         };
     }
 
@@ -149,7 +149,8 @@
             ran.merge(id, 1, Integer::sum);
         }
         if (!batch.submit(stream, prefixHash(json.get()))) {
-            return exchange.error(HttpResponseStatus.INTERNAL_SERVER_ERROR, "emulated failure");
+            return exchange.error(
+                    HttpResponseStatus.INTERNAL_SERVER_ERROR, "request " + id + " fails because of an injected fault");
         }
         return exchange.stream(stream, 0);
     }
@@ -177,7 +178,8 @@
     private StreamingHttpResponse resume(Exchange exchange) {
         return batch.find(lastSegment(exchange))
                 .map(stream -> exchange.stream(stream, exchange.intParameter("offset")))
-                .orElseGet(() -> exchange.error(HttpResponseStatus.NOT_FOUND, "no such stream"));
+                .orElseGet(() -> exchange.error(
+                        HttpResponseStatus.NOT_FOUND, "stream " + lastSegment(exchange) + " does not exist"));
     }
 
     private synchronized StreamingHttpResponse order(Exchange exchange, byte[] body) {
@@ -187,7 +189,9 @@
         }
         long fencingNumber = json.get().path("fencing_number").asLong();
         if (profile.checksFencing() && fencingNumber < highestFencingNumber) {
-            return exchange.error(HttpResponseStatus.CONFLICT, "the fencing number is old");
+            return exchange.error(
+                    HttpResponseStatus.CONFLICT,
+                    "fencing number is " + fencingNumber + "; expected at least " + highestFencingNumber);
         }
         highestFencingNumber = Math.max(highestFencingNumber, fencingNumber);
         String version = json.get().path("version").asText();
@@ -224,7 +228,7 @@
         batch.close();
     }
 
-    /** One HTTP request with the means to answer it. */
+    /** HTTP request with the factory of its response. */
     private record Exchange(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
         StreamingHttpResponse json(HttpResponseStatus status, Object value) {
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineProfile.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineProfile.java
@@ -3,12 +3,12 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Properties of an emulated engine.
+ * Configuration of an emulated engine.
  *
- * @param slots streams that run at once; more wait in the order of their arrival
- * @param cachedPrefixes prompt prefixes kept, least recently used dropped first
+ * @param slots number of streams that run at once; further ones wait in the order of arrival
+ * @param cachedPrefixes number of cached prompt prefixes; the least recently used one is evicted first
  * @param reportLagMillis age of load reports and cache events
- * @param crashMarker text in a prompt that ends the process; empty for none
+ * @param crashMarker text that halts the process if a prompt contains it; empty for none
  * @param checksFencing whether orders with an old fencing number are refused
  * @param loadMillis time to load a version
  */
@@ -24,8 +24,12 @@
         boolean checksFencing,
         long loadMillis) {
     public EngineProfile {
-        Preconditions.checkArgument(slots > 0, "slots is %s", slots);
-        Preconditions.checkArgument(prefillTokensPerSecond > 0, "prefillTokensPerSecond is %s", prefillTokensPerSecond);
-        Preconditions.checkArgument(decodeTokensPerSecond > 0, "decodeTokensPerSecond is %s", decodeTokensPerSecond);
+        Preconditions.checkArgument(slots > 0, "slots is %s; expected more than 0", slots);
+        Preconditions.checkArgument(
+                prefillTokensPerSecond > 0,
+                "prefillTokensPerSecond is %s; expected more than 0",
+                prefillTokensPerSecond);
+        Preconditions.checkArgument(
+                decodeTokensPerSecond > 0, "decodeTokensPerSecond is %s; expected more than 0", decodeTokensPerSecond);
     }
 }
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineStream.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineStream.java
@@ -15,9 +15,9 @@
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.SourceAdapters;
 
-/** One answer that is being generated; its output is kept so that readers can resume it. */
+/** Answer that is being generated; its output is retained so that readers can resume at an offset. */
 final class EngineStream {
-    private static final int MAX_WAITING_PARTS = 100_000;
+    private static final int MAX_BUFFERED_PARTS = 100_000;
 
     private final String id;
     private final String model;
@@ -75,24 +75,24 @@
         prefillLeftTokens = promptTokens - tokens;
     }
 
-    /** Advances prefill, then decoding; returns whether the stream is complete. */
+    /** Advances prefill and then decoding by a duration; returns whether the stream is complete. */
     synchronized boolean advance(double seconds, int prefillTokensPerSecond, int decodeTokensPerSecond) {
         double prefillSeconds = Math.min(seconds, prefillLeftTokens / prefillTokensPerSecond);
         prefillLeftTokens -= prefillSeconds * prefillTokensPerSecond;
         decodedTokens += (seconds - prefillSeconds) * decodeTokensPerSecond;
-        int upto = (int) Math.min(outputTokens, decodedTokens);
-        if (upto > emittedTokens) {
-            emit(upto);
+        int endToken = (int) Math.min(outputTokens, decodedTokens);
+        if (endToken > emittedTokens) {
+            emit(endToken);
         }
         return emittedTokens >= outputTokens;
     }
 
-    private void emit(int upto) {
+    private void emit(int endToken) {
         StringBuilder part = new StringBuilder();
-        for (int token = emittedTokens; token < upto; token++) {
+        for (int token = emittedTokens; token < endToken; token++) {
             part.append('w').append(token).append(' ');
         }
-        emittedTokens = upto;
+        emittedTokens = endToken;
         text.append(part);
         if (events) {
             write(event(Map.of("choices", List.of(Map.of("index", 0, "delta", Map.of("content", part.toString()))))));
@@ -151,7 +151,7 @@
     synchronized void cancel(long nowMillis) {
         ended = true;
         endedAtMillis = nowMillis;
-        readers.forEach(reader -> reader.onError(new IllegalStateException("the stream was cancelled")));
+        readers.forEach(reader -> reader.onError(new IllegalStateException("stream " + id + " was cancelled")));
         readers.clear();
     }
 
@@ -159,7 +159,7 @@
         return ended && endedAtMillis < timeMillis;
     }
 
-    /** Returns the output from an offset on, with what is still to come. */
+    /** Returns the output from an offset to the end of the stream, including parts that are generated later. */
     synchronized Publisher<Buffer> read(int offsetBytes) {
         byte[] all = output.toByteArray();
         byte[] soFar = Arrays.copyOfRange(all, Math.min(offsetBytes, all.length), all.length);
@@ -167,7 +167,7 @@
         if (ended) {
             return first;
         }
-        PublisherSource.Processor<Buffer, Buffer> reader = Processors.newPublisherProcessor(MAX_WAITING_PARTS);
+        PublisherSource.Processor<Buffer, Buffer> reader = Processors.newPublisherProcessor(MAX_BUFFERED_PARTS);
         readers.add(reader);
         return first.concat(SourceAdapters.fromSource(reader));
     }
--- a/standins/src/main/java/dev/wigeonward/standins/engine/package-info.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/package-info.java
@@ -1,2 +1,2 @@
-/** Emulator of a model engine: continuous batching, prefix cache, resumable streams, lagging reports. */
+/** Emulator of a model engine with continuous batching, a prefix cache, resumable streams and delayed load reports. */
 package dev.wigeonward.standins.engine;
--- a/standins/src/main/java/dev/wigeonward/standins/http/HttpCalls.java
+++ b/standins/src/main/java/dev/wigeonward/standins/http/HttpCalls.java
@@ -13,19 +13,19 @@
 import io.servicetalk.http.netty.HttpClients;
 import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
 
-/** HTTP calls to several hosts, each answered within a minute. */
+/** HTTP client for several hosts, without retries and with a timeout of one minute. */
 public final class HttpCalls implements AutoCloseable {
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
     private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
 
-    /** Returns the answer, or one with status 0 if none came. */
+    /** Makes a call and returns its answer, or one with status 0 if the connection broke or the timeout expired. */
     public Answer call(
             String address, HttpRequestMethod method, String path, Map<String, String> headers, String body) {
         return start(address, method, path, headers, body).join();
     }
 
-    /** Starts a call; the answer has status 0 if the connection broke before it was complete. */
+    /** Starts a call; the answer has status 0 if the connection broke or the timeout expired before it was complete. */
     public CompletableFuture<Answer> start(
             String address, HttpRequestMethod method, String path, Map<String, String> headers, String body) {
         HttpClient client = clients.computeIfAbsent(address, HttpCalls::connect);
@@ -58,6 +58,6 @@
         clients.values().forEach(client -> client.closeAsync().subscribe());
     }
 
-    /** Status and body. */
+    /** Status and body of an answer. */
     public record Answer(int status, String body) {}
 }
--- a/standins/src/main/java/dev/wigeonward/standins/http/HttpStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/http/HttpStandin.java
@@ -24,9 +24,9 @@
 import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.ConnectionContext;
 
-/** A running HTTP server of a stand-in; its handlers may block. */
+/** HTTP server of a stand-in; its handlers may block. */
 public final class HttpStandin implements AutoCloseable {
-    /** Maps between records and JSON with names like {@code slow_millis}. */
+    /** Maps between records and JSON with snake-case names such as {@code slow_millis}. */
     public static final ObjectMapper JSON = JsonMapper.builder()
             .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
             .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
@@ -40,7 +40,7 @@
         this.server = server;
     }
 
-    /** Returns a server that listens; port 0 takes a free one. */
+    /** Starts a server; port 0 selects a free port. */
     public static HttpStandin start(InetSocketAddress address, BlockingStreamingHttpService service) {
         try {
             return new HttpStandin(HttpServers.forAddress(address).listenBlockingStreamingAndAwait(service));
@@ -76,13 +76,13 @@
         }
     }
 
-    /** Closes the connection of a request, so that its caller gets no answer. */
+    /** Closes the connection of a request so that its caller receives no answer; always throws. */
     public static void cut(ConnectionContext context) throws IOException {
         context.closeAsync().subscribe();
-        throw new IOException("connection closed on purpose");
+        throw new IOException("connection closed by an injected fault");
     }
 
-    /** Waits until the thread is interrupted by the end of the process. */
+    /** Waits until the thread is interrupted. */
     public static void runUntilInterrupted() throws InterruptedException {
         new CountDownLatch(1).await();
     }
@@ -94,7 +94,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException e) {
-            throw new IllegalStateException("cannot close " + server.listenAddress(), e);
+            throw new IllegalStateException("cannot close the server on " + server.listenAddress(), e);
         }
     }
 }
--- a/standins/src/main/java/dev/wigeonward/standins/http/package-info.java
+++ b/standins/src/main/java/dev/wigeonward/standins/http/package-info.java
@@ -1,2 +1,2 @@
-/** HTTP server shared by the stand-ins of the platform's services. */
+/** HTTP server of the stand-ins for the platform's services, and an HTTP client. */
 package dev.wigeonward.standins.http;
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvCalls.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvCalls.java
@@ -12,7 +12,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-/** Executes the JSON requests of the interface on the state. */
+/** Translates JSON requests of the key-value service to operations on the state, and their results to JSON. */
 final class KvCalls {
     private final KvState state;
 
@@ -70,7 +70,7 @@
         request.path("compare").forEach(compare -> conditions.add(condition(compare)));
         List<KvState.Mutation> mutations = new ArrayList<>();
         request.path("success").forEach(operation -> mutations.add(mutation(operation)));
-        // The state stays locked, so that the reads of a failed transaction see the revision that failed it.
+        // Holds the lock so that the reads of a failed transaction see the revision at which its compares failed.
         synchronized (state) {
             boolean succeeded = state.commit(conditions, mutations);
             ObjectNode body = withHeader();
@@ -92,7 +92,10 @@
     private static KvState.Condition condition(JsonNode compare) {
         String key = key(compare.path("key"));
         if (!"EQUAL".equals(compare.path("result").asText("EQUAL"))) {
-            throw new KvException(KvException.INVALID_ARGUMENT, "only EQUAL is supported");
+            throw new KvException(
+                    KvException.INVALID_ARGUMENT,
+                    "result of the compare of key " + key + " is "
+                            + compare.path("result").asText() + "; expected EQUAL");
         }
         return switch (compare.path("target").asText("VERSION")) {
             case "MOD" -> equal(key, KvEntry::modRevision, compare.path("mod_revision"));
@@ -103,7 +106,11 @@
                         .filter(entry ->
                                 entry.value().equals(compare.path("value").asText()))
                         .isPresent();
-            default -> throw new KvException(KvException.INVALID_ARGUMENT, "unknown target of a compare");
+            default ->
+                throw new KvException(
+                        KvException.INVALID_ARGUMENT,
+                        "target of the compare of key " + key + " is "
+                                + compare.path("target").asText() + "; expected MOD, CREATE, VERSION or VALUE");
         };
     }
 
@@ -121,7 +128,9 @@
         }
         JsonNode delete = operation.path("request_delete_range");
         if (!delete.isObject() || delete.has("range_end")) {
-            throw new KvException(KvException.INVALID_ARGUMENT, "only puts and deletes of one key are supported");
+            throw new KvException(
+                    KvException.INVALID_ARGUMENT,
+                    "unsupported operation; expected request_put, or request_delete_range of a single key");
         }
         return new KvState.Mutation(key(delete.path("key")), Optional.empty(), 0);
     }
@@ -130,7 +139,9 @@
         long id = request.path("ID").asLong();
         long ttlSeconds = request.path("TTL").asLong();
         if (id <= 0 || ttlSeconds <= 0) {
-            throw new KvException(KvException.INVALID_ARGUMENT, "ID and TTL must be positive");
+            throw new KvException(
+                    KvException.INVALID_ARGUMENT,
+                    "ID is " + id + " and TTL is " + ttlSeconds + "; expected both to be positive");
         }
         state.grantLease(id, ttlSeconds);
         return withHeader().put("ID", Long.toString(id)).put("TTL", Long.toString(ttlSeconds));
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvEntry.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvEntry.java
@@ -3,7 +3,7 @@
 import java.util.Objects;
 
 /**
- * One key, and the change that an event reports.
+ * Key with its value and revisions, as stored or as reported by an event.
  *
  * @param key bytes of the key as Latin-1 text, so that text order is byte order
  * @param value as sent by the client, in base64
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvException.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvException.java
@@ -1,6 +1,6 @@
 package dev.wigeonward.standins.kv;
 
-/** An error answer of the key-value service; nothing changed. */
+/** Error answer of the key-value service; the call had no effect. */
 final class KvException extends RuntimeException {
     static final int INVALID_ARGUMENT = 3;
     static final int NOT_FOUND = 5;
@@ -19,7 +19,7 @@
         return code;
     }
 
-    /** Returns the HTTP status of the code. */
+    /** Returns the HTTP status for the code. */
     int httpStatus() {
         return switch (code) {
             case NOT_FOUND -> 404;
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvFaults.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvFaults.java
@@ -5,17 +5,17 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Faults that are switched on; admin calls are exempt.
+ * Faults injected into the key-value service; admin calls are exempt.
  *
- * @param down whether and how calls fail without effect; waiting watches are cut
+ * @param down whether and how calls fail without effect; open watches are closed
  * @param slowMillis delay of each answer after its call took effect
- * @param loseNextWrites number of writes that take effect and get no answer
- * @param loseProbability probability that a write takes effect and gets no answer
+ * @param loseNextWrites number of next writes that take effect but get no answer
+ * @param loseProbability probability that a write takes effect but gets no answer
  * @param dropProbability probability that a write has no effect and gets no answer
  * @param silentWatches whether watches stay open and send nothing
- * @param seed of the random choices
- * @param writesPerSecond limit, 0 for none
- * @param readsPerSecond limit, 0 for none; opening a watch counts as a read
+ * @param seed seed of the random choices
+ * @param writesPerSecond limit of writes, 0 for none
+ * @param readsPerSecond limit of reads, 0 for none; opening a watch counts as a read
  */
 public record KvFaults(
         Down down,
@@ -27,9 +27,9 @@
         long seed,
         int writesPerSecond,
         int readsPerSecond) {
-    /** How an outage looks to callers. */
+    /** Kind of outage as callers observe it. */
     public enum Down {
-        /** The service works. */
+        /** No outage. */
         NO,
         /** Calls are answered with an error that proves that they had no effect. */
         REFUSE,
@@ -39,33 +39,34 @@
 
     public KvFaults {
         down = Objects.requireNonNullElse(down, Down.NO);
-        Preconditions.checkArgument(slowMillis >= 0, "slow_millis is %s", slowMillis);
-        Preconditions.checkArgument(loseNextWrites >= 0, "lose_next_writes is %s", loseNextWrites);
+        Preconditions.checkArgument(slowMillis >= 0, "slow_millis is %s; expected at least 0", slowMillis);
+        Preconditions.checkArgument(loseNextWrites >= 0, "lose_next_writes is %s; expected at least 0", loseNextWrites);
         Preconditions.checkArgument(
                 loseProbability >= 0 && dropProbability >= 0 && loseProbability + dropProbability <= 1,
-                "probabilities are %s and %s",
+                "lose_probability is %s and drop_probability is %s; expected at least 0 and a sum of at most 1",
                 loseProbability,
                 dropProbability);
-        Preconditions.checkArgument(writesPerSecond >= 0, "writes_per_second is %s", writesPerSecond);
-        Preconditions.checkArgument(readsPerSecond >= 0, "reads_per_second is %s", readsPerSecond);
+        Preconditions.checkArgument(
+                writesPerSecond >= 0, "writes_per_second is %s; expected at least 0", writesPerSecond);
+        Preconditions.checkArgument(readsPerSecond >= 0, "reads_per_second is %s; expected at least 0", readsPerSecond);
     }
 
-    /** Returns no faults. */
+    /** Returns a configuration without faults. */
     public static KvFaults none() {
         return new KvFaults(Down.NO, 0, 0, 0, 0, false, 1, 0, 0);
     }
 
-    /** Returns an outage. */
+    /** Returns an outage of the given kind. */
     public static KvFaults down(Down down) {
         return new KvFaults(down, 0, 0, 0, 0, false, 1, 0, 0);
     }
 
-    /** Returns answers that come late. */
+    /** Returns a delay of each answer. */
     public static KvFaults slow(long slowMillis) {
         return new KvFaults(Down.NO, slowMillis, 0, 0, 0, false, 1, 0, 0);
     }
 
-    /** Returns the loss of the answers to the next writes, which take effect. */
+    /** Returns the loss of the answers to the next writes, which still take effect. */
     public static KvFaults loseNext(int writes) {
         return new KvFaults(Down.NO, 0, writes, 0, 0, false, 1, 0, 0);
     }
@@ -75,7 +76,7 @@
         return new KvFaults(Down.NO, 0, 0, loseProbability, dropProbability, false, seed, 0, 0);
     }
 
-    /** Returns watches that send nothing. */
+    /** Returns a fault that makes watches send nothing while they stay open. */
     public static KvFaults silent() {
         return new KvFaults(Down.NO, 0, 0, 0, 0, true, 1, 0, 0);
     }
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvGate.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvGate.java
@@ -3,7 +3,7 @@
 import java.time.Clock;
 import java.util.Random;
 
-/** Applies the switched-on faults to calls, with a limit per full second of the clock; safe for several threads. */
+/** Applies the configured faults and the limits per second of the clock to calls; thread-safe. */
 final class KvGate {
     private static final int MILLIS_PER_SECOND = 1_000;
 
@@ -19,7 +19,7 @@
         this.clock = clock;
     }
 
-    /** What happens to the answer of a write. */
+    /** Handling of a write under the configured faults. */
     enum Fate {
         ANSWER,
         LOSE_AFTER_EFFECT,
@@ -36,7 +36,7 @@
         return faults;
     }
 
-    /** Counts a call and fails if its limit is reached. */
+    /** Counts a call; throws if it exceeds the limit of the current second. */
     synchronized void checkLimit(boolean write) {
         long nowSecond = clock.millis() / MILLIS_PER_SECOND;
         if (nowSecond != second) {
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvStandin.java
@@ -27,8 +27,8 @@
 import io.servicetalk.http.api.HttpServiceContext;
 
 /**
- * The running stand-in. Beside the paths of etcd it answers {@code GET /admin/counters}, {@code GET /admin/faults} and
- * {@code POST /admin/faults} (a {@link KvFaults} in JSON; fields left out are off).
+ * Stand-in for the key-value service. Besides the paths of etcd it serves {@code GET /admin/counters},
+ * {@code GET /admin/faults} and {@code POST /admin/faults} (a {@link KvFaults} in JSON; omitted fields are off).
  */
 public final class KvStandin implements AutoCloseable {
     private static final String WATCH = "/v3/watch";
@@ -37,7 +37,7 @@
     private static final int STATUS_BAD_REQUEST = 400;
     private static final int HISTORY_REVISIONS = 100_000;
     private static final long EXPIRY_CHECK_MILLIS = 20;
-    /** Bounds the time until an open watch notices an outage. */
+    /** Maximum wait of an open watch for events, which bounds the time until it detects an outage. */
     private static final long WATCH_WAIT_MILLIS = 50;
 
     private final KvState state;
@@ -54,12 +54,12 @@
         this.gate = new KvGate(clock);
     }
 
-    /** Returns a running stand-in; port 0 takes a free one. Leases expire by the given clock. */
+    /** Starts a stand-in; port 0 selects a free port. Leases expire by the given clock. */
     public static KvStandin start(InetSocketAddress address, Clock clock) {
         return start(address, clock, HISTORY_REVISIONS);
     }
 
-    /** Returns a running stand-in that keeps only so many revisions for watches. */
+    /** Starts a stand-in that retains the given number of revisions for watches. */
     public static KvStandin start(InetSocketAddress address, Clock clock, int historyRevisions) {
         KvStandin standin = new KvStandin(clock, historyRevisions);
         standin.server = HttpStandin.start(address, standin::handle);
@@ -78,7 +78,7 @@
         return address().getPort();
     }
 
-    /** Replaces the faults that are switched on. */
+    /** Replaces the injected faults. */
     public void setFaults(KvFaults faults) {
         gate.set(faults);
     }
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvState.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvState.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-/** Keys, leases and the history that watches read; safe for several threads. */
+/** Keys, leases and the history of changes read by watches; thread-safe. */
 final class KvState {
     private static final int MILLIS_PER_SECOND = 1_000;
 
@@ -28,10 +28,10 @@
 
     private record Lease(long ttlSeconds, long expiresMillis) {}
 
-    /** A write; deletes have no value. */
+    /** Write to one key; a delete has no value. */
     record Mutation(String key, Optional<String> value, long leaseId) {}
 
-    /** A condition on one key, evaluated on its current entry. */
+    /** Condition on the current entry of a key. */
     interface Condition {
         boolean holds(KvState state);
     }
@@ -59,7 +59,7 @@
                 : List.copyOf(entries.subMap(key, true, end.get(), false).values());
     }
 
-    /** Returns whether all conditions hold; then the mutations took effect at one revision. */
+    /** Applies the mutations at one revision if all conditions hold; returns whether they hold. */
     synchronized boolean commit(List<Condition> conditions, List<Mutation> mutations) {
         expireLeases();
         if (!conditions.stream().allMatch(condition -> condition.holds(this))) {
@@ -117,7 +117,7 @@
         leases.put(id, new Lease(ttlSeconds, clock.millis() + ttlSeconds * MILLIS_PER_SECOND));
     }
 
-    /** Returns the seconds left after renewal, 0 if the lease is unknown. */
+    /** Renews a lease; returns the seconds left, or 0 if the lease does not exist. */
     synchronized long keepLeaseAlive(long id) {
         expireLeases();
         Lease lease = leases.computeIfPresent(
@@ -140,7 +140,7 @@
                 .toList());
     }
 
-    /** Removes the keys of leases whose time has passed. */
+    /** Removes expired leases and their keys. */
     synchronized void expireLeases() {
         long nowMillis = clock.millis();
         List<Long> expired = leases.entrySet().stream()
@@ -153,7 +153,7 @@
         });
     }
 
-    /** Returns events of a range of keys from a revision on; waits a while if there are none yet. */
+    /** Returns the events of a range of keys from a revision on; waits up to a limit if there are none yet. */
     synchronized Events awaitEvents(String key, Optional<String> end, long fromRevision, long waitMillis)
             throws InterruptedException {
         if (revision < fromRevision) {
--- a/standins/src/main/java/dev/wigeonward/standins/kv/package-info.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-in of the key-value service: etcd v3's HTTP/JSON interface in memory, with switches for faults. */
+/** In-memory stand-in for the key-value service with the HTTP/JSON interface of etcd v3 and injectable faults. */
 package dev.wigeonward.standins.kv;
--- a/standins/src/main/java/dev/wigeonward/standins/load/LoadRun.java
+++ b/standins/src/main/java/dev/wigeonward/standins/load/LoadRun.java
@@ -18,17 +18,17 @@
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 
-/** Sends requests at a fixed rate whatever the answers do, and measures each from its planned start. */
+/** Open-loop load generator with a fixed request rate; latency is measured from the planned start of a request. */
 public final class LoadRun implements AutoCloseable {
-    private static final long HIGHEST_MICROS = TimeUnit.MINUTES.toMicros(2);
-    private static final int DIGITS = 3;
+    private static final long MAX_LATENCY_MICROS = TimeUnit.MINUTES.toMicros(2);
+    private static final int SIGNIFICANT_DIGITS = 3;
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final List<HttpClient> clients;
     private final Map<String, String> headers;
     private final MonotonicClock clock = MonotonicClock.start();
 
-    /** Returns a run against addresses that are used in turn. */
+    /** Creates a run whose requests go to the addresses in turn. */
     public LoadRun(List<String> addresses, Map<String, String> headers) {
         this.clients = addresses.stream().map(LoadRun::connect).toList();
         this.headers = Map.copyOf(headers);
@@ -41,21 +41,21 @@
                 .build();
     }
 
-    /** Returns the outcome of {@code count} chat requests at {@code perSecond}, with output lengths drawn at random. */
+    /** Sends {@code count} chat requests at {@code perSecond} with random output lengths and returns the outcome. */
     public Outcome chats(int count, double perSecond, int[] outputTokens, RandomGenerator random)
             throws InterruptedException {
-        Histogram micros = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+        Histogram micros = new ConcurrentHistogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS);
         AtomicInteger failures = new AtomicInteger();
-        CountDownLatch open = new CountDownLatch(count);
+        CountDownLatch unanswered = new CountDownLatch(count);
         long startNanos = clock.elapsedNanos();
         for (int number = 0; number < count; number++) {
             long dueNanos = startNanos + (long) (number / perSecond * NANOS_PER_SECOND);
             waitUntil(dueNanos);
             int tokens = outputTokens[random.nextInt(outputTokens.length)];
             HttpClient client = clients.get(number % clients.size());
-            send(client, tokens, dueNanos, micros, failures, open);
+            send(client, tokens, dueNanos, micros, failures, unanswered);
         }
-        boolean complete = open.await(HIGHEST_MICROS, TimeUnit.MICROSECONDS);
+        boolean complete = unanswered.await(MAX_LATENCY_MICROS, TimeUnit.MICROSECONDS);
         double seconds = (clock.elapsedNanos() - startNanos) / NANOS_PER_SECOND;
         return new Outcome(micros, failures.get(), complete, count / seconds);
     }
@@ -74,12 +74,12 @@
             long dueNanos,
             Histogram micros,
             AtomicInteger failures,
-            CountDownLatch open) {
+            CountDownLatch unanswered) {
         HttpRequest request = client.post("/v1/chat/completions");
         headers.forEach(request::addHeader);
         request.payloadBody(client.executionContext().bufferAllocator().wrap(body(tokens)));
         client.request(request)
-                .beforeFinally(open::countDown)
+                .beforeFinally(unanswered::countDown)
                 .subscribe(
                         response -> {
                             micros.recordValue((clock.elapsedNanos() - dueNanos) / 1_000);
@@ -105,6 +105,6 @@
         clients.forEach(client -> client.closeAsync().subscribe());
     }
 
-    /** What a run showed; latencies in microseconds, failures are answers other than 200 and lost ones. */
+    /** Result of a run: latencies in microseconds; failures are answers other than 200 and lost requests. */
     public record Outcome(Histogram micros, int failures, boolean complete, double achievedPerSecond) {}
 }
--- a/standins/src/main/java/dev/wigeonward/standins/load/package-info.java
+++ b/standins/src/main/java/dev/wigeonward/standins/load/package-info.java
@@ -1,2 +1,2 @@
-/** Open-loop load on HTTP addresses, with latencies as histograms. */
+/** Generator of open-loop HTTP load that records latency histograms. */
 package dev.wigeonward.standins.load;
--- a/standins/src/main/java/dev/wigeonward/standins/local/FreePorts.java
+++ b/standins/src/main/java/dev/wigeonward/standins/local/FreePorts.java
@@ -6,13 +6,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Ports on loopback for processes that are started soon. They lie below the range from which the system takes the ports
- * of outgoing connections: a port from that range may be in use again before its process listens.
+ * Allocates loopback ports for processes about to start. The ports lie below the range that the system uses for
+ * outgoing connections: a port from that range could be in use again before the process listens on it.
  */
 public final class FreePorts {
     private static final int FIRST = 10_000;
     private static final int COUNT = 20_000;
-    /** Processes that choose at the same time start at different places. */
+    /** Distance between the first ports of processes with consecutive ids, so that concurrent ones rarely collide. */
     private static final int STRIDE = 137;
 
     private static final AtomicInteger NEXT =
@@ -20,14 +20,14 @@
 
     private FreePorts() {}
 
-    /** Returns a port on which nobody listens now, and which this process has not returned for a long time. */
+    /** Returns a port that is free now and that this process has not returned recently. */
     public static int next() {
         for (int tries = 0; tries < COUNT; tries++) {
             int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return socket.getLocalPort();
             } catch (IOException e) {
-                // Somebody listens there; the next one is tried.
+                // The port is in use; the next one is tried.
                 continue;
             }
         }
--- a/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
+++ b/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
@@ -16,7 +16,7 @@
 import dev.wigeonward.common.http.Json;
 import dev.wigeonward.standins.local.LocalUpstream.Kind;
 
-/** The platform's stand-ins, upstreams with their agents, and entries, each a process on loopback. */
+/** Deployment on loopback: stand-ins, upstreams with their agents, and entries, each as a separate process. */
 public final class LocalDeployment implements AutoCloseable {
     private static final String HOST = "127.0.0.1:";
     private static final long READY_LIMIT_MILLIS = 60_000;
@@ -84,7 +84,7 @@
         }
     }
 
-    /** Starts an upstream with its agent; call {@link #register} to make it known to entries. */
+    /** Starts an upstream and its agent; entries find it after a call to {@link #register}. */
     public void add(LocalUpstream upstream) throws IOException {
         List<String> arguments = new ArrayList<>(List.of(upstream.kind() == Kind.ENGINE ? "engine" : "service"));
         arguments.addAll(upstream.arguments());
@@ -174,7 +174,7 @@
         registrations.add("%s,entry,%s,%s".formatted(name, addresses.get(name), failureDomain));
     }
 
-    /** Makes entries reach an agent through another address, for example a proxy that cuts links. */
+    /** Replaces the address under which an agent is registered, for example by that of a proxy. */
     public void reroute(LocalUpstream upstream, String address) {
         String prefix = upstream.agentName() + ",";
         registrations.removeIf(vm -> vm.startsWith(prefix));
@@ -188,7 +188,7 @@
         run("register", jar("standins"), arguments);
     }
 
-    /** Runs a command to its end; it must exit with 0. */
+    /** Runs a command and returns its output; fails unless it exits with 0. */
     public String run(String name, Path jar, List<String> arguments) throws IOException {
         List<String> command = new ArrayList<>(
                 List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar", jar.toString()));
@@ -210,7 +210,7 @@
         return Files.readString(log);
     }
 
-    /** Returns the jar of a module. */
+    /** Returns the path of the jar of a module. */
     public Path jar(String module) {
         return root.resolve(module).resolve("target").resolve("wigeonward-" + module + ".jar");
     }
@@ -237,7 +237,7 @@
                 : Json.mapper().createObjectNode();
     }
 
-    /** Waits for a condition, for a bounded time. */
+    /** Waits until a condition holds; fails after a bounded time. */
     public void await(String what, BooleanSupplier condition) {
         for (long polls = READY_LIMIT_MILLIS / POLL_MILLIS; polls > 0; polls--) {
             if (condition.getAsBoolean()) {
@@ -245,7 +245,8 @@
             }
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
         }
-        throw new IllegalStateException("did not happen in time: " + what);
+        throw new IllegalStateException(
+                "condition was not met after waiting for " + READY_LIMIT_MILLIS + " ms: " + what);
     }
 
     @Override
--- a/standins/src/main/java/dev/wigeonward/standins/local/LocalUpstream.java
+++ b/standins/src/main/java/dev/wigeonward/standins/local/LocalUpstream.java
@@ -4,9 +4,9 @@
 import java.util.List;
 
 /**
- * An upstream of a local deployment.
+ * Upstream of a local deployment.
  *
- * @param extraArguments further options of the stand-in
+ * @param extraArguments additional options of its stand-in
  */
 public record LocalUpstream(
         String name,
@@ -17,7 +17,7 @@
         int slots,
         int decodeTokensPerSecond,
         List<String> extraArguments) {
-    /** What an upstream is. */
+    /** Kind of an upstream. */
     public enum Kind {
         ENGINE,
         SERVICE
@@ -46,14 +46,14 @@
                 List.of("--delay-millis", Long.toString(delayMillis)));
     }
 
-    /** Returns the same upstream with further options of its stand-in. */
+    /** Returns this upstream with additional options of its stand-in. */
     public LocalUpstream with(String... options) {
         List<String> all = new ArrayList<>(extraArguments);
         all.addAll(List.of(options));
         return new LocalUpstream(name, kind, target, version, failureDomain, slots, decodeTokensPerSecond, all);
     }
 
-    /** Returns the name of the agent beside it. */
+    /** Returns the name of its agent. */
     public String agentName() {
         return "agent-" + name;
     }
--- a/standins/src/main/java/dev/wigeonward/standins/local/ManagedProcess.java
+++ b/standins/src/main/java/dev/wigeonward/standins/local/ManagedProcess.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
-/** A child process that can be killed, frozen and continued by its id. */
+/** Child process that can be killed, frozen, resumed and restarted. */
 public final class ManagedProcess implements AutoCloseable {
     private static final long START_LIMIT_MILLIS = 60_000;
     private static final long STOP_LIMIT_MILLIS = 20_000;
@@ -39,7 +39,7 @@
         return managed;
     }
 
-    /** Starts the program again after its end, with empty memory, and waits until it is ready. */
+    /** Starts the program again after it has ended, with empty memory, and waits until it is ready. */
     public void restart() throws IOException {
         Files.deleteIfExists(log);
         process = new ProcessBuilder(command)
@@ -49,7 +49,8 @@
         long polls = START_LIMIT_MILLIS / POLL_MILLIS;
         while (polls > 0 && !Files.readString(log).contains("ready\n")) {
             if (!process.isAlive()) {
-                throw new IOException(name + " ended with " + process.exitValue() + ":\n" + Files.readString(log));
+                throw new IOException(name + " exited with " + process.exitValue() + " before it was ready:\n"
+                        + Files.readString(log));
             }
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
             polls--;
@@ -59,7 +60,7 @@
         }
     }
 
-    /** Returns the name in the deployment. */
+    /** Returns the name of the process in the deployment. */
     public String name() {
         return name;
     }
@@ -69,28 +70,28 @@
         return process.isAlive();
     }
 
-    /** Returns what the process printed. */
+    /** Returns the output of the process since its last start. */
     public String output() throws IOException {
         return Files.readString(log);
     }
 
-    /** Ends the process at once, as a crash does. */
+    /** Kills the process without a shutdown, and waits for its end. */
     public void kill() {
         process.destroyForcibly();
         await();
     }
 
-    /** Asks the process to shut down and does not wait for it. */
+    /** Requests a graceful shutdown without waiting for it. */
     public void terminate() {
         process.destroy();
     }
 
-    /** Freezes the process: it keeps its connections and answers nothing. */
+    /** Suspends the process; its connections stay open but nothing is answered. */
     public void freeze() throws IOException {
         signal("STOP");
     }
 
-    /** Lets a frozen process go on. */
+    /** Resumes a frozen process. */
     public void resume() throws IOException {
         signal("CONT");
     }
@@ -105,7 +106,7 @@
         }
     }
 
-    /** Returns whether the process ended within a bounded time. */
+    /** Waits for the end of the process; returns whether it ended within 20 s. */
     public boolean await() {
         try {
             return process.waitFor(STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
--- a/standins/src/main/java/dev/wigeonward/standins/package-info.java
+++ b/standins/src/main/java/dev/wigeonward/standins/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-ins for what surrounds wigeonward, each a process of its own, and the load tool. */
+/** Stand-ins for the systems around wigeonward, each run as a separate process, and a load generator. */
 package dev.wigeonward.standins;
--- a/standins/src/main/java/dev/wigeonward/standins/service/PlainService.java
+++ b/standins/src/main/java/dev/wigeonward/standins/service/PlainService.java
@@ -19,7 +19,7 @@
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.netty.HttpServers;
 
-/** Answers every call after a delay and counts what really ran, by method, path and body. */
+/** HTTP service that answers each call after a delay and counts the calls by method, path and body. */
 public final class PlainService implements AutoCloseable {
     private final Duration delay;
     private final Executor timer = Executors.newFixedSizeExecutor(1);
@@ -41,12 +41,12 @@
         return service;
     }
 
-    /** Returns the address listened on. */
+    /** Returns the address that the service listens on. */
     public InetSocketAddress address() {
         return (InetSocketAddress) server.listenAddress();
     }
 
-    /** Returns how often each call ran. */
+    /** Returns the number of runs of each call. */
     public synchronized Map<String, Integer> ran() {
         return Map.copyOf(ran);
     }
--- a/standins/src/main/java/dev/wigeonward/standins/service/package-info.java
+++ b/standins/src/main/java/dev/wigeonward/standins/service/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-in for a plain service with calls that may not be repeated. */
+/** Stand-in for a plain HTTP service whose calls must not be repeated. */
 package dev.wigeonward.standins.service;
--- a/standins/src/main/java/dev/wigeonward/standins/vms/RegisterCommand.java
+++ b/standins/src/main/java/dev/wigeonward/standins/vms/RegisterCommand.java
@@ -14,9 +14,9 @@
 import io.servicetalk.http.netty.HttpClients;
 import org.kohsuke.args4j.Option;
 
-/** Registers, changes or removes VMs in a running list. */
+/** Command that registers, changes or removes VMs in a running VM list. */
 public final class RegisterCommand {
-    private static final int PARTS = 4;
+    private static final int FIELDS = 4;
     private static final int STATUS_OK = 200;
 
     @Option(name = "--vms", metaVar = "HOST:PORT", required = true, usage = "address of the list")
@@ -32,7 +32,7 @@
     @Option(name = "--state", usage = "live, leaving or gone")
     private String state = "live";
 
-    /** Returns 0 if the list took all VMs, 1 if not. */
+    /** Registers the VMs and returns the exit code: 0 if the list accepted all of them, 1 otherwise. */
     public int run() throws InterruptedException, JsonProcessingException {
         HostAndPort target = HostAndPort.fromString(list);
         HttpClient client =
@@ -45,7 +45,7 @@
             }
             return 0;
         } catch (ExecutionException e) {
-            System.err.println(list + " does not answer: " + e.getCause());
+            System.err.println("VM list " + list + " does not answer: " + e.getCause());
             return 1;
         } finally {
             client.closeAsync().subscribe();
@@ -55,7 +55,7 @@
     private boolean register(HttpClient client, String vm)
             throws InterruptedException, ExecutionException, JsonProcessingException {
         List<String> parts = Splitter.on(',').splitToList(vm);
-        if (parts.size() != PARTS) {
+        if (parts.size() != FIELDS) {
             System.err.println("--vm is " + vm + "; expected ID,ROLE,HOST:PORT,FAILURE_DOMAIN");
             return false;
         }
@@ -66,7 +66,8 @@
                 .toFuture()
                 .get();
         if (response.status().code() != STATUS_OK) {
-            System.err.println(response.status() + " " + response.payloadBody().toString(StandardCharsets.UTF_8));
+            System.err.println("VM list " + list + " refused VM " + record.id() + ": " + response.status() + " "
+                    + response.payloadBody().toString(StandardCharsets.UTF_8));
             return false;
         }
         return true;
--- a/standins/src/main/java/dev/wigeonward/standins/vms/VmsStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/vms/VmsStandin.java
@@ -20,9 +20,10 @@
 import io.servicetalk.http.api.HttpServiceContext;
 
 /**
- * The running stand-in. {@code GET /v1/vms?since=<version>} answers with the changes since a version; a version from
- * another run of the stand-in gets the full list. {@code POST /admin/vms} with a {@link VmRecord} registers, changes or
- * (state {@code gone}) removes a VM; {@code POST /admin/lag} with {@code {"lag_millis":N}} delays later changes.
+ * Stand-in for the VM list. {@code GET /v1/vms?since=<version>} returns the changes since a version, or the full list
+ * if the version is from another run of the stand-in. {@code POST /admin/vms} with a {@link VmRecord} registers,
+ * changes or (state {@code gone}) removes a VM; {@code POST /admin/lag} with {@code {"lag_millis":N}} delays later
+ * changes.
  */
 public final class VmsStandin implements AutoCloseable {
     private static final int STATUS_OK = 200;
@@ -40,7 +41,7 @@
 
     private VmsStandin(Clock clock) {
         this.clock = clock;
-        // Versions of a later run are higher, so that clients notice that the list was restarted.
+        // The versions of a later run are higher, so that clients detect a restart of the list.
         this.firstVersion = clock.millis();
         this.version = firstVersion;
     }
@@ -49,7 +50,7 @@
 
     private record Visible(long version, VmRecord vm) {}
 
-    /** Returns a running stand-in; port 0 takes a free one. The lag passes by the given clock. */
+    /** Starts a stand-in; port 0 selects a free port. The lag is measured on the given clock. */
     public static VmsStandin start(InetSocketAddress address, Clock clock) {
         VmsStandin standin = new VmsStandin(clock);
         standin.server = HttpStandin.start(address, standin::handle);
@@ -66,7 +67,7 @@
         return address().getPort();
     }
 
-    /** Sets the time after which later changes become visible; order is kept. */
+    /** Sets the delay after which later changes become visible; the order of changes is kept. */
     public synchronized void setLag(long newLagMillis) {
         lagMillis = newLagMillis;
     }
@@ -79,24 +80,24 @@
 
     /** Marks a VM as leaving. */
     public synchronized void leave(String id) {
-        put(known(id).inState("leaving"));
+        put(registered(id).inState("leaving"));
     }
 
     /** Removes a VM. */
     public synchronized void remove(String id) {
-        put(known(id).inState("gone"));
+        put(registered(id).inState("gone"));
         registered.remove(id);
     }
 
-    private VmRecord known(String id) {
+    private VmRecord registered(String id) {
         VmRecord vm = registered.get(id);
         if (vm == null) {
-            throw new IllegalArgumentException("unknown VM " + id);
+            throw new IllegalArgumentException("VM " + id + " is not registered");
         }
         return vm;
     }
 
-    /** Returns the number of polls. */
+    /** Returns the number of requests for the list. */
     public long polls() {
         return polls.get();
     }
--- a/standins/src/main/java/dev/wigeonward/standins/vms/package-info.java
+++ b/standins/src/main/java/dev/wigeonward/standins/vms/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-in of the platform's list of VMs, with a lag. */
+/** Stand-in for the platform's VM list, with a configurable lag. */
 package dev.wigeonward.standins.vms;
--- a/standins/src/test/java/dev/wigeonward/standins/Awaiting.java
+++ b/standins/src/test/java/dev/wigeonward/standins/Awaiting.java
@@ -8,7 +8,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Waits for conditions and results with a bound. */
+/** Waits for conditions and results for at most 20 s. */
 public final class Awaiting {
     private static final Duration BOUND = Duration.ofSeconds(20);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(2);
@@ -20,7 +20,7 @@
         try {
             return future.get(BOUND.toMillis(), TimeUnit.MILLISECONDS);
         } catch (Exception e) {
-            throw new AssertionError("no result", e);
+            throw new AssertionError("no result within " + BOUND, e);
         }
     }
 
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
@@ -40,7 +40,7 @@
         return new ClaimRequest(ClaimKey.of("w", "k" + key), new RequestId(requestId), "content", "u1", 1);
     }
 
-    /** Fails when a key is granted twice while replies are lost before and after their writes take effect. */
+    /** Fails if a key is granted twice while calls are lost before or after their writes take effect. */
     private static void checkGrants(
             long seed, int losePercent, IntUnaryOperator seedOfEntry, UnaryOperator<KeyValueStore> variant) {
         try (StoreFixture fixture = new StoreFixture()) {
@@ -75,7 +75,7 @@
         checkGrants(seed, losePercent, entry -> seed + entry, store -> store);
     }
 
-    /** Shows that the check fails for entries that draw the same claim ids, and so take each other's as their own. */
+    /** Verifies that the check fails for entries with equal random seeds, whose claim ids repeat. */
     @Example
     void checkFindsClaimIdsThatRepeat() {
         assertThatThrownBy(() -> {
@@ -87,7 +87,7 @@
                 .hasMessageContaining("grants of each key");
     }
 
-    /** Fails when the owner may go on after a takeover, while replies are lost. */
+    /** Fails if both a move by the owner and a concurrent takeover are granted while replies are lost. */
     private static void checkMoveAgainstTakeover(long seed, UnaryOperator<KeyValueStore> variant) {
         try (StoreFixture fixture = new StoreFixture()) {
             ClaimStore owner = entry(fixture, variant, 2 * seed);
@@ -105,13 +105,13 @@
         }
     }
 
-    /** Guards against an owner that moves its request on while another one takes it over, when replies are lost. */
+    /** Guards against a claim that is both moved by its owner and taken over when replies are lost. */
     @Property(tries = 10, shrinking = ShrinkingMode.OFF)
     void eitherMoveOrTakeoverIsGranted(@ForAll @IntRange(max = 100_000) int seed) {
         checkMoveAgainstTakeover(seed, store -> store);
     }
 
-    /** Shows that the check fails for a store that writes without looking at the conditions. */
+    /** Verifies that the check fails for a store that writes without checking the conditions. */
     @Example
     void checkFindsMovesAfterATakeover() {
         assertThatThrownBy(() -> {
@@ -123,7 +123,7 @@
                 .hasMessageContaining("grants of a move and a takeover");
     }
 
-    /** Shows that the check fails for a store that takes a lost reply for a success. */
+    /** Verifies that the check fails for a store that reports a lost reply as success. */
     @Example
     void checkFindsLostRepliesTakenForSuccess() {
         assertThatThrownBy(() -> {
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
@@ -35,8 +35,8 @@
     private final ClaimStore second = entry(2, fixture.store);
 
     /**
-     * Loads the classes of client and service. Beside load that alone takes longer than the call timeout, so that the
-     * first test would fail for reasons of its own.
+     * Loads the classes of client and service before the first test. On a busy machine this alone takes longer than the
+     * call timeout, which would fail the first test.
      */
     @BeforeAll
     static void loadClasses() {
@@ -82,7 +82,7 @@
         return await(fixture.store.get(ClaimKey.of("w1", key).path())).value().orElseThrow();
     }
 
-    /** Fails unless exactly one of two entries gets each key. */
+    /** Fails unless each key is granted to exactly one of two entries. */
     private void checkRace(UnaryOperator<KeyValueStore> variant) {
         ClaimStore left = entry(3, variant.apply(fixture.store));
         ClaimStore right = entry(4, variant.apply(fixture.store));
@@ -107,7 +107,7 @@
         assertThatThrownBy(() -> checkRace(ForwardingStore::ignoringCompares)).isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against an own claim that is mistaken for another one's because its reply was lost. */
+    /** Guards against a claim that its own entry does not recognize because the reply was lost. */
     @Test
     void lostReplyIsRecognized() {
         granted(first.claim(request("other", "r0")));
@@ -120,7 +120,7 @@
         assertThat(answer(second.claim(request("k", "r2")))).isEqualTo(heldBy(moved));
     }
 
-    /** Guards against a request that is dispatched although its claim is in doubt, and against a claim left behind. */
+    /** Guards against dispatching a request whose claim may not have been written, and against leaving that claim. */
     @Test
     void claimInDoubtIsRefusedAndRemoved() {
         granted(first.claim(request("other", "r0")));
@@ -133,7 +133,7 @@
         granted(second.claim(request("k", "r2")));
     }
 
-    /** Guards against claims that are granted, or wait, while the store is down. */
+    /** Guards against claims that are granted or keep waiting while the store is down. */
     @Test
     void storeDownIsUnavailable() {
         for (KvFaults.Down down : List.of(KvFaults.Down.REFUSE, KvFaults.Down.DROP)) {
@@ -145,7 +145,7 @@
         granted(first.claim(request("k", "r1")));
     }
 
-    /** Fails unless a claim is taken over under its current claim id only, and its first owner then stops. */
+    /** Fails unless only the current claim id permits a takeover, after which the owner cannot change the claim. */
     private void checkTakeover(String key, UnaryOperator<KeyValueStore> variant) {
         ClaimStore owner = entry(5, variant.apply(fixture.store));
         ClaimStore other = entry(6, variant.apply(fixture.store));
@@ -162,7 +162,7 @@
         assertThat(answer(owner.claim(request(key, "r3")))).isEqualTo(heldBy(taken));
     }
 
-    /** Guards against a copy that is refused because the claim it was to replace went away in between. */
+    /** Guards against a move that is refused because its claim was released in between. */
     @Test
     void claimThatWasReleasedBeforeItsReplacementIsMadeAnew() {
         Claim claim = granted(first.claim(request("k", "r1")));
@@ -173,7 +173,7 @@
         assertThat(answer(second.claim(request("k", "r2")))).isEqualTo(heldBy(moved));
     }
 
-    /** Guards against an owner and a successor that both dispatch, and against a takeover of a claim that moved on. */
+    /** Guards against an owner and a successor that both dispatch, and against a takeover of a moved claim. */
     @Test
     void takeoverNeedsTheCurrentClaimId() {
         checkTakeover("k", store -> store);
@@ -181,7 +181,7 @@
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against lost or mixed-up outcomes, and against a key that is used again with another content. */
+    /** Guards against lost or confused outcomes, and against reuse of a key with other content. */
     @Test
     void outcomeIsReplayedToTheSameContentOnly() {
         Claim claim = granted(first.claim(request("k", "r1")));
@@ -203,7 +203,7 @@
                 .isEmpty();
     }
 
-    /** Guards against an outcome or a release that is forgotten because the store was down. */
+    /** Guards against an outcome or a release that is lost because the store was down. */
     @Test
     void outcomeAndReleaseAreRepeatedAfterAnOutage() {
         Claim done = granted(first.claim(request("done", "r1")));
@@ -219,7 +219,7 @@
         assertThat(await(second.claim(request("done", "r3"))).outcome()).isPresent();
     }
 
-    /** Guards against groups that refuse claims because another key of the group is held, and against many calls. */
+    /** Guards against a batch that refuses claims because another key in it is held, and against a call per claim. */
     @Test
     void groupAnswersEachClaimByItself() {
         Claim held = granted(second.claim(request("k5", "held")));
@@ -233,11 +233,11 @@
             ClaimAnswer expected = i == 5 ? heldBy(held) : new ClaimAnswer.Granted();
             assertThat(answer(replies.get(i))).isEqualTo(expected);
         }
-        // Groups close 2 ms after their first claim; a busy machine may split 64 claims over several of them.
+        // Batches close 2 ms after their first claim; on a busy machine 64 claims may be split into several batches.
         assertThat(fixture.standin.counters().get("/v3/kv/txn") - callsBefore).isLessThanOrEqualTo(32);
     }
 
-    /** Guards against claims that are refused at once although the budget of calls allows them a moment later. */
+    /** Guards against claims that are refused at once although the call budget allows them shortly afterwards. */
     @Test
     void claimsBeyondTheBudgetOfCallsWaitAndShareCalls() {
         ClaimStore narrow = entry(7, fixture.connect(1_000, 10, 64));
@@ -251,7 +251,7 @@
         replies.forEach(this::granted);
     }
 
-    /** Guards against claims that end before 24 h, and against keys that are blocked for good. */
+    /** Guards against claims that expire before 24 h, and against keys that stay claimed forever. */
     @Test
     void claimLivesOneDay() {
         fixture.clock.advanceMillis(HOUR_MILLIS - fixture.clock.millis() % HOUR_MILLIS);
@@ -264,7 +264,7 @@
         granted(second.claim(request("k", "r2")));
     }
 
-    /** Guards against an entry that cannot claim until the next hour because the store lost its lease. */
+    /** Guards against an entry that cannot claim until the next hour after a restarted store has lost its lease. */
     @Test
     void lostLeaseIsGrantedAgain() {
         granted(first.claim(request("k", "r1")));
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
@@ -44,7 +44,7 @@
                 .isEqualTo(new RevisionStore.WriteResult.Applied());
     }
 
-    /** Guards against revisions that change on their way through the store, and against a history in another order. */
+    /** Guards against revisions that read back differently, and against a history in the wrong order. */
     @Test
     void headAndHistoryReadBack() {
         assertThat(revisions.readHead()).isEqualTo(new RevisionStore.HeadResult.Empty());
@@ -66,7 +66,7 @@
                         .hasSize(12));
     }
 
-    /** Guards against texts that the service refuses although they are within its limit of 1 MB. */
+    /** Guards against a text that is refused although it is within the limit of 1 MB. */
     @Test
     void largestTextIsStored() {
         Revision largest = Revision.of(1, "x".repeat(1_000_000), "ana", "test");
@@ -75,7 +75,7 @@
                 .isEqualTo(new RevisionStore.HeadResult.Found(new StoredRevision(largest, "id1", 5)));
     }
 
-    /** Fails if an operator's change replaces one that the operator did not see. */
+    /** Fails if an operator's change overwrites one that the operator has not read. */
     private void checkConflict(UnaryOperator<KeyValueStore> variant) {
         RevisionStore other = EtcdRevisionStore.create(variant.apply(fixture.store), StoreFixture.CALL_TIMEOUT_MILLIS);
         apply(revision(1, "mine"));
@@ -84,26 +84,26 @@
         assertThat(revisions.readHead()).isEqualTo(new RevisionStore.HeadResult.Found(revision(1, "mine")));
     }
 
-    /** Guards against operators who overwrite each other's change, also when both read head before either wrote. */
+    /** Guards against operators overwriting each other's changes. */
     @Test
     void secondOperatorGetsAConflict() {
         checkConflict(store -> store);
     }
 
-    /** Shows that the check fails for a store that reads an old head and ignores the condition of the write. */
+    /** Verifies that the check fails for a store that reads an old head and ignores the condition of the write. */
     @Test
     void checkFindsAnUnconditionalWrite() {
         assertThatThrownBy(() -> checkConflict(store -> ForwardingStore.ignoringCompares(blindTo(store))))
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against a conflict that is found only by the first read, not by the condition of the write. */
+    /** Guards against a conflict that is missed because both operators read head before either of them wrote. */
     @Test
     void writeIsConditionalOnTheHeadThatWasRead() {
         checkConflict(EtcdRevisionStoreTest::blindTo);
     }
 
-    /** Returns a store whose first read answers as if nothing had been written yet. */
+    /** Returns a store whose first read finds no value. */
     private static KeyValueStore blindTo(KeyValueStore store) {
         return new ForwardingStore(store) {
             private boolean asked;
@@ -119,7 +119,7 @@
         };
     }
 
-    /** Guards against an accepted change reported as failed, and against an outage that looks like a conflict. */
+    /** Guards against an accepted change reported as failed, and against an outage reported as a conflict. */
     @Test
     void lostReplyIsRecognizedAndOutagesAreReported() {
         fixture.standin.setFaults(KvFaults.loseNext(1));
@@ -143,7 +143,7 @@
         assertThat(revisions.readHistory(1, 1)).isInstanceOf(RevisionStore.HistoryResult.Unavailable.class);
     }
 
-    /** Guards against a method that gives up before it could read back a write whose reply came too late. */
+    /** Guards against a call that fails before it reads back a write whose reply came after the call timeout. */
     @Test
     void lateReplyLeavesTimeToReadBack() {
         KeyValueStore late = new ForwardingStore(fixture.store) {
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ForwardingStore.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ForwardingStore.java
@@ -12,7 +12,7 @@
 import dev.wigeonward.common.store.WatchListener;
 import dev.wigeonward.common.store.WriteResult;
 
-/** Passes each call on; mutated stores override one. */
+/** Store that forwards each call to another one; faulty stores override single methods. */
 class ForwardingStore implements KeyValueStore {
     private final KeyValueStore store;
 
@@ -20,7 +20,7 @@
         this.store = store;
     }
 
-    /** Returns a faulty store that takes a lost reply for a success. */
+    /** Returns a faulty store that reports a lost reply as success. */
     static KeyValueStore unknownIsApplied(KeyValueStore store) {
         return new ForwardingStore(store) {
             @Override
@@ -32,7 +32,7 @@
         };
     }
 
-    /** Returns a faulty store that writes without looking at the conditions. */
+    /** Returns a faulty store that writes without checking the conditions. */
     static KeyValueStore ignoringCompares(KeyValueStore store) {
         return new ForwardingStore(store) {
             @Override
--- a/standins/src/test/java/dev/wigeonward/standins/kv/KvAdminTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/KvAdminTest.java
@@ -31,7 +31,7 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
-    /** Guards against experiments whose faults are not switched on, and against counters that miss refused calls. */
+    /** Guards against configured faults that are not applied, and against counters that omit refused calls. */
     @Test
     void faultsAndCountersOverTheAdminPath() throws Exception {
         String range = "{\"key\":\"YQ==\"}";
@@ -49,7 +49,7 @@
         assertThat(counters.path("waiting_watches").asInt()).isZero();
     }
 
-    /** Guards against a misspelled fault that is silently ignored, so that the experiment runs without it. */
+    /** Guards against a misspelled fault that is ignored, so that an experiment would run without it. */
     @Test
     void unknownFaultIsRefused() throws Exception {
         assertThat(post("/admin/faults", "{\"slow_milis\":5}").statusCode()).isEqualTo(400);
--- a/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
@@ -64,7 +64,7 @@
                 .createRevision();
     }
 
-    /** Guards against two controllers, and against a successor whose number does not fence the predecessor off. */
+    /** Guards against two holders at once, and against a successor whose fencing number is not higher. */
     @Test
     void successorHasAHigherNumber() {
         StoreControllerLease first = candidate("a", fixture.clock);
@@ -85,7 +85,7 @@
         assertThat(events).containsExactly("a acquired", "a lost", "b acquired");
     }
 
-    /** Guards against a lease that ends although its holder works. */
+    /** Guards against a lease that expires although its holder renews it. */
     @Test
     void renewalKeepsTheLease() {
         StoreControllerLease lease = candidate("a", fixture.clock);
@@ -101,7 +101,7 @@
         assertThat(createRevision()).isEqualTo(number);
     }
 
-    /** Fails if a holder that is cut off from the store still acts when another one holds the lease. */
+    /** Fails if a holder that cannot reach the store still has a fencing number when the store may expire its lease. */
     private void checkCutOffHolder(Clock holderClock, PausedClock ownClock) {
         StoreControllerLease holder = candidate("cut", holderClock);
         awaitHeld(holder);
@@ -111,14 +111,14 @@
         awaitUntil("the report", () -> events.contains("cut lost"));
     }
 
-    /** Guards against a holder that trusts its lease after the store may have given it away. */
+    /** Guards against a holder that relies on its lease after the store may have expired it. */
     @Test
     void leaseIsLostBeforeTheStoreGivesItAway() {
         PausedClock ownClock = PausedClock.at(5);
         checkCutOffHolder(ownClock, ownClock);
     }
 
-    /** Shows that the check fails for a holder that does not look at its own clock. */
+    /** Verifies that the check fails for a holder whose clock stands still. */
     @Test
     void checkFindsAHolderWithAStoppedClock() {
         assertThatThrownBy(() -> checkCutOffHolder(PausedClock.at(5), PausedClock.at(5)))
@@ -126,7 +126,7 @@
                 .hasMessageContaining("lease of a cut-off holder");
     }
 
-    /** Guards against a controller key that nobody acts for because the reply to its creation was lost. */
+    /** Guards against a controller key without an active holder because the reply to its creation was lost. */
     @Test
     void lostReplyToTheCreationIsRecognized() {
         fixture.standin.setFaults(KvFaults.none());
--- a/standins/src/test/java/dev/wigeonward/standins/kv/StoreFixture.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/StoreFixture.java
@@ -11,7 +11,7 @@
 import dev.wigeonward.common.store.EtcdStore;
 import dev.wigeonward.common.store.StoreOptions;
 
-/** A key-value stand-in whose leases follow a paused clock, and a client connected to it over loopback. */
+/** Key-value stand-in whose leases expire by a paused clock, with a client connected over loopback. */
 final class StoreFixture implements AutoCloseable {
     static final long CALL_TIMEOUT_MILLIS = 400;
 
@@ -31,7 +31,7 @@
         standin.close();
     }
 
-    /** Starts an empty service on the address of the stopped one. */
+    /** Starts an empty stand-in on the address of the stopped one. */
     void restartStandin() {
         standin = KvStandin.start(standin.address(), clock);
     }
--- a/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
@@ -37,7 +37,7 @@
         return new VmRecord(id, "agent", "127.0.0.1:7000", "fd1", "live");
     }
 
-    /** Guards against changes that a poll misses, and against VMs that stay after their removal. */
+    /** Guards against changes that polls miss, and against VMs that remain in the list after their removal. */
     @Test
     void followsRegistrationLeavingAndRemoval() {
         List<VmSnapshot> reported = new CopyOnWriteArrayList<>();
@@ -55,7 +55,7 @@
         awaitUntil("the report", () -> reported.contains(list.snapshot()));
     }
 
-    /** Guards against a stand-in whose lag hides nothing, so that tests with a lagging list would prove nothing. */
+    /** Guards against a stand-in that ignores its lag, so that tests with a lagging list would check nothing. */
     @Test
     void changesBecomeVisibleAfterTheLag() {
         standin.setLag(5_000);
@@ -69,7 +69,7 @@
         awaitUntil("the VM", () -> list.snapshot().vms().containsKey("a"));
     }
 
-    /** Guards against a list that is forgotten in an outage, or that keeps removed VMs of an earlier run. */
+    /** Guards against a list that is cleared during an outage, or keeps VMs that a restarted service does not list. */
     @Test
     void keepsTheListInAnOutageAndFollowsARestart() {
         standin.put(live("a"));
