--- a/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentProcess.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
-import dev.wigeonward.agent.control.AgentControl;
-import dev.wigeonward.agent.runtime.AgentParts;
+import dev.wigeonward.agent.control.AgentControlPlane;
 import dev.wigeonward.agent.runtime.AgentRuntime;
+import dev.wigeonward.agent.runtime.AgentRuntimeComponents;
 import dev.wigeonward.agent.upstream.HttpUpstreamClient;
 import dev.wigeonward.common.clock.MonotonicClock;
 import dev.wigeonward.common.http.AdminServer;
@@ -20,7 +20,7 @@
 import dev.wigeonward.core.dispatch.AgentLimits;
 import dev.wigeonward.core.engine.EngineLimits;
 import dev.wigeonward.core.engine.PriorityEngineQueue;
-import dev.wigeonward.exchange.RulesInForce;
+import dev.wigeonward.exchange.CurrentRules;
 import dev.wigeonward.wire.LinkSettings;
 import dev.wigeonward.wire.generated.Hello;
 import dev.wigeonward.wire.generated.UpstreamInfo;
@@ -44,7 +44,7 @@
         MonotonicClock clock = MonotonicClock.start();
         SplittableRandom random = new SplittableRandom();
         long incarnation = random.nextLong();
-        RulesInForce rules = new RulesInForce();
+        CurrentRules rules = new CurrentRules();
         AgentDispatcher dispatcher = AgentDispatcher.create(
                 incarnation,
                 PriorityEngineQueue.create(engineLimits(settings), settings.speed(), rules),
@@ -54,8 +54,9 @@
                 : HttpUpstreamClient.forPlainService(settings.upstreamAddress());
         StoreFencingNumber fencingNumbers = new StoreFencingNumber(settings.store(), clock);
         AgentRuntime runtime = AgentRuntime.start(
-                new AgentParts(dispatcher, upstream, clock, LinkSettings.defaults(), hello(settings, incarnation)),
-                self -> new AgentControl(
+                new AgentRuntimeComponents(
+                        dispatcher, upstream, clock, LinkSettings.defaults(), hello(settings, incarnation)),
+                self -> new AgentControlPlane(
                         settings.id() + "/" + Long.toHexString(incarnation),
                         Set.of(settings.version()),
                         rules,
@@ -63,7 +64,7 @@
                         fencingNumbers,
                         self,
                         random,
-                        self::runLater));
+                        self::execute));
         runtime.listen(settings.linkAddress());
         AdminServer admin = AdminServer.start(
                 settings.adminAddress(),
--- a/agent/src/main/java/dev/wigeonward/agent/AgentSettings.java
+++ b/agent/src/main/java/dev/wigeonward/agent/AgentSettings.java
@@ -39,10 +39,10 @@
             SettingKey.address("agent", "link_address", "address for the links of entries");
     private static final SettingKey<InetSocketAddress> ADMIN_ADDRESS =
             SettingKey.address("agent", "admin_address", "address of the admin pages");
-    private static final SettingKey<Long> DRAIN_LIMIT = SettingKey.whole(
+    private static final SettingKey<Long> DRAIN_LIMIT = SettingKey.wholeNumber(
                     "agent", "drain_limit_seconds", 0, 86_400, "longest wait for requests at a graceful shutdown")
             .withDefault(1_800L);
-    private static final SettingKey<Long> QUEUE_CAPACITY = SettingKey.whole(
+    private static final SettingKey<Long> QUEUE_CAPACITY = SettingKey.wholeNumber(
                     "agent", "queue_capacity_count", 1, 100_000, "requests that wait in front of the upstream")
             .withDefault(256L);
     private static final SettingKey<String> KIND =
@@ -54,21 +54,21 @@
     private static final SettingKey<String> VERSION =
             SettingKey.text("upstream", "version", "version of the back end").withDefault("v1");
     private static final SettingKey<Long> SLOTS =
-            SettingKey.whole("upstream", "slots_count", 1, 4_096, "requests that the upstream runs at once");
-    private static final SettingKey<Long> PREFILL = SettingKey.whole(
+            SettingKey.wholeNumber("upstream", "slots_count", 1, 4_096, "requests that the upstream runs at once");
+    private static final SettingKey<Long> PREFILL = SettingKey.wholeNumber(
                     "upstream", "prefill_tokens_per_second", 1, 10_000_000, "prompt tokens of one stream")
             .withDefault(10_000L);
-    private static final SettingKey<Long> DECODE = SettingKey.whole(
+    private static final SettingKey<Long> DECODE = SettingKey.wholeNumber(
                     "upstream", "decode_tokens_per_second", 1, 1_000_000, "generated tokens of one stream")
             .withDefault(100L);
-    private static final SettingKey<Long> SHORT_REQUEST = SettingKey.whole(
+    private static final SettingKey<Long> SHORT_REQUEST = SettingKey.wholeNumber(
                     "upstream",
                     "short_request_millis",
                     0,
                     3_600_000,
                     "estimated service time up to which a request may use the slots kept for short ones")
             .withDefault(2_000L);
-    private static final SettingKey<Long> WORK_PER_SLOT = SettingKey.whole(
+    private static final SettingKey<Long> WORK_PER_SLOT = SettingKey.wholeNumber(
                     "upstream",
                     "work_per_slot_millis",
                     1,
--- a/agent/src/main/java/dev/wigeonward/agent/Main.java
+++ b/agent/src/main/java/dev/wigeonward/agent/Main.java
@@ -47,7 +47,7 @@
                     return CommandLines.EXIT_OK;
                 });
             case "example-settings" -> {
-                out.print(AgentSettings.declaration().documentedExample());
+                out.print(AgentSettings.declaration().exampleFile());
                 yield CommandLines.EXIT_OK;
             }
             default -> {
@@ -64,7 +64,7 @@
         }
         SettingsResult result;
         try {
-            result = AgentSettings.declaration().read(settingsFile);
+            result = AgentSettings.declaration().readFile(settingsFile);
         } catch (IOException e) {
             err.println("cannot read settings file " + settingsFile + ": " + e.getMessage());
             return CommandLines.EXIT_FAILED;
--- a/agent/src/main/java/dev/wigeonward/agent/StoreFencingNumber.java
+++ b/agent/src/main/java/dev/wigeonward/agent/StoreFencingNumber.java
@@ -9,16 +9,16 @@
 
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.agent.control.FencingNumberReader;
-import dev.wigeonward.common.ring.DaemonThreads;
+import dev.wigeonward.common.ring.DaemonSchedulers;
+import dev.wigeonward.common.store.ControllerLease;
 import dev.wigeonward.common.store.EtcdStore;
 import dev.wigeonward.common.store.KeyValue;
 import dev.wigeonward.common.store.KeyValueStore;
-import dev.wigeonward.common.store.StoreControllerLease;
 import dev.wigeonward.common.store.StoreOptions;
 
 /** Reads the fencing number from the store, where it is the creation revision of the controller key. */
 final class StoreFencingNumber implements FencingNumberReader, AutoCloseable {
-    private final ScheduledExecutorService thread = DaemonThreads.scheduler("store");
+    private final ScheduledExecutorService thread = DaemonSchedulers.newSingleThreadScheduler("store");
     private final Optional<KeyValueStore> store;
 
     StoreFencingNumber(Optional<StoreOptions> options, Clock clock) {
@@ -34,8 +34,8 @@
             return;
         }
         store.get()
-                .get(StoreControllerLease.KEY)
-                .thenAccept(result -> answer.accept(result.value()
+                .get(ControllerLease.KEY)
+                .thenAccept(result -> answer.accept(result.toOptional()
                         .map(entry -> OptionalLong.of(
                                 entry.map(KeyValue::createRevision).orElse(0L)))
                         .orElse(OptionalLong.empty())));
--- a/agent/src/main/java/dev/wigeonward/agent/control/AgentControl.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/AgentControlPlane.java
@@ -16,12 +16,12 @@
 import dev.wigeonward.core.rollout.ModelVersion;
 import dev.wigeonward.core.rollout.StageView;
 import dev.wigeonward.core.suspect.SuspectTable;
-import dev.wigeonward.exchange.EvidenceFrames;
-import dev.wigeonward.exchange.FactExchange;
+import dev.wigeonward.exchange.CurrentRules;
+import dev.wigeonward.exchange.EvidenceCodec;
 import dev.wigeonward.exchange.FactListener;
+import dev.wigeonward.exchange.FactSync;
 import dev.wigeonward.exchange.FrameSender;
-import dev.wigeonward.exchange.RevisionExchange;
-import dev.wigeonward.exchange.RulesInForce;
+import dev.wigeonward.exchange.RevisionSync;
 import dev.wigeonward.wire.generated.Frame;
 import dev.wigeonward.wire.generated.Heartbeat;
 import dev.wigeonward.wire.generated.Load;
@@ -30,7 +30,7 @@
  * The control plane of an agent: revisions, facts, orders and evidence. Not thread-safe; confined to the decision
  * thread.
  */
-public final class AgentControl {
+public final class AgentControlPlane {
     private static final long EVIDENCE_PERIOD_MILLIS = 500;
     /** Fraction of the slots in use above which a request counts as run under load. */
     private static final double UNDER_LOAD_THRESHOLD = 0.7;
@@ -40,8 +40,8 @@
     private final StageView stages = new StageView();
     private final EvidenceRecorder evidence = new EvidenceRecorder(UNDER_LOAD_THRESHOLD);
     private final Set<String> evidencePeers = new HashSet<>();
-    private final RevisionExchange revisions;
-    private final FactExchange facts;
+    private final RevisionSync revisions;
+    private final FactSync facts;
     private final OrderExecutor orders;
     private final FrameSender sender;
     private long nextEvidenceMillis;
@@ -52,10 +52,10 @@
      * @param upstreamIncarnation name of this incarnation of the agent, which suspect reports contain
      * @param versions versions that the upstream serves before any order
      */
-    public AgentControl(
+    public AgentControlPlane(
             String upstreamIncarnation,
             Set<String> versions,
-            RulesInForce rules,
+            CurrentRules rules,
             UpstreamClient upstream,
             FencingNumberReader fencingNumbers,
             FrameSender sender,
@@ -64,8 +64,8 @@
         this.upstreamIncarnation = upstreamIncarnation;
         this.sender = sender;
         RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
-        this.revisions = new RevisionExchange(log, RevisionRelay.create(log, random), sender, rules::adopt);
-        this.facts = new FactExchange(suspects, stages, sender, new ControlFactListener());
+        this.revisions = new RevisionSync(log, RevisionRelay.create(log, random), sender, rules::adopt);
+        this.facts = new FactSync(suspects, stages, sender, new ControlFactListener());
         this.orders = new OrderExecutor(upstream, fencingNumbers, sender, decisionThread, versions);
     }
 
@@ -111,18 +111,18 @@
         }
         nextEvidenceMillis = nowMillis + EVIDENCE_PERIOD_MILLIS;
         evidencePeers.forEach(peer -> evidence.counters(nowMillis)
-                .forEach((key, counters) -> sender.send(peer, EvidenceFrames.frame(key, counters))));
+                .forEach((key, counters) -> sender.send(peer, EvidenceCodec.toFrame(key, counters))));
     }
 
     /** Starts the observation of a request that is submitted to the upstream, as evidence on its version. */
-    public EvidenceRecorder.Observation started(
+    public EvidenceRecorder.Observation startObservation(
             RequestSpec request, String version, double load, long serviceMillis, long nowMillis) {
-        return evidence.started(
+        return evidence.start(
                 new ModelVersion(request.target(), version), request.route(), load, serviceMillis, nowMillis);
     }
 
     /** Publishes the fact that a request was running when the upstream died. */
-    public void suspect(RequestSpec request, String upstreamInstance, long nowMillis) {
+    public void publishSuspect(RequestSpec request, String upstreamInstance, long nowMillis) {
         facts.publishSuspect(request.fingerprint(), upstreamIncarnation + "/" + upstreamInstance, nowMillis);
     }
 
@@ -132,7 +132,7 @@
     }
 
     /** Replaces the served versions by those that the upstream reports, unless it reports none. */
-    public void onVersions(Set<String> versions) {
+    public void onVersionsReported(Set<String> versions) {
         orders.onVersions(versions);
     }
 
@@ -145,14 +145,14 @@
     public Frame heartbeat(Load load) {
         Heartbeat.Builder heartbeat =
                 Heartbeat.newBuilder().setLoad(load).setFencingNumber(orders.highestFencingNumber());
-        revisions.describe(heartbeat);
+        revisions.addTo(heartbeat);
         return Frame.newBuilder().setHeartbeat(heartbeat).build();
     }
 
     /** Returns the state of the control plane for the admin pages. */
     public Map<String, Object> status() {
         return Map.of(
-                "revision", revisions.number(),
+                "revision", revisions.currentNumber(),
                 "highest_fencing_number", orders.highestFencingNumber(),
                 "versions", orders.versions(),
                 "bad_versions", stages.badVerdicts(),
@@ -162,7 +162,7 @@
     /** Passes learned facts to the part that uses them. */
     private final class ControlFactListener implements FactListener {
         @Override
-        public void onVerdict(BadVerdict verdict) {
+        public void onBadVerdict(BadVerdict verdict) {
             // Nothing to do: each dispatch reads the stage view.
         }
 
--- a/agent/src/main/java/dev/wigeonward/agent/control/OrderExecutor.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/OrderExecutor.java
@@ -10,16 +10,16 @@
 import dev.wigeonward.core.order.Order;
 import dev.wigeonward.core.order.OrderEffect;
 import dev.wigeonward.core.order.OrderEvent;
-import dev.wigeonward.core.order.OrderGate;
+import dev.wigeonward.core.order.OrderFence;
 import dev.wigeonward.exchange.FrameSender;
-import dev.wigeonward.exchange.OrderFrames;
+import dev.wigeonward.exchange.OrderCodec;
 
 /** Executes orders of the controller on the engine if the order gate permits them. */
 final class OrderExecutor {
     private static final Logger LOG = System.getLogger(OrderExecutor.class.getName());
     private static final String NO_EXCEPTION = "";
 
-    private final OrderGate gate = new OrderGate();
+    private final OrderFence gate = new OrderFence();
     private final UpstreamClient upstream;
     private final FencingNumberReader fencingNumbers;
     private final FrameSender sender;
@@ -40,7 +40,7 @@
     }
 
     void onOrder(dev.wigeonward.wire.generated.Order message) {
-        OrderFrames.order(message)
+        OrderCodec.toOrder(message)
                 .ifPresentOrElse(
                         order -> handle(new OrderEvent.OrderReceived(order)),
                         () -> LOG.log(Level.WARNING, "ignoring malformed order {0}", message.getOrderId()));
@@ -48,7 +48,7 @@
 
     void onFencingNumber(long fencingNumber) {
         if (fencingNumber > 0) {
-            handle(new OrderEvent.FencingSeen(fencingNumber));
+            handle(new OrderEvent.FencingNumberReported(fencingNumber));
         }
     }
 
@@ -76,15 +76,15 @@
         if (effect instanceof OrderEffect.ReadFencingNumber) {
             fencingNumbers.read(found -> decisionThread.accept(() -> handle(
                     found.isPresent()
-                            ? new OrderEvent.FencingRead(found.getAsLong())
+                            ? new OrderEvent.FencingNumberRead(found.getAsLong())
                             : new OrderEvent.StoreUnavailable())));
         } else if (effect instanceof OrderEffect.RunOrder run) {
             Order order = run.order();
             LOG.log(Level.INFO, "executing order {0}: {1} version {2}", order.orderId(), order.kind(), order.version());
-            upstream.order(order, failure -> decisionThread.accept(() -> onEngineFinished(order, failure)));
+            upstream.executeOrder(order, failure -> decisionThread.accept(() -> onEngineFinished(order, failure)));
         } else if (effect instanceof OrderEffect.Answer answer) {
             // The controller may have moved to another entry, so the answer is sent to all entries.
-            sender.sendToOthers(NO_EXCEPTION, OrderFrames.frame(answer.orderId(), answer.result()));
+            sender.sendToOthers(NO_EXCEPTION, OrderCodec.toFrame(answer.orderId(), answer.result()));
         }
     }
 
--- a/agent/src/main/java/dev/wigeonward/agent/link/DispatchAssembler.java
+++ b/agent/src/main/java/dev/wigeonward/agent/link/DispatchAssembler.java
@@ -22,7 +22,7 @@
      * Returns the dispatch if its body is complete. Otherwise stores it until the other parts arrive, or drops it if
      * its lengths are invalid, and returns empty.
      */
-    public Optional<Dispatch> first(long link, Dispatch dispatch) {
+    public Optional<Dispatch> addDispatch(long link, Dispatch dispatch) {
         if (dispatch.getBody().size() == dispatch.getBodyLength()) {
             return Optional.of(dispatch);
         }
@@ -35,7 +35,7 @@
     }
 
     /** Returns the dispatch if the part completes it. A part out of order drops the whole dispatch. */
-    public Optional<Dispatch> part(long link, BodyPart part) {
+    public Optional<Dispatch> addPart(long link, BodyPart part) {
         IncompleteDispatch partial = incomplete.get(part.getRequestId());
         if (partial == null || partial.link != link) {
             return Optional.empty();
@@ -59,7 +59,7 @@
     }
 
     /** Drops the incomplete dispatches of a lost link. */
-    public void linkLost(long link) {
+    public void onLinkLost(long link) {
         incomplete.values().removeIf(partial -> partial.link == link);
     }
 
--- a/agent/src/main/java/dev/wigeonward/agent/link/EntryFrames.java
+++ b/agent/src/main/java/dev/wigeonward/agent/link/EntryFrameCodec.java
@@ -30,11 +30,11 @@
 import dev.wigeonward.wire.generated.Usage;
 
 /** Converts frames from entries to dispatcher events, and dispatcher effects to frames for entries. */
-public final class EntryFrames {
+public final class EntryFrameCodec {
     /** Header that names the requested version to an engine that has several loaded. */
     private static final String VERSION_HEADER = "x-model-version";
 
-    private EntryFrames() {}
+    private EntryFrameCodec() {}
 
     /**
      * Returns the event in a dispatch.
@@ -114,7 +114,7 @@
     }
 
     /** Returns the frame that guarantees that a request never runs here. */
-    public static Frame unseen(AgentEffect.SendUnseen effect) {
+    public static Frame unseen(AgentEffect.SendNeverReceived effect) {
         return Frame.newBuilder()
                 .setUnseen(Unseen.newBuilder()
                         .setRequestId(effect.request().value())
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -15,12 +15,12 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
-import dev.wigeonward.agent.control.AgentControl;
+import dev.wigeonward.agent.control.AgentControlPlane;
 import dev.wigeonward.agent.link.DispatchAssembler;
-import dev.wigeonward.agent.link.EntryFrames;
+import dev.wigeonward.agent.link.EntryFrameCodec;
 import dev.wigeonward.agent.upstream.UpstreamClient;
 import dev.wigeonward.common.http.AdminServer;
-import dev.wigeonward.common.ring.DutyThread;
+import dev.wigeonward.common.ring.QueueWorker;
 import dev.wigeonward.core.dispatch.AgentDispatcher;
 import dev.wigeonward.core.dispatch.AgentEffect;
 import dev.wigeonward.core.dispatch.AgentEvent;
@@ -61,14 +61,14 @@
     private final Clock clock;
     private final MetricRegistry metrics = new MetricRegistry();
     private final Hello hello;
-    private final AgentControl control;
+    private final AgentControlPlane control;
     private final LinkTransport transport;
     private final UpstreamHealth health = new UpstreamHealth();
     private final UnsentCacheEvents cache = new UnsentCacheEvents();
     private final DispatchAssembler assembler = new DispatchAssembler(MAX_BODY_BYTES);
     private final Map<Long, Link> links = new HashMap<>();
     private final Map<RequestId, RunRecord> runs = new HashMap<>();
-    private final DutyThread<AgentInput> thread;
+    private final QueueWorker<AgentInput> thread;
     private final Map<String, Link> linksByPeer = new HashMap<>();
     /** Heartbeat of regular sends; written by the decision thread, read by the thread of the links. */
     private volatile Frame heartbeat;
@@ -80,7 +80,7 @@
     private long drainLimitMillis;
     private CompletableFuture<Void> drainResult;
 
-    private AgentRuntime(AgentParts parts, Function<AgentRuntime, AgentControl> control) {
+    private AgentRuntime(AgentRuntimeComponents parts, Function<AgentRuntime, AgentControlPlane> control) {
         this.dispatcher = parts.dispatcher();
         this.upstream = parts.upstream();
         this.clock = parts.clock();
@@ -88,11 +88,11 @@
         this.control = control.apply(this);
         this.heartbeat = this.control.heartbeat(load);
         this.transport = new LinkTransport(parts.linkSettings(), this, parts::hello, () -> heartbeat, Optional.empty());
-        this.thread = DutyThread.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
+        this.thread = QueueWorker.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
     }
 
     /** Starts the decision thread of an agent. */
-    public static AgentRuntime start(AgentParts parts, Function<AgentRuntime, AgentControl> control) {
+    public static AgentRuntime start(AgentRuntimeComponents parts, Function<AgentRuntime, AgentControlPlane> control) {
         return new AgentRuntime(parts, control);
     }
 
@@ -123,7 +123,7 @@
     }
 
     /** Runs a task on the decision thread. */
-    public void runLater(Runnable task) {
+    public void execute(Runnable task) {
         thread.put(new AgentInput.Query(task));
     }
 
@@ -155,10 +155,10 @@
 
     /** Returns the content of the health page: ready, or the reason why not. Call through {@link #query}. */
     public Object health() {
-        if (dispatcher.draining()) {
+        if (dispatcher.isDraining()) {
             return new AdminServer.Unhealthy("the agent is shutting down");
         }
-        return dispatcher.upstreamAlive()
+        return dispatcher.isUpstreamAlive()
                 ? Map.of("ready", true)
                 : new AdminServer.Unhealthy("the upstream does not answer");
     }
@@ -168,12 +168,12 @@
         Map<String, Object> dump = new HashMap<>(control.status());
         dump.put("upstream", hello.getUpstream().getUpstreamId());
         dump.put("target", hello.getUpstream().getTarget());
-        dump.put("upstream_alive", dispatcher.upstreamAlive());
-        dump.put("draining", dispatcher.draining());
+        dump.put("upstream_alive", dispatcher.isUpstreamAlive());
+        dump.put("draining", dispatcher.isDraining());
         dump.put("queued", dispatcher.queue().queued());
         dump.put("running", dispatcher.queue().running());
         dump.put("backlog_millis", dispatcher.queue().backlogMillis(clock.millis()));
-        dump.put("kept_runs", dispatcher.keptRuns());
+        dump.put("kept_runs", dispatcher.runCount());
         dump.put("links", List.copyOf(linksByPeer.keySet()));
         dump.put("ring_size", thread.size());
         return dump;
@@ -192,7 +192,7 @@
             handle(new AgentEvent.UpstreamOutput(part.run(), part.part().length));
         } else if (input instanceof AgentInput.Head head) {
             Optional.ofNullable(runs.get(head.run()))
-                    .ifPresent(run -> run.head = EntryFrames.head(head.status(), head.headers()));
+                    .ifPresent(run -> run.head = EntryFrameCodec.head(head.status(), head.headers()));
         } else if (input instanceof AgentInput.End end) {
             observe(end.run(), (run, nowMillis) -> run.observation.answered(run.head.getStatus(), nowMillis));
             handle(new AgentEvent.UpstreamFinished(end.run()));
@@ -201,12 +201,12 @@
                 if (broken.unreached()) {
                     run.observation.cancelled(nowMillis);
                 } else {
-                    run.observation.died(nowMillis);
+                    run.observation.failed(nowMillis);
                 }
             });
             handle(
                     broken.unreached()
-                            ? new AgentEvent.UpstreamUnreached(broken.run(), broken.failure())
+                            ? new AgentEvent.UpstreamUnreachable(broken.run(), broken.failure())
                             : new AgentEvent.UpstreamFailed(broken.run(), broken.failure()));
         } else if (input instanceof AgentInput.LinkOpened opened) {
             linkOpened(opened.link());
@@ -222,25 +222,25 @@
     }
 
     private void linkOpened(Link link) {
-        String peer = link.peer().getNodeId();
-        links.put(link.number(), link);
+        String peer = link.peerHello().getNodeId();
+        links.put(link.id(), link);
         linksByPeer.put(peer, link);
         LOG.log(Level.INFO, "link from entry {0} is up", peer);
         control.onLinkUp(peer, clock.millis());
-        if (dispatcher.draining()) {
+        if (dispatcher.isDraining()) {
             link.send(leavingFrame());
         }
     }
 
     private void linkClosed(Link link, String reason) {
-        String peer = link.peer().getNodeId();
-        links.remove(link.number());
+        String peer = link.peerHello().getNodeId();
+        links.remove(link.id());
         LOG.log(Level.WARNING, "link from entry {0} is down: {1}", peer, reason);
         if (linksByPeer.remove(peer, link)) {
             control.onLinkDown(peer, clock.millis());
         }
-        assembler.linkLost(link.number());
-        handle(new AgentEvent.LinkLost(link.number()));
+        assembler.onLinkLost(link.id());
+        handle(new AgentEvent.LinkLost(link.id()));
     }
 
     private Frame leavingFrame() {
@@ -252,7 +252,7 @@
     private void onProbe(UpstreamClient.ProbeResult result) {
         probing = false;
         if (result instanceof UpstreamClient.ProbeResult.Alive alive) {
-            control.onVersions(alive.versions());
+            control.onVersionsReported(alive.versions());
         }
         health.onProbe(result).ifPresent(this::healthChanged);
     }
@@ -270,13 +270,13 @@
 
     private void handleFrame(Link link, Frame frame) {
         try {
-            control.onFrame(link.peer().getNodeId(), frame, clock.millis());
+            control.onFrame(link.peerHello().getNodeId(), frame, clock.millis());
             handleRequestFrame(link, frame);
         } catch (IllegalArgumentException e) {
             LOG.log(
                     Level.WARNING,
                     "entry {0} sent a malformed frame: {1}",
-                    link.peer().getNodeId(),
+                    link.peerHello().getNodeId(),
                     e.getMessage());
             link.close();
         }
@@ -285,12 +285,12 @@
     private void handleRequestFrame(Link link, Frame frame) {
         switch (frame.getBodyCase()) {
             case DISPATCH ->
-                assembler.first(link.number(), frame.getDispatch()).ifPresent(whole -> dispatch(link, whole));
+                assembler.addDispatch(link.id(), frame.getDispatch()).ifPresent(whole -> dispatch(link, whole));
             case BODY_PART ->
-                assembler.part(link.number(), frame.getBodyPart()).ifPresent(whole -> dispatch(link, whole));
+                assembler.addPart(link.id(), frame.getBodyPart()).ifPresent(whole -> dispatch(link, whole));
             case REATTACH -> {
                 assembler.drop(frame.getReattach().getRequestId());
-                handle(EntryFrames.reattach(link.number(), frame.getReattach()));
+                handle(EntryFrameCodec.reattach(link.id(), frame.getReattach()));
             }
             case ACKNOWLEDGE ->
                 handle(new AgentEvent.AcknowledgeArrived(
@@ -306,15 +306,15 @@
     private void dispatch(Link link, Dispatch dispatch) {
         AgentEvent.DispatchArrived event;
         try {
-            event = EntryFrames.dispatch(link.number(), dispatch, clock.millis());
+            event = EntryFrameCodec.dispatch(link.id(), dispatch, clock.millis());
         } catch (IllegalArgumentException e) {
             LOG.log(
                     Level.WARNING,
                     "entry {0} sent a malformed dispatch: {1}",
-                    link.peer().getNodeId(),
+                    link.peerHello().getNodeId(),
                     e.getMessage());
             if (!dispatch.getRequestId().isEmpty() && !dispatch.getDispatchId().isEmpty()) {
-                link.send(EntryFrames.notRun(
+                link.send(EntryFrameCodec.notRun(
                         new RequestId(dispatch.getRequestId()),
                         new DispatchId(dispatch.getDispatchId()),
                         Failure.of(ErrorKind.MALFORMED_REQUEST, String.valueOf(e.getMessage()))));
@@ -323,7 +323,7 @@
         }
         String version = dispatch.getVersion();
         if (!dispatch.getAttachOnly() && control.isBad(dispatch.getTarget(), version)) {
-            link.send(EntryFrames.notRun(
+            link.send(EntryFrameCodec.notRun(
                     event.request().id(),
                     event.dispatch(),
                     Failure.of(ErrorKind.NO_UPSTREAM, "version " + version + " was rolled back")));
@@ -331,10 +331,10 @@
         }
         runs.computeIfAbsent(
                 event.request().id(),
-                id -> new RunRecord(EntryFrames.upstreamRequest(dispatch), event.request(), version));
+                id -> new RunRecord(EntryFrameCodec.upstreamRequest(dispatch), event.request(), version));
         handle(event);
         // A request that was refused or attached to another run does not need its own record.
-        if (!dispatcher.keeps(event.request().id())) {
+        if (!dispatcher.containsRun(event.request().id())) {
             runs.remove(event.request().id());
         }
     }
@@ -351,9 +351,9 @@
         if (nowMillis >= nextLoadMillis) {
             nextLoadMillis = nowMillis + LOAD_PERIOD_MILLIS;
             publishLoad();
-            upstream.cacheEvents(cache.lastSequence(), events -> thread.put(new AgentInput.CacheChanged(events)));
+            upstream.fetchCacheEvents(cache.lastSequence(), events -> thread.put(new AgentInput.CacheChanged(events)));
         }
-        if (drainResult != null && dispatcher.idle()) {
+        if (drainResult != null && dispatcher.isIdle()) {
             drainResult.complete(null);
         }
     }
@@ -364,7 +364,7 @@
                 .setBacklogMillis(dispatcher.queue().backlogMillis(clock.millis()))
                 .setRunning(dispatcher.queue().running())
                 .setQueued(dispatcher.queue().queued())
-                .setUpstreamAlive(dispatcher.upstreamAlive())
+                .setUpstreamAlive(dispatcher.isUpstreamAlive())
                 .addAllLoadedVersions(control.versions())
                 .setVersionPlaces(VERSION_PLACES)
                 .build();
@@ -389,28 +389,28 @@
             double load =
                     (double) dispatcher.queue().running() / hello.getUpstream().getSlots();
             long serviceMillis = run.spec.work().serviceMillis(speed());
-            run.observation = control.started(run.spec, run.version, load, serviceMillis, clock.millis());
+            run.observation = control.startObservation(run.spec, run.version, load, serviceMillis, clock.millis());
             upstream.submit(run.request, new UpstreamForwarder(submit.run(), thread));
         } else if (effect instanceof AgentEffect.CancelInUpstream cancel) {
             metrics.counter("cancelled").inc();
             observe(cancel.run(), (run, nowMillis) -> run.observation.cancelled(nowMillis));
             upstream.cancel(cancel.run());
         } else if (effect instanceof AgentEffect.SendAccepted send) {
-            send(send.link(), EntryFrames.accepted(send));
+            send(send.link(), EntryFrameCodec.accepted(send));
         } else if (effect instanceof AgentEffect.SendNotRun send) {
             metrics.counter("not_run." + send.failure().kind().wireName()).inc();
-            send(send.link(), EntryFrames.notRun(send.request(), send.dispatch(), send.failure()));
-        } else if (effect instanceof AgentEffect.SendUnseen send) {
-            send(send.link(), EntryFrames.unseen(send));
+            send(send.link(), EntryFrameCodec.notRun(send.request(), send.dispatch(), send.failure()));
+        } else if (effect instanceof AgentEffect.SendNeverReceived send) {
+            send(send.link(), EntryFrameCodec.unseen(send));
         } else if (effect instanceof AgentEffect.SendOutput send) {
             sendOutput(send);
         } else if (effect instanceof AgentEffect.SendFinished send) {
             metrics.counter("finished").inc();
             RunRecord run = runs.get(send.run());
-            send(send.link(), EntryFrames.finished(send, run.head, UsageParser.parse(run.output.tail())));
+            send(send.link(), EntryFrameCodec.finished(send, run.head, UsageParser.parse(run.output.tail())));
         } else if (effect instanceof AgentEffect.SendFailed send) {
             metrics.counter("failed." + send.failure().kind().wireName()).inc();
-            send(send.link(), EntryFrames.failed(send));
+            send(send.link(), EntryFrameCodec.failed(send));
         } else if (effect instanceof AgentEffect.TrimOutput trim) {
             runs.get(trim.run()).output.trim(trim.uptoBytes());
         } else if (effect instanceof AgentEffect.ReleaseRun release) {
@@ -422,8 +422,8 @@
 
     private void suspect(RequestSpec request) {
         LOG.log(Level.WARNING, "request {0} was running when the upstream died", request.id());
-        control.suspect(request, health.instance(), clock.millis());
-        observe(request.id(), (run, nowMillis) -> run.observation.died(nowMillis));
+        control.publishSuspect(request, health.instance(), clock.millis());
+        observe(request.id(), (run, nowMillis) -> run.observation.failed(nowMillis));
     }
 
     /** Records how a submitted run ended, as evidence on its version. */
@@ -441,7 +441,7 @@
             Optional<ResponseHead> head = fromBytes == 0 ? Optional.of(run.head) : Optional.empty();
             send(
                     send.link(),
-                    EntryFrames.output(
+                    EntryFrameCodec.output(
                             send.request(), send.dispatch(), fromBytes, run.output.slice(fromBytes, toBytes), head));
             fromBytes = toBytes;
         }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentParts.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntimeComponents.java
@@ -9,9 +9,9 @@
 import dev.wigeonward.wire.generated.Hello;
 
 /** The components that the runtime of an agent is built from. */
-public record AgentParts(
+public record AgentRuntimeComponents(
         AgentDispatcher dispatcher, UpstreamClient upstream, Clock clock, LinkSettings linkSettings, Hello hello) {
-    public AgentParts {
+    public AgentRuntimeComponents {
         Objects.requireNonNull(dispatcher, "dispatcher");
         Objects.requireNonNull(upstream, "upstream");
         Objects.requireNonNull(clock, "clock");
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamForwarder.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamForwarder.java
@@ -4,16 +4,16 @@
 import java.util.Map;
 
 import dev.wigeonward.agent.upstream.UpstreamClient;
-import dev.wigeonward.common.ring.DutyThread;
+import dev.wigeonward.common.ring.QueueWorker;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
 
 /** An answer listener that forwards the upstream's answer to the decision thread. */
 final class UpstreamForwarder implements UpstreamClient.AnswerListener {
     private final RequestId run;
-    private final DutyThread<AgentInput> thread;
+    private final QueueWorker<AgentInput> thread;
 
-    UpstreamForwarder(RequestId run, DutyThread<AgentInput> thread) {
+    UpstreamForwarder(RequestId run, QueueWorker<AgentInput> thread) {
         this.run = run;
         this.thread = thread;
     }
@@ -39,7 +39,7 @@
     }
 
     @Override
-    public void onUnreached(Failure failure) {
+    public void onNotSent(Failure failure) {
         thread.put(new AgentInput.Broken(run, failure, true));
     }
 }
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -139,7 +139,7 @@
     }
 
     @Override
-    public void cacheEvents(long afterSequence, Consumer<CacheEvents> listener) {
+    public void fetchCacheEvents(long afterSequence, Consumer<CacheEvents> listener) {
         if (!engine) {
             return;
         }
@@ -165,7 +165,7 @@
     }
 
     @Override
-    public void order(Order order, Consumer<String> listener) {
+    public void executeOrder(Order order, Consumer<String> listener) {
         if (!engine) {
             listener.accept("the upstream is a plain service, which does not support orders");
             return;
@@ -260,7 +260,7 @@
             boolean unreached = !headSeen && resumes == 0 && neverSent(error);
             if (unreached) {
                 calls.remove(id);
-                listener.onUnreached(Failure.of(ErrorKind.NO_UPSTREAM, "the upstream cannot be reached"));
+                listener.onNotSent(Failure.of(ErrorKind.NO_UPSTREAM, "the upstream cannot be reached"));
                 return;
             }
             resumes++;
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/UpstreamClient.java
@@ -23,13 +23,13 @@
     void cancelAll();
 
     /** Executes an order. The listener receives an empty text on success, and the reason of the failure otherwise. */
-    void order(Order order, Consumer<String> listener);
+    void executeOrder(Order order, Consumer<String> listener);
 
     /** Checks whether the upstream answers. */
     void probe(Consumer<ProbeResult> listener);
 
     /** Requests the cache events after a sequence number. The listener is not called for a plain service. */
-    void cacheEvents(long afterSequence, Consumer<CacheEvents> listener);
+    void fetchCacheEvents(long afterSequence, Consumer<CacheEvents> listener);
 
     @Override
     void close();
@@ -61,7 +61,7 @@
         void onFailed(Failure failure);
 
         /** Called if the upstream certainly never received the request. */
-        void onUnreached(Failure failure);
+        void onNotSent(Failure failure);
     }
 
     /** The result of a probe. */
--- a/common/src/main/java/dev/wigeonward/common/command/DumpCommand.java
+++ b/common/src/main/java/dev/wigeonward/common/command/DumpCommand.java
@@ -31,7 +31,7 @@
             out.print(new String(Json.writePretty(found.content()), StandardCharsets.UTF_8));
             return CommandLines.EXIT_OK;
         }
-        err.println(((AdminClient.Result.Unreadable) result).reason());
+        err.println(((AdminClient.Result.Failed) result).reason());
         return CommandLines.EXIT_FAILED;
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/http/AdminClient.java
+++ b/common/src/main/java/dev/wigeonward/common/http/AdminClient.java
@@ -23,10 +23,10 @@
         try {
             target = HostAndPort.fromString(address);
         } catch (IllegalArgumentException e) {
-            return new Result.Unreadable("address '" + address + "' is invalid, expected HOST:PORT");
+            return new Result.Failed("address '" + address + "' is invalid, expected HOST:PORT");
         }
         if (!target.hasPort()) {
-            return new Result.Unreadable("address '" + address + "' has no port, expected HOST:PORT");
+            return new Result.Failed("address '" + address + "' has no port, expected HOST:PORT");
         }
         HttpClient client =
                 HttpClients.forSingleAddress(target.getHost(), target.getPort()).build();
@@ -34,19 +34,19 @@
             HttpResponse response =
                     client.request(client.get(path)).timeout(TIMEOUT).toFuture().get();
             if (response.status().code() == STATUS_NOT_FOUND) {
-                return new Result.Unreadable("process at " + address + " has no page " + path);
+                return new Result.Failed("process at " + address + " has no page " + path);
             }
             Buffer body = response.payloadBody();
             byte[] bytes = new byte[body.readableBytes()];
             body.readBytes(bytes);
             return Json.read(bytes)
                     .<Result>map(Result.Page::new)
-                    .orElseGet(() -> new Result.Unreadable("process at " + address + " did not answer with JSON"));
+                    .orElseGet(() -> new Result.Failed("process at " + address + " did not answer with JSON"));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return new Result.Unreadable("interrupted while waiting for the process at " + address);
+            return new Result.Failed("interrupted while waiting for the process at " + address);
         } catch (ExecutionException e) {
-            return new Result.Unreadable("process at " + address + " did not answer: " + e.getCause());
+            return new Result.Failed("process at " + address + " did not answer: " + e.getCause());
         } finally {
             client.closeAsync().subscribe();
         }
@@ -58,6 +58,6 @@
         record Page(JsonNode content) implements Result {}
 
         /** The page could not be read. */
-        record Unreadable(String reason) implements Result {}
+        record Failed(String reason) implements Result {}
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/http/BodyCollector.java
+++ b/common/src/main/java/dev/wigeonward/common/http/BodyCollector.java
@@ -35,7 +35,7 @@
     }
 
     /** Returns whether the body exceeded the limit. */
-    public boolean exceeded() {
+    public boolean isLimitExceeded() {
         return totalBytes > limitBytes;
     }
 
--- a/common/src/main/java/dev/wigeonward/common/ring/DutyThread.java
+++ b/common/src/main/java/dev/wigeonward/common/ring/QueueWorker.java
@@ -16,8 +16,8 @@
  *
  * @param <T> type of the items
  */
-public final class DutyThread<T> implements AutoCloseable {
-    private static final Logger LOG = System.getLogger(DutyThread.class.getName());
+public final class QueueWorker<T> implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(QueueWorker.class.getName());
     private static final int SPINS_BEFORE_PARKING = 200;
 
     private final MpscArrayQueue<T> queue;
@@ -29,7 +29,7 @@
     private volatile boolean parked;
     private volatile boolean stopped;
 
-    private DutyThread(String name, int capacity, Consumer<T> itemHandler, Runnable periodic, long periodMillis) {
+    private QueueWorker(String name, int capacity, Consumer<T> itemHandler, Runnable periodic, long periodMillis) {
         this.queue = new MpscArrayQueue<>(capacity);
         this.itemHandler = Objects.requireNonNull(itemHandler, "itemHandler");
         this.periodic = Objects.requireNonNull(periodic, "periodic");
@@ -45,9 +45,9 @@
      * @param itemHandler processes one item
      * @param periodic runs about once every {@code periodMillis}
      */
-    public static <T> DutyThread<T> start(
+    public static <T> QueueWorker<T> start(
             String name, int capacity, Consumer<T> itemHandler, Runnable periodic, long periodMillis) {
-        DutyThread<T> started = new DutyThread<>(name, capacity, itemHandler, periodic, periodMillis);
+        QueueWorker<T> started = new QueueWorker<>(name, capacity, itemHandler, periodic, periodMillis);
         started.thread.start();
         return started;
     }
--- a/common/src/main/java/dev/wigeonward/common/settings/SettingKey.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingKey.java
@@ -54,7 +54,8 @@
     }
 
     /** Returns a required setting of a whole number in a range, both ends included. */
-    public static SettingKey<Long> whole(String section, String name, long minimum, long maximum, String description) {
+    public static SettingKey<Long> wholeNumber(
+            String section, String name, long minimum, long maximum, String description) {
         return required(section, name, new SettingTypes.Whole(minimum, maximum), description);
     }
 
--- a/common/src/main/java/dev/wigeonward/common/settings/SettingsDeclaration.java
+++ b/common/src/main/java/dev/wigeonward/common/settings/SettingsDeclaration.java
@@ -46,12 +46,12 @@
      *
      * @throws IOException if the file cannot be read
      */
-    public SettingsResult read(Path file) throws IOException {
-        return check(file.toString(), Files.readString(file, StandardCharsets.UTF_8));
+    public SettingsResult readFile(Path file) throws IOException {
+        return parse(file.toString(), Files.readString(file, StandardCharsets.UTF_8));
     }
 
     /** Returns the checked settings in a text, or its problems, which contain the given file name. */
-    public SettingsResult check(String fileName, String text) {
+    public SettingsResult parse(String fileName, String text) {
         IniText file = IniText.parse(text);
         List<SettingsProblem> problems = new ArrayList<>();
         file.unreadableLines()
@@ -109,7 +109,7 @@
     }
 
     /** Returns a settings file that documents every key. Keys without a default are commented out. */
-    public String documentedExample() {
+    public String exampleFile() {
         StringBuilder text = new StringBuilder();
         sections.forEach((section, keys) -> {
             text.append("; ").append(sectionDescriptions.get(section)).append('\n');
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimCleanup.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimCleanup.java
@@ -57,17 +57,17 @@
     void removeInDoubt(ClaimKey key, Set<String> ownIds) {
         Backoff backoff = new Backoff(random);
         long endMillis = clock.millis() + LATE_WRITE_MILLIS;
-        runAfterBackoff(backoff, false, () -> remove(key.path(), ownIds, endMillis, backoff));
+        runAfterBackoff(backoff, false, () -> remove(key.storeKey(), ownIds, endMillis, backoff));
     }
 
     /** Returns whether a claim was removed; false if the key is held under another id or stayed absent to the end. */
     private CompletableFuture<Boolean> remove(String path, Set<String> ownIds, long endMillis, Backoff backoff) {
         return store.get(path).thenCompose(result -> {
             Supplier<CompletableFuture<Boolean>> retry = () -> remove(path, ownIds, endMillis, backoff);
-            if (result.value().isEmpty()) {
+            if (result.toOptional().isEmpty()) {
                 return runAfterBackoff(backoff, false, retry);
             }
-            Optional<KeyValue> current = result.value().get();
+            Optional<KeyValue> current = result.toOptional().get();
             if (current.isEmpty()) {
                 return clock.millis() >= endMillis
                         ? CompletableFuture.completedFuture(false)
@@ -79,7 +79,7 @@
             if (!own) {
                 return CompletableFuture.completedFuture(false);
             }
-            Compare unchanged = new Compare.ModRevision(path, current.get().modRevision());
+            Condition unchanged = new Condition.ModRevision(path, current.get().modRevision());
             return store.commit(Transaction.of(unchanged, new Write.Delete(path)))
                     .thenCompose(deletion -> deletion instanceof WriteResult.Applied
                             ? CompletableFuture.completedFuture(true)
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimKey.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimKey.java
@@ -33,7 +33,7 @@
     }
 
     /** Returns the key under which the store holds the claim. */
-    public String path() {
+    public String storeKey() {
         return ROOT + workspace + "/" + keyHash;
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimStore.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimStore.java
@@ -10,12 +10,12 @@
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
-import dev.wigeonward.core.dispatch.ClaimAnswer;
+import dev.wigeonward.core.dispatch.ClaimResult;
 
 /**
  * Store of durable claims for non-idempotent requests. A claim is granted only if the store holds it under the random
  * claim id of this process. A write in doubt is repeated once under the same condition, which either applies the write
- * or returns the current holder of the key. If the repeat fails too, the reply is {@link ClaimAnswer.Unavailable} and
+ * or returns the current holder of the key. If the repeat fails too, the reply is {@link ClaimResult.Unavailable} and
  * the claim is removed in the background.
  *
  * <p>Methods may be called from any thread; results are completed on the store's thread.
@@ -75,12 +75,12 @@
     /**
      * Conditional write of a claim of this process; {@code ownIds} are the ids under which it may have been written.
      */
-    private record Attempt(ClaimRequest request, String claimId, Compare condition, Set<String> ownIds) {}
+    private record Attempt(ClaimRequest request, String claimId, Condition condition, Set<String> ownIds) {}
 
     /** Claims a key that must not exist in the store, and returns the reply. */
-    public CompletableFuture<ClaimReply> claim(ClaimRequest request) {
+    public CompletableFuture<ClaimResponse> acquire(ClaimRequest request) {
         String claimId = newClaimId();
-        Compare absent = Compare.absent(request.key().path());
+        Condition absent = Condition.absent(request.key().storeKey());
         return runOnStoreThread(() -> write(new Attempt(request, claimId, absent, Set.of(claimId)), 1));
     }
 
@@ -88,10 +88,10 @@
      * Replaces a claim of this process by one that names another upstream, after the first upstream did not run the
      * request, and returns the reply.
      */
-    public CompletableFuture<ClaimReply> move(Claim claim, String upstreamId, long upstreamIncarnation) {
+    public CompletableFuture<ClaimResponse> moveTo(HeldClaim claim, String upstreamId, long upstreamIncarnation) {
         String claimId = newClaimId();
         ClaimRequest request = claim.request().withUpstream(upstreamId, upstreamIncarnation);
-        Compare unchanged = new Compare.ModRevision(request.key().path(), claim.modRevision());
+        Condition unchanged = new Condition.ModRevision(request.key().storeKey(), claim.modRevision());
         return runOnStoreThread(
                 () -> write(new Attempt(request, claimId, unchanged, Set.of(claimId, claim.claimId())), 1));
     }
@@ -100,16 +100,16 @@
      * Replaces the claim with the given id, whose request its upstream never received, by a claim of this process, and
      * returns the reply. Claims the key if it no longer exists.
      */
-    public CompletableFuture<ClaimReply> takeOver(ClaimRequest request, String previousClaimId) {
+    public CompletableFuture<ClaimResponse> replace(ClaimRequest request, String previousClaimId) {
         String claimId = newClaimId();
-        String path = request.key().path();
+        String path = request.key().storeKey();
         return runOnStoreThread(() -> store.get(path).thenCompose(result -> {
-            if (result.value().isEmpty()) {
-                return CompletableFuture.completedFuture(ClaimReply.unavailable());
+            if (result.toOptional().isEmpty()) {
+                return CompletableFuture.completedFuture(ClaimResponse.unavailable());
             }
-            Optional<KeyValue> current = result.value().get();
+            Optional<KeyValue> current = result.toOptional().get();
             if (current.isEmpty()) {
-                return write(new Attempt(request, claimId, Compare.absent(path), Set.of(claimId)), 1);
+                return write(new Attempt(request, claimId, Condition.absent(path), Set.of(claimId)), 1);
             }
             Optional<ClaimValue> value = ClaimValue.parse(current.get().value());
             if (value.isEmpty()
@@ -117,7 +117,7 @@
                     || value.get().outcome().isPresent()) {
                 return CompletableFuture.completedFuture(replyOf(current, request));
             }
-            Compare same = new Compare.ModRevision(path, current.get().modRevision());
+            Condition same = new Condition.ModRevision(path, current.get().modRevision());
             return write(new Attempt(request, claimId, same, Set.of(claimId)), 1);
         }));
     }
@@ -130,7 +130,7 @@
         return CompletableFuture.supplyAsync(action, thread).thenCompose(result -> result);
     }
 
-    private CompletableFuture<ClaimReply> write(Attempt attempt, int number) {
+    private CompletableFuture<ClaimResponse> write(Attempt attempt, int number) {
         return lease.current()
                 .thenComposeAsync(
                         leaseId -> {
@@ -139,7 +139,7 @@
                             }
                             String value = ClaimValue.of(attempt.claimId(), attempt.request(), Optional.empty())
                                     .toJson();
-                            Write put = new Write.Put(attempt.request().key().path(), value, leaseId.get());
+                            Write put = new Write.Put(attempt.request().key().storeKey(), value, leaseId.get());
                             return committer
                                     .submit(attempt.condition(), put)
                                     .thenCompose(result -> handleWriteResult(attempt, number, result));
@@ -147,18 +147,18 @@
                         thread);
     }
 
-    private CompletableFuture<ClaimReply> handleWriteResult(Attempt attempt, int number, WriteResult result) {
+    private CompletableFuture<ClaimResponse> handleWriteResult(Attempt attempt, int number, WriteResult result) {
         if (result instanceof WriteResult.Applied applied) {
-            Claim claim = new Claim(attempt.request(), attempt.claimId(), applied.revision());
-            return CompletableFuture.completedFuture(ClaimReply.granted(claim));
+            HeldClaim claim = new HeldClaim(attempt.request(), attempt.claimId(), applied.revision());
+            return CompletableFuture.completedFuture(ClaimResponse.granted(claim));
         }
         if (result instanceof WriteResult.CompareFailed failed) {
             Optional<KeyValue> current = Optional.ofNullable(
-                    failed.current().get(attempt.request().key().path()));
-            boolean replaces = attempt.condition() instanceof Compare.ModRevision;
+                    failed.current().get(attempt.request().key().storeKey()));
+            boolean replaces = attempt.condition() instanceof Condition.ModRevision;
             if (current.isEmpty() && replaces && number < MAX_ATTEMPTS) {
                 // The claim to be replaced was released in the meantime, so the key is free.
-                Compare absent = Compare.absent(attempt.request().key().path());
+                Condition absent = Condition.absent(attempt.request().key().storeKey());
                 return write(new Attempt(attempt.request(), attempt.claimId(), absent, attempt.ownIds()), number + 1);
             }
             return CompletableFuture.completedFuture(replyAfterFailedCompare(attempt, current));
@@ -179,37 +179,37 @@
      * Returns the reply after a failed compare. An entry with this attempt's claim id is its own write with a lost
      * reply.
      */
-    private ClaimReply replyAfterFailedCompare(Attempt attempt, Optional<KeyValue> current) {
+    private ClaimResponse replyAfterFailedCompare(Attempt attempt, Optional<KeyValue> current) {
         Optional<ClaimValue> value = current.map(KeyValue::value).flatMap(ClaimValue::parse);
         if (value.filter(claim -> claim.claimId().equals(attempt.claimId())).isPresent()) {
-            return ClaimReply.granted(new Claim(
+            return ClaimResponse.granted(new HeldClaim(
                     attempt.request(), attempt.claimId(), current.get().modRevision()));
         }
         return replyOf(current, attempt.request());
     }
 
-    private static ClaimReply replyOf(Optional<KeyValue> current, ClaimRequest request) {
+    private static ClaimResponse replyOf(Optional<KeyValue> current, ClaimRequest request) {
         Optional<ClaimValue> value = current.map(KeyValue::value).flatMap(ClaimValue::parse);
         if (current.isPresent() && value.isEmpty()) {
-            LOG.log(Level.ERROR, "claim at key {0} is malformed", request.key().path());
+            LOG.log(Level.ERROR, "claim at key {0} is malformed", request.key().storeKey());
         }
-        return value.map(claim -> claim.replyTo(request.fingerprint())).orElseGet(ClaimReply::unavailable);
+        return value.map(claim -> claim.replyTo(request.fingerprint())).orElseGet(ClaimResponse::unavailable);
     }
 
     /**
      * Returns the reply that the claim is unavailable; removes the claim in the background if its write is in doubt.
      */
-    private ClaimReply replyUnavailable(Attempt attempt, boolean inDoubt) {
+    private ClaimResponse replyUnavailable(Attempt attempt, boolean inDoubt) {
         if (inDoubt) {
             cleanup.removeInDoubt(attempt.request().key(), attempt.ownIds());
         }
-        return ClaimReply.unavailable();
+        return ClaimResponse.unavailable();
     }
 
     /** Removes the claim of a request that did not run; retried in the background until the store answers. */
-    public void release(Claim claim) {
-        Compare unchanged = new Compare.ModRevision(claim.request().key().path(), claim.modRevision());
-        Write delete = new Write.Delete(claim.request().key().path());
+    public void release(HeldClaim claim) {
+        Condition unchanged = new Condition.ModRevision(claim.request().key().storeKey(), claim.modRevision());
+        Write delete = new Write.Delete(claim.request().key().storeKey());
         runOnStoreThread(() -> committer.submit(unchanged, delete)).thenAccept(result -> {
             if (!(result instanceof WriteResult.Applied)) {
                 cleanup.removeInDoubt(claim.request().key(), Set.of(claim.claimId()));
@@ -221,23 +221,23 @@
      * Stores the outcome of a request in its claim, and returns whether it is stored: false if this process no longer
      * holds the claim or too many retries wait. Retried in the background until the store answers.
      */
-    public CompletableFuture<Boolean> recordOutcome(Claim claim, StoredOutcome outcome) {
+    public CompletableFuture<Boolean> recordOutcome(HeldClaim claim, StoredOutcome outcome) {
         return runOnStoreThread(() -> recordOutcome(claim, outcome, new Backoff(random)));
     }
 
-    private CompletableFuture<Boolean> recordOutcome(Claim claim, StoredOutcome outcome, Backoff backoff) {
+    private CompletableFuture<Boolean> recordOutcome(HeldClaim claim, StoredOutcome outcome, Backoff backoff) {
         return lease.current()
                 .thenComposeAsync(
                         leaseId -> {
                             if (leaseId.isEmpty()) {
                                 return retryRecord(claim, outcome, backoff);
                             }
-                            String path = claim.request().key().path();
+                            String path = claim.request().key().storeKey();
                             String value = ClaimValue.of(claim.claimId(), claim.request(), Optional.of(outcome))
                                     .toJson();
                             return committer
                                     .submit(
-                                            new Compare.ModRevision(path, claim.modRevision()),
+                                            new Condition.ModRevision(path, claim.modRevision()),
                                             new Write.Put(path, value, leaseId.get()))
                                     .thenCompose(result -> handleRecordResult(claim, outcome, backoff, result));
                         },
@@ -245,7 +245,7 @@
     }
 
     private CompletableFuture<Boolean> handleRecordResult(
-            Claim claim, StoredOutcome outcome, Backoff backoff, WriteResult result) {
+            HeldClaim claim, StoredOutcome outcome, Backoff backoff, WriteResult result) {
         if (result instanceof WriteResult.Applied) {
             return CompletableFuture.completedFuture(true);
         }
@@ -256,7 +256,7 @@
             return retryRecord(claim, outcome, backoff);
         }
         boolean ownWrite = Optional.ofNullable(
-                        failed.current().get(claim.request().key().path()))
+                        failed.current().get(claim.request().key().storeKey()))
                 .flatMap(entry -> ClaimValue.parse(entry.value()))
                 .filter(value -> value.claimId().equals(claim.claimId()))
                 .filter(value -> value.outcome().isPresent())
@@ -270,12 +270,12 @@
         return CompletableFuture.completedFuture(ownWrite);
     }
 
-    private CompletableFuture<Boolean> retryRecord(Claim claim, StoredOutcome outcome, Backoff backoff) {
+    private CompletableFuture<Boolean> retryRecord(HeldClaim claim, StoredOutcome outcome, Backoff backoff) {
         return cleanup.runAfterBackoff(backoff, false, () -> recordOutcome(claim, outcome, backoff));
     }
 
     /** Returns the number of claim removals and outcomes that wait for their next attempt. */
-    public int pending() {
+    public int pendingRetryCount() {
         return cleanup.pending();
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimValue.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimValue.java
@@ -6,7 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dev.wigeonward.core.dispatch.ClaimAnswer;
+import dev.wigeonward.core.dispatch.ClaimResult;
 import dev.wigeonward.core.request.RequestId;
 
 /** Value of a claim in the store, encoded as JSON. */
@@ -80,14 +80,14 @@
     }
 
     /** Returns the reply to a request with the given fingerprint for the key that this claim holds. */
-    ClaimReply replyTo(String otherFingerprint) {
+    ClaimResponse replyTo(String otherFingerprint) {
         if (!fingerprint.equals(otherFingerprint)) {
-            return ClaimReply.of(new ClaimAnswer.OtherContent());
+            return ClaimResponse.of(new ClaimResult.ContentMismatch());
         }
         if (outcome.isPresent()) {
-            return new ClaimReply(new ClaimAnswer.OutcomeStored(), Optional.empty(), outcome);
+            return new ClaimResponse(new ClaimResult.OutcomeStored(), Optional.empty(), outcome);
         }
-        return ClaimReply.of(
-                new ClaimAnswer.HeldByOther(claimId, new RequestId(requestId), upstreamId, upstreamIncarnation));
+        return ClaimResponse.of(
+                new ClaimResult.HeldByOther(claimId, new RequestId(requestId), upstreamId, upstreamIncarnation));
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/store/StoreControllerLease.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ControllerLease.java
@@ -15,7 +15,7 @@
  * lease counts as lost if it was not renewed in time by the clock of this process, a margin before the store may grant
  * it to another process.
  */
-public final class StoreControllerLease implements AutoCloseable {
+public final class ControllerLease implements AutoCloseable {
     /** Key that the holder of the lease creates. */
     public static final String KEY = "/wigeonward/controller";
 
@@ -26,7 +26,7 @@
      * Time before expiry at the store from which the lease counts as lost. Covers clocks of different speed, and the
      * time between checking the lease and sending an order.
      */
-    public static final long MARGIN_MILLIS = 2_000;
+    public static final long EXPIRY_MARGIN_MILLIS = 2_000;
 
     /** Time between renewals of a held lease. */
     public static final long RENEWAL_MILLIS = 3_000;
@@ -34,8 +34,8 @@
     /** Mean time between a candidate's reads of the key. */
     public static final long POLL_MILLIS = 5_000;
 
-    private static final System.Logger LOG = System.getLogger(StoreControllerLease.class.getName());
-    private static final long VALID_MILLIS = TTL_SECONDS * 1_000 - MARGIN_MILLIS;
+    private static final System.Logger LOG = System.getLogger(ControllerLease.class.getName());
+    private static final long VALID_MILLIS = TTL_SECONDS * 1_000 - EXPIRY_MARGIN_MILLIS;
     /** Time between retries of a failed renewal; leaves time for several retries before the lease expires. */
     private static final long RENEWAL_RETRY_MILLIS = 1_000;
 
@@ -47,7 +47,7 @@
     private final ScheduledExecutorService thread;
     private final RandomGenerator random;
     private final String holderId;
-    private final ControllerListener listener;
+    private final ControllerLeaseListener listener;
     private ScheduledFuture<?> checks;
     private volatile Held held;
     private volatile boolean candidate;
@@ -55,13 +55,13 @@
     private boolean callInFlight;
     private long nextCallMillis;
 
-    private StoreControllerLease(
+    private ControllerLease(
             KeyValueStore store,
             Clock clock,
             ScheduledExecutorService thread,
             RandomGenerator random,
             String holderId,
-            ControllerListener listener) {
+            ControllerLeaseListener listener) {
         this.store = Objects.requireNonNull(store, "store");
         this.clock = clock;
         this.thread = thread;
@@ -71,14 +71,14 @@
     }
 
     /** Returns a lease that this process does not try to acquire before {@link #setCandidate} allows it. */
-    public static StoreControllerLease create(
+    public static ControllerLease create(
             KeyValueStore store,
             Clock clock,
             ScheduledExecutorService thread,
             RandomGenerator random,
             String holderId,
-            ControllerListener listener) {
-        StoreControllerLease lease = new StoreControllerLease(store, clock, thread, random, holderId, listener);
+            ControllerLeaseListener listener) {
+        ControllerLease lease = new ControllerLease(store, clock, thread, random, holderId, listener);
         lease.checks = thread.scheduleWithFixedDelay(lease::check, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
         return lease;
     }
@@ -119,8 +119,8 @@
             callInFlight = true;
             nextCallMillis = nowMillis + POLL_MILLIS / 2 + random.nextLong(POLL_MILLIS);
             store.get(KEY).thenAccept(result -> {
-                boolean free =
-                        result.value().isPresent() && result.value().get().isEmpty();
+                boolean free = result.toOptional().isPresent()
+                        && result.toOptional().get().isEmpty();
                 if (free && !closed) {
                     acquire();
                 } else {
@@ -136,7 +136,7 @@
             if (held != lease) {
                 return;
             }
-            Optional<Long> secondsLeft = result.value();
+            Optional<Long> secondsLeft = result.toOptional();
             if (secondsLeft.isEmpty()) {
                 nextCallMillis = clock.millis() + RENEWAL_RETRY_MILLIS;
             } else if (secondsLeft.get() == 0) {
@@ -155,7 +155,7 @@
         nextCallMillis = clock.millis() + random.nextLong(POLL_MILLIS);
         LOG.log(Level.WARNING, "controller lease {0} lost: {1}", Long.toString(lease.fencingNumber()), reason);
         store.revokeLease(lease.leaseId());
-        listener.lost();
+        listener.onLost();
     }
 
     private void acquire() {
@@ -170,7 +170,7 @@
                     .put("holder", holderId)
                     .put("lease_id", Long.toHexString(leaseId))
                     .toString();
-            store.commit(Transaction.of(Compare.absent(KEY), new Write.Put(KEY, value, leaseId)))
+            store.commit(Transaction.of(Condition.absent(KEY), new Write.Put(KEY, value, leaseId)))
                     .thenAccept(result -> handleKeyWrite(leaseId, value, validUntilMillis, result));
         });
     }
@@ -184,8 +184,9 @@
             startHolding(new Held(leaseId, applied.revision(), validUntilMillis));
         } else if (result instanceof WriteResult.OutcomeUnknown) {
             store.get(KEY).thenAccept(current -> {
-                Optional<KeyValue> own = current.value().flatMap(entry -> entry).filter(entry -> entry.value()
-                        .equals(value));
+                Optional<KeyValue> own = current.toOptional()
+                        .flatMap(entry -> entry)
+                        .filter(entry -> entry.value().equals(value));
                 if (own.isPresent()) {
                     startHolding(new Held(leaseId, own.get().createRevision(), validUntilMillis));
                 } else {
@@ -212,7 +213,7 @@
         held = lease;
         nextCallMillis = clock.millis() + RENEWAL_MILLIS;
         LOG.log(Level.INFO, "controller lease {0} acquired", Long.toString(lease.fencingNumber()));
-        listener.acquired(lease.fencingNumber());
+        listener.onAcquired(lease.fencingNumber());
     }
 
     /** Revokes the lease if it is held, so that another process can acquire it without waiting for its expiry. */
--- a/common/src/main/java/dev/wigeonward/common/store/ControllerListener.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ControllerLeaseListener.java
@@ -1,10 +1,10 @@
 package dev.wigeonward.common.store;
 
 /** Listener for acquiring and losing the controller lease; called on the store's thread. */
-public interface ControllerListener {
+public interface ControllerLeaseListener {
     /** Called with the fencing number of a newly acquired lease. */
-    void acquired(long fencingNumber);
+    void onAcquired(long fencingNumber);
 
     /** Called when the lease was lost, or when this process can no longer be sure that it holds the lease. */
-    void lost();
+    void onLost();
 }
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdHttp.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdHttp.java
@@ -51,7 +51,7 @@
     /** Sends a call and returns its result, completed on the executor after the call timeout at the latest. */
     CompletableFuture<CallResult> call(CallType type, JsonNode body) {
         CompletableFuture<CallResult> result = new CompletableFuture<>();
-        if (callsInFlight.incrementAndGet() > options.callsInFlight()) {
+        if (callsInFlight.incrementAndGet() > options.maxCallsInFlight()) {
             callsInFlight.decrementAndGet();
             complete(result, type, new CallResult.OverBudget("calls in flight"));
             return result;
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdJson.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdJson.java
@@ -65,25 +65,25 @@
     static ObjectNode transaction(Transaction transaction) {
         ObjectNode request = object();
         ArrayNode compares = request.putArray("compare");
-        transaction.compares().forEach(compare -> compares.add(compare(compare)));
+        transaction.conditions().forEach(compare -> compares.add(compare(compare)));
         ArrayNode writes = request.putArray("success");
         transaction.writes().forEach(write -> writes.add(write(write)));
         ArrayNode reads = request.putArray("failure");
         Set<String> keys = new LinkedHashSet<>();
-        transaction.compares().forEach(compare -> keys.add(compare.key()));
+        transaction.conditions().forEach(compare -> keys.add(compare.key()));
         keys.forEach(key -> reads.addObject().putObject("request_range").put("key", encode(key)));
         return request;
     }
 
-    private static ObjectNode compare(Compare compare) {
+    private static ObjectNode compare(Condition compare) {
         ObjectNode node = object().put("key", encode(compare.key())).put("result", "EQUAL");
-        if (compare instanceof Compare.ModRevision mod) {
+        if (compare instanceof Condition.ModRevision mod) {
             return node.put("target", "MOD").put("mod_revision", Long.toString(mod.revision()));
         }
-        if (compare instanceof Compare.CreateRevision create) {
+        if (compare instanceof Condition.CreateRevision create) {
             return node.put("target", "CREATE").put("create_revision", Long.toString(create.revision()));
         }
-        return node.put("target", "VALUE").put("value", encode(((Compare.Value) compare).value()));
+        return node.put("target", "VALUE").put("value", encode(((Condition.Value) compare).value()));
     }
 
     private static ObjectNode write(Write write) {
@@ -109,7 +109,7 @@
         return current;
     }
 
-    static Change change(JsonNode event) {
-        return new Change("DELETE".equals(event.path("type").asText()), keyValue(event.path("kv")));
+    static KeyChange change(JsonNode event) {
+        return new KeyChange("DELETE".equals(event.path("type").asText()), keyValue(event.path("kv")));
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdRevisionStore.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdRevisionStore.java
@@ -71,10 +71,10 @@
     /** Reads the newest accepted revision; the result is completed on the store's thread. */
     public CompletableFuture<HeadResult> readHeadAsync() {
         return store.get(HEAD_KEY).thenCompose(result -> {
-            if (result.value().isEmpty()) {
+            if (result.toOptional().isEmpty()) {
                 return completed(new HeadResult.Unavailable(result.toString()));
             }
-            Optional<KeyValue> head = result.value().get();
+            Optional<KeyValue> head = result.toOptional().get();
             return head.isEmpty() ? completed(new HeadResult.Empty()) : readText(head.get());
         });
     }
@@ -85,10 +85,10 @@
             return completed(malformed(HEAD_KEY));
         }
         return readEntry(number.get()).thenApply(result -> {
-            if (result.value().isEmpty()) {
+            if (result.toOptional().isEmpty()) {
                 return new HeadResult.Unavailable(result.toString());
             }
-            Optional<StoredRevision> revision = result.value().get();
+            Optional<StoredRevision> revision = result.toOptional().get();
             return revision.isPresent() ? new HeadResult.Found(revision.get()) : malformed(historyKey(number.get()));
         });
     }
@@ -100,9 +100,9 @@
 
     private CompletableFuture<ReadResult<Optional<StoredRevision>>> readEntry(long number) {
         return store.get(historyKey(number)).thenApply(result -> {
-            if (result instanceof ReadResult.Read<Optional<KeyValue>> read) {
+            if (result instanceof ReadResult.Success<Optional<KeyValue>> read) {
                 Optional<StoredRevision> revision = read.content().flatMap(entry -> RevisionJson.parse(entry.value()));
-                return new ReadResult.Read<>(revision, read.revision());
+                return new ReadResult.Success<>(revision, read.revision());
             }
             return new ReadResult.Unavailable<>(result.toString());
         });
@@ -117,10 +117,10 @@
                 number,
                 expectedNumber);
         CompletableFuture<WriteResult> result = store.get(HEAD_KEY).thenCompose(read -> {
-            if (read.value().isEmpty()) {
+            if (read.toOptional().isEmpty()) {
                 return completed(new WriteResult.Unavailable(read.toString()));
             }
-            Optional<KeyValue> head = read.value().get();
+            Optional<KeyValue> head = read.toOptional().get();
             Optional<Long> current =
                     head.isEmpty() ? Optional.of(0L) : head.flatMap(entry -> RevisionJson.headNumber(entry.value()));
             return current.equals(Optional.of(expectedNumber))
@@ -132,7 +132,7 @@
 
     private CompletableFuture<WriteResult> write(long headModRevision, StoredRevision next) {
         Transaction transaction = new Transaction(
-                List.of(new Compare.ModRevision(HEAD_KEY, headModRevision)),
+                List.of(new Condition.ModRevision(HEAD_KEY, headModRevision)),
                 List.of(
                         new Write.Put(HEAD_KEY, RevisionJson.head(next), 0),
                         new Write.Put(historyKey(next.revision().number()), RevisionJson.entry(next), 0)));
@@ -154,14 +154,14 @@
     private CompletableFuture<WriteResult> resolveWrite(StoredRevision next, boolean inDoubt) {
         long number = next.revision().number();
         return readEntry(number).thenCompose(entry -> {
-            boolean own = entry.value()
+            boolean own = entry.toOptional()
                     .flatMap(revision -> revision)
                     .filter(revision -> revision.applyId().equals(next.applyId()))
                     .isPresent();
             if (own) {
                 return completed(new WriteResult.Applied());
             }
-            if (entry.value().isEmpty()) {
+            if (entry.toOptional().isEmpty()) {
                 return completed(new WriteResult.Unavailable(entry.toString()));
             }
             return readHeadAsync().thenApply(head -> conflict(head, number, inDoubt));
@@ -188,10 +188,10 @@
         Preconditions.checkArgument(maxEntries > 0, "maxEntries is %s, expected more than 0", maxEntries);
         return await(
                 store.get(HEAD_KEY).thenCompose(result -> {
-                    if (result.value().isEmpty()) {
+                    if (result.toOptional().isEmpty()) {
                         return completed(new HistoryResult.Unavailable(result.toString()));
                     }
-                    long head = result.value()
+                    long head = result.toOptional()
                             .get()
                             .flatMap(entry -> RevisionJson.headNumber(entry.value()))
                             .orElse(0L);
@@ -213,10 +213,10 @@
         }
         int limit = (int) Math.min(MAX_ENTRIES_PER_CALL, newest - after);
         return store.range(HISTORY_PREFIX, historyKey(after), limit).thenCompose(result -> {
-            if (result.value().isEmpty()) {
+            if (result.toOptional().isEmpty()) {
                 return completed(new HistoryResult.Unavailable(result.toString()));
             }
-            result.value().get().entries().stream()
+            result.toOptional().get().entries().stream()
                     .flatMap(entry -> RevisionJson.parse(entry.value()).stream())
                     .filter(revision -> revision.revision().number() <= newest)
                     .forEach(entries::add);
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdStore.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdStore.java
@@ -87,7 +87,7 @@
     private static <T> ReadResult<T> readResult(CallResult result, Function<JsonNode, T> content) {
         if (result instanceof CallResult.Answered answered) {
             JsonNode body = answered.body();
-            return new ReadResult.Read<>(content.apply(body), EtcdJson.revision(body));
+            return new ReadResult.Success<>(content.apply(body), EtcdJson.revision(body));
         }
         if (result instanceof CallResult.OverBudget over) {
             return new ReadResult.RateLimited<>("call budget of this process: " + over.reason());
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdWatch.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdWatch.java
@@ -112,7 +112,7 @@
         long compactRevision = result.path("compact_revision").asLong();
         if (compactRevision > 0) {
             nextRevision = Math.max(nextRevision, compactRevision);
-            listener.compacted(nextRevision);
+            listener.onCompacted(nextRevision);
         }
         if (result.isMissingNode() || result.path("canceled").asBoolean()) {
             onConnectionEnded(attempt, "cancelled by the service");
@@ -121,7 +121,7 @@
         if (!connected) {
             connected = true;
             backoff.reset();
-            listener.connected(true);
+            listener.onConnectionChanged(true);
             handleRegression(EtcdJson.revision(result));
         }
         reportChanges(result);
@@ -135,7 +135,7 @@
     private void handleRegression(long serviceRevision) {
         if (serviceRevision + 1 < nextRevision) {
             nextRevision = serviceRevision + 1;
-            listener.compacted(serviceRevision);
+            listener.onCompacted(serviceRevision);
             onConnectionEnded(
                     attempt, "the service is at revision " + serviceRevision + ", older than the last reported one");
         }
@@ -143,16 +143,16 @@
 
     /** Calls the listener with the changes of a message that were not reported before. */
     private void reportChanges(JsonNode result) {
-        List<Change> changes = new ArrayList<>();
+        List<KeyChange> changes = new ArrayList<>();
         result.path("events").forEach(event -> changes.add(EtcdJson.change(event)));
         // A service that was restored from an older state may send revisions again that were already reported.
-        changes.removeIf(change -> change.entry().modRevision() < nextRevision);
+        changes.removeIf(change -> change.keyValue().modRevision() < nextRevision);
         if (changes.isEmpty()) {
             return;
         }
-        long revision = changes.get(changes.size() - 1).entry().modRevision();
+        long revision = changes.get(changes.size() - 1).keyValue().modRevision();
         nextRevision = revision + 1;
-        listener.changed(changes, revision);
+        listener.onChanges(changes, revision);
     }
 
     /** Closes the connection of an attempt and schedules the next one; ignores attempts that are over. */
@@ -164,7 +164,7 @@
         connection.cancel();
         if (connected) {
             connected = false;
-            listener.connected(false);
+            listener.onConnectionChanged(false);
         }
         LOG.log(Level.DEBUG, "watch on prefix {0} ended and will be opened again: {1}", prefix, reason);
         thread.schedule(this::open, backoff.nextMillis(), TimeUnit.MILLISECONDS);
--- a/common/src/main/java/dev/wigeonward/common/store/GroupCommitter.java
+++ b/common/src/main/java/dev/wigeonward/common/store/GroupCommitter.java
@@ -56,7 +56,7 @@
     }
 
     /** Write that waits for its group, with the number of times that its group was rate limited. */
-    private record PendingWrite(Compare compare, Write write, CompletableFuture<WriteResult> result, int refusals) {
+    private record PendingWrite(Condition compare, Write write, CompletableFuture<WriteResult> result, int refusals) {
         PendingWrite withRefusal() {
             return new PendingWrite(compare, write, result, refusals + 1);
         }
@@ -69,7 +69,7 @@
     /**
      * Submits a write under a condition on the same key and returns its result. Must be called on the store's thread.
      */
-    CompletableFuture<WriteResult> submit(Compare compare, Write write) {
+    CompletableFuture<WriteResult> submit(Condition compare, Write write) {
         Preconditions.checkArgument(
                 compare.key().equals(write.key()),
                 "%s and %s have different keys, expected the same key",
@@ -169,7 +169,7 @@
         for (PendingWrite item : group) {
             String key = item.write().key();
             Optional<KeyValue> current = Optional.ofNullable(failed.current().get(key));
-            if (item.compare().holds(current)) {
+            if (item.compare().isMetBy(current)) {
                 others.add(item);
             } else {
                 Map<String, KeyValue> own =
--- a/common/src/main/java/dev/wigeonward/common/store/Claim.java
+++ b/common/src/main/java/dev/wigeonward/common/store/HeldClaim.java
@@ -6,4 +6,4 @@
  * @param claimId random id that changes with each move, so that taking over the claim of an earlier upstream fails
  * @param modRevision revision of the write that created or moved the claim
  */
-public record Claim(ClaimRequest request, String claimId, long modRevision) {}
+public record HeldClaim(ClaimRequest request, String claimId, long modRevision) {}
--- a/common/src/main/java/dev/wigeonward/common/store/Change.java
+++ b/common/src/main/java/dev/wigeonward/common/store/KeyChange.java
@@ -5,4 +5,4 @@
  *
  * @param deleted whether the key was removed; the entry then holds only the key and the revision of the removal
  */
-public record Change(boolean deleted, KeyValue entry) {}
+public record KeyChange(boolean deleted, KeyValue keyValue) {}
--- a/common/src/main/java/dev/wigeonward/common/store/Page.java
+++ b/common/src/main/java/dev/wigeonward/common/store/Page.java
@@ -5,9 +5,9 @@
 /**
  * Page of the entries under a prefix, in the order of keys.
  *
- * @param more whether further entries follow the last one
+ * @param hasMore whether further entries follow the last one
  */
-public record Page(List<KeyValue> entries, boolean more) {
+public record Page(List<KeyValue> entries, boolean hasMore) {
     public Page {
         entries = List.copyOf(entries);
     }
--- a/common/src/main/java/dev/wigeonward/common/store/ReadResult.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ReadResult.java
@@ -5,14 +5,14 @@
 /** Result of a call that does not change the store. */
 public sealed interface ReadResult<T> {
     /** Returns the content that was read, or empty if the read failed. */
-    default Optional<T> value() {
+    default Optional<T> toOptional() {
         return Optional.empty();
     }
 
     /** The service answered with its state at a revision. */
-    record Read<T>(T content, long revision) implements ReadResult<T> {
+    record Success<T>(T content, long revision) implements ReadResult<T> {
         @Override
-        public Optional<T> value() {
+        public Optional<T> toOptional() {
             return Optional.of(content);
         }
     }
--- a/common/src/main/java/dev/wigeonward/common/store/HeadWatch.java
+++ b/common/src/main/java/dev/wigeonward/common/store/RevisionHeadWatch.java
@@ -13,8 +13,8 @@
  * Watch on head for the entries that read the store: reads head once at the start and again after each change that the
  * underlying watch reports. Failed reads are retried with backoff. All state is confined to the store's thread.
  */
-public final class HeadWatch implements AutoCloseable {
-    private static final System.Logger LOG = System.getLogger(HeadWatch.class.getName());
+public final class RevisionHeadWatch implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(RevisionHeadWatch.class.getName());
 
     private final KeyValueStore store;
     private final EtcdRevisionStore revisions;
@@ -26,7 +26,7 @@
     private boolean reading;
     private boolean changedWhileReading;
 
-    private HeadWatch(
+    private RevisionHeadWatch(
             KeyValueStore store,
             EtcdRevisionStore revisions,
             ScheduledExecutorService thread,
@@ -42,13 +42,13 @@
     /**
      * Starts a watch. The listener is called on the store's thread with the result of each read, also of failed ones.
      */
-    public static HeadWatch start(
+    public static RevisionHeadWatch start(
             KeyValueStore store,
             EtcdRevisionStore revisions,
             ScheduledExecutorService thread,
             RandomGenerator random,
             Consumer<RevisionStore.HeadResult> listener) {
-        HeadWatch headWatch = new HeadWatch(store, revisions, thread, random, listener);
+        RevisionHeadWatch headWatch = new RevisionHeadWatch(store, revisions, thread, random, listener);
         thread.execute(headWatch::open);
         return headWatch;
     }
@@ -59,7 +59,7 @@
             return;
         }
         store.get(EtcdRevisionStore.HEAD_KEY).thenAccept(result -> {
-            if (!(result instanceof ReadResult.Read<?> read)) {
+            if (!(result instanceof ReadResult.Success<?> read)) {
                 listener.accept(new RevisionStore.HeadResult.Unavailable(result.toString()));
                 thread.schedule(this::open, backoff.nextMillis(), TimeUnit.MILLISECONDS);
                 return;
@@ -73,12 +73,12 @@
 
     private final class Listener implements WatchListener {
         @Override
-        public void changed(List<Change> changes, long revision) {
+        public void onChanges(List<KeyChange> changes, long revision) {
             read();
         }
 
         @Override
-        public void compacted(long revision) {
+        public void onCompacted(long revision) {
             read();
         }
     }
--- a/common/src/main/java/dev/wigeonward/common/store/StoreOptions.java
+++ b/common/src/main/java/dev/wigeonward/common/store/StoreOptions.java
@@ -14,13 +14,13 @@
  *
  * @param watchIdleMillis time without any message after which a watch is opened again, as a broken connection cannot be
  *     told from a store without changes
- * @param callsInFlight most calls that may be unanswered at the same time; watches are not counted
+ * @param maxCallsInFlight most calls that may be unanswered at the same time; watches are not counted
  */
 public record StoreOptions(
         InetSocketAddress address,
         long callTimeoutMillis,
         long watchIdleMillis,
-        int callsInFlight,
+        int maxCallsInFlight,
         double readsPerSecond,
         double writesPerSecond) {
     /** Name of the settings section of the store. */
@@ -32,17 +32,17 @@
             .optional();
 
     /** Time after which a call counts as unanswered. */
-    public static final SettingKey<Long> CALL_TIMEOUT = SettingKey.whole(
+    public static final SettingKey<Long> CALL_TIMEOUT = SettingKey.wholeNumber(
                     SECTION, "call_timeout_millis", 10, 60_000, "time until a call counts as unanswered")
             .withDefault(500L);
 
     /** Time after which a silent watch is opened again. */
-    public static final SettingKey<Long> WATCH_IDLE = SettingKey.whole(
+    public static final SettingKey<Long> WATCH_IDLE = SettingKey.wholeNumber(
                     SECTION, "watch_idle_millis", 100, 600_000, "time after which a silent watch is opened again")
             .withDefault(4_000L);
 
     /** Most calls that may be unanswered at the same time. */
-    public static final SettingKey<Long> CALLS_IN_FLIGHT = SettingKey.whole(
+    public static final SettingKey<Long> CALLS_IN_FLIGHT = SettingKey.wholeNumber(
                     SECTION, "calls_in_flight_count", 1, 1_000, "most calls without an answer; more are refused")
             .withDefault(16L);
 
@@ -62,7 +62,8 @@
                 callTimeoutMillis > 0, "callTimeoutMillis is %s, expected more than 0", callTimeoutMillis);
         Preconditions.checkArgument(
                 watchIdleMillis > 0, "watchIdleMillis is %s, expected more than 0", watchIdleMillis);
-        Preconditions.checkArgument(callsInFlight > 0, "callsInFlight is %s, expected more than 0", callsInFlight);
+        Preconditions.checkArgument(
+                maxCallsInFlight > 0, "callsInFlight is %s, expected more than 0", maxCallsInFlight);
         Preconditions.checkArgument(readsPerSecond > 0, "readsPerSecond is %s, expected more than 0", readsPerSecond);
         Preconditions.checkArgument(
                 writesPerSecond > 0, "writesPerSecond is %s, expected more than 0", writesPerSecond);
@@ -85,7 +86,7 @@
     }
 
     /** Returns the keys of the section with a mandatory address, for a process that requires the service. */
-    public static List<SettingKey<?>> mandatoryKeys() {
+    public static List<SettingKey<?>> keysWithRequiredAddress() {
         return List.of(ADDRESS.mandatory(), CALL_TIMEOUT, WATCH_IDLE, CALLS_IN_FLIGHT, READS, WRITES);
     }
 
--- a/common/src/main/java/dev/wigeonward/common/store/StoredOutcome.java
+++ b/common/src/main/java/dev/wigeonward/common/store/StoredOutcome.java
@@ -7,7 +7,7 @@
 /** Answer to a completed request, stored for resends with the same idempotency key. */
 public final class StoredOutcome {
     /** Longest body that is stored; for a longer one, a resend is told only that the request was answered. */
-    public static final int BODY_LIMIT_BYTES = 16 * 1024;
+    public static final int MAX_BODY_BYTES = 16 * 1024;
 
     private final int status;
     private final String contentType;
@@ -21,7 +21,7 @@
 
     /** Returns the outcome for an answer, without the body if that exceeds the limit. */
     public static StoredOutcome of(int status, String contentType, byte[] body) {
-        return new StoredOutcome(status, contentType, body.length > BODY_LIMIT_BYTES ? null : body.clone());
+        return new StoredOutcome(status, contentType, body.length > MAX_BODY_BYTES ? null : body.clone());
     }
 
     /** Returns the outcome for an answer whose body is not stored. */
--- a/common/src/main/java/dev/wigeonward/common/store/Transaction.java
+++ b/common/src/main/java/dev/wigeonward/common/store/Transaction.java
@@ -7,9 +7,9 @@
 /**
  * Transaction of the key-value service: if all conditions hold, all writes take effect together, otherwise none does.
  */
-public record Transaction(List<Compare> compares, List<Write> writes) {
+public record Transaction(List<Condition> conditions, List<Write> writes) {
     public Transaction {
-        compares = List.copyOf(compares);
+        conditions = List.copyOf(conditions);
         writes = List.copyOf(writes);
         Preconditions.checkArgument(!writes.isEmpty(), "transaction has no write, expected at least one");
         Preconditions.checkArgument(
@@ -18,7 +18,7 @@
     }
 
     /** Returns a transaction with one condition and one write. */
-    public static Transaction of(Compare compare, Write write) {
+    public static Transaction of(Condition compare, Write write) {
         return new Transaction(List.of(compare), List.of(write));
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/vms/VmListOptions.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/VmListOptions.java
@@ -19,12 +19,12 @@
             SettingKey.address(SECTION, "address", "address of the list of VMs").optional();
 
     /** Mean time between polls; the actual time varies by half of it. */
-    public static final SettingKey<Long> POLL = SettingKey.whole(
+    public static final SettingKey<Long> POLL = SettingKey.wholeNumber(
                     SECTION, "poll_millis", 10, 3_600_000, "mean time between polls, varied by half of it")
             .withDefault(2_000L);
 
     /** Time after which a poll counts as unanswered. */
-    public static final SettingKey<Long> CALL_TIMEOUT = SettingKey.whole(
+    public static final SettingKey<Long> CALL_TIMEOUT = SettingKey.wholeNumber(
                     SECTION, "call_timeout_millis", 10, 60_000, "time until a poll counts as unanswered")
             .withDefault(1_000L);
 
@@ -49,7 +49,7 @@
     }
 
     /** Returns the keys of the section with a mandatory address, for a process that requires the list. */
-    public static List<SettingKey<?>> mandatoryKeys() {
+    public static List<SettingKey<?>> keysWithRequiredAddress() {
         return List.of(ADDRESS.mandatory(), POLL, CALL_TIMEOUT);
     }
 
--- a/common/src/test/java/dev/wigeonward/common/settings/SettingsDeclarationTest.java
+++ b/common/src/test/java/dev/wigeonward/common/settings/SettingsDeclarationTest.java
@@ -12,7 +12,7 @@
 class SettingsDeclarationTest {
     private static final SettingKey<InetSocketAddress> ADDRESS =
             SettingKey.address("node", "listen_address", "address for callers");
-    private static final SettingKey<Long> DRAIN = SettingKey.whole(
+    private static final SettingKey<Long> DRAIN = SettingKey.wholeNumber(
                     "node", "drain_limit_seconds", 1, 3_600, "longest wait for requests at shutdown")
             .withDefault(600L);
     private static final SettingKey<Boolean> VERBOSE =
@@ -21,14 +21,14 @@
             Map.of("node", "This process.", "log", "Log lines."), List.of(ADDRESS, DRAIN, VERBOSE));
 
     private static List<String> problemsOf(String text) {
-        assertThat(DECLARATION.check("test.ini", text)).isInstanceOf(SettingsResult.Invalid.class);
-        return ((SettingsResult.Invalid) DECLARATION.check("test.ini", text))
+        assertThat(DECLARATION.parse("test.ini", text)).isInstanceOf(SettingsResult.Invalid.class);
+        return ((SettingsResult.Invalid) DECLARATION.parse("test.ini", text))
                 .problems().stream().map(SettingsProblem::toString).toList();
     }
 
     private static Settings valid(String text) {
-        assertThat(DECLARATION.check("test.ini", text)).isInstanceOf(SettingsResult.Valid.class);
-        return ((SettingsResult.Valid) DECLARATION.check("test.ini", text)).settings();
+        assertThat(DECLARATION.parse("test.ini", text)).isInstanceOf(SettingsResult.Valid.class);
+        return ((SettingsResult.Valid) DECLARATION.parse("test.ini", text)).settings();
     }
 
     /** Guards against values that are parsed wrongly, and against defaults that override given values. */
@@ -79,7 +79,7 @@
     /** Guards against a documented example that lacks a key, or is invalid although its required key was given. */
     @Test
     void exampleNamesEveryKeyAndPassesTheCheck() {
-        String example = DECLARATION.documentedExample();
+        String example = DECLARATION.exampleFile();
 
         assertThat(example).contains("drain_limit_seconds = 600", "; listen_address =", "; verbose =");
         assertThat(valid(example.replace("; listen_address =", "listen_address = 127.0.0.1:1"))
@@ -90,7 +90,7 @@
     /** Guards against declaring a quantity whose name does not show its unit. */
     @Test
     void quantityWithoutUnitIsRefused() {
-        assertThatThrownBy(() -> SettingKey.whole("node", "drain_limit", 1, 2, "wait"))
+        assertThatThrownBy(() -> SettingKey.wholeNumber("node", "drain_limit", 1, 2, "wait"))
                 .hasMessageContaining("drain_limit does not end in a unit");
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareAdmissionQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareAdmissionQueue.java
@@ -12,15 +12,15 @@
  * displacement when full. {@link #poll} never returns a request whose deadline has passed.
  */
 public final class FairShareAdmissionQueue implements AdmissionQueue {
-    private final FairShareBacklog backlog;
+    private final FairShareQueue backlog;
 
-    private FairShareAdmissionQueue(FairShareBacklog backlog) {
+    private FairShareAdmissionQueue(FairShareQueue backlog) {
         this.backlog = backlog;
     }
 
     /** Returns an empty queue for at most {@code capacity} requests. */
     public static FairShareAdmissionQueue create(int capacity, WorkspaceWeights weights) {
-        return new FairShareAdmissionQueue(FairShareBacklog.create(capacity, 0, weights));
+        return new FairShareAdmissionQueue(FairShareQueue.create(capacity, 0, weights));
     }
 
     @Override
@@ -40,7 +40,7 @@
 
     @Override
     public List<RequestSpec> removeExpired(long nowMillis) {
-        return backlog.removeUnreachable(nowMillis);
+        return backlog.removeExpired(nowMillis);
     }
 
     @Override
--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareBacklog.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareQueue.java
@@ -24,7 +24,7 @@
  * is full, an arriving request displaces the last one in this order, provided that it precedes it. Operations take time
  * logarithmic in the number of requests. Not thread-safe.
  */
-public final class FairShareBacklog {
+public final class FairShareQueue {
     private final int capacity;
     private final long shortMillis;
     private final Map<Tier, TierBacklog> tiers = new EnumMap<>(Tier.class);
@@ -36,7 +36,7 @@
     private long nextSequence;
     private long nextFrontSequence = -1;
 
-    private FairShareBacklog(int capacity, long shortMillis, WorkspaceWeights weights) {
+    private FairShareQueue(int capacity, long shortMillis, WorkspaceWeights weights) {
         Preconditions.checkArgument(capacity > 0, "capacity must be positive but was %s", capacity);
         Preconditions.checkArgument(shortMillis >= 0, "shortMillis must not be negative but was %s", shortMillis);
         Objects.requireNonNull(weights, "weights");
@@ -53,8 +53,8 @@
      * @param capacity maximum number of queued requests
      * @param shortMillis longest service time of a short request, in milliseconds
      */
-    public static FairShareBacklog create(int capacity, long shortMillis, WorkspaceWeights weights) {
-        return new FairShareBacklog(capacity, shortMillis, weights);
+    public static FairShareQueue create(int capacity, long shortMillis, WorkspaceWeights weights) {
+        return new FairShareQueue(capacity, shortMillis, weights);
     }
 
     /**
@@ -154,15 +154,15 @@
         tiers.get(request.tier()).putBack(item);
     }
 
-    /** Removes a queued request from the order; the next {@link #removeUnreachable} returns it. */
-    public void setAside(RequestSpec request) {
+    /** Removes a queued request from the order; the next {@link #removeExpired} returns it. */
+    public void markUnreachable(RequestSpec request) {
         if (remove(request.id())) {
             unreachable.put(request.id(), request);
         }
     }
 
     /** Removes and returns the requests that can no longer meet their deadline. */
-    public List<RequestSpec> removeUnreachable(long nowMillis) {
+    public List<RequestSpec> removeExpired(long nowMillis) {
         setAsideUnreachable(nowMillis);
         List<RequestSpec> removed = new ArrayList<>(unreachable.values());
         unreachable.clear();
@@ -171,7 +171,7 @@
 
     private void setAsideUnreachable(long nowMillis) {
         while (!byLatestStart.isEmpty() && byLatestStart.first().latestStartMillis() < nowMillis) {
-            setAside(byLatestStart.first().request());
+            markUnreachable(byLatestStart.first().request());
         }
     }
 
--- a/core/src/main/java/dev/wigeonward/core/admission/WorkspaceRates.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/WorkspaceRateLimiter.java
@@ -11,7 +11,7 @@
  * the rate over all entries. Each entry allows an equal fraction of it, because the load balancer distributes callers
  * over the entries at random. Thread-safe.
  */
-public final class WorkspaceRates {
+public final class WorkspaceRateLimiter {
     private static final double MILLIS_PER_SECOND = 1_000;
     /** Minimum bucket size; a rate below one request per second must still admit single requests. */
     private static final double MIN_BURST = 1;
--- a/core/src/main/java/dev/wigeonward/core/cap/RetryShare.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/RetryBudgetShare.java
@@ -9,7 +9,7 @@
  * entry's own requests and an equal fraction of the fixed allowance, so that no messages are needed and the budget
  * holds even if entries cannot reach each other. Not thread-safe.
  */
-public final class RetryShare {
+public final class RetryBudgetShare {
     /** Fraction of the budget that is used; the rest covers requests that other entries count in a different window. */
     private static final double USABLE_FRACTION = 0.7;
 
@@ -19,8 +19,8 @@
     private final ArrayDeque<Long> requests = new ArrayDeque<>();
     private final ArrayDeque<Long> retries = new ArrayDeque<>();
 
-    private RetryShare(double ratio, int allowance, long windowMillis) {
-        change(ratio, allowance, windowMillis);
+    private RetryBudgetShare(double ratio, int allowance, long windowMillis) {
+        setLimits(ratio, allowance, windowMillis);
     }
 
     /**
@@ -30,12 +30,12 @@
      * @param allowance retries that all entries together may make in a window in addition to the ratio
      * @param windowMillis length of the sliding window, in milliseconds
      */
-    public static RetryShare create(double ratio, int allowance, long windowMillis) {
-        return new RetryShare(ratio, allowance, windowMillis);
+    public static RetryBudgetShare create(double ratio, int allowance, long windowMillis) {
+        return new RetryBudgetShare(ratio, allowance, windowMillis);
     }
 
     /** Replaces the limits; requests and retries recorded before still count. */
-    public void change(double newRatio, int newAllowance, long newWindowMillis) {
+    public void setLimits(double newRatio, int newAllowance, long newWindowMillis) {
         Preconditions.checkArgument(newRatio >= 0, "ratio must not be negative but was %s", newRatio);
         Preconditions.checkArgument(newWindowMillis > 0, "windowMillis must be positive but was %s", newWindowMillis);
         ratio = newRatio;
--- a/core/src/main/java/dev/wigeonward/core/cap/TenantCap.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/WorkspaceUsageCap.java
@@ -11,7 +11,7 @@
  * estimated from their recent rate. An entry that receives no reports uses only a fraction of an equal share. Not
  * thread-safe.
  */
-public final class TenantCap {
+public final class WorkspaceUsageCap {
     /** Time constant of the moving average of a peer's usage rate, in milliseconds. */
     private static final double RATE_TIME_CONSTANT_MILLIS = 1_000;
     /**
@@ -25,12 +25,12 @@
     private double capacity;
     private double fraction;
     private double level;
-    private double usedTotal;
+    private double totalUsage;
     private boolean levelKnown;
     private long updatedAtMillis;
     private final Map<String, PeerUsage> peers = new HashMap<>();
 
-    private TenantCap(long ratePerSecond, long capacity, int entries, long nowMillis) {
+    private WorkspaceUsageCap(long ratePerSecond, long capacity, int entries, long nowMillis) {
         this.ratePerSecond = ratePerSecond;
         this.capacity = capacity;
         this.fraction = entries > 1 ? ISOLATED_FRACTION / entries : 1;
@@ -46,15 +46,15 @@
      * @param capacity usage allowed in one burst, over all entries
      * @param entries number of known entries, including this one
      */
-    public static TenantCap create(long ratePerSecond, long capacity, int entries, long nowMillis) {
+    public static WorkspaceUsageCap create(long ratePerSecond, long capacity, int entries, long nowMillis) {
         Preconditions.checkArgument(ratePerSecond > 0, "ratePerSecond must be positive but was %s", ratePerSecond);
         Preconditions.checkArgument(capacity > 0, "capacity must be positive but was %s", capacity);
         Preconditions.checkArgument(entries > 0, "entries must be positive but was %s", entries);
-        return new TenantCap(ratePerSecond, capacity, entries, nowMillis);
+        return new WorkspaceUsageCap(ratePerSecond, capacity, entries, nowMillis);
     }
 
     /** Replaces the limits; usage recorded before still counts. */
-    public void change(long newRatePerSecond, long newCapacity, long nowMillis) {
+    public void setLimits(long newRatePerSecond, long newCapacity, long nowMillis) {
         refill(nowMillis);
         ratePerSecond = newRatePerSecond;
         capacity = newCapacity;
@@ -64,7 +64,7 @@
     /**
      * Sets the number of entries whose reports are received and the number of known entries, both including this one.
      */
-    public void entries(int heard, int known, long nowMillis) {
+    public void setEntryCounts(int heard, int known, long nowMillis) {
         Preconditions.checkArgument(
                 heard > 0 && known >= heard, "heard must be from 1 to the %s known entries but was %s", known, heard);
         refill(nowMillis);
@@ -85,7 +85,7 @@
      * @param peerUsedTotal usage that the peer has admitted since its start
      * @param peerLevel level of the bucket as computed by the peer
      */
-    public void onPeer(String peer, long incarnation, double peerUsedTotal, double peerLevel, long nowMillis) {
+    public void onPeerReport(String peer, long incarnation, double peerUsedTotal, double peerLevel, long nowMillis) {
         refill(nowMillis);
         if (!levelKnown) {
             // The peer's level includes the usage before this entry started.
@@ -105,12 +105,12 @@
     }
 
     /** Removes a peer whose reports are no longer received. */
-    public void forget(String peer) {
+    public void removePeer(String peer) {
         peers.remove(peer);
     }
 
     /** Returns whether the tenant may use the given amount now, and records it as used if so. */
-    public boolean tryUse(long usage, long nowMillis) {
+    public boolean tryAcquire(long usage, long nowMillis) {
         refill(nowMillis);
         double unreported = 0;
         for (PeerUsage peer : peers.values()) {
@@ -121,19 +121,19 @@
             return false;
         }
         level -= usage;
-        usedTotal += usage;
+        totalUsage += usage;
         return true;
     }
 
     /** Refunds usage recorded for a request that no upstream ran. */
-    public void giveBack(long usage) {
+    public void refund(long usage) {
         level = Math.min(capacity * fraction, level + usage);
-        usedTotal -= usage;
+        totalUsage -= usage;
     }
 
     /** Returns the usage admitted since the start, for reports to the peers. */
-    public double usedTotal() {
-        return usedTotal;
+    public double totalUsage() {
+        return totalUsage;
     }
 
     /** Returns the current level of the bucket, which is negative after overuse. */
--- a/core/src/main/java/dev/wigeonward/core/deployment/Route.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/Route.java
@@ -12,8 +12,8 @@
  * @param objectiveMillis time within which an answer has its highest value; for streams, until the first event
  * @param maxPauseMillis longest pause between two events of an answer that still counts as on time, 0 for no limit
  * @param priority priority of the requests; 0 is the highest
- * @param attempts maximum number of upstreams to which one attempt of a caller is sent
- * @param open whether callers need no key
+ * @param maxAttempts maximum number of upstreams to which one attempt of a caller is sent
+ * @param keyless whether callers need no key
  * @param resumable whether a stream may be continued at another upstream
  */
 public record Route(
@@ -26,8 +26,8 @@
         long objectiveMillis,
         long maxPauseMillis,
         int priority,
-        int attempts,
-        boolean open,
+        int maxAttempts,
+        boolean keyless,
         boolean resumable) {
     public Route {
         Preconditions.checkArgument(
@@ -40,12 +40,12 @@
     }
 
     /** Returns whether a request may run on a second upstream after it may have run on a first one. */
-    public boolean idempotent() {
+    public boolean isIdempotent() {
         return kind == RouteKind.SAFE || (kind == RouteKind.STREAMING && resumable);
     }
 
     /** Returns the service for a request, selected by weight. The random number is in the range [0, 1). */
-    public String serviceFor(double random) {
+    public String selectService(double random) {
         int total = services.stream().mapToInt(WeightedService::weight).sum();
         double point = random * total;
         for (WeightedService candidate : services) {
--- a/core/src/main/java/dev/wigeonward/core/deployment/Deployment.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/RoutingConfiguration.java
@@ -12,20 +12,20 @@
  * One version of the routes, tenants and caller limits that operators configure. Immutable; the time of a lookup does
  * not depend on the number of tenants.
  */
-public final class Deployment {
+public final class RoutingConfiguration {
     private static final Comparator<Route> LONGEST_PREFIX_FIRST =
             Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
 
     private final long version;
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
-    private final Map<String, Tenant> tenantsByKey = new HashMap<>();
-    private final List<Tenant> tenants;
+    private final Map<String, Workspace> tenantsByKey = new HashMap<>();
+    private final List<Workspace> workspaces;
     private final CallerLimits limits;
 
-    private Deployment(long version, List<Route> routes, List<Tenant> tenants, CallerLimits limits) {
+    private RoutingConfiguration(long version, List<Route> routes, List<Workspace> tenants, CallerLimits limits) {
         this.version = version;
         this.limits = limits;
-        this.tenants = List.copyOf(tenants);
+        this.workspaces = List.copyOf(tenants);
         for (Route route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
@@ -36,8 +36,9 @@
     }
 
     /** Returns a deployment with the given version, routes, tenants and limits. */
-    public static Deployment of(long version, List<Route> routes, List<Tenant> tenants, CallerLimits limits) {
-        return new Deployment(version, routes, tenants, limits);
+    public static RoutingConfiguration of(
+            long version, List<Route> routes, List<Workspace> tenants, CallerLimits limits) {
+        return new RoutingConfiguration(version, routes, tenants, limits);
     }
 
     /** Returns the version number; newer deployments have higher numbers. */
@@ -65,17 +66,17 @@
     }
 
     /** Returns the tenant that the key belongs to, or empty if the key is unknown. */
-    public Optional<Tenant> tenant(String key) {
+    public Optional<Workspace> workspace(String key) {
         return Optional.ofNullable(tenantsByKey.get(key));
     }
 
     /** Returns all tenants in the configured order. */
-    public List<Tenant> tenants() {
-        return tenants;
+    public List<Workspace> workspaces() {
+        return workspaces;
     }
 
     /** Returns whether any tenant is configured; without tenants callers need no key. */
-    public boolean hasTenants() {
-        return !tenants.isEmpty();
+    public boolean hasWorkspaces() {
+        return !workspaces.isEmpty();
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/deployment/Tenant.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/Workspace.java
@@ -12,7 +12,7 @@
  * @param countsTokens whether the limit counts tokens instead of requests
  * @param defaultTokens tokens counted for a request that states none
  */
-public record Tenant(
+public record Workspace(
         String name,
         Set<String> keys,
         OptionalInt priority,
@@ -20,12 +20,12 @@
         long burst,
         boolean countsTokens,
         long defaultTokens) {
-    public Tenant {
+    public Workspace {
         keys = Set.copyOf(keys);
     }
 
     /** Returns the usage that a request counts against the limit; 0 tokens mean that it states none. */
-    public long usage(long tokens) {
+    public long usageOf(long tokens) {
         if (!countsTokens) {
             return 1;
         }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -31,18 +31,18 @@
     private final Map<RequestId, Run> runs = new LinkedHashMap<>();
     private final Set<RequestId> tombstones = new LinkedHashSet<>();
     private final EarlyAttaches earlyAttaches = new EarlyAttaches();
-    private final RunMemory memory;
-    private final OutputSteps output;
+    private final RunHistory memory;
+    private final OutputSender output;
     private List<AgentEffect> effects = new ArrayList<>();
-    private boolean draining;
-    private boolean upstreamAlive = true;
+    private boolean isDraining;
+    private boolean isUpstreamAlive = true;
 
     private AgentDispatcher(long incarnation, EngineQueue queue, AgentLimits limits) {
         this.incarnation = incarnation;
         this.queue = Objects.requireNonNull(queue, "queue");
         this.limits = Objects.requireNonNull(limits, "limits");
-        this.memory = new RunMemory(limits.maxTombstones());
-        this.output = new OutputSteps(limits.windowBytes(), this::emit);
+        this.memory = new RunHistory(limits.maxTombstones());
+        this.output = new OutputSender(limits.windowBytes(), this::emit);
     }
 
     /** Returns a dispatcher without runs. */
@@ -67,7 +67,7 @@
         } else if (event instanceof AgentEvent.Tick) {
             onTick(nowMillis);
         } else if (event instanceof AgentEvent.DrainStarted) {
-            draining = true;
+            isDraining = true;
         } else {
             handleUpstream(event, nowMillis);
         }
@@ -90,7 +90,7 @@
                     emit(new AgentEffect.ReportSuspects(List.of(run.request)));
                 }
             });
-        } else if (event instanceof AgentEvent.UpstreamUnreached unreached) {
+        } else if (event instanceof AgentEvent.UpstreamUnreachable unreached) {
             findRunning(unreached.run()).ifPresent(run -> {
                 queue.onEnded(run.id(), nowMillis);
                 memory.recordNotRun(run.id());
@@ -100,7 +100,7 @@
         } else if (event instanceof AgentEvent.UpstreamDied) {
             onUpstreamDied(nowMillis);
         } else if (event instanceof AgentEvent.UpstreamAlive) {
-            upstreamAlive = true;
+            isUpstreamAlive = true;
             submitQueued(nowMillis);
         }
     }
@@ -109,18 +109,18 @@
      * Returns whether a drain is complete: nothing is queued or running, and every reader has acknowledged its answer
      * or was detached for too long. An answer that was sent but not acknowledged may be lost with its link.
      */
-    public boolean idle() {
+    public boolean isIdle() {
         return runs.values().stream().allMatch(run -> run.phase == Run.Phase.ENDED && run.readers.isEmpty());
     }
 
     /** Returns whether the upstream answered its last health check. */
-    public boolean upstreamAlive() {
-        return upstreamAlive;
+    public boolean isUpstreamAlive() {
+        return isUpstreamAlive;
     }
 
     /** Returns whether the agent was asked to shut down. */
-    public boolean draining() {
-        return draining;
+    public boolean isDraining() {
+        return isDraining;
     }
 
     /** Returns the queue in front of the upstream, for load reports and state dumps. */
@@ -129,12 +129,12 @@
     }
 
     /** Returns whether a run started by the given request is stored. */
-    public boolean keeps(RequestId run) {
+    public boolean containsRun(RequestId run) {
         return runs.containsKey(run);
     }
 
     /** Returns the number of stored runs, including those that ended. */
-    public int keptRuns() {
+    public int runCount() {
         return runs.size();
     }
 
@@ -192,10 +192,10 @@
     }
 
     private Optional<Failure> refusal() {
-        if (draining) {
+        if (isDraining) {
             return Optional.of(Failure.of(ErrorKind.SHUTTING_DOWN, "the agent is shutting down"));
         }
-        if (!upstreamAlive) {
+        if (!isUpstreamAlive) {
             return Optional.of(Failure.of(ErrorKind.NO_UPSTREAM, "the upstream does not answer"));
         }
         return Optional.empty();
@@ -245,7 +245,7 @@
             return;
         }
         tombstones.add(unseen);
-        emit(new AgentEffect.SendUnseen(link, answered, dispatch));
+        emit(new AgentEffect.SendNeverReceived(link, answered, dispatch));
     }
 
     private void enqueue(AgentEvent.DispatchArrived arrived, long nowMillis) {
@@ -274,15 +274,15 @@
     }
 
     private void submitQueued(long nowMillis) {
-        if (!upstreamAlive) {
+        if (!isUpstreamAlive) {
             return;
         }
-        Optional<RequestSpec> next = queue.next(nowMillis);
+        Optional<RequestSpec> next = queue.poll(nowMillis);
         while (next.isPresent()) {
             runs.get(next.get().id()).phase = Run.Phase.RUNNING;
             memory.recordRun(next.get(), nowMillis);
             emit(new AgentEffect.SubmitToUpstream(next.get().id()));
-            next = queue.next(nowMillis);
+            next = queue.poll(nowMillis);
         }
     }
 
@@ -389,7 +389,7 @@
     }
 
     private void onUpstreamDied(long nowMillis) {
-        upstreamAlive = false;
+        isUpstreamAlive = false;
         List<RequestSpec> running = new ArrayList<>();
         for (Run run : List.copyOf(runs.values())) {
             if (run.phase == Run.Phase.QUEUED) {
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentEffect.java
@@ -22,7 +22,7 @@
     record SendNotRun(long link, RequestId request, DispatchId dispatch, Failure failure) implements AgentEffect {}
 
     /** Reports to the entry that this incarnation never received the request and will refuse a late copy. */
-    record SendUnseen(long link, RequestId request, DispatchId dispatch) implements AgentEffect {}
+    record SendNeverReceived(long link, RequestId request, DispatchId dispatch) implements AgentEffect {}
 
     /** Sends a range of a run's output to the entry. */
     record SendOutput(long link, RequestId request, DispatchId dispatch, RequestId run, long fromBytes, long toBytes)
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentEvent.java
@@ -42,7 +42,7 @@
     record UpstreamFailed(RequestId run, Failure failure) implements AgentEvent {}
 
     /** The request could not be delivered to the upstream, which therefore never received it. */
-    record UpstreamUnreached(RequestId run, Failure failure) implements AgentEvent {}
+    record UpstreamUnreachable(RequestId run, Failure failure) implements AgentEvent {}
 
     /** The upstream process died; the requests that were running in it are lost. */
     record UpstreamDied() implements AgentEvent {}
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AnswerSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AnswerHandler.java
@@ -12,12 +12,12 @@
  * The part of {@link EntryDispatcher} from a dispatch to the end of the answer: output offsets, reattachment, and loss
  * of links and agents.
  */
-final class AnswerSteps {
+final class AnswerHandler {
     private final EntryDispatcher dispatcher;
     private final UpstreamDirectory upstreams;
     private final DispatchLimits limits;
 
-    AnswerSteps(EntryDispatcher dispatcher, UpstreamDirectory upstreams, DispatchLimits limits) {
+    AnswerHandler(EntryDispatcher dispatcher, UpstreamDirectory upstreams, DispatchLimits limits) {
         this.dispatcher = dispatcher;
         this.upstreams = upstreams;
         this.limits = limits;
@@ -29,7 +29,7 @@
         } else if (event instanceof EntryEvent.NotRun notRun) {
             findCurrent(notRun.request(), notRun.dispatch())
                     .ifPresent(pending -> onNotRun(pending, notRun.failure(), nowMillis));
-        } else if (event instanceof EntryEvent.Unseen unseen) {
+        } else if (event instanceof EntryEvent.NeverReceived unseen) {
             findCurrent(unseen.request(), unseen.dispatch()).ifPresent(pending -> onUnseen(pending, nowMillis));
         } else if (event instanceof EntryEvent.OutputArrived output) {
             findCurrent(output.request(), output.dispatch()).ifPresent(pending -> onOutput(pending, output, nowMillis));
@@ -61,7 +61,7 @@
     }
 
     private void onUnseen(PendingRequest pending, long nowMillis) {
-        if (pending.request.timeLeftMillis(nowMillis) <= 0) {
+        if (pending.request.remainingMillis(nowMillis) <= 0) {
             // Agents guarantee a record of what ran only until the deadline; a paused entry may send its query later.
             onFailed(
                     pending,
@@ -92,7 +92,7 @@
             // The outcome stored for resends needs all output, even after the first caller disconnected.
             dispatcher.emit(new EntryEffect.DeliverOutput(pending.request.id(), skipBytes));
         }
-        if (pending.receivedBytes - pending.acknowledgedBytes >= limits.acknowledgeStepBytes()) {
+        if (pending.receivedBytes - pending.acknowledgedBytes >= limits.acknowledgeIntervalBytes()) {
             acknowledge(pending);
         }
     }
@@ -208,7 +208,7 @@
                     nowMillis);
             return;
         }
-        if (pending.request.timeLeftMillis(nowMillis) > 0) {
+        if (pending.request.remainingMillis(nowMillis) > 0) {
             return;
         }
         if (pending.phase == PendingRequest.Phase.CLAIMING) {
@@ -237,7 +237,7 @@
         dispatcher.fail(pending, failure, nowMillis);
     }
 
-    private ClaimSteps claims() {
+    private ClaimHandler claims() {
         return dispatcher.claims();
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimHandler.java
@@ -4,7 +4,7 @@
 
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
-import dev.wigeonward.core.placement.UpstreamState;
+import dev.wigeonward.core.placement.UpstreamLoadState;
 import dev.wigeonward.core.request.DispatchId;
 import dev.wigeonward.core.request.RequestId;
 
@@ -12,19 +12,19 @@
  * The part of {@link EntryDispatcher} from the choice of an upstream to the dispatch, which a durable claim precedes
  * for a non-idempotent request.
  */
-final class ClaimSteps {
+final class ClaimHandler {
     /** Number of times that a request may find the claim of another one before it fails as in progress. */
     private static final int MAX_CLAIM_CONFLICTS = 3;
 
     private final EntryDispatcher dispatcher;
     private final UpstreamDirectory upstreams;
 
-    ClaimSteps(EntryDispatcher dispatcher, UpstreamDirectory upstreams) {
+    ClaimHandler(EntryDispatcher dispatcher, UpstreamDirectory upstreams) {
         this.dispatcher = dispatcher;
         this.upstreams = upstreams;
     }
 
-    void onClaimAnswered(RequestId id, ClaimAnswer answer, long nowMillis) {
+    void onClaimAnswered(RequestId id, ClaimResult answer, long nowMillis) {
         Optional<PendingRequest> found =
                 dispatcher.pending(id).filter(pending -> pending.phase == PendingRequest.Phase.CLAIMING);
         if (found.isEmpty()) {
@@ -32,14 +32,14 @@
             return;
         }
         PendingRequest pending = found.get();
-        if (answer instanceof ClaimAnswer.Granted) {
+        if (answer instanceof ClaimResult.Granted) {
             onGranted(pending, nowMillis);
-        } else if (answer instanceof ClaimAnswer.HeldByOther held) {
+        } else if (answer instanceof ClaimResult.HeldByOther held) {
             onHeldByOther(pending, held, nowMillis);
-        } else if (answer instanceof ClaimAnswer.OutcomeStored) {
+        } else if (answer instanceof ClaimResult.OutcomeStored) {
             dispatcher.emit(new EntryEffect.DeliverStored(id));
             dispatcher.end(pending, nowMillis);
-        } else if (answer instanceof ClaimAnswer.OtherContent) {
+        } else if (answer instanceof ClaimResult.ContentMismatch) {
             failWithoutClaim(
                     pending, ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with a different body", nowMillis);
         } else {
@@ -50,7 +50,7 @@
 
     private void onGranted(PendingRequest pending, long nowMillis) {
         pending.claimOwned = true;
-        Optional<UpstreamState> usable = upstreams
+        Optional<UpstreamLoadState> usable = upstreams
                 .usable(pending.upstreamId)
                 .filter(state -> state.description().incarnation() == pending.upstreamIncarnation);
         if (usable.isEmpty()) {
@@ -61,7 +61,7 @@
                     nowMillis);
             return;
         }
-        if (pending.request.timeLeftMillis(nowMillis) <= 0) {
+        if (pending.request.remainingMillis(nowMillis) <= 0) {
             dispatcher.fail(
                     pending,
                     Failure.of(ErrorKind.DEADLINE_EXCEEDED_IN_QUEUE, "the deadline passed before the dispatch"),
@@ -83,17 +83,17 @@
                 pending.upstreamId,
                 pending.upstreamIncarnation,
                 pending.version,
-                pending.request.timeLeftMillis(nowMillis)));
+                pending.request.remainingMillis(nowMillis)));
     }
 
-    private void onHeldByOther(PendingRequest pending, ClaimAnswer.HeldByOther held, long nowMillis) {
+    private void onHeldByOther(PendingRequest pending, ClaimResult.HeldByOther held, long nowMillis) {
         pending.claimConflicts++;
         dispatcher.removeOutstanding(pending, nowMillis);
         if (pending.claimConflicts > MAX_CLAIM_CONFLICTS) {
             failWithoutClaim(pending, ErrorKind.IN_PROGRESS, "another copy of the request is in progress", nowMillis);
             return;
         }
-        Optional<UpstreamState> holder = upstreams.find(held.upstreamId());
+        Optional<UpstreamLoadState> holder = upstreams.find(held.upstreamId());
         boolean restarted =
                 holder.isPresent() && holder.get().description().incarnation() != held.upstreamIncarnation();
         if (restarted) {
@@ -112,7 +112,8 @@
         attach(pending, held, holder.get(), nowMillis);
     }
 
-    private void attach(PendingRequest pending, ClaimAnswer.HeldByOther held, UpstreamState holder, long nowMillis) {
+    private void attach(
+            PendingRequest pending, ClaimResult.HeldByOther held, UpstreamLoadState holder, long nowMillis) {
         pending.attempts++;
         pending.dispatch = DispatchId.of(pending.request.id(), pending.attempts);
         pending.phase = PendingRequest.Phase.ATTACHING;
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimAnswer.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimResult.java
@@ -3,20 +3,20 @@
 import dev.wigeonward.core.request.RequestId;
 
 /** Result of an attempt to create or move the claim on an idempotency key in the store. */
-public sealed interface ClaimAnswer {
+public sealed interface ClaimResult {
     /** The claim refers to this request and the chosen upstream. */
-    record Granted() implements ClaimAnswer {}
+    record Granted() implements ClaimResult {}
 
     /** Another request with the same content holds the claim, and no outcome is stored yet. */
     record HeldByOther(String claimId, RequestId request, String upstreamId, long upstreamIncarnation)
-            implements ClaimAnswer {}
+            implements ClaimResult {}
 
     /** The outcome of the request is stored. */
-    record OutcomeStored() implements ClaimAnswer {}
+    record OutcomeStored() implements ClaimResult {}
 
     /** The key was used with a different body. */
-    record OtherContent() implements ClaimAnswer {}
+    record ContentMismatch() implements ClaimResult {}
 
     /** The store did not answer, or its answer does not show whether the claim was created. */
-    record Unavailable() implements ClaimAnswer {}
+    record Unavailable() implements ClaimResult {}
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/DispatchPolicies.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/DispatchPolicies.java
@@ -21,8 +21,8 @@
         PlacementPolicy placement,
         PlacementPolicy keyedPlacement,
         VersionRouter versions,
-        RetryPermits retries,
-        SuspectGate suspects) {
+        RetryLimiter retries,
+        SuspectPolicy suspects) {
     public DispatchPolicies {
         Objects.requireNonNull(queues, "queues");
         Objects.requireNonNull(placement, "placement");
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -16,8 +16,8 @@
 import dev.wigeonward.core.error.RunState;
 import dev.wigeonward.core.placement.Placement;
 import dev.wigeonward.core.placement.PlacementPolicy;
+import dev.wigeonward.core.placement.UpstreamLoadState;
 import dev.wigeonward.core.placement.UpstreamPool;
-import dev.wigeonward.core.placement.UpstreamState;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.core.request.Tier;
@@ -36,16 +36,16 @@
     private final UpstreamDirectory upstreams = new UpstreamDirectory();
     private final Map<String, AdmissionQueue> queues = new HashMap<>();
     private final Map<RequestId, PendingRequest> pendingRequests = new LinkedHashMap<>();
-    private final ClaimSteps claims;
-    private final AnswerSteps answers;
+    private final ClaimHandler claims;
+    private final AnswerHandler answers;
     private List<EntryEffect> effects = new ArrayList<>();
     private boolean draining;
 
     private EntryDispatcher(DispatchPolicies policies, DispatchLimits limits) {
         this.policies = Objects.requireNonNull(policies, "policies");
         this.limits = Objects.requireNonNull(limits, "limits");
-        this.claims = new ClaimSteps(this, upstreams);
-        this.answers = new AnswerSteps(this, upstreams, limits);
+        this.claims = new ClaimHandler(this, upstreams);
+        this.answers = new AnswerHandler(this, upstreams, limits);
     }
 
     /** Returns a dispatcher that knows no upstream. */
@@ -58,7 +58,7 @@
         effects = new ArrayList<>();
         if (event instanceof EntryEvent.RequestArrived arrived) {
             onRequestArrived(arrived.request(), nowMillis);
-        } else if (event instanceof EntryEvent.CallerGone gone) {
+        } else if (event instanceof EntryEvent.CallerDisconnected gone) {
             onCallerGone(gone.request(), nowMillis);
         } else if (event instanceof EntryEvent.ClaimAnswered answered) {
             claims.onClaimAnswered(answered.request(), answered.answer(), nowMillis);
@@ -99,12 +99,12 @@
     }
 
     /** Returns whether no request is pending, so that a drain is complete. */
-    public boolean idle() {
+    public boolean isIdle() {
         return pendingRequests.isEmpty();
     }
 
     /** Returns the number of requests between their arrival and the end of their answer. */
-    public int inFlight() {
+    public int pendingCount() {
         return pendingRequests.size();
     }
 
@@ -126,7 +126,7 @@
     }
 
     private void onRequestArrived(RequestSpec request, long nowMillis) {
-        policies.retries().onRequest(nowMillis);
+        policies.retries().recordRequest(nowMillis);
         Optional<Failure> refusal = refusal(request, nowMillis);
         if (refusal.isPresent()) {
             refuse(request, refusal.get());
@@ -141,13 +141,13 @@
         AdmissionQueue queue = queue(request.target());
         long waitMillis = expectedWaitMillis(request, queue);
         long serviceMillis = estimate.get().serviceMillis();
-        if (waitMillis + serviceMillis > request.timeLeftMillis(nowMillis)) {
+        if (waitMillis + serviceMillis > request.remainingMillis(nowMillis)) {
             refuse(
                     request,
                     Failure.of(
                             ErrorKind.DEADLINE_UNREACHABLE,
                             "expected wait of %d ms and service of %d ms exceed the %d ms left"
-                                    .formatted(waitMillis, serviceMillis, request.timeLeftMillis(nowMillis))));
+                                    .formatted(waitMillis, serviceMillis, request.remainingMillis(nowMillis))));
             return;
         }
         pending.serviceMillis = serviceMillis;
@@ -174,7 +174,7 @@
     }
 
     private Optional<Failure> suspectRefusal(RequestSpec request, long nowMillis) {
-        return switch (policies.suspects().rule(request, nowMillis)) {
+        return switch (policies.suspects().decide(request, nowMillis)) {
             case PASS -> Optional.empty();
             case WAIT ->
                 Optional.of(
@@ -267,17 +267,18 @@
                         nowMillis);
                 return true;
             }
-            if (choice.get().serviceMillis() > request.timeLeftMillis(nowMillis)) {
+            if (choice.get().serviceMillis() > request.remainingMillis(nowMillis)) {
                 fail(
                         pending,
                         Failure.of(
                                 ErrorKind.DEADLINE_UNREACHABLE,
                                 "expected service of %d ms exceeds the %d ms left"
-                                        .formatted(choice.get().serviceMillis(), request.timeLeftMillis(nowMillis))),
+                                        .formatted(choice.get().serviceMillis(), request.remainingMillis(nowMillis))),
                         nowMillis);
                 return true;
             }
-            UpstreamState state = upstreams.usable(choice.get().upstreamId()).orElseThrow();
+            UpstreamLoadState state =
+                    upstreams.usable(choice.get().upstreamId()).orElseThrow();
             if (request.key().isPresent() || hasRoom(state, request.tier())) {
                 claimOrDispatch(pending, state, choice.get(), nowMillis);
                 return true;
@@ -286,8 +287,8 @@
         return false;
     }
 
-    private boolean hasRoom(UpstreamState state, Tier tier) {
-        int factor = limits.windowFactor() + Tier.BATCH.ordinal() - tier.ordinal();
+    private boolean hasRoom(UpstreamLoadState state, Tier tier) {
+        int factor = limits.outstandingPerSlot() + Tier.BATCH.ordinal() - tier.ordinal();
         return state.ownOutstanding() < factor * state.description().slots();
     }
 
@@ -310,11 +311,11 @@
         return pool.flatMap(members -> policy.choose(request, members, nowMillis));
     }
 
-    private void claimOrDispatch(PendingRequest pending, UpstreamState state, Placement placement, long nowMillis) {
+    private void claimOrDispatch(PendingRequest pending, UpstreamLoadState state, Placement placement, long nowMillis) {
         addOutstanding(pending, state, placement.serviceMillis(), nowMillis);
         if (pending.claimed()) {
             pending.phase = PendingRequest.Phase.CLAIMING;
-            emit(new EntryEffect.MakeClaim(pending.request.id(), pending.upstreamId, pending.upstreamIncarnation));
+            emit(new EntryEffect.AcquireClaim(pending.request.id(), pending.upstreamId, pending.upstreamIncarnation));
             return;
         }
         claims.dispatch(pending, nowMillis);
@@ -326,7 +327,7 @@
         boolean mayRetry = failure.kind().retryable()
                 && !draining
                 && pending.attempts < limits.maxAttempts()
-                && pending.request.timeLeftMillis(nowMillis) > 0
+                && pending.request.remainingMillis(nowMillis) > 0
                 && policies.retries().tryAcquire(nowMillis);
         if (!mayRetry) {
             fail(pending, failure, nowMillis);
@@ -355,16 +356,16 @@
     void end(PendingRequest pending, long nowMillis) {
         removeOutstanding(pending, nowMillis);
         pendingRequests.remove(pending.request.id());
-        emit(new EntryEffect.Forget(pending.request.id()));
+        emit(new EntryEffect.ReleaseRequest(pending.request.id()));
     }
 
     /** Assigns the request to an upstream and counts it as outstanding there. */
-    void addOutstanding(PendingRequest pending, UpstreamState state, long serviceMillis, long nowMillis) {
+    void addOutstanding(PendingRequest pending, UpstreamLoadState state, long serviceMillis, long nowMillis) {
         pending.upstreamId = state.description().upstreamId();
         pending.upstreamIncarnation = state.description().incarnation();
         pending.serviceMillis = serviceMillis;
         state.onDispatched(serviceMillis);
-        policies.suspects().onDispatched(pending.request, nowMillis);
+        policies.suspects().recordDispatch(pending.request, nowMillis);
     }
 
     void removeOutstanding(PendingRequest pending, long nowMillis) {
@@ -375,7 +376,7 @@
                 .find(pending.upstreamId)
                 .filter(state -> state.description().incarnation() == pending.upstreamIncarnation)
                 .ifPresent(state -> state.onEnded(pending.serviceMillis));
-        policies.suspects().onEnded(pending.request, nowMillis);
+        policies.suspects().recordEnd(pending.request, nowMillis);
         pending.upstreamId = null;
     }
 
@@ -383,7 +384,7 @@
         return Optional.ofNullable(pendingRequests.get(id));
     }
 
-    ClaimSteps claims() {
+    ClaimHandler claims() {
         return claims;
     }
 
@@ -409,7 +410,7 @@
 
     private void refuse(RequestSpec request, Failure failure) {
         emit(new EntryEffect.DeliverFailure(request.id(), withoutUnprovenNotRun(request, failure)));
-        emit(new EntryEffect.Forget(request.id()));
+        emit(new EntryEffect.ReleaseRequest(request.id()));
     }
 
     private AdmissionQueue queue(String target) {
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
@@ -7,7 +7,7 @@
 /** An action that {@link EntryDispatcher} requests from its adapters. */
 public sealed interface EntryEffect {
     /** Creates the durable claim of a request, or moves it from an upstream that did not run the request. */
-    record MakeClaim(RequestId request, String upstreamId, long upstreamIncarnation) implements EntryEffect {}
+    record AcquireClaim(RequestId request, String upstreamId, long upstreamIncarnation) implements EntryEffect {}
 
     /** Replaces the claim of another request, after its upstream proved that it never received that request. */
     record TakeOverClaim(RequestId request, String previousClaimId, String upstreamId, long upstreamIncarnation)
@@ -57,5 +57,5 @@
     record DeliverFailure(RequestId request, Failure failure) implements EntryEffect {}
 
     /** Discards everything held for a request; no later effect refers to it. */
-    record Forget(RequestId request) implements EntryEffect {}
+    record ReleaseRequest(RequestId request) implements EntryEffect {}
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEvent.java
@@ -15,10 +15,10 @@
     record RequestArrived(RequestSpec request) implements EntryEvent {}
 
     /** The caller closed its connection before the answer was complete. */
-    record CallerGone(RequestId request) implements EntryEvent {}
+    record CallerDisconnected(RequestId request) implements EntryEvent {}
 
     /** The store answered an attempt to create, move or take over a claim. */
-    record ClaimAnswered(RequestId request, ClaimAnswer answer) implements EntryEvent {}
+    record ClaimAnswered(RequestId request, ClaimResult answer) implements EntryEvent {}
 
     /** A link to an agent is up. */
     record LinkUp(UpstreamDescription upstream) implements EntryEvent {}
@@ -48,7 +48,7 @@
     record NotRun(RequestId request, DispatchId dispatch, Failure failure) implements EntryEvent {}
 
     /** An agent never received the request and will refuse a late copy. */
-    record Unseen(RequestId request, DispatchId dispatch) implements EntryEvent {}
+    record NeverReceived(RequestId request, DispatchId dispatch) implements EntryEvent {}
 
     /** Part of an answer arrived. */
     record OutputArrived(RequestId request, DispatchId dispatch, long offsetBytes, int lengthBytes)
--- a/core/src/main/java/dev/wigeonward/core/dispatch/OutputSteps.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/OutputSender.java
@@ -3,11 +3,11 @@
 import java.util.function.Consumer;
 
 /** Sends the output of runs to their readers within the flow-control window. */
-final class OutputSteps {
+final class OutputSender {
     private final int windowBytes;
     private final Consumer<AgentEffect> effects;
 
-    OutputSteps(int windowBytes, Consumer<AgentEffect> effects) {
+    OutputSender(int windowBytes, Consumer<AgentEffect> effects) {
         this.windowBytes = windowBytes;
         this.effects = effects;
     }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/RunMemory.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/RunHistory.java
@@ -14,7 +14,7 @@
  * after their runs are removed. Without it, a reattach to a cancelled or removed run would be answered as if the
  * request had never been received, and a late copy of a refused dispatch would start a run. Not thread-safe.
  */
-final class RunMemory {
+final class RunHistory {
     /** How long a claim refers to this agent; a resend may attach to the claim at any time until then. */
     private static final long CLAIMED_MILLIS = 24L * 3_600 * 1_000;
 
@@ -30,7 +30,7 @@
 
     private record Expiry(long untilMillis, RequestId run, DispatchId dispatch) {}
 
-    RunMemory(int maxEntries) {
+    RunHistory(int maxEntries) {
         this.maxEntries = maxEntries;
     }
 
--- a/core/src/main/java/dev/wigeonward/core/dispatch/SuspectGate.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/SuspectPolicy.java
@@ -3,9 +3,9 @@
 import dev.wigeonward.core.request.RequestSpec;
 
 /** Policy that limits the dispatch of requests that were running on upstreams when these died. */
-public interface SuspectGate {
+public interface SuspectPolicy {
     /** Decision on a request. */
-    enum Ruling {
+    enum Decision {
         /** The request may be dispatched. */
         PASS,
         /** The request is refused for now, because a suspect request may run on only one upstream at a time. */
@@ -15,27 +15,27 @@
     }
 
     /** Returns the decision on a request that arrives or is about to be dispatched. */
-    Ruling rule(RequestSpec request, long nowMillis);
+    Decision decide(RequestSpec request, long nowMillis);
 
     /** Records that the request was dispatched. */
-    void onDispatched(RequestSpec request, long nowMillis);
+    void recordDispatch(RequestSpec request, long nowMillis);
 
     /** Records that a dispatch of the request ended. */
-    void onEnded(RequestSpec request, long nowMillis);
+    void recordEnd(RequestSpec request, long nowMillis);
 
     /** Returns a gate that passes every request. */
-    static SuspectGate open() {
-        return new SuspectGate() {
+    static SuspectPolicy allowAll() {
+        return new SuspectPolicy() {
             @Override
-            public Ruling rule(RequestSpec request, long nowMillis) {
-                return Ruling.PASS;
+            public Decision decide(RequestSpec request, long nowMillis) {
+                return Decision.PASS;
             }
 
             @Override
-            public void onDispatched(RequestSpec request, long nowMillis) {}
+            public void recordDispatch(RequestSpec request, long nowMillis) {}
 
             @Override
-            public void onEnded(RequestSpec request, long nowMillis) {}
+            public void recordEnd(RequestSpec request, long nowMillis) {}
         };
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/UpstreamDirectory.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/UpstreamDirectory.java
@@ -8,8 +8,8 @@
 
 import com.google.common.collect.Sets;
 import dev.wigeonward.core.placement.UpstreamDescription;
+import dev.wigeonward.core.placement.UpstreamLoadState;
 import dev.wigeonward.core.placement.UpstreamPool;
-import dev.wigeonward.core.placement.UpstreamState;
 
 /** The upstreams known to an entry, and pools of the usable ones by target and version. */
 final class UpstreamDirectory {
@@ -25,7 +25,7 @@
             previous.linked = false;
             updatePools(previous);
         }
-        Upstream next = previous == null || restarted ? new Upstream(UpstreamState.of(description)) : previous;
+        Upstream next = previous == null || restarted ? new Upstream(UpstreamLoadState.of(description)) : previous;
         next.linked = true;
         upstreamsById.put(description.upstreamId(), next);
         updatePools(next);
@@ -73,13 +73,13 @@
     }
 
     /** Returns the state of an upstream if new requests may be dispatched to it. */
-    Optional<UpstreamState> usable(String upstreamId) {
+    Optional<UpstreamLoadState> usable(String upstreamId) {
         return Optional.ofNullable(upstreamsById.get(upstreamId))
                 .filter(Upstream::usable)
                 .map(upstream -> upstream.state);
     }
 
-    Optional<UpstreamState> find(String upstreamId) {
+    Optional<UpstreamLoadState> find(String upstreamId) {
         return Optional.ofNullable(upstreamsById.get(upstreamId)).map(upstream -> upstream.state);
     }
 
@@ -143,14 +143,14 @@
     }
 
     private static final class Upstream {
-        private final UpstreamState state;
+        private final UpstreamLoadState state;
         private boolean linked;
         private boolean leaving;
         private boolean alive = true;
         private Set<String> versions;
         private Set<String> pooledVersions = Set.of();
 
-        private Upstream(UpstreamState state) {
+        private Upstream(UpstreamLoadState state) {
             this.state = state;
             this.versions = Set.of(state.description().version());
         }
--- a/core/src/main/java/dev/wigeonward/core/engine/EngineLimits.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/EngineLimits.java
@@ -6,18 +6,19 @@
  * Limits on the requests that an agent admits to its engine and to its queue.
  *
  * @param slots maximum number of concurrent requests in the engine
- * @param workMillis maximum total estimated service time of the requests in the unreserved slots, in milliseconds; a
- *     single request may exceed it
- * @param shortMillis longest estimated service time of a short request, in milliseconds
+ * @param maxUnreservedWorkMillis maximum total estimated service time of the requests in the unreserved slots, in
+ *     milliseconds; a single request may exceed it
+ * @param maxShortMillis longest estimated service time of a short request, in milliseconds
  * @param capacity maximum number of queued requests
  */
-public record EngineLimits(int slots, long workMillis, long shortMillis, int capacity) {
+public record EngineLimits(int slots, long maxUnreservedWorkMillis, long maxShortMillis, int capacity) {
     private static final int RESERVED_DIVISOR = 4;
 
     public EngineLimits {
         Preconditions.checkArgument(slots > 0, "slots must be positive but was %s", slots);
-        Preconditions.checkArgument(workMillis > 0, "workMillis must be positive but was %s", workMillis);
-        Preconditions.checkArgument(shortMillis >= 0, "shortMillis must not be negative but was %s", shortMillis);
+        Preconditions.checkArgument(
+                maxUnreservedWorkMillis > 0, "workMillis must be positive but was %s", maxUnreservedWorkMillis);
+        Preconditions.checkArgument(maxShortMillis >= 0, "shortMillis must not be negative but was %s", maxShortMillis);
         Preconditions.checkArgument(capacity > 0, "capacity must be positive but was %s", capacity);
     }
 
--- a/core/src/main/java/dev/wigeonward/core/engine/EngineQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/EngineQueue.java
@@ -8,7 +8,7 @@
 import dev.wigeonward.core.request.RequestSpec;
 
 /**
- * Queue that determines which request an agent submits to its engine next. A request is queued until {@link #next}
+ * Queue that determines which request an agent submits to its engine next. A request is queued until {@link #poll}
  * returns it, and then running until {@link #onEnded} is called for it. Not thread-safe.
  */
 public interface EngineQueue {
@@ -18,7 +18,7 @@
     /**
      * Removes and returns a request to submit now, or returns empty if none is queued or the engine has no capacity.
      */
-    Optional<RequestSpec> next(long nowMillis);
+    Optional<RequestSpec> poll(long nowMillis);
 
     /** Removes and returns the queued requests that can no longer meet their deadline. */
     List<RequestSpec> removeExpired(long nowMillis);
--- a/core/src/main/java/dev/wigeonward/core/engine/FifoEngineQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/FifoEngineQueue.java
@@ -38,7 +38,7 @@
     }
 
     @Override
-    public Optional<RequestSpec> next(long nowMillis) {
+    public Optional<RequestSpec> poll(long nowMillis) {
         if (runningWorkMillis.size() >= slots) {
             return Optional.empty();
         }
--- a/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 
 import dev.wigeonward.core.admission.AdmissionResult;
-import dev.wigeonward.core.admission.FairShareBacklog;
+import dev.wigeonward.core.admission.FairShareQueue;
 import dev.wigeonward.core.admission.WorkspaceWeights;
 import dev.wigeonward.core.request.EngineSpeed;
 import dev.wigeonward.core.request.RequestId;
@@ -22,7 +22,7 @@
 public final class PriorityEngineQueue implements EngineQueue {
     private final EngineLimits limits;
     private final EngineSpeed speed;
-    private final FairShareBacklog backlog;
+    private final FairShareQueue backlog;
     private final Map<RequestId, Running> running = new HashMap<>();
     private final ServiceTimeRatio serviceTimeRatio = new ServiceTimeRatio();
     private int reservedRunning;
@@ -31,7 +31,7 @@
     private PriorityEngineQueue(EngineLimits limits, EngineSpeed speed, WorkspaceWeights weights) {
         this.limits = Objects.requireNonNull(limits, "limits");
         this.speed = Objects.requireNonNull(speed, "speed");
-        this.backlog = FairShareBacklog.create(limits.capacity(), limits.shortMillis(), weights);
+        this.backlog = FairShareQueue.create(limits.capacity(), limits.maxShortMillis(), weights);
     }
 
     /** Returns an empty queue for an engine with the given speed. */
@@ -46,7 +46,7 @@
     }
 
     @Override
-    public Optional<RequestSpec> next(long nowMillis) {
+    public Optional<RequestSpec> poll(long nowMillis) {
         if (running.size() >= limits.slots()) {
             return Optional.empty();
         }
@@ -56,7 +56,7 @@
         }
         long serviceMillis = first.get().work().serviceMillis(speed);
         boolean reservedFree = reservedRunning < limits.reservedSlots();
-        if (reservedFree && serviceMillis <= limits.shortMillis()) {
+        if (reservedFree && serviceMillis <= limits.maxShortMillis()) {
             return start(backlog.poll(nowMillis), true, nowMillis);
         }
         if (hasUnreservedCapacity(serviceMillis)) {
@@ -72,7 +72,7 @@
     private Optional<RequestSpec> firstReachable(long nowMillis) {
         Optional<RequestSpec> first = backlog.peek(nowMillis);
         while (first.isPresent() && latestStartMillis(first.get()) < nowMillis) {
-            backlog.setAside(first.get());
+            backlog.markUnreachable(first.get());
             first = backlog.peek(nowMillis);
         }
         return first;
@@ -81,7 +81,7 @@
     private Optional<RequestSpec> reachableShort(long nowMillis) {
         Optional<RequestSpec> first = backlog.peekShort(nowMillis);
         while (first.isPresent() && latestStartMillis(first.get()) < nowMillis) {
-            backlog.setAside(first.get());
+            backlog.markUnreachable(first.get());
             first = backlog.peekShort(nowMillis);
         }
         return backlog.pollShort(nowMillis);
@@ -96,7 +96,7 @@
         int unreservedRunning = running.size() - reservedRunning;
         return unreservedRunning == 0
                 || unreservedRunning < limits.slots() - limits.reservedSlots()
-                        && unreservedWorkMillis + serviceMillis <= limits.workMillis();
+                        && unreservedWorkMillis + serviceMillis <= limits.maxUnreservedWorkMillis();
     }
 
     private Optional<RequestSpec> start(Optional<RequestSpec> request, boolean reserved, long nowMillis) {
@@ -114,7 +114,7 @@
 
     @Override
     public List<RequestSpec> removeExpired(long nowMillis) {
-        return backlog.removeUnreachable(nowMillis);
+        return backlog.removeExpired(nowMillis);
     }
 
     @Override
--- a/core/src/main/java/dev/wigeonward/core/membership/Member.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/Member.java
@@ -78,7 +78,7 @@
     }
 
     boolean silentAt(long nowMillis) {
-        return linkUp && nowMillis - lastFrameMillis >= MembershipCore.SILENCE_MILLIS;
+        return linkUp && nowMillis - lastFrameMillis >= UpstreamMembership.LINK_TIMEOUT_MILLIS;
     }
 
     /** Returns whether the member is neither in the VM list nor linked. */
@@ -91,7 +91,7 @@
     }
 
     long nextWakeMillis() {
-        return linkUp ? lastFrameMillis + MembershipCore.SILENCE_MILLIS : connectAtMillis;
+        return linkUp ? lastFrameMillis + UpstreamMembership.LINK_TIMEOUT_MILLIS : connectAtMillis;
     }
 
     void onListed(ListedVm vm) {
@@ -144,7 +144,7 @@
 
     /** Records the start of a connection attempt; another one follows if neither success nor failure is reported. */
     void onConnecting(long nowMillis) {
-        connectAtMillis = nowMillis + MembershipCore.CONNECT_TIMEOUT_MILLIS;
+        connectAtMillis = nowMillis + UpstreamMembership.CONNECT_TIMEOUT_MILLIS;
     }
 
     private void scheduleConnection(long nowMillis) {
--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
@@ -1,18 +1,18 @@
 package dev.wigeonward.core.membership;
 
-/** An action that {@link MembershipCore} requests from its adapters. */
+/** An action that {@link UpstreamMembership} requests from its adapters. */
 public sealed interface MembershipEffect {
     /** Opens a connection now, in addition to one that may still be open but has timed out. */
-    record LinkTo(String upstreamId, String address) implements MembershipEffect {}
+    record OpenLink(String upstreamId, String address) implements MembershipEffect {}
 
     /** Closes the link once its requests in flight have finished, and opens no other. */
-    record UnlinkFrom(String upstreamId) implements MembershipEffect {}
+    record CloseLink(String upstreamId) implements MembershipEffect {}
 
     /** Allows new requests to be dispatched to the incarnation. */
     record StartNewWork(String upstreamId, long incarnation) implements MembershipEffect {}
 
     /** Stops the dispatch of new requests to the incarnation, unless already stopped; requests in flight continue. */
-    record StopNewWork(String upstreamId, long incarnation, MemberState state) implements MembershipEffect {}
+    record StopDispatch(String upstreamId, long incarnation, MemberState state) implements MembershipEffect {}
 
     /** Reports that a new incarnation replaced the old one; the outcome of requests sent to the old one is unknown. */
     record Replaced(String upstreamId, long oldIncarnation, long newIncarnation) implements MembershipEffect {}
--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipEvent.java
@@ -4,7 +4,7 @@
 
 import com.google.common.base.Preconditions;
 
-/** An input of {@link MembershipCore}. */
+/** An input of {@link UpstreamMembership}. */
 public sealed interface MembershipEvent {
     /**
      * The VM list was read. The list lags, so a read is ignored unless its sequence is above the last one.
--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipCore.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/UpstreamMembership.java
@@ -12,11 +12,11 @@
 import java.util.random.RandomGenerator;
 
 import com.google.common.base.Preconditions;
-import dev.wigeonward.core.membership.MembershipEffect.LinkTo;
+import dev.wigeonward.core.membership.MembershipEffect.CloseLink;
+import dev.wigeonward.core.membership.MembershipEffect.OpenLink;
 import dev.wigeonward.core.membership.MembershipEffect.Replaced;
 import dev.wigeonward.core.membership.MembershipEffect.StartNewWork;
-import dev.wigeonward.core.membership.MembershipEffect.StopNewWork;
-import dev.wigeonward.core.membership.MembershipEffect.UnlinkFrom;
+import dev.wigeonward.core.membership.MembershipEffect.StopDispatch;
 import dev.wigeonward.core.membership.MembershipEvent.FrameArrived;
 import dev.wigeonward.core.membership.MembershipEvent.LeavingAnnounced;
 import dev.wigeonward.core.membership.MembershipEvent.LinkDown;
@@ -31,9 +31,9 @@
  *
  * <p>A departure is final for an incarnation: a VM list that lags behind the agent's announcement does not revert it.
  */
-public final class MembershipCore {
+public final class UpstreamMembership {
     /** Time without a frame after which a link has timed out and its upstream is suspect, in milliseconds. */
-    public static final long SILENCE_MILLIS = 2_500;
+    public static final long LINK_TIMEOUT_MILLIS = 2_500;
 
     /** Longest time between ticks, in milliseconds; with the silence limit, it stays below the 3 s of invariant 7. */
     public static final long MAX_TICK_MILLIS = 250;
@@ -50,15 +50,15 @@
     private boolean listRead;
     private long lastSequence;
 
-    private MembershipCore(String entryId, RandomGenerator random) {
+    private UpstreamMembership(String entryId, RandomGenerator random) {
         Preconditions.checkArgument(!entryId.isEmpty(), "entryId is empty");
         this.entryId = entryId;
         this.random = Objects.requireNonNull(random, "random");
     }
 
     /** Returns an instance for an entry that knows no upstream yet. */
-    public static MembershipCore create(String entryId, RandomGenerator random) {
-        return new MembershipCore(entryId, random);
+    public static UpstreamMembership create(String entryId, RandomGenerator random) {
+        return new UpstreamMembership(entryId, random);
     }
 
     /** Applies an event and returns its effects, in the order in which they must be carried out. */
@@ -84,7 +84,7 @@
      * Returns whether the incarnation may receive new requests now; false as soon as its link has timed out, even if no
      * tick has detected that yet.
      */
-    public boolean acceptsNewWork(String upstreamId, long incarnation, long nowMillis) {
+    public boolean acceptsRequests(String upstreamId, long incarnation, long nowMillis) {
         Member member = members.get(upstreamId);
         return member != null
                 && member.isCurrent(incarnation)
@@ -107,7 +107,7 @@
     }
 
     /** Returns the latest time at which the next tick is due, in milliseconds; this time may have passed. */
-    public long nextWakeMillis() {
+    public long nextTickMillis() {
         return members.values().stream().mapToLong(Member::nextWakeMillis).min().orElse(Member.NEVER_MILLIS);
     }
 
@@ -161,7 +161,7 @@
         listedAgentsByPool.clear();
         listedAgentsByPool.putAll(agentsByPool);
         Set<String> linked = new HashSet<>();
-        agentsByPool.values().forEach(agents -> linked.addAll(LinkSubset.agentsOf(entryId, entries, agents)));
+        agentsByPool.values().forEach(agents -> linked.addAll(LinkSubset.selectAgents(entryId, entries, agents)));
         subset = new TreeSet<>(linked);
     }
 
@@ -178,11 +178,11 @@
     private void onLinkUp(LinkUp event, long nowMillis, List<MembershipEffect> effects) {
         Member member = members.get(event.upstreamId());
         if (member == null) {
-            effects.add(new UnlinkFrom(event.upstreamId()));
+            effects.add(new CloseLink(event.upstreamId()));
             return;
         }
         if (member.isReplaced(event.incarnation())) {
-            effects.add(new StopNewWork(event.upstreamId(), event.incarnation(), MemberState.REPLACED));
+            effects.add(new StopDispatch(event.upstreamId(), event.incarnation(), MemberState.REPLACED));
             onLinkDown(new LinkDown(event.upstreamId()), nowMillis, effects);
             return;
         }
@@ -191,7 +191,7 @@
         boolean replaces = member.isReplacedBy(event.incarnation());
         if (replaces) {
             if (before == MemberState.LIVE) {
-                effects.add(new StopNewWork(member.upstreamId(), oldIncarnation, MemberState.REPLACED));
+                effects.add(new StopDispatch(member.upstreamId(), oldIncarnation, MemberState.REPLACED));
             }
             effects.add(new Replaced(member.upstreamId(), oldIncarnation, event.incarnation()));
         }
@@ -199,7 +199,7 @@
         emitWorkChange(member, replaces ? MemberState.JOINING : before, effects);
         if (member.state() == MemberState.LEAVING) {
             // An adapter may dispatch over a new link before it consults this class.
-            effects.add(new StopNewWork(member.upstreamId(), member.incarnation(), MemberState.LEAVING));
+            effects.add(new StopDispatch(member.upstreamId(), member.incarnation(), MemberState.LEAVING));
         }
     }
 
@@ -224,7 +224,7 @@
             }
             if (member.connectionDueAt(nowMillis) && !member.isUnlistedAndUnlinked()) {
                 member.onConnecting(nowMillis);
-                effects.add(new LinkTo(member.upstreamId(), member.address()));
+                effects.add(new OpenLink(member.upstreamId(), member.address()));
             }
         }
     }
@@ -240,10 +240,10 @@
 
     private void remove(Member member, List<MembershipEffect> effects) {
         if (member.state() == MemberState.LIVE) {
-            effects.add(new StopNewWork(member.upstreamId(), member.incarnation(), MemberState.DEAD));
+            effects.add(new StopDispatch(member.upstreamId(), member.incarnation(), MemberState.DEAD));
         }
         members.remove(member.upstreamId());
-        effects.add(new UnlinkFrom(member.upstreamId()));
+        effects.add(new CloseLink(member.upstreamId()));
     }
 
     private static void emitWorkChange(Member member, MemberState before, List<MembershipEffect> effects) {
@@ -251,7 +251,7 @@
         if (before != MemberState.LIVE && after == MemberState.LIVE) {
             effects.add(new StartNewWork(member.upstreamId(), member.incarnation()));
         } else if (before == MemberState.LIVE && after != MemberState.LIVE) {
-            effects.add(new StopNewWork(member.upstreamId(), member.incarnation(), after));
+            effects.add(new StopDispatch(member.upstreamId(), member.incarnation(), after));
         }
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/order/OrderEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderEffect.java
@@ -1,6 +1,6 @@
 package dev.wigeonward.core.order;
 
-/** An action that {@link OrderGate} requests from its adapters. */
+/** An action that {@link OrderFence} requests from its adapters. */
 public sealed interface OrderEffect {
     /** Reads the creation revision of the controller key from the store. */
     record ReadFencingNumber() implements OrderEffect {}
--- a/core/src/main/java/dev/wigeonward/core/order/OrderEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderEvent.java
@@ -2,17 +2,17 @@
 
 import com.google.common.base.Preconditions;
 
-/** An input of {@link OrderGate}. */
+/** An input of {@link OrderFence}. */
 public sealed interface OrderEvent {
     /** An order arrived on a link. */
     record OrderReceived(Order order) implements OrderEvent {}
 
     /** A peer reported the fencing number of the controller known to it. */
-    record FencingSeen(long fencingNumber) implements OrderEvent {}
+    record FencingNumberReported(long fencingNumber) implements OrderEvent {}
 
     /** The store returned the creation revision of the controller key; 0 if the key does not exist. */
-    record FencingRead(long fencingNumber) implements OrderEvent {
-        public FencingRead {
+    record FencingNumberRead(long fencingNumber) implements OrderEvent {
+        public FencingNumberRead {
             Preconditions.checkArgument(
                     fencingNumber >= 0, "fencingNumber must not be negative, but is %s", fencingNumber);
         }
--- a/core/src/main/java/dev/wigeonward/core/order/OrderGate.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderFence.java
@@ -14,7 +14,7 @@
  * number. The highest number seen is not persisted, so a new gate submits nothing until it has read the number from the
  * store. Not thread-safe.
  */
-public final class OrderGate {
+public final class OrderFence {
     private static final int MAX_WAITING_ORDERS = 64;
     private static final int MAX_RUNNING_ORDERS = 16;
     /** Enough for repetitions by later controllers; a load repeated after its result was removed has no effect. */
@@ -29,11 +29,11 @@
     private boolean readOutstanding;
 
     /** Creates a gate that has not read the fencing number and stores up to {@link #MAX_RESULTS} results. */
-    public OrderGate() {
+    public OrderFence() {
         this(MAX_RESULTS);
     }
 
-    OrderGate(int maxResults) {
+    OrderFence(int maxResults) {
         Preconditions.checkArgument(maxResults > 0, "maxResults must be positive, but is %s", maxResults);
         this.maxResults = maxResults;
     }
@@ -43,9 +43,9 @@
         List<OrderEffect> effects = new ArrayList<>();
         if (event instanceof OrderEvent.OrderReceived received) {
             onOrderReceived(received.order(), effects);
-        } else if (event instanceof OrderEvent.FencingSeen seen) {
+        } else if (event instanceof OrderEvent.FencingNumberReported seen) {
             highestFencingNumber = Math.max(highestFencingNumber, seen.fencingNumber());
-        } else if (event instanceof OrderEvent.FencingRead read) {
+        } else if (event instanceof OrderEvent.FencingNumberRead read) {
             onFencingRead(read.fencingNumber(), effects);
         } else if (event instanceof OrderEvent.StoreUnavailable) {
             refuseWaiting("the store did not confirm the fencing number", effects);
--- a/core/src/main/java/dev/wigeonward/core/placement/EarliestCompletion.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/EarliestCompletion.java
@@ -34,7 +34,7 @@
      * Returns a policy that records each choice in the prefix index, because the engine caches the prefix when it runs
      * the request, and the cache event of the engine arrives late.
      */
-    public static EarliestCompletion of(RandomGenerator random, PrefixIndex prefixes, DomainLatency latency) {
+    public static EarliestCompletion create(RandomGenerator random, PrefixIndex prefixes, DomainLatency latency) {
         return new EarliestCompletion(random, prefixes, latency);
     }
 
@@ -55,7 +55,7 @@
             return Optional.of(best);
         }
         for (String holder : prefixes.recentHolders(prefixHash, MAX_HOLDERS_EXAMINED)) {
-            Optional<UpstreamState> state = pool.find(holder);
+            Optional<UpstreamLoadState> state = pool.find(holder);
             if (state.isPresent()) {
                 best = earlier(best, estimate(request, state.get(), nowMillis));
             }
@@ -64,7 +64,7 @@
         return Optional.of(best);
     }
 
-    private Placement estimate(RequestSpec request, UpstreamState state, long nowMillis) {
+    private Placement estimate(RequestSpec request, UpstreamLoadState state, long nowMillis) {
         UpstreamDescription description = state.description();
         WorkEstimate work = request.work();
         EngineSpeed speed = description.speed();
--- a/core/src/main/java/dev/wigeonward/core/placement/KeyAffinity.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/KeyAffinity.java
@@ -18,7 +18,7 @@
     }
 
     /** Returns a policy that delegates requests without a key and non-idempotent requests to {@code fallback}. */
-    public static KeyAffinity or(PlacementPolicy fallback) {
+    public static KeyAffinity withFallback(PlacementPolicy fallback) {
         return new KeyAffinity(fallback);
     }
 
@@ -27,7 +27,7 @@
         if (request.key().isEmpty() || !request.idempotent()) {
             return fallback.choose(request, pool, nowMillis);
         }
-        return member(request.key().get(), pool).map(state -> {
+        return select(request.key().get(), pool).map(state -> {
             long serviceMillis =
                     request.work().serviceMillis(state.description().speed());
             return new Placement(state.description().upstreamId(), state.waitMillis(nowMillis), serviceMillis);
@@ -35,7 +35,7 @@
     }
 
     /** Returns the member of the pool with the highest weight for the key, or empty if the pool is empty. */
-    public static Optional<UpstreamState> member(String key, UpstreamPool pool) {
+    public static Optional<UpstreamLoadState> select(String key, UpstreamPool pool) {
         return pool.size() == 0 ? Optional.empty() : Optional.of(pool.get(pool.heaviest(Rendezvous.hash(key))));
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/placement/LeastOutstanding.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/LeastOutstanding.java
@@ -18,9 +18,9 @@
 
     @Override
     public Optional<Placement> choose(RequestSpec request, UpstreamPool pool, long nowMillis) {
-        UpstreamState best = null;
+        UpstreamLoadState best = null;
         for (int position = 0; position < pool.size(); position++) {
-            UpstreamState state = pool.get(position);
+            UpstreamLoadState state = pool.get(position);
             if (best == null || state.ownOutstanding() < best.ownOutstanding()) {
                 best = state;
             }
--- a/core/src/main/java/dev/wigeonward/core/placement/LinkSubset.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/LinkSubset.java
@@ -24,7 +24,7 @@
     private LinkSubset() {}
 
     /** Returns the number of entries that each agent of a pool selects by its weights. */
-    public static int linksPerAgent(int entries, int agents) {
+    public static int entriesPerAgent(int entries, int agents) {
         Preconditions.checkArgument(entries > 0, "entries must be positive but was %s", entries);
         Preconditions.checkArgument(agents > 0, "agents must be positive but was %s", agents);
         long needed = ((long) MIN_LINKS_PER_ENTRY * entries + agents - 1) / agents;
@@ -39,7 +39,7 @@
      * @param entries ids of the live entries of the region
      * @param agents ids of the live agents of one pool in the region
      */
-    public static List<String> agentsOf(String entryId, Collection<String> entries, Collection<String> agents) {
+    public static List<String> selectAgents(String entryId, Collection<String> entries, Collection<String> agents) {
         if (agents.isEmpty()) {
             return List.of();
         }
@@ -54,7 +54,8 @@
     }
 
     /** Returns the number of agents that select the entry by their weights alone; used to measure that rule. */
-    public static long linksByAgents(String entryId, Collection<String> entries, Collection<String> agents) {
+    public static long countLinksSelectedByAgents(
+            String entryId, Collection<String> entries, Collection<String> agents) {
         return selectedBy(entryId, entries, agents).size();
     }
 
@@ -64,7 +65,7 @@
                 .filter(entry -> !entry.equals(entryId))
                 .mapToLong(Rendezvous::hash)
                 .toArray();
-        int linksPerAgent = linksPerAgent(otherHashes.length + 1, agents.size());
+        int linksPerAgent = entriesPerAgent(otherHashes.length + 1, agents.size());
         return agents.stream()
                 .filter(agent -> isAmongHeaviest(Rendezvous.hash(agent), ownHash, otherHashes, linksPerAgent))
                 .toList();
--- a/core/src/main/java/dev/wigeonward/core/placement/RoundRobin.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/RoundRobin.java
@@ -21,7 +21,7 @@
             return Optional.empty();
         }
         next = (next + 1) % pool.size();
-        UpstreamState state = pool.get(next);
+        UpstreamLoadState state = pool.get(next);
         long serviceMillis = request.work().serviceMillis(state.description().speed());
         return Optional.of(new Placement(state.description().upstreamId(), state.waitMillis(nowMillis), serviceMillis));
     }
--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamState.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamLoadState.java
@@ -6,7 +6,7 @@
  * Load of one upstream as seen by one entry: the exact outstanding work of this entry and the last load report of the
  * agent. Not thread-safe.
  */
-public final class UpstreamState {
+public final class UpstreamLoadState {
     /** Half-life of the weight of a report, in milliseconds. */
     static final long REPORT_HALF_LIFE_MILLIS = 2_000;
 
@@ -19,13 +19,13 @@
     private long ownWorkAtReportMillis;
     private int ownOutstandingAtReport;
 
-    private UpstreamState(UpstreamDescription description) {
+    private UpstreamLoadState(UpstreamDescription description) {
         this.description = description;
     }
 
     /** Returns the state of an upstream without load. */
-    public static UpstreamState of(UpstreamDescription description) {
-        return new UpstreamState(description);
+    public static UpstreamLoadState of(UpstreamDescription description) {
+        return new UpstreamLoadState(description);
     }
 
     /** Returns the description announced by the agent. */
--- a/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/UpstreamPool.java
@@ -11,7 +11,7 @@
 public final class UpstreamPool {
     private static final int INITIAL_CAPACITY = 16;
 
-    private final List<UpstreamState> members = new ArrayList<>();
+    private final List<UpstreamLoadState> members = new ArrayList<>();
     private final Map<String, Integer> positions = new HashMap<>();
     /** Hashes of the members' ids by position; a contiguous array, because key affinity reads all of them. */
     private long[] idHashes = new long[INITIAL_CAPACITY];
@@ -24,7 +24,7 @@
     }
 
     /** Adds the upstream, or replaces the state of the member with the same id. */
-    public void put(UpstreamState state) {
+    public void put(UpstreamLoadState state) {
         Integer position = positions.get(state.description().upstreamId());
         if (position != null) {
             members.set(position, state);
@@ -44,7 +44,7 @@
         if (position == null) {
             return;
         }
-        UpstreamState last = members.remove(members.size() - 1);
+        UpstreamLoadState last = members.remove(members.size() - 1);
         if (position < members.size()) {
             members.set(position, last);
             idHashes[position] = idHashes[members.size()];
@@ -53,7 +53,7 @@
     }
 
     /** Returns the member at a position from 0 to {@code size() - 1}. */
-    public UpstreamState get(int position) {
+    public UpstreamLoadState get(int position) {
         return members.get(position);
     }
 
@@ -77,7 +77,7 @@
     }
 
     /** Returns the member with the given id, or empty if it is not in the pool. */
-    public Optional<UpstreamState> find(String upstreamId) {
+    public Optional<UpstreamLoadState> find(String upstreamId) {
         return Optional.ofNullable(positions.get(upstreamId)).map(members::get);
     }
 
--- a/core/src/main/java/dev/wigeonward/core/request/RequestSpec.java
+++ b/core/src/main/java/dev/wigeonward/core/request/RequestSpec.java
@@ -43,7 +43,7 @@
     }
 
     /** Returns the time left before the deadline, in milliseconds; negative once it has passed. */
-    public long timeLeftMillis(long nowMillis) {
+    public long remainingMillis(long nowMillis) {
         return deadlineMillis - nowMillis;
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/retry/RetryBudget.java
+++ b/core/src/main/java/dev/wigeonward/core/retry/RetryBudget.java
@@ -1,12 +1,12 @@
 package dev.wigeonward.core.retry;
 
-import dev.wigeonward.core.dispatch.RetryPermits;
+import dev.wigeonward.core.dispatch.RetryLimiter;
 
 /**
  * Token bucket that limits retries. Each second adds the larger of a share of the requests and a fixed minimum, so that
  * an entry with few requests can still retry and one with many cannot multiply its load. Not thread-safe.
  */
-public final class RetryBudget implements RetryPermits {
+public final class RetryBudget implements RetryLimiter {
     private static final long MILLITOKENS_PER_RETRY = 1_000;
     /** Tokens added by one request, a tenth of a retry. */
     private static final long MILLITOKENS_PER_REQUEST = 100;
@@ -30,12 +30,12 @@
     }
 
     /** Returns a budget that starts with the minimum of one second. */
-    public static RetryBudget startingAt(long nowMillis) {
+    public static RetryBudget create(long nowMillis) {
         return new RetryBudget(nowMillis);
     }
 
     @Override
-    public void onRequest(long nowMillis) {
+    public void recordRequest(long nowMillis) {
         startDueInterval(nowMillis);
         requestMillitokens += MILLITOKENS_PER_REQUEST;
         addTokens(nowMillis);
--- a/core/src/main/java/dev/wigeonward/core/revision/AdoptionResult.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/AdoptionResult.java
@@ -6,10 +6,10 @@
     record Adopted(Revision revision) implements AdoptionResult {}
 
     /** The candidate's number is lower than the one in force, or both the numbers and the hashes are equal. */
-    record NotHigher(long numberInForce) implements AdoptionResult {}
+    record NotHigher(long currentNumber) implements AdoptionResult {}
 
     /** The candidate has the number of the revision in force but a different hash. */
-    record OtherHash(String hashInForce) implements AdoptionResult {}
+    record DifferentHash(String currentHash) implements AdoptionResult {}
 
     /** The hash of the candidate's text differs from the hash sent with it. */
     record HashMismatch() implements AdoptionResult {}
--- a/core/src/main/java/dev/wigeonward/core/revision/AdoptionRules.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/AdoptionRules.java
@@ -14,7 +14,7 @@
 
     /** Returns whether the hash of a candidate's text equals the hash sent with it. */
     default boolean verifies(Revision candidate) {
-        return candidate.verifies();
+        return candidate.hashMatchesText();
     }
 
     /** Returns whether a number is disputed, given how many different hashes are claimed for it. */
--- a/core/src/main/java/dev/wigeonward/core/revision/PeerClaims.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/PeerRevisions.java
@@ -10,7 +10,7 @@
 /**
  * Latest revision number and hash received from each linked peer. A lower number replaces a higher one of that peer.
  */
-final class PeerClaims {
+final class PeerRevisions {
     private static final Claim NO_REVISION = new Claim(0, "");
 
     private final Map<String, Claim> claims = new LinkedHashMap<>();
--- a/core/src/main/java/dev/wigeonward/core/revision/ReaderElection.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/ReaderElection.java
@@ -33,7 +33,7 @@
     private ReaderElection() {}
 
     /** Returns the ids of the readers of all failure domains, up to {@link #READERS_PER_DOMAIN} for each. */
-    public static Set<String> readers(Collection<LiveEntry> live) {
+    public static Set<String> electReaders(Collection<LiveEntry> live) {
         Map<String, List<LiveEntry>> byDomain =
                 live.stream().distinct().collect(Collectors.groupingBy(LiveEntry::failureDomain));
         return byDomain.values().stream()
--- a/core/src/main/java/dev/wigeonward/core/revision/RelayEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RelayEffect.java
@@ -8,7 +8,7 @@
     record SendOffer(String peer, long number, String hash) implements RelayEffect {}
 
     /** Request the revision in force at a peer; number 0 requests the full text instead of a delta. */
-    record SendRequest(String peer, long haveNumber, String haveHash) implements RelayEffect {}
+    record SendRequest(String peer, long baseNumber, String baseHash) implements RelayEffect {}
 
     /** Send a delta to a peer. */
     record SendDelta(String peer, RevisionDelta delta) implements RelayEffect {}
--- a/core/src/main/java/dev/wigeonward/core/revision/RelayEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RelayEvent.java
@@ -9,13 +9,13 @@
     record LinkDown(String peer) implements RelayEvent {}
 
     /** A heartbeat carried the number in force at a peer; the hash is empty if the frame had none. */
-    record PeerHeartbeat(String peer, long number, String hash) implements RelayEvent {}
+    record HeartbeatArrived(String peer, long number, String hash) implements RelayEvent {}
 
     /** A peer announced the revision in force there. */
-    record Offered(String peer, long number, String hash) implements RelayEvent {}
+    record OfferArrived(String peer, long number, String hash) implements RelayEvent {}
 
     /** A peer requested the revision in force here; it has the given one, and number 0 requests the full text. */
-    record Requested(String peer, long haveNumber, String haveHash) implements RelayEvent {}
+    record RequestArrived(String peer, long baseNumber, String baseHash) implements RelayEvent {}
 
     /** A delta arrived from a peer. */
     record DeltaArrived(String peer, RevisionDelta delta) implements RelayEvent {}
@@ -24,7 +24,7 @@
     record SnapshotPartArrived(String peer, SnapshotPart part) implements RelayEvent {}
 
     /** A read of the store's head completed, possibly without an answer. */
-    record StoreRead(RevisionStore.HeadResult result) implements RelayEvent {}
+    record StoreReadCompleted(RevisionStore.HeadResult result) implements RelayEvent {}
 
     /** A periodic timer fired, so that timeouts are checked. */
     record Tick() implements RelayEvent {}
--- a/core/src/main/java/dev/wigeonward/core/revision/Revision.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/Revision.java
@@ -8,7 +8,7 @@
 
 /**
  * A numbered version of the rules text. The hash is the one sent or stored with the text and may be wrong; {@link
- * #verifies()} compares it with the text.
+ * #hashMatchesText()} compares it with the text.
  *
  * @param number position in the sequence of accepted revisions, starting at 1
  * @param hash SHA-256 hash of the text in UTF-8, in lower-case hex digits
@@ -40,7 +40,7 @@
     }
 
     /** Returns whether the hash matches the text; takes time linear in the length of the text. */
-    public boolean verifies() {
+    public boolean hashMatchesText() {
         return hashOf(text).equals(hash);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/revision/RevisionDelta.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RevisionDelta.java
@@ -159,7 +159,7 @@
         }
         result.addAll(oldLines.subList(nextLine, oldLines.size()));
         return Optional.of(Revision.receivedFromPeer(toNumber, toHash, String.join("\n", result)))
-                .filter(Revision::verifies);
+                .filter(Revision::hashMatchesText);
     }
 
     /** Returns the estimated size of the edits in a frame, in bytes. */
--- a/core/src/main/java/dev/wigeonward/core/revision/RevisionLog.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RevisionLog.java
@@ -44,7 +44,7 @@
         if (!rules.isHigher(number(), candidate.number())) {
             boolean differentHash =
                     candidate.number() == number() && !candidate.hash().equals(hash());
-            return differentHash ? new AdoptionResult.OtherHash(hash()) : new AdoptionResult.NotHigher(number());
+            return differentHash ? new AdoptionResult.DifferentHash(hash()) : new AdoptionResult.NotHigher(number());
         }
         if (!rules.verifies(candidate)) {
             return new AdoptionResult.HashMismatch();
--- a/core/src/main/java/dev/wigeonward/core/revision/RevisionRelay.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RevisionRelay.java
@@ -40,7 +40,7 @@
     private final AdoptionRules rules;
     private final RevisionLog log;
     private final RandomGenerator random;
-    private final PeerClaims claims = new PeerClaims();
+    private final PeerRevisions claims = new PeerRevisions();
     private final TreeMap<Long, Set<String>> reportedConflicts = new TreeMap<>();
     private final List<RelayEffect> effects = new ArrayList<>();
     private Optional<Fetch> fetch = Optional.empty();
@@ -87,17 +87,17 @@
         } else if (event instanceof RelayEvent.LinkDown down) {
             claims.linkDown(down.peer());
             fetch = fetch.filter(pending -> !pending.peer.equals(down.peer()));
-        } else if (event instanceof RelayEvent.PeerHeartbeat heartbeat) {
+        } else if (event instanceof RelayEvent.HeartbeatArrived heartbeat) {
             recordClaim(heartbeat.peer(), heartbeat.number(), heartbeat.hash());
-        } else if (event instanceof RelayEvent.Offered offered) {
+        } else if (event instanceof RelayEvent.OfferArrived offered) {
             recordClaim(offered.peer(), offered.number(), offered.hash());
-        } else if (event instanceof RelayEvent.Requested requested) {
+        } else if (event instanceof RelayEvent.RequestArrived requested) {
             answerRequest(requested);
         } else if (event instanceof RelayEvent.DeltaArrived arrived) {
             receiveDelta(arrived.peer(), arrived.delta(), nowMillis);
         } else if (event instanceof RelayEvent.SnapshotPartArrived arrived) {
             receivePart(arrived.peer(), arrived.part(), nowMillis);
-        } else if (event instanceof RelayEvent.StoreRead read) {
+        } else if (event instanceof RelayEvent.StoreReadCompleted read) {
             receiveStoreRead(read.result());
         }
         expireTimeouts(nowMillis);
@@ -134,12 +134,12 @@
         effects.add(new RelayEffect.ReportConflict(number, hashes));
     }
 
-    private void answerRequest(RelayEvent.Requested requested) {
-        if (log.number() == 0 || requested.haveNumber() >= log.number()) {
+    private void answerRequest(RelayEvent.RequestArrived requested) {
+        if (log.number() == 0 || requested.baseNumber() >= log.number()) {
             return;
         }
         Revision current = log.current().orElseThrow();
-        Optional<RevisionDelta> delta = log.deltaFrom(requested.haveNumber(), requested.haveHash())
+        Optional<RevisionDelta> delta = log.deltaFrom(requested.baseNumber(), requested.baseHash())
                 .filter(candidate -> candidate.sizeBytes()
                         <= Math.min(MAX_DELTA_BYTES, current.text().length()));
         if (delta.isPresent()) {
@@ -208,8 +208,8 @@
             fullTextRequired = false;
             effects.add(new RelayEffect.Adopt(revision));
             claims.peersBelow(revision.number()).forEach(peer -> effects.add(offer(peer, revision)));
-        } else if (result instanceof AdoptionResult.OtherHash other) {
-            reportConflict(revision.number(), Set.of(revision.hash(), other.hashInForce()));
+        } else if (result instanceof AdoptionResult.DifferentHash other) {
+            reportConflict(revision.number(), Set.of(revision.hash(), other.currentHash()));
         }
         return result;
     }
@@ -275,7 +275,7 @@
     }
 
     /** Returns the claimed hashes of each disputed number above the one in force. */
-    public Map<Long, Set<String>> disputes() {
+    public Map<Long, Set<String>> disputedHashes() {
         Map<Long, Set<String>> result = new TreeMap<>();
         claims.usableNumbersAbove(log.number()).forEach(number -> {
             Set<String> hashes = claims.hashesOf(number);
--- a/core/src/main/java/dev/wigeonward/core/rollout/ControllerEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ControllerEffect.java
@@ -5,7 +5,7 @@
 /** An action that the move controller requests from its adapters. */
 public sealed interface ControllerEffect {
     /** Write the record if the key's revision is still the expected one; 0 means that the key must not exist. */
-    record WriteRecord(MoveRecord record, long expectedRevision) implements ControllerEffect {}
+    record WriteRecord(RolloutRecord record, long expectedRevision) implements ControllerEffect {}
 
     /** Read the record of a model. */
     record ReadRecord(String model) implements ControllerEffect {}
@@ -20,5 +20,5 @@
     record PublishVerdict(BadVerdict verdict) implements ControllerEffect {}
 
     /** Report the step to the operators. */
-    record ReportStep(MoveReport report) implements ControllerEffect {}
+    record ReportStep(RolloutReport report) implements ControllerEffect {}
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/ControllerEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ControllerEvent.java
@@ -27,32 +27,32 @@
     record LeaseLost() implements ControllerEvent {}
 
     /** A revision of the rules took effect. */
-    record RulesChanged(List<MoveRule> rules) implements ControllerEvent {
+    record RulesChanged(List<RolloutRule> rules) implements ControllerEvent {
         public RulesChanged {
             rules = List.copyOf(rules);
         }
     }
 
     /** An agent reported the versions that its engine holds. */
-    record UpstreamSeen(UpstreamVersions upstream) implements ControllerEvent {}
+    record UpstreamReported(UpstreamVersions upstream) implements ControllerEvent {}
 
     /** An agent left, or the link to it was lost. */
-    record UpstreamGone(String upstreamId) implements ControllerEvent {}
+    record UpstreamRemoved(String upstreamId) implements ControllerEvent {}
 
     /** An agent reported the counters that it has kept since its start. */
     record EvidenceReported(
-            String upstreamId, long incarnation, ModelVersion version, RouteCell cell, EvidenceCounters counters)
+            String upstreamId, long incarnation, ModelVersion version, RouteLoadKey cell, EvidenceCounters counters)
             implements ControllerEvent {}
 
     /** A peer sent a bad verdict. */
-    record VerdictLearned(BadVerdict verdict) implements ControllerEvent {}
+    record VerdictReceived(BadVerdict verdict) implements ControllerEvent {}
 
     /**
      * The store answered a write of a move record.
      *
      * @param revision new revision of the key if the write was applied
      */
-    record StoreAnswered(String model, String writeId, StoreAnswer answer, long revision) implements ControllerEvent {}
+    record WriteAnswered(String model, String writeId, WriteOutcome answer, long revision) implements ControllerEvent {}
 
     /** The store answered a read of a move record. */
     record RecordRead(String model, Optional<StoredRecord> stored) implements ControllerEvent {}
@@ -64,7 +64,7 @@
     record Tick() implements ControllerEvent {}
 
     /** Outcome of a write. */
-    enum StoreAnswer {
+    enum WriteOutcome {
         APPLIED,
         COMPARE_FAILED,
         /** The reply was lost; the write may have taken effect. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/JudgeSettings.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/EvaluationSettings.java
@@ -12,14 +12,14 @@
  * @param minSamples minimum number of the new version's requests for a bad verdict
  * @param minOldSamples minimum number of the old version's recent requests for a test against them alone
  */
-public record JudgeSettings(
+public record EvaluationSettings(
         double falseBadRate,
         double falseGoodRate,
         double failureDifference,
         double slowDifference,
         int minSamples,
         int minOldSamples) {
-    public JudgeSettings {
+    public EvaluationSettings {
         Preconditions.checkArgument(
                 falseBadRate > 0 && falseBadRate < 0.5,
                 "falseBadRate must be between 0 and 0.5, but is %s",
@@ -39,7 +39,7 @@
      * Returns the settings used in production. The rate of false alarms is low because a move runs several thousand
      * tests: two for each route and load level, restarted after each good verdict until the move is done.
      */
-    public static JudgeSettings standard() {
-        return new JudgeSettings(1e-6, 0.005, 0.05, 0.15, 10, 200);
+    public static EvaluationSettings standard() {
+        return new EvaluationSettings(1e-6, 0.005, 0.05, 0.15, 10, 200);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
@@ -41,9 +41,9 @@
      * @param load fraction of the upstream's capacity in use
      * @param serviceMillis estimated service time of the request on an otherwise idle upstream
      */
-    public Observation started(ModelVersion version, String route, double load, long serviceMillis, long nowMillis) {
+    public Observation start(ModelVersion version, String route, double load, long serviceMillis, long nowMillis) {
         Preconditions.checkArgument(serviceMillis > 0, "serviceMillis must be positive, but is %s", serviceMillis);
-        Key key = new Key(version, new RouteCell(route, load > loadThreshold));
+        Key key = new Key(version, new RouteLoadKey(route, load > loadThreshold));
         Observation observation = new Observation(nowMillis, serviceMillis);
         countsByKey.computeIfAbsent(key, any -> new OrderedCounts()).started.add(observation);
         return observation;
@@ -57,7 +57,7 @@
     }
 
     /** Version and route cell for which counters are kept. */
-    public record Key(ModelVersion version, RouteCell cell) {}
+    public record Key(ModelVersion version, RouteLoadKey cell) {}
 
     /** The observation of one request at the engine; the first reported end counts. */
     public static final class Observation {
@@ -78,7 +78,7 @@
         }
 
         /** Reports that the engine died or ended the request without an answer. */
-        public void died(long nowMillis) {
+        public void failed(long nowMillis) {
             end(true, false, nowMillis);
         }
 
