--- a/core/src/main/java/dev/wigeonward/core/rollout/FinishProjection.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/FinishProjection.java
@@ -7,12 +7,12 @@
     /** Weight of the latest load in the exponentially weighted mean of load durations. */
     private static final double LOAD_WEIGHT = 0.3;
 
-    private final MoveSettings settings;
+    private final RolloutSettings settings;
     private final LoadPlanner planner;
-    private final MoveAdvancer advancer;
+    private final RolloutAdvancer advancer;
     private double meanLoadMillis;
 
-    FinishProjection(MoveSettings settings, LoadPlanner planner, MoveAdvancer advancer) {
+    FinishProjection(RolloutSettings settings, LoadPlanner planner, RolloutAdvancer advancer) {
         this.settings = settings;
         this.planner = planner;
         this.advancer = advancer;
@@ -28,13 +28,17 @@
      * Returns the projected finish of the move, or the start of its phase if its new version already gets all requests
      * or the move no longer advances.
      */
-    long finishMillis(Move move, Collection<Move> moves, Collection<UpstreamVersions> upstreams, long nowMillis) {
-        MoveRecord record = move.record;
-        if (!record.phase().isAdvancing() || record.phase() == MovePhase.WATCHING) {
+    long finishMillis(
+            RolloutProgress move,
+            Collection<RolloutProgress> moves,
+            Collection<UpstreamVersions> upstreams,
+            long nowMillis) {
+        RolloutRecord record = move.record;
+        if (!record.phase().isAdvancing() || record.phase() == RolloutPhase.WATCHING) {
             return record.phaseStartMillis();
         }
         long loads = 0;
-        for (Move other : moves) {
+        for (RolloutProgress other : moves) {
             boolean loadsFirst = other == move || other.record.deadlineMillis() < record.deadlineMillis();
             if (loadsFirst && other.record.phase().isAdvancing()) {
                 int needed = planner.upstreamsNeeded(other, upstreams, Stage.ALL_BASIS_POINTS);
@@ -46,7 +50,7 @@
         return nowMillis + Math.max(loadingMillis, stagesMillis(move, nowMillis));
     }
 
-    private long stagesMillis(Move move, long nowMillis) {
+    private long stagesMillis(RolloutProgress move, long nowMillis) {
         boolean started = move.record.shareBasisPoints() > 0;
         int stagesLeft = settings.stagesLeft(move.record.shareBasisPoints()) - (started ? 1 : 0);
         long millis = stagesLeft * settings.minStageMillis();
--- a/core/src/main/java/dev/wigeonward/core/rollout/LoadPlanner.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/LoadPlanner.java
@@ -22,29 +22,30 @@
      */
     private static final int KEPT_OLD_DIVISOR = 10;
 
-    private final MoveSettings settings;
+    private final RolloutSettings settings;
 
-    LoadPlanner(MoveSettings settings) {
+    LoadPlanner(RolloutSettings settings) {
         this.settings = settings;
     }
 
     /** Returns the new orders of each model, with placeholders for their ids. */
-    Map<String, List<OrderIntent>> plan(List<Move> moves, Collection<UpstreamVersions> upstreams, long nowMillis) {
-        List<Move> byDeadline = new ArrayList<>(moves);
-        byDeadline.sort(Comparator.comparingLong((Move move) -> move.record.deadlineMillis())
+    Map<String, List<OrderIntent>> plan(
+            List<RolloutProgress> moves, Collection<UpstreamVersions> upstreams, long nowMillis) {
+        List<RolloutProgress> byDeadline = new ArrayList<>(moves);
+        byDeadline.sort(Comparator.comparingLong((RolloutProgress move) -> move.record.deadlineMillis())
                 .thenComparing(move -> move.record.model()));
         int loadsLeft = settings.concurrentLoads();
-        for (Move move : moves) {
+        for (RolloutProgress move : moves) {
             loadsLeft -= (int) move.unansweredIntents().stream()
                     .filter(intent -> intent.kind() == Order.Kind.LOAD)
                     .count();
         }
         Map<String, List<OrderIntent>> planned = new LinkedHashMap<>();
-        for (Move move : byDeadline) {
+        for (RolloutProgress move : byDeadline) {
             if (move.pending != null || nowMillis < move.retryOrdersMillis) {
                 continue;
             }
-            if (move.record.phase() == MovePhase.DONE
+            if (move.record.phase() == RolloutPhase.DONE
                     && nowMillis - move.record.phaseStartMillis() < StageView.MAX_LEASE_MILLIS) {
                 // An entry that has not yet received the last stage still sends requests to the old version.
                 continue;
@@ -64,23 +65,23 @@
      * Returns the number of upstreams that must hold the new version before the share may be published, or 0 if there
      * is no memory for it beside the old version.
      */
-    int upstreamsNeeded(Move move, Collection<UpstreamVersions> upstreams, int shareBasisPoints) {
+    int upstreamsNeeded(RolloutProgress move, Collection<UpstreamVersions> upstreams, int shareBasisPoints) {
         List<UpstreamVersions> all = upstreamsOf(move, upstreams);
         int needed = Math.max(1, (all.size() * shareBasisPoints + Stage.ALL_BASIS_POINTS - 1) / Stage.ALL_BASIS_POINTS);
         long singleVersionUpstreams =
-                all.stream().filter(upstream -> upstream.places() == 1).count();
+                all.stream().filter(upstream -> upstream.maxVersions() == 1).count();
         int kept = singleVersionUpstreams == 0 ? 0 : Math.max(1, all.size() / KEPT_OLD_DIVISOR);
         return Math.min(needed, all.size() - kept);
     }
 
     /** Returns the number of upstreams that hold the new version. */
-    int upstreamsReady(Move move, Collection<UpstreamVersions> upstreams) {
+    int upstreamsReady(RolloutProgress move, Collection<UpstreamVersions> upstreams) {
         return (int) upstreamsOf(move, upstreams).stream()
                 .filter(upstream -> upstream.hasLoaded(move.record.newVersion()))
                 .count();
     }
 
-    private List<OrderIntent> ordersFor(Move move, List<UpstreamVersions> upstreams, int loadsLeft) {
+    private List<OrderIntent> ordersFor(RolloutProgress move, List<UpstreamVersions> upstreams, int loadsLeft) {
         Set<String> busy = new HashSet<>();
         move.unansweredIntents().forEach(intent -> busy.add(intent.upstreamId()));
         List<UpstreamVersions> free = upstreams.stream()
@@ -96,8 +97,8 @@
     }
 
     private List<OrderIntent> loadNew(
-            Move move, List<UpstreamVersions> upstreams, List<UpstreamVersions> free, int loadsLeft) {
-        int share = move.record.phase() == MovePhase.LOADING
+            RolloutProgress move, List<UpstreamVersions> upstreams, List<UpstreamVersions> free, int loadsLeft) {
+        int share = move.record.phase() == RolloutPhase.LOADING
                 ? move.record.canaryBasisPoints()
                 : settings.nextShare(move.record.shareBasisPoints());
         String newVersion = move.record.newVersion();
@@ -130,7 +131,11 @@
     }
 
     private static List<OrderIntent> replaceVersion(
-            Move move, List<UpstreamVersions> free, String versionToUnload, String versionToLoad, int loadsLeft) {
+            RolloutProgress move,
+            List<UpstreamVersions> free,
+            String versionToUnload,
+            String versionToLoad,
+            int loadsLeft) {
         List<OrderIntent> orders = new ArrayList<>();
         int loads = 0;
         for (UpstreamVersions upstream : free) {
@@ -144,11 +149,11 @@
         return orders;
     }
 
-    private static OrderIntent order(Move move, UpstreamVersions upstream, Order.Kind kind, String version) {
+    private static OrderIntent order(RolloutProgress move, UpstreamVersions upstream, Order.Kind kind, String version) {
         return new OrderIntent("unnumbered", upstream.upstreamId(), kind, move.record.model(), version);
     }
 
-    private static List<UpstreamVersions> upstreamsOf(Move move, Collection<UpstreamVersions> upstreams) {
+    private static List<UpstreamVersions> upstreamsOf(RolloutProgress move, Collection<UpstreamVersions> upstreams) {
         return upstreams.stream()
                 .filter(upstream -> upstream.model().equals(move.record.model()))
                 .sorted(Comparator.comparing(UpstreamVersions::upstreamId))
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveAdvancer.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutAdvancer.java
@@ -4,23 +4,23 @@
 import java.util.Optional;
 
 /** Rules for the next phase of a move. The controller writes the phase to the store before it acts on it. */
-final class MoveAdvancer {
+final class RolloutAdvancer {
     /** Fraction of a stage's time after which its test is truncated, so that the deadline can still be met. */
     private static final double STAGE_TIME_FRACTION = 0.9;
 
-    private final MoveSettings settings;
+    private final RolloutSettings settings;
     private final LoadPlanner planner;
 
-    MoveAdvancer(MoveSettings settings, LoadPlanner planner) {
+    RolloutAdvancer(RolloutSettings settings, LoadPlanner planner) {
         this.settings = settings;
         this.planner = planner;
     }
 
     /** Returns the maximum time that the test of the current stage may still take, in milliseconds. */
-    long testMillisLeft(Move move, long nowMillis) {
-        MoveRecord record = move.record;
+    long testMillisLeft(RolloutProgress move, long nowMillis) {
+        RolloutRecord record = move.record;
         int stagesLeft = settings.stagesLeft(record.shareBasisPoints());
-        if (record.phase() == MovePhase.WATCHING || stagesLeft == 0) {
+        if (record.phase() == RolloutPhase.WATCHING || stagesLeft == 0) {
             return settings.watchMillis() - move.activeMillis;
         }
         long minLeftMillis = settings.minTestMillis() - move.activeMillis;
@@ -31,9 +31,9 @@
     }
 
     /** Returns whether the test of the current stage must be truncated now. */
-    boolean mustTruncateTest(Move move, long nowMillis) {
+    boolean mustTruncateTest(RolloutProgress move, long nowMillis) {
         boolean timeOver = testMillisLeft(move, nowMillis) <= 0;
-        return timeOver && (move.record.phase() == MovePhase.WATCHING || !move.evidence.allRoutesPassed());
+        return timeOver && (move.record.phase() == RolloutPhase.WATCHING || !move.evidence.allRoutesPassed());
     }
 
     /**
@@ -41,44 +41,47 @@
      *
      * @param badReason reason of the bad verdict on the new version, if there is one
      */
-    Optional<MoveRecord> next(
-            Move move, Optional<String> badReason, Collection<UpstreamVersions> upstreams, long nowMillis) {
-        MoveRecord record = move.record;
-        boolean canEnd = record.phase().isAdvancing() || record.phase() == MovePhase.DONE;
+    Optional<RolloutRecord> next(
+            RolloutProgress move, Optional<String> badReason, Collection<UpstreamVersions> upstreams, long nowMillis) {
+        RolloutRecord record = move.record;
+        boolean canEnd = record.phase().isAdvancing() || record.phase() == RolloutPhase.DONE;
         if (canEnd && badReason.isPresent()) {
             return Optional.of(
-                    record.withPhase(MovePhase.ROLLING_BACK, 0, nowMillis, "bad version: " + badReason.get()));
+                    record.withPhase(RolloutPhase.ROLLING_BACK, 0, nowMillis, "bad version: " + badReason.get()));
         }
         if (record.phase().isAdvancing() && move.withdrawn) {
             return Optional.of(
-                    record.withPhase(MovePhase.ROLLING_BACK, 0, nowMillis, "the rules no longer name this version"));
+                    record.withPhase(RolloutPhase.ROLLING_BACK, 0, nowMillis, "the rules no longer name this version"));
         }
         return switch (record.phase()) {
             case PLANNED ->
-                Optional.of(record.withPhase(MovePhase.LOADING, 0, nowMillis, "loads by order of deadline"));
+                Optional.of(record.withPhase(RolloutPhase.LOADING, 0, nowMillis, "loads by order of deadline"));
             case LOADING -> afterLoading(move, upstreams, nowMillis);
             case CANARY, GROWING -> afterStage(move, upstreams, nowMillis);
             case WATCHING ->
                 move.activeMillis >= settings.watchMillis()
                         ? Optional.of(record.withPhase(
-                                MovePhase.DONE, Stage.ALL_BASIS_POINTS, nowMillis, "no badness seen while watching"))
+                                RolloutPhase.DONE, Stage.ALL_BASIS_POINTS, nowMillis, "no badness seen while watching"))
                         : Optional.empty();
             case ROLLING_BACK -> afterRollback(move, upstreams, nowMillis);
             default -> Optional.empty();
         };
     }
 
-    private Optional<MoveRecord> afterLoading(Move move, Collection<UpstreamVersions> upstreams, long nowMillis) {
+    private Optional<RolloutRecord> afterLoading(
+            RolloutProgress move, Collection<UpstreamVersions> upstreams, long nowMillis) {
         int share = move.record.canaryBasisPoints();
         int needed = planner.upstreamsNeeded(move, upstreams, share);
         int ready = planner.upstreamsReady(move, upstreams);
         if (ready == 0 || ready < needed) {
             return Optional.empty();
         }
-        return Optional.of(move.record.withPhase(MovePhase.CANARY, share, nowMillis, ready + " upstreams are loaded"));
+        return Optional.of(
+                move.record.withPhase(RolloutPhase.CANARY, share, nowMillis, ready + " upstreams are loaded"));
     }
 
-    private Optional<MoveRecord> afterStage(Move move, Collection<UpstreamVersions> upstreams, long nowMillis) {
+    private Optional<RolloutRecord> afterStage(
+            RolloutProgress move, Collection<UpstreamVersions> upstreams, long nowMillis) {
         int share = settings.nextShare(move.record.shareBasisPoints());
         boolean loaded = planner.upstreamsReady(move, upstreams) >= planner.upstreamsNeeded(move, upstreams, share);
         if (!loaded
@@ -87,11 +90,12 @@
                 || move.evidence.isSuspect(nowMillis)) {
             return Optional.empty();
         }
-        MovePhase phase = share == Stage.ALL_BASIS_POINTS ? MovePhase.WATCHING : MovePhase.GROWING;
+        RolloutPhase phase = share == Stage.ALL_BASIS_POINTS ? RolloutPhase.WATCHING : RolloutPhase.GROWING;
         return Optional.of(move.record.withPhase(phase, share, nowMillis, "all routes passed"));
     }
 
-    private Optional<MoveRecord> afterRollback(Move move, Collection<UpstreamVersions> upstreams, long nowMillis) {
+    private Optional<RolloutRecord> afterRollback(
+            RolloutProgress move, Collection<UpstreamVersions> upstreams, long nowMillis) {
         boolean oldRestored = upstreams.stream()
                 .filter(upstream -> upstream.model().equals(move.record.model()))
                 .allMatch(upstream -> upstream.hasLoaded(move.record.oldVersion()) || !upstream.hasRoom());
@@ -100,6 +104,6 @@
                 || !move.unansweredIntents().isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(move.record.withPhase(MovePhase.ROLLED_BACK, 0, nowMillis, move.record.reason()));
+        return Optional.of(move.record.withPhase(RolloutPhase.ROLLED_BACK, 0, nowMillis, move.record.reason()));
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
@@ -19,16 +19,16 @@
  * write. Bad verdicts are the exception: they are published at once, even without the lease, and written when the store
  * answers, because a verdict only ever takes requests away from a version. Not thread-safe.
  */
-public final class MoveController {
-    private final MoveSettings settings;
-    private final VersionJudge judge;
+public final class RolloutController {
+    private final RolloutSettings settings;
+    private final VersionEvaluator judge;
     private final LoadPlanner planner;
-    private final MoveAdvancer advancer;
+    private final RolloutAdvancer advancer;
     private final FinishProjection projection;
 
-    private final Map<String, Move> moves = new TreeMap<>();
+    private final Map<String, RolloutProgress> moves = new TreeMap<>();
     private final Map<String, UpstreamVersions> upstreams = new TreeMap<>();
-    private final Map<String, MoveRule> rules = new TreeMap<>();
+    private final Map<String, RolloutRule> rules = new TreeMap<>();
     private final Map<ModelVersion, BadVerdict> badVersions =
             new TreeMap<>(Comparator.comparing(ModelVersion::model).thenComparing(ModelVersion::version));
     private boolean rulesKnown;
@@ -42,11 +42,11 @@
     private List<ControllerEffect> effects = new ArrayList<>();
 
     /** Creates a controller without the lease and without moves. */
-    public MoveController(MoveSettings settings, JudgeSettings judgeSettings) {
+    public RolloutController(RolloutSettings settings, EvaluationSettings judgeSettings) {
         this.settings = settings;
-        this.judge = new VersionJudge(judgeSettings);
+        this.judge = new VersionEvaluator(judgeSettings);
         this.planner = new LoadPlanner(settings);
-        this.advancer = new MoveAdvancer(settings, planner);
+        this.advancer = new RolloutAdvancer(settings, planner);
         this.projection = new FinishProjection(settings, planner, advancer);
     }
 
@@ -61,18 +61,18 @@
             holdsLease = false;
         } else if (event instanceof ControllerEvent.RulesChanged changed) {
             changeRules(changed.rules(), nowMillis);
-        } else if (event instanceof ControllerEvent.UpstreamSeen seen) {
+        } else if (event instanceof ControllerEvent.UpstreamReported seen) {
             upstreams.put(seen.upstream().upstreamId(), seen.upstream());
-        } else if (event instanceof ControllerEvent.UpstreamGone gone) {
+        } else if (event instanceof ControllerEvent.UpstreamRemoved gone) {
             upstreams.remove(gone.upstreamId());
         } else if (event instanceof ControllerEvent.EvidenceReported reported) {
-            Move move = moves.get(reported.version().model());
+            RolloutProgress move = moves.get(reported.version().model());
             if (move != null && !move.record.phase().isOver()) {
                 move.evidence.add(reported, nowMillis);
             }
-        } else if (event instanceof ControllerEvent.VerdictLearned received) {
+        } else if (event instanceof ControllerEvent.VerdictReceived received) {
             addVerdict(received.verdict(), nowMillis);
-        } else if (event instanceof ControllerEvent.StoreAnswered answered) {
+        } else if (event instanceof ControllerEvent.WriteAnswered answered) {
             handleWriteAnswer(answered, nowMillis);
         } else if (event instanceof ControllerEvent.RecordRead read) {
             handleRecordRead(read, nowMillis);
@@ -85,7 +85,7 @@
     }
 
     /** Returns a report of the current state of each move, for operators. */
-    public List<MoveReport> reports(long nowMillis) {
+    public List<RolloutReport> reports(long nowMillis) {
         return moves.values().stream()
                 .map(move -> report(move, move.record.reason(), nowMillis))
                 .toList();
@@ -96,10 +96,10 @@
         fencingNumber = acquired.fencingNumber();
         leaseValidUntilMillis = acquired.validUntilMillis();
         sequence = 0;
-        Map<String, Move> known = new TreeMap<>(moves);
+        Map<String, RolloutProgress> known = new TreeMap<>(moves);
         moves.clear();
         for (StoredRecord stored : acquired.records()) {
-            Move move =
+            RolloutProgress move =
                     adopt(stored, Optional.ofNullable(known.get(stored.record().model())));
             moves.put(stored.record().model(), move);
         }
@@ -110,20 +110,20 @@
     }
 
     /** Returns a move for the stored record, with the evidence of the known move if it is between the same versions. */
-    private Move adopt(StoredRecord stored, Optional<Move> known) {
-        MoveRecord record = stored.record();
+    private RolloutProgress adopt(StoredRecord stored, Optional<RolloutProgress> known) {
+        RolloutRecord record = stored.record();
         record.badReasons().forEach((version, reason) -> {
             ModelVersion modelVersion = new ModelVersion(record.model(), version);
             badVersions.putIfAbsent(modelVersion, new BadVerdict(modelVersion, reason));
         });
-        Move move = new Move(record, stored.revision(), settings.confirmMillis());
+        RolloutProgress move = new RolloutProgress(record, stored.revision(), settings.confirmMillis());
         known.filter(before -> before.record.newVersion().equals(record.newVersion())
                         && before.record.oldVersion().equals(record.oldVersion()))
                 .ifPresent(before -> move.evidence = before.evidence);
         return move;
     }
 
-    private void changeRules(List<MoveRule> changed, long nowMillis) {
+    private void changeRules(List<RolloutRule> changed, long nowMillis) {
         rules.clear();
         changed.forEach(rule -> rules.put(rule.model(), rule));
         rulesKnown = true;
@@ -134,8 +134,8 @@
         if (!rulesKnown || !leaseValid(nowMillis)) {
             return;
         }
-        for (Move move : moves.values()) {
-            MoveRule rule = rules.get(move.record.model());
+        for (RolloutProgress move : moves.values()) {
+            RolloutRule rule = rules.get(move.record.model());
             boolean withdrawn = rule == null || !rule.toVersion().equals(move.record.newVersion());
             if (withdrawn && !move.withdrawn && move.record.phase().isAdvancing()) {
                 move.withdrawn = true;
@@ -146,8 +146,8 @@
         rules.values().forEach(rule -> startMove(rule, nowMillis));
     }
 
-    private void startMove(MoveRule rule, long nowMillis) {
-        Move before = moves.get(rule.model());
+    private void startMove(RolloutRule rule, long nowMillis) {
+        RolloutProgress before = moves.get(rule.model());
         if (badVersions.containsKey(new ModelVersion(rule.model(), rule.toVersion()))) {
             return;
         }
@@ -160,14 +160,14 @@
             return;
         }
         // After a rollback a new move starts only when a rule names another version.
-        if (!sameVersion && !before.record.settledVersion().equals(rule.toVersion())) {
-            startMove(rule, before.record.settledVersion(), before.revision, nowMillis);
+        if (!sameVersion && !before.record.currentVersion().equals(rule.toVersion())) {
+            startMove(rule, before.record.currentVersion(), before.revision, nowMillis);
         }
     }
 
-    private void startMove(MoveRule rule, String oldVersion, long revision, long nowMillis) {
-        MoveRecord planned = MoveRecord.planned(rule, oldVersion, badReasons(rule.model()), nowMillis);
-        Move move = new Move(planned, revision, settings.confirmMillis());
+    private void startMove(RolloutRule rule, String oldVersion, long revision, long nowMillis) {
+        RolloutRecord planned = RolloutRecord.planned(rule, oldVersion, badReasons(rule.model()), nowMillis);
+        RolloutProgress move = new RolloutProgress(planned, revision, settings.confirmMillis());
         moves.put(rule.model(), move);
         write(move, planned, nowMillis);
     }
@@ -178,7 +178,7 @@
         }
         effects.add(new ControllerEffect.PublishVerdict(verdict));
         publish(nowMillis);
-        Move move = moves.get(verdict.version().model());
+        RolloutProgress move = moves.get(verdict.version().model());
         if (move != null) {
             effects.add(new ControllerEffect.ReportStep(report(move, "bad version: " + verdict.reason(), nowMillis)));
             advance(move, nowMillis);
@@ -189,7 +189,7 @@
         // Capped so that a pause of this process is not counted as time in which its stages were in effect.
         long elapsedMillis = Math.max(0, Math.min(nowMillis - lastTickMillis, settings.renewMillis()));
         lastTickMillis = nowMillis;
-        for (Move move : List.copyOf(moves.values())) {
+        for (RolloutProgress move : List.copyOf(moves.values())) {
             if (leaseValid(nowMillis)) {
                 move.activeMillis += elapsedMillis;
             }
@@ -201,7 +201,7 @@
         applyRules(nowMillis);
         planner.plan(List.copyOf(moves.values()), upstreams.values(), nowMillis)
                 .forEach((model, orders) -> recordOrders(moves.get(model), orders, nowMillis));
-        for (Move move : byDeadline()) {
+        for (RolloutProgress move : byDeadline()) {
             retryWrite(move, nowMillis);
             advance(move, nowMillis);
             sendOrders(move, nowMillis);
@@ -212,9 +212,10 @@
         }
     }
 
-    private void judge(Move move, long nowMillis) {
-        MovePhase phase = move.record.phase();
-        boolean judged = phase == MovePhase.CANARY || phase == MovePhase.GROWING || phase == MovePhase.WATCHING;
+    private void judge(RolloutProgress move, long nowMillis) {
+        RolloutPhase phase = move.record.phase();
+        boolean judged =
+                phase == RolloutPhase.CANARY || phase == RolloutPhase.GROWING || phase == RolloutPhase.WATCHING;
         ModelVersion version = new ModelVersion(move.record.model(), move.record.newVersion());
         if (!judged || badVersions.containsKey(version)) {
             return;
@@ -229,7 +230,7 @@
     }
 
     /** Numbers the orders and writes them to the move record, before they are sent. */
-    private void recordOrders(Move move, List<OrderIntent> orders, long nowMillis) {
+    private void recordOrders(RolloutProgress move, List<OrderIntent> orders, long nowMillis) {
         List<OrderIntent> intents = move.unansweredIntents();
         int count = move.record.orderCount();
         for (OrderIntent order : orders) {
@@ -240,16 +241,16 @@
         write(move, move.record.withIntents(intents, count), nowMillis);
     }
 
-    private void advance(Move move, long nowMillis) {
+    private void advance(RolloutProgress move, long nowMillis) {
         if (!leaseValid(nowMillis) || move.pending != null) {
             return;
         }
-        MoveRecord record = move.record;
+        RolloutRecord record = move.record;
         ModelVersion version = new ModelVersion(record.model(), record.newVersion());
         Optional<String> badReason =
                 Optional.ofNullable(badVersions.get(version)).map(BadVerdict::reason);
-        Optional<MoveRecord> next = advancer.next(move, badReason, upstreams.values(), nowMillis);
-        MoveRule rule = rules.get(record.model());
+        Optional<RolloutRecord> next = advancer.next(move, badReason, upstreams.values(), nowMillis);
+        RolloutRule rule = rules.get(record.model());
         boolean deadlineMoved = rule != null
                 && !move.withdrawn
                 && record.phase().isAdvancing()
@@ -265,7 +266,7 @@
         }
     }
 
-    private void write(Move move, MoveRecord next, long nowMillis) {
+    private void write(RolloutProgress move, RolloutRecord next, long nowMillis) {
         writeCount++;
         String writeId = fencingNumber + "-" + writeCount;
         move.pending = next.withIntents(unansweredOf(move, next), next.orderCount())
@@ -274,13 +275,13 @@
         effects.add(new ControllerEffect.WriteRecord(move.pending, move.revision));
     }
 
-    private static List<OrderIntent> unansweredOf(Move move, MoveRecord next) {
+    private static List<OrderIntent> unansweredOf(RolloutProgress move, RolloutRecord next) {
         return next.intents().stream()
                 .filter(intent -> !move.answeredOrderIds.contains(intent.orderId()))
                 .toList();
     }
 
-    private void retryWrite(Move move, long nowMillis) {
+    private void retryWrite(RolloutProgress move, long nowMillis) {
         if (move.pending == null || nowMillis - move.lastAttemptMillis < settings.retryMillis()) {
             return;
         }
@@ -290,8 +291,8 @@
         effects.add(new ControllerEffect.ReadRecord(move.record.model()));
     }
 
-    private void handleWriteAnswer(ControllerEvent.StoreAnswered answered, long nowMillis) {
-        Move move = moves.get(answered.model());
+    private void handleWriteAnswer(ControllerEvent.WriteAnswered answered, long nowMillis) {
+        RolloutProgress move = moves.get(answered.model());
         if (move == null || move.pending == null || !move.pending.writeId().equals(answered.writeId())) {
             return;
         }
@@ -307,13 +308,13 @@
     }
 
     private void handleRecordRead(ControllerEvent.RecordRead read, long nowMillis) {
-        Move move = moves.get(read.model());
+        RolloutProgress move = moves.get(read.model());
         if (move == null || move.pending == null || !move.inDoubt) {
             return;
         }
         long storedRevision = read.stored().map(StoredRecord::revision).orElse(0L);
         if (read.stored().isPresent()) {
-            MoveRecord stored = read.stored().get().record();
+            RolloutRecord stored = read.stored().get().record();
             if (stored.writeId().equals(move.pending.writeId())) {
                 confirm(move, storedRevision, nowMillis);
                 return;
@@ -334,7 +335,7 @@
         }
     }
 
-    private void confirm(Move move, long revision, long nowMillis) {
+    private void confirm(RolloutProgress move, long revision, long nowMillis) {
         boolean step = move.record.phase() != move.pending.phase()
                 || move.record.shareBasisPoints() != move.pending.shareBasisPoints()
                 || move.revision == 0;
@@ -352,7 +353,7 @@
         advance(move, nowMillis);
     }
 
-    private void sendOrders(Move move, long nowMillis) {
+    private void sendOrders(RolloutProgress move, long nowMillis) {
         if (!leaseValid(nowMillis)) {
             return;
         }
@@ -374,7 +375,7 @@
         }
     }
 
-    private boolean isObsolete(Move move, OrderIntent intent, long nowMillis) {
+    private boolean isObsolete(RolloutProgress move, OrderIntent intent, long nowMillis) {
         if (intent.kind() == Order.Kind.LOAD
                 && badVersions.containsKey(new ModelVersion(intent.model(), intent.version()))) {
             return true;
@@ -389,7 +390,7 @@
     }
 
     private void handleOrderAnswer(ControllerEvent.OrderAnswered answered, long nowMillis) {
-        for (Move move : moves.values()) {
+        for (RolloutProgress move : moves.values()) {
             for (OrderIntent intent : move.unansweredIntents()) {
                 if (intent.orderId().equals(answered.orderId())) {
                     handleOrderAnswer(move, intent, answered.result(), nowMillis);
@@ -398,7 +399,7 @@
         }
     }
 
-    private void handleOrderAnswer(Move move, OrderIntent intent, OrderResult result, long nowMillis) {
+    private void handleOrderAnswer(RolloutProgress move, OrderIntent intent, OrderResult result, long nowMillis) {
         if (result instanceof OrderResult.Done) {
             move.answeredOrderIds.add(intent.orderId());
             upstreams.computeIfPresent(intent.upstreamId(), (id, upstream) -> upstream.afterOrder(intent));
@@ -416,8 +417,8 @@
         }
     }
 
-    private void reportIfLate(Move move, long nowMillis) {
-        if (!move.record.phase().isAdvancing() || move.record.phase() == MovePhase.WATCHING) {
+    private void reportIfLate(RolloutProgress move, long nowMillis) {
+        if (!move.record.phase().isAdvancing() || move.record.phase() == RolloutPhase.WATCHING) {
             return;
         }
         long finishMillis = projection.finishMillis(move, moves.values(), upstreams.values(), nowMillis);
@@ -438,8 +439,8 @@
         effects.add(new ControllerEffect.PublishStages(new ControllerStages(fencingNumber, sequence, stages)));
     }
 
-    private Stage stage(Move move) {
-        MoveRecord record = move.record;
+    private Stage stage(RolloutProgress move) {
+        RolloutRecord record = move.record;
         boolean isBad = badVersions.containsKey(new ModelVersion(record.model(), record.newVersion()));
         boolean stopped = isBad || move.withdrawn && record.phase().isAdvancing();
         return new Stage(
@@ -448,13 +449,13 @@
                 record.newVersion(),
                 stopped ? 0 : record.shareBasisPoints(),
                 StageView.MAX_LEASE_MILLIS,
-                record.phase() == MovePhase.DONE && !isBad);
+                record.phase() == RolloutPhase.DONE && !isBad);
     }
 
-    private MoveReport report(Move move, String reason, long nowMillis) {
-        MoveRecord record = move.record;
+    private RolloutReport report(RolloutProgress move, String reason, long nowMillis) {
+        RolloutRecord record = move.record;
         long finishMillis = projection.finishMillis(move, moves.values(), upstreams.values(), nowMillis);
-        return new MoveReport(
+        return new RolloutReport(
                 nowMillis,
                 record.model(),
                 record.oldVersion(),
@@ -476,9 +477,9 @@
         return reasons;
     }
 
-    private Collection<Move> byDeadline() {
-        List<Move> sorted = new ArrayList<>(moves.values());
-        sorted.sort(Comparator.comparingLong((Move move) -> move.record.deadlineMillis())
+    private Collection<RolloutProgress> byDeadline() {
+        List<RolloutProgress> sorted = new ArrayList<>(moves.values());
+        sorted.sort(Comparator.comparingLong((RolloutProgress move) -> move.record.deadlineMillis())
                 .thenComparing(move -> move.record.model()));
         return sorted;
     }
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
@@ -10,16 +10,16 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-import dev.wigeonward.core.rollout.RouteJudgement.Verdict;
+import dev.wigeonward.core.rollout.RouteEvaluation.Verdict;
 
 /**
  * Evidence on one move, collected per route and load level in windows that restart after each good verdict.
  *
  * <p>Windows restart because a long run of good results would otherwise hide a version that turns bad later.
  */
-final class MoveEvidence {
-    private static final Comparator<RouteCell> CELL_ORDER =
-            Comparator.comparing(RouteCell::route).thenComparing(RouteCell::underLoad);
+final class RolloutEvidence {
+    private static final Comparator<RouteLoadKey> CELL_ORDER =
+            Comparator.comparing(RouteLoadKey::route).thenComparing(RouteLoadKey::underLoad);
 
     private static final long NOT_SUSPECT = Long.MAX_VALUE;
     /** Minimum length of a window. In a shorter one an old version with a small share serves too few requests. */
@@ -29,7 +29,7 @@
     private final String newVersion;
     private final long confirmMillis;
     private final Map<Source, EvidenceCounters> reported = new HashMap<>();
-    private final Map<RouteCell, Window> windows = new TreeMap<>(CELL_ORDER);
+    private final Map<RouteLoadKey, Window> windows = new TreeMap<>(CELL_ORDER);
 
     /**
      * Creates empty evidence.
@@ -37,7 +37,7 @@
      * @param confirmMillis time for which a route must look bad before the version is called bad when there is no
      *     recent evidence of the old version to compare with
      */
-    MoveEvidence(String oldVersion, String newVersion, long confirmMillis) {
+    RolloutEvidence(String oldVersion, String newVersion, long confirmMillis) {
         this.confirmMillis = confirmMillis;
         this.oldVersion = oldVersion;
         this.newVersion = newVersion;
@@ -70,13 +70,13 @@
     }
 
     /** Evaluates all routes and returns the first judgement that calls the new version bad, if any. */
-    Optional<RouteJudgement> judge(VersionJudge judge, boolean truncated, long nowMillis) {
+    Optional<RouteEvaluation> judge(VersionEvaluator judge, boolean truncated, long nowMillis) {
         for (Window window : windows.values()) {
             if (window.newEvidence.requests() == 0 && !truncated) {
                 continue;
             }
-            RouteJudgement judgement =
-                    judge.judge(window.cell, window.recentOld, earlierBaseline(window), window.newEvidence, truncated);
+            RouteEvaluation judgement = judge.evaluate(
+                    window.cell, window.recentOld, earlierBaseline(window), window.newEvidence, truncated);
             window.lastJudgement = judgement;
             if (judgement.verdict() == Verdict.BAD) {
                 if (judge.needsNoConfirmation(window.recentOld, window.newEvidence)
@@ -129,8 +129,8 @@
     }
 
     /** Returns the last judgement of each route and load level that has one. */
-    List<RouteJudgement> judgements() {
-        List<RouteJudgement> judgements = new ArrayList<>();
+    List<RouteEvaluation> judgements() {
+        List<RouteEvaluation> judgements = new ArrayList<>();
         for (Window window : windows.values()) {
             if (window.lastJudgement != null) {
                 judgements.add(window.lastJudgement);
@@ -148,7 +148,7 @@
         if (window.earlierOld.requests() > 0 || !window.cell.underLoad()) {
             return window.earlierOld;
         }
-        Window unloaded = windows.get(new RouteCell(window.cell.route(), false));
+        Window unloaded = windows.get(new RouteLoadKey(window.cell.route(), false));
         if (unloaded == null) {
             return window.earlierOld;
         }
@@ -156,20 +156,20 @@
         return new EvidenceCounters(old.requests(), old.failures(), TimeHistogram.empty());
     }
 
-    private record Source(String upstreamId, long incarnation, String version, RouteCell cell) {}
+    private record Source(String upstreamId, long incarnation, String version, RouteLoadKey cell) {}
 
     private static final class Window {
-        private final RouteCell cell;
+        private final RouteLoadKey cell;
         private EvidenceCounters recentOld = EvidenceCounters.empty();
         private EvidenceCounters earlierOld = EvidenceCounters.empty();
         private EvidenceCounters newEvidence = EvidenceCounters.empty();
-        private RouteJudgement lastJudgement;
+        private RouteEvaluation lastJudgement;
         private boolean passed;
         private long startMillis;
         private long lastEvidenceMillis;
         private long suspectSinceMillis = NOT_SUSPECT;
 
-        Window(RouteCell cell) {
+        Window(RouteLoadKey cell) {
             this.cell = cell;
         }
 
--- a/core/src/main/java/dev/wigeonward/core/rollout/MovePhase.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutPhase.java
@@ -1,7 +1,7 @@
 package dev.wigeonward.core.rollout;
 
 /** Phase of a move. */
-public enum MovePhase {
+public enum RolloutPhase {
     /** The move is recorded, and no order is recorded yet. */
     PLANNED,
     /** The new version waits for its turn to be loaded or is being loaded, and gets no requests. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/Move.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutProgress.java
@@ -8,11 +8,11 @@
 import java.util.Set;
 
 /** In-memory state of the controller for one move. */
-final class Move {
+final class RolloutProgress {
     /** The last record known to be stored, or the initial record of a new move that is not yet written. */
-    MoveRecord record;
+    RolloutRecord record;
     /** The record whose write is not yet confirmed, or null. */
-    MoveRecord pending;
+    RolloutRecord pending;
     /** Whether it is unknown if the pending write was applied, so that the record must be read. */
     boolean inDoubt;
 
@@ -27,21 +27,21 @@
     /** Whether the rules no longer name the new version. */
     boolean withdrawn;
 
-    MoveEvidence evidence;
+    RolloutEvidence evidence;
     final Map<String, Long> sentMillisByOrder = new HashMap<>();
     final Map<String, Long> missingSinceMillisByOrder = new HashMap<>();
     final Set<String> answeredOrderIds = new HashSet<>();
     /** Time before which no new orders are planned, because an order failed. */
     long retryOrdersMillis;
 
-    Move(MoveRecord record, long revision, long confirmMillis) {
+    RolloutProgress(RolloutRecord record, long revision, long confirmMillis) {
         this.record = record;
         this.revision = revision;
-        this.evidence = new MoveEvidence(record.oldVersion(), record.newVersion(), confirmMillis);
+        this.evidence = new RolloutEvidence(record.oldVersion(), record.newVersion(), confirmMillis);
     }
 
     /** Returns the pending record, or else the stored one; it lists every order that may have been sent. */
-    MoveRecord latest() {
+    RolloutRecord latest() {
         return pending == null ? record : pending;
     }
 
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveRecord.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutRecord.java
@@ -17,13 +17,13 @@
  * @param badReasons reasons of the bad verdicts on versions of the model, by version; later records keep them
  * @param reason reason for which the phase was entered
  */
-public record MoveRecord(
+public record RolloutRecord(
         String model,
         String oldVersion,
         String newVersion,
         long deadlineMillis,
         int canaryBasisPoints,
-        MovePhase phase,
+        RolloutPhase phase,
         int shareBasisPoints,
         long phaseStartMillis,
         long fencingNumber,
@@ -32,7 +32,7 @@
         List<OrderIntent> intents,
         Map<String, String> badReasons,
         String reason) {
-    public MoveRecord {
+    public RolloutRecord {
         Preconditions.checkArgument(!model.isEmpty(), "model must not be empty");
         Preconditions.checkArgument(
                 !newVersion.equals(oldVersion),
@@ -45,14 +45,14 @@
     }
 
     /** Creates the record of a new move in its first phase, without write id and fencing number. */
-    static MoveRecord planned(MoveRule rule, String oldVersion, Map<String, String> badReasons, long nowMillis) {
-        return new MoveRecord(
+    static RolloutRecord planned(RolloutRule rule, String oldVersion, Map<String, String> badReasons, long nowMillis) {
+        return new RolloutRecord(
                 rule.model(),
                 oldVersion,
                 rule.toVersion(),
                 rule.deadlineMillis(),
                 rule.canaryBasisPoints(),
-                MovePhase.PLANNED,
+                RolloutPhase.PLANNED,
                 0,
                 nowMillis,
                 0,
@@ -64,12 +64,12 @@
     }
 
     /** Returns the new version if the move is done, or else the old version. */
-    public String settledVersion() {
-        return phase == MovePhase.DONE ? newVersion : oldVersion;
+    public String currentVersion() {
+        return phase == RolloutPhase.DONE ? newVersion : oldVersion;
     }
 
-    MoveRecord withPhase(MovePhase nextPhase, int nextShareBasisPoints, long nowMillis, String nextReason) {
-        return new MoveRecord(
+    RolloutRecord withPhase(RolloutPhase nextPhase, int nextShareBasisPoints, long nowMillis, String nextReason) {
+        return new RolloutRecord(
                 model,
                 oldVersion,
                 newVersion,
@@ -86,8 +86,8 @@
                 nextReason);
     }
 
-    MoveRecord withDeadlineMillis(long millis) {
-        return new MoveRecord(
+    RolloutRecord withDeadlineMillis(long millis) {
+        return new RolloutRecord(
                 model,
                 oldVersion,
                 newVersion,
@@ -104,8 +104,8 @@
                 reason);
     }
 
-    MoveRecord withIntents(List<OrderIntent> nextIntents, int nextOrderCount) {
-        return new MoveRecord(
+    RolloutRecord withIntents(List<OrderIntent> nextIntents, int nextOrderCount) {
+        return new RolloutRecord(
                 model,
                 oldVersion,
                 newVersion,
@@ -123,10 +123,10 @@
     }
 
     /** Returns a copy for a new write, to which the given bad reasons are added; existing reasons are kept. */
-    MoveRecord withWrite(long writerFencingNumber, String nextWriteId, Map<String, String> moreBadReasons) {
+    RolloutRecord withWrite(long writerFencingNumber, String nextWriteId, Map<String, String> moreBadReasons) {
         Map<String, String> allBadReasons = new TreeMap<>(moreBadReasons);
         allBadReasons.putAll(badReasons);
-        return new MoveRecord(
+        return new RolloutRecord(
                 model,
                 oldVersion,
                 newVersion,
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveReport.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutReport.java
@@ -10,7 +10,7 @@
  * @param reason reason for which the step was taken
  * @param figures last judgement of each route at the time of the step
  */
-public record MoveReport(
+public record RolloutReport(
         long atMillis,
         String model,
         String oldVersion,
@@ -21,8 +21,8 @@
         long projectedFinishMillis,
         boolean onTime,
         String reason,
-        List<RouteJudgement> figures) {
-    public MoveReport {
+        List<RouteEvaluation> figures) {
+    public RolloutReport {
         figures = List.copyOf(figures);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveRule.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutRule.java
@@ -13,7 +13,7 @@
  *     1/10,000
  * @param askedBy name of the operator who requested the move, for reports
  */
-public record MoveRule(
+public record RolloutRule(
         String model,
         String fromVersion,
         String toVersion,
@@ -23,7 +23,7 @@
     /** The requirements allow at most 2% of a route's requests before the first verdict. */
     public static final int MAX_CANARY_BASIS_POINTS = 200;
 
-    public MoveRule {
+    public RolloutRule {
         Preconditions.checkArgument(!model.isEmpty(), "model must not be empty");
         Preconditions.checkArgument(
                 !toVersion.equals(fromVersion),
--- a/core/src/main/java/dev/wigeonward/core/rollout/MoveSettings.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutSettings.java
@@ -19,7 +19,7 @@
  * @param retryMillis delay before a failed or unanswered write is repeated
  * @param orderRetryMillis delay before an unanswered order is sent again and before a failed order is replaced
  */
-public record MoveSettings(
+public record RolloutSettings(
         List<Integer> growthBasisPoints,
         int concurrentLoads,
         long expectedLoadMillis,
@@ -30,7 +30,7 @@
         long renewMillis,
         long retryMillis,
         long orderRetryMillis) {
-    public MoveSettings {
+    public RolloutSettings {
         growthBasisPoints = List.copyOf(growthBasisPoints);
         Preconditions.checkArgument(!growthBasisPoints.isEmpty(), "growthBasisPoints must not be empty");
         Preconditions.checkArgument(
@@ -49,8 +49,8 @@
     }
 
     /** Returns the settings used in production. */
-    public static MoveSettings standard() {
-        return new MoveSettings(
+    public static RolloutSettings standard() {
+        return new RolloutSettings(
                 List.of(1_000, 2_500, 5_000, 10_000), 4, 60_000, 10_000, 60_000, 300_000, 20_000, 2_000, 1_000, 30_000);
     }
 
--- a/core/src/main/java/dev/wigeonward/core/rollout/ShiftState.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutState.java
@@ -1,7 +1,7 @@
 package dev.wigeonward.core.rollout;
 
 /** State of a traffic shift. */
-public enum ShiftState {
+public enum RolloutState {
     IN_PROGRESS,
     /** All requests go to the new version, and the old one has none left or its time to finish them is over. */
     COMPLETED,
--- a/core/src/main/java/dev/wigeonward/core/rollout/RouteJudgement.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RouteEvaluation.java
@@ -9,8 +9,9 @@
  * @param oldFigures counts of the old version
  * @param newFigures counts of the new version
  */
-public record RouteJudgement(RouteCell cell, Verdict verdict, Figures oldFigures, Figures newFigures, String reason) {
-    public RouteJudgement {
+public record RouteEvaluation(
+        RouteLoadKey cell, Verdict verdict, Figures oldFigures, Figures newFigures, String reason) {
+    public RouteEvaluation {
         Objects.requireNonNull(cell, "cell");
         Objects.requireNonNull(verdict, "verdict");
         Objects.requireNonNull(reason, "reason");
--- a/core/src/main/java/dev/wigeonward/core/rollout/TrafficShift.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
@@ -9,7 +9,7 @@
  * bad version may get up to the deadline is limited, so the share stays small for half of the time and then grows in
  * two steps. Not thread-safe.
  */
-public final class TrafficShift {
+public final class ServiceRollout {
     /** Version name under which the evidence of all versions other than the target is combined. */
     private static final String PREVIOUS = "previous";
     /** Initial share. Operators commonly allow a bad version a tenth of all requests; this is half of that. */
@@ -31,33 +31,33 @@
     private static final long CONFIRM_MILLIS = 700;
 
     /** Needs fewer samples than moves that last hours, because a shift runs a handful of tests, not thousands. */
-    private static final JudgeSettings JUDGE_SETTINGS = new JudgeSettings(1e-4, 0.01, 0.1, 0.2, 12, 60);
+    private static final EvaluationSettings JUDGE_SETTINGS = new EvaluationSettings(1e-4, 0.01, 0.1, 0.2, 12, 60);
 
-    private final ShiftOrder order;
-    private final VersionJudge judge = new VersionJudge(JUDGE_SETTINGS);
-    private final MoveEvidence evidence;
+    private final RolloutOrder order;
+    private final VersionEvaluator judge = new VersionEvaluator(JUDGE_SETTINGS);
+    private final RolloutEvidence evidence;
     private final Map<String, Long> samplesBySource = new HashMap<>();
     private int shareBasisPoints = CANARY_BASIS_POINTS;
     private long halfShareStartMillis;
-    private ShiftState state = ShiftState.IN_PROGRESS;
+    private RolloutState state = RolloutState.IN_PROGRESS;
 
-    private TrafficShift(ShiftOrder order) {
+    private ServiceRollout(RolloutOrder order) {
         this.order = order;
-        this.evidence = new MoveEvidence(PREVIOUS, order.target(), CONFIRM_MILLIS);
+        this.evidence = new RolloutEvidence(PREVIOUS, order.targetVersion(), CONFIRM_MILLIS);
     }
 
     /** Creates a shift whose target gets the canary share. */
-    public static TrafficShift of(ShiftOrder order) {
-        return new TrafficShift(order);
+    public static ServiceRollout of(RolloutOrder order) {
+        return new ServiceRollout(order);
     }
 
     /** Returns the order. */
-    public ShiftOrder order() {
+    public RolloutOrder order() {
         return order;
     }
 
     /** Returns the state of the shift. */
-    public ShiftState state() {
+    public RolloutState state() {
         return state;
     }
 
@@ -66,13 +66,13 @@
         if (!report.version().model().equals(order.service())) {
             return;
         }
-        boolean isTarget = report.version().version().equals(order.target());
+        boolean isTarget = report.version().version().equals(order.targetVersion());
         if (isTarget) {
             String source = report.upstreamId() + "/" + report.incarnation() + "/"
                     + report.cell().route();
             samplesBySource.put(source, report.counters().requests());
         }
-        ModelVersion version = new ModelVersion(order.service(), isTarget ? order.target() : PREVIOUS);
+        ModelVersion version = new ModelVersion(order.service(), isTarget ? order.targetVersion() : PREVIOUS);
         evidence.add(
                 new ControllerEvent.EvidenceReported(
                         report.upstreamId()
@@ -85,10 +85,10 @@
     }
 
     /** Evaluates the evidence and returns a verdict with its reason if the new version is bad. */
-    public Optional<BadVerdict> verdict(long nowMillis) {
+    public Optional<BadVerdict> evaluate(long nowMillis) {
         return evidence.judge(judge, false, nowMillis)
                 .map(judgement -> new BadVerdict(
-                        new ModelVersion(order.service(), order.target()),
+                        new ModelVersion(order.service(), order.targetVersion()),
                         "route " + judgement.cell().route() + ": " + judgement.reason()));
     }
 
@@ -99,11 +99,11 @@
      * @param outstandingAtPrevious requests in progress at upstreams of other versions, over all entries
      */
     public void advance(boolean bad, int outstandingAtPrevious, long nowMillis) {
-        if (state != ShiftState.IN_PROGRESS) {
+        if (state != RolloutState.IN_PROGRESS) {
             return;
         }
         if (bad) {
-            state = ShiftState.REVERTED;
+            state = RolloutState.REVERTED;
             shareBasisPoints = 0;
             return;
         }
@@ -117,7 +117,7 @@
             shareBasisPoints = Stage.ALL_BASIS_POINTS;
         } else if (shareBasisPoints == Stage.ALL_BASIS_POINTS
                 && (outstandingAtPrevious == 0 || elapsedFraction >= MAX_DRAIN_TIME_FRACTION)) {
-            state = ShiftState.COMPLETED;
+            state = RolloutState.COMPLETED;
         }
     }
 
@@ -139,9 +139,9 @@
         return new Stage(
                 order.service(),
                 PREVIOUS,
-                order.target(),
+                order.targetVersion(),
                 shareBasisPoints,
                 leaseMillis,
-                state == ShiftState.COMPLETED);
+                state == RolloutState.COMPLETED);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
@@ -74,7 +74,7 @@
      * Returns the newest publication, to be sent to peers, with the remaining time of its leases, so that relaying does
      * not extend them.
      */
-    public ControllerStages relayed(long nowMillis) {
+    public ControllerStages forRelay(long nowMillis) {
         List<Stage> remaining = newest.stages().stream()
                 .map(stage -> stage.withLeaseMillis(Math.max(0, stages.get(stage.model()).expiresMillis - nowMillis)))
                 .toList();
--- a/core/src/main/java/dev/wigeonward/core/rollout/UpstreamVersions.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/UpstreamVersions.java
@@ -8,13 +8,13 @@
 /**
  * The versions that one upstream's engine holds in memory.
  *
- * @param places maximum number of versions that fit into the engine's memory at once
+ * @param maxVersions maximum number of versions that fit into the engine's memory at once
  */
-public record UpstreamVersions(String upstreamId, String model, Set<String> loadedVersions, int places) {
+public record UpstreamVersions(String upstreamId, String model, Set<String> loadedVersions, int maxVersions) {
     public UpstreamVersions {
         Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId must not be empty");
         Preconditions.checkArgument(
-                places > 0, "places of upstream %s must be positive, but is %s", upstreamId, places);
+                maxVersions > 0, "places of upstream %s must be positive, but is %s", upstreamId, maxVersions);
         loadedVersions = Set.copyOf(loadedVersions);
     }
 
@@ -23,7 +23,7 @@
     }
 
     boolean hasRoom() {
-        return loadedVersions.size() < places;
+        return loadedVersions.size() < maxVersions;
     }
 
     /** Returns the versions that the engine holds after the order is done. */
@@ -36,6 +36,6 @@
                 return this;
             }
         }
-        return new UpstreamVersions(upstreamId, model, versions, places);
+        return new UpstreamVersions(upstreamId, model, versions, maxVersions);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionBound.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionConstraint.java
@@ -6,9 +6,9 @@
  * @param version the constrained version, or empty if there is no constraint
  * @param kind how the version is constrained
  */
-public record VersionBound(String version, Kind kind) {
+public record VersionConstraint(String version, Kind kind) {
     /** The absence of a constraint. */
-    public static final VersionBound NONE = new VersionBound("", Kind.FREE);
+    public static final VersionConstraint NONE = new VersionConstraint("", Kind.FREE);
 
     /** How a version is constrained. */
     public enum Kind {
@@ -22,7 +22,7 @@
     }
 
     /** Returns whether upstreams of the given version are the first choice. */
-    public boolean suits(String other) {
+    public boolean isFirstChoice(String other) {
         return switch (kind) {
             case FREE -> true;
             case PREFERRED -> other.equals(version);
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionJudge.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionEvaluator.java
@@ -2,8 +2,8 @@
 
 import java.util.Locale;
 
-import dev.wigeonward.core.rollout.RouteJudgement.Figures;
-import dev.wigeonward.core.rollout.RouteJudgement.Verdict;
+import dev.wigeonward.core.rollout.RouteEvaluation.Figures;
+import dev.wigeonward.core.rollout.RouteEvaluation.Verdict;
 
 /**
  * Stateless comparison of a new version with the old one on one route by Wald's sequential probability ratio test.
@@ -13,7 +13,7 @@
  * difference. The log-likelihood ratio of a binomial test depends on the totals only, so no state is kept between calls
  * and a test may be repeated at any time.
  */
-public final class VersionJudge {
+public final class VersionEvaluator {
     private static final double SLOW_FRACTION = 0.1;
     /** Failure share assumed for an old version with too few requests for an estimate. */
     private static final double DEFAULT_FAILURE_SHARE = 0.02;
@@ -28,12 +28,12 @@
     /** Minimum number of the old version's requests from which a share is estimated. */
     private static final int MIN_ESTIMATE_SAMPLES = 30;
 
-    private final JudgeSettings settings;
+    private final EvaluationSettings settings;
     private final double badBound;
     private final double goodBound;
 
     /** Creates a judge with the given error rates and differences. */
-    public VersionJudge(JudgeSettings settings) {
+    public VersionEvaluator(EvaluationSettings settings) {
         this.settings = settings;
         this.badBound = Math.log((1 - settings.falseGoodRate()) / settings.falseBadRate());
         this.goodBound = Math.log(settings.falseGoodRate() / (1 - settings.falseBadRate()));
@@ -47,8 +47,8 @@
      * @param newEvidence the new version's evidence
      * @param truncated whether the time for the test is over, in which case the verdict is never undecided
      */
-    public RouteJudgement judge(
-            RouteCell cell,
+    public RouteEvaluation evaluate(
+            RouteLoadKey cell,
             EvidenceCounters recentOld,
             EvidenceCounters earlierOld,
             EvidenceCounters newEvidence,
@@ -66,19 +66,19 @@
             double bound = truncated ? badBound / 2 : badBound;
             if (failures.ratio >= bound || slow.ratio >= bound) {
                 ShareTest worse = failures.ratio >= bound ? failures : slow;
-                return new RouteJudgement(cell, Verdict.BAD, oldFigures, newFigures, worse.describe(">=", bound));
+                return new RouteEvaluation(cell, Verdict.BAD, oldFigures, newFigures, worse.describe(">=", bound));
             }
             if (failures.ratio <= goodBound && (slow.ratio <= goodBound || !slow.applicable)) {
-                return new RouteJudgement(
+                return new RouteEvaluation(
                         cell, Verdict.GOOD, oldFigures, newFigures, failures.describe("<=", goodBound));
             }
         }
         if (truncated) {
             String reason = "time for the test is over after " + newEvidence.requests() + " requests; "
                     + failures.describe("<", badBound / 2);
-            return new RouteJudgement(cell, Verdict.GOOD, oldFigures, newFigures, reason);
+            return new RouteEvaluation(cell, Verdict.GOOD, oldFigures, newFigures, reason);
         }
-        return new RouteJudgement(cell, Verdict.UNDECIDED, oldFigures, newFigures, "more requests are needed");
+        return new RouteEvaluation(cell, Verdict.UNDECIDED, oldFigures, newFigures, "more requests are needed");
     }
 
     /**
--- a/core/src/main/java/dev/wigeonward/core/rules/Rule.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/Rule.java
@@ -35,7 +35,7 @@
         }
 
         /** Returns the highest allowed tier that is not above the requested one, or empty if there is none. */
-        public Optional<Tier> highestTierUpTo(Tier requested) {
+        public Optional<Tier> highestAllowedTier(Tier requested) {
             return tiers.stream().filter(tier -> !tier.isAbove(requested)).findFirst();
         }
     }
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleDiff.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleDiff.java
@@ -98,7 +98,7 @@
     }
 
     /** Returns the identities of the rules that are changed by both this and the other difference. */
-    public Set<String> overlap(RuleDiff other) {
+    public Set<String> commonIdentities(RuleDiff other) {
         Set<String> changedHere = changes.stream().map(Change::identity).collect(Collectors.toSet());
         return other.changes.stream()
                 .map(Change::identity)
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleProblem.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleProblem.java
@@ -10,10 +10,10 @@
  * @param file name of the file, as given by the operator
  * @param line line number, starting at 1
  * @param column column in characters, starting at 1
- * @param wrong what is wrong
+ * @param description what is wrong
  * @param expected what is accepted at this position
  */
-public record RuleProblem(String file, int line, int column, String wrong, String expected) {
+public record RuleProblem(String file, int line, int column, String description, String expected) {
     static final Comparator<RuleProblem> BY_POSITION =
             Comparator.comparingInt(RuleProblem::line).thenComparingInt(RuleProblem::column);
 
@@ -25,6 +25,6 @@
     /** Returns the problem as {@code <file>:<line>:<column>: <wrong>; expected <expected>}. */
     @Override
     public String toString() {
-        return file + ":" + line + ":" + column + ": " + wrong + "; expected " + expected;
+        return file + ":" + line + ":" + column + ": " + description + "; expected " + expected;
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleSet.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleSet.java
@@ -142,11 +142,11 @@
      * Returns the tier of a request of the given workspace and kind, or empty if no tier up to the kind's is allowed.
      */
     public Optional<Tier> tier(String workspace, Rule.Kind kind) {
-        return workspace(workspace).flatMap(found -> found.highestTierUpTo(kind.tier()));
+        return workspace(workspace).flatMap(found -> found.highestAllowedTier(kind.tier()));
     }
 
     /** Returns whether the call may run more than once, which is the default unless a no-repeat rule matches. */
-    public boolean idempotent(String target, String path, String method) {
+    public boolean isIdempotent(String target, String path, String method) {
         return noRepeatByTarget.getOrDefault(target, List.of()).stream()
                 .noneMatch(call -> call.method().equals(method) && call.path().matches(path));
     }
--- a/core/src/main/java/dev/wigeonward/core/schedule/PlacementLoss.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/PlacementCost.java
@@ -5,7 +5,7 @@
  * that is late, an answer that is incomplete at the deadline, and running streams at the same upstream that are delayed
  * by the prefill of the new prompt.
  */
-final class PlacementLoss {
+final class PlacementCost {
     /**
      * Most prompt tokens that an engine prefills between two events of other streams: five steps of 1,024 tokens, as in
      * engines with chunked prefill.
@@ -34,13 +34,13 @@
     private final ServiceTimeModel timeModel;
     private final String zone;
 
-    PlacementLoss(ServiceTimeModel timeModel, String zone) {
+    PlacementCost(ServiceTimeModel timeModel, String zone) {
         this.timeModel = timeModel;
         this.zone = zone;
     }
 
     /** Returns the expected loss of placing the request on the upstream, where 1 is the value of one answer. */
-    double expectedLoss(Demand demand, UpstreamLoad load, double meanFailureRatio, long nowMillis) {
+    double expectedLoss(ScheduledRequest demand, UpstreamLoad load, double meanFailureRatio, long nowMillis) {
         double occupancy = (double) load.outstanding() / load.upstream().slots();
         double zoneLoss = load.upstream().zone().equals(zone) ? 0 : REMOTE_ZONE_LOSS;
         double commonLoss = zoneLoss
@@ -62,7 +62,7 @@
                 + pauseLoss(demand, load);
     }
 
-    private double expectedFirstMillis(Demand demand, UpstreamLoad load) {
+    private double expectedFirstMillis(ScheduledRequest demand, UpstreamLoad load) {
         if (!demand.isStreaming()) {
             return timeModel.slowness(load) * timeModel.unitMillis();
         }
@@ -70,7 +70,7 @@
                 * timeModel.firstEventMillis(load.pendingPromptTokens() + demand.promptTokens());
     }
 
-    private double incompleteLoss(Demand demand, UpstreamLoad load, double firstMillis, long nowMillis) {
+    private double incompleteLoss(ScheduledRequest demand, UpstreamLoad load, double firstMillis, long nowMillis) {
         double remaining = demand.deadlineAtMillis() - nowMillis - firstMillis;
         if (remaining <= 0) {
             return 1;
@@ -79,7 +79,7 @@
         return probabilityAbove(streamMillis, remaining, LENGTH_STEEPNESS);
     }
 
-    private double pauseLoss(Demand demand, UpstreamLoad load) {
+    private double pauseLoss(ScheduledRequest demand, UpstreamLoad load) {
         if (demand.maxPauseMillis() <= 0 || load.outstanding() == 0) {
             return 0;
         }
--- a/core/src/main/java/dev/wigeonward/core/schedule/Demand.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ScheduledRequest.java
@@ -4,13 +4,13 @@
 import java.util.Optional;
 import java.util.Set;
 
-import dev.wigeonward.core.rollout.VersionBound;
+import dev.wigeonward.core.rollout.VersionConstraint;
 
 /**
  * A request that waits for an upstream or runs on one. Its mutable state belongs to the scheduler that it was offered
  * to. Not thread-safe.
  */
-public final class Demand {
+public final class ScheduledRequest {
     private final String kind;
     private final int rank;
     private final long objectiveMillis;
@@ -21,17 +21,17 @@
     private final long earlierAttemptsMillis;
     private final long deadlineAtMillis;
     private final double expectedOutputTokens;
-    private final VersionBound versions;
+    private final VersionConstraint versions;
     private final Set<String> excludedUpstreamIds = new HashSet<>();
     private Optional<UpstreamLoad> placedOn = Optional.empty();
     private long placedAtMillis;
     private long promptTokensAhead;
     private boolean firstEventReceived;
     private double expectedEvents;
-    private double slownessWhenPlaced;
-    private double usualMillis;
+    private double relativeSlownessAtPlacement;
+    private double typicalResponseMillis;
 
-    private Demand(Builder builder) {
+    private ScheduledRequest(Builder builder) {
         kind = builder.kind;
         rank = builder.rank;
         objectiveMillis = builder.objectiveMillis;
@@ -57,7 +57,7 @@
     }
 
     /** Excludes an upstream on which the request failed from further placements of the request. */
-    public void avoid(String upstreamId) {
+    public void excludeUpstream(String upstreamId) {
         excludedUpstreamIds.add(upstreamId);
     }
 
@@ -113,8 +113,8 @@
     /**
      * Returns the estimated slowness of the chosen upstream relative to a typical one, or 0 before the first placement.
      */
-    public double slownessWhenPlaced() {
-        return slownessWhenPlaced;
+    public double relativeSlownessAtPlacement() {
+        return relativeSlownessAtPlacement;
     }
 
     void setExpectedEvents(double events) {
@@ -153,12 +153,12 @@
      * Returns the time in which a typical upstream would send the first event or answer the call, in milliseconds, or 0
      * before the first placement.
      */
-    public double usualMillis() {
-        return usualMillis;
+    public double typicalResponseMillis() {
+        return typicalResponseMillis;
     }
 
     /** Returns the constraint on the versions that may serve the request. */
-    VersionBound versions() {
+    VersionConstraint versions() {
         return versions;
     }
 
@@ -166,8 +166,8 @@
         placedOn = Optional.of(load);
         placedAtMillis = nowMillis;
         promptTokensAhead = load.pendingPromptTokens();
-        slownessWhenPlaced = slowness;
-        usualMillis = typicalMillis;
+        relativeSlownessAtPlacement = slowness;
+        typicalResponseMillis = typicalMillis;
         firstEventReceived = false;
     }
 
@@ -175,7 +175,7 @@
         firstEventReceived = true;
     }
 
-    /** Builder of {@link Demand} instances. */
+    /** Builder of {@link ScheduledRequest} instances. */
     public static final class Builder {
         private final String kind;
         private final int rank;
@@ -187,7 +187,7 @@
         private long earlierAttemptsMillis;
         private long deadlineAtMillis = Long.MAX_VALUE;
         private double expectedOutputTokens;
-        private VersionBound versions = VersionBound.NONE;
+        private VersionConstraint versions = VersionConstraint.NONE;
 
         private Builder(String kind, int rank, long objectiveMillis, long arrivedAtMillis) {
             this.kind = kind;
@@ -203,7 +203,7 @@
          * @param expectedOutput estimated number of output tokens, or 0 if there is no estimate
          * @param longestPauseMillis longest acceptable pause between two events, in milliseconds; 0 for no limit
          */
-        public Builder generating(int tokens, double expectedOutput, long longestPauseMillis) {
+        public Builder streaming(int tokens, double expectedOutput, long longestPauseMillis) {
             streaming = true;
             promptTokens = tokens;
             expectedOutputTokens = expectedOutput;
@@ -212,13 +212,13 @@
         }
 
         /** Sets the time that the caller spent waiting in earlier attempts, which counts against the objective. */
-        public Builder elapsedBefore(long millis) {
+        public Builder elapsedInEarlierAttempts(long millis) {
             earlierAttemptsMillis = millis;
             return this;
         }
 
         /** Sets the constraint on the versions that may serve the request. */
-        public Builder versions(VersionBound bound) {
+        public Builder versions(VersionConstraint bound) {
             versions = bound;
             return this;
         }
@@ -230,8 +230,8 @@
         }
 
         /** Returns a new request with the collected properties. */
-        public Demand build() {
-            return new Demand(this);
+        public ScheduledRequest build() {
+            return new ScheduledRequest(this);
         }
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -45,15 +45,15 @@
     /** Lower bound on the placement rate from which the expected wait is computed. */
     private static final double MIN_PLACEMENTS_PER_MILLI = 0.002;
 
-    private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
+    private final Map<String, UpstreamLoad> setUpstreams = new HashMap<>();
     private final WaitingRequests waiting = new WaitingRequests();
     private final ServiceTimeModel timeModel = new ServiceTimeModel();
-    private final PlacementLoss loss;
+    private final PlacementCost loss;
     private double placementsPerMilli = MIN_PLACEMENTS_PER_MILLI;
     private long rateUpdatedAtMillis;
 
     private ServiceScheduler(String zone) {
-        this.loss = new PlacementLoss(timeModel, zone);
+        this.loss = new PlacementCost(timeModel, zone);
     }
 
     /** Returns a scheduler without upstreams for an entry in the given zone. */
@@ -62,56 +62,56 @@
     }
 
     /** Replaces the list of upstreams; the state of an upstream is kept if its lifetime and address are unchanged. */
-    public void upstreams(Collection<Upstream> listed) {
-        Map<String, UpstreamLoad> previous = new HashMap<>(upstreams);
-        upstreams.clear();
+    public void setUpstreams(Collection<Upstream> listed) {
+        Map<String, UpstreamLoad> previous = new HashMap<>(setUpstreams);
+        setUpstreams.clear();
         for (Upstream upstream : listed) {
             UpstreamLoad known = previous.get(upstream.id());
             if (known != null && known.upstream().sameLifetime(upstream)) {
                 known.setUpstream(upstream);
-                upstreams.put(upstream.id(), known);
+                setUpstreams.put(upstream.id(), known);
             } else {
-                upstreams.put(upstream.id(), new UpstreamLoad(upstream));
+                setUpstreams.put(upstream.id(), new UpstreamLoad(upstream));
             }
         }
     }
 
     /** Replaces the load that other entries reported for each upstream, looked up by its identifier. */
-    public void reportPeers(Function<String, OwnLoad> loads) {
-        upstreams.forEach((id, load) -> {
-            OwnLoad reported = loads.apply(id);
+    public void updatePeerLoads(Function<String, EntryLoad> loads) {
+        setUpstreams.forEach((id, load) -> {
+            EntryLoad reported = loads.apply(id);
             load.setPeerLoad(reported.requests(), reported.promptTokens());
         });
     }
 
     /** Adopts the unit times observed by other entries where they are newer than those of this entry. */
-    public void adopt(Collection<LearnedUnit> units, long nowMillis) {
-        Map<String, LearnedUnit> byLifetime = new HashMap<>();
-        units.forEach(unit -> byLifetime.put(unit.lifetime(), unit));
-        for (UpstreamLoad load : upstreams.values()) {
-            LearnedUnit unit = byLifetime.get(load.upstream().lifetime());
+    public void adoptNewerUnitTimes(Collection<ObservedUnitTime> units, long nowMillis) {
+        Map<String, ObservedUnitTime> byLifetime = new HashMap<>();
+        units.forEach(unit -> byLifetime.put(unit.lifetimeId(), unit));
+        for (UpstreamLoad load : setUpstreams.values()) {
+            ObservedUnitTime unit = byLifetime.get(load.upstream().lifetimeId());
             if (unit != null) {
-                load.adoptUnit(unit.unitMillis(), nowMillis - unit.ageMillis());
+                load.adoptUnit(unit.unitTimeMillis(), nowMillis - unit.ageMillis());
             }
         }
     }
 
     /** Returns the unit times of all upstreams that have one. */
-    public List<LearnedUnit> learned(long nowMillis) {
-        return upstreams.values().stream()
+    public List<ObservedUnitTime> unitTimes(long nowMillis) {
+        return setUpstreams.values().stream()
                 .flatMap(load -> load.learnedUnit(nowMillis).stream())
                 .toList();
     }
 
     /** Returns the unit times that have changed notably since they were last returned here or adopted. */
-    public List<LearnedUnit> learnedSinceTold(long nowMillis) {
-        return upstreams.values().stream()
+    public List<ObservedUnitTime> takeChangedUnitTimes(long nowMillis) {
+        return setUpstreams.values().stream()
                 .flatMap(load -> load.takeChangedUnit(nowMillis).stream())
                 .toList();
     }
 
     /** Adds a request to the queue; {@link #decide} returns the decision on it. */
-    public void offer(Demand demand) {
+    public void offer(ScheduledRequest demand) {
         Preconditions.checkArgument(
                 demand.objectiveMillis() > 0,
                 "objectiveMillis of a request of kind %s must be positive but was %s",
@@ -121,7 +121,7 @@
     }
 
     /** Removes a waiting request from the queue and returns whether it was waiting. */
-    public boolean withdraw(Demand demand) {
+    public boolean remove(ScheduledRequest demand) {
         return waiting.remove(demand);
     }
 
@@ -134,7 +134,7 @@
         while (decideOne(decisions, nowMillis)) {
             // Each placement changes the loads that the next comparison uses, so requests are placed one at a time.
         }
-        for (Demand demand : waiting.removeOverdue(this::maxWaitMillis, nowMillis)) {
+        for (ScheduledRequest demand : waiting.removeOverdue(this::maxWaitMillis, nowMillis)) {
             refuse(demand, RefusalReason.WAITED_TOO_LONG, decisions);
         }
         return decisions;
@@ -143,8 +143,8 @@
     /** Makes at most one decision and returns whether it made one. */
     private boolean decideOne(List<Decision> decisions, long nowMillis) {
         boolean anyUpstream =
-                upstreams.values().stream().anyMatch(load -> !load.upstream().draining());
-        for (Demand demand : waiting.candidates(nowMillis)) {
+                setUpstreams.values().stream().anyMatch(load -> !load.upstream().draining());
+        for (ScheduledRequest demand : waiting.candidates(nowMillis)) {
             if (!anyUpstream) {
                 waiting.remove(demand);
                 refuse(demand, RefusalReason.NO_UPSTREAM, decisions);
@@ -165,11 +165,11 @@
         return false;
     }
 
-    private long maxWaitMillis(Demand demand) {
+    private long maxWaitMillis(ScheduledRequest demand) {
         return (long) (MAX_WAIT_FRACTION * demand.objectiveMillis());
     }
 
-    private void place(Demand demand, UpstreamLoad load, List<Decision> decisions, long nowMillis) {
+    private void place(ScheduledRequest demand, UpstreamLoad load, List<Decision> decisions, long nowMillis) {
         double typicalMillis = demand.isStreaming()
                 ? timeModel.firstEventMillis(load.pendingPromptTokens() + demand.promptTokens())
                 : timeModel.unitMillis();
@@ -178,7 +178,7 @@
         waiting.onOutcome(demand, true);
         decayPlacementRate(nowMillis);
         placementsPerMilli += 1 / RATE_TIME_CONSTANT_MILLIS;
-        decisions.add(new Decision.Place(demand, load.upstream()));
+        decisions.add(new Decision.Placed(demand, load.upstream()));
     }
 
     private void decayPlacementRate(long nowMillis) {
@@ -186,12 +186,12 @@
         rateUpdatedAtMillis = nowMillis;
     }
 
-    private void refuse(Demand demand, RefusalReason reason, List<Decision> decisions) {
+    private void refuse(ScheduledRequest demand, RefusalReason reason, List<Decision> decisions) {
         waiting.onOutcome(demand, false);
-        decisions.add(new Decision.Refuse(demand, reason));
+        decisions.add(new Decision.Refused(demand, reason));
     }
 
-    private double expectedWaitMillis(Demand demand, long nowMillis) {
+    private double expectedWaitMillis(ScheduledRequest demand, long nowMillis) {
         decayPlacementRate(nowMillis);
         return waiting.othersUpToRank(demand) / Math.max(MIN_PLACEMENTS_PER_MILLI, placementsPerMilli);
     }
@@ -200,7 +200,7 @@
      * Returns the upstream with a free slot and the lowest expected loss, or empty if the request should wait. If all
      * upstreams that may serve the request are paused, returns the result of {@link #findFallback}.
      */
-    private Optional<UpstreamLoad> findBest(Demand demand, long nowMillis) {
+    private Optional<UpstreamLoad> findBest(ScheduledRequest demand, long nowMillis) {
         demand.setExpectedEvents(timeModel.expectedEvents(demand.expectedOutputTokens()));
         UpstreamLoad best = null;
         double least =
@@ -209,7 +209,7 @@
         boolean reserved = freeSlotFraction(nowMillis) <= RESERVED_SLOT_FRACTION * waiting.shareOfMoreUrgent(demand);
         double meanFailureRatio = meanFailureRatio();
         boolean anySuitable = anySuitable(demand);
-        for (UpstreamLoad load : upstreams.values()) {
+        for (UpstreamLoad load : setUpstreams.values()) {
             if (!mayServe(demand, load, anySuitable)) {
                 continue;
             }
@@ -230,24 +230,24 @@
         return Optional.ofNullable(best);
     }
 
-    private boolean anySuitable(Demand demand) {
-        return upstreams.values().stream()
+    private boolean anySuitable(ScheduledRequest demand) {
+        return setUpstreams.values().stream()
                 .map(UpstreamLoad::upstream)
-                .anyMatch(upstream -> !upstream.draining() && demand.versions().suits(upstream.version()));
+                .anyMatch(upstream -> !upstream.draining() && demand.versions().isFirstChoice(upstream.version()));
     }
 
     /** Returns whether the version, the state and the exclusions of the request allow the upstream to serve it. */
-    private static boolean mayServe(Demand demand, UpstreamLoad load, boolean anySuitable) {
+    private static boolean mayServe(ScheduledRequest demand, UpstreamLoad load, boolean anySuitable) {
         Upstream upstream = load.upstream();
         boolean rightVersion = anySuitable
-                ? demand.versions().suits(upstream.version())
+                ? demand.versions().isFirstChoice(upstream.version())
                 : demand.versions().allows(upstream.version());
         return rightVersion && !upstream.draining() && !demand.isExcluded(upstream.id());
     }
 
     /** Returns the number of requests of all entries at upstreams of other versions than the given one. */
-    public int outstandingAtOthers(String version) {
-        return upstreams.values().stream()
+    public int outstandingAtOtherVersions(String version) {
+        return setUpstreams.values().stream()
                 .filter(load -> !load.upstream().version().equals(version))
                 .mapToInt(UpstreamLoad::outstanding)
                 .sum();
@@ -257,7 +257,7 @@
     private double freeSlotFraction(long nowMillis) {
         double slots = 0;
         double free = 0;
-        for (UpstreamLoad load : upstreams.values()) {
+        for (UpstreamLoad load : setUpstreams.values()) {
             if (!load.upstream().draining() && !load.paused(nowMillis)) {
                 slots += load.upstream().slots();
                 free += Math.max(0, load.upstream().slots() - load.outstanding());
@@ -268,20 +268,20 @@
 
     private double meanFailureRatio() {
         double sum = 0;
-        for (UpstreamLoad load : upstreams.values()) {
+        for (UpstreamLoad load : setUpstreams.values()) {
             sum += load.failureRatio();
         }
-        return sum / Math.max(1, upstreams.size());
+        return sum / Math.max(1, setUpstreams.size());
     }
 
     /**
      * Returns the upstream with the lowest failure ratio, including paused ones. Used when all upstreams are paused:
      * they may have recovered, and only another request can show it.
      */
-    private Optional<UpstreamLoad> findFallback(Demand demand) {
+    private Optional<UpstreamLoad> findFallback(ScheduledRequest demand) {
         UpstreamLoad best = null;
         boolean anySuitable = anySuitable(demand);
-        for (UpstreamLoad load : upstreams.values()) {
+        for (UpstreamLoad load : setUpstreams.values()) {
             if (!mayServe(demand, load, anySuitable)
                     || load.outstanding() >= load.upstream().slots()) {
                 continue;
@@ -295,7 +295,7 @@
 
     /** Returns whether output for a request of this entry is overdue, so that the upstream may have stopped. */
     private boolean hasOverdueOutput(UpstreamLoad load, long nowMillis) {
-        for (Demand demand : load.running()) {
+        for (ScheduledRequest demand : load.running()) {
             if (isOutputOverdue(demand, load, nowMillis)) {
                 return true;
             }
@@ -303,7 +303,7 @@
         return false;
     }
 
-    private boolean isOutputOverdue(Demand demand, UpstreamLoad load, long nowMillis) {
+    private boolean isOutputOverdue(ScheduledRequest demand, UpstreamLoad load, long nowMillis) {
         long since = Math.max(demand.placedAtMillis(), load.lastOutputAtMillis());
         double units = demand.isStreaming() && !demand.firstEventReceived()
                 ? timeModel.firstEventMillis(demand.promptTokensAhead() + demand.promptTokens())
@@ -313,7 +313,7 @@
 
     /** Returns the upstreams that are excluded from placement until {@link #resume} is called for them. */
     public List<Upstream> suspended() {
-        return upstreams.values().stream()
+        return setUpstreams.values().stream()
                 .filter(UpstreamLoad::suspended)
                 .map(UpstreamLoad::upstream)
                 .toList();
@@ -321,7 +321,7 @@
 
     /** Includes an upstream in placement again after it accepts connections. */
     public void resume(String upstreamId) {
-        UpstreamLoad load = upstreams.get(upstreamId);
+        UpstreamLoad load = setUpstreams.get(upstreamId);
         if (load != null) {
             load.resume();
         }
@@ -329,14 +329,14 @@
 
     /** Excludes an upstream from placement because it does not accept connections. */
     public void suspend(String upstreamId) {
-        UpstreamLoad load = upstreams.get(upstreamId);
+        UpstreamLoad load = setUpstreams.get(upstreamId);
         if (load != null) {
             load.suspend();
         }
     }
 
     /** Records the first event of a stream and updates the estimated time to the first event with it. */
-    public void onFirstEvent(Demand demand, long nowMillis) {
+    public void onFirstEvent(ScheduledRequest demand, long nowMillis) {
         UpstreamLoad load = placedLoad(demand);
         load.onOutput(nowMillis);
         if (demand.firstEventReceived()) {
@@ -351,22 +351,22 @@
     }
 
     /** Records that the upstream sent output for the request. */
-    public void onOutput(Demand demand, long nowMillis) {
+    public void onOutput(ScheduledRequest demand, long nowMillis) {
         placedLoad(demand).onOutput(nowMillis);
     }
 
     /** Updates the unit time of the upstream with the mean pause between several events of a stream. */
-    public void onPauses(Demand demand, double meanPauseMillis, long nowMillis) {
+    public void onEventIntervals(ScheduledRequest demand, double meanPauseMillis, long nowMillis) {
         placedLoad(demand).observeUnit(meanPauseMillis, nowMillis);
     }
 
     /** Updates the estimate of the events per output token with the length of a completed stream. */
-    public void onLength(Demand demand, long events) {
+    public void onStreamLength(ScheduledRequest demand, long events) {
         timeModel.observeLength(demand.expectedOutputTokens(), events);
     }
 
     /** Records the outcome of a request and frees its slot at the upstream. */
-    public void onEnded(Demand demand, Outcome outcome, long nowMillis) {
+    public void onEnded(ScheduledRequest demand, Outcome outcome, long nowMillis) {
         UpstreamLoad load = placedLoad(demand);
         load.remove(demand);
         switch (outcome) {
@@ -393,23 +393,23 @@
         }
     }
 
-    private static UpstreamLoad placedLoad(Demand demand) {
+    private static UpstreamLoad placedLoad(ScheduledRequest demand) {
         return demand.placedOn()
                 .orElseThrow(() -> new IllegalStateException(
                         "request of kind " + demand.kind() + " must be placed on an upstream but was never placed"));
     }
 
     /** Recomputes the typical unit time, relative to which upstreams are compared; called several times a second. */
-    public void compareUpstreams() {
-        timeModel.updateUnitMillis(upstreams.values());
+    public void updateTypicalUnitTime() {
+        timeModel.updateUnitMillis(setUpstreams.values());
     }
 
     /** Returns the load of this entry at each upstream where it has requests, for reports to its peers. */
-    public List<OwnLoad> ownLoads() {
-        List<OwnLoad> loads = new ArrayList<>();
-        for (UpstreamLoad load : upstreams.values()) {
+    public List<EntryLoad> ownLoads() {
+        List<EntryLoad> loads = new ArrayList<>();
+        for (UpstreamLoad load : setUpstreams.values()) {
             if (!load.running().isEmpty()) {
-                loads.add(new OwnLoad(load.upstream().id(), load.running().size(), load.ownPendingPromptTokens()));
+                loads.add(new EntryLoad(load.upstream().id(), load.running().size(), load.ownPendingPromptTokens()));
             }
         }
         return loads;
@@ -421,8 +421,8 @@
     }
 
     /** Returns one line for each upstream with its load, slowness and failure ratio, for a dump. */
-    public List<String> describe(long nowMillis) {
-        return upstreams.values().stream()
+    public List<String> dumpLines(long nowMillis) {
+        return setUpstreams.values().stream()
                 .map(load -> load.dumpLine(timeModel.slowness(load), nowMillis))
                 .sorted()
                 .toList();
@@ -446,10 +446,10 @@
     }
 
     /** Load of one entry at one upstream: its requests and the prompt tokens of those without a first event. */
-    public record OwnLoad(String upstreamId, int requests, long promptTokens) {
+    public record EntryLoad(String upstreamId, int requests, long promptTokens) {
         /** Returns the load of an entry without requests at the upstream. */
-        public static OwnLoad none(String upstreamId) {
-            return new OwnLoad(upstreamId, 0, 0);
+        public static EntryLoad none(String upstreamId) {
+            return new EntryLoad(upstreamId, 0, 0);
         }
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
@@ -11,8 +11,8 @@
  * @param address IP address and port
  * @param slots number of requests that it runs concurrently
  * @param draining whether it accepts no new requests
- * @param bornMillis start of this lifetime, if the upstream reports it; distinguishes lifetimes when a restart keeps
- *     the identifier
+ * @param startedAtMillis start of this lifetime, if the upstream reports it; distinguishes lifetimes when a restart
+ *     keeps the identifier
  */
 public record Upstream(
         String id,
@@ -22,7 +22,7 @@
         String version,
         int slots,
         boolean draining,
-        Optional<Long> bornMillis) {
+        Optional<Long> startedAtMillis) {
     public Upstream {
         Preconditions.checkArgument(slots > 0, "slots of upstream %s must be positive but was %s", id, slots);
     }
@@ -30,7 +30,7 @@
     /**
      * Returns a hash of the fields that affect scheduling; descriptions that differ in them almost surely differ in it.
      */
-    public long signature() {
+    public long schedulingHash() {
         long hash = id.hashCode();
         hash = 31 * hash + service.hashCode();
         hash = 31 * hash + address.hashCode();
@@ -38,18 +38,18 @@
         hash = 31 * hash + version.hashCode();
         hash = 31 * hash + slots;
         hash = 31 * hash + (draining ? 1 : 0);
-        return 31 * hash + bornMillis.orElse(0L);
+        return 31 * hash + startedAtMillis.orElse(0L);
     }
 
     /**
      * Returns an identifier of this lifetime, which changes at a restart even if the upstream keeps its {@link #id}.
      */
-    public String lifetime() {
-        return id + "/" + bornMillis.map(String::valueOf).orElse("");
+    public String lifetimeId() {
+        return id + "/" + startedAtMillis.map(String::valueOf).orElse("");
     }
 
     /** Returns whether the other description is of the same lifetime at the same address. */
     public boolean sameLifetime(Upstream other) {
-        return id.equals(other.id) && address.equals(other.address) && bornMillis.equals(other.bornMillis);
+        return id.equals(other.id) && address.equals(other.address) && startedAtMillis.equals(other.startedAtMillis);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
@@ -19,7 +19,7 @@
     private static final double FAILURE_SMOOTHING_FACTOR = 0.1;
 
     private Upstream upstream;
-    private final Set<Demand> running = new LinkedHashSet<>();
+    private final Set<ScheduledRequest> running = new LinkedHashSet<>();
     private int peerRunning;
     private long peerPromptTokens;
     private OptionalDouble unitMillis = OptionalDouble.empty();
@@ -42,15 +42,15 @@
         upstream = newDescription;
     }
 
-    void add(Demand demand) {
+    void add(ScheduledRequest demand) {
         running.add(demand);
     }
 
-    boolean remove(Demand demand) {
+    boolean remove(ScheduledRequest demand) {
         return running.remove(demand);
     }
 
-    Set<Demand> running() {
+    Set<ScheduledRequest> running() {
         return running;
     }
 
@@ -73,7 +73,7 @@
     /** Returns the prompt tokens of this entry's requests whose first event has not arrived. */
     long ownPendingPromptTokens() {
         long tokens = 0;
-        for (Demand demand : running) {
+        for (ScheduledRequest demand : running) {
             tokens += demand.firstEventReceived() ? 0 : demand.promptTokens();
         }
         return tokens;
@@ -109,15 +109,15 @@
     }
 
     /** Returns the unit time with its age, or empty before the first observation. */
-    Optional<LearnedUnit> learnedUnit(long nowMillis) {
+    Optional<ObservedUnitTime> learnedUnit(long nowMillis) {
         return unitMillis.isEmpty()
                 ? Optional.empty()
-                : Optional.of(new LearnedUnit(
-                        upstream.lifetime(), unitMillis.getAsDouble(), nowMillis - unitObservedAtMillis));
+                : Optional.of(new ObservedUnitTime(
+                        upstream.lifetimeId(), unitMillis.getAsDouble(), nowMillis - unitObservedAtMillis));
     }
 
     /** Returns the unit time if it differs notably from the last reported one, and marks it as reported. */
-    Optional<LearnedUnit> takeChangedUnit(long nowMillis) {
+    Optional<ObservedUnitTime> takeChangedUnit(long nowMillis) {
         boolean unchanged = reportedUnitMillis.isPresent()
                 && unitMillis.isPresent()
                 && Math.abs(unitMillis.getAsDouble() - reportedUnitMillis.getAsDouble())
@@ -176,7 +176,7 @@
                         slowness,
                         learnedUnit(nowMillis)
                                 .map(unit -> " unit_ms=%.1f learned_ms_ago=%d"
-                                        .formatted(unit.unitMillis(), unit.ageMillis()))
+                                        .formatted(unit.unitTimeMillis(), unit.ageMillis()))
                                 .orElse(""),
                         failureRatio,
                         upstream.draining() ? " draining" : paused(nowMillis) ? " paused" : "");
--- a/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
@@ -25,24 +25,24 @@
 
     private final Map<String, KindQueue> kinds = new HashMap<>();
 
-    void add(Demand demand) {
+    void add(ScheduledRequest demand) {
         kind(demand).waiting.addLast(demand);
     }
 
-    boolean remove(Demand demand) {
+    boolean remove(ScheduledRequest demand) {
         KindQueue kind = kinds.get(demand.kind());
         return kind != null && kind.waiting.remove(demand);
     }
 
     /** Updates the traffic share and the served ratio of the kind of a request that was placed or refused. */
-    void onOutcome(Demand demand, boolean served) {
+    void onOutcome(ScheduledRequest demand, boolean served) {
         KindQueue kind = kind(demand);
         kinds.values().forEach(each -> each.trafficShare *= 1 - TRAFFIC_SMOOTHING_FACTOR);
         kind.trafficShare += TRAFFIC_SMOOTHING_FACTOR;
         kind.servedRatio += OUTCOME_SMOOTHING_FACTOR * ((served ? 1 : 0) - kind.servedRatio);
     }
 
-    private KindQueue kind(Demand demand) {
+    private KindQueue kind(ScheduledRequest demand) {
         return kinds.computeIfAbsent(demand.kind(), name -> new KindQueue(demand.rank()));
     }
 
@@ -50,7 +50,7 @@
      * Returns the requests to try, in order: the first few of each kind, ordered by kind, and after them in the same
      * way those that are past their objective.
      */
-    List<Demand> candidates(long nowMillis) {
+    List<ScheduledRequest> candidates(long nowMillis) {
         double best = 0;
         for (KindQueue kind : kinds.values()) {
             best = Math.max(best, kind.servedRatio);
@@ -63,14 +63,14 @@
             }
         }
         ordered.sort(Comparator.comparing((KindQueue kind) -> !kind.underserved).thenComparingInt(kind -> kind.rank));
-        List<Demand> candidates = new ArrayList<>();
+        List<ScheduledRequest> candidates = new ArrayList<>();
         ordered.forEach(kind -> kind.addCandidates(candidates, false, nowMillis));
         ordered.forEach(kind -> kind.addCandidates(candidates, true, nowMillis));
         return candidates;
     }
 
     /** Returns the fraction of recent requests that take precedence over the given one, from 0 to 1. */
-    double shareOfMoreUrgent(Demand demand) {
+    double shareOfMoreUrgent(ScheduledRequest demand) {
         double share = 0;
         for (KindQueue kind : kinds.values()) {
             share += kind.rank < demand.rank() ? kind.trafficShare : 0;
@@ -82,7 +82,7 @@
      * Returns the number of other waiting requests of the same or a more urgent rank; for an underserved kind, only
      * those of the same kind.
      */
-    int othersUpToRank(Demand demand) {
+    int othersUpToRank(ScheduledRequest demand) {
         KindQueue own = kind(demand);
         if (own.underserved) {
             return own.waiting.size() - 1;
@@ -105,11 +105,11 @@
     }
 
     /** Removes and returns the requests that have reached their maximum wait. */
-    List<Demand> removeOverdue(ToLongFunction<Demand> longestWaitMillis, long nowMillis) {
-        List<Demand> removed = new ArrayList<>();
+    List<ScheduledRequest> removeOverdue(ToLongFunction<ScheduledRequest> longestWaitMillis, long nowMillis) {
+        List<ScheduledRequest> removed = new ArrayList<>();
         for (KindQueue kind : kinds.values()) {
-            for (Iterator<Demand> each = kind.waiting.iterator(); each.hasNext(); ) {
-                Demand demand = each.next();
+            for (Iterator<ScheduledRequest> each = kind.waiting.iterator(); each.hasNext(); ) {
+                ScheduledRequest demand = each.next();
                 if (demand.ageMillis(nowMillis) >= longestWaitMillis.applyAsLong(demand)) {
                     each.remove();
                     removed.add(demand);
@@ -122,7 +122,7 @@
     /** Queue of the requests of one kind, with its recent statistics. */
     private static final class KindQueue {
         private final int rank;
-        private final ArrayDeque<Demand> waiting = new ArrayDeque<>();
+        private final ArrayDeque<ScheduledRequest> waiting = new ArrayDeque<>();
         private double servedRatio = 1.0;
         private double trafficShare;
         private boolean underserved;
@@ -131,9 +131,9 @@
             this.rank = rank;
         }
 
-        private void addCandidates(List<Demand> candidates, boolean pastObjective, long nowMillis) {
+        private void addCandidates(List<ScheduledRequest> candidates, boolean pastObjective, long nowMillis) {
             int added = 0;
-            for (Demand demand : waiting) {
+            for (ScheduledRequest demand : waiting) {
                 if (demand.isPastObjective(nowMillis) == pastObjective && added < CANDIDATES_PER_KIND) {
                     candidates.add(demand);
                     added++;
--- a/core/src/main/java/dev/wigeonward/core/spend/Spend.java
+++ b/core/src/main/java/dev/wigeonward/core/spend/Spend.java
@@ -5,7 +5,7 @@
 /** A number of tokens and their cost in millionths of the currency unit, either spent or committed. */
 public record Spend(long tokens, long costMicros) {
     /** No tokens and no cost. */
-    public static final Spend NONE = new Spend(0, 0);
+    public static final Spend ZERO = new Spend(0, 0);
 
     public Spend {
         Preconditions.checkArgument(tokens >= 0, "tokens must not be negative, got %s", tokens);
--- a/core/src/main/java/dev/wigeonward/core/spend/SpendLedger.java
+++ b/core/src/main/java/dev/wigeonward/core/spend/SpendLedger.java
@@ -87,7 +87,7 @@
         }
         Map<String, Spend> known = othersByEntry.computeIfAbsent(snapshot.entryId(), id -> new HashMap<>());
         snapshot.byWorkspace().forEach((workspace, total) -> {
-            Spend before = known.getOrDefault(workspace, Spend.NONE);
+            Spend before = known.getOrDefault(workspace, Spend.ZERO);
             Spend after = before.max(total);
             known.put(workspace, after);
             othersTotal.merge(workspace, after.minus(before), Spend::plus);
@@ -95,8 +95,8 @@
     }
 
     /** Returns the spend of the workspace in the current period that this entry knows of. */
-    public Spend spent(String workspace) {
-        return own.getOrDefault(workspace, Spend.NONE).plus(othersTotal.getOrDefault(workspace, Spend.NONE));
+    public Spend spendOf(String workspace) {
+        return own.getOrDefault(workspace, Spend.ZERO).plus(othersTotal.getOrDefault(workspace, Spend.ZERO));
     }
 
     /**
@@ -104,8 +104,8 @@
      * corresponds to the elapsed share of the period.
      */
     public boolean isBehindPace(String workspace, long nowMillis) {
-        Spend committed = commitments.getOrDefault(workspace, Spend.NONE);
-        Spend spent = spent(workspace);
+        Spend committed = commitments.getOrDefault(workspace, Spend.ZERO);
+        Spend spent = spendOf(workspace);
         double elapsedShare = period.elapsedShare(nowMillis);
         return spent.tokens() < committed.tokens() * elapsedShare
                 || spent.costMicros() < committed.costMicros() * elapsedShare;
--- a/core/src/main/java/dev/wigeonward/core/stream/EventBoundaries.java
+++ b/core/src/main/java/dev/wigeonward/core/stream/EventBoundaryScanner.java
@@ -7,7 +7,7 @@
  * Scanner that finds the ends of events in a streamed answer and tracks the identifier of the last complete event. An
  * event ends with an empty line; lines end with LF or CRLF. Not thread-safe.
  */
-public final class EventBoundaries {
+public final class EventBoundaryScanner {
     /** Largest number of bytes stored from the start of a line; a longer identifier is cut off. */
     private static final int MAX_LINE_PREFIX_BYTES = 256;
 
@@ -15,15 +15,15 @@
 
     private final StringBuilder line = new StringBuilder();
     private Optional<String> incompleteEventId = Optional.empty();
-    private Optional<String> lastId = Optional.empty();
+    private Optional<String> lastEventId = Optional.empty();
     private boolean eventIncomplete;
-    private long events;
+    private long eventCount;
 
-    private EventBoundaries() {}
+    private EventBoundaryScanner() {}
 
     /** Returns a scanner at the start of a stream. */
-    public static EventBoundaries create() {
-        return new EventBoundaries();
+    public static EventBoundaryScanner create() {
+        return new EventBoundaryScanner();
     }
 
     /**
@@ -68,32 +68,32 @@
         }
         eventIncomplete = false;
         if (incompleteEventId.isPresent()) {
-            lastId = incompleteEventId;
+            lastEventId = incompleteEventId;
             incompleteEventId = Optional.empty();
         }
-        events++;
+        eventCount++;
         return true;
     }
 
     /** Discards the state of an incomplete event whose remaining bytes will not arrive. */
-    public void dropOpenEvent() {
+    public void discardIncompleteEvent() {
         line.setLength(0);
         incompleteEventId = Optional.empty();
         eventIncomplete = false;
     }
 
     /** Returns whether part of an event has arrived, but not its end. */
-    public boolean insideEvent() {
+    public boolean hasIncompleteEvent() {
         return eventIncomplete;
     }
 
     /** Returns the identifier of the last complete event that has one, or empty if there was none. */
-    public Optional<String> lastId() {
-        return lastId;
+    public Optional<String> lastEventId() {
+        return lastEventId;
     }
 
     /** Returns the number of complete events. */
-    public long events() {
-        return events;
+    public long eventCount() {
+        return eventCount;
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/suspect/Suspicion.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/SuspectRestriction.java
@@ -1,7 +1,7 @@
 package dev.wigeonward.core.suspect;
 
 /** Restriction on a request that was running when upstreams died. */
-public enum Suspicion {
+public enum SuspectRestriction {
     /** No restriction. */
     NONE,
     /** One upstream died while the request ran; only one upstream at a time may run it. */
--- a/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
@@ -23,7 +23,7 @@
     public static final int MAX_FINGERPRINTS = 65_536;
 
     /** Time for which a fact is in force after its last addition, in milliseconds. */
-    public static final long SUSPECT_MILLIS = 600_000;
+    public static final long FACT_LIFETIME_MILLIS = 600_000;
 
     /** Number of deaths from which on a request is refused. */
     private static final int MIN_DEATHS_TO_REFUSE = 2;
@@ -38,7 +38,7 @@
      * Time after the last addition at which an expired fact is removed, in milliseconds. A peer that learned the fact
      * later still sends it after it expired here; if it were merged as new, the two would renew it forever.
      */
-    private static final long RETENTION_MILLIS = 2 * SUSPECT_MILLIS;
+    private static final long RETENTION_MILLIS = 2 * FACT_LIFETIME_MILLIS;
 
     private final int maxFingerprints;
     /** Suspects by fingerprint, in the order of their last additions. */
@@ -64,12 +64,14 @@
     }
 
     /** Returns the restriction on a request that follows from the known deaths. */
-    public Suspicion suspicion(long fingerprint, long nowMillis) {
+    public SuspectRestriction suspicion(long fingerprint, long nowMillis) {
         Suspect suspect = suspects.get(fingerprint);
         if (suspect == null || !suspect.inForceAt(nowMillis)) {
-            return Suspicion.NONE;
+            return SuspectRestriction.NONE;
         }
-        return suspect.incarnations.size() >= MIN_DEATHS_TO_REFUSE ? Suspicion.REFUSED : Suspicion.ONE_AT_A_TIME;
+        return suspect.incarnations.size() >= MIN_DEATHS_TO_REFUSE
+                ? SuspectRestriction.REFUSED
+                : SuspectRestriction.ONE_AT_A_TIME;
     }
 
     /** Returns whether the request may be dispatched now; if not refused, it may be once its other copy has ended. */
@@ -82,12 +84,12 @@
     }
 
     /** Records a dispatch. Every dispatch is recorded, because its fingerprint may become suspect while it runs. */
-    public void onDispatched(long fingerprint) {
+    public void recordDispatch(long fingerprint) {
         dispatches.merge(fingerprint, 1, Integer::sum);
     }
 
     /** Records the end of a dispatch, whatever its outcome. */
-    public void onEnded(long fingerprint) {
+    public void recordEnd(long fingerprint) {
         Preconditions.checkState(
                 dispatches.containsKey(fingerprint), "fingerprint %s has no dispatch that could end", fingerprint);
         dispatches.computeIfPresent(fingerprint, (key, count) -> count == 1 ? null : count - 1);
@@ -129,7 +131,7 @@
     }
 
     /** Returns the facts in force, for a peer that has just connected, in time linear in the size of the table. */
-    public List<SuspectFact> facts(long nowMillis) {
+    public List<SuspectFact> activeFacts(long nowMillis) {
         return suspects.entrySet().stream()
                 .filter(entry -> entry.getValue().inForceAt(nowMillis))
                 .map(entry -> new SuspectFact(entry.getKey(), entry.getValue().incarnations))
@@ -169,7 +171,7 @@
         }
 
         private boolean inForceAt(long nowMillis) {
-            return nowMillis - addedAtMillis < SUSPECT_MILLIS;
+            return nowMillis - addedAtMillis < FACT_LIFETIME_MILLIS;
         }
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/admission/AdmissionChecks.java
+++ b/core/src/test/java/dev/wigeonward/core/admission/AdmissionInvariants.java
@@ -14,10 +14,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Checks of the invariants of admission queues, applied to real queues and to faulty ones that must fail them. */
-public final class AdmissionChecks {
+public final class AdmissionInvariants {
     public static final int CAPACITY = 6;
 
-    private AdmissionChecks() {}
+    private AdmissionInvariants() {}
 
     /** One operation on a queue, with its parameters. */
     public record Step(Action action, Tier tier, String workspace, int workMillis, int timeLeftMillis) {}
--- a/core/src/test/java/dev/wigeonward/core/admission/AdmissionInvariantsTest.java
+++ b/core/src/test/java/dev/wigeonward/core/admission/AdmissionInvariantsTest.java
@@ -18,22 +18,22 @@
 
     /** Guards against displacing or delaying a higher tier in favor of a lower one, and against an unbounded queue. */
     @Property(tries = 500)
-    void tiersAreOrderedAndCapacityHolds(@ForAll("steps") List<AdmissionChecks.Step> steps) {
-        AdmissionChecks.checkTierOrderAndCapacity(queue(AdmissionChecks.CAPACITY), steps);
+    void tiersAreOrderedAndCapacityHolds(@ForAll("steps") List<AdmissionInvariants.Step> steps) {
+        AdmissionInvariants.checkTierOrderAndCapacity(queue(AdmissionInvariants.CAPACITY), steps);
     }
 
     /** Guards against a check of the tier order that cannot fail. */
     @Example
     void checkFailsForQueueThatIgnoresTiers() {
-        assertFailsForSome(steps -> AdmissionChecks.checkTierOrderAndCapacity(
-                RewritingQueue.ignoringTiers(queue(AdmissionChecks.CAPACITY)), steps));
+        assertFailsForSome(steps -> AdmissionInvariants.checkTierOrderAndCapacity(
+                RewritingQueue.ignoringTiers(queue(AdmissionInvariants.CAPACITY)), steps));
     }
 
     /** Guards against a check of the capacity that cannot fail. */
     @Example
     void checkFailsForQueueWithHigherCapacity() {
         assertFailsForSome(
-                steps -> AdmissionChecks.checkTierOrderAndCapacity(queue(AdmissionChecks.CAPACITY + 1), steps));
+                steps -> AdmissionInvariants.checkTierOrderAndCapacity(queue(AdmissionInvariants.CAPACITY + 1), steps));
     }
 
     /**
@@ -43,28 +43,28 @@
     void noWorkspaceStarves(
             @ForAll @IntRange(min = 1, max = 3) int heavyWorkspaces,
             @ForAll @IntRange(min = 1, max = 10_000) int heavyMillis) {
-        AdmissionChecks.checkNoStarvation(queue(AdmissionChecks.CAPACITY), heavyWorkspaces, heavyMillis);
+        AdmissionInvariants.checkNoStarvation(queue(AdmissionInvariants.CAPACITY), heavyWorkspaces, heavyMillis);
     }
 
     /** Guards against a check of starvation that cannot fail. */
     @Example
     void checkFailsForQueueThatIgnoresWorkspaces() {
-        assertThatThrownBy(() -> AdmissionChecks.checkNoStarvation(
-                        RewritingQueue.ignoringWorkspaces(queue(AdmissionChecks.CAPACITY)), 2, 100))
+        assertThatThrownBy(() -> AdmissionInvariants.checkNoStarvation(
+                        RewritingQueue.ignoringWorkspaces(queue(AdmissionInvariants.CAPACITY)), 2, 100))
                 .isInstanceOf(AssertionError.class);
     }
 
     @Provide
-    Arbitrary<List<AdmissionChecks.Step>> steps() {
-        return AdmissionChecks.steps();
+    Arbitrary<List<AdmissionInvariants.Step>> steps() {
+        return AdmissionInvariants.steps();
     }
 
     private static AdmissionQueue queue(int capacity) {
         return FairShareAdmissionQueue.create(capacity, WorkspaceWeights.equal());
     }
 
-    private static void assertFailsForSome(Consumer<List<AdmissionChecks.Step>> check) {
-        assertThat(AdmissionChecks.steps().sampleStream().limit(MUTATION_TRIES))
+    private static void assertFailsForSome(Consumer<List<AdmissionInvariants.Step>> check) {
+        assertThat(AdmissionInvariants.steps().sampleStream().limit(MUTATION_TRIES))
                 .anySatisfy(
                         steps -> assertThatThrownBy(() -> check.accept(steps)).isInstanceOf(AssertionError.class));
     }
--- a/core/src/test/java/dev/wigeonward/core/cap/RetryShareTest.java
+++ b/core/src/test/java/dev/wigeonward/core/cap/RetryShareTest.java
@@ -16,14 +16,14 @@
             @ForAll @IntRange(min = 1, max = 9) int entries,
             @ForAll @IntRange(max = 40) int requestsPerSecond,
             @ForAll @IntRange(max = 60) int allowance) {
-        RetryShare[] shares = new RetryShare[entries];
+        RetryBudgetShare[] shares = new RetryBudgetShare[entries];
         for (int entry = 0; entry < entries; entry++) {
-            shares[entry] = RetryShare.create(0.2, allowance, WINDOW_MILLIS);
+            shares[entry] = RetryBudgetShare.create(0.2, allowance, WINDOW_MILLIS);
         }
         int seconds = 30;
         int[] granted = new int[seconds];
         for (int second = 0; second < seconds; second++) {
-            for (RetryShare share : shares) {
+            for (RetryBudgetShare share : shares) {
                 for (int request = 0; request < requestsPerSecond; request++) {
                     share.onRequest(second * 1_000L);
                 }
@@ -44,7 +44,7 @@
     /** Guards against a share that never recovers after it was exhausted. */
     @Example
     void retriesExpireAfterTheWindow() {
-        RetryShare share = RetryShare.create(0, 10, WINDOW_MILLIS);
+        RetryBudgetShare share = RetryBudgetShare.create(0, 10, WINDOW_MILLIS);
         int first = 0;
         while (share.tryAcquire(1, 0)) {
             first++;
--- a/core/src/test/java/dev/wigeonward/core/cap/TenantCapTest.java
+++ b/core/src/test/java/dev/wigeonward/core/cap/TenantCapTest.java
@@ -57,10 +57,10 @@
 
     /** Simulates requests distributed unevenly over the entries and returns the usage admitted in each second. */
     private static List<Long> simulate(Random random, int entries, double demand, boolean connected) {
-        List<TenantCap> caps = new ArrayList<>();
+        List<WorkspaceUsageCap> caps = new ArrayList<>();
         for (int entry = 0; entry < entries; entry++) {
-            caps.add(TenantCap.create(RATE, CAPACITY, entries, 0));
-            caps.get(entry).entries(connected ? entries : 1, entries, 0);
+            caps.add(WorkspaceUsageCap.create(RATE, CAPACITY, entries, 0));
+            caps.get(entry).setEntryCounts(connected ? entries : 1, entries, 0);
         }
         List<Long> admitted = new ArrayList<>();
         long admittedInSecond = 0;
@@ -70,7 +70,7 @@
                 long usage = 200 + random.nextInt(8_000);
                 remaining -= usage;
                 int entry = (int) (entries * random.nextDouble() * random.nextDouble());
-                admittedInSecond += caps.get(entry).tryUse(usage, now) ? usage : 0;
+                admittedInSecond += caps.get(entry).tryAcquire(usage, now) ? usage : 0;
             }
             if (connected && now % REPORT_MILLIS == 0) {
                 report(caps, now);
@@ -83,13 +83,14 @@
         return admitted;
     }
 
-    private static void report(List<TenantCap> caps, long now) {
-        double[] totals = caps.stream().mapToDouble(TenantCap::usedTotal).toArray();
+    private static void report(List<WorkspaceUsageCap> caps, long now) {
+        double[] totals =
+                caps.stream().mapToDouble(WorkspaceUsageCap::totalUsage).toArray();
         double[] levels = caps.stream().mapToDouble(cap -> cap.level(now)).toArray();
         for (int to = 0; to < caps.size(); to++) {
             for (int from = 0; from < caps.size(); from++) {
                 if (from != to) {
-                    caps.get(to).onPeer("entry-" + from, 1, totals[from], levels[from], now);
+                    caps.get(to).onPeerReport("entry-" + from, 1, totals[from], levels[from], now);
                 }
             }
         }
@@ -98,13 +99,13 @@
     /** Guards against counting the restart of a peer as a refund of its usage or as its whole earlier usage again. */
     @Example
     void restartOfPeerCountsOnlyItsNewUsage() {
-        TenantCap cap = TenantCap.create(RATE, CAPACITY, 2, 0);
-        cap.entries(2, 2, 0);
-        cap.onPeer("peer", 1, 1_000_000, CAPACITY, 0);
-        cap.onPeer("peer", 1, 1_010_000, 0, 0);
+        WorkspaceUsageCap cap = WorkspaceUsageCap.create(RATE, CAPACITY, 2, 0);
+        cap.setEntryCounts(2, 2, 0);
+        cap.onPeerReport("peer", 1, 1_000_000, CAPACITY, 0);
+        cap.onPeerReport("peer", 1, 1_010_000, 0, 0);
         double before = cap.level(0);
 
-        cap.onPeer("peer", 2, 5_000, 0, 0);
+        cap.onPeerReport("peer", 2, 5_000, 0, 0);
 
         assertThat(before).isEqualTo(CAPACITY - 10_000);
         assertThat(cap.level(0)).isEqualTo(before - 5_000);
@@ -113,21 +114,21 @@
     /** Guards against a restarted entry that admits a new burst although its peers report that the cap is exhausted. */
     @Example
     void newEntryAdoptsTheLevelOfItsPeer() {
-        TenantCap cap = TenantCap.create(RATE, CAPACITY, 2, 0);
-        cap.entries(2, 2, 0);
+        WorkspaceUsageCap cap = WorkspaceUsageCap.create(RATE, CAPACITY, 2, 0);
+        cap.setEntryCounts(2, 2, 0);
 
-        cap.onPeer("peer", 1, 500_000, -2_000, 0);
+        cap.onPeerReport("peer", 1, 500_000, -2_000, 0);
 
-        assertThat(cap.tryUse(1, 0)).isFalse();
+        assertThat(cap.tryAcquire(1, 0)).isFalse();
         assertThat(cap.millisUntilAvailable()).isBetween(40L, 42L);
     }
 
     /** Guards against a lowered cap that still admits a burst of the old size. */
     @Example
     void lowerCapAppliesImmediately() {
-        TenantCap cap = TenantCap.create(RATE, CAPACITY, 1, 0);
+        WorkspaceUsageCap cap = WorkspaceUsageCap.create(RATE, CAPACITY, 1, 0);
 
-        cap.change(1_000, 2_000, 0);
+        cap.setLimits(1_000, 2_000, 0);
 
         assertThat(cap.level(0)).isLessThanOrEqualTo(2_000);
     }
--- a/core/src/test/java/dev/wigeonward/core/deployment/DeploymentTest.java
+++ b/core/src/test/java/dev/wigeonward/core/deployment/DeploymentTest.java
@@ -13,9 +13,9 @@
         return new Route(name, host, prefix, RouteKind.SAFE, List.of(services), 1_000, 100, 0, 0, 1, false, false);
     }
 
-    private static Deployment deployment(Route... routes) {
-        Tenant tenant = new Tenant("t", Set.of("k1", "k2"), OptionalInt.empty(), 0, 0, true, 200);
-        return Deployment.of(1, List.of(routes), List.of(tenant), CallerLimits.DEFAULT);
+    private static RoutingConfiguration deployment(Route... routes) {
+        Workspace tenant = new Workspace("t", Set.of("k1", "k2"), OptionalInt.empty(), 0, 0, true, 200);
+        return RoutingConfiguration.of(1, List.of(routes), List.of(tenant), CallerLimits.DEFAULT);
     }
 
     /**
@@ -25,7 +25,7 @@
     @Test
     void selectsRouteWithLongestPrefixOfHost() {
         WeightedService service = new WeightedService("s", 1);
-        Deployment deployment = deployment(
+        RoutingConfiguration deployment = deployment(
                 route("short", "a.example", "/x/", service),
                 route("long", "a.example", "/x/y/", service),
                 route("other", "b.example", "/x/y/z/", service));
@@ -47,10 +47,10 @@
                 new WeightedService("none", 0),
                 new WeightedService("b", 10));
 
-        assertThat(route.serviceFor(0.0)).isEqualTo("a");
-        assertThat(route.serviceFor(0.899)).isEqualTo("a");
-        assertThat(route.serviceFor(0.901)).isEqualTo("b");
-        assertThat(route.serviceFor(0.999)).isEqualTo("b");
+        assertThat(route.selectService(0.0)).isEqualTo("a");
+        assertThat(route.selectService(0.899)).isEqualTo("a");
+        assertThat(route.selectService(0.901)).isEqualTo("b");
+        assertThat(route.selectService(0.999)).isEqualTo("b");
     }
 
     /**
@@ -59,11 +59,11 @@
      */
     @Test
     void findsTenantByKey() {
-        Deployment deployment = deployment();
+        RoutingConfiguration deployment = deployment();
 
-        assertThat(deployment.tenant("k2")).map(Tenant::name).contains("t");
-        assertThat(deployment.tenant("k3")).isEmpty();
-        assertThat(deployment.tenant("k1").orElseThrow().usage(0)).isEqualTo(200);
-        assertThat(deployment.tenant("k1").orElseThrow().usage(5_000)).isEqualTo(5_000);
+        assertThat(deployment.workspace("k2")).map(Workspace::name).contains("t");
+        assertThat(deployment.workspace("k3")).isEmpty();
+        assertThat(deployment.workspace("k1").orElseThrow().usageOf(0)).isEqualTo(200);
+        assertThat(deployment.workspace("k1").orElseThrow().usageOf(5_000)).isEqualTo(5_000);
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/dispatch/AgentDispatcherFaultTest.java
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/AgentDispatcherFaultTest.java
@@ -95,7 +95,7 @@
         assertThat(agent.handle(new AgentEvent.Tick(), EarlyAttaches.MAX_WAIT_MILLIS - 1))
                 .isEmpty();
         assertThat(agent.handle(new AgentEvent.Tick(), EarlyAttaches.MAX_WAIT_MILLIS))
-                .containsExactly(new AgentEffect.SendUnseen(2, resend.id(), id(resend, 1)));
+                .containsExactly(new AgentEffect.SendNeverReceived(2, resend.id(), id(resend, 1)));
         assertThat(agent.handle(dispatch(1, CLAIMED, 1), 400))
                 .singleElement()
                 .isInstanceOf(AgentEffect.SendNotRun.class);
@@ -146,11 +146,11 @@
         agent.handle(new AgentEvent.DrainStarted(), 0);
         agent.handle(new AgentEvent.UpstreamFinished(PLAIN.id()), 10);
         agent.handle(new AgentEvent.LinkLost(1), 20);
-        assertThat(agent.idle()).isFalse();
+        assertThat(agent.isIdle()).isFalse();
         agent.handle(reattach(2, PLAIN, 1), 100);
-        assertThat(agent.idle()).isFalse();
+        assertThat(agent.isIdle()).isFalse();
         agent.handle(new AgentEvent.AcknowledgeArrived(PLAIN.id(), 0), 200);
-        assertThat(agent.idle()).isTrue();
+        assertThat(agent.isIdle()).isTrue();
     }
 
     private static ErrorKind failureOf(List<AgentEffect> effects) {
--- a/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
@@ -42,8 +42,8 @@
                     LeastOutstanding.create(),
                     LeastOutstanding.create(),
                     VersionRouter.first(),
-                    RetryPermits.unlimited(),
-                    SuspectGate.open()),
+                    RetryLimiter.unlimited(),
+                    SuspectPolicy.allowAll()),
             DispatchLimits.defaults());
 
     /**
@@ -100,8 +100,8 @@
     @Test
     void unseenAfterTheDeadlineIsNoProof() {
         attach();
-        List<EntryEffect> effects =
-                entry.handle(new EntryEvent.Unseen(CLAIMED.id(), DispatchId.of(CLAIMED.id(), 1)), DEADLINE_MILLIS);
+        List<EntryEffect> effects = entry.handle(
+                new EntryEvent.NeverReceived(CLAIMED.id(), DispatchId.of(CLAIMED.id(), 1)), DEADLINE_MILLIS);
         assertThat(effects)
                 .filteredOn(EntryEffect.DeliverFailure.class::isInstance)
                 .singleElement()
@@ -116,10 +116,10 @@
     void claimWithoutCallerEndsAtTheDeadline() {
         entry.handle(new EntryEvent.LinkUp(UPSTREAM), 0);
         entry.handle(new EntryEvent.RequestArrived(CLAIMED), 0);
-        entry.handle(new EntryEvent.CallerGone(CLAIMED.id()), 10);
+        entry.handle(new EntryEvent.CallerDisconnected(CLAIMED.id()), 10);
         assertThat(entry.handle(new EntryEvent.Tick(), DEADLINE_MILLIS))
                 .contains(new EntryEffect.ReleaseClaim(CLAIMED.id()));
-        assertThat(entry.idle()).isTrue();
+        assertThat(entry.isIdle()).isTrue();
     }
 
     private void attach() {
@@ -127,7 +127,7 @@
         entry.handle(new EntryEvent.RequestArrived(CLAIMED), 0);
         assertThat(entry.handle(
                         new EntryEvent.ClaimAnswered(
-                                CLAIMED.id(), new ClaimAnswer.HeldByOther("c1", HOLDER, "a1", UPSTREAM.incarnation())),
+                                CLAIMED.id(), new ClaimResult.HeldByOther("c1", HOLDER, "a1", UPSTREAM.incarnation())),
                         0))
                 .hasSize(1);
     }
--- a/core/src/test/java/dev/wigeonward/core/engine/PriorityEngineQueueTest.java
+++ b/core/src/test/java/dev/wigeonward/core/engine/PriorityEngineQueueTest.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
-import dev.wigeonward.core.admission.AdmissionChecks;
+import dev.wigeonward.core.admission.AdmissionInvariants;
 import dev.wigeonward.core.admission.AdmissionQueue;
 import dev.wigeonward.core.admission.AdmissionResult;
 import dev.wigeonward.core.admission.QueueRequests;
@@ -59,18 +59,18 @@
 
     /** Guards against displacing or delaying a higher tier in favor of a lower one at the agent. */
     @Property(tries = 500)
-    void tiersAreOrderedAndCapacityHolds(@ForAll("steps") List<AdmissionChecks.Step> steps) {
-        EngineLimits small = new EngineLimits(1, WORK_MILLIS, SHORT_MILLIS, AdmissionChecks.CAPACITY);
-        AdmissionChecks.checkTierOrderAndCapacity(new EngineQueueAdapter(queue(small)), withoutPutBack(steps));
+    void tiersAreOrderedAndCapacityHolds(@ForAll("steps") List<AdmissionInvariants.Step> steps) {
+        EngineLimits small = new EngineLimits(1, WORK_MILLIS, SHORT_MILLIS, AdmissionInvariants.CAPACITY);
+        AdmissionInvariants.checkTierOrderAndCapacity(new EngineQueueAdapter(queue(small)), withoutPutBack(steps));
     }
 
     /** Guards against a check of the agent's tier order that cannot fail. */
     @Example
     void checkFailsForFifo() {
-        assertThat(AdmissionChecks.steps().sampleStream().limit(300))
-                .anySatisfy(steps -> assertThatThrownBy(() -> AdmissionChecks.checkTierOrderAndCapacity(
+        assertThat(AdmissionInvariants.steps().sampleStream().limit(300))
+                .anySatisfy(steps -> assertThatThrownBy(() -> AdmissionInvariants.checkTierOrderAndCapacity(
                                 new EngineQueueAdapter(
-                                        FifoEngineQueue.create(1, QueueRequests.SPEED, AdmissionChecks.CAPACITY)),
+                                        FifoEngineQueue.create(1, QueueRequests.SPEED, AdmissionInvariants.CAPACITY)),
                                 withoutPutBack(steps)))
                         .isInstanceOf(AssertionError.class));
     }
@@ -81,7 +81,7 @@
         PriorityEngineQueue queue = queue(LIMITS);
         RequestSpec request = QueueRequests.request(Tier.CRITICAL, "a", LONG_MILLIS, 1_500);
         queue.offer(request, 0);
-        assertThat(queue.next(501)).isEmpty();
+        assertThat(queue.poll(501)).isEmpty();
         assertThat(queue.removeExpired(501)).containsExactly(request);
         AdmissionResult refused = queue.offer(QueueRequests.request(Tier.CRITICAL, "a", LONG_MILLIS, 1_500), 501);
         assertThat(((AdmissionResult.Refused) refused).failure().kind()).isEqualTo(ErrorKind.DEADLINE_UNREACHABLE);
@@ -98,7 +98,7 @@
         for (int i = 0; i < 100; i++) {
             RequestSpec request = QueueRequests.request(Tier.STANDARD, "a", LONG_MILLIS);
             queue.offer(request, nowMillis);
-            assertThat(queue.next(nowMillis)).contains(request);
+            assertThat(queue.poll(nowMillis)).contains(request);
             nowMillis += 2 * LONG_MILLIS;
             queue.onEnded(request.id(), nowMillis);
         }
@@ -117,14 +117,14 @@
         RequestSpec second = QueueRequests.request(Tier.STANDARD, "a", LONG_MILLIS);
         RequestSpec third = QueueRequests.request(Tier.STANDARD, "a", LONG_MILLIS);
         queue.offer(first, 0);
-        assertThat(queue.next(0)).contains(first);
+        assertThat(queue.poll(0)).contains(first);
         queue.offer(second, 0);
         assertThat(queue.remove(second.id())).isTrue();
         assertThat(queue.offer(third, 0)).isInstanceOf(AdmissionResult.Queued.class);
-        assertThat(queue.next(0)).isEmpty();
+        assertThat(queue.poll(0)).isEmpty();
         queue.onEnded(first.id(), 1);
         queue.onEnded(first.id(), 1);
-        assertThat(queue.next(1)).contains(third);
+        assertThat(queue.poll(1)).contains(third);
         assertThat(queue.running()).isEqualTo(1);
     }
 
@@ -134,8 +134,8 @@
     }
 
     @Provide
-    Arbitrary<List<AdmissionChecks.Step>> steps() {
-        return AdmissionChecks.steps();
+    Arbitrary<List<AdmissionInvariants.Step>> steps() {
+        return AdmissionInvariants.steps();
     }
 
     private static PriorityEngineQueue queue(EngineLimits limits) {
@@ -155,7 +155,7 @@
             } else if (!running.isEmpty()) {
                 queue.onEnded(running.remove(0).id(), 0);
             }
-            for (Optional<RequestSpec> next = queue.next(0); next.isPresent(); next = queue.next(0)) {
+            for (Optional<RequestSpec> next = queue.poll(0); next.isPresent(); next = queue.poll(0)) {
                 running.add(next.get());
                 shortQueued -= isShort(next.get()) ? 1 : 0;
             }
@@ -182,9 +182,9 @@
                         .isInstanceOf(AssertionError.class));
     }
 
-    private static List<AdmissionChecks.Step> withoutPutBack(List<AdmissionChecks.Step> steps) {
+    private static List<AdmissionInvariants.Step> withoutPutBack(List<AdmissionInvariants.Step> steps) {
         return steps.stream()
-                .filter(step -> step.action() != AdmissionChecks.Action.POLL_AND_PUT_BACK)
+                .filter(step -> step.action() != AdmissionInvariants.Action.POLL_AND_PUT_BACK)
                 .toList();
     }
 
@@ -197,7 +197,7 @@
 
         @Override
         public Optional<RequestSpec> poll(long nowMillis) {
-            Optional<RequestSpec> next = queue.next(nowMillis);
+            Optional<RequestSpec> next = queue.poll(nowMillis);
             next.ifPresent(request -> queue.onEnded(request.id(), nowMillis));
             return next;
         }
--- a/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
@@ -10,7 +10,7 @@
 import java.util.function.Function;
 
 import dev.wigeonward.core.membership.MembershipEffect.StartNewWork;
-import dev.wigeonward.core.membership.MembershipEffect.StopNewWork;
+import dev.wigeonward.core.membership.MembershipEffect.StopDispatch;
 import dev.wigeonward.core.membership.MembershipEvent.FrameArrived;
 import dev.wigeonward.core.membership.MembershipEvent.LeavingAnnounced;
 import dev.wigeonward.core.membership.MembershipEvent.LinkDown;
@@ -63,7 +63,7 @@
     /** A random sequence of events at one entry, with the agents that the core would dispatch to. */
     private static final class History {
         private final Random random;
-        private final MembershipCore core;
+        private final UpstreamMembership core;
         private final Function<MembershipEvent, MembershipEvent> filter;
         private final boolean resumesListed;
         /** Whether the adapter uses a new link before it consults the core, as the dispatcher does. */
@@ -85,7 +85,7 @@
                 boolean resumesListed,
                 boolean startsOnLinkUp) {
             this.random = new Random(seed);
-            this.core = MembershipCore.create("e", new Random(seed + 1));
+            this.core = UpstreamMembership.create("e", new Random(seed + 1));
             this.filter = filter;
             this.resumesListed = resumesListed;
             this.startsOnLinkUp = startsOnLinkUp;
@@ -94,7 +94,7 @@
         private void run() {
             sendList();
             for (int step = 0; step < STEPS; step++) {
-                nowMillis += random.nextLong(MembershipCore.MAX_TICK_MILLIS) + 1;
+                nowMillis += random.nextLong(UpstreamMembership.MAX_TICK_MILLIS) + 1;
                 step(random.nextInt(AGENTS));
                 for (int agent = 0; agent < AGENTS; agent++) {
                     if (up[agent] && !silent[agent]) {
@@ -187,7 +187,7 @@
             for (MembershipEffect effect : core.handle(filtered, nowMillis)) {
                 if (effect instanceof StartNewWork start) {
                     inUse.put(start.upstreamId(), start.incarnation());
-                } else if (effect instanceof StopNewWork stop) {
+                } else if (effect instanceof StopDispatch stop) {
                     boolean stopped = inUse.remove(stop.upstreamId(), stop.incarnation());
                     assertThat(stopped || startsOnLinkUp || !inUse.containsKey(stop.upstreamId()))
                             .as("%s stopped while another incarnation is in use", stop)
--- a/core/src/test/java/dev/wigeonward/core/membership/MembershipCoreTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/MembershipCoreTest.java
@@ -3,11 +3,11 @@
 import java.util.List;
 import java.util.Random;
 
-import dev.wigeonward.core.membership.MembershipEffect.LinkTo;
+import dev.wigeonward.core.membership.MembershipEffect.CloseLink;
+import dev.wigeonward.core.membership.MembershipEffect.OpenLink;
 import dev.wigeonward.core.membership.MembershipEffect.Replaced;
 import dev.wigeonward.core.membership.MembershipEffect.StartNewWork;
-import dev.wigeonward.core.membership.MembershipEffect.StopNewWork;
-import dev.wigeonward.core.membership.MembershipEffect.UnlinkFrom;
+import dev.wigeonward.core.membership.MembershipEffect.StopDispatch;
 import dev.wigeonward.core.membership.MembershipEvent.FrameArrived;
 import dev.wigeonward.core.membership.MembershipEvent.LeavingAnnounced;
 import dev.wigeonward.core.membership.MembershipEvent.LinkDown;
@@ -20,13 +20,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class MembershipCoreTest {
-    private static final long SILENCE = MembershipCore.SILENCE_MILLIS;
+    private static final long SILENCE = UpstreamMembership.LINK_TIMEOUT_MILLIS;
     private static final long OLD = 11;
     private static final long NEW = 12;
-    private static final StopNewWork STOP_LEAVING = new StopNewWork("a", OLD, MemberState.LEAVING);
-    private static final StopNewWork STOP_SUSPECT = new StopNewWork("a", OLD, MemberState.SUSPECT);
+    private static final StopDispatch STOP_LEAVING = new StopDispatch("a", OLD, MemberState.LEAVING);
+    private static final StopDispatch STOP_SUSPECT = new StopDispatch("a", OLD, MemberState.SUSPECT);
 
-    private final MembershipCore core = MembershipCore.create("e", new Random(1));
+    private final UpstreamMembership core = UpstreamMembership.create("e", new Random(1));
 
     private static VmsListed list(long sequence, boolean agentListed, boolean leaving) {
         ListedVm entry = new ListedVm("e", ListedVm.Role.ENTRY, "", "10.0.0.1:80", false);
@@ -38,7 +38,7 @@
     void linkOneAgent() {
         assertThat(core.handle(list(1, true, false), 0)).isEmpty();
         assertThat(core.state("a", OLD)).isEqualTo(MemberState.JOINING);
-        assertThat(core.handle(new Tick(), 100)).containsExactly(new LinkTo("a", "10.0.0.2:90"));
+        assertThat(core.handle(new Tick(), 100)).containsExactly(new OpenLink("a", "10.0.0.2:90"));
         assertThat(core.handle(new LinkUp("a", OLD), 110)).containsExactly(new StartNewWork("a", OLD));
         assertThat(core.state("a", OLD)).isEqualTo(MemberState.LIVE);
     }
@@ -46,14 +46,14 @@
     /** Guards against a departure that takes effect only when several of the three signals arrive. */
     @Test
     void eachSignalAloneStopsNewWork() {
-        MembershipCore byList = MembershipCore.create("e", new Random(1));
+        UpstreamMembership byList = UpstreamMembership.create("e", new Random(1));
         byList.handle(list(1, true, false), 0);
         byList.handle(new LinkUp("a", OLD), 110);
         assertThat(byList.handle(list(2, true, true), 200)).containsExactly(STOP_LEAVING);
-        MembershipCore bySilence = MembershipCore.create("e", new Random(1));
+        UpstreamMembership bySilence = UpstreamMembership.create("e", new Random(1));
         bySilence.handle(list(1, true, false), 0);
         bySilence.handle(new LinkUp("a", OLD), 110);
-        assertThat(bySilence.acceptsNewWork("a", OLD, 110 + SILENCE)).isFalse();
+        assertThat(bySilence.acceptsRequests("a", OLD, 110 + SILENCE)).isFalse();
         assertThat(bySilence.handle(new Tick(), 110 + SILENCE)).contains(STOP_SUSPECT);
         assertThat(core.handle(new LeavingAnnounced("a", OLD), 200)).containsExactly(STOP_LEAVING);
     }
@@ -75,7 +75,7 @@
     void newIncarnationReplacesTheOldOneForGood() {
         assertThat(core.handle(new LinkUp("a", NEW), 200))
                 .containsExactly(
-                        new StopNewWork("a", OLD, MemberState.REPLACED),
+                        new StopDispatch("a", OLD, MemberState.REPLACED),
                         new Replaced("a", OLD, NEW),
                         new StartNewWork("a", NEW));
         assertThat(core.state("a", OLD)).isEqualTo(MemberState.REPLACED);
@@ -83,9 +83,9 @@
         assertThat(core.state("a", NEW)).isEqualTo(MemberState.LIVE);
         assertThat(core.handle(new LinkUp("a", OLD), 400))
                 .containsExactly(
-                        new StopNewWork("a", OLD, MemberState.REPLACED),
-                        new StopNewWork("a", NEW, MemberState.SUSPECT));
-        assertThat(core.acceptsNewWork("a", OLD, 400)).isFalse();
+                        new StopDispatch("a", OLD, MemberState.REPLACED),
+                        new StopDispatch("a", NEW, MemberState.SUSPECT));
+        assertThat(core.acceptsRequests("a", OLD, 400)).isFalse();
     }
 
     /** Guards against closing the link to an agent that still answers, because the VM list lags or is incomplete. */
@@ -94,9 +94,9 @@
         assertThat(core.handle(list(2, false, false), 200)).isEmpty();
         core.handle(new FrameArrived("a", OLD), 2_000);
         assertThat(core.handle(new Tick(), 4_000)).isEmpty();
-        assertThat(core.handle(new Tick(), 2_000 + SILENCE)).containsExactly(STOP_SUSPECT, new UnlinkFrom("a"));
+        assertThat(core.handle(new Tick(), 2_000 + SILENCE)).containsExactly(STOP_SUSPECT, new CloseLink("a"));
         assertThat(core.state("a", OLD)).isEqualTo(MemberState.DEAD);
-        assertThat(core.nextWakeMillis()).isEqualTo(Long.MAX_VALUE);
+        assertThat(core.nextTickMillis()).isEqualTo(Long.MAX_VALUE);
     }
 
     /** Guards against an older read of the VM list that overrides a newer one. */
@@ -111,10 +111,10 @@
     @Test
     void attemptWithoutAnswerIsRepeated() {
         core.handle(new LinkDown("a"), 200);
-        assertThat(core.handle(new Tick(), 400)).containsExactly(new LinkTo("a", "10.0.0.2:90"));
-        assertThat(core.handle(new Tick(), 400 + MembershipCore.CONNECT_TIMEOUT_MILLIS - 1))
+        assertThat(core.handle(new Tick(), 400)).containsExactly(new OpenLink("a", "10.0.0.2:90"));
+        assertThat(core.handle(new Tick(), 400 + UpstreamMembership.CONNECT_TIMEOUT_MILLIS - 1))
                 .isEmpty();
-        assertThat(core.handle(new Tick(), 400 + MembershipCore.CONNECT_TIMEOUT_MILLIS))
+        assertThat(core.handle(new Tick(), 400 + UpstreamMembership.CONNECT_TIMEOUT_MILLIS))
                 .hasSize(1);
     }
 
--- a/core/src/test/java/dev/wigeonward/core/order/OrderGateTest.java
+++ b/core/src/test/java/dev/wigeonward/core/order/OrderGateTest.java
@@ -18,14 +18,14 @@
     /** Guards against orders of a former controller that reach the engine, including after a restart of the agent. */
     @Property
     void executedFencingNumbersNeverDecrease(@ForAll @Size(max = 60) List<@IntRange(max = 99) Integer> steps) {
-        checkExecutedFencingNumbers(() -> new OrderGate()::handle, steps);
+        checkExecutedFencingNumbers(() -> new OrderFence()::handle, steps);
     }
 
     /** Verifies that the check rejects a gate that submits orders after a restart without reading the store first. */
     @Test
     void checkFailsForGateThatDoesNotReadTheStoreAfterRestart() {
         List<Integer> steps = List.of(1, 1, 10, 3, 90, 20);
-        checkExecutedFencingNumbers(() -> new OrderGate()::handle, steps);
+        checkExecutedFencingNumbers(() -> new OrderFence()::handle, steps);
         assertThatThrownBy(() -> checkExecutedFencingNumbers(OrderGateTest::gateThatDoesNotReadTheStore, steps))
                 .isInstanceOf(AssertionError.class);
     }
@@ -34,7 +34,7 @@
     @Test
     void checkFailsForGateThatIgnoresFencingNumbers() {
         List<Integer> steps = List.of(1, 1, 10, 3, 20);
-        checkExecutedFencingNumbers(() -> new OrderGate()::handle, steps);
+        checkExecutedFencingNumbers(() -> new OrderFence()::handle, steps);
         assertThatThrownBy(() -> checkExecutedFencingNumbers(() -> OrderGateTest::submitWithoutFencing, steps))
                 .isInstanceOf(AssertionError.class);
     }
@@ -42,7 +42,7 @@
     /** Guards against an order that runs although the store is unavailable and cannot confirm its fencing number. */
     @Test
     void firstOrderIsRefusedWhileStoreIsDown() {
-        OrderGate gate = new OrderGate();
+        OrderFence gate = new OrderFence();
         assertThat(gate.handle(received(5, "a"))).containsExactly(new OrderEffect.ReadFencingNumber());
         assertThat(gate.handle(received(5, "b"))).isEmpty();
         assertThat(gate.handle(new OrderEvent.StoreUnavailable())).hasSize(2).allSatisfy(effect -> assertThat(
@@ -54,20 +54,21 @@
     /** Guards against an order of a former controller that runs after the lease of a newer controller has ended. */
     @Test
     void storeWithoutControllerConfirmsNothing() {
-        OrderGate gate = new OrderGate();
+        OrderFence gate = new OrderFence();
         gate.handle(received(5, "a"));
-        assertThat(gate.handle(new OrderEvent.FencingRead(0))).singleElement().satisfies(effect -> assertThat(
-                        ((OrderEffect.Answer) effect).result())
-                .isInstanceOf(OrderResult.Refused.class));
+        assertThat(gate.handle(new OrderEvent.FencingNumberRead(0)))
+                .singleElement()
+                .satisfies(effect ->
+                        assertThat(((OrderEffect.Answer) effect).result()).isInstanceOf(OrderResult.Refused.class));
         assertThat(gate.handle(received(5, "a"))).containsExactly(new OrderEffect.ReadFencingNumber());
     }
 
     /** Guards against a load that runs twice because its answer was lost or a later controller repeated it. */
     @Test
     void repeatedOrderIsAnsweredWithoutRunning() {
-        OrderGate gate = new OrderGate();
+        OrderFence gate = new OrderFence();
         gate.handle(received(5, "a"));
-        assertThat(gate.handle(new OrderEvent.FencingRead(5)))
+        assertThat(gate.handle(new OrderEvent.FencingNumberRead(5)))
                 .hasSize(2)
                 .first()
                 .isInstanceOf(OrderEffect.RunOrder.class);
@@ -82,8 +83,8 @@
     /** Guards against unbounded growth of the stored results of finished orders. */
     @Test
     void oldestResultIsRemovedBeyondTheLimit() {
-        OrderGate gate = new OrderGate(2);
-        gate.handle(new OrderEvent.FencingRead(1));
+        OrderFence gate = new OrderFence(2);
+        gate.handle(new OrderEvent.FencingNumberRead(1));
         for (String id : List.of("a", "b", "c")) {
             gate.handle(received(1, id));
             gate.handle(new OrderEvent.EngineFinished(id, "no memory"));
@@ -119,7 +120,7 @@
             for (int next = 0; next < effects.size(); next++) {
                 if (effects.get(next) instanceof OrderEffect.ReadFencingNumber) {
                     effects.addAll(gate.apply(
-                            storeUp ? new OrderEvent.FencingRead(elected) : new OrderEvent.StoreUnavailable()));
+                            storeUp ? new OrderEvent.FencingNumberRead(elected) : new OrderEvent.StoreUnavailable()));
                 } else if (effects.get(next) instanceof OrderEffect.RunOrder run) {
                     assertThat(run.order().fencingNumber()).isGreaterThanOrEqualTo(highestExecuted);
                     highestExecuted = run.order().fencingNumber();
@@ -130,8 +131,8 @@
     }
 
     private static Function<OrderEvent, List<OrderEffect>> gateThatDoesNotReadTheStore() {
-        OrderGate gate = new OrderGate();
-        gate.handle(new OrderEvent.FencingRead(1));
+        OrderFence gate = new OrderFence();
+        gate.handle(new OrderEvent.FencingNumberRead(1));
         return gate::handle;
     }
 
--- a/core/src/test/java/dev/wigeonward/core/placement/EarliestCompletionTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/EarliestCompletionTest.java
@@ -25,7 +25,7 @@
     }
 
     private static PlacementPolicy real(RandomGenerator random, PrefixIndex prefixes) {
-        return EarliestCompletion.of(random, prefixes, DomainLatency.uniform(LOCAL, 10));
+        return EarliestCompletion.create(random, prefixes, DomainLatency.uniform(LOCAL, 10));
     }
 
     /** Faulty policy that always chooses a holder of the prefix, regardless of its queue. */
@@ -47,7 +47,7 @@
         UpstreamPool pool = pool(2);
         PrefixIndex prefixes = PrefixIndex.create();
         prefixes.onPlaced("upstream-0", PREFIX);
-        UpstreamState holder = pool.get(0);
+        UpstreamLoadState holder = pool.get(0);
         IntStream.range(0, queuedRequests).forEach(each -> holder.onDispatched(400));
         long queueMillis = holder.waitMillis(0);
         long savedMillis = promptTokens / 2;
--- a/core/src/test/java/dev/wigeonward/core/placement/KeyAffinityTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/KeyAffinityTest.java
@@ -17,11 +17,11 @@
     private static final int MEMBERS = 20;
 
     private interface MemberSelection {
-        Optional<UpstreamState> member(String key, UpstreamPool pool);
+        Optional<UpstreamLoadState> member(String key, UpstreamPool pool);
     }
 
     /** Faulty selection by the hash modulo the pool's size. */
-    private static Optional<UpstreamState> modulo(String key, UpstreamPool pool) {
+    private static Optional<UpstreamLoadState> modulo(String key, UpstreamPool pool) {
         return Optional.of(pool.get(Math.floorMod(key.hashCode(), pool.size())));
     }
 
@@ -55,7 +55,7 @@
 
     @Test
     void onlyKeysOfRemovedMemberMove() {
-        checkOnlyKeysOfRemovedMemberMove(KeyAffinity::member);
+        checkOnlyKeysOfRemovedMemberMove(KeyAffinity::select);
     }
 
     /** Guards against a check of the moved keys that cannot fail. */
@@ -69,7 +69,7 @@
     @Test
     void keysAreSpreadEvenly() {
         Map<String, Integer> counts = new HashMap<>();
-        placements(KeyAffinity::member, pool(MEMBERS)).values().forEach(each -> counts.merge(each, 1, Integer::sum));
+        placements(KeyAffinity::select, pool(MEMBERS)).values().forEach(each -> counts.merge(each, 1, Integer::sum));
         assertThat(counts).hasSize(MEMBERS);
         assertThat(counts.values()).allMatch(count -> count > 60 && count < 140);
     }
@@ -78,11 +78,11 @@
     @Test
     void requestsWithoutKeyUseTheFallbackPolicy() {
         Placement other = new Placement("other", 0, 1);
-        PlacementPolicy policy = KeyAffinity.or((request, pool, nowMillis) -> Optional.of(other));
+        PlacementPolicy policy = KeyAffinity.withFallback((request, pool, nowMillis) -> Optional.of(other));
         WorkEstimate work = new WorkEstimate(10, 10, 0);
         assertThat(policy.choose(request(Optional.empty(), work), pool(5), 0)).contains(other);
         assertThat(policy.choose(request(Optional.of("key"), work), pool(5), 0).map(Placement::upstreamId))
-                .isEqualTo(KeyAffinity.member("key", pool(5))
+                .isEqualTo(KeyAffinity.select("key", pool(5))
                         .map(state -> state.description().upstreamId()));
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/placement/LinkSubsetTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/LinkSubsetTest.java
@@ -53,8 +53,8 @@
             @ForAll @IntRange(min = 1, max = 40) int entryCount, @ForAll @IntRange(min = 1, max = 60) int agentCount) {
         List<String> entries = names("e", entryCount);
         List<String> agents = names("a", agentCount);
-        Set<String> links = links(LinkSubset::agentsOf, entries, agents);
-        int perAgent = LinkSubset.linksPerAgent(entryCount, agentCount);
+        Set<String> links = links(LinkSubset::selectAgents, entries, agents);
+        int perAgent = LinkSubset.entriesPerAgent(entryCount, agentCount);
         int perEntry = Math.min(agentCount, LinkSubset.MIN_LINKS_PER_ENTRY);
         for (String agent : agents) {
             assertThat(links.stream().filter(link -> link.endsWith("-" + agent)).count())
@@ -88,7 +88,7 @@
 
     @Test
     void removalMovesOnlyItsOwnLinks() {
-        checkStability(LinkSubset::agentsOf);
+        checkStability(LinkSubset::selectAgents);
     }
 
     /** Guards against a check of the moved links that cannot fail. */
--- a/core/src/test/java/dev/wigeonward/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/PlacementFixtures.java
@@ -15,9 +15,9 @@
 
     private PlacementFixtures() {}
 
-    static UpstreamState upstream(String id, int slots, int tokensPerSecond, String domain) {
+    static UpstreamLoadState upstream(String id, int slots, int tokensPerSecond, String domain) {
         EngineSpeed speed = new EngineSpeed(tokensPerSecond * 10, tokensPerSecond);
-        return UpstreamState.of(new UpstreamDescription(id, 1, "model", "v1", domain, slots, speed));
+        return UpstreamLoadState.of(new UpstreamDescription(id, 1, "model", "v1", domain, slots, speed));
     }
 
     static UpstreamPool pool(int size) {
--- a/core/src/test/java/dev/wigeonward/core/placement/UpstreamStateTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/UpstreamStateTest.java
@@ -10,7 +10,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 class UpstreamStateTest {
-    private final UpstreamState state = upstream("upstream", 2, 100, LOCAL);
+    private final UpstreamLoadState state = upstream("upstream", 2, 100, LOCAL);
 
     /** Guards against recorded work of this entry that drifts from the sum of its outstanding requests. */
     @Test
--- a/core/src/test/java/dev/wigeonward/core/retry/RetryBudgetTest.java
+++ b/core/src/test/java/dev/wigeonward/core/retry/RetryBudgetTest.java
@@ -13,12 +13,12 @@
     /** Guards against retries that multiply the load, and against a budget that grants fewer retries than specified. */
     @Property(tries = 50)
     void grantsLargerOfTenPercentAndMinimum(@ForAll @IntRange(max = 5_000) int requestsPerSecond) {
-        RetryBudget budget = RetryBudget.startingAt(0);
+        RetryBudget budget = RetryBudget.create(0);
         int granted = 0;
         for (int millis = 0; millis < SECONDS * 1_000; millis++) {
             int due = requestsPerSecond * (millis % 1_000 + 1) / 1_000 - requestsPerSecond * (millis % 1_000) / 1_000;
             for (int i = 0; i < due; i++) {
-                budget.onRequest(millis);
+                budget.recordRequest(millis);
             }
             while (budget.tryAcquire(millis)) {
                 granted++;
@@ -32,7 +32,7 @@
     /** Guards against a burst of retries from tokens accumulated while no requests arrived. */
     @Example
     void accumulatesNoMoreThanOneSecond() {
-        RetryBudget budget = RetryBudget.startingAt(0);
+        RetryBudget budget = RetryBudget.create(0);
         int granted = 0;
         while (budget.tryAcquire(3_600_000)) {
             granted++;
--- a/core/src/test/java/dev/wigeonward/core/revision/ReaderElectionTest.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/ReaderElectionTest.java
@@ -24,13 +24,13 @@
         List<ReaderElection.LiveEntry> live = IntStream.range(0, entries)
                 .mapToObj(id -> new ReaderElection.LiveEntry("entry-" + id, "domain-" + id % domains))
                 .toList();
-        Set<String> readers = ReaderElection.readers(live);
+        Set<String> readers = ReaderElection.electReaders(live);
         int expected = IntStream.range(0, Math.min(domains, entries))
                 .map(domain -> Math.min(2, (entries - domain + domains - 1) / domains))
                 .sum();
         assertThat(readers).hasSize(expected);
         String failedId = "entry-" + failed;
-        Set<String> readersAfterFailure = ReaderElection.readers(
+        Set<String> readersAfterFailure = ReaderElection.electReaders(
                 live.stream().filter(entry -> !entry.id().equals(failedId)).toList());
         Set<String> survivingReaders = new HashSet<>(readers);
         survivingReaders.remove(failedId);
--- a/core/src/test/java/dev/wigeonward/core/revision/RelaySimulation.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/RelaySimulation.java
@@ -139,7 +139,7 @@
                 ? accepted.firstEntry().getValue()
                 : accepted.lastEntry().getValue();
         StoredRevision stored = new StoredRevision(head, "id-" + head.number(), 0);
-        node.handle(new RelayEvent.StoreRead(new RevisionStore.HeadResult.Found(stored)));
+        node.handle(new RelayEvent.StoreReadCompleted(new RevisionStore.HeadResult.Found(stored)));
     }
 
     private void restart(Node node) {
@@ -153,7 +153,7 @@
         long number = accepted.lastKey() + random.nextInt(3) - 1;
         String hash = "f".repeat(63) + random.nextInt(3);
         node.links.forEach(
-                link -> inFlight.add(new Message(link, new RelayEvent.Offered(name(node.id), number, hash))));
+                link -> inFlight.add(new Message(link, new RelayEvent.OfferArrived(name(node.id), number, hash))));
     }
 
     private void tick(Node node) {
@@ -166,7 +166,7 @@
         long number = node.relay.current().map(Revision::number).orElse(0L);
         String hash = node.relay.current().map(Revision::hash).orElse("");
         node.links.forEach(link -> inFlight.add(new Message(
-                link, new RelayEvent.PeerHeartbeat(name(node.id), number, random.nextBoolean() ? hash : ""))));
+                link, new RelayEvent.HeartbeatArrived(name(node.id), number, random.nextBoolean() ? hash : ""))));
     }
 
     /** Takes a random message and delivers it; some are dropped, delivered again later or corrupted. */
@@ -230,9 +230,9 @@
     private void perform(Node from, RelayEffect effect) {
         String self = name(from.id);
         if (effect instanceof RelayEffect.SendOffer offer) {
-            send(from, offer.peer(), new RelayEvent.Offered(self, offer.number(), offer.hash()));
+            send(from, offer.peer(), new RelayEvent.OfferArrived(self, offer.number(), offer.hash()));
         } else if (effect instanceof RelayEffect.SendRequest request) {
-            send(from, request.peer(), new RelayEvent.Requested(self, request.haveNumber(), request.haveHash()));
+            send(from, request.peer(), new RelayEvent.RequestArrived(self, request.baseNumber(), request.baseHash()));
         } else if (effect instanceof RelayEffect.SendDelta delta) {
             send(from, delta.peer(), new RelayEvent.DeltaArrived(self, delta.delta()));
         } else if (effect instanceof RelayEffect.SendSnapshotPart part) {
--- a/core/src/test/java/dev/wigeonward/core/revision/RevisionRelayTest.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/RevisionRelayTest.java
@@ -74,7 +74,7 @@
         RevisionRelay relay = linked(AdoptionRules.STANDARD);
         assertThat(dispute(relay)).contains(new RelayEffect.ReportConflict(2, Set.of(SECOND.hash(), OTHER_HASH)));
         assertThat(relay.current()).contains(FIRST);
-        assertThat(relay.disputes()).containsOnlyKeys(2L);
+        assertThat(relay.disputedHashes()).containsOnlyKeys(2L);
         assertThat(relay.handle(storeReturns(SECOND), 20)).contains(new RelayEffect.Adopt(SECOND));
 
         RevisionRelay mutant = linked(new AdoptionRules() {
@@ -93,7 +93,7 @@
         RevisionRelay relay = linked(AdoptionRules.STANDARD);
         dispute(relay);
         Revision third = Revision.of(3, "three\n", "ana", "test");
-        assertThat(relay.handle(new RelayEvent.Offered("a", 3, third.hash()), 30))
+        assertThat(relay.handle(new RelayEvent.OfferArrived("a", 3, third.hash()), 30))
                 .containsExactly(new RelayEffect.SendRequest("a", 1, FIRST.hash()));
         relay.handle(new RelayEvent.DeltaArrived("a", RevisionDelta.between(FIRST, third)), 40);
         assertThat(relay.current().map(Revision::number)).contains(3L);
@@ -112,14 +112,15 @@
 
     /** Offers the second revision from one peer and a different hash from the other before the text arrives. */
     private static List<RelayEffect> dispute(RevisionRelay relay) {
-        relay.handle(new RelayEvent.Offered("a", 2, SECOND.hash()), 1);
-        List<RelayEffect> effects = relay.handle(new RelayEvent.Offered("b", 2, OTHER_HASH), 2);
+        relay.handle(new RelayEvent.OfferArrived("a", 2, SECOND.hash()), 1);
+        List<RelayEffect> effects = relay.handle(new RelayEvent.OfferArrived("b", 2, OTHER_HASH), 2);
         relay.handle(new RelayEvent.DeltaArrived("a", RevisionDelta.between(FIRST, SECOND)), 3);
         return effects;
     }
 
     private static RelayEvent storeReturns(Revision revision) {
-        return new RelayEvent.StoreRead(new RevisionStore.HeadResult.Found(new StoredRevision(revision, "id", 0)));
+        return new RelayEvent.StoreReadCompleted(
+                new RevisionStore.HeadResult.Found(new StoredRevision(revision, "id", 0)));
     }
 
     /**
@@ -142,10 +143,10 @@
         Revision large = Revision.of(2, text, "ana", "test");
         RevisionRelay sender = linked(AdoptionRules.STANDARD);
         sender.handle(storeReturns(large), 1);
-        List<RelayEffect> parts = sender.handle(new RelayEvent.Requested("a", 0, ""), 2);
+        List<RelayEffect> parts = sender.handle(new RelayEvent.RequestArrived("a", 0, ""), 2);
         assertThat(parts).hasSize(4);
         RevisionRelay receiver = linked(AdoptionRules.STANDARD);
-        receiver.handle(new RelayEvent.Offered("b", 2, large.hash()), 3);
+        receiver.handle(new RelayEvent.OfferArrived("b", 2, large.hash()), 3);
         IntStream.of(3, 1, 1, 0, 2)
                 .forEach(index -> receiver.handle(
                         new RelayEvent.SnapshotPartArrived(
@@ -158,8 +159,8 @@
     @Test
     void asksAnotherPeerAfterSilence() {
         RevisionRelay relay = linked(AdoptionRules.STANDARD);
-        List<RelayEffect> first = relay.handle(new RelayEvent.Offered("a", 2, SECOND.hash()), 1);
-        assertThat(relay.handle(new RelayEvent.PeerHeartbeat("b", 2, ""), 2)).isEmpty();
+        List<RelayEffect> first = relay.handle(new RelayEvent.OfferArrived("a", 2, SECOND.hash()), 1);
+        assertThat(relay.handle(new RelayEvent.HeartbeatArrived("b", 2, ""), 2)).isEmpty();
         assertThat(relay.handle(new RelayEvent.Tick(), 1 + RevisionRelay.ANSWER_TIMEOUT_MILLIS))
                 .containsExactly(new RelayEffect.SendRequest("b", 1, FIRST.hash()));
         assertThat(first).containsExactly(new RelayEffect.SendRequest("a", 1, FIRST.hash()));
--- a/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
@@ -13,13 +13,13 @@
 
 import dev.wigeonward.core.order.Order;
 import dev.wigeonward.core.order.OrderResult;
-import dev.wigeonward.core.rollout.ControllerEvent.StoreAnswer;
+import dev.wigeonward.core.rollout.ControllerEvent.WriteOutcome;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Test harness for one controller at a time with a store, engines and requests, on a clock that the test advances. */
 final class ControllerHarness {
-    static final MoveSettings SETTINGS = new MoveSettings(
+    static final RolloutSettings SETTINGS = new RolloutSettings(
             List.of(1_000, 2_500, 5_000, 10_000), 1, 5_000, 10_000, 20_000, 60_000, 5_000, 2_000, 1_000, 30_000);
     private static final int REQUESTS_PER_SECOND = 1_000;
 
@@ -37,13 +37,13 @@
     final Map<String, StoredRecord> records = new TreeMap<>();
     final Set<String> recordedOrderIds = new HashSet<>();
     final List<Order> sentOrders = new ArrayList<>();
-    final List<MoveReport> reports = new ArrayList<>();
+    final List<RolloutReport> reports = new ArrayList<>();
     final List<BadVerdict> verdicts = new ArrayList<>();
     final Map<String, UpstreamVersions> upstreams = new TreeMap<>();
     final Map<String, Double> failureShareByVersion = new HashMap<>();
     ControllerStages published = new ControllerStages(0, 0, List.of());
     Store store = Store.UP;
-    List<MoveRule> rules = List.of();
+    List<RolloutRule> rules = List.of();
     long nowMillis;
     private Controller controller;
     private long fencingNumber;
@@ -52,7 +52,7 @@
     private final Deque<ControllerEvent> events = new ArrayDeque<>();
 
     static Controller realController() {
-        return new MoveController(SETTINGS, JudgeSettings.standard())::handle;
+        return new RolloutController(SETTINGS, EvaluationSettings.standard())::handle;
     }
 
     void addUpstream(String id, String model, int places, String... versions) {
@@ -65,13 +65,13 @@
         revision++;
         fencingNumber = revision;
         events.clear();
-        upstreams.values().forEach(upstream -> events.add(new ControllerEvent.UpstreamSeen(upstream)));
+        upstreams.values().forEach(upstream -> events.add(new ControllerEvent.UpstreamReported(upstream)));
         events.add(new ControllerEvent.LeaseAcquired(fencingNumber, nowMillis + 10_000, List.copyOf(records.values())));
         events.add(new ControllerEvent.RulesChanged(rules));
         handleAll();
     }
 
-    void changeRules(MoveRule... changed) {
+    void changeRules(RolloutRule... changed) {
         rules = List.of(changed);
         send(new ControllerEvent.RulesChanged(rules));
     }
@@ -93,7 +93,7 @@
         }
     }
 
-    MoveRecord record(String model) {
+    RolloutRecord record(String model) {
         return records.get(model).record();
     }
 
@@ -120,8 +120,8 @@
         }
         EvidenceCounters added = new EvidenceCounters(requests, failures, TimeHistogram.of(times));
         evidence.merge(key, added, EvidenceCounters::plus);
-        events.add(
-                new ControllerEvent.EvidenceReported("agent", 1, key, new RouteCell("chat", false), evidence.get(key)));
+        events.add(new ControllerEvent.EvidenceReported(
+                "agent", 1, key, new RouteLoadKey("chat", false), evidence.get(key)));
     }
 
     private void handleAll() {
@@ -157,16 +157,16 @@
 
     private void write(ControllerEffect.WriteRecord write) {
         String model = write.record().model();
-        StoreAnswer answer = StoreAnswer.UNAVAILABLE;
+        WriteOutcome answer = WriteOutcome.UNAVAILABLE;
         long storedRevision = records.containsKey(model) ? records.get(model).revision() : 0;
         if (store != Store.DOWN && storedRevision != write.expectedRevision()) {
-            answer = StoreAnswer.COMPARE_FAILED;
+            answer = WriteOutcome.COMPARE_FAILED;
         } else if (store != Store.DOWN) {
             revision++;
             records.put(model, new StoredRecord(write.record(), revision));
             write.record().intents().forEach(intent -> recordedOrderIds.add(intent.orderId()));
-            answer = store == Store.UP ? StoreAnswer.APPLIED : StoreAnswer.UNKNOWN;
+            answer = store == Store.UP ? WriteOutcome.APPLIED : WriteOutcome.UNKNOWN;
         }
-        events.add(new ControllerEvent.StoreAnswered(model, write.record().writeId(), answer, revision));
+        events.add(new ControllerEvent.WriteAnswered(model, write.record().writeId(), answer, revision));
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/rollout/EvidenceRecorderTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/EvidenceRecorderTest.java
@@ -40,19 +40,19 @@
      */
     @Test
     void loadIsCountedSeparatelyAndCancelledRequestsAreNot() {
-        start(0.9, 0).died(5);
+        start(0.9, 0).failed(5);
         Observation cancelled = start(0.5, 0);
         cancelled.cancelled(5);
-        cancelled.died(6);
+        cancelled.failed(6);
         assertThat(counters(true, 5).failures()).isEqualTo(1);
         assertThat(counters(false, 5)).isEqualTo(EvidenceCounters.empty());
     }
 
     private Observation start(double load, long nowMillis) {
-        return recorder.started(VERSION, "chat", load, 100, nowMillis);
+        return recorder.start(VERSION, "chat", load, 100, nowMillis);
     }
 
     private EvidenceCounters counters(boolean underLoad, long nowMillis) {
-        return recorder.counters(nowMillis).get(new EvidenceRecorder.Key(VERSION, new RouteCell("chat", underLoad)));
+        return recorder.counters(nowMillis).get(new EvidenceRecorder.Key(VERSION, new RouteLoadKey("chat", underLoad)));
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/rollout/MoveControllerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/MoveControllerTest.java
@@ -20,8 +20,8 @@
 
 class MoveControllerTest {
     private static final long DEADLINE_MILLIS = 400_000;
-    private static final MoveRule TO_V2 = rule("model", "v2", DEADLINE_MILLIS);
-    private static final MoveRule TO_V3 = rule("model", "v3", 2 * DEADLINE_MILLIS);
+    private static final RolloutRule TO_V2 = rule("model", "v2", DEADLINE_MILLIS);
+    private static final RolloutRule TO_V3 = rule("model", "v3", 2 * DEADLINE_MILLIS);
 
     private ControllerHarness harness;
 
@@ -36,11 +36,11 @@
         harness.elect(ControllerHarness.realController());
         harness.changeRules(TO_V2);
         harness.run(200);
-        assertThat(harness.record("model").phase()).isEqualTo(MovePhase.DONE);
+        assertThat(harness.record("model").phase()).isEqualTo(RolloutPhase.DONE);
         assertThat(harness.upstreams.values())
                 .allSatisfy(upstream -> assertThat(upstream.loadedVersions()).containsExactly("v2"));
         assertThat(harness.reports)
-                .extracting(MoveReport::shareBasisPoints)
+                .extracting(RolloutReport::shareBasisPoints)
                 .containsSubsequence(0, 200, 1_000, 2_500, 5_000, 10_000);
         assertThat(harness.reports)
                 .allSatisfy(report -> assertThat(report.onTime()).isTrue());
@@ -66,12 +66,12 @@
         harness.store = Store.UP;
         harness.run(20);
         assertThat(harness.record("model").badReasons()).containsKey("v2");
-        assertThat(harness.record("model").phase()).isEqualTo(MovePhase.ROLLED_BACK);
+        assertThat(harness.record("model").phase()).isEqualTo(RolloutPhase.ROLLED_BACK);
         assertThat(harness.upstreams.values())
                 .allSatisfy(upstream -> assertThat(upstream.loadedVersions()).containsExactly("v1"));
         harness.changeRules(rule("model", "v2", 2 * DEADLINE_MILLIS));
         harness.run(30);
-        assertThat(harness.record("model").phase()).isEqualTo(MovePhase.ROLLED_BACK);
+        assertThat(harness.record("model").phase()).isEqualTo(RolloutPhase.ROLLED_BACK);
     }
 
     /** Guards against steps, stage publications or orders after the lease expired because the store is down. */
@@ -89,7 +89,7 @@
         assertThat(harness.sentOrders).hasSize(orders);
         harness.store = Store.UP;
         harness.run(200);
-        assertThat(harness.record("model").phase()).isEqualTo(MovePhase.DONE);
+        assertThat(harness.record("model").phase()).isEqualTo(RolloutPhase.DONE);
     }
 
     /** Guards against a stuck move or repeated orders when a write is applied but its reply is lost. */
@@ -99,7 +99,7 @@
         harness.elect(ControllerHarness.realController());
         harness.changeRules(TO_V2);
         harness.run(200);
-        assertThat(harness.record("model").phase()).isEqualTo(MovePhase.DONE);
+        assertThat(harness.record("model").phase()).isEqualTo(RolloutPhase.DONE);
         assertThat(harness.sentOrders).extracting(Order::orderId).doesNotHaveDuplicates();
     }
 
@@ -173,7 +173,7 @@
         harness.run(300);
         assertThat(harness.record("model").newVersion()).isEqualTo("v3");
         assertThat(harness.record("model").oldVersion()).isEqualTo("v1");
-        assertThat(harness.record("model").phase()).isEqualTo(MovePhase.DONE);
+        assertThat(harness.record("model").phase()).isEqualTo(RolloutPhase.DONE);
     }
 
     /**
@@ -189,7 +189,7 @@
         assertThat(harness.sentOrders.get(0).model()).isEqualTo("other");
         assertThat(harness.reports)
                 .filteredOn(report -> !report.onTime())
-                .extracting(MoveReport::model)
+                .extracting(RolloutReport::model)
                 .contains("other")
                 .doesNotContain("model");
     }
@@ -203,7 +203,7 @@
         }
         harness.elect(ControllerHarness.realController());
         harness.changeRules(TO_V2);
-        while (harness.records.isEmpty() || harness.record("model").phase() != MovePhase.DONE) {
+        while (harness.records.isEmpty() || harness.record("model").phase() != RolloutPhase.DONE) {
             assertThat(harness.upstreams.values())
                     .anySatisfy(upstream -> assertThat(upstream.hasLoaded("v1")).isTrue());
             harness.run(1);
@@ -214,8 +214,8 @@
                 .allSatisfy(upstream -> assertThat(upstream.hasLoaded("v2")).isTrue());
     }
 
-    private static MoveRule rule(String model, String version, long deadlineMillis) {
-        return new MoveRule(model, "v1", version, deadlineMillis, 200, "Ada");
+    private static RolloutRule rule(String model, String version, long deadlineMillis) {
+        return new RolloutRule(model, "v1", version, deadlineMillis, 200, "Ada");
     }
 
     private static ControllerHarness newHarness() {
@@ -290,8 +290,8 @@
         };
     }
 
-    private static MoveRecord withoutVerdicts(MoveRecord record) {
-        return new MoveRecord(
+    private static RolloutRecord withoutVerdicts(RolloutRecord record) {
+        return new RolloutRecord(
                 record.model(),
                 record.oldVersion(),
                 record.newVersion(),
--- a/core/src/test/java/dev/wigeonward/core/rollout/MoveEvidenceTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/MoveEvidenceTest.java
@@ -7,8 +7,8 @@
 class MoveEvidenceTest {
     private static final long CONFIRM_MILLIS = 20_000;
 
-    private final VersionJudge judge = new VersionJudge(JudgeSettings.standard());
-    private final MoveEvidence evidence = new MoveEvidence("v1", "v2", CONFIRM_MILLIS);
+    private final VersionEvaluator judge = new VersionEvaluator(EvaluationSettings.standard());
+    private final RolloutEvidence evidence = new RolloutEvidence("v1", "v2", CONFIRM_MILLIS);
     private EvidenceCounters counters = EvidenceCounters.empty();
 
     /**
@@ -47,7 +47,7 @@
         counters = counters.plus(new EvidenceCounters(requests, failures, TimeHistogram.of(times)));
         evidence.add(
                 new ControllerEvent.EvidenceReported(
-                        "a0", 1, new ModelVersion("model", "v2"), new RouteCell("chat", false), counters),
+                        "a0", 1, new ModelVersion("model", "v2"), new RouteLoadKey("chat", false), counters),
                 nowMillis);
         return evidence.judge(judge, false, nowMillis).isPresent();
     }
--- a/core/src/test/java/dev/wigeonward/core/rollout/TrafficShiftTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/TrafficShiftTest.java
@@ -7,14 +7,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class TrafficShiftTest {
-    private static final RouteCell ROUTE = new RouteCell("r", false);
+    private static final RouteLoadKey ROUTE = new RouteLoadKey("r", false);
     private static final long DEADLINE_MILLIS = 12_000;
     private static final int REQUESTS_PER_TICK = 20;
 
-    private final ShiftOrder order = new ShiftOrder("s", "v2", 0, DEADLINE_MILLIS, 5);
-    private final TrafficShift shift = TrafficShift.of(order);
+    private final RolloutOrder order = new RolloutOrder("s", "v2", 0, DEADLINE_MILLIS, 5);
+    private final ServiceRollout shift = ServiceRollout.of(order);
     private final StageView view = new StageView();
-    private final ShiftChoice choice = ShiftChoice.over(view);
+    private final RolloutVersionSelector choice = RolloutVersionSelector.of(view);
     private long oldRequests;
     private long newRequests;
     private long newFailures;
@@ -35,11 +35,11 @@
 
     /** Simulates requests and the controller at ten ticks per second, and returns the time at which the shift ended. */
     private long simulate(double failureShare, int outstandingAtPrevious) {
-        choice.order(order);
+        choice.addOrder(order);
         for (long now = 0; now <= DEADLINE_MILLIS; now += 100) {
             for (int request = 0; request < REQUESTS_PER_TICK; request++) {
-                VersionBound bound = choice.choose("s", "r", now);
-                if (bound.kind() == VersionBound.Kind.PREFERRED) {
+                VersionConstraint bound = choice.choose("s", "r", now);
+                if (bound.kind() == VersionConstraint.Kind.PREFERRED) {
                     newRequests++;
                     newFailures += newRequests * failureShare >= newFailures + 1 ? 1 : 0;
                 } else {
@@ -48,10 +48,10 @@
             }
             report("v1", oldRequests, oldRequests / 200);
             report("v2", newRequests, newFailures);
-            shift.verdict(now).ifPresent(verdict -> view.merge(List.of(verdict)));
+            shift.evaluate(now).ifPresent(verdict -> view.merge(List.of(verdict)));
             shift.advance(view.isBad("s", "v2"), outstandingAtPrevious, now);
             view.apply(new ControllerStages(1, ++sequence, List.of(shift.stage(2_000))), now);
-            if (shift.state() != ShiftState.IN_PROGRESS) {
+            if (shift.state() != RolloutState.IN_PROGRESS) {
                 return now;
             }
         }
@@ -62,7 +62,7 @@
     @Test
     void goodVersionIsInPlaceBeforeTheDeadline() {
         assertThat(simulate(0.005, 0)).isLessThan(DEADLINE_MILLIS);
-        assertThat(shift.state()).isEqualTo(ShiftState.COMPLETED);
+        assertThat(shift.state()).isEqualTo(RolloutState.COMPLETED);
     }
 
     /**
@@ -72,44 +72,44 @@
     @Test
     void endWaitsForOldUpstreamsAsLongAsTheDeadlineAllows() {
         assertThat(simulate(0, 3)).isBetween((long) (0.9 * DEADLINE_MILLIS), DEADLINE_MILLIS);
-        assertThat(shift.state()).isEqualTo(ShiftState.COMPLETED);
+        assertThat(shift.state()).isEqualTo(RolloutState.COMPLETED);
     }
 
     /** Guards against a bad version that gets more than a tenth of the requests before the shift is reverted. */
     @Test
     void badVersionIsRevertedAfterFewRequests() {
         long ended = simulate(0.3, 0);
-        assertThat(shift.state()).isEqualTo(ShiftState.REVERTED);
+        assertThat(shift.state()).isEqualTo(RolloutState.REVERTED);
         assertThat(ended).isLessThan(DEADLINE_MILLIS / 2);
         assertThat(newRequests).isLessThan((oldRequests + newRequests) / 10);
-        assertThat(choice.choose("s", "r", ended).kind()).isEqualTo(VersionBound.Kind.FORBIDDEN);
+        assertThat(choice.choose("s", "r", ended).kind()).isEqualTo(VersionConstraint.Kind.FORBIDDEN);
     }
 
     /** Guards against an entry without contact to a controller that sends requests to a new version on an old stage. */
     @Test
     void withoutRenewalTheNewVersionGetsNothing() {
-        choice.order(order);
+        choice.addOrder(order);
         view.apply(new ControllerStages(1, 1, List.of(shift.stage(2_000))), 0);
         for (int request = 0; request < 200; request++) {
-            assertThat(choice.choose("s", "r", 2_000).kind()).isEqualTo(VersionBound.Kind.AVOIDED);
+            assertThat(choice.choose("s", "r", 2_000).kind()).isEqualTo(VersionConstraint.Kind.AVOIDED);
         }
     }
 
     /** Guards against an entry that restarts after completion and sends requests to stopped old upstreams. */
     @Test
     void storedStateIsApplied() {
-        choice.order(order);
-        choice.settle("s", "v2", ShiftState.COMPLETED, 9);
-        assertThat(choice.choose("s", "r", 0)).isEqualTo(new VersionBound("v2", VersionBound.Kind.PREFERRED));
-        assertThat(choice.open()).isEmpty();
+        choice.addOrder(order);
+        choice.addFinalState("s", "v2", RolloutState.COMPLETED, 9);
+        assertThat(choice.choose("s", "r", 0)).isEqualTo(new VersionConstraint("v2", VersionConstraint.Kind.PREFERRED));
+        assertThat(choice.unfinishedOrders()).isEmpty();
     }
 
     /** Guards against the stored state of an earlier order that is applied to a new order of the same version. */
     @Test
     void storedStateOfEarlierOrderIsIgnored() {
-        choice.settle("s", "v2", ShiftState.COMPLETED, 3);
-        choice.order(order);
-        assertThat(choice.open()).containsKey("s");
-        assertThat(choice.choose("s", "r", 0).kind()).isEqualTo(VersionBound.Kind.AVOIDED);
+        choice.addFinalState("s", "v2", RolloutState.COMPLETED, 3);
+        choice.addOrder(order);
+        assertThat(choice.unfinishedOrders()).containsKey("s");
+        assertThat(choice.choose("s", "r", 0).kind()).isEqualTo(VersionConstraint.Kind.AVOIDED);
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionJudgeTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionJudgeTest.java
@@ -2,7 +2,7 @@
 
 import java.util.Random;
 
-import dev.wigeonward.core.rollout.RouteJudgement.Verdict;
+import dev.wigeonward.core.rollout.RouteEvaluation.Verdict;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -10,10 +10,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class VersionJudgeTest {
-    private static final RouteCell CELL = new RouteCell("chat", false);
+    private static final RouteLoadKey CELL = new RouteLoadKey("chat", false);
     private static final int MAX_SAMPLES = 5_000;
 
-    private final VersionJudge judge = new VersionJudge(JudgeSettings.standard());
+    private final VersionEvaluator judge = new VersionEvaluator(EvaluationSettings.standard());
 
     /** Guards against wrong verdicts: equal versions called bad, or clearly worse versions called good or undecided. */
     @ParameterizedTest
@@ -26,7 +26,7 @@
             Verdict verdict = Verdict.UNDECIDED;
             while (verdict == Verdict.UNDECIDED && evidence.requests() < MAX_SAMPLES) {
                 evidence = evidence.plus(sample(random, 1, failureShare, slowdown));
-                verdict = judge.judge(CELL, old, old, evidence, false).verdict();
+                verdict = judge.evaluate(CELL, old, old, evidence, false).verdict();
             }
             assertThat(verdict).isEqualTo(expected);
         }
@@ -37,13 +37,14 @@
     void truncatedTestAlwaysDecides() {
         Random random = new Random(8);
         EvidenceCounters old = sample(random, 2_000, 0.01, 1);
-        assertThat(judge.judge(CELL, old, old, EvidenceCounters.empty(), true).verdict())
+        assertThat(judge.evaluate(CELL, old, old, EvidenceCounters.empty(), true)
+                        .verdict())
                 .isEqualTo(Verdict.GOOD);
         EvidenceCounters few = sample(random, 20, 0.01, 1);
-        assertThat(judge.judge(CELL, old, old, few, false).verdict()).isEqualTo(Verdict.UNDECIDED);
-        assertThat(judge.judge(CELL, old, old, few, true).verdict()).isEqualTo(Verdict.GOOD);
+        assertThat(judge.evaluate(CELL, old, old, few, false).verdict()).isEqualTo(Verdict.UNDECIDED);
+        assertThat(judge.evaluate(CELL, old, old, few, true).verdict()).isEqualTo(Verdict.GOOD);
         EvidenceCounters fewBad = sample(random, 12, 0.6, 1);
-        assertThat(judge.judge(CELL, old, old, fewBad, true).verdict()).isEqualTo(Verdict.BAD);
+        assertThat(judge.evaluate(CELL, old, old, fewBad, true).verdict()).isEqualTo(Verdict.BAD);
     }
 
     /** Guards against a good version that is called bad because a few requests happened to fail. */
@@ -51,9 +52,9 @@
     void fewerThanTheMinimumOfSamplesAreNeverBad() {
         EvidenceCounters old = new EvidenceCounters(2_000, 20, TimeHistogram.empty());
         EvidenceCounters allFailed = new EvidenceCounters(9, 9, TimeHistogram.empty());
-        assertThat(judge.judge(CELL, old, old, allFailed, false).verdict()).isEqualTo(Verdict.UNDECIDED);
+        assertThat(judge.evaluate(CELL, old, old, allFailed, false).verdict()).isEqualTo(Verdict.UNDECIDED);
         EvidenceCounters oneMore = new EvidenceCounters(10, 10, TimeHistogram.empty());
-        RouteJudgement judgement = judge.judge(CELL, old, old, oneMore, false);
+        RouteEvaluation judgement = judge.evaluate(CELL, old, old, oneMore, false);
         assertThat(judgement.verdict()).isEqualTo(Verdict.BAD);
         assertThat(judgement.reason()).startsWith("failures 10 of 10");
     }
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
@@ -67,7 +67,7 @@
         assertThat(view.apply(stages(1, 9, 10_000, false), 0)).isFalse();
         assertThat(view.apply(stages(2, 1, 10_000, false), 0)).isFalse();
         assertThat(view.shareBasisPoints("model", 0)).isEqualTo(200);
-        assertThat(view.relayed(4_000).stages().get(0).leaseMillis()).isEqualTo(6_000);
+        assertThat(view.forRelay(4_000).stages().get(0).leaseMillis()).isEqualTo(6_000);
     }
 
     /** Guards against a correct total share that is taken from some tiers only because they alternate. */
--- a/core/src/test/java/dev/wigeonward/core/rules/ExampleRulesTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rules/ExampleRulesTest.java
@@ -54,9 +54,9 @@
         assertThat(rules.tier("rescue", note)).contains(Tier.CRITICAL);
         assertThat(rules.tier("ferries", note)).contains(Tier.STANDARD);
         assertThat(rules.tier("research", note)).contains(Tier.BATCH);
-        assertThat(rules.idempotent("flags", "/flags/orders", "POST")).isFalse();
-        assertThat(rules.idempotent("flags", "/flags/orders", "GET")).isTrue();
-        assertThat(rules.idempotent("flags", "/flags", "POST")).isTrue();
+        assertThat(rules.isIdempotent("flags", "/flags/orders", "POST")).isFalse();
+        assertThat(rules.isIdempotent("flags", "/flags/orders", "GET")).isTrue();
+        assertThat(rules.isIdempotent("flags", "/flags", "POST")).isTrue();
         assertThat(rules.serviceForPath("/ponds/12").map(Rule.Service::name)).contains("pond-records");
         assertThat(rules.serviceForPath("/fees")).isEmpty();
         assertThat(rules.limit(Rule.LimitName.BODY)).isEqualTo(2L << 20);
@@ -82,7 +82,7 @@
         assertThat(rules.price("shared").orElseThrow().microsPerThousandTokens())
                 .isEqualTo(380_000);
         assertThat(rules.workspace("timing").map(Rule.Workspace::weight)).isEqualTo(Optional.of(30));
-        assertThat(rules.idempotent("race-desk", "/desk/fees", "POST")).isFalse();
+        assertThat(rules.isIdempotent("race-desk", "/desk/fees", "POST")).isFalse();
         assertThat(kind(rules, "race-desk", "/desk/standings/3", "GET", OptionalInt.empty())
                         .name())
                 .isEqualTo("standings");
--- a/core/src/test/java/dev/wigeonward/core/rules/RuleDiffTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rules/RuleDiffTest.java
@@ -49,6 +49,6 @@
     void findsRulesChangedByBoth() {
         RuleDiff mine = RuleDiff.between(BEFORE, BEFORE.replace("workspace a weight=1", "workspace a weight=2"));
         RuleDiff theirs = RuleDiff.between(BEFORE, BEFORE.replace("weight=1", "weight=9"));
-        assertThat(mine.overlap(theirs)).containsExactly("workspace a");
+        assertThat(mine.commonIdentities(theirs)).containsExactly("workspace a");
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/rules/RuleParserTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rules/RuleParserTest.java
@@ -63,7 +63,7 @@
     @Test
     void reportsAllMissingFieldsOfLine() {
         assertThat(problems("workspace" + COMMENT))
-                .extracting(RuleProblem::wrong)
+                .extracting(RuleProblem::description)
                 .containsExactly("the name is missing", "'weight' is missing", "'tiers' is missing");
     }
 
@@ -109,7 +109,7 @@
     void rejectsKindThatNeverApplies() {
         String rest = " tier=standard deadline=1s output=5" + COMMENT;
         String text = BASE + "kind wide target=m max-output=100" + rest + "kind narrow target=m max-output=50" + rest;
-        assertThat(problems(text)).singleElement().matches(problem -> problem.wrong()
+        assertThat(problems(text)).singleElement().matches(problem -> problem.description()
                 .contains("line 3 matches all"));
     }
 
