--- a/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
@@ -23,22 +23,24 @@
         for (String id : ids) {
             upstreams.add(upstream(id, false));
         }
-        scheduler.upstreams(upstreams);
+        scheduler.setUpstreams(upstreams);
     }
 
-    private Demand stream(String kind, int rank, int tokens) {
-        return Demand.builder(kind, rank, 800, now)
-                .generating(tokens, 100, 200)
+    private ScheduledRequest stream(String kind, int rank, int tokens) {
+        return ScheduledRequest.builder(kind, rank, 800, now)
+                .streaming(tokens, 100, 200)
                 .deadlineAt(now + 15_000)
                 .build();
     }
 
-    private Demand call(String kind, int rank) {
-        return Demand.builder(kind, rank, 100, now).deadlineAt(now + 1_000).build();
+    private ScheduledRequest call(String kind, int rank) {
+        return ScheduledRequest.builder(kind, rank, 100, now)
+                .deadlineAt(now + 1_000)
+                .build();
     }
 
-    private List<Decision> offer(Demand... demands) {
-        for (Demand demand : demands) {
+    private List<Decision> offer(ScheduledRequest... demands) {
+        for (ScheduledRequest demand : demands) {
             scheduler.offer(demand);
         }
         return scheduler.decide(now);
@@ -46,8 +48,8 @@
 
     private static List<String> placedOn(List<Decision> decisions) {
         return decisions.stream()
-                .filter(Decision.Place.class::isInstance)
-                .map(decision -> ((Decision.Place) decision).upstream().id())
+                .filter(Decision.Placed.class::isInstance)
+                .map(decision -> ((Decision.Placed) decision).upstream().id())
                 .toList();
     }
 
@@ -69,7 +71,7 @@
     /** Guards against placing requests on a draining upstream. */
     @Test
     void drainingUpstreamGetsNothing() {
-        scheduler.upstreams(List.of(upstream("a", true), upstream("bb", false)));
+        scheduler.setUpstreams(List.of(upstream("a", true), upstream("bb", false)));
 
         assertThat(placedOn(offer(call("k", 0), call("k", 0)))).containsExactly("bb", "bb");
     }
@@ -77,11 +79,11 @@
     /** Guards against a request that keeps waiting although all upstreams of the service are draining. */
     @Test
     void requestWithoutUpstreamIsRefusedAtOnce() {
-        scheduler.upstreams(List.of(upstream("a", true)));
+        scheduler.setUpstreams(List.of(upstream("a", true)));
 
         assertThat(offer(call("k", 0)))
                 .singleElement()
-                .isInstanceOfSatisfying(Decision.Refuse.class, refuse -> assertThat(refuse.reason())
+                .isInstanceOfSatisfying(Decision.Refused.class, refuse -> assertThat(refuse.reason())
                         .isEqualTo(RefusalReason.NO_UPSTREAM));
     }
 
@@ -89,19 +91,19 @@
     @Test
     void freeSlotGoesToTheMostUrgentKind() {
         list("a");
-        List<Demand> running = new ArrayList<>();
+        List<ScheduledRequest> running = new ArrayList<>();
         for (int request = 0; request < SLOTS; request++) {
             running.add(call("low", 2));
         }
-        offer(running.toArray(Demand[]::new));
-        Demand low = call("low", 2);
-        Demand high = call("high", 0);
+        offer(running.toArray(ScheduledRequest[]::new));
+        ScheduledRequest low = call("low", 2);
+        ScheduledRequest high = call("high", 0);
         offer(low, high);
 
         scheduler.onEnded(running.get(0), ServiceScheduler.Outcome.ANSWERED, now + 5);
         List<Decision> decisions = scheduler.decide(now + 5);
 
-        assertThat(decisions).singleElement().isInstanceOfSatisfying(Decision.Place.class, place -> assertThat(
+        assertThat(decisions).singleElement().isInstanceOfSatisfying(Decision.Placed.class, place -> assertThat(
                         place.demand())
                 .isSameAs(high));
     }
@@ -113,14 +115,16 @@
         for (int request = 0; request < SLOTS; request++) {
             offer(call("k", 0));
         }
-        Demand waits = call("k", 0);
+        ScheduledRequest waits = call("k", 0);
         offer(waits);
 
         assertThat(scheduler.decide(now + 49)).isEmpty();
-        assertThat(scheduler.decide(now + 50)).singleElement().isInstanceOfSatisfying(Decision.Refuse.class, refuse -> {
-            assertThat(refuse.demand()).isSameAs(waits);
-            assertThat(refuse.reason()).isEqualTo(RefusalReason.WAITED_TOO_LONG);
-        });
+        assertThat(scheduler.decide(now + 50))
+                .singleElement()
+                .isInstanceOfSatisfying(Decision.Refused.class, refuse -> {
+                    assertThat(refuse.demand()).isSameAs(waits);
+                    assertThat(refuse.reason()).isEqualTo(RefusalReason.WAITED_TOO_LONG);
+                });
     }
 
     /**
@@ -130,17 +134,17 @@
     void learnsWhichUpstreamIsSlow() {
         list("fast", "slowly");
         for (int round = 0; round < 10; round++) {
-            List<Demand> all = new ArrayList<>();
+            List<ScheduledRequest> all = new ArrayList<>();
             for (int request = 0; request < 2 * SLOTS; request++) {
                 all.add(call("k", 0));
             }
-            offer(all.toArray(Demand[]::new));
-            for (Demand demand : all) {
+            offer(all.toArray(ScheduledRequest[]::new));
+            for (ScheduledRequest demand : all) {
                 boolean fast = demand.upstream().orElseThrow().id().equals("fast");
                 scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + (fast ? 10 : 60));
             }
             now += 100;
-            scheduler.compareUpstreams();
+            scheduler.updateTypicalUnitTime();
         }
 
         assertThat(placedOn(offer(call("k", 0), call("k", 0)))).containsExactly("fast", "fast");
@@ -151,18 +155,18 @@
     void longPromptIsNotPlacedOnSlowUpstreamWithStreams() {
         list("fast", "slowly");
         for (int round = 0; round < 30; round++) {
-            List<Demand> pair = List.of(stream("k", 0, 600), stream("k", 0, 600));
-            offer(pair.toArray(Demand[]::new));
-            for (Demand demand : pair) {
+            List<ScheduledRequest> pair = List.of(stream("k", 0, 600), stream("k", 0, 600));
+            offer(pair.toArray(ScheduledRequest[]::new));
+            for (ScheduledRequest demand : pair) {
                 boolean fast = demand.upstream().orElseThrow().id().equals("fast");
                 scheduler.onFirstEvent(demand, now + (fast ? 20 : 100));
-                scheduler.onPauses(demand, fast ? 15 : 75, now);
+                scheduler.onEventIntervals(demand, fast ? 15 : 75, now);
                 if (round < 29 || fast) {
                     scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + 500);
                 }
             }
             now += 1_000;
-            scheduler.compareUpstreams();
+            scheduler.updateTypicalUnitTime();
         }
         List<Decision> decisions = new ArrayList<>();
         for (int request = 0; request < SLOTS; request++) {
@@ -177,7 +181,7 @@
     void onlyUpstreamIsTriedAfterFailures() {
         list("a");
         for (int failure = 0; failure < 5; failure++) {
-            Demand demand = call("k", 0);
+            ScheduledRequest demand = call("k", 0);
             assertThat(placedOn(offer(demand))).containsExactly("a");
             scheduler.onEnded(demand, ServiceScheduler.Outcome.UNREACHABLE, now);
         }
@@ -187,7 +191,7 @@
     @Test
     void unreachableUpstreamIsPaused() {
         list("a", "bb");
-        Demand first = call("k", 0);
+        ScheduledRequest first = call("k", 0);
         String failed = placedOn(offer(first)).get(0);
         scheduler.onEnded(first, ServiceScheduler.Outcome.UNREACHABLE, now);
 
@@ -198,7 +202,7 @@
     @Test
     void silentUpstreamGetsNothingMore() {
         list("a", "bb");
-        Demand first = call("k", 0);
+        ScheduledRequest first = call("k", 0);
         String silent = placedOn(offer(first)).get(0);
         now += 2_000;
 
@@ -211,7 +215,7 @@
     @Test
     void silentUpstreamStaysSuspendedAfterItsCallersDisconnect() {
         list("a", "bb");
-        Demand first = call("k", 0);
+        ScheduledRequest first = call("k", 0);
         String silent = placedOn(offer(first)).get(0);
         now += 2_000;
         scheduler.onEnded(first, ServiceScheduler.Outcome.LEFT, now);
@@ -226,7 +230,7 @@
     @Test
     void earlyDisconnectDoesNotSuspendUpstream() {
         list("a");
-        Demand first = call("k", 0);
+        ScheduledRequest first = call("k", 0);
         offer(first);
         scheduler.onEnded(first, ServiceScheduler.Outcome.LEFT, now + 20);
 
@@ -237,7 +241,7 @@
     @Test
     void requestsOfPeersOccupySlots() {
         list("a");
-        scheduler.reportPeers(id -> new ServiceScheduler.OwnLoad(id, SLOTS - 1, 0));
+        scheduler.updatePeerLoads(id -> new ServiceScheduler.EntryLoad(id, SLOTS - 1, 0));
 
         assertThat(placedOn(offer(call("k", 0), call("k", 0)))).hasSize(1);
     }
@@ -249,17 +253,17 @@
     @Test
     void newLifetimeStartsWithoutState() {
         Upstream old = new Upstream("a", "s", "10.0.0.1:1", "z1", "v1", SLOTS, false, Optional.of(1L));
-        scheduler.upstreams(List.of(old, upstream("bb", false)));
-        Demand first = call("k", 0);
+        scheduler.setUpstreams(List.of(old, upstream("bb", false)));
+        ScheduledRequest first = call("k", 0);
         for (int request = 0; request < 2; request++) {
             offer(call("k", 0));
         }
         offer(first);
-        scheduler.upstreams(List.of(
+        scheduler.setUpstreams(List.of(
                 new Upstream("a", "s", "10.0.0.1:1", "z1", "v1", SLOTS, false, Optional.of(2L)),
                 upstream("bb", false)));
 
-        assertThat(scheduler.describe(now)).anyMatch(line -> line.startsWith("a ") && line.contains("running=0"));
+        assertThat(scheduler.dumpLines(now)).anyMatch(line -> line.startsWith("a ") && line.contains("running=0"));
         scheduler.onEnded(first, ServiceScheduler.Outcome.FAILED, now);
     }
 
@@ -268,14 +272,14 @@
     void underservedKindIsEventuallyServed() {
         list("a");
         int lowServed = 0;
-        List<Demand> running = new ArrayList<>();
+        List<ScheduledRequest> running = new ArrayList<>();
         for (int round = 0; round < 2_000; round++) {
             scheduler.offer(call("high", 0));
             if (round % 4 == 0) {
                 scheduler.offer(call("low", 2));
             }
             for (Decision decision : scheduler.decide(now)) {
-                if (decision instanceof Decision.Place place) {
+                if (decision instanceof Decision.Placed place) {
                     running.add(place.demand());
                     lowServed += place.demand().kind().equals("low") ? 1 : 0;
                 }
@@ -291,8 +295,8 @@
     }
 
     private void answerCall(String id, long millis) {
-        Demand demand = call("k", 0);
-        upstreamsOtherThan(id).forEach(demand::avoid);
+        ScheduledRequest demand = call("k", 0);
+        upstreamsOtherThan(id).forEach(demand::excludeUpstream);
         offer(demand);
         scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + millis);
     }
@@ -309,8 +313,9 @@
     @Test
     void unitTimesOfAnotherEntryAreAdopted() {
         list("fast", "slowly");
-        scheduler.adopt(List.of(new LearnedUnit("slowly/", 60, 100), new LearnedUnit("fast/", 10, 100)), now);
-        scheduler.compareUpstreams();
+        scheduler.adoptNewerUnitTimes(
+                List.of(new ObservedUnitTime("slowly/", 60, 100), new ObservedUnitTime("fast/", 10, 100)), now);
+        scheduler.updateTypicalUnitTime();
 
         assertThat(placedOn(offer(call("k", 0), call("k", 0)))).containsExactly("fast", "fast");
     }
@@ -321,8 +326,9 @@
         list("fast", "slowly");
         answerCall("fast", 10);
         answerCall("slowly", 60);
-        scheduler.adopt(List.of(new LearnedUnit("slowly/", 5, 100), new LearnedUnit("fast/", 90, 100)), now);
-        scheduler.compareUpstreams();
+        scheduler.adoptNewerUnitTimes(
+                List.of(new ObservedUnitTime("slowly/", 5, 100), new ObservedUnitTime("fast/", 90, 100)), now);
+        scheduler.updateTypicalUnitTime();
 
         assertThat(placedOn(offer(call("k", 0)))).containsExactly("fast");
     }
@@ -334,16 +340,16 @@
     void onlyNotableChangesAreReported() {
         list("fast", "slowly");
         answerCall("fast", 20);
-        assertThat(scheduler.learnedSinceTold(now))
-                .extracting(LearnedUnit::lifetime)
+        assertThat(scheduler.takeChangedUnitTimes(now))
+                .extracting(ObservedUnitTime::lifetimeId)
                 .containsExactly("fast/");
         answerCall("fast", 21);
-        assertThat(scheduler.learnedSinceTold(now)).isEmpty();
-        scheduler.adopt(List.of(new LearnedUnit("slowly/", 60, 0)), now);
-        assertThat(scheduler.learnedSinceTold(now)).isEmpty();
+        assertThat(scheduler.takeChangedUnitTimes(now)).isEmpty();
+        scheduler.adoptNewerUnitTimes(List.of(new ObservedUnitTime("slowly/", 60, 0)), now);
+        assertThat(scheduler.takeChangedUnitTimes(now)).isEmpty();
         answerCall("fast", 80);
-        assertThat(scheduler.learnedSinceTold(now))
-                .extracting(LearnedUnit::lifetime)
+        assertThat(scheduler.takeChangedUnitTimes(now))
+                .extracting(ObservedUnitTime::lifetimeId)
                 .containsExactly("fast/");
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/spend/SpendLedgerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/spend/SpendLedgerTest.java
@@ -41,7 +41,7 @@
         ledger.merge(newer);
         ledger.merge(ledger.snapshot());
         ledger.merge(new SpendSnapshot("2026-11", "entry-3", Map.of("a", new Spend(9, 90))));
-        assertThat(ledger.spent("a")).isEqualTo(new Spend(6, 60));
+        assertThat(ledger.spendOf("a")).isEqualTo(new Spend(6, 60));
     }
 
     /** Guards against spend that is lost when an entry restarts, or added twice when its snapshot is read again. */
@@ -53,7 +53,7 @@
         assertThat(ledger.restore(stored)).isFalse();
         assertThat(ledger.snapshot().byWorkspace()).containsEntry("a", new Spend(6, 60));
         ledger.startPeriod(new SpendPeriod("2027-01", 1_000, 2_000));
-        assertThat(ledger.spent("a")).isEqualTo(Spend.NONE);
+        assertThat(ledger.spendOf("a")).isEqualTo(Spend.ZERO);
     }
 
     /** Guards against a weight that puts a workspace before a higher tier or has no effect within its own tier. */
--- a/core/src/test/java/dev/wigeonward/core/stream/EventBoundariesTest.java
+++ b/core/src/test/java/dev/wigeonward/core/stream/EventBoundariesTest.java
@@ -17,7 +17,7 @@
     /** Guards against boundaries that depend on how the network splits the bytes. */
     @Property
     void boundariesDoNotDependOnSplits(@ForAll @IntRange(min = 1, max = 20) int size) {
-        EventBoundaries boundaries = EventBoundaries.create();
+        EventBoundaryScanner boundaries = EventBoundaryScanner.create();
         int complete = 0;
         for (int from = 0; from < STREAM.length; from += size) {
             byte[] part = Arrays.copyOfRange(STREAM, from, Math.min(STREAM.length, from + size));
@@ -26,24 +26,24 @@
         }
 
         assertThat(complete).isEqualTo(STREAM.length);
-        assertThat(boundaries.events()).isEqualTo(4);
-        assertThat(boundaries.lastId()).contains("3");
-        assertThat(boundaries.insideEvent()).isFalse();
+        assertThat(boundaries.eventCount()).isEqualTo(4);
+        assertThat(boundaries.lastEventId()).contains("3");
+        assertThat(boundaries.hasIncompleteEvent()).isFalse();
     }
 
     /** Guards against a stream that is resumed after an event of which only the first part, with its id, arrived. */
     @Example
     void incompleteEventDoesNotCount() {
-        EventBoundaries boundaries = EventBoundaries.create();
+        EventBoundaryScanner boundaries = EventBoundaryScanner.create();
         byte[] bytes = "id: 1\ndata: a\n\nid: 2\ndata: b".getBytes(StandardCharsets.UTF_8);
 
         assertThat(boundaries.scan(bytes, bytes.length)).isEqualTo(15);
-        assertThat(boundaries.lastId()).contains("1");
-        assertThat(boundaries.insideEvent()).isTrue();
+        assertThat(boundaries.lastEventId()).contains("1");
+        assertThat(boundaries.hasIncompleteEvent()).isTrue();
 
-        boundaries.dropOpenEvent();
+        boundaries.discardIncompleteEvent();
         byte[] rest = "id: 2\ndata: b\n\n".getBytes(StandardCharsets.UTF_8);
         assertThat(boundaries.scan(rest, rest.length)).isEqualTo(rest.length);
-        assertThat(boundaries.lastId()).contains("2");
+        assertThat(boundaries.lastEventId()).contains("2");
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import dev.wigeonward.core.dispatch.SuspectGate;
+import dev.wigeonward.core.dispatch.SuspectPolicy;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.core.request.Tier;
@@ -14,7 +14,7 @@
 
 class SuspectTableTest {
     private static final long FINGERPRINT = 5;
-    private static final long EXPIRY_MILLIS = SuspectTable.SUSPECT_MILLIS;
+    private static final long EXPIRY_MILLIS = SuspectTable.FACT_LIFETIME_MILLIS;
 
     private final SuspectTable table = SuspectTable.create();
 
@@ -24,13 +24,13 @@
      */
     @Test
     void oneDeathAllowsOneRunAtATime() {
-        table.onDispatched(FINGERPRINT);
-        table.onDispatched(FINGERPRINT);
+        table.recordDispatch(FINGERPRINT);
+        table.recordDispatch(FINGERPRINT);
         table.onUpstreamDied(FINGERPRINT, "u1", 0);
-        table.onEnded(FINGERPRINT);
-        assertThat(table.suspicion(FINGERPRINT, 1)).isEqualTo(Suspicion.ONE_AT_A_TIME);
+        table.recordEnd(FINGERPRINT);
+        assertThat(table.suspicion(FINGERPRINT, 1)).isEqualTo(SuspectRestriction.ONE_AT_A_TIME);
         assertThat(table.mayDispatch(FINGERPRINT, 1)).isFalse();
-        table.onEnded(FINGERPRINT);
+        table.recordEnd(FINGERPRINT);
         assertThat(table.mayDispatch(FINGERPRINT, 1)).isTrue();
     }
 
@@ -40,8 +40,8 @@
         table.onUpstreamDied(FINGERPRINT, "u1", 0);
         table.onUpstreamDied(FINGERPRINT, "u2", 1_000);
         table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")), 500_000);
-        assertThat(table.suspicion(FINGERPRINT, 1_000 + EXPIRY_MILLIS - 1)).isEqualTo(Suspicion.REFUSED);
-        assertThat(table.suspicion(FINGERPRINT, 1_000 + EXPIRY_MILLIS)).isEqualTo(Suspicion.NONE);
+        assertThat(table.suspicion(FINGERPRINT, 1_000 + EXPIRY_MILLIS - 1)).isEqualTo(SuspectRestriction.REFUSED);
+        assertThat(table.suspicion(FINGERPRINT, 1_000 + EXPIRY_MILLIS)).isEqualTo(SuspectRestriction.NONE);
     }
 
     /** Guards against two peers that renew an expired fact forever by sending it to each other. */
@@ -49,9 +49,9 @@
     void expiredFactsAreNotRenewedByAPeer() {
         SuspectFact fact = new SuspectFact(FINGERPRINT, Set.of("u1", "u2"));
         table.merge(fact, 0);
-        assertThat(table.facts(EXPIRY_MILLIS)).isEmpty();
+        assertThat(table.activeFacts(EXPIRY_MILLIS)).isEmpty();
         assertThat(table.merge(fact, EXPIRY_MILLIS + 5_000)).isEmpty();
-        assertThat(table.suspicion(FINGERPRINT, EXPIRY_MILLIS + 5_000)).isEqualTo(Suspicion.NONE);
+        assertThat(table.suspicion(FINGERPRINT, EXPIRY_MILLIS + 5_000)).isEqualTo(SuspectRestriction.NONE);
         assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u3")), EXPIRY_MILLIS + 6_000))
                 .contains(new SuspectFact(FINGERPRINT, Set.of("u3")));
     }
@@ -65,8 +65,8 @@
         small.onUpstreamDied(1, "u2", 2);
         small.onUpstreamDied(3, "u1", 3);
         assertThat(small.size()).isEqualTo(2);
-        assertThat(small.suspicion(1, 4)).isEqualTo(Suspicion.REFUSED);
-        assertThat(small.suspicion(2, 4)).isEqualTo(Suspicion.NONE);
+        assertThat(small.suspicion(1, 4)).isEqualTo(SuspectRestriction.REFUSED);
+        assertThat(small.suspicion(2, 4)).isEqualTo(SuspectRestriction.NONE);
     }
 
     /** Guards against facts that circulate forever between peers because they are forwarded without being new. */
@@ -81,7 +81,7 @@
     /** Guards against a gate that confuses waiting with refusal. */
     @Test
     void gateDecidesByTheTable() {
-        SuspectGate gate = SuspectTableGate.over(table);
+        SuspectPolicy gate = SuspectTablePolicy.of(table);
         RequestSpec request = new RequestSpec(
                 RequestId.of("e", 1, 1),
                 Optional.empty(),
@@ -93,13 +93,13 @@
                 1_000,
                 true,
                 FINGERPRINT);
-        gate.onDispatched(request, 0);
-        assertThat(gate.rule(request, 0)).isEqualTo(SuspectGate.Ruling.PASS);
+        gate.recordDispatch(request, 0);
+        assertThat(gate.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.PASS);
         table.onUpstreamDied(FINGERPRINT, "u1", 0);
-        assertThat(gate.rule(request, 0)).isEqualTo(SuspectGate.Ruling.WAIT);
-        gate.onEnded(request, 0);
-        assertThat(gate.rule(request, 0)).isEqualTo(SuspectGate.Ruling.PASS);
+        assertThat(gate.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.WAIT);
+        gate.recordEnd(request, 0);
+        assertThat(gate.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.PASS);
         table.onUpstreamDied(FINGERPRINT, "u2", 0);
-        assertThat(gate.rule(request, 0)).isEqualTo(SuspectGate.Ruling.REFUSE);
+        assertThat(gate.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.REFUSE);
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
@@ -17,11 +17,11 @@
 
 import dev.wigeonward.common.clock.MonotonicClock;
 import dev.wigeonward.common.http.AdminServer;
-import dev.wigeonward.common.ring.DaemonThreads;
+import dev.wigeonward.common.ring.DaemonSchedulers;
 import dev.wigeonward.common.vms.HttpVmList;
 import dev.wigeonward.common.vms.VmList;
 import dev.wigeonward.common.vms.VmSnapshot;
-import dev.wigeonward.core.admission.WorkspaceRates;
+import dev.wigeonward.core.admission.WorkspaceRateLimiter;
 import dev.wigeonward.core.dispatch.DispatchLimits;
 import dev.wigeonward.core.dispatch.EntryDispatcher;
 import dev.wigeonward.core.placement.PrefixIndex;
@@ -35,14 +35,14 @@
 import dev.wigeonward.entry.caller.ConnectionLimit;
 import dev.wigeonward.entry.caller.RulesClassifier;
 import dev.wigeonward.entry.control.ControlPlane;
-import dev.wigeonward.entry.control.ControlPorts;
-import dev.wigeonward.entry.control.SpendDuty;
+import dev.wigeonward.entry.control.ControlPlaneDependencies;
+import dev.wigeonward.entry.control.SpendTracker;
 import dev.wigeonward.entry.runtime.EntryMetrics;
-import dev.wigeonward.entry.runtime.EntryParts;
 import dev.wigeonward.entry.runtime.EntryRuntime;
+import dev.wigeonward.entry.runtime.EntryRuntimeComponents;
 import dev.wigeonward.entry.store.StoreAdapters;
-import dev.wigeonward.entry.store.StoreSpend;
-import dev.wigeonward.exchange.RulesInForce;
+import dev.wigeonward.entry.store.StoredSpendTotals;
+import dev.wigeonward.exchange.CurrentRules;
 import dev.wigeonward.wire.LinkSettings;
 import dev.wigeonward.wire.generated.Hello;
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -68,8 +68,8 @@
         this.settings = settings;
         this.metrics = new EntryMetrics();
         this.store = new StoreAdapters(settings.store(), settings.id(), clock, metrics.registry());
-        RulesInForce rules = new RulesInForce();
-        SpendDuty spend = new SpendDuty(settings.id(), rules, new StoreSpend(store.store()), clock);
+        CurrentRules rules = new CurrentRules();
+        SpendTracker spend = new SpendTracker(settings.id(), rules, new StoredSpendTotals(store.store()), clock);
         PrefixIndex prefixes = PrefixIndex.create();
         SuspectTable suspects = SuspectTable.create();
         StageView stages = new StageView();
@@ -81,7 +81,7 @@
                 .setIncarnation(incarnation)
                 .setFailureDomain(settings.failureDomain())
                 .build();
-        EntryParts parts = new EntryParts(
+        EntryRuntimeComponents parts = new EntryRuntimeComponents(
                 dispatcher,
                 store.claims(),
                 clock,
@@ -92,19 +92,19 @@
                 hello,
                 Optional.empty());
         this.runtime = EntryRuntime.start(parts, self -> {
-            ControlPorts ports = new ControlPorts(
+            ControlPlaneDependencies ports = new ControlPlaneDependencies(
                     settings.id(),
                     clock,
                     store.moves(),
                     store.lease()::fencingNumber,
                     store.lease()::setCandidate,
-                    store.headWatch(self::onStoreRead),
+                    store.revisionWatch(self::onHeadRead),
                     spend,
                     TimeUnit.SECONDS.toMillis(settings.drainLimitSeconds()));
-            return new ControlPlane(ports, self, rules, suspects, stages, random, self::runLater);
+            return new ControlPlane(ports, self, rules, suspects, stages, random, self::execute);
         });
-        this.vmThread = DaemonThreads.scheduler("vm-list");
-        WorkspaceRates rates = new WorkspaceRates();
+        this.vmThread = DaemonSchedulers.newSingleThreadScheduler("vm-list");
+        WorkspaceRateLimiter rates = new WorkspaceRateLimiter();
         this.vms = HttpVmList.start(settings.vmList(), vmThread, new SplittableRandom());
         vms.subscribe(runtime::onVmsListed);
         vms.subscribe(list -> rates.setEntries(countEntries(list)));
@@ -125,13 +125,13 @@
     }
 
     private HttpServerContext startCallerServer(
-            RulesInForce rules, WorkspaceRates rates, MonotonicClock clock, long incarnation) throws Exception {
+            CurrentRules rules, WorkspaceRateLimiter rates, MonotonicClock clock, long incarnation) throws Exception {
         AtomicLong sequence = new AtomicLong();
         CallerService service = new CallerService(
-                new RulesClassifier(rules::get, rates),
+                new RulesClassifier(rules::current, rates),
                 runtime,
-                () -> models(rules.get()),
-                () -> limits(rules.get()),
+                () -> models(rules.current()),
+                () -> limits(rules.current()),
                 () -> RequestId.of(settings.id(), incarnation, sequence.incrementAndGet()),
                 clock);
         return HttpServers.forAddress(settings.callersAddress())
@@ -191,7 +191,7 @@
      * the others up to the drain limit, and closes all adapters.
      */
     public void drainAndClose() {
-        runtime.announceShutdown();
+        runtime.failHealthCheck();
         try {
             TimeUnit.SECONDS.sleep(settings.drainNoticeSeconds());
             runtime.drain().toCompletableFuture().get(settings.drainLimitSeconds(), TimeUnit.SECONDS);
--- a/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntrySettings.java
@@ -30,20 +30,20 @@
             SettingKey.address("entry", "callers_address", "address for callers' HTTP requests");
     private static final SettingKey<InetSocketAddress> ADMIN_ADDRESS =
             SettingKey.address("entry", "admin_address", "address of the admin pages");
-    private static final SettingKey<Long> MAX_CONNECTIONS = SettingKey.whole(
+    private static final SettingKey<Long> MAX_CONNECTIONS = SettingKey.wholeNumber(
                     "entry", "max_connections_count", 1, 1_000_000, "callers' connections; more are refused")
             .withDefault(10_000L);
-    private static final SettingKey<Long> DRAIN_NOTICE = SettingKey.whole(
+    private static final SettingKey<Long> DRAIN_NOTICE = SettingKey.wholeNumber(
                     "entry",
                     "drain_notice_seconds",
                     0,
                     600,
                     "time for which the health page fails before requests are refused, for the load balancer to see it")
             .withDefault(2L);
-    private static final SettingKey<Long> DRAIN_LIMIT = SettingKey.whole(
+    private static final SettingKey<Long> DRAIN_LIMIT = SettingKey.wholeNumber(
                     "entry", "drain_limit_seconds", 0, 86_400, "longest wait for requests at a graceful shutdown")
             .withDefault(1_800L);
-    private static final SettingKey<Long> SEED_COUNT = SettingKey.whole(
+    private static final SettingKey<Long> SEED_COUNT = SettingKey.wholeNumber(
                     "entry", "seed_count", 0, Long.MAX_VALUE, "seed of random choices; 0 takes one from the clock")
             .withDefault(0L);
 
@@ -58,8 +58,8 @@
                 DRAIN_NOTICE,
                 DRAIN_LIMIT,
                 SEED_COUNT));
-        keys.addAll(StoreOptions.mandatoryKeys());
-        keys.addAll(VmListOptions.mandatoryKeys());
+        keys.addAll(StoreOptions.keysWithRequiredAddress());
+        keys.addAll(VmListOptions.keysWithRequiredAddress());
         return SettingsDeclaration.of(
                 Map.of(
                         "entry",
--- a/entry/src/main/java/dev/wigeonward/entry/Main.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Main.java
@@ -42,7 +42,7 @@
         return switch (command) {
             case "serve", "check-settings" -> ServeCommand.run(command, rest, out, err);
             case "example-settings" -> {
-                out.print(EntrySettings.declaration().documentedExample());
+                out.print(EntrySettings.declaration().exampleFile());
                 yield CommandLines.EXIT_OK;
             }
             case "status" -> StatusCommand.run(rest, out, err);
--- a/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
+++ b/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
@@ -6,7 +6,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.common.clock.MonotonicClock;
-import dev.wigeonward.common.ring.DaemonThreads;
+import dev.wigeonward.common.ring.DaemonSchedulers;
 import dev.wigeonward.common.store.EtcdRevisionStore;
 import dev.wigeonward.common.store.EtcdStore;
 import dev.wigeonward.common.store.StoreOptions;
@@ -22,7 +22,7 @@
     private OperatorStore() {}
 
     static RevisionStore connect(String host, int port) {
-        ScheduledExecutorService thread = DaemonThreads.scheduler("store");
+        ScheduledExecutorService thread = DaemonSchedulers.newSingleThreadScheduler("store");
         StoreOptions options = new StoreOptions(
                 new InetSocketAddress(host, port),
                 CALL_TIMEOUT_MILLIS,
--- a/entry/src/main/java/dev/wigeonward/entry/Policies.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Policies.java
@@ -16,8 +16,8 @@
 import dev.wigeonward.core.rollout.VersionSelector;
 import dev.wigeonward.core.rules.Rule;
 import dev.wigeonward.core.suspect.SuspectTable;
-import dev.wigeonward.core.suspect.SuspectTableGate;
-import dev.wigeonward.exchange.RulesInForce;
+import dev.wigeonward.core.suspect.SuspectTablePolicy;
+import dev.wigeonward.exchange.CurrentRules;
 
 /** Creates the dispatch policies of the entry process. */
 final class Policies {
@@ -28,7 +28,7 @@
 
     static DispatchPolicies of(
             String failureDomain,
-            RulesInForce rules,
+            CurrentRules rules,
             WorkspaceWeights weights,
             PrefixIndex prefixes,
             SuspectTable suspects,
@@ -36,20 +36,20 @@
             RandomGenerator random,
             Clock clock) {
         EarliestCompletion placement =
-                EarliestCompletion.of(random, prefixes, DomainLatency.uniform(failureDomain, REMOTE_DOMAIN_MILLIS));
+                EarliestCompletion.create(random, prefixes, DomainLatency.uniform(failureDomain, REMOTE_DOMAIN_MILLIS));
         VersionSelector versions = new VersionSelector(stages, new ShareLimiter());
         return new DispatchPolicies(
                 () -> FairShareAdmissionQueue.create(queueCapacity(rules), weights),
                 placement,
-                KeyAffinity.or(placement),
+                KeyAffinity.withFallback(placement),
                 versions::select,
-                RetryBudget.startingAt(clock.millis()),
-                SuspectTableGate.over(suspects));
+                RetryBudget.create(clock.millis()),
+                SuspectTablePolicy.of(suspects));
     }
 
-    private static int queueCapacity(RulesInForce rules) {
+    private static int queueCapacity(CurrentRules rules) {
         long length =
-                rules.get().map(set -> set.limit(Rule.LimitName.QUEUE)).orElse(Rule.LimitName.QUEUE.defaultValue());
+                rules.current().map(set -> set.limit(Rule.LimitName.QUEUE)).orElse(Rule.LimitName.QUEUE.defaultValue());
         return Math.toIntExact(length);
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/ServeCommand.java
@@ -66,7 +66,7 @@
 
     private SettingsResult readSettings(PrintStream err) {
         try {
-            return EntrySettings.declaration().read(settingsFile);
+            return EntrySettings.declaration().readFile(settingsFile);
         } catch (IOException e) {
             err.println("cannot read settings file " + settingsFile + ": " + e.getMessage());
             return null;
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerSession.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerResponse.java
@@ -22,7 +22,7 @@
  * of the answer determines the status. A later failure ends an event stream with an error event and breaks off any
  * other answer, so that the caller cannot mistake a partial answer for a complete one.
  */
-public final class CallerSession {
+public final class CallerResponse {
     /** Maximum number of parts that are buffered for a slow reader before the answer fails. */
     private static final int MAX_WAITING_PARTS = 4_096;
 
@@ -36,7 +36,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private ResponseStart responseStart;
 
-    CallerSession(CallerRequest http, RequestSpec request, BufferAllocator allocator) {
+    CallerResponse(CallerRequest http, RequestSpec request, BufferAllocator allocator) {
         this.http = http;
         this.request = request;
         this.allocator = allocator;
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -45,16 +45,16 @@
     private static final int MAX_START_LINE_BYTES = 8_192;
 
     private final RequestClassifier classifier;
-    private final RequestSink sink;
-    private final ModelsPage models;
+    private final RequestHandler sink;
+    private final ModelList models;
     private final Supplier<CallerLimits> limits;
     private final Supplier<RequestId> ids;
     private final Clock clock;
 
     public CallerService(
             RequestClassifier classifier,
-            RequestSink sink,
-            ModelsPage models,
+            RequestHandler sink,
+            ModelList models,
             Supplier<CallerLimits> limits,
             Supplier<RequestId> ids,
             Clock clock) {
@@ -88,7 +88,7 @@
                 .toCompletableFuture()
                 .orTimeout(BODY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         return Single.fromStage(collected)
-                .flatMap(body -> body.exceeded()
+                .flatMap(body -> body.isLimitExceeded()
                         ? Single.succeeded(error(
                                 context,
                                 responses,
@@ -149,7 +149,7 @@
         if (result instanceof RequestClassifier.Result.Refused refused) {
             return Single.succeeded(error(context, responses, refused.failure()));
         }
-        CallerSession session = new CallerSession(
+        CallerResponse session = new CallerResponse(
                 http,
                 ((RequestClassifier.Result.Classified) result).request(),
                 context.executionContext().bufferAllocator());
@@ -161,9 +161,9 @@
                 .map(start -> {
                     StreamingHttpResponse response = responses.newResponse(HttpResponseStatus.of(start.status(), ""));
                     start.headers().forEach(header -> response.addHeader(header.getKey(), header.getValue()));
-                    return response.payloadBody(start.body().beforeCancel(() -> sink.callerGone(session)));
+                    return response.payloadBody(start.body().beforeCancel(() -> sink.onCallerDisconnected(session)));
                 })
-                .beforeCancel(() -> sink.callerGone(session));
+                .beforeCancel(() -> sink.onCallerDisconnected(session));
     }
 
     private Single<StreamingHttpResponse> drainAndFail(
@@ -176,7 +176,7 @@
 
     private StreamingHttpResponse error(
             HttpServiceContext context, StreamingHttpResponseFactory responses, Failure failure) {
-        sink.refused(failure);
+        sink.onRefused(failure);
         HttpResponseStatus status = HttpResponseStatus.of(failure.kind().httpStatus(), "");
         return json(context, responses, status, ErrorBody.of(failure));
     }
--- a/entry/src/main/java/dev/wigeonward/entry/caller/RequestSink.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/RequestHandler.java
@@ -3,13 +3,13 @@
 import dev.wigeonward.core.error.Failure;
 
 /** Receives the requests of callers for scheduling. */
-public interface RequestSink {
+public interface RequestHandler {
     /** Submits a request for admission. Returns false if the queue is full; the request has then not run. */
-    boolean submit(CallerSession session);
+    boolean submit(CallerResponse session);
 
     /** Reports that the caller no longer waits for the answer. */
-    void callerGone(CallerSession session);
+    void onCallerDisconnected(CallerResponse session);
 
     /** Counts a request that was refused before admission. */
-    void refused(Failure failure);
+    void onRefused(Failure failure);
 }
--- a/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
@@ -7,7 +7,7 @@
 
 import com.google.common.hash.Hashing;
 import com.google.common.primitives.Longs;
-import dev.wigeonward.core.admission.WorkspaceRates;
+import dev.wigeonward.core.admission.WorkspaceRateLimiter;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
@@ -25,10 +25,10 @@
     private static final WorkEstimate NO_TOKENS = new WorkEstimate(0, 0, 0);
 
     private final Supplier<Optional<RuleSet>> rulesInForce;
-    private final WorkspaceRates rates;
+    private final WorkspaceRateLimiter rates;
 
     /** Creates a classifier that fetches the rules in force for each request. */
-    public RulesClassifier(Supplier<Optional<RuleSet>> rulesInForce, WorkspaceRates rates) {
+    public RulesClassifier(Supplier<Optional<RuleSet>> rulesInForce, WorkspaceRateLimiter rates) {
         this.rulesInForce = rulesInForce;
         this.rates = rates;
     }
@@ -111,7 +111,7 @@
         if (limitMillis.isEmpty()) {
             return refused(ErrorKind.MALFORMED_REQUEST, "x-deadline-ms must be a positive integer");
         }
-        boolean idempotent = rules.idempotent(resolution.target(), path, request.method());
+        boolean idempotent = rules.isIdempotent(resolution.target(), path, request.method());
         Optional<String> key = request.header("idempotency-key").map(RulesClassifier::unquote);
         if (key.isEmpty() && !idempotent) {
             return refused(
@@ -162,7 +162,7 @@
         }
         return Tier.fromName(wanted.get())
                 .map(tier -> tier.isAbove(allowed.get()) ? allowed.get() : tier)
-                .flatMap(workspace::highestTierUpTo);
+                .flatMap(workspace::highestAllowedTier);
     }
 
     private static Optional<Long> timeLimitMillis(CallerRequest request, Rule.Kind kind) {
--- a/entry/src/main/java/dev/wigeonward/entry/command/CommandReport.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/CommandReport.java
@@ -46,7 +46,7 @@
                     .put("file", problem.file())
                     .put("line", problem.line())
                     .put("column", problem.column())
-                    .put("wrong", problem.wrong())
+                    .put("wrong", problem.description())
                     .put("expected", problem.expected());
             report.lines.add(problem.toString());
         }
--- a/entry/src/main/java/dev/wigeonward/entry/command/RollbackCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/RollbackCommand.java
@@ -36,7 +36,7 @@
         }
         String text = target.get().revision().text();
         String name = "revision-" + options.to;
-        if (!target.get().revision().verifies()) {
+        if (!target.get().revision().hashMatchesText()) {
             return CommandReport.of(
                     ExitCode.FAILED, "failed", name + " does not match its stored hash; nothing was changed");
         }
--- a/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
@@ -51,7 +51,7 @@
                 pages.put(page.content().path("id").asText(address), page.content());
             } else {
                 complete = false;
-                err.println(((AdminClient.Result.Unreadable) result).reason());
+                err.println(((AdminClient.Result.Failed) result).reason());
             }
         }
         if (json) {
--- a/entry/src/main/java/dev/wigeonward/entry/command/ThreeWayCheck.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/ThreeWayCheck.java
@@ -50,7 +50,7 @@
                 .rules(
                         "overlap",
                         "changed by both:",
-                        mine.overlap(theirs).stream().sorted().toList())
+                        mine.commonIdentities(theirs).stream().sorted().toList())
                 .line("merge the others' changes into your file, then apply it with --base " + headNumber);
     }
 
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -8,7 +8,7 @@
 import java.util.random.RandomGenerator;
 
 import dev.wigeonward.common.vms.VmSnapshot;
-import dev.wigeonward.core.membership.MembershipCore;
+import dev.wigeonward.core.membership.UpstreamMembership;
 import dev.wigeonward.core.placement.UpstreamDescription;
 import dev.wigeonward.core.revision.Revision;
 import dev.wigeonward.core.revision.RevisionLog;
@@ -16,15 +16,15 @@
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.core.rollout.BadVerdict;
 import dev.wigeonward.core.rollout.ControllerStages;
-import dev.wigeonward.core.rollout.JudgeSettings;
-import dev.wigeonward.core.rollout.MoveController;
-import dev.wigeonward.core.rollout.MoveSettings;
+import dev.wigeonward.core.rollout.EvaluationSettings;
+import dev.wigeonward.core.rollout.RolloutController;
+import dev.wigeonward.core.rollout.RolloutSettings;
 import dev.wigeonward.core.rollout.StageView;
 import dev.wigeonward.core.suspect.SuspectTable;
-import dev.wigeonward.exchange.FactExchange;
+import dev.wigeonward.exchange.CurrentRules;
 import dev.wigeonward.exchange.FactListener;
-import dev.wigeonward.exchange.RevisionExchange;
-import dev.wigeonward.exchange.RulesInForce;
+import dev.wigeonward.exchange.FactSync;
+import dev.wigeonward.exchange.RevisionSync;
 import dev.wigeonward.wire.generated.Frame;
 import dev.wigeonward.wire.generated.Heartbeat;
 
@@ -35,35 +35,35 @@
 public final class ControlPlane {
     private static final Logger LOG = System.getLogger(ControlPlane.class.getName());
 
-    private final RulesInForce rules;
+    private final CurrentRules rules;
     private final MembershipHandler membership;
-    private final RevisionExchange revisions;
-    private final FactExchange facts;
-    private final MoveControllerRunner moves;
+    private final RevisionSync revisions;
+    private final FactSync facts;
+    private final RolloutControllerRunner moves;
     private final StoreReaderRole reader;
-    private final SpendDuty spend;
+    private final SpendTracker spend;
     private final long drainLimitMillis;
     private final Consumer<Boolean> controllerCandidate;
     private final Map<String, UpstreamDescription> upstreams = new HashMap<>();
 
     /** Creates a control plane without peers and without a revision. */
     public ControlPlane(
-            ControlPorts ports,
-            LinkPort links,
-            RulesInForce rules,
+            ControlPlaneDependencies ports,
+            ControlPlaneLinks links,
+            CurrentRules rules,
             SuspectTable suspects,
             StageView stages,
             RandomGenerator random,
             Consumer<Runnable> decisionThread) {
         this.rules = rules;
-        this.membership = new MembershipHandler(MembershipCore.create(ports.entryId(), random), links);
+        this.membership = new MembershipHandler(UpstreamMembership.create(ports.entryId(), random), links);
         RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
-        this.revisions = new RevisionExchange(log, RevisionRelay.create(log, random), links, this::onRevisionAdopted);
-        this.facts = new FactExchange(suspects, stages, links, new ControlFactListener());
-        this.moves = new MoveControllerRunner(
-                new MoveController(MoveSettings.standard(), JudgeSettings.standard()),
+        this.revisions = new RevisionSync(log, RevisionRelay.create(log, random), links, this::onRevisionAdopted);
+        this.facts = new FactSync(suspects, stages, links, new ControlFactListener());
+        this.moves = new RolloutControllerRunner(
+                new RolloutController(RolloutSettings.standard(), EvaluationSettings.standard()),
                 ports.moveStore(),
-                ports.lease(),
+                ports.leaseFencingNumber(),
                 facts,
                 links,
                 decisionThread,
@@ -71,7 +71,7 @@
         this.reader = new StoreReaderRole(ports.entryId(), ports.headWatch());
         this.spend = ports.spend();
         this.drainLimitMillis = ports.drainLimitMillis();
-        this.controllerCandidate = ports.controllerCandidate();
+        this.controllerCandidate = ports.setControllerCandidate();
     }
 
     /** Starts watching the store and becomes a candidate for the controller lease. Call on the decision thread. */
@@ -88,8 +88,8 @@
     }
 
     /** Passes the result of a read of the newest stored revision to the revision exchange. */
-    public void onStoreRead(RevisionStore.HeadResult result, long nowMillis) {
-        revisions.onStoreRead(result, nowMillis);
+    public void onHeadRead(RevisionStore.HeadResult result, long nowMillis) {
+        revisions.onHeadRead(result, nowMillis);
     }
 
     /** Registers an upstream whose agent is now connected. */
@@ -140,15 +140,15 @@
     public Frame heartbeat() {
         Heartbeat.Builder heartbeat =
                 Heartbeat.newBuilder().setFencingNumber(moves.fencingNumber()).setWantsEvidence(moves.holdsLease());
-        revisions.describe(heartbeat);
+        revisions.addTo(heartbeat);
         return Frame.newBuilder().setHeartbeat(heartbeat).build();
     }
 
     /** Returns the state of the control plane for the admin pages. */
     public Map<String, Object> status() {
         return Map.of(
-                "revision", revisions.number(),
-                "revision_by_agent", revisions.numberByPeer(),
+                "revision", revisions.currentNumber(),
+                "revision_by_agent", revisions.reportedNumbers(),
                 "reads_store", reader.isReader(),
                 "controller_fencing_number", moves.fencingNumber(),
                 "spend", spend.report(),
@@ -157,13 +157,13 @@
     }
 
     /** Returns whether a rules revision is in force, without which the entry refuses requests. */
-    public boolean ready() {
-        return rules.get().isPresent();
+    public boolean hasRules() {
+        return rules.current().isPresent();
     }
 
     private void onRevisionAdopted(Revision revision) {
         rules.adopt(revision);
-        rules.get().ifPresent(set -> {
+        rules.current().ifPresent(set -> {
             if (set.longestDeadlineMillis() >= drainLimitMillis) {
                 LOG.log(
                         Level.WARNING,
@@ -180,7 +180,7 @@
     /** Passes learned facts to the part that uses them. */
     private final class ControlFactListener implements FactListener {
         @Override
-        public void onVerdict(BadVerdict verdict) {
+        public void onBadVerdict(BadVerdict verdict) {
             moves.onVerdict(verdict);
         }
 
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPorts.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlaneDependencies.java
@@ -10,27 +10,28 @@
  * The adapters and settings that the control plane depends on.
  *
  * @param moveStore stored records of version moves
- * @param lease returns the fencing number of the controller lease, or empty unless the lease is certainly held
- * @param controllerCandidate sets whether this entry tries to acquire the controller lease
+ * @param leaseFencingNumber returns the fencing number of the controller lease, or empty unless the lease is certainly
+ *     held
+ * @param setControllerCandidate sets whether this entry tries to acquire the controller lease
  * @param headWatch watch on the newest stored revision
  * @param spend counter of the spend of workspaces
  * @param drainLimitMillis maximum time to wait for running requests at a graceful shutdown
  */
-public record ControlPorts(
+public record ControlPlaneDependencies(
         String entryId,
         Clock clock,
-        MoveStore moveStore,
-        Supplier<OptionalLong> lease,
-        Consumer<Boolean> controllerCandidate,
-        HeadWatch headWatch,
-        SpendDuty spend,
+        RolloutRecordStore moveStore,
+        Supplier<OptionalLong> leaseFencingNumber,
+        Consumer<Boolean> setControllerCandidate,
+        RevisionWatch headWatch,
+        SpendTracker spend,
         long drainLimitMillis) {
-    public ControlPorts {
+    public ControlPlaneDependencies {
         Objects.requireNonNull(entryId, "entryId");
         Objects.requireNonNull(clock, "clock");
         Objects.requireNonNull(moveStore, "moveStore");
-        Objects.requireNonNull(lease, "lease");
-        Objects.requireNonNull(controllerCandidate, "controllerCandidate");
+        Objects.requireNonNull(leaseFencingNumber, "lease");
+        Objects.requireNonNull(setControllerCandidate, "controllerCandidate");
         Objects.requireNonNull(headWatch, "headWatch");
         Objects.requireNonNull(spend, "spend");
     }
--- a/entry/src/main/java/dev/wigeonward/entry/control/LinkPort.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlaneLinks.java
@@ -4,7 +4,7 @@
 import dev.wigeonward.exchange.FrameSender;
 
 /** Operations of the runtime that the control plane uses; a peer is identified by its upstream id. */
-public interface LinkPort extends FrameSender {
+public interface ControlPlaneLinks extends FrameSender {
     /** Opens a link to the agent of an upstream. */
     void connect(String upstreamId, String address);
 
--- a/entry/src/main/java/dev/wigeonward/entry/control/MembershipHandler.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/MembershipHandler.java
@@ -10,9 +10,9 @@
 import dev.wigeonward.common.vms.VmSnapshot;
 import dev.wigeonward.core.dispatch.EntryEvent;
 import dev.wigeonward.core.membership.ListedVm;
-import dev.wigeonward.core.membership.MembershipCore;
 import dev.wigeonward.core.membership.MembershipEffect;
 import dev.wigeonward.core.membership.MembershipEvent;
+import dev.wigeonward.core.membership.UpstreamMembership;
 import dev.wigeonward.core.placement.UpstreamDescription;
 
 /** Keeps links to the agents of the entry's subset and stops new requests to agents that leave or are suspect. */
@@ -20,11 +20,11 @@
     private static final Logger LOG = System.getLogger(MembershipHandler.class.getName());
     private static final String ENTRY_ROLE = "entry";
 
-    private final MembershipCore membership;
-    private final LinkPort links;
+    private final UpstreamMembership membership;
+    private final ControlPlaneLinks links;
     private final Map<String, Long> incarnations = new TreeMap<>();
 
-    MembershipHandler(MembershipCore membership, LinkPort links) {
+    MembershipHandler(UpstreamMembership membership, ControlPlaneLinks links) {
         this.membership = membership;
         this.links = links;
     }
@@ -79,12 +79,12 @@
     }
 
     private void apply(MembershipEffect effect) {
-        if (effect instanceof MembershipEffect.LinkTo link) {
+        if (effect instanceof MembershipEffect.OpenLink link) {
             links.connect(link.upstreamId(), link.address());
-        } else if (effect instanceof MembershipEffect.UnlinkFrom unlink) {
+        } else if (effect instanceof MembershipEffect.CloseLink unlink) {
             links.dispatch(new EntryEvent.UpstreamLeaving(unlink.upstreamId()));
             links.disconnectWhenIdle(unlink.upstreamId());
-        } else if (effect instanceof MembershipEffect.StopNewWork stop) {
+        } else if (effect instanceof MembershipEffect.StopDispatch stop) {
             LOG.log(
                     Level.WARNING,
                     "no new requests go to upstream {0}: its state is {1}",
@@ -96,7 +96,7 @@
         }
     }
 
-    private void stopNewWork(MembershipEffect.StopNewWork stop) {
+    private void stopNewWork(MembershipEffect.StopDispatch stop) {
         switch (stop.state()) {
             case SUSPECT -> links.disconnect(stop.upstreamId());
             // The dispatcher received the new incarnation when the link came up.
--- a/entry/src/main/java/dev/wigeonward/entry/control/MoveControllerRunner.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/RolloutControllerRunner.java
@@ -16,21 +16,21 @@
 import dev.wigeonward.core.rollout.BadVerdict;
 import dev.wigeonward.core.rollout.ControllerEffect;
 import dev.wigeonward.core.rollout.ControllerEvent;
-import dev.wigeonward.core.rollout.MoveController;
-import dev.wigeonward.core.rollout.MoveReport;
-import dev.wigeonward.core.rollout.MoveRule;
+import dev.wigeonward.core.rollout.RolloutController;
+import dev.wigeonward.core.rollout.RolloutReport;
+import dev.wigeonward.core.rollout.RolloutRule;
 import dev.wigeonward.core.rollout.UpstreamVersions;
 import dev.wigeonward.core.rules.Rule;
 import dev.wigeonward.core.rules.RuleSet;
-import dev.wigeonward.exchange.EvidenceFrames;
-import dev.wigeonward.exchange.FactExchange;
-import dev.wigeonward.exchange.OrderFrames;
+import dev.wigeonward.exchange.EvidenceCodec;
+import dev.wigeonward.exchange.FactSync;
+import dev.wigeonward.exchange.OrderCodec;
 import dev.wigeonward.wire.generated.Evidence;
 import dev.wigeonward.wire.generated.Load;
 
 /** Runs the version move controller of an entry, which acts only while the entry holds the controller lease. */
-final class MoveControllerRunner {
-    private static final Logger LOG = System.getLogger(MoveControllerRunner.class.getName());
+final class RolloutControllerRunner {
+    private static final Logger LOG = System.getLogger(RolloutControllerRunner.class.getName());
     private static final int MAX_STEP_REPORTS = 200;
     private static final long LEASE_CHECK_MILLIS = 200;
     /**
@@ -39,14 +39,14 @@
      */
     private static final long LEASE_VALIDITY_MILLIS = 1_000;
 
-    private final MoveController controller;
-    private final MoveStore store;
+    private final RolloutController controller;
+    private final RolloutRecordStore store;
     private final Supplier<OptionalLong> lease;
-    private final FactExchange facts;
-    private final LinkPort links;
+    private final FactSync facts;
+    private final ControlPlaneLinks links;
     private final Consumer<Runnable> decisionThread;
     private final Clock clock;
-    private final Deque<MoveReport> steps = new ArrayDeque<>();
+    private final Deque<RolloutReport> steps = new ArrayDeque<>();
     private long fencingNumber;
     private boolean readingRecords;
     private long nextCheckMillis;
@@ -57,12 +57,12 @@
      * @param lease returns the fencing number of the lease, or empty unless the lease is certainly held
      * @param decisionThread executes tasks on the decision thread; the store answers on other threads
      */
-    MoveControllerRunner(
-            MoveController controller,
-            MoveStore store,
+    RolloutControllerRunner(
+            RolloutController controller,
+            RolloutRecordStore store,
             Supplier<OptionalLong> lease,
-            FactExchange facts,
-            LinkPort links,
+            FactSync facts,
+            ControlPlaneLinks links,
             Consumer<Runnable> decisionThread,
             Clock clock) {
         this.controller = controller;
@@ -84,14 +84,14 @@
     }
 
     void onRules(RuleSet rules) {
-        List<MoveRule> moves = new ArrayList<>();
+        List<RolloutRule> moves = new ArrayList<>();
         for (Rule.Move move : rules.moves()) {
-            moves.add(new MoveRule(
+            moves.add(new RolloutRule(
                     move.model(),
                     move.from(),
                     move.to(),
                     move.by().toEpochMilli(),
-                    Math.min(move.canaryBasisPoints(), MoveRule.MAX_CANARY_BASIS_POINTS),
+                    Math.min(move.canaryBasisPoints(), RolloutRule.MAX_CANARY_BASIS_POINTS),
                     move.source().askedBy()));
         }
         handle(new ControllerEvent.RulesChanged(moves));
@@ -101,26 +101,26 @@
         Set<String> versions = load.getLoadedVersionsCount() == 0
                 ? Set.of(upstream.version())
                 : Set.copyOf(load.getLoadedVersionsList());
-        handle(new ControllerEvent.UpstreamSeen(new UpstreamVersions(
+        handle(new ControllerEvent.UpstreamReported(new UpstreamVersions(
                 upstream.upstreamId(), upstream.target(), versions, Math.max(1, load.getVersionPlaces()))));
     }
 
     void onLinkDown(String upstreamId) {
-        handle(new ControllerEvent.UpstreamGone(upstreamId));
+        handle(new ControllerEvent.UpstreamRemoved(upstreamId));
     }
 
     void onEvidence(UpstreamDescription upstream, Evidence evidence) {
-        EvidenceFrames.event(upstream.upstreamId(), upstream.incarnation(), evidence)
+        EvidenceCodec.toEvent(upstream.upstreamId(), upstream.incarnation(), evidence)
                 .ifPresent(this::handle);
     }
 
     void onOrderResult(dev.wigeonward.wire.generated.OrderResult message) {
-        OrderFrames.result(message)
+        OrderCodec.toResult(message)
                 .ifPresent(result -> handle(new ControllerEvent.OrderAnswered(message.getOrderId(), result)));
     }
 
     void onVerdict(BadVerdict verdict) {
-        handle(new ControllerEvent.VerdictLearned(verdict));
+        handle(new ControllerEvent.VerdictReceived(verdict));
     }
 
     void onTick(long nowMillis) {
@@ -168,12 +168,12 @@
     }
 
     /** Returns the current state of all version moves. */
-    List<MoveReport> reports() {
+    List<RolloutReport> reports() {
         return controller.reports(clock.millis());
     }
 
     /** Returns the reports of the latest {@value #MAX_STEP_REPORTS} steps, newest first. */
-    List<MoveReport> steps() {
+    List<RolloutReport> steps() {
         return List.copyOf(steps);
     }
 
@@ -187,7 +187,7 @@
             store.write(
                     write.record(),
                     write.expectedRevision(),
-                    (answer, revision) -> decisionThread.accept(() -> handle(new ControllerEvent.StoreAnswered(
+                    (answer, revision) -> decisionThread.accept(() -> handle(new ControllerEvent.WriteAnswered(
                             model, write.record().writeId(), answer, revision))));
         } else if (effect instanceof ControllerEffect.ReadRecord read) {
             store.read(
@@ -195,7 +195,7 @@
                     stored ->
                             decisionThread.accept(() -> handle(new ControllerEvent.RecordRead(read.model(), stored))));
         } else if (effect instanceof ControllerEffect.SendOrder send) {
-            links.send(send.upstreamId(), OrderFrames.frame(send.order()));
+            links.send(send.upstreamId(), OrderCodec.toFrame(send.order()));
         } else if (effect instanceof ControllerEffect.PublishStages publish) {
             facts.publishStages(publish.stages(), clock.millis());
         } else if (effect instanceof ControllerEffect.PublishVerdict publish) {
--- a/entry/src/main/java/dev/wigeonward/entry/control/MoveStore.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/RolloutRecordStore.java
@@ -6,11 +6,11 @@
 import java.util.function.Consumer;
 
 import dev.wigeonward.core.rollout.ControllerEvent;
-import dev.wigeonward.core.rollout.MoveRecord;
+import dev.wigeonward.core.rollout.RolloutRecord;
 import dev.wigeonward.core.rollout.StoredRecord;
 
 /** Stores the records of version moves. Callbacks run on any thread. */
-public interface MoveStore {
+public interface RolloutRecordStore {
     /** Reads all records; the callback receives empty if the store did not answer. */
     void readAll(Consumer<Optional<List<StoredRecord>>> answer);
 
@@ -21,5 +21,5 @@
      * Writes a record if its key still has the expected revision. The callback receives the new revision of the key if
      * the write was applied, and 0 otherwise.
      */
-    void write(MoveRecord record, long expectedRevision, BiConsumer<ControllerEvent.StoreAnswer, Long> answer);
+    void write(RolloutRecord record, long expectedRevision, BiConsumer<ControllerEvent.WriteOutcome, Long> answer);
 }
--- a/entry/src/main/java/dev/wigeonward/entry/control/SpendDuty.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/SpendTracker.java
@@ -16,15 +16,15 @@
 import dev.wigeonward.core.spend.SpendLedger;
 import dev.wigeonward.core.spend.SpendPeriod;
 import dev.wigeonward.core.spend.SpendSnapshot;
-import dev.wigeonward.exchange.RulesInForce;
+import dev.wigeonward.exchange.CurrentRules;
 
 /** Counts the spend of workspaces against their commitments, merged with the totals of the other entries. */
-public final class SpendDuty implements UsageSink, WorkspaceWeights {
+public final class SpendTracker implements UsageRecorder, WorkspaceWeights {
     private static final long WRITE_PERIOD_MILLIS = 30_000;
     private static final long TOKENS_PER_PRICE = 1_000;
     private static final SpendPeriod NO_PERIOD = new SpendPeriod("none", 0, Long.MAX_VALUE);
 
-    private final RulesInForce rules;
+    private final CurrentRules rules;
     private final SpendStore store;
     private final Clock clock;
     private final SpendLedger ledger;
@@ -34,7 +34,7 @@
     private long nextWriteMillis;
 
     /** Creates a counter without any spend. */
-    public SpendDuty(String entryId, RulesInForce rules, SpendStore store, Clock clock) {
+    public SpendTracker(String entryId, CurrentRules rules, SpendStore store, Clock clock) {
         this.rules = rules;
         this.store = store;
         this.clock = clock;
@@ -47,7 +47,7 @@
         if (tokens == 0) {
             return;
         }
-        long microsPerThousand = rules.get()
+        long microsPerThousand = rules.current()
                 .flatMap(set -> set.price(request.target()))
                 .map(Rule.Price::microsPerThousandTokens)
                 .orElse(0L);
@@ -110,8 +110,8 @@
     /** Returns tokens, cost and commitment of each workspace; amounts are in millionths of the currency unit. */
     Map<String, Object> report() {
         Map<String, Object> report = new TreeMap<>();
-        rules.get().ifPresent(set -> set.workspaces().forEach(workspace -> {
-            Spend spent = ledger.spent(workspace.name());
+        rules.current().ifPresent(set -> set.workspaces().forEach(workspace -> {
+            Spend spent = ledger.spendOf(workspace.name());
             long committed = set.commitment(workspace.name())
                     .map(Rule.Commitment::spendMicros)
                     .orElse(0L);
--- a/entry/src/main/java/dev/wigeonward/entry/control/StoreReaderRole.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/StoreReaderRole.java
@@ -10,11 +10,11 @@
 /** Determines whether this entry is a reader of the store for its failure domain, and runs the watch if it is. */
 final class StoreReaderRole {
     private final String entryId;
-    private final HeadWatch watch;
+    private final RevisionWatch watch;
     private boolean reader;
 
     /** Creates a role that reads until a VM list shows that other entries do. */
-    StoreReaderRole(String entryId, HeadWatch watch) {
+    StoreReaderRole(String entryId, RevisionWatch watch) {
         this.entryId = entryId;
         this.watch = watch;
         this.reader = true;
@@ -29,7 +29,7 @@
                 .filter(vm -> vm.role().equals("entry") && vm.state() == Vm.State.LIVE)
                 .map(vm -> new ReaderElection.LiveEntry(vm.id(), vm.failureDomain()))
                 .toList();
-        Set<String> readers = ReaderElection.readers(live);
+        Set<String> readers = ReaderElection.electReaders(live);
         // The VM list lags. An entry that is not listed yet cannot tell whether others read, so it keeps reading.
         boolean listed = live.stream().anyMatch(entry -> entry.id().equals(entryId));
         reader = !listed || readers.contains(entryId);
--- a/entry/src/main/java/dev/wigeonward/entry/control/UsageSink.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/UsageRecorder.java
@@ -4,7 +4,7 @@
 
 /** Receives the token usage of complete answers. */
 @FunctionalInterface
-public interface UsageSink {
+public interface UsageRecorder {
     /** Adds the tokens of a complete answer. */
     void record(RequestSpec request, long promptTokens, long outputTokens);
 }
--- a/entry/src/main/java/dev/wigeonward/entry/link/AgentFrames.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/AgentFrameCodec.java
@@ -34,13 +34,13 @@
 import dev.wigeonward.wire.generated.Work;
 
 /** Converts dispatcher effects to frames for agents, and frames from agents to dispatcher events. */
-public final class AgentFrames {
+public final class AgentFrameCodec {
     /** Maximum body size of the first frame; leaves room for headers of up to 256 KiB in a frame of up to 1 MiB. */
     private static final int FIRST_PART_BYTES = 512 * 1024;
 
     private static final int BODY_PART_BYTES = 64 * 1024;
 
-    private AgentFrames() {}
+    private AgentFrameCodec() {}
 
     /** Returns the frames of a dispatch with the caller's request; a long body is split over several frames. */
     public static List<Frame> dispatch(EntryEffect.SendDispatch effect, RequestSpec request, CallerRequest http) {
@@ -170,7 +170,7 @@
                                 frame.getNotRun().getErrorKind(),
                                 frame.getNotRun().getMessage())));
             case UNSEEN ->
-                Optional.of(new EntryEvent.Unseen(
+                Optional.of(new EntryEvent.NeverReceived(
                         new RequestId(frame.getUnseen().getRequestId()),
                         new DispatchId(frame.getUnseen().getDispatchId())));
             case OUTPUT ->
--- a/entry/src/main/java/dev/wigeonward/entry/link/LinkTable.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/LinkTable.java
@@ -34,7 +34,7 @@
     }
 
     /** Returns the upstream whose agent was last connected to at an address. */
-    public Optional<String> upstreamAt(String address) {
+    public Optional<String> upstreamByAddress(String address) {
         return Optional.ofNullable(upstreamByAddress.get(address));
     }
 
@@ -45,14 +45,14 @@
     }
 
     /** Registers a link and returns the link to the same upstream that it replaces, if there is one. */
-    public Optional<Link> up(Link link, UpstreamDescription upstream) {
+    public Optional<Link> register(Link link, UpstreamDescription upstream) {
         incarnations.put(upstream.upstreamId(), upstream.incarnation());
         Connected previous = links.put(upstream.upstreamId(), new Connected(link, upstream));
         return Optional.ofNullable(previous).map(Connected::link);
     }
 
     /** Removes a link and returns its upstream; does nothing and returns empty if the link is not the current one. */
-    public Optional<String> down(Link link) {
+    public Optional<String> remove(Link link) {
         Optional<String> upstreamId = upstreamOf(link).map(UpstreamDescription::upstreamId);
         upstreamId.ifPresent(links::remove);
         return upstreamId;
@@ -60,7 +60,7 @@
 
     /** Returns the upstream of a link, or empty if the link is not the current one to its upstream. */
     public Optional<UpstreamDescription> upstreamOf(Link link) {
-        String upstreamId = link.peer().getUpstream().getUpstreamId();
+        String upstreamId = link.peerHello().getUpstream().getUpstreamId();
         return Optional.ofNullable(links.get(upstreamId))
                 .filter(current -> current.link() == link)
                 .map(Connected::upstream);
@@ -77,7 +77,7 @@
     }
 
     /** Returns the current links by upstream id. */
-    public Map<String, Link> current() {
+    public Map<String, Link> currentLinks() {
         Map<String, Link> current = new HashMap<>();
         links.forEach((upstreamId, entry) -> current.put(upstreamId, entry.link()));
         return current;
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryInput.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryInput.java
@@ -1,14 +1,14 @@
 package dev.wigeonward.entry.runtime;
 
 import dev.wigeonward.core.dispatch.EntryEvent;
-import dev.wigeonward.entry.caller.CallerSession;
+import dev.wigeonward.entry.caller.CallerResponse;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.generated.Frame;
 
 /** An input of the decision thread of an entry. */
 sealed interface EntryInput {
     /** A request arrived from a caller. */
-    record FromCaller(CallerSession session) implements EntryInput {}
+    record FromCaller(CallerResponse session) implements EntryInput {}
 
     /** A link was opened. */
     record LinkOpened(Link link) implements EntryInput {}
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -17,7 +17,7 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Timer;
-import dev.wigeonward.common.ring.DutyThread;
+import dev.wigeonward.common.ring.QueueWorker;
 import dev.wigeonward.common.vms.VmSnapshot;
 import dev.wigeonward.core.dispatch.EntryDispatcher;
 import dev.wigeonward.core.dispatch.EntryEffect;
@@ -28,11 +28,11 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
 import dev.wigeonward.core.revision.RevisionStore;
-import dev.wigeonward.entry.caller.CallerSession;
-import dev.wigeonward.entry.caller.RequestSink;
+import dev.wigeonward.entry.caller.CallerResponse;
+import dev.wigeonward.entry.caller.RequestHandler;
 import dev.wigeonward.entry.control.ControlPlane;
-import dev.wigeonward.entry.control.LinkPort;
-import dev.wigeonward.entry.link.AgentFrames;
+import dev.wigeonward.entry.control.ControlPlaneLinks;
+import dev.wigeonward.entry.link.AgentFrameCodec;
 import dev.wigeonward.entry.link.LinkTable;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkListener;
@@ -41,7 +41,7 @@
 import dev.wigeonward.wire.generated.Heartbeat;
 
 /** Runs the dispatcher and the control plane of an entry on the decision thread and carries out their effects. */
-public final class EntryRuntime implements RequestSink, LinkListener, LinkPort, AutoCloseable {
+public final class EntryRuntime implements RequestHandler, LinkListener, ControlPlaneLinks, AutoCloseable {
     private static final Logger LOG = System.getLogger(EntryRuntime.class.getName());
     private static final int RING_CAPACITY = 65_536;
     private static final long TICK_MILLIS = 20;
@@ -55,7 +55,7 @@
     private final LinkTransport transport;
     private final LinkTable links;
     private final ControlPlane control;
-    private final DutyThread<EntryInput> thread;
+    private final QueueWorker<EntryInput> thread;
     /** Heartbeat of regular sends; written by the decision thread, read by the thread of the links. */
     private volatile Frame heartbeat =
             Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
@@ -66,7 +66,7 @@
     private final Set<String> closingWhenIdle = new HashSet<>();
     private CompletableFuture<Void> drainResult;
 
-    private EntryRuntime(EntryParts parts, Function<EntryRuntime, ControlPlane> control) {
+    private EntryRuntime(EntryRuntimeComponents parts, Function<EntryRuntime, ControlPlane> control) {
         this.dispatcher = Objects.requireNonNull(parts.dispatcher(), "dispatcher");
         this.claims = Objects.requireNonNull(parts.claims(), "claims");
         this.clock = Objects.requireNonNull(parts.clock(), "clock");
@@ -76,29 +76,29 @@
         this.transport = new LinkTransport(parts.linkSettings(), this, parts::hello, () -> heartbeat, parts.linkTls());
         this.links = new LinkTable(transport);
         this.control = control.apply(this);
-        this.thread = DutyThread.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
+        this.thread = QueueWorker.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
     }
 
     /** Starts the decision thread of an entry. */
-    public static EntryRuntime start(EntryParts parts, Function<EntryRuntime, ControlPlane> control) {
+    public static EntryRuntime start(EntryRuntimeComponents parts, Function<EntryRuntime, ControlPlane> control) {
         EntryRuntime runtime = new EntryRuntime(parts, control);
-        runtime.runLater(runtime.control::start);
+        runtime.execute(runtime.control::start);
         return runtime;
     }
 
     @Override
-    public boolean submit(CallerSession session) {
+    public boolean submit(CallerResponse session) {
         return thread.offer(new EntryInput.FromCaller(session));
     }
 
     @Override
-    public void callerGone(CallerSession session) {
-        thread.put(
-                new EntryInput.Event(new EntryEvent.CallerGone(session.request().id())));
+    public void onCallerDisconnected(CallerResponse session) {
+        thread.put(new EntryInput.Event(
+                new EntryEvent.CallerDisconnected(session.request().id())));
     }
 
     @Override
-    public void refused(Failure failure) {
+    public void onRefused(Failure failure) {
         metrics.failed(failure.kind());
     }
 
@@ -124,35 +124,35 @@
 
     /** Passes a new VM list to the control plane. */
     public void onVmsListed(VmSnapshot snapshot) {
-        runLater(() -> control.onVmsListed(snapshot, clock.millis()));
+        execute(() -> control.onVmsListed(snapshot, clock.millis()));
     }
 
     /** Passes the result of a read of the newest stored revision to the control plane. */
-    public void onStoreRead(RevisionStore.HeadResult result) {
-        runLater(() -> control.onStoreRead(result, clock.millis()));
+    public void onHeadRead(RevisionStore.HeadResult result) {
+        execute(() -> control.onHeadRead(result, clock.millis()));
     }
 
     /** Runs a task on the decision thread. */
-    public void runLater(Runnable task) {
+    public void execute(Runnable task) {
         thread.put(new EntryInput.Query(task));
     }
 
     /** Evaluates a supplier on the decision thread and returns its result. */
     public <T> CompletionStage<T> query(Supplier<T> supplier) {
         CompletableFuture<T> answer = new CompletableFuture<>();
-        runLater(() -> answer.complete(supplier.get()));
+        execute(() -> answer.complete(supplier.get()));
         return answer;
     }
 
     /** Makes the health page fail while new requests are still accepted. */
-    public void announceShutdown() {
+    public void failHealthCheck() {
         shuttingDown = true;
     }
 
     /** Starts to refuse new requests; the returned stage completes once all other requests are answered. */
     public CompletionStage<Void> drain() {
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        runLater(() -> {
+        execute(() -> {
             dispatch(new EntryEvent.DrainStarted());
             drainResult = drained;
         });
@@ -166,7 +166,7 @@
 
     /** Returns whether the entry has rules and is not shutting down. Call through {@link #query}. */
     public boolean ready() {
-        return control.ready() && !shuttingDown;
+        return control.hasRules() && !shuttingDown;
     }
 
     /** Returns the full state for the dump page. Call through {@link #query}. */
@@ -174,7 +174,7 @@
         List<Map<String, Object>> upstreams = new ArrayList<>();
         links.upstreams().forEach(upstream -> upstreams.add(describe(upstream)));
         Map<String, Object> dump = new HashMap<>(control.status());
-        dump.put("requests_in_flight", dispatcher.inFlight());
+        dump.put("requests_in_flight", dispatcher.pendingCount());
         dump.put("queued_by_target", dispatcher.queuedByTarget());
         dump.put("upstreams", upstreams);
         dump.put("ring_size", thread.size());
@@ -201,7 +201,7 @@
         } else if (input instanceof EntryInput.LinkClosed closed) {
             linkClosed(closed.link(), closed.reason());
         } else if (input instanceof EntryInput.ConnectFailed failed) {
-            links.upstreamAt(failed.address())
+            links.upstreamByAddress(failed.address())
                     .filter(upstreamId -> links.find(upstreamId).isEmpty())
                     .ifPresent(upstreamId -> control.onLinkDown(upstreamId, clock.millis()));
         } else if (input instanceof EntryInput.Event event) {
@@ -222,7 +222,7 @@
             }
             return idle;
         });
-        if (drainResult != null && dispatcher.idle()) {
+        if (drainResult != null && dispatcher.isIdle()) {
             drainResult.complete(null);
         }
     }
@@ -234,13 +234,13 @@
             return;
         }
         heartbeat = next;
-        links.current().values().forEach(link -> link.send(next));
+        links.currentLinks().values().forEach(link -> link.send(next));
     }
 
     private void linkOpened(Link link) {
-        Optional<UpstreamDescription> upstream = AgentFrames.describe(link.peer());
+        Optional<UpstreamDescription> upstream = AgentFrameCodec.describe(link.peerHello());
         if (upstream.isEmpty()) {
-            LOG.log(Level.WARNING, "closing link to {0}: its hello describes no valid upstream", link.remoteName());
+            LOG.log(Level.WARNING, "closing link to {0}: its hello describes no valid upstream", link.remoteAddress());
             link.close();
             return;
         }
@@ -249,14 +249,14 @@
             // again.
             prefixes.removeUpstream(upstream.get().upstreamId());
         }
-        links.up(link, upstream.get()).ifPresent(Link::close);
+        links.register(link, upstream.get()).ifPresent(Link::close);
         LOG.log(Level.INFO, "link to upstream {0} is up", upstream.get().upstreamId());
         dispatch(new EntryEvent.LinkUp(upstream.get()));
         control.onLinkUp(upstream.get(), clock.millis());
     }
 
     private void linkClosed(Link link, String reason) {
-        links.down(link).ifPresent(upstreamId -> {
+        links.remove(link).ifPresent(upstreamId -> {
             LOG.log(Level.WARNING, "link to upstream {0} is down: {1}", upstreamId, reason);
             control.onLinkDown(upstreamId, clock.millis());
             dispatch(new EntryEvent.LinkDown(upstreamId));
@@ -271,7 +271,7 @@
         String upstreamId = upstream.get().upstreamId();
         try {
             control.onFrame(upstreamId, frame, clock.millis());
-            Optional<EntryEvent> event = AgentFrames.event(upstreamId, frame);
+            Optional<EntryEvent> event = AgentFrameCodec.event(upstreamId, frame);
             if (event.isPresent() && event.get() instanceof EntryEvent.LoadReported load) {
                 prefixes.onReport(upstreamId, load.report());
             }
@@ -296,31 +296,31 @@
     private void apply(EntryEffect effect) {
         if (effect instanceof EntryEffect.SendDispatch send) {
             PendingAnswer answer = answers.get(send.request());
-            AgentFrames.dispatch(
+            AgentFrameCodec.dispatch(
                             send, answer.session().request(), answer.session().http())
                     .forEach(frame -> send(send.upstreamId(), frame));
         } else if (effect instanceof EntryEffect.SendAttach send) {
             attach(send);
         } else if (effect instanceof EntryEffect.SendReattach send) {
-            send(send.upstreamId(), AgentFrames.reattach(send));
+            send(send.upstreamId(), AgentFrameCodec.reattach(send));
         } else if (effect instanceof EntryEffect.SendAcknowledge send) {
-            send(send.upstreamId(), AgentFrames.acknowledge(send));
+            send(send.upstreamId(), AgentFrameCodec.acknowledge(send));
         } else if (effect instanceof EntryEffect.SendCancel send) {
-            send(send.upstreamId(), AgentFrames.cancel(send));
+            send(send.upstreamId(), AgentFrameCodec.cancel(send));
         } else if (!applyClaim(effect)) {
             deliver(effect);
         }
     }
 
     private boolean applyClaim(EntryEffect effect) {
-        if (effect instanceof EntryEffect.MakeClaim make) {
+        if (effect instanceof EntryEffect.AcquireClaim make) {
             RequestSpec request = request(make.request());
-            claims.make(request, make.upstreamId(), make.upstreamIncarnation(), listener(request.id()));
+            claims.acquire(request, make.upstreamId(), make.upstreamIncarnation(), listener(request.id()));
             return true;
         }
         if (effect instanceof EntryEffect.TakeOverClaim take) {
             RequestSpec request = request(take.request());
-            claims.takeOver(
+            claims.replace(
                     request,
                     take.previousClaimId(),
                     take.upstreamId(),
@@ -334,7 +334,7 @@
         }
         if (effect instanceof EntryEffect.RecordOutcome outcome) {
             PendingAnswer answer = answers.get(outcome.request());
-            claims.record(
+            claims.recordOutcome(
                     answer.session().request(),
                     answer.outcome(currentFrame.getFinished().getHead()));
             return true;
@@ -347,7 +347,7 @@
     }
 
     private ClaimPort.Listener listener(RequestId id) {
-        return (answer, outcome) -> runLater(() -> {
+        return (answer, outcome) -> execute(() -> {
             answers.find(id).ifPresent(waiting -> outcome.ifPresent(waiting::storedOutcome));
             dispatch(new EntryEvent.ClaimAnswered(id, answer));
         });
@@ -358,14 +358,14 @@
         links.describe(send.upstreamId())
                 .ifPresent(upstream -> send(
                         send.upstreamId(),
-                        AgentFrames.attach(
-                                send, request, upstream.incarnation(), request.timeLeftMillis(clock.millis()))));
+                        AgentFrameCodec.attach(
+                                send, request, upstream.incarnation(), request.remainingMillis(clock.millis()))));
     }
 
     private void deliver(EntryEffect effect) {
         if (effect instanceof EntryEffect.DeliverOutput output) {
             if (!answers.output(output, currentFrame.getOutput())) {
-                thread.put(new EntryInput.Event(new EntryEvent.CallerGone(output.request())));
+                thread.put(new EntryInput.Event(new EntryEvent.CallerDisconnected(output.request())));
             }
         } else if (effect instanceof EntryEffect.DeliverEnd end) {
             answers.end(end.request(), currentFrame.getFinished());
@@ -373,8 +373,8 @@
             answers.stored(stored.request());
         } else if (effect instanceof EntryEffect.DeliverFailure failure) {
             answers.fail(failure.request(), failure.failure());
-        } else if (effect instanceof EntryEffect.Forget forget) {
-            claims.forget(request(forget.request()));
+        } else if (effect instanceof EntryEffect.ReleaseRequest forget) {
+            claims.discard(request(forget.request()));
             answers.remove(forget.request());
         }
     }
@@ -401,7 +401,7 @@
 
     @Override
     public void sendToOthers(String exceptPeer, Frame frame) {
-        links.current().forEach((upstreamId, link) -> {
+        links.currentLinks().forEach((upstreamId, link) -> {
             if (!upstreamId.equals(exceptPeer)) {
                 link.send(frame);
             }
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 import dev.wigeonward.common.store.StoredOutcome;
-import dev.wigeonward.entry.caller.CallerSession;
-import dev.wigeonward.entry.link.AgentFrames;
+import dev.wigeonward.entry.caller.CallerResponse;
+import dev.wigeonward.entry.link.AgentFrameCodec;
 import dev.wigeonward.wire.generated.Finished;
 import dev.wigeonward.wire.generated.Header;
 import dev.wigeonward.wire.generated.Output;
@@ -23,22 +23,22 @@
 
     private static final String CONTENT_TYPE = "content-type";
 
-    private final CallerSession session;
+    private final CallerResponse session;
     private final ByteArrayOutputStream bodyCopy = new ByteArrayOutputStream();
     private StoredOutcome stored;
 
-    PendingAnswer(CallerSession session) {
+    PendingAnswer(CallerResponse session) {
         this.session = session;
     }
 
-    CallerSession session() {
+    CallerResponse session() {
         return session;
     }
 
     /** Writes a part of the answer to the caller and returns false if the caller reads too slowly to take it. */
     boolean output(Output output, int skipBytes) {
         if (output.hasHead()) {
-            session.start(output.getHead().getStatus(), AgentFrames.headers(output.getHead()));
+            session.start(output.getHead().getStatus(), AgentFrameCodec.headers(output.getHead()));
         }
         byte[] part = output.getData().substring(skipBytes).toByteArray();
         copyForStore(part);
@@ -47,13 +47,13 @@
 
     private void copyForStore(byte[] part) {
         boolean claimed = !session.request().idempotent();
-        if (claimed && bodyCopy.size() <= StoredOutcome.BODY_LIMIT_BYTES) {
+        if (claimed && bodyCopy.size() <= StoredOutcome.MAX_BODY_BYTES) {
             bodyCopy.writeBytes(part);
         }
     }
 
     void finish(Finished finished) {
-        session.start(finished.getHead().getStatus(), AgentFrames.headers(finished.getHead()));
+        session.start(finished.getHead().getStatus(), AgentFrameCodec.headers(finished.getHead()));
         session.end();
     }
 
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
@@ -8,23 +8,23 @@
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
-import dev.wigeonward.entry.caller.CallerSession;
-import dev.wigeonward.entry.control.UsageSink;
+import dev.wigeonward.entry.caller.CallerResponse;
+import dev.wigeonward.entry.control.UsageRecorder;
 import dev.wigeonward.wire.generated.Finished;
 import dev.wigeonward.wire.generated.Output;
 
 /** The answers that callers wait for, by request id. Not thread-safe; confined to the decision thread. */
 final class PendingAnswers {
     private final EntryMetrics metrics;
-    private final UsageSink usage;
+    private final UsageRecorder usage;
     private final Map<RequestId, PendingAnswer> answers = new HashMap<>();
 
-    PendingAnswers(EntryMetrics metrics, UsageSink usage) {
+    PendingAnswers(EntryMetrics metrics, UsageRecorder usage) {
         this.metrics = metrics;
         this.usage = usage;
     }
 
-    void add(CallerSession session) {
+    void add(CallerResponse session) {
         answers.put(session.request().id(), new PendingAnswer(session));
         metrics.arrived(session.request().tier());
     }
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
@@ -6,34 +6,34 @@
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
-import dev.wigeonward.common.ring.DaemonThreads;
+import dev.wigeonward.common.ring.DaemonSchedulers;
 import dev.wigeonward.common.store.ClaimStore;
-import dev.wigeonward.common.store.ControllerListener;
+import dev.wigeonward.common.store.ControllerLease;
+import dev.wigeonward.common.store.ControllerLeaseListener;
 import dev.wigeonward.common.store.EtcdRevisionStore;
 import dev.wigeonward.common.store.EtcdStore;
 import dev.wigeonward.common.store.KeyValueStore;
-import dev.wigeonward.common.store.StoreControllerLease;
 import dev.wigeonward.common.store.StoreOptions;
 import dev.wigeonward.core.revision.RevisionStore;
-import dev.wigeonward.entry.control.HeadWatch;
+import dev.wigeonward.entry.control.RevisionWatch;
 
 /** The store connection of an entry and the adapters that use it, with a thread of their own. */
 public final class StoreAdapters implements AutoCloseable {
-    private final ScheduledExecutorService thread = DaemonThreads.scheduler("store");
+    private final ScheduledExecutorService thread = DaemonSchedulers.newSingleThreadScheduler("store");
     private final SecureRandom random = new SecureRandom();
     private final KeyValueStore store;
     private final EtcdRevisionStore revisions;
-    private final StoreClaims claims;
-    private final StoreMoves moves;
-    private final StoreControllerLease lease;
+    private final StoredClaims claims;
+    private final StoredRolloutRecords moves;
+    private final ControllerLease lease;
 
     /** Creates the adapters; the connection is opened by the first call. */
     public StoreAdapters(StoreOptions options, String entryId, Clock clock, MetricRegistry metrics) {
         this.store = EtcdStore.connect(options, clock, thread, metrics, random);
         this.revisions = EtcdRevisionStore.create(store, options.callTimeoutMillis());
-        this.claims = new StoreClaims(ClaimStore.create(store, clock, thread, metrics, random));
-        this.moves = new StoreMoves(store);
-        this.lease = StoreControllerLease.create(store, clock, thread, random, entryId, new NoOpControllerListener());
+        this.claims = new StoredClaims(ClaimStore.create(store, clock, thread, metrics, random));
+        this.moves = new StoredRolloutRecords(store);
+        this.lease = ControllerLease.create(store, clock, thread, random, entryId, new NoOpControllerListener());
     }
 
     /** Returns the store that all adapters share. */
@@ -42,24 +42,25 @@
     }
 
     /** Returns the adapter for durable claims. */
-    public StoreClaims claims() {
+    public StoredClaims claims() {
         return claims;
     }
 
     /** Returns the adapter for version move records. */
-    public StoreMoves moves() {
+    public StoredRolloutRecords moves() {
         return moves;
     }
 
     /** Returns the controller lease. */
-    public StoreControllerLease lease() {
+    public ControllerLease lease() {
         return lease;
     }
 
     /** Returns an inactive watch on the newest revision, which reports to the listener while it is active. */
-    public HeadWatch headWatch(Consumer<RevisionStore.HeadResult> listener) {
+    public RevisionWatch revisionWatch(Consumer<RevisionStore.HeadResult> listener) {
         return new StoreHeadWatch(
-                listening -> dev.wigeonward.common.store.HeadWatch.start(store, revisions, thread, random, listening),
+                listening -> dev.wigeonward.common.store.RevisionHeadWatch.start(
+                        store, revisions, thread, random, listening),
                 listener);
     }
 
@@ -71,11 +72,11 @@
     }
 
     /** Ignores changes of the lease, which the control plane polls. */
-    private static final class NoOpControllerListener implements ControllerListener {
+    private static final class NoOpControllerListener implements ControllerLeaseListener {
         @Override
-        public void acquired(long fencingNumber) {}
+        public void onAcquired(long fencingNumber) {}
 
         @Override
-        public void lost() {}
+        public void onLost() {}
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreMoves.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
@@ -9,19 +9,19 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import dev.wigeonward.common.http.Json;
-import dev.wigeonward.common.store.Compare;
+import dev.wigeonward.common.store.Condition;
 import dev.wigeonward.common.store.KeyValue;
 import dev.wigeonward.common.store.KeyValueStore;
 import dev.wigeonward.common.store.Transaction;
 import dev.wigeonward.common.store.Write;
 import dev.wigeonward.common.store.WriteResult;
-import dev.wigeonward.core.rollout.ControllerEvent.StoreAnswer;
-import dev.wigeonward.core.rollout.MoveRecord;
+import dev.wigeonward.core.rollout.ControllerEvent.WriteOutcome;
+import dev.wigeonward.core.rollout.RolloutRecord;
 import dev.wigeonward.core.rollout.StoredRecord;
-import dev.wigeonward.entry.control.MoveStore;
+import dev.wigeonward.entry.control.RolloutRecordStore;
 
 /** A move store that keeps the record of each model as JSON under its own key. */
-public final class StoreMoves implements MoveStore {
+public final class StoredRolloutRecords implements RolloutRecordStore {
     private static final String ROOT = "/wigeonward/moves/";
     /** Maximum number of records read; a deployment of the target size uses seven models. */
     private static final int MAX_RECORDS = 500;
@@ -29,14 +29,14 @@
     private final KeyValueStore store;
 
     /** Creates a move store over a key-value store. */
-    public StoreMoves(KeyValueStore store) {
+    public StoredRolloutRecords(KeyValueStore store) {
         this.store = store;
     }
 
     @Override
     public void readAll(Consumer<Optional<List<StoredRecord>>> answer) {
         store.range(ROOT, "", MAX_RECORDS)
-                .thenAccept(result -> answer.accept(result.value().map(page -> {
+                .thenAccept(result -> answer.accept(result.toOptional().map(page -> {
                     List<StoredRecord> records = new ArrayList<>();
                     page.entries().forEach(entry -> parse(entry).ifPresent(records::add));
                     return records;
@@ -45,16 +45,16 @@
 
     @Override
     public void read(String model, Consumer<Optional<StoredRecord>> answer) {
-        store.get(ROOT + model).thenAccept(result -> result.value()
-                .ifPresent(entry -> answer.accept(entry.flatMap(StoreMoves::parse))));
+        store.get(ROOT + model).thenAccept(result -> result.toOptional()
+                .ifPresent(entry -> answer.accept(entry.flatMap(StoredRolloutRecords::parse))));
     }
 
     private static Optional<StoredRecord> parse(KeyValue entry) {
         try {
-            MoveRecord record = Json.mapper().readValue(entry.value(), MoveRecord.class);
+            RolloutRecord record = Json.mapper().readValue(entry.value(), RolloutRecord.class);
             return Optional.of(new StoredRecord(record, entry.modRevision()));
         } catch (JsonProcessingException e) {
-            System.getLogger(StoreMoves.class.getName())
+            System.getLogger(StoredRolloutRecords.class.getName())
                     .log(
                             System.Logger.Level.ERROR,
                             "cannot parse the move record at key " + entry.key() + ", expected JSON",
@@ -64,22 +64,22 @@
     }
 
     @Override
-    public void write(MoveRecord record, long expectedRevision, BiConsumer<StoreAnswer, Long> answer) {
+    public void write(RolloutRecord record, long expectedRevision, BiConsumer<WriteOutcome, Long> answer) {
         String key = ROOT + record.model();
         String value = new String(Json.write(record), StandardCharsets.UTF_8);
-        Compare unchanged = new Compare.ModRevision(key, expectedRevision);
+        Condition unchanged = new Condition.ModRevision(key, expectedRevision);
         store.commit(Transaction.of(unchanged, new Write.Put(key, value, 0)))
                 .thenAccept(result -> answer.accept(
                         answerOf(result), result instanceof WriteResult.Applied applied ? applied.revision() : 0L));
     }
 
-    private static StoreAnswer answerOf(WriteResult result) {
+    private static WriteOutcome answerOf(WriteResult result) {
         if (result instanceof WriteResult.Applied) {
-            return StoreAnswer.APPLIED;
+            return WriteOutcome.APPLIED;
         }
         if (result instanceof WriteResult.CompareFailed) {
-            return StoreAnswer.COMPARE_FAILED;
+            return WriteOutcome.COMPARE_FAILED;
         }
-        return result instanceof WriteResult.OutcomeUnknown ? StoreAnswer.UNKNOWN : StoreAnswer.UNAVAILABLE;
+        return result instanceof WriteResult.OutcomeUnknown ? WriteOutcome.UNKNOWN : WriteOutcome.UNAVAILABLE;
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreSpend.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredSpendTotals.java
@@ -17,15 +17,15 @@
 import dev.wigeonward.entry.control.SpendStore;
 
 /** A spend store that keeps totals as JSON under a key per period and entry. Each entry writes only its own key. */
-public final class StoreSpend implements SpendStore {
-    private static final System.Logger LOG = System.getLogger(StoreSpend.class.getName());
+public final class StoredSpendTotals implements SpendStore {
+    private static final System.Logger LOG = System.getLogger(StoredSpendTotals.class.getName());
     private static final String ROOT = "/wigeonward/spend/";
     private static final int PAGE_ENTRIES = 500;
 
     private final KeyValueStore store;
 
     /** Creates a spend store over a key-value store. */
-    public StoreSpend(KeyValueStore store) {
+    public StoredSpendTotals(KeyValueStore store) {
         this.store = store;
     }
 
@@ -44,9 +44,9 @@
     private void readFrom(
             String prefix, String afterKey, List<SpendSnapshot> found, Consumer<List<SpendSnapshot>> answer) {
         store.range(prefix, afterKey, PAGE_ENTRIES)
-                .thenAccept(result -> result.value().ifPresent(page -> {
+                .thenAccept(result -> result.toOptional().ifPresent(page -> {
                     page.entries().forEach(entry -> parse(entry).ifPresent(found::add));
-                    if (page.more()) {
+                    if (page.hasMore()) {
                         String lastKey =
                                 page.entries().get(page.entries().size() - 1).key();
                         readFrom(prefix, lastKey, found, answer);
--- a/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
@@ -12,7 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-import dev.wigeonward.core.admission.WorkspaceRates;
+import dev.wigeonward.core.admission.WorkspaceRateLimiter;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
@@ -51,7 +51,7 @@
     void start() throws Exception {
         RuleSet rules = ((RuleParseResult.Valid) RuleParser.parse("test", RULES)).rules();
         CallerService service = new CallerService(
-                new RulesClassifier(() -> Optional.of(rules), new WorkspaceRates()),
+                new RulesClassifier(() -> Optional.of(rules), new WorkspaceRateLimiter()),
                 sink,
                 () -> Map.of("data", List.of()),
                 () -> new CallerLimits(BODY_BYTES, HEADERS_BYTES),
@@ -210,19 +210,19 @@
     }
 
     /** A sink that refuses all sessions, as a full event queue does, and records the kinds of earlier refusals. */
-    private static final class RecordingSink implements RequestSink {
+    private static final class RecordingSink implements RequestHandler {
         private final List<ErrorKind> refused = new ArrayList<>();
 
         @Override
-        public boolean submit(CallerSession session) {
+        public boolean submit(CallerResponse session) {
             return false;
         }
 
         @Override
-        public void callerGone(CallerSession session) {}
+        public void onCallerDisconnected(CallerResponse session) {}
 
         @Override
-        public synchronized void refused(Failure failure) {
+        public synchronized void onRefused(Failure failure) {
             refused.add(failure.kind());
         }
     }
--- a/exchange/src/main/java/dev/wigeonward/exchange/RulesInForce.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/CurrentRules.java
@@ -12,13 +12,13 @@
 import dev.wigeonward.core.rules.RuleSet;
 
 /** Holder of the rules of the revision in force; the decision thread writes it and any thread may read it. */
-public final class RulesInForce implements WorkspaceWeights {
-    private static final Logger LOG = System.getLogger(RulesInForce.class.getName());
+public final class CurrentRules implements WorkspaceWeights {
+    private static final Logger LOG = System.getLogger(CurrentRules.class.getName());
 
     private volatile RuleSet rules;
 
     /** Returns the rules in force, or empty before the first revision was adopted. */
-    public Optional<RuleSet> get() {
+    public Optional<RuleSet> current() {
         return Optional.ofNullable(rules);
     }
 
--- a/exchange/src/main/java/dev/wigeonward/exchange/EvidenceFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/EvidenceCodec.java
@@ -6,17 +6,17 @@
 import dev.wigeonward.core.rollout.EvidenceCounters;
 import dev.wigeonward.core.rollout.EvidenceRecorder;
 import dev.wigeonward.core.rollout.ModelVersion;
-import dev.wigeonward.core.rollout.RouteCell;
+import dev.wigeonward.core.rollout.RouteLoadKey;
 import dev.wigeonward.core.rollout.TimeHistogram;
 import dev.wigeonward.wire.generated.Evidence;
 import dev.wigeonward.wire.generated.Frame;
 
 /** Converts an agent's evidence counters to frames, and evidence messages to controller events. */
-public final class EvidenceFrames {
-    private EvidenceFrames() {}
+public final class EvidenceCodec {
+    private EvidenceCodec() {}
 
     /** Returns the frame that carries the counters of one model version, route and load state. */
-    public static Frame frame(EvidenceRecorder.Key key, EvidenceCounters counters) {
+    public static Frame toFrame(EvidenceRecorder.Key key, EvidenceCounters counters) {
         Evidence.Builder evidence = Evidence.newBuilder()
                 .setModel(key.version().model())
                 .setVersion(key.version().version())
@@ -31,7 +31,7 @@
     }
 
     /** Returns the controller event for an agent's evidence message, or empty if the message is malformed. */
-    public static Optional<ControllerEvent.EvidenceReported> event(
+    public static Optional<ControllerEvent.EvidenceReported> toEvent(
             String upstreamId, long incarnation, Evidence evidence) {
         try {
             long[] times =
@@ -40,7 +40,7 @@
                     upstreamId,
                     incarnation,
                     new ModelVersion(evidence.getModel(), evidence.getVersion()),
-                    new RouteCell(evidence.getRoute(), evidence.getUnderLoad()),
+                    new RouteLoadKey(evidence.getRoute(), evidence.getUnderLoad()),
                     new EvidenceCounters(evidence.getRequests(), evidence.getFailures(), TimeHistogram.of(times))));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
--- a/exchange/src/main/java/dev/wigeonward/exchange/FactListener.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/FactListener.java
@@ -6,7 +6,7 @@
 /** Listener for facts that are new to this process. */
 public interface FactListener {
     /** Called when a model version was judged bad. */
-    void onVerdict(BadVerdict verdict);
+    void onBadVerdict(BadVerdict verdict);
 
     /** Called when the controller published newer stages. */
     void onStages(ControllerStages stages);
--- a/exchange/src/main/java/dev/wigeonward/exchange/FactExchange.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/FactSync.java
@@ -23,7 +23,7 @@
  * forwards the facts that are new to it to all its other peers, so that a fact reaches every process in a few hops
  * without a membership list. Not thread-safe; used on the decision thread only.
  */
-public final class FactExchange {
+public final class FactSync {
     private static final String NO_PEER = "";
 
     private final SuspectTable suspects;
@@ -36,7 +36,7 @@
      *
      * @param listener called for verdicts and stages that are new to this process
      */
-    public FactExchange(SuspectTable suspects, StageView stages, FrameSender sender, FactListener listener) {
+    public FactSync(SuspectTable suspects, StageView stages, FrameSender sender, FactListener listener) {
         this.suspects = suspects;
         this.stages = stages;
         this.sender = sender;
@@ -46,9 +46,9 @@
     /** Sends all facts that this process has to a newly linked peer. */
     public void onLinkUp(String peer, long nowMillis) {
         Facts.Builder facts = Facts.newBuilder();
-        suspects.facts(nowMillis).forEach(fact -> facts.addSuspects(toMessage(fact)));
+        suspects.activeFacts(nowMillis).forEach(fact -> facts.addSuspects(toMessage(fact)));
         stages.badVerdicts().forEach(verdict -> facts.addVerdicts(toMessage(verdict)));
-        ControllerStages newest = stages.relayed(nowMillis);
+        ControllerStages newest = stages.forRelay(nowMillis);
         if (newest.fencingNumber() > 0) {
             facts.setController(toMessage(newest));
         }
@@ -75,7 +75,7 @@
             ControllerStages published = toStages(frame.getFacts().getController());
             if (stages.apply(published, nowMillis)) {
                 listener.onStages(published);
-                newFacts.setController(toMessage(stages.relayed(nowMillis)));
+                newFacts.setController(toMessage(stages.forRelay(nowMillis)));
             }
         }
         forward(peer, newFacts);
@@ -85,7 +85,7 @@
     private boolean mergeVerdict(BadVerdict verdict) {
         boolean isNew = stages.merge(List.of(verdict));
         if (isNew) {
-            listener.onVerdict(verdict);
+            listener.onBadVerdict(verdict);
         }
         return isNew;
     }
--- a/exchange/src/main/java/dev/wigeonward/exchange/OrderFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/OrderCodec.java
@@ -7,11 +7,11 @@
 import dev.wigeonward.wire.generated.Frame;
 
 /** Converts orders and their results to frames and back. */
-public final class OrderFrames {
-    private OrderFrames() {}
+public final class OrderCodec {
+    private OrderCodec() {}
 
     /** Returns the frame that carries an order. */
-    public static Frame frame(Order order) {
+    public static Frame toFrame(Order order) {
         return Frame.newBuilder()
                 .setOrder(dev.wigeonward.wire.generated.Order.newBuilder()
                         .setFencingNumber(order.fencingNumber())
@@ -32,7 +32,7 @@
     }
 
     /** Returns the order in a message, or empty if the message is malformed. */
-    public static Optional<Order> order(dev.wigeonward.wire.generated.Order message) {
+    public static Optional<Order> toOrder(dev.wigeonward.wire.generated.Order message) {
         Order.Kind kind =
                 switch (message.getKind()) {
                     case LOAD -> Order.Kind.LOAD;
@@ -57,7 +57,7 @@
     }
 
     /** Returns the frame that carries the result of an order. */
-    public static Frame frame(String orderId, OrderResult result) {
+    public static Frame toFrame(String orderId, OrderResult result) {
         dev.wigeonward.wire.generated.OrderResult.Builder message =
                 dev.wigeonward.wire.generated.OrderResult.newBuilder().setOrderId(orderId);
         if (result instanceof OrderResult.Started) {
@@ -76,7 +76,7 @@
     }
 
     /** Returns the result in a message, or empty if its state is not known. */
-    public static Optional<OrderResult> result(dev.wigeonward.wire.generated.OrderResult message) {
+    public static Optional<OrderResult> toResult(dev.wigeonward.wire.generated.OrderResult message) {
         return switch (message.getState()) {
             case STARTED -> Optional.of(new OrderResult.Started());
             case DONE -> Optional.of(new OrderResult.Done());
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
@@ -65,15 +65,15 @@
     static Optional<RelayEvent> event(String peer, Frame frame) {
         return switch (frame.getBodyCase()) {
             case HEARTBEAT ->
-                Optional.of(
-                        new RelayEvent.PeerHeartbeat(peer, frame.getHeartbeat().getRevision(), HASH_NOT_SENT));
+                Optional.of(new RelayEvent.HeartbeatArrived(
+                        peer, frame.getHeartbeat().getRevision(), HASH_NOT_SENT));
             case REVISION_OFFER ->
-                Optional.of(new RelayEvent.Offered(
+                Optional.of(new RelayEvent.OfferArrived(
                         peer,
                         frame.getRevisionOffer().getNumber(),
                         frame.getRevisionOffer().getHash()));
             case REVISION_REQUEST ->
-                Optional.of(new RelayEvent.Requested(
+                Optional.of(new RelayEvent.RequestArrived(
                         peer,
                         frame.getRevisionRequest().getHave(),
                         frame.getRevisionRequest().getHaveHash()));
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionExchange.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionSync.java
@@ -21,22 +21,21 @@
  * Connects the revision relay of a process to its links: converts frames to relay events and executes the effects that
  * the relay returns. Not thread-safe; used on the decision thread only.
  */
-public final class RevisionExchange {
-    private static final Logger LOG = System.getLogger(RevisionExchange.class.getName());
+public final class RevisionSync {
+    private static final Logger LOG = System.getLogger(RevisionSync.class.getName());
 
     private final RevisionLog log;
     private final RevisionRelay relay;
     private final FrameSender sender;
     private final Consumer<Revision> adoptionListener;
-    private final Map<String, Long> numberByPeer = new TreeMap<>();
+    private final Map<String, Long> reportedNumbers = new TreeMap<>();
 
     /**
      * Returns an exchange that has no revision yet.
      *
      * @param adoptionListener called with each revision that comes into force
      */
-    public RevisionExchange(
-            RevisionLog log, RevisionRelay relay, FrameSender sender, Consumer<Revision> adoptionListener) {
+    public RevisionSync(RevisionLog log, RevisionRelay relay, FrameSender sender, Consumer<Revision> adoptionListener) {
         this.log = log;
         this.relay = relay;
         this.sender = sender;
@@ -50,7 +49,7 @@
 
     /** Removes the state that is kept for a peer. */
     public void onLinkDown(String peer, long nowMillis) {
-        numberByPeer.remove(peer);
+        reportedNumbers.remove(peer);
         handle(new RelayEvent.LinkDown(peer), nowMillis);
     }
 
@@ -60,7 +59,7 @@
      */
     public void onFrame(String peer, Frame frame, long nowMillis) {
         if (frame.hasHeartbeat()) {
-            numberByPeer.put(peer, frame.getHeartbeat().getRevision());
+            reportedNumbers.put(peer, frame.getHeartbeat().getRevision());
             boolean hasNoRevision = frame.getHeartbeat().getRevision() == 0;
             if (hasNoRevision) {
                 return;
@@ -77,8 +76,8 @@
     }
 
     /** Handles the result of reading head from the store. */
-    public void onStoreRead(RevisionStore.HeadResult result, long nowMillis) {
-        handle(new RelayEvent.StoreRead(result), nowMillis);
+    public void onHeadRead(RevisionStore.HeadResult result, long nowMillis) {
+        handle(new RelayEvent.StoreReadCompleted(result), nowMillis);
     }
 
     /** Handles a timer tick: repeats the requests whose answers are overdue. */
@@ -87,20 +86,20 @@
     }
 
     /** Returns the number of the revision in force, or 0 if there is none. */
-    public long number() {
+    public long currentNumber() {
         return log.number();
     }
 
     /** Returns the number of the revision that each linked peer reported last, by peer. */
-    public Map<String, Long> numberByPeer() {
-        return Map.copyOf(numberByPeer);
+    public Map<String, Long> reportedNumbers() {
+        return Map.copyOf(reportedNumbers);
     }
 
     /**
      * Sets the number of the revision in force in a heartbeat. The hash is sent in offers only: its 64 hexadecimal
      * digits in every heartbeat would raise the heartbeat traffic of an entry with 78 links to 13 KB/s.
      */
-    public void describe(Heartbeat.Builder heartbeat) {
+    public void addTo(Heartbeat.Builder heartbeat) {
         heartbeat.setRevision(log.number());
     }
 
@@ -113,7 +112,7 @@
         if (effect instanceof RelayEffect.SendOffer send) {
             sender.send(send.peer(), RevisionFrames.offer(send.number(), send.hash()));
         } else if (effect instanceof RelayEffect.SendRequest send) {
-            sender.send(send.peer(), RevisionFrames.request(send.haveNumber(), send.haveHash()));
+            sender.send(send.peer(), RevisionFrames.request(send.baseNumber(), send.baseHash()));
         } else if (effect instanceof RelayEffect.SendDelta send) {
             sender.send(send.peer(), RevisionFrames.delta(send.delta()));
         } else if (effect instanceof RelayEffect.SendSnapshotPart send) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerChannel.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerChannel.java
@@ -9,9 +9,9 @@
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.gateway.exchange.AnswerSink;
 import dev.wigeonward.gateway.exchange.CallerRequest;
-import dev.wigeonward.gateway.exchange.DirectPath;
 import dev.wigeonward.gateway.exchange.Exchange;
-import dev.wigeonward.gateway.port.HttpDialect;
+import dev.wigeonward.gateway.exchange.GatewayDispatcher;
+import dev.wigeonward.gateway.port.HeaderCodec;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
@@ -44,8 +44,8 @@
     private static final int MAX_BODY_PARTS = 64;
 
     private final CallerServer server;
-    private final DirectPath path;
-    private final HttpDialect dialect;
+    private final GatewayDispatcher path;
+    private final HeaderCodec dialect;
     private final CallerLimits limits;
     private final ArrayDeque<Object> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -58,7 +58,7 @@
     private boolean keepAlive = true;
     private boolean lengthKnown;
 
-    CallerChannel(CallerServer server, DirectPath path, HttpDialect dialect, CallerLimits limits) {
+    CallerChannel(CallerServer server, GatewayDispatcher path, HeaderCodec dialect, CallerLimits limits) {
         this.server = server;
         this.path = path;
         this.dialect = dialect;
@@ -176,9 +176,9 @@
         body = null;
         CallerRequest callerRequest =
                 new CallerRequest(request, dialect.readCaller(request.headers()), wholeBody, path.millis());
-        Exchange started = path.prepare(callerRequest, this);
+        Exchange started = path.createExchange(callerRequest, this);
         exchange = Optional.of(started);
-        started.begin();
+        started.start();
     }
 
     private void rejectAndClose(ErrorKind kind) {
@@ -197,7 +197,7 @@
     }
 
     @Override
-    public void refuse(ErrorKind kind, long retryAfterMillis) {
+    public void writeError(ErrorKind kind, long retryAfterMillis) {
         answer(ErrorAnswers.of(kind, retryAfterMillis));
     }
 
@@ -222,7 +222,7 @@
     }
 
     @Override
-    public void head(HttpResponse response) {
+    public void writeHead(HttpResponse response) {
         if (!canWrite()) {
             return;
         }
@@ -235,7 +235,7 @@
     }
 
     @Override
-    public void content(ByteBuf bytes) {
+    public void writeContent(ByteBuf bytes) {
         if (!canWrite()) {
             bytes.release();
             return;
@@ -244,7 +244,7 @@
     }
 
     @Override
-    public void end() {
+    public void complete() {
         if (canWrite()) {
             finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
         }
@@ -287,7 +287,8 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext changed) {
-        exchange.ifPresent(current -> current.writable(changed.channel().isWritable()));
+        exchange.ifPresent(
+                current -> current.onWritabilityChanged(changed.channel().isWritable()));
     }
 
     @Override
@@ -299,7 +300,7 @@
         pipelined.clear();
         Optional<Exchange> unfinished = exchange;
         exchange = Optional.empty();
-        unfinished.ifPresent(Exchange::callerLeft);
+        unfinished.ifPresent(Exchange::onCallerClosed);
     }
 
     @Override
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
@@ -6,8 +6,8 @@
 import java.util.function.Supplier;
 
 import dev.wigeonward.core.deployment.CallerLimits;
-import dev.wigeonward.gateway.exchange.DirectPath;
-import dev.wigeonward.gateway.port.HttpDialect;
+import dev.wigeonward.gateway.exchange.GatewayDispatcher;
+import dev.wigeonward.gateway.port.HeaderCodec;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -29,20 +29,20 @@
 
     private static final int LOW_WATER_BYTES = 16_384;
 
-    private final DirectPath path;
-    private final HttpDialect dialect;
+    private final GatewayDispatcher path;
+    private final HeaderCodec dialect;
     private final Supplier<CallerLimits> limits;
     private final Set<CallerChannel> open = new HashSet<>();
     private boolean draining;
 
-    private CallerServer(DirectPath path, HttpDialect dialect, Supplier<CallerLimits> limits) {
+    private CallerServer(GatewayDispatcher path, HeaderCodec dialect, Supplier<CallerLimits> limits) {
         this.path = path;
         this.dialect = dialect;
         this.limits = limits;
     }
 
     /** Returns a server that does not listen yet. */
-    public static CallerServer create(DirectPath path, HttpDialect dialect, Supplier<CallerLimits> limits) {
+    public static CallerServer create(GatewayDispatcher path, HeaderCodec dialect, Supplier<CallerLimits> limits) {
         return new CallerServer(path, dialect, limits);
     }
 
@@ -76,7 +76,7 @@
     }
 
     /** Closes idle connections, and makes every further answer close its connection. */
-    public void closeIdle() {
+    public void startDraining() {
         draining = true;
         for (CallerChannel channel : Set.copyOf(open)) {
             channel.closeIfIdle();
@@ -84,7 +84,7 @@
     }
 
     /** Returns the number of open connections of callers. */
-    public int connections() {
+    public int connectionCount() {
         return open.size();
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/event/EventLog.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/event/EventLog.java
@@ -65,7 +65,7 @@
     }
 
     /** Returns the number of lines dropped since the last log line that reports dropped lines. */
-    public long leftOut() {
+    public long droppedLines() {
         return droppedSinceReport.get();
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/event/Telemetry.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/event/Telemetry.java
@@ -15,7 +15,7 @@
     }
 
     /** Adds a time to a histogram that covers the last {@link #HISTOGRAM_WINDOW} times. */
-    public void time(String name, long millis) {
+    public void recordTime(String name, long millis) {
         metrics.histogram(name, () -> new Histogram(new SlidingWindowReservoir(HISTOGRAM_WINDOW)))
                 .update(millis);
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Admission.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Admission.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 import dev.wigeonward.core.deployment.Route;
-import dev.wigeonward.core.deployment.Tenant;
+import dev.wigeonward.core.deployment.Workspace;
 import dev.wigeonward.core.error.ErrorKind;
 
 /** Result of the checks on a request before it is queued. */
@@ -15,7 +15,7 @@
      * @param fingerprint hash of the target, the caller's key and the body, by which a request that crashed an upstream
      *     is recognized when it is sent again
      */
-    record Admitted(Route route, String service, Optional<Tenant> tenant, long usage, long fingerprint)
+    record Admitted(Route route, String service, Optional<Workspace> tenant, long usage, long fingerprint)
             implements Admission {}
 
     /** The request is refused and has not run. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
@@ -5,12 +5,12 @@
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
-import dev.wigeonward.core.deployment.Deployment;
 import dev.wigeonward.core.deployment.Route;
-import dev.wigeonward.core.deployment.Tenant;
+import dev.wigeonward.core.deployment.RoutingConfiguration;
+import dev.wigeonward.core.deployment.Workspace;
 import dev.wigeonward.core.error.ErrorKind;
+import dev.wigeonward.core.suspect.SuspectRestriction;
 import dev.wigeonward.core.suspect.SuspectTable;
-import dev.wigeonward.core.suspect.Suspicion;
 
 /**
  * Checker of requests against the active configuration: route, tenant key, suspicion and usage cap. Runs on the event
@@ -23,41 +23,41 @@
      */
     private static final long SUSPECT_RETRY_MILLIS = 400;
 
-    private final Tenants tenants;
+    private final WorkspaceCaps tenants;
     private final SuspectTable suspects;
     private final Random random;
 
-    AdmissionChecker(Tenants tenants, SuspectTable suspects, Random random) {
+    AdmissionChecker(WorkspaceCaps tenants, SuspectTable suspects, Random random) {
         this.tenants = tenants;
         this.suspects = suspects;
         this.random = random;
     }
 
     /** Returns the admission or the refusal of a request, and counts its usage if it is admitted. */
-    Admission admit(CallerRequest request, Deployment current, long nowMillis) {
+    Admission admit(CallerRequest request, RoutingConfiguration current, long nowMillis) {
         Optional<Route> route = current.route(host(request), request.path());
         if (route.isEmpty()) {
             return new Admission.Refused(ErrorKind.UNKNOWN_TARGET, 0);
         }
-        Optional<Tenant> tenant = request.caller().key().flatMap(current::tenant);
-        if (tenant.isEmpty() && current.hasTenants() && !route.get().open()) {
+        Optional<Workspace> tenant = request.callerHead().apiKey().flatMap(current::workspace);
+        if (tenant.isEmpty() && current.hasWorkspaces() && !route.get().keyless()) {
             return new Admission.Refused(ErrorKind.UNAUTHORIZED, 0);
         }
         long fingerprint = fingerprint(request);
-        if (suspects.suspicion(fingerprint, nowMillis) == Suspicion.REFUSED) {
+        if (suspects.suspicion(fingerprint, nowMillis) == SuspectRestriction.REFUSED) {
             return new Admission.Refused(ErrorKind.SUSPECT, SUSPECT_RETRY_MILLIS);
         }
         long usage = 0;
         if (tenant.isPresent()) {
             usage = tenant.get()
-                    .usage((long) request.caller().promptTokens()
-                            + request.caller().outputTokens());
+                    .usageOf((long) request.callerHead().promptTokens()
+                            + request.callerHead().maxOutputTokens());
             long waitMillis = tenants.acquire(tenant.get(), usage, nowMillis);
             if (waitMillis > 0) {
                 return new Admission.Refused(ErrorKind.RATE_LIMITED, waitMillis);
             }
         }
-        String service = route.get().serviceFor(random.nextDouble());
+        String service = route.get().selectService(random.nextDouble());
         return new Admission.Admitted(route.get(), service, tenant, usage, fingerprint);
     }
 
@@ -70,7 +70,7 @@
     private static long fingerprint(CallerRequest request) {
         Hasher hasher = Hashing.murmur3_128().newHasher();
         hasher.putUnencodedChars(request.head().uri());
-        hasher.putUnencodedChars(request.caller().key().orElse(""));
+        hasher.putUnencodedChars(request.callerHead().apiKey().orElse(""));
         hasher.putBytes(request.body().nioBuffer());
         return hasher.hash().asLong();
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/AnswerSink.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/AnswerSink.java
@@ -6,17 +6,17 @@
 
 /** Receiver of the answer to one request. All methods are called on the event loop. */
 public interface AnswerSink {
-    /** Answers with an error of this process. Must not be called after {@link #head}. */
-    void refuse(ErrorKind kind, long retryAfterMillis);
+    /** Answers with an error of this process. Must not be called after {@link #writeHead}. */
+    void writeError(ErrorKind kind, long retryAfterMillis);
 
     /** Writes the head of an upstream's answer. */
-    void head(HttpResponse head);
+    void writeHead(HttpResponse head);
 
     /** Writes bytes of the body; the callee releases them. */
-    void content(ByteBuf bytes);
+    void writeContent(ByteBuf bytes);
 
     /** Completes the answer. */
-    void end();
+    void complete();
 
     /** Closes the caller's connection, so that an incomplete answer does not look complete. */
     void abort();
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -8,11 +8,11 @@
 import dev.wigeonward.core.deployment.Route;
 import dev.wigeonward.core.deployment.RouteKind;
 import dev.wigeonward.core.error.ErrorKind;
-import dev.wigeonward.core.schedule.Demand;
 import dev.wigeonward.core.schedule.RefusalReason;
+import dev.wigeonward.core.schedule.ScheduledRequest;
 import dev.wigeonward.core.schedule.ServiceScheduler;
 import dev.wigeonward.core.schedule.Upstream;
-import dev.wigeonward.core.stream.EventBoundaries;
+import dev.wigeonward.core.stream.EventBoundaryScanner;
 import dev.wigeonward.gateway.port.UpstreamCall;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -34,12 +34,12 @@
 
     private static final int PERCENT = 100;
 
-    private final DirectPath path;
+    private final GatewayDispatcher path;
     private final CallerRequest request;
     private final AnswerSink sink;
     private Admission.Admitted admitted;
-    private Demand demand;
-    private Optional<Run> run = Optional.empty();
+    private ScheduledRequest demand;
+    private Optional<UpstreamRun> run = Optional.empty();
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private long deadlineAtMillis;
     private int sends;
@@ -50,30 +50,30 @@
     private boolean mayHaveRun;
     private boolean headForwarded;
     private boolean done;
-    private Optional<EventBoundaries> boundaries = Optional.empty();
+    private Optional<EventBoundaryScanner> boundaries = Optional.empty();
 
-    Exchange(DirectPath path, CallerRequest request, AnswerSink sink) {
+    Exchange(GatewayDispatcher path, CallerRequest request, AnswerSink sink) {
         this.path = path;
         this.request = request;
         this.sink = sink;
     }
 
     /** Checks the request and queues it, or refuses it. */
-    public void begin() {
+    public void start() {
         Admission admission = path.admit(request);
         if (admission instanceof Admission.Refused refused) {
             path.count("refused." + refused.kind().wireName());
             finish("refused:" + refused.kind().wireName());
-            sink.refuse(refused.kind(), refused.retryAfterMillis());
+            sink.writeError(refused.kind(), refused.retryAfterMillis());
             return;
         }
         admitted = (Admission.Admitted) admission;
         path.retryShare(admitted.service()).onRequest(path.nowMillis());
         long waitMillis = Math.min(
                 admitted.route().timeoutMillis(),
-                request.caller().deadlineMillis().orElse(Long.MAX_VALUE));
+                request.callerHead().deadlineMillis().orElse(Long.MAX_VALUE));
         if (admitted.route().kind() == RouteKind.STREAMING && admitted.route().resumable()) {
-            boundaries = Optional.of(EventBoundaries.create());
+            boundaries = Optional.of(EventBoundaryScanner.create());
         }
         deadlineAtMillis = request.receivedAtMillis() + waitMillis;
         timeout = Optional.of(path.loop().schedule(this::onTimeout, waitMillis, TimeUnit.MILLISECONDS));
@@ -86,7 +86,7 @@
         sends++;
         waitedMillis = path.nowMillis() - request.receivedAtMillis();
         path.recordWait(waitedMillis);
-        Run newRun = new Run(this, path, upstream, demand, sink);
+        UpstreamRun newRun = new UpstreamRun(this, path, upstream, demand, sink);
         run = Optional.of(newRun);
         path.connections().send(upstream, upstreamRequest(upstream), newRun, newRun::onChannel);
     }
@@ -114,7 +114,7 @@
                                 upstream,
                                 Math.max(1, deadlineAtMillis - path.nowMillis()),
                                 admitted.tenant().map(tenant -> tenant.name()),
-                                boundaries.flatMap(EventBoundaries::lastId)));
+                                boundaries.flatMap(EventBoundaryScanner::lastEventId)));
         return copy;
     }
 
@@ -136,7 +136,7 @@
         }
         path.refundUsage(admitted);
         finish("refused:" + notRunKind.wireName());
-        sink.refuse(notRunKind, retryAfterMillis);
+        sink.writeError(notRunKind, retryAfterMillis);
     }
 
     /**
@@ -155,9 +155,9 @@
             connectFailures++;
         }
         mayHaveRun |= sent && failure != RunFailure.NOT_RUN;
-        boolean mayRepeat = !mayHaveRun || admitted.route().idempotent();
+        boolean mayRepeat = !mayHaveRun || admitted.route().isIdempotent();
         boolean again = sent
-                ? mayRepeat && sends < admitted.route().attempts() && path.tryAcquireRetry(admitted.service())
+                ? mayRepeat && sends < admitted.route().maxAttempts() && path.tryAcquireRetry(admitted.service())
                 : connectFailures < MAX_CONNECT_FAILURES;
         if (again) {
             requeue();
@@ -173,8 +173,8 @@
      */
     boolean tryReplaceFailure() {
         return !done
-                && admitted.route().idempotent()
-                && sends < admitted.route().attempts()
+                && admitted.route().isIdempotent()
+                && sends < admitted.route().maxAttempts()
                 && path.tryAcquireRetry(admitted.service());
     }
 
@@ -186,15 +186,15 @@
     }
 
     private void requeue() {
-        Demand next = path.createDemand(request, admitted, deadlineAtMillis);
-        demand.upstream().ifPresent(upstream -> next.avoid(upstream.id()));
+        ScheduledRequest next = path.createDemand(request, admitted, deadlineAtMillis);
+        demand.upstream().ifPresent(upstream -> next.excludeUpstream(upstream.id()));
         demand = next;
         path.offer(demand, this, admitted.service());
     }
 
     void onAnswered(int status) {
         finish("answered:" + status);
-        sink.end();
+        sink.complete();
     }
 
     private void onTimeout() {
@@ -207,7 +207,7 @@
         if (waits && !mayHaveRun) {
             path.refundUsage(admitted);
             finish("refused:" + ErrorKind.DEADLINE_UNREACHABLE.wireName());
-            sink.refuse(ErrorKind.DEADLINE_UNREACHABLE, UPSTREAM_FULL_RETRY_MILLIS);
+            sink.writeError(ErrorKind.DEADLINE_UNREACHABLE, UPSTREAM_FULL_RETRY_MILLIS);
             return;
         }
         fail(ErrorKind.DEADLINE_EXCEEDED_RUNNING);
@@ -219,7 +219,7 @@
         if (headForwarded) {
             sink.abort();
         } else {
-            sink.refuse(kind, 0);
+            sink.writeError(kind, 0);
         }
     }
 
@@ -241,7 +241,7 @@
     }
 
     /** Cancels the run after the caller closed its connection; no answer is sent. */
-    public void callerLeft() {
+    public void onCallerClosed() {
         if (done) {
             return;
         }
@@ -251,15 +251,15 @@
     }
 
     /** Resumes or suspends reading from the upstream, according to whether the caller's connection is writable. */
-    public void writable(boolean writable) {
-        run.flatMap(Run::channel).ifPresent(channel -> channel.read(writable));
+    public void onWritabilityChanged(boolean writable) {
+        run.flatMap(UpstreamRun::channel).ifPresent(channel -> channel.setReading(writable));
     }
 
     private void cancelRun() {
         if (demand != null) {
             path.withdraw(demand, admitted.service());
         }
-        run.ifPresent(Run::cancel);
+        run.ifPresent(UpstreamRun::cancel);
     }
 
     private void finish(String outcome) {
@@ -275,7 +275,7 @@
 
     private String details(String outcome) {
         long nowMillis = path.nowMillis();
-        String attempt = request.caller().attemptId().orElse("none");
+        String attempt = request.callerHead().attemptId().orElse("none");
         String common =
                 "id=" + attempt + " outcome=" + outcome + " total_ms=" + (nowMillis - request.receivedAtMillis());
         if (admitted == null) {
@@ -284,9 +284,9 @@
         String upstream = demand.upstream().map(Upstream::id).orElse("none");
         return common + " route=" + admitted.route().name() + " service=" + admitted.service() + " upstream=" + upstream
                 + " sends=" + sends + " waited_ms=" + waitedMillis + " deadline_ms="
-                + request.caller().deadlineMillis().orElse(0) + " events=" + events + " expected_events="
+                + request.callerHead().deadlineMillis().orElse(0) + " events=" + events + " expected_events="
                 + Math.round(demand.expectedEvents()) + " slowness_percent="
-                + Math.round(PERCENT * demand.slownessWhenPlaced()) + " last_failure=" + lastFailure;
+                + Math.round(PERCENT * demand.relativeSlownessAtPlacement()) + " last_failure=" + lastFailure;
     }
 
     boolean done() {
@@ -305,7 +305,7 @@
      * Returns the event boundaries of a stream that may be resumed at another upstream, or empty if the answer is
      * forwarded unchanged.
      */
-    Optional<EventBoundaries> boundaries() {
+    Optional<EventBoundaryScanner> boundaries() {
         return boundaries;
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DirectPath.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -12,28 +12,28 @@
 import java.util.concurrent.TimeUnit;
 
 import dev.wigeonward.common.clock.MonotonicClock;
-import dev.wigeonward.core.cap.RetryShare;
-import dev.wigeonward.core.deployment.Deployment;
+import dev.wigeonward.core.cap.RetryBudgetShare;
+import dev.wigeonward.core.deployment.RoutingConfiguration;
 import dev.wigeonward.core.error.ErrorKind;
-import dev.wigeonward.core.rollout.VersionBound;
+import dev.wigeonward.core.rollout.VersionConstraint;
 import dev.wigeonward.core.schedule.Decision;
-import dev.wigeonward.core.schedule.Demand;
-import dev.wigeonward.core.schedule.LearnedUnit;
+import dev.wigeonward.core.schedule.ObservedUnitTime;
+import dev.wigeonward.core.schedule.ScheduledRequest;
 import dev.wigeonward.core.schedule.ServiceScheduler;
 import dev.wigeonward.core.schedule.Upstream;
 import dev.wigeonward.core.suspect.SuspectFact;
+import dev.wigeonward.core.suspect.SuspectRestriction;
 import dev.wigeonward.core.suspect.SuspectTable;
-import dev.wigeonward.core.suspect.Suspicion;
 import dev.wigeonward.gateway.event.Telemetry;
-import dev.wigeonward.gateway.port.HttpDialect;
-import dev.wigeonward.gateway.upstream.UpstreamConnections;
+import dev.wigeonward.gateway.port.HeaderCodec;
+import dev.wigeonward.gateway.upstream.UpstreamConnectionPool;
 import io.netty.channel.EventLoop;
 
 /**
  * Request path of one entry: checks each fully received request against the active configuration and runs it as an
  * {@link Exchange}. All state is confined to one event loop.
  */
-public final class DirectPath {
+public final class GatewayDispatcher {
     /**
      * Interval between scheduling rounds while requests are queued; short compared with callers' latency objectives.
      */
@@ -55,35 +55,35 @@
 
     private final EventLoop loop;
     private final MonotonicClock clock;
-    private final HttpDialect dialect;
-    private final UpstreamConnections connections;
+    private final HeaderCodec dialect;
+    private final UpstreamConnectionPool connections;
     private final Telemetry telemetry;
     private final Random random;
-    private final Tenants tenants;
+    private final WorkspaceCaps tenants;
     private final SuspectTable suspects = SuspectTable.create();
     private final AdmissionChecker admissionChecker;
-    private final DemandFactory demandFactory = new DemandFactory();
-    private final Versions versions = new Versions();
+    private final ScheduledRequestFactory demandFactory = new ScheduledRequestFactory();
+    private final ServiceRollouts rollouts = new ServiceRollouts();
     private final Map<String, ServiceScheduler> schedulers = new HashMap<>();
-    private final Map<String, RetryShare> retryShares = new HashMap<>();
-    private final Map<Demand, Exchange> waiting = new HashMap<>();
+    private final Map<String, RetryBudgetShare> retryShares = new HashMap<>();
+    private final Map<ScheduledRequest, Exchange> waiting = new HashMap<>();
     private final Set<String> probing = new HashSet<>();
     private final Set<String> loggedSuspended = new HashSet<>();
     private PathSettings settings;
     private SuspectPublisher publisher;
-    private Optional<Deployment> deployment = Optional.empty();
+    private Optional<RoutingConfiguration> deployment = Optional.empty();
     private boolean upstreamsKnown;
     private int entries = 1;
-    private int running;
+    private int runningCount;
     private boolean decideScheduled;
     private boolean refusingNew;
 
-    private DirectPath(
+    private GatewayDispatcher(
             EventLoop loop,
             MonotonicClock clock,
-            HttpDialect dialect,
+            HeaderCodec dialect,
             PathSettings settings,
-            UpstreamConnections connections,
+            UpstreamConnectionPool connections,
             Telemetry telemetry,
             Random random) {
         this.loop = loop;
@@ -93,21 +93,21 @@
         this.connections = connections;
         this.telemetry = telemetry;
         this.random = random;
-        this.tenants = new Tenants(settings);
+        this.tenants = new WorkspaceCaps(settings);
         this.admissionChecker = new AdmissionChecker(tenants, suspects, random);
         this.publisher = suspects::onUpstreamDied;
     }
 
     /** Returns a path without a configuration, which refuses all requests until {@link #configure} provides one. */
-    public static DirectPath create(
+    public static GatewayDispatcher create(
             EventLoop loop,
             MonotonicClock clock,
-            HttpDialect dialect,
+            HeaderCodec dialect,
             PathSettings settings,
-            UpstreamConnections connections,
+            UpstreamConnectionPool connections,
             Telemetry telemetry,
             Random random) {
-        DirectPath path = new DirectPath(loop, clock, dialect, settings, connections, telemetry, random);
+        GatewayDispatcher path = new GatewayDispatcher(loop, clock, dialect, settings, connections, telemetry, random);
         loop.scheduleAtFixedRate(
                 path::checkUpstreams,
                 UPSTREAM_CHECK_PERIOD_MILLIS,
@@ -118,13 +118,13 @@
 
     private void checkUpstreams() {
         schedulers.values().forEach(scheduler -> {
-            scheduler.compareUpstreams();
+            scheduler.updateTypicalUnitTime();
             for (Upstream upstream : scheduler.suspended()) {
                 if (loggedSuspended.add(upstream.id())) {
                     telemetry.log().warning("upstream_taken_out", "id=" + upstream.id());
                 }
                 if (probing.add(upstream.id())) {
-                    connections.drop(upstream);
+                    connections.closePooled(upstream);
                     connections.probe(upstream, accepts -> onProbed(scheduler, upstream, accepts));
                 }
             }
@@ -142,35 +142,36 @@
     }
 
     /** Activates a configuration unless the active one has the same or a higher version. */
-    public void configure(Deployment newer) {
+    public void configure(RoutingConfiguration newer) {
         if (deployment.isPresent() && deployment.get().version() >= newer.version()) {
             return;
         }
         deployment = Optional.of(newer);
-        tenants.declare(newer.tenants(), nowMillis());
+        tenants.declare(newer.workspaces(), nowMillis());
         telemetry
                 .log()
                 .info(
                         "configuration",
                         "version=" + newer.version() + " tenants="
-                                + newer.tenants().size());
+                                + newer.workspaces().size());
     }
 
     /**
      * Replaces the bounds. Usage and retries already counted against the old bounds remain counted; the zone of
      * existing schedulers does not change.
      */
-    public void change(PathSettings newer) {
+    public void updateSettings(PathSettings newer) {
         settings = newer;
         retryShares
                 .values()
-                .forEach(share -> share.change(newer.retryRatio(), newer.retryAllowance(), newer.retryWindowMillis()));
+                .forEach(share ->
+                        share.setLimits(newer.retryRatio(), newer.retryAllowance(), newer.retryWindowMillis()));
         tenants.settings(newer);
-        deployment.ifPresent(current -> tenants.declare(current.tenants(), nowMillis()));
+        deployment.ifPresent(current -> tenants.declare(current.workspaces(), nowMillis()));
     }
 
     /** Replaces the lists of upstreams of all services. */
-    public void upstreams(Collection<Upstream> listed) {
+    public void setUpstreams(Collection<Upstream> listed) {
         upstreamsKnown = true;
         Map<String, List<Upstream>> byService = new HashMap<>();
         schedulers.keySet().forEach(service -> byService.put(service, new ArrayList<>()));
@@ -179,8 +180,8 @@
                     .computeIfAbsent(upstream.service(), service -> new ArrayList<>())
                     .add(upstream);
         }
-        byService.forEach((service, upstreams) -> scheduler(service).upstreams(upstreams));
-        connections.retain(listed);
+        byService.forEach((service, upstreams) -> scheduler(service).setUpstreams(upstreams));
+        connections.closeUnlisted(listed);
         loggedSuspended.retainAll(listed.stream().map(Upstream::id).toList());
         long leaving = listed.stream().filter(Upstream::draining).count();
         telemetry.log().info("upstreams", "listed=" + listed.size() + " leaving=" + leaving);
@@ -193,13 +194,13 @@
     }
 
     /** Returns the active configuration. */
-    public Optional<Deployment> deployment() {
+    public Optional<RoutingConfiguration> deployment() {
         return deployment;
     }
 
     /** Returns the number of requests without a final answer. */
-    public int running() {
-        return running;
+    public int runningCount() {
+        return runningCount;
     }
 
     /**
@@ -209,27 +210,27 @@
      * @param knownEntries number of all known entries, including this one
      * @param loads load of all peers by upstream identifier
      */
-    public void peers(int currentEntries, int knownEntries, Map<String, PeerLoad> loads) {
+    public void updatePeerLoads(int currentEntries, int knownEntries, Map<String, PeerLoad> loads) {
         entries = knownEntries;
         tenants.entries(currentEntries, knownEntries, nowMillis());
         schedulers
                 .values()
-                .forEach(scheduler -> scheduler.reportPeers(id -> {
+                .forEach(scheduler -> scheduler.updatePeerLoads(id -> {
                     PeerLoad load = loads.get(id);
                     return load == null
-                            ? ServiceScheduler.OwnLoad.none(id)
-                            : new ServiceScheduler.OwnLoad(id, load.requests(), load.tokens());
+                            ? ServiceScheduler.EntryLoad.none(id)
+                            : new ServiceScheduler.EntryLoad(id, load.requests(), load.tokens());
                 }));
         decide();
     }
 
     /** Records the usage that a peer has admitted for each tenant. */
-    public void peerUsage(String peer, long incarnation, Map<String, Tenants.Usage> usages) {
+    public void mergePeerUsage(String peer, long incarnation, Map<String, WorkspaceCaps.Usage> usages) {
         tenants.onPeer(peer, incarnation, usages, nowMillis());
     }
 
     /** Discards the tenant usage that a lost peer reported. */
-    public void peerLost(String peer) {
+    public void removePeerUsage(String peer) {
         tenants.forget(peer);
     }
 
@@ -243,39 +244,39 @@
     }
 
     /** Returns this entry's usage of each tenant's cap, for its peers. */
-    public Map<String, Tenants.Usage> ownUsages() {
+    public Map<String, WorkspaceCaps.Usage> ownUsages() {
         return tenants.usages(nowMillis());
     }
 
     /** Returns all learned speeds of upstreams. */
-    public List<LearnedUnit> learned() {
-        List<LearnedUnit> units = new ArrayList<>();
-        schedulers.values().forEach(scheduler -> units.addAll(scheduler.learned(nowMillis())));
+    public List<ObservedUnitTime> unitTimes() {
+        List<ObservedUnitTime> units = new ArrayList<>();
+        schedulers.values().forEach(scheduler -> units.addAll(scheduler.unitTimes(nowMillis())));
         return units;
     }
 
     /** Returns the learned speeds that have changed significantly since the last call. */
-    public List<LearnedUnit> learnedSinceTold() {
-        List<LearnedUnit> units = new ArrayList<>();
-        schedulers.values().forEach(scheduler -> units.addAll(scheduler.learnedSinceTold(nowMillis())));
+    public List<ObservedUnitTime> takeChangedUnitTimes() {
+        List<ObservedUnitTime> units = new ArrayList<>();
+        schedulers.values().forEach(scheduler -> units.addAll(scheduler.takeChangedUnitTimes(nowMillis())));
         return units;
     }
 
     /** Adopts speeds of upstreams that other entries have learned. */
-    public void adopt(List<LearnedUnit> units) {
-        schedulers.values().forEach(scheduler -> scheduler.adopt(units, nowMillis()));
+    public void adoptNewerUnitTimes(List<ObservedUnitTime> units) {
+        schedulers.values().forEach(scheduler -> scheduler.adoptNewerUnitTimes(units, nowMillis()));
     }
 
     /** Returns the state of traffic shifts between versions. */
-    public Versions versions() {
-        return versions;
+    public ServiceRollouts rollouts() {
+        return rollouts;
     }
 
     /**
      * Returns the number of requests of all entries that are outstanding at the service's upstreams of other versions.
      */
-    public int outstandingAtOthers(String service, String version) {
-        return scheduler(service).outstandingAtOthers(version);
+    public int outstandingAtOtherVersions(String service, String version) {
+        return scheduler(service).outstandingAtOtherVersions(version);
     }
 
     /** Returns the table of requests that were running when upstreams died, for the exchange with peers. */
@@ -284,20 +285,20 @@
     }
 
     /** Sets the publisher of upstream deaths. The initial one records them in this process only. */
-    public void publishSuspects(SuspectPublisher newPublisher) {
+    public void setSuspectPublisher(SuspectPublisher newPublisher) {
         publisher = newPublisher;
     }
 
     /** Refuses all further requests because this process is stopping; admitted requests continue. */
-    public void refuseNew() {
+    public void stopAdmission() {
         refusingNew = true;
     }
 
     /**
      * Returns an exchange for a request. Once begun, it ends with exactly one final answer unless the caller leaves.
      */
-    public Exchange prepare(CallerRequest request, AnswerSink sink) {
-        running++;
+    public Exchange createExchange(CallerRequest request, AnswerSink sink) {
+        runningCount++;
         return new Exchange(this, request, sink);
     }
 
@@ -312,7 +313,7 @@
     }
 
     void onExchangeEnded() {
-        running--;
+        runningCount--;
     }
 
     /** Returns the admission of a request, or the reason for its refusal. */
@@ -327,22 +328,23 @@
     }
 
     /** Returns a demand for the first or a further run of a request. */
-    Demand createDemand(CallerRequest request, Admission.Admitted admitted, long deadlineAtMillis) {
-        VersionBound bound = versions.bound(admitted.service(), admitted.route().name(), nowMillis());
+    ScheduledRequest createDemand(CallerRequest request, Admission.Admitted admitted, long deadlineAtMillis) {
+        VersionConstraint bound =
+                rollouts.bound(admitted.service(), admitted.route().name(), nowMillis());
         return demandFactory.of(request, admitted, deadlineAtMillis, bound);
     }
 
     /** Queues a demand; the exchange receives the decision on it. */
-    void offer(Demand demand, Exchange exchange, String service) {
+    void offer(ScheduledRequest demand, Exchange exchange, String service) {
         waiting.put(demand, exchange);
         scheduler(service).offer(demand);
         decide();
     }
 
     /** Removes a demand from the queue if no decision was made on it. */
-    void withdraw(Demand demand, String service) {
+    void withdraw(ScheduledRequest demand, String service) {
         if (waiting.remove(demand) != null) {
-            scheduler(service).withdraw(demand);
+            scheduler(service).remove(demand);
         }
     }
 
@@ -350,10 +352,10 @@
         return schedulers.computeIfAbsent(service, name -> ServiceScheduler.inZone(settings.zone()));
     }
 
-    RetryShare retryShare(String service) {
+    RetryBudgetShare retryShare(String service) {
         return retryShares.computeIfAbsent(
                 service,
-                name -> RetryShare.create(
+                name -> RetryBudgetShare.create(
                         settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis()));
     }
 
@@ -386,9 +388,9 @@
     }
 
     private void apply(Decision decision) {
-        if (decision instanceof Decision.Place place) {
+        if (decision instanceof Decision.Placed place) {
             waiting.remove(place.demand()).onPlaced(place.upstream());
-        } else if (decision instanceof Decision.Refuse refuse) {
+        } else if (decision instanceof Decision.Refused refuse) {
             waiting.remove(refuse.demand()).onRefused(refuse.reason());
         }
     }
@@ -402,7 +404,7 @@
                 () -> connections.probe(upstream, accepts -> {
                     if (!accepts) {
                         scheduler(upstream.service()).suspend(upstream.id());
-                        publisher.publish(fingerprint, upstream.lifetime(), nowMillis());
+                        publisher.publish(fingerprint, upstream.lifetimeId(), nowMillis());
                         count("upstream.crash_suspected");
                     }
                 }),
@@ -433,16 +435,16 @@
         return loop;
     }
 
-    HttpDialect dialect() {
+    HeaderCodec dialect() {
         return dialect;
     }
 
-    UpstreamConnections connections() {
+    UpstreamConnectionPool connections() {
         return connections;
     }
 
     void recordWait(long millis) {
-        telemetry.time("request.wait_millis", millis);
+        telemetry.recordTime("request.wait_millis", millis);
     }
 
     void count(String name) {
@@ -451,13 +453,13 @@
 
     /** Logs the outcome of a request and records its total time. */
     void logOutcome(String details, long totalMillis) {
-        telemetry.time("request.millis", totalMillis);
+        telemetry.recordTime("request.millis", totalMillis);
         telemetry
                 .log()
                 .info(
                         "request",
                         details + " configuration="
-                                + deployment.map(Deployment::version).orElse(0L));
+                                + deployment.map(RoutingConfiguration::version).orElse(0L));
     }
 
     /** Returns the state of this process as text lines for the dump page. */
@@ -466,18 +468,18 @@
         lines.add("bounds " + settings);
         lines.add("configuration_version "
                 + deployment.map(current -> String.valueOf(current.version())).orElse("none"));
-        lines.add("running " + running);
+        lines.add("running " + runningCount);
         lines.add("entries " + entries);
-        List<SuspectFact> facts = suspects.facts(nowMillis());
+        List<SuspectFact> facts = suspects.activeFacts(nowMillis());
         long refused = facts.stream()
-                .filter(fact -> suspects.suspicion(fact.fingerprint(), nowMillis()) == Suspicion.REFUSED)
+                .filter(fact -> suspects.suspicion(fact.fingerprint(), nowMillis()) == SuspectRestriction.REFUSED)
                 .count();
         lines.add("suspects " + facts.size() + " refused " + refused);
         schedulers.forEach((service, scheduler) -> {
             lines.add("service " + service + " waiting=" + scheduler.waitingCount());
-            scheduler.describe(nowMillis()).forEach(line -> lines.add("upstream " + line));
+            scheduler.dumpLines(nowMillis()).forEach(line -> lines.add("upstream " + line));
         });
-        lines.addAll(versions.describe(nowMillis()));
+        lines.addAll(rollouts.describe(nowMillis()));
         tenants.describe(nowMillis()).forEach(line -> lines.add("tenant " + line));
         return lines;
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/DemandFactory.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/ScheduledRequestFactory.java
@@ -4,13 +4,14 @@
 import java.util.Map;
 
 import dev.wigeonward.core.deployment.Route;
-import dev.wigeonward.core.rollout.VersionBound;
-import dev.wigeonward.core.schedule.Demand;
+import dev.wigeonward.core.rollout.VersionConstraint;
+import dev.wigeonward.core.schedule.ScheduledRequest;
 
 /**
- * Factory for the {@link Demand}s that the schedulers compare, created from admitted requests. Runs on the event loop.
+ * Factory for the {@link ScheduledRequest}s that the schedulers compare, created from admitted requests. Runs on the
+ * event loop.
  */
-final class DemandFactory {
+final class ScheduledRequestFactory {
     /** Weight of the tenant's priority in a rank, so that it takes precedence over the priority of the route. */
     private static final int TENANT_RANK_WEIGHT = 1_000;
     /** Shortest time that a caller of a route states on its first attempt, as a part of the longest one. */
@@ -19,20 +20,23 @@
     private final Map<String, Long> longestDeadlines = new HashMap<>();
 
     /** Returns a demand for the first or a further run of a request. */
-    Demand of(CallerRequest request, Admission.Admitted admitted, long deadlineAtMillis, VersionBound versions) {
+    ScheduledRequest of(
+            CallerRequest request, Admission.Admitted admitted, long deadlineAtMillis, VersionConstraint versions) {
         Route route = admitted.route();
         int tenantRank =
                 admitted.tenant().map(tenant -> tenant.priority().orElse(0)).orElse(0);
         int rank = tenantRank * TENANT_RANK_WEIGHT + route.priority();
         long objective = Math.max(1, route.objectiveMillis() > 0 ? route.objectiveMillis() : route.timeoutMillis());
-        Demand.Builder builder = Demand.builder(
+        ScheduledRequest.Builder builder = ScheduledRequest.builder(
                         route.name() + "/" + tenantRank, rank, objective, request.receivedAtMillis())
-                .elapsedBefore(elapsedBeforeMillis(route, request))
+                .elapsedInEarlierAttempts(elapsedBeforeMillis(route, request))
                 .deadlineAt(deadlineAtMillis)
                 .versions(versions);
-        if (request.caller().promptTokens() > 0) {
-            builder.generating(
-                    request.caller().promptTokens(), request.caller().expectedOutputTokens(), route.maxPauseMillis());
+        if (request.callerHead().promptTokens() > 0) {
+            builder.streaming(
+                    request.callerHead().promptTokens(),
+                    request.callerHead().expectedOutputTokens(),
+                    route.maxPauseMillis());
         }
         return builder.build();
     }
@@ -43,10 +47,10 @@
      * earlier attempt.
      */
     private long elapsedBeforeMillis(Route route, CallerRequest request) {
-        if (request.caller().deadlineMillis().isEmpty()) {
+        if (request.callerHead().deadlineMillis().isEmpty()) {
             return 0;
         }
-        long statedMillis = request.caller().deadlineMillis().getAsLong();
+        long statedMillis = request.callerHead().deadlineMillis().getAsLong();
         long longestMillis =
                 longestDeadlines.merge(route.name(), Math.min(statedMillis, route.timeoutMillis()), Math::max);
         return Math.max(0, (long) (MIN_DEADLINE_PART * longestMillis) - statedMillis);
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Versions.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/ServiceRollouts.java
@@ -10,20 +10,20 @@
 import dev.wigeonward.core.rollout.EvidenceCounters;
 import dev.wigeonward.core.rollout.EvidenceRecorder;
 import dev.wigeonward.core.rollout.ModelVersion;
-import dev.wigeonward.core.rollout.ShiftChoice;
-import dev.wigeonward.core.rollout.ShiftOrder;
-import dev.wigeonward.core.rollout.ShiftState;
+import dev.wigeonward.core.rollout.RolloutOrder;
+import dev.wigeonward.core.rollout.RolloutState;
+import dev.wigeonward.core.rollout.RolloutVersionSelector;
+import dev.wigeonward.core.rollout.ServiceRollout;
 import dev.wigeonward.core.rollout.StageView;
-import dev.wigeonward.core.rollout.TrafficShift;
-import dev.wigeonward.core.rollout.VersionBound;
-import dev.wigeonward.core.schedule.Demand;
+import dev.wigeonward.core.rollout.VersionConstraint;
+import dev.wigeonward.core.schedule.ScheduledRequest;
 import dev.wigeonward.core.schedule.Upstream;
 
 /**
  * State of the traffic shifts between versions that operators have ordered: the choice of a version for each request,
  * and evidence on the outcomes. Runs on the event loop.
  */
-public final class Versions {
+public final class ServiceRollouts {
     /**
      * Load up to which an upstream counts as idle. All observations are recorded with load 0, so that loaded and idle
      * upstreams are not distinguished: a shift is too short for two verdicts on each route.
@@ -31,11 +31,11 @@
     private static final double LOAD_THRESHOLD = 1;
 
     private final StageView view = new StageView();
-    private final ShiftChoice choice = ShiftChoice.over(view);
+    private final RolloutVersionSelector choice = RolloutVersionSelector.of(view);
     private final EvidenceRecorder recorder = new EvidenceRecorder(LOAD_THRESHOLD);
-    private final Map<String, TrafficShift> shifts = new HashMap<>();
+    private final Map<String, ServiceRollout> shifts = new HashMap<>();
 
-    Versions() {}
+    ServiceRollouts() {}
 
     /** Returns the stages and verdicts known to this entry. */
     public StageView view() {
@@ -43,27 +43,27 @@
     }
 
     /** Records an operator's order; returns whether it was new. */
-    public boolean order(ShiftOrder order) {
-        return choice.order(order);
+    public boolean addOrder(RolloutOrder order) {
+        return choice.addOrder(order);
     }
 
     /** Records the state of a shift that was read from the store. */
-    public void settle(String service, String target, ShiftState state, long revision) {
-        choice.settle(service, target, state, revision);
+    public void recordState(String service, String target, RolloutState state, long revision) {
+        choice.addFinalState(service, target, state, revision);
     }
 
     /** Returns the open shifts with the evidence that this entry has received on them. */
-    public List<TrafficShift> shifts() {
-        Map<String, ShiftOrder> open = choice.open();
+    public List<ServiceRollout> shifts() {
+        Map<String, RolloutOrder> open = choice.unfinishedOrders();
         shifts.values()
                 .removeIf(shift -> !shift.order().equals(open.get(shift.order().service())));
-        open.forEach((service, order) -> shifts.computeIfAbsent(service, name -> TrafficShift.of(order)));
+        open.forEach((service, order) -> shifts.computeIfAbsent(service, name -> ServiceRollout.of(order)));
         return new ArrayList<>(shifts.values());
     }
 
     /** Merges the counters of an entry since its start; the entry may be this one. */
     public void onEvidence(ControllerEvent.EvidenceReported report, long nowMillis) {
-        TrafficShift shift = shifts.get(report.version().model());
+        ServiceRollout shift = shifts.get(report.version().model());
         if (shift != null) {
             shift.add(report, nowMillis);
         }
@@ -74,7 +74,7 @@
         return recorder.counters(nowMillis);
     }
 
-    VersionBound bound(String service, String route, long nowMillis) {
+    VersionConstraint bound(String service, String route, long nowMillis) {
         return choice.choose(service, route, nowMillis);
     }
 
@@ -82,23 +82,25 @@
      * Returns an observation of a request that is being sent, or empty if the service has no open shift or the upstream
      * no version.
      */
-    Optional<EvidenceRecorder.Observation> started(Upstream upstream, String route, Demand demand, long nowMillis) {
-        if (upstream.version().isEmpty() || choice.open(upstream.service()).isEmpty()) {
+    Optional<EvidenceRecorder.Observation> started(
+            Upstream upstream, String route, ScheduledRequest demand, long nowMillis) {
+        if (upstream.version().isEmpty()
+                || choice.unfinishedOrder(upstream.service()).isEmpty()) {
             return Optional.empty();
         }
         ModelVersion version = new ModelVersion(upstream.service(), upstream.version());
-        long usualMillis = Math.max(1, Math.round(demand.usualMillis()));
-        return Optional.of(recorder.started(version, route, 0, usualMillis, nowMillis));
+        long usualMillis = Math.max(1, Math.round(demand.typicalResponseMillis()));
+        return Optional.of(recorder.start(version, route, 0, usualMillis, nowMillis));
     }
 
     List<String> describe(long nowMillis) {
         List<String> lines = new ArrayList<>();
-        for (TrafficShift shift : shifts()) {
-            ShiftOrder order = shift.order();
+        for (ServiceRollout shift : shifts()) {
+            RolloutOrder order = shift.order();
             lines.add("shift %s target=%s share=%d state=%s millis_left=%d"
                     .formatted(
                             order.service(),
-                            order.target(),
+                            order.targetVersion(),
                             view.shareBasisPoints(order.service(), nowMillis),
                             shift.state(),
                             order.deadlineMillis() - nowMillis));
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Run.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -5,12 +5,12 @@
 
 import dev.wigeonward.core.deployment.RouteKind;
 import dev.wigeonward.core.rollout.EvidenceRecorder;
-import dev.wigeonward.core.schedule.Demand;
+import dev.wigeonward.core.schedule.ScheduledRequest;
 import dev.wigeonward.core.schedule.ServiceScheduler.Outcome;
 import dev.wigeonward.core.schedule.Upstream;
-import dev.wigeonward.core.stream.EventBoundaries;
+import dev.wigeonward.core.stream.EventBoundaryScanner;
 import dev.wigeonward.gateway.port.AnswerHead;
-import dev.wigeonward.gateway.upstream.UpstreamChannel;
+import dev.wigeonward.gateway.upstream.UpstreamConnection;
 import dev.wigeonward.gateway.upstream.UpstreamListener;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -21,7 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /** One dispatch of a request to one upstream, and the forwarding of its answer. Runs on the event loop. */
-final class Run implements UpstreamListener {
+final class UpstreamRun implements UpstreamListener {
     /** Largest non-streaming answer that is buffered until it is complete, so that a broken one can be replaced. */
     private static final int MAX_BUFFERED_BYTES = 65_536;
     /**
@@ -34,31 +34,32 @@
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final Exchange exchange;
-    private final DirectPath path;
+    private final GatewayDispatcher path;
     private final Upstream upstream;
-    private final Demand demand;
+    private final ScheduledRequest demand;
     private final AnswerSink sink;
     private final Optional<EvidenceRecorder.Observation> observation;
     private final ByteBuf buffered = Unpooled.buffer(0);
-    private Optional<UpstreamChannel> channel = Optional.empty();
+    private Optional<UpstreamConnection> channel = Optional.empty();
     private Mode mode = Mode.AWAITING_HEAD;
     private HttpResponse head;
     private boolean cancelled;
     private int events;
     private long observedAtMillis;
 
-    Run(Exchange exchange, DirectPath path, Upstream upstream, Demand demand, AnswerSink sink) {
+    UpstreamRun(
+            Exchange exchange, GatewayDispatcher path, Upstream upstream, ScheduledRequest demand, AnswerSink sink) {
         this.exchange = exchange;
         this.path = path;
         this.upstream = upstream;
         this.demand = demand;
         this.sink = sink;
-        path.suspects().onDispatched(exchange.fingerprint());
+        path.suspects().recordDispatch(exchange.fingerprint());
         observation = startObservation();
     }
 
     /** Sets the connection to the upstream; returns false if the run was cancelled in the meantime. */
-    boolean onChannel(UpstreamChannel newChannel) {
+    boolean onChannel(UpstreamConnection newChannel) {
         if (cancelled) {
             return false;
         }
@@ -66,7 +67,7 @@
         return true;
     }
 
-    Optional<UpstreamChannel> channel() {
+    Optional<UpstreamConnection> channel() {
         return channel;
     }
 
@@ -75,7 +76,7 @@
         if (cancelled) {
             return;
         }
-        channel.ifPresent(UpstreamChannel::cancel);
+        channel.ifPresent(UpstreamConnection::cancel);
         end(Outcome.LEFT);
     }
 
@@ -86,21 +87,21 @@
         if (outcome == Outcome.FAILED && events > 0) {
             // The observation ended with the first event, as an answer; the later break is counted as a second
             // observation.
-            startObservation().ifPresent(broken -> broken.died(path.nowMillis()));
+            startObservation().ifPresent(broken -> broken.failed(path.nowMillis()));
         }
         exchange.scheduler().onEnded(demand, outcome, path.nowMillis());
-        path.suspects().onEnded(exchange.fingerprint());
+        path.suspects().recordEnd(exchange.fingerprint());
     }
 
     private Optional<EvidenceRecorder.Observation> startObservation() {
-        return path.versions().started(upstream, exchange.route().name(), demand, path.nowMillis());
+        return path.rollouts().started(upstream, exchange.route().name(), demand, path.nowMillis());
     }
 
     private void finishObservation(EvidenceRecorder.Observation started, Outcome outcome) {
         long nowMillis = path.nowMillis();
         switch (outcome) {
             case ANSWERED -> started.answered(head.status().code(), nowMillis);
-            case FAILED -> started.died(nowMillis);
+            case FAILED -> started.failed(nowMillis);
             default -> started.cancelled(nowMillis);
         }
     }
@@ -108,7 +109,7 @@
     @Override
     public boolean onHead(HttpResponse newHead) {
         AnswerHead answer = path.dialect().readAnswer(newHead.status().code(), newHead.headers());
-        Optional<String> expectedId = exchange.request().caller().attemptId();
+        Optional<String> expectedId = exchange.request().callerHead().attemptId();
         if (answer.attemptId().isPresent()
                 && expectedId.isPresent()
                 && !answer.attemptId().equals(expectedId)) {
@@ -117,7 +118,7 @@
         }
         head = newHead;
         mode = chooseMode(answer, newHead);
-        if (mode == Mode.PASS_ON) {
+        if (mode == Mode.FORWARD) {
             forwardHead();
         }
         return true;
@@ -130,10 +131,10 @@
         }
         boolean success = newHead.status().codeClass() == HttpStatusClass.SUCCESS;
         if (exchange.headForwarded()) {
-            return success && answer.signed() ? Mode.PASS_ON : Mode.BROKEN;
+            return success && answer.signed() ? Mode.FORWARD : Mode.UNUSABLE;
         }
         if (success && !answer.signed()) {
-            return Mode.BROKEN;
+            return Mode.UNUSABLE;
         }
         if (status >= FIRST_SERVER_ERROR && exchange.tryReplaceFailure()) {
             return Mode.REPLACED;
@@ -141,9 +142,9 @@
         if (!success && NotRunStatus.impliesNotRun(status)) {
             // The upstream does not state that it did not run the request, so a status that implies this must not be
             // forwarded.
-            return Mode.BROKEN;
+            return Mode.UNUSABLE;
         }
-        return success && exchange.route().kind() == RouteKind.STREAMING ? Mode.PASS_ON : Mode.HOLD;
+        return success && exchange.route().kind() == RouteKind.STREAMING ? Mode.FORWARD : Mode.BUFFER;
     }
 
     private void forwardHead() {
@@ -154,14 +155,14 @@
         HttpResponse copy = new DefaultHttpResponse(
                 HttpVersion.HTTP_1_1, head.status(), head.headers().copy());
         HopByHopHeaders.remove(copy.headers());
-        sink.head(copy);
+        sink.writeHead(copy);
     }
 
     @Override
     public void onContent(ByteBuf bytes) {
         switch (mode) {
-            case PASS_ON -> forward(bytes);
-            case HOLD -> buffer(bytes);
+            case FORWARD -> forward(bytes);
+            case BUFFER -> buffer(bytes);
             default -> bytes.release();
         }
     }
@@ -171,16 +172,16 @@
         bytes.release();
         exchange.scheduler().onOutput(demand, path.nowMillis());
         if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
-            mode = Mode.PASS_ON;
+            mode = Mode.FORWARD;
             forwardHead();
-            sink.content(buffered.copy());
+            sink.writeContent(buffered.copy());
             buffered.clear();
         }
     }
 
     private void forward(ByteBuf bytes) {
         recordProgress();
-        Optional<EventBoundaries> boundaries = exchange.boundaries();
+        Optional<EventBoundaryScanner> boundaries = exchange.boundaries();
         if (boundaries.isEmpty()) {
             send(bytes);
             return;
@@ -198,9 +199,9 @@
     }
 
     private void send(ByteBuf bytes) {
-        sink.content(bytes);
+        sink.writeContent(bytes);
         if (!sink.writable()) {
-            channel.ifPresent(open -> open.read(false));
+            channel.ifPresent(open -> open.setReading(false));
         }
     }
 
@@ -217,7 +218,8 @@
         exchange.scheduler().onOutput(demand, nowMillis);
         if (events % EVENTS_PER_OBSERVATION == 1) {
             exchange.scheduler()
-                    .onPauses(demand, Math.max(1.0, nowMillis - observedAtMillis) / EVENTS_PER_OBSERVATION, nowMillis);
+                    .onEventIntervals(
+                            demand, Math.max(1.0, nowMillis - observedAtMillis) / EVENTS_PER_OBSERVATION, nowMillis);
             observedAtMillis = nowMillis;
         }
     }
@@ -233,12 +235,12 @@
                 end(Outcome.FAILED);
                 exchange.onReplacedFailureRead();
             }
-            case BROKEN -> {
+            case UNUSABLE -> {
                 path.count("upstream.unusable_answer");
                 end(Outcome.FAILED);
                 exchange.onRunFailed(RunFailure.BROKEN, "unusable_answer");
             }
-            case PASS_ON, HOLD -> onWholeAnswer();
+            case FORWARD, BUFFER -> onWholeAnswer();
             default ->
                 throw new IllegalStateException(
                         "answer of upstream " + upstream.id() + " is complete, expected a head first");
@@ -256,31 +258,31 @@
     private void onWholeAnswer() {
         boolean failure = head.status().code() >= FIRST_SERVER_ERROR;
         if (!failure && events > 0) {
-            exchange.scheduler().onLength(demand, events);
+            exchange.scheduler().onStreamLength(demand, events);
         }
         end(failure ? Outcome.FAILED : Outcome.ANSWERED);
         forwardHead();
         if (buffered.isReadable()) {
-            sink.content(buffered.copy());
+            sink.writeContent(buffered.copy());
         }
         exchange.onAnswered(head.status().code());
     }
 
     @Override
-    public void onBroken(Breakage breakage, String reason) {
+    public void onFailed(FailurePoint breakage, String reason) {
         if (cancelled) {
             return;
         }
         path.count("upstream.broken." + breakage.name().toLowerCase(Locale.ROOT));
         if (mode == Mode.NOT_RUN) {
             onNotRun();
-        } else if (breakage == Breakage.SENT) {
+        } else if (breakage == FailurePoint.SENT) {
             path.probeAfterBrokenRun(upstream, exchange.fingerprint());
             end(Outcome.FAILED);
-            exchange.boundaries().ifPresent(EventBoundaries::dropOpenEvent);
+            exchange.boundaries().ifPresent(EventBoundaryScanner::discardIncompleteEvent);
             exchange.onRunFailed(RunFailure.BROKEN, reason);
         } else {
-            end(breakage == Breakage.NO_CONNECTION ? Outcome.UNREACHABLE : Outcome.LEFT);
+            end(breakage == FailurePoint.NO_CONNECTION ? Outcome.UNREACHABLE : Outcome.LEFT);
             exchange.onRunFailed(RunFailure.NOT_SENT, reason);
         }
         path.decide();
@@ -290,14 +292,14 @@
     private enum Mode {
         AWAITING_HEAD,
         /** Bytes are forwarded to the caller as they arrive. */
-        PASS_ON,
+        FORWARD,
         /** Bytes are buffered until the answer is complete. */
-        HOLD,
+        BUFFER,
         /** The upstream did not run the request. */
         NOT_RUN,
         /** The upstream answered with a failure, and the request is sent to another upstream instead. */
         REPLACED,
         /** The answer must not reach the caller: its signature is missing or its status would be misleading. */
-        BROKEN
+        UNUSABLE
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Tenants.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/WorkspaceCaps.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import java.util.Map;
 
-import dev.wigeonward.core.cap.TenantCap;
-import dev.wigeonward.core.deployment.Tenant;
+import dev.wigeonward.core.cap.WorkspaceUsageCap;
+import dev.wigeonward.core.deployment.Workspace;
 
 /** Usage caps of all tenants, with the state that this entry knows. Runs on the event loop. */
-public final class Tenants {
+public final class WorkspaceCaps {
     /**
      * Part of the tolerated overrun that is added to the capacity of a cap. The rest covers entries that are cut off,
      * reports that are in transit, and requests larger than the remaining usage.
@@ -19,11 +19,11 @@
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private PathSettings settings;
-    private final Map<String, TenantCap> caps = new HashMap<>();
+    private final Map<String, WorkspaceUsageCap> caps = new HashMap<>();
     private int currentEntries = 1;
     private int knownEntries = 1;
 
-    Tenants(PathSettings settings) {
+    WorkspaceCaps(PathSettings settings) {
         this.settings = settings;
     }
 
@@ -32,19 +32,19 @@
     }
 
     /** Replaces the capped tenants; usage of tenants that remain is kept. */
-    void declare(List<Tenant> tenants, long nowMillis) {
-        Map<String, TenantCap> previous = new HashMap<>(caps);
+    void declare(List<Workspace> tenants, long nowMillis) {
+        Map<String, WorkspaceUsageCap> previous = new HashMap<>(caps);
         caps.clear();
-        for (Tenant tenant : tenants) {
+        for (Workspace tenant : tenants) {
             if (tenant.ratePerSecond() <= 0) {
                 continue;
             }
-            TenantCap cap = previous.get(tenant.name());
+            WorkspaceUsageCap cap = previous.get(tenant.name());
             if (cap == null) {
-                cap = TenantCap.create(tenant.ratePerSecond(), capacity(tenant), knownEntries, nowMillis);
-                cap.entries(currentEntries, knownEntries, nowMillis);
+                cap = WorkspaceUsageCap.create(tenant.ratePerSecond(), capacity(tenant), knownEntries, nowMillis);
+                cap.setEntryCounts(currentEntries, knownEntries, nowMillis);
             } else {
-                cap.change(tenant.ratePerSecond(), capacity(tenant), nowMillis);
+                cap.setLimits(tenant.ratePerSecond(), capacity(tenant), nowMillis);
             }
             caps.put(tenant.name(), cap);
         }
@@ -54,7 +54,7 @@
      * Returns the capacity of a tenant's cap. A cap shared between entries refuses some usage that a central one would
      * admit, so the capacity includes part of the tolerated overrun.
      */
-    private long capacity(Tenant tenant) {
+    private long capacity(Workspace tenant) {
         double window = tenant.ratePerSecond() * settings.capWindowMillis() / MILLIS_PER_SECOND + tenant.burst();
         double tolerated = settings.capOverrunRatio() * window + settings.capMargin();
         return Math.max(1, tenant.burst() + (long) (TOLERANCE_IN_CAPACITY * tolerated));
@@ -64,52 +64,52 @@
     void entries(int newCurrentEntries, int newKnownEntries, long nowMillis) {
         currentEntries = newCurrentEntries;
         knownEntries = newKnownEntries;
-        caps.values().forEach(cap -> cap.entries(currentEntries, knownEntries, nowMillis));
+        caps.values().forEach(cap -> cap.setEntryCounts(currentEntries, knownEntries, nowMillis));
     }
 
     void onPeer(String peer, long incarnation, Map<String, Usage> usages, long nowMillis) {
         caps.forEach((tenant, cap) -> {
             Usage usage = usages.get(tenant);
             if (usage != null) {
-                cap.onPeer(peer, incarnation, usage.total(), usage.level(), nowMillis);
+                cap.onPeerReport(peer, incarnation, usage.total(), usage.remaining(), nowMillis);
             }
         });
     }
 
     /** Discards the usage that a peer reported. */
     void forget(String peer) {
-        caps.values().forEach(cap -> cap.forget(peer));
+        caps.values().forEach(cap -> cap.removePeer(peer));
     }
 
     /**
      * Counts the usage and returns 0 if the tenant's cap allows it, otherwise returns the milliseconds until it does.
      */
-    long acquire(Tenant tenant, long usage, long nowMillis) {
-        TenantCap cap = caps.get(tenant.name());
-        if (cap == null || cap.tryUse(usage, nowMillis)) {
+    long acquire(Workspace tenant, long usage, long nowMillis) {
+        WorkspaceUsageCap cap = caps.get(tenant.name());
+        if (cap == null || cap.tryAcquire(usage, nowMillis)) {
             return 0;
         }
         return Math.max(1, cap.millisUntilAvailable());
     }
 
     /** Credits the usage of a request that did not run to the tenant's cap. */
-    void refund(Tenant tenant, long usage) {
-        TenantCap cap = caps.get(tenant.name());
+    void refund(Workspace tenant, long usage) {
+        WorkspaceUsageCap cap = caps.get(tenant.name());
         if (cap != null) {
-            cap.giveBack(usage);
+            cap.refund(usage);
         }
     }
 
     Map<String, Usage> usages(long nowMillis) {
         Map<String, Usage> usages = new HashMap<>();
-        caps.forEach((tenant, cap) -> usages.put(tenant, new Usage(cap.usedTotal(), cap.level(nowMillis))));
+        caps.forEach((tenant, cap) -> usages.put(tenant, new Usage(cap.totalUsage(), cap.level(nowMillis))));
         return usages;
     }
 
     List<String> describe(long nowMillis) {
         List<String> lines = new ArrayList<>();
         caps.forEach((tenant, cap) ->
-                lines.add("%s used_total=%.0f left=%.0f".formatted(tenant, cap.usedTotal(), cap.level(nowMillis))));
+                lines.add("%s used_total=%.0f left=%.0f".formatted(tenant, cap.totalUsage(), cap.level(nowMillis))));
         lines.sort(null);
         return lines;
     }
@@ -118,7 +118,7 @@
      * Usage of one tenant at one entry.
      *
      * @param total usage admitted since the entry's start
-     * @param level remaining usage by the entry's estimate
+     * @param remaining remaining usage by the entry's estimate
      */
-    public record Usage(double total, double level) {}
+    public record Usage(double total, double remaining) {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/FactLinks.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/FactLinks.java
@@ -14,7 +14,7 @@
 record FactLinks(Map<Long, Link> links, EventLog log) implements FrameSender, FactListener {
     /** Returns the name under which the fact exchange identifies a link. */
     static String name(Link link) {
-        return String.valueOf(link.number());
+        return String.valueOf(link.id());
     }
 
     @Override
@@ -31,7 +31,7 @@
     }
 
     @Override
-    public void onVerdict(BadVerdict verdict) {
+    public void onBadVerdict(BadVerdict verdict) {
         log.info("version_bad", "version=" + verdict.version() + " reason=" + verdict.reason());
     }
 
