--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
@@ -11,13 +11,13 @@
 import java.util.function.LongSupplier;
 
 import com.google.protobuf.ByteString;
-import dev.wigeonward.core.schedule.LearnedUnit;
-import dev.wigeonward.exchange.EvidenceFrames;
-import dev.wigeonward.exchange.FactExchange;
+import dev.wigeonward.core.schedule.ObservedUnitTime;
+import dev.wigeonward.exchange.EvidenceCodec;
+import dev.wigeonward.exchange.FactSync;
 import dev.wigeonward.gateway.event.EventLog;
-import dev.wigeonward.gateway.exchange.DirectPath;
-import dev.wigeonward.gateway.exchange.Tenants;
-import dev.wigeonward.gateway.port.StoreRelay;
+import dev.wigeonward.gateway.exchange.GatewayDispatcher;
+import dev.wigeonward.gateway.exchange.WorkspaceCaps;
+import dev.wigeonward.gateway.port.SharedStoreView;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkListener;
 import dev.wigeonward.wire.LinkSettings;
@@ -37,7 +37,7 @@
  * Exchange of load, tenant usage, learned speeds and the view of the store with the other entries, over links. Runs on
  * the event loop.
  */
-public final class PeerExchange implements LinkListener {
+public final class PeerSync implements LinkListener {
     /**
      * Settings of the links. The largest frame is a view of the store, in which a single value has up to a megabyte.
      */
@@ -70,14 +70,14 @@
     private final EventLog log;
     private final String ownAddress;
     private final long incarnation;
-    private final DirectPath path;
-    private final StoreRelay store;
+    private final GatewayDispatcher path;
+    private final SharedStoreView store;
     private final EventLoop loop;
     private final LongSupplier nowMillis;
     private final LinkTransport transport;
     private final Set<String> seeds;
     private final Map<Long, Link> links = new HashMap<>();
-    private final FactExchange facts;
+    private final FactSync facts;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> lastSeenMillis = new HashMap<>();
     private final Set<String> connecting = new HashSet<>();
@@ -85,13 +85,13 @@
     private long sentAtMillis;
     private long sentFullAtMillis;
     private long sentConfigurationVersion;
-    private Map<String, DirectPath.PeerLoad> sentLoads = Map.of();
+    private Map<String, GatewayDispatcher.PeerLoad> sentLoads = Map.of();
 
-    private PeerExchange(
-            Self self,
+    private PeerSync(
+            LocalEntry self,
             Set<String> seeds,
-            DirectPath path,
-            StoreRelay store,
+            GatewayDispatcher path,
+            SharedStoreView store,
             EventLoop loop,
             LongSupplier nowMillis,
             EventLog log) {
@@ -106,9 +106,9 @@
         this.seeds = new HashSet<>(seeds);
         this.seeds.remove(ownAddress);
         FactLinks factLinks = new FactLinks(links, log);
-        this.facts = new FactExchange(path.suspects(), path.versions().view(), factLinks, factLinks);
-        path.publishSuspects(facts::publishSuspect);
-        transport = LinkTransport.onLoop(
+        this.facts = new FactSync(path.suspects(), path.rollouts().view(), factLinks, factLinks);
+        path.setSuspectPublisher(facts::publishSuspect);
+        transport = LinkTransport.withEventLoop(
                 LINKS,
                 this,
                 () -> Hello.newBuilder()
@@ -127,15 +127,15 @@
      *
      * @param seeds link addresses of some entries; some of them may be out of date
      */
-    public static PeerExchange start(
-            Self self,
+    public static PeerSync start(
+            LocalEntry self,
             Set<String> seeds,
-            DirectPath path,
-            StoreRelay store,
+            GatewayDispatcher path,
+            SharedStoreView store,
             EventLoop loop,
             LongSupplier nowMillis,
             EventLog log) {
-        PeerExchange exchange = new PeerExchange(self, seeds, path, store, loop, nowMillis, log);
+        PeerSync exchange = new PeerSync(self, seeds, path, store, loop, nowMillis, log);
         loop.scheduleAtFixedRate(exchange::connect, 0, CONNECT_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 exchange::sendIfDue, PARTIAL_PERIOD_MILLIS, PARTIAL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
@@ -149,7 +149,7 @@
     }
 
     /** Returns the exchange of facts, which are only ever added. */
-    public FactExchange facts() {
+    public FactSync facts() {
         return facts;
     }
 
@@ -171,7 +171,7 @@
             Peer peer = entry.getValue();
             if (peer.link() == null && now - peer.receivedAtMillis() > BUDGET_SHARE_MILLIS) {
                 peers.remove(entry.getKey());
-                path.peerLost(entry.getKey());
+                path.removePeerUsage(entry.getKey());
             }
         }
         reportPeerLoads();
@@ -184,7 +184,7 @@
             sentFullAtMillis = now;
             sentConfigurationVersion = configurationVersion();
             sentLoads = ownLoads();
-            send(fullState(path.learnedSinceTold()));
+            send(fullState(path.takeChangedUnitTimes()));
             sendEvidence(now);
         } else if (now - sentAtMillis >= period(PARTIAL_PERIOD_MILLIS)) {
             sendLoadChanges();
@@ -192,10 +192,10 @@
     }
 
     private void sendEvidence(long now) {
-        if (path.versions().shifts().isEmpty()) {
+        if (path.rollouts().shifts().isEmpty()) {
             return;
         }
-        path.versions().counters(now).forEach((key, counters) -> sendToAll(EvidenceFrames.frame(key, counters)));
+        path.rollouts().counters(now).forEach((key, counters) -> sendToAll(EvidenceCodec.toFrame(key, counters)));
     }
 
     /** Returns the interval for the current number of links, see {@link #LINKS_AT_SHORTEST_PERIOD}. */
@@ -204,7 +204,7 @@
     }
 
     private void sendLoadChanges() {
-        Map<String, DirectPath.PeerLoad> loads = ownLoads();
+        Map<String, GatewayDispatcher.PeerLoad> loads = ownLoads();
         PeerState.Builder state = PeerState.newBuilder()
                 .setAddress(ownAddress)
                 .setIncarnation(incarnation)
@@ -225,13 +225,13 @@
         }
     }
 
-    private Map<String, DirectPath.PeerLoad> ownLoads() {
-        Map<String, DirectPath.PeerLoad> loads = new HashMap<>();
+    private Map<String, GatewayDispatcher.PeerLoad> ownLoads() {
+        Map<String, GatewayDispatcher.PeerLoad> loads = new HashMap<>();
         path.ownLoads().forEach(load -> loads.put(load.upstreamId(), load));
         return loads;
     }
 
-    private static PeerLoad message(DirectPath.PeerLoad load) {
+    private static PeerLoad message(GatewayDispatcher.PeerLoad load) {
         return PeerLoad.newBuilder()
                 .setUpstreamId(load.upstreamId())
                 .setRequests(load.requests())
@@ -250,7 +250,7 @@
     private void sendToAll(Frame frame) {
         Set<String> reached = new HashSet<>();
         for (Link link : links.values()) {
-            if (reached.add(link.peer().getNodeId()) && link.writable()) {
+            if (reached.add(link.peerHello().getNodeId()) && link.isWritable()) {
                 link.send(frame);
             }
         }
@@ -260,13 +260,13 @@
         return path.deployment().map(current -> current.version()).orElse(0L);
     }
 
-    private PeerState fullState(List<LearnedUnit> units) {
+    private PeerState fullState(List<ObservedUnitTime> units) {
         PeerState.Builder state = PeerState.newBuilder()
                 .setAddress(ownAddress)
                 .setConfigurationVersion(configurationVersion())
-                .setViewAgeMillis((int) Math.min(StoreRelay.NO_VIEW_MILLIS - 1, store.ageMillis()))
+                .setViewAgeMillis((int) Math.min(SharedStoreView.NO_VIEW_AGE_MILLIS - 1, store.viewAgeMillis()))
                 .setViewHash(store.hash())
-                .setReadAgeMillis((int) Math.min(Integer.MAX_VALUE, store.readAgeMillis()))
+                .setReadAgeMillis((int) Math.min(Integer.MAX_VALUE, store.ownReadAgeMillis()))
                 .setIncarnation(incarnation)
                 .addAllEntries(lastSeenMillis.keySet());
         path.ownLoads().forEach(load -> state.addLoads(message(load)));
@@ -274,16 +274,16 @@
                 .forEach((tenant, usage) -> state.addDemands(PeerDemand.newBuilder()
                         .setTenant(tenant)
                         .setUsedTotal((long) usage.total())
-                        .setLevel((long) usage.level())));
-        units.forEach(unit -> state.addUnits(LearnedUnits.toMessage(unit)));
+                        .setLevel((long) usage.remaining())));
+        units.forEach(unit -> state.addUnits(UnitTimeCodec.toMessage(unit)));
         return state.build();
     }
 
     @Override
     public void onUp(Link link) {
-        links.put(link.number(), link);
-        connecting.remove(link.remoteName());
-        link.send(Frame.newBuilder().setPeerState(fullState(path.learned())).build());
+        links.put(link.id(), link);
+        connecting.remove(link.remoteAddress());
+        link.send(Frame.newBuilder().setPeerState(fullState(path.unitTimes())).build());
         facts.onLinkUp(FactLinks.name(link), nowMillis.getAsLong());
     }
 
@@ -296,8 +296,8 @@
         } else if (frame.hasPeerView()) {
             onView(frame.getPeerView());
         } else if (frame.hasEvidence()) {
-            EvidenceFrames.event(link.peer().getNodeId(), link.peer().getIncarnation(), frame.getEvidence())
-                    .ifPresent(report -> path.versions().onEvidence(report, nowMillis.getAsLong()));
+            EvidenceCodec.toEvent(link.peerHello().getNodeId(), link.peerHello().getIncarnation(), frame.getEvidence())
+                    .ifPresent(report -> path.rollouts().onEvidence(report, nowMillis.getAsLong()));
         } else {
             facts.onFrame(FactLinks.name(link), frame, nowMillis.getAsLong());
         }
@@ -328,12 +328,12 @@
                 lastSeenMillis.putIfAbsent(entry, now);
             }
         }
-        Map<String, Tenants.Usage> usages = new HashMap<>();
+        Map<String, WorkspaceCaps.Usage> usages = new HashMap<>();
         state.getDemandsList()
-                .forEach(demand ->
-                        usages.put(demand.getTenant(), new Tenants.Usage(demand.getUsedTotal(), demand.getLevel())));
-        path.adopt(LearnedUnits.fromMessages(state.getUnitsList()));
-        path.peerUsage(state.getAddress(), state.getIncarnation(), usages);
+                .forEach(demand -> usages.put(
+                        demand.getTenant(), new WorkspaceCaps.Usage(demand.getUsedTotal(), demand.getLevel())));
+        path.adoptNewerUnitTimes(UnitTimeCodec.fromMessages(state.getUnitsList()));
+        path.mergePeerUsage(state.getAddress(), state.getIncarnation(), usages);
         // Of two entries, the one whose address sorts first reads the store; the other one may leave reading to it.
         boolean peerHasPrecedence = state.getAddress().compareTo(ownAddress) < 0;
         store.onPeerView(state.getViewHash(), state.getViewAgeMillis());
@@ -344,10 +344,11 @@
         if (newerConfiguration) {
             store.onNewerConfiguration();
         }
-        boolean newerView = store.ageMillis() > MAX_VIEW_AGE_MILLIS && state.getViewAgeMillis() < store.ageMillis() / 2;
+        boolean newerView =
+                store.viewAgeMillis() > MAX_VIEW_AGE_MILLIS && state.getViewAgeMillis() < store.viewAgeMillis() / 2;
         boolean changedView = peerHasPrecedence
                 && state.getViewHash() != store.hash()
-                && state.getViewAgeMillis() < store.ageMillis();
+                && state.getViewAgeMillis() < store.viewAgeMillis();
         if ((newerConfiguration || newerView || changedView)
                 && now - viewRequestedAtMillis > VIEW_REQUEST_PERIOD_MILLIS) {
             viewRequestedAtMillis = now;
@@ -358,7 +359,7 @@
     }
 
     private void sendView(Link link) {
-        PeerView.Builder view = PeerView.newBuilder().setAgeMillis((int) store.ageMillis());
+        PeerView.Builder view = PeerView.newBuilder().setAgeMillis((int) store.viewAgeMillis());
         store.items()
                 .forEach(item -> view.addEntries(PeerViewEntry.newBuilder()
                         .setKey(item.key())
@@ -368,17 +369,17 @@
     }
 
     private void onView(PeerView view) {
-        List<StoreRelay.Item> items = new ArrayList<>();
+        List<SharedStoreView.Item> items = new ArrayList<>();
         for (PeerViewEntry entry : view.getEntriesList()) {
-            items.add(new StoreRelay.Item(entry.getKey(), entry.getValue().toByteArray(), entry.getRevision()));
+            items.add(new SharedStoreView.Item(entry.getKey(), entry.getValue().toByteArray(), entry.getRevision()));
         }
-        store.adopt(items, view.getAgeMillis());
+        store.mergeView(items, view.getAgeMillis());
     }
 
     /** Reports the load of all peers with a current state to the path, summed by upstream. */
     private void reportPeerLoads() {
         long now = nowMillis.getAsLong();
-        Map<String, DirectPath.PeerLoad> loads = new HashMap<>();
+        Map<String, GatewayDispatcher.PeerLoad> loads = new HashMap<>();
         int currentEntries = 1;
         for (Peer peer : peers.values()) {
             if (now - peer.receivedAtMillis() > MAX_STATE_AGE_MILLIS) {
@@ -387,21 +388,21 @@
             currentEntries++;
             peer.loads().values().forEach(load -> add(loads, load));
         }
-        path.peers(currentEntries, 1 + peers.size(), loads);
+        path.updatePeerLoads(currentEntries, 1 + peers.size(), loads);
     }
 
-    private static void add(Map<String, DirectPath.PeerLoad> loads, PeerLoad load) {
+    private static void add(Map<String, GatewayDispatcher.PeerLoad> loads, PeerLoad load) {
         loads.merge(
                 load.getUpstreamId(),
-                new DirectPath.PeerLoad(load.getUpstreamId(), load.getRequests(), load.getPromptTokens()),
-                (left, right) -> new DirectPath.PeerLoad(
+                new GatewayDispatcher.PeerLoad(load.getUpstreamId(), load.getRequests(), load.getPromptTokens()),
+                (left, right) -> new GatewayDispatcher.PeerLoad(
                         left.upstreamId(), left.requests() + right.requests(), left.tokens() + right.tokens()));
     }
 
     @Override
     public void onDown(Link link, String reason) {
-        links.remove(link.number());
-        connecting.remove(link.remoteName());
+        links.remove(link.id());
+        connecting.remove(link.remoteAddress());
         peers.replaceAll((address, peer) -> {
             if (peer.link() != link) {
                 return peer;
@@ -422,7 +423,7 @@
      * @param address address on which it accepts links
      * @param incarnation number that differs from that of every earlier start of this entry
      */
-    public record Self(String id, InetSocketAddress address, long incarnation) {}
+    public record LocalEntry(String id, InetSocketAddress address, long incarnation) {}
 
     /** Last known state of a peer; the link is null if it went down. */
     private record Peer(Link link, Map<String, PeerLoad> loads, long receivedAtMillis) {}
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/LearnedUnits.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/UnitTimeCodec.java
@@ -4,12 +4,12 @@
 import java.util.List;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import dev.wigeonward.core.schedule.LearnedUnit;
+import dev.wigeonward.core.schedule.ObservedUnitTime;
 import dev.wigeonward.wire.generated.KeptUnits;
 import dev.wigeonward.wire.generated.PeerUnit;
 
 /** Encoding of learned speeds of upstreams, for peers and for the store. */
-public final class LearnedUnits {
+public final class UnitTimeCodec {
     private static final double MICROS_PER_MILLI = 1_000;
     /**
      * Age given to speeds that were stored before the start of this process, so that any speed that a running entry has
@@ -17,10 +17,10 @@
      */
     private static final long STORED_AGE_MILLIS = 3_600_000;
 
-    private LearnedUnits() {}
+    private UnitTimeCodec() {}
 
     /** Returns the stored form of the speeds, without their ages. */
-    public static byte[] encode(List<LearnedUnit> units) {
+    public static byte[] encode(List<ObservedUnitTime> units) {
         KeptUnits.Builder stored = KeptUnits.newBuilder();
         units.forEach(unit -> stored.addUnits(toMessage(unit).clearAgeMillis()));
         return stored.build().toByteArray();
@@ -31,27 +31,27 @@
      *
      * @throws IOException if the bytes are not valid output of {@link #encode}
      */
-    public static List<LearnedUnit> decode(byte[] bytes) throws IOException {
+    public static List<ObservedUnitTime> decode(byte[] bytes) throws IOException {
         try {
             return fromMessages(KeptUnits.parseFrom(bytes).getUnitsList()).stream()
-                    .map(unit -> new LearnedUnit(unit.lifetime(), unit.unitMillis(), STORED_AGE_MILLIS))
+                    .map(unit -> new ObservedUnitTime(unit.lifetimeId(), unit.unitTimeMillis(), STORED_AGE_MILLIS))
                     .toList();
         } catch (InvalidProtocolBufferException e) {
             throw new IOException("stored speeds cannot be decoded: " + e.getMessage(), e);
         }
     }
 
-    static PeerUnit.Builder toMessage(LearnedUnit unit) {
+    static PeerUnit.Builder toMessage(ObservedUnitTime unit) {
         return PeerUnit.newBuilder()
-                .setLifetime(unit.lifetime())
-                .setUnitMicros((int) Math.round(unit.unitMillis() * MICROS_PER_MILLI))
+                .setLifetime(unit.lifetimeId())
+                .setUnitMicros((int) Math.round(unit.unitTimeMillis() * MICROS_PER_MILLI))
                 .setAgeMillis((int) Math.min(Integer.MAX_VALUE, unit.ageMillis()));
     }
 
-    static List<LearnedUnit> fromMessages(List<PeerUnit> messages) {
+    static List<ObservedUnitTime> fromMessages(List<PeerUnit> messages) {
         return messages.stream()
                 .filter(message -> message.getUnitMicros() > 0)
-                .map(message -> new LearnedUnit(
+                .map(message -> new ObservedUnitTime(
                         message.getLifetime(), message.getUnitMicros() / MICROS_PER_MILLI, message.getAgeMillis()))
                 .toList();
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
@@ -8,15 +8,15 @@
  *
  * @param attemptId identifier of this attempt, which answers of upstreams repeat
  * @param deadlineMillis time that the caller waits for the answer
- * @param key secret key that identifies the tenant
+ * @param apiKey secret key that identifies the tenant
  * @param promptTokens number of prompt tokens, 0 if not stated
- * @param outputTokens largest number of output tokens, 0 if not stated
+ * @param maxOutputTokens largest number of output tokens, 0 if not stated
  * @param expectedOutputTokens caller's estimate of the number of output tokens, 0 if not stated
  */
 public record CallerHead(
         Optional<String> attemptId,
         OptionalLong deadlineMillis,
-        Optional<String> key,
+        Optional<String> apiKey,
         int promptTokens,
-        int outputTokens,
+        int maxOutputTokens,
         int expectedOutputTokens) {}
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/ControllerStore.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/ControllerStore.java
@@ -3,8 +3,8 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 
-import dev.wigeonward.core.rollout.ShiftOrder;
-import dev.wigeonward.core.rollout.ShiftState;
+import dev.wigeonward.core.rollout.RolloutOrder;
+import dev.wigeonward.core.rollout.RolloutState;
 
 /** Store operations of the controller of traffic shifts. All methods run on the event loop. */
 public interface ControllerStore {
@@ -12,7 +12,7 @@
      * Starts acquiring the controller's lease and keeping it, or ends it, according to whether this entry wants to
      * control shifts.
      */
-    void seek(boolean wanted);
+    void setLeaseWanted(boolean wanted);
 
     /**
      * Returns the fencing number of this entry's lease, which increases with each holder, or empty unless this entry is
@@ -25,5 +25,5 @@
      *
      * @param done receives true if the state was written; after false it may have been written nevertheless
      */
-    void write(ShiftOrder order, ShiftState state, Consumer<Boolean> done);
+    void write(RolloutOrder order, RolloutState state, Consumer<Boolean> done);
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/HttpDialect.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/HeaderCodec.java
@@ -3,7 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 
 /** Translation of the HTTP headers of one platform. Implementations are stateless. */
-public interface HttpDialect {
+public interface HeaderCodec {
     /** Returns the information in the headers of a caller's request; malformed values count as absent. */
     CallerHead readCaller(HttpHeaders headers);
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/StoreRelay.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/SharedStoreView.java
@@ -3,15 +3,15 @@
 import java.util.List;
 
 /** Local view of the store that entries send to each other. All methods run on the event loop. */
-public interface StoreRelay {
+public interface SharedStoreView {
     /** Age reported if there is no view, in milliseconds. */
-    long NO_VIEW_MILLIS = 1L << 31;
+    long NO_VIEW_AGE_MILLIS = 1L << 31;
 
     /**
      * Returns the time in milliseconds since the upstreams in this view were read from the store, by this process or by
      * a peer.
      */
-    long ageMillis();
+    long viewAgeMillis();
 
     /** Returns a hash of the upstreams in this view. */
     long hash();
@@ -20,13 +20,13 @@
     List<Item> items();
 
     /** Merges a peer's view into this one, as far as the peer's is newer. */
-    void adopt(List<Item> items, long ageMillis);
+    void mergeView(List<Item> items, long ageMillis);
 
     /**
      * Returns the time in milliseconds since this process itself last read the upstreams or the configuration,
      * whichever was read earlier.
      */
-    long readAgeMillis();
+    long ownReadAgeMillis();
 
     /** Reports the hash and age of a peer's view. A view with an equal hash takes the lower age of the two. */
     void onPeerView(long hash, long ageMillis);
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -14,19 +14,19 @@
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.common.clock.MonotonicClock;
 import dev.wigeonward.core.deployment.CallerLimits;
-import dev.wigeonward.core.deployment.Deployment;
+import dev.wigeonward.core.deployment.RoutingConfiguration;
 import dev.wigeonward.gateway.caller.CallerServer;
 import dev.wigeonward.gateway.caller.StatusServer;
 import dev.wigeonward.gateway.caller.StatusServer.Page;
 import dev.wigeonward.gateway.event.EventLog;
 import dev.wigeonward.gateway.event.Telemetry;
-import dev.wigeonward.gateway.exchange.DirectPath;
-import dev.wigeonward.gateway.peer.PeerExchange;
+import dev.wigeonward.gateway.exchange.GatewayDispatcher;
+import dev.wigeonward.gateway.peer.PeerSync;
 import dev.wigeonward.gateway.port.ControllerStore;
-import dev.wigeonward.gateway.port.HttpDialect;
-import dev.wigeonward.gateway.port.StoreRelay;
-import dev.wigeonward.gateway.rollout.ShiftDuty;
-import dev.wigeonward.gateway.upstream.UpstreamConnections;
+import dev.wigeonward.gateway.port.HeaderCodec;
+import dev.wigeonward.gateway.port.SharedStoreView;
+import dev.wigeonward.gateway.rollout.ServiceRolloutController;
+import dev.wigeonward.gateway.upstream.UpstreamConnectionPool;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.internal.logging.InternalLoggerFactory;
@@ -62,25 +62,25 @@
     private final EventLoop loop = group.next();
     private final EventLog log = EventLog.create();
     private final MetricRegistry metrics = new MetricRegistry();
-    private final UpstreamConnections connections = UpstreamConnections.on(loop, this::nowMillis);
-    private final DirectPath path;
+    private final UpstreamConnectionPool connections = UpstreamConnectionPool.create(loop, this::nowMillis);
+    private final GatewayDispatcher path;
     private final CallerServer callers;
-    private Optional<PeerExchange> peers = Optional.empty();
+    private Optional<PeerSync> peers = Optional.empty();
     private boolean stopping;
 
-    private GatewayProcess(GatewaySettings settings, HttpDialect dialect) {
+    private GatewayProcess(GatewaySettings settings, HeaderCodec dialect) {
         this.settings = settings;
         // The seed need not be unpredictable: only the choice between weighted services and the spread of retry times
         // depend on it.
         Random random = new Random(settings.id().hashCode());
-        path = DirectPath.create(
+        path = GatewayDispatcher.create(
                 loop, clock, dialect, settings.path(), connections, new Telemetry(metrics, log), random);
         callers = CallerServer.create(path, dialect, this::limits);
         log.register(metrics);
     }
 
     /** Returns a process that is not listening yet. */
-    public static GatewayProcess create(GatewaySettings settings, HttpDialect dialect) {
+    public static GatewayProcess create(GatewaySettings settings, HeaderCodec dialect) {
         // Otherwise Netty loads the logging library for its own warnings before any request is served.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         return new GatewayProcess(settings, dialect);
@@ -111,23 +111,23 @@
     }
 
     private CallerLimits limits() {
-        return path.deployment().map(Deployment::limits).orElse(CallerLimits.DEFAULT);
+        return path.deployment().map(RoutingConfiguration::limits).orElse(CallerLimits.DEFAULT);
     }
 
     /**
      * Starts the exchange of load, usage and the view of the store with the other entries, and the controller of
      * traffic shifts.
      */
-    public void joinPeers(StoreRelay store, ControllerStore controllerStore) {
-        peers = Optional.of(PeerExchange.start(
-                new PeerExchange.Self(settings.id(), settings.peerAddress(), clock.millis()),
+    public void startPeerSync(SharedStoreView store, ControllerStore controllerStore) {
+        peers = Optional.of(PeerSync.start(
+                new PeerSync.LocalEntry(settings.id(), settings.peerAddress(), clock.millis()),
                 seeds(settings),
                 path,
                 store,
                 loop,
                 this::nowMillis,
                 log));
-        ShiftDuty.start(path, peers.get().facts(), controllerStore, log, settings.id(), loop);
+        ServiceRolloutController.start(path, peers.get().facts(), controllerStore, log, settings.id(), loop);
     }
 
     private Set<String> seeds(GatewaySettings from) {
@@ -146,20 +146,20 @@
      * Reloads the settings on SIGHUP and whenever the file has changed. New bounds and known peers are applied; other
      * changes need a restart. A file that is unreadable or invalid changes nothing.
      */
-    public void followSettings(SettingsSource source) {
+    public void watchSettings(WatchedSettingsFile source) {
         ProcessSignals.handle("HUP", () -> loop.execute(() -> reload(source, "signal")));
         loop.scheduleAtFixedRate(
                 () -> reload(source, "change"), SETTINGS_PERIOD_MILLIS, SETTINGS_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void reload(SettingsSource source, String cause) {
-        SettingsSource.Reading reading = source.read();
-        if (reading instanceof SettingsSource.Reading.Invalid invalid) {
+    private void reload(WatchedSettingsFile source, String cause) {
+        WatchedSettingsFile.Reading reading = source.read();
+        if (reading instanceof WatchedSettingsFile.Reading.Invalid invalid) {
             metrics.counter("settings.passed_over").inc();
             log.warning("settings_passed_over", "cause=" + cause + " reason=" + invalid.reason());
-        } else if (reading instanceof SettingsSource.Reading.Changed changed) {
+        } else if (reading instanceof WatchedSettingsFile.Reading.Changed changed) {
             GatewaySettings newer = changed.settings();
-            path.change(newer.path());
+            path.updateSettings(newer.path());
             peers.ifPresent(exchange -> exchange.addSeeds(seeds(newer)));
             boolean restartNeeded = !newer.isReloadableFrom(settings);
             log.info("settings_read", "cause=" + cause + " restart_needed=" + restartNeeded);
@@ -174,7 +174,7 @@
     }
 
     /** Returns the request path. */
-    public DirectPath path() {
+    public GatewayDispatcher path() {
         return path;
     }
 
@@ -189,7 +189,7 @@
     }
 
     /** Installs the signal handlers and blocks until the process has stopped. */
-    public void serveUntilStopped() {
+    public void awaitStop() {
         CountDownLatch stopped = new CountDownLatch(1);
         handleSignals(stopped::countDown);
         try {
@@ -219,12 +219,12 @@
                 return;
             }
             stopping = true;
-            log.info("stopping", "running=" + path.running());
+            log.info("stopping", "running=" + path.runningCount());
             long startedMillis = nowMillis();
             loop.schedule(
                     () -> {
-                        path.refuseNew();
-                        callers.closeIdle();
+                        path.stopAdmission();
+                        callers.startDraining();
                     },
                     KEEP_ACCEPTING_MILLIS,
                     TimeUnit.MILLISECONDS);
@@ -237,10 +237,10 @@
     }
 
     private void finishStop(long startedMillis, Runnable whenStopped) {
-        boolean idle = path.running() == 0 && callers.connections() == 0;
+        boolean idle = path.runningCount() == 0 && callers.connectionCount() == 0;
         boolean overdue = nowMillis() - startedMillis > MAX_GRACE_PART * settings.graceMillis();
         if (idle || overdue) {
-            log.info("stopped", "running=" + path.running());
+            log.info("stopped", "running=" + path.runningCount());
             whenStopped.run();
         }
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
@@ -36,24 +36,24 @@
             .withDefault("none");
     private static final SettingKey<InetSocketAddress> STORE =
             SettingKey.address("store", "address", "HTTP address of the store");
-    private static final SettingKey<Long> GRACE = SettingKey.whole(
+    private static final SettingKey<Long> GRACE = SettingKey.wholeNumber(
             "gateway", "grace_seconds", 1, 86_400, "time between the signal to stop and the forced end");
     private static final SettingKey<Double> RETRY_RATIO = SettingKey.decimal(
             "budgets", "retry_ratio", 0, 10, "retries allowed per request of a service within a window");
-    private static final SettingKey<Long> RETRY_ALLOWANCE = SettingKey.whole(
+    private static final SettingKey<Long> RETRY_ALLOWANCE = SettingKey.wholeNumber(
             "budgets",
             "retry_allowance_count",
             0,
             1_000_000,
             "retries of a service allowed beyond the ratio within a window, by all entries together");
-    private static final SettingKey<Long> RETRY_WINDOW =
-            SettingKey.whole("budgets", "retry_window_seconds", 1, 3_600, "window over which retries are counted");
-    private static final SettingKey<Long> CAP_WINDOW = SettingKey.whole(
+    private static final SettingKey<Long> RETRY_WINDOW = SettingKey.wholeNumber(
+            "budgets", "retry_window_seconds", 1, 3_600, "window over which retries are counted");
+    private static final SettingKey<Long> CAP_WINDOW = SettingKey.wholeNumber(
             "budgets", "cap_window_seconds", 1, 3_600, "window over which the overrun of usage caps is measured");
 
     private static final SettingKey<Double> CAP_OVERRUN = SettingKey.decimal(
             "budgets", "cap_overrun_ratio", 0, 10, "fraction by which the usage in a window may exceed a cap");
-    private static final SettingKey<Long> CAP_MARGIN = SettingKey.whole(
+    private static final SettingKey<Long> CAP_MARGIN = SettingKey.wholeNumber(
             "budgets",
             "cap_margin_count",
             0,
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/SettingsSource.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/WatchedSettingsFile.java
@@ -7,11 +7,11 @@
 import dev.wigeonward.common.settings.SettingsResult;
 
 /** Settings file that is polled for changes. Not thread-safe. */
-public final class SettingsSource {
+public final class WatchedSettingsFile {
     private final Path file;
     private String lastText;
 
-    private SettingsSource(Path file, String lastText) {
+    private WatchedSettingsFile(Path file, String lastText) {
         this.file = file;
         this.lastText = lastText;
     }
@@ -21,8 +21,8 @@
      *
      * @throws IOException if the file cannot be read
      */
-    public static SettingsSource of(Path file) throws IOException {
-        return new SettingsSource(file, Files.readString(file));
+    public static WatchedSettingsFile of(Path file) throws IOException {
+        return new WatchedSettingsFile(file, Files.readString(file));
     }
 
     /** Returns whether the file has changed since the last call, and its new settings. */
@@ -37,7 +37,7 @@
             return new Reading.Unchanged();
         }
         lastText = text;
-        SettingsResult result = GatewaySettings.declaration().check(file.toString(), text);
+        SettingsResult result = GatewaySettings.declaration().parse(file.toString(), text);
         if (result instanceof SettingsResult.Invalid invalid) {
             return new Reading.Invalid(invalid.problems().toString());
         }
--- a/gateway/src/main/java/dev/wigeonward/gateway/rollout/ShiftDuty.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/rollout/ServiceRolloutController.java
@@ -9,14 +9,14 @@
 import dev.wigeonward.core.rollout.BadVerdict;
 import dev.wigeonward.core.rollout.ControllerEvent;
 import dev.wigeonward.core.rollout.ControllerStages;
-import dev.wigeonward.core.rollout.ShiftOrder;
-import dev.wigeonward.core.rollout.ShiftState;
+import dev.wigeonward.core.rollout.RolloutOrder;
+import dev.wigeonward.core.rollout.RolloutState;
+import dev.wigeonward.core.rollout.ServiceRollout;
 import dev.wigeonward.core.rollout.Stage;
-import dev.wigeonward.core.rollout.TrafficShift;
-import dev.wigeonward.exchange.FactExchange;
+import dev.wigeonward.exchange.FactSync;
 import dev.wigeonward.gateway.event.EventLog;
-import dev.wigeonward.gateway.exchange.DirectPath;
-import dev.wigeonward.gateway.exchange.Versions;
+import dev.wigeonward.gateway.exchange.GatewayDispatcher;
+import dev.wigeonward.gateway.exchange.ServiceRollouts;
 import dev.wigeonward.gateway.port.ControllerStore;
 import io.netty.channel.EventLoop;
 
@@ -25,28 +25,29 @@
  * verdicts on its own, so that a bad version loses its requests even while there is no controller. The lease holder
  * decides on the share and writes the state to the store. Runs on the event loop.
  */
-public final class ShiftDuty {
+public final class ServiceRolloutController {
     private static final long TICK_MILLIS = 100;
     /** Interval between publications of unchanged stages, of which several fit into the validity of a stage. */
     private static final long PUBLISH_MILLIS = 400;
     /** Time for which a stage is valid at an entry that receives no further publication of the controller. */
     private static final long STAGE_LEASE_MILLIS = 1_500;
 
-    private final DirectPath path;
-    private final Versions versions;
-    private final FactExchange facts;
+    private final GatewayDispatcher path;
+    private final ServiceRollouts versions;
+    private final FactSync facts;
     private final ControllerStore store;
     private final EventLog log;
     private final String ownName;
-    private final Map<String, ShiftState> writtenStates = new HashMap<>();
+    private final Map<String, RolloutState> writtenStates = new HashMap<>();
     private final Map<String, Boolean> pendingWrites = new HashMap<>();
     private List<Stage> publishedStages = List.of();
     private long publishedAtMillis;
     private long sequence;
 
-    private ShiftDuty(DirectPath path, FactExchange facts, ControllerStore store, EventLog log, String ownName) {
+    private ServiceRolloutController(
+            GatewayDispatcher path, FactSync facts, ControllerStore store, EventLog log, String ownName) {
         this.path = path;
-        this.versions = path.versions();
+        this.versions = path.rollouts();
         this.facts = facts;
         this.store = store;
         this.log = log;
@@ -55,14 +56,19 @@
 
     /** Schedules the task on the event loop of the entry with the given name. */
     public static void start(
-            DirectPath path, FactExchange facts, ControllerStore store, EventLog log, String ownName, EventLoop loop) {
-        ShiftDuty task = new ShiftDuty(path, facts, store, log, ownName);
+            GatewayDispatcher path,
+            FactSync facts,
+            ControllerStore store,
+            EventLog log,
+            String ownName,
+            EventLoop loop) {
+        ServiceRolloutController task = new ServiceRolloutController(path, facts, store, log, ownName);
         loop.scheduleAtFixedRate(task::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void tick() {
-        List<TrafficShift> shifts = versions.shifts();
-        store.seek(!shifts.isEmpty());
+        List<ServiceRollout> shifts = versions.shifts();
+        store.setLeaseWanted(!shifts.isEmpty());
         if (shifts.isEmpty()) {
             writtenStates.clear();
             return;
@@ -71,9 +77,9 @@
         versions.counters(now)
                 .forEach((key, counters) -> versions.onEvidence(
                         new ControllerEvent.EvidenceReported(ownName, 0, key.version(), key.cell(), counters), now));
-        for (TrafficShift shift : shifts) {
+        for (ServiceRollout shift : shifts) {
             if (!isBad(shift)) {
-                shift.verdict(now).ifPresent(this::publish);
+                shift.evaluate(now).ifPresent(this::publish);
             }
         }
         OptionalLong leaseFencingNumber = store.fencingNumber();
@@ -82,19 +88,20 @@
         }
     }
 
-    private boolean isBad(TrafficShift shift) {
-        ShiftOrder order = shift.order();
-        return versions.view().isBad(order.service(), order.target());
+    private boolean isBad(ServiceRollout shift) {
+        RolloutOrder order = shift.order();
+        return versions.view().isBad(order.service(), order.targetVersion());
     }
 
     private void publish(BadVerdict verdict) {
         facts.publishVerdict(verdict);
     }
 
-    private void control(List<TrafficShift> shifts, long leaseFencingNumber, long nowMillis) {
-        for (TrafficShift shift : shifts) {
-            ShiftOrder order = shift.order();
-            shift.advance(isBad(shift), path.outstandingAtOthers(order.service(), order.target()), nowMillis);
+    private void control(List<ServiceRollout> shifts, long leaseFencingNumber, long nowMillis) {
+        for (ServiceRollout shift : shifts) {
+            RolloutOrder order = shift.order();
+            shift.advance(
+                    isBad(shift), path.outstandingAtOtherVersions(order.service(), order.targetVersion()), nowMillis);
             writeState(shift);
         }
         List<Stage> stages =
@@ -107,10 +114,10 @@
         }
     }
 
-    private void writeState(TrafficShift shift) {
-        ShiftOrder order = shift.order();
+    private void writeState(ServiceRollout shift) {
+        RolloutOrder order = shift.order();
         String key = order.service() + "/" + order.revision();
-        ShiftState state = shift.state();
+        RolloutState state = shift.state();
         if (state == writtenStates.get(key) || pendingWrites.containsKey(key)) {
             return;
         }
@@ -121,8 +128,8 @@
                 writtenStates.put(key, state);
                 log.info(
                         "shift",
-                        "service=" + order.service() + " target=" + order.target() + " state=" + state + " order="
-                                + order.revision());
+                        "service=" + order.service() + " target=" + order.targetVersion() + " state=" + state
+                                + " order=" + order.revision());
             }
         });
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamChannel.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -14,11 +14,11 @@
 import io.netty.util.ReferenceCountUtil;
 
 /** Connection to an upstream. It carries one request at a time and is closed when an unexpected byte is received. */
-public final class UpstreamChannel extends ChannelInboundHandlerAdapter {
+public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     /** Lowest status code of a final answer; a lower one is followed by another head for the same request. */
     private static final int FIRST_FINAL_STATUS = 200;
 
-    private final UpstreamConnections pool;
+    private final UpstreamConnectionPool pool;
     private final String poolKey;
     private Channel channel;
     private UpstreamListener listener;
@@ -29,7 +29,7 @@
     private long idleSinceMillis;
     private long keepAliveMillis;
 
-    UpstreamChannel(UpstreamConnections pool, String poolKey) {
+    UpstreamConnection(UpstreamConnectionPool pool, String poolKey) {
         this.pool = pool;
         this.poolKey = poolKey;
     }
@@ -49,7 +49,7 @@
         if (!channel.isActive()) {
             request.release();
             fail(
-                    UpstreamListener.Breakage.NOT_SENT,
+                    UpstreamListener.FailurePoint.NOT_SENT,
                     "connection to the upstream was closed before the request was sent");
             return;
         }
@@ -57,7 +57,7 @@
             requestWritten = future.isSuccess();
             if (!future.isSuccess()) {
                 fail(
-                        UpstreamListener.Breakage.SENT,
+                        UpstreamListener.FailurePoint.SENT,
                         "request was not written to the upstream: "
                                 + future.cause().getMessage());
                 channel.close();
@@ -72,7 +72,7 @@
     }
 
     /** Resumes or suspends reading from the upstream, for example while the caller does not read. */
-    public void read(boolean wanted) {
+    public void setReading(boolean wanted) {
         channel.config().setAutoRead(wanted);
     }
 
@@ -103,7 +103,7 @@
         if (object.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
             fail(
-                    UpstreamListener.Breakage.SENT,
+                    UpstreamListener.FailurePoint.SENT,
                     "answer of the upstream is not HTTP: "
                             + object.decoderResult().cause().getMessage());
             context.close();
@@ -166,23 +166,25 @@
         finished.onComplete();
     }
 
-    private void fail(UpstreamListener.Breakage breakage, String reason) {
+    private void fail(UpstreamListener.FailurePoint breakage, String reason) {
         UpstreamListener failed = listener;
         listener = null;
         if (failed != null) {
-            failed.onBroken(breakage, reason);
+            failed.onFailed(breakage, reason);
         }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(UpstreamListener.Breakage.SENT, String.valueOf(cause.getMessage()));
+        fail(UpstreamListener.FailurePoint.SENT, String.valueOf(cause.getMessage()));
         context.close();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.closed(this);
-        fail(UpstreamListener.Breakage.SENT, "connection was closed by the upstream before the answer was complete");
+        fail(
+                UpstreamListener.FailurePoint.SENT,
+                "connection was closed by the upstream before the answer was complete");
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnections.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
@@ -32,7 +32,7 @@
 /**
  * Pool of connections to upstreams, keyed by address and lifetime of the upstream. All methods run on the event loop.
  */
-public final class UpstreamConnections {
+public final class UpstreamConnectionPool {
     /**
      * Timeout for opening a connection: several round trips within a region, and short compared with callers' latency
      * objectives.
@@ -69,9 +69,9 @@
 
     private final Bootstrap bootstrap;
     private final LongSupplier nowMillis;
-    private final Map<String, ArrayDeque<UpstreamChannel>> idle = new HashMap<>();
+    private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
 
-    private UpstreamConnections(EventLoopGroup loop, LongSupplier nowMillis) {
+    private UpstreamConnectionPool(EventLoopGroup loop, LongSupplier nowMillis) {
         this.nowMillis = nowMillis;
         bootstrap = new Bootstrap()
                 .group(loop)
@@ -85,8 +85,8 @@
     }
 
     /** Returns an empty pool whose connections run on the given loop. */
-    public static UpstreamConnections on(EventLoopGroup loop, LongSupplier nowMillis) {
-        return new UpstreamConnections(loop, nowMillis);
+    public static UpstreamConnectionPool create(EventLoopGroup loop, LongSupplier nowMillis) {
+        return new UpstreamConnectionPool(loop, nowMillis);
     }
 
     /**
@@ -99,14 +99,14 @@
             Upstream upstream,
             FullHttpRequest request,
             UpstreamListener listener,
-            Predicate<UpstreamChannel> stillWanted) {
+            Predicate<UpstreamConnection> stillWanted) {
         String key = poolKey(upstream);
-        UpstreamChannel pooled = takeIdle(key);
+        UpstreamConnection pooled = takeIdle(key);
         if (pooled != null) {
             sendIfWanted(pooled, request, listener, stillWanted);
             return;
         }
-        UpstreamChannel fresh = new UpstreamChannel(this, key);
+        UpstreamConnection fresh = new UpstreamConnection(this, key);
         bootstrap
                 .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
@@ -119,8 +119,8 @@
                 .addListener(future -> {
                     if (!future.isSuccess()) {
                         request.release();
-                        listener.onBroken(
-                                UpstreamListener.Breakage.NO_CONNECTION,
+                        listener.onFailed(
+                                UpstreamListener.FailurePoint.NO_CONNECTION,
                                 String.valueOf(future.cause().getMessage()));
                         return;
                     }
@@ -130,10 +130,10 @@
     }
 
     private void sendIfWanted(
-            UpstreamChannel channel,
+            UpstreamConnection channel,
             FullHttpRequest request,
             UpstreamListener listener,
-            Predicate<UpstreamChannel> stillWanted) {
+            Predicate<UpstreamConnection> stillWanted) {
         if (stillWanted.test(channel)) {
             channel.send(request, listener);
             return;
@@ -142,10 +142,10 @@
         release(channel);
     }
 
-    private UpstreamChannel takeIdle(String key) {
-        ArrayDeque<UpstreamChannel> channels = idle.get(key);
+    private UpstreamConnection takeIdle(String key) {
+        ArrayDeque<UpstreamConnection> channels = idle.get(key);
         while (channels != null && !channels.isEmpty()) {
-            UpstreamChannel newest = channels.removeLast();
+            UpstreamConnection newest = channels.removeLast();
             if (newest.reusableAt(nowMillis.getAsLong())) {
                 return newest;
             }
@@ -155,13 +155,13 @@
     }
 
     /** Closes the pooled connections of upstreams that are no longer listed. */
-    public void retain(Collection<Upstream> listed) {
+    public void closeUnlisted(Collection<Upstream> listed) {
         Set<String> keys = new HashSet<>();
         listed.forEach(upstream -> keys.add(poolKey(upstream)));
         for (String key : new ArrayList<>(idle.keySet())) {
             if (!keys.contains(key)) {
-                List<UpstreamChannel> removed = List.copyOf(idle.remove(key));
-                removed.forEach(UpstreamChannel::close);
+                List<UpstreamConnection> removed = List.copyOf(idle.remove(key));
+                removed.forEach(UpstreamConnection::close);
             }
         }
     }
@@ -182,19 +182,19 @@
      * Closes the pooled connections to an upstream that does not answer, because some may never deliver an answer
      * again.
      */
-    public void drop(Upstream upstream) {
-        ArrayDeque<UpstreamChannel> channels = idle.remove(poolKey(upstream));
+    public void closePooled(Upstream upstream) {
+        ArrayDeque<UpstreamConnection> channels = idle.remove(poolKey(upstream));
         if (channels != null) {
-            List.copyOf(channels).forEach(UpstreamChannel::close);
+            List.copyOf(channels).forEach(UpstreamConnection::close);
         }
     }
 
-    void release(UpstreamChannel channel) {
+    void release(UpstreamConnection channel) {
         idle.computeIfAbsent(channel.poolKey(), key -> new ArrayDeque<>()).addLast(channel);
     }
 
-    void closed(UpstreamChannel channel) {
-        ArrayDeque<UpstreamChannel> channels = idle.get(channel.poolKey());
+    void closed(UpstreamConnection channel) {
+        ArrayDeque<UpstreamConnection> channels = idle.get(channel.poolKey());
         if (channels != null) {
             channels.remove(channel);
         }
@@ -226,7 +226,7 @@
     }
 
     private static String poolKey(Upstream upstream) {
-        return upstream.address() + "/" + upstream.id() + "/" + upstream.bornMillis();
+        return upstream.address() + "/" + upstream.id() + "/" + upstream.startedAtMillis();
     }
 
     private static InetSocketAddress address(String hostAndPort) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
@@ -15,10 +15,10 @@
     void onComplete();
 
     /** Called when the request ends without a complete answer. */
-    void onBroken(Breakage breakage, String reason);
+    void onFailed(FailurePoint breakage, String reason);
 
     /** Progress of the request when its connection broke. */
-    enum Breakage {
+    enum FailurePoint {
         /** No connection was established. */
         NO_CONNECTION,
         /** A pooled connection was closed before the request was written to it. */
--- a/gateway/src/test/java/dev/wigeonward/gateway/event/EventLogTest.java
+++ b/gateway/src/test/java/dev/wigeonward/gateway/event/EventLogTest.java
@@ -16,7 +16,7 @@
             log.info("event", "line=" + line);
         }
 
-        assertThat(log.leftOut()).isEqualTo(6);
+        assertThat(log.droppedLines()).isEqualTo(6);
     }
 
     /** Guards against a process that hangs in stop because the writer thread of its log was never started. */
@@ -26,6 +26,6 @@
         log.warning("event", "");
         log.stop();
 
-        assertThat(log.leftOut()).isZero();
+        assertThat(log.droppedLines()).isZero();
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -4,28 +4,28 @@
 import java.util.Optional;
 
 import dev.wigeonward.measure.goodput.GoodputMeasurement;
-import dev.wigeonward.measure.moves.JudgeMeasurement;
-import dev.wigeonward.measure.moves.MovesMeasurement;
-import dev.wigeonward.measure.placement.EntryDecision;
-import dev.wigeonward.measure.placement.LinkSubsetSpread;
-import dev.wigeonward.measure.placement.PlacementQuality;
-import dev.wigeonward.measure.placement.StateBytes;
-import dev.wigeonward.measure.process.ProcessLatency;
-import dev.wigeonward.measure.revision.RevisionSpread;
+import dev.wigeonward.measure.moves.EvaluatorMeasurement;
+import dev.wigeonward.measure.moves.RolloutMeasurement;
+import dev.wigeonward.measure.placement.EntryDecisionMeasurement;
+import dev.wigeonward.measure.placement.LinkSubsetMeasurement;
+import dev.wigeonward.measure.placement.PlacementQualityMeasurement;
+import dev.wigeonward.measure.placement.StateSizeMeasurement;
+import dev.wigeonward.measure.process.ProcessLatencyMeasurement;
+import dev.wigeonward.measure.revision.RevisionPropagationMeasurement;
 import dev.wigeonward.measure.store.StoreCallsMeasurement;
 
 /** Registry of all measurements. */
 final class Measurements {
     private static final List<Measurement> ALL = List.of(
-            new EntryDecision(),
-            GoodputMeasurement.create(),
-            new JudgeMeasurement(),
-            new LinkSubsetSpread(),
-            new MovesMeasurement(),
-            new PlacementQuality(),
-            new ProcessLatency(),
-            new RevisionSpread(),
-            new StateBytes(),
+            new EntryDecisionMeasurement(),
+            GoodputMeasurement.withDefaultLoads(),
+            new EvaluatorMeasurement(),
+            new LinkSubsetMeasurement(),
+            new RolloutMeasurement(),
+            new PlacementQualityMeasurement(),
+            new ProcessLatencyMeasurement(),
+            new RevisionPropagationMeasurement(),
+            new StateSizeMeasurement(),
             new StoreCallsMeasurement());
 
     private Measurements() {}
--- a/measurement/src/main/java/dev/wigeonward/measure/Report.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Report.java
@@ -28,7 +28,7 @@
     }
 
     /** A line chart that is written as an SVG file. */
-    public record LineChart(String name, String xTitle, String yTitle, List<Series> series) {
+    public record LineChart(String name, String xAxisTitle, String yAxisTitle, List<Series> series) {
         public LineChart {
             Objects.requireNonNull(name, "name");
             series = List.copyOf(series);
@@ -36,16 +36,16 @@
     }
 
     /** A line of a chart, given by the coordinates of its points. */
-    public record Series(String name, List<Double> x, List<Double> y) {
+    public record Series(String name, List<Double> xValues, List<Double> yValues) {
         public Series {
-            x = List.copyOf(x);
-            y = List.copyOf(y);
+            xValues = List.copyOf(xValues);
+            yValues = List.copyOf(yValues);
             Preconditions.checkArgument(
-                    x.size() == y.size(),
+                    xValues.size() == yValues.size(),
                     "series %s must have as many x values as y values but has %s and %s",
                     name,
-                    x.size(),
-                    y.size());
+                    xValues.size(),
+                    yValues.size());
         }
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/ReportWriter.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/ReportWriter.java
@@ -49,10 +49,10 @@
                 .width(CHART_WIDTH_PIXELS)
                 .height(CHART_HEIGHT_PIXELS)
                 .title(lineChart.name())
-                .xAxisTitle(lineChart.xTitle())
-                .yAxisTitle(lineChart.yTitle())
+                .xAxisTitle(lineChart.xAxisTitle())
+                .yAxisTitle(lineChart.yAxisTitle())
                 .build();
-        lineChart.series().forEach(series -> chart.addSeries(series.name(), series.x(), series.y()));
+        lineChart.series().forEach(series -> chart.addSeries(series.name(), series.xValues(), series.yValues()));
         VectorGraphicsEncoder.saveVectorGraphic(chart, path.toString(), VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
     }
 
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/EntryNode.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/EntryNode.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.core.dispatch.EntryDispatcher;
 import dev.wigeonward.core.dispatch.EntryEffect;
 import dev.wigeonward.core.dispatch.EntryEvent;
-import dev.wigeonward.core.dispatch.SuspectGate;
+import dev.wigeonward.core.dispatch.SuspectPolicy;
 import dev.wigeonward.core.dispatch.VersionRouter;
 import dev.wigeonward.core.placement.PlacementPolicy;
 import dev.wigeonward.core.request.RequestId;
@@ -49,8 +49,8 @@
                 placement,
                 placement,
                 VersionRouter.first(),
-                RetryBudget.startingAt(0),
-                SuspectGate.open());
+                RetryBudget.create(0),
+                SuspectPolicy.allowAll());
         this.dispatcher = EntryDispatcher.create(policies, DispatchLimits.defaults());
         agents.forEach(agent -> handle(new EntryEvent.LinkUp(agent.description())));
     }
@@ -87,7 +87,7 @@
         } else if (effect instanceof EntryEffect.DeliverFailure failure) {
             counts.recordFailure(
                     jobs.remove(failure.request()), failure.failure().kind());
-        } else if (!(effect instanceof EntryEffect.DeliverOutput || effect instanceof EntryEffect.Forget)) {
+        } else if (!(effect instanceof EntryEffect.DeliverOutput || effect instanceof EntryEffect.ReleaseRequest)) {
             throw new IllegalStateException("entry effect is not simulated: " + effect);
         }
     }
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputMeasurement.java
@@ -37,7 +37,7 @@
     }
 
     /** Returns the measurement at the loads and shares of the highest tier that the documentation reports. */
-    public static GoodputMeasurement create() {
+    public static GoodputMeasurement withDefaultLoads() {
         double largestLoad = DEFAULT_LOADS.get(DEFAULT_LOADS.size() - 1);
         List<Demand> highestTierDemands = LARGE_HIGHEST_TIER_SHARES.stream()
                 .map(share -> Demand.steady(largestLoad, share))
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/PolicySet.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/PolicySet.java
@@ -40,7 +40,7 @@
 
         @Override
         PlacementPolicy placement(RandomGenerator random) {
-            return EarliestCompletion.of(random, PrefixIndex.create(), DomainLatency.uniform("domain", 0));
+            return EarliestCompletion.create(random, PrefixIndex.create(), DomainLatency.uniform("domain", 0));
         }
 
         @Override
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/ControlledRollout.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/ControlledRollout.java
@@ -10,17 +10,17 @@
 import dev.wigeonward.core.rollout.BadVerdict;
 import dev.wigeonward.core.rollout.ControllerEffect;
 import dev.wigeonward.core.rollout.ControllerEvent;
-import dev.wigeonward.core.rollout.JudgeSettings;
-import dev.wigeonward.core.rollout.MoveController;
-import dev.wigeonward.core.rollout.MoveRule;
-import dev.wigeonward.core.rollout.MoveSettings;
+import dev.wigeonward.core.rollout.EvaluationSettings;
+import dev.wigeonward.core.rollout.RolloutController;
+import dev.wigeonward.core.rollout.RolloutRule;
+import dev.wigeonward.core.rollout.RolloutSettings;
 
 /** A rollout by the real controller, run by two nodes that compete for the controller lease. */
-final class ControlledRollout implements Rollout {
+final class ControlledRollout implements SimulatedRollout {
     private static final long RENEW_LEASE_MILLIS = 3_000;
     private static final long TICK_MILLIS = 500;
-    private static final List<MoveRule> RULES = List.of(
-            new MoveRule(MoveCase.MODEL, MoveCase.OLD, MoveCase.NEW, CaseScript.DEADLINE_MILLIS, 200, "measurement"));
+    private static final List<RolloutRule> RULES = List.of(new RolloutRule(
+            RolloutCase.MODEL, RolloutCase.OLD, RolloutCase.NEW, CaseScript.DEADLINE_MILLIS, 200, "measurement"));
 
     private final CaseScript script;
     private final SimulatedStore store;
@@ -106,7 +106,7 @@
         node.holdsLease = true;
         node.fencingNumber = fencingNumber;
         node.renewedMillis = nowMillis;
-        agents.values().forEach(agent -> node.events.add(new ControllerEvent.UpstreamSeen(agent.description())));
+        agents.values().forEach(agent -> node.events.add(new ControllerEvent.UpstreamReported(agent.description())));
         node.events.add(new ControllerEvent.LeaseAcquired(
                 fencingNumber, nowMillis + SimulatedStore.LEASE_MILLIS, store.records()));
         node.events.add(new ControllerEvent.RulesChanged(RULES));
@@ -138,11 +138,12 @@
     private void sendVerdictToOthers(Node from, BadVerdict verdict) {
         List<Node> others = new ArrayList<>(nodes);
         others.remove(from);
-        others.forEach(node -> node.events.add(new ControllerEvent.VerdictLearned(verdict)));
+        others.forEach(node -> node.events.add(new ControllerEvent.VerdictReceived(verdict)));
     }
 
     private static final class Node {
-        private final MoveController controller = new MoveController(MoveSettings.standard(), JudgeSettings.standard());
+        private final RolloutController controller =
+                new RolloutController(RolloutSettings.standard(), EvaluationSettings.standard());
         private final Deque<ControllerEvent> events = new ArrayDeque<>();
         private boolean holdsLease;
         private boolean dead;
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/JudgeMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/EvaluatorMeasurement.java
@@ -6,17 +6,17 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 
+import dev.wigeonward.core.rollout.EvaluationSettings;
 import dev.wigeonward.core.rollout.EvidenceCounters;
-import dev.wigeonward.core.rollout.JudgeSettings;
-import dev.wigeonward.core.rollout.RouteCell;
-import dev.wigeonward.core.rollout.RouteJudgement.Verdict;
+import dev.wigeonward.core.rollout.RouteEvaluation.Verdict;
+import dev.wigeonward.core.rollout.RouteLoadKey;
 import dev.wigeonward.core.rollout.TimeHistogram;
-import dev.wigeonward.core.rollout.VersionJudge;
+import dev.wigeonward.core.rollout.VersionEvaluator;
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 
 /** Measurement of the error rates and sample sizes of the sequential test on one route. */
-public final class JudgeMeasurement implements Measurement {
+public final class EvaluatorMeasurement implements Measurement {
     private static final int RUNS = 10_000;
     private static final int SAMPLES_PER_LOOK = 5;
     private static final int MAX_SAMPLES = 2_000;
@@ -24,7 +24,7 @@
     private static final int OLD_SAMPLES = 1_000;
     private static final double BASE_FAILURE_SHARE = 0.01;
     private static final double SPREAD = 0.4;
-    private static final RouteCell CELL = new RouteCell("chat", false);
+    private static final RouteLoadKey CELL = new RouteLoadKey("chat", false);
     private static final List<Difference> DIFFERENCES = List.of(
             new Difference("equal", 0, 1),
             new Difference("2 points more failures", 0.02, 1),
@@ -38,11 +38,11 @@
 
     private final int runs;
 
-    public JudgeMeasurement() {
+    public EvaluatorMeasurement() {
         this(RUNS);
     }
 
-    JudgeMeasurement(int runs) {
+    EvaluatorMeasurement(int runs) {
         this.runs = runs;
     }
 
@@ -58,8 +58,8 @@
 
     @Override
     public Report run(long seed) {
-        JudgeSettings standard = JudgeSettings.standard();
-        JudgeSettings loose = new JudgeSettings(
+        EvaluationSettings standard = EvaluationSettings.standard();
+        EvaluationSettings loose = new EvaluationSettings(
                 0.01,
                 0.01,
                 standard.failureDifference(),
@@ -94,8 +94,8 @@
     }
 
     private List<String> row(
-            String name, JudgeSettings settings, Difference difference, int maxSamples, SplittableRandom random) {
-        VersionJudge judge = new VersionJudge(settings);
+            String name, EvaluationSettings settings, Difference difference, int maxSamples, SplittableRandom random) {
+        VersionEvaluator judge = new VersionEvaluator(settings);
         int[] verdicts = new int[Verdict.values().length];
         int[] samples = new int[runs];
         for (int run = 0; run < runs; run++) {
@@ -111,7 +111,7 @@
                         difference.slowdown,
                         random);
                 boolean truncated = maxSamples == TRUNCATED_SAMPLES && sample.requests >= maxSamples;
-                verdict = judge.judge(CELL, oldCounters, oldCounters, sample.counters(), truncated)
+                verdict = judge.evaluate(CELL, oldCounters, oldCounters, sample.counters(), truncated)
                         .verdict();
             }
             verdicts[verdict.ordinal()]++;
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/FixedRollout.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/FixedRollout.java
@@ -19,7 +19,7 @@
  * version's requests failed in a window of 30 s. It needs no store and never stops, so store outages and lost
  * controllers do not affect it.
  */
-final class FixedRollout implements Rollout {
+final class FixedRollout implements SimulatedRollout {
     /** Fencing number that the store reports to agents, so that they accept orders although there is no controller. */
     static final long FENCING_NUMBER = 1;
 
@@ -30,7 +30,7 @@
     private static final long RENEW_MILLIS = 2_000;
     private static final double FAILURE_LIMIT = 0.05;
     private static final int MIN_REQUESTS = 10;
-    private static final ModelVersion NEW = new ModelVersion(MoveCase.MODEL, MoveCase.NEW);
+    private static final ModelVersion NEW = new ModelVersion(RolloutCase.MODEL, RolloutCase.NEW);
 
     private final List<SimulatedAgent> agents;
     private final Map<String, EvidenceCounters> lastCounters = new HashMap<>();
@@ -63,7 +63,13 @@
         if (!ordered) {
             ordered = true;
             agents.forEach(agent -> agent.receive(
-                    new Order(FENCING_NUMBER, "load/" + agent.id(), Order.Kind.LOAD, MoveCase.MODEL, MoveCase.NEW, ""),
+                    new Order(
+                            FENCING_NUMBER,
+                            "load/" + agent.id(),
+                            Order.Kind.LOAD,
+                            RolloutCase.MODEL,
+                            RolloutCase.NEW,
+                            ""),
                     nowMillis));
         }
         if (nowMillis - windowStartMillis >= WINDOW_MILLIS) {
@@ -86,7 +92,7 @@
 
     private void publish(int shareBasisPoints, Publisher publisher) {
         sequence++;
-        Stage stage = new Stage(MoveCase.MODEL, MoveCase.OLD, MoveCase.NEW, shareBasisPoints, 10_000, true);
+        Stage stage = new Stage(RolloutCase.MODEL, RolloutCase.OLD, RolloutCase.NEW, shareBasisPoints, 10_000, true);
         publisher.publish(new ControllerStages(1, sequence, List.of(stage)));
     }
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/MoveCase.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutCase.java
@@ -14,7 +14,7 @@
 import dev.wigeonward.core.rollout.Stage;
 
 /** Simulation of one case from the rule to the end of watching. */
-final class MoveCase implements Rollout.Publisher {
+final class RolloutCase implements SimulatedRollout.Publisher {
     static final String MODEL = "model";
     static final String OLD = "v1";
     static final String NEW = "v2";
@@ -34,7 +34,7 @@
 
     private final CaseScript script;
     private final SplittableRandom random;
-    private final Rollout rollout;
+    private final SimulatedRollout rollout;
     private final List<SimulatedEntry> entries = new ArrayList<>();
     private final Map<String, SimulatedAgent> agents = new LinkedHashMap<>();
     private final List<SimulatedAgent> agentList;
@@ -57,7 +57,7 @@
     private long laterUnreachable;
     private long refusedRequests;
 
-    private MoveCase(CaseScript script, boolean controlled) {
+    private RolloutCase(CaseScript script, boolean controlled) {
         this.script = script;
         this.random = new SplittableRandom(script.seed() + 1);
         SimulatedStore store = new SimulatedStore(script.storeOutage(), random.split());
@@ -80,12 +80,12 @@
 
     /** Simulates the case with the real controller and returns the result. */
     static CaseResult simulateControlled(CaseScript script) {
-        return new MoveCase(script, true).simulate();
+        return new RolloutCase(script, true).simulate();
     }
 
     /** Simulates the case with steps at fixed times and returns the result. */
     static CaseResult simulateFixed(CaseScript script) {
-        return new MoveCase(script, false).simulate();
+        return new RolloutCase(script, false).simulate();
     }
 
     @Override
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/MovesMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutMeasurement.java
@@ -11,7 +11,7 @@
 import dev.wigeonward.measure.Report;
 
 /** Measurement of moves of good and bad versions under faults, compared with steps at fixed times. */
-public final class MovesMeasurement implements Measurement {
+public final class RolloutMeasurement implements Measurement {
     private static final int GOOD_CASES = 200;
     private static final int CASES_OF_EACH_BAD_KIND = 50;
     private static final double MAX_EARLY_SHARE = 0.02;
@@ -22,11 +22,11 @@
     private final int goodCases;
     private final int badCases;
 
-    public MovesMeasurement() {
+    public RolloutMeasurement() {
         this(GOOD_CASES, CASES_OF_EACH_BAD_KIND);
     }
 
-    MovesMeasurement(int goodCases, int badCases) {
+    RolloutMeasurement(int goodCases, int badCases) {
         this.goodCases = goodCases;
         this.badCases = badCases;
     }
@@ -47,8 +47,8 @@
         List<CaseResult> controlled = new ArrayList<>();
         List<Report.Series> series = new ArrayList<>();
         for (CaseKind kind : CaseKind.values()) {
-            List<CaseResult> results = simulate(kind, seed, MoveCase::simulateControlled);
-            List<CaseResult> fixed = simulate(kind, seed, MoveCase::simulateFixed);
+            List<CaseResult> results = simulate(kind, seed, RolloutCase::simulateControlled);
+            List<CaseResult> fixed = simulate(kind, seed, RolloutCase::simulateFixed);
             controlled.addAll(results);
             rows.add(row(kind, "evidence", results));
             rows.add(row(kind, "steps by time", fixed));
@@ -146,7 +146,7 @@
         List<Double> seconds = new ArrayList<>();
         List<Double> percent = new ArrayList<>();
         for (int i = 0; i < result.shares().size(); i++) {
-            seconds.add(i * MoveCase.SHARE_PERIOD_MILLIS / 1_000.0);
+            seconds.add(i * RolloutCase.SHARE_PERIOD_MILLIS / 1_000.0);
             percent.add(100 * result.shares().get(i));
         }
         return new Report.Series(name, seconds, percent);
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedAgent.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedAgent.java
@@ -11,7 +11,7 @@
 import dev.wigeonward.core.order.Order;
 import dev.wigeonward.core.order.OrderEffect;
 import dev.wigeonward.core.order.OrderEvent;
-import dev.wigeonward.core.order.OrderGate;
+import dev.wigeonward.core.order.OrderFence;
 import dev.wigeonward.core.rollout.ControllerEvent;
 import dev.wigeonward.core.rollout.EvidenceRecorder;
 import dev.wigeonward.core.rollout.ModelVersion;
@@ -27,8 +27,8 @@
     private static final double BURST_FAILURE_SHARE = 0.05;
     private static final double PEAK_FAILURE_SHARE = 0.005;
     private static final int MAX_VERSIONS = 2;
-    private static final ModelVersion OLD = new ModelVersion(MoveCase.MODEL, MoveCase.OLD);
-    private static final ModelVersion NEW = new ModelVersion(MoveCase.MODEL, MoveCase.NEW);
+    private static final ModelVersion OLD = new ModelVersion(RolloutCase.MODEL, RolloutCase.OLD);
+    private static final ModelVersion NEW = new ModelVersion(RolloutCase.MODEL, RolloutCase.NEW);
 
     private final String id;
     private final CaseScript script;
@@ -39,7 +39,7 @@
     private final Set<String> versions = new TreeSet<>();
     private final TreeMap<Long, List<Order>> ordersByEnd = new TreeMap<>();
     private final TreeMap<Long, List<RunningRequest>> requestsByEnd = new TreeMap<>();
-    private OrderGate gate = new OrderGate();
+    private OrderFence gate = new OrderFence();
     private EvidenceRecorder recorder = new EvidenceRecorder(LOAD_THRESHOLD);
     private long incarnation = 1;
     private boolean peak;
@@ -51,7 +51,7 @@
         this.script = script;
         this.random = random;
         this.storedFencingNumber = storedFencingNumber;
-        versions.add(MoveCase.OLD);
+        versions.add(RolloutCase.OLD);
     }
 
     String id() {
@@ -67,12 +67,12 @@
     }
 
     UpstreamVersions description() {
-        return new UpstreamVersions(id, MoveCase.MODEL, versions, MAX_VERSIONS);
+        return new UpstreamVersions(id, RolloutCase.MODEL, versions, MAX_VERSIONS);
     }
 
     /** Starts a request, whose outcome is recorded when it ends. */
     void run(Route route, String version, long nowMillis) {
-        boolean isNew = version.equals(MoveCase.NEW);
+        boolean isNew = version.equals(RolloutCase.NEW);
         boolean bad = isNew && script.isBadNow(route.name(), nowMillis);
         double failureShare = script.baseFailureShare()
                 + (peak ? PEAK_FAILURE_SHARE : 0)
@@ -84,10 +84,10 @@
                 * (bad ? script.slowdown() : 1);
         double elapsedMillis = route.serviceMillis() * factor * Math.exp(script.spread() * random.nextGaussian());
         int status = random.nextDouble() < failureShare ? 500 : 200;
-        long endMillis = nowMillis + (long) elapsedMillis / MoveCase.STEP_MILLIS * MoveCase.STEP_MILLIS;
+        long endMillis = nowMillis + (long) elapsedMillis / RolloutCase.STEP_MILLIS * RolloutCase.STEP_MILLIS;
         double load = peak ? PEAK_LOAD : USUAL_LOAD;
         EvidenceRecorder.Observation observation =
-                recorder.started(isNew ? NEW : OLD, route.name(), load, route.serviceMillis(), nowMillis);
+                recorder.start(isNew ? NEW : OLD, route.name(), load, route.serviceMillis(), nowMillis);
         requestsByEnd
                 .computeIfAbsent(endMillis, any -> new ArrayList<>())
                 .add(new RunningRequest(observation, status, nowMillis + Math.round(elapsedMillis)));
@@ -129,7 +129,7 @@
     /** Restarts the agent. The engine keeps its versions; orders and requests in progress are lost. */
     void restart() {
         incarnation++;
-        gate = new OrderGate();
+        gate = new OrderFence();
         recorder = new EvidenceRecorder(LOAD_THRESHOLD);
         ordersByEnd.clear();
         requestsByEnd.clear();
@@ -139,7 +139,8 @@
         for (OrderEffect effect : effects) {
             if (effect instanceof OrderEffect.ReadFencingNumber) {
                 long number = storedFencingNumber.getAsLong();
-                OrderEvent read = number < 0 ? new OrderEvent.StoreUnavailable() : new OrderEvent.FencingRead(number);
+                OrderEvent read =
+                        number < 0 ? new OrderEvent.StoreUnavailable() : new OrderEvent.FencingNumberRead(number);
                 perform(gate.handle(read), nowMillis, answers);
             } else if (effect instanceof OrderEffect.RunOrder run) {
                 long millis = run.order().kind() == Order.Kind.LOAD ? random.nextLong(8_000, 15_000) : 1_000;
@@ -159,7 +160,7 @@
             versions.remove(order.version());
         }
         perform(gate.handle(new OrderEvent.EngineFinished(order.orderId(), "")), 0, events);
-        events.add(new ControllerEvent.UpstreamSeen(description()));
+        events.add(new ControllerEvent.UpstreamReported(description()));
     }
 
     private record RunningRequest(EvidenceRecorder.Observation observation, int status, long endMillis) {
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedEntry.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedEntry.java
@@ -64,7 +64,7 @@
                 Optional.empty(),
                 TIERS[(int) (sequence % TIERS.length)],
                 "workspace",
-                MoveCase.MODEL,
+                RolloutCase.MODEL,
                 route.name(),
                 new WorkEstimate(1_000, 100, 0),
                 nowMillis + 60_000,
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/Rollout.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedRollout.java
@@ -7,7 +7,7 @@
 import dev.wigeonward.core.rollout.ControllerStages;
 
 /** A strategy that moves all requests to the new version. */
-interface Rollout {
+interface SimulatedRollout {
     /** Receives the events that agents report. */
     void report(List<ControllerEvent> events, long nowMillis);
 
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedStore.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedStore.java
@@ -8,7 +8,7 @@
 
 import dev.wigeonward.core.rollout.ControllerEffect;
 import dev.wigeonward.core.rollout.ControllerEvent;
-import dev.wigeonward.core.rollout.ControllerEvent.StoreAnswer;
+import dev.wigeonward.core.rollout.ControllerEvent.WriteOutcome;
 import dev.wigeonward.core.rollout.StoredRecord;
 
 /** A simulated key-value store with compare-and-swap, the controller lease, an outage and lost replies. */
@@ -68,16 +68,16 @@
     /** Writes the record if the key has the expected revision, and returns the answer, which may be a lost reply. */
     ControllerEvent write(ControllerEffect.WriteRecord write, long nowMillis) {
         String model = write.record().model();
-        StoreAnswer answer = StoreAnswer.UNAVAILABLE;
+        WriteOutcome answer = WriteOutcome.UNAVAILABLE;
         long storedRevision = records.containsKey(model) ? records.get(model).revision() : 0;
         if (isUp(nowMillis) && storedRevision != write.expectedRevision()) {
-            answer = StoreAnswer.COMPARE_FAILED;
+            answer = WriteOutcome.COMPARE_FAILED;
         } else if (isUp(nowMillis)) {
             revision++;
             records.put(model, new StoredRecord(write.record(), revision));
-            answer = random.nextInt(100) < LOST_REPLIES_PERCENT ? StoreAnswer.UNKNOWN : StoreAnswer.APPLIED;
+            answer = random.nextInt(100) < LOST_REPLIES_PERCENT ? WriteOutcome.UNKNOWN : WriteOutcome.APPLIED;
         }
-        return new ControllerEvent.StoreAnswered(model, write.record().writeId(), answer, revision);
+        return new ControllerEvent.WriteAnswered(model, write.record().writeId(), answer, revision);
     }
 
     /** Returns the stored record of the model. */
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/DecisionState.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/DecisionState.java
@@ -16,8 +16,8 @@
 import dev.wigeonward.core.placement.PlacementPolicy;
 import dev.wigeonward.core.placement.PrefixIndex;
 import dev.wigeonward.core.placement.UpstreamDescription;
+import dev.wigeonward.core.placement.UpstreamLoadState;
 import dev.wigeonward.core.placement.UpstreamPool;
-import dev.wigeonward.core.placement.UpstreamState;
 import dev.wigeonward.core.request.EngineSpeed;
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.RequestSpec;
@@ -49,12 +49,13 @@
     private DecisionState(int upstreams, boolean keyed, long seed) {
         Random random = new Random(seed);
         for (int number = 0; number < upstreams; number++) {
-            UpstreamState state = UpstreamState.of(description(number));
+            UpstreamLoadState state = UpstreamLoadState.of(description(number));
             state.onReport(new LoadReport(random.nextInt(20_000), SLOTS, random.nextInt(20), List.of(), List.of()), 0);
             pool.put(state);
             prefixes.onPlaced(state.description().upstreamId(), 1 + random.nextInt(PREFIXES));
         }
-        policy = KeyAffinity.or(EarliestCompletion.of(random, prefixes, DomainLatency.uniform("domain-0", 3)));
+        policy = KeyAffinity.withFallback(
+                EarliestCompletion.create(random, prefixes, DomainLatency.uniform("domain-0", 3)));
         queue = FairShareAdmissionQueue.create(WORKSPACES + 1, WorkspaceWeights.equal());
         for (int number = 0; number < WORKSPACES; number++) {
             queue.offer(request(number, keyed, random), 1_000, 0);
@@ -81,7 +82,7 @@
         }
         RequestSpec dispatched = queue.poll(nowMillis).orElseThrow();
         Placement placement = policy.choose(dispatched, pool, nowMillis).orElseThrow();
-        UpstreamState state = pool.find(placement.upstreamId()).orElseThrow();
+        UpstreamLoadState state = pool.find(placement.upstreamId()).orElseThrow();
         state.onDispatched(placement.serviceMillis());
         state.onEnded(placement.serviceMillis());
         nextArrival = dispatched;
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecision.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecisionMeasurement.java
@@ -17,7 +17,7 @@
 import org.openjdk.jmh.runner.options.VerboseMode;
 
 /** Measures the time of one placement and admission decision with JMH. */
-public final class EntryDecision implements Measurement {
+public final class EntryDecisionMeasurement implements Measurement {
     private static final double TARGET_MICROS = 50;
     private static final double NANOS_PER_MICRO = 1_000;
     private static final List<String> COLUMNS =
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/LinkSubsetSpread.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/LinkSubsetMeasurement.java
@@ -21,7 +21,7 @@
  * Measures the links of each region at the target size, how many of them change when an entry or agent leaves, and the
  * time to compute them.
  */
-public final class LinkSubsetSpread implements Measurement {
+public final class LinkSubsetMeasurement implements Measurement {
     static final int REGIONS = 4;
     static final int POOLS = 7;
     static final int ENTRIES = 1_400;
@@ -140,8 +140,8 @@
         long few = 0;
         for (Region region : regions) {
             Map<String, Long> linkCounts = new TreeMap<>();
-            region.agentsByPool.forEach((pool, agents) -> region.entries.forEach(entry ->
-                    linkCounts.put(entry + "/" + pool, LinkSubset.linksByAgents(entry, region.entries, agents))));
+            region.agentsByPool.forEach((pool, agents) -> region.entries.forEach(entry -> linkCounts.put(
+                    entry + "/" + pool, LinkSubset.countLinksSelectedByAgents(entry, region.entries, agents))));
             few += linkCounts.values().stream().filter(count -> count < 4).count();
         }
         return few;
@@ -215,7 +215,7 @@
 
         private List<Link> linksOf(String entry) {
             List<Link> links = new ArrayList<>();
-            agentsByPool.forEach((pool, agents) -> LinkSubset.agentsOf(entry, entries, agents)
+            agentsByPool.forEach((pool, agents) -> LinkSubset.selectAgents(entry, entries, agents)
                     .forEach(agent -> links.add(new Link(entry, pool, agent))));
             return links;
         }
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementQuality.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementQualityMeasurement.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.measure.Report;
 
 /** Measures completion times under each placement policy in simulated time. */
-public final class PlacementQuality implements Measurement {
+public final class PlacementQualityMeasurement implements Measurement {
     private static final double[] LOADS = {0.5, 0.7, 0.85, 0.95};
     private static final List<PlacementSimulation.Fleet> FLEETS =
             List.of(new PlacementSimulation.Fleet(8, false), new PlacementSimulation.Fleet(120, true));
@@ -43,7 +43,7 @@
         Map<String, PlacementSimulation.PolicyFactory> policies = new LinkedHashMap<>();
         policies.put("RoundRobin", (random, prefixes, latency) -> RoundRobin.create());
         policies.put("LeastOutstanding", (random, prefixes, latency) -> LeastOutstanding.create());
-        policies.put("EarliestCompletion", EarliestCompletion::of);
+        policies.put("EarliestCompletion", EarliestCompletion::create);
         List<List<String>> rows = new ArrayList<>();
         for (PlacementSimulation.Fleet fleet : FLEETS) {
             for (double load : LOADS) {
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementSimulation.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementSimulation.java
@@ -86,7 +86,7 @@
                 .toList();
         for (int number = 0; number < fleet.entries(); number++) {
             List<SimulatedUpstream> linked = fleet.linkSubset()
-                    ? LinkSubset.agentsOf(entryIds.get(number), entryIds, upstreamsById.keySet()).stream()
+                    ? LinkSubset.selectAgents(entryIds.get(number), entryIds, upstreamsById.keySet()).stream()
                             .map(upstreamsById::get)
                             .toList()
                     : upstreams;
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/SimulatedEntry.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/SimulatedEntry.java
@@ -8,8 +8,8 @@
 import dev.wigeonward.core.placement.Placement;
 import dev.wigeonward.core.placement.PlacementPolicy;
 import dev.wigeonward.core.placement.PrefixIndex;
+import dev.wigeonward.core.placement.UpstreamLoadState;
 import dev.wigeonward.core.placement.UpstreamPool;
-import dev.wigeonward.core.placement.UpstreamState;
 
 /** A simulated entry that knows only its own dispatches and the load reports that it received. */
 final class SimulatedEntry {
@@ -21,7 +21,7 @@
     SimulatedEntry(
             PlacementSimulation.PolicyFactory factory, String domain, List<SimulatedUpstream> upstreams, long seed) {
         this.domain = domain;
-        upstreams.forEach(upstream -> pool.put(UpstreamState.of(upstream.description())));
+        upstreams.forEach(upstream -> pool.put(UpstreamLoadState.of(upstream.description())));
         DomainLatency latency = DomainLatency.uniform(domain, PlacementSimulation.REMOTE_EXTRA_MILLIS);
         this.policy = factory.create(new Random(seed), prefixes, latency);
     }
@@ -33,7 +33,7 @@
     /** Chooses an upstream for the request and counts the request as dispatched to it. */
     Choice place(SimulatedRequest request, long nowMillis) {
         Placement placement = policy.choose(request.spec(), pool, nowMillis).orElseThrow();
-        UpstreamState state = pool.find(placement.upstreamId()).orElseThrow();
+        UpstreamLoadState state = pool.find(placement.upstreamId()).orElseThrow();
         state.onDispatched(placement.serviceMillis());
         return new Choice(placement, state);
     }
@@ -48,5 +48,5 @@
     }
 
     /** A placement and the state of the chosen upstream, which counts the request. */
-    record Choice(Placement placement, UpstreamState state) {}
+    record Choice(Placement placement, UpstreamLoadState state) {}
 }
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/StateBytes.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/StateSizeMeasurement.java
@@ -21,7 +21,7 @@
 import org.openjdk.jol.info.GraphLayout;
 
 /** Measures the heap that each part of an entry's state takes. */
-public final class StateBytes implements Measurement {
+public final class StateSizeMeasurement implements Measurement {
     private static final List<String> COLUMNS = List.of("state", "count", "bytes", "bytes each");
 
     @Override
@@ -44,11 +44,12 @@
         rows.add(row("upstream in a pool, with its description", 10_000, count -> DecisionState.create(
                         Math.max(1, count), false, seed)
                 .pool()));
-        rows.add(row("workspace in the queue, one request each", 2_500, StateBytes::queue));
-        rows.add(row("request in flight, what the cores hold", 10_000, StateBytes::requests));
-        rows.add(row("prefix, each at one upstream", PrefixIndex.MAX_TOTAL, StateBytes::distinctPrefixes));
-        rows.add(row("prefix shared by 64 upstreams", PrefixIndex.MAX_TOTAL, StateBytes::sharedPrefixes));
-        rows.add(row("suspect fingerprint with two deaths", SuspectTable.MAX_FINGERPRINTS, StateBytes::suspects));
+        rows.add(row("workspace in the queue, one request each", 2_500, StateSizeMeasurement::queue));
+        rows.add(row("request in flight, what the cores hold", 10_000, StateSizeMeasurement::requests));
+        rows.add(row("prefix, each at one upstream", PrefixIndex.MAX_TOTAL, StateSizeMeasurement::distinctPrefixes));
+        rows.add(row("prefix shared by 64 upstreams", PrefixIndex.MAX_TOTAL, StateSizeMeasurement::sharedPrefixes));
+        rows.add(row(
+                "suspect fingerprint with two deaths", SuspectTable.MAX_FINGERPRINTS, StateSizeMeasurement::suspects));
         return new Report(
                 COLUMNS,
                 rows,
--- a/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatency.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatencyMeasurement.java
@@ -20,7 +20,7 @@
  * Measures the latency that entry and agent add to direct calls of the engine stand-in. A run has the size of the
  * smaller deployment: eight engines, three plain services and three entries, each a process.
  */
-public final class ProcessLatency implements Measurement {
+public final class ProcessLatencyMeasurement implements Measurement {
     private static final int ENGINES = 8;
     private static final int SERVICES = 3;
     private static final int ENTRIES = 3;
@@ -48,7 +48,7 @@
 
     @Override
     public String description() {
-        return "latency viaEntries entry and agent processes against direct calls to the engine stand-in, ms";
+        return "latency through entry and agent processes against direct calls to the engine stand-in, ms";
     }
 
     @Override
--- a/measurement/src/main/java/dev/wigeonward/measure/revision/PropagationSimulation.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/PropagationSimulation.java
@@ -123,7 +123,7 @@
         for (int entry = 0; entry < ENTRIES; entry++) {
             live.add(new ReaderElection.LiveEntry(name(entry), "domain-" + entry % FAILURE_DOMAINS));
         }
-        Set<String> readers = ReaderElection.readers(live);
+        Set<String> readers = ReaderElection.electReaders(live);
         readers.stream()
                 .map(Integer::valueOf)
                 .sorted()
@@ -147,7 +147,7 @@
         for (int peer : links.get(node)) {
             if (!sampleLoss()) {
                 // The hash is empty because the heartbeat frame carries only the number.
-                schedule(nowMillis + latencyMillis(), peer, new RelayEvent.PeerHeartbeat(name(node), number, ""));
+                schedule(nowMillis + latencyMillis(), peer, new RelayEvent.HeartbeatArrived(name(node), number, ""));
             }
         }
         schedule(nowMillis + HEARTBEAT_MILLIS, node, new RelayEvent.Tick());
@@ -166,10 +166,15 @@
             reachedCount++;
         } else if (effect instanceof RelayEffect.SendOffer offer) {
             if (conditions.offersDelivered()) {
-                send(node, offer.peer(), effect, new RelayEvent.Offered(self, offer.number(), offer.hash()), nowMillis);
+                send(
+                        node,
+                        offer.peer(),
+                        effect,
+                        new RelayEvent.OfferArrived(self, offer.number(), offer.hash()),
+                        nowMillis);
             }
         } else if (effect instanceof RelayEffect.SendRequest request) {
-            RelayEvent event = new RelayEvent.Requested(self, request.haveNumber(), request.haveHash());
+            RelayEvent event = new RelayEvent.RequestArrived(self, request.baseNumber(), request.baseHash());
             send(node, request.peer(), effect, event, nowMillis);
         } else if (effect instanceof RelayEffect.SendDelta delta) {
             send(node, delta.peer(), effect, new RelayEvent.DeltaArrived(self, delta.delta()), nowMillis);
@@ -206,7 +211,7 @@
     }
 
     private static RelayEvent storeRead(Revision revision) {
-        return new RelayEvent.StoreRead(
+        return new RelayEvent.StoreReadCompleted(
                 new RevisionStore.HeadResult.Found(new StoredRevision(revision, "measurement", 0)));
     }
 
--- a/measurement/src/main/java/dev/wigeonward/measure/revision/RevisionSpread.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/RevisionPropagationMeasurement.java
@@ -8,7 +8,7 @@
 import dev.wigeonward.measure.Report;
 
 /** Measures the time until all processes have adopted an accepted revision, and the bytes sent and received for it. */
-public final class RevisionSpread implements Measurement {
+public final class RevisionPropagationMeasurement implements Measurement {
     private static final long TARGET_MILLIS = 6_000;
     private static final double CHANGES_PER_SECOND = 5_900 / 86_400.0;
     private static final int BUDGET_BYTES_PER_SECOND = 4_000;
--- a/measurement/src/main/java/dev/wigeonward/measure/store/ClaimLoad.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/store/ClaimLoad.java
@@ -11,8 +11,8 @@
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.common.clock.MonotonicClock;
 import dev.wigeonward.common.store.ClaimKey;
-import dev.wigeonward.common.store.ClaimReply;
 import dev.wigeonward.common.store.ClaimRequest;
+import dev.wigeonward.common.store.ClaimResponse;
 import dev.wigeonward.common.store.ClaimStore;
 import dev.wigeonward.common.store.EtcdStore;
 import dev.wigeonward.common.store.StoreOptions;
@@ -154,14 +154,14 @@
 
     private void claim(Runnable done) {
         long startNanos = clock.elapsedNanos();
-        claims.claim(nextRequest()).thenAccept(reply -> {
+        claims.acquire(nextRequest()).thenAccept(reply -> {
             latencyNanos.recordValue(clock.elapsedNanos() - startNanos);
             recordOutcome(reply, done);
         });
     }
 
     /** Stores an outcome for a granted claim, then runs {@code done}; runs it at once if the claim was not granted. */
-    private void recordOutcome(ClaimReply reply, Runnable done) {
+    private void recordOutcome(ClaimResponse reply, Runnable done) {
         if (reply.claim().isEmpty()) {
             done.run();
             return;
--- a/measurement/src/main/java/dev/wigeonward/measure/store/RoleCalls.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/store/RoleCalls.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import dev.wigeonward.common.store.StoreControllerLease;
+import dev.wigeonward.common.store.ControllerLease;
 import dev.wigeonward.common.store.StoreOptions;
 
 /** Computes the calls per second of each role at target size from the intervals in the code and the design figures. */
@@ -24,8 +24,8 @@
     /** Returns a line for each kind of call, and one for the claims that the remaining writes allow. */
     static List<String> atTargetSize() {
         double watches = READERS / (StoreOptions.WATCH_IDLE.defaultValue().orElseThrow() / MILLIS_PER_SECOND);
-        double candidates = READERS / (StoreControllerLease.POLL_MILLIS / MILLIS_PER_SECOND);
-        double renewals = 1 / (StoreControllerLease.RENEWAL_MILLIS / MILLIS_PER_SECOND);
+        double candidates = READERS / (ControllerLease.POLL_MILLIS / MILLIS_PER_SECOND);
+        double renewals = 1 / (ControllerLease.RENEWAL_MILLIS / MILLIS_PER_SECOND);
         double hourlyLeases = ENTRIES / SECONDS_PER_HOUR;
         double spend = ENTRIES / SPEND_INTERVAL_SECONDS;
         double operators = 2 * CHANGES_PER_DAY / SECONDS_PER_DAY;
--- a/measurement/src/test/java/dev/wigeonward/measure/moves/MovesMeasurementTest.java
+++ b/measurement/src/test/java/dev/wigeonward/measure/moves/MovesMeasurementTest.java
@@ -12,20 +12,20 @@
     /** Guards against figures that cannot be reproduced, for example because threads share a random generator. */
     @Test
     void sameSeedGivesSameReport() {
-        Report first = new MovesMeasurement(2, 1).run(5);
-        assertThat(new MovesMeasurement(2, 1).run(5)).isEqualTo(first);
-        assertThat(new MovesMeasurement(2, 1).run(6)).isNotEqualTo(first);
-        assertThat(new JudgeMeasurement(5).run(5)).isEqualTo(new JudgeMeasurement(5).run(5));
+        Report first = new RolloutMeasurement(2, 1).run(5);
+        assertThat(new RolloutMeasurement(2, 1).run(5)).isEqualTo(first);
+        assertThat(new RolloutMeasurement(2, 1).run(6)).isNotEqualTo(first);
+        assertThat(new EvaluatorMeasurement(5).run(5)).isEqualTo(new EvaluatorMeasurement(5).run(5));
     }
 
     /** Guards against targets that are met only because the simulation sends the new version no requests. */
     @Test
     void outcomesDifferBetweenGoodAndBad() {
-        CaseResult good = MoveCase.simulateControlled(CaseScript.of(CaseKind.GOOD, 11));
+        CaseResult good = RolloutCase.simulateControlled(CaseScript.of(CaseKind.GOOD, 11));
         assertThat(good.isCompletedOnTime()).isTrue();
         assertThat(good.largestEarlyShare()).isBetween(0.01, 0.02);
         assertThat(good.shares()).contains(1.0);
-        CaseResult bad = MoveCase.simulateControlled(CaseScript.of(CaseKind.FAILS_AT_ONCE, 11));
+        CaseResult bad = RolloutCase.simulateControlled(CaseScript.of(CaseKind.FAILS_AT_ONCE, 11));
         assertThat(bad.isRolledBack()).isTrue();
         assertThat(bad.shares()).endsWith(0.0, 0.0);
     }
@@ -43,11 +43,11 @@
                 .toList();
         assertThat(isolated).isNotEmpty();
         assertThat(isolated.stream()
-                        .map(MoveCase::simulateFixed)
+                        .map(RolloutCase::simulateFixed)
                         .mapToLong(CaseResult::laterUnreachable)
                         .sum())
                 .isPositive();
-        assertThat(isolated.stream().map(MoveCase::simulateControlled)).allSatisfy(result -> {
+        assertThat(isolated.stream().map(RolloutCase::simulateControlled)).allSatisfy(result -> {
             assertThat(result.laterReachable()).isZero();
             assertThat(result.laterUnreachable()).isZero();
         });
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineBatch.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineBatch.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-import dev.wigeonward.common.ring.DaemonThreads;
+import dev.wigeonward.common.ring.DaemonSchedulers;
 
 /** Runs streams in a fixed number of slots in the order of arrival, without priorities. */
 final class EngineBatch implements AutoCloseable {
@@ -24,7 +24,7 @@
 
     private final EngineProfile profile;
     private final Clock clock;
-    private final ScheduledExecutorService scheduler = DaemonThreads.scheduler("engine-batch");
+    private final ScheduledExecutorService scheduler = DaemonSchedulers.newSingleThreadScheduler("engine-batch");
     private final ArrayDeque<EngineStream> waiting = new ArrayDeque<>();
     private final List<EngineStream> running = new ArrayList<>();
     private final Map<String, EngineStream> streams = new HashMap<>();
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
@@ -8,13 +8,13 @@
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 
-import dev.wigeonward.common.store.Claim;
 import dev.wigeonward.common.store.ClaimKey;
-import dev.wigeonward.common.store.ClaimReply;
 import dev.wigeonward.common.store.ClaimRequest;
+import dev.wigeonward.common.store.ClaimResponse;
 import dev.wigeonward.common.store.ClaimStore;
+import dev.wigeonward.common.store.HeldClaim;
 import dev.wigeonward.common.store.KeyValueStore;
-import dev.wigeonward.core.dispatch.ClaimAnswer;
+import dev.wigeonward.core.dispatch.ClaimResult;
 import dev.wigeonward.core.request.RequestId;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -52,14 +52,14 @@
             int[] grants = new int[KEYS];
             for (int round = 0; round < ROUNDS; round++) {
                 List<Integer> keys = new ArrayList<>();
-                List<CompletableFuture<ClaimReply>> replies = new ArrayList<>();
+                List<CompletableFuture<ClaimResponse>> replies = new ArrayList<>();
                 for (int i = 0; i < ENTRIES; i++) {
                     int key = random.nextInt(KEYS);
                     keys.add(key);
-                    replies.add(entries.get(i).claim(request(key, "r" + round + "-" + i)));
+                    replies.add(entries.get(i).acquire(request(key, "r" + round + "-" + i)));
                 }
                 for (int i = 0; i < ENTRIES; i++) {
-                    if (await(replies.get(i)).answer() instanceof ClaimAnswer.Granted) {
+                    if (await(replies.get(i)).result() instanceof ClaimResult.Granted) {
                         grants[keys.get(i)]++;
                     }
                 }
@@ -94,10 +94,11 @@
             ClaimStore other = entry(fixture, variant, 2 * seed + 1);
             for (int key = 0; key < KEYS; key++) {
                 fixture.standin.setFaults(KvFaults.none());
-                Claim claim = await(owner.claim(request(key, "owner"))).claim().orElseThrow();
+                HeldClaim claim =
+                        await(owner.acquire(request(key, "owner"))).claim().orElseThrow();
                 fixture.standin.setFaults(KvFaults.random(0.3, 0.2, seed + key));
-                CompletableFuture<ClaimReply> move = owner.move(claim, "u2", 2);
-                CompletableFuture<ClaimReply> takeover = other.takeOver(request(key, "other"), claim.claimId());
+                CompletableFuture<ClaimResponse> move = owner.moveTo(claim, "u2", 2);
+                CompletableFuture<ClaimResponse> takeover = other.replace(request(key, "other"), claim.claimId());
                 boolean both = await(move).claim().isPresent()
                         && await(takeover).claim().isPresent();
                 assertThat(both).as("grants of a move and a takeover").isFalse();
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
@@ -8,15 +8,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
 
-import dev.wigeonward.common.store.Claim;
 import dev.wigeonward.common.store.ClaimKey;
-import dev.wigeonward.common.store.ClaimReply;
 import dev.wigeonward.common.store.ClaimRequest;
+import dev.wigeonward.common.store.ClaimResponse;
 import dev.wigeonward.common.store.ClaimStore;
+import dev.wigeonward.common.store.HeldClaim;
 import dev.wigeonward.common.store.KeyValue;
 import dev.wigeonward.common.store.KeyValueStore;
 import dev.wigeonward.common.store.StoredOutcome;
-import dev.wigeonward.core.dispatch.ClaimAnswer;
+import dev.wigeonward.core.dispatch.ClaimResult;
 import dev.wigeonward.core.request.RequestId;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -45,7 +45,7 @@
                     ClaimStore.create(fixture.store, fixture.clock, fixture.thread, fixture.metrics, new Random(0));
             awaitUntil(
                     "a claim",
-                    () -> await(claims.claim(request("warm", "r0"))).claim().isPresent());
+                    () -> await(claims.acquire(request("warm", "r0"))).claim().isPresent());
         }
     }
 
@@ -62,41 +62,43 @@
         return new ClaimRequest(ClaimKey.of("w1", key), new RequestId(requestId), "content", "u1", -7);
     }
 
-    private Claim granted(CompletableFuture<ClaimReply> reply) {
-        ClaimReply answer = await(reply);
-        assertThat(answer.answer()).isEqualTo(new ClaimAnswer.Granted());
+    private HeldClaim granted(CompletableFuture<ClaimResponse> reply) {
+        ClaimResponse answer = await(reply);
+        assertThat(answer.result()).isEqualTo(new ClaimResult.Granted());
         return answer.claim().orElseThrow();
     }
 
-    private static ClaimAnswer answer(CompletableFuture<ClaimReply> reply) {
-        return await(reply).answer();
+    private static ClaimResult answer(CompletableFuture<ClaimResponse> reply) {
+        return await(reply).result();
     }
 
-    private static ClaimAnswer heldBy(Claim claim) {
+    private static ClaimResult heldBy(HeldClaim claim) {
         ClaimRequest request = claim.request();
-        return new ClaimAnswer.HeldByOther(
+        return new ClaimResult.HeldByOther(
                 claim.claimId(), request.request(), request.upstreamId(), request.upstreamIncarnation());
     }
 
     private Optional<KeyValue> stored(String key) {
-        return await(fixture.store.get(ClaimKey.of("w1", key).path())).value().orElseThrow();
+        return await(fixture.store.get(ClaimKey.of("w1", key).storeKey()))
+                .toOptional()
+                .orElseThrow();
     }
 
     /** Fails unless each key is granted to exactly one of two entries. */
     private void checkRace(UnaryOperator<KeyValueStore> variant) {
         ClaimStore left = entry(3, variant.apply(fixture.store));
         ClaimStore right = entry(4, variant.apply(fixture.store));
-        List<CompletableFuture<ClaimReply>> replies = new ArrayList<>();
+        List<CompletableFuture<ClaimResponse>> replies = new ArrayList<>();
         for (int i = 0; i < 150; i++) {
-            replies.add(left.claim(request("k" + i, "left-" + i)));
-            replies.add(right.claim(request("k" + i, "right-" + i)));
+            replies.add(left.acquire(request("k" + i, "left-" + i)));
+            replies.add(right.acquire(request("k" + i, "right-" + i)));
         }
         for (int i = 0; i < 150; i++) {
-            List<ClaimReply> pair = List.of(await(replies.get(2 * i)), await(replies.get(2 * i + 1)));
-            List<Claim> winners =
+            List<ClaimResponse> pair = List.of(await(replies.get(2 * i)), await(replies.get(2 * i + 1)));
+            List<HeldClaim> winners =
                     pair.stream().flatMap(reply -> reply.claim().stream()).toList();
             assertThat(winners).as("winners of key %s", i).hasSize(1);
-            assertThat(pair).extracting(ClaimReply::answer).contains(heldBy(winners.get(0)));
+            assertThat(pair).extracting(ClaimResponse::result).contains(heldBy(winners.get(0)));
         }
     }
 
@@ -110,27 +112,27 @@
     /** Guards against a claim that its own entry does not recognize because the reply was lost. */
     @Test
     void lostReplyIsRecognized() {
-        granted(first.claim(request("other", "r0")));
+        granted(first.acquire(request("other", "r0")));
         fixture.standin.setFaults(KvFaults.loseNext(1));
-        Claim claim = granted(first.claim(request("k", "r1")));
-        assertThat(answer(second.claim(request("k", "r2")))).isEqualTo(heldBy(claim));
+        HeldClaim claim = granted(first.acquire(request("k", "r1")));
+        assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(claim));
 
         fixture.standin.setFaults(KvFaults.loseNext(1));
-        Claim moved = granted(first.move(claim, "u2", 8));
-        assertThat(answer(second.claim(request("k", "r2")))).isEqualTo(heldBy(moved));
+        HeldClaim moved = granted(first.moveTo(claim, "u2", 8));
+        assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(moved));
     }
 
     /** Guards against dispatching a request whose claim may not have been written, and against leaving that claim. */
     @Test
     void claimInDoubtIsRefusedAndRemoved() {
-        granted(first.claim(request("other", "r0")));
+        granted(first.acquire(request("other", "r0")));
         fixture.standin.setFaults(KvFaults.random(1, 0, 1));
-        assertThat(answer(first.claim(request("k", "r1")))).isEqualTo(new ClaimAnswer.Unavailable());
+        assertThat(answer(first.acquire(request("k", "r1")))).isEqualTo(new ClaimResult.Unavailable());
         assertThat(stored("k")).isPresent();
 
         fixture.standin.setFaults(KvFaults.none());
         awaitUntil("removal of the claim in doubt", () -> stored("k").isEmpty());
-        granted(second.claim(request("k", "r2")));
+        granted(second.acquire(request("k", "r2")));
     }
 
     /** Guards against claims that are granted or keep waiting while the store is down. */
@@ -138,39 +140,39 @@
     void storeDownIsUnavailable() {
         for (KvFaults.Down down : List.of(KvFaults.Down.REFUSE, KvFaults.Down.DROP)) {
             fixture.standin.setFaults(KvFaults.down(down));
-            assertThat(answer(first.claim(request("k", "r1")))).isEqualTo(new ClaimAnswer.Unavailable());
-            assertThat(answer(first.takeOver(request("k", "r1"), "c"))).isEqualTo(new ClaimAnswer.Unavailable());
+            assertThat(answer(first.acquire(request("k", "r1")))).isEqualTo(new ClaimResult.Unavailable());
+            assertThat(answer(first.replace(request("k", "r1"), "c"))).isEqualTo(new ClaimResult.Unavailable());
         }
         fixture.standin.setFaults(KvFaults.none());
-        granted(first.claim(request("k", "r1")));
+        granted(first.acquire(request("k", "r1")));
     }
 
     /** Fails unless only the current claim id permits a takeover, after which the owner cannot change the claim. */
     private void checkTakeover(String key, UnaryOperator<KeyValueStore> variant) {
         ClaimStore owner = entry(5, variant.apply(fixture.store));
         ClaimStore other = entry(6, variant.apply(fixture.store));
-        Claim claim = granted(owner.claim(request(key, "r1")));
-        Claim moved = granted(owner.move(claim, "u2", 8));
-        assertThat(answer(other.takeOver(request(key, "r2"), claim.claimId()))).isEqualTo(heldBy(moved));
+        HeldClaim claim = granted(owner.acquire(request(key, "r1")));
+        HeldClaim moved = granted(owner.moveTo(claim, "u2", 8));
+        assertThat(answer(other.replace(request(key, "r2"), claim.claimId()))).isEqualTo(heldBy(moved));
 
-        Claim taken = granted(other.takeOver(request(key, "r2"), moved.claimId()));
-        assertThat(answer(owner.move(moved, "u3", 9))).isEqualTo(heldBy(taken));
+        HeldClaim taken = granted(other.replace(request(key, "r2"), moved.claimId()));
+        assertThat(answer(owner.moveTo(moved, "u3", 9))).isEqualTo(heldBy(taken));
         assertThat(await(owner.recordOutcome(moved, StoredOutcome.of(200, "text/plain", new byte[0]))))
                 .isFalse();
         owner.release(moved);
-        awaitUntil("the release", () -> owner.pending() == 0);
-        assertThat(answer(owner.claim(request(key, "r3")))).isEqualTo(heldBy(taken));
+        awaitUntil("the release", () -> owner.pendingRetryCount() == 0);
+        assertThat(answer(owner.acquire(request(key, "r3")))).isEqualTo(heldBy(taken));
     }
 
     /** Guards against a move that is refused because its claim was released in between. */
     @Test
     void claimThatWasReleasedBeforeItsReplacementIsMadeAnew() {
-        Claim claim = granted(first.claim(request("k", "r1")));
+        HeldClaim claim = granted(first.acquire(request("k", "r1")));
         first.release(claim);
         awaitUntil("the claim is released", () -> stored("k").isEmpty());
 
-        Claim moved = granted(first.move(claim, "u2", 8));
-        assertThat(answer(second.claim(request("k", "r2")))).isEqualTo(heldBy(moved));
+        HeldClaim moved = granted(first.moveTo(claim, "u2", 8));
+        assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(moved));
     }
 
     /** Guards against an owner and a successor that both dispatch, and against a takeover of a moved claim. */
@@ -184,21 +186,21 @@
     /** Guards against lost or confused outcomes, and against reuse of a key with other content. */
     @Test
     void outcomeIsReplayedToTheSameContentOnly() {
-        Claim claim = granted(first.claim(request("k", "r1")));
-        byte[] body = new byte[StoredOutcome.BODY_LIMIT_BYTES];
+        HeldClaim claim = granted(first.acquire(request("k", "r1")));
+        byte[] body = new byte[StoredOutcome.MAX_BODY_BYTES];
         Arrays.fill(body, (byte) 0xfe);
         StoredOutcome outcome = StoredOutcome.of(201, "application/octet-stream", body);
         fixture.standin.setFaults(KvFaults.loseNext(1));
         assertThat(await(first.recordOutcome(claim, outcome))).isTrue();
 
-        ClaimReply resend = await(second.claim(request("k", "r2")));
-        assertThat(resend.answer()).isEqualTo(new ClaimAnswer.OutcomeStored());
+        ClaimResponse resend = await(second.acquire(request("k", "r2")));
+        assertThat(resend.result()).isEqualTo(new ClaimResult.OutcomeStored());
         assertThat(resend.outcome()).contains(outcome);
-        assertThat(answer(second.takeOver(request("k", "r2"), claim.claimId())))
-                .isEqualTo(new ClaimAnswer.OutcomeStored());
+        assertThat(answer(second.replace(request("k", "r2"), claim.claimId())))
+                .isEqualTo(new ClaimResult.OutcomeStored());
         ClaimRequest changed = new ClaimRequest(ClaimKey.of("w1", "k"), new RequestId("r3"), "changed", "u1", 1);
-        assertThat(answer(second.claim(changed))).isEqualTo(new ClaimAnswer.OtherContent());
-        assertThat(StoredOutcome.of(200, "text/plain", new byte[StoredOutcome.BODY_LIMIT_BYTES + 1])
+        assertThat(answer(second.acquire(changed))).isEqualTo(new ClaimResult.ContentMismatch());
+        assertThat(StoredOutcome.of(200, "text/plain", new byte[StoredOutcome.MAX_BODY_BYTES + 1])
                         .body())
                 .isEmpty();
     }
@@ -206,31 +208,31 @@
     /** Guards against an outcome or a release that is lost because the store was down. */
     @Test
     void outcomeAndReleaseAreRepeatedAfterAnOutage() {
-        Claim done = granted(first.claim(request("done", "r1")));
-        Claim unused = granted(first.claim(request("unused", "r2")));
+        HeldClaim done = granted(first.acquire(request("done", "r1")));
+        HeldClaim unused = granted(first.acquire(request("unused", "r2")));
         fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
         CompletableFuture<Boolean> recorded = first.recordOutcome(done, StoredOutcome.withoutBody(200, "text/plain"));
         first.release(unused);
-        awaitUntil("both writes to fail", () -> first.pending() == 2);
+        awaitUntil("both writes to fail", () -> first.pendingRetryCount() == 2);
 
         fixture.standin.setFaults(KvFaults.none());
         assertThat(await(recorded)).isTrue();
         awaitUntil("the release", () -> stored("unused").isEmpty());
-        assertThat(await(second.claim(request("done", "r3"))).outcome()).isPresent();
+        assertThat(await(second.acquire(request("done", "r3"))).outcome()).isPresent();
     }
 
     /** Guards against a batch that refuses claims because another key in it is held, and against a call per claim. */
     @Test
     void groupAnswersEachClaimByItself() {
-        Claim held = granted(second.claim(request("k5", "held")));
-        granted(first.claim(request("other", "r0")));
+        HeldClaim held = granted(second.acquire(request("k5", "held")));
+        granted(first.acquire(request("other", "r0")));
         long callsBefore = fixture.standin.counters().get("/v3/kv/txn");
-        List<CompletableFuture<ClaimReply>> replies = new ArrayList<>();
+        List<CompletableFuture<ClaimResponse>> replies = new ArrayList<>();
         for (int i = 0; i < 64; i++) {
-            replies.add(first.claim(request("k" + i, "r" + i)));
+            replies.add(first.acquire(request("k" + i, "r" + i)));
         }
         for (int i = 0; i < 64; i++) {
-            ClaimAnswer expected = i == 5 ? heldBy(held) : new ClaimAnswer.Granted();
+            ClaimResult expected = i == 5 ? heldBy(held) : new ClaimResult.Granted();
             assertThat(answer(replies.get(i))).isEqualTo(expected);
         }
         // Batches close 2 ms after their first claim; on a busy machine 64 claims may be split into several batches.
@@ -241,9 +243,9 @@
     @Test
     void claimsBeyondTheBudgetOfCallsWaitAndShareCalls() {
         ClaimStore narrow = entry(7, fixture.connect(1_000, 10, 64));
-        List<CompletableFuture<ClaimReply>> replies = new ArrayList<>();
+        List<CompletableFuture<ClaimResponse>> replies = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
-            replies.add(narrow.claim(request("k" + i, "r" + i)));
+            replies.add(narrow.acquire(request("k" + i, "r" + i)));
             if (i % 2 == 0) {
                 granted(replies.get(i));
             }
@@ -255,24 +257,24 @@
     @Test
     void claimLivesOneDay() {
         fixture.clock.advanceMillis(HOUR_MILLIS - fixture.clock.millis() % HOUR_MILLIS);
-        granted(first.claim(request("other", "r0")));
+        granted(first.acquire(request("other", "r0")));
         fixture.clock.advanceMillis(HOUR_MILLIS - 1);
-        Claim claim = granted(first.claim(request("k", "r1")));
+        HeldClaim claim = granted(first.acquire(request("k", "r1")));
         fixture.clock.advanceMillis(24 * HOUR_MILLIS);
-        assertThat(answer(second.claim(request("k", "r2")))).isEqualTo(heldBy(claim));
+        assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(claim));
         fixture.clock.advanceMillis(HOUR_MILLIS);
-        granted(second.claim(request("k", "r2")));
+        granted(second.acquire(request("k", "r2")));
     }
 
     /** Guards against an entry that cannot claim until the next hour after a restarted store has lost its lease. */
     @Test
     void lostLeaseIsGrantedAgain() {
-        granted(first.claim(request("k", "r1")));
+        granted(first.acquire(request("k", "r1")));
         fixture.stopStandin();
         fixture.restartStandin();
         awaitUntil(
                 "a claim",
-                () -> answer(first.claim(request("k", "r1"))).equals(new ClaimAnswer.Granted())
+                () -> answer(first.acquire(request("k", "r1"))).equals(new ClaimResult.Granted())
                         || stored("k").isPresent());
     }
 }
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
@@ -9,10 +9,10 @@
 import java.util.function.UnaryOperator;
 
 import dev.wigeonward.common.store.EtcdRevisionStore;
-import dev.wigeonward.common.store.HeadWatch;
 import dev.wigeonward.common.store.KeyValue;
 import dev.wigeonward.common.store.KeyValueStore;
 import dev.wigeonward.common.store.ReadResult;
+import dev.wigeonward.common.store.RevisionHeadWatch;
 import dev.wigeonward.common.store.Transaction;
 import dev.wigeonward.common.store.WriteResult;
 import dev.wigeonward.core.revision.Revision;
@@ -166,7 +166,8 @@
     void headWatchReportsEachState() {
         List<RevisionStore.HeadResult> heads = new CopyOnWriteArrayList<>();
         fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
-        HeadWatch watch = HeadWatch.start(fixture.store, revisions, fixture.thread, new Random(1), heads::add);
+        RevisionHeadWatch watch =
+                RevisionHeadWatch.start(fixture.store, revisions, fixture.thread, new Random(1), heads::add);
         awaitUntil("the outage", () -> !heads.isEmpty());
         fixture.standin.setFaults(KvFaults.none());
         awaitUntil("no head", () -> heads.contains(new RevisionStore.HeadResult.Empty()));
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import dev.wigeonward.common.store.Change;
-import dev.wigeonward.common.store.Compare;
+import dev.wigeonward.common.store.Condition;
 import dev.wigeonward.common.store.EtcdStore;
+import dev.wigeonward.common.store.KeyChange;
 import dev.wigeonward.common.store.KeyValue;
 import dev.wigeonward.common.store.Page;
 import dev.wigeonward.common.store.ReadResult;
@@ -34,7 +34,7 @@
     }
 
     private static Transaction create(String key, String value) {
-        return Transaction.of(Compare.absent(key), new Write.Put(key, value, 0));
+        return Transaction.of(Condition.absent(key), new Write.Put(key, value, 0));
     }
 
     private WriteResult put(String key, String value) {
@@ -42,7 +42,11 @@
     }
 
     private String valueOf(String key) {
-        return await(store.get(key)).value().orElseThrow().map(KeyValue::value).orElse("absent");
+        return await(store.get(key))
+                .toOptional()
+                .orElseThrow()
+                .map(KeyValue::value)
+                .orElse("absent");
     }
 
     /** Guards against a failed compare that is taken for a success, and against a missing current value. */
@@ -58,16 +62,16 @@
                 .isEqualTo(Map.of("/a", new KeyValue("/a", "1", revision, revision, 0)));
 
         Write delete = new Write.Delete("/a");
-        assertThat(await(store.commit(Transaction.of(new Compare.Value("/a", "9"), delete))))
+        assertThat(await(store.commit(Transaction.of(new Condition.Value("/a", "9"), delete))))
                 .isInstanceOf(WriteResult.CompareFailed.class);
-        assertThat(await(store.commit(Transaction.of(new Compare.ModRevision("/a", revision + 1), delete))))
+        assertThat(await(store.commit(Transaction.of(new Condition.ModRevision("/a", revision + 1), delete))))
                 .isInstanceOf(WriteResult.CompareFailed.class);
         assertThat(valueOf("/a")).isEqualTo("1");
         assertThat(await(store.commit(new Transaction(
                         List.of(
-                                new Compare.Value("/a", "1"),
-                                new Compare.ModRevision("/a", revision),
-                                new Compare.CreateRevision("/a", revision)),
+                                new Condition.Value("/a", "1"),
+                                new Condition.ModRevision("/a", revision),
+                                new Condition.CreateRevision("/a", revision)),
                         List.of(delete)))))
                 .isInstanceOf(WriteResult.Applied.class);
         assertThat(valueOf("/a")).isEqualTo("absent");
@@ -79,13 +83,13 @@
         for (String key : List.of("/p/a", "/p/b", "/p/ü", "/q")) {
             put(key, "v");
         }
-        Page first = await(store.range("/p/", "", 2)).value().orElseThrow();
-        Page second = await(store.range("/p/", "/p/b", 2)).value().orElseThrow();
+        Page first = await(store.range("/p/", "", 2)).toOptional().orElseThrow();
+        Page second = await(store.range("/p/", "/p/b", 2)).toOptional().orElseThrow();
 
         assertThat(first.entries()).extracting(KeyValue::key).containsExactly("/p/a", "/p/b");
-        assertThat(first.more()).isTrue();
+        assertThat(first.hasMore()).isTrue();
         assertThat(second.entries()).extracting(KeyValue::key).containsExactly("/p/ü");
-        assertThat(second.more()).isFalse();
+        assertThat(second.hasMore()).isFalse();
     }
 
     /** Guards against a lost reply that is reported as not applied: the write did take effect. */
@@ -180,12 +184,12 @@
         await(store.commit(new Transaction(List.of(), List.of(new Write.Put("/a", "1", 5)))));
 
         fixture.clock.advanceMillis(9_000);
-        assertThat(await(store.keepLeaseAlive(5)).value()).contains(10L);
+        assertThat(await(store.keepLeaseAlive(5)).toOptional()).contains(10L);
         fixture.clock.advanceMillis(9_000);
         assertThat(valueOf("/a")).isEqualTo("1");
         fixture.clock.advanceMillis(1_000);
         assertThat(valueOf("/a")).isEqualTo("absent");
-        assertThat(await(store.keepLeaseAlive(5)).value()).contains(0L);
+        assertThat(await(store.keepLeaseAlive(5)).toOptional()).contains(0L);
 
         await(store.grantLease(6, 10));
         await(store.commit(new Transaction(List.of(), List.of(new Write.Put("/b", "1", 6)))));
@@ -194,16 +198,16 @@
     }
 
     private static final class Recorder implements WatchListener {
-        private final List<Change> changes = Collections.synchronizedList(new ArrayList<>());
+        private final List<KeyChange> changes = Collections.synchronizedList(new ArrayList<>());
         private final AtomicBoolean compacted = new AtomicBoolean();
 
         @Override
-        public void changed(List<Change> newChanges, long revision) {
+        public void onChanges(List<KeyChange> newChanges, long revision) {
             changes.addAll(newChanges);
         }
 
         @Override
-        public void compacted(long revision) {
+        public void onCompacted(long revision) {
             compacted.set(true);
         }
 
@@ -211,7 +215,7 @@
             synchronized (changes) {
                 return changes.stream()
                         .map(change ->
-                                change.deleted() ? "deleted" : change.entry().value())
+                                change.deleted() ? "deleted" : change.keyValue().value())
                         .toList();
             }
         }
--- a/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.CompletableFuture;
 
 import dev.wigeonward.common.clock.PausedClock;
-import dev.wigeonward.common.store.ControllerListener;
-import dev.wigeonward.common.store.StoreControllerLease;
+import dev.wigeonward.common.store.ControllerLease;
+import dev.wigeonward.common.store.ControllerLeaseListener;
 import dev.wigeonward.common.store.Transaction;
 import dev.wigeonward.common.store.WriteResult;
 import org.junit.jupiter.api.AfterEach;
@@ -24,41 +24,41 @@
     private static final String KEEP_ALIVE = "/v3/lease/keepalive";
 
     private final StoreFixture fixture = new StoreFixture();
-    private final List<StoreControllerLease> leases = new ArrayList<>();
+    private final List<ControllerLease> leases = new ArrayList<>();
     private final List<String> events = Collections.synchronizedList(new ArrayList<>());
 
     @AfterEach
     void close() {
-        leases.forEach(StoreControllerLease::close);
+        leases.forEach(ControllerLease::close);
         fixture.close();
     }
 
-    private StoreControllerLease candidate(String name, Clock clock) {
-        ControllerListener listener = new ControllerListener() {
+    private ControllerLease candidate(String name, Clock clock) {
+        ControllerLeaseListener listener = new ControllerLeaseListener() {
             @Override
-            public void acquired(long fencingNumber) {
+            public void onAcquired(long fencingNumber) {
                 events.add(name + " acquired");
             }
 
             @Override
-            public void lost() {
+            public void onLost() {
                 events.add(name + " lost");
             }
         };
-        StoreControllerLease lease = StoreControllerLease.create(
-                fixture.store, clock, fixture.thread, new Random(leases.size()), name, listener);
+        ControllerLease lease =
+                ControllerLease.create(fixture.store, clock, fixture.thread, new Random(leases.size()), name, listener);
         lease.setCandidate(true);
         leases.add(lease);
         return lease;
     }
 
-    private static void awaitHeld(StoreControllerLease lease) {
+    private static void awaitHeld(ControllerLease lease) {
         awaitUntil("the lease", () -> lease.fencingNumber().isPresent());
     }
 
     private long createRevision() {
-        return await(fixture.store.get(StoreControllerLease.KEY))
-                .value()
+        return await(fixture.store.get(ControllerLease.KEY))
+                .toOptional()
                 .orElseThrow()
                 .orElseThrow()
                 .createRevision();
@@ -67,10 +67,10 @@
     /** Guards against two holders at once, and against a successor whose fencing number is not higher. */
     @Test
     void successorHasAHigherNumber() {
-        StoreControllerLease first = candidate("a", fixture.clock);
+        ControllerLease first = candidate("a", fixture.clock);
         awaitHeld(first);
         assertThat(first.fencingNumber()).hasValue(createRevision());
-        StoreControllerLease second = candidate("b", fixture.clock);
+        ControllerLease second = candidate("b", fixture.clock);
         long reads = fixture.standin.counters().get("/v3/kv/range");
         awaitUntil("a read of the key", () -> fixture.standin.counters().get("/v3/kv/range") > reads);
         assertThat(second.fencingNumber()).isEmpty();
@@ -88,7 +88,7 @@
     /** Guards against a lease that expires although its holder renews it. */
     @Test
     void renewalKeepsTheLease() {
-        StoreControllerLease lease = candidate("a", fixture.clock);
+        ControllerLease lease = candidate("a", fixture.clock);
         awaitHeld(lease);
         long number = lease.fencingNumber().orElseThrow();
         for (int i = 1; i <= 10; i++) {
@@ -103,10 +103,10 @@
 
     /** Fails if a holder that cannot reach the store still has a fencing number when the store may expire its lease. */
     private void checkCutOffHolder(Clock holderClock, PausedClock ownClock) {
-        StoreControllerLease holder = candidate("cut", holderClock);
+        ControllerLease holder = candidate("cut", holderClock);
         awaitHeld(holder);
         fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
-        ownClock.advanceMillis(StoreControllerLease.TTL_SECONDS * 1_000 - StoreControllerLease.MARGIN_MILLIS);
+        ownClock.advanceMillis(ControllerLease.TTL_SECONDS * 1_000 - ControllerLease.EXPIRY_MARGIN_MILLIS);
         assertThat(holder.fencingNumber()).as("lease of a cut-off holder").isEmpty();
         awaitUntil("the report", () -> events.contains("cut lost"));
     }
@@ -130,15 +130,15 @@
     @Test
     void lostReplyToTheCreationIsRecognized() {
         fixture.standin.setFaults(KvFaults.none());
-        StoreControllerLease lease = StoreControllerLease.create(
-                losingFirstCommit(), fixture.clock, fixture.thread, new Random(9), "a", new ControllerListener() {
+        ControllerLease lease = ControllerLease.create(
+                losingFirstCommit(), fixture.clock, fixture.thread, new Random(9), "a", new ControllerLeaseListener() {
                     @Override
-                    public void acquired(long fencingNumber) {
+                    public void onAcquired(long fencingNumber) {
                         events.add("acquired");
                     }
 
                     @Override
-                    public void lost() {
+                    public void onLost() {
                         events.add("lost");
                     }
                 });
--- a/verification/src/test/java/dev/wigeonward/pages/PagesTest.java
+++ b/verification/src/test/java/dev/wigeonward/pages/PagesTest.java
@@ -45,7 +45,7 @@
     void settingsExampleIsAccepted(Pages.Block example) {
         boolean entry = example.text().contains("[entry]");
         SettingsDeclaration declaration = entry ? EntrySettings.declaration() : AgentSettings.declaration();
-        SettingsResult result = declaration.check(example.toString(), example.text());
+        SettingsResult result = declaration.parse(example.toString(), example.text());
         assertThat(result).isInstanceOf(SettingsResult.Valid.class);
         Settings settings = ((SettingsResult.Valid) result).settings();
         assertThat(entry ? EntrySettings.of(settings) : AgentSettings.of(settings))
@@ -57,10 +57,10 @@
     void settingsReferenceEqualsTheDeclarations() {
         assertThat(Pages.blocks("ini reference entry"))
                 .extracting(block -> block.text().strip())
-                .containsExactly(EntrySettings.declaration().documentedExample().strip());
+                .containsExactly(EntrySettings.declaration().exampleFile().strip());
         assertThat(Pages.blocks("ini reference agent"))
                 .extracting(block -> block.text().strip())
-                .containsExactly(AgentSettings.declaration().documentedExample().strip());
+                .containsExactly(AgentSettings.declaration().exampleFile().strip());
     }
 
     /** Guards against an error kind that is missing from the guide or documented with another status or run state. */
--- a/verification/src/test/java/dev/wigeonward/verification/faults/AgentNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/AgentNode.java
@@ -102,7 +102,7 @@
 
     private void stopWhenIdle() {
         simulation.after(simulation.tickMillis(), this, () -> {
-            boolean ends = dispatcher.idle() && mutation != Mutation.SILENT_DEPARTURE;
+            boolean ends = dispatcher.isIdle() && mutation != Mutation.SILENT_DEPARTURE;
             if (ends || mutation == Mutation.HASTY_SHUTDOWN) {
                 upstream.running()
                         .forEach(request -> simulation.log.interruptions.add(new EventLog.Interruption(id(), request)));
@@ -137,16 +137,16 @@
         links.put(link.id, link);
         RequestSpec request = arrived.request();
         requests.putIfAbsent(request.id(), request);
-        if (mutation == Mutation.NO_SINGLE_SUBMIT && dispatcher.keeps(request.id())) {
+        if (mutation == Mutation.NO_SINGLE_SUBMIT && dispatcher.containsRun(request.id())) {
             upstream.submit(request);
         }
         simulation.log.arrivals.add(new EventLog.Arrival(request.id(), id(), simulation.now()));
-        boolean isNew = arrived.attachTo().isEmpty() && !dispatcher.keeps(request.id());
+        boolean isNew = arrived.attachTo().isEmpty() && !dispatcher.containsRun(request.id());
         if (isNew) {
             simulation.log.enqueued(id(), request);
         }
         handle(arrived);
-        if (isNew && !dispatcher.keeps(request.id())) {
+        if (isNew && !dispatcher.containsRun(request.id())) {
             simulation.log.dequeued(id(), request.id());
         }
     }
@@ -202,8 +202,8 @@
         } else if (effect instanceof AgentEffect.SendNotRun send) {
             simulation.log.refused(id(), requests.get(send.request()), send.failure());
             toEntry(send.link(), new EntryEvent.NotRun(send.request(), send.dispatch(), send.failure()), "");
-        } else if (effect instanceof AgentEffect.SendUnseen send) {
-            toEntry(send.link(), new EntryEvent.Unseen(send.request(), send.dispatch()), "");
+        } else if (effect instanceof AgentEffect.SendNeverReceived send) {
+            toEntry(send.link(), new EntryEvent.NeverReceived(send.request(), send.dispatch()), "");
         } else if (effect instanceof AgentEffect.SendOutput send) {
             sendOutput(send);
         } else if (effect instanceof AgentEffect.SendFinished send) {
--- a/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
@@ -9,14 +9,14 @@
 import dev.wigeonward.core.admission.FairShareAdmissionQueue;
 import dev.wigeonward.core.admission.WorkspaceWeights;
 import dev.wigeonward.core.dispatch.AgentEvent;
-import dev.wigeonward.core.dispatch.ClaimAnswer;
+import dev.wigeonward.core.dispatch.ClaimResult;
 import dev.wigeonward.core.dispatch.DispatchLimits;
 import dev.wigeonward.core.dispatch.DispatchPolicies;
 import dev.wigeonward.core.dispatch.EntryDispatcher;
 import dev.wigeonward.core.dispatch.EntryEffect;
 import dev.wigeonward.core.dispatch.EntryEvent;
-import dev.wigeonward.core.dispatch.RetryPermits;
-import dev.wigeonward.core.dispatch.SuspectGate;
+import dev.wigeonward.core.dispatch.RetryLimiter;
+import dev.wigeonward.core.dispatch.SuspectPolicy;
 import dev.wigeonward.core.dispatch.VersionRouter;
 import dev.wigeonward.core.placement.KeyAffinity;
 import dev.wigeonward.core.placement.LeastOutstanding;
@@ -68,10 +68,10 @@
                 new DispatchPolicies(
                         () -> FairShareAdmissionQueue.create(64, WorkspaceWeights.equal()),
                         LeastOutstanding.create(),
-                        KeyAffinity.or(LeastOutstanding.create()),
+                        KeyAffinity.withFallback(LeastOutstanding.create()),
                         VersionRouter.first(),
-                        RetryPermits.unlimited(),
-                        SuspectGate.open()),
+                        RetryLimiter.unlimited(),
+                        SuspectPolicy.allowAll()),
                 DispatchLimits.defaults());
         simulation.agents.forEach(agent -> simulation.network.open(this, agent));
         tick();
@@ -197,7 +197,7 @@
     }
 
     private boolean executeClaim(EntryEffect effect) {
-        if (effect instanceof EntryEffect.MakeClaim make) {
+        if (effect instanceof EntryEffect.AcquireClaim make) {
             if (endedByFaultAt(simulation, Step.CLAIM_SENT)) {
                 return true;
             }
@@ -265,7 +265,7 @@
             Set<String> ids = new HashSet<>(Set.of(claim.id()));
             Optional.ofNullable(ownClaims.remove(id)).ifPresent(own -> ids.add(own.id()));
             simulation.store.cleanUp(this, key(id), ids, 40);
-            handle(new EntryEvent.ClaimAnswered(id, new ClaimAnswer.Unavailable()));
+            handle(new EntryEvent.ClaimAnswered(id, new ClaimResult.Unavailable()));
         });
     }
 
@@ -277,23 +277,23 @@
             runOrDefer(() -> answered(own, current));
             return;
         }
-        ClaimAnswer answer;
+        ClaimResult answer;
         if (current.isEmpty()) {
-            answer = new ClaimAnswer.Unavailable();
+            answer = new ClaimResult.Unavailable();
         } else if (current.get().id().equals(own.id())) {
             ownClaims.put(own.request(), own);
-            answer = new ClaimAnswer.Granted();
+            answer = new ClaimResult.Granted();
         } else if (current.get().fingerprint() != own.fingerprint()) {
-            answer = new ClaimAnswer.OtherContent();
+            answer = new ClaimResult.ContentMismatch();
         } else if (current.get().outcome().isPresent()) {
             stored.put(own.request(), current.get().outcome().get());
-            answer = new ClaimAnswer.OutcomeStored();
+            answer = new ClaimResult.OutcomeStored();
         } else {
             FakeStore.Claim other = current.get();
-            answer = new ClaimAnswer.HeldByOther(
+            answer = new ClaimResult.HeldByOther(
                     other.id(), other.request(), other.upstreamId(), other.upstreamIncarnation());
         }
-        boolean late = !requests.containsKey(own.request()) && answer instanceof ClaimAnswer.Granted;
+        boolean late = !requests.containsKey(own.request()) && answer instanceof ClaimResult.Granted;
         if (late) {
             ownClaims.remove(own.request());
             simulation.store.cleanUp(this, key(own.request()), Set.of(own.id()), 4);
@@ -325,7 +325,7 @@
             EventLog.CallerResult caller = answer(failure.request());
             caller.failure = Optional.of(failure.failure());
             simulation.log.refused(id(), caller.request, failure.failure());
-        } else if (effect instanceof EntryEffect.Forget forget) {
+        } else if (effect instanceof EntryEffect.ReleaseRequest forget) {
             requests.remove(forget.request());
             connected.remove(forget.request());
             simulation.log.dequeued(id(), forget.request());
@@ -350,7 +350,7 @@
 
     private void stopWhenIdle() {
         simulation.after(simulation.tickMillis(), this, () -> {
-            if (dispatcher.idle()) {
+            if (dispatcher.isIdle()) {
                 requests.keySet()
                         .forEach(request -> simulation.log.interruptions.add(new EventLog.Interruption(id(), request)));
                 kill();
@@ -361,6 +361,6 @@
     }
 
     int inFlight() {
-        return dispatcher.inFlight();
+        return dispatcher.pendingCount();
     }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/OrderFlowTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/OrderFlowTest.java
@@ -11,7 +11,7 @@
 import dev.wigeonward.core.order.Order;
 import dev.wigeonward.core.order.OrderEffect;
 import dev.wigeonward.core.order.OrderEvent;
-import dev.wigeonward.core.order.OrderGate;
+import dev.wigeonward.core.order.OrderFence;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -55,7 +55,7 @@
     @MethodSource("pairs")
     void orderWithOldNumberNeverFollowsNewerOne(OrderFault first, OrderFault second) {
         for (OrderStep step : OrderStep.values()) {
-            Scenario scenario = new Scenario(OrderGate::new, step, first, second);
+            Scenario scenario = new Scenario(OrderFence::new, step, first, second);
             assertThat(scenario.simulate())
                     .as("%s, then %s at %s", first, second, step)
                     .isEmpty();
@@ -70,14 +70,14 @@
     /** Verifies that the check fails for a gate that does not read the fencing number from the store on restart. */
     @Test
     void checkFailsForGateThatTrustsItsEmptyMemory() {
-        Supplier<OrderGate> trusting = () -> {
-            OrderGate gate = new OrderGate();
-            gate.handle(new OrderEvent.FencingRead(1));
+        Supplier<OrderFence> trusting = () -> {
+            OrderFence gate = new OrderFence();
+            gate.handle(new OrderEvent.FencingNumberRead(1));
             return gate;
         };
         OrderStep step = OrderStep.ORDER_FINISHED;
         OrderFault[] faults = {OrderFault.CONTROLLER_PAUSED_PAST_LEASE, OrderFault.AGENT_REPLACED_LATER};
-        assertThat(new Scenario(OrderGate::new, step, faults[0], faults[1]).simulate())
+        assertThat(new Scenario(OrderFence::new, step, faults[0], faults[1]).simulate())
                 .isEmpty();
         assertThat(new Scenario(trusting, step, faults[0], faults[1]).simulate())
                 .isNotEmpty();
@@ -86,13 +86,13 @@
     /** Two controllers, each of which sends an order every two seconds while it believes it holds the lease. */
     private static final class Scenario {
         private final EventScheduler scheduler = new EventScheduler();
-        private final Supplier<OrderGate> gateFactory;
+        private final Supplier<OrderFence> gateFactory;
         private final OrderStep faultStep;
         private final List<OrderFault> faults;
         private final List<Order> executed = new ArrayList<>();
         private final Map<Integer, Long> believedNumbers = new HashMap<>();
         private final Map<Integer, Long> pausedUntil = new HashMap<>();
-        private OrderGate gate;
+        private OrderFence gate;
         private int gateStarts;
         private long leaseNumber;
         private int leaseHolder;
@@ -107,7 +107,7 @@
         private long engineMillis = 100;
         private int orders;
 
-        private Scenario(Supplier<OrderGate> gateFactory, OrderStep faultStep, OrderFault first, OrderFault second) {
+        private Scenario(Supplier<OrderFence> gateFactory, OrderStep faultStep, OrderFault first, OrderFault second) {
             this.gateFactory = gateFactory;
             this.faultStep = faultStep;
             this.faults = List.of(first, second);
@@ -254,7 +254,9 @@
                 scheduler.after(answers ? storeDelayMillis : 1_000, () -> {
                     reached(OrderStep.FENCE_ANSWERED, id);
                     if (starts == gateStarts) {
-                        handle(answers ? new OrderEvent.FencingRead(number) : new OrderEvent.StoreUnavailable(), id);
+                        handle(
+                                answers ? new OrderEvent.FencingNumberRead(number) : new OrderEvent.StoreUnavailable(),
+                                id);
                     }
                 });
             });
--- a/verification/src/test/java/dev/wigeonward/verification/faults/RevisionFlowTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/RevisionFlowTest.java
@@ -193,7 +193,7 @@
         }
 
         private static RelayEvent heartbeat(int node, Revision current) {
-            return new RelayEvent.PeerHeartbeat("n" + node, current.number(), current.hash());
+            return new RelayEvent.HeartbeatArrived("n" + node, current.number(), current.hash());
         }
 
         private void readStore(int node) {
@@ -203,7 +203,8 @@
                     : accepted.lastEntry().getValue();
             deliver(
                     node,
-                    new RelayEvent.StoreRead(new RevisionStore.HeadResult.Found(new StoredRevision(shown, "id", 0))));
+                    new RelayEvent.StoreReadCompleted(
+                            new RevisionStore.HeadResult.Found(new StoredRevision(shown, "id", 0))));
         }
 
         private void scheduleOperator(String name, long delayMillis) {
@@ -274,13 +275,13 @@
                 return;
             } else if (effect instanceof RelayEffect.SendOffer offer) {
                 reached(RevisionStep.OFFERED, node);
-                send(node, index(offer.peer()), new RelayEvent.Offered(self, offer.number(), offer.hash()));
+                send(node, index(offer.peer()), new RelayEvent.OfferArrived(self, offer.number(), offer.hash()));
             } else if (effect instanceof RelayEffect.SendRequest request) {
                 reached(RevisionStep.REQUESTED, node);
                 send(
                         node,
                         index(request.peer()),
-                        new RelayEvent.Requested(self, request.haveNumber(), request.haveHash()));
+                        new RelayEvent.RequestArrived(self, request.baseNumber(), request.baseHash()));
             } else if (effect instanceof RelayEffect.SendDelta delta) {
                 reached(RevisionStep.TEXT_SENT, node);
                 send(node, index(delta.peer()), new RelayEvent.DeltaArrived(self, delta.delta()));
--- a/wire/src/main/java/dev/wigeonward/wire/LinkHandler.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkHandler.java
@@ -43,17 +43,17 @@
     }
 
     @Override
-    public long number() {
+    public long id() {
         return number;
     }
 
     @Override
-    public String remoteName() {
+    public String remoteAddress() {
         return remoteName;
     }
 
     @Override
-    public Hello peer() {
+    public Hello peerHello() {
         return peer;
     }
 
@@ -72,7 +72,7 @@
     }
 
     @Override
-    public boolean writable() {
+    public boolean isWritable() {
         Channel open = channel;
         return open != null && open.isWritable();
     }
@@ -147,7 +147,7 @@
             return;
         }
         if (idle.state() == IdleState.READER_IDLE) {
-            downReason = "nothing was received for %d ms".formatted(settings.silenceMillis());
+            downReason = "nothing was received for %d ms".formatted(settings.readTimeoutMillis());
             context.close();
         } else if (idle.state() == IdleState.WRITER_IDLE && peer != null) {
             context.writeAndFlush(heartbeat.get());
--- a/wire/src/main/java/dev/wigeonward/wire/LinkSettings.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkSettings.java
@@ -4,21 +4,25 @@
  * Timing and size bounds of links.
  *
  * @param maxFrameBytes longest frame that is accepted
- * @param heartbeatMillis time without sent frames after which a heartbeat is sent
- * @param silenceMillis time without received frames after which the link is closed
- * @param connectMillis longest time to open a connection
+ * @param heartbeatIdleMillis time without sent frames after which a heartbeat is sent
+ * @param readTimeoutMillis time without received frames after which the link is closed
+ * @param connectTimeoutMillis longest time to open a connection
  * @param maxPendingBytes unsent output of a link above which it is closed, as its peer does not read
  */
 public record LinkSettings(
-        int maxFrameBytes, long heartbeatMillis, long silenceMillis, int connectMillis, int maxPendingBytes) {
+        int maxFrameBytes,
+        long heartbeatIdleMillis,
+        long readTimeoutMillis,
+        int connectTimeoutMillis,
+        int maxPendingBytes) {
     /** Version of the link protocol; peers with another version are rejected. */
     public static final int PROTOCOL_VERSION = 1;
 
     public LinkSettings {
-        if (heartbeatMillis <= 0 || silenceMillis <= heartbeatMillis) {
+        if (heartbeatIdleMillis <= 0 || readTimeoutMillis <= heartbeatIdleMillis) {
             throw new IllegalArgumentException(
                     "silenceMillis is %d and heartbeatMillis is %d, expected 0 < heartbeatMillis < silenceMillis"
-                            .formatted(silenceMillis, heartbeatMillis));
+                            .formatted(readTimeoutMillis, heartbeatIdleMillis));
         }
     }
 
--- a/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
@@ -76,7 +76,7 @@
     }
 
     /** Returns a transport without links and without TLS on an event loop that the caller owns and closes. */
-    public static LinkTransport onLoop(
+    public static LinkTransport withEventLoop(
             LinkSettings settings,
             LinkListener listener,
             Supplier<Hello> greeting,
@@ -108,7 +108,7 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectMillis())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, writeBufferWaterMark())
                 .handler(initializer(name))
                 .connect(address)
@@ -133,7 +133,7 @@
                 tls.ifPresent(context -> pipeline.addLast(context.newHandler(channel.alloc())));
                 pipeline.addLast(
                         new IdleStateHandler(
-                                settings.silenceMillis(), settings.heartbeatMillis(), 0, TimeUnit.MILLISECONDS),
+                                settings.readTimeoutMillis(), settings.heartbeatIdleMillis(), 0, TimeUnit.MILLISECONDS),
                         new LengthFieldBasedFrameDecoder(
                                 settings.maxFrameBytes(), 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES),
                         new ProtobufDecoder(Frame.getDefaultInstance()),
