Rename private names of the stand-ins that were figurative

Cause: KvGate, Fate and blindTo did not say what they are. Change: KvGate is KvFaultInjector, Fate is WriteHandling, and some locals of the tests have plain names; no behaviour changes.

--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvGate.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvFaultInjector.java
@@ -4,7 +4,7 @@
 import java.util.Random;
 
 /** Applies the configured faults and the limits per second of the clock to calls; thread-safe. */
-final class KvGate {
+final class KvFaultInjector {
     private static final int MILLIS_PER_SECOND = 1_000;
 
     private final Clock clock;
@@ -15,12 +15,12 @@
     private int writesInSecond;
     private int readsInSecond;
 
-    KvGate(Clock clock) {
+    KvFaultInjector(Clock clock) {
         this.clock = clock;
     }
 
     /** Handling of a write under the configured faults. */
-    enum Fate {
+    enum WriteHandling {
         ANSWER,
         LOSE_AFTER_EFFECT,
         DROP_BEFORE_EFFECT
@@ -51,15 +51,17 @@
         }
     }
 
-    synchronized Fate fateOfWrite() {
+    synchronized WriteHandling nextWriteHandling() {
         if (writesToLose > 0) {
             writesToLose--;
-            return Fate.LOSE_AFTER_EFFECT;
+            return WriteHandling.LOSE_AFTER_EFFECT;
         }
         double draw = random.nextDouble();
         if (draw < faults.loseProbability()) {
-            return Fate.LOSE_AFTER_EFFECT;
+            return WriteHandling.LOSE_AFTER_EFFECT;
         }
-        return draw < faults.loseProbability() + faults.dropProbability() ? Fate.DROP_BEFORE_EFFECT : Fate.ANSWER;
+        return draw < faults.loseProbability() + faults.dropProbability()
+                ? WriteHandling.DROP_BEFORE_EFFECT
+                : WriteHandling.ANSWER;
     }
 }
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvStandin.java
@@ -42,7 +42,7 @@
 
     private final KvState state;
     private final KvCalls calls;
-    private final KvGate gate;
+    private final KvFaultInjector faultInjector;
     private final Map<String, LongAdder> counters = new ConcurrentHashMap<>();
     private final AtomicInteger waitingWatches = new AtomicInteger();
     private final ScheduledExecutorService expiry = Executors.newSingleThreadScheduledExecutor();
@@ -51,7 +51,7 @@
     private KvStandin(Clock clock, int historyRevisions) {
         this.state = new KvState(clock, historyRevisions);
         this.calls = new KvCalls(state);
-        this.gate = new KvGate(clock);
+        this.faultInjector = new KvFaultInjector(clock);
     }
 
     /** Starts a stand-in; port 0 selects a free port. Leases expire by the given clock. */
@@ -80,7 +80,7 @@
 
     /** Replaces the injected faults. */
     public void setFaults(KvFaults faults) {
-        gate.set(faults);
+        faultInjector.set(faults);
     }
 
     /** Returns the number of calls by path, refused calls included. */
@@ -124,7 +124,7 @@
             if (method.equals(HttpRequestMethod.POST)) {
                 setFaults(HttpStandin.JSON.treeToValue(body, KvFaults.class));
             }
-            return HttpStandin.JSON.valueToTree(gate.faults());
+            return HttpStandin.JSON.valueToTree(faultInjector.faults());
         }
         if (path.equals("/admin/counters")) {
             return KvCalls.object()
@@ -138,24 +138,25 @@
             HttpServiceContext context, BlockingStreamingHttpServerResponse response, String path, JsonNode body)
             throws Exception {
         boolean write = !path.equals(RANGE) && !path.equals(WATCH);
-        if (gate.faults().down() == KvFaults.Down.DROP) {
+        if (faultInjector.faults().down() == KvFaults.Down.DROP) {
             HttpStandin.cut(context);
         }
-        if (gate.faults().down() == KvFaults.Down.REFUSE) {
+        if (faultInjector.faults().down() == KvFaults.Down.REFUSE) {
             throw new KvException(KvException.UNAVAILABLE, "etcdserver: no leader");
         }
-        gate.checkLimit(write);
+        faultInjector.checkLimit(write);
         if (path.equals(WATCH)) {
             watch(context, response, body.path("create_request"));
             return;
         }
-        KvGate.Fate fate = write ? gate.fateOfWrite() : KvGate.Fate.ANSWER;
-        if (fate == KvGate.Fate.DROP_BEFORE_EFFECT) {
+        KvFaultInjector.WriteHandling writeHandling =
+                write ? faultInjector.nextWriteHandling() : KvFaultInjector.WriteHandling.ANSWER;
+        if (writeHandling == KvFaultInjector.WriteHandling.DROP_BEFORE_EFFECT) {
             HttpStandin.cut(context);
         }
         ObjectNode result = execute(path, body);
-        Thread.sleep(gate.faults().slowMillis());
-        if (fate == KvGate.Fate.LOSE_AFTER_EFFECT) {
+        Thread.sleep(faultInjector.faults().slowMillis());
+        if (writeHandling == KvFaultInjector.WriteHandling.LOSE_AFTER_EFFECT) {
             HttpStandin.cut(context);
         }
         HttpStandin.answer(context, response, STATUS_OK, result);
@@ -182,9 +183,9 @@
         waitingWatches.incrementAndGet();
         try (HttpPayloadWriter<Buffer> writer = response.sendMetaData()) {
             send(context, writer, calls.withHeader().put("created", true));
-            while (gate.faults().down() == KvFaults.Down.NO) {
+            while (faultInjector.faults().down() == KvFaults.Down.NO) {
                 KvState.Events events = state.awaitEvents(key, end, next, WATCH_WAIT_MILLIS);
-                if (gate.faults().silentWatches()) {
+                if (faultInjector.faults().silentWatches()) {
                     Thread.sleep(WATCH_WAIT_MILLIS);
                     continue;
                 }
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
@@ -93,18 +93,18 @@
     /** Verifies that the check fails for a store that reads an old head and ignores the condition of the write. */
     @Test
     void checkFindsAnUnconditionalWrite() {
-        assertThatThrownBy(() -> checkConflict(store -> ForwardingStore.ignoringCompares(blindTo(store))))
+        assertThatThrownBy(() -> checkConflict(store -> ForwardingStore.ignoringCompares(withEmptyFirstRead(store))))
                 .isInstanceOf(AssertionError.class);
     }
 
     /** Guards against a conflict that is missed because both operators read head before either of them wrote. */
     @Test
     void writeIsConditionalOnTheHeadThatWasRead() {
-        checkConflict(EtcdRevisionStoreTest::blindTo);
+        checkConflict(EtcdRevisionStoreTest::withEmptyFirstRead);
     }
 
     /** Returns a store whose first read finds no value. */
-    private static KeyValueStore blindTo(KeyValueStore store) {
+    private static KeyValueStore withEmptyFirstRead(KeyValueStore store) {
         return new ForwardingStore(store) {
             private boolean asked;
 
--- a/verification/src/test/java/dev/wigeonward/verification/faults/FaultMatrixTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/FaultMatrixTest.java
@@ -39,11 +39,16 @@
     @MethodSource("flowsAndFaults")
     void twoFaultsTogetherKeepTheInvariants(Flow flow, Fault first) {
         for (Fault second : Fault.values()) {
-            int mix = 31 * first.ordinal() + second.ordinal();
+            int combination = 31 * first.ordinal() + second.ordinal();
             List<Step> steps =
                     Arrays.stream(Step.values()).filter(flow::reaches).toList();
-            Step step = steps.get(mix % steps.size());
-            check(flow, first, step, second, SECOND_FAULT_DELAYS_MILLIS[mix % SECOND_FAULT_DELAYS_MILLIS.length]);
+            Step step = steps.get(combination % steps.size());
+            check(
+                    flow,
+                    first,
+                    step,
+                    second,
+                    SECOND_FAULT_DELAYS_MILLIS[combination % SECOND_FAULT_DELAYS_MILLIS.length]);
         }
     }
 
--- a/verification/src/test/java/dev/wigeonward/verification/process/SilencingProxy.java
+++ b/verification/src/test/java/dev/wigeonward/verification/process/SilencingProxy.java
@@ -46,8 +46,8 @@
                 synchronized (this) {
                     connections.add(connection);
                 }
-                thread(() -> connection.pump(connection.near, connection.far));
-                thread(() -> connection.pump(connection.far, connection.near));
+                thread(() -> connection.pump(connection.entrySide, connection.agentSide));
+                thread(() -> connection.pump(connection.agentSide, connection.entrySide));
             } catch (IOException e) {
                 // The agent is down or the proxy is closed; the entry reconnects.
                 continue;
@@ -67,13 +67,13 @@
     }
 
     private static final class Connection {
-        private final Socket near;
-        private final Socket far;
+        private final Socket entrySide;
+        private final Socket agentSide;
         private volatile boolean silent;
 
-        private Connection(Socket near, Socket far) {
-            this.near = near;
-            this.far = far;
+        private Connection(Socket entrySide, Socket agentSide) {
+            this.entrySide = entrySide;
+            this.agentSide = agentSide;
         }
 
         private void pump(Socket from, Socket to) {
