--- a/agent/src/main/java/dev/wigeonward/agent/control/OrderExecutor.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/OrderExecutor.java
@@ -14,7 +14,7 @@
 import dev.wigeonward.exchange.FrameSender;
 import dev.wigeonward.exchange.OrderCodec;
 
-/** Executes orders of the controller on the engine if the order gate permits them. */
+/** Executes orders of the controller on the engine if the order fence permits them. */
 final class OrderExecutor {
     private static final Logger LOG = System.getLogger(OrderExecutor.class.getName());
     private static final String NO_EXCEPTION = "";
--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareQueue.java
@@ -48,7 +48,7 @@
     }
 
     /**
-     * Returns an empty backlog.
+     * Returns an empty queue.
      *
      * @param capacity maximum number of queued requests
      * @param shortMillis longest service time of a short request, in milliseconds
@@ -59,9 +59,9 @@
 
     /**
      * Adds the request or refuses it, and returns which of the two happened. Requests that cannot meet their deadline
-     * are set aside first. If the backlog is full, the last request of the lowest tier below that of the arriving one
+     * are set aside first. If the queue is full, the last request of the lowest tier below that of the arriving one
      * is displaced; if there is none, the last request of the same tier is displaced, provided that it follows the
-     * arriving one in fair order. Without the second rule, one workspace that fills the backlog would lock out the
+     * arriving one in fair order. Without the second rule, one workspace that fills the queue would lock out the
      * others.
      *
      * @param serviceMillis expected time to serve the request, in milliseconds
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -34,8 +34,8 @@
     private final RunHistory memory;
     private final OutputSender output;
     private List<AgentEffect> effects = new ArrayList<>();
-    private boolean isDraining;
-    private boolean isUpstreamAlive = true;
+    private boolean draining;
+    private boolean upstreamAlive = true;
 
     private AgentDispatcher(long incarnation, EngineQueue queue, AgentLimits limits) {
         this.incarnation = incarnation;
@@ -67,7 +67,7 @@
         } else if (event instanceof AgentEvent.Tick) {
             onTick(nowMillis);
         } else if (event instanceof AgentEvent.DrainStarted) {
-            isDraining = true;
+            draining = true;
         } else {
             handleUpstream(event, nowMillis);
         }
@@ -100,7 +100,7 @@
         } else if (event instanceof AgentEvent.UpstreamDied) {
             onUpstreamDied(nowMillis);
         } else if (event instanceof AgentEvent.UpstreamAlive) {
-            isUpstreamAlive = true;
+            upstreamAlive = true;
             submitQueued(nowMillis);
         }
     }
@@ -115,12 +115,12 @@
 
     /** Returns whether the upstream answered its last health check. */
     public boolean isUpstreamAlive() {
-        return isUpstreamAlive;
+        return upstreamAlive;
     }
 
     /** Returns whether the agent was asked to shut down. */
     public boolean isDraining() {
-        return isDraining;
+        return draining;
     }
 
     /** Returns the queue in front of the upstream, for load reports and state dumps. */
@@ -192,10 +192,10 @@
     }
 
     private Optional<Failure> refusal() {
-        if (isDraining) {
+        if (draining) {
             return Optional.of(Failure.of(ErrorKind.SHUTTING_DOWN, "the agent is shutting down"));
         }
-        if (!isUpstreamAlive) {
+        if (!upstreamAlive) {
             return Optional.of(Failure.of(ErrorKind.NO_UPSTREAM, "the upstream does not answer"));
         }
         return Optional.empty();
@@ -274,7 +274,7 @@
     }
 
     private void submitQueued(long nowMillis) {
-        if (!isUpstreamAlive) {
+        if (!upstreamAlive) {
             return;
         }
         Optional<RequestSpec> next = queue.poll(nowMillis);
@@ -389,7 +389,7 @@
     }
 
     private void onUpstreamDied(long nowMillis) {
-        isUpstreamAlive = false;
+        upstreamAlive = false;
         List<RequestSpec> running = new ArrayList<>();
         for (Run run : List.copyOf(runs.values())) {
             if (run.phase == Run.Phase.QUEUED) {
--- a/core/src/main/java/dev/wigeonward/core/order/OrderFence.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderFence.java
@@ -11,8 +11,8 @@
  * State machine of one agent that decides which orders are submitted to its engine.
  *
  * <p>An order with a lower fencing number than the highest seen is refused here, because some engines ignore the
- * number. The highest number seen is not persisted, so a new gate submits nothing until it has read the number from the
- * store. Not thread-safe.
+ * number. The highest number seen is not persisted, so a new fence submits nothing until it has read the number from
+ * the store. Not thread-safe.
  */
 public final class OrderFence {
     private static final int MAX_WAITING_ORDERS = 64;
@@ -28,7 +28,7 @@
     private boolean confirmedByStore;
     private boolean readOutstanding;
 
-    /** Creates a gate that has not read the fencing number and stores up to {@link #MAX_RESULTS} results. */
+    /** Creates a fence that has not read the fencing number and stores up to {@link #MAX_RESULTS} results. */
     public OrderFence() {
         this(MAX_RESULTS);
     }
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
@@ -15,9 +15,9 @@
 /**
  * Controller of all version moves, active at the entry that holds the controller lease.
  *
- * <p>Each step is first written to the move record; its orders and stages are sent only after the store confirmed the
- * write. Bad verdicts are the exception: they are published at once, even without the lease, and written when the store
- * answers, because a verdict only ever takes requests away from a version. Not thread-safe.
+ * <p>Each step is first written to the rollout record; its orders and stages are sent only after the store confirmed
+ * the write. Bad verdicts are the exception: they are published at once, even without the lease, and written when the
+ * store answers, because a verdict only ever takes requests away from a version. Not thread-safe.
  */
 public final class RolloutController {
     private final RolloutSettings settings;
@@ -229,7 +229,7 @@
         });
     }
 
-    /** Numbers the orders and writes them to the move record, before they are sent. */
+    /** Numbers the orders and writes them to the rollout record, before they are sent. */
     private void recordOrders(RolloutProgress move, List<OrderIntent> orders, long nowMillis) {
         List<OrderIntent> intents = move.unansweredIntents();
         int count = move.record.orderCount();
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
@@ -69,7 +69,7 @@
         }
     }
 
-    /** Evaluates all routes and returns the first judgement that calls the new version bad, if any. */
+    /** Evaluates all routes and returns the first evaluation that calls the new version bad, if any. */
     Optional<RouteEvaluation> judge(VersionEvaluator judge, boolean truncated, long nowMillis) {
         for (Window window : windows.values()) {
             if (window.newEvidence.requests() == 0 && !truncated) {
@@ -128,7 +128,7 @@
         });
     }
 
-    /** Returns the last judgement of each route and load level that has one. */
+    /** Returns the last evaluation of each route and load level that has one. */
     List<RouteEvaluation> judgements() {
         List<RouteEvaluation> judgements = new ArrayList<>();
         for (Window window : windows.values()) {
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutReport.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutReport.java
@@ -8,7 +8,7 @@
  * @param projectedFinishMillis earliest time at which the new version can get all requests
  * @param onTime whether the projected finish is not after the deadline
  * @param reason reason for which the step was taken
- * @param figures last judgement of each route at the time of the step
+ * @param figures last evaluation of each route at the time of the step
  */
 public record RolloutReport(
         long atMillis,
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionEvaluator.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionEvaluator.java
@@ -32,7 +32,7 @@
     private final double badBound;
     private final double goodBound;
 
-    /** Creates a judge with the given error rates and differences. */
+    /** Creates an evaluator with the given error rates and differences. */
     public VersionEvaluator(EvaluationSettings settings) {
         this.settings = settings;
         this.badBound = Math.log((1 - settings.falseGoodRate()) / settings.falseBadRate());
@@ -40,7 +40,7 @@
     }
 
     /**
-     * Returns the judgement of the new version on the route.
+     * Returns the evaluation of the new version on the route.
      *
      * @param recentOld the old version's evidence of the same period as the new version's
      * @param earlierOld the old version's evidence since the move began, used if recentOld has too few requests
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -45,7 +45,7 @@
     /** Lower bound on the placement rate from which the expected wait is computed. */
     private static final double MIN_PLACEMENTS_PER_MILLI = 0.002;
 
-    private final Map<String, UpstreamLoad> setUpstreams = new HashMap<>();
+    private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
     private final WaitingRequests waiting = new WaitingRequests();
     private final ServiceTimeModel timeModel = new ServiceTimeModel();
     private final PlacementCost loss;
@@ -63,22 +63,22 @@
 
     /** Replaces the list of upstreams; the state of an upstream is kept if its lifetime and address are unchanged. */
     public void setUpstreams(Collection<Upstream> listed) {
-        Map<String, UpstreamLoad> previous = new HashMap<>(setUpstreams);
-        setUpstreams.clear();
+        Map<String, UpstreamLoad> previous = new HashMap<>(upstreams);
+        upstreams.clear();
         for (Upstream upstream : listed) {
             UpstreamLoad known = previous.get(upstream.id());
             if (known != null && known.upstream().sameLifetime(upstream)) {
                 known.setUpstream(upstream);
-                setUpstreams.put(upstream.id(), known);
+                upstreams.put(upstream.id(), known);
             } else {
-                setUpstreams.put(upstream.id(), new UpstreamLoad(upstream));
+                upstreams.put(upstream.id(), new UpstreamLoad(upstream));
             }
         }
     }
 
     /** Replaces the load that other entries reported for each upstream, looked up by its identifier. */
     public void updatePeerLoads(Function<String, EntryLoad> loads) {
-        setUpstreams.forEach((id, load) -> {
+        upstreams.forEach((id, load) -> {
             EntryLoad reported = loads.apply(id);
             load.setPeerLoad(reported.requests(), reported.promptTokens());
         });
@@ -88,7 +88,7 @@
     public void adoptNewerUnitTimes(Collection<ObservedUnitTime> units, long nowMillis) {
         Map<String, ObservedUnitTime> byLifetime = new HashMap<>();
         units.forEach(unit -> byLifetime.put(unit.lifetimeId(), unit));
-        for (UpstreamLoad load : setUpstreams.values()) {
+        for (UpstreamLoad load : upstreams.values()) {
             ObservedUnitTime unit = byLifetime.get(load.upstream().lifetimeId());
             if (unit != null) {
                 load.adoptUnit(unit.unitTimeMillis(), nowMillis - unit.ageMillis());
@@ -98,14 +98,14 @@
 
     /** Returns the unit times of all upstreams that have one. */
     public List<ObservedUnitTime> unitTimes(long nowMillis) {
-        return setUpstreams.values().stream()
+        return upstreams.values().stream()
                 .flatMap(load -> load.learnedUnit(nowMillis).stream())
                 .toList();
     }
 
     /** Returns the unit times that have changed notably since they were last returned here or adopted. */
     public List<ObservedUnitTime> takeChangedUnitTimes(long nowMillis) {
-        return setUpstreams.values().stream()
+        return upstreams.values().stream()
                 .flatMap(load -> load.takeChangedUnit(nowMillis).stream())
                 .toList();
     }
@@ -143,7 +143,7 @@
     /** Makes at most one decision and returns whether it made one. */
     private boolean decideOne(List<Decision> decisions, long nowMillis) {
         boolean anyUpstream =
-                setUpstreams.values().stream().anyMatch(load -> !load.upstream().draining());
+                upstreams.values().stream().anyMatch(load -> !load.upstream().draining());
         for (ScheduledRequest demand : waiting.candidates(nowMillis)) {
             if (!anyUpstream) {
                 waiting.remove(demand);
@@ -209,7 +209,7 @@
         boolean reserved = freeSlotFraction(nowMillis) <= RESERVED_SLOT_FRACTION * waiting.shareOfMoreUrgent(demand);
         double meanFailureRatio = meanFailureRatio();
         boolean anySuitable = anySuitable(demand);
-        for (UpstreamLoad load : setUpstreams.values()) {
+        for (UpstreamLoad load : upstreams.values()) {
             if (!mayServe(demand, load, anySuitable)) {
                 continue;
             }
@@ -231,7 +231,7 @@
     }
 
     private boolean anySuitable(ScheduledRequest demand) {
-        return setUpstreams.values().stream()
+        return upstreams.values().stream()
                 .map(UpstreamLoad::upstream)
                 .anyMatch(upstream -> !upstream.draining() && demand.versions().isFirstChoice(upstream.version()));
     }
@@ -247,7 +247,7 @@
 
     /** Returns the number of requests of all entries at upstreams of other versions than the given one. */
     public int outstandingAtOtherVersions(String version) {
-        return setUpstreams.values().stream()
+        return upstreams.values().stream()
                 .filter(load -> !load.upstream().version().equals(version))
                 .mapToInt(UpstreamLoad::outstanding)
                 .sum();
@@ -257,7 +257,7 @@
     private double freeSlotFraction(long nowMillis) {
         double slots = 0;
         double free = 0;
-        for (UpstreamLoad load : setUpstreams.values()) {
+        for (UpstreamLoad load : upstreams.values()) {
             if (!load.upstream().draining() && !load.paused(nowMillis)) {
                 slots += load.upstream().slots();
                 free += Math.max(0, load.upstream().slots() - load.outstanding());
@@ -268,10 +268,10 @@
 
     private double meanFailureRatio() {
         double sum = 0;
-        for (UpstreamLoad load : setUpstreams.values()) {
+        for (UpstreamLoad load : upstreams.values()) {
             sum += load.failureRatio();
         }
-        return sum / Math.max(1, setUpstreams.size());
+        return sum / Math.max(1, upstreams.size());
     }
 
     /**
@@ -281,7 +281,7 @@
     private Optional<UpstreamLoad> findFallback(ScheduledRequest demand) {
         UpstreamLoad best = null;
         boolean anySuitable = anySuitable(demand);
-        for (UpstreamLoad load : setUpstreams.values()) {
+        for (UpstreamLoad load : upstreams.values()) {
             if (!mayServe(demand, load, anySuitable)
                     || load.outstanding() >= load.upstream().slots()) {
                 continue;
@@ -313,7 +313,7 @@
 
     /** Returns the upstreams that are excluded from placement until {@link #resume} is called for them. */
     public List<Upstream> suspended() {
-        return setUpstreams.values().stream()
+        return upstreams.values().stream()
                 .filter(UpstreamLoad::suspended)
                 .map(UpstreamLoad::upstream)
                 .toList();
@@ -321,7 +321,7 @@
 
     /** Includes an upstream in placement again after it accepts connections. */
     public void resume(String upstreamId) {
-        UpstreamLoad load = setUpstreams.get(upstreamId);
+        UpstreamLoad load = upstreams.get(upstreamId);
         if (load != null) {
             load.resume();
         }
@@ -329,7 +329,7 @@
 
     /** Excludes an upstream from placement because it does not accept connections. */
     public void suspend(String upstreamId) {
-        UpstreamLoad load = setUpstreams.get(upstreamId);
+        UpstreamLoad load = upstreams.get(upstreamId);
         if (load != null) {
             load.suspend();
         }
@@ -401,13 +401,13 @@
 
     /** Recomputes the typical unit time, relative to which upstreams are compared; called several times a second. */
     public void updateTypicalUnitTime() {
-        timeModel.updateUnitMillis(setUpstreams.values());
+        timeModel.updateUnitMillis(upstreams.values());
     }
 
     /** Returns the load of this entry at each upstream where it has requests, for reports to its peers. */
     public List<EntryLoad> ownLoads() {
         List<EntryLoad> loads = new ArrayList<>();
-        for (UpstreamLoad load : setUpstreams.values()) {
+        for (UpstreamLoad load : upstreams.values()) {
             if (!load.running().isEmpty()) {
                 loads.add(new EntryLoad(load.upstream().id(), load.running().size(), load.ownPendingPromptTokens()));
             }
@@ -422,7 +422,7 @@
 
     /** Returns one line for each upstream with its load, slowness and failure ratio, for a dump. */
     public List<String> dumpLines(long nowMillis) {
-        return setUpstreams.values().stream()
+        return upstreams.values().stream()
                 .map(load -> load.dumpLine(timeModel.slowness(load), nowMillis))
                 .sorted()
                 .toList();
--- a/core/src/test/java/dev/wigeonward/core/order/OrderGateTest.java
+++ b/core/src/test/java/dev/wigeonward/core/order/OrderGateTest.java
@@ -21,7 +21,7 @@
         checkExecutedFencingNumbers(() -> new OrderFence()::handle, steps);
     }
 
-    /** Verifies that the check rejects a gate that submits orders after a restart without reading the store first. */
+    /** Verifies that the check rejects a fence that submits orders after a restart without reading the store first. */
     @Test
     void checkFailsForGateThatDoesNotReadTheStoreAfterRestart() {
         List<Integer> steps = List.of(1, 1, 10, 3, 90, 20);
@@ -30,7 +30,7 @@
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Verifies that the check rejects a gate that leaves fencing to the engine. */
+    /** Verifies that the check rejects a fence that leaves fencing to the engine. */
     @Test
     void checkFailsForGateThatIgnoresFencingNumbers() {
         List<Integer> steps = List.of(1, 1, 10, 3, 20);
--- a/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
@@ -78,7 +78,7 @@
                 .contains(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")));
     }
 
-    /** Guards against a gate that confuses waiting with refusal. */
+    /** Guards against a policy that confuses waiting with refusal. */
     @Test
     void gateDecidesByTheTable() {
         SuspectPolicy gate = SuspectTablePolicy.of(table);
--- a/entry/src/main/java/dev/wigeonward/entry/control/RolloutControllerRunner.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/RolloutControllerRunner.java
@@ -28,7 +28,7 @@
 import dev.wigeonward.wire.generated.Evidence;
 import dev.wigeonward.wire.generated.Load;
 
-/** Runs the version move controller of an entry, which acts only while the entry holds the controller lease. */
+/** Runs the rollout controller of an entry, which acts only while the entry holds the controller lease. */
 final class RolloutControllerRunner {
     private static final Logger LOG = System.getLogger(RolloutControllerRunner.class.getName());
     private static final int MAX_STEP_REPORTS = 200;
@@ -151,8 +151,8 @@
     }
 
     /**
-     * Reads all move records and then starts the controller. The read follows the acquisition of the lease so that it
-     * sees every write of the previous holder.
+     * Reads all rollout records and then starts the controller. The read follows the acquisition of the lease so that
+     * it sees every write of the previous holder.
      */
     private void readRecordsAndStart(long acquired) {
         store.readAll(records -> decisionThread.accept(() -> {
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
@@ -46,7 +46,7 @@
         return claims;
     }
 
-    /** Returns the adapter for version move records. */
+    /** Returns the adapter for rollout records. */
     public StoredRolloutRecords moves() {
         return moves;
     }
--- a/verification/src/test/java/dev/wigeonward/verification/faults/OrderFlowTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/OrderFlowTest.java
@@ -19,7 +19,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Simulates two controllers that send orders to one engine through the production gate, with faults at each step. */
+/** Simulates two controllers that send orders to one engine through the production fence, with faults at each step. */
 class OrderFlowTest {
     private static final long LEASE_MILLIS = 10_000;
 
@@ -67,7 +67,7 @@
                 .flatMap(first -> Arrays.stream(OrderFault.values()).map(second -> Arguments.of(first, second)));
     }
 
-    /** Verifies that the check fails for a gate that does not read the fencing number from the store on restart. */
+    /** Verifies that the check fails for a fence that does not read the fencing number from the store on restart. */
     @Test
     void checkFailsForGateThatTrustsItsEmptyMemory() {
         Supplier<OrderFence> trusting = () -> {
--- a/verification/src/test/tla/Dispatch.tla
+++ b/verification/src/test/tla/Dispatch.tla
@@ -1,7 +1,7 @@
 ------------------------------ MODULE Dispatch ------------------------------
 (* Requests of one idempotency key, or without a key, from arrival through durable claim and dispatch to the      *)
 (* answer. Frames may stay in `net` for any time, which also covers an entry that is paused between its           *)
-(* decision and the write to the socket. Action names are those of core.dispatch; see docs/model.md.              *)
+(* decision and the write to the socket. docs/model.md maps the actions to core.dispatch.                         *)
 EXTENDS Naturals, FiniteSets, TLC
 
 CONSTANTS
--- a/verification/src/test/tla/Orders.tla
+++ b/verification/src/test/tla/Orders.tla
@@ -1,6 +1,6 @@
 ------------------------------- MODULE Orders -------------------------------
-(* The controller lease at the store and the fencing of orders at one agent. Action names are those of            *)
-(* core.order; see docs/model.md.                                                                                  *)
+(* The controller lease at the store and the fencing of orders at one agent. docs/model.md maps the actions to    *)
+(* core.order.                                                                                                     *)
 EXTENDS Naturals, FiniteSets
 
 CONSTANTS
--- a/verification/src/test/tla/Revisions.tla
+++ b/verification/src/test/tla/Revisions.tla
@@ -1,6 +1,6 @@
 ----------------------------- MODULE Revisions -----------------------------
 (* Acceptance of revisions at the store by racing operators, and their adoption and relay between processes.       *)
-(* Action names are those of core.revision; see docs/model.md.                                                     *)
+(* docs/model.md maps the actions to core.revision.                                                                *)
 EXTENDS Naturals, FiniteSets, TLC
 
 CONSTANTS
