Rename MembershipEffect.StartNewWork to StartDispatch

Cause: its partner is StopDispatch, and one word should name each concept. Change: the record and its uses in code and tests have the new name. Measured: spotless:apply and mvn -o -DskipTests verify ended without an error; no tests were run.

--- a/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/MembershipEffect.java
@@ -9,7 +9,7 @@
     record CloseLink(String upstreamId) implements MembershipEffect {}
 
     /** Allows new requests to be dispatched to the incarnation. */
-    record StartNewWork(String upstreamId, long incarnation) implements MembershipEffect {}
+    record StartDispatch(String upstreamId, long incarnation) implements MembershipEffect {}
 
     /** Stops the dispatch of new requests to the incarnation, unless already stopped; requests in flight continue. */
     record StopDispatch(String upstreamId, long incarnation, MemberState state) implements MembershipEffect {}
--- a/core/src/main/java/dev/wigeonward/core/membership/UpstreamMembership.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/UpstreamMembership.java
@@ -15,7 +15,7 @@
 import dev.wigeonward.core.membership.MembershipEffect.CloseLink;
 import dev.wigeonward.core.membership.MembershipEffect.OpenLink;
 import dev.wigeonward.core.membership.MembershipEffect.Replaced;
-import dev.wigeonward.core.membership.MembershipEffect.StartNewWork;
+import dev.wigeonward.core.membership.MembershipEffect.StartDispatch;
 import dev.wigeonward.core.membership.MembershipEffect.StopDispatch;
 import dev.wigeonward.core.membership.MembershipEvent.FrameArrived;
 import dev.wigeonward.core.membership.MembershipEvent.LeavingAnnounced;
@@ -249,7 +249,7 @@
     private static void emitWorkChange(Member member, MemberState before, List<MembershipEffect> effects) {
         MemberState after = member.state();
         if (before != MemberState.LIVE && after == MemberState.LIVE) {
-            effects.add(new StartNewWork(member.upstreamId(), member.incarnation()));
+            effects.add(new StartDispatch(member.upstreamId(), member.incarnation()));
         } else if (before == MemberState.LIVE && after != MemberState.LIVE) {
             effects.add(new StopDispatch(member.upstreamId(), member.incarnation(), after));
         }
--- a/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.function.Function;
 
-import dev.wigeonward.core.membership.MembershipEffect.StartNewWork;
+import dev.wigeonward.core.membership.MembershipEffect.StartDispatch;
 import dev.wigeonward.core.membership.MembershipEffect.StopDispatch;
 import dev.wigeonward.core.membership.MembershipEvent.FrameArrived;
 import dev.wigeonward.core.membership.MembershipEvent.LeavingAnnounced;
@@ -185,7 +185,7 @@
                 return;
             }
             for (MembershipEffect effect : core.handle(filtered, nowMillis)) {
-                if (effect instanceof StartNewWork start) {
+                if (effect instanceof StartDispatch start) {
                     inUse.put(start.upstreamId(), start.incarnation());
                 } else if (effect instanceof StopDispatch stop) {
                     boolean stopped = inUse.remove(stop.upstreamId(), stop.incarnation());
--- a/core/src/test/java/dev/wigeonward/core/membership/MembershipCoreTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/MembershipCoreTest.java
@@ -6,7 +6,7 @@
 import dev.wigeonward.core.membership.MembershipEffect.CloseLink;
 import dev.wigeonward.core.membership.MembershipEffect.OpenLink;
 import dev.wigeonward.core.membership.MembershipEffect.Replaced;
-import dev.wigeonward.core.membership.MembershipEffect.StartNewWork;
+import dev.wigeonward.core.membership.MembershipEffect.StartDispatch;
 import dev.wigeonward.core.membership.MembershipEffect.StopDispatch;
 import dev.wigeonward.core.membership.MembershipEvent.FrameArrived;
 import dev.wigeonward.core.membership.MembershipEvent.LeavingAnnounced;
@@ -39,7 +39,7 @@
         assertThat(core.handle(list(1, true, false), 0)).isEmpty();
         assertThat(core.state("a", OLD)).isEqualTo(MemberState.JOINING);
         assertThat(core.handle(new Tick(), 100)).containsExactly(new OpenLink("a", "10.0.0.2:90"));
-        assertThat(core.handle(new LinkUp("a", OLD), 110)).containsExactly(new StartNewWork("a", OLD));
+        assertThat(core.handle(new LinkUp("a", OLD), 110)).containsExactly(new StartDispatch("a", OLD));
         assertThat(core.state("a", OLD)).isEqualTo(MemberState.LIVE);
     }
 
@@ -67,7 +67,7 @@
         assertThat(core.handle(new LinkUp("a", OLD), 500)).containsExactly(STOP_LEAVING);
         assertThat(core.state("a", OLD)).isEqualTo(MemberState.LEAVING);
         assertThat(core.handle(new LinkUp("a", NEW), 600))
-                .containsExactly(new Replaced("a", OLD, NEW), new StartNewWork("a", NEW));
+                .containsExactly(new Replaced("a", OLD, NEW), new StartDispatch("a", NEW));
     }
 
     /** Guards against events of an earlier incarnation that are applied to the restarted agent. */
@@ -77,7 +77,7 @@
                 .containsExactly(
                         new StopDispatch("a", OLD, MemberState.REPLACED),
                         new Replaced("a", OLD, NEW),
-                        new StartNewWork("a", NEW));
+                        new StartDispatch("a", NEW));
         assertThat(core.state("a", OLD)).isEqualTo(MemberState.REPLACED);
         assertThat(core.handle(new LeavingAnnounced("a", OLD), 300)).isEmpty();
         assertThat(core.state("a", NEW)).isEqualTo(MemberState.LIVE);
