--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentDispatcher.java
@@ -27,22 +27,25 @@
     private final EngineQueue queue;
     private final AgentLimits limits;
     private final Map<RequestId, Run> runsByReader = new HashMap<>();
+
     private final Map<String, Run> runsByKey = new HashMap<>();
     private final Map<RequestId, Run> runs = new LinkedHashMap<>();
+    /** Requests that were reported as never received or not run; a late copy of them is refused. */
     private final Set<RequestId> tombstones = new LinkedHashSet<>();
+
     private final EarlyAttaches earlyAttaches = new EarlyAttaches();
-    private final RunHistory memory;
-    private final OutputSender output;
+    private final RunHistory history;
+    private final OutputSender outputSender;
     private List<AgentEffect> effects = new ArrayList<>();
-    private boolean isDraining;
-    private boolean isUpstreamAlive = true;
+    private boolean draining;
+    private boolean upstreamAlive = true;
 
     private AgentDispatcher(long incarnation, EngineQueue queue, AgentLimits limits) {
         this.incarnation = incarnation;
         this.queue = Objects.requireNonNull(queue, "queue");
         this.limits = Objects.requireNonNull(limits, "limits");
-        this.memory = new RunHistory(limits.maxTombstones());
-        this.output = new OutputSender(limits.windowBytes(), this::emit);
+        this.history = new RunHistory(limits.maxTombstones());
+        this.outputSender = new OutputSender(limits.windowBytes(), this::emit);
     }
 
     /** Returns a dispatcher without runs. */
@@ -67,7 +70,7 @@
         } else if (event instanceof AgentEvent.Tick) {
             onTick(nowMillis);
         } else if (event instanceof AgentEvent.DrainStarted) {
-            isDraining = true;
+            draining = true;
         } else {
             handleUpstream(event, nowMillis);
         }
@@ -78,7 +81,7 @@
         if (event instanceof AgentEvent.UpstreamOutput produced) {
             findRunning(produced.run()).ifPresent(run -> {
                 run.producedBytes += produced.lengthBytes();
-                output.send(run);
+                outputSender.send(run);
             });
         } else if (event instanceof AgentEvent.UpstreamFinished finished) {
             findRunning(finished.run()).ifPresent(run -> endRun(run, null, nowMillis));
@@ -90,17 +93,17 @@
                     emit(new AgentEffect.ReportSuspects(List.of(run.request)));
                 }
             });
-        } else if (event instanceof AgentEvent.UpstreamUnreachable unreached) {
-            findRunning(unreached.run()).ifPresent(run -> {
+        } else if (event instanceof AgentEvent.UpstreamUnreachable unreachable) {
+            findRunning(unreachable.run()).ifPresent(run -> {
                 queue.onEnded(run.id(), nowMillis);
-                memory.recordNotRun(run.id());
-                endNotRun(run, unreached.failure(), nowMillis);
+                history.recordNotRun(run.id());
+                endNotRun(run, unreachable.failure(), nowMillis);
                 submitQueued(nowMillis);
             });
         } else if (event instanceof AgentEvent.UpstreamDied) {
             onUpstreamDied(nowMillis);
         } else if (event instanceof AgentEvent.UpstreamAlive) {
-            isUpstreamAlive = true;
+            upstreamAlive = true;
             submitQueued(nowMillis);
         }
     }
@@ -115,12 +118,12 @@
 
     /** Returns whether the upstream answered its last health check. */
     public boolean isUpstreamAlive() {
-        return isUpstreamAlive;
+        return upstreamAlive;
     }
 
     /** Returns whether the agent was asked to shut down. */
     public boolean isDraining() {
-        return isDraining;
+        return draining;
     }
 
     /** Returns the queue in front of the upstream, for load reports and state dumps. */
@@ -145,7 +148,7 @@
             fail(arrived, ErrorKind.UPSTREAM_LOST, "the dispatch names another incarnation of the agent");
             return;
         }
-        if (memory.wasRefused(arrived.dispatch())) {
+        if (history.wasRefused(arrived.dispatch())) {
             refuse(arrived, Failure.of(ErrorKind.NO_UPSTREAM, "an earlier copy was refused"), nowMillis);
             return;
         }
@@ -153,28 +156,28 @@
             refuse(arrived, Failure.of(ErrorKind.NO_UPSTREAM, "the request was reported as never received"), nowMillis);
             return;
         }
-        Run own = runsByReader.get(request.id());
-        if (own != null) {
-            resendTo(arrived, own);
+        Run current = runsByReader.get(request.id());
+        if (current != null) {
+            resendTo(arrived, current);
             return;
         }
-        Run joined = runs.containsKey(request.id())
+        Run existing = runs.containsKey(request.id())
                 ? runs.get(request.id())
                 : request.key().map(runsByKey::get).orElse(null);
-        if (joined != null) {
-            join(arrived, joined, nowMillis);
+        if (existing != null) {
+            join(arrived, existing, nowMillis);
             return;
         }
         if (arrived.attachTo().isPresent()) {
             RequestId claimant = arrived.attachTo().get();
-            boolean unknown = !memory.mayHaveRun(claimant, nowMillis) && !tombstones.contains(claimant);
+            boolean unknown = !history.mayHaveRun(claimant, nowMillis) && !tombstones.contains(claimant);
             if (mayHold && unknown && earlyAttaches.add(arrived, nowMillis)) {
                 return;
             }
             answerNeverReceived(arrived.link(), claimant, request.id(), arrived.dispatch(), nowMillis);
             return;
         }
-        if (memory.hasRun(request.id())) {
+        if (history.hasRun(request.id())) {
             fail(arrived, ErrorKind.OUTCOME_UNKNOWN, "the request ran and its outcome is no longer stored");
             return;
         }
@@ -186,16 +189,21 @@
                 arrived.link(), arrived.request().id(), arrived.dispatch(), Failure.of(kind, message)));
     }
 
+    private void fail(AgentEvent.ReattachArrived arrived, ErrorKind kind, String message) {
+        emit(new AgentEffect.SendFailed(
+                arrived.link(), arrived.request(), arrived.dispatch(), Failure.of(kind, message)));
+    }
+
     private void refuse(AgentEvent.DispatchArrived arrived, Failure failure, long nowMillis) {
-        memory.recordRefusal(arrived.request(), arrived.dispatch(), nowMillis);
+        history.recordRefusal(arrived.request(), arrived.dispatch(), nowMillis);
         emit(new AgentEffect.SendNotRun(arrived.link(), arrived.request().id(), arrived.dispatch(), failure));
     }
 
     private Optional<Failure> refusal() {
-        if (isDraining) {
+        if (draining) {
             return Optional.of(Failure.of(ErrorKind.SHUTTING_DOWN, "the agent is shutting down"));
         }
-        if (!isUpstreamAlive) {
+        if (!upstreamAlive) {
             return Optional.of(Failure.of(ErrorKind.NO_UPSTREAM, "the upstream does not answer"));
         }
         return Optional.empty();
@@ -215,7 +223,7 @@
         reader.sentBytes = reader.acknowledgedBytes;
         reader.endSent = false;
         emit(new AgentEffect.SendAccepted(reader.link, reader.request, reader.dispatch));
-        output.send(run);
+        outputSender.send(run);
     }
 
     private void join(AgentEvent.DispatchArrived arrived, Run run, long nowMillis) {
@@ -225,7 +233,7 @@
             return;
         }
         addReader(run, arrived);
-        output.send(run);
+        outputSender.send(run);
     }
 
     private void addReader(Run run, AgentEvent.DispatchArrived arrived) {
@@ -235,17 +243,20 @@
         emit(new AgentEffect.SendAccepted(arrived.link(), id, arrived.dispatch()));
     }
 
-    /** Reports a request as unseen and tombstones it; if it may have run or tombstones are full, as outcome unknown. */
+    /**
+     * Answers the asking request that the missing one was never received, and records a tombstone so that a late copy
+     * does not run. Answers that the outcome is unknown if the missing request may have run or the tombstones are full.
+     */
     private void answerNeverReceived(
-            long link, RequestId unseen, RequestId answered, DispatchId dispatch, long nowMillis) {
-        boolean full = tombstones.size() >= limits.maxTombstones() && !tombstones.contains(unseen);
-        if (full || memory.mayHaveRun(unseen, nowMillis)) {
+            long link, RequestId missing, RequestId asking, DispatchId dispatch, long nowMillis) {
+        boolean full = tombstones.size() >= limits.maxTombstones() && !tombstones.contains(missing);
+        if (full || history.mayHaveRun(missing, nowMillis)) {
             emit(new AgentEffect.SendFailed(
-                    link, answered, dispatch, Failure.of(ErrorKind.OUTCOME_UNKNOWN, "the request may have run here")));
+                    link, asking, dispatch, Failure.of(ErrorKind.OUTCOME_UNKNOWN, "the request may have run here")));
             return;
         }
-        tombstones.add(unseen);
-        emit(new AgentEffect.SendNeverReceived(link, answered, dispatch));
+        tombstones.add(missing);
+        emit(new AgentEffect.SendNeverReceived(link, asking, dispatch));
     }
 
     private void enqueue(AgentEvent.DispatchArrived arrived, long nowMillis) {
@@ -274,13 +285,13 @@
     }
 
     private void submitQueued(long nowMillis) {
-        if (!isUpstreamAlive) {
+        if (!upstreamAlive) {
             return;
         }
         Optional<RequestSpec> next = queue.poll(nowMillis);
         while (next.isPresent()) {
             runs.get(next.get().id()).phase = Run.Phase.RUNNING;
-            memory.recordRun(next.get(), nowMillis);
+            history.recordRun(next.get(), nowMillis);
             emit(new AgentEffect.SubmitToUpstream(next.get().id()));
             next = queue.poll(nowMillis);
         }
@@ -288,11 +299,7 @@
 
     private void onReattach(AgentEvent.ReattachArrived arrived, long nowMillis) {
         if (arrived.expectedIncarnation() != incarnation) {
-            emit(new AgentEffect.SendFailed(
-                    arrived.link(),
-                    arrived.request(),
-                    arrived.dispatch(),
-                    Failure.of(ErrorKind.UPSTREAM_LOST, "the agent was restarted while it held the request")));
+            fail(arrived, ErrorKind.UPSTREAM_LOST, "the agent was restarted while it held the request");
             return;
         }
         // A reader that was detached for too long was removed, but the run that its request started may still go on.
@@ -302,13 +309,8 @@
             return;
         }
         if (arrived.offsetBytes() < run.trimmedBytes || arrived.offsetBytes() > run.producedBytes) {
-            emit(new AgentEffect.SendFailed(
-                    arrived.link(),
-                    arrived.request(),
-                    arrived.dispatch(),
-                    Failure.of(
-                            ErrorKind.OUTPUT_INCOMPLETE,
-                            "output from offset " + arrived.offsetBytes() + " is not stored")));
+            String message = "output from offset " + arrived.offsetBytes() + " is not stored";
+            fail(arrived, ErrorKind.OUTPUT_INCOMPLETE, message);
             return;
         }
         Run.Reader reader = run.readers.computeIfAbsent(
@@ -320,7 +322,7 @@
         reader.acknowledgedBytes = Math.max(reader.acknowledgedBytes, arrived.offsetBytes());
         reader.endSent = false;
         emit(new AgentEffect.SendAccepted(reader.link, reader.request, reader.dispatch));
-        output.send(run);
+        outputSender.send(run);
     }
 
     private void onAcknowledge(AgentEvent.AcknowledgeArrived arrived) {
@@ -331,13 +333,13 @@
         Run.Reader reader = run.readers.get(arrived.request());
         reader.acknowledgedBytes =
                 Math.min(run.producedBytes, Math.max(reader.acknowledgedBytes, arrived.offsetBytes()));
-        output.trim(run);
+        outputSender.trim(run);
         if (reader.endSent && reader.acknowledgedBytes == run.producedBytes) {
             removeReader(run, reader);
             releaseIfDone(run);
             return;
         }
-        output.send(run);
+        outputSender.send(run);
     }
 
     private void onCancel(RequestId id, long nowMillis) {
@@ -347,29 +349,29 @@
         }
         removeReader(run, run.readers.get(id));
         if (run.readers.isEmpty()) {
-            stopUnread(run, nowMillis);
+            stopWithoutReaders(run, nowMillis);
         }
         submitQueued(nowMillis);
     }
 
     /** Stops a run without readers, unless its outcome must be stored. */
-    private void stopUnread(Run run, long nowMillis) {
+    private void stopWithoutReaders(Run run, long nowMillis) {
         if (run.phase == Run.Phase.QUEUED) {
             queue.remove(run.id());
-            forget(run);
+            removeRun(run);
             return;
         }
         if (run.phase == Run.Phase.RUNNING && run.request.idempotent()) {
             queue.onEnded(run.id(), nowMillis);
             emit(new AgentEffect.CancelInUpstream(run.id()));
-            forget(run);
+            removeRun(run);
             return;
         }
         releaseIfDone(run);
     }
 
     private void onLinkLost(long link, long nowMillis) {
-        earlyAttaches.linkLost(link);
+        earlyAttaches.onLinkLost(link);
         for (Run run : runs.values()) {
             for (Run.Reader reader : run.readers.values()) {
                 if (reader.link == link) {
@@ -383,13 +385,13 @@
     private void endRun(Run run, Failure failure, long nowMillis) {
         queue.onEnded(run.id(), nowMillis);
         run.end(failure, nowMillis);
-        output.send(run);
+        outputSender.send(run);
         releaseIfDone(run);
         submitQueued(nowMillis);
     }
 
     private void onUpstreamDied(long nowMillis) {
-        isUpstreamAlive = false;
+        upstreamAlive = false;
         List<RequestSpec> running = new ArrayList<>();
         for (Run run : List.copyOf(runs.values())) {
             if (run.phase == Run.Phase.QUEUED) {
@@ -400,10 +402,8 @@
                         nowMillis);
             } else if (run.phase == Run.Phase.RUNNING) {
                 running.add(run.request);
-                endRun(
-                        run,
-                        Failure.of(ErrorKind.UPSTREAM_DIED, "the upstream died while it ran the request"),
-                        nowMillis);
+                Failure failure = Failure.of(ErrorKind.UPSTREAM_DIED, "the upstream died while it ran the request");
+                endRun(run, failure, nowMillis);
             }
         }
         if (!running.isEmpty()) {
@@ -420,24 +420,24 @@
                     nowMillis);
         }
         for (Run run : List.copyOf(runs.values())) {
-            dropDetachedReaders(run, nowMillis);
+            removeExpiredReaders(run, nowMillis);
             boolean expired = run.phase == Run.Phase.ENDED
                     && run.readers.isEmpty()
                     && nowMillis - run.endedAtMillis >= limits.outcomeRetentionMillis();
             if (expired) {
-                forget(run);
+                removeRun(run);
             }
         }
         submitQueued(nowMillis);
     }
 
-    private void dropDetachedReaders(Run run, long nowMillis) {
+    private void removeExpiredReaders(Run run, long nowMillis) {
         for (Run.Reader reader : List.copyOf(run.readers.values())) {
             boolean expired = !reader.attached() && nowMillis - reader.detachedAtMillis >= limits.detachedLimitMillis();
             if (expired) {
                 removeReader(run, reader);
                 if (run.readers.isEmpty()) {
-                    stopUnread(run, nowMillis);
+                    stopWithoutReaders(run, nowMillis);
                 }
             }
         }
@@ -446,7 +446,7 @@
     /** Reports a run as not run to all of its readers and removes it; the upstream must never have received it. */
     private void endNotRun(Run run, Failure failure, long nowMillis) {
         for (Run.Reader reader : run.readers.values()) {
-            memory.recordRefusal(run.request, reader.dispatch, nowMillis);
+            history.recordRefusal(run.request, reader.dispatch, nowMillis);
             if (reader.attached()) {
                 emit(new AgentEffect.SendNotRun(reader.link, reader.request, reader.dispatch, failure));
             } else {
@@ -454,7 +454,7 @@
                 tombstones.add(reader.request);
             }
         }
-        forget(run);
+        removeRun(run);
     }
 
     private void removeReader(Run run, Run.Reader reader) {
@@ -467,7 +467,7 @@
             return;
         }
         if (!run.keepsAllOutput()) {
-            forget(run);
+            removeRun(run);
             return;
         }
         limitOutcomes();
@@ -480,10 +480,10 @@
         runs.values().stream()
                 .filter(run -> run.phase == Run.Phase.ENDED && run.readers.isEmpty())
                 .findFirst()
-                .ifPresent(this::forget);
+                .ifPresent(this::removeRun);
     }
 
-    private void forget(Run run) {
+    private void removeRun(Run run) {
         runs.remove(run.id());
         run.readers.keySet().forEach(runsByReader::remove);
         run.request.key().ifPresent(key -> runsByKey.remove(key, run));
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AgentEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AgentEvent.java
@@ -12,7 +12,8 @@
     /**
      * An entry dispatched a request.
      *
-     * @param attachTo request whose run this one joins without starting a run of its own; empty for a plain dispatch
+     * @param attachTo request whose run the dispatched one joins without starting a run of its own; empty for a plain
+     *     dispatch
      */
     record DispatchArrived(
             long link, RequestSpec request, DispatchId dispatch, long expectedIncarnation, Optional<RequestId> attachTo)
--- a/core/src/main/java/dev/wigeonward/core/dispatch/AnswerHandler.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/AnswerHandler.java
@@ -29,8 +29,9 @@
         } else if (event instanceof EntryEvent.NotRun notRun) {
             findCurrent(notRun.request(), notRun.dispatch())
                     .ifPresent(pending -> onNotRun(pending, notRun.failure(), nowMillis));
-        } else if (event instanceof EntryEvent.NeverReceived unseen) {
-            findCurrent(unseen.request(), unseen.dispatch()).ifPresent(pending -> onUnseen(pending, nowMillis));
+        } else if (event instanceof EntryEvent.NeverReceived neverReceived) {
+            findCurrent(neverReceived.request(), neverReceived.dispatch())
+                    .ifPresent(pending -> onNeverReceived(pending, nowMillis));
         } else if (event instanceof EntryEvent.OutputArrived output) {
             findCurrent(output.request(), output.dispatch()).ifPresent(pending -> onOutput(pending, output, nowMillis));
         } else if (event instanceof EntryEvent.Finished finished) {
@@ -60,9 +61,9 @@
         dispatcher.dispatchQueued(target, nowMillis);
     }
 
-    private void onUnseen(PendingRequest pending, long nowMillis) {
+    private void onNeverReceived(PendingRequest pending, long nowMillis) {
         if (pending.request.remainingMillis(nowMillis) <= 0) {
-            // Agents guarantee a record of what ran only until the deadline; a paused entry may send its query later.
+            // Agents guarantee a record of what ran only until the deadline; a paused entry may ask later.
             onFailed(
                     pending,
                     Failure.of(ErrorKind.DEADLINE_EXCEEDED_RUNNING, "the deadline passed before the agent answered"),
@@ -70,7 +71,7 @@
             return;
         }
         if (pending.phase == PendingRequest.Phase.ATTACHING) {
-            claims().onAttachUnseen(pending);
+            claimHandler().onAttachNeverReceived(pending);
             return;
         }
         onNotRun(pending, Failure.of(ErrorKind.NO_UPSTREAM, "the agent never received the request"), nowMillis);
@@ -88,7 +89,7 @@
         }
         int skipBytes = (int) (pending.receivedBytes - output.offsetBytes());
         pending.receivedBytes = endBytes;
-        if (!pending.callerGone || pending.claimed()) {
+        if (!pending.callerDisconnected || pending.needsClaim()) {
             // The outcome stored for resends needs all output, even after the first caller disconnected.
             dispatcher.emit(new EntryEffect.DeliverOutput(pending.request.id(), skipBytes));
         }
@@ -113,10 +114,10 @@
             return;
         }
         acknowledge(pending);
-        if (pending.claimed()) {
+        if (pending.needsClaim()) {
             dispatcher.emit(new EntryEffect.RecordOutcome(pending.request.id()));
         }
-        if (!pending.callerGone) {
+        if (!pending.callerDisconnected) {
             dispatcher.emit(new EntryEffect.DeliverEnd(pending.request.id()));
         }
         dispatcher.end(pending, nowMillis);
@@ -175,13 +176,13 @@
     }
 
     /**
-     * Repeats an attach, or else reattaches. The answer to a reattach concerns this request, not the claiming one: in
-     * the attaching phase it would be mistaken for proof that the claiming request was never received, and that
-     * request's claim would be taken over.
+     * Sends an attach again, or reattaches a request that was dispatched. An attaching request must not reattach: the
+     * agent never received it and would say so, which would be mistaken for proof that the agent never received the
+     * request that holds the claim, and that claim would be replaced.
      */
     private void resume(PendingRequest pending, long nowMillis) {
         if (pending.phase == PendingRequest.Phase.ATTACHING) {
-            claims().sendAttach(pending);
+            claimHandler().sendAttach(pending);
             return;
         }
         reattach(pending, nowMillis);
@@ -218,7 +219,7 @@
                     nowMillis);
             return;
         }
-        if (pending.phase == PendingRequest.Phase.QUEUED || pending.callerGone) {
+        if (pending.phase == PendingRequest.Phase.QUEUED || pending.callerDisconnected) {
             return;
         }
         expireRunning(pending, nowMillis);
@@ -227,17 +228,17 @@
     private void expireRunning(PendingRequest pending, long nowMillis) {
         Failure failure =
                 Failure.of(ErrorKind.DEADLINE_EXCEEDED_RUNNING, "the deadline passed while the request was running");
-        if (pending.claimed()) {
+        if (pending.needsClaim()) {
             // Only the caller is answered; the run goes on so that its outcome can be stored.
             dispatcher.emit(new EntryEffect.DeliverFailure(pending.request.id(), failure));
-            pending.callerGone = true;
+            pending.callerDisconnected = true;
             return;
         }
         dispatcher.emit(new EntryEffect.SendCancel(pending.request.id(), pending.upstreamId));
         dispatcher.fail(pending, failure, nowMillis);
     }
 
-    private ClaimHandler claims() {
-        return dispatcher.claims();
+    private ClaimHandler claimHandler() {
+        return dispatcher.claimHandler();
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimHandler.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimHandler.java
@@ -24,7 +24,7 @@
         this.upstreams = upstreams;
     }
 
-    void onClaimAnswered(RequestId id, ClaimResult answer, long nowMillis) {
+    void onClaimAnswered(RequestId id, ClaimResult result, long nowMillis) {
         Optional<PendingRequest> found =
                 dispatcher.pending(id).filter(pending -> pending.phase == PendingRequest.Phase.CLAIMING);
         if (found.isEmpty()) {
@@ -32,14 +32,14 @@
             return;
         }
         PendingRequest pending = found.get();
-        if (answer instanceof ClaimResult.Granted) {
+        if (result instanceof ClaimResult.Granted) {
             onGranted(pending, nowMillis);
-        } else if (answer instanceof ClaimResult.HeldByOther held) {
+        } else if (result instanceof ClaimResult.HeldByOther held) {
             onHeldByOther(pending, held, nowMillis);
-        } else if (answer instanceof ClaimResult.OutcomeStored) {
+        } else if (result instanceof ClaimResult.OutcomeStored) {
             dispatcher.emit(new EntryEffect.DeliverStored(id));
             dispatcher.end(pending, nowMillis);
-        } else if (answer instanceof ClaimResult.ContentMismatch) {
+        } else if (result instanceof ClaimResult.ContentMismatch) {
             failWithoutClaim(
                     pending, ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key was used with a different body", nowMillis);
         } else {
@@ -49,7 +49,7 @@
     }
 
     private void onGranted(PendingRequest pending, long nowMillis) {
-        pending.claimOwned = true;
+        pending.claimGranted = true;
         Optional<UpstreamLoadState> usable = upstreams
                 .usable(pending.upstreamId)
                 .filter(state -> state.description().incarnation() == pending.upstreamIncarnation);
@@ -125,14 +125,14 @@
         sendAttach(pending);
     }
 
-    /** Sends an attach to the agent of the other claim; sent again on a new link, since the first copy may be lost. */
+    /** Asks the agent of the other claim to attach this request; repeated on a new link, as the first may be lost. */
     void sendAttach(PendingRequest pending) {
         dispatcher.emit(new EntryEffect.SendAttach(
                 pending.request.id(), pending.dispatch, pending.upstreamId, pending.otherClaimant));
     }
 
-    /** Takes over the other claim after its agent proved that it never received the claiming request. */
-    void onAttachUnseen(PendingRequest pending) {
+    /** Replaces the other claim after its agent proved that it never received the request that holds the claim. */
+    void onAttachNeverReceived(PendingRequest pending) {
         pending.phase = PendingRequest.Phase.CLAIMING;
         dispatcher.emit(new EntryEffect.TakeOverClaim(
                 pending.request.id(), pending.otherClaimId, pending.upstreamId, pending.upstreamIncarnation));
@@ -140,7 +140,7 @@
 
     /** Fails a request whose key is claimed by another one, without releasing that claim. */
     private void failWithoutClaim(PendingRequest pending, ErrorKind kind, String message, long nowMillis) {
-        if (!pending.callerGone) {
+        if (!pending.callerDisconnected) {
             dispatcher.emit(new EntryEffect.DeliverFailure(pending.request.id(), Failure.of(kind, message)));
         }
         dispatcher.end(pending, nowMillis);
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimResult.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimResult.java
@@ -2,7 +2,7 @@
 
 import dev.wigeonward.core.request.RequestId;
 
-/** Result of an attempt to create or move the claim on an idempotency key in the store. */
+/** Result of an attempt to create, move or replace the claim on an idempotency key in the store. */
 public sealed interface ClaimResult {
     /** The claim refers to this request and the chosen upstream. */
     record Granted() implements ClaimResult {}
--- a/core/src/main/java/dev/wigeonward/core/dispatch/DispatchLimits.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/DispatchLimits.java
@@ -27,10 +27,10 @@
                 reattachLimitMillis > 0, "reattachLimitMillis must be positive, but is %s", reattachLimitMillis);
         Preconditions.checkArgument(
                 acknowledgeIntervalBytes > 0,
-                "acknowledgeStepBytes must be positive, but is %s",
+                "acknowledgeIntervalBytes must be positive, but is %s",
                 acknowledgeIntervalBytes);
         Preconditions.checkArgument(
-                outstandingPerSlot > 0, "windowFactor must be positive, but is %s", outstandingPerSlot);
+                outstandingPerSlot > 0, "outstandingPerSlot must be positive, but is %s", outstandingPerSlot);
     }
 
     /** Returns the limits used when none are configured. */
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EarlyAttaches.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EarlyAttaches.java
@@ -17,23 +17,23 @@
     /** Longest time to hold an attach; a dispatch follows its claim within a few milliseconds unless its entry died. */
     static final long MAX_WAIT_MILLIS = 300;
     /** Largest number of held attaches; further ones are answered at once. */
-    private static final int MAX_WAITING = 4_096;
+    private static final int MAX_HELD = 4_096;
 
     /** Held attaches by attaching request; an attach repeated on a new link replaces the first one. */
-    private final Map<RequestId, Waiting> waiting = new LinkedHashMap<>();
+    private final Map<RequestId, HeldAttach> held = new LinkedHashMap<>();
 
-    private record Waiting(AgentEvent.DispatchArrived arrived, long untilMillis) {}
+    private record HeldAttach(AgentEvent.DispatchArrived arrived, long untilMillis) {}
 
     /** Holds an attach, or returns false if too many are held. */
     boolean add(AgentEvent.DispatchArrived arrived, long nowMillis) {
-        if (waiting.size() >= MAX_WAITING) {
+        if (held.size() >= MAX_HELD) {
             return false;
         }
-        waiting.put(arrived.request().id(), new Waiting(arrived, nowMillis + MAX_WAIT_MILLIS));
+        held.put(arrived.request().id(), new HeldAttach(arrived, nowMillis + MAX_WAIT_MILLIS));
         return true;
     }
 
-    /** Removes and returns the attaches that refer to the given request. */
+    /** Removes and returns the attaches to the run of the given request. */
     List<AgentEvent.DispatchArrived> removeFor(RequestId awaited) {
         return remove(attach -> awaited.equals(attach.arrived().attachTo().orElseThrow()));
     }
@@ -44,14 +44,14 @@
     }
 
     /** Removes the attaches that arrived on a lost link; their entries send them again. */
-    void linkLost(long link) {
+    void onLinkLost(long link) {
         remove(attach -> attach.arrived().link() == link);
     }
 
-    private List<AgentEvent.DispatchArrived> remove(Predicate<Waiting> condition) {
+    private List<AgentEvent.DispatchArrived> remove(Predicate<HeldAttach> condition) {
         List<AgentEvent.DispatchArrived> removed = new ArrayList<>();
-        for (Iterator<Waiting> iterator = waiting.values().iterator(); iterator.hasNext(); ) {
-            Waiting next = iterator.next();
+        for (Iterator<HeldAttach> iterator = held.values().iterator(); iterator.hasNext(); ) {
+            HeldAttach next = iterator.next();
             if (condition.test(next)) {
                 iterator.remove();
                 removed.add(next.arrived());
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -36,16 +36,16 @@
     private final UpstreamDirectory upstreams = new UpstreamDirectory();
     private final Map<String, AdmissionQueue> queues = new HashMap<>();
     private final Map<RequestId, PendingRequest> pendingRequests = new LinkedHashMap<>();
-    private final ClaimHandler claims;
-    private final AnswerHandler answers;
+    private final ClaimHandler claimHandler;
+    private final AnswerHandler answerHandler;
     private List<EntryEffect> effects = new ArrayList<>();
     private boolean draining;
 
     private EntryDispatcher(DispatchPolicies policies, DispatchLimits limits) {
         this.policies = Objects.requireNonNull(policies, "policies");
         this.limits = Objects.requireNonNull(limits, "limits");
-        this.claims = new ClaimHandler(this, upstreams);
-        this.answers = new AnswerHandler(this, upstreams, limits);
+        this.claimHandler = new ClaimHandler(this, upstreams);
+        this.answerHandler = new AnswerHandler(this, upstreams, limits);
     }
 
     /** Returns a dispatcher that knows no upstream. */
@@ -58,16 +58,16 @@
         effects = new ArrayList<>();
         if (event instanceof EntryEvent.RequestArrived arrived) {
             onRequestArrived(arrived.request(), nowMillis);
-        } else if (event instanceof EntryEvent.CallerDisconnected gone) {
-            onCallerGone(gone.request(), nowMillis);
+        } else if (event instanceof EntryEvent.CallerDisconnected disconnected) {
+            onCallerDisconnected(disconnected.request(), nowMillis);
         } else if (event instanceof EntryEvent.ClaimAnswered answered) {
-            claims.onClaimAnswered(answered.request(), answered.answer(), nowMillis);
+            claimHandler.onClaimAnswered(answered.request(), answered.answer(), nowMillis);
         } else if (event instanceof EntryEvent.Tick) {
             onTick(nowMillis);
         } else if (event instanceof EntryEvent.DrainStarted) {
             draining = true;
         } else if (!handleUpstream(event, nowMillis)) {
-            answers.handle(event, nowMillis);
+            answerHandler.handle(event, nowMillis);
         }
         return effects;
     }
@@ -75,13 +75,13 @@
     private boolean handleUpstream(EntryEvent event, long nowMillis) {
         if (event instanceof EntryEvent.LinkUp up) {
             boolean restarted = upstreams.onLinkUp(up.upstream());
-            answers.onLinkUp(up.upstream(), restarted, nowMillis);
+            answerHandler.onLinkUp(up.upstream(), restarted, nowMillis);
             dispatchQueued(up.upstream().target(), nowMillis);
             return true;
         }
         if (event instanceof EntryEvent.LinkDown down) {
             upstreams.onLinkDown(down.upstreamId());
-            answers.onLinkDown(down.upstreamId(), nowMillis);
+            answerHandler.onLinkDown(down.upstreamId(), nowMillis);
             return true;
         }
         if (event instanceof EntryEvent.UpstreamLeaving leaving) {
@@ -194,18 +194,18 @@
         return queue.backlogMillis(request.tier()) / Math.max(1, upstreams.slots(request.target()));
     }
 
-    private void onCallerGone(RequestId id, long nowMillis) {
+    private void onCallerDisconnected(RequestId id, long nowMillis) {
         PendingRequest pending = pendingRequests.get(id);
         if (pending == null) {
             return;
         }
-        pending.callerGone = true;
+        pending.callerDisconnected = true;
         if (pending.phase == PendingRequest.Phase.QUEUED) {
             queue(pending.request.target()).remove(id);
             end(pending, nowMillis);
             return;
         }
-        if (pending.claimed()) {
+        if (pending.needsClaim()) {
             // The run continues so that its outcome can be stored for a resend with the same key.
             return;
         }
@@ -228,7 +228,7 @@
             }
         }
         for (PendingRequest pending : List.copyOf(pendingRequests.values())) {
-            answers.checkTimeouts(pending, nowMillis);
+            answerHandler.checkTimeouts(pending, nowMillis);
         }
         List.copyOf(queues.keySet()).forEach(target -> dispatchQueued(target, nowMillis));
     }
@@ -313,12 +313,12 @@
 
     private void claimOrDispatch(PendingRequest pending, UpstreamLoadState state, Placement placement, long nowMillis) {
         addOutstanding(pending, state, placement.serviceMillis(), nowMillis);
-        if (pending.claimed()) {
+        if (pending.needsClaim()) {
             pending.phase = PendingRequest.Phase.CLAIMING;
             emit(new EntryEffect.AcquireClaim(pending.request.id(), pending.upstreamId, pending.upstreamIncarnation));
             return;
         }
-        claims.dispatch(pending, nowMillis);
+        claimHandler.dispatch(pending, nowMillis);
     }
 
     /** Queues a request that provably did not run for another dispatch, or fails it if no retry is allowed. */
@@ -342,11 +342,11 @@
     void fail(PendingRequest pending, Failure failure, long nowMillis) {
         boolean thisCopyDidNotRun =
                 failure.kind().runState() == RunState.NOT_RUN || failure.kind() == ErrorKind.CLAIM_UNAVAILABLE;
-        if (pending.claimed() && thisCopyDidNotRun) {
+        if (pending.needsClaim() && thisCopyDidNotRun) {
             emit(new EntryEffect.ReleaseClaim(pending.request.id()));
         }
-        if (!pending.callerGone) {
-            Failure known = pending.claimOwned ? failure : withoutUnprovenNotRun(pending.request, failure);
+        if (!pending.callerDisconnected) {
+            Failure known = pending.claimGranted ? failure : withoutUnprovenNotRun(pending.request, failure);
             emit(new EntryEffect.DeliverFailure(pending.request.id(), known));
         }
         end(pending, nowMillis);
@@ -384,8 +384,8 @@
         return Optional.ofNullable(pendingRequests.get(id));
     }
 
-    ClaimHandler claims() {
-        return claims;
+    ClaimHandler claimHandler() {
+        return claimHandler;
     }
 
     List<PendingRequest> pendingAt(String upstreamId) {
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEvent.java
@@ -17,7 +17,7 @@
     /** The caller closed its connection before the answer was complete. */
     record CallerDisconnected(RequestId request) implements EntryEvent {}
 
-    /** The store answered an attempt to create, move or take over a claim. */
+    /** The store answered an attempt to create, move or replace a claim. */
     record ClaimAnswered(RequestId request, ClaimResult answer) implements EntryEvent {}
 
     /** A link to an agent is up. */
--- a/core/src/main/java/dev/wigeonward/core/dispatch/OutputSender.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/OutputSender.java
@@ -5,11 +5,11 @@
 /** Sends the output of runs to their readers within the flow-control window. */
 final class OutputSender {
     private final int windowBytes;
-    private final Consumer<AgentEffect> effects;
+    private final Consumer<AgentEffect> effectConsumer;
 
-    OutputSender(int windowBytes, Consumer<AgentEffect> effects) {
+    OutputSender(int windowBytes, Consumer<AgentEffect> effectConsumer) {
         this.windowBytes = windowBytes;
-        this.effects = effects;
+        this.effectConsumer = effectConsumer;
     }
 
     /** Sends output that is not yet sent to each attached reader, and the end of the run once all output is sent. */
@@ -24,7 +24,7 @@
     private void send(Run run, Run.Reader reader) {
         long untilBytes = Math.min(run.producedBytes, reader.acknowledgedBytes + windowBytes);
         if (untilBytes > reader.sentBytes) {
-            effects.accept(new AgentEffect.SendOutput(
+            effectConsumer.accept(new AgentEffect.SendOutput(
                     reader.link, reader.request, reader.dispatch, run.id(), reader.sentBytes, untilBytes));
             reader.sentBytes = untilBytes;
         }
@@ -33,11 +33,11 @@
         }
         reader.endSent = true;
         if (run.failure().isPresent()) {
-            effects.accept(new AgentEffect.SendFailed(
+            effectConsumer.accept(new AgentEffect.SendFailed(
                     reader.link, reader.request, reader.dispatch, run.failure().get()));
             return;
         }
-        effects.accept(new AgentEffect.SendFinished(
+        effectConsumer.accept(new AgentEffect.SendFinished(
                 reader.link, reader.request, reader.dispatch, run.id(), run.producedBytes));
     }
 
@@ -52,7 +52,7 @@
                 .orElse(run.trimmedBytes);
         if (uptoBytes > run.trimmedBytes) {
             run.trimmedBytes = uptoBytes;
-            effects.accept(new AgentEffect.TrimOutput(run.id(), uptoBytes));
+            effectConsumer.accept(new AgentEffect.TrimOutput(run.id(), uptoBytes));
         }
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/PendingRequest.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/PendingRequest.java
@@ -27,9 +27,9 @@
     int claimConflicts;
     DispatchId dispatch;
     /** Whether the store granted the claim to this request, which proves that no other copy of it ran. */
-    boolean claimOwned;
+    boolean claimGranted;
 
-    /** Claim on the key of this request that belongs to another request; null if none was found. */
+    /** Identifier of another request's claim on the same key; null if none was found. */
     String otherClaimId;
     /** Request that holds the other claim. */
     RequestId otherClaimant;
@@ -39,19 +39,19 @@
     /** Time at which the link to the agent was lost; negative while it is up. */
     long detachedAtMillis = -1;
 
-    boolean callerGone;
+    boolean callerDisconnected;
 
     PendingRequest(RequestSpec request) {
         this.request = Objects.requireNonNull(request, "request");
     }
 
     /** Returns whether the request needs a durable claim, which is the case if it is not idempotent. */
-    boolean claimed() {
+    boolean needsClaim() {
         return !request.idempotent();
     }
 
     /** Returns whether the request is dispatched and the given dispatch is its current one. */
-    boolean isDispatchedAs(DispatchId answered) {
-        return phase == Phase.DISPATCHED && answered.equals(dispatch);
+    boolean isDispatchedAs(DispatchId candidate) {
+        return phase == Phase.DISPATCHED && candidate.equals(dispatch);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/dispatch/RunHistory.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/RunHistory.java
@@ -15,7 +15,7 @@
  * request had never been received, and a late copy of a refused dispatch would start a run. Not thread-safe.
  */
 final class RunHistory {
-    /** How long a claim refers to this agent; a resend may attach to the claim at any time until then. */
+    /** Lifetime of a claim; until its end, a resend may attach to the run that the claim refers to. */
     private static final long CLAIMED_MILLIS = 24L * 3_600 * 1_000;
 
     /** Margin for copies of frames that arrive late; an entry sends frames for a request until its deadline. */
@@ -25,7 +25,7 @@
     private final Map<RequestId, Long> ran = new HashMap<>();
     private final Map<DispatchId, Long> refused = new HashMap<>();
     private final PriorityQueue<Expiry> expiries = new PriorityQueue<>(Comparator.comparingLong(Expiry::untilMillis));
-    /** Time until which a missing request may have run, because its entry was evicted before it expired. */
+    /** Time until which a missing request may have run, because its record was evicted before it expired. */
     private long incompleteUntilMillis = Long.MIN_VALUE;
 
     private record Expiry(long untilMillis, RequestId run, DispatchId dispatch) {}
@@ -60,18 +60,18 @@
     private void add(Expiry expiry, long nowMillis) {
         expiries.add(expiry);
         while (!expiries.isEmpty() && expiries.peek().untilMillis() <= nowMillis) {
-            drop(expiries.poll());
+            removeRecord(expiries.poll());
         }
         while (expiries.size() > maxEntries) {
-            Expiry dropped = expiries.poll();
-            drop(dropped);
-            if (dropped.run() != null) {
-                incompleteUntilMillis = Math.max(incompleteUntilMillis, dropped.untilMillis());
+            Expiry evicted = expiries.poll();
+            removeRecord(evicted);
+            if (evicted.run() != null) {
+                incompleteUntilMillis = Math.max(incompleteUntilMillis, evicted.untilMillis());
             }
         }
     }
 
-    private void drop(Expiry expiry) {
+    private void removeRecord(Expiry expiry) {
         if (expiry.run() != null) {
             ran.remove(expiry.run(), expiry.untilMillis());
         } else {
--- a/core/src/main/java/dev/wigeonward/core/dispatch/SuspectPolicy.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/SuspectPolicy.java
@@ -23,7 +23,7 @@
     /** Records that a dispatch of the request ended. */
     void recordEnd(RequestSpec request, long nowMillis);
 
-    /** Returns a gate that passes every request. */
+    /** Returns a policy that passes every request. */
     static SuspectPolicy allowAll() {
         return new SuspectPolicy() {
             @Override
--- a/core/src/main/java/dev/wigeonward/core/dispatch/UpstreamDirectory.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/UpstreamDirectory.java
@@ -14,7 +14,9 @@
 /** The upstreams known to an entry, and pools of the usable ones by target and version. */
 final class UpstreamDirectory {
     private final Map<String, Upstream> upstreamsById = new HashMap<>();
+    /** Pools of the usable upstreams by target and version. */
     private final Map<String, Map<String, UpstreamPool>> pools = new HashMap<>();
+
     private final Map<String, Integer> slotsByTarget = new HashMap<>();
 
     /** Records a new link and returns whether the agent was restarted since its previous link. */
@@ -98,7 +100,7 @@
     }
 
     /** Removes an upstream unless it has a link. */
-    void forget(String upstreamId) {
+    void removeUnlinked(String upstreamId) {
         Upstream upstream = upstreamsById.get(upstreamId);
         if (upstream != null && !upstream.linked) {
             upstreamsById.remove(upstreamId);
@@ -132,7 +134,7 @@
         }
     }
 
-    /** Updates the slots of the target; an upstream counts once, however many versions it serves. */
+    /** Updates the number of slots of the target; an upstream counts once, however many versions it serves. */
     private void updateSlots(Upstream upstream, Set<String> newVersions) {
         int slots = upstream.description().slots();
         if (upstream.pooledVersions.isEmpty() && !newVersions.isEmpty()) {
--- a/core/src/main/java/dev/wigeonward/core/dispatch/VersionRouter.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/VersionRouter.java
@@ -15,7 +15,7 @@
      */
     Optional<String> select(RequestSpec request, Collection<String> versions, long nowMillis);
 
-    /** Returns a router that selects the version that sorts first, for targets without a version move. */
+    /** Returns a router that selects the version that sorts first, for targets without a rollout. */
     static VersionRouter first() {
         return (request, versions, nowMillis) -> versions.stream().min(String::compareTo);
     }
--- a/core/src/main/java/dev/wigeonward/core/order/OrderFence.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderFence.java
@@ -11,8 +11,8 @@
  * State machine of one agent that decides which orders are submitted to its engine.
  *
  * <p>An order with a lower fencing number than the highest seen is refused here, because some engines ignore the
- * number. The highest number seen is not persisted, so a new gate submits nothing until it has read the number from the
- * store. Not thread-safe.
+ * number. The highest number seen is not persisted, so a new fence submits nothing until it has read the number from
+ * the store. Not thread-safe.
  */
 public final class OrderFence {
     private static final int MAX_WAITING_ORDERS = 64;
@@ -28,7 +28,7 @@
     private boolean confirmedByStore;
     private boolean readOutstanding;
 
-    /** Creates a gate that has not read the fencing number and stores up to {@link #MAX_RESULTS} results. */
+    /** Creates a fence that has not read the fencing number and stores up to {@link #MAX_RESULTS} results. */
     public OrderFence() {
         this(MAX_RESULTS);
     }
@@ -43,10 +43,10 @@
         List<OrderEffect> effects = new ArrayList<>();
         if (event instanceof OrderEvent.OrderReceived received) {
             onOrderReceived(received.order(), effects);
-        } else if (event instanceof OrderEvent.FencingNumberReported seen) {
-            highestFencingNumber = Math.max(highestFencingNumber, seen.fencingNumber());
+        } else if (event instanceof OrderEvent.FencingNumberReported reported) {
+            highestFencingNumber = Math.max(highestFencingNumber, reported.fencingNumber());
         } else if (event instanceof OrderEvent.FencingNumberRead read) {
-            onFencingRead(read.fencingNumber(), effects);
+            onFencingNumberRead(read.fencingNumber(), effects);
         } else if (event instanceof OrderEvent.StoreUnavailable) {
             refuseWaiting("the store did not confirm the fencing number", effects);
         } else if (event instanceof OrderEvent.EngineFinished finished) {
@@ -85,7 +85,7 @@
      * be shown to be current: a newer lease than theirs may have ended after its orders ran at an earlier incarnation
      * of the agent.
      */
-    private void onFencingRead(long fencingNumber, List<OrderEffect> effects) {
+    private void onFencingNumberRead(long fencingNumber, List<OrderEffect> effects) {
         if (fencingNumber == 0) {
             refuseWaiting("no controller holds the lease", effects);
             return;
--- a/core/src/main/java/dev/wigeonward/core/request/RequestSpec.java
+++ b/core/src/main/java/dev/wigeonward/core/request/RequestSpec.java
@@ -13,7 +13,7 @@
  * @param tier importance of the request
  * @param workspace workspace that pays for the request
  * @param target model or plain service that serves the request
- * @param route label, made of target and kind of request, by which version moves group requests to evaluate them
+ * @param route label, made of target and kind of request, by which rollouts group requests for evaluation
  * @param work expected size of the request
  * @param deadlineMillis time by which the whole answer is due, on the clock of the process
  * @param idempotent false if running the request twice does harm
--- a/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
@@ -15,14 +15,14 @@
  * Table of requests that were running when upstreams died. Tables of several processes merge as a set union, so the
  * order and repetition of merges do not matter. Not thread-safe.
  *
- * <p>If every process learns of the death caused by a run of a request before the next run but one is dispatched, the
- * request crashes at most three upstreams; each further run dispatched before the fact arrives adds one.
+ * <p>A request crashes at most three upstreams if every process learns of each death before the run after the next one
+ * is dispatched. Each further run that is dispatched before the fact arrives adds one.
  */
 public final class SuspectTable {
     /** Largest number of stored fingerprints; those with the oldest last additions are removed first. */
     public static final int MAX_FINGERPRINTS = 65_536;
 
-    /** Time for which a fact is in force after its last addition, in milliseconds. */
+    /** Time for which a fact is active after its last addition, in milliseconds. */
     public static final long FACT_LIFETIME_MILLIS = 600_000;
 
     /** Number of deaths from which on a request is refused. */
@@ -36,7 +36,7 @@
 
     /**
      * Time after the last addition at which an expired fact is removed, in milliseconds. A peer that learned the fact
-     * later still sends it after it expired here; if it were merged as new, the two would renew it forever.
+     * later still sends it after it expired here; if it were then merged as new, the two would renew it forever.
      */
     private static final long RETENTION_MILLIS = 2 * FACT_LIFETIME_MILLIS;
 
@@ -66,7 +66,7 @@
     /** Returns the restriction on a request that follows from the known deaths. */
     public SuspectRestriction suspicion(long fingerprint, long nowMillis) {
         Suspect suspect = suspects.get(fingerprint);
-        if (suspect == null || !suspect.inForceAt(nowMillis)) {
+        if (suspect == null || !suspect.activeAt(nowMillis)) {
             return SuspectRestriction.NONE;
         }
         return suspect.incarnations.size() >= MIN_DEATHS_TO_REFUSE
@@ -74,7 +74,9 @@
                 : SuspectRestriction.ONE_AT_A_TIME;
     }
 
-    /** Returns whether the request may be dispatched now; if not refused, it may be once its other copy has ended. */
+    /**
+     * Returns whether the request may be dispatched now. One that is not refused may be, once its other copy has ended.
+     */
     public boolean mayDispatch(long fingerprint, long nowMillis) {
         return switch (suspicion(fingerprint, nowMillis)) {
             case NONE -> true;
@@ -108,11 +110,11 @@
      * empty if the received fact contained nothing new.
      */
     public Optional<SuspectFact> merge(SuspectFact fact, long nowMillis) {
-        removeOutdated(nowMillis);
+        removeBeyondRetention(nowMillis);
         Suspect suspect = suspects.get(fact.fingerprint());
-        boolean inForce = suspect != null && suspect.inForceAt(nowMillis);
-        Set<String> known = inForce ? suspect.incarnations : Set.of();
-        Set<String> expired = suspect == null ? Set.of() : inForce ? suspect.expired : suspect.allIncarnations();
+        boolean active = suspect != null && suspect.activeAt(nowMillis);
+        Set<String> known = active ? suspect.incarnations : Set.of();
+        Set<String> expired = suspect == null ? Set.of() : active ? suspect.expired : suspect.allIncarnations();
         Set<String> union = new TreeSet<>(known);
         for (String incarnation : new TreeSet<>(fact.upstreamIncarnations())) {
             if (union.size() < MAX_INCARNATIONS && !expired.contains(incarnation)) {
@@ -130,10 +132,10 @@
         return Optional.of(new SuspectFact(fact.fingerprint(), union));
     }
 
-    /** Returns the facts in force, for a peer that has just connected, in time linear in the size of the table. */
+    /** Returns the active facts, for a peer that has just connected, in time linear in the size of the table. */
     public List<SuspectFact> activeFacts(long nowMillis) {
         return suspects.entrySet().stream()
-                .filter(entry -> entry.getValue().inForceAt(nowMillis))
+                .filter(entry -> entry.getValue().activeAt(nowMillis))
                 .map(entry -> new SuspectFact(entry.getKey(), entry.getValue().incarnations))
                 .toList();
     }
@@ -143,7 +145,7 @@
         return suspects.size();
     }
 
-    private void removeOutdated(long nowMillis) {
+    private void removeBeyondRetention(long nowMillis) {
         Iterator<Suspect> oldestFirst = suspects.values().iterator();
         while (oldestFirst.hasNext() && oldestFirst.next().addedAtMillis <= nowMillis - RETENTION_MILLIS) {
             oldestFirst.remove();
@@ -170,7 +172,7 @@
             return Set.copyOf(all);
         }
 
-        private boolean inForceAt(long nowMillis) {
+        private boolean activeAt(long nowMillis) {
             return nowMillis - addedAtMillis < FACT_LIFETIME_MILLIS;
         }
     }
--- a/core/src/main/java/dev/wigeonward/core/suspect/SuspectTablePolicy.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/SuspectTablePolicy.java
@@ -5,7 +5,7 @@
 import dev.wigeonward.core.dispatch.SuspectPolicy;
 import dev.wigeonward.core.request.RequestSpec;
 
-/** Gate that decides by the deaths recorded in a {@link SuspectTable}. */
+/** Policy that decides by the deaths recorded in a {@link SuspectTable}. */
 public final class SuspectTablePolicy implements SuspectPolicy {
     private final SuspectTable table;
 
@@ -13,7 +13,7 @@
         this.table = Objects.requireNonNull(table, "table");
     }
 
-    /** Returns a gate backed by the table; facts merged into the table later take effect. */
+    /** Returns a policy backed by the table; facts merged into the table later take effect. */
     public static SuspectTablePolicy of(SuspectTable table) {
         return new SuspectTablePolicy(table);
     }
--- a/core/src/test/java/dev/wigeonward/core/dispatch/AgentDispatcherFaultTest.java
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/AgentDispatcherFaultTest.java
@@ -55,7 +55,7 @@
     }
 
     /**
-     * Guards against the takeover of a claim whose request ran: its outcome is removed after 10 minutes, and a later
+     * Guards against replacing a claim whose request ran: its outcome is removed after 10 minutes, and a later
      * attach must not be answered as never received.
      */
     @Test
@@ -76,7 +76,7 @@
         return new AgentEvent.DispatchArrived(2, request, id(request, 1), INCARNATION, Optional.of(CLAIMED.id()));
     }
 
-    /** Guards against the takeover of a claim because an attach to it overtook the dispatch of the claiming request. */
+    /** Guards against replacing a claim because an attach to it overtook the dispatch of the claiming request. */
     @Test
     void attachThatOvertakesTheDispatchJoinsItsRun() {
         RequestSpec resend = request("r2", false);
--- a/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
@@ -84,7 +84,7 @@
     }
 
     /**
-     * Guards against the takeover of a claim in use: after a reconnect, the agent would answer a reattach for the
+     * Guards against replacing a claim in use: after a reconnect, the agent would answer a reattach for the
      * attaching request, which it never received, instead of for the claiming one.
      */
     @Test
@@ -96,9 +96,12 @@
                         new EntryEffect.SendAttach(CLAIMED.id(), DispatchId.of(CLAIMED.id(), 1), "a1", HOLDER));
     }
 
-    /** Guards against a takeover based on a late answer: agents may remove the record of a run after its deadline. */
+    /**
+     * Guards against replacing a claim because of a late answer: agents may remove the record of a run after its
+     * deadline.
+     */
     @Test
-    void unseenAfterTheDeadlineIsNoProof() {
+    void neverReceivedAfterTheDeadlineIsNoProof() {
         attach();
         List<EntryEffect> effects = entry.handle(
                 new EntryEvent.NeverReceived(CLAIMED.id(), DispatchId.of(CLAIMED.id(), 1)), DEADLINE_MILLIS);
--- a/core/src/test/java/dev/wigeonward/core/stream/EventBoundariesTest.java
+++ b/core/src/test/java/dev/wigeonward/core/stream/EventBoundaryScannerTest.java
@@ -10,40 +10,40 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class EventBoundariesTest {
+class EventBoundaryScannerTest {
     private static final byte[] STREAM =
             "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n:comment\n\nid:3\ndata: c\n\n".getBytes(StandardCharsets.UTF_8);
 
     /** Guards against boundaries that depend on how the network splits the bytes. */
     @Property
     void boundariesDoNotDependOnSplits(@ForAll @IntRange(min = 1, max = 20) int size) {
-        EventBoundaryScanner boundaries = EventBoundaryScanner.create();
+        EventBoundaryScanner scanner = EventBoundaryScanner.create();
         int complete = 0;
         for (int from = 0; from < STREAM.length; from += size) {
             byte[] part = Arrays.copyOfRange(STREAM, from, Math.min(STREAM.length, from + size));
-            int inPart = boundaries.scan(part, part.length);
+            int inPart = scanner.scan(part, part.length);
             complete = inPart > 0 ? from + inPart : complete;
         }
 
         assertThat(complete).isEqualTo(STREAM.length);
-        assertThat(boundaries.eventCount()).isEqualTo(4);
-        assertThat(boundaries.lastEventId()).contains("3");
-        assertThat(boundaries.hasIncompleteEvent()).isFalse();
+        assertThat(scanner.eventCount()).isEqualTo(4);
+        assertThat(scanner.lastEventId()).contains("3");
+        assertThat(scanner.hasIncompleteEvent()).isFalse();
     }
 
     /** Guards against a stream that is resumed after an event of which only the first part, with its id, arrived. */
     @Example
     void incompleteEventDoesNotCount() {
-        EventBoundaryScanner boundaries = EventBoundaryScanner.create();
+        EventBoundaryScanner scanner = EventBoundaryScanner.create();
         byte[] bytes = "id: 1\ndata: a\n\nid: 2\ndata: b".getBytes(StandardCharsets.UTF_8);
 
-        assertThat(boundaries.scan(bytes, bytes.length)).isEqualTo(15);
-        assertThat(boundaries.lastEventId()).contains("1");
-        assertThat(boundaries.hasIncompleteEvent()).isTrue();
+        assertThat(scanner.scan(bytes, bytes.length)).isEqualTo(15);
+        assertThat(scanner.lastEventId()).contains("1");
+        assertThat(scanner.hasIncompleteEvent()).isTrue();
 
-        boundaries.discardIncompleteEvent();
+        scanner.discardIncompleteEvent();
         byte[] rest = "id: 2\ndata: b\n\n".getBytes(StandardCharsets.UTF_8);
-        assertThat(boundaries.scan(rest, rest.length)).isEqualTo(rest.length);
-        assertThat(boundaries.lastEventId()).contains("2");
+        assertThat(scanner.scan(rest, rest.length)).isEqualTo(rest.length);
+        assertThat(scanner.lastEventId()).contains("2");
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
@@ -14,7 +14,7 @@
 
 class SuspectTableTest {
     private static final long FINGERPRINT = 5;
-    private static final long EXPIRY_MILLIS = SuspectTable.FACT_LIFETIME_MILLIS;
+    private static final long LIFETIME_MILLIS = SuspectTable.FACT_LIFETIME_MILLIS;
 
     private final SuspectTable table = SuspectTable.create();
 
@@ -40,8 +40,8 @@
         table.onUpstreamDied(FINGERPRINT, "u1", 0);
         table.onUpstreamDied(FINGERPRINT, "u2", 1_000);
         table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")), 500_000);
-        assertThat(table.suspicion(FINGERPRINT, 1_000 + EXPIRY_MILLIS - 1)).isEqualTo(SuspectRestriction.REFUSED);
-        assertThat(table.suspicion(FINGERPRINT, 1_000 + EXPIRY_MILLIS)).isEqualTo(SuspectRestriction.NONE);
+        assertThat(table.suspicion(FINGERPRINT, 1_000 + LIFETIME_MILLIS - 1)).isEqualTo(SuspectRestriction.REFUSED);
+        assertThat(table.suspicion(FINGERPRINT, 1_000 + LIFETIME_MILLIS)).isEqualTo(SuspectRestriction.NONE);
     }
 
     /** Guards against two peers that renew an expired fact forever by sending it to each other. */
@@ -49,10 +49,10 @@
     void expiredFactsAreNotRenewedByAPeer() {
         SuspectFact fact = new SuspectFact(FINGERPRINT, Set.of("u1", "u2"));
         table.merge(fact, 0);
-        assertThat(table.activeFacts(EXPIRY_MILLIS)).isEmpty();
-        assertThat(table.merge(fact, EXPIRY_MILLIS + 5_000)).isEmpty();
-        assertThat(table.suspicion(FINGERPRINT, EXPIRY_MILLIS + 5_000)).isEqualTo(SuspectRestriction.NONE);
-        assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u3")), EXPIRY_MILLIS + 6_000))
+        assertThat(table.activeFacts(LIFETIME_MILLIS)).isEmpty();
+        assertThat(table.merge(fact, LIFETIME_MILLIS + 5_000)).isEmpty();
+        assertThat(table.suspicion(FINGERPRINT, LIFETIME_MILLIS + 5_000)).isEqualTo(SuspectRestriction.NONE);
+        assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u3")), LIFETIME_MILLIS + 6_000))
                 .contains(new SuspectFact(FINGERPRINT, Set.of("u3")));
     }
 
@@ -78,10 +78,10 @@
                 .contains(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")));
     }
 
-    /** Guards against a gate that confuses waiting with refusal. */
+    /** Guards against a policy that confuses waiting with refusal. */
     @Test
-    void gateDecidesByTheTable() {
-        SuspectPolicy gate = SuspectTablePolicy.of(table);
+    void policyDecidesByTheTable() {
+        SuspectPolicy policy = SuspectTablePolicy.of(table);
         RequestSpec request = new RequestSpec(
                 RequestId.of("e", 1, 1),
                 Optional.empty(),
@@ -93,13 +93,13 @@
                 1_000,
                 true,
                 FINGERPRINT);
-        gate.recordDispatch(request, 0);
-        assertThat(gate.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.PASS);
+        policy.recordDispatch(request, 0);
+        assertThat(policy.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.PASS);
         table.onUpstreamDied(FINGERPRINT, "u1", 0);
-        assertThat(gate.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.WAIT);
-        gate.recordEnd(request, 0);
-        assertThat(gate.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.PASS);
+        assertThat(policy.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.WAIT);
+        policy.recordEnd(request, 0);
+        assertThat(policy.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.PASS);
         table.onUpstreamDied(FINGERPRINT, "u2", 0);
-        assertThat(gate.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.REFUSE);
+        assertThat(policy.decide(request, 0)).isEqualTo(SuspectPolicy.Decision.REFUSE);
     }
 }
