Name membership and cap code after its renamed types

Cause: tests and private members still said core, silence, heard and tenant.

Change: they say membership, link timeout, reporting and workspace. The comment on MAX_TICK_MILLIS says what the 3 s are instead of "invariant 7". StartNewWork stays: its name reaches a log line.

Number and string literals and assertions of the tests are the same as in the parent (compared by a script).

--- a/core/src/main/java/dev/wigeonward/core/cap/WorkspaceUsageCap.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/WorkspaceUsageCap.java
@@ -6,7 +6,7 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Usage cap of one tenant as seen by one entry: a token bucket for all entries together. Entries report their
+ * Usage cap of one workspace as seen by one entry: a token bucket for all entries together. Entries report their
  * cumulative usage to each other, and each subtracts it from its own bucket. The usage of peers between two reports is
  * estimated from their recent rate. An entry that receives no reports uses only a fraction of an equal share. Not
  * thread-safe.
@@ -64,13 +64,16 @@
     /**
      * Sets the number of entries whose reports are received and the number of known entries, both including this one.
      */
-    public void setEntryCounts(int heard, int known, long nowMillis) {
+    public void setEntryCounts(int reporting, int known, long nowMillis) {
         Preconditions.checkArgument(
-                heard > 0 && known >= heard, "heard must be from 1 to the %s known entries but was %s", known, heard);
+                reporting > 0 && known >= reporting,
+                "reporting must be from 1 to the %s known entries but was %s",
+                known,
+                reporting);
         refill(nowMillis);
-        double newFraction = heard == 1 && known > 1
+        double newFraction = reporting == 1 && known > 1
                 ? ISOLATED_FRACTION / known
-                : Math.max(MIN_CONNECTED_FRACTION, 1 - (known - heard) * ISOLATED_FRACTION / known);
+                : Math.max(MIN_CONNECTED_FRACTION, 1 - (known - reporting) * ISOLATED_FRACTION / known);
         if (newFraction != fraction) {
             level = level > 0 ? level * newFraction / fraction : level;
             fraction = newFraction;
@@ -82,26 +85,26 @@
      * very first report of any peer replaces the level instead.
      *
      * @param incarnation identifier of the peer's process lifetime; its cumulative usage starts at 0 in each lifetime
-     * @param peerUsedTotal usage that the peer has admitted since its start
+     * @param peerTotalUsage usage that the peer has admitted in this lifetime
      * @param peerLevel level of the bucket as computed by the peer
      */
-    public void onPeerReport(String peer, long incarnation, double peerUsedTotal, double peerLevel, long nowMillis) {
+    public void onPeerReport(String peer, long incarnation, double peerTotalUsage, double peerLevel, long nowMillis) {
         refill(nowMillis);
         if (!levelKnown) {
             // The peer's level includes the usage before this entry started.
             levelKnown = true;
             level = Math.min(peerLevel, capacity * fraction);
-            peers.put(peer, new PeerUsage(incarnation, peerUsedTotal, 0, nowMillis));
+            peers.put(peer, new PeerUsage(incarnation, peerTotalUsage, 0, nowMillis));
             return;
         }
         PeerUsage last = peers.get(peer);
-        double used =
-                last == null ? 0 : last.incarnation == incarnation ? peerUsedTotal - last.usedTotal : peerUsedTotal;
-        level = Math.max(-capacity, level - used);
+        double newUsage =
+                last == null ? 0 : last.incarnation == incarnation ? peerTotalUsage - last.totalUsage : peerTotalUsage;
+        level = Math.max(-capacity, level - newUsage);
         double elapsed = last == null ? RATE_TIME_CONSTANT_MILLIS : Math.max(1, nowMillis - last.reportedAtMillis);
         double decay = Math.exp(-elapsed / RATE_TIME_CONSTANT_MILLIS);
-        double rate = (last == null ? 0 : last.ratePerMilli * decay) + (1 - decay) * Math.max(0, used) / elapsed;
-        peers.put(peer, new PeerUsage(incarnation, peerUsedTotal, rate, nowMillis));
+        double rate = (last == null ? 0 : last.ratePerMilli * decay) + (1 - decay) * Math.max(0, newUsage) / elapsed;
+        peers.put(peer, new PeerUsage(incarnation, peerTotalUsage, rate, nowMillis));
     }
 
     /** Removes a peer whose reports are no longer received. */
@@ -109,7 +112,7 @@
         peers.remove(peer);
     }
 
-    /** Returns whether the tenant may use the given amount now, and records it as used if so. */
+    /** Returns whether the workspace may use the given amount now, and records it as used if so. */
     public boolean tryAcquire(long usage, long nowMillis) {
         refill(nowMillis);
         double unreported = 0;
@@ -156,5 +159,5 @@
         level = Math.min(capacity * fraction, level + ratePerSecond * fraction * elapsedMillis / 1_000);
     }
 
-    private record PeerUsage(long incarnation, double usedTotal, double ratePerMilli, long reportedAtMillis) {}
+    private record PeerUsage(long incarnation, double totalUsage, double ratePerMilli, long reportedAtMillis) {}
 }
--- a/core/src/main/java/dev/wigeonward/core/membership/Member.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/Member.java
@@ -6,18 +6,18 @@
 
 /** An upstream to which the entry keeps a link, with its current incarnation and the state of the link. */
 final class Member {
-    /** Time of an event that is not planned. */
+    /** Stands for the time of an event that is not planned. */
     static final long NEVER_MILLIS = Long.MAX_VALUE;
 
     /** Number of replaced incarnations stored; a Hello that is late by more restarts than this is not expected. */
-    private static final int MAX_REPLACED = 8;
+    private static final int MAX_REPLACED_INCARNATIONS = 8;
 
     /** Time after which a link counts as stable, so that the backoff starts anew when the link is lost. */
     private static final long STABLE_MILLIS = ReconnectBackoff.LAST_LIMIT_MILLIS;
 
     private final String upstreamId;
     private final ReconnectBackoff backoff;
-    private final Deque<Long> replaced = new ArrayDeque<>();
+    private final Deque<Long> replacedIncarnations = new ArrayDeque<>();
     private String address;
     private boolean listed = true;
     private boolean listedAsLeaving;
@@ -74,10 +74,10 @@
     }
 
     boolean isReplaced(long candidate) {
-        return replaced.contains(candidate);
+        return replacedIncarnations.contains(candidate);
     }
 
-    boolean silentAt(long nowMillis) {
+    boolean linkTimedOutAt(long nowMillis) {
         return linkUp && nowMillis - lastFrameMillis >= UpstreamMembership.LINK_TIMEOUT_MILLIS;
     }
 
@@ -90,7 +90,7 @@
         return connectAtMillis <= nowMillis;
     }
 
-    long nextWakeMillis() {
+    long nextTickMillis() {
         return linkUp ? lastFrameMillis + UpstreamMembership.LINK_TIMEOUT_MILLIS : connectAtMillis;
     }
 
@@ -113,10 +113,10 @@
     /** Records a new link; the announced departure of a replaced incarnation does not apply to the new one. */
     void onLinkUp(long newIncarnation, long nowMillis) {
         if (isReplacedBy(newIncarnation)) {
-            if (replaced.size() == MAX_REPLACED) {
-                replaced.removeFirst();
+            if (replacedIncarnations.size() == MAX_REPLACED_INCARNATIONS) {
+                replacedIncarnations.removeFirst();
             }
-            replaced.addLast(incarnation);
+            replacedIncarnations.addLast(incarnation);
             leaving = listedAsLeaving;
         }
         incarnation = newIncarnation;
--- a/core/src/main/java/dev/wigeonward/core/membership/UpstreamMembership.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/UpstreamMembership.java
@@ -35,7 +35,10 @@
     /** Time without a frame after which a link has timed out and its upstream is suspect, in milliseconds. */
     public static final long LINK_TIMEOUT_MILLIS = 2_500;
 
-    /** Longest time between ticks, in milliseconds; with the silence limit, it stays below the 3 s of invariant 7. */
+    /**
+     * Longest time between ticks, in milliseconds. Together with the link timeout it is below 3 s, the time after which
+     * a leaving upstream must receive no new requests.
+     */
     public static final long MAX_TICK_MILLIS = 250;
 
     /** Time after which an unanswered connection attempt is abandoned, in milliseconds. */
@@ -46,7 +49,9 @@
     private final Map<String, Member> members = new TreeMap<>();
     private final Set<String> listedEntries = new TreeSet<>();
     private final Map<String, Set<String>> listedAgentsByPool = new TreeMap<>();
+    /** Ids of the listed upstreams to which this entry keeps links. */
     private Set<String> subset = Set.of();
+
     private boolean listRead;
     private long lastSequence;
 
@@ -89,7 +94,7 @@
         return member != null
                 && member.isCurrent(incarnation)
                 && member.state() == MemberState.LIVE
-                && !member.silentAt(nowMillis);
+                && !member.linkTimedOutAt(nowMillis);
     }
 
     /** Returns the state of an incarnation, or {@code DEAD} if it is unknown. */
@@ -108,7 +113,7 @@
 
     /** Returns the latest time at which the next tick is due, in milliseconds; this time may have passed. */
     public long nextTickMillis() {
-        return members.values().stream().mapToLong(Member::nextWakeMillis).min().orElse(Member.NEVER_MILLIS);
+        return members.values().stream().mapToLong(Member::nextTickMillis).min().orElse(Member.NEVER_MILLIS);
     }
 
     private void onVmsListed(VmsListed event, long nowMillis, List<MembershipEffect> effects) {
@@ -128,7 +133,7 @@
             } else {
                 member.onListed(vm);
             }
-            emitWorkChange(member, before, effects);
+            emitDispatchChange(member, before, effects);
             boolean outsideSubset = vm != null && !vm.leaving() && !subset.contains(vm.id());
             if (outsideSubset || member.isUnlistedAndUnlinked()) {
                 remove(member, effects);
@@ -172,7 +177,7 @@
         }
         MemberState before = member.state();
         member.onLeaving();
-        emitWorkChange(member, before, effects);
+        emitDispatchChange(member, before, effects);
     }
 
     private void onLinkUp(LinkUp event, long nowMillis, List<MembershipEffect> effects) {
@@ -196,7 +201,7 @@
             effects.add(new Replaced(member.upstreamId(), oldIncarnation, event.incarnation()));
         }
         member.onLinkUp(event.incarnation(), nowMillis);
-        emitWorkChange(member, replaces ? MemberState.JOINING : before, effects);
+        emitDispatchChange(member, replaces ? MemberState.JOINING : before, effects);
         if (member.state() == MemberState.LEAVING) {
             // An adapter may dispatch over a new link before it consults this class.
             effects.add(new StopDispatch(member.upstreamId(), member.incarnation(), MemberState.LEAVING));
@@ -219,7 +224,7 @@
 
     private void onTick(long nowMillis, List<MembershipEffect> effects) {
         for (Member member : List.copyOf(members.values())) {
-            if (member.silentAt(nowMillis)) {
+            if (member.linkTimedOutAt(nowMillis)) {
                 handleLinkLoss(member, nowMillis, effects);
             }
             if (member.connectionDueAt(nowMillis) && !member.isUnlistedAndUnlinked()) {
@@ -232,7 +237,7 @@
     private void handleLinkLoss(Member member, long nowMillis, List<MembershipEffect> effects) {
         MemberState before = member.state();
         member.onLinkLost(nowMillis);
-        emitWorkChange(member, before, effects);
+        emitDispatchChange(member, before, effects);
         if (member.isUnlistedAndUnlinked()) {
             remove(member, effects);
         }
@@ -246,7 +251,7 @@
         effects.add(new CloseLink(member.upstreamId()));
     }
 
-    private static void emitWorkChange(Member member, MemberState before, List<MembershipEffect> effects) {
+    private static void emitDispatchChange(Member member, MemberState before, List<MembershipEffect> effects) {
         MemberState after = member.state();
         if (before != MemberState.LIVE && after == MemberState.LIVE) {
             effects.add(new StartNewWork(member.upstreamId(), member.incarnation()));
--- a/core/src/test/java/dev/wigeonward/core/cap/RetryShareTest.java
+++ b/core/src/test/java/dev/wigeonward/core/cap/RetryBudgetShareTest.java
@@ -7,7 +7,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class RetryShareTest {
+class RetryBudgetShareTest {
     private static final long WINDOW_MILLIS = 10_000;
 
     /** Guards against entries that together exceed the shared retry budget in some window. */
--- a/core/src/test/java/dev/wigeonward/core/cap/TenantCapTest.java
+++ b/core/src/test/java/dev/wigeonward/core/cap/WorkspaceUsageCapTest.java
@@ -12,7 +12,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class TenantCapTest {
+class WorkspaceUsageCapTest {
     private static final long RATE = 50_000;
     private static final long CAPACITY = 60_000;
     private static final int WINDOW_SECONDS = 8;
@@ -27,8 +27,8 @@
     void connectedEntriesStayWithinTheCap(
             @ForAll long seed,
             @ForAll @IntRange(min = 2, max = 6) int entries,
-            @ForAll @DoubleRange(min = 1.2, max = 6) double demand) {
-        List<Long> admitted = simulate(new Random(seed), entries, demand, true);
+            @ForAll @DoubleRange(min = 1.2, max = 6) double load) {
+        List<Long> admitted = simulate(new Random(seed), entries, load, true);
         for (int start = 0; start + WINDOW_SECONDS <= SECONDS; start++) {
             long used = admitted.subList(start, start + WINDOW_SECONDS).stream()
                     .mapToLong(Long::longValue)
@@ -37,9 +37,9 @@
         }
     }
 
-    /** Guards against refusals below the cap when the requests of the tenant arrive unevenly at the entries. */
+    /** Guards against refusals below the cap when the requests of the workspace arrive unevenly at the entries. */
     @Property(tries = 40)
-    void demandAboveTheCapUsesItUp(@ForAll long seed, @ForAll @IntRange(min = 2, max = 6) int entries) {
+    void loadAboveTheCapUsesItUp(@ForAll long seed, @ForAll @IntRange(min = 2, max = 6) int entries) {
         List<Long> admitted = simulate(new Random(seed), entries, 2.5, true);
         long used = admitted.stream().mapToLong(Long::longValue).sum();
 
@@ -55,8 +55,12 @@
         assertThat((double) used).isLessThan(0.8 * RATE * SECONDS);
     }
 
-    /** Simulates requests distributed unevenly over the entries and returns the usage admitted in each second. */
-    private static List<Long> simulate(Random random, int entries, double demand, boolean connected) {
+    /**
+     * Simulates requests distributed unevenly over the entries and returns the usage admitted in each second.
+     *
+     * @param load offered usage as a multiple of the cap's rate
+     */
+    private static List<Long> simulate(Random random, int entries, double load, boolean connected) {
         List<WorkspaceUsageCap> caps = new ArrayList<>();
         for (int entry = 0; entry < entries; entry++) {
             caps.add(WorkspaceUsageCap.create(RATE, CAPACITY, entries, 0));
@@ -65,7 +69,7 @@
         List<Long> admitted = new ArrayList<>();
         long admittedInSecond = 0;
         for (long now = 0; now < SECONDS * 1_000; now += STEP_MILLIS) {
-            double remaining = demand * RATE * STEP_MILLIS / 1_000;
+            double remaining = load * RATE * STEP_MILLIS / 1_000;
             while (remaining > 0) {
                 long usage = 200 + random.nextInt(8_000);
                 remaining -= usage;
--- a/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
@@ -31,15 +31,15 @@
     private static final int AGENTS = 3;
     private static final int STEPS = 400;
 
-    /** Faults of a core, each of which must violate the invariant. */
+    /** Faults of the membership, each of which must violate the invariant. */
     private enum Fault {
         IGNORES_ANNOUNCEMENTS,
         IGNORES_VM_LIST,
-        IGNORES_SILENCE,
+        IGNORES_LINK_TIMEOUTS,
         RESUMES_LISTED_AGENTS
     }
 
-    /** Returns the event that the faulty core receives in place of the given one, or null if it receives none. */
+    /** Returns the event that the faulty membership receives in place of the given one, or null if it receives none. */
     private static MembershipEvent applyFault(Fault fault, MembershipEvent event) {
         return switch (fault) {
             case IGNORES_ANNOUNCEMENTS -> event instanceof LeavingAnnounced ? null : event;
@@ -51,7 +51,7 @@
                                         .map(vm -> withLeaving(vm, false))
                                         .toList())
                         : event;
-            case IGNORES_SILENCE -> event instanceof Tick ? null : event;
+            case IGNORES_LINK_TIMEOUTS -> event instanceof Tick ? null : event;
             case RESUMES_LISTED_AGENTS -> event;
         };
     }
@@ -60,13 +60,13 @@
         return new ListedVm(vm.id(), vm.role(), vm.pool(), vm.address(), leaving);
     }
 
-    /** A random sequence of events at one entry, with the agents that the core would dispatch to. */
+    /** A random sequence of events at one entry, with the agents that the entry would dispatch to. */
     private static final class History {
         private final Random random;
-        private final UpstreamMembership core;
+        private final UpstreamMembership membership;
         private final Function<MembershipEvent, MembershipEvent> filter;
         private final boolean resumesListed;
-        /** Whether the adapter uses a new link before it consults the core, as the dispatcher does. */
+        /** Whether the adapter uses a new link before it consults the membership, as the dispatcher does. */
         private final boolean startsOnLinkUp;
 
         private final Map<String, Long> inUse = new HashMap<>();
@@ -85,7 +85,7 @@
                 boolean resumesListed,
                 boolean startsOnLinkUp) {
             this.random = new Random(seed);
-            this.core = UpstreamMembership.create("e", new Random(seed + 1));
+            this.membership = UpstreamMembership.create("e", new Random(seed + 1));
             this.filter = filter;
             this.resumesListed = resumesListed;
             this.startsOnLinkUp = startsOnLinkUp;
@@ -184,7 +184,7 @@
             if (filtered == null) {
                 return;
             }
-            for (MembershipEffect effect : core.handle(filtered, nowMillis)) {
+            for (MembershipEffect effect : membership.handle(filtered, nowMillis)) {
                 if (effect instanceof StartNewWork start) {
                     inUse.put(start.upstreamId(), start.incarnation());
                 } else if (effect instanceof StopDispatch stop) {
@@ -219,7 +219,7 @@
 
     @ParameterizedTest
     @EnumSource(Fault.class)
-    void checkFailsForFaultyCores(Fault fault) {
+    void checkFailsForFaultyMembership(Fault fault) {
         assertThatThrownBy(() -> {
                     for (long seed = 0; seed < 50; seed++) {
                         new History(
