--- a/core/src/main/java/dev/wigeonward/core/placement/EarliestCompletion.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/EarliestCompletion.java
@@ -21,12 +21,12 @@
     static final int MAX_HOLDERS_EXAMINED = 8;
 
     private final RandomGenerator random;
-    private final PrefixIndex prefixes;
+    private final PrefixIndex prefixIndex;
     private final DomainLatency latency;
 
-    private EarliestCompletion(RandomGenerator random, PrefixIndex prefixes, DomainLatency latency) {
+    private EarliestCompletion(RandomGenerator random, PrefixIndex prefixIndex, DomainLatency latency) {
         this.random = Objects.requireNonNull(random, "random");
-        this.prefixes = Objects.requireNonNull(prefixes, "prefixes");
+        this.prefixIndex = Objects.requireNonNull(prefixIndex, "prefixIndex");
         this.latency = Objects.requireNonNull(latency, "latency");
     }
 
@@ -34,8 +34,8 @@
      * Returns a policy that records each choice in the prefix index, because the engine caches the prefix when it runs
      * the request, and the cache event of the engine arrives late.
      */
-    public static EarliestCompletion create(RandomGenerator random, PrefixIndex prefixes, DomainLatency latency) {
-        return new EarliestCompletion(random, prefixes, latency);
+    public static EarliestCompletion create(RandomGenerator random, PrefixIndex prefixIndex, DomainLatency latency) {
+        return new EarliestCompletion(random, prefixIndex, latency);
     }
 
     @Override
@@ -54,13 +54,13 @@
         if (prefixHash == 0) {
             return Optional.of(best);
         }
-        for (String holder : prefixes.recentHolders(prefixHash, MAX_HOLDERS_EXAMINED)) {
+        for (String holder : prefixIndex.recentHolders(prefixHash, MAX_HOLDERS_EXAMINED)) {
             Optional<UpstreamLoadState> state = pool.find(holder);
             if (state.isPresent()) {
                 best = earlier(best, estimate(request, state.get(), nowMillis));
             }
         }
-        prefixes.onPlaced(best.upstreamId(), prefixHash);
+        prefixIndex.onPlaced(best.upstreamId(), prefixHash);
         return Optional.of(best);
     }
 
@@ -69,7 +69,7 @@
         WorkEstimate work = request.work();
         EngineSpeed speed = description.speed();
         long serviceMillis = work.serviceMillis(speed);
-        if (work.prefixHash() != 0 && prefixes.holds(description.upstreamId(), work.prefixHash())) {
+        if (work.prefixHash() != 0 && prefixIndex.holds(description.upstreamId(), work.prefixHash())) {
             serviceMillis = Math.max(1, serviceMillis - PrefixIndex.savedMillis(work, speed));
         }
         long waitMillis = state.waitMillis(nowMillis) + latency.extraMillis(description.failureDomain());
--- a/core/src/main/java/dev/wigeonward/core/placement/KeyAffinity.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/KeyAffinity.java
@@ -7,8 +7,8 @@
 
 /**
  * Policy that places idempotent requests with a key by rendezvous hashing of the key and all others by a fallback
- * policy. A resent request thus reaches the agent that already has it. Removing a member moves only the keys placed at
- * it. Takes time linear in the pool's size for requests with a key.
+ * policy. A resent request thus reaches the agent that already has it. Removing a member reassigns only the keys placed
+ * at it. Takes time linear in the pool's size for requests with a key.
  */
 public final class KeyAffinity implements PlacementPolicy {
     private final PlacementPolicy fallback;
--- a/core/src/main/java/dev/wigeonward/core/placement/LinkSubset.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/LinkSubset.java
@@ -9,10 +9,10 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Selection of the agents of a pool to which an entry opens links. Each agent is linked from the k entries of highest
- * rendezvous weight. Random weights alone leave some entries with few links or none, so each entry also links to the
- * four agents that have the highest weight for it. Both rules depend only on the ids, so that all processes with the
- * same lists compute the same links.
+ * Selection of the agents of a pool to which an entry opens links. Each agent is linked from the entries of highest
+ * rendezvous weight, as many as {@link #entriesPerAgent} returns. Random weights alone leave some entries with few
+ * links or none, so each entry also links to the four agents that have the highest weight for it. Both rules depend
+ * only on the ids, so that all processes with the same lists compute the same links.
  */
 public final class LinkSubset {
     /** Minimum number of links to an agent, unless there are fewer entries. */
@@ -53,7 +53,7 @@
         return List.copyOf(linked);
     }
 
-    /** Returns the number of agents that select the entry by their weights alone; used to measure that rule. */
+    /** Returns the number of agents that select the entry, without the links that the entry adds; for measurements. */
     public static long countLinksSelectedByAgents(
             String entryId, Collection<String> entries, Collection<String> agents) {
         return selectedBy(entryId, entries, agents).size();
--- a/core/src/main/java/dev/wigeonward/core/placement/LoadReport.java
+++ b/core/src/main/java/dev/wigeonward/core/placement/LoadReport.java
@@ -5,7 +5,7 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Load reported by an agent; at least as old as its transmission time.
+ * Load that an agent reported; outdated at least by the time that the report took to arrive.
  *
  * @param backlogMillis time to serve all queued and running requests of all entries, divided by the number of slots
  * @param running number of requests in the engine
--- a/core/src/main/java/dev/wigeonward/core/schedule/ObservedUnitTime.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ObservedUnitTime.java
@@ -13,7 +13,7 @@
     public ObservedUnitTime {
         Preconditions.checkArgument(
                 unitTimeMillis > 0,
-                "unitMillis of upstream lifetime %s must be positive but was %s",
+                "unitTimeMillis of upstream lifetime %s must be positive but was %s",
                 lifetimeId,
                 unitTimeMillis);
     }
--- a/core/src/main/java/dev/wigeonward/core/schedule/ScheduledRequest.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ScheduledRequest.java
@@ -218,8 +218,8 @@
         }
 
         /** Sets the constraint on the versions that may serve the request. */
-        public Builder versions(VersionConstraint bound) {
-            versions = bound;
+        public Builder versions(VersionConstraint constraint) {
+            versions = constraint;
             return this;
         }
 
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -26,34 +26,34 @@
      * entries.
      */
     private static final double RESERVED_SLOT_FRACTION = 0.15;
-    /** Expected loss above which a placement is deferred while the request may still wait for a better one. */
-    private static final double DEFERRAL_LOSS = 0.45;
-    /** Expected loss above which an upstream is not chosen at all, because the answer would be of no use. */
-    private static final double MAX_LOSS = 1.4;
+    /** Expected cost above which a placement is deferred while the request may still wait for a better one. */
+    private static final double DEFERRAL_COST = 0.45;
+    /** Expected cost above which an upstream is not chosen at all, because the answer would be of no use. */
+    private static final double MAX_COST = 1.4;
     /** Fraction of the maximum wait after which placements are no longer deferred. */
     private static final double DEFERRAL_FRACTION = 0.6;
 
     /** Time for which an upstream gets no requests after it reported that it is full. */
     private static final long FULL_PAUSE_MILLIS = 60;
-    /** Output is overdue after this time plus {@link #SILENCE_FACTOR} times the expected time. */
-    private static final long MIN_SILENCE_MILLIS = 400;
+    /** Output is overdue after this time plus {@link #OVERDUE_FACTOR} times the expected time. */
+    private static final long MIN_OVERDUE_MILLIS = 400;
 
-    private static final double SILENCE_FACTOR = 4.0;
+    private static final double OVERDUE_FACTOR = 4.0;
     /** Time constant of the moving average of the placement rate, in milliseconds. */
     private static final double RATE_TIME_CONSTANT_MILLIS = 1_000;
 
     /** Lower bound on the placement rate from which the expected wait is computed. */
     private static final double MIN_PLACEMENTS_PER_MILLI = 0.002;
 
-    private final Map<String, UpstreamLoad> setUpstreams = new HashMap<>();
+    private final Map<String, UpstreamLoad> upstreamLoads = new HashMap<>();
     private final WaitingRequests waiting = new WaitingRequests();
     private final ServiceTimeModel timeModel = new ServiceTimeModel();
-    private final PlacementCost loss;
+    private final PlacementCost placementCost;
     private double placementsPerMilli = MIN_PLACEMENTS_PER_MILLI;
     private long rateUpdatedAtMillis;
 
     private ServiceScheduler(String zone) {
-        this.loss = new PlacementCost(timeModel, zone);
+        this.placementCost = new PlacementCost(timeModel, zone);
     }
 
     /** Returns a scheduler without upstreams for an entry in the given zone. */
@@ -63,66 +63,66 @@
 
     /** Replaces the list of upstreams; the state of an upstream is kept if its lifetime and address are unchanged. */
     public void setUpstreams(Collection<Upstream> listed) {
-        Map<String, UpstreamLoad> previous = new HashMap<>(setUpstreams);
-        setUpstreams.clear();
+        Map<String, UpstreamLoad> previous = new HashMap<>(upstreamLoads);
+        upstreamLoads.clear();
         for (Upstream upstream : listed) {
-            UpstreamLoad known = previous.get(upstream.id());
-            if (known != null && known.upstream().sameLifetime(upstream)) {
-                known.setUpstream(upstream);
-                setUpstreams.put(upstream.id(), known);
+            UpstreamLoad existing = previous.get(upstream.id());
+            if (existing != null && existing.upstream().sameLifetime(upstream)) {
+                existing.setUpstream(upstream);
+                upstreamLoads.put(upstream.id(), existing);
             } else {
-                setUpstreams.put(upstream.id(), new UpstreamLoad(upstream));
+                upstreamLoads.put(upstream.id(), new UpstreamLoad(upstream));
             }
         }
     }
 
     /** Replaces the load that other entries reported for each upstream, looked up by its identifier. */
     public void updatePeerLoads(Function<String, EntryLoad> loads) {
-        setUpstreams.forEach((id, load) -> {
+        upstreamLoads.forEach((id, load) -> {
             EntryLoad reported = loads.apply(id);
             load.setPeerLoad(reported.requests(), reported.promptTokens());
         });
     }
 
     /** Adopts the unit times observed by other entries where they are newer than those of this entry. */
-    public void adoptNewerUnitTimes(Collection<ObservedUnitTime> units, long nowMillis) {
+    public void adoptNewerUnitTimes(Collection<ObservedUnitTime> unitTimes, long nowMillis) {
         Map<String, ObservedUnitTime> byLifetime = new HashMap<>();
-        units.forEach(unit -> byLifetime.put(unit.lifetimeId(), unit));
-        for (UpstreamLoad load : setUpstreams.values()) {
-            ObservedUnitTime unit = byLifetime.get(load.upstream().lifetimeId());
-            if (unit != null) {
-                load.adoptUnit(unit.unitTimeMillis(), nowMillis - unit.ageMillis());
+        unitTimes.forEach(unitTime -> byLifetime.put(unitTime.lifetimeId(), unitTime));
+        for (UpstreamLoad load : upstreamLoads.values()) {
+            ObservedUnitTime unitTime = byLifetime.get(load.upstream().lifetimeId());
+            if (unitTime != null) {
+                load.adoptUnitTime(unitTime.unitTimeMillis(), nowMillis - unitTime.ageMillis());
             }
         }
     }
 
     /** Returns the unit times of all upstreams that have one. */
     public List<ObservedUnitTime> unitTimes(long nowMillis) {
-        return setUpstreams.values().stream()
-                .flatMap(load -> load.learnedUnit(nowMillis).stream())
+        return upstreamLoads.values().stream()
+                .flatMap(load -> load.observedUnitTime(nowMillis).stream())
                 .toList();
     }
 
-    /** Returns the unit times that have changed notably since they were last returned here or adopted. */
+    /** Returns the unit times that have changed notably since last returned here or adopted, to keep reports small. */
     public List<ObservedUnitTime> takeChangedUnitTimes(long nowMillis) {
-        return setUpstreams.values().stream()
-                .flatMap(load -> load.takeChangedUnit(nowMillis).stream())
+        return upstreamLoads.values().stream()
+                .flatMap(load -> load.takeChangedUnitTime(nowMillis).stream())
                 .toList();
     }
 
     /** Adds a request to the queue; {@link #decide} returns the decision on it. */
-    public void offer(ScheduledRequest demand) {
+    public void offer(ScheduledRequest request) {
         Preconditions.checkArgument(
-                demand.objectiveMillis() > 0,
+                request.objectiveMillis() > 0,
                 "objectiveMillis of a request of kind %s must be positive but was %s",
-                demand.kind(),
-                demand.objectiveMillis());
-        waiting.add(demand);
+                request.kind(),
+                request.objectiveMillis());
+        waiting.add(request);
     }
 
     /** Removes a waiting request from the queue and returns whether it was waiting. */
-    public boolean remove(ScheduledRequest demand) {
-        return waiting.remove(demand);
+    public boolean remove(ScheduledRequest request) {
+        return waiting.remove(request);
     }
 
     /** Returns the decisions that are due: placements on free upstreams and refusals. */
@@ -134,51 +134,52 @@
         while (decideOne(decisions, nowMillis)) {
             // Each placement changes the loads that the next comparison uses, so requests are placed one at a time.
         }
-        for (ScheduledRequest demand : waiting.removeOverdue(this::maxWaitMillis, nowMillis)) {
-            refuse(demand, RefusalReason.WAITED_TOO_LONG, decisions);
+        for (ScheduledRequest request : waiting.removeOverdue(this::maxWaitMillis, nowMillis)) {
+            refuse(request, RefusalReason.WAITED_TOO_LONG, decisions);
         }
         return decisions;
     }
 
     /** Makes at most one decision and returns whether it made one. */
     private boolean decideOne(List<Decision> decisions, long nowMillis) {
-        boolean anyUpstream =
-                setUpstreams.values().stream().anyMatch(load -> !load.upstream().draining());
-        for (ScheduledRequest demand : waiting.candidates(nowMillis)) {
+        boolean anyUpstream = upstreamLoads.values().stream()
+                .anyMatch(load -> !load.upstream().draining());
+        for (ScheduledRequest request : waiting.candidates(nowMillis)) {
             if (!anyUpstream) {
-                waiting.remove(demand);
-                refuse(demand, RefusalReason.NO_UPSTREAM, decisions);
+                waiting.remove(request);
+                refuse(request, RefusalReason.NO_UPSTREAM, decisions);
                 return true;
             }
-            Optional<UpstreamLoad> best = findBest(demand, nowMillis);
+            Optional<UpstreamLoad> best = findBest(request, nowMillis);
             if (best.isPresent()) {
-                waiting.remove(demand);
-                place(demand, best.get(), decisions, nowMillis);
+                waiting.remove(request);
+                place(request, best.get(), decisions, nowMillis);
                 return true;
             }
-            if (!demand.isPastObjective(nowMillis) && expectedWaitMillis(demand, nowMillis) > maxWaitMillis(demand)) {
-                waiting.remove(demand);
-                refuse(demand, RefusalReason.QUEUE_TOO_LONG, decisions);
+            if (!request.isPastObjective(nowMillis)
+                    && expectedWaitMillis(request, nowMillis) > maxWaitMillis(request)) {
+                waiting.remove(request);
+                refuse(request, RefusalReason.QUEUE_TOO_LONG, decisions);
                 return true;
             }
         }
         return false;
     }
 
-    private long maxWaitMillis(ScheduledRequest demand) {
-        return (long) (MAX_WAIT_FRACTION * demand.objectiveMillis());
+    private long maxWaitMillis(ScheduledRequest request) {
+        return (long) (MAX_WAIT_FRACTION * request.objectiveMillis());
     }
 
-    private void place(ScheduledRequest demand, UpstreamLoad load, List<Decision> decisions, long nowMillis) {
-        double typicalMillis = demand.isStreaming()
-                ? timeModel.firstEventMillis(load.pendingPromptTokens() + demand.promptTokens())
-                : timeModel.unitMillis();
-        demand.recordPlacement(load, timeModel.slowness(load), typicalMillis, nowMillis);
-        load.add(demand);
-        waiting.onOutcome(demand, true);
+    private void place(ScheduledRequest request, UpstreamLoad load, List<Decision> decisions, long nowMillis) {
+        double typicalMillis = request.isStreaming()
+                ? timeModel.firstEventMillis(load.pendingPromptTokens() + request.promptTokens())
+                : timeModel.unitTimeMillis();
+        request.recordPlacement(load, timeModel.slowness(load), typicalMillis, nowMillis);
+        load.add(request);
+        waiting.onOutcome(request, true);
         decayPlacementRate(nowMillis);
         placementsPerMilli += 1 / RATE_TIME_CONSTANT_MILLIS;
-        decisions.add(new Decision.Placed(demand, load.upstream()));
+        decisions.add(new Decision.Placed(request, load.upstream()));
     }
 
     private void decayPlacementRate(long nowMillis) {
@@ -186,31 +187,32 @@
         rateUpdatedAtMillis = nowMillis;
     }
 
-    private void refuse(ScheduledRequest demand, RefusalReason reason, List<Decision> decisions) {
-        waiting.onOutcome(demand, false);
-        decisions.add(new Decision.Refused(demand, reason));
+    private void refuse(ScheduledRequest request, RefusalReason reason, List<Decision> decisions) {
+        waiting.onOutcome(request, false);
+        decisions.add(new Decision.Refused(request, reason));
     }
 
-    private double expectedWaitMillis(ScheduledRequest demand, long nowMillis) {
+    private double expectedWaitMillis(ScheduledRequest request, long nowMillis) {
         decayPlacementRate(nowMillis);
-        return waiting.othersUpToRank(demand) / Math.max(MIN_PLACEMENTS_PER_MILLI, placementsPerMilli);
+        return waiting.othersUpToRank(request) / Math.max(MIN_PLACEMENTS_PER_MILLI, placementsPerMilli);
     }
 
     /**
-     * Returns the upstream with a free slot and the lowest expected loss, or empty if the request should wait. If all
+     * Returns the upstream with a free slot and the lowest expected cost, or empty if the request should wait. If all
      * upstreams that may serve the request are paused, returns the result of {@link #findFallback}.
      */
-    private Optional<UpstreamLoad> findBest(ScheduledRequest demand, long nowMillis) {
-        demand.setExpectedEvents(timeModel.expectedEvents(demand.expectedOutputTokens()));
+    private Optional<UpstreamLoad> findBest(ScheduledRequest request, long nowMillis) {
+        request.setExpectedEvents(timeModel.expectedEvents(request.expectedOutputTokens()));
         UpstreamLoad best = null;
-        double least =
-                demand.ageMillis(nowMillis) > DEFERRAL_FRACTION * maxWaitMillis(demand) ? MAX_LOSS : DEFERRAL_LOSS;
+        double lowestCost =
+                request.ageMillis(nowMillis) > DEFERRAL_FRACTION * maxWaitMillis(request) ? MAX_COST : DEFERRAL_COST;
         boolean anyUnpaused = false;
-        boolean reserved = freeSlotFraction(nowMillis) <= RESERVED_SLOT_FRACTION * waiting.shareOfMoreUrgent(demand);
+        boolean reserved =
+                freeSlotFraction(nowMillis) <= RESERVED_SLOT_FRACTION * waiting.requestShareOfMoreUrgentKinds(request);
         double meanFailureRatio = meanFailureRatio();
-        boolean anySuitable = anySuitable(demand);
-        for (UpstreamLoad load : setUpstreams.values()) {
-            if (!mayServe(demand, load, anySuitable)) {
+        boolean firstChoiceAvailable = hasFirstChoice(request);
+        for (UpstreamLoad load : upstreamLoads.values()) {
+            if (!mayServe(request, load, firstChoiceAvailable)) {
                 continue;
             }
             boolean paused = load.paused(nowMillis) || hasOverdueOutput(load, nowMillis);
@@ -218,36 +220,36 @@
             if (paused || reserved || load.outstanding() >= load.upstream().slots()) {
                 continue;
             }
-            double expected = loss.expectedLoss(demand, load, meanFailureRatio, nowMillis);
-            if (expected < least) {
-                least = expected;
+            double cost = placementCost.expectedCost(request, load, meanFailureRatio, nowMillis);
+            if (cost < lowestCost) {
+                lowestCost = cost;
                 best = load;
             }
         }
         if (best == null && !anyUnpaused) {
-            return findFallback(demand);
+            return findFallback(request);
         }
         return Optional.ofNullable(best);
     }
 
-    private boolean anySuitable(ScheduledRequest demand) {
-        return setUpstreams.values().stream()
+    private boolean hasFirstChoice(ScheduledRequest request) {
+        return upstreamLoads.values().stream()
                 .map(UpstreamLoad::upstream)
-                .anyMatch(upstream -> !upstream.draining() && demand.versions().isFirstChoice(upstream.version()));
+                .anyMatch(upstream -> !upstream.draining() && request.versions().isFirstChoice(upstream.version()));
     }
 
-    /** Returns whether the version, the state and the exclusions of the request allow the upstream to serve it. */
-    private static boolean mayServe(ScheduledRequest demand, UpstreamLoad load, boolean anySuitable) {
+    /** Returns whether the upstream has a suitable version, is not draining and is not excluded by the request. */
+    private static boolean mayServe(ScheduledRequest request, UpstreamLoad load, boolean firstChoiceAvailable) {
         Upstream upstream = load.upstream();
-        boolean rightVersion = anySuitable
-                ? demand.versions().isFirstChoice(upstream.version())
-                : demand.versions().allows(upstream.version());
-        return rightVersion && !upstream.draining() && !demand.isExcluded(upstream.id());
+        boolean rightVersion = firstChoiceAvailable
+                ? request.versions().isFirstChoice(upstream.version())
+                : request.versions().allows(upstream.version());
+        return rightVersion && !upstream.draining() && !request.isExcluded(upstream.id());
     }
 
     /** Returns the number of requests of all entries at upstreams of other versions than the given one. */
     public int outstandingAtOtherVersions(String version) {
-        return setUpstreams.values().stream()
+        return upstreamLoads.values().stream()
                 .filter(load -> !load.upstream().version().equals(version))
                 .mapToInt(UpstreamLoad::outstanding)
                 .sum();
@@ -257,7 +259,7 @@
     private double freeSlotFraction(long nowMillis) {
         double slots = 0;
         double free = 0;
-        for (UpstreamLoad load : setUpstreams.values()) {
+        for (UpstreamLoad load : upstreamLoads.values()) {
             if (!load.upstream().draining() && !load.paused(nowMillis)) {
                 slots += load.upstream().slots();
                 free += Math.max(0, load.upstream().slots() - load.outstanding());
@@ -268,21 +270,21 @@
 
     private double meanFailureRatio() {
         double sum = 0;
-        for (UpstreamLoad load : setUpstreams.values()) {
+        for (UpstreamLoad load : upstreamLoads.values()) {
             sum += load.failureRatio();
         }
-        return sum / Math.max(1, setUpstreams.size());
+        return sum / Math.max(1, upstreamLoads.size());
     }
 
     /**
      * Returns the upstream with the lowest failure ratio, including paused ones. Used when all upstreams are paused:
      * they may have recovered, and only another request can show it.
      */
-    private Optional<UpstreamLoad> findFallback(ScheduledRequest demand) {
+    private Optional<UpstreamLoad> findFallback(ScheduledRequest request) {
         UpstreamLoad best = null;
-        boolean anySuitable = anySuitable(demand);
-        for (UpstreamLoad load : setUpstreams.values()) {
-            if (!mayServe(demand, load, anySuitable)
+        boolean firstChoiceAvailable = hasFirstChoice(request);
+        for (UpstreamLoad load : upstreamLoads.values()) {
+            if (!mayServe(request, load, firstChoiceAvailable)
                     || load.outstanding() >= load.upstream().slots()) {
                 continue;
             }
@@ -295,25 +297,25 @@
 
     /** Returns whether output for a request of this entry is overdue, so that the upstream may have stopped. */
     private boolean hasOverdueOutput(UpstreamLoad load, long nowMillis) {
-        for (ScheduledRequest demand : load.running()) {
-            if (isOutputOverdue(demand, load, nowMillis)) {
+        for (ScheduledRequest request : load.running()) {
+            if (isOutputOverdue(request, load, nowMillis)) {
                 return true;
             }
         }
         return false;
     }
 
-    private boolean isOutputOverdue(ScheduledRequest demand, UpstreamLoad load, long nowMillis) {
-        long since = Math.max(demand.placedAtMillis(), load.lastOutputAtMillis());
-        double units = demand.isStreaming() && !demand.firstEventReceived()
-                ? timeModel.firstEventMillis(demand.promptTokensAhead() + demand.promptTokens())
-                : timeModel.unitMillis();
-        return nowMillis - since > MIN_SILENCE_MILLIS + SILENCE_FACTOR * timeModel.slowness(load) * units;
+    private boolean isOutputOverdue(ScheduledRequest request, UpstreamLoad load, long nowMillis) {
+        long since = Math.max(request.placedAtMillis(), load.lastOutputAtMillis());
+        double expectedMillis = request.isStreaming() && !request.firstEventReceived()
+                ? timeModel.firstEventMillis(request.promptTokensAhead() + request.promptTokens())
+                : timeModel.unitTimeMillis();
+        return nowMillis - since > MIN_OVERDUE_MILLIS + OVERDUE_FACTOR * timeModel.slowness(load) * expectedMillis;
     }
 
     /** Returns the upstreams that are excluded from placement until {@link #resume} is called for them. */
     public List<Upstream> suspended() {
-        return setUpstreams.values().stream()
+        return upstreamLoads.values().stream()
                 .filter(UpstreamLoad::suspended)
                 .map(UpstreamLoad::upstream)
                 .toList();
@@ -321,7 +323,7 @@
 
     /** Includes an upstream in placement again after it accepts connections. */
     public void resume(String upstreamId) {
-        UpstreamLoad load = setUpstreams.get(upstreamId);
+        UpstreamLoad load = upstreamLoads.get(upstreamId);
         if (load != null) {
             load.resume();
         }
@@ -329,52 +331,52 @@
 
     /** Excludes an upstream from placement because it does not accept connections. */
     public void suspend(String upstreamId) {
-        UpstreamLoad load = setUpstreams.get(upstreamId);
+        UpstreamLoad load = upstreamLoads.get(upstreamId);
         if (load != null) {
             load.suspend();
         }
     }
 
     /** Records the first event of a stream and updates the estimated time to the first event with it. */
-    public void onFirstEvent(ScheduledRequest demand, long nowMillis) {
-        UpstreamLoad load = placedLoad(demand);
+    public void onFirstEvent(ScheduledRequest request, long nowMillis) {
+        UpstreamLoad load = placedLoad(request);
         load.onOutput(nowMillis);
-        if (demand.firstEventReceived()) {
+        if (request.firstEventReceived()) {
             return;
         }
         // Prompt tokens ahead may come from other entries; their count is known with a delay and would skew the fit.
-        if (demand.promptTokensAhead() == 0) {
-            double observed = nowMillis - demand.placedAtMillis();
-            timeModel.observeFirstEvent(demand.promptTokens(), observed / timeModel.slowness(load));
+        if (request.promptTokensAhead() == 0) {
+            double observed = nowMillis - request.placedAtMillis();
+            timeModel.observeFirstEvent(request.promptTokens(), observed / timeModel.slowness(load));
         }
-        demand.markFirstEventReceived();
+        request.markFirstEventReceived();
     }
 
     /** Records that the upstream sent output for the request. */
-    public void onOutput(ScheduledRequest demand, long nowMillis) {
-        placedLoad(demand).onOutput(nowMillis);
+    public void onOutput(ScheduledRequest request, long nowMillis) {
+        placedLoad(request).onOutput(nowMillis);
     }
 
-    /** Updates the unit time of the upstream with the mean pause between several events of a stream. */
-    public void onEventIntervals(ScheduledRequest demand, double meanPauseMillis, long nowMillis) {
-        placedLoad(demand).observeUnit(meanPauseMillis, nowMillis);
+    /** Updates the unit time of the upstream with the mean interval between several events of a stream. */
+    public void onEventIntervals(ScheduledRequest request, double meanIntervalMillis, long nowMillis) {
+        placedLoad(request).observeUnitTime(meanIntervalMillis, nowMillis);
     }
 
     /** Updates the estimate of the events per output token with the length of a completed stream. */
-    public void onStreamLength(ScheduledRequest demand, long events) {
-        timeModel.observeLength(demand.expectedOutputTokens(), events);
+    public void onStreamLength(ScheduledRequest request, long events) {
+        timeModel.observeLength(request.expectedOutputTokens(), events);
     }
 
     /** Records the outcome of a request and frees its slot at the upstream. */
-    public void onEnded(ScheduledRequest demand, Outcome outcome, long nowMillis) {
-        UpstreamLoad load = placedLoad(demand);
-        load.remove(demand);
+    public void onEnded(ScheduledRequest request, Outcome outcome, long nowMillis) {
+        UpstreamLoad load = placedLoad(request);
+        load.remove(request);
         switch (outcome) {
             case ANSWERED -> {
                 load.onOutput(nowMillis);
                 load.onSuccess();
-                if (!demand.isStreaming()) {
-                    load.observeUnit(Math.max(1, nowMillis - demand.placedAtMillis()), nowMillis);
+                if (!request.isStreaming()) {
+                    load.observeUnitTime(Math.max(1, nowMillis - request.placedAtMillis()), nowMillis);
                 }
             }
             case FAILED -> load.onFailure();
@@ -384,7 +386,7 @@
                 load.suspend();
             }
             case LEFT -> {
-                if (isOutputOverdue(demand, load, nowMillis)) {
+                if (isOutputOverdue(request, load, nowMillis)) {
                     load.onFailure();
                     load.suspend();
                 }
@@ -393,21 +395,21 @@
         }
     }
 
-    private static UpstreamLoad placedLoad(ScheduledRequest demand) {
-        return demand.placedOn()
+    private static UpstreamLoad placedLoad(ScheduledRequest request) {
+        return request.placedOn()
                 .orElseThrow(() -> new IllegalStateException(
-                        "request of kind " + demand.kind() + " must be placed on an upstream but was never placed"));
+                        "request of kind " + request.kind() + " must be placed on an upstream but was never placed"));
     }
 
     /** Recomputes the typical unit time, relative to which upstreams are compared; called several times a second. */
     public void updateTypicalUnitTime() {
-        timeModel.updateUnitMillis(setUpstreams.values());
+        timeModel.updateUnitTimeMillis(upstreamLoads.values());
     }
 
     /** Returns the load of this entry at each upstream where it has requests, for reports to its peers. */
     public List<EntryLoad> ownLoads() {
         List<EntryLoad> loads = new ArrayList<>();
-        for (UpstreamLoad load : setUpstreams.values()) {
+        for (UpstreamLoad load : upstreamLoads.values()) {
             if (!load.running().isEmpty()) {
                 loads.add(new EntryLoad(load.upstream().id(), load.running().size(), load.ownPendingPromptTokens()));
             }
@@ -422,7 +424,7 @@
 
     /** Returns one line for each upstream with its load, slowness and failure ratio, for a dump. */
     public List<String> dumpLines(long nowMillis) {
-        return setUpstreams.values().stream()
+        return upstreamLoads.values().stream()
                 .map(load -> load.dumpLine(timeModel.slowness(load), nowMillis))
                 .sorted()
                 .toList();
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceTimeModel.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceTimeModel.java
@@ -21,7 +21,7 @@
     /** Largest factor by which one observation may differ from the estimate; limits the effect of an outlier. */
     private static final double MAX_STEP_FACTOR = 2.5;
 
-    private static final double UNIT_PRIOR_MILLIS = 20;
+    private static final double UNIT_TIME_PRIOR_MILLIS = 20;
     private static final double MIN_PER_TOKEN_MILLIS = 0.000_5;
     /** Initial estimate of the events per output token: engines commonly send a few tokens in one event. */
     private static final double EVENTS_PER_TOKEN_PRIOR = 0.25;
@@ -35,7 +35,7 @@
     private double sumTokensMillis;
     private double firstEventMillis = FIRST_EVENT_PRIOR_MILLIS;
     private double perTokenMillis = FIRST_EVENT_PER_TOKEN_PRIOR_MILLIS;
-    private double unitMillis = UNIT_PRIOR_MILLIS;
+    private double unitTimeMillis = UNIT_TIME_PRIOR_MILLIS;
     private double observedEvents = EVENTS_PRIOR;
     private double observedTokens = EVENTS_PRIOR / EVENTS_PER_TOKEN_PRIOR;
 
@@ -54,8 +54,8 @@
     }
 
     /** Returns the typical time between two events, or of a plain call, in milliseconds. */
-    double unitMillis() {
-        return unitMillis;
+    double unitTimeMillis() {
+        return unitTimeMillis;
     }
 
     /** Updates the linear fit with a time to the first event that is normalized by the slowness of its upstream. */
@@ -103,19 +103,19 @@
     }
 
     /** Sets the typical unit time to the median of the estimated unit times of all upstreams, if there are any. */
-    void updateUnitMillis(Collection<UpstreamLoad> upstreams) {
-        double[] units = upstreams.stream()
-                .filter(load -> load.unitMillis().isPresent())
-                .mapToDouble(load -> load.unitMillis().getAsDouble())
+    void updateUnitTimeMillis(Collection<UpstreamLoad> upstreams) {
+        double[] sortedMillis = upstreams.stream()
+                .filter(load -> load.unitTimeMillis().isPresent())
+                .mapToDouble(load -> load.unitTimeMillis().getAsDouble())
                 .sorted()
                 .toArray();
-        if (units.length > 0) {
-            unitMillis = units[(units.length - 1) / 2];
+        if (sortedMillis.length > 0) {
+            unitTimeMillis = sortedMillis[(sortedMillis.length - 1) / 2];
         }
     }
 
     /** Returns the unit time of an upstream relative to the typical one; 1 for an upstream without observations. */
     double slowness(UpstreamLoad load) {
-        return load.unitMillis().orElse(unitMillis) / unitMillis;
+        return load.unitTimeMillis().orElse(unitTimeMillis) / unitTimeMillis;
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
@@ -22,9 +22,9 @@
     private final Set<ScheduledRequest> running = new LinkedHashSet<>();
     private int peerRunning;
     private long peerPromptTokens;
-    private OptionalDouble unitMillis = OptionalDouble.empty();
-    private OptionalDouble reportedUnitMillis = OptionalDouble.empty();
-    private long unitObservedAtMillis = Long.MIN_VALUE;
+    private OptionalDouble unitTimeMillis = OptionalDouble.empty();
+    private OptionalDouble reportedUnitTimeMillis = OptionalDouble.empty();
+    private long unitTimeObservedAtMillis = Long.MIN_VALUE;
     private double failureRatio;
     private boolean suspended;
     private long pausedUntilMillis = Long.MIN_VALUE;
@@ -38,16 +38,16 @@
         return upstream;
     }
 
-    void setUpstream(Upstream newDescription) {
-        upstream = newDescription;
+    void setUpstream(Upstream newUpstream) {
+        upstream = newUpstream;
     }
 
-    void add(ScheduledRequest demand) {
-        running.add(demand);
+    void add(ScheduledRequest request) {
+        running.add(request);
     }
 
-    boolean remove(ScheduledRequest demand) {
-        return running.remove(demand);
+    boolean remove(ScheduledRequest request) {
+        return running.remove(request);
     }
 
     Set<ScheduledRequest> running() {
@@ -73,60 +73,60 @@
     /** Returns the prompt tokens of this entry's requests whose first event has not arrived. */
     long ownPendingPromptTokens() {
         long tokens = 0;
-        for (ScheduledRequest demand : running) {
-            tokens += demand.firstEventReceived() ? 0 : demand.promptTokens();
+        for (ScheduledRequest request : running) {
+            tokens += request.firstEventReceived() ? 0 : request.promptTokens();
         }
         return tokens;
     }
 
     /** Returns the estimated time per event or plain call at this upstream, or empty before the first observation. */
-    OptionalDouble unitMillis() {
-        return unitMillis;
+    OptionalDouble unitTimeMillis() {
+        return unitTimeMillis;
     }
 
     /** Updates the unit time with an observation of this entry. */
-    void observeUnit(double observedMillis, long nowMillis) {
-        unitObservedAtMillis = nowMillis;
-        if (unitMillis.isEmpty()) {
-            unitMillis = OptionalDouble.of(observedMillis);
+    void observeUnitTime(double observedMillis, long nowMillis) {
+        unitTimeObservedAtMillis = nowMillis;
+        if (unitTimeMillis.isEmpty()) {
+            unitTimeMillis = OptionalDouble.of(observedMillis);
             return;
         }
-        double previous = unitMillis.getAsDouble();
+        double previous = unitTimeMillis.getAsDouble();
         double bounded = Math.max(previous / MAX_STEP_FACTOR, Math.min(previous * MAX_STEP_FACTOR, observedMillis));
-        unitMillis = OptionalDouble.of(previous + UNIT_SMOOTHING_FACTOR * (bounded - previous));
+        unitTimeMillis = OptionalDouble.of(previous + UNIT_SMOOTHING_FACTOR * (bounded - previous));
     }
 
     /**
      * Replaces the unit time by the estimate of another entry if that estimate is newer. An adopted estimate counts as
      * reported, so that two entries do not report it back to each other.
      */
-    void adoptUnit(double reportedMillis, long observedAtMillis) {
-        if (observedAtMillis > unitObservedAtMillis) {
-            unitObservedAtMillis = observedAtMillis;
-            unitMillis = OptionalDouble.of(reportedMillis);
-            reportedUnitMillis = unitMillis;
+    void adoptUnitTime(double reportedMillis, long observedAtMillis) {
+        if (observedAtMillis > unitTimeObservedAtMillis) {
+            unitTimeObservedAtMillis = observedAtMillis;
+            unitTimeMillis = OptionalDouble.of(reportedMillis);
+            reportedUnitTimeMillis = unitTimeMillis;
         }
     }
 
     /** Returns the unit time with its age, or empty before the first observation. */
-    Optional<ObservedUnitTime> learnedUnit(long nowMillis) {
-        return unitMillis.isEmpty()
+    Optional<ObservedUnitTime> observedUnitTime(long nowMillis) {
+        return unitTimeMillis.isEmpty()
                 ? Optional.empty()
                 : Optional.of(new ObservedUnitTime(
-                        upstream.lifetimeId(), unitMillis.getAsDouble(), nowMillis - unitObservedAtMillis));
+                        upstream.lifetimeId(), unitTimeMillis.getAsDouble(), nowMillis - unitTimeObservedAtMillis));
     }
 
     /** Returns the unit time if it differs notably from the last reported one, and marks it as reported. */
-    Optional<ObservedUnitTime> takeChangedUnit(long nowMillis) {
-        boolean unchanged = reportedUnitMillis.isPresent()
-                && unitMillis.isPresent()
-                && Math.abs(unitMillis.getAsDouble() - reportedUnitMillis.getAsDouble())
-                        <= REPORT_THRESHOLD * reportedUnitMillis.getAsDouble();
+    Optional<ObservedUnitTime> takeChangedUnitTime(long nowMillis) {
+        boolean unchanged = reportedUnitTimeMillis.isPresent()
+                && unitTimeMillis.isPresent()
+                && Math.abs(unitTimeMillis.getAsDouble() - reportedUnitTimeMillis.getAsDouble())
+                        <= REPORT_THRESHOLD * reportedUnitTimeMillis.getAsDouble();
         if (unchanged) {
             return Optional.empty();
         }
-        reportedUnitMillis = unitMillis;
-        return learnedUnit(nowMillis);
+        reportedUnitTimeMillis = unitTimeMillis;
+        return observedUnitTime(nowMillis);
     }
 
     double failureRatio() {
@@ -174,9 +174,9 @@
                         outstanding(),
                         upstream.slots(),
                         slowness,
-                        learnedUnit(nowMillis)
-                                .map(unit -> " unit_ms=%.1f learned_ms_ago=%d"
-                                        .formatted(unit.unitTimeMillis(), unit.ageMillis()))
+                        observedUnitTime(nowMillis)
+                                .map(unitTime -> " unit_ms=%.1f learned_ms_ago=%d"
+                                        .formatted(unitTime.unitTimeMillis(), unitTime.ageMillis()))
                                 .orElse(""),
                         failureRatio,
                         upstream.draining() ? " draining" : paused(nowMillis) ? " paused" : "");
--- a/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
@@ -16,8 +16,8 @@
 final class WaitingRequests {
     /** A kind goes first if its served ratio is below this fraction of the highest served ratio of any kind. */
     private static final double MIN_SERVED_RATIO_FRACTION = 0.4;
-    /** Weight of one request in the traffic share of its kind; the average spans about 100 requests. */
-    private static final double TRAFFIC_SMOOTHING_FACTOR = 0.01;
+    /** Weight of one request in the request share of its kind; the average spans about 100 requests. */
+    private static final double REQUEST_SMOOTHING_FACTOR = 0.01;
     /** Requests tried per kind, so that a request without a suitable free upstream does not block those behind it. */
     private static final int CANDIDATES_PER_KIND = 4;
     /** Weight of one outcome in the served ratio of a kind. */
@@ -25,25 +25,25 @@
 
     private final Map<String, KindQueue> kinds = new HashMap<>();
 
-    void add(ScheduledRequest demand) {
-        kind(demand).waiting.addLast(demand);
+    void add(ScheduledRequest request) {
+        kind(request).waiting.addLast(request);
     }
 
-    boolean remove(ScheduledRequest demand) {
-        KindQueue kind = kinds.get(demand.kind());
-        return kind != null && kind.waiting.remove(demand);
+    boolean remove(ScheduledRequest request) {
+        KindQueue kind = kinds.get(request.kind());
+        return kind != null && kind.waiting.remove(request);
     }
 
-    /** Updates the traffic share and the served ratio of the kind of a request that was placed or refused. */
-    void onOutcome(ScheduledRequest demand, boolean served) {
-        KindQueue kind = kind(demand);
-        kinds.values().forEach(each -> each.trafficShare *= 1 - TRAFFIC_SMOOTHING_FACTOR);
-        kind.trafficShare += TRAFFIC_SMOOTHING_FACTOR;
+    /** Updates the request shares and the served ratio of the kind of a request that was placed or refused. */
+    void onOutcome(ScheduledRequest request, boolean served) {
+        KindQueue kind = kind(request);
+        kinds.values().forEach(each -> each.requestShare *= 1 - REQUEST_SMOOTHING_FACTOR);
+        kind.requestShare += REQUEST_SMOOTHING_FACTOR;
         kind.servedRatio += OUTCOME_SMOOTHING_FACTOR * ((served ? 1 : 0) - kind.servedRatio);
     }
 
-    private KindQueue kind(ScheduledRequest demand) {
-        return kinds.computeIfAbsent(demand.kind(), name -> new KindQueue(demand.rank()));
+    private KindQueue kind(ScheduledRequest request) {
+        return kinds.computeIfAbsent(request.kind(), name -> new KindQueue(request.rank()));
     }
 
     /**
@@ -51,14 +51,14 @@
      * way those that are past their objective.
      */
     List<ScheduledRequest> candidates(long nowMillis) {
-        double best = 0;
+        double highestServedRatio = 0;
         for (KindQueue kind : kinds.values()) {
-            best = Math.max(best, kind.servedRatio);
+            highestServedRatio = Math.max(highestServedRatio, kind.servedRatio);
         }
         List<KindQueue> ordered = new ArrayList<>();
         for (KindQueue kind : kinds.values()) {
             if (!kind.waiting.isEmpty()) {
-                kind.underserved = kind.servedRatio < MIN_SERVED_RATIO_FRACTION * best;
+                kind.underserved = kind.servedRatio < MIN_SERVED_RATIO_FRACTION * highestServedRatio;
                 ordered.add(kind);
             }
         }
@@ -69,27 +69,27 @@
         return candidates;
     }
 
-    /** Returns the fraction of recent requests that take precedence over the given one, from 0 to 1. */
-    double shareOfMoreUrgent(ScheduledRequest demand) {
-        double share = 0;
+    /** Returns the fraction of recent requests of more urgent kinds, from 0 to 1; 0 if the kind is underserved. */
+    double requestShareOfMoreUrgentKinds(ScheduledRequest request) {
+        double sum = 0;
         for (KindQueue kind : kinds.values()) {
-            share += kind.rank < demand.rank() ? kind.trafficShare : 0;
+            sum += kind.rank < request.rank() ? kind.requestShare : 0;
         }
-        return kind(demand).underserved ? 0 : share;
+        return kind(request).underserved ? 0 : sum;
     }
 
     /**
      * Returns the number of other waiting requests of the same or a more urgent rank; for an underserved kind, only
      * those of the same kind.
      */
-    int othersUpToRank(ScheduledRequest demand) {
-        KindQueue own = kind(demand);
+    int othersUpToRank(ScheduledRequest request) {
+        KindQueue own = kind(request);
         if (own.underserved) {
             return own.waiting.size() - 1;
         }
         int count = -1;
         for (KindQueue kind : kinds.values()) {
-            if (kind.rank <= demand.rank()) {
+            if (kind.rank <= request.rank()) {
                 count += kind.waiting.size();
             }
         }
@@ -105,14 +105,14 @@
     }
 
     /** Removes and returns the requests that have reached their maximum wait. */
-    List<ScheduledRequest> removeOverdue(ToLongFunction<ScheduledRequest> longestWaitMillis, long nowMillis) {
+    List<ScheduledRequest> removeOverdue(ToLongFunction<ScheduledRequest> maxWaitMillis, long nowMillis) {
         List<ScheduledRequest> removed = new ArrayList<>();
         for (KindQueue kind : kinds.values()) {
             for (Iterator<ScheduledRequest> each = kind.waiting.iterator(); each.hasNext(); ) {
-                ScheduledRequest demand = each.next();
-                if (demand.ageMillis(nowMillis) >= longestWaitMillis.applyAsLong(demand)) {
+                ScheduledRequest request = each.next();
+                if (request.ageMillis(nowMillis) >= maxWaitMillis.applyAsLong(request)) {
                     each.remove();
-                    removed.add(demand);
+                    removed.add(request);
                 }
             }
         }
@@ -124,7 +124,7 @@
         private final int rank;
         private final ArrayDeque<ScheduledRequest> waiting = new ArrayDeque<>();
         private double servedRatio = 1.0;
-        private double trafficShare;
+        private double requestShare;
         private boolean underserved;
 
         private KindQueue(int rank) {
@@ -133,9 +133,9 @@
 
         private void addCandidates(List<ScheduledRequest> candidates, boolean pastObjective, long nowMillis) {
             int added = 0;
-            for (ScheduledRequest demand : waiting) {
-                if (demand.isPastObjective(nowMillis) == pastObjective && added < CANDIDATES_PER_KIND) {
-                    candidates.add(demand);
+            for (ScheduledRequest request : waiting) {
+                if (request.isPastObjective(nowMillis) == pastObjective && added < CANDIDATES_PER_KIND) {
+                    candidates.add(request);
                     added++;
                 }
             }
--- a/core/src/test/java/dev/wigeonward/core/placement/EarliestCompletionTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/EarliestCompletionTest.java
@@ -21,17 +21,17 @@
     private static final long PREFIX = 7;
 
     private interface PolicyFactory {
-        PlacementPolicy create(RandomGenerator random, PrefixIndex prefixes);
+        PlacementPolicy create(RandomGenerator random, PrefixIndex prefixIndex);
     }
 
-    private static PlacementPolicy real(RandomGenerator random, PrefixIndex prefixes) {
-        return EarliestCompletion.create(random, prefixes, DomainLatency.uniform(LOCAL, 10));
+    private static PlacementPolicy real(RandomGenerator random, PrefixIndex prefixIndex) {
+        return EarliestCompletion.create(random, prefixIndex, DomainLatency.uniform(LOCAL, 10));
     }
 
     /** Faulty policy that always chooses a holder of the prefix, regardless of its queue. */
-    private static PlacementPolicy alwaysHolder(RandomGenerator random, PrefixIndex prefixes) {
-        PlacementPolicy real = real(random, prefixes);
-        return (request, pool, nowMillis) -> prefixes
+    private static PlacementPolicy alwaysHolder(RandomGenerator random, PrefixIndex prefixIndex) {
+        PlacementPolicy real = real(random, prefixIndex);
+        return (request, pool, nowMillis) -> prefixIndex
                 .recentHolders(request.work().prefixHash(), 1)
                 .stream()
                 .findFirst()
@@ -45,13 +45,13 @@
      */
     private static void checkHolderTradeoff(PolicyFactory factory, int queuedRequests, int promptTokens) {
         UpstreamPool pool = pool(2);
-        PrefixIndex prefixes = PrefixIndex.create();
-        prefixes.onPlaced("upstream-0", PREFIX);
+        PrefixIndex prefixIndex = PrefixIndex.create();
+        prefixIndex.onPlaced("upstream-0", PREFIX);
         UpstreamLoadState holder = pool.get(0);
         IntStream.range(0, queuedRequests).forEach(each -> holder.onDispatched(400));
         long queueMillis = holder.waitMillis(0);
         long savedMillis = promptTokens / 2;
-        String chosen = factory.create(new Random(1), prefixes)
+        String chosen = factory.create(new Random(1), prefixIndex)
                 .choose(request(promptTokens, PREFIX), pool, 0)
                 .orElseThrow()
                 .upstreamId();
@@ -96,9 +96,9 @@
     /** Guards against a failure when the pool is empty, has one member, or no longer contains the prefix holder. */
     @Test
     void smallPoolsAndRemovedHoldersAreHandled() {
-        PrefixIndex prefixes = PrefixIndex.create();
-        prefixes.onPlaced("departed", PREFIX);
-        PlacementPolicy policy = real(new Random(1), prefixes);
+        PrefixIndex prefixIndex = PrefixIndex.create();
+        prefixIndex.onPlaced("departed", PREFIX);
+        PlacementPolicy policy = real(new Random(1), prefixIndex);
         assertThat(policy.choose(request(100, PREFIX), pool(0), 0)).isEmpty();
         assertThat(policy.choose(request(100, PREFIX), pool(1), 0).orElseThrow().upstreamId())
                 .isEqualTo("upstream-0");
@@ -111,16 +111,16 @@
     @Test
     void examinesABoundedNumberOfMembers() {
         UpstreamPool pool = pool(1_000);
-        PrefixIndex prefixes = PrefixIndex.create();
-        IntStream.range(0, 1_000).forEach(number -> prefixes.onPlaced("upstream-" + number, PREFIX));
+        PrefixIndex prefixIndex = PrefixIndex.create();
+        IntStream.range(0, 1_000).forEach(number -> prefixIndex.onPlaced("upstream-" + number, PREFIX));
         int[] draws = {0};
         RandomGenerator counting = () -> {
             draws[0]++;
             return 42L * draws[0];
         };
-        real(counting, prefixes).choose(request(100, PREFIX), pool, 0);
+        real(counting, prefixIndex).choose(request(100, PREFIX), pool, 0);
         assertThat(draws[0]).isLessThanOrEqualTo(4);
-        assertThat(prefixes.recentHolders(PREFIX, EarliestCompletion.MAX_HOLDERS_EXAMINED))
+        assertThat(prefixIndex.recentHolders(PREFIX, EarliestCompletion.MAX_HOLDERS_EXAMINED))
                 .hasSize(EarliestCompletion.MAX_HOLDERS_EXAMINED);
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/placement/KeyAffinityTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/KeyAffinityTest.java
@@ -17,7 +17,7 @@
     private static final int MEMBERS = 20;
 
     private interface MemberSelection {
-        Optional<UpstreamLoadState> member(String key, UpstreamPool pool);
+        Optional<UpstreamLoadState> select(String key, UpstreamPool pool);
     }
 
     /** Faulty selection by the hash modulo the pool's size. */
@@ -48,7 +48,7 @@
         for (int number = 0; number < KEYS; number++) {
             String key = "key-" + number;
             placements.put(
-                    key, selection.member(key, pool).orElseThrow().description().upstreamId());
+                    key, selection.select(key, pool).orElseThrow().description().upstreamId());
         }
         return placements;
     }
--- a/core/src/test/java/dev/wigeonward/core/placement/LinkSubsetTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/LinkSubsetTest.java
@@ -15,8 +15,8 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 class LinkSubsetTest {
-    private interface Subset {
-        List<String> agentsOf(String entryId, List<String> entries, List<String> agents);
+    private interface AgentSelection {
+        List<String> selectAgents(String entryId, List<String> entries, List<String> agents);
     }
 
     /**
@@ -34,10 +34,10 @@
         return IntStream.range(0, count).mapToObj(number -> prefix + number).toList();
     }
 
-    private static Set<String> links(Subset subset, List<String> entries, List<String> agents) {
+    private static Set<String> links(AgentSelection selection, List<String> entries, List<String> agents) {
         Set<String> links = new HashSet<>();
-        entries.forEach(
-                entry -> subset.agentsOf(entry, entries, agents).forEach(agent -> links.add(entry + "-" + agent)));
+        entries.forEach(entry ->
+                selection.selectAgents(entry, entries, agents).forEach(agent -> links.add(entry + "-" + agent)));
         return links;
     }
 
@@ -72,15 +72,15 @@
      * Guards against the removal of one entry or agent that moves links of unrelated ones, while the number of links
      * per agent is unchanged.
      */
-    private static void checkStability(Subset subset) {
+    private static void checkStability(AgentSelection selection) {
         List<String> entries = names("e", 30);
         List<String> agents = names("a", 60);
-        Set<String> before = links(subset, entries, agents);
-        Set<String> afterEntry = links(subset, without(entries, "e7"), agents);
+        Set<String> before = links(selection, entries, agents);
+        Set<String> afterEntry = links(selection, without(entries, "e7"), agents);
         Set<String> lost = new HashSet<>(before);
         lost.removeAll(afterEntry);
         assertThat(lost).allMatch(link -> link.startsWith("e7-"));
-        Set<String> afterAgent = links(subset, entries, without(agents, "a11"));
+        Set<String> afterAgent = links(selection, entries, without(agents, "a11"));
         lost = new HashSet<>(before);
         lost.removeAll(afterAgent);
         assertThat(lost).allMatch(link -> link.endsWith("-a11"));
--- a/core/src/test/java/dev/wigeonward/core/placement/UpstreamStateTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/UpstreamLoadStateTest.java
@@ -9,7 +9,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-class UpstreamStateTest {
+class UpstreamLoadStateTest {
     private final UpstreamLoadState state = upstream("upstream", 2, 100, LOCAL);
 
     /** Guards against recorded work of this entry that drifts from the sum of its outstanding requests. */
--- a/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
@@ -39,9 +39,9 @@
                 .build();
     }
 
-    private List<Decision> offer(ScheduledRequest... demands) {
-        for (ScheduledRequest demand : demands) {
-            scheduler.offer(demand);
+    private List<Decision> offer(ScheduledRequest... requests) {
+        for (ScheduledRequest request : requests) {
+            scheduler.offer(request);
         }
         return scheduler.decide(now);
     }
@@ -83,7 +83,7 @@
 
         assertThat(offer(call("k", 0)))
                 .singleElement()
-                .isInstanceOfSatisfying(Decision.Refused.class, refuse -> assertThat(refuse.reason())
+                .isInstanceOfSatisfying(Decision.Refused.class, refused -> assertThat(refused.reason())
                         .isEqualTo(RefusalReason.NO_UPSTREAM));
     }
 
@@ -103,8 +103,8 @@
         scheduler.onEnded(running.get(0), ServiceScheduler.Outcome.ANSWERED, now + 5);
         List<Decision> decisions = scheduler.decide(now + 5);
 
-        assertThat(decisions).singleElement().isInstanceOfSatisfying(Decision.Placed.class, place -> assertThat(
-                        place.demand())
+        assertThat(decisions).singleElement().isInstanceOfSatisfying(Decision.Placed.class, placed -> assertThat(
+                        placed.request())
                 .isSameAs(high));
     }
 
@@ -115,15 +115,15 @@
         for (int request = 0; request < SLOTS; request++) {
             offer(call("k", 0));
         }
-        ScheduledRequest waits = call("k", 0);
-        offer(waits);
+        ScheduledRequest waiting = call("k", 0);
+        offer(waiting);
 
         assertThat(scheduler.decide(now + 49)).isEmpty();
         assertThat(scheduler.decide(now + 50))
                 .singleElement()
-                .isInstanceOfSatisfying(Decision.Refused.class, refuse -> {
-                    assertThat(refuse.demand()).isSameAs(waits);
-                    assertThat(refuse.reason()).isEqualTo(RefusalReason.WAITED_TOO_LONG);
+                .isInstanceOfSatisfying(Decision.Refused.class, refused -> {
+                    assertThat(refused.request()).isSameAs(waiting);
+                    assertThat(refused.reason()).isEqualTo(RefusalReason.WAITED_TOO_LONG);
                 });
     }
 
@@ -131,7 +131,7 @@
      * Guards against an equal distribution over unequal upstreams: the slow one is used only when the fast one is full.
      */
     @Test
-    void learnsWhichUpstreamIsSlow() {
+    void observesWhichUpstreamIsSlow() {
         list("fast", "slowly");
         for (int round = 0; round < 10; round++) {
             List<ScheduledRequest> all = new ArrayList<>();
@@ -139,9 +139,9 @@
                 all.add(call("k", 0));
             }
             offer(all.toArray(ScheduledRequest[]::new));
-            for (ScheduledRequest demand : all) {
-                boolean fast = demand.upstream().orElseThrow().id().equals("fast");
-                scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + (fast ? 10 : 60));
+            for (ScheduledRequest request : all) {
+                boolean fast = request.upstream().orElseThrow().id().equals("fast");
+                scheduler.onEnded(request, ServiceScheduler.Outcome.ANSWERED, now + (fast ? 10 : 60));
             }
             now += 100;
             scheduler.updateTypicalUnitTime();
@@ -157,12 +157,12 @@
         for (int round = 0; round < 30; round++) {
             List<ScheduledRequest> pair = List.of(stream("k", 0, 600), stream("k", 0, 600));
             offer(pair.toArray(ScheduledRequest[]::new));
-            for (ScheduledRequest demand : pair) {
-                boolean fast = demand.upstream().orElseThrow().id().equals("fast");
-                scheduler.onFirstEvent(demand, now + (fast ? 20 : 100));
-                scheduler.onEventIntervals(demand, fast ? 15 : 75, now);
+            for (ScheduledRequest request : pair) {
+                boolean fast = request.upstream().orElseThrow().id().equals("fast");
+                scheduler.onFirstEvent(request, now + (fast ? 20 : 100));
+                scheduler.onEventIntervals(request, fast ? 15 : 75, now);
                 if (round < 29 || fast) {
-                    scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + 500);
+                    scheduler.onEnded(request, ServiceScheduler.Outcome.ANSWERED, now + 500);
                 }
             }
             now += 1_000;
@@ -181,9 +181,9 @@
     void onlyUpstreamIsTriedAfterFailures() {
         list("a");
         for (int failure = 0; failure < 5; failure++) {
-            ScheduledRequest demand = call("k", 0);
-            assertThat(placedOn(offer(demand))).containsExactly("a");
-            scheduler.onEnded(demand, ServiceScheduler.Outcome.UNREACHABLE, now);
+            ScheduledRequest request = call("k", 0);
+            assertThat(placedOn(offer(request))).containsExactly("a");
+            scheduler.onEnded(request, ServiceScheduler.Outcome.UNREACHABLE, now);
         }
     }
 
@@ -200,29 +200,29 @@
 
     /** Guards against a stalled upstream that keeps getting requests because it still accepts connections. */
     @Test
-    void silentUpstreamGetsNothingMore() {
+    void stalledUpstreamGetsNothingMore() {
         list("a", "bb");
         ScheduledRequest first = call("k", 0);
-        String silent = placedOn(offer(first)).get(0);
+        String stalled = placedOn(offer(first)).get(0);
         now += 2_000;
 
-        assertThat(placedOn(offer(call("k", 0), call("k", 0), call("k", 0)))).doesNotContain(silent);
+        assertThat(placedOn(offer(call("k", 0), call("k", 0), call("k", 0)))).doesNotContain(stalled);
     }
 
     /**
      * Guards against a stalled upstream that gets requests again as soon as the callers of the overdue ones disconnect.
      */
     @Test
-    void silentUpstreamStaysSuspendedAfterItsCallersDisconnect() {
+    void stalledUpstreamStaysSuspendedAfterItsCallersDisconnect() {
         list("a", "bb");
         ScheduledRequest first = call("k", 0);
-        String silent = placedOn(offer(first)).get(0);
+        String stalled = placedOn(offer(first)).get(0);
         now += 2_000;
         scheduler.onEnded(first, ServiceScheduler.Outcome.LEFT, now);
 
-        assertThat(scheduler.suspended()).extracting(Upstream::id).containsExactly(silent);
-        assertThat(placedOn(offer(call("k", 0), call("k", 0)))).doesNotContain(silent);
-        scheduler.resume(silent);
+        assertThat(scheduler.suspended()).extracting(Upstream::id).containsExactly(stalled);
+        assertThat(placedOn(offer(call("k", 0), call("k", 0)))).doesNotContain(stalled);
+        scheduler.resume(stalled);
         assertThat(scheduler.suspended()).isEmpty();
     }
 
@@ -279,9 +279,9 @@
                 scheduler.offer(call("low", 2));
             }
             for (Decision decision : scheduler.decide(now)) {
-                if (decision instanceof Decision.Placed place) {
-                    running.add(place.demand());
-                    lowServed += place.demand().kind().equals("low") ? 1 : 0;
+                if (decision instanceof Decision.Placed placed) {
+                    running.add(placed.request());
+                    lowServed += placed.request().kind().equals("low") ? 1 : 0;
                 }
             }
             now += 5;
@@ -295,10 +295,10 @@
     }
 
     private void answerCall(String id, long millis) {
-        ScheduledRequest demand = call("k", 0);
-        upstreamsOtherThan(id).forEach(demand::excludeUpstream);
-        offer(demand);
-        scheduler.onEnded(demand, ServiceScheduler.Outcome.ANSWERED, now + millis);
+        ScheduledRequest request = call("k", 0);
+        upstreamsOtherThan(id).forEach(request::excludeUpstream);
+        offer(request);
+        scheduler.onEnded(request, ServiceScheduler.Outcome.ANSWERED, now + millis);
     }
 
     private static List<String> upstreamsOtherThan(String id) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -389,9 +389,9 @@
 
     private void apply(Decision decision) {
         if (decision instanceof Decision.Placed place) {
-            waiting.remove(place.demand()).onPlaced(place.upstream());
+            waiting.remove(place.request()).onPlaced(place.upstream());
         } else if (decision instanceof Decision.Refused refuse) {
-            waiting.remove(refuse.demand()).onRefused(refuse.reason());
+            waiting.remove(refuse.request()).onRefused(refuse.reason());
         }
     }
 
