Name admission and engine code after its renamed types

Cause: fields and comments still called FairShareQueue a backlog and spoke of requests that are set aside.

Change: it is a queue, and requests that cannot meet their deadline are marked as unreachable. Messages of EngineLimits name its present components.

--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareAdmissionQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareAdmissionQueue.java
@@ -12,10 +12,10 @@
  * displacement when full. {@link #poll} never returns a request whose deadline has passed.
  */
 public final class FairShareAdmissionQueue implements AdmissionQueue {
-    private final FairShareQueue backlog;
+    private final FairShareQueue queue;
 
-    private FairShareAdmissionQueue(FairShareQueue backlog) {
-        this.backlog = backlog;
+    private FairShareAdmissionQueue(FairShareQueue queue) {
+        this.queue = queue;
     }
 
     /** Returns an empty queue for at most {@code capacity} requests. */
@@ -25,37 +25,37 @@
 
     @Override
     public AdmissionResult offer(RequestSpec request, long serviceMillis, long nowMillis) {
-        return backlog.offer(request, serviceMillis, latestStartMillis(request), nowMillis);
+        return queue.offer(request, serviceMillis, latestStartMillis(request), nowMillis);
     }
 
     @Override
     public Optional<RequestSpec> poll(long nowMillis) {
-        return backlog.poll(nowMillis);
+        return queue.poll(nowMillis);
     }
 
     @Override
     public void putBack(RequestSpec request, long serviceMillis) {
-        backlog.putBack(request, serviceMillis, latestStartMillis(request));
+        queue.putBack(request, serviceMillis, latestStartMillis(request));
     }
 
     @Override
     public List<RequestSpec> removeExpired(long nowMillis) {
-        return backlog.removeExpired(nowMillis);
+        return queue.removeExpired(nowMillis);
     }
 
     @Override
     public boolean remove(RequestId id) {
-        return backlog.remove(id);
+        return queue.remove(id);
     }
 
     @Override
     public long backlogMillis(Tier lowest) {
-        return backlog.backlogMillis(lowest);
+        return queue.backlogMillis(lowest);
     }
 
     @Override
     public int size() {
-        return backlog.size();
+        return queue.size();
     }
 
     /**
--- a/core/src/main/java/dev/wigeonward/core/admission/FairShareQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FairShareQueue.java
@@ -30,7 +30,7 @@
     private final Map<Tier, TierBacklog> tiers = new EnumMap<>(Tier.class);
     private final Map<RequestId, QueuedRequest> queued = new HashMap<>();
     private final TreeSet<QueuedRequest> byLatestStart = new TreeSet<>(QueuedRequest.BY_LATEST_START);
-    /** Requests that were removed from the order because they cannot meet their deadline, until they are returned. */
+    /** Requests that cannot meet their deadline: removed from the order, and kept until {@link #removeExpired}. */
     private final Map<RequestId, RequestSpec> unreachable = new LinkedHashMap<>();
 
     private long nextSequence;
@@ -48,7 +48,7 @@
     }
 
     /**
-     * Returns an empty backlog.
+     * Returns an empty queue.
      *
      * @param capacity maximum number of queued requests
      * @param shortMillis longest service time of a short request, in milliseconds
@@ -59,10 +59,10 @@
 
     /**
      * Adds the request or refuses it, and returns which of the two happened. Requests that cannot meet their deadline
-     * are set aside first. If the backlog is full, the last request of the lowest tier below that of the arriving one
-     * is displaced; if there is none, the last request of the same tier is displaced, provided that it follows the
-     * arriving one in fair order. Without the second rule, one workspace that fills the backlog would lock out the
-     * others.
+     * are removed from the order first. If the queue is full, the last request of the lowest tier below that of the
+     * arriving one is displaced; if there is none, the last request of the same tier is displaced, provided that it
+     * follows the arriving one in fair order. Without the second rule, one workspace that fills the queue would lock
+     * out the others.
      *
      * @param serviceMillis expected time to serve the request, in milliseconds
      * @param latestStartMillis time after which the request cannot meet its deadline if it has not started
@@ -73,7 +73,7 @@
         if (latestStartMillis < nowMillis) {
             return refused(ErrorKind.DEADLINE_UNREACHABLE, "too little time is left to serve the request");
         }
-        setAsideUnreachable(nowMillis);
+        markOverdueUnreachable(nowMillis);
         if (queued.size() < capacity) {
             insert(newItem(request, serviceMillis, latestStartMillis, nextSequence++));
             return new AdmissionResult.Queued(List.of());
@@ -88,9 +88,9 @@
     }
 
     private Optional<QueuedRequest> findDisplaced(RequestSpec arriving) {
-        Tier[] all = Tier.values();
-        for (int i = all.length - 1; arriving.tier().isAbove(all[i]); i--) {
-            Optional<QueuedRequest> last = tiers.get(all[i]).last();
+        Tier[] allTiers = Tier.values();
+        for (int i = allTiers.length - 1; arriving.tier().isAbove(allTiers[i]); i--) {
+            Optional<QueuedRequest> last = tiers.get(allTiers[i]).last();
             if (last.isPresent()) {
                 return last;
             }
@@ -100,25 +100,25 @@
 
     /** Returns the next request without removing it, or empty if none that can meet its deadline is queued. */
     public Optional<RequestSpec> peek(long nowMillis) {
-        setAsideUnreachable(nowMillis);
+        markOverdueUnreachable(nowMillis);
         return firstOf(TierBacklog::first).map(QueuedRequest::request);
     }
 
     /** Removes and returns the next request, or returns empty if none that can meet its deadline is queued. */
     public Optional<RequestSpec> poll(long nowMillis) {
-        setAsideUnreachable(nowMillis);
+        markOverdueUnreachable(nowMillis);
         return removeForService(firstOf(TierBacklog::first));
     }
 
     /** Returns the next short request without removing it, or empty if none that can meet its deadline is queued. */
     public Optional<RequestSpec> peekShort(long nowMillis) {
-        setAsideUnreachable(nowMillis);
+        markOverdueUnreachable(nowMillis);
         return firstOf(TierBacklog::firstShort).map(QueuedRequest::request);
     }
 
     /** Removes and returns the next short request, or returns empty if none that can meet its deadline is queued. */
     public Optional<RequestSpec> pollShort(long nowMillis) {
-        setAsideUnreachable(nowMillis);
+        markOverdueUnreachable(nowMillis);
         return removeForService(firstOf(TierBacklog::firstShort));
     }
 
@@ -132,13 +132,13 @@
         return Optional.empty();
     }
 
-    private Optional<RequestSpec> removeForService(Optional<QueuedRequest> taken) {
-        taken.ifPresent(item -> {
+    private Optional<RequestSpec> removeForService(Optional<QueuedRequest> next) {
+        next.ifPresent(item -> {
             queued.remove(item.request().id());
             byLatestStart.remove(item);
             tiers.get(item.request().tier()).removeForService(item);
         });
-        return taken.map(QueuedRequest::request);
+        return next.map(QueuedRequest::request);
     }
 
     /**
@@ -154,7 +154,10 @@
         tiers.get(request.tier()).putBack(item);
     }
 
-    /** Removes a queued request from the order; the next {@link #removeExpired} returns it. */
+    /**
+     * Removes a queued request that cannot meet its deadline from the order; the next {@link #removeExpired} returns
+     * it.
+     */
     public void markUnreachable(RequestSpec request) {
         if (remove(request.id())) {
             unreachable.put(request.id(), request);
@@ -163,19 +166,19 @@
 
     /** Removes and returns the requests that can no longer meet their deadline. */
     public List<RequestSpec> removeExpired(long nowMillis) {
-        setAsideUnreachable(nowMillis);
+        markOverdueUnreachable(nowMillis);
         List<RequestSpec> removed = new ArrayList<>(unreachable.values());
         unreachable.clear();
         return removed;
     }
 
-    private void setAsideUnreachable(long nowMillis) {
+    private void markOverdueUnreachable(long nowMillis) {
         while (!byLatestStart.isEmpty() && byLatestStart.first().latestStartMillis() < nowMillis) {
             markUnreachable(byLatestStart.first().request());
         }
     }
 
-    /** Removes the request and returns whether it was queued or set aside. */
+    /** Removes the request and returns whether it was queued or marked as unreachable. */
     public boolean remove(RequestId id) {
         QueuedRequest item = queued.remove(id);
         if (item == null) {
@@ -194,7 +197,7 @@
                 .sum();
     }
 
-    /** Returns the number of queued requests, excluding those set aside because they cannot meet their deadline. */
+    /** Returns the number of queued requests, excluding those that cannot meet their deadline. */
     public int size() {
         return queued.size();
     }
--- a/core/src/main/java/dev/wigeonward/core/admission/FifoAdmissionQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/FifoAdmissionQueue.java
@@ -50,10 +50,10 @@
 
     @Override
     public void putBack(RequestSpec request, long serviceMillis) {
-        Map<RequestId, Waiting> rest = new LinkedHashMap<>(waiting);
+        Map<RequestId, Waiting> others = new LinkedHashMap<>(waiting);
         waiting.clear();
         waiting.put(request.id(), new Waiting(request, serviceMillis));
-        waiting.putAll(rest);
+        waiting.putAll(others);
     }
 
     @Override
--- a/core/src/main/java/dev/wigeonward/core/admission/TierBacklog.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/TierBacklog.java
@@ -43,7 +43,7 @@
 
     /** Adds a request that was removed for service before, and refunds the charge to its workspace. */
     void putBack(QueuedRequest item) {
-        // The charge of a removed flow is already in the past of the virtual time, so there is nothing to refund.
+        // A flow is removed once the virtual time has passed its charge, so there is nothing left to refund.
         boolean charged = flows.containsKey(item.request().workspace());
         WorkspaceFlow flow = detach(item);
         if (charged) {
--- a/core/src/main/java/dev/wigeonward/core/admission/WorkspaceFlow.java
+++ b/core/src/main/java/dev/wigeonward/core/admission/WorkspaceFlow.java
@@ -53,8 +53,8 @@
     }
 
     /** Moves the start tag by the given virtual time, which is negative for a refund. */
-    void advance(long tags) {
-        startTag += tags;
+    void advance(long virtualDuration) {
+        startTag += virtualDuration;
     }
 
     /** Raises the start tag to the virtual time if it is lower. */
--- a/core/src/main/java/dev/wigeonward/core/engine/EngineLimits.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/EngineLimits.java
@@ -17,8 +17,11 @@
     public EngineLimits {
         Preconditions.checkArgument(slots > 0, "slots must be positive but was %s", slots);
         Preconditions.checkArgument(
-                maxUnreservedWorkMillis > 0, "workMillis must be positive but was %s", maxUnreservedWorkMillis);
-        Preconditions.checkArgument(maxShortMillis >= 0, "shortMillis must not be negative but was %s", maxShortMillis);
+                maxUnreservedWorkMillis > 0,
+                "maxUnreservedWorkMillis must be positive but was %s",
+                maxUnreservedWorkMillis);
+        Preconditions.checkArgument(
+                maxShortMillis >= 0, "maxShortMillis must not be negative but was %s", maxShortMillis);
         Preconditions.checkArgument(capacity > 0, "capacity must be positive but was %s", capacity);
     }
 
--- a/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
+++ b/core/src/main/java/dev/wigeonward/core/engine/PriorityEngineQueue.java
@@ -22,7 +22,7 @@
 public final class PriorityEngineQueue implements EngineQueue {
     private final EngineLimits limits;
     private final EngineSpeed speed;
-    private final FairShareQueue backlog;
+    private final FairShareQueue queue;
     private final Map<RequestId, Running> running = new HashMap<>();
     private final ServiceTimeRatio serviceTimeRatio = new ServiceTimeRatio();
     private int reservedRunning;
@@ -31,7 +31,7 @@
     private PriorityEngineQueue(EngineLimits limits, EngineSpeed speed, WorkspaceWeights weights) {
         this.limits = Objects.requireNonNull(limits, "limits");
         this.speed = Objects.requireNonNull(speed, "speed");
-        this.backlog = FairShareQueue.create(limits.capacity(), limits.maxShortMillis(), weights);
+        this.queue = FairShareQueue.create(limits.capacity(), limits.maxShortMillis(), weights);
     }
 
     /** Returns an empty queue for an engine with the given speed. */
@@ -42,7 +42,7 @@
     @Override
     public AdmissionResult offer(RequestSpec request, long nowMillis) {
         long serviceMillis = request.work().serviceMillis(speed);
-        return backlog.offer(request, serviceMillis, latestStartMillis(request), nowMillis);
+        return queue.offer(request, serviceMillis, latestStartMillis(request), nowMillis);
     }
 
     @Override
@@ -57,34 +57,35 @@
         long serviceMillis = first.get().work().serviceMillis(speed);
         boolean reservedFree = reservedRunning < limits.reservedSlots();
         if (reservedFree && serviceMillis <= limits.maxShortMillis()) {
-            return start(backlog.poll(nowMillis), true, nowMillis);
+            return start(queue.poll(nowMillis), true, nowMillis);
         }
         if (hasUnreservedCapacity(serviceMillis)) {
-            return start(backlog.poll(nowMillis), false, nowMillis);
+            return start(queue.poll(nowMillis), false, nowMillis);
         }
         return reservedFree ? start(reachableShort(nowMillis), true, nowMillis) : Optional.empty();
     }
 
     /**
-     * Returns the next request that can meet its deadline, and sets the others aside. The latest start is checked
-     * again, because the backlog stores the one computed at the offer and the engine may have become slower since.
+     * Returns the next request that can meet its deadline, and marks those before it as unreachable. The latest start
+     * is checked again, because the queue stores the one computed at the offer and the engine may have become slower
+     * since.
      */
     private Optional<RequestSpec> firstReachable(long nowMillis) {
-        Optional<RequestSpec> first = backlog.peek(nowMillis);
+        Optional<RequestSpec> first = queue.peek(nowMillis);
         while (first.isPresent() && latestStartMillis(first.get()) < nowMillis) {
-            backlog.markUnreachable(first.get());
-            first = backlog.peek(nowMillis);
+            queue.markUnreachable(first.get());
+            first = queue.peek(nowMillis);
         }
         return first;
     }
 
     private Optional<RequestSpec> reachableShort(long nowMillis) {
-        Optional<RequestSpec> first = backlog.peekShort(nowMillis);
+        Optional<RequestSpec> first = queue.peekShort(nowMillis);
         while (first.isPresent() && latestStartMillis(first.get()) < nowMillis) {
-            backlog.markUnreachable(first.get());
-            first = backlog.peekShort(nowMillis);
+            queue.markUnreachable(first.get());
+            first = queue.peekShort(nowMillis);
         }
-        return backlog.pollShort(nowMillis);
+        return queue.pollShort(nowMillis);
     }
 
     private long latestStartMillis(RequestSpec request) {
@@ -114,12 +115,12 @@
 
     @Override
     public List<RequestSpec> removeExpired(long nowMillis) {
-        return backlog.removeExpired(nowMillis);
+        return queue.removeExpired(nowMillis);
     }
 
     @Override
     public boolean remove(RequestId id) {
-        return backlog.remove(id);
+        return queue.remove(id);
     }
 
     @Override
@@ -142,7 +143,7 @@
                 .mapToLong(each ->
                         Math.max(0, serviceTimeRatio.meanMillis(each.serviceMillis()) - each.elapsedMillis(nowMillis)))
                 .sum();
-        return (runningMillis + serviceTimeRatio.meanMillis(backlog.backlogMillis(Tier.BATCH))) / limits.slots();
+        return (runningMillis + serviceTimeRatio.meanMillis(queue.backlogMillis(Tier.BATCH))) / limits.slots();
     }
 
     @Override
@@ -152,7 +153,7 @@
 
     @Override
     public int queued() {
-        return backlog.size();
+        return queue.size();
     }
 
     private record Running(long serviceMillis, boolean reserved, long startedMillis) {
--- a/core/src/test/java/dev/wigeonward/core/admission/AdmissionInvariantsTest.java
+++ b/core/src/test/java/dev/wigeonward/core/admission/AdmissionInvariantsTest.java
@@ -37,7 +37,7 @@
     }
 
     /**
-     * Guards against a workspace that is locked out of a full queue or waits behind the whole backlog of another one.
+     * Guards against a workspace that is locked out of a full queue or waits behind all requests of another one.
      */
     @Property(tries = 100)
     void noWorkspaceStarves(
--- a/core/src/test/java/dev/wigeonward/core/engine/PriorityEngineQueueTest.java
+++ b/core/src/test/java/dev/wigeonward/core/engine/PriorityEngineQueueTest.java
@@ -92,7 +92,7 @@
      * because the engine is slower than announced.
      */
     @Example
-    void slowEngineIsLearnedFromEndedRequests() {
+    void slowEngineIsDetectedFromEndedRequests() {
         PriorityEngineQueue queue = queue(new EngineLimits(1, WORK_MILLIS, SHORT_MILLIS, 10));
         long nowMillis = 0;
         for (int i = 0; i < 100; i++) {
