Explain the encoded steps and ids of some core tests

Cause: numbers that stand for operations, ids whose length is a port and a count that starts at -1 needed a second reading.

Change: comments say what they mean; two locals of EntryDispatcher have plain names.

--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryDispatcher.java
@@ -288,8 +288,8 @@
     }
 
     private boolean hasRoom(UpstreamLoadState state, Tier tier) {
-        int factor = limits.outstandingPerSlot() + Tier.BATCH.ordinal() - tier.ordinal();
-        return state.ownOutstanding() < factor * state.description().slots();
+        int maxPerSlot = limits.outstandingPerSlot() + Tier.BATCH.ordinal() - tier.ordinal();
+        return state.ownOutstanding() < maxPerSlot * state.description().slots();
     }
 
     private Optional<Placement> choosePlacement(PendingRequest pending, long nowMillis) {
@@ -346,8 +346,8 @@
             emit(new EntryEffect.ReleaseClaim(pending.request.id()));
         }
         if (!pending.callerDisconnected) {
-            Failure known = pending.claimGranted ? failure : withoutUnprovenNotRun(pending.request, failure);
-            emit(new EntryEffect.DeliverFailure(pending.request.id(), known));
+            Failure delivered = pending.claimGranted ? failure : withoutUnprovenNotRun(pending.request, failure);
+            emit(new EntryEffect.DeliverFailure(pending.request.id(), delivered));
         }
         end(pending, nowMillis);
     }
--- a/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/WaitingRequests.java
@@ -87,6 +87,7 @@
         if (own.underserved) {
             return own.waiting.size() - 1;
         }
+        // The request itself is among the waiting ones and does not count.
         int count = -1;
         for (KindQueue kind : kinds.values()) {
             if (kind.rank <= request.rank()) {
--- a/core/src/test/java/dev/wigeonward/core/order/OrderFenceTest.java
+++ b/core/src/test/java/dev/wigeonward/core/order/OrderFenceTest.java
@@ -96,6 +96,9 @@
     /**
      * Simulates elections, orders of current and former controllers, agent restarts and store outages, and fails if an
      * order is submitted to the engine with a lower fencing number than an earlier one.
+     *
+     * @param steps below 10 an election, below 20 an order of the current controller, below 80 an order of any
+     *     controller so far, below 85 the start or end of a store outage, and otherwise a restart of the agent
      */
     private static void checkExecutedFencingNumbers(
             Supplier<Function<OrderEvent, List<OrderEffect>>> fences, List<Integer> steps) {
--- a/core/src/test/java/dev/wigeonward/core/placement/PrefixIndexTest.java
+++ b/core/src/test/java/dev/wigeonward/core/placement/PrefixIndexTest.java
@@ -19,7 +19,10 @@
     private static final int MAX_PER_UPSTREAM = 4;
     private static final int MAX_TOTAL = 10;
 
-    /** Guards against an index that exceeds its bounds or evicts a recently used entry before an older one. */
+    /**
+     * Guards against an index that exceeds its bounds or evicts a recently used entry before an older one. Each step is
+     * a number from which an upstream, a prefix and an operation are derived; the model lists pairs by last use.
+     */
     private static void checkAgainstModel(List<Integer> steps, BiFunction<Integer, Integer, PrefixIndex> factory) {
         PrefixIndex index = factory.apply(MAX_PER_UPSTREAM, MAX_TOTAL);
         List<String> model = new ArrayList<>();
--- a/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/schedule/ServiceSchedulerTest.java
@@ -14,6 +14,10 @@
     private final ServiceScheduler scheduler = ServiceScheduler.inZone("z1");
     private long now = 1_000;
 
+    /**
+     * Returns an upstream whose port is the length of its id, so that ids of different lengths have different
+     * addresses.
+     */
     private static Upstream upstream(String id, boolean draining) {
         return new Upstream(id, "s", "10.0.0.1:" + id.length(), "z1", "v1", SLOTS, draining, Optional.empty());
     }
