Name invariant 7 again at the bound on ticks

Cause: the rewording of the comment had dropped the number of the invariant.

Change: the comment names it and says what it demands.

--- a/core/src/main/java/dev/wigeonward/core/membership/UpstreamMembership.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/UpstreamMembership.java
@@ -36,8 +36,8 @@
     public static final long LINK_TIMEOUT_MILLIS = 2_500;
 
     /**
-     * Longest time between ticks, in milliseconds. Together with the link timeout it is below 3 s, the time after which
-     * a leaving upstream must receive no new requests.
+     * Longest time between ticks, in milliseconds. Together with the link timeout it is below the 3 s of invariant 7,
+     * after which a leaving upstream must receive no new requests.
      */
     public static final long MAX_TICK_MILLIS = 250;
 
