--- a/core/src/main/java/dev/wigeonward/core/order/OrderFence.java
+++ b/core/src/main/java/dev/wigeonward/core/order/OrderFence.java
@@ -43,10 +43,10 @@
         List<OrderEffect> effects = new ArrayList<>();
         if (event instanceof OrderEvent.OrderReceived received) {
             onOrderReceived(received.order(), effects);
-        } else if (event instanceof OrderEvent.FencingNumberReported seen) {
-            highestFencingNumber = Math.max(highestFencingNumber, seen.fencingNumber());
+        } else if (event instanceof OrderEvent.FencingNumberReported reported) {
+            highestFencingNumber = Math.max(highestFencingNumber, reported.fencingNumber());
         } else if (event instanceof OrderEvent.FencingNumberRead read) {
-            onFencingRead(read.fencingNumber(), effects);
+            onFencingNumberRead(read.fencingNumber(), effects);
         } else if (event instanceof OrderEvent.StoreUnavailable) {
             refuseWaiting("the store did not confirm the fencing number", effects);
         } else if (event instanceof OrderEvent.EngineFinished finished) {
@@ -85,7 +85,7 @@
      * be shown to be current: a newer lease than theirs may have ended after its orders ran at an earlier incarnation
      * of the agent.
      */
-    private void onFencingRead(long fencingNumber, List<OrderEffect> effects) {
+    private void onFencingNumberRead(long fencingNumber, List<OrderEffect> effects) {
         if (fencingNumber == 0) {
             refuseWaiting("no controller holds the lease", effects);
             return;
