--- a/core/src/main/java/dev/wigeonward/core/rollout/ControllerEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ControllerEffect.java
@@ -2,7 +2,7 @@
 
 import dev.wigeonward.core.order.Order;
 
-/** An action that the move controller requests from its adapters. */
+/** An action that the rollout controller requests from its adapters. */
 public sealed interface ControllerEffect {
     /** Write the record if the key's revision is still the expected one; 0 means that the key must not exist. */
     record WriteRecord(RolloutRecord record, long expectedRevision) implements ControllerEffect {}
--- a/core/src/main/java/dev/wigeonward/core/rollout/ControllerEvent.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ControllerEvent.java
@@ -5,13 +5,13 @@
 
 import dev.wigeonward.core.order.OrderResult;
 
-/** An event handled by the move controller. */
+/** An event handled by the rollout controller. */
 public sealed interface ControllerEvent {
     /**
      * This entry acquired the controller lease.
      *
      * @param validUntilMillis time until which no other entry can acquire the lease
-     * @param records all move records, read after the lease was acquired
+     * @param records all rollout records, read after the lease was acquired
      */
     record LeaseAcquired(long fencingNumber, long validUntilMillis, List<StoredRecord> records)
             implements ControllerEvent {
@@ -48,13 +48,13 @@
     record VerdictReceived(BadVerdict verdict) implements ControllerEvent {}
 
     /**
-     * The store answered a write of a move record.
+     * The store answered a write of a rollout record.
      *
      * @param revision new revision of the key if the write was applied
      */
     record WriteAnswered(String model, String writeId, WriteOutcome answer, long revision) implements ControllerEvent {}
 
-    /** The store answered a read of a move record. */
+    /** The store answered a read of a rollout record. */
     record RecordRead(String model, Optional<StoredRecord> stored) implements ControllerEvent {}
 
     /** An agent answered an order. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/EvaluationSettings.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/EvaluationSettings.java
@@ -36,8 +36,8 @@
     }
 
     /**
-     * Returns the settings used in production. The rate of false alarms is low because a move runs several thousand
-     * tests: two for each route and load level, restarted after each good verdict until the move is done.
+     * Returns the settings used in production. The rate of false alarms is low because a rollout runs several thousand
+     * tests: two for each route and load level, restarted after each good verdict until the rollout is done.
      */
     public static EvaluationSettings standard() {
         return new EvaluationSettings(1e-6, 0.005, 0.05, 0.15, 10, 200);
--- a/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/EvidenceRecorder.java
@@ -56,7 +56,7 @@
         return counters;
     }
 
-    /** Version and route cell for which counters are kept. */
+    /** Version, route and load level for which counters are kept. */
     public record Key(ModelVersion version, RouteLoadKey cell) {}
 
     /** The observation of one request at the engine; the first reported end counts. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/FinishProjection.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/FinishProjection.java
@@ -25,21 +25,21 @@
     }
 
     /**
-     * Returns the projected finish of the move, or the start of its phase if its new version already gets all requests
-     * or the move no longer advances.
+     * Returns the projected finish of the rollout, or the start of its phase if its new version already gets all
+     * requests or the rollout no longer advances.
      */
     long finishMillis(
-            RolloutProgress move,
-            Collection<RolloutProgress> moves,
+            RolloutProgress rollout,
+            Collection<RolloutProgress> rollouts,
             Collection<UpstreamVersions> upstreams,
             long nowMillis) {
-        RolloutRecord record = move.record;
+        RolloutRecord record = rollout.record;
         if (!record.phase().isAdvancing() || record.phase() == RolloutPhase.WATCHING) {
             return record.phaseStartMillis();
         }
         long loads = 0;
-        for (RolloutProgress other : moves) {
-            boolean loadsFirst = other == move || other.record.deadlineMillis() < record.deadlineMillis();
+        for (RolloutProgress other : rollouts) {
+            boolean loadsFirst = other == rollout || other.record.deadlineMillis() < record.deadlineMillis();
             if (loadsFirst && other.record.phase().isAdvancing()) {
                 int needed = planner.upstreamsNeeded(other, upstreams, Stage.ALL_BASIS_POINTS);
                 loads += Math.max(0, needed - planner.upstreamsReady(other, upstreams));
@@ -47,20 +47,20 @@
         }
         long rounds = (loads + settings.concurrentLoads() - 1) / settings.concurrentLoads();
         long loadingMillis = (long) (rounds * meanLoadMillis);
-        return nowMillis + Math.max(loadingMillis, stagesMillis(move, nowMillis));
+        return nowMillis + Math.max(loadingMillis, stagesMillis(rollout, nowMillis));
     }
 
-    private long stagesMillis(RolloutProgress move, long nowMillis) {
-        boolean started = move.record.shareBasisPoints() > 0;
-        int stagesLeft = settings.stagesLeft(move.record.shareBasisPoints()) - (started ? 1 : 0);
+    private long stagesMillis(RolloutProgress rollout, long nowMillis) {
+        boolean started = rollout.record.shareBasisPoints() > 0;
+        int stagesLeft = settings.stagesLeft(rollout.record.shareBasisPoints()) - (started ? 1 : 0);
         long millis = stagesLeft * settings.minStageMillis();
         if (!started) {
             return millis;
         }
-        long currentStageMillis = settings.minStageMillis() - move.activeMillis;
-        if (currentStageMillis < 0 && !move.evidence.allRoutesPassed()) {
+        long currentStageMillis = settings.minStageMillis() - rollout.activeMillis;
+        if (currentStageMillis < 0 && !rollout.evidence.allRoutesPassed()) {
             // A test that exceeds the minimum is expected to take as long again, within its limit.
-            currentStageMillis = Math.min(move.activeMillis, advancer.testMillisLeft(move, nowMillis));
+            currentStageMillis = Math.min(rollout.activeMillis, advancer.testMillisLeft(rollout, nowMillis));
         }
         return millis + Math.max(0, currentStageMillis);
     }
--- a/core/src/main/java/dev/wigeonward/core/rollout/OrderIntent.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/OrderIntent.java
@@ -5,7 +5,7 @@
 import com.google.common.base.Preconditions;
 import dev.wigeonward.core.order.Order;
 
-/** An order that is written to the move record before it is sent. */
+/** An order that is written to the rollout record before it is sent. */
 public record OrderIntent(String orderId, String upstreamId, Order.Kind kind, String model, String version) {
     public OrderIntent {
         Preconditions.checkArgument(!orderId.isEmpty(), "orderId must not be empty");
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
@@ -13,20 +13,20 @@
 import dev.wigeonward.core.order.OrderResult;
 
 /**
- * Controller of all version moves, active at the entry that holds the controller lease.
+ * Controller of all rollouts, active at the entry that holds the controller lease.
  *
- * <p>Each step is first written to the move record; its orders and stages are sent only after the store confirmed the
- * write. Bad verdicts are the exception: they are published at once, even without the lease, and written when the store
- * answers, because a verdict only ever takes requests away from a version. Not thread-safe.
+ * <p>Each step is first written to the rollout record; its orders and stages are sent only after the store confirmed
+ * the write. Bad verdicts are the exception: they are published at once, even without the lease, and written when the
+ * store answers, because a verdict only ever takes requests away from a version. Not thread-safe.
  */
 public final class RolloutController {
     private final RolloutSettings settings;
-    private final VersionEvaluator judge;
+    private final VersionEvaluator evaluateEvidence;
     private final LoadPlanner planner;
     private final RolloutAdvancer advancer;
     private final FinishProjection projection;
 
-    private final Map<String, RolloutProgress> moves = new TreeMap<>();
+    private final Map<String, RolloutProgress> rollouts = new TreeMap<>();
     private final Map<String, UpstreamVersions> upstreams = new TreeMap<>();
     private final Map<String, RolloutRule> rules = new TreeMap<>();
     private final Map<ModelVersion, BadVerdict> badVersions =
@@ -41,10 +41,10 @@
     private long lastTickMillis = Long.MIN_VALUE / 2;
     private List<ControllerEffect> effects = new ArrayList<>();
 
-    /** Creates a controller without the lease and without moves. */
-    public RolloutController(RolloutSettings settings, EvaluationSettings judgeSettings) {
+    /** Creates a controller without the lease and without rollouts. */
+    public RolloutController(RolloutSettings settings, EvaluationSettings evaluationSettings) {
         this.settings = settings;
-        this.judge = new VersionEvaluator(judgeSettings);
+        this.evaluateEvidence = new VersionEvaluator(evaluationSettings);
         this.planner = new LoadPlanner(settings);
         this.advancer = new RolloutAdvancer(settings, planner);
         this.projection = new FinishProjection(settings, planner, advancer);
@@ -61,14 +61,14 @@
             holdsLease = false;
         } else if (event instanceof ControllerEvent.RulesChanged changed) {
             changeRules(changed.rules(), nowMillis);
-        } else if (event instanceof ControllerEvent.UpstreamReported seen) {
-            upstreams.put(seen.upstream().upstreamId(), seen.upstream());
-        } else if (event instanceof ControllerEvent.UpstreamRemoved gone) {
-            upstreams.remove(gone.upstreamId());
+        } else if (event instanceof ControllerEvent.UpstreamReported reported) {
+            upstreams.put(reported.upstream().upstreamId(), reported.upstream());
+        } else if (event instanceof ControllerEvent.UpstreamRemoved removed) {
+            upstreams.remove(removed.upstreamId());
         } else if (event instanceof ControllerEvent.EvidenceReported reported) {
-            RolloutProgress move = moves.get(reported.version().model());
-            if (move != null && !move.record.phase().isOver()) {
-                move.evidence.add(reported, nowMillis);
+            RolloutProgress rollout = rollouts.get(reported.version().model());
+            if (rollout != null && !rollout.record.phase().isOver()) {
+                rollout.evidence.add(reported, nowMillis);
             }
         } else if (event instanceof ControllerEvent.VerdictReceived received) {
             addVerdict(received.verdict(), nowMillis);
@@ -84,10 +84,10 @@
         return effects;
     }
 
-    /** Returns a report of the current state of each move, for operators. */
+    /** Returns a report of the current state of each rollout, for operators. */
     public List<RolloutReport> reports(long nowMillis) {
-        return moves.values().stream()
-                .map(move -> report(move, move.record.reason(), nowMillis))
+        return rollouts.values().stream()
+                .map(rollout -> report(rollout, rollout.record.reason(), nowMillis))
                 .toList();
     }
 
@@ -96,31 +96,34 @@
         fencingNumber = acquired.fencingNumber();
         leaseValidUntilMillis = acquired.validUntilMillis();
         sequence = 0;
-        Map<String, RolloutProgress> known = new TreeMap<>(moves);
-        moves.clear();
+        Map<String, RolloutProgress> known = new TreeMap<>(rollouts);
+        rollouts.clear();
         for (StoredRecord stored : acquired.records()) {
-            RolloutProgress move =
+            RolloutProgress rollout =
                     adopt(stored, Optional.ofNullable(known.get(stored.record().model())));
-            moves.put(stored.record().model(), move);
+            rollouts.put(stored.record().model(), rollout);
         }
         List.copyOf(badVersions.values()).forEach(verdict -> effects.add(new ControllerEffect.PublishVerdict(verdict)));
         publish(nowMillis);
-        moves.values().forEach(move -> sendOrders(move, nowMillis));
+        rollouts.values().forEach(rollout -> sendOrders(rollout, nowMillis));
         applyRules(nowMillis);
     }
 
-    /** Returns a move for the stored record, with the evidence of the known move if it is between the same versions. */
+    /**
+     * Returns a rollout for the stored record. It keeps the evidence of the known rollout if that is between the same
+     * versions.
+     */
     private RolloutProgress adopt(StoredRecord stored, Optional<RolloutProgress> known) {
         RolloutRecord record = stored.record();
         record.badReasons().forEach((version, reason) -> {
             ModelVersion modelVersion = new ModelVersion(record.model(), version);
             badVersions.putIfAbsent(modelVersion, new BadVerdict(modelVersion, reason));
         });
-        RolloutProgress move = new RolloutProgress(record, stored.revision(), settings.confirmMillis());
+        RolloutProgress rollout = new RolloutProgress(record, stored.revision(), settings.confirmMillis());
         known.filter(before -> before.record.newVersion().equals(record.newVersion())
                         && before.record.oldVersion().equals(record.oldVersion()))
-                .ifPresent(before -> move.evidence = before.evidence);
-        return move;
+                .ifPresent(before -> rollout.evidence = before.evidence);
+        return rollout;
     }
 
     private void changeRules(List<RolloutRule> changed, long nowMillis) {
@@ -134,42 +137,42 @@
         if (!rulesKnown || !leaseValid(nowMillis)) {
             return;
         }
-        for (RolloutProgress move : moves.values()) {
-            RolloutRule rule = rules.get(move.record.model());
-            boolean withdrawn = rule == null || !rule.toVersion().equals(move.record.newVersion());
-            if (withdrawn && !move.withdrawn && move.record.phase().isAdvancing()) {
-                move.withdrawn = true;
+        for (RolloutProgress rollout : rollouts.values()) {
+            RolloutRule rule = rules.get(rollout.record.model());
+            boolean withdrawn = rule == null || !rule.toVersion().equals(rollout.record.newVersion());
+            if (withdrawn && !rollout.withdrawn && rollout.record.phase().isAdvancing()) {
+                rollout.withdrawn = true;
                 publish(nowMillis);
             }
-            move.withdrawn = withdrawn;
+            rollout.withdrawn = withdrawn;
         }
-        rules.values().forEach(rule -> startMove(rule, nowMillis));
+        rules.values().forEach(rule -> startRollout(rule, nowMillis));
     }
 
-    private void startMove(RolloutRule rule, long nowMillis) {
-        RolloutProgress before = moves.get(rule.model());
+    private void startRollout(RolloutRule rule, long nowMillis) {
+        RolloutProgress before = rollouts.get(rule.model());
         if (badVersions.containsKey(new ModelVersion(rule.model(), rule.toVersion()))) {
             return;
         }
         if (before == null) {
-            startMove(rule, rule.fromVersion(), 0, nowMillis);
+            startRollout(rule, rule.fromVersion(), 0, nowMillis);
             return;
         }
         boolean sameVersion = before.record.newVersion().equals(rule.toVersion());
         if (before.pending != null || before.inDoubt || !before.record.phase().isOver()) {
             return;
         }
-        // After a rollback a new move starts only when a rule names another version.
+        // After a rollback a new rollout starts only when a rule names another version.
         if (!sameVersion && !before.record.currentVersion().equals(rule.toVersion())) {
-            startMove(rule, before.record.currentVersion(), before.revision, nowMillis);
+            startRollout(rule, before.record.currentVersion(), before.revision, nowMillis);
         }
     }
 
-    private void startMove(RolloutRule rule, String oldVersion, long revision, long nowMillis) {
+    private void startRollout(RolloutRule rule, String oldVersion, long revision, long nowMillis) {
         RolloutRecord planned = RolloutRecord.planned(rule, oldVersion, badReasons(rule.model()), nowMillis);
-        RolloutProgress move = new RolloutProgress(planned, revision, settings.confirmMillis());
-        moves.put(rule.model(), move);
-        write(move, planned, nowMillis);
+        RolloutProgress rollout = new RolloutProgress(planned, revision, settings.confirmMillis());
+        rollouts.put(rule.model(), rollout);
+        write(rollout, planned, nowMillis);
     }
 
     private void addVerdict(BadVerdict verdict, long nowMillis) {
@@ -178,10 +181,11 @@
         }
         effects.add(new ControllerEffect.PublishVerdict(verdict));
         publish(nowMillis);
-        RolloutProgress move = moves.get(verdict.version().model());
-        if (move != null) {
-            effects.add(new ControllerEffect.ReportStep(report(move, "bad version: " + verdict.reason(), nowMillis)));
-            advance(move, nowMillis);
+        RolloutProgress rollout = rollouts.get(verdict.version().model());
+        if (rollout != null) {
+            effects.add(
+                    new ControllerEffect.ReportStep(report(rollout, "bad version: " + verdict.reason(), nowMillis)));
+            advance(rollout, nowMillis);
         }
     }
 
@@ -189,244 +193,246 @@
         // Capped so that a pause of this process is not counted as time in which its stages were in effect.
         long elapsedMillis = Math.max(0, Math.min(nowMillis - lastTickMillis, settings.renewMillis()));
         lastTickMillis = nowMillis;
-        for (RolloutProgress move : List.copyOf(moves.values())) {
+        for (RolloutProgress rollout : List.copyOf(rollouts.values())) {
             if (leaseValid(nowMillis)) {
-                move.activeMillis += elapsedMillis;
+                rollout.activeMillis += elapsedMillis;
             }
-            judge(move, nowMillis);
+            evaluateEvidence(rollout, nowMillis);
         }
         if (!leaseValid(nowMillis)) {
             return;
         }
         applyRules(nowMillis);
-        planner.plan(List.copyOf(moves.values()), upstreams.values(), nowMillis)
-                .forEach((model, orders) -> recordOrders(moves.get(model), orders, nowMillis));
-        for (RolloutProgress move : byDeadline()) {
-            retryWrite(move, nowMillis);
-            advance(move, nowMillis);
-            sendOrders(move, nowMillis);
-            reportIfLate(move, nowMillis);
+        planner.plan(List.copyOf(rollouts.values()), upstreams.values(), nowMillis)
+                .forEach((model, orders) -> recordOrders(rollouts.get(model), orders, nowMillis));
+        for (RolloutProgress rollout : byDeadline()) {
+            retryWrite(rollout, nowMillis);
+            advance(rollout, nowMillis);
+            sendOrders(rollout, nowMillis);
+            reportIfLate(rollout, nowMillis);
         }
         if (nowMillis - lastPublishMillis >= settings.renewMillis()) {
             publish(nowMillis);
         }
     }
 
-    private void judge(RolloutProgress move, long nowMillis) {
-        RolloutPhase phase = move.record.phase();
-        boolean judged =
+    private void evaluateEvidence(RolloutProgress rollout, long nowMillis) {
+        RolloutPhase phase = rollout.record.phase();
+        boolean isTested =
                 phase == RolloutPhase.CANARY || phase == RolloutPhase.GROWING || phase == RolloutPhase.WATCHING;
-        ModelVersion version = new ModelVersion(move.record.model(), move.record.newVersion());
-        if (!judged || badVersions.containsKey(version)) {
+        ModelVersion version = new ModelVersion(rollout.record.model(), rollout.record.newVersion());
+        if (!isTested || badVersions.containsKey(version)) {
             return;
         }
-        boolean truncated = leaseValid(nowMillis) && advancer.mustTruncateTest(move, nowMillis);
-        move.evidence.judge(judge, truncated, nowMillis).ifPresent(judgement -> {
-            String load = judgement.cell().underLoad() ? " under load: " : ": ";
+        boolean truncated = leaseValid(nowMillis) && advancer.mustTruncateTest(rollout, nowMillis);
+        rollout.evidence.evaluate(evaluateEvidence, truncated, nowMillis).ifPresent(evaluation -> {
+            String load = evaluation.cell().underLoad() ? " under load: " : ": ";
             addVerdict(
-                    new BadVerdict(version, "route " + judgement.cell().route() + load + judgement.reason()),
+                    new BadVerdict(version, "route " + evaluation.cell().route() + load + evaluation.reason()),
                     nowMillis);
         });
     }
 
-    /** Numbers the orders and writes them to the move record, before they are sent. */
-    private void recordOrders(RolloutProgress move, List<OrderIntent> orders, long nowMillis) {
-        List<OrderIntent> intents = move.unansweredIntents();
-        int count = move.record.orderCount();
+    /** Numbers the orders and writes them to the rollout record, before they are sent. */
+    private void recordOrders(RolloutProgress rollout, List<OrderIntent> orders, long nowMillis) {
+        List<OrderIntent> intents = rollout.unansweredIntents();
+        int count = rollout.record.orderCount();
         for (OrderIntent order : orders) {
             count++;
-            String orderId = order.model() + "/" + move.record.newVersion() + "/" + count;
+            String orderId = order.model() + "/" + rollout.record.newVersion() + "/" + count;
             intents.add(new OrderIntent(orderId, order.upstreamId(), order.kind(), order.model(), order.version()));
         }
-        write(move, move.record.withIntents(intents, count), nowMillis);
+        write(rollout, rollout.record.withIntents(intents, count), nowMillis);
     }
 
-    private void advance(RolloutProgress move, long nowMillis) {
-        if (!leaseValid(nowMillis) || move.pending != null) {
+    private void advance(RolloutProgress rollout, long nowMillis) {
+        if (!leaseValid(nowMillis) || rollout.pending != null) {
             return;
         }
-        RolloutRecord record = move.record;
+        RolloutRecord record = rollout.record;
         ModelVersion version = new ModelVersion(record.model(), record.newVersion());
         Optional<String> badReason =
                 Optional.ofNullable(badVersions.get(version)).map(BadVerdict::reason);
-        Optional<RolloutRecord> next = advancer.next(move, badReason, upstreams.values(), nowMillis);
+        Optional<RolloutRecord> next = advancer.next(rollout, badReason, upstreams.values(), nowMillis);
         RolloutRule rule = rules.get(record.model());
-        boolean deadlineMoved = rule != null
-                && !move.withdrawn
+        boolean deadlineChanged = rule != null
+                && !rollout.withdrawn
                 && record.phase().isAdvancing()
                 && rule.deadlineMillis() != record.deadlineMillis();
         if (next.isPresent()) {
-            write(move, next.get(), nowMillis);
-        } else if (deadlineMoved) {
-            write(move, record.withDeadlineMillis(rule.deadlineMillis()), nowMillis);
+            write(rollout, next.get(), nowMillis);
+        } else if (deadlineChanged) {
+            write(rollout, record.withDeadlineMillis(rule.deadlineMillis()), nowMillis);
         } else if (!record.badReasons()
                 .keySet()
                 .containsAll(badReasons(record.model()).keySet())) {
-            write(move, record, nowMillis);
+            write(rollout, record, nowMillis);
         }
     }
 
-    private void write(RolloutProgress move, RolloutRecord next, long nowMillis) {
+    private void write(RolloutProgress rollout, RolloutRecord next, long nowMillis) {
         writeCount++;
         String writeId = fencingNumber + "-" + writeCount;
-        move.pending = next.withIntents(unansweredOf(move, next), next.orderCount())
+        rollout.pending = next.withIntents(unansweredOf(rollout, next), next.orderCount())
                 .withWrite(fencingNumber, writeId, badReasons(next.model()));
-        move.lastAttemptMillis = nowMillis;
-        effects.add(new ControllerEffect.WriteRecord(move.pending, move.revision));
+        rollout.lastAttemptMillis = nowMillis;
+        effects.add(new ControllerEffect.WriteRecord(rollout.pending, rollout.revision));
     }
 
-    private static List<OrderIntent> unansweredOf(RolloutProgress move, RolloutRecord next) {
+    private static List<OrderIntent> unansweredOf(RolloutProgress rollout, RolloutRecord next) {
         return next.intents().stream()
-                .filter(intent -> !move.answeredOrderIds.contains(intent.orderId()))
+                .filter(intent -> !rollout.answeredOrderIds.contains(intent.orderId()))
                 .toList();
     }
 
-    private void retryWrite(RolloutProgress move, long nowMillis) {
-        if (move.pending == null || nowMillis - move.lastAttemptMillis < settings.retryMillis()) {
+    private void retryWrite(RolloutProgress rollout, long nowMillis) {
+        if (rollout.pending == null || nowMillis - rollout.lastAttemptMillis < settings.retryMillis()) {
             return;
         }
-        move.lastAttemptMillis = nowMillis;
+        rollout.lastAttemptMillis = nowMillis;
         // The unanswered write may have been applied, so the record is read before the write is repeated.
-        move.inDoubt = true;
-        effects.add(new ControllerEffect.ReadRecord(move.record.model()));
+        rollout.inDoubt = true;
+        effects.add(new ControllerEffect.ReadRecord(rollout.record.model()));
     }
 
     private void handleWriteAnswer(ControllerEvent.WriteAnswered answered, long nowMillis) {
-        RolloutProgress move = moves.get(answered.model());
-        if (move == null || move.pending == null || !move.pending.writeId().equals(answered.writeId())) {
+        RolloutProgress rollout = rollouts.get(answered.model());
+        if (rollout == null
+                || rollout.pending == null
+                || !rollout.pending.writeId().equals(answered.writeId())) {
             return;
         }
         switch (answered.answer()) {
-            case APPLIED -> confirm(move, answered.revision(), nowMillis);
+            case APPLIED -> confirm(rollout, answered.revision(), nowMillis);
             case COMPARE_FAILED, UNKNOWN -> {
-                move.inDoubt = true;
-                move.lastAttemptMillis = nowMillis;
+                rollout.inDoubt = true;
+                rollout.lastAttemptMillis = nowMillis;
                 effects.add(new ControllerEffect.ReadRecord(answered.model()));
             }
-            default -> move.lastAttemptMillis = nowMillis;
+            default -> rollout.lastAttemptMillis = nowMillis;
         }
     }
 
     private void handleRecordRead(ControllerEvent.RecordRead read, long nowMillis) {
-        RolloutProgress move = moves.get(read.model());
-        if (move == null || move.pending == null || !move.inDoubt) {
+        RolloutProgress rollout = rollouts.get(read.model());
+        if (rollout == null || rollout.pending == null || !rollout.inDoubt) {
             return;
         }
         long storedRevision = read.stored().map(StoredRecord::revision).orElse(0L);
         if (read.stored().isPresent()) {
             RolloutRecord stored = read.stored().get().record();
-            if (stored.writeId().equals(move.pending.writeId())) {
-                confirm(move, storedRevision, nowMillis);
+            if (stored.writeId().equals(rollout.pending.writeId())) {
+                confirm(rollout, storedRevision, nowMillis);
                 return;
             }
             if (stored.fencingNumber() > fencingNumber) {
                 holdsLease = false;
                 return;
             }
-            if (storedRevision != move.revision) {
+            if (storedRevision != rollout.revision) {
                 // A late write of an earlier controller was applied first, so adopt the stored record.
-                moves.put(read.model(), adopt(read.stored().get(), Optional.of(move)));
+                rollouts.put(read.model(), adopt(read.stored().get(), Optional.of(rollout)));
                 return;
             }
         }
-        move.inDoubt = false;
+        rollout.inDoubt = false;
         if (leaseValid(nowMillis)) {
-            effects.add(new ControllerEffect.WriteRecord(move.pending, move.revision));
+            effects.add(new ControllerEffect.WriteRecord(rollout.pending, rollout.revision));
         }
     }
 
-    private void confirm(RolloutProgress move, long revision, long nowMillis) {
-        boolean step = move.record.phase() != move.pending.phase()
-                || move.record.shareBasisPoints() != move.pending.shareBasisPoints()
-                || move.revision == 0;
-        move.record = move.pending;
-        move.pending = null;
-        move.inDoubt = false;
-        move.revision = revision;
+    private void confirm(RolloutProgress rollout, long revision, long nowMillis) {
+        boolean step = rollout.record.phase() != rollout.pending.phase()
+                || rollout.record.shareBasisPoints() != rollout.pending.shareBasisPoints()
+                || rollout.revision == 0;
+        rollout.record = rollout.pending;
+        rollout.pending = null;
+        rollout.inDoubt = false;
+        rollout.revision = revision;
         if (step) {
-            effects.add(new ControllerEffect.ReportStep(report(move, move.record.reason(), nowMillis)));
-            move.activeMillis = 0;
-            move.evidence.startStage(nowMillis);
+            effects.add(new ControllerEffect.ReportStep(report(rollout, rollout.record.reason(), nowMillis)));
+            rollout.activeMillis = 0;
+            rollout.evidence.startStage(nowMillis);
             publish(nowMillis);
         }
-        sendOrders(move, nowMillis);
-        advance(move, nowMillis);
+        sendOrders(rollout, nowMillis);
+        advance(rollout, nowMillis);
     }
 
-    private void sendOrders(RolloutProgress move, long nowMillis) {
+    private void sendOrders(RolloutProgress rollout, long nowMillis) {
         if (!leaseValid(nowMillis)) {
             return;
         }
-        for (OrderIntent intent : move.record.intents()) {
-            long sentMillis = move.sentMillisByOrder.getOrDefault(intent.orderId(), Long.MIN_VALUE / 2);
+        for (OrderIntent intent : rollout.record.intents()) {
+            long sentMillis = rollout.sentMillisByOrder.getOrDefault(intent.orderId(), Long.MIN_VALUE / 2);
             boolean due = nowMillis - sentMillis >= settings.orderRetryMillis();
-            if (!due || move.answeredOrderIds.contains(intent.orderId())) {
+            if (!due || rollout.answeredOrderIds.contains(intent.orderId())) {
                 continue;
             }
-            if (isObsolete(move, intent, nowMillis)) {
-                move.answeredOrderIds.add(intent.orderId());
+            if (isObsolete(rollout, intent, nowMillis)) {
+                rollout.answeredOrderIds.add(intent.orderId());
                 continue;
             }
             if (!upstreams.containsKey(intent.upstreamId())) {
                 continue;
             }
-            move.sentMillisByOrder.put(intent.orderId(), nowMillis);
+            rollout.sentMillisByOrder.put(intent.orderId(), nowMillis);
             effects.add(new ControllerEffect.SendOrder(intent.upstreamId(), intent.toOrder(fencingNumber)));
         }
     }
 
-    private boolean isObsolete(RolloutProgress move, OrderIntent intent, long nowMillis) {
+    private boolean isObsolete(RolloutProgress rollout, OrderIntent intent, long nowMillis) {
         if (intent.kind() == Order.Kind.LOAD
                 && badVersions.containsKey(new ModelVersion(intent.model(), intent.version()))) {
             return true;
         }
         if (upstreams.containsKey(intent.upstreamId())) {
-            move.missingSinceMillisByOrder.remove(intent.orderId());
+            rollout.missingSinceMillisByOrder.remove(intent.orderId());
             return false;
         }
         // A new lease holder needs some time to establish links to all agents, so a missing upstream may appear.
-        long sinceMillis = move.missingSinceMillisByOrder.computeIfAbsent(intent.orderId(), id -> nowMillis);
+        long sinceMillis = rollout.missingSinceMillisByOrder.computeIfAbsent(intent.orderId(), id -> nowMillis);
         return nowMillis - sinceMillis >= settings.orderRetryMillis();
     }
 
     private void handleOrderAnswer(ControllerEvent.OrderAnswered answered, long nowMillis) {
-        for (RolloutProgress move : moves.values()) {
-            for (OrderIntent intent : move.unansweredIntents()) {
+        for (RolloutProgress rollout : rollouts.values()) {
+            for (OrderIntent intent : rollout.unansweredIntents()) {
                 if (intent.orderId().equals(answered.orderId())) {
-                    handleOrderAnswer(move, intent, answered.result(), nowMillis);
+                    handleOrderAnswer(rollout, intent, answered.result(), nowMillis);
                 }
             }
         }
     }
 
-    private void handleOrderAnswer(RolloutProgress move, OrderIntent intent, OrderResult result, long nowMillis) {
+    private void handleOrderAnswer(RolloutProgress rollout, OrderIntent intent, OrderResult result, long nowMillis) {
         if (result instanceof OrderResult.Done) {
-            move.answeredOrderIds.add(intent.orderId());
+            rollout.answeredOrderIds.add(intent.orderId());
             upstreams.computeIfPresent(intent.upstreamId(), (id, upstream) -> upstream.afterOrder(intent));
-            Long sentMillis = move.sentMillisByOrder.get(intent.orderId());
+            Long sentMillis = rollout.sentMillisByOrder.get(intent.orderId());
             if (sentMillis != null && intent.kind() == Order.Kind.LOAD) {
                 projection.recordLoadDuration(nowMillis - sentMillis);
             }
         } else if (result instanceof OrderResult.Failed failed) {
-            move.answeredOrderIds.add(intent.orderId());
-            move.retryOrdersMillis = nowMillis + settings.orderRetryMillis();
+            rollout.answeredOrderIds.add(intent.orderId());
+            rollout.retryOrdersMillis = nowMillis + settings.orderRetryMillis();
             String reason = intent.kind() + " at " + intent.upstreamId() + " failed: " + failed.reason();
-            effects.add(new ControllerEffect.ReportStep(report(move, reason, nowMillis)));
+            effects.add(new ControllerEffect.ReportStep(report(rollout, reason, nowMillis)));
         } else if (result instanceof OrderResult.Refused refused && refused.highestFencingNumber() > fencingNumber) {
             holdsLease = false;
         }
     }
 
-    private void reportIfLate(RolloutProgress move, long nowMillis) {
-        if (!move.record.phase().isAdvancing() || move.record.phase() == RolloutPhase.WATCHING) {
+    private void reportIfLate(RolloutProgress rollout, long nowMillis) {
+        if (!rollout.record.phase().isAdvancing() || rollout.record.phase() == RolloutPhase.WATCHING) {
             return;
         }
-        long finishMillis = projection.finishMillis(move, moves.values(), upstreams.values(), nowMillis);
-        boolean late = finishMillis > move.record.deadlineMillis();
-        if (late && !move.lateReported) {
-            effects.add(new ControllerEffect.ReportStep(report(move, "the deadline will not be met", nowMillis)));
+        long finishMillis = projection.finishMillis(rollout, rollouts.values(), upstreams.values(), nowMillis);
+        boolean late = finishMillis > rollout.record.deadlineMillis();
+        if (late && !rollout.lateReported) {
+            effects.add(new ControllerEffect.ReportStep(report(rollout, "the deadline will not be met", nowMillis)));
         }
-        move.lateReported = late;
+        rollout.lateReported = late;
     }
 
     private void publish(long nowMillis) {
@@ -435,14 +441,14 @@
         }
         lastPublishMillis = nowMillis;
         sequence++;
-        List<Stage> stages = moves.values().stream().map(this::stage).toList();
+        List<Stage> stages = rollouts.values().stream().map(this::stage).toList();
         effects.add(new ControllerEffect.PublishStages(new ControllerStages(fencingNumber, sequence, stages)));
     }
 
-    private Stage stage(RolloutProgress move) {
-        RolloutRecord record = move.record;
+    private Stage stage(RolloutProgress rollout) {
+        RolloutRecord record = rollout.record;
         boolean isBad = badVersions.containsKey(new ModelVersion(record.model(), record.newVersion()));
-        boolean stopped = isBad || move.withdrawn && record.phase().isAdvancing();
+        boolean stopped = isBad || rollout.withdrawn && record.phase().isAdvancing();
         return new Stage(
                 record.model(),
                 record.oldVersion(),
@@ -452,9 +458,9 @@
                 record.phase() == RolloutPhase.DONE && !isBad);
     }
 
-    private RolloutReport report(RolloutProgress move, String reason, long nowMillis) {
-        RolloutRecord record = move.record;
-        long finishMillis = projection.finishMillis(move, moves.values(), upstreams.values(), nowMillis);
+    private RolloutReport report(RolloutProgress rollout, String reason, long nowMillis) {
+        RolloutRecord record = rollout.record;
+        long finishMillis = projection.finishMillis(rollout, rollouts.values(), upstreams.values(), nowMillis);
         return new RolloutReport(
                 nowMillis,
                 record.model(),
@@ -466,7 +472,7 @@
                 finishMillis,
                 finishMillis <= record.deadlineMillis(),
                 reason,
-                move.evidence.judgements());
+                rollout.evidence.evaluations());
     }
 
     private Map<String, String> badReasons(String model) {
@@ -478,9 +484,9 @@
     }
 
     private Collection<RolloutProgress> byDeadline() {
-        List<RolloutProgress> sorted = new ArrayList<>(moves.values());
-        sorted.sort(Comparator.comparingLong((RolloutProgress move) -> move.record.deadlineMillis())
-                .thenComparing(move -> move.record.model()));
+        List<RolloutProgress> sorted = new ArrayList<>(rollouts.values());
+        sorted.sort(Comparator.comparingLong((RolloutProgress rollout) -> rollout.record.deadlineMillis())
+                .thenComparing(rollout -> rollout.record.model()));
         return sorted;
     }
 
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
@@ -13,12 +13,12 @@
 import dev.wigeonward.core.rollout.RouteEvaluation.Verdict;
 
 /**
- * Evidence on one move, collected per route and load level in windows that restart after each good verdict.
+ * Evidence on one rollout, collected per route and load level in windows that restart after each good verdict.
  *
  * <p>Windows restart because a long run of good results would otherwise hide a version that turns bad later.
  */
 final class RolloutEvidence {
-    private static final Comparator<RouteLoadKey> CELL_ORDER =
+    private static final Comparator<RouteLoadKey> KEY_ORDER =
             Comparator.comparing(RouteLoadKey::route).thenComparing(RouteLoadKey::underLoad);
 
     private static final long NOT_SUSPECT = Long.MAX_VALUE;
@@ -29,7 +29,7 @@
     private final String newVersion;
     private final long confirmMillis;
     private final Map<Source, EvidenceCounters> reported = new HashMap<>();
-    private final Map<RouteLoadKey, Window> windows = new TreeMap<>(CELL_ORDER);
+    private final Map<RouteLoadKey, Window> windows = new TreeMap<>(KEY_ORDER);
 
     /**
      * Creates empty evidence.
@@ -52,7 +52,7 @@
         Source source = new Source(report.upstreamId(), report.incarnation(), version, report.cell());
         EvidenceCounters before = reported.put(source, report.counters());
         if (before == null && version.equals(oldVersion)) {
-            // The first report of the old version may cover days before the move, so only later increases count.
+            // The first report of the old version may cover days before the rollout, so only later increases count.
             return;
         }
         EvidenceCounters added =
@@ -69,24 +69,24 @@
         }
     }
 
-    /** Evaluates all routes and returns the first judgement that calls the new version bad, if any. */
-    Optional<RouteEvaluation> judge(VersionEvaluator judge, boolean truncated, long nowMillis) {
+    /** Evaluates all routes and returns the first evaluation with a verdict that the new version is bad, if any. */
+    Optional<RouteEvaluation> evaluate(VersionEvaluator evaluator, boolean truncated, long nowMillis) {
         for (Window window : windows.values()) {
             if (window.newEvidence.requests() == 0 && !truncated) {
                 continue;
             }
-            RouteEvaluation judgement = judge.evaluate(
-                    window.cell, window.recentOld, earlierBaseline(window), window.newEvidence, truncated);
-            window.lastJudgement = judgement;
-            if (judgement.verdict() == Verdict.BAD) {
-                if (judge.needsNoConfirmation(window.recentOld, window.newEvidence)
+            RouteEvaluation evaluation = evaluator.evaluate(
+                    window.key, window.recentOld, earlierBaseline(window), window.newEvidence, truncated);
+            window.lastEvaluation = evaluation;
+            if (evaluation.verdict() == Verdict.BAD) {
+                if (evaluator.needsNoConfirmation(window.recentOld, window.newEvidence)
                         || window.markSuspect(nowMillis) >= confirmMillis) {
-                    return Optional.of(judgement);
+                    return Optional.of(evaluation);
                 }
                 // Only requests counted after the route became suspect can confirm the suspicion.
                 window.restart(nowMillis);
             }
-            if (judgement.verdict() == Verdict.GOOD) {
+            if (evaluation.verdict() == Verdict.GOOD) {
                 window.passed = true;
                 window.suspectSinceMillis = NOT_SUSPECT;
                 if (truncated || nowMillis - window.startMillis >= MIN_WINDOW_MILLIS) {
@@ -109,9 +109,9 @@
         Set<String> routes = new HashSet<>();
         Set<String> passed = new HashSet<>();
         for (Window window : windows.values()) {
-            routes.add(window.cell.route());
+            routes.add(window.key.route());
             if (window.passed) {
-                passed.add(window.cell.route());
+                passed.add(window.key.route());
             }
         }
         return !routes.isEmpty() && passed.containsAll(routes);
@@ -128,27 +128,27 @@
         });
     }
 
-    /** Returns the last judgement of each route and load level that has one. */
-    List<RouteEvaluation> judgements() {
-        List<RouteEvaluation> judgements = new ArrayList<>();
+    /** Returns the last evaluation of each route and load level that has one. */
+    List<RouteEvaluation> evaluations() {
+        List<RouteEvaluation> evaluations = new ArrayList<>();
         for (Window window : windows.values()) {
-            if (window.lastJudgement != null) {
-                judgements.add(window.lastJudgement);
+            if (window.lastEvaluation != null) {
+                evaluations.add(window.lastEvaluation);
             }
         }
-        return judgements;
+        return evaluations;
     }
 
     /**
-     * Returns the old version's evidence since the move began, for comparison where the recent evidence is small. A
+     * Returns the old version's evidence since the rollout began, for comparison where the recent evidence is small. A
      * loaded route without such evidence falls back to the failures of the unloaded route; the times measured without
      * load are not comparable and are omitted.
      */
     private EvidenceCounters earlierBaseline(Window window) {
-        if (window.earlierOld.requests() > 0 || !window.cell.underLoad()) {
+        if (window.earlierOld.requests() > 0 || !window.key.underLoad()) {
             return window.earlierOld;
         }
-        Window unloaded = windows.get(new RouteLoadKey(window.cell.route(), false));
+        Window unloaded = windows.get(new RouteLoadKey(window.key.route(), false));
         if (unloaded == null) {
             return window.earlierOld;
         }
@@ -156,21 +156,21 @@
         return new EvidenceCounters(old.requests(), old.failures(), TimeHistogram.empty());
     }
 
-    private record Source(String upstreamId, long incarnation, String version, RouteLoadKey cell) {}
+    private record Source(String upstreamId, long incarnation, String version, RouteLoadKey key) {}
 
     private static final class Window {
-        private final RouteLoadKey cell;
+        private final RouteLoadKey key;
         private EvidenceCounters recentOld = EvidenceCounters.empty();
         private EvidenceCounters earlierOld = EvidenceCounters.empty();
         private EvidenceCounters newEvidence = EvidenceCounters.empty();
-        private RouteEvaluation lastJudgement;
+        private RouteEvaluation lastEvaluation;
         private boolean passed;
         private long startMillis;
         private long lastEvidenceMillis;
         private long suspectSinceMillis = NOT_SUSPECT;
 
-        Window(RouteLoadKey cell) {
-            this.cell = cell;
+        Window(RouteLoadKey key) {
+            this.key = key;
         }
 
         /** Marks the window as suspect, if it is not yet, and returns for how many milliseconds it has been so. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutProgress.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutProgress.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Set;
 
-/** In-memory state of the controller for one move. */
+/** In-memory state of the controller for one rollout. */
 final class RolloutProgress {
-    /** The last record known to be stored, or the initial record of a new move that is not yet written. */
+    /** The last record known to be stored, or the initial record of a new rollout that is not yet written. */
     RolloutRecord record;
     /** The record whose write is not yet confirmed, or null. */
     RolloutRecord pending;
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutRecord.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutRecord.java
@@ -8,7 +8,7 @@
 import com.google.common.base.Preconditions;
 
 /**
- * State of a model's move, as written to the store.
+ * State of a model's rollout, as written to the store.
  *
  * @param fencingNumber fencing number of the controller that wrote the record
  * @param writeId unique id by which the writer recognizes its own write after a lost reply
@@ -44,7 +44,7 @@
         badReasons = Map.copyOf(badReasons);
     }
 
-    /** Creates the record of a new move in its first phase, without write id and fencing number. */
+    /** Creates the record of a new rollout in its first phase, without write id and fencing number. */
     static RolloutRecord planned(RolloutRule rule, String oldVersion, Map<String, String> badReasons, long nowMillis) {
         return new RolloutRecord(
                 rule.model(),
@@ -63,7 +63,7 @@
                 "asked by " + rule.askedBy());
     }
 
-    /** Returns the new version if the move is done, or else the old version. */
+    /** Returns the new version if the rollout is done, or else the old version. */
     public String currentVersion() {
         return phase == RolloutPhase.DONE ? newVersion : oldVersion;
     }
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutRule.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutRule.java
@@ -5,13 +5,14 @@
 import com.google.common.base.Preconditions;
 
 /**
- * An operator's rule that moves a model to another version.
+ * An operator's rule that rolls out another version of a model.
  *
- * @param fromVersion version in use before the first move of the model; later moves start from the version then in use
+ * @param fromVersion version in use before the first rollout of the model; later rollouts start from the version that
+ *     is then in use
  * @param deadlineMillis time by which all requests of the model are to go to the new version
  * @param canaryBasisPoints share of each route's requests that the new version gets before the first verdict, in
  *     1/10,000
- * @param askedBy name of the operator who requested the move, for reports
+ * @param askedBy name of the operator who requested the rollout, for reports
  */
 public record RolloutRule(
         String model,
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutSettings.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutSettings.java
@@ -5,10 +5,10 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Settings of version moves.
+ * Settings of rollouts.
  *
  * @param growthBasisPoints shares after the canary share in increasing order, in 1/10,000; the last is all requests
- * @param concurrentLoads maximum number of loads in progress over all moves, limited by the weight store's rate
+ * @param concurrentLoads maximum number of loads in progress over all rollouts, limited by the weight store's rate
  * @param expectedLoadMillis expected duration of a load before any was measured
  * @param minStageMillis minimum duration of each share, so that slow answers to its first requests are seen
  * @param minTestMillis time before which a test is not truncated for the deadline
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
@@ -5,8 +5,9 @@
 import java.util.Optional;
 
 /**
- * Selector of the versions that may serve a request during a traffic shift. The target of an order gets no requests
- * while no stage of it is known, so an entry without contact to a controller sends it none. Not thread-safe.
+ * Selector of the versions that may serve a request during a service rollout. The target version of an order gets
+ * no requests while no stage of it is known, so an entry without contact to a controller sends it none. Not
+ * thread-safe.
  */
 public final class RolloutVersionSelector {
     private final StageView view;
@@ -35,7 +36,7 @@
         return true;
     }
 
-    /** Adds the final state of a shift, as stored at the revision, unless the same or a later one is known. */
+    /** Adds the final state of a rollout, as stored at the revision, unless the same or a later one is known. */
     public void addFinalState(String service, String target, RolloutState state, long revision) {
         FinalState known = finalStates.get(service);
         if (known == null || known.revision() < revision) {
--- a/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
@@ -5,12 +5,12 @@
 import java.util.Optional;
 
 /**
- * The state machine of one traffic shift, driven by the evidence of all entries. The total share of requests that a
+ * The state machine of one service rollout, driven by the evidence of all entries. The total share of requests that a
  * bad version may get up to the deadline is limited, so the share stays small for half of the time and then grows in
  * two steps. Not thread-safe.
  */
 public final class ServiceRollout {
-    /** Version name under which the evidence of all versions other than the target is combined. */
+    /** Version name under which the evidence of all versions other than the target version is combined. */
     private static final String PREVIOUS = "previous";
     /** Initial share. Operators commonly allow a bad version a tenth of all requests; this is half of that. */
     private static final int CANARY_BASIS_POINTS = 500;
@@ -23,18 +23,18 @@
 
     /** Fraction of the time during which the share stays at one half. */
     private static final double HALF_SHARE_TIME_FRACTION = 0.12;
-    /** Fraction of the time after which the shift completes even if old upstreams still have requests in progress. */
+    /** Fraction of the time after which the rollout completes even if old upstreams still have requests in progress. */
     private static final double MAX_DRAIN_TIME_FRACTION = 0.95;
     /** Minimum number of the new version's requests before the share grows beyond the canary share. */
     private static final long MIN_SAMPLES = 20;
     /** Time for which a route must look bad when there is no recent evidence of the old version to compare with. */
     private static final long CONFIRM_MILLIS = 700;
 
-    /** Needs fewer samples than moves that last hours, because a shift runs a handful of tests, not thousands. */
-    private static final EvaluationSettings JUDGE_SETTINGS = new EvaluationSettings(1e-4, 0.01, 0.1, 0.2, 12, 60);
+    /** Needs fewer samples than a model's rollout, which lasts hours and runs thousands of tests, not a handful. */
+    private static final EvaluationSettings EVALUATION_SETTINGS = new EvaluationSettings(1e-4, 0.01, 0.1, 0.2, 12, 60);
 
     private final RolloutOrder order;
-    private final VersionEvaluator judge = new VersionEvaluator(JUDGE_SETTINGS);
+    private final VersionEvaluator evaluator = new VersionEvaluator(EVALUATION_SETTINGS);
     private final RolloutEvidence evidence;
     private final Map<String, Long> samplesBySource = new HashMap<>();
     private int shareBasisPoints = CANARY_BASIS_POINTS;
@@ -46,7 +46,7 @@
         this.evidence = new RolloutEvidence(PREVIOUS, order.targetVersion(), CONFIRM_MILLIS);
     }
 
-    /** Creates a shift whose target gets the canary share. */
+    /** Creates a rollout whose target version gets the canary share. */
     public static ServiceRollout of(RolloutOrder order) {
         return new ServiceRollout(order);
     }
@@ -56,7 +56,7 @@
         return order;
     }
 
-    /** Returns the state of the shift. */
+    /** Returns the state of the rollout. */
     public RolloutState state() {
         return state;
     }
@@ -86,14 +86,14 @@
 
     /** Evaluates the evidence and returns a verdict with its reason if the new version is bad. */
     public Optional<BadVerdict> evaluate(long nowMillis) {
-        return evidence.judge(judge, false, nowMillis)
-                .map(judgement -> new BadVerdict(
+        return evidence.evaluate(evaluator, false, nowMillis)
+                .map(evaluation -> new BadVerdict(
                         new ModelVersion(order.service(), order.targetVersion()),
-                        "route " + judgement.cell().route() + ": " + judgement.reason()));
+                        "route " + evaluation.cell().route() + ": " + evaluation.reason()));
     }
 
     /**
-     * Takes at most one step: reverts the shift, increases the share, or completes the shift.
+     * Takes at most one step: reverts the rollout, increases the share, or completes the rollout.
      *
      * @param bad whether the new version is known to be bad
      * @param outstandingAtPrevious requests in progress at upstreams of other versions, over all entries
--- a/core/src/main/java/dev/wigeonward/core/rollout/Stage.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/Stage.java
@@ -3,14 +3,14 @@
 import com.google.common.base.Preconditions;
 
 /**
- * The share of requests that the new version of one model may get during a move.
+ * The share of requests that the new version of one model may get during a rollout.
  *
  * @param model model or plain service
- * @param oldVersion version in use before the move
- * @param newVersion version to which the move leads
+ * @param oldVersion version in use before the rollout
+ * @param newVersion version that the rollout introduces
  * @param shareBasisPoints share of each route's requests that the new version may get, in 1/10,000
- * @param leaseMillis time after receipt for which the share is valid, unless the new version is judged good
- * @param judgedGood whether the move passed its last test, so that the share is valid without renewal
+ * @param leaseMillis time after receipt for which the share is valid, unless the verdict on the new version is good
+ * @param hasGoodVerdict whether the rollout passed its last test, so that the share is valid without renewal
  */
 public record Stage(
         String model,
@@ -18,7 +18,7 @@
         String newVersion,
         int shareBasisPoints,
         long leaseMillis,
-        boolean judgedGood) {
+        boolean hasGoodVerdict) {
     /** The share that stands for all requests of a route. */
     public static final int ALL_BASIS_POINTS = 10_000;
 
@@ -40,6 +40,6 @@
     }
 
     Stage withLeaseMillis(long millis) {
-        return new Stage(model, oldVersion, newVersion, shareBasisPoints, millis, judgedGood);
+        return new Stage(model, oldVersion, newVersion, shareBasisPoints, millis, hasGoodVerdict);
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
@@ -7,13 +7,15 @@
 import java.util.Optional;
 
 /**
- * One entry's view of the moves: the newest stages published by the controller and all known bad verdicts.
+ * One entry's view of the rollouts: the newest stages published by the controller and all known bad verdicts.
  *
  * <p>Stages may arrive in any order and repeatedly, from the controller or relayed by peers. Bad verdicts are merged as
  * a union, whatever their source, and never removed. Not thread-safe.
  */
 public final class StageView {
-    /** Maximum time for which an entry without contact to the controller sends requests to a version not yet judged. */
+    /**
+     * Maximum time for which an entry without contact to the controller sends requests to a version without a verdict.
+     */
     public static final long MAX_LEASE_MILLIS = 10_000;
 
     private final Map<ModelVersion, BadVerdict> bad = new HashMap<>();
@@ -46,7 +48,7 @@
         return added;
     }
 
-    /** Returns the stage of a model's move, even if its lease has expired. */
+    /** Returns the stage of a model's rollout, even if its lease has expired. */
     public Optional<Stage> stage(String model) {
         return Optional.ofNullable(stages.get(model)).map(LeasedStage::stage);
     }
@@ -57,7 +59,7 @@
         if (leased == null || isBad(model, leased.stage.newVersion())) {
             return 0;
         }
-        return leased.stage.judgedGood() || nowMillis < leased.expiresMillis ? leased.stage.shareBasisPoints() : 0;
+        return leased.stage.hasGoodVerdict() || nowMillis < leased.expiresMillis ? leased.stage.shareBasisPoints() : 0;
     }
 
     /** Returns whether there is a bad verdict on the version. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/UpstreamVersions.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/UpstreamVersions.java
@@ -14,7 +14,7 @@
     public UpstreamVersions {
         Preconditions.checkArgument(!upstreamId.isEmpty(), "upstreamId must not be empty");
         Preconditions.checkArgument(
-                maxVersions > 0, "places of upstream %s must be positive, but is %s", upstreamId, maxVersions);
+                maxVersions > 0, "maxVersions of upstream %s must be positive, but is %s", upstreamId, maxVersions);
         loadedVersions = Set.copyOf(loadedVersions);
     }
 
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionEvaluator.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionEvaluator.java
@@ -32,7 +32,7 @@
     private final double badBound;
     private final double goodBound;
 
-    /** Creates a judge with the given error rates and differences. */
+    /** Creates an evaluator with the given error rates and differences. */
     public VersionEvaluator(EvaluationSettings settings) {
         this.settings = settings;
         this.badBound = Math.log((1 - settings.falseGoodRate()) / settings.falseBadRate());
@@ -40,15 +40,15 @@
     }
 
     /**
-     * Returns the judgement of the new version on the route.
+     * Returns the evaluation of the new version on the route.
      *
      * @param recentOld the old version's evidence of the same period as the new version's
-     * @param earlierOld the old version's evidence since the move began, used if recentOld has too few requests
+     * @param earlierOld the old version's evidence since the rollout began, used if recentOld has too few requests
      * @param newEvidence the new version's evidence
      * @param truncated whether the time for the test is over, in which case the verdict is never undecided
      */
     public RouteEvaluation evaluate(
-            RouteLoadKey cell,
+            RouteLoadKey key,
             EvidenceCounters recentOld,
             EvidenceCounters earlierOld,
             EvidenceCounters newEvidence,
@@ -66,19 +66,19 @@
             double bound = truncated ? badBound / 2 : badBound;
             if (failures.ratio >= bound || slow.ratio >= bound) {
                 ShareTest worse = failures.ratio >= bound ? failures : slow;
-                return new RouteEvaluation(cell, Verdict.BAD, oldFigures, newFigures, worse.describe(">=", bound));
+                return new RouteEvaluation(key, Verdict.BAD, oldFigures, newFigures, worse.describe(">=", bound));
             }
             if (failures.ratio <= goodBound && (slow.ratio <= goodBound || !slow.applicable)) {
                 return new RouteEvaluation(
-                        cell, Verdict.GOOD, oldFigures, newFigures, failures.describe("<=", goodBound));
+                        key, Verdict.GOOD, oldFigures, newFigures, failures.describe("<=", goodBound));
             }
         }
         if (truncated) {
             String reason = "time for the test is over after " + newEvidence.requests() + " requests; "
                     + failures.describe("<", badBound / 2);
-            return new RouteEvaluation(cell, Verdict.GOOD, oldFigures, newFigures, reason);
+            return new RouteEvaluation(key, Verdict.GOOD, oldFigures, newFigures, reason);
         }
-        return new RouteEvaluation(cell, Verdict.UNDECIDED, oldFigures, newFigures, "more requests are needed");
+        return new RouteEvaluation(key, Verdict.UNDECIDED, oldFigures, newFigures, "more requests are needed");
     }
 
     /**
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionSelector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionSelector.java
@@ -13,7 +13,7 @@
 /**
  * Selector of the version of the target that serves a request.
  *
- * <p>During a move, candidates for the new version are drawn by a hash of the request id, independent of route and
+ * <p>During a rollout, candidates for the new version are drawn by a hash of the request id, independent of route and
  * tier; the limiter then bounds how many candidates are sent there. A repeated selection for the same request, after a
  * dispatch that did not run, returns the first choice and is counted once.
  */
@@ -47,7 +47,7 @@
         String model = request.target();
         Optional<Stage> stage = view.stage(model);
         if (stage.isEmpty()) {
-            return selectWithoutMove(model, versionsWithUpstreams);
+            return selectWithoutRollout(model, versionsWithUpstreams);
         }
         String oldVersion = stage.get().oldVersion();
         String newVersion = stage.get().newVersion();
@@ -58,17 +58,17 @@
             return fallback;
         }
         boolean sendToNew = chooseNew(request, newVersion, shareBasisPoints);
-        if (sendToNew || !oldUsable && stage.get().judgedGood()) {
+        if (sendToNew || !oldUsable && stage.get().hasGoodVerdict()) {
             return Optional.of(newVersion);
         }
         return fallback;
     }
 
     /**
-     * Returns the version to use when no move is known. A second version may be one without a verdict, so the selector
-     * keeps to the version that was last offered alone.
+     * Returns the version to use when no rollout is known. A second version may be one without a verdict, so the
+     * selector keeps to the version that was last offered alone.
      */
-    private Optional<String> selectWithoutMove(String model, Collection<String> versionsWithUpstreams) {
+    private Optional<String> selectWithoutRollout(String model, Collection<String> versionsWithUpstreams) {
         List<String> usable = versionsWithUpstreams.stream()
                 .filter(version -> !view.isBad(model, version))
                 .distinct()
--- a/core/src/main/java/dev/wigeonward/core/rollout/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/package-info.java
@@ -1,2 +1,2 @@
-/** Version moves: share limits at each entry, statistical tests of the new version, and the controller's decisions. */
+/** Rollouts: share limits at each entry, statistical tests of the new version, and the controller's decisions. */
 package dev.wigeonward.core.rollout;
--- a/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ControllerHarness.java
@@ -55,8 +55,8 @@
         return new RolloutController(SETTINGS, EvaluationSettings.standard())::handle;
     }
 
-    void addUpstream(String id, String model, int places, String... versions) {
-        upstreams.put(id, new UpstreamVersions(id, model, Set.of(versions), places));
+    void addUpstream(String id, String model, int maxVersions, String... versions) {
+        upstreams.put(id, new UpstreamVersions(id, model, Set.of(versions), maxVersions));
     }
 
     /** Replaces the controller with one that acquires the lease and has no state but the stored records. */
--- a/core/src/test/java/dev/wigeonward/core/rollout/MoveControllerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/RolloutControllerTest.java
@@ -18,7 +18,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-class MoveControllerTest {
+class RolloutControllerTest {
     private static final long DEADLINE_MILLIS = 400_000;
     private static final RolloutRule TO_V2 = rule("model", "v2", DEADLINE_MILLIS);
     private static final RolloutRule TO_V3 = rule("model", "v3", 2 * DEADLINE_MILLIS);
@@ -30,9 +30,11 @@
         harness = newHarness();
     }
 
-    /** Guards against a move that stops before the new version gets all requests, or leaves the old version loaded. */
+    /**
+     * Guards against a rollout that stops before the new version gets all requests, or leaves the old version loaded.
+     */
     @Test
-    void goodVersionMovesFromRuleToDone() {
+    void goodVersionReachesDone() {
         harness.elect(ControllerHarness.realController());
         harness.changeRules(TO_V2);
         harness.run(200);
@@ -48,10 +50,11 @@
 
     /**
      * Guards against a bad version that keeps getting requests because the rollback waits for the store, and against a
-     * verdict found during a store outage that is not written afterwards, so that the same version is moved to again.
+     * verdict found during a store outage that is not written afterwards, so that a rollout of the same version starts
+     * again.
      */
     @Test
-    void badVersionIsStoppedWhileStoreIsDownAndWrittenLater() {
+    void badVersionIsStoppedWhileStoreIsDownAndVerdictIsWrittenLater() {
         harness.failureShareByVersion.put("v2", 0.5);
         harness.elect(ControllerHarness.realController());
         harness.changeRules(TO_V2);
@@ -92,7 +95,7 @@
         assertThat(harness.record("model").phase()).isEqualTo(RolloutPhase.DONE);
     }
 
-    /** Guards against a stuck move or repeated orders when a write is applied but its reply is lost. */
+    /** Guards against a stuck rollout or repeated orders when a write is applied but its reply is lost. */
     @Test
     void lostRepliesAreReadBack() {
         harness.store = Store.LOSES_REPLIES;
@@ -114,7 +117,8 @@
     @Test
     void checkFailsForControllerThatIgnoresStoredVerdicts() {
         checkVerdictSurvives(ControllerHarness::realController, List.of(5));
-        assertThatThrownBy(() -> checkVerdictSurvives(MoveControllerTest::ignoringStoredVerdictsController, List.of(5)))
+        assertThatThrownBy(
+                        () -> checkVerdictSurvives(RolloutControllerTest::ignoringStoredVerdictsController, List.of(5)))
                 .isInstanceOf(AssertionError.class);
     }
 
@@ -128,8 +132,8 @@
     @Test
     void checkFailsForControllerThatOrdersBeforeWriting() {
         checkIntentBeforeOrder(ControllerHarness::realController, List.of(1, 1));
-        assertThatThrownBy(
-                        () -> checkIntentBeforeOrder(MoveControllerTest::orderingBeforeWriteController, List.of(1, 1)))
+        assertThatThrownBy(() ->
+                        checkIntentBeforeOrder(RolloutControllerTest::orderingBeforeWriteController, List.of(1, 1)))
                 .isInstanceOf(AssertionError.class);
     }
 
@@ -144,7 +148,7 @@
     void checkFailsForControllerThatGrowsWithoutEvidence() {
         checkCanaryShare(ControllerHarness::realController, List.of(1, 1, 1, 1, 1, 1));
         assertThatThrownBy(() ->
-                        checkCanaryShare(MoveControllerTest::ignoringFailuresController, List.of(1, 1, 1, 1, 1, 1)))
+                        checkCanaryShare(RolloutControllerTest::ignoringFailuresController, List.of(1, 1, 1, 1, 1, 1)))
                 .isInstanceOf(AssertionError.class);
     }
 
@@ -161,9 +165,12 @@
                 .isEmpty();
     }
 
-    /** Guards against a move that continues after the rules name another version, and so never starts the new move. */
+    /**
+     * Guards against a rollout that continues after the rules name another version, and so never starts the new
+     * rollout.
+     */
     @Test
-    void otherVersionInTheRulesReplacesTheMove() {
+    void otherVersionInTheRulesReplacesTheRollout() {
         harness.elect(ControllerHarness.realController());
         harness.changeRules(TO_V2);
         harness.run(30);
@@ -177,11 +184,11 @@
     }
 
     /**
-     * Guards against a move that delays another with an earlier deadline by using its loads, and against a deadline
+     * Guards against a rollout that delays another with an earlier deadline by using its loads, and against a deadline
      * that will be missed without a report.
      */
     @Test
-    void earliestDeadlineLoadsFirstAndLateMovesAreReported() {
+    void earliestDeadlineLoadsFirstAndLateRolloutsAreReported() {
         harness.addUpstream("b0", "other", 2, "v1");
         harness.elect(ControllerHarness.realController());
         harness.changeRules(TO_V2, rule("other", "v2", 30_000));
@@ -194,7 +201,7 @@
                 .doesNotContain("model");
     }
 
-    /** Guards against unloading the last copy of the old version before the new one is judged good. */
+    /** Guards against unloading the last copy of the old version before the verdict on the new one is good. */
     @Test
     void enginesWithRoomForOneKeepSomeOldVersionsUntilDone() {
         harness.upstreams.clear();
--- a/core/src/test/java/dev/wigeonward/core/rollout/MoveEvidenceTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/RolloutEvidenceTest.java
@@ -4,10 +4,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class MoveEvidenceTest {
+class RolloutEvidenceTest {
     private static final long CONFIRM_MILLIS = 20_000;
 
-    private final VersionEvaluator judge = new VersionEvaluator(EvaluationSettings.standard());
+    private final VersionEvaluator evaluator = new VersionEvaluator(EvaluationSettings.standard());
     private final RolloutEvidence evidence = new RolloutEvidence("v1", "v2", CONFIRM_MILLIS);
     private EvidenceCounters counters = EvidenceCounters.empty();
 
@@ -17,10 +17,10 @@
      */
     @Test
     void suspicionNeedsNewRequestsToBeConfirmed() {
-        assertThat(judgeAfter(1_000, 150, 30)).isFalse();
-        assertThat(judgeAfter(1_000 + 2 * CONFIRM_MILLIS, 0, 0)).isFalse();
-        assertThat(judgeAfter(2_000 + 2 * CONFIRM_MILLIS, 200, 0)).isFalse();
-        assertThat(judgeAfter(3_000 + 2 * CONFIRM_MILLIS, 150, 30)).isFalse();
+        assertThat(isBadAfter(1_000, 150, 30)).isFalse();
+        assertThat(isBadAfter(1_000 + 2 * CONFIRM_MILLIS, 0, 0)).isFalse();
+        assertThat(isBadAfter(2_000 + 2 * CONFIRM_MILLIS, 200, 0)).isFalse();
+        assertThat(isBadAfter(3_000 + 2 * CONFIRM_MILLIS, 150, 30)).isFalse();
     }
 
     /**
@@ -29,19 +29,19 @@
      */
     @Test
     void lastingSuspicionIsConfirmed() {
-        assertThat(judgeAfter(1_000, 150, 30)).isFalse();
+        assertThat(isBadAfter(1_000, 150, 30)).isFalse();
         assertThat(evidence.isSuspect(1_000)).isTrue();
-        assertThat(judgeAfter(10_000, 150, 30)).isFalse();
-        assertThat(judgeAfter(1_000 + CONFIRM_MILLIS, 150, 30)).isTrue();
+        assertThat(isBadAfter(10_000, 150, 30)).isFalse();
+        assertThat(isBadAfter(1_000 + CONFIRM_MILLIS, 150, 30)).isTrue();
     }
 
     /** Guards against many failed requests because even a very high failure share waits for confirmation. */
     @Test
     void grossFailuresNeedNoConfirmation() {
-        assertThat(judgeAfter(1_000, 100, 60)).isTrue();
+        assertThat(isBadAfter(1_000, 100, 60)).isTrue();
     }
 
-    private boolean judgeAfter(long nowMillis, int requests, int failures) {
+    private boolean isBadAfter(long nowMillis, int requests, int failures) {
         long[] times = new long[TimeHistogram.BUCKETS];
         times[20] = requests - failures;
         counters = counters.plus(new EvidenceCounters(requests, failures, TimeHistogram.of(times)));
@@ -49,6 +49,6 @@
                 new ControllerEvent.EvidenceReported(
                         "a0", 1, new ModelVersion("model", "v2"), new RouteLoadKey("chat", false), counters),
                 nowMillis);
-        return evidence.judge(judge, false, nowMillis).isPresent();
+        return evidence.evaluate(evaluator, false, nowMillis).isPresent();
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/rollout/TrafficShiftTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ServiceRolloutTest.java
@@ -6,15 +6,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class TrafficShiftTest {
+class ServiceRolloutTest {
     private static final RouteLoadKey ROUTE = new RouteLoadKey("r", false);
     private static final long DEADLINE_MILLIS = 12_000;
     private static final int REQUESTS_PER_TICK = 20;
 
     private final RolloutOrder order = new RolloutOrder("s", "v2", 0, DEADLINE_MILLIS, 5);
-    private final ServiceRollout shift = ServiceRollout.of(order);
+    private final ServiceRollout rollout = ServiceRollout.of(order);
     private final StageView view = new StageView();
-    private final RolloutVersionSelector choice = RolloutVersionSelector.of(view);
+    private final RolloutVersionSelector selector = RolloutVersionSelector.of(view);
     private long oldRequests;
     private long newRequests;
     private long newFailures;
@@ -23,7 +23,7 @@
     private void report(String version, long requests, long failures) {
         long[] times = new long[TimeHistogram.BUCKETS];
         times[TimeHistogram.bucketOf(1)] = requests - failures;
-        shift.add(
+        rollout.add(
                 new ControllerEvent.EvidenceReported(
                         "entry-1",
                         1,
@@ -33,13 +33,15 @@
                 0);
     }
 
-    /** Simulates requests and the controller at ten ticks per second, and returns the time at which the shift ended. */
+    /**
+     * Simulates requests and the controller at ten ticks per second, and returns the time at which the rollout ended.
+     */
     private long simulate(double failureShare, int outstandingAtPrevious) {
-        choice.addOrder(order);
+        selector.addOrder(order);
         for (long now = 0; now <= DEADLINE_MILLIS; now += 100) {
             for (int request = 0; request < REQUESTS_PER_TICK; request++) {
-                VersionConstraint bound = choice.choose("s", "r", now);
-                if (bound.kind() == VersionConstraint.Kind.PREFERRED) {
+                VersionConstraint constraint = selector.choose("s", "r", now);
+                if (constraint.kind() == VersionConstraint.Kind.PREFERRED) {
                     newRequests++;
                     newFailures += newRequests * failureShare >= newFailures + 1 ? 1 : 0;
                 } else {
@@ -48,10 +50,10 @@
             }
             report("v1", oldRequests, oldRequests / 200);
             report("v2", newRequests, newFailures);
-            shift.evaluate(now).ifPresent(verdict -> view.merge(List.of(verdict)));
-            shift.advance(view.isBad("s", "v2"), outstandingAtPrevious, now);
-            view.apply(new ControllerStages(1, ++sequence, List.of(shift.stage(2_000))), now);
-            if (shift.state() != RolloutState.IN_PROGRESS) {
+            rollout.evaluate(now).ifPresent(verdict -> view.merge(List.of(verdict)));
+            rollout.advance(view.isBad("s", "v2"), outstandingAtPrevious, now);
+            view.apply(new ControllerStages(1, ++sequence, List.of(rollout.stage(2_000))), now);
+            if (rollout.state() != RolloutState.IN_PROGRESS) {
                 return now;
             }
         }
@@ -60,56 +62,57 @@
 
     /** Guards against a good version that does not get all requests by the deadline because its share grows late. */
     @Test
-    void goodVersionIsInPlaceBeforeTheDeadline() {
+    void goodVersionGetsAllRequestsBeforeTheDeadline() {
         assertThat(simulate(0.005, 0)).isLessThan(DEADLINE_MILLIS);
-        assertThat(shift.state()).isEqualTo(RolloutState.COMPLETED);
+        assertThat(rollout.state()).isEqualTo(RolloutState.COMPLETED);
     }
 
     /**
-     * Guards against requests that are cut off because the shift completes while old upstreams still process them, and
-     * against a shift that misses its deadline because it waits for them without limit.
+     * Guards against requests that are cut off because the rollout completes while old upstreams still process them,
+     * and against a rollout that misses its deadline because it waits for them without limit.
      */
     @Test
     void endWaitsForOldUpstreamsAsLongAsTheDeadlineAllows() {
         assertThat(simulate(0, 3)).isBetween((long) (0.9 * DEADLINE_MILLIS), DEADLINE_MILLIS);
-        assertThat(shift.state()).isEqualTo(RolloutState.COMPLETED);
+        assertThat(rollout.state()).isEqualTo(RolloutState.COMPLETED);
     }
 
-    /** Guards against a bad version that gets more than a tenth of the requests before the shift is reverted. */
+    /** Guards against a bad version that gets more than a tenth of the requests before the rollout is reverted. */
     @Test
     void badVersionIsRevertedAfterFewRequests() {
         long ended = simulate(0.3, 0);
-        assertThat(shift.state()).isEqualTo(RolloutState.REVERTED);
+        assertThat(rollout.state()).isEqualTo(RolloutState.REVERTED);
         assertThat(ended).isLessThan(DEADLINE_MILLIS / 2);
         assertThat(newRequests).isLessThan((oldRequests + newRequests) / 10);
-        assertThat(choice.choose("s", "r", ended).kind()).isEqualTo(VersionConstraint.Kind.FORBIDDEN);
+        assertThat(selector.choose("s", "r", ended).kind()).isEqualTo(VersionConstraint.Kind.FORBIDDEN);
     }
 
     /** Guards against an entry without contact to a controller that sends requests to a new version on an old stage. */
     @Test
     void withoutRenewalTheNewVersionGetsNothing() {
-        choice.addOrder(order);
-        view.apply(new ControllerStages(1, 1, List.of(shift.stage(2_000))), 0);
+        selector.addOrder(order);
+        view.apply(new ControllerStages(1, 1, List.of(rollout.stage(2_000))), 0);
         for (int request = 0; request < 200; request++) {
-            assertThat(choice.choose("s", "r", 2_000).kind()).isEqualTo(VersionConstraint.Kind.AVOIDED);
+            assertThat(selector.choose("s", "r", 2_000).kind()).isEqualTo(VersionConstraint.Kind.AVOIDED);
         }
     }
 
     /** Guards against an entry that restarts after completion and sends requests to stopped old upstreams. */
     @Test
     void storedStateIsApplied() {
-        choice.addOrder(order);
-        choice.addFinalState("s", "v2", RolloutState.COMPLETED, 9);
-        assertThat(choice.choose("s", "r", 0)).isEqualTo(new VersionConstraint("v2", VersionConstraint.Kind.PREFERRED));
-        assertThat(choice.unfinishedOrders()).isEmpty();
+        selector.addOrder(order);
+        selector.addFinalState("s", "v2", RolloutState.COMPLETED, 9);
+        assertThat(selector.choose("s", "r", 0))
+                .isEqualTo(new VersionConstraint("v2", VersionConstraint.Kind.PREFERRED));
+        assertThat(selector.unfinishedOrders()).isEmpty();
     }
 
     /** Guards against the stored state of an earlier order that is applied to a new order of the same version. */
     @Test
     void storedStateOfEarlierOrderIsIgnored() {
-        choice.addFinalState("s", "v2", RolloutState.COMPLETED, 3);
-        choice.addOrder(order);
-        assertThat(choice.unfinishedOrders()).containsKey("s");
-        assertThat(choice.choose("s", "r", 0).kind()).isEqualTo(VersionConstraint.Kind.AVOIDED);
+        selector.addFinalState("s", "v2", RolloutState.COMPLETED, 3);
+        selector.addOrder(order);
+        assertThat(selector.unfinishedOrders()).containsKey("s");
+        assertThat(selector.choose("s", "r", 0).kind()).isEqualTo(VersionConstraint.Kind.AVOIDED);
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionJudgeTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionEvaluatorTest.java
@@ -9,11 +9,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class VersionJudgeTest {
-    private static final RouteLoadKey CELL = new RouteLoadKey("chat", false);
+class VersionEvaluatorTest {
+    private static final RouteLoadKey KEY = new RouteLoadKey("chat", false);
     private static final int MAX_SAMPLES = 5_000;
 
-    private final VersionEvaluator judge = new VersionEvaluator(EvaluationSettings.standard());
+    private final VersionEvaluator evaluator = new VersionEvaluator(EvaluationSettings.standard());
 
     /** Guards against wrong verdicts: equal versions called bad, or clearly worse versions called good or undecided. */
     @ParameterizedTest
@@ -21,30 +21,31 @@
     void verdictMatchesTrueDifference(double failureShare, double slowdown, Verdict expected) {
         Random random = new Random(7);
         EvidenceCounters old = sample(random, 2_000, 0.01, 1);
-        for (int run = 0; run < 100; run++) {
+        for (int trial = 0; trial < 100; trial++) {
             EvidenceCounters evidence = EvidenceCounters.empty();
             Verdict verdict = Verdict.UNDECIDED;
             while (verdict == Verdict.UNDECIDED && evidence.requests() < MAX_SAMPLES) {
                 evidence = evidence.plus(sample(random, 1, failureShare, slowdown));
-                verdict = judge.evaluate(CELL, old, old, evidence, false).verdict();
+                verdict = evaluator.evaluate(KEY, old, old, evidence, false).verdict();
             }
             assertThat(verdict).isEqualTo(expected);
         }
     }
 
-    /** Guards against a move that never ends because a route has too few requests for a verdict. */
+    /** Guards against a rollout that never ends because a route has too few requests for a verdict. */
     @Test
     void truncatedTestAlwaysDecides() {
         Random random = new Random(8);
         EvidenceCounters old = sample(random, 2_000, 0.01, 1);
-        assertThat(judge.evaluate(CELL, old, old, EvidenceCounters.empty(), true)
+        assertThat(evaluator
+                        .evaluate(KEY, old, old, EvidenceCounters.empty(), true)
                         .verdict())
                 .isEqualTo(Verdict.GOOD);
         EvidenceCounters few = sample(random, 20, 0.01, 1);
-        assertThat(judge.evaluate(CELL, old, old, few, false).verdict()).isEqualTo(Verdict.UNDECIDED);
-        assertThat(judge.evaluate(CELL, old, old, few, true).verdict()).isEqualTo(Verdict.GOOD);
+        assertThat(evaluator.evaluate(KEY, old, old, few, false).verdict()).isEqualTo(Verdict.UNDECIDED);
+        assertThat(evaluator.evaluate(KEY, old, old, few, true).verdict()).isEqualTo(Verdict.GOOD);
         EvidenceCounters fewBad = sample(random, 12, 0.6, 1);
-        assertThat(judge.evaluate(CELL, old, old, fewBad, true).verdict()).isEqualTo(Verdict.BAD);
+        assertThat(evaluator.evaluate(KEY, old, old, fewBad, true).verdict()).isEqualTo(Verdict.BAD);
     }
 
     /** Guards against a good version that is called bad because a few requests happened to fail. */
@@ -52,11 +53,12 @@
     void fewerThanTheMinimumOfSamplesAreNeverBad() {
         EvidenceCounters old = new EvidenceCounters(2_000, 20, TimeHistogram.empty());
         EvidenceCounters allFailed = new EvidenceCounters(9, 9, TimeHistogram.empty());
-        assertThat(judge.evaluate(CELL, old, old, allFailed, false).verdict()).isEqualTo(Verdict.UNDECIDED);
+        assertThat(evaluator.evaluate(KEY, old, old, allFailed, false).verdict())
+                .isEqualTo(Verdict.UNDECIDED);
         EvidenceCounters oneMore = new EvidenceCounters(10, 10, TimeHistogram.empty());
-        RouteEvaluation judgement = judge.evaluate(CELL, old, old, oneMore, false);
-        assertThat(judgement.verdict()).isEqualTo(Verdict.BAD);
-        assertThat(judgement.reason()).startsWith("failures 10 of 10");
+        RouteEvaluation evaluation = evaluator.evaluate(KEY, old, old, oneMore, false);
+        assertThat(evaluation.verdict()).isEqualTo(Verdict.BAD);
+        assertThat(evaluation.reason()).startsWith("failures 10 of 10");
     }
 
     private static EvidenceCounters sample(Random random, int requests, double failureShare, double slowdown) {
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
@@ -47,9 +47,12 @@
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against an entry without contact to the controller that keeps sending requests to an unjudged version. */
+    /**
+     * Guards against an entry without contact to the controller that keeps sending requests to a version without a
+     * verdict.
+     */
     @Test
-    void shareEndsWithTheLeaseUnlessJudgedGood() {
+    void shareEndsWithTheLeaseUnlessVerdictIsGood() {
         RealEntry entry = new RealEntry();
         entry.publish(stages(1, 1, 10_000, false), 0);
         assertThat(entry.select(request(0, 1, "chat", Tier.STANDARD), 9_999)).contains("v2");
@@ -99,9 +102,11 @@
         }
     }
 
-    /** Guards against requests to an unjudged version from an entry that has just started and has no stages yet. */
+    /**
+     * Guards against requests to a version without a verdict from an entry that has just started and has no stages yet.
+     */
     @Test
-    void withoutMoveOnlyTheKnownVersionServes() {
+    void withoutRolloutOnlyTheKnownVersionServes() {
         VersionSelector selector = new VersionSelector(new StageView(), new ShareLimiter());
         RequestSpec request = request(0, 1, "chat", Tier.CRITICAL);
         assertThat(selector.select(request, BOTH, 0)).isEmpty();
@@ -139,9 +144,9 @@
         }
     }
 
-    private static ControllerStages stages(long fencing, long sequence, int share, boolean judgedGood) {
+    private static ControllerStages stages(long fencing, long sequence, int share, boolean hasGoodVerdict) {
         return new ControllerStages(
-                fencing, sequence, List.of(new Stage("model", "v1", "v2", share, 10_000, judgedGood)));
+                fencing, sequence, List.of(new Stage("model", "v1", "v2", share, 10_000, hasGoodVerdict)));
     }
 
     private static final class RealEntry implements Entry {
--- a/exchange/src/main/java/dev/wigeonward/exchange/FactSync.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/FactSync.java
@@ -162,7 +162,7 @@
                     .setNewVersion(stage.newVersion())
                     .setShareBasisPoints(stage.shareBasisPoints())
                     .setLeaseMillis(stage.leaseMillis())
-                    .setJudgedGood(stage.judgedGood()));
+                    .setJudgedGood(stage.hasGoodVerdict()));
         }
         return state.build();
     }
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutCase.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutCase.java
@@ -96,7 +96,7 @@
         if (share == Stage.ALL_BASIS_POINTS && completedMillis < 0) {
             completedMillis = nowMillis;
         }
-        judgedGood |= stages.stages().stream().anyMatch(Stage::judgedGood) && rollout instanceof ControlledRollout;
+        judgedGood |= stages.stages().stream().anyMatch(Stage::hasGoodVerdict) && rollout instanceof ControlledRollout;
         send(Optional.of(stages));
     }
 
--- a/measurement/src/test/java/dev/wigeonward/measure/moves/MovesMeasurementTest.java
+++ b/measurement/src/test/java/dev/wigeonward/measure/moves/RolloutMeasurementTest.java
@@ -8,7 +8,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class MovesMeasurementTest {
+class RolloutMeasurementTest {
     /** Guards against figures that cannot be reproduced, for example because threads share a random generator. */
     @Test
     void sameSeedGivesSameReport() {
