--- a/core/src/main/java/dev/wigeonward/core/deployment/RoutingConfiguration.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/RoutingConfiguration.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 
 /**
- * One version of the routes, tenants and caller limits that operators configure. Immutable; the time of a lookup does
- * not depend on the number of tenants.
+ * One version of the routes, workspaces and caller limits that operators configure. Immutable; the time of a lookup
+ * does not depend on the number of workspaces.
  */
 public final class RoutingConfiguration {
     private static final Comparator<Route> LONGEST_PREFIX_FIRST =
@@ -18,30 +18,30 @@
 
     private final long version;
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
-    private final Map<String, Workspace> tenantsByKey = new HashMap<>();
+    private final Map<String, Workspace> workspacesByKey = new HashMap<>();
     private final List<Workspace> workspaces;
     private final CallerLimits limits;
 
-    private RoutingConfiguration(long version, List<Route> routes, List<Workspace> tenants, CallerLimits limits) {
+    private RoutingConfiguration(long version, List<Route> routes, List<Workspace> workspaces, CallerLimits limits) {
         this.version = version;
         this.limits = limits;
-        this.workspaces = List.copyOf(tenants);
+        this.workspaces = List.copyOf(workspaces);
         for (Route route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
                     .add(route);
         }
         routesByHost.values().forEach(list -> list.sort(LONGEST_PREFIX_FIRST));
-        tenants.forEach(tenant -> tenant.keys().forEach(key -> tenantsByKey.put(key, tenant)));
+        workspaces.forEach(workspace -> workspace.keys().forEach(key -> workspacesByKey.put(key, workspace)));
     }
 
-    /** Returns a deployment with the given version, routes, tenants and limits. */
+    /** Returns a configuration with the given version, routes, workspaces and limits. */
     public static RoutingConfiguration of(
-            long version, List<Route> routes, List<Workspace> tenants, CallerLimits limits) {
-        return new RoutingConfiguration(version, routes, tenants, limits);
+            long version, List<Route> routes, List<Workspace> workspaces, CallerLimits limits) {
+        return new RoutingConfiguration(version, routes, workspaces, limits);
     }
 
-    /** Returns the version number; newer deployments have higher numbers. */
+    /** Returns the version number; newer configurations have higher numbers. */
     public long version() {
         return version;
     }
@@ -65,17 +65,17 @@
         return Optional.empty();
     }
 
-    /** Returns the tenant that the key belongs to, or empty if the key is unknown. */
+    /** Returns the workspace that the key belongs to, or empty if the key is unknown. */
     public Optional<Workspace> workspace(String key) {
-        return Optional.ofNullable(tenantsByKey.get(key));
+        return Optional.ofNullable(workspacesByKey.get(key));
     }
 
-    /** Returns all tenants in the configured order. */
+    /** Returns all workspaces in the configured order. */
     public List<Workspace> workspaces() {
         return workspaces;
     }
 
-    /** Returns whether any tenant is configured; without tenants callers need no key. */
+    /** Returns whether any workspace is configured; without workspaces callers need no key. */
     public boolean hasWorkspaces() {
         return !workspaces.isEmpty();
     }
--- a/core/src/main/java/dev/wigeonward/core/deployment/package-info.java
+++ b/core/src/main/java/dev/wigeonward/core/deployment/package-info.java
@@ -1,2 +1,2 @@
-/** Operator configuration of the direct path: routes, tenants and the limits on callers. */
+/** Operator configuration of the gateway: routes, workspaces and the limits on callers. */
 package dev.wigeonward.core.deployment;
--- a/core/src/main/java/dev/wigeonward/core/revision/PeerRevisions.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/PeerRevisions.java
@@ -11,47 +11,47 @@
  * Latest revision number and hash received from each linked peer. A lower number replaces a higher one of that peer.
  */
 final class PeerRevisions {
-    private static final Claim NO_REVISION = new Claim(0, "");
+    private static final ReportedRevision NO_REVISION = new ReportedRevision(0, "");
 
-    private final Map<String, Claim> claims = new LinkedHashMap<>();
+    private final Map<String, ReportedRevision> reportedRevisions = new LinkedHashMap<>();
     private final Map<String, Failure> failures = new LinkedHashMap<>();
 
     /** Number and hash of the revision in force at a peer; the hash is empty while it is unknown. */
-    record Claim(long number, String hash) {}
+    record ReportedRevision(long number, String hash) {}
 
-    /** A claim whose revision a peer failed to deliver; the peer is not asked for it until the given time. */
-    private record Failure(Claim claim, long untilMillis) {}
+    /** A revision that a peer reported but failed to deliver; the peer is not asked for it until the given time. */
+    private record Failure(ReportedRevision revision, long untilMillis) {}
 
-    /** Adds a peer; a known peer keeps its claim. */
+    /** Adds a peer; a known peer keeps its reported revision. */
     void linkUp(String peer) {
-        claims.putIfAbsent(peer, NO_REVISION);
+        reportedRevisions.putIfAbsent(peer, NO_REVISION);
     }
 
-    /** Removes a peer with its claim and its failure. */
+    /** Removes a peer with its reported revision and its failure. */
     void linkDown(String peer) {
-        claims.remove(peer);
+        reportedRevisions.remove(peer);
         failures.remove(peer);
     }
 
     /**
-     * Replaces the claim of a peer. Claims of unlinked peers are ignored, since a message may be handled before its
-     * link is up or after it is down. A claim without a hash does not replace one with the same number.
+     * Replaces the reported revision of a peer. Reports of unlinked peers are ignored, since a message may be handled
+     * before its link is up or after it is down. A report without a hash does not replace one with the same number.
      */
     void put(String peer, long number, String hash) {
-        Claim known = claims.get(peer);
+        ReportedRevision known = reportedRevisions.get(peer);
         if (known == null || hash.isEmpty() && known.number() == number) {
             return;
         }
-        claims.put(peer, new Claim(number, hash));
+        reportedRevisions.put(peer, new ReportedRevision(number, hash));
     }
 
     /**
-     * Excludes a peer that did not deliver its claimed revision until the given time or until its claim changes, so
+     * Excludes a peer that did not deliver its reported revision until the given time or until it reports another, so
      * that other peers and lower numbers are tried.
      */
     void markFailed(String peer, long untilMillis) {
-        if (claims.containsKey(peer)) {
-            failures.put(peer, new Failure(claims.get(peer), untilMillis));
+        if (reportedRevisions.containsKey(peer)) {
+            failures.put(peer, new Failure(reportedRevisions.get(peer), untilMillis));
         }
     }
 
@@ -62,47 +62,47 @@
 
     /** Returns whether the link to the peer is up. */
     boolean isLinked(String peer) {
-        return claims.containsKey(peer);
+        return reportedRevisions.containsKey(peer);
     }
 
-    /** Returns the distinct hashes that peers claim for a number, as a new modifiable set. */
+    /** Returns the distinct hashes that peers report for a number, as a new modifiable set. */
     Set<String> hashesOf(long number) {
         Set<String> hashes = new HashSet<>();
-        for (Claim claim : claims.values()) {
-            if (claim.number() == number && !claim.hash().isEmpty()) {
-                hashes.add(claim.hash());
+        for (ReportedRevision reported : reportedRevisions.values()) {
+            if (reported.number() == number && !reported.hash().isEmpty()) {
+                hashes.add(reported.hash());
             }
         }
         return hashes;
     }
 
-    /** Returns the numbers above a bound that are claimed by at least one peer that is not excluded. */
+    /** Returns the numbers above a bound that are reported by at least one peer that is not excluded. */
     Collection<Long> usableNumbersAbove(long bound) {
         Set<Long> numbers = new HashSet<>();
-        claims.forEach((peer, claim) -> {
-            if (claim.number() > bound && isUsable(peer, claim)) {
-                numbers.add(claim.number());
+        reportedRevisions.forEach((peer, reported) -> {
+            if (reported.number() > bound && isUsable(peer, reported)) {
+                numbers.add(reported.number());
             }
         });
         return numbers;
     }
 
-    /** Returns the peers that claim a number and are not excluded, in the order in which their links came up. */
+    /** Returns the peers that report a number and are not excluded, in the order in which their links came up. */
     List<String> usablePeersWith(long number) {
-        return claims.entrySet().stream()
+        return reportedRevisions.entrySet().stream()
                 .filter(entry -> entry.getValue().number() == number && isUsable(entry.getKey(), entry.getValue()))
                 .map(Map.Entry::getKey)
                 .toList();
     }
 
-    private boolean isUsable(String peer, Claim claim) {
+    private boolean isUsable(String peer, ReportedRevision reported) {
         Failure failure = failures.get(peer);
-        return failure == null || !failure.claim().equals(claim);
+        return failure == null || !failure.revision().equals(reported);
     }
 
-    /** Returns the peers whose latest claimed number is below the given one. */
+    /** Returns the peers whose latest reported number is below the given one. */
     List<String> peersBelow(long number) {
-        return claims.entrySet().stream()
+        return reportedRevisions.entrySet().stream()
                 .filter(entry -> entry.getValue().number() < number)
                 .map(Map.Entry::getKey)
                 .toList();
--- a/core/src/main/java/dev/wigeonward/core/revision/RelayEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RelayEffect.java
@@ -19,7 +19,7 @@
     /** Apply the adopted revision in this process. */
     record Adopt(Revision revision) implements RelayEffect {}
 
-    /** Report that several hashes are claimed for one number; an operator has to investigate. */
+    /** Report that one number was received with several hashes; an operator has to investigate. */
     record ReportConflict(long number, Set<String> hashes) implements RelayEffect {
         public ReportConflict {
             hashes = Set.copyOf(hashes);
@@ -27,7 +27,7 @@
     }
 
     /** Report that the store returned a lower number than the one in force, which stays in force. */
-    record ReportStoreRegression(long storeNumber, long numberInForce) implements RelayEffect {}
+    record ReportStoreRegression(long storeNumber, long currentNumber) implements RelayEffect {}
 
     /** Report a text or delta whose hash differs from the hash sent with it; the source is a peer or the store. */
     record ReportHashMismatch(String source, long number) implements RelayEffect {}
--- a/core/src/main/java/dev/wigeonward/core/revision/RevisionLog.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RevisionLog.java
@@ -46,7 +46,7 @@
                     candidate.number() == number() && !candidate.hash().equals(hash());
             return differentHash ? new AdoptionResult.DifferentHash(hash()) : new AdoptionResult.NotHigher(number());
         }
-        if (!rules.verifies(candidate)) {
+        if (!rules.hasMatchingHash(candidate)) {
             return new AdoptionResult.HashMismatch();
         }
         deltas.clear();
--- a/core/src/main/java/dev/wigeonward/core/revision/RevisionRelay.java
+++ b/core/src/main/java/dev/wigeonward/core/revision/RevisionRelay.java
@@ -12,8 +12,8 @@
 
 /**
  * State machine that decides which revision is in force in one process and propagates revisions over the links. A
- * number that is claimed with different hashes is disputed: it is reported and not adopted from peers until the store
- * returns it or a higher number replaces it. Not thread-safe.
+ * number for which peers report different hashes is disputed: operators are told of the conflict, and the number is not
+ * adopted from peers until the store returns it or a higher number replaces it. Not thread-safe.
  */
 public final class RevisionRelay {
     /**
@@ -33,14 +33,14 @@
     private static final long MISMATCH_EXCLUSION_MILLIS = 10_000;
     // A larger delta saves little compared with the full text, and would leave no room for other frames on the link.
     private static final long MAX_DELTA_BYTES = SnapshotPart.PART_BYTES;
-    // Limits the memory that a faulty peer can occupy by claiming many different numbers.
+    // Limits the memory that a faulty peer can occupy by reporting many different numbers.
     private static final int MAX_REPORTED_CONFLICTS = 64;
     private static final String STORE = "store";
 
     private final AdoptionRules rules;
     private final RevisionLog log;
     private final RandomGenerator random;
-    private final PeerRevisions claims = new PeerRevisions();
+    private final PeerRevisions peerRevisions = new PeerRevisions();
     private final TreeMap<Long, Set<String>> reportedConflicts = new TreeMap<>();
     private final List<RelayEffect> effects = new ArrayList<>();
     private Optional<Fetch> fetch = Optional.empty();
@@ -82,15 +82,15 @@
     /** Handles an event and returns the resulting actions in the order in which to perform them. */
     public List<RelayEffect> handle(RelayEvent event, long nowMillis) {
         if (event instanceof RelayEvent.LinkUp up) {
-            claims.linkUp(up.peer());
+            peerRevisions.linkUp(up.peer());
             log.current().ifPresent(current -> effects.add(offer(up.peer(), current)));
         } else if (event instanceof RelayEvent.LinkDown down) {
-            claims.linkDown(down.peer());
+            peerRevisions.linkDown(down.peer());
             fetch = fetch.filter(pending -> !pending.peer.equals(down.peer()));
         } else if (event instanceof RelayEvent.HeartbeatArrived heartbeat) {
-            recordClaim(heartbeat.peer(), heartbeat.number(), heartbeat.hash());
+            recordPeerRevision(heartbeat.peer(), heartbeat.number(), heartbeat.hash());
         } else if (event instanceof RelayEvent.OfferArrived offered) {
-            recordClaim(offered.peer(), offered.number(), offered.hash());
+            recordPeerRevision(offered.peer(), offered.number(), offered.hash());
         } else if (event instanceof RelayEvent.RequestArrived requested) {
             answerRequest(requested);
         } else if (event instanceof RelayEvent.DeltaArrived arrived) {
@@ -107,14 +107,14 @@
         return result;
     }
 
-    private void recordClaim(String peer, long number, String hash) {
-        claims.put(peer, number, hash);
+    private void recordPeerRevision(String peer, long number, String hash) {
+        peerRevisions.put(peer, number, hash);
         reportIfDisputed(number);
     }
 
-    /** Returns whether different hashes are claimed for the number; reports the conflict if one of them is new. */
+    /** Returns whether peers report different hashes for the number; adds a conflict effect if one of them is new. */
     private boolean reportIfDisputed(long number) {
-        Set<String> hashes = claims.hashesOf(number);
+        Set<String> hashes = peerRevisions.hashesOf(number);
         log.current().filter(current -> current.number() == number).ifPresent(current -> hashes.add(current.hash()));
         if (!rules.isDisputed(hashes.size())) {
             return false;
@@ -152,11 +152,11 @@
 
     private void receiveDelta(String peer, RevisionDelta delta, long nowMillis) {
         // An answer that arrives after its request timed out is still used: the delta verifies its base and its result.
-        if (!claims.isLinked(peer) || delta.toNumber() <= log.number()) {
+        if (!peerRevisions.isLinked(peer) || delta.toNumber() <= log.number()) {
             return;
         }
         fetch = fetch.filter(pending -> !pending.peer.equals(peer));
-        recordClaim(peer, delta.toNumber(), delta.toHash());
+        recordPeerRevision(peer, delta.toNumber(), delta.toHash());
         Optional<Revision> revision = log.current().flatMap(delta::apply);
         if (revision.isPresent()) {
             adoptFromPeer(peer, revision.get(), nowMillis);
@@ -164,13 +164,13 @@
             fullTextRequired = true;
             reportMismatch(peer, delta.toNumber(), nowMillis);
         } else {
-            claims.markFailed(peer, nowMillis + FAILED_FETCH_EXCLUSION_MILLIS);
+            peerRevisions.markFailed(peer, nowMillis + FAILED_FETCH_EXCLUSION_MILLIS);
         }
     }
 
     private void reportMismatch(String peer, long number, long nowMillis) {
         effects.add(new RelayEffect.ReportHashMismatch(peer, number));
-        claims.markFailed(peer, nowMillis + MISMATCH_EXCLUSION_MILLIS);
+        peerRevisions.markFailed(peer, nowMillis + MISMATCH_EXCLUSION_MILLIS);
     }
 
     private void receivePart(String peer, SnapshotPart part, long nowMillis) {
@@ -185,7 +185,7 @@
         pending.assembly.ifPresent(assembly -> assembly.add(part));
         pending.assembly.flatMap(SnapshotAssembly::toRevision).ifPresent(revision -> {
             fetch = Optional.empty();
-            recordClaim(peer, revision.number(), revision.hash());
+            recordPeerRevision(peer, revision.number(), revision.hash());
             adoptFromPeer(peer, revision, nowMillis);
         });
     }
@@ -207,7 +207,7 @@
             reportedStoreNumber = Long.MAX_VALUE;
             fullTextRequired = false;
             effects.add(new RelayEffect.Adopt(revision));
-            claims.peersBelow(revision.number()).forEach(peer -> effects.add(offer(peer, revision)));
+            peerRevisions.peersBelow(revision.number()).forEach(peer -> effects.add(offer(peer, revision)));
         } else if (result instanceof AdoptionResult.DifferentHash other) {
             reportConflict(revision.number(), Set.of(revision.hash(), other.currentHash()));
         }
@@ -234,29 +234,29 @@
     }
 
     private void expireTimeouts(long nowMillis) {
-        claims.expireFailures(nowMillis);
+        peerRevisions.expireFailures(nowMillis);
         if (fetch.isEmpty()) {
             return;
         }
         long timeoutMillis = fetch.get().assembly.isPresent() ? PART_TIMEOUT_MILLIS : ANSWER_TIMEOUT_MILLIS;
         if (nowMillis - fetch.get().progressMillis >= timeoutMillis) {
-            claims.markFailed(fetch.get().peer, nowMillis + FAILED_FETCH_EXCLUSION_MILLIS);
+            peerRevisions.markFailed(fetch.get().peer, nowMillis + FAILED_FETCH_EXCLUSION_MILLIS);
             fetch = Optional.empty();
         }
     }
 
-    /** Requests the highest undisputed number above the one in force from a random peer that claims it. */
+    /** Requests the highest undisputed number above the one in force from a random peer that reports it. */
     private void startFetch(long nowMillis) {
         if (fetch.isPresent()) {
             return;
         }
-        Optional<Long> highest = claims.usableNumbersAbove(log.number()).stream()
+        Optional<Long> highest = peerRevisions.usableNumbersAbove(log.number()).stream()
                 .filter(number -> !reportIfDisputed(number))
                 .max(Comparator.naturalOrder());
         if (highest.isEmpty()) {
             return;
         }
-        List<String> peers = claims.usablePeersWith(highest.get());
+        List<String> peers = peerRevisions.usablePeersWith(highest.get());
         String peer = peers.get(random.nextInt(peers.size()));
         fetch = Optional.of(new Fetch(peer, highest.get(), nowMillis));
         effects.add(
@@ -274,11 +274,11 @@
         return log.current();
     }
 
-    /** Returns the claimed hashes of each disputed number above the one in force. */
+    /** Returns the reported hashes of each disputed number above the one in force. */
     public Map<Long, Set<String>> disputedHashes() {
         Map<Long, Set<String>> result = new TreeMap<>();
-        claims.usableNumbersAbove(log.number()).forEach(number -> {
-            Set<String> hashes = claims.hashesOf(number);
+        peerRevisions.usableNumbersAbove(log.number()).forEach(number -> {
+            Set<String> hashes = peerRevisions.hashesOf(number);
             if (rules.isDisputed(hashes.size())) {
                 result.put(number, Set.copyOf(hashes));
             }
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutProgress.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutProgress.java
@@ -19,7 +19,9 @@
     /** Store revision of the record's key, or 0 if the key does not exist. */
     long revision;
 
+    /** Time of the last attempt to write the pending record or to read the stored one. */
     long lastAttemptMillis;
+
     /** Time in the current stage during which the controller held a valid lease. */
     long activeMillis;
 
--- a/core/src/main/java/dev/wigeonward/core/rules/LineFields.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/LineFields.java
@@ -193,24 +193,24 @@
     }
 
     /** Records a problem at the value of a key, or at the end of the line if the key is absent. */
-    void reportValue(String key, String wrong, String expected) {
+    void reportValue(String key, String description, String expected) {
         int column = values.containsKey(key) ? values.get(key).column() : line.endColumn();
-        report(column, wrong, expected);
+        report(column, description, expected);
     }
 
     /** Records a problem at the first word of the line. */
-    void reportKeyword(String wrong, String expected) {
-        report(line.words().get(0).column(), wrong, expected);
+    void reportKeyword(String description, String expected) {
+        report(line.words().get(0).column(), description, expected);
     }
 
     /** Records a problem at the name, or at the end of the line if the name is missing. */
-    void reportName(String wrong, String expected) {
-        report(line.words().size() > 1 ? line.words().get(1).column() : line.endColumn(), wrong, expected);
+    void reportName(String description, String expected) {
+        report(line.words().size() > 1 ? line.words().get(1).column() : line.endColumn(), description, expected);
     }
 
     /** Records a problem at the closing comment, or at the end of the line if there is none. */
-    void reportComment(String wrong, String expected) {
-        report(line.comment().map(RuleLine.Word::column).orElseGet(line::endColumn), wrong, expected);
+    void reportComment(String description, String expected) {
+        report(line.comment().map(RuleLine.Word::column).orElseGet(line::endColumn), description, expected);
     }
 
     /** Returns the problems recorded so far. */
@@ -275,7 +275,7 @@
         return line.words().get(0).text().equals("key") ? "the text here" : "'" + text + "'";
     }
 
-    private void report(int column, String wrong, String expected) {
-        problems.add(new RuleProblem(file, line.line(), column, wrong, expected));
+    private void report(int column, String description, String expected) {
+        problems.add(new RuleProblem(file, line.line(), column, description, expected));
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleChecks.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleChecks.java
@@ -25,19 +25,19 @@
      */
     record Located(Rule rule, String file, RuleLine line, boolean complete) {
         /** Returns a problem at the name, or at the end of the line if the name is missing. */
-        RuleProblem problemAtName(String wrong, String expected) {
+        RuleProblem problemAtName(String description, String expected) {
             int column = line.words().size() > 1 ? line.words().get(1).column() : line.endColumn();
-            return new RuleProblem(file, line.line(), column, wrong, expected);
+            return new RuleProblem(file, line.line(), column, description, expected);
         }
 
         /** Returns a problem at the value of a key, or at the end of the line if the key is absent. */
-        RuleProblem problemAtKey(String key, String wrong, String expected) {
+        RuleProblem problemAtKey(String key, String description, String expected) {
             int column = line.words().stream()
                     .filter(word -> word.text().startsWith(key + "="))
                     .mapToInt(word -> word.column() + key.length() + 1)
                     .findFirst()
                     .orElseGet(line::endColumn);
-            return new RuleProblem(file, line.line(), column, wrong, expected);
+            return new RuleProblem(file, line.line(), column, description, expected);
         }
     }
 
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleProblem.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleProblem.java
@@ -22,7 +22,7 @@
         Preconditions.checkArgument(column > 0, "column must be positive, got %s", column);
     }
 
-    /** Returns the problem as {@code <file>:<line>:<column>: <wrong>; expected <expected>}. */
+    /** Returns the problem as {@code <file>:<line>:<column>: <description>; expected <expected>}. */
     @Override
     public String toString() {
         return file + ":" + line + ":" + column + ": " + description + "; expected " + expected;
--- a/core/src/main/java/dev/wigeonward/core/rules/RuleSet.java
+++ b/core/src/main/java/dev/wigeonward/core/rules/RuleSet.java
@@ -183,12 +183,12 @@
         return target(target).map(Rule.Target::checksFencing).orElse(false);
     }
 
-    /** Returns the move of a model, or empty if none is configured. */
+    /** Returns the move rule of a model, or empty if none is configured. */
     public Optional<Rule.Move> move(String model) {
         return Optional.ofNullable(moves.get(model));
     }
 
-    /** Returns all moves, ordered by due time. */
+    /** Returns all move rules, ordered by due time. */
     public List<Rule.Move> moves() {
         return movesByDeadline;
     }
--- a/core/src/main/java/dev/wigeonward/core/spend/SpendLedger.java
+++ b/core/src/main/java/dev/wigeonward/core/spend/SpendLedger.java
@@ -17,7 +17,7 @@
     private Map<String, Spend> commitments = Map.of();
     private final Map<String, Spend> own = new HashMap<>();
     private final Map<String, Map<String, Spend>> othersByEntry = new HashMap<>();
-    /** Sum of {@link #othersByEntry} by workspace, so that {@link #spent} takes constant time. */
+    /** Sum of {@link #othersByEntry} by workspace, so that {@link #spendOf} takes constant time. */
     private final Map<String, Spend> othersTotal = new HashMap<>();
 
     /** Whether a stored snapshot of this entry was added in the current period. */
--- a/core/src/test/java/dev/wigeonward/core/deployment/DeploymentTest.java
+++ b/core/src/test/java/dev/wigeonward/core/deployment/RoutingConfigurationTest.java
@@ -8,14 +8,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class DeploymentTest {
+class RoutingConfigurationTest {
     private static Route route(String name, String host, String prefix, WeightedService... services) {
         return new Route(name, host, prefix, RouteKind.SAFE, List.of(services), 1_000, 100, 0, 0, 1, false, false);
     }
 
-    private static RoutingConfiguration deployment(Route... routes) {
-        Workspace tenant = new Workspace("t", Set.of("k1", "k2"), OptionalInt.empty(), 0, 0, true, 200);
-        return RoutingConfiguration.of(1, List.of(routes), List.of(tenant), CallerLimits.DEFAULT);
+    private static RoutingConfiguration configuration(Route... routes) {
+        Workspace workspace = new Workspace("t", Set.of("k1", "k2"), OptionalInt.empty(), 0, 0, true, 200);
+        return RoutingConfiguration.of(1, List.of(routes), List.of(workspace), CallerLimits.DEFAULT);
     }
 
     /**
@@ -25,15 +25,17 @@
     @Test
     void selectsRouteWithLongestPrefixOfHost() {
         WeightedService service = new WeightedService("s", 1);
-        RoutingConfiguration deployment = deployment(
+        RoutingConfiguration configuration = configuration(
                 route("short", "a.example", "/x/", service),
                 route("long", "a.example", "/x/y/", service),
                 route("other", "b.example", "/x/y/z/", service));
 
-        assertThat(deployment.route("a.example", "/x/y/z/1")).map(Route::name).contains("long");
-        assertThat(deployment.route("A.Example", "/x/yy")).map(Route::name).contains("short");
-        assertThat(deployment.route("a.example", "/x")).isEmpty();
-        assertThat(deployment.route("c.example", "/x/y/")).isEmpty();
+        assertThat(configuration.route("a.example", "/x/y/z/1"))
+                .map(Route::name)
+                .contains("long");
+        assertThat(configuration.route("A.Example", "/x/yy")).map(Route::name).contains("short");
+        assertThat(configuration.route("a.example", "/x")).isEmpty();
+        assertThat(configuration.route("c.example", "/x/y/")).isEmpty();
     }
 
     /** Guards against service shares that differ from the weights, and against requests to a service of weight 0. */
@@ -54,16 +56,16 @@
     }
 
     /**
-     * Guards against a key that is not mapped to its tenant, an unknown or withdrawn key that still is, and a usage
+     * Guards against a key that is not mapped to its workspace, an unknown or withdrawn key that still is, and a usage
      * that ignores the tokens of a request or their default.
      */
     @Test
-    void findsTenantByKey() {
-        RoutingConfiguration deployment = deployment();
+    void findsWorkspaceByKey() {
+        RoutingConfiguration configuration = configuration();
 
-        assertThat(deployment.workspace("k2")).map(Workspace::name).contains("t");
-        assertThat(deployment.workspace("k3")).isEmpty();
-        assertThat(deployment.workspace("k1").orElseThrow().usageOf(0)).isEqualTo(200);
-        assertThat(deployment.workspace("k1").orElseThrow().usageOf(5_000)).isEqualTo(5_000);
+        assertThat(configuration.workspace("k2")).map(Workspace::name).contains("t");
+        assertThat(configuration.workspace("k3")).isEmpty();
+        assertThat(configuration.workspace("k1").orElseThrow().usageOf(0)).isEqualTo(200);
+        assertThat(configuration.workspace("k1").orElseThrow().usageOf(5_000)).isEqualTo(5_000);
     }
 }
--- a/core/src/test/java/dev/wigeonward/core/revision/RelaySimulation.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/RelaySimulation.java
@@ -11,8 +11,8 @@
 
 /**
  * Simulation of a random graph of relays whose messages are lost, delayed, duplicated and reordered, with restarts,
- * faulty peers and a store that sometimes returns an old head. Faulty peers claim wrong hashes and send corrupted
- * texts. Forged revisions with a matching hash are not simulated, since a process that receives no other claim cannot
+ * faulty peers and a store that sometimes returns an old head. Faulty peers report wrong hashes and send corrupted
+ * texts. Forged revisions with a matching hash are not simulated, since a process that receives no other report cannot
  * distinguish them from accepted revisions.
  */
 final class RelaySimulation {
--- a/core/src/test/java/dev/wigeonward/core/revision/RevisionRelayTest.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/RevisionRelayTest.java
@@ -30,11 +30,11 @@
 
     /** Guards against a simulation that does not detect the adoption of lower numbers: the mutant allows it. */
     @Test
-    void simulationCatchesAdoptionOfLowerNumbers() {
+    void simulationDetectsAdoptionOfLowerNumbers() {
         AdoptionRules mutant = new AdoptionRules() {
             @Override
-            public boolean isHigher(long numberInForce, long candidate) {
-                return candidate != numberInForce;
+            public boolean isHigher(long currentNumber, long candidate) {
+                return candidate != currentNumber;
             }
         };
         assertThat(violations(mutant, true)).anyMatch(violation -> violation.startsWith("number went down"));
@@ -42,10 +42,10 @@
 
     /** Guards against a simulation that does not detect corrupted texts: the mutant skips the hash check. */
     @Test
-    void simulationCatchesAdoptionWithoutHashCheck() {
+    void simulationDetectsAdoptionWithoutHashCheck() {
         AdoptionRules mutant = new AdoptionRules() {
             @Override
-            public boolean verifies(Revision revision) {
+            public boolean hasMatchingHash(Revision revision) {
                 return true;
             }
         };
@@ -54,7 +54,7 @@
 
     /** Guards against a simulation that does not detect missing convergence: without timers nothing is retried. */
     @Test
-    void simulationCatchesMissingRetries() {
+    void simulationDetectsMissingRetries() {
         assertThat(violations(AdoptionRules.STANDARD, false)).anyMatch(violation -> violation.endsWith("converge"));
     }
 
@@ -70,14 +70,14 @@
      * without the dispute check adopts the text that arrives first.
      */
     @Test
-    void neitherOfTwoHashesIsAdoptedUntilTheStoreSettles() {
-        RevisionRelay relay = linked(AdoptionRules.STANDARD);
+    void neitherOfTwoHashesIsAdoptedUntilTheStoreReturnsOne() {
+        RevisionRelay relay = linkedRelay(AdoptionRules.STANDARD);
         assertThat(dispute(relay)).contains(new RelayEffect.ReportConflict(2, Set.of(SECOND.hash(), OTHER_HASH)));
         assertThat(relay.current()).contains(FIRST);
         assertThat(relay.disputedHashes()).containsOnlyKeys(2L);
         assertThat(relay.handle(storeReturns(SECOND), 20)).contains(new RelayEffect.Adopt(SECOND));
 
-        RevisionRelay mutant = linked(new AdoptionRules() {
+        RevisionRelay mutant = linkedRelay(new AdoptionRules() {
             @Override
             public boolean isDisputed(int hashesOfOneNumber) {
                 return false;
@@ -90,7 +90,7 @@
     /** Guards against a dispute about one number that also blocks the adoption of higher numbers. */
     @Test
     void higherRevisionSettlesDispute() {
-        RevisionRelay relay = linked(AdoptionRules.STANDARD);
+        RevisionRelay relay = linkedRelay(AdoptionRules.STANDARD);
         dispute(relay);
         Revision third = Revision.of(3, "three\n", "ana", "test");
         assertThat(relay.handle(new RelayEvent.OfferArrived("a", 3, third.hash()), 30))
@@ -99,7 +99,7 @@
         assertThat(relay.current().map(Revision::number)).contains(3L);
     }
 
-    private static RevisionRelay linked(AdoptionRules rules) {
+    private static RevisionRelay linkedRelay(AdoptionRules rules) {
         RevisionRelay relay = RevisionRelay.withRules(
                 rules,
                 RevisionLog.withRules(rules, 4, 1_000),
@@ -129,7 +129,7 @@
      */
     @Test
     void reportsLowerNumberInStoreAndKeepsItsOwn() {
-        RevisionRelay relay = linked(AdoptionRules.STANDARD);
+        RevisionRelay relay = linkedRelay(AdoptionRules.STANDARD);
         relay.handle(storeReturns(SECOND), 1);
         assertThat(relay.handle(storeReturns(FIRST), 2)).containsExactly(new RelayEffect.ReportStoreRegression(1, 2));
         assertThat(relay.handle(storeReturns(FIRST), 3)).isEmpty();
@@ -141,11 +141,11 @@
     void passesLargestTextInParts() {
         String text = "é".repeat(450_000) + "\nend";
         Revision large = Revision.of(2, text, "ana", "test");
-        RevisionRelay sender = linked(AdoptionRules.STANDARD);
+        RevisionRelay sender = linkedRelay(AdoptionRules.STANDARD);
         sender.handle(storeReturns(large), 1);
         List<RelayEffect> parts = sender.handle(new RelayEvent.RequestArrived("a", 0, ""), 2);
         assertThat(parts).hasSize(4);
-        RevisionRelay receiver = linked(AdoptionRules.STANDARD);
+        RevisionRelay receiver = linkedRelay(AdoptionRules.STANDARD);
         receiver.handle(new RelayEvent.OfferArrived("b", 2, large.hash()), 3);
         IntStream.of(3, 1, 1, 0, 2)
                 .forEach(index -> receiver.handle(
@@ -158,7 +158,7 @@
     /** Guards against a peer that never answers and thereby delays a revision that other peers could send. */
     @Test
     void asksAnotherPeerAfterSilence() {
-        RevisionRelay relay = linked(AdoptionRules.STANDARD);
+        RevisionRelay relay = linkedRelay(AdoptionRules.STANDARD);
         List<RelayEffect> first = relay.handle(new RelayEvent.OfferArrived("a", 2, SECOND.hash()), 1);
         assertThat(relay.handle(new RelayEvent.HeartbeatArrived("b", 2, ""), 2)).isEmpty();
         assertThat(relay.handle(new RelayEvent.Tick(), 1 + RevisionRelay.ANSWER_TIMEOUT_MILLIS))
--- a/core/src/test/java/dev/wigeonward/core/rollout/RolloutControllerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/RolloutControllerTest.java
@@ -253,18 +253,19 @@
 
     private static void checkIntentBeforeOrder(Supplier<Controller> controllers, List<Integer> steps) {
         // The harness fails on an order that no stored record lists.
-        play(controllers, steps, newHarness());
+        performSteps(controllers, steps, newHarness());
     }
 
     private static void checkCanaryShare(Supplier<Controller> controllers, List<Integer> steps) {
         ControllerHarness harness = newHarness();
         harness.failureShareByVersion.put("v2", 0.3);
-        play(controllers, steps, harness);
+        performSteps(controllers, steps, harness);
         assertThat(harness.reports)
                 .allSatisfy(report -> assertThat(report.shareBasisPoints()).isLessThanOrEqualTo(200));
     }
 
-    private static void play(Supplier<Controller> controllers, List<Integer> steps, ControllerHarness harness) {
+    /** Runs the harness for {@code 1 + step} seconds, or for steps 7 to 9 changes the store or the controller. */
+    private static void performSteps(Supplier<Controller> controllers, List<Integer> steps, ControllerHarness harness) {
         harness.rules = List.of(TO_V2);
         harness.elect(controllers.get());
         for (int step : steps) {
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
@@ -126,6 +126,7 @@
         assertThat(selector.select(request, BOTH, 0)).contains("v2");
     }
 
+    /** Adds the verdict (step below 10), publishes stages (below 50), or selects a version and checks it (others). */
     private static void checkNothingAfterVerdict(Entry entry, List<Integer> steps) {
         boolean known = false;
         for (int i = 0; i < steps.size(); i++) {
--- a/measurement/src/main/java/dev/wigeonward/measure/Report.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Report.java
@@ -10,8 +10,8 @@
  *
  * @param columns names of the columns, with units
  * @param rows cells of each row, one for each column
- * @param notes conditions of the run, comparisons, and targets met or missed
- * @param valid false if the run failed or is incomplete; a missed target leaves it true
+ * @param notes conditions of the measurement, comparisons, and targets met or missed
+ * @param valid false if the measurement failed or is incomplete; a missed target leaves it true
  * @param charts line charts of the results, possibly none
  */
 public record Report(
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputMeasurement.java
@@ -66,10 +66,11 @@
         Map<Double, Map<PolicySet, OutcomeCounts>> results = new TreeMap<>();
         boolean valid = true;
         for (double load : loads) {
-            List<Job> jobs = Workload.generate(seed, Demand.withBurst(load), GoodputRun.capacityMillisPerSecond());
+            List<Job> jobs =
+                    Workload.generate(seed, Demand.withBurst(load), GoodputSimulation.capacityMillisPerSecond());
             Map<PolicySet, OutcomeCounts> countsByPolicySet = new EnumMap<>(PolicySet.class);
             for (PolicySet policySet : PolicySet.values()) {
-                OutcomeCounts counts = GoodputRun.run(policySet, jobs, seed);
+                OutcomeCounts counts = GoodputSimulation.run(policySet, jobs, seed);
                 countsByPolicySet.put(policySet, counts);
                 rows.add(row(load + "x", policySet, counts));
                 valid &= counts.unresolvedCount() == 0;
@@ -78,8 +79,8 @@
         }
         List<String> notes = notes(results);
         for (Demand demand : highestTierDemands) {
-            List<Job> jobs = Workload.generate(seed, demand, GoodputRun.capacityMillisPerSecond());
-            OutcomeCounts counts = GoodputRun.run(PolicySet.FULL, jobs, seed);
+            List<Job> jobs = Workload.generate(seed, demand, GoodputSimulation.capacityMillisPerSecond());
+            OutcomeCounts counts = GoodputSimulation.run(PolicySet.FULL, jobs, seed);
             String label = demand.load() + "x, highest tier at " + percent(demand.highestTierLoad()) + "% of capacity";
             rows.add(row(label, PolicySet.FULL, counts));
             notes.add(highestTierTarget(label, counts));
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputRun.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/GoodputSimulation.java
@@ -12,12 +12,12 @@
 import dev.wigeonward.core.request.EngineSpeed;
 
 /** Simulates a workload on two entries and eight engines under a set of policies. */
-final class GoodputRun {
+final class GoodputSimulation {
     private static final int SLOTS = 16;
     /** Speed of each engine relative to the reference speed. */
     private static final double[] SPEED_FACTORS = {1.6, 1.6, 1, 1, 1, 1, 0.6, 0.6};
 
-    /** Index of the engine that slows down halfway through the run without announcing it. */
+    /** Index of the engine that slows down halfway through the simulation without announcing it. */
     private static final int SLOWED_ENGINE = 2;
 
     private static final long SLOWED_FROM_MILLIS = Workload.DURATION_MILLIS / 2;
@@ -27,7 +27,7 @@
     /** Time after the last arrival for requests to end; longer than the longest deadline. */
     private static final long DRAIN_MILLIS = 400_000;
 
-    private GoodputRun() {}
+    private GoodputSimulation() {}
 
     /**
      * Returns the work that all engines together do in a second, in milliseconds of one slot at the reference speed.
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/OutcomeCounts.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/OutcomeCounts.java
@@ -8,7 +8,7 @@
 import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.core.request.Tier;
 
-/** Counts of the outcomes of one run. Only the first outcome of a request is counted. */
+/** Counts of the outcomes of one simulation. Only the first outcome of a request is counted. */
 final class OutcomeCounts {
     private final Map<Tier, Integer> offered = new EnumMap<>(Tier.class);
     private final Map<Tier, Integer> inTime = new EnumMap<>(Tier.class);
--- a/measurement/src/main/java/dev/wigeonward/measure/goodput/Workload.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/goodput/Workload.java
@@ -54,7 +54,7 @@
         random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     }
 
-    /** Returns the requests of a run in the order of their arrival. */
+    /** Returns the requests of a simulation in the order of their arrival. */
     static List<Job> generate(long seed, Demand demand, double capacityMillisPerSecond) {
         Workload workload = new Workload(seed, demand.highestTierShare());
         double perMilli = demand.load() * capacityMillisPerSecond / (MEAN_UNITS * UNIT_MILLIS) / 1_000;
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/EvaluatorMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/EvaluatorMeasurement.java
@@ -17,14 +17,14 @@
 
 /** Measurement of the error rates and sample sizes of the sequential test on one route. */
 public final class EvaluatorMeasurement implements Measurement {
-    private static final int RUNS = 10_000;
+    private static final int TRIALS = 10_000;
     private static final int SAMPLES_PER_LOOK = 5;
     private static final int MAX_SAMPLES = 2_000;
     private static final int TRUNCATED_SAMPLES = 60;
     private static final int OLD_SAMPLES = 1_000;
     private static final double BASE_FAILURE_SHARE = 0.01;
     private static final double SPREAD = 0.4;
-    private static final RouteLoadKey CELL = new RouteLoadKey("chat", false);
+    private static final RouteLoadKey KEY = new RouteLoadKey("chat", false);
     private static final List<Difference> DIFFERENCES = List.of(
             new Difference("equal", 0, 1),
             new Difference("2 points more failures", 0.02, 1),
@@ -36,14 +36,14 @@
             new Difference("1.6 times as slow", 0, 1.6),
             new Difference("4 times as slow", 0, 4));
 
-    private final int runs;
+    private final int trials;
 
     public EvaluatorMeasurement() {
-        this(RUNS);
+        this(TRIALS);
     }
 
-    EvaluatorMeasurement(int runs) {
-        this.runs = runs;
+    EvaluatorMeasurement(int trials) {
+        this.trials = trials;
     }
 
     @Override
@@ -95,10 +95,10 @@
 
     private List<String> row(
             String name, EvaluationSettings settings, Difference difference, int maxSamples, SplittableRandom random) {
-        VersionEvaluator judge = new VersionEvaluator(settings);
+        VersionEvaluator evaluator = new VersionEvaluator(settings);
         int[] verdicts = new int[Verdict.values().length];
-        int[] samples = new int[runs];
-        for (int run = 0; run < runs; run++) {
+        int[] samples = new int[trials];
+        for (int trial = 0; trial < trials; trial++) {
             Sample old = new Sample();
             old.add(OLD_SAMPLES, BASE_FAILURE_SHARE, 1, random);
             EvidenceCounters oldCounters = old.counters();
@@ -111,26 +111,27 @@
                         difference.slowdown,
                         random);
                 boolean truncated = maxSamples == TRUNCATED_SAMPLES && sample.requests >= maxSamples;
-                verdict = judge.evaluate(CELL, oldCounters, oldCounters, sample.counters(), truncated)
+                verdict = evaluator
+                        .evaluate(KEY, oldCounters, oldCounters, sample.counters(), truncated)
                         .verdict();
             }
             verdicts[verdict.ordinal()]++;
-            samples[run] = sample.requests;
+            samples[trial] = sample.requests;
         }
         Arrays.sort(samples);
         return List.of(
                 difference.name,
                 name,
-                String.valueOf(runs),
+                String.valueOf(trials),
                 percent(verdicts[Verdict.BAD.ordinal()]),
                 percent(verdicts[Verdict.GOOD.ordinal()]),
                 percent(verdicts[Verdict.UNDECIDED.ordinal()]),
-                String.valueOf(samples[runs / 2]),
-                String.valueOf(samples[(int) (runs * 0.95)]));
+                String.valueOf(samples[trials / 2]),
+                String.valueOf(samples[(int) (trials * 0.95)]));
     }
 
     private String percent(int count) {
-        return String.format(Locale.ROOT, "%.3f", 100.0 * count / runs);
+        return String.format(Locale.ROOT, "%.3f", 100.0 * count / trials);
     }
 
     private record Difference(String name, double addedFailureShare, double slowdown) {}
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutCase.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutCase.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.core.rollout.ControllerStages;
 import dev.wigeonward.core.rollout.Stage;
 
-/** Simulation of one case from the rule to the end of watching. */
+/** Simulation of one case from the move rule to the end of the time in which the completed rollout is watched. */
 final class RolloutCase implements SimulatedRollout.Publisher {
     static final String MODEL = "model";
     static final String OLD = "v1";
@@ -47,7 +47,7 @@
     private long periodNewRequests;
     private long nowMillis;
     private boolean firstVerdict;
-    private boolean judgedGood;
+    private boolean hasGoodVerdict;
     private long completedMillis = -1;
     private long verdictMillis = -1;
     private long badSinceMillis = -1;
@@ -96,7 +96,8 @@
         if (share == Stage.ALL_BASIS_POINTS && completedMillis < 0) {
             completedMillis = nowMillis;
         }
-        judgedGood |= stages.stages().stream().anyMatch(Stage::hasGoodVerdict) && rollout instanceof ControlledRollout;
+        hasGoodVerdict |=
+                stages.stages().stream().anyMatch(Stage::hasGoodVerdict) && rollout instanceof ControlledRollout;
         send(Optional.of(stages));
     }
 
@@ -146,7 +147,7 @@
     }
 
     private boolean isOver() {
-        return judgedGood
+        return hasGoodVerdict
                 || completedMillis >= 0 && nowMillis >= completedMillis + CaseScript.WATCH_MILLIS
                 || nowMillis >= CaseScript.END_MILLIS
                 || verdictMillis >= 0 && nowMillis >= verdictMillis + AFTER_VERDICT_MILLIS;
@@ -170,7 +171,7 @@
                 periodNewRequests++;
                 countAfterVerdict(entry);
             }
-            agentWith(version.get()).run(route, version.get(), nowMillis);
+            agentWith(version.get()).startRequest(route, version.get(), nowMillis);
         }
         if (!firstVerdict) {
             double share = newRequestsByRoute[routeIndex] / (double) Math.max(1, requestsByRoute[routeIndex]);
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutMeasurement.java
@@ -10,7 +10,7 @@
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 
-/** Measurement of moves of good and bad versions under faults, compared with steps at fixed times. */
+/** Measurement of rollouts of good and bad versions under faults, compared with steps at fixed times. */
 public final class RolloutMeasurement implements Measurement {
     private static final int GOOD_CASES = 200;
     private static final int CASES_OF_EACH_BAD_KIND = 50;
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedAgent.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/SimulatedAgent.java
@@ -39,7 +39,7 @@
     private final Set<String> versions = new TreeSet<>();
     private final TreeMap<Long, List<Order>> ordersByEnd = new TreeMap<>();
     private final TreeMap<Long, List<RunningRequest>> requestsByEnd = new TreeMap<>();
-    private OrderFence gate = new OrderFence();
+    private OrderFence orderFence = new OrderFence();
     private EvidenceRecorder recorder = new EvidenceRecorder(LOAD_THRESHOLD);
     private long incarnation = 1;
     private boolean peak;
@@ -71,7 +71,7 @@
     }
 
     /** Starts a request, whose outcome is recorded when it ends. */
-    void run(Route route, String version, long nowMillis) {
+    void startRequest(Route route, String version, long nowMillis) {
         boolean isNew = version.equals(RolloutCase.NEW);
         boolean bad = isNew && script.isBadNow(route.name(), nowMillis);
         double failureShare = script.baseFailureShare()
@@ -113,7 +113,7 @@
     /** Receives an order and returns the agent's immediate answers. */
     List<ControllerEvent> receive(Order order, long nowMillis) {
         List<ControllerEvent> answers = new ArrayList<>();
-        perform(gate.handle(new OrderEvent.OrderReceived(order)), nowMillis, answers);
+        perform(orderFence.handle(new OrderEvent.OrderReceived(order)), nowMillis, answers);
         return answers;
     }
 
@@ -129,7 +129,7 @@
     /** Restarts the agent. The engine keeps its versions; orders and requests in progress are lost. */
     void restart() {
         incarnation++;
-        gate = new OrderFence();
+        orderFence = new OrderFence();
         recorder = new EvidenceRecorder(LOAD_THRESHOLD);
         ordersByEnd.clear();
         requestsByEnd.clear();
@@ -141,7 +141,7 @@
                 long number = storedFencingNumber.getAsLong();
                 OrderEvent read =
                         number < 0 ? new OrderEvent.StoreUnavailable() : new OrderEvent.FencingNumberRead(number);
-                perform(gate.handle(read), nowMillis, answers);
+                perform(orderFence.handle(read), nowMillis, answers);
             } else if (effect instanceof OrderEffect.RunOrder run) {
                 long millis = run.order().kind() == Order.Kind.LOAD ? random.nextLong(8_000, 15_000) : 1_000;
                 ordersByEnd
@@ -159,7 +159,7 @@
         } else {
             versions.remove(order.version());
         }
-        perform(gate.handle(new OrderEvent.EngineFinished(order.orderId(), "")), 0, events);
+        perform(orderFence.handle(new OrderEvent.EngineFinished(order.orderId(), "")), 0, events);
         events.add(new ControllerEvent.UpstreamReported(description()));
     }
 
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/package-info.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/package-info.java
@@ -1,2 +1,2 @@
-/** Measurement of version moves: the real decision cores with simulated time, entries, agents and store. */
+/** Measurement of rollouts: the real decision cores with simulated time, entries, agents and store. */
 package dev.wigeonward.measure.moves;
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/LinkSubsetMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/LinkSubsetMeasurement.java
@@ -30,7 +30,7 @@
     private static final List<String> COLUMNS = List.of("subject", "min", "mean", "max");
     private static final int SMALL_POOL_AGENTS = 50;
     private static final int DEPARTURES = 20;
-    private static final int TIMED_RUNS = 50;
+    private static final int TIMED_TRIALS = 50;
 
     @Override
     public String name() {
@@ -100,11 +100,11 @@
 
     private static List<String> timeRow(Region region) {
         LongSummaryStatistics micros = new LongSummaryStatistics();
-        for (int run = 0; run < TIMED_RUNS; run++) {
+        for (int trial = 0; trial < TIMED_TRIALS; trial++) {
             long startNanos = System.nanoTime();
-            int links = region.linksOf(region.entries.get(run)).size();
+            int links = region.linksOf(region.entries.get(trial)).size();
             long elapsedNanos = System.nanoTime() - startNanos;
-            if (links > 0 && run >= TIMED_RUNS / 2) {
+            if (links > 0 && trial >= TIMED_TRIALS / 2) {
                 micros.accept(TimeUnit.NANOSECONDS.toMicros(elapsedNanos));
             }
         }
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementSimulation.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/PlacementSimulation.java
@@ -55,7 +55,7 @@
     private long placedWithPrefixCount;
 
     /**
-     * The entries of a run.
+     * The entries of a simulation.
      *
      * @param entries number of entries
      * @param linkSubset whether each entry links to a subset of the upstreams instead of all
@@ -191,8 +191,8 @@
     }
 
     /**
-     * Result of one run. The number of requests and the completion times cover the requests that arrived after the
-     * warm-up, the shares cover all requests.
+     * Result of one simulation. The number of requests and the completion times cover the requests that arrived after
+     * the warm-up, the shares cover all requests.
      *
      * @param prefixHitShare share of the requests with a prefix whose prefix was cached at the upstream
      * @param remoteShare share of the requests that were placed in another failure domain
--- a/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatencyMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatencyMeasurement.java
@@ -17,8 +17,8 @@
 import dev.wigeonward.standins.local.LocalUpstream;
 
 /**
- * Measures the latency that entry and agent add to direct calls of the engine stand-in. A run has the size of the
- * smaller deployment: eight engines, three plain services and three entries, each a process.
+ * Measures the latency that entry and agent add to direct calls of the engine stand-in. The measurement has the size of
+ * the smaller deployment: eight engines, three plain services and three entries, each a process.
  */
 public final class ProcessLatencyMeasurement implements Measurement {
     private static final int ENGINES = 8;
--- a/measurement/src/main/java/dev/wigeonward/measure/revision/PropagationSimulation.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/PropagationSimulation.java
@@ -54,7 +54,7 @@
     private int reachedCount;
 
     /**
-     * Faults and initial state of a run.
+     * Faults and initial state of a simulation.
      *
      * @param offersDelivered whether offers of revisions arrive; if not, nodes learn of a revision only from heartbeats
      * @param lossShare share of all frames that is lost
@@ -93,7 +93,7 @@
 
     private void createNodes() {
         for (int node = 0; node < NODES; node++) {
-            // A run has two revisions; keeping no more limits the memory for the texts of the whole fleet.
+            // A simulation has two revisions; keeping no more limits the memory for the texts of the whole fleet.
             relays[node] = RevisionRelay.create(RevisionLog.create(2, RevisionLog.DEFAULT_MAX_TEXT_CHARS), random);
             links.add(new ArrayList<>());
         }
--- a/measurement/src/main/java/dev/wigeonward/measure/revision/RevisionPropagationMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/revision/RevisionPropagationMeasurement.java
@@ -13,7 +13,7 @@
     private static final double CHANGES_PER_SECOND = 5_900 / 86_400.0;
     private static final int BUDGET_BYTES_PER_SECOND = 4_000;
     private static final int CURVE_POINTS = 100;
-    private static final List<PropagationSimulation.Conditions> RUNS = List.of(
+    private static final List<PropagationSimulation.Conditions> CONDITIONS = List.of(
             new PropagationSimulation.Conditions("offers and heartbeats", true, 0, false, false),
             new PropagationSimulation.Conditions("heartbeats only", false, 0, false, false),
             new PropagationSimulation.Conditions("10% of frames lost", true, 0.1, false, false),
@@ -35,16 +35,16 @@
     public Report run(long seed) {
         List<List<String>> rows = new ArrayList<>();
         List<Report.Series> curves = new ArrayList<>();
-        long slowestRunMillis = 0;
+        long slowestMillis = 0;
         long maxBytesPerNode = 0;
         int maxLinksPerEntry = 0;
-        for (PropagationSimulation.Conditions conditions : RUNS) {
+        for (PropagationSimulation.Conditions conditions : CONDITIONS) {
             PropagationSimulation simulation = PropagationSimulation.run(conditions, seed);
             long[] millis = simulation.sortedReachedMillis();
             long[] bytes = simulation.revisionBytes();
             rows.add(row(conditions.name(), millis, bytes));
             curves.add(curve(conditions.name(), millis));
-            slowestRunMillis = Math.max(slowestRunMillis, millis[millis.length - 1]);
+            slowestMillis = Math.max(slowestMillis, millis[millis.length - 1]);
             maxLinksPerEntry = Math.max(maxLinksPerEntry, simulation.maxLinksPerEntry());
             if (!conditions.startsEmpty()) {
                 maxBytesPerNode =
@@ -63,7 +63,7 @@
         return new Report(
                 columns,
                 rows,
-                notes(slowestRunMillis, maxBytesPerNode, maxLinksPerEntry),
+                notes(slowestMillis, maxBytesPerNode, maxLinksPerEntry),
                 true,
                 List.of(new Report.LineChart("curve", "ms since acceptance", "share of processes", curves)));
     }
@@ -99,7 +99,7 @@
         return new Report.Series(name, x, y);
     }
 
-    private static List<String> notes(long slowestRunMillis, long maxBytesPerNode, int maxLinksPerEntry) {
+    private static List<String> notes(long slowestMillis, long maxBytesPerNode, int maxLinksPerEntry) {
         long perLinkAndSecond = 2L * FrameSizes.HEARTBEAT_BYTES;
         long perLinkAndSecondWithHash = 2L * FrameSizes.HEARTBEAT_WITH_HASH_BYTES;
         return List.of(
@@ -111,9 +111,7 @@
                         PropagationSimulation.LINKS_PER_AGENT),
                 String.format(
                         "target: all processes within %d ms; slowest run %s ms: %s",
-                        TARGET_MILLIS,
-                        formatMillis(slowestRunMillis),
-                        slowestRunMillis <= TARGET_MILLIS ? "met" : "missed"),
+                        TARGET_MILLIS, formatMillis(slowestMillis), slowestMillis <= TARGET_MILLIS ? "met" : "missed"),
                 String.format(
                         "busiest node at 5,900 changes a day: %.0f bytes/s of a budget of %d bytes/s",
                         maxBytesPerNode * CHANGES_PER_SECOND, BUDGET_BYTES_PER_SECOND),
