Name remaining vague locals in rollout and measurement

Cause: two methods of RolloutController were both called startRollout, though one only starts a rollout under conditions; some locals and test methods were vague (end, open, bad, run). Change: renamed them and said in a comment when a rollout starts. The reason for ServiceRollout's settings is worded more clearly.

--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
@@ -146,10 +146,14 @@
             }
             rollout.withdrawn = withdrawn;
         }
-        rules.values().forEach(rule -> startRollout(rule, nowMillis));
+        rules.values().forEach(rule -> startRolloutIfNeeded(rule, nowMillis));
     }
 
-    private void startRollout(RolloutRule rule, long nowMillis) {
+    /**
+     * Starts a rollout of the rule's version unless that version is bad, in use, or the one of the model's last
+     * rollout, or the last rollout is not over.
+     */
+    private void startRolloutIfNeeded(RolloutRule rule, long nowMillis) {
         RolloutProgress before = rollouts.get(rule.model());
         if (badVersions.containsKey(new ModelVersion(rule.model(), rule.toVersion()))) {
             return;
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
@@ -52,17 +52,18 @@
 
     /** Returns all orders without a known final state, by service. */
     public Map<String, RolloutOrder> unfinishedOrders() {
-        Map<String, RolloutOrder> open = new HashMap<>(orders);
-        open.values().removeIf(order -> finalStateOf(order) != RolloutState.IN_PROGRESS);
-        return open;
+        Map<String, RolloutOrder> unfinished = new HashMap<>(orders);
+        unfinished.values().removeIf(order -> finalStateOf(order) != RolloutState.IN_PROGRESS);
+        return unfinished;
     }
 
     /** Returns the stored final state of the order, or in progress if there is none that is later than the order. */
     private RolloutState finalStateOf(RolloutOrder order) {
-        FinalState end = finalStates.get(order.service());
-        boolean applies =
-                end != null && end.target().equals(order.targetVersion()) && end.revision() > order.revision();
-        return applies ? end.state() : RolloutState.IN_PROGRESS;
+        FinalState finalState = finalStates.get(order.service());
+        boolean applies = finalState != null
+                && finalState.target().equals(order.targetVersion())
+                && finalState.revision() > order.revision();
+        return applies ? finalState.state() : RolloutState.IN_PROGRESS;
     }
 
     /** Counts a request of the route and returns which versions may serve it. */
@@ -72,11 +73,11 @@
             return VersionConstraint.NONE;
         }
         String target = order.targetVersion();
-        RolloutState end = finalStateOf(order);
-        if (end == RolloutState.REVERTED || view.isBad(service, target)) {
+        RolloutState finalState = finalStateOf(order);
+        if (finalState == RolloutState.REVERTED || view.isBad(service, target)) {
             return new VersionConstraint(target, VersionConstraint.Kind.FORBIDDEN);
         }
-        if (end == RolloutState.COMPLETED) {
+        if (finalState == RolloutState.COMPLETED) {
             return new VersionConstraint(target, VersionConstraint.Kind.PREFERRED);
         }
         boolean hasStage = view.stage(service)
--- a/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
@@ -30,7 +30,10 @@
     /** Time for which a route must look bad when there is no recent evidence of the old version to compare with. */
     private static final long CONFIRM_MILLIS = 700;
 
-    /** Needs fewer samples than a model's rollout, which lasts hours and runs thousands of tests, not a handful. */
+    /**
+     * Requires fewer samples than the settings for models: a rollout of a model lasts hours and runs thousands of
+     * tests, a rollout of a service only a handful.
+     */
     private static final EvaluationSettings EVALUATION_SETTINGS = new EvaluationSettings(1e-4, 0.01, 0.1, 0.2, 12, 60);
 
     private final RolloutOrder order;
--- a/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
@@ -18,7 +18,7 @@
      */
     public static final long MAX_LEASE_MILLIS = 10_000;
 
-    private final Map<ModelVersion, BadVerdict> bad = new HashMap<>();
+    private final Map<ModelVersion, BadVerdict> verdictsByVersion = new HashMap<>();
     private final Map<String, LeasedStage> stages = new HashMap<>();
     private ControllerStages newest = new ControllerStages(0, 0, List.of());
 
@@ -43,7 +43,7 @@
     public boolean merge(Collection<BadVerdict> verdicts) {
         boolean added = false;
         for (BadVerdict verdict : verdicts) {
-            added |= bad.putIfAbsent(verdict.version(), verdict) == null;
+            added |= verdictsByVersion.putIfAbsent(verdict.version(), verdict) == null;
         }
         return added;
     }
@@ -64,12 +64,12 @@
 
     /** Returns whether there is a bad verdict on the version. */
     public boolean isBad(String model, String version) {
-        return bad.containsKey(new ModelVersion(model, version));
+        return verdictsByVersion.containsKey(new ModelVersion(model, version));
     }
 
     /** Returns all known bad verdicts, to be sent to peers. */
     public List<BadVerdict> badVerdicts() {
-        return List.copyOf(bad.values());
+        return List.copyOf(verdictsByVersion.values());
     }
 
     /**
--- a/core/src/test/java/dev/wigeonward/core/revision/RevisionDeltaTest.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/RevisionDeltaTest.java
@@ -39,7 +39,7 @@
 
     /** Guards against deltas that include the unchanged lines between two distant changes. */
     @Test
-    void carriesOnlyChangedLines() {
+    void containsOnlyChangedLines() {
         String text = IntStream.range(0, 1_000)
                 .mapToObj(line -> "rule " + line + "\n")
                 .collect(Collectors.joining());
--- a/core/src/test/java/dev/wigeonward/core/revision/RevisionRelayTest.java
+++ b/core/src/test/java/dev/wigeonward/core/revision/RevisionRelayTest.java
@@ -138,7 +138,7 @@
 
     /** Guards against texts over 256 KiB that are assembled wrongly when parts arrive reordered and repeated. */
     @Test
-    void passesLargestTextInParts() {
+    void sendsLargestTextInParts() {
         String text = "é".repeat(450_000) + "\nend";
         Revision large = Revision.of(2, text, "ana", "test");
         RevisionRelay sender = linkedRelay(AdoptionRules.STANDARD);
@@ -157,7 +157,7 @@
 
     /** Guards against a peer that never answers and thereby delays a revision that other peers could send. */
     @Test
-    void asksAnotherPeerAfterSilence() {
+    void requestsFromAnotherPeerAfterTimeout() {
         RevisionRelay relay = linkedRelay(AdoptionRules.STANDARD);
         List<RelayEffect> first = relay.handle(new RelayEvent.OfferArrived("a", 2, SECOND.hash()), 1);
         assertThat(relay.handle(new RelayEvent.HeartbeatArrived("b", 2, ""), 2)).isEmpty();
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
@@ -92,7 +92,7 @@
 
     /** Guards against a share that is exceeded because retries of a request that did not run add credit each time. */
     @Test
-    void askingAgainForTheSameRequestCountsOnce() {
+    void repeatedSelectionForTheSameRequestCountsOnce() {
         RealEntry entry = new RealEntry();
         entry.publish(stages(1, 1, 200, true), 0);
         for (int i = 0; i < 49; i++) {
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutCase.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutCase.java
@@ -46,7 +46,7 @@
     private long periodRequests;
     private long periodNewRequests;
     private long nowMillis;
-    private boolean firstVerdict;
+    private boolean hasFirstVerdict;
     private boolean hasGoodVerdict;
     private long completedMillis = -1;
     private long verdictMillis = -1;
@@ -92,7 +92,7 @@
     public void publish(ControllerStages stages) {
         int share =
                 stages.stages().stream().mapToInt(Stage::shareBasisPoints).max().orElse(0);
-        firstVerdict |= share > CANARY_BASIS_POINTS;
+        hasFirstVerdict |= share > CANARY_BASIS_POINTS;
         if (share == Stage.ALL_BASIS_POINTS && completedMillis < 0) {
             completedMillis = nowMillis;
         }
@@ -104,7 +104,7 @@
     @Override
     public void publish(BadVerdict verdict) {
         verdicts.add(verdict);
-        firstVerdict = true;
+        hasFirstVerdict = true;
         if (verdictMillis < 0) {
             verdictMillis = nowMillis;
         }
@@ -173,7 +173,7 @@
             }
             agentWith(version.get()).startRequest(route, version.get(), nowMillis);
         }
-        if (!firstVerdict) {
+        if (!hasFirstVerdict) {
             double share = newRequestsByRoute[routeIndex] / (double) Math.max(1, requestsByRoute[routeIndex]);
             largestEarlyShare = Math.max(largestEarlyShare, share);
         }
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecisionMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/EntryDecisionMeasurement.java
@@ -54,13 +54,13 @@
         }
         List<List<String>> rows = new ArrayList<>();
         double worstMicros = 0;
-        for (RunResult run : results) {
-            Result<?> result = run.getPrimaryResult();
+        for (RunResult trial : results) {
+            Result<?> result = trial.getPrimaryResult();
             double percentile99Micros = result.getStatistics().getPercentile(99) / NANOS_PER_MICRO;
             worstMicros = Math.max(worstMicros, percentile99Micros);
             rows.add(List.of(
-                    run.getParams().getParam("upstreams"),
-                    Boolean.parseBoolean(run.getParams().getParam("keyed")) ? "with a key" : "without a key",
+                    trial.getParams().getParam("upstreams"),
+                    Boolean.parseBoolean(trial.getParams().getParam("keyed")) ? "with a key" : "without a key",
                     Long.toString(result.getStatistics().getN()),
                     micros(result.getStatistics().getMean()),
                     micros(result.getStatistics().getPercentile(50)),
--- a/measurement/src/main/java/dev/wigeonward/measure/store/ClaimLoad.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/store/ClaimLoad.java
@@ -56,13 +56,13 @@
     }
 
     /**
-     * Result of a run.
+     * Result of a measured load.
      *
      * @param claims number of claims sent
      * @param granted number of claims granted
      * @param recorded number of claims whose outcome was stored
      * @param transactions number of calls to the store
-     * @param seconds duration of the run
+     * @param seconds duration of the load
      * @param medianMillis median time until a claim is answered
      * @param percentile99Millis 99th percentile of that time
      */
@@ -100,13 +100,13 @@
         }
     }
 
-    private Result measure(int count, Runnable run) {
+    private Result measure(int count, Runnable load) {
         latencyNanos = new ConcurrentHistogram(SIGNIFICANT_DIGITS);
         granted = new AtomicInteger();
         recorded = new AtomicInteger();
         long callsBefore = metrics.counter("store.calls.txn").getCount();
         long startNanos = clock.elapsedNanos();
-        run.run();
+        load.run();
         double seconds = (clock.elapsedNanos() - startNanos) / NANOS_PER_SECOND;
         return new Result(
                 count,
