--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutReport.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutReport.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * A report of one step of a move for operators. All components are plain values that can be written as JSON.
+ * A report of one step of a rollout for operators. All components are plain values that can be written as JSON.
  *
  * @param projectedFinishMillis earliest time at which the new version can get all requests
  * @param onTime whether the projected finish is not after the deadline
--- a/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
@@ -7,16 +7,18 @@
 import java.util.Optional;
 
 /**
- * One entry's view of the moves: the newest stages published by the controller and all known bad verdicts.
+ * One entry's view of the rollouts: the newest stages published by the controller and all known bad verdicts.
  *
  * <p>Stages may arrive in any order and repeatedly, from the controller or relayed by peers. Bad verdicts are merged as
  * a union, whatever their source, and never removed. Not thread-safe.
  */
 public final class StageView {
-    /** Maximum time for which an entry without contact to the controller sends requests to a version not yet judged. */
+    /**
+     * Maximum time for which an entry without contact to the controller sends requests to a version without a verdict.
+     */
     public static final long MAX_LEASE_MILLIS = 10_000;
 
-    private final Map<ModelVersion, BadVerdict> bad = new HashMap<>();
+    private final Map<ModelVersion, BadVerdict> verdictsByVersion = new HashMap<>();
     private final Map<String, LeasedStage> stages = new HashMap<>();
     private ControllerStages newest = new ControllerStages(0, 0, List.of());
 
@@ -41,12 +43,12 @@
     public boolean merge(Collection<BadVerdict> verdicts) {
         boolean added = false;
         for (BadVerdict verdict : verdicts) {
-            added |= bad.putIfAbsent(verdict.version(), verdict) == null;
+            added |= verdictsByVersion.putIfAbsent(verdict.version(), verdict) == null;
         }
         return added;
     }
 
-    /** Returns the stage of a model's move, even if its lease has expired. */
+    /** Returns the stage of a model's rollout, even if its lease has expired. */
     public Optional<Stage> stage(String model) {
         return Optional.ofNullable(stages.get(model)).map(LeasedStage::stage);
     }
@@ -57,17 +59,17 @@
         if (leased == null || isBad(model, leased.stage.newVersion())) {
             return 0;
         }
-        return leased.stage.judgedGood() || nowMillis < leased.expiresMillis ? leased.stage.shareBasisPoints() : 0;
+        return leased.stage.hasGoodVerdict() || nowMillis < leased.expiresMillis ? leased.stage.shareBasisPoints() : 0;
     }
 
     /** Returns whether there is a bad verdict on the version. */
     public boolean isBad(String model, String version) {
-        return bad.containsKey(new ModelVersion(model, version));
+        return verdictsByVersion.containsKey(new ModelVersion(model, version));
     }
 
     /** Returns all known bad verdicts, to be sent to peers. */
     public List<BadVerdict> badVerdicts() {
-        return List.copyOf(bad.values());
+        return List.copyOf(verdictsByVersion.values());
     }
 
     /**
--- a/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/VersionSelectorTest.java
@@ -47,9 +47,12 @@
                 .isInstanceOf(AssertionError.class);
     }
 
-    /** Guards against an entry without contact to the controller that keeps sending requests to an unjudged version. */
+    /**
+     * Guards against an entry without contact to the controller that keeps sending requests to a version without a
+     * verdict.
+     */
     @Test
-    void shareEndsWithTheLeaseUnlessJudgedGood() {
+    void shareEndsWithTheLeaseUnlessVerdictIsGood() {
         RealEntry entry = new RealEntry();
         entry.publish(stages(1, 1, 10_000, false), 0);
         assertThat(entry.select(request(0, 1, "chat", Tier.STANDARD), 9_999)).contains("v2");
@@ -89,7 +92,7 @@
 
     /** Guards against a share that is exceeded because retries of a request that did not run add credit each time. */
     @Test
-    void askingAgainForTheSameRequestCountsOnce() {
+    void repeatedSelectionForTheSameRequestCountsOnce() {
         RealEntry entry = new RealEntry();
         entry.publish(stages(1, 1, 200, true), 0);
         for (int i = 0; i < 49; i++) {
@@ -99,9 +102,11 @@
         }
     }
 
-    /** Guards against requests to an unjudged version from an entry that has just started and has no stages yet. */
+    /**
+     * Guards against requests to a version without a verdict from an entry that has just started and has no stages yet.
+     */
     @Test
-    void withoutMoveOnlyTheKnownVersionServes() {
+    void withoutRolloutOnlyTheKnownVersionServes() {
         VersionSelector selector = new VersionSelector(new StageView(), new ShareLimiter());
         RequestSpec request = request(0, 1, "chat", Tier.CRITICAL);
         assertThat(selector.select(request, BOTH, 0)).isEmpty();
@@ -121,6 +126,7 @@
         assertThat(selector.select(request, BOTH, 0)).contains("v2");
     }
 
+    /** Adds the verdict (step below 10), publishes stages (below 50), or selects a version and checks it (others). */
     private static void checkNothingAfterVerdict(Entry entry, List<Integer> steps) {
         boolean known = false;
         for (int i = 0; i < steps.size(); i++) {
@@ -139,9 +145,9 @@
         }
     }
 
-    private static ControllerStages stages(long fencing, long sequence, int share, boolean judgedGood) {
+    private static ControllerStages stages(long fencing, long sequence, int share, boolean hasGoodVerdict) {
         return new ControllerStages(
-                fencing, sequence, List.of(new Stage("model", "v1", "v2", share, 10_000, judgedGood)));
+                fencing, sequence, List.of(new Stage("model", "v1", "v2", share, 10_000, hasGoodVerdict)));
     }
 
     private static final class RealEntry implements Entry {
--- a/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutCase.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/moves/RolloutCase.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.core.rollout.ControllerStages;
 import dev.wigeonward.core.rollout.Stage;
 
-/** Simulation of one case from the rule to the end of watching. */
+/** Simulation of one case from the move rule to the end of the time in which the completed rollout is watched. */
 final class RolloutCase implements SimulatedRollout.Publisher {
     static final String MODEL = "model";
     static final String OLD = "v1";
@@ -46,8 +46,8 @@
     private long periodRequests;
     private long periodNewRequests;
     private long nowMillis;
-    private boolean firstVerdict;
-    private boolean judgedGood;
+    private boolean hasFirstVerdict;
+    private boolean hasGoodVerdict;
     private long completedMillis = -1;
     private long verdictMillis = -1;
     private long badSinceMillis = -1;
@@ -92,18 +92,19 @@
     public void publish(ControllerStages stages) {
         int share =
                 stages.stages().stream().mapToInt(Stage::shareBasisPoints).max().orElse(0);
-        firstVerdict |= share > CANARY_BASIS_POINTS;
+        hasFirstVerdict |= share > CANARY_BASIS_POINTS;
         if (share == Stage.ALL_BASIS_POINTS && completedMillis < 0) {
             completedMillis = nowMillis;
         }
-        judgedGood |= stages.stages().stream().anyMatch(Stage::judgedGood) && rollout instanceof ControlledRollout;
+        hasGoodVerdict |=
+                stages.stages().stream().anyMatch(Stage::hasGoodVerdict) && rollout instanceof ControlledRollout;
         send(Optional.of(stages));
     }
 
     @Override
     public void publish(BadVerdict verdict) {
         verdicts.add(verdict);
-        firstVerdict = true;
+        hasFirstVerdict = true;
         if (verdictMillis < 0) {
             verdictMillis = nowMillis;
         }
@@ -146,7 +147,7 @@
     }
 
     private boolean isOver() {
-        return judgedGood
+        return hasGoodVerdict
                 || completedMillis >= 0 && nowMillis >= completedMillis + CaseScript.WATCH_MILLIS
                 || nowMillis >= CaseScript.END_MILLIS
                 || verdictMillis >= 0 && nowMillis >= verdictMillis + AFTER_VERDICT_MILLIS;
@@ -170,9 +171,9 @@
                 periodNewRequests++;
                 countAfterVerdict(entry);
             }
-            agentWith(version.get()).run(route, version.get(), nowMillis);
+            agentWith(version.get()).startRequest(route, version.get(), nowMillis);
         }
-        if (!firstVerdict) {
+        if (!hasFirstVerdict) {
             double share = newRequestsByRoute[routeIndex] / (double) Math.max(1, requestsByRoute[routeIndex]);
             largestEarlyShare = Math.max(largestEarlyShare, share);
         }
