--- a/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/DepartureInvariantTest.java
@@ -185,7 +185,7 @@
                 return;
             }
             for (MembershipEffect effect : membership.handle(filtered, nowMillis)) {
-                if (effect instanceof StartNewWork start) {
+                if (effect instanceof StartDispatch start) {
                     inUse.put(start.upstreamId(), start.incarnation());
                 } else if (effect instanceof StopDispatch stop) {
                     boolean stopped = inUse.remove(stop.upstreamId(), stop.incarnation());
--- a/core/src/test/java/dev/wigeonward/core/membership/UpstreamMembershipTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/UpstreamMembershipTest.java
@@ -39,7 +39,7 @@
         assertThat(membership.handle(list(1, true, false), 0)).isEmpty();
         assertThat(membership.state("a", OLD)).isEqualTo(MemberState.JOINING);
         assertThat(membership.handle(new Tick(), 100)).containsExactly(new OpenLink("a", "10.0.0.2:90"));
-        assertThat(membership.handle(new LinkUp("a", OLD), 110)).containsExactly(new StartNewWork("a", OLD));
+        assertThat(membership.handle(new LinkUp("a", OLD), 110)).containsExactly(new StartDispatch("a", OLD));
         assertThat(membership.state("a", OLD)).isEqualTo(MemberState.LIVE);
     }
 
@@ -68,7 +68,7 @@
         assertThat(membership.handle(new LinkUp("a", OLD), 500)).containsExactly(STOP_LEAVING);
         assertThat(membership.state("a", OLD)).isEqualTo(MemberState.LEAVING);
         assertThat(membership.handle(new LinkUp("a", NEW), 600))
-                .containsExactly(new Replaced("a", OLD, NEW), new StartNewWork("a", NEW));
+                .containsExactly(new Replaced("a", OLD, NEW), new StartDispatch("a", NEW));
     }
 
     /** Guards against events of an earlier incarnation that are applied to the restarted agent. */
@@ -78,7 +78,7 @@
                 .containsExactly(
                         new StopDispatch("a", OLD, MemberState.REPLACED),
                         new Replaced("a", OLD, NEW),
-                        new StartNewWork("a", NEW));
+                        new StartDispatch("a", NEW));
         assertThat(membership.state("a", OLD)).isEqualTo(MemberState.REPLACED);
         assertThat(membership.handle(new LeavingAnnounced("a", OLD), 300)).isEmpty();
         assertThat(membership.state("a", NEW)).isEqualTo(MemberState.LIVE);
