--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerChannel.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
@@ -34,7 +34,7 @@
 import io.netty.util.ReferenceCountUtil;
 
 /** Connection of a caller: reads one request at a time and writes its answer before it reads the next one. */
-final class CallerChannel extends ChannelInboundHandlerAdapter implements AnswerSink {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements AnswerSink {
     /**
      * Time for which received bytes are discarded after the last answer, before the connection is closed. An earlier
      * close with unread bytes would reset the connection, and the answer could be lost.
@@ -44,8 +44,8 @@
     private static final int MAX_BODY_PARTS = 64;
 
     private final CallerServer server;
-    private final GatewayDispatcher path;
-    private final HeaderCodec dialect;
+    private final GatewayDispatcher dispatcher;
+    private final HeaderCodec headerCodec;
     private final CallerLimits limits;
     private final ArrayDeque<Object> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -58,10 +58,10 @@
     private boolean keepAlive = true;
     private boolean lengthKnown;
 
-    CallerChannel(CallerServer server, GatewayDispatcher path, HeaderCodec dialect, CallerLimits limits) {
+    CallerConnection(CallerServer server, GatewayDispatcher dispatcher, HeaderCodec headerCodec, CallerLimits limits) {
         this.server = server;
-        this.path = path;
-        this.dialect = dialect;
+        this.dispatcher = dispatcher;
+        this.headerCodec = headerCodec;
         this.limits = limits;
     }
 
@@ -175,8 +175,8 @@
         head = Optional.empty();
         body = null;
         CallerRequest callerRequest =
-                new CallerRequest(request, dialect.readCaller(request.headers()), wholeBody, path.millis());
-        Exchange started = path.createExchange(callerRequest, this);
+                new CallerRequest(request, headerCodec.readCaller(request.headers()), wholeBody, dispatcher.millis());
+        Exchange started = dispatcher.createExchange(callerRequest, this);
         exchange = Optional.of(started);
         started.start();
     }
@@ -306,7 +306,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
         // The connection is broken or its bytes are not HTTP. The exchange ends in channelInactive.
-        path.countCallerError();
+        dispatcher.countCallerError();
         failed.close();
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
@@ -29,21 +29,22 @@
 
     private static final int LOW_WATER_BYTES = 16_384;
 
-    private final GatewayDispatcher path;
-    private final HeaderCodec dialect;
+    private final GatewayDispatcher dispatcher;
+    private final HeaderCodec headerCodec;
     private final Supplier<CallerLimits> limits;
-    private final Set<CallerChannel> open = new HashSet<>();
+    private final Set<CallerConnection> openConnections = new HashSet<>();
     private boolean draining;
 
-    private CallerServer(GatewayDispatcher path, HeaderCodec dialect, Supplier<CallerLimits> limits) {
-        this.path = path;
-        this.dialect = dialect;
+    private CallerServer(GatewayDispatcher dispatcher, HeaderCodec headerCodec, Supplier<CallerLimits> limits) {
+        this.dispatcher = dispatcher;
+        this.headerCodec = headerCodec;
         this.limits = limits;
     }
 
     /** Returns a server that does not listen yet. */
-    public static CallerServer create(GatewayDispatcher path, HeaderCodec dialect, Supplier<CallerLimits> limits) {
-        return new CallerServer(path, dialect, limits);
+    public static CallerServer create(
+            GatewayDispatcher dispatcher, HeaderCodec headerCodec, Supplier<CallerLimits> limits) {
+        return new CallerServer(dispatcher, headerCodec, limits);
     }
 
     /** Starts to accept connections; returns the bound address. */
@@ -66,7 +67,7 @@
                                 .addLast(
                                         new StrictRequestDecoder(current.maxHeaderBytes()),
                                         new HttpResponseEncoder(),
-                                        new CallerChannel(CallerServer.this, path, dialect, current));
+                                        new CallerConnection(CallerServer.this, dispatcher, headerCodec, current));
                     }
                 })
                 .bind(address)
@@ -78,25 +79,25 @@
     /** Closes idle connections, and makes every further answer close its connection. */
     public void startDraining() {
         draining = true;
-        for (CallerChannel channel : Set.copyOf(open)) {
-            channel.closeIfIdle();
+        for (CallerConnection connection : Set.copyOf(openConnections)) {
+            connection.closeIfIdle();
         }
     }
 
     /** Returns the number of open connections of callers. */
     public int connectionCount() {
-        return open.size();
+        return openConnections.size();
     }
 
     boolean draining() {
         return draining;
     }
 
-    void opened(CallerChannel channel) {
-        open.add(channel);
+    void opened(CallerConnection connection) {
+        openConnections.add(connection);
     }
 
-    void closed(CallerChannel channel) {
-        open.remove(channel);
+    void closed(CallerConnection connection) {
+        openConnections.remove(connection);
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Admission.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Admission.java
@@ -11,11 +11,11 @@
     /**
      * The request may be queued.
      *
-     * @param usage usage counted against the tenant's cap
+     * @param usage usage counted against the workspace's cap
      * @param fingerprint hash of the target, the caller's key and the body, by which a request that crashed an upstream
      *     is recognized when it is sent again
      */
-    record Admitted(Route route, String service, Optional<Workspace> tenant, long usage, long fingerprint)
+    record Admitted(Route route, String service, Optional<Workspace> workspace, long usage, long fingerprint)
             implements Admission {}
 
     /** The request is refused and has not run. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
@@ -13,7 +13,7 @@
 import dev.wigeonward.core.suspect.SuspectTable;
 
 /**
- * Checker of requests against the active configuration: route, tenant key, suspicion and usage cap. Runs on the event
+ * Checker of requests against the active configuration: route, API key, suspicion and usage cap. Runs on the event
  * loop.
  */
 final class AdmissionChecker {
@@ -23,12 +23,12 @@
      */
     private static final long SUSPECT_RETRY_MILLIS = 400;
 
-    private final WorkspaceCaps tenants;
+    private final WorkspaceCaps workspaceCaps;
     private final SuspectTable suspects;
     private final Random random;
 
-    AdmissionChecker(WorkspaceCaps tenants, SuspectTable suspects, Random random) {
-        this.tenants = tenants;
+    AdmissionChecker(WorkspaceCaps workspaceCaps, SuspectTable suspects, Random random) {
+        this.workspaceCaps = workspaceCaps;
         this.suspects = suspects;
         this.random = random;
     }
@@ -39,8 +39,8 @@
         if (route.isEmpty()) {
             return new Admission.Refused(ErrorKind.UNKNOWN_TARGET, 0);
         }
-        Optional<Workspace> tenant = request.callerHead().apiKey().flatMap(current::workspace);
-        if (tenant.isEmpty() && current.hasWorkspaces() && !route.get().keyless()) {
+        Optional<Workspace> workspace = request.callerHead().apiKey().flatMap(current::workspace);
+        if (workspace.isEmpty() && current.hasWorkspaces() && !route.get().keyless()) {
             return new Admission.Refused(ErrorKind.UNAUTHORIZED, 0);
         }
         long fingerprint = fingerprint(request);
@@ -48,17 +48,18 @@
             return new Admission.Refused(ErrorKind.SUSPECT, SUSPECT_RETRY_MILLIS);
         }
         long usage = 0;
-        if (tenant.isPresent()) {
-            usage = tenant.get()
+        if (workspace.isPresent()) {
+            usage = workspace
+                    .get()
                     .usageOf((long) request.callerHead().promptTokens()
                             + request.callerHead().maxOutputTokens());
-            long waitMillis = tenants.acquire(tenant.get(), usage, nowMillis);
+            long waitMillis = workspaceCaps.acquire(workspace.get(), usage, nowMillis);
             if (waitMillis > 0) {
                 return new Admission.Refused(ErrorKind.RATE_LIMITED, waitMillis);
             }
         }
         String service = route.get().selectService(random.nextDouble());
-        return new Admission.Admitted(route.get(), service, tenant, usage, fingerprint);
+        return new Admission.Admitted(route.get(), service, workspace, usage, fingerprint);
     }
 
     private static String host(CallerRequest request) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -34,11 +34,11 @@
 
     private static final int PERCENT = 100;
 
-    private final GatewayDispatcher path;
+    private final GatewayDispatcher dispatcher;
     private final CallerRequest request;
     private final AnswerSink sink;
     private Admission.Admitted admitted;
-    private ScheduledRequest demand;
+    private ScheduledRequest scheduledRequest;
     private Optional<UpstreamRun> run = Optional.empty();
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private long deadlineAtMillis;
@@ -52,23 +52,23 @@
     private boolean done;
     private Optional<EventBoundaryScanner> boundaries = Optional.empty();
 
-    Exchange(GatewayDispatcher path, CallerRequest request, AnswerSink sink) {
-        this.path = path;
+    Exchange(GatewayDispatcher dispatcher, CallerRequest request, AnswerSink sink) {
+        this.dispatcher = dispatcher;
         this.request = request;
         this.sink = sink;
     }
 
     /** Checks the request and queues it, or refuses it. */
     public void start() {
-        Admission admission = path.admit(request);
+        Admission admission = dispatcher.admit(request);
         if (admission instanceof Admission.Refused refused) {
-            path.count("refused." + refused.kind().wireName());
+            dispatcher.count("refused." + refused.kind().wireName());
             finish("refused:" + refused.kind().wireName());
             sink.writeError(refused.kind(), refused.retryAfterMillis());
             return;
         }
         admitted = (Admission.Admitted) admission;
-        path.retryShare(admitted.service()).onRequest(path.nowMillis());
+        dispatcher.retryShare(admitted.service()).onRequest(dispatcher.nowMillis());
         long waitMillis = Math.min(
                 admitted.route().timeoutMillis(),
                 request.callerHead().deadlineMillis().orElse(Long.MAX_VALUE));
@@ -76,19 +76,19 @@
             boundaries = Optional.of(EventBoundaryScanner.create());
         }
         deadlineAtMillis = request.receivedAtMillis() + waitMillis;
-        timeout = Optional.of(path.loop().schedule(this::onTimeout, waitMillis, TimeUnit.MILLISECONDS));
-        demand = path.createDemand(request, admitted, deadlineAtMillis);
-        path.offer(demand, this, admitted.service());
+        timeout = Optional.of(dispatcher.loop().schedule(this::onTimeout, waitMillis, TimeUnit.MILLISECONDS));
+        scheduledRequest = dispatcher.createScheduledRequest(request, admitted, deadlineAtMillis);
+        dispatcher.offer(scheduledRequest, this, admitted.service());
     }
 
     /** Sends the request to the upstream that the scheduler chose. */
     void onPlaced(Upstream upstream) {
         sends++;
-        waitedMillis = path.nowMillis() - request.receivedAtMillis();
-        path.recordWait(waitedMillis);
-        UpstreamRun newRun = new UpstreamRun(this, path, upstream, demand, sink);
+        waitedMillis = dispatcher.nowMillis() - request.receivedAtMillis();
+        dispatcher.recordWait(waitedMillis);
+        UpstreamRun newRun = new UpstreamRun(this, dispatcher, upstream, scheduledRequest, sink);
         run = Optional.of(newRun);
-        path.connections().send(upstream, upstreamRequest(upstream), newRun, newRun::onChannel);
+        dispatcher.connections().send(upstream, upstreamRequest(upstream), newRun, newRun::onConnection);
     }
 
     private FullHttpRequest upstreamRequest(Upstream upstream) {
@@ -107,26 +107,27 @@
         if (hasBody || !request.head().method().equals(HttpMethod.GET)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
         }
-        path.dialect()
+        dispatcher
+                .headerCodec()
                 .writeUpstream(
                         headers,
                         new UpstreamCall(
                                 upstream,
-                                Math.max(1, deadlineAtMillis - path.nowMillis()),
-                                admitted.tenant().map(tenant -> tenant.name()),
+                                Math.max(1, deadlineAtMillis - dispatcher.nowMillis()),
+                                admitted.workspace().map(workspace -> workspace.name()),
                                 boundaries.flatMap(EventBoundaryScanner::lastEventId)));
         return copy;
     }
 
     /** Ends the exchange after the scheduler refused the request, in the queue for its first or a further run. */
     void onRefused(RefusalReason reason) {
-        path.count("refused." + reason.name().toLowerCase(Locale.ROOT));
+        dispatcher.count("refused." + reason.name().toLowerCase(Locale.ROOT));
         ErrorKind kind =
                 switch (reason) {
                     case NO_UPSTREAM -> ErrorKind.NO_UPSTREAM;
                     case QUEUE_TOO_LONG, WAITED_TOO_LONG -> ErrorKind.OVERLOADED;
                 };
-        failOrRefuse(kind, path.retryAfterMillis(deadlineAtMillis - path.nowMillis()));
+        failOrRefuse(kind, dispatcher.retryAfterMillis(deadlineAtMillis - dispatcher.nowMillis()));
     }
 
     private void failOrRefuse(ErrorKind notRunKind, long retryAfterMillis) {
@@ -134,7 +135,7 @@
             fail(ErrorKind.UPSTREAM_LOST);
             return;
         }
-        path.refundUsage(admitted);
+        dispatcher.refundUsage(admitted);
         finish("refused:" + notRunKind.wireName());
         sink.writeError(notRunKind, retryAfterMillis);
     }
@@ -157,7 +158,7 @@
         mayHaveRun |= sent && failure != RunFailure.NOT_RUN;
         boolean mayRepeat = !mayHaveRun || admitted.route().isIdempotent();
         boolean again = sent
-                ? mayRepeat && sends < admitted.route().maxAttempts() && path.tryAcquireRetry(admitted.service())
+                ? mayRepeat && sends < admitted.route().maxAttempts() && dispatcher.tryAcquireRetry(admitted.service())
                 : connectFailures < MAX_CONNECT_FAILURES;
         if (again) {
             requeue();
@@ -175,7 +176,7 @@
         return !done
                 && admitted.route().isIdempotent()
                 && sends < admitted.route().maxAttempts()
-                && path.tryAcquireRetry(admitted.service());
+                && dispatcher.tryAcquireRetry(admitted.service());
     }
 
     /** Queues the request again once the answer that {@link #tryReplaceFailure} replaces was read to its end. */
@@ -186,10 +187,10 @@
     }
 
     private void requeue() {
-        ScheduledRequest next = path.createDemand(request, admitted, deadlineAtMillis);
-        demand.upstream().ifPresent(upstream -> next.excludeUpstream(upstream.id()));
-        demand = next;
-        path.offer(demand, this, admitted.service());
+        ScheduledRequest next = dispatcher.createScheduledRequest(request, admitted, deadlineAtMillis);
+        scheduledRequest.upstream().ifPresent(upstream -> next.excludeUpstream(upstream.id()));
+        scheduledRequest = next;
+        dispatcher.offer(scheduledRequest, this, admitted.service());
     }
 
     void onAnswered(int status) {
@@ -201,11 +202,11 @@
         if (done) {
             return;
         }
-        path.count("timeout");
+        dispatcher.count("timeout");
         boolean waits = run.isEmpty();
         cancelRun();
         if (waits && !mayHaveRun) {
-            path.refundUsage(admitted);
+            dispatcher.refundUsage(admitted);
             finish("refused:" + ErrorKind.DEADLINE_UNREACHABLE.wireName());
             sink.writeError(ErrorKind.DEADLINE_UNREACHABLE, UPSTREAM_FULL_RETRY_MILLIS);
             return;
@@ -214,7 +215,7 @@
     }
 
     private void fail(ErrorKind kind) {
-        path.count("failed." + kind.wireName());
+        dispatcher.count("failed." + kind.wireName());
         finish((headForwarded ? "broken_off:" : "failed:") + kind.wireName());
         if (headForwarded) {
             sink.abort();
@@ -235,7 +236,7 @@
         return headForwarded;
     }
 
-    /** Counts a read of streamed events of the answer. */
+    /** Counts one read of the answer that contained streamed events. */
     void onEvents() {
         events++;
     }
@@ -245,19 +246,19 @@
         if (done) {
             return;
         }
-        path.count("caller_left");
+        dispatcher.count("caller_left");
         cancelRun();
         finish("caller_left");
     }
 
     /** Resumes or suspends reading from the upstream, according to whether the caller's connection is writable. */
     public void onWritabilityChanged(boolean writable) {
-        run.flatMap(UpstreamRun::channel).ifPresent(channel -> channel.setReading(writable));
+        run.flatMap(UpstreamRun::connection).ifPresent(connection -> connection.setReading(writable));
     }
 
     private void cancelRun() {
-        if (demand != null) {
-            path.withdraw(demand, admitted.service());
+        if (scheduledRequest != null) {
+            dispatcher.withdraw(scheduledRequest, admitted.service());
         }
         run.ifPresent(UpstreamRun::cancel);
     }
@@ -267,26 +268,26 @@
             return;
         }
         done = true;
-        path.logOutcome(details(outcome), path.nowMillis() - request.receivedAtMillis());
+        dispatcher.logOutcome(details(outcome), dispatcher.nowMillis() - request.receivedAtMillis());
         timeout.ifPresent(future -> future.cancel(false));
         request.body().release();
-        path.onExchangeEnded();
+        dispatcher.onExchangeEnded();
     }
 
     private String details(String outcome) {
-        long nowMillis = path.nowMillis();
+        long nowMillis = dispatcher.nowMillis();
         String attempt = request.callerHead().attemptId().orElse("none");
         String common =
                 "id=" + attempt + " outcome=" + outcome + " total_ms=" + (nowMillis - request.receivedAtMillis());
         if (admitted == null) {
             return common;
         }
-        String upstream = demand.upstream().map(Upstream::id).orElse("none");
+        String upstream = scheduledRequest.upstream().map(Upstream::id).orElse("none");
         return common + " route=" + admitted.route().name() + " service=" + admitted.service() + " upstream=" + upstream
                 + " sends=" + sends + " waited_ms=" + waitedMillis + " deadline_ms="
                 + request.callerHead().deadlineMillis().orElse(0) + " events=" + events + " expected_events="
-                + Math.round(demand.expectedEvents()) + " slowness_percent="
-                + Math.round(PERCENT * demand.relativeSlownessAtPlacement()) + " last_failure=" + lastFailure;
+                + Math.round(scheduledRequest.expectedEvents()) + " slowness_percent="
+                + Math.round(PERCENT * scheduledRequest.relativeSlownessAtPlacement()) + " last_failure=" + lastFailure;
     }
 
     boolean done() {
@@ -310,7 +311,7 @@
     }
 
     ServiceScheduler scheduler() {
-        return path.scheduler(admitted.service());
+        return dispatcher.scheduler(admitted.service());
     }
 
     long fingerprint() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -30,16 +30,15 @@
 import io.netty.channel.EventLoop;
 
 /**
- * Request path of one entry: checks each fully received request against the active configuration and runs it as an
- * {@link Exchange}. All state is confined to one event loop.
+ * Dispatcher of one entry: checks each fully received request against the active configuration, queues it at the
+ * scheduler of its service and runs it as an {@link Exchange}. All state is confined to one event loop.
  */
 public final class GatewayDispatcher {
     /**
      * Interval between scheduling rounds while requests are queued; short compared with callers' latency objectives.
      */
     private static final long DECIDE_PERIOD_MILLIS = 10;
-
-    /** Interval of the comparison of upstreams and of the probes of suspended ones. */
+    /** Interval between comparisons of the upstreams' unit times, and between probes of suspended upstreams. */
     private static final long UPSTREAM_CHECK_PERIOD_MILLIS = 250;
     /** Delay between a broken run and the probe of its upstream; a crashed upstream stays unreachable for seconds. */
     private static final long CRASH_PROBE_DELAY_MILLIS = 100;
@@ -55,14 +54,14 @@
 
     private final EventLoop loop;
     private final MonotonicClock clock;
-    private final HeaderCodec dialect;
+    private final HeaderCodec headerCodec;
     private final UpstreamConnectionPool connections;
     private final Telemetry telemetry;
     private final Random random;
-    private final WorkspaceCaps tenants;
+    private final WorkspaceCaps workspaceCaps;
     private final SuspectTable suspects = SuspectTable.create();
     private final AdmissionChecker admissionChecker;
-    private final ScheduledRequestFactory demandFactory = new ScheduledRequestFactory();
+    private final ScheduledRequestFactory scheduledRequestFactory = new ScheduledRequestFactory();
     private final ServiceRollouts rollouts = new ServiceRollouts();
     private final Map<String, ServiceScheduler> schedulers = new HashMap<>();
     private final Map<String, RetryBudgetShare> retryShares = new HashMap<>();
@@ -70,50 +69,51 @@
     private final Set<String> probing = new HashSet<>();
     private final Set<String> loggedSuspended = new HashSet<>();
     private PathSettings settings;
-    private SuspectPublisher publisher;
-    private Optional<RoutingConfiguration> deployment = Optional.empty();
+    private SuspectPublisher suspectPublisher;
+    private Optional<RoutingConfiguration> configuration = Optional.empty();
     private boolean upstreamsKnown;
-    private int entries = 1;
+    private int knownEntryCount = 1;
     private int runningCount;
     private boolean decideScheduled;
-    private boolean refusingNew;
+    private boolean admissionStopped;
 
     private GatewayDispatcher(
             EventLoop loop,
             MonotonicClock clock,
-            HeaderCodec dialect,
+            HeaderCodec headerCodec,
             PathSettings settings,
             UpstreamConnectionPool connections,
             Telemetry telemetry,
             Random random) {
         this.loop = loop;
         this.clock = clock;
-        this.dialect = dialect;
+        this.headerCodec = headerCodec;
         this.settings = settings;
         this.connections = connections;
         this.telemetry = telemetry;
         this.random = random;
-        this.tenants = new WorkspaceCaps(settings);
-        this.admissionChecker = new AdmissionChecker(tenants, suspects, random);
-        this.publisher = suspects::onUpstreamDied;
+        this.workspaceCaps = new WorkspaceCaps(settings);
+        this.admissionChecker = new AdmissionChecker(workspaceCaps, suspects, random);
+        this.suspectPublisher = suspects::onUpstreamDied;
     }
 
-    /** Returns a path without a configuration, which refuses all requests until {@link #configure} provides one. */
+    /** Returns a dispatcher that refuses all requests until {@link #configure} provides a configuration. */
     public static GatewayDispatcher create(
             EventLoop loop,
             MonotonicClock clock,
-            HeaderCodec dialect,
+            HeaderCodec headerCodec,
             PathSettings settings,
             UpstreamConnectionPool connections,
             Telemetry telemetry,
             Random random) {
-        GatewayDispatcher path = new GatewayDispatcher(loop, clock, dialect, settings, connections, telemetry, random);
+        GatewayDispatcher dispatcher =
+                new GatewayDispatcher(loop, clock, headerCodec, settings, connections, telemetry, random);
         loop.scheduleAtFixedRate(
-                path::checkUpstreams,
+                dispatcher::checkUpstreams,
                 UPSTREAM_CHECK_PERIOD_MILLIS,
                 UPSTREAM_CHECK_PERIOD_MILLIS,
                 TimeUnit.MILLISECONDS);
-        return path;
+        return dispatcher;
     }
 
     private void checkUpstreams() {
@@ -143,11 +143,11 @@
 
     /** Activates a configuration unless the active one has the same or a higher version. */
     public void configure(RoutingConfiguration newer) {
-        if (deployment.isPresent() && deployment.get().version() >= newer.version()) {
+        if (configuration.isPresent() && configuration.get().version() >= newer.version()) {
             return;
         }
-        deployment = Optional.of(newer);
-        tenants.declare(newer.workspaces(), nowMillis());
+        configuration = Optional.of(newer);
+        workspaceCaps.setWorkspaces(newer.workspaces(), nowMillis());
         telemetry
                 .log()
                 .info(
@@ -157,8 +157,8 @@
     }
 
     /**
-     * Replaces the bounds. Usage and retries already counted against the old bounds remain counted; the zone of
-     * existing schedulers does not change.
+     * Replaces the bounds. Usage and retries already counted against the old bounds remain counted; the failure domain
+     * of existing schedulers does not change.
      */
     public void updateSettings(PathSettings newer) {
         settings = newer;
@@ -166,8 +166,8 @@
                 .values()
                 .forEach(share ->
                         share.setLimits(newer.retryRatio(), newer.retryAllowance(), newer.retryWindowMillis()));
-        tenants.settings(newer);
-        deployment.ifPresent(current -> tenants.declare(current.workspaces(), nowMillis()));
+        workspaceCaps.updateSettings(newer);
+        configuration.ifPresent(current -> workspaceCaps.setWorkspaces(current.workspaces(), nowMillis()));
     }
 
     /** Replaces the lists of upstreams of all services. */
@@ -190,12 +190,12 @@
 
     /** Returns whether a configuration is active and a list of upstreams was received. */
     public boolean ready() {
-        return deployment.isPresent() && upstreamsKnown;
+        return configuration.isPresent() && upstreamsKnown;
     }
 
     /** Returns the active configuration. */
     public Optional<RoutingConfiguration> deployment() {
-        return deployment;
+        return configuration;
     }
 
     /** Returns the number of requests without a final answer. */
@@ -211,8 +211,8 @@
      * @param loads load of all peers by upstream identifier
      */
     public void updatePeerLoads(int currentEntries, int knownEntries, Map<String, PeerLoad> loads) {
-        entries = knownEntries;
-        tenants.entries(currentEntries, knownEntries, nowMillis());
+        knownEntryCount = knownEntries;
+        workspaceCaps.setEntryCounts(currentEntries, knownEntries, nowMillis());
         schedulers
                 .values()
                 .forEach(scheduler -> scheduler.updatePeerLoads(id -> {
@@ -224,14 +224,14 @@
         decide();
     }
 
-    /** Records the usage that a peer has admitted for each tenant. */
+    /** Records the usage that a peer has admitted for each workspace. */
     public void mergePeerUsage(String peer, long incarnation, Map<String, WorkspaceCaps.Usage> usages) {
-        tenants.onPeer(peer, incarnation, usages, nowMillis());
+        workspaceCaps.onPeerReport(peer, incarnation, usages, nowMillis());
     }
 
-    /** Discards the tenant usage that a lost peer reported. */
+    /** Discards the workspace usage that a lost peer reported. */
     public void removePeerUsage(String peer) {
-        tenants.forget(peer);
+        workspaceCaps.removePeer(peer);
     }
 
     /** Returns the load of this entry on each upstream, for its peers. */
@@ -243,31 +243,31 @@
         return loads;
     }
 
-    /** Returns this entry's usage of each tenant's cap, for its peers. */
+    /** Returns the usage that this entry has admitted for each workspace, for its peers. */
     public Map<String, WorkspaceCaps.Usage> ownUsages() {
-        return tenants.usages(nowMillis());
+        return workspaceCaps.usages(nowMillis());
     }
 
-    /** Returns all learned speeds of upstreams. */
+    /** Returns the observed unit times of all upstreams. */
     public List<ObservedUnitTime> unitTimes() {
-        List<ObservedUnitTime> units = new ArrayList<>();
-        schedulers.values().forEach(scheduler -> units.addAll(scheduler.unitTimes(nowMillis())));
-        return units;
+        List<ObservedUnitTime> unitTimes = new ArrayList<>();
+        schedulers.values().forEach(scheduler -> unitTimes.addAll(scheduler.unitTimes(nowMillis())));
+        return unitTimes;
     }
 
-    /** Returns the learned speeds that have changed significantly since the last call. */
+    /** Returns the observed unit times that have changed significantly since the last call. */
     public List<ObservedUnitTime> takeChangedUnitTimes() {
-        List<ObservedUnitTime> units = new ArrayList<>();
-        schedulers.values().forEach(scheduler -> units.addAll(scheduler.takeChangedUnitTimes(nowMillis())));
-        return units;
+        List<ObservedUnitTime> unitTimes = new ArrayList<>();
+        schedulers.values().forEach(scheduler -> unitTimes.addAll(scheduler.takeChangedUnitTimes(nowMillis())));
+        return unitTimes;
     }
 
-    /** Adopts speeds of upstreams that other entries have learned. */
-    public void adoptNewerUnitTimes(List<ObservedUnitTime> units) {
-        schedulers.values().forEach(scheduler -> scheduler.adoptNewerUnitTimes(units, nowMillis()));
+    /** Adopts unit times that other entries have observed, as far as they are newer than those of this entry. */
+    public void adoptNewerUnitTimes(List<ObservedUnitTime> unitTimes) {
+        schedulers.values().forEach(scheduler -> scheduler.adoptNewerUnitTimes(unitTimes, nowMillis()));
     }
 
-    /** Returns the state of traffic shifts between versions. */
+    /** Returns the state of rollouts. */
     public ServiceRollouts rollouts() {
         return rollouts;
     }
@@ -279,30 +279,31 @@
         return scheduler(service).outstandingAtOtherVersions(version);
     }
 
-    /** Returns the table of requests that were running when upstreams died, for the exchange with peers. */
+    /** Returns the table of requests that were running when upstreams died, which peers synchronize. */
     public SuspectTable suspects() {
         return suspects;
     }
 
     /** Sets the publisher of upstream deaths. The initial one records them in this process only. */
     public void setSuspectPublisher(SuspectPublisher newPublisher) {
-        publisher = newPublisher;
+        suspectPublisher = newPublisher;
     }
 
     /** Refuses all further requests because this process is stopping; admitted requests continue. */
     public void stopAdmission() {
-        refusingNew = true;
+        admissionStopped = true;
     }
 
     /**
-     * Returns an exchange for a request. Once begun, it ends with exactly one final answer unless the caller leaves.
+     * Returns an exchange for a request. Once started, it ends with exactly one final answer unless the caller
+     * closes its connection.
      */
     public Exchange createExchange(CallerRequest request, AnswerSink sink) {
         runningCount++;
         return new Exchange(this, request, sink);
     }
 
-    /** Returns the elapsed time of this path's monotonic clock. */
+    /** Returns the elapsed time of the monotonic clock in milliseconds. */
     public long millis() {
         return nowMillis();
     }
@@ -318,33 +319,33 @@
 
     /** Returns the admission of a request, or the reason for its refusal. */
     Admission admit(CallerRequest request) {
-        if (refusingNew) {
+        if (admissionStopped) {
             return new Admission.Refused(ErrorKind.SHUTTING_DOWN, SHUTTING_DOWN_RETRY_MILLIS);
         }
         if (!ready()) {
             return new Admission.Refused(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS);
         }
-        return admissionChecker.admit(request, deployment.orElseThrow(), nowMillis());
+        return admissionChecker.admit(request, configuration.orElseThrow(), nowMillis());
     }
 
-    /** Returns a demand for the first or a further run of a request. */
-    ScheduledRequest createDemand(CallerRequest request, Admission.Admitted admitted, long deadlineAtMillis) {
-        VersionConstraint bound =
-                rollouts.bound(admitted.service(), admitted.route().name(), nowMillis());
-        return demandFactory.of(request, admitted, deadlineAtMillis, bound);
+    /** Returns a scheduled request for the first or a further run of a request. */
+    ScheduledRequest createScheduledRequest(CallerRequest request, Admission.Admitted admitted, long deadlineAtMillis) {
+        VersionConstraint versionConstraint =
+                rollouts.versionConstraint(admitted.service(), admitted.route().name(), nowMillis());
+        return scheduledRequestFactory.of(request, admitted, deadlineAtMillis, versionConstraint);
     }
 
-    /** Queues a demand; the exchange receives the decision on it. */
-    void offer(ScheduledRequest demand, Exchange exchange, String service) {
-        waiting.put(demand, exchange);
-        scheduler(service).offer(demand);
+    /** Queues a scheduled request; the exchange receives the decision on it. */
+    void offer(ScheduledRequest request, Exchange exchange, String service) {
+        waiting.put(request, exchange);
+        scheduler(service).offer(request);
         decide();
     }
 
-    /** Removes a demand from the queue if no decision was made on it. */
-    void withdraw(ScheduledRequest demand, String service) {
-        if (waiting.remove(demand) != null) {
-            scheduler(service).remove(demand);
+    /** Removes a scheduled request from the queue if no decision was made on it. */
+    void withdraw(ScheduledRequest request, String service) {
+        if (waiting.remove(request) != null) {
+            scheduler(service).remove(request);
         }
     }
 
@@ -361,11 +362,11 @@
 
     /** Counts a retry and returns true if the retry budget of the service allows it. */
     boolean tryAcquireRetry(String service) {
-        return retryShare(service).tryAcquire(entries, nowMillis());
+        return retryShare(service).tryAcquire(knownEntryCount, nowMillis());
     }
 
     /**
-     * Runs one scheduling round. It is also called when a run ends, so that a freed place at an upstream is used at
+     * Runs one scheduling round. It is also called when a run ends, so that a freed slot of an upstream is used at
      * once.
      */
     void decide() {
@@ -388,10 +389,10 @@
     }
 
     private void apply(Decision decision) {
-        if (decision instanceof Decision.Placed place) {
-            waiting.remove(place.demand()).onPlaced(place.upstream());
-        } else if (decision instanceof Decision.Refused refuse) {
-            waiting.remove(refuse.demand()).onRefused(refuse.reason());
+        if (decision instanceof Decision.Placed placed) {
+            waiting.remove(placed.demand()).onPlaced(placed.upstream());
+        } else if (decision instanceof Decision.Refused refused) {
+            waiting.remove(refused.demand()).onRefused(refused.reason());
         }
     }
 
@@ -404,7 +405,7 @@
                 () -> connections.probe(upstream, accepts -> {
                     if (!accepts) {
                         scheduler(upstream.service()).suspend(upstream.id());
-                        publisher.publish(fingerprint, upstream.lifetimeId(), nowMillis());
+                        suspectPublisher.publish(fingerprint, upstream.lifetimeId(), nowMillis());
                         count("upstream.crash_suspected");
                     }
                 }),
@@ -422,9 +423,9 @@
         return Math.max(1, (long) (MAX_RETRY_WAIT_PART * remainingMillis * spread));
     }
 
-    /** Credits the usage of a request that did not run to its tenant's cap. */
+    /** Refunds the usage of a request that did not run to its workspace's usage cap. */
     void refundUsage(Admission.Admitted admitted) {
-        admitted.tenant().ifPresent(tenant -> tenants.refund(tenant, admitted.usage()));
+        admitted.workspace().ifPresent(workspace -> workspaceCaps.refund(workspace, admitted.usage()));
     }
 
     long nowMillis() {
@@ -435,8 +436,8 @@
         return loop;
     }
 
-    HeaderCodec dialect() {
-        return dialect;
+    HeaderCodec headerCodec() {
+        return headerCodec;
     }
 
     UpstreamConnectionPool connections() {
@@ -459,7 +460,9 @@
                 .info(
                         "request",
                         details + " configuration="
-                                + deployment.map(RoutingConfiguration::version).orElse(0L));
+                                + configuration
+                                        .map(RoutingConfiguration::version)
+                                        .orElse(0L));
     }
 
     /** Returns the state of this process as text lines for the dump page. */
@@ -467,9 +470,11 @@
         List<String> lines = new ArrayList<>();
         lines.add("bounds " + settings);
         lines.add("configuration_version "
-                + deployment.map(current -> String.valueOf(current.version())).orElse("none"));
+                + configuration
+                        .map(current -> String.valueOf(current.version()))
+                        .orElse("none"));
         lines.add("running " + runningCount);
-        lines.add("entries " + entries);
+        lines.add("entries " + knownEntryCount);
         List<SuspectFact> facts = suspects.activeFacts(nowMillis());
         long refused = facts.stream()
                 .filter(fact -> suspects.suspicion(fact.fingerprint(), nowMillis()) == SuspectRestriction.REFUSED)
@@ -480,13 +485,13 @@
             scheduler.dumpLines(nowMillis()).forEach(line -> lines.add("upstream " + line));
         });
         lines.addAll(rollouts.describe(nowMillis()));
-        tenants.describe(nowMillis()).forEach(line -> lines.add("tenant " + line));
+        workspaceCaps.describe(nowMillis()).forEach(line -> lines.add("tenant " + line));
         return lines;
     }
 
     /** Publisher of the death of an upstream while a request was running on it. */
     public interface SuspectPublisher {
-        /** Publishes the end of one lifetime of an upstream together with the fingerprint of the running request. */
+        /** Publishes that one lifetime of an upstream ended while the request with the fingerprint was running. */
         void publish(long fingerprint, String upstreamLifetime, long nowMillis);
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/PathSettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/PathSettings.java
@@ -3,7 +3,7 @@
 import com.google.common.base.Preconditions;
 
 /**
- * Settings of a process on the direct path: its failure domain and the budgets that all entries share.
+ * Settings of the dispatcher: the failure domain of the process and the budgets that all entries share.
  *
  * @param zone failure domain of this process
  * @param retryRatio retries allowed per request of a service within a window
@@ -11,7 +11,7 @@
  * @param retryWindowMillis window over which retries are counted
  * @param capWindowMillis window over which the overrun of usage caps is measured
  * @param capOverrunRatio fraction by which the usage in a window may exceed the cap, by all entries together
- * @param capMargin further usage that a tenant may have in a window beyond the cap and its overrun
+ * @param capMargin further usage that a workspace may have in a window beyond the cap and its overrun
  */
 public record PathSettings(
         String zone,
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/ScheduledRequestFactory.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/ScheduledRequestFactory.java
@@ -12,24 +12,25 @@
  * event loop.
  */
 final class ScheduledRequestFactory {
-    /** Weight of the tenant's priority in a rank, so that it takes precedence over the priority of the route. */
-    private static final int TENANT_RANK_WEIGHT = 1_000;
+    /** Weight of the workspace's priority in a rank, so that it takes precedence over the priority of the route. */
+    private static final int WORKSPACE_RANK_WEIGHT = 1_000;
     /** Shortest time that a caller of a route states on its first attempt, as a part of the longest one. */
     private static final double MIN_DEADLINE_PART = 0.84;
 
     private final Map<String, Long> longestDeadlines = new HashMap<>();
 
-    /** Returns a demand for the first or a further run of a request. */
+    /** Returns a scheduled request for the first or a further run of a request. */
     ScheduledRequest of(
             CallerRequest request, Admission.Admitted admitted, long deadlineAtMillis, VersionConstraint versions) {
         Route route = admitted.route();
-        int tenantRank =
-                admitted.tenant().map(tenant -> tenant.priority().orElse(0)).orElse(0);
-        int rank = tenantRank * TENANT_RANK_WEIGHT + route.priority();
+        int workspaceRank = admitted.workspace()
+                .map(workspace -> workspace.priority().orElse(0))
+                .orElse(0);
+        int rank = workspaceRank * WORKSPACE_RANK_WEIGHT + route.priority();
         long objective = Math.max(1, route.objectiveMillis() > 0 ? route.objectiveMillis() : route.timeoutMillis());
         ScheduledRequest.Builder builder = ScheduledRequest.builder(
-                        route.name() + "/" + tenantRank, rank, objective, request.receivedAtMillis())
-                .elapsedInEarlierAttempts(elapsedBeforeMillis(route, request))
+                        route.name() + "/" + workspaceRank, rank, objective, request.receivedAtMillis())
+                .elapsedInEarlierAttempts(elapsedInEarlierAttemptsMillis(route, request))
                 .deadlineAt(deadlineAtMillis)
                 .versions(versions);
         if (request.callerHead().promptTokens() > 0) {
@@ -46,7 +47,7 @@
      * Callers of one route state different deadlines, so only a deadline far below the longest one seen indicates an
      * earlier attempt.
      */
-    private long elapsedBeforeMillis(Route route, CallerRequest request) {
+    private long elapsedInEarlierAttemptsMillis(Route route, CallerRequest request) {
         if (request.callerHead().deadlineMillis().isEmpty()) {
             return 0;
         }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/ServiceRollouts.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/ServiceRollouts.java
@@ -20,20 +20,20 @@
 import dev.wigeonward.core.schedule.Upstream;
 
 /**
- * State of the traffic shifts between versions that operators have ordered: the choice of a version for each request,
- * and evidence on the outcomes. Runs on the event loop.
+ * State of the rollouts that operators have ordered: the choice of a version for each request, and evidence on the
+ * outcomes. Runs on the event loop.
  */
 public final class ServiceRollouts {
     /**
      * Load up to which an upstream counts as idle. All observations are recorded with load 0, so that loaded and idle
-     * upstreams are not distinguished: a shift is too short for two verdicts on each route.
+     * upstreams are not distinguished: a rollout is too short for two verdicts on each route.
      */
     private static final double LOAD_THRESHOLD = 1;
 
     private final StageView view = new StageView();
-    private final RolloutVersionSelector choice = RolloutVersionSelector.of(view);
+    private final RolloutVersionSelector versionSelector = RolloutVersionSelector.of(view);
     private final EvidenceRecorder recorder = new EvidenceRecorder(LOAD_THRESHOLD);
-    private final Map<String, ServiceRollout> shifts = new HashMap<>();
+    private final Map<String, ServiceRollout> unfinishedRollouts = new HashMap<>();
 
     ServiceRollouts() {}
 
@@ -44,28 +44,29 @@
 
     /** Records an operator's order; returns whether it was new. */
     public boolean addOrder(RolloutOrder order) {
-        return choice.addOrder(order);
+        return versionSelector.addOrder(order);
     }
 
-    /** Records the state of a shift that was read from the store. */
+    /** Records the state of a rollout that was read from the store. */
     public void recordState(String service, String target, RolloutState state, long revision) {
-        choice.addFinalState(service, target, state, revision);
+        versionSelector.addFinalState(service, target, state, revision);
     }
 
-    /** Returns the open shifts with the evidence that this entry has received on them. */
-    public List<ServiceRollout> shifts() {
-        Map<String, RolloutOrder> open = choice.unfinishedOrders();
-        shifts.values()
-                .removeIf(shift -> !shift.order().equals(open.get(shift.order().service())));
-        open.forEach((service, order) -> shifts.computeIfAbsent(service, name -> ServiceRollout.of(order)));
-        return new ArrayList<>(shifts.values());
+    /** Returns the unfinished rollouts with the evidence that this entry has received on them. */
+    public List<ServiceRollout> unfinishedRollouts() {
+        Map<String, RolloutOrder> orders = versionSelector.unfinishedOrders();
+        unfinishedRollouts.values().removeIf(rollout -> !rollout.order()
+                .equals(orders.get(rollout.order().service())));
+        orders.forEach(
+                (service, order) -> unfinishedRollouts.computeIfAbsent(service, name -> ServiceRollout.of(order)));
+        return new ArrayList<>(unfinishedRollouts.values());
     }
 
     /** Merges the counters of an entry since its start; the entry may be this one. */
     public void onEvidence(ControllerEvent.EvidenceReported report, long nowMillis) {
-        ServiceRollout shift = shifts.get(report.version().model());
-        if (shift != null) {
-            shift.add(report, nowMillis);
+        ServiceRollout rollout = unfinishedRollouts.get(report.version().model());
+        if (rollout != null) {
+            rollout.add(report, nowMillis);
         }
     }
 
@@ -74,35 +75,35 @@
         return recorder.counters(nowMillis);
     }
 
-    VersionConstraint bound(String service, String route, long nowMillis) {
-        return choice.choose(service, route, nowMillis);
+    VersionConstraint versionConstraint(String service, String route, long nowMillis) {
+        return versionSelector.choose(service, route, nowMillis);
     }
 
     /**
-     * Returns an observation of a request that is being sent, or empty if the service has no open shift or the upstream
-     * no version.
+     * Returns an observation of a request that is being sent, or empty if the service has no unfinished rollout or the
+     * upstream has no version.
      */
-    Optional<EvidenceRecorder.Observation> started(
-            Upstream upstream, String route, ScheduledRequest demand, long nowMillis) {
+    Optional<EvidenceRecorder.Observation> startObservation(
+            Upstream upstream, String route, ScheduledRequest scheduledRequest, long nowMillis) {
         if (upstream.version().isEmpty()
-                || choice.unfinishedOrder(upstream.service()).isEmpty()) {
+                || versionSelector.unfinishedOrder(upstream.service()).isEmpty()) {
             return Optional.empty();
         }
         ModelVersion version = new ModelVersion(upstream.service(), upstream.version());
-        long usualMillis = Math.max(1, Math.round(demand.typicalResponseMillis()));
-        return Optional.of(recorder.start(version, route, 0, usualMillis, nowMillis));
+        long typicalMillis = Math.max(1, Math.round(scheduledRequest.typicalResponseMillis()));
+        return Optional.of(recorder.start(version, route, 0, typicalMillis, nowMillis));
     }
 
     List<String> describe(long nowMillis) {
         List<String> lines = new ArrayList<>();
-        for (ServiceRollout shift : shifts()) {
-            RolloutOrder order = shift.order();
+        for (ServiceRollout rollout : unfinishedRollouts()) {
+            RolloutOrder order = rollout.order();
             lines.add("shift %s target=%s share=%d state=%s millis_left=%d"
                     .formatted(
                             order.service(),
                             order.targetVersion(),
                             view.shareBasisPoints(order.service(), nowMillis),
-                            shift.state(),
+                            rollout.state(),
                             order.deadlineMillis() - nowMillis));
         }
         view.badVerdicts().forEach(verdict -> lines.add("bad " + verdict.version() + " " + verdict.reason()));
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -25,7 +25,7 @@
     /** Largest non-streaming answer that is buffered until it is complete, so that a broken one can be replaced. */
     private static final int MAX_BUFFERED_BYTES = 65_536;
     /**
-     * Number of events over which the pause between events is averaged; a slowdown shows within a few tenths of a
+     * Number of events over which the interval between events is averaged; a slowdown shows within a few tenths of a
      * second.
      */
     private static final int EVENTS_PER_OBSERVATION = 8;
@@ -34,13 +34,13 @@
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final Exchange exchange;
-    private final GatewayDispatcher path;
+    private final GatewayDispatcher dispatcher;
     private final Upstream upstream;
-    private final ScheduledRequest demand;
+    private final ScheduledRequest scheduledRequest;
     private final AnswerSink sink;
     private final Optional<EvidenceRecorder.Observation> observation;
     private final ByteBuf buffered = Unpooled.buffer(0);
-    private Optional<UpstreamConnection> channel = Optional.empty();
+    private Optional<UpstreamConnection> connection = Optional.empty();
     private Mode mode = Mode.AWAITING_HEAD;
     private HttpResponse head;
     private boolean cancelled;
@@ -48,27 +48,31 @@
     private long observedAtMillis;
 
     UpstreamRun(
-            Exchange exchange, GatewayDispatcher path, Upstream upstream, ScheduledRequest demand, AnswerSink sink) {
+            Exchange exchange,
+            GatewayDispatcher dispatcher,
+            Upstream upstream,
+            ScheduledRequest scheduledRequest,
+            AnswerSink sink) {
         this.exchange = exchange;
-        this.path = path;
+        this.dispatcher = dispatcher;
         this.upstream = upstream;
-        this.demand = demand;
+        this.scheduledRequest = scheduledRequest;
         this.sink = sink;
-        path.suspects().recordDispatch(exchange.fingerprint());
+        dispatcher.suspects().recordDispatch(exchange.fingerprint());
         observation = startObservation();
     }
 
     /** Sets the connection to the upstream; returns false if the run was cancelled in the meantime. */
-    boolean onChannel(UpstreamConnection newChannel) {
+    boolean onConnection(UpstreamConnection newConnection) {
         if (cancelled) {
             return false;
         }
-        channel = Optional.of(newChannel);
+        connection = Optional.of(newConnection);
         return true;
     }
 
-    Optional<UpstreamConnection> channel() {
-        return channel;
+    Optional<UpstreamConnection> connection() {
+        return connection;
     }
 
     /** Ends the run and closes its connection; no further bytes of its answer are forwarded. */
@@ -76,29 +80,30 @@
         if (cancelled) {
             return;
         }
-        channel.ifPresent(UpstreamConnection::cancel);
+        connection.ifPresent(UpstreamConnection::cancel);
         end(Outcome.LEFT);
     }
 
     private void end(Outcome outcome) {
         cancelled = true;
-        channel = Optional.empty();
+        connection = Optional.empty();
         observation.ifPresent(started -> finishObservation(started, outcome));
         if (outcome == Outcome.FAILED && events > 0) {
-            // The observation ended with the first event, as an answer; the later break is counted as a second
-            // observation.
-            startObservation().ifPresent(broken -> broken.failed(path.nowMillis()));
+            // The first event ended the observation as answered; the later failure is counted as a second observation.
+            startObservation().ifPresent(broken -> broken.failed(dispatcher.nowMillis()));
         }
-        exchange.scheduler().onEnded(demand, outcome, path.nowMillis());
-        path.suspects().recordEnd(exchange.fingerprint());
+        exchange.scheduler().onEnded(scheduledRequest, outcome, dispatcher.nowMillis());
+        dispatcher.suspects().recordEnd(exchange.fingerprint());
     }
 
     private Optional<EvidenceRecorder.Observation> startObservation() {
-        return path.rollouts().started(upstream, exchange.route().name(), demand, path.nowMillis());
+        return dispatcher
+                .rollouts()
+                .startObservation(upstream, exchange.route().name(), scheduledRequest, dispatcher.nowMillis());
     }
 
     private void finishObservation(EvidenceRecorder.Observation started, Outcome outcome) {
-        long nowMillis = path.nowMillis();
+        long nowMillis = dispatcher.nowMillis();
         switch (outcome) {
             case ANSWERED -> started.answered(head.status().code(), nowMillis);
             case FAILED -> started.failed(nowMillis);
@@ -108,12 +113,12 @@
 
     @Override
     public boolean onHead(HttpResponse newHead) {
-        AnswerHead answer = path.dialect().readAnswer(newHead.status().code(), newHead.headers());
+        AnswerHead answer = dispatcher.headerCodec().readAnswer(newHead.status().code(), newHead.headers());
         Optional<String> expectedId = exchange.request().callerHead().attemptId();
         if (answer.attemptId().isPresent()
                 && expectedId.isPresent()
                 && !answer.attemptId().equals(expectedId)) {
-            path.count("upstream.foreign_answer");
+            dispatcher.count("upstream.foreign_answer");
             return false;
         }
         head = newHead;
@@ -170,7 +175,7 @@
     private void buffer(ByteBuf bytes) {
         buffered.writeBytes(bytes);
         bytes.release();
-        exchange.scheduler().onOutput(demand, path.nowMillis());
+        exchange.scheduler().onOutput(scheduledRequest, dispatcher.nowMillis());
         if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
             mode = Mode.FORWARD;
             forwardHead();
@@ -201,25 +206,27 @@
     private void send(ByteBuf bytes) {
         sink.writeContent(bytes);
         if (!sink.writable()) {
-            channel.ifPresent(open -> open.setReading(false));
+            connection.ifPresent(open -> open.setReading(false));
         }
     }
 
     private void recordProgress() {
-        long nowMillis = path.nowMillis();
+        long nowMillis = dispatcher.nowMillis();
         events++;
         exchange.onEvents();
         if (events == 1) {
             observation.ifPresent(started -> started.answered(head.status().code(), nowMillis));
-            exchange.scheduler().onFirstEvent(demand, nowMillis);
+            exchange.scheduler().onFirstEvent(scheduledRequest, nowMillis);
             observedAtMillis = nowMillis;
             return;
         }
-        exchange.scheduler().onOutput(demand, nowMillis);
+        exchange.scheduler().onOutput(scheduledRequest, nowMillis);
         if (events % EVENTS_PER_OBSERVATION == 1) {
             exchange.scheduler()
                     .onEventIntervals(
-                            demand, Math.max(1.0, nowMillis - observedAtMillis) / EVENTS_PER_OBSERVATION, nowMillis);
+                            scheduledRequest,
+                            Math.max(1.0, nowMillis - observedAtMillis) / EVENTS_PER_OBSERVATION,
+                            nowMillis);
             observedAtMillis = nowMillis;
         }
     }
@@ -236,7 +243,7 @@
                 exchange.onReplacedFailureRead();
             }
             case UNUSABLE -> {
-                path.count("upstream.unusable_answer");
+                dispatcher.count("upstream.unusable_answer");
                 end(Outcome.FAILED);
                 exchange.onRunFailed(RunFailure.BROKEN, "unusable_answer");
             }
@@ -245,12 +252,12 @@
                 throw new IllegalStateException(
                         "answer of upstream " + upstream.id() + " is complete, expected a head first");
         }
-        path.decide();
+        dispatcher.decide();
     }
 
     private void onNotRun() {
         boolean misdirected = head.status().code() == MISDIRECTED_STATUS;
-        path.count(misdirected ? "upstream.misdirected" : "upstream.full");
+        dispatcher.count(misdirected ? "upstream.misdirected" : "upstream.full");
         end(misdirected ? Outcome.UNREACHABLE : Outcome.FULL);
         exchange.onRunFailed(RunFailure.NOT_RUN, misdirected ? "misdirected" : "full");
     }
@@ -258,7 +265,7 @@
     private void onWholeAnswer() {
         boolean failure = head.status().code() >= FIRST_SERVER_ERROR;
         if (!failure && events > 0) {
-            exchange.scheduler().onStreamLength(demand, events);
+            exchange.scheduler().onStreamLength(scheduledRequest, events);
         }
         end(failure ? Outcome.FAILED : Outcome.ANSWERED);
         forwardHead();
@@ -269,23 +276,23 @@
     }
 
     @Override
-    public void onFailed(FailurePoint breakage, String reason) {
+    public void onFailed(FailurePoint failurePoint, String reason) {
         if (cancelled) {
             return;
         }
-        path.count("upstream.broken." + breakage.name().toLowerCase(Locale.ROOT));
+        dispatcher.count("upstream.broken." + failurePoint.name().toLowerCase(Locale.ROOT));
         if (mode == Mode.NOT_RUN) {
             onNotRun();
-        } else if (breakage == FailurePoint.SENT) {
-            path.probeAfterBrokenRun(upstream, exchange.fingerprint());
+        } else if (failurePoint == FailurePoint.SENT) {
+            dispatcher.probeAfterBrokenRun(upstream, exchange.fingerprint());
             end(Outcome.FAILED);
             exchange.boundaries().ifPresent(EventBoundaryScanner::discardIncompleteEvent);
             exchange.onRunFailed(RunFailure.BROKEN, reason);
         } else {
-            end(breakage == FailurePoint.NO_CONNECTION ? Outcome.UNREACHABLE : Outcome.LEFT);
+            end(failurePoint == FailurePoint.NO_CONNECTION ? Outcome.UNREACHABLE : Outcome.LEFT);
             exchange.onRunFailed(RunFailure.NOT_SENT, reason);
         }
-        path.decide();
+        dispatcher.decide();
     }
 
     /** Treatment of the upstream's answer. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/FactLinks.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/FactLinks.java
@@ -12,7 +12,7 @@
 
 /** Sender of facts over the links of this entry, identified by their numbers, and logger of new facts. */
 record FactLinks(Map<Long, Link> links, EventLog log) implements FrameSender, FactListener {
-    /** Returns the name under which the fact exchange identifies a link. */
+    /** Returns the name under which {@code FactSync} identifies a link. */
     static String name(Link link) {
         return String.valueOf(link.id());
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
@@ -34,8 +34,8 @@
 import io.netty.channel.EventLoop;
 
 /**
- * Exchange of load, tenant usage, learned speeds and the view of the store with the other entries, over links. Runs on
- * the event loop.
+ * Synchronizes load, workspace usage, observed unit times and the view of the store with the other entries, over links.
+ * Runs on the event loop.
  */
 public final class PeerSync implements LinkListener {
     /**
@@ -47,7 +47,7 @@
      * request.
      */
     private static final long PARTIAL_PERIOD_MILLIS = 20;
-    /** Interval between full states, which include tenant usage and the age of the view. */
+    /** Interval between full states, which include workspace usage and the age of the view. */
     private static final long FULL_PERIOD_MILLIS = 100;
     /**
      * Number of links up to which the intervals have their shortest length. With more links they grow in proportion, so
@@ -70,7 +70,7 @@
     private final EventLog log;
     private final String ownAddress;
     private final long incarnation;
-    private final GatewayDispatcher path;
+    private final GatewayDispatcher dispatcher;
     private final SharedStoreView store;
     private final EventLoop loop;
     private final LongSupplier nowMillis;
@@ -90,7 +90,7 @@
     private PeerSync(
             LocalEntry self,
             Set<String> seeds,
-            GatewayDispatcher path,
+            GatewayDispatcher dispatcher,
             SharedStoreView store,
             EventLoop loop,
             LongSupplier nowMillis,
@@ -99,15 +99,15 @@
         this.incarnation = self.incarnation();
         this.ownAddress = self.address().getAddress().getHostAddress() + ":"
                 + self.address().getPort();
-        this.path = path;
+        this.dispatcher = dispatcher;
         this.store = store;
         this.loop = loop;
         this.nowMillis = nowMillis;
         this.seeds = new HashSet<>(seeds);
         this.seeds.remove(ownAddress);
         FactLinks factLinks = new FactLinks(links, log);
-        this.facts = new FactSync(path.suspects(), path.rollouts().view(), factLinks, factLinks);
-        path.setSuspectPublisher(facts::publishSuspect);
+        this.facts = new FactSync(dispatcher.suspects(), dispatcher.rollouts().view(), factLinks, factLinks);
+        dispatcher.setSuspectPublisher(facts::publishSuspect);
         transport = LinkTransport.withEventLoop(
                 LINKS,
                 this,
@@ -123,23 +123,23 @@
     }
 
     /**
-     * Returns a started exchange, which accepts links and connects to the seeds.
+     * Starts the synchronization, which accepts links and connects to the seeds.
      *
      * @param seeds link addresses of some entries; some of them may be out of date
      */
     public static PeerSync start(
             LocalEntry self,
             Set<String> seeds,
-            GatewayDispatcher path,
+            GatewayDispatcher dispatcher,
             SharedStoreView store,
             EventLoop loop,
             LongSupplier nowMillis,
             EventLog log) {
-        PeerSync exchange = new PeerSync(self, seeds, path, store, loop, nowMillis, log);
-        loop.scheduleAtFixedRate(exchange::connect, 0, CONNECT_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        PeerSync peerSync = new PeerSync(self, seeds, dispatcher, store, loop, nowMillis, log);
+        loop.scheduleAtFixedRate(peerSync::connect, 0, CONNECT_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
-                exchange::sendIfDue, PARTIAL_PERIOD_MILLIS, PARTIAL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
-        return exchange;
+                peerSync::sendIfDue, PARTIAL_PERIOD_MILLIS, PARTIAL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        return peerSync;
     }
 
     /** Adds link addresses to which connections are attempted. */
@@ -148,7 +148,7 @@
         seeds.remove(ownAddress);
     }
 
-    /** Returns the exchange of facts, which are only ever added. */
+    /** Returns the synchronization of facts, which are only ever added. */
     public FactSync facts() {
         return facts;
     }
@@ -171,7 +171,7 @@
             Peer peer = entry.getValue();
             if (peer.link() == null && now - peer.receivedAtMillis() > BUDGET_SHARE_MILLIS) {
                 peers.remove(entry.getKey());
-                path.removePeerUsage(entry.getKey());
+                dispatcher.removePeerUsage(entry.getKey());
             }
         }
         reportPeerLoads();
@@ -184,7 +184,7 @@
             sentFullAtMillis = now;
             sentConfigurationVersion = configurationVersion();
             sentLoads = ownLoads();
-            send(fullState(path.takeChangedUnitTimes()));
+            send(fullState(dispatcher.takeChangedUnitTimes()));
             sendEvidence(now);
         } else if (now - sentAtMillis >= period(PARTIAL_PERIOD_MILLIS)) {
             sendLoadChanges();
@@ -192,10 +192,10 @@
     }
 
     private void sendEvidence(long now) {
-        if (path.rollouts().shifts().isEmpty()) {
+        if (dispatcher.rollouts().unfinishedRollouts().isEmpty()) {
             return;
         }
-        path.rollouts().counters(now).forEach((key, counters) -> sendToAll(EvidenceCodec.toFrame(key, counters)));
+        dispatcher.rollouts().counters(now).forEach((key, counters) -> sendToAll(EvidenceCodec.toFrame(key, counters)));
     }
 
     /** Returns the interval for the current number of links, see {@link #LINKS_AT_SHORTEST_PERIOD}. */
@@ -227,7 +227,7 @@
 
     private Map<String, GatewayDispatcher.PeerLoad> ownLoads() {
         Map<String, GatewayDispatcher.PeerLoad> loads = new HashMap<>();
-        path.ownLoads().forEach(load -> loads.put(load.upstreamId(), load));
+        dispatcher.ownLoads().forEach(load -> loads.put(load.upstreamId(), load));
         return loads;
     }
 
@@ -257,10 +257,10 @@
     }
 
     private long configurationVersion() {
-        return path.deployment().map(current -> current.version()).orElse(0L);
+        return dispatcher.deployment().map(current -> current.version()).orElse(0L);
     }
 
-    private PeerState fullState(List<ObservedUnitTime> units) {
+    private PeerState fullState(List<ObservedUnitTime> unitTimes) {
         PeerState.Builder state = PeerState.newBuilder()
                 .setAddress(ownAddress)
                 .setConfigurationVersion(configurationVersion())
@@ -269,13 +269,14 @@
                 .setReadAgeMillis((int) Math.min(Integer.MAX_VALUE, store.ownReadAgeMillis()))
                 .setIncarnation(incarnation)
                 .addAllEntries(lastSeenMillis.keySet());
-        path.ownLoads().forEach(load -> state.addLoads(message(load)));
-        path.ownUsages()
-                .forEach((tenant, usage) -> state.addDemands(PeerDemand.newBuilder()
-                        .setTenant(tenant)
+        dispatcher.ownLoads().forEach(load -> state.addLoads(message(load)));
+        dispatcher
+                .ownUsages()
+                .forEach((workspace, usage) -> state.addDemands(PeerDemand.newBuilder()
+                        .setTenant(workspace)
                         .setUsedTotal((long) usage.total())
                         .setLevel((long) usage.remaining())));
-        units.forEach(unit -> state.addUnits(UnitTimeCodec.toMessage(unit)));
+        unitTimes.forEach(unitTime -> state.addUnits(UnitTimeCodec.toMessage(unitTime)));
         return state.build();
     }
 
@@ -283,7 +284,9 @@
     public void onUp(Link link) {
         links.put(link.id(), link);
         connecting.remove(link.remoteAddress());
-        link.send(Frame.newBuilder().setPeerState(fullState(path.unitTimes())).build());
+        link.send(Frame.newBuilder()
+                .setPeerState(fullState(dispatcher.unitTimes()))
+                .build());
         facts.onLinkUp(FactLinks.name(link), nowMillis.getAsLong());
     }
 
@@ -297,7 +300,7 @@
             onView(frame.getPeerView());
         } else if (frame.hasEvidence()) {
             EvidenceCodec.toEvent(link.peerHello().getNodeId(), link.peerHello().getIncarnation(), frame.getEvidence())
-                    .ifPresent(report -> path.rollouts().onEvidence(report, nowMillis.getAsLong()));
+                    .ifPresent(report -> dispatcher.rollouts().onEvidence(report, nowMillis.getAsLong()));
         } else {
             facts.onFrame(FactLinks.name(link), frame, nowMillis.getAsLong());
         }
@@ -332,8 +335,8 @@
         state.getDemandsList()
                 .forEach(demand -> usages.put(
                         demand.getTenant(), new WorkspaceCaps.Usage(demand.getUsedTotal(), demand.getLevel())));
-        path.adoptNewerUnitTimes(UnitTimeCodec.fromMessages(state.getUnitsList()));
-        path.mergePeerUsage(state.getAddress(), state.getIncarnation(), usages);
+        dispatcher.adoptNewerUnitTimes(UnitTimeCodec.fromMessages(state.getUnitsList()));
+        dispatcher.mergePeerUsage(state.getAddress(), state.getIncarnation(), usages);
         // Of two entries, the one whose address sorts first reads the store; the other one may leave reading to it.
         boolean peerHasPrecedence = state.getAddress().compareTo(ownAddress) < 0;
         store.onPeerView(state.getViewHash(), state.getViewAgeMillis());
@@ -376,7 +379,7 @@
         store.mergeView(items, view.getAgeMillis());
     }
 
-    /** Reports the load of all peers with a current state to the path, summed by upstream. */
+    /** Reports the load of all peers with a current state to the dispatcher, summed by upstream. */
     private void reportPeerLoads() {
         long now = nowMillis.getAsLong();
         Map<String, GatewayDispatcher.PeerLoad> loads = new HashMap<>();
@@ -388,7 +391,7 @@
             currentEntries++;
             peer.loads().values().forEach(load -> add(loads, load));
         }
-        path.updatePeerLoads(currentEntries, 1 + peers.size(), loads);
+        dispatcher.updatePeerLoads(currentEntries, 1 + peers.size(), loads);
     }
 
     private static void add(Map<String, GatewayDispatcher.PeerLoad> loads, PeerLoad load) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/UnitTimeCodec.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/UnitTimeCodec.java
@@ -8,44 +8,45 @@
 import dev.wigeonward.wire.generated.KeptUnits;
 import dev.wigeonward.wire.generated.PeerUnit;
 
-/** Encoding of learned speeds of upstreams, for peers and for the store. */
+/** Encoding of observed unit times of upstreams, for peers and for the store. */
 public final class UnitTimeCodec {
     private static final double MICROS_PER_MILLI = 1_000;
     /**
-     * Age given to speeds that were stored before the start of this process, so that any speed that a running entry has
-     * learned counts as newer.
+     * Age given to unit times that were stored before the start of this process, so that any unit time that a running
+     * entry has observed counts as newer.
      */
     private static final long STORED_AGE_MILLIS = 3_600_000;
 
     private UnitTimeCodec() {}
 
-    /** Returns the stored form of the speeds, without their ages. */
-    public static byte[] encode(List<ObservedUnitTime> units) {
+    /** Returns the stored form of the unit times, without their ages. */
+    public static byte[] encode(List<ObservedUnitTime> unitTimes) {
         KeptUnits.Builder stored = KeptUnits.newBuilder();
-        units.forEach(unit -> stored.addUnits(toMessage(unit).clearAgeMillis()));
+        unitTimes.forEach(unitTime -> stored.addUnits(toMessage(unitTime).clearAgeMillis()));
         return stored.build().toByteArray();
     }
 
     /**
-     * Returns the stored speeds, with an age that makes any speed learned since then take precedence.
+     * Returns the stored unit times, with an age that makes any unit time observed since then take precedence.
      *
      * @throws IOException if the bytes are not valid output of {@link #encode}
      */
     public static List<ObservedUnitTime> decode(byte[] bytes) throws IOException {
         try {
             return fromMessages(KeptUnits.parseFrom(bytes).getUnitsList()).stream()
-                    .map(unit -> new ObservedUnitTime(unit.lifetimeId(), unit.unitTimeMillis(), STORED_AGE_MILLIS))
+                    .map(unitTime ->
+                            new ObservedUnitTime(unitTime.lifetimeId(), unitTime.unitTimeMillis(), STORED_AGE_MILLIS))
                     .toList();
         } catch (InvalidProtocolBufferException e) {
             throw new IOException("stored speeds cannot be decoded: " + e.getMessage(), e);
         }
     }
 
-    static PeerUnit.Builder toMessage(ObservedUnitTime unit) {
+    static PeerUnit.Builder toMessage(ObservedUnitTime unitTime) {
         return PeerUnit.newBuilder()
-                .setLifetime(unit.lifetimeId())
-                .setUnitMicros((int) Math.round(unit.unitTimeMillis() * MICROS_PER_MILLI))
-                .setAgeMillis((int) Math.min(Integer.MAX_VALUE, unit.ageMillis()));
+                .setLifetime(unitTime.lifetimeId())
+                .setUnitMicros((int) Math.round(unitTime.unitTimeMillis() * MICROS_PER_MILLI))
+                .setAgeMillis((int) Math.min(Integer.MAX_VALUE, unitTime.ageMillis()));
     }
 
     static List<ObservedUnitTime> fromMessages(List<PeerUnit> messages) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Exchange of load, tenant usage, learned speeds, facts and the view of the store between entries on the direct path.
+ * Synchronization of load, workspace usage, observed unit times, facts and the view of the store between entries.
  */
 package dev.wigeonward.gateway.peer;
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
@@ -8,7 +8,7 @@
  *
  * @param attemptId identifier of this attempt, which answers of upstreams repeat
  * @param deadlineMillis time that the caller waits for the answer
- * @param apiKey secret key that identifies the tenant
+ * @param apiKey secret key that identifies the workspace
  * @param promptTokens number of prompt tokens, 0 if not stated
  * @param maxOutputTokens largest number of output tokens, 0 if not stated
  * @param expectedOutputTokens caller's estimate of the number of output tokens, 0 if not stated
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/ControllerStore.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/ControllerStore.java
@@ -6,11 +6,11 @@
 import dev.wigeonward.core.rollout.RolloutOrder;
 import dev.wigeonward.core.rollout.RolloutState;
 
-/** Store operations of the controller of traffic shifts. All methods run on the event loop. */
+/** Store operations of the rollout controller. All methods run on the event loop. */
 public interface ControllerStore {
     /**
      * Starts acquiring the controller's lease and keeping it, or ends it, according to whether this entry wants to
-     * control shifts.
+     * control rollouts.
      */
     void setLeaseWanted(boolean wanted);
 
@@ -21,7 +21,7 @@
     OptionalLong fencingNumber();
 
     /**
-     * Writes the state of a shift if this entry still holds the lease.
+     * Writes the state of a rollout if this entry still holds the lease.
      *
      * @param done receives true if the state was written; after false it may have been written nevertheless
      */
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/UpstreamCall.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/UpstreamCall.java
@@ -8,8 +8,8 @@
  * Information about one dispatch that is sent to the upstream.
  *
  * @param remainingMillis time left until the caller's deadline
- * @param tenant name of the caller's tenant
+ * @param workspace name of the caller's workspace
  * @param lastEventId identifier of the event after which a broken stream is resumed
  */
 public record UpstreamCall(
-        Upstream upstream, long remainingMillis, Optional<String> tenant, Optional<String> lastEventId) {}
+        Upstream upstream, long remainingMillis, Optional<String> workspace, Optional<String> lastEventId) {}
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -32,7 +32,7 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 
-/** Process on the direct path: the event loop that owns all state, the servers, and their orderly stop. */
+/** Gateway process: the event loop that owns all state, the servers, and their orderly stop. */
 public final class GatewayProcess {
     /**
      * Time for which new connections are accepted after the signal to stop; load balancers need seconds to remove the
@@ -63,27 +63,27 @@
     private final EventLog log = EventLog.create();
     private final MetricRegistry metrics = new MetricRegistry();
     private final UpstreamConnectionPool connections = UpstreamConnectionPool.create(loop, this::nowMillis);
-    private final GatewayDispatcher path;
-    private final CallerServer callers;
-    private Optional<PeerSync> peers = Optional.empty();
+    private final GatewayDispatcher dispatcher;
+    private final CallerServer callerServer;
+    private Optional<PeerSync> peerSync = Optional.empty();
     private boolean stopping;
 
-    private GatewayProcess(GatewaySettings settings, HeaderCodec dialect) {
+    private GatewayProcess(GatewaySettings settings, HeaderCodec headerCodec) {
         this.settings = settings;
         // The seed need not be unpredictable: only the choice between weighted services and the spread of retry times
         // depend on it.
         Random random = new Random(settings.id().hashCode());
-        path = GatewayDispatcher.create(
-                loop, clock, dialect, settings.path(), connections, new Telemetry(metrics, log), random);
-        callers = CallerServer.create(path, dialect, this::limits);
+        dispatcher = GatewayDispatcher.create(
+                loop, clock, headerCodec, settings.path(), connections, new Telemetry(metrics, log), random);
+        callerServer = CallerServer.create(dispatcher, headerCodec, this::limits);
         log.register(metrics);
     }
 
     /** Returns a process that is not listening yet. */
-    public static GatewayProcess create(GatewaySettings settings, HeaderCodec dialect) {
+    public static GatewayProcess create(GatewaySettings settings, HeaderCodec headerCodec) {
         // Otherwise Netty loads the logging library for its own warnings before any request is served.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        return new GatewayProcess(settings, dialect);
+        return new GatewayProcess(settings, headerCodec);
     }
 
     /**
@@ -92,12 +92,12 @@
      * @throws IOException if an address is in use
      */
     public void listen(String readinessPath) throws IOException {
-        callers.listen(settings.callerAddress(), loop);
+        callerServer.listen(settings.callerAddress(), loop);
         Map<String, Supplier<Page>> pages = Map.of(
                 readinessPath,
                 this::readiness,
                 "/dump",
-                () -> new Page(OK, String.join("\n", path.describe()) + "\n"),
+                () -> new Page(OK, String.join("\n", dispatcher.describe()) + "\n"),
                 "/metrics",
                 () -> new Page(OK, MetricsText.of(metrics)));
         StatusServer.listen(settings.statusAddress(), loop, pages);
@@ -106,28 +106,28 @@
     }
 
     private Page readiness() {
-        boolean ready = path.ready() && !stopping;
+        boolean ready = dispatcher.ready() && !stopping;
         return new Page(ready ? OK : UNAVAILABLE, ready ? "ready\n" : "not ready\n");
     }
 
     private CallerLimits limits() {
-        return path.deployment().map(RoutingConfiguration::limits).orElse(CallerLimits.DEFAULT);
+        return dispatcher.deployment().map(RoutingConfiguration::limits).orElse(CallerLimits.DEFAULT);
     }
 
     /**
-     * Starts the exchange of load, usage and the view of the store with the other entries, and the controller of
-     * traffic shifts.
+     * Starts the synchronization of load, usage and the view of the store with the other entries, and the rollout
+     * controller.
      */
     public void startPeerSync(SharedStoreView store, ControllerStore controllerStore) {
-        peers = Optional.of(PeerSync.start(
+        peerSync = Optional.of(PeerSync.start(
                 new PeerSync.LocalEntry(settings.id(), settings.peerAddress(), clock.millis()),
                 seeds(settings),
-                path,
+                dispatcher,
                 store,
                 loop,
                 this::nowMillis,
                 log));
-        ServiceRolloutController.start(path, peers.get().facts(), controllerStore, log, settings.id(), loop);
+        ServiceRolloutController.start(dispatcher, peerSync.get().facts(), controllerStore, log, settings.id(), loop);
     }
 
     private Set<String> seeds(GatewaySettings from) {
@@ -146,21 +146,24 @@
      * Reloads the settings on SIGHUP and whenever the file has changed. New bounds and known peers are applied; other
      * changes need a restart. A file that is unreadable or invalid changes nothing.
      */
-    public void watchSettings(WatchedSettingsFile source) {
-        ProcessSignals.handle("HUP", () -> loop.execute(() -> reload(source, "signal")));
+    public void watchSettings(WatchedSettingsFile settingsFile) {
+        ProcessSignals.handle("HUP", () -> loop.execute(() -> reload(settingsFile, "signal")));
         loop.scheduleAtFixedRate(
-                () -> reload(source, "change"), SETTINGS_PERIOD_MILLIS, SETTINGS_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+                () -> reload(settingsFile, "change"),
+                SETTINGS_PERIOD_MILLIS,
+                SETTINGS_PERIOD_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
-    private void reload(WatchedSettingsFile source, String cause) {
-        WatchedSettingsFile.Reading reading = source.read();
+    private void reload(WatchedSettingsFile settingsFile, String cause) {
+        WatchedSettingsFile.Reading reading = settingsFile.read();
         if (reading instanceof WatchedSettingsFile.Reading.Invalid invalid) {
             metrics.counter("settings.passed_over").inc();
             log.warning("settings_passed_over", "cause=" + cause + " reason=" + invalid.reason());
         } else if (reading instanceof WatchedSettingsFile.Reading.Changed changed) {
             GatewaySettings newer = changed.settings();
-            path.updateSettings(newer.path());
-            peers.ifPresent(exchange -> exchange.addSeeds(seeds(newer)));
+            dispatcher.updateSettings(newer.path());
+            peerSync.ifPresent(sync -> sync.addSeeds(seeds(newer)));
             boolean restartNeeded = !newer.isReloadableFrom(settings);
             log.info("settings_read", "cause=" + cause + " restart_needed=" + restartNeeded);
         } else if (cause.equals("signal")) {
@@ -173,9 +176,9 @@
         return loop;
     }
 
-    /** Returns the request path. */
+    /** Returns the dispatcher of this process. */
     public GatewayDispatcher path() {
-        return path;
+        return dispatcher;
     }
 
     /** Returns the log of the event loop. */
@@ -219,12 +222,12 @@
                 return;
             }
             stopping = true;
-            log.info("stopping", "running=" + path.runningCount());
+            log.info("stopping", "running=" + dispatcher.runningCount());
             long startedMillis = nowMillis();
             loop.schedule(
                     () -> {
-                        path.stopAdmission();
-                        callers.startDraining();
+                        dispatcher.stopAdmission();
+                        callerServer.startDraining();
                     },
                     KEEP_ACCEPTING_MILLIS,
                     TimeUnit.MILLISECONDS);
@@ -237,10 +240,10 @@
     }
 
     private void finishStop(long startedMillis, Runnable whenStopped) {
-        boolean idle = path.runningCount() == 0 && callers.connectionCount() == 0;
+        boolean idle = dispatcher.runningCount() == 0 && callerServer.connectionCount() == 0;
         boolean overdue = nowMillis() - startedMillis > MAX_GRACE_PART * settings.graceMillis();
         if (idle || overdue) {
-            log.info("stopped", "running=" + path.runningCount());
+            log.info("stopped", "running=" + dispatcher.runningCount());
             whenStopped.run();
         }
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
@@ -10,7 +10,7 @@
 import dev.wigeonward.gateway.exchange.PathSettings;
 
 /**
- * Typed settings of one process on the direct path.
+ * Typed settings of one gateway process.
  *
  * @param graceMillis time between the signal to stop and the forced end of the process
  */
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/WatchedSettingsFile.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/WatchedSettingsFile.java
@@ -17,7 +17,7 @@
     }
 
     /**
-     * Returns a source whose first {@link #read} reports changes to the present content of the file.
+     * Returns a settings file whose first {@link #read} reports whether the file differs from its present content.
      *
      * @throws IOException if the file cannot be read
      */
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/package-info.java
@@ -1,2 +1,2 @@
-/** Start, settings, draining and stop of a process on the direct path. */
+/** Start, settings, draining and stop of a gateway process. */
 package dev.wigeonward.gateway.process;
--- a/gateway/src/main/java/dev/wigeonward/gateway/rollout/ServiceRolloutController.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/rollout/ServiceRolloutController.java
@@ -21,7 +21,7 @@
 import io.netty.channel.EventLoop;
 
 /**
- * Periodic task that executes the traffic shifts ordered by operators. Each entry collects evidence and publishes bad
+ * Periodic task that executes the rollouts ordered by operators. Each entry collects evidence and publishes bad
  * verdicts on its own, so that a bad version loses its requests even while there is no controller. The lease holder
  * decides on the share and writes the state to the store. Runs on the event loop.
  */
@@ -32,8 +32,8 @@
     /** Time for which a stage is valid at an entry that receives no further publication of the controller. */
     private static final long STAGE_LEASE_MILLIS = 1_500;
 
-    private final GatewayDispatcher path;
-    private final ServiceRollouts versions;
+    private final GatewayDispatcher dispatcher;
+    private final ServiceRollouts rollouts;
     private final FactSync facts;
     private final ControllerStore store;
     private final EventLog log;
@@ -45,9 +45,9 @@
     private long sequence;
 
     private ServiceRolloutController(
-            GatewayDispatcher path, FactSync facts, ControllerStore store, EventLog log, String ownName) {
-        this.path = path;
-        this.versions = path.rollouts();
+            GatewayDispatcher dispatcher, FactSync facts, ControllerStore store, EventLog log, String ownName) {
+        this.dispatcher = dispatcher;
+        this.rollouts = dispatcher.rollouts();
         this.facts = facts;
         this.store = store;
         this.log = log;
@@ -56,56 +56,59 @@
 
     /** Schedules the task on the event loop of the entry with the given name. */
     public static void start(
-            GatewayDispatcher path,
+            GatewayDispatcher dispatcher,
             FactSync facts,
             ControllerStore store,
             EventLog log,
             String ownName,
             EventLoop loop) {
-        ServiceRolloutController task = new ServiceRolloutController(path, facts, store, log, ownName);
+        ServiceRolloutController task = new ServiceRolloutController(dispatcher, facts, store, log, ownName);
         loop.scheduleAtFixedRate(task::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void tick() {
-        List<ServiceRollout> shifts = versions.shifts();
-        store.setLeaseWanted(!shifts.isEmpty());
-        if (shifts.isEmpty()) {
+        List<ServiceRollout> unfinished = rollouts.unfinishedRollouts();
+        store.setLeaseWanted(!unfinished.isEmpty());
+        if (unfinished.isEmpty()) {
             writtenStates.clear();
             return;
         }
-        long now = path.millis();
-        versions.counters(now)
-                .forEach((key, counters) -> versions.onEvidence(
+        long now = dispatcher.millis();
+        rollouts.counters(now)
+                .forEach((key, counters) -> rollouts.onEvidence(
                         new ControllerEvent.EvidenceReported(ownName, 0, key.version(), key.cell(), counters), now));
-        for (ServiceRollout shift : shifts) {
-            if (!isBad(shift)) {
-                shift.evaluate(now).ifPresent(this::publish);
+        for (ServiceRollout rollout : unfinished) {
+            if (!isBad(rollout)) {
+                rollout.evaluate(now).ifPresent(this::publish);
             }
         }
         OptionalLong leaseFencingNumber = store.fencingNumber();
         if (leaseFencingNumber.isPresent()) {
-            control(shifts, leaseFencingNumber.getAsLong(), now);
+            control(unfinished, leaseFencingNumber.getAsLong(), now);
         }
     }
 
-    private boolean isBad(ServiceRollout shift) {
-        RolloutOrder order = shift.order();
-        return versions.view().isBad(order.service(), order.targetVersion());
+    private boolean isBad(ServiceRollout rollout) {
+        RolloutOrder order = rollout.order();
+        return rollouts.view().isBad(order.service(), order.targetVersion());
     }
 
     private void publish(BadVerdict verdict) {
         facts.publishVerdict(verdict);
     }
 
-    private void control(List<ServiceRollout> shifts, long leaseFencingNumber, long nowMillis) {
-        for (ServiceRollout shift : shifts) {
-            RolloutOrder order = shift.order();
-            shift.advance(
-                    isBad(shift), path.outstandingAtOtherVersions(order.service(), order.targetVersion()), nowMillis);
-            writeState(shift);
+    private void control(List<ServiceRollout> unfinished, long leaseFencingNumber, long nowMillis) {
+        for (ServiceRollout rollout : unfinished) {
+            RolloutOrder order = rollout.order();
+            rollout.advance(
+                    isBad(rollout),
+                    dispatcher.outstandingAtOtherVersions(order.service(), order.targetVersion()),
+                    nowMillis);
+            writeState(rollout);
         }
-        List<Stage> stages =
-                shifts.stream().map(shift -> shift.stage(STAGE_LEASE_MILLIS)).toList();
+        List<Stage> stages = unfinished.stream()
+                .map(rollout -> rollout.stage(STAGE_LEASE_MILLIS))
+                .toList();
         if (!stages.equals(publishedStages) || nowMillis - publishedAtMillis >= PUBLISH_MILLIS) {
             publishedStages = stages;
             publishedAtMillis = nowMillis;
@@ -114,10 +117,10 @@
         }
     }
 
-    private void writeState(ServiceRollout shift) {
-        RolloutOrder order = shift.order();
+    private void writeState(ServiceRollout rollout) {
+        RolloutOrder order = rollout.order();
         String key = order.service() + "/" + order.revision();
-        RolloutState state = shift.state();
+        RolloutState state = rollout.state();
         if (state == writtenStates.get(key) || pendingWrites.containsKey(key)) {
             return;
         }
--- a/gateway/src/main/java/dev/wigeonward/gateway/rollout/package-info.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/rollout/package-info.java
@@ -1,2 +1,2 @@
-/** Control of traffic shifts between versions at an entry. */
+/** Control of rollouts at an entry. */
 package dev.wigeonward.gateway.rollout;
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -166,11 +166,11 @@
         finished.onComplete();
     }
 
-    private void fail(UpstreamListener.FailurePoint breakage, String reason) {
+    private void fail(UpstreamListener.FailurePoint failurePoint, String reason) {
         UpstreamListener failed = listener;
         listener = null;
         if (failed != null) {
-            failed.onFailed(breakage, reason);
+            failed.onFailed(failurePoint, reason);
         }
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
@@ -106,13 +106,13 @@
             sendIfWanted(pooled, request, listener, stillWanted);
             return;
         }
-        UpstreamConnection fresh = new UpstreamConnection(this, key);
+        UpstreamConnection newConnection = new UpstreamConnection(this, key);
         bootstrap
                 .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(DECODER, false, false), fresh);
+                        channel.pipeline().addLast(new HttpClientCodec(DECODER, false, false), newConnection);
                     }
                 })
                 .connect(address(upstream.address()))
@@ -124,28 +124,28 @@
                                 String.valueOf(future.cause().getMessage()));
                         return;
                     }
-                    fresh.startIdle(nowMillis(), DEFAULT_KEEP_ALIVE_MILLIS);
-                    sendIfWanted(fresh, request, listener, stillWanted);
+                    newConnection.startIdle(nowMillis(), DEFAULT_KEEP_ALIVE_MILLIS);
+                    sendIfWanted(newConnection, request, listener, stillWanted);
                 });
     }
 
     private void sendIfWanted(
-            UpstreamConnection channel,
+            UpstreamConnection connection,
             FullHttpRequest request,
             UpstreamListener listener,
             Predicate<UpstreamConnection> stillWanted) {
-        if (stillWanted.test(channel)) {
-            channel.send(request, listener);
+        if (stillWanted.test(connection)) {
+            connection.send(request, listener);
             return;
         }
         request.release();
-        release(channel);
+        release(connection);
     }
 
     private UpstreamConnection takeIdle(String key) {
-        ArrayDeque<UpstreamConnection> channels = idle.get(key);
-        while (channels != null && !channels.isEmpty()) {
-            UpstreamConnection newest = channels.removeLast();
+        ArrayDeque<UpstreamConnection> pooled = idle.get(key);
+        while (pooled != null && !pooled.isEmpty()) {
+            UpstreamConnection newest = pooled.removeLast();
             if (newest.reusableAt(nowMillis.getAsLong())) {
                 return newest;
             }
@@ -183,20 +183,20 @@
      * again.
      */
     public void closePooled(Upstream upstream) {
-        ArrayDeque<UpstreamConnection> channels = idle.remove(poolKey(upstream));
-        if (channels != null) {
-            List.copyOf(channels).forEach(UpstreamConnection::close);
+        ArrayDeque<UpstreamConnection> pooled = idle.remove(poolKey(upstream));
+        if (pooled != null) {
+            List.copyOf(pooled).forEach(UpstreamConnection::close);
         }
     }
 
-    void release(UpstreamConnection channel) {
-        idle.computeIfAbsent(channel.poolKey(), key -> new ArrayDeque<>()).addLast(channel);
+    void release(UpstreamConnection connection) {
+        idle.computeIfAbsent(connection.poolKey(), key -> new ArrayDeque<>()).addLast(connection);
     }
 
-    void closed(UpstreamConnection channel) {
-        ArrayDeque<UpstreamConnection> channels = idle.get(channel.poolKey());
-        if (channels != null) {
-            channels.remove(channel);
+    void closed(UpstreamConnection connection) {
+        ArrayDeque<UpstreamConnection> pooled = idle.get(connection.poolKey());
+        if (pooled != null) {
+            pooled.remove(connection);
         }
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
@@ -5,7 +5,7 @@
 
 /** Receiver of an upstream's answer to one request. All methods are called on the event loop. */
 public interface UpstreamListener {
-    /** Receives the head of an answer on the connection; returns false if the answer belongs to another request. */
+    /** Receives the head of an answer; returns false if the answer belongs to another request and is to be skipped. */
     boolean onHead(HttpResponse head);
 
     /** Receives bytes of the body; the callee releases them. */
@@ -15,7 +15,7 @@
     void onComplete();
 
     /** Called when the request ends without a complete answer. */
-    void onFailed(FailurePoint breakage, String reason);
+    void onFailed(FailurePoint failurePoint, String reason);
 
     /** Progress of the request when its connection broke. */
     enum FailurePoint {
