--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -30,7 +30,7 @@
      * Retry time stated to a caller whose request no upstream has run, after a failed run or after its deadline passed
      * in the queue.
      */
-    private static final long UPSTREAM_FULL_RETRY_MILLIS = 50;
+    private static final long NOT_RUN_RETRY_MILLIS = 50;
 
     private static final int PERCENT = 100;
 
@@ -157,14 +157,14 @@
         }
         mayHaveRun |= sent && failure != RunFailure.NOT_RUN;
         boolean mayRepeat = !mayHaveRun || admitted.route().isIdempotent();
-        boolean again = sent
+        boolean retry = sent
                 ? mayRepeat && sends < admitted.route().maxAttempts() && dispatcher.tryAcquireRetry(admitted.service())
                 : connectFailures < MAX_CONNECT_FAILURES;
-        if (again) {
+        if (retry) {
             requeue();
             return;
         }
-        failOrRefuse(ErrorKind.OVERLOADED, UPSTREAM_FULL_RETRY_MILLIS);
+        failOrRefuse(ErrorKind.OVERLOADED, NOT_RUN_RETRY_MILLIS);
     }
 
     /**
@@ -203,12 +203,12 @@
             return;
         }
         dispatcher.count("timeout");
-        boolean waits = run.isEmpty();
+        boolean queued = run.isEmpty();
         cancelRun();
-        if (waits && !mayHaveRun) {
+        if (queued && !mayHaveRun) {
             dispatcher.refundUsage(admitted);
             finish("refused:" + ErrorKind.DEADLINE_UNREACHABLE.wireName());
-            sink.writeError(ErrorKind.DEADLINE_UNREACHABLE, UPSTREAM_FULL_RETRY_MILLIS);
+            sink.writeError(ErrorKind.DEADLINE_UNREACHABLE, NOT_RUN_RETRY_MILLIS);
             return;
         }
         fail(ErrorKind.DEADLINE_EXCEEDED_RUNNING);
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
@@ -39,9 +39,9 @@
  */
 public final class PeerSync implements LinkListener {
     /**
-     * Settings of the links. The largest frame is a view of the store, in which a single value has up to a megabyte.
+     * Bounds of the links. The largest frame is a view of the store, in which a single value has up to a megabyte.
      */
-    private static final LinkSettings LINKS = new LinkSettings(8 << 20, 500, 1_500, 500, 16 << 20);
+    private static final LinkSettings LINK_SETTINGS = new LinkSettings(8 << 20, 500, 1_500, 500, 16 << 20);
     /**
      * Interval between reports of changed loads while few peers are linked; short compared with the duration of a
      * request.
@@ -109,7 +109,7 @@
         this.facts = new FactSync(dispatcher.suspects(), dispatcher.rollouts().view(), factLinks, factLinks);
         dispatcher.setSuspectPublisher(facts::publishSuspect);
         transport = LinkTransport.withEventLoop(
-                LINKS,
+                LINK_SETTINGS,
                 this,
                 () -> Hello.newBuilder()
                         .setNodeId(self.id())
