--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -390,9 +390,9 @@
 
     private void apply(Decision decision) {
         if (decision instanceof Decision.Placed placed) {
-            waiting.remove(placed.demand()).onPlaced(placed.upstream());
+            waiting.remove(placed.request()).onPlaced(placed.upstream());
         } else if (decision instanceof Decision.Refused refused) {
-            waiting.remove(refused.demand()).onRefused(refused.reason());
+            waiting.remove(refused.request()).onRefused(refused.reason());
         }
     }
 
