Rename public names of the stand-ins to usual terms

Cause: names such as HttpCalls, Down and ran say little at the first reading. Measured: mvn -DskipTests verify (lint of all modules) passes.

--- a/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatencyMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/process/ProcessLatencyMeasurement.java
@@ -12,7 +12,7 @@
 
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
-import dev.wigeonward.standins.load.LoadRun;
+import dev.wigeonward.standins.load.LoadGenerator;
 import dev.wigeonward.standins.local.LocalDeployment;
 import dev.wigeonward.standins.local.LocalUpstream;
 
@@ -87,17 +87,18 @@
         List<List<String>> rows = new ArrayList<>();
         List<String> notes = new ArrayList<>();
         boolean valid = true;
-        try (LoadRun direct = new LoadRun(engines, Map.of());
-                LoadRun viaEntries = new LoadRun(entries, Map.of("authorization", "Bearer kopsu-demo-rescue"))) {
-            viaEntries.chats(WARM_UP_REQUESTS, WARM_UP_REQUESTS_PER_SECOND, OUTPUT_TOKENS, random.split());
-            direct.chats(WARM_UP_REQUESTS, WARM_UP_REQUESTS_PER_SECOND, OUTPUT_TOKENS, random.split());
+        try (LoadGenerator direct = new LoadGenerator(engines, Map.of());
+                LoadGenerator viaEntries =
+                        new LoadGenerator(entries, Map.of("authorization", "Bearer kopsu-demo-rescue"))) {
+            viaEntries.runChats(WARM_UP_REQUESTS, WARM_UP_REQUESTS_PER_SECOND, OUTPUT_TOKENS, random.split());
+            direct.runChats(WARM_UP_REQUESTS, WARM_UP_REQUESTS_PER_SECOND, OUTPUT_TOKENS, random.split());
             for (int round = 1; round <= ROUNDS; round++) {
                 SplittableRandom roundRandom = random.split();
                 long seed = roundRandom.nextLong();
-                LoadRun.Outcome directOutcome =
-                        direct.chats(REQUESTS, REQUESTS_PER_SECOND, OUTPUT_TOKENS, new SplittableRandom(seed));
-                LoadRun.Outcome entryOutcome =
-                        viaEntries.chats(REQUESTS, REQUESTS_PER_SECOND, OUTPUT_TOKENS, new SplittableRandom(seed));
+                LoadGenerator.Outcome directOutcome =
+                        direct.runChats(REQUESTS, REQUESTS_PER_SECOND, OUTPUT_TOKENS, new SplittableRandom(seed));
+                LoadGenerator.Outcome entryOutcome =
+                        viaEntries.runChats(REQUESTS, REQUESTS_PER_SECOND, OUTPUT_TOKENS, new SplittableRandom(seed));
                 rows.add(row(round, "direct", directOutcome));
                 rows.add(row(round, "entry and agent", entryOutcome));
                 valid &= directOutcome.complete() && entryOutcome.complete() && directOutcome.failures() == 0;
@@ -118,7 +119,7 @@
                 List.of());
     }
 
-    private static List<String> row(int round, String path, LoadRun.Outcome outcome) {
+    private static List<String> row(int round, String path, LoadGenerator.Outcome outcome) {
         return List.of(
                 Integer.toString(round),
                 path,
@@ -128,7 +129,8 @@
                 String.format(Locale.ROOT, "%.0f", outcome.achievedPerSecond()));
     }
 
-    private static String addedMillis(LoadRun.Outcome directOutcome, LoadRun.Outcome entryOutcome, double percentile) {
+    private static String addedMillis(
+            LoadGenerator.Outcome directOutcome, LoadGenerator.Outcome entryOutcome, double percentile) {
         return formatMillis(entryOutcome.micros().getValueAtPercentile(percentile)
                 - directOutcome.micros().getValueAtPercentile(percentile));
     }
--- a/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
+++ b/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
@@ -13,7 +13,7 @@
 import com.google.common.base.Splitter;
 import dev.wigeonward.common.clock.MonotonicClock;
 import dev.wigeonward.common.http.Json;
-import dev.wigeonward.standins.http.HttpCalls;
+import dev.wigeonward.standins.http.HttpCallClient;
 import io.servicetalk.http.api.HttpRequestMethod;
 import org.kohsuke.args4j.Option;
 
@@ -48,7 +48,7 @@
     /** Sends the requests, prints each answer, and returns 0 if all answers are as expected and 1 otherwise. */
     public int run(PrintStream out) {
         List<String> entry = Splitter.on(',').splitToList(entries);
-        try (HttpCalls calls = new HttpCalls()) {
+        try (HttpCallClient calls = new HttpCallClient()) {
             awaitReady(calls);
             Map<String, String> auth = Map.of("authorization", "Bearer " + key);
             check(
@@ -78,14 +78,14 @@
                     answered("GET /flags/7"));
             orders(out, calls, entry, auth);
             refusals(out, calls, entry, auth);
-            HttpCalls.Answer ran = calls.get(service, "/admin/ran");
+            HttpCallClient.Response ran = calls.get(service, "/admin/ran");
             check(out, "the service ran the order once", ran, answered("\"POST /flags/orders two red flags\":1"));
         }
         out.println(failures == 0 ? "all answers were as expected" : failures + " answers were not as expected");
         return failures == 0 ? EXIT_OK : EXIT_FAILED;
     }
 
-    private void orders(PrintStream out, HttpCalls calls, List<String> entry, Map<String, String> auth) {
+    private void orders(PrintStream out, HttpCallClient calls, List<String> entry, Map<String, String> auth) {
         Map<String, String> keyed =
                 Map.of("authorization", auth.get("authorization"), "idempotency-key", "\"order-1\"");
         check(
@@ -105,7 +105,7 @@
                 refused(422, "idempotency_key_reused"));
     }
 
-    private void refusals(PrintStream out, HttpCalls calls, List<String> entry, Map<String, String> auth) {
+    private void refusals(PrintStream out, HttpCallClient calls, List<String> entry, Map<String, String> auth) {
         check(
                 out,
                 "order without a key",
@@ -129,7 +129,7 @@
                 refused(400, "malformed_request"));
     }
 
-    private void awaitReady(HttpCalls calls) {
+    private void awaitReady(HttpCallClient calls) {
         for (String admin : Splitter.on(',').split(admins)) {
             await(() -> calls.get(admin, "/admin/health").status() == 200);
             await(() -> Json.read(calls.get(admin, "/admin/dump").body().getBytes(StandardCharsets.UTF_8))
@@ -162,17 +162,18 @@
                 StandardCharsets.UTF_8);
     }
 
-    private static Predicate<HttpCalls.Answer> answered(String part) {
+    private static Predicate<HttpCallClient.Response> answered(String part) {
         return answer -> answer.status() == 200 && answer.body().contains(part);
     }
 
-    private static Predicate<HttpCalls.Answer> refused(int status, String kind) {
+    private static Predicate<HttpCallClient.Response> refused(int status, String kind) {
         return answer -> answer.status() == status
                 && answer.body().contains("\"" + kind + "\"")
                 && answer.body().contains("\"not_run\"");
     }
 
-    private void check(PrintStream out, String name, HttpCalls.Answer answer, Predicate<HttpCalls.Answer> expected) {
+    private void check(
+            PrintStream out, String name, HttpCallClient.Response answer, Predicate<HttpCallClient.Response> expected) {
         boolean asExpected = expected.test(answer);
         failures += asExpected ? 0 : 1;
         String body = answer.body().strip().replace("\n", " ");
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
@@ -46,7 +46,7 @@
     private final EngineBatch batch;
     private final String instance = UUID.randomUUID().toString();
     private final Executor timer = Executors.newFixedSizeExecutor(1);
-    private final Map<String, Integer> ran = new LinkedHashMap<>();
+    private final Map<String, Integer> startsByRequestId = new LinkedHashMap<>();
     private final Set<String> versions = new TreeSet<>();
     private long highestFencingNumber;
     private HttpServerContext server;
@@ -72,8 +72,8 @@
     }
 
     /** Returns the number of starts of each request, by request id. */
-    public synchronized Map<String, Integer> ran() {
-        return Map.copyOf(ran);
+    public synchronized Map<String, Integer> startsByRequestId() {
+        return Map.copyOf(startsByRequestId);
     }
 
     private synchronized Set<String> versions() {
@@ -116,7 +116,7 @@
                 exchange.json(HttpResponseStatus.OK, batch.cacheEventsAfter(exchange.intParameter("after")));
             case "POST /v1/orders" -> order(exchange, body);
             case "POST /admin/faults" -> setFaults(exchange, body);
-            case "GET /admin/ran" -> exchange.json(HttpResponseStatus.OK, ran());
+            case "GET /admin/ran" -> exchange.json(HttpResponseStatus.OK, startsByRequestId());
             default -> exchange.error(HttpResponseStatus.NOT_FOUND, "route " + route + " does not exist");
         };
     }
@@ -146,7 +146,7 @@
                 json.get().path("max_tokens").asInt(DEFAULT_OUTPUT_TOKENS),
                 exchange.context.executionContext().bufferAllocator());
         synchronized (this) {
-            ran.merge(id, 1, Integer::sum);
+            startsByRequestId.merge(id, 1, Integer::sum);
         }
         if (!batch.submit(stream, prefixHash(json.get()))) {
             return exchange.error(
--- a/standins/src/main/java/dev/wigeonward/standins/http/HttpStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/http/StandinHttpServer.java
@@ -25,7 +25,7 @@
 import io.servicetalk.transport.api.ConnectionContext;
 
 /** HTTP server of a stand-in; its handlers may block. */
-public final class HttpStandin implements AutoCloseable {
+public final class StandinHttpServer implements AutoCloseable {
     /** Maps between records and JSON with snake-case names such as {@code slow_millis}. */
     public static final ObjectMapper JSON = JsonMapper.builder()
             .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
@@ -36,14 +36,14 @@
 
     private final HttpServerContext server;
 
-    private HttpStandin(HttpServerContext server) {
+    private StandinHttpServer(HttpServerContext server) {
         this.server = server;
     }
 
     /** Starts a server; port 0 selects a free port. */
-    public static HttpStandin start(InetSocketAddress address, BlockingStreamingHttpService service) {
+    public static StandinHttpServer start(InetSocketAddress address, BlockingStreamingHttpService service) {
         try {
-            return new HttpStandin(HttpServers.forAddress(address).listenBlockingStreamingAndAwait(service));
+            return new StandinHttpServer(HttpServers.forAddress(address).listenBlockingStreamingAndAwait(service));
         } catch (Exception e) {
             throw new IllegalStateException("cannot listen on " + address, e);
         }
@@ -77,7 +77,7 @@
     }
 
     /** Closes the connection of a request so that its caller receives no answer; always throws. */
-    public static void cut(ConnectionContext context) throws IOException {
+    public static void closeConnection(ConnectionContext context) throws IOException {
         context.closeAsync().subscribe();
         throw new IOException("connection closed by an injected fault");
     }
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvFaults.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvFaults.java
@@ -18,7 +18,7 @@
  * @param readsPerSecond limit of reads, 0 for none; opening a watch counts as a read
  */
 public record KvFaults(
-        Down down,
+        Outage down,
         long slowMillis,
         int loseNextWrites,
         double loseProbability,
@@ -28,7 +28,7 @@
         int writesPerSecond,
         int readsPerSecond) {
     /** Kind of outage as callers observe it. */
-    public enum Down {
+    public enum Outage {
         /** No outage. */
         NO,
         /** Calls are answered with an error that proves that they had no effect. */
@@ -38,7 +38,7 @@
     }
 
     public KvFaults {
-        down = Objects.requireNonNullElse(down, Down.NO);
+        down = Objects.requireNonNullElse(down, Outage.NO);
         Preconditions.checkArgument(slowMillis >= 0, "slow_millis is %s; expected at least 0", slowMillis);
         Preconditions.checkArgument(loseNextWrites >= 0, "lose_next_writes is %s; expected at least 0", loseNextWrites);
         Preconditions.checkArgument(
@@ -53,36 +53,36 @@
 
     /** Returns a configuration without faults. */
     public static KvFaults none() {
-        return new KvFaults(Down.NO, 0, 0, 0, 0, false, 1, 0, 0);
+        return new KvFaults(Outage.NO, 0, 0, 0, 0, false, 1, 0, 0);
     }
 
     /** Returns an outage of the given kind. */
-    public static KvFaults down(Down down) {
+    public static KvFaults down(Outage down) {
         return new KvFaults(down, 0, 0, 0, 0, false, 1, 0, 0);
     }
 
     /** Returns a delay of each answer. */
     public static KvFaults slow(long slowMillis) {
-        return new KvFaults(Down.NO, slowMillis, 0, 0, 0, false, 1, 0, 0);
+        return new KvFaults(Outage.NO, slowMillis, 0, 0, 0, false, 1, 0, 0);
     }
 
     /** Returns the loss of the answers to the next writes, which still take effect. */
-    public static KvFaults loseNext(int writes) {
-        return new KvFaults(Down.NO, 0, writes, 0, 0, false, 1, 0, 0);
+    public static KvFaults loseNextAnswers(int writes) {
+        return new KvFaults(Outage.NO, 0, writes, 0, 0, false, 1, 0, 0);
     }
 
     /** Returns random losses of writes, after or before they take effect. */
     public static KvFaults random(double loseProbability, double dropProbability, long seed) {
-        return new KvFaults(Down.NO, 0, 0, loseProbability, dropProbability, false, seed, 0, 0);
+        return new KvFaults(Outage.NO, 0, 0, loseProbability, dropProbability, false, seed, 0, 0);
     }
 
     /** Returns a fault that makes watches send nothing while they stay open. */
-    public static KvFaults silent() {
-        return new KvFaults(Down.NO, 0, 0, 0, 0, true, 1, 0, 0);
+    public static KvFaults withSilentWatches() {
+        return new KvFaults(Outage.NO, 0, 0, 0, 0, true, 1, 0, 0);
     }
 
     /** Returns limits of calls per second. */
     public static KvFaults limits(int writesPerSecond, int readsPerSecond) {
-        return new KvFaults(Down.NO, 0, 0, 0, 0, false, 1, writesPerSecond, readsPerSecond);
+        return new KvFaults(Outage.NO, 0, 0, 0, 0, false, 1, writesPerSecond, readsPerSecond);
     }
 }
--- a/standins/src/main/java/dev/wigeonward/standins/kv/KvStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/kv/KvStandin.java
@@ -17,7 +17,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dev.wigeonward.standins.http.HttpStandin;
+import dev.wigeonward.standins.http.StandinHttpServer;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.BlockingStreamingHttpRequest;
 import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
@@ -44,9 +44,9 @@
     private final KvCalls calls;
     private final KvFaultInjector faultInjector;
     private final Map<String, LongAdder> counters = new ConcurrentHashMap<>();
-    private final AtomicInteger waitingWatches = new AtomicInteger();
+    private final AtomicInteger openWatches = new AtomicInteger();
     private final ScheduledExecutorService expiry = Executors.newSingleThreadScheduledExecutor();
-    private HttpStandin server;
+    private StandinHttpServer server;
 
     private KvStandin(Clock clock, int historyRevisions) {
         this.state = new KvState(clock, historyRevisions);
@@ -62,7 +62,7 @@
     /** Starts a stand-in that retains the given number of revisions for watches. */
     public static KvStandin start(InetSocketAddress address, Clock clock, int historyRevisions) {
         KvStandin standin = new KvStandin(clock, historyRevisions);
-        standin.server = HttpStandin.start(address, standin::handle);
+        standin.server = StandinHttpServer.start(address, standin::handle);
         standin.expiry.scheduleWithFixedDelay(
                 standin.state::expireLeases, EXPIRY_CHECK_MILLIS, EXPIRY_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         return standin;
@@ -91,8 +91,8 @@
     }
 
     /** Returns the number of open watches. */
-    public int waitingWatches() {
-        return waitingWatches.get();
+    public int openWatches() {
+        return openWatches.get();
     }
 
     private void handle(
@@ -100,36 +100,37 @@
             BlockingStreamingHttpRequest request,
             BlockingStreamingHttpServerResponse response)
             throws Exception {
-        byte[] bytes = HttpStandin.body(request);
+        byte[] bytes = StandinHttpServer.body(request);
         String path = request.path();
         try {
-            JsonNode body = bytes.length == 0 ? KvCalls.object() : HttpStandin.JSON.readTree(bytes);
+            JsonNode body = bytes.length == 0 ? KvCalls.object() : StandinHttpServer.JSON.readTree(bytes);
             if (path.startsWith("/admin/")) {
-                HttpStandin.answer(context, response, STATUS_OK, admin(path, request.method(), body));
+                StandinHttpServer.answer(context, response, STATUS_OK, admin(path, request.method(), body));
                 return;
             }
             counters.computeIfAbsent(path, each -> new LongAdder()).increment();
             serve(context, response, path, body);
         } catch (JsonProcessingException e) {
             ObjectNode error = KvCalls.object().put("error", e.getOriginalMessage());
-            HttpStandin.answer(context, response, STATUS_BAD_REQUEST, error.put("code", KvException.INVALID_ARGUMENT));
+            StandinHttpServer.answer(
+                    context, response, STATUS_BAD_REQUEST, error.put("code", KvException.INVALID_ARGUMENT));
         } catch (KvException e) {
             ObjectNode error = KvCalls.object().put("error", e.getMessage()).put("message", e.getMessage());
-            HttpStandin.answer(context, response, e.httpStatus(), error.put("code", e.code()));
+            StandinHttpServer.answer(context, response, e.httpStatus(), error.put("code", e.code()));
         }
     }
 
     private JsonNode admin(String path, HttpRequestMethod method, JsonNode body) throws IOException {
         if (path.equals("/admin/faults")) {
             if (method.equals(HttpRequestMethod.POST)) {
-                setFaults(HttpStandin.JSON.treeToValue(body, KvFaults.class));
+                setFaults(StandinHttpServer.JSON.treeToValue(body, KvFaults.class));
             }
-            return HttpStandin.JSON.valueToTree(faultInjector.faults());
+            return StandinHttpServer.JSON.valueToTree(faultInjector.faults());
         }
         if (path.equals("/admin/counters")) {
             return KvCalls.object()
-                    .put("waiting_watches", waitingWatches())
-                    .set("calls", HttpStandin.JSON.valueToTree(counters()));
+                    .put("waiting_watches", openWatches())
+                    .set("calls", StandinHttpServer.JSON.valueToTree(counters()));
         }
         throw new KvException(KvException.NOT_FOUND, "unknown path " + path);
     }
@@ -138,10 +139,10 @@
             HttpServiceContext context, BlockingStreamingHttpServerResponse response, String path, JsonNode body)
             throws Exception {
         boolean write = !path.equals(RANGE) && !path.equals(WATCH);
-        if (faultInjector.faults().down() == KvFaults.Down.DROP) {
-            HttpStandin.cut(context);
+        if (faultInjector.faults().down() == KvFaults.Outage.DROP) {
+            StandinHttpServer.closeConnection(context);
         }
-        if (faultInjector.faults().down() == KvFaults.Down.REFUSE) {
+        if (faultInjector.faults().down() == KvFaults.Outage.REFUSE) {
             throw new KvException(KvException.UNAVAILABLE, "etcdserver: no leader");
         }
         faultInjector.checkLimit(write);
@@ -152,14 +153,14 @@
         KvFaultInjector.WriteHandling writeHandling =
                 write ? faultInjector.nextWriteHandling() : KvFaultInjector.WriteHandling.ANSWER;
         if (writeHandling == KvFaultInjector.WriteHandling.DROP_BEFORE_EFFECT) {
-            HttpStandin.cut(context);
+            StandinHttpServer.closeConnection(context);
         }
         ObjectNode result = execute(path, body);
         Thread.sleep(faultInjector.faults().slowMillis());
         if (writeHandling == KvFaultInjector.WriteHandling.LOSE_AFTER_EFFECT) {
-            HttpStandin.cut(context);
+            StandinHttpServer.closeConnection(context);
         }
-        HttpStandin.answer(context, response, STATUS_OK, result);
+        StandinHttpServer.answer(context, response, STATUS_OK, result);
     }
 
     private ObjectNode execute(String path, JsonNode body) {
@@ -180,10 +181,10 @@
         long start = request.path("start_revision").asLong();
         long next = start > 0 ? start : state.revision() + 1;
         response.status(HttpResponseStatus.OK);
-        waitingWatches.incrementAndGet();
+        openWatches.incrementAndGet();
         try (HttpPayloadWriter<Buffer> writer = response.sendMetaData()) {
             send(context, writer, calls.withHeader().put("created", true));
-            while (faultInjector.faults().down() == KvFaults.Down.NO) {
+            while (faultInjector.faults().down() == KvFaults.Outage.NO) {
                 KvState.Events events = state.awaitEvents(key, end, next, WATCH_WAIT_MILLIS);
                 if (faultInjector.faults().silentWatches()) {
                     Thread.sleep(WATCH_WAIT_MILLIS);
@@ -203,7 +204,7 @@
                 }
             }
         } finally {
-            waitingWatches.decrementAndGet();
+            openWatches.decrementAndGet();
         }
     }
 
--- a/standins/src/main/java/dev/wigeonward/standins/load/LoadRun.java
+++ b/standins/src/main/java/dev/wigeonward/standins/load/LoadGenerator.java
@@ -19,7 +19,7 @@
 import org.HdrHistogram.Histogram;
 
 /** Open-loop load generator with a fixed request rate; latency is measured from the planned start of a request. */
-public final class LoadRun implements AutoCloseable {
+public final class LoadGenerator implements AutoCloseable {
     private static final long MAX_LATENCY_MICROS = TimeUnit.MINUTES.toMicros(2);
     private static final int SIGNIFICANT_DIGITS = 3;
     private static final double NANOS_PER_SECOND = 1e9;
@@ -29,8 +29,8 @@
     private final MonotonicClock clock = MonotonicClock.start();
 
     /** Creates a run whose requests go to the addresses in turn. */
-    public LoadRun(List<String> addresses, Map<String, String> headers) {
-        this.clients = addresses.stream().map(LoadRun::connect).toList();
+    public LoadGenerator(List<String> addresses, Map<String, String> headers) {
+        this.clients = addresses.stream().map(LoadGenerator::connect).toList();
         this.headers = Map.copyOf(headers);
     }
 
@@ -42,7 +42,7 @@
     }
 
     /** Sends {@code count} chat requests at {@code perSecond} with random output lengths and returns the outcome. */
-    public Outcome chats(int count, double perSecond, int[] outputTokens, RandomGenerator random)
+    public Outcome runChats(int count, double perSecond, int[] outputTokens, RandomGenerator random)
             throws InterruptedException {
         Histogram micros = new ConcurrentHistogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS);
         AtomicInteger failures = new AtomicInteger();
--- a/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
+++ b/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
@@ -77,8 +77,8 @@
                         "first rules"));
         for (int number = 1; number <= entries; number++) {
             String admin = addresses.get("entry-" + number + "-admin");
-            await("entry " + number + " has all links", () -> linked(admin) >= upstreams.size());
-            await(
+            awaitCondition("entry " + number + " has all links", () -> linkCount(admin) >= upstreams.size());
+            awaitCondition(
                     "entry " + number + " has rules",
                     () -> page(admin, "/admin/health").path("ready").asBoolean());
         }
@@ -175,7 +175,7 @@
     }
 
     /** Replaces the address under which an agent is registered, for example by that of a proxy. */
-    public void reroute(LocalUpstream upstream, String address) {
+    public void replaceRegisteredAddress(LocalUpstream upstream, String address) {
         String prefix = upstream.agentName() + ",";
         registrations.removeIf(vm -> vm.startsWith(prefix));
         registrations.add("%s%s,%s,%s".formatted(prefix, upstream.target(), address, upstream.failureDomain()));
@@ -226,7 +226,7 @@
     }
 
     /** Returns the number of links of the entry behind an admin address. */
-    public int linked(String admin) {
+    public int linkCount(String admin) {
         return page(admin, "/admin/dump").path("upstreams").size();
     }
 
@@ -238,7 +238,7 @@
     }
 
     /** Waits until a condition holds; fails after a bounded time. */
-    public void await(String what, BooleanSupplier condition) {
+    public void awaitCondition(String what, BooleanSupplier condition) {
         for (long polls = READY_LIMIT_MILLIS / POLL_MILLIS; polls > 0; polls--) {
             if (condition.getAsBoolean()) {
                 return;
--- a/standins/src/main/java/dev/wigeonward/standins/local/ManagedProcess.java
+++ b/standins/src/main/java/dev/wigeonward/standins/local/ManagedProcess.java
@@ -78,7 +78,7 @@
     /** Kills the process without a shutdown, and waits for its end. */
     public void kill() {
         process.destroyForcibly();
-        await();
+        awaitExit();
     }
 
     /** Requests a graceful shutdown without waiting for it. */
@@ -107,7 +107,7 @@
     }
 
     /** Waits for the end of the process; returns whether it ended within 20 s. */
-    public boolean await() {
+    public boolean awaitExit() {
         try {
             return process.waitFor(STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
--- a/standins/src/main/java/dev/wigeonward/standins/service/PlainService.java
+++ b/standins/src/main/java/dev/wigeonward/standins/service/PlainService.java
@@ -24,7 +24,7 @@
     private final Duration delay;
     private final Executor timer = Executors.newFixedSizeExecutor(1);
     private final String instance = UUID.randomUUID().toString();
-    private final Map<String, Integer> ran = new TreeMap<>();
+    private final Map<String, Integer> runsByCall = new TreeMap<>();
     private HttpServerContext server;
 
     private PlainService(Duration delay) {
@@ -47,8 +47,8 @@
     }
 
     /** Returns the number of runs of each call. */
-    public synchronized Map<String, Integer> ran() {
-        return Map.copyOf(ran);
+    public synchronized Map<String, Integer> runsByCall() {
+        return Map.copyOf(runsByCall);
     }
 
     private Single<HttpResponse> handle(BufferAllocator allocator, HttpRequest request, HttpResponseFactory responses) {
@@ -56,7 +56,7 @@
             return Single.succeeded(json(allocator, responses.ok(), Map.of("instance", instance)));
         }
         if (request.path().equals("/admin/ran")) {
-            return Single.succeeded(json(allocator, responses.ok(), ran()));
+            return Single.succeeded(json(allocator, responses.ok(), runsByCall()));
         }
         String call = request.method().name() + " " + request.path() + " "
                 + request.payloadBody().toString(StandardCharsets.UTF_8);
@@ -66,7 +66,7 @@
     }
 
     private synchronized int count(String call) {
-        return ran.merge(call, 1, Integer::sum);
+        return runsByCall.merge(call, 1, Integer::sum);
     }
 
     private static HttpResponse json(BufferAllocator allocator, HttpResponse response, Object value) {
--- a/standins/src/main/java/dev/wigeonward/standins/vms/RegisterCommand.java
+++ b/standins/src/main/java/dev/wigeonward/standins/vms/RegisterCommand.java
@@ -8,7 +8,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.google.common.base.Splitter;
 import com.google.common.net.HostAndPort;
-import dev.wigeonward.standins.http.HttpStandin;
+import dev.wigeonward.standins.http.StandinHttpServer;
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.http.netty.HttpClients;
@@ -60,7 +60,7 @@
             return false;
         }
         VmRecord record = new VmRecord(parts.get(0), parts.get(1), parts.get(2), parts.get(3), state);
-        byte[] body = HttpStandin.JSON.writeValueAsBytes(record);
+        byte[] body = StandinHttpServer.JSON.writeValueAsBytes(record);
         HttpResponse response = client.request(client.post("/admin/vms")
                         .payloadBody(client.executionContext().bufferAllocator().wrap(body)))
                 .toFuture()
--- a/standins/src/main/java/dev/wigeonward/standins/vms/VmsStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/vms/VmsStandin.java
@@ -14,7 +14,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dev.wigeonward.standins.http.HttpStandin;
+import dev.wigeonward.standins.http.StandinHttpServer;
 import io.servicetalk.http.api.BlockingStreamingHttpRequest;
 import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
 import io.servicetalk.http.api.HttpServiceContext;
@@ -33,11 +33,11 @@
     private final Deque<Change> delayed = new ArrayDeque<>();
     private final Map<String, VmRecord> registered = new HashMap<>();
     private final Map<String, Visible> visible = new LinkedHashMap<>();
-    private final AtomicLong polls = new AtomicLong();
+    private final AtomicLong pollCount = new AtomicLong();
     private final long firstVersion;
     private long version;
     private long lagMillis;
-    private HttpStandin server;
+    private StandinHttpServer server;
 
     private VmsStandin(Clock clock) {
         this.clock = clock;
@@ -53,7 +53,7 @@
     /** Starts a stand-in; port 0 selects a free port. The lag is measured on the given clock. */
     public static VmsStandin start(InetSocketAddress address, Clock clock) {
         VmsStandin standin = new VmsStandin(clock);
-        standin.server = HttpStandin.start(address, standin::handle);
+        standin.server = StandinHttpServer.start(address, standin::handle);
         return standin;
     }
 
@@ -79,7 +79,7 @@
     }
 
     /** Marks a VM as leaving. */
-    public synchronized void leave(String id) {
+    public synchronized void markLeaving(String id) {
         put(registered(id).inState("leaving"));
     }
 
@@ -98,8 +98,8 @@
     }
 
     /** Returns the number of requests for the list. */
-    public long polls() {
-        return polls.get();
+    public long pollCount() {
+        return pollCount.get();
     }
 
     private synchronized ObjectNode since(long since) {
@@ -114,9 +114,11 @@
                 changed.add(each.vm());
             }
         }
-        ObjectNode answer =
-                HttpStandin.JSON.createObjectNode().put("version", version).put("full", full);
-        answer.set("vms", HttpStandin.JSON.valueToTree(changed));
+        ObjectNode answer = StandinHttpServer.JSON
+                .createObjectNode()
+                .put("version", version)
+                .put("full", full);
+        answer.set("vms", StandinHttpServer.JSON.valueToTree(changed));
         return answer;
     }
 
@@ -125,28 +127,28 @@
             BlockingStreamingHttpRequest request,
             BlockingStreamingHttpServerResponse response)
             throws IOException {
-        byte[] body = HttpStandin.body(request);
+        byte[] body = StandinHttpServer.body(request);
         try {
-            HttpStandin.answer(context, response, STATUS_OK, respond(request, body));
+            StandinHttpServer.answer(context, response, STATUS_OK, respond(request, body));
         } catch (IllegalArgumentException e) {
-            ObjectNode error = HttpStandin.JSON.createObjectNode().put("error", String.valueOf(e.getMessage()));
-            HttpStandin.answer(context, response, STATUS_BAD_REQUEST, error);
+            ObjectNode error = StandinHttpServer.JSON.createObjectNode().put("error", String.valueOf(e.getMessage()));
+            StandinHttpServer.answer(context, response, STATUS_BAD_REQUEST, error);
         }
     }
 
     private JsonNode respond(BlockingStreamingHttpRequest request, byte[] body) throws IOException {
         switch (request.path()) {
             case "/v1/vms" -> {
-                polls.incrementAndGet();
+                pollCount.incrementAndGet();
                 String since = request.queryParameter("since");
                 return since(since == null ? 0 : Long.parseLong(since));
             }
-            case "/admin/vms" -> put(HttpStandin.JSON.readValue(body, VmRecord.class));
+            case "/admin/vms" -> put(StandinHttpServer.JSON.readValue(body, VmRecord.class));
             case "/admin/lag" ->
-                setLag(HttpStandin.JSON.readTree(body).path("lag_millis").asLong());
+                setLag(StandinHttpServer.JSON.readTree(body).path("lag_millis").asLong());
             default -> throw new IllegalArgumentException("unknown path " + request.path());
         }
-        return HttpStandin.JSON.createObjectNode();
+        return StandinHttpServer.JSON.createObjectNode();
     }
 
     @Override
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
@@ -113,11 +113,11 @@
     @Test
     void lostReplyIsRecognized() {
         granted(first.acquire(request("other", "r0")));
-        fixture.standin.setFaults(KvFaults.loseNext(1));
+        fixture.standin.setFaults(KvFaults.loseNextAnswers(1));
         HeldClaim claim = granted(first.acquire(request("k", "r1")));
         assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(claim));
 
-        fixture.standin.setFaults(KvFaults.loseNext(1));
+        fixture.standin.setFaults(KvFaults.loseNextAnswers(1));
         HeldClaim moved = granted(first.moveTo(claim, "u2", 8));
         assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(moved));
     }
@@ -138,7 +138,7 @@
     /** Guards against claims that are granted or keep waiting while the store is down. */
     @Test
     void storeDownIsUnavailable() {
-        for (KvFaults.Down down : List.of(KvFaults.Down.REFUSE, KvFaults.Down.DROP)) {
+        for (KvFaults.Outage down : List.of(KvFaults.Outage.REFUSE, KvFaults.Outage.DROP)) {
             fixture.standin.setFaults(KvFaults.down(down));
             assertThat(answer(first.acquire(request("k", "r1")))).isEqualTo(new ClaimResult.Unavailable());
             assertThat(answer(first.replace(request("k", "r1"), "c"))).isEqualTo(new ClaimResult.Unavailable());
@@ -190,7 +190,7 @@
         byte[] body = new byte[StoredOutcome.MAX_BODY_BYTES];
         Arrays.fill(body, (byte) 0xfe);
         StoredOutcome outcome = StoredOutcome.of(201, "application/octet-stream", body);
-        fixture.standin.setFaults(KvFaults.loseNext(1));
+        fixture.standin.setFaults(KvFaults.loseNextAnswers(1));
         assertThat(await(first.recordOutcome(claim, outcome))).isTrue();
 
         ClaimResponse resend = await(second.acquire(request("k", "r2")));
@@ -210,7 +210,7 @@
     void outcomeAndReleaseAreRepeatedAfterAnOutage() {
         HeldClaim done = granted(first.acquire(request("done", "r1")));
         HeldClaim unused = granted(first.acquire(request("unused", "r2")));
-        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Outage.REFUSE));
         CompletableFuture<Boolean> recorded = first.recordOutcome(done, StoredOutcome.withoutBody(200, "text/plain"));
         first.release(unused);
         awaitUntil("both writes to fail", () -> first.pendingRetryCount() == 2);
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
@@ -122,7 +122,7 @@
     /** Guards against an accepted change reported as failed, and against an outage reported as a conflict. */
     @Test
     void lostReplyIsRecognizedAndOutagesAreReported() {
-        fixture.standin.setFaults(KvFaults.loseNext(1));
+        fixture.standin.setFaults(KvFaults.loseNextAnswers(1));
         assertThat(revisions.compareAndSwapHead(4, revision(5, "id5")))
                 .isEqualTo(new RevisionStore.WriteResult.HeadMissing());
         apply(revision(1, "id1"));
@@ -136,7 +136,7 @@
         fixture.standin.setFaults(KvFaults.random(0, 1, 1));
         assertThat(revisions.compareAndSwapHead(2, revision(3, "id3")))
                 .isInstanceOf(RevisionStore.WriteResult.Unavailable.class);
-        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Outage.REFUSE));
         assertThat(revisions.compareAndSwapHead(2, revision(3, "id3")))
                 .isInstanceOf(RevisionStore.WriteResult.Unavailable.class);
         assertThat(revisions.readHead()).isInstanceOf(RevisionStore.HeadResult.Unavailable.class);
@@ -165,7 +165,7 @@
     @Test
     void headWatchReportsEachState() {
         List<RevisionStore.HeadResult> heads = new CopyOnWriteArrayList<>();
-        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Outage.REFUSE));
         RevisionHeadWatch watch =
                 RevisionHeadWatch.start(fixture.store, revisions, fixture.thread, new Random(1), heads::add);
         awaitUntil("the outage", () -> !heads.isEmpty());
@@ -174,8 +174,8 @@
         apply(revision(1, "id1"));
         awaitUntil("head 1", () -> heads.contains(new RevisionStore.HeadResult.Found(revision(1, "id1"))));
 
-        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.DROP));
-        awaitUntil("the cut", () -> fixture.standin.waitingWatches() == 0);
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Outage.DROP));
+        awaitUntil("the cut", () -> fixture.standin.openWatches() == 0);
         fixture.standin.setFaults(KvFaults.none());
         awaitUntil("a write", () -> revisions
                 .compareAndSwapHead(1, revision(2, "id2"))
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
@@ -95,7 +95,7 @@
     /** Guards against a lost reply that is reported as not applied: the write did take effect. */
     @Test
     void lostReplyIsUnknown() {
-        fixture.standin.setFaults(KvFaults.loseNext(1));
+        fixture.standin.setFaults(KvFaults.loseNextAnswers(1));
 
         assertThat(await(store.commit(create("/a", "1")))).isInstanceOf(WriteResult.OutcomeUnknown.class);
         assertThat(valueOf("/a")).isEqualTo("1");
@@ -129,9 +129,9 @@
     /** Guards against outages that look alike: without a leader nothing is applied, a cut connection leaves it open. */
     @Test
     void refusedAndDroppedCallsDiffer() {
-        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Outage.REFUSE));
         assertThat(put("/a", "1")).isInstanceOf(WriteResult.Unavailable.class);
-        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.DROP));
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Outage.DROP));
         assertThat(put("/a", "1")).isInstanceOf(WriteResult.OutcomeUnknown.class);
         assertThat(await(store.get("/a"))).isInstanceOf(ReadResult.Unavailable.class);
     }
@@ -236,14 +236,14 @@
         await(store.commit(new Transaction(List.of(), List.of(new Write.Delete("/w/a")))));
         recorder.awaitValues("1", "deleted");
 
-        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.DROP));
-        awaitUntil("the cut", () -> fixture.standin.waitingWatches() == 0);
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Outage.DROP));
+        awaitUntil("the cut", () -> fixture.standin.openWatches() == 0);
         fixture.standin.setFaults(KvFaults.none());
         put("/w/a", "2");
         recorder.awaitValues("1", "deleted", "2");
 
         long opened = fixture.standin.counters().get("/v3/watch");
-        fixture.standin.setFaults(KvFaults.silent());
+        fixture.standin.setFaults(KvFaults.withSilentWatches());
         put("/w/a", "3");
         awaitUntil("a new watch", () -> fixture.standin.counters().get("/v3/watch") > opened + 1);
         fixture.standin.setFaults(KvFaults.none());
--- a/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
@@ -105,7 +105,7 @@
     private void checkCutOffHolder(Clock holderClock, PausedClock ownClock) {
         ControllerLease holder = candidate("cut", holderClock);
         awaitHeld(holder);
-        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Outage.REFUSE));
         ownClock.advanceMillis(ControllerLease.TTL_SECONDS * 1_000 - ControllerLease.EXPIRY_MARGIN_MILLIS);
         assertThat(holder.fencingNumber()).as("lease of a cut-off holder").isEmpty();
         awaitUntil("the report", () -> events.contains("cut lost"));
@@ -152,7 +152,7 @@
         return new ForwardingStore(fixture.store) {
             @Override
             public CompletableFuture<WriteResult> commit(Transaction transaction) {
-                fixture.standin.setFaults(KvFaults.loseNext(1));
+                fixture.standin.setFaults(KvFaults.loseNextAnswers(1));
                 return super.commit(transaction);
             }
         };
--- a/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
@@ -48,7 +48,7 @@
         assertThat(list.snapshot().vms().get("a"))
                 .isEqualTo(new Vm("a", "agent", new InetSocketAddress("127.0.0.1", 7000), "fd1", Vm.State.LIVE));
 
-        standin.leave("a");
+        standin.markLeaving("a");
         awaitUntil("leaving", () -> list.snapshot().vms().get("a").state() == Vm.State.LEAVING);
         standin.remove("a");
         awaitUntil("removal", () -> list.snapshot().vms().keySet().equals(Set.of("b")));
@@ -61,8 +61,8 @@
         standin.setLag(5_000);
         standin.put(live("a"));
         clock.advanceMillis(4_999);
-        long polls = standin.polls();
-        awaitUntil("two more polls", () -> standin.polls() >= polls + 2);
+        long polls = standin.pollCount();
+        awaitUntil("two more polls", () -> standin.pollCount() >= polls + 2);
         assertThat(list.snapshot().vms()).isEmpty();
 
         clock.advanceMillis(1);
--- a/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
@@ -12,8 +12,8 @@
 import java.util.stream.IntStream;
 
 import dev.wigeonward.common.http.Json;
-import dev.wigeonward.standins.http.HttpCalls;
-import dev.wigeonward.standins.http.HttpCalls.Answer;
+import dev.wigeonward.standins.http.HttpCallClient;
+import dev.wigeonward.standins.http.HttpCallClient.Response;
 import dev.wigeonward.standins.local.LocalDeployment;
 import dev.wigeonward.standins.local.LocalUpstream;
 import io.servicetalk.http.api.HttpRequestMethod;
@@ -37,14 +37,14 @@
     @TempDir
     private Path directory;
 
-    private final HttpCalls calls = new HttpCalls();
+    private final HttpCallClient calls = new HttpCallClient();
 
     private LocalDeployment deploy(int entries, LocalUpstream... upstreams) throws IOException {
         return LocalDeployment.start(
                 ROOT, directory, ROOT.resolve("examples/kopsu.rules"), List.of(upstreams), entries);
     }
 
-    private CompletableFuture<Answer> order(LocalDeployment deployment, String entry, String key) {
+    private CompletableFuture<Response> order(LocalDeployment deployment, String entry, String key) {
         return calls.start(
                 deployment.address(entry),
                 HttpRequestMethod.POST,
@@ -53,7 +53,7 @@
                 "two flags");
     }
 
-    private CompletableFuture<Answer> chat(LocalDeployment deployment, String entry, int tokens, String prompt) {
+    private CompletableFuture<Response> chat(LocalDeployment deployment, String entry, int tokens, String prompt) {
         byte[] body = Json.write(Map.of(
                 "model",
                 "advisory",
@@ -78,7 +78,7 @@
                 .asInt();
     }
 
-    private static String wholeStream(Answer answer) {
+    private static String wholeStream(Response answer) {
         return answer.body()
                 .lines()
                 .filter(line -> line.startsWith("data: {"))
@@ -100,11 +100,11 @@
     @Test
     void orderRunsOnceWhenItsEntryIsKilledAndTheCallerResendsThroughAnother() throws Exception {
         try (LocalDeployment deployment = deploy(2, FLAGS)) {
-            CompletableFuture<Answer> first = order(deployment, "entry-1", "k1");
-            deployment.await("the order runs", () -> ordersRun(deployment) == 1);
+            CompletableFuture<Response> first = order(deployment, "entry-1", "k1");
+            deployment.awaitCondition("the order runs", () -> ordersRun(deployment) == 1);
             deployment.process("entry-1").kill();
             assertThat(first.join().status()).isZero();
-            Answer resent = order(deployment, "entry-2", "k1").join();
+            Response resent = order(deployment, "entry-2", "k1").join();
             assertThat(resent.status()).as(resent.body()).isEqualTo(200);
             assertThat(resent.body()).contains("\"times_run\":1");
             assertThat(ordersRun(deployment)).isEqualTo(1);
@@ -120,7 +120,7 @@
         try (LocalDeployment deployment = deploy(2, upstreams)) {
             Map<String, String> failures = new TreeMap<>();
             for (int number = 0; number < SIMULTANEOUS_KEYS; number += KEYS_AT_ONCE) {
-                Map<String, CompletableFuture<Answer>> answers = new TreeMap<>();
+                Map<String, CompletableFuture<Response>> answers = new TreeMap<>();
                 for (int each = number; each < number + KEYS_AT_ONCE; each++) {
                     answers.put(each + " first", order(deployment, "entry-1", "same-" + each));
                     answers.put(each + " second", order(deployment, "entry-2", "same-" + each));
@@ -139,14 +139,14 @@
     @Test
     void orderIsNotRepeatedWhenItsAgentIsKilled() throws Exception {
         try (LocalDeployment deployment = deploy(2, FLAGS)) {
-            CompletableFuture<Answer> first = order(deployment, "entry-1", "k1");
-            deployment.await("the order runs", () -> ordersRun(deployment) == 1);
+            CompletableFuture<Response> first = order(deployment, "entry-1", "k1");
+            deployment.awaitCondition("the order runs", () -> ordersRun(deployment) == 1);
             deployment.process(FLAGS.agentName()).kill();
             assertThat(first.join().body()).contains("\"unknown\"");
             deployment.process(FLAGS.agentName()).restart();
             String admin = deployment.address("entry-2-admin");
-            deployment.await("the new agent is linked", () -> deployment.linked(admin) == 1);
-            Answer resent = order(deployment, "entry-2", "k1").join();
+            deployment.awaitCondition("the new agent is linked", () -> deployment.linkCount(admin) == 1);
+            Response resent = order(deployment, "entry-2", "k1").join();
             assertThat(resent.body()).contains("\"outcome_unknown\"", "\"unknown\"");
             assertThat(ordersRun(deployment)).isEqualTo(1);
         }
@@ -157,7 +157,7 @@
     void ordersAreRefusedAsNotRunAndChatsGoOnWhileTheStoreIsDown() throws Exception {
         try (LocalDeployment deployment = deploy(1, FLAGS, ENGINE)) {
             deployment.process("kv").kill();
-            Answer refused = order(deployment, "entry-1", "k1").join();
+            Response refused = order(deployment, "entry-1", "k1").join();
             assertThat(refused.status()).as(refused.body()).isEqualTo(503);
             // Nothing could be read of the claim, so an earlier copy may have run for all that is known.
             assertThat(refused.body()).contains("\"claim_unavailable\"", "\"unknown\"");
@@ -172,12 +172,12 @@
     void streamIsWholeWhenItsAgentFreezesPastTheHeartbeatTimeout() throws Exception {
         try (LocalDeployment deployment = deploy(1, ENGINE)) {
             String admin = deployment.address("entry-1-admin");
-            CompletableFuture<Answer> answer = chat(deployment, "entry-1", 160, "hello");
-            deployment.await("the request runs", () -> running(deployment, ENGINE) == 1);
+            CompletableFuture<Response> answer = chat(deployment, "entry-1", 160, "hello");
+            deployment.awaitCondition("the request runs", () -> running(deployment, ENGINE) == 1);
             deployment.process(ENGINE.agentName()).freeze();
-            deployment.await("the silent link is given up", () -> deployment.linked(admin) == 0);
+            deployment.awaitCondition("the silent link is given up", () -> deployment.linkCount(admin) == 0);
             deployment.process(ENGINE.agentName()).resume();
-            Answer whole = answer.join();
+            Response whole = answer.join();
             assertThat(whole.body()).doesNotContain("event: error");
             assertThat(wholeStream(whole)).isEqualTo(tokens(160));
         }
@@ -189,18 +189,18 @@
         try (LocalDeployment deployment = deploy(1, ENGINE)) {
             String admin = deployment.address("entry-1-admin");
             try (SilencingProxy proxy = new SilencingProxy(deployment.address(ENGINE.agentName()))) {
-                deployment.reroute(ENGINE, proxy.address());
+                deployment.replaceRegisteredAddress(ENGINE, proxy.address());
                 deployment.register();
                 deployment.process(ENGINE.agentName()).kill();
-                deployment.await("the direct link is gone", () -> deployment.linked(admin) == 0);
+                deployment.awaitCondition("the direct link is gone", () -> deployment.linkCount(admin) == 0);
                 deployment.process(ENGINE.agentName()).restart();
-                deployment.await(
+                deployment.awaitCondition(
                         "a link goes through the proxy",
-                        () -> proxy.connections() > 0 && deployment.linked(admin) == 1);
-                CompletableFuture<Answer> answer = chat(deployment, "entry-1", 200, "hello");
-                deployment.await("the request runs", () -> running(deployment, ENGINE) == 1);
+                        () -> proxy.connections() > 0 && deployment.linkCount(admin) == 1);
+                CompletableFuture<Response> answer = chat(deployment, "entry-1", 200, "hello");
+                deployment.awaitCondition("the request runs", () -> running(deployment, ENGINE) == 1);
                 proxy.silenceOpenConnections();
-                Answer whole = answer.join();
+                Response whole = answer.join();
                 assertThat(whole.body()).doesNotContain("event: error");
                 assertThat(wholeStream(whole)).isEqualTo(tokens(200));
             }
@@ -212,19 +212,20 @@
     void gracefulShutdownOfEntryAndAgentCutsNoRequest() throws Exception {
         LocalUpstream second = LocalUpstream.engine("second", "advisory", 8, 40);
         try (LocalDeployment deployment = deploy(2, ENGINE, second)) {
-            List<CompletableFuture<Answer>> answers = IntStream.range(0, 6)
+            List<CompletableFuture<Response>> answers = IntStream.range(0, 6)
                     .mapToObj(number -> chat(deployment, "entry-" + (1 + number % 2), 80, "hello " + number))
                     .toList();
-            deployment.await("requests run", () -> running(deployment, ENGINE) + running(deployment, second) == 6);
+            deployment.awaitCondition(
+                    "requests run", () -> running(deployment, ENGINE) + running(deployment, second) == 6);
             deployment.process(ENGINE.agentName()).terminate();
             deployment.process("entry-1").terminate();
-            for (CompletableFuture<Answer> answer : answers) {
+            for (CompletableFuture<Response> answer : answers) {
                 assertThat(wholeStream(answer.join())).isEqualTo(tokens(80));
             }
             assertThat(wholeStream(chat(deployment, "entry-2", 10, "after").join()))
                     .isEqualTo(tokens(10));
-            assertThat(deployment.process("entry-1").await()).isTrue();
-            assertThat(deployment.process(ENGINE.agentName()).await()).isTrue();
+            assertThat(deployment.process("entry-1").awaitExit()).isTrue();
+            assertThat(deployment.process(ENGINE.agentName()).awaitExit()).isTrue();
         }
     }
 
@@ -237,7 +238,7 @@
                 .toList();
         try (LocalDeployment deployment = deploy(2, engines.toArray(LocalUpstream[]::new))) {
             for (int send = 0; send < 6; send++) {
-                Answer answer = chat(deployment, "entry-" + (1 + send % 2), 10, "poison")
+                Response answer = chat(deployment, "entry-" + (1 + send % 2), 10, "poison")
                         .join();
                 assertThat(answer.status()).as(answer.body()).isNotEqualTo(200);
             }
@@ -245,7 +246,7 @@
                     .filter(engine -> !deployment.process(engine.name()).alive())
                     .count();
             assertThat(dead).isBetween(1L, 3L);
-            Answer refused = chat(deployment, "entry-1", 10, "poison").join();
+            Response refused = chat(deployment, "entry-1", 10, "poison").join();
             assertThat(refused.body()).contains("\"suspect\"", "\"not_run\"");
             assertThat(wholeStream(chat(deployment, "entry-2", 10, "hello").join()))
                     .isEqualTo(tokens(10));
