Rename private names of the entry after the new type names

Cause: locals, fields and comments still used session, parts, ports, moves and sink for what the types call response, components, dependencies, rollouts and handler. Change: private and local names, comments and the public names ControlPlaneDependencies.rolloutRecords and revisionWatch, StoreAdapters.rolloutRecords; no behaviour changes.

--- a/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
@@ -81,7 +81,7 @@
                 .setIncarnation(incarnation)
                 .setFailureDomain(settings.failureDomain())
                 .build();
-        EntryRuntimeComponents parts = new EntryRuntimeComponents(
+        EntryRuntimeComponents components = new EntryRuntimeComponents(
                 dispatcher,
                 store.claims(),
                 clock,
@@ -91,17 +91,17 @@
                 LinkSettings.defaults(),
                 hello,
                 Optional.empty());
-        this.runtime = EntryRuntime.start(parts, self -> {
-            ControlPlaneDependencies ports = new ControlPlaneDependencies(
+        this.runtime = EntryRuntime.start(components, self -> {
+            ControlPlaneDependencies dependencies = new ControlPlaneDependencies(
                     settings.id(),
                     clock,
-                    store.moves(),
+                    store.rolloutRecords(),
                     store.lease()::fencingNumber,
                     store.lease()::setCandidate,
                     store.revisionWatch(self::onHeadRead),
                     spend,
                     TimeUnit.SECONDS.toMillis(settings.drainLimitSeconds()));
-            return new ControlPlane(ports, self, rules, suspects, stages, random, self::execute);
+            return new ControlPlane(dependencies, self, rules, suspects, stages, random, self::execute);
         });
         this.vmThread = DaemonSchedulers.newSingleThreadScheduler("vm-list");
         WorkspaceRateLimiter rates = new WorkspaceRateLimiter();
--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -45,7 +45,7 @@
     private static final int MAX_START_LINE_BYTES = 8_192;
 
     private final RequestClassifier classifier;
-    private final RequestHandler sink;
+    private final RequestHandler handler;
     private final ModelList models;
     private final Supplier<CallerLimits> limits;
     private final Supplier<RequestId> ids;
@@ -53,13 +53,13 @@
 
     public CallerService(
             RequestClassifier classifier,
-            RequestHandler sink,
+            RequestHandler handler,
             ModelList models,
             Supplier<CallerLimits> limits,
             Supplier<RequestId> ids,
             Clock clock) {
         this.classifier = classifier;
-        this.sink = sink;
+        this.handler = handler;
         this.models = models;
         this.limits = limits;
         this.ids = ids;
@@ -149,21 +149,23 @@
         if (result instanceof RequestClassifier.Result.Refused refused) {
             return Single.succeeded(error(context, responses, refused.failure()));
         }
-        CallerResponse session = new CallerResponse(
+        CallerResponse callerResponse = new CallerResponse(
                 http,
                 ((RequestClassifier.Result.Classified) result).request(),
                 context.executionContext().bufferAllocator());
-        if (!sink.submit(session)) {
+        if (!handler.submit(callerResponse)) {
             Failure failure = Failure.of(ErrorKind.OVERLOADED, "the event queue of the entry is full");
             return Single.succeeded(error(context, responses, failure));
         }
-        return session.response()
+        return callerResponse
+                .response()
                 .map(start -> {
                     StreamingHttpResponse response = responses.newResponse(HttpResponseStatus.of(start.status(), ""));
                     start.headers().forEach(header -> response.addHeader(header.getKey(), header.getValue()));
-                    return response.payloadBody(start.body().beforeCancel(() -> sink.onCallerDisconnected(session)));
+                    return response.payloadBody(
+                            start.body().beforeCancel(() -> handler.onCallerDisconnected(callerResponse)));
                 })
-                .beforeCancel(() -> sink.onCallerDisconnected(session));
+                .beforeCancel(() -> handler.onCallerDisconnected(callerResponse));
     }
 
     private Single<StreamingHttpResponse> drainAndFail(
@@ -176,7 +178,7 @@
 
     private StreamingHttpResponse error(
             HttpServiceContext context, StreamingHttpResponseFactory responses, Failure failure) {
-        sink.onRefused(failure);
+        handler.onRefused(failure);
         HttpResponseStatus status = HttpResponseStatus.of(failure.kind().httpStatus(), "");
         return json(context, responses, status, ErrorBody.of(failure));
     }
--- a/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
+++ b/entry/src/main/java/dev/wigeonward/entry/command/StatusCommand.java
@@ -18,7 +18,7 @@
 import dev.wigeonward.common.http.Json;
 import org.kohsuke.args4j.Option;
 
-/** The {@code status} command, which prints revisions in force, refusals, spend and version moves of entries. */
+/** The {@code status} command, which prints revisions in force, refusals, spend and rollouts of entries. */
 public final class StatusCommand {
     @Option(
             name = "--entries",
@@ -86,7 +86,7 @@
         lines.add("spend in this period, in millionths:");
         lines.addAll(spend(pages).lines());
         lines.add("version moves:");
-        lines.addAll(moves(pages).lines());
+        lines.addAll(rollouts(pages).lines());
         return lines;
     }
 
@@ -104,22 +104,22 @@
         return table;
     }
 
-    private static TextTable moves(Map<String, JsonNode> pages) {
+    private static TextTable rollouts(Map<String, JsonNode> pages) {
         TextTable table =
                 TextTable.withColumns("model", "from", "to", "phase", "share", "on time", "reason", "reported by");
         pages.forEach((id, page) -> {
             boolean controller = page.path("controller_fencing_number").asLong() > 0;
-            Iterator<JsonNode> moves = page.path("moves").elements();
-            while (controller && moves.hasNext()) {
-                JsonNode move = moves.next();
+            Iterator<JsonNode> rollouts = page.path("moves").elements();
+            while (controller && rollouts.hasNext()) {
+                JsonNode rollout = rollouts.next();
                 table.addRow(
-                        move.path("model").asText(),
-                        move.path("oldVersion").asText(),
-                        move.path("newVersion").asText(),
-                        move.path("phase").asText(),
-                        move.path("shareBasisPoints").asInt() / 100.0 + "%",
-                        move.path("onTime").asText(),
-                        move.path("reason").asText(),
+                        rollout.path("model").asText(),
+                        rollout.path("oldVersion").asText(),
+                        rollout.path("newVersion").asText(),
+                        rollout.path("phase").asText(),
+                        rollout.path("shareBasisPoints").asInt() / 100.0 + "%",
+                        rollout.path("onTime").asText(),
+                        rollout.path("reason").asText(),
                         id);
             }
         });
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -29,7 +29,7 @@
 import dev.wigeonward.wire.generated.Heartbeat;
 
 /**
- * The control plane of an entry: membership, revisions, facts, version moves, reading of the store and spend. Not
+ * The control plane of an entry: membership, revisions, facts, rollouts, reading of the store and spend. Not
  * thread-safe; confined to the decision thread.
  */
 public final class ControlPlane {
@@ -39,7 +39,7 @@
     private final MembershipHandler membership;
     private final RevisionSync revisions;
     private final FactSync facts;
-    private final RolloutControllerRunner moves;
+    private final RolloutControllerRunner rolloutController;
     private final StoreReaderRole reader;
     private final SpendTracker spend;
     private final long drainLimitMillis;
@@ -48,7 +48,7 @@
 
     /** Creates a control plane without peers and without a revision. */
     public ControlPlane(
-            ControlPlaneDependencies ports,
+            ControlPlaneDependencies dependencies,
             ControlPlaneLinks links,
             CurrentRules rules,
             SuspectTable suspects,
@@ -56,22 +56,22 @@
             RandomGenerator random,
             Consumer<Runnable> decisionThread) {
         this.rules = rules;
-        this.membership = new MembershipHandler(UpstreamMembership.create(ports.entryId(), random), links);
+        this.membership = new MembershipHandler(UpstreamMembership.create(dependencies.entryId(), random), links);
         RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
         this.revisions = new RevisionSync(log, RevisionRelay.create(log, random), links, this::onRevisionAdopted);
         this.facts = new FactSync(suspects, stages, links, new ControlFactListener());
-        this.moves = new RolloutControllerRunner(
+        this.rolloutController = new RolloutControllerRunner(
                 new RolloutController(RolloutSettings.standard(), EvaluationSettings.standard()),
-                ports.moveStore(),
-                ports.leaseFencingNumber(),
+                dependencies.rolloutRecords(),
+                dependencies.leaseFencingNumber(),
                 facts,
                 links,
                 decisionThread,
-                ports.clock());
-        this.reader = new StoreReaderRole(ports.entryId(), ports.headWatch());
-        this.spend = ports.spend();
-        this.drainLimitMillis = ports.drainLimitMillis();
-        this.controllerCandidate = ports.setControllerCandidate();
+                dependencies.clock());
+        this.reader = new StoreReaderRole(dependencies.entryId(), dependencies.revisionWatch());
+        this.spend = dependencies.spend();
+        this.drainLimitMillis = dependencies.drainLimitMillis();
+        this.controllerCandidate = dependencies.setControllerCandidate();
     }
 
     /** Starts watching the store and becomes a candidate for the controller lease. Call on the decision thread. */
@@ -87,7 +87,7 @@
         controllerCandidate.accept(reader.isReader());
     }
 
-    /** Passes the result of a read of the newest stored revision to the revision exchange. */
+    /** Passes the result of a read of the newest stored revision to the revision synchronization. */
     public void onHeadRead(RevisionStore.HeadResult result, long nowMillis) {
         revisions.onHeadRead(result, nowMillis);
     }
@@ -104,7 +104,7 @@
     public void onLinkDown(String upstreamId, long nowMillis) {
         membership.onLinkDown(upstreamId, nowMillis);
         revisions.onLinkDown(upstreamId, nowMillis);
-        moves.onLinkDown(upstreamId);
+        rolloutController.onLinkDown(upstreamId);
     }
 
     /** Handles the control content of a frame and records the frame as a sign of life of the agent. */
@@ -114,32 +114,34 @@
             case HEARTBEAT -> {
                 revisions.onFrame(upstreamId, frame, nowMillis);
                 if (frame.getHeartbeat().hasLoad()) {
-                    moves.onLoad(upstreams.get(upstreamId), frame.getHeartbeat().getLoad());
+                    rolloutController.onLoad(
+                            upstreams.get(upstreamId), frame.getHeartbeat().getLoad());
                 }
             }
             case REVISION_OFFER, REVISION_REQUEST, REVISION_DELTA, REVISION_SNAPSHOT ->
                 revisions.onFrame(upstreamId, frame, nowMillis);
             case FACTS -> facts.onFrame(upstreamId, frame, nowMillis);
-            case EVIDENCE -> moves.onEvidence(upstreams.get(upstreamId), frame.getEvidence());
-            case ORDER_RESULT -> moves.onOrderResult(frame.getOrderResult());
+            case EVIDENCE -> rolloutController.onEvidence(upstreams.get(upstreamId), frame.getEvidence());
+            case ORDER_RESULT -> rolloutController.onOrderResult(frame.getOrderResult());
             default -> {
                 // The dispatcher handles frames about requests.
             }
         }
     }
 
-    /** Runs the periodic work of all parts. */
+    /** Runs the periodic work of all components. */
     public void onTick(long nowMillis) {
         membership.onTick(nowMillis);
         revisions.onTick(nowMillis);
-        moves.onTick(nowMillis);
+        rolloutController.onTick(nowMillis);
         spend.onTick(nowMillis);
     }
 
     /** Returns the heartbeat frame of this entry with its current revision, fencing number and evidence request. */
     public Frame heartbeat() {
-        Heartbeat.Builder heartbeat =
-                Heartbeat.newBuilder().setFencingNumber(moves.fencingNumber()).setWantsEvidence(moves.holdsLease());
+        Heartbeat.Builder heartbeat = Heartbeat.newBuilder()
+                .setFencingNumber(rolloutController.fencingNumber())
+                .setWantsEvidence(rolloutController.holdsLease());
         revisions.addTo(heartbeat);
         return Frame.newBuilder().setHeartbeat(heartbeat).build();
     }
@@ -150,10 +152,10 @@
                 "revision", revisions.currentNumber(),
                 "revision_by_agent", revisions.reportedNumbers(),
                 "reads_store", reader.isReader(),
-                "controller_fencing_number", moves.fencingNumber(),
+                "controller_fencing_number", rolloutController.fencingNumber(),
                 "spend", spend.report(),
-                "moves", moves.reports(),
-                "move_steps", moves.steps());
+                "moves", rolloutController.reports(),
+                "move_steps", rolloutController.steps());
     }
 
     /** Returns whether a rules revision is in force, without which the entry refuses requests. */
@@ -172,16 +174,16 @@
                         set.longestDeadlineMillis(),
                         drainLimitMillis);
             }
-            moves.onRules(set);
+            rolloutController.onRules(set);
             spend.onRules(set);
         });
     }
 
-    /** Passes learned facts to the part that uses them. */
+    /** Passes learned facts to the component that uses them. */
     private final class ControlFactListener implements FactListener {
         @Override
         public void onBadVerdict(BadVerdict verdict) {
-            moves.onVerdict(verdict);
+            rolloutController.onVerdict(verdict);
         }
 
         @Override
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlaneDependencies.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlaneDependencies.java
@@ -9,30 +9,30 @@
 /**
  * The adapters and settings that the control plane depends on.
  *
- * @param moveStore stored records of version moves
+ * @param rolloutRecords store of the rollout records
  * @param leaseFencingNumber returns the fencing number of the controller lease, or empty unless the lease is certainly
  *     held
  * @param setControllerCandidate sets whether this entry tries to acquire the controller lease
- * @param headWatch watch on the newest stored revision
+ * @param revisionWatch watch on the newest revision in the store
  * @param spend counter of the spend of workspaces
  * @param drainLimitMillis maximum time to wait for running requests at a graceful shutdown
  */
 public record ControlPlaneDependencies(
         String entryId,
         Clock clock,
-        RolloutRecordStore moveStore,
+        RolloutRecordStore rolloutRecords,
         Supplier<OptionalLong> leaseFencingNumber,
         Consumer<Boolean> setControllerCandidate,
-        RevisionWatch headWatch,
+        RevisionWatch revisionWatch,
         SpendTracker spend,
         long drainLimitMillis) {
     public ControlPlaneDependencies {
         Objects.requireNonNull(entryId, "entryId");
         Objects.requireNonNull(clock, "clock");
-        Objects.requireNonNull(moveStore, "moveStore");
+        Objects.requireNonNull(rolloutRecords, "moveStore");
         Objects.requireNonNull(leaseFencingNumber, "lease");
         Objects.requireNonNull(setControllerCandidate, "controllerCandidate");
-        Objects.requireNonNull(headWatch, "headWatch");
+        Objects.requireNonNull(revisionWatch, "headWatch");
         Objects.requireNonNull(spend, "spend");
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/control/MembershipHandler.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/MembershipHandler.java
@@ -79,24 +79,24 @@
     }
 
     private void apply(MembershipEffect effect) {
-        if (effect instanceof MembershipEffect.OpenLink link) {
-            links.connect(link.upstreamId(), link.address());
-        } else if (effect instanceof MembershipEffect.CloseLink unlink) {
-            links.dispatch(new EntryEvent.UpstreamLeaving(unlink.upstreamId()));
-            links.disconnectWhenIdle(unlink.upstreamId());
+        if (effect instanceof MembershipEffect.OpenLink open) {
+            links.connect(open.upstreamId(), open.address());
+        } else if (effect instanceof MembershipEffect.CloseLink close) {
+            links.dispatch(new EntryEvent.UpstreamLeaving(close.upstreamId()));
+            links.disconnectWhenIdle(close.upstreamId());
         } else if (effect instanceof MembershipEffect.StopDispatch stop) {
             LOG.log(
                     Level.WARNING,
                     "no new requests go to upstream {0}: its state is {1}",
                     stop.upstreamId(),
                     stop.state());
-            stopNewWork(stop);
+            stopDispatch(stop);
         } else {
             LOG.log(Level.DEBUG, "membership effect without action: {0}", effect);
         }
     }
 
-    private void stopNewWork(MembershipEffect.StopDispatch stop) {
+    private void stopDispatch(MembershipEffect.StopDispatch stop) {
         switch (stop.state()) {
             case SUSPECT -> links.disconnect(stop.upstreamId());
             // The dispatcher received the new incarnation when the link came up.
--- a/entry/src/main/java/dev/wigeonward/entry/control/RolloutControllerRunner.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/RolloutControllerRunner.java
@@ -28,7 +28,7 @@
 import dev.wigeonward.wire.generated.Evidence;
 import dev.wigeonward.wire.generated.Load;
 
-/** Runs the version move controller of an entry, which acts only while the entry holds the controller lease. */
+/** Runs the rollout controller of an entry, which acts only while the entry holds the controller lease. */
 final class RolloutControllerRunner {
     private static final Logger LOG = System.getLogger(RolloutControllerRunner.class.getName());
     private static final int MAX_STEP_REPORTS = 200;
@@ -41,7 +41,7 @@
 
     private final RolloutController controller;
     private final RolloutRecordStore store;
-    private final Supplier<OptionalLong> lease;
+    private final Supplier<OptionalLong> leaseFencingNumber;
     private final FactSync facts;
     private final ControlPlaneLinks links;
     private final Consumer<Runnable> decisionThread;
@@ -54,20 +54,20 @@
     /**
      * Creates a runner that does not hold the lease.
      *
-     * @param lease returns the fencing number of the lease, or empty unless the lease is certainly held
+     * @param leaseFencingNumber returns the fencing number of the lease, or empty unless the lease is certainly held
      * @param decisionThread executes tasks on the decision thread; the store answers on other threads
      */
     RolloutControllerRunner(
             RolloutController controller,
             RolloutRecordStore store,
-            Supplier<OptionalLong> lease,
+            Supplier<OptionalLong> leaseFencingNumber,
             FactSync facts,
             ControlPlaneLinks links,
             Consumer<Runnable> decisionThread,
             Clock clock) {
         this.controller = controller;
         this.store = store;
-        this.lease = lease;
+        this.leaseFencingNumber = leaseFencingNumber;
         this.facts = facts;
         this.links = links;
         this.decisionThread = decisionThread;
@@ -84,17 +84,17 @@
     }
 
     void onRules(RuleSet rules) {
-        List<RolloutRule> moves = new ArrayList<>();
-        for (Rule.Move move : rules.moves()) {
-            moves.add(new RolloutRule(
-                    move.model(),
-                    move.from(),
-                    move.to(),
-                    move.by().toEpochMilli(),
-                    Math.min(move.canaryBasisPoints(), RolloutRule.MAX_CANARY_BASIS_POINTS),
-                    move.source().askedBy()));
+        List<RolloutRule> rollouts = new ArrayList<>();
+        for (Rule.Move rule : rules.moves()) {
+            rollouts.add(new RolloutRule(
+                    rule.model(),
+                    rule.from(),
+                    rule.to(),
+                    rule.by().toEpochMilli(),
+                    Math.min(rule.canaryBasisPoints(), RolloutRule.MAX_CANARY_BASIS_POINTS),
+                    rule.source().askedBy()));
         }
-        handle(new ControllerEvent.RulesChanged(moves));
+        handle(new ControllerEvent.RulesChanged(rollouts));
     }
 
     void onLoad(UpstreamDescription upstream, Load load) {
@@ -132,7 +132,7 @@
     }
 
     private void checkLease(long nowMillis) {
-        OptionalLong held = lease.get();
+        OptionalLong held = leaseFencingNumber.get();
         if (held.isEmpty()) {
             if (fencingNumber > 0) {
                 fencingNumber = 0;
@@ -151,23 +151,23 @@
     }
 
     /**
-     * Reads all move records and then starts the controller. The read follows the acquisition of the lease so that it
-     * sees every write of the previous holder.
+     * Reads all rollout records and then starts the controller. The read follows the acquisition of the lease so that
+     * it sees every write of the previous holder.
      */
-    private void readRecordsAndStart(long acquired) {
+    private void readRecordsAndStart(long newNumber) {
         store.readAll(records -> decisionThread.accept(() -> {
             readingRecords = false;
-            OptionalLong held = lease.get();
-            if (records.isEmpty() || held.isEmpty() || held.getAsLong() != acquired) {
+            OptionalLong held = leaseFencingNumber.get();
+            if (records.isEmpty() || held.isEmpty() || held.getAsLong() != newNumber) {
                 return;
             }
-            fencingNumber = acquired;
-            LOG.log(Level.INFO, "acquired the controller lease with fencing number {0}", Long.toString(acquired));
-            handle(new ControllerEvent.LeaseAcquired(acquired, clock.millis() + LEASE_VALIDITY_MILLIS, records.get()));
+            fencingNumber = newNumber;
+            LOG.log(Level.INFO, "acquired the controller lease with fencing number {0}", Long.toString(newNumber));
+            handle(new ControllerEvent.LeaseAcquired(newNumber, clock.millis() + LEASE_VALIDITY_MILLIS, records.get()));
         }));
     }
 
-    /** Returns the current state of all version moves. */
+    /** Returns the current state of all rollouts. */
     List<RolloutReport> reports() {
         return controller.reports(clock.millis());
     }
--- a/entry/src/main/java/dev/wigeonward/entry/control/RolloutRecordStore.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/RolloutRecordStore.java
@@ -9,7 +9,7 @@
 import dev.wigeonward.core.rollout.RolloutRecord;
 import dev.wigeonward.core.rollout.StoredRecord;
 
-/** Stores the records of version moves. Callbacks run on any thread. */
+/** Stores the records of rollouts. Callbacks run on any thread. */
 public interface RolloutRecordStore {
     /** Reads all records; the callback receives empty if the store did not answer. */
     void readAll(Consumer<Optional<List<StoredRecord>>> answer);
--- a/entry/src/main/java/dev/wigeonward/entry/control/package-info.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/package-info.java
@@ -1,2 +1,2 @@
-/** The control plane of an entry: membership, revisions, facts, version moves and spend. */
+/** The control plane of an entry: membership, revisions, facts, rollouts and spend. */
 package dev.wigeonward.entry.control;
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryInput.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryInput.java
@@ -8,7 +8,7 @@
 /** An input of the decision thread of an entry. */
 sealed interface EntryInput {
     /** A request arrived from a caller. */
-    record FromCaller(CallerResponse session) implements EntryInput {}
+    record FromCaller(CallerResponse response) implements EntryInput {}
 
     /** A link was opened. */
     record LinkOpened(Link link) implements EntryInput {}
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryMetrics.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryMetrics.java
@@ -17,7 +17,7 @@
     private final Map<ErrorKind, Counter> failures = new EnumMap<>(ErrorKind.class);
     private final Map<Tier, Meter> arrivals = new EnumMap<>(Tier.class);
     private final Map<Tier, Meter> completions = new EnumMap<>(Tier.class);
-    private final Timer decisions = registry.timer("decision");
+    private final Timer decisionTimer = registry.timer("decision");
 
     public EntryMetrics() {
         for (ErrorKind kind : ErrorKind.values()) {
@@ -41,8 +41,8 @@
         failures.get(kind).inc();
     }
 
-    Timer decisions() {
-        return decisions;
+    Timer decisionTimer() {
+        return decisionTimer;
     }
 
     /** Returns the number of errors sent to callers by error kind, without kinds that never occurred. */
@@ -56,7 +56,7 @@
         return counts;
     }
 
-    /** Returns the registry, to which other parts add their metrics. */
+    /** Returns the registry, to which other components add their metrics. */
     public MetricRegistry registry() {
         return registry;
     }
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -55,7 +55,7 @@
     private final LinkTransport transport;
     private final LinkTable links;
     private final ControlPlane control;
-    private final QueueWorker<EntryInput> thread;
+    private final QueueWorker<EntryInput> worker;
     /** Heartbeat of regular sends; written by the decision thread, read by the thread of the links. */
     private volatile Frame heartbeat =
             Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
@@ -66,35 +66,36 @@
     private final Set<String> closingWhenIdle = new HashSet<>();
     private CompletableFuture<Void> drainResult;
 
-    private EntryRuntime(EntryRuntimeComponents parts, Function<EntryRuntime, ControlPlane> control) {
-        this.dispatcher = Objects.requireNonNull(parts.dispatcher(), "dispatcher");
-        this.claims = Objects.requireNonNull(parts.claims(), "claims");
-        this.clock = Objects.requireNonNull(parts.clock(), "clock");
-        this.metrics = Objects.requireNonNull(parts.metrics(), "metrics");
-        this.answers = new PendingAnswers(metrics, parts.usage());
-        this.prefixes = parts.prefixes();
-        this.transport = new LinkTransport(parts.linkSettings(), this, parts::hello, () -> heartbeat, parts.linkTls());
+    private EntryRuntime(EntryRuntimeComponents components, Function<EntryRuntime, ControlPlane> control) {
+        this.dispatcher = Objects.requireNonNull(components.dispatcher(), "dispatcher");
+        this.claims = Objects.requireNonNull(components.claims(), "claims");
+        this.clock = Objects.requireNonNull(components.clock(), "clock");
+        this.metrics = Objects.requireNonNull(components.metrics(), "metrics");
+        this.answers = new PendingAnswers(metrics, components.usage());
+        this.prefixes = components.prefixes();
+        this.transport = new LinkTransport(
+                components.linkSettings(), this, components::hello, () -> heartbeat, components.linkTls());
         this.links = new LinkTable(transport);
         this.control = control.apply(this);
-        this.thread = QueueWorker.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
+        this.worker = QueueWorker.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
     }
 
     /** Starts the decision thread of an entry. */
-    public static EntryRuntime start(EntryRuntimeComponents parts, Function<EntryRuntime, ControlPlane> control) {
-        EntryRuntime runtime = new EntryRuntime(parts, control);
+    public static EntryRuntime start(EntryRuntimeComponents components, Function<EntryRuntime, ControlPlane> control) {
+        EntryRuntime runtime = new EntryRuntime(components, control);
         runtime.execute(runtime.control::start);
         return runtime;
     }
 
     @Override
-    public boolean submit(CallerResponse session) {
-        return thread.offer(new EntryInput.FromCaller(session));
+    public boolean submit(CallerResponse response) {
+        return worker.offer(new EntryInput.FromCaller(response));
     }
 
     @Override
-    public void onCallerDisconnected(CallerResponse session) {
-        thread.put(new EntryInput.Event(
-                new EntryEvent.CallerDisconnected(session.request().id())));
+    public void onCallerDisconnected(CallerResponse response) {
+        worker.put(new EntryInput.Event(
+                new EntryEvent.CallerDisconnected(response.request().id())));
     }
 
     @Override
@@ -104,22 +105,22 @@
 
     @Override
     public void onUp(Link link) {
-        thread.put(new EntryInput.LinkOpened(link));
+        worker.put(new EntryInput.LinkOpened(link));
     }
 
     @Override
     public void onFrame(Link link, Frame frame) {
-        thread.put(new EntryInput.FrameArrived(link, frame));
+        worker.put(new EntryInput.FrameArrived(link, frame));
     }
 
     @Override
     public void onDown(Link link, String reason) {
-        thread.put(new EntryInput.LinkClosed(link, reason));
+        worker.put(new EntryInput.LinkClosed(link, reason));
     }
 
     @Override
     public void onConnectFailed(String address, String reason) {
-        thread.put(new EntryInput.ConnectFailed(address, reason));
+        worker.put(new EntryInput.ConnectFailed(address, reason));
     }
 
     /** Passes a new VM list to the control plane. */
@@ -134,7 +135,7 @@
 
     /** Runs a task on the decision thread. */
     public void execute(Runnable task) {
-        thread.put(new EntryInput.Query(task));
+        worker.put(new EntryInput.Query(task));
     }
 
     /** Evaluates a supplier on the decision thread and returns its result. */
@@ -177,7 +178,7 @@
         dump.put("requests_in_flight", dispatcher.pendingCount());
         dump.put("queued_by_target", dispatcher.queuedByTarget());
         dump.put("upstreams", upstreams);
-        dump.put("ring_size", thread.size());
+        dump.put("ring_size", worker.size());
         return dump;
     }
 
@@ -192,8 +193,8 @@
 
     private void accept(EntryInput input) {
         if (input instanceof EntryInput.FromCaller fromCaller) {
-            answers.add(fromCaller.session());
-            dispatch(new EntryEvent.RequestArrived(fromCaller.session().request()));
+            answers.add(fromCaller.response());
+            dispatch(new EntryEvent.RequestArrived(fromCaller.response().request()));
         } else if (input instanceof EntryInput.FrameArrived arrived) {
             handleFrame(arrived.link(), arrived.frame());
         } else if (input instanceof EntryInput.LinkOpened opened) {
@@ -287,7 +288,7 @@
 
     @Override
     public void dispatch(EntryEvent event) {
-        Timer.Context timing = metrics.decisions().time();
+        Timer.Context timing = metrics.decisionTimer().time();
         List<EntryEffect> effects = dispatcher.handle(event, clock.millis());
         timing.stop();
         effects.forEach(this::apply);
@@ -297,7 +298,7 @@
         if (effect instanceof EntryEffect.SendDispatch send) {
             PendingAnswer answer = answers.get(send.request());
             AgentFrameCodec.dispatch(
-                            send, answer.session().request(), answer.session().http())
+                            send, answer.response().request(), answer.response().http())
                     .forEach(frame -> send(send.upstreamId(), frame));
         } else if (effect instanceof EntryEffect.SendAttach send) {
             attach(send);
@@ -313,18 +314,18 @@
     }
 
     private boolean applyClaim(EntryEffect effect) {
-        if (effect instanceof EntryEffect.AcquireClaim make) {
-            RequestSpec request = request(make.request());
-            claims.acquire(request, make.upstreamId(), make.upstreamIncarnation(), listener(request.id()));
+        if (effect instanceof EntryEffect.AcquireClaim acquire) {
+            RequestSpec request = request(acquire.request());
+            claims.acquire(request, acquire.upstreamId(), acquire.upstreamIncarnation(), listener(request.id()));
             return true;
         }
-        if (effect instanceof EntryEffect.TakeOverClaim take) {
-            RequestSpec request = request(take.request());
+        if (effect instanceof EntryEffect.TakeOverClaim replacement) {
+            RequestSpec request = request(replacement.request());
             claims.replace(
                     request,
-                    take.previousClaimId(),
-                    take.upstreamId(),
-                    take.upstreamIncarnation(),
+                    replacement.previousClaimId(),
+                    replacement.upstreamId(),
+                    replacement.upstreamIncarnation(),
                     listener(request.id()));
             return true;
         }
@@ -335,7 +336,7 @@
         if (effect instanceof EntryEffect.RecordOutcome outcome) {
             PendingAnswer answer = answers.get(outcome.request());
             claims.recordOutcome(
-                    answer.session().request(),
+                    answer.response().request(),
                     answer.outcome(currentFrame.getFinished().getHead()));
             return true;
         }
@@ -343,12 +344,12 @@
     }
 
     private RequestSpec request(RequestId id) {
-        return answers.get(id).session().request();
+        return answers.get(id).response().request();
     }
 
     private ClaimPort.Listener listener(RequestId id) {
         return (answer, outcome) -> execute(() -> {
-            answers.find(id).ifPresent(waiting -> outcome.ifPresent(waiting::storedOutcome));
+            answers.find(id).ifPresent(pending -> outcome.ifPresent(pending::storedOutcome));
             dispatch(new EntryEvent.ClaimAnswered(id, answer));
         });
     }
@@ -365,7 +366,7 @@
     private void deliver(EntryEffect effect) {
         if (effect instanceof EntryEffect.DeliverOutput output) {
             if (!answers.output(output, currentFrame.getOutput())) {
-                thread.put(new EntryInput.Event(new EntryEvent.CallerDisconnected(output.request())));
+                worker.put(new EntryInput.Event(new EntryEvent.CallerDisconnected(output.request())));
             }
         } else if (effect instanceof EntryEffect.DeliverEnd end) {
             answers.end(end.request(), currentFrame.getFinished());
@@ -373,9 +374,9 @@
             answers.stored(stored.request());
         } else if (effect instanceof EntryEffect.DeliverFailure failure) {
             answers.fail(failure.request(), failure.failure());
-        } else if (effect instanceof EntryEffect.ReleaseRequest forget) {
-            claims.discard(request(forget.request()));
-            answers.remove(forget.request());
+        } else if (effect instanceof EntryEffect.ReleaseRequest release) {
+            claims.discard(request(release.request()));
+            answers.remove(release.request());
         }
     }
 
@@ -411,6 +412,6 @@
     @Override
     public void close() {
         transport.close();
-        thread.close();
+        worker.close();
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
@@ -23,38 +23,38 @@
 
     private static final String CONTENT_TYPE = "content-type";
 
-    private final CallerResponse session;
+    private final CallerResponse response;
     private final ByteArrayOutputStream bodyCopy = new ByteArrayOutputStream();
     private StoredOutcome stored;
 
-    PendingAnswer(CallerResponse session) {
-        this.session = session;
+    PendingAnswer(CallerResponse response) {
+        this.response = response;
     }
 
-    CallerResponse session() {
-        return session;
+    CallerResponse response() {
+        return response;
     }
 
     /** Writes a part of the answer to the caller and returns false if the caller reads too slowly to take it. */
     boolean output(Output output, int skipBytes) {
         if (output.hasHead()) {
-            session.start(output.getHead().getStatus(), AgentFrameCodec.headers(output.getHead()));
+            response.start(output.getHead().getStatus(), AgentFrameCodec.headers(output.getHead()));
         }
         byte[] part = output.getData().substring(skipBytes).toByteArray();
         copyForStore(part);
-        return session.write(part);
+        return response.write(part);
     }
 
     private void copyForStore(byte[] part) {
-        boolean claimed = !session.request().idempotent();
+        boolean claimed = !response.request().idempotent();
         if (claimed && bodyCopy.size() <= StoredOutcome.MAX_BODY_BYTES) {
             bodyCopy.writeBytes(part);
         }
     }
 
     void finish(Finished finished) {
-        session.start(finished.getHead().getStatus(), AgentFrameCodec.headers(finished.getHead()));
-        session.end();
+        response.start(finished.getHead().getStatus(), AgentFrameCodec.headers(finished.getHead()));
+        response.end();
     }
 
     void storedOutcome(StoredOutcome outcome) {
@@ -67,9 +67,9 @@
         if (stored.body().isEmpty()) {
             headers.add(Map.entry(BODY_NOT_KEPT, "true"));
         }
-        session.start(stored.status(), headers);
-        stored.body().ifPresent(session::write);
-        session.end();
+        response.start(stored.status(), headers);
+        stored.body().ifPresent(response::write);
+        response.end();
     }
 
     /** Returns the outcome to store with the claim. */
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
@@ -24,9 +24,9 @@
         this.usage = usage;
     }
 
-    void add(CallerResponse session) {
-        answers.put(session.request().id(), new PendingAnswer(session));
-        metrics.arrived(session.request().tier());
+    void add(CallerResponse response) {
+        answers.put(response.request().id(), new PendingAnswer(response));
+        metrics.arrived(response.request().tier());
     }
 
     PendingAnswer get(RequestId id) {
@@ -50,7 +50,7 @@
         if (answer.output(output, effect.skipBytes())) {
             return true;
         }
-        answer.session().fail(Failure.of(ErrorKind.SLOW_READER, "the caller does not read the answer fast enough"));
+        answer.response().fail(Failure.of(ErrorKind.SLOW_READER, "the caller does not read the answer fast enough"));
         metrics.failed(ErrorKind.SLOW_READER);
         return false;
     }
@@ -58,9 +58,9 @@
     void end(RequestId id, Finished finished) {
         PendingAnswer answer = answers.get(id);
         answer.finish(finished);
-        metrics.completed(answer.session().request().tier());
+        metrics.completed(answer.response().request().tier());
         usage.record(
-                answer.session().request(),
+                answer.response().request(),
                 finished.getUsage().getPromptTokens(),
                 finished.getUsage().getOutputTokens());
     }
@@ -68,11 +68,11 @@
     void stored(RequestId id) {
         PendingAnswer answer = answers.get(id);
         answer.deliverStored();
-        metrics.completed(answer.session().request().tier());
+        metrics.completed(answer.response().request().tier());
     }
 
     void fail(RequestId id, Failure failure) {
         metrics.failed(failure.kind());
-        answers.get(id).session().fail(failure);
+        answers.get(id).response().fail(failure);
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreAdapters.java
@@ -24,7 +24,7 @@
     private final KeyValueStore store;
     private final EtcdRevisionStore revisions;
     private final StoredClaims claims;
-    private final StoredRolloutRecords moves;
+    private final StoredRolloutRecords rolloutRecords;
     private final ControllerLease lease;
 
     /** Creates the adapters; the connection is opened by the first call. */
@@ -32,7 +32,7 @@
         this.store = EtcdStore.connect(options, clock, thread, metrics, random);
         this.revisions = EtcdRevisionStore.create(store, options.callTimeoutMillis());
         this.claims = new StoredClaims(ClaimStore.create(store, clock, thread, metrics, random));
-        this.moves = new StoredRolloutRecords(store);
+        this.rolloutRecords = new StoredRolloutRecords(store);
         this.lease = ControllerLease.create(store, clock, thread, random, entryId, new NoOpControllerListener());
     }
 
@@ -46,9 +46,9 @@
         return claims;
     }
 
-    /** Returns the adapter for version move records. */
-    public StoredRolloutRecords moves() {
-        return moves;
+    /** Returns the adapter for rollout records. */
+    public StoredRolloutRecords rolloutRecords() {
+        return rolloutRecords;
     }
 
     /** Returns the controller lease. */
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoreHeadWatch.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoreHeadWatch.java
@@ -6,7 +6,7 @@
 import dev.wigeonward.core.revision.RevisionStore;
 import dev.wigeonward.entry.control.RevisionWatch;
 
-/** A head watch that opens the store's watch when it becomes active and closes it when it becomes inactive. */
+/** A revision watch that opens the store's watch when it becomes active and closes it when it becomes inactive. */
 final class StoreHeadWatch implements RevisionWatch {
     private final Function<Consumer<RevisionStore.HeadResult>, dev.wigeonward.common.store.RevisionHeadWatch> open;
     private final Consumer<RevisionStore.HeadResult> listener;
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
@@ -20,7 +20,7 @@
 import dev.wigeonward.core.rollout.StoredRecord;
 import dev.wigeonward.entry.control.RolloutRecordStore;
 
-/** A move store that keeps the record of each model as JSON under its own key. */
+/** A rollout record store that keeps the record of each model as JSON under its own key. */
 public final class StoredRolloutRecords implements RolloutRecordStore {
     private static final String ROOT = "/wigeonward/moves/";
     /** Maximum number of records read; a deployment of the target size uses seven models. */
@@ -28,7 +28,7 @@
 
     private final KeyValueStore store;
 
-    /** Creates a move store over a key-value store. */
+    /** Creates a rollout record store over a key-value store. */
     public StoredRolloutRecords(KeyValueStore store) {
         this.store = store;
     }
@@ -70,10 +70,10 @@
         Condition unchanged = new Condition.ModRevision(key, expectedRevision);
         store.commit(Transaction.of(unchanged, new Write.Put(key, value, 0)))
                 .thenAccept(result -> answer.accept(
-                        answerOf(result), result instanceof WriteResult.Applied applied ? applied.revision() : 0L));
+                        outcomeOf(result), result instanceof WriteResult.Applied applied ? applied.revision() : 0L));
     }
 
-    private static WriteOutcome answerOf(WriteResult result) {
+    private static WriteOutcome outcomeOf(WriteResult result) {
         if (result instanceof WriteResult.Applied) {
             return WriteOutcome.APPLIED;
         }
--- a/entry/src/main/java/dev/wigeonward/entry/store/package-info.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/package-info.java
@@ -1,2 +1,2 @@
-/** Adapters of the entry to the key-value service: claims, move records, spend totals and the watch on revisions. */
+/** Adapters of the entry to the key-value service: claims, rollout records, spend totals and the watch on revisions. */
 package dev.wigeonward.entry.store;
--- a/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
@@ -44,7 +44,7 @@
     private static final int HEADERS_BYTES = 500;
     private static final String CHAT = "{\"model\":\"advisory\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
 
-    private final RecordingSink sink = new RecordingSink();
+    private final RecordingHandler handler = new RecordingHandler();
     private HttpServerContext server;
 
     @BeforeEach
@@ -52,7 +52,7 @@
         RuleSet rules = ((RuleParseResult.Valid) RuleParser.parse("test", RULES)).rules();
         CallerService service = new CallerService(
                 new RulesClassifier(() -> Optional.of(rules), new WorkspaceRateLimiter()),
-                sink,
+                handler,
                 () -> Map.of("data", List.of()),
                 () -> new CallerLimits(BODY_BYTES, HEADERS_BYTES),
                 () -> new RequestId("r"),
@@ -103,7 +103,7 @@
     @Test
     void refusesLongBody() throws IOException {
         assertThat(chat("", "x".repeat(BODY_BYTES + 1))).contains("413", "\"body_too_large\"", "\"not_run\"");
-        assertThat(sink.refused).containsExactly(ErrorKind.BODY_TOO_LARGE);
+        assertThat(handler.refused).containsExactly(ErrorKind.BODY_TOO_LARGE);
     }
 
     /** Guards against headers above the limit being accepted, which could exhaust the memory of an entry. */
@@ -209,17 +209,17 @@
         assertThat(answers).anySatisfy(answer -> assertThat(answer).contains("429", "\"rate_limited\"", "\"not_run\""));
     }
 
-    /** A sink that refuses all sessions, as a full event queue does, and records the kinds of earlier refusals. */
-    private static final class RecordingSink implements RequestHandler {
+    /** A handler that refuses all requests, as a full event queue does, and records the kinds of earlier refusals. */
+    private static final class RecordingHandler implements RequestHandler {
         private final List<ErrorKind> refused = new ArrayList<>();
 
         @Override
-        public boolean submit(CallerResponse session) {
+        public boolean submit(CallerResponse response) {
             return false;
         }
 
         @Override
-        public void onCallerDisconnected(CallerResponse session) {}
+        public void onCallerDisconnected(CallerResponse response) {}
 
         @Override
         public synchronized void onRefused(Failure failure) {
