Rename private names of the agent after the new type names

Cause: the inputs of the decision thread were named Head, Part, End and Broken, and fields were named gate, cache and thread after earlier types. Change: private names and comments only; no behaviour changes.

--- a/agent/src/main/java/dev/wigeonward/agent/control/OrderExecutor.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/OrderExecutor.java
@@ -14,12 +14,12 @@
 import dev.wigeonward.exchange.FrameSender;
 import dev.wigeonward.exchange.OrderCodec;
 
-/** Executes orders of the controller on the engine if the order gate permits them. */
+/** Executes orders of the controller on the engine if the order fence permits them. */
 final class OrderExecutor {
     private static final Logger LOG = System.getLogger(OrderExecutor.class.getName());
     private static final String NO_EXCEPTION = "";
 
-    private final OrderFence gate = new OrderFence();
+    private final OrderFence fence = new OrderFence();
     private final UpstreamClient upstream;
     private final FencingNumberReader fencingNumbers;
     private final FrameSender sender;
@@ -65,11 +65,11 @@
     }
 
     long highestFencingNumber() {
-        return gate.highestFencingNumber();
+        return fence.highestFencingNumber();
     }
 
     private void handle(OrderEvent event) {
-        gate.handle(event).forEach(this::apply);
+        fence.handle(event).forEach(this::apply);
     }
 
     private void apply(OrderEffect effect) {
@@ -83,7 +83,7 @@
             LOG.log(Level.INFO, "executing order {0}: {1} version {2}", order.orderId(), order.kind(), order.version());
             upstream.executeOrder(order, failure -> decisionThread.accept(() -> onEngineFinished(order, failure)));
         } else if (effect instanceof OrderEffect.Answer answer) {
-            // The controller may have moved to another entry, so the answer is sent to all entries.
+            // Another entry may have acquired the controller lease, so the answer is sent to all entries.
             sender.sendToOthers(NO_EXCEPTION, OrderCodec.toFrame(answer.orderId(), answer.result()));
         }
     }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentInput.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentInput.java
@@ -21,16 +21,16 @@
     record LinkClosed(Link link, String reason) implements AgentInput {}
 
     /** Status and headers of an answer arrived from the upstream. */
-    record Head(RequestId run, int status, List<Map.Entry<String, String>> headers) implements AgentInput {}
+    record HeadArrived(RequestId run, int status, List<Map.Entry<String, String>> headers) implements AgentInput {}
 
     /** A part of an answer arrived from the upstream. */
-    record Part(RequestId run, byte[] part) implements AgentInput {}
+    record OutputArrived(RequestId run, byte[] data) implements AgentInput {}
 
     /** The upstream completed an answer. */
-    record End(RequestId run) implements AgentInput {}
+    record Finished(RequestId run) implements AgentInput {}
 
     /** The upstream did not complete an answer, or never received the request if {@code unreached} is set. */
-    record Broken(RequestId run, Failure failure, boolean unreached) implements AgentInput {}
+    record Failed(RequestId run, Failure failure, boolean notSent) implements AgentInput {}
 
     /** A health check completed. */
     record Probed(UpstreamClient.ProbeResult result) implements AgentInput {}
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -49,7 +49,7 @@
     private static final long TICK_MILLIS = 20;
     private static final long PROBE_PERIOD_MILLIS = 250;
     private static final long LOAD_PERIOD_MILLIS = 500;
-    /** Number of versions that an engine can have loaded at once: the current one and the one it moves to. */
+    /** Number of versions that an engine can have loaded at once: during a rollout, the old and the new one. */
     private static final int VERSION_PLACES = 2;
 
     private static final int MAX_PART_BYTES = 64 * 1024;
@@ -64,11 +64,11 @@
     private final AgentControlPlane control;
     private final LinkTransport transport;
     private final UpstreamHealth health = new UpstreamHealth();
-    private final UnsentCacheEvents cache = new UnsentCacheEvents();
+    private final UnsentCacheEvents unsentCacheEvents = new UnsentCacheEvents();
     private final DispatchAssembler assembler = new DispatchAssembler(MAX_BODY_BYTES);
     private final Map<Long, Link> links = new HashMap<>();
     private final Map<RequestId, RunRecord> runs = new HashMap<>();
-    private final QueueWorker<AgentInput> thread;
+    private final QueueWorker<AgentInput> worker;
     private final Map<String, Link> linksByPeer = new HashMap<>();
     /** Heartbeat of regular sends; written by the decision thread, read by the thread of the links. */
     private volatile Frame heartbeat;
@@ -80,20 +80,22 @@
     private long drainLimitMillis;
     private CompletableFuture<Void> drainResult;
 
-    private AgentRuntime(AgentRuntimeComponents parts, Function<AgentRuntime, AgentControlPlane> control) {
-        this.dispatcher = parts.dispatcher();
-        this.upstream = parts.upstream();
-        this.clock = parts.clock();
-        this.hello = parts.hello();
+    private AgentRuntime(AgentRuntimeComponents components, Function<AgentRuntime, AgentControlPlane> control) {
+        this.dispatcher = components.dispatcher();
+        this.upstream = components.upstream();
+        this.clock = components.clock();
+        this.hello = components.hello();
         this.control = control.apply(this);
         this.heartbeat = this.control.heartbeat(load);
-        this.transport = new LinkTransport(parts.linkSettings(), this, parts::hello, () -> heartbeat, Optional.empty());
-        this.thread = QueueWorker.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
+        this.transport = new LinkTransport(
+                components.linkSettings(), this, components::hello, () -> heartbeat, Optional.empty());
+        this.worker = QueueWorker.start("decisions", RING_CAPACITY, this::accept, this::tick, TICK_MILLIS);
     }
 
     /** Starts the decision thread of an agent. */
-    public static AgentRuntime start(AgentRuntimeComponents parts, Function<AgentRuntime, AgentControlPlane> control) {
-        return new AgentRuntime(parts, control);
+    public static AgentRuntime start(
+            AgentRuntimeComponents components, Function<AgentRuntime, AgentControlPlane> control) {
+        return new AgentRuntime(components, control);
     }
 
     /** Cancels the runs that an earlier incarnation left in the upstream, then starts to accept links. */
@@ -104,17 +106,17 @@
 
     @Override
     public void onUp(Link link) {
-        thread.put(new AgentInput.LinkOpened(link));
+        worker.put(new AgentInput.LinkOpened(link));
     }
 
     @Override
     public void onFrame(Link link, Frame frame) {
-        thread.put(new AgentInput.FrameArrived(link, frame));
+        worker.put(new AgentInput.FrameArrived(link, frame));
     }
 
     @Override
     public void onDown(Link link, String reason) {
-        thread.put(new AgentInput.LinkClosed(link, reason));
+        worker.put(new AgentInput.LinkClosed(link, reason));
     }
 
     @Override
@@ -124,13 +126,13 @@
 
     /** Runs a task on the decision thread. */
     public void execute(Runnable task) {
-        thread.put(new AgentInput.Query(task));
+        worker.put(new AgentInput.Query(task));
     }
 
     /** Evaluates a supplier on the decision thread and returns its result. */
     public <T> CompletionStage<T> query(Supplier<T> supplier) {
         CompletableFuture<T> answer = new CompletableFuture<>();
-        thread.put(new AgentInput.Query(() -> answer.complete(supplier.get())));
+        worker.put(new AgentInput.Query(() -> answer.complete(supplier.get())));
         return answer;
     }
 
@@ -139,7 +141,7 @@
      */
     public CompletionStage<Void> drain(long limitMillis) {
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        thread.put(new AgentInput.Query(() -> {
+        worker.put(new AgentInput.Query(() -> {
             handle(new AgentEvent.DrainStarted());
             drainLimitMillis = limitMillis;
             links.values().forEach(link -> link.send(leavingFrame()));
@@ -175,11 +177,11 @@
         dump.put("backlog_millis", dispatcher.queue().backlogMillis(clock.millis()));
         dump.put("kept_runs", dispatcher.runCount());
         dump.put("links", List.copyOf(linksByPeer.keySet()));
-        dump.put("ring_size", thread.size());
+        dump.put("ring_size", worker.size());
         return dump;
     }
 
-    /** Returns the registry, to which other parts add their metrics. */
+    /** Returns the registry, to which other components add their metrics. */
     public MetricRegistry metrics() {
         return metrics;
     }
@@ -187,27 +189,27 @@
     private void accept(AgentInput input) {
         if (input instanceof AgentInput.FrameArrived arrived) {
             handleFrame(arrived.link(), arrived.frame());
-        } else if (input instanceof AgentInput.Part part) {
-            Optional.ofNullable(runs.get(part.run())).ifPresent(run -> run.output.append(part.part()));
-            handle(new AgentEvent.UpstreamOutput(part.run(), part.part().length));
-        } else if (input instanceof AgentInput.Head head) {
-            Optional.ofNullable(runs.get(head.run()))
-                    .ifPresent(run -> run.head = EntryFrameCodec.head(head.status(), head.headers()));
-        } else if (input instanceof AgentInput.End end) {
-            observe(end.run(), (run, nowMillis) -> run.observation.answered(run.head.getStatus(), nowMillis));
-            handle(new AgentEvent.UpstreamFinished(end.run()));
-        } else if (input instanceof AgentInput.Broken broken) {
-            observe(broken.run(), (run, nowMillis) -> {
-                if (broken.unreached()) {
+        } else if (input instanceof AgentInput.OutputArrived output) {
+            Optional.ofNullable(runs.get(output.run())).ifPresent(run -> run.output.append(output.data()));
+            handle(new AgentEvent.UpstreamOutput(output.run(), output.data().length));
+        } else if (input instanceof AgentInput.HeadArrived arrived) {
+            Optional.ofNullable(runs.get(arrived.run()))
+                    .ifPresent(run -> run.head = EntryFrameCodec.head(arrived.status(), arrived.headers()));
+        } else if (input instanceof AgentInput.Finished finished) {
+            observe(finished.run(), (run, nowMillis) -> run.observation.answered(run.head.getStatus(), nowMillis));
+            handle(new AgentEvent.UpstreamFinished(finished.run()));
+        } else if (input instanceof AgentInput.Failed failed) {
+            observe(failed.run(), (run, nowMillis) -> {
+                if (failed.notSent()) {
                     run.observation.cancelled(nowMillis);
                 } else {
                     run.observation.failed(nowMillis);
                 }
             });
             handle(
-                    broken.unreached()
-                            ? new AgentEvent.UpstreamUnreachable(broken.run(), broken.failure())
-                            : new AgentEvent.UpstreamFailed(broken.run(), broken.failure()));
+                    failed.notSent()
+                            ? new AgentEvent.UpstreamUnreachable(failed.run(), failed.failure())
+                            : new AgentEvent.UpstreamFailed(failed.run(), failed.failure()));
         } else if (input instanceof AgentInput.LinkOpened opened) {
             linkOpened(opened.link());
         } else if (input instanceof AgentInput.LinkClosed closed) {
@@ -215,7 +217,7 @@
         } else if (input instanceof AgentInput.Probed probed) {
             onProbe(probed.result());
         } else if (input instanceof AgentInput.CacheChanged changed) {
-            cache.add(changed.events());
+            unsentCacheEvents.add(changed.events());
         } else if (input instanceof AgentInput.Query query) {
             query.task().run();
         }
@@ -285,9 +287,9 @@
     private void handleRequestFrame(Link link, Frame frame) {
         switch (frame.getBodyCase()) {
             case DISPATCH ->
-                assembler.addDispatch(link.id(), frame.getDispatch()).ifPresent(whole -> dispatch(link, whole));
+                assembler.addDispatch(link.id(), frame.getDispatch()).ifPresent(complete -> dispatch(link, complete));
             case BODY_PART ->
-                assembler.addPart(link.id(), frame.getBodyPart()).ifPresent(whole -> dispatch(link, whole));
+                assembler.addPart(link.id(), frame.getBodyPart()).ifPresent(complete -> dispatch(link, complete));
             case REATTACH -> {
                 assembler.drop(frame.getReattach().getRequestId());
                 handle(EntryFrameCodec.reattach(link.id(), frame.getReattach()));
@@ -346,12 +348,13 @@
         if (!probing && nowMillis >= nextProbeMillis) {
             probing = true;
             nextProbeMillis = nowMillis + PROBE_PERIOD_MILLIS;
-            upstream.probe(result -> thread.put(new AgentInput.Probed(result)));
+            upstream.probe(result -> worker.put(new AgentInput.Probed(result)));
         }
         if (nowMillis >= nextLoadMillis) {
             nextLoadMillis = nowMillis + LOAD_PERIOD_MILLIS;
             publishLoad();
-            upstream.fetchCacheEvents(cache.lastSequence(), events -> thread.put(new AgentInput.CacheChanged(events)));
+            upstream.fetchCacheEvents(
+                    unsentCacheEvents.lastSequence(), events -> worker.put(new AgentInput.CacheChanged(events)));
         }
         if (drainResult != null && dispatcher.isIdle()) {
             drainResult.complete(null);
@@ -369,12 +372,12 @@
                 .setVersionPlaces(VERSION_PLACES)
                 .build();
         Frame next = control.heartbeat(load);
-        if (next.equals(heartbeat) && cache.isEmpty()) {
+        if (next.equals(heartbeat) && unsentCacheEvents.isEmpty()) {
             return;
         }
         heartbeat = next;
         // Regular heartbeats do not contain the cache events, so each event is sent once.
-        Frame first = control.heartbeat(cache.moveTo(load.toBuilder()));
+        Frame first = control.heartbeat(unsentCacheEvents.moveTo(load.toBuilder()));
         links.values().forEach(link -> link.send(first));
     }
 
@@ -390,7 +393,7 @@
                     (double) dispatcher.queue().running() / hello.getUpstream().getSlots();
             long serviceMillis = run.spec.work().serviceMillis(speed());
             run.observation = control.startObservation(run.spec, run.version, load, serviceMillis, clock.millis());
-            upstream.submit(run.request, new UpstreamForwarder(submit.run(), thread));
+            upstream.submit(run.request, new UpstreamForwarder(submit.run(), worker));
         } else if (effect instanceof AgentEffect.CancelInUpstream cancel) {
             metrics.counter("cancelled").inc();
             observe(cancel.run(), (run, nowMillis) -> run.observation.cancelled(nowMillis));
@@ -469,6 +472,6 @@
     public void close() {
         transport.close();
         upstream.close();
-        thread.close();
+        worker.close();
     }
 }
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamForwarder.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/UpstreamForwarder.java
@@ -11,35 +11,35 @@
 /** An answer listener that forwards the upstream's answer to the decision thread. */
 final class UpstreamForwarder implements UpstreamClient.AnswerListener {
     private final RequestId run;
-    private final QueueWorker<AgentInput> thread;
+    private final QueueWorker<AgentInput> worker;
 
-    UpstreamForwarder(RequestId run, QueueWorker<AgentInput> thread) {
+    UpstreamForwarder(RequestId run, QueueWorker<AgentInput> worker) {
         this.run = run;
-        this.thread = thread;
+        this.worker = worker;
     }
 
     @Override
     public void onHead(int status, List<Map.Entry<String, String>> headers) {
-        thread.put(new AgentInput.Head(run, status, headers));
+        worker.put(new AgentInput.HeadArrived(run, status, headers));
     }
 
     @Override
     public void onOutput(byte[] part) {
-        thread.put(new AgentInput.Part(run, part));
+        worker.put(new AgentInput.OutputArrived(run, part));
     }
 
     @Override
     public void onFinished() {
-        thread.put(new AgentInput.End(run));
+        worker.put(new AgentInput.Finished(run));
     }
 
     @Override
     public void onFailed(Failure failure) {
-        thread.put(new AgentInput.Broken(run, failure, false));
+        worker.put(new AgentInput.Failed(run, failure, false));
     }
 
     @Override
     public void onNotSent(Failure failure) {
-        thread.put(new AgentInput.Broken(run, failure, true));
+        worker.put(new AgentInput.Failed(run, failure, true));
     }
 }
--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -202,7 +202,7 @@
         private final AnswerListener listener;
         private final AtomicLong receivedBytes = new AtomicLong();
         private int resumes;
-        private boolean headSeen;
+        private boolean headReceived;
         private volatile boolean cancelled;
         private volatile Cancellable subscription;
 
@@ -213,26 +213,26 @@
 
         private void start(StreamingHttpRequest http) {
             read(client.request(http).flatMapPublisher(response -> {
-                head(response);
+                onHead(response);
                 return response.payloadBody();
             }));
         }
 
         /** Subscribes to an answer and forwards it until it ends or the connection breaks. */
         private void read(Publisher<Buffer> body) {
-            subscription = body.beforeOnNext(this::output)
+            subscription = body.beforeOnNext(this::onOutput)
                     .ignoreElements()
-                    .whenOnComplete(this::finished)
-                    .whenOnError(this::broken)
+                    .whenOnComplete(this::onFinished)
+                    .whenOnError(this::onBroken)
                     .onErrorComplete()
                     .subscribe();
         }
 
-        private void head(StreamingHttpResponse response) {
-            if (headSeen) {
+        private void onHead(StreamingHttpResponse response) {
+            if (headReceived) {
                 return;
             }
-            headSeen = true;
+            headReceived = true;
             List<Map.Entry<String, String>> headers = new ArrayList<>();
             response.headers()
                     .forEach(header -> headers.add(Map.entry(
@@ -240,25 +240,25 @@
             listener.onHead(response.status().code(), headers);
         }
 
-        private void output(Buffer buffer) {
+        private void onOutput(Buffer buffer) {
             byte[] part = new byte[buffer.readableBytes()];
             buffer.readBytes(part);
             receivedBytes.addAndGet(part.length);
             listener.onOutput(part);
         }
 
-        private void finished() {
+        private void onFinished() {
             if (calls.remove(id) != null) {
                 listener.onFinished();
             }
         }
 
-        private void broken(Throwable error) {
+        private void onBroken(Throwable error) {
             if (cancelled) {
                 return;
             }
-            boolean unreached = !headSeen && resumes == 0 && neverSent(error);
-            if (unreached) {
+            boolean notSent = !headReceived && resumes == 0 && neverSent(error);
+            if (notSent) {
                 calls.remove(id);
                 listener.onNotSent(Failure.of(ErrorKind.NO_UPSTREAM, "the upstream cannot be reached"));
                 return;
