Fit comments of the exchange module to the new type names

Cause: FactSync and RevisionSync were still described as exchanges. Change: comments and two parameter names; no behaviour changes. Measured: mvn -DskipTests verify passes for all modules.

--- a/exchange/src/main/java/dev/wigeonward/exchange/FactSync.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/FactSync.java
@@ -32,7 +32,7 @@
     private final FactListener listener;
 
     /**
-     * Returns an exchange that merges facts into the given tables of this process.
+     * Creates a synchronizer that merges facts into the given tables of this process.
      *
      * @param listener called for verdicts and stages that are new to this process
      */
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
@@ -24,10 +24,10 @@
                 .build();
     }
 
-    static Frame request(long haveNumber, String haveHash) {
+    static Frame request(long baseNumber, String baseHash) {
         return Frame.newBuilder()
                 .setRevisionRequest(
-                        RevisionRequest.newBuilder().setHave(haveNumber).setHaveHash(haveHash))
+                        RevisionRequest.newBuilder().setHave(baseNumber).setHaveHash(baseHash))
                 .build();
     }
 
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionSync.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionSync.java
@@ -31,7 +31,7 @@
     private final Map<String, Long> reportedNumbers = new TreeMap<>();
 
     /**
-     * Returns an exchange that has no revision yet.
+     * Creates a synchronizer that has no revision yet.
      *
      * @param adoptionListener called with each revision that comes into force
      */
@@ -75,7 +75,7 @@
         event.ifPresent(message -> handle(message, nowMillis));
     }
 
-    /** Handles the result of reading head from the store. */
+    /** Handles the result of reading the newest revision from the store. */
     public void onHeadRead(RevisionStore.HeadResult result, long nowMillis) {
         handle(new RelayEvent.StoreReadCompleted(result), nowMillis);
     }
