--- a/common/src/main/java/dev/wigeonward/common/ring/QueueWorker.java
+++ b/common/src/main/java/dev/wigeonward/common/ring/QueueWorker.java
@@ -39,7 +39,7 @@
     }
 
     /**
-     * Starts a thread.
+     * Creates a worker and starts its thread.
      *
      * @param capacity most items in the queue, rounded up to a power of two
      * @param itemHandler processes one item
@@ -47,9 +47,9 @@
      */
     public static <T> QueueWorker<T> start(
             String name, int capacity, Consumer<T> itemHandler, Runnable periodic, long periodMillis) {
-        QueueWorker<T> started = new QueueWorker<>(name, capacity, itemHandler, periodic, periodMillis);
-        started.thread.start();
-        return started;
+        QueueWorker<T> worker = new QueueWorker<>(name, capacity, itemHandler, periodic, periodMillis);
+        worker.thread.start();
+        return worker;
     }
 
     /** Adds an item and returns true, or returns false without adding it if the queue is full. */
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimCleanup.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimCleanup.java
@@ -61,9 +61,9 @@
     }
 
     /** Returns whether a claim was removed; false if the key is held under another id or stayed absent to the end. */
-    private CompletableFuture<Boolean> remove(String path, Set<String> ownIds, long endMillis, Backoff backoff) {
-        return store.get(path).thenCompose(result -> {
-            Supplier<CompletableFuture<Boolean>> retry = () -> remove(path, ownIds, endMillis, backoff);
+    private CompletableFuture<Boolean> remove(String storeKey, Set<String> ownIds, long endMillis, Backoff backoff) {
+        return store.get(storeKey).thenCompose(result -> {
+            Supplier<CompletableFuture<Boolean>> retry = () -> remove(storeKey, ownIds, endMillis, backoff);
             if (result.toOptional().isEmpty()) {
                 return runAfterBackoff(backoff, false, retry);
             }
@@ -79,8 +79,9 @@
             if (!own) {
                 return CompletableFuture.completedFuture(false);
             }
-            Condition unchanged = new Condition.ModRevision(path, current.get().modRevision());
-            return store.commit(Transaction.of(unchanged, new Write.Delete(path)))
+            Condition unchanged =
+                    new Condition.ModRevision(storeKey, current.get().modRevision());
+            return store.commit(Transaction.of(unchanged, new Write.Delete(storeKey)))
                     .thenCompose(deletion -> deletion instanceof WriteResult.Applied
                             ? CompletableFuture.completedFuture(true)
                             : runAfterBackoff(backoff, false, retry));
--- a/common/src/main/java/dev/wigeonward/common/store/ClaimStore.java
+++ b/common/src/main/java/dev/wigeonward/common/store/ClaimStore.java
@@ -102,14 +102,14 @@
      */
     public CompletableFuture<ClaimResponse> replace(ClaimRequest request, String previousClaimId) {
         String claimId = newClaimId();
-        String path = request.key().storeKey();
-        return runOnStoreThread(() -> store.get(path).thenCompose(result -> {
+        String storeKey = request.key().storeKey();
+        return runOnStoreThread(() -> store.get(storeKey).thenCompose(result -> {
             if (result.toOptional().isEmpty()) {
                 return CompletableFuture.completedFuture(ClaimResponse.unavailable());
             }
             Optional<KeyValue> current = result.toOptional().get();
             if (current.isEmpty()) {
-                return write(new Attempt(request, claimId, Condition.absent(path), Set.of(claimId)), 1);
+                return write(new Attempt(request, claimId, Condition.absent(storeKey), Set.of(claimId)), 1);
             }
             Optional<ClaimValue> value = ClaimValue.parse(current.get().value());
             if (value.isEmpty()
@@ -117,7 +117,7 @@
                     || value.get().outcome().isPresent()) {
                 return CompletableFuture.completedFuture(replyOf(current, request));
             }
-            Condition same = new Condition.ModRevision(path, current.get().modRevision());
+            Condition same = new Condition.ModRevision(storeKey, current.get().modRevision());
             return write(new Attempt(request, claimId, same, Set.of(claimId)), 1);
         }));
     }
@@ -176,8 +176,8 @@
     }
 
     /**
-     * Returns the reply after a failed compare. An entry with this attempt's claim id is its own write with a lost
-     * reply.
+     * Returns the reply after a condition did not hold. An entry with this attempt's claim id is its own write with a
+     * lost reply.
      */
     private ClaimResponse replyAfterFailedCompare(Attempt attempt, Optional<KeyValue> current) {
         Optional<ClaimValue> value = current.map(KeyValue::value).flatMap(ClaimValue::parse);
@@ -232,13 +232,13 @@
                             if (leaseId.isEmpty()) {
                                 return retryRecord(claim, outcome, backoff);
                             }
-                            String path = claim.request().key().storeKey();
+                            String storeKey = claim.request().key().storeKey();
                             String value = ClaimValue.of(claim.claimId(), claim.request(), Optional.of(outcome))
                                     .toJson();
                             return committer
                                     .submit(
-                                            new Condition.ModRevision(path, claim.modRevision()),
-                                            new Write.Put(path, value, leaseId.get()))
+                                            new Condition.ModRevision(storeKey, claim.modRevision()),
+                                            new Write.Put(storeKey, value, leaseId.get()))
                                     .thenCompose(result -> handleRecordResult(claim, outcome, backoff, result));
                         },
                         thread);
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdJson.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdJson.java
@@ -65,25 +65,25 @@
     static ObjectNode transaction(Transaction transaction) {
         ObjectNode request = object();
         ArrayNode compares = request.putArray("compare");
-        transaction.conditions().forEach(compare -> compares.add(compare(compare)));
+        transaction.conditions().forEach(condition -> compares.add(toCompare(condition)));
         ArrayNode writes = request.putArray("success");
         transaction.writes().forEach(write -> writes.add(write(write)));
         ArrayNode reads = request.putArray("failure");
         Set<String> keys = new LinkedHashSet<>();
-        transaction.conditions().forEach(compare -> keys.add(compare.key()));
+        transaction.conditions().forEach(condition -> keys.add(condition.key()));
         keys.forEach(key -> reads.addObject().putObject("request_range").put("key", encode(key)));
         return request;
     }
 
-    private static ObjectNode compare(Condition compare) {
-        ObjectNode node = object().put("key", encode(compare.key())).put("result", "EQUAL");
-        if (compare instanceof Condition.ModRevision mod) {
+    private static ObjectNode toCompare(Condition condition) {
+        ObjectNode node = object().put("key", encode(condition.key())).put("result", "EQUAL");
+        if (condition instanceof Condition.ModRevision mod) {
             return node.put("target", "MOD").put("mod_revision", Long.toString(mod.revision()));
         }
-        if (compare instanceof Condition.CreateRevision create) {
+        if (condition instanceof Condition.CreateRevision create) {
             return node.put("target", "CREATE").put("create_revision", Long.toString(create.revision()));
         }
-        return node.put("target", "VALUE").put("value", encode(((Condition.Value) compare).value()));
+        return node.put("target", "VALUE").put("value", encode(((Condition.Value) condition).value()));
     }
 
     private static ObjectNode write(Write write) {
--- a/common/src/main/java/dev/wigeonward/common/store/EtcdRevisionStore.java
+++ b/common/src/main/java/dev/wigeonward/common/store/EtcdRevisionStore.java
@@ -148,8 +148,8 @@
     }
 
     /**
-     * Returns the result of a write whose compare failed or whose reply was lost. The write took effect if the history
-     * entry of its number has the id of the command that wrote it.
+     * Returns the result of a write whose condition did not hold or whose reply was lost. The write took effect if the
+     * history entry of its number has the id of the command that wrote it.
      */
     private CompletableFuture<WriteResult> resolveWrite(StoredRevision next, boolean inDoubt) {
         long number = next.revision().number();
--- a/common/src/main/java/dev/wigeonward/common/store/GroupCommitter.java
+++ b/common/src/main/java/dev/wigeonward/common/store/GroupCommitter.java
@@ -56,9 +56,9 @@
     }
 
     /** Write that waits for its group, with the number of times that its group was rate limited. */
-    private record PendingWrite(Condition compare, Write write, CompletableFuture<WriteResult> result, int refusals) {
+    private record PendingWrite(Condition condition, Write write, CompletableFuture<WriteResult> result, int refusals) {
         PendingWrite withRefusal() {
-            return new PendingWrite(compare, write, result, refusals + 1);
+            return new PendingWrite(condition, write, result, refusals + 1);
         }
 
         int chars() {
@@ -69,13 +69,13 @@
     /**
      * Submits a write under a condition on the same key and returns its result. Must be called on the store's thread.
      */
-    CompletableFuture<WriteResult> submit(Condition compare, Write write) {
+    CompletableFuture<WriteResult> submit(Condition condition, Write write) {
         Preconditions.checkArgument(
-                compare.key().equals(write.key()),
+                condition.key().equals(write.key()),
                 "%s and %s have different keys, expected the same key",
-                compare,
+                condition,
                 write);
-        PendingWrite item = new PendingWrite(compare, write, new CompletableFuture<>(), 0);
+        PendingWrite item = new PendingWrite(condition, write, new CompletableFuture<>(), 0);
         if (waiting.size() >= WAITING_LIMIT) {
             item.result().complete(new WriteResult.RateLimited(WAITING_LIMIT + " claim writes are waiting"));
             return item.result();
@@ -134,7 +134,7 @@
 
     private void commit(List<PendingWrite> group, boolean firstAttempt) {
         Transaction transaction = new Transaction(
-                group.stream().map(PendingWrite::compare).toList(),
+                group.stream().map(PendingWrite::condition).toList(),
                 group.stream().map(PendingWrite::write).toList());
         store.commit(transaction).thenAcceptAsync(result -> handleResult(group, result, firstAttempt), thread);
     }
@@ -169,7 +169,7 @@
         for (PendingWrite item : group) {
             String key = item.write().key();
             Optional<KeyValue> current = Optional.ofNullable(failed.current().get(key));
-            if (item.compare().isMetBy(current)) {
+            if (item.condition().isMetBy(current)) {
                 others.add(item);
             } else {
                 Map<String, KeyValue> own =
--- a/common/src/main/java/dev/wigeonward/common/store/Transaction.java
+++ b/common/src/main/java/dev/wigeonward/common/store/Transaction.java
@@ -18,7 +18,7 @@
     }
 
     /** Returns a transaction with one condition and one write. */
-    public static Transaction of(Condition compare, Write write) {
-        return new Transaction(List.of(compare), List.of(write));
+    public static Transaction of(Condition condition, Write write) {
+        return new Transaction(List.of(condition), List.of(write));
     }
 }
