Rename fields of links after the renamed accessors

Cause: Link.id and Link.remoteAddress were kept in fields named number and remoteName. Change: private names and comments only; no behaviour changes.

--- a/wire/src/main/java/dev/wigeonward/wire/LinkHandler.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkHandler.java
@@ -17,8 +17,8 @@
  * violates the protocol.
  */
 final class LinkHandler extends SimpleChannelInboundHandler<Frame> implements Link {
-    private final long number;
-    private final String remoteName;
+    private final long id;
+    private final String remoteAddress;
     private final LinkSettings settings;
     private final LinkListener listener;
     private final Supplier<Hello> greeting;
@@ -28,14 +28,14 @@
     private String downReason = "closed by the peer";
 
     LinkHandler(
-            long number,
-            String remoteName,
+            long id,
+            String remoteAddress,
             LinkSettings settings,
             LinkListener listener,
             Supplier<Hello> greeting,
             Supplier<Frame> heartbeat) {
-        this.number = number;
-        this.remoteName = remoteName;
+        this.id = id;
+        this.remoteAddress = remoteAddress;
         this.settings = settings;
         this.listener = listener;
         this.greeting = greeting;
@@ -44,12 +44,12 @@
 
     @Override
     public long id() {
-        return number;
+        return id;
     }
 
     @Override
     public String remoteAddress() {
-        return remoteName;
+        return remoteAddress;
     }
 
     @Override
@@ -129,7 +129,7 @@
     }
 
     private void failHandshake(ChannelHandlerContext context, String reason, boolean sendReject) {
-        listener.onConnectFailed(remoteName, reason);
+        listener.onConnectFailed(remoteAddress, reason);
         if (!sendReject) {
             context.close();
             return;
@@ -165,7 +165,7 @@
         if (peer != null) {
             listener.onDown(this, downReason);
         } else {
-            listener.onConnectFailed(remoteName, downReason);
+            listener.onConnectFailed(remoteAddress, downReason);
         }
     }
 }
--- a/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
@@ -39,7 +39,7 @@
     private final Optional<SslContext> tls;
     private final EventLoopGroup loop;
     private final boolean ownsLoop;
-    private final AtomicLong numbers = new AtomicLong();
+    private final AtomicLong linkIds = new AtomicLong();
     private Channel serverChannel;
 
     /**
@@ -124,7 +124,7 @@
         return new WriteBufferWaterMark(settings.maxPendingBytes() / 4, settings.maxPendingBytes() / 2);
     }
 
-    private ChannelInitializer<SocketChannel> initializer(String remoteName) {
+    private ChannelInitializer<SocketChannel> initializer(String remoteAddress) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
@@ -140,8 +140,8 @@
                         new LengthFieldPrepender(LENGTH_FIELD_BYTES),
                         new ProtobufEncoder(),
                         new LinkHandler(
-                                numbers.incrementAndGet(),
-                                accepted ? String.valueOf(channel.remoteAddress()) : remoteName,
+                                linkIds.incrementAndGet(),
+                                accepted ? String.valueOf(channel.remoteAddress()) : remoteAddress,
                                 settings,
                                 listener,
                                 greeting,
