Rename private names of the fault simulations

Cause: the simulations still used gate, move, make and take for what the types call order fence, rollout, acquire and replace. Change: names of fields, locals and nested enums, and comments; no expectation, seed, condition or test name changes.

--- a/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
@@ -197,17 +197,21 @@
     }
 
     private boolean executeClaim(EntryEffect effect) {
-        if (effect instanceof EntryEffect.AcquireClaim make) {
+        if (effect instanceof EntryEffect.AcquireClaim acquire) {
             if (endedByFaultAt(simulation, Step.CLAIM_SENT)) {
                 return true;
             }
-            simulation.log.dequeued(id(), make.request());
-            FakeStore.Claim own = ownClaims.get(make.request());
-            claim(make.request(), own == null ? "" : own.id(), make.upstreamId(), make.upstreamIncarnation());
+            simulation.log.dequeued(id(), acquire.request());
+            FakeStore.Claim own = ownClaims.get(acquire.request());
+            claim(acquire.request(), own == null ? "" : own.id(), acquire.upstreamId(), acquire.upstreamIncarnation());
             return true;
         }
-        if (effect instanceof EntryEffect.TakeOverClaim take) {
-            claim(take.request(), take.previousClaimId(), take.upstreamId(), take.upstreamIncarnation());
+        if (effect instanceof EntryEffect.TakeOverClaim replacement) {
+            claim(
+                    replacement.request(),
+                    replacement.previousClaimId(),
+                    replacement.upstreamId(),
+                    replacement.upstreamIncarnation());
             return true;
         }
         if (effect instanceof EntryEffect.ReleaseClaim release) {
@@ -325,10 +329,10 @@
             EventLog.CallerResult caller = answer(failure.request());
             caller.failure = Optional.of(failure.failure());
             simulation.log.refused(id(), caller.request, failure.failure());
-        } else if (effect instanceof EntryEffect.ReleaseRequest forget) {
-            requests.remove(forget.request());
-            connected.remove(forget.request());
-            simulation.log.dequeued(id(), forget.request());
+        } else if (effect instanceof EntryEffect.ReleaseRequest release) {
+            requests.remove(release.request());
+            connected.remove(release.request());
+            simulation.log.dequeued(id(), release.request());
         }
     }
 
--- a/verification/src/test/java/dev/wigeonward/verification/faults/OrderFlowTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/OrderFlowTest.java
@@ -19,7 +19,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Simulates two controllers that send orders to one engine through the production gate, with faults at each step. */
+/**
+ * Simulates two controllers that send orders to one engine through the production order fence, with faults at each
+ * step.
+ */
 class OrderFlowTest {
     private static final long LEASE_MILLIS = 10_000;
 
@@ -67,13 +70,13 @@
                 .flatMap(first -> Arrays.stream(OrderFault.values()).map(second -> Arguments.of(first, second)));
     }
 
-    /** Verifies that the check fails for a gate that does not read the fencing number from the store on restart. */
+    /** Verifies that the check fails for a fence that does not read the fencing number from the store on restart. */
     @Test
     void checkFailsForGateThatTrustsItsEmptyMemory() {
         Supplier<OrderFence> trusting = () -> {
-            OrderFence gate = new OrderFence();
-            gate.handle(new OrderEvent.FencingNumberRead(1));
-            return gate;
+            OrderFence fence = new OrderFence();
+            fence.handle(new OrderEvent.FencingNumberRead(1));
+            return fence;
         };
         OrderStep step = OrderStep.ORDER_FINISHED;
         OrderFault[] faults = {OrderFault.CONTROLLER_PAUSED_PAST_LEASE, OrderFault.AGENT_REPLACED_LATER};
@@ -86,14 +89,14 @@
     /** Two controllers, each of which sends an order every two seconds while it believes it holds the lease. */
     private static final class Scenario {
         private final EventScheduler scheduler = new EventScheduler();
-        private final Supplier<OrderFence> gateFactory;
+        private final Supplier<OrderFence> fenceFactory;
         private final OrderStep faultStep;
         private final List<OrderFault> faults;
         private final List<Order> executed = new ArrayList<>();
         private final Map<Integer, Long> believedNumbers = new HashMap<>();
         private final Map<Integer, Long> pausedUntil = new HashMap<>();
-        private OrderFence gate;
-        private int gateStarts;
+        private OrderFence fence;
+        private int agentStarts;
         private long leaseNumber;
         private int leaseHolder;
         private long leaseEndMillis;
@@ -107,11 +110,11 @@
         private long engineMillis = 100;
         private int orders;
 
-        private Scenario(Supplier<OrderFence> gateFactory, OrderStep faultStep, OrderFault first, OrderFault second) {
-            this.gateFactory = gateFactory;
+        private Scenario(Supplier<OrderFence> fenceFactory, OrderStep faultStep, OrderFault first, OrderFault second) {
+            this.fenceFactory = fenceFactory;
             this.faultStep = faultStep;
             this.faults = List.of(first, second);
-            this.gate = gateFactory.get();
+            this.fence = fenceFactory.get();
         }
 
         private List<String> simulate() {
@@ -170,8 +173,8 @@
         }
 
         private void restartAgent() {
-            gateStarts++;
-            gate = gateFactory.get();
+            agentStarts++;
+            fence = fenceFactory.get();
         }
 
         private void scheduleController(int id, long delayMillis) {
@@ -231,9 +234,9 @@
         }
 
         private void handle(OrderEvent event, int id) {
-            int starts = gateStarts;
-            for (OrderEffect effect : gate.handle(event)) {
-                if (starts != gateStarts) {
+            int starts = agentStarts;
+            for (OrderEffect effect : fence.handle(event)) {
+                if (starts != agentStarts) {
                     return;
                 }
                 if (effect instanceof OrderEffect.ReadFencingNumber) {
@@ -245,7 +248,7 @@
         }
 
         private void read(int id) {
-            int starts = gateStarts;
+            int starts = agentStarts;
             reached(OrderStep.FENCE_READ, id);
             scheduler.after(storeDelayMillis, () -> {
                 boolean answers = scheduler.now() >= storeDownUntilMillis && !nextReplyLost;
@@ -253,7 +256,7 @@
                 long number = scheduler.now() < leaseEndMillis ? leaseNumber : 0;
                 scheduler.after(answers ? storeDelayMillis : 1_000, () -> {
                     reached(OrderStep.FENCE_ANSWERED, id);
-                    if (starts == gateStarts) {
+                    if (starts == agentStarts) {
                         handle(
                                 answers ? new OrderEvent.FencingNumberRead(number) : new OrderEvent.StoreUnavailable(),
                                 id);
@@ -263,12 +266,12 @@
         }
 
         private void run(Order order, int id) {
-            int starts = gateStarts;
+            int starts = agentStarts;
             reached(OrderStep.ORDER_RUN, id);
             executed.add(order);
             scheduler.after(engineMillis, () -> {
                 reached(OrderStep.ORDER_FINISHED, id);
-                if (starts == gateStarts) {
+                if (starts == agentStarts) {
                     handle(new OrderEvent.EngineFinished(order.orderId(), ""), id);
                 }
             });
--- a/verification/src/test/java/dev/wigeonward/verification/faults/VersionMoveFlowTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/VersionMoveFlowTest.java
@@ -25,7 +25,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Simulates a move to a bad version at three entries with the production selector; the verdict is sent at 20 s. */
+/** Simulates a rollout of a bad version at three entries with the production selector; the verdict is sent at 20 s. */
 class VersionMoveFlowTest {
     private static final String MODEL = "model";
     private static final String BAD = "v2";
@@ -33,7 +33,7 @@
     private static final long VERDICT_MILLIS = 20_000;
     private static final long STOP_MILLIS = 2_000;
 
-    enum MoveStep {
+    enum RolloutStep {
         FIRST_STAGE,
         CANARY_SENT,
         BEFORE_VERDICT,
@@ -41,7 +41,7 @@
         VERDICT_ARRIVED
     }
 
-    enum MoveFault {
+    enum RolloutFault {
         NONE,
         ENTRY_REPLACED,
         ENTRY_FROZEN,
@@ -66,8 +66,8 @@
     /** Guards against a bad version that receives more than its share, or requests after the verdict. */
     @ParameterizedTest(name = "{0} and {1}")
     @MethodSource("pairs")
-    void badVersionGetsItsShareAndNothingAfterTheVerdict(MoveFault first, MoveFault second) {
-        for (MoveStep step : MoveStep.values()) {
+    void badVersionGetsItsShareAndNothingAfterTheVerdict(RolloutFault first, RolloutFault second) {
+        for (RolloutStep step : RolloutStep.values()) {
             assertThat(new Scenario(step, List.of(first, second), DisabledGuard.NONE).simulate())
                     .as("%s and %s at %s", first, second, step)
                     .isEmpty();
@@ -75,21 +75,21 @@
     }
 
     static Stream<Arguments> pairs() {
-        return Arrays.stream(MoveFault.values())
-                .flatMap(first -> Arrays.stream(MoveFault.values()).map(second -> Arguments.of(first, second)));
+        return Arrays.stream(RolloutFault.values())
+                .flatMap(first -> Arrays.stream(RolloutFault.values()).map(second -> Arguments.of(first, second)));
     }
 
     /** Verifies that the checks of invariant 3 fail when a guard is disabled. */
     @Test
     void checksFailWithoutTheGuards() {
-        List<MoveFault> silent = List.of(MoveFault.LINK_SILENT, MoveFault.NONE);
-        assertThat(new Scenario(MoveStep.BEFORE_VERDICT, silent, DisabledGuard.NONE).simulate())
+        List<RolloutFault> silent = List.of(RolloutFault.LINK_SILENT, RolloutFault.NONE);
+        assertThat(new Scenario(RolloutStep.BEFORE_VERDICT, silent, DisabledGuard.NONE).simulate())
                 .isEmpty();
-        assertThat(new Scenario(MoveStep.BEFORE_VERDICT, silent, DisabledGuard.SHARE_LIMIT).simulate())
+        assertThat(new Scenario(RolloutStep.BEFORE_VERDICT, silent, DisabledGuard.SHARE_LIMIT).simulate())
                 .anyMatch(violation -> violation.contains("share"));
-        assertThat(new Scenario(MoveStep.FIRST_STAGE, List.of(MoveFault.NONE), DisabledGuard.VERDICT).simulate())
+        assertThat(new Scenario(RolloutStep.FIRST_STAGE, List.of(RolloutFault.NONE), DisabledGuard.VERDICT).simulate())
                 .anyMatch(violation -> violation.contains("after the verdict"));
-        assertThat(new Scenario(MoveStep.BEFORE_VERDICT, silent, DisabledGuard.STAGE_LEASE).simulate())
+        assertThat(new Scenario(RolloutStep.BEFORE_VERDICT, silent, DisabledGuard.STAGE_LEASE).simulate())
                 .anyMatch(violation -> violation.contains("after the lease"));
     }
 
@@ -102,8 +102,8 @@
     }
 
     private static final class Scenario extends EventScheduler {
-        private final MoveStep faultStep;
-        private final List<MoveFault> faults;
+        private final RolloutStep faultStep;
+        private final List<RolloutFault> faults;
         private final DisabledGuard disabledGuard;
         private final Random random = new Random(7);
         private final List<Entry> entries = new ArrayList<>();
@@ -120,7 +120,7 @@
         private long sequence;
         private long verdictMillis = Long.MAX_VALUE / 2;
 
-        private Scenario(MoveStep faultStep, List<MoveFault> faults, DisabledGuard disabledGuard) {
+        private Scenario(RolloutStep faultStep, List<RolloutFault> faults, DisabledGuard disabledGuard) {
             this.faultStep = faultStep;
             this.faults = faults;
             this.disabledGuard = disabledGuard;
@@ -139,7 +139,7 @@
         private List<String> simulate() {
             after(0, () -> publish(0, 5));
             after(0, this::request);
-            after(VERDICT_MILLIS - 1_500, () -> reached(MoveStep.BEFORE_VERDICT, entries.get(0)));
+            after(VERDICT_MILLIS - 1_500, () -> reached(RolloutStep.BEFORE_VERDICT, entries.get(0)));
             after(VERDICT_MILLIS, this::verdict);
             runFor(45_000);
             if (canaries * Stage.ALL_BASIS_POINTS > SHARE_BASIS_POINTS * requests) {
@@ -157,13 +157,13 @@
                 return;
             }
             int share = disabledGuard == DisabledGuard.SHARE_LIMIT ? Stage.ALL_BASIS_POINTS : SHARE_BASIS_POINTS;
-            boolean good = disabledGuard == DisabledGuard.STAGE_LEASE;
-            Stage stage = new Stage(MODEL, "v1", BAD, share, StageView.MAX_LEASE_MILLIS, good);
+            boolean evaluatedGood = disabledGuard == DisabledGuard.STAGE_LEASE;
+            Stage stage = new Stage(MODEL, "v1", BAD, share, StageView.MAX_LEASE_MILLIS, evaluatedGood);
             boolean ended = now() > VERDICT_MILLIS + 1_000 && disabledGuard != DisabledGuard.VERDICT;
             ControllerStages stages =
                     new ControllerStages(fencingNumber, ++sequence, ended ? List.of() : List.of(stage));
             entries.forEach(entry -> send(entry, () -> entry.view.apply(stages, now())));
-            reached(MoveStep.FIRST_STAGE, entries.get(0));
+            reached(RolloutStep.FIRST_STAGE, entries.get(0));
             if (!ended) {
                 after(2_000, () -> publish(controller, fencingNumber));
             }
@@ -175,7 +175,7 @@
 
         private void verdict() {
             verdictMillis = now();
-            reached(MoveStep.VERDICT_SENT, entries.get(0));
+            reached(RolloutStep.VERDICT_SENT, entries.get(0));
             BadVerdict bad = new BadVerdict(new ModelVersion(MODEL, BAD), "failures");
             for (Entry entry : entries) {
                 sendVerdict(entry, bad);
@@ -185,7 +185,7 @@
         /** Sends the verdict with each heartbeat, so that a restarted entry receives it as well. */
         private void sendVerdict(Entry entry, BadVerdict bad) {
             send(entry, () -> {
-                reached(MoveStep.VERDICT_ARRIVED, entry);
+                reached(RolloutStep.VERDICT_ARRIVED, entry);
                 entry.verdictReceived = true;
                 if (disabledGuard != DisabledGuard.VERDICT) {
                     entry.view.merge(List.of(bad));
@@ -250,10 +250,10 @@
             if (now() > verdictMillis + allowedMillis && now() >= entry.frozenUntilMillis + STOP_MILLIS) {
                 violations.add("3: " + request.id() + " after the lease at " + now());
             }
-            reached(MoveStep.CANARY_SENT, entry);
+            reached(RolloutStep.CANARY_SENT, entry);
         }
 
-        private void reached(MoveStep step, Entry entry) {
+        private void reached(RolloutStep step, Entry entry) {
             if (faultsInjected || step != faultStep) {
                 return;
             }
@@ -261,7 +261,7 @@
             faults.forEach(fault -> inject(fault, entry));
         }
 
-        private void inject(MoveFault fault, Entry entry) {
+        private void inject(RolloutFault fault, Entry entry) {
             switch (fault) {
                 case ENTRY_REPLACED -> start(entry);
                 case ENTRY_FROZEN -> entry.frozenUntilMillis = now() + 3_000;
--- a/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
@@ -37,7 +37,7 @@
     @TempDir
     private Path directory;
 
-    private final HttpCallClient calls = new HttpCallClient();
+    private final HttpCallClient client = new HttpCallClient();
 
     private LocalDeployment deploy(int entries, LocalUpstream... upstreams) throws IOException {
         return LocalDeployment.start(
@@ -45,7 +45,7 @@
     }
 
     private CompletableFuture<Response> order(LocalDeployment deployment, String entry, String key) {
-        return calls.start(
+        return client.start(
                 deployment.address(entry),
                 HttpRequestMethod.POST,
                 "/flags/orders",
@@ -63,7 +63,7 @@
                 tokens,
                 "messages",
                 List.of(Map.of("role", "user", "content", prompt))));
-        return calls.start(
+        return client.start(
                 deployment.address(entry),
                 HttpRequestMethod.POST,
                 CHAT,
