--- a/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
+++ b/standins/src/main/java/dev/wigeonward/standins/demo/DemoCommand.java
@@ -47,20 +47,20 @@
 
     /** Sends the requests, prints each answer, and returns 0 if all answers are as expected and 1 otherwise. */
     public int run(PrintStream out) {
-        List<String> entry = Splitter.on(',').splitToList(entries);
-        try (HttpCallClient calls = new HttpCallClient()) {
-            awaitReady(calls);
+        List<String> entryAddresses = Splitter.on(',').splitToList(entries);
+        try (HttpCallClient client = new HttpCallClient()) {
+            awaitReady(client);
             Map<String, String> auth = Map.of("authorization", "Bearer " + key);
             check(
                     out,
                     "short request",
-                    calls.call(entry.get(0), HttpRequestMethod.POST, CHAT, auth, chat(20, false)),
+                    client.call(entryAddresses.get(0), HttpRequestMethod.POST, CHAT, auth, chat(20, false)),
                     answered("w19"));
             check(
                     out,
                     "long request",
-                    calls.call(
-                            entry.get(1),
+                    client.call(
+                            entryAddresses.get(1),
                             HttpRequestMethod.POST,
                             CHAT,
                             Map.of("authorization", "Bearer " + longKey),
@@ -69,70 +69,76 @@
             check(
                     out,
                     "streamed request",
-                    calls.call(entry.get(0), HttpRequestMethod.POST, CHAT, auth, chat(60, true)),
+                    client.call(entryAddresses.get(0), HttpRequestMethod.POST, CHAT, auth, chat(60, true)),
                     answered("data: [DONE]"));
             check(
                     out,
                     "lookup at a plain service",
-                    calls.call(entry.get(1), HttpRequestMethod.GET, "/flags/7", auth, ""),
+                    client.call(entryAddresses.get(1), HttpRequestMethod.GET, "/flags/7", auth, ""),
                     answered("GET /flags/7"));
-            orders(out, calls, entry, auth);
-            refusals(out, calls, entry, auth);
-            HttpCallClient.Response ran = calls.get(service, "/admin/ran");
-            check(out, "the service ran the order once", ran, answered("\"POST /flags/orders two red flags\":1"));
+            orders(out, client, entryAddresses, auth);
+            refusals(out, client, entryAddresses, auth);
+            HttpCallClient.Response runCounts = client.get(service, "/admin/ran");
+            check(out, "the service ran the order once", runCounts, answered("\"POST /flags/orders two red flags\":1"));
         }
         out.println(failures == 0 ? "all answers were as expected" : failures + " answers were not as expected");
         return failures == 0 ? EXIT_OK : EXIT_FAILED;
     }
 
-    private void orders(PrintStream out, HttpCallClient calls, List<String> entry, Map<String, String> auth) {
+    private void orders(PrintStream out, HttpCallClient client, List<String> entryAddresses, Map<String, String> auth) {
         Map<String, String> keyed =
                 Map.of("authorization", auth.get("authorization"), "idempotency-key", "\"order-1\"");
         check(
                 out,
                 "non-idempotent order",
-                calls.call(entry.get(0), HttpRequestMethod.POST, "/flags/orders", keyed, "two red flags"),
+                client.call(entryAddresses.get(0), HttpRequestMethod.POST, "/flags/orders", keyed, "two red flags"),
                 answered("\"times_run\":1"));
         check(
                 out,
                 "resend of the order through the other entry",
-                calls.call(entry.get(1), HttpRequestMethod.POST, "/flags/orders", keyed, "two red flags"),
+                client.call(entryAddresses.get(1), HttpRequestMethod.POST, "/flags/orders", keyed, "two red flags"),
                 answered("\"times_run\":1"));
         check(
                 out,
                 "same key with another body",
-                calls.call(entry.get(1), HttpRequestMethod.POST, "/flags/orders", keyed, "three red flags"),
+                client.call(entryAddresses.get(1), HttpRequestMethod.POST, "/flags/orders", keyed, "three red flags"),
                 refused(422, "idempotency_key_reused"));
     }
 
-    private void refusals(PrintStream out, HttpCallClient calls, List<String> entry, Map<String, String> auth) {
+    private void refusals(
+            PrintStream out, HttpCallClient client, List<String> entryAddresses, Map<String, String> auth) {
         check(
                 out,
                 "order without a key",
-                calls.call(entry.get(0), HttpRequestMethod.POST, "/flags/orders", auth, "one flag"),
+                client.call(entryAddresses.get(0), HttpRequestMethod.POST, "/flags/orders", auth, "one flag"),
                 refused(400, "idempotency_key_required"));
         check(
                 out,
                 "unknown bearer key",
-                calls.call(entry.get(0), HttpRequestMethod.GET, "/flags/7", Map.of("authorization", "Bearer none"), ""),
+                client.call(
+                        entryAddresses.get(0),
+                        HttpRequestMethod.GET,
+                        "/flags/7",
+                        Map.of("authorization", "Bearer none"),
+                        ""),
                 refused(401, "unauthorized"));
         Map<String, String> hurried = Map.of("authorization", auth.get("authorization"), "x-deadline-ms", "5");
         check(
                 out,
                 "deadline that cannot be met",
-                calls.call(entry.get(1), HttpRequestMethod.POST, CHAT, hurried, chat(100, false)),
+                client.call(entryAddresses.get(1), HttpRequestMethod.POST, CHAT, hurried, chat(100, false)),
                 refused(503, "deadline_unreachable"));
         check(
                 out,
                 "malformed body",
-                calls.call(entry.get(0), HttpRequestMethod.POST, CHAT, auth, "{"),
+                client.call(entryAddresses.get(0), HttpRequestMethod.POST, CHAT, auth, "{"),
                 refused(400, "malformed_request"));
     }
 
-    private void awaitReady(HttpCallClient calls) {
+    private void awaitReady(HttpCallClient client) {
         for (String admin : Splitter.on(',').split(admins)) {
-            await(() -> calls.get(admin, "/admin/health").status() == 200);
-            await(() -> Json.read(calls.get(admin, "/admin/dump").body().getBytes(StandardCharsets.UTF_8))
+            await(() -> client.get(admin, "/admin/health").status() == 200);
+            await(() -> Json.read(client.get(admin, "/admin/dump").body().getBytes(StandardCharsets.UTF_8))
                     .map(dump -> dump.path("upstreams").size() >= upstreams)
                     .orElse(false));
         }
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
@@ -245,7 +245,7 @@
         StreamingHttpResponse stream(EngineStream stream, int offsetBytes) {
             return responses
                     .ok()
-                    .addHeader("content-type", stream.events() ? "text/event-stream" : Json.MEDIA_TYPE)
+                    .addHeader("content-type", stream.eventStream() ? "text/event-stream" : Json.MEDIA_TYPE)
                     .payloadBody(stream.read(offsetBytes));
         }
 
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineStream.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineStream.java
@@ -22,7 +22,7 @@
     private final String id;
     private final String model;
     private final String version;
-    private final boolean events;
+    private final boolean eventStream;
     private final int promptTokens;
     private final int outputTokens;
     private final BufferAllocator allocator;
@@ -40,14 +40,14 @@
             String id,
             String model,
             String version,
-            boolean events,
+            boolean eventStream,
             int promptTokens,
             int outputTokens,
             BufferAllocator allocator) {
         this.id = id;
         this.model = model;
         this.version = version;
-        this.events = events;
+        this.eventStream = eventStream;
         this.promptTokens = promptTokens;
         this.outputTokens = outputTokens;
         this.allocator = allocator;
@@ -62,8 +62,8 @@
         return version;
     }
 
-    boolean events() {
-        return events;
+    boolean eventStream() {
+        return eventStream;
     }
 
     int promptTokens() {
@@ -94,7 +94,7 @@
         }
         emittedTokens = endToken;
         text.append(part);
-        if (events) {
+        if (eventStream) {
             write(event(Map.of("choices", List.of(Map.of("index", 0, "delta", Map.of("content", part.toString()))))));
         }
     }
@@ -103,7 +103,7 @@
         if (ended) {
             return;
         }
-        if (events) {
+        if (eventStream) {
             write(event(Map.of("choices", List.of(), "usage", usage())));
             write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
         } else {
--- a/standins/src/main/java/dev/wigeonward/standins/load/LoadGenerator.java
+++ b/standins/src/main/java/dev/wigeonward/standins/load/LoadGenerator.java
@@ -28,7 +28,7 @@
     private final Map<String, String> headers;
     private final MonotonicClock clock = MonotonicClock.start();
 
-    /** Creates a run whose requests go to the addresses in turn. */
+    /** Creates a generator that sends requests to the addresses in turn. */
     public LoadGenerator(List<String> addresses, Map<String, String> headers) {
         this.clients = addresses.stream().map(LoadGenerator::connect).toList();
         this.headers = Map.copyOf(headers);
@@ -105,6 +105,6 @@
         clients.forEach(client -> client.closeAsync().subscribe());
     }
 
-    /** Result of a run: latencies in microseconds; failures are answers other than 200 and lost requests. */
+    /** Result of the requests: latencies in microseconds; failures are answers other than 200 and lost requests. */
     public record Outcome(Histogram micros, int failures, boolean complete, double achievedPerSecond) {}
 }
--- a/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
+++ b/standins/src/main/java/dev/wigeonward/standins/local/LocalDeployment.java
@@ -54,8 +54,8 @@
     }
 
     private void startAll(Path rules, List<LocalUpstream> upstreams, int entries) throws IOException {
-        standin("kv", List.of("kv"));
-        standin("vms", List.of("vms"));
+        startStandin("kv", List.of("kv"));
+        startStandin("vms", List.of("vms"));
         for (LocalUpstream upstream : upstreams) {
             add(upstream);
         }
@@ -88,11 +88,11 @@
     public void add(LocalUpstream upstream) throws IOException {
         List<String> arguments = new ArrayList<>(List.of(upstream.kind() == Kind.ENGINE ? "engine" : "service"));
         arguments.addAll(upstream.arguments());
-        standin(upstream.name(), arguments);
+        startStandin(upstream.name(), arguments);
         startAgent(upstream);
     }
 
-    private void standin(String name, List<String> arguments) throws IOException {
+    private void startStandin(String name, List<String> arguments) throws IOException {
         int port = FreePorts.next();
         List<String> all = new ArrayList<>(arguments);
         all.addAll(List.of("--port", Integer.toString(port)));
@@ -238,7 +238,7 @@
     }
 
     /** Waits until a condition holds; fails after a bounded time. */
-    public void awaitCondition(String what, BooleanSupplier condition) {
+    public void awaitCondition(String description, BooleanSupplier condition) {
         for (long polls = READY_LIMIT_MILLIS / POLL_MILLIS; polls > 0; polls--) {
             if (condition.getAsBoolean()) {
                 return;
@@ -246,7 +246,7 @@
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
         }
         throw new IllegalStateException(
-                "condition was not met after waiting for " + READY_LIMIT_MILLIS + " ms: " + what);
+                "condition was not met after waiting for " + READY_LIMIT_MILLIS + " ms: " + description);
     }
 
     @Override
--- a/standins/src/main/java/dev/wigeonward/standins/vms/VmsStandin.java
+++ b/standins/src/main/java/dev/wigeonward/standins/vms/VmsStandin.java
@@ -21,7 +21,7 @@
 
 /**
  * Stand-in for the VM list. {@code GET /v1/vms?since=<version>} returns the changes since a version, or the full list
- * if the version is from another run of the stand-in. {@code POST /admin/vms} with a {@link VmRecord} registers,
+ * if the version is from another start of the stand-in. {@code POST /admin/vms} with a {@link VmRecord} registers,
  * changes or (state {@code gone}) removes a VM; {@code POST /admin/lag} with {@code {"lag_millis":N}} delays later
  * changes.
  */
@@ -41,7 +41,7 @@
 
     private VmsStandin(Clock clock) {
         this.clock = clock;
-        // The versions of a later run are higher, so that clients detect a restart of the list.
+        // The versions after a later start are higher, so that clients detect a restart of the list.
         this.firstVersion = clock.millis();
         this.version = firstVersion;
     }
--- a/standins/src/test/java/dev/wigeonward/standins/Awaiting.java
+++ b/standins/src/test/java/dev/wigeonward/standins/Awaiting.java
@@ -25,10 +25,10 @@
     }
 
     /** Waits until a condition holds; fails when it takes longer than the bound. */
-    public static void awaitUntil(String what, BooleanSupplier condition) {
+    public static void awaitUntil(String description, BooleanSupplier condition) {
         long endNanos = System.nanoTime() + BOUND.toNanos();
         while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("waiting for " + what).isLessThan(endNanos);
+            assertThat(System.nanoTime()).as("waiting for " + description).isLessThan(endNanos);
             LockSupport.parkNanos(CHECK_INTERVAL.toNanos());
         }
     }
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStorePropertyTest.java
@@ -87,7 +87,10 @@
                 .hasMessageContaining("grants of each key");
     }
 
-    /** Fails if both a move by the owner and a concurrent takeover are granted while replies are lost. */
+    /**
+     * Fails if both a move by the owner and a concurrent replacement by another entry are granted while replies are
+     * lost.
+     */
     private static void checkMoveAgainstTakeover(long seed, UnaryOperator<KeyValueStore> variant) {
         try (StoreFixture fixture = new StoreFixture()) {
             ClaimStore owner = entry(fixture, variant, 2 * seed);
@@ -98,15 +101,15 @@
                         await(owner.acquire(request(key, "owner"))).claim().orElseThrow();
                 fixture.standin.setFaults(KvFaults.random(0.3, 0.2, seed + key));
                 CompletableFuture<ClaimResponse> move = owner.moveTo(claim, "u2", 2);
-                CompletableFuture<ClaimResponse> takeover = other.replace(request(key, "other"), claim.claimId());
+                CompletableFuture<ClaimResponse> replacement = other.replace(request(key, "other"), claim.claimId());
                 boolean both = await(move).claim().isPresent()
-                        && await(takeover).claim().isPresent();
+                        && await(replacement).claim().isPresent();
                 assertThat(both).as("grants of a move and a takeover").isFalse();
             }
         }
     }
 
-    /** Guards against a claim that is both moved by its owner and taken over when replies are lost. */
+    /** Guards against a claim that is both moved by its owner and replaced by another entry when replies are lost. */
     @Property(tries = 10, shrinking = ShrinkingMode.OFF)
     void eitherMoveOrTakeoverIsGranted(@ForAll @IntRange(max = 100_000) int seed) {
         checkMoveAgainstTakeover(seed, store -> store);
@@ -117,7 +120,7 @@
     void checkFindsMovesAfterATakeover() {
         assertThatThrownBy(() -> {
                     for (int seed = 0; seed < 10; seed++) {
-                        checkMoveAgainstTakeover(seed, ForwardingStore::ignoringCompares);
+                        checkMoveAgainstTakeover(seed, ForwardingStore::ignoringConditions);
                     }
                 })
                 .isInstanceOf(AssertionError.class)
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
@@ -63,9 +63,9 @@
     }
 
     private HeldClaim granted(CompletableFuture<ClaimResponse> reply) {
-        ClaimResponse answer = await(reply);
-        assertThat(answer.result()).isEqualTo(new ClaimResult.Granted());
-        return answer.claim().orElseThrow();
+        ClaimResponse response = await(reply);
+        assertThat(response.result()).isEqualTo(new ClaimResult.Granted());
+        return response.claim().orElseThrow();
     }
 
     private static ClaimResult answer(CompletableFuture<ClaimResponse> reply) {
@@ -106,7 +106,7 @@
     @Test
     void oneOfTwoEntriesGetsTheKey() {
         checkRace(store -> store);
-        assertThatThrownBy(() -> checkRace(ForwardingStore::ignoringCompares)).isInstanceOf(AssertionError.class);
+        assertThatThrownBy(() -> checkRace(ForwardingStore::ignoringConditions)).isInstanceOf(AssertionError.class);
     }
 
     /** Guards against a claim that its own entry does not recognize because the reply was lost. */
@@ -147,7 +147,7 @@
         granted(first.acquire(request("k", "r1")));
     }
 
-    /** Fails unless only the current claim id permits a takeover, after which the owner cannot change the claim. */
+    /** Fails unless only the current claim id permits a replacement, after which the owner cannot change the claim. */
     private void checkTakeover(String key, UnaryOperator<KeyValueStore> variant) {
         ClaimStore owner = entry(5, variant.apply(fixture.store));
         ClaimStore other = entry(6, variant.apply(fixture.store));
@@ -175,11 +175,11 @@
         assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(moved));
     }
 
-    /** Guards against an owner and a successor that both dispatch, and against a takeover of a moved claim. */
+    /** Guards against an owner and a successor that both dispatch, and against the replacement of a moved claim. */
     @Test
     void takeoverNeedsTheCurrentClaimId() {
         checkTakeover("k", store -> store);
-        assertThatThrownBy(() -> checkTakeover("m", ForwardingStore::ignoringCompares))
+        assertThatThrownBy(() -> checkTakeover("m", ForwardingStore::ignoringConditions))
                 .isInstanceOf(AssertionError.class);
     }
 
@@ -221,7 +221,7 @@
         assertThat(await(second.acquire(request("done", "r3"))).outcome()).isPresent();
     }
 
-    /** Guards against a batch that refuses claims because another key in it is held, and against a call per claim. */
+    /** Guards against a group that refuses claims because another key in it is held, and against a call per claim. */
     @Test
     void groupAnswersEachClaimByItself() {
         HeldClaim held = granted(second.acquire(request("k5", "held")));
@@ -235,7 +235,7 @@
             ClaimResult expected = i == 5 ? heldBy(held) : new ClaimResult.Granted();
             assertThat(answer(replies.get(i))).isEqualTo(expected);
         }
-        // Batches close 2 ms after their first claim; on a busy machine 64 claims may be split into several batches.
+        // Groups are sent 2 ms after their first claim; on a busy machine 64 claims may be split into several groups.
         assertThat(fixture.standin.counters().get("/v3/kv/txn") - callsBefore).isLessThanOrEqualTo(32);
     }
 
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdRevisionStoreTest.java
@@ -93,7 +93,7 @@
     /** Verifies that the check fails for a store that reads an old head and ignores the condition of the write. */
     @Test
     void checkFindsAnUnconditionalWrite() {
-        assertThatThrownBy(() -> checkConflict(store -> ForwardingStore.ignoringCompares(withEmptyFirstRead(store))))
+        assertThatThrownBy(() -> checkConflict(store -> ForwardingStore.ignoringConditions(withEmptyFirstRead(store))))
                 .isInstanceOf(AssertionError.class);
     }
 
@@ -106,14 +106,14 @@
     /** Returns a store whose first read finds no value. */
     private static KeyValueStore withEmptyFirstRead(KeyValueStore store) {
         return new ForwardingStore(store) {
-            private boolean asked;
+            private boolean firstReadDone;
 
             @Override
             public synchronized CompletableFuture<ReadResult<Optional<KeyValue>>> get(String key) {
-                if (asked) {
+                if (firstReadDone) {
                     return super.get(key);
                 }
-                asked = true;
+                firstReadDone = true;
                 return super.get("/wigeonward/none");
             }
         };
--- a/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/EtcdStoreTest.java
@@ -49,7 +49,7 @@
                 .orElse("absent");
     }
 
-    /** Guards against a failed compare that is taken for a success, and against a missing current value. */
+    /** Guards against a failed condition that is taken for a success, and against a missing current value. */
     @Test
     void eachCompareDecidesAndReturnsTheCurrentValue() {
         WriteResult created = await(store.commit(create("/a", "1")));
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ForwardingStore.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ForwardingStore.java
@@ -33,7 +33,7 @@
     }
 
     /** Returns a faulty store that writes without checking the conditions. */
-    static KeyValueStore ignoringCompares(KeyValueStore store) {
+    static KeyValueStore ignoringConditions(KeyValueStore store) {
         return new ForwardingStore(store) {
             @Override
             public CompletableFuture<WriteResult> commit(Transaction transaction) {
