Name the revision converter RevisionCodec and verbs of answers

Cause: a converter was still named RevisionFrames, and the entry's answers had methods named output, end and stored.

--- a/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
+++ b/entry/src/main/java/dev/wigeonward/entry/OperatorStore.java
@@ -16,7 +16,7 @@
 final class OperatorStore {
     private static final long CALL_TIMEOUT_MILLIS = 3_000;
     private static final long WATCH_IDLE_MILLIS = 60_000;
-    private static final int CALLS_IN_FLIGHT = 8;
+    private static final int MAX_CALLS_IN_FLIGHT = 8;
     private static final double CALLS_PER_SECOND = 50;
 
     private OperatorStore() {}
@@ -27,7 +27,7 @@
                 new InetSocketAddress(host, port),
                 CALL_TIMEOUT_MILLIS,
                 WATCH_IDLE_MILLIS,
-                CALLS_IN_FLIGHT,
+                MAX_CALLS_IN_FLIGHT,
                 CALLS_PER_SECOND,
                 CALLS_PER_SECOND);
         EtcdStore store =
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -179,7 +179,7 @@
         });
     }
 
-    /** Passes learned facts to the component that uses them. */
+    /** Passes received facts to the component that uses them. */
     private final class ControlFactListener implements FactListener {
         @Override
         public void onBadVerdict(BadVerdict verdict) {
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -349,7 +349,7 @@
 
     private ClaimPort.Listener listener(RequestId id) {
         return (answer, outcome) -> execute(() -> {
-            answers.find(id).ifPresent(pending -> outcome.ifPresent(pending::storedOutcome));
+            answers.find(id).ifPresent(pending -> outcome.ifPresent(pending::setStoredOutcome));
             dispatch(new EntryEvent.ClaimAnswered(id, answer));
         });
     }
@@ -365,13 +365,13 @@
 
     private void deliver(EntryEffect effect) {
         if (effect instanceof EntryEffect.DeliverOutput output) {
-            if (!answers.output(output, currentFrame.getOutput())) {
+            if (!answers.deliverOutput(output, currentFrame.getOutput())) {
                 worker.put(new EntryInput.Event(new EntryEvent.CallerDisconnected(output.request())));
             }
         } else if (effect instanceof EntryEffect.DeliverEnd end) {
-            answers.end(end.request(), currentFrame.getFinished());
+            answers.complete(end.request(), currentFrame.getFinished());
         } else if (effect instanceof EntryEffect.DeliverStored stored) {
-            answers.stored(stored.request());
+            answers.deliverStored(stored.request());
         } else if (effect instanceof EntryEffect.DeliverFailure failure) {
             answers.fail(failure.request(), failure.failure());
         } else if (effect instanceof EntryEffect.ReleaseRequest release) {
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswer.java
@@ -57,7 +57,7 @@
         response.end();
     }
 
-    void storedOutcome(StoredOutcome outcome) {
+    void setStoredOutcome(StoredOutcome outcome) {
         stored = outcome;
     }
 
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
@@ -45,7 +45,7 @@
      * Writes a part of an answer. Returns false if the caller reads too slowly; the answer has then been ended with an
      * error.
      */
-    boolean output(EntryEffect.DeliverOutput effect, Output output) {
+    boolean deliverOutput(EntryEffect.DeliverOutput effect, Output output) {
         PendingAnswer answer = answers.get(effect.request());
         if (answer.output(output, effect.skipBytes())) {
             return true;
@@ -55,7 +55,7 @@
         return false;
     }
 
-    void end(RequestId id, Finished finished) {
+    void complete(RequestId id, Finished finished) {
         PendingAnswer answer = answers.get(id);
         answer.finish(finished);
         metrics.completed(answer.response().request().tier());
@@ -65,7 +65,7 @@
                 finished.getUsage().getOutputTokens());
     }
 
-    void stored(RequestId id) {
+    void deliverStored(RequestId id) {
         PendingAnswer answer = answers.get(id);
         answer.deliverStored();
         metrics.completed(answer.response().request().tier());
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionCodec.java
@@ -12,11 +12,11 @@
 import dev.wigeonward.wire.generated.RevisionSnapshot;
 
 /** Converts the messages of the revision relay to frames and back. */
-final class RevisionFrames {
+final class RevisionCodec {
     /** Heartbeats carry the number only; the relay takes the hash from offers and verifies the text against it. */
     private static final String HASH_NOT_SENT = "";
 
-    private RevisionFrames() {}
+    private RevisionCodec() {}
 
     static Frame offer(long number, String hash) {
         return Frame.newBuilder()
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionSync.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionSync.java
@@ -67,7 +67,7 @@
         }
         Optional<RelayEvent> event;
         try {
-            event = RevisionFrames.event(peer, frame);
+            event = RevisionCodec.event(peer, frame);
         } catch (IllegalArgumentException | ArithmeticException e) {
             LOG.log(Level.WARNING, "dropped a malformed revision message from peer {0}: {1}", peer, e.getMessage());
             return;
@@ -110,13 +110,13 @@
 
     private void execute(RelayEffect effect) {
         if (effect instanceof RelayEffect.SendOffer send) {
-            sender.send(send.peer(), RevisionFrames.offer(send.number(), send.hash()));
+            sender.send(send.peer(), RevisionCodec.offer(send.number(), send.hash()));
         } else if (effect instanceof RelayEffect.SendRequest send) {
-            sender.send(send.peer(), RevisionFrames.request(send.baseNumber(), send.baseHash()));
+            sender.send(send.peer(), RevisionCodec.request(send.baseNumber(), send.baseHash()));
         } else if (effect instanceof RelayEffect.SendDelta send) {
-            sender.send(send.peer(), RevisionFrames.delta(send.delta()));
+            sender.send(send.peer(), RevisionCodec.delta(send.delta()));
         } else if (effect instanceof RelayEffect.SendSnapshotPart send) {
-            sender.send(send.peer(), RevisionFrames.snapshotPart(send.part()));
+            sender.send(send.peer(), RevisionCodec.snapshotPart(send.part()));
         } else if (effect instanceof RelayEffect.Adopt adopt) {
             LOG.log(Level.INFO, "revision {0} is in force", adopt.revision().number());
             adoptionListener.accept(adopt.revision());
