--- a/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/PendingAnswers.java
@@ -24,9 +24,9 @@
         this.usage = usage;
     }
 
-    void add(CallerResponse session) {
-        answers.put(session.request().id(), new PendingAnswer(session));
-        metrics.arrived(session.request().tier());
+    void add(CallerResponse response) {
+        answers.put(response.request().id(), new PendingAnswer(response));
+        metrics.arrived(response.request().tier());
     }
 
     PendingAnswer get(RequestId id) {
@@ -45,34 +45,34 @@
      * Writes a part of an answer. Returns false if the caller reads too slowly; the answer has then been ended with an
      * error.
      */
-    boolean output(EntryEffect.DeliverOutput effect, Output output) {
+    boolean deliverOutput(EntryEffect.DeliverOutput effect, Output output) {
         PendingAnswer answer = answers.get(effect.request());
         if (answer.output(output, effect.skipBytes())) {
             return true;
         }
-        answer.session().fail(Failure.of(ErrorKind.SLOW_READER, "the caller does not read the answer fast enough"));
+        answer.response().fail(Failure.of(ErrorKind.SLOW_READER, "the caller does not read the answer fast enough"));
         metrics.failed(ErrorKind.SLOW_READER);
         return false;
     }
 
-    void end(RequestId id, Finished finished) {
+    void complete(RequestId id, Finished finished) {
         PendingAnswer answer = answers.get(id);
         answer.finish(finished);
-        metrics.completed(answer.session().request().tier());
+        metrics.completed(answer.response().request().tier());
         usage.record(
-                answer.session().request(),
+                answer.response().request(),
                 finished.getUsage().getPromptTokens(),
                 finished.getUsage().getOutputTokens());
     }
 
-    void stored(RequestId id) {
+    void deliverStored(RequestId id) {
         PendingAnswer answer = answers.get(id);
         answer.deliverStored();
-        metrics.completed(answer.session().request().tier());
+        metrics.completed(answer.response().request().tier());
     }
 
     void fail(RequestId id, Failure failure) {
         metrics.failed(failure.kind());
-        answers.get(id).session().fail(failure);
+        answers.get(id).response().fail(failure);
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
@@ -70,10 +70,10 @@
         Condition unchanged = new Condition.ModRevision(key, expectedRevision);
         store.commit(Transaction.of(unchanged, new Write.Put(key, value, 0)))
                 .thenAccept(result -> answer.accept(
-                        answerOf(result), result instanceof WriteResult.Applied applied ? applied.revision() : 0L));
+                        outcomeOf(result), result instanceof WriteResult.Applied applied ? applied.revision() : 0L));
     }
 
-    private static WriteOutcome answerOf(WriteResult result) {
+    private static WriteOutcome outcomeOf(WriteResult result) {
         if (result instanceof WriteResult.Applied) {
             return WriteOutcome.APPLIED;
         }
--- a/exchange/src/main/java/dev/wigeonward/exchange/RevisionFrames.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/RevisionCodec.java
@@ -12,11 +12,11 @@
 import dev.wigeonward.wire.generated.RevisionSnapshot;
 
 /** Converts the messages of the revision relay to frames and back. */
-final class RevisionFrames {
+final class RevisionCodec {
     /** Heartbeats carry the number only; the relay takes the hash from offers and verifies the text against it. */
     private static final String HASH_NOT_SENT = "";
 
-    private RevisionFrames() {}
+    private RevisionCodec() {}
 
     static Frame offer(long number, String hash) {
         return Frame.newBuilder()
@@ -24,10 +24,10 @@
                 .build();
     }
 
-    static Frame request(long haveNumber, String haveHash) {
+    static Frame request(long baseNumber, String baseHash) {
         return Frame.newBuilder()
                 .setRevisionRequest(
-                        RevisionRequest.newBuilder().setHave(haveNumber).setHaveHash(haveHash))
+                        RevisionRequest.newBuilder().setHave(baseNumber).setHaveHash(baseHash))
                 .build();
     }
 
--- a/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ClaimStoreTest.java
@@ -63,9 +63,9 @@
     }
 
     private HeldClaim granted(CompletableFuture<ClaimResponse> reply) {
-        ClaimResponse answer = await(reply);
-        assertThat(answer.result()).isEqualTo(new ClaimResult.Granted());
-        return answer.claim().orElseThrow();
+        ClaimResponse response = await(reply);
+        assertThat(response.result()).isEqualTo(new ClaimResult.Granted());
+        return response.claim().orElseThrow();
     }
 
     private static ClaimResult answer(CompletableFuture<ClaimResponse> reply) {
@@ -106,18 +106,18 @@
     @Test
     void oneOfTwoEntriesGetsTheKey() {
         checkRace(store -> store);
-        assertThatThrownBy(() -> checkRace(ForwardingStore::ignoringCompares)).isInstanceOf(AssertionError.class);
+        assertThatThrownBy(() -> checkRace(ForwardingStore::ignoringConditions)).isInstanceOf(AssertionError.class);
     }
 
     /** Guards against a claim that its own entry does not recognize because the reply was lost. */
     @Test
     void lostReplyIsRecognized() {
         granted(first.acquire(request("other", "r0")));
-        fixture.standin.setFaults(KvFaults.loseNext(1));
+        fixture.standin.setFaults(KvFaults.loseNextAnswers(1));
         HeldClaim claim = granted(first.acquire(request("k", "r1")));
         assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(claim));
 
-        fixture.standin.setFaults(KvFaults.loseNext(1));
+        fixture.standin.setFaults(KvFaults.loseNextAnswers(1));
         HeldClaim moved = granted(first.moveTo(claim, "u2", 8));
         assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(moved));
     }
@@ -138,7 +138,7 @@
     /** Guards against claims that are granted or keep waiting while the store is down. */
     @Test
     void storeDownIsUnavailable() {
-        for (KvFaults.Down down : List.of(KvFaults.Down.REFUSE, KvFaults.Down.DROP)) {
+        for (KvFaults.Outage down : List.of(KvFaults.Outage.REFUSE, KvFaults.Outage.DROP)) {
             fixture.standin.setFaults(KvFaults.down(down));
             assertThat(answer(first.acquire(request("k", "r1")))).isEqualTo(new ClaimResult.Unavailable());
             assertThat(answer(first.replace(request("k", "r1"), "c"))).isEqualTo(new ClaimResult.Unavailable());
@@ -147,7 +147,7 @@
         granted(first.acquire(request("k", "r1")));
     }
 
-    /** Fails unless only the current claim id permits a takeover, after which the owner cannot change the claim. */
+    /** Fails unless only the current claim id permits a replacement, after which the owner cannot change the claim. */
     private void checkTakeover(String key, UnaryOperator<KeyValueStore> variant) {
         ClaimStore owner = entry(5, variant.apply(fixture.store));
         ClaimStore other = entry(6, variant.apply(fixture.store));
@@ -175,11 +175,11 @@
         assertThat(answer(second.acquire(request("k", "r2")))).isEqualTo(heldBy(moved));
     }
 
-    /** Guards against an owner and a successor that both dispatch, and against a takeover of a moved claim. */
+    /** Guards against an owner and a successor that both dispatch, and against the replacement of a moved claim. */
     @Test
     void takeoverNeedsTheCurrentClaimId() {
         checkTakeover("k", store -> store);
-        assertThatThrownBy(() -> checkTakeover("m", ForwardingStore::ignoringCompares))
+        assertThatThrownBy(() -> checkTakeover("m", ForwardingStore::ignoringConditions))
                 .isInstanceOf(AssertionError.class);
     }
 
@@ -190,7 +190,7 @@
         byte[] body = new byte[StoredOutcome.MAX_BODY_BYTES];
         Arrays.fill(body, (byte) 0xfe);
         StoredOutcome outcome = StoredOutcome.of(201, "application/octet-stream", body);
-        fixture.standin.setFaults(KvFaults.loseNext(1));
+        fixture.standin.setFaults(KvFaults.loseNextAnswers(1));
         assertThat(await(first.recordOutcome(claim, outcome))).isTrue();
 
         ClaimResponse resend = await(second.acquire(request("k", "r2")));
@@ -210,7 +210,7 @@
     void outcomeAndReleaseAreRepeatedAfterAnOutage() {
         HeldClaim done = granted(first.acquire(request("done", "r1")));
         HeldClaim unused = granted(first.acquire(request("unused", "r2")));
-        fixture.standin.setFaults(KvFaults.down(KvFaults.Down.REFUSE));
+        fixture.standin.setFaults(KvFaults.down(KvFaults.Outage.REFUSE));
         CompletableFuture<Boolean> recorded = first.recordOutcome(done, StoredOutcome.withoutBody(200, "text/plain"));
         first.release(unused);
         awaitUntil("both writes to fail", () -> first.pendingRetryCount() == 2);
@@ -221,7 +221,7 @@
         assertThat(await(second.acquire(request("done", "r3"))).outcome()).isPresent();
     }
 
-    /** Guards against a batch that refuses claims because another key in it is held, and against a call per claim. */
+    /** Guards against a group that refuses claims because another key in it is held, and against a call per claim. */
     @Test
     void groupAnswersEachClaimByItself() {
         HeldClaim held = granted(second.acquire(request("k5", "held")));
@@ -235,7 +235,7 @@
             ClaimResult expected = i == 5 ? heldBy(held) : new ClaimResult.Granted();
             assertThat(answer(replies.get(i))).isEqualTo(expected);
         }
-        // Batches close 2 ms after their first claim; on a busy machine 64 claims may be split into several batches.
+        // Groups are sent 2 ms after their first claim; on a busy machine 64 claims may be split into several groups.
         assertThat(fixture.standin.counters().get("/v3/kv/txn") - callsBefore).isLessThanOrEqualTo(32);
     }
 
