--- a/common/src/main/java/dev/wigeonward/common/clock/MonotonicClock.java
+++ b/common/src/main/java/dev/wigeonward/common/clock/MonotonicClock.java
@@ -50,6 +50,6 @@
 
     @Override
     public Clock withZone(ZoneId newZone) {
-        return new MonotonicClock(start, startNanos, nanoTimer, Objects.requireNonNull(newZone, "zone"));
+        return new MonotonicClock(start, startNanos, nanoTimer, Objects.requireNonNull(newZone, "newZone"));
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/clock/PausedClock.java
+++ b/common/src/main/java/dev/wigeonward/common/clock/PausedClock.java
@@ -48,6 +48,6 @@
 
     @Override
     public Clock withZone(ZoneId newZone) {
-        return new PausedClock(now, Objects.requireNonNull(newZone, "zone"));
+        return new PausedClock(now, Objects.requireNonNull(newZone, "newZone"));
     }
 }
--- a/common/src/main/java/dev/wigeonward/common/store/StoreOptions.java
+++ b/common/src/main/java/dev/wigeonward/common/store/StoreOptions.java
@@ -63,7 +63,7 @@
         Preconditions.checkArgument(
                 watchIdleMillis > 0, "watchIdleMillis is %s, expected more than 0", watchIdleMillis);
         Preconditions.checkArgument(
-                maxCallsInFlight > 0, "callsInFlight is %s, expected more than 0", maxCallsInFlight);
+                maxCallsInFlight > 0, "maxCallsInFlight is %s, expected more than 0", maxCallsInFlight);
         Preconditions.checkArgument(readsPerSecond > 0, "readsPerSecond is %s, expected more than 0", readsPerSecond);
         Preconditions.checkArgument(
                 writesPerSecond > 0, "writesPerSecond is %s, expected more than 0", writesPerSecond);
--- a/core/src/main/java/dev/wigeonward/core/dispatch/ClaimHandler.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/ClaimHandler.java
@@ -134,7 +134,7 @@
     /** Replaces the other claim after its agent proved that it never received the request that holds the claim. */
     void onAttachNeverReceived(PendingRequest pending) {
         pending.phase = PendingRequest.Phase.CLAIMING;
-        dispatcher.emit(new EntryEffect.TakeOverClaim(
+        dispatcher.emit(new EntryEffect.ReplaceClaim(
                 pending.request.id(), pending.otherClaimId, pending.upstreamId, pending.upstreamIncarnation));
     }
 
--- a/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
+++ b/core/src/main/java/dev/wigeonward/core/dispatch/EntryEffect.java
@@ -10,7 +10,7 @@
     record AcquireClaim(RequestId request, String upstreamId, long upstreamIncarnation) implements EntryEffect {}
 
     /** Replaces the claim of another request, after its upstream proved that it never received that request. */
-    record TakeOverClaim(RequestId request, String previousClaimId, String upstreamId, long upstreamIncarnation)
+    record ReplaceClaim(RequestId request, String previousClaimId, String upstreamId, long upstreamIncarnation)
             implements EntryEffect {}
 
     /** Removes the claim of a request that did not run, even if the creation of the claim is still in progress. */
@@ -26,7 +26,7 @@
             String upstreamId,
             long upstreamIncarnation,
             String version,
-            long timeLeftMillis)
+            long remainingMillis)
             implements EntryEffect {}
 
     /** Requests that an agent attach this request to the run of another one with the same key; starts no run. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
@@ -83,7 +83,7 @@
                         || window.markSuspect(nowMillis) >= confirmMillis) {
                     return Optional.of(evaluation);
                 }
-                // Only requests counted after the route became suspect can confirm the suspicion.
+                // Only requests counted after the route became suspect can confirm the verdict.
                 window.restart(nowMillis);
             }
             if (evaluation.verdict() == Verdict.GOOD) {
--- a/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
@@ -64,7 +64,7 @@
     }
 
     /** Returns the restriction on a request that follows from the known deaths. */
-    public SuspectRestriction suspicion(long fingerprint, long nowMillis) {
+    public SuspectRestriction restriction(long fingerprint, long nowMillis) {
         Suspect suspect = suspects.get(fingerprint);
         if (suspect == null || !suspect.activeAt(nowMillis)) {
             return SuspectRestriction.NONE;
@@ -78,7 +78,7 @@
      * Returns whether the request may be dispatched now. One that is not refused may be, once its other copy has ended.
      */
     public boolean mayDispatch(long fingerprint, long nowMillis) {
-        return switch (suspicion(fingerprint, nowMillis)) {
+        return switch (restriction(fingerprint, nowMillis)) {
             case NONE -> true;
             case ONE_AT_A_TIME -> !dispatches.containsKey(fingerprint);
             case REFUSED -> false;
--- a/core/src/main/java/dev/wigeonward/core/suspect/SuspectTablePolicy.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/SuspectTablePolicy.java
@@ -20,7 +20,7 @@
 
     @Override
     public Decision decide(RequestSpec request, long nowMillis) {
-        if (table.suspicion(request.fingerprint(), nowMillis) == SuspectRestriction.REFUSED) {
+        if (table.restriction(request.fingerprint(), nowMillis) == SuspectRestriction.REFUSED) {
             return Decision.REFUSE;
         }
         return table.mayDispatch(request.fingerprint(), nowMillis) ? Decision.PASS : Decision.WAIT;
--- a/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
+++ b/core/src/test/java/dev/wigeonward/core/dispatch/EntryDispatcherFaultTest.java
@@ -111,7 +111,7 @@
                 .satisfies(effect -> assertThat(
                                 ((EntryEffect.DeliverFailure) effect).failure().kind())
                         .isEqualTo(ErrorKind.DEADLINE_EXCEEDED_RUNNING));
-        assertThat(effects).noneMatch(EntryEffect.TakeOverClaim.class::isInstance);
+        assertThat(effects).noneMatch(EntryEffect.ReplaceClaim.class::isInstance);
     }
 
     /** Guards against a request that is never removed, and a drain that never ends, when the store does not answer. */
--- a/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
@@ -28,7 +28,7 @@
         table.recordDispatch(FINGERPRINT);
         table.onUpstreamDied(FINGERPRINT, "u1", 0);
         table.recordEnd(FINGERPRINT);
-        assertThat(table.suspicion(FINGERPRINT, 1)).isEqualTo(SuspectRestriction.ONE_AT_A_TIME);
+        assertThat(table.restriction(FINGERPRINT, 1)).isEqualTo(SuspectRestriction.ONE_AT_A_TIME);
         assertThat(table.mayDispatch(FINGERPRINT, 1)).isFalse();
         table.recordEnd(FINGERPRINT);
         assertThat(table.mayDispatch(FINGERPRINT, 1)).isTrue();
@@ -40,8 +40,8 @@
         table.onUpstreamDied(FINGERPRINT, "u1", 0);
         table.onUpstreamDied(FINGERPRINT, "u2", 1_000);
         table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")), 500_000);
-        assertThat(table.suspicion(FINGERPRINT, 1_000 + LIFETIME_MILLIS - 1)).isEqualTo(SuspectRestriction.REFUSED);
-        assertThat(table.suspicion(FINGERPRINT, 1_000 + LIFETIME_MILLIS)).isEqualTo(SuspectRestriction.NONE);
+        assertThat(table.restriction(FINGERPRINT, 1_000 + LIFETIME_MILLIS - 1)).isEqualTo(SuspectRestriction.REFUSED);
+        assertThat(table.restriction(FINGERPRINT, 1_000 + LIFETIME_MILLIS)).isEqualTo(SuspectRestriction.NONE);
     }
 
     /** Guards against two peers that renew an expired fact forever by sending it to each other. */
@@ -51,7 +51,7 @@
         table.merge(fact, 0);
         assertThat(table.activeFacts(LIFETIME_MILLIS)).isEmpty();
         assertThat(table.merge(fact, LIFETIME_MILLIS + 5_000)).isEmpty();
-        assertThat(table.suspicion(FINGERPRINT, LIFETIME_MILLIS + 5_000)).isEqualTo(SuspectRestriction.NONE);
+        assertThat(table.restriction(FINGERPRINT, LIFETIME_MILLIS + 5_000)).isEqualTo(SuspectRestriction.NONE);
         assertThat(table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u3")), LIFETIME_MILLIS + 6_000))
                 .contains(new SuspectFact(FINGERPRINT, Set.of("u3")));
     }
@@ -65,8 +65,8 @@
         small.onUpstreamDied(1, "u2", 2);
         small.onUpstreamDied(3, "u1", 3);
         assertThat(small.size()).isEqualTo(2);
-        assertThat(small.suspicion(1, 4)).isEqualTo(SuspectRestriction.REFUSED);
-        assertThat(small.suspicion(2, 4)).isEqualTo(SuspectRestriction.NONE);
+        assertThat(small.restriction(1, 4)).isEqualTo(SuspectRestriction.REFUSED);
+        assertThat(small.restriction(2, 4)).isEqualTo(SuspectRestriction.NONE);
     }
 
     /** Guards against facts that circulate forever between peers because they are forwarded without being new. */
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlaneDependencies.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlaneDependencies.java
@@ -29,10 +29,10 @@
     public ControlPlaneDependencies {
         Objects.requireNonNull(entryId, "entryId");
         Objects.requireNonNull(clock, "clock");
-        Objects.requireNonNull(rolloutRecords, "moveStore");
-        Objects.requireNonNull(leaseFencingNumber, "lease");
-        Objects.requireNonNull(setControllerCandidate, "controllerCandidate");
-        Objects.requireNonNull(revisionWatch, "headWatch");
+        Objects.requireNonNull(rolloutRecords, "rolloutRecords");
+        Objects.requireNonNull(leaseFencingNumber, "leaseFencingNumber");
+        Objects.requireNonNull(setControllerCandidate, "setControllerCandidate");
+        Objects.requireNonNull(revisionWatch, "revisionWatch");
         Objects.requireNonNull(spend, "spend");
     }
 }
--- a/entry/src/main/java/dev/wigeonward/entry/link/AgentFrameCodec.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/AgentFrameCodec.java
@@ -45,7 +45,7 @@
     /** Returns the frames of a dispatch with the caller's request; a long body is split over several frames. */
     public static List<Frame> dispatch(EntryEffect.SendDispatch effect, RequestSpec request, CallerRequest http) {
         Dispatch.Builder dispatch = describe(effect.request(), effect.dispatch(), request)
-                .setTimeLeftMillis(Math.max(0, effect.timeLeftMillis()))
+                .setTimeLeftMillis(Math.max(0, effect.remainingMillis()))
                 .setAgentIncarnation(effect.upstreamIncarnation())
                 .setVersion(effect.version())
                 .setHead(head(http))
--- a/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
+++ b/entry/src/main/java/dev/wigeonward/entry/runtime/EntryRuntime.java
@@ -319,7 +319,7 @@
             claims.acquire(request, acquire.upstreamId(), acquire.upstreamIncarnation(), listener(request.id()));
             return true;
         }
-        if (effect instanceof EntryEffect.TakeOverClaim replacement) {
+        if (effect instanceof EntryEffect.ReplaceClaim replacement) {
             RequestSpec request = request(replacement.request());
             claims.replace(
                     request,
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
@@ -13,13 +13,13 @@
 import dev.wigeonward.core.suspect.SuspectTable;
 
 /**
- * Checker of requests against the active configuration: route, API key, suspicion and usage cap. Runs on the event
- * loop.
+ * Checker of requests against the active configuration: route, API key, suspect restriction and usage cap. Runs on the
+ * event loop.
  */
 final class AdmissionChecker {
     /**
-     * Retry time stated with a suspect request. Suspicion lasts longer; the time only delays callers that retry in
-     * spite of the refusal.
+     * Retry time stated with a suspect request. The restriction lasts longer; the time only delays callers that retry
+     * in spite of the refusal.
      */
     private static final long SUSPECT_RETRY_MILLIS = 400;
 
@@ -44,7 +44,7 @@
             return new Admission.Refused(ErrorKind.UNAUTHORIZED, 0);
         }
         long fingerprint = fingerprint(request);
-        if (suspects.suspicion(fingerprint, nowMillis) == SuspectRestriction.REFUSED) {
+        if (suspects.restriction(fingerprint, nowMillis) == SuspectRestriction.REFUSED) {
             return new Admission.Refused(ErrorKind.SUSPECT, SUSPECT_RETRY_MILLIS);
         }
         long usage = 0;
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -194,7 +194,7 @@
     }
 
     /** Returns the active configuration. */
-    public Optional<RoutingConfiguration> deployment() {
+    public Optional<RoutingConfiguration> configuration() {
         return configuration;
     }
 
@@ -466,7 +466,7 @@
     }
 
     /** Returns the state of this process as text lines for the dump page. */
-    public List<String> describe() {
+    public List<String> dumpLines() {
         List<String> lines = new ArrayList<>();
         lines.add("bounds " + settings);
         lines.add("configuration_version "
@@ -477,7 +477,7 @@
         lines.add("entries " + knownEntryCount);
         List<SuspectFact> facts = suspects.activeFacts(nowMillis());
         long refused = facts.stream()
-                .filter(fact -> suspects.suspicion(fact.fingerprint(), nowMillis()) == SuspectRestriction.REFUSED)
+                .filter(fact -> suspects.restriction(fact.fingerprint(), nowMillis()) == SuspectRestriction.REFUSED)
                 .count();
         lines.add("suspects " + facts.size() + " refused " + refused);
         schedulers.forEach((service, scheduler) -> {
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
@@ -257,7 +257,7 @@
     }
 
     private long configurationVersion() {
-        return dispatcher.deployment().map(current -> current.version()).orElse(0L);
+        return dispatcher.configuration().map(current -> current.version()).orElse(0L);
     }
 
     private PeerState fullState(List<ObservedUnitTime> unitTimes) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -74,7 +74,13 @@
         // depend on it.
         Random random = new Random(settings.id().hashCode());
         dispatcher = GatewayDispatcher.create(
-                loop, clock, headerCodec, settings.path(), connections, new Telemetry(metrics, log), random);
+                loop,
+                clock,
+                headerCodec,
+                settings.dispatcherSettings(),
+                connections,
+                new Telemetry(metrics, log),
+                random);
         callerServer = CallerServer.create(dispatcher, headerCodec, this::limits);
         log.register(metrics);
     }
@@ -97,7 +103,7 @@
                 readinessPath,
                 this::readiness,
                 "/dump",
-                () -> new Page(OK, String.join("\n", dispatcher.describe()) + "\n"),
+                () -> new Page(OK, String.join("\n", dispatcher.dumpLines()) + "\n"),
                 "/metrics",
                 () -> new Page(OK, MetricsText.of(metrics)));
         StatusServer.listen(settings.statusAddress(), loop, pages);
@@ -111,7 +117,7 @@
     }
 
     private CallerLimits limits() {
-        return dispatcher.deployment().map(RoutingConfiguration::limits).orElse(CallerLimits.DEFAULT);
+        return dispatcher.configuration().map(RoutingConfiguration::limits).orElse(CallerLimits.DEFAULT);
     }
 
     /**
@@ -162,7 +168,7 @@
             log.warning("settings_passed_over", "cause=" + cause + " reason=" + invalid.reason());
         } else if (reading instanceof WatchedSettingsFile.Reading.Changed changed) {
             GatewaySettings newer = changed.settings();
-            dispatcher.updateSettings(newer.path());
+            dispatcher.updateSettings(newer.dispatcherSettings());
             peerSync.ifPresent(sync -> sync.addSeeds(seeds(newer)));
             boolean restartNeeded = !newer.isReloadableFrom(settings);
             log.info("settings_read", "cause=" + cause + " restart_needed=" + restartNeeded);
@@ -177,7 +183,7 @@
     }
 
     /** Returns the dispatcher of this process. */
-    public GatewayDispatcher path() {
+    public GatewayDispatcher dispatcher() {
         return dispatcher;
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
@@ -22,7 +22,7 @@
         String knownPeers,
         InetSocketAddress storeAddress,
         long graceMillis,
-        PathSettings path) {
+        PathSettings dispatcherSettings) {
     private static final SettingKey<String> ID = SettingKey.text("gateway", "id", "unique name of this process");
     private static final SettingKey<String> ZONE = SettingKey.text("gateway", "zone", "failure domain of this VM");
     private static final SettingKey<InetSocketAddress> CALLER =
@@ -118,6 +118,6 @@
                 && peerAddress.equals(other.peerAddress)
                 && storeAddress.equals(other.storeAddress)
                 && graceMillis == other.graceMillis
-                && path.zone().equals(other.path.zone());
+                && dispatcherSettings.zone().equals(other.dispatcherSettings.zone());
     }
 }
--- a/standins/src/test/java/dev/wigeonward/standins/kv/StoreControllerLeaseTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/kv/ControllerLeaseTest.java
@@ -20,7 +20,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-class StoreControllerLeaseTest {
+class ControllerLeaseTest {
     private static final String KEEP_ALIVE = "/v3/lease/keepalive";
 
     private final StoreFixture fixture = new StoreFixture();
--- a/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
+++ b/verification/src/test/java/dev/wigeonward/verification/faults/EntryNode.java
@@ -206,7 +206,7 @@
             claim(acquire.request(), own == null ? "" : own.id(), acquire.upstreamId(), acquire.upstreamIncarnation());
             return true;
         }
-        if (effect instanceof EntryEffect.TakeOverClaim replacement) {
+        if (effect instanceof EntryEffect.ReplaceClaim replacement) {
             claim(
                     replacement.request(),
                     replacement.previousClaimId(),
--- a/wire/src/main/java/dev/wigeonward/wire/LinkSettings.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkSettings.java
@@ -20,9 +20,9 @@
 
     public LinkSettings {
         if (heartbeatIdleMillis <= 0 || readTimeoutMillis <= heartbeatIdleMillis) {
-            throw new IllegalArgumentException(
-                    "silenceMillis is %d and heartbeatMillis is %d, expected 0 < heartbeatMillis < silenceMillis"
-                            .formatted(readTimeoutMillis, heartbeatIdleMillis));
+            throw new IllegalArgumentException(("readTimeoutMillis is %d and heartbeatIdleMillis is %d, "
+                            + "expected 0 < heartbeatIdleMillis < readTimeoutMillis")
+                    .formatted(readTimeoutMillis, heartbeatIdleMillis));
         }
     }
 
