Count callers that left by stage, and measure the delay of the event loop

The incident of disconnected callers has four hypotheses. The log line of a request already shows a run that ended with caller_left and its times; what was missing is whether the event loop was late when it happened, and a count by stage without logs.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -271,10 +271,18 @@
             return;
         }
         dispatcher.count("caller_left");
+        dispatcher.count("caller_left." + stage());
         cancelRun();
         finish("caller_left");
     }
 
+    private String stage() {
+        if (admitted == null) {
+            return "unadmitted";
+        }
+        return run.isPresent() ? "running" : "queued";
+    }
+
     /** Resumes or suspends reading from the upstream, according to whether the caller's connection is writable. */
     public void onWritabilityChanged(boolean writable) {
         run.flatMap(UpstreamRun::connection).ifPresent(connection -> connection.setReading(writable));
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -19,6 +19,7 @@
 import dev.wigeonward.gateway.caller.StatusServer;
 import dev.wigeonward.gateway.caller.StatusServer.Page;
 import dev.wigeonward.gateway.event.EventLog;
+import dev.wigeonward.gateway.event.EventLoopDelay;
 import dev.wigeonward.gateway.event.Telemetry;
 import dev.wigeonward.gateway.exchange.GatewayDispatcher;
 import dev.wigeonward.gateway.peer.PeerSync;
@@ -110,6 +111,7 @@
         StatusServer.listen(settings.statusAddress(), loop, pages);
         log.info("listening", "id=" + settings.id() + " callers=" + settings.callerAddress());
         loop.schedule(log::start, LOG_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        EventLoopDelay.start(loop, dispatcher.telemetry(), this::nowMillis);
     }
 
     private Page readiness() {
