Do not dispatch a request whose caller closed before the request was read

Seen by callers' operators: requests were sent to upstreams after their callers had closed the connection.

Cause: an entry that reads a connection late finds the request and the close in the same socket buffer. It read the request, dispatched it in the same event, and read the close with the next select, so that the upstream got a request that nobody waited for. Every caller that gives up because its request is not read in time is such a caller.

Change: a connection is read until nothing is left, and a whole request starts in a task behind that read, only if the connection is still open.

Evidence: with the event loop blocked while the caller sends and closes, sent all four requests on new connections and the one on a kept connection (DisconnectedCallerTest, 2 tests failed); now none is sent. Cost: one more read of the socket for each request.

--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
@@ -178,7 +178,8 @@
                 new CallerRequest(request, headerCodec.readCaller(request.headers()), wholeBody, dispatcher.millis());
         Exchange started = dispatcher.createExchange(callerRequest, this);
         exchange = Optional.of(started);
-        started.start();
+        // Tasks run after the rest of the connection was read, and with it the close of a caller that has left.
+        context.executor().execute(started::start);
     }
 
     private void rejectAndClose(ErrorKind kind) {
@@ -280,6 +281,11 @@
         context.close();
     }
 
+    @Override
+    public boolean connected() {
+        return context.channel().isActive();
+    }
+
     @Override
     public boolean writable() {
         return context.channel().isWritable();
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
@@ -9,6 +9,7 @@
 import dev.wigeonward.gateway.exchange.GatewayDispatcher;
 import dev.wigeonward.gateway.port.HeaderCodec;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -28,6 +29,8 @@
     private static final int HIGH_WATER_BYTES = 65_536;
 
     private static final int LOW_WATER_BYTES = 16_384;
+    /** Number of reads from one connection before the other connections get their turn; the default of Netty. */
+    private static final int MAX_READS = 16;
 
     private final GatewayDispatcher dispatcher;
     private final HeaderCodec headerCodec;
@@ -59,6 +62,12 @@
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+                // Reads until nothing is left, so that a close behind a request is read together with it.
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(MAX_READS))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/AnswerSink.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/AnswerSink.java
@@ -21,6 +21,9 @@
     /** Closes the caller's connection, so that an incomplete answer does not look complete. */
     void abort();
 
+    /** Returns whether the caller's connection is open, as far as it has been read. */
+    boolean connected();
+
     /** Returns whether the write buffer of the caller's connection has room for more bytes. */
     boolean writable();
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -61,8 +61,15 @@
         this.sink = sink;
     }
 
-    /** Checks the request and queues it, or refuses it. */
+    /** Checks the request and queues it, or refuses it, unless the caller has closed its connection. */
     public void start() {
+        if (done) {
+            return;
+        }
+        if (!sink.connected()) {
+            onCallerClosed();
+            return;
+        }
         Admission admission = dispatcher.admit(request);
         if (admission instanceof Admission.Refused refused) {
             dispatcher.count("refused." + refused.kind().wireName());
