Do not dispatch a queued request whose caller has closed

Seen by callers' operators: requests were sent to upstreams after their callers had closed the connection.

Cause: a scheduling round ran inside the handling of each event, for example of the answer that freed a slot. On a busy entry many events are ready at once, and the round placed a queued request before the close of its caller, one of those events, was read.

Change: events request one scheduling round, which runs behind all events that are ready, and a placed request is sent only if its caller's connection is still open. A request whose connection to the upstream is being opened is checked once more before it is written.

A round for many ready events is also one round instead of one each.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -91,8 +91,13 @@
         dispatcher.offer(scheduledRequest, this, admitted.service());
     }
 
-    /** Sends the request to the upstream that the scheduler chose. */
+    /** Sends the request to the upstream that the scheduler chose, unless the caller has closed its connection. */
     void onPlaced(Upstream upstream) {
+        if (!sink.connected()) {
+            scheduler().onEnded(scheduledRequest, ServiceScheduler.Outcome.LEFT, dispatcher.nowMillis());
+            onCallerClosed();
+            return;
+        }
         sends++;
         waitedMillis = dispatcher.nowMillis() - request.receivedAtMillis();
         dispatcher.recordWait(waitedMillis);
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -75,6 +75,7 @@
     private boolean upstreamsKnown;
     private int knownEntryCount = 1;
     private int runningCount;
+    private boolean decideRequested;
     private boolean decideScheduled;
     private boolean admissionStopped;
 
@@ -374,10 +375,18 @@
     }
 
     /**
-     * Runs one scheduling round. It is also called when a run ends, so that a freed slot of an upstream is used at
-     * once.
+     * Requests a scheduling round behind the events that are ready now, so that a request whose caller has closed its
+     * connection is not placed, and a slot that becomes free is still used at once.
      */
     void decide() {
+        if (!decideRequested) {
+            decideRequested = true;
+            loop.execute(telemetry.guard("decide", this::runSchedulingRound));
+        }
+    }
+
+    private void runSchedulingRound() {
+        decideRequested = false;
         for (ServiceScheduler scheduler : List.copyOf(schedulers.values())) {
             for (Decision decision : scheduler.decide(nowMillis())) {
                 apply(decision);
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -68,9 +68,9 @@
         observation = startObservation();
     }
 
-    /** Sets the connection to the upstream; returns false if the run was cancelled in the meantime. */
+    /** Sets the connection to the upstream; returns false if the caller has left in the meantime. */
     boolean onConnection(UpstreamConnection newConnection) {
-        if (cancelled) {
+        if (cancelled || !sink.connected()) {
             return false;
         }
         connection = Optional.of(newConnection);
