Read the close of a caller behind pipelined requests

Seen: a caller that sent more bytes during a stream and then closed was not noticed; its run went on to the deadline.

Cause: the entry stopped reading a connection at the first bytes behind the running request, to bound what it keeps. A close behind these bytes is then not read either, and a stream that is silent for a while causes no failing write.

Change: the connection is read all the time. Pipelined requests are kept up to the size of the largest request; beyond it all of them are discarded, and the answer of the running request is followed by a refusal and the end of the connection, which tells the caller that none of them ran.

--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
@@ -1,6 +1,5 @@
 package dev.wigeonward.gateway.caller;
 
-import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -47,7 +46,7 @@
     private final GatewayDispatcher dispatcher;
     private final HeaderCodec headerCodec;
     private final CallerLimits limits;
-    private final ArrayDeque<Object> pipelined = new ArrayDeque<>();
+    private final PipelinedMessages pipelined;
     private ChannelHandlerContext context;
     private Optional<HttpRequest> head = Optional.empty();
     private CompositeByteBuf body;
@@ -63,6 +62,7 @@
         this.dispatcher = dispatcher;
         this.headerCodec = headerCodec;
         this.limits = limits;
+        this.pipelined = new PipelinedMessages(limits.maxHeaderBytes() + limits.maxBodyBytes());
     }
 
     @Override
@@ -110,8 +110,8 @@
             return;
         }
         if (exchange.isPresent()) {
+            // The connection is still read, because its close must end the request that is running.
             pipelined.add(message);
-            context.channel().config().setAutoRead(false);
             return;
         }
         accept(message);
@@ -258,8 +258,12 @@
             written.addListener(future -> linger());
             return;
         }
+        if (pipelined.exceeded()) {
+            // Tells the caller that the requests behind this answer did not run.
+            rejectAndClose(ErrorKind.OVERLOADED);
+            return;
+        }
         startTimer(limits.idleTimeoutMillis(), this::closeIfIdle);
-        context.channel().config().setAutoRead(true);
         while (!pipelined.isEmpty() && exchange.isEmpty() && !closing) {
             accept(pipelined.poll());
         }
@@ -268,7 +272,6 @@
     private void linger() {
         if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
             socket.shutdownOutput();
-            context.channel().config().setAutoRead(true);
             context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
@@ -302,8 +305,7 @@
         closing = true;
         server.closed(this);
         dropPartialRequest();
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
+        pipelined.discard();
         Optional<Exchange> unfinished = exchange;
         exchange = Optional.empty();
         unfinished.ifPresent(Exchange::onCallerClosed);
