Notice in the entry that a caller has closed while its request runs

The same cause as in the gateway, found by a test of the entry's HTTP service: ServiceTalk reads a connection only when it expects a request, and keeps answering after the caller's side was closed. The close of a caller that waits for the head of an answer was not noticed at all, and none behind a pipelined request, so the agent's run went on.

Change: a Netty handler of the connection reads on while a request runs and closes the connection with the caller's side. The existing cancellation does the rest.

Remains: more than 64 KiB behind a running request are not read, so a close behind them is not noticed before the answer ends.

--- a/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/CallerService.java
@@ -157,13 +157,15 @@
             Failure failure = Failure.of(ErrorKind.OVERLOADED, "the event queue of the entry is full");
             return Single.succeeded(error(context, responses, failure));
         }
+        CallerCloseHandler.onRequest(context);
         return callerResponse
                 .response()
                 .map(start -> {
                     StreamingHttpResponse response = responses.newResponse(HttpResponseStatus.of(start.status(), ""));
                     start.headers().forEach(header -> response.addHeader(header.getKey(), header.getValue()));
-                    return response.payloadBody(
-                            start.body().beforeCancel(() -> handler.onCallerDisconnected(callerResponse)));
+                    return response.payloadBody(start.body()
+                            .beforeFinally(() -> CallerCloseHandler.onAnswerEnd(context))
+                            .beforeCancel(() -> handler.onCallerDisconnected(callerResponse)));
                 })
                 .beforeCancel(() -> handler.onCallerDisconnected(callerResponse));
     }
