Find a new version that is slower throughout beside unequal old upstreams

Cause: the verdict looked at one quantile only. Old upstreams differ several times in speed and are busy in a burst, while those of the new version are idle at its small share; most of its answers were three times slower than the old median and still faster than the old 90th percentile. The share then grew on time alone, although the evidence leaned to bad.

Change: SlownessDetector, a cumulative sum over all routes of answers slower than 1.5 times the old version's median of the last seconds. A first finding, or a ratio of 20 to 1, stops the growth of the share; a second finding on later answers reverts the version; one still suspect at 0.95 of the time is reverted. It serves the rollouts of models as well. Verdicts are logged with their counts. Times of services below 5 ms count as 5 ms.

--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
@@ -229,12 +229,9 @@
             return;
         }
         boolean truncated = leaseValid(nowMillis) && advancer.mustTruncateTest(rollout, nowMillis);
-        rollout.evidence.evaluate(evaluateEvidence, truncated, nowMillis).ifPresent(evaluation -> {
-            String load = evaluation.cell().underLoad() ? " under load: " : ": ";
-            addVerdict(
-                    new BadVerdict(version, "route " + evaluation.cell().route() + load + evaluation.reason()),
-                    nowMillis);
-        });
+        rollout.evidence
+                .evaluate(evaluateEvidence, truncated, nowMillis)
+                .ifPresent(reason -> addVerdict(new BadVerdict(version, reason), nowMillis));
     }
 
     /** Numbers the orders and writes them to the rollout record, before they are sent. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
@@ -30,6 +30,7 @@
     private final long confirmMillis;
     private final Map<Source, EvidenceCounters> reported = new HashMap<>();
     private final Map<RouteLoadKey, Window> windows = new TreeMap<>(KEY_ORDER);
+    private final SlownessDetector slowness;
 
     /**
      * Creates empty evidence.
@@ -39,6 +40,7 @@
      */
     RolloutEvidence(String oldVersion, String newVersion, long confirmMillis) {
         this.confirmMillis = confirmMillis;
+        this.slowness = new SlownessDetector(confirmMillis);
         this.oldVersion = oldVersion;
         this.newVersion = newVersion;
     }
@@ -61,16 +63,22 @@
         if (version.equals(oldVersion)) {
             window.recentOld = window.recentOld.plus(added);
             window.earlierOld = window.earlierOld.plus(added);
+            slowness.addOld(report.cell(), added.times(), nowMillis);
         } else {
             window.newEvidence = window.newEvidence.plus(added);
+            slowness.addNew(report.cell(), added.times(), nowMillis);
             if (added.requests() > 0) {
                 window.lastEvidenceMillis = nowMillis;
             }
         }
     }
 
-    /** Evaluates all routes and returns the first evaluation with a verdict that the new version is bad, if any. */
-    Optional<RouteEvaluation> evaluate(VersionEvaluator evaluator, boolean truncated, long nowMillis) {
+    /** Evaluates all routes and returns the reason if the new version is bad. */
+    Optional<String> evaluate(VersionEvaluator evaluator, boolean truncated, long nowMillis) {
+        Optional<String> slow = slowness.evaluate(evaluator.badBound(), nowMillis);
+        if (slow.isPresent()) {
+            return slow.map(reason -> "all routes: " + reason);
+        }
         for (Window window : windows.values()) {
             if (window.newEvidence.requests() == 0 && !truncated) {
                 continue;
@@ -81,7 +89,7 @@
             if (evaluation.verdict() == Verdict.BAD) {
                 if (evaluator.needsNoConfirmation(window.recentOld, window.newEvidence)
                         || window.markSuspect(nowMillis) >= confirmMillis) {
-                    return Optional.of(evaluation);
+                    return Optional.of(describe(evaluation));
                 }
                 // Only requests counted after the route became suspect can confirm the verdict.
                 window.restart(nowMillis);
@@ -97,11 +105,17 @@
         return Optional.empty();
     }
 
-    /** Returns whether a route with recent requests looks bad, but not yet for long enough to be called bad. */
+    private static String describe(RouteEvaluation evaluation) {
+        String load = evaluation.cell().underLoad() ? " under load: " : ": ";
+        return "route " + evaluation.cell().route() + load + evaluation.reason();
+    }
+
+    /** Returns whether a route with recent requests, or all routes together, look bad, but that is not confirmed. */
     boolean isSuspect(long nowMillis) {
-        return windows.values().stream()
-                .anyMatch(window -> window.suspectSinceMillis != NOT_SUSPECT
-                        && nowMillis - window.lastEvidenceMillis <= confirmMillis);
+        return slowness.isSuspect()
+                || windows.values().stream()
+                        .anyMatch(window -> window.suspectSinceMillis != NOT_SUSPECT
+                                && nowMillis - window.lastEvidenceMillis <= confirmMillis);
     }
 
     /** Returns whether each known route got a good verdict since the stage started, at either load level. */
--- a/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
@@ -90,13 +90,12 @@
     /** Evaluates the evidence and returns a verdict with its reason if the new version is bad. */
     public Optional<BadVerdict> evaluate(long nowMillis) {
         return evidence.evaluate(evaluator, false, nowMillis)
-                .map(evaluation -> new BadVerdict(
-                        new ModelVersion(order.service(), order.targetVersion()),
-                        "route " + evaluation.cell().route() + ": " + evaluation.reason()));
+                .map(reason -> new BadVerdict(new ModelVersion(order.service(), order.targetVersion()), reason));
     }
 
     /**
-     * Takes at most one step: reverts the rollout, increases the share, or completes the rollout.
+     * Takes at most one step: reverts the rollout, increases the share, or completes the rollout. A version that is
+     * still suspect shortly before the deadline is reverted.
      *
      * @param bad whether the new version is known to be bad
      * @param outstandingAtPrevious requests in progress at upstreams of other versions, over all entries
@@ -105,12 +104,15 @@
         if (state != RolloutState.IN_PROGRESS) {
             return;
         }
-        if (bad) {
+        double elapsedFraction = timeFraction(nowMillis - order.startMillis());
+        boolean suspectAtEnd = shareBasisPoints != Stage.ALL_BASIS_POINTS
+                && elapsedFraction >= MAX_DRAIN_TIME_FRACTION
+                && evidence.isSuspect(nowMillis);
+        if (bad || suspectAtEnd) {
             state = RolloutState.REVERTED;
             shareBasisPoints = 0;
             return;
         }
-        double elapsedFraction = timeFraction(nowMillis - order.startMillis());
         if (shareBasisPoints == CANARY_BASIS_POINTS && mayGrow(elapsedFraction, nowMillis)) {
             shareBasisPoints = HALF_BASIS_POINTS;
             halfShareStartMillis = nowMillis;
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionEvaluator.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionEvaluator.java
@@ -94,13 +94,18 @@
         return grossFailures || !isStale(recentOld) && failureTest(recentOld, newEvidence, 1).ratio >= badBound;
     }
 
+    /** Returns the log-likelihood ratio from which a test shows that the new version is bad. */
+    double badBound() {
+        return badBound;
+    }
+
     private boolean isStale(EvidenceCounters recentOld) {
         return recentOld.requests() < settings.minOldSamples();
     }
 
     private ShareTest failureTest(EvidenceCounters old, EvidenceCounters newEvidence, double differenceFactor) {
         boolean canEstimate = old.requests() >= MIN_ESTIMATE_SAMPLES;
-        double share = canEstimate ? upperShare(old.failures(), old.requests()) : DEFAULT_FAILURE_SHARE;
+        double share = canEstimate ? Shares.upperEstimate(old.failures(), old.requests()) : DEFAULT_FAILURE_SHARE;
         double badShare = share + differenceFactor * Math.max(settings.failureDifference(), share);
         return ShareTest.of("failures", newEvidence.failures(), newEvidence.requests(), share, badShare);
     }
@@ -113,7 +118,7 @@
         }
         // Times that fall into few buckets leave almost none above the bucket of the quantile, while by its definition
         // up to that fraction may lie above it without any difference between the versions.
-        double share = Math.max(SLOW_FRACTION, upperShare(old.times().countAbove(slowBucket), timed));
+        double share = Math.max(SLOW_FRACTION, Shares.upperEstimate(old.times().countAbove(slowBucket), timed));
         double badShare = share + differenceFactor * settings.slowDifference();
         return ShareTest.of(
                 "slow answers",
@@ -123,12 +128,6 @@
                 badShare);
     }
 
-    /** Returns the estimated share plus one standard error, so that a small sample does not make the test strict. */
-    private static double upperShare(long count, long total) {
-        double share = (count + 1.0) / (total + 2.0);
-        return share + Math.sqrt(share * (1 - share) / total);
-    }
-
     private static Figures figures(EvidenceCounters evidence, int slowBucket) {
         return new Figures(
                 evidence.requests(),
--- a/core/src/test/java/dev/wigeonward/core/rollout/ServiceRolloutTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ServiceRolloutTest.java
@@ -1,6 +1,9 @@
 package dev.wigeonward.core.rollout;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
 
 import org.junit.jupiter.api.Test;
 
@@ -10,6 +13,7 @@
     private static final RouteLoadKey ROUTE = new RouteLoadKey("r", false);
     private static final long DEADLINE_MILLIS = 12_000;
     private static final int REQUESTS_PER_TICK = 20;
+    private static final int SEEDS = 200;
 
     private final RolloutOrder order = new RolloutOrder("s", "v2", 0, DEADLINE_MILLIS, 5);
     private final ServiceRollout rollout = ServiceRollout.of(order);
@@ -133,4 +137,91 @@
         assertThat(selector.unfinishedOrders()).containsKey("s");
         assertThat(selector.choose("s", "r", 0).kind()).isEqualTo(VersionConstraint.Kind.AVOIDED);
     }
+
+    /** Guards against a slow version whose answers are no slower than those of the slowest old upstreams under load. */
+    @Test
+    void slowVersionIsRevertedBesideUnequalOldUpstreams() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            TimedRollout run = TimedRollout.play(seed, 3);
+            assertThat(run.state()).as("state with seed %d", seed).isEqualTo(RolloutState.REVERTED);
+            assertThat(run.newRequests()).as("requests with seed %d", seed).isLessThan(run.allRequests() / 10 + 50);
+        }
+    }
+
+    /** Guards against a good version that is taken for a slow one because its upstreams are unequal as well. */
+    @Test
+    void goodVersionIsCompletedBesideUnequalOldUpstreams() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            assertThat(TimedRollout.play(seed, 1).state())
+                    .as("state with seed %d", seed)
+                    .isEqualTo(RolloutState.COMPLETED);
+        }
+    }
+
+    /** Guards against a slow version that is reverted only after it got half of the requests, because it was slow late. */
+    @Test
+    void versionThatTurnsSlowIsReverted() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            TimedRollout run = TimedRollout.playTurningSlow(seed, 3);
+            assertThat(run.state()).as("state with seed %d", seed).isEqualTo(RolloutState.REVERTED);
+        }
+    }
+
+    /** A rollout of 15 s on three routes at 90 requests a second, on old upstreams of unequal speed under load. */
+    private record TimedRollout(RolloutState state, long newRequests, long allRequests) {
+        /** Deciles of the normalized times of a busy old version, of which every third upstream is four times slower. */
+        private static final double[] OLD_TIMES = {0.44, 0.57, 0.62, 0.68, 0.74, 0.81, 1.04, 1.9, 2.7, 5.0};
+        /** The same for the new version, whose upstreams are less busy. */
+        private static final double[] NEW_TIMES = {0.44, 0.5, 0.57, 0.62, 0.68, 0.74, 0.81, 0.88, 1.2, 2.3};
+
+        private static final List<String> ROUTES = List.of("a", "b", "c");
+        private static final long LENGTH_MILLIS = 15_000;
+        private static final long TICK_MILLIS = 100;
+
+        static TimedRollout play(int seed, double slowness) {
+            return play(seed, slowness, 0);
+        }
+
+        static TimedRollout playTurningSlow(int seed, double slowness) {
+            return play(seed, slowness, LENGTH_MILLIS / 3);
+        }
+
+        private static TimedRollout play(int seed, double slowness, long slowFromMillis) {
+            Random random = new Random(seed);
+            ServiceRollout rollout = ServiceRollout.of(new RolloutOrder("s", "v2", 0, LENGTH_MILLIS, 1));
+            Map<String, long[]> times = new TreeMap<>();
+            long newRequests = 0;
+            long allRequests = 0;
+            boolean bad = false;
+            long nowMillis = 0;
+            while (rollout.state() == RolloutState.IN_PROGRESS && nowMillis < LENGTH_MILLIS) {
+                nowMillis += TICK_MILLIS;
+                for (int request = 0; request < 9; request++) {
+                    boolean isNew = random.nextInt(Stage.ALL_BASIS_POINTS)
+                            < rollout.stage(1_000).shareBasisPoints();
+                    double factor = isNew && nowMillis > slowFromMillis ? slowness : 1;
+                    double time = (isNew ? NEW_TIMES : OLD_TIMES)[random.nextInt(OLD_TIMES.length)] * factor;
+                    String key = ROUTES.get(request % ROUTES.size()) + (isNew ? "/v2" : "/v1");
+                    times.computeIfAbsent(key, any -> new long[TimeHistogram.BUCKETS])[TimeHistogram.bucketOf(time)]++;
+                    newRequests += isNew ? 1 : 0;
+                    allRequests++;
+                }
+                for (Map.Entry<String, long[]> entry : times.entrySet()) {
+                    String[] routeAndVersion = entry.getKey().split("/");
+                    TimeHistogram histogram = TimeHistogram.of(entry.getValue());
+                    rollout.add(
+                            new ControllerEvent.EvidenceReported(
+                                    "entry-1",
+                                    1,
+                                    new ModelVersion("s", routeAndVersion[1]),
+                                    new RouteLoadKey(routeAndVersion[0], false),
+                                    new EvidenceCounters(histogram.total(), 0, histogram)),
+                            nowMillis);
+                }
+                bad |= rollout.evaluate(nowMillis).isPresent();
+                rollout.advance(bad, 0, nowMillis);
+            }
+            return new TimedRollout(rollout.state(), newRequests, allRequests);
+        }
+    }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/ServiceRollouts.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/ServiceRollouts.java
@@ -29,6 +29,8 @@
      * upstreams are not distinguished: a rollout is too short for two verdicts on each route.
      */
     private static final double LOAD_THRESHOLD = 1;
+    /** Minimum time that counts as typical: of shorter times the clock and the network are a large part. */
+    private static final long MIN_TYPICAL_MILLIS = 5;
 
     private final StageView view = new StageView();
     private final RolloutVersionSelector versionSelector = RolloutVersionSelector.of(view);
@@ -90,7 +92,7 @@
             return Optional.empty();
         }
         ModelVersion version = new ModelVersion(upstream.service(), upstream.version());
-        long typicalMillis = Math.max(1, Math.round(scheduledRequest.typicalResponseMillis()));
+        long typicalMillis = Math.max(MIN_TYPICAL_MILLIS, Math.round(scheduledRequest.typicalResponseMillis()));
         return Optional.of(recorder.start(version, route, 0, typicalMillis, nowMillis));
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/rollout/ServiceRolloutController.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/rollout/ServiceRolloutController.java
@@ -95,6 +95,7 @@
     }
 
     private void publish(BadVerdict verdict) {
+        log.warning("version_bad", "version=" + verdict.version() + " reason=" + verdict.reason());
         facts.publishVerdict(verdict);
     }
 
