--- a/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/caller/CallerServiceTest.java
@@ -16,8 +16,6 @@
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
-import dev.wigeonward.core.rules.RuleParseResult;
-import dev.wigeonward.core.rules.RuleParser;
 import dev.wigeonward.core.rules.RuleSet;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpServerContext;
@@ -30,16 +28,6 @@
 
 /** Tests the limits on requests of callers with raw sockets over loopback. */
 class CallerServiceTest {
-    private static final String KEY_HASH = "d995687c458a4f755662c9e1c9e9bfbc4f46e2848e4bb8f4a91ec1432a9df295";
-    private static final String RULES =
-            """
-            workspace rescue weight=1 tiers=critical # asked by test: one workspace
-            key rescue sha256=%s # asked by test: its key
-            model advisory version=v1 # asked by test: a model
-            kind note target=advisory tier=critical deadline=5s output=60 # asked by test: notes
-            rate rescue requests=3/s # asked by test: a low rate
-            """
-                    .formatted(KEY_HASH);
     private static final int BODY_BYTES = 1_000;
     private static final int HEADERS_BYTES = 500;
     private static final String CHAT = "{\"model\":\"advisory\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
@@ -49,7 +37,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        RuleSet rules = ((RuleParseResult.Valid) RuleParser.parse("test", RULES)).rules();
+        RuleSet rules = TestRules.withLines("rate rescue requests=3/s # asked by test: a low rate\n");
         CallerService service = new CallerService(
                 new RulesClassifier(() -> Optional.of(rules), new WorkspaceRateLimiter()),
                 handler,
--- a/entry/src/test/java/dev/wigeonward/entry/caller/DisconnectedCallerTest.java
+++ b/entry/src/test/java/dev/wigeonward/entry/caller/DisconnectedCallerTest.java
@@ -14,8 +14,6 @@
 import dev.wigeonward.core.admission.WorkspaceRateLimiter;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.request.RequestId;
-import dev.wigeonward.core.rules.RuleParseResult;
-import dev.wigeonward.core.rules.RuleParser;
 import dev.wigeonward.core.rules.RuleSet;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpServerContext;
@@ -29,15 +27,6 @@
 
 /** Tests that the close of a caller's connection reaches the scheduling of its request. */
 class DisconnectedCallerTest {
-    private static final String KEY_HASH = "d995687c458a4f755662c9e1c9e9bfbc4f46e2848e4bb8f4a91ec1432a9df295";
-    private static final String RULES =
-            """
-            workspace rescue weight=1 tiers=critical # asked by test: one workspace
-            key rescue sha256=%s # asked by test: its key
-            model advisory version=v1 # asked by test: a model
-            kind note target=advisory tier=critical deadline=5s output=60 # asked by test: notes
-            """
-                    .formatted(KEY_HASH);
     private static final String CHAT = "{\"model\":\"advisory\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
     private static final String REQUEST =
             "POST /v1/chat/completions HTTP/1.1\r\nhost: test\r\nauthorization: Bearer kopsu-demo-rescue\r\n"
@@ -52,7 +41,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        RuleSet rules = ((RuleParseResult.Valid) RuleParser.parse("test", RULES)).rules();
+        RuleSet rules = TestRules.withLines("");
         CallerService service = new CallerService(
                 new RulesClassifier(() -> Optional.of(rules), new WorkspaceRateLimiter()),
                 new SilentHandler(),
