Compare a new version with 1.2 times the old median, not 1.5 times

Cause: upstreams of a new version are much less busy at its small share. Several times the service time then shows as 1.3 times the old median; nine in ten answers were slower than that median, and only half slower than 1.5 times it.

Change: answers count as slow from 1.2 times the median, and the share of them that shows a slow version is 85% in place of 75%.

--- a/core/src/main/java/dev/wigeonward/core/rollout/SlownessDetector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/SlownessDetector.java
@@ -14,12 +14,15 @@
  * turns slow late is found as fast as one that is slow from the start. Not thread-safe.
  */
 final class SlownessDetector {
-    /** Distance from the median in buckets above which an answer is slow: a factor of 1.5. */
-    private static final int SLOW_BUCKETS = 5;
+    /**
+     * Distance from the median in buckets above which an answer is slow: a factor of 1.2. It is small because upstreams
+     * of a new version are less busy at its small share, so that several times the service time shows as less.
+     */
+    private static final int SLOW_BUCKETS = 2;
     /** Minimum share of slow answers expected, so that a finding needs more than a few of them. */
-    private static final double MIN_SHARE = 0.25;
+    private static final double MIN_SHARE = 0.4;
     /** Minimum share of slow answers assumed for a slow version. */
-    private static final double MIN_BAD_SHARE = 0.75;
+    private static final double MIN_BAD_SHARE = 0.85;
     /** Minimum increase of the share of slow answers assumed for a slow version. */
     private static final double MIN_DIFFERENCE = 0.25;
 
@@ -99,7 +102,7 @@
             return Optional.empty();
         }
         return Optional.of(
-                "answers slower than 1.5 times the median of the old version %d of %d: log ratio %.1f >= %.1f"
+                "answers slower than 1.2 times the median of the old version %d of %d: log ratio %.1f >= %.1f"
                         .formatted(slow, total, logRatio, bound));
     }
 
--- a/core/src/test/java/dev/wigeonward/core/rollout/ServiceRolloutTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ServiceRolloutTest.java
@@ -6,6 +6,8 @@
 import java.util.TreeMap;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -139,20 +141,32 @@
     }
 
     /** Guards against a slow version whose answers are no slower than those of the slowest old upstreams under load. */
-    @Test
-    void slowVersionIsRevertedBesideUnequalOldUpstreams() {
+    @ParameterizedTest
+    @ValueSource(doubles = {2, 3})
+    void slowVersionIsRevertedBesideUnequalOldUpstreams(double slowness) {
         for (int seed = 0; seed < SEEDS; seed++) {
-            TimedRollout run = TimedRollout.play(seed, 3);
+            TimedRollout run = TimedRollout.play(seed, slowness);
             assertThat(run.state()).as("state with seed %d", seed).isEqualTo(RolloutState.REVERTED);
             assertThat(run.newRequests()).as("requests with seed %d", seed).isLessThan(run.allRequests() / 10 + 50);
         }
     }
 
     /** Guards against a good version that is taken for a slow one because its upstreams are unequal as well. */
+    @ParameterizedTest
+    @ValueSource(doubles = {1, 1.2})
+    void goodVersionIsCompletedBesideUnequalOldUpstreams(double slowness) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            assertThat(TimedRollout.play(seed, slowness).state())
+                    .as("state with seed %d", seed)
+                    .isEqualTo(RolloutState.COMPLETED);
+        }
+    }
+
+    /** Guards against a good version that is taken for a slow one by chance. */
     @Test
-    void goodVersionIsCompletedBesideUnequalOldUpstreams() {
+    void goodVersionAsBusyAsTheOldOneIsCompleted() {
         for (int seed = 0; seed < SEEDS; seed++) {
-            assertThat(TimedRollout.play(seed, 1).state())
+            assertThat(TimedRollout.playAsBusy(seed).state())
                     .as("state with seed %d", seed)
                     .isEqualTo(RolloutState.COMPLETED);
         }
@@ -179,14 +193,18 @@
         private static final long TICK_MILLIS = 100;
 
         static TimedRollout play(int seed, double slowness) {
-            return play(seed, slowness, 0);
+            return play(seed, NEW_TIMES, slowness, 0);
         }
 
         static TimedRollout playTurningSlow(int seed, double slowness) {
-            return play(seed, slowness, LENGTH_MILLIS / 3);
+            return play(seed, NEW_TIMES, slowness, LENGTH_MILLIS / 3);
+        }
+
+        static TimedRollout playAsBusy(int seed) {
+            return play(seed, OLD_TIMES, 1, 0);
         }
 
-        private static TimedRollout play(int seed, double slowness, long slowFromMillis) {
+        private static TimedRollout play(int seed, double[] newTimes, double slowness, long slowFromMillis) {
             Random random = new Random(seed);
             ServiceRollout rollout = ServiceRollout.of(new RolloutOrder("s", "v2", 0, LENGTH_MILLIS, 1));
             Map<String, long[]> times = new TreeMap<>();
@@ -200,7 +218,7 @@
                     boolean isNew = random.nextInt(Stage.ALL_BASIS_POINTS)
                             < rollout.stage(1_000).shareBasisPoints();
                     double factor = isNew && nowMillis > slowFromMillis ? slowness : 1;
-                    double time = (isNew ? NEW_TIMES : OLD_TIMES)[random.nextInt(OLD_TIMES.length)] * factor;
+                    double time = (isNew ? newTimes : OLD_TIMES)[random.nextInt(OLD_TIMES.length)] * factor;
                     String key = ROUTES.get(request % ROUTES.size()) + (isNew ? "/v2" : "/v1");
                     times.computeIfAbsent(key, any -> new long[TimeHistogram.BUCKETS])[TimeHistogram.bucketOf(time)]++;
                     newRequests += isNew ? 1 : 0;
