--- a/core/src/test/java/dev/wigeonward/core/rollout/ServiceRolloutTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/ServiceRolloutTest.java
@@ -172,7 +172,7 @@
         }
     }
 
-    /** Guards against a slow version that is reverted only after it got half of the requests, because it was slow late. */
+    /** Guards against a slow version that is found late because it was good at first. */
     @Test
     void versionThatTurnsSlowIsReverted() {
         for (int seed = 0; seed < SEEDS; seed++) {
@@ -183,7 +183,7 @@
 
     /** A rollout of 15 s on three routes at 90 requests a second, on old upstreams of unequal speed under load. */
     private record TimedRollout(RolloutState state, long newRequests, long allRequests) {
-        /** Deciles of the normalized times of a busy old version, of which every third upstream is four times slower. */
+        /** Deciles of the normalized times of a busy old version; every third upstream is four times slower. */
         private static final double[] OLD_TIMES = {0.44, 0.57, 0.62, 0.68, 0.74, 0.81, 1.04, 1.9, 2.7, 5.0};
         /** The same for the new version, whose upstreams are less busy. */
         private static final double[] NEW_TIMES = {0.44, 0.5, 0.57, 0.62, 0.68, 0.74, 0.81, 0.88, 1.2, 2.3};
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -38,10 +38,6 @@
  * scheduler of its service and runs it as an {@link Exchange}. All state is confined to one event loop.
  */
 public final class GatewayDispatcher {
-    /**
-     * Interval between scheduling rounds while requests are queued; short compared with callers' latency objectives.
-     */
-    private static final long DECIDE_PERIOD_MILLIS = 10;
     /** Interval between comparisons of the upstreams' unit times, and between probes of suspended upstreams. */
     private static final long UPSTREAM_CHECK_PERIOD_MILLIS = 250;
     /** Delay between a broken run and the probe of its upstream; a crashed upstream stays unreachable for seconds. */
@@ -69,14 +65,13 @@
     private final PersistentSlotAccess slotAccess;
     private final PeerLoadTable peerLoads = PeerLoadTable.create();
     private final UpstreamProbes probes;
+    private final SchedulingTrigger schedulingTrigger;
     private PathSettings settings;
     private SuspectPublisher suspectPublisher;
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private boolean upstreamsKnown;
     private int knownEntryCount = 1;
     private int runningCount;
-    private boolean decideRequested;
-    private boolean decideScheduled;
     private boolean admissionStopped;
 
     private GatewayDispatcher(
@@ -96,6 +91,7 @@
         this.retryTime = SpreadRetryTime.create(random);
         this.slotAccess = PersistentSlotAccess.create(random.nextLong());
         this.probes = new UpstreamProbes(connections, telemetry, this::decide);
+        this.schedulingTrigger = new SchedulingTrigger(loop, telemetry, this::runSchedulingRound);
         this.workspaceCaps = new WorkspaceCaps(settings);
         this.admissionChecker = new AdmissionChecker(workspaceCaps, suspects, random);
         this.suspectPublisher = suspects::onUpstreamDied;
@@ -379,30 +375,16 @@
      * connection is not placed, and a slot that becomes free is still used at once.
      */
     void decide() {
-        if (!decideRequested) {
-            decideRequested = true;
-            loop.execute(telemetry.guard("decide", this::runSchedulingRound));
-        }
+        schedulingTrigger.request();
     }
 
-    private void runSchedulingRound() {
-        decideRequested = false;
+    private boolean runSchedulingRound() {
         for (ServiceScheduler scheduler : List.copyOf(schedulers.values())) {
             for (Decision decision : scheduler.decide(nowMillis())) {
                 apply(decision);
             }
         }
-        boolean anyWaits = schedulers.values().stream().anyMatch(scheduler -> scheduler.waitingCount() > 0);
-        if (anyWaits && !decideScheduled) {
-            decideScheduled = true;
-            loop.schedule(
-                    telemetry.guard("decide", () -> {
-                        decideScheduled = false;
-                        decide();
-                    }),
-                    DECIDE_PERIOD_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        }
+        return schedulers.values().stream().anyMatch(scheduler -> scheduler.waitingCount() > 0);
     }
 
     private void apply(Decision decision) {
