Log which prompt parts a broken run contained, and restrictions of suspects

The logs could not tell whether requests that break with successive upstreams share a part, nor what the entries believe of them. run_broken names the request, the upstream and its version, the events received and the shared parts; request_suspect the restriction that follows. No decision is changed.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -406,6 +406,13 @@
                         scheduler(upstream.service()).suspend(upstream.id());
                         suspectPublisher.publish(fingerprint, upstream.lifetimeId(), nowMillis());
                         count("upstream.crash_suspected");
+                        telemetry
+                                .log()
+                                .warning(
+                                        "request_suspect",
+                                        "fingerprint=" + Long.toHexString(fingerprint) + " upstream="
+                                                + upstream.lifetimeId() + " restriction="
+                                                + suspects.restriction(fingerprint, nowMillis()));
                     }
                 }),
                 CRASH_PROBE_DELAY_MILLIS,
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 import dev.wigeonward.core.deployment.RouteKind;
 import dev.wigeonward.core.rollout.EvidenceRecorder;
@@ -33,6 +34,7 @@
      */
     private static final int EVENTS_PER_OBSERVATION = 8;
 
+    private static final int MAX_LOGGED_PARTS = 8;
     private static final String EVENT_STREAM_TYPE = "text/event-stream";
     private static final int MISDIRECTED_STATUS = 421;
     private static final int FIRST_SERVER_ERROR = 500;
@@ -318,6 +320,7 @@
         }
         dispatcher.count("upstream.broken." + failurePoint.name().toLowerCase(Locale.ROOT));
         if (failurePoint == FailurePoint.SENT) {
+            logBroken(reason);
             dispatcher.probeAfterBrokenRun(upstream, exchange.fingerprint());
             end(Outcome.FAILED);
             exchange.boundaries().ifPresent(EventBoundaryScanner::discardIncompleteEvent);
@@ -329,6 +332,22 @@
         dispatcher.decide();
     }
 
+    private void logBroken(String reason) {
+        String parts = exchange.request().callerHead().sharedParts().stream()
+                .limit(MAX_LOGGED_PARTS)
+                .map(Long::toHexString)
+                .collect(Collectors.joining(","));
+        dispatcher
+                .telemetry()
+                .log()
+                .warning(
+                        "run_broken",
+                        "id=" + exchange.request().callerHead().attemptId().orElse("none") + " upstream="
+                                + upstream.lifetimeId() + " version=" + upstream.version() + " events=" + events
+                                + " shared_parts=" + (parts.isEmpty() ? "none" : parts) + " reason="
+                                + reason.replace(' ', '_'));
+    }
+
     /** Treatment of the upstream's answer. */
     private enum Mode {
         AWAITING_HEAD,
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/CallerHead.java
@@ -16,6 +16,7 @@
  * @param maxOutputTokens largest number of output tokens, 0 if not stated
  * @param expectedOutputTokens caller's estimate of the number of output tokens, 0 if not stated
  * @param prefixes prefixes of the prompt that other requests may share, the shortest first
+ * @param sharedParts identifiers of the single parts of the prompt that other requests may share
  */
 public record CallerHead(
         Optional<String> attemptId,
@@ -24,8 +25,10 @@
         int promptTokens,
         int maxOutputTokens,
         int expectedOutputTokens,
-        List<PromptPrefix> prefixes) {
+        List<PromptPrefix> prefixes,
+        List<Long> sharedParts) {
     public CallerHead {
         prefixes = List.copyOf(prefixes);
+        sharedParts = List.copyOf(sharedParts);
     }
 }
