Refuse requests with a part of their prompt that crashes upstreams

Cause: a request that crashes upstreams was recognized by a hash of path, key and body. Requests that share a part and nothing else were never the same suspect, so that none was ever refused.

Change: SuspectPartTable infers which part is to blame. A crash accuses all parts of the requests that were beginning on the upstream; an answer that begins under a part refutes the crashes before it. Three crashes at different times under two requests refuse a part for that version of the upstreams, for a time that is told to the caller. Parts with equal evidence are told apart by a request with one of them. Entries exchange the evidence as facts and keep refusals in the store. It is checked when a request arrives, while it waits, and before each resend. Upstreams that left as planned, that do not answer, or that only reset a connection accuse no part.

--- a/agent/src/main/java/dev/wigeonward/agent/control/AgentControlPlane.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/AgentControlPlane.java
@@ -15,6 +15,8 @@
 import dev.wigeonward.core.rollout.EvidenceRecorder;
 import dev.wigeonward.core.rollout.ModelVersion;
 import dev.wigeonward.core.rollout.StageView;
+import dev.wigeonward.core.suspect.SuspectPartListener;
+import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.exchange.CurrentRules;
 import dev.wigeonward.exchange.EvidenceCodec;
@@ -65,7 +67,8 @@
         this.sender = sender;
         RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
         this.revisions = new RevisionSync(log, RevisionRelay.create(log, random), sender, rules::adopt);
-        this.facts = new FactSync(suspects, stages, sender, new ControlFactListener());
+        this.facts = new FactSync(
+                suspects, SuspectPartTable.create(SuspectPartListener.NONE), stages, sender, new ControlFactListener());
         this.orders = new OrderExecutor(upstream, fencingNumbers, sender, decisionThread, versions);
     }
 
--- a/core/src/main/java/dev/wigeonward/core/schedule/RefusalReason.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/RefusalReason.java
@@ -7,5 +7,7 @@
     /** The requests ahead in the queue are expected to take longer than the request may wait. */
     QUEUE_TOO_LONG,
     /** The request reached its maximum wait. */
-    WAITED_TOO_LONG
+    WAITED_TOO_LONG,
+    /** No version of the upstreams may run the request, because of the parts of its prompt. */
+    SUSPECT_PART
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/ScheduledRequest.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ScheduledRequest.java
@@ -24,7 +24,9 @@
     private final double expectedOutputTokens;
     private final VersionConstraint versions;
     private final List<PromptPrefix> prefixes;
+    private final List<Long> sharedParts;
     private final long spreadKey;
+    private Set<String> refusedVersions = Set.of();
     private final Set<String> excludedUpstreamIds = new HashSet<>();
     private Optional<String> onlyUpstreamId = Optional.empty();
     private long queueSequence;
@@ -50,6 +52,7 @@
         expectedOutputTokens = builder.expectedOutputTokens;
         versions = builder.versions;
         prefixes = List.copyOf(builder.prefixes);
+        sharedParts = List.copyOf(builder.sharedParts);
         spreadKey = builder.spreadKey;
         promptTokensToRead = builder.promptTokens;
     }
@@ -175,6 +178,19 @@
         return prefixes;
     }
 
+    List<Long> sharedParts() {
+        return sharedParts;
+    }
+
+    /** Sets the versions of upstreams that must not run the request. */
+    void setRefusedVersions(Set<String> versions) {
+        refusedVersions = versions;
+    }
+
+    boolean isRefusedBy(String version) {
+        return refusedVersions.contains(version);
+    }
+
     long spreadKey() {
         return spreadKey;
     }
@@ -236,6 +252,7 @@
         private double expectedOutputTokens;
         private VersionConstraint versions = VersionConstraint.NONE;
         private List<PromptPrefix> prefixes = List.of();
+        private List<Long> sharedParts = List.of();
         private long spreadKey;
 
         private Builder(String kind, int rank, long objectiveMillis, long arrivedAtMillis) {
@@ -266,6 +283,12 @@
             return this;
         }
 
+        /** Sets the identifiers of the parts of the prompt that other requests may contain. */
+        public Builder sharedParts(List<Long> parts) {
+            sharedParts = parts;
+            return this;
+        }
+
         /**
          * Sets a key by which requests that see equal upstreams choose different ones; requests with equal keys choose
          * the same.
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 
 import com.google.common.base.Preconditions;
-import dev.wigeonward.core.rollout.VersionConstraint;
 
 /**
  * Scheduler that queues the requests for one service and places them on its upstreams. An upstream gets no more
@@ -53,18 +52,21 @@
     private final PlacementCost placementCost;
     private final KeptPrompts keptPrompts;
     private final SlotAccess slotAccess;
+    private final EligibleUpstreams eligible;
     private double placementsPerMilli = MIN_PLACEMENTS_PER_MILLI;
     private long rateUpdatedAtMillis;
 
-    private ServiceScheduler(String zone, KeptPrompts keptPrompts, SlotAccess slotAccess) {
+    private ServiceScheduler(
+            String zone, KeptPrompts keptPrompts, SlotAccess slotAccess, VersionRestriction restriction) {
         this.placementCost = new PlacementCost(timeModel, zone);
         this.keptPrompts = keptPrompts;
         this.slotAccess = slotAccess;
+        this.eligible = new EligibleUpstreams(upstreamLoads.values(), restriction);
     }
 
     /** Returns a scheduler without upstreams for an entry in the given zone that has no peers. */
     public static ServiceScheduler inZone(String zone) {
-        return new ServiceScheduler(zone, KeptPrompts.create(), SlotAccess.OPEN);
+        return new ServiceScheduler(zone, KeptPrompts.create(), SlotAccess.OPEN, VersionRestriction.NONE);
     }
 
     /**
@@ -72,9 +74,11 @@
      *
      * @param keptPrompts estimate of the prompts that the upstreams of all services keep
      * @param slotAccess policy by which this entry and its peers share free slots
+     * @param restriction restriction of requests to some versions of the upstreams
      */
-    public static ServiceScheduler create(String zone, KeptPrompts keptPrompts, SlotAccess slotAccess) {
-        return new ServiceScheduler(zone, keptPrompts, slotAccess);
+    public static ServiceScheduler create(
+            String zone, KeptPrompts keptPrompts, SlotAccess slotAccess, VersionRestriction restriction) {
+        return new ServiceScheduler(zone, keptPrompts, slotAccess, restriction);
     }
 
     /** Replaces the list of upstreams; the state of an upstream is kept if its lifetime and address are unchanged. */
@@ -167,6 +171,11 @@
                 refuse(request, RefusalReason.NO_UPSTREAM, decisions);
                 return true;
             }
+            if (isRefused(request, nowMillis)) {
+                waiting.remove(request);
+                refuse(request, RefusalReason.SUSPECT_PART, decisions);
+                return true;
+            }
             if (best.isPresent() && !best.get().request().kind().equals(request.kind())) {
                 break;
             }
@@ -193,6 +202,11 @@
         return true;
     }
 
+    /** Returns whether no upstream is left for the request because of the versions that must not run it. */
+    public boolean isRefused(ScheduledRequest request, long nowMillis) {
+        return eligible.isRefused(request, nowMillis);
+    }
+
     private long maxWaitMillis(ScheduledRequest request) {
         return (long) (MAX_WAIT_FRACTION * request.objectiveMillis());
     }
@@ -230,7 +244,7 @@
 
     /**
      * Returns the upstream with a free slot and the lowest expected cost, or empty if the request should wait. If all
-     * upstreams that may serve the request are paused, returns the result of {@link #findFallback}.
+     * upstreams that may serve the request are paused, returns the result of {@link EligibleUpstreams#findFallback}.
      */
     private Optional<Placement> findBest(SchedulingRound round, ScheduledRequest request, long nowMillis) {
         request.setExpectedEvents(timeModel.expectedEvents(request.expectedOutputTokens()));
@@ -240,11 +254,11 @@
         boolean reserved =
                 round.freeSlotFraction() <= RESERVED_SLOT_FRACTION * waiting.requestShareOfMoreUrgentKinds(request);
         int bestKept = 0;
-        boolean firstChoiceAvailable = hasFirstChoice(request);
+        boolean firstChoiceAvailable = eligible.hasFirstChoice(request);
         Map<String, Integer> keptTokens =
                 reserved || round.withFreeSlots().isEmpty() ? Map.of() : keptPrompts.keptTokens(request.prefixes());
         for (UpstreamLoad load : round.withFreeSlots()) {
-            if (reserved || !mayServe(request, load, firstChoiceAvailable)) {
+            if (reserved || !EligibleUpstreams.mayServe(request, load, firstChoiceAvailable)) {
                 continue;
             }
             int kept = keptTokens.isEmpty()
@@ -260,21 +274,12 @@
                 bestKept = kept;
             }
         }
-        if (best == null && round.anyUnusable() && noneUsable(request, firstChoiceAvailable)) {
-            return findFallback(request).map(load -> new Placement(request, load, 0));
+        if (best == null && round.anyUnusable() && eligible.noneUsable(request, firstChoiceAvailable)) {
+            return eligible.findFallback(request).map(load -> new Placement(request, load, 0));
         }
         return best == null ? Optional.empty() : Optional.of(new Placement(request, best, bestKept));
     }
 
-    private boolean noneUsable(ScheduledRequest request, boolean firstChoiceAvailable) {
-        for (UpstreamLoad load : upstreamLoads.values()) {
-            if (load.usable() && mayServe(request, load, firstChoiceAvailable)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Returns whether the upstream has a free slot that this entry may take now. */
     private boolean hasSlot(UpstreamLoad load, boolean keepsPrompt, long nowMillis) {
         int free = load.upstream().slots() - load.outstanding();
@@ -288,24 +293,6 @@
                 || slotAccess.mayTake(load.upstream().id(), free, nowMillis);
     }
 
-    private boolean hasFirstChoice(ScheduledRequest request) {
-        if (request.versions().kind() == VersionConstraint.Kind.FREE) {
-            return true;
-        }
-        return upstreamLoads.values().stream()
-                .map(UpstreamLoad::upstream)
-                .anyMatch(upstream -> !upstream.draining() && request.versions().isFirstChoice(upstream.version()));
-    }
-
-    /** Returns whether the upstream has a suitable version, is not draining and is not excluded by the request. */
-    private static boolean mayServe(ScheduledRequest request, UpstreamLoad load, boolean firstChoiceAvailable) {
-        Upstream upstream = load.upstream();
-        boolean rightVersion = firstChoiceAvailable
-                ? request.versions().isFirstChoice(upstream.version())
-                : request.versions().allows(upstream.version());
-        return rightVersion && !upstream.draining() && !request.isExcluded(upstream.id());
-    }
-
     /** Returns the number of requests of all entries at upstreams of other versions than the given one. */
     public int outstandingAtOtherVersions(String version) {
         return upstreamLoads.values().stream()
@@ -314,25 +301,6 @@
                 .sum();
     }
 
-    /**
-     * Returns the upstream with the lowest failure ratio, including paused ones. Used when all upstreams are paused:
-     * they may have recovered, and only another request can show it.
-     */
-    private Optional<UpstreamLoad> findFallback(ScheduledRequest request) {
-        UpstreamLoad best = null;
-        boolean firstChoiceAvailable = hasFirstChoice(request);
-        for (UpstreamLoad load : upstreamLoads.values()) {
-            if (!mayServe(request, load, firstChoiceAvailable)
-                    || load.outstanding() >= load.upstream().slots()) {
-                continue;
-            }
-            if (best == null || load.failureRatio() < best.failureRatio()) {
-                best = load;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
     /** Returns whether output for a request of this entry is overdue, so that the upstream may have stopped. */
     private boolean hasOverdueOutput(UpstreamLoad load, long nowMillis) {
         for (ScheduledRequest request : load.running()) {
@@ -351,6 +319,14 @@
         return nowMillis - since > MIN_OVERDUE_MILLIS + OVERDUE_FACTOR * timeModel.slowness(load) * expectedMillis;
     }
 
+    /** Returns whether the list of upstreams contains the lifetime and does not state that it is leaving. */
+    public boolean isListedAsReady(Upstream upstream) {
+        UpstreamLoad load = upstreamLoads.get(upstream.id());
+        return load != null
+                && load.upstream().sameLifetime(upstream)
+                && !load.upstream().draining();
+    }
+
     /** Returns the upstreams that are excluded from placement until {@link #resume} is called for them. */
     public List<Upstream> suspended() {
         return upstreamLoads.values().stream()
--- a/core/src/test/java/dev/wigeonward/core/schedule/LoadReplay.java
+++ b/core/src/test/java/dev/wigeonward/core/schedule/LoadReplay.java
@@ -332,7 +332,7 @@
         private Entry(String name, SlotAccess slotAccess) {
             this.name = name;
             this.phase = random.nextLong(pattern.reportMillis);
-            scheduler = ServiceScheduler.create("z", kept, slotAccess);
+            scheduler = ServiceScheduler.create("z", kept, slotAccess, VersionRestriction.NONE);
         }
 
         private void report() {
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -20,6 +20,8 @@
 import dev.wigeonward.core.rollout.RolloutController;
 import dev.wigeonward.core.rollout.RolloutSettings;
 import dev.wigeonward.core.rollout.StageView;
+import dev.wigeonward.core.suspect.SuspectPartListener;
+import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.exchange.CurrentRules;
 import dev.wigeonward.exchange.FactListener;
@@ -59,7 +61,8 @@
         this.membership = new MembershipHandler(UpstreamMembership.create(dependencies.entryId(), random), links);
         RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
         this.revisions = new RevisionSync(log, RevisionRelay.create(log, random), links, this::onRevisionAdopted);
-        this.facts = new FactSync(suspects, stages, links, new ControlFactListener());
+        this.facts = new FactSync(
+                suspects, SuspectPartTable.create(SuspectPartListener.NONE), stages, links, new ControlFactListener());
         this.rolloutController = new RolloutControllerRunner(
                 new RolloutController(RolloutSettings.standard(), EvaluationSettings.standard()),
                 dependencies.rolloutRecords(),
--- a/exchange/src/main/java/dev/wigeonward/exchange/FactSync.java
+++ b/exchange/src/main/java/dev/wigeonward/exchange/FactSync.java
@@ -10,6 +10,8 @@
 import dev.wigeonward.core.rollout.Stage;
 import dev.wigeonward.core.rollout.StageView;
 import dev.wigeonward.core.suspect.SuspectFact;
+import dev.wigeonward.core.suspect.SuspectPartFact;
+import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.wire.generated.ControllerState;
 import dev.wigeonward.wire.generated.Facts;
@@ -19,14 +21,15 @@
 import dev.wigeonward.wire.generated.Verdict;
 
 /**
- * Flooding protocol for monotonic facts: suspects, bad versions, and the controller's newest stages. Each process
- * forwards the facts that are new to it to all its other peers, so that a fact reaches every process in a few hops
- * without a membership list. Not thread-safe; used on the decision thread only.
+ * Flooding protocol for monotonic facts: suspect requests and parts of prompts, bad versions, and the controller's
+ * newest stages. Each process forwards the facts that are new to it to all its other peers, so that a fact reaches
+ * every process in a few hops without a membership list. Not thread-safe; used on the decision thread only.
  */
 public final class FactSync {
     private static final String NO_PEER = "";
 
     private final SuspectTable suspects;
+    private final SuspectPartTable suspectParts;
     private final StageView stages;
     private final FrameSender sender;
     private final FactListener listener;
@@ -36,8 +39,14 @@
      *
      * @param listener called for verdicts and stages that are new to this process
      */
-    public FactSync(SuspectTable suspects, StageView stages, FrameSender sender, FactListener listener) {
+    public FactSync(
+            SuspectTable suspects,
+            SuspectPartTable suspectParts,
+            StageView stages,
+            FrameSender sender,
+            FactListener listener) {
         this.suspects = suspects;
+        this.suspectParts = suspectParts;
         this.stages = stages;
         this.sender = sender;
         this.listener = listener;
@@ -47,6 +56,7 @@
     public void onLinkUp(String peer, long nowMillis) {
         Facts.Builder facts = Facts.newBuilder();
         suspects.activeFacts(nowMillis).forEach(fact -> facts.addSuspects(toMessage(fact)));
+        suspectParts.facts(nowMillis).forEach(fact -> facts.addSuspectParts(SuspectPartCodec.toMessage(fact)));
         stages.badVerdicts().forEach(verdict -> facts.addVerdicts(toMessage(verdict)));
         ControllerStages newest = stages.forRelay(nowMillis);
         if (newest.fencingNumber() > 0) {
@@ -68,6 +78,12 @@
                 newFacts.addSuspects(toMessage(merged));
             });
         }
+        List<SuspectPartFact> received = frame.getFacts().getSuspectPartsList().stream()
+                .flatMap(part -> SuspectPartCodec.toFact(part).stream())
+                .toList();
+        suspectParts
+                .mergeAll(received, nowMillis)
+                .forEach(merged -> newFacts.addSuspectParts(SuspectPartCodec.toMessage(merged)));
         for (Verdict verdict : frame.getFacts().getVerdictsList()) {
             toVerdict(verdict).filter(this::mergeVerdict).ifPresent(merged -> newFacts.addVerdicts(toMessage(merged)));
         }
@@ -96,6 +112,13 @@
                 .ifPresent(fact -> forward(NO_PEER, Facts.newBuilder().addSuspects(toMessage(fact))));
     }
 
+    /** Sends facts on suspect parts of prompts, which this process has merged into its table, to all peers. */
+    public void publishSuspectParts(List<SuspectPartFact> newer) {
+        Facts.Builder facts = Facts.newBuilder();
+        newer.forEach(fact -> facts.addSuspectParts(SuspectPartCodec.toMessage(fact)));
+        forward(NO_PEER, facts);
+    }
+
     /** Adds a verdict reached by this process and, if it is new, sends it to all peers. */
     public void publishVerdict(BadVerdict verdict) {
         if (mergeVerdict(verdict)) {
@@ -112,7 +135,10 @@
     }
 
     private void forward(String exceptPeer, Facts.Builder facts) {
-        boolean empty = facts.getSuspectsCount() == 0 && facts.getVerdictsCount() == 0 && !facts.hasController();
+        boolean empty = facts.getSuspectsCount() == 0
+                && facts.getSuspectPartsCount() == 0
+                && facts.getVerdictsCount() == 0
+                && !facts.hasController();
         if (!empty) {
             sender.sendToOthers(exceptPeer, frame(facts));
         }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -143,8 +143,16 @@
                 switch (reason) {
                     case NO_UPSTREAM -> ErrorKind.NO_UPSTREAM;
                     case QUEUE_TOO_LONG, WAITED_TOO_LONG -> ErrorKind.OVERLOADED;
+                    case SUSPECT_PART -> ErrorKind.SUSPECT;
                 };
-        failOrRefuse(kind, dispatcher.retryAfterMillis(deadlineAtMillis - dispatcher.nowMillis()));
+        long nowMillis = dispatcher.nowMillis();
+        failOrRefuse(
+                kind,
+                kind == ErrorKind.SUSPECT
+                        ? dispatcher
+                                .suspectParts()
+                                .refusedForMillis(request.callerHead().sharedParts(), nowMillis)
+                        : dispatcher.retryAfterMillis(deadlineAtMillis - nowMillis));
     }
 
     private void failOrRefuse(ErrorKind notRunKind, long retryAfterMillis) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -19,14 +19,14 @@
 import dev.wigeonward.core.schedule.ObservedUnitTime;
 import dev.wigeonward.core.schedule.PeerLoadTable;
 import dev.wigeonward.core.schedule.PersistentSlotAccess;
+import dev.wigeonward.core.schedule.RefusalReason;
 import dev.wigeonward.core.schedule.RetryTimePolicy;
 import dev.wigeonward.core.schedule.ScheduledRequest;
 import dev.wigeonward.core.schedule.ServiceScheduler;
 import dev.wigeonward.core.schedule.ServiceScheduler.EntryLoad;
 import dev.wigeonward.core.schedule.SpreadRetryTime;
 import dev.wigeonward.core.schedule.Upstream;
-import dev.wigeonward.core.suspect.SuspectFact;
-import dev.wigeonward.core.suspect.SuspectRestriction;
+import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.gateway.event.Telemetry;
 import dev.wigeonward.gateway.port.HeaderCodec;
@@ -40,8 +40,6 @@
 public final class GatewayDispatcher {
     /** Interval between comparisons of the upstreams' unit times, and between probes of suspended upstreams. */
     private static final long UPSTREAM_CHECK_PERIOD_MILLIS = 250;
-    /** Delay between a broken run and the probe of its upstream; a crashed upstream stays unreachable for seconds. */
-    private static final long CRASH_PROBE_DELAY_MILLIS = 100;
 
     private static final long NOT_READY_RETRY_MILLIS = 400;
     /** Retry time stated while this process stops; short, because a retry reaches another entry. */
@@ -54,7 +52,7 @@
     private final Telemetry telemetry;
     private final RetryTimePolicy retryTime;
     private final WorkspaceCaps workspaceCaps;
-    private final SuspectTable suspects = SuspectTable.create();
+    private final CrashDetector crashDetector;
     private final AdmissionChecker admissionChecker;
     private final ScheduledRequestFactory scheduledRequestFactory = new ScheduledRequestFactory();
     private final ServiceRollouts rollouts = new ServiceRollouts();
@@ -67,7 +65,6 @@
     private final UpstreamProbes probes;
     private final SchedulingTrigger schedulingTrigger;
     private PathSettings settings;
-    private SuspectPublisher suspectPublisher;
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private boolean upstreamsKnown;
     private int knownEntryCount = 1;
@@ -93,8 +90,8 @@
         this.probes = new UpstreamProbes(connections, telemetry, this::decide);
         this.schedulingTrigger = new SchedulingTrigger(loop, telemetry, this::runSchedulingRound);
         this.workspaceCaps = new WorkspaceCaps(settings);
-        this.admissionChecker = new AdmissionChecker(workspaceCaps, suspects, random);
-        this.suspectPublisher = suspects::onUpstreamDied;
+        this.crashDetector = new CrashDetector(loop, this::nowMillis, connections, telemetry, this::scheduler);
+        this.admissionChecker = new AdmissionChecker(workspaceCaps, crashDetector.requests(), random);
     }
 
     /** Returns a dispatcher that refuses all requests until {@link #configure} provides a configuration. */
@@ -280,12 +277,21 @@
 
     /** Returns the table of requests that were running when upstreams died, which peers synchronize. */
     public SuspectTable suspects() {
-        return suspects;
+        return crashDetector.requests();
     }
 
-    /** Sets the publisher of upstream deaths. The initial one records them in this process only. */
+    /** Returns the table of parts of prompts under which upstreams crashed, which peers synchronize. */
+    public SuspectPartTable suspectParts() {
+        return crashDetector.parts();
+    }
+
+    /** Sets the publisher of evidence on suspects. The initial one keeps it in this process. */
     public void setSuspectPublisher(SuspectPublisher newPublisher) {
-        suspectPublisher = newPublisher;
+        crashDetector.setPublisher(newPublisher);
+    }
+
+    CrashDetector crashDetector() {
+        return crashDetector;
     }
 
     /** Refuses all further requests because this process is stopping; admitted requests continue. */
@@ -341,6 +347,10 @@
 
     /** Queues a scheduled request; the exchange receives the decision on it. */
     void offer(ScheduledRequest request, Exchange exchange, String service) {
+        if (scheduler(service).isRefused(request, nowMillis())) {
+            exchange.onRefused(RefusalReason.SUSPECT_PART);
+            return;
+        }
         waiting.put(request, exchange);
         scheduler(service).offer(request);
         decide();
@@ -355,7 +365,9 @@
 
     ServiceScheduler scheduler(String service) {
         return schedulers.computeIfAbsent(
-                service, name -> ServiceScheduler.create(settings.zone(), keptPrompts, slotAccess));
+                service,
+                name -> ServiceScheduler.create(
+                        settings.zone(), keptPrompts, slotAccess, crashDetector.parts()::refusedVersions));
     }
 
     RetryBudgetShare retryShare(String service) {
@@ -395,30 +407,6 @@
         }
     }
 
-    /**
-     * Probes an upstream after the connection of a run broke. The request becomes suspect only if the upstream refuses
-     * the probe, because connections also break for reasons other than a crash.
-     */
-    void probeAfterBrokenRun(Upstream upstream, long fingerprint) {
-        loop.schedule(
-                () -> connections.probe(upstream, accepts -> {
-                    if (!accepts) {
-                        scheduler(upstream.service()).suspend(upstream.id());
-                        suspectPublisher.publish(fingerprint, upstream.lifetimeId(), nowMillis());
-                        count("upstream.crash_suspected");
-                        telemetry
-                                .log()
-                                .warning(
-                                        "request_suspect",
-                                        "fingerprint=" + Long.toHexString(fingerprint) + " upstream="
-                                                + upstream.lifetimeId() + " restriction="
-                                                + suspects.restriction(fingerprint, nowMillis()));
-                    }
-                }),
-                CRASH_PROBE_DELAY_MILLIS,
-                TimeUnit.MILLISECONDS);
-    }
-
     /** Returns the time after which a caller that was refused for lack of capacity should come back. */
     long retryAfterMillis(long remainingMillis) {
         return retryTime.retryAfterMillis(remainingMillis);
@@ -476,11 +464,7 @@
                         .orElse("none"));
         lines.add("running " + runningCount);
         lines.add("entries " + knownEntryCount);
-        List<SuspectFact> facts = suspects.activeFacts(nowMillis());
-        long refused = facts.stream()
-                .filter(fact -> suspects.restriction(fact.fingerprint(), nowMillis()) == SuspectRestriction.REFUSED)
-                .count();
-        lines.add("suspects " + facts.size() + " refused " + refused);
+        lines.addAll(crashDetector.dumpLines());
         schedulers.forEach((service, scheduler) -> {
             lines.add("service " + service + " waiting=" + scheduler.waitingCount());
             scheduler.dumpLines(nowMillis()).forEach(line -> lines.add("upstream " + line));
@@ -489,10 +473,4 @@
         workspaceCaps.describe(nowMillis()).forEach(line -> lines.add("tenant " + line));
         return lines;
     }
-
-    /** Publisher of the death of an upstream while a request was running on it. */
-    public interface SuspectPublisher {
-        /** Publishes that one lifetime of an upstream ended while the request with the fingerprint was running. */
-        void publish(long fingerprint, String upstreamLifetime, long nowMillis);
-    }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/ScheduledRequestFactory.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/ScheduledRequestFactory.java
@@ -38,6 +38,7 @@
                 .elapsedInEarlierAttempts(elapsedInEarlierAttemptsMillis(route, request))
                 .deadlineAt(deadlineAtMillis)
                 .prefixes(request.callerHead().prefixes())
+                .sharedParts(request.callerHead().sharedParts())
                 .spreadKey(spreadKey(request))
                 .versions(versions);
         if (request.callerHead().promptTokens() > 0) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamProbes.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamProbes.java
@@ -8,6 +8,7 @@
 import dev.wigeonward.core.schedule.Upstream;
 import dev.wigeonward.gateway.event.Telemetry;
 import dev.wigeonward.gateway.upstream.UpstreamConnectionPool;
+import dev.wigeonward.gateway.upstream.UpstreamConnectionPool.ProbeResult;
 
 /** Probes of the upstreams that a scheduler has suspended, until they accept connections. Runs on the event loop. */
 final class UpstreamProbes {
@@ -36,14 +37,14 @@
             }
             if (probing.add(upstream.id())) {
                 connections.closePooled(upstream);
-                connections.probe(upstream, accepts -> onProbed(scheduler, upstream, accepts));
+                connections.probe(upstream, result -> onProbed(scheduler, upstream, result));
             }
         }
     }
 
-    private void onProbed(ServiceScheduler scheduler, Upstream upstream, boolean accepts) {
+    private void onProbed(ServiceScheduler scheduler, Upstream upstream, ProbeResult result) {
         probing.remove(upstream.id());
-        if (accepts) {
+        if (result == ProbeResult.ACCEPTED) {
             scheduler.resume(upstream.id());
             loggedSuspended.remove(upstream.id());
             telemetry.log().info("upstream_back", "id=" + upstream.id());
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -35,6 +35,9 @@
     private static final int EVENTS_PER_OBSERVATION = 8;
 
     private static final int MAX_LOGGED_PARTS = 8;
+    /** Number of events that an upstream does not send before a request crashes it at the beginning of its answer. */
+    private static final int MIN_EVENTS_OF_ANSWER = 4;
+
     private static final String EVENT_STREAM_TYPE = "text/event-stream";
     private static final int MISDIRECTED_STATUS = 421;
     private static final int FIRST_SERVER_ERROR = 500;
@@ -52,6 +55,8 @@
     private boolean cancelled;
     private boolean eventStream;
     private long events;
+    private long answerBeganAtMillis;
+    private boolean answering;
     private long observedEvents;
     private long observedAtMillis;
 
@@ -66,7 +71,7 @@
         this.upstream = upstream;
         this.scheduledRequest = scheduledRequest;
         this.sink = sink;
-        dispatcher.suspects().recordDispatch(exchange.fingerprint());
+        dispatcher.crashDetector().requests().recordDispatch(exchange.fingerprint());
         observation = startObservation();
     }
 
@@ -101,7 +106,7 @@
             startObservation().ifPresent(broken -> broken.failed(dispatcher.nowMillis()));
         }
         exchange.scheduler().onEnded(scheduledRequest, outcome, dispatcher.nowMillis());
-        dispatcher.suspects().recordEnd(exchange.fingerprint());
+        dispatcher.crashDetector().requests().recordEnd(exchange.fingerprint());
     }
 
     private Optional<EvidenceRecorder.Observation> startObservation() {
@@ -131,6 +136,7 @@
         }
         boolean identified = expectedId.isEmpty() || answer.attemptId().isPresent();
         head = newHead;
+        answerBeganAtMillis = dispatcher.nowMillis();
         eventStream = newHead.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM_TYPE);
         // Without its identifier an answer on a used connection may be a late copy of an earlier one.
         mode = identified || firstOnConnection ? chooseMode(answer, newHead) : Mode.UNUSABLE;
@@ -267,6 +273,9 @@
         boolean first = events == 0;
         events += newEvents;
         exchange.onEvents(newEvents);
+        if (events >= MIN_EVENTS_OF_ANSWER) {
+            markAnswering();
+        }
         if (first) {
             observation.ifPresent(started -> started.answered(head.status().code(), nowMillis));
             exchange.scheduler().onFirstEvent(scheduledRequest, nowMillis);
@@ -284,6 +293,16 @@
         }
     }
 
+    private void markAnswering() {
+        if (answering) {
+            return;
+        }
+        answering = true;
+        dispatcher
+                .crashDetector()
+                .onAnswering(exchange.request().callerHead().sharedParts(), upstream.version(), answerBeganAtMillis);
+    }
+
     @Override
     public void onComplete() {
         if (cancelled) {
@@ -302,6 +321,9 @@
 
     private void onWholeAnswer() {
         boolean failure = head.status().code() >= FIRST_SERVER_ERROR;
+        if (!failure) {
+            markAnswering();
+        }
         if (!failure && events > 0) {
             exchange.scheduler().onStreamLength(scheduledRequest, events);
         }
@@ -321,7 +343,14 @@
         dispatcher.count("upstream.broken." + failurePoint.name().toLowerCase(Locale.ROOT));
         if (failurePoint == FailurePoint.SENT) {
             logBroken(reason);
-            dispatcher.probeAfterBrokenRun(upstream, exchange.fingerprint());
+            dispatcher
+                    .crashDetector()
+                    .onBroken(new BrokenRun(
+                            upstream,
+                            exchange.fingerprint(),
+                            exchange.request().callerHead().sharedParts(),
+                            answering,
+                            dispatcher.nowMillis()));
             end(Outcome.FAILED);
             exchange.boundaries().ifPresent(EventBoundaryScanner::discardIncompleteEvent);
             exchange.onRunFailed(RunFailure.BROKEN, reason);
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
@@ -113,8 +113,13 @@
         this.seeds = new HashSet<>(seeds);
         this.seeds.remove(ownAddress);
         FactLinks factLinks = new FactLinks(links, log);
-        this.facts = new FactSync(dispatcher.suspects(), dispatcher.rollouts().view(), factLinks, factLinks);
-        dispatcher.setSuspectPublisher(facts::publishSuspect);
+        this.facts = new FactSync(
+                dispatcher.suspects(),
+                dispatcher.suspectParts(),
+                dispatcher.rollouts().view(),
+                factLinks,
+                factLinks);
+        dispatcher.setSuspectPublisher(new SuspectFactPublisher(facts));
         transport = LinkTransport.withEventLoop(
                 LINK_SETTINGS,
                 this,
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
@@ -1,5 +1,6 @@
 package dev.wigeonward.gateway.upstream;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -19,6 +20,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -167,17 +169,22 @@
     }
 
     /** Tests whether an upstream accepts connections, by opening one and closing it at once. */
-    public void probe(Upstream upstream, Consumer<Boolean> accepts) {
+    public void probe(Upstream upstream, Consumer<ProbeResult> done) {
         bootstrap
                 .clone()
                 .handler(new ChannelInboundHandlerAdapter())
                 .connect(address(upstream.address()))
                 .addListener((ChannelFutureListener) future -> {
                     future.channel().close();
-                    accepts.accept(future.isSuccess());
+                    done.accept(future.isSuccess() ? ProbeResult.ACCEPTED : failure(future.cause()));
                 });
     }
 
+    private static ProbeResult failure(Throwable cause) {
+        boolean refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        return refused ? ProbeResult.REFUSED : ProbeResult.NO_ANSWER;
+    }
+
     /**
      * Closes the pooled connections to an upstream that does not answer, because some may never deliver an answer
      * again.
@@ -234,4 +241,13 @@
         return new InetSocketAddress(
                 hostAndPort.substring(0, colon), Integer.parseInt(hostAndPort.substring(colon + 1)));
     }
+
+    /** Result of a probe of an upstream. */
+    public enum ProbeResult {
+        ACCEPTED,
+        /** The host of the upstream answered that nothing accepts connections at the address. */
+        REFUSED,
+        /** The host of the upstream did not answer in time or cannot be reached. */
+        NO_ANSWER
+    }
 }
