Send a request that returns to an upstream on a new connection

Callers saw: an order that may run once ran twice. The upstream had refused it, ran it when it was sent again, and had written the refusal once more on the kept connection.

Cause: a request that returns to an upstream keeps its identifier, so that a copy of the earlier refusal on the same connection looks like the answer to the second send, and was believed.

Change: an exchange remembers the upstreams that it was sent to. A further send to one of them uses a new connection, where no earlier answer can be pending.

Evidence: both tests of RepeatedRefusalTest failed before, with one upstream and with two that refuse by turns.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -1,7 +1,9 @@
 package dev.wigeonward.gateway.exchange;
 
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -14,6 +16,7 @@
 import dev.wigeonward.core.schedule.Upstream;
 import dev.wigeonward.core.stream.EventBoundaryScanner;
 import dev.wigeonward.gateway.port.UpstreamCall;
+import dev.wigeonward.gateway.upstream.UpstreamConnectionPool;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -45,6 +48,9 @@
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private long deadlineAtMillis;
     private int sends;
+    /** Lifetimes of the upstreams that this request was sent to. */
+    private final Set<String> sentTo = new HashSet<>();
+
     private long events;
     private int connectFailures;
     private int returns;
@@ -103,7 +109,12 @@
         dispatcher.recordWait(waitedMillis);
         UpstreamRun newRun = new UpstreamRun(this, dispatcher, upstream, scheduledRequest, sink);
         run = Optional.of(newRun);
-        dispatcher.connections().send(upstream, upstreamRequest(upstream), newRun, newRun::onConnection);
+        UpstreamConnectionPool connections = dispatcher.connections();
+        if (sentTo.add(upstream.lifetimeId())) {
+            connections.send(upstream, upstreamRequest(upstream), newRun, newRun::onConnection);
+        } else {
+            connections.sendOnNewConnection(upstream, upstreamRequest(upstream), newRun, newRun::onConnection);
+        }
     }
 
     private FullHttpRequest upstreamRequest(Upstream upstream) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
@@ -102,13 +102,24 @@
             FullHttpRequest request,
             UpstreamListener listener,
             Predicate<UpstreamConnection> stillWanted) {
-        String key = poolKey(upstream);
-        UpstreamConnection pooled = takeIdle(key);
-        if (pooled != null) {
-            sendIfWanted(pooled, request, listener, stillWanted);
+        UpstreamConnection pooled = takeIdle(poolKey(upstream));
+        if (pooled == null) {
+            sendOnNewConnection(upstream, request, listener, stillWanted);
             return;
         }
-        UpstreamConnection newConnection = new UpstreamConnection(this, key);
+        sendIfWanted(pooled, request, listener, stillWanted);
+    }
+
+    /**
+     * Sends a request on a new connection; see {@link #send}. A request that the upstream has answered before needs
+     * one, because a late copy of that answer would be taken for the answer to this request.
+     */
+    public void sendOnNewConnection(
+            Upstream upstream,
+            FullHttpRequest request,
+            UpstreamListener listener,
+            Predicate<UpstreamConnection> stillWanted) {
+        UpstreamConnection newConnection = new UpstreamConnection(this, poolKey(upstream));
         bootstrap
                 .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
