Break off a stream that ends inside an event

Callers saw: a stream whose upstream ended inside an event looked complete, whether it had no length and ended with its connection or was chunked and had its last chunk.

Cause: only the framing of the answer told whether it was complete.

Change: a stream that ends behind a field without the empty line that ends its event counts as broken: it goes on at another upstream where the route allows that, and otherwise the caller's connection is closed. A comment is no event.

--- a/core/src/main/java/dev/wigeonward/core/stream/EventBoundaryScanner.java
+++ b/core/src/main/java/dev/wigeonward/core/stream/EventBoundaryScanner.java
@@ -20,7 +20,6 @@
     private boolean lineTooLong;
     private boolean hasField;
     private boolean lastEventUnidentified;
-    private boolean eventIncomplete;
     private long eventCount;
 
     private EventBoundaryScanner() {}
@@ -49,7 +48,6 @@
     }
 
     private void appendToLine(byte value) {
-        eventIncomplete = true;
         // Of other lines only the start is needed, to tell them from an empty line and from a comment.
         boolean mayHoldId = line.length() < ID_FIELD.length() || line.indexOf(ID_FIELD) == 0;
         if (mayHoldId && line.length() < MAX_ID_LINE_BYTES) {
@@ -79,7 +77,6 @@
             }
             return false;
         }
-        eventIncomplete = false;
         eventCount++;
         if (hasField) {
             endEvent();
@@ -102,7 +99,6 @@
         lineTooLong = false;
         hasField = false;
         incompleteEventId = Optional.empty();
-        eventIncomplete = false;
     }
 
     /**
@@ -113,9 +109,10 @@
         return !lastEventUnidentified;
     }
 
-    /** Returns whether part of an event has arrived, but not its end. */
+    /** Returns whether part of an event has arrived, but not its end. A comment is no event. */
     public boolean hasIncompleteEvent() {
-        return eventIncomplete;
+        boolean partialField = line.length() > 0 && line.charAt(0) != COMMENT && line.charAt(0) != '\r';
+        return hasField || partialField;
     }
 
     /** Returns the identifier of the last complete event that has one, or empty if there was none. */
--- a/core/src/test/java/dev/wigeonward/core/stream/EventBoundaryScannerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/stream/EventBoundaryScannerTest.java
@@ -62,6 +62,16 @@
         assertThat(scanned("id: " + longId + "\ndata: a\n\n").lastEventId()).contains(longId);
     }
 
+    /** Guards against an event that has ended, or a comment, that counts as a broken one. */
+    @Example
+    void onlyAnUnfinishedEventIsIncomplete() {
+        assertThat(scanned("data: a\n\n").hasIncompleteEvent()).isFalse();
+        assertThat(scanned("data: a\n\n:comment\n").hasIncompleteEvent()).isFalse();
+        assertThat(scanned("data: a\n\n:com").hasIncompleteEvent()).isFalse();
+        assertThat(scanned("data: a\n").hasIncompleteEvent()).isTrue();
+        assertThat(scanned("data: a\n\nd").hasIncompleteEvent()).isTrue();
+    }
+
     private static EventBoundaryScanner scanned(String text) {
         EventBoundaryScanner scanner = EventBoundaryScanner.create();
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -247,17 +247,18 @@
         }
         buffered.writeBytes(copy, complete, copy.length - complete);
         if (buffered.readableBytes() > MAX_EVENT_BYTES) {
-            onEventTooLong(boundaries.get());
+            breakOff("event_too_long");
         }
     }
 
-    private void onEventTooLong(EventBoundaryScanner boundaries) {
-        dispatcher.count("upstream.event_too_long");
+    /** Ends the run because its stream is of no use behind the last complete event. */
+    private void breakOff(String reason) {
+        dispatcher.count("upstream." + reason);
         connection.ifPresent(UpstreamConnection::cancel);
         buffered.clear();
         end(Outcome.FAILED);
-        boundaries.discardIncompleteEvent();
-        exchange.onRunFailed(RunFailure.BROKEN, "event_too_long");
+        exchange.boundaries().ifPresent(EventBoundaryScanner::discardIncompleteEvent);
+        exchange.onRunFailed(RunFailure.BROKEN, reason);
         dispatcher.decide();
     }
 
@@ -308,10 +309,22 @@
         if (cancelled) {
             return;
         }
+        if (endedInsideEvent()) {
+            breakOff("event_incomplete");
+            return;
+        }
         onWholeAnswer();
         dispatcher.decide();
     }
 
+    private boolean endedInsideEvent() {
+        return eventStream
+                && mode == Mode.FORWARD
+                && exchange.boundaries()
+                        .filter(EventBoundaryScanner::hasIncompleteEvent)
+                        .isPresent();
+    }
+
     private void onNotRun() {
         boolean misdirected = head.status().code() == MISDIRECTED_STATUS;
         dispatcher.count(misdirected ? "upstream.misdirected" : "upstream.full");
