Append an answer to a broken stream only if it continues it

Callers saw: after a stream had broken off, whatever the next upstream sent with status 200 was appended, plain text or events that the caller already had, and the stream ended as if it were complete.

Cause: of an answer that is to continue a stream only status and signature were checked.

Change: it must be an event stream without an encoding, and its first event must have an identifier that follows the last one: greater if both are numbers, and otherwise different. Any other answer counts as a failed run.

--- a/core/src/main/java/dev/wigeonward/core/stream/EventBoundaryScanner.java
+++ b/core/src/main/java/dev/wigeonward/core/stream/EventBoundaryScanner.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
+import com.google.common.primitives.Longs;
+
 /**
  * Scanner that finds the ends of events in a streamed answer and tracks the identifier of the last complete event. An
  * event ends with an empty line; lines end with LF or CRLF. Not thread-safe.
@@ -20,6 +22,8 @@
     private boolean lineTooLong;
     private boolean hasField;
     private boolean lastEventUnidentified;
+    private boolean continuationExpected;
+    private boolean misplaced;
     private long eventCount;
 
     private EventBoundaryScanner() {}
@@ -29,6 +33,19 @@
         return new EventBoundaryScanner();
     }
 
+    /**
+     * Announces that the next bytes are from another run, whose first event must follow the last complete one. If it
+     * does not, {@link #isMisplaced} returns true and the event does not count.
+     */
+    public void expectContinuation() {
+        continuationExpected = lastEventId.isPresent();
+    }
+
+    /** Returns whether an event does not continue the stream, so that it and all later ones are of no use. */
+    public boolean isMisplaced() {
+        return misplaced;
+    }
+
     /**
      * Scans the next bytes and returns how many of them, from the first on, belong to events that are now complete. The
      * rest belongs to an incomplete event.
@@ -43,6 +60,9 @@
             if (endLine()) {
                 complete = index + 1;
             }
+            if (misplaced) {
+                return complete;
+            }
         }
         return complete;
     }
@@ -77,6 +97,10 @@
             }
             return false;
         }
+        if (hasField && !continuesStream()) {
+            misplaced = true;
+            return false;
+        }
         eventCount++;
         if (hasField) {
             endEvent();
@@ -84,7 +108,22 @@
         return true;
     }
 
+    private boolean continuesStream() {
+        if (!continuationExpected) {
+            return true;
+        }
+        return incompleteEventId.isPresent() && follows(lastEventId.orElseThrow(), incompleteEventId.get());
+    }
+
+    /** Returns whether an identifier may follow another one; numbers increase, other identifiers differ. */
+    private static boolean follows(String previous, String next) {
+        Long previousNumber = Longs.tryParse(previous);
+        Long nextNumber = Longs.tryParse(next);
+        return previousNumber == null || nextNumber == null ? !next.equals(previous) : nextNumber > previousNumber;
+    }
+
     private void endEvent() {
+        continuationExpected = false;
         lastEventUnidentified = incompleteEventId.isEmpty();
         if (incompleteEventId.isPresent()) {
             lastEventId = incompleteEventId;
@@ -99,6 +138,8 @@
         lineTooLong = false;
         hasField = false;
         incompleteEventId = Optional.empty();
+        misplaced = false;
+        continuationExpected = false;
     }
 
     /**
--- a/core/src/test/java/dev/wigeonward/core/stream/EventBoundaryScannerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/stream/EventBoundaryScannerTest.java
@@ -62,6 +62,27 @@
         assertThat(scanned("id: " + longId + "\ndata: a\n\n").lastEventId()).contains(longId);
     }
 
+    /** Guards against the first event of another run that repeats an event, or of which the place is not known. */
+    @Example
+    void continuationMustFollowTheLastEvent() {
+        assertThat(continues("1", "id: 2\ndata: b\n\n")).isTrue();
+        assertThat(continues("9", "id: 10\ndata: b\n\n")).isTrue();
+        assertThat(continues("a", ":comment\n\nid: b\ndata: b\n\n")).isTrue();
+        assertThat(continues("2", "id: 2\ndata: b\n\n")).isFalse();
+        assertThat(continues("2", "id: 1\ndata: b\n\n")).isFalse();
+        assertThat(continues("a", "id: a\ndata: b\n\n")).isFalse();
+        assertThat(continues("1", "data: b\n\n")).isFalse();
+    }
+
+    private static boolean continues(String lastId, String text) {
+        EventBoundaryScanner scanner = scanned("id: " + lastId + "\ndata: a\n\n");
+        scanner.expectContinuation();
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        int complete = scanner.scan(bytes, bytes.length);
+        assertThat(complete == bytes.length).isEqualTo(!scanner.isMisplaced());
+        return !scanner.isMisplaced();
+    }
+
     /** Guards against an event that has ended, or a comment, that counts as a broken one. */
     @Example
     void onlyAnUnfinishedEventIsIncomplete() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -171,7 +171,7 @@
         }
         boolean success = newHead.status().codeClass() == HttpStatusClass.SUCCESS;
         if (exchange.headForwarded()) {
-            return success && answer.signed() ? Mode.FORWARD : Mode.UNUSABLE;
+            return success && answer.signed() && continuesStream(newHead) ? Mode.FORWARD : Mode.UNUSABLE;
         }
         if (success && !answer.signed()) {
             return Mode.UNUSABLE;
@@ -187,8 +187,14 @@
         return success && exchange.route().kind() == RouteKind.STREAMING ? Mode.FORWARD : Mode.BUFFER;
     }
 
+    /** Returns whether an answer can be appended to a stream; the identifiers of its events are checked later. */
+    private boolean continuesStream(HttpResponse newHead) {
+        return eventStream && !newHead.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
+    }
+
     private void forwardHead() {
         if (exchange.headForwarded()) {
+            exchange.boundaries().ifPresent(EventBoundaryScanner::expectContinuation);
             return;
         }
         exchange.onHeadForwarded();
@@ -246,7 +252,9 @@
             send(events);
         }
         buffered.writeBytes(copy, complete, copy.length - complete);
-        if (buffered.readableBytes() > MAX_EVENT_BYTES) {
+        if (boundaries.get().isMisplaced()) {
+            breakOff("event_misplaced");
+        } else if (buffered.readableBytes() > MAX_EVENT_BYTES) {
             breakOff("event_too_long");
         }
     }
