Leave upstreams alone that state that they are leaving or ask for time

Callers saw: requests went to upstreams that had stated in their answers that they were leaving, as long as the store listed them as ready, and to those that had turned requests away with a time to wait.

Cause: neither header was read.

Change: both are decoded once in the platform adapter. A leaving lifetime gets no further request; one that asked for time gets none before its end and then one at a time until it answers. Both belong to UpstreamLoad, which is kept across gaps in the list. A request that all its upstreams keep waiting for too long is refused at once, with the time until the first one is back. Callers no longer see either header. Finding upstreams by rules moves to EligibleUpstreams, their state to UpstreamLoads.

--- a/core/src/main/java/dev/wigeonward/core/schedule/EligibleUpstreams.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/EligibleUpstreams.java
@@ -34,7 +34,7 @@
         boolean anyRefused = false;
         for (UpstreamLoad load : loads) {
             Upstream upstream = load.upstream();
-            if (upstream.draining() || !request.versions().allows(upstream.version())) {
+            if (!load.accepting() || !request.versions().allows(upstream.version())) {
                 continue;
             }
             if (!request.isRefusedBy(upstream.version())) {
@@ -51,20 +51,19 @@
             return true;
         }
         return loads.stream()
-                .map(UpstreamLoad::upstream)
-                .anyMatch(upstream -> !upstream.draining()
-                        && request.versions().isFirstChoice(upstream.version())
-                        && !request.isRefusedBy(upstream.version()));
+                .anyMatch(load -> load.accepting()
+                        && request.versions().isFirstChoice(load.upstream().version())
+                        && !request.isRefusedBy(load.upstream().version()));
     }
 
-    /** Returns whether the upstream has a suitable version, is not draining and is not ruled out for the request. */
+    /** Returns whether the upstream has a suitable version, takes new requests and is not ruled out for the request. */
     static boolean mayServe(ScheduledRequest request, UpstreamLoad load, boolean firstChoiceAvailable) {
         Upstream upstream = load.upstream();
         boolean rightVersion = firstChoiceAvailable
                 ? request.versions().isFirstChoice(upstream.version())
                 : request.versions().allows(upstream.version());
         return rightVersion
-                && !upstream.draining()
+                && load.accepting()
                 && !request.isExcluded(upstream.id())
                 && !request.isRefusedBy(upstream.version());
     }
@@ -83,11 +82,13 @@
      * Returns the upstream with the lowest failure ratio, including paused ones. Used when all upstreams are paused:
      * they may have recovered, and only another request can show it.
      */
-    Optional<UpstreamLoad> findFallback(ScheduledRequest request) {
+    Optional<UpstreamLoad> findFallback(ScheduledRequest request, long nowMillis) {
         UpstreamLoad best = null;
         boolean firstChoiceAvailable = hasFirstChoice(request);
         for (UpstreamLoad load : loads) {
             if (!mayServe(request, load, firstChoiceAvailable)
+                    || load.askedForMillis(nowMillis) > 0
+                    || load.returning() && !load.running().isEmpty()
                     || load.outstanding() >= load.upstream().slots()) {
                 continue;
             }
@@ -97,4 +98,23 @@
         }
         return Optional.ofNullable(best);
     }
+
+    /** Returns whether an upstream is left that takes new requests and that the request may be sent to. */
+    boolean anyLeft(ScheduledRequest request) {
+        boolean firstChoiceAvailable = hasFirstChoice(request);
+        return loads.stream().anyMatch(load -> mayServe(request, load, firstChoiceAvailable));
+    }
+
+    /**
+     * Returns the time until the first upstream that the request may be sent to is back, if all of them asked for time,
+     * and 0 otherwise.
+     */
+    long returnsInMillis(ScheduledRequest request, long nowMillis) {
+        boolean firstChoiceAvailable = hasFirstChoice(request);
+        return loads.stream()
+                .filter(load -> mayServe(request, load, firstChoiceAvailable))
+                .mapToLong(load -> load.askedForMillis(nowMillis))
+                .min()
+                .orElse(0);
+    }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/RetryTimePolicy.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/RetryTimePolicy.java
@@ -9,4 +9,12 @@
      * @return time in milliseconds, at least 1
      */
     long retryAfterMillis(long remainingMillis);
+
+    /**
+     * Returns the time after which a caller should come back if its request can be served only after some time, so that
+     * not all callers come back at that moment.
+     */
+    default long spreadAfter(long earliestMillis) {
+        return earliestMillis;
+    }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/ScheduledRequest.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ScheduledRequest.java
@@ -78,6 +78,11 @@
         onlyUpstreamId = Optional.of(upstreamId);
     }
 
+    /** Returns whether further placements are restricted to one upstream. */
+    boolean isRestricted() {
+        return onlyUpstreamId.isPresent();
+    }
+
     boolean isExcluded(String upstreamId) {
         return excludedUpstreamIds.contains(upstreamId)
                 || onlyUpstreamId.isPresent() && !onlyUpstreamId.get().equals(upstreamId);
--- a/core/src/main/java/dev/wigeonward/core/schedule/SchedulingRound.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/SchedulingRound.java
@@ -25,7 +25,7 @@
             failureRatios += load.failureRatio();
             boolean paused = load.paused(nowMillis);
             load.setUsable(!paused && !overdue.test(load));
-            if (!load.upstream().draining()) {
+            if (load.accepting()) {
                 addAvailable(load, paused);
             }
         }
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -46,7 +45,7 @@
     /** Lower bound on the placement rate from which the expected wait is computed. */
     private static final double MIN_PLACEMENTS_PER_MILLI = 0.002;
 
-    private final Map<String, UpstreamLoad> upstreamLoads = new HashMap<>();
+    private final UpstreamLoads upstreams = new UpstreamLoads();
     private final WaitingRequests waiting = new WaitingRequests();
     private final ServiceTimeModel timeModel = new ServiceTimeModel();
     private final PlacementCost placementCost;
@@ -61,7 +60,7 @@
         this.placementCost = new PlacementCost(timeModel, zone);
         this.keptPrompts = keptPrompts;
         this.slotAccess = slotAccess;
-        this.eligible = new EligibleUpstreams(upstreamLoads.values(), restriction);
+        this.eligible = new EligibleUpstreams(upstreams.all(), restriction);
     }
 
     /** Returns a scheduler without upstreams for an entry in the given zone that has no peers. */
@@ -83,22 +82,31 @@
 
     /** Replaces the list of upstreams; the state of an upstream is kept if its lifetime and address are unchanged. */
     public void setUpstreams(Collection<Upstream> listed) {
-        Map<String, UpstreamLoad> previous = new HashMap<>(upstreamLoads);
-        upstreamLoads.clear();
-        for (Upstream upstream : listed) {
-            UpstreamLoad existing = previous.get(upstream.id());
-            if (existing != null && existing.upstream().sameLifetime(upstream)) {
-                existing.setUpstream(upstream);
-                upstreamLoads.put(upstream.id(), existing);
-            } else {
-                upstreamLoads.put(upstream.id(), new UpstreamLoad(upstream));
-            }
-        }
+        upstreams.replace(listed);
+    }
+
+    /**
+     * Records that a lifetime of an upstream stated that it is leaving; it gets no further requests. Returns whether
+     * this is new.
+     */
+    public boolean markLeaving(Upstream upstream) {
+        return upstreams.find(upstream).map(UpstreamLoad::markLeaving).orElse(false);
+    }
+
+    /**
+     * Records that an upstream asked for time: it gets no request before, and then one at a time until it answers.
+     * Returns whether this makes the time longer.
+     */
+    public boolean askForTime(Upstream upstream, long untilMillis) {
+        return upstreams
+                .find(upstream)
+                .map(load -> load.askForTime(untilMillis))
+                .orElse(false);
     }
 
     /** Replaces the sum of the loads that other entries reported for an upstream; ignores unknown upstreams. */
     public void setPeerLoad(EntryLoad total) {
-        UpstreamLoad load = upstreamLoads.get(total.upstreamId());
+        UpstreamLoad load = upstreams.get(total.upstreamId());
         if (load != null) {
             load.setPeerLoad(total.requests(), total.promptTokens());
         }
@@ -106,26 +114,19 @@
 
     /** Adopts the unit times observed by other entries where they are newer than those of this entry. */
     public void adoptNewerUnitTimes(Collection<ObservedUnitTime> unitTimes, long nowMillis) {
-        Map<String, ObservedUnitTime> byLifetime = new HashMap<>();
-        unitTimes.forEach(unitTime -> byLifetime.put(unitTime.lifetimeId(), unitTime));
-        for (UpstreamLoad load : upstreamLoads.values()) {
-            ObservedUnitTime unitTime = byLifetime.get(load.upstream().lifetimeId());
-            if (unitTime != null) {
-                load.adoptUnitTime(unitTime.unitTimeMillis(), nowMillis - unitTime.ageMillis());
-            }
-        }
+        upstreams.adoptNewerUnitTimes(unitTimes, nowMillis);
     }
 
     /** Returns the unit times of all upstreams that have one. */
     public List<ObservedUnitTime> unitTimes(long nowMillis) {
-        return upstreamLoads.values().stream()
+        return upstreams.all().stream()
                 .flatMap(load -> load.observedUnitTime(nowMillis).stream())
                 .toList();
     }
 
     /** Returns the unit times that have changed notably since last returned here or adopted, to keep reports small. */
     public List<ObservedUnitTime> takeChangedUnitTimes(long nowMillis) {
-        return upstreamLoads.values().stream()
+        return upstreams.all().stream()
                 .flatMap(load -> load.takeChangedUnitTime(nowMillis).stream())
                 .toList();
     }
@@ -152,7 +153,7 @@
             return decisions;
         }
         SchedulingRound round =
-                new SchedulingRound(upstreamLoads.values(), load -> hasOverdueOutput(load, nowMillis), nowMillis);
+                new SchedulingRound(upstreams.all(), load -> hasOverdueOutput(load, nowMillis), nowMillis);
         while (decideOne(round, decisions, nowMillis)) {
             // Each placement changes the loads that the next comparison uses, so requests are placed one at a time.
         }
@@ -176,6 +177,16 @@
                 refuse(request, RefusalReason.SUSPECT_PART, decisions);
                 return true;
             }
+            if (request.isRestricted() && !eligible.anyLeft(request)) {
+                waiting.remove(request);
+                refuse(request, RefusalReason.NO_UPSTREAM, decisions);
+                return true;
+            }
+            if (round.anyUnusable() && returnsInMillis(request, nowMillis) > remainingWaitMillis(request, nowMillis)) {
+                waiting.remove(request);
+                refuse(request, RefusalReason.UPSTREAMS_ASKED_FOR_TIME, decisions);
+                return true;
+            }
             if (best.isPresent() && !best.get().request().kind().equals(request.kind())) {
                 break;
             }
@@ -207,6 +218,18 @@
         return eligible.isRefused(request, nowMillis);
     }
 
+    /**
+     * Returns the time until the first upstream that the request may be sent to is back, if all of them asked for time,
+     * and 0 otherwise.
+     */
+    public long returnsInMillis(ScheduledRequest request, long nowMillis) {
+        return eligible.returnsInMillis(request, nowMillis);
+    }
+
+    private long remainingWaitMillis(ScheduledRequest request, long nowMillis) {
+        return Math.max(0, maxWaitMillis(request) - request.ageMillis(nowMillis));
+    }
+
     private long maxWaitMillis(ScheduledRequest request) {
         return (long) (MAX_WAIT_FRACTION * request.objectiveMillis());
     }
@@ -275,7 +298,7 @@
             }
         }
         if (best == null && round.anyUnusable() && eligible.noneUsable(request, firstChoiceAvailable)) {
-            return eligible.findFallback(request).map(load -> new Placement(request, load, 0));
+            return eligible.findFallback(request, nowMillis).map(load -> new Placement(request, load, 0));
         }
         return best == null ? Optional.empty() : Optional.of(new Placement(request, best, bestKept));
     }
@@ -286,6 +309,10 @@
         if (free <= 0) {
             return false;
         }
+        if (load.returning()) {
+            return load.running().isEmpty()
+                    && slotAccess.mayTake(load.upstream().id(), 1, nowMillis);
+        }
         // Hardly any peer contends for the slot if it has to keep the prompt, or if a request of this entry has just
         // ended there.
         return keepsPrompt
@@ -295,7 +322,7 @@
 
     /** Returns the number of requests of all entries at upstreams of other versions than the given one. */
     public int outstandingAtOtherVersions(String version) {
-        return upstreamLoads.values().stream()
+        return upstreams.all().stream()
                 .filter(load -> !load.upstream().version().equals(version))
                 .mapToInt(UpstreamLoad::outstanding)
                 .sum();
@@ -321,15 +348,13 @@
 
     /** Returns whether the list of upstreams contains the lifetime and does not state that it is leaving. */
     public boolean isListedAsReady(Upstream upstream) {
-        UpstreamLoad load = upstreamLoads.get(upstream.id());
-        return load != null
-                && load.upstream().sameLifetime(upstream)
-                && !load.upstream().draining();
+        UpstreamLoad load = upstreams.get(upstream.id());
+        return load != null && load.upstream().sameLifetime(upstream) && load.accepting();
     }
 
     /** Returns the upstreams that are excluded from placement until {@link #resume} is called for them. */
     public List<Upstream> suspended() {
-        return upstreamLoads.values().stream()
+        return upstreams.all().stream()
                 .filter(UpstreamLoad::suspended)
                 .map(UpstreamLoad::upstream)
                 .toList();
@@ -337,7 +362,7 @@
 
     /** Includes an upstream in placement again after it accepts connections. */
     public void resume(String upstreamId) {
-        UpstreamLoad load = upstreamLoads.get(upstreamId);
+        UpstreamLoad load = upstreams.get(upstreamId);
         if (load != null) {
             load.resume();
         }
@@ -345,7 +370,7 @@
 
     /** Excludes an upstream from placement because it does not accept connections. */
     public void suspend(String upstreamId) {
-        UpstreamLoad load = upstreamLoads.get(upstreamId);
+        UpstreamLoad load = upstreams.get(upstreamId);
         if (load != null) {
             load.suspend();
         }
@@ -355,6 +380,7 @@
     public void onFirstEvent(ScheduledRequest request, long nowMillis) {
         UpstreamLoad load = placedLoad(request);
         load.onOutput(nowMillis);
+        load.onAnswering(request);
         if (request.firstEventReceived()) {
             return;
         }
@@ -388,6 +414,7 @@
         switch (outcome) {
             case ANSWERED -> {
                 load.onOutput(nowMillis);
+                load.onAnswering(request);
                 load.onSuccess();
                 if (!request.isStreaming()) {
                     load.observeUnitTime(Math.max(1, nowMillis - request.placedAtMillis()), nowMillis);
@@ -417,18 +444,12 @@
 
     /** Recomputes the typical unit time, relative to which upstreams are compared; called several times a second. */
     public void updateTypicalUnitTime() {
-        timeModel.updateUnitTimeMillis(upstreamLoads.values());
+        timeModel.updateUnitTimeMillis(upstreams.all());
     }
 
     /** Returns the load of this entry at each upstream where it has requests, for reports to its peers. */
     public List<EntryLoad> ownLoads() {
-        List<EntryLoad> loads = new ArrayList<>();
-        for (UpstreamLoad load : upstreamLoads.values()) {
-            if (!load.running().isEmpty()) {
-                loads.add(new EntryLoad(load.upstream().id(), load.running().size(), load.ownPendingPromptTokens()));
-            }
-        }
-        return loads;
+        return upstreams.ownLoads();
     }
 
     /** Returns the number of waiting requests. */
@@ -438,7 +459,7 @@
 
     /** Returns one line for each upstream with its load, slowness and failure ratio, for a dump. */
     public List<String> dumpLines(long nowMillis) {
-        return upstreamLoads.values().stream()
+        return upstreams.all().stream()
                 .map(load -> load.dumpLine(timeModel.slowness(load), nowMillis))
                 .sorted()
                 .toList();
--- a/core/src/main/java/dev/wigeonward/core/schedule/SpreadRetryTime.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/SpreadRetryTime.java
@@ -15,6 +15,9 @@
     /** Lower bound of the random factor that spreads the times. */
     private static final double MIN_SPREAD = 0.6;
 
+    /** Time over which callers come back to upstreams that asked for a longer time. */
+    private static final long MAX_SPREAD_MILLIS = 1_000;
+
     private final Random random;
 
     private SpreadRetryTime(Random random) {
@@ -31,4 +34,9 @@
         double spread = MIN_SPREAD + (1 - MIN_SPREAD) * random.nextDouble();
         return Math.max(1, (long) (MAX_WAIT_PART * remainingMillis * spread));
     }
+
+    @Override
+    public long spreadAfter(long earliestMillis) {
+        return earliestMillis + (long) (Math.min(MAX_SPREAD_MILLIS, earliestMillis) * random.nextDouble());
+    }
 }
--- a/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
@@ -29,6 +29,11 @@
     private boolean suspended;
     private boolean usable;
     private long pausedUntilMillis = Long.MIN_VALUE;
+    private boolean leaving;
+    private long askedUntilMillis = Long.MIN_VALUE;
+    /** Whether the upstream asked for time and has not answered a request since that time was over. */
+    private boolean returning;
+
     private long lastOutputAtMillis = Long.MIN_VALUE;
     private long lastEndedAtMillis = Long.MIN_VALUE / 2;
 
@@ -197,7 +202,60 @@
                                         .formatted(unitTime.unitTimeMillis(), unitTime.ageMillis()))
                                 .orElse(""),
                         failureRatio,
-                        upstream.draining() ? " draining" : paused(nowMillis) ? " paused" : "");
+                        state(nowMillis));
+    }
+
+    private String state(long nowMillis) {
+        if (upstream.draining()) {
+            return " draining";
+        }
+        if (leaving) {
+            return " leaving";
+        }
+        if (askedForMillis(nowMillis) > 0) {
+            return " asked_for_ms=" + askedForMillis(nowMillis);
+        }
+        return paused(nowMillis) ? " paused" : "";
+    }
+
+    /** Returns whether the upstream takes new requests: neither its entry nor an answer states that it is leaving. */
+    boolean accepting() {
+        return !leaving && !upstream.draining();
+    }
+
+    /** Marks this lifetime as leaving, which lasts until it ends, and returns whether it was not marked before. */
+    boolean markLeaving() {
+        boolean changed = !leaving;
+        leaving = true;
+        return changed;
+    }
+
+    /**
+     * Excludes the upstream from placement until the given time. Each statement of the upstream holds, so that a later
+     * one never shortens the time. Returns whether the time has become longer.
+     */
+    boolean askForTime(long untilMillis) {
+        if (untilMillis <= askedUntilMillis) {
+            return false;
+        }
+        askedUntilMillis = untilMillis;
+        returning = true;
+        return true;
+    }
+
+    /** Returns the time that is left of the time for which the upstream asked. */
+    long askedForMillis(long nowMillis) {
+        return nowMillis < askedUntilMillis ? askedUntilMillis - nowMillis : 0;
+    }
+
+    /** Returns whether the upstream may get one request at a time only, which shows whether it takes requests again. */
+    boolean returning() {
+        return returning;
+    }
+
+    /** Records that the upstream answers a request. */
+    void onAnswering(ScheduledRequest request) {
+        returning &= request.placedAtMillis() < askedUntilMillis;
     }
 
     /** Excludes the upstream from placement for the given time. */
@@ -205,8 +263,8 @@
         pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + millis);
     }
 
-    /** Returns whether the upstream is excluded from placement, either suspended or paused for a limited time. */
+    /** Returns whether the upstream is excluded from placement, until it is resumed or for a limited time. */
     boolean paused(long nowMillis) {
-        return suspended || nowMillis < pausedUntilMillis;
+        return suspended || nowMillis < pausedUntilMillis || nowMillis < askedUntilMillis;
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -153,17 +153,21 @@
         ErrorKind kind =
                 switch (reason) {
                     case NO_UPSTREAM -> ErrorKind.NO_UPSTREAM;
-                    case QUEUE_TOO_LONG, WAITED_TOO_LONG -> ErrorKind.OVERLOADED;
                     case SUSPECT_PART -> ErrorKind.SUSPECT;
+                    case QUEUE_TOO_LONG, WAITED_TOO_LONG, UPSTREAMS_ASKED_FOR_TIME -> ErrorKind.OVERLOADED;
                 };
+        failOrRefuse(kind, retryAfterMillis(kind));
+    }
+
+    private long retryAfterMillis(ErrorKind kind) {
         long nowMillis = dispatcher.nowMillis();
-        failOrRefuse(
-                kind,
-                kind == ErrorKind.SUSPECT
-                        ? dispatcher
-                                .suspectParts()
-                                .refusedForMillis(request.callerHead().sharedParts(), nowMillis)
-                        : dispatcher.retryAfterMillis(deadlineAtMillis - nowMillis));
+        if (kind == ErrorKind.SUSPECT) {
+            return dispatcher
+                    .suspectParts()
+                    .refusedForMillis(request.callerHead().sharedParts(), nowMillis);
+        }
+        return dispatcher.retryAfterMillis(
+                scheduler().returnsInMillis(scheduledRequest, nowMillis), deadlineAtMillis - nowMillis);
     }
 
     private void failOrRefuse(ErrorKind notRunKind, long retryAfterMillis) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -53,6 +53,7 @@
     private final RetryTimePolicy retryTime;
     private final WorkspaceCaps workspaceCaps;
     private final CrashDetector crashDetector;
+    private final UpstreamNotices notices;
     private final AdmissionChecker admissionChecker;
     private final ScheduledRequestFactory scheduledRequestFactory = new ScheduledRequestFactory();
     private final ServiceRollouts rollouts = new ServiceRollouts();
@@ -91,6 +92,7 @@
         this.schedulingTrigger = new SchedulingTrigger(loop, telemetry, this::runSchedulingRound);
         this.workspaceCaps = new WorkspaceCaps(settings);
         this.crashDetector = new CrashDetector(loop, this::nowMillis, connections, telemetry, this::scheduler);
+        this.notices = new UpstreamNotices(this::nowMillis, telemetry);
         this.admissionChecker = new AdmissionChecker(workspaceCaps, crashDetector.requests(), random);
     }
 
@@ -290,6 +292,10 @@
         crashDetector.setPublisher(newPublisher);
     }
 
+    UpstreamNotices notices() {
+        return notices;
+    }
+
     CrashDetector crashDetector() {
         return crashDetector;
     }
@@ -407,9 +413,9 @@
         }
     }
 
-    /** Returns the time after which a caller that was refused for lack of capacity should come back. */
-    long retryAfterMillis(long remainingMillis) {
-        return retryTime.retryAfterMillis(remainingMillis);
+    /** Returns the time after which a caller should come back whose request can be served after the earliest time. */
+    long retryAfterMillis(long earliestMillis, long remainingMillis) {
+        return Math.max(retryTime.retryAfterMillis(remainingMillis), retryTime.spreadAfter(earliestMillis));
     }
 
     /** Refunds the usage of a request that did not run to its workspace's usage cap. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -134,6 +134,7 @@
             dispatcher.count("upstream.foreign_answer");
             return HeadAction.SKIP;
         }
+        dispatcher.notices().onAnswer(exchange.scheduler(), upstream, expectedId.orElse("none"), answer);
         boolean identified = expectedId.isEmpty() || answer.attemptId().isPresent();
         head = newHead;
         answerBeganAtMillis = dispatcher.nowMillis();
@@ -201,6 +202,7 @@
         HttpResponse copy = new DefaultHttpResponse(
                 HttpVersion.HTTP_1_1, head.status(), head.headers().copy());
         HopByHopHeaders.remove(copy.headers());
+        dispatcher.headerCodec().removeNotices(copy.headers());
         sink.writeHead(copy);
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/AnswerHead.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/AnswerHead.java
@@ -1,6 +1,7 @@
 package dev.wigeonward.gateway.port;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Platform-specific information in the headers of an upstream's answer.
@@ -8,5 +9,14 @@
  * @param attemptId identifier of the answered attempt, if the answer states one
  * @param signed whether the answer carries the upstream's signature
  * @param notRun whether the upstream states that it did not run the request
+ * @param leaving whether the upstream states that it is about to stop
+ * @param retryAfterMillis time for which the upstream, which turned the request away, wants no further ones
+ * @param malformed header whose value cannot be read, shortened for a log
  */
-public record AnswerHead(Optional<String> attemptId, boolean signed, boolean notRun) {}
+public record AnswerHead(
+        Optional<String> attemptId,
+        boolean signed,
+        boolean notRun,
+        boolean leaving,
+        OptionalLong retryAfterMillis,
+        Optional<String> malformed) {}
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/HeaderCodec.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/HeaderCodec.java
@@ -10,6 +10,9 @@
     /** Replaces all headers that only the system may set, in a copy of the caller's headers. */
     void writeUpstream(HttpHeaders headers, UpstreamCall call);
 
-    /** Returns the information in the headers of an upstream's answer. */
+    /** Returns the information in the headers of an upstream's answer; malformed values count as absent. */
     AnswerHead readAnswer(int status, HttpHeaders headers);
+
+    /** Removes the headers of an upstream's answer that are meant for the entry and not for the caller. */
+    void removeNotices(HttpHeaders headers);
 }
