Show that one message crashes all engines on the path with agents; measure scheduling decisions

The measurement scheduling-decision times decisions of the direct path, which entry-decision does not cover; state-bytes has a row for suspect parts.

--- a/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/Measurements.java
@@ -9,6 +9,7 @@
 import dev.wigeonward.measure.placement.EntryDecisionMeasurement;
 import dev.wigeonward.measure.placement.LinkSubsetMeasurement;
 import dev.wigeonward.measure.placement.PlacementQualityMeasurement;
+import dev.wigeonward.measure.placement.SchedulingDecisionMeasurement;
 import dev.wigeonward.measure.placement.StateSizeMeasurement;
 import dev.wigeonward.measure.process.ProcessLatencyMeasurement;
 import dev.wigeonward.measure.revision.RevisionPropagationMeasurement;
@@ -25,6 +26,7 @@
             new PlacementQualityMeasurement(),
             new ProcessLatencyMeasurement(),
             new RevisionPropagationMeasurement(),
+            new SchedulingDecisionMeasurement(),
             new StateSizeMeasurement(),
             new StoreCallsMeasurement());
 
--- a/measurement/src/main/java/dev/wigeonward/measure/placement/StateSizeMeasurement.java
+++ b/measurement/src/main/java/dev/wigeonward/measure/placement/StateSizeMeasurement.java
@@ -15,7 +15,10 @@
 import dev.wigeonward.core.request.Tier;
 import dev.wigeonward.core.request.WorkEstimate;
 import dev.wigeonward.core.suspect.SuspectFact;
+import dev.wigeonward.core.suspect.SuspectPartListener;
+import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
+import dev.wigeonward.core.suspect.UpstreamCrash;
 import dev.wigeonward.measure.Measurement;
 import dev.wigeonward.measure.Report;
 import org.openjdk.jol.info.GraphLayout;
@@ -50,6 +53,10 @@
         rows.add(row("prefix shared by 64 upstreams", PrefixIndex.MAX_TOTAL, StateSizeMeasurement::sharedPrefixes));
         rows.add(row(
                 "suspect fingerprint with two deaths", SuspectTable.MAX_FINGERPRINTS, StateSizeMeasurement::suspects));
+        rows.add(row(
+                "suspect part of prompts with two crashes",
+                SuspectPartTable.MAX_PARTS,
+                StateSizeMeasurement::suspectParts));
         return new Report(
                 COLUMNS,
                 rows,
@@ -104,6 +111,17 @@
         return index;
     }
 
+    private static Object suspectParts(int count) {
+        SuspectPartTable table = SuspectPartTable.create(SuspectPartListener.NONE);
+        for (long part = 0; part < count; part++) {
+            for (int crash = 0; crash < 2; crash++) {
+                UpstreamCrash ended = new UpstreamCrash("upstream-" + crash + "/" + part, part, 0);
+                table.onUpstreamCrashed(List.of(part), "v1", ended, 0);
+            }
+        }
+        return table;
+    }
+
     private static Object suspects(int count) {
         SuspectTable table = SuspectTable.create();
         for (int number = 0; number < count; number++) {
--- a/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/process/ProcessFaultsTest.java
@@ -54,15 +54,13 @@
     }
 
     private CompletableFuture<Response> chat(LocalDeployment deployment, String entry, int tokens, String prompt) {
-        byte[] body = Json.write(Map.of(
-                "model",
-                "advisory",
-                "stream",
-                true,
-                "max_tokens",
-                tokens,
-                "messages",
-                List.of(Map.of("role", "user", "content", prompt))));
+        return chat(deployment, entry, tokens, List.of(Map.of("role", "user", "content", prompt)));
+    }
+
+    private CompletableFuture<Response> chat(
+            LocalDeployment deployment, String entry, int tokens, List<Map<String, String>> messages) {
+        byte[] body =
+                Json.write(Map.of("model", "advisory", "stream", true, "max_tokens", tokens, "messages", messages));
         return client.start(
                 deployment.address(entry),
                 HttpRequestMethod.POST,
@@ -255,6 +253,31 @@
         }
     }
 
+    /** Guards against different requests that crash one upstream after another because they share one message. */
+    @Test
+    void requestsThatShareADeadlyMessageDoNotCrashAllUpstreams() throws Exception {
+        List<LocalUpstream> engines = IntStream.rangeClosed(1, 7)
+                .mapToObj(number -> LocalUpstream.engine("engine-" + number, "advisory", 8, 200)
+                        .with("--crash-marker", "poison"))
+                .toList();
+        try (LocalDeployment deployment = deploy(2, engines.toArray(LocalUpstream[]::new))) {
+            for (int send = 0; send < 9; send++) {
+                List<Map<String, String>> messages = List.of(
+                        Map.of("role", "system", "content", "poison"),
+                        Map.of("role", "user", "content", "question " + send));
+                String entry = "entry-" + (1 + send % 2);
+                chat(deployment, entry, 10, messages).join();
+                // Upstreams that end at about the same time may have a common cause, so these end one after the other.
+                Thread.sleep(400);
+                chat(deployment, entry, 10, "hello " + send).join();
+            }
+            long dead = engines.stream()
+                    .filter(engine -> !deployment.process(engine.name()).alive())
+                    .count();
+            assertThat(dead).isBetween(1L, 5L);
+        }
+    }
+
     private static int running(LocalDeployment deployment, LocalUpstream upstream) {
         return deployment
                 .page(deployment.address(upstream.agentName() + "-admin"), "/admin/dump")
