Refuse requests that share a deadly message on the path with agents

Callers saw: different requests with one message in common ended one engine after the other.

Cause: the same class as on the direct path: a request was recognized by a hash of workspace, target and body.

Change: the entry hashes each message of a chat request but the last and sends the hashes with the dispatch. The agent of an engine that dies accuses the parts of the requests whose answers had not got beyond their beginning, and reports answers that do; entries refuse a part that SuspectPartTable refuses.

--- a/agent/src/main/java/dev/wigeonward/agent/control/AgentControlPlane.java
+++ b/agent/src/main/java/dev/wigeonward/agent/control/AgentControlPlane.java
@@ -1,5 +1,7 @@
 package dev.wigeonward.agent.control;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -15,9 +17,12 @@
 import dev.wigeonward.core.rollout.EvidenceRecorder;
 import dev.wigeonward.core.rollout.ModelVersion;
 import dev.wigeonward.core.rollout.StageView;
+import dev.wigeonward.core.suspect.SuspectPartFact;
+import dev.wigeonward.core.suspect.SuspectPartKey;
 import dev.wigeonward.core.suspect.SuspectPartListener;
 import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
+import dev.wigeonward.core.suspect.UpstreamCrash;
 import dev.wigeonward.exchange.CurrentRules;
 import dev.wigeonward.exchange.EvidenceCodec;
 import dev.wigeonward.exchange.FactListener;
@@ -33,12 +38,14 @@
  * thread.
  */
 public final class AgentControlPlane {
+    private static final Logger LOG = System.getLogger(AgentControlPlane.class.getName());
     private static final long EVIDENCE_PERIOD_MILLIS = 500;
     /** Fraction of the slots in use above which a request counts as run under load. */
     private static final double UNDER_LOAD_THRESHOLD = 0.7;
 
     private final String upstreamIncarnation;
     private final SuspectTable suspects = SuspectTable.create();
+    private final SuspectPartTable suspectParts = SuspectPartTable.create(new PartLogger());
     private final StageView stages = new StageView();
     private final EvidenceRecorder evidence = new EvidenceRecorder(UNDER_LOAD_THRESHOLD);
     private final Set<String> evidencePeers = new HashSet<>();
@@ -67,8 +74,7 @@
         this.sender = sender;
         RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
         this.revisions = new RevisionSync(log, RevisionRelay.create(log, random), sender, rules::adopt);
-        this.facts = new FactSync(
-                suspects, SuspectPartTable.create(SuspectPartListener.NONE), stages, sender, new ControlFactListener());
+        this.facts = new FactSync(suspects, suspectParts, stages, sender, new ControlFactListener());
         this.orders = new OrderExecutor(upstream, fencingNumbers, sender, decisionThread, versions);
     }
 
@@ -129,6 +135,17 @@
         facts.publishSuspect(request.fingerprint(), upstreamIncarnation + "/" + upstreamInstance, nowMillis);
     }
 
+    /** Publishes the fact that the upstream died while it began to answer a request. */
+    public void publishCrash(RequestSpec request, String version, String upstreamInstance, long nowMillis) {
+        UpstreamCrash crash = new UpstreamCrash(upstreamIncarnation + "/" + upstreamInstance, request.fingerprint(), 0);
+        facts.publishSuspectParts(suspectParts.onUpstreamCrashed(request.promptParts(), version, crash, nowMillis));
+    }
+
+    /** Records that the upstream has got beyond the beginning of its answer to a request. */
+    public void onAnswering(RequestSpec request, String version, long beganAtMillis, long nowMillis) {
+        facts.publishSuspectParts(suspectParts.onAnswering(request.promptParts(), version, beganAtMillis, nowMillis));
+    }
+
     /** Returns whether a verdict marks a version as bad, so that it must not get requests. */
     public boolean isBad(String model, String version) {
         return stages.isBad(model, version);
@@ -159,7 +176,8 @@
                 "highest_fencing_number", orders.highestFencingNumber(),
                 "versions", orders.versions(),
                 "bad_versions", stages.badVerdicts(),
-                "suspects", suspects.size());
+                "suspects", suspects.size(),
+                "suspect_parts", suspectParts.size());
     }
 
     /** Passes received facts to the component that uses them. */
@@ -174,4 +192,17 @@
             orders.onFencingNumber(published.fencingNumber());
         }
     }
+
+    /** Logger of changed restrictions on parts of prompts. */
+    private static final class PartLogger implements SuspectPartListener {
+        @Override
+        public void onRefused(SuspectPartFact fact) {
+            LOG.log(Level.WARNING, "requests with part {0} of their prompts are refused", fact.key());
+        }
+
+        @Override
+        public void onCleared(SuspectPartKey key) {
+            LOG.log(Level.INFO, "part {0} of prompts has been cleared by an answer", key);
+        }
+    }
 }
--- a/agent/src/main/java/dev/wigeonward/agent/link/EntryFrameCodec.java
+++ b/agent/src/main/java/dev/wigeonward/agent/link/EntryFrameCodec.java
@@ -60,7 +60,8 @@
                         dispatch.getWork().getPrefixHash()),
                 nowMillis + dispatch.getTimeLeftMillis(),
                 dispatch.getIdempotent(),
-                dispatch.getFingerprint());
+                dispatch.getFingerprint(),
+                dispatch.getPromptPartsList());
         Optional<RequestId> attachTo = dispatch.getAttachOnly()
                 ? Optional.of(new RequestId(dispatch.getClaimedRequestId()))
                 : Optional.empty();
--- a/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/AgentRuntime.java
@@ -190,13 +190,18 @@
         if (input instanceof AgentInput.FrameArrived arrived) {
             handleFrame(arrived.link(), arrived.frame());
         } else if (input instanceof AgentInput.OutputArrived output) {
-            Optional.ofNullable(runs.get(output.run())).ifPresent(run -> run.output.append(output.data()));
+            Optional.ofNullable(runs.get(output.run()))
+                    .filter(run -> run.append(output.data(), clock.millis()))
+                    .ifPresent(this::reportAnswering);
             handle(new AgentEvent.UpstreamOutput(output.run(), output.data().length));
         } else if (input instanceof AgentInput.HeadArrived arrived) {
             Optional.ofNullable(runs.get(arrived.run()))
                     .ifPresent(run -> run.head = EntryFrameCodec.head(arrived.status(), arrived.headers()));
         } else if (input instanceof AgentInput.Finished finished) {
             observe(finished.run(), (run, nowMillis) -> run.observation.answered(run.head.getStatus(), nowMillis));
+            Optional.ofNullable(runs.get(finished.run()))
+                    .filter(RunRecord::markAnswering)
+                    .ifPresent(this::reportAnswering);
             handle(new AgentEvent.UpstreamFinished(finished.run()));
         } else if (input instanceof AgentInput.Failed failed) {
             observe(failed.run(), (run, nowMillis) -> {
@@ -426,9 +431,16 @@
     private void suspect(RequestSpec request) {
         LOG.log(Level.WARNING, "request {0} was running when the upstream died", request.id());
         control.publishSuspect(request, health.instance(), clock.millis());
+        Optional.ofNullable(runs.get(request.id()))
+                .filter(run -> !run.answering())
+                .ifPresent(run -> control.publishCrash(request, run.version, health.instance(), clock.millis()));
         observe(request.id(), (run, nowMillis) -> run.observation.failed(nowMillis));
     }
 
+    private void reportAnswering(RunRecord run) {
+        control.onAnswering(run.spec, run.version, run.answerBeganAtMillis(), clock.millis());
+    }
+
     /** Records how a submitted run ended, as evidence on its version. */
     private void observe(RequestId id, ObjLongConsumer<RunRecord> observer) {
         Optional.ofNullable(runs.get(id))
--- a/core/src/main/java/dev/wigeonward/core/request/RequestSpec.java
+++ b/core/src/main/java/dev/wigeonward/core/request/RequestSpec.java
@@ -1,5 +1,6 @@
 package dev.wigeonward.core.request;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -18,6 +19,7 @@
  * @param deadlineMillis time by which the whole answer is due, on the clock of the process
  * @param idempotent false if running the request twice does harm
  * @param fingerprint hash of workspace, target and body; equal for resends
+ * @param promptParts hashes of the parts of the prompt that other requests may contain
  */
 public record RequestSpec(
         RequestId id,
@@ -29,8 +31,10 @@
         WorkEstimate work,
         long deadlineMillis,
         boolean idempotent,
-        long fingerprint) {
+        long fingerprint,
+        List<Long> promptParts) {
     public RequestSpec {
+        promptParts = List.copyOf(promptParts);
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(key, "key");
         Objects.requireNonNull(tier, "tier");
@@ -42,6 +46,21 @@
                 idempotent || key.isPresent(), "non-idempotent request %s must have an idempotency key", id);
     }
 
+    /** Creates the properties of a request without parts that others may contain. */
+    public RequestSpec(
+            RequestId id,
+            Optional<String> key,
+            Tier tier,
+            String workspace,
+            String target,
+            String route,
+            WorkEstimate work,
+            long deadlineMillis,
+            boolean idempotent,
+            long fingerprint) {
+        this(id, key, tier, workspace, target, route, work, deadlineMillis, idempotent, fingerprint, List.of());
+    }
+
     /** Returns the time left before the deadline, in milliseconds; negative once it has passed. */
     public long remainingMillis(long nowMillis) {
         return deadlineMillis - nowMillis;
--- a/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
@@ -81,7 +81,7 @@
     /** Guards against a policy that confuses waiting with refusal. */
     @Test
     void policyDecidesByTheTable() {
-        SuspectPolicy policy = SuspectTablePolicy.of(table);
+        SuspectPolicy policy = SuspectTablePolicy.of(table, SuspectPartTable.withCapacity(1));
         RequestSpec request = new RequestSpec(
                 RequestId.of("e", 1, 1),
                 Optional.empty(),
--- a/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
+++ b/entry/src/main/java/dev/wigeonward/entry/EntryProcess.java
@@ -29,6 +29,8 @@
 import dev.wigeonward.core.rollout.StageView;
 import dev.wigeonward.core.rules.Rule;
 import dev.wigeonward.core.rules.RuleSet;
+import dev.wigeonward.core.suspect.SuspectPartListener;
+import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.entry.caller.CallerLimits;
 import dev.wigeonward.entry.caller.CallerService;
@@ -72,9 +74,19 @@
         SpendTracker spend = new SpendTracker(settings.id(), rules, new StoredSpendTotals(store.store()), clock);
         PrefixIndex prefixes = PrefixIndex.create();
         SuspectTable suspects = SuspectTable.create();
+        SuspectPartTable suspectParts = SuspectPartTable.create(SuspectPartListener.NONE);
         StageView stages = new StageView();
         EntryDispatcher dispatcher = EntryDispatcher.create(
-                Policies.of(settings.failureDomain(), rules, spend, prefixes, suspects, stages, random, clock),
+                Policies.of(
+                        settings.failureDomain(),
+                        rules,
+                        spend,
+                        prefixes,
+                        suspects,
+                        suspectParts,
+                        stages,
+                        random,
+                        clock),
                 DispatchLimits.defaults());
         Hello hello = Hello.newBuilder()
                 .setNodeId(settings.id())
@@ -101,7 +113,7 @@
                     store.revisionWatch(self::onHeadRead),
                     spend,
                     TimeUnit.SECONDS.toMillis(settings.drainLimitSeconds()));
-            return new ControlPlane(dependencies, self, rules, suspects, stages, random, self::execute);
+            return new ControlPlane(dependencies, self, rules, suspects, suspectParts, stages, random, self::execute);
         });
         this.vmThread = DaemonSchedulers.newSingleThreadScheduler("vm-list");
         WorkspaceRateLimiter rates = new WorkspaceRateLimiter();
--- a/entry/src/main/java/dev/wigeonward/entry/Policies.java
+++ b/entry/src/main/java/dev/wigeonward/entry/Policies.java
@@ -15,6 +15,7 @@
 import dev.wigeonward.core.rollout.StageView;
 import dev.wigeonward.core.rollout.VersionSelector;
 import dev.wigeonward.core.rules.Rule;
+import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.core.suspect.SuspectTablePolicy;
 import dev.wigeonward.exchange.CurrentRules;
@@ -32,6 +33,7 @@
             WorkspaceWeights weights,
             PrefixIndex prefixes,
             SuspectTable suspects,
+            SuspectPartTable suspectParts,
             StageView stages,
             RandomGenerator random,
             Clock clock) {
@@ -44,7 +46,7 @@
                 KeyAffinity.withFallback(placement),
                 versions::select,
                 RetryBudget.create(clock.millis()),
-                SuspectTablePolicy.of(suspects));
+                SuspectTablePolicy.of(suspects, suspectParts));
     }
 
     private static int queueCapacity(CurrentRules rules) {
--- a/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
+++ b/entry/src/main/java/dev/wigeonward/entry/caller/RulesClassifier.java
@@ -1,6 +1,7 @@
 package dev.wigeonward.entry.caller;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Supplier;
@@ -137,7 +138,8 @@
                 work,
                 nowMillis + limitMillis.get(),
                 idempotent,
-                fingerprint(request, workspace.name(), resolution.target())));
+                fingerprint(request, workspace.name(), resolution.target()),
+                resolution.chat().map(ChatRequest::sharedParts).orElse(List.of())));
     }
 
     private boolean tryAcquireRate(RuleSet rules, String workspace, WorkEstimate work, long nowMillis) {
--- a/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/ControlPlane.java
@@ -20,7 +20,6 @@
 import dev.wigeonward.core.rollout.RolloutController;
 import dev.wigeonward.core.rollout.RolloutSettings;
 import dev.wigeonward.core.rollout.StageView;
-import dev.wigeonward.core.suspect.SuspectPartListener;
 import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.exchange.CurrentRules;
@@ -54,6 +53,7 @@
             ControlPlaneLinks links,
             CurrentRules rules,
             SuspectTable suspects,
+            SuspectPartTable suspectParts,
             StageView stages,
             RandomGenerator random,
             Consumer<Runnable> decisionThread) {
@@ -61,8 +61,7 @@
         this.membership = new MembershipHandler(UpstreamMembership.create(dependencies.entryId(), random), links);
         RevisionLog log = RevisionLog.create(RevisionLog.DEFAULT_MAX_REVISIONS, RevisionLog.DEFAULT_MAX_TEXT_CHARS);
         this.revisions = new RevisionSync(log, RevisionRelay.create(log, random), links, this::onRevisionAdopted);
-        this.facts = new FactSync(
-                suspects, SuspectPartTable.create(SuspectPartListener.NONE), stages, links, new ControlFactListener());
+        this.facts = new FactSync(suspects, suspectParts, stages, links, new ControlFactListener());
         this.rolloutController = new RolloutControllerRunner(
                 new RolloutController(RolloutSettings.standard(), EvaluationSettings.standard()),
                 dependencies.rolloutRecords(),
--- a/entry/src/main/java/dev/wigeonward/entry/link/AgentFrameCodec.java
+++ b/entry/src/main/java/dev/wigeonward/entry/link/AgentFrameCodec.java
@@ -88,6 +88,7 @@
                 .setRoute(request.route())
                 .setIdempotent(request.idempotent())
                 .setFingerprint(request.fingerprint())
+                .addAllPromptParts(request.promptParts())
                 .setWork(Work.newBuilder()
                         .setPromptTokens(request.work().promptTokens())
                         .setOutputTokens(request.work().outputTokens())
