Tell callers of suspect requests for how long these are refused

The refusal of a request that crashed upstreams stated 0.4 s, though the restriction lasts 10 min, so that callers sent it again in vain. It now states the time that remains, as the refusal of a part of a prompt does.

--- a/agent/src/main/java/dev/wigeonward/agent/runtime/RunRecord.java
+++ b/agent/src/main/java/dev/wigeonward/agent/runtime/RunRecord.java
@@ -7,7 +7,7 @@
 
 /** The data of a run that the dispatcher does not hold: the request to the upstream, the output and the observation. */
 final class RunRecord {
-    /** Number of outputs that an upstream does not send before a request crashes it at the beginning of its answer. */
+    /** Number of outputs after which the upstream has got beyond the beginning of its answer. */
     private static final int MIN_OUTPUTS_OF_ANSWER = 4;
 
     final UpstreamRequest request;
--- a/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
+++ b/core/src/main/java/dev/wigeonward/core/suspect/SuspectTable.java
@@ -74,6 +74,12 @@
                 : SuspectRestriction.ONE_AT_A_TIME;
     }
 
+    /** Returns the time for which the request is still restricted, 0 if it is not. */
+    public long restrictedForMillis(long fingerprint, long nowMillis) {
+        Suspect suspect = suspects.get(fingerprint);
+        return suspect == null ? 0 : Math.max(0, suspect.addedAtMillis + FACT_LIFETIME_MILLIS - nowMillis);
+    }
+
     /**
      * Returns whether the request may be dispatched now. One that is not refused may be, once its other copy has ended.
      */
--- a/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
+++ b/core/src/test/java/dev/wigeonward/core/suspect/SuspectTableTest.java
@@ -41,7 +41,11 @@
         table.onUpstreamDied(FINGERPRINT, "u2", 1_000);
         table.merge(new SuspectFact(FINGERPRINT, Set.of("u1", "u2")), 500_000);
         assertThat(table.restriction(FINGERPRINT, 1_000 + LIFETIME_MILLIS - 1)).isEqualTo(SuspectRestriction.REFUSED);
+        assertThat(table.restrictedForMillis(FINGERPRINT, 1_000 + LIFETIME_MILLIS - 1))
+                .isEqualTo(1);
         assertThat(table.restriction(FINGERPRINT, 1_000 + LIFETIME_MILLIS)).isEqualTo(SuspectRestriction.NONE);
+        assertThat(table.restrictedForMillis(FINGERPRINT, 1_000 + LIFETIME_MILLIS))
+                .isZero();
     }
 
     /** Guards against two peers that renew an expired fact forever by sending it to each other. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
@@ -17,12 +17,6 @@
  * event loop.
  */
 final class AdmissionChecker {
-    /**
-     * Retry time stated with a suspect request. The restriction lasts longer; the time only delays callers that retry
-     * in spite of the refusal.
-     */
-    private static final long SUSPECT_RETRY_MILLIS = 400;
-
     private final WorkspaceCaps workspaceCaps;
     private final SuspectTable suspects;
     private final Random random;
@@ -45,7 +39,7 @@
         }
         long fingerprint = fingerprint(request);
         if (suspects.restriction(fingerprint, nowMillis) == SuspectRestriction.REFUSED) {
-            return new Admission.Refused(ErrorKind.SUSPECT, SUSPECT_RETRY_MILLIS);
+            return new Admission.Refused(ErrorKind.SUSPECT, suspects.restrictedForMillis(fingerprint, nowMillis));
         }
         long usage = 0;
         if (workspace.isPresent()) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -35,7 +35,7 @@
     private static final int EVENTS_PER_OBSERVATION = 8;
 
     private static final int MAX_LOGGED_PARTS = 8;
-    /** Number of events that an upstream does not send before a request crashes it at the beginning of its answer. */
+    /** Number of events after which the upstream has got beyond the beginning of its answer. */
     private static final int MIN_EVENTS_OF_ANSWER = 4;
 
     private static final String EVENT_STREAM_TYPE = "text/event-stream";
