Probe an upstream that asked for time while earlier streams still run there

Callers would have seen: an upstream that asked for a second got no request until all streams from before had ended.

Cause: the one request that shows whether the upstream takes requests again was sent only if none of this entry ran there.

Change: only requests placed after that time count.

Evidence: earlierRequestsDoNotPreventTheProbing failed before; found by reading the change once more.

--- a/core/src/main/java/dev/wigeonward/core/schedule/EligibleUpstreams.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/EligibleUpstreams.java
@@ -88,7 +88,7 @@
         for (UpstreamLoad load : loads) {
             if (!mayServe(request, load, firstChoiceAvailable)
                     || load.askedForMillis(nowMillis) > 0
-                    || load.returning() && !load.running().isEmpty()
+                    || load.returning() && load.probing()
                     || load.outstanding() >= load.upstream().slots()) {
                 continue;
             }
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -310,8 +310,7 @@
             return false;
         }
         if (load.returning()) {
-            return load.running().isEmpty()
-                    && slotAccess.mayTake(load.upstream().id(), 1, nowMillis);
+            return !load.probing() && slotAccess.mayTake(load.upstream().id(), 1, nowMillis);
         }
         // Hardly any peer contends for the slot if it has to keep the prompt, or if a request of this entry has just
         // ended there.
--- a/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/UpstreamLoad.java
@@ -253,6 +253,11 @@
         return returning;
     }
 
+    /** Returns whether a request of this entry was placed after the time for which the upstream asked. */
+    boolean probing() {
+        return running.stream().anyMatch(request -> request.placedAtMillis() >= askedUntilMillis);
+    }
+
     /** Records that the upstream answers a request. */
     void onAnswering(ScheduledRequest request) {
         returning &= request.placedAtMillis() < askedUntilMillis;
--- a/core/src/test/java/dev/wigeonward/core/schedule/UpstreamNoticeTest.java
+++ b/core/src/test/java/dev/wigeonward/core/schedule/UpstreamNoticeTest.java
@@ -131,6 +131,17 @@
         assertThat(placedOn(offer(3))).hasSize(1);
     }
 
+    /** Guards against an upstream that gets nothing until long streams from before the refusal have ended. */
+    @Test
+    void earlierRequestsDoNotPreventTheProbing() {
+        Upstream busy = upstream("a", 1);
+        scheduler.setUpstreams(List.of(busy));
+        assertThat(placedOn(offer(2))).hasSize(2);
+        scheduler.askForTime(busy, now + 100);
+        now += 100;
+        assertThat(placedOn(offer(3))).hasSize(1);
+    }
+
     /** Guards against a second refusal with a shorter time, or a late one, that ends the first time early. */
     @Test
     void laterStatementOnlyMakesTheTimeLonger() {
