--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -136,6 +136,7 @@
                 while (!ending) {
                     String attempt = "order-" + name + "-" + sent;
                     sent++;
+                    record.line("sent " + attempt);
                     socket.getOutputStream().write(Site.request("POST", "/order/flag", attempt, 0, "Deadline-Ms: 4000"));
                     Http.Message answer = in.readAnswer(false);
                     String outcome = answer == null ? "closed" : String.valueOf(answer.status());
