--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.*;
 
 /**
- * Five entries, three runners of version 1. The operator orders a move to version 2, whose three runners register 0.4
- * s later. Around this the store's watches hear nothing for a second, then its history is dropped and they are cut.
+ * Five entries, three runners of version 1. The operator orders a move to version 2, whose three runners register 0.3
+ * s later. Around this the store's watches hear nothing for 0.95 s, then its history is dropped and they are cut.
  * Version 2 answers well for 14 s and then fails half of its requests. It may get a tenth of the requests and 50 more.
  */
 final class Case2 extends Case {
@@ -71,17 +71,17 @@
             store.deafenWatches();
             record.line("watches hear nothing");
         }
-        Thread.sleep(100);
+        Thread.sleep(50);
         orderedAt = record.seconds();
         store.put("op/rollout/app",
                 "{\"service\":\"app\",\"target\":\"2\",\"deadline_s\":" + DEADLINE_SECONDS + "}");
         record.line("the operator orders version 2");
-        Thread.sleep(400);
+        Thread.sleep(300);
         for (Runner runner : targets) {
             store.put("servers/" + runner.id, runner.entry("ready"));
         }
         record.line("the runners of version 2 register");
-        Thread.sleep(500);
+        Thread.sleep(600);
         double stableAt = orderedAt;
         if (trouble) {
             store.discardHistory();
