Tell sets of upstreams apart by a fingerprint of all their fields

Seen by callers: requests to an upstream that drains. The hash of the list of upstreams was a sum of linear hashes, so a field that moves from one upstream to another leaves it as it was: when i-1 stops draining and i-2 drains in the same read of the list, the entry keeps the earlier states, and peers with the earlier list take it for the current one.

UpstreamFingerprintTest failed on the sum in 4 of 5 tests (draining and version of two upstreams swapped, empty set, fields that run into each other).

--- a/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/Upstream.java
@@ -1,8 +1,12 @@
 package dev.wigeonward.core.schedule;
 
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 
 import com.google.common.base.Preconditions;
+import dev.wigeonward.core.revision.Fingerprint;
 
 /**
  * Description of one lifetime of an upstream, from the list of upstreams.
@@ -27,18 +31,24 @@
         Preconditions.checkArgument(slots > 0, "slots of upstream %s must be positive but was %s", id, slots);
     }
 
-    /**
-     * Returns a hash of the fields that affect scheduling; descriptions that differ in them almost surely differ in it.
-     */
-    public long schedulingHash() {
-        long hash = id.hashCode();
-        hash = 31 * hash + service.hashCode();
-        hash = 31 * hash + address.hashCode();
-        hash = 31 * hash + zone.hashCode();
-        hash = 31 * hash + version.hashCode();
-        hash = 31 * hash + slots;
-        hash = 31 * hash + (draining ? 1 : 0);
-        return 31 * hash + startedAtMillis.orElse(0L);
+    /** Returns a fingerprint of all fields of the given upstreams, whose order does not count. */
+    public static long fingerprint(Collection<Upstream> upstreams) {
+        List<Upstream> sorted =
+                upstreams.stream().sorted(Comparator.comparing(Upstream::id)).toList();
+        return Fingerprint.start().addAll(sorted, Upstream::addTo).value();
+    }
+
+    private static void addTo(Fingerprint fingerprint, Upstream upstream) {
+        fingerprint
+                .add(upstream.id)
+                .add(upstream.service)
+                .add(upstream.address)
+                .add(upstream.zone)
+                .add(upstream.version)
+                .add(upstream.slots)
+                .add(upstream.draining)
+                .add(upstream.startedAtMillis.isPresent())
+                .add(upstream.startedAtMillis.orElse(0L));
     }
 
     /**
