Let entries hold the same orders and rollout states, whoever read them

One of five entries logged shift_ordered.

Cause: entries that leave reading the store to a peer asked for its view only for a newer configuration or another list of upstreams. Orders were in the view but in none of what entries compare, so they arrived only when something else changed after them; an entry whose address sorts last could not pass on anything. The dropped history is one way there; an order for versions that are registered already is another, without any disruption.

Entries now announce a fingerprint of configuration version, orders and states (8 bytes, whatever their number). An entry asks each peer whose fingerprint it does not cover, each 200 ms until it holds the same, and reads the store itself after 300 ms. Items merge by revision, with removals, so the exchange converges in any order and direction. An answer leaves out a configuration and upstreams that the asking entry has. The age of a view is that of its upstreams only and no longer stands for the orders. States under status/rollout/ take the same way for entries that the store refuses.

--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import com.google.protobuf.ByteString;
 import dev.wigeonward.core.schedule.ObservedUnitTime;
 import dev.wigeonward.core.schedule.ServiceScheduler.EntryLoad;
 import dev.wigeonward.exchange.EvidenceCodec;
@@ -30,9 +29,6 @@
 import dev.wigeonward.wire.generated.PeerLoad;
 import dev.wigeonward.wire.generated.PeerPrompts;
 import dev.wigeonward.wire.generated.PeerState;
-import dev.wigeonward.wire.generated.PeerView;
-import dev.wigeonward.wire.generated.PeerViewEntry;
-import dev.wigeonward.wire.generated.PeerViewRequest;
 import io.netty.channel.EventLoop;
 
 /**
@@ -90,7 +86,8 @@
     private long sentAtMillis;
     private long readReportedAtMillis;
     private long sentFullAtMillis;
-    private long sentConfigurationVersion;
+    private final ViewCoverage coverage = new ViewCoverage();
+    private long sentControlFingerprint;
     private Map<String, EntryLoad> sentLoads = Map.of();
     private final Map<String, Long> sentUsages = new HashMap<>();
 
@@ -211,9 +208,9 @@
     private void sendIfDue() {
         long now = nowMillis.getAsLong();
         if (now - sentFullAtMillis >= period(FULL_PERIOD_MILLIS)
-                || configurationVersion() != sentConfigurationVersion) {
+                || store.controlFingerprint() != sentControlFingerprint) {
             sentFullAtMillis = now;
-            sentConfigurationVersion = configurationVersion();
+            sentControlFingerprint = store.controlFingerprint();
             sentLoads = ownLoads();
             PeerState.Builder state = fullState(dispatcher.takeChangedUnitTimes());
             addPlacedPrompts(state);
@@ -242,7 +239,7 @@
                 .setAddress(ownAddress)
                 .setIncarnation(incarnation)
                 .setPartial(true)
-                .setViewHash(store.hash())
+                .setViewHash(store.upstreamsFingerprint())
                 .setReadAgeMillis(readAgeMillis());
         loads.forEach((id, load) -> {
             if (!load.equals(sentLoads.get(id))) {
@@ -337,7 +334,8 @@
                 .setAddress(ownAddress)
                 .setConfigurationVersion(configurationVersion())
                 .setViewAgeMillis((int) Math.min(SharedStoreView.NO_VIEW_AGE_MILLIS - 1, store.viewAgeMillis()))
-                .setViewHash(store.hash())
+                .setViewHash(store.upstreamsFingerprint())
+                .setControlFingerprint(store.controlFingerprint())
                 .setReadAgeMillis(readAgeMillis())
                 .setIncarnation(incarnation)
                 .addAllEntries(lastSeenMillis.keySet());
@@ -370,9 +368,9 @@
         if (frame.hasPeerState()) {
             onState(link, frame.getPeerState());
         } else if (frame.hasPeerViewRequest()) {
-            sendView(link);
+            link.send(PeerViewCodec.toFrame(store.viewFor(PeerViewCodec.toHeld(frame.getPeerViewRequest()))));
         } else if (frame.hasPeerView()) {
-            onView(frame.getPeerView());
+            onView(PeerViewCodec.toView(frame.getPeerView()));
         } else if (frame.hasEvidence()) {
             EvidenceCodec.toEvent(link.peerHello().getNodeId(), link.peerHello().getIncarnation(), frame.getEvidence())
                     .ifPresent(report -> dispatcher.rollouts().onEvidence(report, nowMillis.getAsLong()));
@@ -427,41 +425,28 @@
         }
         dispatcher.adoptNewerUnitTimes(UnitTimeCodec.fromMessages(state.getUnitsList()));
         boolean peerHasPrecedence = state.getAddress().compareTo(ownAddress) < 0;
-        store.onPeerView(state.getViewHash(), state.getViewAgeMillis());
-        boolean newerConfiguration = state.getConfigurationVersion() > configurationVersion();
-        if (newerConfiguration) {
-            store.onNewerConfiguration();
-        }
+        store.onPeerUpstreams(state.getViewHash(), state.getViewAgeMillis());
+        coverage.addCovered(store.controlFingerprint());
+        // Entries of an earlier release announce no fingerprint.
+        boolean ahead = coverage.onAnnounced(state.getAddress(), state.getControlFingerprint())
+                || state.getConfigurationVersion() > configurationVersion();
+        store.onPeersAhead(ahead || coverage.anyAhead());
         boolean newerView =
                 store.viewAgeMillis() > MAX_VIEW_AGE_MILLIS && state.getViewAgeMillis() < store.viewAgeMillis() / 2;
         boolean changedView = peerHasPrecedence
-                && state.getViewHash() != store.hash()
+                && state.getViewHash() != store.upstreamsFingerprint()
                 && state.getViewAgeMillis() < store.viewAgeMillis();
-        if ((newerConfiguration || newerView || changedView)
-                && now - viewRequestedAtMillis > VIEW_REQUEST_PERIOD_MILLIS) {
+        if ((ahead || newerView || changedView) && now - viewRequestedAtMillis > VIEW_REQUEST_PERIOD_MILLIS) {
             viewRequestedAtMillis = now;
-            link.send(Frame.newBuilder()
-                    .setPeerViewRequest(PeerViewRequest.getDefaultInstance())
-                    .build());
+            link.send(PeerViewCodec.toRequest(store.held()));
         }
     }
 
-    private void sendView(Link link) {
-        PeerView.Builder view = PeerView.newBuilder().setAgeMillis((int) store.viewAgeMillis());
-        store.items()
-                .forEach(item -> view.addEntries(PeerViewEntry.newBuilder()
-                        .setKey(item.key())
-                        .setValue(ByteString.copyFrom(item.value()))
-                        .setRevision(item.revision())));
-        link.send(Frame.newBuilder().setPeerView(view).build());
-    }
-
-    private void onView(PeerView view) {
-        List<SharedStoreView.Item> items = new ArrayList<>();
-        for (PeerViewEntry entry : view.getEntriesList()) {
-            items.add(new SharedStoreView.Item(entry.getKey(), entry.getValue().toByteArray(), entry.getRevision()));
-        }
-        store.mergeView(items, view.getAgeMillis());
+    private void onView(SharedStoreView.View view) {
+        store.mergeView(view);
+        coverage.addCovered(view.controlFingerprint());
+        coverage.addCovered(store.controlFingerprint());
+        store.onPeersAhead(coverage.anyAhead());
     }
 
     @Override
@@ -473,6 +458,7 @@
                 return peer;
             }
             log.warning("peer_lost", "peer=" + address + " reason=" + reason);
+            coverage.removePeer(address);
             return new Peer(null, peer.receivedAtMillis());
         });
     }
