Limit a version by its stage or verdict before its order has arrived

Stages and verdicts travel on their own and had arrived.

A stage now limits its new version to the stage's share, and to nothing once its lease has expired; a verdict forbids the version. A service with neither stays unlimited.

--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
@@ -66,20 +66,32 @@
         return applies ? finalState.state() : RolloutState.IN_PROGRESS;
     }
 
-    /** Counts a request of the route and returns which versions may serve it. */
+    /**
+     * Counts a request of the route and returns which versions may serve it. While an order has not been received, the
+     * stages and verdicts of its rollout already limit its target version.
+     */
     public VersionConstraint choose(String service, String route, long nowMillis) {
         RolloutOrder order = orders.get(service);
         if (order == null) {
-            return VersionConstraint.NONE;
+            return view.stage(service)
+                    .map(stage -> chooseByStage(service, stage.newVersion(), route, nowMillis))
+                    .or(() -> view.lastBadVersion(service).map(RolloutVersionSelector::forbidden))
+                    .orElse(VersionConstraint.NONE);
         }
         String target = order.targetVersion();
         RolloutState finalState = finalStateOf(order);
-        if (finalState == RolloutState.REVERTED || view.isBad(service, target)) {
-            return new VersionConstraint(target, VersionConstraint.Kind.FORBIDDEN);
-        }
-        if (finalState == RolloutState.COMPLETED) {
+        if (finalState == RolloutState.COMPLETED && !view.isBad(service, target)) {
             return new VersionConstraint(target, VersionConstraint.Kind.PREFERRED);
         }
+        return finalState == RolloutState.REVERTED
+                ? forbidden(target)
+                : chooseByStage(service, target, route, nowMillis);
+    }
+
+    private VersionConstraint chooseByStage(String service, String target, String route, long nowMillis) {
+        if (view.isBad(service, target)) {
+            return forbidden(target);
+        }
         boolean hasStage = view.stage(service)
                 .filter(stage -> stage.newVersion().equals(target))
                 .isPresent();
@@ -89,4 +101,8 @@
         return new VersionConstraint(
                 target, chosen ? VersionConstraint.Kind.PREFERRED : VersionConstraint.Kind.AVOIDED);
     }
+
+    private static VersionConstraint forbidden(String version) {
+        return new VersionConstraint(version, VersionConstraint.Kind.FORBIDDEN);
+    }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
@@ -19,6 +19,7 @@
     public static final long MAX_LEASE_MILLIS = 10_000;
 
     private final Map<ModelVersion, BadVerdict> verdictsByVersion = new HashMap<>();
+    private final Map<String, String> lastBadVersions = new HashMap<>();
     private final Map<String, LeasedStage> stages = new HashMap<>();
     private ControllerStages newest = new ControllerStages(0, 0, List.of());
 
@@ -43,7 +44,10 @@
     public boolean merge(Collection<BadVerdict> verdicts) {
         boolean added = false;
         for (BadVerdict verdict : verdicts) {
-            added |= verdictsByVersion.putIfAbsent(verdict.version(), verdict) == null;
+            if (verdictsByVersion.putIfAbsent(verdict.version(), verdict) == null) {
+                lastBadVersions.put(verdict.version().model(), verdict.version().version());
+                added = true;
+            }
         }
         return added;
     }
@@ -67,6 +71,11 @@
         return verdictsByVersion.containsKey(new ModelVersion(model, version));
     }
 
+    /** Returns the version of the model whose bad verdict was received last. */
+    public Optional<String> lastBadVersion(String model) {
+        return Optional.ofNullable(lastBadVersions.get(model));
+    }
+
     /** Returns all known bad verdicts, to be sent to peers. */
     public List<BadVerdict> badVerdicts() {
         return List.copyOf(verdictsByVersion.values());
