Revert the rollout of an order that the operator withdraws

Seen by operators: a removed op/rollout/SERVICE changed nothing at entries that had read it, which completed the rollout, and was unknown to entries that started later, which gave the version a full share of requests. Removals in watches and lists were ignored.

The controller reverts the rollout and writes the state; until then no entry prefers the version. An order that had completed stays completed, and one written again at a later revision starts anew. A list removes only orders of earlier revisions than its own.

--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
@@ -1,8 +1,10 @@
 package dev.wigeonward.core.rollout;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Selector of the versions that may serve a request during a service rollout. The target version of an order gets
@@ -14,6 +16,8 @@
     private final ShareLimiter limiter = new ShareLimiter();
     private final Map<String, RolloutOrder> orders = new HashMap<>();
     private final Map<String, FinalState> finalStates = new HashMap<>();
+    /** Orders that the operator has withdrawn. */
+    private final Set<RolloutOrder> withdrawnOrders = new HashSet<>();
 
     private record FinalState(String target, RolloutState state, long revision) {}
 
@@ -32,10 +36,25 @@
         if (known != null && known.revision() >= order.revision()) {
             return false;
         }
+        withdrawnOrders.remove(known);
         orders.put(order.service(), order);
         return true;
     }
 
+    /**
+     * Withdraws the service's order if it was written before the given revision, and returns whether there was one. Until
+     * its final state is known, a withdrawn order is unfinished and has to be reverted.
+     */
+    public boolean withdrawOrder(String service, long revision) {
+        RolloutOrder known = orders.get(service);
+        return known != null && known.revision() < revision && withdrawnOrders.add(known);
+    }
+
+    /** Returns whether the operator has withdrawn the order. */
+    public boolean isWithdrawn(RolloutOrder order) {
+        return withdrawnOrders.contains(order);
+    }
+
     /** Adds the final state of a rollout, as stored at the revision, unless the same or a later one is known. */
     public void addFinalState(String service, String target, RolloutState state, long revision) {
         FinalState known = finalStates.get(service);
@@ -83,6 +102,10 @@
         if (finalState == RolloutState.COMPLETED && !view.isBad(service, target)) {
             return new VersionConstraint(target, VersionConstraint.Kind.PREFERRED);
         }
+        // A withdrawn order may have left no other version behind, so that its target is not forbidden.
+        if (isWithdrawn(order) && !view.isBad(service, target)) {
+            return new VersionConstraint(target, VersionConstraint.Kind.AVOIDED);
+        }
         return finalState == RolloutState.REVERTED
                 ? forbidden(target)
                 : chooseByStage(service, target, route, nowMillis);
--- a/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
@@ -97,10 +97,10 @@
      * Takes at most one step: reverts the rollout, increases the share, or completes the rollout. The share grows on
      * evidence that the version is good; a version without it shortly before the deadline is reverted.
      *
-     * @param bad whether the new version is known to be bad
+     * @param mustRevert whether the new version is known to be bad, or the order was withdrawn
      * @param outstandingAtPrevious requests in progress at upstreams of other versions, over all entries
      */
-    public void advance(boolean bad, int outstandingAtPrevious, long nowMillis) {
+    public void advance(boolean mustRevert, int outstandingAtPrevious, long nowMillis) {
         if (state != RolloutState.IN_PROGRESS) {
             return;
         }
@@ -108,7 +108,7 @@
         boolean undecidedAtEnd = shareBasisPoints != Stage.ALL_BASIS_POINTS
                 && elapsedFraction >= MAX_DRAIN_TIME_FRACTION
                 && !evidence.looksGood(nowMillis);
-        if (bad || undecidedAtEnd) {
+        if (mustRevert || undecidedAtEnd) {
             state = RolloutState.REVERTED;
             shareBasisPoints = 0;
             return;
--- a/core/src/test/java/dev/wigeonward/core/rollout/RolloutVersionSelectorTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/RolloutVersionSelectorTest.java
@@ -37,6 +37,11 @@
         return preferred;
     }
 
+    private void addOrder(long revision) {
+        assertThat(selector.addOrder(new RolloutOrder(SERVICE, TARGET, 0, 10_000, revision)))
+                .isTrue();
+    }
+
     @Test
     void serviceWithoutRolloutIsNotConstrained() {
         assertThat(choose(0)).isEqualTo(VersionConstraint.NONE);
@@ -82,4 +87,40 @@
 
         assertThat(choose(0).kind()).isEqualTo(VersionConstraint.Kind.FORBIDDEN);
     }
+
+    /** Guards against a version that gets requests after the operator has withdrawn its order. */
+    @Test
+    void withdrawnOrderAvoidsTargetVersion() {
+        addOrder(5);
+        publishStage(5_000, false);
+
+        assertThat(selector.withdrawOrder(SERVICE, 6)).isTrue();
+
+        assertThat(preferred(0)).isZero();
+        assertThat(selector.unfinishedOrder(SERVICE)).isPresent();
+        assertThat(selector.isWithdrawn(selector.unfinishedOrder(SERVICE).orElseThrow()))
+                .isTrue();
+    }
+
+    @Test
+    void earlierWithdrawalDoesNotAffectLaterOrder() {
+        addOrder(5);
+
+        assertThat(selector.withdrawOrder(SERVICE, 4)).isFalse();
+        assertThat(selector.withdrawOrder(SERVICE, 6)).isTrue();
+        addOrder(7);
+
+        assertThat(selector.isWithdrawn(selector.unfinishedOrder(SERVICE).orElseThrow()))
+                .isFalse();
+    }
+
+    /** Guards against a completed version losing its requests when the operator clears the order afterwards. */
+    @Test
+    void withdrawalAfterCompletionKeepsTargetVersion() {
+        addOrder(5);
+        selector.addFinalState(SERVICE, TARGET, RolloutState.COMPLETED, 6);
+        selector.withdrawOrder(SERVICE, 7);
+
+        assertThat(preferred(0)).isEqualTo(REQUESTS);
+    }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/ServiceRollouts.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/ServiceRollouts.java
@@ -49,6 +49,16 @@
         return versionSelector.addOrder(order);
     }
 
+    /** Withdraws the service's order if it was written before the revision; returns whether there was one. */
+    public boolean withdrawOrder(String service, long revision) {
+        return versionSelector.withdrawOrder(service, revision);
+    }
+
+    /** Returns whether the operator has withdrawn the order of the rollout. */
+    public boolean isWithdrawn(ServiceRollout rollout) {
+        return versionSelector.isWithdrawn(rollout.order());
+    }
+
     /** Records the state of a rollout that was read from the store. */
     public void recordState(String service, String target, RolloutState state, long revision) {
         versionSelector.addFinalState(service, target, state, revision);
--- a/gateway/src/main/java/dev/wigeonward/gateway/rollout/ServiceRolloutController.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/rollout/ServiceRolloutController.java
@@ -103,7 +103,7 @@
         for (ServiceRollout rollout : unfinished) {
             RolloutOrder order = rollout.order();
             rollout.advance(
-                    isBad(rollout),
+                    isBad(rollout) || rollouts.isWithdrawn(rollout),
                     dispatcher.outstandingAtOtherVersions(order.service(), order.targetVersion()),
                     nowMillis);
             writeState(rollout);
