Bound the bytes held for all connections together

Seen by callers: an entry that stands still for seconds. Each body, pipelined request and event that is not complete had a limit of its own, their sum had none.

A body that does not fit is refused with 503 and a retry time, by its announced length before it is read; the connection is then read for up to 5 s, so that the answer is not lost in a reset. A stream whose event does not fit is broken off; a plain answer that does not fit is forwarded instead of held back.

--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
@@ -10,9 +10,9 @@
 import dev.wigeonward.gateway.exchange.CallerRequest;
 import dev.wigeonward.gateway.exchange.Exchange;
 import dev.wigeonward.gateway.exchange.GatewayDispatcher;
+import dev.wigeonward.gateway.exchange.RequestBody;
 import dev.wigeonward.gateway.port.HeaderCodec;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -35,12 +35,12 @@
 /** Connection of a caller: reads one request at a time and writes its answer before it reads the next one. */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements AnswerSink {
     /**
-     * Time for which received bytes are discarded after the last answer, before the connection is closed. An earlier
-     * close with unread bytes would reset the connection, and the answer could be lost.
+     * Time without received bytes after the last answer, after which the connection is closed. An earlier close with
+     * unread bytes would reset the connection, and the answer could be lost.
      */
     private static final long LINGER_MILLIS = 500;
-    /** Number of parts of a composite body above which they are merged. */
-    private static final int MAX_BODY_PARTS = 64;
+    /** Longest time for which a caller may go on sending after the last answer before its connection is closed. */
+    private static final long MAX_LINGER_MILLIS = 5_000;
 
     private final CallerServer server;
     private final GatewayDispatcher dispatcher;
@@ -49,11 +49,12 @@
     private final PipelinedMessages pipelined;
     private ChannelHandlerContext context;
     private Optional<HttpRequest> head = Optional.empty();
-    private CompositeByteBuf body;
+    private RequestBody body;
     private Optional<Exchange> exchange = Optional.empty();
     private Optional<ScheduledFuture<?>> readTimer = Optional.empty();
     private boolean headBegun;
     private boolean closing;
+    private boolean discardedSinceLingerCheck;
     private boolean keepAlive = true;
     private boolean lengthKnown;
 
@@ -62,7 +63,9 @@
         this.dispatcher = dispatcher;
         this.headerCodec = headerCodec;
         this.limits = limits;
-        this.pipelined = new PipelinedMessages(limits.maxHeaderBytes() + limits.maxBodyBytes());
+        this.pipelined = new PipelinedMessages(
+                limits.maxHeaderBytes() + limits.maxBodyBytes(),
+                dispatcher.memory().requests());
     }
 
     @Override
@@ -107,6 +110,7 @@
     public void channelRead(ChannelHandlerContext readContext, Object message) {
         if (closing) {
             ReferenceCountUtil.release(message);
+            discardedSinceLingerCheck = true;
             return;
         }
         if (exchange.isPresent()) {
@@ -135,7 +139,11 @@
             return;
         }
         head = Optional.of(request);
-        body = context.alloc().compositeBuffer(MAX_BODY_PARTS);
+        body = RequestBody.create(context.alloc(), dispatcher.memory().requests());
+        if (!body.tryReserve(HttpUtil.getContentLength(request, 0L))) {
+            rejectForMemory();
+            return;
+        }
         startTimer(limits.headerTimeoutMillis(), () -> rejectAndClose(ErrorKind.BODY_TIMEOUT));
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(
@@ -155,11 +163,14 @@
         }
         if (content.content().isReadable()) {
             startTimer(limits.headerTimeoutMillis(), () -> rejectAndClose(ErrorKind.BODY_TIMEOUT));
-            body.addComponent(true, content.content());
-        } else {
-            content.release();
         }
-        if (body.readableBytes() > limits.maxBodyBytes()) {
+        boolean held = body.tryAppend(content.content());
+        content.release();
+        if (!held) {
+            rejectForMemory();
+            return;
+        }
+        if (body.length() > limits.maxBodyBytes()) {
             rejectAndClose(ErrorKind.BODY_TOO_LARGE);
             return;
         }
@@ -171,7 +182,7 @@
     private void onWholeRequest() {
         stopTimer();
         HttpRequest request = head.orElseThrow();
-        ByteBuf wholeBody = body;
+        RequestBody wholeBody = body;
         head = Optional.empty();
         body = null;
         CallerRequest callerRequest =
@@ -182,10 +193,19 @@
         context.executor().execute(started::start);
     }
 
+    private void rejectForMemory() {
+        dispatcher.telemetry().count("refused.memory");
+        rejectAndClose(ErrorKind.OVERLOADED, dispatcher.memoryRetryMillis());
+    }
+
     private void rejectAndClose(ErrorKind kind) {
+        rejectAndClose(kind, 0);
+    }
+
+    private void rejectAndClose(ErrorKind kind, long retryAfterMillis) {
         dropPartialRequest();
         keepAlive = false;
-        answer(ErrorAnswers.of(kind, 0));
+        answer(ErrorAnswers.of(kind, retryAfterMillis));
     }
 
     private void dropPartialRequest() {
@@ -260,7 +280,7 @@
         }
         if (pipelined.exceeded()) {
             // Tells the caller that the requests behind this answer did not run.
-            rejectAndClose(ErrorKind.OVERLOADED);
+            rejectForMemory();
             return;
         }
         startTimer(limits.idleTimeoutMillis(), this::closeIfIdle);
@@ -272,10 +292,25 @@
     private void linger() {
         if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
             socket.shutdownOutput();
-            context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+            closeOnceQuiet(MAX_LINGER_MILLIS);
         }
     }
 
+    private void closeOnceQuiet(long leftMillis) {
+        discardedSinceLingerCheck = false;
+        context.executor()
+                .schedule(
+                        () -> {
+                            if (discardedSinceLingerCheck && leftMillis > LINGER_MILLIS) {
+                                closeOnceQuiet(leftMillis - LINGER_MILLIS);
+                            } else {
+                                context.close();
+                            }
+                        },
+                        LINGER_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void abort() {
         closing = true;
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/PipelinedMessages.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/PipelinedMessages.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Map;
 
+import dev.wigeonward.gateway.memory.ByteBudget;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.ReferenceCountUtil;
@@ -16,19 +17,21 @@
     private static final int OVERHEAD_BYTES = 512;
 
     private final long maxBytes;
+    private final ByteBudget.Hold hold;
     private final ArrayDeque<Object> messages = new ArrayDeque<>();
     private long bytes;
     private boolean exceeded;
 
-    /** Creates an empty queue that keeps messages of at most the given number of bytes. */
-    PipelinedMessages(long maxBytes) {
+    /** Creates an empty queue that keeps messages of at most the given number of bytes, as far as the budget allows. */
+    PipelinedMessages(long maxBytes, ByteBudget budget) {
         this.maxBytes = maxBytes;
+        this.hold = budget.open();
     }
 
     /** Adds a message and takes over its release. */
     void add(Object message) {
         bytes += size(message);
-        exceeded |= bytes > maxBytes;
+        exceeded |= bytes > maxBytes || !hold.tryResize(bytes);
         if (exceeded) {
             ReferenceCountUtil.release(message);
             discard();
@@ -65,6 +68,7 @@
         Object first = messages.poll();
         if (first != null) {
             bytes -= size(first);
+            hold.tryResize(bytes);
         }
         return first;
     }
@@ -73,5 +77,7 @@
     void discard() {
         messages.forEach(ReferenceCountUtil::release);
         messages.clear();
+        bytes = 0;
+        hold.release();
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/AdmissionChecker.java
@@ -1,5 +1,6 @@
 package dev.wigeonward.gateway.exchange;
 
+import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.Random;
 
@@ -66,7 +67,9 @@
         Hasher hasher = Hashing.murmur3_128().newHasher();
         hasher.putUnencodedChars(request.head().uri());
         hasher.putUnencodedChars(request.callerHead().apiKey().orElse(""));
-        hasher.putBytes(request.body().nioBuffer());
+        for (ByteBuffer part : request.body().bytes().nioBuffers()) {
+            hasher.putBytes(part);
+        }
         return hasher.hash().asLong();
     }
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -122,16 +122,16 @@
                 HttpVersion.HTTP_1_1,
                 request.head().method(),
                 request.head().uri(),
-                request.body().retainedDuplicate(),
+                request.body().bytes().retainedDuplicate(),
                 request.head().headers().copy(),
                 EmptyHttpHeaders.INSTANCE);
         HttpHeaders headers = copy.headers();
         HopByHopHeaders.remove(headers);
         headers.remove(HttpHeaderNames.EXPECT);
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        boolean hasBody = request.body().isReadable();
+        boolean hasBody = request.body().length() > 0;
         if (hasBody || !request.head().method().equals(HttpMethod.GET)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length());
         }
         dispatcher
                 .headerCodec()
@@ -289,6 +289,10 @@
      */
     void onHeadForwarded() {
         headForwarded = true;
+        if (!admitted.route().isIdempotent()) {
+            // The request cannot be sent again, while its answer may take long.
+            request.body().release();
+        }
     }
 
     boolean headForwarded() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -29,6 +29,7 @@
 import dev.wigeonward.core.suspect.SuspectPartTable;
 import dev.wigeonward.core.suspect.SuspectTable;
 import dev.wigeonward.gateway.event.Telemetry;
+import dev.wigeonward.gateway.memory.MemoryBudgets;
 import dev.wigeonward.gateway.port.HeaderCodec;
 import dev.wigeonward.gateway.upstream.UpstreamConnectionPool;
 import io.netty.channel.EventLoop;
@@ -45,6 +46,9 @@
     /** Retry time stated while this process stops; short, because a retry reaches another entry. */
     private static final long SHUTTING_DOWN_RETRY_MILLIS = 20;
 
+    /** Shortest retry time stated when requests hold too much memory; most of them hold it for tenths of a second. */
+    private static final long MEMORY_RETRY_MILLIS = 200;
+
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final HeaderCodec headerCodec;
@@ -65,6 +69,7 @@
     private final PeerLoadTable peerLoads = PeerLoadTable.create();
     private final UpstreamProbes probes;
     private final SchedulingTrigger schedulingTrigger;
+    private final MemoryBudgets memory;
     private PathSettings settings;
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private boolean upstreamsKnown;
@@ -79,7 +84,9 @@
             PathSettings settings,
             UpstreamConnectionPool connections,
             Telemetry telemetry,
+            MemoryBudgets memory,
             Random random) {
+        this.memory = memory;
         this.loop = loop;
         this.clock = clock;
         this.headerCodec = headerCodec;
@@ -104,9 +111,10 @@
             PathSettings settings,
             UpstreamConnectionPool connections,
             Telemetry telemetry,
+            MemoryBudgets memory,
             Random random) {
         GatewayDispatcher dispatcher =
-                new GatewayDispatcher(loop, clock, headerCodec, settings, connections, telemetry, random);
+                new GatewayDispatcher(loop, clock, headerCodec, settings, connections, telemetry, memory, random);
         loop.scheduleAtFixedRate(
                 telemetry.guard("upstream_check", dispatcher::checkUpstreams),
                 UPSTREAM_CHECK_PERIOD_MILLIS,
@@ -183,6 +191,16 @@
         return configuration;
     }
 
+    /** Returns the budgets of the bytes that all connections hold together. */
+    public MemoryBudgets memory() {
+        return memory;
+    }
+
+    /** Returns the time after which a caller should come back whose request this process has no memory for. */
+    public long memoryRetryMillis() {
+        return retryTime.spreadAfter(MEMORY_RETRY_MILLIS);
+    }
+
     /** Returns the number of requests without a final answer. */
     public int runningCount() {
         return runningCount;
@@ -470,6 +488,7 @@
                         .orElse("none"));
         lines.add("running " + runningCount);
         lines.add("entries " + knownEntryCount);
+        lines.add("held_bytes " + memory.describe());
         lines.addAll(crashDetector.dumpLines());
         schedulers.forEach((service, scheduler) -> {
             lines.add("service " + service + " waiting=" + scheduler.waitingCount());
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -10,6 +10,7 @@
 import dev.wigeonward.core.schedule.ServiceScheduler.Outcome;
 import dev.wigeonward.core.schedule.Upstream;
 import dev.wigeonward.core.stream.EventBoundaryScanner;
+import dev.wigeonward.gateway.memory.ByteBudget;
 import dev.wigeonward.gateway.port.AnswerHead;
 import dev.wigeonward.gateway.upstream.UpstreamConnection;
 import dev.wigeonward.gateway.upstream.UpstreamListener;
@@ -49,6 +50,7 @@
     private final AnswerSink sink;
     private final Optional<EvidenceRecorder.Observation> observation;
     private final ByteBuf buffered = Unpooled.buffer(0);
+    private final ByteBudget.Hold bufferedHold;
     private Optional<UpstreamConnection> connection = Optional.empty();
     private Mode mode = Mode.AWAITING_HEAD;
     private HttpResponse head;
@@ -71,6 +73,7 @@
         this.upstream = upstream;
         this.scheduledRequest = scheduledRequest;
         this.sink = sink;
+        this.bufferedHold = dispatcher.memory().answers().open();
         dispatcher.crashDetector().requests().recordDispatch(exchange.fingerprint());
         observation = startObservation();
     }
@@ -100,6 +103,7 @@
     private void end(Outcome outcome) {
         cancelled = true;
         connection = Optional.empty();
+        bufferedHold.release();
         observation.ifPresent(started -> finishObservation(started, outcome));
         if (outcome == Outcome.FAILED && events > 0) {
             // The first event ended the observation as answered; the later failure is counted as a second observation.
@@ -219,14 +223,24 @@
         buffered.writeBytes(bytes);
         bytes.release();
         exchange.scheduler().onOutput(scheduledRequest, dispatcher.nowMillis());
-        if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+        if (buffered.readableBytes() > MAX_BUFFERED_BYTES || !holdsBuffered()) {
             mode = Mode.FORWARD;
             forwardHead();
             sink.writeContent(buffered.copy());
-            buffered.clear();
+            clearBuffered();
         }
     }
 
+    /** Counts the memory of the buffered bytes and returns whether the budget allows it. */
+    private boolean holdsBuffered() {
+        return bufferedHold.tryResize(buffered.capacity());
+    }
+
+    private void clearBuffered() {
+        buffered.clear().capacity(0);
+        bufferedHold.release();
+    }
+
     private void forward(ByteBuf bytes) {
         Optional<EventBoundaryScanner> boundaries = exchange.boundaries();
         if (boundaries.isEmpty()) {
@@ -250,7 +264,7 @@
         if (complete > 0) {
             ByteBuf events = Unpooled.buffer(buffered.readableBytes() + complete);
             events.writeBytes(buffered).writeBytes(copy, 0, complete);
-            buffered.clear();
+            clearBuffered();
             send(events);
         }
         buffered.writeBytes(copy, complete, copy.length - complete);
@@ -258,6 +272,8 @@
             breakOff("event_misplaced");
         } else if (buffered.readableBytes() > MAX_EVENT_BYTES) {
             breakOff("event_too_long");
+        } else if (!holdsBuffered()) {
+            breakOff("no_memory_for_event");
         }
     }
 
@@ -265,7 +281,7 @@
     private void breakOff(String reason) {
         dispatcher.count("upstream." + reason);
         connection.ifPresent(UpstreamConnection::cancel);
-        buffered.clear();
+        clearBuffered();
         end(Outcome.FAILED);
         exchange.boundaries().ifPresent(EventBoundaryScanner::discardIncompleteEvent);
         exchange.onRunFailed(RunFailure.BROKEN, reason);
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -22,6 +22,7 @@
 import dev.wigeonward.gateway.event.EventLoopDelay;
 import dev.wigeonward.gateway.event.Telemetry;
 import dev.wigeonward.gateway.exchange.GatewayDispatcher;
+import dev.wigeonward.gateway.memory.MemoryBudgets;
 import dev.wigeonward.gateway.peer.PeerSync;
 import dev.wigeonward.gateway.port.ControllerStore;
 import dev.wigeonward.gateway.port.HeaderCodec;
@@ -82,6 +83,7 @@
                 settings.dispatcherSettings(),
                 connections,
                 new Telemetry(metrics, log),
+                MemoryBudgets.ofProcess(),
                 random);
         callerServer = CallerServer.create(dispatcher, headerCodec, this::limits);
         log.register(metrics);
