Answer every request in a planned stop, and send none that cannot end in it

Reported by operators, and possible here: a planned stop took requests up to 2.6 s after the signal whatever time they needed, and at the end of the grace closed the connections of all that were left. Among them were requests that may not be repeated.

At 0.92 of the grace each request that is left gets its final answer: 503 if it was not sent, 502 with run_state unknown if an upstream runs it; a stream is broken off. The process ends at 0.95 as before.

--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceScheduler.java
@@ -406,6 +406,11 @@
         timeModel.observeLength(request.expectedOutputTokens(), events);
     }
 
+    /** Returns the expected time from sending a placed request to the end of its answer, in milliseconds. */
+    public double expectedMillis(ScheduledRequest request) {
+        return timeModel.expectedMillis(request);
+    }
+
     /** Records the outcome of a request and frees its slot at the upstream. */
     public void onEnded(ScheduledRequest request, Outcome outcome, long nowMillis) {
         UpstreamLoad load = placedLoad(request);
--- a/core/src/main/java/dev/wigeonward/core/schedule/ServiceTimeModel.java
+++ b/core/src/main/java/dev/wigeonward/core/schedule/ServiceTimeModel.java
@@ -114,6 +114,12 @@
         }
     }
 
+    /** Returns the expected time from sending a placed request to the end of its answer, in milliseconds. */
+    double expectedMillis(ScheduledRequest request) {
+        double eventsMillis = request.isStreaming() ? request.expectedEvents() * unitTimeMillis : 0;
+        return request.relativeSlownessAtPlacement() * (request.typicalResponseMillis() + eventsMillis);
+    }
+
     /** Returns the unit time of an upstream relative to the typical one; 1 for an upstream without observations. */
     double slowness(UpstreamLoad load) {
         return load.unitTimeMillis().orElse(unitTimeMillis) / unitTimeMillis;
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
@@ -85,6 +85,11 @@
         readTimer = Optional.empty();
     }
 
+    /** Ends the request that is being answered because this process ends. */
+    void endRequest() {
+        exchange.ifPresent(Exchange::onProcessEnd);
+    }
+
     /** Closes the connection unless a request is being read or answered. */
     void closeIfIdle() {
         if (exchange.isEmpty() && head.isEmpty()) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
@@ -93,6 +93,11 @@
         }
     }
 
+    /** Ends all requests, each with a final answer that states whether it may have run. */
+    public void endRequests() {
+        Set.copyOf(openConnections).forEach(CallerConnection::endRequest);
+    }
+
     /** Returns the number of open connections of callers. */
     public int connectionCount() {
         return openConnections.size();
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -104,6 +104,12 @@
             onCallerClosed();
             return;
         }
+        double expectedMillis = scheduler().expectedMillis(scheduledRequest);
+        if (!dispatcher.processStop().leavesTimeFor(expectedMillis, dispatcher.nowMillis())) {
+            scheduler().onEnded(scheduledRequest, ServiceScheduler.Outcome.LEFT, dispatcher.nowMillis());
+            failOrRefuse(ErrorKind.SHUTTING_DOWN, ProcessStop.RETRY_MILLIS);
+            return;
+        }
         sends++;
         waitedMillis = dispatcher.nowMillis() - request.receivedAtMillis();
         dispatcher.recordWait(waitedMillis);
@@ -171,8 +177,12 @@
     }
 
     private void failOrRefuse(ErrorKind notRunKind, long retryAfterMillis) {
+        failOrRefuse(notRunKind, retryAfterMillis, ErrorKind.UPSTREAM_LOST);
+    }
+
+    private void failOrRefuse(ErrorKind notRunKind, long retryAfterMillis, ErrorKind mayHaveRunKind) {
         if (mayHaveRun) {
-            fail(ErrorKind.UPSTREAM_LOST);
+            fail(mayHaveRunKind);
             return;
         }
         dispatcher.refundUsage(admitted);
@@ -262,15 +272,26 @@
             return;
         }
         dispatcher.count("timeout");
-        boolean queued = run.isEmpty();
+        endEarly(ErrorKind.DEADLINE_UNREACHABLE, NOT_RUN_RETRY_MILLIS, ErrorKind.DEADLINE_EXCEEDED_RUNNING);
+    }
+
+    /** Ends the exchange because this process ends: with a refusal, or with an error if the request may have run. */
+    public void onProcessEnd() {
+        if (done || admitted == null) {
+            return;
+        }
+        dispatcher.count("ended_by_stop");
+        endEarly(ErrorKind.SHUTTING_DOWN, ProcessStop.RETRY_MILLIS, ErrorKind.UPSTREAM_LOST);
+    }
+
+    private void endEarly(ErrorKind notRunKind, long retryAfterMillis, ErrorKind runningKind) {
+        boolean running = run.isPresent();
         cancelRun();
-        if (queued && !mayHaveRun) {
-            dispatcher.refundUsage(admitted);
-            finish("refused:" + ErrorKind.DEADLINE_UNREACHABLE.wireName());
-            sink.writeError(ErrorKind.DEADLINE_UNREACHABLE, NOT_RUN_RETRY_MILLIS);
+        if (running) {
+            fail(runningKind);
             return;
         }
-        fail(ErrorKind.DEADLINE_EXCEEDED_RUNNING);
+        failOrRefuse(notRunKind, retryAfterMillis, runningKind);
     }
 
     private void fail(ErrorKind kind) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -43,8 +43,6 @@
     private static final long UPSTREAM_CHECK_PERIOD_MILLIS = 250;
 
     private static final long NOT_READY_RETRY_MILLIS = 400;
-    /** Retry time stated while this process stops; short, because a retry reaches another entry. */
-    private static final long SHUTTING_DOWN_RETRY_MILLIS = 20;
 
     /** Shortest retry time stated when requests hold too much memory; most of them hold it for tenths of a second. */
     private static final long MEMORY_RETRY_MILLIS = 200;
@@ -75,7 +73,7 @@
     private boolean upstreamsKnown;
     private int knownEntryCount = 1;
     private int runningCount;
-    private boolean admissionStopped;
+    private final ProcessStop stop = new ProcessStop();
 
     private GatewayDispatcher(
             EventLoop loop,
@@ -318,9 +316,9 @@
         return crashDetector;
     }
 
-    /** Refuses all further requests because this process is stopping; admitted requests continue. */
-    public void stopAdmission() {
-        admissionStopped = true;
+    /** Returns the planned stop of this process. */
+    public ProcessStop processStop() {
+        return stop;
     }
 
     /**
@@ -353,8 +351,8 @@
 
     /** Returns the admission of a request, or the reason for its refusal. */
     Admission admit(CallerRequest request) {
-        if (admissionStopped) {
-            return new Admission.Refused(ErrorKind.SHUTTING_DOWN, SHUTTING_DOWN_RETRY_MILLIS);
+        if (stop.admissionStopped()) {
+            return new Admission.Refused(ErrorKind.SHUTTING_DOWN, ProcessStop.RETRY_MILLIS);
         }
         if (!ready()) {
             return new Admission.Refused(ErrorKind.NOT_READY, NOT_READY_RETRY_MILLIS);
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -41,7 +41,9 @@
      * process.
      */
     private static final long KEEP_ACCEPTING_MILLIS = 2_600;
-    /** Part of the grace period after which the process ends even if requests are running. */
+    /** Part of the grace period after which requests that are still running get their final answer. */
+    private static final double REQUESTS_GRACE_PART = 0.92;
+    /** Part of the grace period after which the process ends; the time in between is for sending these answers. */
     private static final double MAX_GRACE_PART = 0.95;
 
     /** Delay before the logging library is loaded, so that it does not delay the first requests. */
@@ -235,9 +237,15 @@
             stopping = true;
             log.info("stopping", "running=" + dispatcher.runningCount());
             long startedMillis = nowMillis();
+            long requestsMillis = (long) (REQUESTS_GRACE_PART * settings.graceMillis());
+            dispatcher.processStop().endAt(startedMillis + requestsMillis);
+            loop.schedule(
+                    dispatcher.telemetry().guard("end_requests", callerServer::endRequests),
+                    requestsMillis,
+                    TimeUnit.MILLISECONDS);
             loop.schedule(
                     () -> {
-                        dispatcher.stopAdmission();
+                        dispatcher.processStop().stopAdmission();
                         callerServer.startDraining();
                     },
                     KEEP_ACCEPTING_MILLIS,
