Send no body in answers to HEAD requests

The encoder of answers did not know the method of the request.

The encoder now treats answers to HEAD like those with status 204 and 304, for errors of the entry and for forwarded answers alike.

--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -45,6 +46,7 @@
     private final CallerServer server;
     private final GatewayDispatcher dispatcher;
     private final HeaderCodec headerCodec;
+    private final AnswerEncoder encoder;
     private final CallerLimits limits;
     private final PipelinedMessages pipelined;
     private ChannelHandlerContext context;
@@ -58,7 +60,13 @@
     private boolean keepAlive = true;
     private boolean lengthKnown;
 
-    CallerConnection(CallerServer server, GatewayDispatcher dispatcher, HeaderCodec headerCodec, CallerLimits limits) {
+    CallerConnection(
+            CallerServer server,
+            GatewayDispatcher dispatcher,
+            HeaderCodec headerCodec,
+            AnswerEncoder encoder,
+            CallerLimits limits) {
+        this.encoder = encoder;
         this.server = server;
         this.dispatcher = dispatcher;
         this.headerCodec = headerCodec;
@@ -137,6 +145,7 @@
 
     private void onRequestHead(HttpRequest request) {
         headBegun = false;
+        encoder.setToHeadRequest(request.method().equals(HttpMethod.HEAD));
         keepAlive = HttpUtil.isKeepAlive(request) && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
         Optional<ErrorKind> problem = RequestChecks.problem(request, limits.maxBodyBytes());
         if (problem.isPresent()) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerServer.java
@@ -17,7 +17,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /** HTTP server for callers. All methods run on the event loop, except {@link #listen}. */
 public final class CallerServer {
@@ -72,11 +71,13 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         CallerLimits current = limits.get();
+                        AnswerEncoder encoder = new AnswerEncoder();
                         channel.pipeline()
                                 .addLast(
                                         new StrictRequestDecoder(current.maxHeaderBytes()),
-                                        new HttpResponseEncoder(),
-                                        new CallerConnection(CallerServer.this, dispatcher, headerCodec, current));
+                                        encoder,
+                                        new CallerConnection(
+                                                CallerServer.this, dispatcher, headerCodec, encoder, current));
                     }
                 })
                 .bind(address)
