--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutVersionSelector.java
@@ -42,8 +42,8 @@
     }
 
     /**
-     * Withdraws the service's order if it was written before the given revision, and returns whether there was one. Until
-     * its final state is known, a withdrawn order is unfinished and has to be reverted.
+     * Withdraws the service's order if it was written before the given revision, and returns whether there was one.
+     * Until its final state is known, a withdrawn order is unfinished and has to be reverted.
      */
     public boolean withdrawOrder(String service, long revision) {
         RolloutOrder known = orders.get(service);
--- a/gateway/src/main/java/dev/wigeonward/gateway/port/SharedStoreView.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/port/SharedStoreView.java
@@ -42,8 +42,8 @@
     long ownReadAgeMillis();
 
     /**
-     * Reports the fingerprint of a peer's upstreams and their age. If they are the same as in this view, its age becomes
-     * the lower one of the two.
+     * Reports the fingerprint of a peer's upstreams and their age. If they are the same as in this view, its age
+     * becomes the lower one of the two.
      */
     void onPeerUpstreams(long upstreamsFingerprint, long ageMillis);
 
