--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/ViewCoverage.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/ViewCoverage.java
@@ -23,11 +23,16 @@
             return size() > MAX_FINGERPRINTS;
         }
     });
+    private long lastCovered = NONE;
     /** Fingerprints of the peers that hold items which this entry lacks, by peer. */
     private final Map<String, Long> aheadFingerprints = new HashMap<>();
 
     /** Records that this entry holds everything behind the fingerprint. */
     void addCovered(long fingerprint) {
+        if (fingerprint == lastCovered) {
+            return;
+        }
+        lastCovered = fingerprint;
         // Inserted anew, so that the fingerprints in use are the last to be forgotten.
         covered.remove(fingerprint);
         covered.add(fingerprint);
