Log on which connection to an upstream each answer was received

Cause: nothing told whose answer a caller got. An answer with another identifier was only counted, and no line named the connection of an answer or what it had carried before, so that the hypotheses of the incident could not be told apart.

Change: a connection knows its number, how many requests it has carried and, by the hash codes of their identifiers, whether one of them had that of the current request. The lines request, run_broken and the new line foreign_answer state this. Two gauges count opened connections and sent requests. No decision depends on any of it.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -16,6 +16,7 @@
 import dev.wigeonward.core.schedule.Upstream;
 import dev.wigeonward.core.stream.EventBoundaryScanner;
 import dev.wigeonward.gateway.port.UpstreamCall;
+import dev.wigeonward.gateway.upstream.ConnectionUse;
 import dev.wigeonward.gateway.upstream.UpstreamConnectionPool;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -56,6 +57,7 @@
     private int returns;
     private long waitedMillis;
     private String lastFailure = "none";
+    private Optional<ConnectionUse> answerConnection = Optional.empty();
     private boolean mayHaveRun;
     private boolean headForwarded;
     private boolean done;
@@ -117,12 +119,17 @@
         run = Optional.of(newRun);
         UpstreamConnectionPool connections = dispatcher.connections();
         if (sentTo.add(upstream.lifetimeId())) {
-            connections.send(upstream, upstreamRequest(upstream), newRun, newRun::onConnection);
+            connections.send(upstream, upstreamRequest(upstream), attemptId(), newRun, newRun::onConnection);
         } else {
-            connections.sendOnNewConnection(upstream, upstreamRequest(upstream), newRun, newRun::onConnection);
+            connections.sendOnNewConnection(
+                    upstream, upstreamRequest(upstream), attemptId(), newRun, newRun::onConnection);
         }
     }
 
+    private Optional<String> attemptId() {
+        return request.callerHead().attemptId();
+    }
+
     private FullHttpRequest upstreamRequest(Upstream upstream) {
         FullHttpRequest copy = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -262,6 +269,11 @@
         dispatcher.offer(scheduledRequest, this, admitted.service());
     }
 
+    /** Records on which connection the last answer was received. */
+    void onAnswerHead(ConnectionUse use) {
+        answerConnection = Optional.of(use);
+    }
+
     void onAnswered(int status) {
         finish("answered:" + status);
         sink.complete();
@@ -368,7 +380,7 @@
 
     private String details(String outcome) {
         long nowMillis = dispatcher.nowMillis();
-        String attempt = request.callerHead().attemptId().orElse("none");
+        String attempt = attemptId().orElse("none");
         String common =
                 "id=" + attempt + " outcome=" + outcome + " total_ms=" + (nowMillis - request.receivedAtMillis());
         if (admitted == null) {
@@ -380,7 +392,8 @@
                 + request.callerHead().deadlineMillis().orElse(0) + " events=" + events + " expected_events="
                 + Math.round(scheduledRequest.expectedEvents()) + " slowness_percent="
                 + Math.round(PERCENT * scheduledRequest.relativeSlownessAtPlacement()) + " kept_tokens="
-                + scheduledRequest.keptPromptTokens() + " last_failure=" + lastFailure;
+                + scheduledRequest.keptPromptTokens() + " last_failure=" + lastFailure
+                + answerConnection.map(use -> " " + use.describe()).orElse("");
     }
 
     boolean done() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -12,6 +12,7 @@
 import dev.wigeonward.core.stream.EventBoundaryScanner;
 import dev.wigeonward.gateway.memory.ByteBudget;
 import dev.wigeonward.gateway.port.AnswerHead;
+import dev.wigeonward.gateway.upstream.ConnectionUse;
 import dev.wigeonward.gateway.upstream.UpstreamConnection;
 import dev.wigeonward.gateway.upstream.UpstreamListener;
 import io.netty.buffer.ByteBuf;
@@ -55,6 +56,7 @@
     private Mode mode = Mode.AWAITING_HEAD;
     private HttpResponse head;
     private boolean cancelled;
+    private boolean foreignAnswerLogged;
     private boolean eventStream;
     private long events;
     private long answerBeganAtMillis;
@@ -129,22 +131,24 @@
     }
 
     @Override
-    public HeadAction onHead(HttpResponse newHead, boolean firstOnConnection) {
+    public HeadAction onHead(HttpResponse newHead, ConnectionUse use) {
         AnswerHead answer = dispatcher.headerCodec().readAnswer(newHead.status().code(), newHead.headers());
         Optional<String> expectedId = exchange.request().callerHead().attemptId();
         if (answer.attemptId().isPresent()
                 && expectedId.isPresent()
                 && !answer.attemptId().equals(expectedId)) {
             dispatcher.count("upstream.foreign_answer");
+            logForeignAnswer(answer.attemptId().orElseThrow(), use);
             return HeadAction.SKIP;
         }
         dispatcher.notices().onAnswer(exchange.scheduler(), upstream, expectedId.orElse("none"), answer);
+        exchange.onAnswerHead(use);
         boolean identified = expectedId.isEmpty() || answer.attemptId().isPresent();
         head = newHead;
         answerBeganAtMillis = dispatcher.nowMillis();
         eventStream = newHead.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM_TYPE);
         // Without its identifier an answer on a used connection may be a late copy of an earlier one.
-        mode = identified || firstOnConnection ? chooseMode(answer, newHead) : Mode.UNUSABLE;
+        mode = identified || use.isFirst() ? chooseMode(answer, newHead) : Mode.UNUSABLE;
         switch (mode) {
             case NOT_RUN -> onNotRun();
             case REPLACED -> {
@@ -163,6 +167,22 @@
         return identified ? HeadAction.DISCARD : HeadAction.CLOSE;
     }
 
+    /** Logs the first answer of a run that belongs to another request. */
+    private void logForeignAnswer(String answerId, ConnectionUse use) {
+        if (foreignAnswerLogged) {
+            return;
+        }
+        foreignAnswerLogged = true;
+        dispatcher
+                .telemetry()
+                .log()
+                .warning(
+                        "foreign_answer",
+                        "id=" + exchange.request().callerHead().attemptId().orElse("none") + " answer_id="
+                                + answerId.replace(' ', '_') + " upstream=" + upstream.lifetimeId() + " "
+                                + use.describe());
+    }
+
     private void onUnusableAnswer() {
         dispatcher.count("upstream.unusable_answer");
         end(Outcome.FAILED);
@@ -412,6 +432,9 @@
                         "run_broken",
                         "id=" + exchange.request().callerHead().attemptId().orElse("none") + " upstream="
                                 + upstream.lifetimeId() + " version=" + upstream.version() + " events=" + events
+                                + connection
+                                        .map(open -> " " + open.use().describe())
+                                        .orElse("")
                                 + " shared_parts=" + (parts.isEmpty() ? "none" : parts) + " reason="
                                 + reason.replace(' ', '_'));
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -89,6 +89,7 @@
                 random);
         callerServer = CallerServer.create(dispatcher, headerCodec, this::limits);
         log.register(metrics);
+        connections.register(metrics);
     }
 
     /** Returns a process that is not listening yet. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package dev.wigeonward.gateway.upstream;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
@@ -29,6 +30,8 @@
 
     private final UpstreamConnectionPool pool;
     private final String poolKey;
+    private final long number;
+    private final RequestIdHistory carriedIds = new RequestIdHistory();
     private Channel channel;
     private UpstreamListener listener;
     /** Listener whose answer is complete; it is called once the current read has shown no further bytes. */
@@ -40,14 +43,16 @@
     private boolean discarding;
     private boolean reusable;
     private int requests;
+    private boolean carriedSameId;
     private int interimAnswers;
     private long skippedBytes;
     private long idleSinceMillis;
     private long keepAliveMillis;
 
-    UpstreamConnection(UpstreamConnectionPool pool, String poolKey) {
+    UpstreamConnection(UpstreamConnectionPool pool, String poolKey, long number) {
         this.pool = pool;
         this.poolKey = poolKey;
+        this.number = number;
     }
 
     @Override
@@ -56,13 +61,14 @@
     }
 
     /** Sends a request; the listener receives its answer. */
-    void send(FullHttpRequest request, UpstreamListener newListener) {
+    void send(FullHttpRequest request, Optional<String> requestId, UpstreamListener newListener) {
         listener = Objects.requireNonNull(newListener, "newListener");
         requestWritten = false;
         headReceived = false;
         skipping = false;
         reusable = true;
         requests++;
+        carriedSameId = requestId.isPresent() && carriedIds.add(requestId.get());
         interimAnswers = 0;
         skippedBytes = 0;
         if (!channel.isActive()) {
@@ -104,6 +110,11 @@
         return channel.isActive() && listener == null && nowMillis - idleSinceMillis < keepAliveMillis;
     }
 
+    /** Returns the use of this connection up to the current request. */
+    public ConnectionUse use() {
+        return new ConnectionUse(number, requests - 1, carriedSameId);
+    }
+
     void close() {
         channel.close();
     }
@@ -152,7 +163,7 @@
         keepAliveMillis = pool.keepAliveMillis(head);
         boolean framed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
         reusable &= framed && HttpUtil.isKeepAlive(head) && keepAliveMillis > 0;
-        switch (listener.onHead(head, requests == 1)) {
+        switch (listener.onHead(head, use())) {
             case ACCEPT -> headReceived = true;
             case SKIP -> {
                 // This is a late answer to an earlier request, so the connection is not reused.
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
@@ -9,11 +9,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
+import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.core.schedule.Upstream;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFutureListener;
@@ -72,6 +74,8 @@
     private final Bootstrap bootstrap;
     private final LongSupplier nowMillis;
     private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
+    private long openedConnectionCount;
+    private long sentRequestCount;
 
     private UpstreamConnectionPool(EventLoopGroup loop, LongSupplier nowMillis) {
         this.nowMillis = nowMillis;
@@ -94,20 +98,22 @@
     /**
      * Sends a request on a pooled connection or on a new one.
      *
+     * @param requestId identifier that the upstream repeats in its answer, or empty if the request has none
      * @param stillWanted receives the connection before the request is written; if it returns false, the request is not
      *     sent and the listener is not called
      */
     public void send(
             Upstream upstream,
             FullHttpRequest request,
+            Optional<String> requestId,
             UpstreamListener listener,
             Predicate<UpstreamConnection> stillWanted) {
         UpstreamConnection pooled = takeIdle(poolKey(upstream));
         if (pooled == null) {
-            sendOnNewConnection(upstream, request, listener, stillWanted);
+            sendOnNewConnection(upstream, request, requestId, listener, stillWanted);
             return;
         }
-        sendIfWanted(pooled, request, listener, stillWanted);
+        sendIfWanted(pooled, request, requestId, listener, stillWanted);
     }
 
     /**
@@ -117,9 +123,10 @@
     public void sendOnNewConnection(
             Upstream upstream,
             FullHttpRequest request,
+            Optional<String> requestId,
             UpstreamListener listener,
             Predicate<UpstreamConnection> stillWanted) {
-        UpstreamConnection newConnection = new UpstreamConnection(this, poolKey(upstream));
+        UpstreamConnection newConnection = new UpstreamConnection(this, poolKey(upstream), openedConnectionCount++);
         bootstrap
                 .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
@@ -138,17 +145,19 @@
                         return;
                     }
                     newConnection.startIdle(nowMillis(), DEFAULT_KEEP_ALIVE_MILLIS);
-                    sendIfWanted(newConnection, request, listener, stillWanted);
+                    sendIfWanted(newConnection, request, requestId, listener, stillWanted);
                 });
     }
 
     private void sendIfWanted(
             UpstreamConnection connection,
             FullHttpRequest request,
+            Optional<String> requestId,
             UpstreamListener listener,
             Predicate<UpstreamConnection> stillWanted) {
         if (stillWanted.test(connection)) {
-            connection.send(request, listener);
+            sentRequestCount++;
+            connection.send(request, requestId, listener);
             return;
         }
         request.release();
@@ -218,6 +227,12 @@
         }
     }
 
+    /** Registers gauges for the connections opened and the requests sent since the start. */
+    public void register(MetricRegistry metrics) {
+        metrics.gauge("upstream.connections_opened", () -> () -> openedConnectionCount);
+        metrics.gauge("upstream.requests_sent", () -> () -> sentRequestCount);
+    }
+
     long nowMillis() {
         return nowMillis.getAsLong();
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
@@ -8,9 +8,9 @@
     /**
      * Receives the head of an answer.
      *
-     * @param firstOnConnection whether the connection has carried no request before this one
+     * @param use use of the connection up to this request
      */
-    HeadAction onHead(HttpResponse head, boolean firstOnConnection);
+    HeadAction onHead(HttpResponse head, ConnectionUse use);
 
     /** Receives bytes of the body; the callee releases them. */
     void onContent(ByteBuf bytes);
