Send a request only on a connection that has not carried its identifier

Callers saw: a success where the upstream had answered with a failure, or 'not run' for a request that had run, after they came back with an identifier.

Cause: an answer is matched by its identifier and its position on the connection. The identifier tells requests apart, not two sends of one request. An exchange knew where it had sent a request before, but a caller that comes back begins a new exchange, which took the kept connection and with it a late second answer to the earlier send. A request without an identifier was answered by whatever came first.

Change: what was carried is a fact about the connection. Each connection remembers the hash codes of the identifiers that it carried, at most 512, and is then closed. A request goes to the newest pooled connection that has not carried its identifier, and otherwise to a new one, for which the oldest pooled one is closed, so that repeats do not add connections. A request without an identifier gets a connection of its own. The memory of the exchange is gone.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -1,9 +1,7 @@
 package dev.wigeonward.gateway.exchange;
 
-import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -16,8 +14,8 @@
 import dev.wigeonward.core.schedule.Upstream;
 import dev.wigeonward.core.stream.EventBoundaryScanner;
 import dev.wigeonward.gateway.port.UpstreamCall;
+import dev.wigeonward.gateway.upstream.AnswerIdentity;
 import dev.wigeonward.gateway.upstream.ConnectionUse;
-import dev.wigeonward.gateway.upstream.UpstreamConnectionPool;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -49,9 +47,6 @@
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private long deadlineAtMillis;
     private int sends;
-    /** Lifetimes of the upstreams that this request was sent to. */
-    private final Set<String> sentTo = new HashSet<>();
-
     private long events;
     private int connectFailures;
     private int returns;
@@ -117,13 +112,16 @@
         dispatcher.recordWait(waitedMillis);
         UpstreamRun newRun = new UpstreamRun(this, dispatcher, upstream, scheduledRequest, sink);
         run = Optional.of(newRun);
-        UpstreamConnectionPool connections = dispatcher.connections();
-        if (sentTo.add(upstream.lifetimeId())) {
-            connections.send(upstream, upstreamRequest(upstream), attemptId(), newRun, newRun::onConnection);
-        } else {
-            connections.sendOnNewConnection(
-                    upstream, upstreamRequest(upstream), attemptId(), newRun, newRun::onConnection);
-        }
+        dispatcher
+                .connections()
+                .send(upstream, upstreamRequest(upstream), answerIdentity(), newRun, newRun::onConnection);
+    }
+
+    private AnswerIdentity answerIdentity() {
+        return attemptId()
+                .filter(id -> !id.isBlank())
+                .<AnswerIdentity>map(AnswerIdentity.ById::new)
+                .orElseGet(AnswerIdentity.ByConnection::new);
     }
 
     private Optional<String> attemptId() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -1,9 +1,9 @@
 package dev.wigeonward.gateway.upstream;
 
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import dev.wigeonward.core.schedule.Upstream;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -21,6 +21,8 @@
     private static final int FIRST_FINAL_STATUS = 200;
     /** Number of interim answers to one request after which the connection is closed. */
     private static final int MAX_INTERIM_ANSWERS = 8;
+    /** Number of requests after which the connection is closed, which bounds the identifiers that it remembers. */
+    static final int MAX_REQUESTS = 512;
     /**
      * Bytes of answers to other requests, or of one whose rest is not needed, that are read to keep the connection.
      */
@@ -29,7 +31,7 @@
     private static final long MAX_DISCARD_MILLIS = 500;
 
     private final UpstreamConnectionPool pool;
-    private final String poolKey;
+    private final Upstream upstream;
     private final long number;
     private final RequestIdHistory carriedIds = new RequestIdHistory();
     private Channel channel;
@@ -49,9 +51,9 @@
     private long idleSinceMillis;
     private long keepAliveMillis;
 
-    UpstreamConnection(UpstreamConnectionPool pool, String poolKey, long number) {
+    UpstreamConnection(UpstreamConnectionPool pool, Upstream upstream, long number) {
         this.pool = pool;
-        this.poolKey = poolKey;
+        this.upstream = upstream;
         this.number = number;
     }
 
@@ -61,14 +63,14 @@
     }
 
     /** Sends a request; the listener receives its answer. */
-    void send(FullHttpRequest request, Optional<String> requestId, UpstreamListener newListener) {
+    void send(FullHttpRequest request, AnswerIdentity identity, UpstreamListener newListener) {
         listener = Objects.requireNonNull(newListener, "newListener");
         requestWritten = false;
         headReceived = false;
         skipping = false;
-        reusable = true;
+        reusable = !(identity instanceof AnswerIdentity.ByConnection);
         requests++;
-        carriedSameId = requestId.isPresent() && carriedIds.add(requestId.get());
+        carriedSameId = identity instanceof AnswerIdentity.ById byId && carriedIds.add(byId.id());
         interimAnswers = 0;
         skippedBytes = 0;
         if (!channel.isActive()) {
@@ -106,6 +108,14 @@
         keepAliveMillis = newKeepAliveMillis;
     }
 
+    /** Returns whether the answer to a request could not be confused with one to an earlier request. */
+    boolean mayCarry(AnswerIdentity identity) {
+        if (identity instanceof AnswerIdentity.ById byId) {
+            return !carriedIds.mayContain(byId.id());
+        }
+        return identity instanceof AnswerIdentity.ByContent;
+    }
+
     boolean reusableAt(long nowMillis) {
         return channel.isActive() && listener == null && nowMillis - idleSinceMillis < keepAliveMillis;
     }
@@ -119,8 +129,8 @@
         channel.close();
     }
 
-    String poolKey() {
-        return poolKey;
+    Upstream upstream() {
+        return upstream;
     }
 
     @Override
@@ -248,7 +258,8 @@
     private void releaseOrClose() {
         // If the answer arrived before the request was written completely, the rest of the request would precede the
         // next one on this connection.
-        if (reusable && requestWritten && channel.isActive()) {
+        boolean pooled = reusable && requestWritten && requests < MAX_REQUESTS;
+        if (pooled && channel.isActive()) {
             idleSinceMillis = pool.nowMillis();
             channel.config().setAutoRead(true);
             pool.release(this);
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -98,35 +99,31 @@
     /**
      * Sends a request on a pooled connection or on a new one.
      *
-     * @param requestId identifier that the upstream repeats in its answer, or empty if the request has none
+     * @param identity what tells the answer from those to earlier requests
      * @param stillWanted receives the connection before the request is written; if it returns false, the request is not
      *     sent and the listener is not called
      */
     public void send(
             Upstream upstream,
             FullHttpRequest request,
-            Optional<String> requestId,
+            AnswerIdentity identity,
             UpstreamListener listener,
             Predicate<UpstreamConnection> stillWanted) {
-        UpstreamConnection pooled = takeIdle(poolKey(upstream));
-        if (pooled == null) {
-            sendOnNewConnection(upstream, request, requestId, listener, stillWanted);
+        Optional<UpstreamConnection> pooled = takeIdle(poolKey(upstream), identity);
+        if (pooled.isEmpty()) {
+            sendOnNewConnection(upstream, request, identity, listener, stillWanted);
             return;
         }
-        sendIfWanted(pooled, request, requestId, listener, stillWanted);
+        sendIfWanted(pooled.get(), request, identity, listener, stillWanted);
     }
 
-    /**
-     * Sends a request on a new connection; see {@link #send}. A request that the upstream has answered before needs
-     * one, because a late copy of that answer would be taken for the answer to this request.
-     */
-    public void sendOnNewConnection(
+    private void sendOnNewConnection(
             Upstream upstream,
             FullHttpRequest request,
-            Optional<String> requestId,
+            AnswerIdentity identity,
             UpstreamListener listener,
             Predicate<UpstreamConnection> stillWanted) {
-        UpstreamConnection newConnection = new UpstreamConnection(this, poolKey(upstream), openedConnectionCount++);
+        UpstreamConnection newConnection = new UpstreamConnection(this, upstream, openedConnectionCount++);
         bootstrap
                 .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
@@ -145,35 +142,50 @@
                         return;
                     }
                     newConnection.startIdle(nowMillis(), DEFAULT_KEEP_ALIVE_MILLIS);
-                    sendIfWanted(newConnection, request, requestId, listener, stillWanted);
+                    sendIfWanted(newConnection, request, identity, listener, stillWanted);
                 });
     }
 
     private void sendIfWanted(
             UpstreamConnection connection,
             FullHttpRequest request,
-            Optional<String> requestId,
+            AnswerIdentity identity,
             UpstreamListener listener,
             Predicate<UpstreamConnection> stillWanted) {
         if (stillWanted.test(connection)) {
             sentRequestCount++;
-            connection.send(request, requestId, listener);
+            connection.send(request, identity, listener);
             return;
         }
         request.release();
         release(connection);
     }
 
-    private UpstreamConnection takeIdle(String key) {
+    private Optional<UpstreamConnection> takeIdle(String key, AnswerIdentity identity) {
         ArrayDeque<UpstreamConnection> pooled = idle.get(key);
-        while (pooled != null && !pooled.isEmpty()) {
-            UpstreamConnection newest = pooled.removeLast();
-            if (newest.reusableAt(nowMillis.getAsLong())) {
-                return newest;
+        if (pooled == null || identity instanceof AnswerIdentity.ByConnection) {
+            return Optional.empty();
+        }
+        long now = nowMillis.getAsLong();
+        Iterator<UpstreamConnection> newestFirst = pooled.descendingIterator();
+        while (newestFirst.hasNext()) {
+            UpstreamConnection connection = newestFirst.next();
+            boolean usable = connection.reusableAt(now);
+            if (usable && !connection.mayCarry(identity)) {
+                continue;
             }
-            newest.close();
+            newestFirst.remove();
+            if (usable) {
+                return Optional.of(connection);
+            }
+            connection.close();
+        }
+        // The new connection takes the place of one that cannot carry the request, so that callers that repeat an
+        // identifier do not use up the connections that the upstream accepts.
+        if (!pooled.isEmpty()) {
+            pooled.removeFirst().close();
         }
-        return null;
+        return Optional.empty();
     }
 
     /** Closes the pooled connections of upstreams that are no longer listed. */
@@ -217,11 +229,12 @@
     }
 
     void release(UpstreamConnection connection) {
-        idle.computeIfAbsent(connection.poolKey(), key -> new ArrayDeque<>()).addLast(connection);
+        idle.computeIfAbsent(poolKey(connection.upstream()), key -> new ArrayDeque<>())
+                .addLast(connection);
     }
 
     void closed(UpstreamConnection connection) {
-        ArrayDeque<UpstreamConnection> pooled = idle.get(connection.poolKey());
+        ArrayDeque<UpstreamConnection> pooled = idle.get(poolKey(connection.upstream()));
         if (pooled != null) {
             pooled.remove(connection);
         }
