Send a HEAD request on a connection of its own

Callers saw, in a test: the answer to one request read as the body of another, or a request that waits for its deadline.

Cause: whether an answer has a body depends on the method of its request. The decoder pairs answers with methods by position, so that behind a late answer to HEAD the next answer is read as its body, and the body of a late answer ahead of one to HEAD is read as the next answer.

Change: the answer to a HEAD request counts as identified by nothing but its connection, which carries nothing else.

Evidence: both tests of HEAD in LateAnswerBytesTest failed before.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -117,9 +117,11 @@
                 .send(upstream, upstreamRequest(upstream), answerIdentity(), newRun, newRun::onConnection);
     }
 
+    /** Returns what tells the answer from others; that to a HEAD request has another framing than all others. */
     private AnswerIdentity answerIdentity() {
+        boolean headRequest = request.head().method().equals(HttpMethod.HEAD);
         return attemptId()
-                .filter(id -> !id.isBlank())
+                .filter(id -> !id.isBlank() && !headRequest)
                 .<AnswerIdentity>map(AnswerIdentity.ById::new)
                 .orElseGet(AnswerIdentity.ByConnection::new);
     }
