Close a pooled connection at its first byte, before it is decoded

Callers saw, in a test: an order answered 502 with an unknown outcome because a late answer to another request was read in two pieces around its sending.

Cause: the beginning of a head stayed in the decoder while the connection was pooled. Its end arrived behind the next request and completed an answer to it. An answer whose rest is discarded returned its connection to the pool within the read, before the bytes behind it were seen.

Change: AnswerDecoder drops bytes of a connection that carries no request and closes it, and a connection with undecoded bytes is not pooled. Connections are pooled at the end of a read after a discarded answer as well.

Evidence: both cases of lateAnswerInPiecesDoesNotEndTheNextRequest failed before. answerBehindADiscardedOneReachesNobody passed before in both cases.

--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -34,10 +36,13 @@
     private final Upstream upstream;
     private final long number;
     private final RequestIdHistory carriedIds = new RequestIdHistory();
+    private final AnswerDecoder decoder;
     private Channel channel;
     private UpstreamListener listener;
     /** Listener whose answer is complete; it is called once the current read has shown no further bytes. */
     private UpstreamListener completed;
+    /** Whether the answer has ended, so that the connection is pooled or closed at the end of the current read. */
+    private boolean ended;
 
     private boolean requestWritten;
     private boolean headReceived;
@@ -51,10 +56,11 @@
     private long idleSinceMillis;
     private long keepAliveMillis;
 
-    UpstreamConnection(UpstreamConnectionPool pool, Upstream upstream, long number) {
+    UpstreamConnection(UpstreamConnectionPool pool, Upstream upstream, long number, HttpDecoderConfig decoderConfig) {
         this.pool = pool;
         this.upstream = upstream;
         this.number = number;
+        this.decoder = new AnswerDecoder(decoderConfig, this);
     }
 
     @Override
@@ -69,6 +75,7 @@
         headReceived = false;
         skipping = false;
         reusable = !(identity instanceof AnswerIdentity.ByConnection);
+        decoder.setToHeadRequest(request.method().equals(HttpMethod.HEAD));
         requests++;
         carriedSameId = identity instanceof AnswerIdentity.ById byId && carriedIds.add(byId.id());
         interimAnswers = 0;
@@ -133,6 +140,15 @@
         return upstream;
     }
 
+    AnswerDecoder decoder() {
+        return decoder;
+    }
+
+    /** Returns whether no answer is awaited or being read. */
+    boolean isIdle() {
+        return listener == null && !discarding && !ended;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (listener == null && !discarding || !(message instanceof HttpObject object)) {
@@ -218,6 +234,7 @@
         if (last && listener != null && headReceived) {
             completed = listener;
             listener = null;
+            ended = true;
         }
     }
 
@@ -231,34 +248,39 @@
         skipping &= !last;
         if (discarding && last) {
             discarding = false;
-            releaseOrClose();
+            ended = true;
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        deliverCompleted();
+        endAnswer();
         context.fireChannelReadComplete();
     }
 
     /**
-     * Tells the listener that its answer is complete. Bytes behind the answer that were read with it have made the
-     * connection unusable before, so that they cannot count as the answer to the next request.
+     * Pools or closes the connection after an answer and tells the listener that its answer is complete. Bytes behind
+     * the answer that were read with it make the connection unusable, so that they cannot count as the answer to the
+     * next request.
      */
-    private void deliverCompleted() {
-        if (completed == null) {
+    private void endAnswer() {
+        if (!ended) {
             return;
         }
+        ended = false;
+        releaseOrClose();
         UpstreamListener finished = completed;
         completed = null;
-        releaseOrClose();
+        if (finished == null) {
+            return;
+        }
         finished.onComplete();
     }
 
     private void releaseOrClose() {
         // If the answer arrived before the request was written completely, the rest of the request would precede the
         // next one on this connection.
-        boolean pooled = reusable && requestWritten && requests < MAX_REQUESTS;
+        boolean pooled = reusable && requestWritten && requests < MAX_REQUESTS && !decoder.hasUndecodedBytes();
         if (pooled && channel.isActive()) {
             idleSinceMillis = pool.nowMillis();
             channel.config().setAutoRead(true);
@@ -286,7 +308,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.closed(this);
-        deliverCompleted();
+        endAnswer();
         fail(
                 UpstreamListener.FailurePoint.SENT,
                 "connection was closed by the upstream before the answer was complete");
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
@@ -29,8 +29,8 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import jdk.net.ExtendedSocketOptions;
 
@@ -123,13 +123,13 @@
             AnswerIdentity identity,
             UpstreamListener listener,
             Predicate<UpstreamConnection> stillWanted) {
-        UpstreamConnection newConnection = new UpstreamConnection(this, upstream, openedConnectionCount++);
+        UpstreamConnection newConnection = new UpstreamConnection(this, upstream, openedConnectionCount++, DECODER);
         bootstrap
                 .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(DECODER, false, false), newConnection);
+                        channel.pipeline().addLast(newConnection.decoder(), new HttpRequestEncoder(), newConnection);
                     }
                 })
                 .connect(address(upstream.address()))
