Read past late answers of up to 4 MiB

Callers saw, in a test: an order answered 502 with an unknown outcome because a late answer of 1 MiB to another request preceded its own answer.

Cause: the bound of 64 KiB on bytes that are skipped was that of an answer whose rest is discarded. There it decides between two connections of equal use; here it ends a request that may not be repeated.

Change: a bound of its own. Skipped bytes are not kept, so that the cost is reading them.

Evidence: longLateAnswerDoesNotEndTheNextRequest failed before; endlessAnswerOfAnotherRequestIsBounded holds as before.

--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -25,10 +25,10 @@
     private static final int MAX_INTERIM_ANSWERS = 8;
     /** Number of requests after which the connection is closed, which bounds the identifiers that it remembers. */
     static final int MAX_REQUESTS = 512;
-    /**
-     * Bytes of answers to other requests, or of one whose rest is not needed, that are read to keep the connection.
-     */
-    private static final int MAX_SKIPPED_BYTES = 65_536;
+    /** Bytes of answers to earlier requests that are read while the answer to the current one is awaited. */
+    private static final int MAX_SKIPPED_BYTES = 4 << 20;
+    /** Bytes of an answer whose rest is not needed that are read to keep the connection. */
+    private static final int MAX_DISCARDED_BYTES = 65_536;
     /** Time in which the rest of an answer that is not needed must arrive for the connection to be kept. */
     private static final long MAX_DISCARD_MILLIS = 500;
 
@@ -241,8 +241,9 @@
     private void skip(HttpContent content, boolean last) {
         skippedBytes += content.content().readableBytes();
         content.release();
-        if (skippedBytes > MAX_SKIPPED_BYTES) {
-            failAndClose("upstream sent more than " + MAX_SKIPPED_BYTES + " bytes that are no answer to the request");
+        int maxBytes = discarding ? MAX_DISCARDED_BYTES : MAX_SKIPPED_BYTES;
+        if (skippedBytes > maxBytes) {
+            failAndClose("upstream sent more than " + maxBytes + " bytes that are no answer to the request");
             return;
         }
         skipping &= !last;
