Take an answer without length as whole only if its upstream lives

Callers saw, in a test with a real process: a success with half of a body, and a stream framed as complete, after the upstream was killed.

Cause: an answer with neither length nor chunks ends with its connection, and the kernel of a killed process closes its connections in order. A reset was told apart from the end, a death was not.

Change: before such an answer completes, the entry opens a connection to the upstream. If it is refused, the process has ended and the answer counts as broken off. Other answers are not affected.

--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -43,6 +43,8 @@
     private UpstreamListener completed;
     /** Whether the answer has ended, so that the connection is pooled or closed at the end of the current read. */
     private boolean ended;
+    /** Whether the end of the answer is the end of the connection. */
+    private boolean endsWithConnection;
 
     private boolean requestWritten;
     private boolean headReceived;
@@ -74,6 +76,7 @@
         requestWritten = false;
         headReceived = false;
         skipping = false;
+        endsWithConnection = false;
         reusable = !(identity instanceof AnswerIdentity.ByConnection);
         decoder.setToHeadRequest(request.method().equals(HttpMethod.HEAD));
         requests++;
@@ -187,8 +190,10 @@
             return;
         }
         keepAliveMillis = pool.keepAliveMillis(head);
-        boolean framed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
-        reusable &= framed && HttpUtil.isKeepAlive(head) && keepAliveMillis > 0;
+        endsWithConnection = !HttpUtil.isTransferEncodingChunked(head)
+                && !HttpUtil.isContentLengthSet(head)
+                && !decoder.isContentAlwaysEmpty(head);
+        reusable &= !endsWithConnection && HttpUtil.isKeepAlive(head) && keepAliveMillis > 0;
         switch (listener.onHead(head, use())) {
             case ACCEPT -> headReceived = true;
             case SKIP -> {
@@ -275,9 +280,28 @@
         if (finished == null) {
             return;
         }
+        if (endsWithConnection) {
+            completeIfUpstreamLives(finished);
+            return;
+        }
         finished.onComplete();
     }
 
+    /**
+     * Completes an answer whose end was that of its connection. The connection of a process that was killed ends in the
+     * same way, so that the answer counts as whole only if the upstream still accepts connections.
+     */
+    private void completeIfUpstreamLives(UpstreamListener finished) {
+        pool.probe(upstream, result -> {
+            if (result == UpstreamConnectionPool.ProbeResult.REFUSED) {
+                finished.onFailed(
+                        UpstreamListener.FailurePoint.SENT, "upstream ended together with an answer without length");
+                return;
+            }
+            finished.onComplete();
+        });
+    }
+
     private void releaseOrClose() {
         // If the answer arrived before the request was written completely, the rest of the request would precede the
         // next one on this connection.
