Send each call to the store on a connection of its own

Seen in a test with a scripted store: the items of op/ or none were taken for those of servers/, so that all upstreams vanished; a refused write counted as done, an ended lease as renewed; a watch missed its changes.

Cause: the client kept its connections and told the answer to a call by its position. An answer to an earlier call that the store writes once more, ahead of the next, counted as the answer to that. An empty answer holds nothing that tells to which call it belongs.

Change: AnswerIdentity.ByConnection for all calls. ByContent, which no other client uses, is removed.

Evidence: in StoreLateAnswerTest the four cases AHEAD_OF_THE_NEXT failed before; the twelve others passed before and after.

--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/AnswerIdentity.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/AnswerIdentity.java
@@ -16,7 +16,4 @@
 
     /** Nothing in the answer; the request is sent on a new connection, which is closed afterwards. */
     record ByConnection() implements AnswerIdentity {}
-
-    /** The content of the answer, which the listener checks; the request is sent on any connection. */
-    record ByContent() implements AnswerIdentity {}
 }
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -120,10 +120,7 @@
 
     /** Returns whether the answer to a request could not be confused with one to an earlier request. */
     boolean mayCarry(AnswerIdentity identity) {
-        if (identity instanceof AnswerIdentity.ById byId) {
-            return !carriedIds.mayContain(byId.id());
-        }
-        return identity instanceof AnswerIdentity.ByContent;
+        return identity instanceof AnswerIdentity.ById byId && !carriedIds.mayContain(byId.id());
     }
 
     boolean reusableAt(long nowMillis) {
