Send each request of an agent on a connection of its own

Seen in a test with a scripted upstream: a success where the upstream answered 500, for a plain service and for an engine; an order that failed and counted as executed.

Cause: HttpUpstreamClient kept connections, and ServiceTalk matches answers by their position. It also keeps a connection on which bytes arrive while no request is sent, and takes them for the answer to the next one. Neither a plain service nor the answers of an engine repeat x-request-id.

Change: OneRequestPerConnection sets "connection: close" on each request, so that none follows another. This covers resumes, probes, cancellations, cache events and orders as well.

Evidence: of the twelve cases of LateAnswerTest nine failed before (all but WITH_THE_ANSWER); all pass now.

--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -17,6 +17,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.wigeonward.common.http.Json;
+import dev.wigeonward.common.http.OneRequestPerConnection;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.order.Order;
@@ -58,6 +59,7 @@
         this.client = HttpClients.forResolvedAddress(address)
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+                .appendClientFilter(new OneRequestPerConnection())
                 .buildStreaming();
     }
 
--- /dev/null
+++ b/agent/src/test/java/dev/wigeonward/agent/upstream/LateAnswerTest.java
@@ -0,0 +1,141 @@
+package dev.wigeonward.agent.upstream;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import dev.wigeonward.core.error.Failure;
+import dev.wigeonward.core.order.Order;
+import dev.wigeonward.core.request.RequestId;
+import dev.wigeonward.standins.http.RepeatingServer;
+import dev.wigeonward.standins.http.RepeatingServer.Moment;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static dev.wigeonward.standins.http.RepeatingServer.answer;
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests requests to an upstream that writes the answer to an earlier request once more. */
+class LateAnswerTest {
+    private RepeatingServer server;
+    private HttpUpstreamClient client;
+
+    @AfterEach
+    void close() throws IOException {
+        client.close();
+        server.close();
+    }
+
+    private void startPlainService(Moment moment) throws IOException {
+        server = RepeatingServer.start(moment, LateAnswerTest::answerTo);
+        client = HttpUpstreamClient.forPlainService(server.address());
+    }
+
+    private void startEngine(Moment moment) throws IOException {
+        server = RepeatingServer.start(moment, LateAnswerTest::answerTo);
+        client = HttpUpstreamClient.forEngine(server.address());
+    }
+
+    /** Answers with the path, with success unless the path states otherwise. */
+    private static String answerTo(RepeatingServer.Request request) {
+        return answer(request.target().contains("fails") ? 500 : 200, request.method() + " " + request.target());
+    }
+
+    private String submit(String id, String path) {
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        client.submit(
+                new UpstreamRequest(
+                        new RequestId(id), "POST", path, List.of(), "body".getBytes(StandardCharsets.UTF_8)),
+                new AnswerCollector(answer));
+        return result(answer);
+    }
+
+    private static <T> T result(CompletableFuture<T> future) {
+        T result = future.orTimeout(5, TimeUnit.SECONDS).join();
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(3 * RepeatingServer.LATE_MILLIS));
+        return result;
+    }
+
+    /** Guards against a success where a plain service answered with a failure. */
+    @ParameterizedTest
+    @EnumSource
+    void plainServiceAnswerIsNotThatOfAnEarlierRequest(Moment moment) throws IOException {
+        startPlainService(moment);
+
+        assertThat(submit("id-1", "/a")).isEqualTo("200 POST /a");
+        assertThat(submit("id-2", "/fails")).isEqualTo("500 POST /fails");
+        assertThat(submit("id-2", "/c")).isEqualTo("200 POST /c");
+    }
+
+    /** Guards against the stream of another request, or of an earlier send of the same. */
+    @ParameterizedTest
+    @EnumSource
+    void engineAnswerIsNotThatOfAnEarlierRequest(Moment moment) throws IOException {
+        startEngine(moment);
+
+        assertThat(submit("id-1", "/v1/a")).isEqualTo("200 POST /v1/a");
+        assertThat(submit("id-1", "/v1/fails")).isEqualTo("500 POST /v1/fails");
+        assertThat(submit("id-2", "/v1/c")).isEqualTo("200 POST /v1/c");
+    }
+
+    /** Guards against an order that counts as executed, or a dead engine that counts as alive. */
+    @ParameterizedTest
+    @EnumSource
+    void orderAndProbeAreNotAnsweredByAnEarlierRequest(Moment moment) throws IOException {
+        server = RepeatingServer.start(
+                moment, request -> answer(request.method().equals("GET") ? 200 : 500, "{\"instance\":\"i\"}"));
+        client = HttpUpstreamClient.forEngine(server.address());
+
+        assertThat(probe()).isInstanceOf(UpstreamClient.ProbeResult.Alive.class);
+        CompletableFuture<String> order = new CompletableFuture<>();
+        client.executeOrder(new Order(1, "o-1", Order.Kind.LOAD, "m", "v", ""), order::complete);
+        assertThat(result(order)).startsWith("500");
+        assertThat(probe()).isInstanceOf(UpstreamClient.ProbeResult.Alive.class);
+    }
+
+    private UpstreamClient.ProbeResult probe() {
+        CompletableFuture<UpstreamClient.ProbeResult> probe = new CompletableFuture<>();
+        client.probe(probe::complete);
+        return result(probe);
+    }
+
+    /** Collects an answer as its status and its body, or the reason why there is none. */
+    private static final class AnswerCollector implements UpstreamClient.AnswerListener {
+        private final CompletableFuture<String> answer;
+        private final StringBuffer text = new StringBuffer();
+
+        private AnswerCollector(CompletableFuture<String> answer) {
+            this.answer = answer;
+        }
+
+        @Override
+        public void onHead(int status, List<Map.Entry<String, String>> headers) {
+            text.append(status).append(' ');
+        }
+
+        @Override
+        public void onOutput(byte[] part) {
+            text.append(new String(part, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void onFinished() {
+            answer.complete(text.toString());
+        }
+
+        @Override
+        public void onFailed(Failure failure) {
+            answer.complete("failed: " + failure);
+        }
+
+        @Override
+        public void onNotSent(Failure failure) {
+            answer.complete("not sent: " + failure);
+        }
+    }
+}
