Take an agent's answer without length as whole only if its upstream lives

Seen in a test: a success with half of a body after the upstream had died.

Cause: as on the direct path, the connection of a process that was killed ends in order, and an answer with neither length nor chunks ends with it.

Change: before such an answer finishes, the agent calls the upstream once more. If its connection is refused, the request failed as UPSTREAM_DIED. Any answer, and a timeout, count as alive. Other answers are not affected.

--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -27,6 +27,7 @@
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
@@ -44,7 +45,10 @@
     /** Header with the request id, by which an engine identifies a stream. */
     public static final String REQUEST_ID_HEADER = "x-request-id";
 
+    private static final String HEALTH_PATH = "/health";
     private static final int STATUS_OK = 200;
+    private static final int STATUS_NO_CONTENT = 204;
+    private static final int STATUS_NOT_MODIFIED = 304;
     private static final int MAX_RESUMES = 3;
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
     /** Maximum time for an order; loading a large model takes minutes. */
@@ -81,7 +85,7 @@
         http.setHeader(REQUEST_ID_HEADER, request.id().value());
         http.payloadBody(
                 Publisher.from(client.executionContext().bufferAllocator().wrap(request.body())));
-        Call call = new Call(request.id(), listener);
+        Call call = new Call(request.id(), request.method().equals("HEAD"), listener);
         calls.put(request.id(), call);
         call.start(http);
     }
@@ -119,7 +123,7 @@
 
     @Override
     public void probe(Consumer<ProbeResult> listener) {
-        client.request(client.get("/health"))
+        client.request(client.get(HEALTH_PATH))
                 .flatMap(StreamingHttpResponse::toResponse)
                 .timeout(PROBE_TIMEOUT)
                 .map(response -> {
@@ -201,15 +205,20 @@
     /** One request, whose answer may be received over several connections. */
     private final class Call {
         private final RequestId id;
+        private final boolean isHeadRequest;
         private final AnswerListener listener;
         private final AtomicLong receivedBytes = new AtomicLong();
         private int resumes;
         private boolean headReceived;
+        /** Whether the end of the answer is the end of its connection. */
+        private boolean endsWithConnection;
+
         private volatile boolean cancelled;
         private volatile Cancellable subscription;
 
-        private Call(RequestId id, AnswerListener listener) {
+        private Call(RequestId id, boolean isHeadRequest, AnswerListener listener) {
             this.id = id;
+            this.isHeadRequest = isHeadRequest;
             this.listener = listener;
         }
 
@@ -231,9 +240,7 @@
         }
 
         private void onHead(StreamingHttpResponse response) {
-            if (headReceived) {
-                return;
-            }
+            noteFraming(response);
             headReceived = true;
             List<Map.Entry<String, String>> headers = new ArrayList<>();
             response.headers()
@@ -242,6 +249,15 @@
             listener.onHead(response.status().code(), headers);
         }
 
+        private void noteFraming(StreamingHttpResponse response) {
+            int status = response.status().code();
+            endsWithConnection = !isHeadRequest
+                    && status != STATUS_NO_CONTENT
+                    && status != STATUS_NOT_MODIFIED
+                    && !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                    && !response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+        }
+
         private void onOutput(Buffer buffer) {
             byte[] part = new byte[buffer.readableBytes()];
             buffer.readBytes(part);
@@ -250,11 +266,42 @@
         }
 
         private void onFinished() {
+            if (endsWithConnection) {
+                finishIfUpstreamLives();
+            } else {
+                finish();
+            }
+        }
+
+        private void finish() {
             if (calls.remove(id) != null) {
                 listener.onFinished();
             }
         }
 
+        /**
+         * Completes an answer whose end was that of its connection. The connection of a process that was killed ends in
+         * the same way, so that the answer counts as whole only if the upstream still accepts connections.
+         */
+        private void finishIfUpstreamLives() {
+            client.request(client.get(HEALTH_PATH))
+                    .flatMapPublisher(StreamingHttpResponse::payloadBody)
+                    .ignoreElements()
+                    .timeout(PROBE_TIMEOUT)
+                    .whenOnComplete(this::finish)
+                    .whenOnError(this::finishUnlessRefused)
+                    .onErrorComplete()
+                    .subscribe();
+        }
+
+        private void finishUnlessRefused(Throwable error) {
+            if (!neverSent(error)) {
+                finish();
+            } else if (calls.remove(id) != null) {
+                fail(true, error);
+            }
+        }
+
         private void onBroken(Throwable error) {
             if (cancelled) {
                 return;
@@ -297,6 +344,7 @@
                             .ignoreElements()
                             .concat(Publisher.failed(new UnknownStreamException()));
                 }
+                noteFraming(response);
                 return response.payloadBody();
             }));
         }
--- a/agent/src/test/java/dev/wigeonward/agent/upstream/LateAnswerTest.java
+++ b/agent/src/test/java/dev/wigeonward/agent/upstream/LateAnswerTest.java
@@ -1,16 +1,11 @@
 package dev.wigeonward.agent.upstream;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
-import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.order.Order;
-import dev.wigeonward.core.request.RequestId;
 import dev.wigeonward.standins.http.RepeatingServer;
 import dev.wigeonward.standins.http.RepeatingServer.Moment;
 import org.junit.jupiter.api.AfterEach;
@@ -47,17 +42,19 @@
     }
 
     private String submit(String id, String path) {
-        CompletableFuture<String> answer = new CompletableFuture<>();
-        client.submit(
-                new UpstreamRequest(
-                        new RequestId(id), "POST", path, List.of(), "body".getBytes(StandardCharsets.UTF_8)),
-                new AnswerCollector(answer));
-        return result(answer);
+        String answer = AnswerCollector.submit(client, id, path);
+        awaitLateAnswer();
+        return answer;
     }
 
-    private static <T> T result(CompletableFuture<T> future) {
-        T result = future.orTimeout(5, TimeUnit.SECONDS).join();
+    private static void awaitLateAnswer() {
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(3 * RepeatingServer.LATE_MILLIS));
+    }
+
+    private static <T> T result(CompletableFuture<T> future) {
+        T result = future.orTimeout(AnswerCollector.TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .join();
+        awaitLateAnswer();
         return result;
     }
 
@@ -103,39 +100,4 @@
         client.probe(probe::complete);
         return result(probe);
     }
-
-    /** Collects an answer as its status and its body, or the reason why there is none. */
-    private static final class AnswerCollector implements UpstreamClient.AnswerListener {
-        private final CompletableFuture<String> answer;
-        private final StringBuffer text = new StringBuffer();
-
-        private AnswerCollector(CompletableFuture<String> answer) {
-            this.answer = answer;
-        }
-
-        @Override
-        public void onHead(int status, List<Map.Entry<String, String>> headers) {
-            text.append(status).append(' ');
-        }
-
-        @Override
-        public void onOutput(byte[] part) {
-            text.append(new String(part, StandardCharsets.UTF_8));
-        }
-
-        @Override
-        public void onFinished() {
-            answer.complete(text.toString());
-        }
-
-        @Override
-        public void onFailed(Failure failure) {
-            answer.complete("failed: " + failure);
-        }
-
-        @Override
-        public void onNotSent(Failure failure) {
-            answer.complete("not sent: " + failure);
-        }
-    }
 }
