Send each call to the services of the agent path on its own connection

Seen in tests with scripted services: a transaction whose condition did not hold counted as applied, an ended lease as alive, a read returned the answer to another call, and the VM list stayed one answer behind its service.

Cause: SingleHostClients kept connections, and ServiceTalk matches answers by their position, also bytes that arrive while no call is open.

Change: the clients of SingleHostClients, EtcdHttp and HttpVmList, use OneRequestPerConnection.

Evidence: of the twelve cases of the two LateAnswerTest of standins nine failed before (all but WITH_THE_ANSWER); all pass now.

--- a/common/src/main/java/dev/wigeonward/common/http/SingleHostClients.java
+++ b/common/src/main/java/dev/wigeonward/common/http/SingleHostClients.java
@@ -12,7 +12,10 @@
 public final class SingleHostClients {
     private SingleHostClients() {}
 
-    /** Returns a client that never retries a request. Its callbacks run on I/O threads and must not block. */
+    /**
+     * Returns a client that never retries a request and sends each on a connection of its own. Its callbacks run on I/O
+     * threads and must not block.
+     */
     public static HttpClient create(String name, InetSocketAddress address) {
         HostAndPort peer = HostAndPort.of(address.getAddress().getHostAddress(), address.getPort());
         return HttpClients.forResolvedAddress(peer)
@@ -22,6 +25,7 @@
                         .retryRetryableExceptions(
                                 (request, cause) -> RetryingHttpRequesterFilter.BackOffPolicy.ofNoRetries())
                         .build())
+                .appendClientFilter(new OneRequestPerConnection())
                 .build();
     }
 }
