Number the orders of a model's rollouts consecutively

Seen in a test: a rollout to v2, then to v3 and to v2 again sends orders with the identifiers of the first rollout to v2.

Cause: an order's identifier is model, version and a count that began anew with each rollout. OrderFence answers an identifier that it knows with the result of the earlier order, so that an agent that ran then would report the load as done without executing it. A late result of the first rollout would also count for the second.

Change: a new rollout continues the count of the model's last one, which is in the record of the store.

Evidence: laterRolloutOfTheSameVersionHasOrdersOfItsOwn failed before. What an agent does with such an order was read in OrderFence, not played.

--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutController.java
@@ -159,7 +159,7 @@
             return;
         }
         if (before == null) {
-            startRollout(rule, rule.fromVersion(), 0, nowMillis);
+            startRollout(rule, rule.fromVersion(), 0, 0, nowMillis);
             return;
         }
         boolean sameVersion = before.record.newVersion().equals(rule.toVersion());
@@ -168,12 +168,14 @@
         }
         // After a rollback a new rollout starts only when a rule names another version.
         if (!sameVersion && !before.record.currentVersion().equals(rule.toVersion())) {
-            startRollout(rule, before.record.currentVersion(), before.revision, nowMillis);
+            int orders = before.record.orderCount();
+            startRollout(rule, before.record.currentVersion(), before.revision, orders, nowMillis);
         }
     }
 
-    private void startRollout(RolloutRule rule, String oldVersion, long revision, long nowMillis) {
-        RolloutRecord planned = RolloutRecord.planned(rule, oldVersion, badReasons(rule.model()), nowMillis);
+    private void startRollout(RolloutRule rule, String oldVersion, long revision, int orderCount, long nowMillis) {
+        RolloutRecord planned =
+                RolloutRecord.planned(rule, oldVersion, orderCount, badReasons(rule.model()), nowMillis);
         RolloutProgress rollout = new RolloutProgress(planned, revision, settings.confirmMillis());
         rollouts.put(rule.model(), rollout);
         write(rollout, planned, nowMillis);
--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutRecord.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutRecord.java
@@ -12,7 +12,8 @@
  *
  * @param fencingNumber fencing number of the controller that wrote the record
  * @param writeId unique id by which the writer recognizes its own write after a lost reply
- * @param orderCount number of orders recorded so far, from which order ids are formed
+ * @param orderCount number of orders recorded so far in this rollout and the earlier ones of the model, from which
+ *     order ids are formed; agents answer an id that they know with the result of the earlier order
  * @param intents recorded orders that are not known to be answered
  * @param badReasons reasons of the bad verdicts on versions of the model, by version; later records keep them
  * @param reason reason for which the phase was entered
@@ -45,7 +46,8 @@
     }
 
     /** Creates the record of a new rollout in its first phase, without write id and fencing number. */
-    static RolloutRecord planned(RolloutRule rule, String oldVersion, Map<String, String> badReasons, long nowMillis) {
+    static RolloutRecord planned(
+            RolloutRule rule, String oldVersion, int orderCount, Map<String, String> badReasons, long nowMillis) {
         return new RolloutRecord(
                 rule.model(),
                 oldVersion,
@@ -57,7 +59,7 @@
                 nowMillis,
                 0,
                 "",
-                0,
+                orderCount,
                 List.of(),
                 badReasons,
                 "asked by " + rule.askedBy());
--- a/core/src/test/java/dev/wigeonward/core/rollout/RolloutControllerTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/RolloutControllerTest.java
@@ -106,6 +106,21 @@
         assertThat(harness.sentOrders).extracting(Order::orderId).doesNotHaveDuplicates();
     }
 
+    /**
+     * Guards against an order with the identifier of one of an earlier rollout, which agents answer with the result of
+     * that order instead of executing it.
+     */
+    @Test
+    void laterRolloutOfTheSameVersionHasOrdersOfItsOwn() {
+        harness.elect(ControllerHarness.realController());
+        for (String version : List.of("v2", "v3", "v2")) {
+            harness.changeRules(rule("model", version, harness.nowMillis + DEADLINE_MILLIS));
+            harness.run(200);
+            assertThat(harness.record("model").phase()).isEqualTo(RolloutPhase.DONE);
+        }
+        assertThat(harness.sentOrders).extracting(Order::orderId).doesNotHaveDuplicates();
+    }
+
     /** Guards against a bad verdict that is lost when another controller acquires the lease. */
     @Property(tries = 100)
     void verdictSurvivesControllerChanges(
