Ask whether an upstream lives only after a dead one has closed its sockets

Cause: the kernel may close the connections of a killed process before its listening socket, which accepts connections until then. The probe was sent at the end of the connection and could be accepted. A probe without any answer counted as a living upstream as well.

Change: the probe is sent 200 ms later, and only one that is accepted makes the answer whole.

--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -31,6 +31,11 @@
     private static final int MAX_DISCARDED_BYTES = 65_536;
     /** Time in which the rest of an answer that is not needed must arrive for the connection to be kept. */
     private static final long MAX_DISCARD_MILLIS = 500;
+    /**
+     * Time in which the kernel closes all sockets of a process that was killed. It may close a connection before the
+     * listening socket, which then still accepts connections.
+     */
+    private static final long MAX_CLOSING_MILLIS = 200;
 
     private final UpstreamConnectionPool pool;
     private final Upstream upstream;
@@ -289,17 +294,22 @@
 
     /**
      * Completes an answer whose end was that of its connection. The connection of a process that was killed ends in the
-     * same way, so that the answer counts as whole only if the upstream still accepts connections.
+     * same way, so that the answer counts as whole only if the upstream still accepts connections after a while.
      */
     private void completeIfUpstreamLives(UpstreamListener finished) {
-        pool.probe(upstream, result -> {
-            if (result == UpstreamConnectionPool.ProbeResult.REFUSED) {
-                finished.onFailed(
-                        UpstreamListener.FailurePoint.SENT, "upstream ended together with an answer without length");
-                return;
-            }
-            finished.onComplete();
-        });
+        channel.eventLoop()
+                .schedule(
+                        () -> pool.probe(upstream, result -> {
+                            if (result != UpstreamConnectionPool.ProbeResult.ACCEPTED) {
+                                finished.onFailed(
+                                        UpstreamListener.FailurePoint.SENT,
+                                        "upstream ended together with an answer without length");
+                                return;
+                            }
+                            finished.onComplete();
+                        }),
+                        MAX_CLOSING_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void releaseOrClose() {
