Forward no length that the bytes of an answer may not have

Callers saw, in a test: bytes of an upstream behind the answer to one request, where the answer to the next one on the same connection was due.

Cause: the length in the head of an answer was forwarded although its bytes were those of chunks (HTTP/1.0 with both framings) or those of several runs (a resumed stream), and the caller's connection did not count what it wrote.

Change: the length of a chunked answer and of a stream that may be resumed is not forwarded. The caller's connection counts the bytes that are due and closes when an answer has more or ends with fewer.

--- a/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/caller/CallerConnection.java
@@ -1,6 +1,7 @@
 package dev.wigeonward.gateway.caller;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -58,7 +59,8 @@
     private boolean closing;
     private boolean discardedSinceLingerCheck;
     private boolean keepAlive = true;
-    private boolean lengthKnown;
+    /** Bytes of the answer that are due by its stated length, or empty if it states none. */
+    private OptionalLong dueBytes = OptionalLong.empty();
 
     CallerConnection(
             CallerServer server,
@@ -261,8 +263,8 @@
         if (!canWrite()) {
             return;
         }
-        lengthKnown = HttpUtil.isContentLengthSet(response);
-        if (!lengthKnown) {
+        dueBytes = encoder.bodyLength(response);
+        if (!HttpUtil.isContentLengthSet(response)) {
             HttpUtil.setTransferEncodingChunked(response, true);
         }
         setConnectionHeader(response);
@@ -275,14 +277,31 @@
             bytes.release();
             return;
         }
+        if (dueBytes.isPresent()) {
+            long leftBytes = dueBytes.getAsLong() - bytes.readableBytes();
+            if (leftBytes < 0) {
+                // Bytes behind the stated length would stand for the answer to the next request.
+                dispatcher.telemetry().count("caller.length_exceeded");
+                bytes.release();
+                context.close();
+                return;
+            }
+            dueBytes = OptionalLong.of(leftBytes);
+        }
         context.writeAndFlush(new DefaultHttpContent(bytes));
     }
 
     @Override
     public void complete() {
-        if (canWrite()) {
-            finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        if (!canWrite()) {
+            return;
+        }
+        if (dueBytes.orElse(0) > 0) {
+            dispatcher.telemetry().count("caller.length_not_reached");
+            abort();
+            return;
         }
+        finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
 
     private void finish(ChannelFuture written) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
 /** One dispatch of a request to one upstream, and the forwarding of its answer. Runs on the event loop. */
@@ -228,11 +229,19 @@
         HopByHopHeaders.remove(copy.headers());
         dispatcher.headerCodec().removeNotices(copy.headers());
         sink.writeHead(copy);
+        if (HttpUtil.isTransferEncodingChunked(head) || mayBeContinued()) {
+            // The caller gets the bytes of the chunks, or those of further runs, whatever length the head states.
+            copy.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        }
     }
 
     @Override
     public void onContent(ByteBuf bytes) {
         switch (mode) {
+    private boolean mayBeContinued() {
+        return mode == Mode.FORWARD && eventStream && exchange.route().resumable();
+    }
+
             case FORWARD -> forward(bytes);
             case BUFFER -> buffer(bytes);
             default -> bytes.release();
