Do not pool a connection with a head that stops at the end of a line

Callers saw, in a test: an order answered 502 with an unknown outcome, its answer joined to a status line of a late one.

Change: AnswerDecoder remembers that a message has begun.

Evidence: two of six cases of lateAnswerInPiecesDoesNotEndTheNextRequest and both of heldBackStatusLineIsNotJoinedToTheNextAnswer failed before.

--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/AnswerDecoder.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/AnswerDecoder.java
@@ -1,15 +1,20 @@
 package dev.wigeonward.gateway.upstream;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
 /** Decoder of the answers on a connection, which decodes no bytes while the connection carries no request. */
 final class AnswerDecoder extends HttpResponseDecoder {
     private final UpstreamConnection connection;
     private boolean toHeadRequest;
+    private boolean messageBegun;
 
     AnswerDecoder(HttpDecoderConfig config, UpstreamConnection connection) {
         super(config);
@@ -23,7 +28,20 @@
 
     /** Returns whether the beginning of another message follows the last decoded one. */
     boolean hasUndecodedBytes() {
-        return actualReadableBytes() > 0;
+        return messageBegun || actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> decoded) throws Exception {
+        int readableBytes = buffer.readableBytes();
+        int decodedCount = decoded.size();
+        super.decode(context, buffer, decoded);
+        if (decoded.size() > decodedCount) {
+            messageBegun = !(decoded.get(decoded.size() - 1) instanceof LastHttpContent);
+        } else if (buffer.readableBytes() < readableBytes) {
+            // The lines of a head are consumed one by one.
+            messageBegun = true;
+        }
     }
 
     @Override
