Let every new connection take the place of an idle one that cannot serve

Callers saw, in a test: 502 for a HEAD request, or one without an identifier, at an upstream that accepts no more connections than the entry keeps idle.

Cause: only repeated identifiers closed an idle connection for the new one.

--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnectionPool.java
@@ -163,7 +163,7 @@
 
     private Optional<UpstreamConnection> takeIdle(String key, AnswerIdentity identity) {
         ArrayDeque<UpstreamConnection> pooled = idle.get(key);
-        if (pooled == null || identity instanceof AnswerIdentity.ByConnection) {
+        if (pooled == null) {
             return Optional.empty();
         }
         long now = nowMillis.getAsLong();
@@ -180,8 +180,8 @@
             }
             connection.close();
         }
-        // The new connection takes the place of one that cannot carry the request, so that callers that repeat an
-        // identifier do not use up the connections that the upstream accepts.
+        // The new connection takes the place of one that cannot carry the request, so that requests that need
+        // one do not use up the connections that the upstream accepts.
         if (!pooled.isEmpty()) {
             pooled.removeFirst().close();
         }
