Take the last answers without length of a leaving upstream as whole

Callers saw, in a test: 502 in place of a whole answer without length whose upstream had closed its listening socket as it left.

Cause: a refused connection was taken for a killed process in any case.

Change: it is not if the upstream is no longer listed as ready.

Evidence: with the new question always answered no, all three cases of lastAnswerOfALeavingUpstreamIsWhole fail.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -406,6 +406,11 @@
     @Override
     public void onFailed(FailurePoint failurePoint, String reason) {
         if (cancelled) {
+    @Override
+    public boolean upstreamMayEnd() {
+        return !exchange.scheduler().isListedAsReady(upstream);
+    }
+
             return;
         }
         dispatcher.count("upstream.broken." + failurePoint.name().toLowerCase(Locale.ROOT));
