End a request at once behind a late answer without length

Callers saw, in a test: 504 at the deadline, because the own answer was read as the body of a late one that ends with its connection.

Change: such a head ends the request at once, so that one which may be repeated goes on elsewhere. The timer of a discarded answer no longer closes a later one.

--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -198,17 +198,23 @@
         reusable &= !endsWithConnection && HttpUtil.isKeepAlive(head) && keepAliveMillis > 0;
         switch (listener.onHead(head, use())) {
             case ACCEPT -> headReceived = true;
-            case SKIP -> {
-                // This is a late answer to an earlier request, so the connection is not reused.
-                skipping = true;
-                reusable = false;
-            }
+            case SKIP -> startSkipping();
             case DISCARD -> startDiscarding();
             case CLOSE -> cancel();
             default -> throw new IllegalStateException("unknown action for the head of an answer");
         }
     }
 
+    /** Skips a late answer to an earlier request; the connection is not reused. */
+    private void startSkipping() {
+        if (endsWithConnection) {
+            failAndClose("late answer to an earlier request has no length");
+            return;
+        }
+        skipping = true;
+        reusable = false;
+    }
+
     private void startDiscarding() {
         listener = null;
         if (!reusable || !requestWritten) {
@@ -216,10 +222,11 @@
             return;
         }
         discarding = true;
+        int request = requests;
         channel.eventLoop()
                 .schedule(
                         () -> {
-                            if (discarding) {
+                            if (discarding && requests == request) {
                                 channel.close();
                             }
                         },
