Send the identifier that is compared with that of the answer

Callers saw, in a test: 504 at the deadline, or an unusable answer, for a request with two identifiers or one that its connection header names.

Cause: the first identifier was compared, but both or none were sent.

The log shortens foreign identifiers to 60 characters.

Evidence: both cases of identifierThatIsComparedIsTheOneThatIsSent failed before.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -152,6 +152,7 @@
                         headers,
                         new UpstreamCall(
                                 upstream,
+                                attemptId(),
                                 Math.max(1, deadlineAtMillis - dispatcher.nowMillis()),
                                 admitted.workspace().map(workspace -> workspace.name()),
                                 boundaries
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -38,6 +38,7 @@
     private static final int EVENTS_PER_OBSERVATION = 8;
 
     private static final int MAX_LOGGED_PARTS = 8;
+    private static final int MAX_LOGGED_ID_CHARACTERS = 60;
     /** Number of events after which the upstream has got beyond the beginning of its answer. */
     private static final int MIN_EVENTS_OF_ANSWER = 4;
 
@@ -180,7 +181,9 @@
                 .warning(
                         "foreign_answer",
                         "id=" + exchange.request().callerHead().attemptId().orElse("none") + " answer_id="
-                                + answerId.replace(' ', '_') + " upstream=" + upstream.lifetimeId() + " "
+                                + answerId.substring(0, Math.min(MAX_LOGGED_ID_CHARACTERS, answerId.length()))
+                                        .replace(' ', '_')
+                                + " upstream=" + upstream.lifetimeId() + " "
                                 + use.describe());
     }
 
@@ -226,22 +229,22 @@
         exchange.onHeadForwarded();
         HttpResponse copy = new DefaultHttpResponse(
                 HttpVersion.HTTP_1_1, head.status(), head.headers().copy());
-        HopByHopHeaders.remove(copy.headers());
-        dispatcher.headerCodec().removeNotices(copy.headers());
-        sink.writeHead(copy);
         if (HttpUtil.isTransferEncodingChunked(head) || mayBeContinued()) {
             // The caller gets the bytes of the chunks, or those of further runs, whatever length the head states.
             copy.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
         }
+        HopByHopHeaders.remove(copy.headers());
+        dispatcher.headerCodec().removeNotices(copy.headers());
+        sink.writeHead(copy);
     }
 
-    @Override
-    public void onContent(ByteBuf bytes) {
-        switch (mode) {
     private boolean mayBeContinued() {
         return mode == Mode.FORWARD && eventStream && exchange.route().resumable();
     }
 
+    @Override
+    public void onContent(ByteBuf bytes) {
+        switch (mode) {
             case FORWARD -> forward(bytes);
             case BUFFER -> buffer(bytes);
             default -> bytes.release();
@@ -403,14 +406,14 @@
         exchange.onAnswered(head.status().code());
     }
 
-    @Override
-    public void onFailed(FailurePoint failurePoint, String reason) {
-        if (cancelled) {
     @Override
     public boolean upstreamMayEnd() {
         return !exchange.scheduler().isListedAsReady(upstream);
     }
 
+    @Override
+    public void onFailed(FailurePoint failurePoint, String reason) {
+        if (cancelled) {
             return;
         }
         dispatcher.count("upstream.broken." + failurePoint.name().toLowerCase(Locale.ROOT));
