Connect to an agent's upstream as soon as it accepts connections again

Seen in a test: after ten refused connections a request to an upstream that was back was reported as not sent.

Cause: the default load balancer of ServiceTalk stops using an address after five failed connections and checks it every five seconds. With a connection for each request that is met more often, and it would also count as the death of an upstream behind an answer without length.

Change: HttpUpstreamClient uses SingleHostClients, which has no outlier detection, like the clients of the store and the VM list.

Evidence: upstreamGetsRequestsAsSoonAsItAcceptsConnections failed before.

--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -17,7 +17,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.wigeonward.common.http.Json;
-import dev.wigeonward.common.http.OneRequestPerConnection;
+import dev.wigeonward.common.http.SingleHostClients;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.order.Order;
@@ -26,14 +26,11 @@
 import io.servicetalk.client.api.NoAvailableHostException;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Publisher;
-import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
-import io.servicetalk.http.netty.HttpClients;
-import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
 import io.servicetalk.transport.api.RetryableException;
 
 /**
@@ -60,11 +57,7 @@
 
     private HttpUpstreamClient(InetSocketAddress address, boolean engine) {
         this.engine = engine;
-        this.client = HttpClients.forResolvedAddress(address)
-                .executionStrategy(HttpExecutionStrategies.offloadNone())
-                .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
-                .appendClientFilter(new OneRequestPerConnection())
-                .buildStreaming();
+        this.client = SingleHostClients.create("upstream", address).asStreamingClient();
     }
 
     /** Returns a client for a model engine. */
--- a/common/src/main/java/dev/wigeonward/common/http/OneRequestPerConnection.java
+++ b/common/src/main/java/dev/wigeonward/common/http/OneRequestPerConnection.java
@@ -16,7 +16,7 @@
  * Client filter that sends each request on a connection of its own. On a kept connection an answer to an earlier
  * request that the server writes once more would count as the answer to the next.
  */
-public final class OneRequestPerConnection implements StreamingHttpClientFilterFactory {
+final class OneRequestPerConnection implements StreamingHttpClientFilterFactory {
     @Override
     @SuppressWarnings("try") // the close method of the library may throw any exception
     public StreamingHttpClientFilter create(FilterableStreamingHttpClient client) {
