Wait until a killed upstream has closed all sockets before asking it

Seen in a test: half of an answer without length counted as whole if the listening socket of its upstream closed 0.1 s after the connection.

Cause: the kernel may close a connection of a killed process before its listening socket, so that the agent's question right behind the answer was still accepted.

Evidence: answerOfADeadUpstreamIsNotWhole with 100 ms failed before.

--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -48,6 +48,11 @@
     private static final int STATUS_NOT_MODIFIED = 304;
     private static final int MAX_RESUMES = 3;
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
+    /**
+     * Time in which the kernel closes all sockets of a process that was killed. It may close a connection before the
+     * listening socket.
+     */
+    private static final Duration MAX_CLOSING_TIME = Duration.ofMillis(200);
     /** Maximum time for an order; loading a large model takes minutes. */
     private static final Duration ORDER_TIMEOUT = Duration.ofMinutes(10);
 
@@ -277,10 +282,13 @@
          * the same way, so that the answer counts as whole only if the upstream still accepts connections.
          */
         private void finishIfUpstreamLives() {
-            client.request(client.get(HEALTH_PATH))
-                    .flatMapPublisher(StreamingHttpResponse::payloadBody)
-                    .ignoreElements()
-                    .timeout(PROBE_TIMEOUT)
+            client.executionContext()
+                    .executor()
+                    .timer(MAX_CLOSING_TIME)
+                    .concat(client.request(client.get(HEALTH_PATH))
+                            .flatMapPublisher(StreamingHttpResponse::payloadBody)
+                            .ignoreElements()
+                            .timeout(PROBE_TIMEOUT))
                     .whenOnComplete(this::finish)
                     .whenOnError(this::finishUnlessRefused)
                     .onErrorComplete()
--- a/agent/src/test/java/dev/wigeonward/agent/upstream/UnframedAnswerTest.java
+++ b/agent/src/test/java/dev/wigeonward/agent/upstream/UnframedAnswerTest.java
@@ -7,11 +7,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -19,7 +23,9 @@
 class UnframedAnswerTest {
     private static final String ANSWER = "HTTP/1.1 200 OK\r\n\r\nfirst half";
 
-    private final AtomicBoolean dies = new AtomicBoolean();
+    /** Time from the end of the answer to that of the listener, or a negative number if the server lives. */
+    private final AtomicInteger listenerMillis = new AtomicInteger(-1);
+
     private ServerSocket listener;
     private HttpUpstreamClient client;
 
@@ -61,18 +67,23 @@
             }
             request.append((char) next);
         }
-        if (dies.get()) {
-            listener.close();
-        }
         socket.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
         socket.shutdownOutput();
+        if (listenerMillis.get() >= 0) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(listenerMillis.get()));
+            listener.close();
+        }
         in.readAllBytes();
     }
 
-    /** Guards against half of an answer that counts as whole because its upstream has died. */
-    @Test
-    void answerOfADeadUpstreamIsNotWhole() {
-        dies.set(true);
+    /**
+     * Guards against half of an answer that counts as whole because its upstream has died, also if the kernel closes
+     * its listening socket after its connections.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 100})
+    void answerOfADeadUpstreamIsNotWhole(int millis) {
+        listenerMillis.set(millis);
 
         assertThat(AnswerCollector.submit(client, "id-1", "/a"))
                 .startsWith("failed")
