--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/Exchange.java
@@ -15,7 +15,6 @@
 import dev.wigeonward.core.stream.EventBoundaryScanner;
 import dev.wigeonward.gateway.port.UpstreamCall;
 import dev.wigeonward.gateway.upstream.AnswerIdentity;
-import dev.wigeonward.gateway.upstream.ConnectionUse;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -52,7 +51,9 @@
     private int returns;
     private long waitedMillis;
     private String lastFailure = "none";
-    private Optional<ConnectionUse> answerConnection = Optional.empty();
+    /** Connection and framing of the last answer, for the log. */
+    private Optional<String> answerOrigin = Optional.empty();
+
     private boolean mayHaveRun;
     private boolean headForwarded;
     private boolean done;
@@ -270,9 +271,9 @@
         dispatcher.offer(scheduledRequest, this, admitted.service());
     }
 
-    /** Records on which connection the last answer was received. */
-    void onAnswerHead(ConnectionUse use) {
-        answerConnection = Optional.of(use);
+    /** Records on which connection and in which framing the last answer was received, as key=value pairs. */
+    void onAnswerHead(String origin) {
+        answerOrigin = Optional.of(origin);
     }
 
     void onAnswered(int status) {
@@ -394,7 +395,7 @@
                 + Math.round(scheduledRequest.expectedEvents()) + " slowness_percent="
                 + Math.round(PERCENT * scheduledRequest.relativeSlownessAtPlacement()) + " kept_tokens="
                 + scheduledRequest.keptPromptTokens() + " last_failure=" + lastFailure
-                + answerConnection.map(use -> " " + use.describe()).orElse("");
+                + answerOrigin.map(origin -> " " + origin).orElse("");
     }
 
     boolean done() {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -144,8 +144,9 @@
             return HeadAction.SKIP;
         }
         dispatcher.notices().onAnswer(exchange.scheduler(), upstream, expectedId.orElse("none"), answer);
-        exchange.onAnswerHead(use);
         boolean identified = expectedId.isEmpty() || answer.attemptId().isPresent();
+        exchange.onAnswerHead(
+                use.describe() + " identified=" + answer.attemptId().isPresent() + " framing=" + framing(newHead));
         head = newHead;
         answerBeganAtMillis = dispatcher.nowMillis();
         eventStream = newHead.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM_TYPE);
@@ -169,6 +170,13 @@
         return identified ? HeadAction.DISCARD : HeadAction.CLOSE;
     }
 
+    private static String framing(HttpResponse head) {
+        if (HttpUtil.isTransferEncodingChunked(head)) {
+            return "chunks";
+        }
+        return HttpUtil.isContentLengthSet(head) ? "length" : "connection";
+    }
+
     /** Logs the first answer of a run that belongs to another request. */
     private void logForeignAnswer(String answerId, ConnectionUse use) {
         if (foreignAnswerLogged) {
@@ -235,10 +243,6 @@
         }
         HopByHopHeaders.remove(copy.headers());
         dispatcher.headerCodec().removeNotices(copy.headers());
-        if (exchange.route().resumable()) {
-            // Another run may continue the answer, so that its length is not that of this run.
-            copy.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-        }
         sink.writeHead(copy);
     }
 
