--- a/standins/src/test/java/dev/wigeonward/standins/vms/LateAnswerTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/vms/LateAnswerTest.java
@@ -37,7 +37,7 @@
                         new VmListOptions(server.address(), POLL_MILLIS, TIMEOUT_MILLIS), thread, new Random(1))) {
             awaitUntil("four polls", () -> polls.size() >= 4);
 
-            assertThat(polls.subList(0, 4))
+            assertThat(List.copyOf(polls).subList(0, 4))
                     .containsExactly("/v1/vms?since=0", "/v1/vms?since=1", "/v1/vms?since=2", "/v1/vms?since=3");
             assertThat(list.snapshot().version()).isGreaterThanOrEqualTo(3);
         } finally {
