--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -17,7 +17,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.wigeonward.common.http.Json;
-import dev.wigeonward.common.http.OneRequestPerConnection;
+import dev.wigeonward.common.http.SingleHostClients;
 import dev.wigeonward.core.error.ErrorKind;
 import dev.wigeonward.core.error.Failure;
 import dev.wigeonward.core.order.Order;
@@ -26,14 +26,11 @@
 import io.servicetalk.client.api.NoAvailableHostException;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Publisher;
-import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.StreamingHttpClient;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
-import io.servicetalk.http.netty.HttpClients;
-import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
 import io.servicetalk.transport.api.RetryableException;
 
 /**
@@ -51,6 +48,11 @@
     private static final int STATUS_NOT_MODIFIED = 304;
     private static final int MAX_RESUMES = 3;
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
+    /**
+     * Time in which the kernel closes all sockets of a process that was killed. It may close a connection before the
+     * listening socket.
+     */
+    private static final Duration MAX_CLOSING_TIME = Duration.ofMillis(200);
     /** Maximum time for an order; loading a large model takes minutes. */
     private static final Duration ORDER_TIMEOUT = Duration.ofMinutes(10);
 
@@ -60,11 +62,7 @@
 
     private HttpUpstreamClient(InetSocketAddress address, boolean engine) {
         this.engine = engine;
-        this.client = HttpClients.forResolvedAddress(address)
-                .executionStrategy(HttpExecutionStrategies.offloadNone())
-                .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
-                .appendClientFilter(new OneRequestPerConnection())
-                .buildStreaming();
+        this.client = SingleHostClients.create("upstream", address).asStreamingClient();
     }
 
     /** Returns a client for a model engine. */
@@ -284,10 +282,13 @@
          * the same way, so that the answer counts as whole only if the upstream still accepts connections.
          */
         private void finishIfUpstreamLives() {
-            client.request(client.get(HEALTH_PATH))
-                    .flatMapPublisher(StreamingHttpResponse::payloadBody)
-                    .ignoreElements()
-                    .timeout(PROBE_TIMEOUT)
+            client.executionContext()
+                    .executor()
+                    .timer(MAX_CLOSING_TIME)
+                    .concat(client.request(client.get(HEALTH_PATH))
+                            .flatMapPublisher(StreamingHttpResponse::payloadBody)
+                            .ignoreElements()
+                            .timeout(PROBE_TIMEOUT))
                     .whenOnComplete(this::finish)
                     .whenOnError(this::finishUnlessRefused)
                     .onErrorComplete()
