--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -235,10 +235,6 @@
         }
         HopByHopHeaders.remove(copy.headers());
         dispatcher.headerCodec().removeNotices(copy.headers());
-        if (exchange.route().resumable()) {
-            // Another run may continue the answer, so that its length is not that of this run.
-            copy.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-        }
         sink.writeHead(copy);
     }
 
