Take no answer without length of an ended upstream as whole, leaving or not

The upstream had been listed as leaving 30 ms before it was killed in the middle of the answer.

Cause: took a refused connection for the planned end of a leaving upstream. A kill and a planned end look alike there.

A last answer without length whose upstream has ended within 0.2 s counts as broken off, which promises nothing, while a short success would be believed.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -414,11 +414,6 @@
         exchange.onAnswered(head.status().code());
     }
 
-    @Override
-    public boolean upstreamMayEnd() {
-        return !exchange.scheduler().isListedAsReady(upstream);
-    }
-
     @Override
     public void onFailed(FailurePoint failurePoint, String reason) {
         if (cancelled) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamConnection.java
@@ -298,15 +298,13 @@
 
     /**
      * Completes an answer whose end was that of its connection. The connection of a process that was killed ends in the
-     * same way, so that the answer counts as whole only if the upstream still accepts connections after a while or is
-     * known to be leaving.
+     * same way, so that the answer counts as whole only if the upstream still accepts connections after a while.
      */
     private void completeIfUpstreamLives(UpstreamListener finished) {
         channel.eventLoop()
                 .schedule(
                         () -> pool.probe(upstream, result -> {
-                            boolean lives = result == UpstreamConnectionPool.ProbeResult.ACCEPTED;
-                            if (!lives && !finished.upstreamMayEnd()) {
+                            if (result != UpstreamConnectionPool.ProbeResult.ACCEPTED) {
                                 finished.onFailed(
                                         UpstreamListener.FailurePoint.SENT,
                                         "upstream ended together with an answer without length");
--- a/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/upstream/UpstreamListener.java
@@ -18,11 +18,6 @@
     /** Called after an accepted answer was received completely. */
     void onComplete();
 
-    /** Returns whether the upstream is known to be leaving, so that it may have ended in order after its answer. */
-    default boolean upstreamMayEnd() {
-        return false;
-    }
-
     /** Called when the request ends without a complete answer. */
     void onFailed(FailurePoint failurePoint, String reason);
 
