Follow the VMs beside one that cannot be read

One VM of another writer in the list, with a field missing, of another type or not valid, would have kept all entries from the whole list: they keep their last list, or after a restart have no upstream at all. A VM without a role or with a field of another type passed this check and failed later, when the entry applied the list. Why it works: a VM affects only its own entry in the list.

--- a/common/src/main/java/dev/wigeonward/common/vms/Vm.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/Vm.java
@@ -17,7 +17,7 @@
 
     public Vm {
         Preconditions.checkArgument(!id.isEmpty(), "VM id is empty, expected at least one character");
-        Objects.requireNonNull(role, "role");
+        Preconditions.checkArgument(!role.isEmpty(), "role of VM %s is empty, expected at least one character", id);
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(failureDomain, "failureDomain");
         Objects.requireNonNull(state, "state");
--- a/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
@@ -82,4 +82,19 @@
         standin.put(live("b"));
         awaitUntil("the new list", () -> list.snapshot().vms().keySet().equals(Set.of("b")));
     }
+
+    /** Guards against a VM of another writer that cannot be read and keeps the others from being followed. */
+    @Test
+    void vmsBesideUnreadableOneAreFollowed() {
+        VmRecord unreadable = new VmRecord("a&+# %", "agent", "host.example:7000", "fd1", "live");
+        standin.put(unreadable);
+        standin.put(live("a"));
+        awaitUntil("the VM in the whole list", () -> list.snapshot().vms().containsKey("a"));
+        standin.put(unreadable);
+        standin.put(live("b"));
+        standin.markLeaving("a");
+
+        awaitUntil("the changes", () -> list.snapshot().vms().keySet().equals(Set.of("a", "b")));
+        assertThat(list.snapshot().vms().get("a").state()).isEqualTo(Vm.State.LEAVING);
+    }
 }
