Poll the VM list on after a listener has failed

What callers saw: nothing yet; found while other readers were searched for the cause of the incident. Had the processing of one list failed, the process would have followed no list any more until its restart. Cause: an exception of a listener skipped the scheduling of the next poll, and the listeners after it. Change: HttpVmList logs the exception of a listener and goes on. Evidence: before the change HttpVmListTest#listIsPolledAfterListenerHasFailed waited 20 s for the second list; it passes now. Why it works: nothing that a listener throws reaches the code that schedules the next poll.

--- a/common/src/main/java/dev/wigeonward/common/vms/HttpVmList.java
+++ b/common/src/main/java/dev/wigeonward/common/vms/HttpVmList.java
@@ -56,7 +56,7 @@
         thread.execute(() -> {
             listeners.add(listener);
             if (snapshot.version() > 0) {
-                listener.accept(snapshot);
+                report(listener, snapshot);
             }
         });
     }
@@ -83,7 +83,7 @@
             boolean changed = !next.equals(snapshot);
             snapshot = next;
             if (changed) {
-                listeners.forEach(listener -> listener.accept(next));
+                listeners.forEach(listener -> report(listener, next));
             }
             schedulePoll();
         } catch (IOException e) {
@@ -91,6 +91,15 @@
         }
     }
 
+    /** Calls a listener, whose failure must neither end the polling nor affect the other listeners. */
+    private static void report(Consumer<VmSnapshot> listener, VmSnapshot list) {
+        try {
+            listener.accept(list);
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "a listener failed to process version " + list.version() + " of the VM list", e);
+        }
+    }
+
     /** Keeps the last list and schedules the next poll. Only the first of several failures in sequence is logged. */
     private void onFailure(Throwable failure) {
         if (!failing && !closed) {
--- a/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
+++ b/standins/src/test/java/dev/wigeonward/standins/vms/HttpVmListTest.java
@@ -97,4 +97,20 @@
         awaitUntil("the changes", () -> list.snapshot().vms().keySet().equals(Set.of("a", "b")));
         assertThat(list.snapshot().vms().get("a").state()).isEqualTo(Vm.State.LEAVING);
     }
+
+    /** Guards against a list that is no longer polled because a listener has failed. */
+    @Test
+    void listIsPolledAfterListenerHasFailed() {
+        List<VmSnapshot> reported = new CopyOnWriteArrayList<>();
+        list.subscribe(snapshot -> {
+            throw new IllegalStateException("listener fails as the test requires");
+        });
+        list.subscribe(reported::add);
+        standin.put(live("a"));
+        awaitUntil("the first list", () -> list.snapshot().vms().containsKey("a"));
+        standin.put(live("b"));
+
+        awaitUntil("the second list", () -> list.snapshot().vms().containsKey("b"));
+        awaitUntil("the report", () -> reported.contains(list.snapshot()));
+    }
 }
