Pass over a record that is null

The entry of another writer with the JSON value null among the rollout records or the spend totals would have kept the others from being read: no rollout would have gone on, and spend of other entries would not have counted. Cause: Jackson reads null as no object, and Optional.of threw an exception that the future swallowed, so that the callback was never called. Change: JsonEntries parses the values of both stores, and names a null value in the log like any other that is no record. Why it works: no value of one entry ends the reading of the others.

--- a/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
@@ -7,7 +7,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import dev.wigeonward.common.http.Json;
 import dev.wigeonward.common.store.Condition;
 import dev.wigeonward.common.store.KeyValue;
@@ -50,17 +49,8 @@
     }
 
     private static Optional<StoredRecord> parse(KeyValue entry) {
-        try {
-            RolloutRecord record = Json.mapper().readValue(entry.value(), RolloutRecord.class);
-            return Optional.of(new StoredRecord(record, entry.modRevision()));
-        } catch (JsonProcessingException e) {
-            System.getLogger(StoredRolloutRecords.class.getName())
-                    .log(
-                            System.Logger.Level.ERROR,
-                            "cannot parse the move record at key " + entry.key() + ", expected JSON",
-                            e);
-            return Optional.empty();
-        }
+        return JsonEntries.parse(entry, RolloutRecord.class)
+                .map(record -> new StoredRecord(record, entry.modRevision()));
     }
 
     @Override
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoredSpendTotals.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredSpendTotals.java
@@ -1,15 +1,11 @@
 package dev.wigeonward.entry.store;
 
-import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import dev.wigeonward.common.http.Json;
-import dev.wigeonward.common.store.KeyValue;
 import dev.wigeonward.common.store.KeyValueStore;
 import dev.wigeonward.common.store.Transaction;
 import dev.wigeonward.common.store.Write;
@@ -18,7 +14,6 @@
 
 /** A spend store that keeps totals as JSON under a key per period and entry. Each entry writes only its own key. */
 public final class StoredSpendTotals implements SpendStore {
-    private static final System.Logger LOG = System.getLogger(StoredSpendTotals.class.getName());
     private static final String ROOT = "/wigeonward/spend/";
     private static final int PAGE_ENTRIES = 500;
 
@@ -45,7 +40,8 @@
             String prefix, String afterKey, List<SpendSnapshot> found, Consumer<List<SpendSnapshot>> answer) {
         store.range(prefix, afterKey, PAGE_ENTRIES)
                 .thenAccept(result -> result.toOptional().ifPresent(page -> {
-                    page.entries().forEach(entry -> parse(entry).ifPresent(found::add));
+                    page.entries().forEach(entry -> JsonEntries.parse(entry, SpendSnapshot.class)
+                            .ifPresent(found::add));
                     if (page.hasMore()) {
                         String lastKey =
                                 page.entries().get(page.entries().size() - 1).key();
@@ -55,13 +51,4 @@
                     }
                 }));
     }
-
-    private static Optional<SpendSnapshot> parse(KeyValue entry) {
-        try {
-            return Optional.of(Json.mapper().readValue(entry.value(), SpendSnapshot.class));
-        } catch (JsonProcessingException e) {
-            LOG.log(Level.ERROR, "cannot parse the spend totals at key " + entry.key() + ", expected JSON", e);
-            return Optional.empty();
-        }
-    }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/store/ForeignRecordsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/store/ForeignRecordsTest.java
@@ -10,7 +10,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -22,14 +25,24 @@
 import dev.wigeonward.common.store.StoreOptions;
 import dev.wigeonward.common.store.Transaction;
 import dev.wigeonward.common.store.Write;
+import dev.wigeonward.core.rollout.RolloutPhase;
+import dev.wigeonward.core.rollout.RolloutRecord;
+import dev.wigeonward.core.rollout.StoredRecord;
+import dev.wigeonward.core.spend.SpendSnapshot;
+import dev.wigeonward.entry.store.StoredRolloutRecords;
+import dev.wigeonward.entry.store.StoredSpendTotals;
 import dev.wigeonward.standins.kv.KvStandin;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Tests records in the key-value service beside entries of other writers, over HTTP. */
 class ForeignRecordsTest {
+    private static final String ROLLOUTS = "/wigeonward/moves/";
+    private static final String SPEND = "/wigeonward/spend/2026-12/";
     /** A byte that ends no character in UTF-8, and sorts behind the replacement character. */
     private static final byte[] NO_UTF_8 = {(byte) 0xff};
 
@@ -41,6 +54,8 @@
             thread,
             new MetricRegistry(),
             new Random(1));
+    private final StoredRolloutRecords rollouts = new StoredRolloutRecords(store);
+    private final StoredSpendTotals spend = new StoredSpendTotals(store);
 
     @AfterEach
     void stop() {
@@ -49,6 +64,11 @@
         thread.shutdownNow();
     }
 
+    private static RolloutRecord rollout(String model) {
+        return new RolloutRecord(
+                model, "v1", "v2", 1, 100, RolloutPhase.PLANNED, 0, 1, 1, "w", 0, List.of(), Map.of(), "asked by ana");
+    }
+
     private void put(String key, String value) throws Exception {
         store.commit(new Transaction(List.of(), List.of(new Write.Put(key, value, 0))))
                 .get(5, TimeUnit.SECONDS);
@@ -71,6 +91,44 @@
         assertThat(response.statusCode()).isEqualTo(200);
     }
 
+    private void writeRollout(String model) throws Exception {
+        CompletableFuture<Long> written = new CompletableFuture<>();
+        rollouts.write(rollout(model), 0, (outcome, revision) -> written.complete(revision));
+        assertThat(written.get(5, TimeUnit.SECONDS)).isPositive();
+    }
+
+    private List<String> readModels() throws Exception {
+        CompletableFuture<Optional<List<StoredRecord>>> read = new CompletableFuture<>();
+        rollouts.readAll(read::complete);
+        return read.get(5, TimeUnit.SECONDS).orElseThrow().stream()
+                .map(stored -> stored.record().model())
+                .toList();
+    }
+
+    private List<String> readSpenders() throws Exception {
+        CompletableFuture<List<SpendSnapshot>> read = new CompletableFuture<>();
+        spend.readAll("2026-12", read::complete);
+        return read.get(5, TimeUnit.SECONDS).stream()
+                .map(SpendSnapshot::entryId)
+                .toList();
+    }
+
+    /**
+     * Guards against a controller that never starts, and against spend that is not counted, because an entry of another
+     * writer stands among the records.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "null", "7", "[]", "{}", "{", "{\"model\":\"m\"}", "{\"model\":null}", "\u0000"})
+    void recordsBesideForeignOneAreRead(String foreign) throws Exception {
+        put(ROLLOUTS + "a&+# %", foreign);
+        put(SPEND + "a&+# %", foreign);
+        writeRollout("m");
+        spend.write(new SpendSnapshot("2026-12", "e", Map.of()));
+
+        assertThat(readModels()).containsExactly("m");
+        assertThat(readSpenders()).containsExactly("e");
+    }
+
     /** Guards against a list that never ends because the key at the end of a page is not valid in UTF-8. */
     @Test
     void pagesEndBesideKeysThatAreNotText() throws Exception {
