Read all pages of the rollout records

If other writers had left 500 entries whose keys sort before a rollout record, the record would not have been read, and its rollout not gone on. Cause: only the first 500 entries under the prefix were read, whatever they were. Change: JsonEntries reads all pages, for the rollout records and for the spend totals, which had the same loop already. Evidence: before the change ForeignRecordsTest#recordsBehindPageOfForeignOnesAreRead read no record behind 505 foreign entries; it passes now. Why it works: reading ends with the last page and not with a number of entries.

--- a/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
@@ -1,7 +1,6 @@
 package dev.wigeonward.entry.store;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -22,8 +21,6 @@
 /** A rollout record store that keeps the record of each model as JSON under its own key. */
 public final class StoredRolloutRecords implements RolloutRecordStore {
     private static final String ROOT = "/wigeonward/moves/";
-    /** Maximum number of records read; a deployment of the target size uses seven models. */
-    private static final int MAX_RECORDS = 500;
 
     private final KeyValueStore store;
 
@@ -34,12 +31,11 @@
 
     @Override
     public void readAll(Consumer<Optional<List<StoredRecord>>> answer) {
-        store.range(ROOT, "", MAX_RECORDS)
-                .thenAccept(result -> answer.accept(result.toOptional().map(page -> {
-                    List<StoredRecord> records = new ArrayList<>();
-                    page.entries().forEach(entry -> parse(entry).ifPresent(records::add));
-                    return records;
-                })));
+        JsonEntries.readAll(
+                store,
+                ROOT,
+                entries -> answer.accept(entries.map(all ->
+                        all.stream().flatMap(entry -> parse(entry).stream()).toList())));
     }
 
     @Override
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoredSpendTotals.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredSpendTotals.java
@@ -1,7 +1,6 @@
 package dev.wigeonward.entry.store;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -15,7 +14,6 @@
 /** A spend store that keeps totals as JSON under a key per period and entry. Each entry writes only its own key. */
 public final class StoredSpendTotals implements SpendStore {
     private static final String ROOT = "/wigeonward/spend/";
-    private static final int PAGE_ENTRIES = 500;
 
     private final KeyValueStore store;
 
@@ -33,22 +31,11 @@
 
     @Override
     public void readAll(String period, Consumer<List<SpendSnapshot>> answer) {
-        readFrom(ROOT + period + "/", "", new ArrayList<>(), answer);
-    }
-
-    private void readFrom(
-            String prefix, String afterKey, List<SpendSnapshot> found, Consumer<List<SpendSnapshot>> answer) {
-        store.range(prefix, afterKey, PAGE_ENTRIES)
-                .thenAccept(result -> result.toOptional().ifPresent(page -> {
-                    page.entries().forEach(entry -> JsonEntries.parse(entry, SpendSnapshot.class)
-                            .ifPresent(found::add));
-                    if (page.hasMore()) {
-                        String lastKey =
-                                page.entries().get(page.entries().size() - 1).key();
-                        readFrom(prefix, lastKey, found, answer);
-                    } else {
-                        answer.accept(found);
-                    }
-                }));
+        JsonEntries.readAll(
+                store,
+                ROOT + period + "/",
+                entries -> entries.ifPresent(all -> answer.accept(all.stream()
+                        .flatMap(entry -> JsonEntries.parse(entry, SpendSnapshot.class).stream())
+                        .toList())));
     }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/store/ForeignRecordsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/store/ForeignRecordsTest.java
@@ -129,6 +129,17 @@
         assertThat(readSpenders()).containsExactly("e");
     }
 
+    /** Guards against records that are not read because more entries of another writer than a page sort before them. */
+    @Test
+    void recordsBehindPageOfForeignOnesAreRead() throws Exception {
+        for (int number = 0; number < 505; number++) {
+            put(ROLLOUTS + "a" + number, "x");
+        }
+        writeRollout("m");
+
+        assertThat(readModels()).containsExactly("m");
+    }
+
     /** Guards against a list that never ends because the key at the end of a page is not valid in UTF-8. */
     @Test
     void pagesEndBesideKeysThatAreNotText() throws Exception {
