Take no copy of a record under another key for a record

A copy that another writer keeps beside a rollout record or beside the spend totals of an entry would have counted as a second one: spend twice, and a rollout from an old record with a revision that no write can match. Cause: only the value of an entry was read, not its key. Change: a value counts only under the key that belongs to it; a copy is named in the log. Why it works: each record has one key, which its own writer uses.

--- a/entry/src/main/java/dev/wigeonward/entry/store/JsonEntries.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/JsonEntries.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import dev.wigeonward.common.http.Json;
@@ -44,16 +45,16 @@
         });
     }
 
-    /** Returns the value of an entry, or empty if it is not a value of the type; other writers may use the prefix. */
-    static <T> Optional<T> parse(KeyValue entry, Class<T> type) {
+    /**
+     * Returns the value of an entry, or empty if it is not a value of the type that belongs to the entry's key; other
+     * writers may use the prefix.
+     */
+    static <T> Optional<T> parse(KeyValue entry, Class<T> type, Function<T, String> keyOf) {
         try {
-            Optional<T> value = Optional.ofNullable(Json.mapper().readValue(entry.value(), type));
+            Optional<T> value = Optional.ofNullable(Json.mapper().readValue(entry.value(), type))
+                    .filter(read -> keyOf.apply(read).equals(entry.key()));
             if (value.isEmpty()) {
-                LOG.log(
-                        Level.ERROR,
-                        "value of key {0} is null, expected {1} as JSON",
-                        entry.key(),
-                        type.getSimpleName());
+                LOG.log(Level.ERROR, "value of key {0} is not the {1} of that key", entry.key(), type.getSimpleName());
             }
             return value;
         } catch (JsonProcessingException e) {
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredRolloutRecords.java
@@ -29,6 +29,10 @@
         this.store = store;
     }
 
+    private static String key(String model) {
+        return ROOT + model;
+    }
+
     @Override
     public void readAll(Consumer<Optional<List<StoredRecord>>> answer) {
         JsonEntries.readAll(
@@ -40,18 +44,18 @@
 
     @Override
     public void read(String model, Consumer<Optional<StoredRecord>> answer) {
-        store.get(ROOT + model).thenAccept(result -> result.toOptional()
+        store.get(key(model)).thenAccept(result -> result.toOptional()
                 .ifPresent(entry -> answer.accept(entry.flatMap(StoredRolloutRecords::parse))));
     }
 
     private static Optional<StoredRecord> parse(KeyValue entry) {
-        return JsonEntries.parse(entry, RolloutRecord.class)
+        return JsonEntries.parse(entry, RolloutRecord.class, record -> key(record.model()))
                 .map(record -> new StoredRecord(record, entry.modRevision()));
     }
 
     @Override
     public void write(RolloutRecord record, long expectedRevision, BiConsumer<WriteOutcome, Long> answer) {
-        String key = ROOT + record.model();
+        String key = key(record.model());
         String value = new String(Json.write(record), StandardCharsets.UTF_8);
         Condition unchanged = new Condition.ModRevision(key, expectedRevision);
         store.commit(Transaction.of(unchanged, new Write.Put(key, value, 0)))
--- a/entry/src/main/java/dev/wigeonward/entry/store/StoredSpendTotals.java
+++ b/entry/src/main/java/dev/wigeonward/entry/store/StoredSpendTotals.java
@@ -24,9 +24,12 @@
 
     @Override
     public void write(SpendSnapshot snapshot) {
-        String key = ROOT + snapshot.period() + "/" + snapshot.entryId();
         String value = new String(Json.write(snapshot), StandardCharsets.UTF_8);
-        store.commit(new Transaction(List.of(), List.of(new Write.Put(key, value, 0))));
+        store.commit(new Transaction(List.of(), List.of(new Write.Put(key(snapshot), value, 0))));
+    }
+
+    private static String key(SpendSnapshot snapshot) {
+        return ROOT + snapshot.period() + "/" + snapshot.entryId();
     }
 
     @Override
@@ -35,7 +38,8 @@
                 store,
                 ROOT + period + "/",
                 entries -> entries.ifPresent(all -> answer.accept(all.stream()
-                        .flatMap(entry -> JsonEntries.parse(entry, SpendSnapshot.class).stream())
+                        .flatMap(
+                                entry -> JsonEntries.parse(entry, SpendSnapshot.class, StoredSpendTotals::key).stream())
                         .toList())));
     }
 }
--- a/verification/src/test/java/dev/wigeonward/verification/store/ForeignRecordsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/store/ForeignRecordsTest.java
@@ -21,6 +21,7 @@
 import com.codahale.metrics.MetricRegistry;
 import dev.wigeonward.common.clock.MonotonicClock;
 import dev.wigeonward.common.store.EtcdStore;
+import dev.wigeonward.common.store.KeyValue;
 import dev.wigeonward.common.store.Page;
 import dev.wigeonward.common.store.StoreOptions;
 import dev.wigeonward.common.store.Transaction;
@@ -129,6 +130,24 @@
         assertThat(readSpenders()).containsExactly("e");
     }
 
+    /** Guards against a copy of a record that counts as a second one, and against spend that counts twice. */
+    @Test
+    void copyUnderAnotherKeyIsNoRecord() throws Exception {
+        writeRollout("m");
+        spend.write(new SpendSnapshot("2026-12", "e", Map.of()));
+        for (String prefix : List.of(ROLLOUTS + "m", SPEND + "e")) {
+            KeyValue original = store.get(prefix)
+                    .get(5, TimeUnit.SECONDS)
+                    .toOptional()
+                    .orElseThrow()
+                    .orElseThrow();
+            put(prefix + " copy", original.value());
+        }
+
+        assertThat(readModels()).containsExactly("m");
+        assertThat(readSpenders()).containsExactly("e");
+    }
+
     /** Guards against records that are not read because more entries of another writer than a page sort before them. */
     @Test
     void recordsBehindPageOfForeignOnesAreRead() throws Exception {
