Open the links beside a VM with an IPv6 address

What callers saw: nothing yet; found while other readers were searched for the cause of the incident. One VM with an IPv6 address in the list would have kept an entry from opening the links to the agents behind it, at each list and each retry. Cause: address and port were joined without the brackets that the reader of the text needs. Its exception ended the effects of the whole list. Change: MembershipHandler, LinkTransport and PeerSync write IPv6 addresses in brackets, with the functions of Guava and Netty. The text of IPv4 addresses stays the same. A link over IPv6 was not run. Why it works: the text is read back as the host and the port from which it was made.

--- a/entry/src/main/java/dev/wigeonward/entry/control/MembershipHandler.java
+++ b/entry/src/main/java/dev/wigeonward/entry/control/MembershipHandler.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
 import dev.wigeonward.common.vms.Vm;
 import dev.wigeonward.common.vms.VmSnapshot;
 import dev.wigeonward.core.dispatch.EntryEvent;
@@ -46,10 +48,16 @@
                 vm.id(),
                 entry ? ListedVm.Role.ENTRY : ListedVm.Role.AGENT,
                 entry ? "" : vm.role(),
-                vm.address().getAddress().getHostAddress() + ":" + vm.address().getPort(),
+                addressOf(vm),
                 vm.state() == Vm.State.LEAVING);
     }
 
+    /** Returns the address in the form that the links use, in which an IPv6 address has brackets. */
+    private static String addressOf(Vm vm) {
+        String host = InetAddresses.toAddrString(vm.address().getAddress());
+        return HostAndPort.fromParts(host, vm.address().getPort()).toString();
+    }
+
     void onLinkUp(UpstreamDescription upstream, long nowMillis) {
         incarnations.put(upstream.upstreamId(), upstream.incarnation());
         handle(new MembershipEvent.LinkUp(upstream.upstreamId(), upstream.incarnation()), nowMillis);
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
@@ -28,6 +28,7 @@
 import dev.wigeonward.wire.generated.PeerPrompts;
 import dev.wigeonward.wire.generated.PeerState;
 import io.netty.channel.EventLoop;
+import io.netty.util.NetUtil;
 
 /**
  * Synchronizes load, workspace usage, observed unit times and the view of the store with the other entries, over links.
@@ -104,8 +105,7 @@
             EventLog log) {
         this.log = log;
         this.incarnation = self.incarnation();
-        this.ownAddress = self.address().getAddress().getHostAddress() + ":"
-                + self.address().getPort();
+        this.ownAddress = NetUtil.toSocketAddressString(self.address());
         this.dispatcher = dispatcher;
         this.store = store;
         this.loop = loop;
--- a/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
+++ b/wire/src/main/java/dev/wigeonward/wire/LinkTransport.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.NetUtil;
 
 /** Transport that opens and accepts links on one event loop. */
 public final class LinkTransport implements AutoCloseable {
@@ -103,7 +104,7 @@
 
     /** Starts to open a link; the listener is called with the result. */
     public void connect(InetSocketAddress address) {
-        String name = address.getAddress().getHostAddress() + ":" + address.getPort();
+        String name = NetUtil.toSocketAddressString(address);
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
