Escape request identifiers in the paths of streams

A request identifier begins with the id of its entry, which settings give as any text. With a blank or one of / ? # % in it, an engine was asked to cancel or resume another stream or none: it would have worked on for callers that had left, and a broken answer would have failed instead of being resumed. Change: HttpUpstreamClient escapes it as one segment of a path (UrlEscapers of Guava); the emulated engine reads the whole rest of the decoded path. The path of identifiers without special characters stays the same. Why it works: the engine decodes the identifier that it got with the request.

--- a/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
+++ b/agent/src/main/java/dev/wigeonward/agent/upstream/HttpUpstreamClient.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.net.UrlEscapers;
 import dev.wigeonward.common.http.Json;
 import dev.wigeonward.common.http.SendCondition;
 import dev.wigeonward.common.http.SingleHostClients;
@@ -54,6 +55,8 @@
      * listening socket.
      */
     private static final Duration MAX_CLOSING_TIME = Duration.ofMillis(200);
+
+    private static final String STREAMS_PATH = "/v1/streams";
     /** Maximum time for an order; loading a large model takes minutes. */
     private static final Duration ORDER_TIMEOUT = Duration.ofMinutes(10);
 
@@ -103,16 +106,21 @@
             return;
         }
         Optional.ofNullable(calls.remove(id)).ifPresent(Call::cancel);
-        delete("/v1/streams/" + id.value());
+        delete(streamPath(id));
     }
 
     @Override
     public void cancelAll() {
         if (engine) {
-            delete("/v1/streams");
+            delete(STREAMS_PATH);
         }
     }
 
+    /** Returns the path of a request's stream; a request identifier may hold any characters. */
+    private static String streamPath(RequestId id) {
+        return STREAMS_PATH + "/" + UrlEscapers.urlPathSegmentEscaper().escape(id.value());
+    }
+
     private void delete(String path) {
         client.request(client.delete(path))
                 .flatMapPublisher(StreamingHttpResponse::payloadBody)
@@ -346,7 +354,7 @@
         }
 
         private void resume() {
-            String path = "/v1/streams/" + id.value() + "?offset=" + receivedBytes.get();
+            String path = streamPath(id) + "?offset=" + receivedBytes.get();
             read(client.request(client.get(path)).flatMapPublisher(response -> {
                 if (response.status().code() != STATUS_OK) {
                     return response.payloadBody()
--- a/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
+++ b/standins/src/main/java/dev/wigeonward/standins/engine/EngineEmulator.java
@@ -36,6 +36,7 @@
  * /v1/orders}, {@code GET /health}, {@code POST /admin/faults}, {@code GET /admin/ran}.
  */
 public final class EngineEmulator implements AutoCloseable {
+    private static final String STREAM_PREFIX = "/v1/streams/";
     private static final int MAX_BODY_BYTES = 64 << 20;
     private static final int DEFAULT_OUTPUT_TOKENS = 16;
     private static final int CHARACTERS_PER_TOKEN = 4;
@@ -97,11 +98,11 @@
         if (route.equals("POST /v1/chat/completions")) {
             return complete(exchange, body);
         }
-        if (route.startsWith("GET /v1/streams/")) {
+        if (route.startsWith("GET " + STREAM_PREFIX)) {
             return resume(exchange);
         }
-        if (route.startsWith("DELETE /v1/streams/")) {
-            batch.cancel(lastSegment(exchange));
+        if (route.startsWith("DELETE " + STREAM_PREFIX)) {
+            batch.cancel(streamId(exchange));
             return exchange.json(HttpResponseStatus.OK, Map.of());
         }
         return switch (route) {
@@ -176,10 +177,10 @@
     }
 
     private StreamingHttpResponse resume(Exchange exchange) {
-        return batch.find(lastSegment(exchange))
+        return batch.find(streamId(exchange))
                 .map(stream -> exchange.stream(stream, exchange.intParameter("offset")))
                 .orElseGet(() -> exchange.error(
-                        HttpResponseStatus.NOT_FOUND, "stream " + lastSegment(exchange) + " does not exist"));
+                        HttpResponseStatus.NOT_FOUND, "stream " + streamId(exchange) + " does not exist"));
     }
 
     private synchronized StreamingHttpResponse order(Exchange exchange, byte[] body) {
@@ -216,9 +217,9 @@
         return exchange.json(HttpResponseStatus.OK, Map.of());
     }
 
-    private static String lastSegment(Exchange exchange) {
-        String path = exchange.request.path();
-        return path.substring(path.lastIndexOf('/') + 1);
+    /** Returns the identifier in the decoded path of a stream, which may hold slashes. */
+    private static String streamId(Exchange exchange) {
+        return exchange.request.path().substring(STREAM_PREFIX.length());
     }
 
     @Override
