Bound the length of a log line

What callers saw: nothing yet; found while other readers were searched for the cause of the incident. A line that names an entry which is passed over repeats the field that is wrong, which may have a megabyte. Up to 2,048 lines wait in the queue. Cause: the bound of the queue counts lines and not their length. Change: EventLog cuts the details of a line at 2,000 characters. Why it works: the queue holds at most 2,048 lines of bounded length; the key stands before the reason.

--- a/gateway/src/main/java/dev/wigeonward/gateway/event/EventLog.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/event/EventLog.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.base.Ascii;
 
 /**
  * Asynchronous log for the event loop: a separate thread formats and writes the lines. The event loop never blocks on
@@ -15,6 +16,8 @@
 public final class EventLog {
     /** Bound of the queue: a few seconds of log lines of a busy entry, a few hundred kilobytes. */
     private static final int MAX_QUEUED_LINES = 2_048;
+    /** Bound of the details of a line, which may repeat what other writers have put into the store. */
+    private static final int MAX_DETAILS_CHARS = 2_000;
     /** Longest wait in {@link #stop} for room in the queue, and again for the writer to end. */
     private static final long STOP_WAIT_MILLIS = 300;
 
@@ -49,16 +52,16 @@
 
     /** Logs a notable event; {@code details} holds key=value pairs. */
     public void info(String event, String details) {
-        offer(new Line(Level.INFO, event, details));
+        offer(Level.INFO, event, details);
     }
 
     /** Logs a problem that does not stop the process; {@code details} holds key=value pairs. */
     public void warning(String event, String details) {
-        offer(new Line(Level.WARNING, event, details));
+        offer(Level.WARNING, event, details);
     }
 
-    private void offer(Line line) {
-        if (!lines.offer(line)) {
+    private void offer(Level level, String event, String details) {
+        if (!lines.offer(new Line(level, event, Ascii.truncate(details, MAX_DETAILS_CHARS, "...")))) {
             droppedSinceReport.incrementAndGet();
             droppedTotal.incrementAndGet();
         }
