--- a/common/src/test/java/dev/wigeonward/common/vms/VmListAnswerTest.java
+++ b/common/src/test/java/dev/wigeonward/common/vms/VmListAnswerTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -21,28 +22,7 @@
                         .formatted(current.version() + 1, full, String.join(",", vms)));
     }
 
-    /** Guards against a VM of another writer that cannot be read and keeps the whole list from being followed. */
-    @ParameterizedTest
-    @ValueSource(
-            strings = {
-                "{}",
-                "null",
-                "[]",
-                "7",
-                "{\"role\":\"agent\",\"address\":\"127.0.0.1:1\",\"failure_domain\":\"fd1\",\"state\":\"live\"}",
-                "{\"id\":\"\",\"role\":\"agent\",\"address\":\"127.0.0.1:1\",\"failure_domain\":\"f\",\"state\":\"live\"}",
-                "{\"id\":null,\"role\":\"agent\",\"address\":\"127.0.0.1:1\",\"failure_domain\":\"f\",\"state\":\"live\"}",
-                "{\"id\":7,\"role\":\"agent\",\"address\":\"127.0.0.1:1\",\"failure_domain\":\"f\",\"state\":\"live\"}",
-                "{\"id\":\"x\",\"role\":\"\",\"address\":\"127.0.0.1:1\",\"failure_domain\":\"f\",\"state\":\"live\"}",
-                "{\"id\":\"x\",\"role\":[],\"address\":\"127.0.0.1:1\",\"failure_domain\":\"f\",\"state\":\"live\"}",
-                "{\"id\":\"x\",\"role\":\"agent\",\"address\":\"127.0.0.1\",\"failure_domain\":\"f\",\"state\":\"live\"}",
-                "{\"id\":\"x\",\"role\":\"agent\",\"address\":\"a.example:1\",\"failure_domain\":\"f\",\"state\":\"live\"}",
-                "{\"id\":\"x\",\"role\":\"agent\",\"address\":\"127.0.0.1:0\",\"failure_domain\":\"f\",\"state\":\"live\"}",
-                "{\"id\":\"x\",\"role\":\"agent\",\"address\":\"127.0.0.1:1\",\"failure_domain\":5,\"state\":\"live\"}",
-                "{\"id\":\"x\",\"role\":\"agent\",\"address\":\"127.0.0.1:1\",\"failure_domain\":\"f\",\"state\":\"idle\"}",
-                "{\"id\":\"x\",\"role\":\"agent\",\"address\":\"127.0.0.1:1\",\"failure_domain\":\"f\"}",
-            })
-    void vmsBesideUnreadableOneAreListed(String unreadable) throws IOException {
+    private static void assertOthersAreListedBeside(String unreadable) throws IOException {
         VmSnapshot whole = apply(VmSnapshot.empty(), true, SOUND.formatted("a"), unreadable, SOUND.formatted("b"));
         VmSnapshot changed = apply(whole, false, unreadable, SOUND.formatted("c"));
 
@@ -50,6 +30,36 @@
         assertThat(changed.vms()).containsOnlyKeys("a", "b", "c");
     }
 
+    /** Guards against a VM of another writer that cannot be read and keeps the whole list from being followed. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"id\":\"odd\",|",
+                "\"id\":\"odd\"|\"id\":\"\"",
+                "\"id\":\"odd\"|\"id\":null",
+                "\"id\":\"odd\"|\"id\":7",
+                "\"role\":\"agent\"|\"role\":\"\"",
+                "\"role\":\"agent\"|\"role\":[]",
+                "127.0.0.1:7000|127.0.0.1",
+                "127.0.0.1:7000|127.0.0.1:0",
+                "127.0.0.1:7000|127.0.0.1:x&y+#%",
+                "127.0.0.1:7000|host.example:7000",
+                "\"failure_domain\":\"fd1\"|\"failure_domain\":5",
+                "\"state\":\"live\"|\"state\":\"idle\"",
+                "\"state\":\"live\"|\"other\":\"live\"",
+            })
+    void vmsBesideOneWithInvalidFieldAreListed(String valid, String invalid) throws IOException {
+        assertOthersAreListedBeside(SOUND.formatted("odd").replace(valid, invalid == null ? "" : invalid));
+    }
+
+    /** Guards against an element of another kind in the list that keeps the VMs from being followed. */
+    @ParameterizedTest
+    @ValueSource(strings = {"{}", "null", "[]", "7"})
+    void vmsBesideElementOfAnotherKindAreListed(String element) throws IOException {
+        assertOthersAreListedBeside(element);
+    }
+
     /** Guards against a VM that stays in the list as it was, after its entry has become unreadable. */
     @Test
     void vmWhoseEntryBecomesUnreadableIsLeftOut() throws IOException {
