Try a new version under all requests before its rollout completes

Cause: the step to all requests was the last one, so no answer under that load could count, and the shares before it used up the exposure limit without ever showing the fault.

Change: the shares follow from the exposure limit, which is now a setting. The stage of a trial expires with it. Other entries follow the steps, so that a new controller neither repeats the trial nor skips the review. A completed rollout is reverted if its version turns bad before the state is stored, and never after. The test on failures expects 1% at least, so that a good version with a failure in a hundred is not taken back.

--- a/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
@@ -1,32 +1,27 @@
 package dev.wigeonward.core.rollout;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 
 /**
- * The state machine of one service rollout, driven by the evidence of all entries. The total share of requests that a
- * bad version may get up to the deadline is limited, so the share stays small for half of the time and then grows in
- * two steps. Not thread-safe.
+ * The state machine of one service rollout, driven by the evidence of all entries. The new version gets a canary share
+ * for half of the time, then all requests for a short trial, then the canary share again until the answers of the trial
+ * are known, and then all requests until the old version has none left. Not thread-safe.
  */
 public final class ServiceRollout {
     /** Version name under which the evidence of all versions other than the target version is combined. */
     private static final String PREVIOUS = "previous";
-    /** Initial share. Operators commonly allow a bad version a tenth of all requests; this is half of that. */
-    private static final int CANARY_BASIS_POINTS = 500;
-
-    private static final int HALF_BASIS_POINTS = 5_000;
     /** Fraction of the time from start to deadline during which the share stays at the canary share. */
     private static final double CANARY_TIME_FRACTION = 0.5;
-    /** Fraction of the time after which the share grows even if some routes had too few requests for a verdict. */
-    private static final double MAX_CANARY_TIME_FRACTION = 0.65;
-
-    /** Fraction of the time during which the share stays at one half. */
-    private static final double HALF_SHARE_TIME_FRACTION = 0.12;
+    /** Fraction of the time after which the trial starts even if some routes had too few requests for a verdict. */
+    private static final double MAX_CANARY_TIME_FRACTION = 0.6;
     /** Fraction of the time after which the rollout completes even if old upstreams still have requests in progress. */
     private static final double MAX_DRAIN_TIME_FRACTION = 0.95;
-    /** Minimum number of the new version's requests before the share grows beyond the canary share. */
-    private static final long MIN_SAMPLES = 20;
+    /** Minimum number of the new version's requests before the trial. */
+    private static final long MIN_SAMPLES = 12;
+    /** Number of requests that are enough for a trial. */
+    private static final long ENOUGH_TRIAL_SAMPLES = 20;
+    /** Minimum fraction of the requests expected in a trial that it must have had. */
+    private static final double MIN_TRIAL_FRACTION = 0.5;
     /** Time for which a route must look bad when there is no recent evidence of the old version to compare with. */
     private static final long CONFIRM_MILLIS = 700;
 
@@ -39,19 +34,43 @@
     private final RolloutOrder order;
     private final VersionEvaluator evaluator = new VersionEvaluator(EVALUATION_SETTINGS);
     private final RolloutEvidence evidence;
-    private final Map<String, Long> samplesBySource = new HashMap<>();
-    private int shareBasisPoints = CANARY_BASIS_POINTS;
-    private long halfShareStartMillis;
+    private final RolloutTraffic traffic;
+    private final TrialPlan plan;
+    private Step step = Step.CANARY;
+    private int canaryBasisPoints;
+    private long trialEndMillis;
+    private double expectedTrialRequests;
     private RolloutState state = RolloutState.IN_PROGRESS;
+    private String reason = "";
+
+    /** Step of a rollout that is in progress. */
+    private enum Step {
+        /** The new version gets a small share. */
+        CANARY,
+        /** The new version gets all requests for a short time. */
+        TRIAL,
+        /** The new version gets the canary share again until the answers of the trial are known. */
+        REVIEW,
+        /** The new version gets all requests, and the old one finishes those that it has. */
+        DRAIN
+    }
 
-    private ServiceRollout(RolloutOrder order) {
+    private ServiceRollout(RolloutOrder order, ExposureLimit limit) {
         this.order = order;
         this.evidence = new RolloutEvidence(PREVIOUS, order.targetVersion(), CONFIRM_MILLIS);
+        this.traffic = new RolloutTraffic(order.startMillis());
+        this.plan = new TrialPlan(order, limit);
+        this.canaryBasisPoints = plan.canaryBasisPoints(traffic, order.startMillis());
     }
 
-    /** Creates a rollout whose target version gets the canary share. */
+    /** Creates a rollout with the default exposure limit. */
     public static ServiceRollout of(RolloutOrder order) {
-        return new ServiceRollout(order);
+        return of(order, ExposureLimit.DEFAULT);
+    }
+
+    /** Creates a rollout whose target version gets the canary share. */
+    public static ServiceRollout of(RolloutOrder order, ExposureLimit limit) {
+        return new ServiceRollout(order, limit);
     }
 
     /** Returns the order. */
@@ -64,26 +83,26 @@
         return state;
     }
 
+    /** Returns why the rollout was reverted without a verdict, or an empty string. */
+    public String reason() {
+        return reason;
+    }
+
     /** Adds a report of the counters that one entry has kept since its start; other services are ignored. */
     public void add(ControllerEvent.EvidenceReported report, long nowMillis) {
         if (!report.version().model().equals(order.service())) {
             return;
         }
         boolean isTarget = report.version().version().equals(order.targetVersion());
-        if (isTarget) {
-            String source = report.upstreamId() + "/" + report.incarnation() + "/"
-                    + report.cell().route() + "/" + report.cell().underLoad();
-            samplesBySource.put(source, report.counters().requests());
-        }
+        String upstreamId =
+                report.upstreamId() + (isTarget ? "" : "/" + report.version().version());
+        String source = upstreamId + "/" + report.incarnation() + "/"
+                + report.cell().route() + "/" + report.cell().underLoad();
+        traffic.add(source, isTarget, report.counters().requests(), nowMillis);
         ModelVersion version = new ModelVersion(order.service(), isTarget ? order.targetVersion() : PREVIOUS);
         evidence.add(
                 new ControllerEvent.EvidenceReported(
-                        report.upstreamId()
-                                + (isTarget ? "" : "/" + report.version().version()),
-                        report.incarnation(),
-                        version,
-                        report.cell(),
-                        report.counters()),
+                        upstreamId, report.incarnation(), version, report.cell(), report.counters()),
                 nowMillis);
     }
 
@@ -94,59 +113,132 @@
     }
 
     /**
-     * Takes at most one step: reverts the rollout, increases the share, or completes the rollout. The share grows on
-     * evidence that the version is good; a version without it shortly before the deadline is reverted.
+     * Takes at most one step: reverts the rollout, changes the share, or completes the rollout. A version that has not
+     * passed a trial shortly before the deadline is reverted. A completed rollout is reverted if the version turns bad
+     * before the state is stored.
      *
      * @param mustRevert whether the new version is known to be bad, or the order was withdrawn
      * @param outstandingAtPrevious requests in progress at upstreams of other versions, over all entries
      */
     public void advance(boolean mustRevert, int outstandingAtPrevious, long nowMillis) {
+        if (mustRevert) {
+            state = RolloutState.REVERTED;
+        }
         if (state != RolloutState.IN_PROGRESS) {
             return;
         }
         double elapsedFraction = timeFraction(nowMillis - order.startMillis());
-        boolean undecidedAtEnd = shareBasisPoints != Stage.ALL_BASIS_POINTS
-                && elapsedFraction >= MAX_DRAIN_TIME_FRACTION
-                && !evidence.looksGood(nowMillis);
-        if (mustRevert || undecidedAtEnd) {
-            state = RolloutState.REVERTED;
-            shareBasisPoints = 0;
+        boolean isLate = elapsedFraction >= MAX_DRAIN_TIME_FRACTION;
+        if (isLate && (step == Step.CANARY || step == Step.TRIAL) && isTestable(nowMillis)) {
+            revert("no trial passed by the deadline");
             return;
         }
-        if (shareBasisPoints == CANARY_BASIS_POINTS && mayGrow(elapsedFraction, nowMillis)) {
-            shareBasisPoints = HALF_BASIS_POINTS;
-            halfShareStartMillis = nowMillis;
-        } else if (shareBasisPoints == HALF_BASIS_POINTS
-                && timeFraction(nowMillis - halfShareStartMillis) >= HALF_SHARE_TIME_FRACTION
-                && evidence.looksGood(nowMillis)) {
-            shareBasisPoints = Stage.ALL_BASIS_POINTS;
-        } else if (shareBasisPoints == Stage.ALL_BASIS_POINTS
-                && (outstandingAtPrevious == 0 || elapsedFraction >= MAX_DRAIN_TIME_FRACTION)) {
-            state = RolloutState.COMPLETED;
+        switch (step) {
+            case CANARY -> {
+                canaryBasisPoints = plan.canaryBasisPoints(traffic, nowMillis);
+                if (mayStartTrial(elapsedFraction, nowMillis)) {
+                    startTrial(plan.trialMillis(traffic, nowMillis), nowMillis);
+                }
+            }
+            case TRIAL -> {
+                if (nowMillis >= trialEndMillis) {
+                    step = Step.REVIEW;
+                }
+            }
+            case REVIEW -> {
+                if (isLate || nowMillis - trialEndMillis >= plan.reviewMillis()) {
+                    review();
+                }
+            }
+            case DRAIN -> {
+                if (outstandingAtPrevious == 0 || isLate) {
+                    state = RolloutState.COMPLETED;
+                }
+            }
+        }
+    }
+
+    /**
+     * Follows the steps of the entry that holds the lease, so that this entry can take over at any of them. A trial that
+     * it did not notice is repeated as far as the exposure limit allows.
+     *
+     * @param current the published stage of the service that is valid now
+     */
+    public void follow(Optional<Stage> current, long nowMillis) {
+        boolean hasAll = current.filter(stage -> stage.newVersion().equals(order.targetVersion()))
+                .filter(stage -> stage.shareBasisPoints() == Stage.ALL_BASIS_POINTS)
+                .isPresent();
+        if (step == Step.CANARY && hasAll) {
+            startTrial(current.get().leaseMillis(), nowMillis);
+        } else if (step == Step.TRIAL && !hasAll) {
+            step = Step.REVIEW;
+            trialEndMillis = nowMillis;
+        } else if (step == Step.REVIEW && hasAll && nowMillis - trialEndMillis > CONFIRM_MILLIS) {
+            step = Step.DRAIN;
         }
     }
 
-    private boolean mayGrow(double elapsedFraction, long nowMillis) {
-        long samples =
-                samplesBySource.values().stream().mapToLong(Long::longValue).sum();
-        return samples >= MIN_SAMPLES
+    private boolean isTestable(long nowMillis) {
+        return traffic.targetRequests() >= MIN_SAMPLES || !evidence.looksGood(nowMillis);
+    }
+
+    private boolean mayStartTrial(double elapsedFraction, long nowMillis) {
+        return traffic.targetRequests() >= MIN_SAMPLES
                 && evidence.looksGood(nowMillis)
                 && (elapsedFraction >= MAX_CANARY_TIME_FRACTION
-                        || elapsedFraction >= CANARY_TIME_FRACTION && evidence.allRoutesPassed());
+                        || elapsedFraction >= CANARY_TIME_FRACTION && evidence.allRoutesPassed())
+                && plan.trialMillis(traffic, nowMillis) > 0;
+    }
+
+    private void startTrial(long trialMillis, long nowMillis) {
+        step = Step.TRIAL;
+        trialEndMillis = nowMillis + trialMillis;
+        expectedTrialRequests = trialMillis * traffic.averageRate(nowMillis);
+        evidence.startTrial(nowMillis);
+    }
+
+    private void review() {
+        Optional<String> objection = evidence.trialObjection(evaluator);
+        if (objection.isPresent()) {
+            revert(objection.get());
+            return;
+        }
+        boolean enough = evidence.trialRequests()
+                >= Math.min(ENOUGH_TRIAL_SAMPLES, Math.max(1, MIN_TRIAL_FRACTION * expectedTrialRequests));
+        step = enough ? Step.DRAIN : Step.CANARY;
+    }
+
+    private void revert(String why) {
+        state = RolloutState.REVERTED;
+        reason = why;
     }
 
     private double timeFraction(long millis) {
         return (double) millis / (order.deadlineMillis() - order.startMillis());
     }
 
-    /** Returns the stage to publish to all entries, which expires after the given time unless it is renewed. */
-    public Stage stage(long leaseMillis) {
+    /**
+     * Returns the stage to publish to all entries, which expires after the given time unless it is renewed. The stage of
+     * a trial expires at its end, so that an entry that does not hear of the end stops in time.
+     */
+    public Stage stage(long leaseMillis, long nowMillis) {
+        boolean isTrial = state == RolloutState.IN_PROGRESS && step == Step.TRIAL;
         return new Stage(
                 order.service(),
                 PREVIOUS,
                 order.targetVersion(),
-                shareBasisPoints,
-                leaseMillis,
+                shareBasisPoints(),
+                isTrial ? Math.max(0, Math.min(leaseMillis, trialEndMillis - nowMillis)) : leaseMillis,
                 state == RolloutState.COMPLETED);
     }
+
+    private int shareBasisPoints() {
+        if (state == RolloutState.REVERTED) {
+            return 0;
+        }
+        return switch (step) {
+            case CANARY, REVIEW -> canaryBasisPoints;
+            case TRIAL, DRAIN -> Stage.ALL_BASIS_POINTS;
+        };
+    }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/SlownessDetector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/SlownessDetector.java
@@ -47,6 +47,9 @@
     /** Log-likelihood ratio of all answers, which unlike {@link #logRatio} does not start anew. */
     private double totalLogRatio;
 
+    /** Log-likelihood ratio of the answers since the trial started. */
+    private double trialLogRatio;
+
     private boolean compared;
     private long slow;
     private long total;
@@ -85,6 +88,7 @@
         double added = newSlow * Math.log(badShare / share)
                 + (times.total() - newSlow) * Math.log((1 - badShare) / (1 - share));
         logRatio += added;
+        trialLogRatio += added;
         totalLogRatio = Math.max(MIN_TOTAL_LOG_RATIO, totalLogRatio + added);
         compared = true;
         boolean refuted = suspect && logRatio <= REFUTED_LOG_RATIO;
@@ -122,6 +126,23 @@
         return suspect || logRatio >= MAX_GROWTH_LOG_RATIO;
     }
 
+    /** Discards the evidence from before a trial. */
+    void startTrial() {
+        suspect = false;
+        trialLogRatio = 0;
+        totalLogRatio = 0;
+        restart();
+    }
+
+    /** Returns what the answers since the trial started say against the new version. */
+    Optional<String> trialObjection() {
+        if (!suspect && trialLogRatio < MAX_GROWTH_LOG_RATIO) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                "slow answers: log ratio %.1f, bad from %.1f".formatted(trialLogRatio, MAX_GROWTH_LOG_RATIO));
+    }
+
     /** Returns whether there is evidence that the new version is not slow, or none could be collected. */
     boolean looksGood() {
         return !compared || totalLogRatio <= GOOD_LOG_RATIO;
--- a/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/StageView.java
@@ -57,13 +57,20 @@
         return Optional.ofNullable(stages.get(model)).map(LeasedStage::stage);
     }
 
+    /** Returns the stage of a model's rollout if its lease has not expired. */
+    public Optional<Stage> currentStage(String model, long nowMillis) {
+        return Optional.ofNullable(stages.get(model))
+                .filter(leased -> leased.isValid(nowMillis))
+                .map(LeasedStage::stage);
+    }
+
     /** Returns the share that the new version of the model may get now, in 1/10,000. */
     public int shareBasisPoints(String model, long nowMillis) {
         LeasedStage leased = stages.get(model);
         if (leased == null || isBad(model, leased.stage.newVersion())) {
             return 0;
         }
-        return leased.stage.hasGoodVerdict() || nowMillis < leased.expiresMillis ? leased.stage.shareBasisPoints() : 0;
+        return leased.isValid(nowMillis) ? leased.stage.shareBasisPoints() : 0;
     }
 
     /** Returns whether there is a bad verdict on the version. */
@@ -92,5 +99,9 @@
         return new ControllerStages(newest.fencingNumber(), newest.sequence(), remaining);
     }
 
-    private record LeasedStage(Stage stage, long expiresMillis) {}
+    private record LeasedStage(Stage stage, long expiresMillis) {
+        boolean isValid(long nowMillis) {
+            return stage.hasGoodVerdict() || nowMillis < expiresMillis;
+        }
+    }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/VersionEvaluator.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/VersionEvaluator.java
@@ -15,6 +15,8 @@
  */
 public final class VersionEvaluator {
     private static final double SLOW_FRACTION = 0.1;
+    /** Minimum failure share expected, so that few failures do not condemn a version whose predecessor had none. */
+    private static final double MIN_FAILURE_SHARE = 0.01;
     /** Failure share assumed for an old version with too few requests for an estimate. */
     private static final double DEFAULT_FAILURE_SHARE = 0.02;
     /**
@@ -94,6 +96,11 @@
         return grossFailures || !isStale(recentOld) && failureTest(recentOld, newEvidence, 1).ratio >= badBound;
     }
 
+    /** Returns the log-likelihood ratio of the test on failures, against evidence of another period. */
+    double failureLogRatio(EvidenceCounters earlierOld, EvidenceCounters newEvidence) {
+        return failureTest(earlierOld, newEvidence, STALE_DIFFERENCE_FACTOR).ratio;
+    }
+
     /** Returns the log-likelihood ratio from which a test shows that the new version is bad. */
     double badBound() {
         return badBound;
@@ -105,7 +112,9 @@
 
     private ShareTest failureTest(EvidenceCounters old, EvidenceCounters newEvidence, double differenceFactor) {
         boolean canEstimate = old.requests() >= MIN_ESTIMATE_SAMPLES;
-        double share = canEstimate ? Shares.upperEstimate(old.failures(), old.requests()) : DEFAULT_FAILURE_SHARE;
+        double share = canEstimate
+                ? Math.max(MIN_FAILURE_SHARE, Shares.upperEstimate(old.failures(), old.requests()))
+                : DEFAULT_FAILURE_SHARE;
         double badShare = share + differenceFactor * Math.max(settings.failureDifference(), share);
         return ShareTest.of("failures", newEvidence.failures(), newEvidence.requests(), share, badShare);
     }
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -57,7 +57,7 @@
     private final UpstreamNotices notices;
     private final AdmissionChecker admissionChecker;
     private final ScheduledRequestFactory scheduledRequestFactory = new ScheduledRequestFactory();
-    private final ServiceRollouts rollouts = new ServiceRollouts();
+    private final ServiceRollouts rollouts;
     private final EvacuatedZones evacuatedZones = new EvacuatedZones();
     private final ServiceSchedulers schedulers;
     private final RequestQueues queues;
@@ -95,6 +95,7 @@
         this.retryTime = policiesFactory.retryTime();
         this.probes = new UpstreamProbes(connections, telemetry, this::decide);
         this.workspaceCaps = new WorkspaceCaps(settings);
+        this.rollouts = new ServiceRollouts(settings.exposureLimit());
         this.crashDetector = new CrashDetector(loop, this::nowMillis, connections, telemetry, this::scheduler);
         this.notices = new UpstreamNotices(this::nowMillis, telemetry, paces);
         this.admissionChecker = new AdmissionChecker(workspaceCaps, crashDetector.requests(), random);
@@ -161,6 +162,7 @@
                 .forEach(share ->
                         share.setLimits(newer.retryRatio(), newer.retryAllowance(), newer.retryWindowMillis()));
         workspaceCaps.updateSettings(newer);
+        rollouts.setExposureLimit(newer.exposureLimit());
         configuration.ifPresent(current -> workspaceCaps.setWorkspaces(current.workspaces(), nowMillis()));
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/PathSettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/PathSettings.java
@@ -1,6 +1,7 @@
 package dev.wigeonward.gateway.exchange;
 
 import com.google.common.base.Preconditions;
+import dev.wigeonward.core.rollout.ExposureLimit;
 
 /**
  * Settings of the dispatcher: the failure domain of the process and the budgets that all entries share.
@@ -12,6 +13,7 @@
  * @param capWindowMillis window over which the overrun of usage caps is measured
  * @param capOverrunRatio fraction by which the usage in a window may exceed the cap, by all entries together
  * @param capMargin further usage that a workspace may have in a window beyond the cap and its overrun
+ * @param exposureLimit limit of the requests that a bad version may get during its rollout
  * @param scheduling choice of the policies of the schedulers
  */
 public record PathSettings(
@@ -22,6 +24,7 @@
         long capWindowMillis,
         double capOverrunRatio,
         double capMargin,
+        ExposureLimit exposureLimit,
         SchedulingSettings scheduling) {
     public PathSettings {
         Preconditions.checkArgument(
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/ServiceRollouts.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/ServiceRollouts.java
@@ -9,6 +9,7 @@
 import dev.wigeonward.core.rollout.ControllerEvent;
 import dev.wigeonward.core.rollout.EvidenceCounters;
 import dev.wigeonward.core.rollout.EvidenceRecorder;
+import dev.wigeonward.core.rollout.ExposureLimit;
 import dev.wigeonward.core.rollout.FinalRolloutState;
 import dev.wigeonward.core.rollout.ModelVersion;
 import dev.wigeonward.core.rollout.RolloutOrder;
@@ -38,7 +39,16 @@
     private final EvidenceRecorder recorder = new EvidenceRecorder(LOAD_THRESHOLD);
     private final Map<String, ServiceRollout> unfinishedRollouts = new HashMap<>();
 
-    ServiceRollouts() {}
+    private ExposureLimit exposureLimit;
+
+    ServiceRollouts(ExposureLimit exposureLimit) {
+        this.exposureLimit = exposureLimit;
+    }
+
+    /** Replaces the exposure limit; rollouts that have started keep theirs. */
+    void setExposureLimit(ExposureLimit newLimit) {
+        exposureLimit = newLimit;
+    }
 
     /** Returns the stages and verdicts known to this entry. */
     public StageView view() {
@@ -80,8 +90,8 @@
         Map<String, RolloutOrder> orders = versionSelector.unfinishedOrders();
         unfinishedRollouts.values().removeIf(rollout -> !rollout.order()
                 .equals(orders.get(rollout.order().service())));
-        orders.forEach(
-                (service, order) -> unfinishedRollouts.computeIfAbsent(service, name -> ServiceRollout.of(order)));
+        orders.forEach((service, order) ->
+                unfinishedRollouts.computeIfAbsent(service, name -> ServiceRollout.of(order, exposureLimit)));
         return new ArrayList<>(unfinishedRollouts.values());
     }
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewaySettings.java
@@ -7,6 +7,7 @@
 import dev.wigeonward.common.settings.SettingKey;
 import dev.wigeonward.common.settings.Settings;
 import dev.wigeonward.common.settings.SettingsDeclaration;
+import dev.wigeonward.core.rollout.ExposureLimit;
 import dev.wigeonward.gateway.exchange.PaceSettings;
 import dev.wigeonward.gateway.exchange.PathSettings;
 import dev.wigeonward.gateway.exchange.SchedulingSettings;
@@ -77,6 +78,21 @@
                     "further usage of a tenant allowed in a window beyond the cap and its overrun")
             .optional();
 
+    private static final SettingKey<Double> EXPOSURE_RATIO = SettingKey.decimal(
+                    "budgets",
+                    "exposure_ratio",
+                    0,
+                    1,
+                    "fraction of a service's requests that a bad version may get between its order and the deadline")
+            .optional();
+    private static final SettingKey<Double> EXPOSURE_MARGIN = SettingKey.decimal(
+                    "budgets",
+                    "exposure_margin_count",
+                    0,
+                    1e12,
+                    "further requests that a bad version may get between its order and the deadline")
+            .optional();
+
     private static final SettingKey<Double> CPU_CORES = SettingKey.decimal(
                     "gateway", "cpu_cores", 0.001, 1_024, "processor cores that this process may use")
             .optional();
@@ -145,6 +161,8 @@
                         CAP_WINDOW,
                         CAP_OVERRUN,
                         CAP_MARGIN,
+                        EXPOSURE_RATIO,
+                        EXPOSURE_MARGIN,
                         CPU_CORES,
                         COORDINATION,
                         WORKSPACE_SHARES,
@@ -174,6 +192,9 @@
                         millis(settings.find(CAP_WINDOW).orElse(DEFAULT_WINDOW_SECONDS)),
                         overrun ? settings.find(CAP_OVERRUN).orElse(0.0) : 0,
                         overrun ? settings.find(CAP_MARGIN).orElse(0.0) : 0,
+                        new ExposureLimit(
+                                settings.find(EXPOSURE_RATIO).orElse(ExposureLimit.DEFAULT.shareRatio()),
+                                settings.find(EXPOSURE_MARGIN).orElse(ExposureLimit.DEFAULT.marginRequests())),
                         new SchedulingSettings(
                                 settings.find(COORDINATION).orElse(false)
                                         ? settings.find(CPU_CORES).orElse(1.0)
--- a/gateway/src/main/java/dev/wigeonward/gateway/rollout/ServiceRolloutController.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/rollout/ServiceRolloutController.java
@@ -89,6 +89,10 @@
         OptionalLong leaseFencingNumber = store.fencingNumber();
         if (leaseFencingNumber.isPresent()) {
             control(unfinished, leaseFencingNumber.getAsLong(), now);
+            return;
+        }
+        for (ServiceRollout rollout : unfinished) {
+            rollout.follow(rollouts.view().currentStage(rollout.order().service(), now), now);
         }
     }
 
@@ -111,14 +115,16 @@
         }
         for (ServiceRollout rollout : unfinished) {
             RolloutOrder order = rollout.order();
-            rollout.advance(
-                    isBad(rollout) || rollouts.isWithdrawn(rollout),
-                    dispatcher.outstandingAtOtherVersions(order.service(), order.targetVersion()),
-                    nowMillis);
+            if (writtenStates.get(key(order)) != RolloutState.COMPLETED) {
+                rollout.advance(
+                        isBad(rollout) || rollouts.isWithdrawn(rollout),
+                        dispatcher.outstandingAtOtherVersions(order.service(), order.targetVersion()),
+                        nowMillis);
+            }
             writeState(rollout);
         }
         List<Stage> stages = unfinished.stream()
-                .map(rollout -> rollout.stage(STAGE_LEASE_MILLIS))
+                .map(rollout -> rollout.stage(STAGE_LEASE_MILLIS, nowMillis))
                 .toList();
         if (!stages.equals(publishedStages) || nowMillis - publishedAtMillis >= PUBLISH_MILLIS) {
             publishedStages = stages;
@@ -128,11 +134,17 @@
         }
     }
 
+    private static String key(RolloutOrder order) {
+        return order.service() + "/" + order.revision();
+    }
+
     private void writeState(ServiceRollout rollout) {
         RolloutOrder order = rollout.order();
-        String key = order.service() + "/" + order.revision();
+        String key = key(order);
         RolloutState state = rollout.state();
-        if (state == writtenStates.get(key) || pendingWrites.containsKey(key)) {
+        RolloutState written = writtenStates.get(key);
+        // Operators act on a completed state at once, so it is never replaced.
+        if (state == written || written == RolloutState.COMPLETED || pendingWrites.containsKey(key)) {
             return;
         }
         pendingWrites.put(key, true);
@@ -143,7 +155,8 @@
                 log.info(
                         "shift",
                         "service=" + order.service() + " target=" + order.targetVersion() + " state=" + state
-                                + " order=" + order.revision());
+                                + " order=" + order.revision()
+                                + (rollout.reason().isEmpty() ? "" : " reason=" + rollout.reason()));
             }
         });
     }
