Count entries that are cut off until the store shows them gone

Cause: after 10 s of silence an entry was forgotten, and each side took the parts of the others. Groups of several entries used more than their parts from the start, the level was scaled up when a cut ended, and an entry that started within a cut took the whole cap.

Change: entries register in the store, and one that is not heard counts until its registration has ended there. The parts of groups add up to the cap in every partition. A peer's last rate is subtracted when it falls silent, and a group that grows keeps its level. The retry budget uses the same count.

--- a/core/src/main/java/dev/wigeonward/core/cap/WorkspaceUsageCap.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/WorkspaceUsageCap.java
@@ -14,12 +14,10 @@
 public final class WorkspaceUsageCap {
     /** Time constant of the moving average of a peer's usage rate, in milliseconds. */
     private static final double RATE_TIME_CONSTANT_MILLIS = 1_000;
-    /**
-     * Fraction of an equal share that an entry uses while it receives no reports; the others leave this amount for it.
-     */
-    private static final double ISOLATED_FRACTION = 0.5;
-    /** Minimum fraction of the cap for the entries that receive reports from each other. */
-    private static final double MIN_CONNECTED_FRACTION = 0.2;
+    /** Time without a report after which a peer counts as not heard; until then its last rate is assumed to go on. */
+    private static final long MAX_SILENCE_MILLIS = 1_500;
+    /** Time after which a caller may ask again if this entry must not use the cap at all. */
+    private static final long NO_SHARE_RETRY_MILLIS = 1_000;
 
     private double ratePerSecond;
     private double capacity;
@@ -30,10 +28,10 @@
     private long updatedAtMillis;
     private final Map<String, PeerUsage> peers = new HashMap<>();
 
-    private WorkspaceUsageCap(long ratePerSecond, long capacity, int entries, long nowMillis) {
+    private WorkspaceUsageCap(long ratePerSecond, long capacity, EntryGroup group, long nowMillis) {
         this.ratePerSecond = ratePerSecond;
         this.capacity = capacity;
-        this.fraction = entries > 1 ? ISOLATED_FRACTION / entries : 1;
+        this.fraction = group.budgetFraction();
         this.updatedAtMillis = nowMillis;
         // A restarted entry may have used its share shortly before, so it starts with the share of one second.
         this.level = Math.min(capacity, ratePerSecond) * fraction;
@@ -44,13 +42,12 @@
      *
      * @param ratePerSecond usage allowed per second, over all entries
      * @param capacity usage allowed in one burst, over all entries
-     * @param entries number of known entries, including this one
+     * @param group entries that this entry hears
      */
-    public static WorkspaceUsageCap create(long ratePerSecond, long capacity, int entries, long nowMillis) {
+    public static WorkspaceUsageCap create(long ratePerSecond, long capacity, EntryGroup group, long nowMillis) {
         Preconditions.checkArgument(ratePerSecond > 0, "ratePerSecond must be positive but was %s", ratePerSecond);
         Preconditions.checkArgument(capacity > 0, "capacity must be positive but was %s", capacity);
-        Preconditions.checkArgument(entries > 0, "entries must be positive but was %s", entries);
-        return new WorkspaceUsageCap(ratePerSecond, capacity, entries, nowMillis);
+        return new WorkspaceUsageCap(ratePerSecond, capacity, group, nowMillis);
     }
 
     /** Replaces the limits; usage recorded before still counts. */
@@ -62,27 +59,22 @@
     }
 
     /**
-     * Sets the number of entries whose reports are received and the number of known entries, both including this one.
+     * Sets the group of entries that share this entry's part of the cap. A smaller part takes its part of the level along.
+     * A larger one starts with the level as it is, because the entries that join have used their own parts.
      */
-    public void setEntryCounts(int reporting, int known, long nowMillis) {
-        Preconditions.checkArgument(
-                reporting > 0 && known >= reporting,
-                "reporting must be from 1 to the %s known entries but was %s",
-                known,
-                reporting);
+    public void setGroup(EntryGroup group, long nowMillis) {
         refill(nowMillis);
-        double newFraction = reporting == 1 && known > 1
-                ? ISOLATED_FRACTION / known
-                : Math.max(MIN_CONNECTED_FRACTION, 1 - (known - reporting) * ISOLATED_FRACTION / known);
-        if (newFraction != fraction) {
-            level = level > 0 ? level * newFraction / fraction : level;
-            fraction = newFraction;
+        double newFraction = group.budgetFraction();
+        if (newFraction < fraction && level > 0) {
+            level *= newFraction / fraction;
         }
+        fraction = newFraction;
     }
 
     /**
      * Subtracts the peer's usage since its previous report from the level and updates the estimate of its rate. The
-     * very first report of any peer replaces the level instead.
+     * very first report of any peer replaces the level instead. Usage from before a peer is heard, or heard again, is not
+     * subtracted: it came from the part that its group had.
      *
      * @param incarnation identifier of the peer's process lifetime; its cumulative usage starts at 0 in each lifetime
      * @param peerTotalUsage usage that the peer has admitted in this lifetime
@@ -107,9 +99,13 @@
         peers.put(peer, new PeerUsage(incarnation, peerTotalUsage, rate, nowMillis));
     }
 
-    /** Removes a peer whose reports are no longer received. */
-    public void removePeer(String peer) {
-        peers.remove(peer);
+    /** Removes a peer whose reports are no longer received, and subtracts what it has probably used since the last. */
+    public void removePeer(String peer, long nowMillis) {
+        PeerUsage last = peers.remove(peer);
+        if (last != null) {
+            refill(nowMillis);
+            level = Math.max(-capacity, level - last.unreported(nowMillis));
+        }
     }
 
     /** Returns whether the workspace may use the given amount now, and records it as used if so. */
@@ -117,7 +113,7 @@
         refill(nowMillis);
         double unreported = 0;
         for (PeerUsage peer : peers.values()) {
-            unreported += peer.ratePerMilli * Math.min(RATE_TIME_CONSTANT_MILLIS, nowMillis - peer.reportedAtMillis);
+            unreported += peer.unreported(nowMillis);
         }
         // A request larger than the level is admitted while the level is positive; the debt delays the next request.
         if (level - unreported <= 0) {
@@ -147,6 +143,9 @@
 
     /** Returns the time until usage is allowed again, in milliseconds, provided that nothing more is used. */
     public long millisUntilAvailable() {
+        if (fraction == 0) {
+            return NO_SHARE_RETRY_MILLIS;
+        }
         return level > 0 ? 1 : 1 + (long) (-level * 1_000 / (ratePerSecond * fraction));
     }
 
@@ -159,5 +158,10 @@
         level = Math.min(capacity * fraction, level + ratePerSecond * fraction * elapsedMillis / 1_000);
     }
 
-    private record PeerUsage(long incarnation, double totalUsage, double ratePerMilli, long reportedAtMillis) {}
+    private record PeerUsage(long incarnation, double totalUsage, double ratePerMilli, long reportedAtMillis) {
+        /** Returns the estimated usage since the report. */
+        double unreported(long nowMillis) {
+            return ratePerMilli * Math.min(MAX_SILENCE_MILLIS, nowMillis - reportedAtMillis);
+        }
+    }
 }
--- a/core/src/test/java/dev/wigeonward/core/cap/WorkspaceUsageCapTest.java
+++ b/core/src/test/java/dev/wigeonward/core/cap/WorkspaceUsageCapTest.java
@@ -84,8 +84,8 @@
         boolean connected = reportMillis > 0;
         List<WorkspaceUsageCap> caps = new ArrayList<>();
         for (int entry = 0; entry < entries; entry++) {
-            caps.add(WorkspaceUsageCap.create(RATE, CAPACITY, entries, 0));
-            caps.get(entry).setEntryCounts(connected ? entries : 1, entries, 0);
+            caps.add(WorkspaceUsageCap.create(RATE, CAPACITY, new EntryGroup(1, entries, true), 0));
+            caps.get(entry).setGroup(new EntryGroup(connected ? entries : 1, entries, true), 0);
         }
         List<Long> admitted = new ArrayList<>();
         long admittedInSecond = 0;
@@ -124,8 +124,8 @@
     /** Guards against counting the restart of a peer as a refund of its usage or as its whole earlier usage again. */
     @Example
     void restartOfPeerCountsOnlyItsNewUsage() {
-        WorkspaceUsageCap cap = WorkspaceUsageCap.create(RATE, CAPACITY, 2, 0);
-        cap.setEntryCounts(2, 2, 0);
+        WorkspaceUsageCap cap = WorkspaceUsageCap.create(RATE, CAPACITY, new EntryGroup(1, 2, true), 0);
+        cap.setGroup(new EntryGroup(2, 2, true), 0);
         cap.onPeerReport("peer", 1, 1_000_000, CAPACITY, 0);
         cap.onPeerReport("peer", 1, 1_010_000, 0, 0);
         double before = cap.level(0);
@@ -139,8 +139,8 @@
     /** Guards against a restarted entry that admits a new burst although its peers report that the cap is exhausted. */
     @Example
     void newEntryAdoptsTheLevelOfItsPeer() {
-        WorkspaceUsageCap cap = WorkspaceUsageCap.create(RATE, CAPACITY, 2, 0);
-        cap.setEntryCounts(2, 2, 0);
+        WorkspaceUsageCap cap = WorkspaceUsageCap.create(RATE, CAPACITY, new EntryGroup(1, 2, true), 0);
+        cap.setGroup(new EntryGroup(2, 2, true), 0);
 
         cap.onPeerReport("peer", 1, 500_000, -2_000, 0);
 
@@ -151,7 +151,7 @@
     /** Guards against a lowered cap that still admits a burst of the old size. */
     @Example
     void lowerCapAppliesImmediately() {
-        WorkspaceUsageCap cap = WorkspaceUsageCap.create(RATE, CAPACITY, 1, 0);
+        WorkspaceUsageCap cap = WorkspaceUsageCap.create(RATE, CAPACITY, new EntryGroup(1, 1, true), 0);
 
         cap.setLimits(1_000, 2_000, 0);
 
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/GatewayDispatcher.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 
 import dev.wigeonward.common.clock.MonotonicClock;
+import dev.wigeonward.core.cap.EntryGroup;
 import dev.wigeonward.core.cap.RetryBudgetShare;
 import dev.wigeonward.core.deployment.RoutingConfiguration;
 import dev.wigeonward.core.error.ErrorKind;
@@ -203,16 +204,11 @@
         return runningCount;
     }
 
-    /**
-     * Sets the numbers of entries that share the budgets.
-     *
-     * @param currentEntries number of entries with a current state, including this one
-     * @param knownEntries number of all known entries, including this one
-     */
-    public void setEntryCounts(int currentEntries, int knownEntries) {
-        knownEntryCount = knownEntries;
-        policiesFactory.setEntries(currentEntries);
-        workspaceCaps.setEntryCounts(currentEntries, knownEntries, nowMillis());
+    /** Sets the entries that share the budgets. */
+    public void setEntries(EntryGroup entries) {
+        knownEntryCount = entries.known();
+        policiesFactory.setEntries(entries.heard());
+        workspaceCaps.setEntries(entries, nowMillis());
     }
 
     /** Replaces all loads of a peer, or only those at the given upstreams if the report is partial. */
@@ -236,9 +232,9 @@
         workspaceCaps.onPeerReport(peer, incarnation, usages, nowMillis());
     }
 
-    /** Discards the workspace usage that a lost peer reported. */
+    /** Stops counting the workspace usage of a peer that is not heard any more. */
     public void removePeerUsage(String peer) {
-        workspaceCaps.removePeer(peer);
+        workspaceCaps.removePeer(peer, nowMillis());
     }
 
     /** Returns the load of this entry on each upstream, for its peers. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/WorkspaceCaps.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/WorkspaceCaps.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
+import dev.wigeonward.core.cap.EntryGroup;
 import dev.wigeonward.core.cap.WorkspaceUsageCap;
 import dev.wigeonward.core.deployment.Workspace;
 
@@ -20,8 +21,7 @@
 
     private PathSettings settings;
     private final Map<String, WorkspaceUsageCap> caps = new HashMap<>();
-    private int currentEntries = 1;
-    private int knownEntries = 1;
+    private EntryGroup entries = EntryGroup.SINGLE;
 
     WorkspaceCaps(PathSettings settings) {
         this.settings = settings;
@@ -41,8 +41,7 @@
             }
             WorkspaceUsageCap cap = previous.get(workspace.name());
             if (cap == null) {
-                cap = WorkspaceUsageCap.create(workspace.ratePerSecond(), capacity(workspace), knownEntries, nowMillis);
-                cap.setEntryCounts(currentEntries, knownEntries, nowMillis);
+                cap = WorkspaceUsageCap.create(workspace.ratePerSecond(), capacity(workspace), entries, nowMillis);
             } else {
                 cap.setLimits(workspace.ratePerSecond(), capacity(workspace), nowMillis);
             }
@@ -60,11 +59,10 @@
         return Math.max(1, workspace.burst() + (long) (TOLERANCE_IN_CAPACITY * tolerated));
     }
 
-    /** Sets the numbers of entries with a current state and of all known entries, both including this one. */
-    void setEntryCounts(int newCurrentEntries, int newKnownEntries, long nowMillis) {
-        currentEntries = newCurrentEntries;
-        knownEntries = newKnownEntries;
-        caps.values().forEach(cap -> cap.setEntryCounts(currentEntries, knownEntries, nowMillis));
+    /** Sets the entries that share the caps. */
+    void setEntries(EntryGroup newEntries, long nowMillis) {
+        entries = newEntries;
+        caps.values().forEach(cap -> cap.setGroup(entries, nowMillis));
     }
 
     void onPeerReport(String peer, long incarnation, Map<String, Usage> usages, long nowMillis) {
@@ -76,9 +74,9 @@
         });
     }
 
-    /** Discards the usage that a peer reported. */
-    void removePeer(String peer) {
-        caps.values().forEach(cap -> cap.removePeer(peer));
+    /** Stops counting the usage of a peer that is not heard any more. */
+    void removePeer(String peer, long nowMillis) {
+        caps.values().forEach(cap -> cap.removePeer(peer, nowMillis));
     }
 
     /**
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
@@ -17,6 +17,7 @@
 import dev.wigeonward.gateway.event.EventLog;
 import dev.wigeonward.gateway.exchange.GatewayDispatcher;
 import dev.wigeonward.gateway.exchange.WorkspaceCaps;
+import dev.wigeonward.gateway.port.EntryRegistry;
 import dev.wigeonward.gateway.port.SharedStoreView;
 import dev.wigeonward.wire.Link;
 import dev.wigeonward.wire.LinkListener;
@@ -56,10 +57,10 @@
     private static final long READ_REPORT_PERIOD_MILLIS = 200;
 
     private static final long CONNECT_PERIOD_MILLIS = 500;
+    /** Time after which a peer without a link is forgotten. */
+    private static final long FORGET_MILLIS = 10_000;
     /** Age above which a peer's state is no longer used as its load. */
-    private static final long MAX_STATE_AGE_MILLIS = 1_500;
-    /** Time for which an entry without a link still counts as one that uses shared budgets. */
-    private static final long BUDGET_SHARE_MILLIS = 10_000;
+    private static final long MAX_STATE_AGE_MILLIS = SharedBudgets.MAX_STATE_AGE_MILLIS;
     /** Time after an entry was last seen for which connections to its address are still attempted. */
     private static final long RECONNECT_LIMIT_MILLIS = 120_000;
     /** Shortest interval between two requests for a peer's view. */
@@ -94,12 +95,14 @@
     private Map<String, Integer> sentGranted = Map.of();
     private final PeerPlacements placements;
     private final Map<String, Long> sentUsages = new HashMap<>();
+    private final SharedBudgets budgets;
 
     private PeerSync(
             LocalEntry self,
             Set<String> seeds,
             GatewayDispatcher dispatcher,
             SharedStoreView store,
+            EntryRegistry registry,
             EventLoop loop,
             LongSupplier nowMillis,
             EventLog log) {
@@ -112,6 +115,7 @@
         this.nowMillis = nowMillis;
         this.seeds = new HashSet<>(seeds);
         this.seeds.remove(ownAddress);
+        this.budgets = SharedBudgets.start(ownAddress, this.seeds, dispatcher, registry, loop, nowMillis);
         FactLinks factLinks = new FactLinks(links, log);
         this.facts = new FactSync(
                 dispatcher.suspects(),
@@ -145,10 +149,11 @@
             Set<String> seeds,
             GatewayDispatcher dispatcher,
             SharedStoreView store,
+            EntryRegistry registry,
             EventLoop loop,
             LongSupplier nowMillis,
             EventLog log) {
-        PeerSync peerSync = new PeerSync(self, seeds, dispatcher, store, loop, nowMillis, log);
+        PeerSync peerSync = new PeerSync(self, seeds, dispatcher, store, registry, loop, nowMillis, log);
         loop.scheduleAtFixedRate(
                 dispatcher.telemetry().guard("peer_connect", peerSync::connect),
                 0,
@@ -189,26 +194,25 @@
         }
         for (Map.Entry<String, Peer> entry : List.copyOf(peers.entrySet())) {
             Peer peer = entry.getValue();
-            if (peer.link() == null && now - peer.receivedAtMillis() > BUDGET_SHARE_MILLIS) {
+            if (peer.link() == null && now - peer.receivedAtMillis() > FORGET_MILLIS) {
                 peers.remove(entry.getKey());
-                dispatcher.removePeerUsage(entry.getKey());
             }
             if (now - peer.receivedAtMillis() > MAX_STATE_AGE_MILLIS) {
                 dispatcher.removePeerLoads(entry.getKey());
                 dispatcher.paces().removePeer(entry.getKey());
             }
         }
-        updateEntryCounts();
+        updateKnownEntries();
     }
 
-    private void updateEntryCounts() {
-        long now = nowMillis.getAsLong();
-        int current = 1;
-        for (Peer peer : peers.values()) {
-            current += now - peer.receivedAtMillis() <= MAX_STATE_AGE_MILLIS ? 1 : 0;
-        }
-        dispatcher.setEntryCounts(current, 1 + peers.size());
-        updateKnownEntries();
+    /** Updates the parts of shared budgets, and drops the usage of peers that are no longer heard. */
+    private void updateBudgets(long now) {
+        peers.forEach((address, peer) -> {
+            if (now - peer.receivedAtMillis() > MAX_STATE_AGE_MILLIS) {
+                dispatcher.removePeerUsage(address);
+            }
+        });
+        budgets.update();
     }
 
     private void updateKnownEntries() {
@@ -223,6 +227,7 @@
         if (now - sentFullAtMillis >= period(FULL_PERIOD_MILLIS)
                 || store.controlFingerprint() != sentControlFingerprint) {
             sentFullAtMillis = now;
+            updateBudgets(now);
             sentControlFingerprint = store.controlFingerprint();
             sentLoads = ownLoads();
             sentGranted = placements.grantedCounts();
@@ -387,8 +392,11 @@
         peers.put(state.getAddress(), new Peer(link, now));
         placements.onState(link, state);
         lastSeenMillis.put(state.getAddress(), now);
+        budgets.onHeard(state.getAddress());
         if (stale) {
-            updateEntryCounts();
+            dispatcher.removePeerUsage(state.getAddress());
+            budgets.update();
+            updateKnownEntries();
         }
         state.getPromptsList()
                 .forEach(prompts ->
@@ -413,6 +421,7 @@
     }
 
     private void onFullState(Link link, PeerState state, long now) {
+        budgets.onTold(state.getEntriesList());
         for (String entry : state.getEntriesList()) {
             if (!entry.equals(ownAddress)) {
                 lastSeenMillis.putIfAbsent(entry, now);
--- a/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/process/GatewayProcess.java
@@ -26,6 +26,7 @@
 import dev.wigeonward.gateway.memory.MemoryBudgets;
 import dev.wigeonward.gateway.peer.PeerSync;
 import dev.wigeonward.gateway.port.ControllerStore;
+import dev.wigeonward.gateway.port.EntryRegistry;
 import dev.wigeonward.gateway.port.HeaderCodec;
 import dev.wigeonward.gateway.port.SharedStoreView;
 import dev.wigeonward.gateway.rollout.ServiceRolloutController;
@@ -134,12 +135,13 @@
      * Starts the synchronization of load, usage and the view of the store with the other entries, and the rollout
      * controller.
      */
-    public void startPeerSync(SharedStoreView store, ControllerStore controllerStore) {
+    public void startPeerSync(SharedStoreView store, ControllerStore controllerStore, EntryRegistry registry) {
         peerSync = Optional.of(PeerSync.start(
                 new PeerSync.LocalEntry(settings.id(), settings.peerAddress(), clock.millis()),
                 seeds(settings),
                 dispatcher,
                 store,
+                registry,
                 loop,
                 this::nowMillis,
                 log));
