--- a/core/src/main/java/dev/wigeonward/core/cap/EntryGroup.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/EntryGroup.java
@@ -22,8 +22,8 @@
     }
 
     /**
-     * Returns the fraction of a shared budget that the group may use. The fractions of groups that do not hear each other
-     * add up to at most 1: only one of them can have a majority, which leaves to the others what they may use.
+     * Returns the fraction of a shared budget that the group may use. The fractions of groups that do not hear each
+     * other add up to at most 1: only one of them can have a majority, which leaves to the others what they may use.
      */
     public double budgetFraction() {
         if (2 * heard > known) {
--- a/core/src/main/java/dev/wigeonward/core/cap/WorkspaceUsageCap.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/WorkspaceUsageCap.java
@@ -59,8 +59,8 @@
     }
 
     /**
-     * Sets the group of entries that share this entry's part of the cap. A smaller part takes its part of the level along.
-     * A larger one starts with the level as it is, because the entries that join have used their own parts.
+     * Sets the group of entries that share this entry's part of the cap. A smaller part takes its part of the level
+     * along. A larger one starts with the level as it is, because the entries that join have used their own parts.
      */
     public void setGroup(EntryGroup group, long nowMillis) {
         refill(nowMillis);
@@ -73,8 +73,8 @@
 
     /**
      * Subtracts the peer's usage since its previous report from the level and updates the estimate of its rate. The
-     * very first report of any peer replaces the level instead. Usage from before a peer is heard, or heard again, is not
-     * subtracted: it came from the part that its group had.
+     * very first report of any peer replaces the level instead. Usage from before a peer is heard, or heard again, is
+     * not subtracted: it came from the part that its group had.
      *
      * @param incarnation identifier of the peer's process lifetime; its cumulative usage starts at 0 in each lifetime
      * @param peerTotalUsage usage that the peer has admitted in this lifetime
--- a/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
@@ -155,12 +155,13 @@
                     state = RolloutState.COMPLETED;
                 }
             }
+            default -> throw new IllegalStateException("unknown step " + step);
         }
     }
 
     /**
-     * Follows the steps of the entry that holds the lease, so that this entry can take over at any of them. A trial that
-     * it did not notice is repeated as far as the exposure limit allows.
+     * Follows the steps of the entry that holds the lease, so that this entry can take over at any of them. A trial
+     * that it did not notice is repeated as far as the exposure limit allows.
      *
      * @param current the published stage of the service that is valid now
      */
@@ -218,8 +219,8 @@
     }
 
     /**
-     * Returns the stage to publish to all entries, which expires after the given time unless it is renewed. The stage of
-     * a trial expires at its end, so that an entry that does not hear of the end stops in time.
+     * Returns the stage to publish to all entries, which expires after the given time unless it is renewed. The stage
+     * of a trial expires at its end, so that an entry that does not hear of the end stops in time.
      */
     public Stage stage(long leaseMillis, long nowMillis) {
         boolean isTrial = state == RolloutState.IN_PROGRESS && step == Step.TRIAL;
--- a/core/src/test/java/dev/wigeonward/core/cap/PartitionedUsageCapTest.java
+++ b/core/src/test/java/dev/wigeonward/core/cap/PartitionedUsageCapTest.java
@@ -37,7 +37,7 @@
         assertThat(sum).isLessThanOrEqualTo(1 + 1e-9);
     }
 
-    /** Guards against a group whose registration has ended, so that the others take its part, and that uses it as well. */
+    /** Guards against a group that uses its part although its registration has ended, so that the others take it. */
     @Example
     void minorityWithoutRegistrationUsesNothing() {
         assertThat(new EntryGroup(2, 5, false).budgetFraction()).isZero();
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/SharedBudgets.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/SharedBudgets.java
@@ -10,8 +10,8 @@
 import io.netty.channel.EventLoop;
 
 /**
- * Keeps the number of entries that share budgets up to date, from what this entry hears and what the registry of entries
- * states. Runs on the event loop.
+ * Keeps the number of entries that share budgets up to date, from what this entry hears and what the registry of
+ * entries states. Runs on the event loop.
  */
 final class SharedBudgets {
     /** Age above which a peer's state no longer counts as heard. */
