Look at the list of upstreams again when a request can be sent

Callers' requests could reach an upstream after the entry knew that it leaves.

Cause: a request is placed on the list of the moment and sent when its connection can be used. Opening one takes up to 0.4 s, and a late event loop holds the send back without a bound. The deadline, the caller and an evacuated zone were checked again at that point, a departure was not.

Change: an upstream that has left by then gets nothing. The request counts as not sent and is placed elsewhere, counted as upstream.not_sent.left.

LeavingUpstreamTest failed before (the leaving upstream answered) and passed in 3 of 3 runs with the change.

--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/UpstreamRun.java
@@ -103,6 +103,12 @@
             exchange.onRunFailed(RunFailure.NOT_SENT, "zone_evacuated");
             return Optional.empty();
         }
+        if (!exchange.scheduler().isListedAsReady(upstream)) {
+            dispatcher.count("upstream.not_sent.left");
+            end(Outcome.LEFT);
+            exchange.onRunFailed(RunFailure.NOT_SENT, "upstream_left");
+            return Optional.empty();
+        }
         connection = Optional.of(newConnection);
         return Optional.of(exchange.upstreamRequest(upstream));
     }
