Log how many entries share the budgets when it changes

With the change of a part in the log, a tenant's refusals can be traced to entries that are cut off, or to ones that have gone and still count.

--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/PeerSync.java
@@ -115,7 +115,7 @@
         this.nowMillis = nowMillis;
         this.seeds = new HashSet<>(seeds);
         this.seeds.remove(ownAddress);
-        this.budgets = SharedBudgets.start(ownAddress, this.seeds, dispatcher, registry, loop, nowMillis);
+        this.budgets = SharedBudgets.start(ownAddress, this.seeds, dispatcher, registry, loop, nowMillis, log);
         FactLinks factLinks = new FactLinks(links, log);
         this.facts = new FactSync(
                 dispatcher.suspects(),
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/SharedBudgets.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/SharedBudgets.java
@@ -5,6 +5,7 @@
 
 import dev.wigeonward.core.cap.EntryGroup;
 import dev.wigeonward.core.membership.EntryMembership;
+import dev.wigeonward.gateway.event.EventLog;
 import dev.wigeonward.gateway.exchange.GatewayDispatcher;
 import dev.wigeonward.gateway.port.EntryRegistry;
 import io.netty.channel.EventLoop;
@@ -30,21 +31,25 @@
     private final GatewayDispatcher dispatcher;
     private final EntryRegistry registry;
     private final LongSupplier nowMillis;
+    private final EventLog log;
     private final EventLoop loop;
     private final EntryMembership membership;
     private long registeredUntilMillis = Long.MIN_VALUE;
+    private EntryGroup group = EntryGroup.SINGLE;
 
     private SharedBudgets(
             String ownAddress,
             GatewayDispatcher dispatcher,
             EntryRegistry registry,
             EventLoop loop,
-            LongSupplier nowMillis) {
+            LongSupplier nowMillis,
+            EventLog log) {
         this.ownAddress = ownAddress;
         this.dispatcher = dispatcher;
         this.registry = registry;
         this.loop = loop;
         this.nowMillis = nowMillis;
+        this.log = log;
         this.membership = EntryMembership.of(ownAddress, REGISTRATION_PERIODS * MIN_PERIOD_MILLIS);
     }
 
@@ -59,8 +64,9 @@
             GatewayDispatcher dispatcher,
             EntryRegistry registry,
             EventLoop loop,
-            LongSupplier nowMillis) {
-        SharedBudgets budgets = new SharedBudgets(ownAddress, dispatcher, registry, loop, nowMillis);
+            LongSupplier nowMillis,
+            EventLog log) {
+        SharedBudgets budgets = new SharedBudgets(ownAddress, dispatcher, registry, loop, nowMillis, log);
         budgets.onTold(seeds);
         loop.execute(dispatcher.telemetry().guard("entry_registry", budgets::registerAndRead));
         return budgets;
@@ -102,7 +108,14 @@
     /** Applies the current numbers of entries. */
     void update() {
         long now = nowMillis.getAsLong();
-        dispatcher.setEntries(new EntryGroup(
-                membership.heardWithin(MAX_STATE_AGE_MILLIS, now), membership.known(), now < registeredUntilMillis));
+        EntryGroup newer = new EntryGroup(
+                membership.heardWithin(MAX_STATE_AGE_MILLIS, now), membership.known(), now < registeredUntilMillis);
+        if (!newer.equals(group)) {
+            group = newer;
+            log.info(
+                    "entries_counted",
+                    "heard=" + group.heard() + " known=" + group.known() + " registered=" + group.registered());
+        }
+        dispatcher.setEntries(group);
     }
 }
