--- a/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/RolloutEvidence.java
@@ -25,8 +25,8 @@
     /** Minimum length of a window. In a shorter one an old version with a small share serves too few requests. */
     private static final long MIN_WINDOW_MILLIS = 10_000;
 
-    /** Log-likelihood ratio since the start of a trial from which it speaks against the version: a ratio of 20 to 1. */
-    private static final double MAX_TRIAL_LOG_RATIO = Math.log(20);
+    /** Log-likelihood ratio since the start of a load test that speaks against the version: a ratio of 20 to 1. */
+    private static final double MAX_LOAD_TEST_LOG_RATIO = Math.log(20);
 
     private final String oldVersion;
     private final String newVersion;
@@ -69,7 +69,7 @@
             slowness.addOld(report.cell(), added.times(), nowMillis);
         } else {
             window.newEvidence = window.newEvidence.plus(added);
-            window.trialEvidence = window.trialEvidence.plus(added);
+            window.loadTestEvidence = window.loadTestEvidence.plus(added);
             window.failureSum.add(earlierBaseline(window), added);
             slowness.addNew(report.cell(), added.times(), nowMillis);
             if (added.requests() > 0) {
@@ -148,45 +148,45 @@
     void startStage(long nowMillis) {
         windows.values().forEach(window -> {
             window.passed = false;
-            window.trialEvidence = EvidenceCounters.empty();
+            window.loadTestEvidence = EvidenceCounters.empty();
             window.failureSum = new FailureSum();
             window.restart(nowMillis);
         });
     }
 
-    /** Starts a stage that is too short for the usual verdicts, see {@link #trialObjection}. */
-    void startTrial(long nowMillis) {
+    /** Starts a stage that is too short for the usual verdicts, see {@link #loadTestObjection}. */
+    void startLoadTest(long nowMillis) {
         startStage(nowMillis);
-        slowness.startTrial();
+        slowness.startLoadTest();
     }
 
-    /** Returns the number of the new version's requests that were counted since the trial started. */
-    long trialRequests() {
+    /** Returns the number of the new version's requests that were counted since the load test started. */
+    long loadTestRequests() {
         return windows.values().stream()
-                .mapToLong(window -> window.trialEvidence.requests())
+                .mapToLong(window -> window.loadTestEvidence.requests())
                 .sum();
     }
 
     /**
-     * Returns what speaks against the new version in the evidence since the trial started. Unlike a verdict it needs no
-     * confirmation, because a trial is too short for one.
+     * Returns what speaks against the new version in the evidence since the load test started. Unlike a verdict it
+     * needs no confirmation, because a load test is too short for one.
      */
-    Optional<String> trialObjection(VersionEvaluator evaluator) {
+    Optional<String> loadTestObjection(VersionEvaluator evaluator) {
         for (Window window : windows.values()) {
             double logRatio = Math.max(
-                    evaluator.failureLogRatio(earlierBaseline(window), window.trialEvidence),
+                    evaluator.failureLogRatio(earlierBaseline(window), window.loadTestEvidence),
                     window.failureSum.peakLogRatio() >= evaluator.badBound() ? evaluator.badBound() : 0);
-            if (logRatio >= MAX_TRIAL_LOG_RATIO) {
+            if (logRatio >= MAX_LOAD_TEST_LOG_RATIO) {
                 return Optional.of("route %s: failures %d of %d: log ratio %.1f >= %.1f"
                         .formatted(
                                 window.key.route(),
-                                window.trialEvidence.failures(),
-                                window.trialEvidence.requests(),
+                                window.loadTestEvidence.failures(),
+                                window.loadTestEvidence.requests(),
                                 logRatio,
-                                MAX_TRIAL_LOG_RATIO));
+                                MAX_LOAD_TEST_LOG_RATIO));
             }
         }
-        return slowness.trialObjection().map(reason -> "all routes: " + reason);
+        return slowness.loadTestObjection().map(reason -> "all routes: " + reason);
     }
 
     /** Returns the last evaluation of each route and load level that has one. */
@@ -224,7 +224,7 @@
         private EvidenceCounters recentOld = EvidenceCounters.empty();
         private EvidenceCounters earlierOld = EvidenceCounters.empty();
         private EvidenceCounters newEvidence = EvidenceCounters.empty();
-        private EvidenceCounters trialEvidence = EvidenceCounters.empty();
+        private EvidenceCounters loadTestEvidence = EvidenceCounters.empty();
         private FailureSum failureSum = new FailureSum();
         private RouteEvaluation lastEvaluation;
         private boolean passed;
--- a/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/ServiceRollout.java
@@ -4,24 +4,24 @@
 
 /**
  * The state machine of one service rollout, driven by the evidence of all entries. The new version gets a canary share
- * for half of the time, then all requests for a short trial, then the canary share again until the answers of the trial
- * are known, and then all requests until the old version has none left. Not thread-safe.
+ * for half of the time, then all requests for a short load test, then the canary share again until the answers of the
+ * load test are known, and then all requests until the old version has none left. Not thread-safe.
  */
 public final class ServiceRollout {
     /** Version name under which the evidence of all versions other than the target version is combined. */
     private static final String PREVIOUS = "previous";
     /** Fraction of the time from start to deadline during which the share stays at the canary share. */
     private static final double CANARY_TIME_FRACTION = 0.5;
-    /** Fraction of the time after which the trial starts even if some routes had too few requests for a verdict. */
+    /** Fraction of the time after which the load test starts even if some routes had too few requests for a verdict. */
     private static final double MAX_CANARY_TIME_FRACTION = 0.6;
     /** Fraction of the time after which the rollout completes even if old upstreams still have requests in progress. */
     private static final double MAX_DRAIN_TIME_FRACTION = 0.95;
-    /** Minimum number of the new version's requests before the trial. */
+    /** Minimum number of the new version's requests before the load test. */
     private static final long MIN_SAMPLES = 12;
-    /** Number of requests that are enough for a trial. */
-    private static final long ENOUGH_TRIAL_SAMPLES = 20;
-    /** Minimum fraction of the requests expected in a trial that it must have had. */
-    private static final double MIN_TRIAL_FRACTION = 0.5;
+    /** Number of requests that are enough for a load test. */
+    private static final long ENOUGH_LOAD_TEST_SAMPLES = 20;
+    /** Minimum fraction of the requests expected in a load test that it must have had. */
+    private static final double MIN_LOAD_TEST_FRACTION = 0.5;
     /** Time for which a route must look bad when there is no recent evidence of the old version to compare with. */
     private static final long CONFIRM_MILLIS = 700;
 
@@ -35,11 +35,11 @@
     private final VersionEvaluator evaluator = new VersionEvaluator(EVALUATION_SETTINGS);
     private final RolloutEvidence evidence;
     private final RolloutTraffic traffic;
-    private final TrialPlan plan;
+    private final LoadTestPlan plan;
     private Step step = Step.CANARY;
     private int canaryBasisPoints;
-    private long trialEndMillis;
-    private double expectedTrialRequests;
+    private long loadTestEndMillis;
+    private double expectedLoadTestRequests;
     private RolloutState state = RolloutState.IN_PROGRESS;
     private String reason = "";
 
@@ -48,8 +48,8 @@
         /** The new version gets a small share. */
         CANARY,
         /** The new version gets all requests for a short time. */
-        TRIAL,
-        /** The new version gets the canary share again until the answers of the trial are known. */
+        LOAD_TEST,
+        /** The new version gets the canary share again until the answers of the load test are known. */
         REVIEW,
         /** The new version gets all requests, and the old one finishes those that it has. */
         DRAIN
@@ -59,7 +59,7 @@
         this.order = order;
         this.evidence = new RolloutEvidence(PREVIOUS, order.targetVersion(), CONFIRM_MILLIS);
         this.traffic = new RolloutTraffic(order.startMillis());
-        this.plan = new TrialPlan(order, limit);
+        this.plan = new LoadTestPlan(order, limit);
         this.canaryBasisPoints = plan.canaryBasisPoints(traffic, order.startMillis());
     }
 
@@ -114,8 +114,8 @@
 
     /**
      * Takes at most one step: reverts the rollout, changes the share, or completes the rollout. A version that has not
-     * passed a trial shortly before the deadline is reverted. A completed rollout is reverted if the version turns bad
-     * before the state is stored.
+     * passed a load test shortly before the deadline is reverted. A completed rollout is reverted if the version turns
+     * bad before the state is stored.
      *
      * @param mustRevert whether the new version is known to be bad, or the order was withdrawn
      * @param outstandingAtPrevious requests in progress at upstreams of other versions, over all entries
@@ -129,24 +129,24 @@
         }
         double elapsedFraction = timeFraction(nowMillis - order.startMillis());
         boolean isLate = elapsedFraction >= MAX_DRAIN_TIME_FRACTION;
-        if (isLate && (step == Step.CANARY || step == Step.TRIAL) && isTestable(nowMillis)) {
-            revert("no trial passed by the deadline");
+        if (isLate && (step == Step.CANARY || step == Step.LOAD_TEST) && isTestable(nowMillis)) {
+            revert("no load test passed by the deadline");
             return;
         }
         switch (step) {
             case CANARY -> {
                 canaryBasisPoints = plan.canaryBasisPoints(traffic, nowMillis);
-                if (mayStartTrial(elapsedFraction, nowMillis)) {
-                    startTrial(plan.trialMillis(traffic, nowMillis), nowMillis);
+                if (mayStartLoadTest(elapsedFraction, nowMillis)) {
+                    startLoadTest(plan.loadTestMillis(traffic, nowMillis), nowMillis);
                 }
             }
-            case TRIAL -> {
-                if (nowMillis >= trialEndMillis) {
+            case LOAD_TEST -> {
+                if (nowMillis >= loadTestEndMillis) {
                     step = Step.REVIEW;
                 }
             }
             case REVIEW -> {
-                if (isLate || nowMillis - trialEndMillis >= plan.reviewMillis()) {
+                if (isLate || nowMillis - loadTestEndMillis >= plan.reviewMillis()) {
                     review();
                 }
             }
@@ -160,7 +160,7 @@
     }
 
     /**
-     * Follows the steps of the entry that holds the lease, so that this entry can take over at any of them. A trial
+     * Follows the steps of the entry that holds the lease, so that this entry can take over at any of them. A load test
      * that it did not notice is repeated as far as the exposure limit allows.
      *
      * @param current the published stage of the service that is valid now
@@ -170,11 +170,11 @@
                 .filter(stage -> stage.shareBasisPoints() == Stage.ALL_BASIS_POINTS)
                 .isPresent();
         if (step == Step.CANARY && hasAll) {
-            startTrial(current.get().leaseMillis(), nowMillis);
-        } else if (step == Step.TRIAL && !hasAll) {
+            startLoadTest(current.get().leaseMillis(), nowMillis);
+        } else if (step == Step.LOAD_TEST && !hasAll) {
             step = Step.REVIEW;
-            trialEndMillis = nowMillis;
-        } else if (step == Step.REVIEW && hasAll && nowMillis - trialEndMillis > CONFIRM_MILLIS) {
+            loadTestEndMillis = nowMillis;
+        } else if (step == Step.REVIEW && hasAll && nowMillis - loadTestEndMillis > CONFIRM_MILLIS) {
             step = Step.DRAIN;
         }
     }
@@ -183,29 +183,29 @@
         return traffic.targetRequests() >= MIN_SAMPLES || !evidence.looksGood(nowMillis);
     }
 
-    private boolean mayStartTrial(double elapsedFraction, long nowMillis) {
+    private boolean mayStartLoadTest(double elapsedFraction, long nowMillis) {
         return traffic.targetRequests() >= MIN_SAMPLES
                 && evidence.looksGood(nowMillis)
                 && (elapsedFraction >= MAX_CANARY_TIME_FRACTION
                         || elapsedFraction >= CANARY_TIME_FRACTION && evidence.allRoutesPassed())
-                && plan.trialMillis(traffic, nowMillis) > 0;
+                && plan.loadTestMillis(traffic, nowMillis) > 0;
     }
 
-    private void startTrial(long trialMillis, long nowMillis) {
-        step = Step.TRIAL;
-        trialEndMillis = nowMillis + trialMillis;
-        expectedTrialRequests = trialMillis * traffic.averageRate(nowMillis);
-        evidence.startTrial(nowMillis);
+    private void startLoadTest(long loadTestMillis, long nowMillis) {
+        step = Step.LOAD_TEST;
+        loadTestEndMillis = nowMillis + loadTestMillis;
+        expectedLoadTestRequests = loadTestMillis * traffic.averageRate(nowMillis);
+        evidence.startLoadTest(nowMillis);
     }
 
     private void review() {
-        Optional<String> objection = evidence.trialObjection(evaluator);
+        Optional<String> objection = evidence.loadTestObjection(evaluator);
         if (objection.isPresent()) {
             revert(objection.get());
             return;
         }
-        boolean enough = evidence.trialRequests()
-                >= Math.min(ENOUGH_TRIAL_SAMPLES, Math.max(1, MIN_TRIAL_FRACTION * expectedTrialRequests));
+        boolean enough = evidence.loadTestRequests()
+                >= Math.min(ENOUGH_LOAD_TEST_SAMPLES, Math.max(1, MIN_LOAD_TEST_FRACTION * expectedLoadTestRequests));
         step = enough ? Step.DRAIN : Step.CANARY;
     }
 
@@ -220,16 +220,16 @@
 
     /**
      * Returns the stage to publish to all entries, which expires after the given time unless it is renewed. The stage
-     * of a trial expires at its end, so that an entry that does not hear of the end stops in time.
+     * of a load test expires at its end, so that an entry that does not hear of the end stops in time.
      */
     public Stage stage(long leaseMillis, long nowMillis) {
-        boolean isTrial = state == RolloutState.IN_PROGRESS && step == Step.TRIAL;
+        boolean isLoadTest = state == RolloutState.IN_PROGRESS && step == Step.LOAD_TEST;
         return new Stage(
                 order.service(),
                 PREVIOUS,
                 order.targetVersion(),
                 shareBasisPoints(),
-                isTrial ? Math.max(0, Math.min(leaseMillis, trialEndMillis - nowMillis)) : leaseMillis,
+                isLoadTest ? Math.max(0, Math.min(leaseMillis, loadTestEndMillis - nowMillis)) : leaseMillis,
                 state == RolloutState.COMPLETED);
     }
 
@@ -239,7 +239,7 @@
         }
         return switch (step) {
             case CANARY, REVIEW -> canaryBasisPoints;
-            case TRIAL, DRAIN -> Stage.ALL_BASIS_POINTS;
+            case LOAD_TEST, DRAIN -> Stage.ALL_BASIS_POINTS;
         };
     }
 }
--- a/core/src/main/java/dev/wigeonward/core/rollout/SlownessDetector.java
+++ b/core/src/main/java/dev/wigeonward/core/rollout/SlownessDetector.java
@@ -47,8 +47,8 @@
     /** Log-likelihood ratio of all answers, which unlike {@link #logRatio} does not start anew. */
     private double totalLogRatio;
 
-    /** Log-likelihood ratio of the answers since the trial started. */
-    private double trialLogRatio;
+    /** Log-likelihood ratio of the answers since the load test started. */
+    private double loadTestLogRatio;
 
     private boolean compared;
     private long slow;
@@ -88,7 +88,7 @@
         double added = newSlow * Math.log(badShare / share)
                 + (times.total() - newSlow) * Math.log((1 - badShare) / (1 - share));
         logRatio += added;
-        trialLogRatio += added;
+        loadTestLogRatio += added;
         totalLogRatio = Math.max(MIN_TOTAL_LOG_RATIO, totalLogRatio + added);
         compared = true;
         boolean refuted = suspect && logRatio <= REFUTED_LOG_RATIO;
@@ -126,21 +126,21 @@
         return suspect || logRatio >= MAX_GROWTH_LOG_RATIO;
     }
 
-    /** Discards the evidence from before a trial. */
-    void startTrial() {
+    /** Discards the evidence from before a load test. */
+    void startLoadTest() {
         suspect = false;
-        trialLogRatio = 0;
+        loadTestLogRatio = 0;
         totalLogRatio = 0;
         restart();
     }
 
-    /** Returns what the answers since the trial started say against the new version. */
-    Optional<String> trialObjection() {
-        if (!suspect && trialLogRatio < MAX_GROWTH_LOG_RATIO) {
+    /** Returns what the answers since the load test started say against the new version. */
+    Optional<String> loadTestObjection() {
+        if (!suspect && loadTestLogRatio < MAX_GROWTH_LOG_RATIO) {
             return Optional.empty();
         }
         return Optional.of(
-                "slow answers: log ratio %.1f, bad from %.1f".formatted(trialLogRatio, MAX_GROWTH_LOG_RATIO));
+                "slow answers: log ratio %.1f, bad from %.1f".formatted(loadTestLogRatio, MAX_GROWTH_LOG_RATIO));
     }
 
     /** Returns whether there is evidence that the new version is not slow, or none could be collected. */
--- a/core/src/test/java/dev/wigeonward/core/rollout/LoadedRolloutTest.java
+++ b/core/src/test/java/dev/wigeonward/core/rollout/LoadedRolloutTest.java
@@ -72,7 +72,7 @@
         }
     }
 
-    /** Guards against a controller that repeats the trial of the one that it replaces, beyond the exposure limit. */
+    /** Guards against a controller that repeats the load test of its predecessor, beyond the exposure limit. */
     @ParameterizedTest
     @ValueSource(longs = {6_100, 6_500, 7_500, 9_000})
     void exposureHoldsWhenTheControllerIsReplaced(long replacedMillis) {
@@ -85,7 +85,7 @@
         }
     }
 
-    /** Guards against a rollout that is never completed because the controller is replaced during the trial. */
+    /** Guards against a rollout that is never completed because the controller is replaced during the load test. */
     @ParameterizedTest
     @ValueSource(longs = {6_100, 6_500, 7_500, 9_000})
     void goodVersionIsCompletedWhenTheControllerIsReplaced(long replacedMillis) {
@@ -109,12 +109,12 @@
     }
 
     /**
-     * Guards against an entry that does not hear of the end of a trial and sends all its requests to the version.
+     * Guards against an entry that does not hear of the end of a load test and sends all its requests to the version.
      */
     @Test
-    void stageOfTheTrialExpiresWithIt() {
+    void stageOfTheLoadTestExpiresWithIt() {
         Simulation run = new Simulation(1, 300, 1);
-        run.stopAtTrial = true;
+        run.stopAtLoadTest = true;
         run.play();
         Stage stage = run.rollout.stage(60_000, run.nowMillis);
         assertThat(stage.shareBasisPoints()).isEqualTo(Stage.ALL_BASIS_POINTS);
@@ -140,7 +140,7 @@
         private int slowLoad = Integer.MAX_VALUE;
         private double slowness = 1;
         private long replacedMillis = Long.MAX_VALUE;
-        private boolean stopAtTrial;
+        private boolean stopAtLoadTest;
         private ServiceRollout rollout = start.get();
         private long nowMillis;
         private long newRequests;
@@ -188,7 +188,7 @@
 
                     rollout.advance(bad, 0, nowMillis);
                 }
-                if (stopAtTrial && rollout.stage(1_500, nowMillis).shareBasisPoints() == Stage.ALL_BASIS_POINTS) {
+                if (stopAtLoadTest && rollout.stage(1_500, nowMillis).shareBasisPoints() == Stage.ALL_BASIS_POINTS) {
                     return;
                 }
                 send(rollout.stage(1_500, nowMillis).shareBasisPoints());
