Let an entry use its part of a cap while it registers

Callers of capped tenants got 429 from an entry that had just started and did not hear another one that was registered, until its own registration was confirmed.

An entry that has just started has used nothing yet and registers within milliseconds, so it counts as registered for its first 2 s. While no attempt has succeeded it tries again each 0.5 s.

--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/SharedBudgets.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/SharedBudgets.java
@@ -22,6 +22,8 @@
      * missed.
      */
     private static final long MIN_PERIOD_MILLIS = 2_000;
+    /** Interval between attempts to register while none has succeeded. */
+    private static final long RETRY_MILLIS = 500;
     /** Part of the interval for each known entry, so that the rate of calls of all entries stays bounded. */
     private static final long PERIOD_MILLIS_PER_ENTRY = 20;
     /** Intervals for which a registration lasts without renewal, so that a renewal that fails is repeated in time. */
@@ -34,7 +36,10 @@
     private final EventLog log;
     private final EventLoop loop;
     private final EntryMembership membership;
-    private long registeredUntilMillis = Long.MIN_VALUE;
+    private long registeredUntilMillis;
+    /** Whether the last attempt to register is known to have succeeded. */
+    private boolean confirmed;
+
     private EntryGroup group = EntryGroup.SINGLE;
 
     private SharedBudgets(
@@ -50,6 +55,8 @@
         this.loop = loop;
         this.nowMillis = nowMillis;
         this.log = log;
+        // An entry that has just started is registered within this time, and has used nothing yet.
+        this.registeredUntilMillis = nowMillis.getAsLong() + MIN_PERIOD_MILLIS;
         this.membership = EntryMembership.of(ownAddress, REGISTRATION_PERIODS * MIN_PERIOD_MILLIS);
     }
 
@@ -76,12 +83,13 @@
         long periodMillis = Math.max(MIN_PERIOD_MILLIS, PERIOD_MILLIS_PER_ENTRY * membership.known());
         loop.schedule(
                 dispatcher.telemetry().guard("entry_registry", this::registerAndRead),
-                periodMillis,
+                confirmed ? periodMillis : RETRY_MILLIS,
                 TimeUnit.MILLISECONDS);
         long sentAtMillis = nowMillis.getAsLong();
         long validMillis = REGISTRATION_PERIODS * periodMillis;
         registry.register(ownAddress, validMillis, confirmedMillis -> {
-            if (confirmedMillis > 0) {
+            confirmed = confirmedMillis > 0;
+            if (confirmed) {
                 registeredUntilMillis = sentAtMillis + confirmedMillis;
             }
         });
