Put the parts of entries that start together into one level

After all entries had restarted at once, callers of capped tenants were refused for seconds.

Entries that have just started put their parts together, subtract each other's usage from the beginning, and report no level that an older entry could be believed to have. One that hears an older entry adopts its level, as before.

PartitionedUsageCapTest.entriesThatStartTogetherShareTheUsageOfOneSecond fails without it (162,008 used where 175,000 to 225,000 are expected).

--- a/core/src/main/java/dev/wigeonward/core/cap/WorkspaceUsageCap.java
+++ b/core/src/main/java/dev/wigeonward/core/cap/WorkspaceUsageCap.java
@@ -16,6 +16,10 @@
     private static final double RATE_TIME_CONSTANT_MILLIS = 1_000;
     /** Time without a report after which a peer counts as not heard; until then its last rate is assumed to go on. */
     private static final long MAX_SILENCE_MILLIS = 1_500;
+    /** Level that an entry reports while it has just started and does not know the real one. */
+    private static final double UNKNOWN_LEVEL = Long.MAX_VALUE;
+    /** Time after its start within which an entry adopts the level of a peer that knows it. */
+    private static final long FRESH_MILLIS = 2_000;
     /** Time after which a caller may ask again if this entry must not use the cap at all. */
     private static final long NO_SHARE_RETRY_MILLIS = 1_000;
 
@@ -24,7 +28,8 @@
     private double fraction;
     private double level;
     private double totalUsage;
-    private boolean levelKnown;
+    private boolean levelAdopted;
+    private final long startedAtMillis;
     private long updatedAtMillis;
     private final Map<String, PeerUsage> peers = new HashMap<>();
 
@@ -32,6 +37,7 @@
         this.ratePerSecond = ratePerSecond;
         this.capacity = capacity;
         this.fraction = group.budgetFraction();
+        this.startedAtMillis = nowMillis;
         this.updatedAtMillis = nowMillis;
         // A restarted entry may have used its share shortly before, so it starts with the share of one second.
         this.level = Math.min(capacity, ratePerSecond) * fraction;
@@ -60,12 +66,13 @@
 
     /**
      * Sets the group of entries that share this entry's part of the cap. A smaller part takes its part of the level
-     * along. A larger one starts with the level as it is, because the entries that join have used their own parts.
+     * along. A larger one starts with the level as it is, because the entries that join have used their own parts;
+     * entries that have just started together have not.
      */
     public void setGroup(EntryGroup group, long nowMillis) {
         refill(nowMillis);
         double newFraction = group.budgetFraction();
-        if (newFraction < fraction && level > 0) {
+        if (level > 0 && fraction > 0 && (newFraction < fraction || isFresh(nowMillis))) {
             level *= newFraction / fraction;
         }
         fraction = newFraction;
@@ -73,25 +80,28 @@
 
     /**
      * Subtracts the peer's usage since its previous report from the level and updates the estimate of its rate. The
-     * very first report of any peer replaces the level instead. Usage from before a peer is heard, or heard again, is
-     * not subtracted: it came from the part that its group had.
+     * first level that an entry hears after its start replaces its own instead. Usage from before a peer is heard, or
+     * heard again, is not subtracted: it came from the part that its group had. That of peers which have just started
+     * as well is subtracted.
      *
      * @param incarnation identifier of the peer's process lifetime; its cumulative usage starts at 0 in each lifetime
      * @param peerTotalUsage usage that the peer has admitted in this lifetime
-     * @param peerLevel level of the bucket as computed by the peer
+     * @param peerLevel level of the bucket as reported by the peer
      */
     public void onPeerReport(String peer, long incarnation, double peerTotalUsage, double peerLevel, long nowMillis) {
         refill(nowMillis);
-        if (!levelKnown) {
+        boolean peerKnowsLevel = peerLevel < UNKNOWN_LEVEL;
+        if (isFresh(nowMillis) && peerKnowsLevel) {
             // The peer's level includes the usage before this entry started.
-            levelKnown = true;
+            levelAdopted = true;
             level = Math.min(peerLevel, capacity * fraction);
             peers.put(peer, new PeerUsage(incarnation, peerTotalUsage, 0, nowMillis));
             return;
         }
         PeerUsage last = peers.get(peer);
-        double newUsage =
-                last == null ? 0 : last.incarnation == incarnation ? peerTotalUsage - last.totalUsage : peerTotalUsage;
+        double usageBefore = last != null && last.incarnation == incarnation ? last.totalUsage : 0;
+        boolean counts = last != null || isFresh(nowMillis);
+        double newUsage = counts ? peerTotalUsage - usageBefore : 0;
         level = Math.max(-capacity, level - newUsage);
         double elapsed = last == null ? RATE_TIME_CONSTANT_MILLIS : Math.max(1, nowMillis - last.reportedAtMillis);
         double decay = Math.exp(-elapsed / RATE_TIME_CONSTANT_MILLIS);
@@ -141,6 +151,15 @@
         return level;
     }
 
+    /** Returns the level for reports to the peers. */
+    public double reportedLevel(long nowMillis) {
+        return isFresh(nowMillis) ? UNKNOWN_LEVEL : level(nowMillis);
+    }
+
+    private boolean isFresh(long nowMillis) {
+        return !levelAdopted && nowMillis - startedAtMillis < FRESH_MILLIS;
+    }
+
     /** Returns the time until usage is allowed again, in milliseconds, provided that nothing more is used. */
     public long millisUntilAvailable() {
         if (fraction == 0) {
--- a/core/src/test/java/dev/wigeonward/core/cap/PartitionedUsageCapTest.java
+++ b/core/src/test/java/dev/wigeonward/core/cap/PartitionedUsageCapTest.java
@@ -76,6 +76,20 @@
         simulation.assertWithinCap();
     }
 
+    /**
+     * Guards against refusals after all entries have restarted: what they may use at first was divided by their number
+     * and not put together when they heard each other.
+     */
+    @Example
+    void entriesThatStartTogetherShareTheUsageOfOneSecond() {
+        Simulation simulation = new Simulation(new Random(1), 5);
+        simulation.groups = new int[5];
+        simulation.play(0, 1_000, 3_000);
+        double used = simulation.admitted.stream().mapToLong(Long::longValue).sum();
+
+        assertThat(used).isBetween(3.5 * RATE, 4.5 * RATE);
+    }
+
     /** Guards against a cap that stays partly unused after a partition has ended. */
     @Property(tries = 20)
     void capIsUsedUpAgainAfterAPartition(@ForAll long seed, @ForAll @IntRange(min = 2, max = 9) int entries) {
@@ -148,7 +162,8 @@
         private void report(boolean cut, long now) {
             double[] totals =
                     caps.stream().mapToDouble(WorkspaceUsageCap::totalUsage).toArray();
-            double[] levels = caps.stream().mapToDouble(cap -> cap.level(now)).toArray();
+            double[] levels =
+                    caps.stream().mapToDouble(cap -> cap.reportedLevel(now)).toArray();
             for (int to = 0; to < caps.size(); to++) {
                 int heard = 1;
                 for (int from = 0; from < caps.size(); from++) {
--- a/gateway/src/main/java/dev/wigeonward/gateway/exchange/WorkspaceCaps.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/exchange/WorkspaceCaps.java
@@ -101,7 +101,8 @@
 
     Map<String, Usage> usages(long nowMillis) {
         Map<String, Usage> usages = new HashMap<>();
-        caps.forEach((workspace, cap) -> usages.put(workspace, new Usage(cap.totalUsage(), cap.level(nowMillis))));
+        caps.forEach(
+                (workspace, cap) -> usages.put(workspace, new Usage(cap.totalUsage(), cap.reportedLevel(nowMillis))));
         return usages;
     }
 
@@ -117,7 +118,7 @@
      * Usage of one workspace at one entry.
      *
      * @param total usage admitted since the entry's start
-     * @param remaining remaining usage by the entry's estimate
+     * @param remaining remaining usage by the entry's estimate, or the largest number if it has just started
      */
     public record Usage(double total, double remaining) {}
 }
