Space the readings of the registry of entries

Readings are at least 2 s apart now, whatever the attempts to register do. EntryMembershipTest.readingsAreSpacedLikeRegistrations guards it.

--- a/core/src/main/java/dev/wigeonward/core/membership/EntryMembership.java
+++ b/core/src/main/java/dev/wigeonward/core/membership/EntryMembership.java
@@ -15,6 +15,8 @@
      * dropped registrations, which running entries renew within that time.
      */
     private static final int MIN_MISSING_READINGS = 3;
+    /** Shortest interval between two readings; running entries renew their registrations at least as often. */
+    private static final long READING_PERIOD_MILLIS = 2_000;
 
     private final String ownAddress;
     /** Time for which a registration lasts without renewal; an entry is not missing earlier. */
@@ -22,6 +24,7 @@
 
     private final Map<String, Entry> others = new HashMap<>();
     private boolean complete;
+    private long readingStartedMillis = Long.MIN_VALUE / 2;
 
     private EntryMembership(String ownAddress, long registrationMillis) {
         this.ownAddress = ownAddress;
@@ -74,10 +77,19 @@
         others.values().forEach(entry -> entry.missingReadings = 0);
     }
 
-    /** Returns whether the registry should be read: it has not been, or an entry is not heard. */
-    public boolean needsReading(long nowMillis) {
-        return !complete
+    /**
+     * Returns whether the registry should be read now, because it has not been or an entry is not heard, and starts the
+     * interval until the next reading if so.
+     */
+    public boolean startReadingIfDue(long nowMillis) {
+        boolean isDue = nowMillis - readingStartedMillis >= READING_PERIOD_MILLIS;
+        boolean isNeeded = !complete
                 || others.values().stream().anyMatch(entry -> nowMillis - entry.heardAtMillis >= registrationMillis);
+        if (!isDue || !isNeeded) {
+            return false;
+        }
+        readingStartedMillis = nowMillis;
+        return true;
     }
 
     /** Returns the number of entries that may be running, including this one. */
--- a/core/src/test/java/dev/wigeonward/core/membership/EntryMembershipTest.java
+++ b/core/src/test/java/dev/wigeonward/core/membership/EntryMembershipTest.java
@@ -39,7 +39,7 @@
         membership.onRegistryRead(Set.of("own"), 10_000);
 
         assertThat(membership.known()).isEqualTo(1);
-        assertThat(membership.needsReading(12_000)).isFalse();
+        assertThat(membership.startReadingIfDue(12_000)).isFalse();
     }
 
     /** Guards against entries that are forgotten because the registry lost their registrations while it was down. */
@@ -60,7 +60,7 @@
     /** Guards against an entry that starts while it is cut off, knows no other and takes the whole budget. */
     @Test
     void startedEntryLearnsOthersFromTheRegistry() {
-        assertThat(membership.needsReading(0)).isTrue();
+        assertThat(membership.startReadingIfDue(0)).isTrue();
         membership.onRegistryRead(Set.of("own", "a", "b"), 10);
 
         assertThat(membership.known()).isEqualTo(3);
@@ -86,9 +86,21 @@
         membership.onRegistryRead(Set.of("own", "peer"), 0);
         for (long now = 0; now < 60_000; now += 1_000) {
             membership.onHeard("peer", now);
-            assertThat(membership.needsReading(now)).isFalse();
+            assertThat(membership.startReadingIfDue(now)).isFalse();
         }
-        assertThat(membership.needsReading(59_000 + REGISTRATION_MILLIS)).isTrue();
+        assertThat(membership.startReadingIfDue(59_000 + REGISTRATION_MILLIS)).isTrue();
+    }
+
+    /**
+     * Guards against readings in quick succession while registering fails: entries that a returned store has lost would
+     * be missing in all of them, before they can register again.
+     */
+    @Test
+    void readingsAreSpacedLikeRegistrations() {
+        assertThat(membership.startReadingIfDue(0)).isTrue();
+        assertThat(membership.startReadingIfDue(500)).isFalse();
+        assertThat(membership.startReadingIfDue(1_999)).isFalse();
+        assertThat(membership.startReadingIfDue(2_000)).isTrue();
     }
 
     /** Guards against an entry that came back and is forgotten because of its earlier absence. */
--- a/gateway/src/main/java/dev/wigeonward/gateway/peer/SharedBudgets.java
+++ b/gateway/src/main/java/dev/wigeonward/gateway/peer/SharedBudgets.java
@@ -93,7 +93,7 @@
                 registeredUntilMillis = sentAtMillis + confirmedMillis;
             }
         });
-        if (membership.needsReading(sentAtMillis)) {
+        if (membership.startReadingIfDue(sentAtMillis)) {
             registry.read(ownAddress, registered -> {
                 registered.ifPresentOrElse(
                         addresses -> membership.onRegistryRead(addresses, nowMillis.getAsLong()),
