Wait for the write of a spend total before it is read in a test

A race of the test: SpendStore.write sends the total and does not tell when it is stored, and the test read at once. It now waits until the store holds the total; what it expects is unchanged.

--- a/verification/src/test/java/dev/wigeonward/verification/store/ForeignRecordsTest.java
+++ b/verification/src/test/java/dev/wigeonward/verification/store/ForeignRecordsTest.java
@@ -98,6 +98,22 @@
         assertThat(written.get(5, TimeUnit.SECONDS)).isPositive();
     }
 
+    /** Writes a total and waits until the store holds it, because the write is not confirmed to its caller. */
+    private void writeSpend(String entryId) throws Exception {
+        spend.write(new SpendSnapshot("2026-12", entryId, Map.of()));
+        for (int attempt = 0; attempt < 500; attempt++) {
+            Optional<KeyValue> stored = store.get(SPEND + entryId)
+                    .get(5, TimeUnit.SECONDS)
+                    .toOptional()
+                    .orElseThrow();
+            if (stored.isPresent()) {
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        throw new AssertionError("the store does not hold the total of " + entryId);
+    }
+
     private List<String> readModels() throws Exception {
         CompletableFuture<Optional<List<StoredRecord>>> read = new CompletableFuture<>();
         rollouts.readAll(read::complete);
@@ -124,7 +140,7 @@
         put(ROLLOUTS + "a&+# %", foreign);
         put(SPEND + "a&+# %", foreign);
         writeRollout("m");
-        spend.write(new SpendSnapshot("2026-12", "e", Map.of()));
+        writeSpend("e");
 
         assertThat(readModels()).containsExactly("m");
         assertThat(readSpenders()).containsExactly("e");
@@ -134,7 +150,7 @@
     @Test
     void copyUnderAnotherKeyIsNoRecord() throws Exception {
         writeRollout("m");
-        spend.write(new SpendSnapshot("2026-12", "e", Map.of()));
+        writeSpend("e");
         for (String prefix : List.of(ROLLOUTS + "m", SPEND + "e")) {
             KeyValue original = store.get(prefix)
                     .get(5, TimeUnit.SECONDS)
